Read backend answers with bounded heads, as hiredis makes room for what they claim

Broken answers that claim 100 million elements made arrays which collections traverse and which are walked through when freed: all CPU went there.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -10,17 +10,17 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 
-import hiredis
-
 from fennelwinch import interface as i
 from fennelwinch.codec import read_report
 from molereach.config import Address
+from molereach.resp import ProtocolError, ReplyError, ReplyReader
 
 log = logging.getLogger(__name__)
 
 INCOMPLETE = object()
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
-MOST_REPLY = 1 << 17  # bytes: a value of 64 KiB, the figures and the load report, with room to spare
+MOST_VALUE = 1 << 16  # bytes: the largest of the protocol
+MOST_REPLY = 2 * MOST_VALUE  # with the figures and the load report, and room to spare
 
 Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
 
@@ -72,8 +72,8 @@
 
 def read_reply(reply: object) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
     """What a backend's answer means."""
-    if isinstance(reply, hiredis.ReplyError):
-        text = str(reply)
+    if isinstance(reply, ReplyError):
+        text = reply
         report = text.rpartition(" ")[2].encode()
         busy = text == "BUSY" or text.startswith("BUSY ")
         if not busy and not text.startswith("ERR"):
@@ -102,7 +102,7 @@
         self.pool, self.idle_since = pool, 0
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
-        self.reader = hiredis.Reader(notEnoughData=INCOMPLETE)
+        self.reader = ReplyReader(MOST_VALUE)
         self.paused, self.received = False, 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -133,8 +133,8 @@
             return
         self.reader.feed(data)
         try:
-            reply = self.reader.gets()
-        except hiredis.ProtocolError as error:
+            reply = self.reader.gets(INCOMPLETE)
+        except ProtocolError as error:
             log.error("malformed answer from %s: %s", self.pool.name, error)
             self.abort()
             return
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -10,6 +10,7 @@
 
 from fennelwinch import interface as i
 from molereach.config import Config
+from molereach.resp import ProtocolError
 
 log = logging.getLogger(__name__)
 
@@ -25,20 +26,12 @@
 HEX = frozenset(b"0123456789abcdefABCDEF")
 
 
-class ProtocolError(Exception):
-    """What came is not RESP, or not an array of bulk strings; the connection cannot go on."""
-
-
 class CommandError(Exception):
     """A well-formed command that is wrong; the connection lives."""
 
 
 class CommandReader:
-    """Cuts a stream of bytes into commands.
-
-    Not hiredis, which makes room for as many elements as an array's head claims: 12 bytes that claim
-    100 million cost 0.1 s when they are freed, and any client may send them. It reads the backends.
-    """
+    """Cuts a stream of bytes into commands: arrays of bulk strings, and nothing else."""
 
     def __init__(self) -> None:
         self.buffer = bytearray()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,6 +8,7 @@
 from fennelwinch import interface as i
 from molereach.backends import Attempt, Backends, read_reply
 from molereach.config import Address
+from molereach.resp import ReplyReader
 from tests.sockets import HOST, Backend, refusing_address, resp, run, value
 
 S = 1_000_000
@@ -225,3 +226,31 @@
     assert read_reply([b"v", None, b"util=what"]) == (i.Result.OK, b"v", None)
     assert read_reply([b"v"]) == (i.Result.OK, b"v", None)
     assert read_reply([None, None, None])[0] is i.Result.ERROR
+
+
+def test_size_that_an_answer_claims_makes_no_room() -> None:
+    """Arrays made as long as they claim are traversed and freed on the front door's CPU time."""
+
+    async def job() -> None:
+        for claim in (b"*100000000\r\n", b"*3\r\n*100000000\r\n", b"*3\r\n$70000\r\n"):
+            sender = Sender(await Backend(lambda words, claim=claim: claim).start())
+            sender.send(timeout_us=20 * S)
+            assert await asyncio.wait_for(sender.result(), 10) is i.Result.RESET
+            assert sender.backends.count() == 0
+            sender.backends.close()
+
+    run(job())
+
+
+def test_answer_is_read_in_whatever_pieces_it_comes() -> None:
+    for stream, replies in (
+        (value(b"a\r\nb", b"$9\r\nutil=0.61\r\n"), [[b"a\r\nb", None, b"util=0.61"]]),
+        (b"-ERR failed\r\n-BUSY\r\n", ["ERR failed", "BUSY"]),
+        (b"*-1\r\n*2\r\n*1\r\n:5\r\n+OK\r\n", [None, [[b"5"], b"OK"]]),
+    ):
+        reader, came = ReplyReader(1 << 16), []
+        for byte in stream:
+            reader.feed(bytes([byte]))
+            if (reply := reader.gets(...)) is not ...:
+                came.append(reply)
+        assert came == replies and not reader.has_data()
