Log figures every 5 s: why requests end, the cap, how connections fare

With the lines: in sev7115 attempts are reset on reuse of idle connections, and requests are held past their aim while the cap is lifted and almost nothing is out.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -5,6 +5,7 @@
 import random
 import zlib
 from bisect import insort
+from collections import Counter
 
 from fennelwinch import interface as i
 
@@ -29,6 +30,7 @@
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
+LOG_US = 5 * S  # how often those on call get the module's figures
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
@@ -64,11 +66,14 @@
 
     def chance(self, units: float) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
-        if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
+        if self.at_open_cap():
             return 0.0
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
+    def at_open_cap(self) -> bool:
+        return bool(self.plan.max_out) and self.out >= max(1, self.plan.max_out // self.size)
+
     def spend(self, units: float) -> None:
         self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
 
@@ -101,8 +106,10 @@
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
+        self.occup = 0.0  # as last inferred, for the log
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
+        self.tally, self.logged_us = Counter(), -1  # why requests ended unserved, since the last line
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
@@ -165,6 +172,21 @@
         self.cc_us = CC_PERIOD_US * max(1, most)
         self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
         self.accepted = 0
+        if self.now - self.logged_us >= LOG_US:
+            self.log_figures()
+
+    def log_figures(self) -> None:
+        """What those on call need first: the cap, what is out and held, and why requests were ended."""
+        ended = " ".join(f"{why}={count}" for why, count in sorted(self.tally.items()))
+        cap = "lifted" if self.n_past is None else f"{self.n_past}/{self.cc_us // S}s"
+        suspect = sum(self.now < server.avoid_until or server.on_trial for server in self.up)
+        means = ",".join(f"{mean / 1000:.0f}" for mean in self.mean_us)
+        self.actions.append(i.Log(
+            f"cap {cap} occupancy {self.occup:.2f} rate {self.rate:.0f}/s mean {means} ms"
+            f" out {self.out} held {len(self.held)} waiting {len(self.waits)}"
+            f" up {len(self.up)} suspect {suspect} ended: {ended or '-'}"))
+        self.tally.clear()
+        self.logged_us = self.now
 
     def update_cap(self, na_past: float) -> None:
         """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
@@ -177,6 +199,7 @@
         if not samples:
             return
         occup, was = min(1.0, sum(samples) / len(samples)), self.n_past
+        self.occup = occup
         if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
             self.overhead, self.n_past = min(self.overhead, occup), None
         elif was is None:
@@ -211,7 +234,7 @@
         needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
         late = job.may_refuse() and self.now + needed >= job.aim_us
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
-            self.end(job)
+            self.end(job, "aim")
         return job.over
 
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
@@ -244,7 +267,7 @@
         if job.in_quota:
             self.spend(job.customer, job.req.units)
         elif plan.over_worth <= plan.over_cost or self.n_past is not None:
-            self.end(job)
+            self.end(job, "open" if chance == 0 and job.customer.at_open_cap() else "quota")
             return
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
@@ -393,7 +416,7 @@
         if event.over or job.over:
             self.drop(job)
         elif not job.out and not self.again(job, event.result):
-            self.end(job)
+            self.end(job, event.result.value)
 
     def learn(self, job: _Job, server: _Server, event: i.Outcome) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
@@ -418,7 +441,8 @@
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             self.note_result(server, result is i.Result.OK)
 
-    def end(self, job: _Job) -> None:
+    def end(self, job: _Job, why: str) -> None:
+        self.tally[why] += 1
         wait = self.set.max_retry_after_us
         self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
         self.drop(job)
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -7,7 +7,7 @@
 import asyncio
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Coroutine
 
 from fennelwinch import interface as i
@@ -103,7 +103,7 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.reader = ReplyReader(MOST_VALUE)
-        self.paused, self.received = False, 0
+        self.paused, self.received, self.uses = False, 0, 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -113,6 +113,7 @@
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.connection, self.received = attempt, self, 0
+        self.uses += 1
         self.transport.write(attempt.payload)
         attempt.written = not self.paused
 
@@ -156,6 +157,7 @@
         attempt, self.attempt = self.attempt, None
         if attempt:
             attempt.connection = None
+            self.pool.owner.tally["reset on reuse" if self.uses > 1 else "reset on first use"] += 1
             self.pool.doubt(now_us())
             attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
 
@@ -195,6 +197,7 @@
             return
         self.waiting.append(attempt)
         self.connecting += 1
+        self.owner.tally["opened"] += 1
         connection = Connection(self)
         self.connections.add(connection)  # at once, as the bound counts those that are still connecting
         self.owner.spawn(self.connect(connection))
@@ -247,6 +250,7 @@
         would end as a reset, which an unsafe class cannot repeat.
         """
         if self.heard_us < since_us:
+            self.owner.tally["doubted"] += len(self.idle)
             self.close_idle()
 
     def close_idle(self, before_us: int | None = None) -> None:
@@ -262,6 +266,7 @@
         self.pools: dict[str, Pool] = {}
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
+        self.tally: Counter[str] = Counter()  # how connections fared, for the log
 
     def update(
         self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 from fennelwinch import interface as i
@@ -23,6 +24,7 @@
 ANSWER_MARGIN_US = 25_000
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
+LOG_S = 5.0  # how often those on call get the figures
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
@@ -52,6 +54,8 @@
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
+        self.tally: Counter[str] = Counter()  # requests and how attempts ended, since the last line
+        self.longest_batch_us = 0
         self.server: asyncio.Server | None = None
         sockets = max(16, config.sockets - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
@@ -86,6 +90,7 @@
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
         self.backends.sweep()
+        self.loop.call_later(LOG_S, self.log_figures)
         if self.settings.may_tell and self.config.peer_listen:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
         self.backends.spawn(self.discovery.run())
@@ -109,6 +114,18 @@
                 break
         self.close()
 
+    def log_figures(self) -> None:
+        """What went through, and the state of the sockets; what decided it is in the module's own line."""
+        passed = " ".join(f"{what}={count}" for what, count in sorted(self.tally.items()))
+        sockets = " ".join(f"{what}={count}" for what, count in sorted(self.backends.tally.items()))
+        log.info("%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s", passed or "idle",
+                 len(self.open), self.longest_batch_us / 1000, len(self.clients.connections),
+                 self.backends.count(), sockets or "-")
+        self.tally.clear()
+        self.backends.tally.clear()
+        self.longest_batch_us = 0
+        self.loop.call_later(LOG_S, self.log_figures)
+
     def close(self) -> None:
         """Let go of all sockets."""
         if self.server:
@@ -137,6 +154,7 @@
                 continue
             for action in actions:
                 self.act(action)
+        self.longest_batch_us = max(self.longest_batch_us, now_us() - now)
 
     def act(self, action: i.Action) -> None:
         try:
@@ -171,6 +189,7 @@
         reply.id = request.id
         self.open[request.id] = exchange
         self.held_bytes += command.size
+        self.tally["asked"] += 1
         self.post(request)
 
     def overdue(self, request_id: str) -> None:
@@ -215,6 +234,7 @@
             exchange.out.pop(attempt.number, None)
             if over and not exchange.out:
                 del self.ended[name]
+        self.tally[result.value] += 1
         took = now_us() - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -285,3 +285,19 @@
 
     run(job())
     assert "cannot carry out" in caplog.text
+
+
+def test_figures_for_those_on_call(caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            with caplog.at_level(logging.INFO, logger="molereach.frontdoor"):
+                door.log_figures()
+                door.log_figures()
+        first, second = (record.getMessage() for record in caplog.records if "longest batch" in record.msg)
+        assert first.startswith("asked=1 ok=1;") and first.endswith("to backends 1: opened=1")
+        assert second.startswith("idle;")
+
+    run(job())
