--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -27,6 +27,7 @@
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
+SLOW_START_US = 8 * S  # after a return from suspicion: about the longest time away
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
@@ -41,7 +42,7 @@
         self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load, self.load_at = False, None, 0
-        self.warm_from = entry.started_us  # start of its ramp: its start, or its return from suspicion
+        self.back_us = -NEVER  # its return from suspicion
 
 
 class _Customer:
@@ -350,24 +351,28 @@
         pressure = 0.5 + server.load / max(0.01, self.mean_load) / 2 if fresh else 1.0
         far = 1 + 10 * self.set.cross_zone_price * (server.entry.zone != self.set.zone)
         waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
-        return waits * server.slowness * pressure * far
+        # One that came back is passed over for a while where others are free, never held back from use:
+        # where many come back at once, all that is asked must still find a server.
+        back = min(1.0, (self.now - server.back_us) / SLOW_START_US)
+        return waits * server.slowness * pressure * far * (2 - back)
 
     def warmth(self, server: _Server) -> float:
-        """The least part of its capacity that a started or returned server has by now."""
-        age, cold = (self.now - server.warm_from) / max(1, self.set.warm_within_us), self.set.cold_from
-        return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * age
+        """The least part of its capacity that a server has by now since its start."""
+        started, cold = server.entry.started_us, self.set.cold_from
+        age = (self.now - started) / max(1, self.set.warm_within_us)
+        return 1.0 if age >= 1 or not started else cold + (1 - cold) * age
 
     def spacing(self, server: _Server) -> int:
-        """A server that started or came back gets its part of what others are sent here, spaced out."""
+        """A server that started gets its part of what others are sent here, spaced out."""
         usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
         return round(S / max(0.01, self.warmth(server)) / usual)
 
     def note_result(self, server: _Server, ok: bool) -> None:
-        """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp."""
+        """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
         server.fails = server.fails / 2 if ok else server.fails + 1
         if ok and server.on_trial:
             server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
-            server.warm_from = max(server.warm_from, self.now - self.set.warm_within_us // 2)
+            server.back_us = self.now
         elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and self.now >= server.avoid_until:
             server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
             server.avoid_until, server.on_trial = self.now + server.backoff_us, True
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -500,3 +500,18 @@
     refused = len(of(i.Refuse, [action for _, action in world.log]))
     assert refused > 0
     assert sum(int(line.rpartition("quota=")[2]) for line in lines if "quota=" in line) == refused
+
+
+def test_servers_that_all_came_back_take_what_is_asked() -> None:
+    """A fault on the way makes each of them suspect for a while; none of them is cold for it."""
+    settings = replace(SETTINGS, plans=(i.Plan(),))
+    world = World(settings, servers(4))
+    for server in world.gateway.up:
+        server.on_trial, server.avoid_until = True, world.now
+    for n in range(100):
+        world.ask(f"r{n}")
+        world.run(25 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt)
+    sent = len(of(i.Send, [action for _, action in world.log]))
+    assert sent == 100
