Engage the cap by a clamped step from what was sent

N began at 8 a second for each ready server over all gateways, also where 50 or 57 were being sent: the cap's first step was a fall to 21, with recovery by a fifth a second.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -203,10 +203,11 @@
         self.occup = occup
         if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
             self.overhead, self.n_past = min(self.overhead, occup), None
-        elif was is None:
-            self.n_past = max(1, START_PER_SERVER * len(self.up) * self.cc_us // S // self.set.gateways)
         else:
             seconds, overhead = self.cc_us / S, min(self.overhead, targets[2] / 2)
+            if was is None:  # it engages by a step from what was sent: less at once would be no clamped step
+                least = max(1, START_PER_SERVER * len(self.up) * self.cc_us // S // self.set.gateways)
+                was = max(least, round(na_past))
             self.n_past = next_n(was, na_past, occup, overhead, targets, seconds)
 
     def allowance(self) -> bool:
