--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -22,6 +22,10 @@
 MOST_VALUE = 1 << 16  # bytes: the largest of the protocol
 MOST_REPLY = 2 * MOST_VALUE  # with the figures and the load report, and room to spare
 
+# A connection may be dropped on the way well before the idle time that the backends state, and without a
+# word: the next request on it is then reset. What this many resets show holds until they are forgotten.
+LEAST_RESETS, RESET_SHARE, FORGET_S = 3.0, 0.25, 10.0
+
 Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
 
 
@@ -95,6 +99,37 @@
         return None
 
 
+class IdleLimit:
+    """How long a connection may have stood idle to be used again, as answers and resets show.
+
+    Uses are counted by how long the connection was idle before, in classes that double; a class in which
+    many were reset ends what is trusted. Counts halve every so often, so the limit is tried again.
+    """
+
+    def __init__(self, told_us: int) -> None:
+        self.told_us = self.us = told_us
+        self.uses: dict[int, list[float]] = {}  # by class: all uses, and those that were reset
+
+    def note(self, idle_us: int, reset: bool) -> None:
+        uses = self.uses.setdefault(idle_us.bit_length(), [0.0, 0.0])
+        uses[0] += 1
+        uses[1] += reset
+        if reset:
+            self.judge()
+
+    def judge(self) -> None:
+        bad = [number for number, (used, lost) in self.uses.items()
+               if lost >= LEAST_RESETS and lost >= RESET_SHARE * used]
+        limit = min(self.told_us, 1 << max(0, min(bad) - 1)) if bad else self.told_us
+        if limit != self.us:
+            log.warning("connections idle for %d ms or more are not used again", limit // 1000)
+        self.us = limit
+
+    def age(self) -> None:
+        self.uses = {number: [used / 2, lost / 2] for number, (used, lost) in self.uses.items() if used > 0.1}
+        self.judge()
+
+
 class Connection(asyncio.Protocol):
     """A connection to a backend with at most one command on it."""
 
@@ -103,7 +138,8 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.reader = ReplyReader(MOST_VALUE)
-        self.paused, self.received, self.uses = False, 0, 0
+        self.paused, self.received = False, 0
+        self.uses, self.idle_us = 0, 0  # and how long it was idle before the last of them
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -114,6 +150,7 @@
         assert self.transport is not None
         self.attempt, attempt.connection, self.received = attempt, self, 0
         self.uses += 1
+        self.idle_us = now_us() - self.idle_since
         self.transport.write(attempt.payload)
         attempt.written = not self.paused
 
@@ -142,6 +179,7 @@
         if reply is INCOMPLETE:
             return
         self.attempt = attempt.connection = None
+        self.note_use(reset=False)
         if self.reader.has_data() or not attempt.written:
             self.abort()
         else:
@@ -158,9 +196,14 @@
         if attempt:
             attempt.connection = None
             self.pool.owner.tally["reset on reuse" if self.uses > 1 else "reset on first use"] += 1
+            self.note_use(reset=not self.received)
             self.pool.doubt(now_us())
             attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
 
+    def note_use(self, reset: bool) -> None:
+        if self.uses > 1:
+            self.pool.owner.idle_limit.note(self.idle_us, reset)
+
     def usable(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
@@ -187,6 +230,7 @@
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
+        self.close_idle(now_us() - self.owner.idle_limit.us)
         while self.idle:
             connection = self.idle.pop()
             if connection.usable():
@@ -262,7 +306,8 @@
     """The pools by the backends' names, and the bound on all their connections."""
 
     def __init__(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
-        self.idle_us, self.connect_s, self.most = round(idle_us * IDLE_SHARE), connect_timeout_us / 1e6, most
+        self.idle_limit = IdleLimit(round(idle_us * IDLE_SHARE))
+        self.connect_s, self.most, self.aged_us = connect_timeout_us / 1e6, most, now_us()
         self.pools: dict[str, Pool] = {}
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
@@ -319,11 +364,15 @@
 
     def sweep(self) -> None:
         """Close what has stood idle long, and again in a while."""
-        before = now_us() - self.idle_us
+        now = now_us()
+        if now - self.aged_us >= FORGET_S * 1e6:
+            self.aged_us = now
+            self.idle_limit.age()
+        before = now - self.idle_limit.us
         for pool in self.pools.values():
             pool.close_idle(before)
         self.old = [pool for pool in self.old if pool.connections]
-        asyncio.get_running_loop().call_later(min(1.0, self.idle_us / 4e6), self.sweep)
+        asyncio.get_running_loop().call_later(min(1.0, self.idle_limit.told_us / 4e6), self.sweep)
 
     def spawn(self, job: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(job)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 
 from fennelwinch import interface as i
-from molereach.backends import Attempt, Backends, read_reply
+from molereach.backends import Attempt, Backends, IdleLimit, read_reply
 from molereach.config import Address
 from molereach.resp import ReplyReader
 from tests.sockets import HOST, Backend, refusing_address, resp, run, value
@@ -254,3 +254,28 @@
             if (reply := reader.gets(...)) is not ...:
                 came.append(reply)
         assert came == replies and not reader.has_data()
+
+
+def test_resets_after_idling_teach_how_long_a_connection_is_good() -> None:
+    limit = IdleLimit(15 * S)
+    for n in range(40):
+        limit.note(10_000, reset=n % 10 == 0)  # some are reset whatever they did before
+        limit.note(150_000, reset=n % 10 < 4)
+    assert limit.us == 131_072
+    for _ in range(4):
+        limit.age()
+    assert limit.us == 15 * S  # tried again after a while
+
+
+def test_connection_idle_beyond_the_limit_is_not_used() -> None:
+    async def job() -> None:
+        backend = Backend()
+        sender = Sender(await backend.start())
+        for limit_us, opened in ((15 * S, 1), (15 * S, 1), (-1, 2)):
+            sender.backends.idle_limit.us = limit_us
+            sender.send()
+            assert await sender.result() is i.Result.OK
+            assert backend.opened == opened
+        sender.backends.close()
+
+    run(job())
