--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -67,8 +67,6 @@
 
     def chance(self, units: float) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
-        if self.at_open_cap():
-            return 0.0
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
@@ -223,7 +221,7 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or (
+            waits = job.over or (not job.servers and (blocked or job.customer.at_open_cap() or (
                 job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
@@ -250,7 +248,7 @@
         customer.demand, customer.untold = customer.demand + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
-        if not customer.plan.max_out and customer.part >= units:
+        if customer.part >= units:
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
         elif home == self.set.me or heard or not customer.plan.rate:
@@ -269,7 +267,7 @@
         if job.in_quota:
             self.spend(job.customer, job.req.units)
         elif plan.over_worth <= plan.over_cost or self.n_past is not None:
-            self.end(job, "open" if chance == 0 and job.customer.at_open_cap() else "quota")
+            self.end(job, "quota")
             return
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
