--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -9,12 +9,20 @@
 
 import uvloop
 
-from molereach.config import Config, ConfigError, load
+from molereach.config import Config, ConfigError, load, reload
 from molereach.frontdoor import FrontDoor
 
 log = logging.getLogger("molereach")
 
 
+def hang_up(door: FrontDoor) -> None:
+    """Read the configuration again; one that is not usable changes nothing."""
+    try:
+        door.reload(reload(os.environ))
+    except ConfigError as error:
+        log.error("kept the old configuration: %s", error)
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     stopped = asyncio.Event()
@@ -22,6 +30,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     door = FrontDoor(config)
+    loop.add_signal_handler(signal.SIGHUP, hang_up, door)
     await door.start()
     # What lives as long as the process need not be looked through by every collection.
     gc.collect()
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -97,6 +97,11 @@
     return config
 
 
+def reload(env: Mapping[str, str]) -> Config:
+    """The configuration as it is by now: the file's addresses hold, not those given at the start."""
+    return load({name: env[name] for name in ("PROXY_CONFIG", "PROXY_NAME", "PROXY_LISTEN") if name in env})
+
+
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment points to."""
     path = env.get("PROXY_CONFIG")
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -134,6 +134,14 @@
         self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
         self.first = asyncio.Event()
         self.backoff_s = BACKOFF_S
+        self.connection: WatchConnection | None = None
+
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on; what the old one has told still holds."""
+        if address != self.address:
+            self.address, self.backoff_s = address, BACKOFF_S
+            if self.connection:
+                self.connection.close()
 
     def line(self, line: bytes) -> None:
         """A whole line. Where it fails, the version stays, and the next watch brings it again."""
@@ -161,7 +169,10 @@
             _, connection = await asyncio.get_running_loop().create_connection(
                 lambda: WatchConnection(target, f"{host}:{port}", self.line), host, port
             )
+        self.connection = connection
         try:
+            if (host, port) != self.address:
+                return  # moved while it came up
             while not connection.ended.done():
                 left = connection.heard + SILENT_S - time.monotonic()
                 if left <= 0:
@@ -169,4 +180,5 @@
                     return
                 await asyncio.wait([connection.ended], timeout=left)
         finally:
+            self.connection = None
             connection.close()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -104,6 +104,11 @@
             self.clients.connection, host, port, backlog=1024, reuse_address=True
         )
 
+    def reload(self, config: Config) -> None:
+        """Take over what may change while it runs: the address of discovery."""
+        log.info("read the configuration again; discovery is at %s:%d", *config.discovery)
+        self.discovery.move(config.discovery)
+
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
         await asyncio.sleep(SETTLE_S)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,7 @@
 import pytest
 
 from molereach.config import load
-from tests.sockets import CUSTOMER, HOST, Backend, Client, catalog, entry, refusing_address, resp, run
+from tests.sockets import CUSTOMER, HOST, Backend, Client, Watch, catalog, entry, refusing_address, resp, run
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -67,16 +67,21 @@
     assert done.stderr.startswith("molereach: ") and done.stderr.count("\n") == 1
 
 
+async def said(process: asyncio.subprocess.Process, word: bytes) -> None:
+    """Wait for a line of the log; a program that has ended says no more."""
+    while word not in (line := await process.stderr.readline()):
+        assert line, "the program has ended"
+
+
 async def start(tmp_path: Path, backend: Backend) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     listen, silent = refusing_address(), refusing_address()
     known = json.loads(catalog(4, [entry("s1", await backend.start())]))
     values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known)
+    env = {**os.environ, **write(tmp_path, values), "PROXY_DISCOVERY": f"{HOST}:{silent[1]}"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values)},
-        stderr=asyncio.subprocess.PIPE,
+        sys.executable, "-m", "molereach", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
     )
-    while b"serves at" not in await process.stderr.readline():
-        pass
+    await said(process, b"serves at")
     return process, listen
 
 
@@ -89,8 +94,7 @@
         request = resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")
         assert await client.ask(request) == b"ok"
         process.send_signal(number)
-        while b"drains" not in await process.stderr.readline():
-            pass
+        await said(process, b"drains")
         late = await Client.open(address)
         assert await late.ask(request.replace(b"a1", b"a2")) == b"ok"
         assert await client.ended()
@@ -99,6 +103,33 @@
     run(job())
 
 
+def test_hang_up_moves_the_watch_and_never_ends_the_program(tmp_path: Path) -> None:
+    async def job() -> None:
+        moved: asyncio.Queue[str] = asyncio.Queue()
+
+        async def script(writer: asyncio.StreamWriter) -> None:
+            moved.put_nowait("watched")
+            await asyncio.Event().wait()
+
+        backend = Backend()
+        process, address = await start(tmp_path, backend)
+        config_path = tmp_path / "config.json"
+        told = json.loads(config_path.read_text())
+        at = await Watch(script).start()
+        for text in ("{", json.dumps(told | {"discovery": f"{at[0]}:{at[1]}"})):
+            config_path.write_text(text)
+            process.send_signal(signal.SIGHUP)
+            await said(process, b"configuration")
+        assert await moved.get() == "watched"
+        client = await Client.open(address)
+        assert await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
+        process.send_signal(signal.SIGTERM)
+        client.writer.close()
+        assert await process.wait() == 0
+
+    run(job())
+
+
 def test_address_in_use_is_one_plain_line(tmp_path: Path) -> None:
     async def job() -> None:
         taken = await Backend().start()
