--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -20,7 +21,11 @@
 MOST_PIPELINED = 16  # commands read ahead on a connection before its reading pauses
 MOST_WAIT_MS = 24 * 3600 * 1000
 
+PATIENCE_S = 2.0  # for a command to be whole; the platform gives a front door 3 s to answer or close
+SWEEP_S = 0.4  # how often it is looked for
+
 FAILED = b"-ERR failed\r\n"
+SLOW = b"-ERR no whole command came in time\r\n"
 CROWDED = b"-ERR max number of clients reached\r\n"
 CUSTOMERS = 1 << 33
 HEX = frozenset(b"0123456789abcdefABCDEF")
@@ -205,9 +210,11 @@
         self.replies: deque[Reply] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing, self.reading, self.clogged = False, True, False
+        self.due_s: float | None = None  # when the command that is awaited must be whole
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
+        self.due_s = self.clients.clock() + PATIENCE_S  # who connects has something to ask
         self.clients.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -215,7 +222,10 @@
             return
         try:
             for words in self.reader.feed(data):
+                self.due_s = None
                 self.command(words)
+            if self.reader.buffer and self.due_s is None:
+                self.due_s = self.clients.clock() + PATIENCE_S
         except ProtocolError as error:
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         except Exception:
@@ -290,6 +300,9 @@
         self.replies.clear()
         self.clients.closed(self)
 
+    def overdue(self, now_s: float) -> bool:
+        return not self.closing and not self.replies and self.due_s is not None and now_s >= self.due_s
+
     def close(self) -> None:
         """Close between requests."""
         if not self.closing and not self.replies and self.transport:
@@ -308,6 +321,7 @@
         self, most: int, take: Callable[[list[bytes], Reply], None], gone: Callable[[Reply], None]
     ) -> None:
         self.most, self.take, self.gone = most, take, gone
+        self.clock: Callable[[], float] = time.monotonic
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # the one idle longest first
         self.draining = False
@@ -328,6 +342,13 @@
         if not connection.closing:
             self.idle[connection] = None
 
+    def sweep(self) -> None:
+        """Let go of those that connect and ask nothing, or stop amid a command; and again in a while."""
+        now_s = self.clock()
+        for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
+            connection.finish(SLOW)
+        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+
     def busy(self, connection: ClientConnection) -> None:
         self.idle.pop(connection, None)
 
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -90,6 +90,7 @@
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
         self.backends.sweep()
+        self.clients.sweep()
         self.loop.call_later(LOG_S, self.log_figures)
         if self.settings.may_tell and self.config.peer_listen:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -9,6 +9,7 @@
 
 from fennelwinch import interface as i
 from molereach import frontdoor
+from molereach.clients import PATIENCE_S
 from molereach.frontdoor import FrontDoor
 from tests.sockets import (
     CONFIG,
@@ -301,3 +302,26 @@
         assert second.startswith("idle;")
 
     run(job())
+
+
+def test_who_asks_nothing_or_stops_amid_a_command_is_let_go() -> None:
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            now_s = 100.0
+            door.clients.clock = lambda: now_s
+            silent, amid, later, good = [await Client.open(address) for _ in range(4)]
+            amid.send(query("a1")[:20])
+            silent.send(b"*0\r\n")  # asks nothing either
+            for number, client in enumerate((later, good)):
+                assert await client.ask(query(f"b{number}")) == b"ok"
+            later.send(query("b2")[:-1])
+            while [len(one.reader.buffer) > 0 for one in door.clients.connections].count(True) < 2:
+                await asyncio.sleep(0.001)
+            now_s += PATIENCE_S
+            for client in (silent, amid, later):
+                assert await client.answer() == "-ERR no whole command came in time"
+                assert await client.ended()
+            assert await good.ask(query("b3")) == b"ok"
+
+    run(job())
