--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -211,6 +211,7 @@
         self.transport: asyncio.Transport | None = None
         self.closing, self.reading, self.clogged = False, True, False
         self.due_s: float | None = None  # when the command that is awaited must be whole
+        self.proven = False  # has had a request taken
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -245,6 +246,7 @@
             return
         try:
             self.clients.take(words, reply)
+            self.proven = True
         except CommandError as error:
             reply.send(b"-ERR %b\r\n" % str(error).encode())
 
@@ -323,7 +325,8 @@
         self.most, self.take, self.gone = most, take, gone
         self.clock: Callable[[], float] = time.monotonic
         self.connections: set[ClientConnection] = set()
-        self.idle: dict[ClientConnection, None] = {}  # the one idle longest first
+        self.idle: dict[ClientConnection, None] = {}  # between requests; the one idle longest first
+        self.unproven: dict[ClientConnection, None] = {}  # the same for those that have asked nothing yet
         self.draining = False
         self.empty = asyncio.Event()
 
@@ -333,42 +336,58 @@
     def opened(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
         if len(self.connections) > self.most:
-            if self.idle:
-                oldest = next(iter(self.idle))
-                del self.idle[oldest]
-                oldest.close()
-            else:
-                connection.finish(CROWDED)
+            self.make_room(connection)
         if not connection.closing:
-            self.idle[connection] = None
+            self.wait(connection)
+
+    def make_room(self, connection: ClientConnection) -> None:
+        """End one for a new one: first of those that have been served.
+
+        The first request on a connection may come late, and would be lost with it; a client that has
+        been served sends one that crosses the close again.
+        """
+        oldest = next(iter(self.idle), None) or next(iter(self.unproven), None)
+        if oldest:
+            self.busy(oldest)
+            oldest.close()
+        else:
+            connection.finish(CROWDED)
 
     def sweep(self) -> None:
         """Let go of those that connect and ask nothing, or stop amid a command; and again in a while."""
         now_s = self.clock()
         for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
-            connection.finish(SLOW)
+            if connection.reader.buffer:
+                connection.finish(SLOW)
+            else:
+                connection.close()  # an error line could be taken for the answer to what comes at last
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
     def busy(self, connection: ClientConnection) -> None:
         self.idle.pop(connection, None)
+        self.unproven.pop(connection, None)
 
     def rests(self, connection: ClientConnection) -> None:
         """It has no request open."""
         if self.draining:
             connection.close()
         else:
-            self.idle[connection] = None
+            self.wait(connection)
+
+    def wait(self, connection: ClientConnection) -> None:
+        (self.idle if connection.proven else self.unproven)[connection] = None
 
     def closed(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
         self.idle.pop(connection, None)
+        self.unproven.pop(connection, None)
         if not self.connections:
             self.empty.set()
 
     def drain(self) -> None:
         """Close what is idle, and from now on what becomes so."""
         self.draining = True
-        for connection in list(self.idle):
+        for connection in [*self.idle, *self.unproven]:
             connection.close()
 
     async def left(self, within_s: float) -> bool:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -165,3 +165,19 @@
         return
     assert command.request.left_us == 500_000
     assert text.replace("d=500", "d=7") in command.payload(7_000).decode()
+
+
+def test_room_is_made_at_the_cost_of_who_was_served_not_of_who_is_yet_to_ask() -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.clients.most = 2
+            late = await Client.open(address)
+            assert await late.ask(resp("PING")) == b"PONG"
+            served = await Client.open(address)
+            assert await served.ask(query("a1")) == b"ok"
+            new = await Client.open(address)
+            assert await new.ask(query("a2")) == b"ok"
+            assert await served.ended()
+            assert await late.ask(query("a3")) == b"ok"
+
+    run(job())
