Pass over figures that are no finite numbers in lists and load reports

An infinite start time raised out of the watch, whose next one brings the same line again; a NaN in a load report would have stayed in every mean.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
+from dataclasses import fields
 
 from fennelwinch import interface as i
 from fennelwinch.codec import read_report
@@ -94,9 +96,11 @@
     if not isinstance(text, bytes) or b"=" not in text:
         return None
     try:
-        return read_report(part.split("=", 1) for part in text.decode().split(","))
+        report = read_report(part.split("=", 1) for part in text.decode().split(","))
     except ValueError:
         return None
+    figures = [getattr(report, field.name) for field in fields(report)]
+    return report if all(figure is None or 0 <= figure < math.inf for figure in figures) else None
 
 
 class IdleLimit:
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -68,7 +68,7 @@
                 # One that is gone needs no address, and must be heard of in any case.
                 if server.state is not i.ServerState.GONE:
                     addresses[server.name] = read_address(entry["hostPort"])
-            except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
+            except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError, ConfigError) as error:
                 log.error("passed over an entry of the list: %.200r: %s", entry, error)
                 continue
             servers.append(server)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -223,7 +223,8 @@
 def test_load_report_is_read_by_name() -> None:
     load = i.LoadReport(util=0.61, service_ms=12.5)
     assert read_reply([b"v", None, b"util=0.61,latency_ms=12.5,strange=x"]) == (i.Result.OK, b"v", load)
-    assert read_reply([b"v", None, b"util=what"]) == (i.Result.OK, b"v", None)
+    for odd in (b"util=what", b"util=nan", b"util=0.5,latency_ms=inf", b"util=-1"):
+        assert read_reply([b"v", None, odd]) == (i.Result.OK, b"v", None)
     assert read_reply([b"v"]) == (i.Result.OK, b"v", None)
     assert read_reply([None, None, None])[0] is i.Result.ERROR
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -98,6 +98,12 @@
     assert read.started_us(1) < 0  # before this machine's clock began, but not 'long ago'
 
 
+def test_entry_with_a_start_beyond_all_numbers_is_passed_over() -> None:
+    odd = entry("s1", AT) | {"startedAtMs": float("inf")}
+    news = Catalog(CONFIG).news({"generation": 3, "reset": True, "instances": [odd, entry("s2", AT)]})
+    assert [server.name for server in news.event.servers] == ["s2"]
+
+
 def test_known_list_serves_while_discovery_is_silent() -> None:
     async def job() -> None:
         known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
