--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -258,8 +258,22 @@
     latency_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Maint:
+    """An operator has a server left out, or takes it back as one that starts cold; answered by a Ruling."""
+
+    server: str
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """Someone asks how the servers are; answered by a Census."""
+
+
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
+    | Maint | Survey
 )
 
 
@@ -349,6 +363,23 @@
     """Ask for the whole server list once."""
 
 
+@dataclass(frozen=True, slots=True)
+class Ruling:
+    """Whether what an operator wants of a server holds from now on."""
+
+    server: str
+    out: bool
+    yes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Census:
+    """How many servers the list names, and how many of them are avoided now, by hand or by choice."""
+
+    listed: int
+    avoided: int
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     """A line for those on call."""
@@ -358,4 +389,5 @@
 
 Action = (
     Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Tell | Count | Subscribe | FetchList | Log
+    | Ruling | Census
 )
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -32,6 +32,7 @@
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 LOG_US = 5 * S  # how often those on call get the module's figures
+MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
@@ -43,6 +44,7 @@
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load, self.load_at = False, None, 0
         self.back_us = -NEVER  # its return from suspicion
+        self.cold_us = 0  # when it may have started anew while left out by hand
 
 
 class _Customer:
@@ -99,6 +101,7 @@
         self.set = settings
         self.random = random.Random(settings.seed)
         self.servers, self.up = {}, []  # by name; those that may be sent new work
+        self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
         self.customers: dict[tuple[int, int, int, int], _Customer] = {}  # the one seen last at the end
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
@@ -112,6 +115,7 @@
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
+                   i.Maint: self.on_maint, i.Survey: self.on_survey,
                    i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -155,7 +159,39 @@
             if known is None or known.entry.started_us != entry.started_us:
                 known = self.servers[entry.name] = _Server(entry)
             known.entry = entry
-        self.up = [server for server in self.servers.values() if server.entry.state is i.ServerState.UP]
+            self.names.setdefault(entry.name, False)
+        self.forget_names()
+        self.find_up()
+
+    def forget_names(self) -> None:
+        """The names are bounded: first go those that are neither listed nor left out."""
+        if (excess := len(self.names) - MOST_NAMES) > 0:
+            spare = [name for name, out in self.names.items() if not out and name not in self.servers]
+            spare += [name for name, out in self.names.items() if out and name not in self.servers]
+            for name in spare[:excess]:
+                del self.names[name]
+
+    def find_up(self) -> None:
+        self.up = [server for server in self.servers.values()
+                   if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
+
+    # --- what operators want ---
+
+    def on_maint(self, event: i.Maint) -> None:
+        """Leave a server out whatever the list says, or take it back: by a trial, and as a cold one."""
+        known = event.server in self.names
+        if known and self.names[event.server] != event.out:
+            self.names[event.server] = event.out
+            if (server := self.servers.get(event.server)) and not event.out:
+                server.avoid_until = server.backoff_us = 0
+                server.fails, server.on_trial, server.cold_us = 0.0, True, self.now
+            self.find_up()
+        self.actions.append(i.Ruling(event.server, event.out, known))
+
+    def on_survey(self, _: i.Survey) -> None:
+        good = sum(self.now >= server.avoid_until and not server.on_trial for server in self.up)
+        listed = sum(server.entry.state is not i.ServerState.GONE for server in self.servers.values())
+        self.actions.append(i.Census(listed, listed - good))
 
     # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
 
@@ -357,7 +393,7 @@
 
     def warmth(self, server: _Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
-        started, cold = server.entry.started_us, self.set.cold_from
+        started, cold = max(server.entry.started_us, server.cold_us), self.set.cold_from
         age = (self.now - started) / max(1, self.set.warm_within_us)
         return 1.0 if age >= 1 or not started else cold + (1 - cold) * age
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -156,15 +156,21 @@
         self.uses += 1
         self.idle_us = now_us() - self.idle_since
         self.transport.write(attempt.payload)
-        attempt.written = not self.paused
+        if not self.paused:
+            self.written(attempt)
+
+    def written(self, attempt: Attempt) -> None:
+        """Its last byte is on its way."""
+        attempt.written = True
+        self.pool.owner.sends += 1
 
     def pause_writing(self) -> None:
         self.paused = True
 
     def resume_writing(self) -> None:
         self.paused = False
-        if self.attempt and not self.transport.is_closing():
-            self.attempt.written = True
+        if self.attempt and not self.attempt.written and not self.transport.is_closing():
+            self.written(self.attempt)
 
     def data_received(self, data: bytes) -> None:
         self.pool.heard_us = now_us()
@@ -263,6 +269,13 @@
             self.connecting -= 1
             self.release(connection)
 
+    def empty(self) -> None:
+        """Nothing new goes there: neither on what is idle nor when what still connects comes up."""
+        self.close_idle()
+        waiting, self.waiting = self.waiting, deque()
+        for attempt in waiting:
+            attempt.finish(i.Result.CONNECT_FAILED)
+
     def connect_failed(self) -> None:
         self.drop_over()
         if len(self.waiting) > self.connecting:
@@ -316,6 +329,8 @@
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
+        self.sends = 0  # attempts written whole, since the start
+        self.banned: set[str] = set()  # left out by hand; the module bounds them
 
     def update(
         self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
@@ -330,14 +345,24 @@
             if state is not i.ServerState.GONE and address and name not in self.pools:
                 self.pools[name] = Pool(self, name, address)
             if pool := self.pools.get(name):
-                pool.wanted = state is i.ServerState.UP
+                pool.wanted = state is i.ServerState.UP and name not in self.banned
                 if not pool.wanted:
-                    pool.close_idle()
+                    pool.empty()
+
+    def ban(self, name: str, out: bool) -> None:
+        """Nothing new goes to this backend, by hand; or it may again. Discovery's news do not change that."""
+        if not out:
+            self.banned.discard(name)
+        else:
+            self.banned.add(name)
+            if pool := self.pools.get(name):
+                pool.wanted = False
+                pool.empty()
 
     def retire(self, name: str) -> None:
         if pool := self.pools.pop(name, None):
             pool.wanted = False
-            pool.close_idle()
+            pool.empty()
             self.old.append(pool)
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -26,6 +26,7 @@
 
 FAILED = b"-ERR failed\r\n"
 SLOW = b"-ERR no whole command came in time\r\n"
+EMPTYING = b"-ERR takes no new clients\r\n"
 CROWDED = b"-ERR max number of clients reached\r\n"
 CUSTOMERS = 1 << 33
 HEX = frozenset(b"0123456789abcdefABCDEF")
@@ -210,6 +211,7 @@
         self.replies: deque[Reply] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing, self.reading, self.clogged = False, True, False
+        self.last = False  # reads no more; closes once all is answered
         self.due_s: float | None = None  # when the command that is awaited must be whole
         self.proven = False  # has had a request taken
 
@@ -242,7 +244,7 @@
         self.clients.busy(self)
         name = words[0].upper()
         if name == b"PING" and len(words) <= 2:
-            reply.send(b"+PONG\r\n" if len(words) == 1 else b"$%d\r\n%b\r\n" % (len(words[1]), words[1]))
+            reply.send(self.clients.pong(words[1:]))
             return
         try:
             self.clients.take(words, reply)
@@ -279,7 +281,7 @@
         """Read no further ahead than what fits: neither many commands nor answers that nobody reads."""
         if self.transport is None or self.transport.is_closing():
             return
-        wanted = len(self.replies) < MOST_PIPELINED and not self.clogged
+        wanted = len(self.replies) < MOST_PIPELINED and not self.clogged and not self.last
         if wanted and not self.reading:
             self.transport.resume_reading()
         elif self.reading and not wanted:
@@ -311,6 +313,11 @@
             self.closing = True
             self.transport.close()
 
+    def read_no_more(self) -> None:
+        """What is open is answered; what comes now is not read, and the client sends it elsewhere."""
+        self.last = bool(self.replies)
+        self.update_reading()
+
     def abort(self) -> None:
         if self.transport:
             self.transport.abort()
@@ -327,6 +334,8 @@
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # between requests; the one idle longest first
         self.unproven: dict[ClientConnection, None] = {}  # the same for those that have asked nothing yet
+        self.welcome = True  # what PING is told
+        self.said_no = asyncio.Event()  # it was told so
         self.draining = False
         self.empty = asyncio.Event()
 
@@ -353,6 +362,13 @@
         else:
             connection.finish(CROWDED)
 
+    def pong(self, text: list[bytes]) -> bytes:
+        """The answer to PING."""
+        if not self.welcome:
+            self.said_no.set()
+            return EMPTYING
+        return b"$%d\r\n%b\r\n" % (len(text[0]), text[0]) if text else b"+PONG\r\n"
+
     def sweep(self) -> None:
         """Let go of those that connect and ask nothing, or stop amid a command; and again in a while."""
         now_s = self.clock()
@@ -369,7 +385,7 @@
 
     def rests(self, connection: ClientConnection) -> None:
         """It has no request open."""
-        if self.draining:
+        if self.draining or connection.last:
             connection.close()
         else:
             self.wait(connection)
@@ -385,10 +401,22 @@
             self.empty.set()
 
     def drain(self) -> None:
-        """Close what is idle, and from now on what becomes so."""
+        """Close what is idle, and what becomes so; a command that has begun to come is awaited."""
         self.draining = True
         for connection in [*self.idle, *self.unproven]:
-            connection.close()
+            if not connection.reader.buffer:
+                connection.close()
+
+    def read_no_more(self) -> None:
+        """The same, and no more is read behind what is open now."""
+        self.drain()
+        for connection in self.connections:
+            connection.read_no_more()
+
+    def take_again(self) -> None:
+        """Undo a drain; connections that were to close do so."""
+        self.welcome, self.draining = True, False
+        self.said_no.clear()
 
     async def left(self, within_s: float) -> bool:
         """Wait for the last connection to end; whether it has."""
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -35,6 +35,7 @@
     known: Mapping[str, Any]
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
+    management: Address | None = None
 
 
 def read_address(text: str) -> Address:
@@ -73,6 +74,7 @@
     settings = values["settings"]
     pairs = Pairs(dict(flatten(settings)))
     peer_listen = values.get("peer_listen")
+    management = env.get("PROXY_MANAGEMENT") or values.get("management")
     config = Config(
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
@@ -89,6 +91,7 @@
         known=values.get("known") or {},
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
+        management=read_address(management) if management else None,
     )
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 from fennelwinch import interface as i
 from fennelwinch.rules import Gateway
@@ -16,6 +18,8 @@
 from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
 from molereach.config import Config
 from molereach.discovery import Catalog, Discovery, News
+from molereach.figures import Ended, Figures
+from molereach.management import Answer, Calls, Management
 from molereach.peers import Peers
 
 log = logging.getLogger(__name__)
@@ -28,6 +32,9 @@
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
+FRONT_SEES_S = 1.0  # how long a drain waits for the front to ask and hear the first no, at most
+STILL_COME_S = 0.4  # after it new connections go on coming for 0.2 s
+LAST_READ_S = 1.5  # after the call: what comes later on a kept connection is left to another front door
 SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
 CLIENT_SHARE = 0.6  # of the other sockets
 MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
@@ -61,6 +68,18 @@
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
         self.parser = CommandParser(config)
+        self.class_names = {number: name for name, number in config.class_numbers.items()}
+        self.figures = Figures(config.class_numbers)
+        self.management = Management(Calls({
+            ("GET", "/healthcheck"): self.health,
+            ("GET", "/stats"): self.stats,
+            ("POST", "/backends/{id}/maint"): lambda name: self.maint(name, True),
+            ("POST", "/backends/{id}/ready"): lambda name: self.maint(name, False),
+            ("POST", "/healthcheck/fail"): self.leave_service,
+            ("POST", "/healthcheck/ok"): self.enter_service,
+        }))
+        self.ready, self.ending = False, False
+        self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone)
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
@@ -89,6 +108,8 @@
 
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
+        if self.config.management:
+            await self.management.start(*self.config.management)
         self.backends.sweep()
         self.clients.sweep()
         self.loop.call_later(LOG_S, self.log_figures)
@@ -104,6 +125,7 @@
         self.server = await self.loop.create_server(
             self.clients.connection, host, port, backlog=1024, reuse_address=True
         )
+        self.ready = True
 
     def reload(self, config: Config) -> None:
         """Take over what may change while it runs: the address of discovery."""
@@ -112,6 +134,7 @@
 
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
+        self.ending, self.clients.welcome = True, False
         await asyncio.sleep(SETTLE_S)
         self.clients.drain()
         while not await self.clients.left(LAST_WRITES_S):
@@ -136,10 +159,73 @@
         """Let go of all sockets."""
         if self.server:
             self.server.close()
+        self.management.close()
         self.peers.close()
         self.clients.close()
         self.backends.close()
 
+    # --- calls of operators ---
+
+    def serving(self) -> bool:
+        return self.ready and not self.ending and self.leaving is None
+
+    def health(self) -> Answer:
+        return (200, "serves") if self.serving() else (503, "takes no new clients")
+
+    def stats(self) -> Answer:
+        census = self.ask(i.Survey())
+        return 200, self.figures.text(
+            sends_total=self.backends.sends, current=len(self.open),
+            cluster_size=census.listed, cluster_unhealthy=census.avoided,
+        )
+
+    def maint(self, name: str, out: bool) -> Answer:
+        """What the module rules holds for the sockets too, before the answer leaves."""
+        ruling = self.ask(i.Maint(name, out))
+        if not ruling.yes:
+            return 404, "no such backend was ever listed"
+        log.info("%s is %s by hand", name, "left out" if out else "taken back")
+        self.backends.ban(name, out)
+        return 200, "left out" if out else "may serve again"
+
+    def leave_service(self) -> Answer:
+        if self.leaving is None and not self.ending:
+            log.info("takes no new clients, by call")
+            self.clients.welcome = False
+            self.leaving = self.loop.create_task(self.empty())
+        return 200, "takes no new clients"
+
+    async def empty(self) -> None:
+        """Serve until the front has heard a no and sends nothing new, then let the kept connections go."""
+        called_s = self.loop.time()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.clients.said_no.wait(), FRONT_SEES_S)
+        await asyncio.sleep(STILL_COME_S)
+        self.clients.drain()
+        await asyncio.sleep(called_s + LAST_READ_S - self.loop.time())
+        self.clients.read_no_more()
+
+    def enter_service(self) -> Answer:
+        if self.ending:
+            return 409, "the program is ending"
+        if self.leaving is not None:
+            log.info("takes clients again, by call")
+            self.leaving.cancel()
+            self.leaving = None
+            self.clients.take_again()
+        return 200, "takes clients"
+
+    def ask(self, event: i.Event) -> Any:  # noqa: ANN401 - each such event has its own kind of answer
+        """The module's one answer to a question, after all that came in before it."""
+        self.run_batch()
+        answers = []
+        for action in self.gateway.handle(now_us(), event):
+            if isinstance(action, i.Ruling | i.Census):
+                answers.append(action)
+            else:
+                self.act(action)
+        return answers[0]
+
     # --- events ---
 
     def post(self, event: i.Event) -> None:
@@ -172,7 +258,7 @@
     def give_up(self, request_id: str) -> None:
         """Fail a request over a fault, and have the module forget it."""
         if request_id in self.open:
-            self.answer(request_id, FAILED)
+            self.answer(request_id, FAILED, Ended.ERRORED)
             self.post(i.ClientGone(request_id))
 
     def list_heard(self, news: News) -> None:
@@ -185,10 +271,10 @@
         """A client's command; one that is wrong is a CommandError."""
         command = self.parser.parse(words, ANSWER_MARGIN_US)
         request = command.request
-        if request.id in self.open or request.id in self.ended:
-            raise CommandError("this id is in use")
-        if len(self.open) >= self.config.max_open or self.held_bytes > MOST_HELD_BYTES:
-            raise CommandError("too many requests are open")
+        used = request.id in self.open or request.id in self.ended
+        if used or len(self.open) >= self.config.max_open or self.held_bytes > MOST_HELD_BYTES:
+            self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
+            raise CommandError("this id is in use" if used else "too many requests are open")
         exchange = Exchange(command, reply, now_us() + request.left_us)
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
@@ -233,7 +319,7 @@
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
         if result is i.Result.OK and value is not None and name in self.open:
-            self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value))
+            self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
         over = name not in self.open
         exchange = self.ended.get(name) if over else self.open[name]
         if exchange:
@@ -252,13 +338,14 @@
 
     def refuse(self, action: i.Refuse) -> None:
         wait_ms = action.retry_after_us // 1000
-        self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
+        self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n", Ended.DEFERRED)
 
     def fail(self, action: i.Fail) -> None:
-        self.answer(action.id, FAILED)
+        self.answer(action.id, FAILED, Ended.ERRORED)
 
-    def answer(self, name: str, data: bytes) -> None:
+    def answer(self, name: str, data: bytes, how: Ended) -> None:
         if exchange := self.settle(name):
+            self.figures.note(self.class_names[exchange.command.request.class_index], how)
             exchange.reply.send(data)
 
     def settle(self, name: str) -> Exchange | None:
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,206 @@
+"""The calls of operators: forms, bounds, and what each brings about."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from molereach import management
+from molereach.figures import Figures
+from molereach.frontdoor import FrontDoor
+from tests.sockets import CONFIG, HOST, SETTINGS, Backend, Client, front_door, query, resp, run, value
+
+
+def at(door: FrontDoor) -> tuple[str, int]:
+    return door.management.server.sockets[0].getsockname()
+
+
+async def call(door: FrontDoor, line: str, more: str = "Host: x\r\n\r\n") -> tuple[int, str]:
+    """One call to its end: the status and the body."""
+    reader, writer = await asyncio.open_connection(*at(door))
+    writer.write(f"{line} HTTP/1.1\r\n{more}".encode())
+    head, _, body = (await reader.read()).decode().partition("\r\n\r\n")
+    writer.close()
+    return int(head.split()[1]), body
+
+
+def operated(*backends: Backend, **changes: object) -> object:
+    return front_door(*backends, **{"management": (HOST, 0), **changes})
+
+
+async def figures(door: FrontDoor) -> dict[str, int]:
+    status, body = await call(door, "GET /stats")
+    assert status == 200
+    return {name: int(number) for name, number in (line.rsplit(" ", 1) for line in body.splitlines())}
+
+
+@pytest.mark.parametrize(("line", "status"), [
+    ("GET /healthcheck", 200), ("GET /healthcheck?x=1", 200), ("GET /stats", 200), ("GET /what", 404),
+    ("GET /", 404), ("POST /stats", 405), ("GET /healthcheck/fail", 405), ("GET /backends/s0/maint", 405),
+    ("POST /backends/s0/maint", 200), ("POST /backends/s%30/maint", 200), ("POST /backends/s9/maint", 404),
+    ("POST /backends/s9/ready", 404), ("POST /backends//maint", 404), ("POST /backends/s0/what", 404),
+    ("GARBAGE", 400),
+])
+def test_call_has_its_status(line: str, status: int) -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            assert (await call(door, line))[0] == status
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+
+    run(job())
+
+
+def test_head_and_body_are_bounded() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            assert (await call(door, "GET /stats", f"X: {'x' * 9000}"))[0] == 431
+            for size, status in ((3, 200), (management.MOST_BODY + 1, 413)):
+                more = f"Host: x\r\nContent-Length: {size}\r\n\r\n{'x' * size}"
+                assert (await call(door, "POST /backends/s0/maint", more))[0] == status
+
+    run(job())
+
+
+def test_slow_callers_crowd_out_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(management, "MOST_CONNECTIONS", 4)
+
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            slow = [await asyncio.open_connection(*at(door)) for _ in range(8)]
+            for _, writer in slow:
+                writer.write(b"GET /health")
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+            assert len(door.management.connections) <= 4
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await slow[0][0].readexactly(1)
+            for _, writer in slow:
+                writer.close()
+
+    run(job())
+
+
+def test_whole_call_must_come_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(management, "PATIENCE_S", 0.05)
+
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            reader, writer = await asyncio.open_connection(*at(door))
+            writer.write(b"GET /stats HTTP/1.1\r\n")
+            assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+            writer.close()
+
+    run(job())
+
+
+def test_label_is_escaped_and_zeros_show() -> None:
+    assert 'proxy_errored_total{group="a\\"\\\\\\n"} 0\n' in Figures(['a"\\\n']).text()
+
+
+def test_figures_count_since_the_start() -> None:
+    answers = {b"a1": value(b"ok"), b"a2": b"-BUSY\r\n", b"a3": b"-ERR failed\r\n"}
+
+    async def job() -> None:
+        backend = Backend(lambda words: answers.get(words[2]))
+        changes = {"max_attempts": 1, "parallel_tries": False}
+        async with operated(backend, settings=replace(SETTINGS, **changes)) as (door, address):
+            client = await Client.open(address)
+            assert (await figures(door))['proxy_answered_total{group="read"}'] == 0
+            for name in answers:
+                await client.ask(query(name.decode()))
+            door.tally.clear()  # as the log does
+            assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
+            client.send(query("a4"))
+            while len(backend.commands) < 4:
+                backend.came.clear()
+                await backend.came.wait()
+            found = await figures(door)
+            ended = {how: found[f'proxy_{how}_total{{group="read"}}'] for how in
+                     ("answered", "deferred", "errored")}
+            # read-like: what failed may be asked again, and is refused rather than failed
+            assert ended["answered"] == 1 and ended["deferred"] + ended["errored"] == 2
+            assert found["proxy_sends_total"] == 4 and found["proxy_current"] == 1
+            assert found["proxy_cluster_size"] == 1 and found['proxy_answered_total{group="book"}'] == 0
+
+    run(job())
+
+
+def test_backend_left_out_gets_nothing_until_taken_back() -> None:
+    async def job() -> None:
+        backends = [Backend(), Backend()]
+        async with operated(*backends) as (door, address):
+            client = await Client.open(address)
+            for _ in range(2):  # a repeat is a yes
+                assert (await call(door, "POST /backends/s0/maint"))[0] == 200
+            assert (await figures(door))["proxy_cluster_unhealthy"] == 1
+            for number in range(20):
+                assert await client.ask(query(f"a{number}")) == b"ok"
+            assert not backends[0].commands and len(backends[1].commands) == 20
+            assert (await call(door, "POST /backends/s0/ready"))[0] == 200
+            number = 20
+            while not backends[0].commands:
+                assert await client.ask(query(f"a{number}")) == b"ok"
+                number += 1
+
+    run(job())
+
+
+def test_backend_left_out_loses_what_waits_for_a_connection() -> None:
+    async def job() -> None:
+        backend = Backend()
+        async with operated(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1"))
+            pool = door.backends.pools["s0"]
+            while not pool.waiting:
+                await asyncio.sleep(0)
+            door.maint("s0", True)
+            assert not pool.waiting
+            client.writer.close()
+            while pool.connecting or pool.connections:
+                await asyncio.sleep(0.01)
+            assert not backend.commands
+
+    run(job())
+
+
+def test_drain_by_call_and_back() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            idle, kept = [await Client.open(address) for _ in range(2)]
+            assert await idle.ask(query("a1")) == b"ok"
+            assert (await call(door, "POST /healthcheck/fail"))[0] == 200
+            assert str(await kept.ask(resp("PING"))).startswith("-ERR")
+            assert (await call(door, "GET /healthcheck"))[0] == 503
+            late = await Client.open(address)
+            assert await late.ask(query("a2")) == b"ok"
+            for client in (idle, kept, late):
+                assert await client.ended()
+            last = await Client.open(address)
+            assert str(await last.ask(resp("PING"))).startswith("-ERR") and await last.ended()
+            assert (await call(door, "POST /healthcheck/ok"))[0] == 200
+            again = await Client.open(address)
+            assert await again.ask(resp("PING")) == b"PONG"
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+            assert await again.ask(query("a3")) == b"ok"
+            assert await again.ask(query("a4")) == b"ok"
+
+    run(job())
+
+
+def test_nothing_calls_back_a_program_that_ends() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            client = await Client.open(address)
+            drain = asyncio.create_task(door.drain())
+            await asyncio.sleep(0)
+            assert str(await client.ask(resp("PING"))).startswith("-ERR")
+            assert (await call(door, "POST /healthcheck/ok"))[0] == 409
+            assert (await call(door, "GET /healthcheck"))[0] == 503
+            assert await client.ended()
+            await drain
+
+    run(job())
+
+
+def test_config_names_no_management_by_itself() -> None:
+    assert CONFIG.management is None
