--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -1,7 +1,11 @@
-"""What the simulator's adapter and the real front door share: settings, load reports, peers' words."""
+"""The forms on the wires: settings, load reports, peers' words, and what a process hands to the next."""
 
+import math
 import struct
 from collections.abc import Iterable, Mapping
+from dataclasses import fields, is_dataclass
+from functools import cache
+from typing import Any, get_args, get_origin, get_type_hints
 
 from fennelwinch import interface as i
 
@@ -30,6 +34,7 @@
 WORD = struct.Struct("!IBHHBhhhh")
 UNIT = 50
 MESSAGE_BYTES = 256
+MOST_TEXT, MOST_ROWS = 256, 100_000  # of what another process hands over
 
 
 class Pairs:
@@ -147,3 +152,32 @@
         for *key, answer, demand, spent, asked, level in WORD.iter_unpack(data)
         for amounts in [(demand, spent, asked, level)]
     )
+
+
+def plain(value: object) -> object:
+    """A record as JSON can hold it: its fields in order, and so on within."""
+    if is_dataclass(value):
+        return [plain(getattr(value, field.name)) for field in fields(value)]
+    return [plain(item) for item in value] if isinstance(value, tuple) else value
+
+
+@cache
+def field_kinds(kind: type) -> tuple[Any, ...]:
+    return tuple(get_type_hints(kind).values())
+
+
+def read_plain(kind: Any, value: object) -> Any:  # noqa: ANN401 - it gives whatever kind is asked for
+    """The reverse of `plain`; a ValueError where a value is not of its field's kind."""
+    if kind is float and type(value) in (int, float) and math.isfinite(value):
+        return float(value)
+    if kind is int and type(value) is int and abs(value) < 1 << 63:
+        return value
+    if (kind is bool and type(value) is bool) or (kind is str and type(value) is str and len(value) <= MOST_TEXT):
+        return value
+    if isinstance(value, list) and get_origin(kind) is tuple and len(value) <= MOST_ROWS:
+        return tuple([read_plain(get_args(kind)[0], item) for item in value])
+    if isinstance(value, list) and kind not in (float, int, bool, str) and get_origin(kind) is None:
+        kinds = field_kinds(kind)
+        if len(kinds) == len(value):
+            return kind(*map(read_plain, kinds, value))
+    raise ValueError(f"{value!r:.40} is no {kind}")
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -266,6 +267,120 @@
     out: bool
 
 
+# --- a process that takes over from another, both of them one gateway for a while ---
+
+
+class Key(NamedTuple):
+    """A customer as its requests name it, its name as a checksum, with its plan and set."""
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+
+
+@dataclass(frozen=True, slots=True)
+class TwinSpend:
+    """What one process took from a customer's quota (or gave back), told to the other."""
+
+    key: Key
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class TwinSend:
+    """One process has sent an attempt; `units` count against the ceiling and are 0 for further attempts."""
+
+    key: Key
+    id: str
+    attempt: int
+    server: str
+    sent_us: int
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class TwinEnd:
+    """That attempt is out no more."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class TwinMaint:
+    """One process was told by an operator to leave a server out, or to take it back."""
+
+    server: str
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerMemory:
+    """What a gateway knows of a customer."""
+
+    key: Key
+    at_us: int
+    part: float
+    level: float
+    demand: float
+    ceiling: float
+    heard_us: int
+    untold: float
+    spent: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerMemory:
+    """What a gateway has learnt of a server."""
+
+    name: str
+    started_us: int
+    slowness: float
+    fails: float
+    on_trial: bool
+    avoid_until_us: int
+    backoff_us: int
+    back_us: int
+    cold_us: int
+    next_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class CapMemory:
+    """The cap and its period; N is 0 where it is lifted."""
+
+    n_past: int
+    accepted: int
+    period_us: int
+    length_us: int
+    overhead: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All that a gateway hands over: the answer to a HandOver, and as an event the start of the other."""
+
+    now_us: int
+    cap: CapMemory
+    means_us: tuple[float, ...]
+    customers: tuple[CustomerMemory, ...]
+    servers: tuple[ServerMemory, ...]
+    names: tuple[TwinMaint, ...]
+    out: tuple[TwinSend, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Another process takes over: answered by the State; from now on each tells what it does."""
+
+
+@dataclass(frozen=True, slots=True)
+class TwinGone:
+    """The other process has ended, and its attempts with it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Survey:
     """Someone asks how the servers are; answered by a Census."""
@@ -273,7 +388,7 @@
 
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
-    | Maint | Survey
+    | Maint | Survey | HandOver | State | TwinSpend | TwinSend | TwinEnd | TwinMaint | TwinGone
 )
 
 
@@ -389,5 +504,5 @@
 
 Action = (
     Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Tell | Count | Subscribe | FetchList | Log
-    | Ruling | Census
+    | Ruling | Census | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
 )
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -32,6 +32,7 @@
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 LOG_US = 5 * S  # how often those on call get the module's figures
+SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
 MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
@@ -50,7 +51,7 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    def __init__(self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int) -> None:
+    def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
@@ -101,8 +102,10 @@
         self.set = settings
         self.random = random.Random(settings.seed)
         self.servers, self.up = {}, []  # by name; those that may be sent new work
+        self.has_twin = False  # another process is this gateway too, for a while
+        self.twin_out: dict[tuple[str, int], tuple[_Customer, _Server | None]] = {}  # its attempts out
         self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
-        self.customers: dict[tuple[int, int, int, int], _Customer] = {}  # the one seen last at the end
+        self.customers: dict[i.Key, _Customer] = {}  # the one seen last at the end
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
@@ -116,6 +119,9 @@
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
                    i.Maint: self.on_maint, i.Survey: self.on_survey,
+                   i.HandOver: self.on_hand_over, i.State: self.on_state, i.TwinGone: self.on_twin_gone,
+                   i.TwinSpend: self.on_twin_spend, i.TwinSend: self.on_twin_send,
+                   i.TwinEnd: self.on_twin_end, i.TwinMaint: self.leave_out,
                    i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -142,7 +148,7 @@
         self.release()
 
     def on_request(self, req: i.Request) -> None:
-        key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
+        key = i.Key(zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
         customer = self.customer(key)
         job = self.jobs[req.id] = _Job(req, self.set.classes[req.class_index], customer, self.now)
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
@@ -180,19 +186,106 @@
     def on_maint(self, event: i.Maint) -> None:
         """Leave a server out whatever the list says, or take it back: by a trial, and as a cold one."""
         known = event.server in self.names
-        if known and self.names[event.server] != event.out:
+        if known:
+            self.leave_out(event)
+            self.tell_twin(i.TwinMaint(event.server, event.out))
+        self.actions.append(i.Ruling(event.server, event.out, known))
+
+    def leave_out(self, event: i.Maint | i.TwinMaint) -> None:
+        if self.names.get(event.server, False) != event.out:
             self.names[event.server] = event.out
             if (server := self.servers.get(event.server)) and not event.out:
                 server.avoid_until = server.backoff_us = 0
                 server.fails, server.on_trial, server.cold_us = 0.0, True, self.now
             self.find_up()
-        self.actions.append(i.Ruling(event.server, event.out, known))
 
     def on_survey(self, _: i.Survey) -> None:
         good = sum(self.now >= server.avoid_until and not server.on_trial for server in self.up)
         listed = sum(server.entry.state is not i.ServerState.GONE for server in self.servers.values())
         self.actions.append(i.Census(listed, listed - good))
 
+    # --- two processes that are one gateway, while one takes over from the other ---
+
+    def tell_twin(self, word: i.TwinSpend | i.TwinSend | i.TwinEnd | i.TwinMaint) -> None:
+        if self.has_twin:
+            self.actions.append(word)
+
+    def on_hand_over(self, _: i.HandOver) -> None:
+        """All that the rules, quotas and health rest on. Requests stay, and end, where they were taken."""
+        self.has_twin = True
+        cap = i.CapMemory(self.n_past or 0, self.accepted, self.period_us, self.cc_us,
+                          self.overhead, self.rate)
+        customers = [i.CustomerMemory(known.key, known.at, known.part, known.level, known.demand,
+                                      known.ceiling, known.heard_us, known.untold, known.spent)
+                     for known in self.customers.values()]
+        servers = [i.ServerMemory(name, known.entry.started_us, known.slowness, known.fails, known.on_trial,
+                                  known.avoid_until, known.backoff_us, known.back_us, known.cold_us,
+                                  known.next_us) for name, known in self.servers.items()]
+        names = [i.TwinMaint(name, left_out) for name, left_out in self.names.items()]
+        out = [i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
+               for job in self.jobs.values() for number, sent in job.out.items()]
+        self.actions.append(i.State(self.now, cap, tuple(self.mean_us), tuple(customers), tuple(servers),
+                                    tuple(names), tuple(out)))
+
+    def on_state(self, state: i.State) -> None:
+        """Go on from where the other process is; both have one clock and, but for lateness, one list."""
+        self.has_twin, cap = True, state.cap
+        self.n_past, self.accepted, self.period_us = cap.n_past or None, cap.accepted, cap.period_us
+        self.cc_us, self.overhead, self.rate = cap.length_us, cap.overhead, cap.rate
+        if len(state.means_us) == len(self.mean_us):
+            self.mean_us = list(state.means_us)
+        for told in state.customers:
+            if self.is_ours(told.key):
+                plan = self.set.plans[told.key.plan_index]
+                known = self.customers[told.key] = _Customer(plan, told.key, self.set, told.at_us)
+                known.part, known.level, known.demand = told.part, told.level, told.demand
+                known.ceiling, known.heard_us = told.ceiling, told.heard_us
+                known.untold, known.spent = told.untold, told.spent
+        for told in state.servers:
+            server = self.servers.get(told.name)
+            if server and abs(server.entry.started_us - told.started_us) < SAME_START_US:
+                server.slowness, server.fails, server.on_trial = told.slowness, told.fails, told.on_trial
+                server.avoid_until, server.backoff_us = told.avoid_until_us, told.backoff_us
+                server.back_us, server.cold_us, server.next_us = told.back_us, told.cold_us, told.next_us
+        self.names.update((told.server, told.out) for told in state.names)
+        self.forget_names()
+        self.find_up()
+        for told in state.out:
+            self.on_twin_send(told)
+
+    def is_ours(self, key: i.Key) -> bool:
+        in_set = (self.set.me - key.set_first) % self.set.gateways < key.set_size
+        return 0 <= key.plan_index < len(self.set.plans) and in_set
+
+    def on_twin_spend(self, event: i.TwinSpend) -> None:
+        if self.is_ours(event.key):
+            self.take(self.customer(event.key), event.units)
+
+    def on_twin_send(self, event: i.TwinSend) -> None:
+        name = event.id, event.attempt
+        if not self.is_ours(event.key) or name in self.twin_out:
+            return
+        customer, server = self.customer(event.key), self.servers.get(event.server)
+        self.twin_out[name] = customer, server
+        customer.ceiling -= event.units
+        customer.out, self.out = customer.out + 1, self.out + 1
+        self.accepted += event.units > 0
+        if server:
+            server.out[name] = event.sent_us
+            server.next_us = max(server.next_us, event.sent_us + self.spacing(server))
+
+    def on_twin_end(self, event: i.TwinEnd) -> None:
+        customer, server = self.twin_out.pop((event.id, event.attempt), (None, None))
+        if customer:
+            customer.out, self.out = customer.out - 1, self.out - 1
+        if server:
+            server.out.pop((event.id, event.attempt), None)
+
+    def on_twin_gone(self, _: i.TwinGone) -> None:
+        self.has_twin = False
+        for name, number in list(self.twin_out):
+            self.on_twin_end(i.TwinEnd(name, number))
+
     # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
 
     def end_period(self) -> None:
@@ -218,11 +311,18 @@
         means = ",".join(f"{mean / 1000:.0f}" for mean in self.mean_us)
         self.actions.append(i.Log(
             f"cap {cap} occupancy {self.occup:.2f} rate {self.rate:.0f}/s mean {means} ms"
-            f" out {self.out} held {len(self.held)} waiting {len(self.waits)}"
+            f" out {self.out} held {len(self.held)} ({self.held_for()}) waiting {len(self.waits)}"
             f" up {len(self.up)} suspect {suspect} ended: {ended or '-'}"))
         self.tally.clear()
         self.logged_us = self.now
 
+    def held_for(self) -> str:
+        """What the held requests that were never sent wait for, beside a server and the cap."""
+        firsts = [job for _, _, job in self.held if not job.servers]
+        at_cap = sum(job.customer.at_open_cap() for job in firsts)
+        under = sum(0 < job.customer.plan.ceiling_rate and job.customer.ceiling < job.req.units for job in firsts)
+        return f"open cap {at_cap} ceiling {under}"
+
     def update_cap(self, na_past: float) -> None:
         """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
         kind = "util" if self.signals["util"] else "latency"
@@ -273,7 +373,7 @@
             self.end(job, "aim")
         return job.over
 
-    def customer(self, key: tuple[int, int, int, int]) -> _Customer:
+    def customer(self, key: i.Key) -> _Customer:
         known = self.customers.pop(key, None) or _Customer(self.set.plans[key[1]], key, self.set, self.now)
         self.customers[key] = known
         return known.refill(self.now)
@@ -322,6 +422,10 @@
             self.decide(job, chance)
 
     def spend(self, customer: _Customer, units: float) -> None:
+        self.take(customer, units)
+        self.tell_twin(i.TwinSpend(customer.key, units))
+
+    def take(self, customer: _Customer, units: float) -> None:
         customer.spend(units)
         customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
 
@@ -344,9 +448,8 @@
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
         for word in message.words:
-            key = (word.customer, word.plan_index, word.set_first, word.set_size)
-            in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
-            if word.plan_index >= len(self.set.plans) or not in_set:
+            key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
+            if not self.is_ours(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
@@ -423,6 +526,8 @@
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
         self.actions.append(i.Send(job.req.id, server.entry.name, self.time_out(job)))
+        self.tell_twin(i.TwinSend(job.customer.key, job.req.id, number, server.entry.name, self.now,
+                                  0.0 if number else job.req.units))
 
     def time_out(self, job: _Job) -> int:
         """A repeatable attempt is given up while another can still meet the aim."""
@@ -450,6 +555,7 @@
             return
         server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
         del job.out[event.attempt], server.out[(event.id, event.attempt)]
+        self.tell_twin(i.TwinEnd(event.id, event.attempt))
         self.learn(job, server, event)
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -36,7 +36,8 @@
     gc.collect()
     gc.freeze()
     log.info("%s serves at %s:%d", config.name, *config.listen)
-    await stopped.wait()
+    waits = [asyncio.ensure_future(event.wait()) for event in (stopped, door.finished)]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     log.info("%s drains", config.name)
     await door.drain()
     log.info("%s ends", config.name)
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -329,6 +329,7 @@
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
+        self.others = 0  # sockets held by another process that is this front door too
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
 
@@ -382,7 +383,7 @@
 
     def may_open(self) -> bool:
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
-        if self.count() < self.most:
+        if self.count() + self.others < self.most:
             return True
         idle = [pool for pool in self.pools.values() if pool.idle]
         if not idle:
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import contextlib
+import fcntl
 import logging
 import math
+import termios
 import time
+from array import array
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -313,6 +316,13 @@
             self.closing = True
             self.transport.close()
 
+    def unread(self) -> bool:
+        """Whether something has come that was not read yet."""
+        count = array("i", [0])
+        with contextlib.suppress(OSError):
+            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
+        return count[0] > 0
+
     def read_no_more(self) -> None:
         """What is open is answered; what comes now is not read, and the client sends it elsewhere."""
         self.last = bool(self.replies)
@@ -330,6 +340,7 @@
         self, most: int, take: Callable[[list[bytes], Reply], None], gone: Callable[[Reply], None]
     ) -> None:
         self.most, self.take, self.gone = most, take, gone
+        self.others = 0  # held by another process that is this front door too
         self.clock: Callable[[], float] = time.monotonic
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # between requests; the one idle longest first
@@ -344,7 +355,7 @@
 
     def opened(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
-        if len(self.connections) > self.most:
+        if len(self.connections) + self.others > self.most:
             self.make_room(connection)
         if not connection.closing:
             self.wait(connection)
@@ -404,7 +415,7 @@
         """Close what is idle, and what becomes so; a command that has begun to come is awaited."""
         self.draining = True
         for connection in [*self.idle, *self.unproven]:
-            if not connection.reader.buffer:
+            if not connection.reader.buffer and not connection.unread():
                 connection.close()
 
     def read_no_more(self) -> None:
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -1,6 +1,8 @@
 """What a front door is told at its start: the environment and the JSON file, checked and typed."""
 
 import json
+import os
+import socket
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -36,6 +38,8 @@
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
     management: Address | None = None
+    socket_fd: int | None = None  # the clients' listening socket, where the platform holds it
+    shared: Path | None = None  # the directory that it shares with its successor
 
 
 def read_address(text: str) -> Address:
@@ -45,6 +49,18 @@
     return host, int(port)
 
 
+def read_descriptor(text: str) -> int:
+    """An inherited descriptor of a listening socket."""
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as copy:
+            listens = copy.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except (OSError, ValueError, OverflowError) as error:
+        raise ConfigError(f"'{text}' is no inherited socket: {error}") from error
+    if not listens:
+        raise ConfigError(f"the inherited socket {text} does not listen")
+    return int(text)
+
+
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """Nested JSON as the path=value pairs of the simulator's wire."""
     if isinstance(value, dict):
@@ -92,6 +108,8 @@
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
         management=read_address(management) if management else None,
+        socket_fd=read_descriptor(env["PROXY_SOCKET_FD"]) if env.get("PROXY_SOCKET_FD") else None,
+        shared=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
     )
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -40,6 +40,8 @@
     def __init__(self, config: Config) -> None:
         self.zones, self.kinds = config.zone_numbers, config.kind_numbers
         # Fixed once: the module takes a backend whose start time differs for one that has restarted.
+        self.entries: dict[str, Mapping[str, Any]] = {}  # the list as discovery has told it by now
+        self.version = 0
         self.offset_us = (time.monotonic_ns() - time.time_ns()) // 1000
 
     def started_us(self, unix_ms: float) -> int:
@@ -62,6 +64,7 @@
         """A list or changes to it; an entry that makes no sense is passed over."""
         kind = kind or (i.ListKind.FULL if value.get("reset") else i.ListKind.CHANGES)
         servers, addresses = [], {}
+        kept = dict(self.entries) if kind is i.ListKind.CHANGES else {}
         for entry in value["instances"]:
             try:
                 server = self.server(entry)
@@ -72,7 +75,15 @@
                 log.error("passed over an entry of the list: %.200r: %s", entry, error)
                 continue
             servers.append(server)
-        return News(i.ServerList(kind, int(value["generation"]), tuple(servers)), addresses)
+            kept[server.name] = entry
+        version = int(value["generation"])
+        self.entries = {name: entry for name, entry in kept.items() if entry.get("lifecycle") != "DELETED"}
+        self.version = version
+        return News(i.ServerList(kind, version, tuple(servers)), addresses)
+
+    def known(self) -> dict[str, Any]:
+        """The whole list in discovery's form."""
+        return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
 
 
 class WatchConnection(asyncio.Protocol):
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -8,17 +8,20 @@
 import asyncio
 import contextlib
 import logging
+import socket
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from fennelwinch import interface as i
+from fennelwinch.codec import plain
 from fennelwinch.rules import Gateway
 from molereach.backends import Attempt, Backends, now_us
 from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
 from molereach.config import Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.figures import Ended, Figures
+from molereach.handover import Twin
 from molereach.management import Answer, Calls, Management
 from molereach.peers import Peers
 
@@ -35,7 +38,10 @@
 FRONT_SEES_S = 1.0  # how long a drain waits for the front to ask and hear the first no, at most
 STILL_COME_S = 0.4  # after it new connections go on coming for 0.2 s
 LAST_READ_S = 1.5  # after the call: what comes later on a kept connection is left to another front door
+PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
+STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
 SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
+TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
 CLIENT_SHARE = 0.6  # of the other sockets
 MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
 
@@ -78,7 +84,10 @@
             ("POST", "/healthcheck/fail"): self.leave_service,
             ("POST", "/healthcheck/ok"): self.enter_service,
         }))
-        self.ready, self.ending = False, False
+        self.ready, self.ending, self.replaced = False, False, False
+        self.finished = asyncio.Event()  # replaced, and with nothing left to do
+        takes_over = config.socket_fd is not None and config.shared
+        self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone)
         self.peers = Peers(config.peers, config.settings.me, self.post)
@@ -90,6 +99,7 @@
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
             i.SetTimer: self.set_timer, i.Tell: self.peers.tell, i.Log: self.log_line,
             i.CloseIdle: lambda action: self.backends.close_idle(action.server),
+            **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), self.tell_twin),
             i.Subscribe: lambda action: None, i.FetchList: lambda action: None,  # the watch is always on
         }
 
@@ -113,20 +123,93 @@
         self.backends.sweep()
         self.clients.sweep()
         self.loop.call_later(LOG_S, self.log_figures)
-        if self.settings.may_tell and self.config.peer_listen:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        if not self.twin:
+            await self.open_peers()
         self.backends.spawn(self.discovery.run())
         try:
             await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST_S)
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
-        host, port = self.config.listen
-        # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
-        self.server = await self.loop.create_server(
-            self.clients.connection, host, port, backlog=1024, reuse_address=True
-        )
+        if self.twin:
+            await self.take_over()
+        else:
+            host, port = self.config.listen
+            # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
+            self.server = await self.loop.create_server(
+                self.clients.connection, host, port, backlog=1024, reuse_address=True
+            )
         self.ready = True
 
+    async def open_peers(self) -> None:
+        if self.settings.may_tell and self.config.peer_listen:
+            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+
+    # --- one process after another ---
+
+    async def take_over(self) -> None:
+        """Serve on the inherited socket, from the state of the process that serves there, if there is one."""
+        if await self.twin.take_over():
+            log.info("goes on from the process that served so far")
+        listening = socket.socket(fileno=self.config.socket_fd)
+        listening.setblocking(False)
+        self.server = await self.loop.create_server(self.clients.connection, sock=listening, backlog=1024)
+        await self.twin.serve()
+        self.backends.spawn(self.open_peers_at_last())
+        await self.twin.offer()
+
+    async def open_peers_at_last(self) -> None:
+        """The peers' address is free once the old process lets go of it, or has ended."""
+        wait_s = PEERS_AGAIN_S
+        while True:
+            try:
+                await self.open_peers()
+                return
+            except OSError as error:
+                log.warning("cannot listen for peers yet: %s", error)
+            await asyncio.sleep(wait_s)
+            wait_s = min(MOST_PEERS_AGAIN_S, 2 * wait_s)
+
+    def memory(self) -> dict[str, Any]:
+        """What the next process goes on from."""
+        state = plain(self.ask(i.HandOver()))
+        return {"state": state, "known": self.catalog.known(), "count": self.sockets()}
+
+    def resume(self, state: i.State, known: Mapping[str, Any]) -> None:
+        """Go on from there; its list holds unless ours is as new."""
+        if known["generation"] > self.catalog.version:
+            self.list_heard(self.catalog.news(known, i.ListKind.FULL))
+        self.run_batch()
+        self.post(state)
+        self.run_batch()
+        for word in state.names:
+            self.backends.ban(word.server, word.out)
+
+    def release(self) -> None:
+        """The next process serves: take nothing new, let go of the addresses and of who is idle."""
+        log.info("another process serves from now on")
+        self.replaced = True
+        self.server.close()
+        self.peers.close()
+        self.clients.drain()
+        self.backends.spawn(self.finish())
+
+    async def finish(self) -> None:
+        """Answer what is left; the platform ends this process soon, but if it does not, it ends by itself."""
+        while not await self.clients.left(LAST_WRITES_S):
+            pass
+        await asyncio.sleep(STAY_S)
+        self.finished.set()
+
+    def sockets(self) -> tuple[int, int]:
+        return len(self.clients.connections), self.backends.count()
+
+    def others(self, clients: int, backends: int) -> None:
+        self.clients.others, self.backends.others = clients, backends
+
+    def tell_twin(self, action: i.TwinSpend | i.TwinSend | i.TwinEnd | i.TwinMaint) -> None:
+        if self.twin:
+            self.twin.tell(action)
+
     def reload(self, config: Config) -> None:
         """Take over what may change while it runs: the address of discovery."""
         log.info("read the configuration again; discovery is at %s:%d", *config.discovery)
@@ -134,9 +217,11 @@
 
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
-        self.ending, self.clients.welcome = True, False
-        await asyncio.sleep(SETTLE_S)
-        self.clients.drain()
+        self.ending = True
+        if not self.replaced:
+            self.clients.welcome = False
+            await asyncio.sleep(SETTLE_S)
+            self.clients.drain()
         while not await self.clients.left(LAST_WRITES_S):
             if not self.open:  # a request may still come on a connection that has had none
                 log.warning("%d clients stay without a request", len(self.clients.connections))
@@ -159,6 +244,8 @@
         """Let go of all sockets."""
         if self.server:
             self.server.close()
+        if self.twin:
+            self.twin.close()
         self.management.close()
         self.peers.close()
         self.clients.close()
@@ -167,7 +254,7 @@
     # --- calls of operators ---
 
     def serving(self) -> bool:
-        return self.ready and not self.ending and self.leaving is None
+        return self.ready and not self.ending and not self.replaced and self.leaving is None
 
     def health(self) -> Answer:
         return (200, "serves") if self.serving() else (503, "takes no new clients")
@@ -220,7 +307,7 @@
         self.run_batch()
         answers = []
         for action in self.gateway.handle(now_us(), event):
-            if isinstance(action, i.Ruling | i.Census):
+            if isinstance(action, i.Ruling | i.Census | i.State):
                 answers.append(action)
             else:
                 self.act(action)
@@ -261,6 +348,12 @@
             self.answer(request_id, FAILED, Ended.ERRORED)
             self.post(i.ClientGone(request_id))
 
+    def twin_heard(self, event: i.Event) -> None:
+        """What the other process did; what an operator wants of a backend holds for the sockets here too."""
+        if isinstance(event, i.TwinMaint):
+            self.backends.ban(event.server, event.out)
+        self.post(event)
+
     def list_heard(self, news: News) -> None:
         whole = news.event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in news.event.servers}
