--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -172,7 +172,7 @@
         return float(value)
     if kind is int and type(value) is int and abs(value) < 1 << 63:
         return value
-    if (kind is bool and type(value) is bool) or (kind is str and type(value) is str and len(value) <= MOST_TEXT):
+    if type(value) is kind and (kind is bool or (kind is str and len(value) <= MOST_TEXT)):
         return value
     if isinstance(value, list) and get_origin(kind) is tuple and len(value) <= MOST_ROWS:
         return tuple([read_plain(get_args(kind)[0], item) for item in value])
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -320,7 +320,8 @@
         """What the held requests that were never sent wait for, beside a server and the cap."""
         firsts = [job for _, _, job in self.held if not job.servers]
         at_cap = sum(job.customer.at_open_cap() for job in firsts)
-        under = sum(0 < job.customer.plan.ceiling_rate and job.customer.ceiling < job.req.units for job in firsts)
+        under = sum(job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units
+                    for job in firsts)
         return f"open cap {at_cap} ceiling {under}"
 
     def update_cap(self, na_past: float) -> None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,206 @@
+"""One process after another on one listening socket: state, rules, and what is not a sound hand-over."""
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelwinch import interface as i
+from fennelwinch.codec import plain, read_plain
+from molereach import frontdoor, handover
+from molereach.config import Config
+from molereach.frontdoor import FrontDoor
+from tests.helpers import MS, SETTINGS, S, World, of
+from tests.sockets import CONFIG, HEAD, HOST, Backend, Client, Watch, catalog, chunk, entry, query, resp, run
+
+# --- the module ---
+
+
+def handed(world: World) -> i.State:
+    state = of(i.State, world.tell(i.HandOver()))[0]
+    return read_plain(i.State, json.loads(json.dumps(plain(state))))
+
+
+def successor(world: World) -> World:
+    later = World(world.gateway.set)
+    later.now = world.now
+    later.tell(handed(world))
+    return later
+
+
+def test_quota_and_bans_go_on_in_the_next_process() -> None:
+    world = World()
+    world.tell(i.Maint("s1", True))
+    for number in range(20):  # the whole burst
+        world.ask(f"a{number}")
+        world.answer(f"a{number}")
+    later = successor(world)
+    assert of(i.Send, later.ask("b")) == []
+    assert of(i.Census, later.tell(i.Survey())) == [i.Census(4, 1)]
+    assert of(i.Send, World().ask("b")) != []  # which a fresh start would send
+
+
+def test_ceiling_and_open_cap_are_kept_by_both_together() -> None:
+    plan = i.Plan(rate=100.0, burst=100.0, max_out=2, ceiling_rate=10.0, ceiling_burst=4.0, ceiling_slack=1.0)
+    world = World(replace(SETTINGS, plans=(plan,)))
+    world.ask("a0")  # the customer is known, its ceiling fills
+    world.run(2 * S)
+    later = successor(world)
+    sent = of(i.TwinSend, world.ask("a1")) + of(i.TwinSend, world.run(40 * MS))
+    assert [word.units for word in sent] == [1.0]
+    for word in sent:
+        later.tell(word)
+    assert of(i.Send, later.ask("b1")) == []  # one out from before and one since: the cap is reached
+    later.tell(i.TwinEnd("a1", 0))
+    assert len(of(i.Send, later.run(40 * MS))) == 1
+    later.tell(i.TwinGone())
+    assert later.gateway.out == 1 and not later.gateway.twin_out
+
+
+def test_spending_of_the_other_process_is_taken_from_the_quota() -> None:
+    world = World()
+    later = successor(world)
+    for word in of(i.TwinSpend, world.ask("a", units=20.0)):
+        later.tell(word)
+    assert of(i.Send, later.ask("b", units=5.0)) == []
+
+
+def test_words_for_the_other_process_only_while_there_is_one() -> None:
+    world = World()
+    assert of(i.TwinSend, world.ask("a")) == []
+    world.tell(i.HandOver())
+    assert of(i.TwinSend, world.ask("b")) != []
+    world.tell(i.TwinGone())
+    assert of(i.TwinSend, world.ask("c")) == []
+
+
+JSON = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+                    lambda inner: st.lists(inner, max_size=8), max_leaves=20)
+
+
+@settings(derandomize=True, deadline=None)
+@given(JSON)
+def test_what_is_no_state_is_a_value_error(value: object) -> None:
+    with pytest.raises(ValueError):
+        read_plain(i.State, value)
+
+
+# --- the processes ---
+
+
+
+
+@contextlib.asynccontextmanager
+async def doors(backend: Backend, tmp_path: Path) -> AsyncIterator[tuple[Config, list[FrontDoor]]]:
+    """A configuration on an inherited socket, and the front doors to close at the end."""
+    listed = catalog(7, [entry("s0", await backend.start())])
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(listed))
+        await asyncio.Event().wait()
+
+    with socket.create_server((HOST, 0)) as held:
+        started: list[FrontDoor] = []
+        yield replace(CONFIG, discovery=await Watch(script).start(), listen=held.getsockname(),
+                      socket_fd=held.fileno(), shared=tmp_path), started
+        for door in started:
+            door.close()
+
+
+async def start(config: Config, started: list[FrontDoor]) -> FrontDoor:
+    """A front door with a descriptor of its own, as another process has."""
+    door = FrontDoor(replace(config, socket_fd=os.dup(config.socket_fd)))
+    started.append(door)
+    await door.start()
+    return door
+
+
+def test_next_process_takes_over_and_no_request_is_lost(tmp_path: Path) -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None if words[2] == b"a2" else b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+        async with doors(backend, tmp_path) as (config, started):
+            old = await start(config, started)
+            idle, busy = [await Client.open(config.listen) for _ in range(2)]
+            assert await idle.ask(query("a1")) == b"ok"
+            busy.send(query("a2"))
+            while len(backend.commands) < 2:
+                backend.came.clear()
+                await backend.came.wait()
+            assert old.maint("s0", True)[0] == 200
+            new = await start(config, started)
+            assert new.serving() and not old.serving()
+            assert len(new.gateway.twin_out) == 1 and "s0" in new.backends.banned
+            assert new.maint("s0", False)[0] == 200
+            assert await idle.ended()
+            client = await Client.open(config.listen)
+            assert await client.ask(resp("PING")) == b"PONG"
+            assert await client.ask(query("a3")) == b"ok"
+            backend.writers[1].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
+            assert await busy.answer() == b"late" and await busy.ended()
+            while new.gateway.twin_out:
+                await asyncio.sleep(0.01)
+            assert len(old.clients.connections) == 0 and new.figures.ended["read"]["answered"] == 1
+
+    run(job())
+
+
+def test_replaced_process_ends_by_itself(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontdoor, "STAY_S", 0.01)
+
+    async def job() -> None:
+        async with doors(Backend(), tmp_path) as (config, started):
+            old = await start(config, started)
+            await start(config, started)
+            await old.finished.wait()
+
+    run(job())
+
+
+@pytest.mark.parametrize("answer", [
+    b"", b"what\n", b"[]\n", b'{"version":2,"say":"state"}\n', b'{"version":1,"say":"state"}\n',
+    b'{"version":1,"say":"state","state":[1],"known":{},"count":[1,1]}\n', b'{"version":1,"say":"odd"}\n',
+])
+def test_unsound_hand_over_is_a_fresh_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes
+) -> None:
+    monkeypatch.setattr(handover, "ANSWER_S", 0.2)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        writer.write(answer)
+        await reader.read()
+        writer.close()
+
+    async def job() -> None:
+        path = tmp_path / f"{frontdoor.TWIN_NAME}.socket"
+        server = await asyncio.start_unix_server(serve, str(path))
+        async with doors(Backend(), tmp_path) as (config, started):
+            new = await start(config, started)
+            client = await Client.open(config.listen)
+            assert await client.ask(query("a1")) == b"ok" and new.serving()
+        server.close()
+
+    run(job())
+
+
+def test_stranger_on_the_path_ends_nothing(tmp_path: Path) -> None:
+    async def job() -> None:
+        async with doors(Backend(), tmp_path) as (config, started):
+            door = await start(config, started)
+            for line in (b"what\n", b'{"version":1,"say":"serving"}\n', b'{"version":1,"say":"TwinEnd"}\n'):
+                reader, writer = await asyncio.open_unix_connection(str(door.twin.path))
+                writer.write(line)
+                assert await reader.read() == b""
+                writer.close()
+            client = await Client.open(config.listen)
+            assert await client.ask(query("a1")) == b"ok" and door.serving()
+
+    run(job())
