--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -91,6 +91,7 @@
         self.ran_on: _Server | None = None  # where it may first have run, and since when
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+        self.streams = False  # its value has begun to go to the client
 
     def may_refuse(self) -> bool:
         keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
@@ -122,7 +123,7 @@
                    i.HandOver: self.on_hand_over, i.State: self.on_state, i.TwinGone: self.on_twin_gone,
                    i.TwinSpend: self.on_twin_spend, i.TwinSend: self.on_twin_send,
                    i.TwinEnd: self.on_twin_end, i.TwinMaint: self.leave_out,
-                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
+                   i.ClientGone: self.on_end, i.StreamStarted: self.on_stream}
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
@@ -330,7 +331,8 @@
         samples, targets = self.signals[kind], TARGETS[kind]
         self.signals = {"util": [], "latency": []}
         if kind == "latency":  # a jam answers nobody: what is out and overdue counts with its age so far
-            samples += [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
+            waited = [job for job in self.jobs.values() if not job.streams]
+            samples += [min(1.0, (self.now - sent) / job.rule.aim_us) for job in waited
                         for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
         if not samples:
             return
@@ -554,10 +556,14 @@
         job = self.jobs.get(event.id)
         if job is None or event.attempt not in job.out:
             return
-        server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
-        del job.out[event.attempt], server.out[(event.id, event.attempt)]
+        server, job.customer.out = job.servers[event.attempt], job.customer.out - 1
+        del job.out[event.attempt]
         self.tell_twin(i.TwinEnd(event.id, event.attempt))
-        self.learn(job, server, event)
+        if not job.streams:
+            self.out -= 1
+            del server.out[(event.id, event.attempt)]
+        if not job.streams or event.result is not i.Result.OK:
+            self.learn(job, server, event)
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
         if event.over or job.over:
@@ -594,14 +600,24 @@
         self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
         self.drop(job)
 
-    def on_end(self, event: i.ClientGone | i.StreamStarted) -> None:
+    def on_end(self, event: i.ClientGone) -> None:
         if event.id in self.jobs:
             self.drop(self.jobs[event.id])
 
+    def on_stream(self, event: i.StreamStarted) -> None:
+        """The value is the client's, as fast as that reads: the server's own part was until now."""
+        job = self.jobs.get(event.id)
+        if job and event.attempt in job.out and not job.over:
+            server, job.streams, job.over = job.servers[event.attempt], True, True
+            self.out -= 1
+            del server.out[(event.id, event.attempt)]
+            self.learn(job, server, i.Outcome(event.id, True, event.attempt, event.server, i.Result.OK,
+                                              event.latency_us))
+
     def drop(self, job: _Job) -> None:
         if job.in_quota and not job.servers and not job.over:
             self.spend(job.customer, -job.req.units)
-        calls_off, job.over = self.set.may_cancel and not job.over and not job.rule.streamed, True
+        calls_off, job.over = self.set.may_cancel and not job.over, True
         self.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
         if not job.out:
             self.jobs.pop(job.req.id, None)
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -23,12 +23,15 @@
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
 MOST_VALUE = 1 << 16  # bytes: the largest of the protocol
 MOST_REPLY = 2 * MOST_VALUE  # with the figures and the load report, and room to spare
+MOST_LONG_VALUE = 4 << 20  # bytes: what is above MOST_VALUE is passed on as it comes
+MOST_READ = 32 * 1024  # bytes read at once: as much of each long value may wait for its client
 
 # A connection may be dropped on the way well before the idle time that the backends state, and without a
 # word: the next request on it is then reset. What this many resets show holds until they are forgotten.
 LEAST_RESETS, RESET_SHARE, FORGET_S = 3.0, 0.25, 10.0
 
 Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
+Began = Callable[["Attempt", int], Callable[[bytes], None] | None]
 
 
 def now_us() -> int:
@@ -38,12 +41,16 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
+    __slots__ = ("began", "connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
                  "server", "timer", "written")
 
-    def __init__(self, request_id: str, number: int, server: str, payload: bytes, done: Done) -> None:
+    def __init__(
+        self, request_id: str, number: int, server: str, payload: bytes, done: Done,
+        began: Began = lambda attempt, size: None,
+    ) -> None:
         self.request_id, self.number, self.server = request_id, number, server
         self.payload, self.done = payload, done
+        self.began = began  # told the size of a long value; gives who takes its pieces, if it is wanted
         self.sent_us, self.over, self.written = now_us(), False, False
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -59,6 +66,21 @@
             self.timer.cancel()
         self.done(self, result, value, report)
 
+    def begin(self, size: int) -> Callable[[bytes], None] | None:
+        """A long value begins to come: from now on it is not given up over time."""
+        if self.timer:
+            self.timer.cancel()
+        return self.began(self, size)
+
+    def pause(self) -> None:
+        """Read no more of its value for now, so that the backend waits too."""
+        if self.connection and self.connection.usable():
+            self.connection.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.connection and self.connection.usable():
+            self.connection.transport.resume_reading()
+
     def cancel(self) -> None:
         """Stop waiting for it."""
         self.give_up(i.Result.CANCELLED)
@@ -134,15 +156,17 @@
         self.judge()
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """A connection to a backend with at most one command on it."""
 
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.idle_since = pool, 0
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
-        self.reader = ReplyReader(MOST_VALUE)
+        self.reader = ReplyReader(MOST_VALUE, MOST_LONG_VALUE)
         self.paused, self.received = False, 0
+        self.pieces: Callable[[bytes], None] | None = None  # who takes the pieces of a long value
+        self.value_left = 0
         self.uses, self.idle_us = 0, 0  # and how long it was idle before the last of them
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -172,14 +196,31 @@
         if self.attempt and not self.attempt.written and not self.transport.is_closing():
             self.written(self.attempt)
 
+    def get_buffer(self, size_hint: int) -> memoryview:
+        """One for all connections: what is read is taken over before another one reads."""
+        return self.pool.owner.read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        self.data_received(bytes(self.pool.owner.read_buffer[:size]))
+
     def data_received(self, data: bytes) -> None:
         self.pool.heard_us = now_us()
+        if self.value_left:
+            data = self.pass_on(data)
         self.received += len(data)
         attempt = self.attempt
         if attempt is None or self.received > MOST_REPLY:
             self.abort()  # nothing was asked, or nobody needs so much
             return
         self.reader.feed(data)
+        if self.pieces is None and (long := self.reader.begin_long()):
+            self.value_left, self.pieces = long[0], attempt.begin(long[0])
+            if self.pieces is None:
+                attempt.cancel()  # nobody waits for it any more
+                return
+            self.pass_on(long[1])
+        if self.value_left or attempt.over:
+            return
         try:
             reply = self.reader.gets(INCOMPLETE)
         except ProtocolError as error:
@@ -188,7 +229,7 @@
             return
         if reply is INCOMPLETE:
             return
-        self.attempt = attempt.connection = None
+        self.attempt = attempt.connection = self.pieces = None
         self.note_use(reset=False)
         if self.reader.has_data() or not attempt.written:
             self.abort()
@@ -196,6 +237,16 @@
             self.pool.release(self)
         attempt.finish(*read_reply(reply))
 
+    def pass_on(self, data: bytes) -> bytes:
+        """Hand on what belongs to a long value; the rest of the data."""
+        piece, rest = data[: self.value_left], data[self.value_left :]
+        self.value_left -= len(piece)
+        if not self.value_left:
+            self.received = 0
+            self.reader.end_long()
+        self.pieces(piece)
+        return rest
+
     def eof_received(self) -> None:
         """No answer can come any more. Without the abort the loop would wait until all is written."""
         self.transport.abort()
@@ -329,6 +380,7 @@
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
+        self.read_buffer = memoryview(bytearray(MOST_READ))
         self.others = 0  # sockets held by another process that is this front door too
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 from fennelwinch import interface as i
 from molereach.config import Config
@@ -24,8 +25,12 @@
 MOST_PIPELINED = 16  # commands read ahead on a connection before its reading pauses
 MOST_WAIT_MS = 24 * 3600 * 1000
 
-PATIENCE_S = 2.0  # for a command to be whole; the platform gives a front door 3 s to answer or close
-SWEEP_S = 0.4  # how often it is looked for
+PATIENCE_S = 2.4  # for a command to be whole: a client may take 2 s, and a front door 3 s to answer or close
+SWEEP_S = 0.2  # how often it is looked for
+MOST_UNSENT = 16 * 1024  # bytes that wait for a client before it counts as slow
+# Of long values, what memory allows is taken in ahead of slow clients, as a backend's attempt is out until it
+# is read. The program itself needs up to 16 MB, and there may be two of it, each with a third of the rest.
+PROGRAM_MB, POOL_SHARE, LEAST_POOL = 32, 3, 1 << 20
 
 FAILED = b"-ERR failed\r\n"
 SLOW = b"-ERR no whole command came in time\r\n"
@@ -190,20 +195,54 @@
         return units
 
 
+class Source(Protocol):
+    """Where the pieces of an answer come from."""
+
+    def pause(self) -> None: ...
+    def resume(self) -> None: ...
+
+
 class Reply:
-    """The place of one answer among those of its connection."""
+    """The place of one answer among those of its connection; a long one comes in pieces."""
 
-    __slots__ = ("connection", "data", "id")
+    __slots__ = ("connection", "data", "id", "moved_s", "paused", "source", "whole")
 
     def __init__(self, connection: "ClientConnection", data: bytes | None = None) -> None:
-        self.connection, self.data = connection, data
+        self.connection, self.data, self.whole = connection, data, data is not None
         self.id: str | None = None  # of the request that it answers
+        self.source: Source | None = None
+        self.paused, self.moved_s = False, 0.0
 
     def send(self, data: bytes) -> None:
-        if self.data is None:
-            self.data = data
+        """The whole answer, or the last of its pieces."""
+        if not self.whole:
+            self.data, self.whole = (self.data or b"") + data, True
             self.connection.flush()
 
+    def begin(self, data: bytes, source: Source) -> None:
+        self.data, self.source = data, source
+        self.moved_s = self.connection.clients.clock()
+
+    def more(self, data: bytes) -> None:
+        """A further piece; while it cannot leave, the source is paused."""
+        self.data += data
+        self.moved_s = self.connection.clients.clock()
+        self.connection.flush()
+        self.connection.measure()
+        if self.connection.clogged or self.data:
+            self.hold(self.connection.clients.crowded())
+
+    def hold(self, wanted: bool) -> None:
+        if self.source and wanted != self.paused:
+            self.paused = wanted
+            (self.source.pause if wanted else self.source.resume)()
+
+    def cut(self) -> None:
+        """The rest will not come: the client can tell only by the end of its connection."""
+        if not self.whole:
+            self.whole, self.source = True, None
+            self.connection.cut(self)
+
 
 class ClientConnection(asyncio.Protocol):
     """A client's connection; answers leave in the order of its commands."""
@@ -214,12 +253,14 @@
         self.replies: deque[Reply] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing, self.reading, self.clogged = False, True, False
+        self.unsent, self.lost = 0, False  # bytes that wait for the client, when last looked at
         self.last = False  # reads no more; closes once all is answered
         self.due_s: float | None = None  # when the command that is awaited must be whole
         self.proven = False  # has had a request taken
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
+        transport.set_write_buffer_limits(MOST_UNSENT)
         self.due_s = self.clients.clock() + PATIENCE_S  # who connects has something to ask
         self.clients.opened(self)
 
@@ -259,7 +300,12 @@
         assert self.transport is not None
         ready = []
         while self.replies and self.replies[0].data is not None:
-            ready.append(self.replies.popleft().data)
+            first = self.replies[0]
+            ready.append(first.data)
+            if not first.whole:
+                first.data = b""
+                break
+            self.replies.popleft()
         if ready and not self.transport.is_closing():
             self.transport.write(b"".join(ready))
         if not self.replies:
@@ -275,8 +321,13 @@
         self.replies.append(Reply(self, data))
         self.flush()
 
+    def cut(self, reply: Reply) -> None:
+        """End the connection over an answer that cannot be finished."""
+        self.closing = True
+        self.abort()
+
     def fail_all(self) -> None:
-        for reply in [reply for reply in self.replies if reply.data is None]:
+        for reply in [reply for reply in self.replies if not reply.whole]:
             self.clients.gone(reply)
             reply.send(FAILED)
 
@@ -297,14 +348,28 @@
 
     def resume_writing(self) -> None:
         self.clogged = False
+        self.measure()
+        if self.replies:
+            self.replies[0].hold(False)
         self.update_reading()
 
+    def measure(self) -> None:
+        """Count what waits here for the client among what waits for all of them."""
+        unsent = 0
+        if self.transport and not self.lost:
+            blocked = sum(len(reply.data) for reply in self.replies if reply.source and reply.data)
+            unsent = self.transport.get_write_buffer_size() + blocked
+        self.clients.unsent += unsent - self.unsent
+        self.unsent = unsent
+
     def connection_lost(self, error: Exception | None) -> None:
-        self.closing = True
-        for reply in self.replies:
-            if reply.data is None:
-                self.clients.gone(reply)
+        self.closing = self.lost = True
+        replies = list(self.replies)
         self.replies.clear()
+        for reply in replies:
+            if not reply.whole:
+                self.clients.gone(reply)
+        self.measure()
         self.clients.closed(self)
 
     def overdue(self, now_s: float) -> bool:
@@ -345,6 +410,8 @@
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # between requests; the one idle longest first
         self.unproven: dict[ClientConnection, None] = {}  # the same for those that have asked nothing yet
+        self.pool = LEAST_POOL  # bytes of long values that may wait for slow clients
+        self.unsent = 0  # those that do
         self.welcome = True  # what PING is told
         self.said_no = asyncio.Event()  # it was told so
         self.draining = False
@@ -388,8 +455,25 @@
                 connection.finish(SLOW)
             else:
                 connection.close()  # an error line could be taken for the answer to what comes at last
+        self.take_in_more()
         asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
 
+    def set_pool(self, memory_mb: int) -> None:
+        self.pool = max(LEAST_POOL, (memory_mb - PROGRAM_MB) * (1 << 20) // POOL_SHARE)
+
+    def crowded(self) -> bool:
+        return self.unsent > self.pool
+
+    def take_in_more(self) -> None:
+        """Look again at what waits; where there is room, go on with the values that were paused."""
+        for connection in self.connections:
+            if connection.unsent:
+                connection.measure()
+        for connection in self.connections:
+            for reply in connection.replies:
+                if reply.paused and not self.crowded():
+                    reply.hold(False)
+
     def busy(self, connection: ClientConnection) -> None:
         self.idle.pop(connection, None)
         self.unproven.pop(connection, None)
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -34,6 +34,7 @@
     connect_timeout_us: int
     max_open: int
     sockets: int
+    memory_mb: int
     known: Mapping[str, Any]
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
@@ -104,6 +105,7 @@
         connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000),
         max_open=pairs.whole("ceilings.max-open", 20_000),
         sockets=int(values.get("limits", {}).get("sockets", 1024)),
+        memory_mb=int(values.get("limits", {}).get("memory_mb", 64)),
         known=values.get("known") or {},
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -39,6 +39,7 @@
 STILL_COME_S = 0.4  # after it new connections go on coming for 0.2 s
 LAST_READ_S = 1.5  # after the call: what comes later on a kept connection is left to another front door
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
+STALL_S = 30.0  # how long neither backend nor client may move a long value before it is cut
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
 SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
 TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
@@ -49,13 +50,14 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
+    __slots__ = ("attempts", "command", "end_us", "out", "reply", "stream", "timer")
 
     def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.stream: Attempt | None = None  # whose long value is under way to the client
 
 
 class FrontDoor:
@@ -90,6 +92,7 @@
         self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone)
+        self.clients.set_pool(config.memory_mb)
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
         known = self.read_known()
@@ -384,8 +387,10 @@
             self.give_up(request_id)
 
     def client_gone(self, reply: Reply) -> None:
-        if reply.id is not None and self.settle(reply.id):
+        if reply.id is not None and (exchange := self.settle(reply.id)):
             self.post(i.ClientGone(reply.id))
+            if exchange.stream:
+                exchange.stream.cancel()
 
     # --- actions ---
 
@@ -402,7 +407,7 @@
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         payload = exchange.command.payload(timeout)
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done)
+        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout)
 
@@ -411,7 +416,9 @@
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
-        if result is i.Result.OK and value is not None and name in self.open:
+        if name in self.open and self.open[name].stream is attempt:
+            self.end_stream(name, result is i.Result.OK)
+        elif result is i.Result.OK and value is not None and name in self.open:
             self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
         over = name not in self.open
         exchange = self.ended.get(name) if over else self.open[name]
@@ -423,6 +430,37 @@
         took = now_us() - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
+    def value_begins(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
+        """A long value begins: it is the client's now, and nothing but a break or a stall ends it."""
+        exchange = self.open.get(attempt.request_id)
+        if exchange is None or exchange.stream:
+            return None
+        exchange.stream = attempt
+        exchange.timer.cancel()
+        exchange.timer = self.loop.call_later(STALL_S, self.look_for_stall, attempt.request_id)
+        took = now_us() - attempt.sent_us
+        self.post(i.StreamStarted(attempt.request_id, attempt.number, attempt.server, took))
+        exchange.reply.begin(b"$%d\r\n" % size, attempt)
+        return exchange.reply.more
+
+    def look_for_stall(self, name: str) -> None:
+        if exchange := self.open.get(name):
+            left = exchange.reply.moved_s + STALL_S - self.clients.clock()
+            if left > 0:
+                exchange.timer = self.loop.call_later(left, self.look_for_stall, name)
+            else:
+                log.warning("cut the value of request %s, which did not move for %.0f s", name, STALL_S)
+                exchange.stream.cancel()
+
+    def end_stream(self, name: str, good: bool) -> None:
+        exchange = self.settle(name)
+        how = Ended.ANSWERED if good else Ended.ERRORED
+        self.figures.note(self.class_names[exchange.command.request.class_index], how)
+        if good:
+            exchange.reply.send(b"\r\n")
+        else:
+            exchange.reply.cut()
+
     def cancel(self, action: i.Cancel) -> None:
         exchange = self.open.get(action.id) or self.ended.get(action.id)
         attempt = exchange.out.get(action.attempt) if exchange else None
--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -1,9 +1,14 @@
 """Reading RESP2 that others wrote: every claim of a size is checked before room is made for it."""
 
+import re
+
 MOST_LINE = 1024  # bytes: an error with a load report, with room to spare
 MOST_ELEMENTS, MOST_DEPTH = 16, 2  # of a backend's answer; ours are flat and have three
 
 
+LONG_VALUE = re.compile(rb"\*([1-9]|1[0-6])\r\n\$([1-9][0-9]{0,6})\r\n")
+
+
 class ProtocolError(Exception):
     """What came is not RESP, or not of a form and size that is taken here; the connection cannot go on."""
 
@@ -28,8 +33,9 @@
     12 bytes costs seconds of CPU when its array is traversed by collections and freed.
     """
 
-    def __init__(self, most_value: int) -> None:
-        self.most_value, self.buffer = most_value, bytearray()
+    def __init__(self, most_value: int, most_long: int = 0) -> None:
+        self.most_value, self.most_long, self.buffer = most_value, most_long, bytearray()
+        self.after = b""  # the head that stands for that of a long value
 
     def feed(self, data: bytes) -> None:
         self.buffer += data
@@ -37,8 +43,31 @@
     def has_data(self) -> bool:
         return bool(self.buffer)
 
+    def long_head(self) -> re.Match[bytes] | None:
+        head = LONG_VALUE.match(self.buffer)
+        return head if head and self.most_value < int(head[2]) <= self.most_long else None
+
+    def begin_long(self) -> tuple[int, bytes] | None:
+        """The size of a value that is too long to be kept whole, and what has come of it; else None.
+
+        It is taken off the stream once any of it is here. Its end and the rest of the answer are read by
+        `gets` after `end_long`, as though the value had been empty.
+        """
+        head = self.long_head()
+        if not head or len(self.buffer) == head.end():
+            return None
+        size, self.after = int(head[2]), b"*%b\r\n$0\r\n" % head[1]
+        first = bytes(self.buffer[head.end() : head.end() + size])
+        del self.buffer[: head.end() + size]
+        return size, first
+
+    def end_long(self) -> None:
+        self.buffer[:0] = self.after
+
     def gets(self, incomplete: object) -> object:
         """The next answer, taken off the stream, or `incomplete`."""
+        if self.long_head():
+            return incomplete  # its value begins with the next byte
         found = self.element(0, MOST_DEPTH)
         if found is None:
             return incomplete
