--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -356,6 +356,7 @@
     length_us: int
     overhead: float
     rate: float
+    usual: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -31,6 +31,9 @@
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
+# How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
+# sent on because servers are cold. What these may take must not shrink with that.
+USUAL_US = 30 * S
 LOG_US = 5 * S  # how often those on call get the module's figures
 SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
 MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
@@ -116,6 +119,7 @@
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
         self.tally, self.logged_us = Counter(), -1  # why requests ended unserved, since the last line
+        self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
@@ -215,7 +219,7 @@
         """All that the rules, quotas and health rest on. Requests stay, and end, where they were taken."""
         self.has_twin = True
         cap = i.CapMemory(self.n_past or 0, self.accepted, self.period_us, self.cc_us,
-                          self.overhead, self.rate)
+                          self.overhead, self.rate, self.usual)
         customers = [i.CustomerMemory(known.key, known.at, known.part, known.level, known.demand,
                                       known.ceiling, known.heard_us, known.untold, known.spent)
                      for known in self.customers.values()]
@@ -232,7 +236,7 @@
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.has_twin, cap = True, state.cap
         self.n_past, self.accepted, self.period_us = cap.n_past or None, cap.accepted, cap.period_us
-        self.cc_us, self.overhead, self.rate = cap.length_us, cap.overhead, cap.rate
+        self.cc_us, self.overhead, self.rate, self.usual = cap.length_us, cap.overhead, cap.rate, cap.usual
         if len(state.means_us) == len(self.mean_us):
             self.mean_us = list(state.means_us)
         for told in state.customers:
@@ -294,6 +298,8 @@
         for server in self.servers.values():  # a slow one that is sent nothing must get its chance again
             server.slowness += SMOOTH * (1 - server.slowness)
         self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
+        fade = math.exp(-self.cc_us / USUAL_US)
+        self.usual = max(self.rate / max(1, len(self.up)), self.usual * fade)
         while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
         self.update_cap(self.accepted)
@@ -505,7 +511,7 @@
 
     def spacing(self, server: _Server) -> int:
         """Spaces out what a cold server is sent here: half of what would push it over, were others full."""
-        usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
+        usual = max(1 / self.set.gateways, self.usual)
         return round(S / max(0.01, self.warmth(server) * max(1.0, self.set.fall_multiple / 2)) / usual)
 
     def note_result(self, server: _Server, ok: bool) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -371,7 +371,7 @@
     world = World(replace(SETTINGS, plans=(i.Plan(),), fall_multiple=3.0))
     started = tuple(replace(fleet[n], started_us=world.now - 5 * S) for n in (2, 3))
     world.tell(i.ServerList(i.ListKind.CHANGES, 2, started))
-    world.gateway.rate = 40.0  # as it was before the restart
+    world.gateway.usual = 10.0  # as it was before the restart
     for n in range(80):
         world.ask(f"r{n}")
         world.run(25 * MS)
@@ -383,6 +383,20 @@
     assert 0.3 <= sum(name in ("s2", "s3") for name in sent) / 80 <= 0.5
 
 
+def test_what_a_cold_server_may_take_does_not_shrink_with_what_is_sent() -> None:
+    """In a release most servers are cold; refusals lower the rate, and that must not lower it further."""
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    cold = world.gateway.servers["s0"]
+    for n in range(200):
+        world.ask(f"r{n}")
+        world.run(20 * MS)
+        world.answer(f"r{n}")
+    before = world.gateway.spacing(cold)
+    world.run(10 * S)
+    assert world.gateway.rate < 5
+    assert world.gateway.spacing(cold) < 1.5 * before
+
+
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
     """Each of them sees a server that has just started as the emptiest."""
     fleet = servers(20)
