--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -479,7 +479,9 @@
         usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
         # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
-        room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
+        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.set.gateways)  # more would only wait there
+        free = [server for server in usable if len(server.out) < most]
+        room = [server for server in free if (warmth := self.warmth(server)) >= 1 or (
             self.now >= server.next_us and self.random.random() < warmth)]
         return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -397,6 +397,18 @@
     assert world.gateway.spacing(cold) < 1.5 * before
 
 
+def test_requests_are_held_rather_than_piled_on_the_one_warm_server() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=2), servers(8))
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, tuple(
+        replace(server, started_us=world.now) for server in servers(8)[1:])))
+    for n in range(60):
+        world.ask(f"r{n}")
+    world.run(40 * MS)
+    sent = [action.server for _, action in world.log if isinstance(action, i.Send)]
+    assert sent.count("s0") == 8  # as many as all gateways may have out for each server, twice over
+    assert world.gateway.held
+
+
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
     """Each of them sees a server that has just started as the emptiest."""
     fleet = servers(20)
