--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -40,6 +40,9 @@
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
+WORD_FATES = ("told", "heard", "asked", "answered")  # messages to and from peers; asks, those answered in time
+
+
 class _Server:
     def __init__(self, entry: i.Server) -> None:
         self.entry = entry
@@ -118,6 +121,7 @@
         self.occup = 0.0  # as last inferred, for the log
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
+        self.words_tally: Counter[str] = Counter()  # how it went with the peers, by WORD_FATES
         self.tally, self.logged_us = Counter(), -1  # why requests ended unserved, since the last line
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
@@ -319,8 +323,10 @@
         self.actions.append(i.Log(
             f"cap {cap} occupancy {self.occup:.2f} rate {self.rate:.0f}/s mean {means} ms"
             f" out {self.out} held {len(self.held)} ({self.held_for()}) waiting {len(self.waits)}"
-            f" up {len(self.up)} suspect {suspect} ended: {ended or '-'}"))
+            f" up {len(self.up)} suspect {suspect} ended: {ended or '-'}"
+            f" peers: {' '.join(f'{what} {self.words_tally[what]}' for what in WORD_FATES)}"))
         self.tally.clear()
+        self.words_tally.clear()
         self.logged_us = self.now
 
     def held_for(self) -> str:
@@ -403,6 +409,7 @@
 
     def ask(self, job: _Job) -> None:
         wait, job.asks = min(ASK_US, job.rule.aim_us // 8), job.asks + 1
+        self.words_tally["asked"] += 1
         job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US)
         self.waits.append(job)
         self.tell(job.customer.home, job.customer, job.req.units)
@@ -420,6 +427,7 @@
     def end_waits(self, told: _Customer | None = None) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
         ready = [job for job in self.waits if job.customer is told][:1]
+        self.words_tally["answered"] += len(ready)
         ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
         self.waits = [job for job in self.waits if job not in ready]
         for job in [job for job in ready if not job.over]:
@@ -452,10 +460,12 @@
         space = min(ASK_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
+            self.words_tally["told"] += 1
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
 
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
+        self.words_tally["heard"] += 1
         for word in message.words:
             key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
