--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -31,7 +31,7 @@
 }
 
 # A word between gateways; amounts in steps of 1 / UNIT.
-WORD = struct.Struct("!IBHHBhhhh")
+WORD = struct.Struct("!IBHHBhhhhB")
 UNIT = 50
 MESSAGE_BYTES = 256
 MOST_TEXT, MOST_ROWS = 256, 100_000  # of what another process hands over
@@ -136,6 +136,7 @@
             word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
             *(max(-32768, min(32767, round(amount * UNIT)))
               for amount in (word.demand, word.spent, word.asked, word.level)),
+            max(0, min(255, word.out)),
         )
         for word in words
     ]
@@ -148,8 +149,8 @@
     if len(data) % WORD.size:
         return ()
     return tuple(
-        i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts))
-        for *key, answer, demand, spent, asked, level in WORD.iter_unpack(data)
+        i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts), out)
+        for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data)
         for amounts in [(demand, spent, asked, level)]
     )
 
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -228,6 +228,7 @@
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
     `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
+    `out` is how many attempts the sender has out; in an answer, how many all others have that it goes to.
     """
 
     customer: int
@@ -239,6 +240,7 @@
     spent: float = 0.0
     asked: float = 0.0
     level: float = 0.0
+    out: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -22,6 +22,7 @@
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
+OUT_FRESH_US, POLL_US = 2 * S, 2 * ASK_US  # how long word of attempts out holds; how often who waits asks
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
@@ -63,6 +64,8 @@
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
         self.ceiling, self.heard_us, self.out = 0.0, -NEVER, 0  # empty, as a restart looks like a first start
+        self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
+        self.told_out, self.polled_us = (0, -NEVER), 0  # elsewhere: those of all others; when asked for last
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
     def refill(self, now: int) -> "_Customer":
@@ -80,8 +83,20 @@
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
-    def at_open_cap(self) -> bool:
-        return bool(self.plan.max_out) and self.out >= max(1, self.plan.max_out // self.size)
+    def shares_cap(self) -> bool:
+        """Whether its open cap is too small to be split over its set."""
+        return 0 < self.plan.max_out < self.size
+
+    def others_out(self, now: int, but: int = -1) -> int:
+        """At its home: the attempts that the others have out, as they told of late."""
+        return sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
+
+    def at_open_cap(self, now: int, at_home: bool) -> bool:
+        if not self.plan.max_out:
+            return False
+        if self.shares_cap() and (at_home or now - self.told_out[1] < OUT_FRESH_US):
+            return self.out + (self.others_out(now) if at_home else self.told_out[0]) >= self.plan.max_out
+        return self.out >= max(1, self.plan.max_out // self.size)
 
     def spend(self, units: float) -> None:
         self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
@@ -334,7 +349,7 @@
     def held_for(self) -> str:
         """What the held requests that were never sent wait for, beside a server and the cap."""
         firsts = [job for _, _, job in self.held if not job.servers]
-        at_cap = sum(job.customer.at_open_cap() for job in firsts)
+        at_cap = sum(job.customer.at_open_cap(self.now, job.customer.home == self.set.me) for job in firsts)
         under = sum(job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units
                     for job in firsts)
         return f"open cap {at_cap} ceiling {under}"
@@ -374,7 +389,7 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or job.customer.at_open_cap() or (
+            waits = job.over or (not job.servers and (blocked or self.at_open_cap(job.customer) or (
                 job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
@@ -382,6 +397,18 @@
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
+    def at_open_cap(self, customer: _Customer) -> bool:
+        """Who waits for a shared cap asks now and then whether the others still fill it."""
+        full = customer.at_open_cap(self.now, customer.home == self.set.me)
+        if full and customer.shares_cap() and self.now - customer.polled_us >= POLL_US:
+            self.tell_out(customer)
+        return full
+
+    def tell_out(self, customer: _Customer) -> None:
+        if customer.shares_cap() and customer.home != self.set.me:
+            customer.polled_us = self.now
+            self.tell(customer.home, customer, 0.0)
+
     def expire(self, job: _Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
         needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
@@ -452,7 +479,8 @@
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
         demand = customer.demand if answer else customer.untold
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level)
+        out = customer.out + customer.others_out(self.now, but=peer) if answer else customer.out
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out)
         if peer != self.set.me:
             self.words.setdefault(peer, []).append(word)
         customer.untold = customer.spent = 0.0
@@ -476,13 +504,15 @@
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
                 customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
+                customer.told_out = word.out, self.now
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
                 self.end_waits(customer if word.asked else None)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 customer.demand += word.demand
                 customer.spend(word.spent)
-                if word.asked or customer.level < customer.plan.burst / 2:
+                customer.outs[message.sender] = word.out, self.now
+                if word.asked or customer.shares_cap() or customer.level < customer.plan.burst / 2:
                     self.tell(message.sender, customer, word.asked)
                 customer.spend(word.asked * customer.chance(word.asked))
 
@@ -546,6 +576,7 @@
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
+        self.tell_out(job.customer)
         server.next_us = self.now + self.spacing(server)
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
@@ -580,6 +611,7 @@
         server, job.customer.out = job.servers[event.attempt], job.customer.out - 1
         del job.out[event.attempt]
         self.tell_twin(i.TwinEnd(event.id, event.attempt))
+        self.tell_out(job.customer)
         if not job.streams:
             self.out -= 1
             del server.out[(event.id, event.attempt)]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -139,7 +139,7 @@
         (i.SetTimer(5, 7), "ARM 5 7"),
         (i.Probe("s"), "CHECK s"),
         (i.CloseIdle("s"), "HANG_UP s"),
-        (i.Tell(2, (i.Word(5, 1, 3, 4, True, level=-1.5),)), f"TELL 2 00000005010003000401{0:012x}ffb5"),
+        (i.Tell(2, (i.Word(5, 1, 3, 4, True, level=-1.5),)), f"TELL 2 00000005010003000401{0:012x}ffb500"),
         (i.Count(4, 1, 9), "ADD_TO 4 1 9"),
         (i.Subscribe(False), "STREAM_CHANGES 0"),
         (i.FetchList(), "SNAPSHOT"),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -574,3 +574,23 @@
             world.answer(name, attempt=attempt)
     sent = len(of(i.Send, [action for _, action in world.log]))
     assert sent == 100
+
+
+def test_open_cap_smaller_than_its_set_holds_over_all_and_moves_to_who_asks() -> None:
+    plan = i.Plan(rate=100.0, burst=100.0, max_out=2)
+    gates = Set(4, replace(SETTINGS, plans=(plan,)))
+    gates.ask(0, "warm", customer="c")
+    (customer,) = gates.worlds[0].gateway.customers.values()
+    home = customer.home
+    gates.run(300 * MS)
+    for world in gates.worlds:
+        world.answer = lambda *_, **__: []  # from now on nothing is answered
+    busy = gates.worlds[(home + 1) % 4]
+    for n in range(4):
+        gates.ask((home + 1) % 4, f"a{n}", customer="c", set_first=0)
+    gates.run(300 * MS)
+    assert len(busy.out) == 2  # more than an even part, now that its home has told that the others have none
+    for n in range(4):
+        gates.ask(home, f"b{n}", customer="c")
+    gates.run(300 * MS)
+    assert sum(len(world.out) for world in gates.worlds) == 2
