--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import random
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -140,9 +141,10 @@
     """Keeps a watch open and hands on its news as soon as it has been written."""
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None]
+        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None], seed: int = 0
     ) -> None:
         self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
+        self.random = random.Random(seed)
         self.first = asyncio.Event()
         self.backoff_s = BACKOFF_S
         self.connection: WatchConnection | None = None
@@ -169,7 +171,8 @@
                 log.warning("no watch on discovery: %s", error or "it does not answer")
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
-            await asyncio.sleep(self.backoff_s)
+            # Many front doors that lose discovery, or start, at once must not come back to it at once.
+            await asyncio.sleep(self.backoff_s * self.random.uniform(0.5, 1.5))
             self.backoff_s = min(MOST_BACKOFF_S, self.backoff_s * 2)
 
     async def watch(self) -> None:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -30,7 +30,8 @@
 # Taken off the time that a client waits: for the way of its request here and of our answer back.
 ANSWER_MARGIN_US = 25_000
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
-FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
+FIRST_LIST_S = 0.3  # how long the start waits for a list
+NEWER_LIST_S = 0.05  # the same where one is known: in a release many start, and discovery may be silent long
 LOG_S = 5.0  # how often those on call get the figures
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
@@ -97,7 +98,8 @@
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
-        self.discovery = Discovery(config.discovery, self.catalog, version, self.list_heard)
+        self.discovery = Discovery(
+            config.discovery, self.catalog, version, self.list_heard, config.settings.seed)
         self.carry_out: dict[type, Callable[..., None]] = {
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
             i.SetTimer: self.set_timer, i.Tell: self.peers.tell, i.Log: self.log_line,
@@ -130,7 +132,8 @@
             await self.open_peers()
         self.backends.spawn(self.discovery.run())
         try:
-            await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST_S)
+            await asyncio.wait_for(self.discovery.first.wait(),
+                                   NEWER_LIST_S if self.catalog.entries else FIRST_LIST_S)
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
         if self.twin:
