--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -30,6 +30,7 @@
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
 SLOW_START_US = 8 * S  # after a return from suspicion: about the longest time away
+MOST_PACE, PACE_STEP = 2.0, 0.1  # of a cold server: twice the share is still under its bound at usual loads
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
@@ -53,6 +54,7 @@
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load, self.load_at = False, None, 0
         self.back_us = -NEVER  # its return from suspicion
+        self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
         self.cold_us = 0  # when it may have started anew while left out by hand
 
 
@@ -559,11 +561,13 @@
     def spacing(self, server: _Server) -> int:
         """Spaces out what a cold server is sent here: half of what would push it over, were others full."""
         usual = max(1 / self.set.gateways, self.usual)
-        return round(S / max(0.01, self.warmth(server) * max(1.0, self.set.fall_multiple / 2)) / usual)
+        most = self.warmth(server) * max(1.0, self.set.fall_multiple / 2) * server.pace
+        return round(S / max(0.01, most) / usual)
 
     def note_result(self, server: _Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
         server.fails = server.fails / 2 if ok else server.fails + 1
+        server.pace = server.pace if ok else 1.0
         if ok and server.on_trial:
             server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
             server.back_us = self.now
@@ -636,6 +640,8 @@
             self.mean_load += SMOOTH * (loads[0] - self.mean_load)
         if result is i.Result.OK:
             server.heard_us = self.now
+            step = PACE_STEP if took < self.mean_us[index] else -2 * PACE_STEP
+            server.pace = min(MOST_PACE, max(1.0, server.pace + step))
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
             server.slowness += SMOOTH * (ratio - server.slowness)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -422,6 +422,27 @@
     assert world.gateway.spacing(cold) < 1.5 * before
 
 
+def test_cold_server_that_answers_quickly_is_sent_more_up_to_a_bound() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, (replace(servers(1)[0], started_us=world.now),)))
+    cold = world.gateway.servers["s0"]
+
+    def answered(after_us: int, result: i.Result = i.Result.OK) -> float:
+        name = f"r{len(world.tries)}"
+        world.ask(name)
+        world.now += after_us
+        server = world.gateway.servers[world.out[(name, 0)][0]]
+        server.pace = cold.pace
+        world.answer(name, result)
+        cold.pace = server.pace
+        return cold.pace
+
+    paces = [answered(MS) for _ in range(20)]
+    assert paces == sorted(paces) and paces[-1] == 2.0  # under its bound even where servers are well used
+    assert answered(900 * MS) < 2.0
+    assert answered(MS, i.Result.RESET) == 1.0
+
+
 def test_requests_are_held_rather_than_piled_on_the_one_warm_server() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=2), servers(8))
     world.tell(i.ServerList(i.ListKind.CHANGES, 2, tuple(
