--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -518,7 +518,8 @@
                 customer.outs[message.sender] = word.out, self.now
                 if word.asked or customer.shares_cap() or customer.level < customer.plan.burst / 2:
                     self.tell(message.sender, customer, word.asked)
-                customer.spend(word.asked * customer.chance(word.asked))
+                if word.asked > 0:
+                    customer.spend(word.asked * customer.chance(word.asked))
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -223,6 +223,15 @@
     assert not any(of(i.Tell, world.ask(f"s{name}", customer=name, set_size=4, units=20.0)) for name in names)
 
 
+def test_word_that_only_tells_what_is_out_asks_for_nothing() -> None:
+    world = World(replace(SETTINGS, gateways=2, plans=(replace(PLAN, max_out=1),)))
+    key = (0, 0, 0, 2)  # at home here
+    world.tell(i.PeerMessage(1, (i.Word(*key, level=0.0, out=1),)))
+    (customer,) = world.gateway.customers.values()
+    assert customer.others_out(world.now) == 1 and customer.level == 0
+    assert of(i.Tell, [action for _, action in world.log])
+
+
 def test_words_from_outside_are_checked() -> None:
     world = World(replace(SETTINGS, gateways=2))
     huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
