--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -379,6 +379,11 @@
     """Another process takes over: answered by the State; from now on each tells what it does."""
 
 
+@dataclass(frozen=True, slots=True)
+class TwinUnknown:
+    """Another process may be this gateway too, until a TwinGone; nothing is known of what it has sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class TwinGone:
     """The other process has ended, and its attempts with it."""
@@ -392,6 +397,7 @@
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
     | Maint | Survey | HandOver | State | TwinSpend | TwinSend | TwinEnd | TwinMaint | TwinGone
+    | TwinUnknown
 )
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -129,6 +129,7 @@
         self.set = settings
         self.random = random.Random(settings.seed)
         self.servers, self.up = {}, []  # by name; those that may be sent new work
+        self.blind = False  # another process may be this gateway, unheard
         self.has_twin = False  # another process is this gateway too, for a while
         self.twin_out: dict[tuple[str, int], tuple[_Customer, _Server | None]] = {}  # its attempts out
         self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
@@ -150,6 +151,7 @@
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
                    i.Maint: self.on_maint, i.Survey: self.on_survey,
                    i.HandOver: self.on_hand_over, i.State: self.on_state, i.TwinGone: self.on_twin_gone,
+                   i.TwinUnknown: self.on_twin_unknown,
                    i.TwinSpend: self.on_twin_spend, i.TwinSend: self.on_twin_send,
                    i.TwinEnd: self.on_twin_end, i.TwinMaint: self.leave_out,
                    i.ClientGone: self.on_end, i.StreamStarted: self.on_stream}
@@ -311,8 +313,16 @@
         if server:
             server.out.pop((event.id, event.attempt), None)
 
+    def on_twin_unknown(self, _: i.TwinUnknown) -> None:
+        """The other may use up every ceiling's part: nothing is sent here that would count against one."""
+        self.blind = True
+
     def on_twin_gone(self, _: i.TwinGone) -> None:
         self.has_twin = False
+        if self.blind:
+            self.blind = False
+            for customer in self.customers.values():
+                customer.refill(self.now).ceiling = 0.0
         for name, number in list(self.twin_out):
             self.on_twin_end(i.TwinEnd(name, number))
 
@@ -394,7 +404,8 @@
         for entry in held:
             job = entry[2]
             waits = job.over or (not job.servers and (blocked or self.at_open_cap(job.customer) or (
-                job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
+                job.customer.plan.ceiling_rate and (
+                    self.blind or job.customer.refill(self.now).ceiling < job.req.units))))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
             elif not job.over:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -154,26 +154,31 @@
 
     async def take_over(self) -> None:
         """Serve on the inherited socket, from the state of the process that serves there, if there is one."""
-        if await self.twin.take_over():
+        sound = await self.twin.take_over()
+        if sound:
             log.info("goes on from the process that served so far")
+        else:
+            self.post(i.TwinUnknown())  # until the peers' address is free: no other process has it then
         listening = socket.socket(fileno=self.config.socket_fd)
         listening.setblocking(False)
         self.server = await self.loop.create_server(self.clients.connection, sock=listening, backlog=1024)
         await self.twin.serve()
-        self.backends.spawn(self.open_peers_at_last())
+        self.backends.spawn(self.open_peers_at_last(sound))
         await self.twin.offer()
 
-    async def open_peers_at_last(self) -> None:
+    async def open_peers_at_last(self, sound: bool) -> None:
         """The peers' address is free once the old process lets go of it, or has ended."""
         wait_s = PEERS_AGAIN_S
         while True:
             try:
                 await self.open_peers()
-                return
+                break
             except OSError as error:
                 log.warning("cannot listen for peers yet: %s", error)
             await asyncio.sleep(wait_s)
             wait_s = min(MOST_PEERS_AGAIN_S, 2 * wait_s)
+        if not sound:
+            self.post(i.TwinGone())
 
     def memory(self) -> dict[str, Any]:
         """What the next process goes on from."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -74,6 +74,17 @@
     assert (customer.part, customer.level) == (0.0, 0.0)
 
 
+def test_nothing_counts_against_a_ceiling_that_an_unheard_process_may_use_up() -> None:
+    plan = i.Plan(rate=100.0, burst=100.0, ceiling_rate=10.0, ceiling_burst=4.0)
+    world = World(replace(SETTINGS, plans=(plan,)))
+    world.tell(i.TwinUnknown())
+    world.ask("a")
+    assert of(i.Send, world.run(500 * MS)) == []
+    world.tell(i.TwinGone())
+    assert of(i.Send, world.run(60 * MS)) == []  # the ceiling fills from now on, as after a start
+    assert len(of(i.Send, world.run(100 * MS))) == 1
+
+
 def test_words_for_the_other_process_only_while_there_is_one() -> None:
     world = World()
     assert of(i.TwinSend, world.ask("a")) == []
@@ -192,6 +203,22 @@
     run(job())
 
 
+def test_ceilings_wait_until_the_peers_address_is_free(tmp_path: Path) -> None:
+    async def job() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind((HOST, 0))
+            async with doors(Backend(), tmp_path) as (config, started):
+                door = await start(replace(config, peer_listen=taken.getsockname()), started)
+                client = await Client.open(config.listen)
+                assert await client.ask(query("a1")) == b"ok"  # of a plan without a ceiling
+                assert door.gateway.blind
+                taken.close()
+                while door.gateway.blind:
+                    await asyncio.sleep(0.01)
+
+    run(job())
+
+
 def test_stranger_on_the_path_ends_nothing(tmp_path: Path) -> None:
     async def job() -> None:
         async with doors(Backend(), tmp_path) as (config, started):
