--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -82,8 +82,6 @@
 
     def chance(self, units: float) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
-        if self.level >= max(units, self.plan.burst / 2):
-            return 1.0  # with half of the store left nobody is refused for what was asked before
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
