--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -345,7 +345,8 @@
     backoff_us: int
     back_us: int
     cold_us: int
-    next_us: int
+    earned: float
+    earned_us: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -50,12 +50,13 @@
     def __init__(self, entry: i.Server) -> None:
         self.entry = entry
         self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
-        self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
+        self.heard_us = self.avoid_until = self.backoff_us = 0
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load, self.load_at = False, None, 0
         self.back_us = -NEVER  # its return from suspicion
         self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
         self.cold_us = 0  # when it may have started anew while left out by hand
+        self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
 
 
 class _Customer:
@@ -194,6 +195,8 @@
             known = self.servers.get(entry.name)
             if known is None or known.entry.started_us != entry.started_us:
                 known = self.servers[entry.name] = _Server(entry)
+                # All gateways hear of it at once, and each owes it little: by chance they begin apart.
+                known.earned, known.earned_us = self.random.random(), self.now
             known.entry = entry
             self.names.setdefault(entry.name, False)
         self.forget_names()
@@ -227,6 +230,7 @@
             if (server := self.servers.get(event.server)) and not event.out:
                 server.avoid_until = server.backoff_us = 0
                 server.fails, server.on_trial, server.cold_us = 0.0, True, self.now
+                server.earned = 1.0
             self.find_up()
 
     def on_survey(self, _: i.Survey) -> None:
@@ -250,7 +254,7 @@
                      for known in self.customers.values()]
         servers = [i.ServerMemory(name, known.entry.started_us, known.slowness, known.fails, known.on_trial,
                                   known.avoid_until, known.backoff_us, known.back_us, known.cold_us,
-                                  known.next_us) for name, known in self.servers.items()]
+                                  known.earned, known.earned_us) for name, known in self.servers.items()]
         names = [i.TwinMaint(name, left_out) for name, left_out in self.names.items()]
         out = [i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
                for job in self.jobs.values() for number, sent in job.out.items()]
@@ -276,7 +280,8 @@
             if server and abs(server.entry.started_us - told.started_us) < SAME_START_US:
                 server.slowness, server.fails, server.on_trial = told.slowness, told.fails, told.on_trial
                 server.avoid_until, server.backoff_us = told.avoid_until_us, told.backoff_us
-                server.back_us, server.cold_us, server.next_us = told.back_us, told.cold_us, told.next_us
+                server.back_us, server.cold_us = told.back_us, told.cold_us
+                server.earned, server.earned_us = told.earned, told.earned_us
         self.names.update((told.server, told.out) for told in state.names)
         self.forget_names()
         self.find_up()
@@ -302,7 +307,7 @@
         self.accepted += event.units > 0
         if server:
             server.out[name] = event.sent_us
-            server.next_us = max(server.next_us, event.sent_us + self.spacing(server))
+            server.earned -= 1
 
     def on_twin_end(self, event: i.TwinEnd) -> None:
         customer, server = self.twin_out.pop((event.id, event.attempt), (None, None))
@@ -535,11 +540,12 @@
         allowed = [server for server in self.up if self.in_group(job, server)]
         usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
-        # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
         most = max(LEAST_OUT, 2 * START_PER_SERVER // self.set.gateways)  # more would only wait there
         free = [server for server in usable if len(server.out) < most]
-        room = [server for server in free if (warmth := self.warmth(server)) >= 1 or (
-            self.now >= server.next_us and self.random.random() < warmth)]
+        room = [server for server in free if self.warmth(server) >= 1 or self.has_earned(server)]
+        # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
+        # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
+        room = [server for server in room if not server.out and self.warmth(server) < 1] or room
         return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
     def in_group(self, job: _Job, server: _Server) -> bool:
@@ -568,11 +574,16 @@
         age = (self.now - started) / max(1, self.set.warm_within_us)
         return 1.0 if age >= 1 or not started else cold + (1 - cold) * age
 
-    def spacing(self, server: _Server) -> int:
-        """Spaces out what a cold server is sent here: half of what would push it over, were others full."""
+    def cold_rate(self, server: _Server) -> float:
+        """Attempts a second for a cold server: half of what would push it over, were others full."""
         usual = max(1 / self.set.gateways, self.usual)
-        most = self.warmth(server) * max(1.0, self.set.fall_multiple / 2) * server.pace
-        return round(S / max(0.01, most) / usual)
+        return usual * self.warmth(server) * max(1.0, self.set.fall_multiple / 2) * server.pace
+
+    def has_earned(self, server: _Server) -> bool:
+        """Whether a cold server may be sent an attempt by now; what it earns follows its warmth."""
+        more = (self.now - server.earned_us) / S * self.cold_rate(server)
+        server.earned, server.earned_us = min(1.0, server.earned + more), self.now
+        return server.earned >= 1
 
     def note_result(self, server: _Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
@@ -593,7 +604,7 @@
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
         self.tell_out(job.customer)
-        server.next_us = self.now + self.spacing(server)
+        server.earned -= 1
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
         self.actions.append(i.Send(job.req.id, server.entry.name, self.time_out(job)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+from collections import Counter
 from dataclasses import replace
 from pathlib import Path
 
@@ -385,7 +386,7 @@
         world.run((10 + n * 37 % 50) * MS)
         world.answer(f"r{n}")
     counts = [sum(a.server == f"s{n}" for _, a in world.log if isinstance(a, i.Send)) for n in range(4)]
-    assert counts[3] <= min(counts[:3]) / 2
+    assert counts[3] <= sum(counts) / 4 / 2  # warm ones share the rest by how quickly they chanced to answer
 
 
 def test_half_warm_servers_are_used_while_warm_ones_are_busy() -> None:
@@ -414,10 +415,10 @@
         world.ask(f"r{n}")
         world.run(20 * MS)
         world.answer(f"r{n}")
-    before = world.gateway.spacing(cold)
+    before = world.gateway.cold_rate(cold)
     world.run(10 * S)
     assert world.gateway.rate < 5
-    assert world.gateway.spacing(cold) < 1.5 * before
+    assert world.gateway.cold_rate(cold) > before / 1.5
 
 
 def test_cold_server_that_answers_quickly_is_sent_more_up_to_a_bound() -> None:
@@ -470,6 +471,27 @@
     assert names.count("s0") <= 0.6 * 1000 / 20  # warmth is 0.2 to 0.36 in these 2 s
 
 
+def test_cold_servers_take_their_part_though_every_gateway_has_empty_warm_ones() -> None:
+    """Forty gateways with a request every 0.4 s each: to each of them nearly all servers look empty."""
+    fleet = servers(20)
+    gates = Set(40, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2, fall_multiple=3.0), fleet)
+    for n in range(600):  # so that it is known what a warm one is sent
+        gates.ask(n * 7 % 40, f"w{n}", customer=f"c{n}")
+        gates.run(10 * MS)
+    cold = tuple(replace(server, started_us=gates.worlds[0].now) for server in fleet[:8])
+    for world in gates.worlds:
+        world.tell(i.ServerList(i.ListKind.CHANGES, 2, cold))
+        world.log.clear()
+    for n in range(400):
+        gates.ask(n * 7 % 40, f"r{n}", customer=f"c{n}")
+        gates.run(10 * MS)
+    names = [action.server for world in gates.worlds for _, action in world.log if isinstance(action, i.Send)]
+    sent = Counter(names)
+    mean_warmth, even = 0.2 + 0.8 * 2 / 10, 400 / 20
+    assert 0.5 * mean_warmth * even <= sum(sent[server.name] for server in cold) / 8 <= 3 * mean_warmth * even
+    assert max(sent[server.name] for server in cold) < 2 * even
+
+
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
