Tell peers how attempts went, so that one bad backend is not paid for forty times

Each door sends to each backend once in 10 s.

Checked: it is the same 7 at all doors, and each door's own figures had one or two attempts on each of them in that time; no connection failed. So a door alone cannot know in time (`learn`: slowness moves by a tenth an attempt).

Now each message to a peer carries how the sender's last attempts went (4 bytes each, told once, at most 2 s old); `judge` keeps a mean of that for each server, and `cost` passes over one that is in trouble.

--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -9,7 +9,7 @@
 from typing import TextIO
 
 from fennelwinch import interface as i
-from fennelwinch.codec import Pairs, pack_words, read_report, read_settings, unpack_words
+from fennelwinch.codec import Pairs, pack_message, read_report, read_settings, unpack_message
 from fennelwinch.rules import Gateway
 
 RESULTS = {
@@ -155,7 +155,7 @@
         server, result = fields.text(), RESULTS[fields.text()]
         return i.ProbeResult(server, result, fields.whole(0), read_load(fields, names))
     if name == "FROM_PEER":
-        return i.PeerMessage(fields.whole(), unpack_words(read_bytes(fields)))
+        return i.PeerMessage(fields.whole(), *unpack_message(read_bytes(fields)))
     if name == "TOTAL":
         return i.Counted(fields.whole(), RESULTS[fields.text()], fields.number(0.0), fields.whole(0))
     raise WireError(f"unknown message '{name}'")
@@ -177,8 +177,8 @@
             return f"CHECK {server}"
         case i.CloseIdle(server):
             return f"HANG_UP {server}"
-        case i.Tell(peer, words):
-            return "\n".join(f"TELL {peer} {data.hex()}" for data in pack_words(words))
+        case i.Tell(peer, words, seen):
+            return "\n".join(f"TELL {peer} {data.hex()}" for data in pack_message(words, seen))
         case i.Count(name, amount, lifetime_us):
             return f"ADD_TO {name} {amount:g} {lifetime_us}"
         case i.Subscribe(on):
--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -30,9 +30,13 @@
     "eps": "errors_per_s",
 }
 
-# A word between gateways; amounts in steps of 1 / UNIT.
+# A message between gateways: a mark with the number of words, the words (amounts in steps of 1 / UNIT), and
+# what was seen of servers (class and success in one byte, latency in steps of 1 / PARTS).
+MARK = 0xA0
 WORD = struct.Struct("!IBHHBhhhhB")
-UNIT = 50
+SIGHTING = struct.Struct("!HBB")
+MOST_CLASSES = 128  # that a sighting can name
+UNIT, PARTS = 50, 255
 MESSAGE_BYTES = 256
 MOST_TEXT, MOST_ROWS = 256, 100_000  # of what another process hands over
 
@@ -129,8 +133,8 @@
     })
 
 
-def pack_words(words: Iterable[i.Word]) -> list[bytes]:
-    """Messages between gateways, each as long as the wire allows."""
+def pack_message(words: Iterable[i.Word], sightings: Iterable[i.Sighting] = ()) -> list[bytes]:
+    """Messages between gateways, each as long as the wire allows; sightings fill up the last one."""
     packed = [
         WORD.pack(
             word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
@@ -140,19 +144,33 @@
         )
         for word in words
     ]
-    most = MESSAGE_BYTES // WORD.size
-    return [b"".join(packed[n : n + most]) for n in range(0, len(packed), most)]
+    most = (MESSAGE_BYTES - 1) // WORD.size
+    parts = [packed[n : n + most] for n in range(0, len(packed), most)]
+    messages = [bytes([MARK | len(part)]) + b"".join(part) for part in parts]
+    seen = [
+        SIGHTING.pack(seen.server, seen.class_index << 1 | seen.served,
+                      round(min(1.0, seen.latency) * PARTS))
+        for seen in sightings if seen.class_index < MOST_CLASSES
+    ]
+    room = (MESSAGE_BYTES - len(messages[-1])) // SIGHTING.size
+    messages[-1] += b"".join(seen[:room])
+    return messages
 
 
-def unpack_words(data: bytes) -> tuple[i.Word, ...]:
-    """The words of a message; none where it is not of this version's form."""
-    if len(data) % WORD.size:
-        return ()
-    return tuple(
+def unpack_message(data: bytes) -> tuple[tuple[i.Word, ...], tuple[i.Sighting, ...]]:
+    """The words and sightings of a message; none where it is not of this version's form."""
+    end = 1 + (data[0] ^ MARK) * WORD.size if data else 0
+    if not 1 < end <= len(data) <= MESSAGE_BYTES or (len(data) - end) % SIGHTING.size:
+        return (), ()
+    words = tuple(
         i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts), out)
-        for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data)
+        for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data[1:end])
         for amounts in [(demand, spent, asked, level)]
     )
+    return words, tuple(
+        i.Sighting(server, kind >> 1, bool(kind & 1), latency / PARTS)
+        for server, kind, latency in SIGHTING.iter_unpack(data[end:])
+    )
 
 
 def plain(value: object) -> object:
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -243,12 +243,27 @@
     out: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Sighting:
+    """How an attempt went, told to other gateways.
+
+    The server goes by a checksum of its name, the latency as part of the aim, at most 1; what failed, but not
+    by waiting too long, has none.
+    """
+
+    server: int
+    class_index: int
+    served: bool
+    latency: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
     """A message from another gateway."""
 
     sender: int
     words: tuple[Word, ...]
+    sightings: tuple[Sighting, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -461,10 +476,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Tell:
-    """Send words to one peer."""
+    """Send words to one peer, and what was seen of the servers since the last message to it."""
 
     peer: int
     words: tuple[Word, ...]
+    sightings: tuple[Sighting, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -5,7 +5,7 @@
 import random
 import zlib
 from bisect import insort
-from collections import Counter
+from collections import Counter, deque
 
 from fennelwinch import interface as i
 
@@ -21,16 +21,20 @@
 START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
+MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
 OUT_FRESH_US, POLL_US = 2 * S, 2 * ASK_US  # how long word of attempts out holds; how often who waits asks
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
+# A server in trouble is passed over by how much worse than usual it is. Less says nothing: it is within
+# chance, and as all gateways know the same they would all take the one that seems best.
+WORST, USUAL_TROUBLE = 4.0, 1.5
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
 SLOW_START_US = 8 * S  # after a return from suspicion: about the longest time away
-MOST_PACE, PACE_STEP = 2.0, 0.1  # of a cold server: twice the share is still under its bound at usual loads
+LEAST_PACE, MOST_PACE, PACE_STEP = 0.5, 2.0, 0.1  # of a cold server: twice its share is still under its bound
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
@@ -43,14 +47,16 @@
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
 
 
+SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
 WORD_FATES = ("told", "heard", "asked", "answered")  # messages to and from peers; asks, those answered
 
 
 class _Server:
     def __init__(self, entry: i.Server) -> None:
-        self.entry = entry
+        self.entry, self.sum = entry, zlib.crc32(entry.name.encode()) & 0xFFFF
         self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
         self.heard_us = self.avoid_until = self.backoff_us = 0
+        self.trouble = 1.0  # latency over the mean, or WORST for a failure, as all gateways have met it
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load, self.load_at = False, None, 0
         self.back_us = -NEVER  # its return from suspicion
@@ -137,6 +143,11 @@
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
         self.waits, self.words = [], {}  # who waits for word; words for peers
         self.next_tell_us: dict[int, int] = {}  # by peer, when the next message to it would keep its space
+        # Of the attempts that ended here last: when, and how; by peer, how many were told. Each gateway of
+        # many sees each server too rarely to learn of a bad one alone.
+        self.seen: deque[tuple[int, i.Sighting]] = deque(maxlen=MOST_SIGHTINGS)
+        self.seen_ever, self.told_seen = 0, dict[int, int]()
+        self.by_sum: dict[int, _Server | None] = {}  # by checksum; None where two share one
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
         self.occup = 0.0  # as last inferred, for the log
@@ -211,6 +222,9 @@
                 del self.names[name]
 
     def find_up(self) -> None:
+        self.by_sum = {}
+        for server in self.servers.values():
+            self.by_sum[server.sum] = None if server.sum in self.by_sum else server
         self.up = [server for server in self.servers.values()
                    if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
 
@@ -335,6 +349,7 @@
         self.period_us += self.cc_us
         for server in self.servers.values():  # a slow one that is sent nothing must get its chance again
             server.slowness += SMOOTH * (1 - server.slowness)
+            server.trouble += SMOOTH * (1 - server.trouble)
         self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
         fade = math.exp(-self.cc_us / USUAL_US)
         self.usual = max(self.rate / max(1, len(self.up)), self.usual * fade)
@@ -510,11 +525,24 @@
         for peer in [peer for peer in self.words if self.next_tell_us.get(peer, 0) <= latest]:
             self.next_tell_us[peer] = max(self.now, self.next_tell_us.get(peer, 0)) + space
             self.words_tally["told"] += 1
-            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
+            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer)), self.untold_sightings(peer)))
+
+    def untold_sightings(self, peer: int) -> tuple[i.Sighting, ...]:
+        """What the peer has not been told; past the longest period it is no news."""
+        new = self.seen_ever - self.told_seen.get(peer, 0)
+        self.told_seen[peer] = self.seen_ever
+        first = max(0, len(self.seen) - new)
+        return tuple(seen for at, seen in itertools.islice(self.seen, first, None)
+                     if self.now - at < MOST_PERIODS * CC_PERIOD_US)
 
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
         self.words_tally["heard"] += 1
+        for seen in message.sightings:
+            server = self.by_sum.get(seen.server)
+            if server and seen.class_index < len(self.set.classes):
+                aim_us = self.set.classes[seen.class_index].aim_us
+                self.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
         for word in message.words:
             key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
@@ -566,7 +594,8 @@
         # One that came back is passed over for a while where others are free, never held back from use:
         # where many come back at once, all that is asked must still find a server.
         back = min(1.0, (self.now - server.back_us) / SLOW_START_US)
-        return waits * server.slowness * pressure * far * (2 - back) / self.warmth(server)
+        trouble = max(1.0, server.trouble / USUAL_TROUBLE) ** 2
+        return waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
 
     def warmth(self, server: _Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
@@ -659,10 +688,14 @@
         if loads:
             server.load, server.load_at = loads[0], self.now
             self.mean_load += SMOOTH * (loads[0] - self.mean_load)
+        if result in SIGHTED:
+            lasted = took / job.rule.aim_us if result in (i.Result.OK, i.Result.TIMEOUT) else 0.0
+            seen = i.Sighting(server.sum, index, result is i.Result.OK, lasted)
+            self.seen.append((self.now, seen))
+            self.seen_ever += 1
+            self.judge(server, index, seen.served, took)
         if result is i.Result.OK:
             server.heard_us = self.now
-            step = PACE_STEP if took < self.mean_us[index] else -2 * PACE_STEP
-            server.pace = min(MOST_PACE, max(1.0, server.pace + step))
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
             server.slowness += SMOOTH * (ratio - server.slowness)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
@@ -676,6 +709,15 @@
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             self.note_result(server, result is i.Result.OK)
 
+    def judge(self, server: _Server, index: int, served: bool, took_us: float) -> None:
+        """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
+        mean_us = max(1.0, self.mean_us[index])
+        ratio = took_us / mean_us if served else WORST
+        server.trouble += SMOOTH * (min(WORST, max(1 / WORST, ratio)) - server.trouble)
+        if served:
+            step = PACE_STEP if took_us < mean_us else -2 * PACE_STEP
+            server.pace = min(MOST_PACE, max(LEAST_PACE, server.pace + step))
+
     def end(self, job: _Job, why: str) -> None:
         self.tally[why] += 1
         wait = self.set.max_retry_after_us
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from fennelwinch import interface as i
-from fennelwinch.codec import MESSAGE_BYTES, pack_words, unpack_words
+from fennelwinch.codec import MESSAGE_BYTES, pack_message, unpack_message
 from molereach.config import Address
 
 
@@ -25,15 +25,16 @@
         sender = self.senders.get(address)
         if sender is None or len(data) > MESSAGE_BYTES:
             return
-        if words := unpack_words(data):
-            self.heard(i.PeerMessage(sender, words))
+        words, sightings = unpack_message(data)
+        if words:
+            self.heard(i.PeerMessage(sender, words, sightings))
 
     def error_received(self, error: OSError) -> None:
         """A peer that is down may show as an error here; words may be lost in any case."""
 
     def tell(self, action: i.Tell) -> None:
         if self.transport and action.peer != self.me and action.peer < len(self.addresses):
-            for data in pack_words(action.words):
+            for data in pack_message(action.words, action.sightings):
                 self.transport.sendto(data, self.addresses[action.peer])
 
     def close(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -83,11 +83,11 @@
         loss: float = 0.0,
     ) -> None:
         self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
-        self.posted: list[tuple[int, int, tuple[i.Word, ...]]] = []
+        self.posted: list[tuple[int, i.Tell]] = []
         self.random, self.loss, self.down = random.Random(3), loss, -1
 
     def carry(self, sender: int, actions: Iterable[i.Action]) -> None:
-        self.posted += [(sender, action.peer, action.words) for action in of(i.Tell, actions)]
+        self.posted += [(sender, action) for action in of(i.Tell, actions)]
 
     def ask(self, me: int, name: str, **values: object) -> None:
         self.carry(me, self.worlds[me].ask(name, set_size=len(self.worlds), **values))
@@ -96,9 +96,10 @@
         """Time goes by in steps of 10 ms: what was posted arrives, what is out is served."""
         for _ in range(time_us // (10 * MS)):
             posted, self.posted = self.posted, []
-            for sender, peer, words in posted:
-                if self.random.random() >= self.loss and self.down not in (sender, peer):
-                    self.carry(peer, self.worlds[peer].tell(i.PeerMessage(sender, words)))
+            for sender, told in posted:
+                if self.random.random() >= self.loss and self.down not in (sender, told.peer):
+                    event = i.PeerMessage(sender, told.words, told.sightings)
+                    self.carry(told.peer, self.worlds[told.peer].tell(event))
             for me, world in enumerate(self.worlds):
                 self.carry(me, world.run(10 * MS))
                 for name, attempt in list(world.out):
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,7 +9,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.adapter import Host, write_action
-from fennelwinch.codec import pack_words, unpack_words
+from fennelwinch.codec import pack_message, unpack_message
 
 ROOT = Path(__file__).parent.parent
 PARAMS = (
@@ -139,7 +139,7 @@
         (i.SetTimer(5, 7), "ARM 5 7"),
         (i.Probe("s"), "CHECK s"),
         (i.CloseIdle("s"), "HANG_UP s"),
-        (i.Tell(2, (i.Word(5, 1, 3, 4, True, level=-1.5),)), f"TELL 2 00000005010003000401{0:012x}ffb500"),
+        (i.Tell(2, (i.Word(5, 1, 3, 4, True, level=-1.5),)), f"TELL 2 a100000005010003000401{0:012x}ffb500"),
         (i.Count(4, 1, 9), "ADD_TO 4 1 9"),
         (i.Subscribe(False), "STREAM_CHANGES 0"),
         (i.FetchList(), "SNAPSHOT"),
@@ -150,8 +150,19 @@
 
 def test_words_come_back_as_they_went() -> None:
     words = tuple(i.Word(n, 1, 300, 200, n % 2 == 1, 2.5, 0.5, 1.0, -0.5) for n in range(30))
-    messages = pack_words(words)
+    messages = pack_message(words)
     assert len(messages) > 1 and max(map(len, messages)) <= 256
-    assert sum((unpack_words(message) for message in messages), ()) == words
-    assert unpack_words(messages[0][:-1]) == ()
-    assert unpack_words(pack_words([i.Word(1, 0, 0, 2, level=1e9)])[0])[0].level == 32767 / 50
+    assert sum((unpack_message(message)[0] for message in messages), ()) == words
+    assert unpack_message(messages[0][:-1]) == ((), ())
+    assert unpack_message(pack_message([i.Word(1, 0, 0, 2, level=1e9)])[0])[0][0].level == 32767 / 50
+
+
+def test_sightings_come_back_and_fill_up_the_last_message() -> None:
+    seen = tuple(i.Sighting(n, n % 3, n % 2 == 0, n / 255) for n in range(100))
+    word = i.Word(1, 0, 0, 2)
+    (message,) = pack_message([word], seen)
+    words, back = unpack_message(message)
+    assert len(message) <= 256 and words == (word,) and back == seen[: len(back)] and len(back) > 50
+    heads = [mark + message[1:] for mark in (b"\x51", b"\xa0", b"\xaf")]
+    for broken in (b"", b"\xa0", message[:-1], message + b"1234", *heads):
+        assert unpack_message(broken) == ((), ())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.codec import pack_words
+from fennelwinch.codec import pack_message
 from molereach import discovery
 from molereach.discovery import Catalog, Discovery, News
 from molereach.frontdoor import FrontDoor
@@ -128,9 +128,9 @@
             await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=at)
         words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(30))
         with stranger:
-            stranger.sendto(pack_words(words[:1])[0], ports[0])
+            stranger.sendto(pack_message(words[:1])[0], ports[0])
         friend.transport.sendto(b"x" * 7, ports[0])
-        friend.transport.sendto(pack_words(words)[0] * 2, ports[0])  # longer than the wire allows
+        friend.transport.sendto(pack_message(words)[0] * 2, ports[0])  # longer than the wire allows
         friend.tell(i.Tell(0, words))
         got: tuple[i.Word, ...] = ()
         while len(got) < len(words):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -205,7 +205,7 @@
             gates.ask(n * 7 % count, f"r{n}")
             if n % 4 == 3:
                 gates.run(10 * MS)
-                most = max(sum(peer == me for _, peer, _ in gates.posted) for me in range(count))
+                most = max(sum(told.peer == me for _, told in gates.posted) for me in range(count))
                 taken += most
         assert taken / 5 <= 60
 
@@ -492,6 +492,40 @@
     assert max(sent[server.name] for server in cold) < 2 * even
 
 
+def test_what_one_gateway_met_keeps_the_others_off_a_bad_server() -> None:
+    """Each alone would have to wait out a time-out of its own on it."""
+    gates = Set(40, replace(SETTINGS, plans=(PLAN,)), servers(10))
+    other = gates.worlds[1]
+    index = other.gateway.servers["s0"].sum
+    for n in range(12):
+        seen = tuple(i.Sighting(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
+        other.tell(i.PeerMessage(2, (i.Word(n, 0, 1, 5, level=20.0),), seen))
+    for n in range(40):
+        other.ask(f"r{n}", customer=f"c{n}", set_first=1, set_size=5)
+        other.run(5 * MS)
+        other.answer(f"r{n}")
+    assert "s0" not in {action.server for _, action in other.log if isinstance(action, i.Send)}
+
+
+def test_a_peer_is_told_once_of_what_was_seen_and_not_of_what_is_old() -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    for n in range(3):
+        world.ask(f"r{n}")
+        world.answer(f"r{n}", i.Result.ERROR if n else i.Result.OK)
+    told = [world.gateway.untold_sightings(1), world.gateway.untold_sightings(1)]
+    assert [seen.served for seen in told[0]] == [True, False, False] and told[1] == ()
+    assert [seen.latency for seen in told[0]][1:] == [0.0, 0.0]  # it says nothing of how busy servers are
+    assert len(world.gateway.untold_sightings(0)) == 3
+    world.ask("late")
+    world.answer("late")
+    world.gateway.now += 3 * S
+    assert world.gateway.untold_sightings(1) == ()
+    for n in range(100):
+        world.ask(f"s{n}", customer=f"c{n}")
+        world.answer(f"s{n}")
+    assert len(world.gateway.untold_sightings(1)) == 16
+
+
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
