Infer occupancy from all doors' attempts, and round N as that of all doors

Checked: backends were idle (p50 144 ms at 29 s), no refusal came from the bound on what is out. Ruled out: quotas (as many "aim" as "quota"), discovery (60 up everywhere).

Cause: N is one or two a period at a door. `next_n` rounds it down at every update, which takes more than the 20% that it may rise; and the mean latency of eight attempts, one of them on a slow backend, is above max_occup by chance. Now `update_cap` works on N for all doors and keeps the door's fraction for the next period, which begins by chance; and what peers tell of latencies counts in the mean.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -368,7 +368,7 @@
 class CapMemory:
     """The cap and its period; N is 0 where it is lifted."""
 
-    n_past: int
+    n_past: float
     accepted: int
     period_us: int
     length_us: int
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -150,6 +150,7 @@
         self.by_sum: dict[int, _Server | None] = {}  # by checksum; None where two share one
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
+        self.most, self.left_of_n = 0, self.random.random()  # N as it holds this period; what rounding left
         self.occup = 0.0  # as last inferred, for the log
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
@@ -279,6 +280,7 @@
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.has_twin, cap = True, state.cap
         self.n_past, self.accepted, self.period_us = cap.n_past or None, cap.accepted, cap.period_us
+        self.most = math.floor(cap.n_past)
         self.cc_us, self.overhead, self.rate, self.usual = cap.length_us, cap.overhead, cap.rate, cap.usual
         if len(state.means_us) == len(self.mean_us):
             self.mean_us = list(state.means_us)
@@ -358,7 +360,11 @@
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
         self.cc_us = CC_PERIOD_US * max(1, most)
-        self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
+        if self.n_past is not None:
+            self.n_past *= self.cc_us / was
+            due = self.n_past + self.left_of_n
+            self.most = math.floor(due)
+            self.left_of_n = due - self.most
         self.accepted = 0
         if self.now - self.logged_us >= LOG_US:
             self.log_figures()
@@ -366,7 +372,7 @@
     def log_figures(self) -> None:
         """What those on call need first: the cap, what is out and held, and why requests were ended."""
         ended = " ".join(f"{why}={count}" for why, count in sorted(self.tally.items()))
-        cap = "lifted" if self.n_past is None else f"{self.n_past}/{self.cc_us // S}s"
+        cap = "lifted" if self.n_past is None else f"{self.n_past:.1f}/{self.cc_us // S}s"
         suspect = sum(self.now < server.avoid_until or server.on_trial for server in self.up)
         means = ",".join(f"{mean / 1000:.0f}" for mean in self.mean_us)
         self.actions.append(i.Log(
@@ -406,13 +412,17 @@
             if was is None:  # it engages by a step from what was sent: less at once would be no clamped step
                 least = max(1, START_PER_SERVER * len(self.up) * self.cc_us // S // self.set.gateways)
                 was = max(least, round(na_past))
-            self.n_past = next_n(was, na_past, occup, overhead, targets, seconds)
+            # N is rounded down as that of all gateways: one of many has so small a part that rounding it, and
+            # not the servers, would decide. Its part's fraction is left for the next period.
+            alike = self.set.gateways
+            n_all = next_n(round(was * alike), na_past * alike, occup, overhead, targets, seconds)
+            self.n_past = n_all / alike
 
     def allowance(self) -> bool:
         part = min(1.0, (self.now - self.period_us + TICK_US) / self.cc_us)
         # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap.
         free = self.out < max(LEAST_OUT, START_PER_SERVER * len(self.up) // self.set.gateways)
-        return free and (self.n_past is None or self.accepted < math.ceil(self.n_past * part))
+        return free and (self.n_past is None or self.accepted < math.ceil(self.most * part))
 
     def release(self) -> None:
         blocked, held = not self.allowance(), self.held
@@ -541,6 +551,7 @@
         for seen in message.sightings:
             server = self.by_sum.get(seen.server)
             if server and seen.class_index < len(self.set.classes):
+                self.signals["latency"] += [seen.latency] if seen.served or seen.latency else []
                 aim_us = self.set.classes[seen.class_index].aim_us
                 self.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
         for word in message.words:
