--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -157,6 +157,7 @@
         self.words_tally: Counter[str] = Counter()  # how it went with the peers, by WORD_FATES
         self.tally, self.logged_us = Counter(), -1  # why requests ended unserved, since the last line
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
+        self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
@@ -228,6 +229,10 @@
             self.by_sum[server.sum] = None if server.sum in self.by_sum else server
         self.up = [server for server in self.servers.values()
                    if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
+        self.count_warm()
+
+    def count_warm(self) -> None:
+        self.warm = sum(map(self.warmth, self.up))
 
     # --- what operators want ---
 
@@ -355,6 +360,7 @@
         self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
         fade = math.exp(-self.cc_us / USUAL_US)
         self.usual = max(self.rate / max(1, len(self.up)), self.usual * fade)
+        self.count_warm()
         while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
         self.update_cap(self.accepted)
@@ -420,8 +426,9 @@
 
     def allowance(self) -> bool:
         part = min(1.0, (self.now - self.period_us + TICK_US) / self.cc_us)
-        # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap.
-        free = self.out < max(LEAST_OUT, START_PER_SERVER * len(self.up) // self.set.gateways)
+        # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap, and a
+        # cold server holds only its part.
+        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * self.warm / self.set.gateways))
         return free and (self.n_past is None or self.accepted < math.ceil(self.most * part))
 
     def release(self) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -556,6 +556,16 @@
     assert world.gateway.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
 
 
+def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
+    """In a release most are cold: all that they cannot take would jam the few warm ones."""
+    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=4), servers(20))
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, tuple(
+        replace(server, started_us=world.now) for server in servers(20)[4:])))
+    for n in range(80):
+        world.ask(f"r{n}")
+    assert len(world.out) <= 8 * (4 + 16 * 0.2) / 4 + 1  # eight for each warm server by all four gateways
+
+
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
