--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -88,7 +88,13 @@
         return self
 
     def chance(self, units: float) -> float:
-        """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
+        """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes.
+
+        Where a part holds no whole request the home is asked for each, and so knows the level: what that does
+        not hold would be beyond the quota.
+        """
+        if self.level < units <= self.plan.burst < units * self.size:
+            return 0.0
         quota = self.level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -566,6 +566,23 @@
     assert len(world.out) <= 8 * (4 + 16 * 0.2) / 4 + 1  # eight for each warm server by all four gateways
 
 
+def test_nothing_goes_beyond_a_level_that_the_home_knows() -> None:
+    """Forty gateways with a twentieth of a request each: the home is asked for every one."""
+    plan = i.Plan(rate=0.5, burst=2.0)
+    gates = Set(40, replace(SETTINGS, plans=(plan,)))
+    store, last, beyond = plan.burst, gates.worlds[0].now, 0
+    for n in range(300):
+        gates.ask(n * 7 % 40, f"r{n}")
+        gates.run(100 * MS)
+    sends = sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send))
+    for at in sends:
+        store, last = min(plan.burst, store + plan.rate * (at - last) / S), at
+        beyond += store < 1
+        store -= store >= 1
+    assert 12 <= len(sends) <= 18  # 2 and 0.5 a second for 30 s
+    assert beyond <= 2
+
+
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
