--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -87,15 +87,18 @@
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
         return self
 
-    def chance(self, units: float) -> float:
+    def chance(self, units: float, known: bool = True) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes.
 
         Where a part holds no whole request the home is asked for each, and so knows the level: what that does
-        not hold would be beyond the quota.
+        not hold would be beyond the quota. Who goes by an older word has no part in what the level was.
         """
-        if self.level < units <= self.plan.burst < units * self.size:
-            return 0.0
-        quota = self.level + self.plan.rate * DEMAND_US / S
+        level = self.level
+        if units <= self.plan.burst < units * self.size:
+            if known and level < units:
+                return 0.0
+            level = level if known else min(0.0, level)
+        quota = level + self.plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
     def shares_cap(self) -> bool:
@@ -488,7 +491,7 @@
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
         elif home == self.set.me or heard or not customer.plan.rate:
-            self.decide(job, customer.chance(units))
+            self.decide(job, customer.chance(units, known=home == self.set.me))
         else:
             self.ask(job)
 
@@ -519,7 +522,7 @@
             if told is None and job.asks < ASKS and self.now + ASK_US + 4 * TICK_US < job.end_us:
                 self.ask(job)  # words may be lost
                 continue
-            chance = job.customer.chance(job.req.units)
+            chance = job.customer.chance(job.req.units, known=told is not None)
             job.customer.spent -= job.req.units * chance  # as much the home has counted already
             self.decide(job, chance)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -583,6 +583,20 @@
     assert beyond <= len(sends) / 4  # words cross
 
 
+def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
+    """Thirty gateways that all let in on the same level would spend it thirty times over."""
+    world = World(replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=20.0),), gateways=40))
+    customer = world.gateway.customer(i.Key(1, 0, 0, 30))
+    customer.level, customer.demand = 3.0, 20.0
+    assert customer.chance(1.0) == pytest.approx((3.0 + 10.0 * 0.5) / 20.0)
+    assert customer.chance(1.0, known=False) == pytest.approx(10.0 * 0.5 / 20.0)
+    customer.level = 0.9
+    assert customer.chance(1.0) == 0.0
+    few = world.gateway.customer(i.Key(1, 0, 0, 3))  # its parts hold requests: the rule is as it was
+    few.level, few.demand = 0.9, 20.0
+    assert few.chance(1.0, known=False) == few.chance(1.0) == pytest.approx((0.9 + 10.0 * 0.5) / 20.0)
+
+
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
