Account for processor time by place, memory and descriptors, on /metrics and in the log

Change: molereach/account.py; the loop's callbacks enter and leave their place, one outermost entry in eight by chance is timed on the thread's processor clock.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -14,6 +14,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import read_report
+from molereach.account import Account, Place
 from molereach.config import Address
 from molereach.resp import ProtocolError, ReplyError, ReplyReader
 
@@ -201,7 +202,12 @@
         return self.pool.owner.read_buffer
 
     def buffer_updated(self, size: int) -> None:
-        self.data_received(bytes(self.pool.owner.read_buffer[:size]))
+        account = self.pool.owner.account
+        was = account.enter(Place.BACKENDS)
+        try:
+            self.data_received(bytes(self.pool.owner.read_buffer[:size]))
+        finally:
+            account.leave(was)
 
     def data_received(self, data: bytes) -> None:
         self.pool.heard_us = now_us()
@@ -373,7 +379,10 @@
 class Backends:
     """The pools by the backends' names, and the bound on all their connections."""
 
-    def __init__(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
+    def __init__(
+        self, idle_us: int, connect_timeout_us: int, most: int, account: Account | None = None
+    ) -> None:
+        self.account = account or Account()
         self.idle_limit = IdleLimit(round(idle_us * IDLE_SHARE))
         self.connect_s, self.most, self.aged_us = connect_timeout_us / 1e6, most, now_us()
         self.pools: dict[str, Pool] = {}
@@ -454,10 +463,11 @@
         for pool in self.pools.values():
             pool.close_idle(before)
         self.old = [pool for pool in self.old if pool.connections]
-        asyncio.get_running_loop().call_later(min(1.0, self.idle_limit.told_us / 4e6), self.sweep)
+        wait_s = min(1.0, self.idle_limit.told_us / 4e6)
+        asyncio.get_running_loop().call_later(wait_s, self.account.run, Place.BACKENDS, self.sweep)
 
-    def spawn(self, job: Coroutine[None, None, None]) -> None:
-        task = asyncio.get_running_loop().create_task(job)
+    def spawn(self, job: Coroutine[None, None, None], place: Place = Place.BACKENDS) -> None:
+        task = asyncio.get_running_loop().create_task(self.account.steps(place, job))
         self.tasks.add(task)  # the loop itself holds tasks only weakly
         task.add_done_callback(self.tasks.discard)
 
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from fennelwinch import interface as i
+from molereach.account import Account, Place
 from molereach.config import Config
 from molereach.resp import ProtocolError
 
@@ -265,8 +266,14 @@
         self.clients.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.closing:
-            return
+        was = self.clients.account.enter(Place.CLIENTS)
+        try:
+            if not self.closing:
+                self.read(data)
+        finally:
+            self.clients.account.leave(was)
+
+    def read(self, data: bytes) -> None:
         try:
             for words in self.reader.feed(data):
                 self.due_s = None
@@ -297,6 +304,13 @@
             reply.send(b"-ERR %b\r\n" % str(error).encode())
 
     def flush(self) -> None:
+        was = self.clients.account.enter(Place.CLIENTS)
+        try:
+            self.write()
+        finally:
+            self.clients.account.leave(was)
+
+    def write(self) -> None:
         assert self.transport is not None
         ready = []
         while self.replies and self.replies[0].data is not None:
@@ -402,8 +416,10 @@
     """All client connections, bounded in number."""
 
     def __init__(
-        self, most: int, take: Callable[[list[bytes], Reply], None], gone: Callable[[Reply], None]
+        self, most: int, take: Callable[[list[bytes], Reply], None], gone: Callable[[Reply], None],
+        account: Account | None = None,
     ) -> None:
+        self.account = account or Account()
         self.most, self.take, self.gone = most, take, gone
         self.others = 0  # held by another process that is this front door too
         self.clock: Callable[[], float] = time.monotonic
@@ -456,7 +472,7 @@
             else:
                 connection.close()  # an error line could be taken for the answer to what comes at last
         self.take_in_more()
-        asyncio.get_running_loop().call_later(SWEEP_S, self.sweep)
+        asyncio.get_running_loop().call_later(SWEEP_S, self.account.run, Place.CLIENTS, self.sweep)
 
     def set_pool(self, memory_mb: int) -> None:
         self.pool = max(LEAST_POOL, (memory_mb - PROGRAM_MB) * (1 << 20) // POOL_SHARE)
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -12,6 +12,7 @@
 import h11
 
 from fennelwinch import interface as i
+from molereach.account import Account, Place
 from molereach.config import Address, Config, ConfigError, read_address
 
 log = logging.getLogger(__name__)
@@ -94,7 +95,10 @@
 class WatchConnection(asyncio.Protocol):
     """One watch, from its request to the end of its connection."""
 
-    def __init__(self, target: str, host: str, line: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, target: str, host: str, line: Callable[[bytes], None], account: Account
+    ) -> None:
+        self.account = account
         self.target, self.host, self.line = target, host, line
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
@@ -109,6 +113,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.heard = time.monotonic()
+        was = self.account.enter(Place.DISCOVERY)
         try:
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
@@ -116,6 +121,8 @@
         except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("the watch brings what makes no sense: %s", error)
             self.close()
+        finally:
+            self.account.leave(was)
 
     def take(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response) and event.status_code != 200:
@@ -146,8 +153,9 @@
 
     def __init__(
         self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None], seed: int = 0,
-        doors: int = 1,
+        doors: int = 1, account: Account | None = None,
     ) -> None:
+        self.account = account or Account()
         self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
         self.random = random.Random(seed)
         self.first = asyncio.Event()
@@ -187,7 +195,7 @@
         target = f"/catalog/members?watch=1&after={self.version}"
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: WatchConnection(target, f"{host}:{port}", self.line), host, port
+                lambda: WatchConnection(target, f"{host}:{port}", self.line, self.account), host, port
             )
         self.connection = connection
         try:
--- a/molereach/figures.py
+++ b/molereach/figures.py
@@ -1,6 +1,6 @@
 """What operators read of a front door: counts since its start, and how things are now."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 
 
@@ -29,5 +29,15 @@
         return "\n".join(lines) + "\n"
 
 
+def page(name: str, kind: str, text: str, values: Mapping[str, float]) -> str:
+    """One figure in Prometheus's text form, its values by their labels; nothing where it has none."""
+    if not values:
+        return ""
+    lines = [f"# HELP proxy_{name} {text}", f"# TYPE proxy_{name} {kind}"]
+    lines += [f"proxy_{name}{{{labels}}} {value}" if labels else f"proxy_{name} {value}"
+              for labels, value in values.items()]
+    return "\n".join(lines) + "\n"
+
+
 def escape(label: str) -> str:
     return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -16,11 +16,12 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import plain
 from fennelwinch.rules import Gateway
+from molereach.account import PLACES, Account, Place, descriptors, peak_resident_bytes, resident_bytes
 from molereach.backends import Attempt, Backends, now_us
 from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
 from molereach.config import Config
 from molereach.discovery import Catalog, Discovery, News
-from molereach.figures import Ended, Figures
+from molereach.figures import Ended, Figures, page
 from molereach.handover import Twin
 from molereach.management import Answer, Calls, Management
 from molereach.peers import Peers
@@ -72,41 +73,48 @@
         self.held_bytes = 0
         self.tally: Counter[str] = Counter()  # requests and how attempts ended, since the last line
         self.longest_batch_us = 0
+        self.told_spent: dict[Place, float] = {}  # by the log's last line, in seconds
+        self.account = Account(config.settings.seed)
         self.server: asyncio.Server | None = None
         sockets = max(16, config.sockets - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
-        self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
+        self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients,
+                                 self.account)
         self.parser = CommandParser(config)
         self.class_names = {number: name for name, number in config.class_numbers.items()}
         self.figures = Figures(config.class_numbers)
         self.management = Management(Calls({
             ("GET", "/healthcheck"): self.health,
             ("GET", "/stats"): self.stats,
+            ("GET", "/metrics"): self.metrics,
             ("POST", "/backends/{id}/maint"): lambda name: self.maint(name, True),
             ("POST", "/backends/{id}/ready"): lambda name: self.maint(name, False),
             ("POST", "/healthcheck/fail"): self.leave_service,
             ("POST", "/healthcheck/ok"): self.enter_service,
-        }))
+        }), self.account)
         self.ready, self.ending, self.replaced = False, False, False
         self.finished = asyncio.Event()  # replaced, and with nothing left to do
         takes_over = config.socket_fd is not None and config.shared
         self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
-        self.clients = Clients(most_clients, self.take, self.client_gone)
+        self.clients = Clients(most_clients, self.take, self.client_gone, self.account)
         self.clients.set_pool(config.memory_mb)
-        self.peers = Peers(config.peers, config.settings.me, self.post)
+        self.peers = Peers(config.peers, config.settings.me, self.post, self.account)
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, config.settings.seed,
-            config.settings.gateways)
-        self.carry_out: dict[type, Callable[..., None]] = {
-            i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
-            i.SetTimer: self.set_timer, i.Tell: self.peers.tell, i.Log: self.log_line,
-            i.CloseIdle: lambda action: self.backends.close_idle(action.server),
-            **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), self.tell_twin),
-            i.Subscribe: lambda action: None, i.FetchList: lambda action: None,  # the watch is always on
+            config.settings.gateways, self.account)
+        self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
+            i.Send: (Place.BACKENDS, self.send), i.Cancel: (Place.BACKENDS, self.cancel),
+            i.Refuse: (Place.CLIENTS, self.refuse), i.Fail: (Place.CLIENTS, self.fail),
+            i.SetTimer: (Place.MODULE, self.set_timer), i.Tell: (Place.PEERS, self.peers.tell),
+            i.Log: (Place.LOG, self.log_line),
+            i.CloseIdle: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
+            **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), (Place.PEERS, self.tell_twin)),
+            # The watch is always on.
+            **dict.fromkeys((i.Subscribe, i.FetchList), (Place.DISCOVERY, lambda action: None)),
         }
 
     # --- start and end ---
@@ -128,10 +136,10 @@
             await self.management.start(*self.config.management)
         self.backends.sweep()
         self.clients.sweep()
-        self.loop.call_later(LOG_S, self.log_figures)
+        self.log_later()
         if not self.twin:
             await self.open_peers()
-        self.backends.spawn(self.discovery.run())
+        self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
         try:
             await asyncio.wait_for(self.discovery.first.wait(),
                                    NEWER_LIST_S if self.catalog.entries else FIRST_LIST_S)
@@ -241,16 +249,36 @@
         self.close()
 
     def log_figures(self) -> None:
+        self.log_passed()
+        self.log_cost()
+        self.tally.clear()
+        self.backends.tally.clear()
+        self.longest_batch_us = 0
+        self.log_later()
+
+    def log_later(self) -> None:
+        self.loop.call_later(LOG_S, self.account.run, Place.LOG, self.log_figures)
+
+    def log_passed(self) -> None:
         """What went through, and the state of the sockets; what decided it is in the module's own line."""
         passed = " ".join(f"{what}={count}" for what, count in sorted(self.tally.items()))
         sockets = " ".join(f"{what}={count}" for what, count in sorted(self.backends.tally.items()))
         log.info("%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s", passed or "idle",
                  len(self.open), self.longest_batch_us / 1000, len(self.clients.connections),
                  self.backends.count(), sockets or "-")
-        self.tally.clear()
-        self.backends.tally.clear()
-        self.longest_batch_us = 0
-        self.loop.call_later(LOG_S, self.log_figures)
+
+    def log_cost(self) -> None:
+        """What the interval cost: of the process exactly, by place as estimated from the timed entries."""
+        asked = self.tally["asked"]
+        took_s, spent_s = self.account.interval(idle=not asked and not self.open)
+        spent = {place: self.account.seconds(place) for place in PLACES}
+        parts = " ".join(f"{place.name.lower()} {(spent[place] - self.told_spent.get(place, 0)) * 1e3:.1f}"
+                         for place in PLACES)
+        self.told_spent = spent
+        each = f", {spent_s * 1e6 / asked:.0f} us a request" if asked else ""
+        log.info("cost: cpu %.1f ms in %.1f s%s; of it %s; resident %d KB, peak %d KB, descriptors %d of %d",
+                 spent_s * 1e3, took_s, each, parts, (resident_bytes() or 0) >> 10,
+                 peak_resident_bytes() >> 10, descriptors() or 0, self.config.sockets)
 
     def close(self) -> None:
         """Let go of all sockets."""
@@ -278,6 +306,35 @@
             cluster_size=census.listed, cluster_unhealthy=census.avoided,
         )
 
+    def metrics(self) -> Answer:
+        """The figures of /stats and those beyond them."""
+        return 200, self.stats()[1] + self.cost_figures()
+
+    def cost_figures(self) -> str:
+        clients, backends = self.sockets()
+        management, held = len(self.management.connections), descriptors()
+        other = {} if held is None else {"other": max(0, held - clients - backends - management)}
+        resident = resident_bytes()
+        return "".join([
+            page("cpu_seconds_total", "counter", "Processor time of the process.",
+                 {"": self.account.total_s()}),
+            page("place_cpu_seconds_total", "counter", "Of it, by place, estimated; the rest is the loop's.",
+                 {f'place="{place.name.lower()}"': self.account.seconds(place) for place in PLACES}),
+            page("idle_seconds_total", "counter", "Time in intervals in which no request was open.",
+                 {"": self.account.idle_s}),
+            page("idle_cpu_seconds_total", "counter", "Processor time in those intervals.",
+                 {"": self.account.idle_ns / 1e9}),
+            page("resident_bytes", "gauge", "Memory held now.", {} if resident is None else {"": resident}),
+            page("peak_resident_bytes", "gauge", "The most memory held so far.",
+                 {"": peak_resident_bytes()}),
+            page("held_bytes", "gauge", "Commands that are not answered.", {"": self.held_bytes}),
+            page("unsent_bytes", "gauge", "What waits for slow clients.", {"": self.clients.unsent}),
+            page("descriptors", "gauge", "Descriptors held, by holder.",
+                 {f'holder="{name}"': count for name, count in
+                  {"clients": clients, "backends": backends, "management": management, **other}.items()}),
+            page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.config.sockets}),
+        ])
+
     def maint(self, name: str, out: bool) -> Answer:
         """What the module rules holds for the sockets too, before the answer leaves."""
         ruling = self.ask(i.Maint(name, out))
@@ -333,6 +390,13 @@
         self.inbox.append(event)
 
     def run_batch(self) -> None:
+        was = self.account.enter(Place.MODULE)
+        try:
+            self.handle_all()
+        finally:
+            self.account.leave(was)
+
+    def handle_all(self) -> None:
         now, events, self.inbox = now_us(), self.inbox, []
         for event in events:
             try:
@@ -348,11 +412,15 @@
         self.longest_batch_us = max(self.longest_batch_us, now_us() - now)
 
     def act(self, action: i.Action) -> None:
+        place, carry_out = self.carry_out[type(action)]
+        was = self.account.enter(place)
         try:
-            self.carry_out[type(action)](action)
+            carry_out(action)
         except Exception:
             log.exception("cannot carry out %r", action)
             self.give_up(getattr(action, "id", ""))
+        finally:
+            self.account.leave(was)
 
     def give_up(self, request_id: str) -> None:
         """Fail a request over a fault, and have the module forget it."""
@@ -508,7 +576,8 @@
         and, as it takes it for still set, never set another."""
         left = due_us - now_us()
         if left > 0:
-            self.loop.call_later(max(1000, left) / 1e6, self.ring, due_us, token)
+            wait_s = max(1000, left) / 1e6
+            self.loop.call_later(wait_s, self.account.run, Place.MODULE, self.ring, due_us, token)
         else:
             self.post(i.Timer(token))
 
--- a/molereach/management.py
+++ b/molereach/management.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from molereach.account import Account, Place
+
 log = logging.getLogger(__name__)
 
 MOST_CONNECTIONS = 16
@@ -61,8 +63,14 @@
         self.management.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.done():
-            return
+        was = self.management.account.enter(Place.MANAGEMENT)
+        try:
+            if not self.done():
+                self.read(data)
+        finally:
+            self.management.account.leave(was)
+
+    def read(self, data: bytes) -> None:
         try:
             self.http.receive_data(data)
             if self.http.they_are_waiting_for_100_continue:
@@ -123,8 +131,8 @@
 class Management:
     """Listens for calls; the connections are bounded, and the oldest makes room for a new one."""
 
-    def __init__(self, calls: Calls) -> None:
-        self.calls = calls
+    def __init__(self, calls: Calls, account: Account | None = None) -> None:
+        self.calls, self.account = calls, account or Account()
         self.connections: dict[CallConnection, None] = {}
         self.server: asyncio.Server | None = None
 
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -5,6 +5,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import MESSAGE_BYTES, pack_message, unpack_message
+from molereach.account import Account, Place
 from molereach.config import Address
 
 
@@ -12,8 +13,10 @@
     """Words to and from the other front doors; what strangers send or what is malformed is dropped."""
 
     def __init__(
-        self, addresses: tuple[Address, ...], me: int, heard: Callable[[i.PeerMessage], None]
+        self, addresses: tuple[Address, ...], me: int, heard: Callable[[i.PeerMessage], None],
+        account: Account | None = None,
     ) -> None:
+        self.account = account or Account()
         self.addresses, self.me, self.heard = addresses, me, heard
         self.senders = {address: number for number, address in enumerate(addresses) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
@@ -22,7 +25,13 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, address: Address) -> None:
-        sender = self.senders.get(address)
+        was = self.account.enter(Place.PEERS)
+        try:
+            self.read(data, self.senders.get(address))
+        finally:
+            self.account.leave(was)
+
+    def read(self, data: bytes, sender: int | None) -> None:
         if sender is None or len(data) > MESSAGE_BYTES:
             return
         words, sightings = unpack_message(data)
--- /dev/null
+++ b/tests/test_account.py
@@ -0,0 +1,167 @@
+"""The account of processor time, on clocks that the tests move, and what operators read of it."""
+
+import asyncio
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach.account import EVERY, Account, Place
+from tests.sockets import Backend, Client, query, run
+from tests.test_management import call, operated
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 0
+
+    def __call__(self) -> int:
+        return self.now
+
+
+def account(clock: Clock, every: int = 1) -> Account:
+    return Account(5, every, clock, clock, lambda: clock.now / 1e9)
+
+
+def test_time_goes_to_the_place_that_was_entered_last() -> None:
+    clock = Clock()
+    found = account(clock)
+    outer = found.enter(Place.BACKENDS)
+    clock.now += 10
+    inner = found.enter(Place.CLIENTS)
+    clock.now += 3
+    found.leave(inner)
+    clock.now += 20
+    found.leave(outer)
+    clock.now += 500  # the loop's own
+    spent = {place: found.seconds(place) * 1e9 for place in Place}
+    assert spent.pop(Place.BACKENDS) == pytest.approx(30)
+    assert spent.pop(Place.CLIENTS) == pytest.approx(3)
+    assert not any(spent.values()) and found.total_s() * 1e9 == pytest.approx(533)
+
+
+def test_timed_entries_stand_for_all_even_where_these_come_in_turn() -> None:
+    clock = Clock()
+    found, read = account(clock, EVERY), 0
+    costs = [(Place.CLIENTS, 50), (Place.MODULE, 200), (Place.BACKENDS, 100), (Place.MODULE, 300)]
+    rounds = 4000
+    for _ in range(rounds):  # as many as EVERY divides: a fixed stride would meet the same ones always
+        for place, cost in costs * 2:
+            was = found.enter(place)
+            read += found.timed
+            clock.now += cost
+            found.leave(was)
+    for place, cost in ((Place.CLIENTS, 50), (Place.MODULE, 500), (Place.BACKENDS, 100)):
+        assert found.seconds(place) * 1e9 == pytest.approx(2 * rounds * cost, rel=0.05)
+    assert read == pytest.approx(8 * rounds / EVERY, rel=0.05)
+
+
+def test_a_place_that_fails_is_left() -> None:
+    clock = Clock()
+    found = account(clock)
+
+    def fails() -> None:
+        clock.now += 7
+        raise ValueError
+
+    with pytest.raises(ValueError):
+        found.run(Place.LOG, fails)
+    assert found.place is Place.LOOP and found.seconds(Place.LOG) * 1e9 == pytest.approx(7)
+
+
+def test_steps_of_a_job_are_its_places_and_it_sees_its_cancellation() -> None:
+    clock = Clock()
+    found, seen = account(clock), []
+
+    async def works() -> None:
+        clock.now += 5
+        try:
+            await asyncio.sleep(0)
+            clock.now += 6
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            clock.now += 7
+            seen.append("cancelled")
+            raise
+
+    async def job() -> None:
+        task = asyncio.get_running_loop().create_task(found.steps(Place.DISCOVERY, works()))
+        for _ in range(4):
+            clock.now += 100  # what the loop does in between is not its
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        assert task.cancelled()
+
+    run(job())
+    assert seen == ["cancelled"] and found.place is Place.LOOP
+    assert found.seconds(Place.DISCOVERY) * 1e9 == pytest.approx(18)
+
+
+def test_idle_intervals_are_kept_apart() -> None:
+    clock = Clock()
+    found = account(clock)
+    clock.now += 4_000_000_000
+    assert found.interval(idle=True) == (4.0, 4.0)
+    clock.now += 1_000_000_000
+    assert found.interval(idle=False) == (1.0, 1.0)
+    assert (found.idle_s, found.idle_ns) == (4.0, 4_000_000_000)
+
+
+def samples(text: str) -> dict[str, float]:
+    lines = [line for line in text.splitlines() if not line.startswith("#")]
+    return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in lines)}
+
+
+@pytest.fixture
+def every_entry(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = Account.__init__
+    monkeypatch.setattr(Account, "__init__", lambda self, seed=0: made(self, seed, every=1))
+
+
+@pytest.mark.usefixtures("every_entry")
+def test_operators_read_where_time_goes() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            client = await Client.open(address)
+            for number in range(20):
+                assert await client.ask(query(f"a{number}")) == b"ok"
+            stats, (status, text) = (await call(door, "GET /stats"))[1], await call(door, "GET /metrics")
+            found = samples(text)
+            assert status == 200 and samples(stats).items() <= found.items()
+            spent = {place: found[f'proxy_place_cpu_seconds_total{{place="{place}"}}']
+                     for place in ("clients", "module", "backends", "discovery", "management")}
+            assert all(spent.values()) and sum(spent.values()) <= found["proxy_cpu_seconds_total"]
+            assert found['proxy_descriptors{holder="clients"}'] == 1
+            assert found['proxy_descriptors{holder="backends"}'] == door.backends.count() > 0
+            assert found["proxy_descriptors_limit"] == door.config.sockets
+            assert found["proxy_resident_bytes"] > 0 and found["proxy_peak_resident_bytes"] > 0
+            assert door.account.place is Place.LOOP
+
+    run(job())
+
+
+def test_stats_tell_nothing_new() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            found = samples((await call(door, "GET /stats"))[1])
+            assert {name.partition("{")[0] for name in found} == {
+                "proxy_answered_total", "proxy_deferred_total", "proxy_errored_total", "proxy_sends_total",
+                "proxy_current", "proxy_cluster_size", "proxy_cluster_unhealthy"}
+
+    run(job())
+
+
+def test_the_log_tells_what_the_interval_cost(caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            with caplog.at_level("INFO"):
+                door.log_figures()
+                door.log_figures()
+            busy, idle = [line for line in caplog.messages if line.startswith("cost: ")]
+            assert "us a request" in busy and "us a request" not in idle
+            assert door.account.idle_s > 0 and "module" in busy and "descriptors" in busy
+            assert isinstance(door.ask(i.Survey()), i.Census)
+
+    run(job())
