--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -62,6 +62,7 @@
         self.back_us = -NEVER  # its return from suspicion
         self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
         self.cold_us = 0  # when it may have started anew while left out by hand
+        self.warm_us = NEVER  # from when on it is warm, by its start
         self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
 
 
@@ -236,6 +237,9 @@
         self.by_sum = {}
         for server in self.servers.values():
             self.by_sum[server.sum] = None if server.sum in self.by_sum else server
+            started = max(server.entry.started_us, server.cold_us)
+            cold = started and self.set.cold_from < 1
+            server.warm_us = started + max(1, self.set.warm_within_us) if cold else -NEVER
         self.up = [server for server in self.servers.values()
                    if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
         self.count_warm()
@@ -592,15 +596,16 @@
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
-        allowed = [server for server in self.up if self.in_group(job, server)]
-        usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
+        now, ran_unsafe = self.now, job.ran_on and job.rule.effect is not i.Effect.SAFE
+        allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
+        usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
         most = max(LEAST_OUT, 2 * START_PER_SERVER // self.set.gateways)  # more would only wait there
         free = [server for server in usable if len(server.out) < most]
-        room = [server for server in free if self.warmth(server) >= 1 or self.has_earned(server)]
+        room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
         # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
         # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
-        room = [server for server in room if not server.out and self.warmth(server) < 1] or room
+        room = [server for server in room if now < server.warm_us and not server.out] or room
         return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
     def in_group(self, job: _Job, server: _Server) -> bool:
@@ -626,9 +631,10 @@
 
     def warmth(self, server: _Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
-        started, cold = max(server.entry.started_us, server.cold_us), self.set.cold_from
-        age = (self.now - started) / max(1, self.set.warm_within_us)
-        return 1.0 if age >= 1 or not started else cold + (1 - cold) * age
+        if self.now >= server.warm_us:
+            return 1.0
+        left, cold = (server.warm_us - self.now) / max(1, self.set.warm_within_us), self.set.cold_from
+        return cold + (1 - cold) * (1 - left)
 
     def cold_rate(self, server: _Server) -> float:
         """Attempts a second for a cold server: half of what would push it over, were others full."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.rules import TARGETS, Gateway, next_n
+from fennelwinch.rules import CHOICES, TARGETS, Gateway, next_n
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
@@ -751,3 +751,30 @@
         gates.ask(home, f"b{n}", customer="c")
     gates.run(300 * MS)
     assert sum(len(world.out) for world in gates.worlds) == 2
+
+
+def test_warm_servers_cost_a_choice_no_look_at_their_warmth(monkeypatch: pytest.MonkeyPatch) -> None:
+    looked = []
+    warmth = Gateway.warmth
+
+    def counted(gateway: Gateway, server: object) -> float:
+        looked.append(server)
+        return warmth(gateway, server)
+
+    world = World(replace(SETTINGS, gateways=200), servers(200))
+    monkeypatch.setattr(Gateway, "warmth", counted)
+    assert of(i.Send, world.ask("a"))
+    assert len(looked) <= CHOICES
+
+
+def test_server_is_warm_from_the_last_moment_of_its_start_on() -> None:
+    started = 100 * S - SETTINGS.warm_within_us + 1  # the world begins at 100 s
+    world = World(fleet=servers(2, started_us=started))
+    gateway = world.gateway
+    assert all(gateway.warmth(server) < 1 for server in gateway.up)
+    world.run(1)
+    gateway.now = world.now
+    assert all(gateway.warmth(server) == 1 for server in gateway.up)
+    world.tell(i.Maint("s0", True))
+    world.tell(i.Maint("s0", False))  # it may have started anew meanwhile
+    assert gateway.warmth(gateway.servers["s0"]) == SETTINGS.cold_from and gateway.warmth(gateway.up[1]) == 1
