--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -153,6 +153,8 @@
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
         self.waits, self.words = [], {}  # who waits for word; words for peers
         self.next_tell_us: dict[int, int] = {}  # by peer, when the next message to it would keep its space
+        self.space_us = min(ASK_US, 2 * S * (settings.gateways - 1) / max(1, settings.peer_messages_per_s))
+        self.ahead_us = round((TELLS_AT_ONCE - 1) * self.space_us)  # by so much it may leave ahead of it
         # Of the attempts that ended here last: when, and how; by peer, how many were told. Each gateway of
         # many sees each server too rarely to learn of a bad one alone.
         self.seen: deque[tuple[int, i.Sighting]] = deque(maxlen=MOST_SIGHTINGS)
@@ -184,13 +186,20 @@
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
-        busy = self.held or self.words or self.jobs  # an idle gateway wakes up only to end its periods
-        due = max(now_us + TICK_US, 0 if busy else self.period_us + self.cc_us)
-        if due < self.alarm_us:
+        if (due := self.next_look()) < self.alarm_us:
             self.alarm_us = due
             self.actions.append(i.SetTimer(due - now_us, 0))
         return self.actions
 
+    def next_look(self) -> int:
+        """When time alone may bring something about: held requests are looked at each tick, attempts that are
+        out not at all, as their ends are told."""
+        if self.held:
+            return self.now + TICK_US
+        dues = [self.period_us + self.cc_us, *[job.decide_us for job in self.waits],
+                *[self.next_tell_us.get(peer, 0) - self.ahead_us for peer in self.words]]
+        return max(self.now + TICK_US, math.ceil(min(dues)))
+
     def on_tick(self, _: i.Timer) -> None:
         if self.now < self.alarm_us:
             return
@@ -550,10 +559,9 @@
 
     def send_words(self) -> None:
         """Words leave at once, but spaced so on average that all peers together do not exceed an intake."""
-        space = min(ASK_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
-        latest = self.now + (TELLS_AT_ONCE - 1) * space
+        latest = self.now + self.ahead_us
         for peer in [peer for peer in self.words if self.next_tell_us.get(peer, 0) <= latest]:
-            self.next_tell_us[peer] = max(self.now, self.next_tell_us.get(peer, 0)) + space
+            self.next_tell_us[peer] = max(self.now, self.next_tell_us.get(peer, 0)) + self.space_us
             self.words_tally["told"] += 1
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer)), self.untold_sightings(peer)))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -778,3 +778,24 @@
     world.tell(i.Maint("s0", True))
     world.tell(i.Maint("s0", False))  # it may have started anew meanwhile
     assert gateway.warmth(gateway.servers["s0"]) == SETTINGS.cold_from and gateway.warmth(gateway.up[1]) == 1
+
+
+def test_attempts_that_are_out_wake_nobody() -> None:
+    world = World()
+    assert of(i.Send, world.ask("a"))
+    woken = of(i.SetTimer, world.run(5 * S))
+    assert len(woken) <= 6  # the ends of the periods, of 1 or 2 s; the answer will be told
+
+
+def test_words_that_wait_for_their_space_are_looked_at_when_it_is_there() -> None:
+    settings = replace(SETTINGS, gateways=3, me=0, peer_messages_per_s=4.0)
+    world = World(settings)
+    rest = {"set_size": 3, "plan_index": 0}
+    told = [action for n in range(8) for action in of(i.Tell, world.ask(f"a{n}", customer="c2", **rest))]
+    home = world.gateway.customers[next(iter(world.gateway.customers))].home
+    assert home != 0 and told and not of(i.Tell, world.run(10 * MS)) and world.gateway.words
+    space_us = world.gateway.space_us
+    before = world.now
+    while not (left := of(i.Tell, world.run(10 * MS))):
+        assert world.now - before <= space_us + 3 * 20 * MS
+    assert left[0].peer == home and not world.gateway.words
