--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -311,6 +311,7 @@
         self.owner.tally["opened"] += 1
         connection = Connection(self)
         self.connections.add(connection)  # at once, as the bound counts those that are still connecting
+        self.owner.held += 1
         self.owner.spawn(self.connect(connection))
 
     async def connect(self, connection: Connection) -> None:
@@ -319,7 +320,7 @@
             async with asyncio.timeout(self.owner.connect_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         except (OSError, TimeoutError):
-            self.connections.discard(connection)
+            self.forget(connection)
             self.connecting -= 1
             self.connect_failed()
         else:
@@ -353,11 +354,14 @@
         elif self.wanted:
             connection.idle_since = now_us()
             self.idle.append(connection)
+            self.owner.sweep_later()
         else:
             connection.close()
 
     def forget(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+        if connection in self.connections:
+            self.connections.remove(connection)
+            self.owner.held -= 1
         if connection in self.idle:
             self.idle.remove(connection)
 
@@ -390,6 +394,8 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
         self.read_buffer = memoryview(bytearray(MOST_READ))
+        self.held = 0  # connections of all pools
+        self.sweeping = False  # a sweep is due
         self.others = 0  # sockets held by another process that is this front door too
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
@@ -426,6 +432,7 @@
             pool.wanted = False
             pool.empty()
             self.old.append(pool)
+            self.sweep_later()
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         pool = self.pools.get(attempt.server)
@@ -439,12 +446,9 @@
         if pool := self.pools.get(name):
             pool.close_idle()
 
-    def count(self) -> int:
-        return sum(len(pool.connections) for pool in (*self.pools.values(), *self.old))
-
     def may_open(self) -> bool:
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
-        if self.count() + self.others < self.most:
+        if self.held + self.others < self.most:
             return True
         idle = [pool for pool in self.pools.values() if pool.idle]
         if not idle:
@@ -454,17 +458,22 @@
         return True
 
     def sweep(self) -> None:
-        """Close what has stood idle long, and again in a while."""
-        now = now_us()
-        if now - self.aged_us >= FORGET_S * 1e6:
-            self.aged_us = now
+        """Close what has stood idle long, and again in a while if anything is left."""
+        self.sweeping, now = False, now_us()
+        while now - self.aged_us >= FORGET_S * 1e6:
+            self.aged_us += round(FORGET_S * 1e6)
             self.idle_limit.age()
         before = now - self.idle_limit.us
         for pool in self.pools.values():
             pool.close_idle(before)
         self.old = [pool for pool in self.old if pool.connections]
-        wait_s = min(1.0, self.idle_limit.told_us / 4e6)
-        asyncio.get_running_loop().call_later(wait_s, self.account.run, Place.BACKENDS, self.sweep)
+        if self.held:
+            self.sweep_later()
+
+    def sweep_later(self) -> None:
+        if not self.sweeping:
+            self.sweeping, wait_s = True, min(1.0, self.idle_limit.told_us / 4e6)
+            asyncio.get_running_loop().call_later(wait_s, self.account.run, Place.BACKENDS, self.sweep)
 
     def spawn(self, job: Coroutine[None, None, None], place: Place = Place.BACKENDS) -> None:
         task = asyncio.get_running_loop().create_task(self.account.steps(place, job))
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -262,7 +262,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(MOST_UNSENT)
-        self.due_s = self.clients.clock() + PATIENCE_S  # who connects has something to ask
+        self.awaits_command()  # who connects has something to ask
         self.clients.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -279,7 +279,7 @@
                 self.due_s = None
                 self.command(words)
             if self.reader.buffer and self.due_s is None:
-                self.due_s = self.clients.clock() + PATIENCE_S
+                self.awaits_command()
         except ProtocolError as error:
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         except Exception:
@@ -375,6 +375,8 @@
             unsent = self.transport.get_write_buffer_size() + blocked
         self.clients.unsent += unsent - self.unsent
         self.unsent = unsent
+        if unsent:
+            self.clients.sweep_later()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.closing = self.lost = True
@@ -386,6 +388,10 @@
         self.measure()
         self.clients.closed(self)
 
+    def awaits_command(self) -> None:
+        self.due_s = self.clients.clock() + PATIENCE_S
+        self.clients.sweep_later()
+
     def overdue(self, now_s: float) -> bool:
         return not self.closing and not self.replies and self.due_s is not None and now_s >= self.due_s
 
@@ -431,6 +437,7 @@
         self.welcome = True  # what PING is told
         self.said_no = asyncio.Event()  # it was told so
         self.draining = False
+        self.sweeping = False  # a sweep is due
         self.empty = asyncio.Event()
 
     def connection(self) -> ClientConnection:
@@ -464,7 +471,8 @@
         return b"$%d\r\n%b\r\n" % (len(text[0]), text[0]) if text else b"+PONG\r\n"
 
     def sweep(self) -> None:
-        """Let go of those that connect and ask nothing, or stop amid a command; and again in a while."""
+        """Let go of those that connect and ask nothing, or stop amid a command; again while any may."""
+        self.sweeping = False
         now_s = self.clock()
         for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
             if connection.reader.buffer:
@@ -472,7 +480,13 @@
             else:
                 connection.close()  # an error line could be taken for the answer to what comes at last
         self.take_in_more()
-        asyncio.get_running_loop().call_later(SWEEP_S, self.account.run, Place.CLIENTS, self.sweep)
+        if any(connection.due_s is not None or connection.unsent for connection in self.connections):
+            self.sweep_later()
+
+    def sweep_later(self) -> None:
+        if not self.sweeping:
+            self.sweeping = True
+            asyncio.get_running_loop().call_later(SWEEP_S, self.account.run, Place.CLIENTS, self.sweep)
 
     def set_pool(self, memory_mb: int) -> None:
         self.pool = max(LEAST_POOL, (memory_mb - PROGRAM_MB) * (1 << 20) // POOL_SHARE)
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -134,8 +134,6 @@
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
         if self.config.management:
             await self.management.start(*self.config.management)
-        self.backends.sweep()
-        self.clients.sweep()
         self.log_later()
         if not self.twin:
             await self.open_peers()
@@ -221,7 +219,7 @@
         self.finished.set()
 
     def sockets(self) -> tuple[int, int]:
-        return len(self.clients.connections), self.backends.count()
+        return len(self.clients.connections), self.backends.held
 
     def others(self, clients: int, backends: int) -> None:
         self.clients.others, self.backends.others = clients, backends
@@ -265,7 +263,7 @@
         sockets = " ".join(f"{what}={count}" for what, count in sorted(self.backends.tally.items()))
         log.info("%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s", passed or "idle",
                  len(self.open), self.longest_batch_us / 1000, len(self.clients.connections),
-                 self.backends.count(), sockets or "-")
+                 self.backends.held, sockets or "-")
 
     def log_cost(self) -> None:
         """What the interval cost: of the process exactly, by place as estimated from the timed entries."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -154,11 +154,10 @@
     async def job() -> None:
         backend = Backend()
         sender = Sender(await backend.start(), idle_us=200_000)
-        sender.backends.sweep()
         sender.send()
         assert await sender.result() is i.Result.OK
         await backend.left.wait()
-        assert sender.backends.count() == 0
+        assert sender.backends.held == 0
 
     run(job())
 
@@ -195,7 +194,7 @@
         sender.send()
         sender.send()
         assert await sender.result() is i.Result.CONNECT_FAILED
-        assert sender.backends.count() == 2
+        assert sender.backends.held == 2
         first.cancel()
         assert await sender.result() is i.Result.CANCELLED
         await backend.came.wait()
@@ -237,7 +236,7 @@
             sender = Sender(await Backend(lambda words, claim=claim: claim).start())
             sender.send(timeout_us=20 * S)
             assert await asyncio.wait_for(sender.result(), 10) is i.Result.RESET
-            assert sender.backends.count() == 0
+            assert sender.backends.held == 0
             sender.backends.close()
 
     run(job())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -181,3 +181,25 @@
             assert await late.ask(query("a3")) == b"ok"
 
     run(job())
+
+
+def test_nothing_is_swept_where_nothing_waits() -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            assert not door.clients.sweeping and not door.backends.sweeping
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            assert door.clients.sweeping and door.backends.sweeping
+            door.clients.sweep()  # the one that is due finds no one who owes a command
+            assert not door.clients.sweeping
+            client.send(query("a2")[:9])
+            while not door.clients.sweeping:
+                await asyncio.sleep(0)
+            for pool in door.backends.pools.values():
+                pool.close_idle()
+            while door.backends.held:
+                await asyncio.sleep(0)
+            door.backends.sweep()
+            assert not door.backends.sweeping
+
+    run(job())
