Refuse bounds of the configuration that cannot work, by the key that names them

Cause: limits and settings were taken as they came. limits.sockets 12 left no room for anything, memory_mb -1 made a pool of 1 MB, a number that is no number ended the start with a line that named no key, and an infinite one (OverflowError) with a traceback.

Change: config.py holds the least and the most of sockets, memory, open requests and times, check() those of classes and plans; codec.py names the path of what is no finite number. Tests: ten values, each told by its key.

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -52,7 +52,14 @@
         return default if value == "-" else value
 
     def number(self, path: str, default: float = 0.0) -> float:
-        return float(self.text(path, str(default)))
+        text = self.text(path, str(default))
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if not math.isfinite(value):
+            raise ValueError(f"{path} is '{text:.40}', not a number")
+        return value
 
     def whole(self, path: str, default: int = 0) -> int:
         return int(self.number(path, default))
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -13,6 +13,12 @@
 
 Address = tuple[str, int]
 
+SPARE_SOCKETS = 64  # for listening, management, discovery, peers, the loop and log
+LEAST_SOCKETS = SPARE_SOCKETS + 16  # some for clients and some for backends beside them
+LEAST_MEMORY_MB, MOST_MEMORY_MB = 32, 1 << 20
+MOST_SOCKETS, MOST_OPEN, MOST_US = 1 << 20, 1 << 24, 24 * 3600 * 1_000_000
+MOST_AMOUNT = 1e9  # as the counter's
+
 
 class ConfigError(Exception):
     """The environment or the configuration is not usable; the text is one plain line."""
@@ -87,9 +93,32 @@
     return {str(name): number for number, name in enumerate(names)}
 
 
+def within(name: str, value: float, least: float, most: float) -> None:
+    if not least <= value <= most:
+        raise ConfigError(f"{name} is {value:g}, not from {least:g} to {most:g}")
+
+
+def bounded(pairs: Pairs, path: str, default: int, least: int, most: int) -> int:
+    value = pairs.whole(path, default)
+    within(path, value, least, most)
+    return value
+
+
+def check(settings: i.Settings) -> None:
+    """What the module takes as given: times that pass, and amounts that are none below nothing."""
+    for number, rule in enumerate(settings.classes):
+        within(f"categories.{number}.on-time-us", rule.aim_us, 1, MOST_US)
+        within(f"categories.{number}.deadline-us", rule.deadline_us, 1, MOST_US)
+    for number, plan in enumerate(settings.plans):
+        for name, value in (("units-per-s", plan.rate), ("burst", plan.burst), ("max-out", plan.max_out),
+                            ("never-over-rate", plan.ceiling_rate), ("hard-burst", plan.ceiling_burst)):
+            within(f"plans.{number}.{name}", value, 0, MOST_AMOUNT)
+
+
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings = values["settings"]
     pairs = Pairs(dict(flatten(settings)))
+    limits = Pairs(dict(flatten(values.get("limits") or {}, "limits")))
     peer_listen = values.get("peer_listen")
     management = env.get("PROXY_MANAGEMENT") or values.get("management")
     config = Config(
@@ -101,11 +130,11 @@
         plan_numbers=numbers(settings["plans"]),
         zone_numbers=numbers(settings.get("zones")),
         kind_numbers=numbers(settings.get("kinds")),
-        conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
-        connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000),
-        max_open=pairs.whole("ceilings.max-open", 20_000),
-        sockets=int(values.get("limits", {}).get("sockets", 1024)),
-        memory_mb=int(values.get("limits", {}).get("memory_mb", 64)),
+        conn_idle_us=bounded(pairs, "ceilings.conn-idle-us", 30_000_000, 1, MOST_US),
+        connect_timeout_us=bounded(pairs, "ceilings.connect-timeout-us", 250_000, 1, MOST_US),
+        max_open=bounded(pairs, "ceilings.max-open", 20_000, 1, MOST_OPEN),
+        sockets=bounded(limits, "limits.sockets", 1024, LEAST_SOCKETS, MOST_SOCKETS),
+        memory_mb=bounded(limits, "limits.memory_mb", 64, LEAST_MEMORY_MB, MOST_MEMORY_MB),
         known=values.get("known") or {},
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
@@ -115,6 +144,7 @@
     )
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
+    check(config.settings)
     if not 0 <= config.settings.me < config.settings.gateways:
         raise ConfigError(f"there is no front door {config.settings.me} of {config.settings.gateways}")
     return config
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import math
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -10,7 +12,7 @@
 
 import pytest
 
-from molereach.config import load
+from molereach.config import ConfigError, load
 from tests.sockets import CUSTOMER, HOST, Backend, Client, Watch, catalog, entry, refusing_address, resp, run
 
 ROOT = Path(__file__).parent.parent
@@ -67,19 +69,42 @@
     assert done.stderr.startswith("molereach: ") and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize(("key", "values"), [
+    ("limits.sockets", {"limits": {"sockets": 12}}),
+    ("limits.sockets", {"limits": {"sockets": "many"}}),
+    ("limits.memory_mb", {"limits": {"memory_mb": -1}}),
+    ("limits.memory_mb", {"limits": {"memory_mb": math.inf}}),
+    ("ceilings.max-open", {"settings": {**SETTINGS, "ceilings": {"max-open": 0}}}),
+    ("ceilings.conn-idle-us", {"settings": {**SETTINGS, "ceilings": {"conn-idle-us": math.nan}}}),
+    ("ceilings.connect-timeout-us", {"settings": {**SETTINGS, "ceilings": {"connect-timeout-us": -5}}}),
+    ("plans.0.units-per-s", {"settings": {**SETTINGS, "plans": [{"name": "team", "units-per-s": -1}]}}),
+    ("plans.0.burst", {"settings": {**SETTINGS, "plans": [{"name": "team", "burst": 1e300}]}}),
+    ("categories.0.deadline-us", {"settings": {**SETTINGS, "categories": [
+        {"name": "read", "on-time-us": 750_000, "deadline-us": 0}]}}),
+])
+def test_unusable_bound_is_told_by_its_key(tmp_path: Path, key: str, values: dict[str, object]) -> None:
+    with pytest.raises(ConfigError) as caught:
+        load(write(tmp_path, config(**values)))
+    assert key in str(caught.value) and "\n" not in str(caught.value)
+
+
 async def said(process: asyncio.subprocess.Process, word: bytes) -> None:
     """Wait for a line of the log; a program that has ended says no more."""
     while word not in (line := await process.stderr.readline()):
         assert line, "the program has ended"
 
 
-async def start(tmp_path: Path, backend: Backend) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+async def start(
+    tmp_path: Path, backend: Backend, limit: int | None = None, **changes: object
+) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+    """A program that serves, with a limit of the system's on its descriptors if one is given."""
     listen, silent = refusing_address(), refusing_address()
     known = json.loads(catalog(4, [entry("s1", await backend.start())]))
-    values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known)
+    values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known, **changes)
     env = {**os.environ, **write(tmp_path, values), "PROXY_DISCOVERY": f"{HOST}:{silent[1]}"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "molereach", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        sys.executable, "-m", "molereach", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limit and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))),
     )
     await said(process, b"serves at")
     return process, listen
