Hold clients to the descriptors that the system really allows, and tell when none is left

Symptom: with 256 sockets in the configuration and a limit of 40 of the system's, 120 client connections took them all: every request got -BUSY (no connection to a backend), and a call to the management address ended without an answer. The program lived (the loop accepts with a spare descriptor and closes), and the log named EMFILE only for discovery. Ruled out: a burst of connections within one turn of the loop; 300 at once at a bound of 20 never held more than 21.

Cause: the shares of clients and backends went by limits.sockets alone (frontdoor.py, sockets = config.sockets - 64).

Change: the soft limit is raised to what is wanted where it may be; the shares go by what is allowed, and the log says so if that is less. A backend connection that finds no descriptor is told once an interval and counted on /metrics. Tests: a crowd of 150 at a limit of 128 leaves backends and management served; a process whose descriptors are taken away says so and serves again.

--- a/molereach/account.py
+++ b/molereach/account.py
@@ -132,6 +132,19 @@
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
 
 
+def descriptors_allowed(wanted: int) -> int:
+    """As many of those wanted as the system lets this process hold, its soft limit raised if need be."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or wanted <= soft:
+        return wanted
+    most = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    except (OSError, ValueError):
+        return soft
+    return most
+
+
 def descriptors() -> int | None:
     """Those that the process holds; None where it cannot look, as when it has none left to look with."""
     try:
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import logging
 import math
 import time
@@ -319,7 +320,8 @@
         try:
             async with asyncio.timeout(self.owner.connect_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            self.owner.note_lack(error)
             self.forget(connection)
             self.connecting -= 1
             self.connect_failed()
@@ -395,6 +397,7 @@
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
         self.read_buffer = memoryview(bytearray(MOST_READ))
         self.held = 0  # connections of all pools
+        self.out_of_descriptors = 0  # connections that could not be opened for it, since the start
         self.sweeping = False  # a sweep is due
         self.others = 0  # sockets held by another process that is this front door too
         self.sends = 0  # attempts written whole, since the start
@@ -457,6 +460,14 @@
         pool.idle[0].abort()
         return True
 
+    def note_lack(self, error: OSError) -> None:
+        """Tell plainly, once in each interval of the log, where no descriptor was left to connect with."""
+        if error.errno in (errno.EMFILE, errno.ENFILE):
+            self.out_of_descriptors += 1
+            if not self.tally["no descriptor"]:
+                log.error("out of descriptors: cannot connect to a backend: %s", error)
+            self.tally["no descriptor"] += 1
+
     def sweep(self) -> None:
         """Close what has stood idle long, and again in a while if anything is left."""
         self.sweeping, now = False, now_us()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -16,10 +16,18 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import plain
 from fennelwinch.rules import Gateway
-from molereach.account import PLACES, Account, Place, descriptors, peak_resident_bytes, resident_bytes
+from molereach.account import (
+    PLACES,
+    Account,
+    Place,
+    descriptors,
+    descriptors_allowed,
+    peak_resident_bytes,
+    resident_bytes,
+)
 from molereach.backends import Attempt, Backends, now_us
 from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
-from molereach.config import Config
+from molereach.config import LEAST_SOCKETS, SPARE_SOCKETS, Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.figures import Ended, Figures, page
 from molereach.handover import Twin
@@ -43,7 +51,6 @@
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
 STALL_S = 30.0  # how long neither backend nor client may move a long value before it is cut
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
-SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
 TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
 CLIENT_SHARE = 0.6  # of the other sockets
 MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
@@ -76,7 +83,11 @@
         self.told_spent: dict[Place, float] = {}  # by the log's last line, in seconds
         self.account = Account(config.settings.seed)
         self.server: asyncio.Server | None = None
-        sockets = max(16, config.sockets - SPARE_SOCKETS)
+        self.most_descriptors = descriptors_allowed(config.sockets)
+        if self.most_descriptors < config.sockets:
+            log.error("the system allows this process %d descriptors, not the %d of limits.sockets",
+                      self.most_descriptors, config.sockets)
+        sockets = max(LEAST_SOCKETS, self.most_descriptors) - SPARE_SOCKETS
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients,
                                  self.account)
@@ -276,7 +287,7 @@
         each = f", {spent_s * 1e6 / asked:.0f} us a request" if asked else ""
         log.info("cost: cpu %.1f ms in %.1f s%s; of it %s; resident %d KB, peak %d KB, descriptors %d of %d",
                  spent_s * 1e3, took_s, each, parts, (resident_bytes() or 0) >> 10,
-                 peak_resident_bytes() >> 10, descriptors() or 0, self.config.sockets)
+                 peak_resident_bytes() >> 10, descriptors() or 0, self.most_descriptors)
 
     def close(self) -> None:
         """Let go of all sockets."""
@@ -330,7 +341,9 @@
             page("descriptors", "gauge", "Descriptors held, by holder.",
                  {f'holder="{name}"': count for name, count in
                   {"clients": clients, "backends": backends, "management": management, **other}.items()}),
-            page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.config.sockets}),
+            page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.most_descriptors}),
+            page("out_of_descriptors_total", "counter", "Connections to backends without a descriptor left.",
+                 {"": self.backends.out_of_descriptors}),
         ])
 
     def maint(self, name: str, out: bool) -> Answer:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -168,3 +168,45 @@
         assert b"molereach: cannot start: " in errors and b"Traceback" not in errors
 
     run(job())
+
+
+def test_clients_leave_descriptors_to_backends_and_management(tmp_path: Path) -> None:
+    """Also where the system allows fewer than the configuration says."""
+
+    async def job() -> None:
+        backend, calls = Backend(), refusing_address()
+        process, address = await start(tmp_path, backend, limit=128, management=f"{HOST}:{calls[1]}")
+        crowd = [await Client.open(address) for _ in range(150)]
+        last = crowd[-1]
+        assert await last.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
+        reader, writer = await asyncio.open_connection(*calls)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = (await reader.read()).decode()
+        assert "\nproxy_descriptors_limit 128\n" in text and "\nproxy_out_of_descriptors_total 0\n" in text
+        for client in crowd:
+            client.writer.close()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    run(job())
+
+
+def test_lack_of_descriptors_is_told_and_survived(tmp_path: Path) -> None:
+    async def job() -> None:
+        process, address = await start(tmp_path, Backend(), limit=1024)
+        client = await Client.open(address)
+        request = "c=read,t=team,d=1500"
+        used = set(map(int, os.listdir(f"/proc/{process.pid}/fd")))
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (min(set(range(1024)) - used), 1024))
+        assert str(await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", request))).startswith("-BUSY")
+        await said(process, b"out of descriptors")
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (1024, 1024))
+        answer, number = None, 2
+        while answer != b"ok":  # once the backend is tried again
+            answer = await client.ask(resp("SVC.QUERY", CUSTOMER, f"a{number}", request))
+            number += 1
+        process.send_signal(signal.SIGTERM)
+        client.writer.close()
+        assert await process.wait() == 0
+
+    run(job())
