Tell refused clients to come again when there will be room, spread by chance

Change: rules.py come_again and room_in. Beyond the quota: what is missing, in what the others of the customer's set leave of the rate; at a ceiling: what is missing of the part here; else a period; under the cap, or where others ask more than the rate, no room is foreseen and the longest time holds. By chance up to twice the wait, never less.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -761,10 +761,28 @@
 
     def end(self, job: _Job, why: str) -> None:
         self.tally[why] += 1
-        wait = self.set.max_retry_after_us
-        self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
+        self.actions.append(i.Refuse(job.req.id, self.come_again(job, why)) if job.may_refuse()
+                            else i.Fail(job.req.id))
         self.drop(job)
 
+    def come_again(self, job: _Job, why: str) -> int:
+        """When there will be room for what the request lacked, as far as is known here; by chance up to twice
+        that, as clients that were refused together would else come back together. Never less: who comes
+        before there is room costs a place and time, and gains nothing."""
+        return round(min(self.set.max_retry_after_us, self.room_in(job, why) * (1 + self.random.random())))
+
+    def room_in(self, job: _Job, why: str) -> float:
+        customer, units = job.customer, job.req.units
+        if self.n_past is not None:  # more comes than N: what comes again finds no room that others leave
+            return NEVER
+        if why == "quota":  # in what the others of its set, who go on asking, leave of the rate
+            others = max(0.0, customer.demand - units) / DEMAND_US * S
+            spare = customer.plan.rate - others
+            return (units - customer.level) / spare * S if spare > 0 else NEVER
+        if not job.servers and customer.plan.ceiling_rate and customer.ceiling < units:
+            return (units - customer.ceiling) * customer.size / customer.plan.ceiling_rate * S
+        return self.cc_us  # what is out is as much as may be, or no server takes more: a period changes that
+
     def on_end(self, event: i.ClientGone) -> None:
         if event.id in self.jobs:
             self.drop(self.jobs[event.id])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -799,3 +799,50 @@
     while not (left := of(i.Tell, world.run(10 * MS))):
         assert world.now - before <= space_us + 3 * 20 * MS
     assert left[0].peer == home and not world.gateway.words
+
+
+# --- when a refused client is to come again ---
+
+
+def advice(actions: list[i.Action]) -> list[int]:
+    return [action.retry_after_us for action in of(i.Refuse, actions)]
+
+
+def test_beyond_the_quota_clients_come_again_when_it_has_room() -> None:
+    settings = replace(SETTINGS, plans=(i.Plan(rate=2.0, burst=2.0),), max_retry_after_us=2 * S)
+    world = World(settings)
+    told = [time for n in range(12) for time in advice(world.ask(f"a{n}"))]
+    assert all(time == 2 * S for time in told[1:])  # others ask more than the rate: no room is foreseen
+    world.run(3 * S)  # they are gone
+    assert not advice(world.ask("b"))
+    job = world.gateway.jobs["b"]
+    world.gateway.n_past = None  # nobody answers here, and the cap had engaged
+    job.customer.demand, job.customer.level = 1.0, 0.4
+    waits = [world.gateway.come_again(job, "quota") for _ in range(20)]
+    assert min(waits) >= 300 * MS and max(waits) <= 600 * MS  # 0.6 of a unit at 2 a second
+
+
+def test_clients_refused_together_come_again_apart_and_none_before_there_is_room() -> None:
+    plan = i.Plan(rate=50.0, burst=50.0, ceiling_rate=20.0, ceiling_burst=20.0)
+    settings = replace(SETTINGS, plans=(plan,), max_retry_after_us=2 * S)
+    world = World(settings)
+    gateway = world.gateway
+    world.ask("a")
+    job = gateway.jobs["a"]
+    job.customer.ceiling, job.servers = 0.5, []
+    waits = {gateway.come_again(job, "aim") for _ in range(20)}
+    assert len(waits) > 10 and min(waits) >= 25 * MS and max(waits) <= 50 * MS  # 0.5 of a unit at 20 a second
+
+
+def test_under_the_cap_no_room_is_foreseen() -> None:
+    world = World(replace(SETTINGS, max_retry_after_us=2 * S))
+    world.ask("a")
+    job = world.gateway.jobs["a"]
+    assert world.gateway.come_again(job, "timeout") <= 2 * world.gateway.cc_us
+    world.gateway.n_past = 10.0
+    assert world.gateway.come_again(job, "timeout") == 2 * S
+
+
+def test_without_advice_in_the_settings_none_is_given() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(rate=2.0, burst=2.0),), max_retry_after_us=0))
+    assert set(time for n in range(12) for time in advice(world.ask(f"a{n}"))) == {0}
