Bound and show every place where work waits, and write the log from a thread of its own

Found while naming the places, each driven in a test that fails without the change: a client that never reads short answers held them for ever (only long values had a limit); what was open could hold 32 MiB, with the pool and the program more than limits.memory_mb of 64; too many open requests got an error line instead of -BUSY, decided by the network code; a reader of standard error that stops reading blocked the whole program; words for a peer and datagrams at a full socket had no bound.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -118,6 +118,8 @@
     warm_within_us: int = 0
     fall_multiple: float = 1.0
     fall_us: int = 1
+    max_open: int = 0  # requests that a gateway may have open; 0 where somebody else sees to it
+    max_open_bytes: int = 0  # what they may hold; the same
 
 
 # --- what comes in ---
@@ -171,6 +173,7 @@
     set_first: int = 0
     is_repeat: bool = False
     is_write: bool = False
+    size: int = 0  # bytes that the gateway keeps of it until it has ended
 
 
 @dataclass(frozen=True, slots=True)
@@ -481,6 +484,7 @@
     peer: int
     words: tuple[Word, ...]
     sightings: tuple[Sighting, ...] = ()
+    waited_us: int = 0  # its first word, for space
 
 
 @dataclass(frozen=True, slots=True)
@@ -515,10 +519,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Census:
-    """How many servers the list names, and how many of them are avoided now, by hand or by choice."""
+    """How many servers the list names, how many of them are avoided now, by hand or by choice; what waits in
+    the gateway, and since when the oldest of it; why requests were ended unserved since the start."""
 
     listed: int
     avoided: int
+    held: int = 0  # requests, those that wait for word of their quota too
+    held_us: int = 0
+    words: int = 0  # for peers
+    words_us: int = 0
+    words_dropped: int = 0  # since the start
+    ended: tuple[tuple[str, int], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -22,6 +22,7 @@
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
+MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
 OUT_FRESH_US, POLL_US = 2 * S, 2 * ASK_US  # how long word of attempts out holds; how often who waits asks
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
@@ -125,7 +126,7 @@
     def __init__(self, req: i.Request, rule: i.RequestClass, customer: _Customer, now: int) -> None:
         self.req, self.rule, self.customer = req, rule, customer
         self.worth = rule.worth * customer.plan.worth_factor * req.units
-        self.end_us = now + req.left_us
+        self.came_us, self.end_us = now, now + req.left_us
         self.aim_us = min(now + rule.aim_us, self.end_us)
         self.servers: list[_Server] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
@@ -168,6 +169,10 @@
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
         self.words_tally: Counter[str] = Counter()  # how it went with the peers, by WORD_FATES
         self.tally, self.logged_us = Counter(), -1  # why requests ended unserved, since the last line
+        self.ended: Counter[str] = Counter()  # the same since the start
+        self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
+        self.words_since: dict[int, int] = {}  # by peer, when the first word that waits for it came
+        self.words_dropped = 0
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
@@ -214,9 +219,18 @@
         key = i.Key(zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
         customer = self.customer(key)
         job = self.jobs[req.id] = _Job(req, self.set.classes[req.class_index], customer, self.now)
-        if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
+        crowded = self.crowded(req)
+        self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size
+        if crowded:
+            self.end(job, "crowded")
+        elif not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
+    def crowded(self, req: i.Request) -> bool:
+        """Whether as much is open as may be: it can be told to come again, where time would only run out."""
+        bytes_left = self.set.max_open_bytes - self.open_bytes
+        return (0 < self.set.max_open <= self.open) or (self.set.max_open_bytes > 0 and bytes_left < req.size)
+
     def on_list(self, news: i.ServerList) -> None:
         if self.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
             self.actions.append(i.Subscribe(True))
@@ -278,7 +292,11 @@
     def on_survey(self, _: i.Survey) -> None:
         good = sum(self.now >= server.avoid_until and not server.on_trial for server in self.up)
         listed = sum(server.entry.state is not i.ServerState.GONE for server in self.servers.values())
-        self.actions.append(i.Census(listed, listed - good))
+        waits = [job.came_us for _, _, job in self.held] + [job.came_us for job in self.waits]
+        self.actions.append(i.Census(
+            listed, listed - good, len(waits), self.now - min(waits, default=self.now),
+            sum(map(len, self.words.values())), self.now - min(self.words_since.values(), default=self.now),
+            self.words_dropped, tuple(sorted(self.ended.items()))))
 
     # --- two processes that are one gateway, while one takes over from the other ---
 
@@ -486,9 +504,22 @@
         needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
         late = job.may_refuse() and self.now + needed >= job.aim_us
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
-            self.end(job, "aim")
+            self.end(job, self.lacked(job))
         return job.over
 
+    def lacked(self, job: _Job) -> str:
+        """What a request waited for until its aim was out of reach."""
+        customer = job.customer
+        if job.servers:
+            return "again"  # an attempt had failed
+        if self.now == job.came_us:
+            return "late"  # it came so
+        if customer.at_open_cap(self.now, customer.home == self.set.me):
+            return "open_cap"
+        if customer.plan.ceiling_rate and (self.blind or customer.ceiling < job.req.units):
+            return "ceiling"
+        return "server" if self.allowance() else "cap"
+
     def customer(self, key: i.Key) -> _Customer:
         known = self.customers.pop(key, None) or _Customer(self.set.plans[key[1]], key, self.set, self.now)
         self.customers[key] = known
@@ -554,7 +585,12 @@
         out = customer.out + customer.others_out(self.now, but=peer) if answer else customer.out
         word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out)
         if peer != self.set.me:
-            self.words.setdefault(peer, []).append(word)
+            words = self.words.setdefault(peer, [])
+            self.words_since.setdefault(peer, self.now)
+            if len(words) == MOST_WORDS:  # the oldest is no news
+                del words[0]
+                self.words_dropped += 1
+            words.append(word)
         customer.untold = customer.spent = 0.0
 
     def send_words(self) -> None:
@@ -563,7 +599,9 @@
         for peer in [peer for peer in self.words if self.next_tell_us.get(peer, 0) <= latest]:
             self.next_tell_us[peer] = max(self.now, self.next_tell_us.get(peer, 0)) + self.space_us
             self.words_tally["told"] += 1
-            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer)), self.untold_sightings(peer)))
+            waited_us = self.now - self.words_since.pop(peer)
+            self.actions.append(
+                i.Tell(peer, tuple(self.words.pop(peer)), self.untold_sightings(peer), waited_us))
 
     def untold_sightings(self, peer: int) -> tuple[i.Sighting, ...]:
         """What the peer has not been told; past the longest period it is no news."""
@@ -761,6 +799,7 @@
 
     def end(self, job: _Job, why: str) -> None:
         self.tally[why] += 1
+        self.ended[why] += 1
         self.actions.append(i.Refuse(job.req.id, self.come_again(job, why)) if job.may_refuse()
                             else i.Fail(job.req.id))
         self.drop(job)
@@ -775,6 +814,8 @@
         customer, units = job.customer, job.req.units
         if self.n_past is not None:  # more comes than N: what comes again finds no room that others leave
             return NEVER
+        if why == "crowded":
+            return self.mean_us[job.req.class_index]
         if why == "quota":  # in what the others of its set, who go on asking, leave of the rate
             others = max(0.0, customer.demand - units) / DEMAND_US * S
             spare = customer.plan.rate - others
@@ -791,16 +832,24 @@
         """The value is the client's, as fast as that reads: the server's own part was until now."""
         job = self.jobs.get(event.id)
         if job and event.attempt in job.out and not job.over:
-            server, job.streams, job.over = job.servers[event.attempt], True, True
+            server, job.streams = job.servers[event.attempt], True
+            self.close(job)
             self.out -= 1
             del server.out[(event.id, event.attempt)]
             self.learn(job, server, i.Outcome(event.id, True, event.attempt, event.server, i.Result.OK,
                                               event.latency_us))
 
+    def close(self, job: _Job) -> None:
+        """It is owed nothing more."""
+        if not job.over:
+            job.over = True
+            self.open, self.open_bytes = self.open - 1, self.open_bytes - job.req.size
+
     def drop(self, job: _Job) -> None:
         if job.in_quota and not job.servers and not job.over:
             self.spend(job.customer, -job.req.units)
-        calls_off, job.over = self.set.may_cancel and not job.over, True
+        calls_off = self.set.may_cancel and not job.over
+        self.close(job)
         self.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
         if not job.out:
             self.jobs.pop(job.req.id, None)
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -11,6 +11,7 @@
 
 from molereach.config import Config, ConfigError, load, reload
 from molereach.frontdoor import FrontDoor
+from molereach.logs import LogWriter
 
 log = logging.getLogger("molereach")
 
@@ -23,13 +24,13 @@
         log.error("kept the old configuration: %s", error)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, writer: LogWriter) -> None:
     """Serve until SIGTERM or SIGINT, then drain."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    door = FrontDoor(config)
+    door = FrontDoor(config, writer)
     loop.add_signal_handler(signal.SIGHUP, hang_up, door)
     await door.start()
     # What lives as long as the process need not be looked through by every collection.
@@ -43,14 +44,22 @@
     log.info("%s ends", config.name)
 
 
-def main() -> int:
+def run(config: Config) -> None:
+    writer = LogWriter()
     logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+        handlers=[writer], level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     try:
-        config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, writer))
+    finally:
+        writer.close()
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+        run(config)
     except ConfigError as error:
         print(f"molereach: {error}", file=sys.stderr)
         return 2
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -18,6 +18,7 @@
 from molereach.account import Account, Place
 from molereach.config import Address
 from molereach.resp import ProtocolError, ReplyError, ReplyReader
+from molereach.waiting import Waits
 
 log = logging.getLogger(__name__)
 
@@ -44,7 +45,7 @@
     """One command for one backend; `done` is called once, with how it ended."""
 
     __slots__ = ("began", "connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
-                 "server", "timer", "written")
+                 "server", "timer", "written", "written_us")
 
     def __init__(
         self, request_id: str, number: int, server: str, payload: bytes, done: Done,
@@ -53,7 +54,7 @@
         self.request_id, self.number, self.server = request_id, number, server
         self.payload, self.done = payload, done
         self.began = began  # told the size of a long value; gives who takes its pieces, if it is wanted
-        self.sent_us, self.over, self.written = now_us(), False, False
+        self.sent_us, self.over, self.written, self.written_us = now_us(), False, False, 0
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
@@ -66,6 +67,8 @@
         self.over = True
         if self.timer:
             self.timer.cancel()
+        if self.written:
+            self.pool.owner.answer_waits.note(now_us() - self.written_us)
         self.done(self, result, value, report)
 
     def begin(self, size: int) -> Callable[[bytes], None] | None:
@@ -88,8 +91,9 @@
         self.give_up(i.Result.CANCELLED)
 
     def time_out(self) -> None:
-        if self.written and self.pool:
+        if self.written:
             self.pool.doubt(self.sent_us)
+            self.pool.owner.timed_out += 1
         self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
 
     def give_up(self, result: i.Result) -> None:
@@ -187,7 +191,7 @@
 
     def written(self, attempt: Attempt) -> None:
         """Its last byte is on its way."""
-        attempt.written = True
+        attempt.written, attempt.written_us = True, now_us()
         self.pool.owner.sends += 1
 
     def pause_writing(self) -> None:
@@ -305,6 +309,7 @@
                 connection.send(attempt)
                 return
         if not self.owner.may_open():
+            self.owner.no_room += 1
             attempt.finish(i.Result.CONNECT_FAILED)
             return
         self.waiting.append(attempt)
@@ -352,7 +357,9 @@
             return
         self.drop_over()
         if self.waiting:
-            connection.send(self.waiting.popleft())
+            attempt = self.waiting.popleft()
+            self.owner.connect_waits.note(now_us() - attempt.sent_us)
+            connection.send(attempt)
         elif self.wanted:
             connection.idle_since = now_us()
             self.idle.append(connection)
@@ -399,6 +406,8 @@
         self.held = 0  # connections of all pools
         self.out_of_descriptors = 0  # connections that could not be opened for it, since the start
         self.sweeping = False  # a sweep is due
+        self.connect_waits, self.answer_waits = Waits(), Waits()
+        self.no_room = self.timed_out = 0  # attempts, since the start
         self.others = 0  # sockets held by another process that is this front door too
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
@@ -449,6 +458,15 @@
         if pool := self.pools.get(name):
             pool.close_idle()
 
+    def waiting(self) -> list[Attempt]:
+        """Those that wait for a connection."""
+        return [attempt for pool in (*self.pools.values(), *self.old) for attempt in pool.waiting]
+
+    def unanswered(self) -> list[Attempt]:
+        """Those that are written and not answered."""
+        return [connection.attempt for pool in (*self.pools.values(), *self.old)
+                for connection in pool.connections if connection.attempt and connection.attempt.written]
+
     def may_open(self) -> bool:
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
         if self.held + self.others < self.most:
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -17,6 +17,7 @@
 from molereach.account import Account, Place
 from molereach.config import Config
 from molereach.resp import ProtocolError
+from molereach.waiting import Waits
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +33,9 @@
 # Of long values, what memory allows is taken in ahead of slow clients, as a backend's attempt is out until it
 # is read. The program itself needs up to 16 MB, and there may be two of it, each with a third of the rest.
 PROGRAM_MB, POOL_SHARE, LEAST_POOL = 32, 3, 1 << 20
+# Short answers are whole when they come, and cannot be paused: past this many pools the slowest client goes.
+SHED_POOLS = 2
+STALL_S = 30.0  # how long a client may take nothing of what waits for it
 
 FAILED = b"-ERR failed\r\n"
 SLOW = b"-ERR no whole command came in time\r\n"
@@ -111,10 +115,6 @@
     fields_head: bytes  # the list of names and values before and after the time that the client waits
     fields_tail: bytes
 
-    @property
-    def size(self) -> int:
-        return sum(map(len, self.words))
-
     def payload(self, wait_us: int) -> bytes:
         """The command for a backend: unchanged but for how long this front door will wait."""
         fields = b"%b%d%b" % (self.fields_head, max(1, wait_us // 1000), self.fields_tail)
@@ -160,7 +160,7 @@
             left_us=max(0, wait_ms * 1000 - answer_margin_us), units=self.units(values),
             set_size=whole(values.get("spread", "1"), "spread", 1, self.settings.gateways),
             set_first=whole(values.get("first", "0"), "first", 0, self.settings.gateways - 1),
-            is_repeat=values.get("r") == "1", is_write=is_write,
+            is_repeat=values.get("r") == "1", is_write=is_write, size=sum(map(len, words)),
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
         return Command(request, words, words[3][: at + 2], words[3][at + 2 + len(values["d"]) :])
@@ -258,6 +258,8 @@
         self.last = False  # reads no more; closes once all is answered
         self.due_s: float | None = None  # when the command that is awaited must be whole
         self.proven = False  # has had a request taken
+        self.paused_s = self.moved_s = 0.0  # when its reading paused; when it last took of what waits
+        self.clogged_s = 0.0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -276,7 +278,7 @@
     def read(self, data: bytes) -> None:
         try:
             for words in self.reader.feed(data):
-                self.due_s = None
+                self.command_came()
                 self.command(words)
             if self.reader.buffer and self.due_s is None:
                 self.awaits_command()
@@ -322,6 +324,8 @@
             self.replies.popleft()
         if ready and not self.transport.is_closing():
             self.transport.write(b"".join(ready))
+            if self.clogged:
+                self.measure()
         if not self.replies:
             if self.closing:
                 self.transport.close()
@@ -351,17 +355,22 @@
             return
         wanted = len(self.replies) < MOST_PIPELINED and not self.clogged and not self.last
         if wanted and not self.reading:
+            self.clients.unread_waits.note(self.clients.since_us(self.paused_s))
             self.transport.resume_reading()
         elif self.reading and not wanted:
+            self.paused_s = self.clients.clock()
             self.transport.pause_reading()
         self.reading = wanted
 
     def pause_writing(self) -> None:
-        self.clogged = True
+        self.clogged, self.clogged_s = True, self.clients.clock()
+        self.moved_s = self.clogged_s
+        self.measure()
         self.update_reading()
 
     def resume_writing(self) -> None:
         self.clogged = False
+        self.clients.unsent_waits.note(self.clients.since_us(self.clogged_s))
         self.measure()
         if self.replies:
             self.replies[0].hold(False)
@@ -371,8 +380,10 @@
         """Count what waits here for the client among what waits for all of them."""
         unsent = 0
         if self.transport and not self.lost:
-            blocked = sum(len(reply.data) for reply in self.replies if reply.source and reply.data)
+            blocked = sum(len(reply.data) for reply in self.replies if reply.data)
             unsent = self.transport.get_write_buffer_size() + blocked
+        if unsent < self.unsent or not self.unsent:
+            self.moved_s = self.clients.clock()
         self.clients.unsent += unsent - self.unsent
         self.unsent = unsent
         if unsent:
@@ -392,6 +403,11 @@
         self.due_s = self.clients.clock() + PATIENCE_S
         self.clients.sweep_later()
 
+    def command_came(self) -> None:
+        if self.due_s is not None:
+            self.clients.partial_waits.note(self.clients.since_us(self.due_s - PATIENCE_S))
+            self.due_s = None
+
     def overdue(self, now_s: float) -> bool:
         return not self.closing and not self.replies and self.due_s is not None and now_s >= self.due_s
 
@@ -439,6 +455,11 @@
         self.draining = False
         self.sweeping = False  # a sweep is due
         self.empty = asyncio.Event()
+        self.unread_waits, self.partial_waits, self.unsent_waits = Waits(), Waits(), Waits()
+        self.crowded_out = self.slow = self.cut = 0  # connections ended: no room, no command, no reader
+
+    def since_us(self, then_s: float) -> int:
+        return round((self.clock() - then_s) * 1e6)
 
     def connection(self) -> ClientConnection:
         return ClientConnection(self)
@@ -456,6 +477,7 @@
         The first request on a connection may come late, and would be lost with it; a client that has
         been served sends one that crosses the close again.
         """
+        self.crowded_out += 1
         oldest = next(iter(self.idle), None) or next(iter(self.unproven), None)
         if oldest:
             self.busy(oldest)
@@ -475,11 +497,13 @@
         self.sweeping = False
         now_s = self.clock()
         for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
+            self.slow += 1
             if connection.reader.buffer:
                 connection.finish(SLOW)
             else:
                 connection.close()  # an error line could be taken for the answer to what comes at last
         self.take_in_more()
+        self.shed(now_s)
         if any(connection.due_s is not None or connection.unsent for connection in self.connections):
             self.sweep_later()
 
@@ -488,6 +512,23 @@
             self.sweeping = True
             asyncio.get_running_loop().call_later(SWEEP_S, self.account.run, Place.CLIENTS, self.sweep)
 
+    def shed(self, now_s: float) -> None:
+        """Let go of clients that take nothing of what waits for them, long or while too much waits for all.
+
+        A value that is passed on in pieces has a limit of its own, as its backend may be what does not move.
+        """
+        stuck = sorted((connection for connection in self.connections if connection.unsent and not any(
+            reply.source for reply in connection.replies)), key=lambda connection: connection.moved_s)
+        for connection in stuck:
+            if now_s - connection.moved_s < STALL_S and self.unsent <= SHED_POOLS * self.pool:
+                break
+            log.warning("cut a client that left %d bytes unread for %.1f s", connection.unsent,
+                        now_s - connection.moved_s)
+            self.cut += 1
+            connection.abort()
+            self.unsent -= connection.unsent
+            connection.unsent = 0
+
     def set_pool(self, memory_mb: int) -> None:
         self.pool = max(LEAST_POOL, (memory_mb - PROGRAM_MB) * (1 << 20) // POOL_SHARE)
 
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -11,11 +11,12 @@
 import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any
 
 from fennelwinch import interface as i
 from fennelwinch.codec import plain
-from fennelwinch.rules import Gateway
+from fennelwinch.rules import MOST_WORDS, Gateway
 from molereach.account import (
     PLACES,
     Account,
@@ -26,13 +27,27 @@
     resident_bytes,
 )
 from molereach.backends import Attempt, Backends, now_us
-from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
+from molereach.clients import (
+    FAILED,
+    PATIENCE_S,
+    PROGRAM_MB,
+    SHED_POOLS,
+    STALL_S,
+    Clients,
+    Command,
+    CommandError,
+    CommandParser,
+    Reply,
+)
 from molereach.config import LEAST_SOCKETS, SPARE_SOCKETS, Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.figures import Ended, Figures, page
 from molereach.handover import Twin
+from molereach.logs import LogWriter
 from molereach.management import Answer, Calls, Management
 from molereach.peers import Peers
+from molereach.waiting import Line, Waits, oldest
+from molereach.waiting import figures as waiting_figures
 
 log = logging.getLogger(__name__)
 
@@ -49,20 +64,20 @@
 STILL_COME_S = 0.4  # after it new connections go on coming for 0.2 s
 LAST_READ_S = 1.5  # after the call: what comes later on a kept connection is left to another front door
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
-STALL_S = 30.0  # how long neither backend nor client may move a long value before it is cut
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
 TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
 CLIENT_SHARE = 0.6  # of the other sockets
-MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
+HELD_SHARE, LEAST_HELD = 6, 1 << 20  # of the memory above the program's, for commands not answered yet
 
 
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "out", "reply", "stream", "timer")
+    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "reply", "stream", "timer")
 
     def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
+        self.came_us = end_us - command.request.left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -70,10 +85,13 @@
 
 
 class FrontDoor:
-    def __init__(self, config: Config) -> None:
-        self.config, self.settings = config, config.settings
+    def __init__(self, config: Config, writer: LogWriter | None = None) -> None:
+        self.config, self.settings, self.writer = config, config.settings, writer
         self.loop = asyncio.get_running_loop()
-        self.gateway = Gateway(config.settings)
+        most_bytes = max(LEAST_HELD, (config.memory_mb - PROGRAM_MB) * (1 << 20) // HELD_SHARE)
+        self.bounds = replace(config.settings, max_open=config.max_open, max_open_bytes=most_bytes)
+        self.gateway = Gateway(self.bounds)
+        self.held_waits = Waits()
         self.inbox: list[i.Event] = []
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
@@ -317,7 +335,7 @@
 
     def metrics(self) -> Answer:
         """The figures of /stats and those beyond them."""
-        return 200, self.stats()[1] + self.cost_figures()
+        return 200, self.stats()[1] + self.cost_figures() + self.wait_figures()
 
     def cost_figures(self) -> str:
         clients, backends = self.sockets()
@@ -346,6 +364,45 @@
                  {"": self.backends.out_of_descriptors}),
         ])
 
+    def wait_figures(self) -> str:
+        census = self.ask(i.Survey())
+        reasons = {f'reason="{why}"': count for why, count in census.ended}
+        return waiting_figures(self.lines(census)) + "".join([
+            page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", reasons),
+            page("datagrams_dropped_total", "counter", "Datagrams from peers that were not taken.",
+                 {'why="malformed"': self.peers.malformed, 'why="stranger"': self.peers.strange}),
+        ])
+
+    def lines(self, census: i.Census) -> list[Line]:
+        """Where work can wait, from the clients' sockets to the log."""
+        now, clients, backends, peers = now_us(), self.clients, self.backends, self.peers
+        ended = dict(census.ended)
+        connecting, unanswered = backends.waiting(), backends.unanswered()
+        unread = [c for c in clients.connections if not c.reading]
+        partial = [c for c in clients.connections if c.reader.buffer]
+        unsent = [c for c in clients.connections if c.unsent]
+        return [
+            Line("unread", clients.most, len(unread),
+                 max((clients.since_us(c.paused_s) for c in unread), default=0),
+                 clients.crowded_out, clients.unread_waits),
+            Line("partial", clients.most, len(partial),
+                 max((clients.since_us(c.due_s - PATIENCE_S) for c in partial if c.due_s), default=0),
+                 clients.slow, clients.partial_waits),
+            Line("held", self.bounds.max_open, census.held, census.held_us, ended.get("crowded", 0),
+                 self.held_waits),
+            Line("connecting", backends.most, len(connecting), oldest(now, (a.sent_us for a in connecting)),
+                 backends.no_room, backends.connect_waits),
+            Line("backend", backends.most, len(unanswered), oldest(now, (a.written_us for a in unanswered)),
+                 backends.timed_out, backends.answer_waits),
+            Line("unsent_bytes", SHED_POOLS * clients.pool, clients.unsent,
+                 max((clients.since_us(c.moved_s) for c in unsent), default=0), clients.cut,
+                 clients.unsent_waits),
+            Line("peers", MOST_WORDS * len(peers.addresses), census.words, census.words_us,
+                 census.words_dropped + peers.dropped, peers.waits),
+            self.management.line(),
+            *([self.writer.line()] if self.writer else []),
+        ]
+
     def maint(self, name: str, out: bool) -> Answer:
         """What the module rules holds for the sockets too, before the answer leaves."""
         ruling = self.ask(i.Maint(name, out))
@@ -455,16 +512,15 @@
         """A client's command; one that is wrong is a CommandError."""
         command = self.parser.parse(words, ANSWER_MARGIN_US)
         request = command.request
-        used = request.id in self.open or request.id in self.ended
-        if used or len(self.open) >= self.config.max_open or self.held_bytes > MOST_HELD_BYTES:
+        if request.id in self.open or request.id in self.ended:
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
-            raise CommandError("this id is in use" if used else "too many requests are open")
+            raise CommandError("this id is in use")
         exchange = Exchange(command, reply, now_us() + request.left_us)
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
         self.open[request.id] = exchange
-        self.held_bytes += command.size
+        self.held_bytes += request.size
         self.tally["asked"] += 1
         self.post(request)
 
@@ -494,6 +550,8 @@
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        if not number:
+            self.held_waits.note(now_us() - exchange.came_us)
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
@@ -572,7 +630,9 @@
         exchange = self.open.pop(name, None)
         if exchange is None:
             return None
-        self.held_bytes -= exchange.command.size
+        self.held_bytes -= exchange.command.request.size
+        if not exchange.attempts:
+            self.held_waits.note(now_us() - exchange.came_us)
         if exchange.timer:
             exchange.timer.cancel()
         if exchange.out:
--- a/molereach/management.py
+++ b/molereach/management.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable
 from urllib.parse import unquote
 
 import h11
 
 from molereach.account import Account, Place
+from molereach.waiting import Line, Waits
 
 log = logging.getLogger(__name__)
 
@@ -56,6 +58,7 @@
         self.body = 0
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.opened_s = time.monotonic()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -103,6 +106,7 @@
         return self.http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED) or self.transport.is_closing()
 
     def reply(self, answer: Answer, allow: str = "") -> None:
+        self.management.waits.note(round((time.monotonic() - self.opened_s) * 1e6))
         status, text = answer
         body = text.rstrip("\n").encode(errors="replace") + b"\n"
         headers = [("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
@@ -135,6 +139,7 @@
         self.calls, self.account = calls, account or Account()
         self.connections: dict[CallConnection, None] = {}
         self.server: asyncio.Server | None = None
+        self.waits, self.crowded_out = Waits(), 0
 
     async def start(self, host: str, port: int) -> None:
         loop = asyncio.get_running_loop()
@@ -143,8 +148,14 @@
     def opened(self, connection: CallConnection) -> None:
         self.connections[connection] = None
         if len(self.connections) > MOST_CONNECTIONS:
+            self.crowded_out += 1
             next(iter(self.connections)).transport.abort()
 
+    def line(self) -> Line:
+        oldest_s = min((one.opened_s for one in self.connections), default=time.monotonic())
+        return Line("management", MOST_CONNECTIONS, len(self.connections),
+                    round((time.monotonic() - oldest_s) * 1e6), self.crowded_out, self.waits)
+
     def close(self) -> None:
         if self.server:
             self.server.close()
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -4,9 +4,12 @@
 from collections.abc import Callable
 
 from fennelwinch import interface as i
-from fennelwinch.codec import MESSAGE_BYTES, pack_message, unpack_message
+from fennelwinch.codec import pack_message, unpack_message
 from molereach.account import Account, Place
 from molereach.config import Address
+from molereach.waiting import Waits
+
+MOST_UNSENT = 16 * 1024  # bytes that wait for the socket; what comes then is dropped, as words may be lost
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -20,9 +23,12 @@
         self.addresses, self.me, self.heard = addresses, me, heard
         self.senders = {address: number for number, address in enumerate(addresses) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
+        self.waits, self.clogged = Waits(), False
+        self.dropped = self.malformed = self.strange = 0  # datagrams, since the start
 
     def connection_made(self, transport: asyncio.DatagramTransport) -> None:
         self.transport = transport
+        transport.set_write_buffer_limits(MOST_UNSENT)
 
     def datagram_received(self, data: bytes, address: Address) -> None:
         was = self.account.enter(Place.PEERS)
@@ -32,17 +38,29 @@
             self.account.leave(was)
 
     def read(self, data: bytes, sender: int | None) -> None:
-        if sender is None or len(data) > MESSAGE_BYTES:
+        if sender is None:
+            self.strange += 1
             return
         words, sightings = unpack_message(data)
         if words:
             self.heard(i.PeerMessage(sender, words, sightings))
+        else:
+            self.malformed += 1
 
     def error_received(self, error: OSError) -> None:
         """A peer that is down may show as an error here; words may be lost in any case."""
 
+    def pause_writing(self) -> None:
+        self.clogged = True
+
+    def resume_writing(self) -> None:
+        self.clogged = False
+
     def tell(self, action: i.Tell) -> None:
-        if self.transport and action.peer != self.me and action.peer < len(self.addresses):
+        self.waits.note(action.waited_us)
+        if self.clogged:
+            self.dropped += 1
+        elif self.transport and action.peer != self.me and action.peer < len(self.addresses):
             for data in pack_message(action.words, action.sightings):
                 self.transport.sendto(data, self.addresses[action.peer])
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,7 +44,8 @@
         world.answer(f"a{number}")
     later = successor(world)
     assert of(i.Send, later.ask("b")) == []
-    assert of(i.Census, later.tell(i.Survey())) == [i.Census(4, 1)]
+    [census] = of(i.Census, later.tell(i.Survey()))
+    assert (census.listed, census.avoided) == (4, 1)
     assert of(i.Send, World().ask("b")) != []  # which a fresh start would send
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -196,6 +196,7 @@
         process, address = await start(tmp_path, Backend(), limit=1024)
         client = await Client.open(address)
         request = "c=read,t=team,d=1500"
+        assert await client.ask(resp("PING")) == b"PONG"  # it has been accepted
         used = set(map(int, os.listdir(f"/proc/{process.pid}/fd")))
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (min(set(range(1024)) - used), 1024))
         assert str(await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", request))).startswith("-BUSY")
--- /dev/null
+++ b/tests/test_waiting.py
@@ -0,0 +1,450 @@
+"""Where work waits in the front door: each place is driven to its bound, and what it then answers is seen."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import re
+import socket
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules import MOST_WORDS
+from molereach import frontdoor
+from molereach.clients import MOST_PIPELINED, PATIENCE_S, SHED_POOLS, STALL_S
+from molereach.frontdoor import FrontDoor
+from molereach.logs import LogWriter
+from molereach.waiting import BUCKETS_MS, Line, Waits, figures
+from tests.helpers import MS, S, World, of, servers
+from tests.helpers import SETTINGS as WORLD
+from tests.sockets import (
+    HOST,
+    SETTINGS,
+    Backend,
+    Client,
+    front_door,
+    query,
+    resp,
+    run,
+    submit,
+    value,
+)
+from tests.test_account import samples
+from tests.test_management import call, operated
+
+
+def line(door: FrontDoor, name: str) -> Line:
+    return next(line for line in door.lines(door.ask(i.Survey())) if line.name == name)
+
+
+async def until(what: object) -> None:
+    while not what():
+        await asyncio.sleep(0.001)
+
+
+def total(waits: Waits) -> int:
+    return sum(waits.counts)
+
+
+# --- the counts of waits ---
+
+
+def test_waits_are_counted_in_fixed_classes() -> None:
+    waits = Waits()
+    for us in (0, 1000, 1001, 10_000_000, 10_000_001, 10**12):
+        waits.note(us)
+    assert len(waits.counts) == len(BUCKETS_MS) + 1
+    found = samples(waits.figures("x"))
+    assert found['proxy_wait_seconds_bucket{place="x",le="0.001"}'] == 2
+    assert found['proxy_wait_seconds_bucket{place="x",le="0.005"}'] == 3
+    assert found['proxy_wait_seconds_bucket{place="x",le="10"}'] == 4
+    assert found['proxy_wait_seconds_bucket{place="x",le="+Inf"}'] == 6
+    assert found['proxy_wait_seconds_count{place="x"}'] == 6
+
+
+def test_every_place_is_shown() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            found = samples((await call(door, "GET /metrics"))[1])
+            for place in ("unread", "partial", "held", "connecting", "backend", "unsent_bytes", "peers",
+                          "management"):
+                assert found[f'proxy_waiting{{place="{place}"}}'] <= 1
+                assert f'proxy_waiting_bound{{place="{place}"}}' in found
+                assert f'proxy_waiting_oldest_seconds{{place="{place}"}}' in found
+                assert found[f'proxy_turned_away_total{{place="{place}"}}'] == 0
+            for place in ("held", "connecting", "backend"):
+                assert found[f'proxy_wait_seconds_count{{place="{place}"}}'] == 1
+
+    run(job())
+
+
+def test_figures_of_no_line_are_still_a_page() -> None:
+    assert figures([]).startswith("# HELP proxy_wait_seconds ")
+
+
+# --- clients: what they write and do not read ---
+
+
+def test_client_that_writes_many_commands_is_read_no_further() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(b"".join(query(f"a{n}") for n in range(3 * MOST_PIPELINED)))
+            await until(lambda: line(door, "unread").depth)
+            assert line(door, "held").depth + len(backend.commands) <= 3 * MOST_PIPELINED
+            backend.answer = lambda words: value(b"ok")
+            for _ in range(len(backend.commands)):
+                backend.writers.pop().write(value(b"ok"))
+            while total(line(door, "unread").waits) == 0:
+                for writer in backend.writers:
+                    writer.write(value(b"ok"))
+                backend.writers.clear()
+                await asyncio.sleep(0.001)
+            client.writer.close()
+
+    run(job())
+
+
+def test_one_client_more_than_there_is_room_for_costs_the_one_idle_longest() -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.clients.most = 2
+            first, second, third = [await Client.open(address) for _ in range(3)]
+            assert await first.ended()
+            assert await third.ask(query("a1")) == b"ok" and await second.ask(query("a2")) == b"ok"
+            found = line(door, "unread")
+            assert (found.turned, found.bound) == (1, 2)
+
+    run(job())
+
+
+def test_half_a_command_is_waited_for_only_so_long() -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            now = [100.0]
+            door.clients.clock = lambda: now[0]
+            slow, quick = await Client.open(address), await Client.open(address)
+            slow.send(query("a1")[:20])
+            quick.send(query("a2")[:20])
+            await until(lambda: line(door, "partial").depth == 2)
+            now[0] += PATIENCE_S / 2
+            assert line(door, "partial").oldest_us == pytest.approx(PATIENCE_S / 2 * 1e6)
+            assert await quick.ask(query("a2")[20:]) == b"ok"
+            assert total(line(door, "partial").waits) == 1
+            now[0] += PATIENCE_S
+            door.clients.sweep()
+            assert await slow.answer() == "-ERR no whole command came in time" and await slow.ended()
+            assert line(door, "partial").turned == 1
+
+    run(job())
+
+
+def flood(count: int) -> bytes:
+    return b"".join(query(f"f{n}") for n in range(count))
+
+
+async def clogged(door: FrontDoor, address: tuple[str, int]) -> Client:
+    """A client that has asked for more than it reads."""
+    reader = Client()
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    raw.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(raw, address)
+    reader.raw = raw
+    for n in range(400):
+        if line(door, "unsent_bytes").depth:
+            break
+        await asyncio.get_running_loop().sock_sendall(raw, query(f"c{n}"))
+        await asyncio.sleep(0.002)
+    assert line(door, "unsent_bytes").depth
+    return reader
+
+
+def test_client_that_never_reads_is_cut_at_last() -> None:
+    async def job() -> None:
+        async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (door, address):
+            now = [100.0]
+            door.clients.clock = lambda: now[0]
+            client = await clogged(door, address)
+            now[0] += STALL_S - 1
+            door.clients.sweep()
+            found = line(door, "unsent_bytes")
+            assert found.turned == 0 and found.oldest_us >= (STALL_S - 1) * 1e6
+            now[0] += 2
+            door.clients.sweep()
+            await until(lambda: not door.clients.connections)
+            found = line(door, "unsent_bytes")
+            assert (found.turned, found.depth) == (1, 0)
+            client.raw.close()
+
+    run(job())
+
+
+def test_the_client_that_took_nothing_longest_goes_first_when_too_much_waits() -> None:
+    async def job() -> None:
+        async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (door, address):
+            client = await clogged(door, address)
+            door.clients.pool = door.clients.unsent  # as much as may wait, and no more
+            door.clients.sweep()
+            assert line(door, "unsent_bytes").turned == 0
+            door.clients.pool = door.clients.unsent // SHED_POOLS - 1
+            door.clients.sweep()
+            await until(lambda: not door.clients.connections)
+            found = line(door, "unsent_bytes")
+            assert found.turned == 1 and found.depth == 0
+            other = await Client.open(address)
+            assert await other.ask(query("a1")) == b"v" * 60_000
+            client.raw.close()
+
+    run(job())
+
+
+# --- requests: held, on their way, at a backend ---
+
+
+def test_request_beyond_those_that_may_be_open_is_told_to_come_again_at_once() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with operated(backend, max_open=3) as (door, address):
+            client, other = await Client.open(address), await Client.open(address)
+            client.send(flood(3))
+            await until(lambda: len(door.open) == 3)
+            assert str(await other.ask(query("a1"))).startswith("-BUSY ")
+            found = line(door, "held")
+            assert (found.turned, found.bound) == (1, 3)
+            metrics = samples((await call(door, "GET /metrics"))[1])
+            assert metrics['proxy_unserved_total{reason="crowded"}'] == 1
+            assert metrics['proxy_deferred_total{group="read"}'] == 1
+            client.writer.close()
+            await until(lambda: not door.open and not door.gateway.open)
+            backend.answer = lambda words: value(b"ok")
+            assert await other.ask(query("a2")) == b"ok"
+
+    run(job())
+
+
+def test_what_open_requests_hold_is_bounded_by_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontdoor, "LEAST_HELD", 100_000)
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend, memory_mb=32) as (door, address):
+            client, other = await Client.open(address), await Client.open(address)
+            client.send(submit("f1", body=b"B" * 60_000))
+            await until(lambda: door.open)
+            assert str(await other.ask(submit("a1", body=b"B" * 60_000))).startswith("-BUSY ")
+            assert door.held_bytes == door.gateway.open_bytes < 100_000
+            client.writer.close()
+            await until(lambda: not door.gateway.open_bytes)
+            assert door.held_bytes == 0
+
+    run(job())
+
+
+def test_module_counts_what_is_open_through_every_end() -> None:
+    world = World(replace(WORLD, max_open=4, max_open_bytes=1000), servers(4))
+    ends = [lambda name: world.answer(name), lambda name: world.answer(name, i.Result.TIMEOUT),
+            lambda name: world.tell(i.ClientGone(name)),
+            lambda name: world.tell(i.StreamStarted(name, 0, world.out[(name, 0)][0], 5))]
+    for n in range(4):
+        assert of(i.Send, world.ask(f"a{n}", size=100))
+    assert world.gateway.open == 4 and world.gateway.open_bytes == 400
+    [refused] = of(i.Refuse, world.ask("b", size=100))
+    assert 0 < refused.retry_after_us <= WORLD.max_retry_after_us
+    for n, end in enumerate(ends):
+        end(f"a{n}")
+        world.run(7 * S)  # past the time of what is tried again
+    assert world.gateway.open == 0 and world.gateway.open_bytes == 0
+    assert of(i.Refuse, world.ask("c", size=1001))
+
+
+def test_attempt_without_a_connection_to_be_had_is_told_so() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            door.backends.most = 1
+            client, other = await Client.open(address), await Client.open(address)
+            client.send(query("a1"))
+            await backend.came.wait()
+            assert str(await other.ask(query("a2"))).startswith("-BUSY ")
+            assert line(door, "connecting").turned >= 1 and line(door, "connecting").bound == 1
+
+    run(job())
+
+
+def test_attempts_wait_for_a_connection_that_does_not_come_up() -> None:
+    async def job() -> None:
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.socket())
+            listener.bind((HOST, 0))
+            listener.listen(0)
+            for _ in range(3):  # its backlog is full
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(listener.getsockname())
+            dead = [listener.getsockname()]
+            async with front_door(addresses=dead, connect_timeout_us=50_000) as (door, at):
+                client = await Client.open(at)
+                client.send(query("a1", wait_ms=400))
+                await until(lambda: line(door, "connecting").depth)
+                assert line(door, "connecting").oldest_us > 0
+                assert str(await client.answer()).startswith("-BUSY")
+                assert line(door, "connecting").depth == 0
+
+    run(job())
+
+
+def test_backend_that_accepts_and_stays_silent_is_waited_for_only_so_long() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with operated(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1", wait_ms=300))
+            await until(lambda: line(door, "backend").depth == 1)
+            assert line(door, "backend").oldest_us >= 0
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+            assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
+            found = line(door, "backend")
+            assert found.turned >= 1 and total(found.waits) >= 1
+            await until(lambda: line(door, "backend").depth == 0)
+
+    run(job())
+
+
+# --- peers, management, log ---
+
+
+def test_words_for_a_peer_are_bounded_and_dropped_with_a_count() -> None:
+    world = World(replace(WORLD, gateways=3, peer_messages_per_s=0.01))
+    for n in range(MOST_WORDS + 30):
+        world.ask(f"a{n}", customer="c2", set_size=3)
+    [census] = of(i.Census, world.tell(i.Survey()))
+    assert census.words == MOST_WORDS and census.words_dropped > 0
+    world.run(50 * MS)
+    assert of(i.Census, world.tell(i.Survey()))[0].words_us >= 50 * MS
+
+
+def test_datagrams_that_the_socket_does_not_take_are_dropped_with_a_count() -> None:
+    async def job() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind((HOST, 0))
+            here = (HOST, 0)
+            async with operated(Backend(), peer_listen=here, peers=(here, peer.getsockname())) as (door, _):
+                told = i.Tell(1, (i.Word(1, 0, 0, 2),), waited_us=7)
+                door.peers.pause_writing()
+                door.peers.tell(told)
+                door.peers.resume_writing()
+                door.peers.tell(told)
+                assert line(door, "peers").turned == 1 and total(line(door, "peers").waits) == 2
+                at = door.peers.transport.get_extra_info("sockname")
+                for data in (b"", b"x", b"\xa1" + b"y" * 300):
+                    peer.sendto(data, at)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                    stranger.sendto(b"hello", at)
+                await until(lambda: door.peers.malformed >= 2 and door.peers.strange == 1)
+                found = samples((await call(door, "GET /metrics"))[1])
+                assert found['proxy_datagrams_dropped_total{why="stranger"}'] == 1
+
+    run(job())
+
+
+def test_management_connections_beyond_the_bound_are_counted() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, _):
+            bound = line(door, "management").bound
+            at = door.management.server.sockets[0].getsockname()
+            slow = [await asyncio.open_connection(*at) for _ in range(round(bound) + 3)]
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+            found = line(door, "management")
+            assert found.turned >= 3 and found.depth <= bound and total(found.waits) == 1
+            for _, writer in slow:
+                writer.close()
+
+    run(job())
+
+
+def test_log_that_nobody_reads_stops_nothing_and_counts_what_it_drops() -> None:
+    out, into = os.pipe()
+    os.set_blocking(into, False)
+    with contextlib.suppress(BlockingIOError):
+        while os.write(into, b"." * 4096):
+            pass  # until the pipe holds no more
+    os.set_blocking(into, True)
+    writer = LogWriter(into, most=10)
+    log = logging.getLogger("tests.log")
+    log.propagate = False
+    log.addHandler(writer)
+    try:
+        for number in range(40):
+            log.warning("line %d", number)
+        found = writer.line()
+        assert (found.depth, found.bound, found.turned) == (10, 10, 30)
+        with os.fdopen(out, "rb") as reader:
+            text = b""
+            while b"line 9\n" not in text:
+                text += reader.readline()
+            assert sum(map(int, re.findall(rb"(\d+) lines were dropped", text))) == 30
+            assert re.findall(rb"line (\d+)", text) == [b"%d" % number for number in range(10)]
+            log.warning("last")
+            assert reader.readline() == b"last\n"
+            writer.close()
+            assert total(writer.line().waits) == 11
+            os.close(into)
+            assert reader.read() == b""
+    finally:
+        log.removeHandler(writer)
+
+
+def test_log_to_nowhere_ends_nothing() -> None:
+    out, into = os.pipe()
+    os.close(out)
+    writer = LogWriter(into)
+    writer.handle(logging.makeLogRecord({"msg": "lost"}))
+    writer.close()
+    assert not writer.thread.is_alive() and writer.line().depth == 0
+    os.close(into)
+
+
+# --- overload ---
+
+
+def test_one_customers_flood_costs_the_others_nothing() -> None:
+    async def job() -> None:
+        settings = replace(SETTINGS, gateways=1, plans=(i.Plan(rate=5.0, burst=5.0),))
+        async with operated(Backend(), settings=settings) as (door, address):
+            rude, polite = await Client.open(address), await Client.open(address)
+            rude.send(flood(100))
+            for n in range(5):
+                words = resp("SVC.QUERY", f"{n + 1:016x}", f"a{n}", "c=read,t=team,d=3000")
+                assert await polite.ask(words) == b"ok"
+                assert (await call(door, "GET /healthcheck"))[0] == 200
+            answers = [await rude.answer() for _ in range(100)]
+            assert sum(str(answer).startswith("-BUSY ") for answer in answers) >= 80
+
+    run(job())
+
+
+def test_when_an_overload_ends_nothing_of_it_is_left() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)  # all backends slow at once
+        async with operated(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(b"".join(query(f"f{n}", wait_ms=400) for n in range(60)))
+            for _ in range(60):
+                assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
+            assert (await call(door, "GET /healthcheck"))[0] == 200
+            await until(lambda: not door.ended)
+            for name in ("unread", "held", "connecting", "backend", "unsent_bytes"):
+                assert line(door, name).depth == 0, name
+            assert not door.open and door.held_bytes == 0 and not door.gateway.jobs
+            backend.answer = lambda words: value(b"ok")
+            number, answer = 0, None
+            while answer != b"ok":
+                answer, number = await client.ask(query(f"a{number}")), number + 1
+
+    run(job())
