Count what is no request, and show how service comes back after an overload

Need: bad input was answered but not counted; that an overload leaves no queue, and how soon service is back, was not shown.

Change: proxy_malformed_total; a test on the module's clock of ten servers that hang for 8 s under 20 requests a second.

N had been lowered for 8 s, and rises by the clamped step of a fifth a second, as the design says.

--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -283,6 +283,7 @@
             if self.reader.buffer and self.due_s is None:
                 self.awaits_command()
         except ProtocolError as error:
+            self.clients.unreadable += 1
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         except Exception:
             # A fault of ours costs this connection, not the front door, and still answers what it owes.
@@ -303,6 +304,7 @@
             self.clients.take(words, reply)
             self.proven = True
         except CommandError as error:
+            self.clients.malformed += 1
             reply.send(b"-ERR %b\r\n" % str(error).encode())
 
     def flush(self) -> None:
@@ -456,6 +458,7 @@
         self.sweeping = False  # a sweep is due
         self.empty = asyncio.Event()
         self.unread_waits, self.partial_waits, self.unsent_waits = Waits(), Waits(), Waits()
+        self.malformed = self.unreadable = 0  # commands that got an error; connections that ended over one
         self.crowded_out = self.slow = self.cut = 0  # connections ended: no room, no command, no reader
 
     def since_us(self, then_s: float) -> int:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -369,6 +369,8 @@
         reasons = {f'reason="{why}"': count for why, count in census.ended}
         return waiting_figures(self.lines(census)) + "".join([
             page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", reasons),
+            page("malformed_total", "counter", "What clients sent that is no request.",
+                 {'what="command"': self.clients.malformed, 'what="stream"': self.clients.unreadable}),
             page("datagrams_dropped_total", "counter", "Datagrams from peers that were not taken.",
                  {'why="malformed"': self.peers.malformed, 'why="stranger"': self.peers.strange}),
         ])
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -412,6 +412,8 @@
 
 # --- overload ---
 
+FULL_AGAIN = 7  # periods of steps by a fifth, from half to nine of ten
+
 
 def test_one_customers_flood_costs_the_others_nothing() -> None:
     async def job() -> None:
@@ -448,3 +450,39 @@
                 answer, number = await client.ask(query(f"a{number}")), number + 1
 
     run(job())
+
+
+def test_what_is_no_request_is_counted() -> None:
+    async def job() -> None:
+        async with operated(Backend()) as (door, address):
+            client, other = await Client.open(address), await Client.open(address)
+            assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
+            assert str(await other.ask(b"GET / HTTP/1.1\r\n")).startswith("-ERR Protocol error")
+            assert await other.ended() and await client.ask(query("a2")) == b"ok"
+            found = samples((await call(door, "GET /metrics"))[1])
+            assert found['proxy_malformed_total{what="command"}'] == 1
+            assert found['proxy_malformed_total{what="stream"}'] == 1
+
+    run(job())
+
+
+def test_service_comes_back_by_the_mechanisms_steps_after_an_overload() -> None:
+    """All servers hang for 8 s under 20 requests a second, then each answers after 50 ms again."""
+    settings = replace(WORLD, classes=(i.RequestClass(aim_us=750 * MS, deadline_us=2 * S),),
+                       plans=(i.Plan(rate=100.0, burst=100.0),))
+    world, served = World(settings, servers(10)), [0] * 20
+    ends_us = world.now + 8 * S
+    for step in range(20 * 20):
+        world.ask(f"a{step}", left_us=2 * S)
+        world.run(50 * MS)
+        for (name, attempt), (_, sent_us, _) in list(world.out.items()):
+            if sent_us >= ends_us:
+                world.answer(name, attempt=attempt)
+                served[step // 20] += 1
+            elif world.now - sent_us >= 1900 * MS:
+                world.answer(name, i.Result.TIMEOUT, attempt=attempt)
+    assert not any(served[:8])
+    after = served[8:]
+    assert min(after) >= 9  # nearly half at once, of what N was left at
+    assert min(after[FULL_AGAIN:]) >= 18, after
+    assert len(world.gateway.jobs) <= 2 and not world.gateway.held
