--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -128,6 +128,7 @@
         warm_within_us=pairs.whole("obligations.warm-within-us"),
         fall_multiple=pairs.number("obligations.fall-multiple", 1.0),
         fall_us=pairs.whole("obligations.fall-us", 1),
+        conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
     )
 
 
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -118,6 +118,7 @@
     warm_within_us: int = 0
     fall_multiple: float = 1.0
     fall_us: int = 1
+    conn_idle_us: int = 30_000_000  # how long a connection to a server may stand idle
     max_open: int = 0  # requests that a gateway may have open; 0 where somebody else sees to it
     max_open_bytes: int = 0  # what they may hold; the same
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -36,6 +36,9 @@
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
 SLOW_START_US = 8 * S  # after a return from suspicion: about the longest time away
 LEAST_PACE, MOST_PACE, PACE_STEP = 0.5, 2.0, 0.1  # of a cold server: twice its share is still under its bound
+# How much longer a wait a new connection is worth: less than one more attempt out there (2). It counts where
+# attempts are so few that, spread evenly, a server would get fewer than KEPT_USES while a connection is kept.
+NEW_CONNECTION, KEPT_USES = 1.5, 2
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
@@ -173,6 +176,8 @@
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
         self.words_since: dict[int, int] = {}  # by peer, when the first word that waits for it came
         self.words_dropped = 0
+        self.kept_us = settings.conn_idle_us / 2  # how long connections are kept here, idle
+        self.spread_thin = False
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
@@ -398,6 +403,7 @@
             server.slowness += SMOOTH * (1 - server.slowness)
             server.trouble += SMOOTH * (1 - server.trouble)
         self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
+        self.spread_thin = self.rate * self.kept_us / S < KEPT_USES * len(self.up)
         fade = math.exp(-self.cc_us / USUAL_US)
         self.usual = max(self.rate / max(1, len(self.up)), self.usual * fade)
         self.count_warm()
@@ -673,7 +679,9 @@
         # where many come back at once, all that is asked must still find a server.
         back = min(1.0, (self.now - server.back_us) / SLOW_START_US)
         trouble = max(1.0, server.trouble / USUAL_TROUBLE) ** 2
-        return waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
+        known = server.out or self.now - server.heard_us < self.kept_us
+        new = NEW_CONNECTION if self.spread_thin and not known else 1.0
+        return new * waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
 
     def warmth(self, server: _Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -846,3 +846,38 @@
 def test_without_advice_in_the_settings_none_is_given() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(rate=2.0, burst=2.0),), max_retry_after_us=0))
     assert set(time for n in range(12) for time in advice(world.ask(f"a{n}"))) == {0}
+
+
+def test_server_that_has_a_connection_is_preferred_to_one_as_good_but_not_to_an_emptier_one() -> None:
+    world = World(replace(SETTINGS, conn_idle_us=8 * S), servers(8))
+    world.run(2 * S)  # so few attempts that none would find the connection of the one before
+    first = of(i.Send, world.ask("a"))[0].server
+    world.run(500 * MS)
+    world.answer("a")
+    for n in range(5):  # the others are as quick, as far as anybody knows
+        assert of(i.Send, world.ask(f"b{n}"))[0].server == first
+        world.run(500 * MS)
+        world.answer(f"b{n}")
+    assert of(i.Send, world.ask("c"))[0].server == first
+    assert of(i.Send, world.ask("d"))[0].server != first
+    world.run(500 * MS)
+    world.answer("c")
+    world.answer("d")
+    gateway = world.gateway
+    costs = {server.entry.name: gateway.cost(server) / server.slowness for server in gateway.up}
+    assert sorted(costs.values())[1] < sorted(costs.values())[2] == sorted(costs.values())[-1]
+    world.run(6 * S)  # by now those connections are closed
+    assert len({round(gateway.cost(server) / server.slowness, 9) for server in gateway.up}) == 1
+
+
+def test_connections_are_no_reason_where_an_even_spread_keeps_them() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),), conn_idle_us=8 * S), servers(8))
+    gateway = world.gateway
+    for gap, thin in ((20 * MS, False), (500 * MS, True)):  # 25 attempts a server in 4 s, and one
+        for n in range(20 * S // gap):
+            world.ask(f"a{gap}-{n}")
+            world.run(gap)
+            world.answer(f"a{gap}-{n}")
+        assert gateway.spread_thin is thin
+        costs = {round(gateway.cost(server) / server.slowness, 9) for server in gateway.up}
+        assert len(costs) == 1 + thin
