Keep the list in one SQLite file, durable before it is acknowledged and checked at the start

Change: orchidhatch/store.py. Batches in one transaction, conditional writes, lives, a bounded history, a sum of digests that each change adds to and takes from, an exclusive lock.

Tests: a writing process killed with SIGKILL at twelve points loses nothing it had acknowledged; its log cut at some 100 lengths gives an earlier state in whole, each of 14 seen; one flipped bit in the file (100 drawn) is refused or was in no page in use, and the file stays as it was; a full disk and an unwritable file refuse writes and go on reading.

--- /dev/null
+++ b/orchidhatch/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: processes beside the front doors, which they meet only over the protocols."""
--- /dev/null
+++ b/orchidhatch/store.py
@@ -0,0 +1,291 @@
+"""The list of backends on disk: entries, generation and history, in one SQLite file.
+
+A write is acknowledged once its transaction is durable. Readers see a copy in memory, which changes only
+after the commit. At the start everything is checked, and a store that is not sound is not opened.
+"""
+
+import hashlib
+import json
+import secrets
+import sqlite3
+from collections.abc import Iterator, Sequence
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+
+FORMAT = 1
+MOST_HISTORY = 10_000  # changes that a watch may resume over; past it the whole list is told
+MOST_ENTRIES = 100_000
+MODULUS = 1 << 256  # digests of entries are added up by it
+
+LIFECYCLES = ("SERVING", "DRAINING")
+DELETED = "DELETED"
+
+SCHEMA = f"""
+PRAGMA application_id = {0x6F726368};
+PRAGMA user_version = {FORMAT};
+CREATE TABLE meta (
+  only INTEGER PRIMARY KEY CHECK (only = 1), identity TEXT NOT NULL, term INTEGER NOT NULL,
+  generation INTEGER NOT NULL, digest TEXT NOT NULL
+) STRICT;
+CREATE TABLE entries (id TEXT PRIMARY KEY, record TEXT NOT NULL) STRICT, WITHOUT ROWID;
+CREATE TABLE history (generation INTEGER PRIMARY KEY, record TEXT NOT NULL, digest TEXT NOT NULL) STRICT;
+"""
+
+
+class StoreError(Exception):
+    """The store cannot be opened or written; the text is one plain line."""
+
+
+class DamagedError(StoreError):
+    """What is on disk is not what was written. The file is left as it is, for a person to look at."""
+
+
+class RefusedError(Exception):
+    """A write that does not fit what is there; nothing was changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A backend as listed: `version` is the generation of its last change, `life` that of its registration."""
+
+    id: str
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    lifecycle: str
+    weight: float
+    started_ms: int
+    version: int = 0
+    life: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Register:
+    """Enter a backend, or enter it anew after a restart: a new life begins."""
+
+    entry: Entry
+    if_version: int | None = None  # 0: only if it is not listed
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Change how a listed backend may be used."""
+
+    id: str
+    lifecycle: str
+    if_version: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Remove:
+    """Take a backend off the list."""
+
+    id: str
+    if_version: int | None = None
+    life: int | None = None  # only this life of it, as its lease has run out
+
+
+Write = Register | Change | Remove
+
+
+def text_of(entry: Entry) -> str:
+    return json.dumps(asdict(entry), sort_keys=True, allow_nan=False)
+
+
+def digest_of(text: str) -> int:
+    return int.from_bytes(hashlib.sha256(text.encode()).digest())
+
+
+def seal(identity: str, term: int, generation: int, entries: int) -> str:
+    """The digest of all but the history: the entries come in as the sum of theirs."""
+    return hashlib.sha256(f"{identity} {term} {generation} {entries:064x}".encode()).hexdigest()
+
+
+def read_entry(text: str) -> Entry:
+    return Entry(**json.loads(text))
+
+
+class Store:
+    """An open store. One process at a time has it, by a lock that ends with the process.
+
+    A new one is made only where that is asked for: a file that is gone or empty is no empty list.
+    """
+
+    def __init__(self, path: Path, create: bool = False, most_history: int = MOST_HISTORY) -> None:
+        self.path, self.most_history = path, most_history
+        self.entries: dict[str, Entry] = {}
+        self.history: dict[int, Entry] = {}  # by generation; one removed is DELETED there
+        self.sum = 0
+        if not create and not (path.is_file() and path.stat().st_size):
+            raise StoreError(f"there is no store at {path.name}; make a new one, or rebuild it")
+        try:
+            self.db = sqlite3.connect(path, isolation_level=None, timeout=0.0)
+            try:
+                self.open(create)
+            except BaseException:
+                self.db.close()
+                raise
+        except sqlite3.OperationalError as error:
+            raise StoreError(f"cannot open {path.name}: {error}") from error
+        except sqlite3.DatabaseError as error:
+            raise DamagedError(f"{path.name} is damaged: {error}") from error
+
+    def open(self, create: bool) -> None:
+        self.db.execute("PRAGMA locking_mode = EXCLUSIVE")
+        self.db.execute("PRAGMA journal_mode = WAL")
+        self.db.execute("PRAGMA synchronous = FULL")
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            if create and not self.db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
+                self.create()
+            self.load()
+        finally:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+
+    def create(self) -> None:
+        """All of it or nothing: one that was cut short is begun anew."""
+        self.identity, self.term, self.generation = secrets.token_hex(8), 1, 0
+        for statement in filter(None, map(str.strip, SCHEMA.split(";"))):
+            self.db.execute(statement)
+        self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?)",
+                        (self.identity, self.term, self.generation, self.seal()))
+        self.db.execute("COMMIT")
+        self.db.execute("BEGIN IMMEDIATE")
+
+    def seal(self) -> str:
+        return seal(self.identity, self.term, self.generation, self.sum)
+
+    def load(self) -> None:
+        """Read everything, and hold it against its digests."""
+        form = self.db.execute("PRAGMA user_version").fetchone()[0]
+        if form != FORMAT:
+            raise DamagedError(f"{self.path.name} is of form {form}, not {FORMAT}")
+        [(found,), *more] = self.db.execute("PRAGMA integrity_check(1)").fetchall()
+        if found != "ok" or more:
+            raise DamagedError(f"{self.path.name} is damaged: {' '.join(str(found).split())}")
+        try:
+            self.read()
+        except (TypeError, ValueError, KeyError) as error:
+            raise DamagedError(f"{self.path.name} is damaged: {' '.join(str(error).split()):.200}") from error
+
+    def read(self) -> None:
+        [(self.identity, self.term, self.generation, digest)] = self.db.execute(
+            "SELECT identity, term, generation, digest FROM meta").fetchall()
+        for name, text in self.db.execute("SELECT id, record FROM entries"):
+            entry = self.entries[name] = read_entry(text)
+            if entry.id != name:
+                raise ValueError(f"entry {name!r:.80} calls itself {entry.id!r:.80}")
+            self.sum = (self.sum + digest_of(text)) % MODULUS
+        if self.seal() != digest:
+            raise ValueError("the entries do not fit their digest")
+        expected = None
+        for generation, text, digest in self.db.execute("SELECT * FROM history ORDER BY generation"):
+            if digest != f"{digest_of(f'{generation} {text}'):064x}" or expected not in (None, generation):
+                raise ValueError(f"change {generation} of the history does not fit its digest or its place")
+            self.history[generation], expected = read_entry(text), generation + 1
+        if expected not in (None, self.generation + 1) or (self.generation and expected is None):
+            raise ValueError("the history does not end at the generation")
+
+    # --- reads ---
+
+    def changes(self, after: int) -> list[Entry] | None:
+        """What changed after a generation, each entry once and as it is now; None if only the list can tell."""
+        oldest = self.generation - len(self.history)
+        if not oldest <= after <= self.generation:
+            return None
+        last = {self.history[at].id: at for at in range(after + 1, self.generation + 1)}
+        return [self.history[at] for at in sorted(last.values())]
+
+    # --- writes ---
+
+    def apply(self, writes: Sequence[Write]) -> list[Entry | RefusedError]:
+        """Carry out a batch in order, in one transaction; each gives its entry, or why it was refused.
+
+        A StoreError means that none of them holds: the disk is full or cannot be written.
+        """
+        entries, generation, total = dict(self.entries), self.generation, self.sum
+        outcomes: list[Entry | RefusedError] = []
+        changed: list[Entry] = []
+        for write in writes:
+            try:
+                entry = fit(write, entries, generation + 1)
+            except RefusedError as refusal:
+                outcomes.append(refusal)
+                continue
+            generation += 1
+            total -= digest_of(text_of(entries.pop(entry.id))) if entry.id in entries else 0
+            if entry.lifecycle != DELETED:
+                entries[entry.id] = entry
+                total += digest_of(text_of(entry))
+            changed.append(entry)
+            outcomes.append(entry)
+        if changed:
+            self.commit(changed, generation, total % MODULUS)
+            self.entries, self.generation, self.sum = entries, generation, total % MODULUS
+            self.remember(changed)
+        return outcomes
+
+    def commit(self, changed: Sequence[Entry], generation: int, total: int) -> None:
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            for entry in changed:
+                text = text_of(entry)
+                if entry.lifecycle == DELETED:
+                    self.db.execute("DELETE FROM entries WHERE id = ?", (entry.id,))
+                else:
+                    self.db.execute("INSERT OR REPLACE INTO entries VALUES (?, ?)", (entry.id, text))
+                self.db.execute("INSERT INTO history VALUES (?, ?, ?)",
+                                (entry.version, text, f"{digest_of(f'{entry.version} {text}'):064x}"))
+            self.db.execute("DELETE FROM history WHERE generation <= ?", (generation - self.most_history,))
+            self.db.execute("UPDATE meta SET generation = ?, digest = ?",
+                            (generation, seal(self.identity, self.term, generation, total)))
+            self.db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise StoreError(f"cannot write {self.path.name}: {error}") from error
+
+    def remember(self, changed: Sequence[Entry]) -> None:
+        for entry in changed:
+            self.history[entry.version] = entry
+        for generation in list(forgotten(self.history, self.generation - self.most_history)):
+            del self.history[generation]
+
+    def close(self) -> None:
+        self.db.close()
+
+
+def forgotten(history: dict[int, Entry], last: int) -> Iterator[int]:
+    """The oldest generations up to this one; they stand first."""
+    for generation in history:
+        if generation > last:
+            return
+        yield generation
+
+
+def fit(write: Write, entries: dict[str, Entry], generation: int) -> Entry:
+    """The entry as the write leaves it; a RefusedError where it does not fit what is listed."""
+    name = write.entry.id if isinstance(write, Register) else write.id
+    known = entries.get(name)
+    version = known.version if known else 0
+    if write.if_version is not None and write.if_version != version:
+        raise RefusedError(f"{name} is at version {version}, not {write.if_version}")
+    if isinstance(write, Register):
+        if write.entry.lifecycle not in LIFECYCLES:
+            raise RefusedError(f"{name} cannot be entered as {write.entry.lifecycle}")
+        if known is None and len(entries) >= MOST_ENTRIES:
+            raise RefusedError(f"the list holds {MOST_ENTRIES} entries, and no more")
+        if known and write.entry.started_ms < known.started_ms:
+            raise RefusedError(f"{name} has started anew since")
+        return replace(write.entry, version=generation, life=generation)
+    if known is None:
+        raise RefusedError(f"{name} is not listed")
+    if isinstance(write, Remove):
+        if write.life not in (None, known.life):
+            raise RefusedError(f"{name} is in another life since")
+        return replace(known, lifecycle=DELETED, version=generation)
+    if write.lifecycle not in LIFECYCLES:
+        raise RefusedError(f"{write.lifecycle} is no lifecycle that can be set")
+    return replace(known, lifecycle=write.lifecycle, version=generation)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,314 @@
+"""The list service's store: what is acknowledged is there, in whole, and what is damaged is not served."""
+
+import random
+import shutil
+import signal
+import sqlite3
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidhatch import store as stores
+from orchidhatch.store import (
+    Change,
+    DamagedError,
+    Entry,
+    RefusedError,
+    Register,
+    Remove,
+    Store,
+    StoreError,
+    Write,
+)
+
+ROOT = Path(__file__).parent.parent
+
+
+def entry(number: int, started_ms: int = 0, **changes: object) -> Entry:
+    made = Entry(f"s-{number}", f"127.0.0.1:{7000 + number}", "a", "m2", 3, "SERVING", 1.0, started_ms)
+    return replace(made, **changes)
+
+
+@pytest.fixture
+def path(tmp_path: Path) -> Path:
+    return tmp_path / "list.db"
+
+
+def one(store: Store, write: Write) -> Entry:
+    [outcome] = store.apply([write])
+    if isinstance(outcome, RefusedError):
+        raise outcome
+    return outcome
+
+
+def what_is_in(store: Store) -> tuple[object, ...]:
+    return store.identity, store.term, store.generation, store.entries, store.history
+
+
+def test_what_was_written_is_there_after_a_restart(path: Path) -> None:
+    store = Store(path, create=True)
+    assert store.generation == 0
+    for number in range(5):
+        assert one(store, Register(entry(number))).version == number + 1
+    one(store, Change("s-1", "DRAINING"))
+    one(store, Remove("s-2"))
+    before = what_is_in(store)
+    store.close()
+    again = Store(path)
+    assert what_is_in(again) == before and again.generation == 7
+    assert again.entries["s-1"].lifecycle == "DRAINING" and "s-2" not in again.entries
+
+
+def test_batch_is_one_transaction_and_each_write_has_its_outcome(path: Path) -> None:
+    store = Store(path, create=True)
+    outcomes = store.apply([Register(entry(1)), Change("s-9", "DRAINING"), Change("s-1", "DRAINING"),
+                            Register(entry(2), if_version=4), Remove("s-1"), Register(entry(1))])
+    assert [getattr(outcome, "version", None) for outcome in outcomes] == [1, None, 2, None, 3, 4]
+    assert str(outcomes[1]) == "s-9 is not listed" and str(outcomes[3]) == "s-2 is at version 0, not 4"
+    assert list(store.entries) == ["s-1"] and store.entries["s-1"].life == 4
+
+
+def test_two_operators_cannot_undo_each_other_unseen(path: Path) -> None:
+    store = Store(path, create=True)
+    seen = one(store, Register(entry(1), if_version=0)).version
+    one(store, Change("s-1", "DRAINING", if_version=seen))
+    with pytest.raises(RefusedError, match="at version 2, not 1"):
+        one(store, Change("s-1", "SERVING", if_version=seen))
+    with pytest.raises(RefusedError, match="at version 2, not 0"):
+        one(store, Register(entry(1), if_version=0))
+    assert store.entries["s-1"].lifecycle == "DRAINING" and store.generation == 2
+
+
+def test_late_word_of_an_earlier_life_is_refused(path: Path) -> None:
+    store = Store(path, create=True)
+    old = one(store, Register(entry(1, started_ms=100)))
+    new = one(store, Register(entry(1, started_ms=200, address="127.0.0.1:9")))
+    with pytest.raises(RefusedError, match="another life"):
+        one(store, Remove("s-1", life=old.life))
+    with pytest.raises(RefusedError, match="started anew"):
+        one(store, Register(entry(1, started_ms=100)))
+    assert store.entries["s-1"] == new and new.life == 2
+    one(store, Remove("s-1", life=new.life))
+    assert not store.entries
+
+
+@pytest.mark.parametrize("write", [
+    Register(entry(1, lifecycle="DELETED")), Register(entry(1, lifecycle="odd")), Change("s-1", "DELETED"),
+    Remove("s-1"),
+])
+def test_write_that_makes_no_sense_changes_nothing(path: Path, write: Write) -> None:
+    store = Store(path, create=True)
+    before = what_is_in(store)
+    with pytest.raises(RefusedError):
+        one(store, write)
+    assert what_is_in(store) == before
+
+
+def test_list_is_bounded(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stores, "MOST_ENTRIES", 2)
+    store = Store(path, create=True)
+    for number in (1, 2):
+        one(store, Register(entry(number)))
+    with pytest.raises(RefusedError, match="2 entries"):
+        one(store, Register(entry(3)))
+    one(store, Register(entry(2)))
+
+
+def test_watch_resumes_over_the_history_and_no_further(path: Path) -> None:
+    store = Store(path, create=True, most_history=4)
+    for number in (1, 2, 3):
+        one(store, Register(entry(number)))
+    assert [found.id for found in store.changes(0)] == ["s-1", "s-2", "s-3"] and store.changes(3) == []
+    one(store, Change("s-1", "DRAINING"))
+    one(store, Remove("s-2"))
+    for found in (store, None):
+        found = found or (store.close() or Store(path, most_history=4))
+        assert len(found.history) == 4 and found.changes(0) is None and found.changes(6) is None
+        assert found.changes(-1) is None
+        assert [(one.id, one.lifecycle) for one in found.changes(2)] == [
+            ("s-3", "SERVING"), ("s-1", "DRAINING"), ("s-2", "DELETED")]
+
+
+def test_a_second_process_is_refused_while_the_first_lives(path: Path) -> None:
+    store = Store(path, create=True)
+    with pytest.raises(StoreError, match="locked"):
+        Store(path)
+    one(store, Register(entry(1)))
+    store.close()
+    assert Store(path).generation == 1
+
+
+def test_no_store_is_no_empty_list(path: Path) -> None:
+    with pytest.raises(StoreError, match="there is no store"):
+        Store(path)
+    assert not path.exists()
+    path.touch()
+    with pytest.raises(StoreError, match="there is no store"):
+        Store(path)
+    store = Store(path, create=True)
+    identity = store.identity
+    store.close()
+    assert Store(path, create=True).identity == identity
+
+
+# --- faults ---
+
+
+def test_full_disk_refuses_writes_plainly_and_reads_go_on(path: Path) -> None:
+    store = Store(path, create=True)
+    one(store, Register(entry(1)))
+    before = what_is_in(store)
+    [(pages,)] = store.db.execute("PRAGMA page_count").fetchall()
+    store.db.execute(f"PRAGMA max_page_count = {pages}")
+    with pytest.raises(StoreError, match=r"cannot write list\.db: .*full"):
+        store.apply([Register(entry(number)) for number in range(2, 500)])
+    assert what_is_in(store) == before and not store.db.in_transaction
+    store.db.execute("PRAGMA max_page_count = 100000")
+    assert one(store, Register(entry(2))).version == 2
+
+
+def test_unwritable_store_refuses_writes_plainly(path: Path) -> None:
+    store = Store(path, create=True)
+    one(store, Register(entry(1)))
+    store.db.execute("PRAGMA query_only = 1")
+    with pytest.raises(StoreError, match="readonly"):
+        store.apply([Remove("s-1")])
+    assert list(store.entries) == ["s-1"] and store.generation == 1
+
+
+WRITER = """
+import sys
+from pathlib import Path
+from orchidhatch.store import Change, Register, Store
+from tests.test_store import entry
+store = Store(Path(sys.argv[1]), create=True)
+while True:
+    number = store.generation
+    store.apply([Register(entry(number % 7, number)), Change(f"s-{number % 7}", "DRAINING")])
+    print(store.generation, flush=True)
+"""
+
+
+def expected(generation: int) -> dict[str, Entry]:
+    """What the writer above has written by then."""
+    entries: dict[str, Entry] = {}
+    for life in range(1, generation + 1, 2):
+        made = entry((life - 1) % 7, life - 1, version=life, life=life)
+        entries[made.id] = replace(made, lifecycle="DRAINING", version=life + 1)
+    return entries
+
+
+def test_kill_at_any_point_loses_nothing_acknowledged_and_leaves_nothing_half(path: Path) -> None:
+    chance = random.Random(4)
+    last = 0
+    for _ in range(12):
+        writer = subprocess.Popen([sys.executable, "-c", WRITER, str(path)], cwd=ROOT, text=True,
+                                  stdout=subprocess.PIPE)
+        for _ in range(chance.randrange(1, 40)):
+            last = int(writer.stdout.readline())
+        writer.send_signal(signal.SIGKILL)  # wherever it is by now
+        writer.wait()
+        last = max([last, *map(int, writer.stdout.read().split())])
+        store = Store(path)
+        assert store.generation in (last, last + 2) and store.entries == expected(store.generation)
+        store.close()
+
+
+def copy(path: Path, to: Path, wal: bytes | None = None, main: bytes | None = None) -> Path:
+    to.mkdir(exist_ok=True)
+    found = to / path.name
+    found.write_bytes(path.read_bytes() if main is None else main)
+    log = Path(f"{path}-wal")
+    Path(f"{found}-wal").write_bytes(log.read_bytes() if wal is None else wal)
+    return found
+
+
+def written(path: Path) -> tuple[Store, list[dict[str, Entry]]]:
+    """A store with some writes, still open and with all of them in its log; the entries by generation."""
+    store, states = Store(path, create=True), [{}]
+    store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.db.execute("PRAGMA wal_autocheckpoint = 0")
+    for number in range(6):
+        for write in (Register(entry(number)), Change(f"s-{number // 2}", "DRAINING")):
+            one(store, write)
+            states.append(store.entries)
+    one(store, Remove("s-0"))
+    states.append(store.entries)
+    return store, states
+
+
+def test_log_cut_at_any_length_gives_an_earlier_state_in_whole(path: Path, tmp_path: Path) -> None:
+    store, states = written(path)
+    log = Path(f"{path}-wal").read_bytes()
+    lengths = {*range(0, len(log), 509), *range(len(log) - 60, len(log) + 1)}
+    seen = set()
+    for length in sorted(lengths):
+        shutil.rmtree(tmp_path / "cut", ignore_errors=True)
+        found = Store(copy(path, tmp_path / "cut", wal=log[:length]))
+        assert found.entries == states[found.generation] and found.identity == store.identity
+        assert len(found.history) == found.generation
+        seen.add(found.generation)
+        found.close()
+    assert seen == set(range(len(states)))
+
+
+@given(st.data())
+def test_flipped_byte_is_found_or_says_nothing(
+    tmp_path_factory: pytest.TempPathFactory, data: st.DataObject
+) -> None:
+    folder = tmp_path_factory.mktemp("flip")
+    store, states = written(folder / "list.db")
+    store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.close()
+    main = bytearray((folder / "list.db").read_bytes())
+    at = data.draw(st.integers(0, len(main) - 1))
+    main[at] ^= 1 << data.draw(st.integers(0, 7))
+    try:
+        found = Store(copy(folder / "list.db", folder / "copy", wal=b"", main=bytes(main)))
+    except StoreError as error:
+        assert "\n" not in str(error)
+        assert (folder / "copy" / "list.db").read_bytes() == bytes(main)  # kept as it is
+    else:  # the byte was in no page that is in use
+        assert what_is_in(found) == what_is_in(store) and found.entries == states[-1]
+        found.close()
+
+
+def test_byte_of_a_value_that_changed_is_told_in_one_line(path: Path) -> None:
+    store, _ = written(path)
+    store.close()
+    main = path.read_bytes()
+    assert main.count(b"127.0.0.1:7003") >= 1
+    path.write_bytes(main.replace(b"127.0.0.1:7003", b"127.0.0.1:7004"))
+    with pytest.raises(DamagedError, match="do not fit their digest"):
+        Store(path)
+
+
+@pytest.mark.parametrize(("table", "change"), [
+    ("meta", "UPDATE meta SET generation = generation - 1"),
+    ("meta", "UPDATE meta SET term = term + 1"),
+    ("meta", "DELETE FROM meta"),
+    ("entries", "DELETE FROM entries WHERE id = 's-4'"),
+    ("history", "DELETE FROM history WHERE generation = 5"),
+    ("history", "DELETE FROM history WHERE generation > 8"),
+    ("history", "UPDATE history SET record = replace(record, 'SERVING', 'DRAINING') WHERE generation = 1"),
+    ("form", "PRAGMA user_version = 9"),
+])
+def test_state_that_no_write_leaves_is_not_served(path: Path, table: str, change: str) -> None:
+    store, _ = written(path)
+    store.close()
+    with sqlite3.connect(path) as db:
+        db.execute(change)
+    db.close()
+    with pytest.raises(DamagedError):
+        Store(path)
+
+
+def test_file_that_is_no_store_is_told_so(path: Path) -> None:
+    path.write_bytes(b"nothing of the kind" * 300)
+    with pytest.raises(DamagedError, match="not a database"):
+        Store(path)
