--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Entry:
-    """A backend as listed: `version` is the generation of its last change, `life` that of its registration."""
+    """A backend as listed: `version` is the generation of its last change, `life` of its registration."""
 
     id: str
     address: str
@@ -191,7 +191,7 @@
     # --- reads ---
 
     def changes(self, after: int) -> list[Entry] | None:
-        """What changed after a generation, each entry once and as it is now; None if only the list can tell."""
+        """What changed after a generation, each entry once, as it is now; None if only the list can tell."""
         oldest = self.generation - len(self.history)
         if not oldest <= after <= self.generation:
             return None
