--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -97,6 +97,11 @@
     return int.from_bytes(hashlib.sha256(text.encode()).digest())
 
 
+def part_of(entry: Entry | None) -> int:
+    """What a listed entry adds to the sum of digests."""
+    return digest_of(text_of(entry)) if entry else 0
+
+
 def seal(identity: str, term: int, generation: int, entries: int) -> str:
     """The digest of all but the history: the entries come in as the sum of theirs."""
     return hashlib.sha256(f"{identity} {term} {generation} {entries:064x}".encode()).hexdigest()
@@ -205,25 +210,29 @@
 
         A StoreError means that none of them holds: the disk is full or cannot be written.
         """
-        entries, generation, total = dict(self.entries), self.generation, self.sum
+        generation, total, count = self.generation, self.sum, len(self.entries)
+        pending: dict[str, Entry] = {}  # as the batch leaves them; one that it removes is DELETED there
         outcomes: list[Entry | RefusedError] = []
         changed: list[Entry] = []
         for write in writes:
+            name = write.entry.id if isinstance(write, Register) else write.id
+            known = pending.get(name) or self.entries.get(name)
+            known = None if known and known.lifecycle == DELETED else known
             try:
-                entry = fit(write, entries, generation + 1)
+                entry = fit(write, known, generation + 1, full=count >= MOST_ENTRIES)
             except RefusedError as refusal:
                 outcomes.append(refusal)
                 continue
             generation += 1
-            total -= digest_of(text_of(entries.pop(entry.id))) if entry.id in entries else 0
-            if entry.lifecycle != DELETED:
-                entries[entry.id] = entry
-                total += digest_of(text_of(entry))
+            listed = entry.lifecycle != DELETED
+            total += part_of(entry if listed else None) - part_of(known)
+            count += listed - (known is not None)
+            pending[name] = entry
             changed.append(entry)
             outcomes.append(entry)
         if changed:
             self.commit(changed, generation, total % MODULUS)
-            self.entries, self.generation, self.sum = entries, generation, total % MODULUS
+            self.generation, self.sum = generation, total % MODULUS
             self.remember(changed)
         return outcomes
 
@@ -250,6 +259,10 @@
     def remember(self, changed: Sequence[Entry]) -> None:
         for entry in changed:
             self.history[entry.version] = entry
+            if entry.lifecycle == DELETED:
+                del self.entries[entry.id]
+            else:
+                self.entries[entry.id] = entry
         for generation in list(forgotten(self.history, self.generation - self.most_history)):
             del self.history[generation]
 
@@ -265,17 +278,16 @@
         yield generation
 
 
-def fit(write: Write, entries: dict[str, Entry], generation: int) -> Entry:
-    """The entry as the write leaves it; a RefusedError where it does not fit what is listed."""
+def fit(write: Write, known: Entry | None, generation: int, full: bool) -> Entry:
+    """The entry as the write leaves it; a RefusedError where it does not fit what is listed, `known`."""
     name = write.entry.id if isinstance(write, Register) else write.id
-    known = entries.get(name)
     version = known.version if known else 0
     if write.if_version is not None and write.if_version != version:
         raise RefusedError(f"{name} is at version {version}, not {write.if_version}")
     if isinstance(write, Register):
         if write.entry.lifecycle not in LIFECYCLES:
             raise RefusedError(f"{name} cannot be entered as {write.entry.lifecycle}")
-        if known is None and len(entries) >= MOST_ENTRIES:
+        if known is None and full:
             raise RefusedError(f"the list holds {MOST_ENTRIES} entries, and no more")
         if known and write.entry.started_ms < known.started_ms:
             raise RefusedError(f"{name} has started anew since")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -47,7 +47,7 @@
 
 
 def what_is_in(store: Store) -> tuple[object, ...]:
-    return store.identity, store.term, store.generation, store.entries, store.history
+    return store.identity, store.term, store.generation, dict(store.entries), dict(store.history)
 
 
 def test_what_was_written_is_there_after_a_restart(path: Path) -> None:
@@ -236,9 +236,9 @@
     for number in range(6):
         for write in (Register(entry(number)), Change(f"s-{number // 2}", "DRAINING")):
             one(store, write)
-            states.append(store.entries)
+            states.append(dict(store.entries))
     one(store, Remove("s-0"))
-    states.append(store.entries)
+    states.append(dict(store.entries))
     return store, states
 
 
