--- /dev/null
+++ b/orchidhatch/forms.py
@@ -0,0 +1,165 @@
+"""What goes over HTTP, as JSON: the list as the protocol gives it, and writes, checked field by field."""
+
+import json
+import math
+import re
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NoReturn
+
+from orchidhatch.store import LIFECYCLES, Change, Entry, Register, Remove
+
+MOST_BODY = 4096  # bytes; an entry takes some 300
+MOST_TEXT = 64
+MOST_CELL, MOST_WEIGHT = 1_000_000, 1000.0
+MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
+ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([1-9][0-9]{0,4})")
+
+
+class FormError(Exception):
+    """What came is not in form; the text is one plain line that names the field."""
+
+
+# --- out ---
+
+
+def instance(entry: Entry) -> dict[str, Any]:
+    """An entry as the protocol's page has it."""
+    return {
+        "instanceId": entry.id, "hostPort": entry.address, "zone": entry.zone, "machineType": entry.kind,
+        "cell": entry.cell, "lifecycle": entry.lifecycle, "weight": entry.weight,
+        "startedAtMs": entry.started_ms,
+    }
+
+
+def listing(generation: int, reset: bool, entries: Iterable[Entry]) -> bytes:
+    """The whole list, or the changes to it, on a line."""
+    value = {"generation": generation, "reset": reset, "instances": list(map(instance, entries))}
+    return json.dumps(value, separators=(",", ":"), allow_nan=False).encode() + b"\n"
+
+
+def written(entry: Entry) -> dict[str, Any]:
+    """What a writer is told: the entry, and the version and life to name in the next write."""
+    return {**instance(entry), "version": entry.version, "life": entry.life}
+
+
+# --- in ---
+
+
+def wrong(field: str, needed: str) -> NoReturn:
+    raise FormError(f"{field}: {needed}")
+
+
+def no_constant(name: str) -> NoReturn:
+    raise FormError(f"{name} is no number")
+
+
+def no_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    values = dict(pairs)
+    if len(values) != len(pairs):
+        raise FormError("a field is given twice")
+    return values
+
+
+def read_body(body: bytes) -> dict[str, Any]:
+    """A JSON object of bounded size; a number that is none is an error already here."""
+    if len(body) > MOST_BODY:
+        raise FormError(f"the body is longer than {MOST_BODY} bytes")
+    try:
+        values = json.loads(body, parse_constant=no_constant, object_pairs_hook=no_repeats)
+    except (ValueError, RecursionError) as error:  # not UTF-8 is a ValueError too, and so is a huge integer
+        raise FormError(f"the body is not JSON: {' '.join(str(error).split()):.120}") from error
+    if not isinstance(values, dict):
+        raise FormError("the body is not a JSON object")
+    return values
+
+
+def text(field: str, value: object) -> str:
+    if not isinstance(value, str) or not 0 < len(value) <= MOST_TEXT or not value.isprintable():
+        wrong(field, f"a text of 1 to {MOST_TEXT} printable characters is needed")
+    return value
+
+
+def name(field: str, value: object) -> str:
+    if not isinstance(value, str) or not ID.fullmatch(value):
+        wrong(field, f"1 to {MOST_TEXT} of letters, digits, '.', '_', '-' are needed, no sign first")
+    return value
+
+
+def address(field: str, value: object) -> str:
+    found = ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    if not found or int(found[2]) > 65535:
+        wrong(field, "host:port is needed, with a port from 1 to 65535")
+    return value
+
+
+def whole(most: int) -> Callable[[str, object], int]:
+    def read(field: str, value: object) -> int:
+        if type(value) is not int or not 0 <= value <= most:
+            wrong(field, f"a whole number from 0 to {most} is needed")
+        return value
+
+    return read
+
+
+def weight(field: str, value: object) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value) or not 0 < value <= MOST_WEIGHT:
+        wrong(field, f"a number above 0, and {MOST_WEIGHT:g} at most, is needed")
+    return float(value)
+
+
+def lifecycle(field: str, value: object) -> str:
+    if value not in LIFECYCLES:
+        wrong(field, f"one of {', '.join(LIFECYCLES)} is needed")
+    return str(value)
+
+
+Readers = Mapping[str, Callable[[str, object], Any]]
+
+ENTRY: Readers = {
+    "instanceId": name, "hostPort": address, "zone": text, "machineType": text, "cell": whole(MOST_CELL),
+    "lifecycle": lifecycle, "weight": weight, "startedAtMs": whole(MOST_TIME_MS),
+}
+DEFAULTS = {"cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}
+CONDITION: Readers = {"ifVersion": whole(MOST_TIME_MS)}
+LIFE: Readers = {"life": whole(MOST_TIME_MS)}
+
+
+def fields(values: Mapping[str, Any], readers: Readers, optional: Iterable[str]) -> dict[str, Any]:
+    """The fields read; one that is unknown or lacking is an error."""
+    unknown = sorted(set(values) - set(readers))
+    if unknown:
+        raise FormError(f"{unknown[0]!r:.80} is no field here; there are {', '.join(readers)}")
+    for field in readers:
+        if field not in values and field not in optional:
+            wrong(field, "is needed")
+    return {field: read(field, values[field]) for field, read in readers.items() if field in values}
+
+
+def read_register(body: bytes) -> Register:
+    """A backend that enters the list, or enters it anew."""
+    found = {**DEFAULTS, **fields(read_body(body), {**ENTRY, **CONDITION}, {*DEFAULTS, *CONDITION})}
+    entry = Entry(
+        found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
+        found["lifecycle"], found["weight"], found["startedAtMs"],
+    )
+    return Register(entry, found.get("ifVersion"))
+
+
+def read_change(id_: str, body: bytes) -> Change:
+    found = fields(read_body(body), {"lifecycle": lifecycle, **CONDITION}, CONDITION)
+    return Change(name("instanceId", id_), found["lifecycle"], found.get("ifVersion"))
+
+
+def read_remove(id_: str, body: bytes) -> Remove:
+    found = fields(read_body(body or b"{}"), {**CONDITION, **LIFE}, {*CONDITION, *LIFE})
+    return Remove(name("instanceId", id_), found.get("ifVersion"), found.get("life"))
+
+
+def read_after(value: str) -> int:
+    """The generation that a watch goes on from; 0 for one that knows none."""
+    if not (value.isascii() and value.isdigit()) or len(value) > 16:
+        wrong("after", "a generation is needed")
+    return int(value)
+
+
