--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -11,6 +11,7 @@
 MOST_BODY = 4096  # bytes; an entry takes some 300
 MOST_TEXT = 64
 MOST_CELL, MOST_WEIGHT = 1_000_000, 1000.0
+MOST_LEASE_MS = 24 * 3600 * 1000
 MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
 ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([1-9][0-9]{0,4})")
@@ -40,7 +41,7 @@
 
 def written(entry: Entry) -> dict[str, Any]:
     """What a writer is told: the entry, and the version and life to name in the next write."""
-    return {**instance(entry), "version": entry.version, "life": entry.life}
+    return {**instance(entry), "version": entry.version, "life": entry.life, "leaseMs": entry.lease_ms}
 
 
 # --- in ---
@@ -121,6 +122,7 @@
     "lifecycle": lifecycle, "weight": weight, "startedAtMs": whole(MOST_TIME_MS),
 }
 DEFAULTS = {"cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}
+LEASE: Readers = {"leaseMs": whole(MOST_LEASE_MS)}
 CONDITION: Readers = {"ifVersion": whole(MOST_TIME_MS)}
 LIFE: Readers = {"life": whole(MOST_TIME_MS)}
 
@@ -138,10 +140,11 @@
 
 def read_register(body: bytes) -> Register:
     """A backend that enters the list, or enters it anew."""
-    found = {**DEFAULTS, **fields(read_body(body), {**ENTRY, **CONDITION}, {*DEFAULTS, *CONDITION})}
+    given = fields(read_body(body), {**ENTRY, **LEASE, **CONDITION}, {*DEFAULTS, *LEASE, *CONDITION})
+    found = {**DEFAULTS, **given}
     entry = Entry(
         found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
-        found["lifecycle"], found["weight"], found["startedAtMs"],
+        found["lifecycle"], found["weight"], found["startedAtMs"], lease_ms=found.get("leaseMs", 0),
     )
     return Register(entry, found.get("ifVersion"))
 
@@ -156,6 +159,11 @@
     return Remove(name("instanceId", id_), found.get("ifVersion"), found.get("life"))
 
 
+def read_renewal(body: bytes) -> int:
+    """The life that goes on."""
+    return int(fields(read_body(body), LIFE, ())["life"])
+
+
 def read_after(value: str) -> int:
     """The generation that a watch goes on from; 0 for one that knows none."""
     if not (value.isascii() and value.isdigit()) or len(value) > 16:
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -32,6 +32,14 @@
 """
 
 
+class RefusedError(Exception):
+    """A write that does not fit what is there; nothing was changed."""
+
+
+class UnlistedError(RefusedError):
+    """A write to what is not listed."""
+
+
 class StoreError(Exception):
     """The store cannot be opened or written; the text is one plain line."""
 
@@ -40,10 +48,6 @@
     """What is on disk is not what was written. The file is left as it is, for a person to look at."""
 
 
-class RefusedError(Exception):
-    """A write that does not fit what is there; nothing was changed."""
-
-
 @dataclass(frozen=True, slots=True)
 class Entry:
     """A backend as listed: `version` is the generation of its last change, `life` of its registration."""
@@ -58,6 +62,7 @@
     started_ms: int
     version: int = 0
     life: int = 0
+    lease_ms: int = 0  # how long it is listed without a renewal; 0: until it is removed
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +116,14 @@
     return Entry(**json.loads(text))
 
 
+class Batch:
+    """Writes that were held against the list, and what they come to."""
+
+    def __init__(self, outcomes: list[Entry | RefusedError], generation: int, total: int) -> None:
+        self.outcomes, self.generation, self.total = outcomes, generation, total
+        self.changed = [outcome for outcome in outcomes if isinstance(outcome, Entry)]
+
+
 class Store:
     """An open store. One process at a time has it, by a lock that ends with the process.
 
@@ -125,7 +138,8 @@
         if not create and not (path.is_file() and path.stat().st_size):
             raise StoreError(f"there is no store at {path.name}; make a new one, or rebuild it")
         try:
-            self.db = sqlite3.connect(path, isolation_level=None, timeout=0.0)
+            # One thread at a time uses it, but not always the same.
+            self.db = sqlite3.connect(path, isolation_level=None, timeout=0.0, check_same_thread=False)
             try:
                 self.open(create)
             except BaseException:
@@ -210,10 +224,16 @@
 
         A StoreError means that none of them holds: the disk is full or cannot be written.
         """
+        batch = self.plan(writes)
+        self.commit(batch)
+        self.take(batch)
+        return batch.outcomes
+
+    def plan(self, writes: Sequence[Write]) -> "Batch":
+        """What a batch comes to; nothing is changed yet. The next is planned once this one has been taken."""
         generation, total, count = self.generation, self.sum, len(self.entries)
         pending: dict[str, Entry] = {}  # as the batch leaves them; one that it removes is DELETED there
         outcomes: list[Entry | RefusedError] = []
-        changed: list[Entry] = []
         for write in writes:
             name = write.entry.id if isinstance(write, Register) else write.id
             known = pending.get(name) or self.entries.get(name)
@@ -228,18 +248,16 @@
             total += part_of(entry if listed else None) - part_of(known)
             count += listed - (known is not None)
             pending[name] = entry
-            changed.append(entry)
             outcomes.append(entry)
-        if changed:
-            self.commit(changed, generation, total % MODULUS)
-            self.generation, self.sum = generation, total % MODULUS
-            self.remember(changed)
-        return outcomes
+        return Batch(outcomes, generation, total % MODULUS)
 
-    def commit(self, changed: Sequence[Entry], generation: int, total: int) -> None:
+    def commit(self, batch: "Batch") -> None:
+        """Make it durable. This waits for the disk, and may be called from another thread."""
+        if not batch.changed:
+            return
         try:
             self.db.execute("BEGIN IMMEDIATE")
-            for entry in changed:
+            for entry in batch.changed:
                 text = text_of(entry)
                 if entry.lifecycle == DELETED:
                     self.db.execute("DELETE FROM entries WHERE id = ?", (entry.id,))
@@ -247,17 +265,20 @@
                     self.db.execute("INSERT OR REPLACE INTO entries VALUES (?, ?)", (entry.id, text))
                 self.db.execute("INSERT INTO history VALUES (?, ?, ?)",
                                 (entry.version, text, f"{digest_of(f'{entry.version} {text}'):064x}"))
-            self.db.execute("DELETE FROM history WHERE generation <= ?", (generation - self.most_history,))
+            last = batch.generation - self.most_history
+            self.db.execute("DELETE FROM history WHERE generation <= ?", (last,))
             self.db.execute("UPDATE meta SET generation = ?, digest = ?",
-                            (generation, seal(self.identity, self.term, generation, total)))
+                            (batch.generation, seal(self.identity, self.term, batch.generation, batch.total)))
             self.db.execute("COMMIT")
         except sqlite3.Error as error:
             if self.db.in_transaction:
                 self.db.execute("ROLLBACK")
             raise StoreError(f"cannot write {self.path.name}: {error}") from error
 
-    def remember(self, changed: Sequence[Entry]) -> None:
-        for entry in changed:
+    def take(self, batch: "Batch") -> None:
+        """Show readers a batch that is durable."""
+        self.generation, self.sum = batch.generation, batch.total
+        for entry in batch.changed:
             self.history[entry.version] = entry
             if entry.lifecycle == DELETED:
                 del self.entries[entry.id]
@@ -293,7 +314,7 @@
             raise RefusedError(f"{name} has started anew since")
         return replace(write.entry, version=generation, life=generation)
     if known is None:
-        raise RefusedError(f"{name} is not listed")
+        raise UnlistedError(f"{name} is not listed")
     if isinstance(write, Remove):
         if write.life not in (None, known.life):
             raise RefusedError(f"{name} is in another life since")
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -28,7 +28,7 @@
     assert listing(41, True, [entry]) == (
         b'{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:6379",'
         b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]}\n')
-    assert written(entry).items() >= {**GIVEN, "version": 0, "life": 0}.items()
+    assert written(entry).items() >= {**GIVEN, "version": 0, "life": 0, "leaseMs": 0}.items()
 
 
 def test_what_is_left_out_has_its_ordinary_value() -> None:
