Begin a new store's generations above those of any before it

Cause: a store made anew after one was lost began at 0; once past a generation that a front door knew from the old one, that door's watch would have resumed over another list's changes. Generations must not mean two lists.

Change: a new store goes on from the time in milliseconds, and keeps and seals where it began. Test: a watch that names a generation of the store before is sent the whole list.

--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -382,7 +382,9 @@
 
 
 async def serve(options: argparse.Namespace) -> None:
-    registry = Registry(Store(options.store, options.create), seed=os.getpid())
+    # A new store goes on from the time in ms: above what one before it gave, at under 1,000 writes a second.
+    store = Store(options.store, options.create, first=time.time_ns() // 1_000_000)
+    registry = Registry(store, seed=os.getpid())
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -25,7 +25,7 @@
 PRAGMA user_version = {FORMAT};
 CREATE TABLE meta (
   only INTEGER PRIMARY KEY CHECK (only = 1), identity TEXT NOT NULL, term INTEGER NOT NULL,
-  generation INTEGER NOT NULL, digest TEXT NOT NULL
+  first INTEGER NOT NULL, generation INTEGER NOT NULL, digest TEXT NOT NULL
 ) STRICT;
 CREATE TABLE entries (id TEXT PRIMARY KEY, record TEXT NOT NULL) STRICT, WITHOUT ROWID;
 CREATE TABLE history (generation INTEGER PRIMARY KEY, record TEXT NOT NULL, digest TEXT NOT NULL) STRICT;
@@ -107,9 +107,9 @@
     return digest_of(text_of(entry)) if entry else 0
 
 
-def seal(identity: str, term: int, generation: int, entries: int) -> str:
+def seal(identity: str, term: int, first: int, generation: int, entries: int) -> str:
     """The digest of all but the history: the entries come in as the sum of theirs."""
-    return hashlib.sha256(f"{identity} {term} {generation} {entries:064x}".encode()).hexdigest()
+    return hashlib.sha256(f"{identity} {term} {first} {generation} {entries:064x}".encode()).hexdigest()
 
 
 def read_entry(text: str) -> Entry:
@@ -127,11 +127,15 @@
 class Store:
     """An open store. One process at a time has it, by a lock that ends with the process.
 
-    A new one is made only where that is asked for: a file that is gone or empty is no empty list.
+    A new one is made only where that is asked for: a file that is gone or empty is no empty list. Its
+    generations go on from `first`, which is to be above all that any store before it has given, as a watch
+    would else resume over another list's changes.
     """
 
-    def __init__(self, path: Path, create: bool = False, most_history: int = MOST_HISTORY) -> None:
-        self.path, self.most_history = path, most_history
+    def __init__(
+        self, path: Path, create: bool = False, first: int = 0, most_history: int = MOST_HISTORY
+    ) -> None:
+        self.path, self.first, self.most_history = path, first, most_history
         self.entries: dict[str, Entry] = {}
         self.history: dict[int, Entry] = {}  # by generation; one removed is DELETED there
         self.sum = 0
@@ -165,16 +169,16 @@
 
     def create(self) -> None:
         """All of it or nothing: one that was cut short is begun anew."""
-        self.identity, self.term, self.generation = secrets.token_hex(8), 1, 0
+        self.identity, self.term, self.generation = secrets.token_hex(8), 1, self.first
         for statement in filter(None, map(str.strip, SCHEMA.split(";"))):
             self.db.execute(statement)
-        self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?)",
-                        (self.identity, self.term, self.generation, self.seal()))
+        self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?, ?)",
+                        (self.identity, self.term, self.first, self.generation, self.seal()))
         self.db.execute("COMMIT")
         self.db.execute("BEGIN IMMEDIATE")
 
     def seal(self) -> str:
-        return seal(self.identity, self.term, self.generation, self.sum)
+        return seal(self.identity, self.term, self.first, self.generation, self.sum)
 
     def load(self) -> None:
         """Read everything, and hold it against its digests."""
@@ -190,8 +194,8 @@
             raise DamagedError(f"{self.path.name} is damaged: {' '.join(str(error).split()):.200}") from error
 
     def read(self) -> None:
-        [(self.identity, self.term, self.generation, digest)] = self.db.execute(
-            "SELECT identity, term, generation, digest FROM meta").fetchall()
+        [(self.identity, self.term, self.first, self.generation, digest)] = self.db.execute(
+            "SELECT identity, term, first, generation, digest FROM meta").fetchall()
         for name, text in self.db.execute("SELECT id, record FROM entries"):
             entry = self.entries[name] = read_entry(text)
             if entry.id != name:
@@ -204,7 +208,8 @@
             if digest != f"{digest_of(f'{generation} {text}'):064x}" or expected not in (None, generation):
                 raise ValueError(f"change {generation} of the history does not fit its digest or its place")
             self.history[generation], expected = read_entry(text), generation + 1
-        if expected not in (None, self.generation + 1) or (self.generation and expected is None):
+        none = self.generation == self.first  # no change yet, so none to be there
+        if expected not in (None, self.generation + 1) or (expected is None) != none:
             raise ValueError("the history does not end at the generation")
 
     # --- reads ---
@@ -268,7 +273,8 @@
             last = batch.generation - self.most_history
             self.db.execute("DELETE FROM history WHERE generation <= ?", (last,))
             self.db.execute("UPDATE meta SET generation = ?, digest = ?",
-                            (batch.generation, seal(self.identity, self.term, batch.generation, batch.total)))
+                            (batch.generation,
+                             seal(self.identity, self.term, self.first, batch.generation, batch.total)))
             self.db.execute("COMMIT")
         except sqlite3.Error as error:
             if self.db.in_transaction:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -312,3 +312,13 @@
     path.write_bytes(b"nothing of the kind" * 300)
     with pytest.raises(DamagedError, match="not a database"):
         Store(path)
+
+
+def test_watch_of_a_store_before_is_told_the_whole_list(path: Path) -> None:
+    store = Store(path, create=True, first=1_000)
+    assert store.generation == 1_000 and store.changes(999) is None and store.changes(1_000) == []
+    assert one(store, Register(entry(1))).version == 1_001
+    assert store.changes(41) is None
+    store.close()
+    again = Store(path, create=True, first=5_000)  # it is there: nothing is begun anew
+    assert again.generation == 1_001 and again.first == 1_000 and len(again.changes(1_000)) == 1
