Give operators a command line for the list service

Tests run it as a process: a round of every command, each kind of no in one plain line, a watch that shows changes and says when it ends, a service that is not there.

--- /dev/null
+++ b/orchidhatch/client.py
@@ -0,0 +1,155 @@
+"""The operators' command line for the list service.
+
+    python -m orchidhatch.client --at 127.0.0.1:8500 list
+    python -m orchidhatch.client --at 127.0.0.1:8500 register s-1 127.0.0.1:7001 --zone a --kind m2
+    python -m orchidhatch.client --at 127.0.0.1:8500 drain s-1 --if-version V
+
+Ends with 0 when it was done, 1 when the service said no or does not answer, 2 when the call makes no sense.
+"""
+
+import argparse
+import http.client
+import json
+import sys
+from collections.abc import Iterator
+from typing import Any
+from urllib.parse import quote
+
+TIMEOUT_S = 10.0  # for an answer; the service ends a call after 5 s
+SILENT_S = 6.0  # a watch has an empty line every 2 s
+
+
+class CallError(Exception):
+    """The service said no, or nothing that can be used; the text is one plain line."""
+
+
+def connect(at: str, timeout_s: float) -> http.client.HTTPConnection:
+    host, colon, port = at.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise CallError(f"'{at}' is not host:port")
+    return http.client.HTTPConnection(host, int(port), timeout=timeout_s)
+
+
+def reason(status: int, text: bytes) -> str:
+    try:
+        return f"no ({status}): {json.loads(text)['error']}"
+    except (ValueError, KeyError, TypeError):
+        return f"no ({status})"
+
+
+def call(at: str, method: str, path: str, body: dict[str, Any] | None = None) -> Any:  # noqa: ANN401 - JSON
+    connection = connect(at, TIMEOUT_S)
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None)
+        answer = connection.getresponse()
+        text = answer.read()
+        if answer.status != 200:
+            raise CallError(reason(answer.status, text))
+        return json.loads(text)
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        raise CallError(f"no answer from {at}: {error or type(error).__name__}") from error
+    finally:
+        connection.close()
+
+
+def lines(at: str, after: int) -> Iterator[dict[str, Any]]:
+    """What a watch tells, until the service ends it."""
+    connection = connect(at, SILENT_S)
+    try:
+        connection.request("GET", f"/catalog/members?watch=1&after={after}")
+        answer = connection.getresponse()
+        if answer.status != 200:
+            raise CallError(reason(answer.status, answer.read()))
+        while line := answer.readline():
+            if line.strip():
+                yield json.loads(line)
+        raise CallError(f"{at} ended the watch")
+    except (OSError, http.client.HTTPException, ValueError) as error:
+        raise CallError(f"the watch on {at} broke off: {error or type(error).__name__}") from error
+    finally:
+        connection.close()
+
+
+def shown(entry: dict[str, Any]) -> str:
+    names = ("instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs")
+    return "\t".join(str(entry.get(name, "-")) for name in (*names, "version", "life") if name in entry)
+
+
+def show_news(news: dict[str, Any]) -> None:
+    print(f"generation {news['generation']}, {'the whole list' if news['reset'] else 'changes'}:")
+    for entry in news["instances"]:
+        print(shown(entry))
+    sys.stdout.flush()
+
+
+def given(**values: object) -> dict[str, Any]:
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def carry_out(options: argparse.Namespace) -> None:
+    at, id_ = options.at, quote(getattr(options, "id", ""), safe="")
+    match options.command:
+        case "list":
+            show_news(call(at, "GET", "/catalog/members"))
+        case "watch":
+            for news in lines(at, options.after):
+                show_news(news)
+        case "show":
+            print(shown(call(at, "GET", f"/entries/{id_}")))
+        case "register":
+            body = given(instanceId=options.id, hostPort=options.address, zone=options.zone,
+                         machineType=options.kind, cell=options.cell, weight=options.weight,
+                         startedAtMs=options.started_ms, leaseMs=options.lease_ms,
+                         ifVersion=options.if_version)
+            print(shown(call(at, "POST", "/entries", body)))
+        case "drain" | "serve":
+            lifecycle = "DRAINING" if options.command == "drain" else "SERVING"
+            body = given(lifecycle=lifecycle, ifVersion=options.if_version)
+            print(shown(call(at, "POST", f"/entries/{id_}/lifecycle", body)))
+        case "renew":
+            call(at, "POST", f"/entries/{id_}/renew", {"life": options.life})
+            print(f"{options.id} goes on")
+        case "remove":
+            print(shown(call(at, "DELETE", f"/entries/{id_}", given(ifVersion=options.if_version))))
+
+
+def parser() -> argparse.ArgumentParser:
+    whole = argparse.ArgumentParser(prog="orchidhatch.client", description=__doc__.partition("\n")[0])
+    whole.add_argument("--at", required=True, metavar="HOST:PORT", help="the list service")
+    commands = whole.add_subparsers(dest="command", required=True)
+    commands.add_parser("list", help="the whole list")
+    commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
+        "--after", type=int, default=0, metavar="GENERATION")
+    for name, text in (("show", "one entry, with its version and life"), ("drain", "nothing new goes to it"),
+                       ("serve", "it may be used again"), ("remove", "take it off the list"),
+                       ("renew", "its lease begins anew"), ("register", "enter it, or enter it anew")):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("id")
+        if name in ("drain", "serve", "remove", "register"):
+            command.add_argument("--if-version", type=int, help="only if it is at this one (0: not listed)")
+        if name == "renew":
+            command.add_argument("--life", type=int, required=True)
+        if name == "register":
+            command.add_argument("address", metavar="HOST:PORT")
+            command.add_argument("--zone", required=True)
+            command.add_argument("--kind", required=True)
+            command.add_argument("--weight", type=float)
+            for option in ("--cell", "--started-ms", "--lease-ms"):
+                command.add_argument(option, type=int)
+    return whole
+
+
+def main() -> int:
+    try:
+        carry_out(parser().parse_args())
+    except CallError as error:
+        print(f"orchidhatch.client: {error}", file=sys.stderr)
+        return 1
+    except (KeyboardInterrupt, BrokenPipeError):
+        sys.stderr.close()  # who reads no more is told no more
+        return 0
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
