Part serving the list from writing it, and name the store whose generations a watch gets

Need: the agent on a front door's machine serves the same calls from another's list. Each watch's head names the store and its term, and a watch that names another is sent the whole list. Connections past the bound on calls are turned away with a time.

--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -8,212 +8,52 @@
 
 import argparse
 import asyncio
-import json
 import logging
 import os
-import random
 import signal
 import sys
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 from pathlib import Path
-from urllib.parse import parse_qs, unquote, urlsplit
-
-import h11
-
-from orchidhatch.forms import (
-    MOST_BODY,
-    FormError,
-    listing,
-    read_after,
-    read_change,
-    read_register,
-    read_remove,
-    read_renewal,
-    written,
-)
+
+from orchidhatch.forms import read_change, read_register, read_remove, read_renewal, written
 from orchidhatch.leases import TICK_S, Leases
+from orchidhatch.server import Answer, Connection, ListServer, busy, told
 from orchidhatch.store import Entry, RefusedError, Remove, Store, StoreError, UnlistedError, Write
 
 log = logging.getLogger("orchidhatch.registry")
 
-MOST_HEAD = 8192  # bytes
-PATIENCE_S = 5.0  # for a whole call to come, and for its answer to be read
-BEAT_S = 2.0  # an empty line to each watch, by the protocol
-MOST_UNSENT = 256 * 1024  # bytes that a watch may leave unread beyond the list it began with
-MOST_WATCHES, MOST_CALLS = 10_000, 2_000  # connections of either kind
 MOST_WRITES, MOST_BATCH = 1_000, 500  # that wait; that go to disk together
-COME_AGAIN_S = (1, 5)  # who is turned away is told a time from these, so that they don't return together
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    status: int
-    value: object
-    kind: str = "application/json"
-
-
-def told(text: str) -> dict[str, str]:
-    return {"error": text}
-
-
-def busy(text: str) -> Answer:
-    return Answer(503, told(text))
-
-
-class Connection(asyncio.Protocol):
-    """One call, answered and closed; or a watch, until either side ends it."""
-
-    def __init__(self, registry: "Registry") -> None:
-        self.registry = registry
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
-        self.request: h11.Request | None = None
-        self.body = bytearray()
-        self.transport: asyncio.Transport | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.watches, self.generation = False, 0  # what this watch has been told
-        self.answered = False
-        self.first = 0  # bytes of the list that a watch began with
 
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        self.transport = transport
-        self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.too_late)
-        self.registry.calls.add(self)
 
-    def data_received(self, data: bytes) -> None:
-        if self.answered or self.watches:
-            return
-        try:
-            self.http.receive_data(data)
-            while not self.answered and (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
-                self.take(event)
-        except h11.RemoteProtocolError as error:
-            self.answer(Answer(error.error_status_hint, told(str(error))))
-
-    def take(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Request):
-            self.request = event
-            if self.http.they_are_waiting_for_100_continue:
-                self.transport.write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
-        elif isinstance(event, h11.Data):
-            self.body += event.data
-            if len(self.body) > MOST_BODY:
-                self.answer(Answer(413, told(f"the body is longer than {MOST_BODY} bytes")))
-        elif isinstance(event, h11.EndOfMessage):
-            try:
-                self.registry.call(self)
-            except (FormError, ValueError) as error:
-                self.answer(Answer(400, told(str(error))))
-            except Exception:
-                log.exception("cannot answer %r", self.request)
-                self.answer(Answer(500, told("internal error")))
-        elif isinstance(event, h11.ConnectionClosed):
-            self.transport.close()
-
-    def answer(self, answer: Answer) -> None:
-        """The whole answer, and the end of the connection; nothing where it has ended already."""
-        if self.answered or self.watches or self.transport.is_closing():
-            return
-        self.answered = True
-        self.registry.count(answer.status)
-        value = answer.value
-        body = value if isinstance(value, bytes) else json.dumps(value).encode() + b"\n"
-        headers = [("Content-Type", answer.kind), ("Content-Length", str(len(body))), ("Connection", "close")]
-        if answer.status == 503:
-            headers.append(("Retry-After", str(self.registry.random.randint(*COME_AGAIN_S))))
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.transport.write(self.http.send(h11.Response(status_code=answer.status, headers=headers))
-                                 + self.http.send(h11.Data(data=body)))
-        self.transport.close()
-
-    def watch(self, after: int) -> None:
-        """Begin with what changed since, or else with the whole list."""
-        self.timer.cancel()
-        self.watches = True
-        line = self.registry.line(after) if after else self.registry.whole()  # 0: it knows none
-        self.first, self.generation = len(line), self.registry.store.generation
-        headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked")]
-        self.transport.write(self.http.send(h11.Response(status_code=200, headers=headers)) + chunk(line))
-
-    def tell(self, data: bytes) -> None:
-        """A chunk, unless too much is unread: then the watch ends, and resumes by what it has had."""
-        unsent = self.transport.get_write_buffer_size()
-        self.first = min(self.first, unsent)  # what is left of the list that it began with
-        if unsent - self.first > MOST_UNSENT:
-            self.registry.cut += 1
-            self.transport.abort()
-        else:
-            self.transport.write(data)
-
-    def too_late(self) -> None:
-        if self.answered:
-            self.transport.abort()
-        else:
-            self.answer(Answer(408, told("no whole call came in time")))
-            self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.transport.abort)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.timer.cancel()
-        self.registry.calls.discard(self)
-        self.registry.watches.pop(self, None)
-
-
-def chunk(data: bytes) -> bytes:
-    """A chunk of a body without a length. All watches get the same bytes, so no one's state makes them."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
-class Registry:
+class Registry(ListServer):
     """The list and those who read and write it."""
 
     def __init__(
         self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None
     ) -> None:
-        self.store, self.clock, self.random = store, clock, random.Random(seed)
+        super().__init__(store, seed)
+        self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
-        self.calls: set[Connection] = set()
-        self.watches: dict[Connection, None] = {}
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
         self.wake = asyncio.Event()
-        self.statuses: dict[int, int] = {}
-        self.cut = self.shed = self.expired = self.batches = self.writes = 0
+        self.expired = self.batches = self.writes = 0
         self.commit_s = self.longest_commit_s = 0.0
         self.committing: asyncio.Future[None] | None = None
         self.broken = ""  # why the last batch could not be written
-        self.server: asyncio.Server | None = None
-        self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self, host: str, port: int) -> None:
-        loop = asyncio.get_running_loop()
-        self.tasks = [loop.create_task(job) for job in (self.write(), self.look(), self.beat())]
-        self.server = await loop.create_server(lambda: Connection(self), host, port, backlog=1024)
-
-    async def close(self) -> None:
-        """Let what is on its way to the disk get there; end the rest."""
-        if self.server:
-            self.server.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, *filter(None, [self.committing]), return_exceptions=True)
-        for connection in [*self.calls, *self.watches]:
-            connection.transport.abort()
-        self.store.close()
-
-    def count(self, status: int) -> None:
-        self.statuses[status] = self.statuses.get(status, 0) + 1
+        await super().start(host, port)
+        self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
+
+    def last(self) -> Sequence[asyncio.Future[None]]:
+        return [self.committing] if self.committing else []
 
     # --- calls ---
 
-    def call(self, connection: Connection) -> None:
-        """A whole call: answered at once, made a watch, or left to wait for the disk."""
-        request, body = connection.request, bytes(connection.body)
-        method, target = request.method.decode(), urlsplit(request.target.decode(errors="replace"))
-        path = tuple(map(unquote, target.path.split("/")[1:]))
+    def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
         match method, path:
-            case "GET", ("catalog", "members"):
-                self.members(connection, parse_qs(target.query, keep_blank_values=True))
             case "POST", ("entries",):
                 self.queue(read_register(body), connection)
             case "POST", ("entries", id_, "lifecycle"):
@@ -225,32 +65,11 @@
             case "GET", ("entries", id_):
                 known = self.store.entries.get(id_)
                 connection.answer(Answer(200, written(known)) if known else Answer(404, told("not listed")))
-            case "GET", ("healthcheck",):
-                connection.answer(busy(self.broken) if self.broken else Answer(200, {"health": "serves"}))
-            case "GET", ("metrics",):
-                connection.answer(Answer(200, self.figures().encode(), "text/plain; version=0.0.4"))
             case _:
-                connection.answer(Answer(404, told("no such call")))
-
-    def members(self, connection: Connection, query: dict[str, list[str]]) -> None:
-        if query.get("watch", ["0"]) != ["1"]:
-            connection.answer(Answer(200, self.whole()))
-        elif len(self.watches) >= MOST_WATCHES:
-            self.shed += 1
-            connection.answer(busy("too many watches"))
-        else:
-            after = read_after(query.get("after", ["0"])[-1])
-            self.calls.discard(connection)
-            self.watches[connection] = None
-            connection.watch(after)
-
-    def whole(self) -> bytes:
-        return listing(self.store.generation, True, self.store.entries.values())
+                super().other(connection, method, path, body)
 
-    def line(self, after: int) -> bytes:
-        """What changed after a generation, or else the whole list."""
-        changes = self.store.changes(after)
-        return self.whole() if changes is None else listing(self.store.generation, False, changes)
+    def health(self) -> Answer:
+        return busy(self.broken) if self.broken else super().health()
 
     def renew(self, id_: str, life: int) -> Answer:
         if self.leases.renew(id_, life, self.clock()):
@@ -321,16 +140,6 @@
             elif known == entry:
                 self.leases.begin(known, self.clock())
 
-    def spread(self) -> None:
-        """Tell all watches; those that know the same are sent the same bytes."""
-        lines: dict[int, bytes] = {}
-        for connection in list(self.watches):
-            known = connection.generation
-            if known not in lines:
-                lines[known] = chunk(self.line(known))
-            connection.generation = self.store.generation
-            connection.tell(lines[known])
-
     async def look(self) -> None:
         """Have those leave whose leases have run out."""
         while True:
@@ -345,27 +154,14 @@
                 log.error("ALARM: %d of %d leases would run out together; they are held",
                           self.leases.held, len(self.leases.due))
 
-    async def beat(self) -> None:
-        while True:
-            await asyncio.sleep(BEAT_S)
-            for connection in list(self.watches):
-                connection.tell(chunk(b"\n"))
-
     def figures(self) -> str:
-        values = {
-            "generation": self.store.generation, "term": self.store.term, "entries": len(self.store.entries),
-            "watches": len(self.watches), "calls": len(self.calls), "writes_waiting": len(self.waiting),
-            "writes_total": self.writes, "batches_total": self.batches,
+        return self.lines("registry", {
+            "writes_waiting": len(self.waiting), "writes_total": self.writes, "batches_total": self.batches,
             "commit_seconds_total": round(self.commit_s, 6),
             "longest_commit_seconds": round(self.longest_commit_s, 6),
             "leases": len(self.leases.due), "leases_held": self.leases.held,
-            "leases_expired_total": self.expired, "watches_cut_total": self.cut, "shed_total": self.shed,
-            "broken": int(bool(self.broken)),
-        }
-        lines = [f"registry_{name} {value}" for name, value in values.items()]
-        lines += [f'registry_answers_total{{status="{status}"}} {count}'
-                  for status, count in sorted(self.statuses.items())]
-        return "\n".join(lines) + "\n"
+            "leases_expired_total": self.expired, "broken": int(bool(self.broken)),
+        })
 
 
 def outcome_of(outcome: Entry | RefusedError) -> Answer:
@@ -389,7 +185,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     await registry.start(*options.listen)
-    at = registry.server.sockets[0].getsockname()
+    at = registry.listener.sockets[0].getsockname()
     log.info("serves generation %d of %s at %s:%d", registry.store.generation, registry.store.identity, *at)
     await stopped.wait()
     await registry.close()
--- /dev/null
+++ b/orchidhatch/server.py
@@ -0,0 +1,260 @@
+"""Serving the list over HTTP: one call to a connection, and watches, as the protocol's page gives them."""
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import h11
+
+from orchidhatch.forms import MOST_BODY, FormError, listing, read_after
+from orchidhatch.store import Store
+
+log = logging.getLogger("orchidhatch")
+
+MOST_HEAD = 8192  # bytes
+PATIENCE_S = 5.0  # for a whole call to come, and for its answer to be read
+BEAT_S = 2.0  # an empty line to each watch, by the protocol
+MOST_UNSENT = 256 * 1024  # bytes that a watch may leave unread beyond the list it began with
+MOST_WATCHES, MOST_CALLS = 10_000, 2_000  # connections of either kind
+COME_AGAIN_S = (1, 5)  # who is turned away is told a time from these, so that they don't return together
+STORE_HEADER = "Orchidhatch-Store"  # whose generations these are: the store's identity and term
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    value: object
+    kind: str = "application/json"
+
+
+def told(text: str) -> dict[str, str]:
+    return {"error": text}
+
+
+def busy(text: str) -> Answer:
+    return Answer(503, told(text))
+
+
+class Connection(asyncio.Protocol):
+    """One call, answered and closed; or a watch, until either side ends it."""
+
+    def __init__(self, server: "ListServer") -> None:
+        self.server = server
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+        self.transport: asyncio.Transport | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.watches, self.generation = False, 0  # what this watch has been told
+        self.answered = False
+        self.first = 0  # bytes of the list that a watch began with
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.too_late)
+        self.server.calls.add(self)
+        if len(self.server.calls) > MOST_CALLS:
+            self.server.shed += 1
+            self.answer(busy("too many calls"))
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered or self.watches:
+            return
+        try:
+            self.http.receive_data(data)
+            while not self.answered and (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                self.take(event)
+        except h11.RemoteProtocolError as error:
+            self.answer(Answer(error.error_status_hint, told(str(error))))
+
+    def take(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Request):
+            self.request = event
+            if self.http.they_are_waiting_for_100_continue:
+                self.transport.write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+            if len(self.body) > MOST_BODY:
+                self.answer(Answer(413, told(f"the body is longer than {MOST_BODY} bytes")))
+        elif isinstance(event, h11.EndOfMessage):
+            try:
+                self.server.call(self)
+            except (FormError, ValueError) as error:
+                self.answer(Answer(400, told(str(error))))
+            except Exception:
+                log.exception("cannot answer %r", self.request)
+                self.answer(Answer(500, told("internal error")))
+        elif isinstance(event, h11.ConnectionClosed):
+            self.transport.close()
+
+    def answer(self, answer: Answer) -> None:
+        """The whole answer, and the end of the connection; nothing where it has ended already."""
+        if self.answered or self.watches or self.transport.is_closing():
+            return
+        self.answered = True
+        self.server.count(answer.status)
+        value = answer.value
+        body = value if isinstance(value, bytes) else json.dumps(value).encode() + b"\n"
+        headers = [("Content-Type", answer.kind), ("Content-Length", str(len(body))), ("Connection", "close")]
+        if answer.status == 503:
+            headers.append(("Retry-After", str(self.server.random.randint(*COME_AGAIN_S))))
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.transport.write(self.http.send(h11.Response(status_code=answer.status, headers=headers))
+                                 + self.http.send(h11.Data(data=body)))
+        self.transport.close()
+
+    def watch(self, after: int) -> None:
+        """Begin with what changed since, or else with the whole list."""
+        self.timer.cancel()
+        self.watches = True
+        line = self.server.line(after) if after else self.server.whole()  # 0: it knows none
+        self.first, self.generation = len(line), self.server.store.generation
+        headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked"),
+                   (STORE_HEADER, self.server.store_name())]
+        self.transport.write(self.http.send(h11.Response(status_code=200, headers=headers)) + chunk(line))
+
+    def tell(self, data: bytes) -> None:
+        """A chunk, unless too much is unread: then the watch ends, and resumes by what it has had."""
+        unsent = self.transport.get_write_buffer_size()
+        self.first = min(self.first, unsent)  # what is left of the list that it began with
+        if unsent - self.first > MOST_UNSENT:
+            self.server.cut += 1
+            self.transport.abort()
+        else:
+            self.transport.write(data)
+
+    def too_late(self) -> None:
+        if self.answered:
+            self.transport.abort()
+        else:
+            self.answer(Answer(408, told("no whole call came in time")))
+            self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.transport.abort)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.timer.cancel()
+        self.server.calls.discard(self)
+        self.server.watches.pop(self, None)
+
+
+def chunk(data: bytes) -> bytes:
+    """A chunk of a body without a length. All watches get the same bytes, so no one's state makes them."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class ListServer:
+    """A list and those who watch it; what else may be asked is its subclasses'."""
+
+    def __init__(self, store: Store, seed: int | None = None) -> None:
+        self.store, self.random = store, random.Random(seed)
+        self.calls: set[Connection] = set()
+        self.watches: dict[Connection, None] = {}
+        self.statuses: dict[int, int] = {}
+        self.cut = self.shed = 0
+        self.listener: asyncio.Server | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.tasks = [loop.create_task(self.beat())]
+        self.listener = await loop.create_server(lambda: Connection(self), host, port, backlog=1024)
+
+    async def close(self) -> None:
+        if self.listener:
+            self.listener.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, *self.last(), return_exceptions=True)
+        for connection in [*self.calls, *self.watches]:
+            connection.transport.abort()
+        self.store.close()
+
+    def last(self) -> Sequence[asyncio.Future[None]]:
+        """What must have ended before the store is closed."""
+        return ()
+
+    def count(self, status: int) -> None:
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    def store_name(self) -> str:
+        return f"{self.store.identity} {self.store.term}"
+
+    # --- calls ---
+
+    def call(self, connection: Connection) -> None:
+        """A whole call: answered at once, made a watch, or left for a later answer."""
+        request = connection.request
+        target = urlsplit(request.target.decode(errors="replace"))
+        path = tuple(map(unquote, target.path.split("/")[1:]))
+        match request.method.decode(), path:
+            case "GET", ("catalog", "members"):
+                self.members(connection, parse_qs(target.query, keep_blank_values=True))
+            case "GET", ("healthcheck",):
+                connection.answer(self.health())
+            case "GET", ("metrics",):
+                connection.answer(Answer(200, self.figures().encode(), "text/plain; version=0.0.4"))
+            case method, _:
+                self.other(connection, method, path, bytes(connection.body))
+
+    def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
+        connection.answer(Answer(404, told("no such call")))
+
+    def health(self) -> Answer:
+        return Answer(200, {"health": "serves"})
+
+    def figures(self) -> str:
+        raise NotImplementedError
+
+    def lines(self, prefix: str, values: dict[str, float]) -> str:
+        """Figures in Prometheus's text form, with those of all list servers."""
+        values = {
+            "generation": self.store.generation, "term": self.store.term, "entries": len(self.store.entries),
+            "watches": len(self.watches), "calls": len(self.calls), "watches_cut_total": self.cut,
+            "shed_total": self.shed, **values,
+        }
+        lines = [f"{prefix}_{name} {value}" for name, value in values.items()]
+        lines += [f'{prefix}_answers_total{{status="{status}"}} {count}'
+                  for status, count in sorted(self.statuses.items())]
+        return "\n".join(lines) + "\n"
+
+    def members(self, connection: Connection, query: dict[str, list[str]]) -> None:
+        if query.get("watch", ["0"]) != ["1"]:
+            connection.answer(Answer(200, self.whole()))
+        elif len(self.watches) >= MOST_WATCHES:
+            self.shed += 1
+            connection.answer(busy("too many watches"))
+        else:
+            after = read_after(query.get("after", ["0"])[-1])
+            named = dict(connection.request.headers).get(STORE_HEADER.lower().encode())
+            if named is not None and named.decode(errors="replace") != self.store_name():
+                after = 0  # another store's generation says nothing here
+            self.calls.discard(connection)
+            self.watches[connection] = None
+            connection.watch(after)
+
+    def whole(self) -> bytes:
+        return listing(self.store.generation, True, self.store.entries.values())
+
+    def line(self, after: int) -> bytes:
+        """What changed after a generation, or else the whole list."""
+        changes = self.store.changes(after)
+        return self.whole() if changes is None else listing(self.store.generation, False, changes)
+
+    def spread(self, whole: bool = False) -> None:
+        """Tell all watches; those that know the same are sent the same bytes."""
+        lines: dict[int, bytes] = {}
+        for connection in list(self.watches):
+            known = -1 if whole else connection.generation
+            if known not in lines:
+                lines[known] = chunk(self.line(known))
+            connection.generation = self.store.generation
+            connection.tell(lines[known])
+
+    async def beat(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            for connection in list(self.watches):
+                connection.tell(chunk(b"\n"))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -15,6 +15,7 @@
 
 from molereach.frontdoor import FrontDoor
 from orchidhatch import registry as registries
+from orchidhatch import server as servers
 from orchidhatch.registry import Registry
 from orchidhatch.store import Store
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
@@ -24,7 +25,7 @@
 
 
 def address_of(registry: Registry) -> tuple[str, int]:
-    return registry.server.sockets[0].getsockname()
+    return registry.listener.sockets[0].getsockname()
 
 
 @contextlib.asynccontextmanager
@@ -127,7 +128,7 @@
 def test_watch_without_news_has_an_empty_line_now_and_then(
     path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(registries, "BEAT_S", 0.01)
+    monkeypatch.setattr(servers, "BEAT_S", 0.01)
 
     async def job() -> None:
         async with serving(path) as registry:
@@ -170,7 +171,7 @@
     b"", b"GET /catalog", b"POST /entries HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{",
 ])
 def test_half_a_call_is_timed_out(path: Path, data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(registries, "PATIENCE_S", 0.05)
+    monkeypatch.setattr(servers, "PATIENCE_S", 0.05)
 
     async def job() -> None:
         async with serving(path) as registry:
@@ -199,7 +200,7 @@
 def test_write_whose_writer_has_gone_is_not_carried_out(path: Path) -> None:
     async def job() -> None:
         async with serving(path) as registry:
-            gone, stays = [registries.Connection(registry) for _ in range(2)]
+            gone, stays = [servers.Connection(registry) for _ in range(2)]
             for connection, closing in ((gone, True), (stays, False)):
                 connection.transport = type("Transport", (), {
                     "is_closing": lambda self, closing=closing: closing, "write": lambda self, data: None,
@@ -245,7 +246,7 @@
 
 
 def test_watch_that_is_not_read_is_cut_and_not_buffered(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(registries, "MOST_UNSENT", 20_000)
+    monkeypatch.setattr(servers, "MOST_UNSENT", 20_000)
 
     async def job() -> None:
         async with serving(path) as registry:
@@ -262,7 +263,7 @@
                 await quick.news()
                 for _ in range(100):  # what the kernel holds is not ours to bound
                     for connection in list(registry.watches):
-                        connection.tell(registries.chunk(b" " * 60_000 + b"\n"))
+                        connection.tell(servers.chunk(b" " * 60_000 + b"\n"))
                     await quick.chunk()
                     if registry.cut:
                         break
