--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NoReturn
 
-from orchidhatch.store import LIFECYCLES, Change, Entry, Register, Remove
+from orchidhatch.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
 
 MOST_BODY = 4096  # bytes; an entry takes some 300
 MOST_TEXT = 64
@@ -115,6 +115,10 @@
     return str(value)
 
 
+def state(field: str, value: object) -> str:
+    return DELETED if value == DELETED else lifecycle(field, value)
+
+
 Readers = Mapping[str, Callable[[str, object], Any]]
 
 ENTRY: Readers = {
@@ -149,6 +153,16 @@
     return Register(entry, found.get("ifVersion"))
 
 
+def read_instance(value: object) -> Entry:
+    """An entry of a list that another service gives; there may be fields here unknown."""
+    if not isinstance(value, dict):
+        raise FormError("an entry is not a JSON object")
+    readers = {**ENTRY, "lifecycle": state}
+    found = fields({key: value[key] for key in value if key in readers}, readers, ())
+    return Entry(found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
+                 found["lifecycle"], found["weight"], found["startedAtMs"])
+
+
 def read_change(id_: str, body: bytes) -> Change:
     found = fields(read_body(body), {"lifecycle": lifecycle, **CONDITION}, CONDITION)
     return Change(name("instanceId", id_), found["lifecycle"], found.get("ifVersion"))
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -91,7 +91,14 @@
     life: int | None = None  # only this life of it, as its lease has run out
 
 
-Write = Register | Change | Remove
+@dataclass(frozen=True, slots=True)
+class Put:
+    """What another store says of a backend: it holds, whatever is known here."""
+
+    entry: Entry
+
+
+Write = Register | Change | Remove | Put
 
 
 def text_of(entry: Entry) -> str:
@@ -240,7 +247,7 @@
         pending: dict[str, Entry] = {}  # as the batch leaves them; one that it removes is DELETED there
         outcomes: list[Entry | RefusedError] = []
         for write in writes:
-            name = write.entry.id if isinstance(write, Register) else write.id
+            name = write.entry.id if isinstance(write, Register | Put) else write.id
             known = pending.get(name) or self.entries.get(name)
             known = None if known and known.lifecycle == DELETED else known
             try:
@@ -307,6 +314,8 @@
 
 def fit(write: Write, known: Entry | None, generation: int, full: bool) -> Entry:
     """The entry as the write leaves it; a RefusedError where it does not fit what is listed, `known`."""
+    if isinstance(write, Put):
+        return replace(write.entry, version=generation, life=known.life if known else generation)
     name = write.entry.id if isinstance(write, Register) else write.id
     version = known.version if known else 0
     if write.if_version is not None and write.if_version != version:
