--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -23,7 +23,7 @@
 from orchidhatch.forms import FormError, read_instance
 from orchidhatch.registry import read_listen
 from orchidhatch.server import STORE_HEADER, Answer, ListServer
-from orchidhatch.store import DELETED, DamagedError, Entry, Put, Remove, Store, StoreError, Write
+from orchidhatch.store import DELETED, DamagedError, Entry, Put, Remove, Store, StoreError, Write, put_aside
 
 log = logging.getLogger("orchidhatch.agent")
 
@@ -68,6 +68,10 @@
         self.connected, self.switches, self.passed_over, self.malformed = False, 0, 0, 0
         self.backoff_s = BACKOFF_S
 
+    def store_name(self) -> str:
+        """Of the term that was heard: a store made anew from this list must be above it."""
+        return f"{self.store.identity} {max(self.store.term, term_of(self.source))}"
+
     async def start(self, host: str, port: int) -> None:
         await super().start(host, port)
         self.tasks.append(asyncio.create_task(self.follow()))
@@ -223,12 +227,7 @@
     try:
         return Store(path, create=True, first=now_ms())
     except DamagedError as error:
-        aside = path.with_name(f"{path.name}.damaged")
-        log.error("%s; put aside as %s, begun anew", error, aside.name)
-        for end in ("", "-wal", "-shm"):
-            part = Path(f"{path}{end}")
-            if part.exists():
-                part.replace(f"{aside}{end}")
+        log.error("%s; put aside as %s, begun anew", error, put_aside(path).name)
         return Store(path, create=True, first=now_ms())
 
 
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -123,6 +123,18 @@
     return Entry(**json.loads(text))
 
 
+def put_aside(path: Path) -> Path:
+    """Keep a file that is damaged, with its log, under a name that is free."""
+    number = 0
+    while (aside := path.with_name(f"{path.name}.damaged{number or ''}")).exists():
+        number += 1
+    for end in ("", "-wal", "-shm"):
+        part = Path(f"{path}{end}")
+        if part.exists():
+            part.replace(f"{aside}{end}")
+    return aside
+
+
 class Batch:
     """Writes that were held against the list, and what they come to."""
 
@@ -140,9 +152,10 @@
     """
 
     def __init__(
-        self, path: Path, create: bool = False, first: int = 0, most_history: int = MOST_HISTORY
+        self, path: Path, create: bool = False, first: int = 0, most_history: int = MOST_HISTORY,
+        term: int = 1,
     ) -> None:
-        self.path, self.first, self.most_history = path, first, most_history
+        self.path, self.first, self.term, self.most_history = path, first, term, most_history
         self.entries: dict[str, Entry] = {}
         self.history: dict[int, Entry] = {}  # by generation; one removed is DELETED there
         self.sum = 0
@@ -176,7 +189,7 @@
 
     def create(self) -> None:
         """All of it or nothing: one that was cut short is begun anew."""
-        self.identity, self.term, self.generation = secrets.token_hex(8), 1, self.first
+        self.identity, self.generation = secrets.token_hex(8), self.first
         for statement in filter(None, map(str.strip, SCHEMA.split(";"))):
             self.db.execute(statement)
         self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?, ?)",
