Fence a list service that was replaced, by the term of its peers

Change: each answer names the store and its term; a service asks its peers (--peer) for theirs before it takes a first write, and each second from then on; a higher one ends its writes with a 409, and reads go on.

Test: one replaced while it runs, and one that comes back replaced, take no writes and go on reading.

--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -22,7 +22,7 @@
 
 from orchidhatch.forms import FormError, read_instance
 from orchidhatch.registry import read_listen
-from orchidhatch.server import STORE_HEADER, Answer, ListServer
+from orchidhatch.server import STORE_HEADER, Answer, ListServer, term_of
 from orchidhatch.store import DELETED, DamagedError, Entry, Put, Remove, Store, StoreError, Write, put_aside
 
 log = logging.getLogger("orchidhatch.agent")
@@ -209,12 +209,6 @@
         })
 
 
-def term_of(source: str) -> int:
-    """The term in a store's name; 0 for a service that names none."""
-    term = source.rpartition(" ")[2]
-    return int(term) if term.isascii() and term.isdigit() and len(term) <= 16 else 0
-
-
 def same(known: Entry, told: Entry) -> bool:
     """Whether they differ in nothing that a front door is told."""
     return (known.address, known.zone, known.kind, known.cell, known.lifecycle, known.weight,
--- a/orchidhatch/rebuild.py
+++ b/orchidhatch/rebuild.py
@@ -14,10 +14,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from orchidhatch.agent import term_of
 from orchidhatch.client import CallError, connect, reason
 from orchidhatch.forms import FormError, read_instance
-from orchidhatch.server import STORE_HEADER
+from orchidhatch.server import STORE_HEADER, term_of
 from orchidhatch.store import DELETED, DamagedError, Entry, Put, Store, StoreError, put_aside
 
 TIMEOUT_S = 10.0
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import http.client
 import logging
 import os
 import signal
@@ -19,11 +20,12 @@
 
 from orchidhatch.forms import read_change, read_register, read_remove, read_renewal, written
 from orchidhatch.leases import TICK_S, Leases
-from orchidhatch.server import Answer, Connection, ListServer, busy, told
+from orchidhatch.server import STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
 from orchidhatch.store import Entry, RefusedError, Remove, Store, StoreError, UnlistedError, Write
 
 log = logging.getLogger("orchidhatch.registry")
 
+ASK_S, ASK_PATIENCE_S = 1.0, 1.0  # between questions to peers for their term; for an answer
 MOST_WRITES, MOST_BATCH = 1_000, 500  # that wait; that go to disk together
 
 
@@ -31,9 +33,11 @@
     """The list and those who read and write it."""
 
     def __init__(
-        self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None
+        self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None,
+        peers: Sequence[tuple[str, int]] = (),
     ) -> None:
         super().__init__(store, seed)
+        self.peers, self.fenced = peers, ""  # why it takes no writes any more
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
@@ -44,7 +48,10 @@
         self.broken = ""  # why the last batch could not be written
 
     async def start(self, host: str, port: int) -> None:
+        await self.ask_peers()  # one that comes back learns that it was replaced before it takes a write
         await super().start(host, port)
+        if self.peers:
+            self.tasks.append(asyncio.create_task(self.keep_asking()))
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
     def last(self) -> Sequence[asyncio.Future[None]]:
@@ -69,7 +76,7 @@
                 super().other(connection, method, path, body)
 
     def health(self) -> Answer:
-        return busy(self.broken) if self.broken else super().health()
+        return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
     def renew(self, id_: str, life: int) -> Answer:
         if self.leases.renew(id_, life, self.clock()):
@@ -81,9 +88,27 @@
             return Answer(409, told(f"{id_} has no lease"))
         return Answer(409, told(f"{id_} is in life {known.life}, not {life}"))
 
+    # --- terms ---
+
+    async def keep_asking(self) -> None:
+        while not self.fenced:
+            await asyncio.sleep(ASK_S)
+            await self.ask_peers()
+
+    async def ask_peers(self) -> None:
+        for peer in self.peers:
+            term = await asyncio.to_thread(term_at, peer)
+            if term > self.store.term:
+                self.fenced = f"fenced: {peer[0]}:{peer[1]} is of term {term}, this is of {self.store.term}"
+                log.error("%s; no writes are taken, reads go on", self.fenced)
+
     # --- writes ---
 
     def queue(self, write: Write, connection: Connection | None) -> None:
+        if self.fenced:
+            if connection:
+                connection.answer(Answer(409, told(self.fenced)))
+            return
         if len(self.waiting) >= MOST_WRITES:
             self.shed += 1
             if connection:
@@ -161,9 +186,22 @@
             "longest_commit_seconds": round(self.longest_commit_s, 6),
             "leases": len(self.leases.due), "leases_held": self.leases.held,
             "leases_expired_total": self.expired, "broken": int(bool(self.broken)),
+            "fenced": int(bool(self.fenced)),
         })
 
 
+def term_at(address: tuple[str, int]) -> int:
+    """The term of the list service there; 0 where none answers."""
+    connection = http.client.HTTPConnection(*address, timeout=ASK_PATIENCE_S)
+    try:
+        connection.request("GET", "/healthcheck")
+        return term_of(connection.getresponse().headers.get(STORE_HEADER, ""))
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        connection.close()
+
+
 def outcome_of(outcome: Entry | RefusedError) -> Answer:
     if isinstance(outcome, Entry):
         return Answer(200, written(outcome))
@@ -180,7 +218,7 @@
 async def serve(options: argparse.Namespace) -> None:
     # A new store goes on from the time in ms: above what one before it gave, at under 1,000 writes a second.
     store = Store(options.store, options.create, first=time.time_ns() // 1_000_000)
-    registry = Registry(store, seed=os.getpid())
+    registry = Registry(store, seed=os.getpid(), peers=options.peer)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -196,6 +234,8 @@
     parser = argparse.ArgumentParser(prog="orchidhatch.registry", description=__doc__.partition("\n")[0])
     parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
     parser.add_argument("--store", type=Path, required=True, metavar="FILE")
+    parser.add_argument("--peer", type=read_listen, action="append", default=[], metavar="HOST:PORT",
+                        help="another list service, which may have replaced this one; may be repeated")
     parser.add_argument("--create", action="store_true", help="make a new store where there is none")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
--- a/orchidhatch/server.py
+++ b/orchidhatch/server.py
@@ -99,7 +99,8 @@
         self.server.count(answer.status)
         value = answer.value
         body = value if isinstance(value, bytes) else json.dumps(value).encode() + b"\n"
-        headers = [("Content-Type", answer.kind), ("Content-Length", str(len(body))), ("Connection", "close")]
+        headers = [("Content-Type", answer.kind), ("Content-Length", str(len(body))), ("Connection", "close"),
+                   (STORE_HEADER, self.server.store_name())]
         if answer.status == 503:
             headers.append(("Retry-After", str(self.server.random.randint(*COME_AGAIN_S))))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -145,6 +146,12 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def term_of(name: str) -> int:
+    """The term in a store's name; 0 for a service that names none."""
+    term = name.rpartition(" ")[2]
+    return int(term) if term.isascii() and term.isdigit() and len(term) <= 16 else 0
+
+
 class ListServer:
     """A list and those who watch it; what else may be asked is its subclasses'."""
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -29,8 +29,10 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(path: Path, create: bool = True, **changes: Any) -> AsyncIterator[Registry]:  # noqa: ANN401
-    registry = Registry(Store(path, create, **changes), seed=1)
+async def serving(
+    path: Path, create: bool = True, peers: tuple[tuple[str, int], ...] = (), **changes: Any  # noqa: ANN401
+) -> AsyncIterator[Registry]:
+    registry = Registry(Store(path, create, **changes), seed=1, peers=peers)
     await registry.start(HOST, 0)
     try:
         yield registry
@@ -297,6 +299,31 @@
     run(job())
 
 
+def test_one_that_was_replaced_takes_no_writes_and_goes_on_reading(
+    path: Path, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(registries, "ASK_S", 0.005)
+
+    async def job() -> None:
+        silent = refusing_address()
+        async with serving(tmp_path / "new.db", term=1) as new:
+            async with serving(path, peers=(silent, address_of(new))) as old:
+                at = address_of(old)
+                assert (await call(at, "POST /entries", body(instanceId="s-1")))[0] == 200
+                new.store.term = 2  # promoted meanwhile
+                while not old.fenced:
+                    await asyncio.sleep(0.001)
+                status, told = await call(at, "POST /entries", body(instanceId="s-2"))
+                assert status == 409 and "is of term 2, this is of 1" in told["error"]
+                assert (await call(at, "GET /healthcheck"))[0] == 503
+                assert named((await call(at, "GET /catalog/members"))[1]) == {"s-1": "SERVING"}
+            async with serving(path, peers=(address_of(new),)) as back:  # fenced before its first write
+                assert (await call(address_of(back), "DELETE /entries/s-1"))[0] == 409
+                assert back.store.generation == 1
+
+    run(job())
+
+
 # --- the real processes ---
 
 
