--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from molereach.config import Config, ConfigError, load, reload
+from molereach.config import Config, ConfigError, describe, load, reload
 from molereach.frontdoor import FrontDoor
 from molereach.logs import LogWriter
 
@@ -37,6 +37,7 @@
     gc.collect()
     gc.freeze()
     log.info("%s serves at %s:%d", config.name, *config.listen)
+    log.info("told: %s", describe(config))
     waits = [asyncio.ensure_future(event.wait()) for event in (stopped, door.finished)]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     log.info("%s drains", config.name)
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -49,6 +49,21 @@
     shared: Path | None = None  # the directory that it shares with its successor
 
 
+def describe(config: Config) -> str:
+    """What it was told that its figures are read against, as one line: times in ms, plans by their names."""
+    told, ms = config.settings, 1000
+    classes = [(name, told.classes[number]) for name, number in config.class_numbers.items()]
+    plans = [(name, told.plans[number]) for name, number in config.plan_numbers.items()]
+    parts = [f"front door {told.me} of {told.gateways}"]
+    parts += [f"{name} aim {one.aim_us // ms} ms of {one.deadline_us // ms}" for name, one in classes]
+    parts += [f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_out}"
+              f" ceiling {plan.ceiling_rate:.4g}/s burst {plan.ceiling_burst:.4g}" for name, plan in plans]
+    parts += [f"messages {told.peer_messages_per_s:g}/s",
+              f"cold from {told.cold_from:.2f} for {told.warm_within_us // ms} ms",
+              f"descriptors {config.sockets}", f"memory {config.memory_mb} MB"]
+    return "; ".join(parts)
+
+
 def read_address(text: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
