Let the home of a customer with a small open cap grant each place under it and the ceiling

A trace of every attempt (not kept) showed 257 of 3,157 midja attempts beyond the open cap of 2, by exactly one, as three doors saw the same free place; and of 850 s that requests waited which were then refused, 305 s for a third of the ceiling at their own door while the other two thirds lay idle (of 1,660 s of those sent in the end, 886 s). Change: doors ask the home for a place when they need one; the home grants one at a time, in turn, hands over units under the ceiling with it, and queues who must wait. Who tells the home leaves it the door's part of the ceiling's rate for 3 s, counted for 2 s there, so all parts together never exceed the ceiling, also with words lost, a home cut off, restarts and hand-overs; a home that is silent leaves everybody their own part, as before. A store begins with what the time since the process's start gives. A further attempt keeps its place, words of what is out are told each period, and places are given once all of a message is heard: without these three 103 of 3,244 were still beyond the cap, with them 4 of 3,138. Neighbouring versions: an older home answers a wish as a plain word, and the door falls back to its part; an older door takes a grant for a plain answer.

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -38,6 +38,7 @@
 MOST_CLASSES = 128  # that a sighting can name
 UNIT, PARTS = 50, 255
 MESSAGE_BYTES = 256
+PLACES = frozenset(i.Place)  # an earlier version sends none, and takes an answer with one for an answer
 MOST_TEXT, MOST_ROWS = 256, 100_000  # of what another process hands over
 
 
@@ -145,7 +146,7 @@
     """Messages between gateways, each as long as the wire allows; sightings fill up the last one."""
     packed = [
         WORD.pack(
-            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
+            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer | word.place << 1,
             *(max(-32768, min(32767, round(amount * UNIT)))
               for amount in (word.demand, word.spent, word.asked, word.level)),
             max(0, min(255, word.out)),
@@ -171,7 +172,8 @@
     if not 1 < end <= len(data) <= MESSAGE_BYTES or (len(data) - end) % SIGHTING.size:
         return (), ()
     words = tuple(
-        i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts), out)
+        i.Word(*key, bool(answer & 1), *(amount / UNIT for amount in amounts), out,
+               i.Place(answer >> 1) if answer >> 1 in PLACES else i.Place.NONE)
         for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data[1:end])
         for amounts in [(demand, spent, asked, level)]
     )
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -5,7 +5,7 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum
+from enum import Enum, IntEnum
 from typing import NamedTuple
 
 
@@ -226,12 +226,22 @@
     report: LoadReport | None = None
 
 
+class Place(IntEnum):
+    """What a home answers to who asks for a place under a customer's shared open cap."""
+
+    NONE = 0
+    GRANTED = 1
+    QUEUED = 2
+
+
 @dataclass(frozen=True, slots=True)
 class Word:
     """What one gateway tells another of a customer: to its home, or from there when it answers.
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
     `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
+    Below zero, `asked` asks for a place under the open cap, and for so many units under the ceiling;
+    where `place` is GRANTED, the answer hands them over.
     `out` is how many attempts the sender has out; in an answer, how many all others have that it goes to.
     """
 
@@ -245,6 +255,7 @@
     asked: float = 0.0
     level: float = 0.0
     out: int = 0
+    place: Place = Place.NONE
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -24,7 +24,13 @@
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
-OUT_FRESH_US, POLL_US = 2 * S, 2 * ASK_US  # how long word of attempts out holds; how often who waits asks
+OUT_FRESH_US = 2 * MOST_PERIODS * CC_PERIOD_US  # how long word of attempts out holds, told each period
+PLACE_US = 5 * ASK_US  # how long a granted place is kept for an attempt, as word of that may be lost
+QUEUED_US = S // 2  # how often a gateway that the home has queued for a place asks again, as words are lost
+PLACE_ALONE = 0.02  # asked for with a place that needs nothing under the ceiling: the least a word can hold
+# Who tells the home of a customer with a shared cap leaves its part of the ceiling's rate to the home for a
+# while; the home counts on it for less, as words are late. Thus all parts together never exceed the ceiling.
+LEFT_US, LENT_US = 3 * S, 2 * S
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
@@ -78,17 +84,35 @@
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
-        self.ceiling, self.heard_us, self.out = 0.0, -NEVER, 0  # empty, as a restart looks like a first start
+        self.heard_us, self.out = -NEVER, 0
+        self.ceiling, self.left_us = 0.0, now + LEFT_US if self.shares_cap() and self.home != set_.me else 0
         self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
-        self.told_out, self.polled_us = (0, -NEVER), 0  # elsewhere: those of all others; when asked for last
+        self.granted: dict[int, list[int]] = {}  # there too: places granted and not yet seen in use; when
+        # There too: who waits for a place, longest first; for how many units, and when it asked last.
+        self.wanting: dict[int, tuple[float, int]] = {}
+        self.lent: dict[int, int] = {}  # there too: until when a gateway leaves its part of the ceiling to it
+        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered.
+        self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         # How long a word from home is used where the customer's asks are as many as one may send it.
         self.word_us = self.size * S / max(1.0, ASK_SHARE * set_.peer_messages_per_s)
 
+    def has_idled(self, time_us: int) -> None:
+        """Its part of the ceiling was empty at this process's start at worst, as that may be a restart."""
+        plan, left_us = self.plan, LEFT_US if self.left_us else 0
+        gained = plan.ceiling_rate * max(0, time_us - left_us) / S
+        self.ceiling = min(plan.ceiling_burst, gained) / self.size
+
     def refill(self, now: int) -> "_Customer":
         """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
-        took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
-        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * took * part)
+        before, plan, part = self.at, self.plan, 1 / self.size
+        took, self.at = (now - before) / S, now
+        gained = max(0, now - max(before, self.left_us))  # nothing while it is left to the home
+        gained += sum(max(0, min(now, until) - before) for until in self.lent.values())
+        self.lent = {peer: until for peer, until in self.lent.items() if until > now}
+        most = plan.ceiling_burst * part
+        self.ceiling = max(min(self.ceiling, most),
+                           min(most, self.ceiling + plan.ceiling_rate * part * gained / S))
         if now - self.heard_us > WORD_FRESH_US:
             self.level = min(plan.burst, self.level + plan.rate * took)
             self.demand *= math.exp(-took * S / DEMAND_US)
@@ -123,15 +147,47 @@
         """Whether its open cap is too small to be split over its set."""
         return 0 < self.plan.max_out < self.size
 
+    def asks_home(self) -> bool:
+        """Elsewhere than at home: whether each attempt needs a place from there, as long as it answers."""
+        return self.shares_cap() and self.wants <= ASKS
+
     def others_out(self, now: int, but: int = -1) -> int:
-        """At its home: the attempts that the others have out, as they told of late."""
-        return sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
+        """At its home: the attempts that the others have out, as they told of late, or were granted since."""
+        told = sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
+        return told + sum(now - at < PLACE_US for peer, given in self.granted.items() if peer != but
+                          for at in given)
+
+    def hear_out(self, peer: int, out: int, wants: bool, now: int) -> None:
+        """At its home: what a peer has out. Places granted a moment ago may not be in it yet."""
+        seen = max(0, out - self.outs.get(peer, (0, 0))[0])
+        keep_us = 2 * ASK_US if wants else PLACE_US  # who wants one has none that it has not used
+        if given := [at for at in self.granted.pop(peer, ()) if now - at < keep_us][seen:]:
+            self.granted[peer] = given
+        self.outs[peer] = out, now
+
+    def grant(self, peer: int, now: int) -> float:
+        """At its home: a place, and the units under the ceiling that were asked for with it."""
+        units, _ = self.wanting.pop(peer)
+        self.granted.setdefault(peer, []).append(now)
+        self.ceiling -= units if units > PLACE_ALONE else 0.0
+        return units
+
+    def next_wanting(self, now: int) -> int | None:
+        """At its home: who has waited longest for a place, if there is one and room under the ceiling."""
+        self.wanting = {peer: entry for peer, entry in self.wanting.items() if now - entry[1] < 2 * QUEUED_US}
+        if not self.wanting or self.out + self.others_out(now) >= self.plan.max_out:
+            return None
+        self.refill(now)
+        return next((peer for peer, (units, _) in self.wanting.items()
+                     if units <= PLACE_ALONE or units <= self.ceiling), None)
 
     def at_open_cap(self, now: int, at_home: bool) -> bool:
         if not self.plan.max_out:
             return False
-        if self.shares_cap() and (at_home or now - self.told_out[1] < OUT_FRESH_US):
-            return self.out + (self.others_out(now) if at_home else self.told_out[0]) >= self.plan.max_out
+        if self.shares_cap() and at_home:
+            return self.out + self.others_out(now) >= self.plan.max_out
+        if self.asks_home():
+            return now - self.place_us >= ASK_US
         return self.out >= max(1, self.plan.max_out // self.size)
 
     def spend(self, units: float) -> None:
@@ -167,7 +223,9 @@
         self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
         self.customers: dict[i.Key, _Customer] = {}  # the one seen last at the end
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
+        self.queues: dict[i.Key, _Customer] = {}  # those at home here for which others wait for a place
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
+        self.started_us = 0
         self.waits, self.words = [], {}  # who waits for word; words for peers
         self.next_tell_us: dict[int, int] = {}  # by peer, when the next message to it would keep its space
         self.space_us = min(ASK_US, 2 * S * (settings.gateways - 1) / max(1, settings.peer_messages_per_s))
@@ -205,7 +263,8 @@
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
-        self.period_us = now_us if self.period_us < 0 else self.period_us
+        if self.period_us < 0:
+            self.period_us = self.started_us = now_us
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
@@ -217,7 +276,7 @@
     def next_look(self) -> int:
         """When time alone may bring something about: held requests are looked at each tick, attempts that are
         out not at all, as their ends are told."""
-        if self.held:
+        if self.held or self.queues:
             return self.now + TICK_US
         dues = [self.period_us + self.cc_us, *[job.decide_us for job in self.waits],
                 *[self.next_tell_us.get(peer, 0) - self.ahead_us for peer in self.words]]
@@ -232,6 +291,8 @@
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
+        for customer in list(self.queues.values()):
+            self.give_places(customer)
 
     def on_request(self, req: i.Request) -> None:
         key = i.Key(zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
@@ -325,6 +386,8 @@
     def on_hand_over(self, _: i.HandOver) -> None:
         """All that the rules, quotas and health rest on. Requests stay, and end, where they were taken."""
         self.has_twin = True
+        for known in self.customers.values():
+            known.refill(self.now).lent.clear()  # the other would not know of it
         cap = i.CapMemory(self.n_past or 0, self.accepted, self.period_us, self.cc_us,
                           self.overhead, self.rate, self.usual)
         customers = [i.CustomerMemory(known.key, known.at, known.part, known.level, known.demand,
@@ -354,6 +417,7 @@
                 known.part, known.level, known.demand = told.part, told.level, told.demand
                 known.ceiling, known.heard_us = told.ceiling, told.heard_us
                 known.untold, known.spent = told.untold, told.spent
+                known.left_us = self.now + LEFT_US if known.left_us else 0
         for told in state.servers:
             server = self.servers.get(told.name)
             if server and abs(server.entry.started_us - told.started_us) < SAME_START_US:
@@ -422,6 +486,8 @@
         self.count_warm()
         while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
+        for customer in {id(job.customer): job.customer for job in self.jobs.values() if job.out}.values():
+            self.tell_out(customer)  # an attempt may last longer than word of it holds
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
         self.cc_us = CC_PERIOD_US * max(1, most)
@@ -497,26 +563,54 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or self.at_open_cap(job.customer) or (
-                job.customer.plan.ceiling_rate and (
-                    self.blind or job.customer.refill(self.now).ceiling < job.req.units))))
+            waits = job.over or (not job.servers and (blocked or self.needs_place(job)))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
             elif not job.over:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
-    def at_open_cap(self, customer: _Customer) -> bool:
-        """Who waits for a shared cap asks now and then whether the others still fill it."""
-        full = customer.at_open_cap(self.now, customer.home == self.set.me)
-        if full and customer.shares_cap() and self.now - customer.polled_us >= POLL_US:
-            self.tell_out(customer)
-        return full
+    def needs_place(self, job: _Job) -> bool:
+        """Whether it must wait for open cap or ceiling; a place that it lacks is asked for at the home."""
+        customer, units = job.customer, job.req.units
+        if customer.home != self.set.me and customer.shares_cap():
+            self.want_place(customer, units)
+            if customer.asks_home() and self.now - customer.place_us >= ASK_US:
+                return True
+        at_home = customer.home == self.set.me
+        return self.at_ceiling(customer, units) or customer.at_open_cap(self.now, at_home)
+
+    def at_ceiling(self, customer: _Customer, units: float) -> bool:
+        return customer.plan.ceiling_rate > 0 and (self.blind or customer.refill(self.now).ceiling < units)
+
+    def want_place(self, customer: _Customer, units: float) -> None:
+        silent = customer.wants > ASKS
+        if self.now - customer.place_us < ASK_US and not silent:
+            return
+        patience = QUEUED_US if customer.queued or silent else ASK_US
+        if self.now - customer.wanted_us >= patience:
+            customer.wanted_us, customer.queued = self.now, False
+            customer.wants += 1
+            short = units if self.at_ceiling(customer, units) else 0.0
+            self.tell(customer.home, customer, -max(PLACE_ALONE, short))
 
     def tell_out(self, customer: _Customer) -> None:
         if customer.shares_cap() and customer.home != self.set.me:
-            customer.polled_us = self.now
             self.tell(customer.home, customer, 0.0)
+        elif customer.shares_cap():
+            self.give_places(customer)
+
+    def give_places(self, customer: _Customer) -> None:
+        """At its home: what is free goes to those that wait longest; those held here are one of them."""
+        while (peer := customer.next_wanting(self.now)) is not None:
+            here = any(job.customer is customer and not job.servers for _, _, job in self.held)
+            if here and self.random.random() * (1 + len(customer.wanting)) < 1:
+                break
+            self.tell(peer, customer, -customer.grant(peer, self.now), i.Place.GRANTED)
+        if customer.wanting:
+            self.queues[customer.key] = customer
+        else:
+            self.queues.pop(customer.key, None)
 
     def expire(self, job: _Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
@@ -535,12 +629,15 @@
             return "late"  # it came so
         if customer.at_open_cap(self.now, customer.home == self.set.me):
             return "open_cap"
-        if customer.plan.ceiling_rate and (self.blind or customer.ceiling < job.req.units):
+        if self.at_ceiling(customer, job.req.units):
             return "ceiling"
         return "server" if self.allowance() else "cap"
 
     def customer(self, key: i.Key) -> _Customer:
-        known = self.customers.pop(key, None) or _Customer(self.set.plans[key[1]], key, self.set, self.now)
+        known = self.customers.pop(key, None)
+        if known is None:
+            known = _Customer(self.set.plans[key[1]], key, self.set, self.now)
+            known.has_idled(min(FORGET_US, self.now - self.started_us))
         self.customers[key] = known
         return known.refill(self.now)
 
@@ -602,12 +699,14 @@
         customer.spend(units)
         customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
 
-    def tell(self, peer: int, customer: _Customer, asked: float) -> None:
+    def tell(self, peer: int, customer: _Customer, asked: float, place: i.Place = i.Place.NONE) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
         demand = customer.demand if answer else customer.untold
         out = customer.out + customer.others_out(self.now, but=peer) if answer else customer.out
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out)
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
+        if customer.shares_cap() and not answer:
+            customer.left_us = customer.refill(self.now).at + LEFT_US
         if peer != self.set.me:
             words = self.words.setdefault(peer, [])
             self.words_since.setdefault(peer, self.now)
@@ -644,25 +743,46 @@
                 self.signals["latency"] += [seen.latency] if seen.served or seen.latency else []
                 aim_us = self.set.classes[seen.class_index].aim_us
                 self.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
+        homed: dict[i.Key, _Customer] = {}
         for word in message.words:
             key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
-                customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
-                customer.told_out = word.out, self.now
-                customer.part = min(customer.part, max(0.0, word.level / customer.size))
-                self.end_waits(customer if word.asked else None)
+                self.hear_home(customer, word)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
-                customer.demand += word.demand
-                customer.spend(word.spent)
-                customer.outs[message.sender] = word.out, self.now
-                if word.asked or customer.shares_cap() or customer.level < customer.plan.burst / 2:
-                    self.tell(message.sender, customer, word.asked)
-                if word.asked > 0:
-                    customer.spend(word.asked * customer.chance(word.asked))
+                self.hear_member(customer, word, message.sender)
+                homed[key] = customer
+        for customer in homed.values():  # once all is heard: what is out may come after a wish for more
+            self.give_places(customer)
+            if message.sender in customer.wanting:
+                self.tell(message.sender, customer, 0.0, i.Place.QUEUED)
+
+    def hear_home(self, customer: _Customer, word: i.Word) -> None:
+        customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
+        if word.place:
+            customer.wants, customer.queued = 0, word.place is i.Place.QUEUED
+        if word.place is i.Place.GRANTED:
+            customer.place_us = self.now
+            customer.ceiling += -word.asked if -word.asked > PLACE_ALONE else 0.0
+        customer.part = min(customer.part, max(0.0, word.level / customer.size))
+        self.end_waits(customer if word.asked > 0 else None)
+        self.release()
+
+    def hear_member(self, customer: _Customer, word: i.Word, sender: int) -> None:
+        customer.demand += word.demand
+        customer.spend(word.spent)
+        customer.hear_out(sender, word.out, word.asked < 0, self.now)
+        if customer.shares_cap() and not self.has_twin:
+            customer.lent[sender] = self.now + LENT_US
+        if customer.shares_cap() and word.asked < 0:
+            customer.wanting[sender] = -word.asked, self.now
+        if word.asked > 0 or (not word.asked and customer.level < customer.plan.burst / 2):
+            self.tell(sender, customer, word.asked)
+        if word.asked > 0:
+            customer.spend(word.asked * customer.chance(word.asked))
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
@@ -737,7 +857,9 @@
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
-        self.tell_out(job.customer)
+        if not number:
+            job.customer.place_us, job.customer.wanted_us = -NEVER, -NEVER  # used; the next may be asked for
+            self.tell_out(job.customer)
         server.earned -= 1
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
@@ -772,7 +894,6 @@
         server, job.customer.out = job.servers[event.attempt], job.customer.out - 1
         del job.out[event.attempt]
         self.tell_twin(i.TwinEnd(event.id, event.attempt))
-        self.tell_out(job.customer)
         if not job.streams:
             self.out -= 1
             del server.out[(event.id, event.attempt)]
@@ -784,6 +905,8 @@
             self.drop(job)
         elif not job.out and not self.again(job, event.result):
             self.end(job, event.result.value)
+        if not job.out:  # else a further attempt has its place
+            self.tell_out(job.customer)
 
     def learn(self, job: _Job, server: _Server, event: i.Outcome) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -85,6 +85,7 @@
         self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
         self.posted: list[tuple[int, i.Tell]] = []
         self.random, self.loss, self.down = random.Random(3), loss, -1
+        self.lasts_us = 0  # how long an attempt is out, at least
 
     def carry(self, sender: int, actions: Iterable[i.Action]) -> None:
         self.posted += [(sender, action) for action in of(i.Tell, actions)]
@@ -102,8 +103,17 @@
                     self.carry(told.peer, self.worlds[told.peer].tell(event))
             for me, world in enumerate(self.worlds):
                 self.carry(me, world.run(10 * MS))
-                for name, attempt in list(world.out):
-                    world.answer(name, attempt=attempt)
+                for (name, attempt), (_, sent, _) in list(world.out.items()):
+                    if world.now - sent >= self.lasts_us:
+                        self.carry(me, world.answer(name, attempt=attempt))
+
+    def restart(self, me: int, seed: int) -> None:
+        """A gateway that was killed begins anew; its attempts are lost."""
+        world = self.worlds[me]
+        world.out.clear()
+        world.timers.clear()
+        world.gateway = Gateway(replace(world.gateway.set, seed=seed))
+        self.carry(me, world.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4))))
 
     def sent(self) -> int:
         return sum(isinstance(action, i.Send) for world in self.worlds for _, action in world.log)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -623,11 +624,8 @@
         if n % 8 == 0:
             gates.run(10 * MS)
         if n in (400, 800):
-            for world in gates.worlds[::2]:
-                world.out.clear()
-                world.timers.clear()
-                world.gateway = Gateway(replace(world.gateway.set, seed=n))
-                world.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4)))
+            for me in range(0, 20, 2):
+                gates.restart(me, seed=n)
     times = sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send))
     store, last = 40.0, start
     for at in times:
@@ -636,6 +634,73 @@
     assert times
 
 
+CAPPED = i.Plan(rate=8.0, burst=8.0, max_out=2, ceiling_rate=10.0, ceiling_burst=12.0, ceiling_slack=1.2)
+
+
+def drive_capped(gates: Set, trouble: Callable[[int], None] = lambda step: None) -> None:
+    """Three times the rate for 40 s, nearly all through one gateway, which changes every 5 s."""
+    gates.lasts_us = 150 * MS
+    for step in range(1000):
+        trouble(step)
+        me = gates.random.randrange(3) if step % 7 == 0 else step // 125 % 3
+        if me != gates.down:
+            gates.ask(me, f"r{step}")
+        gates.run(40 * MS)
+    gates.run(3 * S)
+
+
+def test_busiest_gateway_has_the_whole_open_cap_and_ceiling_of_its_set() -> None:
+    """Split in three, a gateway would have a third of the ceiling: 3.3 a second of the quota's 8."""
+    gates = Set(3, replace(SETTINGS, plans=(CAPPED,)))
+    drive_capped(gates)
+    ends = Counter(type(action) for world in gates.worlds for _, action in world.log)
+    assert gates.sent() >= 0.9 * (8 + 8 * 40)
+    assert ends[i.Send] + ends[i.Refuse] == 1000
+    out = most = 0
+    sent = [at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send)]
+    for _, step in sorted([(at, 1) for at in sent] + [(at + gates.lasts_us, -1) for at in sent]):
+        out += step
+        most = max(most, out)
+    assert most <= 2
+
+
+@pytest.mark.parametrize("trouble", ["lost", "home cut off", "restarts"])
+def test_ceiling_that_a_home_hands_out_holds_whatever_fails(trouble: str) -> None:
+    gates = Set(3, replace(SETTINGS, plans=(CAPPED,)), loss=0.3 if trouble == "lost" else 0.0)
+    home = zlib.crc32(b"c") % 3
+
+    def fail(step: int) -> None:
+        if trouble == "home cut off":  # it goes on, and nobody hears it
+            gates.down = home if 300 <= step < 500 or 700 <= step < 720 else -1
+        if trouble == "restarts" and step % 60 == 59:
+            gates.restart(step // 60 % 3, seed=step)
+
+    start = gates.worlds[0].now
+    drive_capped(gates, fail)
+    store, last, least = 12.0, start, 12.0
+    for at in sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send)):
+        store, last = min(12.0, store + 10.0 * (at - last) / S) - 1, at
+        least = min(least, store)
+    assert least >= -1.2 - 10 * 0.15  # the slack, and what the rate gives in 150 ms
+    assert gates.sent() >= 100
+
+
+def test_place_that_was_granted_is_taken_back_where_it_is_not_used() -> None:
+    home = World(replace(SETTINGS, gateways=3, me=0, plans=(CAPPED,)))
+    key = (0, 0, 0, 3)
+
+    def want(sender: int, out: int = 0, units: float = 1.0) -> list[i.Word]:
+        told = of(i.Tell, home.tell(i.PeerMessage(sender, (i.Word(*key, asked=-units, out=out),))))
+        return [(tell.peer, word.place) for tell in told for word in tell.words]
+
+    home.run(4 * S)
+    assert want(1) == [(1, i.Place.GRANTED)]
+    assert want(2) == [(2, i.Place.GRANTED)]
+    assert want(1, out=1) == [(1, i.Place.QUEUED)]
+    later = [(tell.peer, word.place) for tell in of(i.Tell, home.run(500 * MS)) for word in tell.words]
+    assert later == [(1, i.Place.GRANTED)]  # gateway 2 never told of an attempt
+
+
 def test_clock_that_jumps_and_a_list_that_names_twice() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(2) + servers(2))
     world.ask("a")
