Ask for a place with the quota's ask, and tell of ends instead of sends

Cause: each request cost up to nine words, and one lost word of an end kept a place for up to 4 s. Change: an ask that the home grants asks for a place too, answered in one message; a grant counts as an attempt until a word of its door tells more, so none is sent at the start; an end gives the place back, words of longer attempts are renewed every 0.6 s and hold 1.5 s; a plain word is answered only if something was spent. With a shared open cap the home's word decides alone, since it is asked for each request anyway. Ruled out: doing without the end's credit: places of quick attempts then stay held, midja 0.54.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -24,8 +24,9 @@
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
-OUT_FRESH_US = 2 * MOST_PERIODS * CC_PERIOD_US  # how long word of attempts out holds, told each period
-PLACE_US = 5 * ASK_US  # how long a granted place is kept for an attempt, as word of that may be lost
+# How long a home counts on word of attempts out, or on a place that it granted; how often it is renewed. Most
+# attempts end before that, and a place whose end was told in a lost message is free again soon.
+OUT_FRESH_US, RENEW_US = 1.5 * S, 0.6 * S
 QUEUED_US = S // 2  # how often a gateway that the home has queued for a place asks again, as words are lost
 PLACE_ALONE = 0.02  # asked for with a place that needs nothing under the ceiling: the least a word can hold
 # Who tells the home of a customer with a shared cap leaves its part of the ceiling's rate to the home for a
@@ -91,8 +92,9 @@
         # There too: who waits for a place, longest first; for how many units, and when it asked last.
         self.wanting: dict[int, tuple[float, int]] = {}
         self.lent: dict[int, int] = {}  # there too: until when a gateway leaves its part of the ceiling to it
-        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered.
+        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered; its last word.
         self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
+        self.told_us = -NEVER
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         # How long a word from home is used where the customer's asks are as many as one may send it.
         self.word_us = self.size * S / max(1.0, ASK_SHARE * set_.peer_messages_per_s)
@@ -122,12 +124,13 @@
     def chance(self, units: float, known: bool = True) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes.
 
-        Where a part holds no whole request, the parts lie together at the home, which is asked for each: who
-        has its word is let in while the level holds the request. Who goes by an older word shares the rate,
-        and what the level is above or under a part of the burst, over the time that such a word is used.
+        Where a part holds no whole request, or the open cap is shared, the parts lie at the home together,
+        which is asked for each: who has its word is let in while the level holds the request. Who goes by an
+        older word shares the rate, and what the level is above or under a part of the burst, over the time
+        that such a word is used.
         """
         level, plan = self.level, self.plan
-        if self.is_pooled(units):
+        if self.is_pooled(units) or self.shares_cap():
             if known:
                 return float(level >= units)
             level = (level - KEPT_PART * plan.burst) * DEMAND_US / self.word_us
@@ -154,14 +157,14 @@
     def others_out(self, now: int, but: int = -1) -> int:
         """At its home: the attempts that the others have out, as they told of late, or were granted since."""
         told = sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
-        return told + sum(now - at < PLACE_US for peer, given in self.granted.items() if peer != but
+        return told + sum(now - at < OUT_FRESH_US for peer, given in self.granted.items() if peer != but
                           for at in given)
 
-    def hear_out(self, peer: int, out: int, wants: bool, now: int) -> None:
-        """At its home: what a peer has out. Places granted a moment ago may not be in it yet."""
-        seen = max(0, out - self.outs.get(peer, (0, 0))[0])
-        keep_us = 2 * ASK_US if wants else PLACE_US  # who wants one has none that it has not used
-        if given := [at for at in self.granted.pop(peer, ()) if now - at < keep_us][seen:]:
+    def hear_out(self, peer: int, out: int, ended: bool, now: int) -> None:
+        """At its home: what a peer has out. Of the places granted to it, those that it has or had are not to
+        be counted twice, and only those granted a moment ago may be on their way."""
+        used = max(0, out - self.outs.get(peer, (0, 0))[0] + ended)
+        if given := [at for at in self.granted.pop(peer, ()) if now - at < 2 * ASK_US][used:]:
             self.granted[peer] = given
         self.outs[peer] = out, now
 
@@ -224,6 +227,7 @@
         self.customers: dict[i.Key, _Customer] = {}  # the one seen last at the end
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.queues: dict[i.Key, _Customer] = {}  # those at home here for which others wait for a place
+        self.renewals: dict[i.Key, _Customer] = {}  # those at home elsewhere that a place is held for
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
         self.started_us = 0
         self.waits, self.words = [], {}  # who waits for word; words for peers
@@ -278,7 +282,9 @@
         out not at all, as their ends are told."""
         if self.held or self.queues:
             return self.now + TICK_US
-        dues = [self.period_us + self.cc_us, *[job.decide_us for job in self.waits],
+        renewals = [known.told_us + RENEW_US if known.place_us == -NEVER else known.place_us + ASK_US
+                    for known in self.renewals.values()]
+        dues = [self.period_us + self.cc_us, *renewals, *[job.decide_us for job in self.waits],
                 *[self.next_tell_us.get(peer, 0) - self.ahead_us for peer in self.words]]
         return max(self.now + TICK_US, math.ceil(min(dues)))
 
@@ -291,6 +297,7 @@
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
+        self.renew()
         for customer in list(self.queues.values()):
             self.give_places(customer)
 
@@ -486,8 +493,6 @@
         self.count_warm()
         while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
-        for customer in {id(job.customer): job.customer for job in self.jobs.values() if job.out}.values():
-            self.tell_out(customer)  # an attempt may last longer than word of it holds
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
         self.cc_us = CC_PERIOD_US * max(1, most)
@@ -594,6 +599,16 @@
             short = units if self.at_ceiling(customer, units) else 0.0
             self.tell(customer.home, customer, -max(PLACE_ALONE, short))
 
+    def renew(self) -> None:
+        """An attempt may last longer than word of it holds, and a granted place may be of no use any more."""
+        for key, customer in list(self.renewals.items()):
+            unused = customer.place_us > -NEVER and self.now - customer.place_us >= ASK_US
+            if unused or (customer.out and self.now - customer.told_us >= RENEW_US):
+                customer.place_us = -NEVER if unused else customer.place_us
+                self.tell_out(customer)
+            if not customer.out and customer.place_us == -NEVER:
+                del self.renewals[key]
+
     def tell_out(self, customer: _Customer) -> None:
         if customer.shares_cap() and customer.home != self.set.me:
             self.tell(customer.home, customer, 0.0)
@@ -652,7 +667,8 @@
         heard = fresh and self.random.random() * customer.demand > most
         if customer.part >= units:
             self.decide(job, 1.0)
-            self.tell(home, customer, 0.0)
+            if not customer.shares_cap():  # else the wish for a place tells it
+                self.tell(home, customer, 0.0)
         elif home != self.set.me and customer.is_pooled(units) and customer.is_dry(units, self.now):
             self.decide(job, 0.0)
         elif home == self.set.me or heard or not customer.plan.rate:
@@ -707,6 +723,7 @@
         word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
         if customer.shares_cap() and not answer:
             customer.left_us = customer.refill(self.now).at + LEFT_US
+            customer.told_us = self.now
         if peer != self.set.me:
             words = self.words.setdefault(peer, [])
             self.words_since.setdefault(peer, self.now)
@@ -744,7 +761,8 @@
                 aim_us = self.set.classes[seen.class_index].aim_us
                 self.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
         homed: dict[i.Key, _Customer] = {}
-        for word in message.words:
+        # A place comes before the answer that lets in who may use it.
+        for word in sorted(message.words, key=lambda word: not word.place):
             key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
                 continue
@@ -763,9 +781,10 @@
     def hear_home(self, customer: _Customer, word: i.Word) -> None:
         customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
         if word.place:
-            customer.wants, customer.queued = 0, word.place is i.Place.QUEUED
+            customer.wants, customer.queued, customer.wanted_us = 0, word.place is i.Place.QUEUED, self.now
         if word.place is i.Place.GRANTED:
             customer.place_us = self.now
+            self.renewals[customer.key] = customer
             customer.ceiling += -word.asked if -word.asked > PLACE_ALONE else 0.0
         customer.part = min(customer.part, max(0.0, word.level / customer.size))
         self.end_waits(customer if word.asked > 0 else None)
@@ -774,15 +793,15 @@
     def hear_member(self, customer: _Customer, word: i.Word, sender: int) -> None:
         customer.demand += word.demand
         customer.spend(word.spent)
-        customer.hear_out(sender, word.out, word.asked < 0, self.now)
+        customer.hear_out(sender, word.out, not word.asked, self.now)  # a word without a wish tells of an end
         if customer.shares_cap() and not self.has_twin:
             customer.lent[sender] = self.now + LENT_US
-        if customer.shares_cap() and word.asked < 0:
-            customer.wanting[sender] = -word.asked, self.now
-        if word.asked > 0 or (not word.asked and customer.level < customer.plan.burst / 2):
-            self.tell(sender, customer, word.asked)
-        if word.asked > 0:
-            customer.spend(word.asked * customer.chance(word.asked))
+        granted = customer.chance(word.asked) if word.asked > 0 else 0.0
+        if customer.shares_cap() and (word.asked < 0 or granted):  # who is let in needs a place at once
+            customer.wanting[sender] = abs(word.asked), self.now
+        if word.asked > 0 or (word.spent > 0 and customer.level < customer.plan.burst / 2):
+            self.tell(sender, customer, max(0.0, word.asked))
+        customer.spend(word.asked * granted)
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
@@ -859,7 +878,9 @@
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
         if not number:
             job.customer.place_us, job.customer.wanted_us = -NEVER, -NEVER  # used; the next may be asked for
-            self.tell_out(job.customer)
+            if job.customer.shares_cap() and job.customer.home != self.set.me:
+                job.customer.told_us = self.now  # its home counts on it since the grant
+                self.renewals[job.customer.key] = job.customer
         server.earned -= 1
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
