--- a/orchidhatch/client.py
+++ b/orchidhatch/client.py
@@ -109,6 +109,10 @@
         case "renew":
             call(at, "POST", f"/entries/{id_}/renew", {"life": options.life})
             print(f"{options.id} goes on")
+        case "promote":
+            done = call(at, "POST", "/promote", {"force": options.force})
+            print(f"term {done['term']}, generation {done['generation']}, {done['entries']} entries;"
+                  f" last heard {done['lagSeconds']:.1f} s ago, at generation {done['heardGeneration']}")
         case "remove":
             print(shown(call(at, "DELETE", f"/entries/{id_}", given(ifVersion=options.if_version))))
 
@@ -120,6 +124,8 @@
     commands.add_parser("list", help="the whole list")
     commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
         "--after", type=int, default=0, metavar="GENERATION")
+    commands.add_parser("promote", help="have a follower take the writes").add_argument(
+        "--force", action="store_true", help="though the service that it follows still answers")
     for name, text in (("show", "one entry, with its version and life"), ("drain", "nothing new goes to it"),
                        ("serve", "it may be used again"), ("remove", "take it off the list"),
                        ("renew", "its lease begins anew"), ("register", "enter it, or enter it anew")):
--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -1,5 +1,6 @@
 """What goes over HTTP, as JSON: the list as the protocol gives it, and writes, checked field by field."""
 
+import ipaddress
 import json
 import math
 import re
@@ -14,7 +15,7 @@
 MOST_LEASE_MS = 24 * 3600 * 1000
 MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
 ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-ADDRESS = re.compile(r"([A-Za-z0-9][A-Za-z0-9.-]{0,252}):([1-9][0-9]{0,4})")
+ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
 
 
 class FormError(Exception):
@@ -33,9 +34,10 @@
     }
 
 
-def listing(generation: int, reset: bool, entries: Iterable[Entry]) -> bytes:
-    """The whole list, or the changes to it, on a line."""
-    value = {"generation": generation, "reset": reset, "instances": list(map(instance, entries))}
+def listing(generation: int, reset: bool, entries: Iterable[Entry], leases: bool = False) -> bytes:
+    """The whole list, or the changes to it, on a line; with `leases` in the form that followers ask for."""
+    form = written if leases else instance
+    value = {"generation": generation, "reset": reset, "instances": list(map(form, entries))}
     return json.dumps(value, separators=(",", ":"), allow_nan=False).encode() + b"\n"
 
 
@@ -89,8 +91,12 @@
 
 def address(field: str, value: object) -> str:
     found = ADDRESS.fullmatch(value) if isinstance(value, str) else None
-    if not found or int(found[2]) > 65535:
-        wrong(field, "host:port is needed, with a port from 1 to 65535")
+    try:
+        good = found and ipaddress.IPv4Address(found[1]) and int(found[2]) <= 65535
+    except ValueError:
+        good = False
+    if not good:  # a name would be of no use to a front door, which has no DNS
+        wrong(field, "an IPv4 address and a port from 1 to 65535 are needed, as 10.0.0.4:6379")
     return value
 
 
@@ -115,6 +121,12 @@
     return str(value)
 
 
+def flag(field: str, value: object) -> bool:
+    if not isinstance(value, bool):
+        wrong(field, "true or false is needed")
+    return value
+
+
 def state(field: str, value: object) -> str:
     return DELETED if value == DELETED else lifecycle(field, value)
 
@@ -153,14 +165,17 @@
     return Register(entry, found.get("ifVersion"))
 
 
-def read_instance(value: object) -> Entry:
-    """An entry of a list that another service gives; there may be fields here unknown."""
+def read_instance(value: object, leases: bool = False) -> Entry:
+    """An entry of a list that another service gives, with life and lease if it tells them and they are asked
+    for; there may be fields here unknown."""
     if not isinstance(value, dict):
         raise FormError("an entry is not a JSON object")
-    readers = {**ENTRY, "lifecycle": state}
-    found = fields({key: value[key] for key in value if key in readers}, readers, ())
+    extra = {**LIFE, **LEASE} if leases else {}
+    readers = {**ENTRY, "lifecycle": state, **extra}
+    found = fields({key: value[key] for key in value if key in readers}, readers, extra)
     return Entry(found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
-                 found["lifecycle"], found["weight"], found["startedAtMs"])
+                 found["lifecycle"], found["weight"], found["startedAtMs"],
+                 life=found.get("life", 0), lease_ms=found.get("leaseMs", 0))
 
 
 def read_change(id_: str, body: bytes) -> Change:
@@ -178,6 +193,11 @@
     return int(fields(read_body(body), LIFE, ())["life"])
 
 
+def read_promotion(body: bytes) -> bool:
+    """Whether it is to be done though the followed service still answers."""
+    return bool(fields(read_body(body or b"{}"), {"force": flag}, {"force"}).get("force", False))
+
+
 def read_after(value: str) -> int:
     """The generation that a watch goes on from; 0 for one that knows none."""
     if not (value.isascii() and value.isdigit()) or len(value) > 16:
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -18,7 +18,15 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from orchidhatch.forms import read_change, read_register, read_remove, read_renewal, written
+from orchidhatch.following import Following
+from orchidhatch.forms import (
+    read_change,
+    read_promotion,
+    read_register,
+    read_remove,
+    read_renewal,
+    written,
+)
 from orchidhatch.leases import TICK_S, Leases
 from orchidhatch.server import STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
 from orchidhatch.store import Entry, RefusedError, Remove, Store, StoreError, UnlistedError, Write
@@ -34,9 +42,11 @@
 
     def __init__(
         self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None,
-        peers: Sequence[tuple[str, int]] = (),
+        peers: Sequence[tuple[str, int]] = (), follow: Sequence[tuple[str, int]] = (),
     ) -> None:
         super().__init__(store, seed)
+        self.following = Following(self, follow, leases=True) if follow else None
+        self.follow_task: asyncio.Task[None] | None = None
         self.peers, self.fenced = peers, ""  # why it takes no writes any more
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
@@ -52,6 +62,9 @@
         await super().start(host, port)
         if self.peers:
             self.tasks.append(asyncio.create_task(self.keep_asking()))
+        if self.following:
+            self.follow_task = asyncio.create_task(self.following.follow())
+            self.tasks.append(self.follow_task)
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
     def last(self) -> Sequence[asyncio.Future[None]]:
@@ -67,6 +80,8 @@
                 self.queue(read_change(id_, body), connection)
             case "POST", ("entries", id_, "renew"):
                 connection.answer(self.renew(id_, read_renewal(body)))
+            case "POST", ("promote",):
+                connection.answer(self.promote(read_promotion(body)))
             case "DELETE", ("entries", id_):
                 self.queue(read_remove(id_, body), connection)
             case "GET", ("entries", id_):
@@ -75,10 +90,43 @@
             case _:
                 super().other(connection, method, path, body)
 
+    def store_name(self) -> str:
+        return f"{self.store.identity} {self.following.term() if self.following else self.store.term}"
+
     def health(self) -> Answer:
+        if self.following:
+            value = {"health": "follows", "connected": self.following.connected,
+                     "lagSeconds": self.following.age_s(), "follows": self.following.registry()}
+            return Answer(200 if self.following.heard_ms else 503, value)
         return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
+    def promote(self, force: bool) -> Answer:
+        """From a follower to the one that takes writes. All watches end, as they were told another term."""
+        heard = self.following
+        if not heard:
+            return Answer(409, told(f"it follows none; it is the list service of term {self.store.term}"))
+        if not heard.heard_ms:
+            return Answer(409, told("it has never heard a list"))
+        if heard.connected and not force:
+            return Answer(409, told(f"{heard.registry()} still answers; stop it first, or force it"))
+        try:
+            self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
+        except StoreError as error:
+            return busy(str(error))
+        self.follow_task.cancel()
+        self.following = None
+        self.leases = Leases(self.store.entries.values(), self.clock())
+        log.warning("promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
+                    self.store.term, self.store.generation, heard.known, heard.source, heard.age_s())
+        for connection in list(self.watches):
+            connection.transport.close()
+        return Answer(200, {"term": self.store.term, "generation": self.store.generation,
+                            "entries": len(self.store.entries), "heardGeneration": heard.known,
+                            "lagSeconds": heard.age_s()})
+
     def renew(self, id_: str, life: int) -> Answer:
+        if self.following:
+            return self.follows()
         if self.leases.renew(id_, life, self.clock()):
             return Answer(200, {"instanceId": id_, "life": life})
         known = self.store.entries.get(id_)
@@ -88,6 +136,9 @@
             return Answer(409, told(f"{id_} has no lease"))
         return Answer(409, told(f"{id_} is in life {known.life}, not {life}"))
 
+    def follows(self) -> Answer:
+        return Answer(409, told(f"it follows {self.following.registry()}, and takes no writes"))
+
     # --- terms ---
 
     async def keep_asking(self) -> None:
@@ -96,7 +147,7 @@
             await self.ask_peers()
 
     async def ask_peers(self) -> None:
-        for peer in self.peers:
+        for peer in () if self.following else self.peers:
             term = await asyncio.to_thread(term_at, peer)
             if term > self.store.term:
                 self.fenced = f"fenced: {peer[0]}:{peer[1]} is of term {term}, this is of {self.store.term}"
@@ -105,6 +156,10 @@
     # --- writes ---
 
     def queue(self, write: Write, connection: Connection | None) -> None:
+        if self.following:
+            if connection:
+                connection.answer(self.follows())
+            return
         if self.fenced:
             if connection:
                 connection.answer(Answer(409, told(self.fenced)))
@@ -169,6 +224,8 @@
         """Have those leave whose leases have run out."""
         while True:
             await asyncio.sleep(TICK_S)
+            if self.following:  # it is the other's to end them
+                continue
             held = self.leases.held
             for entry in self.leases.overdue(self.clock()):
                 log.warning("%s did not renew its lease of %d ms", entry.id, entry.lease_ms)
@@ -186,7 +243,9 @@
             "longest_commit_seconds": round(self.longest_commit_s, 6),
             "leases": len(self.leases.due), "leases_held": self.leases.held,
             "leases_expired_total": self.expired, "broken": int(bool(self.broken)),
-            "fenced": int(bool(self.fenced)),
+            "fenced": int(bool(self.fenced)), "following": int(bool(self.following)),
+            "lag_seconds": self.following.age_s() if self.following else 0,
+            "followed_generation": self.following.known if self.following else 0,
         })
 
 
@@ -218,7 +277,7 @@
 async def serve(options: argparse.Namespace) -> None:
     # A new store goes on from the time in ms: above what one before it gave, at under 1,000 writes a second.
     store = Store(options.store, options.create, first=time.time_ns() // 1_000_000)
-    registry = Registry(store, seed=os.getpid(), peers=options.peer)
+    registry = Registry(store, seed=os.getpid(), peers=options.peer, follow=options.follow)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -236,6 +295,8 @@
     parser.add_argument("--store", type=Path, required=True, metavar="FILE")
     parser.add_argument("--peer", type=read_listen, action="append", default=[], metavar="HOST:PORT",
                         help="another list service, which may have replaced this one; may be repeated")
+    parser.add_argument("--follow", type=read_listen, action="append", default=[], metavar="HOST:PORT",
+                        help="stand by for this list service: serve reads, take no writes until promoted")
     parser.add_argument("--create", action="store_true", help="make a new store where there is none")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
--- a/orchidhatch/server.py
+++ b/orchidhatch/server.py
@@ -20,6 +20,8 @@
 BEAT_S = 2.0  # an empty line to each watch, by the protocol
 MOST_UNSENT = 256 * 1024  # bytes that a watch may leave unread beyond the list it began with
 MOST_WATCHES, MOST_CALLS = 10_000, 2_000  # connections of either kind
+MOST_MADE = 64  # lines kept ready for watches, each of them the whole list at most
+WHOLE = -1  # in place of a generation that is known: none is
 COME_AGAIN_S = (1, 5)  # who is turned away is told a time from these, so that they don't return together
 STORE_HEADER = "Orchidhatch-Store"  # whose generations these are: the store's identity and term
 
@@ -50,6 +52,7 @@
         self.transport: asyncio.Transport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.watches, self.generation = False, 0  # what this watch has been told
+        self.leases = False  # whether it is told lives and leases too
         self.answered = False
         self.first = 0  # bytes of the list that a watch began with
 
@@ -108,11 +111,11 @@
                                  + self.http.send(h11.Data(data=body)))
         self.transport.close()
 
-    def watch(self, after: int) -> None:
+    def watch(self, after: int, leases: bool) -> None:
         """Begin with what changed since, or else with the whole list."""
         self.timer.cancel()
-        self.watches = True
-        line = self.server.line(after) if after else self.server.whole()  # 0: it knows none
+        self.watches, self.leases = True, leases
+        line = self.server.line(after, leases) if after else self.server.whole(leases)  # 0: it knows none
         self.first, self.generation = len(line), self.server.store.generation
         headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked"),
                    (STORE_HEADER, self.server.store_name())]
@@ -161,6 +164,8 @@
         self.watches: dict[Connection, None] = {}
         self.statuses: dict[int, int] = {}
         self.cut = self.shed = 0
+        self.lines_of: tuple[str, int, int] | None = None  # the list that these were made of:
+        self.made: dict[tuple[int, bool], bytes] = {}  # by what is known, and whether leases are told
         self.listener: asyncio.Server | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -240,25 +245,32 @@
                 after = 0  # another store's generation says nothing here
             self.calls.discard(connection)
             self.watches[connection] = None
-            connection.watch(after)
-
-    def whole(self) -> bytes:
-        return listing(self.store.generation, True, self.store.entries.values())
-
-    def line(self, after: int) -> bytes:
-        """What changed after a generation, or else the whole list."""
-        changes = self.store.changes(after)
-        return self.whole() if changes is None else listing(self.store.generation, False, changes)
+            connection.watch(after, leases=query.get("leases", ["0"]) == ["1"])
+
+    def whole(self, leases: bool = False) -> bytes:
+        return self.line(WHOLE, leases)
+
+    def line(self, after: int, leases: bool = False) -> bytes:
+        """What changed after a generation, or else the whole list: made once for all who know the same, as
+        thousands of watches come back together after a restart."""
+        if self.lines_of != (self.store.identity, self.store.term, self.store.generation):
+            self.lines_of = self.store.identity, self.store.term, self.store.generation
+            self.made.clear()
+        changes = self.store.changes(after) if after != WHOLE else None
+        key = (WHOLE if changes is None else after), leases
+        if key not in self.made:
+            if len(self.made) >= MOST_MADE:
+                self.made.clear()
+            entries = self.store.entries.values() if changes is None else changes
+            self.made[key] = listing(self.store.generation, changes is None, entries, leases)
+        return self.made[key]
 
     def spread(self, whole: bool = False) -> None:
         """Tell all watches; those that know the same are sent the same bytes."""
-        lines: dict[int, bytes] = {}
         for connection in list(self.watches):
-            known = -1 if whole else connection.generation
-            if known not in lines:
-                lines[known] = chunk(self.line(known))
+            line = self.line(WHOLE if whole else connection.generation, connection.leases)
             connection.generation = self.store.generation
-            connection.tell(lines[known])
+            connection.tell(chunk(line))
 
     async def beat(self) -> None:
         while True:
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Put:
-    """What another store says of a backend: it holds, whatever is known here."""
+    """What another store says of a backend: it holds, whatever is known here. A life of 0 is not known."""
 
     entry: Entry
 
@@ -301,6 +301,25 @@
                 self.db.execute("ROLLBACK")
             raise StoreError(f"cannot write {self.path.name}: {error}") from error
 
+    def begin_term(self, term: int, first: int) -> None:
+        """A later term, durable on return: generations go on from `first` at least, and no watch resumes."""
+        if term <= self.term:
+            raise StoreError(f"term {term} is not above {self.term}")
+        generation = max(self.generation + 1, first)
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            self.db.execute("DELETE FROM history")
+            self.db.execute("UPDATE meta SET term = ?, first = ?, generation = ?, digest = ?",
+                            (term, generation, generation,
+                             seal(self.identity, term, generation, generation, self.sum)))
+            self.db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise StoreError(f"cannot write {self.path.name}: {error}") from error
+        self.term, self.first, self.generation = term, generation, generation
+        self.history.clear()
+
     def take(self, batch: "Batch") -> None:
         """Show readers a batch that is durable."""
         self.generation, self.sum = batch.generation, batch.total
@@ -328,7 +347,8 @@
 def fit(write: Write, known: Entry | None, generation: int, full: bool) -> Entry:
     """The entry as the write leaves it; a RefusedError where it does not fit what is listed, `known`."""
     if isinstance(write, Put):
-        return replace(write.entry, version=generation, life=known.life if known else generation)
+        life = write.entry.life or (known.life if known else generation)
+        return replace(write.entry, version=generation, life=life)
     name = write.entry.id if isinstance(write, Register) else write.id
     version = known.version if known else 0
     if write.if_version is not None and write.if_version != version:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -13,7 +13,7 @@
 import pytest
 
 from molereach.frontdoor import FrontDoor
-from orchidhatch import agent as agents
+from orchidhatch import following
 from orchidhatch.agent import Agent, open_cache
 from orchidhatch.registry import Registry
 from orchidhatch.store import Store
@@ -26,8 +26,8 @@
 
 @pytest.fixture(autouse=True)
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(agents, "BACKOFF_S", 0.01)
-    monkeypatch.setattr(agents, "MOST_BACKOFF_S", 0.02)
+    monkeypatch.setattr(following, "BACKOFF_S", 0.01)
+    monkeypatch.setattr(following, "MOST_BACKOFF_S", 0.02)
 
 
 @contextlib.asynccontextmanager
@@ -40,6 +40,18 @@
         await agent.close()
 
 
+async def start_agent(
+    path: Path, at: tuple[str, int], *registries: tuple[str, int]
+) -> asyncio.subprocess.Process:
+    known = [word for registry in registries for word in ("--registry", f"{HOST}:{registry[1]}")]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "orchidhatch.agent", "--listen", f"{HOST}:{at[1]}", *known, "--cache",
+        str(path), cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+    while b"serves generation" not in (line := await process.stderr.readline()):
+        assert line, "the agent has ended"
+    return process
+
+
 async def until(what: object) -> None:
     while not what():
         await asyncio.sleep(0.002)
@@ -55,7 +67,7 @@
         async with serving(tmp_path / "r.db") as registry:
             await register(registry, "s-1")
             async with agent_of(tmp_path / "a.db", address_of(registry)) as agent:
-                await until(lambda: agent.connected)
+                await until(lambda: agent.following.connected)
                 watcher = await Watcher.open(address_of(agent))
                 first = await watcher.news()
                 assert first["reset"] and first["instances"] == [json.loads(body(instanceId="s-1"))]
@@ -80,7 +92,7 @@
                 for name in ("s-1", "s-2", "s-3"):
                     await register(first, name)
                 async with agent_of(tmp_path / "a.db", address_of(first), address_of(second)) as agent:
-                    await until(lambda: agent.connected)
+                    await until(lambda: agent.following.connected)
                     watcher = await Watcher.open(address_of(agent))
                     before = await watcher.news()
                     assert len(before["instances"]) == 3
@@ -90,7 +102,7 @@
                     assert after["generation"] > before["generation"]
                     await register(second, "s-4")
                     assert named(await watcher.news()) == {"s-4": "SERVING"}
-                    assert agent.switches == 1
+                    assert agent.following.switches == 1
 
     run(job())
 
@@ -103,13 +115,13 @@
         async with serving(tmp_path / "r1.db") as first, serving(tmp_path / "old.db") as old:
             await register(first, "s-1")
             async with agent_of(tmp_path / "a.db", address_of(first), address_of(old)) as agent:
-                await until(lambda: agent.connected)
+                await until(lambda: agent.following.connected)
                 await first.close()
-                await until(lambda: agent.passed_over >= 2)
-                assert not agent.connected and list(agent.store.entries) == ["s-1"]
+                await until(lambda: agent.following.passed_over >= 2)
+                assert not agent.following.connected and list(agent.store.entries) == ["s-1"]
                 old.store.term = agent.store.term - 1  # and so is one of an earlier term
-                before = agent.passed_over
-                await until(lambda: agent.passed_over > before)
+                before = agent.following.passed_over
+                await until(lambda: agent.following.passed_over > before)
                 assert list(agent.store.entries) == ["s-1"]
 
     run(job())
@@ -121,7 +133,7 @@
         async with serving(tmp_path / "r.db") as registry:
             await register(registry, "s-1")
             async with agent_of(tmp_path / "a.db", address_of(registry), wall_ms=lambda: now[0]) as agent:
-                await until(lambda: agent.connected)
+                await until(lambda: agent.following.connected)
                 generation = agent.store.generation
         now[0] += 90_000
         async with agent_of(tmp_path / "a.db", refusing_address(), wall_ms=lambda: now[0]) as agent:
@@ -159,11 +171,12 @@
 ])
 def test_line_that_makes_no_sense_changes_nothing(tmp_path: Path, line: bytes) -> None:
     agent = Agent(open_cache(tmp_path / "a.db"), [(HOST, 1)])
-    agent.take("x 1", b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1"))
-    assert list(agent.store.entries) == ["s-1"] and agent.malformed == 2
+    told = b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1")
+    agent.following.take("x 1", told)
+    assert list(agent.store.entries) == ["s-1"] and agent.following.malformed == 2
     before = agent.store.generation
-    with pytest.raises(agents.FormError):
-        agent.take("x 1", line)
+    with pytest.raises(following.FormError):
+        agent.following.take("x 1", line)
     assert agent.store.generation == before and list(agent.store.entries) == ["s-1"]
 
 
@@ -176,13 +189,7 @@
         assert (await call(listen, "POST /entries", given))[0] == 200
 
         async def agent() -> asyncio.subprocess.Process:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "orchidhatch.agent", "--listen", f"{HOST}:{at[1]}", "--registry",
-                f"{HOST}:{listen[1]}", "--cache", str(tmp_path / "a.db"), cwd=ROOT,
-                stderr=asyncio.subprocess.PIPE)
-            while b"serves generation" not in (line := await process.stderr.readline()):
-                assert line, "the agent has ended"
-            return process
+            return await start_agent(tmp_path / "a.db", at, listen)
 
         one = await agent()
         door = FrontDoor(replace(CONFIG, discovery=at))
@@ -224,7 +231,7 @@
                 at = await backend.start()
                 await register(registry, f"s-{registry is second}", hostPort=f"{at[0]}:{at[1]}")
             async with agent_of(tmp_path / "a.db", address_of(second)) as agent:
-                await until(lambda: agent.connected)
+                await until(lambda: agent.following.connected)
                 door = FrontDoor(replace(CONFIG, discovery=address_of(first)))
                 await door.start()
                 await until(lambda: "s-False" in door.catalog.entries)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -30,9 +30,10 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    path: Path, create: bool = True, peers: tuple[tuple[str, int], ...] = (), **changes: Any  # noqa: ANN401
+    path: Path, create: bool = True, peers: tuple[tuple[str, int], ...] = (),
+    follow: tuple[tuple[str, int], ...] = (), **changes: Any  # noqa: ANN401
 ) -> AsyncIterator[Registry]:
-    registry = Registry(Store(path, create, **changes), seed=1, peers=peers)
+    registry = Registry(Store(path, create, **changes), seed=1, peers=peers, follow=follow)
     await registry.start(HOST, 0)
     try:
         yield registry
