Pass over a backend that is listed by a name

A test with the real front door: three such entries beside a good backend, eight requests served, three lines.

--- a/molereach/config.py
+++ b/molereach/config.py
@@ -1,5 +1,6 @@
 """What a front door is told at its start: the environment and the JSON file, checked and typed."""
 
+import ipaddress
 import json
 import os
 import socket
@@ -71,6 +72,16 @@
     return host, int(port)
 
 
+def read_backend(text: str) -> Address:
+    """Where a backend listens. A name is an error: there is no DNS to ask, and asking would keep a thread."""
+    host, port = read_address(text)
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise ConfigError(f"'{text}' is no IPv4 address with a port") from error
+    return host, port
+
+
 def read_descriptor(text: str) -> int:
     """An inherited descriptor of a listening socket."""
     try:
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -13,7 +13,7 @@
 
 from fennelwinch import interface as i
 from molereach.account import Account, Place
-from molereach.config import Address, Config, ConfigError, read_address
+from molereach.config import Address, Config, ConfigError, read_backend
 
 log = logging.getLogger(__name__)
 
@@ -76,7 +76,7 @@
                 server = self.server(entry)
                 # One that is gone needs no address, and must be heard of in any case.
                 if server.state is not i.ServerState.GONE:
-                    addresses[server.name] = read_address(entry["hostPort"])
+                    addresses[server.name] = read_backend(entry["hostPort"])
             except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError, ConfigError) as error:
                 log.error("passed over an entry of the list: %.200r: %s", entry, error)
                 continue
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -326,3 +326,18 @@
             assert await good.ask(query("b3")) == b"ok"
 
     run(job())
+
+
+def test_backend_listed_by_a_name_is_passed_over_and_said(caplog: pytest.LogCaptureFixture) -> None:
+    """There is no DNS: a look-up would keep a thread, and an attempt, for as long as it takes to fail."""
+
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend, addresses=[("evil", 1), ("", 1), ("127.1", 1)]) as (door, address):
+            client = await Client.open(address)
+            for number in range(8):
+                assert await client.ask(query(f"a{number}")) == b"ok"
+            assert len(backend.commands) == 8 and list(door.backends.pools) == ["s3"]
+            assert caplog.text.count("is no IPv4 address") + caplog.text.count("is not an address") == 3
+
+    run(job())
