--- /dev/null
+++ b/fennelwinch/membership.py
@@ -0,0 +1,83 @@
+"""Who is in the list, and who is left out of it by hand."""
+
+from fennelwinch import interface as i
+from fennelwinch.basics import NEVER, Desk
+from fennelwinch.routing import Routing, Server
+
+MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
+
+
+class Membership:
+    """Keeps what routing may choose from as the list and the operators say."""
+
+    def __init__(self, desk: Desk, routing: Routing) -> None:
+        self.desk, self.routing = desk, routing
+        self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
+
+    def on_list(self, news: i.ServerList) -> None:
+        desk, routing = self.desk, self.routing
+        if desk.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
+            desk.actions.append(i.Subscribe(True))
+        named = {entry.name for entry in news.servers}
+        part = news.kind in (i.ListKind.CHANGES, i.ListKind.FAILED)  # after a failure the old list holds
+        routing.servers = {name: known for name, known in routing.servers.items() if part or name in named}
+        for entry in news.servers:
+            known = routing.servers.get(entry.name)
+            if known is None or known.entry.started_us != entry.started_us:
+                known = routing.servers[entry.name] = Server(entry)
+                # All gateways hear of it at once, and each owes it little: by chance they begin apart.
+                known.earned, known.earned_us = desk.random.random(), desk.now
+            known.entry = entry
+            self.names.setdefault(entry.name, False)
+        self.forget_names()
+        self.find_up()
+
+    def forget_names(self) -> None:
+        """The names are bounded: first go those that are neither listed nor left out."""
+        if (excess := len(self.names) - MOST_NAMES) > 0:
+            unlisted = {name: out for name, out in self.names.items() if name not in self.routing.servers}
+            spare = [name for name, out in unlisted.items() if not out]
+            spare += [name for name, out in unlisted.items() if out]
+            for name in spare[:excess]:
+                del self.names[name]
+
+    def find_up(self) -> None:
+        routing, set_ = self.routing, self.desk.set
+        routing.by_sum = {}
+        for server in routing.servers.values():
+            routing.by_sum[server.sum] = None if server.sum in routing.by_sum else server
+            started = max(server.entry.started_us, server.cold_us)
+            cold = started and set_.cold_from < 1
+            server.warm_us = started + max(1, set_.warm_within_us) if cold else -NEVER
+        routing.up = [server for server in routing.servers.values()
+                      if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
+        routing.count_warm()
+
+    def on_maint(self, event: i.Maint) -> None:
+        """Leave a server out whatever the list says, or take it back: by a trial, and as a cold one."""
+        known = event.server in self.names
+        if known:
+            self.leave_out(event)
+            self.desk.tell_twin(i.TwinMaint(event.server, event.out))
+        self.desk.actions.append(i.Ruling(event.server, event.out, known))
+
+    def leave_out(self, event: i.Maint | i.TwinMaint) -> None:
+        if self.names.get(event.server, False) != event.out:
+            self.names[event.server] = event.out
+            if (server := self.routing.servers.get(event.server)) and not event.out:
+                server.avoid_until = server.backoff_us = 0
+                server.fails, server.on_trial, server.cold_us = 0.0, True, self.desk.now
+                server.earned = 1.0
+            self.find_up()
+
+    def remember(self, names: tuple[i.TwinMaint, ...]) -> None:
+        self.names.update((told.server, told.out) for told in names)
+        self.forget_names()
+        self.find_up()
+
+    def counted(self) -> tuple[int, int]:
+        """The servers listed, and those of them that are avoided by hand or by choice."""
+        now, routing = self.desk.now, self.routing
+        good = sum(now >= server.avoid_until and not server.on_trial for server in routing.up)
+        listed = sum(server.entry.state is not i.ServerState.GONE for server in routing.servers.values())
+        return listed, listed - good
--- /dev/null
+++ b/fennelwinch/quota.py
@@ -0,0 +1,177 @@
+"""A customer's quota, open cap and ceiling: what of them is here, and at its home what its set has."""
+
+import math
+
+from fennelwinch import interface as i
+from fennelwinch.basics import NEVER, S
+
+DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
+ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
+# How long a home counts on word of attempts out, or on a place that it granted; how often it is renewed. Most
+# attempts end before that, and a place whose end was told in a lost message is free again soon.
+OUT_FRESH_US, RENEW_US = 1.5 * S, 0.6 * S
+QUEUED_US = S // 2  # how often a gateway that the home has queued for a place asks again, as words are lost
+PLACE_ALONE = 0.02  # asked for with a place that needs nothing under the ceiling: the least a word can hold
+# Who tells the home of a customer with a shared cap leaves its part of the ceiling's rate to the home for a
+# while; the home counts on it for less, as words are late. Thus all parts together never exceed the ceiling.
+LEFT_US, LENT_US = 3 * S, 2 * S
+ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
+KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
+
+
+class Customer:
+    """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
+
+    def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
+        self.plan, self.key, self.size, self.at = plan, key, key[3], now
+        self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
+        self.at_home = self.home == set_.me
+        self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
+        self.heard_us, self.out = -NEVER, 0
+        self.ceiling, self.left_us = 0.0, 0 if self.at_home or not self.shares_cap() else now + LEFT_US
+        self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
+        self.granted: dict[int, list[int]] = {}  # there too: places granted and not yet seen in use; when
+        # There too: who waits for a place, longest first; for how many units, and when it asked last.
+        self.wanting: dict[int, tuple[float, int]] = {}
+        self.lent: dict[int, int] = {}  # there too: until when a gateway leaves its part of the ceiling to it
+        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered; its last word.
+        self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
+        self.told_us = -NEVER
+        self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
+        # How long a word from home is used where the customer's asks are as many as one may send it.
+        self.word_us = self.size * S / max(1.0, ASK_SHARE * set_.peer_messages_per_s)
+        self.most_asked = ASK_SHARE * set_.peer_messages_per_s * DEMAND_US / S  # demand past which it must do
+
+    def has_idled(self, time_us: int) -> None:
+        """Its part of the ceiling was empty at this process's start at worst, as that may be a restart."""
+        plan, left_us = self.plan, LEFT_US if self.left_us else 0
+        gained = plan.ceiling_rate * max(0, time_us - left_us) / S
+        self.ceiling = min(plan.ceiling_burst, gained) / self.size
+
+    def refill(self, now: int) -> "Customer":
+        """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
+        before, plan, part = self.at, self.plan, 1 / self.size
+        took, self.at = (now - before) / S, now
+        gained = max(0, now - max(before, self.left_us))  # nothing while it is left to the home
+        gained += sum(max(0, min(now, until) - before) for until in self.lent.values())
+        self.lent = {peer: until for peer, until in self.lent.items() if until > now}
+        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * part * gained / S)
+        if now - self.heard_us > WORD_FRESH_US:
+            self.level = min(plan.burst, self.level + plan.rate * took)
+            self.demand *= math.exp(-took * S / DEMAND_US)
+        self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
+        return self
+
+    def chance(self, units: float, known: bool = True) -> float:
+        """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes.
+
+        Where a part holds no whole request, or the open cap is shared, the parts lie at the home together,
+        which is asked for each: who has its word is let in while the level holds the request. Who goes by an
+        older word shares the rate, and what the level is above or under a part of the burst, over the time
+        that such a word is used.
+        """
+        level, plan = self.level, self.plan
+        if self.is_pooled(units) or self.shares_cap():
+            if known:
+                return float(level >= units)
+            level = (level - KEPT_PART * plan.burst) * DEMAND_US / self.word_us
+        quota = level + plan.rate * DEMAND_US / S
+        return max(0.0, min(1.0, quota / max(units, self.demand))) if plan.rate else 1.0
+
+    def is_pooled(self, units: float) -> bool:
+        """Whether a gateway's part of the burst holds less than the request."""
+        return units <= self.plan.burst < units * self.size
+
+    def is_fresh(self, now: int) -> bool:
+        return now - self.heard_us < WORD_FRESH_US
+
+    def is_dry(self, units: float, now: int) -> bool:
+        """Whether by a fresh word no refill can have made room yet."""
+        return self.is_fresh(now) and self.level + self.plan.rate * (now - self.heard_us) / S < units
+
+    def spend(self, units: float) -> None:
+        self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
+
+    def take(self, units: float) -> None:
+        """Spend of what is here."""
+        self.spend(units)
+        self.part, self.spent = max(0.0, self.part - units), self.spent + units
+
+    def memory(self) -> i.CustomerMemory:
+        return i.CustomerMemory(self.key, self.at, self.part, self.level, self.demand, self.ceiling,
+                                self.heard_us, self.untold, self.spent)
+
+    def remember(self, told: i.CustomerMemory, now: int) -> None:
+        self.part, self.level, self.demand = told.part, told.level, told.demand
+        self.ceiling, self.heard_us = told.ceiling, told.heard_us
+        self.untold, self.spent = told.untold, told.spent
+        self.left_us = now + LEFT_US if self.left_us else 0
+
+    # --- the open cap ---
+
+    def shares_cap(self) -> bool:
+        """Whether its open cap is too small to be split over its set."""
+        return 0 < self.plan.max_out < self.size
+
+    def asks_home(self) -> bool:
+        """Elsewhere than at home: whether each attempt needs a place from there, as long as it answers."""
+        return self.shares_cap() and self.wants <= ASKS
+
+    def has_place(self, now: int) -> bool:
+        return now - self.place_us < ASK_US
+
+    def at_open_cap(self, now: int) -> bool:
+        if not self.plan.max_out:
+            return False
+        if self.shares_cap() and self.at_home:
+            return self.out + self.others_out(now) >= self.plan.max_out
+        if self.asks_home():
+            return not self.has_place(now)
+        return self.out >= max(1, self.plan.max_out // self.size)
+
+    def others_out(self, now: int, but: int = -1) -> int:
+        """At its home: the attempts that the others have out, as they told of late, or were granted since."""
+        told = sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
+        return told + sum(now - at < OUT_FRESH_US for peer, given in self.granted.items() if peer != but
+                          for at in given)
+
+    def hear_out(self, peer: int, out: int, ended: bool, now: int) -> None:
+        """At its home: what a peer has out. Of the places granted to it, those that it has or had are not to
+        be counted twice, and only those granted a moment ago may be on their way."""
+        used = max(0, out - self.outs.get(peer, (0, 0))[0] + ended)
+        if given := [at for at in self.granted.pop(peer, ()) if now - at < 2 * ASK_US][used:]:
+            self.granted[peer] = given
+        self.outs[peer] = out, now
+
+    def next_wanting(self, now: int) -> int | None:
+        """At its home: who has waited longest for a place, if there is one and room under the ceiling."""
+        self.wanting = {peer: entry for peer, entry in self.wanting.items() if now - entry[1] < 2 * QUEUED_US}
+        if not self.wanting or self.out + self.others_out(now) >= self.plan.max_out:
+            return None
+        self.refill(now)
+        return next((peer for peer, (units, _) in self.wanting.items()
+                     if units <= PLACE_ALONE or units <= self.ceiling), None)
+
+    def grant(self, peer: int, now: int) -> float:
+        """At its home: a place, and the units under the ceiling that were asked for with it."""
+        units, _ = self.wanting.pop(peer)
+        self.granted.setdefault(peer, []).append(now)
+        self.ceiling -= units if units > PLACE_ALONE else 0.0
+        return units
+
+    def hear_place(self, word: i.Word, now: int) -> None:
+        """Elsewhere: the home's answer to a wish for a place."""
+        self.wants, self.queued, self.wanted_us = 0, word.place is i.Place.QUEUED, now
+        if word.place is i.Place.GRANTED:
+            self.place_us = now
+            self.ceiling += -word.asked if -word.asked > PLACE_ALONE else 0.0
+
+    def leave_ceiling(self, now: int) -> None:
+        """Elsewhere: it tells its home now, which may use its part of the ceiling's rate from then on."""
+        self.left_us, self.told_us = self.refill(now).at + LEFT_US, now
+
+    def use_place(self, now: int) -> None:
+        """A first attempt leaves; the home counts on it since its grant, and may be asked for the next."""
+        self.place_us, self.wanted_us = -NEVER, -NEVER
+        if self.shares_cap() and not self.at_home:
+            self.told_us = now
--- /dev/null
+++ b/fennelwinch/retries.py
@@ -0,0 +1,63 @@
+"""When an attempt is given up, whether a further one is worth it, and when a client may come again."""
+
+from fennelwinch import interface as i
+from fennelwinch.basics import NEVER, Desk, S
+from fennelwinch.cap import Cap
+from fennelwinch.jobs import Job
+from fennelwinch.quota import DEMAND_US
+from fennelwinch.routing import Routing
+
+RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
+
+
+class Retries:
+    """Further attempts live on a small share of first ones, so that they feed no overload."""
+
+    def __init__(self, desk: Desk, routing: Routing, cap: Cap) -> None:
+        self.desk, self.routing, self.cap = desk, routing, cap
+        self.left = RETRY_STORE / 2
+
+    def earn(self) -> None:
+        self.left = min(RETRY_STORE, self.left + RETRY_SHARE)
+
+    def mean_us(self, job: Job) -> float:
+        return self.routing.mean_us[job.req.class_index]
+
+    def time_out(self, job: Job) -> int:
+        """A repeatable attempt is given up while another can still meet the aim; microseconds from now."""
+        left, mean = job.end_us - self.desk.now, self.mean_us(job)
+        early = round(job.aim_us - self.desk.now - 2 * mean)
+        last = job.rule.effect is i.Effect.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
+        return max(1, left if last or early < 2 * mean else min(left, early))
+
+    def may(self, job: Job, why: i.Result) -> bool:
+        """Whether a further attempt may follow one that ended so."""
+        late = why is i.Result.MOOT or self.desk.now + self.mean_us(job) / 2 >= job.end_us
+        paid = why is i.Result.CONNECT_FAILED or self.left >= 1
+        return not late and paid and len(job.servers) < self.desk.set.max_attempts
+
+    def pay(self, why: i.Result) -> None:
+        self.left -= why is not i.Result.CONNECT_FAILED
+
+    # --- advice ---
+
+    def come_again(self, job: Job, why: str) -> int:
+        """When there will be room for what the request lacked, as far as is known here; by chance up to twice
+        that, as clients that were refused together would else come back together. Never less: who comes
+        before there is room costs a place and time, and gains nothing."""
+        most = self.desk.set.max_retry_after_us
+        return round(min(most, self.room_in(job, why) * (1 + self.desk.random.random())))
+
+    def room_in(self, job: Job, why: str) -> float:
+        customer, units = job.customer, job.req.units
+        if self.cap.n_past is not None:  # more comes than N: what comes again finds no room that others leave
+            return NEVER
+        if why == "crowded":
+            return self.mean_us(job)
+        if why == "quota":  # in what the others of its set, who go on asking, leave of the rate
+            others = max(0.0, customer.demand - units) / DEMAND_US * S
+            spare = customer.plan.rate - others
+            return (units - customer.level) / spare * S if spare > 0 else NEVER
+        if not job.servers and customer.plan.ceiling_rate and customer.ceiling < units:
+            return (units - customer.ceiling) * customer.size / customer.plan.ceiling_rate * S
+        return self.cap.cc_us  # as much is out as may be, or no server takes more: a period changes that
--- /dev/null
+++ b/fennelwinch/routing.py
@@ -0,0 +1,195 @@
+"""Where an attempt goes: what is known of each server, which may be chosen, and at what expected wait."""
+
+import math
+import zlib
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from fennelwinch.basics import LEAST_OUT, NEVER, SMOOTH, START_PER_SERVER, Desk, S
+
+if TYPE_CHECKING:
+    from fennelwinch.jobs import Job
+
+CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
+# A server in trouble is passed over by how much worse than usual it is. Less says nothing: it is within
+# chance, and as all gateways know the same they would all take the one that seems best.
+WORST, USUAL_TROUBLE = 4.0, 1.5
+SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
+SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
+SLOW_START_US = 8 * S  # after a return from suspicion: about the longest time away
+LEAST_PACE, MOST_PACE, PACE_STEP = 0.5, 2.0, 0.1  # of a cold server: twice its share is still under its bound
+# How much longer a wait a new connection is worth: less than one more attempt out there (2). It counts where
+# attempts are so few that, spread evenly, a server would get fewer than KEPT_USES while a connection is kept.
+NEW_CONNECTION, KEPT_USES = 1.5, 2
+AVOID_US = 300_000  # a server that turned a request away is full for about a service time
+REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
+# How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
+# sent on because servers are cold. What these may take must not shrink with that.
+USUAL_US = 30 * S
+SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
+
+
+class Server:
+    """A server of the list, and how it has served."""
+
+    def __init__(self, entry: i.Server) -> None:
+        self.entry, self.sum = entry, zlib.crc32(entry.name.encode()) & 0xFFFF
+        self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
+        self.heard_us = self.avoid_until = self.backoff_us = 0
+        self.trouble = 1.0  # latency over the mean, or WORST for a failure, as all gateways have met it
+        self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
+        self.on_trial, self.load, self.load_at = False, None, 0
+        self.back_us = -NEVER  # its return from suspicion
+        self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
+        self.cold_us = 0  # when it may have started anew while left out by hand
+        self.warm_us = NEVER  # from when on it is warm, by its start
+        self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
+
+    def relax(self) -> None:
+        """A slow one that is sent nothing must get its chance again."""
+        self.slowness += SMOOTH * (1 - self.slowness)
+        self.trouble += SMOOTH * (1 - self.trouble)
+
+    def memory(self) -> i.ServerMemory:
+        return i.ServerMemory(self.entry.name, self.entry.started_us, self.slowness, self.fails,
+                              self.on_trial, self.avoid_until, self.backoff_us, self.back_us, self.cold_us,
+                              self.earned, self.earned_us)
+
+    def remember(self, told: i.ServerMemory) -> None:
+        if abs(self.entry.started_us - told.started_us) < SAME_START_US:
+            self.slowness, self.fails, self.on_trial = told.slowness, told.fails, told.on_trial
+            self.avoid_until, self.backoff_us = told.avoid_until_us, told.backoff_us
+            self.back_us, self.cold_us = told.back_us, told.cold_us
+            self.earned, self.earned_us = told.earned, told.earned_us
+
+
+class Routing:
+    """The servers that may be sent new work, how warm and well they are, and the choice among them."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.desk = desk
+        self.servers: dict[str, Server] = {}  # of the list, by name
+        self.up: list[Server] = []  # those that may be sent new work
+        self.by_sum: dict[int, Server | None] = {}  # by checksum; None where two share one
+        self.mean_us = [rule.aim_us / 4 for rule in desk.set.classes]
+        self.mean_load = 0.0  # of the servers, as they say
+        self.kept_us = desk.set.conn_idle_us / 2  # how long connections are kept here, idle
+        self.spread_thin = False
+        self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
+        self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
+
+    def count_warm(self) -> None:
+        self.warm = sum(map(self.warmth, self.up))
+
+    def end_period(self, rate: float, lasted_us: int) -> None:
+        for server in self.servers.values():
+            server.relax()
+        self.spread_thin = rate * self.kept_us / S < KEPT_USES * len(self.up)
+        fade = math.exp(-lasted_us / USUAL_US)
+        self.usual = max(rate / max(1, len(self.up)), self.usual * fade)
+        self.count_warm()
+
+    def suspect(self) -> int:
+        return sum(self.desk.now < server.avoid_until or server.on_trial for server in self.up)
+
+    def choose(self, job: "Job") -> Server | None:
+        """The least expected wait among a few of those that the rules and their health allow."""
+        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not i.Effect.SAFE
+        allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
+        usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
+                  and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
+        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateways)  # more would only wait there
+        free = [server for server in usable if len(server.out) < most]
+        room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
+        # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
+        # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
+        room = [server for server in room if now < server.warm_us and not server.out] or room
+        return min(self.desk.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
+
+    def in_group(self, job: "Job", server: Server) -> bool:
+        """A keyed request that may have run stays where its repeats are dropped, while they are."""
+        rule, first = job.rule, job.ran_on
+        if first is None or rule.effect is i.Effect.SAFE:
+            return True
+        place = "zone" if rule.group is i.Group.ZONE else "cell"
+        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
+        return same and rule.effect is i.Effect.KEYED and self.desk.now < job.ran_us + rule.window_us
+
+    def cost(self, server: Server) -> float:
+        """Expected wait: work out there, how slow it is, how loaded it says it is."""
+        desk = self.desk
+        fresh = server.load is not None and desk.now - server.load_at < REPORT_FRESH_US
+        pressure = 0.5 + server.load / max(0.01, self.mean_load) / 2 if fresh else 1.0
+        far = 1 + 10 * desk.set.cross_zone_price * (server.entry.zone != desk.set.zone)
+        waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
+        # One that came back is passed over for a while where others are free, never held back from use:
+        # where many come back at once, all that is asked must still find a server.
+        back = min(1.0, (desk.now - server.back_us) / SLOW_START_US)
+        trouble = max(1.0, server.trouble / USUAL_TROUBLE) ** 2
+        known = server.out or desk.now - server.heard_us < self.kept_us
+        new = NEW_CONNECTION if self.spread_thin and not known else 1.0
+        return new * waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
+
+    def warmth(self, server: Server) -> float:
+        """The least part of its capacity that a server has by now since its start."""
+        now, set_ = self.desk.now, self.desk.set
+        if now >= server.warm_us:
+            return 1.0
+        left, cold = (server.warm_us - now) / max(1, set_.warm_within_us), set_.cold_from
+        return cold + (1 - cold) * (1 - left)
+
+    def cold_rate(self, server: Server) -> float:
+        """Attempts a second for a cold server: half of what would push it over, were others full."""
+        usual = max(1 / self.desk.set.gateways, self.usual)
+        return usual * self.warmth(server) * max(1.0, self.desk.set.fall_multiple / 2) * server.pace
+
+    def has_earned(self, server: Server) -> bool:
+        """Whether a cold server may be sent an attempt by now; what it earns follows its warmth."""
+        more = (self.desk.now - server.earned_us) / S * self.cold_rate(server)
+        server.earned, server.earned_us = min(1.0, server.earned + more), self.desk.now
+        return server.earned >= 1
+
+    # --- what attempts tell ---
+
+    def learn(self, server: Server, index: int, event: i.Outcome, load: float | None) -> None:
+        """How an attempt of a request's class ended, by the server's latency and what it says of itself."""
+        now, result, took = self.desk.now, event.result, event.latency_us
+        if load is not None:
+            server.load, server.load_at = load, now
+            self.mean_load += SMOOTH * (load - self.mean_load)
+        if result in SIGHTED:
+            self.judge(server, index, result is i.Result.OK, took)
+        if result is i.Result.OK:
+            server.heard_us = now
+            ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
+            server.slowness += SMOOTH * (ratio - server.slowness)
+            self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
+        long = result is i.Result.TIMEOUT and server.heard_us >= now - took  # but it answered others
+        if result is i.Result.FULL:
+            server.avoid_until = max(server.avoid_until, now + AVOID_US)
+        elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
+            self.note_result(server, result is i.Result.OK)
+
+    def judge(self, server: Server, index: int, served: bool, took_us: float) -> None:
+        """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
+        mean_us = max(1.0, self.mean_us[index])
+        ratio = took_us / mean_us if served else WORST
+        server.trouble += SMOOTH * (min(WORST, max(1 / WORST, ratio)) - server.trouble)
+        if served:
+            step = PACE_STEP if took_us < mean_us else -2 * PACE_STEP
+            server.pace = min(MOST_PACE, max(LEAST_PACE, server.pace + step))
+
+    def note_result(self, server: Server, ok: bool) -> None:
+        """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
+        now = self.desk.now
+        server.fails = server.fails / 2 if ok else server.fails + 1
+        server.pace = server.pace if ok else 1.0
+        if ok and server.on_trial:
+            server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
+            server.back_us = now
+        elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and now >= server.avoid_until:
+            server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
+            server.avoid_until, server.on_trial = now + server.backoff_us, True
+
+
+SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
--- /dev/null
+++ b/fennelwinch/twin.py
@@ -0,0 +1,90 @@
+"""Two processes that are one gateway, while one takes over from the other."""
+
+from collections.abc import Iterable
+
+from fennelwinch import interface as i
+from fennelwinch.basics import Desk
+from fennelwinch.cap import Cap
+from fennelwinch.homes import Homes
+from fennelwinch.jobs import Job
+from fennelwinch.membership import Membership
+from fennelwinch.quota import Customer
+from fennelwinch.routing import Routing, Server
+
+
+class Twin:
+    """What the other process has out, and all that the rules, quotas and health rest on, handed over."""
+
+    def __init__(self, desk: Desk, routing: Routing, membership: Membership, homes: Homes, cap: Cap) -> None:
+        self.desk, self.routing, self.membership, self.homes, self.cap = desk, routing, membership, homes, cap
+        self.out: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
+
+    def hand_over(self, jobs: Iterable[Job]) -> None:
+        """Requests stay, and end, where they were taken."""
+        desk, customers = self.desk, self.homes.customers.values()
+        desk.has_twin = True
+        for known in customers:
+            known.refill(desk.now).lent.clear()  # the other would not know of it
+        desk.actions.append(i.State(
+            desk.now, self.cap.memory(self.routing.usual), tuple(self.routing.mean_us),
+            tuple(known.memory() for known in customers),
+            tuple(server.memory() for server in self.routing.servers.values()),
+            tuple(i.TwinMaint(name, left_out) for name, left_out in self.membership.names.items()),
+            tuple(i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
+                  for job in jobs for number, sent in job.out.items())))
+
+    def on_state(self, state: i.State) -> None:
+        """Go on from where the other process is; both have one clock and, but for lateness, one list."""
+        self.desk.has_twin = True
+        self.cap.remember(state.cap)
+        self.routing.usual = state.cap.usual
+        if len(state.means_us) == len(self.routing.mean_us):
+            self.routing.mean_us = list(state.means_us)
+        for told in state.customers:
+            if self.homes.is_ours(told.key):
+                plan = self.desk.set.plans[told.key.plan_index]
+                known = self.homes.customers[told.key] = Customer(plan, told.key, self.desk.set, told.at_us)
+                known.remember(told, self.desk.now)
+        for told in state.servers:
+            if server := self.routing.servers.get(told.name):
+                server.remember(told)
+        self.membership.remember(state.names)
+        for told in state.out:
+            self.on_send(told)
+
+    def on_spend(self, event: i.TwinSpend) -> None:
+        if self.homes.is_ours(event.key):
+            self.homes.customer(event.key).take(event.units)
+
+    def on_send(self, event: i.TwinSend) -> None:
+        name = event.id, event.attempt
+        if not self.homes.is_ours(event.key) or name in self.out:
+            return
+        customer, server = self.homes.customer(event.key), self.routing.servers.get(event.server)
+        self.out[name] = customer, server
+        customer.ceiling -= event.units
+        customer.out, self.cap.out = customer.out + 1, self.cap.out + 1
+        self.cap.accepted += event.units > 0
+        if server:
+            server.out[name] = event.sent_us
+            server.earned -= 1
+
+    def on_end(self, event: i.TwinEnd) -> None:
+        customer, server = self.out.pop((event.id, event.attempt), (None, None))
+        if customer:
+            customer.out, self.cap.out = customer.out - 1, self.cap.out - 1
+        if server:
+            server.out.pop((event.id, event.attempt), None)
+
+    def on_unknown(self, _: i.TwinUnknown) -> None:
+        """The other may use up every ceiling's part: nothing is sent here that would count against one."""
+        self.desk.blind = True
+
+    def on_gone(self, _: i.TwinGone) -> None:
+        self.desk.has_twin = False
+        if self.desk.blind:
+            self.desk.blind = False
+            for customer in self.homes.customers.values():
+                customer.refill(self.desk.now).ceiling = 0.0
+        for name, number in list(self.out):
+            self.on_end(i.TwinEnd(name, number))
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -16,7 +16,8 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import plain
-from fennelwinch.rules import MOST_WORDS, Gateway
+from fennelwinch.rules import Gateway
+from fennelwinch.words import MOST_WORDS
 from molereach.account import (
     PLACES,
     Account,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -63,7 +63,7 @@
     later.tell(i.TwinEnd("a1", 0))
     assert len(of(i.Send, later.run(40 * MS))) == 1
     later.tell(i.TwinGone())
-    assert later.gateway.out == 1 and not later.gateway.twin_out
+    assert later.gateway.cap.out == 1 and not later.gateway.twin.out
 
 
 def test_spending_of_the_other_process_is_taken_from_the_quota() -> None:
@@ -71,7 +71,7 @@
     later = successor(world)
     for word in of(i.TwinSpend, world.ask("a", units=20.0)):
         later.tell(word)
-    (customer,) = later.gateway.customers.values()
+    (customer,) = later.gateway.homes.customers.values()
     assert (customer.part, customer.level) == (0.0, 0.0)
 
 
@@ -150,7 +150,7 @@
             assert old.maint("s0", True)[0] == 200
             new = await start(config, started)
             assert new.serving() and not old.serving()
-            assert len(new.gateway.twin_out) == 1 and "s0" in new.backends.banned
+            assert len(new.gateway.twin.out) == 1 and "s0" in new.backends.banned
             assert new.maint("s0", False)[0] == 200
             assert await idle.ended()
             client = await Client.open(config.listen)
@@ -158,7 +158,7 @@
             assert await client.ask(query("a3")) == b"ok"
             backend.writers[1].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
             assert await busy.answer() == b"late" and await busy.ended()
-            while new.gateway.twin_out:
+            while new.gateway.twin.out:
                 await asyncio.sleep(0.01)
             assert len(old.clients.connections) == 0 and new.figures.ended["read"]["answered"] == 1
 
@@ -212,9 +212,9 @@
                 door = await start(replace(config, peer_listen=taken.getsockname()), started)
                 client = await Client.open(config.listen)
                 assert await client.ask(query("a1")) == b"ok"  # of a plan without a ceiling
-                assert door.gateway.blind
+                assert door.gateway.desk.blind
                 taken.close()
-                while door.gateway.blind:
+                while door.gateway.desk.blind:
                     await asyncio.sleep(0.01)
 
     run(job())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+import tomllib
 import zlib
 from collections import Counter
 from collections.abc import Callable
@@ -9,7 +10,9 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.rules import CHOICES, TARGETS, Gateway, next_n
+from fennelwinch.cap import TARGETS, next_n
+from fennelwinch.routing import CHOICES, Routing
+from fennelwinch.rules import Gateway
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
@@ -56,11 +59,11 @@
 
 def test_cap_engages_spreads_and_is_lifted() -> None:
     world = loaded_world(0.9)
-    assert world.gateway.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
+    assert world.gateway.cap.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
     for n in range(150):
         world.ask(f"r{n}", customer=f"c{n}")
-    world.run(world.gateway.period_us + S - world.now)
-    start, allowed = world.now, world.gateway.most
+    world.run(world.gateway.cap.period_us + S - world.now)
+    start, allowed = world.now, world.gateway.cap.most
     for _ in range(99):
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
@@ -69,8 +72,8 @@
     assert len(sends) == allowed
     assert sends[-1] - sends[0] > 0.8 * S
     idle = loaded_world(0.3)
-    assert idle.gateway.n_past is None
-    assert idle.gateway.overhead == pytest.approx(0.3)
+    assert idle.gateway.cap.n_past is None
+    assert idle.gateway.cap.overhead == pytest.approx(0.3)
 
 
 def test_period_follows_the_rate() -> None:
@@ -81,8 +84,8 @@
         world.run(500 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=i.LoadReport(util=0.9))
-    assert world.gateway.cc_us == 2 * S
-    assert 4 <= world.gateway.n_past <= 12
+    assert world.gateway.cap.cc_us == 2 * S
+    assert 4 <= world.gateway.cap.n_past <= 12
     assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
     assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
 
@@ -95,7 +98,7 @@
         world.run(10 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=i.LoadReport(util=0.3))
-    assert world.gateway.n_past == 24.5  # the largest step from 20.5, down to a half: there are two gateways
+    assert world.gateway.cap.n_past == 24.5  # the largest step from 20.5, to a half: of two gateways
 
 
 def test_held_leave_by_worth_then_arrival() -> None:
@@ -126,7 +129,7 @@
     for world in worlds:
         for n in range(200):
             world.ask(f"r{n}")
-        assert world.gateway.n_past is None
+        assert world.gateway.cap.n_past is None
     assert sum(len(world.out) for world in worlds) == 80  # 8 for each of 10
     worlds[0].answer("r0")
     worlds[0].run(20 * MS)
@@ -139,7 +142,7 @@
     for n in range(20):
         world.ask(f"r{n}")
     world.run(1100 * MS)
-    assert world.gateway.n_past is not None
+    assert world.gateway.cap.n_past is not None
 
 
 # --- quota ---
@@ -168,9 +171,9 @@
     for n in range(300):
         gates.ask(n * 7 % 20, f"r{n}")
         gates.run(110 * MS)
-        homes = [world.gateway for world in gates.worlds for customer in world.gateway.customers.values()
-                 if customer.home == world.gateway.set.me]
-    level = next(iter(homes[0].customers.values())).level
+        homes = [customer for world in gates.worlds for customer in world.gateway.homes.customers.values()
+                 if customer.at_home]
+    level = homes[0].level
     assert level > 6  # of 10, at nine tenths of the rate
 
 
@@ -182,7 +185,7 @@
         for n in range(20):
             gates.ask(n, f"r{gates.worlds[n].now}")
         gates.run(4 * S)
-    levels = [customer.level for world in gates.worlds for customer in world.gateway.customers.values()
+    levels = [customer.level for world in gates.worlds for customer in world.gateway.homes.customers.values()
               if customer.home == world.gateway.set.me]
     assert levels == [pytest.approx(20, abs=0.5)]
 
@@ -230,7 +233,7 @@
     world = World(replace(SETTINGS, gateways=2, plans=(replace(PLAN, max_out=1),)))
     key = (0, 0, 0, 2)  # at home here
     world.tell(i.PeerMessage(1, (i.Word(*key, level=0.0, out=1),)))
-    (customer,) = world.gateway.customers.values()
+    (customer,) = world.gateway.homes.customers.values()
     assert customer.others_out(world.now) == 1 and customer.level == 0
     assert not of(i.Tell, [action for _, action in world.log])
 
@@ -240,7 +243,7 @@
     huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
     for word in (i.Word(1, 9, 0, 2), i.Word(1, 0, 5, 1), i.Word(1, 0, 0, 0), huge):
         world.tell(i.PeerMessage(1, (word,)))
-    assert len(world.gateway.customers) == 1
+    assert len(world.gateway.homes.customers) == 1
 
 
 def test_idle_gateway_wakes_up_once_a_period() -> None:
@@ -255,14 +258,14 @@
         world.ask(f"r{n}", customer=f"c{n}")
         world.answer(f"r{n}")
     world.run(90 * S)
-    assert not world.gateway.customers
+    assert not world.gateway.homes.customers
 
 
 def test_no_time_left_costs_no_quota() -> None:
     world = World()
     for n in range(30):
         world.ask(f"r{n}", left_us=100 * MS)
-    assert next(iter(world.gateway.customers.values())).level == 20
+    assert next(iter(world.gateway.homes.customers.values())).level == 20
 
 
 def test_what_meets_the_open_cap_waits_for_an_attempt_to_end() -> None:
@@ -279,7 +282,7 @@
     world.ask("a")
     server, sent, _ = world.out.pop(("a", 0))
     world.tell(i.Outcome("a", True, 0, server, i.Result.OK, world.now - sent, true_units=4.0))
-    assert next(iter(world.gateway.customers.values())).level == pytest.approx(16)
+    assert next(iter(world.gateway.homes.customers.values())).level == pytest.approx(16)
 
 
 # --- the five rules ---
@@ -306,7 +309,7 @@
     for me, world in enumerate(gates.worlds):
         gates.down = me
         world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
-        world.gateway.mean_us = [20 * MS]
+        world.gateway.routing.mean_us = [20 * MS]
         world.ask("a", left_us=left * MS, set_size=20)
         start = world.now
         world.run(S)
@@ -397,7 +400,7 @@
     world = World(replace(SETTINGS, plans=(i.Plan(),), fall_multiple=3.0))
     started = tuple(replace(fleet[n], started_us=world.now - 5 * S) for n in (2, 3))
     world.tell(i.ServerList(i.ListKind.CHANGES, 2, started))
-    world.gateway.usual = 10.0  # as it was before the restart
+    world.gateway.routing.usual = 10.0  # as it was before the restart
     for n in range(80):
         world.ask(f"r{n}")
         world.run(25 * MS)
@@ -412,27 +415,27 @@
 def test_what_a_cold_server_may_take_does_not_shrink_with_what_is_sent() -> None:
     """In a release most servers are cold; refusals lower the rate, and that must not lower it further."""
     world = World(replace(SETTINGS, plans=(i.Plan(),)))
-    cold = world.gateway.servers["s0"]
+    cold = world.gateway.routing.servers["s0"]
     for n in range(200):
         world.ask(f"r{n}")
         world.run(20 * MS)
         world.answer(f"r{n}")
-    before = world.gateway.cold_rate(cold)
+    before = world.gateway.routing.cold_rate(cold)
     world.run(10 * S)
-    assert world.gateway.rate < 5
-    assert world.gateway.cold_rate(cold) > before / 1.5
+    assert world.gateway.cap.rate < 5
+    assert world.gateway.routing.cold_rate(cold) > before / 1.5
 
 
 def test_cold_server_that_answers_quickly_is_sent_more_up_to_a_bound() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(),)))
     world.tell(i.ServerList(i.ListKind.CHANGES, 2, (replace(servers(1)[0], started_us=world.now),)))
-    cold = world.gateway.servers["s0"]
+    cold = world.gateway.routing.servers["s0"]
 
     def answered(after_us: int, result: i.Result = i.Result.OK) -> float:
         name = f"r{len(world.tries)}"
         world.ask(name)
         world.now += after_us
-        server = world.gateway.servers[world.out[(name, 0)][0]]
+        server = world.gateway.routing.servers[world.out[(name, 0)][0]]
         server.pace = cold.pace
         world.answer(name, result)
         cold.pace = server.pace
@@ -462,7 +465,7 @@
     gates = Set(100, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2), fleet)
     cold = replace(fleet[0], started_us=gates.worlds[0].now)
     for world in gates.worlds:
-        world.gateway.mean_us = [10 * MS]
+        world.gateway.routing.mean_us = [10 * MS]
         world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
     for n in range(1000):
         gates.ask(n * 7 % 100, f"r{n}", customer=f"c{n}")
@@ -498,7 +501,7 @@
     """Each alone would have to wait out a time-out of its own on it."""
     gates = Set(40, replace(SETTINGS, plans=(PLAN,)), servers(10))
     other = gates.worlds[1]
-    index = other.gateway.servers["s0"].sum
+    index = other.gateway.routing.servers["s0"].sum
     for n in range(12):
         seen = tuple(i.Sighting(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
         other.tell(i.PeerMessage(2, (i.Word(n, 0, 1, 5, level=20.0),), seen))
@@ -514,48 +517,48 @@
     for n in range(3):
         world.ask(f"r{n}")
         world.answer(f"r{n}", i.Result.ERROR if n else i.Result.OK)
-    told = [world.gateway.untold_sightings(1), world.gateway.untold_sightings(1)]
+    told = [world.gateway.words.untold_sightings(1), world.gateway.words.untold_sightings(1)]
     assert [seen.served for seen in told[0]] == [True, False, False] and told[1] == ()
     assert [seen.latency for seen in told[0]][1:] == [0.0, 0.0]  # it says nothing of how busy servers are
-    assert len(world.gateway.untold_sightings(0)) == 3
+    assert len(world.gateway.words.untold_sightings(0)) == 3
     world.ask("late")
     world.answer("late")
-    world.gateway.now += 3 * S
-    assert world.gateway.untold_sightings(1) == ()
+    world.gateway.desk.now += 3 * S
+    assert world.gateway.words.untold_sightings(1) == ()
     for n in range(100):
         world.ask(f"s{n}", customer=f"c{n}")
         world.answer(f"s{n}")
-    assert len(world.gateway.untold_sightings(1)) == 16
+    assert len(world.gateway.words.untold_sightings(1)) == 16
 
 
 def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
     """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
     world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=40))
     gateway = world.gateway
-    gateway.n_past, gateway.most = 2.0, 2
-    gateway.signals["latency"], gateway.accepted = [0.2] * 9, 2  # light, but all of N is used
+    gateway.cap.n_past, gateway.cap.most = 2.0, 2
+    gateway.cap.signals["latency"], gateway.cap.accepted = [0.2] * 9, 2  # light, but all of N is used
     gateway.end_period()
-    assert gateway.n_past * S / gateway.cc_us == pytest.approx(2.4, abs=0.03)
+    assert gateway.cap.n_past * S / gateway.cap.cc_us == pytest.approx(2.4, abs=0.03)
     allowed = 0
-    gateway.n_past, gateway.signals = 0.25, {"util": [], "latency": []}
+    gateway.cap.n_past, gateway.cap.signals = 0.25, {"util": [], "latency": []}
     for _ in range(40):
         gateway.end_period()
-        gateway.n_past = 0.25
-        allowed += gateway.most
+        gateway.cap.n_past = 0.25
+        allowed += gateway.cap.most
     assert 9 <= allowed <= 11
 
 
 def test_occupancy_is_that_of_all_gateways() -> None:
     """A few slow answers here are chance where the others' are quick."""
     world = World(replace(SETTINGS, gateways=40))
-    server = world.gateway.servers["s0"].sum
+    server = world.gateway.routing.servers["s0"].sum
     seen = tuple(i.Sighting(server, 0, True, 0.1) for _ in range(12))
     for n in range(5):
         world.tell(i.PeerMessage(n + 1, (i.Word(n, 0, 0, 5),), seen))
-    world.gateway.signals["latency"] += [0.9, 0.9]
+    world.gateway.cap.signals["latency"] += [0.9, 0.9]
     world.gateway.end_period()
-    assert world.gateway.n_past is None
-    assert world.gateway.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
+    assert world.gateway.cap.n_past is None
+    assert world.gateway.cap.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
 
 
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
@@ -588,7 +591,7 @@
 def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
     """Thirty gateways that all let in on the same level would spend it thirty times over."""
     world = World(replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=20.0),), gateways=40))
-    customer = world.gateway.customer(i.Key(1, 0, 0, 30))
+    customer = world.gateway.homes.customer(i.Key(1, 0, 0, 30))
     customer.level, customer.demand = 3.0, 20.0
     assert customer.chance(1.0) == 1.0  # the home's word holds for the one that it was given to
     # An older one is used for 30 asks at a quarter of 100 messages a second: what is short of a quarter of
@@ -597,7 +600,7 @@
     assert customer.chance(1.0, known=False) == pytest.approx((10.0 - short) * 0.5 / 20.0)
     customer.level = 0.9
     assert customer.chance(1.0) == 0.0
-    few = world.gateway.customer(i.Key(1, 0, 0, 3))  # its parts hold requests: the rule is as it was
+    few = world.gateway.homes.customer(i.Key(1, 0, 0, 3))  # its parts hold requests: the rule is as it was
     few.level, few.demand = 0.9, 20.0
     assert few.chance(1.0, known=False) == few.chance(1.0) == pytest.approx((0.9 + 10.0 * 0.5) / 20.0)
 
@@ -605,7 +608,7 @@
 def test_store_that_cannot_have_refilled_is_not_asked_for() -> None:
     """Each ask costs its home a message of an intake that all customers share."""
     world = World(replace(SETTINGS, plans=(i.Plan(rate=0.5, burst=2.0),), gateways=40, me=5))
-    customer = world.gateway.customer(i.Key(zlib.crc32(b"c"), 0, 0, 40))
+    customer = world.gateway.homes.customer(i.Key(zlib.crc32(b"c"), 0, 0, 40))
     assert customer.home != 5
     customer.heard_us, customer.level = world.now, 0.2
     world.now += S  # 0.7 of a request
@@ -740,7 +743,7 @@
     world.run(10 * MS)
     for n in range(4):
         world.answer(f"r{n}", i.Result.TIMEOUT)
-    assert world.gateway.servers["s0"].on_trial is False
+    assert world.gateway.routing.servers["s0"].on_trial is False
 
 
 def test_further_attempts_are_few() -> None:
@@ -784,7 +787,12 @@
 
 
 def test_module_size() -> None:
-    lines = (Path(__file__).parent.parent / "fennelwinch" / "rules.py").read_text().splitlines()
+    root = Path(__file__).parent.parent
+    files = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
+    lines = [line for file in files for line in (root / file).read_text().splitlines()]
+    others = {"__init__", "adapter", "codec", "interface"}
+    found = {file.stem for file in (root / "fennelwinch").glob("*.py")}
+    assert {Path(file).stem for file in files} == found - others
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
 
@@ -804,7 +812,7 @@
     """A fault on the way makes each of them suspect for a while; none of them is cold for it."""
     settings = replace(SETTINGS, plans=(i.Plan(),))
     world = World(settings, servers(4))
-    for server in world.gateway.up:
+    for server in world.gateway.routing.up:
         server.on_trial, server.avoid_until = True, world.now
     for n in range(100):
         world.ask(f"r{n}")
@@ -819,7 +827,7 @@
     plan = i.Plan(rate=100.0, burst=100.0, max_out=2)
     gates = Set(4, replace(SETTINGS, plans=(plan,)))
     gates.ask(0, "warm", customer="c")
-    (customer,) = gates.worlds[0].gateway.customers.values()
+    (customer,) = gates.worlds[0].gateway.homes.customers.values()
     home = customer.home
     gates.run(300 * MS)
     for world in gates.worlds:
@@ -837,14 +845,14 @@
 
 def test_warm_servers_cost_a_choice_no_look_at_their_warmth(monkeypatch: pytest.MonkeyPatch) -> None:
     looked = []
-    warmth = Gateway.warmth
+    warmth = Routing.warmth
 
-    def counted(gateway: Gateway, server: object) -> float:
+    def counted(routing: Routing, server: object) -> float:
         looked.append(server)
-        return warmth(gateway, server)
+        return warmth(routing, server)
 
     world = World(replace(SETTINGS, gateways=200), servers(200))
-    monkeypatch.setattr(Gateway, "warmth", counted)
+    monkeypatch.setattr(Routing, "warmth", counted)
     assert of(i.Send, world.ask("a"))
     assert len(looked) <= CHOICES
 
@@ -853,13 +861,14 @@
     started = 100 * S - SETTINGS.warm_within_us + 1  # the world begins at 100 s
     world = World(fleet=servers(2, started_us=started))
     gateway = world.gateway
-    assert all(gateway.warmth(server) < 1 for server in gateway.up)
+    assert all(gateway.routing.warmth(server) < 1 for server in gateway.routing.up)
     world.run(1)
-    gateway.now = world.now
-    assert all(gateway.warmth(server) == 1 for server in gateway.up)
+    gateway.desk.now = world.now
+    assert all(gateway.routing.warmth(server) == 1 for server in gateway.routing.up)
     world.tell(i.Maint("s0", True))
     world.tell(i.Maint("s0", False))  # it may have started anew meanwhile
-    assert gateway.warmth(gateway.servers["s0"]) == SETTINGS.cold_from and gateway.warmth(gateway.up[1]) == 1
+    assert gateway.routing.warmth(gateway.routing.servers["s0"]) == SETTINGS.cold_from
+    assert gateway.routing.warmth(gateway.routing.up[1]) == 1
 
 
 def test_attempts_that_are_out_wake_nobody() -> None:
@@ -874,13 +883,13 @@
     world = World(settings)
     rest = {"set_size": 3, "plan_index": 0}
     told = [action for n in range(8) for action in of(i.Tell, world.ask(f"a{n}", customer="c2", **rest))]
-    home = world.gateway.customers[next(iter(world.gateway.customers))].home
-    assert home != 0 and told and not of(i.Tell, world.run(10 * MS)) and world.gateway.words
-    space_us = world.gateway.space_us
+    home = world.gateway.homes.customers[next(iter(world.gateway.homes.customers))].home
+    assert home != 0 and told and not of(i.Tell, world.run(10 * MS)) and world.gateway.words.waiting
+    space_us = world.gateway.words.space_us
     before = world.now
     while not (left := of(i.Tell, world.run(10 * MS))):
         assert world.now - before <= space_us + 3 * 20 * MS
-    assert left[0].peer == home and not world.gateway.words
+    assert left[0].peer == home and not world.gateway.words.waiting
 
 
 # --- when a refused client is to come again ---
@@ -898,9 +907,9 @@
     world.run(3 * S)  # they are gone
     assert not advice(world.ask("b"))
     job = world.gateway.jobs["b"]
-    world.gateway.n_past = None  # nobody answers here, and the cap had engaged
+    world.gateway.cap.n_past = None  # nobody answers here, and the cap had engaged
     job.customer.demand, job.customer.level = 1.0, 0.4
-    waits = [world.gateway.come_again(job, "quota") for _ in range(20)]
+    waits = [world.gateway.retries.come_again(job, "quota") for _ in range(20)]
     assert min(waits) >= 300 * MS and max(waits) <= 600 * MS  # 0.6 of a unit at 2 a second
 
 
@@ -912,7 +921,7 @@
     world.ask("a")
     job = gateway.jobs["a"]
     job.customer.ceiling, job.servers = 0.5, []
-    waits = {gateway.come_again(job, "aim") for _ in range(20)}
+    waits = {gateway.retries.come_again(job, "aim") for _ in range(20)}
     assert len(waits) > 10 and min(waits) >= 25 * MS and max(waits) <= 50 * MS  # 0.5 of a unit at 20 a second
 
 
@@ -920,9 +929,9 @@
     world = World(replace(SETTINGS, max_retry_after_us=2 * S))
     world.ask("a")
     job = world.gateway.jobs["a"]
-    assert world.gateway.come_again(job, "timeout") <= 2 * world.gateway.cc_us
-    world.gateway.n_past = 10.0
-    assert world.gateway.come_again(job, "timeout") == 2 * S
+    assert world.gateway.retries.come_again(job, "timeout") <= 2 * world.gateway.cap.cc_us
+    world.gateway.cap.n_past = 10.0
+    assert world.gateway.retries.come_again(job, "timeout") == 2 * S
 
 
 def test_without_advice_in_the_settings_none_is_given() -> None:
@@ -946,10 +955,11 @@
     world.answer("c")
     world.answer("d")
     gateway = world.gateway
-    costs = {server.entry.name: gateway.cost(server) / server.slowness for server in gateway.up}
+    routing = gateway.routing
+    costs = {server.entry.name: routing.cost(server) / server.slowness for server in routing.up}
     assert sorted(costs.values())[1] < sorted(costs.values())[2] == sorted(costs.values())[-1]
     world.run(6 * S)  # by now those connections are closed
-    assert len({round(gateway.cost(server) / server.slowness, 9) for server in gateway.up}) == 1
+    assert len({round(routing.cost(server) / server.slowness, 9) for server in routing.up}) == 1
 
 
 def test_connections_are_no_reason_where_an_even_spread_keeps_them() -> None:
@@ -960,6 +970,6 @@
             world.ask(f"a{gap}-{n}")
             world.run(gap)
             world.answer(f"a{gap}-{n}")
-        assert gateway.spread_thin is thin
-        costs = {round(gateway.cost(server) / server.slowness, 9) for server in gateway.up}
+        assert gateway.routing.spread_thin is thin
+        costs = {round(gateway.routing.cost(server) / server.slowness, 9) for server in gateway.routing.up}
         assert len(costs) == 1 + thin
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -11,7 +11,7 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.rules import MOST_WORDS
+from fennelwinch.words import MOST_WORDS
 from molereach import frontdoor
 from molereach.clients import MOST_PIPELINED, PATIENCE_S, SHED_POOLS, STALL_S
 from molereach.frontdoor import FrontDoor
