Leave a home alone that does not answer, and spend only the own part unheard

Cause: at the home of a busy customer 107 doors ask twice for each request until they hear something, far above its intake of 40 a second, so that few ever do; and who goes by older words took the whole rate although asks already take ten a second of it. Change: an ask without answer doubles the time that this home is left alone (0.5 to 10 s, by chance); who has no word spends its own part of the rate, one request at least; older words share what asks leave.

--- a/fennelwinch/homes.py
+++ b/fennelwinch/homes.py
@@ -4,7 +4,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.basics import NEVER, Desk, S
-from fennelwinch.quota import ASK_US, ASKS, LENT_US, PLACE_ALONE, QUEUED_US, RENEW_US, Customer
+from fennelwinch.quota import ASK_US, ASKS, DEMAND_US, LENT_US, PLACE_ALONE, QUEUED_US, RENEW_US, Customer
 from fennelwinch.words import Words
 
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
@@ -51,12 +51,12 @@
         customer.untold += units
         if at_home or not fresh:  # else it is the whole set's, which this request is part of
             customer.demand += units
-        heard = fresh and self.desk.random.random() * customer.demand > customer.most_asked
+        heard = fresh and self.desk.random.random() * customer.demand > customer.asked_per_s * DEMAND_US / S
         if customer.part >= units:
             return 1.0
         if not at_home and customer.is_pooled(units) and customer.is_dry(units, now):
             return 0.0
-        if at_home or heard or not customer.plan.rate:
+        if at_home or heard or not customer.plan.rate or now < customer.ask_after_us:
             return customer.chance(units, known=at_home)
         return None
 
@@ -77,10 +77,8 @@
     def hear(
         self, sender: int, words: tuple[i.Word, ...], answered: Callable[[Customer | None], None]
     ) -> None:
-        """The home adds up what its set asks and spends, or takes over at its start, and answers.
-
-        `answered` is called for each answer with the customer whose ask it answers, or None.
-        """
+        """The home adds up what its set asks and spends, or takes over at its start, and answers. `answered`
+        is called for each answer, with the customer whose ask it answers."""
         homed: dict[i.Key, Customer] = {}
         # A place comes before the answer that lets in who may use it.
         for word in sorted(words, key=lambda word: not word.place):
@@ -103,6 +101,7 @@
     def hear_home(self, customer: Customer, word: i.Word) -> None:
         now = self.desk.now
         customer.heard_us, customer.demand, customer.level = now, word.demand, word.level
+        customer.ask_after_us = customer.backoff_us = 0
         if word.place:
             customer.hear_place(word, now)
         if word.place is i.Place.GRANTED:
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -15,6 +15,7 @@
 # Who tells the home of a customer with a shared cap leaves its part of the ceiling's rate to the home for a
 # while; the home counts on it for less, as words are late. Thus all parts together never exceed the ceiling.
 LEFT_US, LENT_US = 3 * S, 2 * S
+LEAST_BACKOFF_US = S // 2  # the first time that a home which did not answer is not asked
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 
@@ -27,6 +28,8 @@
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.at_home = self.home == set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
+        self.own = max(1.0, self.part)  # what it may spend unheard: its part, of one request at least
+        self.ask_after_us = self.backoff_us = 0  # while the home does not answer, it is left alone
         self.heard_us, self.out = -NEVER, 0
         self.ceiling, self.left_us = 0.0, 0 if self.at_home or not self.shares_cap() else now + LEFT_US
         self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
@@ -38,9 +41,8 @@
         self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
         self.told_us = -NEVER
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
-        # How long a word from home is used where the customer's asks are as many as one may send it.
-        self.word_us = self.size * S / max(1.0, ASK_SHARE * set_.peer_messages_per_s)
-        self.most_asked = ASK_SHARE * set_.peer_messages_per_s * DEMAND_US / S  # demand past which it must do
+        self.asked_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
+        self.word_us = self.size * S / max(1.0, self.asked_per_s)  # and is used for so long
 
     def has_idled(self, time_us: int) -> None:
         """Its part of the ceiling was empty at this process's start at worst, as that may be a restart."""
@@ -60,6 +62,7 @@
             self.level = min(plan.burst, self.level + plan.rate * took)
             self.demand *= math.exp(-took * S / DEMAND_US)
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
+        self.own = min(max(1.0, plan.burst * part), self.own + plan.rate * took * part)
         return self
 
     def chance(self, units: float, known: bool = True) -> float:
@@ -67,14 +70,17 @@
 
         Where a part holds no whole request, or the open cap is shared, the parts lie at the home together,
         which is asked for each: who has its word is let in while the level holds the request. Who goes by an
-        older word shares the rate, and what the level is above or under a part of the burst, over the time
-        that such a word is used.
+        older word shares what those that ask leave of the rate, and what the level is above or under a part
+        of the burst, over the time that such a word is used. Who has none spends its own part.
         """
         level, plan = self.level, self.plan
         if self.is_pooled(units) or self.shares_cap():
             if known:
                 return float(level >= units)
-            level = (level - KEPT_PART * plan.burst) * DEMAND_US / self.word_us
+            if not self.is_fresh(self.at):
+                return float(self.own >= units)
+            asked = min(plan.rate, self.asked_per_s) * DEMAND_US / S
+            level = (level - KEPT_PART * plan.burst) * DEMAND_US / self.word_us - asked
         quota = level + plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if plan.rate else 1.0
 
@@ -96,6 +102,12 @@
         """Spend of what is here."""
         self.spend(units)
         self.part, self.spent = max(0.0, self.part - units), self.spent + units
+        self.own = max(0.0, self.own - units)
+
+    def back_off(self, now: int, chance: float) -> None:
+        """The home did not answer: it may hear more than it can take in, and each ask makes that worse."""
+        self.backoff_us = min(WORD_FRESH_US, max(LEAST_BACKOFF_US, 2 * self.backoff_us))
+        self.ask_after_us = now + self.backoff_us * (0.5 + chance)
 
     def memory(self) -> i.CustomerMemory:
         return i.CustomerMemory(self.key, self.at, self.part, self.level, self.demand, self.ceiling,
--- a/fennelwinch/routing.py
+++ b/fennelwinch/routing.py
@@ -26,6 +26,7 @@
 # How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
 # sent on because servers are cold. What these may take must not shrink with that.
 USUAL_US = 30 * S
+SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
 SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
 
 
@@ -192,4 +193,3 @@
             server.avoid_until, server.on_trial = now + server.backoff_us, True
 
 
-SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -168,6 +168,8 @@
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units, known=told is not None)
+            if told is None:
+                job.customer.back_off(now, self.desk.random.random())
             job.customer.spent -= job.req.units * chance  # as much the home has counted already
             self.decide(job, chance)
 
