Add up a fleet's logs into one table

Need: what 200 doors log is read by nobody one by one; every later change is to be argued from their sum. Change: scripts/fleet-table, by stretches of time, plain or as JSON. Tested on lines that the module itself writes.

--- /dev/null
+++ b/tests/test_fleet_table.py
@@ -0,0 +1,41 @@
+"""The table of a fleet's logs, from the lines that the module itself writes."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+from fennelwinch import interface as i
+from tests.helpers import S, World, of
+
+SCRIPT = Path(__file__).parent.parent / "scripts" / "fleet-table"
+HEAD = "2026-01-01 00:00:0{at},000 INFO molereach.frontdoor: "
+
+
+def table(*words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run([sys.executable, SCRIPT, *words], capture_output=True, text=True, check=False)
+
+
+def test_doors_are_added_up_by_what_the_module_logs(tmp_path: Path) -> None:
+    refused = 0
+    for door in range(3):
+        world = World()
+        for n in range(30):  # a burst of twenty
+            world.ask(f"r{n}")
+        logged = of(i.Log, world.run(6 * S))
+        refused += world.gateway.ended["quota"]
+        lines = [HEAD.format(at=at) + line.text for at, line in enumerate(logged)]
+        passed = "asked=30 ok=20; open 0, longest batch 1.0 ms; clients 1, to backends 4: opened=4"
+        lines.append(HEAD.format(at=1) + passed)
+        (tmp_path / f"n{door}.log").write_text("\n".join([*lines, "no line of ours", "\x00"]) + "\n")
+    done = table(str(tmp_path), "--every", "5", "--json")
+    rows = [json.loads(line) for line in done.stdout.splitlines()]
+    assert done.returncode == 0 and rows[0]["counts"]["doors"] % 3 == 0 and rows[0]["served"] == 66.7
+    assert sum(row["counts"].get("ended quota", 0) for row in rows) == refused > 0
+    assert "ended: " in table(str(tmp_path)).stdout
+
+
+def test_what_makes_no_table_is_told_plainly(tmp_path: Path) -> None:
+    for words, status in ((("none",), 2), ((str(tmp_path), "--every", "0"), 2), ((str(tmp_path),), 1)):
+        done = table(*words)
+        assert done.returncode == status and done.stderr.count("\n") == 1 and not done.stdout
