Keep a promoted list service promoted when it is started again

Change: a store whose term is above that of the list it last heard was promoted, and follows nobody. The comparison of entries by hand in orchidhatch.following is the dataclass's own now.

--- a/orchidhatch/following.py
+++ b/orchidhatch/following.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from typing import Any
 
 import h11
@@ -68,6 +69,10 @@
         """Of the list that was heard: a store made anew from it must be above it."""
         return max(self.server.store.term, term_of(self.source))
 
+    def was_promoted(self) -> bool:
+        """Whether the store has begun a term of its own since it last heard a list."""
+        return bool(self.source) and self.server.store.term > term_of(self.source)
+
     def registry(self) -> str:
         return shown(self.registries[self.at])
 
@@ -191,9 +196,5 @@
 
 def same(known: Entry, told: Entry) -> bool:
     """Whether they differ in nothing that was told; an entry of the protocol's form tells no life."""
-    told_of = [(known.address, told.address), (known.zone, told.zone), (known.kind, told.kind),
-               (known.cell, told.cell), (known.lifecycle, told.lifecycle), (known.weight, told.weight),
-               (known.started_ms, told.started_ms)]
-    if told.life:
-        told_of += [(known.life, told.life), (known.lease_ms, told.lease_ms)]
-    return all(one == other for one, other in told_of)
+    untold = {} if told.life else {"life": known.life, "lease_ms": known.lease_ms}
+    return known == replace(told, version=known.version, **untold)
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -46,6 +46,9 @@
     ) -> None:
         super().__init__(store, seed)
         self.following = Following(self, follow, leases=True) if follow else None
+        if self.following and self.following.was_promoted():  # whoever starts it again may not know
+            log.warning("was promoted to term %d; follows nobody any more", store.term)
+            self.following = None
         self.follow_task: asyncio.Task[None] | None = None
         self.peers, self.fenced = peers, ""  # why it takes no writes any more
         self.clock = clock
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -111,6 +111,20 @@
     run(job())
 
 
+def test_promoted_service_stays_so_when_it_is_started_again_with_the_same_words(tmp_path: Path) -> None:
+    """As a supervisor does; it would else refuse all writes, and follow the one that it replaced."""
+
+    async def job() -> None:
+        async with serving(tmp_path / "1.db") as first:
+            async with standing_by(tmp_path / "2.db", address_of(first)) as second:
+                assert (await call(address_of(second), "POST /promote", b'{"force":true}'))[0] == 200
+            async with serving(tmp_path / "2.db", create=False, follow=(address_of(first),)) as again:
+                assert (await call(address_of(again), "POST /entries", body()))[0] == 200
+                assert again.store.term == 2
+
+    run(job())
+
+
 def test_later_term_is_durable_and_nobody_resumes_over_it(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
     store = Store(path, create=True)
