Have a stopped list service ask its peers before it acknowledges anything

Seen: a first service is stopped (SIGSTOP), its follower promoted without force, 30 writes wait on the first's socket; woken, it acknowledged 30 of 30 in two of five tries, all of them lost.

Cause: what waits on its socket and the answer of its peers are a race, as it looks at them by a timer of its own. Nothing told it that its last look was from before it stood still.

Change: a look at the peers holds for 2.8 s from its beginning, by the process's monotonic clock. Past that it asks anew before a batch goes to disk, and again before the batch is answered; renewals get a 503. A follower is promoted unforced only once it heard nothing for 5 s, or connections are refused: a stopped process accepts them, and a follower that was itself restarted took "not connected" for "gone".

--- a/orchidhatch/following.py
+++ b/orchidhatch/following.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import random
+import socket
 import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
@@ -64,6 +65,22 @@
         self.noted_ms = self.heard_ms
         self.connected, self.switches, self.passed_over, self.malformed = False, 0, 0, 0
         self.backoff_s = BACKOFF_S
+        self.heard_s = time.monotonic()  # when a line came last; the start, if none did
+
+    def silent_s(self) -> float:
+        """Since the last line, by the monotonic clock."""
+        return time.monotonic() - self.heard_s
+
+    def still_listens(self) -> bool:
+        """Whether a process may still be there: only a connection that is refused says that none is.
+        This waits for up to CONNECT_S, and is for another thread."""
+        try:
+            socket.create_connection(self.registries[self.at], CONNECT_S).close()
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def term(self) -> int:
         """Of the list that was heard: a store made anew from it must be above it."""
@@ -138,6 +155,7 @@
 
     def hear(self, source: str, line: bytes) -> None:
         """A line: the list as it is by now, or that nothing changed."""
+        self.heard_s = time.monotonic()
         if line.strip():
             self.take(source, line)
         if self.connected:
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -10,15 +10,16 @@
 import asyncio
 import http.client
 import logging
+import math
 import os
 import signal
 import sys
 import time
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 
-from orchidhatch.following import Following
+from orchidhatch.following import SILENT_S, Following
 from orchidhatch.forms import (
     read_change,
     read_promotion,
@@ -33,7 +34,11 @@
 
 log = logging.getLogger("orchidhatch.registry")
 
-ASK_S, ASK_PATIENCE_S = 1.0, 1.0  # between questions to peers for their term; for an answer
+ASK_S, ASK_PATIENCE_S = 0.5, 0.5  # between questions to peers for their term; to connect, and to answer
+# How long a look at the peers holds, from its beginning: longer than two questions that are not answered
+# take, with the wait between them. A follower hears a beat each BEAT_S, and is not promoted unforced before
+# it has heard none for SILENT_S, which is more than both: no look from before a stop outlives a promotion.
+WORD_S = 2.8
 MOST_WRITES, MOST_BATCH = 1_000, 500  # that wait; that go to disk together
 
 
@@ -51,6 +56,8 @@
             self.following = None
         self.follow_task: asyncio.Task[None] | None = None
         self.peers, self.fenced = peers, ""  # why it takes no writes any more
+        self.asked_s = -math.inf  # when the last look at the peers that has ended was begun
+        self.lapses = 0  # times that the last look was too old to acknowledge by
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
@@ -84,7 +91,7 @@
             case "POST", ("entries", id_, "renew"):
                 connection.answer(self.renew(id_, read_renewal(body)))
             case "POST", ("promote",):
-                connection.answer(self.promote(read_promotion(body)))
+                self.begin(self.answer_promotion(connection, read_promotion(body)))
             case "DELETE", ("entries", id_):
                 self.queue(read_remove(id_, body), connection)
             case "GET", ("entries", id_):
@@ -103,8 +110,23 @@
             return Answer(200 if self.following.heard_ms else 503, value)
         return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
-    def promote(self, force: bool) -> Answer:
-        """From a follower to the one that takes writes. All watches end, as they were told another term."""
+    def begin(self, job: Coroutine[None, None, None]) -> None:
+        """A call that takes a while: kept until it ends, as a loop holds its tasks only weakly."""
+        task = asyncio.ensure_future(job)
+        self.tasks.append(task)
+        task.add_done_callback(self.tasks.remove)
+
+    async def answer_promotion(self, connection: Connection, force: bool) -> None:
+        listens = bool(self.following) and not force and await asyncio.to_thread(
+            self.following.still_listens)
+        connection.answer(self.promote(force, listens))
+
+    def promote(self, force: bool, listens: bool) -> Answer:
+        """From a follower to the one that takes writes. All watches end, as they were told another term.
+
+        `listens`: something still takes connections where the followed service was, or nothing says that it
+        does not: a process that was stopped does, and may wake up within the time that its word holds.
+        """
         heard = self.following
         if not heard:
             return Answer(409, told(f"it follows none; it is the list service of term {self.store.term}"))
@@ -112,12 +134,16 @@
             return Answer(409, told("it has never heard a list"))
         if heard.connected and not force:
             return Answer(409, told(f"{heard.registry()} still answers; stop it first, or force it"))
+        silent_s = heard.silent_s()
+        if listens and silent_s < SILENT_S:
+            return Answer(409, told(f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
+                                    f"ask again after {SILENT_S:g} s, or force it"))
         try:
             self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
         except StoreError as error:
             return busy(str(error))
         self.follow_task.cancel()
-        self.following = None
+        self.following, self.asked_s = None, -math.inf  # a follower has asked nobody
         self.leases = Leases(self.store.entries.values(), self.clock())
         log.warning("promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
                     self.store.term, self.store.generation, heard.known, heard.source, heard.age_s())
@@ -130,6 +156,10 @@
     def renew(self, id_: str, life: int) -> Answer:
         if self.following:
             return self.follows()
+        if self.fenced:
+            return Answer(409, told(self.fenced))
+        if not self.sure():
+            return busy("it did not run for a while, and asks its peers first")
         if self.leases.renew(id_, life, self.clock()):
             return Answer(200, {"instanceId": id_, "life": life})
         known = self.store.entries.get(id_)
@@ -150,12 +180,31 @@
             await self.ask_peers()
 
     async def ask_peers(self) -> None:
-        for peer in () if self.following else self.peers:
-            term = await asyncio.to_thread(term_at, peer)
-            if term > self.store.term:
+        """Look at all peers at once. One that does not answer in time says nothing, and writes go on."""
+        began = self.clock()
+        peers = () if self.following or self.fenced else self.peers
+        terms = await asyncio.gather(*[asyncio.to_thread(term_at, peer) for peer in peers])
+        self.asked_s = max(self.asked_s, began)  # what was heard may be from then, if we stood still since
+        for peer, term in zip(peers, terms, strict=True):
+            if term > self.store.term and not self.fenced:
                 self.fenced = f"fenced: {peer[0]}:{peer[1]} is of term {term}, this is of {self.store.term}"
                 log.error("%s; no writes are taken, reads go on", self.fenced)
 
+    def sure(self) -> bool:
+        """Whether the last look at the peers is recent enough to acknowledge by. Our own clock tells whether
+        we did not run since: then another may have been promoted, and the writes that waited are its."""
+        return not self.peers or self.clock() - self.asked_s < WORD_S
+
+    async def make_sure(self) -> bool:
+        """Whether a write may be acknowledged by now; asked anew where the last look is too old."""
+        if not self.sure():
+            self.lapses += 1
+            log.warning("the last look at the peers is %.1f s old; nothing is acknowledged before the next",
+                        self.clock() - self.asked_s)
+            while not self.sure():  # it may have stood still while it asked, too
+                await self.ask_peers()
+        return not self.fenced
+
     # --- writes ---
 
     def queue(self, write: Write, connection: Connection | None) -> None:
@@ -185,8 +234,12 @@
                 taken = [self.waiting.popleft() for _ in range(most)]
                 wanted = [(write, by) for write, by in taken if by is None or not by.transport.is_closing()]
                 self.shed += len(taken) - len(wanted)
-                if wanted:
+                if not wanted:
+                    continue
+                if await self.make_sure():
                     await self.write_batch(wanted)
+                else:
+                    answer_all(wanted, Answer(409, told(self.fenced)))
 
     async def write_batch(self, wanted: Sequence[tuple[Write, Connection | None]]) -> None:
         batch = self.store.plan([write for write, _ in wanted])
@@ -198,9 +251,7 @@
             if not self.broken:
                 log.error("%s; reads go on", error)
             self.broken = str(error)
-            for _, connection in wanted:
-                if connection:
-                    connection.answer(busy(str(error)))
+            answer_all(wanted, busy(str(error)))
             return
         took = time.monotonic() - began
         self.broken = ""
@@ -209,9 +260,12 @@
         before = self.store.generation
         self.store.take(batch)
         self.keep_leases(batch.changed)
-        for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
-            if connection:
-                connection.answer(outcome_of(outcome))
+        if await self.make_sure():  # it may have stood still on the way to the disk
+            for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
+                if connection:
+                    connection.answer(outcome_of(outcome))
+        else:
+            answer_all(wanted, Answer(409, told(self.fenced)))
         if self.store.generation != before:
             self.spread()
 
@@ -246,7 +300,8 @@
             "longest_commit_seconds": round(self.longest_commit_s, 6),
             "leases": len(self.leases.due), "leases_held": self.leases.held,
             "leases_expired_total": self.expired, "broken": int(bool(self.broken)),
-            "fenced": int(bool(self.fenced)), "following": int(bool(self.following)),
+            "fenced": int(bool(self.fenced)), "lapses_total": self.lapses,
+            "following": int(bool(self.following)),
             "lag_seconds": self.following.age_s() if self.following else 0,
             "followed_generation": self.following.known if self.following else 0,
         })
@@ -264,6 +319,12 @@
         connection.close()
 
 
+def answer_all(wanted: Sequence[tuple[Write, Connection | None]], answer: Answer) -> None:
+    for _, connection in wanted:
+        if connection:
+            connection.answer(answer)
+
+
 def outcome_of(outcome: Entry | RefusedError) -> Answer:
     if isinstance(outcome, Entry):
         return Answer(200, written(outcome))
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -191,6 +191,33 @@
     run(job())
 
 
+def test_first_that_was_stopped_acknowledges_nothing_once_another_was_promoted(tmp_path: Path) -> None:
+    """Real processes: the writes that waited on its socket while it stood still are lost if acknowledged."""
+
+    async def job() -> None:
+        at1, at2 = refusing_address(), refusing_address()
+        one = await start(tmp_path / "1.db", at1, "--create", "--peer", f"{HOST}:{at2[1]}")
+        two = await start(tmp_path / "2.db", at2, "--create", "--follow", f"{HOST}:{at1[1]}")
+        assert (await call(at1, "POST /entries", body(instanceId="s-0", leaseMs=60_000)))[0] == 200
+        while (await call(at2, "GET /catalog/members"))[1]["instances"] == []:
+            await asyncio.sleep(0.01)
+        one.send_signal(signal.SIGSTOP)
+        writes = [asyncio.create_task(call(at1, "POST /entries", body(instanceId=f"s-{number}")))
+                  for number in range(1, 31)]
+        renewal = asyncio.create_task(call(at1, "POST /entries/s-0/renew", b'{"life":1}'))
+        while (await call(at2, "POST /promote"))[0] != 200:  # never forced: refused until it is silent
+            await asyncio.sleep(0.05)
+        one.send_signal(signal.SIGCONT)
+        assert {status for status, _ in await asyncio.gather(*writes)} == {409}
+        assert (await renewal)[0] in (409, 503)
+        assert (await call(at2, "POST /entries", body(instanceId="s-1")))[0] == 200
+        for process in (one, two):
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+    run(job())
+
+
 def test_power_lost_at_any_length_of_the_log_leaves_a_first_part_of_the_writes(tmp_path: Path) -> None:
     """The real process started on what was on disk: the log of its store cut at lengths over all of it."""
 
