Start the program's processes under faults, and judge what happened

Need: the operators want each piece shown by tests that start several processes and inject faults between them; there was a starter in each test, and kill -9 only.

Change: orchidhatch.trial (design in the roadmap): processes by pidfd that end with the trial, a relay on every way (delay, loss, doubling, turning round, bytes a second, cut, hold, reset, mute; one way or both), stand-in backends, open-loop clients, events gathered into SQLite, nine checks, planted defects, again and shrink.

A follower that answered a peer's question is now not promoted unforced for 2.9 s, which outlasts what the peer may do by the answer. Questions overlap now, with 2 s of patience each: with half a second, a network that is 0.25 s slow each way made the follower look silent.

--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -8,7 +8,6 @@
 
 import argparse
 import asyncio
-import http.client
 import logging
 import math
 import os
@@ -19,6 +18,8 @@
 from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 
+import h11
+
 from orchidhatch.following import SILENT_S, Following
 from orchidhatch.forms import (
     read_change,
@@ -29,16 +30,21 @@
     written,
 )
 from orchidhatch.leases import TICK_S, Leases
-from orchidhatch.server import STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
+from orchidhatch.server import MOST_HEAD, STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
 from orchidhatch.store import Entry, RefusedError, Remove, Store, StoreError, UnlistedError, Write
 
 log = logging.getLogger("orchidhatch.registry")
 
-ASK_S, ASK_PATIENCE_S = 0.5, 0.5  # between questions to peers for their term; to connect, and to answer
-# How long a look at the peers holds, from its beginning: longer than two questions that are not answered
-# take, with the wait between them. A follower hears a beat each BEAT_S, and is not promoted unforced before
-# it has heard none for SILENT_S, which is more than both: no look from before a stop outlives a promotion.
+# Between questions to peers for their term, and for an answer. They overlap: a slow network must not make a
+# peer that answers look silent.
+ASK_S, ASK_PATIENCE_S = 0.5, 2.0
+# How long a look at the peers holds, from its beginning: longer than the last question that ended can be old
+# where none is answered. A follower hears a beat each BEAT_S, and is not promoted unforced before it has
+# heard none for SILENT_S, which is more than both: no look from before a stop outlives a promotion.
 WORD_S = 2.8
+# For so long after it answered a peer that asked, a follower is not promoted unforced, as that one may go by
+# the answer: its word, which began before the answer, and a twentieth for clocks that differ.
+PROMISE_S = 1.05 * WORD_S
 MOST_WRITES, MOST_BATCH = 1_000, 500  # that wait; that go to disk together
 
 
@@ -57,6 +63,7 @@
         self.follow_task: asyncio.Task[None] | None = None
         self.peers, self.fenced = peers, ""  # why it takes no writes any more
         self.asked_s = -math.inf  # when the last look at the peers that has ended was begun
+        self.promised_s = -math.inf  # when a peer was told our term last, and may go by it
         self.lapses = 0  # times that the last look was too old to acknowledge by
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
@@ -90,6 +97,9 @@
                 self.queue(read_change(id_, body), connection)
             case "POST", ("entries", id_, "renew"):
                 connection.answer(self.renew(id_, read_renewal(body)))
+            case "GET", ("term",):
+                self.promised_s = self.clock()
+                connection.answer(Answer(200, {"term": self.store.term}))
             case "POST", ("promote",):
                 self.begin(self.answer_promotion(connection, read_promotion(body)))
             case "DELETE", ("entries", id_):
@@ -135,6 +145,10 @@
         if heard.connected and not force:
             return Answer(409, told(f"{heard.registry()} still answers; stop it first, or force it"))
         silent_s = heard.silent_s()
+        asked_s = self.clock() - self.promised_s
+        if asked_s < PROMISE_S and not force:
+            return Answer(409, told(f"a peer asked {asked_s:.1f} s ago and may still take writes; stop it, "
+                                    f"wait {PROMISE_S:.1f} s, or force it"))
         if listens and silent_s < SILENT_S:
             return Answer(409, told(f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
                                     f"ask again after {SILENT_S:g} s, or force it"))
@@ -175,15 +189,21 @@
     # --- terms ---
 
     async def keep_asking(self) -> None:
-        while not self.fenced:
-            await asyncio.sleep(ASK_S)
-            await self.ask_peers()
+        asking: set[asyncio.Task[None]] = set()
+        try:
+            while not self.fenced:
+                await asyncio.sleep(ASK_S)
+                asking.add(task := asyncio.create_task(self.ask_peers()))
+                task.add_done_callback(asking.discard)
+        finally:
+            for task in asking:
+                task.cancel()
 
     async def ask_peers(self) -> None:
         """Look at all peers at once. One that does not answer in time says nothing, and writes go on."""
         began = self.clock()
         peers = () if self.following or self.fenced else self.peers
-        terms = await asyncio.gather(*[asyncio.to_thread(term_at, peer) for peer in peers])
+        terms = await asyncio.gather(*map(term_at, peers))
         self.asked_s = max(self.asked_s, began)  # what was heard may be from then, if we stood still since
         for peer, term in zip(peers, terms, strict=True):
             if term > self.store.term and not self.fenced:
@@ -307,16 +327,23 @@
         })
 
 
-def term_at(address: tuple[str, int]) -> int:
-    """The term of the list service there; 0 where none answers."""
-    connection = http.client.HTTPConnection(*address, timeout=ASK_PATIENCE_S)
+async def term_at(address: tuple[str, int]) -> int:
+    """The term of the list service there; 0 where none answers within ASK_PATIENCE_S."""
+    http, writer = h11.Connection(h11.CLIENT), None
     try:
-        connection.request("GET", "/healthcheck")
-        return term_of(connection.getresponse().headers.get(STORE_HEADER, ""))
-    except (OSError, http.client.HTTPException):
+        async with asyncio.timeout(ASK_PATIENCE_S):
+            reader, writer = await asyncio.open_connection(*address)
+            question = h11.Request(method="GET", target="/term", headers=[("Host", address[0])])
+            writer.write(http.send(question) + http.send(h11.EndOfMessage()))
+            while (event := http.next_event()) is h11.NEED_DATA:
+                http.receive_data(await reader.read(MOST_HEAD))
+    except (OSError, TimeoutError, h11.ProtocolError):
         return 0
     finally:
-        connection.close()
+        if writer:
+            writer.transport.abort()
+    headers = dict(event.headers) if isinstance(event, h11.Response) else {}
+    return term_of(headers.get(STORE_HEADER.lower().encode(), b"").decode(errors="replace"))
 
 
 def answer_all(wanted: Sequence[tuple[Write, Connection | None]], answer: Answer) -> None:
--- /dev/null
+++ b/orchidhatch/trial/events.py
@@ -0,0 +1,85 @@
+"""What the processes of a trial did: lines with the machine's monotonic time, gathered into SQLite."""
+
+import os
+import sqlite3
+import time
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+SCHEMA = """
+CREATE TABLE events (
+  at_ns INTEGER NOT NULL, who TEXT NOT NULL, what TEXT NOT NULL, about TEXT NOT NULL, told TEXT NOT NULL
+) STRICT;
+"""
+Told = dict[str, Any]
+
+
+class Event(msgspec.Struct, frozen=True, array_like=True):
+    """At `at_ns` of the monotonic clock, `who` did `what` with the request, write or process `about`."""
+
+    at_ns: int
+    who: str
+    what: str
+    about: str
+    told: Told
+
+
+class Recorder:
+    """Lines to a file of this process's own. Each is written at once, so that a kill loses none before it."""
+
+    def __init__(self, who: str, folder: Path) -> None:
+        self.who, self.encoder = who, msgspec.json.Encoder()
+        path = folder / f"{who}-{os.getpid()}.events"
+        self.descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
+
+    def note(self, what: str, about: str, **told: Any) -> None:  # noqa: ANN401 - whatever JSON holds
+        event = Event(time.monotonic_ns(), self.who, what, about, told)
+        os.write(self.descriptor, self.encoder.encode(event) + b"\n")
+
+    def close(self) -> None:
+        os.close(self.descriptor)
+
+
+def read(folder: Path) -> Iterator[Event]:
+    """All that was written; a last line that a kill cut short is left out."""
+    decoder = msgspec.json.Decoder(Event)
+    for path in sorted(folder.glob("*.events")):
+        for line in path.read_bytes().split(b"\n")[:-1]:
+            yield decoder.decode(line)
+
+
+def gather(folder: Path, into: Path) -> sqlite3.Connection:
+    """One file of all events, in the order of time."""
+    into.unlink(missing_ok=True)
+    db = sqlite3.connect(into, isolation_level=None)
+    db.executescript(SCHEMA)
+    rows = sorted((event.at_ns, event.who, event.what, event.about, msgspec.json.encode(event.told).decode())
+                  for event in read(folder))
+    db.execute("BEGIN")
+    db.executemany("INSERT INTO events VALUES (?, ?, ?, ?, ?)", rows)
+    db.execute("CREATE INDEX by_what ON events (what, at_ns)")
+    db.execute("CREATE INDEX by_about ON events (about, at_ns)")
+    db.execute("COMMIT")
+    return db
+
+
+def of(db: sqlite3.Connection, *kinds: str) -> list[Event]:
+    """The events of these kinds, in the order of time."""
+    marks = ", ".join("?" * len(kinds))
+    found = db.execute(f"SELECT * FROM events WHERE what IN ({marks}) ORDER BY at_ns, rowid", kinds)
+    return list(rows(found))
+
+
+def rows(found: Iterable[tuple[int, str, str, str, str]]) -> Iterator[Event]:
+    for at_ns, who, what, about, told in found:
+        yield Event(at_ns, who, what, about, msgspec.json.decode(told))
+
+
+def story(db: sqlite3.Connection, about: str, start_ns: int) -> list[str]:
+    """All that happened with one request, write or process, across all processes, as lines for a person."""
+    found = rows(db.execute("SELECT * FROM events WHERE about = ? ORDER BY at_ns, rowid", (about,)))
+    return [f"{(event.at_ns - start_ns) / 1e9:9.3f} s  {event.who:12} {event.what:8} "
+            + " ".join(f"{key}={value}" for key, value in event.told.items()) for event in found]
--- /dev/null
+++ b/orchidhatch/trial/fleet.py
@@ -0,0 +1,311 @@
+"""The processes of a plan and the ways between them: addresses, settings, and the order of their starts."""
+
+import asyncio
+import json
+import os
+import random
+import socket
+import sys
+import time
+import tomllib
+from collections.abc import Awaitable, Callable
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from orchidhatch.trial import backend, load
+from orchidhatch.trial.calls import Address, call
+from orchidhatch.trial.events import Recorder
+from orchidhatch.trial.forms import Plan, Script
+from orchidhatch.trial.plants import PLANTS
+from orchidhatch.trial.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
+from orchidhatch.trial.relay import Datagrams, TcpRelay, Way
+from orchidhatch.trial.tap import tapping
+
+ZONES = "abc"
+AIM_US, DEADLINE_US = 750_000, 2_000_000  # of the class, as on the site's page
+INTAKE_PER_S = 40.0  # of words, as there
+HEAD_START_S = 1.5  # for the clients to be ready
+
+
+def free_port(host: str) -> int:
+    """A port that nobody has at this address, which is this trial's own, so that nobody takes it."""
+    with socket.socket() as one:
+        one.bind((host, 0))
+        return one.getsockname()[1]
+
+
+def shown(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
+def door_command() -> list[str]:
+    """As the deploy file says; where its build has not been made, the same program by this interpreter."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    if (ROOT / ".venv/bin/python").exists():
+        return ["/bin/sh", "-c", run]
+    return ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)]
+
+
+class Fleet:
+    """All that a trial runs, over its whole time."""
+
+    def __init__(self, script: Script, folder: Path, recorder: Recorder, plant: str = "") -> None:
+        self.script, self.plan, self.folder, self.recorder = script, script.plan, folder, recorder
+        self.plant, self.net = plant, f"127.{100 + os.getpid() % 100}"
+        self.processes, self.ways = Processes(), dict[str, Way]()
+        self.relays: dict[str, TcpRelay] = {}
+        self.datagrams: dict[str, Datagrams] = {}
+        self.at: dict[str, Address] = {}  # where each process listens
+        self.over: dict[str, Address] = {}  # where each way begins
+        self.ids: dict[str, str] = {}  # of each backend, in the list
+        self.machines = 0  # backends so far, replaced ones too
+        self.clocked = {name for fault in script.faults if fault.kind == "clock"
+                        for name in self.plan.processes() if fnmatchcase(name, fault.who)}
+        self.start_ns = 0
+
+    # --- addresses ---
+
+    def lay_out(self) -> None:
+        for name in self.plan.processes():
+            kind, _, number = name.partition("-")
+            third = {"registry": 10, "agent": 20, "door": 30}.get(kind)
+            if third:
+                host = f"{self.net}.{third}.{int(number) + 1}"
+                self.at[name] = host, free_port(host)
+            if kind == "door":
+                self.at[f"{name} management"] = host, free_port(host)
+                self.at[f"{name} peers"] = host, free_port(host)
+
+    def way(self, name: str) -> Way:
+        chance = random.Random(f"{self.script.seed} {name}")
+        return self.ways.setdefault(name, Way(name, self.recorder, chance))
+
+    async def lay_way(
+        self, name: str, to: Address, host: str = "", port: int = 0, **more: Any  # noqa: ANN401
+    ) -> None:
+        relay = TcpRelay(self.way(name), to, **more)
+        self.over[name] = await relay.start(host or f"{self.net}.50.1", port)
+        self.relays[name] = relay
+
+    async def lay_ways(self) -> None:
+        """All but those to backends, which come with them."""
+        for name in self.plan.ways():
+            beginner, _, to = name.partition(">")
+            if to.startswith("backend-"):
+                continue
+            if beginner.startswith("door-") and to.startswith("door-"):
+                await self.lay_words(name)
+            elif beginner.startswith("door-"):
+                await self.lay_way(name, self.at[to], alter=tapping(
+                    self.recorder, beginner, f"{self.net}.100.", f"{self.net}.{self.view(beginner)}."))
+            else:
+                await self.lay_way(name, self.at[to])
+        for name, here in self.datagrams.items():
+            beginner, _, to = name.partition(">")
+            here.opposite, here.to = self.datagrams[f"{to}>{beginner}"], self.at[f"{to} peers"]
+
+    async def lay_words(self, name: str) -> None:
+        transport, here = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: Datagrams(self.way(name)), local_addr=(f"{self.net}.50.1", 0))
+        self.over[name], self.datagrams[name] = transport.get_extra_info("sockname"), here
+
+    def view(self, door: str) -> int:
+        """The third number of the addresses by which this door sees the backends; 100 in the list itself."""
+        return 101 + int(door.partition("-")[2])
+
+    # --- processes ---
+
+    def add(self, name: str, module: str, *arguments: object, **more: Any) -> None:  # noqa: ANN401
+        """A module of the program, by the launcher if its clock is to step or a defect is planted in it."""
+        command = [sys.executable, "-m", *self.launched(name), module, *map(str, arguments)]
+        self.add_command(name, command, **more)
+
+    def launched(self, name: str) -> list[str]:
+        more = ["--clock", str(self.folder / f"{name}.clock")] if name in self.clocked else []
+        if self.plant and fnmatchcase(name, PLANTS[self.plant].who):
+            more += ["--plant", self.plant]
+        return ["orchidhatch.trial.stepped", *more] if more else []
+
+    def add_command(
+        self, name: str, command: list[str], ready: Callable[[], Awaitable[bool]], **more: Any  # noqa: ANN401
+    ) -> None:
+        self.processes.add(Process(name, command, self.folder / name, self.recorder, ready,
+                                   reached=lambda listens: self.reach(name, listens), **more))
+
+    def reach(self, name: str, listens: bool) -> None:
+        """A process that has ended refuses connections, and so do the ways to it."""
+        for way, relay in self.relays.items():
+            if way.endswith(f">{name}"):
+                relay.listen_again() if listens else relay.refuse()
+
+    async def answers(self, name: str, good: int = 0) -> bool:
+        """Whether it answers its health call; with this status, if one is given."""
+        status, _, _ = await call(self.at[name], "GET", "/healthcheck", within_s=0.5)
+        return status == good if good else status != 0
+
+    def add_registry(self, number: int) -> None:
+        name = f"registry-{number}"
+        others = [f"{name}>registry-{n}" for n in range(self.plan.registries) if n != number]
+        follow = ["--follow", shown(self.over[f"{name}>registry-0"])] if number else []
+        peers = [word for way in others for word in ("--peer", shown(self.over[way]))]
+        self.add(name, "orchidhatch.registry", "--listen", shown(self.at[name]), "--create",
+                 "--store", self.folder / name / "list.db", *follow, *peers, ready=lambda: self.answers(name))
+
+    def add_agent(self, number: int) -> None:
+        name = f"agent-{number}"
+        registries = [word for n in range(self.plan.registries)
+                      for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))]
+        self.add(name, "orchidhatch.agent", "--listen", shown(self.at[name]), *registries,
+                 "--cache", self.folder / name / "cache.db", ready=lambda: self.answers(name))
+
+    async def add_backend(self, number: int) -> str:
+        """A machine in this slot, the first or one in place of another; its id in the list."""
+        name, model = f"backend-{number}", self.plan.backends
+        last = 100 + self.machines
+        self.machines += 1
+        host = f"{self.net}.100.{last}"
+        port = free_port(host)
+        self.at[name] = host, port
+        id_ = self.ids[name] = f"b-{number}-{last}"
+        for door in range(self.plan.doors):
+            way = f"door-{door}>{name}"
+            if way in self.relays:
+                self.relays[way].refuse()  # the machine before it is gone
+            await self.lay_way(way, self.at[name], f"{self.net}.{101 + door}.{last}", port)
+        settings = backend.Settings(name, id_, self.at[name], self.registries_of(name), ZONES[number % 3],
+                                    model, self.script.seed, str(self.folder))
+        file = self.folder / f"{name}.json"
+
+        async def ready() -> bool:
+            try:
+                _, writer = await asyncio.open_connection(*self.at[name])
+            except OSError:
+                return False
+            writer.close()
+            return True
+
+        file.write_bytes(msgspec.json.encode(settings))
+        self.add(name, "orchidhatch.trial.backend", file, ready=ready)
+        return id_
+
+    def registries_of(self, name: str) -> list[Address]:
+        ways = [f"{name}>registry-{n}" for n in range(self.plan.registries)]
+        return [self.over[way] for way in ways]
+
+    def add_door(self, number: int) -> None:
+        name = f"door-{number}"
+        env = {"PROXY_NAME": name, "PROXY_LISTEN": shown(self.at[name]),
+               "PROXY_CONFIG": str(self.folder / name / "config.json"),
+               "PROXY_DISCOVERY": shown(self.over[f"{name}>agent-{number}"]),
+               "PROXY_MANAGEMENT": shown(self.at[f"{name} management"]),
+               "TMPDIR": str(self.folder / name / "tmp")}
+        command = door_command()
+        if words := self.launched(name):
+            command = [sys.executable, "-m", *words, "molereach.__main__"]
+        self.add_command(name, command, ready=lambda: self.answers(f"{name} management", 200), env=env,
+                         prepare=lambda: self.write_config(number))
+
+    def write_config(self, number: int) -> None:
+        """As DEPLOY's page has it; anew at each start, with a seed of its own."""
+        name, folder = f"door-{number}", self.folder / f"door-{number}"
+        (folder / "tmp").mkdir(exist_ok=True)
+        for left in (folder / "tmp").iterdir():
+            left.unlink()
+        peers = [shown(self.over.get(f"{name}>door-{n}", self.at[f"door-{n} peers"]))
+                 for n in range(self.plan.doors)]
+        seed = random.Random(f"{self.script.seed} {name} {time.monotonic_ns()}").getrandbits(64)
+        values = {
+            "name": name, "listen": shown(self.at[name]),
+            "discovery": shown(self.over[f"{name}>agent-{number}"]),
+            "seed": f"{seed:016x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "peer_listen": shown(self.at[f"{name} peers"]), "peers": peers, "known": None,
+            "settings": settings_of(self.plan, number),
+        }
+        (folder / "config.json").write_text(json.dumps(values))
+
+    def add_clients(self) -> None:
+        doors = [self.over[f"clients>door-{n}"] for n in range(self.plan.doors)]
+        settings = load.Settings(doors, self.plan.load, self.plan.seconds, self.script.seed, self.start_ns,
+                                 str(self.folder))
+        file = self.folder / "clients.json"
+        file.write_bytes(msgspec.json.encode(settings))
+
+        async def ready() -> bool:
+            return True
+
+        self.add("clients", "orchidhatch.trial.load", file, ready=ready, ends=True)
+
+    # --- start and end ---
+
+    async def start(self) -> None:
+        """List services, backends that enter them, agents, doors, and last the clients."""
+        plan = self.plan
+        self.lay_out()
+        await self.lay_ways()
+        registries = [f"registry-{n}" for n in range(plan.registries)]
+        for number in range(plan.registries):
+            self.add_registry(number)
+        await self.processes.start(registries[0])
+        await self.processes.start(*registries[1:])
+        for number in range(plan.backends.count):
+            await self.add_backend(number)
+        await self.processes.start(*(f"backend-{n}" for n in range(plan.backends.count)))
+        agents = [f"agent-{n}" for n in range(max(1, plan.doors))]
+        for number in range(len(agents)):
+            self.add_agent(number)
+        await self.processes.start(*agents)
+        for at in [*registries, *agents]:
+            await self.wait_listed(at)
+        for number in range(plan.doors):
+            self.add_door(number)
+        await self.processes.start(*(f"door-{n}" for n in range(plan.doors)))
+        self.start_ns = time.monotonic_ns() + round(HEAD_START_S * 1e9)
+        if plan.doors and plan.load.customers:
+            self.add_clients()
+            await self.processes.start("clients")
+        self.recorder.note("begins", "trial", start_ns=self.start_ns)
+
+    async def wait_listed(self, name: str) -> None:
+        """Until all backends are in the list there."""
+        try:
+            async with asyncio.timeout(READY_S):
+                while True:
+                    status, told, _ = await call(self.at[name], "GET", "/catalog/members")
+                    if status == 200 and len(told["instances"]) >= self.plan.backends.count:
+                        return
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            raise TrialError(f"the backends are not in the list of {name} within {READY_S:g} s") from None
+
+    async def close(self) -> None:
+        await self.processes.close()
+        for relay in self.relays.values():
+            relay.close()
+        for one in self.datagrams.values():
+            one.transport.close()
+
+
+def settings_of(plan: Plan, number: int) -> dict[str, Any]:
+    """A door's settings, in the names of the simulator's first message."""
+    plans = [{
+        "name": one.plan, "units-per-s": one.rate, "burst": one.burst, "max-out": one.max_out,
+        "never-over-rate": one.ceiling_rate, "hard-burst": one.ceiling_burst,
+        "hard-slack": max(1.0, 0.1 * one.ceiling_burst), "over-cost": 0.5,
+    } for one in plan.load.customers]
+    return {
+        "me": number, "balancers": plan.doors, "zones": list(ZONES), "kinds": ["m2"], "zone": number % 3,
+        "plans": plans or [{"name": "none", "units-per-s": 1.0, "burst": 1.0}],
+        "categories": [{"name": "read", "on-time-us": AIM_US, "deadline-us": DEADLINE_US, "points": 1.0,
+                        "idempotency": "read_like"}],
+        "ceilings": {"max-attempts": 4, "conn-idle-us": 30_000_000, "retry-after": True,
+                     "max-retry-after-us": 2_000_000, "may-cancel": True, "peers": True},
+        "extra": {"mail-per-s": INTAKE_PER_S},
+        "obligations": {"grace-to-answer-us": 8000, "cold-from": plan.backends.cold_from,
+                        "warm-within-us": round(plan.backends.cold_s * 1e6), "fall-multiple": 3.0,
+                        "fall-us": 1_500_000},
+        "stats": {"how": "inline" if plan.backends.reports else "none",
+                  "names": ["inflight", "queue", "util"]},
+    }
--- /dev/null
+++ b/orchidhatch/trial/plants.py
@@ -0,0 +1,103 @@
+"""Planted defects: the real program with one function put wrong, to show that a check finds it.
+
+Each is put into the processes that its pattern names, by `orchidhatch.trial.stepped`.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+
+class Plant(NamedTuple):
+    who: str  # pattern of the processes that it is put into
+    check: str  # that is to find it
+    plant: Callable[[], None]
+
+
+def ignore_drains() -> None:
+    from fennelwinch import interface as i
+    from molereach import discovery
+
+    discovery.STATES["DRAINING"] = i.ServerState.UP
+
+
+def answer_twice() -> None:
+    from molereach.clients import Reply
+
+    send, count = Reply.send, 0
+
+    def twice(self: Reply, data: bytes) -> None:
+        nonlocal count
+        count += 1
+        send(self, data + data if count % 20 == 0 else data)
+
+    Reply.send = twice
+
+
+def overlap_attempts() -> None:
+    from molereach.backends import Attempt, Backends
+
+    send = Backends.send
+
+    def both(self: Backends, attempt: Attempt, timeout_us: int) -> None:
+        send(self, attempt, timeout_us)
+        copy = Attempt(attempt.request_id, attempt.number, attempt.server, attempt.payload, lambda *_: None)
+        send(self, copy, timeout_us)
+
+    Backends.send = both
+
+
+def count_caps_alone() -> None:
+    from fennelwinch.quota import Customer
+
+    init = Customer.__init__
+
+    def alone(self: Customer, plan: Any, key: Any, set_: Any, now: int) -> None:  # noqa: ANN401
+        init(self, plan, key._replace(set_first=set_.me, set_size=1), set_, now)
+        self.key = key
+
+    Customer.__init__ = alone
+
+
+def acknowledge_early() -> None:
+    from orchidhatch.registry import Registry, outcome_of
+
+    write_batch = Registry.write_batch
+
+    async def early(self: Registry, wanted: Any) -> None:  # noqa: ANN401
+        batch = self.store.plan([write for write, _ in wanted])
+        for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
+            if connection:
+                connection.answer(outcome_of(outcome))
+        await asyncio.sleep(0.2)
+        await write_batch(self, wanted)
+
+    Registry.write_batch = early
+
+
+def go_back() -> None:
+    from orchidhatch import agent
+    from orchidhatch.store import Store
+
+    def anew(path: Any) -> Store:  # noqa: ANN401
+        path.unlink(missing_ok=True)
+        return Store(path, create=True, first=0)
+
+    agent.open_cache = anew
+
+
+def look_never() -> None:
+    from orchidhatch.registry import Registry
+
+    Registry.sure = lambda self: True
+
+
+PLANTS = {
+    "ignores-drain": Plant("door-*", "drains", ignore_drains),
+    "two-answers": Plant("door-*", "answers", answer_twice),
+    "overlap": Plant("door-*", "attempts", overlap_attempts),
+    "cap-per-door": Plant("door-*", "caps", count_caps_alone),
+    "early-ack": Plant("registry-*", "writes", acknowledge_early),
+    "goes-back": Plant("agent-*", "generations", go_back),
+    "never-looks": Plant("registry-*", "writes", look_never),
+}
--- /dev/null
+++ b/orchidhatch/trial/tap.py
@@ -0,0 +1,51 @@
+"""What the relay between an agent and its front door does to the list's watch: other addresses, and a record.
+
+The list names each backend by an address. The front door is to reach it over a way of its own, so the address
+is replaced by one of the same length: no length in the stream changes, and neither side can tell.
+"""
+
+import json
+from collections.abc import Callable
+
+from orchidhatch.trial.events import Recorder
+
+MOST_LINE = 1 << 20
+
+
+class Tap:
+    """One connection's bytes from the agent to the door."""
+
+    def __init__(self, recorder: Recorder, door: str, listed: bytes, seen: bytes) -> None:
+        assert len(listed) == len(seen)
+        self.recorder, self.door, self.listed, self.seen = recorder, door, listed, seen
+        self.held = self.line = b""
+
+    def __call__(self, data: bytes) -> bytes:
+        data = (self.held + data).replace(self.listed, self.seen)
+        cut = len(data) - self.begun(data)
+        self.held, data = data[cut:], data[:cut]
+        self.read(data)
+        return data
+
+    def begun(self, data: bytes) -> int:
+        """How many of the last bytes may be the beginning of an address."""
+        return next((size for size in range(len(self.listed) - 1, 0, -1)
+                     if data.endswith(self.listed[:size])), 0)
+
+    def read(self, data: bytes) -> None:
+        *lines, self.line = (self.line + data).split(b"\n")
+        self.line = self.line[-MOST_LINE:]
+        for line in lines:
+            if line.startswith(b'{"generation"'):
+                self.note(json.loads(line))
+
+    def note(self, news: dict[str, object]) -> None:
+        states: dict[str, list[str]] = {}
+        for entry in news["instances"]:
+            states.setdefault(entry["lifecycle"], []).append(entry["instanceId"])
+        self.recorder.note("news", self.door, generation=news["generation"], reset=news["reset"],
+                           states=states)
+
+
+def tapping(recorder: Recorder, door: str, listed: str, seen: str) -> Callable[[], Tap]:
+    return lambda: Tap(recorder, door, listed.encode(), seen.encode())
--- /dev/null
+++ b/orchidhatch/trial/timeline.py
@@ -0,0 +1,237 @@
+"""Carries a script out: each fault at its time, its undoing after it, and the operators' acts between."""
+
+import asyncio
+import itertools
+import shutil
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from orchidhatch.trial.calls import call
+from orchidhatch.trial.fleet import Fleet
+from orchidhatch.trial.forms import WAY_KINDS, Fault, matching
+from orchidhatch.trial.processes import Process, TrialError
+from orchidhatch.trial.relay import Way
+
+ASK_S = 0.25  # between two tries of an operator's act
+LEAST_FILE = 4096  # bytes that files may have on a full disk where a plan names none
+LEAVE_EVERY = 3  # writes of entries to each that leaves
+SETTLE_S = 2.0  # after the last fault is undone, before the lists are read
+STORE = {"registry": "list.db", "agent": "cache.db"}
+
+
+class Timeline:
+    """What is done to a fleet, and when."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.recorder = fleet, fleet.recorder
+        self.tasks: list[asyncio.Task[None]] = []
+        self.writer = 0  # the list service that took the last write
+        self.numbers, self.written = itertools.count(), set[str]()
+
+    def now_s(self) -> float:
+        return (time.monotonic_ns() - self.fleet.start_ns) / 1e9
+
+    async def play(self) -> None:
+        """Until the load is over and all faults are undone."""
+        plan = self.fleet.plan
+        jobs = [self.one(fault) for fault in self.fleet.script.faults]
+        jobs += [self.write_on()] if plan.writes.per_s else []
+        await asyncio.gather(*jobs)
+        await asyncio.sleep(max(0.0, plan.seconds - self.now_s()))
+        for process in self.fleet.processes.all.values():
+            process.bound_files(None)
+        if "clients" in self.fleet.processes.all:
+            await self.fleet.processes["clients"].ended.wait()
+        await asyncio.sleep(SETTLE_S)
+        await self.read_lists()
+
+    async def one(self, fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, fault.at - self.now_s()))
+        if fault.kind in WAY_KINDS:
+            await self.on_way(fault)
+        else:
+            acts: dict[str, Callable[[Fault, Process], Awaitable[None]]] = {
+                "kill": self.end, "term": self.end, "stop": self.stop, "full": self.fill, "old": self.go_back,
+                "clock": self.step, "promote": self.promote, "drain": self.drain, "replace": self.replace}
+            for name in self.named(fault):
+                self.begin(fault, name)
+                await acts[fault.kind](fault, self.fleet.processes[name])
+                self.over(fault, name)
+
+    def named(self, fault: Fault) -> list[str]:
+        return matching(fault.who, list(self.fleet.processes.all))
+
+    def begin(self, fault: Fault, name: str) -> None:
+        self.recorder.note("fault", name, kind=fault.kind, lasts=fault.lasts, way=fault.way)
+
+    def over(self, fault: Fault, name: str) -> None:
+        self.recorder.note("undone", name, kind=fault.kind, way=fault.way)
+
+    # --- processes ---
+
+    async def end(self, fault: Fault, process: Process) -> None:
+        if not process.runs():
+            return
+        await process.end(signal.SIGKILL if fault.kind == "kill" else signal.SIGTERM)
+        if fault.lasts:
+            await asyncio.sleep(fault.lasts)
+            await self.start(process)
+
+    async def start(self, process: Process) -> None:
+        """Unless another fault has started it; that one ends it meanwhile is that fault's matter."""
+        if process.runs():
+            return
+        process.start()
+        try:
+            await process.wait_ready()
+        except TrialError as error:
+            if process.due:
+                self.recorder.note("unready", process.name, why=str(error)[-300:])
+
+    async def stop(self, fault: Fault, process: Process) -> None:
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts)
+        process.send(signal.SIGCONT)
+
+    async def fill(self, fault: Fault, process: Process) -> None:
+        process.bound_files(int(fault.size) or LEAST_FILE)
+        await asyncio.sleep(fault.lasts)
+        process.bound_files(None)
+
+    async def step(self, fault: Fault, process: Process) -> None:
+        file = self.fleet.folder / f"{process.name}.clock"
+        file.write_text(str(round(fault.size * 1000)))
+        if fault.lasts:
+            await asyncio.sleep(fault.lasts)
+            file.write_text("0")
+
+    async def go_back(self, fault: Fault, process: Process) -> None:
+        """Started, after a while, from a copy of its store that is that much older."""
+        kind = process.name.partition("-")[0]
+        store, aside = process.folder / STORE[kind], process.folder / "old"
+        await process.end()
+        copy_store(store, aside)
+        await self.start(process)
+        await asyncio.sleep(fault.lasts)
+        await process.end()
+        copy_store(aside / store.name, store.parent)
+        await self.start(process)
+
+    # --- ways ---
+
+    async def on_way(self, fault: Fault) -> None:
+        ways = [self.fleet.ways[name] for name in matching(fault.who, self.fleet.plan.ways())]
+        for way in ways:
+            self.begin(fault, way.name)
+            self.put(fault, way, on=True)
+        if fault.kind == "reset":  # it breaks what is there, once
+            return
+        if fault.lasts:
+            await asyncio.sleep(fault.lasts)
+            for way in ways:
+                self.put(fault, way, on=False)
+                way.opened()
+                if way.name in self.fleet.datagrams:
+                    self.fleet.datagrams[way.name].go_on()
+                self.over(fault, way.name)
+
+    def put(self, fault: Fault, way: Way, on: bool) -> None:
+        size = fault.size if on else 0.0
+        for direction in way.directions(fault.way):
+            match fault.kind:
+                case "delay":
+                    direction.delay_s, direction.spread_s = size, fault.spread if on else 0.0
+                case "slow":
+                    direction.bytes_per_s = size
+                case "loss" | "double" | "turn":
+                    setattr(direction, fault.kind, size)
+                case "cut" | "hold":
+                    direction.closed = on
+        match fault.kind:
+            case "cut":
+                way.cut = on
+            case "mute":
+                way.mute = on
+            case "reset":
+                way.break_next = True
+
+    # --- operators ---
+
+    async def promote(self, fault: Fault, process: Process) -> None:
+        """Asked again until it is done; never forced."""
+        name, until = process.name, self.now_s() + (fault.lasts or 30.0)
+        while self.now_s() < until:
+            status, told, _ = await call(self.fleet.at[name], "POST", "/promote", {})
+            self.recorder.note("promote", name, status=status, told=told)
+            if status == 200:
+                return
+            await asyncio.sleep(ASK_S)
+
+    async def drain(self, fault: Fault, process: Process) -> None:
+        """For that long; it may have left the list meanwhile."""
+        id_ = self.fleet.ids[process.name]
+        await self.set_lifecycle(id_, "DRAINING")
+        await asyncio.sleep(fault.lasts)
+        await self.set_lifecycle(id_, "SERVING")
+
+    async def set_lifecycle(self, id_: str, lifecycle: str) -> None:
+        await self.write(id_, "POST", f"/entries/{id_}/lifecycle", {"lifecycle": lifecycle})
+
+    async def replace(self, fault: Fault, process: Process) -> None:
+        """A new machine in its place, under another id and address; the old one leaves at once."""
+        id_ = self.fleet.ids[process.name]
+        await self.write(id_, "DELETE", f"/entries/{id_}", None)
+        await process.end()
+        await self.fleet.add_backend(int(process.name.partition("-")[2]))
+        await self.start(self.fleet.processes[process.name])
+
+    async def write_on(self) -> None:
+        """Entries that no door uses, by open loop; one in three leaves again."""
+        plan = self.fleet.plan
+        for number in range(int(plan.writes.per_s * plan.seconds)):
+            await asyncio.sleep(max(0.0, number / plan.writes.per_s - self.now_s()))
+            id_, gone = f"w-{number}", f"w-{number - 2 * LEAVE_EVERY}"
+            entry = {"instanceId": id_, "hostPort": "127.0.0.1:9", "zone": "a", "machineType": "m2",
+                     "lifecycle": "DRAINING"}
+            self.tasks.append(asyncio.ensure_future(self.write(id_, "POST", "/entries", entry)))
+            if number % LEAVE_EVERY == 0 and gone in self.written:
+                self.tasks.append(asyncio.ensure_future(self.write(gone, "DELETE", f"/entries/{gone}", None)))
+        await asyncio.gather(*self.tasks)
+
+    async def write(self, id_: str, method: str, path: str, value: object) -> None:
+        """By the list service that took the last one, else by the next; each try is a write of its own, as
+        one without an answer may have been carried out."""
+        count = self.fleet.plan.registries
+        for at in [(self.writer + n) % count for n in range(count)]:
+            about = f"{id_} {next(self.numbers)}"
+            self.recorder.note("write", about, at=f"registry-{at}", id=id_, method=method, value=value)
+            status, told, store = await call(self.fleet.over[f"writer>registry-{at}"], method, path, value,
+                                             within_s=20.0)
+            self.recorder.note("answer", about, at=f"registry-{at}", id=id_, status=status,
+                               store=store, told=told if status else str(told))
+            if status == 200:
+                self.writer = at
+                self.written.add(id_)
+                return
+
+    async def read_lists(self) -> None:
+        """What each list service and agent says in the end."""
+        for name in self.fleet.processes.all:
+            if name.startswith(("registry-", "agent-")):
+                _, health, store = await call(self.fleet.at[name], "GET", "/healthcheck")
+                status, told, _ = await call(self.fleet.at[name], "GET", "/catalog/members")
+                listed = {e["instanceId"]: e["lifecycle"] for e in told["instances"]} if status == 200 else {}
+                self.recorder.note("list", name, status=status, health=health, store=store, listed=listed,
+                                   generation=told["generation"] if status == 200 else 0)
+
+
+def copy_store(store: Path, into: Path) -> None:
+    """A store at rest: the file and its log, in place of what is there."""
+    into.mkdir(exist_ok=True)
+    for end in ("", "-wal", "-shm"):
+        source, target = Path(f"{store}{end}"), into / f"{store.name}{end}"
+        target.unlink(missing_ok=True)
+        if source.exists():
+            shutil.copy(source, target)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -4,6 +4,7 @@
 import contextlib
 import shutil
 import signal
+import time
 from collections.abc import AsyncIterator
 from dataclasses import replace
 from pathlib import Path
@@ -100,6 +101,25 @@
     run(job())
 
 
+def test_follower_that_answered_a_peer_is_not_promoted_while_that_one_may_go_by_it(tmp_path: Path) -> None:
+    """As a first that wakes up in the moment of the promotion has asked just before it."""
+
+    async def job() -> None:
+        async with (
+            serving(tmp_path / "1.db") as first,
+            standing_by(tmp_path / "2.db", address_of(first)) as second,
+        ):
+            await first.close()
+            await until(lambda: not second.following.connected)
+            assert (await call(address_of(second), "GET /term"))[1] == {"term": 1}
+            status, told = await call(address_of(second), "POST /promote")
+            assert status == 409 and "a peer asked" in told["error"]
+            second.clock = lambda: time.monotonic() + registry.PROMISE_S
+            assert (await call(address_of(second), "POST /promote"))[0] == 200
+
+    run(job())
+
+
 def test_follower_that_never_heard_a_list_is_not_promoted(tmp_path: Path) -> None:
     async def job() -> None:
         async with serving(tmp_path / "2.db", follow=(refusing_address(),)) as second:
