--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
 from dataclasses import replace
@@ -15,7 +16,8 @@
 from molereach.config import Address, Config
 from molereach.frontdoor import FrontDoor
 
-HOST = "127.0.0.1"
+# An address for each of the processes that tests are spread over: a port that one found free stays so.
+HOST = f"127.0.0.{1 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
 CUSTOMER = "00000000b4d65521"
 CLASSES = (
     i.RequestClass(aim_us=2_000_000, deadline_us=6_000_000),
