--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -15,9 +15,11 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
+from orchidhatch.door import Door
 from orchidhatch.following import Address, Following, now_ms
+from orchidhatch.forms import read_act
 from orchidhatch.registry import read_listen
-from orchidhatch.server import Answer, ListServer
+from orchidhatch.server import Answer, Connection, ListServer
 from orchidhatch.store import DamagedError, Store, StoreError, put_aside
 
 log = logging.getLogger("orchidhatch.agent")
@@ -28,10 +30,11 @@
 
     def __init__(
         self, store: Store, registries: Sequence[Address], seed: int | None = None,
-        wall_ms: Callable[[], int] = now_ms,
+        wall_ms: Callable[[], int] = now_ms, door: Address | None = None,
     ) -> None:
         super().__init__(store, seed)
         self.following = Following(self, registries, wall_ms=wall_ms)
+        self.door = Door(self, self.following, door) if door else None
 
     def store_name(self) -> str:
         return f"{self.store.identity} {self.following.term()}"
@@ -40,6 +43,12 @@
         await super().start(host, port)
         self.tasks.append(asyncio.create_task(self.following.follow()))
 
+    def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
+        if self.door and method == "POST" and path[:1] == ("door",):
+            self.begin(self.door.carry_out(connection, path[1:], *read_act(body)))
+        else:
+            super().other(connection, method, path, body)
+
     def health(self) -> Answer:
         value = {"health": "serves", "connected": self.following.connected,
                  "listAgeSeconds": self.following.age_s(), "registry": self.following.registry()}
@@ -51,6 +60,7 @@
             "connected": int(heard.connected), "list_age_seconds": heard.age_s(),
             "registry_generation": heard.known, "switches_total": heard.switches,
             "behind_total": heard.passed_over, "malformed_total": heard.malformed,
+            **(self.door.figures() if self.door else {}),
         })
 
 
@@ -65,7 +75,7 @@
 
 async def serve(options: argparse.Namespace) -> None:
     seed = random.SystemRandom().getrandbits(32) ^ os.getpid()  # agents of many machines start together
-    agent = Agent(open_cache(options.cache), options.registry, seed)
+    agent = Agent(open_cache(options.cache), options.registry, seed, door=options.door)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -84,6 +94,8 @@
     parser.add_argument("--registry", type=read_listen, required=True, action="append", metavar="HOST:PORT",
                         help="may be given several times")
     parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
+    parser.add_argument("--door", type=read_listen, metavar="HOST:PORT",
+                        help="where the front door's management calls are taken; owners' acts go there")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         asyncio.run(serve(parser.parse_args()))
--- a/orchidhatch/client.py
+++ b/orchidhatch/client.py
@@ -15,7 +15,10 @@
 from typing import Any
 from urllib.parse import quote
 
+from orchidhatch import tasks
+
 TIMEOUT_S = 10.0  # for an answer; the service ends a call after 5 s
+MOST_DRAIN_S = 24 * 3600
 SILENT_S = 6.0  # a watch has an empty line every 2 s
 
 
@@ -102,6 +105,35 @@
                          startedAtMs=options.started_ms, leaseMs=options.lease_ms,
                          ifVersion=options.if_version)
             print(shown(call(at, "POST", "/entries", body)))
+        case "drain" if options.by:
+            task = tasks.drain(options.id, round(options.by * 1000), options.then)
+            before = [one for one in call(at, "GET", "/records")["records"]
+                      if one["name"] == f"{tasks.TASK}drain-{options.id}"]
+            if before and not json.loads(before[0]["text"])["done"]:
+                raise CallError(f"{options.id} is being drained already; see tasks")
+            done = call(at, "POST", f"/records/{tasks.TASK}drain-{id_}",
+                        {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0})
+            print(f"asked for as {done['name']}, version {done['version']}")
+        case "tasks":
+            for record in call(at, "GET", "/records")["records"]:
+                print(f"{record['name']}\t{record['text']}")
+        case "forget":
+            call(at, "POST", f"/records/{id_}", {"text": ""})
+            print(f"{options.id} is forgotten")
+        case "owners":
+            for claim in call(at, "GET", "/claims")["claims"]:
+                print("\t".join(str(claim[key]) for key in ("name", "holder", "epoch", "to", "held", "why")))
+        case "hand-over":
+            claim = call(at, "GET", "/claims")["claims"]
+            known = next((one for one in claim if one["name"] == options.id), None)
+            if known is None or not known["holder"]:
+                raise CallError(f"{options.id} is held by nobody")
+            call(at, "POST", f"/claims/{id_}/give", {"to": options.to, **{
+                name: known[name] for name in ("holder", "life", "epoch")}})
+            print(f"{options.id} goes from {known['holder']} to {options.to}")
+        case "hold" | "let-go":
+            call(at, "POST", f"/claims/{id_}/hold", {"on": options.command == "hold"})
+            print(f"{options.id} is {'put aside' if options.command == 'hold' else 'free to be taken'}")
         case "drain" | "serve":
             lifecycle = "DRAINING" if options.command == "drain" else "SERVING"
             body = given(lifecycle=lifecycle, ifVersion=options.if_version)
@@ -117,6 +149,13 @@
             print(shown(call(at, "DELETE", f"/entries/{id_}", given(ifVersion=options.if_version))))
 
 
+def seconds(value: str) -> float:
+    number, unit = value[:-1], {"s": 1, "m": 60, "h": 3600}.get(value[-1:])
+    if not unit or not number.isdecimal() or not 0 < int(number) * unit <= MOST_DRAIN_S:
+        raise argparse.ArgumentTypeError(f"'{value}' is no time as 90s, 10m or 2h, up to a day")
+    return float(int(number) * unit)
+
+
 def parser() -> argparse.ArgumentParser:
     whole = argparse.ArgumentParser(prog="orchidhatch.client", description=__doc__.partition("\n")[0])
     whole.add_argument("--at", required=True, metavar="HOST:PORT", help="the list service")
@@ -124,15 +163,25 @@
     commands.add_parser("list", help="the whole list")
     commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
         "--after", type=int, default=0, metavar="GENERATION")
+    commands.add_parser("tasks", help="what the stewards are to do, and how far it is")
+    commands.add_parser("owners", help="who owns what, by which epoch")
     commands.add_parser("promote", help="have a follower take the writes").add_argument(
         "--force", action="store_true", help="though the service that it follows still answers")
     for name, text in (("show", "one entry, with its version and life"), ("drain", "nothing new goes to it"),
                        ("serve", "it may be used again"), ("remove", "take it off the list"),
-                       ("renew", "its lease begins anew"), ("register", "enter it, or enter it anew")):
+                       ("renew", "its lease begins anew"), ("register", "enter it, or enter it anew"),
+                       ("forget", "remove the record of a task"), ("hold", "have a claim left alone"),
+                       ("let-go", "have a claim taken again"), ("hand-over", "give a claim to another")):
         command = commands.add_parser(name, help=text)
         command.add_argument("id")
         if name in ("drain", "serve", "remove", "register"):
             command.add_argument("--if-version", type=int, help="only if it is at this one (0: not listed)")
+        if name == "drain":
+            command.add_argument("--by", type=seconds, metavar="TIME",
+                                 help="have the stewards end it after this long, as 90s or 10m")
+            command.add_argument("--then", choices=("remove", "back"), default="remove")
+        if name == "hand-over":
+            command.add_argument("to", help="the id of a steward")
         if name == "renew":
             command.add_argument("--life", type=int, required=True)
         if name == "register":
--- /dev/null
+++ b/orchidhatch/door.py
@@ -0,0 +1,123 @@
+"""Acts at the front door on this machine, by whoever owns the claim that they are done for.
+
+The highest epoch seen of each claim is kept on disk before an act is carried out, and a lower one is refused.
+So is the number of the last act on each backend: what an owner sent before its own later act, and was kept
+back on the way, is late too. Acts go one after another: none overtakes another between check and effect.
+"""
+
+import asyncio
+import logging
+import sqlite3
+from urllib.parse import quote
+
+from orchidhatch.calls import Address, call
+from orchidhatch.claims import Fence
+from orchidhatch.following import Following
+from orchidhatch.server import Answer, Connection, ListServer, busy, term_of, told
+
+log = logging.getLogger("orchidhatch.door")
+
+ACTS = {("backends", "maint"), ("backends", "ready"), ("healthcheck", "fail"), ("healthcheck", "ok")}
+MOST_KNOWN = 20_000  # claims and backends whose last epochs and acts are kept
+MOST_WAITING = 100  # acts that wait for their turn
+DOOR_S = 1.0  # for the door's answer, which it owes within that
+CLAIM_HEADER = "Orchidhatch-Claim"  # told to the door, which does not read it
+
+
+class Door:
+    """The front door, and the epochs that were seen here."""
+
+    def __init__(self, server: ListServer, following: Following, at: Address) -> None:
+        self.server, self.db, self.following, self.at = server, server.store.db, following, at
+        self.lock, self.waiting = asyncio.Lock(), 0
+        self.acts = self.late = self.unknown = 0
+        for table in ("epochs (claim TEXT PRIMARY KEY, epoch INTEGER NOT NULL)",
+                      "acts (subject TEXT PRIMARY KEY, number INTEGER NOT NULL)",
+                      "epochs_known (only INTEGER PRIMARY KEY CHECK (only = 1))"):
+            self.db.execute(f"CREATE TABLE IF NOT EXISTS {table} STRICT")
+        self.epochs: dict[str, int] = dict(self.db.execute("SELECT claim, epoch FROM epochs").fetchall())
+        self.numbers: dict[str, int] = dict(self.db.execute("SELECT subject, number FROM acts").fetchall())
+        # A memory that was lost, or never was, would let anybody in: the list service is asked first.
+        self.known = bool(self.db.execute("SELECT count(*) FROM epochs_known").fetchone()[0])
+
+    async def carry_out(
+        self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int
+    ) -> None:
+        if (path[0], path[-1]) not in ACTS or len(path) not in (2, 3):
+            connection.answer(Answer(404, told("no such act")))
+            return
+        if self.waiting >= MOST_WAITING:
+            connection.answer(busy("too many acts wait"))
+            return
+        self.waiting += 1
+        try:
+            async with self.lock:
+                connection.answer(await self.in_turn(path, fence, act))
+        finally:
+            self.waiting -= 1
+
+    async def in_turn(self, path: tuple[str, ...], fence: Fence, act: int) -> Answer:
+        if not self.known and not await self.learn():
+            self.unknown += 1
+            return busy("the epochs are not known here, and no list service tells them")
+        highest = self.epochs.get(fence.claim, 0)
+        if fence.epoch < highest:
+            self.late += 1
+            return Answer(409, told(f"claim {fence.claim} is at epoch {highest} here, not {fence.epoch}"))
+        subject = "/".join(path[:-1])
+        if act < self.numbers.get(subject, 0):
+            self.late += 1
+            return Answer(409, told(f"act {act} on {subject} comes after {self.numbers[subject]}"))
+        if len(self.epochs) + len(self.numbers) >= MOST_KNOWN:
+            return busy("too many claims and backends are known here")
+        try:
+            await self.keep({fence.claim: fence.epoch}, {subject: act})
+        except sqlite3.Error as error:
+            return busy(f"cannot keep the epoch: {error}")
+        target = "/" + "/".join(quote(part, safe="") for part in path)
+        status, text, _ = await call(self.at, "POST", target, within_s=DOOR_S,
+                                     headers={CLAIM_HEADER: f"{fence.claim} {fence.epoch} {act}"})
+        self.acts += 200 <= status < 300
+        if status == 0:
+            return busy(f"the front door does not answer: {text}")
+        return Answer(200 if 200 <= status < 300 else status, {"door": text})
+
+    async def learn(self) -> bool:
+        """Of a list service that is not behind what was heard: the epochs that hold by now."""
+        registry = self.following.registries[self.following.at]
+        status, value, store = await call(registry, "GET", "/claims", within_s=DOOR_S)
+        if status != 200 or term_of(store) < self.following.term():
+            return False
+        try:
+            await self.keep({claim["name"]: claim["epoch"] for claim in value["claims"]}, {}, known=True)
+        except (sqlite3.Error, KeyError, TypeError) as error:
+            log.error("cannot keep the epochs: %s", error)
+            return False
+        return True
+
+    async def keep(self, epochs: dict[str, int], numbers: dict[str, int], known: bool = False) -> None:
+        """Durable on return, and nothing to write where nothing is higher."""
+        higher = {claim: epoch for claim, epoch in epochs.items() if epoch > self.epochs.get(claim, 0)}
+        numbers = {one: number for one, number in numbers.items() if number > self.numbers.get(one, 0)}
+        if higher or numbers or known:
+            await self.server.in_turn(lambda: self.write(higher, numbers, known))
+            self.epochs.update(higher)
+            self.numbers.update(numbers)
+            self.known = self.known or known
+
+    def write(self, higher: dict[str, int], numbers: dict[str, int], known: bool) -> None:
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            self.db.executemany("INSERT OR REPLACE INTO epochs VALUES (?, ?)", list(higher.items()))
+            self.db.executemany("INSERT OR REPLACE INTO acts VALUES (?, ?)", list(numbers.items()))
+            if known:
+                self.db.execute("INSERT OR IGNORE INTO epochs_known VALUES (1)")
+            self.db.execute("COMMIT")
+        except sqlite3.Error:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise
+
+    def figures(self) -> dict[str, float]:
+        return {"door_acts_total": self.acts, "door_late_total": self.late,
+                "door_unknown_total": self.unknown, "door_acts_waiting": self.waiting}
--- a/orchidhatch/following.py
+++ b/orchidhatch/following.py
@@ -137,7 +137,7 @@
                         *lines, rest = buffer.split(b"\n")
                         buffer = bytearray(rest)
                         for line in lines:
-                            self.hear(source, bytes(line))
+                            await self.hear(source, bytes(line))
                     elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                         raise FormError("the watch ended")
         finally:
@@ -153,15 +153,17 @@
             raise BehindError(f"it is of term {term_of(source)}, and {self.term()} was heard before")
         return source
 
-    def hear(self, source: str, line: bytes) -> None:
+    async def hear(self, source: str, line: bytes) -> None:
         """A line: the list as it is by now, or that nothing changed."""
         self.heard_s = time.monotonic()
         if line.strip():
-            self.take(source, line)
+            await self.take(source, line)
         if self.connected:
-            self.note(self.wall_ms())
+            self.heard_ms = self.wall_ms()
+            if self.heard_ms - self.noted_ms >= NOTED_S * 1000:
+                await self.server.in_turn(self.note)
 
-    def take(self, source: str, line: bytes) -> None:
+    async def take(self, source: str, line: bytes) -> None:
         try:
             news = json.loads(line)
             generation, reset, told = int(news["generation"]), bool(news["reset"]), list(news["instances"])
@@ -175,9 +177,16 @@
             raise FormError("changes came where the whole list was needed")
         store = self.server.store
         before = store.generation
-        store.apply(self.differences(list(self.read(told)), reset))
-        self.source, self.known, self.connected, self.backoff_s = source, generation, True, BACKOFF_S
-        self.note(self.wall_ms(), always=True)
+        batch = store.plan(self.differences(list(self.read(told)), reset))
+
+        def write() -> None:
+            store.commit(batch)
+            self.source, self.known, self.heard_ms = source, generation, self.wall_ms()
+            self.note()
+
+        await self.server.in_turn(write)  # the disk may be slow, and a front door must hear of us meanwhile
+        store.take(batch)
+        self.connected, self.backoff_s = True, BACKOFF_S
         if changed or store.generation != before:
             self.server.spread(whole=changed)
 
@@ -203,13 +212,11 @@
                 writes.append(Put(entry))
         return writes
 
-    def note(self, at_ms: int, always: bool = False) -> None:
-        """Put down that the list holds by now; seldom, as it is only shown."""
-        self.heard_ms = at_ms
-        if always or at_ms - self.noted_ms >= NOTED_S * 1000:
-            self.noted_ms = at_ms
-            self.server.store.db.execute("INSERT OR REPLACE INTO heard VALUES (1, ?, ?, ?)",
-                                         (self.source, self.known, at_ms))
+    def note(self) -> None:
+        """Put down what was heard, and that it held then."""
+        self.noted_ms = self.heard_ms
+        self.server.store.db.execute("INSERT OR REPLACE INTO heard VALUES (1, ?, ?, ?)",
+                                     (self.source, self.known, self.heard_ms))
 
 
 def same(known: Entry, told: Entry) -> bool:
--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NoReturn
 
+from orchidhatch.claims import Fence, Give, Hold, Keep, Open, Session, Take
 from orchidhatch.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
 
 MOST_BODY = 4096  # bytes; an entry takes some 300
 MOST_TEXT = 64
 MOST_CELL, MOST_WEIGHT = 1_000_000, 1000.0
-MOST_LEASE_MS = 24 * 3600 * 1000
+LEAST_LEASE_MS, MOST_LEASE_MS = 100, 24 * 3600 * 1000
+MOST_WHY, MOST_RECORD = 300, 3000  # characters of a reason; bytes of a record
 MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
 ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
@@ -127,6 +129,24 @@
     return value
 
 
+def lease(field: str, value: object) -> int:
+    if type(value) is not int or not LEAST_LEASE_MS <= value <= MOST_LEASE_MS:
+        wrong(field, f"a whole number from {LEAST_LEASE_MS} to {MOST_LEASE_MS} is needed")
+    return value
+
+
+def line(field: str, value: object) -> str:
+    if not isinstance(value, str) or len(value) > MOST_WHY or not value.isprintable():
+        wrong(field, f"a line of at most {MOST_WHY} printable characters is needed")
+    return value
+
+
+def long_text(field: str, value: object) -> str:
+    if not isinstance(value, str) or len(value.encode(errors="replace")) > MOST_RECORD:
+        wrong(field, f"a text of at most {MOST_RECORD} bytes is needed")
+    return value
+
+
 def state(field: str, value: object) -> str:
     return DELETED if value == DELETED else lifecycle(field, value)
 
@@ -141,6 +161,7 @@
 LEASE: Readers = {"leaseMs": whole(MOST_LEASE_MS)}
 CONDITION: Readers = {"ifVersion": whole(MOST_TIME_MS)}
 LIFE: Readers = {"life": whole(MOST_TIME_MS)}
+FENCE: Readers = {"claim": name, "epoch": whole(MOST_TIME_MS)}
 
 
 def fields(values: Mapping[str, Any], readers: Readers, optional: Iterable[str]) -> dict[str, Any]:
@@ -178,14 +199,58 @@
                  life=found.get("life", 0), lease_ms=found.get("leaseMs", 0))
 
 
+def fence_of(found: Mapping[str, Any]) -> Fence | None:
+    """In whose name a write is made; one of claim and epoch alone makes no sense."""
+    if ("claim" in found) != ("epoch" in found):
+        wrong("claim" if "epoch" in found else "epoch", "is needed, as the other is given")
+    return Fence(found["claim"], found["epoch"]) if "claim" in found else None
+
+
+def read_act(body: bytes) -> tuple[Fence, int]:
+    """In whose name an act at a receiver that is no list service is done, and its number among the acts."""
+    found = fields(read_body(body), {**FENCE, "act": whole(MOST_TIME_MS)}, ())
+    return Fence(found["claim"], found["epoch"]), found["act"]
+
+
 def read_change(id_: str, body: bytes) -> Change:
-    found = fields(read_body(body), {"lifecycle": lifecycle, **CONDITION}, CONDITION)
-    return Change(name("instanceId", id_), found["lifecycle"], found.get("ifVersion"))
+    found = fields(read_body(body), {"lifecycle": lifecycle, **CONDITION, **FENCE}, {*CONDITION, *FENCE})
+    return Change(name("instanceId", id_), found["lifecycle"], found.get("ifVersion"), fence_of(found))
 
 
 def read_remove(id_: str, body: bytes) -> Remove:
-    found = fields(read_body(body or b"{}"), {**CONDITION, **LIFE}, {*CONDITION, *LIFE})
-    return Remove(name("instanceId", id_), found.get("ifVersion"), found.get("life"))
+    found = fields(read_body(body or b"{}"), {**CONDITION, **LIFE, **FENCE}, {*CONDITION, *LIFE, *FENCE})
+    return Remove(name("instanceId", id_), found.get("ifVersion"), found.get("life"), fence_of(found))
+
+
+def read_open(body: bytes) -> Open:
+    found = fields(read_body(body), {"holder": name, "life": name, "leaseMs": lease}, ())
+    return Open(Session(found["holder"], found["life"], found["leaseMs"]))
+
+
+def read_life(body: bytes) -> str:
+    """Of a session that is renewed or ended."""
+    return str(fields(read_body(body), {"life": name}, ())["life"])
+
+
+def read_take(claim: str, body: bytes) -> Take:
+    found = fields(read_body(body), {"holder": name, "life": name, "what": text}, {"what"})
+    return Take(name("claim", claim), found["holder"], found["life"], found.get("what", ""))
+
+
+def read_give(claim: str, body: bytes) -> Give:
+    readers = {"holder": name, "life": name, "epoch": whole(MOST_TIME_MS), "to": name, "why": line}
+    found = fields(read_body(body), readers, {"to", "why"})
+    return Give(name("claim", claim), found["holder"], found["life"], found["epoch"], found.get("to", ""),
+                found.get("why", ""))
+
+
+def read_hold(claim: str, body: bytes) -> Hold:
+    return Hold(name("claim", claim), fields(read_body(body), {"on": flag}, ())["on"])
+
+
+def read_keep(record: str, body: bytes) -> Keep:
+    found = fields(read_body(body), {"text": long_text, **CONDITION, **FENCE}, {*CONDITION, *FENCE})
+    return Keep(name("record", record), found["text"], found.get("ifVersion"), fence_of(found))
 
 
 def read_renewal(body: bytes) -> int:
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -15,11 +15,12 @@
 import sys
 import time
 from collections import deque
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import h11
 
+from orchidhatch import ownership
 from orchidhatch.following import SILENT_S, Following
 from orchidhatch.forms import (
     read_change,
@@ -30,8 +31,9 @@
     written,
 )
 from orchidhatch.leases import TICK_S, Leases
+from orchidhatch.ownership import Ownership
 from orchidhatch.server import MOST_HEAD, STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
-from orchidhatch.store import Entry, RefusedError, Remove, Store, StoreError, UnlistedError, Write
+from orchidhatch.store import Entry, Outcome, RefusedError, Remove, Store, StoreError, UnlistedError, Write
 
 log = logging.getLogger("orchidhatch.registry")
 
@@ -67,6 +69,7 @@
         self.lapses = 0  # times that the last look was too old to acknowledge by
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
+        self.ownership = Ownership(self)
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
         self.wake = asyncio.Event()
         self.expired = self.batches = self.writes = 0
@@ -85,7 +88,7 @@
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
     def last(self) -> Sequence[asyncio.Future[None]]:
-        return [self.committing] if self.committing else []
+        return [*super().last(), *([self.committing] if self.committing else [])]
 
     # --- calls ---
 
@@ -108,7 +111,8 @@
                 known = self.store.entries.get(id_)
                 connection.answer(Answer(200, written(known)) if known else Answer(404, told("not listed")))
             case _:
-                super().other(connection, method, path, body)
+                if not self.ownership.call(connection, method, path, body):
+                    super().other(connection, method, path, body)
 
     def store_name(self) -> str:
         return f"{self.store.identity} {self.following.term() if self.following else self.store.term}"
@@ -120,16 +124,11 @@
             return Answer(200 if self.following.heard_ms else 503, value)
         return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
-    def begin(self, job: Coroutine[None, None, None]) -> None:
-        """A call that takes a while: kept until it ends, as a loop holds its tasks only weakly."""
-        task = asyncio.ensure_future(job)
-        self.tasks.append(task)
-        task.add_done_callback(self.tasks.remove)
-
     async def answer_promotion(self, connection: Connection, force: bool) -> None:
         listens = bool(self.following) and not force and await asyncio.to_thread(
             self.following.still_listens)
-        connection.answer(self.promote(force, listens))
+        async with self.turn:  # nothing that was heard is half way to the disk
+            connection.answer(self.promote(force, listens))
 
     def promote(self, force: bool, listens: bool) -> Answer:
         """From a follower to the one that takes writes. All watches end, as they were told another term.
@@ -159,6 +158,7 @@
         self.follow_task.cancel()
         self.following, self.asked_s = None, -math.inf  # a follower has asked nobody
         self.leases = Leases(self.store.entries.values(), self.clock())
+        self.ownership.begin()
         log.warning("promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
                     self.store.term, self.store.generation, heard.known, heard.source, heard.age_s())
         for connection in list(self.watches):
@@ -168,10 +168,8 @@
                             "lagSeconds": heard.age_s()})
 
     def renew(self, id_: str, life: int) -> Answer:
-        if self.following:
-            return self.follows()
-        if self.fenced:
-            return Answer(409, told(self.fenced))
+        if refusal := self.no_writes():
+            return refusal
         if not self.sure():
             return busy("it did not run for a while, and asks its peers first")
         if self.leases.renew(id_, life, self.clock()):
@@ -183,8 +181,11 @@
             return Answer(409, told(f"{id_} has no lease"))
         return Answer(409, told(f"{id_} is in life {known.life}, not {life}"))
 
-    def follows(self) -> Answer:
-        return Answer(409, told(f"it follows {self.following.registry()}, and takes no writes"))
+    def no_writes(self) -> Answer | None:
+        """Why no write is taken, if none is."""
+        if self.following:
+            return Answer(409, told(f"it follows {self.following.registry()}, and takes no writes"))
+        return Answer(409, told(self.fenced)) if self.fenced else None
 
     # --- terms ---
 
@@ -228,13 +229,9 @@
     # --- writes ---
 
     def queue(self, write: Write, connection: Connection | None) -> None:
-        if self.following:
-            if connection:
-                connection.answer(self.follows())
-            return
-        if self.fenced:
+        if refusal := self.no_writes():
             if connection:
-                connection.answer(Answer(409, told(self.fenced)))
+                connection.answer(refusal)
             return
         if len(self.waiting) >= MOST_WRITES:
             self.shed += 1
@@ -280,6 +277,8 @@
         before = self.store.generation
         self.store.take(batch)
         self.keep_leases(batch.changed)
+        self.ownership.wrote(batch.outcomes)
+        self.ownership.refused += sum(isinstance(one, RefusedError) for one in batch.outcomes)
         if await self.make_sure():  # it may have stood still on the way to the disk
             for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
                 if connection:
@@ -303,6 +302,7 @@
             await asyncio.sleep(TICK_S)
             if self.following:  # it is the other's to end them
                 continue
+            self.ownership.look()
             held = self.leases.held
             for entry in self.leases.overdue(self.clock()):
                 log.warning("%s did not renew its lease of %d ms", entry.id, entry.lease_ms)
@@ -315,6 +315,7 @@
 
     def figures(self) -> str:
         return self.lines("registry", {
+            **self.ownership.figures(),
             "writes_waiting": len(self.waiting), "writes_total": self.writes, "batches_total": self.batches,
             "commit_seconds_total": round(self.commit_s, 6),
             "longest_commit_seconds": round(self.longest_commit_s, 6),
@@ -352,9 +353,11 @@
             connection.answer(answer)
 
 
-def outcome_of(outcome: Entry | RefusedError) -> Answer:
+def outcome_of(outcome: Outcome) -> Answer:
     if isinstance(outcome, Entry):
         return Answer(200, written(outcome))
+    if not isinstance(outcome, RefusedError):
+        return Answer(200, ownership.written(outcome))
     return Answer(404 if isinstance(outcome, UnlistedError) else 409, told(str(outcome)))
 
 
--- a/orchidhatch/server.py
+++ b/orchidhatch/server.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -166,6 +166,8 @@
         self.cut = self.shed = 0
         self.lines_of: tuple[str, int, int] | None = None  # the list that these were made of:
         self.made: dict[tuple[int, bool], bytes] = {}  # by what is known, and whether leases are told
+        self.turn = asyncio.Lock()  # of those who write to the store's file
+        self.working: asyncio.Future[None] | None = None
         self.listener: asyncio.Server | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -184,9 +186,21 @@
             connection.transport.abort()
         self.store.close()
 
+    def begin(self, job: Coroutine[None, None, None]) -> None:
+        """A call that takes a while: kept until it ends, as a loop holds its tasks only weakly."""
+        task = asyncio.ensure_future(job)
+        self.tasks.append(task)
+        task.add_done_callback(self.tasks.remove)
+
+    async def in_turn(self, work: Callable[[], None]) -> None:
+        """Work with the store's file, in a thread, one after another; a thread cannot be called off."""
+        async with self.turn:
+            self.working = asyncio.ensure_future(asyncio.to_thread(work))
+            await asyncio.shield(self.working)
+
     def last(self) -> Sequence[asyncio.Future[None]]:
         """What must have ended before the store is closed."""
-        return ()
+        return [self.working] if self.working else []
 
     def count(self, status: int) -> None:
         self.statuses[status] = self.statuses.get(status, 0) + 1
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -12,10 +12,14 @@
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
+from orchidhatch import claims
+from orchidhatch.claims import Book, BookWrite, Draft, Fence, RefusedError, Thing, UnlistedError
+
 FORMAT = 1
 MOST_HISTORY = 10_000  # changes that a watch may resume over; past it the whole list is told
 MOST_ENTRIES = 100_000
 MODULUS = 1 << 256  # digests of entries are added up by it
+LAST = "last"  # the count of the book's changes, where kind and name of a thing would stand
 
 LIFECYCLES = ("SERVING", "DRAINING")
 DELETED = "DELETED"
@@ -32,14 +36,6 @@
 """
 
 
-class RefusedError(Exception):
-    """A write that does not fit what is there; nothing was changed."""
-
-
-class UnlistedError(RefusedError):
-    """A write to what is not listed."""
-
-
 class StoreError(Exception):
     """The store cannot be opened or written; the text is one plain line."""
 
@@ -80,6 +76,7 @@
     id: str
     lifecycle: str
     if_version: int | None = None
+    fence: Fence | None = None  # in whose name, if on behalf of the fleet
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +86,7 @@
     id: str
     if_version: int | None = None
     life: int | None = None  # only this life of it, as its lease has run out
+    fence: Fence | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +96,9 @@
     entry: Entry
 
 
-Write = Register | Change | Remove | Put
+ListWrite = Register | Change | Remove | Put
+Write = ListWrite | BookWrite
+Outcome = Entry | Thing | RefusedError
 
 
 def text_of(entry: Entry) -> str:
@@ -138,8 +138,8 @@
 class Batch:
     """Writes that were held against the list, and what they come to."""
 
-    def __init__(self, outcomes: list[Entry | RefusedError], generation: int, total: int) -> None:
-        self.outcomes, self.generation, self.total = outcomes, generation, total
+    def __init__(self, outcomes: list[Outcome], generation: int, total: int, book: Draft) -> None:
+        self.outcomes, self.generation, self.total, self.book = outcomes, generation, total, book
         self.changed = [outcome for outcome in outcomes if isinstance(outcome, Entry)]
 
 
@@ -159,6 +159,7 @@
         self.entries: dict[str, Entry] = {}
         self.history: dict[int, Entry] = {}  # by generation; one removed is DELETED there
         self.sum = 0
+        self.book = Book()
         if not create and not (path.is_file() and path.stat().st_size):
             raise StoreError(f"there is no store at {path.name}; make a new one, or rebuild it")
         try:
@@ -232,6 +233,23 @@
         if expected not in (None, self.generation + 1) or (expected is None) != none:
             raise ValueError("the history does not end at the generation")
 
+        self.read_book()
+
+    def read_book(self) -> None:
+        """Sessions, claims and records; a store of the version before has none, and no place for them."""
+        self.db.execute("CREATE TABLE IF NOT EXISTS book (kind TEXT NOT NULL, name TEXT NOT NULL, "
+                        "record TEXT NOT NULL, digest TEXT NOT NULL, PRIMARY KEY (kind, name)) "
+                        "STRICT, WITHOUT ROWID")
+        for kind, name, text, digest in self.db.execute("SELECT * FROM book"):
+            if digest != f"{digest_of(f'{kind} {name} {text}'):064x}":
+                raise ValueError(f"{kind} {name!r:.80} does not fit its digest")
+            if kind == LAST:
+                self.book.last = int(text)
+            else:
+                self.book.read(kind, name, text)
+        if self.db.in_transaction:
+            self.db.execute("COMMIT")
+
     # --- reads ---
 
     def changes(self, after: int) -> list[Entry] | None:
@@ -244,7 +262,7 @@
 
     # --- writes ---
 
-    def apply(self, writes: Sequence[Write]) -> list[Entry | RefusedError]:
+    def apply(self, writes: Sequence[Write]) -> list[Outcome]:
         """Carry out a batch in order, in one transaction; each gives its entry, or why it was refused.
 
         A StoreError means that none of them holds: the disk is full or cannot be written.
@@ -258,12 +276,20 @@
         """What a batch comes to; nothing is changed yet. The next is planned once this one has been taken."""
         generation, total, count = self.generation, self.sum, len(self.entries)
         pending: dict[str, Entry] = {}  # as the batch leaves them; one that it removes is DELETED there
-        outcomes: list[Entry | RefusedError] = []
+        outcomes: list[Outcome] = []
+        book = self.book.draft(self.term)
         for write in writes:
+            if isinstance(write, BookWrite):
+                try:
+                    outcomes.append(book.write(write))
+                except RefusedError as refusal:
+                    outcomes.append(refusal)
+                continue
             name = write.entry.id if isinstance(write, Register | Put) else write.id
             known = pending.get(name) or self.entries.get(name)
             known = None if known and known.lifecycle == DELETED else known
             try:
+                book.check(getattr(write, "fence", None))
                 entry = fit(write, known, generation + 1, full=count >= MOST_ENTRIES)
             except RefusedError as refusal:
                 outcomes.append(refusal)
@@ -274,11 +300,11 @@
             count += listed - (known is not None)
             pending[name] = entry
             outcomes.append(entry)
-        return Batch(outcomes, generation, total % MODULUS)
+        return Batch(outcomes, generation, total % MODULUS, book)
 
     def commit(self, batch: "Batch") -> None:
         """Make it durable. This waits for the disk, and may be called from another thread."""
-        if not batch.changed:
+        if not batch.changed and not batch.book.changed:
             return
         try:
             self.db.execute("BEGIN IMMEDIATE")
@@ -295,12 +321,23 @@
             self.db.execute("UPDATE meta SET generation = ?, digest = ?",
                             (batch.generation,
                              seal(self.identity, self.term, self.first, batch.generation, batch.total)))
+            self.write_book(batch.book)
             self.db.execute("COMMIT")
         except sqlite3.Error as error:
             if self.db.in_transaction:
                 self.db.execute("ROLLBACK")
             raise StoreError(f"cannot write {self.path.name}: {error}") from error
 
+    def write_book(self, draft: Draft) -> None:
+        rows = [(kind, name, claims.text_of(thing) if thing else "")
+                for (kind, name), thing in draft.changed.items()]
+        for kind, name, text in [*rows, (LAST, LAST, str(draft.last))] if rows else ():
+            if text:
+                self.db.execute("INSERT OR REPLACE INTO book VALUES (?, ?, ?, ?)",
+                                (kind, name, text, f"{digest_of(f'{kind} {name} {text}'):064x}"))
+            else:
+                self.db.execute("DELETE FROM book WHERE kind = ? AND name = ?", (kind, name))
+
     def begin_term(self, term: int, first: int) -> None:
         """A later term, durable on return: generations go on from `first` at least, and no watch resumes."""
         if term <= self.term:
@@ -323,6 +360,7 @@
     def take(self, batch: "Batch") -> None:
         """Show readers a batch that is durable."""
         self.generation, self.sum = batch.generation, batch.total
+        self.book.take(batch.book)
         for entry in batch.changed:
             self.history[entry.version] = entry
             if entry.lifecycle == DELETED:
@@ -344,7 +382,7 @@
         yield generation
 
 
-def fit(write: Write, known: Entry | None, generation: int, full: bool) -> Entry:
+def fit(write: ListWrite, known: Entry | None, generation: int, full: bool) -> Entry:
     """The entry as the write leaves it; a RefusedError where it does not fit what is listed, `known`."""
     if isinstance(write, Put):
         life = write.entry.life or (known.life if known else generation)
--- a/orchidhatch/trial/backend.py
+++ b/orchidhatch/trial/backend.py
@@ -17,7 +17,7 @@
 import msgspec
 import uvloop
 
-from orchidhatch.trial.calls import Address, call
+from orchidhatch.calls import Address, call
 from orchidhatch.trial.events import Recorder
 from orchidhatch.trial.forms import Backends
 
--- a/orchidhatch/trial/events.py
+++ b/orchidhatch/trial/events.py
@@ -56,8 +56,8 @@
     into.unlink(missing_ok=True)
     db = sqlite3.connect(into, isolation_level=None)
     db.executescript(SCHEMA)
-    rows = sorted((event.at_ns, event.who, event.what, event.about, msgspec.json.encode(event.told).decode())
-                  for event in read(folder))
+    rows = [(event.at_ns, event.who, event.what, event.about, msgspec.json.encode(event.told).decode())
+            for event in sorted(read(folder), key=lambda event: event.at_ns)]
     db.execute("BEGIN")
     db.executemany("INSERT INTO events VALUES (?, ?, ?, ?, ?)", rows)
     db.execute("CREATE INDEX by_what ON events (what, at_ns)")
--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/trial/fleet.py
@@ -15,14 +15,14 @@
 
 import msgspec
 
+from orchidhatch.calls import Address, call
 from orchidhatch.trial import backend, load
-from orchidhatch.trial.calls import Address, call
 from orchidhatch.trial.events import Recorder
 from orchidhatch.trial.forms import Plan, Script
 from orchidhatch.trial.plants import PLANTS
 from orchidhatch.trial.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
 from orchidhatch.trial.relay import Datagrams, TcpRelay, Way
-from orchidhatch.trial.tap import tapping
+from orchidhatch.trial.tap import seeing, tapping
 
 ZONES = "abc"
 AIM_US, DEADLINE_US = 750_000, 2_000_000  # of the class, as on the site's page
@@ -98,6 +98,8 @@
                 continue
             if beginner.startswith("door-") and to.startswith("door-"):
                 await self.lay_words(name)
+            elif beginner.startswith("agent-") and to.startswith("door-"):
+                await self.lay_way(name, self.at[f"{to} management"], alter_there=seeing(self.recorder, to))
             elif beginner.startswith("door-"):
                 await self.lay_way(name, self.at[to], alter=tapping(
                     self.recorder, beginner, f"{self.net}.100.", f"{self.net}.{self.view(beginner)}."))
@@ -127,6 +129,8 @@
         more = ["--clock", str(self.folder / f"{name}.clock")] if name in self.clocked else []
         if self.plant and fnmatchcase(name, PLANTS[self.plant].who):
             more += ["--plant", self.plant]
+        if self.plan.stewards and name.startswith("registry-"):
+            more += ["--record", str(self.folder), "--name", name]
         return ["orchidhatch.trial.stepped", *more] if more else []
 
     def add_command(
@@ -159,7 +163,21 @@
         registries = [word for n in range(self.plan.registries)
                       for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))]
         self.add(name, "orchidhatch.agent", "--listen", shown(self.at[name]), *registries,
-                 "--cache", self.folder / name / "cache.db", ready=lambda: self.answers(name))
+                 "--cache", self.folder / name / "cache.db",
+                 *(["--door", shown(self.over[f"{name}>door-{number}"])] if self.plan.doors else []),
+                 ready=lambda: self.answers(name))
+
+    def add_steward(self, number: int) -> None:
+        name = f"steward-{number}"
+        registries = [word for n in range(self.plan.registries)
+                      for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))]
+        agents = [word for n in range(self.plan.doors)
+                  for word in ("--agent", shown(self.over[f"{name}>agent-{n}"]))]
+
+        async def ready() -> bool:
+            return b"serves" in (self.folder / name / "log").read_bytes()
+
+        self.add(name, "orchidhatch.steward", "--id", name, *registries, *agents, ready=ready)
 
     async def add_backend(self, number: int) -> str:
         """A machine in this slot, the first or one in place of another; its id in the list."""
@@ -262,6 +280,9 @@
         for number in range(plan.doors):
             self.add_door(number)
         await self.processes.start(*(f"door-{n}" for n in range(plan.doors)))
+        for number in range(plan.stewards):
+            self.add_steward(number)
+        await self.processes.start(*(f"steward-{n}" for n in range(plan.stewards)))
         self.start_ns = time.monotonic_ns() + round(HEAD_START_S * 1e9)
         if plan.doors and plan.load.customers:
             self.add_clients()
--- a/orchidhatch/trial/forms.py
+++ b/orchidhatch/trial/forms.py
@@ -35,7 +35,8 @@
     """One fault or act: from `at` for `lasts` seconds (0: until the end; a process stays down).
 
     `who` is a process (door-0) or a way from one to another (door-0>backend-3). `size` is in the kind's unit:
-    seconds of delay or of a clock's step, a share of datagrams, bytes a second, bytes that a file may have.
+    seconds of delay or of a clock's step, a share of datagrams, bytes a second, bytes that a file may have;
+    of a drain, seconds after which the stewards are to end it.
     """
 
     at: Seconds
@@ -114,6 +115,7 @@
 
     served: Share = 0.0  # of the requests, at least
     beyond_cap: Share = 0.05  # of the attempts of customers with an open cap, at most
+    tasks_done: bool = False  # all that the stewards were asked for, by the end
 
 
 class Plan(Form, kw_only=True):
@@ -121,6 +123,7 @@
     what: str = ""
     seconds: Annotated[float, Meta(gt=0, le=600)]
     doors: Few = 0
+    stewards: Few = 0
     registries: Annotated[int, Meta(ge=1, le=5)] = 1
     backends: Backends = Backends()
     load: Load = Load()
@@ -135,6 +138,7 @@
                 *(f"agent-{n}" for n in range(max(1, self.doors))),
                 *(f"backend-{n}" for n in range(self.backends.count)),
                 *(f"door-{n}" for n in range(self.doors)),
+                *(f"steward-{n}" for n in range(self.stewards)),
                 *(["clients"] if self.doors and self.load.customers else [])]
 
     def ways(self) -> list[str]:
@@ -146,6 +150,9 @@
                 *(f"agent-{n}>{registry}" for n in agents for registry in registries),
                 *(f"{backend}>{registry}" for backend in backends for registry in registries),
                 *(f"writer>{registry}" for registry in registries),
+                *(f"steward-{n}>{registry}" for n in range(self.stewards) for registry in registries),
+                *(f"steward-{n}>agent-{m}" for n in range(self.stewards) for m in doors),
+                *(f"agent-{n}>door-{n}" for n in doors),
                 *(f"door-{n}>agent-{n}" for n in doors),
                 *(f"door-{n}>{backend}" for n in doors for backend in backends),
                 *(f"door-{n}>door-{m}" for n in doors for m in doors if n != m),
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -6,6 +6,7 @@
 
 import bisect
 import itertools
+import re
 import sqlite3
 from collections import Counter, defaultdict
 from collections.abc import Iterator
@@ -24,6 +25,8 @@
 NOTICE_NS = 100 * MS  # around a fault, as it is noted just before or after it takes hold
 WAKE_NS = 500 * MS  # in which a process that stood still catches up
 MOST_ATTEMPTS = 4
+STATE = re.compile(r'"state": "(\w+)"')  # of a task, in its record
+ORDER = ("asked", "marked", "out", "ending", "back")  # of a drain's states
 # Past these the machine was too slow for a verdict: sends of the load, and the loop of all relays.
 MOST_LATE_SEND_MS, MOST_LATE_RELAY_MS = 150.0, 250.0
 
@@ -59,23 +62,22 @@
 
     def __init__(self, db: sqlite3.Connection, last_ns: int) -> None:
         self.spans: dict[str, list[tuple[int, int, str]]] = defaultdict(list)
-        open_: dict[tuple[str, str], int] = {}
+        open_: dict[tuple[str, str], list[int]] = defaultdict(list)  # two may overlap
         down: dict[str, int] = {}
         for event in of(db, "fault", "undone", "exit", "ready", "signal"):
             if event.what == "fault" and event.told["kind"] == "reset":
                 self.spans[event.about].append((event.at_ns, last_ns, "reset"))  # until it has struck
             elif event.what == "fault":
-                open_[event.about, event.told["kind"]] = event.at_ns
+                open_[event.about, event.told["kind"]].append(event.at_ns)
             elif event.what == "undone":
                 kind = event.told["kind"]
-                began = open_.pop((event.about, kind), event.at_ns)
-                self.spans[event.about].append((began, event.at_ns, kind))
+                self.spans[event.about].append((open_[event.about, kind].pop(0), event.at_ns, kind))
             elif event.what == "exit":
                 down.setdefault(event.about, event.at_ns)
             elif event.what == "ready" and event.about in down:
                 self.spans[event.about].append((down.pop(event.about), event.at_ns, "down"))
-        for (about, kind), began in open_.items():
-            self.spans[about].append((began, last_ns, kind))
+        for (about, kind), begins in open_.items():
+            self.spans[about] += [(began, last_ns, kind) for began in begins]
         for about, began in down.items():
             self.spans[about].append((began, last_ns, "down"))
 
@@ -106,7 +108,8 @@
     def judge(self) -> Verdict:
         self.speed()
         for check in (self.exits, self.answers, self.overlaps, self.drains, self.caps, self.ceilings,
-                      self.writes, self.generations, self.forms):
+                      self.writes, self.generations, self.forms, self.owners, self.effects,
+                      self.tasks):
             check()
         self.figures()
         return self.verdict
@@ -300,6 +303,52 @@
                            f"told generation {news.told['generation']} after {highest[news.about]}")
             highest[news.about] = max(highest.get(news.about, 0), news.told["generation"])
 
+    # --- claims ---
+
+    def owners(self) -> None:
+        """One holder an epoch, and epochs that only rise."""
+        highest: dict[str, Event] = {}
+        for event in of(self.db, "claim"):
+            before = highest.get(event.about)
+            if before and event.told["epoch"] < before.told["epoch"]:
+                self.broke("owners", event.about,
+                           f"at epoch {event.told['epoch']} after {before.told['epoch']}")
+            elif before and event.told["epoch"] == before.told["epoch"] and event.told["life"] not in (
+                    "", before.told["life"]):
+                self.broke("owners", event.about, f"two holders by epoch {event.told['epoch']}")
+            if event.told["holder"]:
+                highest[event.about] = event
+
+    def effects(self) -> None:
+        """At each receiver no effect of a lower epoch after one of a higher, none of an owner's own after a
+        later one on the same backend, and no task goes back."""
+        highest: dict[tuple[str, str], int] = {}
+        states: dict[tuple[str, str], int] = {}
+        numbers: dict[tuple[str, str], int] = {}
+        for event in of(self.db, "effect"):
+            told, receiver = event.told, event.about if event.who == "trial" else event.who
+            key = receiver, told["claim"]
+            if told["epoch"] < highest.get(key, 0):
+                self.broke("effects", event.about, f"{told['act']} in the name of {told['claim']} at epoch "
+                                                   f"{told['epoch']} after {highest[key]}")
+            highest[key] = max(highest.get(key, 0), told["epoch"])
+            act = receiver, told["on"]
+            if told.get("number", 0) < numbers.get(act, 0):
+                self.broke("effects", event.about, f"{told['act']} is number {told['number']} after "
+                                                   f"{numbers[act]}")
+            numbers[act] = max(numbers.get(act, 0), told.get("number", 0))
+            state = STATE.search(told.get("text", ""))
+            if told["act"] == "keep" and state and state[1] in ORDER:
+                task, place = (event.who, told["on"]), ORDER.index(state[1])
+                if place < states.get(task, 0) != len(ORDER) - 1:  # one that was over may be asked for again
+                    self.broke("effects", event.about, f"{told['on']} went back to {state[1]}")
+                states[task] = place
+
+    def tasks(self) -> None:
+        for event in of(self.db, "task"):
+            if self.plan.holds.tasks_done and not event.told["done"]:
+                self.broke("tasks", event.about, "was not done by the end")
+
     # --- processes ---
 
     def exits(self) -> None:
--- a/orchidhatch/trial/load.py
+++ b/orchidhatch/trial/load.py
@@ -17,7 +17,7 @@
 import msgspec
 import uvloop
 
-from orchidhatch.trial.calls import Address
+from orchidhatch.calls import Address
 from orchidhatch.trial.events import Recorder
 from orchidhatch.trial.forms import Customers, Load
 
--- a/orchidhatch/trial/plants.py
+++ b/orchidhatch/trial/plants.py
@@ -92,7 +92,36 @@
     Registry.sure = lambda self: True
 
 
+def count_anew() -> None:
+    from orchidhatch.store import Store
+
+    read_book = Store.read_book
+
+    def read(self: Store) -> None:
+        read_book(self)
+        self.book.last = 0
+
+    Store.read_book = read
+
+
+def trust_clocks() -> None:
+    from orchidhatch.claims import Draft
+    from orchidhatch.door import Door
+
+    Draft.check = lambda self, fence: None
+    in_turn = Door.in_turn
+
+    async def unchecked(self: Door, path: Any, fence: Any, act: int) -> Any:  # noqa: ANN401
+        self.epochs.clear()
+        self.numbers.clear()
+        return await in_turn(self, path, fence, act)
+
+    Door.in_turn = unchecked
+
+
 PLANTS = {
+    "epoch-anew": Plant("registry-*", "owners", count_anew),
+    "trusts-clock": Plant("[ar]*-*", "effects", trust_clocks),
     "ignores-drain": Plant("door-*", "drains", ignore_drains),
     "two-answers": Plant("door-*", "answers", answer_twice),
     "overlap": Plant("door-*", "attempts", overlap_attempts),
--- a/orchidhatch/trial/relay.py
+++ b/orchidhatch/trial/relay.py
@@ -17,6 +17,8 @@
 from orchidhatch.trial.events import Recorder
 
 Address = tuple[str, int]
+# Makes what is done to the bytes of one connection, answers or what is sent there, as they are passed on.
+Alter = Callable[[], Callable[[bytes], bytes]]
 MOST_KEPT = 1 << 20  # bytes of one direction of a connection; past it the sender is not read any more
 MOST_DATAGRAMS = 10_000  # of one way, that are on it
 CONNECT_S = 5.0
@@ -126,7 +128,8 @@
             self.link.recorder.note("broken", self.link.way.name, port=self.link.port)
             asyncio.get_running_loop().call_later(HALF_READ_S, self.link.break_off)
         else:
-            self.sink.write(self.alter(data) if self.alter else data)
+            # Who has left reads nothing more: what still comes for it was told to nobody.
+            self.sink.write(self.alter(data) if self.alter and not self.link.gone else data)
 
     def close(self) -> None:
         if self.timer:
@@ -163,10 +166,11 @@
 class Link:
     """A connection over a way."""
 
-    def __init__(self, way: Way, to: Address, alter: Callable[[], Callable[[bytes], bytes]] | None) -> None:
+    def __init__(self, way: Way, to: Address, alter: Alter | None, alter_there: Alter | None) -> None:
         self.way, self.to, self.recorder = way, to, way.recorder
         self.there, self.back = Pipe(self, way.there), Pipe(self, way.back)
         self.back.alter = alter() if alter else None
+        self.there.alter = alter_there() if alter_there else None
         self.doomed = way.cut or way.mute  # it never comes up
         self.port, self.gone, self.ends = 0, False, 0
         self.task: asyncio.Task[None] | None = None
@@ -188,7 +192,7 @@
             return
         self.port = transport.get_extra_info("sockname")[1]
         self.recorder.note("opened", self.way.name, port=self.port)
-        if self.gone:  # the beginner went away meanwhile; what it sent is passed on all the same
+        if self.gone:  # it left meanwhile; what it sent is passed on all the same
             self.recorder.note("left", self.way.name, port=self.port)
         self.there.sink = transport
         self.there.flush()
@@ -234,16 +238,16 @@
     """Takes connections at an address and passes them on over a way."""
 
     def __init__(
-        self, way: Way, to: Address, alter: Callable[[], Callable[[bytes], bytes]] | None = None
+        self, way: Way, to: Address, alter: Alter | None = None, alter_there: Alter | None = None
     ) -> None:
-        self.way, self.to, self.alter = way, to, alter
+        self.way, self.to, self.alter, self.alter_there = way, to, alter, alter_there
         self.server: asyncio.Server | None = None
         self.at: Address = ("", 0)
         self.task: asyncio.Task[Address] | None = None
 
     async def start(self, host: str, port: int = 0) -> Address:
         def begin() -> End:
-            link = Link(self.way, self.to, self.alter)
+            link = Link(self.way, self.to, self.alter, self.alter_there)
             return End(link, link.there, True)
 
         self.server = await asyncio.get_running_loop().create_server(begin, host, port, backlog=1024)
--- a/orchidhatch/trial/stepped.py
+++ b/orchidhatch/trial/stepped.py
@@ -1,17 +1,22 @@
 """Starts a module of the program with a wall clock that is put wrong, or with a planted defect:
 
-    python -m orchidhatch.trial.stepped [--clock FILE] [--plant NAME] MODULE [ARGUMENT ...]
+    python -m orchidhatch.trial.stepped [--clock FILE] [--plant NAME] [--record FOLDER] MODULE [ARGUMENT ...]
 
 FILE holds by how many milliseconds the wall clock is off; it is read each time, so the clock steps when it
-is written. The program itself knows nothing of either.
+is written. In FOLDER a list service's fenced writes are recorded, once they are durable. The program itself
+knows nothing of any of it.
 """
 
 import argparse
 import importlib
 import sys
 import time
+from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
+from orchidhatch.claims import RefusedError
+from orchidhatch.trial.events import Recorder
 from orchidhatch.trial.plants import PLANTS
 
 
@@ -28,10 +33,36 @@
     time.time = lambda: true_s() + off_ms() / 1000
 
 
+def record_effects(name: str, folder: Path) -> None:
+    """Each write in a claim's name that was carried out, as its store shows it to readers."""
+    from orchidhatch.store import Batch, Store
+
+    recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
+
+    def planned(self: Store, writes: Sequence[Any]) -> Batch:
+        batch = plan(self, writes)
+        batch.writes = list(writes)
+        return batch
+
+    def taken(self: Store, batch: Batch) -> None:
+        take(self, batch)
+        for write, outcome in zip(batch.writes, batch.outcomes, strict=True):
+            fence = getattr(write, "fence", None)
+            if fence and not isinstance(outcome, RefusedError):
+                act = type(write).__name__.lower()
+                about = getattr(write, "id", "") or getattr(write, "name", "")
+                recorder.note("effect", name, claim=fence.claim, epoch=fence.epoch, act=act, on=about,
+                              term=self.term, text=getattr(write, "text", "")[:300])
+
+    Store.plan, Store.take = planned, taken
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(prog="orchidhatch.trial.stepped")
     parser.add_argument("--clock", type=Path)
     parser.add_argument("--plant", choices=sorted(PLANTS))
+    parser.add_argument("--record", type=Path, metavar="FOLDER")
+    parser.add_argument("--name", default="")
     parser.add_argument("module")
     parser.add_argument("arguments", nargs=argparse.REMAINDER)
     options = parser.parse_args()
@@ -39,6 +70,8 @@
         step_clock(options.clock)
     if options.plant:
         PLANTS[options.plant].plant()
+    if options.record:
+        record_effects(options.name, options.record)
     sys.argv = [options.module, *options.arguments]
     # Not as `python -m` does it: that would run a second copy of the module, without what was planted.
     sys.exit(importlib.import_module(options.module).main())
--- a/orchidhatch/trial/tap.py
+++ b/orchidhatch/trial/tap.py
@@ -49,3 +49,31 @@
 
 def tapping(recorder: Recorder, door: str, listed: str, seen: str) -> Callable[[], Tap]:
     return lambda: Tap(recorder, door, listed.encode(), seen.encode())
+
+
+class Sight:
+    """One connection's bytes to a door's management: the call, and in whose name it is made."""
+
+    def __init__(self, recorder: Recorder, door: str) -> None:
+        self.recorder, self.door = recorder, door
+        self.head: bytes | None = b""  # None once it was read
+
+    def __call__(self, data: bytes) -> bytes:
+        if self.head is not None:
+            self.head += data
+            if b"\r\n\r\n" in self.head or len(self.head) > MOST_LINE:
+                self.read(self.head.decode(errors="replace").split("\r\n"))
+                self.head = None
+        return data
+
+    def read(self, lines: list[str]) -> None:
+        headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines[1:])}
+        claim, _, numbers = headers.get("orchidhatch-claim", "").partition(" ")
+        epoch, _, number = numbers.partition(" ")
+        if epoch.isdigit() and number.isdigit():
+            self.recorder.note("effect", self.door, claim=claim, epoch=int(epoch), act=lines[0],
+                               on=lines[0].split()[1].rpartition("/")[0], number=int(number))
+
+
+def seeing(recorder: Recorder, door: str) -> Callable[[], Sight]:
+    return lambda: Sight(recorder, door)
--- a/orchidhatch/trial/timeline.py
+++ b/orchidhatch/trial/timeline.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import itertools
+import json
 import shutil
 import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from orchidhatch.trial.calls import call
+from orchidhatch import tasks
+from orchidhatch.calls import call
 from orchidhatch.trial.fleet import Fleet
 from orchidhatch.trial.forms import WAY_KINDS, Fault, matching
 from orchidhatch.trial.processes import Process, TrialError
@@ -16,6 +18,8 @@
 
 ASK_S = 0.25  # between two tries of an operator's act
 LEAST_FILE = 4096  # bytes that files may have on a full disk where a plan names none
+POLL_S = 0.1
+TASKS_S = 30.0  # for the stewards to end what they were asked for, once all is whole again
 LEAVE_EVERY = 3  # writes of entries to each that leaves
 SETTLE_S = 2.0  # after the last fault is undone, before the lists are read
 STORE = {"registry": "list.db", "agent": "cache.db"}
@@ -29,6 +33,7 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.writer = 0  # the list service that took the last write
         self.numbers, self.written = itertools.count(), set[str]()
+        self.asked: set[str] = set()  # of the stewards
 
     def now_s(self) -> float:
         return (time.monotonic_ns() - self.fleet.start_ns) / 1e9
@@ -38,6 +43,7 @@
         plan = self.fleet.plan
         jobs = [self.one(fault) for fault in self.fleet.script.faults]
         jobs += [self.write_on()] if plan.writes.per_s else []
+        polling = asyncio.ensure_future(self.poll_claims()) if plan.stewards else None
         await asyncio.gather(*jobs)
         await asyncio.sleep(max(0.0, plan.seconds - self.now_s()))
         for process in self.fleet.processes.all.values():
@@ -45,7 +51,10 @@
         if "clients" in self.fleet.processes.all:
             await self.fleet.processes["clients"].ended.wait()
         await asyncio.sleep(SETTLE_S)
+        await self.wait_tasks()
         await self.read_lists()
+        if polling:
+            polling.cancel()
 
     async def one(self, fault: Fault) -> None:
         await asyncio.sleep(max(0.0, fault.at - self.now_s()))
@@ -172,10 +181,58 @@
     async def drain(self, fault: Fault, process: Process) -> None:
         """For that long; it may have left the list meanwhile."""
         id_ = self.fleet.ids[process.name]
+        if fault.size:
+            await self.ask_drain(id_, fault.size)
+            return
         await self.set_lifecycle(id_, "DRAINING")
         await asyncio.sleep(fault.lasts)
         await self.set_lifecycle(id_, "SERVING")
 
+    async def ask_drain(self, id_: str, after_s: float) -> None:
+        """Of the stewards, unless they are at it; again until it is taken, as a registry may be down."""
+        name = f"{tasks.TASK}drain-{id_}"
+        text = json.dumps(tasks.drain(id_, round(after_s * 1000), "back"))
+        for at in itertools.cycle(range(self.fleet.plan.registries)):
+            status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
+            if status == 200 and not json.loads(told["text"])["done"]:
+                return
+            if status in (200, 404) and await self.write(name, "POST", f"/records/{name}", {
+                    "text": text, "ifVersion": told["version"] if status == 200 else 0}):
+                self.asked.add(name)
+                return
+            await asyncio.sleep(ASK_S)
+
+    async def poll_claims(self) -> None:
+        """Who holds what, as the list service of the highest term tells it."""
+        known: dict[str, object] = {}
+        while True:
+            await asyncio.sleep(POLL_S)
+            found = await asyncio.gather(*[
+                call(self.fleet.at[f"registry-{n}"], "GET", "/claims", within_s=POLL_S)
+                for n in range(self.fleet.plan.registries)])
+            told = [(int(store.rpartition(" ")[2]), len(value["claims"]), value["claims"])
+                    for status, value, store in found if status == 200]
+            for claim in max(told, key=lambda one: one[:2])[2] if told else ():
+                if known.get(claim["name"]) != claim:
+                    known[claim["name"]] = claim
+                    self.recorder.note("claim", claim["name"], holder=claim["holder"], life=claim["life"],
+                                       epoch=claim["epoch"], held=claim["held"])
+
+    async def wait_tasks(self) -> None:
+        """For what the stewards were asked for, within a bound; then what became of it is noted."""
+        until = time.monotonic() + TASKS_S
+        while self.asked:
+            told: list[dict[str, str]] = []
+            for number in range(self.fleet.plan.registries):
+                status, value, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/records")
+                told += value["records"] if status == 200 else []
+            done = {one["name"] for one in told if json.loads(one["text"]).get("done")}
+            if done >= self.asked or time.monotonic() > until:
+                for name in sorted(self.asked):
+                    self.recorder.note("task", name, done=name in done)
+                return
+            await asyncio.sleep(ASK_S)
+
     async def set_lifecycle(self, id_: str, lifecycle: str) -> None:
         await self.write(id_, "POST", f"/entries/{id_}/lifecycle", {"lifecycle": lifecycle})
 
@@ -200,7 +257,7 @@
                 self.tasks.append(asyncio.ensure_future(self.write(gone, "DELETE", f"/entries/{gone}", None)))
         await asyncio.gather(*self.tasks)
 
-    async def write(self, id_: str, method: str, path: str, value: object) -> None:
+    async def write(self, id_: str, method: str, path: str, value: object) -> bool:
         """By the list service that took the last one, else by the next; each try is a write of its own, as
         one without an answer may have been carried out."""
         count = self.fleet.plan.registries
@@ -214,7 +271,8 @@
             if status == 200:
                 self.writer = at
                 self.written.add(id_)
-                return
+                return True
+        return False
 
     async def read_lists(self) -> None:
         """What each list service and agent says in the end."""
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import sys
+import threading
 from collections.abc import AsyncIterator
 from dataclasses import replace
 from pathlib import Path
@@ -16,7 +17,7 @@
 from orchidhatch import following
 from orchidhatch.agent import Agent, open_cache
 from orchidhatch.registry import Registry
-from orchidhatch.store import Store
+from orchidhatch.store import Batch, Store
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
 from tests.test_forms import body
 from tests.test_registry import Watcher, address_of, call, named, serving, start
@@ -172,11 +173,11 @@
 def test_line_that_makes_no_sense_changes_nothing(tmp_path: Path, line: bytes) -> None:
     agent = Agent(open_cache(tmp_path / "a.db"), [(HOST, 1)])
     told = b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1")
-    agent.following.take("x 1", told)
+    asyncio.run(agent.following.take("x 1", told))
     assert list(agent.store.entries) == ["s-1"] and agent.following.malformed == 2
     before = agent.store.generation
     with pytest.raises(following.FormError):
-        agent.following.take("x 1", line)
+        asyncio.run(agent.following.take("x 1", line))
     assert agent.store.generation == before and list(agent.store.entries) == ["s-1"]
 
 
@@ -243,3 +244,30 @@
                 door.close()
 
     run(job())
+
+
+def test_a_slow_disk_keeps_no_front_door_waiting(tmp_path: Path) -> None:
+    """News is on its way to the disk for as long as the test likes; watches go on hearing of the agent."""
+
+    async def job() -> None:
+        async with (
+            serving(tmp_path / "1.db") as registry,
+            agent_of(tmp_path / "a.db", address_of(registry)) as agent,
+        ):
+            await until(lambda: agent.following.connected)
+            commit, written = agent.store.commit, threading.Event()
+
+            def slow(batch: Batch) -> None:
+                written.wait()
+                commit(batch)
+
+            agent.store.commit = slow
+            await register(registry, "s-1")
+            await until(lambda: agent.turn.locked())
+            assert (await call(address_of(agent), "GET /healthcheck"))[0] == 200
+            watcher = await Watcher.open(address_of(agent))
+            assert not (await watcher.news())["instances"]
+            written.set()
+            assert [one["instanceId"] for one in (await watcher.news())["instances"]] == ["s-1"]
+
+    run(job())
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -288,6 +288,20 @@
     return 9000, "trial", "list", "registry-0", told
 
 
+def owned(epoch: int, life: str) -> list[Told]:
+    return [(10, "trial", "claim", "x", {"holder": life, "life": life, "epoch": epoch, "held": False})]
+
+
+def acted(epoch: int, number: int) -> list[Told]:
+    return [(10, "trial", "effect", "door-0", {"claim": "x", "epoch": epoch, "act": "POST", "on": "b",
+                                               "number": number})]
+
+
+def kept(state: str, at: int) -> list[Told]:
+    return [(at, "registry-0", "effect", "registry-0", {
+        "claim": "x", "epoch": 1, "act": "keep", "on": "task.drain-b", "text": json.dumps({"state": state})})]
+
+
 LIVE = [(0, "trial", "serves", "b-0", {})]
 PROMOTED = [(1000, "trial", "promote", "registry-1", {"status": 200, "told": {}})]
 THRICE = [told for n, id_ in enumerate(("r0", "r1", "r2"))
@@ -329,6 +343,14 @@
     ([*written(10, 20, 1), *PROMOTED, listed(2)], ""),  # the follower may not have heard it
     ([*written(10, 1500, 1), *PROMOTED, listed(2)], "writes"),
     ([*written(10, 1500, 2), *PROMOTED, listed(2)], "writes"),
+    ([*owned(1, "a"), *owned(2, "b")], ""),
+    ([*owned(2, "a"), *owned(1, "b")], "owners"),
+    ([*owned(1, "a"), *owned(1, "b")], "owners"),
+    ([*acted(1, 5), *acted(2, 6)], ""),
+    ([*acted(2, 5), *acted(1, 6)], "effects"),
+    ([*acted(1, 6), *acted(1, 5)], "effects"),
+    ([*kept("out", 1), *kept("marked", 2)], "effects"),
+    ([*kept("back", 1), *kept("asked", 2)], ""),  # it was over, and asked for again
     ([(10, "trial", "exit", "agent-0", {"code": 1, "meant": False})], "exits"),
     ([(10, "backend-0", "syntax", "b-0", {"words": "?"})], "forms"),
 ])
