--- a/orchidhatch/client.py
+++ b/orchidhatch/client.py
@@ -114,6 +114,13 @@
             done = call(at, "POST", f"/records/{tasks.TASK}drain-{id_}",
                         {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0})
             print(f"asked for as {done['name']}, version {done['version']}")
+        case "backup" if options.every:
+            name, text = f"{tasks.TASK}backup", json.dumps(tasks.backup(round(options.every * 1000)))
+            done = call(at, "POST", f"/records/{name}", {"text": text})
+            print(f"asked for as {done['name']}, version {done['version']}")
+        case "backup":
+            done = call(at, "POST", "/backup", {})
+            print(f"{done['file']}: {done['entries']} entries, {done['claims']} claims, tried")
         case "tasks":
             for record in call(at, "GET", "/records")["records"]:
                 print(f"{record['name']}\t{record['text']}")
@@ -163,6 +170,8 @@
     commands.add_parser("list", help="the whole list")
     commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
         "--after", type=int, default=0, metavar="GENERATION")
+    commands.add_parser("backup", help="a copy of the store").add_argument(
+        "--every", type=seconds, metavar="TIME", help="have the stewards take one each time, as 10m or 6h")
     commands.add_parser("tasks", help="what the stewards are to do, and how far it is")
     commands.add_parser("owners", help="who owns what, by which epoch")
     commands.add_parser("promote", help="have a follower take the writes").add_argument(
--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -206,6 +206,10 @@
     return Fence(found["claim"], found["epoch"]) if "claim" in found else None
 
 
+def read_backup(body: bytes) -> Fence | None:
+    return fence_of(fields(read_body(body or b"{}"), FENCE, FENCE))
+
+
 def read_act(body: bytes) -> tuple[Fence, int]:
     """In whose name an act at a receiver that is no list service is done, and its number among the acts."""
     found = fields(read_body(body), {**FENCE, "act": whole(MOST_TIME_MS)}, ())
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -17,12 +17,16 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from typing import Any
 
 import h11
 
 from orchidhatch import ownership
+from orchidhatch.backups import Backups
+from orchidhatch.claims import Fence
 from orchidhatch.following import SILENT_S, Following
 from orchidhatch.forms import (
+    read_backup,
     read_change,
     read_promotion,
     read_register,
@@ -56,6 +60,7 @@
     def __init__(
         self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None,
         peers: Sequence[tuple[str, int]] = (), follow: Sequence[tuple[str, int]] = (),
+        backups: Path | None = None,
     ) -> None:
         super().__init__(store, seed)
         self.following = Following(self, follow, leases=True) if follow else None
@@ -70,11 +75,11 @@
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
         self.ownership = Ownership(self)
+        self.backups = Backups(backups) if backups else None
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
         self.wake = asyncio.Event()
         self.expired = self.batches = self.writes = 0
         self.commit_s = self.longest_commit_s = 0.0
-        self.committing: asyncio.Future[None] | None = None
         self.broken = ""  # why the last batch could not be written
 
     async def start(self, host: str, port: int) -> None:
@@ -87,9 +92,6 @@
             self.tasks.append(self.follow_task)
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
-    def last(self) -> Sequence[asyncio.Future[None]]:
-        return [*super().last(), *([self.committing] if self.committing else [])]
-
     # --- calls ---
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
@@ -100,6 +102,8 @@
                 self.queue(read_change(id_, body), connection)
             case "POST", ("entries", id_, "renew"):
                 connection.answer(self.renew(id_, read_renewal(body)))
+            case "POST", ("backup",):
+                self.begin(self.back_up(connection, read_backup(body)))
             case "GET", ("term",):
                 self.promised_s = self.clock()
                 connection.answer(Answer(200, {"term": self.store.term}))
@@ -167,6 +171,27 @@
                             "entries": len(self.store.entries), "heardGeneration": heard.known,
                             "lagSeconds": heard.age_s()})
 
+    async def back_up(self, connection: Connection, fence: Fence | None) -> None:
+        """A copy of the store, in the name of a claim if one is given."""
+        if not self.backups:
+            connection.answer(Answer(409, told("it was given no folder for backups")))
+            return
+
+        def work() -> None:
+            self.store.book.draft(self.store.term).check(fence)  # no write comes between this and the copy
+            made.update(self.backups.make(self.store))
+
+        made: dict[str, Any] = {}
+        try:
+            await self.in_turn(work)
+        except RefusedError as refusal:
+            connection.answer(outcome_of(refusal))
+        except StoreError as error:
+            log.error("%s", error)
+            connection.answer(busy(str(error)))
+        else:
+            connection.answer(Answer(200, made))
+
     def renew(self, id_: str, life: int) -> Answer:
         if refusal := self.no_writes():
             return refusal
@@ -262,8 +287,7 @@
         batch = self.store.plan([write for write, _ in wanted])
         began = time.monotonic()
         try:
-            self.committing = asyncio.ensure_future(asyncio.to_thread(self.store.commit, batch))
-            await asyncio.shield(self.committing)  # a thread cannot be called off half way
+            await self.in_turn(lambda: self.store.commit(batch))
         except StoreError as error:
             if not self.broken:
                 log.error("%s; reads go on", error)
@@ -316,6 +340,8 @@
     def figures(self) -> str:
         return self.lines("registry", {
             **self.ownership.figures(),
+            **({"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
+               if self.backups else {}),
             "writes_waiting": len(self.waiting), "writes_total": self.writes, "batches_total": self.batches,
             "commit_seconds_total": round(self.commit_s, 6),
             "longest_commit_seconds": round(self.longest_commit_s, 6),
@@ -371,7 +397,8 @@
 async def serve(options: argparse.Namespace) -> None:
     # A new store goes on from the time in ms: above what one before it gave, at under 1,000 writes a second.
     store = Store(options.store, options.create, first=time.time_ns() // 1_000_000)
-    registry = Registry(store, seed=os.getpid(), peers=options.peer, follow=options.follow)
+    registry = Registry(store, seed=os.getpid(), peers=options.peer, follow=options.follow,
+                        backups=options.backups)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -391,6 +418,7 @@
                         help="another list service, which may have replaced this one; may be repeated")
     parser.add_argument("--follow", type=read_listen, action="append", default=[], metavar="HOST:PORT",
                         help="stand by for this list service: serve reads, take no writes until promoted")
+    parser.add_argument("--backups", type=Path, metavar="FOLDER", help="where copies of the store are kept")
     parser.add_argument("--create", action="store_true", help="make a new store where there is none")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
--- a/orchidhatch/tasks.py
+++ b/orchidhatch/tasks.py
@@ -11,7 +11,8 @@
 from typing import Any, Protocol
 
 TASK = "task."  # how the records of tasks begin
-NOTE_EVERY_S = 2.0  # how often what is left of a task's time is put down: as much may be lost to a next owner
+# How often what is left of a task's time is put down, of one that is short and of one that is long.
+NOTE_EVERY_S, NOTE_SELDOM_S = 2.0, 30.0
 
 
 class FencedError(Exception):
@@ -51,6 +52,19 @@
     async def step(self, acts: Acts) -> None:
         raise NotImplementedError
 
+    def count_down(self, every_s: float) -> bool:
+        """Take what passed off `leftMs`, by this process's clock, and say whether that can wait to be put
+        down: for `every_s` at most, which is what a next owner may lose."""
+        now, left_ms = time.monotonic(), self.given["leftMs"]
+        gone_s = now - self.given.get("since", now)
+        if not 0 <= gone_s < 2 * every_s:  # another machine's clock, or we stood still
+            gone_s = 0.0
+        left_ms = round(left_ms - gone_s * 1000)
+        if left_ms > 0 and 0 < gone_s < every_s:
+            return True
+        self.given |= {"leftMs": left_ms, "since": round(now, 3)}
+        return False
+
 
 class Drain(Task):
     """A backend is left out at the list and at every door, and after its time removed or taken back.
@@ -84,14 +98,11 @@
         await self.move(acts, "out", told=f"not told: {', '.join(missing)}" if missing else "")
 
     async def wait(self, acts: Acts) -> None:
-        """What is left is counted by this process's clock, from when it first saw the task."""
-        now, left_ms = time.monotonic(), self.given["leftMs"]
-        since = self.given.get("since", now)
-        gone_s = now - since if 0 <= now - since < 2 * NOTE_EVERY_S else 0.0  # else another machine's clock
-        if left_ms - gone_s * 1000 <= 0:
+        if self.count_down(NOTE_EVERY_S):
+            return
+        if self.given["leftMs"] <= 0:
             await self.move(acts, "ending")
-        elif gone_s >= NOTE_EVERY_S or gone_s == 0.0:
-            self.given |= {"leftMs": round(left_ms - gone_s * 1000), "since": round(now, 3)}
+        else:
             await acts.note(self)
 
     async def end(self, acts: Acts) -> None:
@@ -111,7 +122,24 @@
         await acts.note(self)
 
 
-KINDS: dict[str, type[Task]] = {"drain": Drain}
+class Backup(Task):
+    """A copy of the list service's store, over and over: `everyMs` from one to the next, `leftMs` until it.
+
+    Taken twice it does no harm, so nothing is put down before it; one that fails is told, and tried again
+    after its time.
+    """
+
+    async def step(self, acts: Acts) -> None:
+        if self.count_down(NOTE_SELDOM_S):
+            return
+        if self.given["leftMs"] <= 0:
+            status, told = await acts.write("POST", "/backup")
+            self.told = f"{told['file']}" if status == 200 else f"failed: {told.get('error', told)}"
+            self.given["leftMs"] = self.given["everyMs"]
+        await acts.note(self)
+
+
+KINDS: dict[str, type[Task]] = {"drain": Drain, "backup": Backup}
 
 
 def read_task(record: dict[str, Any]) -> Task:
@@ -125,6 +153,11 @@
         raise TaskError(f"{record.get('name')!r:.80} is no task: {error!r:.100}") from error
 
 
+def backup(every_ms: int) -> dict[str, Any]:
+    """What is put down to ask for copies; the first at once."""
+    return {"kind": "backup", "everyMs": every_ms, "leftMs": 0, "state": "asked", "done": False}
+
+
 def drain(id_: str, left_ms: int, then: str) -> dict[str, Any]:
     """What is put down to ask for one."""
     return {"kind": "drain", "id": id_, "leftMs": left_ms, "then": then, "state": "asked", "done": False}
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -8,6 +8,7 @@
 import itertools
 import re
 import sqlite3
+import statistics
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -109,7 +110,7 @@
         self.speed()
         for check in (self.exits, self.answers, self.overlaps, self.drains, self.caps, self.ceilings,
                       self.writes, self.generations, self.forms, self.owners, self.effects,
-                      self.tasks):
+                      self.tasks, self.gaps):
             check()
         self.figures()
         return self.verdict
@@ -349,6 +350,25 @@
             if self.plan.holds.tasks_done and not event.told["done"]:
                 self.broke("tasks", event.about, "was not done by the end")
 
+    def gaps(self) -> None:
+        """How long a claim had no owner that could act: from a fault of its holder until another has it."""
+        held: dict[str, list[Event]] = defaultdict(list)
+        for event in of(self.db, "claim"):
+            held[event.about].append(event)
+        found: dict[str, list[float]] = defaultdict(list)
+        for fault in of(self.db, "fault"):
+            holder, kind = fault.about.partition(">")[0], fault.told["kind"]
+            if not holder.startswith("steward-") or kind not in ("kill", "stop", "cut", "term"):
+                continue
+            for events in held.values():
+                before = [event for event in events if event.at_ns <= fault.at_ns]
+                after = next((event for event in events[len(before):] if event.told["holder"]), None)
+                # One that came back in time lost nothing, and is no gap.
+                if before and after and before[-1].told["holder"] == holder != after.told["holder"]:
+                    found[kind].append((after.at_ns - fault.at_ns) / S)
+        for kind, gaps in found.items():
+            self.verdict.figures[f"ownerless_{kind}_s"] = round(statistics.median(gaps), 3)
+
     # --- processes ---
 
     def exits(self) -> None:
--- a/orchidhatch/trial/timeline.py
+++ b/orchidhatch/trial/timeline.py
@@ -64,13 +64,15 @@
             acts: dict[str, Callable[[Fault, Process], Awaitable[None]]] = {
                 "kill": self.end, "term": self.end, "stop": self.stop, "full": self.fill, "old": self.go_back,
                 "clock": self.step, "promote": self.promote, "drain": self.drain, "replace": self.replace}
-            for name in self.named(fault):
-                self.begin(fault, name)
-                await acts[fault.kind](fault, self.fleet.processes[name])
-                self.over(fault, name)
-
-    def named(self, fault: Fault) -> list[str]:
-        return matching(fault.who, list(self.fleet.processes.all))
+            names = matching(fault.who, list(self.fleet.processes.all))
+            await asyncio.gather(*[self.on_process(fault, name, acts[fault.kind]) for name in names])
+
+    async def on_process(
+        self, fault: Fault, name: str, act: Callable[[Fault, Process], Awaitable[None]]
+    ) -> None:
+        self.begin(fault, name)
+        await act(fault, self.fleet.processes[name])
+        self.over(fault, name)
 
     def begin(self, fault: Fault, name: str) -> None:
         self.recorder.note("fault", name, kind=fault.kind, lasts=fault.lasts, way=fault.way)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -14,6 +14,7 @@
 
 from orchidhatch import claims
 from orchidhatch.agent import Agent
+from orchidhatch.backups import Backups
 from orchidhatch.claims import Book, End, Fence, Give, Hold, Keep, Open, Session, Take
 from orchidhatch.sharing import share_out
 from orchidhatch.steward import SHARDS, Steward
@@ -383,3 +384,38 @@
             assert given_up.but == "steward-1" and "task.drain-s-1" in given_up.why
 
     run(job())
+
+
+def test_copies_of_the_store_are_tried_kept_by_count_and_age_and_taken_by_owners(tmp_path: Path) -> None:
+    async def job() -> None:
+        folder = tmp_path / "copies"
+        async with serving(tmp_path / "1.db") as registry:
+            at = address_of(registry)
+            assert (await client(at, "backup"))[0] == 1  # it was given no folder
+            registry.backups = Backups(folder, kept=3)
+            for number in range(5):
+                assert (await call(at, "POST /entries", body(instanceId=f"s-{number}")))[0] == 200
+                status, out, _ = await client(at, "backup")
+                assert status == 0 and f"{number + 1} entries" in out
+            assert [path.name for path in registry.backups.copies()] == [f"list-1-{n}.db" for n in (3, 4, 5)]
+            assert (await call(at, "POST /backup", b'{"claim":"x","epoch":1}'))[0] == 404
+            assert (await client(at, "backup", "--every", "1h"))[0] == 0
+            steward = Steward("steward-1", [at], lease_ms=60_000)
+            await steward.open()
+            await steward.share()
+            assert (await call(at, "DELETE /entries/s-0"))[0] == 200
+            await steward.work()
+            newest = registry.backups.copies()[-1]
+            told = json.loads(registry.store.book.records["task.backup"].text)
+            assert told["told"] == newest.name == "list-1-6.db" and told["leftMs"] == 3_600_000
+            registry.backups.wall_s = lambda: newest.stat().st_mtime + 8 * 24 * 3600
+            (folder / "list.db.new").write_bytes(b"cut short")
+            assert (await client(at, "backup"))[0] == 0
+            assert registry.backups.copies() == [newest]
+            newest.unlink()
+            folder.rmdir()
+            folder.write_bytes(b"")
+            assert (await call(at, "POST /backup", b"{}"))[0] == 503
+            assert (await call(at, "DELETE /entries/s-1"))[0] == 200  # writes go on
+
+    run(job())
