Keep a shard where it was handed to on purpose

Need: read once more, hand-over was undone at once: the claim forgot whom it was handed to when it was taken, so the next look at the shares, a quarter of a second later, gave it back. The test saw the command's answer only.

Change: the claim keeps the name for as long as that holder has it or may take it again; two members that nothing read are gone (the steward's version, the watchman's first task). Of the front door nothing changed.

--- a/orchidhatch/claims.py
+++ b/orchidhatch/claims.py
@@ -260,8 +260,9 @@
         if known.but == session.id and others:
             raise RefusedError(f"claim {known.name} was given up by {known.but}: {known.why}")
         epoch = self.term << COUNT_BITS | self.last
+        to = known.to if known.to == session.id else ""  # it stays where it was handed to on purpose
         return self.put("claim", replace(known, holder=session.id, life=session.life, epoch=epoch,
-                                         what=write.what, to="", but="", why=""))
+                                         what=write.what, to=to, but="", why=""))
 
     def give(self, write: Give) -> Claim:
         self.session(write.holder, write.life)
--- a/orchidhatch/steward.py
+++ b/orchidhatch/steward.py
@@ -91,7 +91,6 @@
     life: str = ""
     held: dict[str, Held] = field(default_factory=dict)
     good_until_s: float = -math.inf
-    version: str = ""
     others: list[str] = field(default_factory=list)
     claims: dict[str, dict[str, Any]] = field(default_factory=dict)
     acts: int = 0
@@ -138,7 +137,6 @@
         """As a new process would begin."""
         self.held.clear()
         self.good_until_s = -math.inf
-        self.version = ""
 
     async def keep(self) -> None:
         """A session, renewed in time; anew whenever it is lost."""
@@ -158,7 +156,6 @@
         """Who there is, and who holds what."""
         status, told = await self.links.call("GET", "/claims")
         if status == 200:
-            self.version = told["version"]
             self.others = [one["holder"] for one in told["sessions"]]
             self.claims = {one["name"]: one for one in told["claims"]}
 
--- a/orchidhatch/trial/relay.py
+++ b/orchidhatch/trial/relay.py
@@ -333,7 +333,7 @@
     TICK_S = 0.02
 
     def __init__(self, recorder: Recorder) -> None:
-        self.recorder, self.task = recorder, None
+        self.recorder = recorder
         self.late_s: list[float] = []
         self.task: asyncio.Task[None] | None = None
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -361,8 +361,13 @@
             assert len(one_.held) == len(two.held) == len(SHARDS) // 2
             held = {claim.name: claim.holder for claim in registry.store.book.claims.values()}
             assert all(held[shard] == "steward-2" for shard in two.held)
-            status, out, _ = await client(at, "hand-over", next(iter(two.held)), "steward-1")
+            handed = next(iter(two.held))
+            status, out, _ = await client(at, "hand-over", handed, "steward-1")
             assert status == 0 and "from steward-2 to steward-1" in out
+            for steward in (two, one_, two, one_):
+                await steward.renew()
+                await steward.share()
+            assert handed in one_.held and handed not in two.held  # and it stays there
 
     run(job())
 
