Come back at once to a watch that fell silent, before its news counts as told

Cause: whoever loses a watch waits by chance up to 0.4 s for each door of the tier, 36 s here; that spreads a tier over a discovery that refuses, but a watch that has fallen silent counts as having told 6 s after, of which 5 s are over when it is found out. Ruled out: the trace's own cost (3.7 ms of processor time a request at most), late lists (the agent had it). Change: a watch that had brought a list and fell silent is opened anew within half a second; if that is refused, or silent from its beginning, the wait is spread over the tier as before.

--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -29,6 +29,9 @@
 # come back within less time than it needs for them, none is ever served.
 CALL_S = 0.2  # in which one front door of the tier may come back, on average
 BACKOFF_S, MOST_BACKOFF_S, MOST_DOUBLED = 0.1, 1.0, 4  # of the mean wait between tries
+# A watch that brought news and fell silent says nothing of discovery. What it misses counts as told 6 s
+# after, and SILENT_S of them are over when it is found out. One that never brought any is rather overbooked.
+AFTER_SILENCE_S = 0.5
 MOST_LINE = 1 << 22  # bytes
 
 
@@ -102,7 +105,7 @@
         self.target, self.host, self.line = target, host, line
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
-        self.heard = time.monotonic()
+        self.heard, self.brought = time.monotonic(), False  # when anything came last; whether a line did
         self.ended = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
 
@@ -133,6 +136,7 @@
             self.buffer = rest
             for line in lines:
                 if line.strip():
+                    self.brought = True
                     self.line(bytes(line))
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without an end")
@@ -180,17 +184,19 @@
 
     async def run(self) -> None:
         while True:
+            silent = False
             try:
-                await self.watch()
+                silent = await self.watch()
             except (OSError, TimeoutError) as error:
                 log.warning("no watch on discovery: %s", error or "it does not answer")
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
-            await asyncio.sleep(2 * self.backoff_s * self.random.random())
+            mean_s = min(AFTER_SILENCE_S / 2, self.backoff_s) if silent else self.backoff_s
+            await asyncio.sleep(2 * mean_s * self.random.random())
             self.backoff_s = min(max(MOST_BACKOFF_S, MOST_DOUBLED * self.least_s), self.backoff_s * 2)
 
-    async def watch(self) -> None:
-        """One watch, until it ends or has been silent for too long."""
+    async def watch(self) -> bool:
+        """One watch, until it ends or has been silent for too long; whether it is one that fell silent."""
         host, port = self.address
         target = f"/catalog/members?watch=1&after={self.version}"
         async with asyncio.timeout(CONNECT_S):
@@ -200,13 +206,14 @@
         self.connection = connection
         try:
             if (host, port) != self.address:
-                return  # moved while it came up
+                return False  # moved while it came up
             while not connection.ended.done():
                 left = connection.heard + SILENT_S - time.monotonic()
                 if left <= 0:
                     log.warning("the watch on discovery is silent")
-                    return
+                    return connection.brought
                 await asyncio.wait([connection.ended], timeout=left)
+            return False
         finally:
             self.connection = None
             connection.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -87,6 +87,34 @@
     run(job())
 
 
+@pytest.mark.parametrize("stream", [HEAD + chunk(catalog(4, [])), HEAD])
+def test_who_fell_silent_comes_back_before_its_news_counts_as_told_in_the_largest_tier(
+    stream: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One that never brought a list is rather overbooked, and is left time as one that refuses is."""
+    waits: list[float] = []
+    sleep = asyncio.sleep
+
+    async def job() -> None:
+        watch = Watch(script(stream))
+        found = Discovery(await watch.start(), Catalog(CONFIG), 0, lambda news: None, 3, 200)
+        monkeypatch.setattr(discovery, "SILENT_S", 0.05)
+
+        async def noted(wait_s: float) -> None:
+            if wait_s != 0.001:  # the script's own
+                waits.append(wait_s)
+                raise asyncio.CancelledError
+            await sleep(wait_s)
+
+        monkeypatch.setattr(discovery.asyncio, "sleep", noted)
+        with pytest.raises(asyncio.CancelledError):
+            await found.run()
+        monkeypatch.undo()
+
+    run(job())
+    assert waits[0] <= 0.9 if stream != HEAD else waits[0] > 0.9
+
+
 def test_start_times_go_over_to_our_clock() -> None:
     read = Catalog(CONFIG)
     assert read.started_us(0) == 0
