--- a/fennelwinch/cap.py
+++ b/fennelwinch/cap.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Callable, Iterable
 
-from fennelwinch import interface as i
 from fennelwinch.basics import CC_PERIOD_US, LEAST_OUT, MOST_PERIODS, START_PER_SERVER, TICK_US, Desk, S
 
 RATE_SMOOTH = 0.3  # weight of a period's sends in a running mean
@@ -74,15 +73,6 @@
         overhead = min(self.overhead, targets[2] / 2)
         self.n_past = next_n(round(was * alike), na_past * alike, occup, overhead, targets, seconds) / alike
 
-    def memory(self, usual: float) -> i.CapMemory:
-        return i.CapMemory(self.n_past or 0, self.accepted, self.period_us, self.cc_us, self.overhead,
-                           self.rate, usual)
-
-    def remember(self, cap: i.CapMemory) -> None:
-        self.n_past, self.accepted, self.period_us = cap.n_past or None, cap.accepted, cap.period_us
-        self.most = math.floor(cap.n_past)
-        self.cc_us, self.overhead, self.rate = cap.length_us, cap.overhead, cap.rate
-
 
 def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
            seconds: float = 1.0) -> int:
--- a/fennelwinch/membership.py
+++ b/fennelwinch/membership.py
@@ -74,10 +74,3 @@
         self.names.update((told.server, told.out) for told in names)
         self.forget_names()
         self.find_up()
-
-    def counted(self) -> tuple[int, int]:
-        """The servers listed, and those of them that are avoided by hand or by choice."""
-        now, routing = self.desk.now, self.routing
-        good = sum(now >= server.avoid_until and not server.on_trial for server in routing.up)
-        listed = sum(server.entry.state is not i.ServerState.GONE for server in routing.servers.values())
-        return listed, listed - good
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -4,6 +4,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.basics import NEVER, S
+from fennelwinch.records import CustomerRecord
 
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
@@ -20,27 +21,12 @@
 KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 
 
-class Customer:
+class Customer(CustomerRecord):
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
-        self.plan, self.key, self.size, self.at = plan, key, key[3], now
-        self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
-        self.at_home = self.home == set_.me
-        self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
-        self.own = max(1.0, self.part)  # what it may spend unheard: its part, of one request at least
-        self.ask_after_us = self.backoff_us = 0  # while the home does not answer, it is left alone
-        self.heard_us, self.out = -NEVER, 0
-        self.ceiling, self.left_us = 0.0, 0 if self.at_home or not self.shares_cap() else now + LEFT_US
-        self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
-        self.granted: dict[int, list[int]] = {}  # there too: places granted and not yet seen in use; when
-        # There too: who waits for a place, longest first; for how many units, and when it asked last.
-        self.wanting: dict[int, tuple[float, int]] = {}
-        self.lent: dict[int, int] = {}  # there too: until when a gateway leaves its part of the ceiling to it
-        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered; its last word.
-        self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
-        self.told_us = -NEVER
-        self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
+        super().__init__(plan, key, set_, now)
+        self.left_us = 0 if self.at_home or not self.shares_cap() else now + LEFT_US
         self.asked_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
         self.word_us = self.size * S / max(1.0, self.asked_per_s)  # and is used for so long
 
@@ -109,16 +95,6 @@
         self.backoff_us = min(WORD_FRESH_US, max(LEAST_BACKOFF_US, 2 * self.backoff_us))
         self.ask_after_us = now + self.backoff_us * (0.5 + chance)
 
-    def memory(self) -> i.CustomerMemory:
-        return i.CustomerMemory(self.key, self.at, self.part, self.level, self.demand, self.ceiling,
-                                self.heard_us, self.untold, self.spent)
-
-    def remember(self, told: i.CustomerMemory, now: int) -> None:
-        self.part, self.level, self.demand = told.part, told.level, told.demand
-        self.ceiling, self.heard_us = told.ceiling, told.heard_us
-        self.untold, self.spent = told.untold, told.spent
-        self.left_us = now + LEFT_US if self.left_us else 0
-
     # --- the open cap ---
 
     def shares_cap(self) -> bool:
--- a/fennelwinch/retries.py
+++ b/fennelwinch/retries.py
@@ -3,8 +3,8 @@
 from fennelwinch import interface as i
 from fennelwinch.basics import NEVER, Desk, S
 from fennelwinch.cap import Cap
-from fennelwinch.jobs import Job
 from fennelwinch.quota import DEMAND_US
+from fennelwinch.records import Job
 from fennelwinch.routing import Routing
 
 RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see time_out
--- a/fennelwinch/routing.py
+++ b/fennelwinch/routing.py
@@ -1,14 +1,10 @@
 """Where an attempt goes: what is known of each server, which may be chosen, and at what expected wait."""
 
 import math
-import zlib
-from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
-from fennelwinch.basics import LEAST_OUT, NEVER, SMOOTH, START_PER_SERVER, Desk, S
-
-if TYPE_CHECKING:
-    from fennelwinch.jobs import Job
+from fennelwinch.basics import LEAST_OUT, SMOOTH, START_PER_SERVER, Desk, S
+from fennelwinch.records import Job, ServerRecord
 
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 # A server in trouble is passed over by how much worse than usual it is. Less says nothing: it is within
@@ -27,42 +23,16 @@
 # sent on because servers are cold. What these may take must not shrink with that.
 USUAL_US = 30 * S
 SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
-SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
 
 
-class Server:
+class Server(ServerRecord):
     """A server of the list, and how it has served."""
 
-    def __init__(self, entry: i.Server) -> None:
-        self.entry, self.sum = entry, zlib.crc32(entry.name.encode()) & 0xFFFF
-        self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
-        self.heard_us = self.avoid_until = self.backoff_us = 0
-        self.trouble = 1.0  # latency over the mean, or WORST for a failure, as all gateways have met it
-        self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
-        self.on_trial, self.load, self.load_at = False, None, 0
-        self.back_us = -NEVER  # its return from suspicion
-        self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
-        self.cold_us = 0  # when it may have started anew while left out by hand
-        self.warm_us = NEVER  # from when on it is warm, by its start
-        self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
-
     def relax(self) -> None:
         """A slow one that is sent nothing must get its chance again."""
         self.slowness += SMOOTH * (1 - self.slowness)
         self.trouble += SMOOTH * (1 - self.trouble)
 
-    def memory(self) -> i.ServerMemory:
-        return i.ServerMemory(self.entry.name, self.entry.started_us, self.slowness, self.fails,
-                              self.on_trial, self.avoid_until, self.backoff_us, self.back_us, self.cold_us,
-                              self.earned, self.earned_us)
-
-    def remember(self, told: i.ServerMemory) -> None:
-        if abs(self.entry.started_us - told.started_us) < SAME_START_US:
-            self.slowness, self.fails, self.on_trial = told.slowness, told.fails, told.on_trial
-            self.avoid_until, self.backoff_us = told.avoid_until_us, told.backoff_us
-            self.back_us, self.cold_us = told.back_us, told.cold_us
-            self.earned, self.earned_us = told.earned, told.earned_us
-
 
 class Routing:
     """The servers that may be sent new work, how warm and well they are, and the choice among them."""
@@ -93,7 +63,7 @@
     def suspect(self) -> int:
         return sum(self.desk.now < server.avoid_until or server.on_trial for server in self.up)
 
-    def choose(self, job: "Job") -> Server | None:
+    def choose(self, job: Job) -> Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
         now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not i.Effect.SAFE
         allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
@@ -107,7 +77,7 @@
         room = [server for server in room if now < server.warm_us and not server.out] or room
         return min(self.desk.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
-    def in_group(self, job: "Job", server: Server) -> bool:
+    def in_group(self, job: Job, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = job.rule, job.ran_on
         if first is None or rule.effect is i.Effect.SAFE:
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -11,16 +11,17 @@
 from collections import Counter
 
 from fennelwinch import interface as i
+from fennelwinch import report
 from fennelwinch.basics import NEVER, TICK_US, Desk, S
 from fennelwinch.cap import Cap
 from fennelwinch.homes import Homes
-from fennelwinch.jobs import Job
 from fennelwinch.membership import Membership
 from fennelwinch.quota import ASK_US, ASKS, Customer
+from fennelwinch.records import Job
 from fennelwinch.retries import Retries
 from fennelwinch.routing import SIGHTED, Routing, Server
 from fennelwinch.twin import Twin
-from fennelwinch.words import FATES, Words
+from fennelwinch.words import Words
 
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 LOG_US = 5 * S  # how often those on call get the module's figures
@@ -336,32 +337,10 @@
     # --- figures ---
 
     def on_survey(self, _: i.Survey) -> None:
-        now, words = self.desk.now, self.words
-        waits = [job.came_us for _, _, job in self.held] + [job.came_us for job in self.waits]
-        self.desk.actions.append(i.Census(
-            *self.membership.counted(), len(waits), now - min(waits, default=now),
-            sum(map(len, words.waiting.values())), now - min(words.since.values(), default=now),
-            words.dropped, tuple(sorted(self.ended.items()))))
+        self.desk.actions.append(report.census(self))
 
     def log_figures(self) -> None:
-        """What those on call need first: the cap, what is out and held, and why requests were ended."""
-        cap, routing, peers = self.cap, self.routing, self.words.tally
-        ended = " ".join(f"{why}={count}" for why, count in sorted(self.tally.items()))
-        most = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
-        means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
-        self.desk.actions.append(i.Log(
-            f"cap {most} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
-            f" out {cap.out} held {len(self.held)} ({self.held_for()}) waiting {len(self.waits)}"
-            f" up {len(routing.up)} suspect {routing.suspect()} ended: {ended or '-'}"
-            f" peers: {' '.join(f'{what} {peers[what]}' for what in FATES)}"))
+        self.desk.actions.append(i.Log(report.line(self)))
         self.tally.clear()
-        peers.clear()
+        self.words.tally.clear()
         self.logged_us = self.desk.now
-
-    def held_for(self) -> str:
-        """What the held requests that were never sent wait for, beside a server and the cap."""
-        firsts = [job for _, _, job in self.held if not job.servers]
-        at_cap = sum(job.customer.at_open_cap(self.desk.now) for job in firsts)
-        under = sum(job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units
-                    for job in firsts)
-        return f"open cap {at_cap} ceiling {under}"
--- a/fennelwinch/twin.py
+++ b/fennelwinch/twin.py
@@ -6,9 +6,9 @@
 from fennelwinch.basics import Desk
 from fennelwinch.cap import Cap
 from fennelwinch.homes import Homes
-from fennelwinch.jobs import Job
 from fennelwinch.membership import Membership
-from fennelwinch.quota import Customer
+from fennelwinch.quota import LEFT_US, Customer
+from fennelwinch.records import Job, remember_cap, state
 from fennelwinch.routing import Routing, Server
 
 
@@ -25,32 +25,27 @@
         desk.has_twin = True
         for known in customers:
             known.refill(desk.now).lent.clear()  # the other would not know of it
-        desk.actions.append(i.State(
-            desk.now, self.cap.memory(self.routing.usual), tuple(self.routing.mean_us),
-            tuple(known.memory() for known in customers),
-            tuple(server.memory() for server in self.routing.servers.values()),
-            tuple(i.TwinMaint(name, left_out) for name, left_out in self.membership.names.items()),
-            tuple(i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
-                  for job in jobs for number, sent in job.out.items())))
+        desk.actions.append(state(desk, self.cap, self.routing, customers, self.membership.names, jobs))
 
-    def on_state(self, state: i.State) -> None:
+    def on_state(self, told: i.State) -> None:
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.desk.has_twin = True
-        self.cap.remember(state.cap)
-        self.routing.usual = state.cap.usual
-        if len(state.means_us) == len(self.routing.mean_us):
-            self.routing.mean_us = list(state.means_us)
-        for told in state.customers:
-            if self.homes.is_ours(told.key):
-                plan = self.desk.set.plans[told.key.plan_index]
-                known = self.homes.customers[told.key] = Customer(plan, told.key, self.desk.set, told.at_us)
-                known.remember(told, self.desk.now)
-        for told in state.servers:
-            if server := self.routing.servers.get(told.name):
-                server.remember(told)
-        self.membership.remember(state.names)
-        for told in state.out:
-            self.on_send(told)
+        remember_cap(self.cap, told.cap)
+        self.routing.usual = told.cap.usual
+        if len(told.means_us) == len(self.routing.mean_us):
+            self.routing.mean_us = list(told.means_us)
+        for one in told.customers:
+            if self.homes.is_ours(one.key):
+                plan = self.desk.set.plans[one.key.plan_index]
+                known = self.homes.customers[one.key] = Customer(plan, one.key, self.desk.set, one.at_us)
+                known.remember(one)
+                known.left_us = self.desk.now + LEFT_US if known.left_us else 0
+        for one in told.servers:
+            if server := self.routing.servers.get(one.name):
+                server.remember(one)
+        self.membership.remember(told.names)
+        for one in told.out:
+            self.on_send(one)
 
     def on_spend(self, event: i.TwinSpend) -> None:
         if self.homes.is_ours(event.key):
--- a/fennelwinch/words.py
+++ b/fennelwinch/words.py
@@ -10,7 +10,6 @@
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
-FATES = ("told", "heard", "asked", "answered")  # messages to and from peers; asks, those answered
 
 
 class Words:
@@ -29,7 +28,7 @@
         self.ahead_us = round((TELLS_AT_ONCE - 1) * self.space_us)  # by so much it may leave ahead of it
         self.seen: deque[tuple[int, i.Sighting]] = deque(maxlen=MOST_SIGHTINGS)
         self.seen_ever, self.told_seen = 0, dict[int, int]()
-        self.tally: Counter[str] = Counter()  # how it went with the peers, by FATES
+        self.tally: Counter[str] = Counter()  # how it went with the peers, as report.FATES
 
     def add(self, peer: int, word: i.Word) -> None:
         words = self.waiting.setdefault(peer, [])
