Policies that are decided by one write and leased to doors; leases and summary by owners

Change: `orchidhatch.policy` has the document's form, doors and their leases at the list service, the change as a task of the stewards, the agent's keeper of its door, and the operators' commands. A follower keeps a copy of policies and doors. Mended on the way: a lease whose removal could not be written (full disk, a queue that was full, a fence that had moved) was forgotten, and its entry listed for ever; it is overdue still and tried again.

--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import random
+import shlex
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -18,6 +19,7 @@
 from orchidhatch.door import Door
 from orchidhatch.following import Address, Following, now_ms
 from orchidhatch.forms import read_act
+from orchidhatch.policy.keeper import Keeper, Setup
 from orchidhatch.registry import read_listen
 from orchidhatch.server import Answer, Connection, ListServer
 from orchidhatch.store import DamagedError, Store, StoreError, put_aside
@@ -30,22 +32,28 @@
 
     def __init__(
         self, store: Store, registries: Sequence[Address], seed: int | None = None,
-        wall_ms: Callable[[], int] = now_ms, door: Address | None = None,
+        wall_ms: Callable[[], int] = now_ms, door: Address | None = None, setup: Setup | None = None,
     ) -> None:
         super().__init__(store, seed)
         self.following = Following(self, registries, wall_ms=wall_ms)
         self.door = Door(self, self.following, door) if door else None
+        self.keeper = Keeper(self, registries, door, setup) if door and setup else None
 
     def store_name(self) -> str:
         return f"{self.store.identity} {self.following.term()}"
 
     async def start(self, host: str, port: int) -> None:
         await super().start(host, port)
-        self.tasks.append(asyncio.create_task(self.following.follow()))
+        jobs = [self.following.follow()]
+        if self.keeper:
+            jobs += [self.keeper.keep_renewing(), self.keeper.keep_steering()]
+        self.tasks += [asyncio.create_task(job) for job in jobs]
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
         if self.door and method == "POST" and path[:1] == ("door",):
             self.begin(self.door.carry_out(connection, path[1:], *read_act(body)))
+        elif self.door and method == "GET" and path[:1] == ("door",) and len(path) == 2:
+            self.begin(self.door.ask(connection, path[1]))
         else:
             super().other(connection, method, path, body)
 
@@ -61,6 +69,7 @@
             "registry_generation": heard.known, "switches_total": heard.switches,
             "behind_total": heard.passed_over, "malformed_total": heard.malformed,
             **(self.door.figures() if self.door else {}),
+            **(self.keeper.figures() if self.keeper else {}),
         })
 
 
@@ -73,9 +82,16 @@
         return Store(path, create=True, first=now_ms())
 
 
+def setup_of(options: argparse.Namespace) -> Setup | None:
+    """What it takes to keep the door to a policy; all of it or nothing."""
+    given = (options.name, options.zone, options.config, options.pid, options.check)
+    return Setup(*given[:4], shlex.split(options.check)) if all(given) else None
+
+
 async def serve(options: argparse.Namespace) -> None:
     seed = random.SystemRandom().getrandbits(32) ^ os.getpid()  # agents of many machines start together
-    agent = Agent(open_cache(options.cache), options.registry, seed, door=options.door)
+    agent = Agent(open_cache(options.cache), options.registry, seed, door=options.door,
+                  setup=setup_of(options))
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -96,9 +112,20 @@
     parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
     parser.add_argument("--door", type=read_listen, metavar="HOST:PORT",
                         help="where the front door's management calls are taken; owners' acts go there")
+    keeping = parser.add_argument_group("policy", "to keep the door to the policy that holds: all of these")
+    keeping.add_argument("--name", help="the door's, the same after a restart")
+    keeping.add_argument("--zone")
+    keeping.add_argument("--config", type=Path, metavar="FILE", help="the door's PROXY_CONFIG")
+    keeping.add_argument("--pid", type=Path, metavar="FILE", help="where the door's process number stands")
+    keeping.add_argument("--check", metavar="COMMAND", help="checks the file that PROXY_CONFIG names, as "
+                         "'.venv/bin/python -m molereach --check'; no shell sees it")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    options = parser.parse_args()
+    policy = [options.name, options.zone, options.config, options.pid, options.check]
+    if any(policy) and not (all(policy) and options.door):
+        parser.error("--name, --zone, --config, --pid, --check and --door go together")
     try:
-        asyncio.run(serve(parser.parse_args()))
+        asyncio.run(serve(options))
     except (StoreError, OSError) as error:
         print(f"orchidhatch.agent: {error}", file=sys.stderr)
         return 1
--- a/orchidhatch/claims.py
+++ b/orchidhatch/claims.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator
 from dataclasses import asdict, dataclass, replace
 
-MOST_SESSIONS, MOST_CLAIMS, MOST_RECORDS = 1_000, 10_000, 10_000
+MOST_SESSIONS, MOST_CLAIMS, MOST_RECORDS, MOST_DOORS = 1_000, 10_000, 10_000, 1_000
 COUNT_BITS = 32  # of an epoch; the term is above them
 MOST_LOST = 3  # owners that went without a word, one after another: then the claim is put aside
 
@@ -60,6 +60,15 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Door:
+    """A front door that policies hold for, by the agent that keeps it: `life` is that agent's."""
+
+    name: str
+    life: str
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class Fence:
     """In whose name a write is made: it is carried out only while that claim is at that epoch, and held."""
@@ -122,9 +131,23 @@
     fence: Fence | None = None
 
 
-BookWrite = Open | End | Take | Give | Hold | Keep
-Thing = Session | Claim | Record
-KINDS: dict[str, type] = {"session": Session, "claim": Claim, "record": Record}
+@dataclass(frozen=True, slots=True)
+class Enter:
+    """List a door, or an agent's next life of it; the same one again is no change."""
+
+    door: Door
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Take a door off the list, as it is no more."""
+
+    name: str
+
+
+BookWrite = Open | End | Take | Give | Hold | Keep | Enter | Leave
+Thing = Session | Claim | Record | Door
+KINDS: dict[str, type] = {"session": Session, "claim": Claim, "record": Record, "door": Door}
 
 
 def name_of(thing: Thing) -> str:
@@ -142,10 +165,12 @@
         self.sessions: dict[str, Session] = {}
         self.claims: dict[str, Claim] = {}
         self.records: dict[str, Record] = {}
+        self.doors: dict[str, Door] = {}
         self.last = 0  # the count of the last change
 
     def kept(self, kind: str) -> dict[str, Thing]:
-        return {"session": self.sessions, "claim": self.claims, "record": self.records}[kind]
+        return {"session": self.sessions, "claim": self.claims, "record": self.records,
+                "door": self.doors}[kind]
 
     def read(self, kind: str, name: str, text: str) -> None:
         """A thing as it was written to disk; a ValueError or TypeError where it is none."""
@@ -159,7 +184,7 @@
 
     def take(self, draft: "Draft") -> None:
         """Take over what is durable."""
-        self.last = draft.last
+        self.last = max(self.last, draft.last)  # a follower has two that write
         for (kind, name), thing in draft.changed.items():
             if thing is None:
                 self.kept(kind).pop(name, None)
@@ -281,6 +306,22 @@
         why = "by hand" if write.on else ""
         return self.put("claim", replace(known, held=write.on, why=why, lost=0))
 
+    def enter(self, write: Enter) -> Door:
+        known = self.find("door", write.door.name)
+        if known == write.door:
+            self.last -= 1
+            return known
+        if known is None and sum(1 for _ in self.all("door")) >= MOST_DOORS:
+            raise RefusedError(f"there are {MOST_DOORS} doors, and no more")
+        return self.put("door", write.door)
+
+    def leave(self, write: Leave) -> Door:
+        known = self.find("door", write.name)
+        if known is None:
+            raise UnlistedError(f"there is no door {write.name}")
+        self.changed["door", write.name] = None
+        return known
+
     def keep(self, write: Keep) -> Record:
         self.check(write.fence)
         known = self.find("record", write.name)
--- a/orchidhatch/client.py
+++ b/orchidhatch/client.py
@@ -11,7 +11,7 @@
 import http.client
 import json
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any
 from urllib.parse import quote
 
@@ -89,6 +89,12 @@
     return {name: value for name, value in values.items() if value is not None}
 
 
+def ask_for(at: str, name: str, task: Mapping[str, Any]) -> None:
+    """Of the stewards; asked for again, it begins anew."""
+    done = call(at, "POST", f"/records/{tasks.TASK}{name}", {"text": json.dumps(task)})
+    print(f"asked for as {done['name']}, version {done['version']}")
+
+
 def carry_out(options: argparse.Namespace) -> None:
     at, id_ = options.at, quote(getattr(options, "id", ""), safe="")
     match options.command:
@@ -114,10 +120,17 @@
             done = call(at, "POST", f"/records/{tasks.TASK}drain-{id_}",
                         {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0})
             print(f"asked for as {done['name']}, version {done['version']}")
-        case "backup" if options.every:
-            name, text = f"{tasks.TASK}backup", json.dumps(tasks.backup(round(options.every * 1000)))
-            done = call(at, "POST", f"/records/{name}", {"text": text})
-            print(f"asked for as {done['name']}, version {done['version']}")
+        case "backup" | "summary" if options.every:
+            ask_for(at, options.command, tasks.repeated(options.command, round(options.every * 1000)))
+        case "summary":
+            task = json.loads(call(at, "GET", f"/records/{tasks.TASK}summary")["text"])
+            for name, value in task.get("fleet", {"": "not yet read"}).items():
+                print(f"{name}\t{value}")
+        case "leases" if options.ended_by == "stewards":
+            ask_for(at, "leases", tasks.LEASES)
+        case "leases":
+            call(at, "POST", f"/records/{tasks.TASK}leases", {"text": ""})
+            print("the list service ends them itself")
         case "backup":
             done = call(at, "POST", "/backup", {})
             print(f"{done['file']}: {done['entries']} entries, {done['claims']} claims, tried")
@@ -172,6 +185,10 @@
         "--after", type=int, default=0, metavar="GENERATION")
     commands.add_parser("backup", help="a copy of the store").add_argument(
         "--every", type=seconds, metavar="TIME", help="have the stewards take one each time, as 10m or 6h")
+    commands.add_parser("summary", help="the fleet in a few lines, as last read").add_argument(
+        "--every", type=seconds, metavar="TIME", help="have the stewards read it each time, as 30s")
+    commands.add_parser("leases", help="who ends those that run out").add_argument(
+        "--ended-by", choices=("stewards", "service"), required=True)
     commands.add_parser("tasks", help="what the stewards are to do, and how far it is")
     commands.add_parser("owners", help="who owns what, by which epoch")
     commands.add_parser("promote", help="have a follower take the writes").add_argument(
--- a/orchidhatch/door.py
+++ b/orchidhatch/door.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("orchidhatch.door")
 
 ACTS = {("backends", "maint"), ("backends", "ready"), ("healthcheck", "fail"), ("healthcheck", "ok")}
+QUESTIONS = {"stats", "healthcheck"}  # that change nothing, and so need no owner
 MOST_KNOWN = 20_000  # claims and backends whose last epochs and acts are kept
 MOST_WAITING = 100  # acts that wait for their turn
 DOOR_S = 1.0  # for the door's answer, which it owes within that
@@ -40,6 +41,15 @@
         # A memory that was lost, or never was, would let anybody in: the list service is asked first.
         self.known = bool(self.db.execute("SELECT count(*) FROM epochs_known").fetchone()[0])
 
+    async def ask(self, connection: Connection, question: str) -> None:
+        """What the front door answers, as it is now."""
+        if question not in QUESTIONS:
+            connection.answer(Answer(404, told("no such question")))
+            return
+        status, text, _ = await call(self.at, "GET", f"/{question}", within_s=DOOR_S)
+        connection.answer(Answer(status, {"door": text}) if status
+                          else busy(f"the front door does not answer: {text}"))
+
     async def carry_out(
         self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int
     ) -> None:
--- a/orchidhatch/following.py
+++ b/orchidhatch/following.py
@@ -90,6 +90,10 @@
         """Whether the store has begun a term of its own since it last heard a list."""
         return bool(self.source) and self.server.store.term > term_of(self.source)
 
+    def source_at(self) -> Address:
+        """The service that is watched, or is tried next."""
+        return self.registries[self.at]
+
     def registry(self) -> str:
         return shown(self.registries[self.at])
 
--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -7,16 +7,18 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NoReturn
 
-from orchidhatch.claims import Fence, Give, Hold, Keep, Open, Session, Take
+from orchidhatch.claims import Door, Enter, Fence, Give, Hold, Keep, Open, Session, Take
 from orchidhatch.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
 
-MOST_BODY = 4096  # bytes; an entry takes some 300
+MOST_BODY = 8192  # bytes; an entry takes some 300, a policy's document up to 5,000
 MOST_TEXT = 64
 MOST_CELL, MOST_WEIGHT = 1_000_000, 1000.0
 LEAST_LEASE_MS, MOST_LEASE_MS = 100, 24 * 3600 * 1000
-MOST_WHY, MOST_RECORD = 300, 3000  # characters of a reason; bytes of a record
+MOST_WHY, MOST_RECORD = 300, 6000  # characters of a reason; bytes of a record
+MOST_READY = 8  # documents that a door's agent may say that it has
 MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
 ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+DIGEST = re.compile(r"([0-9a-f]{16})?")
 ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
 
 
@@ -210,6 +212,12 @@
     return fence_of(fields(read_body(body or b"{}"), FENCE, FENCE))
 
 
+def read_owner(body: bytes) -> Fence:
+    """In whose name a call is made that nobody else may make."""
+    found = fields(read_body(body), FENCE, ())
+    return Fence(found["claim"], found["epoch"])
+
+
 def read_act(body: bytes) -> tuple[Fence, int]:
     """In whose name an act at a receiver that is no list service is done, and its number among the acts."""
     found = fields(read_body(body), {**FENCE, "act": whole(MOST_TIME_MS)}, ())
@@ -257,6 +265,46 @@
     return Keep(name("record", record), found["text"], found.get("ifVersion"), fence_of(found))
 
 
+def read_door(body: bytes) -> Enter:
+    found = fields(read_body(body), {"name": name, "life": name, "zone": text}, ())
+    return Enter(Door(found["name"], found["life"], found["zone"]))
+
+
+def digest(field: str, value: object) -> str:
+    if not isinstance(value, str) or not DIGEST.fullmatch(value):
+        wrong(field, "the 16 hex digits of a document, or nothing, are needed")
+    return value
+
+
+def digests(field: str, value: object) -> tuple[str, ...]:
+    if not isinstance(value, list) or len(value) > MOST_READY:
+        wrong(field, f"a list of at most {MOST_READY} documents is needed")
+    return tuple(digest(field, one) for one in value)
+
+
+def counts(field: str, value: object) -> tuple[int, ...]:
+    if not isinstance(value, list) or len(value) != 3:
+        wrong(field, "three counts are needed")
+    return tuple(whole(MOST_TIME_MS)(field, one) for one in value)
+
+
+def left(field: str, value: object) -> int:
+    if type(value) is not int or abs(value) > MOST_LEASE_MS:
+        wrong(field, f"a whole number of at most {MOST_LEASE_MS} is needed")
+    return value
+
+
+REPORT: Readers = {
+    "life": name, "has": digest, "number": whole(MOST_TIME_MS), "digest": digest, "leftMs": left,
+    "ready": digests, "flaw": line, "counts": counts, "serves": flag, "text": long_text,
+}
+
+
+def read_report(body: bytes) -> dict[str, Any]:
+    """What a door's agent tells with each renewal; the moment and a document only where it knows them."""
+    return fields(read_body(body), REPORT, {"leftMs", "text"})
+
+
 def read_renewal(body: bytes) -> int:
     """The life that goes on."""
     return int(fields(read_body(body), LIFE, ())["life"])
--- a/orchidhatch/leases.py
+++ b/orchidhatch/leases.py
@@ -52,6 +52,12 @@
         self.begin(entry, now_s)
         return True
 
+    def put_back(self, entry: Leased, now_s: float) -> None:
+        """One that was to leave could not be removed: it is overdue still, and has not left."""
+        if self.ended:
+            self.ended.pop()
+        self.due[entry.id] = now_s, entry
+
     def forget(self, id_: str) -> None:
         self.due.pop(id_, None)
 
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -28,6 +28,7 @@
 from orchidhatch.forms import (
     read_backup,
     read_change,
+    read_owner,
     read_promotion,
     read_register,
     read_remove,
@@ -36,8 +37,19 @@
 )
 from orchidhatch.leases import TICK_S, Leases
 from orchidhatch.ownership import Ownership
+from orchidhatch.policy.doors import Doors
 from orchidhatch.server import MOST_HEAD, STORE_HEADER, Answer, Connection, ListServer, busy, term_of, told
-from orchidhatch.store import Entry, Outcome, RefusedError, Remove, Store, StoreError, UnlistedError, Write
+from orchidhatch.store import (
+    Batch,
+    Entry,
+    Outcome,
+    RefusedError,
+    Remove,
+    Store,
+    StoreError,
+    UnlistedError,
+    Write,
+)
 
 log = logging.getLogger("orchidhatch.registry")
 
@@ -52,6 +64,7 @@
 # the answer: its word, which began before the answer, and a twentieth for clocks that differ.
 PROMISE_S = 1.05 * WORD_S
 MOST_WRITES, MOST_BATCH = 1_000, 500  # that wait; that go to disk together
+OWNED_S = 3.0  # since an owner of that work last ended leases: then the service looks again itself
 
 
 class Registry(ListServer):
@@ -67,17 +80,18 @@
         if self.following and self.following.was_promoted():  # whoever starts it again may not know
             log.warning("was promoted to term %d; follows nobody any more", store.term)
             self.following = None
-        self.follow_task: asyncio.Task[None] | None = None
+        self.follow_tasks: list[asyncio.Task[None]] = []
         self.peers, self.fenced = peers, ""  # why it takes no writes any more
         self.asked_s = -math.inf  # when the last look at the peers that has ended was begun
         self.promised_s = -math.inf  # when a peer was told our term last, and may go by it
         self.lapses = 0  # times that the last look was too old to acknowledge by
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
-        self.ownership = Ownership(self)
+        self.ownership, self.doors = Ownership(self), Doors(self)
         self.backups = Backups(backups) if backups else None
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
         self.wake = asyncio.Event()
+        self.owned_s = -math.inf  # when an owner last had overdue leases ended
         self.expired = self.batches = self.writes = 0
         self.commit_s = self.longest_commit_s = 0.0
         self.broken = ""  # why the last batch could not be written
@@ -88,8 +102,9 @@
         if self.peers:
             self.tasks.append(asyncio.create_task(self.keep_asking()))
         if self.following:
-            self.follow_task = asyncio.create_task(self.following.follow())
-            self.tasks.append(self.follow_task)
+            self.follow_tasks = [asyncio.create_task(job) for job in (
+                self.following.follow(), self.doors.keep_copy(self.following.source_at))]
+            self.tasks += self.follow_tasks
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
     # --- calls ---
@@ -102,6 +117,8 @@
                 self.queue(read_change(id_, body), connection)
             case "POST", ("entries", id_, "renew"):
                 connection.answer(self.renew(id_, read_renewal(body)))
+            case "POST", ("leases", "end"):
+                connection.answer(self.end_in_name(read_owner(body)))
             case "POST", ("backup",):
                 self.begin(self.back_up(connection, read_backup(body)))
             case "GET", ("term",):
@@ -115,7 +132,8 @@
                 known = self.store.entries.get(id_)
                 connection.answer(Answer(200, written(known)) if known else Answer(404, told("not listed")))
             case _:
-                if not self.ownership.call(connection, method, path, body):
+                if not (self.ownership.call(connection, method, path, body)
+                        or self.doors.call(connection, method, path, body)):
                     super().other(connection, method, path, body)
 
     def store_name(self) -> str:
@@ -159,10 +177,12 @@
             self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
         except StoreError as error:
             return busy(str(error))
-        self.follow_task.cancel()
+        for task in self.follow_tasks:
+            task.cancel()
         self.following, self.asked_s = None, -math.inf  # a follower has asked nobody
         self.leases = Leases(self.store.entries.values(), self.clock())
         self.ownership.begin()
+        self.doors.begin()
         log.warning("promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
                     self.store.term, self.store.generation, heard.known, heard.source, heard.age_s())
         for connection in list(self.watches):
@@ -253,18 +273,19 @@
 
     # --- writes ---
 
-    def queue(self, write: Write, connection: Connection | None) -> None:
-        if refusal := self.no_writes():
-            if connection:
-                connection.answer(refusal)
-            return
-        if len(self.waiting) >= MOST_WRITES:
+    def queue(self, write: Write, connection: Connection | None) -> bool:
+        """Whether it waits for the disk now; else its writer is told why not."""
+        refusal = self.no_writes()
+        if not refusal and len(self.waiting) >= MOST_WRITES:
             self.shed += 1
+            refusal = busy("too many writes wait")
+        if refusal:
             if connection:
-                connection.answer(busy("too many writes wait"))
-            return
+                connection.answer(refusal)
+            return False
         self.waiting.append((write, connection))
         self.wake.set()
+        return True
 
     async def write(self) -> None:
         """One batch after another; whose writer has gone is not carried out."""
@@ -293,6 +314,10 @@
                 log.error("%s; reads go on", error)
             self.broken = str(error)
             answer_all(wanted, busy(str(error)))
+            self.doors.not_written()
+            for write, connection in wanted:
+                if not connection:
+                    self.not_ended(write)
             return
         took = time.monotonic() - began
         self.broken = ""
@@ -302,7 +327,14 @@
         self.store.take(batch)
         self.keep_leases(batch.changed)
         self.ownership.wrote(batch.outcomes)
-        self.ownership.refused += sum(isinstance(one, RefusedError) for one in batch.outcomes)
+        self.doors.wrote(batch.outcomes)
+        for (write, connection), outcome in zip(wanted, batch.outcomes, strict=True):
+            if isinstance(outcome, RefusedError):
+                self.ownership.refused += 1
+                if not connection:
+                    self.not_ended(write)
+            elif not connection and isinstance(write, Remove):
+                self.expired += 1
         if await self.make_sure():  # it may have stood still on the way to the disk
             for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
                 if connection:
@@ -312,6 +344,20 @@
         if self.store.generation != before:
             self.spread()
 
+    async def write_aside(self, writes: Sequence[Write]) -> None:
+        """What a follower writes for itself, beside what it hears of the list."""
+        if not writes:
+            return
+
+        def work() -> None:
+            batch = self.store.plan(writes)  # in its turn: nothing else is planned meanwhile
+            self.store.commit(batch)
+            made.append(batch)
+
+        made: list[Batch] = []
+        await self.in_turn(work)
+        self.store.take(made[0])
+
     def keep_leases(self, changed: Sequence[Entry]) -> None:
         for entry in changed:
             known = self.store.entries.get(entry.id)
@@ -321,25 +367,51 @@
                 self.leases.begin(known, self.clock())
 
     async def look(self) -> None:
-        """Have those leave whose leases have run out."""
+        """Have those leave whose leases have run out, unless an owner sees to it."""
         while True:
             await asyncio.sleep(TICK_S)
             if self.following:  # it is the other's to end them
                 continue
             self.ownership.look()
-            held = self.leases.held
-            for entry in self.leases.overdue(self.clock()):
-                log.warning("%s did not renew its lease of %d ms", entry.id, entry.lease_ms)
-                self.expired += 1
-                self.leases.forget(entry.id)
-                self.queue(Remove(entry.id, life=entry.life), None)
-            if self.leases.held and not held:
-                log.error("ALARM: %d of %d leases would run out together; they are held",
-                          self.leases.held, len(self.leases.due))
+            self.doors.look()
+            if self.clock() - self.owned_s >= OWNED_S:
+                self.end_leases(None)
+
+    def end_in_name(self, fence: Fence) -> Answer:
+        """An owner has ended what is overdue; while one does, the service's own look rests."""
+        if refusal := self.no_writes():
+            return refusal
+        if not self.sure():
+            return busy("it did not run for a while, and asks its peers first")
+        try:
+            self.store.book.draft(self.store.term).check(fence)
+        except RefusedError as refusal:
+            return outcome_of(refusal)
+        self.owned_s = self.clock()
+        return Answer(200, {"ending": self.end_leases(fence), "held": self.leases.held})
+
+    def end_leases(self, fence: Fence | None) -> int:
+        """Those that are overdue now are to leave; how many. Each removal is held against the fence again."""
+        held, late = self.leases.held, self.leases.overdue(self.clock())
+        for entry in late:
+            log.warning("%s did not renew its lease of %d ms", entry.id, entry.lease_ms)
+            self.leases.forget(entry.id)
+            if not self.queue(Remove(entry.id, life=entry.life, fence=fence), None):
+                self.leases.put_back(entry, self.clock())
+        if self.leases.held and not held:
+            log.error("ALARM: %d of %d leases would run out together; they are held",
+                      self.leases.held, len(self.leases.due))
+        return len(late)
+
+    def not_ended(self, write: Write) -> None:
+        """A removal over a lease did not come about: whom it concerned is overdue still."""
+        known = self.store.entries.get(write.id) if isinstance(write, Remove) else None
+        if known and known.life == write.life and known.id not in self.leases.due:
+            self.leases.put_back(known, self.clock())
 
     def figures(self) -> str:
         return self.lines("registry", {
-            **self.ownership.figures(),
+            **self.ownership.figures(), **self.doors.figures(),
             **({"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
                if self.backups else {}),
             "writes_waiting": len(self.waiting), "writes_total": self.writes, "batches_total": self.batches,
--- a/orchidhatch/server.py
+++ b/orchidhatch/server.py
@@ -166,6 +166,7 @@
         self.cut = self.shed = 0
         self.lines_of: tuple[str, int, int] | None = None  # the list that these were made of:
         self.made: dict[tuple[int, bool], bytes] = {}  # by what is known, and whether leases are told
+        self.closed = False  # whether watches are taken
         self.turn = asyncio.Lock()  # of those who write to the store's file
         self.working: asyncio.Future[None] | None = None
         self.listener: asyncio.Server | None = None
@@ -225,6 +226,12 @@
             case method, _:
                 self.other(connection, method, path, bytes(connection.body))
 
+    def close_watches(self) -> None:
+        """End all watches and take no more, until `closed` is no longer set: who watches hears nothing."""
+        self.closed = True
+        for connection in list(self.watches):
+            connection.transport.close()
+
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
         connection.answer(Answer(404, told("no such call")))
 
@@ -249,6 +256,8 @@
     def members(self, connection: Connection, query: dict[str, list[str]]) -> None:
         if query.get("watch", ["0"]) != ["1"]:
             connection.answer(Answer(200, self.whole()))
+        elif self.closed:
+            connection.answer(busy("it takes no watches for now"))
         elif len(self.watches) >= MOST_WATCHES:
             self.shed += 1
             connection.answer(busy("too many watches"))
--- a/orchidhatch/steward.py
+++ b/orchidhatch/steward.py
@@ -25,9 +25,12 @@
 from orchidhatch.calls import Address, call
 from orchidhatch.claims import COUNT_BITS
 from orchidhatch.following import shown
+from orchidhatch.links import PATIENCE_S, Links
+from orchidhatch.policy.change import Change
 from orchidhatch.registry import read_listen
 from orchidhatch.sharing import share_out
-from orchidhatch.tasks import TASK, FencedError, GoneError, Task, TaskError, read_task
+from orchidhatch.summary import Reading
+from orchidhatch.tasks import KINDS, TASK, FencedError, GoneError, Task, TaskError, read_task
 
 log = logging.getLogger("orchidhatch.steward")
 
@@ -38,7 +41,6 @@
 # rest is for clocks that differ, and for an act that is under way. Nothing relies on that.
 OWN_SHARE = 0.7
 STEP_S = 0.25  # between two looks at what is to be done
-PATIENCE_S = 1.0
 MOST_FAILURES = 5  # of one shard in a row, then it is given up
 
 
@@ -58,27 +60,6 @@
     failures: int = 0
 
 
-@dataclass
-class Links:
-    """The list services, of which one takes writes; found by asking the next where one does not."""
-
-    registries: Sequence[Address]
-    at: int = 0
-
-    async def call(self, method: str, path: str, value: object = None) -> tuple[int, Any]:
-        """Status and value of the one that takes writes; 0 where none answers."""
-        status, told = 0, None
-        for _ in self.registries:
-            registry = self.registries[self.at]
-            status, told, _ = await call(registry, method, path, value, PATIENCE_S)
-            text = str(told)
-            if status in (0, 503) or (status == 409 and ("takes no writes" in text or "fenced" in text)):
-                self.at = (self.at + 1) % len(self.registries)
-                continue
-            return status, told
-        return (status if status == 503 else 0), told
-
-
 @dataclass
 class Steward:
     """One process: its session, the shards it holds, and the work in them."""
@@ -95,6 +76,7 @@
     claims: dict[str, dict[str, Any]] = field(default_factory=dict)
     acts: int = 0
     refused: int = 0
+    readings: dict[str, dict[str, Reading]] = field(default_factory=dict)  # by task: each door's last
 
     def __post_init__(self) -> None:
         self.links = Links(list(self.registries))
@@ -136,6 +118,7 @@
     def forget(self) -> None:
         """As a new process would begin."""
         self.held.clear()
+        self.readings.clear()
         self.good_until_s = -math.inf
 
     async def keep(self) -> None:
@@ -202,7 +185,7 @@
             shard = shard_of(record["name"])
             if record["name"].startswith(TASK) and shard in self.held and self.may_act():
                 try:
-                    task = read_task(record)
+                    task = read_task(record, {**KINDS, "policy": Change})
                 except TaskError as error:  # it keeps nobody from the others in its shard
                     log.error("%s", error)
                     continue
@@ -272,6 +255,17 @@
         self.steward.acts += status == 200
         return status, told
 
+    async def read(self, path: str) -> tuple[int, Any]:
+        """What the list service that takes writes answers; GoneError where none does."""
+        status, told = await self.steward.links.call("GET", path)
+        if status in (0, 503):
+            raise GoneError("no list service answers")
+        return status, told
+
+    def term(self) -> int:
+        """Of the store that our claim is kept in."""
+        return self.epoch >> COUNT_BITS
+
     async def note(self, task: Task) -> None:
         """Put down how far it is; conditional on its being as it was read."""
         status, told = await self.write("POST", f"/records/{task.name}", text=json.dumps(task.value()),
@@ -282,8 +276,7 @@
 
     async def tell_doors(self, task: Task, call_: str) -> list[str]:
         """A management call at each front door, through its machine's agent; those that did not take it."""
-        term = self.epoch >> COUNT_BITS  # of the store that counted the task's versions
-        act = {**self.fence(), "act": term << COUNT_BITS | task.version}
+        act = {**self.fence(), "act": self.term() << COUNT_BITS | task.version}  # by the store that counted
 
         async def one(agent: Address) -> str:
             self.check()
@@ -296,6 +289,19 @@
         self.steward.acts += len(found)
         return [agent for agent in found if agent]
 
+    async def ask_doors(self, call_: str) -> dict[str, str]:
+        """What each front door answers to a question, through its machine's agent; "" where nobody does."""
+        async def one(agent: Address) -> str:
+            status, told, _ = await call(agent, "GET", f"/door/{call_}", within_s=PATIENCE_S)
+            return str(told["door"]) if status == 200 else ""
+
+        agents = self.steward.agents
+        found = await asyncio.gather(*map(one, agents))
+        return {shown(agent): text for agent, text in zip(agents, found, strict=True)}
+
+    def last_readings(self, task: Task) -> dict[str, Reading]:
+        return self.steward.readings.setdefault(task.name, {})
+
 
 async def serve(options: argparse.Namespace) -> None:
     steward = Steward(options.id, options.registry, options.agent, options.lease_ms)
--- a/orchidhatch/tasks.py
+++ b/orchidhatch/tasks.py
@@ -7,9 +7,12 @@
 
 import json
 import time
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from orchidhatch.summary import Reading, read_figures, sum_up
+
 TASK = "task."  # how the records of tasks begin
 # How often what is left of a task's time is put down, of one that is short and of one that is long.
 NOTE_EVERY_S, NOTE_SELDOM_S = 2.0, 30.0
@@ -31,8 +34,12 @@
     """What a task may do, in the name of the claim that its shard is held by."""
 
     async def write(self, method: str, path: str, **values: object) -> tuple[int, Any]: ...
+    async def read(self, path: str) -> tuple[int, Any]: ...
+    def term(self) -> int: ...
     async def note(self, task: "Task") -> None: ...
     async def tell_doors(self, task: "Task", call_: str) -> list[str]: ...
+    async def ask_doors(self, call_: str) -> dict[str, str]: ...
+    def last_readings(self, task: "Task") -> dict[str, Reading]: ...
 
 
 @dataclass
@@ -139,23 +146,56 @@
         await acts.note(self)
 
 
-KINDS: dict[str, type[Task]] = {"drain": Drain, "backup": Backup}
+class EndLeases(Task):
+    """Those whose leases have run out leave the list, at every look. It is never done, and nothing is put
+    down: the list service knows who is overdue, and a look twice does nothing twice."""
+
+    async def step(self, acts: Acts) -> None:
+        status, told = await acts.write("POST", "/leases/end")
+        if status != 200:
+            raise TaskError(f"cannot end leases: {told}")
+
+
+class Summary(Task):
+    """The fleet in a few lines, over and over: `everyMs` from one to the next, `leftMs` until it.
+
+    What passed is told since the last reading of this owner, which is not kept over a change of owner.
+    """
+
+    async def step(self, acts: Acts) -> None:
+        if self.count_down(NOTE_SELDOM_S):
+            return
+        if self.given["leftMs"] <= 0:
+            self.given["leftMs"] = self.given["everyMs"]
+            told = await acts.ask_doors("stats")
+            now = {door: read_figures(text) for door, text in told.items()}
+            before = acts.last_readings(self)
+            self.given["fleet"] = sum_up(before, now)
+            before.clear()
+            before.update({door: reading for door, reading in now.items() if reading})
+        await acts.note(self)
+
+
+KINDS: dict[str, type[Task]] = {"drain": Drain, "backup": Backup, "leases": EndLeases, "summary": Summary}
 
 
-def read_task(record: dict[str, Any]) -> Task:
+def read_task(record: dict[str, Any], kinds: Mapping[str, type[Task]] = KINDS) -> Task:
     """The task of a record; a TaskError where it is none."""
     try:
         value = json.loads(record["text"])
         state, done, told = value.pop("state", "asked"), value.pop("done", False), value.pop("told", "")
-        kind = KINDS[value["kind"]]
+        kind = kinds[value["kind"]]
         return kind(record["name"], record["version"], value, str(state), bool(done), str(told))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise TaskError(f"{record.get('name')!r:.80} is no task: {error!r:.100}") from error
 
 
-def backup(every_ms: int) -> dict[str, Any]:
-    """What is put down to ask for copies; the first at once."""
-    return {"kind": "backup", "everyMs": every_ms, "leftMs": 0, "state": "asked", "done": False}
+def repeated(kind: str, every_ms: int) -> dict[str, Any]:
+    """What is put down to ask for copies ("backup") or summaries ("summary"); the first at once."""
+    return {"kind": kind, "everyMs": every_ms, "leftMs": 0, "state": "asked", "done": False}
+
+
+LEASES: Mapping[str, Any] = {"kind": "leases", "state": "asked", "done": False}  # to have owners end them
 
 
 def drain(id_: str, left_ms: int, then: str) -> dict[str, Any]:
