Put a front door under a policy by file and SIGHUP, barred until its keeper lets it; tell waits

Change: `policy` in the configuration (none: all as before); the module scales what it remembers of customers to new plans, passes over words of another policy (a mark in the message; earlier versions drop those), refuses all while barred and the banned always; `--check`. `proxy_held_seconds_total` by reason, told by the module.

--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -255,7 +255,7 @@
             actions = self.gateways[self.target].handle(self.now_us, event)
         except Exception as error:
             raise ModuleError(f"{type(error).__name__}: {error}") from error
-        lines = [write_action(action) for action in actions]
+        lines = [write_action(action) for action in actions if not isinstance(action, i.Waited)]
         if lines and self.context != self.target:
             self.context = self.target
             lines.insert(0, f"CONTEXT {self.target}")
--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -32,7 +32,7 @@
 
 # A message between gateways: a mark with the number of words, the words (amounts in steps of 1 / UNIT), and
 # what was seen of servers (class and success in one byte, latency in steps of 1 / PARTS).
-MARK = 0xA0
+MARK, MARKED = 0xA0, 0xB0  # the second where a byte with the mark of a policy comes next
 WORD = struct.Struct("!IBHHBhhhhB")
 SIGHTING = struct.Struct("!HBB")
 MOST_CLASSES = 128  # that a sighting can name
@@ -130,6 +130,7 @@
         fall_multiple=pairs.number("obligations.fall-multiple", 1.0),
         fall_us=pairs.whole("obligations.fall-us", 1),
         conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
+        banned=frozenset(filter(None, pairs.text("banned").split(","))),
     )
 
 
@@ -142,8 +143,11 @@
     })
 
 
-def pack_message(words: Iterable[i.Word], sightings: Iterable[i.Sighting] = ()) -> list[bytes]:
-    """Messages between gateways, each as long as the wire allows; sightings fill up the last one."""
+def pack_message(
+    words: Iterable[i.Word], sightings: Iterable[i.Sighting] = (), mark: int = 0
+) -> list[bytes]:
+    """Messages between gateways, each as long as the wire allows; sightings fill up the last one. The mark of
+    a policy is from 1 to 255; a gateway of an earlier version passes over a message with one."""
     packed = [
         WORD.pack(
             word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer | word.place << 1,
@@ -153,9 +157,10 @@
         )
         for word in words
     ]
-    most = (MESSAGE_BYTES - 1) // WORD.size
+    most = (MESSAGE_BYTES - 2) // WORD.size
     parts = [packed[n : n + most] for n in range(0, len(packed), most)]
-    messages = [bytes([MARK | len(part)]) + b"".join(part) for part in parts]
+    heads = [bytes([MARKED | len(part), mark] if mark else [MARK | len(part)]) for part in parts]
+    messages = [head + b"".join(part) for head, part in zip(heads, parts, strict=True)]
     seen = [
         SIGHTING.pack(seen.server, seen.class_index << 1 | seen.served,
                       round(min(1.0, seen.latency) * PARTS))
@@ -166,8 +171,15 @@
     return messages
 
 
+def mark_of(data: bytes) -> int:
+    """The mark of the policy that a message goes by; 0 for none."""
+    return data[1] if len(data) > 1 and data[0] & 0xF0 == MARKED else 0
+
+
 def unpack_message(data: bytes) -> tuple[tuple[i.Word, ...], tuple[i.Sighting, ...]]:
     """The words and sightings of a message; none where it is not of this version's form."""
+    if mark_of(data):
+        data = bytes([data[0] ^ MARKED ^ MARK]) + data[2:]
     end = 1 + (data[0] ^ MARK) * WORD.size if data else 0
     if not 1 < end <= len(data) <= MESSAGE_BYTES or (len(data) - end) % SIGHTING.size:
         return (), ()
--- a/fennelwinch/homes.py
+++ b/fennelwinch/homes.py
@@ -36,6 +36,18 @@
         in_set = (set_.me - key.set_first) % set_.gateways < key.set_size
         return 0 <= key.plan_index < len(set_.plans) and in_set
 
+    def move(self, moved: tuple[int, ...]) -> None:
+        """Other plans hold: each customer goes on under its own, by its number now; no plan, no customer."""
+        known, self.customers = self.customers.values(), {}
+        for customer in [one for one in known if moved[one.key.plan_index] >= 0]:
+            index = moved[customer.key.plan_index]
+            customer.go_under(self.desk.set.plans[index], index, self.desk.now)
+            self.customers[customer.key] = customer
+        for kept in (self.queues, self.renewals):
+            waiting = {one.key: one for one in kept.values() if one.key in self.customers}
+            kept.clear()
+            kept.update(waiting)
+
     def forget(self) -> None:
         while self.customers and self.desk.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -121,6 +121,8 @@
     conn_idle_us: int = 30_000_000  # how long a connection to a server may stand idle
     max_open: int = 0  # requests that a gateway may have open; 0 where somebody else sees to it
     max_open_bytes: int = 0  # what they may hold; the same
+    banned: frozenset[str] = frozenset()  # customers that are let in by nobody
+    mark: int = 0  # of the policy that these plans come of, in words to other gateways; 0 for none
 
 
 # --- what comes in ---
@@ -274,11 +276,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """A message from another gateway."""
+    """A message from another gateway, and the mark of the policy that its words go by."""
 
     sender: int
     words: tuple[Word, ...]
     sightings: tuple[Sighting, ...] = ()
+    mark: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +302,25 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class NewPolicy:
+    """Other plans, aims and bans hold from now on. `moved` has for each plan of before its number now, -1 for
+    one that is gone. Requests that were let in end by what held then."""
+
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    banned: frozenset[str]
+    mark: int
+    moved: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Bar:
+    """Nobody is to be let in, as it is not known which policy holds; or this is over."""
+
+    on: bool
+
+
 # --- a process that takes over from another, both of them one gateway for a while ---
 
 
@@ -427,8 +449,8 @@
 
 Event = (
     ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
-    | Maint | Survey | HandOver | State | TwinSpend | TwinSend | TwinEnd | TwinMaint | TwinGone
-    | TwinUnknown
+    | Maint | NewPolicy | Bar | Survey | HandOver | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
+    | TwinGone | TwinUnknown
 )
 
 
@@ -544,6 +566,13 @@
     ended: tuple[tuple[str, int], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Waited:
+    """For how many microseconds requests have waited here since this was told last, by what for."""
+
+    times: tuple[tuple[str, int], ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     """A line for those on call."""
@@ -553,5 +582,5 @@
 
 Action = (
     Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Tell | Count | Subscribe | FetchList | Log
-    | Ruling | Census | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
+    | Waited | Ruling | Census | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
 )
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -36,6 +36,17 @@
         gained = plan.ceiling_rate * max(0, time_us - left_us) / S
         self.ceiling = min(plan.ceiling_burst, gained) / self.size
 
+    def go_under(self, plan: i.Plan, index: int, now: int) -> None:
+        """Another plan holds for it: what is here stays the same part of the whole, of debts too, and what
+        was granted stays granted."""
+        old, self.plan, self.key = self.refill(now).plan, plan, self.key._replace(plan_index=index)
+        share, ceiling = (new / was if was else 0.0 for new, was in (
+            (plan.burst, old.burst), (plan.ceiling_burst, old.ceiling_burst)))
+        self.part, self.level, self.own = self.part * share, self.level * share, self.own * share
+        self.ceiling *= ceiling
+        if not self.at_home and self.shares_cap() and not self.left_us:
+            self.left_us = now + LEFT_US  # the home may count on it by the words of others
+
     def refill(self, now: int) -> "Customer":
         """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
         before, plan, part = self.at, self.plan, 1 / self.size
--- a/fennelwinch/records.py
+++ b/fennelwinch/records.py
@@ -48,6 +48,7 @@
         self.out: dict[int, int] = {}  # attempts out and when each was sent
         self.ran_on: Server | None = None  # where it may first have run, and since when
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
+        self.held_us = now  # since when it waits, for word of its quota or to be sent
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
         self.streams = False  # its value has begun to go to the client
 
--- a/fennelwinch/report.py
+++ b/fennelwinch/report.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
-from fennelwinch.records import S
+from fennelwinch.records import NEVER, Job, S
 
 if TYPE_CHECKING:
     from fennelwinch.rules import Gateway
@@ -34,6 +34,20 @@
                     words.dropped, tuple(sorted(gateway.ended.items())))
 
 
+def waits_for(gateway: "Gateway", job: Job) -> str:
+    """What a request that waits here waits for, by the names of the reasons for which requests are ended."""
+    customer, now = job.customer, gateway.desk.now
+    if job.decide_us < NEVER:
+        return "word"
+    if job.servers:
+        return "again"
+    if customer.plan.max_out and customer.at_open_cap(now):
+        return "open_cap"
+    if customer.plan.ceiling_rate and customer.ceiling < job.req.units:  # as it was last refilled
+        return "ceiling"
+    return "server" if gateway.allowance() else "cap"
+
+
 def held_for(gateway: "Gateway") -> str:
     """What the held requests that were never sent wait for, beside a server and the cap."""
     firsts = [job for _, _, job in gateway.held if not job.servers]
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -9,6 +9,7 @@
 import zlib
 from bisect import insort
 from collections import Counter
+from dataclasses import replace
 
 from fennelwinch import interface as i
 from fennelwinch import report
@@ -41,15 +42,18 @@
         self.jobs: dict[str, Job] = {}
         self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
         self.waits: list[Job] = []  # for word of their quota
+        self.ticked_us = 0
         self.alarm_us, self.serial = NEVER, itertools.count()
         self.tally: Counter[str] = Counter()  # why requests ended unserved, since the last line
         self.ended: Counter[str] = Counter()  # the same since the start
         self.logged_us = -1
+        self.barred = False  # whether nobody may be let in
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
         self.on = {
             i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
             i.ClientGone: self.on_end, i.StreamStarted: self.on_stream,
-            i.PeerMessage: self.on_peer, i.Survey: self.on_survey,
+            i.PeerMessage: self.on_peer, i.Survey: self.on_survey, i.NewPolicy: self.on_policy,
+            i.Bar: self.on_bar,
             i.ServerList: self.membership.on_list, i.Maint: self.membership.on_maint,
             i.TwinMaint: self.membership.leave_out,
             i.HandOver: lambda _: self.twin.hand_over(self.jobs.values()), i.State: self.twin.on_state,
@@ -86,6 +90,7 @@
         self.alarm_us = NEVER
         while self.desk.now - self.cap.period_us >= self.cap.cc_us:
             self.end_period()
+        self.tell_waits()
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
@@ -112,17 +117,21 @@
         key = i.Key(zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
         customer = self.homes.customer(key)
         job = self.jobs[req.id] = Job(req, self.set.classes[req.class_index], customer, self.desk.now)
-        crowded = self.crowded(req)
+        why = self.shut_out(req)
         self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size
-        if crowded:
-            self.end(job, "crowded")
+        if why:
+            self.end(job, why)
         elif not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
-    def crowded(self, req: i.Request) -> bool:
-        """Whether as much is open as may be: it can be told to come again, where time would only run out."""
-        bytes_left = self.set.max_open_bytes - self.open_bytes
-        return (0 < self.set.max_open <= self.open) or (self.set.max_open_bytes > 0 and bytes_left < req.size)
+    def shut_out(self, req: i.Request) -> str:
+        """Why it is not looked at further, if so. Where as much is open as may be it can be told to come
+        again, while time would only run out for it here."""
+        set_, bytes_left = self.set, self.set.max_open_bytes - self.open_bytes
+        if self.barred or req.customer in set_.banned:
+            return "policy" if self.barred else "banned"
+        full = (0 < set_.max_open <= self.open) or (set_.max_open_bytes > 0 and bytes_left < req.size)
+        return "crowded" if full else ""
 
     def admit(self, job: Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
@@ -151,7 +160,16 @@
                 self.cap.signals["latency"] += [seen.latency] if seen.served or seen.latency else []
                 aim_us = self.set.classes[seen.class_index].aim_us
                 self.routing.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
-        self.homes.hear(message.sender, message.words, self.answered)
+        if message.mark == self.set.mark:  # by another policy their amounts mean something else
+            self.homes.hear(message.sender, message.words, self.answered)
+
+    def on_policy(self, told: i.NewPolicy) -> None:
+        self.set = self.desk.set = replace(self.set, classes=told.classes, plans=told.plans,
+                                           banned=told.banned, mark=told.mark)
+        self.homes.move(told.moved)
+
+    def on_bar(self, told: i.Bar) -> None:
+        self.barred = told.on
 
     def answered(self, customer: Customer | None) -> None:
         self.end_waits(customer)
@@ -186,7 +204,16 @@
 
     # --- requests that are held, and attempts ---
 
+    def tell_waits(self) -> None:
+        """What the requests that wait here have waited for since the last tick, all of them together."""
+        waited, last, self.ticked_us = Counter[str](), self.ticked_us, self.desk.now
+        for job in [*self.waits, *[job for _, _, job in self.held if not job.over]]:
+            waited[report.waits_for(self, job)] += self.ticked_us - max(last, job.held_us)
+        if waited:
+            self.desk.actions.append(i.Waited(tuple(sorted(waited.items()))))
+
     def hold(self, job: Job) -> None:
+        job.held_us, job.decide_us = self.desk.now, NEVER
         insort(self.held, (-job.worth, next(self.serial), job))
 
     def holds(self, customer: Customer) -> bool:
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -60,6 +60,11 @@
 def main() -> int:
     try:
         config = load(os.environ)
+        if sys.argv[1:] == ["--check"]:
+            print(f"molereach: {describe(config)}")
+            return 0
+        if sys.argv[1:]:
+            raise ConfigError(f"'{sys.argv[1]}' is no option; there is --check")
         run(config)
     except ConfigError as error:
         print(f"molereach: {error}", file=sys.stderr)
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -3,9 +3,10 @@
 import ipaddress
 import json
 import os
+import re
 import socket
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -19,12 +20,34 @@
 LEAST_MEMORY_MB, MOST_MEMORY_MB = 32, 1 << 20
 MOST_SOCKETS, MOST_OPEN, MOST_US = 1 << 20, 1 << 24, 24 * 3600 * 1_000_000
 MOST_AMOUNT = 1e9  # as the counter's
+DIGEST, MOST_NUMBER = re.compile(r"[0-9a-f]{16}"), 1 << 53  # of a policy's document; of a decision
 
 
 class ConfigError(Exception):
     """The environment or the configuration is not usable; the text is one plain line."""
 
 
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Which policy the settings' plans, aims and bans come of: whoever keeps the file says so.
+
+    The number of the decision that it is gone by for, its document's digest ("" for the door's own), for
+    how long discovery may be silent, and until when it holds by this machine's monotonic clock (0: no end).
+    """
+
+    number: int
+    digest: str
+    silent_s: float
+    until_us: int = 0
+
+    def mark(self) -> int:
+        """For words to other front doors: what tells it from the few that hold one after another."""
+        return 1 + self.number % 255
+
+    def shown(self) -> str:
+        return f"policy {self.number} {self.digest or '-'}"
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """The front door's own address, whom it talks to, its limits and the module's settings."""
@@ -48,6 +71,8 @@
     management: Address | None = None
     socket_fd: int | None = None  # the clients' listening socket, where the platform holds it
     shared: Path | None = None  # the directory that it shares with its successor
+    policy: Policy | None = None  # that it was put under, if any
+    traces_policy: bool = False  # whether each answer is logged with the policy that it was let in by
 
 
 def describe(config: Config) -> str:
@@ -141,6 +166,18 @@
             within(f"plans.{number}.{name}", value, 0, MOST_AMOUNT)
 
 
+def read_policy(value: object) -> Policy | None:
+    if value is None:
+        return None
+    pairs = Pairs(dict(flatten(value)))
+    digest = pairs.text("digest")
+    if digest and not DIGEST.fullmatch(digest):
+        raise ConfigError(f"policy.digest is '{digest:.40}', not 16 hex digits")
+    return Policy(bounded(pairs, "number", 0, 0, MOST_NUMBER), digest,
+                  bounded(pairs, "silent_ms", 5000, 1000, 600_000) / 1000,
+                  bounded(pairs, "until_us", 0, 0, MOST_NUMBER))
+
+
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings = values["settings"]
     pairs = Pairs(dict(flatten(settings)))
@@ -167,7 +204,11 @@
         management=read_address(management) if management else None,
         socket_fd=read_descriptor(env["PROXY_SOCKET_FD"]) if env.get("PROXY_SOCKET_FD") else None,
         shared=Path(env["TMPDIR"]) if env.get("TMPDIR") else None,
+        policy=read_policy(values.get("policy")),
+        traces_policy=values.get("trace_policy") is True,
     )
+    if config.policy:
+        config = replace(config, settings=replace(config.settings, mark=config.policy.mark()))
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
     check(config.settings)
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -105,7 +105,8 @@
         self.target, self.host, self.line = target, host, line
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
-        self.heard, self.brought = time.monotonic(), False  # when anything came last; whether a line did
+        self.heard, self.alive = time.monotonic(), False  # when anything came last, if it did
+        self.brought = False  # whether a line did
         self.ended = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
 
@@ -115,7 +116,7 @@
         transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
 
     def data_received(self, data: bytes) -> None:
-        self.heard = time.monotonic()
+        self.heard, self.alive = time.monotonic(), True
         was = self.account.enter(Place.DISCOVERY)
         try:
             self.http.receive_data(data)
@@ -166,6 +167,7 @@
         self.least_s = max(BACKOFF_S, CALL_S * doors / 2)
         self.backoff_s = self.least_s
         self.connection: WatchConnection | None = None
+        self.last_s = time.monotonic()  # when anything came of a watch before this one; our start, if nothing
 
     def move(self, address: Address) -> None:
         """Watch at another address from now on; what the old one has told still holds."""
@@ -175,6 +177,12 @@
             if self.connection:
                 self.connection.close()
 
+    def heard_s(self) -> float:
+        """When discovery last gave a sign of life."""
+        if self.connection and self.connection.alive:
+            self.last_s = max(self.last_s, self.connection.heard)
+        return self.last_s
+
     def line(self, line: bytes) -> None:
         """A whole line. Where it fails, the version stays, and the next watch brings it again."""
         news = self.catalog.news(json.loads(line))
@@ -215,5 +223,6 @@
                 await asyncio.wait([connection.ended], timeout=left)
             return False
         finally:
+            self.heard_s()
             self.connection = None
             connection.close()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -47,6 +47,7 @@
 from molereach.logs import LogWriter
 from molereach.management import Answer, Calls, Management
 from molereach.peers import Peers
+from molereach.policy import Watchfulness
 from molereach.waiting import Line, Waits, oldest
 from molereach.waiting import figures as waiting_figures
 
@@ -74,10 +75,11 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "reply", "stream", "timer")
+    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "policy", "reply", "stream", "timer")
 
-    def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
+    def __init__(self, command: Command, reply: Reply, end_us: int, policy: str = "") -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
+        self.policy = policy  # that it is let in by, where that is to be logged
         self.came_us = end_us - command.request.left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
@@ -93,6 +95,7 @@
         self.bounds = replace(config.settings, max_open=config.max_open, max_open_bytes=most_bytes)
         self.gateway = Gateway(self.bounds)
         self.held_waits = Waits()
+        self.waited: Counter[str] = Counter()  # microseconds, by what requests waited for
         self.inbox: list[i.Event] = []
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
@@ -136,11 +139,14 @@
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, config.settings.seed,
             config.settings.gateways, self.account)
+        self.peers.mark = config.settings.mark
+        self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
             i.Send: (Place.BACKENDS, self.send), i.Cancel: (Place.BACKENDS, self.cancel),
             i.Refuse: (Place.CLIENTS, self.refuse), i.Fail: (Place.CLIENTS, self.fail),
             i.SetTimer: (Place.MODULE, self.set_timer), i.Tell: (Place.PEERS, self.peers.tell),
             i.Log: (Place.LOG, self.log_line),
+            i.Waited: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
             i.CloseIdle: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
             **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), (Place.PEERS, self.tell_twin)),
             # The watch is always on.
@@ -162,6 +168,7 @@
 
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
+        self.watchful.begin(barred=True)
         if self.config.management:
             await self.management.start(*self.config.management)
         self.log_later()
@@ -259,9 +266,36 @@
             self.twin.tell(action)
 
     def reload(self, config: Config) -> None:
-        """Take over what may change while it runs: the address of discovery."""
+        """Take over what may change while it runs: the address of discovery, and the policy it is under."""
         log.info("read the configuration again; discovery is at %s:%d", *config.discovery)
         self.discovery.move(config.discovery)
+        if config.policy and config.policy != self.config.policy:
+            self.go_by(config)
+
+    def go_by(self, config: Config) -> None:
+        """Another policy's plans, aims and bans from the next request on; all else stays as it is."""
+        if config.class_numbers != self.config.class_numbers:
+            log.error("kept the old policy: the new file has other classes")
+            return
+        names = {number: name for name, number in self.config.plan_numbers.items()}
+        moved = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
+        new = config.settings
+        self.settings = replace(self.settings, classes=new.classes, plans=new.plans, banned=new.banned,
+                                mark=new.mark)
+        self.run_batch()  # what has come so far was let in by the old
+        self.post(i.NewPolicy(new.classes, new.plans, new.banned, new.mark, moved))
+        self.run_batch()
+        self.config = replace(self.config, settings=self.settings, plan_numbers=config.plan_numbers,
+                              policy=config.policy, traces_policy=config.traces_policy)
+        self.parser = CommandParser(self.config)
+        self.peers.mark, self.watchful.told = new.mark, config.policy
+        self.watchful.begin(barred=False)
+        log.info("goes by %s", config.policy.shown())
+
+    def bar(self, on: bool) -> None:
+        """Whether nobody may be let in by now: the module refuses whoever comes."""
+        self.post(i.Bar(on))
+        self.clients.welcome = not on and self.leaving is None and not self.ending
 
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
@@ -322,10 +356,12 @@
     # --- calls of operators ---
 
     def serving(self) -> bool:
-        return self.ready and not self.ending and not self.replaced and self.leaving is None
+        up = self.ready and not self.ending and not self.replaced
+        return up and self.leaving is None and not self.watchful.barred
 
     def health(self) -> Answer:
-        return (200, "serves") if self.serving() else (503, "takes no new clients")
+        status, text = (200, "serves") if self.serving() else (503, "takes no new clients")
+        return status, text + self.watchful.shown()
 
     def stats(self) -> Answer:
         census = self.ask(i.Survey())
@@ -369,6 +405,8 @@
         census = self.ask(i.Survey())
         reasons = {f'reason="{why}"': count for why, count in census.ended}
         return waiting_figures(self.lines(census)) + "".join([
+            page("held_seconds_total", "counter", "Time that requests waited unsent, by what for.",
+                 {f'reason="{why}"': us / 1e6 for why, us in sorted(self.waited.items())}),
             page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", reasons),
             page("malformed_total", "counter", "What clients sent that is no request.",
                  {'what="command"': self.clients.malformed, 'what="stream"': self.clients.unreadable}),
@@ -417,7 +455,7 @@
 
     def leave_service(self) -> Answer:
         if self.leaving is None and not self.ending:
-            log.info("takes no new clients, by call")
+            log.info("takes no new clients, by call, at %d us", now_us())
             self.clients.welcome = False
             self.leaving = self.loop.create_task(self.empty())
         return 200, "takes no new clients"
@@ -431,12 +469,16 @@
         self.clients.drain()
         await asyncio.sleep(called_s + LAST_READ_S - self.loop.time())
         self.clients.read_no_more()
+        if self.watchful.told:  # whoever comes all the same would be let in by a policy that may hold no more
+            self.watchful.bar("it was emptied")
 
     def enter_service(self) -> Answer:
         if self.ending:
             return 409, "the program is ending"
+        if not self.watchful.lift():
+            return 409, self.watchful.lacks(self.loop.time()) or "its policy may hold no more"
         if self.leaving is not None:
-            log.info("takes clients again, by call")
+            log.info("takes clients again, by call, at %d us", now_us())
             self.leaving.cancel()
             self.leaving = None
             self.clients.take_again()
@@ -513,12 +555,14 @@
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
+        self.watchful.look()
         command = self.parser.parse(words, ANSWER_MARGIN_US)
         request = command.request
         if request.id in self.open or request.id in self.ended:
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
             raise CommandError("this id is in use")
-        exchange = Exchange(command, reply, now_us() + request.left_us)
+        told = self.config.policy if self.config.traces_policy and not self.watchful.barred else None
+        exchange = Exchange(command, reply, now_us() + request.left_us, told.digest or "-" if told else "")
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
@@ -603,8 +647,7 @@
 
     def end_stream(self, name: str, good: bool) -> None:
         exchange = self.settle(name)
-        how = Ended.ANSWERED if good else Ended.ERRORED
-        self.figures.note(self.class_names[exchange.command.request.class_index], how)
+        self.note(exchange, Ended.ANSWERED if good else Ended.ERRORED)
         if good:
             exchange.reply.send(b"\r\n")
         else:
@@ -625,9 +668,16 @@
 
     def answer(self, name: str, data: bytes, how: Ended) -> None:
         if exchange := self.settle(name):
-            self.figures.note(self.class_names[exchange.command.request.class_index], how)
+            self.note(exchange, how)
             exchange.reply.send(data)
 
+    def note(self, exchange: Exchange, how: Ended) -> None:
+        request = exchange.command.request
+        self.figures.note(self.class_names[request.class_index], how)
+        if exchange.policy:
+            log.info("request %s %s by policy %s, taken at %d us", request.id, how, exchange.policy,
+                     exchange.came_us)
+
     def settle(self, name: str) -> Exchange | None:
         """The request is owed nothing more; None if that is so already."""
         exchange = self.open.pop(name, None)
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from fennelwinch import interface as i
-from fennelwinch.codec import pack_message, unpack_message
+from fennelwinch.codec import mark_of, pack_message, unpack_message
 from molereach.account import Account, Place
 from molereach.config import Address
 from molereach.waiting import Waits
@@ -21,6 +21,7 @@
     ) -> None:
         self.account = account or Account()
         self.addresses, self.me, self.heard = addresses, me, heard
+        self.mark = 0  # of the policy that our words go by
         self.senders = {address: number for number, address in enumerate(addresses) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
         self.waits, self.clogged = Waits(), False
@@ -43,7 +44,7 @@
             return
         words, sightings = unpack_message(data)
         if words:
-            self.heard(i.PeerMessage(sender, words, sightings))
+            self.heard(i.PeerMessage(sender, words, sightings, mark_of(data)))
         else:
             self.malformed += 1
 
@@ -61,7 +62,7 @@
         if self.clogged:
             self.dropped += 1
         elif self.transport and action.peer != self.me and action.peer < len(self.addresses):
-            for data in pack_message(action.words, action.sightings):
+            for data in pack_message(action.words, action.sightings, self.mark):
                 self.transport.sendto(data, self.addresses[action.peer])
 
     def close(self) -> None:
