Trials of policies: changes and undoings under faults, two checks, every let-in in the door's log

Change: plan `policy` (4 doors with agents, 2 stewards, a list service and its follower); kinds "policy" and "undo"; checks "policies" (never by one that was not decided, never two for longer than a switch may take) and "promises" (ready before the decision; all alike in the end). A client whose request crossed the closing of a door that was held out was taken for lost.

--- a/orchidhatch/trial/events.py
+++ b/orchidhatch/trial/events.py
@@ -1,6 +1,7 @@
 """What the processes of a trial did: lines with the machine's monotonic time, gathered into SQLite."""
 
 import os
+import re
 import sqlite3
 import time
 from collections.abc import Iterable, Iterator
@@ -15,6 +16,8 @@
 ) STRICT;
 """
 Told = dict[str, Any]
+LET_IN = re.compile(r"request (\S+) (\w+) by policy (\S+), taken at (\d+) us")
+EMPTIED = re.compile(r"takes (no new clients|clients again), by call, at (\d+) us")
 
 
 class Event(msgspec.Struct, frozen=True, array_like=True):
@@ -49,6 +52,20 @@
     for path in sorted(folder.glob("*.events")):
         for line in path.read_bytes().split(b"\n")[:-1]:
             yield decoder.decode(line)
+    for path in sorted(folder.glob("door-*/log")):
+        yield from read_log(path.parent.name, path)
+
+
+def read_log(door: str, path: Path) -> Iterator[Event]:
+    """What a door's own log says of policies: by which one a request was let in, and when it took no more."""
+    with path.open(errors="replace") as lines:
+        for line in lines:
+            if found := LET_IN.search(line):
+                yield Event(int(found[4]) * 1000, door, "let-in", found[1],
+                            {"how": found[2], "policy": found[3]})
+            elif found := EMPTIED.search(line):
+                what = "emptied" if found[1].startswith("no") else "filled"
+                yield Event(int(found[2]) * 1000, door, what, door, {})
 
 
 def gather(folder: Path, into: Path) -> sqlite3.Connection:
--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/trial/fleet.py
@@ -129,7 +129,7 @@
         more = ["--clock", str(self.folder / f"{name}.clock")] if name in self.clocked else []
         if self.plant and fnmatchcase(name, PLANTS[self.plant].who):
             more += ["--plant", self.plant]
-        if self.plan.stewards and name.startswith("registry-"):
+        if (self.plan.stewards or self.plan.policy) and name.startswith("registry-"):
             more += ["--record", str(self.folder), "--name", name]
         return ["orchidhatch.trial.stepped", *more] if more else []
 
@@ -165,7 +165,13 @@
         self.add(name, "orchidhatch.agent", "--listen", shown(self.at[name]), *registries,
                  "--cache", self.folder / name / "cache.db",
                  *(["--door", shown(self.over[f"{name}>door-{number}"])] if self.plan.doors else []),
-                 ready=lambda: self.answers(name))
+                 *(self.keeping(number) if self.plan.policy else []), ready=lambda: self.answers(name))
+
+    def keeping(self, number: int) -> list[object]:
+        """How an agent is told of the door that it keeps to the policy."""
+        folder = self.folder / f"door-{number}"
+        return ["--name", f"door-{number}", "--zone", ZONES[number % 3], "--config", folder / "config.json",
+                "--pid", folder / "pid", "--check", f"{sys.executable} -m molereach --check"]
 
     def add_steward(self, number: int) -> None:
         name = f"steward-{number}"
@@ -223,12 +229,16 @@
         command = door_command()
         if words := self.launched(name):
             command = [sys.executable, "-m", *words, "molereach.__main__"]
-        self.add_command(name, command, ready=lambda: self.answers(f"{name} management", 200), env=env,
+        # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
+        good = 0 if self.plan.policy else 200
+        self.add_command(name, command, ready=lambda: self.answers(f"{name} management", good), env=env,
                          prepare=lambda: self.write_config(number))
 
     def write_config(self, number: int) -> None:
-        """As DEPLOY's page has it; anew at each start, with a seed of its own."""
+        """As DEPLOY's page has it; anew at each start, with a seed of its own, unless an agent keeps it."""
         name, folder = f"door-{number}", self.folder / f"door-{number}"
+        if self.plan.policy and (folder / "config.json").exists():
+            return
         (folder / "tmp").mkdir(exist_ok=True)
         for left in (folder / "tmp").iterdir():
             left.unlink()
@@ -240,7 +250,7 @@
             "discovery": shown(self.over[f"{name}>agent-{number}"]),
             "seed": f"{seed:016x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": shown(self.at[f"{name} peers"]), "peers": peers, "known": None,
-            "settings": settings_of(self.plan, number),
+            "settings": settings_of(self.plan, number), "trace_policy": self.plan.policy,
         }
         (folder / "config.json").write_text(json.dumps(values))
 
@@ -283,12 +293,29 @@
         for number in range(plan.stewards):
             self.add_steward(number)
         await self.processes.start(*(f"steward-{n}" for n in range(plan.stewards)))
+        if plan.policy:
+            await self.wait_kept()
         self.start_ns = time.monotonic_ns() + round(HEAD_START_S * 1e9)
         if plan.doors and plan.load.customers:
             self.add_clients()
             await self.processes.start("clients")
         self.recorder.note("begins", "trial", start_ns=self.start_ns)
 
+    async def wait_kept(self) -> None:
+        """Until all doors are kept by their agents, and serve."""
+        try:
+            async with asyncio.timeout(READY_S):
+                while True:
+                    status, told, _ = await call(self.at["registry-0"], "GET", "/doors")
+                    sure = status == 200 and told["sure"]
+                    kept = [door for door in told["doors"] if door.get("serves")
+                            and door["number"] == told["now"]["number"]] if sure else ()
+                    if len(kept) == self.plan.doors:
+                        return
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            raise TrialError(f"the doors are not kept to a policy within {READY_S:g} s") from None
+
     async def wait_listed(self, name: str) -> None:
         """Until all backends are in the list there."""
         try:
--- a/orchidhatch/trial/forms.py
+++ b/orchidhatch/trial/forms.py
@@ -20,7 +20,7 @@
 Few = Annotated[int, Meta(ge=0, le=MOST_PROCESSES)]
 WAY_KINDS = ("delay", "loss", "double", "turn", "slow", "cut", "hold", "reset", "mute")
 Kind = Literal["kill", "term", "stop", "full", "old", "clock", "delay", "loss", "double", "turn", "slow",
-               "cut", "hold", "reset", "mute", "promote", "drain", "replace"]
+               "cut", "hold", "reset", "mute", "promote", "drain", "replace", "policy", "undo"]
 
 
 class PlanError(Exception):
@@ -36,7 +36,8 @@
 
     `who` is a process (door-0) or a way from one to another (door-0>backend-3). `size` is in the kind's unit:
     seconds of delay or of a clock's step, a share of datagrams, bytes a second, bytes that a file may have;
-    of a drain, seconds after which the stewards are to end it.
+    of a drain, seconds after which the stewards are to end it; of a change of policy, by how much the quotas
+    of customers without an open cap or a ceiling grow.
     """
 
     at: Seconds
@@ -116,6 +117,8 @@
     served: Share = 0.0  # of the requests, at least
     beyond_cap: Share = 0.05  # of the attempts of customers with an open cap, at most
     tasks_done: bool = False  # all that the stewards were asked for, by the end
+    doors_alike: bool = False  # all doors serve by the last policy that was decided, by the end
+    switch_s: Seconds = 0.5  # for which two policies may be gone by at once
 
 
 class Plan(Form, kw_only=True):
@@ -124,6 +127,7 @@
     seconds: Annotated[float, Meta(gt=0, le=600)]
     doors: Few = 0
     stewards: Few = 0
+    policy: bool = False  # whether agents keep the doors to the policy that holds
     registries: Annotated[int, Meta(ge=1, le=5)] = 1
     backends: Backends = Backends()
     load: Load = Load()
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -101,6 +101,10 @@
         self.ends: dict[str, list[Event]] = defaultdict(list)
         for event in of(db, "end"):
             self.ends[event.about].append(event)
+        self.emptied: dict[str, list[int]] = defaultdict(list)  # from when until when, in turn
+        for event in of(self.db, "emptied", "filled"):
+            if (event.what == "filled") == (len(self.emptied[event.who]) % 2):
+                self.emptied[event.who].append(event.at_ns)
         self.attempts = list(self.read_attempts())
         self.by_request: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in self.attempts:
@@ -110,7 +114,7 @@
         self.speed()
         for check in (self.exits, self.answers, self.overlaps, self.drains, self.caps, self.ceilings,
                       self.writes, self.generations, self.forms, self.owners, self.effects,
-                      self.tasks, self.gaps):
+                      self.tasks, self.gaps, self.policies, self.promises):
             check()
         self.figures()
         return self.verdict
@@ -187,7 +191,9 @@
         how, text, door = end.told["how"], end.told["text"], f"door-{ask.told['door']}"
         if how == "served" and text.rpartition(":")[2] != request:
             self.broke("answers", request, f"served with the value of another: {text}")
-        if how == "closed" and not excused:
+        emptied = bisect.bisect(self.emptied[door], ask.at_ns) % 2 or bisect.bisect(
+            self.emptied[door], end.at_ns) % 2
+        if how == "closed" and not (excused or emptied):
             self.broke("answers", request, f"{door} closed its connection without an answer {text}")
         late = end.at_ns - ask.at_ns - self.plan.load.patience_ms * MS - GRACE_NS - WIDER_NS
         if late > 0 and not (excused or stood):
@@ -369,6 +375,62 @@
         for kind, gaps in found.items():
             self.verdict.figures[f"ownerless_{kind}_s"] = round(statistics.median(gaps), 3)
 
+    # --- policies ---
+
+    def policies(self) -> None:
+        """No request is let in by a policy that was never decided, and no two policies are gone by at once
+        for longer than a switch may take."""
+        decisions = [event for event in of(self.db, "decided")]
+        ins = of(self.db, "let-in")
+        since: dict[str, int] = {}
+        for event in decisions:
+            since.setdefault(event.about, event.at_ns)
+        for event in ins:
+            if event.told["policy"] != "-" and event.at_ns < since.get(event.told["policy"], 1 << 62):
+                self.broke("policies", event.about,
+                           f"{event.who} let it in by {event.told['policy']}, which was not decided by then")
+        steps = [step for step in itertools.pairwise(decisions) if step[0].about != step[1].about]
+        if decisions and decisions[0].about != "-":
+            steps.insert(0, (Event(0, "trial", "decided", "-", {}), decisions[0]))
+        windows = [self.switch(old, new, following, ins) for (old, new), following in
+                   itertools.zip_longest(steps, [event for _, event in steps[1:]])]
+        if found := [window for window in windows if window is not None]:
+            self.verdict.figures["switch_window_s"] = round(max(found), 4)
+        self.verdict.figures["decisions"] = len(steps)
+
+    def switch(self, old: Event, new: Event, following: Event | None, ins: list[Event]) -> float | None:
+        """How long requests were still let in by the old one after the first by the new one, in seconds;
+        None where nobody was by either. What comes once the decision after it may be in force is left out."""
+        until = following.at_ns + following.told["now"]["moveMs"] * MS if following else self.last_ns + 1
+        after = [event for event in ins if new.at_ns <= event.at_ns < until]
+        first = next((event for event in after if event.told["policy"] == new.about), None)
+        late = [event for event in after if first and event.told["policy"] != new.about
+                and event.at_ns > first.at_ns]
+        if not first:
+            return None
+        window_s = max((event.at_ns - first.at_ns for event in late), default=0) / S
+        if window_s > self.plan.holds.switch_s:
+            last = max(late, key=lambda event: event.at_ns)
+            self.broke("policies", last.about, f"{last.who} let it in by {last.told['policy']} "
+                       f"{window_s:.3f} s after {first.who} let {first.about} in by {new.about}")
+        return window_s
+
+    def promises(self) -> None:
+        """An owner decides only once every door that may serve is ready; and in the end all go by it."""
+        for event in of(self.db, "decided"):
+            now = event.told["now"]
+            if not now["change"]:
+                continue  # decided once more by the list service itself, by what was decided before
+            for door in event.told["doors"]:
+                if door["state"] != "absent" and now["digest"] not in door.get("ready", ()):
+                    self.broke("promises", event.about, f"decided while {door['name']} was not ready")
+        for event in of(self.db, "door"):
+            if self.plan.holds.doors_alike and not event.told["alike"]:
+                self.broke("promises", event.about,
+                           f"does not serve by the last policy: {event.told['told']}")
+        if self.plan.holds.doors_alike and not of(self.db, "door"):
+            self.broke("promises", "trial", "no list service knows which policy holds in the end")
+
     # --- processes ---
 
     def exits(self) -> None:
--- a/orchidhatch/trial/processes.py
+++ b/orchidhatch/trial/processes.py
@@ -54,6 +54,7 @@
                 [*LAUNCH, str(os.getpid()), *self.command], cwd=ROOT, env={**os.environ, **self.env},
                 stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         self.descriptor = os.pidfd_open(self.child.pid)  # not reaped before: the number is still its own
+        (self.folder / "pid").write_text(str(self.child.pid))
         self.due = True
         self.ended.clear()
         asyncio.get_running_loop().add_reader(self.descriptor, self.has_ended)
--- a/orchidhatch/trial/stepped.py
+++ b/orchidhatch/trial/stepped.py
@@ -35,9 +35,11 @@
 
 def record_effects(name: str, folder: Path) -> None:
     """Each write in a claim's name that was carried out, as its store shows it to readers."""
+    from orchidhatch.policy.doors import NOW, Doors
     from orchidhatch.store import Batch, Store
 
     recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
+    wrote = Doors.wrote
 
     def planned(self: Store, writes: Sequence[Any]) -> Batch:
         batch = plan(self, writes)
@@ -54,7 +56,12 @@
                 recorder.note("effect", name, claim=fence.claim, epoch=fence.epoch, act=act, on=about,
                               term=self.term, text=getattr(write, "text", "")[:300])
 
-    Store.plan, Store.take = planned, taken
+    def decided(self: Doors, outcomes: Sequence[Any]) -> None:
+        wrote(self, outcomes)
+        if any(getattr(outcome, "name", "") == NOW for outcome in outcomes):
+            recorder.note("decided", self.now()["digest"] or "-", now=self.now(), doors=self.all()["doors"])
+
+    Store.plan, Store.take, Doors.wrote = planned, taken, decided
 
 
 def main() -> None:
--- a/orchidhatch/trial/timeline.py
+++ b/orchidhatch/trial/timeline.py
@@ -8,11 +8,13 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 from orchidhatch import tasks
 from orchidhatch.calls import call
+from orchidhatch.policy import change, doors, form
 from orchidhatch.trial.fleet import Fleet
-from orchidhatch.trial.forms import WAY_KINDS, Fault, matching
+from orchidhatch.trial.forms import WAY_KINDS, Customers, Fault, matching
 from orchidhatch.trial.processes import Process, TrialError
 from orchidhatch.trial.relay import Way
 
@@ -25,6 +27,9 @@
 STORE = {"registry": "list.db", "agent": "cache.db"}
 
 
+NONE: dict[str, Any] = {"now": {"term": 0}}  # what no list service at all tells of the doors
+
+
 class Timeline:
     """What is done to a fleet, and when."""
 
@@ -52,6 +57,8 @@
             await self.fleet.processes["clients"].ended.wait()
         await asyncio.sleep(SETTLE_S)
         await self.wait_tasks()
+        if plan.policy:
+            await self.read_doors()
         await self.read_lists()
         if polling:
             polling.cancel()
@@ -63,7 +70,8 @@
         else:
             acts: dict[str, Callable[[Fault, Process], Awaitable[None]]] = {
                 "kill": self.end, "term": self.end, "stop": self.stop, "full": self.fill, "old": self.go_back,
-                "clock": self.step, "promote": self.promote, "drain": self.drain, "replace": self.replace}
+                "clock": self.step, "promote": self.promote, "drain": self.drain, "replace": self.replace,
+                "policy": self.propose, "undo": self.undo}
             names = matching(fault.who, list(self.fleet.processes.all))
             await asyncio.gather(*[self.on_process(fault, name, acts[fault.kind]) for name in names])
 
@@ -204,6 +212,68 @@
                 return
             await asyncio.sleep(ASK_S)
 
+    # --- policies ---
+
+    async def propose(self, fault: Fault, process: Process) -> None:
+        """Other quotas for customers whose open caps and ceilings the checks do not reckon by."""
+        plans = tuple(form.Plan(
+            name=one.plan, units_per_s=one.rate * (1 if limited(one) else fault.size),
+            burst=one.burst * (1 if limited(one) else fault.size), max_out=one.max_out,
+            never_over_rate=one.ceiling_rate, hard_burst=one.ceiling_burst)
+            for one in self.fleet.plan.load.customers)
+        policy = form.Policy(plans=plans)
+        await self.ask_policy(policy.digest(), policy.text())
+
+    async def undo(self, fault: Fault, process: Process) -> None:
+        for number in range(self.fleet.plan.registries):
+            status, told, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
+            if status == 200 and told["sure"] and told["now"]["before"]:
+                await self.ask_policy(told["now"]["before"], "")
+
+    async def ask_policy(self, digest: str, text: str) -> None:
+        """As an operator would, within a bound: not while another change is open."""
+        until = self.now_s() + TASKS_S
+        for at in itertools.cycle(range(self.fleet.plan.registries)):
+            if self.now_s() > until:
+                return
+            status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", "/records")
+            if status == 200:
+                found, version = change.change_of(told["records"])
+                if found and not found["done"]:
+                    self.recorder.note("refused", digest, why=f"{found['digest']} is {found['state']}")
+                    return
+                if text and not await self.write(digest, "POST", f"/records/{doors.DOCUMENT}{digest}",
+                                                 {"text": text}):
+                    continue
+                task = change.ask(digest, "trial", "a trial")
+                if await self.write(digest, "POST", f"/records/{doors.CHANGE}",
+                                    {"text": json.dumps(task), "ifVersion": version}):
+                    self.recorder.note("asked", digest, id=task["id"])
+                    self.asked.add(doors.CHANGE)
+                    return
+            await asyncio.sleep(ASK_S)
+
+    async def read_doors(self) -> None:
+        """How each door is in the end, once all had their time, by the list service of the highest term."""
+        until, found = time.monotonic() + TASKS_S, dict[str, Any]()
+        while time.monotonic() < until:
+            found = {}
+            for number in range(self.fleet.plan.registries):
+                status, told, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
+                if status == 200 and told["sure"] and told["now"]["term"] > (found or NONE)["now"]["term"]:
+                    found = told
+            if found and all(self.goes_by(door, found) for door in found["doors"]):
+                break
+            await asyncio.sleep(ASK_S)
+        for door in found.get("doors", ()):
+            self.recorder.note("door", door["name"], alike=self.goes_by(door, found), told=door,
+                               now=found["now"])
+
+    @staticmethod
+    def goes_by(door: dict[str, Any], found: dict[str, Any]) -> bool:
+        by_it = door.get("has") == found["now"]["digest"]
+        return by_it and bool(door.get("serves")) and door["state"] == "present"
+
     async def poll_claims(self) -> None:
         """Who holds what, as the list service of the highest term tells it."""
         known: dict[str, object] = {}
@@ -228,7 +298,8 @@
             for number in range(self.fleet.plan.registries):
                 status, value, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/records")
                 told += value["records"] if status == 200 else []
-            done = {one["name"] for one in told if json.loads(one["text"]).get("done")}
+            done = {one["name"] for one in told
+                    if one["name"] in self.asked and json.loads(one["text"])["done"]}
             if done >= self.asked or time.monotonic() > until:
                 for name in sorted(self.asked):
                     self.recorder.note("task", name, done=name in done)
@@ -287,6 +358,10 @@
                                    generation=told["generation"] if status == 200 else 0)
 
 
+def limited(customers: Customers) -> bool:
+    return bool(customers.max_out or customers.ceiling_rate)
+
+
 def copy_store(store: Path, into: Path) -> None:
     """A store at rest: the file and its log, in place of what is there."""
     into.mkdir(exist_ok=True)
