--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/trial/fleet.py
@@ -150,6 +150,14 @@
         status, _, _ = await call(self.at[name], "GET", "/healthcheck", within_s=0.5)
         return status == good if good else status != 0
 
+    async def listens(self, name: str) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(*self.at[name])
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     def add_registry(self, number: int) -> None:
         name = f"registry-{number}"
         others = [f"{name}>registry-{n}" for n in range(self.plan.registries) if n != number]
@@ -204,12 +212,7 @@
         file = self.folder / f"{name}.json"
 
         async def ready() -> bool:
-            try:
-                _, writer = await asyncio.open_connection(*self.at[name])
-            except OSError:
-                return False
-            writer.close()
-            return True
+            return await self.listens(name)
 
         file.write_bytes(msgspec.json.encode(settings))
         self.add(name, "orchidhatch.trial.backend", file, ready=ready)
@@ -229,9 +232,12 @@
         command = door_command()
         if words := self.launched(name):
             command = [sys.executable, "-m", *words, "molereach.__main__"]
-        # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
-        good = 0 if self.plan.policy else 200
-        self.add_command(name, command, ready=lambda: self.answers(f"{name} management", good), env=env,
+        async def ready() -> bool:
+            # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
+            return await (self.listens(name) if self.plan.policy
+                          else self.answers(f"{name} management", 200))
+
+        self.add_command(name, command, ready=ready, env=env,
                          prepare=lambda: self.write_config(number))
 
     def write_config(self, number: int) -> None:
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -416,9 +416,16 @@
         return window_s
 
     def promises(self) -> None:
-        """An owner decides only once every door that may serve is ready; and in the end all go by it."""
+        """An owner decides only once every door that may serve is ready, each change once, by numbers that
+        rise; and in the end all go by it."""
+        highest, changes = 0, set[str]()
         for event in of(self.db, "decided"):
             now = event.told["now"]
+            if now["number"] <= highest or (now["change"] and now["change"] in changes):
+                self.broke("promises", event.about, f"decided as {now['number']} after {highest}, for change "
+                                                    f"{now['change'] or '-'}")
+            highest = max(highest, now["number"])
+            changes.add(now["change"])
             if not now["change"]:
                 continue  # decided once more by the list service itself, by what was decided before
             for door in event.told["doors"]:
--- a/orchidhatch/trial/plants.py
+++ b/orchidhatch/trial/plants.py
@@ -119,7 +119,56 @@
     Door.in_turn = unchecked
 
 
+def decide_unready() -> None:
+    from orchidhatch.policy.change import Change
+
+    Change.lacking = lambda self, fleet: []
+
+
+def return_as_it_was() -> None:
+    from orchidhatch.policy.keeper import Keeper
+
+    may_serve = Keeper.may_serve
+
+    def as_it_was(self: Keeper) -> str | None:
+        return self.has if self.under and not self.serves else may_serve(self)
+
+    Keeper.may_serve = as_it_was
+
+
+def lease_for_ever() -> None:
+    from orchidhatch.policy import keeper
+
+    keeper.LEASE_S = 1e6  # what is asked for in it stays as often, as the list service's own is meant
+    keeper.RENEWALS = round(4e6 / 3)
+
+
+def decide_late() -> None:
+    """Neither the claim nor what was read before holds a decision back."""
+    from orchidhatch.claims import Draft, Keep
+    from orchidhatch.policy.doors import NOW
+
+    Draft.check = lambda self, fence: None
+    keep = Draft.keep
+
+    def unconditional(self: Draft, write: Keep) -> Any:  # noqa: ANN401
+        return keep(self, Keep(write.name, write.text) if write.name == NOW else write)
+
+    Draft.keep = unconditional
+
+
+def hear_nothing() -> None:
+    from molereach.frontdoor import FrontDoor
+
+    FrontDoor.go_by = lambda self, config: None
+
+
 PLANTS = {
+    "unready": Plant("steward-*", "promises", decide_unready),
+    "returns-old": Plant("agent-*", "policies", return_as_it_was),
+    "endless-lease": Plant("agent-*", "policies", lease_for_ever),
+    "late-decision": Plant("registry-*", "promises", decide_late),
+    "deaf-door": Plant("door-1", "promises", hear_nothing),
     "epoch-anew": Plant("registry-*", "owners", count_anew),
     "trusts-clock": Plant("[ar]*-*", "effects", trust_clocks),
     "ignores-drain": Plant("door-*", "drains", ignore_drains),
