Log what only a fleet shows, and add it up: shares of backends, spending beside quotas, ages of words

Change: each 5 s a door logs attempts and connections by backend and units by customer; the module's line says by what the quota was decided and how old the words were; scripts/fleet-table adds up shares beside fair ones, doors connected, handshakes, messages lost, what customers spent beyond their quotas by plan.

--- a/fennelwinch/report.py
+++ b/fennelwinch/report.py
@@ -15,11 +15,13 @@
     """What they need first: the cap, what is out and held, and why requests were ended."""
     cap, routing, peers = gateway.cap, gateway.routing, gateway.words.tally
     ended = " ".join(f"{why}={count}" for why, count in sorted(gateway.tally.items()))
+    known = " ".join(f"{how}={count}" for how, count in sorted(gateway.decided.items()))
     most = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
     return (f"cap {most} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
             f" out {cap.out} held {len(gateway.held)} ({held_for(gateway)}) waiting {len(gateway.waits)}"
             f" up {len(routing.up)} suspect {routing.suspect()} ended: {ended or '-'}"
+            f" decided: {known or '-'} old words {gateway.old_us // 1000} ms"
             f" peers: {' '.join(f'{what} {peers[what]}' for what in FATES)}")
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -46,6 +46,8 @@
         self.alarm_us, self.serial = NEVER, itertools.count()
         self.tally: Counter[str] = Counter()  # why requests ended unserved, since the last line
         self.ended: Counter[str] = Counter()  # the same since the start
+        self.decided: Counter[str] = Counter()  # by what was known of the quota, since the last line
+        self.old_us = 0  # the ages of the words that the "old" ones went by, together
         self.logged_us = -1
         self.barred = False  # whether nobody may be let in
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
@@ -141,7 +143,8 @@
         if chance is None:
             self.ask(job)
             return
-        self.decide(job, chance)
+        known = "home" if customer.at_home else "old" if customer.is_fresh(self.desk.now) else "unheard"
+        self.decide(job, chance, "part" if had_part else known)
         if had_part and not customer.shares_cap():  # else the wish for a place tells it
             self.homes.tell(customer.home, customer, 0.0)
 
@@ -187,12 +190,15 @@
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units, known=told is not None)
+            how = "answered" if told else "silent"
             if told is None:
                 job.customer.back_off(now, self.desk.random.random())
             job.customer.spent -= job.req.units * chance  # as much the home has counted already
-            self.decide(job, chance)
+            self.decide(job, chance, how)
 
-    def decide(self, job: Job, chance: float) -> None:
+    def decide(self, job: Job, chance: float, how: str) -> None:
+        self.decided[how] += 1
+        self.old_us += self.desk.now - job.customer.heard_us if how == "old" else 0
         job.in_quota, plan = self.desk.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.homes.spend(job.customer, job.req.units)
@@ -368,6 +374,7 @@
 
     def log_figures(self) -> None:
         self.desk.actions.append(i.Log(report.line(self)))
-        self.tally.clear()
-        self.words.tally.clear()
+        for tally in (self.tally, self.words.tally, self.decided):
+            tally.clear()
+        self.old_us = 0
         self.logged_us = self.desk.now
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -59,6 +59,7 @@
 FIRST_LIST_S = 0.3  # how long the start waits for a list
 NEWER_LIST_S = 0.05  # the same where one is known: in a release many start, and discovery may be silent long
 LOG_S = 5.0  # how often those on call get the figures
+MOST_SHARES = 200  # customers on a line, those that spent most
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
@@ -101,6 +102,8 @@
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
         self.tally: Counter[str] = Counter()  # requests and how attempts ended, since the last line
+        self.sent: Counter[str] = Counter()  # attempts by backend, since the last line
+        self.spent: Counter[tuple[str, str, int]] = Counter()  # units by customer, plan, set
         self.longest_batch_us = 0
         self.told_spent: dict[Place, float] = {}  # by the log's last line, in seconds
         self.account = Account(config.settings.seed)
@@ -115,6 +118,7 @@
                                  self.account)
         self.parser = CommandParser(config)
         self.class_names = {number: name for name, number in config.class_numbers.items()}
+        self.plan_names = {number: name for name, number in config.plan_numbers.items()}
         self.figures = Figures(config.class_numbers)
         self.management = Management(Calls({
             ("GET", "/healthcheck"): self.health,
@@ -277,7 +281,7 @@
         if config.class_numbers != self.config.class_numbers:
             log.error("kept the old policy: the new file has other classes")
             return
-        names = {number: name for name, number in self.config.plan_numbers.items()}
+        names = self.plan_names
         moved = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
         new = config.settings
         self.settings = replace(self.settings, classes=new.classes, plans=new.plans, banned=new.banned,
@@ -288,6 +292,7 @@
         self.config = replace(self.config, settings=self.settings, plan_numbers=config.plan_numbers,
                               policy=config.policy, traces_policy=config.traces_policy)
         self.parser = CommandParser(self.config)
+        self.plan_names = {number: name for name, number in config.plan_numbers.items()}
         self.peers.mark, self.watchful.told = new.mark, config.policy
         self.watchful.begin(barred=False)
         log.info("goes by %s", config.policy.shown())
@@ -313,8 +318,9 @@
     def log_figures(self) -> None:
         self.log_passed()
         self.log_cost()
-        self.tally.clear()
-        self.backends.tally.clear()
+        self.log_shares()
+        for tally in (self.tally, self.backends.tally, self.sent, self.spent):
+            tally.clear()
         self.longest_batch_us = 0
         self.log_later()
 
@@ -329,6 +335,15 @@
                  len(self.open), self.longest_batch_us / 1000, len(self.clients.connections),
                  self.backends.held, sockets or "-")
 
+    def log_shares(self) -> None:
+        """What only all doors' lines together show: what each backend gets, and each customer spends."""
+        pools = self.backends.pools
+        to = " ".join(f"{name}={self.sent[name]}/{len(pool.connections)}" for name, pool in pools.items()
+                      if pool.connections or self.sent[name])
+        spent = " ".join(f"{customer}/{plan}/{size}={units:g}" for (customer, plan, size), units in
+                         self.spent.most_common(MOST_SHARES))
+        log.info("shares: to %s; spent %s", to or "-", spent or "-")
+
     def log_cost(self) -> None:
         """What the interval cost: of the process exactly, by place as estimated from the timed entries."""
         asked = self.tally["asked"]
@@ -597,8 +612,11 @@
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        self.sent[action.server] += 1
         if not number:
             self.held_waits.note(now_us() - exchange.came_us)
+            request = exchange.command.request
+            self.spent[request.customer, self.plan_names[request.plan_index], request.set_size] += request.units
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
--- a/tests/test_fleet_table.py
+++ b/tests/test_fleet_table.py
@@ -27,12 +27,20 @@
         lines = [HEAD.format(at=at) + line.text for at, line in enumerate(logged)]
         passed = "asked=30 ok=20; open 0, longest batch 1.0 ms; clients 1, to backends 4: opened=4"
         lines.append(HEAD.format(at=1) + passed)
+        told = "told: front door 0 of 3; read aim 750 ms of 2000; stor 2/s burst 5 out 0 ceiling 0/s burst 0"
+        shares = f"shares: to s-1=4/1 s-2=1/{door}; spent 00000000b4d65521/stor/3=6 00000000b4d65522/stor/3=1.5"
+        lines += [HEAD.format(at=0) + told, HEAD.format(at=1) + shares]
         (tmp_path / f"n{door}.log").write_text("\n".join([*lines, "no line of ours", "\x00"]) + "\n")
     done = table(str(tmp_path), "--every", "5", "--json")
     rows = [json.loads(line) for line in done.stdout.splitlines()]
     assert done.returncode == 0 and rows[0]["counts"]["doors"] % 3 == 0 and rows[0]["served"] == 66.7
     assert sum(row["counts"].get("ended quota", 0) for row in rows) == refused > 0
-    assert "ended: " in table(str(tmp_path)).stdout
+    first = rows[0]
+    assert first["beyond stor"] == 13.3  # 18 of one customer, whose quota gave 15, and 4.5 of another
+    assert first["most attempts at one, of the fair share"] == 1.6 and first["doors connected to one"] == 3
+    assert first["handshakes of 100 attempts"] == 80.0
+    shown = table(str(tmp_path)).stdout
+    assert "ended: " in shown and "decided by: home" in shown
 
 
 def test_what_makes_no_table_is_told_plainly(tmp_path: Path) -> None:
