--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -616,7 +616,8 @@
         if not number:
             self.held_waits.note(now_us() - exchange.came_us)
             request = exchange.command.request
-            self.spent[request.customer, self.plan_names[request.plan_index], request.set_size] += request.units
+            plan = self.plan_names[request.plan_index]
+            self.spent[request.customer, plan, request.set_size] += request.units
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
