Keep thin traffic on eight backends that connections are kept to, for fewer handshakes

Cause: a choice looks at 8 of 113 backends by chance and prefers those with a connection, and one choice in five meets none; every door ends up nearly everywhere. Opening costs backends work, too. Change: where attempts are thin, a door chooses among those that it has connections to once these are eight; cold ones that are due come first as before, and where known ones take nothing it looks at all again.

--- a/fennelwinch/routing.py
+++ b/fennelwinch/routing.py
@@ -17,6 +17,7 @@
 # How much longer a wait a new connection is worth: less than one more attempt out there (2). It counts where
 # attempts are so few that, spread evenly, a server would get fewer than KEPT_USES while a connection is kept.
 NEW_CONNECTION, KEPT_USES = 1.5, 2
+SUBSET = CHOICES  # connections to as many as are looked at: others are opened only where these take nothing
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 # How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
@@ -74,9 +75,18 @@
         room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
         # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
         # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
-        room = [server for server in room if now < server.warm_us and not server.out] or room
+        cold = [server for server in room if now < server.warm_us and not server.out]
+        room = cold or self.known_of(room)
         return min(self.desk.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
+    def known_of(self, room: list[Server]) -> list[Server]:
+        """Where attempts are thin, those that connections are kept to, once there are enough of them."""
+        known = [server for server in room if self.is_known(server)] if self.spread_thin else []
+        return known if len(known) >= SUBSET else room
+
+    def is_known(self, server: Server) -> bool:
+        return bool(server.out) or self.desk.now - server.heard_us < self.kept_us
+
     def in_group(self, job: Job, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = job.rule, job.ran_on
@@ -97,8 +107,7 @@
         # where many come back at once, all that is asked must still find a server.
         back = min(1.0, (desk.now - server.back_us) / SLOW_START_US)
         trouble = max(1.0, server.trouble / USUAL_TROUBLE) ** 2
-        known = server.out or desk.now - server.heard_us < self.kept_us
-        new = NEW_CONNECTION if self.spread_thin and not known else 1.0
+        new = NEW_CONNECTION if self.spread_thin and not self.is_known(server) else 1.0
         return new * waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
 
     def warmth(self, server: Server) -> float:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -595,6 +595,27 @@
     assert beyond <= len(sends) / 4  # words cross
 
 
+def test_thin_traffic_stays_where_connections_are_kept_and_leaves_at_once_when_these_are_gone() -> None:
+    """Two hundred doors that go everywhere cost each backend a handshake for every second attempt."""
+    fleet = servers(100)
+    world = World(replace(SETTINGS, gateways=200, plans=(i.Plan(),)), fleet)
+
+    def used(name: str, count: int) -> list[str]:
+        sent = []
+        for n in range(count):
+            sent += [action.server for action in of(i.Send, world.ask(f"{name}{n}", customer=f"c{n}"))]
+            world.run(250 * MS)
+            world.answer(f"{name}{n}")
+        return sent
+
+    assert len(used("a", 100)) == 100 and len(set(used("b", 100))) <= 2 * CHOICES
+    known = set(used("c", 100))
+    gone = tuple(replace(server, state=i.ServerState.DRAINING) for server in fleet if server.name in known)
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, gone))
+    after = used("d", 20)
+    assert len(after) == 20 and not known & set(after)
+
+
 def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
     """Thirty gateways that all let in on the same level would spend it thirty times over."""
     world = World(replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=20.0),), gateways=40))
