Forget what was wrong with a document once nobody asks for it

Cause: a check that failed over a door's file, or was too slow once, kept that document from ever being ready again before the agent's next start. Change: it is forgotten when the change has ended; proposed again, it is checked again.

--- a/tests/test_under_policy.py
+++ b/tests/test_under_policy.py
@@ -317,6 +317,9 @@
             await all_.go()
             [door] = (await call(address_of(all_.registry), "GET /doors"))[1]["doors"]
             assert door["flaw"] == f"{DA} no stor" and door["ready"] == [] and door["has"] == ""
+            await put(all_.registry, "task.policy", json.dumps({**change, "state": "nowhere", "done": True}))
+            await all_.go()
+            assert all_.keeper.flaw == ""  # whoever mends what was wrong may propose it again
             again = Keeper(all_.keeper.server, [address_of(all_.registry)], all_.keeper.door,
                            all_.keeper.setup, all_.time)  # started anew, from what is on its disk
             assert again.life == all_.keeper.life and again.heard.number == all_.keeper.heard.number
