--- a/orchidhatch/policy/keeper.py
+++ b/orchidhatch/policy/keeper.py
@@ -163,8 +163,8 @@
     # --- documents ---
 
     async def prepare(self) -> None:
-        """Have what was heard of ready. That takes its time, and no renewal waits for it. What was wrong with a
-        document is forgotten once it is not asked for: it may be proposed again when that was mended."""
+        """Have what was heard of ready. That takes its time, and no renewal waits for it. What was wrong with
+        a document is forgotten once it is not asked for: it may be proposed again when that was mended."""
         if self.flaw.partition(" ")[0] not in self.needed:
             self.flaw = ""
         for digest in sorted(self.needed):
