Give doors that all go by the policy before a whole moment when a new term decides once more

Cause: a promoted list service that found a decision which no door had carried out yet decided it with its moment at once. Change: if all that told go by one other policy, they go on by it for the whole time of a decision. The check of switches left out only decisions of another policy than the one before, and so took the second change for a break of the first after a promotion.

--- a/orchidhatch/policy/doors.py
+++ b/orchidhatch/policy/doors.py
@@ -244,6 +244,13 @@
         lacking = digest and DOCUMENT + digest not in self.book.records
         return digest if lacking and digest in self.reports[door].told["ready"] else ""
 
+    def gone_by(self, digest: str) -> str:
+        """What the doors may go on by until they go by this document. If some do already, its moment has
+        come, and nobody goes by another one any more, whether or not he had heard of it. If all go by another
+        one, one of them may do so a while longer without hearing of us, and so they all do."""
+        has = {self.reports[door].told["has"] for door in self.book.doors if door in self.reports}
+        return has.pop() if len(has) == 1 else digest
+
     def settle(self) -> None:
         """Decide anew in this term what was decided before; and a moment that nobody knows."""
         if self.registry.no_writes() or not self.registry.sure():
@@ -262,10 +269,11 @@
         if self.writing or not self.all_told() or (digest and DOCUMENT + digest not in self.book.records):
             return
         self.writing = True
-        term = self.registry.store.term
+        term, before = self.registry.store.term, self.gone_by(digest)
         log.warning("decides once more in term %d: %s, number %d before", term, digest or "-", number)
-        decision = {"number": max(number + 1, term << COUNT_BITS | 1), "digest": digest, "before": digest,
-                    "term": term, "moveMs": 0, "change": "", "who": "list service",
+        decision = {"number": max(number + 1, term << COUNT_BITS | 1), "digest": digest, "before": before,
+                    "term": term, "moveMs": round(OUT_S * 1000) if before != digest else 0,
+                    "change": "", "who": "list service",
                     "why": f"a new term, after number {number}", "absent": []}
         self.registry.queue(Keep(NOW, json.dumps(decision)), None)
 
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -392,16 +392,16 @@
         steps = [step for step in itertools.pairwise(decisions) if step[0].about != step[1].about]
         if decisions and decisions[0].about != "-":
             steps.insert(0, (Event(0, "trial", "decided", "-", {}), decisions[0]))
-        windows = [self.switch(old, new, following, ins) for (old, new), following in
-                   itertools.zip_longest(steps, [event for _, event in steps[1:]])]
+        windows = [self.switch(new, decisions, ins) for _, new in steps]
         if found := [window for window in windows if window is not None]:
             self.verdict.figures["switch_window_s"] = round(max(found), 4)
         self.verdict.figures["decisions"] = len(steps)
 
-    def switch(self, old: Event, new: Event, following: Event | None, ins: list[Event]) -> float | None:
-        """How long requests were still let in by the old one after the first by the new one, in seconds;
-        None where nobody was by either. What comes once the decision after it may be in force is left out."""
-        until = following.at_ns + following.told["now"]["moveMs"] * MS if following else self.last_ns + 1
+    def switch(self, new: Event, decisions: list[Event], ins: list[Event]) -> float | None:
+        """How long requests were still let in by others after the first by the new one, in seconds; None
+        where nobody was by it. What comes once a decision after it may be in force is left out."""
+        until = min((event.at_ns + event.told["now"]["moveMs"] * MS for event in decisions
+                     if event.at_ns > new.at_ns and event.about != new.about), default=self.last_ns + 1)
         after = [event for event in ins if new.at_ns <= event.at_ns < until]
         first = next((event for event in after if event.told["policy"] == new.about), None)
         late = [event for event in after if first and event.told["policy"] != new.about
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -137,13 +137,13 @@
     async def job() -> None:
         time = Time()
         async with keeping(tmp_path / "1.db", time) as registry:
-            status, answer = await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA])
+            status, answer = await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA], has=DA)
             assert (status, answer) == (200, {"sure": False, "prepare": "", "want": DA})
             time.now += OUT_S / 2
             registry.doors.look()
             assert not registry.doors.sure() and not registry.doors.writing
             time.now += OUT_S
-            await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA], text=A)
+            await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA], has=DA, text=A)
             await until(lambda: DOCUMENT + DA in registry.store.book.records)
             registry.doors.look()
             await until(registry.doors.sure)
@@ -218,6 +218,14 @@
                 await until(second.doors.sure)
                 assert (await renew(second, "a"))[1]["digest"] == DB
                 assert second.doors.now()["number"] > number + 1 and second.doors.now()["before"] == DB
+            async with keeping(tmp_path / "3.db", time, term=3) as third:  # all go by another one still
+                await third.write_aside([Keep(DOCUMENT + DB, B)])
+                await renew(third, "a", number=9 << 32, digest=DB)
+                time.now += OUT_S
+                await renew(third, "a", number=9 << 32, digest=DB)
+                await until(third.doors.sure)
+                now = third.doors.now()
+                assert (now["digest"], now["before"], now["moveMs"]) == (DB, "", round(OUT_S * 1000))
 
     run(job())
 
