Keep a watch on discovery through silence, resets, outages and moves

Cause: one backoff for all ends, made for an overbooked discovery (Discovery.run, watch: 'brought'; move woke nobody). Change: where lists are pushed (the settings' registry-mode), a watch that spoke, waited 3 s or is silent is followed at once; refused unheard or nonsense, or a shared service: as before. The one before is kept until the next speaks. A move wakes the loop in every phase. The start waits for the watch to speak, not for a list that may have nothing new.

--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -1,6 +1,7 @@
 """The list of backends: a watch on discovery that is kept open, read line by line."""
 
 import asyncio
+import contextlib
 import json
 import logging
 import random
@@ -29,9 +30,13 @@
 # come back within less time than it needs for them, none is ever served.
 CALL_S = 0.2  # in which one front door of the tier may come back, on average
 BACKOFF_S, MOST_BACKOFF_S, MOST_DOUBLED = 0.1, 1.0, 4  # of the mean wait between tries
-# A watch that brought news and fell silent says nothing of discovery. What it misses counts as told 6 s
-# after, and SILENT_S of them are over when it is found out. One that never brought any is rather overbooked.
-AFTER_SILENCE_S = 0.5
+# Where lists are pushed, whoever answers is on this machine and answers at once, and what it has counts as
+# told whether a watch is open or not. So a watch that ends is no sign of too many calls if it had spoken, or
+# had waited for longer than an overbooked discovery lets anybody wait; nor is one that is silent.
+LASTED_S = 3.0
+AT_ONCE_S = 0.1  # the least time between two tries at once, and the longest such wait
+AFTER_SILENCE_S = 0.5  # the longest wait where each call for a list is work for a service that all share
+MOVED_S = 4.0  # after the signal what the new address tells counts as told
 MOST_LINE = 1 << 22  # bytes
 
 
@@ -99,14 +104,15 @@
     """One watch, from its request to the end of its connection."""
 
     def __init__(
-        self, target: str, host: str, line: Callable[[bytes], None], account: Account
+        self, target: str, host: str, line: Callable[[bytes], None],
+        spoke: Callable[["WatchConnection"], None], account: Account,
     ) -> None:
         self.account = account
-        self.target, self.host, self.line = target, host, line
+        self.target, self.host, self.line, self.spoke = target, host, line, spoke
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
-        self.heard, self.alive = time.monotonic(), False  # when anything came last, if it did
-        self.brought = False  # whether a line did
+        self.opened = self.heard = time.monotonic()  # when it was, and when anything came last
+        self.spoken = self.spoiled = False  # whether it was taken, and whether it brought what makes no sense
         self.ended = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
 
@@ -116,7 +122,7 @@
         transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
 
     def data_received(self, data: bytes) -> None:
-        self.heard, self.alive = time.monotonic(), True
+        self.heard = time.monotonic()
         was = self.account.enter(Place.DISCOVERY)
         try:
             self.http.receive_data(data)
@@ -124,20 +130,23 @@
                 self.take(event)
         except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
             log.error("the watch brings what makes no sense: %s", error)
+            self.spoiled = True
             self.close()
         finally:
             self.account.leave(was)
 
     def take(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Response) and event.status_code != 200:
-            raise ValueError(f"status {event.status_code}")
+        if isinstance(event, h11.Response):
+            if event.status_code != 200:
+                raise ValueError(f"status {event.status_code}")
+            self.spoken = True
+            self.spoke(self)
         if isinstance(event, h11.Data):
             self.buffer += event.data
             *lines, rest = self.buffer.split(b"\n")
             self.buffer = rest
             for line in lines:
                 if line.strip():
-                    self.brought = True
                     self.line(bytes(line))
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without an end")
@@ -154,33 +163,38 @@
 
 
 class Discovery:
-    """Keeps a watch open and hands on its news as soon as it has been written."""
+    """Keeps a watch open and hands on its news as soon as it has been written.
+
+    The watch before the one that is open is kept until that one speaks: it may still bring what the other
+    does not, as in a move to another address, or be the one that is answered when an outage ends.
+    """
 
     def __init__(
         self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None], seed: int = 0,
-        doors: int = 1, account: Account | None = None,
+        doors: int = 1, account: Account | None = None, pushed: bool = True,
     ) -> None:
         self.account = account or Account()
         self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
-        self.random = random.Random(seed)
-        self.first = asyncio.Event()
+        self.random, self.pushed = random.Random(seed), pushed
+        self.first, self.spoke = asyncio.Event(), asyncio.Event()  # a list came; a watch was taken
         self.least_s = max(BACKOFF_S, CALL_S * doors / 2)
         self.backoff_s = self.least_s
         self.connection: WatchConnection | None = None
-        self.last_s = time.monotonic()  # when anything came of a watch before this one; our start, if nothing
+        self.before: WatchConnection | None = None
+        self.moved, self.moved_s = asyncio.Event(), -MOVED_S
+        self.last_s = time.monotonic()  # when anything came of a watch before these; our start, if nothing
 
     def move(self, address: Address) -> None:
         """Watch at another address from now on; what the old one has told still holds."""
         if address != self.address:
-            # What the new one tells counts as told 4 s after the signal.
-            self.address, self.backoff_s = address, min(self.least_s, MOST_BACKOFF_S)
-            if self.connection:
-                self.connection.close()
+            self.address, self.moved_s = address, time.monotonic()
+            self.backoff_s = min(self.least_s, MOST_BACKOFF_S)
+            self.moved.set()
 
     def heard_s(self) -> float:
         """When discovery last gave a sign of life."""
-        if self.connection and self.connection.alive:
-            self.last_s = max(self.last_s, self.connection.heard)
+        spoken = [one.heard for one in (self.connection, self.before) if one and one.spoken]
+        self.last_s = max([self.last_s, *spoken])
         return self.last_s
 
     def line(self, line: bytes) -> None:
@@ -190,39 +204,85 @@
         self.heard(news)
         self.first.set()
 
+    def taken(self, connection: WatchConnection) -> None:
+        """It speaks: from now on it brings all that there is."""
+        self.spoke.set()
+        if self.before and connection is not self.before:
+            self.heard_s()
+            self.before.close()
+            self.before = None
+
+    def keep(self, connection: WatchConnection) -> None:
+        """Keep one of the two beside the next: the one that may still bring something, else the newer."""
+        self.heard_s()
+        before, ended = self.before, connection.ended.done()
+        lives = before and not before.ended.done()
+        if lives and (ended or (before.spoken and before.heard > connection.opened)):
+            connection.close()
+            return
+        if before:
+            before.close()
+        self.before = None if ended else connection
+
     async def run(self) -> None:
-        while True:
-            silent = False
-            try:
-                silent = await self.watch()
-            except (OSError, TimeoutError) as error:
-                log.warning("no watch on discovery: %s", error or "it does not answer")
-            except Exception:
-                log.exception("the watch on discovery failed")  # without it the list would grow old unseen
-            mean_s = min(AFTER_SILENCE_S / 2, self.backoff_s) if silent else self.backoff_s
-            await asyncio.sleep(2 * mean_s * self.random.random())
-            self.backoff_s = min(max(MOST_BACKOFF_S, MOST_DOUBLED * self.least_s), self.backoff_s * 2)
-
-    async def watch(self) -> bool:
-        """One watch, until it ends or has been silent for too long; whether it is one that fell silent."""
+        try:
+            while True:
+                wait_s = 2 * self.backoff_s * self.random.random()
+                try:
+                    wait_s = await self.watch()
+                except (OSError, TimeoutError) as error:
+                    log.warning("no watch on discovery: %s", error or "it does not answer")
+                except Exception:
+                    log.exception("the watch on discovery failed")  # else the list would grow old unseen
+                if wait_s > AT_ONCE_S and time.monotonic() - self.moved_s < MOVED_S:
+                    least_s = 2 * BACKOFF_S if self.pushed else MOST_BACKOFF_S
+                    wait_s = min(wait_s, least_s * self.random.random())
+                self.backoff_s = min(max(MOST_BACKOFF_S, MOST_DOUBLED * self.least_s), self.backoff_s * 2)
+                await self.pause(wait_s)
+        finally:
+            for connection in (self.before, self.connection):
+                if connection:
+                    connection.close()
+
+    async def pause(self, wait_s: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.moved.wait(), wait_s)
+
+    async def watch(self) -> float:
+        """One watch, until it ends, is silent for too long or another address holds; how long to wait."""
+        self.moved.clear()
         host, port = self.address
-        target = f"/catalog/members?watch=1&after={self.version}"
+        target, name = f"/catalog/members?watch=1&after={self.version}", f"{host}:{port}"
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: WatchConnection(target, f"{host}:{port}", self.line, self.account), host, port
+                lambda: WatchConnection(target, name, self.line, self.taken, self.account), host, port
             )
         self.connection = connection
         try:
-            if (host, port) != self.address:
-                return False  # moved while it came up
-            while not connection.ended.done():
+            return await self.next_in(connection)
+        finally:
+            self.connection = None
+            self.keep(connection)
+
+    async def next_in(self, connection: WatchConnection) -> float:
+        """Wait for what ends the watch; how long the next one has to."""
+        moved = asyncio.ensure_future(self.moved.wait())
+        try:
+            while not connection.ended.done() and not self.moved.is_set():
                 left = connection.heard + SILENT_S - time.monotonic()
                 if left <= 0:
                     log.warning("the watch on discovery is silent")
-                    return connection.brought
-                await asyncio.wait([connection.ended], timeout=left)
-            return False
+                    break
+                await asyncio.wait([connection.ended, moved], timeout=left,
+                                   return_when=asyncio.FIRST_COMPLETED)
         finally:
-            self.heard_s()
-            self.connection = None
-            connection.close()
+            moved.cancel()
+        if self.moved.is_set():
+            return 0.0
+        lasted_s, by_chance = time.monotonic() - connection.opened, self.random.random()
+        silent = not connection.ended.done()
+        if self.pushed and not connection.spoiled and (silent or connection.spoken or lasted_s >= LASTED_S):
+            return max(AT_ONCE_S - lasted_s, AT_ONCE_S * by_chance)
+        if silent and connection.spoken:
+            return AFTER_SILENCE_S * by_chance
+        return 2 * self.backoff_s * by_chance
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -142,7 +142,7 @@
         version = known.event.version if known else 0
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, config.settings.seed,
-            config.settings.gateways, self.account)
+            config.settings.gateways, self.account, pushed=not config.settings.must_subscribe)
         self.peers.mark = config.settings.mark
         self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
@@ -179,9 +179,10 @@
         if not self.twin:
             await self.open_peers()
         self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
-        try:
-            await asyncio.wait_for(self.discovery.first.wait(),
-                                   NEWER_LIST_S if self.catalog.entries else FIRST_LIST_S)
+        known = bool(self.catalog.entries)
+        try:  # whoever answers has sent along what is newer than the known list
+            await asyncio.wait_for((self.discovery.spoke if known else self.discovery.first).wait(),
+                                   NEWER_LIST_S if known else FIRST_LIST_S)
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
         if self.twin:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
@@ -87,32 +88,113 @@
     run(job())
 
 
-@pytest.mark.parametrize("stream", [HEAD + chunk(catalog(4, [])), HEAD])
-def test_who_fell_silent_comes_back_before_its_news_counts_as_told_in_the_largest_tier(
-    stream: bytes, monkeypatch: pytest.MonkeyPatch
+NONE = b""  # a watch that is not answered at all
+LIST, EMPTY = HEAD + chunk(catalog(4, [])), HEAD + chunk(b"\n")
+
+
+@pytest.mark.parametrize(("pushed", "stream", "ends", "soon"), [
+    *[(True, stream, "silent", True) for stream in (LIST, EMPTY, HEAD, NONE)],
+    *[(True, stream, "reset", True) for stream in (LIST, EMPTY, HEAD)],
+    (True, NONE, "reset", False), (True, HEAD + chunk(b"{not json\n"), "reset", False),
+    (False, LIST, "silent", True), (False, NONE, "silent", False), (False, LIST, "reset", False),
+])
+def test_a_watch_that_ends_comes_back_at_once_unless_discovery_has_too_much_to_do(
+    pushed: bool, stream: bytes, ends: str, soon: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """One that never brought a list is rather overbooked, and is left time as one that refuses is."""
+    """What the agent has counts as told whether or not a watch is open, and in the largest tier too. Who is
+    refused unheard, or asks a service that all share, leaves it time."""
+    monkeypatch.setattr(discovery, "SILENT_S", 0.05)
     waits: list[float] = []
-    sleep = asyncio.sleep
 
     async def job() -> None:
-        watch = Watch(script(stream))
-        found = Discovery(await watch.start(), Catalog(CONFIG), 0, lambda news: None, 3, 200)
-        monkeypatch.setattr(discovery, "SILENT_S", 0.05)
+        async def play(writer: asyncio.StreamWriter) -> None:
+            writer.write(stream)
+            if ends == "silent":
+                await asyncio.Event().wait()
+            await writer.drain()
+            writer.transport.close() if stream else writer.transport.abort()
+
+        found = Discovery(await Watch(play).start(), Catalog(CONFIG), 0, lambda news: None, 3, 200,
+                          pushed=pushed)
 
         async def noted(wait_s: float) -> None:
-            if wait_s != 0.001:  # the script's own
-                waits.append(wait_s)
-                raise asyncio.CancelledError
-            await sleep(wait_s)
+            waits.append(wait_s)
+            raise asyncio.CancelledError
 
-        monkeypatch.setattr(discovery.asyncio, "sleep", noted)
+        monkeypatch.setattr(found, "pause", noted)
         with pytest.raises(asyncio.CancelledError):
             await found.run()
-        monkeypatch.undo()
 
     run(job())
-    assert waits[0] <= 0.9 if stream != HEAD else waits[0] > 0.9
+    assert waits[0] <= 0.9 if soon else waits[0] > 0.9
+
+
+@pytest.mark.parametrize("answered", [0, 1])
+def test_of_two_watches_that_nobody_answered_either_may_be_when_the_outage_ends(
+    answered: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What the agent gets at discovery's return counts as told at once: a watch has to be there by then."""
+    monkeypatch.setattr(discovery, "SILENT_S", 0.2)
+
+    async def job() -> None:
+        opened: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+        heard: asyncio.Queue[News] = asyncio.Queue()
+
+        async def play(writer: asyncio.StreamWriter) -> None:
+            opened.put_nowait(writer)
+            await asyncio.Event().wait()
+
+        found = Discovery(await Watch(play).start(), Catalog(CONFIG), 0, heard.put_nowait, 3, 200)
+        task = asyncio.create_task(found.run())
+        writers = [await opened.get(), await opened.get()]
+        writers[answered].write(LIST)
+        assert (await heard.get()).event.version == 4
+        task.cancel()
+
+    run(job())
+
+
+@pytest.mark.parametrize("phase", ["watching", "waiting", "connecting"])
+def test_a_move_is_followed_at_once_whatever_the_watch_is_at(
+    phase: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In the largest tier a try that is refused is followed by 40 s of waiting, and 4 s are what there is."""
+
+    async def job() -> None:
+        heard: asyncio.Queue[News] = asyncio.Queue()
+        new = await Watch(script(HEAD + chunk(catalog(9, [])))).start()
+        old = refusing_address() if phase == "waiting" else await Watch(script(LIST)).start()
+        found = Discovery(old, Catalog(CONFIG), 0, heard.put_nowait, 3, 200)
+        pause, reached = found.pause, asyncio.Event()
+
+        async def paused(wait_s: float) -> None:
+            reached.set()
+            await pause(wait_s)
+
+        monkeypatch.setattr(found, "pause", paused)
+        if phase == "connecting":
+            connect = asyncio.get_running_loop().create_connection
+
+            async def held(*args: object) -> object:
+                made = await connect(*args)
+                found.move(new)  # its coming up is told only now
+                return made
+
+            loop = SimpleNamespace(create_connection=held,
+                                   create_future=asyncio.get_running_loop().create_future)
+            monkeypatch.setattr(discovery.asyncio, "get_running_loop", lambda: loop)
+        task = asyncio.create_task(found.run())
+        if phase == "waiting":
+            await reached.wait()
+        if phase == "watching":
+            assert (await heard.get()).event.version == 4
+        if phase != "connecting":
+            found.move(new)
+        while (await heard.get()).event.version != 9:
+            pass
+        task.cancel()
+
+    run(job(), within_s=6)
 
 
 def test_start_times_go_over_to_our_clock() -> None:
@@ -184,7 +266,7 @@
                 raise asyncio.CancelledError
 
         monkeypatch.setattr(found, "watch", refused)
-        monkeypatch.setattr(discovery.asyncio, "sleep", pass_by)
+        monkeypatch.setattr(found, "pause", pass_by)
         with pytest.raises(asyncio.CancelledError):
             await found.run()
         return [sum(waits[:n]) for n in range(1, 7)]
