Begin nothing at a backend whose leaving came in behind the request

Symptom and cause: events that wait are decided before the list that came in behind them; their sends went to a pool that is not wanted any more, which opened a connection and carried them out when that was up (Backends.send, Pool.start). And what waited there was ended before the module heard the list, so that it was sent there once more. Change: the sockets refuse what is for a backend that drains, is gone or is banned, as never run; the module hears the news first. Whether a pool is wanted is worked out from the list and the bans, so one that is taken back is used at once.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -298,7 +298,11 @@
         self.connections: set[Connection] = set()
         self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
         self.waiting: deque[Attempt] = deque()
-        self.connecting, self.heard_us, self.wanted = 0, 0, True
+        self.connecting, self.heard_us, self.up = 0, 0, True  # up by the list
+
+    def wanted(self) -> bool:
+        """Whether anything new may go there."""
+        return self.up and self.name not in self.owner.banned
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
@@ -360,7 +364,7 @@
             attempt = self.waiting.popleft()
             self.owner.connect_waits.note(now_us() - attempt.sent_us)
             connection.send(attempt)
-        elif self.wanted:
+        elif self.wanted():
             connection.idle_since = now_us()
             self.idle.append(connection)
             self.owner.sweep_later()
@@ -425,8 +429,8 @@
             if state is not i.ServerState.GONE and address and name not in self.pools:
                 self.pools[name] = Pool(self, name, address)
             if pool := self.pools.get(name):
-                pool.wanted = state is i.ServerState.UP and name not in self.banned
-                if not pool.wanted:
+                pool.up = state is i.ServerState.UP
+                if not pool.wanted():
                     pool.empty()
 
     def ban(self, name: str, out: bool) -> None:
@@ -436,19 +440,18 @@
         else:
             self.banned.add(name)
             if pool := self.pools.get(name):
-                pool.wanted = False
                 pool.empty()
 
     def retire(self, name: str) -> None:
         if pool := self.pools.pop(name, None):
-            pool.wanted = False
+            pool.up = False
             pool.empty()
             self.old.append(pool)
             self.sweep_later()
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         pool = self.pools.get(attempt.server)
-        if pool is None:
+        if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
             attempt.finish(i.Result.CONNECT_FAILED)
             return
         attempt.timer = asyncio.get_running_loop().call_later(timeout_us / 1e6, attempt.time_out)
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -561,13 +561,11 @@
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
         if isinstance(event, i.TwinMaint):
             self.backends.ban(event.server, event.out)
-        self.post(event)
 
     def list_heard(self, news: News) -> None:
         whole = news.event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in news.event.servers}
         self.backends.update(states, news.addresses, whole)
-        self.post(news.event)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
@@ -578,6 +576,7 @@
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
             raise CommandError("this id is in use")
         told = self.config.policy if self.config.traces_policy and not self.watchful.barred else None
+        self.post(event)
         exchange = Exchange(command, reply, now_us() + request.left_us, told.digest or "-" if told else "")
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
@@ -585,6 +584,7 @@
         self.open[request.id] = exchange
         self.held_bytes += request.size
         self.tally["asked"] += 1
+        self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.post(request)
 
     def overdue(self, request_id: str) -> None:
