Tell that an attempt was given up when its connection is closed, and no sooner

Cause: Attempt.give_up told its end while the loop had yet to close the connection. With the module's turn due already (any event before it in the inbox) the next attempt was written first, so two of one request were out on open connections. Change: the outcome follows the connection's loss.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -44,8 +44,8 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("began", "connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
-                 "server", "timer", "written", "written_us")
+    __slots__ = ("began", "connection", "done", "given_up", "number", "over", "payload", "pool", "request_id",
+                 "sent_us", "server", "timer", "written", "written_us")
 
     def __init__(
         self, request_id: str, number: int, server: str, payload: bytes, done: Done,
@@ -59,6 +59,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
 
+        self.given_up = False  # ends as soon as its connection is closed
     def finish(
         self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
     ) -> None:
@@ -99,12 +100,19 @@
     def give_up(self, result: i.Result) -> None:
         connection, self.connection = self.connection, None
         if connection and connection.attempt is self:
-            connection.attempt = None
+            connection.attempt, connection.given_up = None, (self, result)
+            if self.timer:
+                self.timer.cancel()
             connection.abort()  # an answer is still due on it: it must never be used again
         self.finish(result)
 
 
 def read_reply(reply: object) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
+        """End it. That is told when its connection is closed and no sooner: an attempt is out until then, and
+        what comes next may be the request's next one."""
+        if self.given_up:
+            return
+        self.given_up = True
     """What a backend's answer means."""
     if isinstance(reply, ReplyError):
         text = reply
@@ -177,6 +185,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
+        self.given_up: tuple[Attempt, i.Result] | None = None  # what was on it when it was aborted
         # With no room for buffering, `pause_writing` tells that bytes are left, and its end that none are.
         transport.set_write_buffer_limits(0)
 
@@ -280,6 +289,9 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def close(self) -> None:
+        if self.given_up:
+            attempt, result = self.given_up
+            attempt.finish(result)
         if self.transport:
             self.transport.close()
 
