Send nothing for a client that left while its request waited, and give back what it had

Cause: where the settings allow no cancel, an attempt that waited for a connection was kept and sent when that came up (FrontDoor.client_gone, Gateway.drop). Its units stayed spent, and those that the home had counted for a request that left before the answer came were never given back (Gateway.end_waits passed over those that are over). Change: what is not written whole is withdrawn as soon as the request is settled; a first attempt that never left gives its units back, to the quota and under the ceiling; the home hears with the next word what an answer came too late for. Test: with and without cancel, the level before and after.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -185,7 +185,7 @@
         self.words.tally["answered"] += len(ready)
         ready += [job for job in self.waits if job.decide_us <= now and job not in ready]
         self.waits = [job for job in self.waits if job not in ready]
-        for job in [job for job in ready if not job.over]:
+        for job in [job for job in ready if told or not job.over]:
             if told is None and job.asks < ASKS and now + ASK_US + 4 * TICK_US < job.end_us:
                 self.ask(job)  # words may be lost
                 continue
@@ -194,7 +194,8 @@
             if told is None:
                 job.customer.back_off(now, self.desk.random.random())
             job.customer.spent -= job.req.units * chance  # as much the home has counted already
-            self.decide(job, chance, how)
+            if not job.over:  # else its client has left, and the home hears with the next word
+                self.decide(job, chance, how)
 
     def decide(self, job: Job, chance: float, how: str) -> None:
         self.decided[how] += 1
@@ -305,6 +306,9 @@
             del server.out[(event.id, event.attempt)]
         if not job.streams or event.result is not i.Result.OK:
             self.learn(job, server, event)
+        if event.result is i.Result.MOOT and not event.attempt:  # its first never left: it draws nothing
+            self.give_back(job)
+            job.customer.ceiling += job.req.units
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
         if event.over or job.over:
@@ -358,9 +362,13 @@
             job.over = True
             self.open, self.open_bytes = self.open - 1, self.open_bytes - job.req.size
 
-    def drop(self, job: Job) -> None:
-        if job.in_quota and not job.servers and not job.over:
+    def give_back(self, job: Job) -> None:
+        if job.in_quota:
             self.homes.spend(job.customer, -job.req.units)
+
+    def drop(self, job: Job) -> None:
+        if not job.servers and not job.over:
+            self.give_back(job)
         calls_off = self.set.may_cancel and not job.over
         self.close(job)
         self.desk.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -95,6 +95,10 @@
         if self.written:
             self.pool.doubt(self.sent_us)
             self.pool.owner.timed_out += 1
+    def withdraw(self) -> None:
+        """Nobody waits for it any more and it was not written whole, so it is nobody's yet."""
+        self.give_up(i.Result.MOOT)
+
         self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
 
     def give_up(self, result: i.Result) -> None:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -727,3 +727,5 @@
 
     def log_line(self, action: i.Log) -> None:
         log.info("%s", action.text)
+        for attempt in [one for one in exchange.out.values() if not one.written]:
+            attempt.withdraw()  # whatever waits for it: nothing is begun for who is gone or has his answer
