Send a request that is held over a change of plans as it came

Cause: FrontDoor.send looked its plan's number up among the new plans' names: another's name in the log, or none, and then the request failed and its attempt counted as out for good, since the module never heard of its end. Change: the plan's name is kept with the request; an attempt that cannot be begun is told as never sent.

--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -76,14 +76,16 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "policy", "reply", "stream", "timer")
+    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "plan", "policy", "reply", "stream",
+                 "timer")
 
-    def __init__(self, command: Command, reply: Reply, end_us: int, policy: str = "") -> None:
+    def __init__(self, command: Command, reply: Reply, end_us: int, plan: str, policy: str = "") -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
         self.policy = policy  # that it is let in by, where that is to be logged
         self.came_us = end_us - command.request.left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
+        self.plan = plan  # by its name: its number may be another's before this ends
         self.timer: asyncio.TimerHandle | None = None
         self.stream: Attempt | None = None  # whose long value is under way to the client
 
@@ -576,8 +578,8 @@
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
             raise CommandError("this id is in use")
         told = self.config.policy if self.config.traces_policy and not self.watchful.barred else None
-        self.post(event)
-        exchange = Exchange(command, reply, now_us() + request.left_us, told.digest or "-" if told else "")
+        exchange = Exchange(command, reply, now_us() + request.left_us, self.plan_names[request.plan_index],
+                            told.digest or "-" if told else "")
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
@@ -612,13 +614,11 @@
             return
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
-        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         self.sent[action.server] += 1
         if not number:
             self.held_waits.note(now_us() - exchange.came_us)
             request = exchange.command.request
-            plan = self.plan_names[request.plan_index]
-            self.spent[request.customer, plan, request.set_size] += request.units
+            self.spent[request.customer, exchange.plan, request.set_size] += request.units
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
@@ -629,6 +629,15 @@
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
+        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        try:
+            self.begin(action, exchange, number)
+        except Exception:
+            exchange.out.pop(number, None)  # the module counts it as out until it hears of its end
+            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
+            raise
+
+    def begin(self, action: i.Send, exchange: Exchange, number: int) -> None:
         if name in self.open and self.open[name].stream is attempt:
             self.end_stream(name, result is i.Result.OK)
         elif result is i.Result.OK and value is not None and name in self.open:
