Let a connection to a backend rest after an answer, and look at it before it is used

Cause: an answer may be followed by another some milliseconds late. On an idle connection it ends that; on one in use again it was the next request's answer, so a customer got another's value (Pool.start, release). The same where it lay unread, and a close that lay unread ended a request as a reset, which an unsafe class cannot repeat. Change: a connection that answered is not used for 50 ms, and not if anything, its end too, lies unread on it. Tests: both instants of the late answer; an unsafe request over a close.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -15,6 +15,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import read_report
+from molereach import looks
 from molereach.account import Account, Place
 from molereach.config import Address
 from molereach.resp import ProtocolError, ReplyError, ReplyReader
@@ -24,6 +25,9 @@
 
 INCOMPLETE = object()
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
+# A spoilt answer may be followed by another some milliseconds late: on a connection in use again it would
+# pass for the next request's. So a connection rests after an answer, and is looked at before it is used.
+REST_US = 50_000
 MOST_VALUE = 1 << 16  # bytes: the largest of the protocol
 MOST_REPLY = 2 * MOST_VALUE  # with the figures and the load report, and room to spare
 MOST_LONG_VALUE = 4 << 20  # bytes: what is above MOST_VALUE is passed on as it comes
@@ -55,11 +59,11 @@
         self.payload, self.done = payload, done
         self.began = began  # told the size of a long value; gives who takes its pieces, if it is wanted
         self.sent_us, self.over, self.written, self.written_us = now_us(), False, False, 0
+        self.given_up = False  # ends as soon as its connection is closed
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
 
-        self.given_up = False  # ends as soon as its connection is closed
     def finish(
         self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
     ) -> None:
@@ -91,32 +95,33 @@
         """Stop waiting for it."""
         self.give_up(i.Result.CANCELLED)
 
-    def time_out(self) -> None:
-        if self.written:
-            self.pool.doubt(self.sent_us)
-            self.pool.owner.timed_out += 1
     def withdraw(self) -> None:
         """Nobody waits for it any more and it was not written whole, so it is nobody's yet."""
         self.give_up(i.Result.MOOT)
 
+    def time_out(self) -> None:
+        if self.written:
+            self.pool.doubt(self.sent_us)
+            self.pool.owner.timed_out += 1
         self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
 
     def give_up(self, result: i.Result) -> None:
+        """End it. That is told when its connection is closed and no sooner: an attempt is out until then, and
+        what comes next may be the request's next one."""
+        if self.given_up:
+            return
+        self.given_up = True
         connection, self.connection = self.connection, None
         if connection and connection.attempt is self:
             connection.attempt, connection.given_up = None, (self, result)
             if self.timer:
                 self.timer.cancel()
             connection.abort()  # an answer is still due on it: it must never be used again
-        self.finish(result)
+        else:
+            self.finish(result)
 
 
 def read_reply(reply: object) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
-        """End it. That is told when its connection is closed and no sooner: an attempt is out until then, and
-        what comes next may be the request's next one."""
-        if self.given_up:
-            return
-        self.given_up = True
     """What a backend's answer means."""
     if isinstance(reply, ReplyError):
         text = reply
@@ -180,6 +185,7 @@
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.idle_since = pool, 0
         self.attempt: Attempt | None = None
+        self.given_up: tuple[Attempt, i.Result] | None = None  # what was on it when it was aborted
         self.transport: asyncio.Transport | None = None
         self.reader = ReplyReader(MOST_VALUE, MOST_LONG_VALUE)
         self.paused, self.received = False, 0
@@ -189,7 +195,6 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
-        self.given_up: tuple[Attempt, i.Result] | None = None  # what was on it when it was aborted
         # With no room for buffering, `pause_writing` tells that bytes are left, and its end that none are.
         transport.set_write_buffer_limits(0)
 
@@ -284,6 +289,9 @@
             self.note_use(reset=not self.received)
             self.pool.doubt(now_us())
             attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
+        if self.given_up:
+            attempt, result = self.given_up
+            attempt.finish(result)
 
     def note_use(self, reset: bool) -> None:
         if self.uses > 1:
@@ -293,9 +301,6 @@
         return self.transport is not None and not self.transport.is_closing()
 
     def close(self) -> None:
-        if self.given_up:
-            attempt, result = self.given_up
-            attempt.finish(result)
         if self.transport:
             self.transport.close()
 
@@ -322,12 +327,9 @@
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
-        self.close_idle(now_us() - self.owner.idle_limit.us)
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable():
-                connection.send(attempt)
-                return
+        if connection := self.rested():
+            connection.send(attempt)
+            return
         if not self.owner.may_open():
             self.owner.no_room += 1
             attempt.finish(i.Result.CONNECT_FAILED)
@@ -340,6 +342,18 @@
         self.owner.held += 1
         self.owner.spawn(self.connect(connection))
 
+    def rested(self) -> Connection | None:
+        """The connection used last of those that may be used: nothing can come on it that is another's."""
+        now = now_us()
+        self.close_idle(now - self.owner.idle_limit.us)
+        for connection in reversed(self.idle):
+            if not connection.uses or connection.idle_since <= now - REST_US:
+                self.idle.remove(connection)
+                if connection.usable() and not looks.spoken(connection.transport):
+                    return connection
+                connection.abort()  # closed by the other side, or with words on it that nobody asked for
+        return None
+
     async def connect(self, connection: Connection) -> None:
         """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
         try:
@@ -364,19 +378,23 @@
     def connect_failed(self) -> None:
         self.drop_over()
         if len(self.waiting) > self.connecting:
-            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+            attempt = self.waiting.popleft()
+            if connection := self.rested():
+                connection.send(attempt)
+            else:
+                attempt.finish(i.Result.CONNECT_FAILED)
 
     def drop_over(self) -> None:
         while self.waiting and self.waiting[0].over:
             self.waiting.popleft()
 
     def release(self, connection: Connection) -> None:
-        """A connection has nothing to do: the next that waits gets it, else it is kept for a while."""
+        """A connection has nothing to do: a new one is for who waits longest, others are kept for a while."""
         if not connection.usable():
             self.connect_failed()  # a backend that is full takes a connection and ends it at once
             return
         self.drop_over()
-        if self.waiting:
+        if self.waiting and not connection.uses:
             attempt = self.waiting.popleft()
             self.owner.connect_waits.note(now_us() - attempt.sent_us)
             connection.send(attempt)
