Notice a client that leaves while nothing is read from it, or while answers wait for it

Cause: a paused connection reads no end, and the loop tells of a loss only when all is written (ClientConnection had no eof_received). Such requests were served for nobody. Change: an end that is read ends what is open at once; where reading is paused the socket is asked for its end each 0.1 s.

--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -2,18 +2,16 @@
 
 import asyncio
 import contextlib
-import fcntl
 import logging
 import math
-import termios
 import time
-from array import array
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
 from fennelwinch import interface as i
+from molereach import looks
 from molereach.account import Account, Place
 from molereach.config import Config
 from molereach.resp import ProtocolError
@@ -28,7 +26,7 @@
 MOST_WAIT_MS = 24 * 3600 * 1000
 
 PATIENCE_S = 2.4  # for a command to be whole: a client may take 2 s, and a front door 3 s to answer or close
-SWEEP_S = 0.2  # how often it is looked for
+SWEEP_S = 0.1  # how often it is looked for, and whether a client has left that is not read from
 MOST_UNSENT = 16 * 1024  # bytes that wait for a client before it counts as slow
 # Of long values, what memory allows is taken in ahead of slow clients, as a backend's attempt is out until it
 # is read. The program itself needs up to 16 MB, and there may be two of it, each with a third of the rest.
@@ -363,6 +361,7 @@
             self.paused_s = self.clients.clock()
             self.transport.pause_reading()
         self.reading = wanted
+            self.clients.sweep_later()  # its end would not be read meanwhile
 
     def pause_writing(self) -> None:
         self.clogged, self.clogged_s = True, self.clients.clock()
@@ -391,8 +390,13 @@
         if unsent:
             self.clients.sweep_later()
 
-    def connection_lost(self, error: Exception | None) -> None:
-        self.closing = self.lost = True
+    def eof_received(self) -> None:
+        """The client has gone. The loop first writes what is left for it, and tells of the end only then."""
+        self.leave()
+
+    def leave(self) -> None:
+        """Nothing is owed any more on what is open here."""
+        self.closing = True
         replies = list(self.replies)
         self.replies.clear()
         for reply in replies:
@@ -504,10 +508,13 @@
             if connection.reader.buffer:
                 connection.finish(SLOW)
             else:
+        for connection in [one for one in self.connections if not one.reading and looks.left(one.transport)]:
+            connection.leave()
+            connection.abort()
                 connection.close()  # an error line could be taken for the answer to what comes at last
         self.take_in_more()
         self.shed(now_s)
-        if any(connection.due_s is not None or connection.unsent for connection in self.connections):
+        if any(one.due_s is not None or one.unsent or not one.reading for one in self.connections):
             self.sweep_later()
 
     def sweep_later(self) -> None:
