End a process only when nothing is owed any more, and close nothing that has spoken

Change: the drain ends when all clients are gone, each by the limits that hold anyway; reads no further than what is open, and gives later commands the time that is left until SIGKILL; nothing that has spoken is closed between requests.

--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -13,7 +13,7 @@
 from fennelwinch import interface as i
 from molereach import looks
 from molereach.account import Account, Place
-from molereach.config import Config
+from molereach.config import MOST_US, Config
 from molereach.resp import ProtocolError
 from molereach.waiting import Waits
 
@@ -132,7 +132,7 @@
     def __init__(self, config: Config) -> None:
         self.classes, self.plans, self.settings = config.class_numbers, config.plan_numbers, config.settings
 
-    def parse(self, words: list[bytes], answer_margin_us: int) -> Command:
+    def parse(self, words: list[bytes], answer_margin_us: int, most_us: int = MOST_US) -> Command:
         is_write = words[0] == b"SVC.SUBMIT"
         if not is_write and words[0] != b"SVC.QUERY":
             raise CommandError("unknown command")
@@ -155,7 +155,7 @@
         wait_ms = whole(values.get("d", ""), "time", 0, MOST_WAIT_MS)
         request = i.Request(
             id=request_id, class_index=number, plan_index=plan, customer=customer,
-            left_us=max(0, wait_ms * 1000 - answer_margin_us), units=self.units(values),
+            left_us=min(most_us, max(0, wait_ms * 1000 - answer_margin_us)), units=self.units(values),
             set_size=whole(values.get("spread", "1"), "spread", 1, self.settings.gateways),
             set_first=whole(values.get("first", "0"), "first", 0, self.settings.gateways - 1),
             is_repeat=values.get("r") == "1", is_write=is_write, size=sum(map(len, words)),
@@ -294,6 +294,7 @@
         reply = Reply(self)
         self.replies.append(reply)
         self.clients.busy(self)
+        self.last = self.last or self.clients.reads_no_more
         name = words[0].upper()
         if name == b"PING" and len(words) <= 2:
             reply.send(self.clients.pong(words[1:]))
@@ -360,8 +361,8 @@
         elif self.reading and not wanted:
             self.paused_s = self.clients.clock()
             self.transport.pause_reading()
-        self.reading = wanted
             self.clients.sweep_later()  # its end would not be read meanwhile
+        self.reading = wanted
 
     def pause_writing(self) -> None:
         self.clogged, self.clogged_s = True, self.clients.clock()
@@ -402,6 +403,10 @@
         for reply in replies:
             if not reply.whole:
                 self.clients.gone(reply)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost = True
+        self.leave()
         self.measure()
         self.clients.closed(self)
 
@@ -415,7 +420,9 @@
             self.due_s = None
 
     def overdue(self, now_s: float) -> bool:
-        return not self.closing and not self.replies and self.due_s is not None and now_s >= self.due_s
+        late = not self.closing and not self.replies and self.due_s is not None and now_s >= self.due_s
+        # After a long turn of the loop timers go ahead of what has come meanwhile.
+        return late and not looks.unread(self.transport)
 
     def close(self) -> None:
         """Close between requests."""
@@ -423,12 +430,9 @@
             self.closing = True
             self.transport.close()
 
-    def unread(self) -> bool:
-        """Whether something has come that was not read yet."""
-        count = array("i", [0])
-        with contextlib.suppress(OSError):
-            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, count)
-        return count[0] > 0
+    def awaited(self) -> bool:
+        """Whether a command has begun to come, or has come whole and was not read yet."""
+        return bool(self.reader.buffer) or looks.unread(self.transport)
 
     def read_no_more(self) -> None:
         """What is open is answered; what comes now is not read, and the client sends it elsewhere."""
@@ -458,7 +462,7 @@
         self.unsent = 0  # those that do
         self.welcome = True  # what PING is told
         self.said_no = asyncio.Event()  # it was told so
-        self.draining = False
+        self.draining = self.reads_no_more = False
         self.sweeping = False  # a sweep is due
         self.empty = asyncio.Event()
         self.unread_waits, self.partial_waits, self.unsent_waits = Waits(), Waits(), Waits()
@@ -485,7 +489,8 @@
         been served sends one that crosses the close again.
         """
         self.crowded_out += 1
-        oldest = next(iter(self.idle), None) or next(iter(self.unproven), None)
+        silent = (one for one in [*self.idle, *self.unproven] if one is not connection and not one.awaited())
+        oldest = next(silent, None)
         if oldest:
             self.busy(oldest)
             oldest.close()
@@ -503,14 +508,14 @@
         """Let go of those that connect and ask nothing, or stop amid a command; again while any may."""
         self.sweeping = False
         now_s = self.clock()
+        for connection in [one for one in self.connections if not one.reading and looks.left(one.transport)]:
+            connection.leave()
+            connection.abort()
         for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
             self.slow += 1
             if connection.reader.buffer:
                 connection.finish(SLOW)
             else:
-        for connection in [one for one in self.connections if not one.reading and looks.left(one.transport)]:
-            connection.leave()
-            connection.abort()
                 connection.close()  # an error line could be taken for the answer to what comes at last
         self.take_in_more()
         self.shed(now_s)
@@ -561,7 +566,7 @@
 
     def rests(self, connection: ClientConnection) -> None:
         """It has no request open."""
-        if self.draining or connection.last:
+        if connection.last or (self.draining and not connection.awaited()):
             connection.close()
         else:
             self.wait(connection)
@@ -580,18 +585,19 @@
         """Close what is idle, and what becomes so; a command that has begun to come is awaited."""
         self.draining = True
         for connection in [*self.idle, *self.unproven]:
-            if not connection.reader.buffer and not connection.unread():
+            if not connection.awaited():
                 connection.close()
 
     def read_no_more(self) -> None:
-        """The same, and no more is read behind what is open now."""
+        """The same, and no more is read behind what is open now, or behind the next that comes."""
         self.drain()
+        self.reads_no_more = True
         for connection in self.connections:
             connection.read_no_more()
 
     def take_again(self) -> None:
         """Undo a drain; connections that were to close do so."""
-        self.welcome, self.draining = True, False
+        self.welcome, self.draining, self.reads_no_more = True, False, False
         self.said_no.clear()
 
     async def left(self, within_s: float) -> bool:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -40,7 +40,7 @@
     CommandParser,
     Reply,
 )
-from molereach.config import LEAST_SOCKETS, SPARE_SOCKETS, Config
+from molereach.config import LEAST_SOCKETS, MOST_US, SPARE_SOCKETS, Config
 from molereach.discovery import Catalog, Discovery, News
 from molereach.figures import Ended, Figures, page
 from molereach.handover import Twin
@@ -62,10 +62,14 @@
 MOST_SHARES = 200  # customers on a line, those that spent most
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
-LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
+DRAIN_LOOK_S = 1.0  # how often a drain looks for clients that have become idle
+# SIGKILL comes this long after SIGTERM at the earliest: after the longest deadline, which counts as no more
+# than so much, and a while. Whatever came in that while may be left unanswered by it, what came later not.
+MOST_DEADLINE_US, KILL_AFTER_US = 3_000_000, 700_000
 FRONT_SEES_S = 1.0  # how long a drain waits for the front to ask and hear the first no, at most
 STILL_COME_S = 0.4  # after it new connections go on coming for 0.2 s
 LAST_READ_S = 1.5  # after the call: what comes later on a kept connection is left to another front door
+TURNS_TO_ACCEPT = 3  # of the loop, one of which at least asks the kernel who has connected
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
 TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
@@ -81,11 +85,11 @@
 
     def __init__(self, command: Command, reply: Reply, end_us: int, plan: str, policy: str = "") -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
+        self.plan = plan  # by its name: its number may be another's before this ends
         self.policy = policy  # that it is let in by, where that is to be logged
         self.came_us = end_us - command.request.left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
-        self.plan = plan  # by its name: its number may be another's before this ends
         self.timer: asyncio.TimerHandle | None = None
         self.stream: Attempt | None = None  # whose long value is under way to the client
 
@@ -132,6 +136,7 @@
             ("POST", "/healthcheck/ok"): self.enter_service,
         }), self.account)
         self.ready, self.ending, self.replaced = False, False, False
+        self.last_answer_us: int | None = None  # until when it is sure to live, once it is ending
         self.finished = asyncio.Event()  # replaced, and with nothing left to do
         takes_over = config.socket_fd is not None and config.shared
         self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
@@ -257,8 +262,8 @@
 
     async def finish(self) -> None:
         """Answer what is left; the platform ends this process soon, but if it does not, it ends by itself."""
-        while not await self.clients.left(LAST_WRITES_S):
-            pass
+        while not await self.all_left():
+            self.clients.drain()
         await asyncio.sleep(STAY_S)
         self.finished.set()
 
@@ -306,18 +311,30 @@
         self.clients.welcome = not on and self.leaving is None and not self.ending
 
     async def drain(self) -> None:
-        """Take and answer what still comes, then close what is idle, and answer all that is held."""
+        """Take and answer what still comes, then close what is idle, and answer all that is held.
+
+        It ends when every client is gone: who stays has something coming to him, or a command on its way,
+        and is let go of in time by the limits that hold for all. Who sends on and on is read no further than
+        what is open, as an answer might come too late for it: it sends the rest elsewhere.
+        """
         self.ending = True
+        longest_us = max(rule.deadline_us for rule in self.settings.classes)
+        self.last_answer_us = now_us() + min(MOST_DEADLINE_US, longest_us) + KILL_AFTER_US - ANSWER_MARGIN_US
         if not self.replaced:
             self.clients.welcome = False
             await asyncio.sleep(SETTLE_S)
+        self.clients.read_no_more()
+        while not await self.all_left():
             self.clients.drain()
-        while not await self.clients.left(LAST_WRITES_S):
-            if not self.open:  # a request may still come on a connection that has had none
-                log.warning("%d clients stay without a request", len(self.clients.connections))
-                break
         self.close()
 
+    async def all_left(self) -> bool:
+        """Whether all clients are gone, those among them that only the kernel has accepted yet."""
+        left = await self.clients.left(DRAIN_LOOK_S)
+        for _ in range(TURNS_TO_ACCEPT):
+            await asyncio.sleep(0)
+        return left and not self.clients.connections
+
     def log_figures(self) -> None:
         self.log_passed()
         self.log_cost()
@@ -561,18 +578,21 @@
 
     def twin_heard(self, event: i.Event) -> None:
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
+        self.post(event)
         if isinstance(event, i.TwinMaint):
             self.backends.ban(event.server, event.out)
 
     def list_heard(self, news: News) -> None:
         whole = news.event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in news.event.servers}
+        self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.backends.update(states, news.addresses, whole)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
         self.watchful.look()
-        command = self.parser.parse(words, ANSWER_MARGIN_US)
+        most_us = MOST_US if self.last_answer_us is None else max(0, self.last_answer_us - now_us())
+        command = self.parser.parse(words, ANSWER_MARGIN_US, most_us)
         request = command.request
         if request.id in self.open or request.id in self.ended:
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
@@ -586,7 +606,6 @@
         self.open[request.id] = exchange
         self.held_bytes += request.size
         self.tally["asked"] += 1
-        self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.post(request)
 
     def overdue(self, request_id: str) -> None:
@@ -612,6 +631,15 @@
                 ended.attempts += 1
             self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
             return
+        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        try:
+            self.begin(action, exchange, number)
+        except Exception:
+            exchange.out.pop(number, None)  # the module counts it as out until it hears of its end
+            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
+            raise
+
+    def begin(self, action: i.Send, exchange: Exchange, number: int) -> None:
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         self.sent[action.server] += 1
@@ -629,15 +657,6 @@
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
-        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
-        try:
-            self.begin(action, exchange, number)
-        except Exception:
-            exchange.out.pop(number, None)  # the module counts it as out until it hears of its end
-            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
-            raise
-
-    def begin(self, action: i.Send, exchange: Exchange, number: int) -> None:
         if name in self.open and self.open[name].stream is attempt:
             self.end_stream(name, result is i.Result.OK)
         elif result is i.Result.OK and value is not None and name in self.open:
@@ -719,6 +738,8 @@
             exchange.timer.cancel()
         if exchange.out:
             self.ended[name] = exchange
+        for attempt in [one for one in exchange.out.values() if not one.written]:
+            attempt.withdraw()  # whatever waits for it: nothing is begun for who is gone or has his answer
         return exchange
 
     def set_timer(self, action: i.SetTimer) -> None:
@@ -736,5 +757,3 @@
 
     def log_line(self, action: i.Log) -> None:
         log.info("%s", action.text)
-        for attempt in [one for one in exchange.out.values() if not one.written]:
-            attempt.withdraw()  # whatever waits for it: nothing is begun for who is gone or has his answer
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -242,7 +242,7 @@
 
 def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
-    monkeypatch.setattr(frontdoor, "LAST_WRITES_S", 0.1)
+    monkeypatch.setattr(frontdoor, "DRAIN_LOOK_S", 0.1)
 
     async def job() -> None:
         backend = Backend(lambda words: None)
