--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -80,7 +80,8 @@
 
     async def start(self) -> Address:
         self.server = await asyncio.start_server(self.serve, HOST, 0)
-        return self.server.sockets[0].getsockname()
+        self.address: Address = self.server.sockets[0].getsockname()
+        return self.address
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.opened += 1
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,403 @@
+"""The instants in which something ends while something is still owed, each forced over loopback sockets."""
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach import backends, frontdoor, looks
+from molereach.backends import Attempt, Connection
+from molereach.clients import PATIENCE_S, Reply
+from molereach.config import Policy
+from molereach.frontdoor import FrontDoor
+from tests.sockets import (
+    SETTINGS,
+    Backend,
+    Client,
+    catalog,
+    entry,
+    front_door,
+    query,
+    resp,
+    run,
+    submit,
+    value,
+)
+
+
+def tell(door: FrontDoor, *entries: dict[str, object]) -> None:
+    """Discovery's news, as its watch hands them on."""
+    door.list_heard(door.catalog.news(json.loads(catalog(door.catalog.version + 1, entries, reset=False))))
+
+
+def meanwhile(door: FrontDoor, what: Callable[[], None]) -> None:
+    """Have it come in right behind the next request, before the module is asked about that."""
+    take = door.clients.take
+
+    def taken(words: list[bytes], reply: Reply) -> None:
+        door.clients.take = take
+        take(words, reply)
+        what()
+
+    door.clients.take = taken
+
+
+async def warm(door: FrontDoor, client: Client, *backends: Backend) -> None:
+    """Ask until each of the backends has an idle connection."""
+    number = 0
+    while not all(backend.commands for backend in backends):
+        number += 1
+        assert await client.ask(query(f"warm{number}")) == b"ok"
+    for backend in backends:
+        backend.commands.clear()
+        backend.came.clear()
+
+
+# --- servers that leave ---
+
+NEWS: dict[str, Callable[[FrontDoor, Backend], None]] = {
+    "drains": lambda door, backend: tell(door, entry("s0", backend.address, "DRAINING")),
+    "gone": lambda door, backend: tell(door, {"instanceId": "s0", "lifecycle": "DELETED"}),
+    "not in the whole list": lambda door, backend: door.list_heard(
+        door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))),
+    "left out at the other process": lambda door, backend: door.twin_heard(i.TwinMaint("s0", True)),
+}
+
+
+@pytest.mark.parametrize("news", NEWS)
+@pytest.mark.parametrize("connected", [False, True])
+def test_nothing_is_begun_at_a_backend_whose_leaving_came_in_behind_the_request(
+    news: str, connected: bool
+) -> None:
+    """The request is decided by what the module knew: the sockets know better by then."""
+
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            if connected:
+                await warm(door, client, backend)
+            opened = backend.opened
+            meanwhile(door, lambda: NEWS[news](door, backend))
+            assert str(await client.ask(query("a1", wait_ms=300))).startswith("-BUSY")
+            assert not backend.commands and backend.opened == opened
+
+    run(job())
+
+
+def test_what_waits_for_a_connection_to_a_backend_that_drains_goes_elsewhere_unwritten() -> None:
+    async def job() -> None:
+        leaving, other = Backend(), Backend()
+        async with front_door(leaving) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1"))
+            pool = door.backends.pools["s0"]
+            while not pool.waiting:
+                await asyncio.sleep(0)
+            tell(door, entry("s0", leaving.address, "DRAINING"), entry("s1", await other.start()))
+            assert await client.answer() == b"ok"
+            while pool.connections:
+                await asyncio.sleep(0)
+            assert not leaving.commands and len(other.commands) == 1
+
+    run(job())
+
+
+# --- attempts ---
+
+def test_the_next_attempt_is_begun_when_the_one_before_is_closed_and_no_sooner(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The module's turn may be due already when an attempt is given up, ahead of the close in the queue."""
+    monkeypatch.setattr(backends, "REST_US", 0)
+
+    async def job() -> None:
+        both = [Backend(), Backend()]
+        async with front_door(*both) as (door, address):
+            client = await Client.open(address)
+            await warm(door, client, *both)
+            for backend in both:
+                backend.answer = lambda words: None
+            client.send(query("a1"))
+            while not any(backend.commands for backend in both):
+                await asyncio.sleep(0)
+            first = next(backend for backend in both if backend.commands)
+            other = next(backend for backend in both if backend is not first)
+            attempt, closed = door.open["a1"].out[0], []
+            send = Connection.send
+
+            def sent(connection: Connection, following: Attempt) -> None:
+                closed.append(looks.left(first.writers[-1].transport))
+                send(connection, following)
+
+            monkeypatch.setattr(Connection, "send", sent)
+            door.post(i.ClientGone("somebody else"))
+            attempt.time_out()
+            other.answer = lambda words: value(b"at last")
+            assert await client.answer() == b"at last"
+            assert closed == [True]
+
+    run(job())
+
+
+@pytest.mark.parametrize("late", ["read", "unread"])
+def test_second_answer_that_comes_late_is_nobody_elses(late: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It comes on a connection that rests, or just before the next request is written there."""
+    monkeypatch.setattr(backends, "REST_US", 0 if late == "unread" else 3_600_000_000)
+
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            (resting,) = door.backends.pools["s0"].idle
+            backend.answer = lambda words: None
+
+            def spoil() -> None:
+                backend.writers[0].write(value(b"another's"))
+
+            meanwhile(door, spoil)  # the front door has not read it when the module has the request sent
+            client.send(query("a2"))
+            while len(backend.commands) < 2:
+                await asyncio.sleep(0)
+            while resting.usable():
+                await asyncio.sleep(0)
+            backend.writers[1].write(value(b"its own"))
+            assert await client.answer() == b"its own"
+            assert backend.opened == 2
+
+    run(job())
+
+
+def test_connection_that_the_backend_has_closed_is_not_taken_for_an_unsafe_request(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Written there it would end as a reset, after which it may have run and must not be sent again."""
+    monkeypatch.setattr(backends, "REST_US", 0)
+
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            peer = socket.socket(fileno=os.dup(backend.writers[0].get_extra_info("socket").fileno()))
+            meanwhile(door, lambda: peer.shutdown(socket.SHUT_RDWR))
+            assert await client.ask(submit("a2")) == b"ok"
+
+    run(job())
+
+
+# --- clients that leave ---
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_request_of_a_client_that_left_while_it_waited_for_a_connection_is_not_sent(may_cancel: bool) -> None:
+    """Where no attempt may be called off, too: one that was not written is nobody's yet."""
+
+    async def job() -> None:
+        backend = Backend()
+        plans = (i.Plan(rate=1.0, burst=4.0),)
+        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
+        async with front_door(backend, settings=settings) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1", units="2"))
+            pool = door.backends.pools["s0"]
+            while not pool.waiting:
+                await asyncio.sleep(0)
+            (customer,) = door.gateway.homes.customers.values()
+            assert customer.level < 3
+            connect = pool.connecting
+            for connection in list(door.clients.connections):
+                connection.connection_lost(None)  # before the one to the backend is told to be up
+            assert connect == 1 and not door.ended
+            while not pool.idle:
+                await asyncio.sleep(0)
+            assert not backend.commands and not door.gateway.jobs
+            assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
+
+    run(job())
+
+
+def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
+    """Its end lies behind what it had pipelined, or its answers could not leave."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(b"".join(query(f"a{n}") for n in range(40)))
+            while all(connection.reading for connection in door.clients.connections):
+                await asyncio.sleep(0)
+            client.writer.close()
+            while door.open or door.clients.connections or door.gateway.jobs:
+                await asyncio.sleep(0.001)
+
+    run(job())
+
+
+def test_client_whose_end_comes_behind_answers_that_wait_is_gone_at_once() -> None:
+    """The loop tells of a connection's loss only when all is written."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None if words[2] == b"a2" else value(b"x" * 60_000))
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1") + query("a2"))
+            while len(backend.commands) < 2 or "a1" in door.open:
+                await asyncio.sleep(0)
+            (connection,) = door.clients.connections
+            connection.transport.set_write_buffer_limits(1 << 24)
+            connection.transport.write(b"x" * (1 << 23))  # more than the kernel takes for who reads nothing
+            client.writer.write_eof()
+            while "a2" in door.open:
+                await asyncio.sleep(0)
+            assert connection in door.clients.connections
+
+    run(job())
+
+
+# --- the end of a process ---
+
+async def drain(door: FrontDoor) -> asyncio.Task[None]:
+    draining = asyncio.create_task(door.drain())
+    while not door.clients.draining:
+        await asyncio.sleep(0)
+    return draining
+
+
+@pytest.fixture
+def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A drain that waits for nothing but events."""
+    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
+    monkeypatch.setattr(frontdoor, "DRAIN_LOOK_S", 0.001)
+
+
+@pytest.mark.usefixtures("at_once")
+def test_drain_waits_for_what_is_half_read_and_for_what_is_half_written() -> None:
+    async def job() -> None:
+        long = b"x" * 60_000
+        backend = Backend(lambda words: value(long))
+        async with front_door(backend) as (door, address):
+            half, slow = await Client.open(address), await Client.open(address)
+            half.send(query("a1")[:-1])
+            slow.writer.transport.pause_reading()
+            slow.send(b"".join(query(f"b{n}") for n in range(16)))
+            while not any(one.reader.buffer for one in door.clients.connections) \
+                    or sum(sum(ended.values()) for ended in door.figures.ended.values()) < 16:
+                await asyncio.sleep(0)
+            draining = await drain(door)
+            for _ in range(50):
+                await asyncio.sleep(0.001)  # the drain looks again and again, and nothing is open
+            assert not door.open and not draining.done()
+            half.send(query("a1")[-1:])
+            assert await half.answer() == long and await half.ended()
+            slow.writer.transport.resume_reading()
+            assert [await slow.answer() for _ in range(16)] == [long] * 16
+            await draining
+
+    run(job())
+
+
+@pytest.mark.usefixtures("at_once")
+def test_drain_reads_no_further_than_what_is_open_and_all_is_answered_in_time() -> None:
+    """What is read later than a while after SIGTERM has to be answered before SIGKILL."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            kept, half = await Client.open(address), await Client.open(address)
+            kept.send(query("a1"))
+            half.send(query("c1", wait_ms=3_600_000)[:-1])
+            while not door.open or not any(one.reader.buffer for one in door.clients.connections):
+                await asyncio.sleep(0)
+            draining = await drain(door)
+            kept.send(query("a2"))  # crosses the end: it was not read, and is sent elsewhere
+            half.send(query("c1")[-1:])
+            while len(backend.commands) < 2:
+                await asyncio.sleep(0)
+            left_us = door.open["c1"].end_us - door.open["c1"].came_us
+            assert left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
+            assert "a2" not in door.open
+            for writer in backend.writers:
+                writer.write(value(b"at last"))
+            assert await kept.answer() == b"at last" and await half.answer() == b"at last"
+            assert await kept.ended() and await half.ended()
+            assert all(words[2] != b"a2" for words in backend.commands)
+            await draining
+
+    run(job())
+
+
+def test_room_is_made_and_silence_punished_only_where_nothing_has_come() -> None:
+    """Timers, and connections that come up, may go ahead of what lies unread."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            now_s = 100.0
+            door.clients.clock = lambda: now_s
+            first, second = await Client.open(address), await Client.open(address)
+            for client in (first, second):
+                assert await client.ask(resp("PING")) == b"PONG"
+            late = await Client.open(address)
+            while len(door.clients.connections) < 3:
+                await asyncio.sleep(0)
+            door.clients.most = 3
+            for client, name in ((first, "a1"), (late, "a2")):
+                os.write(client.writer.get_extra_info("socket").fileno(), query(name))  # in this very turn
+            now_s += PATIENCE_S
+            door.clients.sweep()
+            door.clients.make_room(None)
+            assert await second.ended()
+            assert await first.answer() == b"ok" and await late.answer() == b"ok"
+
+    run(job())
+
+
+# --- what belongs to somebody else by then ---
+
+def test_request_that_is_held_over_a_change_of_plans_is_sent_as_it_came() -> None:
+    """Its plan's number is another's, or nobody's, by then."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
+        settings = replace(SETTINGS, plans=plans, gateways=1)
+        async with front_door(
+            backend, settings=settings, plan_numbers={"team": 0, "crew": 1}
+        ) as (door, address):
+            client, other = await Client.open(address), await Client.open(address)
+            client.send(query("a1").replace(b"t=team", b"t=crew"))
+            await backend.came.wait()
+            other.send(query("a2").replace(b"t=team", b"t=crew"))
+            while len(door.open) < 2:
+                await asyncio.sleep(0)
+            new = replace(settings, plans=plans[:1])
+            door.go_by(replace(door.config, settings=new, plan_numbers={"team": 0},
+                               policy=Policy(1, "0" * 16, 5.0)))
+            backend.answer = lambda words: value(b"second")
+            backend.writers[0].write(value(b"first"))
+            assert await client.answer() == b"first" and await other.answer() == b"second"
+            assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
+            assert not door.gateway.jobs and door.gateway.cap.out == 0
+
+    run(job())
+
+
+def test_attempt_that_cannot_be_begun_is_not_counted_as_out() -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            def broken(attempt: Attempt, timeout_us: int) -> None:
+                raise RuntimeError("a fault of ours")
+
+            door.backends.send = broken
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == "-ERR failed"
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert not door.gateway.jobs and door.gateway.cap.out == 0
+
+    run(job())
