--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 import json
 import os
 import socket
+import zlib
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -15,6 +16,8 @@
 from molereach.clients import PATIENCE_S, Reply
 from molereach.config import Policy
 from molereach.frontdoor import FrontDoor
+from tests import helpers
+from tests.helpers import S, World, of
 from tests.sockets import (
     SETTINGS,
     Backend,
@@ -222,6 +225,22 @@
     run(job())
 
 
+@pytest.mark.parametrize("level", [15.0, 5.0])
+def test_what_the_home_has_counted_for_a_client_that_left_meanwhile_is_given_back_once(level: float) -> None:
+    """The home counts what it lets in with its answer, which finds nobody any more."""
+    world = World(replace(helpers.SETTINGS, gateways=3))
+    name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
+    world.ask("r1", customer=name, units=10.0, set_size=3)
+    (customer,) = world.gateway.homes.customers.values()
+    assert world.gateway.waits and not customer.at_home
+    world.tell(i.ClientGone("r1"))
+    word = i.Word(*customer.key, True, 10.0, 0.0, 10.0, level, 0, i.Place.NONE)
+    for _ in range(2):
+        world.tell(i.PeerMessage(customer.home, (word,), ()))
+    assert customer.spent == (-10.0 if level >= 10 else 0.0)
+    assert not world.gateway.waits and not world.gateway.jobs and not of(i.Send, world.run(S))
+
+
 def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
     """Its end lies behind what it had pipelined, or its answers could not leave."""
 
