--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -96,13 +96,14 @@
 def test_what_waits_for_a_connection_to_a_backend_that_drains_goes_elsewhere_unwritten() -> None:
     async def job() -> None:
         leaving, other = Backend(), Backend()
+        elsewhere = await other.start()
         async with front_door(leaving) as (door, address):
             client = await Client.open(address)
             client.send(query("a1"))
             pool = door.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            tell(door, entry("s0", leaving.address, "DRAINING"), entry("s1", await other.start()))
+            tell(door, entry("s0", leaving.address, "DRAINING"), entry("s1", elsewhere))
             assert await client.answer() == b"ok"
             while pool.connections:
                 await asyncio.sleep(0)
