Go by the own part of a quota where gateways may tell each other nothing

Cause: CustomerRecord.__init__ made each gateway the home of each customer there, and a home goes by the whole store and rate (Customer.chance, level): a set of n let in n quotas. The open cap was n caps for the same reason. DESIGN: who hears nothing has its own part. Change: there each goes by its part as if that were the whole plan; the store holds one request at least, and a larger one leaves a debt. Tests: three, red without it.

--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -1,6 +1,7 @@
 """A customer's quota, open cap and ceiling: what of them is here, and at its home what its set has."""
 
 import math
+from dataclasses import replace
 
 from fennelwinch import interface as i
 from fennelwinch.basics import NEVER, S
@@ -21,11 +22,20 @@
 KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 
 
+def own_part(plan: i.Plan, size: int) -> i.Plan:
+    """The plan of one gateway that hears nothing of the others; its store holds one request at least."""
+    return plan if size == 1 else replace(
+        plan, rate=plan.rate / size, burst=max(min(1.0, plan.burst), plan.burst / size),
+        max_out=plan.max_out and max(1, plan.max_out // size),
+        ceiling_rate=plan.ceiling_rate / size, ceiling_burst=plan.ceiling_burst / size)
+
+
 class Customer(CustomerRecord):
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
-        super().__init__(plan, key, set_, now)
+        super().__init__(plan if set_.may_tell else own_part(plan, key[3]), key, set_, now)
+        self.alone = self.size < key[3]
         self.left_us = 0 if self.at_home or not self.shares_cap() else now + LEFT_US
         self.asked_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
         self.word_us = self.size * S / max(1.0, self.asked_per_s)  # and is used for so long
@@ -39,7 +49,8 @@
     def go_under(self, plan: i.Plan, index: int, now: int) -> None:
         """Another plan holds for it: what is here stays the same part of the whole, of debts too, and what
         was granted stays granted."""
-        old, self.plan, self.key = self.refill(now).plan, plan, self.key._replace(plan_index=index)
+        old, self.key = self.refill(now).plan, self.key._replace(plan_index=index)
+        self.plan = plan = own_part(plan, self.key[3]) if self.alone else plan
         share, ceiling = (new / was if was else 0.0 for new, was in (
             (plan.burst, old.burst), (plan.ceiling_burst, old.ceiling_burst)))
         self.part, self.level, self.own = self.part * share, self.level * share, self.own * share
@@ -71,6 +82,8 @@
         of the burst, over the time that such a word is used. Who has none spends its own part.
         """
         level, plan = self.level, self.plan
+        if self.alone and plan.rate:  # it has no other's demand to go by; a large request leaves a debt
+            return float(level >= min(units, plan.burst))
         if self.is_pooled(units) or self.shares_cap():
             if known:
                 return float(level >= units)
@@ -93,7 +106,9 @@
         return self.is_fresh(now) and self.level + self.plan.rate * (now - self.heard_us) / S < units
 
     def spend(self, units: float) -> None:
-        self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
+        """It owes nothing for long, as others spend of it too; alone it is sure of what it owes."""
+        least = -math.inf if self.alone else -self.plan.rate * DEMAND_US / S
+        self.level = max(self.level - units, least)
 
     def take(self, units: float) -> None:
         """Spend of what is here."""
--- a/fennelwinch/records.py
+++ b/fennelwinch/records.py
@@ -90,7 +90,8 @@
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
-        self.plan, self.key, self.size, self.at = plan, key, key[3], now
+        # Where gateways may not tell each other anything, each goes by its part as if it were the whole set.
+        self.plan, self.key, self.size, self.at = plan, key, key[3] if set_.may_tell else 1, now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.at_home = self.home == set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -202,6 +202,54 @@
         assert gates.sent() >= 180
 
 
+@pytest.mark.parametrize("count", [2, 3, 100])
+def test_gateways_that_may_tell_each_other_nothing_keep_to_their_parts(count: int) -> None:
+    """Each would else take itself for the home, and let in the whole quota."""
+    every_us = S // 4  # 160 units a second or more, where the plan has 10
+    world = Set(count, replace(SETTINGS, may_tell=False))
+    for turn in range(40):
+        for number in range(max(40, count)):
+            world.ask(number % count, f"r{turn}-{number}")
+        world.run(every_us)
+    seconds = 40 * every_us / S
+    sent, quota = world.sent(), PLAN.rate * seconds + PLAN.burst
+    assert not any(of(i.Tell, [action for _, action in one.log]) for one in world.worlds)
+    assert sent <= quota + count  # a part holds a whole request
+    assert sent >= 0.8 * quota
+
+
+def test_request_larger_than_its_gateways_part_is_let_in_and_leaves_a_debt() -> None:
+    world = World(replace(SETTINGS, may_tell=False, gateways=40))
+    whole = {"set_size": 40, "units": 6.0}  # of a rate of a quarter here
+    assert of(i.Send, world.ask("first", **whole))
+    world.answer("first")
+    for number in range(22):
+        assert not of(i.Send, world.ask(f"next{number}", **whole))
+        world.run(S)
+    world.run(3 * S)
+    assert of(i.Send, world.ask("last", **whole))
+
+
+def test_part_of_who_hears_nothing_is_one_of_the_plan_that_holds() -> None:
+    """Also after a change of plans, with the part of the store that was left, and no more than one place."""
+    plan = replace(PLAN, rate=4.0, burst=40.0, max_out=2)
+    world = World(replace(SETTINGS, may_tell=False, gateways=4, plans=(plan,)))
+    for number in range(5):
+        world.ask(f"r{number}", set_size=4)
+        world.run(20 * MS)
+        assert len(world.out) == 1  # two places for four gateways
+        world.answer(f"r{number}")
+    world.tell(i.NewPolicy((SAFE,), (replace(plan, burst=80.0, max_out=8),), frozenset(), 1, (0,)))
+    sent = sum(bool(of(i.Send, world.ask(f"s{number}", set_size=4))) for number in range(20))
+    assert sent == 2  # places of eight
+    for _ in range(12):
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt)
+        world.run(20 * MS)
+    taken = sum(isinstance(action, i.Send) for _, action in world.log) - 5
+    assert 9 <= taken <= 11  # the half of a burst of 20 here
+
+
 def test_messages_stay_under_half_the_intake() -> None:
     """However much one customer asks, its home can take in what is told of it."""
     for count in (3, 40):
