Let no SIGHUP end a front door that is still starting

Symptom: SIGHUP in the first 0.3 s of a start, when a release restarts doors while discovery moves, ended the process: 16 of 20 hang-ups sent 0 to 380 ms after the start, at every moment up to 300 ms. Cause: the handler is set once the program is imported and the door made (__main__.serve); until then the signal has its default effect. Change: run starts with the signal ignored, as nothing was read yet; __main__ blocks it before the imports, and serve lets it through behind the handler, so that what comes meanwhile is answered with the new configuration. The program itself is molereach/program.py now. Test: SIGHUP while the configuration is read from a pipe that the test holds, and replaced meanwhile; red without.

--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/trial/fleet.py
@@ -231,7 +231,7 @@
                "TMPDIR": str(self.folder / name / "tmp")}
         command = door_command()
         if words := self.launched(name):
-            command = [sys.executable, "-m", *words, "molereach.__main__"]
+            command = [sys.executable, "-m", *words, "molereach.program"]
         async def ready() -> bool:
             # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
             return await (self.listens(name) if self.plan.policy
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -155,6 +156,45 @@
     run(job())
 
 
+def test_hang_up_amid_the_start_is_answered_once_it_can_be(tmp_path: Path) -> None:
+    """It comes while the configuration is read, which is replaced meanwhile; what counts is the new one."""
+
+    async def job() -> None:
+        moved = asyncio.Event()
+
+        async def script(writer: asyncio.StreamWriter) -> None:
+            moved.set()
+            await asyncio.Event().wait()
+
+        at, listen = await Watch(script).start(), refusing_address()
+        old, path = config(listen=f"{HOST}:{listen[1]}"), tmp_path / "config.json"
+        os.mkfifo(path)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE)
+        with await asyncio.to_thread(path.open, "w") as first:  # opens once the program reads it
+            process.send_signal(signal.SIGHUP)
+            new = tmp_path / "new.json"
+            new.write_text(json.dumps(old | {"discovery": f"{at[0]}:{at[1]}"}))
+            new.replace(path)
+            first.write(json.dumps(old))
+        await said(process, b"read the configuration again")
+        await moved.wait()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+    run(job())
+
+
+def test_run_lets_no_hang_up_end_what_it_starts() -> None:
+    """Until the program itself has its first turn."""
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    probe = command.replace(".venv/bin/python -m molereach", "grep SigIgn /proc/self/status")
+    assert probe != command
+    shown = subprocess.run(["/bin/sh", "-c", probe], capture_output=True, text=True, check=True, timeout=60)
+    assert int(shown.stdout.split()[1], 16) >> (signal.SIGHUP - 1) & 1
+
+
 def test_address_in_use_is_one_plain_line(tmp_path: Path) -> None:
     async def job() -> None:
         taken = await Backend().start()
