Answer all that was read in one piece before a connection is closed in a drain

Cause: 0.6 s after SIGTERM a connection reads no further than the next command and closes once that is answered (ClientConnection.write, Clients.rests, last). One answered in the same turn, a PING or a wrong command, closed it while further commands of the same piece were still to be taken: they were read, sent on, and never answered. Change: a connection comes to rest only when all that has come is taken. Test: PING or a wrong request, and two requests behind it, in one piece that ends a half-read command amid a drain; both red without.

--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -254,6 +254,7 @@
         self.closing, self.reading, self.clogged = False, True, False
         self.unsent, self.lost = 0, False  # bytes that wait for the client, when last looked at
         self.last = False  # reads no more; closes once all is answered
+        self.taking = False  # amid what has come: what lies behind a command that is answered is owed too
         self.due_s: float | None = None  # when the command that is awaited must be whole
         self.proven = False  # has had a request taken
         self.paused_s = self.moved_s = 0.0  # when its reading paused; when it last took of what waits
@@ -274,6 +275,7 @@
             self.clients.account.leave(was)
 
     def read(self, data: bytes) -> None:
+        self.taking = True
         try:
             for words in self.reader.feed(data):
                 self.command_came()
@@ -288,6 +290,9 @@
             log.exception("a client's connection failed")
             self.fail_all()
             self.finish(b"-ERR internal error\r\n")
+        self.taking = False
+        if not self.replies and not self.closing:
+            self.clients.rests(self)
         self.update_reading()
 
     def command(self, words: list[bytes]) -> None:
@@ -330,7 +335,7 @@
         if not self.replies:
             if self.closing:
                 self.transport.close()
-            else:
+            elif not self.taking:
                 self.clients.rests(self)
         self.update_reading()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -352,6 +352,34 @@
     run(job())
 
 
+@pytest.mark.usefixtures("at_once")
+@pytest.mark.parametrize("first", [resp("PING"), query("b1").replace(b"t=team", b"t=none")])
+def test_what_is_read_in_a_drain_behind_an_answer_given_at_once_is_answered_too(first: bytes) -> None:
+    """It came in one piece with what was answered in the same turn, after which the connection would rest."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(first[:-1])
+            while not any(one.reader.buffer for one in door.clients.connections):
+                await asyncio.sleep(0)
+            draining = await drain(door)
+            while not door.clients.reads_no_more:
+                await asyncio.sleep(0)
+            client.send(first[-1:] + query("a1") + query("a2"))
+            assert str(await client.answer()).startswith("-ERR")
+            while len(backend.commands) < 2:
+                await asyncio.sleep(0)
+            for writer in backend.writers:
+                writer.write(value(b"at last"))
+            assert [await client.answer(), await client.answer()] == [b"at last"] * 2
+            assert await client.ended()
+            await draining
+
+    run(job())
+
+
 def test_room_is_made_and_silence_punished_only_where_nothing_has_come() -> None:
     """Timers, and connections that come up, may go ahead of what lies unread."""
 
