Tests of who connects in the last turn of a drain, and of further signals in it

Two cells of docs/endings.md were without a test. The first is red without the turns that are left to the kernel's accepted connections (TURNS_TO_ACCEPT 0: reset for an answer). The second: SIGTERM and SIGHUP again while a request is open; it is answered, the exit code is 0.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -352,6 +352,28 @@
     run(job())
 
 
+@pytest.mark.usefixtures("at_once")
+def test_drain_answers_who_connects_in_its_last_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Only the kernel has accepted it by then, and its request lies there."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            late, read_no_more = socket.socket(), door.clients.read_no_more
+
+            def meanwhile() -> None:
+                read_no_more()
+                late.connect(address)
+                late.sendall(query("a1"))
+
+            monkeypatch.setattr(door.clients, "read_no_more", meanwhile)
+            await door.drain()
+            late.settimeout(5)
+            assert late.recv(100) == b"$2\r\nok\r\n" and late.recv(100) == b""
+            late.close()
+
+    run(job())
+
+
 @pytest.mark.usefixtures("at_once")
 @pytest.mark.parametrize("first", [resp("PING"), query("b1").replace(b"t=team", b"t=none")])
 def test_what_is_read_in_a_drain_behind_an_answer_given_at_once_is_answered_too(first: bytes) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,7 +14,19 @@
 import pytest
 
 from molereach.config import ConfigError, load
-from tests.sockets import CUSTOMER, HOST, Backend, Client, Watch, catalog, entry, refusing_address, resp, run
+from tests.sockets import (
+    CUSTOMER,
+    HOST,
+    Backend,
+    Client,
+    Watch,
+    catalog,
+    entry,
+    refusing_address,
+    resp,
+    run,
+    value,
+)
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -129,6 +141,25 @@
     run(job())
 
 
+def test_further_signals_in_a_drain_change_nothing(tmp_path: Path) -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        process, address = await start(tmp_path, backend)
+        client = await Client.open(address)
+        client.send(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=5000"))
+        await backend.came.wait()
+        process.send_signal(signal.SIGTERM)
+        await said(process, b"drains")
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGHUP)
+        await said(process, b"read the configuration again")
+        backend.writers[0].write(value(b"ok"))
+        assert await client.answer() == b"ok" and await client.ended()
+        assert await process.wait() == 0
+
+    run(job())
+
+
 def test_hang_up_moves_the_watch_and_never_ends_the_program(tmp_path: Path) -> None:
     async def job() -> None:
         moved: asyncio.Queue[str] = asyncio.Queue()
