Begin no repeat of a keyed request after its window, however long its connection takes

Cause: Routing.in_group holds a repeat of what may have run to the class's window when it is decided. It then waits for a connection, up to the connect time-out (Pool.waiting), and was written whenever that came up: after the window repeats are not discarded there, so it runs twice. Change: Send tells within what time such an attempt must be begun (Retries.begin_within); one that is not written whole by then ends as one that never ran (Attempt.lapse, Pool.drop_over). Measured: forced over sockets, 2 commands before, 1 after; the client is told of the failure. Tests: the crossing, on clocks that are moved; the bound that the module gives.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -459,11 +459,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; a time-out of 0 lasts until the client gives up."""
+    """Start an attempt; a time-out of 0 lasts until the client gives up. One that is not written whole within
+    `begin_us`, where that is not 0, must not be begun any more."""
 
     id: str
     server: str
     timeout_us: int = 0
+    begin_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/retries.py
+++ b/fennelwinch/retries.py
@@ -30,6 +30,11 @@
         last = job.rule.effect is i.Effect.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
         return max(1, left if last or early < LONG_MEANS * mean else min(left, early))
 
+    def begin_within(self, job: Job) -> int:
+        """Microseconds in which a repeat of what may have run must be begun; it may wait for a connection."""
+        bound = job.rule.effect is i.Effect.KEYED and job.ran_on is not None
+        return max(1, job.ran_us + job.rule.window_us - self.desk.now) if bound else 0
+
     def may(self, job: Job, why: i.Result) -> bool:
         """Whether a further attempt may follow one that ended so."""
         late = why is i.Result.MOOT or self.desk.now + self.mean_us(job) / 2 >= job.end_us
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -277,9 +277,10 @@
         if not number:
             self.homes.use_place(customer)
         server.earned -= 1
+        self.desk.actions.append(i.Send(job.req.id, server.entry.name, self.retries.time_out(job),
+                                        self.retries.begin_within(job)))
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
-        self.desk.actions.append(i.Send(job.req.id, server.entry.name, self.retries.time_out(job)))
         self.desk.tell_twin(i.TwinSend(customer.key, job.req.id, number, server.entry.name, now,
                                        0.0 if number else job.req.units))
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -48,8 +48,8 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("began", "connection", "done", "given_up", "number", "over", "payload", "pool", "request_id",
-                 "sent_us", "server", "timer", "written", "written_us")
+    __slots__ = ("began", "begin_by_us", "connection", "done", "given_up", "number", "over", "payload",
+                 "pool", "request_id", "sent_us", "server", "timer", "written", "written_us")
 
     def __init__(
         self, request_id: str, number: int, server: str, payload: bytes, done: Done,
@@ -60,6 +60,7 @@
         self.began = began  # told the size of a long value; gives who takes its pieces, if it is wanted
         self.sent_us, self.over, self.written, self.written_us = now_us(), False, False, 0
         self.given_up = False  # ends as soon as its connection is closed
+        self.begin_by_us = 0  # when it may not be begun any more; 0 for never
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.pool: Pool | None = None
@@ -95,6 +96,14 @@
         """Stop waiting for it."""
         self.give_up(i.Result.CANCELLED)
 
+    def lapsed(self) -> bool:
+        """Whether the time in which it might be begun has passed: what it repeats is forgotten there."""
+        return bool(self.begin_by_us) and not self.written and now_us() >= self.begin_by_us
+
+    def lapse(self) -> None:
+        if self.lapsed():
+            self.give_up(i.Result.CONNECT_FAILED)
+
     def withdraw(self) -> None:
         """Nobody waits for it any more and it was not written whole, so it is nobody's yet."""
         self.give_up(i.Result.MOOT)
@@ -385,8 +394,8 @@
                 attempt.finish(i.Result.CONNECT_FAILED)
 
     def drop_over(self) -> None:
-        while self.waiting and self.waiting[0].over:
-            self.waiting.popleft()
+        while self.waiting and (self.waiting[0].over or self.waiting[0].lapsed()):
+            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
 
     def release(self, connection: Connection) -> None:
         """A connection has nothing to do: a new one is for who waits longest, others are kept for a while."""
@@ -483,12 +492,16 @@
             self.old.append(pool)
             self.sweep_later()
 
-    def send(self, attempt: Attempt, timeout_us: int) -> None:
+    def send(self, attempt: Attempt, timeout_us: int, begin_us: int = 0) -> None:
         pool = self.pools.get(attempt.server)
         if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
             attempt.finish(i.Result.CONNECT_FAILED)
             return
-        attempt.timer = asyncio.get_running_loop().call_later(timeout_us / 1e6, attempt.time_out)
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(timeout_us / 1e6, attempt.time_out)
+        if 0 < begin_us < timeout_us:
+            attempt.begin_by_us = now_us() + begin_us
+            loop.call_later(begin_us / 1e6 + 0.001, attempt.lapse)  # timers may be early by as much
         pool.start(attempt)
 
     def close_idle(self, name: str) -> None:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -650,7 +650,7 @@
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
-        self.backends.send(attempt, timeout)
+        self.backends.send(attempt, timeout, action.begin_us)
 
     def attempt_done(
         self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,7 +12,7 @@
 
 from fennelwinch import interface as i
 from molereach import backends, frontdoor, looks
-from molereach.backends import Attempt, Connection
+from molereach.backends import Attempt, Connection, Pool
 from molereach.clients import PATIENCE_S, Reply
 from molereach.config import Policy
 from molereach.frontdoor import FrontDoor
@@ -196,6 +196,40 @@
     run(job())
 
 
+def test_repeat_that_waits_past_its_window_for_a_connection_is_not_begun(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The module decided on it in time; what it repeats may have run, and is forgotten there by now."""
+    real, late_us = backends.now_us, 0
+    for module in (backends, frontdoor):
+        monkeypatch.setattr(module, "now_us", lambda: real() + late_us)
+    monkeypatch.setattr(backends, "REST_US", 3_600_000_000)
+
+    async def job() -> None:
+        nonlocal late_us
+        both = [Backend(lambda words: b"-ERR failed\r\n"), Backend(lambda words: b"-ERR failed\r\n")]
+        classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], window_us=S), SETTINGS.classes[2])
+        async with front_door(*both, settings=replace(SETTINGS, classes=classes)) as (door, address):
+            client, up, connect = await Client.open(address), asyncio.Event(), Pool.connect
+
+            async def connect_late(pool: Pool, connection: Connection) -> None:
+                if sum(len(backend.commands) for backend in both):
+                    await up.wait()
+                await connect(pool, connection)
+
+            monkeypatch.setattr(Pool, "connect", connect_late)
+            client.send(submit("a1", kind="book"))
+            while not any(pool.waiting for pool in door.backends.pools.values()) \
+                    or not sum(len(backend.commands) for backend in both):
+                await asyncio.sleep(0)
+            late_us += S + 1
+            up.set()
+            assert await client.answer() == "-ERR failed"
+            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.jobs
+
+    run(job())
+
+
 # --- clients that leave ---
 
 @pytest.mark.parametrize("may_cancel", [True, False])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -400,6 +400,17 @@
     assert world.answer("a", i.Result.RESET, attempt=1) == [i.Fail("a")]
 
 
+def test_repeat_of_what_may_have_run_is_to_be_begun_within_its_window() -> None:
+    """Counted from the first that may have run; neither the first itself nor a safe one has a bound."""
+    keyed = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, window_us=S)
+    for rule, bound in ((keyed, 600 * MS), (SAFE, 0)):
+        world = World(replace(SETTINGS, classes=(rule,)))
+        [first] = of(i.Send, world.ask("a"))
+        world.run(400 * MS)
+        [again] = of(i.Send, world.answer("a", i.Result.RESET))
+        assert (first.begin_us, again.begin_us) == (0, bound)
+
+
 def test_attempt_that_lasts_far_longer_than_most_is_given_up_while_another_can_meet_the_aim() -> None:
     world = World()
     world.ask("a")  # by the first guess of the mean a long one may be large, and would be elsewhere
