Read lists of discovery that come indented, over several lines

A watch was read line by line, each taken for a whole value (WatchConnection.take, Discovery.line): the first line of an indented one was 'what makes no sense', the watch was closed, in a large tier for tens of seconds, and the next began the same way. Nothing was ever heard of the list. Change: a line that makes sense as far as it goes is continued by the next ones until its brackets close (Values), within the same bound. Tests: indents of 0, 1, 4 and a tab, cut at each byte, with compact changes and empty lines between, brackets within texts; lines that make no sense are still found out. A line alone costs what it did.

--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import random
+import re
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -37,7 +38,8 @@
 AT_ONCE_S = 0.1  # the least time between two tries at once, and the longest such wait
 AFTER_SILENCE_S = 0.5  # the longest wait where each call for a list is work for a service that all share
 MOVED_S = 4.0  # after the signal what the new address tells counts as told
-MOST_LINE = 1 << 22  # bytes
+MOST_LINE = 1 << 22  # bytes, also of a value that stands on several lines
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # JSON's texts: none goes on over the end of a line
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,15 +102,43 @@
         return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
 
 
+class Values:
+    """Puts JSON values together of the lines of a watch. Each stands on one, or indented on several."""
+
+    def __init__(self, take: Callable[[Any], None]) -> None:
+        self.take, self.lines, self.depth, self.size = take, list[bytes](), 0, 0
+
+    def feed(self, line: bytes) -> None:
+        """A line that is not empty; a ValueError where it makes no sense."""
+        if not self.lines:
+            try:
+                value = json.loads(line)
+            except json.JSONDecodeError as error:
+                if error.pos < len(error.doc.rstrip()):
+                    raise  # else it makes sense as far as it goes, and goes on in the next line
+            else:
+                self.take(value)
+                return
+        bare = TEXT.sub(b"", line)
+        self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        self.lines.append(line)
+        self.size += len(line)
+        if self.size > MOST_LINE:
+            raise ValueError("a value without an end")
+        if self.depth <= 0:
+            text, self.lines, self.size = b"\n".join(self.lines), [], 0
+            self.take(json.loads(text))
+
+
 class WatchConnection(asyncio.Protocol):
     """One watch, from its request to the end of its connection."""
 
     def __init__(
-        self, target: str, host: str, line: Callable[[bytes], None],
+        self, target: str, host: str, value: Callable[[Any], None],
         spoke: Callable[["WatchConnection"], None], account: Account,
     ) -> None:
         self.account = account
-        self.target, self.host, self.line, self.spoke = target, host, line, spoke
+        self.target, self.host, self.values, self.spoke = target, host, Values(value), spoke
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
         self.opened = self.heard = time.monotonic()  # when it was, and when anything came last
@@ -147,7 +177,7 @@
             self.buffer = rest
             for line in lines:
                 if line.strip():
-                    self.line(bytes(line))
+                    self.values.feed(bytes(line))
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without an end")
         if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -197,9 +227,9 @@
         self.last_s = max([self.last_s, *spoken])
         return self.last_s
 
-    def line(self, line: bytes) -> None:
-        """A whole line. Where it fails, the version stays, and the next watch brings it again."""
-        news = self.catalog.news(json.loads(line))
+    def told(self, value: Any) -> None:  # noqa: ANN401 - whatever discovery sends
+        """A whole value. Where it fails, the version stays, and the next watch brings it again."""
+        news = self.catalog.news(value)
         self.version, self.backoff_s = news.event.version, self.least_s
         self.heard(news)
         self.first.set()
@@ -255,7 +285,7 @@
         target, name = f"/catalog/members?watch=1&after={self.version}", f"{host}:{port}"
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: WatchConnection(target, name, self.line, self.taken, self.account), host, port
+                lambda: WatchConnection(target, name, self.told, self.taken, self.account), host, port
             )
         self.connection = connection
         try:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """The watch on discovery and the datagrams between front doors."""
 
 import asyncio
+import json
 import socket
 import time
 from dataclasses import replace
@@ -11,7 +12,7 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import pack_message
 from molereach import discovery
-from molereach.discovery import Catalog, Discovery, News
+from molereach.discovery import Catalog, Discovery, News, Values
 from molereach.frontdoor import FrontDoor
 from molereach.peers import Peers
 from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, refusing_address, run
@@ -77,6 +78,40 @@
     run(job())
 
 
+@pytest.mark.parametrize("size", [1, 7, 1 << 20])
+@pytest.mark.parametrize("indent", [0, 1, 4, "\t"])
+def test_lists_may_come_indented(indent: int | str, size: int) -> None:
+    """On several lines, with an empty one of the watch's own amid them, and with brackets in their texts."""
+    odd = entry("s}1", AT) | {"note": 'a "{[ \\" of text'}
+    whole = json.loads(catalog(5, [odd, entry("s2", AT)]))
+    text = json.dumps(whole, indent=indent).encode().replace(b"\n", b"\n\n", 1) + b"\n"
+    text += b"\n" + catalog(6, [entry("s3", AT)], reset=False)
+    text += json.dumps(json.loads(catalog(7, [], reset=False)), indent=indent).encode() + b"\n"
+
+    async def job() -> None:
+        pieces = [chunk(text[at : at + size]) for at in range(0, len(text), size)]
+        watch = Watch(script(HEAD + b"".join(pieces)))
+        found = await news_of(watch, 3)
+        assert [news.event.version for news in found] == [5, 6, 7]
+        assert [server.name for server in found[0].event.servers] == ["s}1", "s2"]
+        assert len(watch.targets) == 1
+
+    run(job())
+
+
+@pytest.mark.parametrize("lines", [
+    [b'{"generation":', b'}'], [b'{', b'"generation": 4', b'"reset": true', b'}'], [b'{"a', b'":1}'], [b']'],
+    [b'{not json'], [b'{', b'"a": "' + b"x" * (1 << 22) + b'",'],
+])
+def test_lines_that_make_no_sense_are_found_out(lines: list[bytes]) -> None:
+    values: list[object] = []
+    read = Values(values.append)
+    with pytest.raises(ValueError):
+        for line in lines:
+            read.feed(line)
+    assert not values
+
+
 def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "SILENT_S", 0.2)
 
