Ask an agent that nobody answers for again within a second

Cause: a watch that was refused waited by the size of the tier wherever lists come from: 20 s on average with 200 doors, up to 40 (Discovery.run). The spread is for a service that all share. Where lists are pushed, who is asked is this machine's agent, and a refused connection says only that it is not there, as while it starts anew; what it has counts as told all the same. Change: then the wait is a second at most. Connections that are taken and reset unheard, as an overbooked service does, wait as before. Test: red for pushed lists without; a shared service is still left its time.

--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -262,6 +262,8 @@
                     wait_s = await self.watch()
                 except (OSError, TimeoutError) as error:
                     log.warning("no watch on discovery: %s", error or "it does not answer")
+                    if self.pushed and isinstance(error, ConnectionRefusedError):  # no agent is there yet
+                        wait_s = min(wait_s, MOST_BACKOFF_S * self.random.random())
                 except Exception:
                     log.exception("the watch on discovery failed")  # else the list would grow old unseen
                 if wait_s > AT_ONCE_S and time.monotonic() - self.moved_s < MOVED_S:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -164,6 +164,29 @@
     assert waits[0] <= 0.9 if soon else waits[0] > 0.9
 
 
+@pytest.mark.parametrize("pushed", [True, False])
+def test_an_agent_that_is_away_for_a_while_is_asked_again_within_a_second(
+    pushed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It is this machine's own, and costs nobody anything; a service that all share is left time."""
+    waits: list[float] = []
+
+    async def job() -> None:
+        found = Discovery(refusing_address(), Catalog(CONFIG), 0, lambda news: None, 3, 200, pushed=pushed)
+
+        async def noted(wait_s: float) -> None:
+            waits.append(wait_s)
+            if len(waits) == 8:
+                raise asyncio.CancelledError
+
+        monkeypatch.setattr(found, "pause", noted)
+        with pytest.raises(asyncio.CancelledError):
+            await found.run()
+
+    run(job())
+    assert max(waits) <= 1.0 if pushed else sum(waits) > 60
+
+
 @pytest.mark.parametrize("answered", [0, 1])
 def test_of_two_watches_that_nobody_answered_either_may_be_when_the_outage_ends(
     answered: int, monkeypatch: pytest.MonkeyPatch
