Plant the doubled attempt with the bound that attempts have now

Cause: the planted defect wraps Backends.send, which took a third argument with the window of repeats; every send failed, and the trial broke for another reason than the one planted (tests/test_trial.py: red 1 of 690). Change: it passes the bound on. Measured: the file's tests pass.

--- a/orchidhatch/trial/plants.py
+++ b/orchidhatch/trial/plants.py
@@ -39,8 +39,8 @@
 
     send = Backends.send
 
-    def both(self: Backends, attempt: Attempt, timeout_us: int) -> None:
-        send(self, attempt, timeout_us)
+    def both(self: Backends, attempt: Attempt, timeout_us: int, begin_us: int = 0) -> None:
+        send(self, attempt, timeout_us, begin_us)
         copy = Attempt(attempt.request_id, attempt.number, attempt.server, attempt.payload, lambda *_: None)
         send(self, copy, timeout_us)
 
