Tests of a drain amid a long value to a slow client, and with requests that are held

Two crossings that the issue names and that had no test. Red: the first, with a drain that ends once no request is open; the second holds there too, as held requests are open ones, and guards that. 30 of 30 in the file, three times.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -386,6 +386,63 @@
     run(job())
 
 
+@pytest.mark.usefixtures("at_once")
+def test_drain_waits_for_a_long_value_that_a_slow_client_takes() -> None:
+    """Part of it waits here when the drain begins, and for as long as the client takes none."""
+
+    async def job() -> None:
+        long = bytes(1 << 20)
+        backend = Backend(lambda words: value(long))
+        async with front_door(backend) as (door, address):
+            slow = await Client.open(address)
+            slow.writer.transport.pause_reading()
+            while not door.clients.connections:
+                await asyncio.sleep(0)
+            (taken,) = door.clients.connections
+            end = taken.transport.get_extra_info("socket")  # else the kernel would take it all
+            end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            slow.send(query("a1"))
+            while not door.clients.unsent:
+                await asyncio.sleep(0)
+            draining = await drain(door)
+            while not door.clients.reads_no_more:
+                await asyncio.sleep(0)
+            assert not draining.done()
+            slow.writer.transport.resume_reading()
+            assert await slow.answer() == long and await slow.ended()
+            await draining
+
+    run(job())
+
+
+@pytest.mark.usefixtures("at_once")
+def test_drain_waits_for_requests_that_are_held() -> None:
+    """Nothing of them has been sent when it begins: their customer has as many out as it may."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        plans = (i.Plan(rate=1000.0, burst=1000.0, max_out=1),)
+        settings = replace(SETTINGS, plans=plans, gateways=1)
+        async with front_door(backend, settings=settings) as (door, address):
+            clients = [await Client.open(address) for _ in range(3)]
+            for number, one in enumerate(clients):
+                one.send(query(f"a{number}"))
+            while len(door.gateway.held) < 2:
+                await asyncio.sleep(0)
+            draining = await drain(door)
+            while not door.clients.reads_no_more:
+                await asyncio.sleep(0)
+            for number in range(3):
+                while len(backend.commands) <= number:
+                    await asyncio.sleep(0)
+                backend.writers[number].write(value(b"at last"))
+            assert [await client.answer() for client in clients] == [b"at last"] * 3
+            assert all([await client.ended() for client in clients])
+            await draining
+
+    run(job())
+
+
 @pytest.mark.usefixtures("at_once")
 def test_drain_answers_who_connects_in_its_last_turn(monkeypatch: pytest.MonkeyPatch) -> None:
     """Only the kernel has accepted it by then, and its request lies there."""
