--- /dev/null
+++ b/tests/test_peer_outbox.py
@@ -0,0 +1,96 @@
+"""The outbox of messages to the other gateways: pacing, its bound, what each peer was sent of observations."""
+
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.basics import CC_PERIOD_US, MOST_PERIODS, S
+from fennelwinch.records import Desk
+from fennelwinch.words import MOST_WORDS, TELLS_AT_ONCE, Words
+from tests.helpers import SETTINGS
+
+PEER = 2
+WORD = i.Word(customer=1, plan_index=0, set_first=0, set_size=4)
+
+
+def observation(latency: float) -> i.Sighting:
+    return i.Sighting(7, 0, True, latency)
+
+
+@pytest.fixture
+def outbox() -> Words:
+    return Words(Desk(replace(SETTINGS, gateways=4, peer_messages_per_s=100.0)))
+
+
+def sent(outbox: Words) -> list[i.Tell]:
+    """What leaves now; the actions are taken off."""
+    outbox.send()
+    messages = [action for action in outbox.desk.actions if isinstance(action, i.Tell)]
+    outbox.desk.actions.clear()
+    return messages
+
+
+def test_nothing_leaves_when_nothing_waits(outbox: Words) -> None:
+    assert sent(outbox) == []
+
+
+def test_messages_to_one_peer_keep_their_space_on_average(outbox: Words) -> None:
+    count, end_us = 0, 2 * S
+    for now in range(0, end_us, 1_000):
+        outbox.desk.now = now
+        outbox.add(PEER, WORD)
+        count += len(sent(outbox))
+    whole_spaces = end_us / outbox.space_us
+    assert whole_spaces - 1 <= count <= whole_spaces + TELLS_AT_ONCE
+
+
+def test_a_burst_leaves_at_once_up_to_its_bound_then_waits_until_it_is_due(outbox: Words) -> None:
+    counts = []
+    for _ in range(TELLS_AT_ONCE + 2):
+        outbox.add(PEER, WORD)
+        counts.append(len(sent(outbox)))
+    assert counts == [1] * TELLS_AT_ONCE + [0, 0]
+    (due_us,) = outbox.dues()
+    outbox.desk.now = int(due_us) - 1
+    assert sent(outbox) == []
+    outbox.desk.now = int(due_us) + 1
+    (message,) = sent(outbox)
+    assert message.words == (WORD, WORD)
+    assert message.waited_us == int(due_us) + 1
+
+
+def test_one_peer_that_waits_does_not_delay_another(outbox: Words) -> None:
+    for _ in range(TELLS_AT_ONCE + 1):
+        outbox.add(PEER, WORD)
+        sent(outbox)
+    outbox.add(PEER + 1, WORD)
+    assert [message.peer for message in sent(outbox)] == [PEER + 1]
+
+
+def test_the_oldest_is_dropped_and_counted_when_the_outbox_is_full(outbox: Words) -> None:
+    words = [replace(WORD, demand=float(number)) for number in range(MOST_WORDS + 3)]
+    for word in words:
+        outbox.add(PEER, word)
+    assert outbox.dropped == 3
+    (message,) = sent(outbox)
+    assert message.words == tuple(words[3:])
+
+
+def test_each_peer_is_sent_an_observation_once(outbox: Words) -> None:
+    outbox.see(observation(1))
+    outbox.add(PEER, WORD)
+    assert [message.sightings for message in sent(outbox)] == [(observation(1),)]
+    outbox.see(observation(2))
+    outbox.add(PEER, WORD)
+    outbox.add(PEER + 1, WORD)
+    assert {message.peer: message.sightings for message in sent(outbox)} == {
+        PEER: (observation(2),), PEER + 1: (observation(1), observation(2))}
+
+
+def test_an_observation_older_than_the_longest_period_is_not_sent(outbox: Words) -> None:
+    outbox.see(observation(1))
+    outbox.desk.now = MOST_PERIODS * CC_PERIOD_US
+    outbox.see(observation(2))
+    outbox.add(PEER, WORD)
+    assert [message.sightings for message in sent(outbox)] == [(observation(2),)]
