--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -29,6 +29,8 @@
     "diff": i.ListKind.CHANGES,
     "error": i.ListKind.FAILED,
 }
+
+
 class WireError(Exception):
     """The input is not what the wire's page describes."""
 
@@ -116,8 +118,16 @@
     set_size, set_first = int(fields.number(1.0)), int(fields.number(0.0))
     marks = fields.whole(0)
     return i.Request(
-        request_id, class_index, plan_index, customer, left_us, units, max(1, set_size), set_first,
-        bool(marks & 2), bool(marks & 4),
+        request_id,
+        class_index,
+        plan_index,
+        customer,
+        left_us,
+        units,
+        max(1, set_size),
+        set_first,
+        bool(marks & 2),
+        bool(marks & 4),
     )
 
 
--- a/fennelwinch/cap.py
+++ b/fennelwinch/cap.py
@@ -74,8 +74,14 @@
         self.n_past = next_n(round(was * alike), na_past * alike, occup, overhead, targets, seconds) / alike
 
 
-def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
-           seconds: float = 1.0) -> int:
+def next_n(
+    n_past: int,
+    na_past: float,
+    occup: float,
+    overhead: float,
+    targets: tuple[float, ...],
+    seconds: float = 1.0,
+) -> int:
     """The paper's update of N, rounded down; `targets` are max_occup, occ_too_high and min_occup."""
     max_occup, occ_too_high, min_occup = targets
     if occup < min_occup and na_past < MIN_FRACTION_CALLS * n_past:
--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -136,23 +136,29 @@
 
 def read_report(values: Iterable[tuple[str, str]]) -> i.LoadReport:
     """A load report from names and values; unknown names and absent values are skipped."""
-    return i.LoadReport(**{
-        REPORT_FIELDS[name]: float(value)
-        for name, value in values
-        if name in REPORT_FIELDS and value not in ("", "-")
-    })
+    return i.LoadReport(
+        **{
+            REPORT_FIELDS[name]: float(value)
+            for name, value in values
+            if name in REPORT_FIELDS and value not in ("", "-")
+        }
+    )
 
 
-def pack_message(
-    words: Iterable[i.Word], sightings: Iterable[i.Sighting] = (), mark: int = 0
-) -> list[bytes]:
+def pack_message(words: Iterable[i.Word], sightings: Iterable[i.Sighting] = (), mark: int = 0) -> list[bytes]:
     """Messages between gateways, each as long as the wire allows; sightings fill up the last one. The mark of
     a policy is from 1 to 255; a gateway of an earlier version passes over a message with one."""
     packed = [
         WORD.pack(
-            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer | word.place << 1,
-            *(max(-32768, min(32767, round(amount * UNIT)))
-              for amount in (word.demand, word.spent, word.asked, word.level)),
+            word.customer,
+            word.plan_index,
+            word.set_first,
+            word.set_size,
+            word.is_answer | word.place << 1,
+            *(
+                max(-32768, min(32767, round(amount * UNIT)))
+                for amount in (word.demand, word.spent, word.asked, word.level)
+            ),
             max(0, min(255, word.out)),
         )
         for word in words
@@ -162,9 +168,9 @@
     heads = [bytes([MARKED | len(part), mark] if mark else [MARK | len(part)]) for part in parts]
     messages = [head + b"".join(part) for head, part in zip(heads, parts, strict=True)]
     seen = [
-        SIGHTING.pack(seen.server, seen.class_index << 1 | seen.served,
-                      round(min(1.0, seen.latency) * PARTS))
-        for seen in sightings if seen.class_index < MOST_CLASSES
+        SIGHTING.pack(seen.server, seen.class_index << 1 | seen.served, round(min(1.0, seen.latency) * PARTS))
+        for seen in sightings
+        if seen.class_index < MOST_CLASSES
     ]
     room = (MESSAGE_BYTES - len(messages[-1])) // SIGHTING.size
     messages[-1] += b"".join(seen[:room])
@@ -184,8 +190,13 @@
     if not 1 < end <= len(data) <= MESSAGE_BYTES or (len(data) - end) % SIGHTING.size:
         return (), ()
     words = tuple(
-        i.Word(*key, bool(answer & 1), *(amount / UNIT for amount in amounts), out,
-               i.Place(answer >> 1) if answer >> 1 in PLACES else i.Place.NONE)
+        i.Word(
+            *key,
+            bool(answer & 1),
+            *(amount / UNIT for amount in amounts),
+            out,
+            i.Place(answer >> 1) if answer >> 1 in PLACES else i.Place.NONE,
+        )
         for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data[1:end])
         for amounts in [(demand, spent, asked, level)]
     )
--- a/fennelwinch/homes.py
+++ b/fennelwinch/homes.py
@@ -178,8 +178,10 @@
 
     def dues(self) -> list[float]:
         """When a word of what is out is to be renewed, or a place given back."""
-        return [known.told_us + RENEW_US if known.place_us == -NEVER else known.place_us + ASK_US
-                for known in self.renewals.values()]
+        return [
+            known.told_us + RENEW_US if known.place_us == -NEVER else known.place_us + ASK_US
+            for known in self.renewals.values()
+        ]
 
     def tell_out(self, customer: Customer) -> None:
         if customer.shares_cap() and not customer.at_home:
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -448,9 +448,27 @@
 
 
 Event = (
-    ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
-    | Maint | NewPolicy | Bar | Survey | HandOver | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
-    | TwinGone | TwinUnknown
+    ServerList
+    | Request
+    | StreamStarted
+    | Outcome
+    | ClientGone
+    | Timer
+    | ProbeResult
+    | PeerMessage
+    | Counted
+    | Maint
+    | NewPolicy
+    | Bar
+    | Survey
+    | HandOver
+    | State
+    | TwinSpend
+    | TwinSend
+    | TwinEnd
+    | TwinMaint
+    | TwinGone
+    | TwinUnknown
 )
 
 
@@ -583,6 +601,24 @@
 
 
 Action = (
-    Send | Cancel | Refuse | Fail | SetTimer | Probe | CloseIdle | Tell | Count | Subscribe | FetchList | Log
-    | Waited | Ruling | Census | State | TwinSpend | TwinSend | TwinEnd | TwinMaint
+    Send
+    | Cancel
+    | Refuse
+    | Fail
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Tell
+    | Count
+    | Subscribe
+    | FetchList
+    | Log
+    | Waited
+    | Ruling
+    | Census
+    | State
+    | TwinSpend
+    | TwinSend
+    | TwinEnd
+    | TwinMaint
 )
--- a/fennelwinch/membership.py
+++ b/fennelwinch/membership.py
@@ -49,8 +49,11 @@
             started = max(server.entry.started_us, server.cold_us)
             cold = started and set_.cold_from < 1
             server.warm_us = started + max(1, set_.warm_within_us) if cold else -NEVER
-        routing.up = [server for server in routing.servers.values()
-                      if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)]
+        routing.up = [
+            server
+            for server in routing.servers.values()
+            if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)
+        ]
         routing.count_warm()
 
     def on_maint(self, event: i.Maint) -> None:
--- a/fennelwinch/quota.py
+++ b/fennelwinch/quota.py
@@ -24,10 +24,18 @@
 
 def own_part(plan: i.Plan, size: int) -> i.Plan:
     """The plan of one gateway that hears nothing of the others; its store holds one request at least."""
-    return plan if size == 1 else replace(
-        plan, rate=plan.rate / size, burst=max(min(1.0, plan.burst), plan.burst / size),
-        max_out=plan.max_out and max(1, plan.max_out // size),
-        ceiling_rate=plan.ceiling_rate / size, ceiling_burst=plan.ceiling_burst / size)
+    return (
+        plan
+        if size == 1
+        else replace(
+            plan,
+            rate=plan.rate / size,
+            burst=max(min(1.0, plan.burst), plan.burst / size),
+            max_out=plan.max_out and max(1, plan.max_out // size),
+            ceiling_rate=plan.ceiling_rate / size,
+            ceiling_burst=plan.ceiling_burst / size,
+        )
+    )
 
 
 class Customer(CustomerRecord):
@@ -51,8 +59,10 @@
         was granted stays granted."""
         old, self.key = self.refill(now).plan, self.key._replace(plan_index=index)
         self.plan = plan = own_part(plan, self.key[3]) if self.alone else plan
-        share, ceiling = (new / was if was else 0.0 for new, was in (
-            (plan.burst, old.burst), (plan.ceiling_burst, old.ceiling_burst)))
+        share, ceiling = (
+            new / was if was else 0.0
+            for new, was in ((plan.burst, old.burst), (plan.ceiling_burst, old.ceiling_burst))
+        )
         self.part, self.level, self.own = self.part * share, self.level * share, self.own * share
         self.ceiling *= ceiling
         if not self.at_home and self.shares_cap() and not self.left_us:
@@ -150,8 +160,9 @@
     def others_out(self, now: int, but: int = -1) -> int:
         """At its home: the attempts that the others have out, as they told of late, or were granted since."""
         told = sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
-        return told + sum(now - at < OUT_FRESH_US for peer, given in self.granted.items() if peer != but
-                          for at in given)
+        return told + sum(
+            now - at < OUT_FRESH_US for peer, given in self.granted.items() if peer != but for at in given
+        )
 
     def hear_out(self, peer: int, out: int, ended: bool, now: int) -> None:
         """At its home: what a peer has out. Of the places granted to it, those that it has or had are not to
@@ -167,8 +178,14 @@
         if not self.wanting or self.out + self.others_out(now) >= self.plan.max_out:
             return None
         self.refill(now)
-        return next((peer for peer, (units, _) in self.wanting.items()
-                     if units <= PLACE_ALONE or units <= self.ceiling), None)
+        return next(
+            (
+                peer
+                for peer, (units, _) in self.wanting.items()
+                if units <= PLACE_ALONE or units <= self.ceiling
+            ),
+            None,
+        )
 
     def grant(self, peer: int, now: int) -> float:
         """At its home: a place, and the units under the ceiling that were asked for with it."""
--- a/fennelwinch/records.py
+++ b/fennelwinch/records.py
@@ -74,9 +74,19 @@
         self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
 
     def memory(self) -> i.ServerMemory:
-        return i.ServerMemory(self.entry.name, self.entry.started_us, self.slowness, self.fails,
-                              self.on_trial, self.avoid_until, self.backoff_us, self.back_us, self.cold_us,
-                              self.earned, self.earned_us)
+        return i.ServerMemory(
+            self.entry.name,
+            self.entry.started_us,
+            self.slowness,
+            self.fails,
+            self.on_trial,
+            self.avoid_until,
+            self.backoff_us,
+            self.back_us,
+            self.cold_us,
+            self.earned,
+            self.earned_us,
+        )
 
     def remember(self, told: i.ServerMemory) -> None:
         if abs(self.entry.started_us - told.started_us) < SAME_START_US:
@@ -110,8 +120,17 @@
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
     def memory(self) -> i.CustomerMemory:
-        return i.CustomerMemory(self.key, self.at, self.part, self.level, self.demand, self.ceiling,
-                                self.heard_us, self.untold, self.spent)
+        return i.CustomerMemory(
+            self.key,
+            self.at,
+            self.part,
+            self.level,
+            self.demand,
+            self.ceiling,
+            self.heard_us,
+            self.untold,
+            self.spent,
+        )
 
     def remember(self, told: i.CustomerMemory) -> None:
         self.part, self.level, self.demand = told.part, told.level, told.demand
@@ -120,20 +139,29 @@
 
 
 def state(
-    desk: Desk, cap: "Cap", routing: "Routing", customers: Iterable[CustomerRecord],
-    names: Mapping[str, bool], jobs: Iterable[Job],
+    desk: Desk,
+    cap: "Cap",
+    routing: "Routing",
+    customers: Iterable[CustomerRecord],
+    names: Mapping[str, bool],
+    jobs: Iterable[Job],
 ) -> i.State:
     """All that a gateway hands over."""
     return i.State(
         desk.now,
-        i.CapMemory(cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate,
-                    routing.usual),
+        i.CapMemory(
+            cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate, routing.usual
+        ),
         tuple(routing.mean_us),
         tuple(known.memory() for known in customers),
         tuple(server.memory() for server in routing.servers.values()),
         tuple(i.TwinMaint(name, left_out) for name, left_out in names.items()),
-        tuple(i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
-              for job in jobs for number, sent in job.out.items()))
+        tuple(
+            i.TwinSend(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
+            for job in jobs
+            for number, sent in job.out.items()
+        ),
+    )
 
 
 def remember_cap(cap: "Cap", told: i.CapMemory) -> None:
--- a/fennelwinch/report.py
+++ b/fennelwinch/report.py
@@ -18,11 +18,13 @@
     known = " ".join(f"{how}={count}" for how, count in sorted(gateway.decided.items()))
     most = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
-    return (f"cap {most} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
-            f" out {cap.out} held {len(gateway.held)} ({held_for(gateway)}) waiting {len(gateway.waits)}"
-            f" up {len(routing.up)} suspect {routing.suspect()} ended: {ended or '-'}"
-            f" decided: {known or '-'} old words {gateway.old_us // 1000} ms"
-            f" peers: {' '.join(f'{what} {peers[what]}' for what in FATES)}")
+    return (
+        f"cap {most} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
+        f" out {cap.out} held {len(gateway.held)} ({held_for(gateway)}) waiting {len(gateway.waits)}"
+        f" up {len(routing.up)} suspect {routing.suspect()} ended: {ended or '-'}"
+        f" decided: {known or '-'} old words {gateway.old_us // 1000} ms"
+        f" peers: {' '.join(f'{what} {peers[what]}' for what in FATES)}"
+    )
 
 
 def census(gateway: "Gateway") -> i.Census:
@@ -31,9 +33,16 @@
     good = sum(now >= server.avoid_until and not server.on_trial for server in routing.up)
     listed = sum(server.entry.state is not i.ServerState.GONE for server in routing.servers.values())
     waits = [job.came_us for _, _, job in gateway.held] + [job.came_us for job in gateway.waits]
-    return i.Census(listed, listed - good, len(waits), now - min(waits, default=now),
-                    sum(map(len, words.waiting.values())), now - min(words.since.values(), default=now),
-                    words.dropped, tuple(sorted(gateway.ended.items())))
+    return i.Census(
+        listed,
+        listed - good,
+        len(waits),
+        now - min(waits, default=now),
+        sum(map(len, words.waiting.values())),
+        now - min(words.since.values(), default=now),
+        words.dropped,
+        tuple(sorted(gateway.ended.items())),
+    )
 
 
 def waits_for(gateway: "Gateway", job: Job) -> str:
--- a/fennelwinch/routing.py
+++ b/fennelwinch/routing.py
@@ -68,8 +68,13 @@
         """The least expected wait among a few of those that the rules and their health allow."""
         now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not i.Effect.SAFE
         allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
-        usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
-                  and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
+        usable = [
+            server
+            for server in allowed
+            if now >= server.avoid_until
+            and server not in job.servers
+            and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))
+        ] or allowed
         most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateways)  # more would only wait there
         free = [server for server in usable if len(server.out) < most]
         room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
@@ -170,5 +175,3 @@
         elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and now >= server.avoid_until:
             server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
             server.avoid_until, server.on_trial = now + server.backoff_us, True
-
-
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -52,15 +52,25 @@
         self.barred = False  # whether nobody may be let in
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
         self.on = {
-            i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
-            i.ClientGone: self.on_end, i.StreamStarted: self.on_stream,
-            i.PeerMessage: self.on_peer, i.Survey: self.on_survey, i.NewPolicy: self.on_policy,
+            i.Request: self.on_request,
+            i.Outcome: self.on_outcome,
+            i.Timer: self.on_tick,
+            i.ClientGone: self.on_end,
+            i.StreamStarted: self.on_stream,
+            i.PeerMessage: self.on_peer,
+            i.Survey: self.on_survey,
+            i.NewPolicy: self.on_policy,
             i.Bar: self.on_bar,
-            i.ServerList: self.membership.on_list, i.Maint: self.membership.on_maint,
+            i.ServerList: self.membership.on_list,
+            i.Maint: self.membership.on_maint,
             i.TwinMaint: self.membership.leave_out,
-            i.HandOver: lambda _: self.twin.hand_over(self.jobs.values()), i.State: self.twin.on_state,
-            i.TwinGone: self.twin.on_gone, i.TwinUnknown: self.twin.on_unknown,
-            i.TwinSpend: self.twin.on_spend, i.TwinSend: self.twin.on_send, i.TwinEnd: self.twin.on_end,
+            i.HandOver: lambda _: self.twin.hand_over(self.jobs.values()),
+            i.State: self.twin.on_state,
+            i.TwinGone: self.twin.on_gone,
+            i.TwinUnknown: self.twin.on_unknown,
+            i.TwinSpend: self.twin.on_spend,
+            i.TwinSend: self.twin.on_send,
+            i.TwinEnd: self.twin.on_end,
         }
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -82,8 +92,12 @@
         soonest = self.desk.now + TICK_US
         if self.held or self.homes.queues:
             return soonest
-        dues = [self.cap.period_us + self.cap.cc_us, *self.homes.dues(), *self.words.dues(),
-                *[job.decide_us for job in self.waits]]
+        dues = [
+            self.cap.period_us + self.cap.cc_us,
+            *self.homes.dues(),
+            *self.words.dues(),
+            *[job.decide_us for job in self.waits],
+        ]
         return max(soonest, math.ceil(min(dues)))
 
     def on_tick(self, _: i.Timer) -> None:
@@ -110,8 +124,13 @@
     def overdue(self) -> list[float]:
         """The ages of attempts that are out for longer than the mean, in aims."""
         now, means = self.desk.now, self.routing.mean_us
-        return [min(1.0, (now - sent) / job.rule.aim_us) for job in self.jobs.values() if not job.streams
-                for sent in job.out.values() if now - sent > means[job.req.class_index]]
+        return [
+            min(1.0, (now - sent) / job.rule.aim_us)
+            for job in self.jobs.values()
+            if not job.streams
+            for sent in job.out.values()
+            if now - sent > means[job.req.class_index]
+        ]
 
     # --- requests that come ---
 
@@ -167,8 +186,9 @@
             self.homes.hear(message.sender, message.words, self.answered)
 
     def on_policy(self, told: i.NewPolicy) -> None:
-        self.set = self.desk.set = replace(self.set, classes=told.classes, plans=told.plans,
-                                           banned=told.banned, mark=told.mark)
+        self.set = self.desk.set = replace(
+            self.set, classes=told.classes, plans=told.plans, banned=told.banned, mark=told.mark
+        )
         self.homes.move(told.moved)
 
     def on_bar(self, told: i.Bar) -> None:
@@ -236,8 +256,9 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (
-                blocked or self.homes.needs_place(job.customer, job.req.units)))
+            waits = job.over or (
+                not job.servers and (blocked or self.homes.needs_place(job.customer, job.req.units))
+            )
             if server := None if waits else self.routing.choose(job):
                 self.send(job, server)
             elif not job.over:
@@ -277,12 +298,16 @@
         if not number:
             self.homes.use_place(customer)
         server.earned -= 1
-        self.desk.actions.append(i.Send(job.req.id, server.entry.name, self.retries.time_out(job),
-                                        self.retries.begin_within(job)))
+        self.desk.actions.append(
+            i.Send(job.req.id, server.entry.name, self.retries.time_out(job), self.retries.begin_within(job))
+        )
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
-        self.desk.tell_twin(i.TwinSend(customer.key, job.req.id, number, server.entry.name, now,
-                                       0.0 if number else job.req.units))
+        self.desk.tell_twin(
+            i.TwinSend(
+                customer.key, job.req.id, number, server.entry.name, now, 0.0 if number else job.req.units
+            )
+        )
 
     def again(self, job: Job, why: i.Result) -> bool:
         """Whether the request goes on after an attempt that ended so: on another server, or held for one."""
@@ -341,16 +366,22 @@
             self.close(job)
             self.cap.out -= 1
             del server.out[(event.id, event.attempt)]
-            self.learn(job, server, i.Outcome(event.id, True, event.attempt, event.server, i.Result.OK,
-                                              event.latency_us))
+            self.learn(
+                job,
+                server,
+                i.Outcome(event.id, True, event.attempt, event.server, i.Result.OK, event.latency_us),
+            )
 
     # --- ends ---
 
     def end(self, job: Job, why: str) -> None:
         self.tally[why] += 1
         self.ended[why] += 1
-        self.desk.actions.append(i.Refuse(job.req.id, self.retries.come_again(job, why)) if job.may_refuse()
-                                 else i.Fail(job.req.id))
+        self.desk.actions.append(
+            i.Refuse(job.req.id, self.retries.come_again(job, why))
+            if job.may_refuse()
+            else i.Fail(job.req.id)
+        )
         self.drop(job)
 
     def on_end(self, event: i.ClientGone) -> None:
--- a/fennelwinch/words.py
+++ b/fennelwinch/words.py
@@ -51,7 +51,8 @@
             self.tally["told"] += 1
             waited_us = now - self.since.pop(peer)
             self.desk.actions.append(
-                i.Tell(peer, tuple(self.waiting.pop(peer)), self.untold_sightings(peer), waited_us))
+                i.Tell(peer, tuple(self.waiting.pop(peer)), self.untold_sightings(peer), waited_us)
+            )
 
     def see(self, sighting: i.Sighting) -> None:
         self.seen.append((self.desk.now, sighting))
@@ -62,5 +63,8 @@
         new = self.seen_ever - self.told_seen.get(peer, 0)
         self.told_seen[peer] = self.seen_ever
         first = max(0, len(self.seen) - new)
-        return tuple(seen for at, seen in itertools.islice(self.seen, first, None)
-                     if self.desk.now - at < MOST_PERIODS * CC_PERIOD_US)
+        return tuple(
+            seen
+            for at, seen in itertools.islice(self.seen, first, None)
+            if self.desk.now - at < MOST_PERIODS * CC_PERIOD_US
+        )
--- a/molereach/account.py
+++ b/molereach/account.py
@@ -40,7 +40,10 @@
     """
 
     def __init__(
-        self, seed: int = 0, every: int = EVERY, clock: Callable[[], int] = time.thread_time_ns,
+        self,
+        seed: int = 0,
+        every: int = EVERY,
+        clock: Callable[[], int] = time.thread_time_ns,
         process_clock: Callable[[], int] = time.process_time_ns,
         elapsed: Callable[[], float] = time.monotonic,
     ) -> None:
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -48,11 +48,31 @@
 class Attempt:
     """One command for one backend; `done` is called once, with how it ended."""
 
-    __slots__ = ("began", "begin_by_us", "connection", "done", "given_up", "number", "over", "payload",
-                 "pool", "request_id", "sent_us", "server", "timer", "written", "written_us")
+    __slots__ = (
+        "began",
+        "begin_by_us",
+        "connection",
+        "done",
+        "given_up",
+        "number",
+        "over",
+        "payload",
+        "pool",
+        "request_id",
+        "sent_us",
+        "server",
+        "timer",
+        "written",
+        "written_us",
+    )
 
     def __init__(
-        self, request_id: str, number: int, server: str, payload: bytes, done: Done,
+        self,
+        request_id: str,
+        number: int,
+        server: str,
+        payload: bytes,
+        done: Done,
         began: Began = lambda attempt, size: None,
     ) -> None:
         self.request_id, self.number, self.server = request_id, number, server
@@ -176,8 +196,11 @@
             self.judge()
 
     def judge(self) -> None:
-        bad = [number for number, (used, lost) in self.uses.items()
-               if lost >= LEAST_RESETS and lost >= RESET_SHARE * used]
+        bad = [
+            number
+            for number, (used, lost) in self.uses.items()
+            if lost >= LEAST_RESETS and lost >= RESET_SHARE * used
+        ]
         limit = min(self.told_us, 1 << max(0, min(bad) - 1)) if bad else self.told_us
         if limit != self.us:
             log.warning("connections idle for %d ms or more are not used again", limit // 1000)
@@ -459,9 +482,7 @@
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
 
-    def update(
-        self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
-    ) -> None:
+    def update(self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool) -> None:
         """Take over news of the list: the whole of it, or those whose state or address changed."""
         for name in [name for name in self.pools if whole and name not in states]:
             self.retire(name)
@@ -514,8 +535,12 @@
 
     def unanswered(self) -> list[Attempt]:
         """Those that are written and not answered."""
-        return [connection.attempt for pool in (*self.pools.values(), *self.old)
-                for connection in pool.connections if connection.attempt and connection.attempt.written]
+        return [
+            connection.attempt
+            for pool in (*self.pools.values(), *self.old)
+            for connection in pool.connections
+            if connection.attempt and connection.attempt.written
+        ]
 
     def may_open(self) -> bool:
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -154,11 +154,17 @@
             raise CommandError("unknown plan")
         wait_ms = whole(values.get("d", ""), "time", 0, MOST_WAIT_MS)
         request = i.Request(
-            id=request_id, class_index=number, plan_index=plan, customer=customer,
-            left_us=min(most_us, max(0, wait_ms * 1000 - answer_margin_us)), units=self.units(values),
+            id=request_id,
+            class_index=number,
+            plan_index=plan,
+            customer=customer,
+            left_us=min(most_us, max(0, wait_ms * 1000 - answer_margin_us)),
+            units=self.units(values),
             set_size=whole(values.get("spread", "1"), "spread", 1, self.settings.gateways),
             set_first=whole(values.get("first", "0"), "first", 0, self.settings.gateways - 1),
-            is_repeat=values.get("r") == "1", is_write=is_write, size=sum(map(len, words)),
+            is_repeat=values.get("r") == "1",
+            is_write=is_write,
+            size=sum(map(len, words)),
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
         return Command(request, words, words[3][: at + 2], words[3][at + 2 + len(values["d"]) :])
@@ -453,7 +459,10 @@
     """All client connections, bounded in number."""
 
     def __init__(
-        self, most: int, take: Callable[[list[bytes], Reply], None], gone: Callable[[Reply], None],
+        self,
+        most: int,
+        take: Callable[[list[bytes], Reply], None],
+        gone: Callable[[Reply], None],
         account: Account | None = None,
     ) -> None:
         self.account = account or Account()
@@ -537,13 +546,22 @@
 
         A value that is passed on in pieces has a limit of its own, as its backend may be what does not move.
         """
-        stuck = sorted((connection for connection in self.connections if connection.unsent and not any(
-            reply.source for reply in connection.replies)), key=lambda connection: connection.moved_s)
+        stuck = sorted(
+            (
+                connection
+                for connection in self.connections
+                if connection.unsent and not any(reply.source for reply in connection.replies)
+            ),
+            key=lambda connection: connection.moved_s,
+        )
         for connection in stuck:
             if now_s - connection.moved_s < STALL_S and self.unsent <= SHED_POOLS * self.pool:
                 break
-            log.warning("cut a client that left %d bytes unread for %.1f s", connection.unsent,
-                        now_s - connection.moved_s)
+            log.warning(
+                "cut a client that left %d bytes unread for %.1f s",
+                connection.unsent,
+                now_s - connection.moved_s,
+            )
             self.cut += 1
             connection.abort()
             self.unsent -= connection.unsent
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -82,11 +82,17 @@
     plans = [(name, told.plans[number]) for name, number in config.plan_numbers.items()]
     parts = [f"front door {told.me} of {told.gateways}"]
     parts += [f"{name} aim {one.aim_us // ms} ms of {one.deadline_us // ms}" for name, one in classes]
-    parts += [f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_out}"
-              f" ceiling {plan.ceiling_rate:.4g}/s burst {plan.ceiling_burst:.4g}" for name, plan in plans]
-    parts += [f"messages {told.peer_messages_per_s:g}/s",
-              f"cold from {told.cold_from:.2f} for {told.warm_within_us // ms} ms",
-              f"descriptors {config.sockets}", f"memory {config.memory_mb} MB"]
+    parts += [
+        f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_out}"
+        f" ceiling {plan.ceiling_rate:.4g}/s burst {plan.ceiling_burst:.4g}"
+        for name, plan in plans
+    ]
+    parts += [
+        f"messages {told.peer_messages_per_s:g}/s",
+        f"cold from {told.cold_from:.2f} for {told.warm_within_us // ms} ms",
+        f"descriptors {config.sockets}",
+        f"memory {config.memory_mb} MB",
+    ]
     return "; ".join(parts)
 
 
@@ -161,8 +167,13 @@
         within(f"categories.{number}.on-time-us", rule.aim_us, 1, MOST_US)
         within(f"categories.{number}.deadline-us", rule.deadline_us, 1, MOST_US)
     for number, plan in enumerate(settings.plans):
-        for name, value in (("units-per-s", plan.rate), ("burst", plan.burst), ("max-out", plan.max_out),
-                            ("never-over-rate", plan.ceiling_rate), ("hard-burst", plan.ceiling_burst)):
+        for name, value in (
+            ("units-per-s", plan.rate),
+            ("burst", plan.burst),
+            ("max-out", plan.max_out),
+            ("never-over-rate", plan.ceiling_rate),
+            ("hard-burst", plan.ceiling_burst),
+        ):
             within(f"plans.{number}.{name}", value, 0, MOST_AMOUNT)
 
 
@@ -173,9 +184,12 @@
     digest = pairs.text("digest")
     if digest and not DIGEST.fullmatch(digest):
         raise ConfigError(f"policy.digest is '{digest:.40}', not 16 hex digits")
-    return Policy(bounded(pairs, "number", 0, 0, MOST_NUMBER), digest,
-                  bounded(pairs, "silent_ms", 5000, 1000, 600_000) / 1000,
-                  bounded(pairs, "until_us", 0, 0, MOST_NUMBER))
+    return Policy(
+        bounded(pairs, "number", 0, 0, MOST_NUMBER),
+        digest,
+        bounded(pairs, "silent_ms", 5000, 1000, 600_000) / 1000,
+        bounded(pairs, "until_us", 0, 0, MOST_NUMBER),
+    )
 
 
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -134,8 +134,12 @@
     """One watch, from its request to the end of its connection."""
 
     def __init__(
-        self, target: str, host: str, value: Callable[[Any], None],
-        spoke: Callable[["WatchConnection"], None], account: Account,
+        self,
+        target: str,
+        host: str,
+        value: Callable[[Any], None],
+        spoke: Callable[["WatchConnection"], None],
+        account: Account,
     ) -> None:
         self.account = account
         self.target, self.host, self.values, self.spoke = target, host, Values(value), spoke
@@ -200,8 +204,15 @@
     """
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None], seed: int = 0,
-        doors: int = 1, account: Account | None = None, pushed: bool = True,
+        self,
+        address: Address,
+        catalog: Catalog,
+        version: int,
+        heard: Callable[[News], None],
+        seed: int = 0,
+        doors: int = 1,
+        account: Account | None = None,
+        pushed: bool = True,
     ) -> None:
         self.account = account or Account()
         self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
@@ -305,8 +316,9 @@
                 if left <= 0:
                     log.warning("the watch on discovery is silent")
                     break
-                await asyncio.wait([connection.ended, moved], timeout=left,
-                                   return_when=asyncio.FIRST_COMPLETED)
+                await asyncio.wait(
+                    [connection.ended, moved], timeout=left, return_when=asyncio.FIRST_COMPLETED
+                )
         finally:
             moved.cancel()
         if self.moved.is_set():
--- a/molereach/figures.py
+++ b/molereach/figures.py
@@ -23,8 +23,11 @@
 
     def text(self, **others: int) -> str:
         """All figures in the form of a Prometheus page, zeros too; `others` are those kept elsewhere."""
-        lines = [f'proxy_{how}_total{{group="{escape(name)}"}} {count}'
-                 for name, counts in self.ended.items() for how, count in counts.items()]
+        lines = [
+            f'proxy_{how}_total{{group="{escape(name)}"}} {count}'
+            for name, counts in self.ended.items()
+            for how, count in counts.items()
+        ]
         lines += [f"proxy_{name} {value}" for name, value in others.items()]
         return "\n".join(lines) + "\n"
 
@@ -34,8 +37,10 @@
     if not values:
         return ""
     lines = [f"# HELP proxy_{name} {text}", f"# TYPE proxy_{name} {kind}"]
-    lines += [f"proxy_{name}{{{labels}}} {value}" if labels else f"proxy_{name} {value}"
-              for labels, value in values.items()]
+    lines += [
+        f"proxy_{name}{{{labels}}} {value}" if labels else f"proxy_{name} {value}"
+        for labels, value in values.items()
+    ]
     return "\n".join(lines) + "\n"
 
 
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -80,8 +80,18 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "came_us", "command", "end_us", "out", "plan", "policy", "reply", "stream",
-                 "timer")
+    __slots__ = (
+        "attempts",
+        "came_us",
+        "command",
+        "end_us",
+        "out",
+        "plan",
+        "policy",
+        "reply",
+        "stream",
+        "timer",
+    )
 
     def __init__(self, command: Command, reply: Reply, end_us: int, plan: str, policy: str = "") -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
@@ -116,25 +126,34 @@
         self.server: asyncio.Server | None = None
         self.most_descriptors = descriptors_allowed(config.sockets)
         if self.most_descriptors < config.sockets:
-            log.error("the system allows this process %d descriptors, not the %d of limits.sockets",
-                      self.most_descriptors, config.sockets)
+            log.error(
+                "the system allows this process %d descriptors, not the %d of limits.sockets",
+                self.most_descriptors,
+                config.sockets,
+            )
         sockets = max(LEAST_SOCKETS, self.most_descriptors) - SPARE_SOCKETS
         most_clients = round(sockets * CLIENT_SHARE)
-        self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients,
-                                 self.account)
+        self.backends = Backends(
+            config.conn_idle_us, config.connect_timeout_us, sockets - most_clients, self.account
+        )
         self.parser = CommandParser(config)
         self.class_names = {number: name for name, number in config.class_numbers.items()}
         self.plan_names = {number: name for name, number in config.plan_numbers.items()}
         self.figures = Figures(config.class_numbers)
-        self.management = Management(Calls({
-            ("GET", "/healthcheck"): self.health,
-            ("GET", "/stats"): self.stats,
-            ("GET", "/metrics"): self.metrics,
-            ("POST", "/backends/{id}/maint"): lambda name: self.maint(name, True),
-            ("POST", "/backends/{id}/ready"): lambda name: self.maint(name, False),
-            ("POST", "/healthcheck/fail"): self.leave_service,
-            ("POST", "/healthcheck/ok"): self.enter_service,
-        }), self.account)
+        self.management = Management(
+            Calls(
+                {
+                    ("GET", "/healthcheck"): self.health,
+                    ("GET", "/stats"): self.stats,
+                    ("GET", "/metrics"): self.metrics,
+                    ("POST", "/backends/{id}/maint"): lambda name: self.maint(name, True),
+                    ("POST", "/backends/{id}/ready"): lambda name: self.maint(name, False),
+                    ("POST", "/healthcheck/fail"): self.leave_service,
+                    ("POST", "/healthcheck/ok"): self.enter_service,
+                }
+            ),
+            self.account,
+        )
         self.ready, self.ending, self.replaced = False, False, False
         self.last_answer_us: int | None = None  # until when it is sure to live, once it is ending
         self.finished = asyncio.Event()  # replaced, and with nothing left to do
@@ -148,14 +167,24 @@
         known = self.read_known()
         version = known.event.version if known else 0
         self.discovery = Discovery(
-            config.discovery, self.catalog, version, self.list_heard, config.settings.seed,
-            config.settings.gateways, self.account, pushed=not config.settings.must_subscribe)
+            config.discovery,
+            self.catalog,
+            version,
+            self.list_heard,
+            config.settings.seed,
+            config.settings.gateways,
+            self.account,
+            pushed=not config.settings.must_subscribe,
+        )
         self.peers.mark = config.settings.mark
         self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
-            i.Send: (Place.BACKENDS, self.send), i.Cancel: (Place.BACKENDS, self.cancel),
-            i.Refuse: (Place.CLIENTS, self.refuse), i.Fail: (Place.CLIENTS, self.fail),
-            i.SetTimer: (Place.MODULE, self.set_timer), i.Tell: (Place.PEERS, self.peers.tell),
+            i.Send: (Place.BACKENDS, self.send),
+            i.Cancel: (Place.BACKENDS, self.cancel),
+            i.Refuse: (Place.CLIENTS, self.refuse),
+            i.Fail: (Place.CLIENTS, self.fail),
+            i.SetTimer: (Place.MODULE, self.set_timer),
+            i.Tell: (Place.PEERS, self.peers.tell),
             i.Log: (Place.LOG, self.log_line),
             i.Waited: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
             i.CloseIdle: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
@@ -188,8 +217,10 @@
         self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
         known = bool(self.catalog.entries)
         try:  # whoever answers has sent along what is newer than the known list
-            await asyncio.wait_for((self.discovery.spoke if known else self.discovery.first).wait(),
-                                   NEWER_LIST_S if known else FIRST_LIST_S)
+            await asyncio.wait_for(
+                (self.discovery.spoke if known else self.discovery.first).wait(),
+                NEWER_LIST_S if known else FIRST_LIST_S,
+            )
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
         if self.twin:
@@ -292,13 +323,19 @@
         names = self.plan_names
         moved = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
         new = config.settings
-        self.settings = replace(self.settings, classes=new.classes, plans=new.plans, banned=new.banned,
-                                mark=new.mark)
+        self.settings = replace(
+            self.settings, classes=new.classes, plans=new.plans, banned=new.banned, mark=new.mark
+        )
         self.run_batch()  # what has come so far was let in by the old
         self.post(i.NewPolicy(new.classes, new.plans, new.banned, new.mark, moved))
         self.run_batch()
-        self.config = replace(self.config, settings=self.settings, plan_numbers=config.plan_numbers,
-                              policy=config.policy, traces_policy=config.traces_policy)
+        self.config = replace(
+            self.config,
+            settings=self.settings,
+            plan_numbers=config.plan_numbers,
+            policy=config.policy,
+            traces_policy=config.traces_policy,
+        )
         self.parser = CommandParser(self.config)
         self.plan_names = {number: name for name, number in config.plan_numbers.items()}
         self.peers.mark, self.watchful.told = new.mark, config.policy
@@ -351,17 +388,28 @@
         """What went through, and the state of the sockets; what decided it is in the module's own line."""
         passed = " ".join(f"{what}={count}" for what, count in sorted(self.tally.items()))
         sockets = " ".join(f"{what}={count}" for what, count in sorted(self.backends.tally.items()))
-        log.info("%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s", passed or "idle",
-                 len(self.open), self.longest_batch_us / 1000, len(self.clients.connections),
-                 self.backends.held, sockets or "-")
+        log.info(
+            "%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s",
+            passed or "idle",
+            len(self.open),
+            self.longest_batch_us / 1000,
+            len(self.clients.connections),
+            self.backends.held,
+            sockets or "-",
+        )
 
     def log_shares(self) -> None:
         """What only all doors' lines together show: what each backend gets, and each customer spends."""
         pools = self.backends.pools
-        to = " ".join(f"{name}={self.sent[name]}/{len(pool.connections)}" for name, pool in pools.items()
-                      if pool.connections or self.sent[name])
-        spent = " ".join(f"{customer}/{plan}/{size}={units:g}" for (customer, plan, size), units in
-                         self.spent.most_common(MOST_SHARES))
+        to = " ".join(
+            f"{name}={self.sent[name]}/{len(pool.connections)}"
+            for name, pool in pools.items()
+            if pool.connections or self.sent[name]
+        )
+        spent = " ".join(
+            f"{customer}/{plan}/{size}={units:g}"
+            for (customer, plan, size), units in self.spent.most_common(MOST_SHARES)
+        )
         log.info("shares: to %s; spent %s", to or "-", spent or "-")
 
     def log_cost(self) -> None:
@@ -369,13 +417,23 @@
         asked = self.tally["asked"]
         took_s, spent_s = self.account.interval(idle=not asked and not self.open)
         spent = {place: self.account.seconds(place) for place in PLACES}
-        parts = " ".join(f"{place.name.lower()} {(spent[place] - self.told_spent.get(place, 0)) * 1e3:.1f}"
-                         for place in PLACES)
+        parts = " ".join(
+            f"{place.name.lower()} {(spent[place] - self.told_spent.get(place, 0)) * 1e3:.1f}"
+            for place in PLACES
+        )
         self.told_spent = spent
         each = f", {spent_s * 1e6 / asked:.0f} us a request" if asked else ""
-        log.info("cost: cpu %.1f ms in %.1f s%s; of it %s; resident %d KB, peak %d KB, descriptors %d of %d",
-                 spent_s * 1e3, took_s, each, parts, (resident_bytes() or 0) >> 10,
-                 peak_resident_bytes() >> 10, descriptors() or 0, self.most_descriptors)
+        log.info(
+            "cost: cpu %.1f ms in %.1f s%s; of it %s; resident %d KB, peak %d KB, descriptors %d of %d",
+            spent_s * 1e3,
+            took_s,
+            each,
+            parts,
+            (resident_bytes() or 0) >> 10,
+            peak_resident_bytes() >> 10,
+            descriptors() or 0,
+            self.most_descriptors,
+        )
 
     def close(self) -> None:
         """Let go of all sockets."""
@@ -401,8 +459,10 @@
     def stats(self) -> Answer:
         census = self.ask(i.Survey())
         return 200, self.figures.text(
-            sends_total=self.backends.sends, current=len(self.open),
-            cluster_size=census.listed, cluster_unhealthy=census.avoided,
+            sends_total=self.backends.sends,
+            current=len(self.open),
+            cluster_size=census.listed,
+            cluster_unhealthy=census.avoided,
         )
 
     def metrics(self) -> Answer:
@@ -414,40 +474,93 @@
         management, held = len(self.management.connections), descriptors()
         other = {} if held is None else {"other": max(0, held - clients - backends - management)}
         resident = resident_bytes()
-        return "".join([
-            page("cpu_seconds_total", "counter", "Processor time of the process.",
-                 {"": self.account.total_s()}),
-            page("place_cpu_seconds_total", "counter", "Of it, by place, estimated; the rest is the loop's.",
-                 {f'place="{place.name.lower()}"': self.account.seconds(place) for place in PLACES}),
-            page("idle_seconds_total", "counter", "Time in intervals in which no request was open.",
-                 {"": self.account.idle_s}),
-            page("idle_cpu_seconds_total", "counter", "Processor time in those intervals.",
-                 {"": self.account.idle_ns / 1e9}),
-            page("resident_bytes", "gauge", "Memory held now.", {} if resident is None else {"": resident}),
-            page("peak_resident_bytes", "gauge", "The most memory held so far.",
-                 {"": peak_resident_bytes()}),
-            page("held_bytes", "gauge", "Commands that are not answered.", {"": self.held_bytes}),
-            page("unsent_bytes", "gauge", "What waits for slow clients.", {"": self.clients.unsent}),
-            page("descriptors", "gauge", "Descriptors held, by holder.",
-                 {f'holder="{name}"': count for name, count in
-                  {"clients": clients, "backends": backends, "management": management, **other}.items()}),
-            page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.most_descriptors}),
-            page("out_of_descriptors_total", "counter", "Connections to backends without a descriptor left.",
-                 {"": self.backends.out_of_descriptors}),
-        ])
+        return "".join(
+            [
+                page(
+                    "cpu_seconds_total",
+                    "counter",
+                    "Processor time of the process.",
+                    {"": self.account.total_s()},
+                ),
+                page(
+                    "place_cpu_seconds_total",
+                    "counter",
+                    "Of it, by place, estimated; the rest is the loop's.",
+                    {f'place="{place.name.lower()}"': self.account.seconds(place) for place in PLACES},
+                ),
+                page(
+                    "idle_seconds_total",
+                    "counter",
+                    "Time in intervals in which no request was open.",
+                    {"": self.account.idle_s},
+                ),
+                page(
+                    "idle_cpu_seconds_total",
+                    "counter",
+                    "Processor time in those intervals.",
+                    {"": self.account.idle_ns / 1e9},
+                ),
+                page(
+                    "resident_bytes", "gauge", "Memory held now.", {} if resident is None else {"": resident}
+                ),
+                page(
+                    "peak_resident_bytes",
+                    "gauge",
+                    "The most memory held so far.",
+                    {"": peak_resident_bytes()},
+                ),
+                page("held_bytes", "gauge", "Commands that are not answered.", {"": self.held_bytes}),
+                page("unsent_bytes", "gauge", "What waits for slow clients.", {"": self.clients.unsent}),
+                page(
+                    "descriptors",
+                    "gauge",
+                    "Descriptors held, by holder.",
+                    {
+                        f'holder="{name}"': count
+                        for name, count in {
+                            "clients": clients,
+                            "backends": backends,
+                            "management": management,
+                            **other,
+                        }.items()
+                    },
+                ),
+                page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.most_descriptors}),
+                page(
+                    "out_of_descriptors_total",
+                    "counter",
+                    "Connections to backends without a descriptor left.",
+                    {"": self.backends.out_of_descriptors},
+                ),
+            ]
+        )
 
     def wait_figures(self) -> str:
         census = self.ask(i.Survey())
         reasons = {f'reason="{why}"': count for why, count in census.ended}
-        return waiting_figures(self.lines(census)) + "".join([
-            page("held_seconds_total", "counter", "Time that requests waited unsent, by what for.",
-                 {f'reason="{why}"': us / 1e6 for why, us in sorted(self.waited.items())}),
-            page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", reasons),
-            page("malformed_total", "counter", "What clients sent that is no request.",
-                 {'what="command"': self.clients.malformed, 'what="stream"': self.clients.unreadable}),
-            page("datagrams_dropped_total", "counter", "Datagrams from peers that were not taken.",
-                 {'why="malformed"': self.peers.malformed, 'why="stranger"': self.peers.strange}),
-        ])
+        return waiting_figures(self.lines(census)) + "".join(
+            [
+                page(
+                    "held_seconds_total",
+                    "counter",
+                    "Time that requests waited unsent, by what for.",
+                    {f'reason="{why}"': us / 1e6 for why, us in sorted(self.waited.items())},
+                ),
+                page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", reasons),
+                page(
+                    "malformed_total",
+                    "counter",
+                    "What clients sent that is no request.",
+                    {'what="command"': self.clients.malformed, 'what="stream"': self.clients.unreadable},
+                ),
+                page(
+                    "datagrams_dropped_total",
+                    "counter",
+                    "Datagrams from peers that were not taken.",
+                    {'why="malformed"': self.peers.malformed, 'why="stranger"': self.peers.strange},
+                ),
+            ]
+        )
 
     def lines(self, census: i.Census) -> list[Line]:
         """Where work can wait, from the clients' sockets to the log."""
@@ -458,23 +571,62 @@
         partial = [c for c in clients.connections if c.reader.buffer]
         unsent = [c for c in clients.connections if c.unsent]
         return [
-            Line("unread", clients.most, len(unread),
-                 max((clients.since_us(c.paused_s) for c in unread), default=0),
-                 clients.crowded_out, clients.unread_waits),
-            Line("partial", clients.most, len(partial),
-                 max((clients.since_us(c.due_s - PATIENCE_S) for c in partial if c.due_s), default=0),
-                 clients.slow, clients.partial_waits),
-            Line("held", self.bounds.max_open, census.held, census.held_us, ended.get("crowded", 0),
-                 self.held_waits),
-            Line("connecting", backends.most, len(connecting), oldest(now, (a.sent_us for a in connecting)),
-                 backends.no_room, backends.connect_waits),
-            Line("backend", backends.most, len(unanswered), oldest(now, (a.written_us for a in unanswered)),
-                 backends.timed_out, backends.answer_waits),
-            Line("unsent_bytes", SHED_POOLS * clients.pool, clients.unsent,
-                 max((clients.since_us(c.moved_s) for c in unsent), default=0), clients.cut,
-                 clients.unsent_waits),
-            Line("peers", MOST_WORDS * len(peers.addresses), census.words, census.words_us,
-                 census.words_dropped + peers.dropped, peers.waits),
+            Line(
+                "unread",
+                clients.most,
+                len(unread),
+                max((clients.since_us(c.paused_s) for c in unread), default=0),
+                clients.crowded_out,
+                clients.unread_waits,
+            ),
+            Line(
+                "partial",
+                clients.most,
+                len(partial),
+                max((clients.since_us(c.due_s - PATIENCE_S) for c in partial if c.due_s), default=0),
+                clients.slow,
+                clients.partial_waits,
+            ),
+            Line(
+                "held",
+                self.bounds.max_open,
+                census.held,
+                census.held_us,
+                ended.get("crowded", 0),
+                self.held_waits,
+            ),
+            Line(
+                "connecting",
+                backends.most,
+                len(connecting),
+                oldest(now, (a.sent_us for a in connecting)),
+                backends.no_room,
+                backends.connect_waits,
+            ),
+            Line(
+                "backend",
+                backends.most,
+                len(unanswered),
+                oldest(now, (a.written_us for a in unanswered)),
+                backends.timed_out,
+                backends.answer_waits,
+            ),
+            Line(
+                "unsent_bytes",
+                SHED_POOLS * clients.pool,
+                clients.unsent,
+                max((clients.since_us(c.moved_s) for c in unsent), default=0),
+                clients.cut,
+                clients.unsent_waits,
+            ),
+            Line(
+                "peers",
+                MOST_WORDS * len(peers.addresses),
+                census.words,
+                census.words_us,
+                census.words_dropped + peers.dropped,
+                peers.waits,
+            ),
             self.management.line(),
             *([self.writer.line()] if self.writer else []),
         ]
@@ -598,8 +750,13 @@
             self.figures.note(self.class_names[request.class_index], Ended.ERRORED)
             raise CommandError("this id is in use")
         told = self.config.policy if self.config.traces_policy and not self.watchful.barred else None
-        exchange = Exchange(command, reply, now_us() + request.left_us, self.plan_names[request.plan_index],
-                            told.digest or "-" if told else "")
+        exchange = Exchange(
+            command,
+            reply,
+            now_us() + request.left_us,
+            self.plan_names[request.plan_index],
+            told.digest or "-" if told else "",
+        )
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
@@ -723,8 +880,13 @@
         request = exchange.command.request
         self.figures.note(self.class_names[request.class_index], how)
         if exchange.policy:
-            log.info("request %s %s by policy %s, taken at %d us", request.id, how, exchange.policy,
-                     exchange.came_us)
+            log.info(
+                "request %s %s by policy %s, taken at %d us",
+                request.id,
+                how,
+                exchange.policy,
+                exchange.came_us,
+            )
 
     def settle(self, name: str) -> Exchange | None:
         """The request is owed nothing more; None if that is so already."""
--- a/molereach/handover.py
+++ b/molereach/handover.py
@@ -99,7 +99,8 @@
             self.ended.clear()
             try:
                 _, link = await asyncio.get_running_loop().create_unix_connection(
-                    lambda: Link(self.heard, self.lost), str(self.path))
+                    lambda: Link(self.heard, self.lost), str(self.path)
+                )
             except (FileNotFoundError, ConnectionRefusedError):
                 return False  # nobody serves
             except OSError as error:
@@ -139,7 +140,8 @@
         try:
             fresh.unlink(missing_ok=True)
             self.server = await asyncio.get_running_loop().create_unix_server(
-                lambda: Link(self.heard, self.lost), str(fresh))
+                lambda: Link(self.heard, self.lost), str(fresh)
+            )
             fresh.chmod(0o600)
             fresh.replace(self.path)
         except OSError as error:
--- a/molereach/management.py
+++ b/molereach/management.py
@@ -109,8 +109,11 @@
         self.management.waits.note(round((time.monotonic() - self.opened_s) * 1e6))
         status, text = answer
         body = text.rstrip("\n").encode(errors="replace") + b"\n"
-        headers = [("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
-                   ("Connection", "close")] + ([("Allow", allow)] if allow else [])
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ] + ([("Allow", allow)] if allow else [])
         data = b""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             data = self.http.send(h11.Response(status_code=status, headers=headers))
@@ -153,8 +156,14 @@
 
     def line(self) -> Line:
         oldest_s = min((one.opened_s for one in self.connections), default=time.monotonic())
-        return Line("management", MOST_CONNECTIONS, len(self.connections),
-                    round((time.monotonic() - oldest_s) * 1e6), self.crowded_out, self.waits)
+        return Line(
+            "management",
+            MOST_CONNECTIONS,
+            len(self.connections),
+            round((time.monotonic() - oldest_s) * 1e6),
+            self.crowded_out,
+            self.waits,
+        )
 
     def close(self) -> None:
         if self.server:
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -16,7 +16,10 @@
     """Words to and from the other front doors; what strangers send or what is malformed is dropped."""
 
     def __init__(
-        self, addresses: tuple[Address, ...], me: int, heard: Callable[[i.PeerMessage], None],
+        self,
+        addresses: tuple[Address, ...],
+        me: int,
+        heard: Callable[[i.PeerMessage], None],
         account: Account | None = None,
     ) -> None:
         self.account = account or Account()
--- a/molereach/policy.py
+++ b/molereach/policy.py
@@ -23,7 +23,10 @@
     """`told` is the policy that it was put under, None for a front door that is under none."""
 
     def __init__(
-        self, told: Policy | None, heard_s: Callable[[], float], barred: Callable[[bool], None],
+        self,
+        told: Policy | None,
+        heard_s: Callable[[], float],
+        barred: Callable[[bool], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.told, self.heard_s, self.tell, self.clock = told, heard_s, barred, clock
--- a/molereach/waiting.py
+++ b/molereach/waiting.py
@@ -52,16 +52,34 @@
 
 def figures(lines: Sequence[Line]) -> str:
     labels = {line.name: f'place="{line.name}"' for line in lines}
-    return "".join([
-        page("waiting", "gauge", "What waits now, by place.",
-             {labels[line.name]: line.depth for line in lines}),
-        page("waiting_bound", "gauge", "How much may wait there.",
-             {labels[line.name]: line.bound for line in lines}),
-        page("waiting_oldest_seconds", "gauge", "How long the oldest of it has waited.",
-             {labels[line.name]: line.oldest_us / 1e6 for line in lines}),
-        page("turned_away_total", "counter", "What a place turned away, cut or dropped.",
-             {labels[line.name]: line.turned for line in lines}),
-        "# HELP proxy_wait_seconds How long what has left a place had waited there.\n"
-        "# TYPE proxy_wait_seconds histogram\n",
-        *[line.waits.figures(line.name) for line in lines],
-    ])
+    return "".join(
+        [
+            page(
+                "waiting",
+                "gauge",
+                "What waits now, by place.",
+                {labels[line.name]: line.depth for line in lines},
+            ),
+            page(
+                "waiting_bound",
+                "gauge",
+                "How much may wait there.",
+                {labels[line.name]: line.bound for line in lines},
+            ),
+            page(
+                "waiting_oldest_seconds",
+                "gauge",
+                "How long the oldest of it has waited.",
+                {labels[line.name]: line.oldest_us / 1e6 for line in lines},
+            ),
+            page(
+                "turned_away_total",
+                "counter",
+                "What a place turned away, cut or dropped.",
+                {labels[line.name]: line.turned for line in lines},
+            ),
+            "# HELP proxy_wait_seconds How long what has left a place had waited there.\n"
+            "# TYPE proxy_wait_seconds histogram\n",
+            *[line.waits.figures(line.name) for line in lines],
+        ]
+    )
--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -31,8 +31,13 @@
     """The list as the registries have told it, in a store of its own whose generations only rise."""
 
     def __init__(
-        self, store: Store, registries: Sequence[Address], seed: int | None = None,
-        wall_ms: Callable[[], int] = now_ms, door: Address | None = None, setup: Setup | None = None,
+        self,
+        store: Store,
+        registries: Sequence[Address],
+        seed: int | None = None,
+        wall_ms: Callable[[], int] = now_ms,
+        door: Address | None = None,
+        setup: Setup | None = None,
     ) -> None:
         super().__init__(store, seed)
         self.following = Following(self, registries, wall_ms=wall_ms)
@@ -58,19 +63,29 @@
             super().other(connection, method, path, body)
 
     def health(self) -> Answer:
-        value = {"health": "serves", "connected": self.following.connected,
-                 "listAgeSeconds": self.following.age_s(), "registry": self.following.registry()}
+        value = {
+            "health": "serves",
+            "connected": self.following.connected,
+            "listAgeSeconds": self.following.age_s(),
+            "registry": self.following.registry(),
+        }
         return Answer(200 if self.following.heard_ms else 503, value)
 
     def figures(self) -> str:
         heard = self.following
-        return self.lines("agent", {
-            "connected": int(heard.connected), "list_age_seconds": heard.age_s(),
-            "registry_generation": heard.known, "switches_total": heard.switches,
-            "behind_total": heard.passed_over, "malformed_total": heard.malformed,
-            **(self.door.figures() if self.door else {}),
-            **(self.keeper.figures() if self.keeper else {}),
-        })
+        return self.lines(
+            "agent",
+            {
+                "connected": int(heard.connected),
+                "list_age_seconds": heard.age_s(),
+                "registry_generation": heard.known,
+                "switches_total": heard.switches,
+                "behind_total": heard.passed_over,
+                "malformed_total": heard.malformed,
+                **(self.door.figures() if self.door else {}),
+                **(self.keeper.figures() if self.keeper else {}),
+            },
+        )
 
 
 def open_cache(path: Path) -> Store:
@@ -90,15 +105,20 @@
 
 async def serve(options: argparse.Namespace) -> None:
     seed = random.SystemRandom().getrandbits(32) ^ os.getpid()  # agents of many machines start together
-    agent = Agent(open_cache(options.cache), options.registry, seed, door=options.door,
-                  setup=setup_of(options))
+    agent = Agent(
+        open_cache(options.cache), options.registry, seed, door=options.door, setup=setup_of(options)
+    )
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
     await agent.start(*options.listen)
     at = agent.listener.sockets[0].getsockname()
-    log.info("serves generation %d at %s:%d, a list %.0f s old", agent.store.generation, *at,
-             agent.following.age_s())
+    log.info(
+        "serves generation %d at %s:%d, a list %.0f s old",
+        agent.store.generation,
+        *at,
+        agent.following.age_s(),
+    )
     await stopped.wait()
     await agent.close()
     log.info("ends")
@@ -107,18 +127,32 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="orchidhatch.agent", description=__doc__.partition("\n")[0])
     parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
-    parser.add_argument("--registry", type=read_listen, required=True, action="append", metavar="HOST:PORT",
-                        help="may be given several times")
+    parser.add_argument(
+        "--registry",
+        type=read_listen,
+        required=True,
+        action="append",
+        metavar="HOST:PORT",
+        help="may be given several times",
+    )
     parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
-    parser.add_argument("--door", type=read_listen, metavar="HOST:PORT",
-                        help="where the front door's management calls are taken; owners' acts go there")
+    parser.add_argument(
+        "--door",
+        type=read_listen,
+        metavar="HOST:PORT",
+        help="where the front door's management calls are taken; owners' acts go there",
+    )
     keeping = parser.add_argument_group("policy", "to keep the door to the policy that holds: all of these")
     keeping.add_argument("--name", help="the door's, the same after a restart")
     keeping.add_argument("--zone")
     keeping.add_argument("--config", type=Path, metavar="FILE", help="the door's PROXY_CONFIG")
     keeping.add_argument("--pid", type=Path, metavar="FILE", help="where the door's process number stands")
-    keeping.add_argument("--check", metavar="COMMAND", help="checks the file that PROXY_CONFIG names, as "
-                         "'.venv/bin/python -m molereach --check'; no shell sees it")
+    keeping.add_argument(
+        "--check",
+        metavar="COMMAND",
+        help="checks the file that PROXY_CONFIG names, as "
+        "'.venv/bin/python -m molereach --check'; no shell sees it",
+    )
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     options = parser.parse_args()
     policy = [options.name, options.zone, options.config, options.pid, options.check]
--- a/orchidhatch/backups.py
+++ b/orchidhatch/backups.py
@@ -48,8 +48,11 @@
 
     def copies(self) -> list[Path]:
         """The oldest first, by term and generation."""
-        found = [(tuple(map(int, match.groups())), path) for path in self.folder.glob("list-*.db")
-                 if (match := NAME.fullmatch(path.name))]
+        found = [
+            (tuple(map(int, match.groups())), path)
+            for path in self.folder.glob("list-*.db")
+            if (match := NAME.fullmatch(path.name))
+        ]
         return [path for _, path in sorted(found)]
 
     def drop(self) -> None:
@@ -73,7 +76,12 @@
     """What a store opened from the copy holds; it is closed again, and its log written back."""
     store = Store(path)
     try:
-        return {"term": store.term, "generation": store.generation, "entries": len(store.entries),
-                "claims": len(store.book.claims), "records": len(store.book.records)}
+        return {
+            "term": store.term,
+            "generation": store.generation,
+            "entries": len(store.entries),
+            "claims": len(store.book.claims),
+            "records": len(store.book.records),
+        }
     finally:
         store.close()
--- a/orchidhatch/calls.py
+++ b/orchidhatch/calls.py
@@ -12,7 +12,11 @@
 
 
 def call_now(
-    at: Address, method: str, path: str, value: object = None, within_s: float = PATIENCE_S,
+    at: Address,
+    method: str,
+    path: str,
+    value: object = None,
+    within_s: float = PATIENCE_S,
     headers: Mapping[str, str] = NONE,
 ) -> tuple[int, Any, str]:
     """Status, the value and the store's name; an OSError or HTTPException where no answer comes."""
@@ -32,7 +36,11 @@
 
 
 async def call(
-    at: Address, method: str, path: str, value: object = None, within_s: float = PATIENCE_S,
+    at: Address,
+    method: str,
+    path: str,
+    value: object = None,
+    within_s: float = PATIENCE_S,
     headers: Mapping[str, str] = NONE,
 ) -> tuple[int, Any, str]:
     """As call_now; a status of 0 where no answer comes."""
--- a/orchidhatch/claims.py
+++ b/orchidhatch/claims.py
@@ -169,8 +169,9 @@
         self.last = 0  # the count of the last change
 
     def kept(self, kind: str) -> dict[str, Thing]:
-        return {"session": self.sessions, "claim": self.claims, "record": self.records,
-                "door": self.doors}[kind]
+        return {"session": self.sessions, "claim": self.claims, "record": self.records, "door": self.doors}[
+            kind
+        ]
 
     def read(self, kind: str, name: str, text: str) -> None:
         """A thing as it was written to disk; a ValueError or TypeError where it is none."""
@@ -221,8 +222,10 @@
         if claim is None:
             raise UnlistedError(f"there is no claim {fence.claim}")
         if not claim.holder or claim.epoch != fence.epoch:
-            raise RefusedError(f"claim {fence.claim} is at epoch {claim.epoch}"
-                               f"{'' if claim.holder else ' and held by nobody'}, not {fence.epoch}")
+            raise RefusedError(
+                f"claim {fence.claim} is at epoch {claim.epoch}"
+                f"{'' if claim.holder else ' and held by nobody'}, not {fence.epoch}"
+            )
         if claim.held:
             raise RefusedError(f"claim {fence.claim} is put aside")
 
@@ -286,8 +289,19 @@
             raise RefusedError(f"claim {known.name} was given up by {known.but}: {known.why}")
         epoch = self.term << COUNT_BITS | self.last
         to = known.to if known.to == session.id else ""  # it stays where it was handed to on purpose
-        return self.put("claim", replace(known, holder=session.id, life=session.life, epoch=epoch,
-                                         what=write.what, to=to, but="", why=""))
+        return self.put(
+            "claim",
+            replace(
+                known,
+                holder=session.id,
+                life=session.life,
+                epoch=epoch,
+                what=write.what,
+                to=to,
+                but="",
+                why="",
+            ),
+        )
 
     def give(self, write: Give) -> Claim:
         self.session(write.holder, write.life)
@@ -295,8 +309,10 @@
         if known is None:
             raise UnlistedError(f"there is no claim {write.name}")
         if (known.holder, known.life, known.epoch) != (write.holder, write.life, write.epoch):
-            raise RefusedError(f"claim {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
-                               f"not {write.epoch} of {write.holder}")
+            raise RefusedError(
+                f"claim {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
+                f"not {write.epoch} of {write.holder}"
+            )
         return self.free(known, to=write.to, why=write.why, but=write.holder if write.why else "")
 
     def hold(self, write: Hold) -> Claim:
--- a/orchidhatch/client.py
+++ b/orchidhatch/client.py
@@ -106,19 +106,33 @@
         case "show":
             print(shown(call(at, "GET", f"/entries/{id_}")))
         case "register":
-            body = given(instanceId=options.id, hostPort=options.address, zone=options.zone,
-                         machineType=options.kind, cell=options.cell, weight=options.weight,
-                         startedAtMs=options.started_ms, leaseMs=options.lease_ms,
-                         ifVersion=options.if_version)
+            body = given(
+                instanceId=options.id,
+                hostPort=options.address,
+                zone=options.zone,
+                machineType=options.kind,
+                cell=options.cell,
+                weight=options.weight,
+                startedAtMs=options.started_ms,
+                leaseMs=options.lease_ms,
+                ifVersion=options.if_version,
+            )
             print(shown(call(at, "POST", "/entries", body)))
         case "drain" if options.by:
             task = tasks.drain(options.id, round(options.by * 1000), options.then)
-            before = [one for one in call(at, "GET", "/records")["records"]
-                      if one["name"] == f"{tasks.TASK}drain-{options.id}"]
+            before = [
+                one
+                for one in call(at, "GET", "/records")["records"]
+                if one["name"] == f"{tasks.TASK}drain-{options.id}"
+            ]
             if before and not json.loads(before[0]["text"])["done"]:
                 raise CallError(f"{options.id} is being drained already; see tasks")
-            done = call(at, "POST", f"/records/{tasks.TASK}drain-{id_}",
-                        {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0})
+            done = call(
+                at,
+                "POST",
+                f"/records/{tasks.TASK}drain-{id_}",
+                {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0},
+            )
             print(f"asked for as {done['name']}, version {done['version']}")
         case "backup" | "summary" if options.every:
             ask_for(at, options.command, tasks.repeated(options.command, round(options.every * 1000)))
@@ -148,8 +162,12 @@
             known = next((one for one in claim if one["name"] == options.id), None)
             if known is None or not known["holder"]:
                 raise CallError(f"{options.id} is held by nobody")
-            call(at, "POST", f"/claims/{id_}/give", {"to": options.to, **{
-                name: known[name] for name in ("holder", "life", "epoch")}})
+            call(
+                at,
+                "POST",
+                f"/claims/{id_}/give",
+                {"to": options.to, **{name: known[name] for name in ("holder", "life", "epoch")}},
+            )
             print(f"{options.id} goes from {known['holder']} to {options.to}")
         case "hold" | "let-go":
             call(at, "POST", f"/claims/{id_}/hold", {"on": options.command == "hold"})
@@ -163,8 +181,10 @@
             print(f"{options.id} goes on")
         case "promote":
             done = call(at, "POST", "/promote", {"force": options.force})
-            print(f"term {done['term']}, generation {done['generation']}, {done['entries']} entries;"
-                  f" last heard {done['lagSeconds']:.1f} s ago, at generation {done['heardGeneration']}")
+            print(
+                f"term {done['term']}, generation {done['generation']}, {done['entries']} entries;"
+                f" last heard {done['lagSeconds']:.1f} s ago, at generation {done['heardGeneration']}"
+            )
         case "remove":
             print(shown(call(at, "DELETE", f"/entries/{id_}", given(ifVersion=options.if_version))))
 
@@ -182,29 +202,45 @@
     commands = whole.add_subparsers(dest="command", required=True)
     commands.add_parser("list", help="the whole list")
     commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
-        "--after", type=int, default=0, metavar="GENERATION")
+        "--after", type=int, default=0, metavar="GENERATION"
+    )
     commands.add_parser("backup", help="a copy of the store").add_argument(
-        "--every", type=seconds, metavar="TIME", help="have the stewards take one each time, as 10m or 6h")
+        "--every", type=seconds, metavar="TIME", help="have the stewards take one each time, as 10m or 6h"
+    )
     commands.add_parser("summary", help="the fleet in a few lines, as last read").add_argument(
-        "--every", type=seconds, metavar="TIME", help="have the stewards read it each time, as 30s")
+        "--every", type=seconds, metavar="TIME", help="have the stewards read it each time, as 30s"
+    )
     commands.add_parser("leases", help="who ends those that run out").add_argument(
-        "--ended-by", choices=("stewards", "service"), required=True)
+        "--ended-by", choices=("stewards", "service"), required=True
+    )
     commands.add_parser("tasks", help="what the stewards are to do, and how far it is")
     commands.add_parser("owners", help="who owns what, by which epoch")
     commands.add_parser("promote", help="have a follower take the writes").add_argument(
-        "--force", action="store_true", help="though the service that it follows still answers")
-    for name, text in (("show", "one entry, with its version and life"), ("drain", "nothing new goes to it"),
-                       ("serve", "it may be used again"), ("remove", "take it off the list"),
-                       ("renew", "its lease begins anew"), ("register", "enter it, or enter it anew"),
-                       ("forget", "remove the record of a task"), ("hold", "have a claim left alone"),
-                       ("let-go", "have a claim taken again"), ("hand-over", "give a claim to another")):
+        "--force", action="store_true", help="though the service that it follows still answers"
+    )
+    for name, text in (
+        ("show", "one entry, with its version and life"),
+        ("drain", "nothing new goes to it"),
+        ("serve", "it may be used again"),
+        ("remove", "take it off the list"),
+        ("renew", "its lease begins anew"),
+        ("register", "enter it, or enter it anew"),
+        ("forget", "remove the record of a task"),
+        ("hold", "have a claim left alone"),
+        ("let-go", "have a claim taken again"),
+        ("hand-over", "give a claim to another"),
+    ):
         command = commands.add_parser(name, help=text)
         command.add_argument("id")
         if name in ("drain", "serve", "remove", "register"):
             command.add_argument("--if-version", type=int, help="only if it is at this one (0: not listed)")
         if name == "drain":
-            command.add_argument("--by", type=seconds, metavar="TIME",
-                                 help="have the stewards end it after this long, as 90s or 10m")
+            command.add_argument(
+                "--by",
+                type=seconds,
+                metavar="TIME",
+                help="have the stewards end it after this long, as 90s or 10m",
+            )
             command.add_argument("--then", choices=("remove", "back"), default="remove")
         if name == "hand-over":
             command.add_argument("to", help="the id of a steward")
--- a/orchidhatch/door.py
+++ b/orchidhatch/door.py
@@ -32,9 +32,11 @@
         self.server, self.db, self.following, self.at = server, server.store.db, following, at
         self.lock, self.waiting = asyncio.Lock(), 0
         self.acts = self.late = self.unknown = 0
-        for table in ("epochs (claim TEXT PRIMARY KEY, epoch INTEGER NOT NULL)",
-                      "acts (subject TEXT PRIMARY KEY, number INTEGER NOT NULL)",
-                      "epochs_known (only INTEGER PRIMARY KEY CHECK (only = 1))"):
+        for table in (
+            "epochs (claim TEXT PRIMARY KEY, epoch INTEGER NOT NULL)",
+            "acts (subject TEXT PRIMARY KEY, number INTEGER NOT NULL)",
+            "epochs_known (only INTEGER PRIMARY KEY CHECK (only = 1))",
+        ):
             self.db.execute(f"CREATE TABLE IF NOT EXISTS {table} STRICT")
         self.epochs: dict[str, int] = dict(self.db.execute("SELECT claim, epoch FROM epochs").fetchall())
         self.numbers: dict[str, int] = dict(self.db.execute("SELECT subject, number FROM acts").fetchall())
@@ -47,12 +49,11 @@
             connection.answer(Answer(404, told("no such question")))
             return
         status, text, _ = await call(self.at, "GET", f"/{question}", within_s=DOOR_S)
-        connection.answer(Answer(status, {"door": text}) if status
-                          else busy(f"the front door does not answer: {text}"))
+        connection.answer(
+            Answer(status, {"door": text}) if status else busy(f"the front door does not answer: {text}")
+        )
 
-    async def carry_out(
-        self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int
-    ) -> None:
+    async def carry_out(self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int) -> None:
         if (path[0], path[-1]) not in ACTS or len(path) not in (2, 3):
             connection.answer(Answer(404, told("no such act")))
             return
@@ -85,8 +86,13 @@
         except sqlite3.Error as error:
             return busy(f"cannot keep the epoch: {error}")
         target = "/" + "/".join(quote(part, safe="") for part in path)
-        status, text, _ = await call(self.at, "POST", target, within_s=DOOR_S,
-                                     headers={CLAIM_HEADER: f"{fence.claim} {fence.epoch} {act}"})
+        status, text, _ = await call(
+            self.at,
+            "POST",
+            target,
+            within_s=DOOR_S,
+            headers={CLAIM_HEADER: f"{fence.claim} {fence.epoch} {act}"},
+        )
         self.acts += 200 <= status < 300
         if status == 0:
             return busy(f"the front door does not answer: {text}")
@@ -129,5 +135,9 @@
             raise
 
     def figures(self) -> dict[str, float]:
-        return {"door_acts_total": self.acts, "door_late_total": self.late,
-                "door_unknown_total": self.unknown, "door_acts_waiting": self.waiting}
+        return {
+            "door_acts_total": self.acts,
+            "door_late_total": self.late,
+            "door_unknown_total": self.unknown,
+            "door_acts_waiting": self.waiting,
+        }
--- a/orchidhatch/following.py
+++ b/orchidhatch/following.py
@@ -49,7 +49,10 @@
     """
 
     def __init__(
-        self, server: ListServer, registries: Sequence[Address], leases: bool = False,
+        self,
+        server: ListServer,
+        registries: Sequence[Address],
+        leases: bool = False,
         wall_ms: Callable[[], int] = now_ms,
     ) -> None:
         self.server, self.registries, self.at, self.leases = server, list(registries), 0, leases
@@ -58,8 +61,10 @@
         # What was heard last, and of whom; and when it was last known to hold, by the wall clock, as that
         # alone goes on over a restart. It is shown and decides nothing.
         db = server.store.db
-        db.execute("CREATE TABLE IF NOT EXISTS heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
-                   "source TEXT NOT NULL, generation INTEGER NOT NULL, at_ms INTEGER NOT NULL) STRICT")
+        db.execute(
+            "CREATE TABLE IF NOT EXISTS heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
+            "source TEXT NOT NULL, generation INTEGER NOT NULL, at_ms INTEGER NOT NULL) STRICT"
+        )
         row = db.execute("SELECT source, generation, at_ms FROM heard").fetchone()
         self.source, self.known, self.heard_ms = row or ("", 0, 0)
         self.noted_ms = self.heard_ms
@@ -124,8 +129,10 @@
             http, buffer = h11.Connection(h11.CLIENT), bytearray()
             headers = [("Host", shown(address))] + ([(STORE_HEADER, self.source)] if self.source else [])
             target = f"/catalog/members?watch=1&after={self.known}{'&leases=1' if self.leases else ''}"
-            writer.write(http.send(h11.Request(method="GET", target=target, headers=headers))
-                         + http.send(h11.EndOfMessage()))
+            writer.write(
+                http.send(h11.Request(method="GET", target=target, headers=headers))
+                + http.send(h11.EndOfMessage())
+            )
             source = ""
             while True:
                 async with asyncio.timeout(SILENT_S):
@@ -219,8 +226,9 @@
     def note(self) -> None:
         """Put down what was heard, and that it held then."""
         self.noted_ms = self.heard_ms
-        self.server.store.db.execute("INSERT OR REPLACE INTO heard VALUES (1, ?, ?, ?)",
-                                     (self.source, self.known, self.heard_ms))
+        self.server.store.db.execute(
+            "INSERT OR REPLACE INTO heard VALUES (1, ?, ?, ?)", (self.source, self.known, self.heard_ms)
+        )
 
 
 def same(known: Entry, told: Entry) -> bool:
--- a/orchidhatch/forms.py
+++ b/orchidhatch/forms.py
@@ -32,8 +32,13 @@
 def instance(entry: Entry) -> dict[str, Any]:
     """An entry as the protocol's page has it."""
     return {
-        "instanceId": entry.id, "hostPort": entry.address, "zone": entry.zone, "machineType": entry.kind,
-        "cell": entry.cell, "lifecycle": entry.lifecycle, "weight": entry.weight,
+        "instanceId": entry.id,
+        "hostPort": entry.address,
+        "zone": entry.zone,
+        "machineType": entry.kind,
+        "cell": entry.cell,
+        "lifecycle": entry.lifecycle,
+        "weight": entry.weight,
         "startedAtMs": entry.started_ms,
     }
 
@@ -156,8 +161,14 @@
 Readers = Mapping[str, Callable[[str, object], Any]]
 
 ENTRY: Readers = {
-    "instanceId": name, "hostPort": address, "zone": text, "machineType": text, "cell": whole(MOST_CELL),
-    "lifecycle": lifecycle, "weight": weight, "startedAtMs": whole(MOST_TIME_MS),
+    "instanceId": name,
+    "hostPort": address,
+    "zone": text,
+    "machineType": text,
+    "cell": whole(MOST_CELL),
+    "lifecycle": lifecycle,
+    "weight": weight,
+    "startedAtMs": whole(MOST_TIME_MS),
 }
 DEFAULTS = {"cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}
 LEASE: Readers = {"leaseMs": whole(MOST_LEASE_MS)}
@@ -182,8 +193,15 @@
     given = fields(read_body(body), {**ENTRY, **LEASE, **CONDITION}, {*DEFAULTS, *LEASE, *CONDITION})
     found = {**DEFAULTS, **given}
     entry = Entry(
-        found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
-        found["lifecycle"], found["weight"], found["startedAtMs"], lease_ms=found.get("leaseMs", 0),
+        found["instanceId"],
+        found["hostPort"],
+        found["zone"],
+        found["machineType"],
+        found["cell"],
+        found["lifecycle"],
+        found["weight"],
+        found["startedAtMs"],
+        lease_ms=found.get("leaseMs", 0),
     )
     return Register(entry, found.get("ifVersion"))
 
@@ -196,9 +214,18 @@
     extra = {**LIFE, **LEASE} if leases else {}
     readers = {**ENTRY, "lifecycle": state, **extra}
     found = fields({key: value[key] for key in value if key in readers}, readers, extra)
-    return Entry(found["instanceId"], found["hostPort"], found["zone"], found["machineType"], found["cell"],
-                 found["lifecycle"], found["weight"], found["startedAtMs"],
-                 life=found.get("life", 0), lease_ms=found.get("leaseMs", 0))
+    return Entry(
+        found["instanceId"],
+        found["hostPort"],
+        found["zone"],
+        found["machineType"],
+        found["cell"],
+        found["lifecycle"],
+        found["weight"],
+        found["startedAtMs"],
+        life=found.get("life", 0),
+        lease_ms=found.get("leaseMs", 0),
+    )
 
 
 def fence_of(found: Mapping[str, Any]) -> Fence | None:
@@ -252,8 +279,14 @@
 def read_give(claim: str, body: bytes) -> Give:
     readers = {"holder": name, "life": name, "epoch": whole(MOST_TIME_MS), "to": name, "why": line}
     found = fields(read_body(body), readers, {"to", "why"})
-    return Give(name("claim", claim), found["holder"], found["life"], found["epoch"], found.get("to", ""),
-                found.get("why", ""))
+    return Give(
+        name("claim", claim),
+        found["holder"],
+        found["life"],
+        found["epoch"],
+        found.get("to", ""),
+        found.get("why", ""),
+    )
 
 
 def read_hold(claim: str, body: bytes) -> Hold:
@@ -295,8 +328,16 @@
 
 
 REPORT: Readers = {
-    "life": name, "has": digest, "number": whole(MOST_TIME_MS), "digest": digest, "leftMs": left,
-    "ready": digests, "flaw": line, "counts": counts, "serves": flag, "text": long_text,
+    "life": name,
+    "has": digest,
+    "number": whole(MOST_TIME_MS),
+    "digest": digest,
+    "leftMs": left,
+    "ready": digests,
+    "flaw": line,
+    "counts": counts,
+    "serves": flag,
+    "text": long_text,
 }
 
 
@@ -320,5 +361,3 @@
     if not (value.isascii() and value.isdigit()) or len(value) > 16:
         wrong("after", "a generation is needed")
     return int(value)
-
-
--- a/orchidhatch/leases.py
+++ b/orchidhatch/leases.py
@@ -26,7 +26,11 @@
     """
 
     def __init__(
-        self, entries: Iterable[Leased], now_s: float, share: float = MOST_SHARE, few: int = FEW,
+        self,
+        entries: Iterable[Leased],
+        now_s: float,
+        share: float = MOST_SHARE,
+        few: int = FEW,
         held_s: float = math.inf,
     ) -> None:
         self.share, self.few, self.held_s = share, few, held_s
--- a/orchidhatch/ownership.py
+++ b/orchidhatch/ownership.py
@@ -60,8 +60,9 @@
                 connection.answer(Answer(200, {"records": list(map(asdict, self.book.records.values()))}))
             case "GET", ("records", record):
                 known = self.book.records.get(record)
-                connection.answer(Answer(200, asdict(known)) if known
-                                  else Answer(404, told("no such record")))
+                connection.answer(
+                    Answer(200, asdict(known)) if known else Answer(404, told("no such record"))
+                )
             case "POST", ("records", record):
                 queue(read_keep(record, body), connection)
             case _:
@@ -75,12 +76,17 @@
         return f"{self.registry.store.identity}-{self.registry.store.term}-{self.book.last}"
 
     def all(self) -> Answer:
-        return Answer(200, {
-            "version": self.version(),
-            "sessions": [{"holder": one.id, "life": one.life, "leaseMs": one.lease_ms}
-                         for one in self.book.sessions.values()],
-            "claims": [asdict(one) for one in self.book.claims.values()],
-        })
+        return Answer(
+            200,
+            {
+                "version": self.version(),
+                "sessions": [
+                    {"holder": one.id, "life": one.life, "leaseMs": one.lease_ms}
+                    for one in self.book.sessions.values()
+                ],
+                "claims": [asdict(one) for one in self.book.claims.values()],
+            },
+        )
 
     def wait(self, connection: Connection, known: str) -> None:
         """All of it once it is no more as known; told again after a beat all the same."""
@@ -104,10 +110,15 @@
             return busy("it did not run for a while, and asks its peers first")
         if not self.leases.renew(holder, life, self.registry.clock()):
             known = self.book.sessions.get(holder)
-            return Answer(409 if known else 404, told(f"{holder} is in another life since" if known
-                                                      else f"{holder} has no session"))
-        held = {one.name: one.epoch for one in self.book.claims.values()
-                if one.holder == holder and one.life == life}
+            return Answer(
+                409 if known else 404,
+                told(f"{holder} is in another life since" if known else f"{holder} has no session"),
+            )
+        held = {
+            one.name: one.epoch
+            for one in self.book.claims.values()
+            if one.holder == holder and one.life == life
+        }
         return Answer(200, {"version": self.version(), "claims": held})
 
     def wrote(self, outcomes: Iterable[object]) -> None:
@@ -137,18 +148,26 @@
             self.leases.forget(session.id)
             self.registry.queue(End(session.id, session.life, lost=True), None)
         if self.leases.held and not held:
-            log.error("ALARM: %d of %d sessions would run out together; they are held for %g s more",
-                      self.leases.held, len(self.leases.due), HELD_S)
+            log.error(
+                "ALARM: %d of %d sessions would run out together; they are held for %g s more",
+                self.leases.held,
+                len(self.leases.due),
+                HELD_S,
+            )
         self.tell()
 
     def figures(self) -> dict[str, float]:
         claims = self.book.claims.values()
         return {
-            "sessions": len(self.book.sessions), "sessions_ended_total": self.ended,
-            "sessions_held": self.leases.held, "claims": len(claims), "claims_taken_total": self.taken,
+            "sessions": len(self.book.sessions),
+            "sessions_ended_total": self.ended,
+            "sessions_held": self.leases.held,
+            "claims": len(claims),
+            "claims_taken_total": self.taken,
             "claims_free": sum(not one.holder for one in claims),
             "claims_aside": sum(one.held for one in claims),
-            "records": len(self.book.records), "refused_total": self.refused,
+            "records": len(self.book.records),
+            "refused_total": self.refused,
         }
 
 
--- a/orchidhatch/policy/__main__.py
+++ b/orchidhatch/policy/__main__.py
@@ -116,8 +116,12 @@
     found, version = change_of(call(at, "GET", "/records")["records"])
     if not found or found["done"] or found["state"] not in OPEN[:2]:
         raise CallError("there is no change that could still be dropped")
-    call(at, "POST", f"/records/{CHANGE}",
-         {"text": json.dumps({**found, "dropped": True}), "ifVersion": version})
+    call(
+        at,
+        "POST",
+        f"/records/{CHANGE}",
+        {"text": json.dumps({**found, "dropped": True}), "ifVersion": version},
+    )
     print(f"asked to drop {found['digest']}")
 
 
@@ -137,17 +141,36 @@
     if found:
         print(f"last change: {found['digest']}: {outcome(found)}")
     for door in known["doors"]:
-        print("\t".join([door["name"], door["zone"], door["state"], door.get("has") or "-",
-                         "serves" if door.get("serves") else "held out", door.get("flaw", "")]).rstrip())
+        print(
+            "\t".join(
+                [
+                    door["name"],
+                    door["zone"],
+                    door["state"],
+                    door.get("has") or "-",
+                    "serves" if door.get("serves") else "held out",
+                    door.get("flaw", ""),
+                ]
+            ).rstrip()
+        )
 
 
 def history(at: str) -> None:
     for record in call(at, "GET", "/records")["records"]:
         if record["name"].startswith(LOG):
             one = json.loads(record["text"])
-            print("\t".join([shown_number(one["number"]), one["digest"] or "-",
-                             f"before {one['before'] or '-'}", one["who"], one["why"],
-                             f"absent {len(one['absent'])}"]))
+            print(
+                "\t".join(
+                    [
+                        shown_number(one["number"]),
+                        one["digest"] or "-",
+                        f"before {one['before'] or '-'}",
+                        one["who"],
+                        one["why"],
+                        f"absent {len(one['absent'])}",
+                    ]
+                )
+            )
 
 
 def carry_out(options: argparse.Namespace) -> None:
@@ -184,8 +207,11 @@
     whole = argparse.ArgumentParser(prog="orchidhatch.policy", description=__doc__.partition("\n")[0])
     whole.add_argument("--at", metavar="HOST:PORT", help="the list service that takes writes")
     commands = whole.add_subparsers(dest="command", required=True)
-    for name, text in (("check", "whether a document can be a policy"), ("diff", "what it would change"),
-                       ("propose", "have it put in force, everywhere or nowhere")):
+    for name, text in (
+        ("check", "whether a document can be a policy"),
+        ("diff", "what it would change"),
+        ("propose", "have it put in force, everywhere or nowhere"),
+    ):
         commands.add_parser(name, help=text).add_argument("file", type=Path)
     commands.add_parser("undo", help="have what held before put in force again")
     commands.add_parser("drop", help="end a change that is not decided yet")
@@ -199,8 +225,12 @@
         command.add_argument("--force", action="store_true", help="though many doors are out")
         command.add_argument("--wait", action="store_true", help="until it is in force or ended")
     commands.choices["propose"].add_argument(
-        "--gate", type=seconds, default=0.0, metavar="TIME",
-        help="undo it where more is refused or fails for this long after the switch, as 60s")
+        "--gate",
+        type=seconds,
+        default=0.0,
+        metavar="TIME",
+        help="undo it where more is refused or fails for this long after the switch, as 60s",
+    )
     return whole
 
 
--- a/orchidhatch/policy/change.py
+++ b/orchidhatch/policy/change.py
@@ -42,9 +42,18 @@
 
 def ask(digest: str, who: str, why: str, gate: Gate | None = None, force: bool = False) -> dict[str, Any]:
     """What is put down to ask for one."""
-    return {"kind": "policy", "id": secrets.token_hex(6), "digest": digest, "who": who, "why": why,
-            "force": force, "leftMs": round(PREPARE_S * 1000), "state": "asked", "done": False,
-            **({"gate": msgspec.to_builtins(gate)} if gate else {})}
+    return {
+        "kind": "policy",
+        "id": secrets.token_hex(6),
+        "digest": digest,
+        "who": who,
+        "why": why,
+        "force": force,
+        "leftMs": round(PREPARE_S * 1000),
+        "state": "asked",
+        "done": False,
+        **({"gate": msgspec.to_builtins(gate)} if gate else {}),
+    }
 
 
 def totals(doors: Iterable[dict[str, Any]]) -> Counts:
@@ -70,8 +79,9 @@
 
 def judged(before: Counts, at: Counts, after: Counts, gate: Gate) -> str | None:
     """Why the gate is failed, "" if it is passed; None where too little ended to say."""
-    was, now = [[new - old for old, new in zip(one, two, strict=True)]
-                for one, two in ((before, at), (at, after))]
+    was, now = [
+        [new - old for old, new in zip(one, two, strict=True)] for one, two in ((before, at), (at, after))
+    ]
     if min(*was, *now) < 0 or min(sum(was), sum(now)) < gate.least:  # some door began its counts anew
         return None
     for what, most, part in (("errored", gate.errored, 2), ("deferred", gate.deferred, 1)):
@@ -104,7 +114,8 @@
         """Whether the decision that holds is ours; one that was decided once more in a new term is, too."""
         base = self.given.get("base", math.inf)
         return now["change"] == self.given["id"] or (
-            now["number"] > base and not now["change"] and now["digest"] == self.given["digest"])
+            now["number"] > base and not now["change"] and now["digest"] == self.given["digest"]
+        )
 
     # --- before the decision ---
 
@@ -121,16 +132,22 @@
 
     def lacking(self, fleet: dict[str, Any]) -> list[str]:
         """Doors that may serve and are not ready for it."""
-        return [door["name"] for door in fleet["doors"] if door["state"] != "absent"
-                and self.given["digest"] not in door.get("ready", ())]
+        return [
+            door["name"]
+            for door in fleet["doors"]
+            if door["state"] != "absent" and self.given["digest"] not in door.get("ready", ())
+        ]
 
     async def preparing(self, acts: Acts, fleet: dict[str, Any]) -> None:
         if fleet["now"]["number"] != self.given["base"]:
             if self.is_decided(fleet["now"]):
                 return await self.move(acts, "decided")
             self.given["base"] = fleet["now"]["number"]  # the same policy, decided once more in a new term
-        flaws = [f"{door['name']}: {door['flaw']}" for door in fleet["doors"]
-                 if door.get("flaw", "").startswith(self.given["digest"])]
+        flaws = [
+            f"{door['name']}: {door['flaw']}"
+            for door in fleet["doors"]
+            if door.get("flaw", "").startswith(self.given["digest"])
+        ]
         if self.given.get("dropped") or flaws:
             return await self.move(acts, "nowhere", done=True, told=flaws[0] if flaws else "dropped")
         if fleet["now"]["digest"] != self.given["before"]:
@@ -158,12 +175,20 @@
         absent = [door["name"] for door in fleet["doors"] if door["state"] == "absent"]
         term = acts.term()
         decision = {
-            "number": max(self.given["base"] + 1, term << COUNT_BITS | 1), "digest": self.given["digest"],
-            "before": self.given["before"], "term": term, "moveMs": round(OUT_S * 1000),
-            "change": self.given["id"], "who": self.given["who"], "why": self.given["why"],
-            "absent": absent[:MOST_NAMED], "absentCount": len(absent)}
-        status, told = await acts.write("POST", f"/records/{NOW}", text=json.dumps(decision),
-                                        ifVersion=known["version"])
+            "number": max(self.given["base"] + 1, term << COUNT_BITS | 1),
+            "digest": self.given["digest"],
+            "before": self.given["before"],
+            "term": term,
+            "moveMs": round(OUT_S * 1000),
+            "change": self.given["id"],
+            "who": self.given["who"],
+            "why": self.given["why"],
+            "absent": absent[:MOST_NAMED],
+            "absentCount": len(absent),
+        }
+        status, told = await acts.write(
+            "POST", f"/records/{NOW}", text=json.dumps(decision), ifVersion=known["version"]
+        )
         if status == 409:
             raise GoneError(f"another decision came between: {told}")
         if status != 200:
@@ -179,8 +204,11 @@
         if not self.is_decided(now):
             return await self.move(acts, "undone", done=True, told="another policy was decided since")
         await self.write_down(acts, now)
-        behind = [door["name"] for door in fleet["doors"]
-                  if door["state"] == "present" and door.get("has") != now["digest"]]
+        behind = [
+            door["name"]
+            for door in fleet["doors"]
+            if door["state"] == "present" and door.get("has") != now["digest"]
+        ]
         if left_ms is None or left_ms > (-SEEN_S * 1000 if behind else 0):
             return None
         told = f"held out, as they do not go by it: {', '.join(behind[:MOST_NAMED])}" if behind else ""
@@ -188,8 +216,12 @@
             self.given |= {"leftMs": self.given["gate"]["for_ms"], "at": totals(fleet["doors"])}
             self.given.pop("since", None)
             return await self.move(acts, "watched", told=told)
-        return await self.move(acts, "undone" if self.given.get("undoes") else "in force", done=True,
-                               told=told or self.given.get("undoes", ""))
+        return await self.move(
+            acts,
+            "undone" if self.given.get("undoes") else "in force",
+            done=True,
+            told=told or self.given.get("undoes", ""),
+        )
 
     async def watched(self, acts: Acts, fleet: dict[str, Any]) -> None:
         if self.count_down(NOTE_EVERY_S):
@@ -197,9 +229,15 @@
         gate = msgspec.convert(self.given["gate"], Gate)
         failed = judged(self.given["counts"], self.given["at"], totals(fleet["doors"]), gate)
         if failed:  # back to what held before: all doors have it still
-            self.given |= {"id": secrets.token_hex(6), "digest": self.given["before"], "undoes": failed,
-                           "why": f"its gate failed: {failed}", "leftMs": round(PREPARE_S * 1000),
-                           "before": fleet["now"]["digest"], "base": fleet["now"]["number"]}
+            self.given |= {
+                "id": secrets.token_hex(6),
+                "digest": self.given["before"],
+                "undoes": failed,
+                "why": f"its gate failed: {failed}",
+                "leftMs": round(PREPARE_S * 1000),
+                "before": fleet["now"]["digest"],
+                "base": fleet["now"]["number"],
+            }
             self.given.pop("gate")
             return await self.move(acts, "preparing", told=failed)
         if self.given["leftMs"] > 0:
@@ -217,13 +255,19 @@
         status, told = await acts.read("/records")
         if status != 200:
             return
-        logged = sorted((one for one in told["records"] if one["name"].startswith(LOG)),
-                        key=lambda one: one["name"])
+        logged = sorted(
+            (one for one in told["records"] if one["name"].startswith(LOG)), key=lambda one: one["name"]
+        )
         old, kept = logged[:-MOST_LOGGED], logged[-MOST_LOGGED:]
         named = {DOCUMENT + json.loads(one["text"])[key] for one in kept for key in ("digest", "before")}
         if old:
-            old += [one for one in told["records"] if one["name"].startswith(DOCUMENT)
-                    and one["name"] not in named and one["version"] < old[-1]["version"]]
+            old += [
+                one
+                for one in told["records"]
+                if one["name"].startswith(DOCUMENT)
+                and one["name"] not in named
+                and one["version"] < old[-1]["version"]
+            ]
         for one in old:
             await acts.write("POST", f"/records/{one['name']}", text="")
 
--- a/orchidhatch/policy/doors.py
+++ b/orchidhatch/policy/doors.py
@@ -138,8 +138,11 @@
     def leave(self, connection: Connection, door: str) -> None:
         """Only one that cannot serve any more: what it knows is not waited for afterwards."""
         if door in self.book.doors and state_of(self.age_s(door)) != "absent":
-            connection.answer(Answer(409, told(
-                f"{door} may still serve; it is absent {OUT_S:.0f} s after its last renewal")))
+            connection.answer(
+                Answer(
+                    409, told(f"{door} may still serve; it is absent {OUT_S:.0f} s after its last renewal")
+                )
+            )
         else:
             self.registry.queue(Leave(door), connection)
 
@@ -150,8 +153,12 @@
             return busy("it did not run for a while, and asks its peers first")
         known = self.book.doors.get(door)
         if known is None or known.life != report["life"]:
-            return Answer(409 if known else 404, told(f"{door:.80} is kept by another life" if known
-                                                      else f"{door:.80} is not listed as a door"))
+            return Answer(
+                409 if known else 404,
+                told(
+                    f"{door:.80} is kept by another life" if known else f"{door:.80} is not listed as a door"
+                ),
+            )
         self.renewed += 1
         self.reports[door] = Report(self.registry.clock(), report)
         self.hear_moment(report)
@@ -164,23 +171,37 @@
         if not self.sure() and not self.copy_holds():
             return {"sure": False, "prepare": "", "want": self.wanted(door)}
         now, left_s = self.now(), self.left_s()
-        return {"sure": left_s is not None, "number": now["number"], "digest": now["digest"],
-                "before": now["before"], "prepare": prepare, "want": "",
-                "leftMs": None if left_s is None else round(max(-OUT_S, left_s) * 1000)}
+        return {
+            "sure": left_s is not None,
+            "number": now["number"],
+            "digest": now["digest"],
+            "before": now["before"],
+            "prepare": prepare,
+            "want": "",
+            "leftMs": None if left_s is None else round(max(-OUT_S, left_s) * 1000),
+        }
 
     def copy_holds(self) -> bool:
         """Whether a decision that was missed in the copy cannot have had its moment yet by the end of a lease
         that begins now: after a promotion this keeps doors at work until all have told."""
         past = self.book.records.get(PAST)
         settled = bool(self.now()) and past is not None and past.text == str(self.now()["number"])
-        return (settled and self.best()[0] == self.now()["number"]
-                and self.registry.clock() + LEASE_S < self.copied_s + OUT_S)
+        return (
+            settled
+            and self.best()[0] == self.now()["number"]
+            and self.registry.clock() + LEASE_S < self.copied_s + OUT_S
+        )
 
     def copy(self) -> dict[str, Any]:
         """What a follower keeps a copy of."""
-        return {"records": {record.name: record.text for record in self.book.records.values()
-                            if record.name.startswith(COPIED)},
-                "doors": [asdict(door) for door in self.book.doors.values()]}
+        return {
+            "records": {
+                record.name: record.text
+                for record in self.book.records.values()
+                if record.name.startswith(COPIED)
+            },
+            "doors": [asdict(door) for door in self.book.doors.values()],
+        }
 
     async def keep_copy(self, source: Callable[[], Address]) -> None:
         """While this service follows another one: its policies and doors, as they were a moment ago."""
@@ -212,24 +233,36 @@
         """For the owner of a change and for operators."""
         left_s = self.left_s() if self.sure() else None
         return {
-            "sure": self.sure(), "now": self.now(),
+            "sure": self.sure(),
+            "now": self.now(),
             "leftMs": None if left_s is None else round(max(-OUT_S, left_s) * 1000),
             "doors": [self.shown(door) for door in self.book.doors.values()],
         }
 
     def shown(self, door: Door) -> dict[str, Any]:
         age_s, report = self.age_s(door.name), self.reports.get(door.name)
-        value = {"name": door.name, "zone": door.zone, "ageMs": round(age_s * 1000),
-                 "state": state_of(age_s) if report else "silent" if age_s <= OUT_S else "absent"}
-        return value | {key: report.told[key] for key in
-                        ("has", "number", "ready", "flaw", "counts", "serves")} if report else value
+        value = {
+            "name": door.name,
+            "zone": door.zone,
+            "ageMs": round(age_s * 1000),
+            "state": state_of(age_s) if report else "silent" if age_s <= OUT_S else "absent",
+        }
+        return (
+            value | {key: report.told[key] for key in ("has", "number", "ready", "flaw", "counts", "serves")}
+            if report
+            else value
+        )
 
     # --- where what holds is not known ---
 
     def hear_moment(self, report: dict[str, Any]) -> None:
         """We were started anew after a decision, and the agent had heard when its moment is."""
-        if (self.sure() and self.left_s() is None and "leftMs" in report
-                and report["number"] == self.now()["number"]):
+        if (
+            self.sure()
+            and self.left_s() is None
+            and "leftMs" in report
+            and report["number"] == self.now()["number"]
+        ):
             self.moment = self.now()["number"], self.registry.clock() + report["leftMs"] / 1000
 
     def best(self) -> tuple[int, str]:
@@ -271,10 +304,17 @@
         self.writing = True
         term, before = self.registry.store.term, self.gone_by(digest)
         log.warning("decides once more in term %d: %s, number %d before", term, digest or "-", number)
-        decision = {"number": max(number + 1, term << COUNT_BITS | 1), "digest": digest, "before": before,
-                    "term": term, "moveMs": round(OUT_S * 1000) if before != digest else 0,
-                    "change": "", "who": "list service",
-                    "why": f"a new term, after number {number}", "absent": []}
+        decision = {
+            "number": max(number + 1, term << COUNT_BITS | 1),
+            "digest": digest,
+            "before": before,
+            "term": term,
+            "moveMs": round(OUT_S * 1000) if before != digest else 0,
+            "change": "",
+            "who": "list service",
+            "why": f"a new term, after number {number}",
+            "absent": [],
+        }
         self.registry.queue(Keep(NOW, json.dumps(decision)), None)
 
     def wrote(self, outcomes: Iterable[Thing | object]) -> None:
@@ -306,7 +346,12 @@
 
     def figures(self) -> dict[str, float]:
         states = [self.shown(door)["state"] for door in self.book.doors.values()]
-        return {"doors": len(states), "doors_silent": states.count("silent"),
-                "doors_absent": states.count("absent"), "policy_sure": int(self.sure()),
-                "policy_number": self.now().get("number", 0) & ((1 << COUNT_BITS) - 1),
-                "policy_decisions_total": self.decisions, "door_renewals_total": self.renewed}
+        return {
+            "doors": len(states),
+            "doors_silent": states.count("silent"),
+            "doors_absent": states.count("absent"),
+            "policy_sure": int(self.sure()),
+            "policy_number": self.now().get("number", 0) & ((1 << COUNT_BITS) - 1),
+            "policy_decisions_total": self.decisions,
+            "door_renewals_total": self.renewed,
+        }
--- a/orchidhatch/policy/form.py
+++ b/orchidhatch/policy/form.py
@@ -94,8 +94,11 @@
     try:
         if len(text.encode()) > MOST_TEXT:
             raise ValueError(f"is longer than {MOST_TEXT} bytes")
-        values = tomllib.loads(text) if source.endswith(".toml") else json.loads(
-            text, parse_constant=no_constant, object_pairs_hook=no_repeats)
+        values = (
+            tomllib.loads(text)
+            if source.endswith(".toml")
+            else json.loads(text, parse_constant=no_constant, object_pairs_hook=no_repeats)
+        )
         policy = msgspec.convert(values, Policy)
     except (ValueError, RecursionError, FormError) as error:  # msgspec's, tomllib's, json's are ValueErrors
         raise PolicyError(f"{source}: {' '.join(str(error).split()):.200}") from error
@@ -123,8 +126,10 @@
     names = {plan.name for plan in policy.plans}
     for plan in before.plans if before else ():
         if plan.name not in names and plan.name not in policy.retired:
-            raise PolicyError(f"{source}: plans.{plan.name}: its customers would have none; "
-                              "name it in `retired` if that is meant")
+            raise PolicyError(
+                f"{source}: plans.{plan.name}: its customers would have none; "
+                "name it in `retired` if that is meant"
+            )
     for name in policy.retired:
         if name in names:
             raise PolicyError(f"{source}: retired: {name} is a plan here")
--- a/orchidhatch/policy/keeper.py
+++ b/orchidhatch/policy/keeper.py
@@ -74,23 +74,32 @@
     """One door's."""
 
     def __init__(
-        self, server: ListServer, registries: Sequence[Address], door: Address, setup: Setup,
+        self,
+        server: ListServer,
+        registries: Sequence[Address],
+        door: Address,
+        setup: Setup,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.server, self.links, self.door, self.setup = server, Links(list(registries)), door, setup
         self.clock, self.db = clock, server.store.db
-        self.db.execute("CREATE TABLE IF NOT EXISTS policy_heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
-                        "life TEXT NOT NULL, number INTEGER NOT NULL, digest TEXT NOT NULL, "
-                        "before TEXT NOT NULL) STRICT")
-        self.db.execute("CREATE TABLE IF NOT EXISTS policy_documents (digest TEXT PRIMARY KEY, "
-                        "text TEXT NOT NULL, at INTEGER NOT NULL) STRICT")
+        self.db.execute(
+            "CREATE TABLE IF NOT EXISTS policy_heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
+            "life TEXT NOT NULL, number INTEGER NOT NULL, digest TEXT NOT NULL, "
+            "before TEXT NOT NULL) STRICT"
+        )
+        self.db.execute(
+            "CREATE TABLE IF NOT EXISTS policy_documents (digest TEXT PRIMARY KEY, "
+            "text TEXT NOT NULL, at INTEGER NOT NULL) STRICT"
+        )
         row = self.db.execute("SELECT life, number, digest, before FROM policy_heard").fetchone()
         # One agent at a time has this file, so the life goes on with it: nobody has to wait for its lease.
         self.life = row[0] if row else secrets.token_hex(8)
         self.heard = Heard(*row[1:]) if row else Heard()
         documents = self.db.execute("SELECT digest, text FROM policy_documents ORDER BY at").fetchall()
-        self.documents: dict[str, str] = {digest: text for digest, text in documents
-                                          if digest_of(text) == digest}
+        self.documents: dict[str, str] = {
+            digest: text for digest, text in documents if digest_of(text) == digest
+        }
         self.good_until_s = -math.inf
         self.began_s = clock()
         # Whether the door says that it is under a policy at all, by which decision's number; `has` is which.
@@ -122,17 +131,26 @@
         """Tell how the door is, and hear what holds."""
         sent_s, heard = self.clock(), self.heard
         report: dict[str, Any] = {
-            "life": self.life, "has": self.has, "number": heard.number, "digest": heard.digest,
-            "ready": [*self.checked], "flaw": self.flaw[:300], "counts": self.counts, "serves": self.serves}
+            "life": self.life,
+            "has": self.has,
+            "number": heard.number,
+            "digest": heard.digest,
+            "ready": [*self.checked],
+            "flaw": self.flaw[:300],
+            "counts": self.counts,
+            "serves": self.serves,
+        }
         if heard.number and not math.isinf(heard.moment_s()):
             report["leftMs"] = round((heard.moment_s() - sent_s) * 1000)
         if self.want in self.documents:
             report["text"] = self.documents[self.want]
         status, told = await self.links.call(
-            "POST", f"/doors/{quote(self.setup.name, safe='')}/renew", report)
+            "POST", f"/doors/{quote(self.setup.name, safe='')}/renew", report
+        )
         if status == 404 or (status == 409 and "another life" in str(told)):
-            await self.links.call("POST", "/doors", {
-                "name": self.setup.name, "life": self.life, "zone": self.setup.zone})
+            await self.links.call(
+                "POST", "/doors", {"name": self.setup.name, "life": self.life, "zone": self.setup.zone}
+            )
         elif status == 200:
             await self.hear(told, sent_s)
 
@@ -142,14 +160,20 @@
         if told["sure"]:
             number, left_s, now = told["number"], told["leftMs"] / 1000, self.clock()
             if number < self.heard.number:
-                log.warning("the list service is at policy %d, and %d was heard before", number,
-                            self.heard.number)
+                log.warning(
+                    "the list service is at policy %d, and %d was heard before", number, self.heard.number
+                )
                 return
             new = number != self.heard.number
             known = Heard(number) if new else self.heard
             earliest = max(known.earliest_s, sent_s + left_s)
-            self.heard = Heard(number, told["digest"], told["before"], earliest,
-                               max(earliest, min(known.latest_s, now + left_s)))
+            self.heard = Heard(
+                number,
+                told["digest"],
+                told["before"],
+                earliest,
+                max(earliest, min(known.latest_s, now + left_s)),
+            )
             if new:
                 await self.keep_heard()
             self.good_until_s = sent_s + LEASE_S
@@ -157,8 +181,9 @@
 
     async def keep_heard(self) -> None:
         row = 1, self.life, self.heard.number, self.heard.digest, self.heard.before
-        await self.server.in_turn(lambda: self.db.execute(
-            "INSERT OR REPLACE INTO policy_heard VALUES (?, ?, ?, ?, ?)", row))
+        await self.server.in_turn(
+            lambda: self.db.execute("INSERT OR REPLACE INTO policy_heard VALUES (?, ?, ?, ?, ?)", row)
+        )
 
     # --- documents ---
 
@@ -212,8 +237,11 @@
         tried = self.setup.config.with_suffix(".tried")
         tried.write_text(self.composed(digest))
         process = await asyncio.create_subprocess_exec(
-            *self.setup.check, env={**os.environ, "PROXY_CONFIG": str(tried)},
-            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE)
+            *self.setup.check,
+            env={**os.environ, "PROXY_CONFIG": str(tried)},
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+        )
         try:
             async with asyncio.timeout(CHECK_S):
                 said = (await process.communicate())[1]
@@ -233,8 +261,13 @@
             values["settings"] = lay_over(base, policy) if policy else base
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
             raise PolicyError(f"the door's configuration makes no sense: {error!r:.120}") from error
-        values["policy"] = {"number": self.heard.number, "digest": digest, "until_us": self.until_us(),
-                            "silent_ms": round(SILENT_S * 1000), "base": base}
+        values["policy"] = {
+            "number": self.heard.number,
+            "digest": digest,
+            "until_us": self.until_us(),
+            "silent_ms": round(SILENT_S * 1000),
+            "base": base,
+        }
         return json.dumps(values)
 
     def until_us(self) -> int:
@@ -371,7 +404,11 @@
             await asyncio.sleep(min(STEER_S, left_s) if left_s > 0 else STEER_S)
 
     def figures(self) -> dict[str, float]:
-        return {"policy_lease_seconds": round(max(-1.0, self.good_until_s - self.clock()), 3),
-                "policy_number": self.heard.number & 0xFFFFFFFF, "policy_switches_total": self.switches,
-                "policy_held_out_total": self.held_out, "policy_stuck_total": self.stuck,
-                "door_serves": int(self.serves)}
+        return {
+            "policy_lease_seconds": round(max(-1.0, self.good_until_s - self.clock()), 3),
+            "policy_number": self.heard.number & 0xFFFFFFFF,
+            "policy_switches_total": self.switches,
+            "policy_held_out_total": self.held_out,
+            "policy_stuck_total": self.stuck,
+            "door_serves": int(self.serves),
+        }
--- a/orchidhatch/rebuild.py
+++ b/orchidhatch/rebuild.py
@@ -41,8 +41,11 @@
             raise CallError(reason(answer.status, answer.read()))
         news = json.loads(answer.readline())
         entries = [read_instance(value) for value in news["instances"]]
-        return Source([entry for entry in entries if entry.lifecycle != DELETED], int(news["generation"]),
-                      term_of(answer.headers.get(STORE_HEADER, "")))
+        return Source(
+            [entry for entry in entries if entry.lifecycle != DELETED],
+            int(news["generation"]),
+            term_of(answer.headers.get(STORE_HEADER, "")),
+        )
     except FormError as error:
         raise CallError(f"{at} gives an entry that is not in form: {error}") from error
     except (OSError, http.client.HTTPException, ValueError, KeyError, TypeError, OverflowError) as error:
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -71,8 +71,12 @@
     """The list and those who read and write it."""
 
     def __init__(
-        self, store: Store, clock: Callable[[], float] = time.monotonic, seed: int | None = None,
-        peers: Sequence[tuple[str, int]] = (), follow: Sequence[tuple[str, int]] = (),
+        self,
+        store: Store,
+        clock: Callable[[], float] = time.monotonic,
+        seed: int | None = None,
+        peers: Sequence[tuple[str, int]] = (),
+        follow: Sequence[tuple[str, int]] = (),
         backups: Path | None = None,
     ) -> None:
         super().__init__(store, seed)
@@ -102,8 +106,10 @@
         if self.peers:
             self.tasks.append(asyncio.create_task(self.keep_asking()))
         if self.following:
-            self.follow_tasks = [asyncio.create_task(job) for job in (
-                self.following.follow(), self.doors.keep_copy(self.following.source_at))]
+            self.follow_tasks = [
+                asyncio.create_task(job)
+                for job in (self.following.follow(), self.doors.keep_copy(self.following.source_at))
+            ]
             self.tasks += self.follow_tasks
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
 
@@ -132,8 +138,10 @@
                 known = self.store.entries.get(id_)
                 connection.answer(Answer(200, written(known)) if known else Answer(404, told("not listed")))
             case _:
-                if not (self.ownership.call(connection, method, path, body)
-                        or self.doors.call(connection, method, path, body)):
+                if not (
+                    self.ownership.call(connection, method, path, body)
+                    or self.doors.call(connection, method, path, body)
+                ):
                     super().other(connection, method, path, body)
 
     def store_name(self) -> str:
@@ -141,14 +149,17 @@
 
     def health(self) -> Answer:
         if self.following:
-            value = {"health": "follows", "connected": self.following.connected,
-                     "lagSeconds": self.following.age_s(), "follows": self.following.registry()}
+            value = {
+                "health": "follows",
+                "connected": self.following.connected,
+                "lagSeconds": self.following.age_s(),
+                "follows": self.following.registry(),
+            }
             return Answer(200 if self.following.heard_ms else 503, value)
         return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
     async def answer_promotion(self, connection: Connection, force: bool) -> None:
-        listens = bool(self.following) and not force and await asyncio.to_thread(
-            self.following.still_listens)
+        listens = bool(self.following) and not force and await asyncio.to_thread(self.following.still_listens)
         async with self.turn:  # nothing that was heard is half way to the disk
             connection.answer(self.promote(force, listens))
 
@@ -168,11 +179,21 @@
         silent_s = heard.silent_s()
         asked_s = self.clock() - self.promised_s
         if asked_s < PROMISE_S and not force:
-            return Answer(409, told(f"a peer asked {asked_s:.1f} s ago and may still take writes; stop it, "
-                                    f"wait {PROMISE_S:.1f} s, or force it"))
+            return Answer(
+                409,
+                told(
+                    f"a peer asked {asked_s:.1f} s ago and may still take writes; stop it, "
+                    f"wait {PROMISE_S:.1f} s, or force it"
+                ),
+            )
         if listens and silent_s < SILENT_S:
-            return Answer(409, told(f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
-                                    f"ask again after {SILENT_S:g} s, or force it"))
+            return Answer(
+                409,
+                told(
+                    f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
+                    f"ask again after {SILENT_S:g} s, or force it"
+                ),
+            )
         try:
             self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
         except StoreError as error:
@@ -183,13 +204,26 @@
         self.leases = Leases(self.store.entries.values(), self.clock())
         self.ownership.begin()
         self.doors.begin()
-        log.warning("promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
-                    self.store.term, self.store.generation, heard.known, heard.source, heard.age_s())
+        log.warning(
+            "promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
+            self.store.term,
+            self.store.generation,
+            heard.known,
+            heard.source,
+            heard.age_s(),
+        )
         for connection in list(self.watches):
             connection.transport.close()
-        return Answer(200, {"term": self.store.term, "generation": self.store.generation,
-                            "entries": len(self.store.entries), "heardGeneration": heard.known,
-                            "lagSeconds": heard.age_s()})
+        return Answer(
+            200,
+            {
+                "term": self.store.term,
+                "generation": self.store.generation,
+                "entries": len(self.store.entries),
+                "heardGeneration": heard.known,
+                "lagSeconds": heard.age_s(),
+            },
+        )
 
     async def back_up(self, connection: Connection, fence: Fence | None) -> None:
         """A copy of the store, in the name of a claim if one is given."""
@@ -265,8 +299,10 @@
         """Whether a write may be acknowledged by now; asked anew where the last look is too old."""
         if not self.sure():
             self.lapses += 1
-            log.warning("the last look at the peers is %.1f s old; nothing is acknowledged before the next",
-                        self.clock() - self.asked_s)
+            log.warning(
+                "the last look at the peers is %.1f s old; nothing is acknowledged before the next",
+                self.clock() - self.asked_s,
+            )
             while not self.sure():  # it may have stood still while it asked, too
                 await self.ask_peers()
         return not self.fenced
@@ -399,8 +435,11 @@
             if not self.queue(Remove(entry.id, life=entry.life, fence=fence), None):
                 self.leases.put_back(entry, self.clock())
         if self.leases.held and not held:
-            log.error("ALARM: %d of %d leases would run out together; they are held",
-                      self.leases.held, len(self.leases.due))
+            log.error(
+                "ALARM: %d of %d leases would run out together; they are held",
+                self.leases.held,
+                len(self.leases.due),
+            )
         return len(late)
 
     def not_ended(self, write: Write) -> None:
@@ -410,20 +449,32 @@
             self.leases.put_back(known, self.clock())
 
     def figures(self) -> str:
-        return self.lines("registry", {
-            **self.ownership.figures(), **self.doors.figures(),
-            **({"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
-               if self.backups else {}),
-            "writes_waiting": len(self.waiting), "writes_total": self.writes, "batches_total": self.batches,
-            "commit_seconds_total": round(self.commit_s, 6),
-            "longest_commit_seconds": round(self.longest_commit_s, 6),
-            "leases": len(self.leases.due), "leases_held": self.leases.held,
-            "leases_expired_total": self.expired, "broken": int(bool(self.broken)),
-            "fenced": int(bool(self.fenced)), "lapses_total": self.lapses,
-            "following": int(bool(self.following)),
-            "lag_seconds": self.following.age_s() if self.following else 0,
-            "followed_generation": self.following.known if self.following else 0,
-        })
+        return self.lines(
+            "registry",
+            {
+                **self.ownership.figures(),
+                **self.doors.figures(),
+                **(
+                    {"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
+                    if self.backups
+                    else {}
+                ),
+                "writes_waiting": len(self.waiting),
+                "writes_total": self.writes,
+                "batches_total": self.batches,
+                "commit_seconds_total": round(self.commit_s, 6),
+                "longest_commit_seconds": round(self.longest_commit_s, 6),
+                "leases": len(self.leases.due),
+                "leases_held": self.leases.held,
+                "leases_expired_total": self.expired,
+                "broken": int(bool(self.broken)),
+                "fenced": int(bool(self.fenced)),
+                "lapses_total": self.lapses,
+                "following": int(bool(self.following)),
+                "lag_seconds": self.following.age_s() if self.following else 0,
+                "followed_generation": self.following.known if self.following else 0,
+            },
+        )
 
 
 async def term_at(address: tuple[str, int]) -> int:
@@ -469,8 +520,9 @@
 async def serve(options: argparse.Namespace) -> None:
     # A new store goes on from the time in ms: above what one before it gave, at under 1,000 writes a second.
     store = Store(options.store, options.create, first=time.time_ns() // 1_000_000)
-    registry = Registry(store, seed=os.getpid(), peers=options.peer, follow=options.follow,
-                        backups=options.backups)
+    registry = Registry(
+        store, seed=os.getpid(), peers=options.peer, follow=options.follow, backups=options.backups
+    )
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
@@ -486,10 +538,22 @@
     parser = argparse.ArgumentParser(prog="orchidhatch.registry", description=__doc__.partition("\n")[0])
     parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
     parser.add_argument("--store", type=Path, required=True, metavar="FILE")
-    parser.add_argument("--peer", type=read_listen, action="append", default=[], metavar="HOST:PORT",
-                        help="another list service, which may have replaced this one; may be repeated")
-    parser.add_argument("--follow", type=read_listen, action="append", default=[], metavar="HOST:PORT",
-                        help="stand by for this list service: serve reads, take no writes until promoted")
+    parser.add_argument(
+        "--peer",
+        type=read_listen,
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="another list service, which may have replaced this one; may be repeated",
+    )
+    parser.add_argument(
+        "--follow",
+        type=read_listen,
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="stand by for this list service: serve reads, take no writes until promoted",
+    )
     parser.add_argument("--backups", type=Path, metavar="FOLDER", help="where copies of the store are kept")
     parser.add_argument("--create", action="store_true", help="make a new store where there is none")
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
--- a/orchidhatch/server.py
+++ b/orchidhatch/server.py
@@ -102,13 +102,19 @@
         self.server.count(answer.status)
         value = answer.value
         body = value if isinstance(value, bytes) else json.dumps(value).encode() + b"\n"
-        headers = [("Content-Type", answer.kind), ("Content-Length", str(len(body))), ("Connection", "close"),
-                   (STORE_HEADER, self.server.store_name())]
+        headers = [
+            ("Content-Type", answer.kind),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+            (STORE_HEADER, self.server.store_name()),
+        ]
         if answer.status == 503:
             headers.append(("Retry-After", str(self.server.random.randint(*COME_AGAIN_S))))
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.transport.write(self.http.send(h11.Response(status_code=answer.status, headers=headers))
-                                 + self.http.send(h11.Data(data=body)))
+            self.transport.write(
+                self.http.send(h11.Response(status_code=answer.status, headers=headers))
+                + self.http.send(h11.Data(data=body))
+            )
         self.transport.close()
 
     def watch(self, after: int, leases: bool) -> None:
@@ -117,8 +123,11 @@
         self.watches, self.leases = True, leases
         line = self.server.line(after, leases) if after else self.server.whole(leases)  # 0: it knows none
         self.first, self.generation = len(line), self.server.store.generation
-        headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked"),
-                   (STORE_HEADER, self.server.store_name())]
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Transfer-Encoding", "chunked"),
+            (STORE_HEADER, self.server.store_name()),
+        ]
         self.transport.write(self.http.send(h11.Response(status_code=200, headers=headers)) + chunk(line))
 
     def tell(self, data: bytes) -> None:
@@ -244,13 +253,20 @@
     def lines(self, prefix: str, values: dict[str, float]) -> str:
         """Figures in Prometheus's text form, with those of all list servers."""
         values = {
-            "generation": self.store.generation, "term": self.store.term, "entries": len(self.store.entries),
-            "watches": len(self.watches), "calls": len(self.calls), "watches_cut_total": self.cut,
-            "shed_total": self.shed, **values,
+            "generation": self.store.generation,
+            "term": self.store.term,
+            "entries": len(self.store.entries),
+            "watches": len(self.watches),
+            "calls": len(self.calls),
+            "watches_cut_total": self.cut,
+            "shed_total": self.shed,
+            **values,
         }
         lines = [f"{prefix}_{name} {value}" for name, value in values.items()]
-        lines += [f'{prefix}_answers_total{{status="{status}"}} {count}'
-                  for status, count in sorted(self.statuses.items())]
+        lines += [
+            f'{prefix}_answers_total{{status="{status}"}} {count}'
+            for status, count in sorted(self.statuses.items())
+        ]
         return "\n".join(lines) + "\n"
 
     def members(self, connection: Connection, query: dict[str, list[str]]) -> None:
--- a/orchidhatch/steward.py
+++ b/orchidhatch/steward.py
@@ -90,8 +90,9 @@
     async def open(self) -> None:
         """A new life, unless another process of this id has a session; then later."""
         self.life, sent_s = secrets.token_hex(8), self.clock()
-        status, told = await self.links.call("POST", "/sessions", {
-            "holder": self.id, "life": self.life, "leaseMs": self.lease_ms})
+        status, told = await self.links.call(
+            "POST", "/sessions", {"holder": self.id, "life": self.life, "leaseMs": self.lease_ms}
+        )
         if status != 200:
             log.warning("no session: %s", told if status else "no list service answers")
             raise LostError
@@ -164,15 +165,19 @@
                 await self.take(shard)
 
     async def take(self, shard: str) -> None:
-        status, told = await self.links.call("POST", f"/claims/{shard}/take", {
-            "holder": self.id, "life": self.life, "what": "tasks"})
+        status, told = await self.links.call(
+            "POST", f"/claims/{shard}/take", {"holder": self.id, "life": self.life, "what": "tasks"}
+        )
         if status == 200 and told["life"] == self.life:
             self.held[shard] = Held(told["epoch"])
 
     async def give(self, shard: str, epoch: int, why: str = "") -> None:
         self.held.pop(shard, None)  # first: nothing more is done in its name, whatever the answer
-        await self.links.call("POST", f"/claims/{shard}/give", {
-            "holder": self.id, "life": self.life, "epoch": epoch, "why": why})
+        await self.links.call(
+            "POST",
+            f"/claims/{shard}/give",
+            {"holder": self.id, "life": self.life, "epoch": epoch, "why": why},
+        )
 
     # --- work ---
 
@@ -268,8 +273,9 @@
 
     async def note(self, task: Task) -> None:
         """Put down how far it is; conditional on its being as it was read."""
-        status, told = await self.write("POST", f"/records/{task.name}", text=json.dumps(task.value()),
-                                        ifVersion=task.version)
+        status, told = await self.write(
+            "POST", f"/records/{task.name}", text=json.dumps(task.value()), ifVersion=task.version
+        )
         if status != 200:
             raise GoneError(f"{task.name} was written meanwhile: {told}")
         task.version = told["version"]
@@ -291,6 +297,7 @@
 
     async def ask_doors(self, call_: str) -> dict[str, str]:
         """What each front door answers to a question, through its machine's agent; "" where nobody does."""
+
         async def one(agent: Address) -> str:
             status, told, _ = await call(agent, "GET", f"/door/{call_}", within_s=PATIENCE_S)
             return str(told["door"]) if status == 200 else ""
@@ -320,10 +327,22 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="orchidhatch.steward", description=__doc__.partition("\n")[0])
     parser.add_argument("--id", required=True, help="its name; one process at a time has it")
-    parser.add_argument("--registry", type=read_listen, required=True, action="append", metavar="HOST:PORT",
-                        help="a list service; may be given several times")
-    parser.add_argument("--agent", type=read_listen, action="append", default=[], metavar="HOST:PORT",
-                        help="the agent of a front door's machine; may be given several times")
+    parser.add_argument(
+        "--registry",
+        type=read_listen,
+        required=True,
+        action="append",
+        metavar="HOST:PORT",
+        help="a list service; may be given several times",
+    )
+    parser.add_argument(
+        "--agent",
+        type=read_listen,
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="the agent of a front door's machine; may be given several times",
+    )
     parser.add_argument("--lease-ms", type=int, default=LEASE_MS)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     asyncio.run(serve(parser.parse_args()))
--- a/orchidhatch/store.py
+++ b/orchidhatch/store.py
@@ -152,7 +152,11 @@
     """
 
     def __init__(
-        self, path: Path, create: bool = False, first: int = 0, most_history: int = MOST_HISTORY,
+        self,
+        path: Path,
+        create: bool = False,
+        first: int = 0,
+        most_history: int = MOST_HISTORY,
         term: int = 1,
     ) -> None:
         self.path, self.first, self.term, self.most_history = path, first, term, most_history
@@ -193,8 +197,10 @@
         self.identity, self.generation = secrets.token_hex(8), self.first
         for statement in filter(None, map(str.strip, SCHEMA.split(";"))):
             self.db.execute(statement)
-        self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?, ?)",
-                        (self.identity, self.term, self.first, self.generation, self.seal()))
+        self.db.execute(
+            "INSERT INTO meta VALUES (1, ?, ?, ?, ?, ?)",
+            (self.identity, self.term, self.first, self.generation, self.seal()),
+        )
         self.db.execute("COMMIT")
         self.db.execute("BEGIN IMMEDIATE")
 
@@ -216,7 +222,8 @@
 
     def read(self) -> None:
         [(self.identity, self.term, self.first, self.generation, digest)] = self.db.execute(
-            "SELECT identity, term, first, generation, digest FROM meta").fetchall()
+            "SELECT identity, term, first, generation, digest FROM meta"
+        ).fetchall()
         for name, text in self.db.execute("SELECT id, record FROM entries"):
             entry = self.entries[name] = read_entry(text)
             if entry.id != name:
@@ -237,9 +244,11 @@
 
     def read_book(self) -> None:
         """Sessions, claims and records; a store of the version before has none, and no place for them."""
-        self.db.execute("CREATE TABLE IF NOT EXISTS book (kind TEXT NOT NULL, name TEXT NOT NULL, "
-                        "record TEXT NOT NULL, digest TEXT NOT NULL, PRIMARY KEY (kind, name)) "
-                        "STRICT, WITHOUT ROWID")
+        self.db.execute(
+            "CREATE TABLE IF NOT EXISTS book (kind TEXT NOT NULL, name TEXT NOT NULL, "
+            "record TEXT NOT NULL, digest TEXT NOT NULL, PRIMARY KEY (kind, name)) "
+            "STRICT, WITHOUT ROWID"
+        )
         for kind, name, text, digest in self.db.execute("SELECT * FROM book"):
             if digest != f"{digest_of(f'{kind} {name} {text}'):064x}":
                 raise ValueError(f"{kind} {name!r:.80} does not fit its digest")
@@ -314,13 +323,16 @@
                     self.db.execute("DELETE FROM entries WHERE id = ?", (entry.id,))
                 else:
                     self.db.execute("INSERT OR REPLACE INTO entries VALUES (?, ?)", (entry.id, text))
-                self.db.execute("INSERT INTO history VALUES (?, ?, ?)",
-                                (entry.version, text, f"{digest_of(f'{entry.version} {text}'):064x}"))
+                self.db.execute(
+                    "INSERT INTO history VALUES (?, ?, ?)",
+                    (entry.version, text, f"{digest_of(f'{entry.version} {text}'):064x}"),
+                )
             last = batch.generation - self.most_history
             self.db.execute("DELETE FROM history WHERE generation <= ?", (last,))
-            self.db.execute("UPDATE meta SET generation = ?, digest = ?",
-                            (batch.generation,
-                             seal(self.identity, self.term, self.first, batch.generation, batch.total)))
+            self.db.execute(
+                "UPDATE meta SET generation = ?, digest = ?",
+                (batch.generation, seal(self.identity, self.term, self.first, batch.generation, batch.total)),
+            )
             self.write_book(batch.book)
             self.db.execute("COMMIT")
         except sqlite3.Error as error:
@@ -329,12 +341,16 @@
             raise StoreError(f"cannot write {self.path.name}: {error}") from error
 
     def write_book(self, draft: Draft) -> None:
-        rows = [(kind, name, claims.text_of(thing) if thing else "")
-                for (kind, name), thing in draft.changed.items()]
+        rows = [
+            (kind, name, claims.text_of(thing) if thing else "")
+            for (kind, name), thing in draft.changed.items()
+        ]
         for kind, name, text in [*rows, (LAST, LAST, str(draft.last))] if rows else ():
             if text:
-                self.db.execute("INSERT OR REPLACE INTO book VALUES (?, ?, ?, ?)",
-                                (kind, name, text, f"{digest_of(f'{kind} {name} {text}'):064x}"))
+                self.db.execute(
+                    "INSERT OR REPLACE INTO book VALUES (?, ?, ?, ?)",
+                    (kind, name, text, f"{digest_of(f'{kind} {name} {text}'):064x}"),
+                )
             else:
                 self.db.execute("DELETE FROM book WHERE kind = ? AND name = ?", (kind, name))
 
@@ -346,9 +362,10 @@
         try:
             self.db.execute("BEGIN IMMEDIATE")
             self.db.execute("DELETE FROM history")
-            self.db.execute("UPDATE meta SET term = ?, first = ?, generation = ?, digest = ?",
-                            (term, generation, generation,
-                             seal(self.identity, term, generation, generation, self.sum)))
+            self.db.execute(
+                "UPDATE meta SET term = ?, first = ?, generation = ?, digest = ?",
+                (term, generation, generation, seal(self.identity, term, generation, generation, self.sum)),
+            )
             self.db.execute("COMMIT")
         except sqlite3.Error as error:
             if self.db.in_transaction:
--- a/orchidhatch/summary.py
+++ b/orchidhatch/summary.py
@@ -31,15 +31,22 @@
         """What came since; all of it where the door has begun anew, as its counts are lower then."""
         if before is None or before.ended() > self.ended() or before.sends > self.sends:
             return self
-        return Reading(*(getattr(self, one) - getattr(before, one) for one in (*ENDS, "sends")),
-                       self.current, self.unhealthy)
+        return Reading(
+            *(getattr(self, one) - getattr(before, one) for one in (*ENDS, "sends")),
+            self.current,
+            self.unhealthy,
+        )
 
 
 def read_figures(text: str) -> Reading | None:
     """A door's figures as its page gives them; None where they make no sense."""
     found = dict.fromkeys(Reading.__struct_fields__, 0)
-    named = {"sends_total": "sends", "current": "current", "cluster_unhealthy": "unhealthy",
-             **{f"{end}_total": end for end in ENDS}}
+    named = {
+        "sends_total": "sends",
+        "current": "current",
+        "cluster_unhealthy": "unhealthy",
+        **{f"{end}_total": end for end in ENDS},
+    }
     seen = set[str]()
     for line in text.splitlines():
         name, _, value = line.rpartition(" ")
@@ -57,15 +64,17 @@
     middle = statistics.median(values.values())
     spread = statistics.median(abs(value - middle) for value in values.values())
     far = {name: abs(value - middle) for name, value in values.items()}
-    return sorted((name for name in far if far[name] > max(LEAST_APART, UNLIKE * spread)),
-                  key=lambda name: -far[name])
+    return sorted(
+        (name for name in far if far[name] > max(LEAST_APART, UNLIKE * spread)), key=lambda name: -far[name]
+    )
 
 
 def sum_up(before: Mapping[str, Reading], now: Mapping[str, Reading | None]) -> dict[str, Any]:
     """Totals since the last reading, who was not heard, and who is unlike the others in what."""
     heard = {door: reading.since(before.get(door)) for door, reading in now.items() if reading}
-    total = {one: sum(getattr(reading, one) for reading in heard.values())
-             for one in Reading.__struct_fields__}
+    total = {
+        one: sum(getattr(reading, one) for reading in heard.values()) for one in Reading.__struct_fields__
+    }
     busy = {door: reading for door, reading in heard.items() if reading.ended() >= FEWEST}
     unlike = {}
     for what, parts in {
@@ -76,5 +85,11 @@
         if found := apart(parts):
             unlike[what] = {door: round(parts[door], 3) for door in found[:MOST_NAMED]}
     silent = sorted(door for door, reading in now.items() if not reading)
-    return {"doors": len(heard), "first": not before, **total, "silent": silent[:MOST_NAMED],
-            "silentCount": len(silent), "unlike": unlike}
+    return {
+        "doors": len(heard),
+        "first": not before,
+        **total,
+        "silent": silent[:MOST_NAMED],
+        "silentCount": len(silent),
+        "unlike": unlike,
+    }
--- a/orchidhatch/trial/__main__.py
+++ b/orchidhatch/trial/__main__.py
@@ -80,8 +80,14 @@
     verdict, judge = run(script, folder, plant)
     status = status_of(verdict)
     if as_json:
-        value = {"plan": script.plan.name, "seed": script.seed, "status": status, "slow": verdict.slow,
-                 "figures": verdict.figures, "breaks": [vars(one) for one in verdict.breaks]}
+        value = {
+            "plan": script.plan.name,
+            "seed": script.seed,
+            "status": status,
+            "slow": verdict.slow,
+            "figures": verdict.figures,
+            "breaks": [vars(one) for one in verdict.breaks],
+        }
         print(json.dumps(value))
     else:
         word = {HELD: "held", BROKEN: "BROKEN", UNSAID: "cannot say"}[status]
@@ -119,8 +125,11 @@
     parser = argparse.ArgumentParser(prog="orchidhatch.trial", description=__doc__.partition("\n")[0])
     calls = parser.add_subparsers(dest="call", required=True)
     calls.add_parser("list", help="the plans that stand in the project")
-    for name, about in (("run", "a plan with a seed"), ("again", "a recorded script"),
-                        ("shrink", "a recorded script, with as few faults as still break")):
+    for name, about in (
+        ("run", "a plan with a seed"),
+        ("again", "a recorded script"),
+        ("shrink", "a recorded script, with as few faults as still break"),
+    ):
         one = calls.add_parser(name, help=about)
         one.add_argument("file", help="a plan's name or file" if name == "run" else "a script.json")
         if name == "run":
--- a/orchidhatch/trial/backend.py
+++ b/orchidhatch/trial/backend.py
@@ -91,8 +91,13 @@
         id_ = words[2].decode(errors="replace")
         attempt = Attempt(conn, id_)
         conn.attempts.append(attempt)
-        self.recorder.note("attempt", id_, backend=self.settings.id, port=conn.port,
-                           customer=words[1].decode(errors="replace"))
+        self.recorder.note(
+            "attempt",
+            id_,
+            backend=self.settings.id,
+            port=conn.port,
+            customer=words[1].decode(errors="replace"),
+        )
         if len(self.inside) >= self.model.cores + self.model.queue:
             self.finish(attempt, b"-BUSY %b\r\n" % (self.load() if self.model.reports else b""), "busy")
             return
@@ -165,17 +170,23 @@
         for attempt in self.attempts:
             if not attempt.over:
                 attempt.over = True
-                self.machine.recorder.note("over", attempt.id, backend=self.machine.settings.id,
-                                           port=self.port, how="left")
+                self.machine.recorder.note(
+                    "over", attempt.id, backend=self.machine.settings.id, port=self.port, how="left"
+                )
         self.attempts.clear()
 
 
 async def stay_listed(settings: Settings, recorder: Recorder) -> None:
     """Enter the list, and renew the lease; anew where it is not known, at the next if one is silent."""
     started_ms = time.time_ns() // 1_000_000
-    entry = {"instanceId": settings.id, "hostPort": f"{settings.listen[0]}:{settings.listen[1]}",
-             "zone": settings.zone, "machineType": "m2", "startedAtMs": started_ms,
-             "leaseMs": settings.model.lease_ms}
+    entry = {
+        "instanceId": settings.id,
+        "hostPort": f"{settings.listen[0]}:{settings.listen[1]}",
+        "zone": settings.zone,
+        "machineType": "m2",
+        "startedAtMs": started_ms,
+        "leaseMs": settings.model.lease_ms,
+    }
     at, life = 0, 0
     while True:
         registry = settings.registries[at % len(settings.registries)]
--- a/orchidhatch/trial/events.py
+++ b/orchidhatch/trial/events.py
@@ -61,8 +61,9 @@
     with path.open(errors="replace") as lines:
         for line in lines:
             if found := LET_IN.search(line):
-                yield Event(int(found[4]) * 1000, door, "let-in", found[1],
-                            {"how": found[2], "policy": found[3]})
+                yield Event(
+                    int(found[4]) * 1000, door, "let-in", found[1], {"how": found[2], "policy": found[3]}
+                )
             elif found := EMPTIED.search(line):
                 what = "emptied" if found[1].startswith("no") else "filled"
                 yield Event(int(found[2]) * 1000, door, what, door, {})
@@ -73,8 +74,10 @@
     into.unlink(missing_ok=True)
     db = sqlite3.connect(into, isolation_level=None)
     db.executescript(SCHEMA)
-    rows = [(event.at_ns, event.who, event.what, event.about, msgspec.json.encode(event.told).decode())
-            for event in sorted(read(folder), key=lambda event: event.at_ns)]
+    rows = [
+        (event.at_ns, event.who, event.what, event.about, msgspec.json.encode(event.told).decode())
+        for event in sorted(read(folder), key=lambda event: event.at_ns)
+    ]
     db.execute("BEGIN")
     db.executemany("INSERT INTO events VALUES (?, ?, ?, ?, ?)", rows)
     db.execute("CREATE INDEX by_what ON events (what, at_ns)")
@@ -98,5 +101,8 @@
 def story(db: sqlite3.Connection, about: str, start_ns: int) -> list[str]:
     """All that happened with one request, write or process, across all processes, as lines for a person."""
     found = rows(db.execute("SELECT * FROM events WHERE about = ? ORDER BY at_ns, rowid", (about,)))
-    return [f"{(event.at_ns - start_ns) / 1e9:9.3f} s  {event.who:12} {event.what:8} "
-            + " ".join(f"{key}={value}" for key, value in event.told.items()) for event in found]
+    return [
+        f"{(event.at_ns - start_ns) / 1e9:9.3f} s  {event.who:12} {event.what:8} "
+        + " ".join(f"{key}={value}" for key, value in event.told.items())
+        for event in found
+    ]
--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/trial/fleet.py
@@ -62,8 +62,13 @@
         self.over: dict[str, Address] = {}  # where each way begins
         self.ids: dict[str, str] = {}  # of each backend, in the list
         self.machines = 0  # backends so far, replaced ones too
-        self.clocked = {name for fault in script.faults if fault.kind == "clock"
-                        for name in self.plan.processes() if fnmatchcase(name, fault.who)}
+        self.clocked = {
+            name
+            for fault in script.faults
+            if fault.kind == "clock"
+            for name in self.plan.processes()
+            if fnmatchcase(name, fault.who)
+        }
         self.start_ns = 0
 
     # --- addresses ---
@@ -84,7 +89,12 @@
         return self.ways.setdefault(name, Way(name, self.recorder, chance))
 
     async def lay_way(
-        self, name: str, to: Address, host: str = "", port: int = 0, **more: Any  # noqa: ANN401
+        self,
+        name: str,
+        to: Address,
+        host: str = "",
+        port: int = 0,
+        **more: Any,  # noqa: ANN401
     ) -> None:
         relay = TcpRelay(self.way(name), to, **more)
         self.over[name] = await relay.start(host or f"{self.net}.50.1", port)
@@ -101,8 +111,13 @@
             elif beginner.startswith("agent-") and to.startswith("door-"):
                 await self.lay_way(name, self.at[f"{to} management"], alter_there=seeing(self.recorder, to))
             elif beginner.startswith("door-"):
-                await self.lay_way(name, self.at[to], alter=tapping(
-                    self.recorder, beginner, f"{self.net}.100.", f"{self.net}.{self.view(beginner)}."))
+                await self.lay_way(
+                    name,
+                    self.at[to],
+                    alter=tapping(
+                        self.recorder, beginner, f"{self.net}.100.", f"{self.net}.{self.view(beginner)}."
+                    ),
+                )
             else:
                 await self.lay_way(name, self.at[to])
         for name, here in self.datagrams.items():
@@ -111,7 +126,8 @@
 
     async def lay_words(self, name: str) -> None:
         transport, here = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Datagrams(self.way(name)), local_addr=(f"{self.net}.50.1", 0))
+            lambda: Datagrams(self.way(name)), local_addr=(f"{self.net}.50.1", 0)
+        )
         self.over[name], self.datagrams[name] = transport.get_extra_info("sockname"), here
 
     def view(self, door: str) -> int:
@@ -134,10 +150,23 @@
         return ["orchidhatch.trial.stepped", *more] if more else []
 
     def add_command(
-        self, name: str, command: list[str], ready: Callable[[], Awaitable[bool]], **more: Any  # noqa: ANN401
+        self,
+        name: str,
+        command: list[str],
+        ready: Callable[[], Awaitable[bool]],
+        **more: Any,  # noqa: ANN401
     ) -> None:
-        self.processes.add(Process(name, command, self.folder / name, self.recorder, ready,
-                                   reached=lambda listens: self.reach(name, listens), **more))
+        self.processes.add(
+            Process(
+                name,
+                command,
+                self.folder / name,
+                self.recorder,
+                ready,
+                reached=lambda listens: self.reach(name, listens),
+                **more,
+            )
+        )
 
     def reach(self, name: str, listens: bool) -> None:
         """A process that has ended refuses connections, and so do the ways to it."""
@@ -163,30 +192,67 @@
         others = [f"{name}>registry-{n}" for n in range(self.plan.registries) if n != number]
         follow = ["--follow", shown(self.over[f"{name}>registry-0"])] if number else []
         peers = [word for way in others for word in ("--peer", shown(self.over[way]))]
-        self.add(name, "orchidhatch.registry", "--listen", shown(self.at[name]), "--create",
-                 "--store", self.folder / name / "list.db", *follow, *peers, ready=lambda: self.answers(name))
+        self.add(
+            name,
+            "orchidhatch.registry",
+            "--listen",
+            shown(self.at[name]),
+            "--create",
+            "--store",
+            self.folder / name / "list.db",
+            *follow,
+            *peers,
+            ready=lambda: self.answers(name),
+        )
 
     def add_agent(self, number: int) -> None:
         name = f"agent-{number}"
-        registries = [word for n in range(self.plan.registries)
-                      for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))]
-        self.add(name, "orchidhatch.agent", "--listen", shown(self.at[name]), *registries,
-                 "--cache", self.folder / name / "cache.db",
-                 *(["--door", shown(self.over[f"{name}>door-{number}"])] if self.plan.doors else []),
-                 *(self.keeping(number) if self.plan.policy else []), ready=lambda: self.answers(name))
+        registries = [
+            word
+            for n in range(self.plan.registries)
+            for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))
+        ]
+        self.add(
+            name,
+            "orchidhatch.agent",
+            "--listen",
+            shown(self.at[name]),
+            *registries,
+            "--cache",
+            self.folder / name / "cache.db",
+            *(["--door", shown(self.over[f"{name}>door-{number}"])] if self.plan.doors else []),
+            *(self.keeping(number) if self.plan.policy else []),
+            ready=lambda: self.answers(name),
+        )
 
     def keeping(self, number: int) -> list[object]:
         """How an agent is told of the door that it keeps to the policy."""
         folder = self.folder / f"door-{number}"
-        return ["--name", f"door-{number}", "--zone", ZONES[number % 3], "--config", folder / "config.json",
-                "--pid", folder / "pid", "--check", f"{sys.executable} -m molereach --check"]
+        return [
+            "--name",
+            f"door-{number}",
+            "--zone",
+            ZONES[number % 3],
+            "--config",
+            folder / "config.json",
+            "--pid",
+            folder / "pid",
+            "--check",
+            f"{sys.executable} -m molereach --check",
+        ]
 
     def add_steward(self, number: int) -> None:
         name = f"steward-{number}"
-        registries = [word for n in range(self.plan.registries)
-                      for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))]
-        agents = [word for n in range(self.plan.doors)
-                  for word in ("--agent", shown(self.over[f"{name}>agent-{n}"]))]
+        registries = [
+            word
+            for n in range(self.plan.registries)
+            for word in ("--registry", shown(self.over[f"{name}>registry-{n}"]))
+        ]
+        agents = [
+            word
+            for n in range(self.plan.doors)
+            for word in ("--agent", shown(self.over[f"{name}>agent-{n}"]))
+        ]
 
         async def ready() -> bool:
             return b"serves" in (self.folder / name / "log").read_bytes()
@@ -207,8 +273,16 @@
             if way in self.relays:
                 self.relays[way].refuse()  # the machine before it is gone
             await self.lay_way(way, self.at[name], f"{self.net}.{101 + door}.{last}", port)
-        settings = backend.Settings(name, id_, self.at[name], self.registries_of(name), ZONES[number % 3],
-                                    model, self.script.seed, str(self.folder))
+        settings = backend.Settings(
+            name,
+            id_,
+            self.at[name],
+            self.registries_of(name),
+            ZONES[number % 3],
+            model,
+            self.script.seed,
+            str(self.folder),
+        )
         file = self.folder / f"{name}.json"
 
         async def ready() -> bool:
@@ -224,21 +298,23 @@
 
     def add_door(self, number: int) -> None:
         name = f"door-{number}"
-        env = {"PROXY_NAME": name, "PROXY_LISTEN": shown(self.at[name]),
-               "PROXY_CONFIG": str(self.folder / name / "config.json"),
-               "PROXY_DISCOVERY": shown(self.over[f"{name}>agent-{number}"]),
-               "PROXY_MANAGEMENT": shown(self.at[f"{name} management"]),
-               "TMPDIR": str(self.folder / name / "tmp")}
+        env = {
+            "PROXY_NAME": name,
+            "PROXY_LISTEN": shown(self.at[name]),
+            "PROXY_CONFIG": str(self.folder / name / "config.json"),
+            "PROXY_DISCOVERY": shown(self.over[f"{name}>agent-{number}"]),
+            "PROXY_MANAGEMENT": shown(self.at[f"{name} management"]),
+            "TMPDIR": str(self.folder / name / "tmp"),
+        }
         command = door_command()
         if words := self.launched(name):
             command = [sys.executable, "-m", *words, "molereach.program"]
+
         async def ready() -> bool:
             # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
-            return await (self.listens(name) if self.plan.policy
-                          else self.answers(f"{name} management", 200))
+            return await (self.listens(name) if self.plan.policy else self.answers(f"{name} management", 200))
 
-        self.add_command(name, command, ready=ready, env=env,
-                         prepare=lambda: self.write_config(number))
+        self.add_command(name, command, ready=ready, env=env, prepare=lambda: self.write_config(number))
 
     def write_config(self, number: int) -> None:
         """As DEPLOY's page has it; anew at each start, with a seed of its own, unless an agent keeps it."""
@@ -248,22 +324,30 @@
         (folder / "tmp").mkdir(exist_ok=True)
         for left in (folder / "tmp").iterdir():
             left.unlink()
-        peers = [shown(self.over.get(f"{name}>door-{n}", self.at[f"door-{n} peers"]))
-                 for n in range(self.plan.doors)]
+        peers = [
+            shown(self.over.get(f"{name}>door-{n}", self.at[f"door-{n} peers"]))
+            for n in range(self.plan.doors)
+        ]
         seed = random.Random(f"{self.script.seed} {name} {time.monotonic_ns()}").getrandbits(64)
         values = {
-            "name": name, "listen": shown(self.at[name]),
+            "name": name,
+            "listen": shown(self.at[name]),
             "discovery": shown(self.over[f"{name}>agent-{number}"]),
-            "seed": f"{seed:016x}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "peer_listen": shown(self.at[f"{name} peers"]), "peers": peers, "known": None,
-            "settings": settings_of(self.plan, number), "trace_policy": self.plan.policy,
+            "seed": f"{seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "peer_listen": shown(self.at[f"{name} peers"]),
+            "peers": peers,
+            "known": None,
+            "settings": settings_of(self.plan, number),
+            "trace_policy": self.plan.policy,
         }
         (folder / "config.json").write_text(json.dumps(values))
 
     def add_clients(self) -> None:
         doors = [self.over[f"clients>door-{n}"] for n in range(self.plan.doors)]
-        settings = load.Settings(doors, self.plan.load, self.plan.seconds, self.script.seed, self.start_ns,
-                                 str(self.folder))
+        settings = load.Settings(
+            doors, self.plan.load, self.plan.seconds, self.script.seed, self.start_ns, str(self.folder)
+        )
         file = self.folder / "clients.json"
         file.write_bytes(msgspec.json.encode(settings))
 
@@ -314,8 +398,15 @@
                 while True:
                     status, told, _ = await call(self.at["registry-0"], "GET", "/doors")
                     sure = status == 200 and told["sure"]
-                    kept = [door for door in told["doors"] if door.get("serves")
-                            and door["number"] == told["now"]["number"]] if sure else ()
+                    kept = (
+                        [
+                            door
+                            for door in told["doors"]
+                            if door.get("serves") and door["number"] == told["now"]["number"]
+                        ]
+                        if sure
+                        else ()
+                    )
                     if len(kept) == self.plan.doors:
                         return
                     await asyncio.sleep(LOOK_S)
@@ -344,22 +435,53 @@
 
 def settings_of(plan: Plan, number: int) -> dict[str, Any]:
     """A door's settings, in the names of the simulator's first message."""
-    plans = [{
-        "name": one.plan, "units-per-s": one.rate, "burst": one.burst, "max-out": one.max_out,
-        "never-over-rate": one.ceiling_rate, "hard-burst": one.ceiling_burst,
-        "hard-slack": max(1.0, 0.1 * one.ceiling_burst), "over-cost": 0.5,
-    } for one in plan.load.customers]
+    plans = [
+        {
+            "name": one.plan,
+            "units-per-s": one.rate,
+            "burst": one.burst,
+            "max-out": one.max_out,
+            "never-over-rate": one.ceiling_rate,
+            "hard-burst": one.ceiling_burst,
+            "hard-slack": max(1.0, 0.1 * one.ceiling_burst),
+            "over-cost": 0.5,
+        }
+        for one in plan.load.customers
+    ]
     return {
-        "me": number, "balancers": plan.doors, "zones": list(ZONES), "kinds": ["m2"], "zone": number % 3,
+        "me": number,
+        "balancers": plan.doors,
+        "zones": list(ZONES),
+        "kinds": ["m2"],
+        "zone": number % 3,
         "plans": plans or [{"name": "none", "units-per-s": 1.0, "burst": 1.0}],
-        "categories": [{"name": "read", "on-time-us": AIM_US, "deadline-us": DEADLINE_US, "points": 1.0,
-                        "idempotency": "read_like"}],
-        "ceilings": {"max-attempts": 4, "conn-idle-us": 30_000_000, "retry-after": True,
-                     "max-retry-after-us": 2_000_000, "may-cancel": True, "peers": True},
+        "categories": [
+            {
+                "name": "read",
+                "on-time-us": AIM_US,
+                "deadline-us": DEADLINE_US,
+                "points": 1.0,
+                "idempotency": "read_like",
+            }
+        ],
+        "ceilings": {
+            "max-attempts": 4,
+            "conn-idle-us": 30_000_000,
+            "retry-after": True,
+            "max-retry-after-us": 2_000_000,
+            "may-cancel": True,
+            "peers": True,
+        },
         "extra": {"mail-per-s": INTAKE_PER_S},
-        "obligations": {"grace-to-answer-us": 8000, "cold-from": plan.backends.cold_from,
-                        "warm-within-us": round(plan.backends.cold_s * 1e6), "fall-multiple": 3.0,
-                        "fall-us": 1_500_000},
-        "stats": {"how": "inline" if plan.backends.reports else "none",
-                  "names": ["inflight", "queue", "util"]},
+        "obligations": {
+            "grace-to-answer-us": 8000,
+            "cold-from": plan.backends.cold_from,
+            "warm-within-us": round(plan.backends.cold_s * 1e6),
+            "fall-multiple": 3.0,
+            "fall-us": 1_500_000,
+        },
+        "stats": {
+            "how": "inline" if plan.backends.reports else "none",
+            "names": ["inflight", "queue", "util"],
+        },
     }
--- a/orchidhatch/trial/forms.py
+++ b/orchidhatch/trial/forms.py
@@ -19,8 +19,28 @@
 Share = Annotated[float, Meta(ge=0, le=1)]
 Few = Annotated[int, Meta(ge=0, le=MOST_PROCESSES)]
 WAY_KINDS = ("delay", "loss", "double", "turn", "slow", "cut", "hold", "reset", "mute")
-Kind = Literal["kill", "term", "stop", "full", "old", "clock", "delay", "loss", "double", "turn", "slow",
-               "cut", "hold", "reset", "mute", "promote", "drain", "replace", "policy", "undo"]
+Kind = Literal[
+    "kill",
+    "term",
+    "stop",
+    "full",
+    "old",
+    "clock",
+    "delay",
+    "loss",
+    "double",
+    "turn",
+    "slow",
+    "cut",
+    "hold",
+    "reset",
+    "mute",
+    "promote",
+    "drain",
+    "replace",
+    "policy",
+    "undo",
+]
 
 
 class PlanError(Exception):
@@ -138,29 +158,33 @@
 
     def processes(self) -> list[str]:
         """Their names; an agent for each door, and one where there is none but a list to be watched."""
-        return [*(f"registry-{n}" for n in range(self.registries)),
-                *(f"agent-{n}" for n in range(max(1, self.doors))),
-                *(f"backend-{n}" for n in range(self.backends.count)),
-                *(f"door-{n}" for n in range(self.doors)),
-                *(f"steward-{n}" for n in range(self.stewards)),
-                *(["clients"] if self.doors and self.load.customers else [])]
+        return [
+            *(f"registry-{n}" for n in range(self.registries)),
+            *(f"agent-{n}" for n in range(max(1, self.doors))),
+            *(f"backend-{n}" for n in range(self.backends.count)),
+            *(f"door-{n}" for n in range(self.doors)),
+            *(f"steward-{n}" for n in range(self.stewards)),
+            *(["clients"] if self.doors and self.load.customers else []),
+        ]
 
     def ways(self) -> list[str]:
         """Every way from one process to another, each with a relay on it."""
         registries = [f"registry-{n}" for n in range(self.registries)]
         doors, agents = range(self.doors), range(max(1, self.doors))
         backends = [f"backend-{n}" for n in range(self.backends.count)]
-        return [*(f"{one}>{other}" for one in registries for other in registries if one != other),
-                *(f"agent-{n}>{registry}" for n in agents for registry in registries),
-                *(f"{backend}>{registry}" for backend in backends for registry in registries),
-                *(f"writer>{registry}" for registry in registries),
-                *(f"steward-{n}>{registry}" for n in range(self.stewards) for registry in registries),
-                *(f"steward-{n}>agent-{m}" for n in range(self.stewards) for m in doors),
-                *(f"agent-{n}>door-{n}" for n in doors),
-                *(f"door-{n}>agent-{n}" for n in doors),
-                *(f"door-{n}>{backend}" for n in doors for backend in backends),
-                *(f"door-{n}>door-{m}" for n in doors for m in doors if n != m),
-                *(f"clients>door-{n}" for n in doors)]
+        return [
+            *(f"{one}>{other}" for one in registries for other in registries if one != other),
+            *(f"agent-{n}>{registry}" for n in agents for registry in registries),
+            *(f"{backend}>{registry}" for backend in backends for registry in registries),
+            *(f"writer>{registry}" for registry in registries),
+            *(f"steward-{n}>{registry}" for n in range(self.stewards) for registry in registries),
+            *(f"steward-{n}>agent-{m}" for n in range(self.stewards) for m in doors),
+            *(f"agent-{n}>door-{n}" for n in doors),
+            *(f"door-{n}>agent-{n}" for n in doors),
+            *(f"door-{n}>{backend}" for n in doors for backend in backends),
+            *(f"door-{n}>door-{m}" for n in doors for m in doors if n != m),
+            *(f"clients>door-{n}" for n in doors),
+        ]
 
 
 class Script(Form, kw_only=True):
@@ -211,13 +235,21 @@
 def draw(plan: Plan, seed: int) -> Script:
     """The script: each fault of a stream of its own, so that one more kind leaves the others as they were."""
     faults, chance = list(plan.faults), plan.chance
-    names = {draw: matching(draw.who, plan.ways() if draw.kind in WAY_KINDS else plan.processes())
-             for draw in chance.draw}
+    names = {
+        draw: matching(draw.who, plan.ways() if draw.kind in WAY_KINDS else plan.processes())
+        for draw in chance.draw
+    }
     for number in range(chance.count):
         one = random.Random(f"{seed} {number}")
         kind = one.choices(chance.draw, [draw.share for draw in chance.draw])[0]
-        faults.append(Fault(
-            at=round(one.uniform(*chance.between), 3), kind=kind.kind, who=one.choice(names[kind]),
-            lasts=round(one.uniform(*kind.lasts), 3), size=round(one.uniform(*kind.size), 4),
-            way=one.choice(kind.ways)))
+        faults.append(
+            Fault(
+                at=round(one.uniform(*chance.between), 3),
+                kind=kind.kind,
+                who=one.choice(names[kind]),
+                lasts=round(one.uniform(*kind.lasts), 3),
+                size=round(one.uniform(*kind.size), 4),
+                way=one.choice(kind.ways),
+            )
+        )
     return Script(plan=plan, seed=seed, faults=sorted(faults, key=lambda fault: fault.at))
