--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/trial/judge.py
@@ -84,8 +84,10 @@
 
     def hit(self, about: str, begin: int, end: int, *kinds: str, margin: int = NOTICE_NS) -> bool:
         """Whether anything of these kinds (all, if none is named) was the matter with it in that time."""
-        return any(b - margin < end and begin < e + margin and (not kinds or kind in kinds)
-                   for b, e, kind in self.spans.get(about, ()))
+        return any(
+            b - margin < end and begin < e + margin and (not kinds or kind in kinds)
+            for b, e, kind in self.spans.get(about, ())
+        )
 
 
 class Judge:
@@ -112,9 +114,23 @@
 
     def judge(self) -> Verdict:
         self.speed()
-        for check in (self.exits, self.answers, self.overlaps, self.drains, self.caps, self.ceilings,
-                      self.writes, self.generations, self.forms, self.owners, self.effects,
-                      self.tasks, self.gaps, self.policies, self.promises):
+        for check in (
+            self.exits,
+            self.answers,
+            self.overlaps,
+            self.drains,
+            self.caps,
+            self.ceilings,
+            self.writes,
+            self.generations,
+            self.forms,
+            self.owners,
+            self.effects,
+            self.tasks,
+            self.gaps,
+            self.policies,
+            self.promises,
+        ):
             check()
         self.figures()
         return self.verdict
@@ -144,15 +160,20 @@
             port, backend = event.told["port"], event.told["backend"]
             ways = [way for at, way in opened[event.who, port] if at <= event.at_ns + WIDER_NS]
             way = ways[-1] if ways else ""
-            ends = [later(overs[event.about, backend, port], event.at_ns),
-                    later(left[way, port], event.at_ns), self.killed(event.who, event.at_ns)]
+            ends = [
+                later(overs[event.about, backend, port], event.at_ns),
+                later(left[way, port], event.at_ns),
+                self.killed(event.who, event.at_ns),
+            ]
             door = int(way.partition(">")[0].partition("-")[2]) if way else -1
             yield Attempt(event.about, backend, door, event.at_ns, min(ends), event.told["customer"])
 
     def killed(self, process: str, after: int) -> int:
         """When it ended next: all connections to it break then."""
-        return min((b for b, _, kind in self.spans.spans.get(process, ()) if kind == "down" and b > after),
-                   default=self.last_ns)
+        return min(
+            (b for b, _, kind in self.spans.spans.get(process, ()) if kind == "down" and b > after),
+            default=self.last_ns,
+        )
 
     def overlaps(self) -> None:
         """Attempts of a request never overlap, and are four at most, whatever fails."""
@@ -161,8 +182,12 @@
                 self.broke("attempts", request, f"{len(attempts)} attempts")
             for one, two in itertools.pairwise(attempts):
                 if two.begin < one.end - WIDER_NS:
-                    self.broke("attempts", request, f"that at {two.backend} began "
-                               f"{(one.end - two.begin) / MS:.0f} ms before that at {one.backend} was over")
+                    self.broke(
+                        "attempts",
+                        request,
+                        f"that at {two.backend} began "
+                        f"{(one.end - two.begin) / MS:.0f} ms before that at {one.backend} was over",
+                    )
                     break
 
     # --- answers ---
@@ -177,7 +202,8 @@
             if len(ends) > 1:
                 self.broke("answers", request, f"{len(ends)} answers")
             excused = self.spans.hit(door, ask.at_ns, end, "down", "kill", "term") or self.spans.hit(
-                way, ask.at_ns, end)
+                way, ask.at_ns, end
+            )
             stood = self.spans.hit(door, ask.at_ns, end, "stop", margin=WAKE_NS)
             if not ends:
                 if not (excused or stood):
@@ -191,8 +217,10 @@
         how, text, door = end.told["how"], end.told["text"], f"door-{ask.told['door']}"
         if how == "served" and text.rpartition(":")[2] != request:
             self.broke("answers", request, f"served with the value of another: {text}")
-        emptied = bisect.bisect(self.emptied[door], ask.at_ns) % 2 or bisect.bisect(
-            self.emptied[door], end.at_ns) % 2
+        emptied = (
+            bisect.bisect(self.emptied[door], ask.at_ns) % 2
+            or bisect.bisect(self.emptied[door], end.at_ns) % 2
+        )
         if how == "closed" and not (excused or emptied):
             self.broke("answers", request, f"{door} closed its connection without an answer {text}")
         late = end.at_ns - ask.at_ns - self.plan.load.patience_ms * MS - GRACE_NS - WIDER_NS
@@ -222,10 +250,15 @@
                 since = words[first][0]
             door, way = f"door-{attempt.door}", f"door-{attempt.door}>{slots.get(attempt.backend)}"
             late = attempt.begin - since - DRAIN_NS - WIDER_NS
-            if late > 0 and not (self.spans.hit(door, since, attempt.begin, "stop", margin=WAKE_NS)
-                                 or self.spans.hit(way, since - S, attempt.begin)):
-                self.broke("drains", attempt.request,
-                           f"{door} sent to {attempt.backend} {late / MS:.0f} ms after the last moment")
+            if late > 0 and not (
+                self.spans.hit(door, since, attempt.begin, "stop", margin=WAKE_NS)
+                or self.spans.hit(way, since - S, attempt.begin)
+            ):
+                self.broke(
+                    "drains",
+                    attempt.request,
+                    f"{door} sent to {attempt.backend} {late / MS:.0f} ms after the last moment",
+                )
 
     # --- quotas ---
 
@@ -247,8 +280,12 @@
         share = beyond / count if count else 0.0
         self.verdict.figures["beyond_cap_share"] = round(share, 4)
         if share > self.plan.holds.beyond_cap:
-            self.broke("caps", worst, f"{beyond} of {count} attempts began beyond an open cap; "
-                                      f"{self.plan.holds.beyond_cap:g} of them at most may")
+            self.broke(
+                "caps",
+                worst,
+                f"{beyond} of {count} attempts began beyond an open cap; "
+                f"{self.plan.holds.beyond_cap:g} of them at most may",
+            )
 
     def by_customer(self, plans: dict[str, object]) -> dict[tuple[str, str], list[Attempt]]:
         found: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
@@ -272,8 +309,9 @@
                 level = min(plan.ceiling_burst, level + plan.ceiling_rate * (attempt.begin - at) / S) - 1.0
                 at = attempt.begin
                 if level < -slack:
-                    self.broke("ceilings", attempt.request,
-                               f"customer {customer} is {-level:.1f} under its ceiling")
+                    self.broke(
+                        "ceilings", attempt.request, f"customer {customer} is {-level:.1f} under its ceiling"
+                    )
                     break
 
     # --- the list ---
@@ -306,8 +344,11 @@
         highest: dict[str, int] = {}
         for news in of(self.db, "news"):
             if news.told["generation"] < highest.get(news.about, 0):
-                self.broke("generations", news.about,
-                           f"told generation {news.told['generation']} after {highest[news.about]}")
+                self.broke(
+                    "generations",
+                    news.about,
+                    f"told generation {news.told['generation']} after {highest[news.about]}",
+                )
             highest[news.about] = max(highest.get(news.about, 0), news.told["generation"])
 
     # --- claims ---
@@ -318,10 +359,14 @@
         for event in of(self.db, "claim"):
             before = highest.get(event.about)
             if before and event.told["epoch"] < before.told["epoch"]:
-                self.broke("owners", event.about,
-                           f"at epoch {event.told['epoch']} after {before.told['epoch']}")
-            elif before and event.told["epoch"] == before.told["epoch"] and event.told["life"] not in (
-                    "", before.told["life"]):
+                self.broke(
+                    "owners", event.about, f"at epoch {event.told['epoch']} after {before.told['epoch']}"
+                )
+            elif (
+                before
+                and event.told["epoch"] == before.told["epoch"]
+                and event.told["life"] not in ("", before.told["life"])
+            ):
                 self.broke("owners", event.about, f"two holders by epoch {event.told['epoch']}")
             if event.told["holder"]:
                 highest[event.about] = event
@@ -336,13 +381,18 @@
             told, receiver = event.told, event.about if event.who == "trial" else event.who
             key = receiver, told["claim"]
             if told["epoch"] < highest.get(key, 0):
-                self.broke("effects", event.about, f"{told['act']} in the name of {told['claim']} at epoch "
-                                                   f"{told['epoch']} after {highest[key]}")
+                self.broke(
+                    "effects",
+                    event.about,
+                    f"{told['act']} in the name of {told['claim']} at epoch "
+                    f"{told['epoch']} after {highest[key]}",
+                )
             highest[key] = max(highest.get(key, 0), told["epoch"])
             act = receiver, told["on"]
             if told.get("number", 0) < numbers.get(act, 0):
-                self.broke("effects", event.about, f"{told['act']} is number {told['number']} after "
-                                                   f"{numbers[act]}")
+                self.broke(
+                    "effects", event.about, f"{told['act']} is number {told['number']} after {numbers[act]}"
+                )
             numbers[act] = max(numbers.get(act, 0), told.get("number", 0))
             state = STATE.search(told.get("text", ""))
             if told["act"] == "keep" and state and state[1] in ORDER:
@@ -368,7 +418,7 @@
                 continue
             for events in held.values():
                 before = [event for event in events if event.at_ns <= fault.at_ns]
-                after = next((event for event in events[len(before):] if event.told["holder"]), None)
+                after = next((event for event in events[len(before) :] if event.told["holder"]), None)
                 # One that came back in time lost nothing, and is no gap.
                 if before and after and before[-1].told["holder"] == holder != after.told["holder"]:
                     found[kind].append((after.at_ns - fault.at_ns) / S)
@@ -387,8 +437,11 @@
             since.setdefault(event.about, event.at_ns)
         for event in ins:
             if event.told["policy"] != "-" and event.at_ns < since.get(event.told["policy"], 1 << 62):
-                self.broke("policies", event.about,
-                           f"{event.who} let it in by {event.told['policy']}, which was not decided by then")
+                self.broke(
+                    "policies",
+                    event.about,
+                    f"{event.who} let it in by {event.told['policy']}, which was not decided by then",
+                )
         steps = [step for step in itertools.pairwise(decisions) if step[0].about != step[1].about]
         if decisions and decisions[0].about != "-":
             steps.insert(0, (Event(0, "trial", "decided", "-", {}), decisions[0]))
@@ -400,19 +453,32 @@
     def switch(self, new: Event, decisions: list[Event], ins: list[Event]) -> float | None:
         """How long requests were still let in by others after the first by the new one, in seconds; None
         where nobody was by it. What comes once a decision after it may be in force is left out."""
-        until = min((event.at_ns + event.told["now"]["moveMs"] * MS for event in decisions
-                     if event.at_ns > new.at_ns and event.about != new.about), default=self.last_ns + 1)
+        until = min(
+            (
+                event.at_ns + event.told["now"]["moveMs"] * MS
+                for event in decisions
+                if event.at_ns > new.at_ns and event.about != new.about
+            ),
+            default=self.last_ns + 1,
+        )
         after = [event for event in ins if new.at_ns <= event.at_ns < until]
         first = next((event for event in after if event.told["policy"] == new.about), None)
-        late = [event for event in after if first and event.told["policy"] != new.about
-                and event.at_ns > first.at_ns]
+        late = [
+            event
+            for event in after
+            if first and event.told["policy"] != new.about and event.at_ns > first.at_ns
+        ]
         if not first:
             return None
         window_s = max((event.at_ns - first.at_ns for event in late), default=0) / S
         if window_s > self.plan.holds.switch_s:
             last = max(late, key=lambda event: event.at_ns)
-            self.broke("policies", last.about, f"{last.who} let it in by {last.told['policy']} "
-                       f"{window_s:.3f} s after {first.who} let {first.about} in by {new.about}")
+            self.broke(
+                "policies",
+                last.about,
+                f"{last.who} let it in by {last.told['policy']} "
+                f"{window_s:.3f} s after {first.who} let {first.about} in by {new.about}",
+            )
         return window_s
 
     def promises(self) -> None:
@@ -422,8 +488,11 @@
         for event in of(self.db, "decided"):
             now = event.told["now"]
             if now["number"] <= highest or (now["change"] and now["change"] in changes):
-                self.broke("promises", event.about, f"decided as {now['number']} after {highest}, for change "
-                                                    f"{now['change'] or '-'}")
+                self.broke(
+                    "promises",
+                    event.about,
+                    f"decided as {now['number']} after {highest}, for change {now['change'] or '-'}",
+                )
             highest = max(highest, now["number"])
             changes.add(now["change"])
             if not now["change"]:
@@ -433,8 +502,9 @@
                     self.broke("promises", event.about, f"decided while {door['name']} was not ready")
         for event in of(self.db, "door"):
             if self.plan.holds.doors_alike and not event.told["alike"]:
-                self.broke("promises", event.about,
-                           f"does not serve by the last policy: {event.told['told']}")
+                self.broke(
+                    "promises", event.about, f"does not serve by the last policy: {event.told['told']}"
+                )
         if self.plan.holds.doors_alike and not of(self.db, "door"):
             self.broke("promises", "trial", "no list service knows which policy holds in the end")
 
@@ -457,18 +527,22 @@
 
     def speed(self) -> None:
         for event in of(self.db, "relay"):
-            self.verdict.figures |= {f"relay_late_{key}": round(value, 3)
-                                     for key, value in event.told.items() if key != "ticks"}
+            self.verdict.figures |= {
+                f"relay_late_{key}": round(value, 3) for key, value in event.told.items() if key != "ticks"
+            }
             if event.told["most_ms"] > MOST_LATE_RELAY_MS:
                 self.verdict.slow.append(f"the relays' loop stood still for {event.told['most_ms']:.0f} ms")
         late = sorted(ask.told["late_us"] / 1000 for ask in self.asks.values())
         if late:
-            self.verdict.figures |= {"send_late_median_ms": late[len(late) // 2],
-                                     "send_late_p99_ms": late[len(late) * 99 // 100],
-                                     "send_late_most_ms": late[-1]}
+            self.verdict.figures |= {
+                "send_late_median_ms": late[len(late) // 2],
+                "send_late_p99_ms": late[len(late) * 99 // 100],
+                "send_late_most_ms": late[-1],
+            }
             if late[len(late) * 99 // 100] > MOST_LATE_SEND_MS:
                 self.verdict.slow.append(
-                    f"one send in a hundred was late by {late[len(late) * 99 // 100]:.0f} ms")
+                    f"one send in a hundred was late by {late[len(late) * 99 // 100]:.0f} ms"
+                )
 
     def figures(self) -> None:
         ends = Counter(ends[0].told["how"] for ends in self.ends.values())
@@ -479,15 +553,23 @@
         asked = max(1, len(self.asks))
         served = ends["served"] / asked
         self.verdict.figures |= {
-            "asked": len(self.asks), "attempts": len(self.attempts), "served_share": round(served, 4),
-            "busy_share": round(ends["busy"] / asked, 4), "failed_share": round(ends["failed"] / asked, 4),
-            "closed": ends["closed"], "unsent": ends["unsent"], "faults": len(of(self.db, "fault")),
+            "asked": len(self.asks),
+            "attempts": len(self.attempts),
+            "served_share": round(served, 4),
+            "busy_share": round(ends["busy"] / asked, 4),
+            "failed_share": round(ends["failed"] / asked, 4),
+            "closed": ends["closed"],
+            "unsent": ends["unsent"],
+            "faults": len(of(self.db, "fault")),
             "p50_ms": latencies.get_value_at_percentile(50) / 1000,
             "p99_ms": latencies.get_value_at_percentile(99) / 1000,
         }
         if self.asks and served < self.plan.holds.served:
-            self.broke("served", "trial", f"{served:.3f} of the requests were served; the plan wants "
-                                          f"{self.plan.holds.served:g}")
+            self.broke(
+                "served",
+                "trial",
+                f"{served:.3f} of the requests were served; the plan wants {self.plan.holds.served:g}",
+            )
 
 
 def later(times: list[int], than: int) -> int:
--- a/orchidhatch/trial/load.py
+++ b/orchidhatch/trial/load.py
@@ -93,12 +93,21 @@
 
     def send(self, ask: Ask) -> None:
         self.ask = ask
-        text = (f"c=read,t={ask.plan},d={self.clients.settings.load.patience_ms},units=1,"
-                f"spread={ask.spread},first={ask.first}" + (",r=1" if ask.tries else ""))
+        text = (
+            f"c=read,t={ask.plan},d={self.clients.settings.load.patience_ms},units=1,"
+            f"spread={ask.spread},first={ask.first}" + (",r=1" if ask.tries else "")
+        )
         words = [b"SVC.QUERY", ask.customer.encode(), ask.id.encode(), text.encode()]
         self.transport.write(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words))
-        self.clients.recorder.note("ask", ask.id, door=ask.door, customer=ask.customer, plan=ask.plan,
-                                   late_us=round((self.clients.now_s() - ask.due_s) * 1e6), tries=ask.tries)
+        self.clients.recorder.note(
+            "ask",
+            ask.id,
+            door=ask.door,
+            customer=ask.customer,
+            plan=ask.plan,
+            late_us=round((self.clients.now_s() - ask.due_s) * 1e6),
+            tries=ask.tries,
+        )
 
     def data_received(self, data: bytes) -> None:
         self.parser.feed(data)
@@ -158,7 +167,8 @@
         try:
             async with asyncio.timeout(self.settings.load.patience_ms / 1000):
                 _, client = await asyncio.get_running_loop().create_connection(
-                    lambda: Client(self, ask.door), *self.settings.doors[ask.door])
+                    lambda: Client(self, ask.door), *self.settings.doors[ask.door]
+                )
         except (OSError, TimeoutError) as error:
             self.over(ask, "unsent", repr(error))
             return
@@ -187,11 +197,13 @@
         due = self.now_s() + min(advice_ms, MOST_ADVICE_MS) / 1000
         if ask.tries < self.settings.load.retries and due < self.settings.seconds:
             door = (ask.first + self.chance.randrange(ask.spread)) % len(self.settings.doors)
-            again = msgspec.structs.replace(ask, due_s=due, id=f"{ask.id[:12]}{ask.tries + 1}", door=door,
-                                            tries=ask.tries + 1)
+            again = msgspec.structs.replace(
+                ask, due_s=due, id=f"{ask.id[:12]}{ask.tries + 1}", door=door, tries=ask.tries + 1
+            )
             self.open[again.id] = again
             asyncio.get_running_loop().call_at(
-                asyncio.get_running_loop().time() + due - self.now_s(), self.begin_later, again)
+                asyncio.get_running_loop().time() + due - self.now_s(), self.begin_later, again
+            )
 
     def begin_later(self, ask: Ask) -> None:
         asyncio.get_running_loop().create_task(self.begin(ask))
--- a/orchidhatch/trial/processes.py
+++ b/orchidhatch/trial/processes.py
@@ -51,8 +51,13 @@
         self.prepare()
         with (self.folder / "log").open("ab") as log:
             self.child = subprocess.Popen(
-                [*LAUNCH, str(os.getpid()), *self.command], cwd=ROOT, env={**os.environ, **self.env},
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+                [*LAUNCH, str(os.getpid()), *self.command],
+                cwd=ROOT,
+                env={**os.environ, **self.env},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
         self.descriptor = os.pidfd_open(self.child.pid)  # not reaped before: the number is still its own
         (self.folder / "pid").write_text(str(self.child.pid))
         self.due = True
--- a/orchidhatch/trial/relay.py
+++ b/orchidhatch/trial/relay.py
@@ -351,5 +351,11 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self.task
         late = sorted(self.late_s) or [0.0]
-        self.recorder.note("relay", "loop", ticks=len(late), median_ms=late[len(late) // 2] * 1e3,
-                           p99_ms=late[len(late) * 99 // 100] * 1e3, most_ms=late[-1] * 1e3)
+        self.recorder.note(
+            "relay",
+            "loop",
+            ticks=len(late),
+            median_ms=late[len(late) // 2] * 1e3,
+            p99_ms=late[len(late) * 99 // 100] * 1e3,
+            most_ms=late[-1] * 1e3,
+        )
--- a/orchidhatch/trial/stepped.py
+++ b/orchidhatch/trial/stepped.py
@@ -53,8 +53,16 @@
             if fence and not isinstance(outcome, RefusedError):
                 act = type(write).__name__.lower()
                 about = getattr(write, "id", "") or getattr(write, "name", "")
-                recorder.note("effect", name, claim=fence.claim, epoch=fence.epoch, act=act, on=about,
-                              term=self.term, text=getattr(write, "text", "")[:300])
+                recorder.note(
+                    "effect",
+                    name,
+                    claim=fence.claim,
+                    epoch=fence.epoch,
+                    act=act,
+                    on=about,
+                    term=self.term,
+                    text=getattr(write, "text", "")[:300],
+                )
 
     def decided(self: Doors, outcomes: Sequence[Any]) -> None:
         wrote(self, outcomes)
--- a/orchidhatch/trial/tap.py
+++ b/orchidhatch/trial/tap.py
@@ -29,8 +29,9 @@
 
     def begun(self, data: bytes) -> int:
         """How many of the last bytes may be the beginning of an address."""
-        return next((size for size in range(len(self.listed) - 1, 0, -1)
-                     if data.endswith(self.listed[:size])), 0)
+        return next(
+            (size for size in range(len(self.listed) - 1, 0, -1) if data.endswith(self.listed[:size])), 0
+        )
 
     def read(self, data: bytes) -> None:
         *lines, self.line = (self.line + data).split(b"\n")
@@ -43,8 +44,9 @@
         states: dict[str, list[str]] = {}
         for entry in news["instances"]:
             states.setdefault(entry["lifecycle"], []).append(entry["instanceId"])
-        self.recorder.note("news", self.door, generation=news["generation"], reset=news["reset"],
-                           states=states)
+        self.recorder.note(
+            "news", self.door, generation=news["generation"], reset=news["reset"], states=states
+        )
 
 
 def tapping(recorder: Recorder, door: str, listed: str, seen: str) -> Callable[[], Tap]:
@@ -71,8 +73,15 @@
         claim, _, numbers = headers.get("orchidhatch-claim", "").partition(" ")
         epoch, _, number = numbers.partition(" ")
         if epoch.isdigit() and number.isdigit():
-            self.recorder.note("effect", self.door, claim=claim, epoch=int(epoch), act=lines[0],
-                               on=lines[0].split()[1].rpartition("/")[0], number=int(number))
+            self.recorder.note(
+                "effect",
+                self.door,
+                claim=claim,
+                epoch=int(epoch),
+                act=lines[0],
+                on=lines[0].split()[1].rpartition("/")[0],
+                number=int(number),
+            )
 
 
 def seeing(recorder: Recorder, door: str) -> Callable[[], Sight]:
--- a/orchidhatch/trial/timeline.py
+++ b/orchidhatch/trial/timeline.py
@@ -69,9 +69,18 @@
             await self.on_way(fault)
         else:
             acts: dict[str, Callable[[Fault, Process], Awaitable[None]]] = {
-                "kill": self.end, "term": self.end, "stop": self.stop, "full": self.fill, "old": self.go_back,
-                "clock": self.step, "promote": self.promote, "drain": self.drain, "replace": self.replace,
-                "policy": self.propose, "undo": self.undo}
+                "kill": self.end,
+                "term": self.end,
+                "stop": self.stop,
+                "full": self.fill,
+                "old": self.go_back,
+                "clock": self.step,
+                "promote": self.promote,
+                "drain": self.drain,
+                "replace": self.replace,
+                "policy": self.propose,
+                "undo": self.undo,
+            }
             names = matching(fault.who, list(self.fleet.processes.all))
             await asyncio.gather(*[self.on_process(fault, name, acts[fault.kind]) for name in names])
 
@@ -206,8 +215,12 @@
             status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
             if status == 200 and not json.loads(told["text"])["done"]:
                 return
-            if status in (200, 404) and await self.write(name, "POST", f"/records/{name}", {
-                    "text": text, "ifVersion": told["version"] if status == 200 else 0}):
+            if status in (200, 404) and await self.write(
+                name,
+                "POST",
+                f"/records/{name}",
+                {"text": text, "ifVersion": told["version"] if status == 200 else 0},
+            ):
                 self.asked.add(name)
                 return
             await asyncio.sleep(ASK_S)
@@ -216,11 +229,17 @@
 
     async def propose(self, fault: Fault, process: Process) -> None:
         """Other quotas for customers whose open caps and ceilings the checks do not reckon by."""
-        plans = tuple(form.Plan(
-            name=one.plan, units_per_s=one.rate * (1 if limited(one) else fault.size),
-            burst=one.burst * (1 if limited(one) else fault.size), max_out=one.max_out,
-            never_over_rate=one.ceiling_rate, hard_burst=one.ceiling_burst)
-            for one in self.fleet.plan.load.customers)
+        plans = tuple(
+            form.Plan(
+                name=one.plan,
+                units_per_s=one.rate * (1 if limited(one) else fault.size),
+                burst=one.burst * (1 if limited(one) else fault.size),
+                max_out=one.max_out,
+                never_over_rate=one.ceiling_rate,
+                hard_burst=one.ceiling_burst,
+            )
+            for one in self.fleet.plan.load.customers
+        )
         policy = form.Policy(plans=plans)
         await self.ask_policy(policy.digest(), policy.text())
 
@@ -242,12 +261,17 @@
                 if found and not found["done"]:
                     self.recorder.note("refused", digest, why=f"{found['digest']} is {found['state']}")
                     return
-                if text and not await self.write(digest, "POST", f"/records/{doors.DOCUMENT}{digest}",
-                                                 {"text": text}):
+                if text and not await self.write(
+                    digest, "POST", f"/records/{doors.DOCUMENT}{digest}", {"text": text}
+                ):
                     continue
                 task = change.ask(digest, "trial", "a trial")
-                if await self.write(digest, "POST", f"/records/{doors.CHANGE}",
-                                    {"text": json.dumps(task), "ifVersion": version}):
+                if await self.write(
+                    digest,
+                    "POST",
+                    f"/records/{doors.CHANGE}",
+                    {"text": json.dumps(task), "ifVersion": version},
+                ):
                     self.recorder.note("asked", digest, id=task["id"])
                     self.asked.add(doors.CHANGE)
                     return
@@ -266,8 +290,9 @@
                 break
             await asyncio.sleep(ASK_S)
         for door in found.get("doors", ()):
-            self.recorder.note("door", door["name"], alike=self.goes_by(door, found), told=door,
-                               now=found["now"])
+            self.recorder.note(
+                "door", door["name"], alike=self.goes_by(door, found), told=door, now=found["now"]
+            )
 
     @staticmethod
     def goes_by(door: dict[str, Any], found: dict[str, Any]) -> bool:
@@ -279,16 +304,28 @@
         known: dict[str, object] = {}
         while True:
             await asyncio.sleep(POLL_S)
-            found = await asyncio.gather(*[
-                call(self.fleet.at[f"registry-{n}"], "GET", "/claims", within_s=POLL_S)
-                for n in range(self.fleet.plan.registries)])
-            told = [(int(store.rpartition(" ")[2]), len(value["claims"]), value["claims"])
-                    for status, value, store in found if status == 200]
+            found = await asyncio.gather(
+                *[
+                    call(self.fleet.at[f"registry-{n}"], "GET", "/claims", within_s=POLL_S)
+                    for n in range(self.fleet.plan.registries)
+                ]
+            )
+            told = [
+                (int(store.rpartition(" ")[2]), len(value["claims"]), value["claims"])
+                for status, value, store in found
+                if status == 200
+            ]
             for claim in max(told, key=lambda one: one[:2])[2] if told else ():
                 if known.get(claim["name"]) != claim:
                     known[claim["name"]] = claim
-                    self.recorder.note("claim", claim["name"], holder=claim["holder"], life=claim["life"],
-                                       epoch=claim["epoch"], held=claim["held"])
+                    self.recorder.note(
+                        "claim",
+                        claim["name"],
+                        holder=claim["holder"],
+                        life=claim["life"],
+                        epoch=claim["epoch"],
+                        held=claim["held"],
+                    )
 
     async def wait_tasks(self) -> None:
         """For what the stewards were asked for, within a bound; then what became of it is noted."""
@@ -298,8 +335,9 @@
             for number in range(self.fleet.plan.registries):
                 status, value, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/records")
                 told += value["records"] if status == 200 else []
-            done = {one["name"] for one in told
-                    if one["name"] in self.asked and json.loads(one["text"])["done"]}
+            done = {
+                one["name"] for one in told if one["name"] in self.asked and json.loads(one["text"])["done"]
+            }
             if done >= self.asked or time.monotonic() > until:
                 for name in sorted(self.asked):
                     self.recorder.note("task", name, done=name in done)
@@ -323,8 +361,13 @@
         for number in range(int(plan.writes.per_s * plan.seconds)):
             await asyncio.sleep(max(0.0, number / plan.writes.per_s - self.now_s()))
             id_, gone = f"w-{number}", f"w-{number - 2 * LEAVE_EVERY}"
-            entry = {"instanceId": id_, "hostPort": "127.0.0.1:9", "zone": "a", "machineType": "m2",
-                     "lifecycle": "DRAINING"}
+            entry = {
+                "instanceId": id_,
+                "hostPort": "127.0.0.1:9",
+                "zone": "a",
+                "machineType": "m2",
+                "lifecycle": "DRAINING",
+            }
             self.tasks.append(asyncio.ensure_future(self.write(id_, "POST", "/entries", entry)))
             if number % LEAVE_EVERY == 0 and gone in self.written:
                 self.tasks.append(asyncio.ensure_future(self.write(gone, "DELETE", f"/entries/{gone}", None)))
@@ -337,10 +380,18 @@
         for at in [(self.writer + n) % count for n in range(count)]:
             about = f"{id_} {next(self.numbers)}"
             self.recorder.note("write", about, at=f"registry-{at}", id=id_, method=method, value=value)
-            status, told, store = await call(self.fleet.over[f"writer>registry-{at}"], method, path, value,
-                                             within_s=20.0)
-            self.recorder.note("answer", about, at=f"registry-{at}", id=id_, status=status,
-                               store=store, told=told if status else str(told))
+            status, told, store = await call(
+                self.fleet.over[f"writer>registry-{at}"], method, path, value, within_s=20.0
+            )
+            self.recorder.note(
+                "answer",
+                about,
+                at=f"registry-{at}",
+                id=id_,
+                status=status,
+                store=store,
+                told=told if status else str(told),
+            )
             if status == 200:
                 self.writer = at
                 self.written.add(id_)
@@ -354,8 +405,15 @@
                 _, health, store = await call(self.fleet.at[name], "GET", "/healthcheck")
                 status, told, _ = await call(self.fleet.at[name], "GET", "/catalog/members")
                 listed = {e["instanceId"]: e["lifecycle"] for e in told["instances"]} if status == 200 else {}
-                self.recorder.note("list", name, status=status, health=health, store=store, listed=listed,
-                                   generation=told["generation"] if status == 200 else 0)
+                self.recorder.note(
+                    "list",
+                    name,
+                    status=status,
+                    health=health,
+                    store=store,
+                    listed=listed,
+                    generation=told["generation"] if status == 200 else 0,
+                )
 
 
 def limited(customers: Customers) -> bool:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,9 +11,21 @@
 SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
 PLAN = i.Plan(rate=10.0, burst=20.0)
 SETTINGS = i.Settings(
-    seed=7, me=0, gateways=1, classes=(SAFE,), plans=(PLAN,), max_attempts=3, may_cancel=True, may_tell=True,
-    peer_messages_per_s=100.0, max_retry_after_us=500 * MS, cold_from=0.2, warm_within_us=10 * S,
-    fall_multiple=2.0, fall_us=S, answer_grace_us=8 * MS,
+    seed=7,
+    me=0,
+    gateways=1,
+    classes=(SAFE,),
+    plans=(PLAN,),
+    max_attempts=3,
+    may_cancel=True,
+    may_tell=True,
+    peer_messages_per_s=100.0,
+    max_retry_after_us=500 * MS,
+    cold_from=0.2,
+    warm_within_us=10 * S,
+    fall_multiple=2.0,
+    fall_us=S,
+    answer_grace_us=8 * MS,
 )
 
 
@@ -79,7 +91,10 @@
     """Several gateways that a customer's requests come through, with the messages between them."""
 
     def __init__(
-        self, count: int, settings: i.Settings = SETTINGS, fleet: Iterable[i.Server] = servers(4),
+        self,
+        count: int,
+        settings: i.Settings = SETTINGS,
+        fleet: Iterable[i.Server] = servers(4),
         loss: float = 0.0,
     ) -> None:
         self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -25,14 +25,32 @@
     i.RequestClass(2_000_000, 6_000_000, effect=i.Effect.UNSAFE),
 )
 SETTINGS = i.Settings(
-    seed=3, me=0, gateways=2, classes=CLASSES, plans=(i.Plan(rate=1000.0, burst=1000.0),), max_attempts=3,
-    max_retry_after_us=750_000, may_cancel=True, may_tell=True, peer_messages_per_s=100.0,
+    seed=3,
+    me=0,
+    gateways=2,
+    classes=CLASSES,
+    plans=(i.Plan(rate=1000.0, burst=1000.0),),
+    max_attempts=3,
+    max_retry_after_us=750_000,
+    may_cancel=True,
+    may_tell=True,
+    peer_messages_per_s=100.0,
 )
 CONFIG = Config(
-    name="n0", listen=(HOST, 0), discovery=(HOST, 1), settings=SETTINGS,
-    class_numbers={"read": 0, "book": 1, "settle": 2}, plan_numbers={"team": 0},
-    zone_numbers={"a": 0, "b": 1}, kind_numbers={"m2": 0}, conn_idle_us=30_000_000,
-    connect_timeout_us=250_000, max_open=100, sockets=256, memory_mb=64, known={},
+    name="n0",
+    listen=(HOST, 0),
+    discovery=(HOST, 1),
+    settings=SETTINGS,
+    class_numbers={"read": 0, "book": 1, "settle": 2},
+    plan_numbers={"team": 0},
+    zone_numbers={"a": 0, "b": 1},
+    kind_numbers={"m2": 0},
+    conn_idle_us=30_000_000,
+    connect_timeout_us=250_000,
+    max_open=100,
+    sockets=256,
+    memory_mb=64,
+    known={},
 )
 
 
@@ -129,8 +147,16 @@
 
 
 def entry(name: str, address: Address, lifecycle: str = "SERVING", started_ms: int = 0) -> dict[str, Any]:
-    return {"instanceId": name, "hostPort": f"{address[0]}:{address[1]}", "zone": "a", "machineType": "m2",
-            "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms}
+    return {
+        "instanceId": name,
+        "hostPort": f"{address[0]}:{address[1]}",
+        "zone": "a",
+        "machineType": "m2",
+        "cell": 0,
+        "lifecycle": lifecycle,
+        "weight": 1.0,
+        "startedAtMs": started_ms,
+    }
 
 
 def catalog(version: int, entries: Iterable[dict[str, Any]], reset: bool = True) -> bytes:
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -128,8 +128,10 @@
             stats, (status, text) = (await call(door, "GET /stats"))[1], await call(door, "GET /metrics")
             found = samples(text)
             assert status == 200 and samples(stats).items() <= found.items()
-            spent = {place: found[f'proxy_place_cpu_seconds_total{{place="{place}"}}']
-                     for place in ("clients", "module", "backends", "discovery", "management")}
+            spent = {
+                place: found[f'proxy_place_cpu_seconds_total{{place="{place}"}}']
+                for place in ("clients", "module", "backends", "discovery", "management")
+            }
             assert all(spent.values()) and sum(spent.values()) <= found["proxy_cpu_seconds_total"]
             assert found['proxy_descriptors{holder="clients"}'] == 1
             assert found['proxy_descriptors{holder="backends"}'] == door.backends.held > 0
@@ -145,8 +147,14 @@
         async with operated(Backend()) as (door, _):
             found = samples((await call(door, "GET /stats"))[1])
             assert {name.partition("{")[0] for name in found} == {
-                "proxy_answered_total", "proxy_deferred_total", "proxy_errored_total", "proxy_sends_total",
-                "proxy_current", "proxy_cluster_size", "proxy_cluster_unhealthy"}
+                "proxy_answered_total",
+                "proxy_deferred_total",
+                "proxy_errored_total",
+                "proxy_sends_total",
+                "proxy_current",
+                "proxy_cluster_size",
+                "proxy_cluster_unhealthy",
+            }
 
     run(job())
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -39,8 +39,14 @@
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "fennelwinch.adapter"], input=text, text=True, capture_output=True, cwd=ROOT,
-        env=environment, check=False, timeout=60,
+        [sys.executable, "-m", "fennelwinch.adapter"],
+        input=text,
+        text=True,
+        capture_output=True,
+        cwd=ROOT,
+        env=environment,
+        check=False,
+        timeout=60,
     )
 
 
@@ -149,8 +155,9 @@
 
 
 def test_words_come_back_as_they_went() -> None:
-    words = tuple(i.Word(n, 1, 300, 200, n % 2 == 1, 2.5, 0.5, 1.0, -0.5, n, i.Place(n % 3))
-                  for n in range(30))
+    words = tuple(
+        i.Word(n, 1, 300, 200, n % 2 == 1, 2.5, 0.5, 1.0, -0.5, n, i.Place(n % 3)) for n in range(30)
+    )
     messages = pack_message(words)
     assert len(messages) > 1 and max(map(len, messages)) <= 256
     assert sum((unpack_message(message)[0] for message in messages), ()) == words
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -46,8 +46,17 @@
 ) -> asyncio.subprocess.Process:
     known = [word for registry in registries for word in ("--registry", f"{HOST}:{registry[1]}")]
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidhatch.agent", "--listen", f"{HOST}:{at[1]}", *known, "--cache",
-        str(path), cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "orchidhatch.agent",
+        "--listen",
+        f"{HOST}:{at[1]}",
+        *known,
+        "--cache",
+        str(path),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
     while b"serves generation" not in (line := await process.stderr.readline()):
         assert line, "the agent has ended"
     return process
@@ -166,10 +175,18 @@
     store.close()
 
 
-@pytest.mark.parametrize("line", [
-    b"{", b"[]", b'{"generation":1}', b'{"generation":"x","reset":true,"instances":[]}', b"null",
-    b'{"generation":1e999,"reset":true,"instances":[]}', b'{"generation":2,"reset":true,"instances":7}',
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{",
+        b"[]",
+        b'{"generation":1}',
+        b'{"generation":"x","reset":true,"instances":[]}',
+        b"null",
+        b'{"generation":1e999,"reset":true,"instances":[]}',
+        b'{"generation":2,"reset":true,"instances":7}',
+    ],
+)
 def test_line_that_makes_no_sense_changes_nothing(tmp_path: Path, line: bytes) -> None:
     agent = Agent(open_cache(tmp_path / "a.db"), [(HOST, 1)])
     told = b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1")
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -35,8 +35,14 @@
     st.builds(lambda h, n: Open(Session(h, f"{h}{n}", 1000)), holders, st.integers(0, 1)),
     st.builds(lambda h, n, lost: End(h, f"{h}{n}", lost), holders, st.integers(0, 1), st.booleans()),
     st.builds(lambda c, h, n: Take(c, h, f"{h}{n}"), names, holders, st.integers(0, 1)),
-    st.builds(lambda c, h, n, to, why: Give(c, h, f"{h}{n}", 0, to, why), names, holders,
-              st.integers(0, 1), st.sampled_from(("", *HOLDERS)), st.sampled_from(("", "w"))),
+    st.builds(
+        lambda c, h, n, to, why: Give(c, h, f"{h}{n}", 0, to, why),
+        names,
+        holders,
+        st.integers(0, 1),
+        st.sampled_from(("", *HOLDERS)),
+        st.sampled_from(("", "w")),
+    ),
     st.builds(Hold, names, st.booleans()),
     st.builds(lambda c: Keep("r", "text", None, Fence(c, 0)), names),
     st.sampled_from(("restart", "term")),
@@ -67,8 +73,11 @@
         if isinstance(step, Give | Keep):  # by the epoch that is, or by none that ever was
             known = book.claims.get(step.name if isinstance(step, Give) else step.fence.claim)
             epoch = known.epoch if known and known.epoch % 2 == 0 else term << claims.COUNT_BITS
-            step = (replace(step, epoch=epoch) if isinstance(step, Give)
-                    else replace(step, fence=replace(step.fence, epoch=epoch)))
+            step = (
+                replace(step, epoch=epoch)
+                if isinstance(step, Give)
+                else replace(step, fence=replace(step.fence, epoch=epoch))
+            )
         try:
             draft.write(step)
         except RefusedError:
@@ -126,9 +135,16 @@
     epoch = store.book.claims["x"].epoch
     store.apply([Change("s-1", "DRAINING")])
     fence = Fence("x", epoch)
-    outcomes = store.apply([
-        Keep("r", "1", fence=fence), Give("x", "a", "1", epoch), Keep("r", "2", fence=fence),
-        Take("x", "b", "1"), Keep("r", "3", fence=fence), Keep("q", "4", fence=Fence("y", epoch))])
+    outcomes = store.apply(
+        [
+            Keep("r", "1", fence=fence),
+            Give("x", "a", "1", epoch),
+            Keep("r", "2", fence=fence),
+            Take("x", "b", "1"),
+            Keep("r", "3", fence=fence),
+            Keep("q", "4", fence=Fence("y", epoch)),
+        ]
+    )
     refused = [isinstance(outcome, RefusedError) for outcome in outcomes]
     assert refused == [False, False, True, False, True, True] and store.book.records["r"].text == "1"
     assert str(outcomes[4]) == f"claim x is at epoch {store.book.claims['x'].epoch}, not {epoch}"
@@ -249,7 +265,8 @@
         assert sum(few[shard] != many[shard] for shard in SHARDS) <= len(SHARDS) * 2 / 3
     assert share_out(reversed(SHARDS), everyone[::-1]) == many
     assert share_out(SHARDS, everyone[:2], dict.fromkeys(SHARDS, everyone[0])) == dict.fromkeys(
-        SHARDS, everyone[min(1, count)] if len(set(everyone[:2])) > 1 else everyone[0])
+        SHARDS, everyone[min(1, count)] if len(set(everyone[:2])) > 1 else everyone[0]
+    )
 
 
 # --- acts at a front door ---
@@ -298,8 +315,12 @@
         assert await act(agent, "backends/s-2/ready", epoch + 1, 9) == 200
         await agent.close()
         server.close()
-        assert calls == ["/backends/s-1/maint", "/backends/s-1/ready", "/backends/s-2/maint",
-                         "/backends/s-2/ready"]
+        assert calls == [
+            "/backends/s-1/maint",
+            "/backends/s-1/ready",
+            "/backends/s-2/maint",
+            "/backends/s-2/ready",
+        ]
 
     run(job())
 
@@ -439,11 +460,16 @@
     return Reading(answered, deferred, errored, answered if sends is None else sends, 1, 0)
 
 
-@pytest.mark.parametrize(("last", "unlike"), [
-    (reading(100), {}), (None, {}),
-    (reading(60, errored=40, sends=100), {"answered": {"d-9": 0.6}, "errored": {"d-9": 0.4}}),
-    (reading(100, sends=190), {"sends": {"d-9": 1.9}}), (reading(0, errored=19), {}),
-])
+@pytest.mark.parametrize(
+    ("last", "unlike"),
+    [
+        (reading(100), {}),
+        (None, {}),
+        (reading(60, errored=40, sends=100), {"answered": {"d-9": 0.6}, "errored": {"d-9": 0.4}}),
+        (reading(100, sends=190), {"sends": {"d-9": 1.9}}),
+        (reading(0, errored=19), {}),
+    ],
+)
 def test_a_door_that_is_unlike_the_others_is_named(last: Reading | None, unlike: dict[str, Any]) -> None:
     before = {f"d-{n}": reading(n, n) for n in range(10)}
     now = {f"d-{n}": reading(n + 97 + n % 3, n + 3 - n % 3) for n in range(9)}
@@ -455,9 +481,19 @@
 
 
 def test_the_summary_is_read_through_agents_by_its_owner(tmp_path: Path) -> None:
-    page = "\n".join(f'proxy_{one} 3' for one in (
-        'answered_total{group="a b"}', 'answered_total{group="c"}', 'deferred_total{group="c"}',
-        'errored_total{group="c"}', "sends_total", "current", "cluster_size", "cluster_unhealthy"))
+    page = "\n".join(
+        f"proxy_{one} 3"
+        for one in (
+            'answered_total{group="a b"}',
+            'answered_total{group="c"}',
+            'deferred_total{group="c"}',
+            'errored_total{group="c"}',
+            "sends_total",
+            "current",
+            "cluster_size",
+            "cluster_unhealthy",
+        )
+    )
     assert read_figures(page) == Reading(6, 3, 3, 3, 3, 3)
     assert read_figures(page.replace(" 3", " NaN")) is None and read_figures("") is None
 
@@ -471,8 +507,9 @@
         server = await asyncio.start_server(door, HOST, 0)
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
-            agent = Agent(Store(tmp_path / "a.db", create=True), [at], 1,
-                          door=server.sockets[0].getsockname())
+            agent = Agent(
+                Store(tmp_path / "a.db", create=True), [at], 1, door=server.sockets[0].getsockname()
+            )
             await agent.start(HOST, 0)
             steward = Steward("steward-1", [at], [address_of(agent), refusing_address()], lease_ms=60_000)
             assert (await client(at, "summary"))[0] == 1
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -14,8 +14,16 @@
 
 async def started(at: tuple[str, int], *words: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidhatch.client", "--at", f"{at[0]}:{at[1]}", *words, cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "orchidhatch.client",
+        "--at",
+        f"{at[0]}:{at[1]}",
+        *words,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
 
 
 async def client(at: tuple[str, int], *words: str) -> tuple[int, str, str]:
@@ -24,8 +32,21 @@
     return process.returncode, out.decode(), errors.decode()
 
 
-REGISTER = ("register", "s-1", "127.0.0.1:7001", "--zone", "a", "--kind", "m2", "--cell", "3",
-            "--weight", "2", "--lease-ms", "60000")
+REGISTER = (
+    "register",
+    "s-1",
+    "127.0.0.1:7001",
+    "--zone",
+    "a",
+    "--kind",
+    "m2",
+    "--cell",
+    "3",
+    "--weight",
+    "2",
+    "--lease-ms",
+    "60000",
+)
 
 
 def test_an_operators_round(tmp_path: Path) -> None:
@@ -46,13 +67,17 @@
     run(job())
 
 
-@pytest.mark.parametrize(("words", "told"), [
-    (("show", "s-9"), "no (404): not listed"), (("drain", "s-9"), "no (404): s-9 is not listed"),
-    ((*REGISTER, "--if-version", "7"), "no (409): s-1 is at version 0, not 7"),
-    (("remove", "../s"), "no (400): instanceId"),
-    (("register", "s-1", "nowhere", "--zone", "a", "--kind", "m"), "no (400): hostPort"),
-    (("register", "s-1", "h:1", "--zone", "a", "--kind", "m", "--weight", "nan"), "no (400): NaN"),
-])
+@pytest.mark.parametrize(
+    ("words", "told"),
+    [
+        (("show", "s-9"), "no (404): not listed"),
+        (("drain", "s-9"), "no (404): s-9 is not listed"),
+        ((*REGISTER, "--if-version", "7"), "no (409): s-1 is at version 0, not 7"),
+        (("remove", "../s"), "no (400): instanceId"),
+        (("register", "s-1", "nowhere", "--zone", "a", "--kind", "m"), "no (400): hostPort"),
+        (("register", "s-1", "h:1", "--zone", "a", "--kind", "m", "--weight", "nan"), "no (400): NaN"),
+    ],
+)
 def test_a_no_is_one_plain_line(tmp_path: Path, words: tuple[str, ...], told: str) -> None:
     async def job() -> None:
         async with serving(tmp_path / "list.db") as registry:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -30,10 +30,22 @@
     run(job())
 
 
-@pytest.mark.parametrize("data", [
-    b"PING\r\n", b"*1\r\n:1\r\n", b"*2\r\n*100000000\r\n", b"*100000000\r\n", b"$4\r\nPING\r\n", b"*x\r\n",
-    b"*-1\r\n", b"*1\r\n$70000\r\n", b"*1\r\n$1\r\nab\r\n", b"*1\r\n$" + b"1" * 40, b"\x16\x03\x01\x02\x00",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PING\r\n",
+        b"*1\r\n:1\r\n",
+        b"*2\r\n*100000000\r\n",
+        b"*100000000\r\n",
+        b"$4\r\nPING\r\n",
+        b"*x\r\n",
+        b"*-1\r\n",
+        b"*1\r\n$70000\r\n",
+        b"*1\r\n$1\r\nab\r\n",
+        b"*1\r\n$" + b"1" * 40,
+        b"\x16\x03\x01\x02\x00",
+    ],
+)
 def test_malformed_resp_is_an_error_and_a_close(data: bytes) -> None:
     async def job() -> None:
         backend = Backend()
@@ -51,22 +63,39 @@
 FIELDS = "c=read,t=team,d=500"
 
 
-@pytest.mark.parametrize("words", [
-    ("GET", "x"), ("svc.query", CUSTOMER, "a", FIELDS), ("SVC.QUERY",), ("SVC.QUERY", CUSTOMER, "a"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS, "BODY"), ("SVC.SUBMIT", CUSTOMER, "a", "c=settle,t=team,d=500"),
-    ("SVC.QUERY", "b4d65521", "a", FIELDS), ("SVC.QUERY", "0" * 15 + "g", "a", FIELDS),
-    ("SVC.QUERY", "f" * 16, "a", FIELDS), ("SVC.QUERY", CUSTOMER, "", FIELDS),
-    ("SVC.QUERY", CUSTOMER, "a b", FIELDS), ("SVC.QUERY", CUSTOMER, "a", ""),
-    ("SVC.QUERY", CUSTOMER, "a", "c=what,t=team,d=500"), ("SVC.QUERY", CUSTOMER, "a", "c=read,t=what,d=500"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team"), ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=-5"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=1e3"),
-    ("SVC.QUERY", CUSTOMER, "a", "c=settle,t=team,d=500"),
-    ("SVC.SUBMIT", CUSTOMER, "a", FIELDS, "B"), ("SVC.SUBMIT", CUSTOMER, "a", "c=book,t=team,d=500", "B"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
-    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"), ("PING", "a", "b"),
-])
+@pytest.mark.parametrize(
+    "words",
+    [
+        ("GET", "x"),
+        ("svc.query", CUSTOMER, "a", FIELDS),
+        ("SVC.QUERY",),
+        ("SVC.QUERY", CUSTOMER, "a"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS, "BODY"),
+        ("SVC.SUBMIT", CUSTOMER, "a", "c=settle,t=team,d=500"),
+        ("SVC.QUERY", "b4d65521", "a", FIELDS),
+        ("SVC.QUERY", "0" * 15 + "g", "a", FIELDS),
+        ("SVC.QUERY", "f" * 16, "a", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "a b", FIELDS),
+        ("SVC.QUERY", CUSTOMER, "a", ""),
+        ("SVC.QUERY", CUSTOMER, "a", "c=what,t=team,d=500"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=what,d=500"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=-5"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=read,t=team,d=1e3"),
+        ("SVC.QUERY", CUSTOMER, "a", "c=settle,t=team,d=500"),
+        ("SVC.SUBMIT", CUSTOMER, "a", FIELDS, "B"),
+        ("SVC.SUBMIT", CUSTOMER, "a", "c=book,t=team,d=500", "B"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"),
+        ("PING", "a", "b"),
+    ],
+)
 def test_wrong_command_is_an_error_and_the_connection_lives(words: tuple[str, ...]) -> None:
     async def job() -> None:
         backend = Backend()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -99,10 +99,17 @@
     run(job())
 
 
-@pytest.mark.parametrize("lines", [
-    [b'{"generation":', b'}'], [b'{', b'"generation": 4', b'"reset": true', b'}'], [b'{"a', b'":1}'], [b']'],
-    [b'{not json'], [b'{', b'"a": "' + b"x" * (1 << 22) + b'",'],
-])
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [b'{"generation":', b"}"],
+        [b"{", b'"generation": 4', b'"reset": true', b"}"],
+        [b'{"a', b'":1}'],
+        [b"]"],
+        [b"{not json"],
+        [b"{", b'"a": "' + b"x" * (1 << 22) + b'",'],
+    ],
+)
 def test_lines_that_make_no_sense_are_found_out(lines: list[bytes]) -> None:
     values: list[object] = []
     read = Values(values.append)
@@ -127,12 +134,18 @@
 LIST, EMPTY = HEAD + chunk(catalog(4, [])), HEAD + chunk(b"\n")
 
 
-@pytest.mark.parametrize(("pushed", "stream", "ends", "soon"), [
-    *[(True, stream, "silent", True) for stream in (LIST, EMPTY, HEAD, NONE)],
-    *[(True, stream, "reset", True) for stream in (LIST, EMPTY, HEAD)],
-    (True, NONE, "reset", False), (True, HEAD + chunk(b"{not json\n"), "reset", False),
-    (False, LIST, "silent", True), (False, NONE, "silent", False), (False, LIST, "reset", False),
-])
+@pytest.mark.parametrize(
+    ("pushed", "stream", "ends", "soon"),
+    [
+        *[(True, stream, "silent", True) for stream in (LIST, EMPTY, HEAD, NONE)],
+        *[(True, stream, "reset", True) for stream in (LIST, EMPTY, HEAD)],
+        (True, NONE, "reset", False),
+        (True, HEAD + chunk(b"{not json\n"), "reset", False),
+        (False, LIST, "silent", True),
+        (False, NONE, "silent", False),
+        (False, LIST, "reset", False),
+    ],
+)
 def test_a_watch_that_ends_comes_back_at_once_unless_discovery_has_too_much_to_do(
     pushed: bool, stream: bytes, ends: str, soon: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -149,8 +162,9 @@
             await writer.drain()
             writer.transport.close() if stream else writer.transport.abort()
 
-        found = Discovery(await Watch(play).start(), Catalog(CONFIG), 0, lambda news: None, 3, 200,
-                          pushed=pushed)
+        found = Discovery(
+            await Watch(play).start(), Catalog(CONFIG), 0, lambda news: None, 3, 200, pushed=pushed
+        )
 
         async def noted(wait_s: float) -> None:
             waits.append(wait_s)
@@ -238,8 +252,9 @@
                 found.move(new)  # its coming up is told only now
                 return made
 
-            loop = SimpleNamespace(create_connection=held,
-                                   create_future=asyncio.get_running_loop().create_future)
+            loop = SimpleNamespace(
+                create_connection=held, create_future=asyncio.get_running_loop().create_future
+            )
             monkeypatch.setattr(discovery.asyncio, "get_running_loop", lambda: loop)
         task = asyncio.create_task(found.run())
         if phase == "waiting":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -67,7 +67,8 @@
     "drains": lambda door, backend: tell(door, entry("s0", backend.address, "DRAINING")),
     "gone": lambda door, backend: tell(door, {"instanceId": "s0", "lifecycle": "DELETED"}),
     "not in the whole list": lambda door, backend: door.list_heard(
-        door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))),
+        door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))
+    ),
     "left out at the other process": lambda door, backend: door.twin_heard(i.TwinMaint("s0", True)),
 }
 
@@ -114,8 +115,9 @@
 
 # --- attempts ---
 
+
 def test_the_next_attempt_is_begun_when_the_one_before_is_closed_and_no_sooner(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The module's turn may be due already when an attempt is given up, ahead of the close in the queue."""
     monkeypatch.setattr(backends, "REST_US", 0)
@@ -179,7 +181,7 @@
 
 
 def test_connection_that_the_backend_has_closed_is_not_taken_for_an_unsafe_request(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Written there it would end as a reset, after which it may have run and must not be sent again."""
     monkeypatch.setattr(backends, "REST_US", 0)
@@ -197,7 +199,7 @@
 
 
 def test_repeat_that_waits_past_its_window_for_a_connection_is_not_begun(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The module decided on it in time; what it repeats may have run, and is forgotten there by now."""
     real, late_us = backends.now_us, 0
@@ -219,8 +221,9 @@
 
             monkeypatch.setattr(Pool, "connect", connect_late)
             client.send(submit("a1", kind="book"))
-            while not any(pool.waiting for pool in door.backends.pools.values()) \
-                    or not sum(len(backend.commands) for backend in both):
+            while not any(pool.waiting for pool in door.backends.pools.values()) or not sum(
+                len(backend.commands) for backend in both
+            ):
                 await asyncio.sleep(0)
             late_us += S + 1
             up.set()
@@ -232,6 +235,7 @@
 
 # --- clients that leave ---
 
+
 @pytest.mark.parametrize("may_cancel", [True, False])
 def test_request_of_a_client_that_left_while_it_waited_for_a_connection_is_not_sent(may_cancel: bool) -> None:
     """Where no attempt may be called off, too: one that was not written is nobody's yet."""
@@ -316,6 +320,7 @@
 
 # --- the end of a process ---
 
+
 async def drain(door: FrontDoor) -> asyncio.Task[None]:
     draining = asyncio.create_task(door.drain())
     while not door.clients.draining:
@@ -340,8 +345,10 @@
             half.send(query("a1")[:-1])
             slow.writer.transport.pause_reading()
             slow.send(b"".join(query(f"b{n}") for n in range(16)))
-            while not any(one.reader.buffer for one in door.clients.connections) \
-                    or sum(sum(ended.values()) for ended in door.figures.ended.values()) < 16:
+            while (
+                not any(one.reader.buffer for one in door.clients.connections)
+                or sum(sum(ended.values()) for ended in door.figures.ended.values()) < 16
+            ):
                 await asyncio.sleep(0)
             draining = await drain(door)
             for _ in range(50):
@@ -520,6 +527,7 @@
 
 # --- what belongs to somebody else by then ---
 
+
 def test_request_that_is_held_over_a_change_of_plans_is_sent_as_it_came() -> None:
     """Its plan's number is another's, or nobody's, by then."""
 
@@ -527,9 +535,10 @@
         backend = Backend(lambda words: None)
         plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
         settings = replace(SETTINGS, plans=plans, gateways=1)
-        async with front_door(
-            backend, settings=settings, plan_numbers={"team": 0, "crew": 1}
-        ) as (door, address):
+        async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
+            door,
+            address,
+        ):
             client, other = await Client.open(address), await Client.open(address)
             client.send(query("a1").replace(b"t=team", b"t=crew"))
             await backend.came.wait()
@@ -537,8 +546,9 @@
             while len(door.open) < 2:
                 await asyncio.sleep(0)
             new = replace(settings, plans=plans[:1])
-            door.go_by(replace(door.config, settings=new, plan_numbers={"team": 0},
-                               policy=Policy(1, "0" * 16, 5.0)))
+            door.go_by(
+                replace(door.config, settings=new, plan_numbers={"team": 0}, policy=Policy(1, "0" * 16, 5.0))
+            )
             backend.answer = lambda words: value(b"second")
             backend.writers[0].write(value(b"first"))
             assert await client.answer() == b"first" and await other.answer() == b"second"
@@ -551,6 +561,7 @@
 def test_attempt_that_cannot_be_begun_is_not_counted_as_out() -> None:
     async def job() -> None:
         async with front_door(Backend()) as (door, address):
+
             def broken(attempt: Attempt, timeout_us: int) -> None:
                 raise RuntimeError("a fault of ours")
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -94,8 +94,9 @@
                 assert f"\nregistry_{figure}\n" in text
             status, done = await call(address_of(second), "POST /promote", b'{"force":true}')
             assert (status, done["term"], done["entries"], done["heardGeneration"]) == (200, 2, 1, 1)
-            assert (await call(address_of(second), "POST /entries/s-1/lifecycle",
-                               b'{"lifecycle":"DRAINING"}'))[0] == 200
+            assert (
+                await call(address_of(second), "POST /entries/s-1/lifecycle", b'{"lifecycle":"DRAINING"}')
+            )[0] == 200
             assert first.store.entries["s-1"].lifecycle == "SERVING"  # it is not followed any more
 
     run(job())
@@ -222,8 +223,10 @@
         while (await call(at2, "GET /catalog/members"))[1]["instances"] == []:
             await asyncio.sleep(0.01)
         one.send_signal(signal.SIGSTOP)
-        writes = [asyncio.create_task(call(at1, "POST /entries", body(instanceId=f"s-{number}")))
-                  for number in range(1, 31)]
+        writes = [
+            asyncio.create_task(call(at1, "POST /entries", body(instanceId=f"s-{number}")))
+            for number in range(1, 31)
+        ]
         renewal = asyncio.create_task(call(at1, "POST /entries/s-0/renew", b'{"life":1}'))
         while (await call(at2, "POST /promote"))[0] != 200:  # never forced: refused until it is silent
             await asyncio.sleep(0.05)
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -13,8 +13,16 @@
 from orchidhatch.store import Change, Entry, Remove
 from tests.sockets import CONFIG
 
-GIVEN = {"instanceId": "s-5be2a07c", "hostPort": "10.1.0.18:6379", "zone": "a", "machineType": "m2",
-         "cell": 3, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}
+GIVEN = {
+    "instanceId": "s-5be2a07c",
+    "hostPort": "10.1.0.18:6379",
+    "zone": "a",
+    "machineType": "m2",
+    "cell": 3,
+    "lifecycle": "SERVING",
+    "weight": 1.0,
+    "startedAtMs": 0,
+}
 
 
 def body(**changes: object) -> bytes:
@@ -27,50 +35,82 @@
     entry = read_register(body()).entry
     assert listing(41, True, [entry]) == (
         b'{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:6379",'
-        b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]}\n')
+        b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]}\n'
+    )
     assert written(entry).items() >= {**GIVEN, "version": 0, "life": 0, "leaseMs": 0}.items()
 
 
 def test_what_is_left_out_has_its_ordinary_value() -> None:
     found = read_register(body(cell=None, lifecycle=None, weight=None, startedAtMs=None, ifVersion=7))
     assert (found.entry.cell, found.entry.lifecycle, found.entry.weight, found.entry.started_ms) == (
-        0, "SERVING", 1.0, 0)
+        0,
+        "SERVING",
+        1.0,
+        0,
+    )
     assert found.if_version == 7 and read_register(body()).if_version is None
 
 
-@pytest.mark.parametrize(("given", "told"), [
-    (b"", "not JSON"), (b"{", "not JSON"), (b"\xff", "not JSON"), (b"[]", "not a JSON object"),
-    (b"[" * 4000, "not JSON"), (b" " * 9000, "longer than 8192"), (b'{"a":1,"a":2}', "given twice"),
-    (body(extra=1), "'extra' is no field"), (body(zone=None), "zone: is needed"),
-    (body(instanceId=""), "instanceId"), (body(instanceId="a/b"), "instanceId"),
-    (body(instanceId=5), "instanceId"), (body(instanceId="x" * 65), "instanceId"),
-    (body(instanceId="a\n"), "instanceId"),
-    (body(hostPort="10.0.0.1"), "hostPort"), (body(hostPort="10.0.0.1:0"), "hostPort"),
-    (body(hostPort="10.0.0.1:65536"), "hostPort"), (body(hostPort="10.0.0.1:08"), "hostPort"),
-    (body(hostPort="evil:1"), "hostPort"), (body(hostPort="256.0.0.1:80"), "hostPort"),
-    (body(hostPort="1.2.3.4.5:80"), "hostPort"), (body(hostPort=":80"), "hostPort"),
-    (body(hostPort=["a", 1]), "hostPort"),
-    (body(zone="a\u0000"), "zone"), (body(machineType=""), "machineType"), (body(cell=1.5), "cell"),
-    (body(cell=True), "cell"), (body(cell=-1), "cell"), (body(cell=10**7), "cell"),
-    (body(lifecycle="DELETED"), "lifecycle"), (body(lifecycle=["SERVING"]), "lifecycle"),
-    (body(weight=0), "weight"), (body(weight=1e9), "weight"), (body(weight=float("nan")), "NaN"),
-    (body(weight=float("inf")), "Infinity"), (body(weight="1"), "weight"),
-    (body(startedAtMs=10**300), "startedAtMs"), (body(startedAtMs=-1), "startedAtMs"),
-    (body(weight=1).replace(b'"weight": 1', b'"weight": 1e999'), "weight"),
-    (body(cell=1).replace(b'"cell": 1', b'"cell": ' + b"9" * 3000), "cell"),
-    (body(ifVersion="3"), "ifVersion"),
-])
+@pytest.mark.parametrize(
+    ("given", "told"),
+    [
+        (b"", "not JSON"),
+        (b"{", "not JSON"),
+        (b"\xff", "not JSON"),
+        (b"[]", "not a JSON object"),
+        (b"[" * 4000, "not JSON"),
+        (b" " * 9000, "longer than 8192"),
+        (b'{"a":1,"a":2}', "given twice"),
+        (body(extra=1), "'extra' is no field"),
+        (body(zone=None), "zone: is needed"),
+        (body(instanceId=""), "instanceId"),
+        (body(instanceId="a/b"), "instanceId"),
+        (body(instanceId=5), "instanceId"),
+        (body(instanceId="x" * 65), "instanceId"),
+        (body(instanceId="a\n"), "instanceId"),
+        (body(hostPort="10.0.0.1"), "hostPort"),
+        (body(hostPort="10.0.0.1:0"), "hostPort"),
+        (body(hostPort="10.0.0.1:65536"), "hostPort"),
+        (body(hostPort="10.0.0.1:08"), "hostPort"),
+        (body(hostPort="evil:1"), "hostPort"),
+        (body(hostPort="256.0.0.1:80"), "hostPort"),
+        (body(hostPort="1.2.3.4.5:80"), "hostPort"),
+        (body(hostPort=":80"), "hostPort"),
+        (body(hostPort=["a", 1]), "hostPort"),
+        (body(zone="a\u0000"), "zone"),
+        (body(machineType=""), "machineType"),
+        (body(cell=1.5), "cell"),
+        (body(cell=True), "cell"),
+        (body(cell=-1), "cell"),
+        (body(cell=10**7), "cell"),
+        (body(lifecycle="DELETED"), "lifecycle"),
+        (body(lifecycle=["SERVING"]), "lifecycle"),
+        (body(weight=0), "weight"),
+        (body(weight=1e9), "weight"),
+        (body(weight=float("nan")), "NaN"),
+        (body(weight=float("inf")), "Infinity"),
+        (body(weight="1"), "weight"),
+        (body(startedAtMs=10**300), "startedAtMs"),
+        (body(startedAtMs=-1), "startedAtMs"),
+        (body(weight=1).replace(b'"weight": 1', b'"weight": 1e999'), "weight"),
+        (body(cell=1).replace(b'"cell": 1', b'"cell": ' + b"9" * 3000), "cell"),
+        (body(ifVersion="3"), "ifVersion"),
+    ],
+)
 def test_what_is_not_in_form_is_told_in_one_plain_line(given: bytes, told: str) -> None:
     with pytest.raises(FormError) as caught:
         read_register(given)
     assert told in str(caught.value) and "\n" not in str(caught.value) and len(str(caught.value)) < 300
 
 
-@given(st.binary(max_size=300) | st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
-        st.sampled_from(sorted([*GIVEN, "ifVersion", "life", "x"])), inner, max_size=9),
-).map(lambda value: json.dumps(value).encode()))
+@given(
+    st.binary(max_size=300)
+    | st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+        lambda inner: st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(sorted([*GIVEN, "ifVersion", "life", "x"])), inner, max_size=9),
+    ).map(lambda value: json.dumps(value).encode())
+)
 def test_whatever_comes_is_read_or_refused(given: bytes) -> None:
     for read in (read_register, lambda it: read_change("s-1", it), lambda it: read_remove("s-1", it)):
         try:
@@ -97,12 +137,19 @@
     assert read_after("41") == 41
 
 
-@given(st.builds(
-    dict, instanceId=st.from_regex(forms.ID, fullmatch=True), zone=st.sampled_from(["a", "b", "zz"]),
-    hostPort=st.integers(1, 65535).map(lambda port: f"127.0.0.1:{port}"), machineType=st.just("m2"),
-    cell=st.integers(0, 99), lifecycle=st.sampled_from(["SERVING", "DRAINING"]),
-    weight=st.floats(0.01, 100), startedAtMs=st.integers(0, 1 << 41),
-))
+@given(
+    st.builds(
+        dict,
+        instanceId=st.from_regex(forms.ID, fullmatch=True),
+        zone=st.sampled_from(["a", "b", "zz"]),
+        hostPort=st.integers(1, 65535).map(lambda port: f"127.0.0.1:{port}"),
+        machineType=st.just("m2"),
+        cell=st.integers(0, 99),
+        lifecycle=st.sampled_from(["SERVING", "DRAINING"]),
+        weight=st.floats(0.01, 100),
+        startedAtMs=st.integers(0, 1 << 41),
+    )
+)
 def test_front_door_reads_what_is_registered(given: dict[str, object]) -> None:
     entry: Entry = read_register(json.dumps(given).encode()).entry
     catalog = Catalog(CONFIG)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -95,8 +95,11 @@
     assert of(i.TwinSend, world.ask("c")) == []
 
 
-JSON = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
-                    lambda inner: st.lists(inner, max_size=8), max_leaves=20)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=8),
+    max_leaves=20,
+)
 
 
 @settings(derandomize=True, deadline=None)
@@ -109,8 +112,6 @@
 # --- the processes ---
 
 
-
-
 @contextlib.asynccontextmanager
 async def doors(backend: Backend, tmp_path: Path) -> AsyncIterator[tuple[Config, list[FrontDoor]]]:
     """A configuration on an inherited socket, and the front doors to close at the end."""
@@ -122,8 +123,16 @@
 
     with socket.create_server((HOST, 0)) as held:
         started: list[FrontDoor] = []
-        yield replace(CONFIG, discovery=await Watch(script).start(), listen=held.getsockname(),
-                      socket_fd=held.fileno(), shared=tmp_path), started
+        yield (
+            replace(
+                CONFIG,
+                discovery=await Watch(script).start(),
+                listen=held.getsockname(),
+                socket_fd=held.fileno(),
+                shared=tmp_path,
+            ),
+            started,
+        )
         for door in started:
             door.close()
 
@@ -177,10 +186,18 @@
     run(job())
 
 
-@pytest.mark.parametrize("answer", [
-    b"", b"what\n", b"[]\n", b'{"version":2,"say":"state"}\n', b'{"version":1,"say":"state"}\n',
-    b'{"version":1,"say":"state","state":[1],"known":{},"count":[1,1]}\n', b'{"version":1,"say":"odd"}\n',
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"what\n",
+        b"[]\n",
+        b'{"version":2,"say":"state"}\n',
+        b'{"version":1,"say":"state"}\n',
+        b'{"version":1,"say":"state","state":[1],"known":{},"count":[1,1]}\n',
+        b'{"version":1,"say":"odd"}\n',
+    ],
+)
 def test_unsound_hand_over_is_a_fresh_start(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes
 ) -> None:
--- a/tests/test_long_values.py
+++ b/tests/test_long_values.py
@@ -188,4 +188,3 @@
     world.answer("a")
     assert customer.out == 0 and not world.gateway.jobs
     assert world.gateway.routing.servers[server].slowness < 1
-
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -34,13 +34,26 @@
     return {name: int(number) for name, number in (line.rsplit(" ", 1) for line in body.splitlines())}
 
 
-@pytest.mark.parametrize(("line", "status"), [
-    ("GET /healthcheck", 200), ("GET /healthcheck?x=1", 200), ("GET /stats", 200), ("GET /what", 404),
-    ("GET /", 404), ("POST /stats", 405), ("GET /healthcheck/fail", 405), ("GET /backends/s0/maint", 405),
-    ("POST /backends/s0/maint", 200), ("POST /backends/s%30/maint", 200), ("POST /backends/s9/maint", 404),
-    ("POST /backends/s9/ready", 404), ("POST /backends//maint", 404), ("POST /backends/s0/what", 404),
-    ("GARBAGE", 400),
-])
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        ("GET /healthcheck", 200),
+        ("GET /healthcheck?x=1", 200),
+        ("GET /stats", 200),
+        ("GET /what", 404),
+        ("GET /", 404),
+        ("POST /stats", 405),
+        ("GET /healthcheck/fail", 405),
+        ("GET /backends/s0/maint", 405),
+        ("POST /backends/s0/maint", 200),
+        ("POST /backends/s%30/maint", 200),
+        ("POST /backends/s9/maint", 404),
+        ("POST /backends/s9/ready", 404),
+        ("POST /backends//maint", 404),
+        ("POST /backends/s0/what", 404),
+        ("GARBAGE", 400),
+    ],
+)
 def test_call_has_its_status(line: str, status: int) -> None:
     async def job() -> None:
         async with operated(Backend()) as (door, _):
@@ -114,8 +127,10 @@
                 backend.came.clear()
                 await backend.came.wait()
             found = await figures(door)
-            ended = {how: found[f'proxy_{how}_total{{group="read"}}'] for how in
-                     ("answered", "deferred", "errored")}
+            ended = {
+                how: found[f'proxy_{how}_total{{group="read"}}']
+                for how in ("answered", "deferred", "errored")
+            }
             # read-like: what failed may be asked again, and is refused rather than failed
             assert ended["answered"] == 1 and ended["deferred"] + ended["errored"] == 2
             assert found["proxy_sends_total"] == 4 and found["proxy_current"] == 1
@@ -200,4 +215,3 @@
             await drain
 
     run(job())
-
--- a/tests/test_peer_outbox.py
+++ b/tests/test_peer_outbox.py
@@ -1,4 +1,4 @@
-"""The outbox of messages to the other gateways: pacing, its bound, what each peer was sent of observations."""
+"""The outbox of messages to the other gateways: pacing, bound, what each peer was sent of observations."""
 
 from dataclasses import replace
 
@@ -85,7 +85,9 @@
     outbox.add(PEER, WORD)
     outbox.add(PEER + 1, WORD)
     assert {message.peer: message.sightings for message in sent(outbox)} == {
-        PEER: (observation(2),), PEER + 1: (observation(1), observation(2))}
+        PEER: (observation(2),),
+        PEER + 1: (observation(1), observation(2)),
+    }
 
 
 def test_an_observation_older_than_the_longest_period_is_not_sent(outbox: Words) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -34,25 +34,43 @@
 # --- documents ---
 
 
-@pytest.mark.parametrize(("change", "said"), [
-    ({"plans": []}, "plans"), ({"plans": [PLAN, PLAN]}, "given twice"), ({"colour": 1}, "colour"),
-    ({"plans": [{**PLAN, "units-per-s": -1}]}, "units-per-s"), ({"plans": [{**PLAN, "burst": 0.5}]}, "burst"),
-    ({"plans": [{**PLAN, "rate": 1}]}, "rate"), ({"plans": [{**PLAN, "units-per-s": "10"}]}, "units-per-s"),
-    ({"plans": [{**PLAN, "never-over-rate": 5, "hard-burst": 5}]}, "cannot carry"),
-    ({"plans": [{**PLAN, "never-over-rate": 50}]}, "hard-burst"), ({"banned": ["b4d6"]}, "banned"),
-    ({"plans": [{**PLAN, "units-per-s": 0}]}, "is needed where"), ({"banned": ["0" * 16] * 151}, "banned"),
-    ({"classes": [{"name": "read", "on-time-ms": 9, "deadline-ms": 5}]}, "is before"),
-    ({"plans": [{**PLAN, "name": "x" * 41}]}, "name"), ({"plans": {"stor": PLAN}}, "plans"),
-])
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"plans": []}, "plans"),
+        ({"plans": [PLAN, PLAN]}, "given twice"),
+        ({"colour": 1}, "colour"),
+        ({"plans": [{**PLAN, "units-per-s": -1}]}, "units-per-s"),
+        ({"plans": [{**PLAN, "burst": 0.5}]}, "burst"),
+        ({"plans": [{**PLAN, "rate": 1}]}, "rate"),
+        ({"plans": [{**PLAN, "units-per-s": "10"}]}, "units-per-s"),
+        ({"plans": [{**PLAN, "never-over-rate": 5, "hard-burst": 5}]}, "cannot carry"),
+        ({"plans": [{**PLAN, "never-over-rate": 50}]}, "hard-burst"),
+        ({"banned": ["b4d6"]}, "banned"),
+        ({"plans": [{**PLAN, "units-per-s": 0}]}, "is needed where"),
+        ({"banned": ["0" * 16] * 151}, "banned"),
+        ({"classes": [{"name": "read", "on-time-ms": 9, "deadline-ms": 5}]}, "is before"),
+        ({"plans": [{**PLAN, "name": "x" * 41}]}, "name"),
+        ({"plans": {"stor": PLAN}}, "plans"),
+    ],
+)
 def test_a_document_that_makes_no_sense_is_refused_by_key_and_reason(change: Any, said: str) -> None:  # noqa: ANN401
     with pytest.raises(form.PolicyError, match=said) as told:
         form.read_text(json.dumps({**LOWER, **change}), "p.json")
     assert "\n" not in str(told.value) and str(told.value).startswith("p.json: ")
 
 
-@pytest.mark.parametrize("text", [
-    '{"plans": [{"name": "a", "units-per-s": NaN, "burst": 1}]}', '{"plans": 1, "plans": 2}', "[" * 100_000,
-    '{"plans": [{"name": "a", "units-per-s": 1e999, "burst": 1}]}', "x" * 9000, "\x00"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"plans": [{"name": "a", "units-per-s": NaN, "burst": 1}]}',
+        '{"plans": 1, "plans": 2}',
+        "[" * 100_000,
+        '{"plans": [{"name": "a", "units-per-s": 1e999, "burst": 1}]}',
+        "x" * 9000,
+        "\x00",
+    ],
+)
 def test_text_that_is_no_document_is_refused(text: str) -> None:
     for source in ("p.json", "p.toml"):
         with pytest.raises(form.PolicyError, match=source):
@@ -62,12 +80,26 @@
 def test_a_policy_is_named_by_what_it_says_and_laid_over_what_a_door_has() -> None:
     toml = '[[plans]]\nburst = 20\nname = "stor"\n"units-per-s" = 10\n'
     assert form.read_text(toml, "p.toml").digest() == DA == form.digest_of(A) != DB
-    policy = form.read_text(json.dumps({
-        "plans": [{**PLAN, "name": "new"}, PLAN], "retired": ["old"], "banned": ["0" * 16],
-        "classes": [{"name": "read", "on-time-ms": 5, "deadline-ms": 9}]}), "p.json")
-    base = {"me": 3, "plans": [{"name": "old", "burst": 1}, {"name": "stor", "burst": 9, "overrun-cost": 0.8},
-                               {"name": "kept", "burst": 2}],
-            "categories": [{"name": "read", "points": 2.0, "on-time-us": 1, "deadline-us": 1}]}
+    policy = form.read_text(
+        json.dumps(
+            {
+                "plans": [{**PLAN, "name": "new"}, PLAN],
+                "retired": ["old"],
+                "banned": ["0" * 16],
+                "classes": [{"name": "read", "on-time-ms": 5, "deadline-ms": 9}],
+            }
+        ),
+        "p.json",
+    )
+    base = {
+        "me": 3,
+        "plans": [
+            {"name": "old", "burst": 1},
+            {"name": "stor", "burst": 9, "overrun-cost": 0.8},
+            {"name": "kept", "burst": 2},
+        ],
+        "categories": [{"name": "read", "points": 2.0, "on-time-us": 1, "deadline-us": 1}],
+    }
     made = form.lay_over(base, policy)
     assert [plan["name"] for plan in made["plans"]] == ["stor", "kept", "new"] and made["me"] == 3
     assert made["plans"][0]["burst"] == 20 and made["plans"][0]["overrun-cost"] == 0.8
@@ -106,8 +138,16 @@
 
 
 async def renew(registry: Registry, door: str, **told: Any) -> tuple[int, Any]:  # noqa: ANN401
-    report = {"life": f"{door}-1", "has": "", "number": 0, "digest": "", "ready": [], "flaw": "",
-              "counts": [0, 0, 0], "serves": True} | told
+    report = {
+        "life": f"{door}-1",
+        "has": "",
+        "number": 0,
+        "digest": "",
+        "ready": [],
+        "flaw": "",
+        "counts": [0, 0, 0],
+        "serves": True,
+    } | told
     content = json.dumps(report).encode()
     status, answer = await call(address_of(registry), f"POST /doors/{door}/renew", content)
     if status == 404:
@@ -118,8 +158,17 @@
 
 
 async def decide(registry: Registry, digest: str, before: str, number: int, **more: Any) -> None:  # noqa: ANN401
-    now = {"number": number, "digest": digest, "before": before, "moveMs": 13_000,
-           "term": registry.store.term, "change": "c", "who": "w", "why": "y", "absent": []}
+    now = {
+        "number": number,
+        "digest": digest,
+        "before": before,
+        "moveMs": 13_000,
+        "term": registry.store.term,
+        "change": "c",
+        "who": "w",
+        "why": "y",
+        "absent": [],
+    }
     registry.queue(Keep(NOW, json.dumps(now | more)), None)
     await until(lambda: registry.doors.now().get("number") == number)
 
@@ -163,8 +212,14 @@
                 assert (await renew(registry, door))[1]["leftMs"] <= 0
             await decide(registry, DA, "", first + 1)
             assert (await renew(registry, "a"))[1] == {
-                "sure": True, "number": first + 1, "digest": DA, "before": "", "prepare": "", "want": "",
-                "leftMs": 13_000}
+                "sure": True,
+                "number": first + 1,
+                "digest": DA,
+                "before": "",
+                "prepare": "",
+                "want": "",
+                "leftMs": 13_000,
+            }
         async with keeping(path, time, create=False) as registry:
             time.now += 1  # it was down meanwhile, and does not know for how long
             assert (await renew(registry, "b"))[1]["sure"] is False
@@ -237,12 +292,31 @@
             at = address_of(registry)
             await settled(registry, time)
             await renew(registry, "a")
-            good = {"life": "a-1", "has": "", "number": 0, "digest": "", "ready": [], "flaw": "",
-                    "counts": [0, 0, 0], "serves": True}
-            for bad in ({"has": "x"}, {"number": -1}, {"number": 1 << 60}, {"ready": ["x"]},
-                        {"ready": [DA] * 9}, {"counts": [1, 2]}, {"counts": [1, 2, "3"]}, {"leftMs": 1.5},
-                        {"leftMs": 1 << 40}, {"flaw": "a\nb"}, {"serves": 1}, {"more": 1},
-                        {"text": "x" * 6001}):
+            good = {
+                "life": "a-1",
+                "has": "",
+                "number": 0,
+                "digest": "",
+                "ready": [],
+                "flaw": "",
+                "counts": [0, 0, 0],
+                "serves": True,
+            }
+            for bad in (
+                {"has": "x"},
+                {"number": -1},
+                {"number": 1 << 60},
+                {"ready": ["x"]},
+                {"ready": [DA] * 9},
+                {"counts": [1, 2]},
+                {"counts": [1, 2, "3"]},
+                {"leftMs": 1.5},
+                {"leftMs": 1 << 40},
+                {"flaw": "a\nb"},
+                {"serves": 1},
+                {"more": 1},
+                {"text": "x" * 6001},
+            ):
                 content = json.dumps(good | bad).encode()
                 assert (await call(at, "POST /doors/a/renew", content))[0] == 400, bad
             assert (await call(at, "POST /doors", b'{"name":"-","life":"1","zone":"z"}'))[0] == 400
@@ -334,9 +408,14 @@
     run(job())
 
 
-@pytest.mark.parametrize(("told", "later_s", "why"), [
-    ({"flaw": f"{DA} no such class"}, 0, "a: "), ({}, 70, "not ready in time: b"), (None, 0, "dropped"),
-])
+@pytest.mark.parametrize(
+    ("told", "later_s", "why"),
+    [
+        ({"flaw": f"{DA} no such class"}, 0, "a: "),
+        ({}, 70, "not ready in time: b"),
+        (None, 0, "dropped"),
+    ],
+)
 def test_before_the_decision_whatever_fails_means_nowhere(
     told: dict[str, Any] | None, later_s: float, why: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -378,8 +457,10 @@
             fleet.all(ready=[DA, DB])
             await fleet.work("deciding")
             number = registry.doors.now()["number"]
-            late, (shard, held) = fleet.steward, next(
-                (shard, held) for shard, held in fleet.steward.held.items())
+            late, (shard, held) = (
+                fleet.steward,
+                next((shard, held) for shard, held in fleet.steward.held.items()),
+            )
             await late.links.call("DELETE", f"/sessions/{late.id}", {"life": late.life})
             fleet.steward = Steward("steward-2", [address_of(registry)], lease_ms=600_000, clock=time)
             await fleet.steward.open()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,22 +30,36 @@
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
-    "me": 0, "balancers": 2, "zones": ["a", "b"], "kinds": ["m2"],
+    "me": 0,
+    "balancers": 2,
+    "zones": ["a", "b"],
+    "kinds": ["m2"],
     "plans": [{"name": "team", "units-per-s": 9}],
     "categories": [
         {"name": "read", "on-time-us": 750000, "deadline-us": 2000000, "idempotency": "read_like"},
         {"name": "settle", "on-time-us": 750000, "deadline-us": 2000000, "idempotency": "non_idempotent"},
     ],
-    "ceilings": {"max-attempts": 4, "conn-idle-us": 7000000, "retry-after": True,
-                 "max-retry-after-us": 500000},
+    "ceilings": {
+        "max-attempts": 4,
+        "conn-idle-us": 7000000,
+        "retry-after": True,
+        "max-retry-after-us": 500000,
+    },
     "stats": {"how": "inline", "names": ["util", "latency_ms"]},
 }
 
 
 def config(**changes: object) -> dict[str, object]:
     known = json.loads(catalog(4, []))
-    values = {"name": "n0", "listen": f"{HOST}:7", "discovery": f"{HOST}:8", "seed": "8c1f30d27a5be964",
-              "limits": {"sockets": 512}, "known": known, "settings": SETTINGS}
+    values = {
+        "name": "n0",
+        "listen": f"{HOST}:7",
+        "discovery": f"{HOST}:8",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 512},
+        "known": known,
+        "settings": SETTINGS,
+    }
     return {key: value for key, value in {**values, **changes}.items() if value is not None}
 
 
@@ -65,36 +79,62 @@
     assert found.conn_idle_us == 7_000_000 and found.connect_timeout_us == 250_000
 
 
-@pytest.mark.parametrize("values", [
-    "{", "[]", {}, config(settings={}), config(seed="xyz"), config(listen="nowhere"), config(discovery=None),
-    config(settings={**SETTINGS, "me": 2}), config(settings={**SETTINGS, "plans": []}),
-    config(settings={**SETTINGS, "categories": [{"name": "read", "idempotency": "what"}]}),
-    config(peers=["x:y"]), None,
-])
+@pytest.mark.parametrize(
+    "values",
+    [
+        "{",
+        "[]",
+        {},
+        config(settings={}),
+        config(seed="xyz"),
+        config(listen="nowhere"),
+        config(discovery=None),
+        config(settings={**SETTINGS, "me": 2}),
+        config(settings={**SETTINGS, "plans": []}),
+        config(settings={**SETTINGS, "categories": [{"name": "read", "idempotency": "what"}]}),
+        config(peers=["x:y"]),
+        None,
+    ],
+)
 def test_unusable_configuration_is_one_plain_line(tmp_path: Path, values: object) -> None:
     env = {key: text for key, text in os.environ.items() if not key.startswith("PROXY_")}
     env |= write(tmp_path, values) if values is not None else {}
     done = subprocess.run(
-        [sys.executable, "-m", "molereach"], cwd=ROOT, env=env, capture_output=True, text=True, check=False,
+        [sys.executable, "-m", "molereach"],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        check=False,
         timeout=60,
     )
     assert done.returncode == 2
     assert done.stderr.startswith("molereach: ") and done.stderr.count("\n") == 1
 
 
-@pytest.mark.parametrize(("key", "values"), [
-    ("limits.sockets", {"limits": {"sockets": 12}}),
-    ("limits.sockets", {"limits": {"sockets": "many"}}),
-    ("limits.memory_mb", {"limits": {"memory_mb": -1}}),
-    ("limits.memory_mb", {"limits": {"memory_mb": math.inf}}),
-    ("ceilings.max-open", {"settings": {**SETTINGS, "ceilings": {"max-open": 0}}}),
-    ("ceilings.conn-idle-us", {"settings": {**SETTINGS, "ceilings": {"conn-idle-us": math.nan}}}),
-    ("ceilings.connect-timeout-us", {"settings": {**SETTINGS, "ceilings": {"connect-timeout-us": -5}}}),
-    ("plans.0.units-per-s", {"settings": {**SETTINGS, "plans": [{"name": "team", "units-per-s": -1}]}}),
-    ("plans.0.burst", {"settings": {**SETTINGS, "plans": [{"name": "team", "burst": 1e300}]}}),
-    ("categories.0.deadline-us", {"settings": {**SETTINGS, "categories": [
-        {"name": "read", "on-time-us": 750_000, "deadline-us": 0}]}}),
-])
+@pytest.mark.parametrize(
+    ("key", "values"),
+    [
+        ("limits.sockets", {"limits": {"sockets": 12}}),
+        ("limits.sockets", {"limits": {"sockets": "many"}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": -1}}),
+        ("limits.memory_mb", {"limits": {"memory_mb": math.inf}}),
+        ("ceilings.max-open", {"settings": {**SETTINGS, "ceilings": {"max-open": 0}}}),
+        ("ceilings.conn-idle-us", {"settings": {**SETTINGS, "ceilings": {"conn-idle-us": math.nan}}}),
+        ("ceilings.connect-timeout-us", {"settings": {**SETTINGS, "ceilings": {"connect-timeout-us": -5}}}),
+        ("plans.0.units-per-s", {"settings": {**SETTINGS, "plans": [{"name": "team", "units-per-s": -1}]}}),
+        ("plans.0.burst", {"settings": {**SETTINGS, "plans": [{"name": "team", "burst": 1e300}]}}),
+        (
+            "categories.0.deadline-us",
+            {
+                "settings": {
+                    **SETTINGS,
+                    "categories": [{"name": "read", "on-time-us": 750_000, "deadline-us": 0}],
+                }
+            },
+        ),
+    ],
+)
 def test_unusable_bound_is_told_by_its_key(tmp_path: Path, key: str, values: dict[str, object]) -> None:
     with pytest.raises(ConfigError) as caught:
         load(write(tmp_path, config(**values)))
@@ -116,7 +156,12 @@
     values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known, **changes)
     env = {**os.environ, **write(tmp_path, values), "PROXY_DISCOVERY": f"{HOST}:{silent[1]}"}
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "molereach", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE,
+        sys.executable,
+        "-m",
+        "molereach",
+        cwd=ROOT,
+        env=env,
+        stderr=asyncio.subprocess.PIPE,
         preexec_fn=limit and (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))),
     )
     await said(process, b"serves at")
@@ -201,8 +246,13 @@
         old, path = config(listen=f"{HOST}:{listen[1]}"), tmp_path / "config.json"
         os.mkfifo(path)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, "PROXY_CONFIG": str(path)},
-            stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "molereach",
+            cwd=ROOT,
+            env={**os.environ, "PROXY_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
         with await asyncio.to_thread(path.open, "w") as first:  # opens once the program reads it
             process.send_signal(signal.SIGHUP)
             new = tmp_path / "new.json"
@@ -231,7 +281,11 @@
         taken = await Backend().start()
         values = config(listen=f"{HOST}:{taken[1]}")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values)},
+            sys.executable,
+            "-m",
+            "molereach",
+            cwd=ROOT,
+            env={**os.environ, **write(tmp_path, values)},
             stderr=asyncio.subprocess.PIPE,
         )
         _, errors = await process.communicate()
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -116,8 +116,13 @@
     world = Referee(replace(SETTINGS, classes=CLASSES, plans=PLANS, parallel_tries=parallel))
     for count, (kind, number, wait) in enumerate(steps):
         if kind <= 4:
-            world.ask(f"q{count}", left_us=number * 100, class_index=kind, plan_index=number % 3,
-                      customer=f"c{number % 3}")
+            world.ask(
+                f"q{count}",
+                left_us=number * 100,
+                class_index=kind,
+                plan_index=number % 3,
+                customer=f"c{number % 3}",
+            )
         elif kind <= 7 and world.out:
             key = list(world.out)[number % len(world.out)]
             world.settle(key, i.Result.OK if kind == 5 else FAILURES[number % len(FAILURES)])
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -16,8 +16,16 @@
 
 async def rebuild(path: Path, *words: str) -> tuple[int, str, str]:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidhatch.rebuild", "--store", str(path), *words, cwd=ROOT,
-        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "orchidhatch.rebuild",
+        "--store",
+        str(path),
+        *words,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
     out, errors = await process.communicate()
     return process.returncode, out.decode(), errors.decode()
 
@@ -89,8 +97,12 @@
 
     async def job() -> None:
         gone = "{}:{}".format(*refusing_address())
-        for words in (("--from", gone), ("--backup", str(tmp_path / "none.db")), ("--backup", str(path)),
-                      ("--from", "nowhere")):
+        for words in (
+            ("--from", gone),
+            ("--backup", str(tmp_path / "none.db")),
+            ("--backup", str(path)),
+            ("--from", "nowhere"),
+        ):
             status, out, errors = await rebuild(path, *words)
             assert (status, out) == (1, "") and errors.count("\n") == 1
         assert path.read_bytes() == broken and not (tmp_path / "list.db.damaged").exists()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -30,8 +30,11 @@
 
 @contextlib.asynccontextmanager
 async def serving(
-    path: Path, create: bool = True, peers: tuple[tuple[str, int], ...] = (),
-    follow: tuple[tuple[str, int], ...] = (), **changes: Any  # noqa: ANN401
+    path: Path,
+    create: bool = True,
+    peers: tuple[tuple[str, int], ...] = (),
+    follow: tuple[tuple[str, int], ...] = (),
+    **changes: Any,  # noqa: ANN401
 ) -> AsyncIterator[Registry]:
     registry = Registry(Store(path, create, **changes), seed=1, peers=peers, follow=follow)
     await registry.start(HOST, 0)
@@ -98,7 +101,10 @@
             assert await early.news() == {"generation": 0, "reset": True, "instances": []}
             assert (await call(at, "POST /entries", body(instanceId="s-1")))[0] == 200
             assert await early.news() == {
-                "generation": 1, "reset": False, "instances": [json.loads(body(instanceId="s-1"))]}
+                "generation": 1,
+                "reset": False,
+                "instances": [json.loads(body(instanceId="s-1"))],
+            }
             status, made = await call(at, "POST /entries/s-1/lifecycle", b'{"lifecycle":"DRAINING"}')
             assert status == 200 and made["version"] == 2 and made["life"] == 1
             assert named(await early.news()) == {"s-1": "DRAINING"}
@@ -119,8 +125,13 @@
             at = address_of(registry)
             for number in range(5):
                 await call(at, "POST /entries", body(instanceId=f"s-{number}"))
-            expected = {3: (False, ["s-3", "s-4"]), 5: (False, []), 2: (False, ["s-2", "s-3", "s-4"]),
-                        1: (True, [f"s-{n}" for n in range(5)]), 99: (True, [f"s-{n}" for n in range(5)])}
+            expected = {
+                3: (False, ["s-3", "s-4"]),
+                5: (False, []),
+                2: (False, ["s-2", "s-3", "s-4"]),
+                1: (True, [f"s-{n}" for n in range(5)]),
+                99: (True, [f"s-{n}" for n in range(5)]),
+            }
             for after, (reset, names) in expected.items():
                 news = await (await Watcher.open(at, after)).news()
                 assert (news["generation"], news["reset"], sorted(named(news))) == (5, reset, names)
@@ -142,19 +153,26 @@
     run(job())
 
 
-@pytest.mark.parametrize(("line", "content", "status", "told"), [
-    ("POST /entries", b"{", 400, "not JSON"), ("POST /entries", body(extra=1), 400, "extra"),
-    ("POST /entries", body(ifVersion=9), 409, "at version 1, not 9"),
-    ("POST /entries", b" " * 9000, 413, "longer"),
-    ("POST /entries/s-9/lifecycle", b'{"lifecycle":"DRAINING"}', 404, "not listed"),
-    ("POST /entries/s-5be2a07c/lifecycle", b'{"lifecycle":"DELETED"}', 400, "lifecycle"),
-    ("POST /entries/s-5be2a07c/renew", b'{"life":1}', 409, "no lease"),
-    ("POST /entries/s-9/renew", b'{"life":1}', 404, "not listed"),
-    ("DELETE /entries/s-5be2a07c", b'{"life":7}', 409, "another life"),
-    ("DELETE /entries/..%2Fx", b"", 400, "instanceId"), ("GET /entries/s-9", b"", 404, "not listed"),
-    ("GET /what", b"", 404, "no such call"), ("PUT /entries", b"", 404, "no such call"),
-    ("GET /catalog/members?watch=1&after=x", b"", 400, "after"), ("GET //[", b"", 400, ""),
-])
+@pytest.mark.parametrize(
+    ("line", "content", "status", "told"),
+    [
+        ("POST /entries", b"{", 400, "not JSON"),
+        ("POST /entries", body(extra=1), 400, "extra"),
+        ("POST /entries", body(ifVersion=9), 409, "at version 1, not 9"),
+        ("POST /entries", b" " * 9000, 413, "longer"),
+        ("POST /entries/s-9/lifecycle", b'{"lifecycle":"DRAINING"}', 404, "not listed"),
+        ("POST /entries/s-5be2a07c/lifecycle", b'{"lifecycle":"DELETED"}', 400, "lifecycle"),
+        ("POST /entries/s-5be2a07c/renew", b'{"life":1}', 409, "no lease"),
+        ("POST /entries/s-9/renew", b'{"life":1}', 404, "not listed"),
+        ("DELETE /entries/s-5be2a07c", b'{"life":7}', 409, "another life"),
+        ("DELETE /entries/..%2Fx", b"", 400, "instanceId"),
+        ("GET /entries/s-9", b"", 404, "not listed"),
+        ("GET /what", b"", 404, "no such call"),
+        ("PUT /entries", b"", 404, "no such call"),
+        ("GET /catalog/members?watch=1&after=x", b"", 400, "after"),
+        ("GET //[", b"", 400, ""),
+    ],
+)
 def test_what_does_not_fit_is_a_4xx_with_a_reason_and_changes_nothing(
     path: Path, line: str, content: bytes, status: int, told: str
 ) -> None:
@@ -170,9 +188,14 @@
     run(job())
 
 
-@pytest.mark.parametrize("data", [
-    b"", b"GET /catalog", b"POST /entries HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{",
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"GET /catalog",
+        b"POST /entries HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n{",
+    ],
+)
 def test_half_a_call_is_timed_out(path: Path, data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(servers, "PATIENCE_S", 0.05)
 
@@ -205,9 +228,15 @@
         async with serving(path) as registry:
             gone, stays = [servers.Connection(registry) for _ in range(2)]
             for connection, closing in ((gone, True), (stays, False)):
-                connection.transport = type("Transport", (), {
-                    "is_closing": lambda self, closing=closing: closing, "write": lambda self, data: None,
-                    "close": lambda self: None})()
+                connection.transport = type(
+                    "Transport",
+                    (),
+                    {
+                        "is_closing": lambda self, closing=closing: closing,
+                        "write": lambda self, data: None,
+                        "close": lambda self: None,
+                    },
+                )()
                 name = "s-gone" if closing else "s-stays"
                 registry.queue(registries.read_register(body(instanceId=name)), connection)
             while not registry.writes:
@@ -330,8 +359,17 @@
 
 async def start(path: Path, listen: tuple[str, int], *more: str) -> asyncio.subprocess.Process:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidhatch.registry", "--listen", f"{HOST}:{listen[1]}", "--store", str(path),
-        *more, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "orchidhatch.registry",
+        "--listen",
+        f"{HOST}:{listen[1]}",
+        "--store",
+        str(path),
+        *more,
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
     while b"serves generation" not in (line := await process.stderr.readline()):
         assert line, "the registry has ended"
     return process
@@ -342,6 +380,7 @@
         listen, made = refusing_address(), {}
         process = await start(path, listen, "--create")
         for round_ in range(4):
+
             async def write(number: int, round_: int = round_) -> None:
                 with contextlib.suppress(OSError, IndexError, ValueError):
                     given = body(instanceId=f"s-{round_}-{number}")
@@ -367,14 +406,27 @@
     run(job())
 
 
-@pytest.mark.parametrize(("more", "told"), [
-    ((), b"there is no store"), (("--listen", "x"), b"not host:port"),
-])
+@pytest.mark.parametrize(
+    ("more", "told"),
+    [
+        ((), b"there is no store"),
+        (("--listen", "x"), b"not host:port"),
+    ],
+)
 def test_start_that_cannot_be_is_told_plainly(path: Path, more: tuple[str, ...], told: bytes) -> None:
     async def job() -> None:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "orchidhatch.registry", "--listen", f"{HOST}:0", "--store", str(path),
-            *more, cwd=ROOT, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "orchidhatch.registry",
+            "--listen",
+            f"{HOST}:0",
+            "--store",
+            str(path),
+            *more,
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )
         _, errors = await process.communicate()
         assert process.returncode in (1, 2) and told in errors and b"Traceback" not in errors
         assert not path.exists()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -171,8 +171,12 @@
     for n in range(300):
         gates.ask(n * 7 % 20, f"r{n}")
         gates.run(110 * MS)
-        homes = [customer for world in gates.worlds for customer in world.gateway.homes.customers.values()
-                 if customer.at_home]
+        homes = [
+            customer
+            for world in gates.worlds
+            for customer in world.gateway.homes.customers.values()
+            if customer.at_home
+        ]
     level = homes[0].level
     assert level > 6  # of 10, at nine tenths of the rate
 
@@ -185,8 +189,12 @@
         for n in range(20):
             gates.ask(n, f"r{gates.worlds[n].now}")
         gates.run(4 * S)
-    levels = [customer.level for world in gates.worlds for customer in world.gateway.homes.customers.values()
-              if customer.home == world.gateway.set.me]
+    levels = [
+        customer.level
+        for world in gates.worlds
+        for customer in world.gateway.homes.customers.values()
+        if customer.home == world.gateway.set.me
+    ]
     assert levels == [pytest.approx(20, abs=0.5)]
 
 
@@ -528,8 +536,11 @@
 
 def test_requests_are_held_rather_than_piled_on_the_one_warm_server() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=2), servers(8))
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, tuple(
-        replace(server, started_us=world.now) for server in servers(8)[1:])))
+    world.tell(
+        i.ServerList(
+            i.ListKind.CHANGES, 2, tuple(replace(server, started_us=world.now) for server in servers(8)[1:])
+        )
+    )
     for n in range(60):
         world.ask(f"r{n}")
     world.run(40 * MS)
@@ -643,8 +654,11 @@
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
     """In a release most are cold: all that they cannot take would jam the few warm ones."""
     world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=4), servers(20))
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, tuple(
-        replace(server, started_us=world.now) for server in servers(20)[4:])))
+    world.tell(
+        i.ServerList(
+            i.ListKind.CHANGES, 2, tuple(replace(server, started_us=world.now) for server in servers(20)[4:])
+        )
+    )
     for n in range(80):
         world.ask(f"r{n}")
     assert len(world.out) <= 8 * (4 + 16 * 0.2) / 4 + 1  # eight for each warm server by all four gateways
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -66,8 +66,16 @@
 
 def test_batch_is_one_transaction_and_each_write_has_its_outcome(path: Path) -> None:
     store = Store(path, create=True)
-    outcomes = store.apply([Register(entry(1)), Change("s-9", "DRAINING"), Change("s-1", "DRAINING"),
-                            Register(entry(2), if_version=4), Remove("s-1"), Register(entry(1))])
+    outcomes = store.apply(
+        [
+            Register(entry(1)),
+            Change("s-9", "DRAINING"),
+            Change("s-1", "DRAINING"),
+            Register(entry(2), if_version=4),
+            Remove("s-1"),
+            Register(entry(1)),
+        ]
+    )
     assert [getattr(outcome, "version", None) for outcome in outcomes] == [1, None, 2, None, 3, 4]
     assert str(outcomes[1]) == "s-9 is not listed" and str(outcomes[3]) == "s-2 is at version 0, not 4"
     assert list(store.entries) == ["s-1"] and store.entries["s-1"].life == 4
@@ -97,10 +105,15 @@
     assert not store.entries
 
 
-@pytest.mark.parametrize("write", [
-    Register(entry(1, lifecycle="DELETED")), Register(entry(1, lifecycle="odd")), Change("s-1", "DELETED"),
-    Remove("s-1"),
-])
+@pytest.mark.parametrize(
+    "write",
+    [
+        Register(entry(1, lifecycle="DELETED")),
+        Register(entry(1, lifecycle="odd")),
+        Change("s-1", "DELETED"),
+        Remove("s-1"),
+    ],
+)
 def test_write_that_makes_no_sense_changes_nothing(path: Path, write: Write) -> None:
     store = Store(path, create=True)
     before = what_is_in(store)
@@ -131,7 +144,10 @@
         assert len(found.history) == 4 and found.changes(0) is None and found.changes(6) is None
         assert found.changes(-1) is None
         assert [(one.id, one.lifecycle) for one in found.changes(2)] == [
-            ("s-3", "SERVING"), ("s-1", "DRAINING"), ("s-2", "DELETED")]
+            ("s-3", "SERVING"),
+            ("s-1", "DRAINING"),
+            ("s-2", "DELETED"),
+        ]
 
 
 def test_a_second_process_is_refused_while_the_first_lives(path: Path) -> None:
@@ -207,8 +223,9 @@
     chance = random.Random(4)
     last = 0
     for _ in range(12):
-        writer = subprocess.Popen([sys.executable, "-c", WRITER, str(path)], cwd=ROOT, text=True,
-                                  stdout=subprocess.PIPE)
+        writer = subprocess.Popen(
+            [sys.executable, "-c", WRITER, str(path)], cwd=ROOT, text=True, stdout=subprocess.PIPE
+        )
         for _ in range(chance.randrange(1, 40)):
             last = int(writer.stdout.readline())
         writer.send_signal(signal.SIGKILL)  # wherever it is by now
@@ -288,16 +305,22 @@
         Store(path)
 
 
-@pytest.mark.parametrize(("table", "change"), [
-    ("meta", "UPDATE meta SET generation = generation - 1"),
-    ("meta", "UPDATE meta SET term = term + 1"),
-    ("meta", "DELETE FROM meta"),
-    ("entries", "DELETE FROM entries WHERE id = 's-4'"),
-    ("history", "DELETE FROM history WHERE generation = 5"),
-    ("history", "DELETE FROM history WHERE generation > 8"),
-    ("history", "UPDATE history SET record = replace(record, 'SERVING', 'DRAINING') WHERE generation = 1"),
-    ("form", "PRAGMA user_version = 9"),
-])
+@pytest.mark.parametrize(
+    ("table", "change"),
+    [
+        ("meta", "UPDATE meta SET generation = generation - 1"),
+        ("meta", "UPDATE meta SET term = term + 1"),
+        ("meta", "DELETE FROM meta"),
+        ("entries", "DELETE FROM entries WHERE id = 's-4'"),
+        ("history", "DELETE FROM history WHERE generation = 5"),
+        ("history", "DELETE FROM history WHERE generation > 8"),
+        (
+            "history",
+            "UPDATE history SET record = replace(record, 'SERVING', 'DRAINING') WHERE generation = 1",
+        ),
+        ("form", "PRAGMA user_version = 9"),
+    ],
+)
 def test_state_that_no_write_leaves_is_not_served(path: Path, table: str, change: str) -> None:
     store, _ = written(path)
     store.close()
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -49,14 +49,25 @@
     assert all((ask.door - ask.first) % plan.doors < ask.spread for ask in asks)
 
 
-@pytest.mark.parametrize(("change", "why"), [
-    ("doors = 30", "40 that fit"), ("doors = nan", "doors"), ("wheels = 4", "wheels"),
-    ("seconds = -1.0", "seconds"), ("seconds = nan", "seconds"), ("seconds = inf", "seconds"),
-    ('faults = [{at=1.0, kind="kill", who="door-7"}]', "door-7"), ("registries = 0", "registries"),
-    ('faults = [{at=1.0, kind="cut", who="door-0"}]', "there is none"), ('faults = [{at=1.0}]', "faults"),
-    ('faults = [{at=1.0, kind="burn", who="door-0"}]', "burn"), ("chance = {count = 3}", "no kind"),
-    ("load = {customers = [{plan='a', spread = 3}]}", "larger than the 2 doors"), ("seconds", "after a key"),
-])
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        ("doors = 30", "40 that fit"),
+        ("doors = nan", "doors"),
+        ("wheels = 4", "wheels"),
+        ("seconds = -1.0", "seconds"),
+        ("seconds = nan", "seconds"),
+        ("seconds = inf", "seconds"),
+        ('faults = [{at=1.0, kind="kill", who="door-7"}]', "door-7"),
+        ("registries = 0", "registries"),
+        ('faults = [{at=1.0, kind="cut", who="door-0"}]', "there is none"),
+        ("faults = [{at=1.0}]", "faults"),
+        ('faults = [{at=1.0, kind="burn", who="door-0"}]', "burn"),
+        ("chance = {count = 3}", "no kind"),
+        ("load = {customers = [{plan='a', spread = 3}]}", "larger than the 2 doors"),
+        ("seconds", "after a key"),
+    ],
+)
 def test_a_plan_that_cannot_be_is_refused_by_a_line_that_says_why(
     tmp_path: Path, change: str, why: str
 ) -> None:
@@ -236,17 +247,28 @@
         def note(self, what: str, about: str, **told: object) -> None:
             noted.append((about, told))
 
-    line = json.dumps({"generation": 7, "reset": True, "instances": [
-        {"instanceId": "b-1", "hostPort": "127.101.100.101:7001", "lifecycle": "SERVING"},
-        {"instanceId": "b-2", "hostPort": "127.101.100.102:7002", "lifecycle": "DRAINING"}]},
-        separators=(",", ":")).encode() + b"\n"
+    line = (
+        json.dumps(
+            {
+                "generation": 7,
+                "reset": True,
+                "instances": [
+                    {"instanceId": "b-1", "hostPort": "127.101.100.101:7001", "lifecycle": "SERVING"},
+                    {"instanceId": "b-2", "hostPort": "127.101.100.102:7002", "lifecycle": "DRAINING"},
+                ],
+            },
+            separators=(",", ":"),
+        ).encode()
+        + b"\n"
+    )
     data = b"HTTP/1.1 200 OK\r\n\r\n" + b"%x\r\n%b\r\n" % (len(line), line) + b"1\r\n\n\r\n"
     tap = Tap(Notes(), "door-3", b"127.101.100.", b"127.101.104.")
     edges = [0, *sorted(min(cut, len(data)) for cut in cuts), len(data)]
     passed = b"".join(tap(data[a:b]) for a, b in itertools.pairwise(edges))
     assert passed == data.replace(b"127.101.100.", b"127.101.104.") and len(passed) == len(data)
-    assert noted == [("door-3", {"generation": 7, "reset": True,
-                                 "states": {"SERVING": ["b-1"], "DRAINING": ["b-2"]}})]
+    assert noted == [
+        ("door-3", {"generation": 7, "reset": True, "states": {"SERVING": ["b-1"], "DRAINING": ["b-2"]}})
+    ]
 
 
 # --- the checks, on events made by hand ---
@@ -264,9 +286,11 @@
 
 
 def attempt(at: int, over: int, port: int = 9, id_: str = "r") -> list[Told]:
-    return [(at - 1, "trial", "opened", "door-0>backend-0", {"port": port}),
-            (at, "backend-0", "attempt", id_, {"backend": "b-0", "port": port, "customer": "c"}),
-            (over, "backend-0", "over", id_, {"backend": "b-0", "port": port, "how": "served"})]
+    return [
+        (at - 1, "trial", "opened", "door-0>backend-0", {"port": port}),
+        (at, "backend-0", "attempt", id_, {"backend": "b-0", "port": port, "customer": "c"}),
+        (over, "backend-0", "over", id_, {"backend": "b-0", "port": port, "how": "served"}),
+    ]
 
 
 def fault(at: int, until: int, about: str, kind: str) -> list[Told]:
@@ -278,9 +302,16 @@
 
 
 def written(at: int, until: int, term: int, status: int = 200) -> list[Told]:
-    return [(at, "trial", "write", "w-1 0", {"at": "registry-0", "id": "w-1", "method": "POST", "value": {}}),
-            (until, "trial", "answer", "w-1 0", {"at": "registry-0", "id": "w-1", "status": status,
-                                                 "store": f"x {term}", "told": {}})]
+    return [
+        (at, "trial", "write", "w-1 0", {"at": "registry-0", "id": "w-1", "method": "POST", "value": {}}),
+        (
+            until,
+            "trial",
+            "answer",
+            "w-1 0",
+            {"at": "registry-0", "id": "w-1", "status": status, "store": f"x {term}", "told": {}},
+        ),
+    ]
 
 
 def listed(term: int, *ids: str) -> Told:
@@ -293,67 +324,107 @@
 
 
 def acted(epoch: int, number: int) -> list[Told]:
-    return [(10, "trial", "effect", "door-0", {"claim": "x", "epoch": epoch, "act": "POST", "on": "b",
-                                               "number": number})]
+    return [
+        (
+            10,
+            "trial",
+            "effect",
+            "door-0",
+            {"claim": "x", "epoch": epoch, "act": "POST", "on": "b", "number": number},
+        )
+    ]
 
 
 def kept(state: str, at: int) -> list[Told]:
-    return [(at, "registry-0", "effect", "registry-0", {
-        "claim": "x", "epoch": 1, "act": "keep", "on": "task.drain-b", "text": json.dumps({"state": state})})]
+    return [
+        (
+            at,
+            "registry-0",
+            "effect",
+            "registry-0",
+            {
+                "claim": "x",
+                "epoch": 1,
+                "act": "keep",
+                "on": "task.drain-b",
+                "text": json.dumps({"state": state}),
+            },
+        )
+    ]
 
 
 LIVE = [(0, "trial", "serves", "b-0", {})]
 PROMOTED = [(1000, "trial", "promote", "registry-1", {"status": 200, "told": {}})]
-THRICE = [told for n, id_ in enumerate(("r0", "r1", "r2"))
-          for told in [ask(n, 0, id_, "narrow"), end(900, "served", f"b:{id_}", id_),
-                       *attempt(100 + n, 900, 9 + n, id_)]]
+THRICE = [
+    told
+    for n, id_ in enumerate(("r0", "r1", "r2"))
+    for told in [
+        ask(n, 0, id_, "narrow"),
+        end(900, "served", f"b:{id_}", id_),
+        *attempt(100 + n, 900, 9 + n, id_),
+    ]
+]
 PORT = {"port": 9}
 DRAINED = [ask(800), end(900), news(100, DRAINING=["b-0"])]
 
 
-@pytest.mark.parametrize(("events", "broken"), [
-    ([ask(), end(50), *attempt(10, 40)], ""),
-    ([ask(), end(50, text="b:other")], "answers"),
-    ([ask(), end(50), end(60)], "answers"),
-    ([ask()], "answers"),
-    ([ask(), *fault(10, 9500, "door-0", "stop")], ""),
-    ([ask(), end(2700)], "answers"),
-    ([ask(), end(2700), *fault(100, 2600, "door-0", "stop")], ""),
-    ([ask(), end(50, "closed", "")], "answers"),
-    ([ask(), end(50, "closed", ""), (49, "trial", "exit", "door-0", {"code": -9, "meant": True})], ""),
-    ([ask(), end(50), (60, "clients", "surplus", "door-0", {"reply": "x"})], "answers"),
-    ([ask(), end(900), *attempt(10, 400), *attempt(390, 800, 10)], ""),  # within what sockets are wider
-    ([ask(), end(900), *attempt(10, 400), *attempt(300, 800, 10)], "attempts"),
-    ([ask(), end(900), *attempt(10, 400), *attempt(300, 800, 10),
-      (290, "trial", "left", "door-0>backend-0", PORT)], ""),  # the door had left the first by then
-    ([ask(), end(900), *[told for n in range(4) for told in attempt(99 * n, 90 + 99 * n, n)]], ""),
-    ([ask(), end(900), *[told for n in range(5) for told in attempt(99 * n, 90 + 99 * n, n)]], "attempts"),
-    ([*DRAINED, *attempt(390, 395)], ""),
-    ([*DRAINED, *attempt(410, 450)], "drains"),
-    ([*DRAINED, news(405, SERVING=["b-0"]), *attempt(410, 450)], ""),
-    ([*DRAINED, news(405, DELETED=["b-0"]), *attempt(410, 450)], "drains"),
-    ([*DRAINED, *attempt(410, 450), *fault(150, 400, "door-0", "stop")], ""),
-    (THRICE, "caps"),
-    ([told for told in THRICE if told[3] != "r2"], ""),
-    ([news(10, 5), news(20, 5), news(30, 6)], ""),
-    ([news(10, 5), news(20, 4)], "generations"),
-    ([*written(10, 20, 1), listed(1, "w-1")], ""),
-    ([*written(10, 20, 1), listed(1)], "writes"),
-    ([*written(10, 20, 1, status=503), listed(1)], ""),
-    ([*written(10, 20, 1), *PROMOTED, listed(2)], ""),  # the follower may not have heard it
-    ([*written(10, 1500, 1), *PROMOTED, listed(2)], "writes"),
-    ([*written(10, 1500, 2), *PROMOTED, listed(2)], "writes"),
-    ([*owned(1, "a"), *owned(2, "b")], ""),
-    ([*owned(2, "a"), *owned(1, "b")], "owners"),
-    ([*owned(1, "a"), *owned(1, "b")], "owners"),
-    ([*acted(1, 5), *acted(2, 6)], ""),
-    ([*acted(2, 5), *acted(1, 6)], "effects"),
-    ([*acted(1, 6), *acted(1, 5)], "effects"),
-    ([*kept("out", 1), *kept("marked", 2)], "effects"),
-    ([*kept("back", 1), *kept("asked", 2)], ""),  # it was over, and asked for again
-    ([(10, "trial", "exit", "agent-0", {"code": 1, "meant": False})], "exits"),
-    ([(10, "backend-0", "syntax", "b-0", {"words": "?"})], "forms"),
-])
+@pytest.mark.parametrize(
+    ("events", "broken"),
+    [
+        ([ask(), end(50), *attempt(10, 40)], ""),
+        ([ask(), end(50, text="b:other")], "answers"),
+        ([ask(), end(50), end(60)], "answers"),
+        ([ask()], "answers"),
+        ([ask(), *fault(10, 9500, "door-0", "stop")], ""),
+        ([ask(), end(2700)], "answers"),
+        ([ask(), end(2700), *fault(100, 2600, "door-0", "stop")], ""),
+        ([ask(), end(50, "closed", "")], "answers"),
+        ([ask(), end(50, "closed", ""), (49, "trial", "exit", "door-0", {"code": -9, "meant": True})], ""),
+        ([ask(), end(50), (60, "clients", "surplus", "door-0", {"reply": "x"})], "answers"),
+        ([ask(), end(900), *attempt(10, 400), *attempt(390, 800, 10)], ""),  # within what sockets are wider
+        ([ask(), end(900), *attempt(10, 400), *attempt(300, 800, 10)], "attempts"),
+        (
+            [
+                ask(),
+                end(900),
+                *attempt(10, 400),
+                *attempt(300, 800, 10),
+                (290, "trial", "left", "door-0>backend-0", PORT),
+            ],
+            "",
+        ),  # the door had left the first by then
+        ([ask(), end(900), *[told for n in range(4) for told in attempt(99 * n, 90 + 99 * n, n)]], ""),
+        (
+            [ask(), end(900), *[told for n in range(5) for told in attempt(99 * n, 90 + 99 * n, n)]],
+            "attempts",
+        ),
+        ([*DRAINED, *attempt(390, 395)], ""),
+        ([*DRAINED, *attempt(410, 450)], "drains"),
+        ([*DRAINED, news(405, SERVING=["b-0"]), *attempt(410, 450)], ""),
+        ([*DRAINED, news(405, DELETED=["b-0"]), *attempt(410, 450)], "drains"),
+        ([*DRAINED, *attempt(410, 450), *fault(150, 400, "door-0", "stop")], ""),
+        (THRICE, "caps"),
+        ([told for told in THRICE if told[3] != "r2"], ""),
+        ([news(10, 5), news(20, 5), news(30, 6)], ""),
+        ([news(10, 5), news(20, 4)], "generations"),
+        ([*written(10, 20, 1), listed(1, "w-1")], ""),
+        ([*written(10, 20, 1), listed(1)], "writes"),
+        ([*written(10, 20, 1, status=503), listed(1)], ""),
+        ([*written(10, 20, 1), *PROMOTED, listed(2)], ""),  # the follower may not have heard it
+        ([*written(10, 1500, 1), *PROMOTED, listed(2)], "writes"),
+        ([*written(10, 1500, 2), *PROMOTED, listed(2)], "writes"),
+        ([*owned(1, "a"), *owned(2, "b")], ""),
+        ([*owned(2, "a"), *owned(1, "b")], "owners"),
+        ([*owned(1, "a"), *owned(1, "b")], "owners"),
+        ([*acted(1, 5), *acted(2, 6)], ""),
+        ([*acted(2, 5), *acted(1, 6)], "effects"),
+        ([*acted(1, 6), *acted(1, 5)], "effects"),
+        ([*kept("out", 1), *kept("marked", 2)], "effects"),
+        ([*kept("back", 1), *kept("asked", 2)], ""),  # it was over, and asked for again
+        ([(10, "trial", "exit", "agent-0", {"code": 1, "meant": False})], "exits"),
+        ([(10, "backend-0", "syntax", "b-0", {"words": "?"})], "forms"),
+    ],
+)
 def test_a_check_finds_its_break_and_excuses_what_a_fault_did(
     tmp_path: Path, events: list[Told], broken: str
 ) -> None:
@@ -372,15 +443,27 @@
 
 async def trial(*words: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "orchidhatch.trial", *words, cwd=ROOT, stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.PIPE)
-
-
-@pytest.mark.parametrize(("plan", "plants"), [
-    ("small", {"": "held", "ignores-drain": "drains:", "two-answers": "answers:", "overlap": "attempts:"}),
-    # A door that says yes to SIGHUP and goes on as before is held out by its agent.
-    ("switch", {"": "held", "deaf-door": "door-1: does not serve by the last policy"}),
-])
+        sys.executable,
+        "-m",
+        "orchidhatch.trial",
+        *words,
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@pytest.mark.parametrize(
+    ("plan", "plants"),
+    [
+        (
+            "small",
+            {"": "held", "ignores-drain": "drains:", "two-answers": "answers:", "overlap": "attempts:"},
+        ),
+        # A door that says yes to SIGHUP and goes on as before is held out by its agent.
+        ("switch", {"": "held", "deaf-door": "door-1: does not serve by the last policy"}),
+    ],
+)
 def test_the_program_holds_and_planted_defects_are_found(
     plan: str, plants: dict[str, str], tmp_path: Path
 ) -> None:
@@ -426,8 +509,11 @@
 
 def test_wrong_calls_end_with_2_and_a_line(tmp_path: Path) -> None:
     async def job() -> None:
-        for words in (("run", "nowhere", "--seed", "1"), ("again", str(SMALL)),
-                      ("run", "small", "--seed", "1", "--keep", str(ROOT))):
+        for words in (
+            ("run", "nowhere", "--seed", "1"),
+            ("again", str(SMALL)),
+            ("run", "small", "--seed", "1", "--keep", str(ROOT)),
+        ):
             process = await trial(*words)
             _, err = await process.communicate()
             assert process.returncode == 2
--- a/tests/test_under_policy.py
+++ b/tests/test_under_policy.py
@@ -44,7 +44,7 @@
 
 @given(st.lists(st.tuples(plans, st.integers(1, 30)), min_size=1, max_size=6))
 def test_levels_go_over_in_proportion_and_never_above_what_the_plan_has(
-    steps: list[tuple[i.Plan, int]]
+    steps: list[tuple[i.Plan, int]],
 ) -> None:
     world, number = World(), 0
     for plan, asked in steps:
@@ -91,8 +91,9 @@
     for name in ("a", "b", "c"):
         world.ask(name)
     world.run(100 * MS)
-    waited = sum((dict(action.times).get("open_cap", 0) for _, action in world.log
-                  if isinstance(action, i.Waited)))
+    waited = sum(
+        (dict(action.times).get("open_cap", 0) for _, action in world.log if isinstance(action, i.Waited))
+    )
     assert waited == pytest.approx(2 * 100 * MS, rel=0.25)
 
 
@@ -120,7 +121,7 @@
 
 
 def test_a_door_under_a_policy_lets_nobody_in_before_its_keeper_says_so(
-    caplog: pytest.LogCaptureFixture
+    caplog: pytest.LogCaptureFixture,
 ) -> None:
     caplog.set_level(logging.INFO)
 
@@ -131,9 +132,14 @@
             assert "BUSY" in await asks(client, "a") and not door.open
             assert door.enter_service()[0] == 200 and door.health() == (200, "serves; policy 1 -")
             assert "ok" in await asks(client, "b")
-            new = replace(door.config, policy=under(number=2, digest=DA), plan_numbers={"new": 0, "team": 1},
-                          settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3,
-                                           banned=frozenset({CUSTOMER})))
+            new = replace(
+                door.config,
+                policy=under(number=2, digest=DA),
+                plan_numbers={"new": 0, "team": 1},
+                settings=replace(
+                    door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})
+                ),
+            )
             door.reload(replace(new, class_numbers={"other": 0}))
             assert door.config.policy.number == 1  # it cannot go by that
             door.reload(new)
@@ -147,7 +153,9 @@
     run(job())
     lines = [record.getMessage() for record in caplog.records if record.getMessage().startswith("request")]
     assert [line.rpartition(",")[0] for line in lines] == [
-        "request b answered by policy -", f"request c deferred by policy {DA}"]
+        "request b answered by policy -",
+        f"request c deferred by policy {DA}",
+    ]
 
 
 def test_a_door_bars_itself_when_it_cannot_know_what_holds() -> None:
@@ -179,8 +187,10 @@
     run(job())
 
 
-@pytest.mark.parametrize("value", [
-    {"number": -1}, {"number": "x"}, {"number": 1, "digest": "xyz"}, {"number": 1 << 60}, {"silent_ms": 0}])
+@pytest.mark.parametrize(
+    "value",
+    [{"number": -1}, {"number": "x"}, {"number": 1, "digest": "xyz"}, {"number": 1 << 60}, {"silent_ms": 0}],
+)
 def test_a_policy_that_makes_no_sense_is_an_error_of_the_file(value: dict[str, Any], tmp_path: Path) -> None:
     file = write_config(tmp_path, policy=value)
     with pytest.raises(ConfigError, match=r"policy|number|silent_ms"):
@@ -189,10 +199,23 @@
 
 def write_config(folder: Path, **more: Any) -> Path:  # noqa: ANN401
     file = folder / "config.json"
-    file.write_text(json.dumps({
-        "name": "n0", "listen": f"{HOST}:1", "discovery": f"{HOST}:1", "seed": "1", "settings": {
-            "me": 0, "balancers": 1, "plans": [{"name": "stor", "units-per-s": 10, "burst": 10}],
-            "categories": [{"name": "read", "on-time-us": 750_000, "deadline-us": 2_000_000}]}, **more}))
+    file.write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"{HOST}:1",
+                "discovery": f"{HOST}:1",
+                "seed": "1",
+                "settings": {
+                    "me": 0,
+                    "balancers": 1,
+                    "plans": [{"name": "stor", "units-per-s": 10, "burst": 10}],
+                    "categories": [{"name": "read", "on-time-us": 750_000, "deadline-us": 2_000_000}],
+                },
+                **more,
+            }
+        )
+    )
     return file
 
 
@@ -228,9 +251,16 @@
 async def kept(tmp_path: Path, check: str = "") -> AsyncIterator[Kept]:
     time, file = Time(), write_config(tmp_path)
     configured = load({"PROXY_CONFIG": str(file)})
-    async with keeping(tmp_path / "1.db", time) as registry, front_door(
-            Backend(), settings=configured.settings, class_numbers=configured.class_numbers,
-            plan_numbers=configured.plan_numbers, management=(HOST, 0)) as (door, _):
+    async with (
+        keeping(tmp_path / "1.db", time) as registry,
+        front_door(
+            Backend(),
+            settings=configured.settings,
+            class_numbers=configured.class_numbers,
+            plan_numbers=configured.plan_numbers,
+            management=(HOST, 0),
+        ) as (door, _),
+    ):
         at = door.management.server.sockets[0].getsockname()
         agent = Agent(Store(tmp_path / "a.db", create=True), [address_of(registry)], 1, door=at)
         command = [sys.executable, "-c", check or "pass"]
@@ -305,8 +335,10 @@
 
 def test_a_document_is_checked_by_the_doors_own_program_before_it_counts_as_ready(tmp_path: Path) -> None:
     async def job() -> None:
-        check = "import json, os, sys; sys.exit('no stor' if json.load(open(os.environ['PROXY_CONFIG']))[" \
-                "'settings']['plans'][0]['burst'] == 20 else 0)"
+        check = (
+            "import json, os, sys; sys.exit('no stor' if json.load(open(os.environ['PROXY_CONFIG']))["
+            "'settings']['plans'][0]['burst'] == 20 else 0)"
+        )
         async with kept(tmp_path, check) as all_:
             await all_.go()
             for digest, text in ((DA, A),):
@@ -320,8 +352,13 @@
             await put(all_.registry, "task.policy", json.dumps({**change, "state": "nowhere", "done": True}))
             await all_.go()
             assert all_.keeper.flaw == ""  # whoever mends what was wrong may propose it again
-            again = Keeper(all_.keeper.server, [address_of(all_.registry)], all_.keeper.door,
-                           all_.keeper.setup, all_.time)  # started anew, from what is on its disk
+            again = Keeper(
+                all_.keeper.server,
+                [address_of(all_.registry)],
+                all_.keeper.door,
+                all_.keeper.setup,
+                all_.time,
+            )  # started anew, from what is on its disk
             assert again.life == all_.keeper.life and again.heard.number == all_.keeper.heard.number
             assert again.documents == {DA: A} and again.may_serve() is None
 
@@ -337,7 +374,8 @@
             for own in (False, True):
                 env = {"PROXY_CONFIG": str(all_.file if own else tmp_path / "other.json")}
                 process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-c", code, env=env, stdout=asyncio.subprocess.PIPE)
+                    sys.executable, "-c", code, env=env, stdout=asyncio.subprocess.PIPE
+                )
                 await process.stdout.readline()
                 all_.keeper.setup.pid.write_text(str(process.pid))
                 hang_up(all_.keeper)
@@ -369,4 +407,3 @@
             assert OUT_S > LEASE_S + GRACE_S + SILENT_S
 
     run(job())
-
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -70,8 +70,16 @@
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
             found = samples((await call(door, "GET /metrics"))[1])
-            for place in ("unread", "partial", "held", "connecting", "backend", "unsent_bytes", "peers",
-                          "management"):
+            for place in (
+                "unread",
+                "partial",
+                "held",
+                "connecting",
+                "backend",
+                "unsent_bytes",
+                "peers",
+                "management",
+            ):
                 assert found[f'proxy_waiting{{place="{place}"}}'] <= 1
                 assert f'proxy_waiting_bound{{place="{place}"}}' in found
                 assert f'proxy_waiting_oldest_seconds{{place="{place}"}}' in found
@@ -248,9 +256,12 @@
 
 def test_module_counts_what_is_open_through_every_end() -> None:
     world = World(replace(WORLD, max_open=4, max_open_bytes=1000), servers(4))
-    ends = [lambda name: world.answer(name), lambda name: world.answer(name, i.Result.TIMEOUT),
-            lambda name: world.tell(i.ClientGone(name)),
-            lambda name: world.tell(i.StreamStarted(name, 0, world.out[(name, 0)][0], 5))]
+    ends = [
+        lambda name: world.answer(name),
+        lambda name: world.answer(name, i.Result.TIMEOUT),
+        lambda name: world.tell(i.ClientGone(name)),
+        lambda name: world.tell(i.StreamStarted(name, 0, world.out[(name, 0)][0], 5)),
+    ]
     for n in range(4):
         assert of(i.Send, world.ask(f"a{n}", size=100))
     assert world.gateway.open == 4 and world.gateway.open_bytes == 400
@@ -468,8 +479,11 @@
 
 def test_service_comes_back_by_the_mechanisms_steps_after_an_overload() -> None:
     """All servers hang for 8 s under 20 requests a second, then each answers after 50 ms again."""
-    settings = replace(WORLD, classes=(i.RequestClass(aim_us=750 * MS, deadline_us=2 * S),),
-                       plans=(i.Plan(rate=100.0, burst=100.0),))
+    settings = replace(
+        WORLD,
+        classes=(i.RequestClass(aim_us=750 * MS, deadline_us=2 * S),),
+        plans=(i.Plan(rate=100.0, burst=100.0),),
+    )
     world, served = World(settings, servers(10)), [0] * 20
     ends_us = world.now + 8 * S
     for step in range(20 * 20):
