--- a/fennelwinch/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""fennelwinch: the decisions of a quota-keeping gateway for a shared API."""
--- a/orchidhatch/door.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -10,10 +10,10 @@
 import sqlite3
 from urllib.parse import quote
 
-from orchidhatch.calls import Address, call
-from orchidhatch.claims import Fence
-from orchidhatch.following import Following
-from orchidhatch.server import Answer, Connection, ListServer, busy, term_of, told
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_server import Answer, Connection, ListServer, busy, term_of, told
+from orchidhatch.control.ownership.claims import Fence
+from orchidhatch.control.registry.replication import Following
 
 log = logging.getLogger("orchidhatch.door")
 
--- a/orchidhatch/policy/keeper.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -23,13 +23,13 @@
 from typing import Any
 from urllib.parse import quote
 
-from orchidhatch.calls import Address, call
-from orchidhatch.links import Links
-from orchidhatch.policy.doors import DOCUMENT
-from orchidhatch.policy.form import PolicyError, digest_of, lay_over, read_text
-from orchidhatch.policy.times import GRACE_S, LATE_S, LEASE_S, RENEWALS, SILENT_S
-from orchidhatch.server import ListServer
-from orchidhatch.summary import read_figures
+from orchidhatch.control.controller.summary import read_figures
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_server import ListServer
+from orchidhatch.control.policy.document import PolicyError, digest_of, lay_over, read_text
+from orchidhatch.control.policy.leases import DOCUMENT
+from orchidhatch.control.policy.timing import GRACE_S, LATE_S, LEASE_S, RENEWALS, SILENT_S
+from orchidhatch.control.registry_client import Links
 
 log = logging.getLogger("orchidhatch.policy")
 
--- a/orchidhatch/tasks.py
+++ b/orchidhatch/control/controller/tasks.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from orchidhatch.summary import Reading, read_figures, sum_up
+from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
 
 TASK = "task."  # how the records of tasks begin
 # How often what is left of a task's time is put down, of one that is short and of one that is long.
--- a/orchidhatch/server.py
+++ b/orchidhatch/control/http_server.py
@@ -10,8 +10,8 @@
 
 import h11
 
-from orchidhatch.forms import MOST_BODY, FormError, listing, read_after
-from orchidhatch.store import Store
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.schemas import MOST_BODY, FormError, listing, read_after
 
 log = logging.getLogger("orchidhatch")
 
--- a/orchidhatch/leases.py
+++ b/orchidhatch/control/leases.py
@@ -8,8 +8,8 @@
 from collections import deque
 from collections.abc import Iterable
 
-from orchidhatch.claims import Session
-from orchidhatch.store import Entry
+from orchidhatch.control.ownership.claims import Session
+from orchidhatch.control.registry.store import Entry
 
 Leased = Entry | Session  # what has an id, a life, and a lease_ms
 
--- a/orchidhatch/ownership.py
+++ b/orchidhatch/control/ownership/service.py
@@ -9,13 +9,13 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
-from orchidhatch.claims import Claim, End, Record, Session
-from orchidhatch.forms import read_give, read_hold, read_keep, read_life, read_open, read_take
-from orchidhatch.leases import Leases
-from orchidhatch.server import Answer, Connection, busy, told
+from orchidhatch.control.http_server import Answer, Connection, busy, told
+from orchidhatch.control.leases import Leases
+from orchidhatch.control.ownership.claims import Claim, End, Record, Session
+from orchidhatch.control.schemas import read_give, read_hold, read_keep, read_life, read_open, read_take
 
 if TYPE_CHECKING:
-    from orchidhatch.registry import Registry
+    from orchidhatch.control.registry.service import Registry
 
 log = logging.getLogger("orchidhatch.ownership")
 
--- a/orchidhatch/policy/change.py
+++ b/orchidhatch/control/policy/change.py
@@ -16,10 +16,10 @@
 import msgspec
 from msgspec import Meta
 
-from orchidhatch.claims import COUNT_BITS
-from orchidhatch.policy.doors import CHANGE, DOCUMENT, NOW
-from orchidhatch.policy.times import OUT_S
-from orchidhatch.tasks import NOTE_EVERY_S, Acts, GoneError, Task, TaskError
+from orchidhatch.control.controller.tasks import NOTE_EVERY_S, Acts, GoneError, Task, TaskError
+from orchidhatch.control.ownership.claims import COUNT_BITS
+from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, NOW
+from orchidhatch.control.policy.timing import OUT_S
 
 LOG = "policy.log-"  # and the number of the decision
 MOST_LOGGED = 50
--- a/orchidhatch/policy/__main__.py
+++ b/orchidhatch/control/policy/cli.py
@@ -18,11 +18,18 @@
 
 import msgspec
 
-from orchidhatch.claims import COUNT_BITS
-from orchidhatch.client import CallError, call, seconds
-from orchidhatch.policy.change import LOG, Gate, ask, change_of, out_of_service
-from orchidhatch.policy.doors import CHANGE, DOCUMENT, OPEN
-from orchidhatch.policy.form import Policy, PolicyError, check_after, differences, read_file, read_text
+from orchidhatch.control.cli import CallError, call, seconds
+from orchidhatch.control.ownership.claims import COUNT_BITS
+from orchidhatch.control.policy.change import LOG, Gate, ask, change_of, out_of_service
+from orchidhatch.control.policy.document import (
+    Policy,
+    PolicyError,
+    check_after,
+    differences,
+    read_file,
+    read_text,
+)
+from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, OPEN
 
 LOOK_S = 0.5
 MOST_WAIT_S = 300.0
--- a/orchidhatch/policy/form.py
+++ b/orchidhatch/control/policy/document.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta
 
-from orchidhatch.forms import FormError, no_constant, no_repeats
+from orchidhatch.control.schemas import FormError, no_constant, no_repeats
 
 MOST_TEXT = 5000  # bytes of a document, so that it fits a record of the list service
 MOST_PLANS, MOST_BANNED = 40, 150
--- a/orchidhatch/policy/doors.py
+++ b/orchidhatch/control/policy/leases.py
@@ -13,8 +13,9 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
-from orchidhatch.calls import Address, call
-from orchidhatch.claims import (
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_server import Answer, Connection, busy, term_of, told
+from orchidhatch.control.ownership.claims import (
     COUNT_BITS,
     BookWrite,
     Door,
@@ -25,14 +26,13 @@
     RefusedError,
     Thing,
 )
-from orchidhatch.forms import name, read_door, read_report
-from orchidhatch.policy.form import digest_of
-from orchidhatch.policy.times import LEASE_S, OUT_S
-from orchidhatch.server import Answer, Connection, busy, term_of, told
-from orchidhatch.store import StoreError
+from orchidhatch.control.policy.document import digest_of
+from orchidhatch.control.policy.timing import LEASE_S, OUT_S
+from orchidhatch.control.registry.store import StoreError
+from orchidhatch.control.schemas import name, read_door, read_report
 
 if TYPE_CHECKING:
-    from orchidhatch.registry import Registry
+    from orchidhatch.control.registry.service import Registry
 
 log = logging.getLogger("orchidhatch.policy")
 
--- a/orchidhatch/backups.py
+++ b/orchidhatch/control/registry/backups.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.store import Store, StoreError
+from orchidhatch.control.registry.store import Store, StoreError
 
 KEPT, KEPT_S = 24, 7 * 24 * 3600.0  # copies, and seconds that they are kept; the newest stays in any case
 NAME = re.compile(r"list-(\d{1,16})-(\d{1,20})\.db")
--- a/orchidhatch/following.py
+++ b/orchidhatch/control/registry/replication.py
@@ -15,9 +15,9 @@
 
 import h11
 
-from orchidhatch.forms import FormError, read_instance
-from orchidhatch.server import STORE_HEADER, ListServer, term_of
-from orchidhatch.store import DELETED, Entry, Put, Remove, StoreError, Write
+from orchidhatch.control.http_server import STORE_HEADER, ListServer, term_of
+from orchidhatch.control.registry.store import DELETED, Entry, Put, Remove, StoreError, Write
+from orchidhatch.control.schemas import FormError, read_instance
 
 log = logging.getLogger("orchidhatch.following")
 
--- a/orchidhatch/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -12,8 +12,16 @@
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
-from orchidhatch import claims
-from orchidhatch.claims import Book, BookWrite, Draft, Fence, RefusedError, Thing, UnlistedError
+from orchidhatch.control.ownership import claims
+from orchidhatch.control.ownership.claims import (
+    Book,
+    BookWrite,
+    Draft,
+    Fence,
+    RefusedError,
+    Thing,
+    UnlistedError,
+)
 
 FORMAT = 1
 MOST_HISTORY = 10_000  # changes that a watch may resume over; past it the whole list is told
--- a/orchidhatch/links.py
+++ b/orchidhatch/control/registry_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from orchidhatch.calls import Address, call
+from orchidhatch.control.http_client import Address, call
 
 PATIENCE_S = 1.0
 MOVED_ON = ("takes no writes", "fenced")  # what one answers in whose place another takes writes
--- a/orchidhatch/forms.py
+++ b/orchidhatch/control/schemas.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NoReturn
 
-from orchidhatch.claims import Door, Enter, Fence, Give, Hold, Keep, Open, Session, Take
-from orchidhatch.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
+from orchidhatch.control.ownership.claims import Door, Enter, Fence, Give, Hold, Keep, Open, Session, Take
+from orchidhatch.control.registry.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
 
 MOST_BODY = 8192  # bytes; an entry takes some 300, a policy's document up to 5,000
 MOST_TEXT = 64
--- a/orchidhatch/trial/backend.py
+++ b/orchidhatch/faults/backend.py
@@ -17,9 +17,9 @@
 import msgspec
 import uvloop
 
-from orchidhatch.calls import Address, call
-from orchidhatch.trial.events import Recorder
-from orchidhatch.trial.forms import Backends
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.faults.events import Recorder
+from orchidhatch.faults.plan import Backends
 
 MOST_PIPELINED = 100
 AGAIN_S = 0.3  # until it tries to enter the list again
--- a/orchidhatch/trial/judge.py
+++ b/orchidhatch/faults/checkers.py
@@ -15,8 +15,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from orchidhatch.trial.events import Event, of, story
-from orchidhatch.trial.forms import Plan
+from orchidhatch.faults.events import Event, of, story
+from orchidhatch.faults.plan import Plan
 
 MS, S = 1_000_000, 1_000_000_000
 GRACE_NS = 500 * MS  # after its time a request's answer only earns nothing; later it is lost
--- a/orchidhatch/trial/__main__.py
+++ b/orchidhatch/faults/cli.py
@@ -20,14 +20,14 @@
 import msgspec
 import uvloop
 
-from orchidhatch.trial.events import Recorder, gather
-from orchidhatch.trial.fleet import Fleet
-from orchidhatch.trial.forms import PlanError, Script, draw, read_plan, read_script
-from orchidhatch.trial.judge import Judge, Verdict
-from orchidhatch.trial.plants import PLANTS
-from orchidhatch.trial.processes import ROOT, TrialError
-from orchidhatch.trial.relay import Watchman
-from orchidhatch.trial.timeline import Timeline
+from orchidhatch.faults.checkers import Judge, Verdict
+from orchidhatch.faults.events import Recorder, gather
+from orchidhatch.faults.fleet import Fleet
+from orchidhatch.faults.links import Watchman
+from orchidhatch.faults.plan import PlanError, Script, draw, read_plan, read_script
+from orchidhatch.faults.processes import ROOT, TrialError
+from orchidhatch.faults.runner import Timeline
+from orchidhatch.faults.seeded_defects import PLANTS
 
 PLANS = ROOT / "trials"
 HELD, BROKEN, WRONG, UNSAID = 0, 1, 2, 3
--- a/orchidhatch/trial/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -15,14 +15,14 @@
 
 import msgspec
 
-from orchidhatch.calls import Address, call
-from orchidhatch.trial import backend, load
-from orchidhatch.trial.events import Recorder
-from orchidhatch.trial.forms import Plan, Script
-from orchidhatch.trial.plants import PLANTS
-from orchidhatch.trial.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
-from orchidhatch.trial.relay import Datagrams, TcpRelay, Way
-from orchidhatch.trial.tap import seeing, tapping
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.faults import backend, load
+from orchidhatch.faults.events import Recorder
+from orchidhatch.faults.links import Datagrams, TcpRelay, Way
+from orchidhatch.faults.plan import Plan, Script
+from orchidhatch.faults.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
+from orchidhatch.faults.seeded_defects import PLANTS
+from orchidhatch.faults.tap import seeing, tapping
 
 ZONES = "abc"
 AIM_US, DEADLINE_US = 750_000, 2_000_000  # of the class, as on the site's page
@@ -147,7 +147,7 @@
             more += ["--plant", self.plant]
         if (self.plan.stewards or self.plan.policy) and name.startswith("registry-"):
             more += ["--record", str(self.folder), "--name", name]
-        return ["orchidhatch.trial.stepped", *more] if more else []
+        return ["orchidhatch.faults.stepped", *more] if more else []
 
     def add_command(
         self,
@@ -238,7 +238,7 @@
             "--pid",
             folder / "pid",
             "--check",
-            f"{sys.executable} -m molereach --check",
+            f"{sys.executable} -m orchidhatch.proxy --check",
         ]
 
     def add_steward(self, number: int) -> None:
@@ -289,7 +289,7 @@
             return await self.listens(name)
 
         file.write_bytes(msgspec.json.encode(settings))
-        self.add(name, "orchidhatch.trial.backend", file, ready=ready)
+        self.add(name, "orchidhatch.faults.backend", file, ready=ready)
         return id_
 
     def registries_of(self, name: str) -> list[Address]:
@@ -308,7 +308,7 @@
         }
         command = door_command()
         if words := self.launched(name):
-            command = [sys.executable, "-m", *words, "molereach.program"]
+            command = [sys.executable, "-m", *words, "orchidhatch.proxy.main"]
 
         async def ready() -> bool:
             # One that is under a policy says yes only once its agent lets it, which faults may keep it from.
@@ -354,7 +354,7 @@
         async def ready() -> bool:
             return True
 
-        self.add("clients", "orchidhatch.trial.load", file, ready=ready, ends=True)
+        self.add("clients", "orchidhatch.faults.load", file, ready=ready, ends=True)
 
     # --- start and end ---
 
--- a/orchidhatch/trial/relay.py
+++ b/orchidhatch/faults/links.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from orchidhatch.trial.events import Recorder
+from orchidhatch.faults.events import Recorder
 
 Address = tuple[str, int]
 # Makes what is done to the bytes of one connection, answers or what is sent there, as they are passed on.
--- a/orchidhatch/trial/load.py
+++ b/orchidhatch/faults/load.py
@@ -17,9 +17,9 @@
 import msgspec
 import uvloop
 
-from orchidhatch.calls import Address
-from orchidhatch.trial.events import Recorder
-from orchidhatch.trial.forms import Customers, Load
+from orchidhatch.control.http_client import Address
+from orchidhatch.faults.events import Recorder
+from orchidhatch.faults.plan import Customers, Load
 
 KEPT_S = 2.0  # a connection that was idle for longer is not used again, as the door may be closing it
 MOST_CONNECTIONS = 2000
--- a/orchidhatch/trial/processes.py
+++ b/orchidhatch/faults/processes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from orchidhatch.trial.events import Recorder
+from orchidhatch.faults.events import Recorder
 
 ROOT = Path(__file__).parents[2]
 LAUNCH = [sys.executable, "-I", "-S", str(Path(__file__).with_name("launch.py"))]
--- a/orchidhatch/trial/timeline.py
+++ b/orchidhatch/faults/runner.py
@@ -10,13 +10,15 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch import tasks
-from orchidhatch.calls import call
-from orchidhatch.policy import change, doors, form
-from orchidhatch.trial.fleet import Fleet
-from orchidhatch.trial.forms import WAY_KINDS, Customers, Fault, matching
-from orchidhatch.trial.processes import Process, TrialError
-from orchidhatch.trial.relay import Way
+from orchidhatch.control.controller import tasks
+from orchidhatch.control.http_client import call
+from orchidhatch.control.policy import change
+from orchidhatch.control.policy import document as form
+from orchidhatch.control.policy import leases as doors
+from orchidhatch.faults.fleet import Fleet
+from orchidhatch.faults.links import Way
+from orchidhatch.faults.plan import WAY_KINDS, Customers, Fault, matching
+from orchidhatch.faults.processes import Process, TrialError
 
 ASK_S = 0.25  # between two tries of an operator's act
 LEAST_FILE = 4096  # bytes that files may have on a full disk where a plan names none
--- a/orchidhatch/trial/plants.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -15,14 +15,14 @@
 
 
 def ignore_drains() -> None:
-    from fennelwinch import interface as i
-    from molereach import discovery
+    from orchidhatch.gateway import interface as i
+    from orchidhatch.proxy import endpoint_watch as discovery
 
     discovery.STATES["DRAINING"] = i.ServerState.UP
 
 
 def answer_twice() -> None:
-    from molereach.clients import Reply
+    from orchidhatch.proxy.clients import Reply
 
     send, count = Reply.send, 0
 
@@ -35,7 +35,7 @@
 
 
 def overlap_attempts() -> None:
-    from molereach.backends import Attempt, Backends
+    from orchidhatch.proxy.backends import Attempt, Backends
 
     send = Backends.send
 
@@ -48,7 +48,7 @@
 
 
 def count_caps_alone() -> None:
-    from fennelwinch.quota import Customer
+    from orchidhatch.gateway.quota import Customer
 
     init = Customer.__init__
 
@@ -60,7 +60,7 @@
 
 
 def acknowledge_early() -> None:
-    from orchidhatch.registry import Registry, outcome_of
+    from orchidhatch.control.registry.service import Registry, outcome_of
 
     write_batch = Registry.write_batch
 
@@ -76,8 +76,8 @@
 
 
 def go_back() -> None:
-    from orchidhatch import agent
-    from orchidhatch.store import Store
+    from orchidhatch.control.agent import service as agent
+    from orchidhatch.control.registry.store import Store
 
     def anew(path: Any) -> Store:  # noqa: ANN401
         path.unlink(missing_ok=True)
@@ -87,13 +87,13 @@
 
 
 def look_never() -> None:
-    from orchidhatch.registry import Registry
+    from orchidhatch.control.registry.service import Registry
 
     Registry.sure = lambda self: True
 
 
 def count_anew() -> None:
-    from orchidhatch.store import Store
+    from orchidhatch.control.registry.store import Store
 
     read_book = Store.read_book
 
@@ -105,8 +105,8 @@
 
 
 def trust_clocks() -> None:
-    from orchidhatch.claims import Draft
-    from orchidhatch.door import Door
+    from orchidhatch.control.agent.gateway_calls import Door
+    from orchidhatch.control.ownership.claims import Draft
 
     Draft.check = lambda self, fence: None
     in_turn = Door.in_turn
@@ -120,13 +120,13 @@
 
 
 def decide_unready() -> None:
-    from orchidhatch.policy.change import Change
+    from orchidhatch.control.policy.change import Change
 
     Change.lacking = lambda self, fleet: []
 
 
 def return_as_it_was() -> None:
-    from orchidhatch.policy.keeper import Keeper
+    from orchidhatch.control.agent.policy_lease import Keeper
 
     may_serve = Keeper.may_serve
 
@@ -137,7 +137,7 @@
 
 
 def lease_for_ever() -> None:
-    from orchidhatch.policy import keeper
+    from orchidhatch.control.agent import policy_lease as keeper
 
     keeper.LEASE_S = 1e6  # what is asked for in it stays as often, as the list service's own is meant
     keeper.RENEWALS = round(4e6 / 3)
@@ -145,8 +145,8 @@
 
 def decide_late() -> None:
     """Neither the claim nor what was read before holds a decision back."""
-    from orchidhatch.claims import Draft, Keep
-    from orchidhatch.policy.doors import NOW
+    from orchidhatch.control.ownership.claims import Draft, Keep
+    from orchidhatch.control.policy.leases import NOW
 
     Draft.check = lambda self, fence: None
     keep = Draft.keep
@@ -159,7 +159,7 @@
 
 def hear_nothing() -> None:
     """Nothing after the first, as a door that is under no policy at all is not kept."""
-    from molereach.frontdoor import FrontDoor
+    from orchidhatch.proxy.server import FrontDoor
 
     go_by = FrontDoor.go_by
     FrontDoor.go_by = lambda self, config: None if self.config.policy else go_by(self, config)
--- a/orchidhatch/trial/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.claims import RefusedError
-from orchidhatch.trial.events import Recorder
-from orchidhatch.trial.plants import PLANTS
+from orchidhatch.control.ownership.claims import RefusedError
+from orchidhatch.faults.events import Recorder
+from orchidhatch.faults.seeded_defects import PLANTS
 
 
 def step_clock(file: Path) -> None:
@@ -35,8 +35,8 @@
 
 def record_effects(name: str, folder: Path) -> None:
     """Each write in a claim's name that was carried out, as its store shows it to readers."""
-    from orchidhatch.policy.doors import NOW, Doors
-    from orchidhatch.store import Batch, Store
+    from orchidhatch.control.policy.leases import NOW, Doors
+    from orchidhatch.control.registry.store import Batch, Store
 
     recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
     wrote = Doors.wrote
@@ -73,7 +73,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(prog="orchidhatch.trial.stepped")
+    parser = argparse.ArgumentParser(prog="orchidhatch.faults.stepped")
     parser.add_argument("--clock", type=Path)
     parser.add_argument("--plant", choices=sorted(PLANTS))
     parser.add_argument("--record", type=Path, metavar="FOLDER")
--- a/orchidhatch/trial/tap.py
+++ b/orchidhatch/faults/tap.py
@@ -7,7 +7,7 @@
 import json
 from collections.abc import Callable
 
-from orchidhatch.trial.events import Recorder
+from orchidhatch.faults.events import Recorder
 
 MOST_LINE = 1 << 20
 
--- a/fennelwinch/codec.py
+++ b/orchidhatch/gateway/codec.py
@@ -7,7 +7,7 @@
 from functools import cache
 from typing import Any, get_args, get_origin, get_type_hints
 
-from fennelwinch import interface as i
+from orchidhatch.gateway import interface as i
 
 EFFECTS = {
     "read_like": i.Effect.SAFE,
--- a/fennelwinch/rules.py
+++ b/orchidhatch/gateway/core.py
@@ -1,7 +1,7 @@
 """The decisions of one gateway: events go to the rooms that they concern, and requests go their way.
 
-Events, actions and settings are in fennelwinch/interface.py. The rooms are cap (the paper's N and period),
-quota and homes (parts, words from home, places), routing and membership (the servers), retries and twin.
+Events, actions and settings are in `interface`. The components: overload (the paper's N and period), quota,
+quota_leaders, load_balancing and membership (the servers), retries and handover.
 """
 
 import itertools
@@ -11,18 +11,18 @@
 from collections import Counter
 from dataclasses import replace
 
-from fennelwinch import interface as i
-from fennelwinch import report
-from fennelwinch.basics import NEVER, TICK_US, Desk, S
-from fennelwinch.cap import Cap
-from fennelwinch.homes import Homes
-from fennelwinch.membership import Membership
-from fennelwinch.quota import ASK_US, ASKS, Customer
-from fennelwinch.records import Job
-from fennelwinch.retries import Retries
-from fennelwinch.routing import SIGHTED, Routing, Server
-from fennelwinch.twin import Twin
-from fennelwinch.words import Words
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway import metrics as report
+from orchidhatch.gateway.constants import NEVER, TICK_US, Desk, S
+from orchidhatch.gateway.handover import Twin
+from orchidhatch.gateway.load_balancing import SIGHTED, Routing, Server
+from orchidhatch.gateway.membership import Membership
+from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.quota import ASK_US, ASKS, Customer
+from orchidhatch.gateway.quota_leaders import Homes
+from orchidhatch.gateway.retries import Retries
+from orchidhatch.gateway.state import Job
 
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 LOG_US = 5 * S  # how often those on call get the module's figures
--- a/fennelwinch/twin.py
+++ b/orchidhatch/gateway/handover.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Iterable
 
-from fennelwinch import interface as i
-from fennelwinch.basics import Desk
-from fennelwinch.cap import Cap
-from fennelwinch.homes import Homes
-from fennelwinch.membership import Membership
-from fennelwinch.quota import LEFT_US, Customer
-from fennelwinch.records import Job, remember_cap, state
-from fennelwinch.routing import Routing, Server
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import Desk
+from orchidhatch.gateway.load_balancing import Routing, Server
+from orchidhatch.gateway.membership import Membership
+from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.quota import LEFT_US, Customer
+from orchidhatch.gateway.quota_leaders import Homes
+from orchidhatch.gateway.state import Job, remember_cap, state
 
 
 class Twin:
--- a/fennelwinch/routing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -2,9 +2,9 @@
 
 import math
 
-from fennelwinch import interface as i
-from fennelwinch.basics import LEAST_OUT, SMOOTH, START_PER_SERVER, Desk, S
-from fennelwinch.records import Job, ServerRecord
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import LEAST_OUT, SMOOTH, START_PER_SERVER, Desk, S
+from orchidhatch.gateway.state import Job, ServerRecord
 
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 # A server in trouble is passed over by how much worse than usual it is. Less says nothing: it is within
--- a/fennelwinch/membership.py
+++ b/orchidhatch/gateway/membership.py
@@ -1,8 +1,8 @@
 """Who is in the list, and who is left out of it by hand."""
 
-from fennelwinch import interface as i
-from fennelwinch.basics import NEVER, Desk
-from fennelwinch.routing import Routing, Server
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import NEVER, Desk
+from orchidhatch.gateway.load_balancing import Routing, Server
 
 MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
 
--- a/fennelwinch/report.py
+++ b/orchidhatch/gateway/metrics.py
@@ -2,11 +2,11 @@
 
 from typing import TYPE_CHECKING
 
-from fennelwinch import interface as i
-from fennelwinch.records import NEVER, Job, S
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.state import NEVER, Job, S
 
 if TYPE_CHECKING:
-    from fennelwinch.rules import Gateway
+    from orchidhatch.gateway.core import Gateway
 
 FATES = ("told", "heard", "asked", "answered")  # messages to and from peers; asks, those answered
 
--- a/fennelwinch/cap.py
+++ b/orchidhatch/gateway/overload.py
@@ -3,7 +3,15 @@
 import math
 from collections.abc import Callable, Iterable
 
-from fennelwinch.basics import CC_PERIOD_US, LEAST_OUT, MOST_PERIODS, START_PER_SERVER, TICK_US, Desk, S
+from orchidhatch.gateway.constants import (
+    CC_PERIOD_US,
+    LEAST_OUT,
+    MOST_PERIODS,
+    START_PER_SERVER,
+    TICK_US,
+    Desk,
+    S,
+)
 
 RATE_SMOOTH = 0.3  # weight of a period's sends in a running mean
 FAIR_N = 10  # the OPPUI is one or two Call Control Periods, for an N that is fair-sized
--- a/fennelwinch/words.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -3,9 +3,9 @@
 import itertools
 from collections import Counter, deque
 
-from fennelwinch import interface as i
-from fennelwinch.basics import CC_PERIOD_US, MOST_PERIODS, Desk, S
-from fennelwinch.quota import ASK_US
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS, Desk, S
+from orchidhatch.gateway.quota import ASK_US
 
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
--- a/fennelwinch/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -3,9 +3,9 @@
 import math
 from dataclasses import replace
 
-from fennelwinch import interface as i
-from fennelwinch.basics import NEVER, S
-from fennelwinch.records import CustomerRecord
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import NEVER, S
+from orchidhatch.gateway.state import CustomerRecord
 
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
--- a/fennelwinch/homes.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -2,10 +2,19 @@
 
 from collections.abc import Callable
 
-from fennelwinch import interface as i
-from fennelwinch.basics import NEVER, Desk, S
-from fennelwinch.quota import ASK_US, ASKS, DEMAND_US, LENT_US, PLACE_ALONE, QUEUED_US, RENEW_US, Customer
-from fennelwinch.words import Words
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import NEVER, Desk, S
+from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.quota import (
+    ASK_US,
+    ASKS,
+    DEMAND_US,
+    LENT_US,
+    PLACE_ALONE,
+    QUEUED_US,
+    RENEW_US,
+    Customer,
+)
 
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 
--- a/fennelwinch/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -1,11 +1,11 @@
 """When an attempt is given up, whether a further one is worth it, and when a client may come again."""
 
-from fennelwinch import interface as i
-from fennelwinch.basics import NEVER, Desk, S
-from fennelwinch.cap import Cap
-from fennelwinch.quota import DEMAND_US
-from fennelwinch.records import Job
-from fennelwinch.routing import Routing
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import NEVER, Desk, S
+from orchidhatch.gateway.load_balancing import Routing
+from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.quota import DEMAND_US
+from orchidhatch.gateway.state import Job
 
 RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see time_out
 
--- a/fennelwinch/adapter.py
+++ b/orchidhatch/gateway/simulator.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable, Iterator
 from typing import TextIO
 
-from fennelwinch import interface as i
-from fennelwinch.codec import Pairs, pack_message, read_report, read_settings, unpack_message
-from fennelwinch.rules import Gateway
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import Pairs, pack_message, read_report, read_settings, unpack_message
+from orchidhatch.gateway.core import Gateway
 
 RESULTS = {
     "served": i.Result.OK,
@@ -310,7 +310,7 @@
             sink.flush()
     except (WireError, ValueError, KeyError, StopIteration) as error:
         text = f"unknown word {error}" if isinstance(error, KeyError) else str(error) or "a list is cut off"
-        print(f"fennelwinch: line {count}: {one_line(text)}", file=sys.stderr)
+        print(f"orchidhatch: line {count}: {one_line(text)}", file=sys.stderr)
         return 2
     return 0
 
--- a/fennelwinch/records.py
+++ b/orchidhatch/gateway/state.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterable, Mapping
 from typing import TYPE_CHECKING
 
-from fennelwinch import interface as i
+from orchidhatch.gateway import interface as i
 
 if TYPE_CHECKING:
-    from fennelwinch.cap import Cap
-    from fennelwinch.quota import Customer
-    from fennelwinch.routing import Routing, Server
+    from orchidhatch.gateway.load_balancing import Routing, Server
+    from orchidhatch.gateway.overload import Cap
+    from orchidhatch.gateway.quota import Customer
 
 S, NEVER = 1_000_000, 1 << 62  # microseconds in a second; a time that does not come
 SAME_START_US = 100_000  # two processes may reckon a server's start from the wall clock this differently
--- /dev/null
+++ b/orchidhatch/policy.py
@@ -0,0 +1,8 @@
+"""Command `python -m orchidhatch.policy`: policy changes."""
+
+import sys
+
+from orchidhatch.control.policy.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/molereach/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -13,13 +13,13 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import fields
 
-from fennelwinch import interface as i
-from fennelwinch.codec import read_report
-from molereach import looks
-from molereach.account import Account, Place
-from molereach.config import Address
-from molereach.resp import ProtocolError, ReplyError, ReplyReader
-from molereach.waiting import Waits
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import read_report
+from orchidhatch.proxy import socket_inspection as looks
+from orchidhatch.proxy.config import Address
+from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.resp import ProtocolError, ReplyError, ReplyReader
+from orchidhatch.proxy.wait_queues import Waits
 
 log = logging.getLogger(__name__)
 
--- a/molereach/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from fennelwinch import interface as i
-from molereach import looks
-from molereach.account import Account, Place
-from molereach.config import MOST_US, Config
-from molereach.resp import ProtocolError
-from molereach.waiting import Waits
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy import socket_inspection as looks
+from orchidhatch.proxy.config import MOST_US, Config
+from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.resp import ProtocolError
+from orchidhatch.proxy.wait_queues import Waits
 
 log = logging.getLogger(__name__)
 
--- a/molereach/config.py
+++ b/orchidhatch/proxy/config.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from fennelwinch import interface as i
-from fennelwinch.codec import Pairs, read_settings
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import Pairs, read_settings
 
 Address = tuple[str, int]
 
--- a/molereach/discovery.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -13,9 +13,9 @@
 
 import h11
 
-from fennelwinch import interface as i
-from molereach.account import Account, Place
-from molereach.config import Address, Config, ConfigError, read_backend
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.config import Address, Config, ConfigError, read_backend
+from orchidhatch.proxy.cpu_accounting import Account, Place
 
 log = logging.getLogger(__name__)
 
--- a/molereach/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -15,8 +15,8 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from fennelwinch import interface as i
-from fennelwinch.codec import plain, read_plain
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import plain, read_plain
 
 log = logging.getLogger(__name__)
 
--- a/molereach/logs.py
+++ b/orchidhatch/proxy/log_writer.py
@@ -7,7 +7,7 @@
 import time
 from collections import deque
 
-from molereach.waiting import Line, Waits
+from orchidhatch.proxy.wait_queues import Line, Waits
 
 STANDARD_ERROR = 2
 MOST_LINES = 1000  # some minutes of an ordinary day's, or what a failing one writes in a second
--- a/molereach/program.py
+++ b/orchidhatch/proxy/main.py
@@ -9,11 +9,11 @@
 
 import uvloop
 
-from molereach.config import Config, ConfigError, describe, load, reload
-from molereach.frontdoor import FrontDoor
-from molereach.logs import LogWriter
+from orchidhatch.proxy.config import Config, ConfigError, describe, load, reload
+from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.server import FrontDoor
 
-log = logging.getLogger("molereach")
+log = logging.getLogger("orchidhatch.proxy")
 
 
 def hang_up(door: FrontDoor) -> None:
@@ -62,15 +62,15 @@
     try:
         config = load(os.environ)
         if sys.argv[1:] == ["--check"]:
-            print(f"molereach: {describe(config)}")
+            print(f"orchidhatch: {describe(config)}")
             return 0
         if sys.argv[1:]:
             raise ConfigError(f"'{sys.argv[1]}' is no option; there is --check")
         run(config)
     except ConfigError as error:
-        print(f"molereach: {error}", file=sys.stderr)
+        print(f"orchidhatch: {error}", file=sys.stderr)
         return 2
     except OSError as error:
-        print(f"molereach: cannot start: {error}", file=sys.stderr)
+        print(f"orchidhatch: cannot start: {error}", file=sys.stderr)
         return 1
     return 0
--- a/molereach/management.py
+++ b/orchidhatch/proxy/management.py
@@ -12,8 +12,8 @@
 
 import h11
 
-from molereach.account import Account, Place
-from molereach.waiting import Line, Waits
+from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.wait_queues import Line, Waits
 
 log = logging.getLogger(__name__)
 
--- a/molereach/peers.py
+++ b/orchidhatch/proxy/peers.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from fennelwinch import interface as i
-from fennelwinch.codec import mark_of, pack_message, unpack_message
-from molereach.account import Account, Place
-from molereach.config import Address
-from molereach.waiting import Waits
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import mark_of, pack_message, unpack_message
+from orchidhatch.proxy.config import Address
+from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.wait_queues import Waits
 
 MOST_UNSENT = 16 * 1024  # bytes that wait for the socket; what comes then is dropped, as words may be lost
 
--- a/molereach/policy.py
+++ b/orchidhatch/proxy/policy_guard.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable
 
-from molereach.config import Policy
+from orchidhatch.proxy.config import Policy
 
 log = logging.getLogger(__name__)
 
--- a/molereach/frontdoor.py
+++ b/orchidhatch/proxy/server.py
@@ -14,21 +14,12 @@
 from dataclasses import replace
 from typing import Any
 
-from fennelwinch import interface as i
-from fennelwinch.codec import plain
-from fennelwinch.rules import Gateway
-from fennelwinch.words import MOST_WORDS
-from molereach.account import (
-    PLACES,
-    Account,
-    Place,
-    descriptors,
-    descriptors_allowed,
-    peak_resident_bytes,
-    resident_bytes,
-)
-from molereach.backends import Attempt, Backends, now_us
-from molereach.clients import (
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import plain
+from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.proxy.backends import Attempt, Backends, now_us
+from orchidhatch.proxy.clients import (
     FAILED,
     PATIENCE_S,
     PROGRAM_MB,
@@ -40,16 +31,25 @@
     CommandParser,
     Reply,
 )
-from molereach.config import LEAST_SOCKETS, MOST_US, SPARE_SOCKETS, Config
-from molereach.discovery import Catalog, Discovery, News
-from molereach.figures import Ended, Figures, page
-from molereach.handover import Twin
-from molereach.logs import LogWriter
-from molereach.management import Answer, Calls, Management
-from molereach.peers import Peers
-from molereach.policy import Watchfulness
-from molereach.waiting import Line, Waits, oldest
-from molereach.waiting import figures as waiting_figures
+from orchidhatch.proxy.config import LEAST_SOCKETS, MOST_US, SPARE_SOCKETS, Config
+from orchidhatch.proxy.cpu_accounting import (
+    PLACES,
+    Account,
+    Place,
+    descriptors,
+    descriptors_allowed,
+    peak_resident_bytes,
+    resident_bytes,
+)
+from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News
+from orchidhatch.proxy.handover import Twin
+from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.management import Answer, Calls, Management
+from orchidhatch.proxy.metrics import Ended, Figures, page
+from orchidhatch.proxy.peers import Peers
+from orchidhatch.proxy.policy_guard import Watchfulness
+from orchidhatch.proxy.wait_queues import Line, Waits, oldest
+from orchidhatch.proxy.wait_queues import figures as waiting_figures
 
 log = logging.getLogger(__name__)
 
--- a/molereach/waiting.py
+++ b/orchidhatch/proxy/wait_queues.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from molereach.figures import page
+from orchidhatch.proxy.metrics import page
 
 # Upper ends of the classes of waits, in milliseconds: from a turn of the loop to the longest deadlines.
 BUCKETS_MS = (1, 5, 20, 50, 100, 250, 500, 1000, 2500, 5000, 10_000)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,5 @@
 
 from hypothesis import settings
 
-settings.register_profile("molereach", derandomize=True, deadline=None)
-settings.load_profile("molereach")
+settings.register_profile("orchidhatch", derandomize=True, deadline=None)
+settings.load_profile("orchidhatch")
--- a/tests/test_under_policy.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -15,20 +15,20 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelwinch import interface as i
-from fennelwinch.codec import MARK, WORD, mark_of, pack_message, unpack_message
-from molereach.config import ConfigError, Policy, load
-from molereach.frontdoor import FrontDoor
-from orchidhatch.agent import Agent
-from orchidhatch.policy.doors import DOCUMENT
-from orchidhatch.policy.keeper import Keeper, Setup
-from orchidhatch.policy.times import GRACE_S, LATE_S, LEASE_S, OUT_S, SILENT_S
-from orchidhatch.registry import Registry
-from orchidhatch.store import Store
+from orchidhatch.control.agent.policy_lease import Keeper, Setup
+from orchidhatch.control.agent.service import Agent
+from orchidhatch.control.policy.leases import DOCUMENT
+from orchidhatch.control.policy.timing import GRACE_S, LATE_S, LEASE_S, OUT_S, SILENT_S
+from orchidhatch.control.registry.service import Registry
+from orchidhatch.control.registry.store import Store
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import MARK, WORD, mark_of, pack_message, unpack_message
+from orchidhatch.proxy.config import ConfigError, Policy, load
+from orchidhatch.proxy.server import FrontDoor
+from tests.control.policy.test_policy import DA, A, Time, decide, keeping, settled
+from tests.control.registry.test_service import address_of, call
 from tests.helpers import MS, PLAN, SETTINGS, World, of
 from tests.sockets import CUSTOMER, HOST, Backend, Client, front_door, query, run
-from tests.test_policy import DA, A, Time, decide, keeping, settled
-from tests.test_registry import address_of, call
 
 WIDER = i.Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
 TIGHT = i.Plan(rate=5.0, burst=5.0, max_out=1)
--- a/tests/test_agent.py
+++ b/tests/control/agent/test_service.py
@@ -13,16 +13,16 @@
 
 import pytest
 
-from molereach.frontdoor import FrontDoor
-from orchidhatch import following
-from orchidhatch.agent import Agent, open_cache
-from orchidhatch.registry import Registry
-from orchidhatch.store import Batch, Store
+from orchidhatch.control.agent.service import Agent, open_cache
+from orchidhatch.control.registry import replication as following
+from orchidhatch.control.registry.service import Registry
+from orchidhatch.control.registry.store import Batch, Store
+from orchidhatch.proxy.server import FrontDoor
+from tests.control.registry.test_service import Watcher, address_of, call, named, serving, start
+from tests.control.test_schemas import body
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
-from tests.test_forms import body
-from tests.test_registry import Watcher, address_of, call, named, serving, start
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[3]
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -12,22 +12,22 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidhatch import claims
-from orchidhatch.agent import Agent
-from orchidhatch.backups import Backups
-from orchidhatch.claims import Book, End, Fence, Give, Hold, Keep, Open, Session, Take
-from orchidhatch.registry import OWNED_S
-from orchidhatch.sharing import share_out
-from orchidhatch.steward import SHARDS, Steward, shard_of
-from orchidhatch.store import Change, DamagedError, RefusedError, Store, StoreError
-from orchidhatch.summary import Reading, read_figures, sum_up
-from orchidhatch.tasks import drain
+from orchidhatch.control.agent.service import Agent
+from orchidhatch.control.controller.service import SHARDS, Steward, shard_of
+from orchidhatch.control.controller.shard_assignment import share_out
+from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
+from orchidhatch.control.controller.tasks import drain
+from orchidhatch.control.ownership import claims
+from orchidhatch.control.ownership.claims import Book, End, Fence, Give, Hold, Keep, Open, Session, Take
+from orchidhatch.control.registry.backups import Backups
+from orchidhatch.control.registry.service import OWNED_S
+from orchidhatch.control.registry.store import Change, DamagedError, RefusedError, Store, StoreError
+from tests.control.agent.test_service import until
+from tests.control.registry.test_service import address_of, call, serving
+from tests.control.registry.test_store import one
+from tests.control.test_cli import client
+from tests.control.test_schemas import body
 from tests.sockets import HOST, refusing_address, run
-from tests.test_agent import until
-from tests.test_client import client
-from tests.test_forms import body
-from tests.test_registry import address_of, call, serving
-from tests.test_store import one
 
 HOLDERS, NAMES = ("a", "b", "c"), ("x", "y")
 holders, names = st.sampled_from(HOLDERS), st.sampled_from(NAMES)
--- a/tests/test_policy.py
+++ b/tests/control/policy/test_policy.py
@@ -8,16 +8,16 @@
 
 import pytest
 
-from orchidhatch.claims import Fence, Keep
-from orchidhatch.policy import form
-from orchidhatch.policy.change import Gate, ask, judged, out_of_service
-from orchidhatch.policy.doors import CHANGE, DOCUMENT, NOW, PAST
-from orchidhatch.policy.times import LEASE_S, OUT_S
-from orchidhatch.registry import Registry
-from orchidhatch.steward import Steward
+from orchidhatch.control.controller.service import Steward
+from orchidhatch.control.ownership.claims import Fence, Keep
+from orchidhatch.control.policy import document as form
+from orchidhatch.control.policy.change import Gate, ask, judged, out_of_service
+from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, NOW, PAST
+from orchidhatch.control.policy.timing import LEASE_S, OUT_S
+from orchidhatch.control.registry.service import Registry
+from tests.control.agent.test_service import until
+from tests.control.registry.test_service import address_of, call, serving
 from tests.sockets import run
-from tests.test_agent import until
-from tests.test_registry import address_of, call, serving
 
 PLAN = {"name": "stor", "units-per-s": 10.0, "burst": 20.0}
 LOWER, HIGHER = ({"plans": [{**PLAN, "burst": burst}]} for burst in (20.0, 40.0))
@@ -421,7 +421,7 @@
 ) -> None:
     async def job() -> None:
         time = Time()
-        monkeypatch.setattr("orchidhatch.tasks.time.monotonic", time)
+        monkeypatch.setattr("orchidhatch.control.controller.tasks.time.monotonic", time)
         async with keeping(tmp_path / "1.db", time) as registry:
             fleet = Fleet(registry, time, "a", "b")
             await fleet.begin()
@@ -481,7 +481,7 @@
 ) -> None:
     async def job() -> None:
         time = Time()
-        monkeypatch.setattr("orchidhatch.tasks.time.monotonic", time)
+        monkeypatch.setattr("orchidhatch.control.controller.tasks.time.monotonic", time)
         async with keeping(tmp_path / "1.db", time) as registry:
             fleet = Fleet(registry, time, "a")
             await fleet.begin()
--- a/tests/test_rebuild.py
+++ b/tests/control/registry/test_rebuild.py
@@ -5,13 +5,13 @@
 import sys
 from pathlib import Path
 
-from orchidhatch.store import Register, Store
+from orchidhatch.control.registry.store import Register, Store
+from tests.control.agent.test_service import agent_of, register, until
+from tests.control.registry.test_service import Watcher, address_of, named, serving
+from tests.control.registry.test_store import entry, one
 from tests.sockets import refusing_address, run
-from tests.test_agent import agent_of, register, until
-from tests.test_registry import Watcher, address_of, named, serving
-from tests.test_store import entry, one
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[3]
 
 
 async def rebuild(path: Path, *words: str) -> tuple[int, str, str]:
--- a/tests/test_following.py
+++ b/tests/control/registry/test_replication.py
@@ -11,16 +11,17 @@
 
 import pytest
 
-from molereach.frontdoor import FrontDoor
-from orchidhatch import following, registry
-from orchidhatch.registry import Registry
-from orchidhatch.store import Register, Store, StoreError
+from orchidhatch.control.registry import replication as following
+from orchidhatch.control.registry import service as registry
+from orchidhatch.control.registry.service import Registry
+from orchidhatch.control.registry.store import Register, Store, StoreError
+from orchidhatch.proxy.server import FrontDoor
+from tests.control.agent.test_service import agent_of, register, start_agent, until
+from tests.control.registry.test_service import Watcher, address_of, call, named, serving, start
+from tests.control.registry.test_store import entry, one
+from tests.control.test_cli import client
+from tests.control.test_schemas import body
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
-from tests.test_agent import agent_of, register, start_agent, until
-from tests.test_client import client
-from tests.test_forms import body
-from tests.test_registry import Watcher, address_of, call, named, serving, start
-from tests.test_store import entry, one
 
 
 @pytest.fixture(autouse=True)
--- a/tests/test_registry.py
+++ b/tests/control/registry/test_service.py
@@ -13,15 +13,15 @@
 
 import pytest
 
-from molereach.frontdoor import FrontDoor
-from orchidhatch import registry as registries
-from orchidhatch import server as servers
-from orchidhatch.registry import Registry
-from orchidhatch.store import Store
+from orchidhatch.control import http_server as servers
+from orchidhatch.control.registry import service as registries
+from orchidhatch.control.registry.service import Registry
+from orchidhatch.control.registry.store import Store
+from orchidhatch.proxy.server import FrontDoor
+from tests.control.test_schemas import body
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
-from tests.test_forms import body
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[3]
 
 
 def address_of(registry: Registry) -> tuple[str, int]:
--- a/tests/test_store.py
+++ b/tests/control/registry/test_store.py
@@ -13,8 +13,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidhatch import store as stores
-from orchidhatch.store import (
+from orchidhatch.control.registry import store as stores
+from orchidhatch.control.registry.store import (
     Change,
     DamagedError,
     Entry,
@@ -26,7 +26,7 @@
     Write,
 )
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[3]
 
 
 def entry(number: int, started_ms: int = 0, **changes: object) -> Entry:
@@ -200,8 +200,8 @@
 WRITER = """
 import sys
 from pathlib import Path
-from orchidhatch.store import Change, Register, Store
-from tests.test_store import entry
+from orchidhatch.control.registry.store import Change, Register, Store
+from tests.control.registry.test_store import entry
 store = Store(Path(sys.argv[1]), create=True)
 while True:
     number = store.generation
--- a/tests/test_client.py
+++ b/tests/control/test_cli.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from tests.control.registry.test_service import address_of, serving
 from tests.sockets import HOST, refusing_address, run
-from tests.test_registry import address_of, serving
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 
 async def started(at: tuple[str, int], *words: str) -> asyncio.subprocess.Process:
--- a/tests/test_leases.py
+++ b/tests/control/test_leases.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from orchidhatch.leases import FEW, MOST_SHARE, TICK_S, Leases
-from orchidhatch.store import Entry
+from orchidhatch.control.leases import FEW, MOST_SHARE, TICK_S, Leases
+from orchidhatch.control.registry.store import Entry
 
 
 def entry(number: int, **changes: object) -> Entry:
--- a/tests/test_forms.py
+++ b/tests/control/test_schemas.py
@@ -6,11 +6,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelwinch import interface as i
-from molereach.discovery import Catalog
-from orchidhatch import forms
-from orchidhatch.forms import FormError, listing, read_after, read_change, read_register, read_remove, written
-from orchidhatch.store import Change, Entry, Remove
+from orchidhatch.control import schemas as forms
+from orchidhatch.control.registry.store import Change, Entry, Remove
+from orchidhatch.control.schemas import (
+    FormError,
+    listing,
+    read_after,
+    read_change,
+    read_register,
+    read_remove,
+    written,
+)
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.endpoint_watch import Catalog
 from tests.sockets import CONFIG
 
 GIVEN = {
--- a/tests/test_trial.py
+++ b/tests/faults/test_trial.py
@@ -16,14 +16,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidhatch.trial import forms, load
-from orchidhatch.trial.events import Recorder, gather, read
-from orchidhatch.trial.judge import Judge
-from orchidhatch.trial.relay import Datagrams, TcpRelay, Way
-from orchidhatch.trial.tap import Tap
+from orchidhatch.faults import load
+from orchidhatch.faults import plan as forms
+from orchidhatch.faults.checkers import Judge
+from orchidhatch.faults.events import Recorder, gather, read
+from orchidhatch.faults.links import Datagrams, TcpRelay, Way
+from orchidhatch.faults.tap import Tap
 from tests.sockets import HOST, run
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 SMALL = ROOT / "trials/small.toml"
 MS = 1_000_000
 
--- a/tests/test_rules.py
+++ b/tests/gateway/test_core.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from fennelwinch.cap import TARGETS, next_n
-from fennelwinch.routing import CHOICES, Routing
-from fennelwinch.rules import Gateway
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.load_balancing import CHOICES, Routing
+from orchidhatch.gateway.overload import TARGETS, next_n
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
@@ -926,11 +926,19 @@
 
 
 def test_module_size() -> None:
-    root = Path(__file__).parent.parent
+    root = Path(__file__).parents[2]
     files = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["policy"]
     lines = [line for file in files for line in (root / file).read_text().splitlines()]
-    others = {"__init__", "adapter", "codec", "interface", "records", "report", "words"}  # decide nothing
-    found = {file.stem for file in (root / "fennelwinch").glob("*.py")}
+    others = {
+        "__init__",
+        "simulator",
+        "codec",
+        "interface",
+        "state",
+        "metrics",
+        "peer_outbox",
+    }  # decide nothing
+    found = {file.stem for file in (root / "orchidhatch" / "gateway").glob("*.py")}
     assert {Path(file).stem for file in files} == found - others
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
--- a/tests/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from fennelwinch.basics import CC_PERIOD_US, MOST_PERIODS, S
-from fennelwinch.records import Desk
-from fennelwinch.words import MOST_WORDS, TELLS_AT_ONCE, Words
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS, S
+from orchidhatch.gateway.peer_outbox import MOST_WORDS, TELLS_AT_ONCE, Words
+from orchidhatch.gateway.state import Desk
 from tests.helpers import SETTINGS
 
 PEER = 2
--- a/tests/test_properties.py
+++ b/tests/gateway/test_properties.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fennelwinch import interface as i
+from orchidhatch.gateway import interface as i
 from tests.helpers import MS, SETTINGS, S, World, servers
 
 CLASSES = (
--- a/tests/test_adapter.py
+++ b/tests/gateway/test_simulator.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from fennelwinch.adapter import Host, write_action
-from fennelwinch.codec import pack_message, unpack_message
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import pack_message, unpack_message
+from orchidhatch.gateway.simulator import Host, write_action
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 PARAMS = (
     "balancers=3 categories.count=1 categories.0.deadline-us=6000000 categories.0.group=all "
     "categories.0.idempotency=read_like categories.0.on-time-us=2500000 categories.0.points=1.0 "
@@ -39,7 +39,7 @@
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "fennelwinch.adapter"],
+        [sys.executable, "-m", "orchidhatch.gateway.simulator"],
         input=text,
         text=True,
         capture_output=True,
@@ -127,7 +127,7 @@
     done = run(batch(0) + text)
     assert done.returncode != 0
     assert done.stdout == "FINISHED\n"
-    assert done.stderr.startswith(f"fennelwinch: line {line + 2}: ") and word in done.stderr
+    assert done.stderr.startswith(f"orchidhatch: line {line + 2}: ") and word in done.stderr
     assert done.stderr.count("\n") == 1
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from fennelwinch import interface as i
-from fennelwinch.rules import Gateway
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.core import Gateway
 
 MS, S = 1_000, 1_000_000
 SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
--- a/tests/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from molereach import backends
-from molereach.backends import REST_US, Attempt, Backends, IdleLimit, read_reply
-from molereach.config import Address
-from molereach.resp import ReplyReader
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy import backends
+from orchidhatch.proxy.backends import REST_US, Attempt, Backends, IdleLimit, read_reply
+from orchidhatch.proxy.config import Address
+from orchidhatch.proxy.resp import ReplyReader
 from tests.sockets import HOST, Backend, refusing_address, resp, run, value
 
 S = 1_000_000
--- a/tests/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from molereach.clients import CommandError, CommandParser, CommandReader, ProtocolError
+from orchidhatch.proxy.clients import CommandError, CommandParser, CommandReader, ProtocolError
 from tests.sockets import CONFIG, CUSTOMER, Backend, Client, front_door, query, resp, run, value
 
 PARSER = CommandParser(CONFIG)
--- a/tests/test_account.py
+++ b/tests/proxy/test_cpu_accounting.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from molereach.account import EVERY, Account, Place
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.cpu_accounting import EVERY, Account, Place
+from tests.proxy.test_management import call, operated
 from tests.sockets import Backend, Client, query, run
-from tests.test_management import call, operated
 
 
 class Clock:
--- a/tests/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -10,12 +10,14 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from molereach import backends, frontdoor, looks
-from molereach.backends import Attempt, Connection, Pool
-from molereach.clients import PATIENCE_S, Reply
-from molereach.config import Policy
-from molereach.frontdoor import FrontDoor
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy import backends
+from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy import socket_inspection as looks
+from orchidhatch.proxy.backends import Attempt, Connection, Pool
+from orchidhatch.proxy.clients import PATIENCE_S, Reply
+from orchidhatch.proxy.config import Policy
+from orchidhatch.proxy.server import FrontDoor
 from tests import helpers
 from tests.helpers import S, World, of
 from tests.sockets import (
--- a/tests/test_discovery.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from fennelwinch.codec import pack_message
-from molereach import discovery
-from molereach.discovery import Catalog, Discovery, News, Values
-from molereach.frontdoor import FrontDoor
-from molereach.peers import Peers
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import pack_message
+from orchidhatch.proxy import endpoint_watch as discovery
+from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News, Values
+from orchidhatch.proxy.peers import Peers
+from orchidhatch.proxy.server import FrontDoor
 from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, refusing_address, run
 
 AT = (HOST, 6379)
--- a/tests/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -13,11 +13,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fennelwinch import interface as i
-from fennelwinch.codec import plain, read_plain
-from molereach import frontdoor, handover
-from molereach.config import Config
-from molereach.frontdoor import FrontDoor
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import plain, read_plain
+from orchidhatch.proxy import handover
+from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy.config import Config
+from orchidhatch.proxy.server import FrontDoor
 from tests.helpers import MS, SETTINGS, S, World, of
 from tests.sockets import CONFIG, HEAD, HOST, Backend, Client, Watch, catalog, chunk, entry, query, resp, run
 
--- a/tests/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from molereach import backends, clients, frontdoor
-from molereach.figures import Ended
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy import backends, clients
+from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy.metrics import Ended
 from tests.helpers import World, of
 from tests.sockets import Backend, Client, front_door, query, resp, run, value
 
--- a/tests/test_program.py
+++ b/tests/proxy/test_main.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from molereach.config import ConfigError, load
+from orchidhatch.proxy.config import ConfigError, load
 from tests.sockets import (
     CUSTOMER,
     HOST,
@@ -28,7 +28,7 @@
     value,
 )
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 SETTINGS = {
     "me": 0,
     "balancers": 2,
@@ -100,7 +100,7 @@
     env = {key: text for key, text in os.environ.items() if not key.startswith("PROXY_")}
     env |= write(tmp_path, values) if values is not None else {}
     done = subprocess.run(
-        [sys.executable, "-m", "molereach"],
+        [sys.executable, "-m", "orchidhatch.proxy"],
         cwd=ROOT,
         env=env,
         capture_output=True,
@@ -109,7 +109,7 @@
         timeout=60,
     )
     assert done.returncode == 2
-    assert done.stderr.startswith("molereach: ") and done.stderr.count("\n") == 1
+    assert done.stderr.startswith("orchidhatch: ") and done.stderr.count("\n") == 1
 
 
 @pytest.mark.parametrize(
@@ -158,7 +158,7 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "molereach",
+        "orchidhatch.proxy",
         cwd=ROOT,
         env=env,
         stderr=asyncio.subprocess.PIPE,
@@ -248,7 +248,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "molereach",
+            "orchidhatch.proxy",
             cwd=ROOT,
             env={**os.environ, "PROXY_CONFIG": str(path)},
             stderr=asyncio.subprocess.PIPE,
@@ -270,7 +270,7 @@
 def test_run_lets_no_hang_up_end_what_it_starts() -> None:
     """Until the program itself has its first turn."""
     command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-    probe = command.replace(".venv/bin/python -m molereach", "grep SigIgn /proc/self/status")
+    probe = command.replace(".venv/bin/python -m orchidhatch.proxy", "grep SigIgn /proc/self/status")
     assert probe != command
     shown = subprocess.run(["/bin/sh", "-c", probe], capture_output=True, text=True, check=True, timeout=60)
     assert int(shown.stdout.split()[1], 16) >> (signal.SIGHUP - 1) & 1
@@ -283,14 +283,14 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "molereach",
+            "orchidhatch.proxy",
             cwd=ROOT,
             env={**os.environ, **write(tmp_path, values)},
             stderr=asyncio.subprocess.PIPE,
         )
         _, errors = await process.communicate()
         assert process.returncode == 1
-        assert b"molereach: cannot start: " in errors and b"Traceback" not in errors
+        assert b"orchidhatch: cannot start: " in errors and b"Traceback" not in errors
 
     run(job())
 
--- a/tests/test_management.py
+++ b/tests/proxy/test_management.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from molereach import management
-from molereach.figures import Figures
-from molereach.frontdoor import FrontDoor
+from orchidhatch.proxy import management
+from orchidhatch.proxy.metrics import Figures
+from orchidhatch.proxy.server import FrontDoor
 from tests.sockets import HOST, SETTINGS, Backend, Client, front_door, query, resp, run, value
 
 
--- a/tests/test_frontdoor.py
+++ b/tests/proxy/test_server.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from molereach import frontdoor
-from molereach.clients import PATIENCE_S
-from molereach.frontdoor import FrontDoor
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy.clients import PATIENCE_S
+from orchidhatch.proxy.server import FrontDoor
 from tests.sockets import (
     CONFIG,
     CUSTOMER,
@@ -294,7 +294,7 @@
         async with front_door(backend) as (door, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            with caplog.at_level(logging.INFO, logger="molereach.frontdoor"):
+            with caplog.at_level(logging.INFO, logger="orchidhatch.proxy.server"):
                 door.log_figures()
                 door.log_figures()
         first, second = (record.getMessage() for record in caplog.records if "longest batch" in record.msg)
--- a/tests/test_waiting.py
+++ b/tests/proxy/test_wait_queues.py
@@ -10,15 +10,17 @@
 
 import pytest
 
-from fennelwinch import interface as i
-from fennelwinch.words import MOST_WORDS
-from molereach import frontdoor
-from molereach.clients import MOST_PIPELINED, PATIENCE_S, SHED_POOLS, STALL_S
-from molereach.frontdoor import FrontDoor
-from molereach.logs import LogWriter
-from molereach.waiting import BUCKETS_MS, Line, Waits, figures
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy.clients import MOST_PIPELINED, PATIENCE_S, SHED_POOLS, STALL_S
+from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.wait_queues import BUCKETS_MS, Line, Waits, figures
 from tests.helpers import MS, S, World, of, servers
 from tests.helpers import SETTINGS as WORLD
+from tests.proxy.test_cpu_accounting import samples
+from tests.proxy.test_management import call, operated
 from tests.sockets import (
     HOST,
     SETTINGS,
@@ -31,8 +33,6 @@
     submit,
     value,
 )
-from tests.test_account import samples
-from tests.test_management import call, operated
 
 
 def line(door: FrontDoor, name: str) -> Line:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,9 +12,9 @@
 import hiredis
 import uvloop
 
-from fennelwinch import interface as i
-from molereach.config import Address, Config
-from molereach.frontdoor import FrontDoor
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.config import Address, Config
+from orchidhatch.proxy.server import FrontDoor
 
 # An address for each of the processes that tests are spread over: a port that one found free stays so.
 HOST = f"127.0.0.{1 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
--- a/tests/test_fleet_table.py
+++ b/tests/tools/test_fleet_table.py
@@ -5,10 +5,10 @@
 import sys
 from pathlib import Path
 
-from fennelwinch import interface as i
+from orchidhatch.gateway import interface as i
 from tests.helpers import S, World, of
 
-SCRIPT = Path(__file__).parent.parent / "scripts" / "fleet-table"
+SCRIPT = Path(__file__).parents[2] / "scripts" / "fleet-table"
 HEAD = "2026-01-01 00:00:0{at},000 INFO molereach.frontdoor: "
 
 
