--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -11,9 +11,16 @@
 from urllib.parse import quote
 
 from orchidhatch.control.http_client import Address, call
-from orchidhatch.control.http_server import Answer, Connection, ListServer, busy, term_of, told
+from orchidhatch.control.http_server import (
+    Connection,
+    EndpointListServer,
+    Response,
+    error_body,
+    term_of,
+    unavailable,
+)
 from orchidhatch.control.ownership.claims import Fence
-from orchidhatch.control.registry.replication import Following
+from orchidhatch.control.registry.replication import Replicator
 
 log = logging.getLogger("orchidhatch.door")
 
@@ -28,7 +35,7 @@
 class Door:
     """The front door, and the epochs that were seen here."""
 
-    def __init__(self, server: ListServer, following: Following, at: Address) -> None:
+    def __init__(self, server: EndpointListServer, following: Replicator, at: Address) -> None:
         self.server, self.db, self.following, self.at = server, server.store.db, following, at
         self.lock, self.waiting = asyncio.Lock(), 0
         self.acts = self.late = self.unknown = 0
@@ -46,19 +53,21 @@
     async def ask(self, connection: Connection, question: str) -> None:
         """What the front door answers, as it is now."""
         if question not in QUESTIONS:
-            connection.answer(Answer(404, told("no such question")))
+            connection.answer(Response(404, error_body("no such question")))
             return
         status, text, _ = await call(self.at, "GET", f"/{question}", within_s=DOOR_S)
         connection.answer(
-            Answer(status, {"door": text}) if status else busy(f"the front door does not answer: {text}")
+            Response(status, {"door": text})
+            if status
+            else unavailable(f"the front door does not answer: {text}")
         )
 
     async def carry_out(self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int) -> None:
         if (path[0], path[-1]) not in ACTS or len(path) not in (2, 3):
-            connection.answer(Answer(404, told("no such act")))
+            connection.answer(Response(404, error_body("no such act")))
             return
         if self.waiting >= MOST_WAITING:
-            connection.answer(busy("too many acts wait"))
+            connection.answer(unavailable("too many acts wait"))
             return
         self.waiting += 1
         try:
@@ -67,24 +76,26 @@
         finally:
             self.waiting -= 1
 
-    async def in_turn(self, path: tuple[str, ...], fence: Fence, act: int) -> Answer:
+    async def in_turn(self, path: tuple[str, ...], fence: Fence, act: int) -> Response:
         if not self.known and not await self.learn():
             self.unknown += 1
-            return busy("the epochs are not known here, and no list service tells them")
+            return unavailable("the epochs are not known here, and no list service tells them")
         highest = self.epochs.get(fence.claim, 0)
         if fence.epoch < highest:
             self.late += 1
-            return Answer(409, told(f"claim {fence.claim} is at epoch {highest} here, not {fence.epoch}"))
+            return Response(
+                409, error_body(f"claim {fence.claim} is at epoch {highest} here, not {fence.epoch}")
+            )
         subject = "/".join(path[:-1])
         if act < self.numbers.get(subject, 0):
             self.late += 1
-            return Answer(409, told(f"act {act} on {subject} comes after {self.numbers[subject]}"))
+            return Response(409, error_body(f"act {act} on {subject} comes after {self.numbers[subject]}"))
         if len(self.epochs) + len(self.numbers) >= MOST_KNOWN:
-            return busy("too many claims and backends are known here")
+            return unavailable("too many claims and backends are known here")
         try:
             await self.keep({fence.claim: fence.epoch}, {subject: act})
         except sqlite3.Error as error:
-            return busy(f"cannot keep the epoch: {error}")
+            return unavailable(f"cannot keep the epoch: {error}")
         target = "/" + "/".join(quote(part, safe="") for part in path)
         status, text, _ = await call(
             self.at,
@@ -95,8 +106,8 @@
         )
         self.acts += 200 <= status < 300
         if status == 0:
-            return busy(f"the front door does not answer: {text}")
-        return Answer(200 if 200 <= status < 300 else status, {"door": text})
+            return unavailable(f"the front door does not answer: {text}")
+        return Response(200 if 200 <= status < 300 else status, {"door": text})
 
     async def learn(self) -> bool:
         """Of a list service that is not behind what was heard: the epochs that hold by now."""
--- a/orchidhatch/control/agent/policy_lease.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -25,11 +25,11 @@
 
 from orchidhatch.control.controller.summary import read_figures
 from orchidhatch.control.http_client import Address, call
-from orchidhatch.control.http_server import ListServer
+from orchidhatch.control.http_server import EndpointListServer
 from orchidhatch.control.policy.document import PolicyError, digest_of, lay_over, read_text
 from orchidhatch.control.policy.leases import DOCUMENT
 from orchidhatch.control.policy.timing import GRACE_S, LATE_S, LEASE_S, RENEWALS, SILENT_S
-from orchidhatch.control.registry_client import Links
+from orchidhatch.control.registry_client import RegistryClient
 
 log = logging.getLogger("orchidhatch.policy")
 
@@ -75,13 +75,13 @@
 
     def __init__(
         self,
-        server: ListServer,
+        server: EndpointListServer,
         registries: Sequence[Address],
         door: Address,
         setup: Setup,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.server, self.links, self.door, self.setup = server, Links(list(registries)), door, setup
+        self.server, self.links, self.door, self.setup = server, RegistryClient(list(registries)), door, setup
         self.clock, self.db = clock, server.store.db
         self.db.execute(
             "CREATE TABLE IF NOT EXISTS policy_heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -18,16 +18,16 @@
 
 from orchidhatch.control.agent.gateway_calls import Door
 from orchidhatch.control.agent.policy_lease import Keeper, Setup
-from orchidhatch.control.http_server import Answer, Connection, ListServer
-from orchidhatch.control.registry.replication import Address, Following, now_ms
+from orchidhatch.control.http_server import Connection, EndpointListServer, Response
+from orchidhatch.control.registry.replication import Address, Replicator, now_ms
 from orchidhatch.control.registry.service import read_listen
-from orchidhatch.control.registry.store import DamagedError, Store, StoreError, put_aside
+from orchidhatch.control.registry.store import CorruptStoreError, Store, StoreError, put_aside
 from orchidhatch.control.schemas import read_act
 
 log = logging.getLogger("orchidhatch.agent")
 
 
-class Agent(ListServer):
+class Agent(EndpointListServer):
     """The list as the registries have told it, in a store of its own whose generations only rise."""
 
     def __init__(
@@ -40,7 +40,7 @@
         setup: Setup | None = None,
     ) -> None:
         super().__init__(store, seed)
-        self.following = Following(self, registries, wall_ms=wall_ms)
+        self.following = Replicator(self, registries, wall_ms=wall_ms)
         self.door = Door(self, self.following, door) if door else None
         self.keeper = Keeper(self, registries, door, setup) if door and setup else None
 
@@ -62,14 +62,14 @@
         else:
             super().other(connection, method, path, body)
 
-    def health(self) -> Answer:
+    def health(self) -> Response:
         value = {
             "health": "serves",
             "connected": self.following.connected,
             "listAgeSeconds": self.following.age_s(),
             "registry": self.following.registry(),
         }
-        return Answer(200 if self.following.heard_ms else 503, value)
+        return Response(200 if self.following.heard_ms else 503, value)
 
     def figures(self) -> str:
         heard = self.following
@@ -92,7 +92,7 @@
     """The list as it was last had; a damaged one is put aside, as the registries have it all."""
     try:
         return Store(path, create=True, first=now_ms())
-    except DamagedError as error:
+    except CorruptStoreError as error:
         log.error("%s; put aside as %s, begun anew", error, put_aside(path).name)
         return Store(path, create=True, first=now_ms())
 
--- a/orchidhatch/control/controller/service.py
+++ b/orchidhatch/control/controller/service.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from orchidhatch.control.controller.shard_assignment import share_out
+from orchidhatch.control.controller.shard_assignment import assign_shards
 from orchidhatch.control.controller.summary import Reading
 from orchidhatch.control.controller.tasks import (
     KINDS,
@@ -34,11 +34,11 @@
     read_task,
 )
 from orchidhatch.control.http_client import Address, call
-from orchidhatch.control.ownership.claims import COUNT_BITS
+from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import Change
 from orchidhatch.control.registry.replication import shown
 from orchidhatch.control.registry.service import read_listen
-from orchidhatch.control.registry_client import PATIENCE_S, Links
+from orchidhatch.control.registry_client import PATIENCE_S, RegistryClient
 
 log = logging.getLogger("orchidhatch.steward")
 
@@ -69,7 +69,7 @@
 
 
 @dataclass
-class Steward:
+class Controller:
     """One process: its session, the shards it holds, and the work in them."""
 
     id: str
@@ -87,7 +87,7 @@
     readings: dict[str, dict[str, Reading]] = field(default_factory=dict)  # by task: each door's last
 
     def __post_init__(self) -> None:
-        self.links = Links(list(self.registries))
+        self.links = RegistryClient(list(self.registries))
 
     def may_act(self) -> bool:
         """By our own clock: whether the lease cannot have ended yet."""
@@ -158,7 +158,7 @@
         if self.id not in self.others or not self.may_act():
             return
         barred = {name: claim["but"] for name, claim in self.claims.items() if claim["but"]}
-        owners = share_out(SHARDS, self.others, barred)
+        owners = assign_shards(SHARDS, self.others, barred)
         handed = {name: claim["to"] for name, claim in self.claims.items() if claim["to"] in self.others}
         for shard in SHARDS:
             claim = self.claims.get(shard, {})
@@ -208,7 +208,7 @@
     async def step(self, shard: str, task: Task) -> None:
         held = self.held[shard]
         try:
-            await task.step(Owner(self, shard, held.epoch))
+            await task.step(ShardOwner(self, shard, held.epoch))
             held.failures = 0
         except FencedError as error:
             self.refused += 1
@@ -241,10 +241,10 @@
 
 
 @dataclass
-class Owner:
+class ShardOwner:
     """What a task may do, in the name of its shard's claim."""
 
-    steward: Steward
+    steward: Controller
     shard: str
     epoch: int
 
@@ -277,7 +277,7 @@
 
     def term(self) -> int:
         """Of the store that our claim is kept in."""
-        return self.epoch >> COUNT_BITS
+        return self.epoch >> EPOCH_COUNT_BITS
 
     async def note(self, task: Task) -> None:
         """Put down how far it is; conditional on its being as it was read."""
@@ -290,7 +290,10 @@
 
     async def tell_doors(self, task: Task, call_: str) -> list[str]:
         """A management call at each front door, through its machine's agent; those that did not take it."""
-        act = {**self.fence(), "act": self.term() << COUNT_BITS | task.version}  # by the store that counted
+        act = {
+            **self.fence(),
+            "act": self.term() << EPOCH_COUNT_BITS | task.version,
+        }  # by the store that counted
 
         async def one(agent: Address) -> str:
             self.check()
@@ -319,7 +322,7 @@
 
 
 async def serve(options: argparse.Namespace) -> None:
-    steward = Steward(options.id, options.registry, options.agent, options.lease_ms)
+    steward = Controller(options.id, options.registry, options.agent, options.lease_ms)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stopped.set)
--- a/orchidhatch/control/controller/shard_assignment.py
+++ b/orchidhatch/control/controller/shard_assignment.py
@@ -13,7 +13,7 @@
     return hashlib.blake2b(f"{shard} {holder}".encode(), digest_size=8).digest()
 
 
-def share_out(
+def assign_shards(
     shards: Iterable[str], holders: Sequence[str], barred: Mapping[str, str] | None = None
 ) -> dict[str, str]:
     """The owner of each shard; none where there are no holders. `barred`: a holder that a shard does not go
--- a/orchidhatch/control/controller/tasks.py
+++ b/orchidhatch/control/controller/tasks.py
@@ -99,7 +99,7 @@
         await self.move(acts, state if status == 200 else "gone", done or status == 404)
 
     async def leave_out(self, acts: Acts) -> None:
-        """Doors that are down do not count: they learn it by the list."""
+        """GatewayPolicyLeases that are down do not count: they learn it by the list."""
         missing = await acts.tell_doors(self, f"backends/{self.given['id']}/maint")
         self.given["since"] = round(time.monotonic(), 3)
         await self.move(acts, "out", told=f"not told: {', '.join(missing)}" if missing else "")
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -11,7 +11,7 @@
 import h11
 
 from orchidhatch.control.registry.store import Store
-from orchidhatch.control.schemas import MOST_BODY, FormError, listing, read_after
+from orchidhatch.control.schemas import MOST_BODY, InvalidRequestError, listing, read_after
 
 log = logging.getLogger("orchidhatch")
 
@@ -27,24 +27,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class Response:
     status: int
     value: object
     kind: str = "application/json"
 
 
-def told(text: str) -> dict[str, str]:
+def error_body(text: str) -> dict[str, str]:
     return {"error": text}
 
 
-def busy(text: str) -> Answer:
-    return Answer(503, told(text))
+def unavailable(text: str) -> Response:
+    return Response(503, error_body(text))
 
 
 class Connection(asyncio.Protocol):
     """One call, answered and closed; or a watch, until either side ends it."""
 
-    def __init__(self, server: "ListServer") -> None:
+    def __init__(self, server: "EndpointListServer") -> None:
         self.server = server
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
@@ -62,7 +62,7 @@
         self.server.calls.add(self)
         if len(self.server.calls) > MOST_CALLS:
             self.server.shed += 1
-            self.answer(busy("too many calls"))
+            self.answer(unavailable("too many calls"))
 
     def data_received(self, data: bytes) -> None:
         if self.answered or self.watches:
@@ -72,7 +72,7 @@
             while not self.answered and (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
                 self.take(event)
         except h11.RemoteProtocolError as error:
-            self.answer(Answer(error.error_status_hint, told(str(error))))
+            self.answer(Response(error.error_status_hint, error_body(str(error))))
 
     def take(self, event: h11.Event) -> None:
         if isinstance(event, h11.Request):
@@ -82,19 +82,19 @@
         elif isinstance(event, h11.Data):
             self.body += event.data
             if len(self.body) > MOST_BODY:
-                self.answer(Answer(413, told(f"the body is longer than {MOST_BODY} bytes")))
+                self.answer(Response(413, error_body(f"the body is longer than {MOST_BODY} bytes")))
         elif isinstance(event, h11.EndOfMessage):
             try:
                 self.server.call(self)
-            except (FormError, ValueError) as error:
-                self.answer(Answer(400, told(str(error))))
+            except (InvalidRequestError, ValueError) as error:
+                self.answer(Response(400, error_body(str(error))))
             except Exception:
                 log.exception("cannot answer %r", self.request)
-                self.answer(Answer(500, told("internal error")))
+                self.answer(Response(500, error_body("internal error")))
         elif isinstance(event, h11.ConnectionClosed):
             self.transport.close()
 
-    def answer(self, answer: Answer) -> None:
+    def answer(self, answer: Response) -> None:
         """The whole answer, and the end of the connection; nothing where it has ended already."""
         if self.answered or self.watches or self.transport.is_closing():
             return
@@ -144,7 +144,7 @@
         if self.answered:
             self.transport.abort()
         else:
-            self.answer(Answer(408, told("no whole call came in time")))
+            self.answer(Response(408, error_body("no whole call came in time")))
             self.timer = asyncio.get_running_loop().call_later(PATIENCE_S, self.transport.abort)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -164,7 +164,7 @@
     return int(term) if term.isascii() and term.isdigit() and len(term) <= 16 else 0
 
 
-class ListServer:
+class EndpointListServer:
     """A list and those who watch it; what else may be asked is its subclasses'."""
 
     def __init__(self, store: Store, seed: int | None = None) -> None:
@@ -231,7 +231,7 @@
             case "GET", ("healthcheck",):
                 connection.answer(self.health())
             case "GET", ("metrics",):
-                connection.answer(Answer(200, self.figures().encode(), "text/plain; version=0.0.4"))
+                connection.answer(Response(200, self.figures().encode(), "text/plain; version=0.0.4"))
             case method, _:
                 self.other(connection, method, path, bytes(connection.body))
 
@@ -242,10 +242,10 @@
             connection.transport.close()
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
-        connection.answer(Answer(404, told("no such call")))
+        connection.answer(Response(404, error_body("no such call")))
 
-    def health(self) -> Answer:
-        return Answer(200, {"health": "serves"})
+    def health(self) -> Response:
+        return Response(200, {"health": "serves"})
 
     def figures(self) -> str:
         raise NotImplementedError
@@ -271,12 +271,12 @@
 
     def members(self, connection: Connection, query: dict[str, list[str]]) -> None:
         if query.get("watch", ["0"]) != ["1"]:
-            connection.answer(Answer(200, self.whole()))
+            connection.answer(Response(200, self.whole()))
         elif self.closed:
-            connection.answer(busy("it takes no watches for now"))
+            connection.answer(unavailable("it takes no watches for now"))
         elif len(self.watches) >= MOST_WATCHES:
             self.shed += 1
-            connection.answer(busy("too many watches"))
+            connection.answer(unavailable("too many watches"))
         else:
             after = read_after(query.get("after", ["0"])[-1])
             named = dict(connection.request.headers).get(STORE_HEADER.lower().encode())
--- a/orchidhatch/control/ownership/claims.py
+++ b/orchidhatch/control/ownership/claims.py
@@ -14,15 +14,15 @@
 from dataclasses import asdict, dataclass, replace
 
 MOST_SESSIONS, MOST_CLAIMS, MOST_RECORDS, MOST_DOORS = 1_000, 10_000, 10_000, 1_000
-COUNT_BITS = 32  # of an epoch; the term is above them
+EPOCH_COUNT_BITS = 32  # of an epoch; the term is above them
 MOST_LOST = 3  # owners that went without a word, one after another: then the claim is put aside
 
 
-class RefusedError(Exception):
+class ConflictError(Exception):
     """A write that does not fit what is there; nothing was changed."""
 
 
-class UnlistedError(RefusedError):
+class NotFoundError(ConflictError):
     """A write to what is not there."""
 
 
@@ -158,7 +158,7 @@
     return json.dumps(asdict(thing), sort_keys=True)
 
 
-class Book:
+class ClaimsTable:
     """What is held now."""
 
     def __init__(self) -> None:
@@ -180,10 +180,10 @@
             raise ValueError(f"{kind} {name!r:.80} calls itself {name_of(thing)!r:.80}")
         self.kept(kind)[name] = thing
 
-    def draft(self, term: int) -> "Draft":
-        return Draft(self, term)
+    def draft(self, term: int) -> "ClaimsTransaction":
+        return ClaimsTransaction(self, term)
 
-    def take(self, draft: "Draft") -> None:
+    def take(self, draft: "ClaimsTransaction") -> None:
         """Take over what is durable."""
         self.last = max(self.last, draft.last)  # a follower has two that write
         for (kind, name), thing in draft.changed.items():
@@ -193,10 +193,10 @@
                 self.kept(kind)[name] = thing
 
 
-class Draft:
+class ClaimsTransaction:
     """The book as a batch of writes leaves it; the book itself stays as it is."""
 
-    def __init__(self, book: Book, term: int) -> None:
+    def __init__(self, book: ClaimsTable, term: int) -> None:
         self.book, self.term, self.last = book, term, book.last
         self.changed: dict[tuple[str, str], Thing | None] = {}
 
@@ -215,44 +215,44 @@
         return thing
 
     def check(self, fence: Fence | None) -> None:
-        """A RefusedError unless the claim is held at that epoch."""
+        """A ConflictError unless the claim is held at that epoch."""
         if fence is None:
             return
         claim = self.find("claim", fence.claim)
         if claim is None:
-            raise UnlistedError(f"there is no claim {fence.claim}")
+            raise NotFoundError(f"there is no claim {fence.claim}")
         if not claim.holder or claim.epoch != fence.epoch:
-            raise RefusedError(
+            raise ConflictError(
                 f"claim {fence.claim} is at epoch {claim.epoch}"
                 f"{'' if claim.holder else ' and held by nobody'}, not {fence.epoch}"
             )
         if claim.held:
-            raise RefusedError(f"claim {fence.claim} is put aside")
+            raise ConflictError(f"claim {fence.claim} is put aside")
 
     def write(self, write: BookWrite) -> Thing:
-        """What it comes to; a RefusedError where it does not fit, with nothing changed."""
+        """What it comes to; a ConflictError where it does not fit, with nothing changed."""
         before = self.last
         self.last += 1
         try:
             return getattr(self, type(write).__name__.lower())(write)
-        except RefusedError:
+        except ConflictError:
             self.last = before
             raise
 
     def open(self, write: Open) -> Session:
         known = self.find("session", write.session.id)
         if known and known.life != write.session.life:
-            raise RefusedError(f"{known.id} is held by another life of it until that one's lease ends")
+            raise ConflictError(f"{known.id} is held by another life of it until that one's lease ends")
         if known is None and sum(1 for _ in self.all("session")) >= MOST_SESSIONS:
-            raise RefusedError(f"there are {MOST_SESSIONS} sessions, and no more")
+            raise ConflictError(f"there are {MOST_SESSIONS} sessions, and no more")
         return self.put("session", write.session)
 
     def session(self, holder: str, life: str) -> Session:
         known = self.find("session", holder)
         if known is None:
-            raise UnlistedError(f"{holder} has no session")
+            raise NotFoundError(f"{holder} has no session")
         if known.life != life:
-            raise RefusedError(f"{holder} is in another life since")
+            raise ConflictError(f"{holder} is in another life since")
         return known
 
     def end(self, write: End) -> Session:
@@ -273,21 +273,21 @@
         known = self.find("claim", write.name)
         if known is None:
             if sum(1 for _ in self.all("claim")) >= MOST_CLAIMS:
-                raise RefusedError(f"there are {MOST_CLAIMS} claims, and no more")
+                raise ConflictError(f"there are {MOST_CLAIMS} claims, and no more")
             known = Claim(write.name)
         if known.held:
-            raise RefusedError(f"claim {known.name} is put aside: {known.why}")
+            raise ConflictError(f"claim {known.name} is put aside: {known.why}")
         if known.holder == session.id and known.life == session.life:
             self.last -= 1
             return known  # asked again, as the answer was lost
         if known.holder:
-            raise RefusedError(f"claim {known.name} is held by {known.holder} at epoch {known.epoch}")
+            raise ConflictError(f"claim {known.name} is held by {known.holder} at epoch {known.epoch}")
         others = any(one.id != session.id for one in self.all("session"))
         if known.to not in ("", session.id) and self.find("session", known.to):
-            raise RefusedError(f"claim {known.name} was handed to {known.to}")
+            raise ConflictError(f"claim {known.name} was handed to {known.to}")
         if known.but == session.id and others:
-            raise RefusedError(f"claim {known.name} was given up by {known.but}: {known.why}")
-        epoch = self.term << COUNT_BITS | self.last
+            raise ConflictError(f"claim {known.name} was given up by {known.but}: {known.why}")
+        epoch = self.term << EPOCH_COUNT_BITS | self.last
         to = known.to if known.to == session.id else ""  # it stays where it was handed to on purpose
         return self.put(
             "claim",
@@ -307,9 +307,9 @@
         self.session(write.holder, write.life)
         known = self.find("claim", write.name)
         if known is None:
-            raise UnlistedError(f"there is no claim {write.name}")
+            raise NotFoundError(f"there is no claim {write.name}")
         if (known.holder, known.life, known.epoch) != (write.holder, write.life, write.epoch):
-            raise RefusedError(
+            raise ConflictError(
                 f"claim {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
                 f"not {write.epoch} of {write.holder}"
             )
@@ -318,7 +318,7 @@
     def hold(self, write: Hold) -> Claim:
         known = self.find("claim", write.name)
         if known is None:
-            raise UnlistedError(f"there is no claim {write.name}")
+            raise NotFoundError(f"there is no claim {write.name}")
         why = "by hand" if write.on else ""
         return self.put("claim", replace(known, held=write.on, why=why, lost=0))
 
@@ -328,13 +328,13 @@
             self.last -= 1
             return known
         if known is None and sum(1 for _ in self.all("door")) >= MOST_DOORS:
-            raise RefusedError(f"there are {MOST_DOORS} doors, and no more")
+            raise ConflictError(f"there are {MOST_DOORS} doors, and no more")
         return self.put("door", write.door)
 
     def leave(self, write: Leave) -> Door:
         known = self.find("door", write.name)
         if known is None:
-            raise UnlistedError(f"there is no door {write.name}")
+            raise NotFoundError(f"there is no door {write.name}")
         self.changed["door", write.name] = None
         return known
 
@@ -343,9 +343,9 @@
         known = self.find("record", write.name)
         version = known.version if known else 0
         if write.if_version is not None and write.if_version != version:
-            raise RefusedError(f"record {write.name} is at version {version}, not {write.if_version}")
+            raise ConflictError(f"record {write.name} is at version {version}, not {write.if_version}")
         if known is None and write.text and sum(1 for _ in self.all("record")) >= MOST_RECORDS:
-            raise RefusedError(f"there are {MOST_RECORDS} records, and no more")
+            raise ConflictError(f"there are {MOST_RECORDS} records, and no more")
         record = Record(write.name, write.text, self.last)
         self.changed["record", write.name] = record if write.text else None
         if write.fence:  # its owner gets on with it: whoever was lost before was not lost over it
--- a/orchidhatch/control/ownership/service.py
+++ b/orchidhatch/control/ownership/service.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
-from orchidhatch.control.http_server import Answer, Connection, busy, told
+from orchidhatch.control.http_server import Connection, Response, error_body, unavailable
 from orchidhatch.control.leases import Leases
 from orchidhatch.control.ownership.claims import Claim, End, Record, Session
 from orchidhatch.control.schemas import read_give, read_hold, read_keep, read_life, read_open, read_take
@@ -57,11 +57,11 @@
             case "POST", ("claims", claim, "hold"):
                 queue(read_hold(claim, body), connection)
             case "GET", ("records",):
-                connection.answer(Answer(200, {"records": list(map(asdict, self.book.records.values()))}))
+                connection.answer(Response(200, {"records": list(map(asdict, self.book.records.values()))}))
             case "GET", ("records", record):
                 known = self.book.records.get(record)
                 connection.answer(
-                    Answer(200, asdict(known)) if known else Answer(404, told("no such record"))
+                    Response(200, asdict(known)) if known else Response(404, error_body("no such record"))
                 )
             case "POST", ("records", record):
                 queue(read_keep(record, body), connection)
@@ -75,8 +75,8 @@
         """Of all that is told here: a promoted or rebuilt store begins another count."""
         return f"{self.registry.store.identity}-{self.registry.store.term}-{self.book.last}"
 
-    def all(self) -> Answer:
-        return Answer(
+    def all(self) -> Response:
+        return Response(
             200,
             {
                 "version": self.version(),
@@ -103,23 +103,23 @@
 
     # --- leases ---
 
-    def renew(self, holder: str, life: str) -> Answer:
+    def renew(self, holder: str, life: str) -> Response:
         if refusal := self.registry.no_writes():
             return refusal
         if not self.registry.sure():
-            return busy("it did not run for a while, and asks its peers first")
+            return unavailable("it did not run for a while, and asks its peers first")
         if not self.leases.renew(holder, life, self.registry.clock()):
             known = self.book.sessions.get(holder)
-            return Answer(
+            return Response(
                 409 if known else 404,
-                told(f"{holder} is in another life since" if known else f"{holder} has no session"),
+                error_body(f"{holder} is in another life since" if known else f"{holder} has no session"),
             )
         held = {
             one.name: one.epoch
             for one in self.book.claims.values()
             if one.holder == holder and one.life == life
         }
-        return Answer(200, {"version": self.version(), "claims": held})
+        return Response(200, {"version": self.version(), "claims": held})
 
     def wrote(self, outcomes: Iterable[object]) -> None:
         """After a batch: what is durable now begins its lease, and who waits is told."""
--- a/orchidhatch/control/policy/change.py
+++ b/orchidhatch/control/policy/change.py
@@ -17,7 +17,7 @@
 from msgspec import Meta
 
 from orchidhatch.control.controller.tasks import NOTE_EVERY_S, Acts, GoneError, Task, TaskError
-from orchidhatch.control.ownership.claims import COUNT_BITS
+from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, NOW
 from orchidhatch.control.policy.timing import OUT_S
 
@@ -131,7 +131,7 @@
         await self.move(acts, "preparing")
 
     def lacking(self, fleet: dict[str, Any]) -> list[str]:
-        """Doors that may serve and are not ready for it."""
+        """GatewayPolicyLeases that may serve and are not ready for it."""
         return [
             door["name"]
             for door in fleet["doors"]
@@ -175,7 +175,7 @@
         absent = [door["name"] for door in fleet["doors"] if door["state"] == "absent"]
         term = acts.term()
         decision = {
-            "number": max(self.given["base"] + 1, term << COUNT_BITS | 1),
+            "number": max(self.given["base"] + 1, term << EPOCH_COUNT_BITS | 1),
             "digest": self.given["digest"],
             "before": self.given["before"],
             "term": term,
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from orchidhatch.control.cli import CallError, call, seconds
-from orchidhatch.control.ownership.claims import COUNT_BITS
+from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import LOG, Gate, ask, change_of, out_of_service
 from orchidhatch.control.policy.document import (
     Policy,
@@ -37,7 +37,7 @@
 
 def shown_number(number: int) -> str:
     """A decision's: the term, and the count in it."""
-    return f"{number >> COUNT_BITS}.{number & ((1 << COUNT_BITS) - 1)}"
+    return f"{number >> EPOCH_COUNT_BITS}.{number & ((1 << EPOCH_COUNT_BITS) - 1)}"
 
 
 def outcome(found: dict[str, Any]) -> str:
--- a/orchidhatch/control/policy/document.py
+++ b/orchidhatch/control/policy/document.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta
 
-from orchidhatch.control.schemas import FormError, no_constant, no_repeats
+from orchidhatch.control.schemas import InvalidRequestError, no_constant, no_repeats
 
 MOST_TEXT = 5000  # bytes of a document, so that it fits a record of the list service
 MOST_PLANS, MOST_BANNED = 40, 150
@@ -100,7 +100,11 @@
             else json.loads(text, parse_constant=no_constant, object_pairs_hook=no_repeats)
         )
         policy = msgspec.convert(values, Policy)
-    except (ValueError, RecursionError, FormError) as error:  # msgspec's, tomllib's, json's are ValueErrors
+    except (
+        ValueError,
+        RecursionError,
+        InvalidRequestError,
+    ) as error:  # msgspec's, tomllib's, json's are ValueErrors
         raise PolicyError(f"{source}: {' '.join(str(error).split()):.200}") from error
     for what, named in (("plans", policy.plans), ("classes", policy.classes)):
         names = [one.name for one in named]
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -14,16 +14,16 @@
 from typing import TYPE_CHECKING, Any
 
 from orchidhatch.control.http_client import Address, call
-from orchidhatch.control.http_server import Answer, Connection, busy, term_of, told
+from orchidhatch.control.http_server import Connection, Response, error_body, term_of, unavailable
 from orchidhatch.control.ownership.claims import (
-    COUNT_BITS,
+    EPOCH_COUNT_BITS,
     BookWrite,
+    ConflictError,
     Door,
     Enter,
     Keep,
     Leave,
     Record,
-    RefusedError,
     Thing,
 )
 from orchidhatch.control.policy.document import digest_of
@@ -55,7 +55,7 @@
     return "present" if age_s <= LEASE_S else "silent" if age_s <= OUT_S else "absent"
 
 
-class Doors:
+class GatewayPolicyLeases:
     """The doors of one list service."""
 
     def __init__(self, registry: "Registry") -> None:
@@ -119,9 +119,9 @@
             case "DELETE", ("doors", door):
                 self.leave(connection, name("door", door))
             case "GET", ("doors",):
-                connection.answer(Answer(200, self.all()))
+                connection.answer(Response(200, self.all()))
             case "GET", ("policy",):
-                connection.answer(Answer(200, self.copy()))
+                connection.answer(Response(200, self.copy()))
             case _:
                 return False
         return True
@@ -131,7 +131,9 @@
         write = read_door(body)
         known = self.book.doors.get(write.door.name)
         if known and known.life != write.door.life and self.age_s(known.name) <= LEASE_S:
-            connection.answer(Answer(409, told(f"{known.name} is kept by another life until its lease ends")))
+            connection.answer(
+                Response(409, error_body(f"{known.name} is kept by another life until its lease ends"))
+            )
         else:
             self.registry.queue(write, connection)
 
@@ -139,23 +141,24 @@
         """Only one that cannot serve any more: what it knows is not waited for afterwards."""
         if door in self.book.doors and state_of(self.age_s(door)) != "absent":
             connection.answer(
-                Answer(
-                    409, told(f"{door} may still serve; it is absent {OUT_S:.0f} s after its last renewal")
+                Response(
+                    409,
+                    error_body(f"{door} may still serve; it is absent {OUT_S:.0f} s after its last renewal"),
                 )
             )
         else:
             self.registry.queue(Leave(door), connection)
 
-    def renew(self, door: str, report: dict[str, Any]) -> Answer:
+    def renew(self, door: str, report: dict[str, Any]) -> Response:
         if refusal := self.registry.no_writes():
             return refusal
         if not self.registry.sure():
-            return busy("it did not run for a while, and asks its peers first")
+            return unavailable("it did not run for a while, and asks its peers first")
         known = self.book.doors.get(door)
         if known is None or known.life != report["life"]:
-            return Answer(
+            return Response(
                 409 if known else 404,
-                told(
+                error_body(
                     f"{door:.80} is kept by another life" if known else f"{door:.80} is not listed as a door"
                 ),
             )
@@ -163,7 +166,7 @@
         self.reports[door] = Report(self.registry.clock(), report)
         self.hear_moment(report)
         self.settle()
-        return Answer(200, self.answer(door))
+        return Response(200, self.answer(door))
 
     def answer(self, door: str) -> dict[str, Any]:
         change = self.change()
@@ -305,7 +308,7 @@
         term, before = self.registry.store.term, self.gone_by(digest)
         log.warning("decides once more in term %d: %s, number %d before", term, digest or "-", number)
         decision = {
-            "number": max(number + 1, term << COUNT_BITS | 1),
+            "number": max(number + 1, term << EPOCH_COUNT_BITS | 1),
             "digest": digest,
             "before": before,
             "term": term,
@@ -320,7 +323,7 @@
     def wrote(self, outcomes: Iterable[Thing | object]) -> None:
         """After a batch: a decision that is durable now has its moment from here on."""
         for outcome in outcomes:
-            if isinstance(outcome, RefusedError):
+            if isinstance(outcome, ConflictError):
                 self.writing = False  # it may have been ours: nothing is lost by trying it again
             elif isinstance(outcome, Record) and outcome.name == NOW:
                 now, self.writing = self.now(), False
@@ -351,7 +354,7 @@
             "doors_silent": states.count("silent"),
             "doors_absent": states.count("absent"),
             "policy_sure": int(self.sure()),
-            "policy_number": self.now().get("number", 0) & ((1 << COUNT_BITS) - 1),
+            "policy_number": self.now().get("number", 0) & ((1 << EPOCH_COUNT_BITS) - 1),
             "policy_decisions_total": self.decisions,
             "door_renewals_total": self.renewed,
         }
--- a/orchidhatch/control/registry/rebuild.py
+++ b/orchidhatch/control/registry/rebuild.py
@@ -16,8 +16,16 @@
 
 from orchidhatch.control.cli import CallError, connect, reason
 from orchidhatch.control.http_server import STORE_HEADER, term_of
-from orchidhatch.control.registry.store import DELETED, DamagedError, Entry, Put, Store, StoreError, put_aside
-from orchidhatch.control.schemas import FormError, read_instance
+from orchidhatch.control.registry.store import (
+    DELETED,
+    CorruptStoreError,
+    Entry,
+    Put,
+    Store,
+    StoreError,
+    put_aside,
+)
+from orchidhatch.control.schemas import InvalidRequestError, read_instance
 
 TIMEOUT_S = 10.0
 BATCH = 500  # entries written together
@@ -46,7 +54,7 @@
             int(news["generation"]),
             term_of(answer.headers.get(STORE_HEADER, "")),
         )
-    except FormError as error:
+    except InvalidRequestError as error:
         raise CallError(f"{at} gives an entry that is not in form: {error}") from error
     except (OSError, http.client.HTTPException, ValueError, KeyError, TypeError, OverflowError) as error:
         raise CallError(f"no list from {at}: {error or type(error).__name__}") from error
@@ -68,7 +76,7 @@
         return
     try:
         Store(path).close()
-    except DamagedError as error:
+    except CorruptStoreError as error:
         print(f"{error}; put aside as {put_aside(path).name}")
     else:
         raise StoreError(f"{path.name} is sound; it is not replaced")
--- a/orchidhatch/control/registry/replication.py
+++ b/orchidhatch/control/registry/replication.py
@@ -1,4 +1,4 @@
-"""Following another list service: its watch, held against the list here, which only goes forward.
+"""Replicator another list service: its watch, held against the list here, which only goes forward.
 
 An agent follows registries for a front door; a registry that was started with --follow does it to stand by.
 """
@@ -15,9 +15,9 @@
 
 import h11
 
-from orchidhatch.control.http_server import STORE_HEADER, ListServer, term_of
+from orchidhatch.control.http_server import STORE_HEADER, EndpointListServer, term_of
 from orchidhatch.control.registry.store import DELETED, Entry, Put, Remove, StoreError, Write
-from orchidhatch.control.schemas import FormError, read_instance
+from orchidhatch.control.schemas import InvalidRequestError, read_instance
 
 log = logging.getLogger("orchidhatch.following")
 
@@ -42,7 +42,7 @@
     return time.time_ns() // 1_000_000
 
 
-class Following:
+class Replicator:
     """What keeps a list server's store as one of several registries tells it.
 
     `leases` asks for lives and leases too, which the protocol's form has not. Times are Unix milliseconds.
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        server: ListServer,
+        server: EndpointListServer,
         registries: Sequence[Address],
         leases: bool = False,
         wall_ms: Callable[[], int] = now_ms,
@@ -111,7 +111,14 @@
             address = self.registries[self.at]
             try:
                 await self.watch(address)
-            except (OSError, TimeoutError, BehindError, FormError, StoreError, h11.ProtocolError) as error:
+            except (
+                OSError,
+                TimeoutError,
+                BehindError,
+                InvalidRequestError,
+                StoreError,
+                h11.ProtocolError,
+            ) as error:
                 log.warning("no watch on %s: %s", shown(address), str(error) or type(error).__name__)
             except Exception:
                 log.exception("the watch on %s failed", shown(address))
@@ -144,20 +151,20 @@
                     elif isinstance(event, h11.Data):
                         buffer += event.data
                         if len(buffer) > MOST_LINE:
-                            raise FormError("a line without an end")
+                            raise InvalidRequestError("a line without an end")
                         *lines, rest = buffer.split(b"\n")
                         buffer = bytearray(rest)
                         for line in lines:
                             await self.hear(source, bytes(line))
                     elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                        raise FormError("the watch ended")
+                        raise InvalidRequestError("the watch ended")
         finally:
             writer.transport.abort()
 
     def begin(self, response: h11.Response) -> str:
         """Whose list it is. One of an earlier term is no news."""
         if response.status_code != 200:
-            raise FormError(f"status {response.status_code}")
+            raise InvalidRequestError(f"status {response.status_code}")
         source = dict(response.headers).get(STORE_HEADER.lower().encode(), b"").decode(errors="replace")
         if term_of(source) < self.term():
             self.passed_over += 1
@@ -179,13 +186,13 @@
             news = json.loads(line)
             generation, reset, told = int(news["generation"]), bool(news["reset"]), list(news["instances"])
         except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
-            raise FormError(f"a line that makes no sense: {error!r:.120}") from error
+            raise InvalidRequestError(f"a line that makes no sense: {error!r:.120}") from error
         if source == self.source and generation < self.known:
             self.passed_over += 1
             raise BehindError(f"it is at generation {generation}, and {self.known} was heard before")
         changed = source != self.source
         if changed and not reset:
-            raise FormError("changes came where the whole list was needed")
+            raise InvalidRequestError("changes came where the whole list was needed")
         store = self.server.store
         before = store.generation
         batch = store.plan(self.differences(list(self.read(told)), reset))
@@ -206,7 +213,7 @@
         for value in told:
             try:
                 yield read_instance(value, leases=self.leases)
-            except FormError as error:
+            except InvalidRequestError as error:
                 self.malformed += 1
                 log.error("passed over an entry: %s", error)
 
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -24,29 +24,29 @@
 from orchidhatch.control.http_server import (
     MOST_HEAD,
     STORE_HEADER,
-    Answer,
     Connection,
-    ListServer,
-    busy,
+    EndpointListServer,
+    Response,
+    error_body,
     term_of,
-    told,
+    unavailable,
 )
 from orchidhatch.control.leases import TICK_S, Leases
 from orchidhatch.control.ownership import service as ownership
 from orchidhatch.control.ownership.claims import Fence
 from orchidhatch.control.ownership.service import Ownership
-from orchidhatch.control.policy.leases import Doors
+from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.registry.backups import Backups
-from orchidhatch.control.registry.replication import SILENT_S, Following
+from orchidhatch.control.registry.replication import SILENT_S, Replicator
 from orchidhatch.control.registry.store import (
     Batch,
+    ConflictError,
     Entry,
+    NotFoundError,
     Outcome,
-    RefusedError,
     Remove,
     Store,
     StoreError,
-    UnlistedError,
     Write,
 )
 from orchidhatch.control.schemas import (
@@ -76,7 +76,7 @@
 OWNED_S = 3.0  # since an owner of that work last ended leases: then the service looks again itself
 
 
-class Registry(ListServer):
+class Registry(EndpointListServer):
     """The list and those who read and write it."""
 
     def __init__(
@@ -89,7 +89,7 @@
         backups: Path | None = None,
     ) -> None:
         super().__init__(store, seed)
-        self.following = Following(self, follow, leases=True) if follow else None
+        self.following = Replicator(self, follow, leases=True) if follow else None
         if self.following and self.following.was_promoted():  # whoever starts it again may not know
             log.warning("was promoted to term %d; follows nobody any more", store.term)
             self.following = None
@@ -100,7 +100,7 @@
         self.lapses = 0  # times that the last look was too old to acknowledge by
         self.clock = clock
         self.leases = Leases(store.entries.values(), clock())
-        self.ownership, self.doors = Ownership(self), Doors(self)
+        self.ownership, self.doors = Ownership(self), GatewayPolicyLeases(self)
         self.backups = Backups(backups) if backups else None
         self.waiting: deque[tuple[Write, Connection | None]] = deque()
         self.wake = asyncio.Event()
@@ -138,14 +138,16 @@
                 self.begin(self.back_up(connection, read_backup(body)))
             case "GET", ("term",):
                 self.promised_s = self.clock()
-                connection.answer(Answer(200, {"term": self.store.term}))
+                connection.answer(Response(200, {"term": self.store.term}))
             case "POST", ("promote",):
                 self.begin(self.answer_promotion(connection, read_promotion(body)))
             case "DELETE", ("entries", id_):
                 self.queue(read_remove(id_, body), connection)
             case "GET", ("entries", id_):
                 known = self.store.entries.get(id_)
-                connection.answer(Answer(200, written(known)) if known else Answer(404, told("not listed")))
+                connection.answer(
+                    Response(200, written(known)) if known else Response(404, error_body("not listed"))
+                )
             case _:
                 if not (
                     self.ownership.call(connection, method, path, body)
@@ -156,7 +158,7 @@
     def store_name(self) -> str:
         return f"{self.store.identity} {self.following.term() if self.following else self.store.term}"
 
-    def health(self) -> Answer:
+    def health(self) -> Response:
         if self.following:
             value = {
                 "health": "follows",
@@ -164,15 +166,15 @@
                 "lagSeconds": self.following.age_s(),
                 "follows": self.following.registry(),
             }
-            return Answer(200 if self.following.heard_ms else 503, value)
-        return busy(self.fenced or self.broken) if self.fenced or self.broken else super().health()
+            return Response(200 if self.following.heard_ms else 503, value)
+        return unavailable(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
     async def answer_promotion(self, connection: Connection, force: bool) -> None:
         listens = bool(self.following) and not force and await asyncio.to_thread(self.following.still_listens)
         async with self.turn:  # nothing that was heard is half way to the disk
             connection.answer(self.promote(force, listens))
 
-    def promote(self, force: bool, listens: bool) -> Answer:
+    def promote(self, force: bool, listens: bool) -> Response:
         """From a follower to the one that takes writes. All watches end, as they were told another term.
 
         `listens`: something still takes connections where the followed service was, or nothing says that it
@@ -180,25 +182,27 @@
         """
         heard = self.following
         if not heard:
-            return Answer(409, told(f"it follows none; it is the list service of term {self.store.term}"))
+            return Response(
+                409, error_body(f"it follows none; it is the list service of term {self.store.term}")
+            )
         if not heard.heard_ms:
-            return Answer(409, told("it has never heard a list"))
+            return Response(409, error_body("it has never heard a list"))
         if heard.connected and not force:
-            return Answer(409, told(f"{heard.registry()} still answers; stop it first, or force it"))
+            return Response(409, error_body(f"{heard.registry()} still answers; stop it first, or force it"))
         silent_s = heard.silent_s()
         asked_s = self.clock() - self.promised_s
         if asked_s < PROMISE_S and not force:
-            return Answer(
+            return Response(
                 409,
-                told(
+                error_body(
                     f"a peer asked {asked_s:.1f} s ago and may still take writes; stop it, "
                     f"wait {PROMISE_S:.1f} s, or force it"
                 ),
             )
         if listens and silent_s < SILENT_S:
-            return Answer(
+            return Response(
                 409,
-                told(
+                error_body(
                     f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
                     f"ask again after {SILENT_S:g} s, or force it"
                 ),
@@ -206,7 +210,7 @@
         try:
             self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
         except StoreError as error:
-            return busy(str(error))
+            return unavailable(str(error))
         for task in self.follow_tasks:
             task.cancel()
         self.following, self.asked_s = None, -math.inf  # a follower has asked nobody
@@ -223,7 +227,7 @@
         )
         for connection in list(self.watches):
             connection.transport.close()
-        return Answer(
+        return Response(
             200,
             {
                 "term": self.store.term,
@@ -237,7 +241,7 @@
     async def back_up(self, connection: Connection, fence: Fence | None) -> None:
         """A copy of the store, in the name of a claim if one is given."""
         if not self.backups:
-            connection.answer(Answer(409, told("it was given no folder for backups")))
+            connection.answer(Response(409, error_body("it was given no folder for backups")))
             return
 
         def work() -> None:
@@ -247,33 +251,33 @@
         made: dict[str, Any] = {}
         try:
             await self.in_turn(work)
-        except RefusedError as refusal:
+        except ConflictError as refusal:
             connection.answer(outcome_of(refusal))
         except StoreError as error:
             log.error("%s", error)
-            connection.answer(busy(str(error)))
+            connection.answer(unavailable(str(error)))
         else:
-            connection.answer(Answer(200, made))
+            connection.answer(Response(200, made))
 
-    def renew(self, id_: str, life: int) -> Answer:
+    def renew(self, id_: str, life: int) -> Response:
         if refusal := self.no_writes():
             return refusal
         if not self.sure():
-            return busy("it did not run for a while, and asks its peers first")
+            return unavailable("it did not run for a while, and asks its peers first")
         if self.leases.renew(id_, life, self.clock()):
-            return Answer(200, {"instanceId": id_, "life": life})
+            return Response(200, {"instanceId": id_, "life": life})
         known = self.store.entries.get(id_)
         if known is None:
-            return Answer(404, told(f"{id_:.80} is not listed"))
+            return Response(404, error_body(f"{id_:.80} is not listed"))
         if not known.lease_ms:
-            return Answer(409, told(f"{id_} has no lease"))
-        return Answer(409, told(f"{id_} is in life {known.life}, not {life}"))
+            return Response(409, error_body(f"{id_} has no lease"))
+        return Response(409, error_body(f"{id_} is in life {known.life}, not {life}"))
 
-    def no_writes(self) -> Answer | None:
+    def no_writes(self) -> Response | None:
         """Why no write is taken, if none is."""
         if self.following:
-            return Answer(409, told(f"it follows {self.following.registry()}, and takes no writes"))
-        return Answer(409, told(self.fenced)) if self.fenced else None
+            return Response(409, error_body(f"it follows {self.following.registry()}, and takes no writes"))
+        return Response(409, error_body(self.fenced)) if self.fenced else None
 
     # --- terms ---
 
@@ -323,7 +327,7 @@
         refusal = self.no_writes()
         if not refusal and len(self.waiting) >= MOST_WRITES:
             self.shed += 1
-            refusal = busy("too many writes wait")
+            refusal = unavailable("too many writes wait")
         if refusal:
             if connection:
                 connection.answer(refusal)
@@ -347,7 +351,7 @@
                 if await self.make_sure():
                     await self.write_batch(wanted)
                 else:
-                    answer_all(wanted, Answer(409, told(self.fenced)))
+                    answer_all(wanted, Response(409, error_body(self.fenced)))
 
     async def write_batch(self, wanted: Sequence[tuple[Write, Connection | None]]) -> None:
         batch = self.store.plan([write for write, _ in wanted])
@@ -358,7 +362,7 @@
             if not self.broken:
                 log.error("%s; reads go on", error)
             self.broken = str(error)
-            answer_all(wanted, busy(str(error)))
+            answer_all(wanted, unavailable(str(error)))
             self.doors.not_written()
             for write, connection in wanted:
                 if not connection:
@@ -374,7 +378,7 @@
         self.ownership.wrote(batch.outcomes)
         self.doors.wrote(batch.outcomes)
         for (write, connection), outcome in zip(wanted, batch.outcomes, strict=True):
-            if isinstance(outcome, RefusedError):
+            if isinstance(outcome, ConflictError):
                 self.ownership.refused += 1
                 if not connection:
                     self.not_ended(write)
@@ -385,7 +389,7 @@
                 if connection:
                     connection.answer(outcome_of(outcome))
         else:
-            answer_all(wanted, Answer(409, told(self.fenced)))
+            answer_all(wanted, Response(409, error_body(self.fenced)))
         if self.store.generation != before:
             self.spread()
 
@@ -422,18 +426,18 @@
             if self.clock() - self.owned_s >= OWNED_S:
                 self.end_leases(None)
 
-    def end_in_name(self, fence: Fence) -> Answer:
+    def end_in_name(self, fence: Fence) -> Response:
         """An owner has ended what is overdue; while one does, the service's own look rests."""
         if refusal := self.no_writes():
             return refusal
         if not self.sure():
-            return busy("it did not run for a while, and asks its peers first")
+            return unavailable("it did not run for a while, and asks its peers first")
         try:
             self.store.book.draft(self.store.term).check(fence)
-        except RefusedError as refusal:
+        except ConflictError as refusal:
             return outcome_of(refusal)
         self.owned_s = self.clock()
-        return Answer(200, {"ending": self.end_leases(fence), "held": self.leases.held})
+        return Response(200, {"ending": self.end_leases(fence), "held": self.leases.held})
 
     def end_leases(self, fence: Fence | None) -> int:
         """Those that are overdue now are to leave; how many. Each removal is held against the fence again."""
@@ -505,18 +509,18 @@
     return term_of(headers.get(STORE_HEADER.lower().encode(), b"").decode(errors="replace"))
 
 
-def answer_all(wanted: Sequence[tuple[Write, Connection | None]], answer: Answer) -> None:
+def answer_all(wanted: Sequence[tuple[Write, Connection | None]], answer: Response) -> None:
     for _, connection in wanted:
         if connection:
             connection.answer(answer)
 
 
-def outcome_of(outcome: Outcome) -> Answer:
+def outcome_of(outcome: Outcome) -> Response:
     if isinstance(outcome, Entry):
-        return Answer(200, written(outcome))
-    if not isinstance(outcome, RefusedError):
-        return Answer(200, ownership.written(outcome))
-    return Answer(404 if isinstance(outcome, UnlistedError) else 409, told(str(outcome)))
+        return Response(200, written(outcome))
+    if not isinstance(outcome, ConflictError):
+        return Response(200, ownership.written(outcome))
+    return Response(404 if isinstance(outcome, NotFoundError) else 409, error_body(str(outcome)))
 
 
 def read_listen(value: str) -> tuple[str, int]:
--- a/orchidhatch/control/registry/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -14,13 +14,13 @@
 
 from orchidhatch.control.ownership import claims
 from orchidhatch.control.ownership.claims import (
-    Book,
     BookWrite,
-    Draft,
+    ClaimsTable,
+    ClaimsTransaction,
+    ConflictError,
     Fence,
-    RefusedError,
+    NotFoundError,
     Thing,
-    UnlistedError,
 )
 
 FORMAT = 1
@@ -48,7 +48,7 @@
     """The store cannot be opened or written; the text is one plain line."""
 
 
-class DamagedError(StoreError):
+class CorruptStoreError(StoreError):
     """What is on disk is not what was written. The file is left as it is, for a person to look at."""
 
 
@@ -106,7 +106,7 @@
 
 ListWrite = Register | Change | Remove | Put
 Write = ListWrite | BookWrite
-Outcome = Entry | Thing | RefusedError
+Outcome = Entry | Thing | ConflictError
 
 
 def text_of(entry: Entry) -> str:
@@ -146,7 +146,7 @@
 class Batch:
     """Writes that were held against the list, and what they come to."""
 
-    def __init__(self, outcomes: list[Outcome], generation: int, total: int, book: Draft) -> None:
+    def __init__(self, outcomes: list[Outcome], generation: int, total: int, book: ClaimsTransaction) -> None:
         self.outcomes, self.generation, self.total, self.book = outcomes, generation, total, book
         self.changed = [outcome for outcome in outcomes if isinstance(outcome, Entry)]
 
@@ -171,7 +171,7 @@
         self.entries: dict[str, Entry] = {}
         self.history: dict[int, Entry] = {}  # by generation; one removed is DELETED there
         self.sum = 0
-        self.book = Book()
+        self.book = ClaimsTable()
         if not create and not (path.is_file() and path.stat().st_size):
             raise StoreError(f"there is no store at {path.name}; make a new one, or rebuild it")
         try:
@@ -185,7 +185,7 @@
         except sqlite3.OperationalError as error:
             raise StoreError(f"cannot open {path.name}: {error}") from error
         except sqlite3.DatabaseError as error:
-            raise DamagedError(f"{path.name} is damaged: {error}") from error
+            raise CorruptStoreError(f"{path.name} is damaged: {error}") from error
 
     def open(self, create: bool) -> None:
         self.db.execute("PRAGMA locking_mode = EXCLUSIVE")
@@ -219,14 +219,16 @@
         """Read everything, and hold it against its digests."""
         form = self.db.execute("PRAGMA user_version").fetchone()[0]
         if form != FORMAT:
-            raise DamagedError(f"{self.path.name} is of form {form}, not {FORMAT}")
+            raise CorruptStoreError(f"{self.path.name} is of form {form}, not {FORMAT}")
         [(found,), *more] = self.db.execute("PRAGMA integrity_check(1)").fetchall()
         if found != "ok" or more:
-            raise DamagedError(f"{self.path.name} is damaged: {' '.join(str(found).split())}")
+            raise CorruptStoreError(f"{self.path.name} is damaged: {' '.join(str(found).split())}")
         try:
             self.read()
         except (TypeError, ValueError, KeyError) as error:
-            raise DamagedError(f"{self.path.name} is damaged: {' '.join(str(error).split()):.200}") from error
+            raise CorruptStoreError(
+                f"{self.path.name} is damaged: {' '.join(str(error).split()):.200}"
+            ) from error
 
     def read(self) -> None:
         [(self.identity, self.term, self.first, self.generation, digest)] = self.db.execute(
@@ -299,7 +301,7 @@
             if isinstance(write, BookWrite):
                 try:
                     outcomes.append(book.write(write))
-                except RefusedError as refusal:
+                except ConflictError as refusal:
                     outcomes.append(refusal)
                 continue
             name = write.entry.id if isinstance(write, Register | Put) else write.id
@@ -308,7 +310,7 @@
             try:
                 book.check(getattr(write, "fence", None))
                 entry = fit(write, known, generation + 1, full=count >= MOST_ENTRIES)
-            except RefusedError as refusal:
+            except ConflictError as refusal:
                 outcomes.append(refusal)
                 continue
             generation += 1
@@ -348,7 +350,7 @@
                 self.db.execute("ROLLBACK")
             raise StoreError(f"cannot write {self.path.name}: {error}") from error
 
-    def write_book(self, draft: Draft) -> None:
+    def write_book(self, draft: ClaimsTransaction) -> None:
         rows = [
             (kind, name, claims.text_of(thing) if thing else "")
             for (kind, name), thing in draft.changed.items()
@@ -408,28 +410,28 @@
 
 
 def fit(write: ListWrite, known: Entry | None, generation: int, full: bool) -> Entry:
-    """The entry as the write leaves it; a RefusedError where it does not fit what is listed, `known`."""
+    """The entry as the write leaves it; a ConflictError where it does not fit what is listed, `known`."""
     if isinstance(write, Put):
         life = write.entry.life or (known.life if known else generation)
         return replace(write.entry, version=generation, life=life)
     name = write.entry.id if isinstance(write, Register) else write.id
     version = known.version if known else 0
     if write.if_version is not None and write.if_version != version:
-        raise RefusedError(f"{name} is at version {version}, not {write.if_version}")
+        raise ConflictError(f"{name} is at version {version}, not {write.if_version}")
     if isinstance(write, Register):
         if write.entry.lifecycle not in LIFECYCLES:
-            raise RefusedError(f"{name} cannot be entered as {write.entry.lifecycle}")
+            raise ConflictError(f"{name} cannot be entered as {write.entry.lifecycle}")
         if known is None and full:
-            raise RefusedError(f"the list holds {MOST_ENTRIES} entries, and no more")
+            raise ConflictError(f"the list holds {MOST_ENTRIES} entries, and no more")
         if known and write.entry.started_ms < known.started_ms:
-            raise RefusedError(f"{name} has started anew since")
+            raise ConflictError(f"{name} has started anew since")
         return replace(write.entry, version=generation, life=generation)
     if known is None:
-        raise UnlistedError(f"{name} is not listed")
+        raise NotFoundError(f"{name} is not listed")
     if isinstance(write, Remove):
         if write.life not in (None, known.life):
-            raise RefusedError(f"{name} is in another life since")
+            raise ConflictError(f"{name} is in another life since")
         return replace(known, lifecycle=DELETED, version=generation)
     if write.lifecycle not in LIFECYCLES:
-        raise RefusedError(f"{write.lifecycle} is no lifecycle that can be set")
+        raise ConflictError(f"{write.lifecycle} is no lifecycle that can be set")
     return replace(known, lifecycle=write.lifecycle, version=generation)
--- a/orchidhatch/control/registry_client.py
+++ b/orchidhatch/control/registry_client.py
@@ -11,7 +11,7 @@
 
 
 @dataclass
-class Links:
+class RegistryClient:
     """Found by asking the next where one does not take writes."""
 
     registries: Sequence[Address]
--- a/orchidhatch/control/schemas.py
+++ b/orchidhatch/control/schemas.py
@@ -22,7 +22,7 @@
 ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
 
 
-class FormError(Exception):
+class InvalidRequestError(Exception):
     """What came is not in form; the text is one plain line that names the field."""
 
 
@@ -59,30 +59,30 @@
 
 
 def wrong(field: str, needed: str) -> NoReturn:
-    raise FormError(f"{field}: {needed}")
+    raise InvalidRequestError(f"{field}: {needed}")
 
 
 def no_constant(name: str) -> NoReturn:
-    raise FormError(f"{name} is no number")
+    raise InvalidRequestError(f"{name} is no number")
 
 
 def no_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     values = dict(pairs)
     if len(values) != len(pairs):
-        raise FormError("a field is given twice")
+        raise InvalidRequestError("a field is given twice")
     return values
 
 
 def read_body(body: bytes) -> dict[str, Any]:
     """A JSON object of bounded size; a number that is none is an error already here."""
     if len(body) > MOST_BODY:
-        raise FormError(f"the body is longer than {MOST_BODY} bytes")
+        raise InvalidRequestError(f"the body is longer than {MOST_BODY} bytes")
     try:
         values = json.loads(body, parse_constant=no_constant, object_pairs_hook=no_repeats)
     except (ValueError, RecursionError) as error:  # not UTF-8 is a ValueError too, and so is a huge integer
-        raise FormError(f"the body is not JSON: {' '.join(str(error).split()):.120}") from error
+        raise InvalidRequestError(f"the body is not JSON: {' '.join(str(error).split()):.120}") from error
     if not isinstance(values, dict):
-        raise FormError("the body is not a JSON object")
+        raise InvalidRequestError("the body is not a JSON object")
     return values
 
 
@@ -181,7 +181,7 @@
     """The fields read; one that is unknown or lacking is an error."""
     unknown = sorted(set(values) - set(readers))
     if unknown:
-        raise FormError(f"{unknown[0]!r:.80} is no field here; there are {', '.join(readers)}")
+        raise InvalidRequestError(f"{unknown[0]!r:.80} is no field here; there are {', '.join(readers)}")
     for field in readers:
         if field not in values and field not in optional:
             wrong(field, "is needed")
@@ -210,7 +210,7 @@
     """An entry of a list that another service gives, with life and lease if it tells them and they are asked
     for; there may be fields here unknown."""
     if not isinstance(value, dict):
-        raise FormError("an entry is not a JSON object")
+        raise InvalidRequestError("an entry is not a JSON object")
     extra = {**LIFE, **LEASE} if leases else {}
     readers = {**ENTRY, "lifecycle": state, **extra}
     found = fields({key: value[key] for key in value if key in readers}, readers, extra)
--- a/orchidhatch/faults/cli.py
+++ b/orchidhatch/faults/cli.py
@@ -63,7 +63,7 @@
     return judge.judge(), judge
 
 
-def told(verdict: Verdict, judge: Judge) -> str:
+def error_body(verdict: Verdict, judge: Judge) -> str:
     lines = [f"{one.check}: {one.about}: {one.text}" for one in verdict.breaks]
     for one in verdict.breaks[:MOST_TOLD]:
         lines += ["", f"{one.check}: {one.about}: {one.text}", *judge.story(one.about)]
@@ -91,7 +91,7 @@
         print(json.dumps(value))
     else:
         word = {HELD: "held", BROKEN: "BROKEN", UNSAID: "cannot say"}[status]
-        print(f"{script.plan.name} seed {script.seed}: {word}\n{told(verdict, judge)}")
+        print(f"{script.plan.name} seed {script.seed}: {word}\n{error_body(verdict, judge)}")
     return status
 
 
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -106,9 +106,9 @@
 
 def trust_clocks() -> None:
     from orchidhatch.control.agent.gateway_calls import Door
-    from orchidhatch.control.ownership.claims import Draft
+    from orchidhatch.control.ownership.claims import ClaimsTransaction
 
-    Draft.check = lambda self, fence: None
+    ClaimsTransaction.check = lambda self, fence: None
     in_turn = Door.in_turn
 
     async def unchecked(self: Door, path: Any, fence: Any, act: int) -> Any:  # noqa: ANN401
@@ -145,16 +145,16 @@
 
 def decide_late() -> None:
     """Neither the claim nor what was read before holds a decision back."""
-    from orchidhatch.control.ownership.claims import Draft, Keep
+    from orchidhatch.control.ownership.claims import ClaimsTransaction, Keep
     from orchidhatch.control.policy.leases import NOW
 
-    Draft.check = lambda self, fence: None
-    keep = Draft.keep
+    ClaimsTransaction.check = lambda self, fence: None
+    keep = ClaimsTransaction.keep
 
-    def unconditional(self: Draft, write: Keep) -> Any:  # noqa: ANN401
+    def unconditional(self: ClaimsTransaction, write: Keep) -> Any:  # noqa: ANN401
         return keep(self, Keep(write.name, write.text) if write.name == NOW else write)
 
-    Draft.keep = unconditional
+    ClaimsTransaction.keep = unconditional
 
 
 def hear_nothing() -> None:
--- a/orchidhatch/faults/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.control.ownership.claims import RefusedError
+from orchidhatch.control.ownership.claims import ConflictError
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.seeded_defects import PLANTS
 
@@ -35,11 +35,11 @@
 
 def record_effects(name: str, folder: Path) -> None:
     """Each write in a claim's name that was carried out, as its store shows it to readers."""
-    from orchidhatch.control.policy.leases import NOW, Doors
+    from orchidhatch.control.policy.leases import NOW, GatewayPolicyLeases
     from orchidhatch.control.registry.store import Batch, Store
 
     recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
-    wrote = Doors.wrote
+    wrote = GatewayPolicyLeases.wrote
 
     def planned(self: Store, writes: Sequence[Any]) -> Batch:
         batch = plan(self, writes)
@@ -50,7 +50,7 @@
         take(self, batch)
         for write, outcome in zip(batch.writes, batch.outcomes, strict=True):
             fence = getattr(write, "fence", None)
-            if fence and not isinstance(outcome, RefusedError):
+            if fence and not isinstance(outcome, ConflictError):
                 act = type(write).__name__.lower()
                 about = getattr(write, "id", "") or getattr(write, "name", "")
                 recorder.note(
@@ -64,12 +64,12 @@
                     text=getattr(write, "text", "")[:300],
                 )
 
-    def decided(self: Doors, outcomes: Sequence[Any]) -> None:
+    def decided(self: GatewayPolicyLeases, outcomes: Sequence[Any]) -> None:
         wrote(self, outcomes)
         if any(getattr(outcome, "name", "") == NOW for outcome in outcomes):
             recorder.note("decided", self.now()["digest"] or "-", now=self.now(), doors=self.all()["doors"])
 
-    Store.plan, Store.take, Doors.wrote = planned, taken, decided
+    Store.plan, Store.take, GatewayPolicyLeases.wrote = planned, taken, decided
 
 
 def main() -> None:
--- a/tests/control/agent/test_service.py
+++ b/tests/control/agent/test_service.py
@@ -193,7 +193,7 @@
     asyncio.run(agent.following.take("x 1", told))
     assert list(agent.store.entries) == ["s-1"] and agent.following.malformed == 2
     before = agent.store.generation
-    with pytest.raises(following.FormError):
+    with pytest.raises(following.InvalidRequestError):
         asyncio.run(agent.following.take("x 1", line))
     assert agent.store.generation == before and list(agent.store.entries) == ["s-1"]
 
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -13,15 +13,25 @@
 from hypothesis import strategies as st
 
 from orchidhatch.control.agent.service import Agent
-from orchidhatch.control.controller.service import SHARDS, Steward, shard_of
-from orchidhatch.control.controller.shard_assignment import share_out
+from orchidhatch.control.controller.service import SHARDS, Controller, shard_of
+from orchidhatch.control.controller.shard_assignment import assign_shards
 from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
 from orchidhatch.control.controller.tasks import drain
 from orchidhatch.control.ownership import claims
-from orchidhatch.control.ownership.claims import Book, End, Fence, Give, Hold, Keep, Open, Session, Take
+from orchidhatch.control.ownership.claims import (
+    ClaimsTable,
+    End,
+    Fence,
+    Give,
+    Hold,
+    Keep,
+    Open,
+    Session,
+    Take,
+)
 from orchidhatch.control.registry.backups import Backups
 from orchidhatch.control.registry.service import OWNED_S
-from orchidhatch.control.registry.store import Change, DamagedError, RefusedError, Store, StoreError
+from orchidhatch.control.registry.store import Change, ConflictError, CorruptStoreError, Store, StoreError
 from tests.control.agent.test_service import until
 from tests.control.registry.test_service import address_of, call, serving
 from tests.control.registry.test_store import one
@@ -49,9 +59,9 @@
 )
 
 
-def reread(book: Book) -> Book:
+def reread(book: ClaimsTable) -> ClaimsTable:
     """As it comes back from the disk."""
-    again = Book()
+    again = ClaimsTable()
     again.last = book.last
     for kind in claims.KINDS:
         for name, thing in book.kept(kind).items():
@@ -61,18 +71,18 @@
 
 @given(st.lists(ops, max_size=40))
 def test_an_epoch_never_comes_twice_and_only_its_holder_writes_by_it(steps: list[Any]) -> None:
-    book, term, given_out = Book(), 1, set[int]()
+    book, term, given_out = ClaimsTable(), 1, set[int]()
     for step in steps:
         if step == "restart":
             book = reread(book)
             continue
         if step == "term":  # a follower that was promoted knows no claims, and counts anew
-            book, term = Book(), term + 1
+            book, term = ClaimsTable(), term + 1
             continue
         draft, before = book.draft(term), {name: replace(one) for name, one in book.claims.items()}
         if isinstance(step, Give | Keep):  # by the epoch that is, or by none that ever was
             known = book.claims.get(step.name if isinstance(step, Give) else step.fence.claim)
-            epoch = known.epoch if known and known.epoch % 2 == 0 else term << claims.COUNT_BITS
+            epoch = known.epoch if known and known.epoch % 2 == 0 else term << claims.EPOCH_COUNT_BITS
             step = (
                 replace(step, epoch=epoch)
                 if isinstance(step, Give)
@@ -80,7 +90,7 @@
             )
         try:
             draft.write(step)
-        except RefusedError:
+        except ConflictError:
             assert not draft.changed and draft.last == book.last
             continue
         book.take(draft)
@@ -96,7 +106,7 @@
             assert claim.holder and claim.epoch == step.fence.epoch and not claim.held
 
 
-def draft_of(book: Book, *writes: Any) -> list[Any]:  # noqa: ANN401
+def draft_of(book: ClaimsTable, *writes: Any) -> list[Any]:  # noqa: ANN401
     made = []
     for write in writes:
         draft = book.draft(1)
@@ -106,23 +116,23 @@
 
 
 def test_a_claim_is_handed_over_barred_and_put_aside() -> None:
-    book = Book()
+    book = ClaimsTable()
     draft_of(book, *(Open(Session(name, name, 1000)) for name in HOLDERS))
     *_, claim = draft_of(book, Take("x", "a", "a"))
     assert draft_of(book, Take("x", "a", "a"))[0].epoch == claim.epoch  # asked again: the same
     draft_of(book, Give("x", "a", "a", claim.epoch, to="b"))
-    with pytest.raises(RefusedError, match="handed to b"):
+    with pytest.raises(ConflictError, match="handed to b"):
         book.draft(1).write(Take("x", "c", "c"))
     *_, claim = draft_of(book, Take("x", "b", "b"))
     draft_of(book, Give("x", "b", "b", claim.epoch, why="disk"))
-    with pytest.raises(RefusedError, match="given up by b: disk"):
+    with pytest.raises(ConflictError, match="given up by b: disk"):
         book.draft(1).write(Take("x", "b", "b"))
     for name in ("a", "b", "c"):  # each is lost over it
         draft_of(book, Take("x", "c" if name == "b" else name, "c" if name == "b" else name))
         lost = book.claims["x"].holder
         draft_of(book, End(lost, lost, lost=True), Open(Session(lost, lost, 1000)))
     assert book.claims["x"].held and "3 owners" in book.claims["x"].why
-    with pytest.raises(RefusedError, match="put aside"):
+    with pytest.raises(ConflictError, match="put aside"):
         book.draft(1).write(Take("x", "a", "a"))
     draft_of(book, Hold("x", False), Take("x", "a", "a"))
 
@@ -145,7 +155,7 @@
             Keep("q", "4", fence=Fence("y", epoch)),
         ]
     )
-    refused = [isinstance(outcome, RefusedError) for outcome in outcomes]
+    refused = [isinstance(outcome, ConflictError) for outcome in outcomes]
     assert refused == [False, False, True, False, True, True] and store.book.records["r"].text == "1"
     assert str(outcomes[4]) == f"claim x is at epoch {store.book.claims['x'].epoch}, not {epoch}"
     last = store.book
@@ -154,7 +164,7 @@
     assert (again.book.claims, again.book.records, again.book.last) == (last.claims, last.records, last.last)
     again.db.execute("UPDATE book SET record = replace(record, '1', '2') WHERE kind = 'record'")
     again.close()
-    with pytest.raises(DamagedError):
+    with pytest.raises(CorruptStoreError):
         Store(tmp_path / "list.db")
 
 
@@ -257,14 +267,14 @@
 def test_shares_are_even_and_few_move_when_one_comes_or_goes(count: int, seed: int) -> None:
     chance = random.Random(seed)
     everyone = [f"steward-{chance.getrandbits(32):x}" for _ in range(count + 1)]
-    few, many = share_out(SHARDS, everyone[:count]), share_out(SHARDS, everyone)
+    few, many = assign_shards(SHARDS, everyone[:count]), assign_shards(SHARDS, everyone)
     for owners, holders_ in ((few, everyone[:count]), (many, everyone)):
         assert set(owners) == set(SHARDS) and set(owners.values()) <= set(holders_)
         assert max(Counter(owners.values()).values()) <= -(-len(SHARDS) // len(holders_))
     if count > 1:  # what one more takes over, and what moves as room shrinks
         assert sum(few[shard] != many[shard] for shard in SHARDS) <= len(SHARDS) * 2 / 3
-    assert share_out(reversed(SHARDS), everyone[::-1]) == many
-    assert share_out(SHARDS, everyone[:2], dict.fromkeys(SHARDS, everyone[0])) == dict.fromkeys(
+    assert assign_shards(reversed(SHARDS), everyone[::-1]) == many
+    assert assign_shards(SHARDS, everyone[:2], dict.fromkeys(SHARDS, everyone[0])) == dict.fromkeys(
         SHARDS, everyone[min(1, count)] if len(set(everyone[:2])) > 1 else everyone[0]
     )
 
@@ -335,7 +345,7 @@
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
             assert (await call(at, "POST /entries", body(instanceId="s-1")))[0] == 200
-            one_ = Steward("steward-1", [at], lease_ms=60_000)
+            one_ = Controller("steward-1", [at], lease_ms=60_000)
             await one_.open()
             await one_.share()
             assert set(one_.held) == set(SHARDS)
@@ -347,7 +357,7 @@
             # It stands still past its lease; another takes over what it held, and ends what was begun.
             registry.queue(End(one_.id, one_.life, lost=True), None)
             await until(lambda: not registry.store.book.sessions)
-            two = Steward("steward-2", [at], lease_ms=60_000)
+            two = Controller("steward-2", [at], lease_ms=60_000)
             await two.open()
             await two.share()
             await one_.work()  # woken up: by its own clock it may still act
@@ -367,14 +377,14 @@
     async def job() -> None:
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
-            one_, two = (Steward(f"steward-{n}", [at], lease_ms=60_000) for n in (1, 2))
+            one_, two = (Controller(f"steward-{n}", [at], lease_ms=60_000) for n in (1, 2))
             await one_.open()
             await one_.share()
             await two.open()
             await two.share()
             assert not two.held  # nothing is free yet
             one_.links.registries = [refusing_address()]
-            owners = share_out(SHARDS, [one_.id, two.id])
+            owners = assign_shards(SHARDS, [one_.id, two.id])
             lost = next(shard for shard, owner in owners.items() if owner == two.id)
             await one_.give(lost, one_.held[lost].epoch)  # no answer: the book still has it
             one_.links.registries, one_.links.at = [at], 0
@@ -399,7 +409,7 @@
     async def job() -> None:
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
-            one_ = Steward("steward-1", [at], lease_ms=60_000)
+            one_ = Controller("steward-1", [at], lease_ms=60_000)
             await one_.open()
             failing = {**drain("s-1", 100, "back"), "state": "out", "leftMs": "soon"}
             for name, text in (("task.drain-s-1", json.dumps(failing)), ("task.what", "{}")):
@@ -425,7 +435,7 @@
                 written = body(instanceId=f"s-{number}", leaseMs=1000 if number < 3 else 500_000)
                 assert (await call(at, "POST /entries", written))[0] == 200
             assert (await client(at, "leases", "--ended-by", "stewards"))[0] == 0
-            steward = Steward("steward-1", [at], lease_ms=60_000)
+            steward = Controller("steward-1", [at], lease_ms=60_000)
             await steward.open()
             await steward.share()
             epoch = steward.held[shard_of("task.leases")].epoch
@@ -511,7 +521,7 @@
                 Store(tmp_path / "a.db", create=True), [at], 1, door=server.sockets[0].getsockname()
             )
             await agent.start(HOST, 0)
-            steward = Steward("steward-1", [at], [address_of(agent), refusing_address()], lease_ms=60_000)
+            steward = Controller("steward-1", [at], [address_of(agent), refusing_address()], lease_ms=60_000)
             assert (await client(at, "summary"))[0] == 1
             assert (await client(at, "summary", "--every", "30s"))[0] == 0
             await steward.open()
@@ -540,7 +550,7 @@
             assert [path.name for path in registry.backups.copies()] == [f"list-1-{n}.db" for n in (3, 4, 5)]
             assert (await call(at, "POST /backup", b'{"claim":"x","epoch":1}'))[0] == 404
             assert (await client(at, "backup", "--every", "1h"))[0] == 0
-            steward = Steward("steward-1", [at], lease_ms=60_000)
+            steward = Controller("steward-1", [at], lease_ms=60_000)
             await steward.open()
             await steward.share()
             assert (await call(at, "DELETE /entries/s-0"))[0] == 200
--- a/tests/control/policy/test_policy.py
+++ b/tests/control/policy/test_policy.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from orchidhatch.control.controller.service import Steward
+from orchidhatch.control.controller.service import Controller
 from orchidhatch.control.ownership.claims import Fence, Keep
 from orchidhatch.control.policy import document as form
 from orchidhatch.control.policy.change import Gate, ask, judged, out_of_service
@@ -336,11 +336,11 @@
 
 
 class Fleet:
-    """Doors that renew as their agents would, and one owner of the work."""
+    """GatewayPolicyLeases that renew as their agents would, and one owner of the work."""
 
     def __init__(self, registry: Registry, time: Time, *doors: str) -> None:
         self.registry, self.time, self.doors = registry, time, doors
-        self.steward = Steward("steward-1", [address_of(registry)], lease_ms=600_000, clock=time)
+        self.steward = Controller("steward-1", [address_of(registry)], lease_ms=600_000, clock=time)
         self.told: dict[str, dict[str, Any]] = {door: {} for door in doors}
 
     async def begin(self) -> None:
@@ -462,7 +462,7 @@
                 next((shard, held) for shard, held in fleet.steward.held.items()),
             )
             await late.links.call("DELETE", f"/sessions/{late.id}", {"life": late.life})
-            fleet.steward = Steward("steward-2", [address_of(registry)], lease_ms=600_000, clock=time)
+            fleet.steward = Controller("steward-2", [address_of(registry)], lease_ms=600_000, clock=time)
             await fleet.steward.open()
             await fleet.steward.share()
             await late.work()  # it wakes up with all that it held
--- a/tests/control/registry/test_store.py
+++ b/tests/control/registry/test_store.py
@@ -16,9 +16,9 @@
 from orchidhatch.control.registry import store as stores
 from orchidhatch.control.registry.store import (
     Change,
-    DamagedError,
+    ConflictError,
+    CorruptStoreError,
     Entry,
-    RefusedError,
     Register,
     Remove,
     Store,
@@ -41,7 +41,7 @@
 
 def one(store: Store, write: Write) -> Entry:
     [outcome] = store.apply([write])
-    if isinstance(outcome, RefusedError):
+    if isinstance(outcome, ConflictError):
         raise outcome
     return outcome
 
@@ -85,9 +85,9 @@
     store = Store(path, create=True)
     seen = one(store, Register(entry(1), if_version=0)).version
     one(store, Change("s-1", "DRAINING", if_version=seen))
-    with pytest.raises(RefusedError, match="at version 2, not 1"):
+    with pytest.raises(ConflictError, match="at version 2, not 1"):
         one(store, Change("s-1", "SERVING", if_version=seen))
-    with pytest.raises(RefusedError, match="at version 2, not 0"):
+    with pytest.raises(ConflictError, match="at version 2, not 0"):
         one(store, Register(entry(1), if_version=0))
     assert store.entries["s-1"].lifecycle == "DRAINING" and store.generation == 2
 
@@ -96,9 +96,9 @@
     store = Store(path, create=True)
     old = one(store, Register(entry(1, started_ms=100)))
     new = one(store, Register(entry(1, started_ms=200, address="127.0.0.1:9")))
-    with pytest.raises(RefusedError, match="another life"):
+    with pytest.raises(ConflictError, match="another life"):
         one(store, Remove("s-1", life=old.life))
-    with pytest.raises(RefusedError, match="started anew"):
+    with pytest.raises(ConflictError, match="started anew"):
         one(store, Register(entry(1, started_ms=100)))
     assert store.entries["s-1"] == new and new.life == 2
     one(store, Remove("s-1", life=new.life))
@@ -117,7 +117,7 @@
 def test_write_that_makes_no_sense_changes_nothing(path: Path, write: Write) -> None:
     store = Store(path, create=True)
     before = what_is_in(store)
-    with pytest.raises(RefusedError):
+    with pytest.raises(ConflictError):
         one(store, write)
     assert what_is_in(store) == before
 
@@ -127,7 +127,7 @@
     store = Store(path, create=True)
     for number in (1, 2):
         one(store, Register(entry(number)))
-    with pytest.raises(RefusedError, match="2 entries"):
+    with pytest.raises(ConflictError, match="2 entries"):
         one(store, Register(entry(3)))
     one(store, Register(entry(2)))
 
@@ -301,7 +301,7 @@
     main = path.read_bytes()
     assert main.count(b"127.0.0.1:7003") >= 1
     path.write_bytes(main.replace(b"127.0.0.1:7003", b"127.0.0.1:7004"))
-    with pytest.raises(DamagedError, match="do not fit their digest"):
+    with pytest.raises(CorruptStoreError, match="do not fit their digest"):
         Store(path)
 
 
@@ -327,13 +327,13 @@
     with sqlite3.connect(path) as db:
         db.execute(change)
     db.close()
-    with pytest.raises(DamagedError):
+    with pytest.raises(CorruptStoreError):
         Store(path)
 
 
 def test_file_that_is_no_store_is_told_so(path: Path) -> None:
     path.write_bytes(b"nothing of the kind" * 300)
-    with pytest.raises(DamagedError, match="not a database"):
+    with pytest.raises(CorruptStoreError, match="not a database"):
         Store(path)
 
 
--- a/tests/control/test_schemas.py
+++ b/tests/control/test_schemas.py
@@ -9,7 +9,7 @@
 from orchidhatch.control import schemas as forms
 from orchidhatch.control.registry.store import Change, Entry, Remove
 from orchidhatch.control.schemas import (
-    FormError,
+    InvalidRequestError,
     listing,
     read_after,
     read_change,
@@ -106,7 +106,7 @@
     ],
 )
 def test_what_is_not_in_form_is_told_in_one_plain_line(given: bytes, told: str) -> None:
-    with pytest.raises(FormError) as caught:
+    with pytest.raises(InvalidRequestError) as caught:
         read_register(given)
     assert told in str(caught.value) and "\n" not in str(caught.value) and len(str(caught.value)) < 300
 
@@ -123,7 +123,7 @@
     for read in (read_register, lambda it: read_change("s-1", it), lambda it: read_remove("s-1", it)):
         try:
             read(given)
-        except FormError as error:
+        except InvalidRequestError as error:
             assert "\n" not in str(error)
 
 
@@ -132,15 +132,15 @@
     assert read_remove("s-1", b"") == Remove("s-1")
     assert read_remove("s-1", b'{"life":9}') == Remove("s-1", None, 9)
     for words in (b"{}", b'{"lifecycle":"GONE"}'):
-        with pytest.raises(FormError, match="lifecycle"):
+        with pytest.raises(InvalidRequestError, match="lifecycle"):
             read_change("s-1", words)
-    with pytest.raises(FormError, match="instanceId"):
+    with pytest.raises(InvalidRequestError, match="instanceId"):
         read_remove("../x", b"")
 
 
 @pytest.mark.parametrize("value", ["", "-1", "1.0", "x", "\u0661", "9" * 17])
 def test_generation_to_go_on_from_is_a_plain_number(value: str) -> None:
-    with pytest.raises(FormError):
+    with pytest.raises(InvalidRequestError):
         read_after(value)
     assert read_after("41") == 41
 
