--- a/orchidhatch/control/leases.py
+++ b/orchidhatch/control/leases.py
@@ -1,4 +1,4 @@
-"""Leases: who does not renew in time leaves the list, but never all at once.
+"""Leases: whoever does not renew in time is removed, but never all at once.
 
 Times are monotonic seconds that the caller gives, so that a step of the wall clock changes nothing. Leases
 begin anew when the process does, as nobody could renew while it was down.
@@ -7,80 +7,117 @@
 import math
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
 
-from orchidhatch.control.ownership.claims import Session
-from orchidhatch.control.registry.store import Entry
+CHECK_INTERVAL_S = 1.0  # how often leases are checked
+MAX_CHECK_GAP_S = 2 * CHECK_INTERVAL_S  # a longer gap between two checks is a pause of this process
 
-Leased = Entry | Session  # what has an id, a life, and a lease_ms
 
-TICK_S = 1.0  # how often they are looked at
-# More than this share of all leases within the longest one, beyond a few, is no many single deaths: rather
-# the network, or we, are what failed. They are held, and a person is told.
-MOST_SHARE, FEW = 0.2, 2
+class LeaseHolder(Protocol):
+    """What has a lease: an endpoint or a session. A `lease_ms` of 0 is no lease."""
 
+    id: str
+    lease_ms: int
 
-class Leases:
-    """When each lease runs out, by the entry's id.
+    @property
+    def incarnation(self) -> int | str:
+        """What a renewal must name."""
 
-    More than `share` of them at once, beyond a `few`, are held, for `held_s` at most.
+
+@dataclass(frozen=True, slots=True)
+class MassExpiryLimit:
+    """How many leases may run out within the longest one.
+
+    More than `share` of all, beyond a `few`, is not many single failures: rather the network, or this
+    service, failed. Their removal is withheld, for `withheld_s` at most.
     """
 
+    share: float = 0.2
+    few: int = 2
+    withheld_s: float = math.inf
+
+    def is_exceeded(self, running_out: int, total: int) -> bool:
+        """Whether this many of a total are too many."""
+        return running_out > max(self.few, self.share * total)
+
+
+DEFAULT_LIMIT = MassExpiryLimit()
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that runs out at `due_s`."""
+
+    due_s: float
+    holder: LeaseHolder
+
+
+class LeaseTable:
+    """All leases, by the holder's id. `withheld` counts those that are overdue and not removed."""
+
     def __init__(
-        self,
-        entries: Iterable[Leased],
-        now_s: float,
-        share: float = MOST_SHARE,
-        few: int = FEW,
-        held_s: float = math.inf,
+        self, holders: Iterable[LeaseHolder], now_s: float, limit: MassExpiryLimit = DEFAULT_LIMIT
     ) -> None:
-        self.share, self.few, self.held_s = share, few, held_s
-        self.due: dict[str, tuple[float, Leased]] = {}
-        self.looked_s = now_s
-        self.ended: deque[float] = deque()  # when leases were let run out
-        self.held = 0  # overdue, and kept listed
-        for entry in entries:
-            self.begin(entry, now_s)
-
-    def begin(self, entry: Leased, now_s: float) -> None:
-        """A lease begins, or goes on after a change to its entry."""
-        if entry.lease_ms:
-            self.due[entry.id] = now_s + entry.lease_ms / 1000, entry
+        self.leases: dict[str, Lease] = {}
+        self.withheld = 0
+        self.last_check_s = now_s
+        self._limit = limit
+        self._expiries_s: deque[float] = deque()  # when leases were let run out
+        for holder in holders:
+            self.begin(holder, now_s)
+
+    def begin(self, holder: LeaseHolder, now_s: float) -> None:
+        """Begin a lease, or let it go on after a change to its holder."""
+        if holder.lease_ms:
+            self.leases[holder.id] = Lease(now_s + holder.lease_ms / 1000, holder)
         else:
-            self.due.pop(entry.id, None)
+            self.forget(holder.id)
 
-    def renew(self, id_: str, life: int | str, now_s: float) -> bool:
-        """Whether it is this life that is listed; then its lease begins anew."""
-        _, entry = self.due.get(id_, (0.0, None))
-        if entry is None or entry.life != life:
+    def renew(self, id_: str, incarnation: int | str, now_s: float) -> bool:
+        """Begin a lease anew, if it is this incarnation that has it; whether it is."""
+        lease = self.leases.get(id_)
+        if lease is None or lease.holder.incarnation != incarnation:
             return False
-        self.begin(entry, now_s)
+        self.begin(lease.holder, now_s)
         return True
 
-    def put_back(self, entry: Leased, now_s: float) -> None:
-        """One that was to leave could not be removed: it is overdue still, and has not left."""
-        if self.ended:
-            self.ended.pop()
-        self.due[entry.id] = now_s, entry
+    def restore_overdue(self, holder: LeaseHolder, now_s: float) -> None:
+        """Put back one whose removal failed: it is overdue still, and did not run out yet."""
+        if self._expiries_s:
+            self._expiries_s.pop()
+        self.leases[holder.id] = Lease(now_s, holder)
 
     def forget(self, id_: str) -> None:
-        self.due.pop(id_, None)
-
-    def overdue(self, now_s: float) -> list[Leased]:
-        """Those that are to leave the list now. Called each TICK_S; a longer gap is a pause of ours, and
-        counts for nobody."""
-        paused = max(0.0, now_s - self.looked_s - 2 * TICK_S)
-        self.looked_s = now_s
-        if paused:
-            self.due = {id_: (due + paused, entry) for id_, (due, entry) in self.due.items()}
-        longest = max((entry.lease_ms for _, entry in self.due.values()), default=0) / 1000
-        while self.ended and self.ended[0] < now_s - longest:
-            self.ended.popleft()
-        late = [entry for due, entry in self.due.values() if due <= now_s]
-        most = max(self.few, self.share * (len(self.due) + len(self.ended)))
-        if len(late) + len(self.ended) > most:
-            ending = [entry for due, entry in self.due.values() if due + self.held_s <= now_s]
-            self.held, late = len(late) - len(ending), ending
-        else:
-            self.held = 0
-        self.ended.extend([now_s] * len(late))
-        return late
+        """Drop the lease of a holder that is removed or has none any more."""
+        self.leases.pop(id_, None)
+
+    def take_overdue(self, now_s: float) -> list[LeaseHolder]:
+        """Those that are to be removed now, counted as run out.
+
+        Called each CHECK_INTERVAL_S; a longer gap is a pause of this process, and counts for nobody.
+        """
+        self._extend_by_pause(now_s)
+        self._forget_old_expiries(now_s)
+        overdue = [lease for lease in self.leases.values() if lease.due_s <= now_s]
+        running_out = len(overdue) + len(self._expiries_s)
+        expired = overdue
+        if self._limit.is_exceeded(running_out, len(self.leases) + len(self._expiries_s)):
+            expired = [lease for lease in overdue if lease.due_s + self._limit.withheld_s <= now_s]
+        self.withheld = len(overdue) - len(expired)
+        self._expiries_s.extend([now_s] * len(expired))
+        return [lease.holder for lease in expired]
+
+    def _extend_by_pause(self, now_s: float) -> None:
+        pause_s = now_s - self.last_check_s - MAX_CHECK_GAP_S
+        self.last_check_s = now_s
+        if pause_s > 0:
+            self.leases = {
+                id_: Lease(lease.due_s + pause_s, lease.holder) for id_, lease in self.leases.items()
+            }
+
+    def _forget_old_expiries(self, now_s: float) -> None:
+        """Only those within the longest lease count for the limit."""
+        longest_s = max((lease.holder.lease_ms for lease in self.leases.values()), default=0) / 1000
+        while self._expiries_s and self._expiries_s[0] < now_s - longest_s:
+            self._expiries_s.popleft()
--- a/orchidhatch/control/ownership/__init__.py
+++ b/orchidhatch/control/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions, claims with fencing tokens, records and registered gateways."""
--- a/orchidhatch/control/ownership/claims.py
+++ b/orchidhatch/control/ownership/claims.py
@@ -1,355 +1,288 @@
-"""Who does what on behalf of the fleet: sessions, claims with epochs, and records that only an owner writes.
+"""Who does what on behalf of the fleet: sessions, claims with fencing tokens, and records of their owners.
 
-A session is a process (holder and life) with a lease, renewed by one message however much it holds. A claim
-has one holder at a time. Each time it is taken its epoch is new, and above all before it: the store's term
-comes first in it, so that a promoted follower's are above those of the service that it replaced, whatever
-that one gave meanwhile; then a count that is durable. A write on behalf of the fleet names its claim and
-epoch, and is refused unless they are the claim's own in that same transaction.
+A session is a process (holder and incarnation) with a lease, renewed by one message however much it holds. A
+claim has one holder at a time. Each time it is taken its epoch is new, and above all before it: the store's
+term comes first in it, so that a promoted replica's epochs are above those of the registry that it replaced,
+whatever that one granted meanwhile; then a count that is durable. A write on behalf of the fleet names its
+claim and epoch, and is rejected unless they are current in that same transaction.
 
-All is pure: writes are held against the book, the store makes them durable, then the book takes them over.
+All is pure: a transaction collects the changes of a batch of writes, the store makes them durable, then the
+table applies them.
 """
 
-import json
-from collections.abc import Iterator
-from dataclasses import asdict, dataclass, replace
-
-MOST_SESSIONS, MOST_CLAIMS, MOST_RECORDS, MOST_DOORS = 1_000, 10_000, 10_000, 1_000
+from collections.abc import Callable, Iterator
+
+from msgspec.structs import replace
+
+from orchidhatch.control.errors import ConflictError, NotFoundError
+from orchidhatch.control.ownership.claims_table import ClaimsTable, ObjectChanges
+from orchidhatch.control.ownership.objects import (
+    Claim,
+    Fence,
+    Gateway,
+    ObjectKind,
+    OwnedObject,
+    Record,
+    Session,
+    name_of,
+)
+from orchidhatch.control.ownership.writes import (
+    ClaimsWrite,
+    EndSession,
+    OpenSession,
+    PutRecord,
+    RegisterGateway,
+    ReleaseClaim,
+    RemoveGateway,
+    SuspendClaim,
+    TakeClaim,
+)
+
+NAMES_IN_ERRORS = {
+    ObjectKind.SESSION: "sessions",
+    ObjectKind.CLAIM: "claims",
+    ObjectKind.RECORD: "records",
+    ObjectKind.GATEWAY: "gateways",
+}
+MAX_OBJECTS = {
+    ObjectKind.SESSION: 1_000,
+    ObjectKind.CLAIM: 10_000,
+    ObjectKind.RECORD: 10_000,
+    ObjectKind.GATEWAY: 1_000,
+}
 EPOCH_COUNT_BITS = 32  # of an epoch; the term is above them
-MOST_LOST = 3  # owners that went without a word, one after another: then the claim is put aside
-
-
-class ConflictError(Exception):
-    """A write that does not fit what is there; nothing was changed."""
-
-
-class NotFoundError(ConflictError):
-    """A write to what is not there."""
-
-
-@dataclass(frozen=True, slots=True)
-class Session:
-    """A process that may hold claims: `id` names the holder, `life` this start of it."""
-
-    id: str
-    life: str
-    lease_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """`holder` is "" where nobody holds it; `epoch` is that of its last taking."""
-
-    name: str
-    holder: str = ""
-    life: str = ""
-    epoch: int = 0
-    what: str = ""  # what for
-    to: str = ""  # who it was handed to, and may take it next
-    but: str = ""  # who gave it up over failures, and may not take it next
-    why: str = ""  # why it was given up, or put aside
-    held: bool = False  # nobody may take it until an operator says so
-    lost: int = 0  # holders in a row whose sessions ran out
-
-
-@dataclass(frozen=True, slots=True)
-class Record:
-    """What an owner puts down between two steps: a text, and the count of its last writing."""
-
-    name: str
-    text: str
-    version: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Door:
-    """A front door that policies hold for, by the agent that keeps it: `life` is that agent's."""
-
-    name: str
-    life: str
-    zone: str
-
-
-@dataclass(frozen=True, slots=True)
-class Fence:
-    """In whose name a write is made: it is carried out only while that claim is at that epoch, and held."""
-
-    claim: str
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class Open:
-    """Begin a session; the same one again is no change."""
-
-    session: Session
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """End a session, and free all that it holds; `lost` if it ran out."""
-
-    id: str
-    life: str
-    lost: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Take:
-    name: str
-    holder: str
-    life: str
-    what: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Give:
-    """Give a claim up; `to` a named holder, or because of failures that are told by `why`."""
-
-    name: str
-    holder: str
-    life: str
-    epoch: int
-    to: str = ""
-    why: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Hold:
-    """An operator has a claim left alone, its holder included, or lets it be taken again."""
-
-    name: str
-    on: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Keep:
-    """Write a record; an empty text removes it. `if_version` 0: only if it is not there."""
-
-    name: str
-    text: str
-    if_version: int | None = None
-    fence: Fence | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Enter:
-    """List a door, or an agent's next life of it; the same one again is no change."""
-
-    door: Door
-
-
-@dataclass(frozen=True, slots=True)
-class Leave:
-    """Take a door off the list, as it is no more."""
-
-    name: str
-
+MAX_LOST_HOLDERS = 3  # holders in a row whose sessions expired: then the claim is suspended
 
-BookWrite = Open | End | Take | Give | Hold | Keep | Enter | Leave
-Thing = Session | Claim | Record | Door
-KINDS: dict[str, type] = {"session": Session, "claim": Claim, "record": Record, "door": Door}
-
-
-def name_of(thing: Thing) -> str:
-    return thing.id if isinstance(thing, Session) else thing.name
-
-
-def text_of(thing: Thing) -> str:
-    return json.dumps(asdict(thing), sort_keys=True)
-
-
-class ClaimsTable:
-    """What is held now."""
-
-    def __init__(self) -> None:
-        self.sessions: dict[str, Session] = {}
-        self.claims: dict[str, Claim] = {}
-        self.records: dict[str, Record] = {}
-        self.doors: dict[str, Door] = {}
-        self.last = 0  # the count of the last change
-
-    def kept(self, kind: str) -> dict[str, Thing]:
-        return {"session": self.sessions, "claim": self.claims, "record": self.records, "door": self.doors}[
-            kind
-        ]
-
-    def read(self, kind: str, name: str, text: str) -> None:
-        """A thing as it was written to disk; a ValueError or TypeError where it is none."""
-        thing = KINDS[kind](**json.loads(text))
-        if name_of(thing) != name:
-            raise ValueError(f"{kind} {name!r:.80} calls itself {name_of(thing)!r:.80}")
-        self.kept(kind)[name] = thing
-
-    def draft(self, term: int) -> "ClaimsTransaction":
-        return ClaimsTransaction(self, term)
-
-    def take(self, draft: "ClaimsTransaction") -> None:
-        """Take over what is durable."""
-        self.last = max(self.last, draft.last)  # a follower has two that write
-        for (kind, name), thing in draft.changed.items():
-            if thing is None:
-                self.kept(kind).pop(name, None)
-            else:
-                self.kept(kind)[name] = thing
+# Processes of other versions look for these words in an error. The first tells that a fence holds, the second
+# that another process runs under the same name; both are to stay in the text.
+CLAIM_WORD = "claim"
+OTHER_INCARNATION = "another life"
 
 
 class ClaimsTransaction:
-    """The book as a batch of writes leaves it; the book itself stays as it is."""
-
-    def __init__(self, book: ClaimsTable, term: int) -> None:
-        self.book, self.term, self.last = book, term, book.last
-        self.changed: dict[tuple[str, str], Thing | None] = {}
-
-    def find(self, kind: str, name: str) -> Thing | None:
+    """The table as a batch of writes leaves it; the table itself stays as it is.
+
+    `changed` has the objects that the batch changes, None for those that it removes. The module is longer
+    than 250 lines because each kind of write is a method here.
+    """
+
+    def __init__(self, table: ClaimsTable, term: int) -> None:
+        self.last_change = table.last_change
+        self.changed: ObjectChanges = {}
+        self._table = table
+        self._term = term
+        self._handlers: dict[type[ClaimsWrite], Callable[..., OwnedObject]] = {
+            OpenSession: self._open_session,
+            EndSession: self._end_session,
+            TakeClaim: self._take_claim,
+            ReleaseClaim: self._release_claim,
+            SuspendClaim: self._suspend_claim,
+            PutRecord: self.put_record,
+            RegisterGateway: self._register_gateway,
+            RemoveGateway: self._remove_gateway,
+        }
+
+    # --- reads ---
+
+    def find(self, kind: ObjectKind, name: str) -> OwnedObject | None:
+        """An object by name, as the writes so far leave it."""
         key = kind, name
-        return self.changed[key] if key in self.changed else self.book.kept(kind).get(name)
+        return self.changed[key] if key in self.changed else self._table.objects(kind).get(name)
 
-    def all(self, kind: str) -> Iterator[Thing]:
-        for name in list(self.book.kept(kind)):
+    def all(self, kind: ObjectKind) -> Iterator[OwnedObject]:
+        """All objects of a kind, as the writes so far leave them."""
+        for name, owned in list(self._table.objects(kind).items()):
             if (kind, name) not in self.changed:
-                yield self.book.kept(kind)[name]
-        yield from [thing for (of, _), thing in self.changed.items() if of == kind and thing]
-
-    def put(self, kind: str, thing: Thing) -> Thing:
-        self.changed[kind, name_of(thing)] = thing
-        return thing
+                yield owned
+        changed = [owned for (changed_kind, _), owned in self.changed.items() if changed_kind == kind]
+        yield from [owned for owned in changed if owned is not None]
 
     def check(self, fence: Fence | None) -> None:
-        """A ConflictError unless the claim is held at that epoch."""
+        """Raise ConflictError unless the claim is held at that epoch."""
         if fence is None:
             return
-        claim = self.find("claim", fence.claim)
-        if claim is None:
-            raise NotFoundError(f"there is no claim {fence.claim}")
+        claim = self._claim(fence.claim)
         if not claim.holder or claim.epoch != fence.epoch:
+            unheld = "" if claim.holder else " and held by nobody"
             raise ConflictError(
-                f"claim {fence.claim} is at epoch {claim.epoch}"
-                f"{'' if claim.holder else ' and held by nobody'}, not {fence.epoch}"
+                f"{CLAIM_WORD} {fence.claim} is at epoch {claim.epoch}{unheld}, not {fence.epoch}"
             )
-        if claim.held:
-            raise ConflictError(f"claim {fence.claim} is put aside")
+        if claim.suspended:
+            raise ConflictError(f"{CLAIM_WORD} {fence.claim} is suspended")
 
-    def write(self, write: BookWrite) -> Thing:
-        """What it comes to; a ConflictError where it does not fit, with nothing changed."""
-        before = self.last
-        self.last += 1
+    # --- writes ---
+
+    def write(self, write: ClaimsWrite) -> OwnedObject:
+        """Add a write; the object as it leaves it. Raises ConflictError where it does not fit; then nothing
+        is changed.
+        """
+        previous_change = self.last_change
+        self.last_change += 1
         try:
-            return getattr(self, type(write).__name__.lower())(write)
+            return self._handlers[type(write)](write)
         except ConflictError:
-            self.last = before
+            self.last_change = previous_change
             raise
 
-    def open(self, write: Open) -> Session:
-        known = self.find("session", write.session.id)
-        if known and known.life != write.session.life:
-            raise ConflictError(f"{known.id} is held by another life of it until that one's lease ends")
-        if known is None and sum(1 for _ in self.all("session")) >= MOST_SESSIONS:
-            raise ConflictError(f"there are {MOST_SESSIONS} sessions, and no more")
-        return self.put("session", write.session)
+    def put_record(self, write: PutRecord) -> Record:
+        """Write or remove a record under its fence. The owner of the fence gets on with its work: whoever was
+        lost before was not lost over it.
+        """
+        self.check(write.fence)
+        known = self.find(ObjectKind.RECORD, write.name)
+        version = known.version if known else 0
+        if write.if_version is not None and write.if_version != version:
+            raise ConflictError(f"record {write.name} is at version {version}, not {write.if_version}")
+        if known is None and write.text:
+            self._check_room(ObjectKind.RECORD)
+        record = Record(write.name, write.text, self.last_change)
+        self.changed[ObjectKind.RECORD, write.name] = record if write.text else None
+        if write.fence:
+            claim = self._claim(write.fence.claim)
+            if claim.lost_holders:
+                self._put(ObjectKind.CLAIM, replace(claim, lost_holders=0))
+        return record
+
+    def _put(self, kind: ObjectKind, owned: OwnedObject) -> OwnedObject:
+        self.changed[kind, name_of(owned)] = owned
+        return owned
+
+    def _unchanged(self, owned: OwnedObject) -> OwnedObject:
+        """The result of a write that was carried out before, and is sent again as its response was lost."""
+        self.last_change -= 1
+        return owned
 
-    def session(self, holder: str, life: str) -> Session:
-        known = self.find("session", holder)
+    def _check_room(self, kind: ObjectKind) -> None:
+        """Raise ConflictError where no object of a kind may be added."""
+        if sum(1 for _ in self.all(kind)) >= MAX_OBJECTS[kind]:
+            raise ConflictError(f"there are {MAX_OBJECTS[kind]} {NAMES_IN_ERRORS[kind]}, and no more")
+
+    # --- sessions ---
+
+    def _open_session(self, write: OpenSession) -> Session:
+        known = self.find(ObjectKind.SESSION, write.session.id)
+        if known and known.incarnation != write.session.incarnation:
+            raise ConflictError(
+                f"{known.id} is held by {OTHER_INCARNATION} of it until that one's lease ends"
+            )
+        if known is None:
+            self._check_room(ObjectKind.SESSION)
+        return self._put(ObjectKind.SESSION, write.session)
+
+    def _end_session(self, write: EndSession) -> Session:
+        session = self._session(write.id, write.incarnation)
+        for claim in list(self.all(ObjectKind.CLAIM)):
+            if claim.holder == session.id and claim.incarnation == session.incarnation:
+                self._free(claim, lost_holders=claim.lost_holders + 1 if write.expired else 0)
+        self.changed[ObjectKind.SESSION, session.id] = None
+        return session
+
+    def _session(self, holder: str, incarnation: str) -> Session:
+        """The session of a holder; raises NotFoundError, or ConflictError for another incarnation."""
+        known = self.find(ObjectKind.SESSION, holder)
         if known is None:
             raise NotFoundError(f"{holder} has no session")
-        if known.life != life:
-            raise ConflictError(f"{holder} is in another life since")
+        if known.incarnation != incarnation:
+            raise ConflictError(f"{holder} is in {OTHER_INCARNATION} since")
         return known
 
-    def end(self, write: End) -> Session:
-        session = self.session(write.id, write.life)
-        for claim in list(self.all("claim")):
-            if claim.holder == session.id and claim.life == session.life:
-                self.free(claim, lost=write.lost)
-        self.changed["session", session.id] = None
-        return session
+    # --- claims ---
 
-    def free(self, claim: Claim, lost: bool = False, **why: str) -> Claim:
-        count = claim.lost + 1 if lost else 0
-        aside = {"held": True, "why": f"{count} owners in a row were lost"} if count >= MOST_LOST else {}
-        return self.put("claim", replace(claim, holder="", life="", lost=count, **{**why, **aside}))
+    def _claim(self, name: str) -> Claim:
+        known = self.find(ObjectKind.CLAIM, name)
+        if known is None:
+            raise NotFoundError(f"there is no {CLAIM_WORD} {name}")
+        return known
 
-    def take(self, write: Take) -> Claim:
-        session = self.session(write.holder, write.life)
-        known = self.find("claim", write.name)
+    def _take_claim(self, write: TakeClaim) -> Claim:
+        session = self._session(write.holder, write.incarnation)
+        known = self.find(ObjectKind.CLAIM, write.name)
         if known is None:
-            if sum(1 for _ in self.all("claim")) >= MOST_CLAIMS:
-                raise ConflictError(f"there are {MOST_CLAIMS} claims, and no more")
+            self._check_room(ObjectKind.CLAIM)
             known = Claim(write.name)
-        if known.held:
-            raise ConflictError(f"claim {known.name} is put aside: {known.why}")
-        if known.holder == session.id and known.life == session.life:
-            self.last -= 1
-            return known  # asked again, as the answer was lost
-        if known.holder:
-            raise ConflictError(f"claim {known.name} is held by {known.holder} at epoch {known.epoch}")
-        others = any(one.id != session.id for one in self.all("session"))
-        if known.to not in ("", session.id) and self.find("session", known.to):
-            raise ConflictError(f"claim {known.name} was handed to {known.to}")
-        if known.but == session.id and others:
-            raise ConflictError(f"claim {known.name} was given up by {known.but}: {known.why}")
-        epoch = self.term << EPOCH_COUNT_BITS | self.last
-        to = known.to if known.to == session.id else ""  # it stays where it was handed to on purpose
-        return self.put(
-            "claim",
-            replace(
-                known,
-                holder=session.id,
-                life=session.life,
-                epoch=epoch,
-                what=write.what,
-                to=to,
-                but="",
-                why="",
-            ),
+        if known.suspended:
+            raise ConflictError(f"{CLAIM_WORD} {known.name} is suspended: {known.reason}")
+        if known.holder == session.id and known.incarnation == session.incarnation:
+            return self._unchanged(known)
+        self._check_may_take(known, session)
+        taken = replace(
+            known,
+            holder=session.id,
+            incarnation=session.incarnation,
+            epoch=self._term << EPOCH_COUNT_BITS | self.last_change,
+            purpose=write.purpose,
+            # One that was handed over on purpose stays with its holder.
+            handed_to=known.handed_to if known.handed_to == session.id else "",
+            released_by="",
+            reason="",
         )
+        return self._put(ObjectKind.CLAIM, taken)
+
+    def _check_may_take(self, claim: Claim, session: Session) -> None:
+        """Raise ConflictError unless the claim is free for this session."""
+        if claim.holder:
+            raise ConflictError(f"{CLAIM_WORD} {claim.name} is held by {claim.holder} at epoch {claim.epoch}")
+        is_for_other = claim.handed_to not in ("", session.id)
+        if is_for_other and self.find(ObjectKind.SESSION, claim.handed_to):
+            raise ConflictError(f"{CLAIM_WORD} {claim.name} was handed to {claim.handed_to}")
+        has_others = any(other.id != session.id for other in self.all(ObjectKind.SESSION))
+        if claim.released_by == session.id and has_others:
+            raise ConflictError(
+                f"{CLAIM_WORD} {claim.name} was released by {claim.released_by}: {claim.reason}"
+            )
 
-    def give(self, write: Give) -> Claim:
-        self.session(write.holder, write.life)
-        known = self.find("claim", write.name)
-        if known is None:
-            raise NotFoundError(f"there is no claim {write.name}")
-        if (known.holder, known.life, known.epoch) != (write.holder, write.life, write.epoch):
+    def _release_claim(self, write: ReleaseClaim) -> Claim:
+        self._session(write.holder, write.incarnation)
+        known = self._claim(write.name)
+        held = (known.holder, known.incarnation, known.epoch)
+        if held != (write.holder, write.incarnation, write.epoch):
             raise ConflictError(
-                f"claim {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
+                f"{CLAIM_WORD} {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
                 f"not {write.epoch} of {write.holder}"
             )
-        return self.free(known, to=write.to, why=write.why, but=write.holder if write.why else "")
-
-    def hold(self, write: Hold) -> Claim:
-        known = self.find("claim", write.name)
+        released = replace(
+            known,
+            handed_to=write.handed_to,
+            reason=write.reason,
+            released_by=write.holder if write.reason else "",
+        )
+        return self._free(released, lost_holders=0)
+
+    def _free(self, claim: Claim, lost_holders: int) -> Claim:
+        """Take a claim from its holder; it is suspended where too many holders in a row were lost."""
+        freed = replace(claim, holder="", incarnation="", lost_holders=lost_holders)
+        if lost_holders >= MAX_LOST_HOLDERS:
+            freed = replace(freed, suspended=True, reason=f"{lost_holders} owners in a row were lost")
+        return self._put(ObjectKind.CLAIM, freed)
+
+    def _suspend_claim(self, write: SuspendClaim) -> Claim:
+        known = self._claim(write.name)
+        reason = "by hand" if write.suspended else ""
+        claim = replace(known, suspended=write.suspended, reason=reason, lost_holders=0)
+        return self._put(ObjectKind.CLAIM, claim)
+
+    # --- gateways ---
+
+    def _register_gateway(self, write: RegisterGateway) -> Gateway:
+        known = self.find(ObjectKind.GATEWAY, write.gateway.name)
+        if known == write.gateway:
+            return self._unchanged(known)
         if known is None:
-            raise NotFoundError(f"there is no claim {write.name}")
-        why = "by hand" if write.on else ""
-        return self.put("claim", replace(known, held=write.on, why=why, lost=0))
-
-    def enter(self, write: Enter) -> Door:
-        known = self.find("door", write.door.name)
-        if known == write.door:
-            self.last -= 1
-            return known
-        if known is None and sum(1 for _ in self.all("door")) >= MOST_DOORS:
-            raise ConflictError(f"there are {MOST_DOORS} doors, and no more")
-        return self.put("door", write.door)
-
-    def leave(self, write: Leave) -> Door:
-        known = self.find("door", write.name)
+            self._check_room(ObjectKind.GATEWAY)
+        return self._put(ObjectKind.GATEWAY, write.gateway)
+
+    def _remove_gateway(self, write: RemoveGateway) -> Gateway:
+        known = self.find(ObjectKind.GATEWAY, write.name)
         if known is None:
-            raise NotFoundError(f"there is no door {write.name}")
-        self.changed["door", write.name] = None
+            raise NotFoundError(f"there is no gateway {write.name}")
+        self.changed[ObjectKind.GATEWAY, write.name] = None
         return known
 
-    def keep(self, write: Keep) -> Record:
-        self.check(write.fence)
-        known = self.find("record", write.name)
-        version = known.version if known else 0
-        if write.if_version is not None and write.if_version != version:
-            raise ConflictError(f"record {write.name} is at version {version}, not {write.if_version}")
-        if known is None and write.text and sum(1 for _ in self.all("record")) >= MOST_RECORDS:
-            raise ConflictError(f"there are {MOST_RECORDS} records, and no more")
-        record = Record(write.name, write.text, self.last)
-        self.changed["record", write.name] = record if write.text else None
-        if write.fence:  # its owner gets on with it: whoever was lost before was not lost over it
-            claim = self.find("claim", write.fence.claim)
-            if claim.lost:
-                self.put("claim", replace(claim, lost=0))
-        return record
+
+# Former names, for modules that still use them.
+Door = Gateway
+Enter = RegisterGateway
+Leave = RemoveGateway
+Keep = PutRecord
+BookWrite = ClaimsWrite
+Thing = OwnedObject
--- /dev/null
+++ b/orchidhatch/control/ownership/claims_table.py
@@ -0,0 +1,56 @@
+"""The durable state of sessions, claims, records and registered gateways, as readers see it."""
+
+from orchidhatch.control.ownership.objects import (
+    Claim,
+    Gateway,
+    ObjectKind,
+    OwnedObject,
+    Record,
+    Session,
+    decode_object,
+)
+
+# What a transaction changes: the objects by kind and name, None for those that it removes.
+ObjectChanges = dict[tuple[ObjectKind, str], OwnedObject | None]
+
+
+class ClaimsTable:
+    """What is durable; `last_change` counts the changes."""
+
+    def __init__(self) -> None:
+        self.sessions: dict[str, Session] = {}
+        self.claims: dict[str, Claim] = {}
+        self.records: dict[str, Record] = {}
+        self.gateways: dict[str, Gateway] = {}
+        self.last_change = 0
+
+    @property
+    def doors(self) -> dict[str, Gateway]:
+        """The former name of `gateways`, for modules that still use it."""
+        return self.gateways
+
+    def objects(self, kind: ObjectKind) -> dict[str, OwnedObject]:
+        """All objects of a kind, by name."""
+        return {
+            ObjectKind.SESSION: self.sessions,
+            ObjectKind.CLAIM: self.claims,
+            ObjectKind.RECORD: self.records,
+            ObjectKind.GATEWAY: self.gateways,
+        }[kind]
+
+    def load(self, kind: str, name: str, text: str) -> None:
+        """Add an object as it is stored. Raises ValueError where it is none."""
+        object_kind = ObjectKind(kind)
+        self.objects(object_kind)[name] = decode_object(object_kind, name, text)
+
+    def apply(self, changes: ObjectChanges, last_change: int) -> None:
+        """Apply the changes of a transaction that is durable.
+
+        A replica has two writers, so the count may be above the transaction's already.
+        """
+        self.last_change = max(self.last_change, last_change)
+        for (kind, name), owned in changes.items():
+            if owned is None:
+                self.objects(kind).pop(name, None)
+            else:
+                self.objects(kind)[name] = owned
--- a/orchidhatch/control/ownership/service.py
+++ b/orchidhatch/control/ownership/service.py
@@ -1,178 +1,156 @@
-"""The calls about sessions, claims and records, as a list service answers them.
+"""Sessions and claims of one registry: their leases, who waits for changes, and metrics.
 
 Sessions' leases are kept by the monotonic clock and begin anew with the process. Where most sessions would
-run out together, rather the network or we are what failed: they are held for a while more, and that is told.
+run out together, rather the network or this registry failed: their end is withheld for a while.
 """
 
 import logging
-from collections.abc import Iterable
-from dataclasses import asdict
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from orchidhatch.control.errors import ConflictError, NotFoundError
+from orchidhatch.control.http_connection import Connection
+from orchidhatch.control.http_response import Response
+from orchidhatch.control.leases import LeaseTable, MassExpiryLimit
+from orchidhatch.control.ownership.claims import OTHER_INCARNATION
+from orchidhatch.control.ownership.objects import Claim, Session
+from orchidhatch.control.ownership.writes import ClaimsWrite, EndSession
+from orchidhatch.control.registry.store import Outcome, Store
+from orchidhatch.control.responses import OwnershipResponse, SessionRenewalResponse, session_response
 
-from orchidhatch.control.http_server import Connection, Response, error_body, unavailable
-from orchidhatch.control.leases import Leases
-from orchidhatch.control.ownership.claims import Claim, End, Record, Session
-from orchidhatch.control.schemas import read_give, read_hold, read_keep, read_life, read_open, read_take
+log = logging.getLogger("orchidhatch.ownership")
 
-if TYPE_CHECKING:
-    from orchidhatch.control.registry.service import Registry
+WITHHELD_S = 10.0  # for how long more sessions are kept that run out together: about one more lease
+SESSION_LIMIT = MassExpiryLimit(share=0.5, few=2, withheld_s=WITHHELD_S)
+
+
+class InternalWriter(Protocol):
+    """The write pipeline, as this service uses it."""
+
+    def enqueue_internal(self, write: ClaimsWrite) -> bool:
+        """Queue a write of the registry itself; whether it is queued."""
 
-log = logging.getLogger("orchidhatch.ownership")
 
-HELD_SHARE, HELD_FEW = 0.5, 2  # of all sessions, that may run out together unheld
-HELD_S = 10.0  # for how long more are held: about one more lease
-
-
-class Ownership:
-    """Sessions and claims of one list service."""
-
-    def __init__(self, registry: "Registry") -> None:
-        self.registry, self.book = registry, registry.store.book
-        self.waiting: set[Connection] = set()  # who is told of the next change, or of none after a beat
-        self.taken = self.refused = self.ended = 0  # claims taken; writes refused; sessions that ran out
-        self.begin()
-
-    def begin(self) -> None:
-        """Leases begin anew: nobody could renew them here before."""
-        self.leases = Leases(self.book.sessions.values(), self.registry.clock(), HELD_SHARE, HELD_FEW, HELD_S)
-
-    def call(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> bool:
-        """Whether it is one of these calls; then it is answered, or waits for the disk."""
-        queue = self.registry.queue
-        match method, path:
-            case "POST", ("sessions",):
-                queue(read_open(body), connection)
-            case "POST", ("sessions", holder, "renew"):
-                connection.answer(self.renew(holder, read_life(body)))
-            case "DELETE", ("sessions", holder):
-                queue(End(holder, read_life(body)), connection)
-            case "GET", ("claims",):
-                connection.answer(self.all())
-            case "GET", ("claims", "after", known):
-                self.wait(connection, known)
-            case "POST", ("claims", claim, "take"):
-                queue(read_take(claim, body), connection)
-            case "POST", ("claims", claim, "give"):
-                queue(read_give(claim, body), connection)
-            case "POST", ("claims", claim, "hold"):
-                queue(read_hold(claim, body), connection)
-            case "GET", ("records",):
-                connection.answer(Response(200, {"records": list(map(asdict, self.book.records.values()))}))
-            case "GET", ("records", record):
-                known = self.book.records.get(record)
-                connection.answer(
-                    Response(200, asdict(known)) if known else Response(404, error_body("no such record"))
-                )
-            case "POST", ("records", record):
-                queue(read_keep(record, body), connection)
-            case _:
-                return False
-        return True
+class OwnershipService:
+    """Sessions and claims of one registry."""
+
+    def __init__(self, store: Store, writes: InternalWriter, now_s: Callable[[], float]) -> None:
+        self.claims_taken = 0
+        self.writes_refused = 0
+        self.sessions_expired = 0
+        self._store = store
+        self._table = store.claims_table
+        self._writes = writes
+        self._now_s = now_s
+        self._waiting: set[Connection] = set()  # answered after the next change, or the next check
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin all leases anew: nobody could renew them here before."""
+        self.leases = LeaseTable(self._table.sessions.values(), self._now_s(), SESSION_LIMIT)
 
     # --- reads ---
 
     def version(self) -> str:
-        """Of all that is told here: a promoted or rebuilt store begins another count."""
-        return f"{self.registry.store.identity}-{self.registry.store.term}-{self.book.last}"
-
-    def all(self) -> Response:
-        return Response(
-            200,
-            {
-                "version": self.version(),
-                "sessions": [
-                    {"holder": one.id, "life": one.life, "leaseMs": one.lease_ms}
-                    for one in self.book.sessions.values()
-                ],
-                "claims": [asdict(one) for one in self.book.claims.values()],
-            },
-        )
-
-    def wait(self, connection: Connection, known: str) -> None:
-        """All of it once it is no more as known; told again after a beat all the same."""
-        if known != self.version():
-            connection.answer(self.all())
+        """The version of sessions and claims; a promoted or rebuilt store begins another count."""
+        return f"{self._store.identity}-{self._store.term}-{self._table.last_change}"
+
+    def snapshot(self) -> OwnershipResponse:
+        """All sessions and claims."""
+        sessions = [session_response(session) for session in self._table.sessions.values()]
+        return OwnershipResponse(self.version(), sessions, list(self._table.claims.values()))
+
+    def answer_after(self, connection: Connection, known_version: str) -> None:
+        """Answer with a snapshot once it is newer than the known version, or unchanged at the next check."""
+        if known_version != self.version():
+            connection.answer(Response(200, self.snapshot()))
         else:
-            self.waiting.add(connection)
+            self._waiting.add(connection)
 
-    def tell(self) -> None:
-        waiting, self.waiting = self.waiting, set()
-        answer = self.all() if waiting else None
+    def _answer_waiting(self) -> None:
+        waiting = self._waiting
+        self._waiting = set()
+        response = Response(200, self.snapshot()) if waiting else None
         for connection in waiting:
-            connection.answer(answer)
+            connection.answer(response)
 
     # --- leases ---
 
-    def renew(self, holder: str, life: str) -> Response:
-        if refusal := self.registry.no_writes():
-            return refusal
-        if not self.registry.sure():
-            return unavailable("it did not run for a while, and asks its peers first")
-        if not self.leases.renew(holder, life, self.registry.clock()):
-            known = self.book.sessions.get(holder)
-            return Response(
-                409 if known else 404,
-                error_body(f"{holder} is in another life since" if known else f"{holder} has no session"),
-            )
-        held = {
-            one.name: one.epoch
-            for one in self.book.claims.values()
-            if one.holder == holder and one.life == life
+    def renew(self, holder: str, incarnation: str) -> SessionRenewalResponse:
+        """Renew a session's lease. Raises NotFoundError, or ConflictError for another incarnation."""
+        if not self.leases.renew(holder, incarnation, self._now_s()):
+            if holder in self._table.sessions:
+                raise ConflictError(f"{holder} is in {OTHER_INCARNATION} since")
+            raise NotFoundError(f"{holder} has no session")
+        epochs = {
+            claim.name: claim.epoch
+            for claim in self._table.claims.values()
+            if claim.holder == holder and claim.incarnation == incarnation
         }
-        return Response(200, {"version": self.version(), "claims": held})
+        return SessionRenewalResponse(self.version(), epochs)
+
+    def check(self) -> None:
+        """End the sessions whose leases have run out, and answer whoever waits."""
+        withheld_before = self.leases.withheld
+        for session in self.leases.take_overdue(self._now_s()):
+            self._expire(session)
+        if self.leases.withheld and not withheld_before:
+            log.error(
+                "ALARM: sessions would run out together, their end is withheld: "
+                "overdue=%d sessions=%d withheld_s=%g",
+                self.leases.withheld,
+                len(self.leases.leases),
+                WITHHELD_S,
+            )
+        self._answer_waiting()
 
-    def wrote(self, outcomes: Iterable[object]) -> None:
-        """After a batch: what is durable now begins its lease, and who waits is told."""
-        changed = False
+    def _expire(self, session: Session) -> None:
+        log.warning("session expired: holder=%s lease_ms=%d", session.id, session.lease_ms)
+        self.sessions_expired += 1
+        self.leases.forget(session.id)
+        self._writes.enqueue_internal(EndSession(session.id, session.incarnation, expired=True))
+
+    # --- what was written ---
+
+    def batch_written(self, writes: Sequence[object], outcomes: Sequence[Outcome]) -> None:
+        """Begin and end leases by what is durable, and answer whoever waits for a change."""
         for outcome in outcomes:
             if isinstance(outcome, Session):
-                changed = True
-                if self.book.sessions.get(outcome.id) == outcome:
-                    self.leases.begin(outcome, self.registry.clock())
-                else:
-                    self.leases.forget(outcome.id)
+                self._follow_session(outcome)
             elif isinstance(outcome, Claim):
-                changed = True
-                self.taken += bool(outcome.holder)
-                if outcome.held:
-                    log.error("ALARM: claim %s is put aside: %s", outcome.name, outcome.why)
-        if changed:
-            self.tell()
-
-    def look(self) -> None:
-        """End the sessions whose leases have run out."""
-        held = self.leases.held
-        for session in self.leases.overdue(self.registry.clock()):
-            log.warning("%s did not renew its session of %d ms", session.id, session.lease_ms)
-            self.ended += 1
+                self._follow_claim(outcome)
+            elif isinstance(outcome, ConflictError):
+                self.writes_refused += 1
+        if any(isinstance(outcome, Session | Claim) for outcome in outcomes):
+            self._answer_waiting()
+
+    def batch_failed(self, writes: Sequence[object]) -> None:
+        """Nothing was changed, and so no lease is."""
+
+    def _follow_session(self, session: Session) -> None:
+        if self._table.sessions.get(session.id) == session:
+            self.leases.begin(session, self._now_s())
+        else:
             self.leases.forget(session.id)
-            self.registry.queue(End(session.id, session.life, lost=True), None)
-        if self.leases.held and not held:
-            log.error(
-                "ALARM: %d of %d sessions would run out together; they are held for %g s more",
-                self.leases.held,
-                len(self.leases.due),
-                HELD_S,
-            )
-        self.tell()
+
+    def _follow_claim(self, claim: Claim) -> None:
+        self.claims_taken += bool(claim.holder)
+        if claim.suspended:
+            log.error("ALARM: claim suspended: claim=%s reason=%s", claim.name, claim.reason)
+
+    # --- metrics ---
 
     def figures(self) -> dict[str, float]:
-        claims = self.book.claims.values()
+        """Metrics by name, without the registry's prefix."""
+        claims = self._table.claims.values()
         return {
-            "sessions": len(self.book.sessions),
-            "sessions_ended_total": self.ended,
-            "sessions_held": self.leases.held,
+            "sessions": len(self._table.sessions),
+            "sessions_ended_total": self.sessions_expired,
+            "sessions_held": self.leases.withheld,
             "claims": len(claims),
-            "claims_taken_total": self.taken,
-            "claims_free": sum(not one.holder for one in claims),
-            "claims_aside": sum(one.held for one in claims),
-            "records": len(self.book.records),
-            "refused_total": self.refused,
+            "claims_taken_total": self.claims_taken,
+            "claims_free": sum(not claim.holder for claim in claims),
+            "claims_aside": sum(claim.suspended for claim in claims),
+            "records": len(self._table.records),
+            "refused_total": self.writes_refused,
         }
-
-
-def written(outcome: Session | Claim | Record) -> dict[str, Any]:
-    """What a writer is told."""
-    if isinstance(outcome, Session):
-        return {"holder": outcome.id, "life": outcome.life, "leaseMs": outcome.lease_ms}
-    return asdict(outcome)
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -10,8 +10,10 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, dataclass
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
 
 from orchidhatch.control.http_client import Address, call
 from orchidhatch.control.http_server import Connection, Response, error_body, term_of, unavailable
@@ -27,13 +29,11 @@
     Thing,
 )
 from orchidhatch.control.policy.document import digest_of
+from orchidhatch.control.policy.lease_host import LeaseHost
 from orchidhatch.control.policy.timing import LEASE_S, OUT_S
 from orchidhatch.control.registry.store import StoreError
 from orchidhatch.control.schemas import name, read_door, read_report
 
-if TYPE_CHECKING:
-    from orchidhatch.control.registry.service import Registry
-
 log = logging.getLogger("orchidhatch.policy")
 
 NOW, PAST, DOCUMENT, CHANGE = "policy.now", "policy.past", "policy.doc-", "task.policy"
@@ -58,7 +58,7 @@
 class GatewayPolicyLeases:
     """The doors of one list service."""
 
-    def __init__(self, registry: "Registry") -> None:
+    def __init__(self, registry: LeaseHost) -> None:
         self.registry, self.book = registry, registry.store.book
         self.renewed = self.decisions = 0
         self.copied_s = -math.inf
@@ -203,7 +203,7 @@
                 for record in self.book.records.values()
                 if record.name.startswith(COPIED)
             },
-            "doors": [asdict(door) for door in self.book.doors.values()],
+            "doors": [msgspec.to_builtins(door) for door in self.book.doors.values()],
         }
 
     async def keep_copy(self, source: Callable[[], Address]) -> None:
@@ -221,7 +221,10 @@
 
     def differences(self, value: dict[str, Any]) -> list[BookWrite]:
         """What it takes to make the copy here what was told."""
-        records, doors = dict(value["records"]), [Door(**door) for door in value["doors"]]
+        records, doors = (
+            dict(value["records"]),
+            [Door(door["name"], door["life"], door["zone"]) for door in value["doors"]],
+        )
         mine = {name: record.text for name, record in self.book.records.items() if name.startswith(COPIED)}
         writes: list[BookWrite] = [Keep(name, "") for name in mine if name not in records]
         writes += [Keep(name, text) for name, text in records.items() if mine.get(name) != text]
--- a/orchidhatch/control/registry/__init__.py
+++ b/orchidhatch/control/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The endpoint registry: store, writes, watches, replication, promotion, backups and rebuild."""
--- /dev/null
+++ b/orchidhatch/control/registry/batch.py
@@ -0,0 +1,89 @@
+"""Batches of writes: what a number of writes comes to, before any of it is durable."""
+
+from collections.abc import Iterable, Mapping
+
+from orchidhatch.control.errors import ConflictError
+from orchidhatch.control.ownership.claims import ClaimsTransaction
+from orchidhatch.control.ownership.objects import OwnedObject
+from orchidhatch.control.ownership.writes import ClaimsWrite
+from orchidhatch.control.registry.checksums import DIGEST_MODULUS
+from orchidhatch.control.registry.endpoints import (
+    ChangeLifecycle,
+    Endpoint,
+    EndpointWrite,
+    RemoveEndpoint,
+    endpoint_digest,
+    next_endpoint,
+    target_of,
+)
+
+Write = EndpointWrite | ClaimsWrite
+Outcome = Endpoint | OwnedObject | ConflictError
+
+
+class Batch:
+    """What a batch of writes comes to: an outcome for each, in order.
+
+    `generation` and `endpoints_sum` are the list's after it, `claims` is the claims table's transaction.
+    """
+
+    def __init__(
+        self, outcomes: list[Outcome], generation: int, endpoints_sum: int, claims: ClaimsTransaction
+    ) -> None:
+        self.outcomes = outcomes
+        self.generation = generation
+        self.endpoints_sum = endpoints_sum
+        self.claims = claims
+        self.changed = [outcome for outcome in outcomes if isinstance(outcome, Endpoint)]
+
+
+class BatchPlan:
+    """The endpoint list and the claims table as the writes of a batch leave them, one after another.
+
+    What it is made from stays as it is: the list's generation, the sum of its digests, its endpoints and a
+    new transaction of the claims table.
+    """
+
+    def __init__(
+        self,
+        generation: int,
+        endpoints_sum: int,
+        listed: Mapping[str, Endpoint],
+        claims: ClaimsTransaction,
+    ) -> None:
+        self._generation = generation
+        self._endpoints_sum = endpoints_sum
+        self._listed = listed
+        self._claims = claims
+        self._count = len(listed)
+        self._changed: dict[str, Endpoint] = {}
+
+    def plan(self, writes: Iterable[Write]) -> Batch:
+        """Add all writes of the batch; what they come to."""
+        outcomes = [self._add(write) for write in writes]
+        return Batch(outcomes, self._generation, self._endpoints_sum, self._claims)
+
+    def _add(self, write: Write) -> Outcome:
+        """The outcome of one more write; a ConflictError is one too."""
+        try:
+            return self._claims.write(write) if isinstance(write, ClaimsWrite) else self._add_to_list(write)
+        except ConflictError as conflict:
+            return conflict
+
+    def _add_to_list(self, write: EndpointWrite) -> Endpoint:
+        known = self._find(target_of(write))
+        if isinstance(write, ChangeLifecycle | RemoveEndpoint):
+            self._claims.check(write.fence)
+        endpoint = next_endpoint(write, known, self._generation + 1, self._count)
+        listed = None if endpoint.is_deleted else endpoint
+        self._generation += 1
+        self._endpoints_sum = (
+            self._endpoints_sum + endpoint_digest(listed) - endpoint_digest(known)
+        ) % DIGEST_MODULUS
+        self._count += (listed is not None) - (known is not None)
+        self._changed[endpoint.id] = endpoint
+        return endpoint
+
+    def _find(self, id_: str) -> Endpoint | None:
+        known = self._changed.get(id_) or self._listed.get(id_)
+        return None if known is None or known.is_deleted else known
--- /dev/null
+++ b/orchidhatch/control/registry/lease_expiry.py
@@ -0,0 +1,118 @@
+"""Removes endpoints whose leases have run out.
+
+A controller that owns this task has overdue endpoints removed under its claim; while one does, the registry's
+own check rests.
+"""
+
+import logging
+import math
+from collections.abc import Callable, Sequence
+
+from orchidhatch.control.errors import ConflictError
+from orchidhatch.control.leases import LeaseTable
+from orchidhatch.control.ownership.objects import Fence
+from orchidhatch.control.registry.endpoints import Endpoint, RemoveEndpoint
+from orchidhatch.control.registry.store import Outcome, Store
+from orchidhatch.control.registry.write_pipeline import QueuedWrite, WritePipeline
+
+log = logging.getLogger("orchidhatch.registry")
+
+OWNER_ACTIVE_S = 3.0  # since the last call of an owner; then the registry checks again itself
+
+
+class EndpointLeaseExpiry:
+    """The leases of all endpoints, and the removal of those that are overdue."""
+
+    def __init__(self, store: Store, writes: WritePipeline, now_s: Callable[[], float]) -> None:
+        self.expired = 0
+        self.last_owner_call_s = -math.inf
+        self._store = store
+        self._writes = writes
+        self._now_s = now_s
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin all leases anew: nobody could renew them here before."""
+        self.leases = LeaseTable(self._store.entries.values(), self._now_s())
+
+    def renew(self, id_: str, incarnation: int) -> bool:
+        """Whether this incarnation has a lease; then it begins anew."""
+        return self.leases.renew(id_, incarnation, self._now_s())
+
+    # --- removal ---
+
+    def check(self) -> None:
+        """Remove what is overdue, unless an owner sees to it."""
+        if self._now_s() - self.last_owner_call_s >= OWNER_ACTIVE_S:
+            self._remove_overdue(None)
+
+    def check_for_owner(self, fence: Fence) -> int:
+        """Remove what is overdue under an owner's claim, which was checked; how many."""
+        self.last_owner_call_s = self._now_s()
+        return self._remove_overdue(fence)
+
+    def _remove_overdue(self, fence: Fence | None) -> int:
+        """Each removal is held against the fence again."""
+        withheld_before = self.leases.withheld
+        overdue = self.leases.take_overdue(self._now_s())
+        for endpoint in overdue:
+            self._remove(endpoint, fence)
+        if self.leases.withheld and not withheld_before:
+            log.error(
+                "ALARM: endpoint leases would run out together, removal is withheld: overdue=%d leases=%d",
+                self.leases.withheld,
+                len(self.leases.leases),
+            )
+        return len(overdue)
+
+    def _remove(self, endpoint: Endpoint, fence: Fence | None) -> None:
+        log.warning("endpoint lease expired: endpoint=%s lease_ms=%d", endpoint.id, endpoint.lease_ms)
+        self.leases.forget(endpoint.id)
+        removal = RemoveEndpoint(endpoint.id, incarnation=endpoint.incarnation, fence=fence)
+        if not self._writes.enqueue_internal(removal):
+            self.leases.restore_overdue(endpoint, self._now_s())
+
+    def figures(self) -> dict[str, float]:
+        """Metrics by name, without the registry's prefix."""
+        return {
+            "leases": len(self.leases.leases),
+            "leases_held": self.leases.withheld,
+            "leases_expired_total": self.expired,
+        }
+
+    # --- what was written ---
+
+    def batch_written(self, writes: Sequence[QueuedWrite], outcomes: Sequence[Outcome]) -> None:
+        """Begin and end the leases of changed endpoints; put back those whose removal was rejected."""
+        for outcome in outcomes:
+            if isinstance(outcome, Endpoint):
+                self._follow_change(outcome)
+        for queued, outcome in zip(writes, outcomes, strict=True):
+            if queued.connection:
+                continue
+            if isinstance(outcome, ConflictError):
+                self._put_back(queued)
+            elif isinstance(queued.write, RemoveEndpoint):
+                self.expired += 1
+
+    def batch_failed(self, writes: Sequence[QueuedWrite]) -> None:
+        """Put back those whose removal failed."""
+        for queued in writes:
+            if not queued.connection:
+                self._put_back(queued)
+
+    def _follow_change(self, changed: Endpoint) -> None:
+        listed = self._store.entries.get(changed.id)
+        if listed is None:
+            self.leases.forget(changed.id)
+        elif listed == changed:
+            self.leases.begin(listed, self._now_s())
+
+    def _put_back(self, queued: QueuedWrite) -> None:
+        """A removal over a lease did not come about: whom it concerned is overdue still."""
+        write = queued.write
+        listed = self._store.entries.get(write.id) if isinstance(write, RemoveEndpoint) else None
+        if listed is None or listed.incarnation != write.incarnation:
+            return
+        if listed.id not in self.leases.leases:
+            self.leases.restore_overdue(listed, self._now_s())
--- /dev/null
+++ b/orchidhatch/control/registry/promotion.py
@@ -0,0 +1,99 @@
+"""Promotion: a replica becomes the registry that takes writes, in a new term.
+
+It is refused while another registry may still take writes, unless it is forced. What may be is the upstream,
+if it still answers or a process still listens where it was, and a peer that was told the term a moment ago.
+"""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+from orchidhatch.control.errors import ConflictError
+from orchidhatch.control.registry.peer_terms import PROMOTION_DELAY_S, PeerTermGuard
+from orchidhatch.control.registry.replica_role import ReplicaRole
+from orchidhatch.control.registry.replication import SILENT_S, Replicator
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.responses import PromotionResponse
+
+log = logging.getLogger("orchidhatch.registry")
+
+
+class Promotion:
+    """Promotes this registry; `on_promoted` has its services begin anew."""
+
+    def __init__(
+        self,
+        store: Store,
+        role: ReplicaRole,
+        peer_terms: PeerTermGuard,
+        on_promoted: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._role = role
+        self._peer_terms = peer_terms
+        self._on_promoted = on_promoted
+
+    async def upstream_may_run(self) -> bool:
+        """Whether something takes connections where the upstream was, or nothing says that it does not.
+
+        A process that was stopped does, and may wake up within the time that its last check holds.
+        """
+        replicator = self._role.replicator
+        return replicator is not None and await asyncio.to_thread(replicator.still_listens)
+
+    def promote(self, force: bool, upstream_may_run: bool) -> PromotionResponse:
+        """Begin a term above all that is known. Nothing that was replicated may be half way to the disk.
+
+        Raises ConflictError where it is refused, StoreError where the term cannot be written.
+        """
+        replicator = self._check(force, upstream_may_run)
+        first_generation = max(replicator.known + 1, time.time_ns() // 1_000_000)
+        self._store.begin_term(replicator.term() + 1, first_generation)
+        self._role.become_primary()
+        self._peer_terms.reset()
+        self._on_promoted()
+        response = PromotionResponse(
+            self._store.term,
+            self._store.generation,
+            len(self._store.entries),
+            replicator.known,
+            replicator.age_s(),
+        )
+        log.warning(
+            "promoted: term=%d generation=%d upstream_store=%s upstream_generation=%d lag_s=%.1f",
+            response.term,
+            response.generation,
+            replicator.source,
+            response.upstream_generation,
+            response.lag_seconds,
+        )
+        return response
+
+    def _check(self, force: bool, upstream_may_run: bool) -> Replicator:
+        """What this registry replicates. Raises ConflictError where it must not be promoted."""
+        replicator = self._role.replicator
+        if not replicator:
+            raise ConflictError(f"it follows none; it is the registry of term {self._store.term}")
+        if not replicator.heard_ms:
+            raise ConflictError("it has never heard a list")
+        if force:
+            return replicator
+        if replicator.connected:
+            raise ConflictError(f"{replicator.registry()} still answers; stop it first, or force it")
+        self._check_no_peer_relies_on_term()
+        silence_s = replicator.silent_s()
+        if upstream_may_run and silence_s < SILENT_S:
+            raise ConflictError(
+                f"{replicator.registry()} is silent for {silence_s:.1f} s only and may go on; "
+                f"ask again after {SILENT_S:g} s, or force it"
+            )
+        return replicator
+
+    def _check_no_peer_relies_on_term(self) -> None:
+        age_s = self._peer_terms.since_term_query_s()
+        if age_s < PROMOTION_DELAY_S:
+            raise ConflictError(
+                f"a peer asked {age_s:.1f} s ago and may still take writes; stop it, "
+                f"wait {PROMOTION_DELAY_S:.1f} s, or force it"
+            )
--- /dev/null
+++ b/orchidhatch/control/registry/replica_role.py
@@ -0,0 +1,37 @@
+"""Whether this registry is a replica: of which upstream, and the tasks that replicate it."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+
+from orchidhatch.control.errors import ConflictError
+from orchidhatch.control.registry.replication import Replicator
+
+# Clients of other versions look for these words in an error, and ask another registry by them.
+READ_ONLY_SIGN = "takes no writes"
+
+
+class ReplicaRole:
+    """The replicator while this registry is a replica; None when it is the primary.
+
+    Only `become_primary` changes it, once. The tasks are cancelled then, or when the server closes.
+    """
+
+    def __init__(self, replicator: Replicator | None) -> None:
+        self.replicator = replicator
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self, coroutines: Iterable[Coroutine[None, None, None]]) -> list[asyncio.Task[None]]:
+        """Start what replicates the upstream; the tasks, for their owner to cancel and await at the end."""
+        self.tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
+        return self.tasks
+
+    def become_primary(self) -> None:
+        """Stop replicating."""
+        for task in self.tasks:
+            task.cancel()
+        self.replicator = None
+
+    def check_is_primary(self) -> None:
+        """Raise ConflictError while this registry is a replica."""
+        if self.replicator:
+            raise ConflictError(f"it follows {self.replicator.registry()}, and {READ_ONLY_SIGN}")
--- a/orchidhatch/control/registry/replication.py
+++ b/orchidhatch/control/registry/replication.py
@@ -10,10 +10,10 @@
 import socket
 import time
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import replace
 from typing import Any
 
 import h11
+from msgspec.structs import replace
 
 from orchidhatch.control.http_server import STORE_HEADER, EndpointListServer, term_of
 from orchidhatch.control.registry.store import DELETED, Entry, Put, Remove, StoreError, Write
@@ -240,5 +240,5 @@
 
 def same(known: Entry, told: Entry) -> bool:
     """Whether they differ in nothing that was told; an entry of the protocol's form tells no life."""
-    untold = {} if told.life else {"life": known.life, "lease_ms": known.lease_ms}
+    untold = {} if told.incarnation else {"incarnation": known.incarnation, "lease_ms": known.lease_ms}
     return known == replace(told, version=known.version, **untold)
--- /dev/null
+++ b/orchidhatch/control/registry/store_file.py
@@ -0,0 +1,204 @@
+"""The SQLite file of a store: its tables, and what is read from and written to them.
+
+One process at a time has the file, by a lock that ends with the process. Everything is checked when it is
+opened, and a file that is not sound is not used. The tables' names are older than the terms of the code.
+"""
+
+import secrets
+import sqlite3
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+from orchidhatch.control.errors import CorruptStoreError, StoreError
+from orchidhatch.control.ownership.claims_table import ObjectChanges
+from orchidhatch.control.ownership.objects import encode_object
+from orchidhatch.control.registry.checksums import list_checksum, record_checksum
+from orchidhatch.control.registry.endpoints import Endpoint, encode_endpoint
+
+APPLICATION_ID = 0x6F726368
+FORMAT_VERSION = 1
+LAST_CHANGE_KEY = "last"  # the row with the count of changes, in place of an object's kind and name
+SQLITE_SUFFIXES = ("", "-wal", "-shm")
+
+SCHEMA = f"""
+PRAGMA application_id = {APPLICATION_ID};
+PRAGMA user_version = {FORMAT_VERSION};
+CREATE TABLE meta (
+  only INTEGER PRIMARY KEY CHECK (only = 1), identity TEXT NOT NULL, term INTEGER NOT NULL,
+  first INTEGER NOT NULL, generation INTEGER NOT NULL, digest TEXT NOT NULL
+) STRICT;
+CREATE TABLE entries (id TEXT PRIMARY KEY, record TEXT NOT NULL) STRICT, WITHOUT ROWID;
+CREATE TABLE history (generation INTEGER PRIMARY KEY, record TEXT NOT NULL, digest TEXT NOT NULL) STRICT;
+"""
+# A store of the first version has none.
+CLAIMS_SCHEMA = (
+    "CREATE TABLE IF NOT EXISTS book (kind TEXT NOT NULL, name TEXT NOT NULL, "
+    "record TEXT NOT NULL, digest TEXT NOT NULL, PRIMARY KEY (kind, name)) "
+    "STRICT, WITHOUT ROWID"
+)
+
+
+class ListHeader(NamedTuple):
+    """What holds for the whole list. Generations go on from `first`."""
+
+    identity: str
+    term: int
+    first: int
+    generation: int
+
+    def checksum(self, endpoints_sum: int) -> str:
+        """The checksum over this and the sum of the endpoints' digests."""
+        return list_checksum(*self, endpoints_sum)
+
+
+class StoreFile:
+    """The open file. One thread at a time may use it, but not always the same."""
+
+    def __init__(self, path: Path) -> None:
+        """Open the database; `begin_loading` checks it."""
+        self.path = path
+        self.db = sqlite3.connect(path, isolation_level=None, timeout=0.0, check_same_thread=False)
+
+    def close(self) -> None:
+        """Close the database, which writes its log back."""
+        self.db.close()
+
+    # --- opening ---
+
+    @contextmanager
+    def loading(self, create: bool, new_header: Callable[[str], ListHeader]) -> Iterator[None]:
+        """Lock the file, make a new store in an empty one if asked to, and check that the file is sound.
+
+        What the block reads is of one transaction. Raises CorruptStoreError, also for a ValueError in it.
+        """
+        self.db.execute("PRAGMA locking_mode = EXCLUSIVE")
+        self.db.execute("PRAGMA journal_mode = WAL")
+        self.db.execute("PRAGMA synchronous = FULL")
+        self.db.execute("BEGIN IMMEDIATE")
+        try:
+            if create and not self.db.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
+                self._create(new_header(secrets.token_hex(8)))
+            self._check_integrity()
+            try:
+                yield
+            except (TypeError, ValueError, KeyError) as error:
+                raise CorruptStoreError(
+                    f"{self.path.name} is damaged: {' '.join(str(error).split()):.200}"
+                ) from error
+        finally:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+
+    def _create(self, header: ListHeader) -> None:
+        """All of it or nothing: one that was cut short is begun anew."""
+        for statement in filter(None, map(str.strip, SCHEMA.split(";"))):
+            self.db.execute(statement)
+        self.db.execute("INSERT INTO meta VALUES (1, ?, ?, ?, ?, ?)", (*header, header.checksum(0)))
+        self.db.execute("COMMIT")
+        self.db.execute("BEGIN IMMEDIATE")
+
+    def _check_integrity(self) -> None:
+        version = self.db.execute("PRAGMA user_version").fetchone()[0]
+        if version != FORMAT_VERSION:
+            raise CorruptStoreError(f"{self.path.name} is of format {version}, not {FORMAT_VERSION}")
+        [(found,), *more] = self.db.execute("PRAGMA integrity_check(1)").fetchall()
+        if found != "ok" or more:
+            raise CorruptStoreError(f"{self.path.name} is damaged: {' '.join(str(found).split())}")
+
+    # --- reads, while loading ---
+
+    def read_header(self) -> tuple[ListHeader, str]:
+        """The header and the list's checksum."""
+        query = "SELECT identity, term, first, generation, digest FROM meta"
+        [(*header, checksum)] = self.db.execute(query).fetchall()
+        return ListHeader(*header), checksum
+
+    def read_endpoints(self) -> Iterable[tuple[str, str]]:
+        """Id and stored form of each endpoint."""
+        return self.db.execute("SELECT id, record FROM entries")
+
+    def read_history(self) -> Iterator[tuple[int, str]]:
+        """Generation and stored form of each change, in order. Raises ValueError over a checksum."""
+        for generation, text, checksum in self.db.execute("SELECT * FROM history ORDER BY generation"):
+            if checksum != record_checksum(generation, text):
+                raise ValueError(f"change {generation} of the history does not fit its digest")
+            yield generation, text
+
+    def read_objects(self) -> Iterator[tuple[str, str, str]]:
+        """Kind, name and stored form of each row of the claims table, and then the table is there for good.
+
+        Raises ValueError over a checksum.
+        """
+        self.db.execute(CLAIMS_SCHEMA)
+        for kind, name, text, checksum in self.db.execute("SELECT * FROM book"):
+            if checksum != record_checksum(kind, name, text):
+                raise ValueError(f"{kind} {name!r:.80} does not fit its digest")
+            yield kind, name, text
+        if self.db.in_transaction:
+            self.db.execute("COMMIT")
+
+    # --- writes ---
+
+    @contextmanager
+    def transaction(self) -> Iterator[None]:
+        """Durable when the block has ended, or nothing of it. Raises StoreError for errors of the disk."""
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            yield
+            self.db.execute("COMMIT")
+        except sqlite3.Error as error:
+            if self.db.in_transaction:
+                self.db.execute("ROLLBACK")
+            raise StoreError(f"cannot write {self.path.name}: {error}") from error
+
+    def write_endpoints(self, changed: Sequence[Endpoint], forget_up_to: int) -> None:
+        """Write changed endpoints and the history of their changes, and drop the history's oldest part."""
+        for endpoint in changed:
+            text = encode_endpoint(endpoint)
+            if endpoint.is_deleted:
+                self.db.execute("DELETE FROM entries WHERE id = ?", (endpoint.id,))
+            else:
+                self.db.execute("INSERT OR REPLACE INTO entries VALUES (?, ?)", (endpoint.id, text))
+            row = (endpoint.version, text, record_checksum(endpoint.version, text))
+            self.db.execute("INSERT INTO history VALUES (?, ?, ?)", row)
+        self.db.execute("DELETE FROM history WHERE generation <= ?", (forget_up_to,))
+
+    def write_header(self, header: ListHeader, endpoints_sum: int) -> None:
+        """Write the list's header with its checksum."""
+        self.db.execute(
+            "UPDATE meta SET term = ?, first = ?, generation = ?, digest = ?",
+            (header.term, header.first, header.generation, header.checksum(endpoints_sum)),
+        )
+
+    def clear_history(self) -> None:
+        """Drop the whole history."""
+        self.db.execute("DELETE FROM history")
+
+    def write_objects(self, changes: ObjectChanges, last_change: int) -> None:
+        """Write the changed rows of the claims table, and the count of its changes."""
+        if not changes:
+            return
+        for (kind, name), owned in changes.items():
+            if owned is None:
+                self.db.execute("DELETE FROM book WHERE kind = ? AND name = ?", (kind, name))
+            else:
+                self._write_row(kind, name, encode_object(owned))
+        self._write_row(LAST_CHANGE_KEY, LAST_CHANGE_KEY, str(last_change))
+
+    def _write_row(self, kind: str, name: str, text: str) -> None:
+        row = (kind, name, text, record_checksum(kind, name, text))
+        self.db.execute("INSERT OR REPLACE INTO book VALUES (?, ?, ?, ?)", row)
+
+
+def put_aside(path: Path) -> Path:
+    """Keep a damaged file, with its log, under a name that is free; that name."""
+    number = 0
+    while (aside := path.with_name(f"{path.name}.damaged{number or ''}")).exists():
+        number += 1
+    for suffix in SQLITE_SUFFIXES:
+        part = Path(f"{path}{suffix}")
+        if part.exists():
+            part.replace(f"{aside}{suffix}")
+    return aside
--- a/orchidhatch/control/schemas.py
+++ b/orchidhatch/control/schemas.py
@@ -1,363 +1,248 @@
-"""What goes over HTTP, as JSON: the list as the protocol gives it, and writes, checked field by field."""
-
-import ipaddress
-import json
-import math
-import re
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any, NoReturn
-
-from orchidhatch.control.ownership.claims import Door, Enter, Fence, Give, Hold, Keep, Open, Session, Take
-from orchidhatch.control.registry.store import DELETED, LIFECYCLES, Change, Entry, Register, Remove
-
-MOST_BODY = 8192  # bytes; an entry takes some 300, a policy's document up to 5,000
-MOST_TEXT = 64
-MOST_CELL, MOST_WEIGHT = 1_000_000, 1000.0
-LEAST_LEASE_MS, MOST_LEASE_MS = 100, 24 * 3600 * 1000
-MOST_WHY, MOST_RECORD = 300, 6000  # characters of a reason; bytes of a record
-MOST_READY = 8  # documents that a door's agent may say that it has
-MOST_TIME_MS = 1 << 53  # what JSON's numbers hold exactly in any language
-ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-DIGEST = re.compile(r"([0-9a-f]{16})?")
-ADDRESS = re.compile(r"([0-9.]{7,15}):([1-9][0-9]{0,4})")
-
-
-class InvalidRequestError(Exception):
-    """What came is not in form; the text is one plain line that names the field."""
-
-
-# --- out ---
-
-
-def instance(entry: Entry) -> dict[str, Any]:
-    """An entry as the protocol's page has it."""
-    return {
-        "instanceId": entry.id,
-        "hostPort": entry.address,
-        "zone": entry.zone,
-        "machineType": entry.kind,
-        "cell": entry.cell,
-        "lifecycle": entry.lifecycle,
-        "weight": entry.weight,
-        "startedAtMs": entry.started_ms,
-    }
-
-
-def listing(generation: int, reset: bool, entries: Iterable[Entry], leases: bool = False) -> bytes:
-    """The whole list, or the changes to it, on a line; with `leases` in the form that followers ask for."""
-    form = written if leases else instance
-    value = {"generation": generation, "reset": reset, "instances": list(map(form, entries))}
-    return json.dumps(value, separators=(",", ":"), allow_nan=False).encode() + b"\n"
-
-
-def written(entry: Entry) -> dict[str, Any]:
-    """What a writer is told: the entry, and the version and life to name in the next write."""
-    return {**instance(entry), "version": entry.version, "life": entry.life, "leaseMs": entry.lease_ms}
-
-
-# --- in ---
-
-
-def wrong(field: str, needed: str) -> NoReturn:
-    raise InvalidRequestError(f"{field}: {needed}")
-
-
-def no_constant(name: str) -> NoReturn:
-    raise InvalidRequestError(f"{name} is no number")
-
-
-def no_repeats(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    values = dict(pairs)
-    if len(values) != len(pairs):
-        raise InvalidRequestError("a field is given twice")
-    return values
-
-
-def read_body(body: bytes) -> dict[str, Any]:
-    """A JSON object of bounded size; a number that is none is an error already here."""
-    if len(body) > MOST_BODY:
-        raise InvalidRequestError(f"the body is longer than {MOST_BODY} bytes")
-    try:
-        values = json.loads(body, parse_constant=no_constant, object_pairs_hook=no_repeats)
-    except (ValueError, RecursionError) as error:  # not UTF-8 is a ValueError too, and so is a huge integer
-        raise InvalidRequestError(f"the body is not JSON: {' '.join(str(error).split()):.120}") from error
-    if not isinstance(values, dict):
-        raise InvalidRequestError("the body is not a JSON object")
-    return values
-
-
-def text(field: str, value: object) -> str:
-    if not isinstance(value, str) or not 0 < len(value) <= MOST_TEXT or not value.isprintable():
-        wrong(field, f"a text of 1 to {MOST_TEXT} printable characters is needed")
-    return value
-
-
-def name(field: str, value: object) -> str:
-    if not isinstance(value, str) or not ID.fullmatch(value):
-        wrong(field, f"1 to {MOST_TEXT} of letters, digits, '.', '_', '-' are needed, no sign first")
-    return value
-
-
-def address(field: str, value: object) -> str:
-    found = ADDRESS.fullmatch(value) if isinstance(value, str) else None
-    try:
-        good = found and ipaddress.IPv4Address(found[1]) and int(found[2]) <= 65535
-    except ValueError:
-        good = False
-    if not good:  # a name would be of no use to a front door, which has no DNS
-        wrong(field, "an IPv4 address and a port from 1 to 65535 are needed, as 10.0.0.4:6379")
-    return value
-
-
-def whole(most: int) -> Callable[[str, object], int]:
-    def read(field: str, value: object) -> int:
-        if type(value) is not int or not 0 <= value <= most:
-            wrong(field, f"a whole number from 0 to {most} is needed")
-        return value
-
-    return read
-
-
-def weight(field: str, value: object) -> float:
-    if type(value) not in (int, float) or not math.isfinite(value) or not 0 < value <= MOST_WEIGHT:
-        wrong(field, f"a number above 0, and {MOST_WEIGHT:g} at most, is needed")
-    return float(value)
-
-
-def lifecycle(field: str, value: object) -> str:
-    if value not in LIFECYCLES:
-        wrong(field, f"one of {', '.join(LIFECYCLES)} is needed")
-    return str(value)
-
-
-def flag(field: str, value: object) -> bool:
-    if not isinstance(value, bool):
-        wrong(field, "true or false is needed")
-    return value
-
-
-def lease(field: str, value: object) -> int:
-    if type(value) is not int or not LEAST_LEASE_MS <= value <= MOST_LEASE_MS:
-        wrong(field, f"a whole number from {LEAST_LEASE_MS} to {MOST_LEASE_MS} is needed")
-    return value
-
-
-def line(field: str, value: object) -> str:
-    if not isinstance(value, str) or len(value) > MOST_WHY or not value.isprintable():
-        wrong(field, f"a line of at most {MOST_WHY} printable characters is needed")
-    return value
-
-
-def long_text(field: str, value: object) -> str:
-    if not isinstance(value, str) or len(value.encode(errors="replace")) > MOST_RECORD:
-        wrong(field, f"a text of at most {MOST_RECORD} bytes is needed")
-    return value
-
-
-def state(field: str, value: object) -> str:
-    return DELETED if value == DELETED else lifecycle(field, value)
-
-
-Readers = Mapping[str, Callable[[str, object], Any]]
-
-ENTRY: Readers = {
-    "instanceId": name,
-    "hostPort": address,
-    "zone": text,
-    "machineType": text,
-    "cell": whole(MOST_CELL),
-    "lifecycle": lifecycle,
-    "weight": weight,
-    "startedAtMs": whole(MOST_TIME_MS),
-}
-DEFAULTS = {"cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}
-LEASE: Readers = {"leaseMs": whole(MOST_LEASE_MS)}
-CONDITION: Readers = {"ifVersion": whole(MOST_TIME_MS)}
-LIFE: Readers = {"life": whole(MOST_TIME_MS)}
-FENCE: Readers = {"claim": name, "epoch": whole(MOST_TIME_MS)}
-
-
-def fields(values: Mapping[str, Any], readers: Readers, optional: Iterable[str]) -> dict[str, Any]:
-    """The fields read; one that is unknown or lacking is an error."""
-    unknown = sorted(set(values) - set(readers))
-    if unknown:
-        raise InvalidRequestError(f"{unknown[0]!r:.80} is no field here; there are {', '.join(readers)}")
-    for field in readers:
-        if field not in values and field not in optional:
-            wrong(field, "is needed")
-    return {field: read(field, values[field]) for field, read in readers.items() if field in values}
-
-
-def read_register(body: bytes) -> Register:
-    """A backend that enters the list, or enters it anew."""
-    given = fields(read_body(body), {**ENTRY, **LEASE, **CONDITION}, {*DEFAULTS, *LEASE, *CONDITION})
-    found = {**DEFAULTS, **given}
-    entry = Entry(
-        found["instanceId"],
-        found["hostPort"],
-        found["zone"],
-        found["machineType"],
-        found["cell"],
-        found["lifecycle"],
-        found["weight"],
-        found["startedAtMs"],
-        lease_ms=found.get("leaseMs", 0),
+"""Requests to the control plane, as typed messages, and what each of them asks for.
+
+The fields' names are those of the wire. Every `read_` function raises InvalidRequestError for a body that is
+not such a message: a field that is unknown, given twice, lacking, of another type or out of bounds.
+"""
+
+from typing import Any
+
+import msgspec
+from msgspec import UNSET
+
+from orchidhatch.control.errors import InvalidRequestError
+from orchidhatch.control.field_types import Message, Name
+from orchidhatch.control.json_body import (
+    convert_message,
+    decode_message,
+    reject_constant,
+    reject_duplicates,
+)
+from orchidhatch.control.ownership.objects import Fence, Gateway, Session
+from orchidhatch.control.ownership.writes import (
+    OpenSession,
+    PutRecord,
+    RegisterGateway,
+    ReleaseClaim,
+    SuspendClaim,
+    TakeClaim,
+)
+from orchidhatch.control.registry.endpoints import (
+    LISTED_LIFECYCLES,
+    ChangeLifecycle,
+    Endpoint,
+    Lifecycle,
+    RegisterEndpoint,
+    RemoveEndpoint,
+)
+from orchidhatch.control.request_messages import (
+    ChangeMessage,
+    EndpointRenewalMessage,
+    FencedCallMessage,
+    FenceMessage,
+    GatewayMessage,
+    GatewayReportMessage,
+    IncarnationMessage,
+    OptionalFenceMessage,
+    PromotionMessage,
+    RecordMessage,
+    RegistrationMessage,
+    ReleaseClaimMessage,
+    RemovalMessage,
+    ReplicatedMessage,
+    ReplicatedWithLeaseMessage,
+    SessionMessage,
+    SuspendClaimMessage,
+    TakeClaimMessage,
+)
+
+MAX_GENERATION_DIGITS = 16
+NO_BODY = b"{}"  # in place of a body that is empty, where all fields are optional
+
+
+# --- endpoints ---
+
+
+def read_register_endpoint(body: bytes) -> RegisterEndpoint:
+    """An endpoint that is listed, or listed anew."""
+    message = decode_message(body, RegistrationMessage)
+    _check_listed(message.lifecycle)
+    endpoint = Endpoint(
+        message.instance_id,
+        message.address,
+        message.zone,
+        message.machine_type,
+        message.cell,
+        message.lifecycle,
+        message.weight,
+        message.started_ms,
+        lease_ms=message.lease_ms,
     )
-    return Register(entry, found.get("ifVersion"))
+    return RegisterEndpoint(endpoint, _optional(message.if_version))
 
 
-def read_instance(value: object, leases: bool = False) -> Entry:
-    """An entry of a list that another service gives, with life and lease if it tells them and they are asked
-    for; there may be fields here unknown."""
+def read_replicated_endpoint(value: object, leases: bool = False) -> Endpoint:
+    """An endpoint of a list that another service sends, with incarnation and lease if it sends them and they
+    are asked for. A lifecycle of DELETED is a removal.
+    """
     if not isinstance(value, dict):
         raise InvalidRequestError("an entry is not a JSON object")
-    extra = {**LIFE, **LEASE} if leases else {}
-    readers = {**ENTRY, "lifecycle": state, **extra}
-    found = fields({key: value[key] for key in value if key in readers}, readers, extra)
-    return Entry(
-        found["instanceId"],
-        found["hostPort"],
-        found["zone"],
-        found["machineType"],
-        found["cell"],
-        found["lifecycle"],
-        found["weight"],
-        found["startedAtMs"],
-        life=found.get("life", 0),
-        lease_ms=found.get("leaseMs", 0),
+    message = convert_message(value, ReplicatedWithLeaseMessage if leases else ReplicatedMessage)
+    return Endpoint(
+        message.instance_id,
+        message.address,
+        message.zone,
+        message.machine_type,
+        message.cell,
+        message.lifecycle,
+        message.weight,
+        message.started_ms,
+        incarnation=message.incarnation if leases else 0,
+        lease_ms=message.lease_ms if leases else 0,
     )
 
 
-def fence_of(found: Mapping[str, Any]) -> Fence | None:
-    """In whose name a write is made; one of claim and epoch alone makes no sense."""
-    if ("claim" in found) != ("epoch" in found):
-        wrong("claim" if "epoch" in found else "epoch", "is needed, as the other is given")
-    return Fence(found["claim"], found["epoch"]) if "claim" in found else None
+def read_change_lifecycle(id_: str, body: bytes) -> ChangeLifecycle:
+    """Another lifecycle for an endpoint."""
+    message = decode_message(body, ChangeMessage)
+    _check_listed(message.lifecycle)
+    id_ = name("instanceId", id_)
+    return ChangeLifecycle(id_, message.lifecycle, _optional(message.if_version), message.fence())
 
 
-def read_backup(body: bytes) -> Fence | None:
-    return fence_of(fields(read_body(body or b"{}"), FENCE, FENCE))
+def read_remove_endpoint(id_: str, body: bytes) -> RemoveEndpoint:
+    """The removal of an endpoint; the body may be empty."""
+    message = decode_message(body or NO_BODY, RemovalMessage)
+    return RemoveEndpoint(
+        name("instanceId", id_),
+        _optional(message.if_version),
+        _optional(message.incarnation),
+        message.fence(),
+    )
 
 
-def read_owner(body: bytes) -> Fence:
-    """In whose name a call is made that nobody else may make."""
-    found = fields(read_body(body), FENCE, ())
-    return Fence(found["claim"], found["epoch"])
+def read_endpoint_incarnation(body: bytes) -> int:
+    """The incarnation of an endpoint whose lease is renewed."""
+    return decode_message(body, EndpointRenewalMessage).incarnation
 
 
-def read_act(body: bytes) -> tuple[Fence, int]:
-    """In whose name an act at a receiver that is no list service is done, and its number among the acts."""
-    found = fields(read_body(body), {**FENCE, "act": whole(MOST_TIME_MS)}, ())
-    return Fence(found["claim"], found["epoch"]), found["act"]
+def read_after(value: str) -> int:
+    """The generation that a watch resumes after; 0 for one that knows none."""
+    if not (value.isascii() and value.isdigit()) or len(value) > MAX_GENERATION_DIGITS:
+        raise InvalidRequestError("after: a generation is needed")
+    return int(value)
 
 
-def read_change(id_: str, body: bytes) -> Change:
-    found = fields(read_body(body), {"lifecycle": lifecycle, **CONDITION, **FENCE}, {*CONDITION, *FENCE})
-    return Change(name("instanceId", id_), found["lifecycle"], found.get("ifVersion"), fence_of(found))
+def _check_listed(lifecycle: Lifecycle) -> None:
+    if lifecycle not in LISTED_LIFECYCLES:
+        raise InvalidRequestError(f"lifecycle: one of {', '.join(LISTED_LIFECYCLES)} is needed")
 
 
-def read_remove(id_: str, body: bytes) -> Remove:
-    found = fields(read_body(body or b"{}"), {**CONDITION, **LIFE, **FENCE}, {*CONDITION, *LIFE, *FENCE})
-    return Remove(name("instanceId", id_), found.get("ifVersion"), found.get("life"), fence_of(found))
+# --- sessions, claims and records ---
 
 
-def read_open(body: bytes) -> Open:
-    found = fields(read_body(body), {"holder": name, "life": name, "leaseMs": lease}, ())
-    return Open(Session(found["holder"], found["life"], found["leaseMs"]))
+def read_open_session(body: bytes) -> OpenSession:
+    """A session that begins."""
+    message = decode_message(body, SessionMessage)
+    return OpenSession(Session(message.holder, message.incarnation, message.lease_ms))
 
 
-def read_life(body: bytes) -> str:
-    """Of a session that is renewed or ended."""
-    return str(fields(read_body(body), {"life": name}, ())["life"])
+def read_session_incarnation(body: bytes) -> str:
+    """The incarnation of a session that is renewed or ended."""
+    return decode_message(body, IncarnationMessage).incarnation
 
 
-def read_take(claim: str, body: bytes) -> Take:
-    found = fields(read_body(body), {"holder": name, "life": name, "what": text}, {"what"})
-    return Take(name("claim", claim), found["holder"], found["life"], found.get("what", ""))
+def read_take_claim(claim: str, body: bytes) -> TakeClaim:
+    """A holder that takes a claim."""
+    message = decode_message(body, TakeClaimMessage)
+    purpose = _optional(message.purpose) or ""
+    return TakeClaim(name("claim", claim), message.holder, message.incarnation, purpose)
 
 
-def read_give(claim: str, body: bytes) -> Give:
-    readers = {"holder": name, "life": name, "epoch": whole(MOST_TIME_MS), "to": name, "why": line}
-    found = fields(read_body(body), readers, {"to", "why"})
-    return Give(
+def read_release_claim(claim: str, body: bytes) -> ReleaseClaim:
+    """A holder that releases a claim."""
+    message = decode_message(body, ReleaseClaimMessage)
+    return ReleaseClaim(
         name("claim", claim),
-        found["holder"],
-        found["life"],
-        found["epoch"],
-        found.get("to", ""),
-        found.get("why", ""),
+        message.holder,
+        message.incarnation,
+        message.epoch,
+        _optional(message.handed_to) or "",
+        message.reason,
     )
 
 
-def read_hold(claim: str, body: bytes) -> Hold:
-    return Hold(name("claim", claim), fields(read_body(body), {"on": flag}, ())["on"])
+def read_suspend_claim(claim: str, body: bytes) -> SuspendClaim:
+    """An operator who suspends a claim, or lets it be taken again."""
+    message = decode_message(body, SuspendClaimMessage)
+    return SuspendClaim(name("claim", claim), message.suspended)
 
 
-def read_keep(record: str, body: bytes) -> Keep:
-    found = fields(read_body(body), {"text": long_text, **CONDITION, **FENCE}, {*CONDITION, *FENCE})
-    return Keep(name("record", record), found["text"], found.get("ifVersion"), fence_of(found))
+def read_put_record(record: str, body: bytes) -> PutRecord:
+    """A record that is written, or removed by an empty text."""
+    message = decode_message(body, RecordMessage)
+    return PutRecord(name("record", record), message.text, _optional(message.if_version), message.fence())
 
 
-def read_door(body: bytes) -> Enter:
-    found = fields(read_body(body), {"name": name, "life": name, "zone": text}, ())
-    return Enter(Door(found["name"], found["life"], found["zone"]))
+def read_fence(body: bytes) -> Fence:
+    """The claim that a request must be made under."""
+    message = decode_message(body, FenceMessage)
+    return Fence(message.claim, message.epoch)
 
 
-def digest(field: str, value: object) -> str:
-    if not isinstance(value, str) or not DIGEST.fullmatch(value):
-        wrong(field, "the 16 hex digits of a document, or nothing, are needed")
-    return value
+def read_optional_fence(body: bytes) -> Fence | None:
+    """The claim that a backup is made under, if any; the body may be empty."""
+    return decode_message(body or NO_BODY, OptionalFenceMessage).fence()
 
 
-def digests(field: str, value: object) -> tuple[str, ...]:
-    if not isinstance(value, list) or len(value) > MOST_READY:
-        wrong(field, f"a list of at most {MOST_READY} documents is needed")
-    return tuple(digest(field, one) for one in value)
+def read_is_forced(body: bytes) -> bool:
+    """Whether a promotion is forced; the body may be empty."""
+    return decode_message(body or NO_BODY, PromotionMessage).force
 
 
-def counts(field: str, value: object) -> tuple[int, ...]:
-    if not isinstance(value, list) or len(value) != 3:
-        wrong(field, "three counts are needed")
-    return tuple(whole(MOST_TIME_MS)(field, one) for one in value)
+# --- gateways ---
 
 
-def left(field: str, value: object) -> int:
-    if type(value) is not int or abs(value) > MOST_LEASE_MS:
-        wrong(field, f"a whole number of at most {MOST_LEASE_MS} is needed")
-    return value
+def read_fenced_call(body: bytes) -> tuple[Fence, int]:
+    """The claim that a call to a gateway is made under, and the call's number."""
+    message = decode_message(body, FencedCallMessage)
+    return Fence(message.claim, message.epoch), message.act_number
 
 
-REPORT: Readers = {
-    "life": name,
-    "has": digest,
-    "number": whole(MOST_TIME_MS),
-    "digest": digest,
-    "leftMs": left,
-    "ready": digests,
-    "flaw": line,
-    "counts": counts,
-    "serves": flag,
-    "text": long_text,
-}
+def read_register_gateway(body: bytes) -> RegisterGateway:
+    """A gateway that an agent registers."""
+    message = decode_message(body, GatewayMessage)
+    return RegisterGateway(Gateway(message.name, message.incarnation, message.zone))
 
 
-def read_report(body: bytes) -> dict[str, Any]:
-    """What a door's agent tells with each renewal; the moment and a document only where it knows them."""
-    return fields(read_body(body), REPORT, {"leftMs", "text"})
+def read_gateway_report(body: bytes) -> dict[str, Any]:
+    """An agent's report of its gateway, by the names on the wire; a field that is not given is not there."""
+    return msgspec.to_builtins(decode_message(body, GatewayReportMessage))
 
 
-def read_renewal(body: bytes) -> int:
-    """The life that goes on."""
-    return int(fields(read_body(body), LIFE, ())["life"])
+# --- parts of a path, and optional fields ---
 
 
-def read_promotion(body: bytes) -> bool:
-    """Whether it is to be done though the followed service still answers."""
-    return bool(fields(read_body(body or b"{}"), {"force": flag}, {"force"}).get("force", False))
+class _NameMessage(Message, frozen=True, kw_only=True):
+    name: Name
 
 
-def read_after(value: str) -> int:
-    """The generation that a watch goes on from; 0 for one that knows none."""
-    if not (value.isascii() and value.isdigit()) or len(value) > 16:
-        wrong("after", "a generation is needed")
-    return int(value)
+def name(field_name: str, value: str) -> str:
+    """A name in a request's path. Raises InvalidRequestError."""
+    try:
+        return convert_message({"name": value}, _NameMessage).name
+    except InvalidRequestError as error:
+        raise InvalidRequestError(f"{field_name}: {error}") from error
+
+
+def _optional(value: Any) -> Any:  # noqa: ANN401
+    """None for a field that is not given."""
+    return None if value is UNSET else value
+
+
+# Former names, for modules that still use them.
+no_constant = reject_constant
+no_repeats = reject_duplicates
+read_act = read_fenced_call
+read_door = read_register_gateway
+read_instance = read_replicated_endpoint
+read_report = read_gateway_report
--- /dev/null
+++ b/orchidhatch/control/watch_broadcaster.py
@@ -0,0 +1,107 @@
+"""Watches of the endpoint list: the first line of each, the events that follow, and heartbeats.
+
+A line is encoded once for all watches that know the same generation, as thousands of them resume together
+after a restart.
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from orchidhatch.control.http_connection import Connection, encode_chunk
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.responses import encode_watch_event
+
+HEARTBEAT_INTERVAL_S = 2.0  # between empty lines to each watch, by the protocol
+MAX_CACHED_LINES = 64  # each of them the whole list at most
+WHOLE_LIST = -1  # in place of a generation, where none is known
+
+
+class LineKey(NamedTuple):
+    """What distinguishes one line from another of the same generation of the list."""
+
+    after: int
+    include_leases: bool
+
+
+class ListVersion(NamedTuple):
+    """The state of the list that lines were encoded from."""
+
+    identity: str
+    term: int
+    generation: int
+
+
+class Watch:
+    """What one watch was sent: the list as of `generation`."""
+
+    def __init__(self, generation: int, include_leases: bool) -> None:
+        self.generation = generation
+        self.include_leases = include_leases
+
+
+class WatchBroadcaster:
+    """All watches of one store's list. `is_suspended`: no watches are accepted; `aborted` counts those that
+    read too slowly.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.watches: dict[Connection, Watch] = {}
+        self.aborted = 0
+        self.is_suspended = False
+        self._store = store
+        self._cached_version: ListVersion | None = None
+        self._cached_lines: dict[LineKey, bytes] = {}
+
+    def add(self, connection: Connection, after: int, include_leases: bool) -> None:
+        """Begin a watch with what changed after a generation, or else with the whole list.
+
+        Generation 0 says that the client knows none.
+        """
+        self.watches[connection] = Watch(self._store.generation, include_leases)
+        connection.begin_watch(self.line(after or WHOLE_LIST, include_leases))
+
+    def remove(self, connection: Connection) -> None:
+        """Forget a watch that has ended, if it is one."""
+        self.watches.pop(connection, None)
+
+    def line(self, after: int, include_leases: bool = False) -> bytes:
+        """What changed after a generation, or the whole list where the history does not tell."""
+        version = ListVersion(self._store.identity, self._store.term, self._store.generation)
+        if self._cached_version != version:
+            self._cached_version = version
+            self._cached_lines.clear()
+        changes = None if after == WHOLE_LIST else self._store.changes(after)
+        key = LineKey(WHOLE_LIST if changes is None else after, include_leases)
+        if key not in self._cached_lines:
+            if len(self._cached_lines) >= MAX_CACHED_LINES:
+                self._cached_lines.clear()
+            endpoints = self._store.entries.values() if changes is None else changes
+            is_whole = changes is None
+            self._cached_lines[key] = encode_watch_event(
+                self._store.generation, is_whole, endpoints, include_leases
+            )
+        return self._cached_lines[key]
+
+    def broadcast(self, whole_list: bool = False) -> None:
+        """Send all watches what they have not been sent yet, or the whole list."""
+        for connection, watch in list(self.watches.items()):
+            line = self.line(WHOLE_LIST if whole_list else watch.generation, watch.include_leases)
+            watch.generation = self._store.generation
+            self.send(connection, encode_chunk(line))
+
+    def send(self, connection: Connection, chunk: bytes) -> None:
+        """Send one watch a chunk."""
+        if not connection.send_chunk(chunk):
+            self.aborted += 1
+
+    def close_all(self) -> None:
+        """End all watches once what they were sent has been read."""
+        for connection in list(self.watches):
+            connection.transport.close()
+
+    async def send_heartbeats(self) -> None:
+        """Send empty lines until cancelled."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            for connection in list(self.watches):
+                self.send(connection, encode_chunk(b"\n"))
--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -395,7 +395,7 @@
                 )
             numbers[act] = max(numbers.get(act, 0), told.get("number", 0))
             state = STATE.search(told.get("text", ""))
-            if told["act"] == "keep" and state and state[1] in ORDER:
+            if told["act"] == "putrecord" and state and state[1] in ORDER:
                 task, place = (event.who, told["on"]), ORDER.index(state[1])
                 if place < states.get(task, 0) != len(ORDER) - 1:  # one that was over may be asked for again
                     self.broke("effects", event.about, f"{told['on']} went back to {state[1]}")
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -60,19 +60,18 @@
 
 
 def acknowledge_early() -> None:
-    from orchidhatch.control.registry.service import Registry, outcome_of
+    from orchidhatch.control.registry.write_pipeline import WritePipeline
 
-    write_batch = Registry.write_batch
+    write_batch = WritePipeline.write_batch
 
-    async def early(self: Registry, wanted: Any) -> None:  # noqa: ANN401
-        batch = self.store.plan([write for write, _ in wanted])
-        for (_, connection), outcome in zip(wanted, batch.outcomes, strict=True):
-            if connection:
-                connection.answer(outcome_of(outcome))
+    async def early(self: WritePipeline, wanted: Any) -> None:  # noqa: ANN401
+        batch = self._store.plan([queued.write for queued in wanted])
+        for queued, outcome in zip(wanted, batch.outcomes, strict=True):
+            queued.acknowledge(outcome)
         await asyncio.sleep(0.2)
         await write_batch(self, wanted)
 
-    Registry.write_batch = early
+    WritePipeline.write_batch = early
 
 
 def go_back() -> None:
@@ -87,21 +86,21 @@
 
 
 def look_never() -> None:
-    from orchidhatch.control.registry.service import Registry
+    from orchidhatch.control.registry.peer_terms import PeerTermGuard
 
-    Registry.sure = lambda self: True
+    PeerTermGuard.is_current = lambda self: True
 
 
 def count_anew() -> None:
     from orchidhatch.control.registry.store import Store
 
-    read_book = Store.read_book
+    load_claims = Store.load_claims
 
-    def read(self: Store) -> None:
-        read_book(self)
-        self.book.last = 0
+    def load(self: Store) -> None:
+        load_claims(self)
+        self.claims_table.last_change = 0
 
-    Store.read_book = read
+    Store.load_claims = load
 
 
 def trust_clocks() -> None:
@@ -145,16 +144,17 @@
 
 def decide_late() -> None:
     """Neither the claim nor what was read before holds a decision back."""
-    from orchidhatch.control.ownership.claims import ClaimsTransaction, Keep
+    from orchidhatch.control.ownership.claims import ClaimsTransaction
+    from orchidhatch.control.ownership.writes import PutRecord
     from orchidhatch.control.policy.leases import NOW
 
     ClaimsTransaction.check = lambda self, fence: None
-    keep = ClaimsTransaction.keep
+    put_record = ClaimsTransaction.put_record
 
-    def unconditional(self: ClaimsTransaction, write: Keep) -> Any:  # noqa: ANN401
-        return keep(self, Keep(write.name, write.text) if write.name == NOW else write)
+    def unconditional(self: ClaimsTransaction, write: PutRecord) -> Any:  # noqa: ANN401
+        return put_record(self, PutRecord(write.name, write.text) if write.name == NOW else write)
 
-    ClaimsTransaction.keep = unconditional
+    ClaimsTransaction.put_record = unconditional
 
 
 def hear_nothing() -> None:
--- a/orchidhatch/faults/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.control.ownership.claims import ConflictError
+from orchidhatch.control.errors import ConflictError
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.seeded_defects import PLANTS
 
@@ -38,7 +38,7 @@
     from orchidhatch.control.policy.leases import NOW, GatewayPolicyLeases
     from orchidhatch.control.registry.store import Batch, Store
 
-    recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
+    recorder, plan, publish = Recorder(name, folder), Store.plan, Store.publish
     wrote = GatewayPolicyLeases.wrote
 
     def planned(self: Store, writes: Sequence[Any]) -> Batch:
@@ -47,7 +47,7 @@
         return batch
 
     def taken(self: Store, batch: Batch) -> None:
-        take(self, batch)
+        publish(self, batch)
         for write, outcome in zip(batch.writes, batch.outcomes, strict=True):
             fence = getattr(write, "fence", None)
             if fence and not isinstance(outcome, ConflictError):
@@ -69,7 +69,7 @@
         if any(getattr(outcome, "name", "") == NOW for outcome in outcomes):
             recorder.note("decided", self.now()["digest"] or "-", now=self.now(), doors=self.all()["doors"])
 
-    Store.plan, Store.take, GatewayPolicyLeases.wrote = planned, taken, decided
+    Store.plan, Store.publish, GatewayPolicyLeases.wrote = planned, taken, decided
 
 
 def main() -> None:
--- a/orchidhatch/registry.py
+++ b/orchidhatch/registry.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from orchidhatch.control.registry.service import main
+from orchidhatch.control.registry.command import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/control/policy/test_policy.py
+++ b/tests/control/policy/test_policy.py
@@ -254,12 +254,13 @@
                 number = first.doors.now()["number"]
                 first.store.apply([Keep(DOCUMENT + DB, B)])
                 await decide(first, DB, "", number + 1)  # of which the follower hears nothing
-                for task in second.follow_tasks:
+                for task in second.role.tasks:
                     task.cancel()
                 await first.close()
                 second.doors.copied_s = time.now
-                second.following.connected, second.promised_s = False, -1e9
-                assert second.promote(force=True, listens=False).status == 200
+                second.following.connected = False
+                second.peer_terms.last_term_query_answered_s = -1e9
+                assert second.promotion.promote(force=True, upstream_may_run=False).term == second.store.term
                 # The copy holds for as long as what was missed cannot have had its moment.
                 _, answer = await renew(second, "a")
                 assert (answer["number"], answer["digest"], answer["sure"]) == (number, "", True)
@@ -274,7 +275,7 @@
                 assert (await renew(second, "a"))[1]["digest"] == DB
                 assert second.doors.now()["number"] > number + 1 and second.doors.now()["before"] == DB
             async with keeping(tmp_path / "3.db", time, term=3) as third:  # all go by another one still
-                await third.write_aside([Keep(DOCUMENT + DB, B)])
+                await third.writes.write_aside([Keep(DOCUMENT + DB, B)])
                 await renew(third, "a", number=9 << 32, digest=DB)
                 time.now += OUT_S
                 await renew(third, "a", number=9 << 32, digest=DB)
--- /dev/null
+++ b/tests/control/registry/test_peer_terms.py
@@ -0,0 +1,32 @@
+"""A registry that another one has replaced."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from orchidhatch.control.registry import peer_terms
+from tests.control.registry.helpers import address_of, call, named, serving
+from tests.control.test_schemas import body
+from tests.sockets import refusing_address
+
+
+async def test_registry_when_a_peer_has_a_later_term_then_rejects_writes_and_serves_reads(
+    path: Path, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(peer_terms, "CHECK_INTERVAL_S", 0.005)
+    silent = refusing_address()
+    async with serving(tmp_path / "new.db", term=1) as new:
+        async with serving(path, peers=(silent, address_of(new))) as old:
+            at = address_of(old)
+            assert (await call(at, "POST /entries", body(instanceId="s-1")))[0] == 200
+            new.store.term = 2  # promoted meanwhile
+            while not old.peer_terms.fenced:
+                await asyncio.sleep(0.001)
+            status, told = await call(at, "POST /entries", body(instanceId="s-2"))
+            assert status == 409 and "is of term 2, this is of 1" in told["error"]
+            assert (await call(at, "GET /healthcheck"))[0] == 503
+            assert named((await call(at, "GET /catalog/members"))[1]) == {"s-1": "SERVING"}
+        async with serving(path, peers=(address_of(new),)) as back:  # fenced before its first write
+            assert (await call(address_of(back), "DELETE /entries/s-1"))[0] == 409
+            assert back.store.generation == 1
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -11,8 +11,8 @@
 
 import pytest
 
+from orchidhatch.control.registry import peer_terms
 from orchidhatch.control.registry import replication as following
-from orchidhatch.control.registry import service as registry
 from orchidhatch.control.registry.service import Registry
 from orchidhatch.control.registry.store import Register, Store, StoreError
 from orchidhatch.proxy.server import FrontDoor
@@ -28,7 +28,7 @@
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(following, "BACKOFF_S", 0.01)
     monkeypatch.setattr(following, "MOST_BACKOFF_S", 0.02)
-    monkeypatch.setattr(registry, "ASK_S", 0.005)
+    monkeypatch.setattr(peer_terms, "CHECK_INTERVAL_S", 0.005)
 
 
 @contextlib.asynccontextmanager
@@ -63,7 +63,7 @@
                     status, out, _ = await client(at, "promote")
                     assert status == 0 and out.startswith("term 2, generation ") and "1 entries" in out
                     assert (await call(at, "POST /entries/s-1/renew", b'{"life":1}'))[0] == 200
-                    assert second.leases.due.keys() == {"s-1"}
+                    assert second.lease_expiry.leases.leases.keys() == {"s-1"}
                     with pytest.raises((asyncio.IncompleteReadError, ValueError)):
                         await watcher.news()  # it was told another term
                     again = await (await Watcher.open(at, before["generation"])).news()
@@ -116,7 +116,7 @@
             assert (await call(address_of(second), "GET /term"))[1] == {"term": 1}
             status, told = await call(address_of(second), "POST /promote")
             assert status == 409 and "a peer asked" in told["error"]
-            second.clock = lambda: time.monotonic() + registry.PROMISE_S
+            second.clock = lambda: time.monotonic() + peer_terms.PROMOTION_DELAY_S
             assert (await call(address_of(second), "POST /promote"))[0] == 200
 
     run(job())
--- a/tests/control/registry/test_store.py
+++ b/tests/control/registry/test_store.py
@@ -1,4 +1,4 @@
-"""The list service's store: what is acknowledged is there, in whole, and what is damaged is not served."""
+"""The registry's store: what is acknowledged is durable, in whole, and what is damaged is not served."""
 
 import random
 import shutil
@@ -6,40 +6,32 @@
 import sqlite3
 import subprocess
 import sys
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-
-from orchidhatch.control.registry import store as stores
-from orchidhatch.control.registry.store import (
-    Change,
-    ConflictError,
-    CorruptStoreError,
-    Entry,
-    Register,
-    Remove,
-    Store,
-    StoreError,
-    Write,
+from msgspec.structs import replace
+
+from orchidhatch.control.errors import ConflictError, CorruptStoreError, StoreError
+from orchidhatch.control.registry import endpoints
+from orchidhatch.control.registry.endpoints import (
+    ChangeLifecycle,
+    Endpoint,
+    RegisterEndpoint,
+    RemoveEndpoint,
 )
+from orchidhatch.control.registry.store import Store, Write
 
 ROOT = Path(__file__).parents[3]
 
 
-def entry(number: int, started_ms: int = 0, **changes: object) -> Entry:
-    made = Entry(f"s-{number}", f"127.0.0.1:{7000 + number}", "a", "m2", 3, "SERVING", 1.0, started_ms)
+def entry(number: int, started_ms: int = 0, **changes: object) -> Endpoint:
+    made = Endpoint(f"s-{number}", f"127.0.0.1:{7000 + number}", "a", "m2", 3, "SERVING", 1.0, started_ms)
     return replace(made, **changes)
 
 
-@pytest.fixture
-def path(tmp_path: Path) -> Path:
-    return tmp_path / "list.db"
-
-
-def one(store: Store, write: Write) -> Entry:
+def one(store: Store, write: Write) -> Endpoint:
     [outcome] = store.apply([write])
     if isinstance(outcome, ConflictError):
         raise outcome
@@ -50,13 +42,13 @@
     return store.identity, store.term, store.generation, dict(store.entries), dict(store.history)
 
 
-def test_what_was_written_is_there_after_a_restart(path: Path) -> None:
+def test_store_when_reopened_then_has_what_was_written(path: Path) -> None:
     store = Store(path, create=True)
     assert store.generation == 0
     for number in range(5):
-        assert one(store, Register(entry(number))).version == number + 1
-    one(store, Change("s-1", "DRAINING"))
-    one(store, Remove("s-2"))
+        assert one(store, RegisterEndpoint(entry(number))).version == number + 1
+    one(store, ChangeLifecycle("s-1", "DRAINING"))
+    one(store, RemoveEndpoint("s-2"))
     before = what_is_in(store)
     store.close()
     again = Store(path)
@@ -64,57 +56,57 @@
     assert again.entries["s-1"].lifecycle == "DRAINING" and "s-2" not in again.entries
 
 
-def test_batch_is_one_transaction_and_each_write_has_its_outcome(path: Path) -> None:
+def test_batch_when_applied_then_each_write_has_its_outcome(path: Path) -> None:
     store = Store(path, create=True)
     outcomes = store.apply(
         [
-            Register(entry(1)),
-            Change("s-9", "DRAINING"),
-            Change("s-1", "DRAINING"),
-            Register(entry(2), if_version=4),
-            Remove("s-1"),
-            Register(entry(1)),
+            RegisterEndpoint(entry(1)),
+            ChangeLifecycle("s-9", "DRAINING"),
+            ChangeLifecycle("s-1", "DRAINING"),
+            RegisterEndpoint(entry(2), if_version=4),
+            RemoveEndpoint("s-1"),
+            RegisterEndpoint(entry(1)),
         ]
     )
     assert [getattr(outcome, "version", None) for outcome in outcomes] == [1, None, 2, None, 3, 4]
     assert str(outcomes[1]) == "s-9 is not listed" and str(outcomes[3]) == "s-2 is at version 0, not 4"
-    assert list(store.entries) == ["s-1"] and store.entries["s-1"].life == 4
+    assert list(store.entries) == ["s-1"] and store.entries["s-1"].incarnation == 4
 
 
-def test_two_operators_cannot_undo_each_other_unseen(path: Path) -> None:
+def test_write_when_its_version_is_outdated_then_is_rejected(path: Path) -> None:
     store = Store(path, create=True)
-    seen = one(store, Register(entry(1), if_version=0)).version
-    one(store, Change("s-1", "DRAINING", if_version=seen))
+    seen = one(store, RegisterEndpoint(entry(1), if_version=0)).version
+    one(store, ChangeLifecycle("s-1", "DRAINING", if_version=seen))
     with pytest.raises(ConflictError, match="at version 2, not 1"):
-        one(store, Change("s-1", "SERVING", if_version=seen))
+        one(store, ChangeLifecycle("s-1", "SERVING", if_version=seen))
     with pytest.raises(ConflictError, match="at version 2, not 0"):
-        one(store, Register(entry(1), if_version=0))
+        one(store, RegisterEndpoint(entry(1), if_version=0))
     assert store.entries["s-1"].lifecycle == "DRAINING" and store.generation == 2
 
 
-def test_late_word_of_an_earlier_life_is_refused(path: Path) -> None:
+def test_write_when_of_an_earlier_incarnation_then_is_rejected(path: Path) -> None:
     store = Store(path, create=True)
-    old = one(store, Register(entry(1, started_ms=100)))
-    new = one(store, Register(entry(1, started_ms=200, address="127.0.0.1:9")))
+    old = one(store, RegisterEndpoint(entry(1, started_ms=100)))
+    new = one(store, RegisterEndpoint(entry(1, started_ms=200, address="127.0.0.1:9")))
     with pytest.raises(ConflictError, match="another life"):
-        one(store, Remove("s-1", life=old.life))
+        one(store, RemoveEndpoint("s-1", incarnation=old.incarnation))
     with pytest.raises(ConflictError, match="started anew"):
-        one(store, Register(entry(1, started_ms=100)))
-    assert store.entries["s-1"] == new and new.life == 2
-    one(store, Remove("s-1", life=new.life))
+        one(store, RegisterEndpoint(entry(1, started_ms=100)))
+    assert store.entries["s-1"] == new and new.incarnation == 2
+    one(store, RemoveEndpoint("s-1", incarnation=new.incarnation))
     assert not store.entries
 
 
 @pytest.mark.parametrize(
     "write",
     [
-        Register(entry(1, lifecycle="DELETED")),
-        Register(entry(1, lifecycle="odd")),
-        Change("s-1", "DELETED"),
-        Remove("s-1"),
+        RegisterEndpoint(entry(1, lifecycle="DELETED")),
+        RegisterEndpoint(entry(1, lifecycle="odd")),
+        ChangeLifecycle("s-1", "DELETED"),
+        RemoveEndpoint("s-1"),
     ],
 )
-def test_write_that_makes_no_sense_changes_nothing(path: Path, write: Write) -> None:
+def test_write_when_it_does_not_fit_then_changes_nothing(path: Path, write: Write) -> None:
     store = Store(path, create=True)
     before = what_is_in(store)
     with pytest.raises(ConflictError):
@@ -122,23 +114,23 @@
     assert what_is_in(store) == before
 
 
-def test_list_is_bounded(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(stores, "MOST_ENTRIES", 2)
+def test_list_when_full_then_registers_no_more(path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(endpoints, "MAX_ENDPOINTS", 2)
     store = Store(path, create=True)
     for number in (1, 2):
-        one(store, Register(entry(number)))
+        one(store, RegisterEndpoint(entry(number)))
     with pytest.raises(ConflictError, match="2 entries"):
-        one(store, Register(entry(3)))
-    one(store, Register(entry(2)))
+        one(store, RegisterEndpoint(entry(3)))
+    one(store, RegisterEndpoint(entry(2)))
 
 
-def test_watch_resumes_over_the_history_and_no_further(path: Path) -> None:
+def test_changes_when_older_than_the_history_then_are_not_known(path: Path) -> None:
     store = Store(path, create=True, most_history=4)
     for number in (1, 2, 3):
-        one(store, Register(entry(number)))
+        one(store, RegisterEndpoint(entry(number)))
     assert [found.id for found in store.changes(0)] == ["s-1", "s-2", "s-3"] and store.changes(3) == []
-    one(store, Change("s-1", "DRAINING"))
-    one(store, Remove("s-2"))
+    one(store, ChangeLifecycle("s-1", "DRAINING"))
+    one(store, RemoveEndpoint("s-2"))
     for found in (store, None):
         found = found or (store.close() or Store(path, most_history=4))
         assert len(found.history) == 4 and found.changes(0) is None and found.changes(6) is None
@@ -150,16 +142,16 @@
         ]
 
 
-def test_a_second_process_is_refused_while_the_first_lives(path: Path) -> None:
+def test_store_when_open_elsewhere_then_is_not_opened(path: Path) -> None:
     store = Store(path, create=True)
     with pytest.raises(StoreError, match="locked"):
         Store(path)
-    one(store, Register(entry(1)))
+    one(store, RegisterEndpoint(entry(1)))
     store.close()
     assert Store(path).generation == 1
 
 
-def test_no_store_is_no_empty_list(path: Path) -> None:
+def test_store_when_its_file_is_gone_then_is_made_only_if_asked(path: Path) -> None:
     with pytest.raises(StoreError, match="there is no store"):
         Store(path)
     assert not path.exists()
@@ -175,51 +167,52 @@
 # --- faults ---
 
 
-def test_full_disk_refuses_writes_plainly_and_reads_go_on(path: Path) -> None:
+def test_commit_when_the_disk_is_full_then_fails_and_reads_go_on(path: Path) -> None:
     store = Store(path, create=True)
-    one(store, Register(entry(1)))
+    one(store, RegisterEndpoint(entry(1)))
     before = what_is_in(store)
     [(pages,)] = store.db.execute("PRAGMA page_count").fetchall()
     store.db.execute(f"PRAGMA max_page_count = {pages}")
     with pytest.raises(StoreError, match=r"cannot write list\.db: .*full"):
-        store.apply([Register(entry(number)) for number in range(2, 500)])
+        store.apply([RegisterEndpoint(entry(number)) for number in range(2, 500)])
     assert what_is_in(store) == before and not store.db.in_transaction
     store.db.execute("PRAGMA max_page_count = 100000")
-    assert one(store, Register(entry(2))).version == 2
+    assert one(store, RegisterEndpoint(entry(2))).version == 2
 
 
-def test_unwritable_store_refuses_writes_plainly(path: Path) -> None:
+def test_commit_when_the_file_is_read_only_then_fails(path: Path) -> None:
     store = Store(path, create=True)
-    one(store, Register(entry(1)))
+    one(store, RegisterEndpoint(entry(1)))
     store.db.execute("PRAGMA query_only = 1")
     with pytest.raises(StoreError, match="readonly"):
-        store.apply([Remove("s-1")])
+        store.apply([RemoveEndpoint("s-1")])
     assert list(store.entries) == ["s-1"] and store.generation == 1
 
 
 WRITER = """
 import sys
 from pathlib import Path
-from orchidhatch.control.registry.store import Change, Register, Store
+from orchidhatch.control.registry.endpoints import ChangeLifecycle, RegisterEndpoint
+from orchidhatch.control.registry.store import Store
 from tests.control.registry.test_store import entry
 store = Store(Path(sys.argv[1]), create=True)
 while True:
     number = store.generation
-    store.apply([Register(entry(number % 7, number)), Change(f"s-{number % 7}", "DRAINING")])
+    store.apply([RegisterEndpoint(entry(number % 7, number)), ChangeLifecycle(f"s-{number % 7}", "DRAINING")])
     print(store.generation, flush=True)
 """
 
 
-def expected(generation: int) -> dict[str, Entry]:
+def expected(generation: int) -> dict[str, Endpoint]:
     """What the writer above has written by then."""
-    entries: dict[str, Entry] = {}
-    for life in range(1, generation + 1, 2):
-        made = entry((life - 1) % 7, life - 1, version=life, life=life)
-        entries[made.id] = replace(made, lifecycle="DRAINING", version=life + 1)
+    entries: dict[str, Endpoint] = {}
+    for incarnation in range(1, generation + 1, 2):
+        made = entry((incarnation - 1) % 7, incarnation - 1, version=incarnation, incarnation=incarnation)
+        entries[made.id] = replace(made, lifecycle="DRAINING", version=incarnation + 1)
     return entries
 
 
-def test_kill_at_any_point_loses_nothing_acknowledged_and_leaves_nothing_half(path: Path) -> None:
+def test_store_when_its_process_is_killed_then_has_all_acknowledged_batches_whole(path: Path) -> None:
     chance = random.Random(4)
     last = 0
     for _ in range(12):
@@ -245,21 +238,23 @@
     return found
 
 
-def written(path: Path) -> tuple[Store, list[dict[str, Entry]]]:
+def written(path: Path) -> tuple[Store, list[dict[str, Endpoint]]]:
     """A store with some writes, still open and with all of them in its log; the entries by generation."""
     store, states = Store(path, create=True), [{}]
     store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
     store.db.execute("PRAGMA wal_autocheckpoint = 0")
     for number in range(6):
-        for write in (Register(entry(number)), Change(f"s-{number // 2}", "DRAINING")):
+        for write in (RegisterEndpoint(entry(number)), ChangeLifecycle(f"s-{number // 2}", "DRAINING")):
             one(store, write)
             states.append(dict(store.entries))
-    one(store, Remove("s-0"))
+    one(store, RemoveEndpoint("s-0"))
     states.append(dict(store.entries))
     return store, states
 
 
-def test_log_cut_at_any_length_gives_an_earlier_state_in_whole(path: Path, tmp_path: Path) -> None:
+def test_store_when_its_log_is_cut_at_any_length_then_has_an_earlier_state_whole(
+    path: Path, tmp_path: Path
+) -> None:
     store, states = written(path)
     log = Path(f"{path}-wal").read_bytes()
     lengths = {*range(0, len(log), 509), *range(len(log) - 60, len(log) + 1)}
@@ -275,7 +270,7 @@
 
 
 @given(st.data())
-def test_flipped_byte_is_found_or_says_nothing(
+def test_store_when_a_bit_is_flipped_then_is_refused_or_unchanged(
     tmp_path_factory: pytest.TempPathFactory, data: st.DataObject
 ) -> None:
     folder = tmp_path_factory.mktemp("flip")
@@ -295,7 +290,7 @@
         found.close()
 
 
-def test_byte_of_a_value_that_changed_is_told_in_one_line(path: Path) -> None:
+def test_store_when_a_value_was_changed_then_is_refused_in_one_line(path: Path) -> None:
     store, _ = written(path)
     store.close()
     main = path.read_bytes()
@@ -321,7 +316,9 @@
         ("form", "PRAGMA user_version = 9"),
     ],
 )
-def test_state_that_no_write_leaves_is_not_served(path: Path, table: str, change: str) -> None:
+def test_store_when_in_a_state_that_no_write_leaves_then_is_refused(
+    path: Path, table: str, change: str
+) -> None:
     store, _ = written(path)
     store.close()
     with sqlite3.connect(path) as db:
@@ -331,16 +328,16 @@
         Store(path)
 
 
-def test_file_that_is_no_store_is_told_so(path: Path) -> None:
+def test_store_when_its_file_is_no_database_then_is_refused(path: Path) -> None:
     path.write_bytes(b"nothing of the kind" * 300)
     with pytest.raises(CorruptStoreError, match="not a database"):
         Store(path)
 
 
-def test_watch_of_a_store_before_is_told_the_whole_list(path: Path) -> None:
+def test_changes_when_of_an_earlier_store_then_are_not_known(path: Path) -> None:
     store = Store(path, create=True, first=1_000)
     assert store.generation == 1_000 and store.changes(999) is None and store.changes(1_000) == []
-    assert one(store, Register(entry(1))).version == 1_001
+    assert one(store, RegisterEndpoint(entry(1))).version == 1_001
     assert store.changes(41) is None
     store.close()
     again = Store(path, create=True, first=5_000)  # it is there: nothing is begun anew
--- /dev/null
+++ b/tests/control/registry/test_write_pipeline.py
@@ -0,0 +1,68 @@
+"""The way of a write: its queue, group commit and acknowledgement."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from orchidhatch.control.http_connection import Connection
+from orchidhatch.control.registry import write_pipeline
+from orchidhatch.control.schemas import read_register_endpoint
+from tests.control.registry.helpers import address_of, call, named, raw, serving
+from tests.control.test_schemas import body
+
+
+async def test_writes_when_concurrent_then_are_committed_in_groups(path: Path) -> None:
+    async with serving(path) as registry:
+        at = address_of(registry)
+        calls = [call(at, "POST /entries", body(instanceId=f"s-{number}")) for number in range(60)]
+        answers = await asyncio.gather(*calls)
+        assert [status for status, _ in answers] == [200] * 60
+        assert sorted(made["version"] for _, made in answers) == list(range(1, 61))
+        assert registry.writes.writes == 60 and registry.writes.batches < 60
+        text = (await call(at, "GET /metrics"))[1]
+        assert "\nregistry_writes_total 60\n" in text and "registry_generation 60\n" in text
+
+
+async def test_write_when_its_client_has_gone_then_is_not_carried_out(path: Path) -> None:
+    async with serving(path) as registry:
+        gone, stays = [Connection(registry) for _ in range(2)]
+        for connection, closing in ((gone, True), (stays, False)):
+            connection.transport = type(
+                "Transport",
+                (),
+                {
+                    "is_closing": lambda self, closing=closing: closing,
+                    "write": lambda self, data: None,
+                    "close": lambda self: None,
+                },
+            )()
+            name = "s-gone" if closing else "s-stays"
+            registry.writes.enqueue(read_register_endpoint(body(instanceId=name)), connection)
+        while not registry.writes.writes:
+            await asyncio.sleep(0.001)
+        assert list(registry.store.entries) == ["s-stays"] and registry.writes.rejected_writes == 1
+
+
+async def test_write_when_the_queue_is_full_then_is_rejected_with_retry_after(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(write_pipeline, "MAX_QUEUED_WRITES", 0)
+    async with serving(path) as registry:
+        head = f"POST /entries HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body())}\r\n\r\n".encode()
+        status, headers, _ = await raw(address_of(registry), head + body())
+        assert status == 503 and 1 <= int(headers["retry-after"]) <= 5
+
+
+async def test_write_when_the_disk_fails_then_is_rejected_and_reads_go_on(path: Path) -> None:
+    async with serving(path) as registry:
+        at = address_of(registry)
+        await call(at, "POST /entries", body(instanceId="s-1"))
+        registry.store.db.execute("PRAGMA query_only = 1")
+        status, told = await call(at, "POST /entries", body(instanceId="s-2"))
+        assert status == 503 and "readonly" in told["error"]
+        assert (await call(at, "GET /healthcheck"))[0] == 503
+        assert named((await call(at, "GET /catalog/members"))[1]) == {"s-1": "SERVING"}
+        registry.store.db.execute("PRAGMA query_only = 0")
+        assert (await call(at, "POST /entries", body(instanceId="s-2")))[1]["version"] == 2
+        assert (await call(at, "GET /healthcheck"))[0] == 200
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -1,85 +1,89 @@
 """Leases on a clock that the tests move."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
-from orchidhatch.control.leases import FEW, MOST_SHARE, TICK_S, Leases
-from orchidhatch.control.registry.store import Entry
+from orchidhatch.control.leases import CHECK_INTERVAL_S, DEFAULT_LIMIT, LeaseTable
+from orchidhatch.control.registry.endpoints import Endpoint
 
 
-def entry(number: int, **changes: object) -> Entry:
-    made = Entry(f"s-{number}", "127.0.0.1:1", "a", "m", 0, "SERVING", 1.0, 0, life=number, lease_ms=10_000)
-    return replace(made, **changes)
+def leased_endpoint(number: int, **changes: object) -> Endpoint:
+    endpoint = Endpoint(
+        f"s-{number}", "127.0.0.1:1", "a", "m", 0, "SERVING", 1.0, 0, incarnation=number, lease_ms=10_000
+    )
+    return replace(endpoint, **changes)
 
 
-class Time:
-    """Looks at the leases each tick, and keeps some of them renewed."""
+class LeaseClock:
+    """Checks the leases at each interval, and keeps some of them renewed."""
 
     def __init__(self, count: int) -> None:
-        self.now, self.entries = 1000.0, {number: entry(number) for number in range(1, count + 1)}
-        self.leases = Leases(self.entries.values(), self.now)
-        self.gone: list[str] = []
-
-    def go(self, seconds: int, silent: range | tuple[int, ...] = ()) -> list[str]:
-        """Those that leave the list meanwhile."""
-        before = len(self.gone)
+        self.now = 1000.0
+        self.endpoints = {number: leased_endpoint(number) for number in range(1, count + 1)}
+        self.table = LeaseTable(self.endpoints.values(), self.now)
+        self.removed: list[str] = []
+
+    def advance(self, seconds: int, silent: range | tuple[int, ...] = ()) -> list[str]:
+        """Those that are removed meanwhile."""
+        before = len(self.removed)
         for _ in range(seconds):
-            self.now += TICK_S
-            for number, known in self.entries.items():
+            self.now += CHECK_INTERVAL_S
+            for number, endpoint in self.endpoints.items():
                 if number not in silent:
-                    self.leases.renew(known.id, known.life, self.now)
-            for left in self.leases.overdue(self.now):
-                self.leases.forget(left.id)
-                self.gone.append(left.id)
-        return self.gone[before:]
+                    self.table.renew(endpoint.id, endpoint.incarnation, self.now)
+            for expired in self.table.take_overdue(self.now):
+                self.table.forget(expired.id)
+                self.removed.append(expired.id)
+        return self.removed[before:]
 
 
-def test_one_that_falls_silent_leaves_and_the_others_stay() -> None:
-    time = Time(50)
-    assert time.go(9, silent=(7,)) == []
-    assert time.go(2, silent=(7,)) == ["s-7"]
-    assert time.go(60, silent=(7,)) == [] and not time.leases.held
+def test_lease_when_not_renewed_then_runs_out_and_the_others_stay() -> None:
+    clock = LeaseClock(50)
+    assert clock.advance(9, silent=(7,)) == []
+    assert clock.advance(2, silent=(7,)) == ["s-7"]
+    assert clock.advance(60, silent=(7,)) == [] and not clock.table.withheld
 
 
-def test_many_together_are_held_until_they_renew() -> None:
-    time = Time(50)
-    assert time.go(40, silent=range(1, 26)) == [] and time.leases.held == 25
-    assert time.go(2) == [] and time.leases.held == 0
-    assert time.go(12, silent=(9,)) == ["s-9"]
+def test_leases_when_many_run_out_together_then_are_withheld_until_renewed() -> None:
+    clock = LeaseClock(50)
+    assert clock.advance(40, silent=range(1, 26)) == [] and clock.table.withheld == 25
+    assert clock.advance(2) == [] and clock.table.withheld == 0
+    assert clock.advance(12, silent=(9,)) == ["s-9"]
 
 
-def test_many_one_after_another_are_held_as_well() -> None:
-    time, silent = Time(50), []
+def test_leases_when_many_run_out_one_after_another_then_are_withheld() -> None:
+    clock = LeaseClock(50)
+    silent: list[int] = []
     for number in range(1, 41):  # one more falls silent each half second or so
         silent.append(number)
-        time.go(1, silent=tuple(silent))
-    time.go(30, silent=tuple(silent))
-    assert FEW <= len(time.gone) <= MOST_SHARE * 50 + 1
-    assert time.leases.held >= 40 - len(time.gone)
+        clock.advance(1, silent=tuple(silent))
+    clock.advance(30, silent=tuple(silent))
+    assert DEFAULT_LIMIT.few <= len(clock.removed) <= DEFAULT_LIMIT.share * 50 + 1
+    assert clock.table.withheld >= 40 - len(clock.removed)
 
 
-def test_few_leases_may_all_run_out() -> None:
-    time = Time(FEW)
-    assert sorted(time.go(12, silent=range(9))) == ["s-1", "s-2"]
+def test_leases_when_there_are_few_then_all_may_run_out() -> None:
+    clock = LeaseClock(DEFAULT_LIMIT.few)
+    assert sorted(clock.advance(12, silent=range(9))) == ["s-1", "s-2"]
 
 
-def test_pause_of_ours_counts_for_nobody() -> None:
-    time = Time(3)
-    time.go(5)
-    time.now += 3600  # stopped, then going on
-    assert time.go(8, silent=(1,)) == []
-    assert time.go(4, silent=(1,)) == ["s-1"]
+def test_leases_when_the_process_was_paused_then_are_extended_by_the_pause() -> None:
+    clock = LeaseClock(3)
+    clock.advance(5)
+    clock.now += 3600  # stopped, then going on
+    assert clock.advance(8, silent=(1,)) == []
+    assert clock.advance(4, silent=(1,)) == ["s-1"]
 
 
-def test_late_renewal_of_an_earlier_life_is_refused() -> None:
-    leases = Leases([entry(1, life=5)], 0.0)
+def test_renewal_when_of_an_earlier_incarnation_then_is_rejected() -> None:
+    leases = LeaseTable([leased_endpoint(1, incarnation=5)], 0.0)
     assert not leases.renew("s-1", 4, 1.0) and not leases.renew("s-2", 5, 1.0)
-    assert leases.due["s-1"][0] == 10.0
-    assert leases.renew("s-1", 5, 1.0) and leases.due["s-1"][0] == 11.0
+    assert leases.leases["s-1"].due_s == 10.0
+    assert leases.renew("s-1", 5, 1.0) and leases.leases["s-1"].due_s == 11.0
 
 
-def test_entry_without_a_lease_stays() -> None:
-    leases = Leases([entry(1, lease_ms=0)], 0.0)
-    assert leases.overdue(1e9) == [] and not leases.due
-    leases.begin(entry(1), 0.0)
-    leases.begin(entry(1, lease_ms=0), 5.0)
-    assert not leases.due
+def test_endpoint_when_without_a_lease_then_stays() -> None:
+    leases = LeaseTable([leased_endpoint(1, lease_ms=0)], 0.0)
+    assert leases.take_overdue(1e9) == [] and not leases.leases
+    leases.begin(leased_endpoint(1), 0.0)
+    leases.begin(leased_endpoint(1, lease_ms=0), 5.0)
+    assert not leases.leases
--- a/tests/control/test_schemas.py
+++ b/tests/control/test_schemas.py
@@ -1,21 +1,21 @@
-"""What the list service takes and gives: the protocol's form out, and nothing malformed in."""
+"""Requests to the registry and its responses: the protocol's form out, and nothing malformed in."""
 
 import json
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidhatch.control import schemas as forms
-from orchidhatch.control.registry.store import Change, Entry, Remove
+from orchidhatch.control.errors import InvalidRequestError
+from orchidhatch.control.field_types import NAME_PATTERN
+from orchidhatch.control.registry.endpoints import ChangeLifecycle, Endpoint, RemoveEndpoint
+from orchidhatch.control.responses import encode_watch_event, endpoint_response
 from orchidhatch.control.schemas import (
-    InvalidRequestError,
-    listing,
     read_after,
-    read_change,
-    read_register,
-    read_remove,
-    written,
+    read_change_lifecycle,
+    read_register_endpoint,
+    read_remove_endpoint,
 )
 from orchidhatch.gateway import interface as i
 from orchidhatch.proxy.endpoint_watch import Catalog
@@ -39,24 +39,34 @@
     return json.dumps({key: value for key, value in values.items() if value is not None}).encode()
 
 
-def test_list_is_in_the_protocols_form_to_the_letter() -> None:
-    entry = read_register(body()).entry
-    assert listing(41, True, [entry]) == (
+def test_watch_event_when_encoded_then_has_the_protocols_form_to_the_letter() -> None:
+    entry = read_register_endpoint(body()).endpoint
+    assert encode_watch_event(41, True, [entry]) == (
         b'{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:6379",'
         b'"zone":"a","machineType":"m2","cell":3,"lifecycle":"SERVING","weight":1.0,"startedAtMs":0}]}\n'
     )
-    assert written(entry).items() >= {**GIVEN, "version": 0, "life": 0, "leaseMs": 0}.items()
+    assert (
+        msgspec.to_builtins(endpoint_response(entry)).items()
+        >= {**GIVEN, "version": 0, "life": 0, "leaseMs": 0}.items()
+    )
 
 
-def test_what_is_left_out_has_its_ordinary_value() -> None:
-    found = read_register(body(cell=None, lifecycle=None, weight=None, startedAtMs=None, ifVersion=7))
-    assert (found.entry.cell, found.entry.lifecycle, found.entry.weight, found.entry.started_ms) == (
+def test_registration_when_fields_are_left_out_then_has_their_defaults() -> None:
+    found = read_register_endpoint(
+        body(cell=None, lifecycle=None, weight=None, startedAtMs=None, ifVersion=7)
+    )
+    assert (
+        found.endpoint.cell,
+        found.endpoint.lifecycle,
+        found.endpoint.weight,
+        found.endpoint.started_ms,
+    ) == (
         0,
         "SERVING",
         1.0,
         0,
     )
-    assert found.if_version == 7 and read_register(body()).if_version is None
+    assert found.if_version == 7 and read_register_endpoint(body()).if_version is None
 
 
 @pytest.mark.parametrize(
@@ -69,8 +79,8 @@
         (b"[" * 4000, "not JSON"),
         (b" " * 9000, "longer than 8192"),
         (b'{"a":1,"a":2}', "given twice"),
-        (body(extra=1), "'extra' is no field"),
-        (body(zone=None), "zone: is needed"),
+        (body(extra=1), "unknown field `extra`"),
+        (body(zone=None), "missing required field `zone`"),
         (body(instanceId=""), "instanceId"),
         (body(instanceId="a/b"), "instanceId"),
         (body(instanceId=5), "instanceId"),
@@ -105,9 +115,9 @@
         (body(ifVersion="3"), "ifVersion"),
     ],
 )
-def test_what_is_not_in_form_is_told_in_one_plain_line(given: bytes, told: str) -> None:
+def test_registration_when_malformed_then_is_rejected_in_one_plain_line(given: bytes, told: str) -> None:
     with pytest.raises(InvalidRequestError) as caught:
-        read_register(given)
+        read_register_endpoint(given)
     assert told in str(caught.value) and "\n" not in str(caught.value) and len(str(caught.value)) < 300
 
 
@@ -119,27 +129,33 @@
         | st.dictionaries(st.sampled_from(sorted([*GIVEN, "ifVersion", "life", "x"])), inner, max_size=9),
     ).map(lambda value: json.dumps(value).encode())
 )
-def test_whatever_comes_is_read_or_refused(given: bytes) -> None:
-    for read in (read_register, lambda it: read_change("s-1", it), lambda it: read_remove("s-1", it)):
+def test_request_when_its_body_is_arbitrary_then_is_read_or_rejected(given: bytes) -> None:
+    for read in (
+        read_register_endpoint,
+        lambda it: read_change_lifecycle("s-1", it),
+        lambda it: read_remove_endpoint("s-1", it),
+    ):
         try:
             read(given)
         except InvalidRequestError as error:
             assert "\n" not in str(error)
 
 
-def test_changes_and_removals() -> None:
-    assert read_change("s-1", b'{"lifecycle":"DRAINING","ifVersion":4}') == Change("s-1", "DRAINING", 4)
-    assert read_remove("s-1", b"") == Remove("s-1")
-    assert read_remove("s-1", b'{"life":9}') == Remove("s-1", None, 9)
+def test_changes_and_removals_when_read_then_have_their_conditions() -> None:
+    assert read_change_lifecycle("s-1", b'{"lifecycle":"DRAINING","ifVersion":4}') == ChangeLifecycle(
+        "s-1", "DRAINING", 4
+    )
+    assert read_remove_endpoint("s-1", b"") == RemoveEndpoint("s-1")
+    assert read_remove_endpoint("s-1", b'{"life":9}') == RemoveEndpoint("s-1", None, 9)
     for words in (b"{}", b'{"lifecycle":"GONE"}'):
         with pytest.raises(InvalidRequestError, match="lifecycle"):
-            read_change("s-1", words)
+            read_change_lifecycle("s-1", words)
     with pytest.raises(InvalidRequestError, match="instanceId"):
-        read_remove("../x", b"")
+        read_remove_endpoint("../x", b"")
 
 
 @pytest.mark.parametrize("value", ["", "-1", "1.0", "x", "\u0661", "9" * 17])
-def test_generation_to_go_on_from_is_a_plain_number(value: str) -> None:
+def test_generation_of_a_watch_when_no_plain_number_then_is_rejected(value: str) -> None:
     with pytest.raises(InvalidRequestError):
         read_after(value)
     assert read_after("41") == 41
@@ -148,7 +164,7 @@
 @given(
     st.builds(
         dict,
-        instanceId=st.from_regex(forms.ID, fullmatch=True),
+        instanceId=st.from_regex(NAME_PATTERN, fullmatch=True),
         zone=st.sampled_from(["a", "b", "zz"]),
         hostPort=st.integers(1, 65535).map(lambda port: f"127.0.0.1:{port}"),
         machineType=st.just("m2"),
@@ -158,10 +174,10 @@
         startedAtMs=st.integers(0, 1 << 41),
     )
 )
-def test_front_door_reads_what_is_registered(given: dict[str, object]) -> None:
-    entry: Entry = read_register(json.dumps(given).encode()).entry
+def test_gateway_when_an_endpoint_is_registered_then_reads_it(given: dict[str, object]) -> None:
+    entry: Endpoint = read_register_endpoint(json.dumps(given).encode()).endpoint
     catalog = Catalog(CONFIG)
-    news = catalog.news(json.loads(listing(3, True, [entry])))
+    news = catalog.news(json.loads(encode_watch_event(3, True, [entry])))
     [server] = news.event.servers
     assert news.event.kind is i.ListKind.FULL and server.name == given["instanceId"]
     assert news.addresses == {entry.id: ("127.0.0.1", int(entry.address.rpartition(":")[2]))}
--- a/tests/faults/test_trial.py
+++ b/tests/faults/test_trial.py
@@ -346,7 +346,7 @@
             {
                 "claim": "x",
                 "epoch": 1,
-                "act": "keep",
+                "act": "putrecord",
                 "on": "task.drain-b",
                 "text": json.dumps({"state": state}),
             },
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -23,9 +23,6 @@
     "orchidhatch.gateway.state",
     "orchidhatch.gateway.core",
     "orchidhatch.gateway.metrics",
-    "orchidhatch.control.ownership.service",
-    "orchidhatch.control.policy.leases",
-    "orchidhatch.control.registry.service",
 }
 
 
