Patch modules by their new names in two tests

Cause: two tests name what they patch as a string, which the move of the packages did not change. Change: the strings name the modules of today; what is asserted stays.

--- a/tests/control/agent/test_policy_lease.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -311,7 +311,7 @@
 def test_a_door_that_does_not_obey_is_held_out_and_one_that_cannot_be_told_hears_nothing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("orchidhatch.policy.keeper.SWITCH_S", 0.0)
+    monkeypatch.setattr("orchidhatch.control.agent.policy_lease.SWITCH_S", 0.0)
 
     async def job() -> None:
         async with kept(tmp_path) as all_:
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -456,7 +456,7 @@
             await steward.work()  # they are overdue still, and it is the owner that ends them
             await until(lambda: len(registry.store.entries) == 17)
             assert registry.expired == 3 and registry.owned_s == now
-            monkeypatch.setattr("orchidhatch.registry.TICK_S", 0.01)
+            monkeypatch.setattr("orchidhatch.control.registry.service.TICK_S", 0.01)
             entry = registry.store.entries["s-19"]
             registry.leases.put_back(entry, now)
             assert now - registry.owned_s < OWNED_S  # the service rests meanwhile
