--- /dev/null
+++ b/tests/baseline/test_gateway.py
@@ -0,0 +1,68 @@
+"""The decision core, its datagrams and its hand-over against the recordings of version 76db265."""
+
+import gzip
+import json
+from collections import Counter
+from pathlib import Path
+
+import pytest
+
+from orchidhatch.gateway import interface
+from orchidhatch.gateway.codec import mark_of, pack_message, plain, read_plain, unpack_message
+from orchidhatch.gateway.core import Gateway
+from orchidhatch.proxy.handover import WORDS
+from tests.baseline.decoding import FOLDER, class_of, decode, read
+
+STREAMS = sorted(FOLDER.glob("events-*.jsonl.gz"))
+
+
+@pytest.mark.parametrize("path", STREAMS, ids=lambda path: path.name.partition(".")[0])
+def test_recorded_events_give_the_recorded_actions_to_the_letter(path: Path) -> None:
+    with gzip.open(path, "rt") as lines:
+        for line in lines:
+            stream = json.loads(line)
+            core = Gateway(decode(stream["settings"]))
+            for number, (now_us, event, actions) in enumerate(stream["steps"]):
+                expected = [decode(action) for action in actions]
+                assert core.handle(now_us, decode(event)) == expected, (stream["process"], number, event)
+
+
+def test_the_recording_has_each_kind_of_event_and_thousands_of_them() -> None:
+    counts: Counter[str] = Counter()
+    for path in STREAMS:
+        with gzip.open(path, "rt") as lines:
+            for line in lines:
+                counts.update(event["type"] for _, event, _ in json.loads(line)["steps"])
+    assert len(STREAMS) == 4
+    assert counts.total() > 10_000
+    assert {class_of(name) for name in counts} == set(interface.Event.__args__)
+
+
+@pytest.mark.parametrize(
+    "case", read("datagrams.json"), ids=lambda case: f"{case['name']}, mark {case['mark']}"
+)
+def test_recorded_datagrams_are_encoded_and_decoded_as_recorded(case: dict) -> None:
+    words, sightings = decode(case["words"]), decode(case["sightings"])
+    datagrams = [bytes.fromhex(data) for data in case["datagrams"]]
+    assert pack_message(words, sightings, case["mark"]) == datagrams
+    assert [unpack_message(data) for data in datagrams] == [decode(value) for value in case["decoded"]]
+    assert {mark_of(data) for data in datagrams} == {case["mark"]}
+
+
+def test_recorded_state_of_a_predecessor_is_read_and_written_as_recorded() -> None:
+    recorded = read("handover.json")
+    state = read_plain(class_of("State"), recorded["state"])
+    assert state == decode(recorded["decoded"])
+    assert json.loads(json.dumps(plain(state))) == recorded["state"]
+
+
+def test_recorded_lines_of_a_hand_over_are_read_and_written_as_recorded() -> None:
+    recorded = read("handover.json")
+    for line, value in zip(recorded["lines"], recorded["records"], strict=True):
+        record = read_plain(class_of(line["say"]), line["record"])
+        assert record == decode(value)
+        assert json.loads(json.dumps(plain(record))) == line["record"]
+
+
+def test_names_that_go_over_the_wire_of_a_hand_over_stay() -> None:
+    assert set(WORDS) == {"TwinSpend", "TwinSend", "TwinEnd", "TwinMaint"}
