End client connections without dropping answers, and take lists that state no length

Symptom, forced over loopback: a client that had sent a further command when a drain closed its connection got a reset, and the part of its answer that the system still held was lost (1 MiB value: ConnectionResetError). A list of endpoints in an answer without a length and without a last line feed was never read, however often it came. Cause: ClientConnection.close and write closed over unread bytes, which the system answers by a reset; WatchConnection never told h11 of the connection's end. Change: where bytes lie unread or answers wait, only our side is ended (shutdown) and what comes is read and dropped until the client ends, 1 s at most; the end of a watch's connection is told to h11, and ends an answer without a length. A reset is still no end.

--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -34,6 +34,7 @@
 # Short answers are whole when they come, and cannot be paused: past this many pools the slowest client goes.
 SHED_POOLS = 2
 STALL_S = 30.0  # how long a client may take nothing of what waits for it
+LINGER_S = 1.0  # for the client's end, after ours, where it had sent more: what comes meanwhile is dropped
 
 FAILED = b"-ERR failed\r\n"
 SLOW = b"-ERR no whole command came in time\r\n"
@@ -265,6 +266,7 @@
         self.proven = False  # has had a request taken
         self.paused_s = self.moved_s = 0.0  # when its reading paused; when it last took of what waits
         self.clogged_s = 0.0
+        self.linger_until_s: float | None = None  # our side is shut, and what comes is read and dropped
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -340,7 +342,7 @@
                 self.measure()
         if not self.replies:
             if self.closing:
-                self.transport.close()
+                self.shut()
             elif not self.taking:
                 self.clients.rests(self)
         self.update_reading()
@@ -363,7 +365,7 @@
 
     def update_reading(self) -> None:
         """Read no further ahead than what fits: neither many commands nor answers that nobody reads."""
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or self.linger_until_s is not None:
             return
         wanted = len(self.replies) < MOST_PIPELINED and not self.clogged and not self.last
         if wanted and not self.reading:
@@ -439,8 +441,39 @@
         """Close between requests."""
         if not self.closing and not self.replies and self.transport:
             self.closing = True
+            self.shut()
+
+    def shut(self) -> None:
+        """Close once all that was written has reached the client.
+
+        Where bytes of it lie unread, the system would answer a close by a reset, and drop what it still holds
+        for the client. So only our side is ended then, and what comes is read and dropped until the client
+        ends its own, for LINGER_S at the most.
+        """
+        if self.transport.is_closing() or self.linger_until_s is not None:
+            return
+        if not self.transport.get_write_buffer_size() and not looks.unread(self.transport):
+            self.transport.close()
+            return
+        self.linger_until_s = self.clients.clock() + LINGER_S
+        self.transport.write_eof()
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
+        self.clients.sweep_later()
+
+    def end_linger(self, now_s: float) -> None:
+        """Close a connection whose client has not ended it in time after all was written."""
+        if self.transport.get_write_buffer_size():
+            self.linger_until_s = now_s + LINGER_S
+        elif now_s >= self.linger_until_s:
             self.transport.close()
 
+    def is_swept(self) -> bool:
+        """Whether time alone may end it, or let it go on."""
+        waits = self.due_s is not None or self.linger_until_s is not None
+        return waits or bool(self.unsent) or not self.reading
+
     def awaited(self) -> bool:
         """Whether a command has begun to come, or has come whole and was not read yet."""
         return bool(self.reader.buffer) or looks.unread(self.transport)
@@ -531,9 +564,11 @@
                 connection.finish(SLOW)
             else:
                 connection.close()  # an error line could be taken for the answer to what comes at last
+        for connection in [one for one in self.connections if one.linger_until_s is not None]:
+            connection.end_linger(now_s)
         self.take_in_more()
         self.shed(now_s)
-        if any(one.due_s is not None or one.unsent or not one.reading for one in self.connections):
+        if any(one.is_swept() for one in self.connections):
             self.sweep_later()
 
     def sweep_later(self) -> None:
--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -169,6 +169,24 @@
         finally:
             self.account.leave(was)
 
+    def eof_received(self) -> None:
+        """The other side has ended the connection, which an answer that states no length ends with.
+
+        A reset is no such end: what is left then of a value is dropped.
+        """
+        with contextlib.suppress(h11.ProtocolError):  # cut off amid a chunk: nothing was whole
+            self.http.receive_data(b"")
+            if isinstance(self.http.next_event(), h11.EndOfMessage):
+                self.take_last_line()
+
+    def take_last_line(self) -> None:
+        try:
+            if self.buffer.strip():
+                self.values.feed(bytes(self.buffer))
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("the watch ends with what makes no sense: %s", error)
+            self.spoiled = True
+
     def take(self, event: h11.Event) -> None:
         if isinstance(event, h11.Response):
             if event.status_code != 200:
