Type the responses of HTTP calls between the services

Need: a call gave a tuple of status, value and store name, and a status of 0 stood for "no response", so that each caller compared numbers and named three values of which it used one.

Change: `call` gives an HttpResponse or a NoResponse; `call_now` is `call_blocking`. RegistryClient gives the same two, its index is `current_index`, and the words by which a registry says that it does not accept writes stand in one constant with the reason why they must stay. Events of trials record 0 and the reason, as before.

--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -10,7 +10,7 @@
 import sqlite3
 from urllib.parse import quote
 
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, NoResponse, call
 from orchidhatch.control.http_server import (
     Connection,
     EndpointListServer,
@@ -55,11 +55,11 @@
         if question not in QUESTIONS:
             connection.answer(Response(404, error_body("no such question")))
             return
-        status, text, _ = await call(self.at, "GET", f"/{question}", within_s=DOOR_S)
+        result = await call(self.at, "GET", f"/{question}", timeout_s=DOOR_S)
         connection.answer(
-            Response(status, {"door": text})
-            if status
-            else unavailable(f"the front door does not answer: {text}")
+            unavailable(f"the front door does not answer: {result.reason}")
+            if isinstance(result, NoResponse)
+            else Response(result.status, {"door": result.value})
         )
 
     async def carry_out(self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int) -> None:
@@ -97,26 +97,28 @@
         except sqlite3.Error as error:
             return unavailable(f"cannot keep the epoch: {error}")
         target = "/" + "/".join(quote(part, safe="") for part in path)
-        status, text, _ = await call(
+        result = await call(
             self.at,
             "POST",
             target,
-            within_s=DOOR_S,
+            timeout_s=DOOR_S,
             headers={CLAIM_HEADER: f"{fence.claim} {fence.epoch} {act}"},
         )
-        self.acts += 200 <= status < 300
-        if status == 0:
-            return unavailable(f"the front door does not answer: {text}")
-        return Response(200 if 200 <= status < 300 else status, {"door": text})
+        if isinstance(result, NoResponse):
+            return unavailable(f"the front door does not answer: {result.reason}")
+        carried_out = 200 <= result.status < 300
+        self.acts += carried_out
+        return Response(200 if carried_out else result.status, {"door": result.value})
 
     async def learn(self) -> bool:
         """Of a list service that is not behind what was heard: the epochs that hold by now."""
         registry = self.following.registries[self.following.at]
-        status, value, store = await call(registry, "GET", "/claims", within_s=DOOR_S)
-        if status != 200 or term_of(store) < self.following.term():
+        result = await call(registry, "GET", "/claims", timeout_s=DOOR_S)
+        if not result.ok or term_of(result.store_name) < self.following.term():
             return False
         try:
-            await self.keep({claim["name"]: claim["epoch"] for claim in value["claims"]}, {}, known=True)
+            claims = result.value["claims"]
+            await self.keep({claim["name"]: claim["epoch"] for claim in claims}, {}, known=True)
         except (sqlite3.Error, KeyError, TypeError) as error:
             log.error("cannot keep the epochs: %s", error)
             return False
--- a/orchidhatch/control/agent/policy_lease.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -24,7 +24,7 @@
 from urllib.parse import quote
 
 from orchidhatch.control.controller.summary import read_figures
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, HttpResponse, call
 from orchidhatch.control.http_server import EndpointListServer
 from orchidhatch.control.policy.document import PolicyError, digest_of, lay_over, read_text
 from orchidhatch.control.policy.leases import DOCUMENT
@@ -144,15 +144,13 @@
             report["leftMs"] = round((heard.moment_s() - sent_s) * 1000)
         if self.want in self.documents:
             report["text"] = self.documents[self.want]
-        status, told = await self.links.call(
-            "POST", f"/doors/{quote(self.setup.name, safe='')}/renew", report
-        )
-        if status == 404 or (status == 409 and "another life" in str(told)):
+        result = await self.links.call("POST", f"/doors/{quote(self.setup.name, safe='')}/renew", report)
+        if result.status == 404 or (result.status == 409 and "another life" in str(result.value)):
             await self.links.call(
                 "POST", "/doors", {"name": self.setup.name, "life": self.life, "zone": self.setup.zone}
             )
-        elif status == 200:
-            await self.hear(told, sent_s)
+        elif result.ok:
+            await self.hear(result.value, sent_s)
 
     async def hear(self, told: Mapping[str, Any], sent_s: float) -> None:
         """A moment known is kept; an answer that is behind what was heard before is worth nothing."""
@@ -200,10 +198,10 @@
         if digest in self.checked or self.flaw.startswith(digest):
             return
         if digest not in self.documents:
-            status, told = await self.links.call("GET", f"/records/{DOCUMENT}{digest}")
-            if status != 200 or digest_of(told["text"]) != digest:
+            result = await self.links.call("GET", f"/records/{DOCUMENT}{digest}")
+            if not result.ok or digest_of(result.value["text"]) != digest:
                 return
-            await self.keep_document(digest, told["text"])
+            await self.keep_document(digest, result.value["text"])
         try:
             await self.check(digest)
         except PolicyError as error:
@@ -281,13 +279,14 @@
 
     async def look(self) -> int:
         """How the door is: the status of its health, 0 where it does not answer."""
-        status, text, _ = await call(self.door, "GET", "/healthcheck", within_s=DOOR_S)
-        found = HEALTH.search(str(text))
-        self.serves = status == 200
-        if status:
-            self.under, self.has = bool(found), found[2].strip("-") if found else ""
-            self.number = int(found[1]) if found else 0
-        return status
+        result = await call(self.door, "GET", "/healthcheck", timeout_s=DOOR_S)
+        self.serves = result.ok
+        if not isinstance(result, HttpResponse):
+            return 0
+        found = HEALTH.search(str(result.value))
+        self.under, self.has = bool(found), found[2].strip("-") if found else ""
+        self.number = int(found[1]) if found else 0
+        return result.status
 
     async def steer(self) -> None:
         """One look at the door, and what follows from it."""
@@ -309,8 +308,7 @@
                 await self.tell("healthcheck/ok")
 
     async def tell(self, what: str) -> bool:
-        status, _, _ = await call(self.door, "POST", f"/{what}", within_s=DOOR_S)
-        return status == 200
+        return (await call(self.door, "POST", f"/{what}", timeout_s=DOOR_S)).ok
 
     async def hold_out(self, status: int) -> None:
         """No clients any more. A door that cannot be told hears nothing of us either, and bars itself."""
@@ -375,8 +373,8 @@
             os.close(descriptor)
 
     async def read_counts(self) -> None:
-        status, text, _ = await call(self.door, "GET", "/stats", within_s=DOOR_S)
-        if status == 200 and (reading := read_figures(str(text))):
+        result = await call(self.door, "GET", "/stats", timeout_s=DOOR_S)
+        if result.ok and (reading := read_figures(str(result.value))):
             self.counts = reading.answered, reading.deferred, reading.errored
 
     # --- all the time ---
--- a/orchidhatch/control/controller/service.py
+++ b/orchidhatch/control/controller/service.py
@@ -33,12 +33,12 @@
     TaskError,
     read_task,
 )
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse, call
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import Change
 from orchidhatch.control.registry.replication import shown
 from orchidhatch.control.registry.service import read_listen
-from orchidhatch.control.registry_client import PATIENCE_S, RegistryClient
+from orchidhatch.control.registry_client import REGISTRY_TIMEOUT_S, RegistryClient
 
 log = logging.getLogger("orchidhatch.steward")
 
@@ -98,11 +98,11 @@
     async def open(self) -> None:
         """A new life, unless another process of this id has a session; then later."""
         self.life, sent_s = secrets.token_hex(8), self.clock()
-        status, told = await self.links.call(
+        result = await self.links.call(
             "POST", "/sessions", {"holder": self.id, "life": self.life, "leaseMs": self.lease_ms}
         )
-        if status != 200:
-            log.warning("no session: %s", told if status else "no list service answers")
+        if not result.ok:
+            log.warning("no session: %s", described(result))
             raise LostError
         self.extend(sent_s)
         log.info("%s begins life %s", self.id, self.life)
@@ -113,13 +113,13 @@
     async def renew(self) -> None:
         """One message for all that is held. What is not ours any more is forgotten at once."""
         sent_s = self.clock()
-        status, told = await self.links.call("POST", f"/sessions/{self.id}/renew", {"life": self.life})
-        if status in (404, 409):
-            log.warning("%s lost its session: %s", self.id, told)
+        result = await self.links.call("POST", f"/sessions/{self.id}/renew", {"life": self.life})
+        if result.status in (404, 409):
+            log.warning("%s lost its session: %s", self.id, result.value)
             raise LostError
-        if status == 200:
+        if result.ok:
             self.extend(sent_s)
-            ours = told["claims"]
+            ours = result.value["claims"]
             for shard in [shard for shard, held in self.held.items() if ours.get(shard) != held.epoch]:
                 log.warning("%s is not ours any more", shard)
                 del self.held[shard]
@@ -146,10 +146,10 @@
 
     async def look(self) -> None:
         """Who there is, and who holds what."""
-        status, told = await self.links.call("GET", "/claims")
-        if status == 200:
-            self.others = [one["holder"] for one in told["sessions"]]
-            self.claims = {one["name"]: one for one in told["claims"]}
+        result = await self.links.call("GET", "/claims")
+        if result.ok:
+            self.others = [one["holder"] for one in result.value["sessions"]]
+            self.claims = {one["name"]: one for one in result.value["claims"]}
 
     async def share(self) -> None:
         """Give up what is another's by now, then take what is ours and free. Who is to have it takes it only
@@ -173,11 +173,11 @@
                 await self.take(shard)
 
     async def take(self, shard: str) -> None:
-        status, told = await self.links.call(
+        result = await self.links.call(
             "POST", f"/claims/{shard}/take", {"holder": self.id, "life": self.life, "what": "tasks"}
         )
-        if status == 200 and told["life"] == self.life:
-            self.held[shard] = Held(told["epoch"])
+        if result.ok and result.value["life"] == self.life:
+            self.held[shard] = Held(result.value["epoch"])
 
     async def give(self, shard: str, epoch: int, why: str = "") -> None:
         self.held.pop(shard, None)  # first: nothing more is done in its name, whatever the answer
@@ -191,10 +191,10 @@
 
     async def work(self) -> None:
         """One step of each task in the shards that are ours."""
-        status, told = await self.links.call("GET", "/records")
-        if status != 200:
+        result = await self.links.call("GET", "/records")
+        if not result.ok:
             return
-        for record in told["records"]:
+        for record in result.value["records"]:
             shard = shard_of(record["name"])
             if record["name"].startswith(TASK) and shard in self.held and self.may_act():
                 try:
@@ -260,20 +260,20 @@
     async def write(self, method: str, path: str, **values: object) -> tuple[int, Any]:
         """A write at the list service. A FencedError where the claim is another's."""
         self.check()
-        status, told = await self.steward.links.call(method, path, {**values, **self.fence()})
-        if status == 409 and "claim " in str(told):
-            raise FencedError(str(told["error"]))
-        if status in (0, 503):
+        result = await self.steward.links.call(method, path, {**values, **self.fence()})
+        if isinstance(result, NoResponse) or result.status == 503:
             raise GoneError("no list service takes writes")
-        self.steward.acts += status == 200
-        return status, told
+        if result.status == 409 and "claim " in str(result.value):
+            raise FencedError(str(result.value["error"]))
+        self.steward.acts += result.ok
+        return result.status, result.value
 
     async def read(self, path: str) -> tuple[int, Any]:
         """What the list service that takes writes answers; GoneError where none does."""
-        status, told = await self.steward.links.call("GET", path)
-        if status in (0, 503):
+        result = await self.steward.links.call("GET", path)
+        if isinstance(result, NoResponse) or result.status == 503:
             raise GoneError("no list service answers")
-        return status, told
+        return result.status, result.value
 
     def term(self) -> int:
         """Of the store that our claim is kept in."""
@@ -297,10 +297,10 @@
 
         async def one(agent: Address) -> str:
             self.check()
-            status, told, _ = await call(agent, "POST", f"/door/{call_}", act, PATIENCE_S)
-            if status == 409 and "claim " in str(told):
-                raise FencedError(f"{shown(agent)}: {told['error']}")
-            return "" if status == 200 else shown(agent)
+            result = await call(agent, "POST", f"/door/{call_}", act, REGISTRY_TIMEOUT_S)
+            if result.status == 409 and "claim " in str(result.value):
+                raise FencedError(f"{shown(agent)}: {result.value['error']}")
+            return "" if result.ok else shown(agent)
 
         found = await asyncio.gather(*map(one, self.steward.agents))
         self.steward.acts += len(found)
@@ -310,8 +310,8 @@
         """What each front door answers to a question, through its machine's agent; "" where nobody does."""
 
         async def one(agent: Address) -> str:
-            status, told, _ = await call(agent, "GET", f"/door/{call_}", within_s=PATIENCE_S)
-            return str(told["door"]) if status == 200 else ""
+            result = await call(agent, "GET", f"/door/{call_}", timeout_s=REGISTRY_TIMEOUT_S)
+            return str(result.value["door"]) if result.ok else ""
 
         agents = self.steward.agents
         found = await asyncio.gather(*map(one, agents))
@@ -321,6 +321,11 @@
         return self.steward.readings.setdefault(task.name, {})
 
 
+def described(result: CallResult) -> object:
+    """What a call came to, for a log line."""
+    return result.value if isinstance(result, HttpResponse) else "no registry answers"
+
+
 async def serve(options: argparse.Namespace) -> None:
     steward = Controller(options.id, options.registry, options.agent, options.lease_ms)
     stopped = asyncio.Event()
--- a/orchidhatch/control/http_client.py
+++ b/orchidhatch/control/http_client.py
@@ -1,50 +1,94 @@
-"""HTTP calls to the program's own services, from a loop that must not wait for them."""
+"""HTTP requests to the project's own services, for event loops that must not block on them."""
 
 import asyncio
 import http.client
 import json
 from collections.abc import Mapping
-from typing import Any
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, ClassVar
 
 Address = tuple[str, int]
-PATIENCE_S = 2.0
-NONE: Mapping[str, str] = {}
 
+DEFAULT_TIMEOUT_S = 2.0
+STORE_HEADER = "Orchidhatch-Store"
+NO_HEADERS: Mapping[str, str] = {}
 
-def call_now(
-    at: Address,
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response that was received whole.
+
+    `value` is the decoded JSON body, the text of a body that is not JSON, or None for an empty body.
+    `store_name` is the identity and term of the store that answered, "" where the service names none.
+    """
+
+    status: int
+    value: Any
+    store_name: str = ""
+
+    @property
+    def ok(self) -> bool:
+        """Whether the request was carried out."""
+        return self.status == HTTPStatus.OK
+
+
+@dataclass(frozen=True, slots=True)
+class NoResponse:
+    """No response was received: the request may have been carried out or not. It has no status."""
+
+    reason: str
+    ok: ClassVar[bool] = False
+    status: ClassVar[None] = None
+
+
+CallResult = HttpResponse | NoResponse
+
+
+def call_blocking(
+    address: Address,
     method: str,
     path: str,
-    value: object = None,
-    within_s: float = PATIENCE_S,
-    headers: Mapping[str, str] = NONE,
-) -> tuple[int, Any, str]:
-    """Status, the value and the store's name; an OSError or HTTPException where no answer comes."""
-    connection = http.client.HTTPConnection(*at, timeout=within_s)
+    body: object = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    headers: Mapping[str, str] = NO_HEADERS,
+) -> HttpResponse:
+    """Send a request, with `body` as JSON unless it is None, and wait for the response.
+
+    `timeout_s` bounds each operation on the socket. Raises OSError or http.client.HTTPException where no
+    response is received.
+    """
+    connection = http.client.HTTPConnection(*address, timeout=timeout_s)
     try:
-        body = None if value is None else json.dumps(value)
-        connection.request(method, path, body, dict(headers))
-        answer = connection.getresponse()
-        text = answer.read()
-        try:
-            found = json.loads(text) if text else None
-        except ValueError:
-            found = text.decode(errors="replace")
-        return answer.status, found, answer.headers.get("Orchidhatch-Store", "")
+        encoded = None if body is None else json.dumps(body)
+        connection.request(method, path, encoded, dict(headers))
+        response = connection.getresponse()
+        value = decode_body(response.read())
+        return HttpResponse(response.status, value, response.headers.get(STORE_HEADER, ""))
     finally:
         connection.close()
 
 
+def decode_body(content: bytes) -> Any:  # noqa: ANN401 - JSON
+    """The JSON value of a body, its text where it is not JSON, None where it is empty."""
+    if not content:
+        return None
+    try:
+        return json.loads(content)
+    except ValueError:
+        return content.decode(errors="replace")
+
+
 async def call(
-    at: Address,
+    address: Address,
     method: str,
     path: str,
-    value: object = None,
-    within_s: float = PATIENCE_S,
-    headers: Mapping[str, str] = NONE,
-) -> tuple[int, Any, str]:
-    """As call_now; a status of 0 where no answer comes."""
+    body: object = None,
+    timeout_s: float = DEFAULT_TIMEOUT_S,
+    headers: Mapping[str, str] = NO_HEADERS,
+) -> CallResult:
+    """As `call_blocking`, in a thread; a NoResponse in place of an error where no response is received."""
     try:
-        return await asyncio.to_thread(call_now, at, method, path, value, within_s, headers)
+        return await asyncio.to_thread(call_blocking, address, method, path, body, timeout_s, headers)
     except (OSError, http.client.HTTPException) as error:
-        return 0, str(error), ""
+        return NoResponse(str(error))
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -210,10 +210,10 @@
         """While this service follows another one: its policies and doors, as they were a moment ago."""
         while True:
             asked_s = self.registry.clock()
-            status, value, store = await call(source(), "GET", "/policy", within_s=COPY_S)
-            if status == 200 and term_of(store) >= self.registry.store.term:
+            result = await call(source(), "GET", "/policy", timeout_s=COPY_S)
+            if result.ok and term_of(result.store_name) >= self.registry.store.term:
                 try:
-                    await self.registry.write_aside(self.differences(value))
+                    await self.registry.write_aside(self.differences(result.value))
                     self.copied_s = asked_s
                 except (StoreError, KeyError, TypeError) as error:
                     log.error("cannot keep a copy of the policies: %s", error)
--- a/orchidhatch/control/registry_client.py
+++ b/orchidhatch/control/registry_client.py
@@ -1,29 +1,46 @@
-"""The list services that a process knows, of which one takes writes."""
+"""A client of several registries, of which one accepts writes."""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any
+from http import HTTPStatus
 
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse, call
 
-PATIENCE_S = 1.0
-MOVED_ON = ("takes no writes", "fenced")  # what one answers in whose place another takes writes
+REGISTRY_TIMEOUT_S = 1.0
+# A registry that does not accept writes says so by a conflict with one of these in its error text. Registries
+# of earlier versions are recognized by the same words, so they must stay in the text on both sides.
+NOT_WRITABLE_TEXTS = ("takes no writes", "fenced")
 
 
 @dataclass
 class RegistryClient:
-    """Found by asking the next where one does not take writes."""
+    """Sends each request to the registry that accepts writes, and remembers which one that is."""
 
     registries: Sequence[Address]
-    at: int = 0
+    current_index: int = 0
 
-    async def call(self, method: str, path: str, value: object = None) -> tuple[int, Any]:
-        """Status and value of the one that takes writes; 0 where none answers."""
-        status, told = 0, None
+    async def call(self, method: str, path: str, body: object = None) -> CallResult:
+        """The response of the registry that accepts writes.
+
+        Each registry is tried once. Where none accepts writes: the last response if it says that the service
+        is unavailable, else a NoResponse.
+        """
+        result: CallResult = NoResponse("no registry is configured")
         for _ in self.registries:
-            status, told, _ = await call(self.registries[self.at], method, path, value, PATIENCE_S)
-            if status in (0, 503) or (status == 409 and any(sign in str(told) for sign in MOVED_ON)):
-                self.at = (self.at + 1) % len(self.registries)
-                continue
-            return status, told
-        return (status if status == 503 else 0), told
+            address = self.registries[self.current_index]
+            result = await call(address, method, path, body, REGISTRY_TIMEOUT_S)
+            if isinstance(result, HttpResponse) and accepts_writes(result):
+                return result
+            self.current_index = (self.current_index + 1) % len(self.registries)
+        if result.status == HTTPStatus.SERVICE_UNAVAILABLE or isinstance(result, NoResponse):
+            return result
+        return NoResponse(str(result.value))
+
+
+def accepts_writes(response: HttpResponse) -> bool:
+    """Whether the registry that sent this response accepts writes, as far as the response tells."""
+    if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    text = str(response.value)
+    is_conflict = response.status == HTTPStatus.CONFLICT
+    return not (is_conflict and any(words in text for words in NOT_WRITABLE_TEXTS))
--- a/orchidhatch/faults/backend.py
+++ b/orchidhatch/faults/backend.py
@@ -191,14 +191,14 @@
     while True:
         registry = settings.registries[at % len(settings.registries)]
         path, value = (f"/entries/{settings.id}/renew", {"life": life}) if life else ("/entries", entry)
-        status, told, _ = await call(registry, "POST", path, value)
-        if status == 200:
+        result = await call(registry, "POST", path, value)
+        if result.ok:
             if not life:
-                recorder.note("listed", settings.id, life=told["life"])
-            life = told["life"]
+                recorder.note("listed", settings.id, life=result.value["life"])
+            life = result.value["life"]
             await asyncio.sleep(settings.model.lease_ms / 1000 / RENEWALS)
             continue
-        if status == 404 or (status == 409 and "is in life" in str(told)):
+        if result.status == 404 or (result.status == 409 and "is in life" in str(result.value)):
             life = 0  # its lease ran out, or another life is listed
         else:
             at += 1
--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, HttpResponse, call
 from orchidhatch.faults import backend, load
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.links import Datagrams, TcpRelay, Way
@@ -176,8 +176,8 @@
 
     async def answers(self, name: str, good: int = 0) -> bool:
         """Whether it answers its health call; with this status, if one is given."""
-        status, _, _ = await call(self.at[name], "GET", "/healthcheck", within_s=0.5)
-        return status == good if good else status != 0
+        result = await call(self.at[name], "GET", "/healthcheck", timeout_s=0.5)
+        return result.status == good if good else isinstance(result, HttpResponse)
 
     async def listens(self, name: str) -> bool:
         try:
@@ -396,13 +396,13 @@
         try:
             async with asyncio.timeout(READY_S):
                 while True:
-                    status, told, _ = await call(self.at["registry-0"], "GET", "/doors")
-                    sure = status == 200 and told["sure"]
+                    result = await call(self.at["registry-0"], "GET", "/doors")
+                    sure = result.ok and result.value["sure"]
                     kept = (
                         [
                             door
-                            for door in told["doors"]
-                            if door.get("serves") and door["number"] == told["now"]["number"]
+                            for door in result.value["doors"]
+                            if door.get("serves") and door["number"] == result.value["now"]["number"]
                         ]
                         if sure
                         else ()
@@ -418,8 +418,8 @@
         try:
             async with asyncio.timeout(READY_S):
                 while True:
-                    status, told, _ = await call(self.at[name], "GET", "/catalog/members")
-                    if status == 200 and len(told["instances"]) >= self.plan.backends.count:
+                    result = await call(self.at[name], "GET", "/catalog/members")
+                    if result.ok and len(result.value["instances"]) >= self.plan.backends.count:
                         return
                     await asyncio.sleep(LOOK_S)
         except TimeoutError:
--- a/orchidhatch/faults/runner.py
+++ b/orchidhatch/faults/runner.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from orchidhatch.control.controller import tasks
-from orchidhatch.control.http_client import call
+from orchidhatch.control.http_client import CallResult, NoResponse, call
 from orchidhatch.control.policy import change
 from orchidhatch.control.policy import document as form
 from orchidhatch.control.policy import leases as doors
@@ -193,9 +193,9 @@
         """Asked again until it is done; never forced."""
         name, until = process.name, self.now_s() + (fault.lasts or 30.0)
         while self.now_s() < until:
-            status, told, _ = await call(self.fleet.at[name], "POST", "/promote", {})
-            self.recorder.note("promote", name, status=status, told=told)
-            if status == 200:
+            result = await call(self.fleet.at[name], "POST", "/promote", {})
+            self.recorder.note("promote", name, status=status_of(result), told=told_of(result))
+            if result.ok:
                 return
             await asyncio.sleep(ASK_S)
 
@@ -214,14 +214,14 @@
         name = f"{tasks.TASK}drain-{id_}"
         text = json.dumps(tasks.drain(id_, round(after_s * 1000), "back"))
         for at in itertools.cycle(range(self.fleet.plan.registries)):
-            status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
-            if status == 200 and not json.loads(told["text"])["done"]:
+            result = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
+            if result.ok and not json.loads(result.value["text"])["done"]:
                 return
-            if status in (200, 404) and await self.write(
+            if result.status in (200, 404) and await self.write(
                 name,
                 "POST",
                 f"/records/{name}",
-                {"text": text, "ifVersion": told["version"] if status == 200 else 0},
+                {"text": text, "ifVersion": result.value["version"] if result.ok else 0},
             ):
                 self.asked.add(name)
                 return
@@ -247,9 +247,9 @@
 
     async def undo(self, fault: Fault, process: Process) -> None:
         for number in range(self.fleet.plan.registries):
-            status, told, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
-            if status == 200 and told["sure"] and told["now"]["before"]:
-                await self.ask_policy(told["now"]["before"], "")
+            result = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
+            if result.ok and result.value["sure"] and result.value["now"]["before"]:
+                await self.ask_policy(result.value["now"]["before"], "")
 
     async def ask_policy(self, digest: str, text: str) -> None:
         """As an operator would, within a bound: not while another change is open."""
@@ -257,9 +257,9 @@
         for at in itertools.cycle(range(self.fleet.plan.registries)):
             if self.now_s() > until:
                 return
-            status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", "/records")
-            if status == 200:
-                found, version = change.change_of(told["records"])
+            result = await call(self.fleet.at[f"registry-{at}"], "GET", "/records")
+            if result.ok:
+                found, version = change.change_of(result.value["records"])
                 if found and not found["done"]:
                     self.recorder.note("refused", digest, why=f"{found['digest']} is {found['state']}")
                     return
@@ -285,9 +285,10 @@
         while time.monotonic() < until:
             found = {}
             for number in range(self.fleet.plan.registries):
-                status, told, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
-                if status == 200 and told["sure"] and told["now"]["term"] > (found or NONE)["now"]["term"]:
-                    found = told
+                result = await call(self.fleet.at[f"registry-{number}"], "GET", "/doors")
+                highest_term = (found or NONE)["now"]["term"]
+                if result.ok and result.value["sure"] and result.value["now"]["term"] > highest_term:
+                    found = result.value
             if found and all(self.goes_by(door, found) for door in found["doors"]):
                 break
             await asyncio.sleep(ASK_S)
@@ -308,14 +309,18 @@
             await asyncio.sleep(POLL_S)
             found = await asyncio.gather(
                 *[
-                    call(self.fleet.at[f"registry-{n}"], "GET", "/claims", within_s=POLL_S)
+                    call(self.fleet.at[f"registry-{n}"], "GET", "/claims", timeout_s=POLL_S)
                     for n in range(self.fleet.plan.registries)
                 ]
             )
             told = [
-                (int(store.rpartition(" ")[2]), len(value["claims"]), value["claims"])
-                for status, value, store in found
-                if status == 200
+                (
+                    int(result.store_name.rpartition(" ")[2]),
+                    len(result.value["claims"]),
+                    result.value["claims"],
+                )
+                for result in found
+                if result.ok
             ]
             for claim in max(told, key=lambda one: one[:2])[2] if told else ():
                 if known.get(claim["name"]) != claim:
@@ -335,8 +340,8 @@
         while self.asked:
             told: list[dict[str, str]] = []
             for number in range(self.fleet.plan.registries):
-                status, value, _ = await call(self.fleet.at[f"registry-{number}"], "GET", "/records")
-                told += value["records"] if status == 200 else []
+                result = await call(self.fleet.at[f"registry-{number}"], "GET", "/records")
+                told += result.value["records"] if result.ok else []
             done = {
                 one["name"] for one in told if one["name"] in self.asked and json.loads(one["text"])["done"]
             }
@@ -382,19 +387,17 @@
         for at in [(self.writer + n) % count for n in range(count)]:
             about = f"{id_} {next(self.numbers)}"
             self.recorder.note("write", about, at=f"registry-{at}", id=id_, method=method, value=value)
-            status, told, store = await call(
-                self.fleet.over[f"writer>registry-{at}"], method, path, value, within_s=20.0
-            )
+            result = await call(self.fleet.over[f"writer>registry-{at}"], method, path, value, timeout_s=20.0)
             self.recorder.note(
                 "answer",
                 about,
                 at=f"registry-{at}",
                 id=id_,
-                status=status,
-                store=store,
-                told=told if status else str(told),
+                status=status_of(result),
+                store=store_of(result),
+                told=told_of(result),
             )
-            if status == 200:
+            if result.ok:
                 self.writer = at
                 self.written.add(id_)
                 return True
@@ -404,20 +407,35 @@
         """What each list service and agent says in the end."""
         for name in self.fleet.processes.all:
             if name.startswith(("registry-", "agent-")):
-                _, health, store = await call(self.fleet.at[name], "GET", "/healthcheck")
-                status, told, _ = await call(self.fleet.at[name], "GET", "/catalog/members")
-                listed = {e["instanceId"]: e["lifecycle"] for e in told["instances"]} if status == 200 else {}
+                health = await call(self.fleet.at[name], "GET", "/healthcheck")
+                members = await call(self.fleet.at[name], "GET", "/catalog/members")
+                instances = members.value["instances"] if members.ok else []
+                listed = {entry["instanceId"]: entry["lifecycle"] for entry in instances}
                 self.recorder.note(
                     "list",
                     name,
-                    status=status,
-                    health=health,
-                    store=store,
+                    status=status_of(members),
+                    health=told_of(health),
+                    store=store_of(health),
                     listed=listed,
-                    generation=told["generation"] if status == 200 else 0,
+                    generation=members.value["generation"] if members.ok else 0,
                 )
 
 
+def status_of(result: CallResult) -> int:
+    """The status that an event records; 0 where no response was received."""
+    return result.status or 0
+
+
+def told_of(result: CallResult) -> Any:  # noqa: ANN401 - JSON
+    """The body that an event records; the reason where no response was received."""
+    return result.reason if isinstance(result, NoResponse) else result.value
+
+
+def store_of(result: CallResult) -> str:
+    return "" if isinstance(result, NoResponse) else result.store_name
+
+
 def limited(customers: Customers) -> bool:
     return bool(customers.max_out or customers.ceiling_rate)
 
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -387,7 +387,7 @@
             owners = assign_shards(SHARDS, [one_.id, two.id])
             lost = next(shard for shard, owner in owners.items() if owner == two.id)
             await one_.give(lost, one_.held[lost].epoch)  # no answer: the book still has it
-            one_.links.registries, one_.links.at = [at], 0
+            one_.links.registries, one_.links.current_index = [at], 0
             await one_.share()
             await two.share()
             assert not set(one_.held) & set(two.held) and set(one_.held) | set(two.held) == set(SHARDS)
