Split replication: watch client, position on disk, replicator

Need: one class spoke HTTP, kept its row on disk and brought the list up to date, with names that needed explaining (`heard`, `known`, `source`, `told`, `take`).

Change: WatchConnection speaks a watch, UpstreamPositionTable keeps the row, Replicator decides. The position is one value (store name, generation, time of confirmation), events are decoded into a type.

--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -112,9 +112,9 @@
 
     async def learn(self) -> bool:
         """Of a list service that is not behind what was heard: the epochs that hold by now."""
-        registry = self.following.registries[self.following.at]
+        registry = self.following.upstream_address
         result = await call(registry, "GET", "/claims", timeout_s=DOOR_S)
-        if not result.ok or term_of(result.store_name) < self.following.term():
+        if not result.ok or term_of(result.store_name) < self.following.highest_term():
             return False
         try:
             claims = result.value["claims"]
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -18,8 +18,9 @@
 
 from orchidhatch.control.agent.gateway_calls import Door
 from orchidhatch.control.agent.policy_lease import Keeper, Setup
+from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_server import Connection, EndpointListServer, Response
-from orchidhatch.control.registry.replication import Address, Replicator, now_ms
+from orchidhatch.control.registry.replication import Replicator, current_time_ms
 from orchidhatch.control.registry.service import read_listen
 from orchidhatch.control.registry.store import CorruptStoreError, Store, StoreError, put_aside
 from orchidhatch.control.schemas import read_act
@@ -35,21 +36,21 @@
         store: Store,
         registries: Sequence[Address],
         seed: int | None = None,
-        wall_ms: Callable[[], int] = now_ms,
+        wall_clock_ms: Callable[[], int] = current_time_ms,
         door: Address | None = None,
         setup: Setup | None = None,
     ) -> None:
         super().__init__(store, seed)
-        self.following = Replicator(self, registries, wall_ms=wall_ms)
-        self.door = Door(self, self.following, door) if door else None
+        self.replicator = Replicator(self, registries, wall_clock_ms=wall_clock_ms)
+        self.door = Door(self, self.replicator, door) if door else None
         self.keeper = Keeper(self, registries, door, setup) if door and setup else None
 
     def store_name(self) -> str:
-        return f"{self.store.identity} {self.following.term()}"
+        return f"{self.store.identity} {self.replicator.highest_term()}"
 
     async def start(self, host: str, port: int) -> None:
         await super().start(host, port)
-        jobs = [self.following.follow()]
+        jobs = [self.replicator.run()]
         if self.keeper:
             jobs += [self.keeper.keep_renewing(), self.keeper.keep_preparing(), self.keeper.keep_steering()]
         self.tasks += [asyncio.create_task(job) for job in jobs]
@@ -65,23 +66,23 @@
     def health(self) -> Response:
         value = {
             "health": "serves",
-            "connected": self.following.connected,
-            "listAgeSeconds": self.following.age_s(),
-            "registry": self.following.registry(),
+            "connected": self.replicator.connected,
+            "listAgeSeconds": self.replicator.list_age_s(),
+            "registry": self.replicator.upstream,
         }
-        return Response(200 if self.following.heard_ms else 503, value)
+        return Response(200 if self.replicator.has_list else 503, value)
 
     def figures(self) -> str:
-        heard = self.following
+        heard = self.replicator
         return self.lines(
             "agent",
             {
                 "connected": int(heard.connected),
-                "list_age_seconds": heard.age_s(),
-                "registry_generation": heard.known,
-                "switches_total": heard.switches,
-                "behind_total": heard.passed_over,
-                "malformed_total": heard.malformed,
+                "list_age_seconds": heard.list_age_s(),
+                "registry_generation": heard.position.generation,
+                "switches_total": heard.upstream_switches,
+                "behind_total": heard.stale_lists,
+                "malformed_total": heard.malformed_endpoints,
                 **(self.door.figures() if self.door else {}),
                 **(self.keeper.figures() if self.keeper else {}),
             },
@@ -91,10 +92,10 @@
 def open_cache(path: Path) -> Store:
     """The list as it was last had; a damaged one is put aside, as the registries have it all."""
     try:
-        return Store(path, create=True, first=now_ms())
+        return Store(path, create=True, first=current_time_ms())
     except CorruptStoreError as error:
         log.error("%s; put aside as %s, begun anew", error, put_aside(path).name)
-        return Store(path, create=True, first=now_ms())
+        return Store(path, create=True, first=current_time_ms())
 
 
 def setup_of(options: argparse.Namespace) -> Setup | None:
@@ -117,7 +118,7 @@
         "serves generation %d at %s:%d, a list %.0f s old",
         agent.store.generation,
         *at,
-        agent.following.age_s(),
+        agent.replicator.list_age_s(),
     )
     await stopped.wait()
     await agent.close()
--- a/orchidhatch/control/controller/service.py
+++ b/orchidhatch/control/controller/service.py
@@ -33,10 +33,16 @@
     TaskError,
     read_task,
 )
-from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse, call
+from orchidhatch.control.http_client import (
+    Address,
+    CallResult,
+    HttpResponse,
+    NoResponse,
+    call,
+    format_address,
+)
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import Change
-from orchidhatch.control.registry.replication import shown
 from orchidhatch.control.registry.service import read_listen
 from orchidhatch.control.registry_client import REGISTRY_TIMEOUT_S, RegistryClient
 
@@ -299,8 +305,8 @@
             self.check()
             result = await call(agent, "POST", f"/door/{call_}", act, REGISTRY_TIMEOUT_S)
             if result.status == 409 and "claim " in str(result.value):
-                raise FencedError(f"{shown(agent)}: {result.value['error']}")
-            return "" if result.ok else shown(agent)
+                raise FencedError(f"{format_address(agent)}: {result.value['error']}")
+            return "" if result.ok else format_address(agent)
 
         found = await asyncio.gather(*map(one, self.steward.agents))
         self.steward.acts += len(found)
@@ -315,7 +321,7 @@
 
         agents = self.steward.agents
         found = await asyncio.gather(*map(one, agents))
-        return {shown(agent): text for agent, text in zip(agents, found, strict=True)}
+        return {format_address(agent): text for agent, text in zip(agents, found, strict=True)}
 
     def last_readings(self, task: Task) -> dict[str, Reading]:
         return self.steward.readings.setdefault(task.name, {})
--- a/orchidhatch/control/http_client.py
+++ b/orchidhatch/control/http_client.py
@@ -15,6 +15,11 @@
 NO_HEADERS: Mapping[str, str] = {}
 
 
+def format_address(address: Address) -> str:
+    """The address as host:port."""
+    return f"{address[0]}:{address[1]}"
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
     """A response that was received whole.
--- a/orchidhatch/control/registry/replication.py
+++ b/orchidhatch/control/registry/replication.py
@@ -1,244 +1,241 @@
-"""Replicator another list service: its watch, held against the list here, which only goes forward.
+"""Replicates the endpoint list of an upstream service into the store of this one.
 
-An agent follows registries for a front door; a registry that was started with --follow does it to stand by.
+An agent replicates from registries for its gateway; a registry that was started with --follow replicates from
+another one to be able to replace it. A replica only goes forward: a list of an earlier term, or of an earlier
+generation of the same store, is not taken over.
 """
 
 import asyncio
-import json
 import logging
 import random
 import socket
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from contextlib import aclosing
 from dataclasses import replace
-from typing import Any
 
 import h11
 
-from orchidhatch.control.http_server import STORE_HEADER, EndpointListServer, term_of
+from orchidhatch.control.http_client import Address, format_address
+from orchidhatch.control.http_server import EndpointListServer, term_of
 from orchidhatch.control.registry.store import DELETED, Entry, Put, Remove, StoreError, Write
+from orchidhatch.control.registry.upstream_position import UpstreamPosition, UpstreamPositionTable
+from orchidhatch.control.registry.watch_client import CONNECT_TIMEOUT_S, connect_watch, decode_watch_event
 from orchidhatch.control.schemas import InvalidRequestError, read_instance
 
-log = logging.getLogger("orchidhatch.following")
+log = logging.getLogger("orchidhatch.replication")
 
-CONNECT_S = 1.0
-SILENT_S = 5.0  # an empty line comes every 2 s
-BACKOFF_S, MOST_BACKOFF_S = 0.2, 8.0  # of the mean wait between tries; it doubles
-MOST_LINE = 64 << 20  # bytes: the most entries of a list, each as long as may be
-NOTED_S = 10.0  # how often it is put down that the list still holds
+INITIAL_BACKOFF_S = 0.2  # of the mean wait between attempts; it doubles
+MAX_BACKOFF_S = 8.0
+POSITION_SAVE_INTERVAL_MS = 10_000  # how often it is saved that the list still holds
 
-Address = tuple[str, int]
+WATCH_ERRORS = (OSError, TimeoutError, InvalidRequestError, StoreError, h11.ProtocolError)
 
 
-class BehindError(Exception):
-    """A registry tells what is older than what was heard before."""
+class StaleUpstreamError(Exception):
+    """An upstream offers an older list than one that was received before."""
 
 
-def shown(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
-def now_ms() -> int:
+def current_time_ms() -> int:
+    """Unix time in milliseconds."""
     return time.time_ns() // 1_000_000
 
 
 class Replicator:
-    """What keeps a list server's store as one of several registries tells it.
+    """Keeps a server's store as one of several upstream services tells it, and switches where one fails.
 
-    `leases` asks for lives and leases too, which the protocol's form has not. Times are Unix milliseconds.
+    `include_leases` asks for incarnations and leases too, which the protocol's form has not. The server's
+    metrics and health read the public attributes; only the replicator writes them.
     """
 
     def __init__(
         self,
         server: EndpointListServer,
-        registries: Sequence[Address],
-        leases: bool = False,
-        wall_ms: Callable[[], int] = now_ms,
+        upstreams: Sequence[Address],
+        include_leases: bool = False,
+        wall_clock_ms: Callable[[], int] = current_time_ms,
     ) -> None:
-        self.server, self.registries, self.at, self.leases = server, list(registries), 0, leases
-        self.random: random.Random = server.random
-        self.wall_ms = wall_ms
-        # What was heard last, and of whom; and when it was last known to hold, by the wall clock, as that
-        # alone goes on over a restart. It is shown and decides nothing.
-        db = server.store.db
-        db.execute(
-            "CREATE TABLE IF NOT EXISTS heard (only INTEGER PRIMARY KEY CHECK (only = 1), "
-            "source TEXT NOT NULL, generation INTEGER NOT NULL, at_ms INTEGER NOT NULL) STRICT"
-        )
-        row = db.execute("SELECT source, generation, at_ms FROM heard").fetchone()
-        self.source, self.known, self.heard_ms = row or ("", 0, 0)
-        self.noted_ms = self.heard_ms
-        self.connected, self.switches, self.passed_over, self.malformed = False, 0, 0, 0
-        self.backoff_s = BACKOFF_S
-        self.heard_s = time.monotonic()  # when a line came last; the start, if none did
-
-    def silent_s(self) -> float:
-        """Since the last line, by the monotonic clock."""
-        return time.monotonic() - self.heard_s
-
-    def still_listens(self) -> bool:
+        self._server = server
+        self._include_leases = include_leases
+        self._random: random.Random = server.random
+        self._position_table = UpstreamPositionTable(server.store.db)
+        self.wall_clock_ms = wall_clock_ms
+        self.upstreams = list(upstreams)
+        self._upstream_index = 0
+        self.position = self._position_table.load()
+        self._saved_at_ms = self.position.confirmed_at_ms
+        self._last_line_received_s = time.monotonic()
+        self._backoff_s = INITIAL_BACKOFF_S
+        self.connected = False
+        self.upstream_switches = 0
+        self.stale_lists = 0
+        self.malformed_endpoints = 0
+
+    # --- state for the server ---
+
+    @property
+    def upstream_address(self) -> Address:
+        """The service that is watched, or is tried next."""
+        return self.upstreams[self._upstream_index]
+
+    @property
+    def upstream(self) -> str:
+        """The same as host:port."""
+        return format_address(self.upstream_address)
+
+    @property
+    def has_list(self) -> bool:
+        """Whether a list was ever received."""
+        return self.position.confirmed_at_ms > 0
+
+    def silence_s(self) -> float:
+        """Time since the last line, or since the start, by the monotonic clock."""
+        return time.monotonic() - self._last_line_received_s
+
+    def list_age_s(self) -> float:
+        """Time since the list was last known to hold, by the wall clock; -1 if it never was."""
+        if not self.has_list:
+            return -1.0
+        return max(0, self.wall_clock_ms() - self.position.confirmed_at_ms) / 1000
+
+    def highest_term(self) -> int:
+        """The highest term known: a store that is made from this list must be of a later one."""
+        return max(self._server.store.term, term_of(self.position.store_name))
+
+    def was_promoted(self) -> bool:
+        """Whether the store has begun a term of its own since it last received a list."""
+        upstream_store = self.position.store_name
+        return bool(upstream_store) and self._server.store.term > term_of(upstream_store)
+
+    def upstream_may_run(self) -> bool:
         """Whether a process may still be there: only a connection that is refused says that none is.
-        This waits for up to CONNECT_S, and is for another thread."""
+
+        This blocks for up to CONNECT_TIMEOUT_S and is meant for another thread.
+        """
         try:
-            socket.create_connection(self.registries[self.at], CONNECT_S).close()
+            socket.create_connection(self.upstream_address, CONNECT_TIMEOUT_S).close()
         except ConnectionRefusedError:
             return False
         except OSError:
             return True
         return True
 
-    def term(self) -> int:
-        """Of the list that was heard: a store made anew from it must be above it."""
-        return max(self.server.store.term, term_of(self.source))
-
-    def was_promoted(self) -> bool:
-        """Whether the store has begun a term of its own since it last heard a list."""
-        return bool(self.source) and self.server.store.term > term_of(self.source)
-
-    def source_at(self) -> Address:
-        """The service that is watched, or is tried next."""
-        return self.registries[self.at]
-
-    def registry(self) -> str:
-        return shown(self.registries[self.at])
+    # --- the watch ---
 
-    def age_s(self) -> float:
-        """Since the list was last known to hold; -1 if it never was."""
-        return max(0, self.wall_ms() - self.heard_ms) / 1000 if self.heard_ms else -1.0
-
-    async def follow(self) -> None:
+    async def run(self) -> None:
+        """Watch one upstream after the other, with a jittered exponential backoff, until cancelled."""
         while True:
-            address = self.registries[self.at]
+            upstream = self.upstream
             try:
-                await self.watch(address)
-            except (
-                OSError,
-                TimeoutError,
-                BehindError,
-                InvalidRequestError,
-                StoreError,
-                h11.ProtocolError,
-            ) as error:
-                log.warning("no watch on %s: %s", shown(address), str(error) or type(error).__name__)
+                await self._watch(self.upstream_address)
+            except (*WATCH_ERRORS, StaleUpstreamError) as error:
+                reason = str(error) or type(error).__name__
+                log.warning("watch failed: upstream=%s reason=%s", upstream, reason)
             except Exception:
-                log.exception("the watch on %s failed", shown(address))
+                log.exception("watch failed unexpectedly: upstream=%s", upstream)
             self.connected = False
-            self.at = (self.at + 1) % len(self.registries)
-            self.switches += 1
-            await asyncio.sleep(2 * self.backoff_s * self.random.random())
-            self.backoff_s = min(MOST_BACKOFF_S, 2 * self.backoff_s)
-
-    async def watch(self, address: Address) -> None:
-        """One watch, until it ends or is silent."""
-        async with asyncio.timeout(CONNECT_S):
-            reader, writer = await asyncio.open_connection(*address)
-        try:
-            http, buffer = h11.Connection(h11.CLIENT), bytearray()
-            headers = [("Host", shown(address))] + ([(STORE_HEADER, self.source)] if self.source else [])
-            target = f"/catalog/members?watch=1&after={self.known}{'&leases=1' if self.leases else ''}"
-            writer.write(
-                http.send(h11.Request(method="GET", target=target, headers=headers))
-                + http.send(h11.EndOfMessage())
+            self._upstream_index = (self._upstream_index + 1) % len(self.upstreams)
+            self.upstream_switches += 1
+            await asyncio.sleep(2 * self._backoff_s * self._random.random())
+            self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
+
+    async def _watch(self, address: Address) -> None:
+        """Follow one watch until it fails."""
+        target = f"/catalog/members?watch=1&after={self.position.generation}"
+        if self._include_leases:
+            target += "&leases=1"
+        async with connect_watch(address) as connection:
+            store_name = await connection.open_watch(address, target, self.position.store_name)
+            self._check_term(store_name)
+            async with aclosing(connection.lines()) as lines:
+                async for line in lines:
+                    await self._handle_line(store_name, line)
+
+    def _check_term(self, store_name: str) -> None:
+        if term_of(store_name) < self.highest_term():
+            self.stale_lists += 1
+            raise StaleUpstreamError(
+                f"its list is of term {term_of(store_name)}, term {self.highest_term()} is known here"
             )
-            source = ""
-            while True:
-                async with asyncio.timeout(SILENT_S):
-                    data = await reader.read(1 << 16)
-                http.receive_data(data)
-                while (event := http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
-                    if isinstance(event, h11.Response):
-                        source = self.begin(event)
-                    elif isinstance(event, h11.Data):
-                        buffer += event.data
-                        if len(buffer) > MOST_LINE:
-                            raise InvalidRequestError("a line without an end")
-                        *lines, rest = buffer.split(b"\n")
-                        buffer = bytearray(rest)
-                        for line in lines:
-                            await self.hear(source, bytes(line))
-                    elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                        raise InvalidRequestError("the watch ended")
-        finally:
-            writer.transport.abort()
-
-    def begin(self, response: h11.Response) -> str:
-        """Whose list it is. One of an earlier term is no news."""
-        if response.status_code != 200:
-            raise InvalidRequestError(f"status {response.status_code}")
-        source = dict(response.headers).get(STORE_HEADER.lower().encode(), b"").decode(errors="replace")
-        if term_of(source) < self.term():
-            self.passed_over += 1
-            raise BehindError(f"it is of term {term_of(source)}, and {self.term()} was heard before")
-        return source
-
-    async def hear(self, source: str, line: bytes) -> None:
-        """A line: the list as it is by now, or that nothing changed."""
-        self.heard_s = time.monotonic()
-        if line.strip():
-            await self.take(source, line)
-        if self.connected:
-            self.heard_ms = self.wall_ms()
-            if self.heard_ms - self.noted_ms >= NOTED_S * 1000:
-                await self.server.in_turn(self.note)
 
-    async def take(self, source: str, line: bytes) -> None:
-        try:
-            news = json.loads(line)
-            generation, reset, told = int(news["generation"]), bool(news["reset"]), list(news["instances"])
-        except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
-            raise InvalidRequestError(f"a line that makes no sense: {error!r:.120}") from error
-        if source == self.source and generation < self.known:
-            self.passed_over += 1
-            raise BehindError(f"it is at generation {generation}, and {self.known} was heard before")
-        changed = source != self.source
-        if changed and not reset:
-            raise InvalidRequestError("changes came where the whole list was needed")
-        store = self.server.store
-        before = store.generation
-        batch = store.plan(self.differences(list(self.read(told)), reset))
+    async def _handle_line(self, store_name: str, line: bytes) -> None:
+        """A watch event, or an empty line: either says that the list as received holds by now."""
+        self._last_line_received_s = time.monotonic()
+        if line.strip():
+            await self.apply_event(store_name, line)
+        if not self.connected:
+            return
+        self.position = replace(self.position, confirmed_at_ms=self.wall_clock_ms())
+        if self.position.confirmed_at_ms - self._saved_at_ms >= POSITION_SAVE_INTERVAL_MS:
+            await self._server.in_turn(self._save_position)
+
+    async def apply_event(self, store_name: str, line: bytes) -> None:
+        """Make the list here what a watch event tells; durable before any watch of this server is told.
+
+        Raises InvalidRequestError, StaleUpstreamError or StoreError; the list is then as it was.
+        """
+        event = decode_watch_event(line)
+        is_new_store = store_name != self.position.store_name
+        if not is_new_store and event.generation < self.position.generation:
+            self.stale_lists += 1
+            raise StaleUpstreamError(
+                f"its list is at generation {event.generation}, "
+                f"{self.position.generation} was received before"
+            )
+        if is_new_store and not event.reset:
+            raise InvalidRequestError("changes were sent where the whole list was needed")
+        store = self._server.store
+        generation_before = store.generation
+        endpoints = list(self._decode_endpoints(event.instances))
+        batch = store.plan(self._writes_to_match(endpoints, event.reset))
 
         def write() -> None:
             store.commit(batch)
-            self.source, self.known, self.heard_ms = source, generation, self.wall_ms()
-            self.note()
+            self.position = UpstreamPosition(store_name, event.generation, self.wall_clock_ms())
+            self._save_position()
 
-        await self.server.in_turn(write)  # the disk may be slow, and a front door must hear of us meanwhile
+        await self._server.in_turn(write)  # in a thread: heartbeats go on while the disk is slow
         store.take(batch)
-        self.connected, self.backoff_s = True, BACKOFF_S
-        if changed or store.generation != before:
-            self.server.spread(whole=changed)
-
-    def read(self, told: Iterable[Any]) -> Iterable[Entry]:
-        """The entries; one that makes no sense is passed over, and the others hold."""
-        for value in told:
+        self.connected = True
+        self._backoff_s = INITIAL_BACKOFF_S
+        if is_new_store or store.generation != generation_before:
+            self._server.spread(whole=is_new_store)
+
+    def _decode_endpoints(self, instances: Iterable[object]) -> Iterator[Entry]:
+        """The endpoints; a malformed one is skipped, and the others hold."""
+        for value in instances:
             try:
-                yield read_instance(value, leases=self.leases)
+                yield read_instance(value, leases=self._include_leases)
             except InvalidRequestError as error:
-                self.malformed += 1
-                log.error("passed over an entry: %s", error)
+                self.malformed_endpoints += 1
+                log.error("endpoint skipped: upstream=%s reason=%s", self.upstream, error)
 
-    def differences(self, told: Sequence[Entry], reset: bool) -> list[Write]:
-        """What it takes to make the list here what was told."""
+    def _writes_to_match(self, endpoints: Sequence[Entry], reset: bool) -> list[Write]:
+        """The writes that make the list here the one that was received."""
         writes: list[Write] = []
-        known, named = self.server.store.entries, {entry.id for entry in told}
+        listed = self._server.store.entries
         if reset:
-            writes += [Remove(id_) for id_ in known if id_ not in named]
-        for entry in told:
-            if entry.lifecycle == DELETED:
-                writes += [Remove(entry.id)] if entry.id in known else []
-            elif entry.id not in known or not same(known[entry.id], entry):
-                writes.append(Put(entry))
+            received_ids = {endpoint.id for endpoint in endpoints}
+            writes += [Remove(id_) for id_ in listed if id_ not in received_ids]
+        for endpoint in endpoints:
+            known = listed.get(endpoint.id)
+            if endpoint.lifecycle == DELETED:
+                writes += [Remove(endpoint.id)] if known else []
+            elif known is None or not is_same_endpoint(known, endpoint):
+                writes.append(Put(endpoint))
         return writes
 
-    def note(self) -> None:
-        """Put down what was heard, and that it held then."""
-        self.noted_ms = self.heard_ms
-        self.server.store.db.execute(
-            "INSERT OR REPLACE INTO heard VALUES (1, ?, ?, ?)", (self.source, self.known, self.heard_ms)
-        )
+    def _save_position(self) -> None:
+        self._saved_at_ms = self.position.confirmed_at_ms
+        self._position_table.save(self.position)
+
 
+def is_same_endpoint(known: Entry, received: Entry) -> bool:
+    """Whether they differ in nothing that was received.
 
-def same(known: Entry, told: Entry) -> bool:
-    """Whether they differ in nothing that was told; an entry of the protocol's form tells no life."""
-    untold = {} if told.life else {"life": known.life, "lease_ms": known.lease_ms}
-    return known == replace(told, version=known.version, **untold)
+    The version counts this store's generations. An endpoint in the protocol's form tells no incarnation.
+    """
+    expected = replace(received, version=known.version)
+    if not received.life:
+        expected = replace(expected, life=known.life, lease_ms=known.lease_ms)
+    return known == expected
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -37,7 +37,7 @@
 from orchidhatch.control.ownership.service import Ownership
 from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.registry.backups import Backups
-from orchidhatch.control.registry.replication import SILENT_S, Replicator
+from orchidhatch.control.registry.replication import Replicator
 from orchidhatch.control.registry.store import (
     Batch,
     ConflictError,
@@ -49,6 +49,7 @@
     StoreError,
     Write,
 )
+from orchidhatch.control.registry.watch_client import WATCH_TIMEOUT_S
 from orchidhatch.control.schemas import (
     read_backup,
     read_change,
@@ -67,7 +68,7 @@
 ASK_S, ASK_PATIENCE_S = 0.5, 2.0
 # How long a look at the peers holds, from its beginning: longer than the last question that ended can be old
 # where none is answered. A follower hears a beat each BEAT_S, and is not promoted unforced before it has
-# heard none for SILENT_S, which is more than both: no look from before a stop outlives a promotion.
+# heard none for WATCH_TIMEOUT_S, which is more than both: no look from before a stop outlives a promotion.
 WORD_S = 2.8
 # For so long after it answered a peer that asked, a follower is not promoted unforced, as that one may go by
 # the answer: its word, which began before the answer, and a twentieth for clocks that differ.
@@ -89,7 +90,7 @@
         backups: Path | None = None,
     ) -> None:
         super().__init__(store, seed)
-        self.following = Replicator(self, follow, leases=True) if follow else None
+        self.following = Replicator(self, follow, include_leases=True) if follow else None
         if self.following and self.following.was_promoted():  # whoever starts it again may not know
             log.warning("was promoted to term %d; follows nobody any more", store.term)
             self.following = None
@@ -115,9 +116,10 @@
         if self.peers:
             self.tasks.append(asyncio.create_task(self.keep_asking()))
         if self.following:
+            replicator = self.following
             self.follow_tasks = [
                 asyncio.create_task(job)
-                for job in (self.following.follow(), self.doors.keep_copy(self.following.source_at))
+                for job in (self.following.run(), self.doors.keep_copy(lambda: replicator.upstream_address))
             ]
             self.tasks += self.follow_tasks
         self.tasks += [asyncio.create_task(job) for job in (self.write(), self.look())]
@@ -156,21 +158,23 @@
                     super().other(connection, method, path, body)
 
     def store_name(self) -> str:
-        return f"{self.store.identity} {self.following.term() if self.following else self.store.term}"
+        return f"{self.store.identity} {self.following.highest_term() if self.following else self.store.term}"
 
     def health(self) -> Response:
         if self.following:
             value = {
                 "health": "follows",
                 "connected": self.following.connected,
-                "lagSeconds": self.following.age_s(),
-                "follows": self.following.registry(),
+                "lagSeconds": self.following.list_age_s(),
+                "follows": self.following.upstream,
             }
-            return Response(200 if self.following.heard_ms else 503, value)
+            return Response(200 if self.following.has_list else 503, value)
         return unavailable(self.fenced or self.broken) if self.fenced or self.broken else super().health()
 
     async def answer_promotion(self, connection: Connection, force: bool) -> None:
-        listens = bool(self.following) and not force and await asyncio.to_thread(self.following.still_listens)
+        listens = (
+            bool(self.following) and not force and await asyncio.to_thread(self.following.upstream_may_run)
+        )
         async with self.turn:  # nothing that was heard is half way to the disk
             connection.answer(self.promote(force, listens))
 
@@ -185,11 +189,11 @@
             return Response(
                 409, error_body(f"it follows none; it is the list service of term {self.store.term}")
             )
-        if not heard.heard_ms:
+        if not heard.has_list:
             return Response(409, error_body("it has never heard a list"))
         if heard.connected and not force:
-            return Response(409, error_body(f"{heard.registry()} still answers; stop it first, or force it"))
-        silent_s = heard.silent_s()
+            return Response(409, error_body(f"{heard.upstream} still answers; stop it first, or force it"))
+        silent_s = heard.silence_s()
         asked_s = self.clock() - self.promised_s
         if asked_s < PROMISE_S and not force:
             return Response(
@@ -199,16 +203,18 @@
                     f"wait {PROMISE_S:.1f} s, or force it"
                 ),
             )
-        if listens and silent_s < SILENT_S:
+        if listens and silent_s < WATCH_TIMEOUT_S:
             return Response(
                 409,
                 error_body(
-                    f"{heard.registry()} is silent for {silent_s:.1f} s only and may go on; "
-                    f"ask again after {SILENT_S:g} s, or force it"
+                    f"{heard.upstream} is silent for {silent_s:.1f} s only and may go on; "
+                    f"ask again after {WATCH_TIMEOUT_S:g} s, or force it"
                 ),
             )
         try:
-            self.store.begin_term(heard.term() + 1, max(heard.known + 1, time.time_ns() // 1_000_000))
+            self.store.begin_term(
+                heard.highest_term() + 1, max(heard.position.generation + 1, time.time_ns() // 1_000_000)
+            )
         except StoreError as error:
             return unavailable(str(error))
         for task in self.follow_tasks:
@@ -221,9 +227,9 @@
             "promoted to term %d at generation %d; it had heard generation %d of %s, %.1f s ago",
             self.store.term,
             self.store.generation,
-            heard.known,
-            heard.source,
-            heard.age_s(),
+            heard.position.generation,
+            heard.position.store_name,
+            heard.list_age_s(),
         )
         for connection in list(self.watches):
             connection.transport.close()
@@ -233,8 +239,8 @@
                 "term": self.store.term,
                 "generation": self.store.generation,
                 "entries": len(self.store.entries),
-                "heardGeneration": heard.known,
-                "lagSeconds": heard.age_s(),
+                "heardGeneration": heard.position.generation,
+                "lagSeconds": heard.list_age_s(),
             },
         )
 
@@ -276,7 +282,7 @@
     def no_writes(self) -> Response | None:
         """Why no write is taken, if none is."""
         if self.following:
-            return Response(409, error_body(f"it follows {self.following.registry()}, and takes no writes"))
+            return Response(409, error_body(f"it follows {self.following.upstream}, and takes no writes"))
         return Response(409, error_body(self.fenced)) if self.fenced else None
 
     # --- terms ---
@@ -484,8 +490,8 @@
                 "fenced": int(bool(self.fenced)),
                 "lapses_total": self.lapses,
                 "following": int(bool(self.following)),
-                "lag_seconds": self.following.age_s() if self.following else 0,
-                "followed_generation": self.following.known if self.following else 0,
+                "lag_seconds": self.following.list_age_s() if self.following else 0,
+                "followed_generation": self.following.position.generation if self.following else 0,
             },
         )
 
--- /dev/null
+++ b/orchidhatch/control/registry/watch_client.py
@@ -0,0 +1,115 @@
+"""The client side of a watch: an HTTP response without an end, one line for each watch event."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import h11
+import msgspec
+
+from orchidhatch.control.http_client import Address, format_address
+from orchidhatch.control.http_server import STORE_HEADER
+from orchidhatch.control.schemas import InvalidRequestError
+
+CONNECT_TIMEOUT_S = 1.0
+WATCH_TIMEOUT_S = 5.0  # without any data; a registry sends an empty line every 2 s
+READ_SIZE_BYTES = 1 << 16
+MAX_LINE_BYTES = 64 << 20  # the endpoint list with as many endpoints as may be, each as long as may be
+
+
+class WatchEvent(msgspec.Struct):
+    """The whole endpoint list, if `reset`, or what changed since the event before; as it is on the wire."""
+
+    generation: int
+    reset: bool
+    instances: list[Any]
+
+
+class WatchConnection:
+    """An open connection to a service whose endpoint list is watched."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._http = h11.Connection(h11.CLIENT)
+        self._reader = reader
+        self._writer = writer
+        self._buffer = bytearray()
+
+    async def open_watch(self, address: Address, target: str, store_name: str) -> str:
+        """Request a watch and return the name of the store whose list it gives.
+
+        `store_name` names the store that the generation in `target` belongs to, "" for none. Raises
+        InvalidRequestError where the watch is refused, and the errors of `lines`.
+        """
+        headers = [("Host", format_address(address))]
+        if store_name:
+            headers.append((STORE_HEADER, store_name))
+        request = h11.Request(method="GET", target=target, headers=headers)
+        self._writer.write(self._http.send(request) + self._http.send(h11.EndOfMessage()))
+        response = await self._next_event()
+        while not isinstance(response, h11.Response):
+            check_not_ended(response)
+            response = await self._next_event()
+        if response.status_code != 200:
+            raise InvalidRequestError(f"status {response.status_code}")
+        return dict(response.headers).get(STORE_HEADER.lower().encode(), b"").decode(errors="replace")
+
+    async def lines(self) -> AsyncIterator[bytes]:
+        """Each line without its end; empty ones only show that the service is alive.
+
+        Raises InvalidRequestError where the watch ends or a line is too long, TimeoutError after
+        WATCH_TIMEOUT_S without data, OSError or h11.ProtocolError where the connection fails.
+        """
+        while True:
+            event = await self._next_event()
+            check_not_ended(event)
+            if isinstance(event, h11.Data):
+                for line in self._split_lines(event.data):
+                    yield line
+
+    def _split_lines(self, data: bytes) -> Iterator[bytes]:
+        self._buffer += data
+        if len(self._buffer) > MAX_LINE_BYTES:
+            raise InvalidRequestError("a line without an end")
+        *lines, rest = self._buffer.split(b"\n")
+        self._buffer = bytearray(rest)
+        for line in lines:
+            yield bytes(line)
+
+    async def _next_event(self) -> h11.Event:
+        event = self._http.next_event()
+        while event in (h11.NEED_DATA, h11.PAUSED):
+            async with asyncio.timeout(WATCH_TIMEOUT_S):
+                data = await self._reader.read(READ_SIZE_BYTES)
+            self._http.receive_data(data)
+            event = self._http.next_event()
+        return event
+
+
+@asynccontextmanager
+async def connect_watch(address: Address) -> AsyncIterator[WatchConnection]:
+    """A connection that is aborted at the end of the block. Raises OSError or TimeoutError."""
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(*address)
+    try:
+        yield WatchConnection(reader, writer)
+    finally:
+        writer.transport.abort()
+
+
+def check_not_ended(event: h11.Event) -> None:
+    """Raise InvalidRequestError where the event is the end of the watch."""
+    if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+        raise InvalidRequestError("the watch ended")
+
+
+def decode_watch_event(line: bytes) -> WatchEvent:
+    """The event on a line of a watch. Raises InvalidRequestError.
+
+    The endpoints in it are left as they are, so that a malformed one does not make the others fail.
+    """
+    try:
+        return msgspec.convert(json.loads(line), WatchEvent)
+    except (ValueError, RecursionError) as error:  # msgspec's errors are ValueErrors
+        raise InvalidRequestError(f"malformed watch event: {error!r:.120}") from error
--- a/tests/control/agent/test_service.py
+++ b/tests/control/agent/test_service.py
@@ -27,8 +27,8 @@
 
 @pytest.fixture(autouse=True)
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(following, "BACKOFF_S", 0.01)
-    monkeypatch.setattr(following, "MOST_BACKOFF_S", 0.02)
+    monkeypatch.setattr(following, "INITIAL_BACKOFF_S", 0.01)
+    monkeypatch.setattr(following, "MAX_BACKOFF_S", 0.02)
 
 
 @contextlib.asynccontextmanager
@@ -77,7 +77,7 @@
         async with serving(tmp_path / "r.db") as registry:
             await register(registry, "s-1")
             async with agent_of(tmp_path / "a.db", address_of(registry)) as agent:
-                await until(lambda: agent.following.connected)
+                await until(lambda: agent.replicator.connected)
                 watcher = await Watcher.open(address_of(agent))
                 first = await watcher.news()
                 assert first["reset"] and first["instances"] == [json.loads(body(instanceId="s-1"))]
@@ -102,7 +102,7 @@
                 for name in ("s-1", "s-2", "s-3"):
                     await register(first, name)
                 async with agent_of(tmp_path / "a.db", address_of(first), address_of(second)) as agent:
-                    await until(lambda: agent.following.connected)
+                    await until(lambda: agent.replicator.connected)
                     watcher = await Watcher.open(address_of(agent))
                     before = await watcher.news()
                     assert len(before["instances"]) == 3
@@ -112,7 +112,7 @@
                     assert after["generation"] > before["generation"]
                     await register(second, "s-4")
                     assert named(await watcher.news()) == {"s-4": "SERVING"}
-                    assert agent.following.switches == 1
+                    assert agent.replicator.upstream_switches == 1
 
     run(job())
 
@@ -125,13 +125,13 @@
         async with serving(tmp_path / "r1.db") as first, serving(tmp_path / "old.db") as old:
             await register(first, "s-1")
             async with agent_of(tmp_path / "a.db", address_of(first), address_of(old)) as agent:
-                await until(lambda: agent.following.connected)
+                await until(lambda: agent.replicator.connected)
                 await first.close()
-                await until(lambda: agent.following.passed_over >= 2)
-                assert not agent.following.connected and list(agent.store.entries) == ["s-1"]
+                await until(lambda: agent.replicator.stale_lists >= 2)
+                assert not agent.replicator.connected and list(agent.store.entries) == ["s-1"]
                 old.store.term = agent.store.term - 1  # and so is one of an earlier term
-                before = agent.following.passed_over
-                await until(lambda: agent.following.passed_over > before)
+                before = agent.replicator.stale_lists
+                await until(lambda: agent.replicator.stale_lists > before)
                 assert list(agent.store.entries) == ["s-1"]
 
     run(job())
@@ -142,11 +142,13 @@
         now = [1_000_000]
         async with serving(tmp_path / "r.db") as registry:
             await register(registry, "s-1")
-            async with agent_of(tmp_path / "a.db", address_of(registry), wall_ms=lambda: now[0]) as agent:
-                await until(lambda: agent.following.connected)
+            async with agent_of(
+                tmp_path / "a.db", address_of(registry), wall_clock_ms=lambda: now[0]
+            ) as agent:
+                await until(lambda: agent.replicator.connected)
                 generation = agent.store.generation
         now[0] += 90_000
-        async with agent_of(tmp_path / "a.db", refusing_address(), wall_ms=lambda: now[0]) as agent:
+        async with agent_of(tmp_path / "a.db", refusing_address(), wall_clock_ms=lambda: now[0]) as agent:
             news = await (await Watcher.open(address_of(agent), generation)).news()
             assert (news["generation"], news["reset"], news["instances"]) == (generation, False, [])
             assert named((await call(address_of(agent), "GET /catalog/members"))[1]) == {"s-1": "SERVING"}
@@ -190,11 +192,11 @@
 def test_line_that_makes_no_sense_changes_nothing(tmp_path: Path, line: bytes) -> None:
     agent = Agent(open_cache(tmp_path / "a.db"), [(HOST, 1)])
     told = b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1")
-    asyncio.run(agent.following.take("x 1", told))
-    assert list(agent.store.entries) == ["s-1"] and agent.following.malformed == 2
+    asyncio.run(agent.replicator.apply_event("x 1", told))
+    assert list(agent.store.entries) == ["s-1"] and agent.replicator.malformed_endpoints == 2
     before = agent.store.generation
     with pytest.raises(following.InvalidRequestError):
-        asyncio.run(agent.following.take("x 1", line))
+        asyncio.run(agent.replicator.apply_event("x 1", line))
     assert agent.store.generation == before and list(agent.store.entries) == ["s-1"]
 
 
@@ -249,7 +251,7 @@
                 at = await backend.start()
                 await register(registry, f"s-{registry is second}", hostPort=f"{at[0]}:{at[1]}")
             async with agent_of(tmp_path / "a.db", address_of(second)) as agent:
-                await until(lambda: agent.following.connected)
+                await until(lambda: agent.replicator.connected)
                 door = FrontDoor(replace(CONFIG, discovery=address_of(first)))
                 await door.start()
                 await until(lambda: "s-False" in door.catalog.entries)
@@ -271,7 +273,7 @@
             serving(tmp_path / "1.db") as registry,
             agent_of(tmp_path / "a.db", address_of(registry)) as agent,
         ):
-            await until(lambda: agent.following.connected)
+            await until(lambda: agent.replicator.connected)
             commit, written = agent.store.commit, threading.Event()
 
             def slow(batch: Batch) -> None:
--- a/tests/control/registry/test_rebuild.py
+++ b/tests/control/registry/test_rebuild.py
@@ -77,12 +77,12 @@
             assert fresh.store.term == old.store.term + 1 and fresh.store.identity != old.store.identity
             assert fresh.store.entries["s-1"].lease_ms == 5000
             async with agent_of(tmp_path / "a.db", address_of(fresh), address_of(old)) as agent:
-                await until(lambda: agent.following.connected)
+                await until(lambda: agent.replicator.connected)
                 watcher = await Watcher.open(address_of(agent))
                 assert named(await watcher.news()) == {"s-1": "SERVING"}
                 await register(old, "s-old")
                 await fresh.close()
-                await until(lambda: agent.following.passed_over)
+                await until(lambda: agent.replicator.stale_lists)
                 assert list(agent.store.entries) == ["s-1"]
 
     run(job())
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -26,8 +26,8 @@
 
 @pytest.fixture(autouse=True)
 def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(following, "BACKOFF_S", 0.01)
-    monkeypatch.setattr(following, "MOST_BACKOFF_S", 0.02)
+    monkeypatch.setattr(following, "INITIAL_BACKOFF_S", 0.01)
+    monkeypatch.setattr(following, "MAX_BACKOFF_S", 0.02)
     monkeypatch.setattr(registry, "ASK_S", 0.005)
 
 
@@ -59,7 +59,7 @@
                 await first.close()
                 await until(lambda: not second.following.connected)
                 async with agent_of(tmp_path / "a.db", at) as agent:
-                    await until(lambda: agent.following.connected)
+                    await until(lambda: agent.replicator.connected)
                     status, out, _ = await client(at, "promote")
                     assert status == 0 and out.startswith("term 2, generation ") and "1 entries" in out
                     assert (await call(at, "POST /entries/s-1/renew", b'{"life":1}'))[0] == 200
@@ -69,12 +69,12 @@
                     again = await (await Watcher.open(at, before["generation"])).news()
                     assert again["reset"] and again["generation"] > before["generation"]
                     assert (await call(at, "POST /promote"))[0] == 409
-                    await until(lambda: agent.following.source.endswith(" 2"))
+                    await until(lambda: agent.replicator.position.store_name.endswith(" 2"))
                     async with serving(tmp_path / "1.db", create=False, peers=(at,)) as old:
                         assert (await call(address_of(old), "POST /entries", body()))[0] == 409
-                        agent.following.registries = [address_of(old)]
+                        agent.replicator.upstreams = [address_of(old)]
                         await second.close()
-                        await until(lambda: agent.following.passed_over)
+                        await until(lambda: agent.replicator.stale_lists)
                         assert list(agent.store.entries) == ["s-1"]
 
     run(job())
@@ -87,9 +87,9 @@
             standing_by(tmp_path / "2.db", address_of(first)) as second,
         ):
             await register(first, "s-1")
-            await until(lambda: second.following.known == first.store.generation)
-            heard = second.following.heard_ms
-            second.following.wall_ms = lambda: heard + 2500
+            await until(lambda: second.following.position.generation == first.store.generation)
+            heard = second.following.position.confirmed_at_ms
+            second.following.wall_clock_ms = lambda: heard + 2500
             text = (await call(address_of(second), "GET /metrics"))[1]
             for figure in ("following 1", "lag_seconds 2.5", "followed_generation 1"):
                 assert f"\nregistry_{figure}\n" in text
