Type what backups and rebuild pass on, and one client for the commands

Need: `rebuild` imported the operators' command line for its HTTP calls, backups handed on a dict, and three places deleted a database with its log.

Change: operator_client has the requests of the commands; BackupSummary, RebuildSource and WatchEvent are types; `delete_database` is one function. Names of functions and fields say what they do.

--- a/orchidhatch/control/cli.py
+++ b/orchidhatch/control/cli.py
@@ -8,69 +8,16 @@
 """
 
 import argparse
-import http.client
 import json
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import quote
 
 from orchidhatch.control.controller import tasks
+from orchidhatch.control.operator_client import CallError, call, watch_events
 
-TIMEOUT_S = 10.0  # for an answer; the service ends a call after 5 s
 MOST_DRAIN_S = 24 * 3600
-SILENT_S = 6.0  # a watch has an empty line every 2 s
-
-
-class CallError(Exception):
-    """The service said no, or nothing that can be used; the text is one plain line."""
-
-
-def connect(at: str, timeout_s: float) -> http.client.HTTPConnection:
-    host, colon, port = at.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise CallError(f"'{at}' is not host:port")
-    return http.client.HTTPConnection(host, int(port), timeout=timeout_s)
-
-
-def reason(status: int, text: bytes) -> str:
-    try:
-        return f"no ({status}): {json.loads(text)['error']}"
-    except (ValueError, KeyError, TypeError):
-        return f"no ({status})"
-
-
-def call(at: str, method: str, path: str, body: dict[str, Any] | None = None) -> Any:  # noqa: ANN401 - JSON
-    connection = connect(at, TIMEOUT_S)
-    try:
-        connection.request(method, path, json.dumps(body) if body is not None else None)
-        answer = connection.getresponse()
-        text = answer.read()
-        if answer.status != 200:
-            raise CallError(reason(answer.status, text))
-        return json.loads(text)
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        raise CallError(f"no answer from {at}: {error or type(error).__name__}") from error
-    finally:
-        connection.close()
-
-
-def lines(at: str, after: int) -> Iterator[dict[str, Any]]:
-    """What a watch tells, until the service ends it."""
-    connection = connect(at, SILENT_S)
-    try:
-        connection.request("GET", f"/catalog/members?watch=1&after={after}")
-        answer = connection.getresponse()
-        if answer.status != 200:
-            raise CallError(reason(answer.status, answer.read()))
-        while line := answer.readline():
-            if line.strip():
-                yield json.loads(line)
-        raise CallError(f"{at} ended the watch")
-    except (OSError, http.client.HTTPException, ValueError) as error:
-        raise CallError(f"the watch on {at} broke off: {error or type(error).__name__}") from error
-    finally:
-        connection.close()
 
 
 def shown(entry: dict[str, Any]) -> str:
@@ -101,7 +48,7 @@
         case "list":
             show_news(call(at, "GET", "/catalog/members"))
         case "watch":
-            for news in lines(at, options.after):
+            for news in watch_events(at, options.after):
                 show_news(news)
         case "show":
             print(shown(call(at, "GET", f"/entries/{id_}")))
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -18,7 +18,8 @@
 
 import msgspec
 
-from orchidhatch.control.cli import CallError, call, seconds
+from orchidhatch.control.cli import seconds
+from orchidhatch.control.operator_client import CallError, call
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import LOG, Gate, ask, change_of, out_of_service
 from orchidhatch.control.policy.document import (
--- a/orchidhatch/control/registry/backups.py
+++ b/orchidhatch/control/registry/backups.py
@@ -1,7 +1,8 @@
-"""Copies of a list service's store: taken while it serves, tried before they count, kept by count and age.
+"""Backups of a registry's store: made while it serves, verified before they count, kept by count and age.
 
-A copy is made between two batches of writes, so it is the list as of one generation. It counts only once a
-store has been opened from it, with everything in it held against its digests; until then it has another name.
+A backup is made between two batches of writes, so it is the endpoint list as of one generation. It counts
+only once a store was opened from it, with everything in it compared to its checksums; until then it has
+another name.
 """
 
 import re
@@ -9,79 +10,119 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+
+import msgspec
 
 from orchidhatch.control.registry.store import Store, StoreError
 
-KEPT, KEPT_S = 24, 7 * 24 * 3600.0  # copies, and seconds that they are kept; the newest stays in any case
-NAME = re.compile(r"list-(\d{1,16})-(\d{1,20})\.db")
+MAX_BACKUPS = 24
+MAX_BACKUP_AGE_S = 7 * 24 * 3600.0  # the newest is kept in any case
+UNVERIFIED_NAME = "list.db.new"
+BACKUP_NAME = re.compile(r"list-(?P<term>\d{1,16})-(?P<generation>\d{1,20})\.db")
+SQLITE_SUFFIXES = ("", "-wal", "-shm")  # of a database, its log and the log's index
+
+
+class BackupSummary(msgspec.Struct, frozen=True):
+    """The name of a backup's file and what it holds; field names are on the wire."""
+
+    file: str
+    term: int
+    generation: int
+    entries: int
+    claims: int
+    records: int
 
 
 class Backups:
-    """The copies in one folder. `wall_s` is the wall clock, as ages must go on over a restart."""
+    """The backups in one folder.
+
+    `wall_clock_s` is the wall clock in seconds, as ages must go on over a restart. `completed` and `failed`
+    count backups since the start.
+    """
 
     def __init__(
-        self, folder: Path, kept: int = KEPT, kept_s: float = KEPT_S, wall_s: Callable[[], float] = time.time
+        self,
+        folder: Path,
+        max_backups: int = MAX_BACKUPS,
+        max_age_s: float = MAX_BACKUP_AGE_S,
+        wall_clock_s: Callable[[], float] = time.time,
     ) -> None:
-        self.folder, self.kept, self.kept_s, self.wall_s = folder, kept, kept_s, wall_s
-        self.made = self.failed = 0
+        self.folder = folder
+        self.max_backups = max_backups
+        self.max_age_s = max_age_s
+        self.wall_clock_s = wall_clock_s
+        self.completed = 0
+        self.failed = 0
+
+    def create(self, store: Store) -> BackupSummary:
+        """Make and verify a backup, then delete those that are too old or too many.
 
-    def make(self, store: Store) -> dict[str, Any]:
-        """Copy, try, keep, and drop what is too old or too many; what the copy holds. A StoreError where that
-        fails. This waits for the disk; nobody else may write to the store meanwhile."""
-        draft = self.folder / "list.db.new"
+        This waits for the disk; nobody else may write to the store meanwhile. Raises StoreError.
+        """
         try:
-            self.folder.mkdir(parents=True, exist_ok=True)
-            copy(store, draft)
-            found = tried(draft)
-            path = self.folder / f"list-{found['term']}-{found['generation']}.db"
-            draft.replace(path)
-            self.drop()
+            summary = self._create_verified(store)
+            self._delete_expired()
         except (OSError, sqlite3.Error) as error:
             self.failed += 1
             raise StoreError(f"cannot back up {store.path.name}: {error}") from error
         except StoreError:
             self.failed += 1
             raise
-        self.made += 1
-        return {"file": path.name, **found}
-
-    def copies(self) -> list[Path]:
-        """The oldest first, by term and generation."""
-        found = [
-            (tuple(map(int, match.groups())), path)
-            for path in self.folder.glob("list-*.db")
-            if (match := NAME.fullmatch(path.name))
-        ]
-        return [path for _, path in sorted(found)]
-
-    def drop(self) -> None:
-        *older, _ = self.copies()
-        for number, path in enumerate(reversed(older), start=2):
-            if number > self.kept or self.wall_s() - path.stat().st_mtime > self.kept_s:
+        self.completed += 1
+        return summary
+
+    def list_files(self) -> list[Path]:
+        """The backups, the oldest first by term and generation."""
+        matches = [BACKUP_NAME.fullmatch(path.name) for path in self.folder.glob("list-*.db")]
+        found = [(int(match["term"]), int(match["generation"]), match[0]) for match in matches if match]
+        return [self.folder / name for _, _, name in sorted(found)]
+
+    def _create_verified(self, store: Store) -> BackupSummary:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        unverified = self.folder / UNVERIFIED_NAME
+        copy_store(store, unverified)
+        summary = verify_backup(unverified)
+        unverified.replace(self.folder / summary.file)
+        return summary
+
+    def _delete_expired(self) -> None:
+        *older, _newest = self.list_files()
+        for position, path in enumerate(reversed(older), start=2):
+            is_too_old = self.wall_clock_s() - path.stat().st_mtime > self.max_age_s
+            if position > self.max_backups or is_too_old:
                 path.unlink()
 
 
-def copy(store: Store, into: Path) -> None:
-    for end in ("", "-wal", "-shm"):  # of a copy that was cut short
-        Path(f"{into}{end}").unlink(missing_ok=True)
-    target = sqlite3.connect(into)
+def delete_database(path: Path) -> None:
+    """Delete a SQLite database with its log, as far as they exist."""
+    for suffix in SQLITE_SUFFIXES:
+        Path(f"{path}{suffix}").unlink(missing_ok=True)
+
+
+def copy_store(store: Store, target: Path) -> None:
+    """Copy an open store's database to a file, in place of an interrupted copy. Raises sqlite3.Error."""
+    delete_database(target)
+    database = sqlite3.connect(target)
     try:
-        store.db.backup(target)
+        store.db.backup(database)
     finally:
-        target.close()
+        database.close()
+
 
+def verify_backup(path: Path) -> BackupSummary:
+    """Open a store from this file, which compares its checksums, and summarize it under its final name.
 
-def tried(path: Path) -> dict[str, Any]:
-    """What a store opened from the copy holds; it is closed again, and its log written back."""
+    The store is closed again, so that its log is written back to the file. Raises StoreError.
+    """
     store = Store(path)
     try:
-        return {
-            "term": store.term,
-            "generation": store.generation,
-            "entries": len(store.entries),
-            "claims": len(store.book.claims),
-            "records": len(store.book.records),
-        }
+        return BackupSummary(
+            file=f"list-{store.term}-{store.generation}.db",
+            term=store.term,
+            generation=store.generation,
+            entries=len(store.entries),
+            claims=len(store.book.claims),
+            records=len(store.book.records),
+        )
     finally:
         store.close()
--- a/orchidhatch/control/registry/rebuild.py
+++ b/orchidhatch/control/registry/rebuild.py
@@ -1,21 +1,21 @@
-"""Make a store anew where it is lost or damaged, from a service that still gives the list, or from a copy.
+"""Rebuilds a store that is lost or damaged, from a service that still has the endpoint list or from a backup.
 
     python -m orchidhatch.rebuild --store list.db --from 127.0.0.1:8501
     python -m orchidhatch.rebuild --store list.db --backup copy.db
 
-A damaged store is put aside, a sound one is not replaced. The new one is of a higher term than its source.
+A damaged store is set aside, a sound one is not replaced. The new store is of a higher term than its source.
 """
 
 import argparse
 import http.client
-import json
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
-from typing import NamedTuple
 
-from orchidhatch.control.cli import CallError, connect, reason
 from orchidhatch.control.http_server import STORE_HEADER, term_of
+from orchidhatch.control.operator_client import RESPONSE_TIMEOUT_S, CallError, open_watch
+from orchidhatch.control.registry.backups import delete_database
 from orchidhatch.control.registry.store import (
     DELETED,
     CorruptStoreError,
@@ -25,53 +25,50 @@
     StoreError,
     put_aside,
 )
+from orchidhatch.control.registry.watch_client import decode_watch_event
 from orchidhatch.control.schemas import InvalidRequestError, read_instance
 
-TIMEOUT_S = 10.0
-BATCH = 500  # entries written together
+ENDPOINTS_PER_WRITE = 500
 
 
-class Source(NamedTuple):
-    """A list to begin from."""
+@dataclass(frozen=True, slots=True)
+class RebuildSource:
+    """An endpoint list to begin from, its generation, and the term of the store that it is of."""
 
-    entries: list[Entry]
+    endpoints: list[Entry]
     generation: int
     term: int
 
 
-def from_service(at: str) -> Source:
-    """The whole list that a watch begins with, as its head names the term."""
-    connection = connect(at, TIMEOUT_S)
+def read_from_service(at: str) -> RebuildSource:
+    """The whole list of the service at host:port, which a watch begins with. Raises CallError."""
     try:
-        connection.request("GET", "/catalog/members?watch=1&after=0")
-        answer = connection.getresponse()
-        if answer.status != 200:
-            raise CallError(reason(answer.status, answer.read()))
-        news = json.loads(answer.readline())
-        entries = [read_instance(value) for value in news["instances"]]
-        return Source(
-            [entry for entry in entries if entry.lifecycle != DELETED],
-            int(news["generation"]),
-            term_of(answer.headers.get(STORE_HEADER, "")),
-        )
+        with open_watch(at, 0, RESPONSE_TIMEOUT_S) as response:
+            event = decode_watch_event(response.readline())
+            term = term_of(response.headers.get(STORE_HEADER, ""))
+        endpoints = [read_instance(value) for value in event.instances]
     except InvalidRequestError as error:
-        raise CallError(f"{at} gives an entry that is not in form: {error}") from error
-    except (OSError, http.client.HTTPException, ValueError, KeyError, TypeError, OverflowError) as error:
+        raise CallError(f"{at} gives a malformed endpoint list: {error}") from error
+    except (OSError, http.client.HTTPException) as error:
         raise CallError(f"no list from {at}: {error or type(error).__name__}") from error
-    finally:
-        connection.close()
+    listed = [endpoint for endpoint in endpoints if endpoint.lifecycle != DELETED]
+    return RebuildSource(listed, event.generation, term)
 
 
-def from_copy(path: Path) -> Source:
+def read_from_backup(path: Path) -> RebuildSource:
+    """The list in a backup's file. Raises StoreError."""
     store = Store(path)
     try:
-        return Source(list(store.entries.values()), store.generation, store.term)
+        return RebuildSource(list(store.entries.values()), store.generation, store.term)
     finally:
         store.close()
 
 
-def make_room(path: Path) -> None:
-    """Put a damaged store aside; one that is sound, or in use, stays and is an error."""
+def set_aside_damaged(path: Path) -> None:
+    """Rename a damaged store; nothing where there is none.
+
+    Raises StoreError where the store is sound or in use: it is not replaced.
+    """
     if not path.exists():
         return
     try:
@@ -82,37 +79,50 @@
         raise StoreError(f"{path.name} is sound; it is not replaced")
 
 
-def write(path: Path, source: Source) -> Store:
-    """All of it under another name, which is the store's once it is whole."""
-    draft = path.with_name(f"{path.name}.new")
-    for end in ("", "-wal", "-shm"):
-        Path(f"{draft}{end}").unlink(missing_ok=True)  # of a rebuilding that was cut short
-    first = max(source.generation + 1, time.time_ns() // 1_000_000)
-    store = Store(draft, create=True, first=first, term=source.term + 1)
-    for start in range(0, len(source.entries), BATCH):
-        store.apply([Put(entry) for entry in source.entries[start : start + BATCH]])
-    store.close()  # the last one out writes the log back, so that the file is all of it
-    draft.replace(path)
+def write_store(path: Path, source: RebuildSource) -> Store:
+    """Write a new store under another name, rename it once it is complete, and open it. Raises StoreError."""
+    incomplete = path.with_name(f"{path.name}.new")
+    delete_database(incomplete)  # of a rebuild that was interrupted
+    first_generation = max(source.generation + 1, time.time_ns() // 1_000_000)
+    store = Store(incomplete, create=True, first=first_generation, term=source.term + 1)
+    for start in range(0, len(source.endpoints), ENDPOINTS_PER_WRITE):
+        endpoints = source.endpoints[start : start + ENDPOINTS_PER_WRITE]
+        store.apply([Put(endpoint) for endpoint in endpoints])
+    store.close()  # which writes the log back, so that the file is all of it
+    incomplete.replace(path)
     return Store(path)
 
 
-def rebuild(path: Path, source: Source) -> None:
-    make_room(path)
-    store = write(path, source)
+def rebuild(path: Path, source: RebuildSource) -> None:
+    """Put a new store in place of a damaged or missing one, and print what it holds. Raises StoreError."""
+    set_aside_damaged(path)
+    store = write_store(path, source)
     print(f"{path.name}: {len(store.entries)} entries, generation {store.generation}, term {store.term}")
     store.close()
 
 
-def main() -> int:
+def parse_arguments() -> argparse.Namespace:
+    """The command's options."""
     parser = argparse.ArgumentParser(prog="orchidhatch.rebuild", description=__doc__.partition("\n")[0])
     parser.add_argument("--store", type=Path, required=True, metavar="FILE")
     sources = parser.add_mutually_exclusive_group(required=True)
-    sources.add_argument("--from", dest="at", metavar="HOST:PORT", help="a list service or an agent")
-    sources.add_argument("--backup", type=Path, metavar="FILE", help="a copy of the store")
-    options = parser.parse_args()
+    sources.add_argument("--from", dest="service", metavar="HOST:PORT", help="a registry or an agent")
+    sources.add_argument("--backup", type=Path, metavar="FILE", help="a backup of the store")
+    return parser.parse_args()
+
+
+def read_source(options: argparse.Namespace) -> RebuildSource:
+    """The source that the options name. Raises CallError or StoreError; nothing was changed on disk then."""
+    if options.service:
+        return read_from_service(options.service)
+    return read_from_backup(options.backup)
+
+
+def main() -> int:
+    """Run the command; the exit status is 0 where the store was rebuilt, else 1."""
+    options = parse_arguments()
     try:
-        # The source first: nothing is touched where there is none.
-        rebuild(options.store, from_service(options.at) if options.at else from_copy(options.backup))
+        rebuild(options.store, read_source(options))
     except (CallError, StoreError, OSError) as error:
         print(f"orchidhatch.rebuild: {error}", file=sys.stderr)
         return 1
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -17,9 +17,9 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
 
 import h11
+import msgspec
 
 from orchidhatch.control.http_server import (
     MOST_HEAD,
@@ -36,7 +36,7 @@
 from orchidhatch.control.ownership.claims import Fence
 from orchidhatch.control.ownership.service import Ownership
 from orchidhatch.control.policy.leases import GatewayPolicyLeases
-from orchidhatch.control.registry.backups import Backups
+from orchidhatch.control.registry.backups import Backups, BackupSummary
 from orchidhatch.control.registry.replication import Replicator
 from orchidhatch.control.registry.store import (
     Batch,
@@ -252,9 +252,9 @@
 
         def work() -> None:
             self.store.book.draft(self.store.term).check(fence)  # no write comes between this and the copy
-            made.update(self.backups.make(self.store))
+            summaries.append(self.backups.create(self.store))
 
-        made: dict[str, Any] = {}
+        summaries: list[BackupSummary] = []
         try:
             await self.in_turn(work)
         except ConflictError as refusal:
@@ -263,7 +263,7 @@
             log.error("%s", error)
             connection.answer(unavailable(str(error)))
         else:
-            connection.answer(Response(200, made))
+            connection.answer(Response(200, msgspec.to_builtins(summaries[0])))
 
     def renew(self, id_: str, life: int) -> Response:
         if refusal := self.no_writes():
@@ -474,7 +474,7 @@
                 **self.ownership.figures(),
                 **self.doors.figures(),
                 **(
-                    {"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
+                    {"backups_total": self.backups.completed, "backups_failed_total": self.backups.failed}
                     if self.backups
                     else {}
                 ),
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -542,12 +542,14 @@
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
             assert (await client(at, "backup"))[0] == 1  # it was given no folder
-            registry.backups = Backups(folder, kept=3)
+            registry.backups = Backups(folder, max_backups=3)
             for number in range(5):
                 assert (await call(at, "POST /entries", body(instanceId=f"s-{number}")))[0] == 200
                 status, out, _ = await client(at, "backup")
                 assert status == 0 and f"{number + 1} entries" in out
-            assert [path.name for path in registry.backups.copies()] == [f"list-1-{n}.db" for n in (3, 4, 5)]
+            assert [path.name for path in registry.backups.list_files()] == [
+                f"list-1-{n}.db" for n in (3, 4, 5)
+            ]
             assert (await call(at, "POST /backup", b'{"claim":"x","epoch":1}'))[0] == 404
             assert (await client(at, "backup", "--every", "1h"))[0] == 0
             steward = Controller("steward-1", [at], lease_ms=60_000)
@@ -555,13 +557,13 @@
             await steward.share()
             assert (await call(at, "DELETE /entries/s-0"))[0] == 200
             await steward.work()
-            newest = registry.backups.copies()[-1]
+            newest = registry.backups.list_files()[-1]
             told = json.loads(registry.store.book.records["task.backup"].text)
             assert told["told"] == newest.name == "list-1-6.db" and told["leftMs"] == 3_600_000
-            registry.backups.wall_s = lambda: newest.stat().st_mtime + 8 * 24 * 3600
+            registry.backups.wall_clock_s = lambda: newest.stat().st_mtime + 8 * 24 * 3600
             (folder / "list.db.new").write_bytes(b"cut short")
             assert (await client(at, "backup"))[0] == 0
-            assert registry.backups.copies() == [newest]
+            assert registry.backups.list_files() == [newest]
             newest.unlink()
             folder.rmdir()
             folder.write_bytes(b"")
