--- a/orchidhatch/control/agent/policy_lease.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -23,12 +23,23 @@
 from typing import Any
 from urllib.parse import quote
 
-from orchidhatch.control.controller.summary import read_figures
+from orchidhatch.control.controller.summary import parse_gateway_metrics
 from orchidhatch.control.http_client import Address, call
 from orchidhatch.control.http_server import EndpointListServer
-from orchidhatch.control.policy.document import PolicyError, digest_of, lay_over, read_text
-from orchidhatch.control.policy.leases import DOCUMENT
-from orchidhatch.control.policy.timing import GRACE_S, LATE_S, LEASE_S, RENEWALS, SILENT_S
+from orchidhatch.control.policy.document import (
+    InvalidPolicyError,
+    apply_policy,
+    document_digest,
+    parse_document,
+)
+from orchidhatch.control.policy.records import DOCUMENT_RECORD_PREFIX
+from orchidhatch.control.policy.timing import (
+    AGENT_SILENCE_LIMIT_S,
+    AGENT_START_GRACE_S,
+    LEASE_S,
+    RENEWALS_PER_LEASE,
+    SWITCH_MARGIN_S,
+)
 from orchidhatch.control.registry_client import RegistryClient
 
 log = logging.getLogger("orchidhatch.policy")
@@ -98,7 +109,7 @@
         self.heard = Heard(*row[1:]) if row else Heard()
         documents = self.db.execute("SELECT digest, text FROM policy_documents ORDER BY at").fetchall()
         self.documents: dict[str, str] = {
-            digest: text for digest, text in documents if digest_of(text) == digest
+            digest: text for digest, text in documents if document_digest(text) == digest
         }
         self.good_until_s = -math.inf
         self.began_s = clock()
@@ -200,13 +211,13 @@
         if digest in self.checked or self.flaw.startswith(digest):
             return
         if digest not in self.documents:
-            status, told = await self.links.call("GET", f"/records/{DOCUMENT}{digest}")
-            if status != 200 or digest_of(told["text"]) != digest:
+            status, told = await self.links.call("GET", f"/records/{DOCUMENT_RECORD_PREFIX}{digest}")
+            if status != 200 or document_digest(told["text"]) != digest:
                 return
             await self.keep_document(digest, told["text"])
         try:
             await self.check(digest)
-        except PolicyError as error:
+        except InvalidPolicyError as error:
             log.error("document %s: %s", digest, error)
             self.flaw = f"{digest} {error}"[:300]
         else:
@@ -248,24 +259,26 @@
         except TimeoutError:
             process.kill()
             await process.wait()
-            raise PolicyError(f"its check took over {CHECK_S:g} s") from None
+            raise InvalidPolicyError(f"its check took over {CHECK_S:g} s") from None
         if process.returncode:
-            raise PolicyError(" ".join(said.decode(errors="replace").split())[-200:] or "its check failed")
+            raise InvalidPolicyError(
+                " ".join(said.decode(errors="replace").split())[-200:] or "its check failed"
+            )
 
     def composed(self, digest: str) -> str:
         """The door's configuration by this document; its own settings stay beside, to be laid over again."""
         try:
             values = json.loads(self.setup.config.read_bytes())
             base = values.get("policy", {}).get("base") or values["settings"]
-            policy = read_text(self.documents[digest], digest) if digest else None
-            values["settings"] = lay_over(base, policy) if policy else base
+            policy = parse_document(self.documents[digest], digest) if digest else None
+            values["settings"] = apply_policy(base, policy) if policy else base
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
-            raise PolicyError(f"the door's configuration makes no sense: {error!r:.120}") from error
+            raise InvalidPolicyError(f"the door's configuration makes no sense: {error!r:.120}") from error
         values["policy"] = {
             "number": self.heard.number,
             "digest": digest,
             "until_us": self.until_us(),
-            "silent_ms": round(SILENT_S * 1000),
+            "silent_ms": round(AGENT_SILENCE_LIMIT_S * 1000),
             "base": base,
         }
         return json.dumps(values)
@@ -275,7 +288,7 @@
         decision is heard. The two are on one machine, and its monotonic clock is the same for both."""
         heard = self.heard
         ends = heard.before != heard.digest and self.clock() < heard.moment_s()
-        return round((heard.moment_s() + LATE_S) * 1e6) if ends else 0
+        return round((heard.moment_s() + SWITCH_MARGIN_S) * 1e6) if ends else 0
 
     # --- the door ---
 
@@ -297,7 +310,7 @@
                 await self.switch(may)
             return
         if may is None:
-            if self.clock() - self.began_s > GRACE_S:
+            if self.clock() - self.began_s > AGENT_START_GRACE_S:
                 await self.hold_out(status)
         elif not status:
             return
@@ -330,7 +343,7 @@
         number = self.heard.number
         try:
             self.replace_file(self.composed(digest))
-        except (PolicyError, OSError) as error:
+        except (InvalidPolicyError, OSError) as error:
             log.error("cannot write the door's configuration: %s", error)
             await self.hold_out(200)
             return
@@ -358,7 +371,7 @@
     def hang_up(self) -> None:
         """Signal the door, and nobody else who has its number by now."""
         try:
-            number = int(self.setup.pid.read_text())
+            number = int(self.setup.pid.parse_document())
             descriptor = os.pidfd_open(number)
         except (OSError, ValueError) as error:
             log.warning("the door's process is not known: %s", error)
@@ -376,7 +389,7 @@
 
     async def read_counts(self) -> None:
         status, text, _ = await call(self.door, "GET", "/stats", within_s=DOOR_S)
-        if status == 200 and (reading := read_figures(str(text))):
+        if status == 200 and (reading := parse_gateway_metrics(str(text))):
             self.counts = reading.answered, reading.deferred, reading.errored
 
     # --- all the time ---
@@ -385,7 +398,7 @@
         while True:
             with suppress(sqlite3.Error):  # a disk that is full: what was heard holds in memory
                 await self.renew()
-            await asyncio.sleep(LEASE_S / RENEWALS)
+            await asyncio.sleep(LEASE_S / RENEWALS_PER_LEASE)
 
     async def keep_preparing(self) -> None:
         while True:
--- a/orchidhatch/control/cli.py
+++ b/orchidhatch/control/cli.py
@@ -91,7 +91,7 @@
 
 def ask_for(at: str, name: str, task: Mapping[str, Any]) -> None:
     """Of the stewards; asked for again, it begins anew."""
-    done = call(at, "POST", f"/records/{tasks.TASK}{name}", {"text": json.dumps(task)})
+    done = call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}{name}", {"text": json.dumps(task)})
     print(f"asked for as {done['name']}, version {done['version']}")
 
 
@@ -123,27 +123,27 @@
             before = [
                 one
                 for one in call(at, "GET", "/records")["records"]
-                if one["name"] == f"{tasks.TASK}drain-{options.id}"
+                if one["name"] == f"{tasks.TASK_RECORD_PREFIX}drain-{options.id}"
             ]
             if before and not json.loads(before[0]["text"])["done"]:
                 raise CallError(f"{options.id} is being drained already; see tasks")
             done = call(
                 at,
                 "POST",
-                f"/records/{tasks.TASK}drain-{id_}",
+                f"/records/{tasks.TASK_RECORD_PREFIX}drain-{id_}",
                 {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0},
             )
             print(f"asked for as {done['name']}, version {done['version']}")
         case "backup" | "summary" if options.every:
             ask_for(at, options.command, tasks.repeated(options.command, round(options.every * 1000)))
         case "summary":
-            task = json.loads(call(at, "GET", f"/records/{tasks.TASK}summary")["text"])
+            task = json.loads(call(at, "GET", f"/records/{tasks.TASK_RECORD_PREFIX}summary")["text"])
             for name, value in task.get("fleet", {"": "not yet read"}).items():
                 print(f"{name}\t{value}")
         case "leases" if options.ended_by == "stewards":
             ask_for(at, "leases", tasks.LEASES)
         case "leases":
-            call(at, "POST", f"/records/{tasks.TASK}leases", {"text": ""})
+            call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}leases", {"text": ""})
             print("the list service ends them itself")
         case "backup":
             done = call(at, "POST", "/backup", {})
--- a/orchidhatch/control/controller/service.py
+++ b/orchidhatch/control/controller/service.py
@@ -23,10 +23,10 @@
 from typing import Any
 
 from orchidhatch.control.controller.shard_assignment import assign_shards
-from orchidhatch.control.controller.summary import Reading
+from orchidhatch.control.controller.summary import MetricsSample
 from orchidhatch.control.controller.tasks import (
     KINDS,
-    TASK,
+    TASK_RECORD_PREFIX,
     FencedError,
     GoneError,
     Task,
@@ -84,7 +84,7 @@
     claims: dict[str, dict[str, Any]] = field(default_factory=dict)
     acts: int = 0
     refused: int = 0
-    readings: dict[str, dict[str, Reading]] = field(default_factory=dict)  # by task: each door's last
+    readings: dict[str, dict[str, MetricsSample]] = field(default_factory=dict)  # by task: each door's last
 
     def __post_init__(self) -> None:
         self.links = RegistryClient(list(self.registries))
@@ -196,7 +196,7 @@
             return
         for record in told["records"]:
             shard = shard_of(record["name"])
-            if record["name"].startswith(TASK) and shard in self.held and self.may_act():
+            if record["name"].startswith(TASK_RECORD_PREFIX) and shard in self.held and self.may_act():
                 try:
                     task = read_task(record, {**KINDS, "policy": Change})
                 except TaskError as error:  # it keeps nobody from the others in its shard
@@ -317,7 +317,7 @@
         found = await asyncio.gather(*map(one, agents))
         return {shown(agent): text for agent, text in zip(agents, found, strict=True)}
 
-    def last_readings(self, task: Task) -> dict[str, Reading]:
+    def last_readings(self, task: Task) -> dict[str, MetricsSample]:
         return self.steward.readings.setdefault(task.name, {})
 
 
--- a/orchidhatch/control/controller/summary.py
+++ b/orchidhatch/control/controller/summary.py
@@ -14,7 +14,7 @@
 ENDS = ("answered", "deferred", "errored")
 
 
-class Reading(msgspec.Struct, frozen=True):
+class MetricsSample(msgspec.Struct, frozen=True):
     """Counts since a door's start, by how requests ended; and what it has now."""
 
     answered: int = 0
@@ -27,20 +27,20 @@
     def ended(self) -> int:
         return self.answered + self.deferred + self.errored
 
-    def since(self, before: "Reading | None") -> "Reading":
+    def since(self, before: "MetricsSample | None") -> "MetricsSample":
         """What came since; all of it where the door has begun anew, as its counts are lower then."""
         if before is None or before.ended() > self.ended() or before.sends > self.sends:
             return self
-        return Reading(
+        return MetricsSample(
             *(getattr(self, one) - getattr(before, one) for one in (*ENDS, "sends")),
             self.current,
             self.unhealthy,
         )
 
 
-def read_figures(text: str) -> Reading | None:
+def parse_gateway_metrics(text: str) -> MetricsSample | None:
     """A door's figures as its page gives them; None where they make no sense."""
-    found = dict.fromkeys(Reading.__struct_fields__, 0)
+    found = dict.fromkeys(MetricsSample.__struct_fields__, 0)
     named = {
         "sends_total": "sends",
         "current": "current",
@@ -54,7 +54,7 @@
         if field and value.isascii() and value.isdigit():
             found[field] += int(value)  # over all classes
             seen.add(field)
-    return Reading(**found) if len(seen) == len(named) else None
+    return MetricsSample(**found) if len(seen) == len(named) else None
 
 
 def apart(values: Mapping[str, float]) -> list[str]:
@@ -69,11 +69,14 @@
     )
 
 
-def sum_up(before: Mapping[str, Reading], now: Mapping[str, Reading | None]) -> dict[str, Any]:
+def summarize_fleet(
+    before: Mapping[str, MetricsSample], now: Mapping[str, MetricsSample | None]
+) -> dict[str, Any]:
     """Totals since the last reading, who was not heard, and who is unlike the others in what."""
     heard = {door: reading.since(before.get(door)) for door, reading in now.items() if reading}
     total = {
-        one: sum(getattr(reading, one) for reading in heard.values()) for one in Reading.__struct_fields__
+        one: sum(getattr(reading, one) for reading in heard.values())
+        for one in MetricsSample.__struct_fields__
     }
     busy = {door: reading for door, reading in heard.items() if reading.ended() >= FEWEST}
     unlike = {}
--- a/orchidhatch/control/controller/tasks.py
+++ b/orchidhatch/control/controller/tasks.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
+from orchidhatch.control.controller.summary import MetricsSample, parse_gateway_metrics, summarize_fleet
 
-TASK = "task."  # how the records of tasks begin
+TASK_RECORD_PREFIX = "task."  # how the records of tasks begin
 # How often what is left of a task's time is put down, of one that is short and of one that is long.
 NOTE_EVERY_S, NOTE_SELDOM_S = 2.0, 30.0
 
@@ -39,7 +39,7 @@
     async def note(self, task: "Task") -> None: ...
     async def tell_doors(self, task: "Task", call_: str) -> list[str]: ...
     async def ask_doors(self, call_: str) -> dict[str, str]: ...
-    def last_readings(self, task: "Task") -> dict[str, Reading]: ...
+    def last_readings(self, task: "Task") -> dict[str, MetricsSample]: ...
 
 
 @dataclass
@@ -168,9 +168,9 @@
         if self.given["leftMs"] <= 0:
             self.given["leftMs"] = self.given["everyMs"]
             told = await acts.ask_doors("stats")
-            now = {door: read_figures(text) for door, text in told.items()}
+            now = {door: parse_gateway_metrics(text) for door, text in told.items()}
             before = acts.last_readings(self)
-            self.given["fleet"] = sum_up(before, now)
+            self.given["fleet"] = summarize_fleet(before, now)
             before.clear()
             before.update({door: reading for door, reading in now.items() if reading})
         await acts.note(self)
--- a/orchidhatch/control/policy/change.py
+++ b/orchidhatch/control/policy/change.py
@@ -1,8 +1,8 @@
 """A change of policy as a task of the fleet's owners: prepared at every door, decided by one write.
 
 The states: asked, preparing, deciding (put down before the decision is written), decided, watched (its gate
-is open), and done: "in force", "nowhere" or "undone". Only the record NOW says what holds; this task may be
-lost at any line, and whoever owns it next goes on from what is written.
+is open), and done: "in force", "nowhere" or "undone". Only the decision record says what holds; this task may
+be lost at any line, and whoever owns it next goes on from what is written.
 """
 
 import json
@@ -18,10 +18,14 @@
 
 from orchidhatch.control.controller.tasks import NOTE_EVERY_S, Acts, GoneError, Task, TaskError
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
-from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, NOW
-from orchidhatch.control.policy.timing import OUT_S
+from orchidhatch.control.policy.records import (
+    CHANGE_TASK_RECORD,
+    DECISION_RECORD,
+    DOCUMENT_RECORD_PREFIX,
+    HISTORY_RECORD_PREFIX,
+)
+from orchidhatch.control.policy.timing import ABSENT_AFTER_S
 
-LOG = "policy.log-"  # and the number of the decision
 MOST_LOGGED = 50
 MOST_OUT, MOST_OUT_ZONE = 0.25, 0.5  # of all doors, or of a zone's, that a change may leave out unforced
 MOST_NAMED = 60
@@ -120,7 +124,7 @@
     # --- before the decision ---
 
     async def asked(self, acts: Acts, fleet: dict[str, Any]) -> None:
-        if (await acts.read(f"/records/{DOCUMENT}{self.given['digest']}"))[0] != 200:
+        if (await acts.read(f"/records/{DOCUMENT_RECORD_PREFIX}{self.given['digest']}"))[0] != 200:
             return await self.move(acts, "nowhere", done=True, told="there is no such document")
         now, most = fleet["now"], out_of_service(fleet["doors"])
         if now["digest"] == self.given["digest"]:
@@ -169,7 +173,7 @@
             return await self.move(acts, "decided")
         if fleet["now"]["number"] != self.given["base"] or self.lacking(fleet):
             return await self.move(acts, "preparing")  # doors came, or a term: by what holds now
-        status, known = await acts.read(f"/records/{NOW}")
+        status, known = await acts.read(f"/records/{DECISION_RECORD}")
         if status != 200 or json.loads(known["text"])["number"] != self.given["base"]:
             raise GoneError("another decision came between")
         absent = [door["name"] for door in fleet["doors"] if door["state"] == "absent"]
@@ -179,7 +183,7 @@
             "digest": self.given["digest"],
             "before": self.given["before"],
             "term": term,
-            "moveMs": round(OUT_S * 1000),
+            "moveMs": round(ABSENT_AFTER_S * 1000),
             "change": self.given["id"],
             "who": self.given["who"],
             "why": self.given["why"],
@@ -187,7 +191,7 @@
             "absentCount": len(absent),
         }
         status, told = await acts.write(
-            "POST", f"/records/{NOW}", text=json.dumps(decision), ifVersion=known["version"]
+            "POST", f"/records/{DECISION_RECORD}", text=json.dumps(decision), ifVersion=known["version"]
         )
         if status == 409:
             raise GoneError(f"another decision came between: {told}")
@@ -248,7 +252,7 @@
     async def write_down(self, acts: Acts, now: dict[str, Any]) -> None:
         """The history: each decision once. The oldest go, with documents as old that no other names;
         a younger one may be about to be proposed."""
-        name = f"{LOG}{now['number']:016x}"
+        name = f"{HISTORY_RECORD_PREFIX}{now['number']:016x}"
         if (await acts.read(f"/records/{name}"))[0] == 200:
             return
         await acts.write("POST", f"/records/{name}", text=json.dumps(now), ifVersion=0)
@@ -256,15 +260,20 @@
         if status != 200:
             return
         logged = sorted(
-            (one for one in told["records"] if one["name"].startswith(LOG)), key=lambda one: one["name"]
+            (one for one in told["records"] if one["name"].startswith(HISTORY_RECORD_PREFIX)),
+            key=lambda one: one["name"],
         )
         old, kept = logged[:-MOST_LOGGED], logged[-MOST_LOGGED:]
-        named = {DOCUMENT + json.loads(one["text"])[key] for one in kept for key in ("digest", "before")}
+        named = {
+            DOCUMENT_RECORD_PREFIX + json.loads(one["text"])[key]
+            for one in kept
+            for key in ("digest", "before")
+        }
         if old:
             old += [
                 one
                 for one in told["records"]
-                if one["name"].startswith(DOCUMENT)
+                if one["name"].startswith(DOCUMENT_RECORD_PREFIX)
                 and one["name"] not in named
                 and one["version"] < old[-1]["version"]
             ]
@@ -275,6 +284,6 @@
 def change_of(records: Iterable[dict[str, Any]]) -> tuple[dict[str, Any], int]:
     """The task of the last change and its version; {} and 0 where there was none."""
     for record in records:
-        if record["name"] == CHANGE:
+        if record["name"] == CHANGE_TASK_RECORD:
             return json.loads(record["text"]), record["version"]
     return {}, 0
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -20,16 +20,21 @@
 
 from orchidhatch.control.cli import CallError, call, seconds
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
-from orchidhatch.control.policy.change import LOG, Gate, ask, change_of, out_of_service
+from orchidhatch.control.policy.change import Gate, ask, change_of, out_of_service
 from orchidhatch.control.policy.document import (
+    InvalidPolicyError,
     Policy,
-    PolicyError,
     check_after,
     differences,
-    read_file,
-    read_text,
+    parse_document,
+    read_document_file,
+)
+from orchidhatch.control.policy.leases import OPEN
+from orchidhatch.control.policy.records import (
+    CHANGE_TASK_RECORD,
+    DOCUMENT_RECORD_PREFIX,
+    HISTORY_RECORD_PREFIX,
 )
-from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, OPEN
 
 LOOK_S = 0.5
 MOST_WAIT_S = 300.0
@@ -52,7 +57,7 @@
     """None where the doors go by their own files."""
     if not digest:
         return None
-    return read_text(call(at, "GET", f"/records/{DOCUMENT}{digest}")["text"], digest)
+    return parse_document(call(at, "GET", f"/records/{DOCUMENT_RECORD_PREFIX}{digest}")["text"], digest)
 
 
 def in_force(at: str) -> tuple[str, Policy | None]:
@@ -78,7 +83,7 @@
     if found and not found["done"]:
         raise CallError(f"{found['digest']} is being put in force already: {found['state']}; see show")
     task = ask(digest, options.by, options.why, gate, options.force)
-    call(at, "POST", f"/records/{CHANGE}", {"text": json.dumps(task), "ifVersion": version})
+    call(at, "POST", f"/records/{CHANGE_TASK_RECORD}", {"text": json.dumps(task), "ifVersion": version})
     print(f"asked for: {digest}")
     until = time.monotonic() + MOST_WAIT_S
     while options.wait and time.monotonic() < until:
@@ -94,7 +99,7 @@
 
 
 def propose(at: str, options: argparse.Namespace) -> None:
-    policy = read_file(options.file)
+    policy = read_document_file(options.file)
     _, before = in_force(at)
     check_after(policy, before, options.file.name)
     doors = fleet(at)["doors"]
@@ -105,7 +110,7 @@
         raise CallError(f"{most}; --force does it all the same")
     gate = Gate(for_ms=round(options.gate * 1000)) if options.gate else None
     digest = policy.digest()
-    call(at, "POST", f"/records/{DOCUMENT}{digest}", {"text": policy.text()})
+    call(at, "POST", f"/records/{DOCUMENT_RECORD_PREFIX}{digest}", {"text": policy.text()})
     put_down(at, digest, options, gate)
 
 
@@ -126,7 +131,7 @@
     call(
         at,
         "POST",
-        f"/records/{CHANGE}",
+        f"/records/{CHANGE_TASK_RECORD}",
         {"text": json.dumps({**found, "dropped": True}), "ifVersion": version},
     )
     print(f"asked to drop {found['digest']}")
@@ -164,7 +169,7 @@
 
 def history(at: str) -> None:
     for record in call(at, "GET", "/records")["records"]:
-        if record["name"].startswith(LOG):
+        if record["name"].startswith(HISTORY_RECORD_PREFIX):
             one = json.loads(record["text"])
             print(
                 "\t".join(
@@ -183,13 +188,13 @@
 def carry_out(options: argparse.Namespace) -> None:
     at = options.at
     if options.command == "check" and not at:
-        print(read_file(options.file).digest())
+        print(read_document_file(options.file).digest())
         return
     if not at:
         raise CallError("--at is needed: which list service")
     match options.command:
         case "check" | "diff":
-            policy, before = read_file(options.file), in_force(at)[1]
+            policy, before = read_document_file(options.file), in_force(at)[1]
             check_after(policy, before, options.file.name)
             if options.command == "diff":
                 show_differences(before, policy)
@@ -244,7 +249,7 @@
 def main() -> int:
     try:
         carry_out(parser().parse_args())
-    except PolicyError as error:
+    except InvalidPolicyError as error:
         print(f"orchidhatch.policy: {error}", file=sys.stderr)
         return 2
     except CallError as error:
--- a/orchidhatch/control/policy/document.py
+++ b/orchidhatch/control/policy/document.py
@@ -23,7 +23,7 @@
 Customer = Annotated[str, Meta(pattern=r"^[0-9a-f]{16}$")]
 
 
-class PolicyError(Exception):
+class InvalidPolicyError(Exception):
     """A document that cannot be a policy; the text is one plain line with key and reason."""
 
 
@@ -58,7 +58,7 @@
         return ""
 
 
-class Aim(Form):
+class LatencyObjective(Form):
     """A class's times."""
 
     name: Name
@@ -73,7 +73,7 @@
     """All of it. `retired` names plans of the policy before that are meant to be gone."""
 
     plans: Annotated[tuple[Plan, ...], Meta(min_length=1, max_length=MOST_PLANS)]
-    classes: Annotated[tuple[Aim, ...], Meta(max_length=MOST_PLANS)] = ()
+    classes: Annotated[tuple[LatencyObjective, ...], Meta(max_length=MOST_PLANS)] = ()
     banned: Annotated[tuple[Customer, ...], Meta(max_length=MOST_BANNED)] = ()
     retired: Annotated[tuple[Name, ...], Meta(max_length=MOST_PLANS)] = ()
 
@@ -82,14 +82,14 @@
         return msgspec.json.encode(self, order="sorted").decode()
 
     def digest(self) -> str:
-        return digest_of(self.text())
+        return document_digest(self.text())
 
 
-def digest_of(text: str) -> str:
+def document_digest(text: str) -> str:
     return hashlib.sha256(text.encode()).hexdigest()[:DIGEST]
 
 
-def read_text(text: str, source: str) -> Policy:
+def parse_document(text: str, source: str) -> Policy:
     """A JSON document, or a TOML one where the source's name says so."""
     try:
         if len(text.encode()) > MOST_TEXT:
@@ -105,38 +105,38 @@
         RecursionError,
         InvalidRequestError,
     ) as error:  # msgspec's, tomllib's, json's are ValueErrors
-        raise PolicyError(f"{source}: {' '.join(str(error).split()):.200}") from error
+        raise InvalidPolicyError(f"{source}: {' '.join(str(error).split()):.200}") from error
     for what, named in (("plans", policy.plans), ("classes", policy.classes)):
         names = [one.name for one in named]
         if len(set(names)) < len(names):
-            raise PolicyError(f"{source}: {what}: a name is given twice")
+            raise InvalidPolicyError(f"{source}: {what}: a name is given twice")
         for one in named:
             if flaw := one.flaw():
-                raise PolicyError(f"{source}: {what}.{one.name}.{flaw}")
+                raise InvalidPolicyError(f"{source}: {what}.{one.name}.{flaw}")
     if len(policy.text().encode()) > MOST_TEXT:
-        raise PolicyError(f"{source}: is longer than {MOST_TEXT} bytes")
+        raise InvalidPolicyError(f"{source}: is longer than {MOST_TEXT} bytes")
     return policy
 
 
-def read_file(path: Path) -> Policy:
+def read_document_file(path: Path) -> Policy:
     try:
-        return read_text(path.read_text(), path.name)
+        return parse_document(path.parse_document(), path.name)
     except (OSError, UnicodeDecodeError) as error:
-        raise PolicyError(f"{path.name}: {' '.join(str(error).split()):.200}") from error
+        raise InvalidPolicyError(f"{path.name}: {' '.join(str(error).split()):.200}") from error
 
 
 def check_after(policy: Policy, before: Policy | None, source: str) -> None:
-    """A PolicyError where customers of the policy before would be left without their plan."""
+    """A InvalidPolicyError where customers of the policy before would be left without their plan."""
     names = {plan.name for plan in policy.plans}
     for plan in before.plans if before else ():
         if plan.name not in names and plan.name not in policy.retired:
-            raise PolicyError(
+            raise InvalidPolicyError(
                 f"{source}: plans.{plan.name}: its customers would have none; "
                 "name it in `retired` if that is meant"
             )
     for name in policy.retired:
         if name in names:
-            raise PolicyError(f"{source}: retired: {name} is a plan here")
+            raise InvalidPolicyError(f"{source}: retired: {name} is a plan here")
 
 
 def differences(before: Mapping[str, Any], after: Mapping[str, Any], path: str = "") -> Iterator[str]:
@@ -163,7 +163,7 @@
     return "-" if value in (None, "", []) else json.dumps(value)
 
 
-def lay_over(settings: Mapping[str, Any], policy: Policy) -> dict[str, Any]:
+def apply_policy(settings: Mapping[str, Any], policy: Policy) -> dict[str, Any]:
     """A front door's settings by the policy: what it does not name stays; who it retires is gone. The order
     of what stays is kept, as words between doors name plans by it."""
     made = copy.deepcopy(dict(settings))
@@ -174,7 +174,7 @@
     classes = {one["name"]: one for one in made["categories"]}
     for aim in policy.classes:
         if aim.name not in classes:
-            raise PolicyError(f"classes.{aim.name}: the front door knows no such class")
+            raise InvalidPolicyError(f"classes.{aim.name}: the front door knows no such class")
         classes[aim.name] |= {"on-time-us": aim.on_time_ms * 1000, "deadline-us": aim.deadline_ms * 1000}
     made["banned"] = list(policy.banned)
     return made
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -1,7 +1,7 @@
 """Front doors as a list service knows them for a change of policy: who they are, when each agent renewed last
 and what it told, and which policy it is told in return.
 
-What holds is the record NOW. Until it is of this store's own term, it is not known whether a decision is
+What holds is the decision record. Until it is of this store's own term, it is not known whether a decision is
 missing here: nobody's lease is renewed then, until all doors that may still serve have told what they know.
 """
 
@@ -26,8 +26,14 @@
     Record,
     Thing,
 )
-from orchidhatch.control.policy.document import digest_of
-from orchidhatch.control.policy.timing import LEASE_S, OUT_S
+from orchidhatch.control.policy.document import document_digest
+from orchidhatch.control.policy.records import (
+    ACTIVATED_RECORD,
+    CHANGE_TASK_RECORD,
+    DECISION_RECORD,
+    DOCUMENT_RECORD_PREFIX,
+)
+from orchidhatch.control.policy.timing import ABSENT_AFTER_S, LEASE_S
 from orchidhatch.control.registry.store import StoreError
 from orchidhatch.control.schemas import name, read_door, read_report
 
@@ -36,8 +42,7 @@
 
 log = logging.getLogger("orchidhatch.policy")
 
-NOW, PAST, DOCUMENT, CHANGE = "policy.now", "policy.past", "policy.doc-", "task.policy"
-COPIED = ("policy.", CHANGE)  # how the records begin that a follower keeps a copy of
+COPIED = ("policy.", CHANGE_TASK_RECORD)  # how the records begin that a follower keeps a copy of
 COPY_S = 1.0  # between two looks of a follower
 OPEN = ("asked", "preparing", "deciding")  # states of a change that doors are to be ready for
 
@@ -52,7 +57,7 @@
 
 def state_of(age_s: float) -> str:
     """Whether a door that last renewed so long ago serves for sure, may, or cannot any more."""
-    return "present" if age_s <= LEASE_S else "silent" if age_s <= OUT_S else "absent"
+    return "present" if age_s <= LEASE_S else "silent" if age_s <= ABSENT_AFTER_S else "absent"
 
 
 class GatewayPolicyLeases:
@@ -71,14 +76,14 @@
         self.began_s = self.registry.clock()
         self.known = bool(self.book.doors)  # else there may be doors that have never come here
         self.moment: tuple[int, float] | None = None  # of which decision, and when by our clock
-        self.read: tuple[int, dict[str, Any]] = (-1, {})  # NOW's version, and what it says
+        self.read: tuple[int, dict[str, Any]] = (-1, {})  # DECISION_RECORD's version, and what it says
         self.writing = False
 
     # --- what holds ---
 
     def now(self) -> dict[str, Any]:
         """The decision that holds, or {} where there never was one."""
-        record = self.book.records.get(NOW)
+        record = self.book.records.get(DECISION_RECORD)
         if record is None:
             return {}
         if self.read[0] != record.version:
@@ -93,7 +98,7 @@
         now = self.now()
         if self.moment and self.moment[0] == now["number"]:
             return self.moment[1] - self.registry.clock()
-        past = self.book.records.get(PAST)  # it was over before we were started
+        past = self.book.records.get(ACTIVATED_RECORD)  # it was over before we were started
         return -math.inf if past and past.text == str(now["number"]) else None
 
     def age_s(self, door: str) -> float:
@@ -103,7 +108,7 @@
 
     def all_told(self) -> bool:
         """Whether every door that may still serve has told what it knows."""
-        if not self.known and self.registry.clock() - self.began_s < OUT_S:
+        if not self.known and self.registry.clock() - self.began_s < ABSENT_AFTER_S:
             return False
         return all(door in self.reports or state_of(self.age_s(door)) == "absent" for door in self.book.doors)
 
@@ -143,7 +148,9 @@
             connection.answer(
                 Response(
                     409,
-                    error_body(f"{door} may still serve; it is absent {OUT_S:.0f} s after its last renewal"),
+                    error_body(
+                        f"{door} may still serve; it is absent {ABSENT_AFTER_S:.0f} s after its last renewal"
+                    ),
                 )
             )
         else:
@@ -181,18 +188,18 @@
             "before": now["before"],
             "prepare": prepare,
             "want": "",
-            "leftMs": None if left_s is None else round(max(-OUT_S, left_s) * 1000),
+            "leftMs": None if left_s is None else round(max(-ABSENT_AFTER_S, left_s) * 1000),
         }
 
     def copy_holds(self) -> bool:
         """Whether a decision that was missed in the copy cannot have had its moment yet by the end of a lease
         that begins now: after a promotion this keeps doors at work until all have told."""
-        past = self.book.records.get(PAST)
+        past = self.book.records.get(ACTIVATED_RECORD)
         settled = bool(self.now()) and past is not None and past.text == str(self.now()["number"])
         return (
             settled
             and self.best()[0] == self.now()["number"]
-            and self.registry.clock() + LEASE_S < self.copied_s + OUT_S
+            and self.registry.clock() + LEASE_S < self.copied_s + ABSENT_AFTER_S
         )
 
     def copy(self) -> dict[str, Any]:
@@ -229,7 +236,7 @@
         return writes + [Enter(door) for door in doors if self.book.doors.get(door.name) != door]
 
     def change(self) -> dict[str, Any]:
-        record = self.book.records.get(CHANGE)
+        record = self.book.records.get(CHANGE_TASK_RECORD)
         return json.loads(record.text) if record else {}
 
     def all(self) -> dict[str, Any]:
@@ -238,7 +245,7 @@
         return {
             "sure": self.sure(),
             "now": self.now(),
-            "leftMs": None if left_s is None else round(max(-OUT_S, left_s) * 1000),
+            "leftMs": None if left_s is None else round(max(-ABSENT_AFTER_S, left_s) * 1000),
             "doors": [self.shown(door) for door in self.book.doors.values()],
         }
 
@@ -248,7 +255,7 @@
             "name": door.name,
             "zone": door.zone,
             "ageMs": round(age_s * 1000),
-            "state": state_of(age_s) if report else "silent" if age_s <= OUT_S else "absent",
+            "state": state_of(age_s) if report else "silent" if age_s <= ABSENT_AFTER_S else "absent",
         }
         return (
             value | {key: report.told[key] for key in ("has", "number", "ready", "flaw", "counts", "serves")}
@@ -277,7 +284,7 @@
     def wanted(self, door: str) -> str:
         """The document that has to be told before it can be decided on anew."""
         digest = self.best()[1]
-        lacking = digest and DOCUMENT + digest not in self.book.records
+        lacking = digest and DOCUMENT_RECORD_PREFIX + digest not in self.book.records
         return digest if lacking and digest in self.reports[door].told["ready"] else ""
 
     def gone_by(self, digest: str) -> str:
@@ -293,16 +300,20 @@
             return
         if self.sure():
             if self.left_s() is None and self.all_told():
-                self.moment = self.now()["number"], self.registry.clock() + OUT_S
+                self.moment = self.now()["number"], self.registry.clock() + ABSENT_AFTER_S
             return
         for report in self.reports.values():
             text = report.told.get("text", "")
-            key = DOCUMENT + digest_of(text)
-            if text and digest_of(text) == self.best()[1] and key not in self.book.records:
+            key = DOCUMENT_RECORD_PREFIX + document_digest(text)
+            if text and document_digest(text) == self.best()[1] and key not in self.book.records:
                 self.registry.queue(Keep(key, text, if_version=0), None)
                 return
         number, digest = self.best()
-        if self.writing or not self.all_told() or (digest and DOCUMENT + digest not in self.book.records):
+        if (
+            self.writing
+            or not self.all_told()
+            or (digest and DOCUMENT_RECORD_PREFIX + digest not in self.book.records)
+        ):
             return
         self.writing = True
         term, before = self.registry.store.term, self.gone_by(digest)
@@ -312,20 +323,20 @@
             "digest": digest,
             "before": before,
             "term": term,
-            "moveMs": round(OUT_S * 1000) if before != digest else 0,
+            "moveMs": round(ABSENT_AFTER_S * 1000) if before != digest else 0,
             "change": "",
             "who": "list service",
             "why": f"a new term, after number {number}",
             "absent": [],
         }
-        self.registry.queue(Keep(NOW, json.dumps(decision)), None)
+        self.registry.queue(Keep(DECISION_RECORD, json.dumps(decision)), None)
 
     def wrote(self, outcomes: Iterable[Thing | object]) -> None:
         """After a batch: a decision that is durable now has its moment from here on."""
         for outcome in outcomes:
             if isinstance(outcome, ConflictError):
                 self.writing = False  # it may have been ours: nothing is lost by trying it again
-            elif isinstance(outcome, Record) and outcome.name == NOW:
+            elif isinstance(outcome, Record) and outcome.name == DECISION_RECORD:
                 now, self.writing = self.now(), False
                 self.decisions += 1
                 self.moment = now["number"], self.registry.clock() + now["moveMs"] / 1000
@@ -337,11 +348,11 @@
         """What time alone brings about."""
         self.settle()
         if self.sure() and not self.registry.no_writes():
-            past, left_s = self.book.records.get(PAST), self.left_s()
+            past, left_s = self.book.records.get(ACTIVATED_RECORD), self.left_s()
             if left_s is not None and left_s <= 0:
                 number = str(self.now()["number"])
                 if past is None or past.text != number:
-                    self.registry.queue(Keep(PAST, number), None)
+                    self.registry.queue(Keep(ACTIVATED_RECORD, number), None)
 
     def not_written(self) -> None:
         """A batch did not come to the disk; what was in it is tried again."""
--- a/orchidhatch/control/policy/timing.py
+++ b/orchidhatch/control/policy/timing.py
@@ -1,13 +1,29 @@
-"""The times that a change of policy rests on, in seconds, and what each of them is for."""
+"""Time limits that a policy change relies on: how long a gateway may go on admitting without its lease.
 
-LEASE_S = 3.0  # from a renewal's sending: for so long a door may serve by what its answer said
-RENEWALS = 4  # in the time of a lease
-GRACE_S = 1.0  # for an agent that was started anew to hear the list service before it holds its door out
-SILENT_S = 5.0  # of its agent, after which a door bars itself: its watch has a line every 2 s
-LAPSE_S = 1.0  # that a door may have stood still for without barring itself
-LATE_S = 0.3  # after the moment a door that was put under no other policy bars itself
-EMPTY_S = 2.5  # from the call that holds a door out until it lets nobody in: 1 s for the call, 1.5 s to empty
-DRIFT = 1.05  # clocks that differ in their pace
-# After so long without a renewal no door lets anybody in, whether it, its agent, or the way between them was
-# stopped, killed or cut off; and so from a decision to its moment.
-OUT_S = DRIFT * (LEASE_S + GRACE_S + SILENT_S + LAPSE_S + EMPTY_S)
+All are seconds. Each bounds one delay between the moment a gateway's lease can no longer be renewed and the
+moment it admits no request; their sum is ABSENT_AFTER_S.
+"""
+
+# From the sending of a renewal: how long its answer entitles the gateway to serve.
+LEASE_S = 3.0
+RENEWALS_PER_LEASE = 4
+# For an agent that was restarted: it waits so long for a registry before it takes its gateway out of service.
+AGENT_START_GRACE_S = 1.0
+# Without news from its agent a gateway suspends admission; its endpoint watch has a line every 2 s.
+AGENT_SILENCE_LIMIT_S = 5.0
+# How long a gateway's event loop may have stalled before it suspends admission.
+STALL_LIMIT_S = 1.0
+# After the activation time: when a gateway that was given no other policy suspends admission.
+SWITCH_MARGIN_S = 0.3
+# From the management call that takes a gateway out of service until it admits nobody: 1 s for the call and
+# 1.5 s for the gateway to drain.
+DRAIN_LIMIT_S = 2.5
+# How much faster one machine's clock may run than another's.
+CLOCK_RATE_TOLERANCE = 1.05
+# So long after its last renewal no gateway admits a request, whether it, its agent or the connection between
+# them was stopped, killed or cut off.
+ABSENT_AFTER_S = CLOCK_RATE_TOLERANCE * (
+    LEASE_S + AGENT_START_GRACE_S + AGENT_SILENCE_LIMIT_S + STALL_LIMIT_S + DRAIN_LIMIT_S
+)
+# From a decision to its activation time: until then a gateway that has not heard of it may still serve.
+ACTIVATION_DELAY_S = ABSENT_AFTER_S
--- a/orchidhatch/faults/runner.py
+++ b/orchidhatch/faults/runner.py
@@ -14,7 +14,7 @@
 from orchidhatch.control.http_client import call
 from orchidhatch.control.policy import change
 from orchidhatch.control.policy import document as form
-from orchidhatch.control.policy import leases as doors
+from orchidhatch.control.policy import records as policy_records
 from orchidhatch.faults.fleet import Fleet
 from orchidhatch.faults.links import Way
 from orchidhatch.faults.plan import WAY_KINDS, Customers, Fault, matching
@@ -211,7 +211,7 @@
 
     async def ask_drain(self, id_: str, after_s: float) -> None:
         """Of the stewards, unless they are at it; again until it is taken, as a registry may be down."""
-        name = f"{tasks.TASK}drain-{id_}"
+        name = f"{tasks.TASK_RECORD_PREFIX}drain-{id_}"
         text = json.dumps(tasks.drain(id_, round(after_s * 1000), "back"))
         for at in itertools.cycle(range(self.fleet.plan.registries)):
             status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
@@ -264,18 +264,21 @@
                     self.recorder.note("refused", digest, why=f"{found['digest']} is {found['state']}")
                     return
                 if text and not await self.write(
-                    digest, "POST", f"/records/{doors.DOCUMENT}{digest}", {"text": text}
+                    digest,
+                    "POST",
+                    f"/records/{policy_records.DOCUMENT_RECORD_PREFIX}{digest}",
+                    {"text": text},
                 ):
                     continue
                 task = change.ask(digest, "trial", "a trial")
                 if await self.write(
                     digest,
                     "POST",
-                    f"/records/{doors.CHANGE}",
+                    f"/records/{policy_records.CHANGE_TASK_RECORD}",
                     {"text": json.dumps(task), "ifVersion": version},
                 ):
                     self.recorder.note("asked", digest, id=task["id"])
-                    self.asked.add(doors.CHANGE)
+                    self.asked.add(policy_records.CHANGE_TASK_RECORD)
                     return
             await asyncio.sleep(ASK_S)
 
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -140,19 +140,19 @@
     from orchidhatch.control.agent import policy_lease as keeper
 
     keeper.LEASE_S = 1e6  # what is asked for in it stays as often, as the list service's own is meant
-    keeper.RENEWALS = round(4e6 / 3)
+    keeper.RENEWALS_PER_LEASE = round(4e6 / 3)
 
 
 def decide_late() -> None:
     """Neither the claim nor what was read before holds a decision back."""
     from orchidhatch.control.ownership.claims import ClaimsTransaction, Keep
-    from orchidhatch.control.policy.leases import NOW
+    from orchidhatch.control.policy.records import DECISION_RECORD
 
     ClaimsTransaction.check = lambda self, fence: None
     keep = ClaimsTransaction.keep
 
     def unconditional(self: ClaimsTransaction, write: Keep) -> Any:  # noqa: ANN401
-        return keep(self, Keep(write.name, write.text) if write.name == NOW else write)
+        return keep(self, Keep(write.name, write.text) if write.name == DECISION_RECORD else write)
 
     ClaimsTransaction.keep = unconditional
 
--- a/orchidhatch/faults/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -35,7 +35,8 @@
 
 def record_effects(name: str, folder: Path) -> None:
     """Each write in a claim's name that was carried out, as its store shows it to readers."""
-    from orchidhatch.control.policy.leases import NOW, GatewayPolicyLeases
+    from orchidhatch.control.policy.leases import GatewayPolicyLeases
+    from orchidhatch.control.policy.records import DECISION_RECORD
     from orchidhatch.control.registry.store import Batch, Store
 
     recorder, plan, take = Recorder(name, folder), Store.plan, Store.take
@@ -66,7 +67,7 @@
 
     def decided(self: GatewayPolicyLeases, outcomes: Sequence[Any]) -> None:
         wrote(self, outcomes)
-        if any(getattr(outcome, "name", "") == NOW for outcome in outcomes):
+        if any(getattr(outcome, "name", "") == DECISION_RECORD for outcome in outcomes):
             recorder.note("decided", self.now()["digest"] or "-", now=self.now(), doors=self.all()["doors"])
 
     Store.plan, Store.take, GatewayPolicyLeases.wrote = planned, taken, decided
--- a/tests/control/agent/test_policy_lease.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -17,8 +17,14 @@
 
 from orchidhatch.control.agent.policy_lease import Keeper, Setup
 from orchidhatch.control.agent.service import Agent
-from orchidhatch.control.policy.leases import DOCUMENT
-from orchidhatch.control.policy.timing import GRACE_S, LATE_S, LEASE_S, OUT_S, SILENT_S
+from orchidhatch.control.policy.records import DOCUMENT_RECORD_PREFIX
+from orchidhatch.control.policy.timing import (
+    ABSENT_AFTER_S,
+    AGENT_SILENCE_LIMIT_S,
+    AGENT_START_GRACE_S,
+    LEASE_S,
+    SWITCH_MARGIN_S,
+)
 from orchidhatch.control.registry.service import Registry
 from orchidhatch.control.registry.store import Store
 from orchidhatch.gateway import interface as i
@@ -267,7 +273,7 @@
         setup = Setup("door-0", "a", file, tmp_path / "pid", command)
         keeper = Keeper(agent, [address_of(registry)], at, setup, time)
         await settled(registry, time)
-        keeper.began_s = time.now - GRACE_S - 1
+        keeper.began_s = time.now - AGENT_START_GRACE_S - 1
         await keeper.renew()  # it enters the list of doors
         yield Kept(registry, door, keeper, time, file)
         agent.store.close()
@@ -283,18 +289,18 @@
         async with kept(tmp_path) as all_:
             door, keeper, first = all_.door, all_.keeper, all_.registry.doors.now()["number"]
             assert await all_.go() == 200 and door.config.policy.number == first
-            await put(all_.registry, DOCUMENT + DA, A)
+            await put(all_.registry, DOCUMENT_RECORD_PREFIX + DA, A)
             await decide(all_.registry, DA, "", first + 1)
             assert await all_.go(1.0) == 200  # told at once until when its policy holds
             told = door.config.policy
             assert told.digest == "" and told.number == first + 1
-            assert told.until_us == pytest.approx((all_.time.now + 12.0 + LATE_S) * 1e6, abs=2e5)
+            assert told.until_us == pytest.approx((all_.time.now + 12.0 + SWITCH_MARGIN_S) * 1e6, abs=2e5)
             for _ in range(11):
                 assert await all_.go(1.0) == 200 and door.config.policy.digest == ""
             assert await all_.go(1.1) == 200
-            assert door.config.policy == Policy(first + 1, DA, SILENT_S)
+            assert door.config.policy == Policy(first + 1, DA, AGENT_SILENCE_LIMIT_S)
             assert [plan.burst for plan in door.gateway.set.plans] == [20.0]
-            base = json.loads(all_.file.read_text())["policy"]["base"]
+            base = json.loads(all_.file.parse_document())["policy"]["base"]
             assert base["plans"][0]["burst"] == 10  # kept beside, to be laid over again
             # The list service is out of reach: by the lease and no longer.
             assert await all_.go(LEASE_S - 0.1, heard=False) == 200
@@ -317,7 +323,7 @@
         async with kept(tmp_path) as all_:
             number = all_.registry.doors.now()["number"]
             await all_.go()
-            await put(all_.registry, DOCUMENT + DA, A)
+            await put(all_.registry, DOCUMENT_RECORD_PREFIX + DA, A)
             all_.deaf = True
             await decide(all_.registry, DA, "", number + 1, moveMs=0)
             assert await all_.go(0.1) == 503 and all_.keeper.stuck
@@ -342,7 +348,7 @@
         async with kept(tmp_path, check) as all_:
             await all_.go()
             for digest, text in ((DA, A),):
-                await put(all_.registry, DOCUMENT + digest, text)
+                await put(all_.registry, DOCUMENT_RECORD_PREFIX + digest, text)
             change = {"digest": DA, "state": "preparing", "done": False}
             await put(all_.registry, "task.policy", json.dumps(change))
             await all_.go()
@@ -404,6 +410,6 @@
             assert keeper.heard.moment_s() == pytest.approx(now + 9.85)
             await keeper.hear({**told, "sure": False, "leftMs": None}, time.now)
             assert keeper.heard.moment_s() == pytest.approx(now + 9.85)
-            assert OUT_S > LEASE_S + GRACE_S + SILENT_S
+            assert ABSENT_AFTER_S > LEASE_S + AGENT_START_GRACE_S + AGENT_SILENCE_LIMIT_S
 
     run(job())
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -15,7 +15,7 @@
 from orchidhatch.control.agent.service import Agent
 from orchidhatch.control.controller.service import SHARDS, Controller, shard_of
 from orchidhatch.control.controller.shard_assignment import assign_shards
-from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
+from orchidhatch.control.controller.summary import MetricsSample, parse_gateway_metrics, summarize_fleet
 from orchidhatch.control.controller.tasks import drain
 from orchidhatch.control.ownership import claims
 from orchidhatch.control.ownership.claims import (
@@ -466,8 +466,8 @@
     run(job())
 
 
-def reading(answered: int, deferred: int = 0, errored: int = 0, sends: int | None = None) -> Reading:
-    return Reading(answered, deferred, errored, answered if sends is None else sends, 1, 0)
+def reading(answered: int, deferred: int = 0, errored: int = 0, sends: int | None = None) -> MetricsSample:
+    return MetricsSample(answered, deferred, errored, answered if sends is None else sends, 1, 0)
 
 
 @pytest.mark.parametrize(
@@ -480,14 +480,16 @@
         (reading(0, errored=19), {}),
     ],
 )
-def test_a_door_that_is_unlike_the_others_is_named(last: Reading | None, unlike: dict[str, Any]) -> None:
+def test_a_door_that_is_unlike_the_others_is_named(
+    last: MetricsSample | None, unlike: dict[str, Any]
+) -> None:
     before = {f"d-{n}": reading(n, n) for n in range(10)}
     now = {f"d-{n}": reading(n + 97 + n % 3, n + 3 - n % 3) for n in range(9)}
     now["d-9"] = last and reading(9 + last.answered, 9, last.errored, 9 + last.sends)
-    told = sum_up(before, now)
+    told = summarize_fleet(before, now)
     assert told["unlike"] == unlike and told["silent"] == ([] if last else ["d-9"])
     assert told["answered"] == 9 * 98 + (last.answered if last else 0) and told["first"] is False
-    assert sum_up(before, {"d-0": reading(0, 1)})["deferred"] == 1  # it began anew
+    assert summarize_fleet(before, {"d-0": reading(0, 1)})["deferred"] == 1  # it began anew
 
 
 def test_the_summary_is_read_through_agents_by_its_owner(tmp_path: Path) -> None:
@@ -504,8 +506,8 @@
             "cluster_unhealthy",
         )
     )
-    assert read_figures(page) == Reading(6, 3, 3, 3, 3, 3)
-    assert read_figures(page.replace(" 3", " NaN")) is None and read_figures("") is None
+    assert parse_gateway_metrics(page) == MetricsSample(6, 3, 3, 3, 3, 3)
+    assert parse_gateway_metrics(page.replace(" 3", " NaN")) is None and parse_gateway_metrics("") is None
 
     async def door(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         asked = (await reader.readuntil(b"\r\n\r\n")).split()[1]
--- a/tests/control/policy/test_policy.py
+++ b/tests/control/policy/test_policy.py
@@ -12,8 +12,13 @@
 from orchidhatch.control.ownership.claims import Fence, Keep
 from orchidhatch.control.policy import document as form
 from orchidhatch.control.policy.change import Gate, ask, judged, out_of_service
-from orchidhatch.control.policy.leases import CHANGE, DOCUMENT, NOW, PAST
-from orchidhatch.control.policy.timing import LEASE_S, OUT_S
+from orchidhatch.control.policy.records import (
+    ACTIVATED_RECORD,
+    CHANGE_TASK_RECORD,
+    DECISION_RECORD,
+    DOCUMENT_RECORD_PREFIX,
+)
+from orchidhatch.control.policy.timing import ABSENT_AFTER_S, LEASE_S
 from orchidhatch.control.registry.service import Registry
 from tests.control.agent.test_service import until
 from tests.control.registry.test_service import address_of, call, serving
@@ -24,11 +29,11 @@
 
 
 def text_of(document: dict[str, Any]) -> str:
-    return form.read_text(json.dumps(document), "x.json").text()
+    return form.parse_document(json.dumps(document), "x.json").text()
 
 
 A, B = map(text_of, (LOWER, HIGHER))
-DA, DB = map(form.digest_of, (A, B))
+DA, DB = map(form.document_digest, (A, B))
 
 
 # --- documents ---
@@ -55,8 +60,8 @@
     ],
 )
 def test_a_document_that_makes_no_sense_is_refused_by_key_and_reason(change: Any, said: str) -> None:  # noqa: ANN401
-    with pytest.raises(form.PolicyError, match=said) as told:
-        form.read_text(json.dumps({**LOWER, **change}), "p.json")
+    with pytest.raises(form.InvalidPolicyError, match=said) as told:
+        form.parse_document(json.dumps({**LOWER, **change}), "p.json")
     assert "\n" not in str(told.value) and str(told.value).startswith("p.json: ")
 
 
@@ -73,14 +78,14 @@
 )
 def test_text_that_is_no_document_is_refused(text: str) -> None:
     for source in ("p.json", "p.toml"):
-        with pytest.raises(form.PolicyError, match=source):
-            form.read_text(text, source)
+        with pytest.raises(form.InvalidPolicyError, match=source):
+            form.parse_document(text, source)
 
 
 def test_a_policy_is_named_by_what_it_says_and_laid_over_what_a_door_has() -> None:
     toml = '[[plans]]\nburst = 20\nname = "stor"\n"units-per-s" = 10\n'
-    assert form.read_text(toml, "p.toml").digest() == DA == form.digest_of(A) != DB
-    policy = form.read_text(
+    assert form.parse_document(toml, "p.toml").digest() == DA == form.document_digest(A) != DB
+    policy = form.parse_document(
         json.dumps(
             {
                 "plans": [{**PLAN, "name": "new"}, PLAN],
@@ -100,16 +105,16 @@
         ],
         "categories": [{"name": "read", "points": 2.0, "on-time-us": 1, "deadline-us": 1}],
     }
-    made = form.lay_over(base, policy)
+    made = form.apply_policy(base, policy)
     assert [plan["name"] for plan in made["plans"]] == ["stor", "kept", "new"] and made["me"] == 3
     assert made["plans"][0]["burst"] == 20 and made["plans"][0]["overrun-cost"] == 0.8
     assert base["plans"][1]["burst"] == 9
     assert made["categories"] == [{"name": "read", "points": 2.0, "on-time-us": 5000, "deadline-us": 9000}]
     assert made["banned"] == ["0" * 16]
-    with pytest.raises(form.PolicyError, match="no such class"):
-        form.lay_over({**base, "categories": []}, policy)
-    before, after = (form.read_text(text, "p.json") for text in (A, A.replace("stor", "other")))
-    with pytest.raises(form.PolicyError, match="stor: its customers"):
+    with pytest.raises(form.InvalidPolicyError, match="no such class"):
+        form.apply_policy({**base, "categories": []}, policy)
+    before, after = (form.parse_document(text, "p.json") for text in (A, A.replace("stor", "other")))
+    with pytest.raises(form.InvalidPolicyError, match="stor: its customers"):
         form.check_after(after, before, "p.json")
     lines = list(form.differences(json.loads(A), json.loads(B)))
     assert lines == ["plans.stor.burst: 20.0 -> 40.0"]
@@ -169,17 +174,17 @@
         "why": "y",
         "absent": [],
     }
-    registry.queue(Keep(NOW, json.dumps(now | more)), None)
+    registry.queue(Keep(DECISION_RECORD, json.dumps(now | more)), None)
     await until(lambda: registry.doors.now().get("number") == number)
 
 
 async def settled(registry: Registry, time: Time) -> None:
     """Past the time in which a door that is not known may serve, and what is to be written written."""
-    time.now += OUT_S
+    time.now += ABSENT_AFTER_S
     registry.doors.look()
     await until(registry.doors.sure)
     registry.doors.look()
-    await until(lambda: PAST in registry.store.book.records)
+    await until(lambda: ACTIVATED_RECORD in registry.store.book.records)
 
 
 def test_a_new_list_service_says_nothing_until_no_door_can_serve_by_another(tmp_path: Path) -> None:
@@ -188,12 +193,12 @@
         async with keeping(tmp_path / "1.db", time) as registry:
             status, answer = await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA], has=DA)
             assert (status, answer) == (200, {"sure": False, "prepare": "", "want": DA})
-            time.now += OUT_S / 2
+            time.now += ABSENT_AFTER_S / 2
             registry.doors.look()
             assert not registry.doors.sure() and not registry.doors.writing
-            time.now += OUT_S
+            time.now += ABSENT_AFTER_S
             await renew(registry, "a", number=7 << 32, digest=DA, ready=[DA], has=DA, text=A)
-            await until(lambda: DOCUMENT + DA in registry.store.book.records)
+            await until(lambda: DOCUMENT_RECORD_PREFIX + DA in registry.store.book.records)
             registry.doors.look()
             await until(registry.doors.sure)
             now = registry.doors.now()  # the highest that any door knew, and no door has to change over it
@@ -229,10 +234,10 @@
         async with keeping(path, time, create=False) as registry:  # nobody heard it: another one begins
             await renew(registry, "a")
             assert registry.doors.left_s() is None
-            assert (await renew(registry, "b"))[1]["leftMs"] == round(OUT_S * 1000)
-            time.now += OUT_S
+            assert (await renew(registry, "b"))[1]["leftMs"] == round(ABSENT_AFTER_S * 1000)
+            time.now += ABSENT_AFTER_S
             registry.doors.look()
-            await until(lambda: registry.store.book.records[PAST].text == str(first + 1))
+            await until(lambda: registry.store.book.records[ACTIVATED_RECORD].text == str(first + 1))
         async with keeping(path, time, create=False) as registry:  # it is over, and that is known
             assert (await renew(registry, "a"))[1]["leftMs"] < 0
 
@@ -249,10 +254,13 @@
             at = [address_of(first)]
             async with serving(tmp_path / "2.db", follow=tuple(at)) as second:
                 second.clock = time
-                await until(lambda: len(second.store.book.doors) == 2 and PAST in second.store.book.records)
+                await until(
+                    lambda: len(second.store.book.doors) == 2
+                    and ACTIVATED_RECORD in second.store.book.records
+                )
                 assert (await renew(second, "a"))[0] == 409
                 number = first.doors.now()["number"]
-                first.store.apply([Keep(DOCUMENT + DB, B)])
+                first.store.apply([Keep(DOCUMENT_RECORD_PREFIX + DB, B)])
                 await decide(first, DB, "", number + 1)  # of which the follower hears nothing
                 for task in second.follow_tasks:
                     task.cancel()
@@ -263,24 +271,24 @@
                 # The copy holds for as long as what was missed cannot have had its moment.
                 _, answer = await renew(second, "a")
                 assert (answer["number"], answer["digest"], answer["sure"]) == (number, "", True)
-                time.now += OUT_S - LEASE_S
+                time.now += ABSENT_AFTER_S - LEASE_S
                 assert (await renew(second, "a"))[1]["sure"] is False
                 _, answer = await renew(second, "b", number=number + 1, digest=DB, ready=[DB], has=DB)
                 assert answer == {"sure": False, "prepare": "", "want": DB}
                 await renew(second, "b", number=number + 1, digest=DB, ready=[DB], has=DB, text=B)
-                await until(lambda: DOCUMENT + DB in second.store.book.records)
+                await until(lambda: DOCUMENT_RECORD_PREFIX + DB in second.store.book.records)
                 await renew(second, "a")
                 await until(second.doors.sure)
                 assert (await renew(second, "a"))[1]["digest"] == DB
                 assert second.doors.now()["number"] > number + 1 and second.doors.now()["before"] == DB
             async with keeping(tmp_path / "3.db", time, term=3) as third:  # all go by another one still
-                await third.write_aside([Keep(DOCUMENT + DB, B)])
+                await third.write_aside([Keep(DOCUMENT_RECORD_PREFIX + DB, B)])
                 await renew(third, "a", number=9 << 32, digest=DB)
-                time.now += OUT_S
+                time.now += ABSENT_AFTER_S
                 await renew(third, "a", number=9 << 32, digest=DB)
                 await until(third.doors.sure)
                 now = third.doors.now()
-                assert (now["digest"], now["before"], now["moveMs"]) == (DB, "", round(OUT_S * 1000))
+                assert (now["digest"], now["before"], now["moveMs"]) == (DB, "", round(ABSENT_AFTER_S * 1000))
 
     run(job())
 
@@ -326,7 +334,7 @@
             time.now += LEASE_S + 1
             assert (await call(at, "POST /doors", b'{"name":"a","life":"2","zone":"z"}'))[0] == 200
             assert (await renew(registry, "a"))[0] == 409  # the life before it
-            time.now += OUT_S
+            time.now += ABSENT_AFTER_S
             assert (await call(at, "DELETE /doors/a"))[0] == 200 and not registry.store.book.doors
 
     run(job())
@@ -362,10 +370,10 @@
         await until(lambda: getattr(self.registry.store.book.records.get(name), "text", "") == text)
 
     async def ask(self, digest: str, **more: Any) -> None:  # noqa: ANN401
-        await self.put(CHANGE, json.dumps(ask(digest, "me", "why", **more)))
+        await self.put(CHANGE_TASK_RECORD, json.dumps(ask(digest, "me", "why", **more)))
 
     def change(self) -> dict[str, Any]:
-        return json.loads(self.registry.store.book.records[CHANGE].text)
+        return json.loads(self.registry.store.book.records[CHANGE_TASK_RECORD].text)
 
     async def work(self, until_state: str = "") -> dict[str, Any]:
         """Steps until the change is so far, or over."""
@@ -383,7 +391,7 @@
         async with keeping(tmp_path / "1.db", time) as registry:
             fleet = Fleet(registry, time, "a", "b", "c", "d", "e")
             await fleet.begin()
-            await fleet.put(DOCUMENT + DA, A)
+            await fleet.put(DOCUMENT_RECORD_PREFIX + DA, A)
             fleet.doors = ("a", "b", "c", "d")  # e is down from here on
             await fleet.ask(DA)
             time.now += LEASE_S + 1
@@ -392,14 +400,14 @@
             fleet.all(ready=[DA])
             await fleet.work("deciding")
             assert fleet.change()["state"] == "preparing"  # e is silent, and may serve still
-            time.now += OUT_S
+            time.now += ABSENT_AFTER_S
             await fleet.work("decided")
             now = registry.doors.now()
             assert now["absent"] == ["e"] and now["digest"] == DA and now["before"] == ""
-            assert registry.doors.left_s() == pytest.approx(OUT_S)
+            assert registry.doors.left_s() == pytest.approx(ABSENT_AFTER_S)
             fleet.all(has=DA)
             fleet.told["d"]["has"] = ""  # one that says yes and goes on by the old
-            time.now += OUT_S
+            time.now += ABSENT_AFTER_S
             assert (await fleet.work())["state"] == "decided"
             time.now += 6
             done = await fleet.work()
@@ -428,12 +436,12 @@
             before = registry.doors.now()
             await fleet.ask(DA)
             assert (await fleet.work())["told"] == "there is no such document"
-            await fleet.put(DOCUMENT + DA, A)
+            await fleet.put(DOCUMENT_RECORD_PREFIX + DA, A)
             await fleet.ask(DA)
             await fleet.work("preparing")
             fleet.told["a"] = {"ready": [DA], **(told or {})}
             if told is None:
-                await fleet.put(CHANGE, json.dumps({**fleet.change(), "dropped": True}))
+                await fleet.put(CHANGE_TASK_RECORD, json.dumps({**fleet.change(), "dropped": True}))
             for _ in range(round(later_s / 2)):
                 time.now += 2
                 fleet.steward.good_until_s = time.now + 60
@@ -451,8 +459,8 @@
         async with keeping(tmp_path / "1.db", time) as registry:
             fleet = Fleet(registry, time, "a")
             await fleet.begin()
-            await fleet.put(DOCUMENT + DA, A)
-            await fleet.put(DOCUMENT + DB, B)
+            await fleet.put(DOCUMENT_RECORD_PREFIX + DA, A)
+            await fleet.put(DOCUMENT_RECORD_PREFIX + DB, B)
             await fleet.ask(DA)
             fleet.all(ready=[DA, DB])
             await fleet.work("deciding")
@@ -470,7 +478,7 @@
             await fleet.work("decided")
             assert registry.doors.now()["number"] == number + 1
             fence = Fence(shard, held.epoch)
-            [refused] = registry.store.apply([Keep(NOW, "{}", fence=fence)])
+            [refused] = registry.store.apply([Keep(DECISION_RECORD, "{}", fence=fence)])
             assert "epoch" in str(refused)
 
     run(job())
@@ -486,7 +494,7 @@
             fleet = Fleet(registry, time, "a")
             await fleet.begin()
             for digest, text in ((DA, A), (DB, B)):
-                await fleet.put(DOCUMENT + digest, text)
+                await fleet.put(DOCUMENT_RECORD_PREFIX + digest, text)
             fleet.all(ready=[DA, DB], counts=[1000, 10, 0])
             for digest, gate, ended in ((DA, None, "in force"), (DB, Gate(for_ms=4000), "undone")):
                 await fleet.ask(digest, gate=gate)
@@ -494,7 +502,7 @@
                 fleet.all(counts=[2000, 20, 0])
                 await fleet.work("decided")
                 fleet.all(has=digest)
-                time.now += OUT_S
+                time.now += ABSENT_AFTER_S
                 await fleet.work("watched")
                 fleet.all(counts=[2500, 20, 400])
                 time.now += 3
@@ -502,7 +510,7 @@
                 fleet.all(has=registry.doors.now()["digest"])
                 await fleet.work("decided")
                 fleet.all(has=registry.doors.now()["digest"])
-                time.now += OUT_S
+                time.now += ABSENT_AFTER_S
                 done = await fleet.work()
                 assert done["state"] == ended, done["told"]
                 assert registry.doors.now()["digest"] == DA
