--- a/orchidhatch/agent.py
+++ b/orchidhatch/agent.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from orchidhatch.control.agent.service import main
+from orchidhatch.control.agent.command import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/orchidhatch/control/agent/command.py
@@ -0,0 +1,128 @@
+"""The agent's command line.
+
+    python -m orchidhatch.agent --listen 127.0.0.1:8501 --registry 127.0.0.1:8500 --cache agent.db
+
+Ends with 0 when it was told to end, 1 where it cannot serve, 2 where the options make no sense.
+"""
+
+import argparse
+import asyncio
+import logging
+import os
+import random
+import shlex
+import signal
+import sys
+from pathlib import Path
+
+from orchidhatch.control.agent.gateway_setup import GatewaySetup
+from orchidhatch.control.agent.service import Agent, open_cache
+from orchidhatch.control.registry.service import read_listen
+from orchidhatch.control.registry.store import StoreError
+
+log = logging.getLogger("orchidhatch.agent")
+
+LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """The options; `--door` and its names are what deployments use, the gateway is meant by it."""
+    parser = argparse.ArgumentParser(
+        prog="orchidhatch.agent",
+        description="Replicates the endpoint list for a gateway on the same machine.",
+    )
+    parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
+    parser.add_argument(
+        "--registry",
+        type=read_listen,
+        required=True,
+        action="append",
+        metavar="HOST:PORT",
+        help="may be given several times",
+    )
+    parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
+    parser.add_argument(
+        "--door",
+        type=read_listen,
+        metavar="HOST:PORT",
+        help="the gateway's management address; controllers' calls are forwarded there",
+    )
+    add_policy_options(parser)
+    return parser
+
+
+def add_policy_options(parser: argparse.ArgumentParser) -> None:
+    """The options that it takes to hold the gateway's policy lease."""
+    group = parser.add_argument_group("policy", "to keep the gateway to its policy lease: all of these")
+    group.add_argument("--name", help="the gateway's, the same after a restart")
+    group.add_argument("--zone")
+    group.add_argument("--config", type=Path, metavar="FILE", help="the gateway's PROXY_CONFIG")
+    group.add_argument("--pid", type=Path, metavar="FILE", help="holds the gateway's process number")
+    group.add_argument(
+        "--check",
+        metavar="COMMAND",
+        help="checks the file that PROXY_CONFIG names, as "
+        "'.venv/bin/python -m orchidhatch.proxy --check'; no shell is used",
+    )
+
+
+def parse_options() -> argparse.Namespace:
+    """The command's options; ends the process with status 2 where they make no sense."""
+    parser = build_parser()
+    options = parser.parse_args()
+    policy_options = [options.name, options.zone, options.config, options.pid, options.check]
+    is_complete = all(policy_options) and options.door
+    if any(policy_options) and not is_complete:
+        parser.error("--name, --zone, --config, --pid, --check and --door go together")
+    return options
+
+
+def gateway_setup(options: argparse.Namespace) -> GatewaySetup | None:
+    """The gateway whose policy lease is to be held, if any."""
+    if not options.check:
+        return None
+    return GatewaySetup(options.name, options.zone, options.config, options.pid, shlex.split(options.check))
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Run an agent until the process is told to end."""
+    # Agents of many machines that start together must not draw the same random numbers.
+    seed = random.SystemRandom().getrandbits(32) ^ os.getpid()
+    agent = Agent(
+        open_cache(options.cache),
+        options.registry,
+        seed,
+        gateway=options.door,
+        setup=gateway_setup(options),
+    )
+    stopped = asyncio.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(signal_number, stopped.set)
+    await agent.start(*options.listen)
+    host, port = agent.listener.sockets[0].getsockname()
+    log.info(
+        "serves generation %d at %s:%d, a list %.0f s old",
+        agent.store.generation,
+        host,
+        port,
+        agent.replicator.list_age_s(),
+    )
+    await stopped.wait()
+    await agent.close()
+    log.info("agent ended")
+
+
+def main() -> int:
+    """Run the command; see the module for its exit status."""
+    logging.basicConfig(level=logging.INFO, format=LOG_FORMAT)
+    options = parse_options()
+    try:
+        asyncio.run(serve(options))
+    except (StoreError, OSError) as error:
+        print(f"orchidhatch.agent: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/orchidhatch/control/agent/fence_table.py
@@ -0,0 +1,82 @@
+"""The fencing tokens that a receiver of fenced calls has seen, on disk and in memory.
+
+The highest epoch of each claim is durable before a call in the claim's name is carried out, and so is the
+number of the last call on each subject: what a claim's owner sent before a later call of its own, and was
+delayed on the way, is refused too.
+"""
+
+from collections.abc import Mapping
+
+from orchidhatch.control.agent.cache_database import CacheDatabase, Statement
+from orchidhatch.control.ownership.claims import Fence
+
+MAX_CLAIMS_AND_SUBJECTS = 20_000
+# The controller recognizes a refused epoch by this word in a conflict's text, as earlier versions do.
+CLAIM_WORD = "claim "
+
+
+class StaleCallError(Exception):
+    """A fenced call that came after a later one, or in the name of an owner that has lost the claim."""
+
+
+class FenceTable:
+    """Highest epoch by claim, and highest act number by subject; neither ever goes down.
+
+    `initialized` is False until the epochs were once taken over from a registry: a table that was lost, or
+    never was, would accept any epoch.
+    """
+
+    def __init__(self, database: CacheDatabase) -> None:
+        self._database = database
+        database.create_table("epochs (claim TEXT PRIMARY KEY, epoch INTEGER NOT NULL)")
+        database.create_table("acts (subject TEXT PRIMARY KEY, number INTEGER NOT NULL)")
+        database.create_table("epochs_known (only INTEGER PRIMARY KEY CHECK (only = 1))")
+        self.epochs: dict[str, int] = dict(database.read("SELECT claim, epoch FROM epochs"))
+        self.act_numbers: dict[str, int] = dict(database.read("SELECT subject, number FROM acts"))
+        self.initialized = bool(database.read("SELECT only FROM epochs_known"))
+
+    def is_full(self) -> bool:
+        """Whether no more claims or subjects are to be recorded."""
+        return len(self.epochs) + len(self.act_numbers) >= MAX_CLAIMS_AND_SUBJECTS
+
+    def check(self, fence: Fence, subject: str, act_number: int) -> None:
+        """Raise StaleCallError where a higher epoch, or a later act on the subject, was recorded."""
+        highest_epoch = self.epochs.get(fence.claim, 0)
+        if fence.epoch < highest_epoch:
+            raise StaleCallError(
+                f"{CLAIM_WORD}{fence.claim} is at epoch {highest_epoch} here, not {fence.epoch}"
+            )
+        last_act = self.act_numbers.get(subject, 0)
+        if act_number < last_act:
+            raise StaleCallError(f"act {act_number} on {subject} comes after {last_act}")
+
+    async def record(self, fence: Fence, subject: str, act_number: int) -> None:
+        """Make a call's epoch and number durable, where they are higher. Raises sqlite3.Error."""
+        await self._raise_to({fence.claim: fence.epoch}, {subject: act_number})
+
+    async def initialize(self, epochs: Mapping[str, int]) -> None:
+        """Take over the epochs that hold by now. Raises sqlite3.Error."""
+        await self._raise_to(epochs, {}, initialized=True)
+
+    async def _raise_to(
+        self, epochs: Mapping[str, int], act_numbers: Mapping[str, int], initialized: bool = False
+    ) -> None:
+        higher_epochs = higher_values(epochs, self.epochs)
+        higher_numbers = higher_values(act_numbers, self.act_numbers)
+        if not (higher_epochs or higher_numbers or initialized):
+            return
+        statements = [
+            Statement("INSERT OR REPLACE INTO epochs VALUES (?, ?)", list(higher_epochs.items())),
+            Statement("INSERT OR REPLACE INTO acts VALUES (?, ?)", list(higher_numbers.items())),
+        ]
+        if initialized:
+            statements.append(Statement("INSERT OR IGNORE INTO epochs_known VALUES (1)"))
+        await self._database.write(*statements)
+        self.epochs.update(higher_epochs)
+        self.act_numbers.update(higher_numbers)
+        self.initialized = self.initialized or initialized
+
+
+def higher_values(values: Mapping[str, int], known: Mapping[str, int]) -> dict[str, int]:
+    """Those that are above what is known by the same name; an unknown one counts as 0."""
+    return {name: value for name, value in values.items() if value > known.get(name, 0)}
--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -1,156 +1,212 @@
-"""Acts at the front door on this machine, by whoever owns the claim that they are done for.
+"""Forwards management calls of controllers to the gateway on the same machine.
 
-The highest epoch seen of each claim is kept on disk before an act is carried out, and a lower one is refused.
-So is the number of the last act on each backend: what an owner sent before its own later act, and was kept
-back on the way, is late too. Acts go one after another: none overtakes another between check and effect.
+A call that changes something is fenced: it names the claim in whose name it is made, the claim's epoch, and
+its own number among the acts of that claim. Calls are carried out one after another: none overtakes another
+between the check of its fence and its effect.
 """
 
 import asyncio
 import logging
 import sqlite3
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
 from urllib.parse import quote
 
-from orchidhatch.control.http_client import Address, NoResponse, call
-from orchidhatch.control.http_server import (
-    Connection,
-    EndpointListServer,
-    Response,
-    error_body,
-    term_of,
-    unavailable,
-)
+import msgspec
+
+from orchidhatch.control.agent.fence_table import FenceTable, StaleCallError
+from orchidhatch.control.agent.gateway_client import GATEWAY_TIMEOUT_S
+from orchidhatch.control.http_client import Address, HttpResponse, NoResponse, call
+from orchidhatch.control.http_server import Response, error_body, term_of
 from orchidhatch.control.ownership.claims import Fence
 from orchidhatch.control.registry.replication import Replicator
 
-log = logging.getLogger("orchidhatch.door")
-
-ACTS = {("backends", "maint"), ("backends", "ready"), ("healthcheck", "fail"), ("healthcheck", "ok")}
-QUESTIONS = {"stats", "healthcheck"}  # that change nothing, and so need no owner
-MOST_KNOWN = 20_000  # claims and backends whose last epochs and acts are kept
-MOST_WAITING = 100  # acts that wait for their turn
-DOOR_S = 1.0  # for the door's answer, which it owes within that
-CLAIM_HEADER = "Orchidhatch-Claim"  # told to the door, which does not read it
-
-
-class Door:
-    """The front door, and the epochs that were seen here."""
-
-    def __init__(self, server: EndpointListServer, following: Replicator, at: Address) -> None:
-        self.server, self.db, self.following, self.at = server, server.store.db, following, at
-        self.lock, self.waiting = asyncio.Lock(), 0
-        self.acts = self.late = self.unknown = 0
-        for table in (
-            "epochs (claim TEXT PRIMARY KEY, epoch INTEGER NOT NULL)",
-            "acts (subject TEXT PRIMARY KEY, number INTEGER NOT NULL)",
-            "epochs_known (only INTEGER PRIMARY KEY CHECK (only = 1))",
-        ):
-            self.db.execute(f"CREATE TABLE IF NOT EXISTS {table} STRICT")
-        self.epochs: dict[str, int] = dict(self.db.execute("SELECT claim, epoch FROM epochs").fetchall())
-        self.numbers: dict[str, int] = dict(self.db.execute("SELECT subject, number FROM acts").fetchall())
-        # A memory that was lost, or never was, would let anybody in: the list service is asked first.
-        self.known = bool(self.db.execute("SELECT count(*) FROM epochs_known").fetchone()[0])
-
-    async def ask(self, connection: Connection, question: str) -> None:
-        """What the front door answers, as it is now."""
-        if question not in QUESTIONS:
-            connection.answer(Response(404, error_body("no such question")))
-            return
-        result = await call(self.at, "GET", f"/{question}", timeout_s=DOOR_S)
-        connection.answer(
-            unavailable(f"the front door does not answer: {result.reason}")
-            if isinstance(result, NoResponse)
-            else Response(result.status, {"door": result.value})
-        )
-
-    async def carry_out(self, connection: Connection, path: tuple[str, ...], fence: Fence, act: int) -> None:
-        if (path[0], path[-1]) not in ACTS or len(path) not in (2, 3):
-            connection.answer(Response(404, error_body("no such act")))
-            return
-        if self.waiting >= MOST_WAITING:
-            connection.answer(unavailable("too many acts wait"))
-            return
-        self.waiting += 1
+log = logging.getLogger("orchidhatch.gateway_calls")
+
+FENCED_CALLS = {("backends", "maint"), ("backends", "ready"), ("healthcheck", "fail"), ("healthcheck", "ok")}
+QUERIES = {"stats", "healthcheck"}  # they change nothing, and so need no fence
+MAX_QUEUED_CALLS = 100
+CLAIM_HEADER = "Orchidhatch-Claim"  # for the gateway's log; the gateway does not act on it
+
+
+@dataclass(frozen=True, slots=True)
+class FencedCall:
+    """A management call: its path, in whose name it is made, and its number among the acts of that claim."""
+
+    path: tuple[str, ...]
+    fence: Fence
+    act_number: int
+
+    @property
+    def subject(self) -> str:
+        """What it acts on, such as one backend; acts on different subjects are numbered independently."""
+        return "/".join(self.path[:-1])
+
+    def is_known(self) -> bool:
+        """Whether gateways take this call."""
+        return len(self.path) in (2, 3) and (self.path[0], self.path[-1]) in FENCED_CALLS
+
+
+class GatewayAnswer(msgspec.Struct):
+    """The body of a gateway's answer, as this agent's callers get it."""
+
+    door: Any
+
+
+class ClaimEpoch(msgspec.Struct):
+    """A claim in the registry's list; the fields that matter here."""
+
+    name: str
+    epoch: int
+
+
+class ClaimList(msgspec.Struct):
+    """The registry's list of claims."""
+
+    claims: list[ClaimEpoch]
+
+
+class CallRefusedError(Exception):
+    """A call that is not forwarded; `status` says why to the caller, the text to a person."""
+
+    status: HTTPStatus
+
+
+class UnknownCallError(CallRefusedError):
+    """There is no such call."""
+
+    status = HTTPStatus.NOT_FOUND
+
+
+class FencedOffError(CallRefusedError):
+    """The call is late, or its claim has another owner by now."""
+
+    status = HTTPStatus.CONFLICT
+
+
+class UnavailableError(CallRefusedError):
+    """The call cannot be carried out for now, or it is not known whether it was."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class GatewayCalls:
+    """The calls to one gateway, and the table of fences that they are checked against."""
+
+    def __init__(self, fences: FenceTable, replicator: Replicator, gateway: Address) -> None:
+        self.fences = fences
+        self._replicator = replicator
+        self._gateway = gateway
+        self._lock = asyncio.Lock()
+        self._queued = 0
+        self._carried_out = 0
+        self._fenced_off = 0
+        self._refused_uninitialized = 0
+
+    async def query(self, name: str) -> Response:
+        """The gateway's answer to a query, with its status."""
         try:
-            async with self.lock:
-                connection.answer(await self.in_turn(path, fence, act))
-        finally:
-            self.waiting -= 1
-
-    async def in_turn(self, path: tuple[str, ...], fence: Fence, act: int) -> Response:
-        if not self.known and not await self.learn():
-            self.unknown += 1
-            return unavailable("the epochs are not known here, and no list service tells them")
-        highest = self.epochs.get(fence.claim, 0)
-        if fence.epoch < highest:
-            self.late += 1
-            return Response(
-                409, error_body(f"claim {fence.claim} is at epoch {highest} here, not {fence.epoch}")
-            )
-        subject = "/".join(path[:-1])
-        if act < self.numbers.get(subject, 0):
-            self.late += 1
-            return Response(409, error_body(f"act {act} on {subject} comes after {self.numbers[subject]}"))
-        if len(self.epochs) + len(self.numbers) >= MOST_KNOWN:
-            return unavailable("too many claims and backends are known here")
+            if name not in QUERIES:
+                raise UnknownCallError("no such question")
+            result = await call(self._gateway, "GET", f"/{name}", timeout_s=GATEWAY_TIMEOUT_S)
+            answer = require_answer(result)
+        except CallRefusedError as error:
+            return refusal(error)
+        return encode_answer(answer.status, answer)
+
+    async def forward(self, fenced_call: FencedCall) -> Response:
+        """Carry out a call once those before it are done, unless its fence is too old."""
         try:
-            await self.keep({fence.claim: fence.epoch}, {subject: act})
-        except sqlite3.Error as error:
-            return unavailable(f"cannot keep the epoch: {error}")
-        target = "/" + "/".join(quote(part, safe="") for part in path)
-        result = await call(
-            self.at,
-            "POST",
-            target,
-            timeout_s=DOOR_S,
-            headers={CLAIM_HEADER: f"{fence.claim} {fence.epoch} {act}"},
-        )
-        if isinstance(result, NoResponse):
-            return unavailable(f"the front door does not answer: {result.reason}")
-        carried_out = 200 <= result.status < 300
-        self.acts += carried_out
-        return Response(200 if carried_out else result.status, {"door": result.value})
-
-    async def learn(self) -> bool:
-        """Of a list service that is not behind what was heard: the epochs that hold by now."""
-        registry = self.following.upstream_address
-        result = await call(registry, "GET", "/claims", timeout_s=DOOR_S)
-        if not result.ok or term_of(result.store_name) < self.following.highest_term():
-            return False
+            if not fenced_call.is_known():
+                raise UnknownCallError("no such act")
+            if self._queued >= MAX_QUEUED_CALLS:
+                raise UnavailableError("too many acts wait")
+            self._queued += 1
+            try:
+                async with self._lock:
+                    return await self.carry_out(fenced_call)
+            finally:
+                self._queued -= 1
+        except CallRefusedError as error:
+            return refusal(error)
+
+    async def carry_out(self, fenced_call: FencedCall) -> Response:
+        """Check and record the fence, then make the call. Raises CallRefusedError."""
+        await self._initialize_fences()
+        subject = fenced_call.subject
         try:
-            claims = result.value["claims"]
-            await self.keep({claim["name"]: claim["epoch"] for claim in claims}, {}, known=True)
-        except (sqlite3.Error, KeyError, TypeError) as error:
-            log.error("cannot keep the epochs: %s", error)
-            return False
-        return True
-
-    async def keep(self, epochs: dict[str, int], numbers: dict[str, int], known: bool = False) -> None:
-        """Durable on return, and nothing to write where nothing is higher."""
-        higher = {claim: epoch for claim, epoch in epochs.items() if epoch > self.epochs.get(claim, 0)}
-        numbers = {one: number for one, number in numbers.items() if number > self.numbers.get(one, 0)}
-        if higher or numbers or known:
-            await self.server.in_turn(lambda: self.write(higher, numbers, known))
-            self.epochs.update(higher)
-            self.numbers.update(numbers)
-            self.known = self.known or known
-
-    def write(self, higher: dict[str, int], numbers: dict[str, int], known: bool) -> None:
-        self.db.execute("BEGIN IMMEDIATE")
+            self.fences.check(fenced_call.fence, subject, fenced_call.act_number)
+        except StaleCallError as error:
+            self._fenced_off += 1
+            raise FencedOffError(str(error)) from error
+        if self.fences.is_full():
+            raise UnavailableError("too many claims and backends are known here")
         try:
-            self.db.executemany("INSERT OR REPLACE INTO epochs VALUES (?, ?)", list(higher.items()))
-            self.db.executemany("INSERT OR REPLACE INTO acts VALUES (?, ?)", list(numbers.items()))
-            if known:
-                self.db.execute("INSERT OR IGNORE INTO epochs_known VALUES (1)")
-            self.db.execute("COMMIT")
-        except sqlite3.Error:
-            if self.db.in_transaction:
-                self.db.execute("ROLLBACK")
-            raise
-
-    def figures(self) -> dict[str, float]:
+            await self.fences.record(fenced_call.fence, subject, fenced_call.act_number)
+        except sqlite3.Error as error:
+            raise UnavailableError(f"cannot keep the epoch: {error}") from error
+        answer = require_answer(await self._send(fenced_call))
+        if not 200 <= answer.status < 300:
+            return encode_answer(answer.status, answer)
+        self._carried_out += 1
+        return encode_answer(int(HTTPStatus.OK), answer)
+
+    def metrics(self) -> dict[str, float]:
+        """The figures by their names on /metrics."""
         return {
-            "door_acts_total": self.acts,
-            "door_late_total": self.late,
-            "door_unknown_total": self.unknown,
-            "door_acts_waiting": self.waiting,
+            "door_acts_total": self._carried_out,
+            "door_late_total": self._fenced_off,
+            "door_unknown_total": self._refused_uninitialized,
+            "door_acts_waiting": self._queued,
         }
+
+    async def _send(self, fenced_call: FencedCall) -> HttpResponse | NoResponse:
+        target = "/" + "/".join(quote(part, safe="") for part in fenced_call.path)
+        fence = fenced_call.fence
+        headers = {CLAIM_HEADER: f"{fence.claim} {fence.epoch} {fenced_call.act_number}"}
+        return await call(self._gateway, "POST", target, timeout_s=GATEWAY_TIMEOUT_S, headers=headers)
+
+    async def _initialize_fences(self) -> None:
+        """Take the epochs over from a registry, if that was never done. Raises UnavailableError."""
+        if self.fences.initialized:
+            return
+        epochs = await self._fetch_epochs()
+        if epochs is not None:
+            try:
+                await self.fences.initialize(epochs)
+            except sqlite3.Error as error:
+                log.error("epochs not saved: error=%s", error)
+        if not self.fences.initialized:
+            self._refused_uninitialized += 1
+            raise UnavailableError("the epochs are not known here, and no registry gives them")
+
+    async def _fetch_epochs(self) -> dict[str, int] | None:
+        """Epoch by claim from a registry that is not behind what was replicated; None where there is none."""
+        registry = self._replicator.upstream_address
+        result = await call(registry, "GET", "/claims", timeout_s=GATEWAY_TIMEOUT_S)
+        if not result.ok or term_of(result.store_name) < self._replicator.highest_term():
+            return None
+        try:
+            claims = msgspec.convert(result.value, ClaimList).claims
+        except msgspec.ValidationError as error:
+            log.error("claims not understood: registry=%s error=%s", self._replicator.upstream, error)
+            return None
+        return {claim.name: claim.epoch for claim in claims}
+
+
+def require_answer(result: HttpResponse | NoResponse) -> HttpResponse:
+    """The gateway's response. Raises UnavailableError where there was none."""
+    if isinstance(result, NoResponse):
+        raise UnavailableError(f"the gateway does not answer: {result.reason}")
+    return result
+
+
+def encode_answer(status: int, answer: HttpResponse) -> Response:
+    """A response that hands on the body of the gateway's."""
+    return Response(status, msgspec.to_builtins(GatewayAnswer(answer.value)))
+
+
+def refusal(error: CallRefusedError) -> Response:
+    """The response to a call that is not forwarded."""
+    return Response(int(error.status), error_body(str(error)))
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -1,35 +1,45 @@
-"""The agent on a front door's machine: watches one of several registries and serves the list on loopback.
+"""The agent on a gateway's machine: replicates the endpoint list from registries and serves it on loopback.
 
-    python -m orchidhatch.agent --listen 127.0.0.1:8501 --registry 127.0.0.1:8500 --cache agent.db
-
-While no registry answers it serves the list that it last had, also after a restart, and says how old it is.
+While no registry answers it serves the list that it received last, also after a restart, and says how old
+that is. It also forwards controllers' management calls to the gateway, and holds the gateway's policy lease.
 """
 
-import argparse
 import asyncio
 import logging
-import os
-import random
-import shlex
-import signal
-import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
-from orchidhatch.control.agent.gateway_calls import Door
-from orchidhatch.control.agent.policy_lease import Keeper, Setup
+import msgspec
+
+from orchidhatch.control.agent.cache_database import CacheDatabase
+from orchidhatch.control.agent.fence_table import FenceTable
+from orchidhatch.control.agent.gateway_calls import FencedCall, GatewayCalls
+from orchidhatch.control.agent.gateway_setup import GatewaySetup
+from orchidhatch.control.agent.policy_lease_holder import PolicyLeaseHolder
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_server import Connection, EndpointListServer, Response
 from orchidhatch.control.registry.replication import Replicator, current_time_ms
-from orchidhatch.control.registry.service import read_listen
-from orchidhatch.control.registry.store import CorruptStoreError, Store, StoreError, put_aside
+from orchidhatch.control.registry.store import CorruptStoreError, Store, put_aside
 from orchidhatch.control.schemas import read_act
 
 log = logging.getLogger("orchidhatch.agent")
 
 
+class AgentHealth(msgspec.Struct, rename="camel"):
+    """The body of /healthcheck; field names are on the wire."""
+
+    health: str
+    connected: bool
+    list_age_seconds: float
+    registry: str
+
+
 class Agent(EndpointListServer):
-    """The list as the registries have told it, in a store of its own whose generations only rise."""
+    """Serves the endpoint list from a store of its own, whose generations only rise.
+
+    `gateway` is the address of the gateway's management calls; without it no calls are forwarded. With
+    `setup` the agent holds the gateway's policy lease too.
+    """
 
     def __init__(
         self,
@@ -37,135 +47,92 @@
         registries: Sequence[Address],
         seed: int | None = None,
         wall_clock_ms: Callable[[], int] = current_time_ms,
-        door: Address | None = None,
-        setup: Setup | None = None,
+        gateway: Address | None = None,
+        setup: GatewaySetup | None = None,
     ) -> None:
         super().__init__(store, seed)
         self.replicator = Replicator(self, registries, wall_clock_ms=wall_clock_ms)
-        self.door = Door(self, self.replicator, door) if door else None
-        self.keeper = Keeper(self, registries, door, setup) if door and setup else None
+        self.database = CacheDatabase(store.db, self.in_turn)
+        self.gateway_calls: GatewayCalls | None = None
+        self.lease_holder: PolicyLeaseHolder | None = None
+        if gateway:
+            self.gateway_calls = GatewayCalls(FenceTable(self.database), self.replicator, gateway)
+        if gateway and setup:
+            self.lease_holder = PolicyLeaseHolder(self.database, self, registries, gateway, setup)
 
     def store_name(self) -> str:
+        """The name that responses carry: the agent's own store with the term of the list in it."""
         return f"{self.store.identity} {self.replicator.highest_term()}"
 
     async def start(self, host: str, port: int) -> None:
+        """Serve, replicate and hold the lease until closed."""
         await super().start(host, port)
-        jobs = [self.replicator.run()]
-        if self.keeper:
-            jobs += [self.keeper.keep_renewing(), self.keeper.keep_preparing(), self.keeper.keep_steering()]
-        self.tasks += [asyncio.create_task(job) for job in jobs]
+        loops = [self.replicator.run()]
+        if self.lease_holder:
+            loops += self.lease_holder.loops()
+        self.tasks += [asyncio.create_task(loop) for loop in loops]
+
+    def suspend_watches(self) -> None:
+        """End all watches and accept none, so that the gateway hears nothing from its agent."""
+        self.close_watches()
+
+    def resume_watches(self) -> None:
+        """Accept watches again."""
+        self.closed = False
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
-        if self.door and method == "POST" and path[:1] == ("door",):
-            self.begin(self.door.carry_out(connection, path[1:], *read_act(body)))
-        elif self.door and method == "GET" and path[:1] == ("door",) and len(path) == 2:
-            self.begin(self.door.ask(connection, path[1]))
-        else:
-            super().other(connection, method, path, body)
+        """Requests beside those of every endpoint list's server: management calls to the gateway."""
+        match method, path:
+            case "POST", ("door", *call_path) if self.gateway_calls:
+                fence, act_number = read_act(body)
+                call = FencedCall(tuple(call_path), fence, act_number)
+                self.begin(answer_later(connection, self.gateway_calls.forward(call)))
+            case "GET", ("door", query) if self.gateway_calls:
+                self.begin(answer_later(connection, self.gateway_calls.query(query)))
+            case _:
+                super().other(connection, method, path, body)
 
     def health(self) -> Response:
-        value = {
-            "health": "serves",
-            "connected": self.replicator.connected,
-            "listAgeSeconds": self.replicator.list_age_s(),
-            "registry": self.replicator.upstream,
-        }
-        return Response(200 if self.replicator.has_list else 503, value)
+        """Healthy once a list was ever received, however old it is."""
+        health = AgentHealth(
+            health="serves",
+            connected=self.replicator.connected,
+            list_age_seconds=self.replicator.list_age_s(),
+            registry=self.replicator.upstream,
+        )
+        return Response(200 if self.replicator.has_list else 503, msgspec.to_builtins(health))
 
     def figures(self) -> str:
-        heard = self.replicator
-        return self.lines(
-            "agent",
-            {
-                "connected": int(heard.connected),
-                "list_age_seconds": heard.list_age_s(),
-                "registry_generation": heard.position.generation,
-                "switches_total": heard.upstream_switches,
-                "behind_total": heard.stale_lists,
-                "malformed_total": heard.malformed_endpoints,
-                **(self.door.figures() if self.door else {}),
-                **(self.keeper.figures() if self.keeper else {}),
-            },
-        )
+        """The text of /metrics."""
+        replicator = self.replicator
+        values: dict[str, float] = {
+            "connected": int(replicator.connected),
+            "list_age_seconds": replicator.list_age_s(),
+            "registry_generation": replicator.position.generation,
+            "switches_total": replicator.upstream_switches,
+            "behind_total": replicator.stale_lists,
+            "malformed_total": replicator.malformed_endpoints,
+        }
+        if self.gateway_calls:
+            values |= self.gateway_calls.metrics()
+        if self.lease_holder:
+            values |= self.lease_holder.metrics()
+        return self.lines("agent", values)
+
+
+async def answer_later(connection: Connection, response: Awaitable[Response]) -> None:
+    """Answer a request once its response is known."""
+    connection.answer(await response)
 
 
 def open_cache(path: Path) -> Store:
-    """The list as it was last had; a damaged one is put aside, as the registries have it all."""
+    """Open the store of the list that was received last; a damaged one is set aside and begun anew.
+
+    The registries have all that is in it. Raises StoreError where the file cannot be used.
+    """
     try:
         return Store(path, create=True, first=current_time_ms())
     except CorruptStoreError as error:
-        log.error("%s; put aside as %s, begun anew", error, put_aside(path).name)
+        aside = put_aside(path)
+        log.error("damaged cache set aside: error=%s file=%s", error, aside.name)
         return Store(path, create=True, first=current_time_ms())
-
-
-def setup_of(options: argparse.Namespace) -> Setup | None:
-    """What it takes to keep the door to a policy; all of it or nothing."""
-    given = (options.name, options.zone, options.config, options.pid, options.check)
-    return Setup(*given[:4], shlex.split(options.check)) if all(given) else None
-
-
-async def serve(options: argparse.Namespace) -> None:
-    seed = random.SystemRandom().getrandbits(32) ^ os.getpid()  # agents of many machines start together
-    agent = Agent(
-        open_cache(options.cache), options.registry, seed, door=options.door, setup=setup_of(options)
-    )
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
-    await agent.start(*options.listen)
-    at = agent.listener.sockets[0].getsockname()
-    log.info(
-        "serves generation %d at %s:%d, a list %.0f s old",
-        agent.store.generation,
-        *at,
-        agent.replicator.list_age_s(),
-    )
-    await stopped.wait()
-    await agent.close()
-    log.info("ends")
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(prog="orchidhatch.agent", description=__doc__.partition("\n")[0])
-    parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
-    parser.add_argument(
-        "--registry",
-        type=read_listen,
-        required=True,
-        action="append",
-        metavar="HOST:PORT",
-        help="may be given several times",
-    )
-    parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
-    parser.add_argument(
-        "--door",
-        type=read_listen,
-        metavar="HOST:PORT",
-        help="where the front door's management calls are taken; owners' acts go there",
-    )
-    keeping = parser.add_argument_group("policy", "to keep the door to the policy that holds: all of these")
-    keeping.add_argument("--name", help="the door's, the same after a restart")
-    keeping.add_argument("--zone")
-    keeping.add_argument("--config", type=Path, metavar="FILE", help="the door's PROXY_CONFIG")
-    keeping.add_argument("--pid", type=Path, metavar="FILE", help="where the door's process number stands")
-    keeping.add_argument(
-        "--check",
-        metavar="COMMAND",
-        help="checks the file that PROXY_CONFIG names, as "
-        "'.venv/bin/python -m orchidhatch.proxy --check'; no shell sees it",
-    )
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
-    options = parser.parse_args()
-    policy = [options.name, options.zone, options.config, options.pid, options.check]
-    if any(policy) and not (all(policy) and options.door):
-        parser.error("--name, --zone, --config, --pid, --check and --door go together")
-    try:
-        asyncio.run(serve(options))
-    except (StoreError, OSError) as error:
-        print(f"orchidhatch.agent: {error}", file=sys.stderr)
-        return 1
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -76,14 +76,14 @@
 
 
 def go_back() -> None:
-    from orchidhatch.control.agent import service as agent
+    from orchidhatch.control.agent import command
     from orchidhatch.control.registry.store import Store
 
     def anew(path: Any) -> Store:  # noqa: ANN401
         path.unlink(missing_ok=True)
         return Store(path, create=True, first=0)
 
-    agent.open_cache = anew
+    command.open_cache = anew
 
 
 def look_never() -> None:
@@ -105,18 +105,18 @@
 
 
 def trust_clocks() -> None:
-    from orchidhatch.control.agent.gateway_calls import Door
+    from orchidhatch.control.agent.gateway_calls import GatewayCalls
     from orchidhatch.control.ownership.claims import ClaimsTransaction
 
     ClaimsTransaction.check = lambda self, fence: None
-    in_turn = Door.in_turn
+    carry_out = GatewayCalls.carry_out
 
-    async def unchecked(self: Door, path: Any, fence: Any, act: int) -> Any:  # noqa: ANN401
-        self.epochs.clear()
-        self.numbers.clear()
-        return await in_turn(self, path, fence, act)
+    async def unchecked(self: GatewayCalls, fenced_call: Any) -> Any:  # noqa: ANN401
+        self.fences.epochs.clear()
+        self.fences.act_numbers.clear()
+        return await carry_out(self, fenced_call)
 
-    Door.in_turn = unchecked
+    GatewayCalls.carry_out = unchecked
 
 
 def decide_unready() -> None:
@@ -126,21 +126,21 @@
 
 
 def return_as_it_was() -> None:
-    from orchidhatch.control.agent.policy_lease import Keeper
+    from orchidhatch.control.agent.gateway_steering import GatewaySteering
 
-    may_serve = Keeper.may_serve
+    permitted_digest = GatewaySteering.permitted_digest
 
-    def as_it_was(self: Keeper) -> str | None:
-        return self.has if self.under and not self.serves else may_serve(self)
+    def as_it_was(self: GatewaySteering) -> str | None:
+        state = self.gateway.state
+        return state.digest if state.policy and not state.serves else permitted_digest(self)
 
-    Keeper.may_serve = as_it_was
+    GatewaySteering.permitted_digest = as_it_was
 
 
 def lease_for_ever() -> None:
-    from orchidhatch.control.agent import policy_lease as keeper
+    from orchidhatch.control.agent import policy_lease
 
-    keeper.LEASE_S = 1e6  # what is asked for in it stays as often, as the list service's own is meant
-    keeper.RENEWALS_PER_LEASE = round(4e6 / 3)
+    policy_lease.LEASE_S = 1e6  # the lease only: it is renewed as often as before
 
 
 def decide_late() -> None:
--- /dev/null
+++ b/tests/control/agent/test_gateway_process.py
@@ -0,0 +1,32 @@
+"""Signalling the gateway's process, and no other that has its number."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+from orchidhatch.control.agent.gateway_process import GatewayProcess
+
+WAIT_FOR_SIGNAL = "import signal, sys; print(flush=True); signal.pause()"
+UNUSED_PROCESS_NUMBER = 1 << 22
+
+
+async def test_reload_when_the_process_is_another_then_signals_nobody(tmp_path: Path) -> None:
+    config_file, pid_file = tmp_path / "config.json", tmp_path / "pid"
+    gateway = GatewayProcess(pid_file, config_file)
+    for own in (False, True):
+        env = {"PROXY_CONFIG": str(config_file if own else tmp_path / "other.json")}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", WAIT_FOR_SIGNAL, env=env, stdout=asyncio.subprocess.PIPE
+        )
+        await process.stdout.readline()
+        pid_file.write_text(str(process.pid))
+        gateway.reload()
+        if own:
+            assert await process.wait() == -signal.SIGHUP
+        else:
+            process.kill()
+            assert await process.wait() == -signal.SIGKILL
+    for text in ("", "x", str(UNUSED_PROCESS_NUMBER)):
+        pid_file.write_text(text)
+        gateway.reload()  # nobody
--- /dev/null
+++ b/tests/control/agent/test_gateway_steering.py
@@ -0,0 +1,34 @@
+"""Steering a gateway that does not do what it is told, or cannot be told."""
+
+from pathlib import Path
+
+import pytest
+
+from orchidhatch.control.agent import gateway_steering
+from orchidhatch.control.policy.records import DOCUMENT_RECORD_PREFIX
+from orchidhatch.control.policy.timing import LEASE_S
+from tests.control.agent.lease_fixture import leased_gateway
+from tests.control.policy.test_policy import DA, A, decide
+from tests.sockets import HOST
+
+
+async def test_gateway_when_it_does_not_apply_a_policy_then_is_suspended_and_cut_off_if_unreachable(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(gateway_steering, "SWITCH_TIMEOUT_S", 0.0)
+    async with leased_gateway(tmp_path) as fixture:
+        steering = fixture.holder.steering
+        number = fixture.registry.doors.now()["number"]
+        await fixture.advance()
+        await fixture.put_record(DOCUMENT_RECORD_PREFIX + DA, A)
+        fixture.ignores_signals = True
+        await decide(fixture.registry, DA, "", number + 1, moveMs=0)
+        assert await fixture.advance(0.1) == 503 and steering.failed_switches
+        fixture.ignores_signals = False
+        assert await fixture.advance(0.1) == 200
+        agent, address = fixture.agent, fixture.holder.gateway.address
+        fixture.holder.gateway.address = (HOST, 1)
+        await fixture.advance(LEASE_S + 0.1, renews=False)
+        assert agent.closed  # and so the gateway's watch ends, and it suspends admission by itself
+        fixture.holder.gateway.address = address
+        assert await fixture.advance() == 200 and not agent.closed
--- /dev/null
+++ b/tests/control/agent/test_replication.py
@@ -0,0 +1,121 @@
+"""The agent's copy of the endpoint list: it fails over between registries and goes only forward."""
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from orchidhatch.control.agent.service import Agent, open_cache
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.schemas import InvalidRequestError
+from orchidhatch.proxy.server import FrontDoor
+from tests.control.agent.helpers import register_endpoint, running_agent, until
+from tests.control.registry.test_service import Watcher, address_of, call, named, serving
+from tests.control.test_schemas import body
+from tests.sockets import CONFIG, HOST, Backend, Client, query
+
+
+async def test_watch_when_the_registry_changes_then_passes_on_each_change_with_rising_generations(
+    tmp_path: Path,
+) -> None:
+    async with serving(tmp_path / "r.db") as registry:
+        await register_endpoint(registry, "s-1")
+        async with running_agent(tmp_path / "a.db", address_of(registry)) as agent:
+            await until(lambda: agent.replicator.connected)
+            watcher = await Watcher.open(address_of(agent))
+            first = await watcher.news()
+            assert first["reset"] and first["instances"] == [json.loads(body(instanceId="s-1"))]
+            await register_endpoint(registry, "s-2")
+            await call(address_of(registry), "POST /entries/s-1/lifecycle", b'{"lifecycle":"DRAINING"}')
+            told: dict[str, str] = {}
+            last = first["generation"]
+            while told != {"s-2": "SERVING", "s-1": "DRAINING"}:
+                news = await watcher.news()
+                assert not news["reset"] and news["generation"] > last
+                last = news["generation"]
+                told |= named(news)
+
+
+async def test_replication_when_switched_to_another_registry_then_gives_its_whole_list_as_a_later_generation(
+    tmp_path: Path,
+) -> None:
+    async with serving(tmp_path / "r2.db") as second:
+        await register_endpoint(second, "s-2")
+        async with serving(tmp_path / "r1.db") as first:
+            for name in ("s-1", "s-2", "s-3"):
+                await register_endpoint(first, name)
+            async with running_agent(tmp_path / "a.db", address_of(first), address_of(second)) as agent:
+                await until(lambda: agent.replicator.connected)
+                watcher = await Watcher.open(address_of(agent))
+                before = await watcher.news()
+                assert len(before["instances"]) == 3
+                await first.close()
+                after = await watcher.news()
+                assert after["reset"] and named(after) == {"s-2": "SERVING"}
+                assert after["generation"] > before["generation"]
+                await register_endpoint(second, "s-4")
+                assert named(await watcher.news()) == {"s-4": "SERVING"}
+                assert agent.replicator.upstream_switches == 1
+
+
+async def test_replication_when_the_other_registry_is_behind_then_keeps_the_newer_list(
+    tmp_path: Path,
+) -> None:
+    store = Store(tmp_path / "r1.db", create=True)
+    store.close()
+    (tmp_path / "old.db").write_bytes((tmp_path / "r1.db").read_bytes())  # the same store, of before
+    async with serving(tmp_path / "r1.db") as first, serving(tmp_path / "old.db") as old:
+        await register_endpoint(first, "s-1")
+        async with running_agent(tmp_path / "a.db", address_of(first), address_of(old)) as agent:
+            await until(lambda: agent.replicator.connected)
+            await first.close()
+            await until(lambda: agent.replicator.stale_lists >= 2)
+            assert not agent.replicator.connected and list(agent.store.entries) == ["s-1"]
+            old.store.term = agent.store.term - 1  # and so is one of an earlier term
+            before = agent.replicator.stale_lists
+            await until(lambda: agent.replicator.stale_lists > before)
+            assert list(agent.store.entries) == ["s-1"]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{",
+        b"[]",
+        b'{"generation":1}',
+        b'{"generation":"x","reset":true,"instances":[]}',
+        b"null",
+        b'{"generation":1e999,"reset":true,"instances":[]}',
+        b'{"generation":2,"reset":true,"instances":7}',
+    ],
+)
+async def test_watch_event_when_malformed_then_changes_nothing(tmp_path: Path, line: bytes) -> None:
+    agent = Agent(open_cache(tmp_path / "a.db"), [(HOST, 1)])
+    told = b'{"generation":1,"reset":true,"instances":[%b,{"odd":1},5]}' % body(instanceId="s-1")
+    await agent.replicator.apply_event("x 1", told)
+    assert list(agent.store.entries) == ["s-1"] and agent.replicator.malformed_endpoints == 2
+    before = agent.store.generation
+    with pytest.raises(InvalidRequestError):
+        await agent.replicator.apply_event("x 1", line)
+    assert agent.store.generation == before and list(agent.store.entries) == ["s-1"]
+
+
+async def test_gateway_when_moved_to_another_service_then_uses_its_whole_list(tmp_path: Path) -> None:
+    """As a SIGHUP does, by a configuration that names another address."""
+    backends = [Backend(), Backend()]
+    async with serving(tmp_path / "r1.db") as first, serving(tmp_path / "r2.db") as second:
+        for registry, backend in zip((first, second), backends, strict=True):
+            at = await backend.start()
+            await register_endpoint(registry, f"s-{registry is second}", hostPort=f"{at[0]}:{at[1]}")
+        async with running_agent(tmp_path / "a.db", address_of(second)) as agent:
+            await until(lambda: agent.replicator.connected)
+            door = FrontDoor(replace(CONFIG, discovery=address_of(first)))
+            await door.start()
+            await until(lambda: "s-False" in door.catalog.entries)
+            client = await Client.open(door.server.sockets[0].getsockname())
+            assert await client.ask(query("a0")) == b"ok" and len(backends[0].commands) == 1
+            door.reload(replace(door.config, discovery=address_of(agent)))
+            await until(lambda: list(door.catalog.entries) == ["s-True"])
+            assert await client.ask(query("a1")) == b"ok" and len(backends[1].commands) == 1
+            door.close()
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -299,7 +299,7 @@
         path, silent = tmp_path / "a.db", refusing_address()
 
         async def begin(registry: tuple[str, int]) -> Agent:
-            agent = Agent(Store(path, create=True), [registry], 1, door=server.sockets[0].getsockname())
+            agent = Agent(Store(path, create=True), [registry], 1, gateway=server.sockets[0].getsockname())
             await agent.start(HOST, 0)
             return agent
 
@@ -520,7 +520,7 @@
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
             agent = Agent(
-                Store(tmp_path / "a.db", create=True), [at], 1, door=server.sockets[0].getsockname()
+                Store(tmp_path / "a.db", create=True), [at], 1, gateway=server.sockets[0].getsockname()
             )
             await agent.start(HOST, 0)
             steward = Controller("steward-1", [at], [address_of(agent), refusing_address()], lease_ms=60_000)
--- a/tests/control/registry/test_rebuild.py
+++ b/tests/control/registry/test_rebuild.py
@@ -1,4 +1,4 @@
-"""A store made anew: from whom, of which term, and what is never touched."""
+"""A rebuilt store: from which source, of which term, and what is never changed."""
 
 import asyncio
 import shutil
@@ -6,15 +6,15 @@
 from pathlib import Path
 
 from orchidhatch.control.registry.store import Register, Store
-from tests.control.agent.test_service import agent_of, register, until
+from tests.control.agent.helpers import register_endpoint, running_agent, until
 from tests.control.registry.test_service import Watcher, address_of, named, serving
 from tests.control.registry.test_store import entry, one
-from tests.sockets import refusing_address, run
+from tests.sockets import refusing_address
 
 ROOT = Path(__file__).parents[3]
 
 
-async def rebuild(path: Path, *words: str) -> tuple[int, str, str]:
+async def run_rebuild(path: Path, *words: str) -> tuple[int, str, str]:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -36,87 +36,75 @@
     return data
 
 
-def test_damaged_store_is_made_anew_from_an_agent_and_goes_on_above_it(tmp_path: Path) -> None:
+async def test_rebuild_when_the_store_is_damaged_then_uses_the_agents_list_in_a_higher_term(
+    tmp_path: Path,
+) -> None:
     path = tmp_path / "list.db"
-
-    async def job() -> None:
-        async with serving(path, term=3) as registry:
-            for number in (1, 2):
-                await register(registry, f"s-{number}", hostPort=f"127.0.0.1:700{number}")
-            at = address_of(registry)
-            async with agent_of(tmp_path / "a.db", at) as agent:
-                await until(lambda: len(agent.store.entries) == 2)
-                watcher = await Watcher.open(address_of(agent))
-                before = await watcher.news()
-                await registry.close()
-                broken = damage(path)
-                source = "{}:{}".format(*address_of(agent))
-                status, out, _ = await rebuild(path, "--from", source)
-                assert status == 0 and "damaged" in out and "2 entries" in out
-                assert (tmp_path / "list.db.damaged").read_bytes() == broken
-                again = Store(path)
-                assert again.term == 4  # above the one that the agent had heard of
-                assert again.entries.keys() == {"s-1", "s-2"} and again.generation > before["generation"]
-                assert again.entries["s-1"].address == "127.0.0.1:7001"
-                again.close()
-                assert (await rebuild(path, "--from", source))[2].endswith("is sound; it is not replaced\n")
-
-    run(job())
-
-
-def test_store_from_a_copy_is_of_a_higher_term_and_the_old_one_is_passed_over(tmp_path: Path) -> None:
+    async with serving(path, term=3) as registry:
+        for number in (1, 2):
+            await register_endpoint(registry, f"s-{number}", hostPort=f"127.0.0.1:700{number}")
+        at = address_of(registry)
+        async with running_agent(tmp_path / "a.db", at) as agent:
+            await until(lambda: len(agent.store.entries) == 2)
+            watcher = await Watcher.open(address_of(agent))
+            before = await watcher.news()
+            await registry.close()
+            broken = damage(path)
+            source = "{}:{}".format(*address_of(agent))
+            status, out, _ = await run_rebuild(path, "--from", source)
+            assert status == 0 and "damaged" in out and "2 entries" in out
+            assert (tmp_path / "list.db.damaged").read_bytes() == broken
+            again = Store(path)
+            assert again.term == 4  # above the one that the agent had heard of
+            assert again.entries.keys() == {"s-1", "s-2"} and again.generation > before["generation"]
+            assert again.entries["s-1"].address == "127.0.0.1:7001"
+            again.close()
+            assert (await run_rebuild(path, "--from", source))[2].endswith("is sound; it is not replaced\n")
+
+
+async def test_rebuild_when_from_a_backup_then_agents_prefer_the_new_store_over_the_old(
+    tmp_path: Path,
+) -> None:
     path, copy, new = tmp_path / "list.db", tmp_path / "copy.db", tmp_path / "new.db"
     store = Store(path, create=True)
     one(store, Register(entry(1, lease_ms=5000)))
     store.close()
     shutil.copy(path, copy)
-
-    async def job() -> None:
-        assert (await rebuild(new, "--backup", str(copy)))[0] == 0
-        async with serving(path, create=False) as old, serving(new, create=False) as fresh:
-            assert fresh.store.term == old.store.term + 1 and fresh.store.identity != old.store.identity
-            assert fresh.store.entries["s-1"].lease_ms == 5000
-            async with agent_of(tmp_path / "a.db", address_of(fresh), address_of(old)) as agent:
-                await until(lambda: agent.replicator.connected)
-                watcher = await Watcher.open(address_of(agent))
-                assert named(await watcher.news()) == {"s-1": "SERVING"}
-                await register(old, "s-old")
-                await fresh.close()
-                await until(lambda: agent.replicator.stale_lists)
-                assert list(agent.store.entries) == ["s-1"]
-
-    run(job())
-
-
-def test_without_a_source_nothing_is_touched(tmp_path: Path) -> None:
+    assert (await run_rebuild(new, "--backup", str(copy)))[0] == 0
+    async with serving(path, create=False) as old, serving(new, create=False) as fresh:
+        assert fresh.store.term == old.store.term + 1 and fresh.store.identity != old.store.identity
+        assert fresh.store.entries["s-1"].lease_ms == 5000
+        async with running_agent(tmp_path / "a.db", address_of(fresh), address_of(old)) as agent:
+            await until(lambda: agent.replicator.connected)
+            watcher = await Watcher.open(address_of(agent))
+            assert named(await watcher.news()) == {"s-1": "SERVING"}
+            await register_endpoint(old, "s-old")
+            await fresh.close()
+            await until(lambda: agent.replicator.stale_lists)
+            assert list(agent.store.entries) == ["s-1"]
+
+
+async def test_rebuild_when_the_source_fails_then_changes_nothing(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
     store = Store(path, create=True)
     one(store, Register(entry(1)))
     store.close()
     broken = damage(path)
-
-    async def job() -> None:
-        gone = "{}:{}".format(*refusing_address())
-        for words in (
-            ("--from", gone),
-            ("--backup", str(tmp_path / "none.db")),
-            ("--backup", str(path)),
-            ("--from", "nowhere"),
-        ):
-            status, out, errors = await rebuild(path, *words)
-            assert (status, out) == (1, "") and errors.count("\n") == 1
-        assert path.read_bytes() == broken and not (tmp_path / "list.db.damaged").exists()
-
-    run(job())
-
-
-def test_store_in_use_is_not_replaced(tmp_path: Path) -> None:
+    gone = "{}:{}".format(*refusing_address())
+    for words in (
+        ("--from", gone),
+        ("--backup", str(tmp_path / "none.db")),
+        ("--backup", str(path)),
+        ("--from", "nowhere"),
+    ):
+        status, out, errors = await run_rebuild(path, *words)
+        assert (status, out) == (1, "") and errors.count("\n") == 1
+    assert path.read_bytes() == broken and not (tmp_path / "list.db.damaged").exists()
+
+
+async def test_rebuild_when_the_store_is_in_use_then_does_not_replace_it(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
-
-    async def job() -> None:
-        async with serving(path) as registry:
-            await register(registry, "s-1")
-            status, _, errors = await rebuild(path, "--from", "{}:{}".format(*address_of(registry)))
-            assert status == 1 and "locked" in errors and registry.store.entries
-
-    run(job())
+    async with serving(path) as registry:
+        await register_endpoint(registry, "s-1")
+        status, _, errors = await run_rebuild(path, "--from", "{}:{}".format(*address_of(registry)))
+        assert status == 1 and "locked" in errors and registry.store.entries
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -1,4 +1,4 @@
-"""A list service that stands by for another: what it keeps, refuses, and becomes when it is promoted."""
+"""A registry that replicates another: what it keeps and refuses, and what it becomes when it is promoted."""
 
 import asyncio
 import contextlib
@@ -11,143 +11,133 @@
 
 import pytest
 
-from orchidhatch.control.registry import replication as following
+from orchidhatch.control.registry import replication
 from orchidhatch.control.registry import service as registry
 from orchidhatch.control.registry.service import Registry
 from orchidhatch.control.registry.store import Register, Store, StoreError
 from orchidhatch.proxy.server import FrontDoor
-from tests.control.agent.test_service import agent_of, register, start_agent, until
+from tests.control.agent.helpers import register_endpoint, running_agent, start_agent_process, until
 from tests.control.registry.test_service import Watcher, address_of, call, named, serving, start
 from tests.control.registry.test_store import entry, one
 from tests.control.test_cli import client
 from tests.control.test_schemas import body
-from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address, run
+from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address
 
 
 @pytest.fixture(autouse=True)
-def soon(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(following, "INITIAL_BACKOFF_S", 0.01)
-    monkeypatch.setattr(following, "MAX_BACKOFF_S", 0.02)
+def fast_retries(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Retry a watch, and ask peers for their term, after milliseconds."""
+    monkeypatch.setattr(replication, "INITIAL_BACKOFF_S", 0.01)
+    monkeypatch.setattr(replication, "MAX_BACKOFF_S", 0.02)
     monkeypatch.setattr(registry, "ASK_S", 0.005)
 
 
 @contextlib.asynccontextmanager
-async def standing_by(path: Path, *followed: tuple[str, int]) -> AsyncIterator[Registry]:
-    async with serving(path, follow=followed) as follower:
-        await until(lambda: follower.following.connected)
-        yield follower
-
-
-def test_promoted_follower_goes_on_with_lives_and_leases_and_the_old_one_is_fenced(tmp_path: Path) -> None:
-    async def job() -> None:
-        async with serving(tmp_path / "1.db") as first:
-            await register(first, "s-1", leaseMs=60_000)
-            await register(first, "s-2")
-            await call(address_of(first), "DELETE /entries/s-2")
-            async with standing_by(tmp_path / "2.db", address_of(first)) as second:
-                at = address_of(second)
-                await until(lambda: list(second.store.entries) == ["s-1"])
-                watcher = await Watcher.open(at)
-                before = await watcher.news()
-                for write in ("POST /entries", "POST /entries/s-1/renew", "DELETE /entries/s-1"):
-                    given = body() if write == "POST /entries" else b'{"life":1}'
-                    status, told = await call(at, write, given)
-                    assert status == 409 and "takes no writes" in told["error"]
-                assert (await call(at, "GET /healthcheck"))[1]["health"] == "follows"
-                status, told = await call(at, "POST /promote")
-                assert status == 409 and "still answers" in told["error"]
-                await first.close()
-                await until(lambda: not second.following.connected)
-                async with agent_of(tmp_path / "a.db", at) as agent:
-                    await until(lambda: agent.replicator.connected)
-                    status, out, _ = await client(at, "promote")
-                    assert status == 0 and out.startswith("term 2, generation ") and "1 entries" in out
-                    assert (await call(at, "POST /entries/s-1/renew", b'{"life":1}'))[0] == 200
-                    assert second.leases.due.keys() == {"s-1"}
-                    with pytest.raises((asyncio.IncompleteReadError, ValueError)):
-                        await watcher.news()  # it was told another term
-                    again = await (await Watcher.open(at, before["generation"])).news()
-                    assert again["reset"] and again["generation"] > before["generation"]
-                    assert (await call(at, "POST /promote"))[0] == 409
-                    await until(lambda: agent.replicator.position.store_name.endswith(" 2"))
-                    async with serving(tmp_path / "1.db", create=False, peers=(at,)) as old:
-                        assert (await call(address_of(old), "POST /entries", body()))[0] == 409
-                        agent.replicator.upstreams = [address_of(old)]
-                        await second.close()
-                        await until(lambda: agent.replicator.stale_lists)
-                        assert list(agent.store.entries) == ["s-1"]
-
-    run(job())
-
-
-def test_lag_is_told_and_promotion_can_be_forced(tmp_path: Path) -> None:
-    async def job() -> None:
-        async with (
-            serving(tmp_path / "1.db") as first,
-            standing_by(tmp_path / "2.db", address_of(first)) as second,
-        ):
-            await register(first, "s-1")
-            await until(lambda: second.following.position.generation == first.store.generation)
-            heard = second.following.position.confirmed_at_ms
-            second.following.wall_clock_ms = lambda: heard + 2500
-            text = (await call(address_of(second), "GET /metrics"))[1]
-            for figure in ("following 1", "lag_seconds 2.5", "followed_generation 1"):
-                assert f"\nregistry_{figure}\n" in text
-            status, done = await call(address_of(second), "POST /promote", b'{"force":true}')
-            assert (status, done["term"], done["entries"], done["heardGeneration"]) == (200, 2, 1, 1)
-            assert (
-                await call(address_of(second), "POST /entries/s-1/lifecycle", b'{"lifecycle":"DRAINING"}')
-            )[0] == 200
-            assert first.store.entries["s-1"].lifecycle == "SERVING"  # it is not followed any more
-
-    run(job())
-
-
-def test_follower_that_answered_a_peer_is_not_promoted_while_that_one_may_go_by_it(tmp_path: Path) -> None:
-    """As a first that wakes up in the moment of the promotion has asked just before it."""
-
-    async def job() -> None:
-        async with (
-            serving(tmp_path / "1.db") as first,
-            standing_by(tmp_path / "2.db", address_of(first)) as second,
-        ):
+async def running_replica(path: Path, *upstreams: tuple[str, int]) -> AsyncIterator[Registry]:
+    async with serving(path, follow=upstreams) as replica:
+        await until(lambda: replica.following.connected)
+        yield replica
+
+
+async def test_replica_when_promoted_then_keeps_incarnations_and_leases_and_fences_the_old_one(
+    tmp_path: Path,
+) -> None:
+    async with serving(tmp_path / "1.db") as first:
+        await register_endpoint(first, "s-1", leaseMs=60_000)
+        await register_endpoint(first, "s-2")
+        await call(address_of(first), "DELETE /entries/s-2")
+        async with running_replica(tmp_path / "2.db", address_of(first)) as second:
+            at = address_of(second)
+            await until(lambda: list(second.store.entries) == ["s-1"])
+            watcher = await Watcher.open(at)
+            before = await watcher.news()
+            for write in ("POST /entries", "POST /entries/s-1/renew", "DELETE /entries/s-1"):
+                given = body() if write == "POST /entries" else b'{"life":1}'
+                status, told = await call(at, write, given)
+                assert status == 409 and "takes no writes" in told["error"]
+            assert (await call(at, "GET /healthcheck"))[1]["health"] == "follows"
+            status, told = await call(at, "POST /promote")
+            assert status == 409 and "still answers" in told["error"]
             await first.close()
             await until(lambda: not second.following.connected)
-            assert (await call(address_of(second), "GET /term"))[1] == {"term": 1}
-            status, told = await call(address_of(second), "POST /promote")
-            assert status == 409 and "a peer asked" in told["error"]
-            second.clock = lambda: time.monotonic() + registry.PROMISE_S
-            assert (await call(address_of(second), "POST /promote"))[0] == 200
-
-    run(job())
-
-
-def test_follower_that_never_heard_a_list_is_not_promoted(tmp_path: Path) -> None:
-    async def job() -> None:
-        async with serving(tmp_path / "2.db", follow=(refusing_address(),)) as second:
-            status, told = await call(address_of(second), "POST /promote", b'{"force":true}')
-            assert status == 409 and "never heard" in told["error"]
-            assert (await call(address_of(second), "GET /healthcheck"))[0] == 503
-            assert (await call(address_of(second), "POST /promote", b'{"force":1}'))[0] == 400
-
-    run(job())
-
-
-def test_promoted_service_stays_so_when_it_is_started_again_with_the_same_words(tmp_path: Path) -> None:
+            async with running_agent(tmp_path / "a.db", at) as agent:
+                await until(lambda: agent.replicator.connected)
+                status, out, _ = await client(at, "promote")
+                assert status == 0 and out.startswith("term 2, generation ") and "1 entries" in out
+                assert (await call(at, "POST /entries/s-1/renew", b'{"life":1}'))[0] == 200
+                assert second.leases.due.keys() == {"s-1"}
+                with pytest.raises((asyncio.IncompleteReadError, ValueError)):
+                    await watcher.news()  # it was told another term
+                again = await (await Watcher.open(at, before["generation"])).news()
+                assert again["reset"] and again["generation"] > before["generation"]
+                assert (await call(at, "POST /promote"))[0] == 409
+                await until(lambda: agent.replicator.position.store_name.endswith(" 2"))
+                async with serving(tmp_path / "1.db", create=False, peers=(at,)) as old:
+                    assert (await call(address_of(old), "POST /entries", body()))[0] == 409
+                    agent.replicator.upstreams = [address_of(old)]
+                    await second.close()
+                    await until(lambda: agent.replicator.stale_lists)
+                    assert list(agent.store.entries) == ["s-1"]
+
+
+async def test_replica_when_promotion_is_forced_then_tells_its_lag_and_is_promoted(tmp_path: Path) -> None:
+    async with (
+        serving(tmp_path / "1.db") as first,
+        running_replica(tmp_path / "2.db", address_of(first)) as second,
+    ):
+        await register_endpoint(first, "s-1")
+        await until(lambda: second.following.position.generation == first.store.generation)
+        heard = second.following.position.confirmed_at_ms
+        second.following.wall_clock_ms = lambda: heard + 2500
+        text = (await call(address_of(second), "GET /metrics"))[1]
+        for figure in ("following 1", "lag_seconds 2.5", "followed_generation 1"):
+            assert f"\nregistry_{figure}\n" in text
+        status, done = await call(address_of(second), "POST /promote", b'{"force":true}')
+        assert (status, done["term"], done["entries"], done["heardGeneration"]) == (200, 2, 1, 1)
+        assert (await call(address_of(second), "POST /entries/s-1/lifecycle", b'{"lifecycle":"DRAINING"}'))[
+            0
+        ] == 200
+        assert first.store.entries["s-1"].lifecycle == "SERVING"  # it is not followed any more
+
+
+async def test_promotion_when_a_peer_was_told_the_term_just_before_then_is_refused(
+    tmp_path: Path,
+) -> None:
+    """A first one that wakes up at the moment of the promotion has asked just before it."""
+    async with (
+        serving(tmp_path / "1.db") as first,
+        running_replica(tmp_path / "2.db", address_of(first)) as second,
+    ):
+        await first.close()
+        await until(lambda: not second.following.connected)
+        assert (await call(address_of(second), "GET /term"))[1] == {"term": 1}
+        status, told = await call(address_of(second), "POST /promote")
+        assert status == 409 and "a peer asked" in told["error"]
+        second.clock = lambda: time.monotonic() + registry.PROMISE_S
+        assert (await call(address_of(second), "POST /promote"))[0] == 200
+
+
+async def test_promotion_when_no_list_was_ever_received_then_is_refused(tmp_path: Path) -> None:
+    async with serving(tmp_path / "2.db", follow=(refusing_address(),)) as second:
+        status, told = await call(address_of(second), "POST /promote", b'{"force":true}')
+        assert status == 409 and "never heard" in told["error"]
+        assert (await call(address_of(second), "GET /healthcheck"))[0] == 503
+        assert (await call(address_of(second), "POST /promote", b'{"force":1}'))[0] == 400
+
+
+async def test_promoted_registry_when_restarted_with_the_same_options_then_stays_promoted(
+    tmp_path: Path,
+) -> None:
     """As a supervisor does; it would else refuse all writes, and follow the one that it replaced."""
+    async with serving(tmp_path / "1.db") as first:
+        async with running_replica(tmp_path / "2.db", address_of(first)) as second:
+            assert (await call(address_of(second), "POST /promote", b'{"force":true}'))[0] == 200
+        async with serving(tmp_path / "2.db", create=False, follow=(address_of(first),)) as again:
+            assert (await call(address_of(again), "POST /entries", body()))[0] == 200
+            assert again.store.term == 2
 
-    async def job() -> None:
-        async with serving(tmp_path / "1.db") as first:
-            async with standing_by(tmp_path / "2.db", address_of(first)) as second:
-                assert (await call(address_of(second), "POST /promote", b'{"force":true}'))[0] == 200
-            async with serving(tmp_path / "2.db", create=False, follow=(address_of(first),)) as again:
-                assert (await call(address_of(again), "POST /entries", body()))[0] == 200
-                assert again.store.term == 2
 
-    run(job())
-
-
-def test_later_term_is_durable_and_nobody_resumes_over_it(tmp_path: Path) -> None:
+def test_store_when_a_term_begins_then_it_is_durable_and_no_watch_resumes_over_it(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
     store = Store(path, create=True)
     made = one(store, Register(entry(1)))
@@ -162,115 +152,105 @@
     again.close()
 
 
-def test_promotion_amid_traffic_with_real_processes(tmp_path: Path) -> None:
-    """Two list services, an agent and a front door; the first is killed, the second promoted by command."""
-
-    async def job() -> None:
-        at1, at2, at = refusing_address(), refusing_address(), refusing_address()
-        follow = ("--create", "--follow", f"{HOST}:{at1[1]}", "--peer", f"{HOST}:{at1[1]}")
-        one = await start(tmp_path / "1.db", at1, "--create")
-        two = await start(tmp_path / "2.db", at2, *follow)
-        backends = [Backend(), Backend()]
-        for number, backend in enumerate(backends):
-            address = await backend.start()
-            given = body(instanceId=f"s-{number}", hostPort=f"{address[0]}:{address[1]}", leaseMs=60_000)
-            assert (await call(at1, "POST /entries", given))[0] == 200
-        agent = await start_agent(tmp_path / "a.db", at, at1, at2)
-        door = FrontDoor(replace(CONFIG, discovery=at))
-        await door.start()
-        asking, answers = await Client.open(door.server.sockets[0].getsockname()), []
-
-        async def traffic() -> None:
-            while True:
-                answers.append(await asking.ask(query(f"r{len(answers)}")))
-                await asyncio.sleep(0.005)  # within the quota
-
-        await until(lambda: len(door.catalog.entries) == 2)
-        busy = asyncio.create_task(traffic())
-        while len((await call(at2, "GET /catalog/members"))[1]["instances"]) < 2:
-            await asyncio.sleep(0.01)
-        version = door.catalog.version
-        one.send_signal(signal.SIGKILL)
-        await one.wait()
-        while (await call(at2, "GET /healthcheck"))[1]["connected"]:
-            await asyncio.sleep(0.01)
-        assert (await client(at2, "promote"))[0] == 0
-        assert (await client(at2, "drain", "s-0"))[0] == 0
-        await until(lambda: door.catalog.entries["s-0"]["lifecycle"] == "DRAINING")
-        assert door.catalog.version > version and len(door.catalog.entries) == 2
-        before = len(backends[0].commands), len(answers)
-        await until(lambda: len(answers) > before[1] + 20)
-        assert len(backends[0].commands) == before[0]
-        one = await start(tmp_path / "1.db", at1, "--peer", f"{HOST}:{at2[1]}")
-        assert (await call(at1, "DELETE /entries/s-1"))[0] == 409
-        busy.cancel()
-        assert set(answers) == {b"ok"}  # each was answered, once, through all of it
-        door.close()
-        for process in (one, two, agent):
-            process.send_signal(signal.SIGTERM)
-            assert await process.wait() == 0
-
-    run(job())
-
-
-def test_first_that_was_stopped_acknowledges_nothing_once_another_was_promoted(tmp_path: Path) -> None:
+async def test_replica_when_promoted_amid_traffic_then_no_request_is_lost(tmp_path: Path) -> None:
+    """Two registries, an agent and a gateway; the first is killed, the second promoted by command."""
+    at1, at2, at = refusing_address(), refusing_address(), refusing_address()
+    follow = ("--create", "--follow", f"{HOST}:{at1[1]}", "--peer", f"{HOST}:{at1[1]}")
+    one = await start(tmp_path / "1.db", at1, "--create")
+    two = await start(tmp_path / "2.db", at2, *follow)
+    backends = [Backend(), Backend()]
+    for number, backend in enumerate(backends):
+        address = await backend.start()
+        given = body(instanceId=f"s-{number}", hostPort=f"{address[0]}:{address[1]}", leaseMs=60_000)
+        assert (await call(at1, "POST /entries", given))[0] == 200
+    agent = await start_agent_process(tmp_path / "a.db", at, at1, at2)
+    door = FrontDoor(replace(CONFIG, discovery=at))
+    await door.start()
+    asking, answers = await Client.open(door.server.sockets[0].getsockname()), []
+
+    async def traffic() -> None:
+        while True:
+            answers.append(await asking.ask(query(f"r{len(answers)}")))
+            await asyncio.sleep(0.005)  # within the quota
+
+    await until(lambda: len(door.catalog.entries) == 2)
+    busy = asyncio.create_task(traffic())
+    while len((await call(at2, "GET /catalog/members"))[1]["instances"]) < 2:
+        await asyncio.sleep(0.01)
+    version = door.catalog.version
+    one.send_signal(signal.SIGKILL)
+    await one.wait()
+    while (await call(at2, "GET /healthcheck"))[1]["connected"]:
+        await asyncio.sleep(0.01)
+    assert (await client(at2, "promote"))[0] == 0
+    assert (await client(at2, "drain", "s-0"))[0] == 0
+    await until(lambda: door.catalog.entries["s-0"]["lifecycle"] == "DRAINING")
+    assert door.catalog.version > version and len(door.catalog.entries) == 2
+    before = len(backends[0].commands), len(answers)
+    await until(lambda: len(answers) > before[1] + 20)
+    assert len(backends[0].commands) == before[0]
+    one = await start(tmp_path / "1.db", at1, "--peer", f"{HOST}:{at2[1]}")
+    assert (await call(at1, "DELETE /entries/s-1"))[0] == 409
+    busy.cancel()
+    assert set(answers) == {b"ok"}  # each was answered, once, through all of it
+    door.close()
+    for process in (one, two, agent):
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+
+async def test_stopped_registry_when_another_was_promoted_then_acknowledges_nothing(tmp_path: Path) -> None:
     """Real processes: the writes that waited on its socket while it stood still are lost if acknowledged."""
-
-    async def job() -> None:
-        at1, at2 = refusing_address(), refusing_address()
-        one = await start(tmp_path / "1.db", at1, "--create", "--peer", f"{HOST}:{at2[1]}")
-        two = await start(tmp_path / "2.db", at2, "--create", "--follow", f"{HOST}:{at1[1]}")
-        assert (await call(at1, "POST /entries", body(instanceId="s-0", leaseMs=60_000)))[0] == 200
-        while (await call(at2, "GET /catalog/members"))[1]["instances"] == []:
-            await asyncio.sleep(0.01)
-        one.send_signal(signal.SIGSTOP)
-        writes = [
-            asyncio.create_task(call(at1, "POST /entries", body(instanceId=f"s-{number}")))
-            for number in range(1, 31)
-        ]
-        renewal = asyncio.create_task(call(at1, "POST /entries/s-0/renew", b'{"life":1}'))
-        while (await call(at2, "POST /promote"))[0] != 200:  # never forced: refused until it is silent
-            await asyncio.sleep(0.05)
-        one.send_signal(signal.SIGCONT)
-        assert {status for status, _ in await asyncio.gather(*writes)} == {409}
-        assert (await renewal)[0] in (409, 503)
-        assert (await call(at2, "POST /entries", body(instanceId="s-1")))[0] == 200
-        for process in (one, two):
-            process.send_signal(signal.SIGTERM)
-            assert await process.wait() == 0
-
-    run(job())
-
-
-def test_power_lost_at_any_length_of_the_log_leaves_a_first_part_of_the_writes(tmp_path: Path) -> None:
+    at1, at2 = refusing_address(), refusing_address()
+    one = await start(tmp_path / "1.db", at1, "--create", "--peer", f"{HOST}:{at2[1]}")
+    two = await start(tmp_path / "2.db", at2, "--create", "--follow", f"{HOST}:{at1[1]}")
+    assert (await call(at1, "POST /entries", body(instanceId="s-0", leaseMs=60_000)))[0] == 200
+    while (await call(at2, "GET /catalog/members"))[1]["instances"] == []:
+        await asyncio.sleep(0.01)
+    one.send_signal(signal.SIGSTOP)
+    writes = [
+        asyncio.create_task(call(at1, "POST /entries", body(instanceId=f"s-{number}")))
+        for number in range(1, 31)
+    ]
+    renewal = asyncio.create_task(call(at1, "POST /entries/s-0/renew", b'{"life":1}'))
+    while (await call(at2, "POST /promote"))[0] != 200:  # never forced: refused until it is silent
+        await asyncio.sleep(0.05)
+    one.send_signal(signal.SIGCONT)
+    assert {status for status, _ in await asyncio.gather(*writes)} == {409}
+    assert (await renewal)[0] in (409, 503)
+    assert (await call(at2, "POST /entries", body(instanceId="s-1")))[0] == 200
+    for process in (one, two):
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+
+
+async def test_store_when_its_log_is_cut_at_any_length_then_holds_a_first_part_of_the_writes(
+    tmp_path: Path,
+) -> None:
     """The real process started on what was on disk: the log of its store cut at lengths over all of it."""
-
-    async def job() -> None:
-        listen, path = refusing_address(), tmp_path / "list.db"
-        process = await start(path, listen, "--create")
-        for number in range(20):
-            assert (await call(listen, "POST /entries", body(instanceId=f"s-{number:02}")))[0] == 200
-        copy = tmp_path / "copy.db"
+    listen, path = refusing_address(), tmp_path / "list.db"
+    process = await start(path, listen, "--create")
+    for number in range(20):
+        assert (await call(listen, "POST /entries", body(instanceId=f"s-{number:02}")))[0] == 200
+    copy = tmp_path / "copy.db"
+    shutil.copy(path, copy)
+    log = Path(f"{path}-wal").read_bytes()
+    process.send_signal(signal.SIGKILL)
+    await process.wait()
+    counts = []
+    for part in range(9):
+        for name in (copy, Path(f"{copy}-wal"), Path(f"{copy}-shm")):
+            name.unlink(missing_ok=True)
         shutil.copy(path, copy)
-        log = Path(f"{path}-wal").read_bytes()
+        Path(f"{copy}-wal").write_bytes(log[: len(log) * part // 8])
+        try:
+            process = await start(copy, listen)
+        except AssertionError:  # cut before the store itself was made: refused, not served
+            counts.append(0)
+            continue
+        names = sorted(named((await call(listen, "GET /catalog/members"))[1]))
+        assert names == [f"s-{number:02}" for number in range(len(names))]
+        counts.append(len(names))
         process.send_signal(signal.SIGKILL)
         await process.wait()
-        counts = []
-        for part in range(9):
-            for name in (copy, Path(f"{copy}-wal"), Path(f"{copy}-shm")):
-                name.unlink(missing_ok=True)
-            shutil.copy(path, copy)
-            Path(f"{copy}-wal").write_bytes(log[: len(log) * part // 8])
-            try:
-                process = await start(copy, listen)
-            except AssertionError:  # cut before the store itself was made: refused, not served
-                counts.append(0)
-                continue
-            names = sorted(named((await call(listen, "GET /catalog/members"))[1]))
-            assert names == [f"s-{number:02}" for number in range(len(names))]
-            counts.append(len(names))
-            process.send_signal(signal.SIGKILL)
-            await process.wait()
-        assert counts == sorted(counts) and counts[-1] == 20 and len(set(counts)) > 4
-
-    run(job())
+    assert counts == sorted(counts) and counts[-1] == 20 and len(set(counts)) > 4
--- a/tests/control/test_cli.py
+++ b/tests/control/test_cli.py
@@ -1,4 +1,4 @@
-"""The operators' command line, as a process before a list service in this one."""
+"""The operators' command line, as a process that calls a registry in this one."""
 
 import asyncio
 import sys
@@ -7,12 +7,12 @@
 import pytest
 
 from tests.control.registry.test_service import address_of, serving
-from tests.sockets import HOST, refusing_address, run
+from tests.sockets import HOST, refusing_address
 
 ROOT = Path(__file__).parents[2]
 
 
-async def started(at: tuple[str, int], *words: str) -> asyncio.subprocess.Process:
+async def start_client(at: tuple[str, int], *words: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -27,7 +27,7 @@
 
 
 async def client(at: tuple[str, int], *words: str) -> tuple[int, str, str]:
-    process = await started(at, *words)
+    process = await start_client(at, *words)
     out, errors = await process.communicate()
     return process.returncode, out.decode(), errors.decode()
 
@@ -49,22 +49,21 @@
 )
 
 
-def test_an_operators_round(tmp_path: Path) -> None:
-    async def job() -> None:
-        async with serving(tmp_path / "list.db") as registry:
-            at = address_of(registry)
-            assert await client(at, "list") == (0, "generation 0, the whole list:\n", "")
-            line = "s-1\t127.0.0.1:7001\ta\tm2\t3\tSERVING\t2.0\t0"
-            assert await client(at, *REGISTER, "--if-version", "0") == (0, f"{line}\t1\t1\n", "")
-            assert await client(at, "list") == (0, f"generation 1, the whole list:\n{line}\n", "")
-            assert (await client(at, "drain", "s-1", "--if-version", "1"))[0] == 0
-            assert (await client(at, "show", "s-1"))[1].split("\t")[5:9] == ["DRAINING", "2.0", "0", "2"]
-            assert (await client(at, "serve", "s-1"))[0] == 0
-            assert await client(at, "renew", "s-1", "--life", "1") == (0, "s-1 goes on\n", "")
-            assert (await client(at, "remove", "s-1"))[0] == 0
-            assert not registry.store.entries and registry.store.generation == 4
-
-    run(job())
+async def test_commands_when_an_endpoint_is_registered_drained_and_removed_then_print_each_state(
+    tmp_path: Path,
+) -> None:
+    async with serving(tmp_path / "list.db") as registry:
+        at = address_of(registry)
+        assert await client(at, "list") == (0, "generation 0, the whole list:\n", "")
+        line = "s-1\t127.0.0.1:7001\ta\tm2\t3\tSERVING\t2.0\t0"
+        assert await client(at, *REGISTER, "--if-version", "0") == (0, f"{line}\t1\t1\n", "")
+        assert await client(at, "list") == (0, f"generation 1, the whole list:\n{line}\n", "")
+        assert (await client(at, "drain", "s-1", "--if-version", "1"))[0] == 0
+        assert (await client(at, "show", "s-1"))[1].split("\t")[5:9] == ["DRAINING", "2.0", "0", "2"]
+        assert (await client(at, "serve", "s-1"))[0] == 0
+        assert await client(at, "renew", "s-1", "--life", "1") == (0, "s-1 goes on\n", "")
+        assert (await client(at, "remove", "s-1"))[0] == 0
+        assert not registry.store.entries and registry.store.generation == 4
 
 
 @pytest.mark.parametrize(
@@ -78,34 +77,27 @@
         (("register", "s-1", "h:1", "--zone", "a", "--kind", "m", "--weight", "nan"), "no (400): NaN"),
     ],
 )
-def test_a_no_is_one_plain_line(tmp_path: Path, words: tuple[str, ...], told: str) -> None:
-    async def job() -> None:
-        async with serving(tmp_path / "list.db") as registry:
-            status, out, errors = await client(address_of(registry), *words)
-            assert (status, out) == (1, "") and told in errors and errors.count("\n") == 1
-            assert registry.store.generation == 0
-
-    run(job())
-
-
-def test_watch_shows_changes_as_they_come_and_says_when_it_ends(tmp_path: Path) -> None:
-    async def job() -> None:
-        async with serving(tmp_path / "list.db") as registry:
-            process = await started(address_of(registry), "watch")
-            assert await process.stdout.readline() == b"generation 0, the whole list:\n"
-            assert (await client(address_of(registry), *REGISTER))[0] == 0
-            assert await process.stdout.readline() == b"generation 1, changes:\n"
-            assert (await process.stdout.readline()).startswith(b"s-1\t")
-        _, errors = await process.communicate()
-        assert process.returncode == 1 and b"watch" in errors and errors.count(b"\n") == 1
-
-    run(job())
-
-
-def test_service_that_is_not_there_is_told_plainly() -> None:
-    async def job() -> None:
-        for at in (refusing_address(), (HOST, "x"), (HOST, "0")):
-            status, _, errors = await client(at, "list")
-            assert status == 1 and errors.startswith("orchidhatch.client: ") and errors.count("\n") == 1
-
-    run(job())
+async def test_command_when_refused_then_prints_one_line_and_changes_nothing(
+    tmp_path: Path, words: tuple[str, ...], told: str
+) -> None:
+    async with serving(tmp_path / "list.db") as registry:
+        status, out, errors = await client(address_of(registry), *words)
+        assert (status, out) == (1, "") and told in errors and errors.count("\n") == 1
+        assert registry.store.generation == 0
+
+
+async def test_watch_when_the_registry_closes_then_has_shown_each_change_and_says_so(tmp_path: Path) -> None:
+    async with serving(tmp_path / "list.db") as registry:
+        process = await start_client(address_of(registry), "watch")
+        assert await process.stdout.readline() == b"generation 0, the whole list:\n"
+        assert (await client(address_of(registry), *REGISTER))[0] == 0
+        assert await process.stdout.readline() == b"generation 1, changes:\n"
+        assert (await process.stdout.readline()).startswith(b"s-1\t")
+    _, errors = await process.communicate()
+    assert process.returncode == 1 and b"watch" in errors and errors.count(b"\n") == 1
+
+
+async def test_command_when_no_service_answers_then_prints_one_line() -> None:
+    for at in (refusing_address(), (HOST, "x"), (HOST, "0")):
+        status, _, errors = await client(at, "list")
+        assert status == 1 and errors.startswith("orchidhatch.client: ") and errors.count("\n") == 1
--- /dev/null
+++ b/tests/gateway/test_policy_change.py
@@ -0,0 +1,89 @@
+"""The decision core under a policy: admission suspended or not, and put under another policy."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.codec import MARK, WORD, mark_of, pack_message, unpack_message
+from tests.helpers import MS, PLAN, SETTINGS, World, of
+
+WIDER = i.Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
+TIGHT = i.Plan(rate=5.0, burst=5.0, max_out=1)
+plans = st.sampled_from((PLAN, WIDER, TIGHT, i.Plan()))
+
+
+def new_policy(
+    *plans_: i.Plan, mark: int = 2, moved: tuple[int, ...] = (0,), banned: str = ""
+) -> i.NewPolicy:
+    return i.NewPolicy(SETTINGS.classes, plans_, frozenset(filter(None, [banned])), mark, moved)
+
+
+@given(st.lists(st.tuples(plans, st.integers(1, 30)), min_size=1, max_size=6))
+def test_quota_level_when_the_plan_changes_then_carries_over_in_proportion_up_to_the_burst(
+    steps: list[tuple[i.Plan, int]],
+) -> None:
+    world, number = World(), 0
+    for plan, asked in steps:
+        for _ in range(asked):
+            number += 1
+            world.ask(f"r{number}")
+        [customer] = world.gateway.homes.customers.values()
+        before = customer.refill(world.now)
+        was = before.plan, before.level, before.part, before.out
+        world.tell(new_policy(plan))
+        after = next(iter(world.gateway.homes.customers.values()))
+        assert after.plan == plan and after.out == was[3]
+        share = plan.burst / was[0].burst if was[0].burst else 0.0
+        assert after.level == pytest.approx(was[1] * share) and after.part <= plan.burst + 1e-9
+        assert after.ceiling <= plan.ceiling_burst + 1e-9
+        for name, attempt in list(world.out):  # whatever was let in ends by what held then
+            world.answer(name, attempt=attempt)
+    assert after.out == 0
+
+
+def test_admission_when_suspended_or_banned_then_rejects_and_ignores_other_policies_gossip() -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    world.tell(i.Bar(True))
+    assert of(i.Refuse, world.ask("a")) and not world.out
+    world.tell(i.Bar(False))
+    assert of(i.Send, world.ask("b"))
+    world.tell(new_policy(i.Plan(rate=7.0, burst=7.0), PLAN, mark=9, moved=(1,), banned="c2"))
+    assert of(i.Refuse, world.ask("c", customer="c2")) and of(i.Send, world.ask("d"))
+    ended = dict(world.gateway.ended)
+    assert ended == {"policy": 1, "banned": 1}
+    [customer] = [one for one in world.gateway.homes.customers.values() if one.at_home][:1]
+    demand = customer.demand
+    word = i.Word(*customer.key, demand=50.0, spent=50.0)
+    for mark, level in ((2, customer.level), (0, customer.level), (9, customer.level - 50)):
+        world.tell(i.PeerMessage(1, (word,), mark=mark))
+        assert customer.level == pytest.approx(max(level, -customer.plan.rate / 2), abs=0.5)
+    assert customer.demand > demand + 40
+    world.tell(new_policy(PLAN, moved=(-1, -1)))
+    assert not world.gateway.homes.customers
+
+
+def test_wait_times_when_requests_queue_for_a_permit_then_are_reported_by_reason() -> None:
+    world = World(replace(SETTINGS, plans=(TIGHT,)))
+    for name in ("a", "b", "c"):
+        world.ask(name)
+    world.run(100 * MS)
+    waited = sum(
+        (dict(action.times).get("open_cap", 0) for _, action in world.log if isinstance(action, i.Waited))
+    )
+    assert waited == pytest.approx(2 * 100 * MS, rel=0.25)
+
+
+def test_peer_message_when_it_has_a_policy_mark_then_is_decoded_here_and_refused_by_earlier_versions() -> (
+    None
+):
+    words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(13))
+    seen = (i.Sighting(7, 0, True, 0.5),)
+    [plain], [marked] = pack_message(words, seen), pack_message(words, seen, 200)
+    assert (mark_of(plain), mark_of(marked)) == (0, 200) and max(map(len, (plain, marked))) <= 256
+    assert unpack_message(plain)[0] == unpack_message(marked)[0] == words
+    assert 1 + (marked[0] ^ MARK) * WORD.size > 256  # by which the version before knows what is not its form
+    for cut in range(len(marked)):
+        unpack_message(marked[:cut])
--- /dev/null
+++ b/tests/proxy/test_policy_admission.py
@@ -0,0 +1,96 @@
+"""The gateway on sockets under a policy: whether it admits requests, and when it suspends that itself."""
+
+import logging
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.config import ConfigError, Policy, load
+from tests.control.policy.test_policy import DA, Time
+from tests.gateway_config import write_gateway_config
+from tests.helpers import PLAN
+from tests.sockets import CUSTOMER, Backend, Client, front_door, query
+
+WIDER = i.Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
+
+
+def under_policy(**changes: Any) -> Policy:  # noqa: ANN401
+    return replace(Policy(1, "", 5.0), **changes)
+
+
+async def ask(client: Client, name: str) -> str:
+    answer = await client.ask(query(name))
+    return str(answer)
+
+
+async def test_gateway_when_started_under_a_policy_then_admits_nobody_before_its_agent_says_so(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    async with front_door(Backend(), policy=under_policy(), traces_policy=True) as (door, at):
+        client = await Client.open(at)
+        assert door.health() == (503, "takes no new clients; policy 1 -")
+        assert "BUSY" in await ask(client, "a") and not door.open
+        assert door.enter_service()[0] == 200 and door.health() == (200, "serves; policy 1 -")
+        assert "ok" in await ask(client, "b")
+        new = replace(
+            door.config,
+            policy=under_policy(number=2, digest=DA),
+            plan_numbers={"new": 0, "team": 1},
+            settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})),
+        )
+        door.reload(replace(new, class_numbers={"other": 0}))
+        assert door.config.policy.number == 1  # it cannot go by that
+        door.reload(new)
+        assert door.health() == (200, f"serves; policy 2 {DA}") and door.peers.mark == 3
+        assert "BUSY" in await ask(client, "c")
+        text = door.metrics()[1]
+        assert 'proxy_unserved_total{reason="banned"} 1' in text and 'reason="policy"} 1' in text
+        door.reload(replace(new, policy=None))  # a file that only moves discovery changes no policy
+        assert door.config.policy.number == 2
+    lines = [record.getMessage() for record in caplog.records if record.getMessage().startswith("request")]
+    assert [line.rpartition(",")[0] for line in lines] == [
+        "request b answered by policy -",
+        f"request c deferred by policy {DA}",
+    ]
+
+
+async def test_gateway_when_it_cannot_know_what_holds_then_suspends_admission() -> None:
+    async with front_door(Backend(), policy=under_policy()) as (door, at):
+        time, heard = Time(), Time()
+        door.watchful.clock, door.watchful.heard_s = time, heard
+        door.watchful.ticked_s = time.now
+        client = await Client.open(at)
+
+        async def served(name: str) -> bool:
+            return "ok" in await ask(client, name)
+
+        assert door.enter_service()[0] == 200 and await served("a")
+        time.now += 1.5  # it stood still, and this request had waited meanwhile
+        assert not await served("b") and door.enter_service()[0] == 200 and await served("c")
+        heard.now -= 6  # its agent is silent
+        assert not await served("d") and door.enter_service()[0] == 409
+        heard.now = time.now
+        assert door.enter_service()[0] == 200 and await served("e")
+        ends = round((time.now + 0.5) * 1e6)
+        door.reload(replace(door.config, policy=under_policy(number=2, until_us=ends)))
+        assert await served("f")
+        time.now += 0.6  # nobody came to put it under the next one
+        assert not await served("g") and door.enter_service()[0] == 409
+        door.reload(replace(door.config, policy=under_policy(number=2, digest=DA)))
+        assert door.enter_service()[0] == 200 and await served("h")
+
+
+@pytest.mark.parametrize(
+    "value",
+    [{"number": -1}, {"number": "x"}, {"number": 1, "digest": "xyz"}, {"number": 1 << 60}, {"silent_ms": 0}],
+)
+def test_configuration_when_its_policy_is_malformed_then_is_refused(
+    value: dict[str, Any], tmp_path: Path
+) -> None:
+    file = write_gateway_config(tmp_path, policy=value)
+    with pytest.raises(ConfigError, match=r"policy|number|silent_ms"):
+        load({"PROXY_CONFIG": str(file)})
