One function for each command of the operators' command line

Need: one `match` over all commands, with requests built from dicts at each place and another `match` to build the parser.

Change: cli builds the parser, cli_commands has a function for each command with typed requests and responses, cli_arguments what other commands use too. Options, output and exit codes stay.

--- a/orchidhatch/control/cli.py
+++ b/orchidhatch/control/cli.py
@@ -1,216 +1,163 @@
-"""The operators' command line for the list service.
+"""The operators' command line for the registry.
 
     python -m orchidhatch.client --at 127.0.0.1:8500 list
     python -m orchidhatch.client --at 127.0.0.1:8500 register s-1 127.0.0.1:7001 --zone a --kind m2
     python -m orchidhatch.client --at 127.0.0.1:8500 drain s-1 --if-version V
 
-Ends with 0 when it was done, 1 when the service said no or does not answer, 2 when the call makes no sense.
+Ends with 0 when it was done, 1 when the service refused or does not answer, 2 when the options make no sense.
 """
 
 import argparse
-import json
 import sys
-from collections.abc import Mapping
-from typing import Any
-from urllib.parse import quote
-
-from orchidhatch.control.controller import tasks
-from orchidhatch.control.operator_client import CallError, call, watch_events
-
-MOST_DRAIN_S = 24 * 3600
-
-
-def shown(entry: dict[str, Any]) -> str:
-    names = ("instanceId", "hostPort", "zone", "machineType", "cell", "lifecycle", "weight", "startedAtMs")
-    return "\t".join(str(entry.get(name, "-")) for name in (*names, "version", "life") if name in entry)
-
-
-def show_news(news: dict[str, Any]) -> None:
-    print(f"generation {news['generation']}, {'the whole list' if news['reset'] else 'changes'}:")
-    for entry in news["instances"]:
-        print(shown(entry))
-    sys.stdout.flush()
-
-
-def given(**values: object) -> dict[str, Any]:
-    return {name: value for name, value in values.items() if value is not None}
-
-
-def ask_for(at: str, name: str, task: Mapping[str, Any]) -> None:
-    """Of the stewards; asked for again, it begins anew."""
-    done = call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}{name}", {"text": json.dumps(task)})
-    print(f"asked for as {done['name']}, version {done['version']}")
-
-
-def carry_out(options: argparse.Namespace) -> None:
-    at, id_ = options.at, quote(getattr(options, "id", ""), safe="")
-    match options.command:
-        case "list":
-            show_news(call(at, "GET", "/catalog/members"))
-        case "watch":
-            for news in watch_events(at, options.after):
-                show_news(news)
-        case "show":
-            print(shown(call(at, "GET", f"/entries/{id_}")))
-        case "register":
-            body = given(
-                instanceId=options.id,
-                hostPort=options.address,
-                zone=options.zone,
-                machineType=options.kind,
-                cell=options.cell,
-                weight=options.weight,
-                startedAtMs=options.started_ms,
-                leaseMs=options.lease_ms,
-                ifVersion=options.if_version,
-            )
-            print(shown(call(at, "POST", "/entries", body)))
-        case "drain" if options.by:
-            task = tasks.drain(options.id, round(options.by * 1000), options.then)
-            before = [
-                one
-                for one in call(at, "GET", "/records")["records"]
-                if one["name"] == f"{tasks.TASK_RECORD_PREFIX}drain-{options.id}"
-            ]
-            if before and not json.loads(before[0]["text"])["done"]:
-                raise CallError(f"{options.id} is being drained already; see tasks")
-            done = call(
-                at,
-                "POST",
-                f"/records/{tasks.TASK_RECORD_PREFIX}drain-{id_}",
-                {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0},
-            )
-            print(f"asked for as {done['name']}, version {done['version']}")
-        case "backup" | "summary" if options.every:
-            ask_for(at, options.command, tasks.repeated(options.command, round(options.every * 1000)))
-        case "summary":
-            task = json.loads(call(at, "GET", f"/records/{tasks.TASK_RECORD_PREFIX}summary")["text"])
-            for name, value in task.get("fleet", {"": "not yet read"}).items():
-                print(f"{name}\t{value}")
-        case "leases" if options.ended_by == "stewards":
-            ask_for(at, "leases", tasks.LEASES)
-        case "leases":
-            call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}leases", {"text": ""})
-            print("the list service ends them itself")
-        case "backup":
-            done = call(at, "POST", "/backup", {})
-            print(f"{done['file']}: {done['entries']} entries, {done['claims']} claims, tried")
-        case "tasks":
-            for record in call(at, "GET", "/records")["records"]:
-                print(f"{record['name']}\t{record['text']}")
-        case "forget":
-            call(at, "POST", f"/records/{id_}", {"text": ""})
-            print(f"{options.id} is forgotten")
-        case "owners":
-            for claim in call(at, "GET", "/claims")["claims"]:
-                print("\t".join(str(claim[key]) for key in ("name", "holder", "epoch", "to", "held", "why")))
-        case "hand-over":
-            claim = call(at, "GET", "/claims")["claims"]
-            known = next((one for one in claim if one["name"] == options.id), None)
-            if known is None or not known["holder"]:
-                raise CallError(f"{options.id} is held by nobody")
-            call(
-                at,
-                "POST",
-                f"/claims/{id_}/give",
-                {"to": options.to, **{name: known[name] for name in ("holder", "life", "epoch")}},
-            )
-            print(f"{options.id} goes from {known['holder']} to {options.to}")
-        case "hold" | "let-go":
-            call(at, "POST", f"/claims/{id_}/hold", {"on": options.command == "hold"})
-            print(f"{options.id} is {'put aside' if options.command == 'hold' else 'free to be taken'}")
-        case "drain" | "serve":
-            lifecycle = "DRAINING" if options.command == "drain" else "SERVING"
-            body = given(lifecycle=lifecycle, ifVersion=options.if_version)
-            print(shown(call(at, "POST", f"/entries/{id_}/lifecycle", body)))
-        case "renew":
-            call(at, "POST", f"/entries/{id_}/renew", {"life": options.life})
-            print(f"{options.id} goes on")
-        case "promote":
-            done = call(at, "POST", "/promote", {"force": options.force})
-            print(
-                f"term {done['term']}, generation {done['generation']}, {done['entries']} entries;"
-                f" last heard {done['lagSeconds']:.1f} s ago, at generation {done['heardGeneration']}"
-            )
-        case "remove":
-            print(shown(call(at, "DELETE", f"/entries/{id_}", given(ifVersion=options.if_version))))
-
-
-def seconds(value: str) -> float:
-    number, unit = value[:-1], {"s": 1, "m": 60, "h": 3600}.get(value[-1:])
-    if not unit or not number.isdecimal() or not 0 < int(number) * unit <= MOST_DRAIN_S:
-        raise argparse.ArgumentTypeError(f"'{value}' is no time as 90s, 10m or 2h, up to a day")
-    return float(int(number) * unit)
-
-
-def parser() -> argparse.ArgumentParser:
-    whole = argparse.ArgumentParser(prog="orchidhatch.client", description=__doc__.partition("\n")[0])
-    whole.add_argument("--at", required=True, metavar="HOST:PORT", help="the list service")
-    commands = whole.add_subparsers(dest="command", required=True)
-    commands.add_parser("list", help="the whole list")
-    commands.add_parser("watch", help="the list, and its changes as they come").add_argument(
-        "--after", type=int, default=0, metavar="GENERATION"
+from collections.abc import Callable
+
+from orchidhatch.control import cli_commands
+from orchidhatch.control.cli_arguments import parse_duration_s
+from orchidhatch.control.operator_client import CallError
+
+Command = Callable[[argparse.Namespace], None]
+Subparsers = argparse._SubParsersAction
+
+
+def add_command(
+    commands: Subparsers, name: str, run: Command, help_text: str, *, takes_id: bool = False
+) -> argparse.ArgumentParser:
+    """A command that `run` carries out, with the id of what it is about if it takes one."""
+    command = commands.add_parser(name, help=help_text)
+    command.set_defaults(run=run)
+    if takes_id:
+        command.add_argument("id")
+    return command
+
+
+def add_condition(command: argparse.ArgumentParser) -> None:
+    """The version that an endpoint must be at for the command to be carried out."""
+    command.add_argument("--if-version", type=int, help="only if it is at this one (0: not listed)")
+
+
+def add_every(command: argparse.ArgumentParser, help_text: str) -> None:
+    """How often the controllers are to repeat the command."""
+    command.add_argument("--every", type=parse_duration_s, metavar="TIME", help=help_text)
+
+
+def add_endpoint_commands(commands: Subparsers) -> None:
+    """Commands that read or write the endpoint list."""
+    add_command(commands, "list", cli_commands.list_endpoints, "the whole list")
+    watch = add_command(
+        commands, "watch", cli_commands.watch_endpoints, "the list, and its changes as they come"
+    )
+    watch.add_argument("--after", type=int, default=0, metavar="GENERATION")
+    add_command(
+        commands,
+        "show",
+        cli_commands.show_endpoint,
+        "one endpoint, with its version and incarnation",
+        takes_id=True,
+    )
+    add_drain_command(commands)
+    serve = add_command(commands, "serve", cli_commands.serve_endpoint, "it may be used again", takes_id=True)
+    add_condition(serve)
+    remove = add_command(
+        commands, "remove", cli_commands.remove_endpoint, "remove it from the list", takes_id=True
     )
-    commands.add_parser("backup", help="a copy of the store").add_argument(
-        "--every", type=seconds, metavar="TIME", help="have the stewards take one each time, as 10m or 6h"
+    add_condition(remove)
+    renew = add_command(commands, "renew", cli_commands.renew_endpoint, "renew its lease", takes_id=True)
+    renew.add_argument("--life", type=int, required=True)
+    add_register_command(commands)
+
+
+def add_drain_command(commands: Subparsers) -> None:
+    """The command that drains an endpoint."""
+    drain = add_command(
+        commands, "drain", cli_commands.drain_endpoint, "no new requests go to it", takes_id=True
     )
-    commands.add_parser("summary", help="the fleet in a few lines, as last read").add_argument(
-        "--every", type=seconds, metavar="TIME", help="have the stewards read it each time, as 30s"
+    add_condition(drain)
+    drain.add_argument(
+        "--by",
+        type=parse_duration_s,
+        metavar="TIME",
+        help="have the controllers end it after this long, as 90s or 10m",
     )
-    commands.add_parser("leases", help="who ends those that run out").add_argument(
-        "--ended-by", choices=("stewards", "service"), required=True
+    drain.add_argument("--then", choices=("remove", "back"), default="remove")
+
+
+def add_register_command(commands: Subparsers) -> None:
+    """The command that registers an endpoint."""
+    register = add_command(
+        commands,
+        "register",
+        cli_commands.register_endpoint,
+        "list it, or list it anew after a restart",
+        takes_id=True,
     )
-    commands.add_parser("tasks", help="what the stewards are to do, and how far it is")
-    commands.add_parser("owners", help="who owns what, by which epoch")
-    commands.add_parser("promote", help="have a follower take the writes").add_argument(
-        "--force", action="store_true", help="though the service that it follows still answers"
+    add_condition(register)
+    register.add_argument("address", metavar="HOST:PORT")
+    register.add_argument("--zone", required=True)
+    register.add_argument("--kind", required=True)
+    register.add_argument("--weight", type=float)
+    for option in ("--cell", "--started-ms", "--lease-ms"):
+        register.add_argument(option, type=int)
+
+
+def add_controller_commands(commands: Subparsers) -> None:
+    """Commands about tasks and claims, which controllers carry out and hold."""
+    summary = add_command(
+        commands, "summary", cli_commands.show_summary, "the fleet in a few lines, as read last"
     )
-    for name, text in (
-        ("show", "one entry, with its version and life"),
-        ("drain", "nothing new goes to it"),
-        ("serve", "it may be used again"),
-        ("remove", "take it off the list"),
-        ("renew", "its lease begins anew"),
-        ("register", "enter it, or enter it anew"),
-        ("forget", "remove the record of a task"),
-        ("hold", "have a claim left alone"),
-        ("let-go", "have a claim taken again"),
-        ("hand-over", "give a claim to another"),
-    ):
-        command = commands.add_parser(name, help=text)
-        command.add_argument("id")
-        if name in ("drain", "serve", "remove", "register"):
-            command.add_argument("--if-version", type=int, help="only if it is at this one (0: not listed)")
-        if name == "drain":
-            command.add_argument(
-                "--by",
-                type=seconds,
-                metavar="TIME",
-                help="have the stewards end it after this long, as 90s or 10m",
-            )
-            command.add_argument("--then", choices=("remove", "back"), default="remove")
-        if name == "hand-over":
-            command.add_argument("to", help="the id of a steward")
-        if name == "renew":
-            command.add_argument("--life", type=int, required=True)
-        if name == "register":
-            command.add_argument("address", metavar="HOST:PORT")
-            command.add_argument("--zone", required=True)
-            command.add_argument("--kind", required=True)
-            command.add_argument("--weight", type=float)
-            for option in ("--cell", "--started-ms", "--lease-ms"):
-                command.add_argument(option, type=int)
-    return whole
+    add_every(summary, "have the controllers read it each time, as 30s")
+    leases = add_command(
+        commands, "leases", cli_commands.set_lease_expiry, "who removes endpoints whose leases expire"
+    )
+    leases.add_argument("--ended-by", choices=("stewards", "service"), required=True)
+    add_command(commands, "tasks", cli_commands.list_tasks, "the controllers' tasks and their states")
+    add_command(commands, "forget", cli_commands.forget_task, "delete the record of a task", takes_id=True)
+    add_command(commands, "owners", cli_commands.list_claims, "who holds which claim, by which epoch")
+    add_command(commands, "hold", cli_commands.suspend_claim, "have nobody take a claim", takes_id=True)
+    add_command(commands, "let-go", cli_commands.resume_claim, "have a claim taken again", takes_id=True)
+    hand_over = add_command(
+        commands,
+        "hand-over",
+        cli_commands.hand_over_claim,
+        "hand a claim over to another controller",
+        takes_id=True,
+    )
+    hand_over.add_argument("to", help="the id of a controller")
+
+
+def add_registry_commands(commands: Subparsers) -> None:
+    """Commands about a registry's store and role."""
+    backup = add_command(commands, "backup", cli_commands.back_up, "back up the registry's store")
+    add_every(backup, "have the controllers make one each time, as 10m or 6h")
+    promote = add_command(commands, "promote", cli_commands.promote, "have a replica accept writes")
+    promote.add_argument(
+        "--force", action="store_true", help="though the registry that it replicates still answers"
+    )
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """All commands and their options."""
+    parser = argparse.ArgumentParser(
+        prog="orchidhatch.client", description="The operators' command line for the registry."
+    )
+    parser.add_argument("--at", required=True, metavar="HOST:PORT", help="the registry")
+    commands = parser.add_subparsers(dest="command", required=True)
+    add_endpoint_commands(commands)
+    add_controller_commands(commands)
+    add_registry_commands(commands)
+    return parser
 
 
 def main() -> int:
+    """Run the command; see the module for its exit status."""
+    options = build_parser().parse_args()
     try:
-        carry_out(parser().parse_args())
+        options.run(options)
     except CallError as error:
         print(f"orchidhatch.client: {error}", file=sys.stderr)
         return 1
     except (KeyboardInterrupt, BrokenPipeError):
-        sys.stderr.close()  # who reads no more is told no more
+        # The reader of the output has gone: closing the stream keeps Python from reporting that on exit.
+        sys.stderr.close()
         return 0
     return 0
 
--- /dev/null
+++ b/orchidhatch/control/cli_arguments.py
@@ -0,0 +1,17 @@
+"""The arguments of the operators' command line, and of other commands of the control plane."""
+
+import argparse
+
+MAX_DURATION_S = 24 * 3600
+SECONDS_BY_UNIT = {"s": 1, "m": 60, "h": 3600}
+
+
+def parse_duration_s(text: str) -> float:
+    """A duration such as 90s, 10m or 2h in seconds, a day at most.
+
+    Raises argparse.ArgumentTypeError.
+    """
+    number, unit = text[:-1], SECONDS_BY_UNIT.get(text[-1:])
+    if not unit or not number.isdecimal() or not 0 < int(number) * unit <= MAX_DURATION_S:
+        raise argparse.ArgumentTypeError(f"'{text}' is no time as 90s, 10m or 2h, up to a day")
+    return float(int(number) * unit)
--- /dev/null
+++ b/orchidhatch/control/cli_commands.py
@@ -0,0 +1,320 @@
+"""What each command of the operators' command line does: one or two requests, and lines on the output.
+
+Each function gets the parsed options and raises CallError where the command was refused.
+"""
+
+import argparse
+import json
+import sys
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from orchidhatch.control.controller import tasks
+from orchidhatch.control.operator_client import CallError, call, call_for, watch_events
+from orchidhatch.control.registry.backups import BackupSummary
+
+ENDPOINT_FIELDS = (
+    "instanceId",
+    "hostPort",
+    "zone",
+    "machineType",
+    "cell",
+    "lifecycle",
+    "weight",
+    "startedAtMs",
+    "version",
+    "life",
+)
+
+
+class Claim(msgspec.Struct):
+    """A claim in the registry's list."""
+
+    name: str
+    holder: str
+    incarnation: str = msgspec.field(name="life")
+    epoch: int
+    handed_to: str = msgspec.field(name="to")
+    suspended: bool = msgspec.field(name="held")
+    reason: str = msgspec.field(name="why")
+
+
+class ClaimList(msgspec.Struct):
+    """The registry's list of claims."""
+
+    claims: list[Claim]
+
+
+class Record(msgspec.Struct):
+    """A record in the registry; tasks are records whose text is JSON."""
+
+    name: str
+    text: str
+    version: int
+
+
+class RecordList(msgspec.Struct):
+    """The registry's list of records."""
+
+    records: list[Record]
+
+
+class Promotion(msgspec.Struct, rename="camel"):
+    """What a replica tells of its promotion."""
+
+    term: int
+    generation: int
+    entries: int
+    heard_generation: int
+    lag_seconds: float
+
+
+class ReleaseClaim(msgspec.Struct, rename="camel"):
+    """A claim that its holder is to hand over; field names are on the wire."""
+
+    handed_to: str = msgspec.field(name="to")
+    holder: str
+    incarnation: str = msgspec.field(name="life")
+    epoch: int
+
+
+class RegisterEndpoint(msgspec.Struct, rename="camel", omit_defaults=True):
+    """An endpoint to be registered; field names are on the wire, and what is None is left out."""
+
+    instance_id: str
+    host_port: str
+    zone: str
+    machine_type: str
+    cell: int | None = None
+    weight: float | None = None
+    started_at_ms: int | None = None
+    lease_ms: int | None = None
+    if_version: int | None = None
+
+
+class ChangeLifecycle(msgspec.Struct, rename="camel", omit_defaults=True):
+    """A new lifecycle of an endpoint, with a condition if it has one."""
+
+    lifecycle: str
+    if_version: int | None = None
+
+
+class RemoveEndpoint(msgspec.Struct, rename="camel", omit_defaults=True):
+    """The condition of a removal, if it has one."""
+
+    if_version: int | None = None
+
+
+class PutRecord(msgspec.Struct, rename="camel", omit_defaults=True):
+    """The new text of a record, "" to delete it, with a condition if it has one."""
+
+    text: str
+    if_version: int | None = None
+
+
+def body_of(message: msgspec.Struct) -> dict[str, Any]:
+    """The JSON object of a message."""
+    return msgspec.to_builtins(message)
+
+
+def path_segment(name: str) -> str:
+    """A name as one segment of a path."""
+    return quote(name, safe="")
+
+
+def format_endpoint(endpoint: dict[str, Any]) -> str:
+    """The fields that the registry gave, in columns; how many there are depends on the request."""
+    return "\t".join(str(endpoint[name]) for name in ENDPOINT_FIELDS if name in endpoint)
+
+
+def print_watch_event(event: dict[str, Any]) -> None:
+    """A list or the changes to it, an endpoint a line."""
+    kind = "the whole list" if event["reset"] else "changes"
+    print(f"generation {event['generation']}, {kind}:")
+    for endpoint in event["instances"]:
+        print(format_endpoint(endpoint))
+    sys.stdout.flush()
+
+
+# --- endpoints ---
+
+
+def list_endpoints(options: argparse.Namespace) -> None:
+    """Print the endpoint list."""
+    print_watch_event(call(options.at, "GET", "/catalog/members"))
+
+
+def watch_endpoints(options: argparse.Namespace) -> None:
+    """Print the endpoint list and each change, until the registry ends the watch."""
+    for event in watch_events(options.at, options.after):
+        print_watch_event(event)
+
+
+def show_endpoint(options: argparse.Namespace) -> None:
+    """Print one endpoint with its version and incarnation."""
+    print(format_endpoint(call(options.at, "GET", f"/entries/{path_segment(options.id)}")))
+
+
+def register_endpoint(options: argparse.Namespace) -> None:
+    """Register an endpoint and print it."""
+    message = RegisterEndpoint(
+        instance_id=options.id,
+        host_port=options.address,
+        zone=options.zone,
+        machine_type=options.kind,
+        cell=options.cell,
+        weight=options.weight,
+        started_at_ms=options.started_ms,
+        lease_ms=options.lease_ms,
+        if_version=options.if_version,
+    )
+    print(format_endpoint(call(options.at, "POST", "/entries", body_of(message))))
+
+
+def drain_endpoint(options: argparse.Namespace) -> None:
+    """Mark an endpoint as draining, or with --by have the controllers drain it."""
+    if options.by:
+        request_drain(options)
+    else:
+        change_lifecycle(options, "DRAINING")
+
+
+def serve_endpoint(options: argparse.Namespace) -> None:
+    """Mark an endpoint as serving."""
+    change_lifecycle(options, "SERVING")
+
+
+def change_lifecycle(options: argparse.Namespace, lifecycle: str) -> None:
+    """Set an endpoint's lifecycle and print it."""
+    body = body_of(ChangeLifecycle(lifecycle, options.if_version))
+    path = f"/entries/{path_segment(options.id)}/lifecycle"
+    print(format_endpoint(call(options.at, "POST", path, body)))
+
+
+def renew_endpoint(options: argparse.Namespace) -> None:
+    """Renew an endpoint's lease."""
+    path = f"/entries/{path_segment(options.id)}/renew"
+    call(options.at, "POST", path, {"life": options.life})
+    print(f"{options.id} goes on")
+
+
+def remove_endpoint(options: argparse.Namespace) -> None:
+    """Remove an endpoint and print it as it was."""
+    body = body_of(RemoveEndpoint(options.if_version))
+    print(format_endpoint(call(options.at, "DELETE", f"/entries/{path_segment(options.id)}", body)))
+
+
+# --- tasks ---
+
+
+def put_task(at: str, name: str, message: PutRecord) -> None:
+    """Write the record of a task and print its version."""
+    path = f"/records/{tasks.TASK_RECORD_PREFIX}{path_segment(name)}"
+    record = call_for(Record, at, "POST", path, body_of(message))
+    print(f"asked for as {record.name}, version {record.version}")
+
+
+def request_drain(options: argparse.Namespace) -> None:
+    """Have the controllers drain an endpoint, unless they are draining it."""
+    record_name = f"{tasks.TASK_RECORD_PREFIX}drain-{options.id}"
+    records = call_for(RecordList, options.at, "GET", "/records").records
+    existing = next((record for record in records if record.name == record_name), None)
+    if existing and not json.loads(existing.text)["done"]:
+        raise CallError(f"{options.id} is being drained already; see tasks")
+    task = tasks.drain(options.id, round(options.by * 1000), options.then)
+    message = PutRecord(json.dumps(task), if_version=existing.version if existing else 0)
+    put_task(options.at, f"drain-{options.id}", message)
+
+
+def request_repeated(options: argparse.Namespace) -> None:
+    """Have the controllers repeat a command; asked for again, the task begins anew."""
+    task = tasks.repeated(options.command, round(options.every * 1000))
+    put_task(options.at, options.command, PutRecord(json.dumps(task)))
+
+
+def show_summary(options: argparse.Namespace) -> None:
+    """Print the fleet's summary as it was read last, or with --every have it read repeatedly."""
+    if options.every:
+        request_repeated(options)
+        return
+    record = call_for(Record, options.at, "GET", f"/records/{tasks.TASK_RECORD_PREFIX}summary")
+    task = json.loads(record.text)
+    for name, value in task.get("fleet", {"": "not yet read"}).items():
+        print(f"{name}\t{value}")
+
+
+def set_lease_expiry(options: argparse.Namespace) -> None:
+    """Have the controllers remove endpoints whose leases have expired, or the registry itself."""
+    if options.ended_by == "stewards":
+        put_task(options.at, "leases", PutRecord(json.dumps(tasks.LEASES)))
+        return
+    call(options.at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}leases", body_of(PutRecord("")))
+    print("the list service ends them itself")
+
+
+def list_tasks(options: argparse.Namespace) -> None:
+    """Print each record with its text."""
+    for record in call_for(RecordList, options.at, "GET", "/records").records:
+        print(f"{record.name}\t{record.text}")
+
+
+def forget_task(options: argparse.Namespace) -> None:
+    """Delete the record of a task."""
+    call(options.at, "POST", f"/records/{path_segment(options.id)}", body_of(PutRecord("")))
+    print(f"{options.id} is forgotten")
+
+
+# --- claims ---
+
+
+def list_claims(options: argparse.Namespace) -> None:
+    """Print each claim with its holder and epoch."""
+    for claim in call_for(ClaimList, options.at, "GET", "/claims").claims:
+        columns = (claim.name, claim.holder, claim.epoch, claim.handed_to, claim.suspended, claim.reason)
+        print("\t".join(map(str, columns)))
+
+
+def hand_over_claim(options: argparse.Namespace) -> None:
+    """Release a claim on behalf of its holder, so that another holder takes it."""
+    claims = call_for(ClaimList, options.at, "GET", "/claims").claims
+    claim = next((claim for claim in claims if claim.name == options.id), None)
+    if claim is None or not claim.holder:
+        raise CallError(f"{options.id} is held by nobody")
+    message = ReleaseClaim(options.to, claim.holder, claim.incarnation, claim.epoch)
+    call(options.at, "POST", f"/claims/{path_segment(options.id)}/give", body_of(message))
+    print(f"{options.id} goes from {claim.holder} to {options.to}")
+
+
+def suspend_claim(options: argparse.Namespace) -> None:
+    """Have nobody take a claim."""
+    call(options.at, "POST", f"/claims/{path_segment(options.id)}/hold", {"on": True})
+    print(f"{options.id} is put aside")
+
+
+def resume_claim(options: argparse.Namespace) -> None:
+    """Let a suspended claim be taken again."""
+    call(options.at, "POST", f"/claims/{path_segment(options.id)}/hold", {"on": False})
+    print(f"{options.id} is free to be taken")
+
+
+# --- the registry ---
+
+
+def back_up(options: argparse.Namespace) -> None:
+    """Back up the registry's store, or with --every have the controllers do so repeatedly."""
+    if options.every:
+        request_repeated(options)
+        return
+    summary = call_for(BackupSummary, options.at, "POST", "/backup", {})
+    print(f"{summary.file}: {summary.entries} entries, {summary.claims} claims, tried")
+
+
+def promote(options: argparse.Namespace) -> None:
+    """Have a replica accept writes in a new term."""
+    done = call_for(Promotion, options.at, "POST", "/promote", {"force": options.force})
+    print(
+        f"term {done.term}, generation {done.generation}, {done.entries} entries;"
+        f" last heard {done.lag_seconds:.1f} s ago, at generation {done.heard_generation}"
+    )
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from orchidhatch.control.cli import seconds
+from orchidhatch.control.cli_arguments import parse_duration_s
 from orchidhatch.control.operator_client import CallError, call
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.policy.change import Gate, ask, change_of, out_of_service
@@ -239,7 +239,7 @@
         command.add_argument("--wait", action="store_true", help="until it is in force or ended")
     commands.choices["propose"].add_argument(
         "--gate",
-        type=seconds,
+        type=parse_duration_s,
         default=0.0,
         metavar="TIME",
         help="undo it where more is refused or fails for this long after the switch, as 60s",
