--- a/orchidhatch/control/registry/replication.py
+++ b/orchidhatch/control/registry/replication.py
@@ -20,7 +20,12 @@
 from orchidhatch.control.http_server import EndpointListServer, term_of
 from orchidhatch.control.registry.store import DELETED, Entry, Put, Remove, StoreError, Write
 from orchidhatch.control.registry.upstream_position import UpstreamPosition, UpstreamPositionTable
-from orchidhatch.control.registry.watch_client import CONNECT_TIMEOUT_S, connect_watch, decode_watch_event
+from orchidhatch.control.registry.watch_client import (
+    CONNECT_TIMEOUT_S,
+    WatchEvent,
+    connect_watch,
+    decode_watch_event,
+)
 from orchidhatch.control.schemas import InvalidRequestError, read_instance
 
 log = logging.getLogger("orchidhatch.replication")
@@ -176,14 +181,7 @@
         """
         event = decode_watch_event(line)
         is_new_store = store_name != self.position.store_name
-        if not is_new_store and event.generation < self.position.generation:
-            self.stale_lists += 1
-            raise StaleUpstreamError(
-                f"its list is at generation {event.generation}, "
-                f"{self.position.generation} was received before"
-            )
-        if is_new_store and not event.reset:
-            raise InvalidRequestError("changes were sent where the whole list was needed")
+        self._check_event(event, is_new_store)
         store = self._server.store
         generation_before = store.generation
         endpoints = list(self._decode_endpoints(event.instances))
@@ -201,6 +199,17 @@
         if is_new_store or store.generation != generation_before:
             self._server.spread(whole=is_new_store)
 
+    def _check_event(self, event: WatchEvent, is_new_store: bool) -> None:
+        """Raise an error where the event would take the list back, or is no base to go on from."""
+        if not is_new_store and event.generation < self.position.generation:
+            self.stale_lists += 1
+            raise StaleUpstreamError(
+                f"its list is at generation {event.generation}, "
+                f"{self.position.generation} was received before"
+            )
+        if is_new_store and not event.reset:
+            raise InvalidRequestError("changes were sent where the whole list was needed")
+
     def _decode_endpoints(self, instances: Iterable[object]) -> Iterator[Entry]:
         """The endpoints; a malformed one is skipped, and the others hold."""
         for value in instances:
