--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -15,7 +15,7 @@
 from orchidhatch.control.agent.service import Agent
 from orchidhatch.control.controller.service import SHARDS, Controller, shard_of
 from orchidhatch.control.controller.shard_assignment import assign_shards
-from orchidhatch.control.controller.summary import Reading, read_figures, sum_up
+from orchidhatch.control.controller.summary import MetricsSample, parse_gateway_metrics, summarize_fleet
 from orchidhatch.control.controller.tasks import drain
 from orchidhatch.control.ownership import claims
 from orchidhatch.control.ownership.claims import (
@@ -299,7 +299,7 @@
         path, silent = tmp_path / "a.db", refusing_address()
 
         async def begin(registry: tuple[str, int]) -> Agent:
-            agent = Agent(Store(path, create=True), [registry], 1, door=server.sockets[0].getsockname())
+            agent = Agent(Store(path, create=True), [registry], 1, gateway=server.sockets[0].getsockname())
             await agent.start(HOST, 0)
             return agent
 
@@ -387,7 +387,7 @@
             owners = assign_shards(SHARDS, [one_.id, two.id])
             lost = next(shard for shard, owner in owners.items() if owner == two.id)
             await one_.give(lost, one_.held[lost].epoch)  # no answer: the book still has it
-            one_.links.registries, one_.links.at = [at], 0
+            one_.links.registries, one_.links.current_index = [at], 0
             await one_.share()
             await two.share()
             assert not set(one_.held) & set(two.held) and set(one_.held) | set(two.held) == set(SHARDS)
@@ -466,8 +466,8 @@
     run(job())
 
 
-def reading(answered: int, deferred: int = 0, errored: int = 0, sends: int | None = None) -> Reading:
-    return Reading(answered, deferred, errored, answered if sends is None else sends, 1, 0)
+def reading(answered: int, deferred: int = 0, errored: int = 0, sends: int | None = None) -> MetricsSample:
+    return MetricsSample(answered, deferred, errored, answered if sends is None else sends, 1, 0)
 
 
 @pytest.mark.parametrize(
@@ -480,14 +480,16 @@
         (reading(0, errored=19), {}),
     ],
 )
-def test_a_door_that_is_unlike_the_others_is_named(last: Reading | None, unlike: dict[str, Any]) -> None:
+def test_a_door_that_is_unlike_the_others_is_named(
+    last: MetricsSample | None, unlike: dict[str, Any]
+) -> None:
     before = {f"d-{n}": reading(n, n) for n in range(10)}
     now = {f"d-{n}": reading(n + 97 + n % 3, n + 3 - n % 3) for n in range(9)}
     now["d-9"] = last and reading(9 + last.answered, 9, last.errored, 9 + last.sends)
-    told = sum_up(before, now)
+    told = summarize_fleet(before, now)
     assert told["unlike"] == unlike and told["silent"] == ([] if last else ["d-9"])
     assert told["answered"] == 9 * 98 + (last.answered if last else 0) and told["first"] is False
-    assert sum_up(before, {"d-0": reading(0, 1)})["deferred"] == 1  # it began anew
+    assert summarize_fleet(before, {"d-0": reading(0, 1)})["deferred"] == 1  # it began anew
 
 
 def test_the_summary_is_read_through_agents_by_its_owner(tmp_path: Path) -> None:
@@ -504,8 +506,8 @@
             "cluster_unhealthy",
         )
     )
-    assert read_figures(page) == Reading(6, 3, 3, 3, 3, 3)
-    assert read_figures(page.replace(" 3", " NaN")) is None and read_figures("") is None
+    assert parse_gateway_metrics(page) == MetricsSample(6, 3, 3, 3, 3, 3)
+    assert parse_gateway_metrics(page.replace(" 3", " NaN")) is None and parse_gateway_metrics("") is None
 
     async def door(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         asked = (await reader.readuntil(b"\r\n\r\n")).split()[1]
@@ -518,7 +520,7 @@
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
             agent = Agent(
-                Store(tmp_path / "a.db", create=True), [at], 1, door=server.sockets[0].getsockname()
+                Store(tmp_path / "a.db", create=True), [at], 1, gateway=server.sockets[0].getsockname()
             )
             await agent.start(HOST, 0)
             steward = Controller("steward-1", [at], [address_of(agent), refusing_address()], lease_ms=60_000)
@@ -542,12 +544,14 @@
         async with serving(tmp_path / "1.db") as registry:
             at = address_of(registry)
             assert (await client(at, "backup"))[0] == 1  # it was given no folder
-            registry.backups = Backups(folder, kept=3)
+            registry.backups = Backups(folder, max_backups=3)
             for number in range(5):
                 assert (await call(at, "POST /entries", body(instanceId=f"s-{number}")))[0] == 200
                 status, out, _ = await client(at, "backup")
                 assert status == 0 and f"{number + 1} entries" in out
-            assert [path.name for path in registry.backups.copies()] == [f"list-1-{n}.db" for n in (3, 4, 5)]
+            assert [path.name for path in registry.backups.list_files()] == [
+                f"list-1-{n}.db" for n in (3, 4, 5)
+            ]
             assert (await call(at, "POST /backup", b'{"claim":"x","epoch":1}'))[0] == 404
             assert (await client(at, "backup", "--every", "1h"))[0] == 0
             steward = Controller("steward-1", [at], lease_ms=60_000)
@@ -555,13 +559,13 @@
             await steward.share()
             assert (await call(at, "DELETE /entries/s-0"))[0] == 200
             await steward.work()
-            newest = registry.backups.copies()[-1]
+            newest = registry.backups.list_files()[-1]
             told = json.loads(registry.store.book.records["task.backup"].text)
             assert told["told"] == newest.name == "list-1-6.db" and told["leftMs"] == 3_600_000
-            registry.backups.wall_s = lambda: newest.stat().st_mtime + 8 * 24 * 3600
+            registry.backups.wall_clock_s = lambda: newest.stat().st_mtime + 8 * 24 * 3600
             (folder / "list.db.new").write_bytes(b"cut short")
             assert (await client(at, "backup"))[0] == 0
-            assert registry.backups.copies() == [newest]
+            assert registry.backups.list_files() == [newest]
             newest.unlink()
             folder.rmdir()
             folder.write_bytes(b"")
