--- a/orchidhatch/control/registry/handlers.py
+++ b/orchidhatch/control/registry/handlers.py
@@ -9,7 +9,7 @@
 from orchidhatch.control.http_response import Response
 from orchidhatch.control.ownership.claims import ClaimsTransaction
 from orchidhatch.control.ownership.objects import Fence
-from orchidhatch.control.registry.backups import Backups
+from orchidhatch.control.registry.backups import Backups, BackupSummary
 from orchidhatch.control.registry.lease_expiry import EndpointLeaseExpiry
 from orchidhatch.control.registry.peer_terms import PeerTermGuard
 from orchidhatch.control.registry.promotion import Promotion
@@ -164,16 +164,16 @@
         else:
             connection.answer(Response(200, summary))
 
-    async def _create_backup(self, fence: Fence | None) -> object:
+    async def _create_backup(self, fence: Fence | None) -> BackupSummary:
         """A summary of the backup. Raises ConflictError or StoreError."""
         backups = self.backups
         if backups is None:
             raise ConflictError("it was given no folder for backups")
-        summaries: list[object] = []
+        summaries: list[BackupSummary] = []
 
         def check_and_copy() -> None:
             check_fence(self._store, fence)  # no write comes between this and the copy
-            summaries.append(backups.make(self._store))
+            summaries.append(backups.create(self._store))
 
         await self._run_in_turn(check_and_copy)
         return summaries[0]
@@ -182,4 +182,4 @@
         """Metrics by name, without the registry's prefix."""
         if self.backups is None:
             return {}
-        return {"backups_total": self.backups.made, "backups_failed_total": self.backups.failed}
+        return {"backups_total": self.backups.completed, "backups_failed_total": self.backups.failed}
--- a/orchidhatch/control/registry/promotion.py
+++ b/orchidhatch/control/registry/promotion.py
@@ -12,8 +12,9 @@
 from orchidhatch.control.errors import ConflictError
 from orchidhatch.control.registry.peer_terms import PROMOTION_DELAY_S, PeerTermGuard
 from orchidhatch.control.registry.replica_role import ReplicaRole
-from orchidhatch.control.registry.replication import SILENT_S, Replicator
+from orchidhatch.control.registry.replication import Replicator
 from orchidhatch.control.registry.store import Store
+from orchidhatch.control.registry.watch_client import WATCH_TIMEOUT_S
 from orchidhatch.control.responses import PromotionResponse
 
 log = logging.getLogger("orchidhatch.registry")
@@ -40,7 +41,7 @@
         A process that was stopped does, and may wake up within the time that its last check holds.
         """
         replicator = self._role.replicator
-        return replicator is not None and await asyncio.to_thread(replicator.still_listens)
+        return replicator is not None and await asyncio.to_thread(replicator.upstream_may_run)
 
     def promote(self, force: bool, upstream_may_run: bool) -> PromotionResponse:
         """Begin a term above all that is known. Nothing that was replicated may be half way to the disk.
@@ -48,8 +49,8 @@
         Raises ConflictError where it is refused, StoreError where the term cannot be written.
         """
         replicator = self._check(force, upstream_may_run)
-        first_generation = max(replicator.known + 1, time.time_ns() // 1_000_000)
-        self._store.begin_term(replicator.term() + 1, first_generation)
+        first_generation = max(replicator.position.generation + 1, time.time_ns() // 1_000_000)
+        self._store.begin_term(replicator.highest_term() + 1, first_generation)
         self._role.become_primary()
         self._peer_terms.reset()
         self._on_promoted()
@@ -57,14 +58,14 @@
             self._store.term,
             self._store.generation,
             len(self._store.entries),
-            replicator.known,
-            replicator.age_s(),
+            replicator.position.generation,
+            replicator.list_age_s(),
         )
         log.warning(
             "promoted: term=%d generation=%d upstream_store=%s upstream_generation=%d lag_s=%.1f",
             response.term,
             response.generation,
-            replicator.source,
+            replicator.position.store_name,
             response.upstream_generation,
             response.lag_seconds,
         )
@@ -75,18 +76,18 @@
         replicator = self._role.replicator
         if not replicator:
             raise ConflictError(f"it follows none; it is the registry of term {self._store.term}")
-        if not replicator.heard_ms:
+        if not replicator.has_list:
             raise ConflictError("it has never heard a list")
         if force:
             return replicator
         if replicator.connected:
-            raise ConflictError(f"{replicator.registry()} still answers; stop it first, or force it")
+            raise ConflictError(f"{replicator.upstream} still answers; stop it first, or force it")
         self._check_no_peer_relies_on_term()
-        silence_s = replicator.silent_s()
-        if upstream_may_run and silence_s < SILENT_S:
+        silence_s = replicator.silence_s()
+        if upstream_may_run and silence_s < WATCH_TIMEOUT_S:
             raise ConflictError(
-                f"{replicator.registry()} is silent for {silence_s:.1f} s only and may go on; "
-                f"ask again after {SILENT_S:g} s, or force it"
+                f"{replicator.upstream} is silent for {silence_s:.1f} s only and may go on; "
+                f"ask again after {WATCH_TIMEOUT_S:g} s, or force it"
             )
         return replicator
 
--- a/orchidhatch/control/registry/replica_role.py
+++ b/orchidhatch/control/registry/replica_role.py
@@ -34,4 +34,4 @@
     def check_is_primary(self) -> None:
         """Raise ConflictError while this registry is a replica."""
         if self.replicator:
-            raise ConflictError(f"it follows {self.replicator.registry()}, and {READ_ONLY_SIGN}")
+            raise ConflictError(f"it follows {self.replicator.upstream}, and {READ_ONLY_SIGN}")
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -78,7 +78,7 @@
         """
         if not upstreams:
             return None
-        replicator = Replicator(self, upstreams, leases=True)
+        replicator = Replicator(self, upstreams, include_leases=True)
         if replicator.was_promoted():
             log.warning("no upstream is replicated, as this was promoted before: term=%d", self.store.term)
             return None
@@ -103,8 +103,8 @@
         self.tasks += [asyncio.create_task(coroutine) for coroutine in coroutines]
         replicator = self.replicator
         if replicator:
-            copy_policies = self.policy_leases.keep_copy(replicator.source_at)
-            self.tasks += self.role.start([replicator.follow(), copy_policies])
+            copy_policies = self.policy_leases.keep_copy(lambda: replicator.upstream_address)
+            self.tasks += self.role.start([replicator.run(), copy_policies])
 
     def _begin_term(self) -> None:
         """Begin anew after a promotion; all watches end, as they were told another term."""
@@ -160,7 +160,7 @@
     def store_name(self) -> str:
         """The store whose generations are told; a replica's term is its upstream's."""
         replicator = self.replicator
-        return f"{self.store.identity} {replicator.term() if replicator else self.store.term}"
+        return f"{self.store.identity} {replicator.highest_term() if replicator else self.store.term}"
 
     # --- requests ---
 
@@ -174,9 +174,9 @@
         replicator = self.replicator
         if replicator:
             health = ReplicaHealthResponse(
-                "follows", replicator.connected, replicator.age_s(), replicator.registry()
+                "follows", replicator.connected, replicator.list_age_s(), replicator.upstream
             )
-            return Response(200 if replicator.heard_ms else 503, health)
+            return Response(200 if replicator.has_list else 503, health)
         if self.peer_terms.fenced:
             raise UnavailableError(self.peer_terms.fenced_text())
         if self.writes.last_write_error:
@@ -201,8 +201,8 @@
                 "fenced": int(self.peer_terms.fenced is not None),
                 "lapses_total": self.peer_terms.stale_checks,
                 "following": int(replicator is not None),
-                "lag_seconds": replicator.age_s() if replicator else 0,
-                "followed_generation": replicator.known if replicator else 0,
+                "lag_seconds": replicator.list_age_s() if replicator else 0,
+                "followed_generation": replicator.position.generation if replicator else 0,
             },
         )
 
--- a/orchidhatch/control/schemas.py
+++ b/orchidhatch/control/schemas.py
@@ -80,13 +80,13 @@
     return RegisterEndpoint(endpoint, _optional(message.if_version))
 
 
-def read_replicated_endpoint(value: object, leases: bool = False) -> Endpoint:
+def read_replicated_endpoint(value: object, include_leases: bool = False) -> Endpoint:
     """An endpoint of a list that another service sends, with incarnation and lease if it sends them and they
     are asked for. A lifecycle of DELETED is a removal.
     """
     if not isinstance(value, dict):
         raise InvalidRequestError("an entry is not a JSON object")
-    message = convert_message(value, ReplicatedWithLeaseMessage if leases else ReplicatedMessage)
+    message = convert_message(value, ReplicatedWithLeaseMessage if include_leases else ReplicatedMessage)
     return Endpoint(
         message.instance_id,
         message.address,
@@ -96,8 +96,8 @@
         message.lifecycle,
         message.weight,
         message.started_ms,
-        incarnation=message.incarnation if leases else 0,
-        lease_ms=message.lease_ms if leases else 0,
+        incarnation=message.incarnation if include_leases else 0,
+        lease_ms=message.lease_ms if include_leases else 0,
     )
 
 
