--- a/orchidhatch/control/agent/command.py
+++ b/orchidhatch/control/agent/command.py
@@ -15,10 +15,10 @@
 import sys
 from pathlib import Path
 
+from orchidhatch.control.addresses import parse_address
 from orchidhatch.control.agent.gateway_setup import GatewaySetup
 from orchidhatch.control.agent.service import Agent, open_cache
-from orchidhatch.control.registry.service import read_listen
-from orchidhatch.control.registry.store import StoreError
+from orchidhatch.control.errors import StoreError
 
 log = logging.getLogger("orchidhatch.agent")
 
@@ -31,10 +31,10 @@
         prog="orchidhatch.agent",
         description="Replicates the endpoint list for a gateway on the same machine.",
     )
-    parser.add_argument("--listen", type=read_listen, required=True, metavar="HOST:PORT")
+    parser.add_argument("--listen", type=parse_address, required=True, metavar="HOST:PORT")
     parser.add_argument(
         "--registry",
-        type=read_listen,
+        type=parse_address,
         required=True,
         action="append",
         metavar="HOST:PORT",
@@ -43,7 +43,7 @@
     parser.add_argument("--cache", type=Path, required=True, metavar="FILE")
     parser.add_argument(
         "--door",
-        type=read_listen,
+        type=parse_address,
         metavar="HOST:PORT",
         help="the gateway's management address; controllers' calls are forwarded there",
     )
--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -18,7 +18,7 @@
 from orchidhatch.control.agent.fence_table import FenceTable, StaleCallError
 from orchidhatch.control.agent.gateway_client import GATEWAY_TIMEOUT_S
 from orchidhatch.control.http_client import Address, HttpResponse, NoResponse, call
-from orchidhatch.control.http_server import Response, error_body, term_of
+from orchidhatch.control.http_response import ErrorBody, Response, term_of
 from orchidhatch.control.ownership.claims import Fence
 from orchidhatch.control.registry.replication import Replicator
 
@@ -209,4 +209,4 @@
 
 def refusal(error: CallRefusedError) -> Response:
     """The response to a call that is not forwarded."""
-    return Response(int(error.status), error_body(str(error)))
+    return Response(int(error.status), ErrorBody(str(error)))
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -16,11 +16,15 @@
 from orchidhatch.control.agent.gateway_calls import FencedCall, GatewayCalls
 from orchidhatch.control.agent.gateway_setup import GatewaySetup
 from orchidhatch.control.agent.policy_lease_holder import PolicyLeaseHolder
+from orchidhatch.control.errors import CorruptStoreError
 from orchidhatch.control.http_client import Address
-from orchidhatch.control.http_server import Connection, EndpointListServer, Response
+from orchidhatch.control.http_connection import Connection
+from orchidhatch.control.http_response import Response
+from orchidhatch.control.http_server import EndpointListServer
 from orchidhatch.control.registry.replication import Replicator, current_time_ms
-from orchidhatch.control.registry.store import CorruptStoreError, Store, put_aside
-from orchidhatch.control.schemas import read_act
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.registry.store_file import put_aside
+from orchidhatch.control.schemas import read_fenced_call
 
 log = logging.getLogger("orchidhatch.agent")
 
@@ -52,7 +56,7 @@
     ) -> None:
         super().__init__(store, seed)
         self.replicator = Replicator(self, registries, wall_clock_ms=wall_clock_ms)
-        self.database = CacheDatabase(store.db, self.in_turn)
+        self.database = CacheDatabase(store.db, self.run_in_turn)
         self.gateway_calls: GatewayCalls | None = None
         self.lease_holder: PolicyLeaseHolder | None = None
         if gateway:
@@ -84,11 +88,11 @@
         """Requests beside those of every endpoint list's server: management calls to the gateway."""
         match method, path:
             case "POST", ("door", *call_path) if self.gateway_calls:
-                fence, act_number = read_act(body)
+                fence, act_number = read_fenced_call(body)
                 call = FencedCall(tuple(call_path), fence, act_number)
-                self.begin(answer_later(connection, self.gateway_calls.forward(call)))
+                self.start_task(answer_later(connection, self.gateway_calls.forward(call)))
             case "GET", ("door", query) if self.gateway_calls:
-                self.begin(answer_later(connection, self.gateway_calls.query(query)))
+                self.start_task(answer_later(connection, self.gateway_calls.query(query)))
             case _:
                 super().other(connection, method, path, body)
 
@@ -117,7 +121,7 @@
             values |= self.gateway_calls.metrics()
         if self.lease_holder:
             values |= self.lease_holder.metrics()
-        return self.lines("agent", values)
+        return self.format_metrics("agent", values)
 
 
 async def answer_later(connection: Connection, response: Awaitable[Response]) -> None:
--- a/orchidhatch/control/registry/backups.py
+++ b/orchidhatch/control/registry/backups.py
@@ -13,7 +13,8 @@
 
 import msgspec
 
-from orchidhatch.control.registry.store import Store, StoreError
+from orchidhatch.control.errors import StoreError
+from orchidhatch.control.registry.store import Store
 
 MAX_BACKUPS = 24
 MAX_BACKUP_AGE_S = 7 * 24 * 3600.0  # the newest is kept in any case
@@ -121,8 +122,8 @@
             term=store.term,
             generation=store.generation,
             entries=len(store.entries),
-            claims=len(store.book.claims),
-            records=len(store.book.records),
+            claims=len(store.claims_table.claims),
+            records=len(store.claims_table.records),
         )
     finally:
         store.close()
--- a/orchidhatch/control/registry/endpoints.py
+++ b/orchidhatch/control/registry/endpoints.py
@@ -59,11 +59,6 @@
         """Whether this is the mark of a removal."""
         return self.lifecycle == Lifecycle.DELETED
 
-    @property
-    def life(self) -> int:
-        """The former name of `incarnation`, for modules that still use it."""
-        return self.incarnation
-
 
 class RegisterEndpoint(msgspec.Struct, frozen=True):
     """List an endpoint, or list it anew after a restart: a new incarnation begins.
--- a/orchidhatch/control/registry/rebuild.py
+++ b/orchidhatch/control/registry/rebuild.py
@@ -13,20 +13,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from orchidhatch.control.http_server import STORE_HEADER, term_of
+from orchidhatch.control.errors import CorruptStoreError, InvalidRequestError, StoreError
+from orchidhatch.control.http_response import STORE_HEADER, term_of
 from orchidhatch.control.operator_client import RESPONSE_TIMEOUT_S, CallError, open_watch
 from orchidhatch.control.registry.backups import delete_database
-from orchidhatch.control.registry.store import (
-    DELETED,
-    CorruptStoreError,
-    Entry,
-    Put,
-    Store,
-    StoreError,
-    put_aside,
-)
+from orchidhatch.control.registry.endpoints import Endpoint, ReplicateEndpoint
+from orchidhatch.control.registry.store import Store
+from orchidhatch.control.registry.store_file import put_aside
 from orchidhatch.control.registry.watch_client import decode_watch_event
-from orchidhatch.control.schemas import InvalidRequestError, read_instance
+from orchidhatch.control.schemas import read_replicated_endpoint
 
 ENDPOINTS_PER_WRITE = 500
 
@@ -35,7 +30,7 @@
 class RebuildSource:
     """An endpoint list to begin from, its generation, and the term of the store that it is of."""
 
-    endpoints: list[Entry]
+    endpoints: list[Endpoint]
     generation: int
     term: int
 
@@ -46,12 +41,12 @@
         with open_watch(at, 0, RESPONSE_TIMEOUT_S) as response:
             event = decode_watch_event(response.readline())
             term = term_of(response.headers.get(STORE_HEADER, ""))
-        endpoints = [read_instance(value) for value in event.instances]
+        endpoints = [read_replicated_endpoint(value) for value in event.instances]
     except InvalidRequestError as error:
         raise CallError(f"{at} gives a malformed endpoint list: {error}") from error
     except (OSError, http.client.HTTPException) as error:
         raise CallError(f"no list from {at}: {error or type(error).__name__}") from error
-    listed = [endpoint for endpoint in endpoints if endpoint.lifecycle != DELETED]
+    listed = [endpoint for endpoint in endpoints if not endpoint.is_deleted]
     return RebuildSource(listed, event.generation, term)
 
 
@@ -87,7 +82,7 @@
     store = Store(incomplete, create=True, first=first_generation, term=source.term + 1)
     for start in range(0, len(source.endpoints), ENDPOINTS_PER_WRITE):
         endpoints = source.endpoints[start : start + ENDPOINTS_PER_WRITE]
-        store.apply([Put(endpoint) for endpoint in endpoints])
+        store.apply([ReplicateEndpoint(endpoint) for endpoint in endpoints])
     store.close()  # which writes the log back, so that the file is all of it
     incomplete.replace(path)
     return Store(path)
--- a/orchidhatch/control/registry/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -14,17 +14,10 @@
 from orchidhatch.control.registry.batch import Batch, BatchPlan, Outcome, Write
 from orchidhatch.control.registry.checksums import DIGEST_MODULUS, digest_of
 from orchidhatch.control.registry.endpoints import (
-    LISTED_LIFECYCLES,
-    ChangeLifecycle,
     Endpoint,
-    Lifecycle,
-    RegisterEndpoint,
-    RemoveEndpoint,
-    ReplicateEndpoint,
     decode_endpoint,
 )
 from orchidhatch.control.registry.store_file import LAST_CHANGE_KEY, ListHeader, StoreFile
-from orchidhatch.control.registry.store_file import put_aside as put_aside
 
 MAX_HISTORY = 10_000  # changes that a watch may resume over; past it the whole list is sent
 
@@ -195,9 +188,6 @@
         for generation in list(_oldest_generations(self.history, self.generation - self._max_history)):
             del self.history[generation]
 
-    # The former name of `publish`, for modules that still use it.
-    take = publish
-
     def begin_term(self, term: int, first: int) -> None:
         """Begin a later term, durable on return: generations go on from `first` at least.
 
@@ -221,13 +211,3 @@
         if generation > last:
             return
         yield generation
-
-
-# Former names, for modules that still use them.
-Entry = Endpoint
-Register = RegisterEndpoint
-Change = ChangeLifecycle
-Remove = RemoveEndpoint
-Put = ReplicateEndpoint
-DELETED = Lifecycle.DELETED
-LIFECYCLES = LISTED_LIFECYCLES
--- a/orchidhatch/control/registry/watch_client.py
+++ b/orchidhatch/control/registry/watch_client.py
@@ -9,9 +9,9 @@
 import h11
 import msgspec
 
+from orchidhatch.control.errors import InvalidRequestError
 from orchidhatch.control.http_client import Address, format_address
-from orchidhatch.control.http_server import STORE_HEADER
-from orchidhatch.control.schemas import InvalidRequestError
+from orchidhatch.control.http_response import STORE_HEADER
 
 CONNECT_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0  # without any data; a registry sends an empty line every 2 s
--- a/tests/control/agent/helpers.py
+++ b/tests/control/agent/helpers.py
@@ -9,7 +9,7 @@
 
 from orchidhatch.control.agent.service import Agent, open_cache
 from orchidhatch.control.registry.service import Registry
-from tests.control.registry.test_service import address_of, call
+from tests.control.registry.helpers import address_of, call
 from tests.control.test_schemas import body
 from tests.sockets import HOST
 
--- a/tests/control/agent/lease_fixture.py
+++ b/tests/control/agent/lease_fixture.py
@@ -15,7 +15,7 @@
 from orchidhatch.proxy.config import load
 from orchidhatch.proxy.server import FrontDoor
 from tests.control.policy.test_policy import Time, keeping, settled
-from tests.control.registry.test_service import address_of, call
+from tests.control.registry.helpers import address_of, call
 from tests.gateway_config import write_gateway_config
 from tests.sockets import HOST, Backend, front_door
 
--- a/tests/control/agent/test_policy_documents.py
+++ b/tests/control/agent/test_policy_documents.py
@@ -6,7 +6,7 @@
 from orchidhatch.control.policy.records import CHANGE_TASK_RECORD, DOCUMENT_RECORD_PREFIX
 from tests.control.agent.lease_fixture import leased_gateway
 from tests.control.policy.test_policy import DA, A
-from tests.control.registry.test_service import address_of, call
+from tests.control.registry.helpers import address_of, call
 
 REJECT_BURST_OF_20 = (
     "import json, os, sys; sys.exit('no stor' if json.load(open(os.environ['PROXY_CONFIG']))["
--- a/tests/control/agent/test_replication.py
+++ b/tests/control/agent/test_replication.py
@@ -11,7 +11,7 @@
 from orchidhatch.control.schemas import InvalidRequestError
 from orchidhatch.proxy.server import FrontDoor
 from tests.control.agent.helpers import register_endpoint, running_agent, until
-from tests.control.registry.test_service import Watcher, address_of, call, named, serving
+from tests.control.registry.helpers import Watcher, address_of, call, named, serving
 from tests.control.test_schemas import body
 from tests.sockets import CONFIG, HOST, Backend, Client, query
 
--- a/tests/control/agent/test_service.py
+++ b/tests/control/agent/test_service.py
@@ -10,7 +10,7 @@
 from orchidhatch.control.registry.store import Batch
 from orchidhatch.proxy.server import FrontDoor
 from tests.control.agent.helpers import register_endpoint, running_agent, start_agent_process, until
-from tests.control.registry.test_service import Watcher, address_of, call, named, serving, start
+from tests.control.registry.helpers import Watcher, address_of, call, named, serving, start
 from tests.control.test_schemas import body
 from tests.sockets import CONFIG, Backend, Client, query, refusing_address
 
--- a/tests/control/registry/test_rebuild.py
+++ b/tests/control/registry/test_rebuild.py
@@ -5,9 +5,10 @@
 import sys
 from pathlib import Path
 
-from orchidhatch.control.registry.store import Register, Store
+from orchidhatch.control.registry.endpoints import RegisterEndpoint
+from orchidhatch.control.registry.store import Store
 from tests.control.agent.helpers import register_endpoint, running_agent, until
-from tests.control.registry.test_service import Watcher, address_of, named, serving
+from tests.control.registry.helpers import Watcher, address_of, named, serving
 from tests.control.registry.test_store import entry, one
 from tests.sockets import refusing_address
 
@@ -67,7 +68,7 @@
 ) -> None:
     path, copy, new = tmp_path / "list.db", tmp_path / "copy.db", tmp_path / "new.db"
     store = Store(path, create=True)
-    one(store, Register(entry(1, lease_ms=5000)))
+    one(store, RegisterEndpoint(entry(1, lease_ms=5000)))
     store.close()
     shutil.copy(path, copy)
     assert (await run_rebuild(new, "--backup", str(copy)))[0] == 0
@@ -87,7 +88,7 @@
 async def test_rebuild_when_the_source_fails_then_changes_nothing(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
     store = Store(path, create=True)
-    one(store, Register(entry(1)))
+    one(store, RegisterEndpoint(entry(1)))
     store.close()
     broken = damage(path)
     gone = "{}:{}".format(*refusing_address())
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -11,12 +11,14 @@
 
 import pytest
 
+from orchidhatch.control.errors import StoreError
 from orchidhatch.control.registry import peer_terms, replication
+from orchidhatch.control.registry.endpoints import RegisterEndpoint
 from orchidhatch.control.registry.service import Registry
-from orchidhatch.control.registry.store import Register, Store, StoreError
+from orchidhatch.control.registry.store import Store
 from orchidhatch.proxy.server import FrontDoor
 from tests.control.agent.helpers import register_endpoint, running_agent, start_agent_process, until
-from tests.control.registry.test_service import Watcher, address_of, call, named, serving, start
+from tests.control.registry.helpers import Watcher, address_of, call, named, serving, start
 from tests.control.registry.test_store import entry, one
 from tests.control.test_cli import client
 from tests.control.test_schemas import body
@@ -139,9 +141,9 @@
 def test_store_when_a_term_begins_then_it_is_durable_and_no_watch_resumes_over_it(tmp_path: Path) -> None:
     path = tmp_path / "list.db"
     store = Store(path, create=True)
-    made = one(store, Register(entry(1)))
+    made = one(store, RegisterEndpoint(entry(1)))
     store.begin_term(5, 1000)
-    one(store, Register(entry(2)))
+    one(store, RegisterEndpoint(entry(2)))
     with pytest.raises(StoreError):
         store.begin_term(5, 2000)
     store.close()
--- a/tests/control/test_cli.py
+++ b/tests/control/test_cli.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.control.registry.test_service import address_of, serving
+from tests.control.registry.helpers import address_of, serving
 from tests.sockets import HOST, refusing_address
 
 ROOT = Path(__file__).parents[2]
