--- a/orchidhatch/control/agent/fence_table.py
+++ b/orchidhatch/control/agent/fence_table.py
@@ -8,11 +8,10 @@
 from collections.abc import Mapping
 
 from orchidhatch.control.agent.cache_database import CacheDatabase, Statement
-from orchidhatch.control.ownership.claims import Fence
+from orchidhatch.control.error_signs import CLAIM_SIGN
+from orchidhatch.control.ownership.objects import Fence
 
 MAX_CLAIMS_AND_SUBJECTS = 20_000
-# The controller recognizes a refused epoch by this word in a conflict's text, as earlier versions do.
-CLAIM_WORD = "claim "
 
 
 class StaleCallError(Exception):
@@ -44,7 +43,7 @@
         highest_epoch = self.epochs.get(fence.claim, 0)
         if fence.epoch < highest_epoch:
             raise StaleCallError(
-                f"{CLAIM_WORD}{fence.claim} is at epoch {highest_epoch} here, not {fence.epoch}"
+                f"{CLAIM_SIGN}{fence.claim} is at epoch {highest_epoch} here, not {fence.epoch}"
             )
         last_act = self.act_numbers.get(subject, 0)
         if act_number < last_act:
--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -19,7 +19,7 @@
 from orchidhatch.control.agent.gateway_client import GATEWAY_TIMEOUT_S
 from orchidhatch.control.http_client import Address, HttpResponse, NoResponse, call
 from orchidhatch.control.http_response import ErrorBody, Response, term_of
-from orchidhatch.control.ownership.claims import Fence
+from orchidhatch.control.ownership.objects import Fence
 from orchidhatch.control.registry.replication import Replicator
 
 log = logging.getLogger("orchidhatch.gateway_calls")
--- a/orchidhatch/control/agent/policy_lease.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -15,16 +15,13 @@
 
 from orchidhatch.control.agent.cache_database import CacheDatabase, Statement
 from orchidhatch.control.agent.policy_decision import PolicyDecision
+from orchidhatch.control.error_signs import OTHER_INCARNATION_SIGN
 from orchidhatch.control.http_client import CallResult
 from orchidhatch.control.policy.timing import LEASE_S
 from orchidhatch.control.registry_client import RegistryClient
 
 log = logging.getLogger("orchidhatch.policy_lease")
 
-# A registry refuses a renewal by this conflict if another agent holds the gateway's lease; registries of
-# earlier versions use the same words.
-OTHER_INCARNATION_TEXT = "another life"
-
 
 class RenewalRequest(msgspec.Struct, rename="camel", omit_defaults=True):
     """A renewal, with how the gateway is; field names and which are left out are on the wire.
@@ -178,4 +175,4 @@
     """Whether the registry does not list this incarnation of the gateway's agent."""
     if result.status == HTTPStatus.NOT_FOUND:
         return True
-    return result.status == HTTPStatus.CONFLICT and OTHER_INCARNATION_TEXT in str(result.value)
+    return result.status == HTTPStatus.CONFLICT and OTHER_INCARNATION_SIGN in str(result.value)
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -106,7 +106,7 @@
         )
         return Response(200 if self.replicator.has_list else 503, msgspec.to_builtins(health))
 
-    def figures(self) -> str:
+    def metrics_text(self) -> str:
         """The text of /metrics."""
         replicator = self.replicator
         values: dict[str, float] = {
--- a/orchidhatch/control/http_response.py
+++ b/orchidhatch/control/http_response.py
@@ -66,7 +66,7 @@
 
 
 def has_status(error: Exception) -> bool:
-    """Whether the error is one that a client is told of, rather than a fault of the program."""
+    """Whether the error is the client's to handle, rather than a fault of the program."""
     return isinstance(error, tuple(STATUS_OF_ERROR))
 
 
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -43,8 +43,8 @@
 class EndpointListServer:
     """A list and those who watch it.
 
-    Subclasses override `health`, `figures` and `store_name`, and add routes or override `other`. It has more
-    than 15 public methods as it is the base that both services share.
+    Subclasses override `health`, `metrics_text` and `store_name`, and add routes or override `other`. It has
+    more than 15 public methods as it is the base that both services share.
     """
 
     def __init__(self, store: Store, seed: int | None = None) -> None:
@@ -63,7 +63,7 @@
         self.router.add("GET", "/healthcheck", lambda request: self.health())
         self.router.add("GET", "/metrics", self._get_metrics)
 
-    # --- life ---
+    # --- start and end ---
 
     async def start(self, host: str, port: int) -> None:
         """Listen; port 0 takes any that is free."""
@@ -117,7 +117,7 @@
     # --- what subclasses override ---
 
     def store_name(self) -> str:
-        """The store whose generations are told: its identity and term."""
+        """The store whose generations these are: its identity and term."""
         return f"{self.store.identity} {self.store.term}"
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
@@ -128,7 +128,7 @@
         """Whether the service can do its work."""
         return Response(200, HealthResponse("serves"))
 
-    def figures(self) -> str:
+    def metrics_text(self) -> str:
         """The metrics in Prometheus's text form, made by `format_metrics`."""
         raise NotImplementedError
 
@@ -181,7 +181,7 @@
     # --- metrics ---
 
     def _get_metrics(self, request: Request) -> Response:
-        return Response(200, self.figures().encode(), METRICS_CONTENT_TYPE)
+        return Response(200, self.metrics_text().encode(), METRICS_CONTENT_TYPE)
 
     def format_metrics(self, prefix: str, values: dict[str, float]) -> str:
         """Metrics in Prometheus's text form, with those that all list servers have."""
--- a/orchidhatch/control/ownership/claims.py
+++ b/orchidhatch/control/ownership/claims.py
@@ -14,6 +14,7 @@
 
 from msgspec.structs import replace
 
+from orchidhatch.control.error_signs import CLAIM_SIGN, OTHER_INCARNATION_SIGN
 from orchidhatch.control.errors import ConflictError, NotFoundError
 from orchidhatch.control.ownership.claims_table import ClaimsTable, ObjectChanges
 from orchidhatch.control.ownership.objects import (
@@ -53,11 +54,6 @@
 EPOCH_COUNT_BITS = 32  # of an epoch; the term is above them
 MAX_LOST_HOLDERS = 3  # holders in a row whose sessions expired: then the claim is suspended
 
-# Processes of other versions look for these words in an error. The first tells that a fence holds, the second
-# that another process runs under the same name; both are to stay in the text.
-CLAIM_WORD = "claim"
-OTHER_INCARNATION = "another life"
-
 
 class ClaimsTransaction:
     """The table as a batch of writes leaves it; the table itself stays as it is.
@@ -105,10 +101,10 @@
         if not claim.holder or claim.epoch != fence.epoch:
             unheld = "" if claim.holder else " and held by nobody"
             raise ConflictError(
-                f"{CLAIM_WORD} {fence.claim} is at epoch {claim.epoch}{unheld}, not {fence.epoch}"
+                f"{CLAIM_SIGN}{fence.claim} is at epoch {claim.epoch}{unheld}, not {fence.epoch}"
             )
         if claim.suspended:
-            raise ConflictError(f"{CLAIM_WORD} {fence.claim} is suspended")
+            raise ConflictError(f"{CLAIM_SIGN}{fence.claim} is suspended")
 
     # --- writes ---
 
@@ -163,7 +159,7 @@
         known = self.find(ObjectKind.SESSION, write.session.id)
         if known and known.incarnation != write.session.incarnation:
             raise ConflictError(
-                f"{known.id} is held by {OTHER_INCARNATION} of it until that one's lease ends"
+                f"{known.id} is held by {OTHER_INCARNATION_SIGN} of it until that one's lease ends"
             )
         if known is None:
             self._check_room(ObjectKind.SESSION)
@@ -183,7 +179,7 @@
         if known is None:
             raise NotFoundError(f"{holder} has no session")
         if known.incarnation != incarnation:
-            raise ConflictError(f"{holder} is in {OTHER_INCARNATION} since")
+            raise ConflictError(f"{holder} is in {OTHER_INCARNATION_SIGN} since")
         return known
 
     # --- claims ---
@@ -191,7 +187,7 @@
     def _claim(self, name: str) -> Claim:
         known = self.find(ObjectKind.CLAIM, name)
         if known is None:
-            raise NotFoundError(f"there is no {CLAIM_WORD} {name}")
+            raise NotFoundError(f"there is no {CLAIM_SIGN}{name}")
         return known
 
     def _take_claim(self, write: TakeClaim) -> Claim:
@@ -201,7 +197,7 @@
             self._check_room(ObjectKind.CLAIM)
             known = Claim(write.name)
         if known.suspended:
-            raise ConflictError(f"{CLAIM_WORD} {known.name} is suspended: {known.reason}")
+            raise ConflictError(f"{CLAIM_SIGN}{known.name} is suspended: {known.reason}")
         if known.holder == session.id and known.incarnation == session.incarnation:
             return self._unchanged(known)
         self._check_may_take(known, session)
@@ -221,14 +217,14 @@
     def _check_may_take(self, claim: Claim, session: Session) -> None:
         """Raise ConflictError unless the claim is free for this session."""
         if claim.holder:
-            raise ConflictError(f"{CLAIM_WORD} {claim.name} is held by {claim.holder} at epoch {claim.epoch}")
+            raise ConflictError(f"{CLAIM_SIGN}{claim.name} is held by {claim.holder} at epoch {claim.epoch}")
         is_for_other = claim.handed_to not in ("", session.id)
         if is_for_other and self.find(ObjectKind.SESSION, claim.handed_to):
-            raise ConflictError(f"{CLAIM_WORD} {claim.name} was handed to {claim.handed_to}")
+            raise ConflictError(f"{CLAIM_SIGN}{claim.name} was handed to {claim.handed_to}")
         has_others = any(other.id != session.id for other in self.all(ObjectKind.SESSION))
         if claim.released_by == session.id and has_others:
             raise ConflictError(
-                f"{CLAIM_WORD} {claim.name} was released by {claim.released_by}: {claim.reason}"
+                f"{CLAIM_SIGN}{claim.name} was released by {claim.released_by}: {claim.reason}"
             )
 
     def _release_claim(self, write: ReleaseClaim) -> Claim:
@@ -237,7 +233,7 @@
         held = (known.holder, known.incarnation, known.epoch)
         if held != (write.holder, write.incarnation, write.epoch):
             raise ConflictError(
-                f"{CLAIM_WORD} {write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
+                f"{CLAIM_SIGN}{write.name} is at epoch {known.epoch} of {known.holder or 'nobody'}, "
                 f"not {write.epoch} of {write.holder}"
             )
         released = replace(
--- a/orchidhatch/control/ownership/service.py
+++ b/orchidhatch/control/ownership/service.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from orchidhatch.control.error_signs import OTHER_INCARNATION_SIGN
 from orchidhatch.control.errors import ConflictError, NotFoundError
 from orchidhatch.control.http_connection import Connection
 from orchidhatch.control.http_response import Response
 from orchidhatch.control.leases import LeaseTable, MassExpiryLimit
-from orchidhatch.control.ownership.claims import OTHER_INCARNATION
 from orchidhatch.control.ownership.objects import Claim, Session
 from orchidhatch.control.ownership.writes import ClaimsWrite, EndSession
 from orchidhatch.control.registry.store import Outcome, Store
@@ -80,7 +80,7 @@
         """Renew a session's lease. Raises NotFoundError, or ConflictError for another incarnation."""
         if not self.leases.renew(holder, incarnation, self._now_s()):
             if holder in self._table.sessions:
-                raise ConflictError(f"{holder} is in {OTHER_INCARNATION} since")
+                raise ConflictError(f"{holder} is in {OTHER_INCARNATION_SIGN} since")
             raise NotFoundError(f"{holder} has no session")
         epochs = {
             claim.name: claim.epoch
@@ -140,7 +140,7 @@
 
     # --- metrics ---
 
-    def figures(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float]:
         """Metrics by name, without the registry's prefix."""
         claims = self._table.claims.values()
         return {
--- a/orchidhatch/control/registry/endpoints.py
+++ b/orchidhatch/control/registry/endpoints.py
@@ -9,15 +9,13 @@
 import msgspec
 from msgspec.structs import replace
 
+from orchidhatch.control.error_signs import OTHER_INCARNATION_SIGN
 from orchidhatch.control.errors import ConflictError, NotFoundError
 from orchidhatch.control.ownership.objects import Fence
 from orchidhatch.control.registry.checksums import digest_of
 
 MAX_ENDPOINTS = 100_000
 
-# Clients of other versions look for these words in an error, and register again by them.
-OTHER_INCARNATION = "another life"
-
 
 class Lifecycle(StrEnum):
     """How an endpoint may be used; DELETED only in changes and in the history."""
@@ -167,5 +165,5 @@
 
 def _removed(write: RemoveEndpoint, listed: Endpoint, generation: int) -> Endpoint:
     if write.incarnation not in (None, listed.incarnation):
-        raise ConflictError(f"{write.id} is in {OTHER_INCARNATION} since")
+        raise ConflictError(f"{write.id} is in {OTHER_INCARNATION_SIGN} since")
     return replace(listed, lifecycle=Lifecycle.DELETED, version=generation)
--- a/orchidhatch/control/registry/handlers.py
+++ b/orchidhatch/control/registry/handlers.py
@@ -92,7 +92,7 @@
             return NotFoundError(f"{id_:.80} is not listed")
         if not listed.lease_ms:
             return ConflictError(f"{id_} has no lease")
-        return ConflictError(f"{id_} is in life {listed.incarnation}, not {incarnation}")
+        return ConflictError(f"{id_} is in incarnation {listed.incarnation}, not {incarnation}")
 
     def _expire_leases(self, request: Request) -> Response:
         """For the owner of this task: the registry's own check rests while one calls."""
@@ -178,7 +178,7 @@
         await self._run_in_turn(check_and_copy)
         return summaries[0]
 
-    def figures(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float]:
         """Metrics by name, without the registry's prefix."""
         if self.backups is None:
             return {}
--- a/orchidhatch/control/registry/lease_expiry.py
+++ b/orchidhatch/control/registry/lease_expiry.py
@@ -72,7 +72,7 @@
         if not self._writes.enqueue_internal(removal):
             self.leases.restore_overdue(endpoint, self._now_s())
 
-    def figures(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float]:
         """Metrics by name, without the registry's prefix."""
         return {
             "leases": len(self.leases.leases),
--- a/orchidhatch/control/registry/peer_terms.py
+++ b/orchidhatch/control/registry/peer_terms.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from orchidhatch.control.error_signs import FENCED_SIGN
 from orchidhatch.control.errors import ConflictError, UnavailableError
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_connection import MAX_HEAD_BYTES
@@ -32,9 +33,6 @@
 # the answer: the validity of its check, which began before the answer, and a twentieth as clocks differ.
 PROMOTION_DELAY_S = 1.05 * CHECK_VALIDITY_S
 
-# Clients of other versions look for this word in an error, and ask another registry by it.
-FENCED_SIGN = "fenced"
-
 
 class Fenced(NamedTuple):
     """The peer that has replaced this registry, and its term."""
@@ -44,7 +42,7 @@
 
 
 class PeerTermGuard:
-    """What is known of the peers' terms, and what a peer was told of this registry's."""
+    """What is known of the peers' terms, and when a peer was last sent this registry's."""
 
     def __init__(
         self,
@@ -77,7 +75,7 @@
         return self._store.term
 
     def since_term_query_s(self) -> float:
-        """Seconds since a peer was last told the term."""
+        """Seconds since a peer was last sent the term."""
         return self._now_s() - self.last_term_query_answered_s
 
     # --- whether writes may be taken and acknowledged ---
@@ -135,7 +133,7 @@
         started_s = self._now_s()
         peers = () if self._is_replica() or self.fenced else self._peers
         terms = await asyncio.gather(*map(query_term, peers))
-        # What was heard may be from the beginning, if the process stood still since.
+        # The answers may be from the beginning, if the process stood still since.
         self.last_check_started_s = max(self.last_check_started_s, started_s)
         for peer, term in zip(peers, terms, strict=True):
             if term > self._store.term and not self.fenced:
--- a/orchidhatch/control/registry/promotion.py
+++ b/orchidhatch/control/registry/promotion.py
@@ -1,7 +1,7 @@
 """Promotion: a replica becomes the registry that takes writes, in a new term.
 
 It is refused while another registry may still take writes, unless it is forced. What may be is the upstream,
-if it still answers or a process still listens where it was, and a peer that was told the term a moment ago.
+if it still answers or a process still listens where it was, and a peer that was sent the term a moment ago.
 """
 
 import asyncio
@@ -77,7 +77,7 @@
         if not replicator:
             raise ConflictError(f"it follows none; it is the registry of term {self._store.term}")
         if not replicator.has_list:
-            raise ConflictError("it has never heard a list")
+            raise ConflictError("it has never received a list")
         if force:
             return replicator
         if replicator.connected:
--- a/orchidhatch/control/registry/replica_role.py
+++ b/orchidhatch/control/registry/replica_role.py
@@ -3,12 +3,10 @@
 import asyncio
 from collections.abc import Coroutine, Iterable
 
+from orchidhatch.control.error_signs import READ_ONLY_SIGN
 from orchidhatch.control.errors import ConflictError
 from orchidhatch.control.registry.replication import Replicator
 
-# Clients of other versions look for these words in an error, and ask another registry by them.
-READ_ONLY_SIGN = "takes no writes"
-
 
 class ReplicaRole:
     """The replicator while this registry is a replica; None when it is the primary.
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -91,7 +91,7 @@
         table = self.store.claims_table
         OwnershipHandlers(table, self.ownership, self.writes, access).add_routes(self.router)
 
-    # --- life ---
+    # --- start and end ---
 
     async def start(self, host: str, port: int) -> None:
         """Ask the peers, then listen: one that was replaced learns it before it takes a write."""
@@ -107,7 +107,7 @@
             self.tasks += self.role.start([replicator.run(), copy_policies])
 
     def _begin_term(self) -> None:
-        """Begin anew after a promotion; all watches end, as they were told another term."""
+        """Begin anew after a promotion; all watches end, as they are of another term."""
         self.lease_expiry.restart()
         self.ownership.restart()
         self.policy_leases.begin()
@@ -158,7 +158,7 @@
         return self._policy_host.queue(write, connection)
 
     def store_name(self) -> str:
-        """The store whose generations are told; a replica's term is its upstream's."""
+        """The store whose generations these are; a replica's term is its upstream's."""
         replicator = self.replicator
         return f"{self.store.identity} {replicator.highest_term() if replicator else self.store.term}"
 
@@ -185,18 +185,18 @@
 
     # --- metrics ---
 
-    def figures(self) -> str:
+    def metrics_text(self) -> str:
         """The metrics in Prometheus's text form."""
         replicator = self.replicator
         return self.format_metrics(
             "registry",
             {
                 "shed_total": self.rejected_requests + self.writes.rejected_writes,
-                **self.ownership.figures(),
+                **self.ownership.metrics(),
                 **self.policy_leases.figures(),
-                **self._backup_handlers.figures(),
-                **self.writes.figures(),
-                **self.lease_expiry.figures(),
+                **self._backup_handlers.metrics(),
+                **self.writes.metrics(),
+                **self.lease_expiry.metrics(),
                 "broken": int(self.writes.last_write_error is not None),
                 "fenced": int(self.peer_terms.fenced is not None),
                 "lapses_total": self.peer_terms.stale_checks,
--- a/orchidhatch/control/registry/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -65,7 +65,7 @@
 
     @property
     def identity(self) -> str:
-        """A random name of this store, the same for as long as the file lives."""
+        """A random name of this store, the same for as long as the file exists."""
         return self._header.identity
 
     @property
--- a/orchidhatch/control/registry/write_pipeline.py
+++ b/orchidhatch/control/registry/write_pipeline.py
@@ -47,7 +47,7 @@
 
 
 class WriteObserver(Protocol):
-    """A service that keeps state about what was written. It is told before clients are."""
+    """A service that keeps state about what was written. It is notified before clients are answered."""
 
     def batch_written(self, writes: Sequence[QueuedWrite], outcomes: Sequence[Outcome]) -> None:
         """These writes are durable, or were rejected: an outcome that is a ConflictError."""
@@ -156,7 +156,7 @@
             self._broadcast()
 
     async def _commit(self, batch: Batch, wanted: Sequence[QueuedWrite]) -> bool:
-        """Whether the batch is durable; otherwise all were told."""
+        """Whether the batch is durable; otherwise all were answered."""
         started_s = time.monotonic()
         try:
             await self._run_in_turn(lambda: self._store.commit(batch))
@@ -184,7 +184,7 @@
         for queued in wanted:
             queued.acknowledge(ConflictError(self._peer_terms.fenced_text()))
 
-    def figures(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float]:
         """Metrics by name, without the registry's prefix."""
         return {
             "writes_waiting": self.queued,
--- a/orchidhatch/control/registry_client.py
+++ b/orchidhatch/control/registry_client.py
@@ -4,12 +4,10 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from orchidhatch.control.error_signs import NOT_WRITABLE_SIGNS
 from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse, call
 
 REGISTRY_TIMEOUT_S = 1.0
-# A registry that does not accept writes says so by a conflict with one of these in its error text. Registries
-# of earlier versions are recognized by the same words, so they must stay in the text on both sides.
-NOT_WRITABLE_TEXTS = ("takes no writes", "fenced")
 
 
 @dataclass
@@ -43,4 +41,4 @@
         return False
     text = str(response.value)
     is_conflict = response.status == HTTPStatus.CONFLICT
-    return not (is_conflict and any(words in text for words in NOT_WRITABLE_TEXTS))
+    return not (is_conflict and any(words in text for words in NOT_WRITABLE_SIGNS))
--- a/orchidhatch/control/responses.py
+++ b/orchidhatch/control/responses.py
@@ -150,7 +150,7 @@
 def outcome_value(
     outcome: Endpoint | OwnedObject,
 ) -> EndpointResponse | SessionResponse | Claim | Record | Gateway:
-    """What the client is told whose write was carried out."""
+    """The value of the response to a write that was carried out."""
     if isinstance(outcome, Endpoint):
         return endpoint_response(outcome)
     if isinstance(outcome, Session):
--- a/tests/control/ownership/test_transactions.py
+++ b/tests/control/ownership/test_transactions.py
@@ -162,3 +162,15 @@
     again.close()
     with pytest.raises(CorruptStoreError):
         Store(tmp_path / "list.db")
+
+
+def test_fence_when_its_claim_is_suspended_then_rejects_writes_until_it_is_resumed() -> None:
+    table = ClaimsTable()
+    *_, claim = write_all(table, OpenSession(Session("a", "1", 1000)), TakeClaim("x", "a", "1"))
+    put = PutRecord("r", "text", fence=Fence("x", claim.epoch))
+    write_all(table, SuspendClaim("x", True))
+    with pytest.raises(ConflictError, match="claim x is suspended"):
+        write_all(table, put)
+    assert not table.records
+    write_all(table, SuspendClaim("x", False), put)
+    assert table.records["r"].text == "text"
--- a/tests/control/registry/test_peer_terms.py
+++ b/tests/control/registry/test_peer_terms.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from orchidhatch.control.errors import UnavailableError
 from orchidhatch.control.registry import peer_terms
+from orchidhatch.control.registry.peer_terms import PeerTermGuard
+from orchidhatch.control.registry.store import Store
 from tests.control.registry.helpers import address_of, call, named, serving
 from tests.control.test_schemas import body
 from tests.sockets import refusing_address
@@ -30,3 +33,27 @@
         async with serving(path, peers=(address_of(new),)) as back:  # fenced before its first write
             assert (await call(address_of(back), "DELETE /entries/s-1"))[0] == 409
             assert back.store.generation == 1
+
+
+async def test_check_when_too_old_then_is_repeated_before_a_write_is_acknowledged(path: Path) -> None:
+    now_s = 1000.0
+    store = Store(path, create=True)
+    guard = PeerTermGuard(store, [refusing_address()], lambda: now_s, lambda: False)
+    assert not guard.is_current()
+    await guard.check_peers()
+    now_s += peer_terms.CHECK_VALIDITY_S - 0.1
+    assert guard.is_current() and await guard.ensure_current() and guard.stale_checks == 0
+    now_s += 0.2
+    with pytest.raises(UnavailableError, match="asks its peers first"):
+        guard.check_is_current()
+    assert await guard.ensure_current() and guard.stale_checks == 1 and guard.is_current()
+    guard.reset()
+    assert not guard.is_current()
+    store.close()
+
+
+async def test_guard_when_without_peers_then_needs_no_check(path: Path) -> None:
+    store = Store(path, create=True)
+    guard = PeerTermGuard(store, [], lambda: 1000.0, lambda: False)
+    assert guard.is_current() and await guard.ensure_current() and not guard.has_peers
+    store.close()
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -121,7 +121,7 @@
 async def test_promotion_when_no_list_was_ever_received_then_is_refused(tmp_path: Path) -> None:
     async with serving(tmp_path / "2.db", follow=(refusing_address(),)) as second:
         status, told = await call(address_of(second), "POST /promote", b'{"force":true}')
-        assert status == 409 and "never heard" in told["error"]
+        assert status == 409 and "never received" in told["error"]
         assert (await call(address_of(second), "GET /healthcheck"))[0] == 503
         assert (await call(address_of(second), "POST /promote", b'{"force":1}'))[0] == 400
 
--- a/tests/control/registry/test_write_pipeline.py
+++ b/tests/control/registry/test_write_pipeline.py
@@ -6,10 +6,13 @@
 import pytest
 
 from orchidhatch.control.http_connection import Connection
+from orchidhatch.control.http_response import Response
 from orchidhatch.control.registry import write_pipeline
+from orchidhatch.control.registry.peer_terms import Fenced
 from orchidhatch.control.schemas import read_register_endpoint
 from tests.control.registry.helpers import address_of, call, named, raw, serving
 from tests.control.test_schemas import body
+from tests.sockets import HOST
 
 
 async def test_writes_when_concurrent_then_are_committed_in_groups(path: Path) -> None:
@@ -66,3 +69,62 @@
         registry.store.db.execute("PRAGMA query_only = 0")
         assert (await call(at, "POST /entries", body(instanceId="s-2")))[1]["version"] == 2
         assert (await call(at, "GET /healthcheck"))[0] == 200
+
+
+class FakeClient:
+    """A connection that keeps the response it is answered with."""
+
+    is_closing = False
+
+    def __init__(self) -> None:
+        self.response: Response | None = None
+
+    def answer(self, response: Response) -> None:
+        self.response = response
+
+
+class RecordingObserver:
+    """Notes what it is notified of, and whether the client was answered by then."""
+
+    def __init__(self, client: FakeClient) -> None:
+        self.client = client
+        self.events: list[tuple[str, bool]] = []
+
+    def batch_written(self, writes: object, outcomes: object) -> None:
+        self.events.append(("written", self.client.response is not None))
+
+    def batch_failed(self, writes: object) -> None:
+        self.events.append(("failed", self.client.response is not None))
+
+
+async def test_write_when_durable_then_observers_are_notified_before_the_client(path: Path) -> None:
+    async with serving(path) as registry:
+        client = FakeClient()
+        observer = RecordingObserver(client)
+        registry.writes.observers.append(observer)
+        registry.writes.enqueue(read_register_endpoint(body()), client)
+        while client.response is None:
+            await asyncio.sleep(0.001)
+        assert client.response.status == 200 and observer.events == [("written", False)]
+
+
+async def test_write_when_the_registry_is_fenced_on_the_way_to_the_disk_then_is_not_acknowledged(
+    path: Path,
+) -> None:
+    async with serving(path) as registry:
+        checks = 0
+
+        async def fenced_at_the_second_check() -> bool:
+            nonlocal checks
+            checks += 1
+            if checks == 2:
+                registry.peer_terms.fenced = Fenced((HOST, 1), 2)
+            return checks < 2
+
+        registry.peer_terms.ensure_current = fenced_at_the_second_check
+        client = FakeClient()
+        registry.writes.enqueue(read_register_endpoint(body()), client)
+        while client.response is None:
+            await asyncio.sleep(0.001)
+        assert client.response.status == 409 and "fenced" in client.response.value.error
+        assert registry.writes.writes == 1  # it is durable, but nobody may rely on it
--- a/tests/control/test_http_server.py
+++ b/tests/control/test_http_server.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from orchidhatch.control import http_connection, watch_broadcaster
+from orchidhatch.control import http_connection, http_server, watch_broadcaster
+from orchidhatch.control.http_response import STORE_HEADER
 from tests.control.registry.helpers import Watcher, address_of, call, named, raw, serving
 from tests.control.test_schemas import body
 
@@ -144,3 +145,52 @@
             assert registry.broadcaster.aborted == 1 and len(registry.watches) == 1
             await call(at, "POST /entries", body(instanceId="s-1"))
             assert named(await quick.news()) == {"s-1": "SERVING"}
+
+
+async def test_request_when_there_are_too_many_then_is_rejected_with_retry_after(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_connection, "MAX_REQUESTS", 0)
+    async with serving(path) as registry:
+        at = address_of(registry)
+        status, headers, _ = await raw(at, b"GET /healthcheck HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert status == 503 and 1 <= int(headers["retry-after"]) <= 5
+        assert registry.rejected_requests == 1
+
+
+async def test_watch_when_there_are_too_many_then_is_rejected(
+    path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_server, "MAX_WATCHES", 1)
+    async with serving(path) as registry:
+        at = address_of(registry)
+        first = await Watcher.open(at)
+        status, response = await call(at, "GET /catalog/members?watch=1")
+        assert status == 503 and "too many watches" in response["error"]
+        assert await first.news() and registry.rejected_requests == 1
+
+
+async def test_watch_when_it_names_another_store_then_begins_with_the_whole_list(path: Path) -> None:
+    async with serving(path) as registry:
+        at = address_of(registry)
+        assert (await call(at, "POST /entries", body(instanceId="s-1")))[0] == 200
+        for store_name, is_whole in ((registry.store_name(), False), ("0011223344556677 1", True)):
+            reader, writer = await asyncio.open_connection(*at)
+            head = f"GET /catalog/members?watch=1&after=1 HTTP/1.1\r\nHost: x\r\n{STORE_HEADER}: {store_name}"
+            writer.write(f"{head}\r\n\r\n".encode())
+            await reader.readuntil(b"\r\n\r\n")
+            size = int(await reader.readline(), 16)
+            assert json.loads(await reader.readexactly(size))["reset"] is is_whole
+            writer.close()
+
+
+async def test_watch_when_endpoints_change_one_after_another_then_receives_each_change_once(
+    path: Path,
+) -> None:
+    async with serving(path) as registry:
+        at = address_of(registry)
+        watcher = await Watcher.open(at)
+        assert named(await watcher.news()) == {}
+        for name in ("s-1", "s-2", "s-3"):
+            assert (await call(at, "POST /entries", body(instanceId=name)))[0] == 200
+            assert named(await watcher.news()) == {name: "SERVING"}
