--- a/orchidhatch/control/agent/policy_lease.py
+++ b/orchidhatch/control/agent/policy_lease.py
@@ -371,7 +371,7 @@
     def hang_up(self) -> None:
         """Signal the door, and nobody else who has its number by now."""
         try:
-            number = int(self.setup.pid.parse_document())
+            number = int(self.setup.pid.read_text())
             descriptor = os.pidfd_open(number)
         except (OSError, ValueError) as error:
             log.warning("the door's process is not known: %s", error)
