--- a/orchidhatch/control/cli.py
+++ b/orchidhatch/control/cli.py
@@ -11,11 +11,13 @@
 import http.client
 import json
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import quote
 
-from orchidhatch.control.controller import tasks
+from msgspec import Struct
+
+from orchidhatch.control.controller import task_records as tasks
 
 TIMEOUT_S = 10.0  # for an answer; the service ends a call after 5 s
 MOST_DRAIN_S = 24 * 3600
@@ -89,9 +91,11 @@
     return {name: value for name, value in values.items() if value is not None}
 
 
-def ask_for(at: str, name: str, task: Mapping[str, Any]) -> None:
+def ask_for(at: str, name: str, task: Struct) -> None:
     """Of the stewards; asked for again, it begins anew."""
-    done = call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}{name}", {"text": json.dumps(task)})
+    done = call(
+        at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}{name}", {"text": tasks.encode_task_record(task)}
+    )
     print(f"asked for as {done['name']}, version {done['version']}")
 
 
@@ -119,7 +123,7 @@
             )
             print(shown(call(at, "POST", "/entries", body)))
         case "drain" if options.by:
-            task = tasks.drain(options.id, round(options.by * 1000), options.then)
+            task = tasks.new_drain(options.id, round(options.by * 1000), tasks.DrainEnd(options.then))
             before = [
                 one
                 for one in call(at, "GET", "/records")["records"]
@@ -131,17 +135,19 @@
                 at,
                 "POST",
                 f"/records/{tasks.TASK_RECORD_PREFIX}drain-{id_}",
-                {"text": json.dumps(task), "ifVersion": before[0]["version"] if before else 0},
+                {"text": tasks.encode_task_record(task), "ifVersion": before[0]["version"] if before else 0},
             )
             print(f"asked for as {done['name']}, version {done['version']}")
-        case "backup" | "summary" if options.every:
-            ask_for(at, options.command, tasks.repeated(options.command, round(options.every * 1000)))
+        case "backup" if options.every:
+            ask_for(at, options.command, tasks.new_backup(round(options.every * 1000)))
+        case "summary" if options.every:
+            ask_for(at, options.command, tasks.new_summary(round(options.every * 1000)))
         case "summary":
             task = json.loads(call(at, "GET", f"/records/{tasks.TASK_RECORD_PREFIX}summary")["text"])
             for name, value in task.get("fleet", {"": "not yet read"}).items():
                 print(f"{name}\t{value}")
         case "leases" if options.ended_by == "stewards":
-            ask_for(at, "leases", tasks.LEASES)
+            ask_for(at, "leases", tasks.LeaseExpiryRecord())
         case "leases":
             call(at, "POST", f"/records/{tasks.TASK_RECORD_PREFIX}leases", {"text": ""})
             print("the list service ends them itself")
--- a/orchidhatch/control/controller/__init__.py
+++ b/orchidhatch/control/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet controller and the tasks that it carries out."""
--- /dev/null
+++ b/orchidhatch/control/controller/command.py
@@ -0,0 +1,68 @@
+"""Runs the fleet controller as a process.
+
+python -m orchidhatch.steward --id steward-1 --registry 127.0.0.1:8500 [--registry ...] [--agent ... ]
+"""
+
+import argparse
+import asyncio
+import logging
+import os
+import signal
+
+from orchidhatch.control.controller.service import Controller
+from orchidhatch.control.controller.session import SESSION_LEASE_MS
+from orchidhatch.control.registry.service import read_listen
+
+log = logging.getLogger("orchidhatch.controller")
+
+DESCRIPTION = "Does the fleet's work, one owner at a time: any number of these may run, on any machines."
+
+
+async def serve(options: argparse.Namespace) -> None:
+    """Run a controller until a signal to end, then release what it holds."""
+    controller = Controller(options.id, options.registry, options.agent, options.lease_ms)
+    stop_requested = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop_requested.set)
+    work = asyncio.create_task(controller.run())
+    stop = asyncio.create_task(stop_requested.wait())
+    log.info("controller serves: id=%s pid=%d", options.id, os.getpid())
+    await asyncio.wait([work, stop], return_when=asyncio.FIRST_COMPLETED)
+    work.cancel()
+    stop.cancel()
+    [work_error, _] = await asyncio.gather(work, stop, return_exceptions=True)
+    if not isinstance(work_error, asyncio.CancelledError):
+        log.error("controller failed: id=%s", options.id, exc_info=work_error)
+    await controller.leave()
+    log.info("controller ends: id=%s", options.id)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog="orchidhatch.steward", description=DESCRIPTION)
+    parser.add_argument("--id", required=True, help="its name; one process at a time has it")
+    parser.add_argument(
+        "--registry",
+        type=read_listen,
+        required=True,
+        action="append",
+        metavar="HOST:PORT",
+        help="a registry; may be given several times",
+    )
+    parser.add_argument(
+        "--agent",
+        type=read_listen,
+        action="append",
+        default=[],
+        metavar="HOST:PORT",
+        help="the agent of a gateway's machine; may be given several times",
+    )
+    parser.add_argument("--lease-ms", type=int, default=SESSION_LEASE_MS)
+    return parser
+
+
+def main() -> int:
+    """Run the command; the exit status."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    asyncio.run(serve(build_parser().parse_args()))
+    return 0
--- /dev/null
+++ b/orchidhatch/control/controller/drain.py
@@ -0,0 +1,82 @@
+"""The task that drains an endpoint: marked in the list, withdrawn at all gateways, then removed or restored.
+
+Gateways are told through their agents as well as by the endpoint list, so that they stop sending requests to
+it at once.
+"""
+
+import time
+
+from orchidhatch.control.controller.countdown import count_down, start_count
+from orchidhatch.control.controller.errors import TaskFailedError, UnavailableError
+from orchidhatch.control.controller.task import GatewayCommand, Task, TaskContext
+from orchidhatch.control.controller.task_records import DrainEnd, DrainRecord, DrainState
+
+SAVE_INTERVAL_S = 2.0
+# Lifecycles of the endpoint list.
+DRAINING = "DRAINING"
+SERVING = "SERVING"
+
+
+class Drain(Task[DrainRecord]):
+    """A drain of one endpoint. An endpoint that somebody else removes ends it."""
+
+    record_type = DrainRecord
+
+    async def step(self, context: TaskContext) -> None:
+        """Carry out the action that the stored state calls for."""
+        match self.record.state:
+            case DrainState.REQUESTED:
+                await self._set_lifecycle(context, DRAINING, DrainState.MARKED, done=False)
+            case DrainState.MARKED:
+                await self._withdraw(context)
+            case DrainState.WITHDRAWN:
+                await self._wait(context)
+            case DrainState.ENDING:
+                await self._end(context)
+
+    async def _set_lifecycle(
+        self, context: TaskContext, lifecycle: str, next_state: DrainState, *, done: bool
+    ) -> None:
+        instance_id = self.record.instance_id
+        reply = await context.set_lifecycle(instance_id, lifecycle)
+        if reply.not_found:
+            await self.move_to(context, DrainState.UNLISTED, done=True)
+            return
+        if not reply.ok:
+            raise TaskFailedError(f"cannot mark {instance_id}: {reply.body}")
+        await self.move_to(context, next_state, done=done)
+
+    async def _withdraw(self, context: TaskContext) -> None:
+        """Gateways that cannot be reached do not hold the drain up: they learn of it by the endpoint list."""
+        missing = await context.command_gateways(self, self.record.instance_id, GatewayCommand.WITHDRAW)
+        start_count(self.record, time.monotonic())
+        message = f"not told: {', '.join(missing)}" if missing else ""
+        await self.move_to(context, DrainState.WITHDRAWN, message=message)
+
+    async def _wait(self, context: TaskContext) -> None:
+        if not count_down(self.record, SAVE_INTERVAL_S):
+            return
+        if self.record.remaining_ms <= 0:
+            await self.move_to(context, DrainState.ENDING)
+        else:
+            await context.save(self)
+
+    async def _end(self, context: TaskContext) -> None:
+        if self.record.end is DrainEnd.REMOVE:
+            await self._remove(context)
+        else:
+            await self._restore(context)
+
+    async def _remove(self, context: TaskContext) -> None:
+        instance_id = self.record.instance_id
+        reply = await context.remove_endpoint(instance_id)
+        if not (reply.ok or reply.not_found):
+            raise TaskFailedError(f"cannot remove {instance_id}: {reply.body}")
+        await self.move_to(context, DrainState.REMOVED, done=True)
+
+    async def _restore(self, context: TaskContext) -> None:
+        """All gateways first: one that missed it would never send to the endpoint again."""
+        missing = await context.command_gateways(self, self.record.instance_id, GatewayCommand.RESTORE)
+        if missing:
+            raise UnavailableError(f"not yet restored at {', '.join(missing)}")
+        await self._set_lifecycle(context, SERVING, DrainState.RESTORED, done=True)
--- /dev/null
+++ b/orchidhatch/control/controller/gateway_client.py
@@ -0,0 +1,56 @@
+"""Calls to gateways, each through the agent on its machine, which rejects those that come too late."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from http import HTTPStatus
+
+import msgspec
+from msgspec import Struct, field
+
+from orchidhatch.control.controller.errors import FencedError
+from orchidhatch.control.controller.registry_api import FENCING_ERROR_SIGN
+from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.registry.replication import shown
+from orchidhatch.control.registry_client import PATIENCE_S
+
+
+class FencedCall(Struct):
+    """On whose behalf a gateway is called. Agents reject a call whose number is below one they have seen."""
+
+    claim: str
+    epoch: int
+    number: int = field(name="act")
+
+
+class GatewayClient:
+    """The gateways behind these agents."""
+
+    def __init__(self, agents: Sequence[Address]) -> None:
+        self._agents = agents
+
+    async def command(self, path: str, fenced_call: FencedCall, before_call: Callable[[], None]) -> list[str]:
+        """Make a management call at each gateway; the agents whose gateways did not carry it out.
+
+        `before_call` may raise to keep a call from being made. Raises FencedError where an agent knows that
+        the claim belongs to another controller.
+        """
+        body = msgspec.to_builtins(fenced_call)
+
+        async def command_one(agent: Address) -> bool:
+            before_call()
+            status, reply, _ = await call(agent, "POST", f"/door/{path}", body, PATIENCE_S)
+            if status == HTTPStatus.CONFLICT and FENCING_ERROR_SIGN in str(reply):
+                raise FencedError(f"{shown(agent)}: {reply['error']}")
+            return status == HTTPStatus.OK
+
+        carried_out = await asyncio.gather(*map(command_one, self._agents))
+        return [shown(agent) for agent, done in zip(self._agents, carried_out, strict=True) if not done]
+
+    async def query(self, path: str) -> dict[str, str]:
+        """Each gateway's answer by its agent's address; empty where it gives none."""
+        answers = await asyncio.gather(*(self._query_one(agent, path) for agent in self._agents))
+        return {shown(agent): answer for agent, answer in zip(self._agents, answers, strict=True)}
+
+    async def _query_one(self, agent: Address, path: str) -> str:
+        status, reply, _ = await call(agent, "GET", f"/door/{path}", within_s=PATIENCE_S)
+        return str(reply["door"]) if status == HTTPStatus.OK else ""
--- /dev/null
+++ b/orchidhatch/control/controller/recurring.py
@@ -0,0 +1,70 @@
+"""The tasks that are never done: backups of the registry's store, lease expiry, and fleet summaries."""
+
+from orchidhatch.control.controller.countdown import count_down
+from orchidhatch.control.controller.errors import TaskFailedError
+from orchidhatch.control.controller.summary import parse_gateway_metrics, summarize_fleet
+from orchidhatch.control.controller.task import GatewayQuery, Task, TaskContext
+from orchidhatch.control.controller.task_records import BackupRecord, LeaseExpiryRecord, SummaryRecord
+
+SAVE_INTERVAL_S = 30.0
+
+
+class Backup(Task[BackupRecord]):
+    """Backs the registry's store up, again and again.
+
+    A second backup does no harm, so no state is stored before one is made. One that fails is named in the
+    message and tried again after the interval.
+    """
+
+    record_type = BackupRecord
+
+    async def step(self, context: TaskContext) -> None:
+        """Make a backup if one is due."""
+        if not count_down(self.record, SAVE_INTERVAL_S):
+            return
+        if self.record.remaining_ms <= 0:
+            reply = await context.create_backup()
+            self.record.message = str(reply.body["file"]) if reply.ok else f"failed: {reply.error_text}"
+            self.record.remaining_ms = self.record.interval_ms
+        await context.save(self)
+
+
+class LeaseExpiry(Task[LeaseExpiryRecord]):
+    """Has the registry remove endpoints with overdue leases, at each step.
+
+    Nothing is stored: the registry knows which leases are overdue, and asking twice removes nothing twice.
+    """
+
+    record_type = LeaseExpiryRecord
+
+    async def step(self, context: TaskContext) -> None:
+        """Ask the registry to remove what is overdue now."""
+        reply = await context.expire_leases()
+        if not reply.ok:
+            raise TaskFailedError(f"cannot expire leases: {reply.body}")
+
+
+class Summary(Task[SummaryRecord]):
+    """Summarizes the metrics of all gateways, again and again.
+
+    The samples that increases are counted from are kept in this process: a new owner begins without any.
+    """
+
+    record_type = SummaryRecord
+
+    async def step(self, context: TaskContext) -> None:
+        """Take samples and store their summary if one is due."""
+        if not count_down(self.record, SAVE_INTERVAL_S):
+            return
+        if self.record.remaining_ms <= 0:
+            self.record.remaining_ms = self.record.interval_ms
+            await self._summarize(context)
+        await context.save(self)
+
+    async def _summarize(self, context: TaskContext) -> None:
+        answers = await context.query_gateways(GatewayQuery.METRICS)
+        samples = {agent: parse_gateway_metrics(text) for agent, text in answers.items()}
+        previous = context.metrics_samples(self)
+        self.record.fleet = summarize_fleet(previous, samples)
+        previous.clear()
+        previous.update({agent: sample for agent, sample in samples.items() if sample is not None})
--- a/orchidhatch/control/controller/shard_assignment.py
+++ b/orchidhatch/control/controller/shard_assignment.py
@@ -1,7 +1,7 @@
-"""Which holder is to own which shard: even, without talking, and with few moves as holders come and go.
+"""Which holder is to own which shard: evenly, without coordination, with few moves as holders come and go.
 
-Rendezvous hashing with bounded load: each shard ranks the holders by a digest of both, and goes to the first
-of them that has room, which is the mean share, rounded up.
+Rendezvous hashing with bounded load: each shard ranks the holders by a hash of both, and goes to the first of
+them that has capacity, which is the mean number of shards, rounded up.
 """
 
 import hashlib
@@ -10,25 +10,35 @@
 
 
 def rank(shard: str, holder: str) -> bytes:
+    """How much a shard prefers a holder; the lowest comes first."""
     return hashlib.blake2b(f"{shard} {holder}".encode(), digest_size=8).digest()
 
 
+def ranked_holders(shard: str, holders: Iterable[str]) -> list[str]:
+    """The holders in the shard's order of preference."""
+    return sorted(holders, key=lambda holder: rank(shard, holder))
+
+
 def assign_shards(
-    shards: Iterable[str], holders: Sequence[str], barred: Mapping[str, str] | None = None
+    shards: Iterable[str], holders: Sequence[str], excluded: Mapping[str, str] | None = None
 ) -> dict[str, str]:
-    """The owner of each shard; none where there are no holders. `barred`: a holder that a shard does not go
-    to, unless it is the only one. The same for whoever knows the same."""
-    shards, barred, names = sorted(shards), barred or {}, sorted(set(holders))
+    """The owner of each shard; empty where there are no holders. Whoever knows the same computes the same.
+
+    `excluded` has a holder by shard that the shard does not go to, unless it is the only one.
+    """
+    excluded = excluded or {}
+    names = sorted(set(holders))
     if not names:
         return {}
-    room = -(-len(shards) // len(names))
+    preferences = {shard: ranked_holders(shard, names) for shard in sorted(shards)}
+    capacity = -(-len(preferences) // len(names))
     load: Counter[str] = Counter()
     owners: dict[str, str] = {}
-    # The shards whose first choice is clearest come first: what is moved on is then what cares least.
-    wishes = [(shard, sorted(names, key=lambda name: rank(shard, name))) for shard in shards]
-    for shard, wish in sorted(wishes, key=lambda pair: rank(pair[0], pair[1][0])):
-        open_to = [name for name in wish if name != barred.get(shard)] or wish
-        owner = next((name for name in open_to if load[name] < room), open_to[0])
+    # The shards whose first choice is clearest come first: those that overflow are then the least particular.
+    for shard in sorted(preferences, key=lambda shard: rank(shard, preferences[shard][0])):
+        ranked = preferences[shard]
+        candidates = [name for name in ranked if name != excluded.get(shard)] or ranked
+        owner = next((name for name in candidates if load[name] < capacity), candidates[0])
         load[owner] += 1
         owners[shard] = owner
     return owners
--- a/orchidhatch/control/controller/summary.py
+++ b/orchidhatch/control/controller/summary.py
@@ -1,21 +1,25 @@
-"""The fleet in a few lines, from the figures of all its front doors, and who is unlike the others."""
+"""A summary of the fleet from the metrics of all its gateways, with those that are unlike the others."""
 
 import statistics
 from collections.abc import Mapping
-from typing import Any
 
 import msgspec
+from msgspec import field
 
-# How far from the median counts as unlike, in median absolute deviations; and at least this part of the
-# requests, as doors that are all alike have a deviation of next to nothing.
-UNLIKE, LEAST_APART = 6.0, 0.05
-FEWEST = 20  # requests of a door since the last reading, below which its shares say nothing
-MOST_NAMED = 12  # doors of each sort that are named; a record has room for few
-ENDS = ("answered", "deferred", "errored")
+# A value is an outlier if it is farther from the median than so many median absolute deviations; and at least
+# this share of the requests, as gateways that are all alike have a deviation of next to nothing.
+OUTLIER_DEVIATIONS = 6.0
+MIN_OUTLIER_DISTANCE = 0.05
+MIN_GATEWAYS_FOR_OUTLIERS = 3
+# Requests of a gateway since its last sample, below which its shares say nothing.
+MIN_REQUESTS = 20
+# Gateways of each sort that are named: a record has room for few.
+MAX_NAMED_GATEWAYS = 12
+METRIC_PREFIX = "proxy_"
 
 
 class MetricsSample(msgspec.Struct, frozen=True):
-    """Counts since a door's start, by how requests ended; and what it has now."""
+    """A gateway's metrics: counters since its start by how requests ended, and two gauges."""
 
     answered: int = 0
     deferred: int = 0
@@ -25,74 +29,112 @@
     unhealthy: int = 0
 
     def ended(self) -> int:
+        """Requests that have ended, in whichever way."""
         return self.answered + self.deferred + self.errored
 
-    def since(self, before: "MetricsSample | None") -> "MetricsSample":
-        """What came since; all of it where the door has begun anew, as its counts are lower then."""
-        if before is None or before.ended() > self.ended() or before.sends > self.sends:
+    def since(self, previous: "MetricsSample | None") -> "MetricsSample":
+        """The increase since a sample; all of it after a restart, by which the counters are lower."""
+        if previous is None or previous.ended() > self.ended() or previous.sends > self.sends:
             return self
         return MetricsSample(
-            *(getattr(self, one) - getattr(before, one) for one in (*ENDS, "sends")),
-            self.current,
-            self.unhealthy,
+            answered=self.answered - previous.answered,
+            deferred=self.deferred - previous.deferred,
+            errored=self.errored - previous.errored,
+            sends=self.sends - previous.sends,
+            current=self.current,
+            unhealthy=self.unhealthy,
         )
 
 
+class Outliers(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Shares by gateway, of those that are far from the median: of the requests that ended."""
+
+    answered: dict[str, float] = {}
+    errored: dict[str, float] = {}
+    sends: dict[str, float] = {}
+
+
+class FleetSummary(msgspec.Struct, frozen=True):
+    """Totals over all gateways since the sample before; `is_first` if there was none."""
+
+    gateway_count: int = field(name="doors")
+    is_first: bool = field(name="first")
+    answered: int
+    deferred: int
+    errored: int
+    sends: int
+    current: int
+    unhealthy: int
+    silent: list[str]
+    silent_count: int = field(name="silentCount")
+    outliers: Outliers = field(name="unlike")
+
+
+FIELDS_BY_METRIC = {
+    "answered_total": "answered",
+    "deferred_total": "deferred",
+    "errored_total": "errored",
+    "sends_total": "sends",
+    "current": "current",
+    "cluster_unhealthy": "unhealthy",
+}
+
+
 def parse_gateway_metrics(text: str) -> MetricsSample | None:
-    """A door's figures as its page gives them; None where they make no sense."""
-    found = dict.fromkeys(MetricsSample.__struct_fields__, 0)
-    named = {
-        "sends_total": "sends",
-        "current": "current",
-        "cluster_unhealthy": "unhealthy",
-        **{f"{end}_total": end for end in ENDS},
-    }
+    """A sample from a gateway's /stats, summed over labels; None where a metric is missing or no number."""
+    totals = dict.fromkeys(MetricsSample.__struct_fields__, 0)
     seen = set[str]()
     for line in text.splitlines():
         name, _, value = line.rpartition(" ")
-        field = named.get(name.removeprefix("proxy_").partition("{")[0])
-        if field and value.isascii() and value.isdigit():
-            found[field] += int(value)  # over all classes
-            seen.add(field)
-    return MetricsSample(**found) if len(seen) == len(named) else None
+        metric = name.removeprefix(METRIC_PREFIX).partition("{")[0]
+        attribute = FIELDS_BY_METRIC.get(metric)
+        if attribute and value.isascii() and value.isdigit():
+            totals[attribute] += int(value)
+            seen.add(attribute)
+    return MetricsSample(**totals) if len(seen) == len(FIELDS_BY_METRIC) else None
 
 
-def apart(values: Mapping[str, float]) -> list[str]:
-    """Those whose value is unlike the others', the farthest first."""
-    if len(values) < 3:  # of two nobody can say which is unlike
+def find_outliers(values: Mapping[str, float]) -> list[str]:
+    """The names whose value is far from the median, the farthest first; none among fewer than three."""
+    if len(values) < MIN_GATEWAYS_FOR_OUTLIERS:
         return []
-    middle = statistics.median(values.values())
-    spread = statistics.median(abs(value - middle) for value in values.values())
-    far = {name: abs(value - middle) for name, value in values.items()}
-    return sorted(
-        (name for name in far if far[name] > max(LEAST_APART, UNLIKE * spread)), key=lambda name: -far[name]
-    )
+    median = statistics.median(values.values())
+    deviation = statistics.median(abs(value - median) for value in values.values())
+    threshold = max(MIN_OUTLIER_DISTANCE, OUTLIER_DEVIATIONS * deviation)
+    distances = {name: abs(value - median) for name, value in values.items()}
+    outliers = [name for name, distance in distances.items() if distance > threshold]
+    return sorted(outliers, key=lambda name: -distances[name])
+
+
+def outlier_shares(shares: Mapping[str, float]) -> dict[str, float]:
+    """The shares of the farthest outliers, rounded, as many as are named."""
+    return {name: round(shares[name], 3) for name in find_outliers(shares)[:MAX_NAMED_GATEWAYS]}
 
 
 def summarize_fleet(
-    before: Mapping[str, MetricsSample], now: Mapping[str, MetricsSample | None]
-) -> dict[str, Any]:
-    """Totals since the last reading, who was not heard, and who is unlike the others in what."""
-    heard = {door: reading.since(before.get(door)) for door, reading in now.items() if reading}
-    total = {
-        one: sum(getattr(reading, one) for reading in heard.values())
-        for one in MetricsSample.__struct_fields__
-    }
-    busy = {door: reading for door, reading in heard.items() if reading.ended() >= FEWEST}
-    unlike = {}
-    for what, parts in {
-        "answered": {door: reading.answered / reading.ended() for door, reading in busy.items()},
-        "errored": {door: reading.errored / reading.ended() for door, reading in busy.items()},
-        "sends": {door: reading.sends / reading.ended() for door, reading in busy.items()},
-    }.items():
-        if found := apart(parts):
-            unlike[what] = {door: round(parts[door], 3) for door in found[:MOST_NAMED]}
-    silent = sorted(door for door, reading in now.items() if not reading)
-    return {
-        "doors": len(heard),
-        "first": not before,
-        **total,
-        "silent": silent[:MOST_NAMED],
-        "silentCount": len(silent),
-        "unlike": unlike,
+    previous: Mapping[str, MetricsSample], current: Mapping[str, MetricsSample | None]
+) -> FleetSummary:
+    """What happened since the previous samples, by gateway; None stands for a gateway that did not answer."""
+    increases = {
+        name: sample.since(previous.get(name)) for name, sample in current.items() if sample is not None
     }
+    busy = {name: sample for name, sample in increases.items() if sample.ended() >= MIN_REQUESTS}
+    silent = sorted(name for name, sample in current.items() if sample is None)
+    samples = increases.values()
+    return FleetSummary(
+        gateway_count=len(increases),
+        is_first=not previous,
+        answered=sum(sample.answered for sample in samples),
+        deferred=sum(sample.deferred for sample in samples),
+        errored=sum(sample.errored for sample in samples),
+        sends=sum(sample.sends for sample in samples),
+        current=sum(sample.current for sample in samples),
+        unhealthy=sum(sample.unhealthy for sample in samples),
+        silent=silent[:MAX_NAMED_GATEWAYS],
+        silent_count=len(silent),
+        outliers=Outliers(
+            answered=outlier_shares({name: one.answered / one.ended() for name, one in busy.items()}),
+            errored=outlier_shares({name: one.errored / one.ended() for name, one in busy.items()}),
+            sends=outlier_shares({name: one.sends / one.ended() for name, one in busy.items()}),
+        ),
+    )
--- /dev/null
+++ b/orchidhatch/control/controller/task_context.py
@@ -0,0 +1,130 @@
+"""What a task may do, carried out under the claim on its shard."""
+
+import msgspec
+
+from orchidhatch.control.controller.errors import FencedError, StaleRecordError, UnavailableError
+from orchidhatch.control.controller.gateway_client import FencedCall, GatewayClient
+from orchidhatch.control.controller.registry_api import (
+    FencedRequest,
+    LifecycleRequest,
+    PutRecordRequest,
+    RegistryApi,
+    RegistryReply,
+    StoredRecord,
+)
+from orchidhatch.control.controller.session import Session
+from orchidhatch.control.controller.shards import OwnedShards
+from orchidhatch.control.controller.summary import MetricsSample
+from orchidhatch.control.controller.task import GatewayCommand, GatewayQuery, Task
+from orchidhatch.control.controller.task_records import encode_task_record
+from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
+
+SamplesByTask = dict[str, dict[str, MetricsSample]]
+
+
+class ClaimContext:
+    """The TaskContext of a shard's tasks, for one epoch of the claim on it."""
+
+    def __init__(
+        self,
+        shard: str,
+        epoch: int,
+        session: Session,
+        owned: OwnedShards,
+        registry: RegistryApi,
+        gateways: GatewayClient,
+        samples: SamplesByTask,
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self._session = session
+        self._owned = owned
+        self._registry = registry
+        self._gateways = gateways
+        self._samples = samples
+
+    def check_ownership(self) -> None:
+        """Raise UnavailableError unless, as far as this process knows, the claim is still its own."""
+        if self._owned.epoch_of(self.shard) != self.epoch or not self._session.may_act:
+            raise UnavailableError(f"{self.shard} may belong to another controller by now")
+
+    def claim_term(self) -> int:
+        """The registry's term that the claim was taken in."""
+        return self.epoch >> EPOCH_COUNT_BITS
+
+    async def read(self, path: str) -> RegistryReply:
+        """The registry's reply to a read."""
+        reply = await self._registry.request("GET", path)
+        if reply.unavailable:
+            raise UnavailableError("no registry answers")
+        return reply
+
+    async def read_record(self, name: str) -> StoredRecord | None:
+        """A record of the registry; None where it has none of that name."""
+        reply = await self.read(f"/records/{name}")
+        return msgspec.convert(reply.body, StoredRecord) if reply.ok else None
+
+    async def set_lifecycle(self, instance_id: str, lifecycle: str) -> RegistryReply:
+        """Change an endpoint's lifecycle in the endpoint list."""
+        request = LifecycleRequest(claim=self.shard, epoch=self.epoch, lifecycle=lifecycle)
+        return await self._write("POST", f"/entries/{instance_id}/lifecycle", request)
+
+    async def remove_endpoint(self, instance_id: str) -> RegistryReply:
+        """Remove an endpoint from the endpoint list."""
+        return await self._write("DELETE", f"/entries/{instance_id}", self._fenced_request())
+
+    async def create_backup(self) -> RegistryReply:
+        """Have the registry back up its store."""
+        return await self._write("POST", "/backup", self._fenced_request())
+
+    async def expire_leases(self) -> RegistryReply:
+        """Have the registry remove the endpoints whose leases are overdue."""
+        return await self._write("POST", "/leases/end", self._fenced_request())
+
+    async def put_record(self, name: str, text: str, if_version: int | None = None) -> RegistryReply:
+        """Write a record, or remove it by an empty text; only at `if_version` where that is given."""
+        request = PutRecordRequest(
+            claim=self.shard,
+            epoch=self.epoch,
+            text=text,
+            if_version=msgspec.UNSET if if_version is None else if_version,
+        )
+        return await self._write("POST", f"/records/{name}", request)
+
+    async def save(self, task: Task) -> None:
+        """Store a task's record; raises StaleRecordError where it was written since it was read."""
+        if task.record.message is msgspec.UNSET:
+            task.record.message = ""
+        reply = await self.put_record(task.name, encode_task_record(task.record), task.version)
+        if not reply.ok:
+            raise StaleRecordError(f"{task.name} was written by somebody else: {reply.error_text}")
+        task.version = msgspec.convert(reply.body, StoredRecord).version
+
+    async def command_gateways(self, task: Task, instance_id: str, command: GatewayCommand) -> list[str]:
+        """Send a command about a backend to each gateway; the agents whose gateways did not carry it out."""
+        # Numbers rise with each save of the task; the term in front makes a promoted registry's higher.
+        number = self.claim_term() << EPOCH_COUNT_BITS | task.version
+        fenced_call = FencedCall(claim=self.shard, epoch=self.epoch, number=number)
+        return await self._gateways.command(
+            f"backends/{instance_id}/{command.value}", fenced_call, self.check_ownership
+        )
+
+    async def query_gateways(self, query: GatewayQuery) -> dict[str, str]:
+        """Each gateway's answer by its agent's address; empty where it gives none."""
+        return await self._gateways.query(query.value)
+
+    def metrics_samples(self, task: Task) -> dict[str, MetricsSample]:
+        """The last sample of each gateway that this process took for a task; the caller changes it."""
+        return self._samples.setdefault(task.name, {})
+
+    def _fenced_request(self) -> FencedRequest:
+        return FencedRequest(claim=self.shard, epoch=self.epoch)
+
+    async def _write(self, method: str, path: str, request: FencedRequest) -> RegistryReply:
+        self.check_ownership()
+        reply = await self._registry.request(method, path, request)
+        if reply.fenced:
+            raise FencedError(reply.error_text)
+        if reply.unavailable:
+            raise UnavailableError("no registry accepts writes")
+        return reply
--- a/orchidhatch/control/policy/__init__.py
+++ b/orchidhatch/control/policy/__init__.py
@@ -1,1 +1,1 @@
-"""A change of policy that takes hold at all front doors or at none."""
+"""Policies of the fleet: documents, changes that apply to all gateways or to none, and gateways' leases."""
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -1,224 +1,174 @@
-"""Policies: plans, quotas, caps, ceilings, aims and who is banned, one document for all front doors.
+"""The operators' command line for policies.
 
     python -m orchidhatch.policy check policy.toml
     python -m orchidhatch.policy --at 127.0.0.1:8500 propose policy.toml --why "stor may have more"
     python -m orchidhatch.policy --at 127.0.0.1:8500 show
 
-Ends with 0 when it was done, 1 when the service said no or does not answer, 2 when the document or the call
-makes no sense.
+Ends with 0 when it was done, 1 when the registry rejected it or does not answer, 2 when the document or the
+command line is invalid.
 """
 
 import argparse
 import getpass
-import json
 import sys
-import time
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
 
-import msgspec
-
-from orchidhatch.control.cli import CallError, call, seconds
-from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
-from orchidhatch.control.policy.change import Gate, ask, change_of, out_of_service
+from orchidhatch.control.cli import CallError, seconds
+from orchidhatch.control.policy.change_record import DROPPABLE_STATES, Gate, new_change
+from orchidhatch.control.policy.display import (
+    format_decision,
+    format_gateway,
+    format_outcome,
+    print_decision,
+    print_differences,
+)
 from orchidhatch.control.policy.document import (
     InvalidPolicyError,
-    Policy,
-    check_after,
-    differences,
-    parse_document,
+    check_successor,
     read_document_file,
 )
-from orchidhatch.control.policy.leases import OPEN
-from orchidhatch.control.policy.records import (
-    CHANGE_TASK_RECORD,
-    DOCUMENT_RECORD_PREFIX,
-    HISTORY_RECORD_PREFIX,
-)
+from orchidhatch.control.policy.fleet_status import GatewayState
+from orchidhatch.control.policy.registry_calls import PolicyRegistry
+from orchidhatch.control.policy.rollout_checks import absence_error
 
-LOOK_S = 0.5
-MOST_WAIT_S = 300.0
+PROGRAM = "orchidhatch.policy"
+DESCRIPTION = (
+    "Policies: plans, quotas, caps, ceilings, aims and who is banned, one document for all gateways."
+)
+EXIT_DONE = 0
+EXIT_REJECTED = 1
+EXIT_INVALID = 2
+
+
+def request_change(
+    registry: PolicyRegistry, digest: str, options: argparse.Namespace, gate: Gate | None
+) -> None:
+    """Ask for a change, unless one is open; with --wait, until it has ended."""
+    last, version = registry.last_change()
+    if last is not None and not last.done:
+        raise CallError(f"{last.digest} is being put in force already: {last.state}; see show")
+    change = new_change(digest, options.by, options.why, gate, force=options.force)
+    registry.put_change(change, version)
+    print(f"asked for: {digest}")
+    if options.wait:
+        wait_until_done(registry, change.change_id)
 
 
-def shown_number(number: int) -> str:
-    """A decision's: the term, and the count in it."""
-    return f"{number >> EPOCH_COUNT_BITS}.{number & ((1 << EPOCH_COUNT_BITS) - 1)}"
+def wait_until_done(registry: PolicyRegistry, change_id: str) -> None:
+    """Print how a change ends; raises CallError where it is not in force in the end."""
+    ended = registry.wait_for_end(change_id)
+    if ended is None:
+        return
+    print(format_outcome(ended))
+    if not ended.is_in_force:
+        raise CallError("it is not in force")
 
 
-def outcome(found: dict[str, Any]) -> str:
-    return f"{found['state']}: {found['told']}" if found.get("told") else str(found["state"])
+def check(registry: PolicyRegistry | None, options: argparse.Namespace) -> None:
+    """Whether a document is a valid policy, and with a registry whether it may follow what is in force."""
+    policy = read_document_file(options.file)
+    if registry is not None:
+        check_successor(policy, registry.policy_in_force(), options.file.name)
+    print(policy.digest())
 
 
-def fleet(at: str) -> dict[str, Any]:
-    return call(at, "GET", "/doors")
+def show_difference(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """What a document would change."""
+    policy = read_document_file(options.file)
+    before = registry.policy_in_force()
+    check_successor(policy, before, options.file.name)
+    print_differences(before, policy)
 
 
-def document(at: str, digest: str) -> Policy | None:
-    """None where the doors go by their own files."""
-    if not digest:
-        return None
-    return parse_document(call(at, "GET", f"/records/{DOCUMENT_RECORD_PREFIX}{digest}")["text"], digest)
+def propose(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """Store a document and ask for it to be put in force."""
+    policy = read_document_file(options.file)
+    before = registry.policy_in_force()
+    check_successor(policy, before, options.file.name)
+    gateways = registry.fleet_status().gateways
+    print_differences(before, policy)
+    absent = [gateway.name for gateway in gateways if gateway.state is GatewayState.ABSENT]
+    print(f"{len(gateways)} gateways, absent: {', '.join(absent) or 'none'}")
+    error = absence_error(gateways)
+    if error and not options.force:
+        raise CallError(f"{error}; --force does it all the same")
+    gate = Gate(for_ms=round(options.gate * 1000)) if options.gate else None
+    registry.put_document(policy)
+    request_change(registry, policy.digest(), options, gate)
 
 
-def in_force(at: str) -> tuple[str, Policy | None]:
-    now = fleet(at)["now"]
-    return now.get("digest", ""), document(at, now.get("digest", ""))
+def undo(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """Ask for a change to what held before: all gateways have its document still."""
+    current = registry.fleet_status().decision
+    if current is None or current.digest == current.previous_digest:
+        raise CallError("nothing was changed that could be undone")
+    if not current.previous_digest:
+        raise CallError("the gateways went by their own files before; propose a document that says the same")
+    request_change(registry, current.previous_digest, options, None)
 
 
-def plain(policy: Policy | None) -> dict[str, Any]:
-    return msgspec.to_builtins(policy) if policy else {}
+def drop(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """Ask for a change that is not decided yet to be ended."""
+    last, version = registry.last_change()
+    if last is None or last.done or last.state not in DROPPABLE_STATES:
+        raise CallError("there is no change that could still be dropped")
+    last.dropped = True
+    registry.put_change(last, version)
+    print(f"asked to drop {last.digest}")
 
 
-def show_differences(before: Policy | None, after: Policy) -> None:
-    if not before:
-        print("the doors go by their own files so far")
-        return
-    for line in differences(plain(before), plain(after)):
-        print(line)
+def show(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """Which policy holds, the last change, and how each gateway is."""
+    status = registry.fleet_status()
+    print_decision(status)
+    last, _ = registry.last_change()
+    if last is not None:
+        print(f"last change: {last.digest}: {format_outcome(last)}")
+    for gateway in status.gateways:
+        print(format_gateway(gateway))
 
 
-def put_down(at: str, digest: str, options: argparse.Namespace, gate: Gate | None) -> None:
-    """Ask for the change, unless one is open; then follow it, if that is wanted."""
-    found, version = change_of(call(at, "GET", "/records")["records"])
-    if found and not found["done"]:
-        raise CallError(f"{found['digest']} is being put in force already: {found['state']}; see show")
-    task = ask(digest, options.by, options.why, gate, options.force)
-    call(at, "POST", f"/records/{CHANGE_TASK_RECORD}", {"text": json.dumps(task), "ifVersion": version})
-    print(f"asked for: {digest}")
-    until = time.monotonic() + MOST_WAIT_S
-    while options.wait and time.monotonic() < until:
-        found, _ = change_of(call(at, "GET", "/records")["records"])
-        if found.get("id") != task["id"] and not found.get("undoes"):
-            raise CallError("another change was asked for since")
-        if found["done"]:
-            print(outcome(found))
-            if found["state"] != "in force":
-                raise CallError("it is not in force")
-            return
-        time.sleep(LOOK_S)
-
-
-def propose(at: str, options: argparse.Namespace) -> None:
-    policy = read_document_file(options.file)
-    _, before = in_force(at)
-    check_after(policy, before, options.file.name)
-    doors = fleet(at)["doors"]
-    show_differences(before, policy)
-    absent = [door["name"] for door in doors if door["state"] == "absent"]
-    print(f"{len(doors)} doors, absent: {', '.join(absent) or 'none'}")
-    if (most := out_of_service(doors)) and not options.force:
-        raise CallError(f"{most}; --force does it all the same")
-    gate = Gate(for_ms=round(options.gate * 1000)) if options.gate else None
-    digest = policy.digest()
-    call(at, "POST", f"/records/{DOCUMENT_RECORD_PREFIX}{digest}", {"text": policy.text()})
-    put_down(at, digest, options, gate)
+def show_history(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """The decisions, by whom and why."""
+    for decision in registry.history():
+        print(format_decision(decision))
 
 
-def undo(at: str, options: argparse.Namespace) -> None:
-    """A new change to what held before: all doors have its document still."""
-    now = fleet(at)["now"]
-    if not now or now["digest"] == now["before"]:
-        raise CallError("nothing was changed that could be undone")
-    if not now["before"]:
-        raise CallError("the doors went by their own files before; propose a document that says the same")
-    put_down(at, now["before"], options, None)
+def remove_gateway(registry: PolicyRegistry, options: argparse.Namespace) -> None:
+    """Take a gateway that is no more off the directory."""
+    registry.remove_gateway(options.gateway)
+    print(f"{options.gateway} is no gateway any more")
 
 
-def drop(at: str) -> None:
-    found, version = change_of(call(at, "GET", "/records")["records"])
-    if not found or found["done"] or found["state"] not in OPEN[:2]:
-        raise CallError("there is no change that could still be dropped")
-    call(
-        at,
-        "POST",
-        f"/records/{CHANGE_TASK_RECORD}",
-        {"text": json.dumps({**found, "dropped": True}), "ifVersion": version},
-    )
-    print(f"asked to drop {found['digest']}")
-
-
-def show(at: str) -> None:
-    known = fleet(at)
-    now = known["now"]
-    if not known["sure"]:
-        print("not known in this term yet: waits for the doors to tell what they go by")
-    if now:
-        print(f"{shown_number(now['number'])}\t{now['digest'] or '-'}\t{now['who']}\t{now['why']}")
-        if known["leftMs"] is None or known["leftMs"] > 0:
-            left = "a moment not known yet" if known["leftMs"] is None else f"{known['leftMs'] / 1000:.1f} s"
-            print(f"doors go by it in {left}, and by {now['before'] or '-'} until then")
-        if now["absent"]:
-            print(f"absent when it was decided: {', '.join(now['absent'])}")
-    found, _ = change_of(call(at, "GET", "/records")["records"])
-    if found:
-        print(f"last change: {found['digest']}: {outcome(found)}")
-    for door in known["doors"]:
-        print(
-            "\t".join(
-                [
-                    door["name"],
-                    door["zone"],
-                    door["state"],
-                    door.get("has") or "-",
-                    "serves" if door.get("serves") else "held out",
-                    door.get("flaw", ""),
-                ]
-            ).rstrip()
-        )
-
-
-def history(at: str) -> None:
-    for record in call(at, "GET", "/records")["records"]:
-        if record["name"].startswith(HISTORY_RECORD_PREFIX):
-            one = json.loads(record["text"])
-            print(
-                "\t".join(
-                    [
-                        shown_number(one["number"]),
-                        one["digest"] or "-",
-                        f"before {one['before'] or '-'}",
-                        one["who"],
-                        one["why"],
-                        f"absent {len(one['absent'])}",
-                    ]
-                )
-            )
+Handler = Callable[[PolicyRegistry, argparse.Namespace], None]
+HANDLERS: Mapping[str, Handler] = {
+    "check": check,
+    "diff": show_difference,
+    "propose": propose,
+    "undo": undo,
+    "drop": drop,
+    "show": show,
+    "history": show_history,
+    "remove": remove_gateway,
+}
 
 
 def carry_out(options: argparse.Namespace) -> None:
-    at = options.at
-    if options.command == "check" and not at:
-        print(read_document_file(options.file).digest())
-        return
-    if not at:
-        raise CallError("--at is needed: which list service")
-    match options.command:
-        case "check" | "diff":
-            policy, before = read_document_file(options.file), in_force(at)[1]
-            check_after(policy, before, options.file.name)
-            if options.command == "diff":
-                show_differences(before, policy)
-            else:
-                print(policy.digest())
-        case "propose":
-            propose(at, options)
-        case "undo":
-            undo(at, options)
-        case "drop":
-            drop(at)
-        case "show":
-            show(at)
-        case "history":
-            history(at)
-        case "remove":
-            call(at, "DELETE", f"/doors/{options.door}")
-            print(f"{options.door} is no door any more")
-
-
-def parser() -> argparse.ArgumentParser:
-    whole = argparse.ArgumentParser(prog="orchidhatch.policy", description=__doc__.partition("\n")[0])
-    whole.add_argument("--at", metavar="HOST:PORT", help="the list service that takes writes")
-    commands = whole.add_subparsers(dest="command", required=True)
+    """Run one command; only a check needs no registry."""
+    if options.at:
+        HANDLERS[options.command](PolicyRegistry(options.at), options)
+    elif options.command == "check":
+        check(None, options)
+    else:
+        raise CallError("--at is needed: which registry")
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """The command line."""
+    parser = argparse.ArgumentParser(prog=PROGRAM, description=DESCRIPTION)
+    parser.add_argument("--at", metavar="HOST:PORT", help="the registry that accepts writes")
+    commands = parser.add_subparsers(dest="command", required=True)
     for name, text in (
         ("check", "whether a document can be a policy"),
         ("diff", "what it would change"),
@@ -227,36 +177,37 @@
         commands.add_parser(name, help=text).add_argument("file", type=Path)
     commands.add_parser("undo", help="have what held before put in force again")
     commands.add_parser("drop", help="end a change that is not decided yet")
-    commands.add_parser("show", help="which policy holds, the last change, and how each door is")
+    commands.add_parser("show", help="which policy holds, the last change, and how each gateway is")
     commands.add_parser("history", help="the decisions, by whom and why")
-    commands.add_parser("remove", help="a door that is no more").add_argument("door")
+    commands.add_parser("remove", help="a gateway that is no more").add_argument("gateway")
     for name in ("propose", "undo"):
-        command = commands.choices[name]
-        command.add_argument("--why", required=True)
-        command.add_argument("--by", default=getpass.getuser(), help="who asks for it")
-        command.add_argument("--force", action="store_true", help="though many doors are out")
-        command.add_argument("--wait", action="store_true", help="until it is in force or ended")
+        add_change_options(commands.choices[name])
     commands.choices["propose"].add_argument(
         "--gate",
         type=seconds,
         default=0.0,
         metavar="TIME",
-        help="undo it where more is refused or fails for this long after the switch, as 60s",
+        help="undo it where more is rejected or fails for this long after the switch, as 60s",
     )
-    return whole
+    return parser
+
+
+def add_change_options(command: argparse.ArgumentParser) -> None:
+    """The options of each command that asks for a change."""
+    command.add_argument("--why", required=True)
+    command.add_argument("--by", default=getpass.getuser(), help="who asks for it")
+    command.add_argument("--force", action="store_true", help="though many gateways are absent")
+    command.add_argument("--wait", action="store_true", help="until it is in force or ended")
 
 
 def main() -> int:
+    """Run the command; the exit status."""
     try:
-        carry_out(parser().parse_args())
+        carry_out(build_parser().parse_args())
     except InvalidPolicyError as error:
-        print(f"orchidhatch.policy: {error}", file=sys.stderr)
-        return 2
+        print(f"{PROGRAM}: {error}", file=sys.stderr)
+        return EXIT_INVALID
     except CallError as error:
-        print(f"orchidhatch.policy: {error}", file=sys.stderr)
-        return 1
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+        print(f"{PROGRAM}: {error}", file=sys.stderr)
+        return EXIT_REJECTED
+    return EXIT_DONE
--- a/orchidhatch/control/policy/records.py
+++ b/orchidhatch/control/policy/records.py
@@ -1,7 +1,61 @@
-"""Names of the registry records that hold policies. They are stored and sent, so they never change."""
+"""The registry's records that hold policies, except the task of a change.
 
-DECISION_RECORD = "policy.now"  # the decision that holds
-ACTIVATED_RECORD = "policy.past"  # the number of the last decision whose activation time has passed
-DOCUMENT_RECORD_PREFIX = "policy.doc-"  # and the document's digest
-HISTORY_RECORD_PREFIX = "policy.log-"  # and the decision's number
-CHANGE_TASK_RECORD = "task.policy"  # the last change that was asked for, as a task
+Names and fields are stored and sent between versions, so they never change.
+"""
+
+import json
+
+import msgspec
+from msgspec import UNSET, Struct, UnsetType, field
+
+# The decision that holds.
+DECISION_RECORD = "policy.now"
+# The number of the last decision whose activation time has passed.
+ACTIVATED_RECORD = "policy.past"
+# A prefix, followed by the document's digest.
+DOCUMENT_RECORD_PREFIX = "policy.doc-"
+# A prefix, followed by the decision's number.
+HISTORY_RECORD_PREFIX = "policy.log-"
+# The task of the last change that was requested.
+CHANGE_TASK_RECORD = "task.policy"
+# How the records begin that a replica copies from its upstream.
+REPLICATED_RECORD_PREFIXES = ("policy.", CHANGE_TASK_RECORD)
+
+
+class Decision(Struct, kw_only=True, frozen=True):
+    """Which policy holds, from the activation time on, and which one until then.
+
+    A digest is empty where the gateways go by their own files. A decision of higher number replaces one of a
+    lower number; the registry's term comes first in it. Decisions written by hand may lack what is optional.
+    """
+
+    number: int
+    digest: str
+    previous_digest: str = field(name="before")
+    term: int | UnsetType = UNSET
+    activation_delay_ms: int = field(name="moveMs")
+    change_id: str | UnsetType = field(name="change", default=UNSET)
+    requested_by: str | UnsetType = field(name="who", default=UNSET)
+    reason: str | UnsetType = field(name="why", default=UNSET)
+    absent: list[str] | UnsetType = UNSET
+    absent_count: int | UnsetType = field(name="absentCount", default=UNSET)
+
+
+def encode_decision(decision: Decision) -> str:
+    """The text of a decision's record."""
+    return json.dumps(msgspec.to_builtins(decision))
+
+
+def decode_decision(text: str) -> Decision:
+    """The decision in a record's text; raises msgspec.MsgspecError where it is none."""
+    return msgspec.json.decode(text, type=Decision)
+
+
+def history_record(number: int) -> str:
+    """The name of the history record of a decision; the names sort as the numbers do."""
+    return f"{HISTORY_RECORD_PREFIX}{number:016x}"
+
+
+def document_record(digest: str) -> str:
+    """The name of the record of a document."""
+    return f"{DOCUMENT_RECORD_PREFIX}{digest}"
--- a/orchidhatch/faults/runner.py
+++ b/orchidhatch/faults/runner.py
@@ -10,9 +10,9 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.control.controller import tasks
+from orchidhatch.control.controller import task_records
 from orchidhatch.control.http_client import call
-from orchidhatch.control.policy import change
+from orchidhatch.control.policy import change_record
 from orchidhatch.control.policy import document as form
 from orchidhatch.control.policy import records as policy_records
 from orchidhatch.faults.fleet import Fleet
@@ -211,8 +211,10 @@
 
     async def ask_drain(self, id_: str, after_s: float) -> None:
         """Of the stewards, unless they are at it; again until it is taken, as a registry may be down."""
-        name = f"{tasks.TASK_RECORD_PREFIX}drain-{id_}"
-        text = json.dumps(tasks.drain(id_, round(after_s * 1000), "back"))
+        name = f"{task_records.TASK_RECORD_PREFIX}drain-{id_}"
+        text = task_records.encode_task_record(
+            task_records.new_drain(id_, round(after_s * 1000), task_records.DrainEnd.RESTORE)
+        )
         for at in itertools.cycle(range(self.fleet.plan.registries)):
             status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", f"/records/{name}")
             if status == 200 and not json.loads(told["text"])["done"]:
@@ -259,9 +261,9 @@
                 return
             status, told, _ = await call(self.fleet.at[f"registry-{at}"], "GET", "/records")
             if status == 200:
-                found, version = change.change_of(told["records"])
-                if found and not found["done"]:
-                    self.recorder.note("refused", digest, why=f"{found['digest']} is {found['state']}")
+                found, version = change_record.find_change(told["records"])
+                if found and not found.done:
+                    self.recorder.note("refused", digest, why=f"{found.digest} is {found.state}")
                     return
                 if text and not await self.write(
                     digest,
@@ -270,14 +272,14 @@
                     {"text": text},
                 ):
                     continue
-                task = change.ask(digest, "trial", "a trial")
+                task = change_record.new_change(digest, "trial", "a trial")
                 if await self.write(
                     digest,
                     "POST",
                     f"/records/{policy_records.CHANGE_TASK_RECORD}",
-                    {"text": json.dumps(task), "ifVersion": version},
+                    {"text": task_records.encode_task_record(task), "ifVersion": version},
                 ):
-                    self.recorder.note("asked", digest, id=task["id"])
+                    self.recorder.note("asked", digest, id=task.change_id)
                     self.asked.add(policy_records.CHANGE_TASK_RECORD)
                     return
             await asyncio.sleep(ASK_S)
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -120,9 +120,9 @@
 
 
 def decide_unready() -> None:
-    from orchidhatch.control.policy.change import Change
+    from orchidhatch.control.policy.change import PolicyChange
 
-    Change.lacking = lambda self, fleet: []
+    PolicyChange.unready_gateways = lambda self, fleet: []
 
 
 def return_as_it_was() -> None:
--- a/orchidhatch/faults/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -35,6 +35,7 @@
 
 def record_effects(name: str, folder: Path) -> None:
     """Each write in a claim's name that was carried out, as its store shows it to readers."""
+    from orchidhatch.control.policy.fleet_status import encode_fleet_status
     from orchidhatch.control.policy.leases import GatewayPolicyLeases
     from orchidhatch.control.policy.records import DECISION_RECORD
     from orchidhatch.control.registry.store import Batch, Store
@@ -68,7 +69,8 @@
     def decided(self: GatewayPolicyLeases, outcomes: Sequence[Any]) -> None:
         wrote(self, outcomes)
         if any(getattr(outcome, "name", "") == DECISION_RECORD for outcome in outcomes):
-            recorder.note("decided", self.now()["digest"] or "-", now=self.now(), doors=self.all()["doors"])
+            status = encode_fleet_status(self.fleet_status())
+            recorder.note("decided", status["now"]["digest"] or "-", now=status["now"], doors=status["doors"])
 
     Store.plan, Store.take, GatewayPolicyLeases.wrote = planned, taken, decided
 
--- a/orchidhatch/steward.py
+++ b/orchidhatch/steward.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from orchidhatch.control.controller.service import main
+from orchidhatch.control.controller.command import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/control/agent/test_policy_lease.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -31,7 +31,12 @@
 from orchidhatch.gateway.codec import MARK, WORD, mark_of, pack_message, unpack_message
 from orchidhatch.proxy.config import ConfigError, Policy, load
 from orchidhatch.proxy.server import FrontDoor
-from tests.control.policy.test_policy import DA, A, Time, decide, keeping, settled
+from tests.control.policy.helpers import DIGEST_A as DA
+from tests.control.policy.helpers import DOCUMENT_A as A
+from tests.control.policy.helpers import FakeClock as Time
+from tests.control.policy.helpers import decide, decision_number
+from tests.control.policy.helpers import registry_on_clock as keeping
+from tests.control.policy.helpers import settle as settled
 from tests.control.registry.test_service import address_of, call
 from tests.helpers import MS, PLAN, SETTINGS, World, of
 from tests.sockets import CUSTOMER, HOST, Backend, Client, front_door, query, run
@@ -287,7 +292,7 @@
 def test_a_keeper_has_its_door_go_by_what_holds_and_switch_at_the_moment(tmp_path: Path) -> None:
     async def job() -> None:
         async with kept(tmp_path) as all_:
-            door, keeper, first = all_.door, all_.keeper, all_.registry.doors.now()["number"]
+            door, keeper, first = all_.door, all_.keeper, decision_number(all_.registry)
             assert await all_.go() == 200 and door.config.policy.number == first
             await put(all_.registry, DOCUMENT_RECORD_PREFIX + DA, A)
             await decide(all_.registry, DA, "", first + 1)
@@ -300,7 +305,7 @@
             assert await all_.go(1.1) == 200
             assert door.config.policy == Policy(first + 1, DA, AGENT_SILENCE_LIMIT_S)
             assert [plan.burst for plan in door.gateway.set.plans] == [20.0]
-            base = json.loads(all_.file.parse_document())["policy"]["base"]
+            base = json.loads(all_.file.read_text())["policy"]["base"]
             assert base["plans"][0]["burst"] == 10  # kept beside, to be laid over again
             # The list service is out of reach: by the lease and no longer.
             assert await all_.go(LEASE_S - 0.1, heard=False) == 200
@@ -321,7 +326,7 @@
 
     async def job() -> None:
         async with kept(tmp_path) as all_:
-            number = all_.registry.doors.now()["number"]
+            number = decision_number(all_.registry)
             await all_.go()
             await put(all_.registry, DOCUMENT_RECORD_PREFIX + DA, A)
             all_.deaf = True
--- /dev/null
+++ b/tests/control/controller/test_lease_expiry.py
@@ -0,0 +1,57 @@
+"""Leases that have expired: ended by a controller, or by the registry itself where no controller does."""
+
+import json
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+
+import pytest
+
+from orchidhatch.control.controller.shards import shard_of_task
+from orchidhatch.control.registry.service import OWNED_S, Registry
+from orchidhatch.control.registry.store import StoreError
+from tests.control.agent.test_service import until
+from tests.control.controller.helpers import start_controller
+from tests.control.registry.test_service import address_of, call
+from tests.control.test_cli import client
+from tests.control.test_schemas import body
+
+
+async def test_leases_when_overdue_are_ended_by_the_owner_and_without_one_by_the_registry(
+    running_registry: Callable[[], AbstractAsyncContextManager[Registry]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with running_registry() as registry:
+        address = address_of(registry)
+        now = registry.clock()
+        registry.clock = lambda: now
+        for number in range(20):
+            written = body(instanceId=f"s-{number}", leaseMs=1000 if number < 3 else 500_000)
+            assert (await call(address, "POST /entries", written))[0] == 200
+        assert (await client(address, "leases", "--ended-by", "stewards"))[0] == 0
+        controller = await start_controller(registry, "controller-1")
+        shard = shard_of_task("task.leases")
+        late = {"claim": shard, "epoch": controller.owned.epoch_of(shard) - 1}
+        now += 1.2
+        assert (await call(address, "POST /leases/end", json.dumps(late).encode()))[0] == 409
+        assert len(registry.leases.due) == 20
+        assert (await call(address, "POST /leases/end", b"{}"))[0] == 400
+
+        commit = registry.store.commit
+
+        def full(_: object) -> None:
+            raise StoreError("disk full")
+
+        registry.store.commit = full
+        await controller.runner.run_once()
+        await until(lambda: registry.broken)
+        assert len(registry.store.entries) == 20 and registry.leases.due["s-1"][0] == now
+        registry.store.commit = commit
+        await controller.runner.run_once()  # they are overdue still, and it is the owner that ends them
+        await until(lambda: len(registry.store.entries) == 17)
+        assert registry.expired == 3 and registry.owned_s == now
+
+        monkeypatch.setattr("orchidhatch.control.registry.service.TICK_S", 0.01)
+        entry = registry.store.entries["s-19"]
+        registry.leases.put_back(entry, now)
+        assert now - registry.owned_s < OWNED_S  # the registry does not look itself meanwhile
+        now += OWNED_S
+        await until(lambda: "s-19" not in registry.store.entries)
--- /dev/null
+++ b/tests/control/controller/test_shards.py
@@ -0,0 +1,63 @@
+"""How controllers share the shards out among themselves."""
+
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+
+from orchidhatch.control.controller.shard_assignment import assign_shards
+from orchidhatch.control.controller.shards import SHARDS
+from orchidhatch.control.registry.service import Registry
+from tests.control.controller.helpers import new_controller, start_controller
+from tests.control.registry.test_service import address_of
+from tests.control.test_cli import client
+from tests.sockets import refusing_address
+
+
+async def test_shards_when_a_release_gets_no_reply_are_released_before_they_are_taken(
+    running_registry: Callable[[], AbstractAsyncContextManager[Registry]],
+) -> None:
+    async with running_registry() as registry:
+        first = await start_controller(registry, "controller-1")
+        second = await start_controller(registry, "controller-2")
+        assert not second.owned.names()  # nothing is free yet
+
+        owners = assign_shards(SHARDS, [first.session.holder, second.session.holder])
+        shard = next(shard for shard, owner in owners.items() if owner == second.session.holder)
+        first.registry_client.registries = [refusing_address()]
+        await first.balancer.release(shard, first.owned.epoch_of(shard))
+        first.registry_client.registries = [address_of(registry)]
+        first.registry_client.at = 0
+        assert registry.store.book.claims[shard].holder == first.session.holder
+
+        await first.balancer.rebalance()
+        await second.balancer.rebalance()
+        assert not first.owned.names() & second.owned.names()
+        assert first.owned.names() | second.owned.names() == set(SHARDS)
+        assert len(first.owned) == len(second.owned) == len(SHARDS) // 2
+        holders = {claim.name: claim.holder for claim in registry.store.book.claims.values()}
+        assert all(holders[shard] == second.session.holder for shard in second.owned.names())
+
+
+async def test_shard_when_handed_over_by_an_operator_goes_to_that_controller_and_stays_there(
+    running_registry: Callable[[], AbstractAsyncContextManager[Registry]],
+) -> None:
+    async with running_registry() as registry:
+        first = await start_controller(registry, "controller-1")
+        second = await start_controller(registry, "controller-2")
+        await first.balancer.rebalance()
+        await second.balancer.rebalance()
+        shard = min(second.owned.names())
+        status, output, _ = await client(address_of(registry), "hand-over", shard, "controller-1")
+        assert status == 0 and "from controller-2 to controller-1" in output
+        for controller in (second, first, second, first):
+            await controller.session.renew()
+            await controller.balancer.rebalance()
+        assert shard in first.owned and shard not in second.owned
+
+
+async def test_rebalance_when_there_is_no_session_takes_nothing(
+    running_registry: Callable[[], AbstractAsyncContextManager[Registry]],
+) -> None:
+    async with running_registry() as registry:
+        controller = new_controller(registry, "controller-1")
+        await controller.balancer.rebalance()
+        assert not controller.owned.names() and not registry.store.book.claims
--- /dev/null
+++ b/tests/control/policy/test_rollout_checks.py
@@ -0,0 +1,55 @@
+"""What a change must not do: leave too many gateways out, or fail more requests than before."""
+
+from orchidhatch.control.policy.change_record import EndCounts, Gate
+from orchidhatch.control.policy.fleet_status import GatewayState, GatewayStatus
+from orchidhatch.control.policy.rollout_checks import GateOutcome, absence_error, judge_gate
+
+GATE = Gate(for_ms=1000)
+NONE_ENDED = EndCounts()
+AT_SWITCH = EndCounts(answered=500)
+
+
+def test_gate_when_too_few_requests_ended_or_a_gateway_was_restarted_is_not_judged() -> None:
+    too_few = judge_gate(NONE_ENDED, AT_SWITCH, EndCounts(answered=600), GATE)
+    restarted = judge_gate(NONE_ENDED, AT_SWITCH, EndCounts(answered=100), GATE)
+    assert too_few.outcome is restarted.outcome is GateOutcome.TOO_FEW_REQUESTS
+
+
+def test_gate_when_no_more_fail_than_before_passes() -> None:
+    at_switch = EndCounts(answered=500, errored=5)
+    now = EndCounts(answered=1000, errored=10)
+    assert judge_gate(NONE_ENDED, at_switch, now, GATE).outcome is GateOutcome.PASSED
+
+
+def test_gate_when_more_are_deferred_than_before_fails_with_the_shares() -> None:
+    verdict = judge_gate(NONE_ENDED, AT_SWITCH, EndCounts(answered=600, deferred=400), GATE)
+    assert verdict.outcome is GateOutcome.FAILED
+    assert verdict.reason == "0.800 of the requests deferred, 0.000 before"
+
+
+def fleet(count: int, absent_numbers: set[int]) -> list[GatewayStatus]:
+    """Gateways in three zones in turn."""
+    return [
+        GatewayStatus(
+            name=f"g-{number}",
+            zone="abc"[number % 3],
+            state=GatewayState.ABSENT if number in absent_numbers else GatewayState.PRESENT,
+        )
+        for number in range(count)
+    ]
+
+
+def test_absence_when_few_gateways_are_absent_is_no_error() -> None:
+    assert absence_error([]) is None
+    assert absence_error(fleet(8, set())) is None
+    assert absence_error(fleet(9, {0})) is None
+
+
+def test_absence_when_too_many_of_all_gateways_are_absent_is_an_error() -> None:
+    absent = {number for number in range(30) if number % 10 < 3}
+    assert absence_error(fleet(30, absent)) == "9 of 30 gateways would be out of service"
+
+
+def test_absence_when_too_many_of_one_zone_are_absent_is_an_error() -> None:
+    absent = {number for number in range(27) if number % 9 in (0, 3)}
+    assert absence_error(fleet(27, absent)) == "6 of 9 gateways of zone a would be out of service"
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -24,7 +24,6 @@
     "orchidhatch.gateway.core",
     "orchidhatch.gateway.metrics",
     "orchidhatch.control.ownership.service",
-    "orchidhatch.control.policy.leases",
     "orchidhatch.control.registry.service",
 }
 
