Decode stored texts as earlier versions do, lone surrogates included

Need: a reason that was given on a command line that is not UTF-8 lies in a record as a lone surrogate; msgspec's parser rejects such a text, and the task in it would not go on. Change: one pair of functions decodes and encodes the texts of records, by json and msgspec.convert.

--- a/orchidhatch/control/controller/task_kinds.py
+++ b/orchidhatch/control/controller/task_kinds.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Mapping
 
-import msgspec
-
 from orchidhatch.control.controller.drain import Drain
 from orchidhatch.control.controller.recurring import Backup, LeaseExpiry, Summary
 from orchidhatch.control.controller.registry_api import StoredRecord
+from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.controller.task import Task
 from orchidhatch.control.controller.task_records import TaskKind
 from orchidhatch.control.policy.change import PolicyChange
@@ -21,7 +20,7 @@
 
 
 def decode_task(kind: TaskKind, stored: StoredRecord) -> Task:
-    """The task in a record; raises msgspec.MsgspecError where a field is missing or of a wrong type."""
+    """The task in a record; raises ValueError where a field is missing or of a wrong type."""
     task_type = TASK_TYPES[kind]
-    record = msgspec.json.decode(stored.text, type=task_type.record_type)
+    record = decode_stored(stored.text, task_type.record_type)
     return task_type(stored.name, stored.version, record)
--- a/orchidhatch/control/controller/task_records.py
+++ b/orchidhatch/control/controller/task_records.py
@@ -13,6 +13,7 @@
 from msgspec import UNSET, Struct, UnsetType, field
 
 from orchidhatch.control.controller.errors import InvalidTaskError
+from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.controller.summary import FleetSummary
 
 TASK_RECORD_PREFIX = "task."
@@ -119,8 +120,8 @@
 def decode_header(record_name: str, text: str) -> TaskHeader:
     """The kind of the task in a record's text; raises InvalidTaskError where it is none."""
     try:
-        return msgspec.json.decode(text, type=TaskHeader)
-    except msgspec.MsgspecError as error:
+        return decode_stored(text, TaskHeader)
+    except ValueError as error:
         name = f"{record_name!r:.{MAX_QUOTED_NAME_CHARACTERS}}"
         raise InvalidTaskError(f"{name} is no task: {error!s:.{MAX_QUOTED_CHARACTERS}}") from error
 
--- a/orchidhatch/control/policy/change_record.py
+++ b/orchidhatch/control/policy/change_record.py
@@ -5,9 +5,9 @@
 from enum import StrEnum
 from typing import Annotated, Any
 
-import msgspec
 from msgspec import UNSET, Meta, Struct, UnsetType, field
 
+from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.controller.task_records import KIND_FIELD, TaskKind
 from orchidhatch.control.policy.records import CHANGE_TASK_RECORD
 
@@ -121,5 +121,5 @@
     """The last change among the registry's records and its version; None and 0 where there was none."""
     for record in records:
         if record["name"] == CHANGE_TASK_RECORD:
-            return msgspec.json.decode(record["text"], type=ChangeRecord), record["version"]
+            return decode_stored(record["text"], ChangeRecord), record["version"]
     return None, 0
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_server import Connection, Response, error_body, unavailable
 from orchidhatch.control.ownership.claims import (
@@ -134,7 +135,7 @@
         record = self._host.store.book.records.get(CHANGE_TASK_RECORD)
         if record is None:
             return ""
-        change = msgspec.json.decode(record.text, type=ProposedChange)
+        change = decode_stored(record.text, ProposedChange)
         return change.digest if change.is_undecided else ""
 
     def _remaining_ms(self) -> int | None:
--- a/orchidhatch/control/policy/records.py
+++ b/orchidhatch/control/policy/records.py
@@ -3,11 +3,10 @@
 Names and fields are stored and sent between versions, so they never change.
 """
 
-import json
-
-import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
 
+from orchidhatch.control.controller.stored_json import decode_stored, encode_stored
+
 # The decision that holds.
 DECISION_RECORD = "policy.now"
 # The number of the last decision whose activation time has passed.
@@ -43,12 +42,12 @@
 
 def encode_decision(decision: Decision) -> str:
     """The text of a decision's record."""
-    return json.dumps(msgspec.to_builtins(decision))
+    return encode_stored(decision)
 
 
 def decode_decision(text: str) -> Decision:
-    """The decision in a record's text; raises msgspec.MsgspecError where it is none."""
-    return msgspec.json.decode(text, type=Decision)
+    """The decision in a record's text; raises ValueError where it is none."""
+    return decode_stored(text, Decision)
 
 
 def history_record(number: int) -> str:
--- a/tests/control/controller/test_task_records.py
+++ b/tests/control/controller/test_task_records.py
@@ -6,6 +6,7 @@
 import pytest
 
 from orchidhatch.control.controller.errors import InvalidTaskError
+from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.controller.task_kinds import TASK_TYPES
 from orchidhatch.control.controller.task_records import (
     DrainEnd,
@@ -34,7 +35,7 @@
     "policy": '{"kind": "policy", "id": "00ff", "digest": "0123456789abcdef", "who": "me", "why": "y", '
     '"force": false, "leftMs": 60000, "gate": {"for_ms": 4000, "errored": 0.02, "deferred": 0.2, '
     '"least": 200}, "base": 4294967297, "before": "", "counts": [1, 2, 3], "at": [4, 5, 6], "since": 12.5, '
-    '"undoes": "0.1 of the requests errored", "state": "watched", "done": false, "told": ""}',
+    '"undoes": "\\udc80 0.1 of the requests errored", "state": "watched", "done": false, "told": ""}',
 }
 
 
@@ -42,7 +43,7 @@
 def test_record_when_read_and_written_again_is_the_same_to_the_letter(name: str) -> None:
     text = STORED[name]
     task_type = TASK_TYPES[decode_header(name, text).kind]
-    assert encode_task_record(msgspec.json.decode(text, type=task_type.record_type)) == text
+    assert encode_task_record(decode_stored(text, task_type.record_type)) == text
 
 
 @pytest.mark.parametrize(
