--- a/orchidhatch/control/controller/gateway_client.py
+++ b/orchidhatch/control/controller/gateway_client.py
@@ -9,9 +9,10 @@
 
 from orchidhatch.control.controller.errors import FencedError
 from orchidhatch.control.controller.registry_api import FENCING_ERROR_SIGN
-from orchidhatch.control.http_client import Address, call
-from orchidhatch.control.registry.replication import shown
-from orchidhatch.control.registry_client import PATIENCE_S
+from orchidhatch.control.http_client import Address, call, format_address
+
+# For an agent to answer, which asks its gateway in turn.
+AGENT_TIMEOUT_S = 1.0
 
 
 class FencedCall(Struct):
@@ -38,19 +39,20 @@
 
         async def command_one(agent: Address) -> bool:
             before_call()
-            status, reply, _ = await call(agent, "POST", f"/door/{path}", body, PATIENCE_S)
-            if status == HTTPStatus.CONFLICT and FENCING_ERROR_SIGN in str(reply):
-                raise FencedError(f"{shown(agent)}: {reply['error']}")
-            return status == HTTPStatus.OK
+            result = await call(agent, "POST", f"/door/{path}", body, AGENT_TIMEOUT_S)
+            if result.status == HTTPStatus.CONFLICT and FENCING_ERROR_SIGN in str(result.value):
+                raise FencedError(f"{format_address(agent)}: {result.value['error']}")
+            return result.ok
 
-        carried_out = await asyncio.gather(*map(command_one, self._agents))
-        return [shown(agent) for agent, done in zip(self._agents, carried_out, strict=True) if not done]
+        results = await asyncio.gather(*map(command_one, self._agents))
+        missing = [agent for agent, is_done in zip(self._agents, results, strict=True) if not is_done]
+        return list(map(format_address, missing))
 
     async def query(self, path: str) -> dict[str, str]:
         """Each gateway's answer by its agent's address; empty where it gives none."""
         answers = await asyncio.gather(*(self._query_one(agent, path) for agent in self._agents))
-        return {shown(agent): answer for agent, answer in zip(self._agents, answers, strict=True)}
+        return {format_address(agent): answer for agent, answer in zip(self._agents, answers, strict=True)}
 
     async def _query_one(self, agent: Address, path: str) -> str:
-        status, reply, _ = await call(agent, "GET", f"/door/{path}", within_s=PATIENCE_S)
-        return str(reply["door"]) if status == HTTPStatus.OK else ""
+        result = await call(agent, "GET", f"/door/{path}", timeout_s=AGENT_TIMEOUT_S)
+        return str(result.value["door"]) if result.ok else ""
--- a/orchidhatch/control/controller/registry_api.py
+++ b/orchidhatch/control/controller/registry_api.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
 
+from orchidhatch.control.http_client import NoResponse
 from orchidhatch.control.registry_client import RegistryClient
 
 # The registry's fencing errors begin so. Registries of other versions send the same text, so it stays.
@@ -159,8 +160,10 @@
     async def request(self, method: str, path: str, body: Struct | None = None) -> RegistryReply:
         """Any request; the reply has the status NO_REPLY where no registry answers."""
         value = None if body is None else msgspec.to_builtins(body)
-        status, reply_body = await self.client.call(method, path, value)
-        return RegistryReply(status, reply_body)
+        result = await self.client.call(method, path, value)
+        if isinstance(result, NoResponse):
+            return RegistryReply(NO_REPLY, result.reason)
+        return RegistryReply(result.status, result.value)
 
     async def open_session(self, request: OpenSessionRequest) -> RegistryReply:
         """Open a session; a conflict where another process holds one of this name."""
--- a/orchidhatch/control/policy/cli.py
+++ b/orchidhatch/control/policy/cli.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable, Mapping
 from pathlib import Path
 
-from orchidhatch.control.cli import CallError, seconds
+from orchidhatch.control.cli_arguments import parse_duration_s
+from orchidhatch.control.operator_client import CallError
 from orchidhatch.control.policy.change_record import DROPPABLE_STATES, Gate, new_change
 from orchidhatch.control.policy.display import (
     format_decision,
@@ -184,7 +185,7 @@
         add_change_options(commands.choices[name])
     commands.choices["propose"].add_argument(
         "--gate",
-        type=seconds,
+        type=parse_duration_s,
         default=0.0,
         metavar="TIME",
         help="undo it where more is rejected or fails for this long after the switch, as 60s",
--- a/orchidhatch/control/policy/policy_replication.py
+++ b/orchidhatch/control/policy/policy_replication.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from orchidhatch.control.http_client import Address, call
+from orchidhatch.control.http_client import Address, call, format_address
 from orchidhatch.control.http_server import term_of
 from orchidhatch.control.ownership.claims import BookWrite, Door, Enter, Keep, Leave
 from orchidhatch.control.policy.gateway_directory import GatewayDirectory
@@ -45,16 +45,16 @@
 
     async def _copy_once(self, upstream: Address) -> None:
         requested_s = self._host.clock()
-        status, value, store_name = await call(upstream, "GET", "/policy", within_s=COPY_INTERVAL_S)
-        if status != 200 or term_of(store_name) < self._host.store.term:
+        result = await call(upstream, "GET", "/policy", timeout_s=COPY_INTERVAL_S)
+        if not result.ok or term_of(result.store_name) < self._host.store.term:
             return
         try:
-            upstream_copy = msgspec.convert(value, PolicyCopy)
+            upstream_copy = msgspec.convert(result.value, PolicyCopy)
             record_writes = self._record_writes(upstream_copy.records)
             directory_writes = self._directory_writes(upstream_copy.gateways)
             await self._host.write_aside([*record_writes, *directory_writes])
         except (StoreError, msgspec.ValidationError) as error:
-            log.error("policy copy failed: upstream=%s:%d reason=%s", *upstream, error)
+            log.error("policy copy failed: upstream=%s reason=%s", format_address(upstream), error)
         else:
             self.last_copied_s = requested_s
 
--- a/orchidhatch/control/policy/registry_calls.py
+++ b/orchidhatch/control/policy/registry_calls.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from orchidhatch.control.cli import CallError, call
 from orchidhatch.control.controller.task_records import encode_task_record
+from orchidhatch.control.operator_client import CallError, call
 from orchidhatch.control.policy.change_record import ChangeRecord, find_change
 from orchidhatch.control.policy.document import Policy, parse_document
 from orchidhatch.control.policy.fleet_status import FleetStatus, decode_fleet_status
--- a/tests/control/controller/test_drain.py
+++ b/tests/control/controller/test_drain.py
@@ -6,7 +6,7 @@
 from orchidhatch.control.controller.shards import SHARDS
 from orchidhatch.control.ownership.claims import End
 from orchidhatch.control.registry.service import Registry
-from tests.control.agent.test_service import until
+from tests.control.agent.helpers import until
 from tests.control.controller.helpers import request, start_controller, stored_task
 from tests.control.registry.test_service import address_of, call
 from tests.control.test_cli import client
--- a/tests/control/controller/test_lease_expiry.py
+++ b/tests/control/controller/test_lease_expiry.py
@@ -9,7 +9,7 @@
 from orchidhatch.control.controller.shards import shard_of_task
 from orchidhatch.control.registry.service import OWNED_S, Registry
 from orchidhatch.control.registry.store import StoreError
-from tests.control.agent.test_service import until
+from tests.control.agent.helpers import until
 from tests.control.controller.helpers import start_controller
 from tests.control.registry.test_service import address_of, call
 from tests.control.test_cli import client
--- a/tests/control/controller/test_shards.py
+++ b/tests/control/controller/test_shards.py
@@ -25,7 +25,7 @@
         first.registry_client.registries = [refusing_address()]
         await first.balancer.release(shard, first.owned.epoch_of(shard))
         first.registry_client.registries = [address_of(registry)]
-        first.registry_client.at = 0
+        first.registry_client.current_index = 0
         assert registry.store.book.claims[shard].holder == first.session.holder
 
         await first.balancer.rebalance()
--- a/tests/control/controller/test_summary.py
+++ b/tests/control/controller/test_summary.py
@@ -79,7 +79,7 @@
     async with running_registry() as registry:
         address = address_of(registry)
         agent = Agent(
-            Store(tmp_path / "a.db", create=True), [address], 1, door=gateway.sockets[0].getsockname()
+            Store(tmp_path / "a.db", create=True), [address], 1, gateway=gateway.sockets[0].getsockname()
         )
         await agent.start(HOST, 0)
         assert (await client(address, "summary"))[0] == 1
--- a/tests/control/ownership/test_claims.py
+++ b/tests/control/ownership/test_claims.py
@@ -24,7 +24,7 @@
     Take,
 )
 from orchidhatch.control.registry.store import Change, ConflictError, CorruptStoreError, Store
-from tests.control.agent.test_service import until
+from tests.control.agent.helpers import until
 from tests.control.registry.test_service import address_of, call, serving
 from tests.control.registry.test_store import one
 from tests.sockets import HOST, refusing_address, run
@@ -270,7 +270,7 @@
         path, silent = tmp_path / "a.db", refusing_address()
 
         async def begin(registry: tuple[str, int]) -> Agent:
-            agent = Agent(Store(path, create=True), [registry], 1, door=server.sockets[0].getsockname())
+            agent = Agent(Store(path, create=True), [registry], 1, gateway=server.sockets[0].getsockname())
             await agent.start(HOST, 0)
             return agent
 
--- a/tests/control/policy/helpers.py
+++ b/tests/control/policy/helpers.py
@@ -14,7 +14,7 @@
 from orchidhatch.control.policy.records import ACTIVATED_RECORD, CHANGE_TASK_RECORD, DECISION_RECORD
 from orchidhatch.control.policy.timing import ABSENT_AFTER_S
 from orchidhatch.control.registry.service import Registry
-from tests.control.agent.test_service import until
+from tests.control.agent.helpers import until
 from tests.control.registry.test_service import address_of, call, serving
 
 PLAN = {"name": "stor", "units-per-s": 10.0, "burst": 20.0}
--- a/tests/control/policy/test_leases.py
+++ b/tests/control/policy/test_leases.py
@@ -6,7 +6,7 @@
 from orchidhatch.control.ownership.claims import Keep
 from orchidhatch.control.policy.records import ACTIVATED_RECORD, document_record
 from orchidhatch.control.policy.timing import ABSENT_AFTER_S, LEASE_S
-from tests.control.agent.test_service import until
+from tests.control.agent.helpers import until
 from tests.control.policy.helpers import (
     DIGEST_A,
     DIGEST_B,
