--- a/orchidhatch/control/controller/task_runner.py
+++ b/orchidhatch/control/controller/task_runner.py
@@ -46,6 +46,13 @@
             if is_task and shard in self._owned and self._session.may_act:
                 await self._run_record(shard, record)
 
+    def context_of(self, shard: str) -> ClaimContext:
+        """What a task in an owned shard may do, on behalf of the claim as it is now."""
+        epoch = self._owned.epoch_of(shard)
+        return ClaimContext(
+            shard, epoch, self._session, self._owned, self._registry, self._gateways, self._samples
+        )
+
     def forget_samples(self) -> None:
         """Begin all summaries anew, as a process that has just started."""
         self._samples.clear()
@@ -61,10 +68,8 @@
             await self._step(shard, header.kind, record)
 
     async def _step(self, shard: str, kind: TaskKind, record: StoredRecord) -> None:
-        epoch = self._owned.epoch_of(shard)
-        context = ClaimContext(
-            shard, epoch, self._session, self._owned, self._registry, self._gateways, self._samples
-        )
+        context = self.context_of(shard)
+        epoch = context.epoch
         try:
             await decode_task(kind, record).step(context)
             self._owned.count_success(shard)
--- a/tests/control/controller/test_shards.py
+++ b/tests/control/controller/test_shards.py
@@ -4,7 +4,7 @@
 from contextlib import AbstractAsyncContextManager
 
 from orchidhatch.control.controller.shard_assignment import assign_shards
-from orchidhatch.control.controller.shards import SHARDS
+from orchidhatch.control.controller.shards import SHARDS, OwnedShards
 from orchidhatch.control.registry.service import Registry
 from tests.control.controller.helpers import new_controller, start_controller
 from tests.control.registry.test_service import address_of
@@ -61,3 +61,26 @@
         controller = new_controller(registry, "controller-1")
         await controller.balancer.rebalance()
         assert not controller.owned.names() and not registry.store.book.claims
+
+
+async def test_shard_when_suspended_by_an_operator_is_not_released_to_its_next_owner(
+    running_registry: Callable[[], AbstractAsyncContextManager[Registry]],
+) -> None:
+    async with running_registry() as registry:
+        first = await start_controller(registry, "controller-1")
+        owners = assign_shards(SHARDS, ["controller-1", "controller-2"])
+        suspended, other = [shard for shard, owner in owners.items() if owner == "controller-2"][:2]
+        assert (await client(address_of(registry), "hold", suspended))[0] == 0
+        second = await start_controller(registry, "controller-2")
+        await first.balancer.rebalance()
+        await second.balancer.rebalance()
+        assert suspended in first.owned and suspended not in second.owned
+        assert other not in first.owned and other in second.owned
+
+
+def test_owned_shards_when_the_registry_has_another_epoch_or_none_are_dropped() -> None:
+    owned = OwnedShards()
+    for number, shard in enumerate(SHARDS[:3]):
+        owned.add(shard, epoch=number)
+    owned.session_renewed({SHARDS[0]: 0, SHARDS[1]: 9})
+    assert owned.names() == {SHARDS[0]} and owned.epoch_of(SHARDS[1]) is None
