Log the agent's start as an event with fields

Need: a line of the old style, "serves generation ...". Change: `agent started: generation=... listen=... list_age_s=...`; the tests wait for that.

--- a/orchidhatch/control/agent/command.py
+++ b/orchidhatch/control/agent/command.py
@@ -101,7 +101,7 @@
     await agent.start(*options.listen)
     host, port = agent.listener.sockets[0].getsockname()
     log.info(
-        "serves generation %d at %s:%d, a list %.0f s old",
+        "agent started: generation=%d listen=%s:%d list_age_s=%.0f",
         agent.store.generation,
         host,
         port,
--- a/tests/control/agent/helpers.py
+++ b/tests/control/agent/helpers.py
@@ -42,7 +42,7 @@
         cwd=ROOT,
         stderr=asyncio.subprocess.PIPE,
     )
-    while b"serves generation" not in (line := await process.stderr.readline()):
+    while b"agent started" not in (line := await process.stderr.readline()):
         assert line, "the agent has ended"
     return process
 
