Test that a document with another digest is not kept, and which are dropped

Need: a mutation that left the digest out of the comparison turned no test red. Change: two cases for PolicyDocuments, with a registry that gives another text, and with too many documents.

--- a/tests/control/agent/test_policy_documents.py
+++ b/tests/control/agent/test_policy_documents.py
@@ -1,8 +1,17 @@
 """Policy documents on the agent's disk, and their check by the gateway's own program."""
 
 import json
+import sqlite3
+from collections.abc import Callable
 from pathlib import Path
 
+import pytest
+
+from orchidhatch.control.agent import policy_documents
+from orchidhatch.control.agent.cache_database import CacheDatabase
+from orchidhatch.control.agent.policy_documents import PolicyDocuments
+from orchidhatch.control.http_client import CallResult, HttpResponse, NoResponse
+from orchidhatch.control.policy.document import document_digest
 from orchidhatch.control.policy.records import CHANGE_TASK_RECORD, DOCUMENT_RECORD_PREFIX
 from tests.control.agent.lease_fixture import leased_gateway
 from tests.control.policy.test_policy import DA, A
@@ -35,3 +44,58 @@
         assert restarted.lease.incarnation == fixture.holder.lease.incarnation
         assert restarted.lease.decision.number == fixture.holder.lease.decision.number
         assert restarted.documents.texts == {DA: A} and restarted.lease.permitted_digest() is None
+
+
+class FakeRegistry:
+    """Answers with the record of a path, as a registry client does."""
+
+    def __init__(self, *texts: str) -> None:
+        self.texts_by_path = {
+            f"/records/{DOCUMENT_RECORD_PREFIX}{document_digest(text)}": text for text in texts
+        }
+
+    async def call(self, method: str, path: str, body: object = None) -> CallResult:
+        if path not in self.texts_by_path:
+            return NoResponse("no registry answers")
+        return HttpResponse(200, {"text": self.texts_by_path[path]})
+
+
+@pytest.fixture
+def database(tmp_path: Path) -> CacheDatabase:
+    async def run_directly(work: Callable[[], None]) -> None:
+        work()
+
+    return CacheDatabase(sqlite3.connect(tmp_path / "a.db", isolation_level=None), run_directly)
+
+
+async def accept(digest: str) -> None:
+    """A check that finds nothing wrong."""
+
+
+async def test_document_when_the_registry_gives_another_text_then_is_not_kept(
+    database: CacheDatabase,
+) -> None:
+    registry = FakeRegistry("one")
+    digest = document_digest("one")
+    documents = PolicyDocuments(database, registry, accept)
+    [path] = registry.texts_by_path
+    registry.texts_by_path[path] = "another"
+    await documents.prepare({digest}, in_use=())
+    assert not documents.texts and not documents.checked
+    registry.texts_by_path[path] = "one"
+    await documents.prepare({digest}, in_use=())
+    assert documents.texts == {digest: "one"} and documents.checked == {digest}
+
+
+async def test_documents_when_there_are_too_many_then_drop_the_oldest_that_is_not_in_use(
+    database: CacheDatabase, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(policy_documents, "MAX_DOCUMENTS", 2)
+    texts = ("one", "two", "three")
+    used, unused, new = map(document_digest, texts)
+    documents = PolicyDocuments(database, FakeRegistry(*texts), accept)
+    for digest in (used, unused, new):
+        await documents.prepare({digest}, in_use={used})
+    assert documents.texts.keys() == documents.checked == {used, new}
+    restarted = PolicyDocuments(database, FakeRegistry(), accept)
+    assert restarted.texts == {used: "one", new: "three"} and not restarted.checked
