--- a/tests/control/policy/test_leases.py
+++ b/tests/control/policy/test_leases.py
@@ -45,6 +45,19 @@
         assert decision.digest == decision.previous_digest == DIGEST_A
 
 
+async def test_new_registry_when_there_may_be_gateways_it_never_heard_of_waits_for_their_leases_to_expire(
+    tmp_path: Path, clock: FakeClock
+) -> None:
+    async with registry_on_clock(tmp_path / "1.db", clock) as registry:
+        leases = registry.doors
+        clock.now += ABSENT_AFTER_S - LEASE_S
+        await renew(registry, "a")
+        assert not leases.current_decision.is_certain() and not leases.term_decision.is_writing
+        clock.now += LEASE_S
+        await renew(registry, "a")
+        await until(leases.current_decision.is_certain)
+
+
 async def test_activation_time_when_the_registry_restarts_is_learned_from_an_agent_or_begins_anew(
     tmp_path: Path, clock: FakeClock
 ) -> None:
