Test policy leases and their copy with a registry that only says what it is asked

Need: a renewal at a registry that may have been replaced, and a copy of an upstream of a lower term, were held by no test of this folder. Change: cases with a host in memory; more for gates after a restart, retired plans and decisions of other changes.

--- a/tests/control/policy/test_change_steps.py
+++ b/tests/control/policy/test_change_steps.py
@@ -141,6 +141,13 @@
     assert repeated.record.state is ChangeState.DECIDED
 
 
+def test_decision_when_it_is_not_above_the_base_is_not_the_changes() -> None:
+    change = change_in(ChangeState.DECIDING)
+    assert not change.is_decided(decision(BASE, NEW))
+    assert change.is_decided(decision(BASE + 1, NEW))
+    assert not change.is_decided(decision(BASE + 1, NEW, "other"))
+
+
 async def test_deciding_change_when_all_are_ready_writes_the_decision() -> None:
     change = change_in(ChangeState.DECIDING)
     context = context_with(fleet(decision(), gateway("a"), gateway("b", GatewayState.ABSENT)))
--- a/tests/control/policy/test_document.py
+++ b/tests/control/policy/test_document.py
@@ -98,6 +98,16 @@
     after = parse_document(DOCUMENT_A.replace("stor", "other"), "p.json")
     with pytest.raises(InvalidPolicyError, match="stor: its customers"):
         check_successor(after, before, "p.json")
+    document = json.loads(DOCUMENT_A.replace("stor", "other"))
+    retiring = parse_document(json.dumps({**document, "retired": ["stor"]}), "p.json")
+    check_successor(retiring, before, "p.json")
+    check_successor(after, None, "p.json")
+
+
+def test_successor_when_it_retires_a_plan_that_it_has_is_rejected() -> None:
+    policy = parse_document(json.dumps({**LOW_BURST, "retired": ["stor"]}), "p.json")
+    with pytest.raises(InvalidPolicyError, match="retired: stor is a plan here"):
+        check_successor(policy, None, "p.json")
 
 
 def test_differences_when_a_plan_changes_name_the_plan_and_the_key() -> None:
--- /dev/null
+++ b/tests/control/policy/test_lease_host.py
@@ -0,0 +1,175 @@
+"""Policy leases by what their registry says of itself, and a replica's copy by what its upstream answers."""
+
+import json
+from collections.abc import Sequence
+from types import SimpleNamespace
+
+import pytest
+
+from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse
+from orchidhatch.control.http_server import Connection, Response
+from orchidhatch.control.ownership.claims import BookWrite, ClaimsTable, Door, Enter, Keep, Leave
+from orchidhatch.control.policy import policy_replication
+from orchidhatch.control.policy.gateway_directory import GatewayDirectory
+from orchidhatch.control.policy.leases import GatewayPolicyLeases
+from orchidhatch.control.policy.policy_replication import PolicyReplication
+from orchidhatch.control.policy.timing import ABSENT_AFTER_S
+from orchidhatch.control.registry.store import StoreError
+from tests.control.policy.helpers import report_of
+
+UPSTREAM = ("127.0.0.1", 8500)
+COPY = {
+    "records": {"policy.now": "{}", "task.policy": "{}"},
+    "doors": [{"name": "a", "life": "a-1", "zone": "a"}, {"name": "b", "life": "b-2", "zone": "b"}],
+}
+
+
+class FakeHost:
+    """A registry of term 2, which notes what is to be written."""
+
+    def __init__(self) -> None:
+        self.store = SimpleNamespace(book=ClaimsTable(), term=2)
+        self.refusal: Response | None = None
+        self.is_current = True
+        self.disk_error: StoreError | None = None
+        self.now_s = 100.0
+        self.writes: list[BookWrite] = []
+
+    def commit(self, *writes: BookWrite) -> None:
+        transaction = self.store.book.draft(self.store.term)
+        for write in writes:
+            transaction.write(write)
+        self.store.book.take(transaction)
+
+    def clock(self) -> float:
+        return self.now_s
+
+    def no_writes(self) -> Response | None:
+        return self.refusal
+
+    def sure(self) -> bool:
+        return self.is_current
+
+    def queue(self, write: BookWrite, connection: Connection | None) -> bool:
+        self.writes.append(write)
+        return True
+
+    async def write_aside(self, writes: Sequence[BookWrite]) -> None:
+        if self.disk_error:
+            raise self.disk_error
+        self.writes += writes
+
+
+class FakeConnection:
+    """Keeps the response that it was answered with."""
+
+    def __init__(self) -> None:
+        self.response: Response | None = None
+
+    def answer(self, response: Response) -> None:
+        self.response = response
+
+
+@pytest.fixture
+def host() -> FakeHost:
+    return FakeHost()
+
+
+def renew(leases: GatewayPolicyLeases, gateway: str) -> Response:
+    connection = FakeConnection()
+    body = json.dumps(report_of(gateway)).encode()
+    assert leases.call(connection, "POST", ("doors", gateway, "renew"), body)
+    return connection.response
+
+
+def test_renewal_when_the_registry_may_have_been_replaced_is_unavailable(host: FakeHost) -> None:
+    host.commit(Enter(Door("a", "a-1", "a")))
+    leases = GatewayPolicyLeases(host)
+    host.is_current = False
+    assert renew(leases, "a").status == 503
+    host.now_s += ABSENT_AFTER_S
+    leases.look()
+    assert not host.writes  # nothing is decided meanwhile either
+    host.is_current = True
+    assert renew(leases, "a").status == 200 and len(host.writes) == 1
+
+
+def test_renewal_when_the_registry_accepts_no_writes_is_answered_with_its_refusal(host: FakeHost) -> None:
+    host.commit(Enter(Door("a", "a-1", "a")))
+    leases = GatewayPolicyLeases(host)
+    host.refusal = Response(409, {"error": "fenced"})
+    assert renew(leases, "a") is host.refusal
+    host.now_s += ABSENT_AFTER_S
+    leases.look()
+    assert not host.writes
+
+
+def test_decision_when_its_write_failed_is_tried_again(host: FakeHost) -> None:
+    host.commit(Enter(Door("a", "a-1", "a")))
+    leases = GatewayPolicyLeases(host)
+    renew(leases, "a")
+    leases.look()
+    assert len(host.writes) == 1  # one is on its way
+    leases.not_written()
+    leases.look()
+    assert len(host.writes) == 2 and isinstance(host.writes[1], Keep)
+
+
+async def copy_once(host: FakeHost, answer: CallResult, monkeypatch: pytest.MonkeyPatch) -> PolicyReplication:
+    """A replica's copy by this answer of its upstream."""
+
+    class StopCopyingError(Exception):
+        pass
+
+    async def call(address: Address, method: str, path: str, timeout_s: float) -> CallResult:
+        assert (address, method, path) == (UPSTREAM, "GET", "/policy")
+        return answer
+
+    async def stop(_: float) -> None:
+        raise StopCopyingError
+
+    monkeypatch.setattr(policy_replication, "call", call)
+    monkeypatch.setattr(policy_replication.asyncio, "sleep", stop)
+    replication = PolicyReplication(host, GatewayDirectory(host))
+    with pytest.raises(StopCopyingError):
+        await replication.keep_copying(lambda: UPSTREAM)
+    return replication
+
+
+async def test_copy_when_the_upstream_differs_writes_the_differences_only(
+    host: FakeHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    host.commit(Keep("policy.now", "{}"), Keep("policy.past", "1"), Keep("task.drain-s-1", "{}"))
+    host.commit(Enter(Door("a", "a-1", "a")), Enter(Door("b", "b-1", "b")), Enter(Door("c", "c-1", "c")))
+    replication = await copy_once(host, HttpResponse(200, COPY, "id 2"), monkeypatch)
+    assert host.writes == [
+        Keep("policy.past", ""),
+        Keep("task.policy", "{}"),
+        Leave("c"),
+        Enter(Door("b", "b-2", "b")),
+    ]
+    assert replication.last_copied_s == host.now_s
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HttpResponse(200, COPY, "id 1"),  # of a term that was replaced
+        HttpResponse(503, {"error": "disk"}, "id 2"),
+        HttpResponse(200, {"records": {}}, "id 2"),
+        NoResponse("refused"),
+    ],
+)
+async def test_copy_when_the_upstream_answers_otherwise_writes_nothing(
+    host: FakeHost, answer: CallResult, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    replication = await copy_once(host, answer, monkeypatch)
+    assert not host.writes and replication.last_copied_s < 0
+
+
+async def test_copy_when_it_cannot_be_written_does_not_count(
+    host: FakeHost, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    host.disk_error = StoreError("disk full")
+    replication = await copy_once(host, HttpResponse(200, COPY, "id 2"), monkeypatch)
+    assert replication.last_copied_s < 0
--- a/tests/control/policy/test_rollout_checks.py
+++ b/tests/control/policy/test_rollout_checks.py
@@ -13,6 +13,9 @@
     too_few = judge_gate(NONE_ENDED, AT_SWITCH, EndCounts(answered=600), GATE)
     restarted = judge_gate(NONE_ENDED, AT_SWITCH, EndCounts(answered=100), GATE)
     assert too_few.outcome is restarted.outcome is GateOutcome.TOO_FEW_REQUESTS
+    at_switch = EndCounts(answered=500, errored=5)
+    some_restarted = judge_gate(NONE_ENDED, at_switch, EndCounts(answered=2000, errored=1), GATE)
+    assert some_restarted.outcome is GateOutcome.TOO_FEW_REQUESTS
 
 
 def test_gate_when_no_more_fail_than_before_passes() -> None:
