--- a/orchidhatch/control/controller/drain.py
+++ b/orchidhatch/control/controller/drain.py
@@ -1,6 +1,6 @@
 """The task that drains an endpoint: marked in the list, withdrawn at all gateways, then removed or restored.
 
-Gateways are told through their agents as well as by the endpoint list, so that they stop sending requests to
+Gateways are notified through their agents as well as by the endpoint list, so that they stop sending to
 it at once.
 """
 
@@ -50,7 +50,7 @@
         """Gateways that cannot be reached do not hold the drain up: they learn of it by the endpoint list."""
         missing = await context.command_gateways(self, self.record.instance_id, GatewayCommand.WITHDRAW)
         start_count(self.record, time.monotonic())
-        message = f"not told: {', '.join(missing)}" if missing else ""
+        message = f"not notified: {', '.join(missing)}" if missing else ""
         await self.move_to(context, DrainState.WITHDRAWN, message=message)
 
     async def _wait(self, context: TaskContext) -> None:
--- a/orchidhatch/control/controller/task.py
+++ b/orchidhatch/control/controller/task.py
@@ -17,7 +17,7 @@
 
 
 class GatewayCommand(StrEnum):
-    """What a gateway can be told to do with one backend."""
+    """What a gateway can be commanded to do with one backend."""
 
     WITHDRAW = "maint"
     RESTORE = "ready"
