--- a/orchidhatch/control/http_response.py
+++ b/orchidhatch/control/http_response.py
@@ -55,16 +55,6 @@
         return json.dumps(msgspec.to_builtins(self.value)).encode() + b"\n"
 
 
-def error_body(text: str) -> ErrorBody:
-    """The body that tells an error."""
-    return ErrorBody(text)
-
-
-def unavailable(text: str) -> Response:
-    """A response that tells to come again."""
-    return Response(HTTPStatus.SERVICE_UNAVAILABLE, ErrorBody(text))
-
-
 def has_status(error: Exception) -> bool:
     """Whether the error is the client's to handle, rather than a fault of the program."""
     return isinstance(error, tuple(STATUS_OF_ERROR))
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -14,9 +14,6 @@
     METRICS_CONTENT_TYPE,
     STORE_HEADER,
     Response,
-    error_body,
-    term_of,
-    unavailable,
 )
 from orchidhatch.control.registry.store import Store
 from orchidhatch.control.responses import HealthResponse
@@ -24,17 +21,6 @@
 from orchidhatch.control.schemas import read_after
 from orchidhatch.control.watch_broadcaster import WHOLE_LIST, WatchBroadcaster
 
-# Other folders import these from here.
-__all__ = [
-    "STORE_HEADER",
-    "Connection",
-    "EndpointListServer",
-    "Response",
-    "error_body",
-    "term_of",
-    "unavailable",
-]
-
 MAX_WATCHES = 10_000
 LISTEN_BACKLOG = 1024
 FLAG_SET = "1"  # the value of a query's field that is a flag
@@ -201,9 +187,3 @@
             for status, count in sorted(self.statuses.items())
         ]
         return "\n".join(lines) + "\n"
-
-    # Former names, for modules that still use them.
-    begin = start_task
-    in_turn = run_in_turn
-    spread = broadcast
-    lines = format_metrics
--- a/orchidhatch/control/ownership/claims.py
+++ b/orchidhatch/control/ownership/claims.py
@@ -273,12 +273,3 @@
             raise NotFoundError(f"there is no gateway {write.name}")
         self.changed[ObjectKind.GATEWAY, write.name] = None
         return known
-
-
-# Former names, for modules that still use them.
-Door = Gateway
-Enter = RegisterGateway
-Leave = RemoveGateway
-Keep = PutRecord
-BookWrite = ClaimsWrite
-Thing = OwnedObject
--- a/orchidhatch/control/ownership/claims_table.py
+++ b/orchidhatch/control/ownership/claims_table.py
@@ -24,11 +24,6 @@
         self.gateways: dict[str, Gateway] = {}
         self.last_change = 0
 
-    @property
-    def doors(self) -> dict[str, Gateway]:
-        """The former name of `gateways`, for modules that still use it."""
-        return self.gateways
-
     def objects(self, kind: ObjectKind) -> dict[str, OwnedObject]:
         """All objects of a kind, by name."""
         return {
--- a/orchidhatch/control/ownership/objects.py
+++ b/orchidhatch/control/ownership/objects.py
@@ -77,11 +77,6 @@
     incarnation: str
     zone: str
 
-    @property
-    def life(self) -> str:
-        """The former name of `incarnation`, for modules that still use it."""
-        return self.incarnation
-
 
 class Fence(msgspec.Struct, frozen=True):
     """The claim and epoch that a write is made under: it is carried out only while they are current."""
--- a/orchidhatch/control/ownership/writes.py
+++ b/orchidhatch/control/ownership/writes.py
@@ -60,11 +60,6 @@
 
     gateway: Gateway
 
-    @property
-    def door(self) -> Gateway:
-        """The former name of `gateway`, for modules that still use it."""
-        return self.gateway
-
 
 class RemoveGateway(msgspec.Struct, frozen=True):
     """Take a gateway off the list."""
--- a/orchidhatch/control/policy/lease_host.py
+++ b/orchidhatch/control/policy/lease_host.py
@@ -3,8 +3,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from orchidhatch.control.http_server import Connection, Response
-from orchidhatch.control.ownership.claims import BookWrite
+from orchidhatch.control.http_connection import Connection
+from orchidhatch.control.http_response import Response
+from orchidhatch.control.ownership.writes import ClaimsWrite
 from orchidhatch.control.registry.store import Store
 
 
@@ -22,8 +23,8 @@
     def sure(self) -> bool:
         """Whether its peers were asked recently enough to know that it was not replaced."""
 
-    def queue(self, write: BookWrite, connection: Connection | None) -> bool:
+    def queue(self, write: ClaimsWrite, connection: Connection | None) -> bool:
         """Queue a write; its result is the response to the connection, where one is given."""
 
-    async def write_aside(self, writes: Sequence[BookWrite]) -> None:
+    async def write_aside(self, writes: Sequence[ClaimsWrite]) -> None:
         """Write what a replica keeps beside the endpoint list; raises StoreError."""
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from orchidhatch.control.addresses import parse_address
 from orchidhatch.control.errors import NotFoundError, UnavailableError
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_connection import Connection
@@ -19,7 +18,6 @@
 from orchidhatch.control.leases import CHECK_INTERVAL_S
 from orchidhatch.control.ownership.handlers import OwnershipHandlers
 from orchidhatch.control.ownership.service import OwnershipService
-from orchidhatch.control.ownership.writes import ClaimsWrite
 from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.registry.backups import Backups
 from orchidhatch.control.registry.handlers import BackupHandlers, EndpointHandlers, TermHandlers
@@ -143,20 +141,6 @@
     def backups(self, backups: Backups | None) -> None:
         self._backup_handlers.backups = backups
 
-    @property
-    def following(self) -> Replicator | None:
-        """The former name of `replicator`, for tests of other folders."""
-        return self.replicator
-
-    @property
-    def doors(self) -> GatewayPolicyLeases:
-        """The former name of `policy_leases`, for tests of other folders."""
-        return self.policy_leases
-
-    def queue(self, write: ClaimsWrite, connection: Connection | None) -> bool:
-        """The former place of the write pipeline's `enqueue`, for tests of other folders."""
-        return self._policy_host.queue(write, connection)
-
     def store_name(self) -> str:
         """The store whose generations these are; a replica's term is its upstream's."""
         replicator = self.replicator
@@ -205,6 +189,3 @@
                 "followed_generation": replicator.position.generation if replicator else 0,
             },
         )
-
-
-read_listen = parse_address  # the former name, for modules that still import it from here
--- a/orchidhatch/control/registry/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -87,11 +87,6 @@
         """Rises with each change of the list."""
         return self._header.generation
 
-    @property
-    def book(self) -> ClaimsTable:
-        """The former name of `claims_table`, for modules that still use it."""
-        return self.claims_table
-
     # --- opening ---
 
     def _open(self, create: bool, first: int, term: int) -> None:
--- a/orchidhatch/control/schemas.py
+++ b/orchidhatch/control/schemas.py
@@ -14,8 +14,6 @@
 from orchidhatch.control.json_body import (
     convert_message,
     decode_message,
-    reject_constant,
-    reject_duplicates,
 )
 from orchidhatch.control.ownership.objects import Fence, Gateway, Session
 from orchidhatch.control.ownership.writes import (
@@ -237,12 +235,3 @@
 def _optional(value: Any) -> Any:  # noqa: ANN401
     """None for a field that is not given."""
     return None if value is UNSET else value
-
-
-# Former names, for modules that still use them.
-no_constant = reject_constant
-no_repeats = reject_duplicates
-read_act = read_fenced_call
-read_door = read_register_gateway
-read_instance = read_replicated_endpoint
-read_report = read_gateway_report
--- a/tests/control/agent/test_fence_table.py
+++ b/tests/control/agent/test_fence_table.py
@@ -9,7 +9,7 @@
 from orchidhatch.control.agent import fence_table
 from orchidhatch.control.agent.cache_database import CacheDatabase
 from orchidhatch.control.agent.fence_table import FenceTable, StaleCallError
-from orchidhatch.control.ownership.claims import Fence
+from orchidhatch.control.ownership.objects import Fence
 
 
 async def run_directly(work: Callable[[], None]) -> None:
--- a/tests/control/agent/test_replication.py
+++ b/tests/control/agent/test_replication.py
@@ -7,8 +7,8 @@
 import pytest
 
 from orchidhatch.control.agent.service import Agent, open_cache
+from orchidhatch.control.errors import InvalidRequestError
 from orchidhatch.control.registry.store import Store
-from orchidhatch.control.schemas import InvalidRequestError
 from orchidhatch.proxy.server import FrontDoor
 from tests.control.agent.helpers import register_endpoint, running_agent, until
 from tests.control.registry.helpers import Watcher, address_of, call, named, serving
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -36,7 +36,7 @@
 @contextlib.asynccontextmanager
 async def running_replica(path: Path, *upstreams: tuple[str, int]) -> AsyncIterator[Registry]:
     async with serving(path, follow=upstreams) as replica:
-        await until(lambda: replica.following.connected)
+        await until(lambda: replica.replicator.connected)
         yield replica
 
 
@@ -60,7 +60,7 @@
             status, told = await call(at, "POST /promote")
             assert status == 409 and "still answers" in told["error"]
             await first.close()
-            await until(lambda: not second.following.connected)
+            await until(lambda: not second.replicator.connected)
             async with running_agent(tmp_path / "a.db", at) as agent:
                 await until(lambda: agent.replicator.connected)
                 status, out, _ = await client(at, "promote")
@@ -87,9 +87,9 @@
         running_replica(tmp_path / "2.db", address_of(first)) as second,
     ):
         await register_endpoint(first, "s-1")
-        await until(lambda: second.following.position.generation == first.store.generation)
-        heard = second.following.position.confirmed_at_ms
-        second.following.wall_clock_ms = lambda: heard + 2500
+        await until(lambda: second.replicator.position.generation == first.store.generation)
+        replicator = second.replicator
+        replicator.wall_clock_ms = lambda: replicator.position.confirmed_at_ms + 2500
         text = (await call(address_of(second), "GET /metrics"))[1]
         for figure in ("following 1", "lag_seconds 2.5", "followed_generation 1"):
             assert f"\nregistry_{figure}\n" in text
@@ -110,7 +110,7 @@
         running_replica(tmp_path / "2.db", address_of(first)) as second,
     ):
         await first.close()
-        await until(lambda: not second.following.connected)
+        await until(lambda: not second.replicator.connected)
         assert (await call(address_of(second), "GET /term"))[1] == {"term": 1}
         status, told = await call(address_of(second), "POST /promote")
         assert status == 409 and "a peer asked" in told["error"]
--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -9,7 +9,7 @@
 
 from orchidhatch.gateway import interface as i
 from orchidhatch.proxy.config import ConfigError, Policy, load
-from tests.control.policy.test_policy import DA, Time
+from tests.control.policy.helpers import DIGEST_A, FakeClock
 from tests.gateway_config import write_gateway_config
 from tests.helpers import PLAN
 from tests.sockets import CUSTOMER, Backend, Client, front_door, query
@@ -38,14 +38,14 @@
         assert "ok" in await ask(client, "b")
         new = replace(
             door.config,
-            policy=under_policy(number=2, digest=DA),
+            policy=under_policy(number=2, digest=DIGEST_A),
             plan_numbers={"new": 0, "team": 1},
             settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})),
         )
         door.reload(replace(new, class_numbers={"other": 0}))
         assert door.config.policy.number == 1  # it cannot go by that
         door.reload(new)
-        assert door.health() == (200, f"serves; policy 2 {DA}") and door.peers.mark == 3
+        assert door.health() == (200, f"serves; policy 2 {DIGEST_A}") and door.peers.mark == 3
         assert "BUSY" in await ask(client, "c")
         text = door.metrics()[1]
         assert 'proxy_unserved_total{reason="banned"} 1' in text and 'reason="policy"} 1' in text
@@ -54,13 +54,13 @@
     lines = [record.getMessage() for record in caplog.records if record.getMessage().startswith("request")]
     assert [line.rpartition(",")[0] for line in lines] == [
         "request b answered by policy -",
-        f"request c deferred by policy {DA}",
+        f"request c deferred by policy {DIGEST_A}",
     ]
 
 
 async def test_gateway_when_it_cannot_know_what_holds_then_suspends_admission() -> None:
     async with front_door(Backend(), policy=under_policy()) as (door, at):
-        time, heard = Time(), Time()
+        time, heard = FakeClock(), FakeClock()
         door.watchful.clock, door.watchful.heard_s = time, heard
         door.watchful.ticked_s = time.now
         client = await Client.open(at)
@@ -80,7 +80,7 @@
         assert await served("f")
         time.now += 0.6  # nobody came to put it under the next one
         assert not await served("g") and door.enter_service()[0] == 409
-        door.reload(replace(door.config, policy=under_policy(number=2, digest=DA)))
+        door.reload(replace(door.config, policy=under_policy(number=2, digest=DIGEST_A)))
         assert door.enter_service()[0] == 200 and await served("h")
 
 
