--- a/tests/control/policy/test_cli.py
+++ b/tests/control/policy/test_cli.py
@@ -21,7 +21,7 @@
     renew,
     settle,
 )
-from tests.control.registry.test_service import address_of
+from tests.control.registry.helpers import address_of
 
 ROOT = Path(__file__).parents[3]
 
@@ -85,7 +85,7 @@
         assert status == 0 and f"last change: {DIGEST_A}: asked" in output
         assert "a\ta\tpresent\t-\tserves" in output.splitlines()
         assert (await policy_command("drop", registry=registry))[0] == 0
-        change = json.loads(registry.store.book.records[CHANGE_TASK_RECORD].text)
+        change = json.loads(registry.store.claims_table.records[CHANGE_TASK_RECORD].text)
         assert change["dropped"] is True and (change["who"], change["why"]) == ("me", "more")
         assert "gate" not in change
         fleet = Fleet(registry, clock, "a")
@@ -106,9 +106,9 @@
         words = ("propose", str(document), "--why", "y", "--gate", "60s")
         status, output, errors = await policy_command(*words, registry=registry)
         assert status == 1 and "absent: a" in output and "1 of 1" in errors
-        assert CHANGE_TASK_RECORD not in registry.store.book.records
+        assert CHANGE_TASK_RECORD not in registry.store.claims_table.records
         assert (await policy_command(*words, "--force", registry=registry))[0] == 0
-        change = json.loads(registry.store.book.records[CHANGE_TASK_RECORD].text)
+        change = json.loads(registry.store.claims_table.records[CHANGE_TASK_RECORD].text)
         assert change["force"] is True and change["gate"]["for_ms"] == 60_000
 
 
@@ -148,4 +148,4 @@
         assert status == 1 and "may still serve" in errors
         clock.now += ABSENT_AFTER_S + 1
         assert (await policy_command("remove", "a", registry=registry))[0] == 0
-        assert not registry.store.book.doors
+        assert not registry.store.claims_table.gateways
