--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -51,7 +51,7 @@
 class GatewayAnswer(msgspec.Struct):
     """The body of a gateway's answer, as this agent's callers get it."""
 
-    door: Any
+    body: Any = msgspec.field(name="door")
 
 
 class ClaimEpoch(msgspec.Struct):
--- a/orchidhatch/control/cli_commands.py
+++ b/orchidhatch/control/cli_commands.py
@@ -245,5 +245,5 @@
     done = call_for(Promotion, options.at, "POST", "/promote", {"force": options.force})
     print(
         f"term {done.term}, generation {done.generation}, {done.entries} entries;"
-        f" last heard {done.lag_seconds:.1f} s ago, at generation {done.heard_generation}"
+        f" last heard {done.lag_seconds:.1f} s ago, at generation {done.received_generation}"
     )
--- a/orchidhatch/control/cli_messages.py
+++ b/orchidhatch/control/cli_messages.py
@@ -43,7 +43,7 @@
     term: int
     generation: int
     entries: int
-    heard_generation: int
+    received_generation: int = msgspec.field(name="heardGeneration")
     lag_seconds: float
 
 
--- a/orchidhatch/control/controller/command.py
+++ b/orchidhatch/control/controller/command.py
@@ -1,6 +1,6 @@
 """Runs the fleet controller as a process.
 
-python -m orchidhatch.steward --id steward-1 --registry 127.0.0.1:8500 [--registry ...] [--agent ... ]
+python -m orchidhatch.steward --id controller-1 --registry 127.0.0.1:8500 [--registry ...] [--agent ... ]
 """
 
 import argparse
--- a/orchidhatch/control/policy/policy_replication.py
+++ b/orchidhatch/control/policy/policy_replication.py
@@ -76,9 +76,9 @@
             if name not in upstream_names:
                 yield RemoveGateway(name)
         for gateway in upstream_gateways:
-            door = Gateway(gateway.name, gateway.incarnation, gateway.zone)
-            if self._directory.find(gateway.name) != door:
-                yield RegisterGateway(door)
+            listed = Gateway(gateway.name, gateway.incarnation, gateway.zone)
+            if self._directory.find(gateway.name) != listed:
+                yield RegisterGateway(listed)
 
     def _replicated_records(self) -> Mapping[str, str]:
         records = self._host.store.claims_table.records.values()
