--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -159,10 +159,12 @@
 
 def hear_nothing() -> None:
     """Nothing after the first, as a door that is under no policy at all is not kept."""
-    from orchidhatch.proxy.server import FrontDoor
+    from orchidhatch.proxy.configuration_reload import ConfigurationReloader
 
-    go_by = FrontDoor.go_by
-    FrontDoor.go_by = lambda self, config: None if self.config.policy else go_by(self, config)
+    switch_policy = ConfigurationReloader.switch_policy
+    ConfigurationReloader.switch_policy = lambda self, config: (
+        None if self.active.config.policy else switch_policy(self, config)
+    )
 
 
 PLANTS = {
--- /dev/null
+++ b/orchidhatch/proxy/configuration_reload.py
@@ -0,0 +1,55 @@
+"""Changes of the configuration while the gateway serves: the watch's address, and the policy."""
+
+import logging
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.active_configuration import ActiveConfiguration
+from orchidhatch.proxy.config import Config
+from orchidhatch.proxy.endpoint_watch import Discovery
+from orchidhatch.proxy.event_dispatcher import EventDispatcher
+from orchidhatch.proxy.peers import Peers
+from orchidhatch.proxy.policy_guard import Watchfulness
+
+log = logging.getLogger(__name__)
+
+
+class ConfigurationReloader:
+    """Applies the parts of a new configuration that may change without a restart."""
+
+    def __init__(
+        self,
+        active: ActiveConfiguration,
+        dispatcher: EventDispatcher,
+        discovery: Discovery,
+        peers: Peers,
+        policy_guard: Watchfulness,
+    ) -> None:
+        self.active = active
+        self.dispatcher = dispatcher
+        self.discovery = discovery
+        self.peers = peers
+        self.policy_guard = policy_guard
+
+    def reload(self, config: Config) -> None:
+        """Take over the address of discovery and the policy; everything else stays as it is."""
+        log.info("read the configuration again; discovery is at %s:%d", *config.discovery)
+        self.discovery.move(config.discovery)
+        if config.policy and config.policy != self.active.config.policy:
+            self.switch_policy(config)
+
+    def switch_policy(self, config: Config) -> None:
+        """Apply another policy's plans, latency objectives and bans from the next request on."""
+        if config.class_numbers != self.active.config.class_numbers:
+            log.error("kept the old policy: the new file has other classes")
+            return
+        new = config.settings
+        names = self.active.plan_names
+        new_plan_numbers = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
+        self.dispatcher.run_batch()  # what has come so far was admitted by the old policy
+        self.dispatcher.post(i.NewPolicy(new.classes, new.plans, new.banned, new.mark, new_plan_numbers))
+        self.dispatcher.run_batch()
+        self.active.replace_policy(config)
+        self.peers.mark = new.mark
+        self.policy_guard.told = config.policy
+        self.policy_guard.begin(barred=False)
+        log.info("goes by %s", config.policy.shown())
--- a/orchidhatch/proxy/main.py
+++ b/orchidhatch/proxy/main.py
@@ -1,4 +1,4 @@
-"""Start of a front door, its signals and its exit code."""
+"""Start of a gateway, its signals and its exit code."""
 
 import asyncio
 import gc
@@ -11,15 +11,15 @@
 
 from orchidhatch.proxy.config import Config, ConfigError, describe, load, reload
 from orchidhatch.proxy.log_writer import LogWriter
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 
 log = logging.getLogger("orchidhatch.proxy")
 
 
-def hang_up(door: FrontDoor) -> None:
+def hang_up(gateway: GatewayServer) -> None:
     """Read the configuration again; one that is not usable changes nothing."""
     try:
-        door.reload(reload(os.environ))
+        gateway.reload(reload(os.environ))
     except ConfigError as error:
         log.error("kept the old configuration: %s", error)
 
@@ -30,19 +30,19 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    door = FrontDoor(config, writer)
-    loop.add_signal_handler(signal.SIGHUP, hang_up, door)
+    gateway = GatewayServer(config, writer)
+    loop.add_signal_handler(signal.SIGHUP, hang_up, gateway)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile is answered now
-    await door.start()
+    await gateway.start()
     # What lives as long as the process need not be looked through by every collection.
     gc.collect()
     gc.freeze()
     log.info("%s serves at %s:%d", config.name, *config.listen)
     log.info("told: %s", describe(config))
-    waits = [asyncio.ensure_future(event.wait()) for event in (stopped, door.finished)]
+    waits = [asyncio.ensure_future(event.wait()) for event in (stopped, gateway.process.finished)]
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     log.info("%s drains", config.name)
-    await door.drain()
+    await gateway.drain()
     log.info("%s ends", config.name)
 
 
--- /dev/null
+++ b/orchidhatch/proxy/metrics_page.py
@@ -0,0 +1,164 @@
+"""The pages /stats and /metrics, read at the time of the call."""
+
+from collections import Counter
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.backends import Backends
+from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.cpu_accounting import (
+    PLACES,
+    Account,
+    descriptors,
+    peak_resident_bytes,
+    resident_bytes,
+)
+from orchidhatch.proxy.event_dispatcher import EventDispatcher
+from orchidhatch.proxy.management import Management
+from orchidhatch.proxy.metrics import Figures, page
+from orchidhatch.proxy.peers import Peers
+from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+from orchidhatch.proxy.wait_queues import figures as queue_metrics
+from orchidhatch.proxy.work_queues import WorkQueues
+
+
+class MetricsPage:
+    """Builds both pages in Prometheus's text form."""
+
+    def __init__(
+        self,
+        figures: Figures,
+        dispatcher: EventDispatcher,
+        requests: RequestLifecycle,
+        clients: Clients,
+        backends: Backends,
+        peers: Peers,
+        management: Management,
+        account: Account,
+        queues: WorkQueues,
+        max_descriptors: int,
+    ) -> None:
+        self.figures = figures
+        self.dispatcher = dispatcher
+        self.requests = requests
+        self.clients = clients
+        self.backends = backends
+        self.peers = peers
+        self.management = management
+        self.account = account
+        self.queues = queues
+        self.max_descriptors = max_descriptors
+        self.queued_us: Counter[str] = Counter()
+        """Microseconds that requests were queued, by what they waited for."""
+
+    def add_queued_time(self, action: i.Waited) -> None:
+        """Count the time that a request was queued."""
+        self.queued_us.update(dict(action.times))
+
+    def stats(self) -> str:
+        """The counts of requests, and the size of the fleet."""
+        census = self.dispatcher.ask(i.Survey())
+        return self.figures.text(
+            sends_total=self.backends.sends,
+            current=len(self.requests.open),
+            cluster_size=census.listed,
+            cluster_unhealthy=census.avoided,
+        )
+
+    def metrics(self) -> str:
+        """The counts of /stats, what the process costs, and what waits in it."""
+        return self.stats() + self._cpu() + self._memory() + self._descriptors() + self._waits()
+
+    def _cpu(self) -> str:
+        account = self.account
+        by_place = {f'place="{place.name.lower()}"': account.seconds(place) for place in PLACES}
+        return "".join(
+            [
+                page(
+                    "cpu_seconds_total", "counter", "Processor time of the process.", {"": account.total_s()}
+                ),
+                page(
+                    "place_cpu_seconds_total",
+                    "counter",
+                    "Of it, by place, estimated; the rest is the loop's.",
+                    by_place,
+                ),
+                page(
+                    "idle_seconds_total",
+                    "counter",
+                    "Time in intervals in which no request was open.",
+                    {"": account.idle_s},
+                ),
+                page(
+                    "idle_cpu_seconds_total",
+                    "counter",
+                    "Processor time in those intervals.",
+                    {"": account.idle_ns / 1e9},
+                ),
+            ]
+        )
+
+    def _memory(self) -> str:
+        resident = resident_bytes()
+        resident_values = {} if resident is None else {"": resident}
+        peak = {"": peak_resident_bytes()}
+        return "".join(
+            [
+                page("resident_bytes", "gauge", "Memory held now.", resident_values),
+                page("peak_resident_bytes", "gauge", "The most memory held so far.", peak),
+                page(
+                    "held_bytes",
+                    "gauge",
+                    "Commands that are not answered.",
+                    {"": self.requests.held_bytes},
+                ),
+                page("unsent_bytes", "gauge", "What waits for slow clients.", {"": self.clients.unsent}),
+            ]
+        )
+
+    def _descriptors(self) -> str:
+        holders = {
+            "clients": len(self.clients.connections),
+            "backends": self.backends.held,
+            "management": len(self.management.connections),
+        }
+        held = descriptors()
+        if held is not None:
+            holders["other"] = max(0, held - sum(holders.values()))
+        by_holder = {f'holder="{name}"': count for name, count in holders.items()}
+        return "".join(
+            [
+                page("descriptors", "gauge", "Descriptors held, by holder.", by_holder),
+                page("descriptors_limit", "gauge", "Descriptors allowed.", {"": self.max_descriptors}),
+                page(
+                    "out_of_descriptors_total",
+                    "counter",
+                    "Connections to backends without a descriptor left.",
+                    {"": self.backends.out_of_descriptors},
+                ),
+            ]
+        )
+
+    def _waits(self) -> str:
+        census = self.dispatcher.ask(i.Survey())
+        queued_s = {f'reason="{why}"': us / 1e6 for why, us in sorted(self.queued_us.items())}
+        unserved = {f'reason="{why}"': count for why, count in census.ended}
+        malformed = {'what="command"': self.clients.malformed, 'what="stream"': self.clients.unreadable}
+        dropped = {'why="malformed"': self.peers.malformed, 'why="stranger"': self.peers.strange}
+        return queue_metrics(self.queues.lines(census)) + "".join(
+            [
+                page(
+                    "held_seconds_total",
+                    "counter",
+                    "Time that requests waited unsent, by what for.",
+                    queued_s,
+                ),
+                page("unserved_total", "counter", "Requests ended unserved, by what they lacked.", unserved),
+                page("malformed_total", "counter", "What clients sent that is no request.", malformed),
+                page(
+                    "datagrams_dropped_total",
+                    "counter",
+                    "Datagrams from peers that were not taken.",
+                    dropped,
+                ),
+            ]
+        )
--- /dev/null
+++ b/orchidhatch/proxy/operator_drain.py
@@ -0,0 +1,81 @@
+"""Taking the gateway out of service and back by management calls, and by the loss of its policy lease."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.backends import now_us
+from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.policy_guard import Watchfulness
+from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
+
+log = logging.getLogger(__name__)
+
+# How long a drain waits at most for the load balancer in front to poll and hear the first negative answer.
+FRONT_POLL_S = 1.0
+# After that answer new connections go on coming for 0.2 s.
+LATE_CONNECTIONS_S = 0.4
+# After the call: what comes later on a kept connection is left to another gateway.
+LAST_READ_S = 1.5
+
+
+class OperatorDrain:
+    """Owner of the drain by management call, which can be undone, and of whether clients are admitted."""
+
+    def __init__(self, process: ProcessLifecycle, clients: Clients, post: Callable[[i.Event], None]) -> None:
+        self.process = process
+        self.clients = clients
+        self.post = post
+        self.policy_guard: Watchfulness
+        self.task: asyncio.Task[None] | None = None
+        """The drain under way or finished, until it is undone."""
+
+    def connect(self, policy_guard: Watchfulness) -> None:
+        """Set the policy guard, which is itself created with `suspend_admission`."""
+        self.policy_guard = policy_guard
+
+    def is_serving(self) -> bool:
+        """Whether new clients are admitted."""
+        is_up = self.process.state is ProcessState.SERVING
+        return is_up and self.task is None and not self.policy_guard.barred
+
+    def suspend_admission(self, is_suspended: bool) -> None:
+        """Have the decision core reject every new request, or admit them again."""
+        self.post(i.Bar(is_suspended))
+        is_ending = self.process.state is ProcessState.ENDING
+        self.clients.welcome = not is_suspended and self.task is None and not is_ending
+
+    def begin(self) -> None:
+        """Start to drain, unless a drain is under way or the process is ending."""
+        if self.task is None and self.process.state is not ProcessState.ENDING:
+            log.info("takes no new clients, by call, at %d us", now_us())
+            self.clients.welcome = False
+            self.task = asyncio.get_running_loop().create_task(self._drain())
+
+    async def _drain(self) -> None:
+        """Serve until the front has heard a no and sends nothing new, then let the kept connections go."""
+        loop = asyncio.get_running_loop()
+        called_s = loop.time()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.clients.said_no.wait(), FRONT_POLL_S)
+        await asyncio.sleep(LATE_CONNECTIONS_S)
+        self.clients.drain()
+        await asyncio.sleep(called_s + LAST_READ_S - loop.time())
+        self.clients.read_no_more()
+        if self.policy_guard.told:  # a late client would be admitted by a policy that may no longer hold
+            self.policy_guard.bar("it was emptied")
+
+    def undo(self) -> None:
+        """Admit clients again."""
+        if self.task is not None:
+            log.info("takes clients again, by call, at %d us", now_us())
+            self.task.cancel()
+            self.task = None
+            self.clients.take_again()
+
+    def close(self) -> None:
+        """Cancel a drain that is under way."""
+        if self.task is not None:
+            self.task.cancel()
--- /dev/null
+++ b/orchidhatch/proxy/periodic_log.py
@@ -0,0 +1,120 @@
+"""The log lines that show every few seconds what went through and what it cost.
+
+scripts/fleet-table reads these lines, so their form stays.
+"""
+
+import asyncio
+import logging
+
+from orchidhatch.proxy.backends import Backends
+from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.cpu_accounting import (
+    PLACES,
+    Account,
+    Place,
+    descriptors,
+    peak_resident_bytes,
+    resident_bytes,
+)
+from orchidhatch.proxy.event_dispatcher import EventDispatcher
+from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+
+log = logging.getLogger(__name__)
+
+LOG_INTERVAL_S = 5.0
+# Customers in one line, those that spent most.
+MAX_LOGGED_CUSTOMERS = 200
+
+
+class PeriodicLog:
+    """Writes the counts of each interval, and clears them."""
+
+    def __init__(
+        self,
+        requests: RequestLifecycle,
+        dispatcher: EventDispatcher,
+        clients: Clients,
+        backends: Backends,
+        account: Account,
+        max_descriptors: int,
+    ) -> None:
+        self.requests = requests
+        self.dispatcher = dispatcher
+        self.clients = clients
+        self.backends = backends
+        self.account = account
+        self.max_descriptors = max_descriptors
+        self.logged_cpu_s: dict[Place, float] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def schedule(self) -> None:
+        """Write the next lines after LOG_INTERVAL_S."""
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(LOG_INTERVAL_S, self.account.run, Place.LOG, self.write)
+
+    def close(self) -> None:
+        """Write no more lines."""
+        if self.timer:
+            self.timer.cancel()
+
+    def write(self) -> None:
+        """Write the lines of this interval and start the next."""
+        self._write_traffic()
+        self._write_cost()
+        self._write_shares()
+        requests = self.requests
+        for counter in (requests.tally, self.backends.tally, requests.sent, requests.spent):
+            counter.clear()
+        self.dispatcher.longest_batch_us = 0
+        self.schedule()
+
+    def _write_traffic(self) -> None:
+        """Write what went through and the state of the sockets; the core's own line says what decided it."""
+        passed = " ".join(f"{what}={count}" for what, count in sorted(self.requests.tally.items()))
+        sockets = " ".join(f"{what}={count}" for what, count in sorted(self.backends.tally.items()))
+        log.info(
+            "%s; open %d, longest batch %.1f ms; clients %d, to backends %d: %s",
+            passed or "idle",
+            len(self.requests.open),
+            self.dispatcher.longest_batch_us / 1000,
+            len(self.clients.connections),
+            self.backends.held,
+            sockets or "-",
+        )
+
+    def _write_shares(self) -> None:
+        """Write what only all gateways' lines show together: attempts by backend, units by customer."""
+        sent = self.requests.sent
+        by_backend = " ".join(
+            f"{name}={sent[name]}/{len(pool.connections)}"
+            for name, pool in self.backends.pools.items()
+            if pool.connections or sent[name]
+        )
+        spent = " ".join(
+            f"{customer}/{plan}/{size}={units:g}"
+            for (customer, plan, size), units in self.requests.spent.most_common(MAX_LOGGED_CUSTOMERS)
+        )
+        log.info("shares: to %s; spent %s", by_backend or "-", spent or "-")
+
+    def _write_cost(self) -> None:
+        """Write the interval's CPU time, exact for the process, estimated by place, and memory."""
+        asked = self.requests.tally["asked"]
+        took_s, cpu_s = self.account.interval(idle=not asked and not self.requests.open)
+        by_place = {place: self.account.seconds(place) for place in PLACES}
+        parts = " ".join(
+            f"{place.name.lower()} {(by_place[place] - self.logged_cpu_s.get(place, 0)) * 1e3:.1f}"
+            for place in PLACES
+        )
+        self.logged_cpu_s = by_place
+        each = f", {cpu_s * 1e6 / asked:.0f} us a request" if asked else ""
+        log.info(
+            "cost: cpu %.1f ms in %.1f s%s; of it %s; resident %d KB, peak %d KB, descriptors %d of %d",
+            cpu_s * 1e3,
+            took_s,
+            each,
+            parts,
+            (resident_bytes() or 0) >> 10,
+            peak_resident_bytes() >> 10,
+            descriptors() or 0,
+            self.max_descriptors,
+        )
--- /dev/null
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -0,0 +1,262 @@
+"""The life of each request: admitted from a client, sent in attempts, answered once.
+
+The way of a request: `take` parses it and posts it to the decision core; the core's actions come back as
+`send`, `cancel`, `reject` and `fail`; `attempt_done` reports the end of each attempt; `settle` ends what is
+owed, whichever of these comes first. A backstop timer answers if the core does not.
+
+Somewhat longer than other modules, so that the whole way of one request is in one place.
+"""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.proxy.active_configuration import ActiveConfiguration
+from orchidhatch.proxy.backends import Attempt, Backends, now_us
+from orchidhatch.proxy.clients import FAILED, STALL_S, Clients, CommandError, Reply
+from orchidhatch.proxy.config import MOST_US
+from orchidhatch.proxy.metrics import Ended, Figures
+from orchidhatch.proxy.policy_guard import Watchfulness
+from orchidhatch.proxy.request_exchange import RequestExchange
+from orchidhatch.proxy.wait_queues import Waits
+
+log = logging.getLogger(__name__)
+
+# Subtracted from the time that a client waits: for the way of its request here and of the answer back.
+ANSWER_MARGIN_US = 25_000
+# How much later than the decision core a request is ended here, should the core not end it.
+BACKSTOP_US = 15_000
+
+
+class RequestLifecycle:
+    """Owner of all in-flight requests, from the command to the end of the last attempt."""
+
+    def __init__(
+        self, active: ActiveConfiguration, figures: Figures, post: Callable[[i.Event], None]
+    ) -> None:
+        self.active = active
+        self.figures = figures
+        self.post = post
+        self.loop = asyncio.get_running_loop()
+        self.open: dict[str, RequestExchange] = {}
+        """Requests that are owed an answer."""
+        self.ended: dict[str, RequestExchange] = {}
+        """Requests that were answered and have attempts still out."""
+        self.held_bytes = 0
+        self.held_waits = Waits()
+        self.tally: Counter[str] = Counter()
+        """Requests, and how attempts ended, since the last log line."""
+        self.sent: Counter[str] = Counter()
+        """Attempts by backend, since the last log line."""
+        self.spent: Counter[tuple[str, str, int]] = Counter()
+        """Units by customer, plan and set size, since the last log line."""
+        self.last_answer_us: int | None = None
+        """Until when this process is sure to live, once it is ending."""
+        self.clients: Clients
+        self.backends: Backends
+        self.policy_guard: Watchfulness
+
+    def connect(self, clients: Clients, backends: Backends, policy_guard: Watchfulness) -> None:
+        """Set the collaborators that are themselves created with this object's callbacks."""
+        self.clients = clients
+        self.backends = backends
+        self.policy_guard = policy_guard
+
+    # --- from the client ---
+
+    def take(self, words: list[bytes], reply: Reply) -> None:
+        """Start a request from a client's command; raises CommandError if the command is wrong."""
+        self.policy_guard.look()
+        most_us = MOST_US if self.last_answer_us is None else max(0, self.last_answer_us - now_us())
+        command = self.active.parser.parse(words, ANSWER_MARGIN_US, most_us)
+        request = command.request
+        if request.id in self.open or request.id in self.ended:
+            self.figures.note(self.active.class_names[request.class_index], Ended.ERRORED)
+            raise CommandError("this id is in use")
+        exchange = RequestExchange(
+            command,
+            reply,
+            now_us() + request.left_us,
+            self.active.plan_names[request.plan_index],
+            self._traced_policy(),
+        )
+        delay_s = (request.left_us + BACKSTOP_US) / 1e6
+        exchange.timer = self.loop.call_later(delay_s, self.overdue, request.id)
+        reply.id = request.id
+        self.open[request.id] = exchange
+        self.held_bytes += request.size
+        self.tally["asked"] += 1
+        self.post(request)
+
+    def _traced_policy(self) -> str:
+        """The digest of the policy that requests are admitted by, where that is to be logged, else ""."""
+        config = self.active.config
+        if not config.traces_policy or not config.policy or self.policy_guard.barred:
+            return ""
+        return config.policy.digest or "-"
+
+    def client_gone(self, reply: Reply) -> None:
+        """End the request of a client that has disconnected."""
+        if reply.id is not None and (exchange := self.settle(reply.id)):
+            self.post(i.ClientGone(reply.id))
+            if exchange.stream:
+                exchange.stream.cancel()
+
+    def overdue(self, request_id: str) -> None:
+        """Answer a request that the decision core left without an answer in time."""
+        if request_id in self.open:
+            log.error("request %s was left without an answer", request_id)
+            self.fail_over_fault(request_id)
+
+    def fail_over_fault(self, request_id: str) -> None:
+        """Fail a request over an internal fault, and have the core forget it."""
+        if request_id in self.open:
+            self.answer(request_id, FAILED, Ended.ERRORED)
+            self.post(i.ClientGone(request_id))
+
+    # --- attempts ---
+
+    def send(self, action: i.Send) -> None:
+        """Start an attempt, or report it as never sent if the request has ended or has had all of its."""
+        exchange = self.open.get(action.id)
+        if exchange is None or exchange.attempts >= self.active.settings.max_attempts:
+            self._report_unsent(action, exchange)
+            return
+        number = exchange.attempts
+        exchange.attempts += 1
+        try:
+            self._begin_attempt(action, exchange, number)
+        except Exception:
+            exchange.out.pop(number, None)  # the core counts it as out until it is told of its end
+            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
+            raise
+
+    def _report_unsent(self, action: i.Send, exchange: RequestExchange | None) -> None:
+        known = exchange or self.ended.get(action.id)
+        number = known.attempts if known else 0
+        if known:
+            known.attempts += 1
+        self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
+
+    def _begin_attempt(self, action: i.Send, exchange: RequestExchange, number: int) -> None:
+        left_us = max(1, exchange.end_us - now_us())
+        timeout_us = min(left_us, action.timeout_us) if action.timeout_us > 0 else left_us
+        self.sent[action.server] += 1
+        if not number:
+            self.held_waits.note(now_us() - exchange.came_us)
+            request = exchange.command.request
+            self.spent[request.customer, exchange.plan, request.set_size] += request.units
+        payload = exchange.command.payload(timeout_us)
+        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
+        exchange.out[number] = attempt
+        self.backends.send(attempt, timeout_us, action.begin_us)
+
+    def attempt_done(
+        self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
+    ) -> None:
+        """Report an attempt's one outcome; the first value answers the client and closes the request."""
+        name = attempt.request_id
+        if name in self.open and self.open[name].stream is attempt:
+            self._end_stream(name, result is i.Result.OK)
+        elif result is i.Result.OK and value is not None and name in self.open:
+            self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
+        is_over = name not in self.open
+        exchange = self.ended.get(name) if is_over else self.open[name]
+        if exchange:
+            exchange.out.pop(attempt.number, None)
+            if is_over and not exchange.out:
+                del self.ended[name]
+        self.tally[result.value] += 1
+        took_us = now_us() - attempt.sent_us
+        self.post(i.Outcome(name, is_over, attempt.number, attempt.server, result, took_us, report=report))
+
+    def cancel(self, action: i.Cancel) -> None:
+        """Cancel an attempt that is out."""
+        exchange = self.open.get(action.id) or self.ended.get(action.id)
+        attempt = exchange.out.get(action.attempt) if exchange else None
+        if attempt:
+            attempt.cancel()
+
+    # --- long values ---
+
+    def value_begins(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
+        """Start to stream a long value to the client; from now on only a break or a stall ends it.
+
+        Returns what takes its pieces, or None if the request has ended or streams another attempt's value.
+        """
+        exchange = self.open.get(attempt.request_id)
+        if exchange is None or exchange.stream:
+            return None
+        exchange.stream = attempt
+        exchange.timer.cancel()
+        exchange.timer = self.loop.call_later(STALL_S, self._check_stall, attempt.request_id)
+        took_us = now_us() - attempt.sent_us
+        self.post(i.StreamStarted(attempt.request_id, attempt.number, attempt.server, took_us))
+        exchange.reply.begin(b"$%d\r\n" % size, attempt)
+        return exchange.reply.more
+
+    def _check_stall(self, request_id: str) -> None:
+        exchange = self.open.get(request_id)
+        if exchange is None:
+            return
+        left_s = exchange.reply.moved_s + STALL_S - self.clients.clock()
+        if left_s > 0:
+            exchange.timer = self.loop.call_later(left_s, self._check_stall, request_id)
+        else:
+            log.warning("cut the value of request %s, which did not move for %.0f s", request_id, STALL_S)
+            exchange.stream.cancel()
+
+    def _end_stream(self, request_id: str, is_whole: bool) -> None:
+        exchange = self.settle(request_id)
+        self._note(exchange, Ended.ANSWERED if is_whole else Ended.ERRORED)
+        if is_whole:
+            exchange.reply.send(b"\r\n")
+        else:
+            exchange.reply.cut()
+
+    # --- answers ---
+
+    def reject(self, action: i.Refuse) -> None:
+        """Answer that the gateway is busy, with the time after which to retry if there is one."""
+        wait_ms = action.retry_after_us // 1000
+        self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n", Ended.DEFERRED)
+
+    def fail(self, action: i.Fail) -> None:
+        """Answer that the request failed."""
+        self.answer(action.id, FAILED, Ended.ERRORED)
+
+    def answer(self, request_id: str, data: bytes, how: Ended) -> None:
+        """Send the whole answer, unless the request has had one."""
+        if exchange := self.settle(request_id):
+            self._note(exchange, how)
+            exchange.reply.send(data)
+
+    def _note(self, exchange: RequestExchange, how: Ended) -> None:
+        request = exchange.command.request
+        self.figures.note(self.active.class_names[request.class_index], how)
+        if exchange.policy:
+            log.info(
+                "request %s %s by policy %s, taken at %d us",
+                request.id,
+                how,
+                exchange.policy,
+                exchange.came_us,
+            )
+
+    def settle(self, request_id: str) -> RequestExchange | None:
+        """End what is owed on a request and withdraw its unwritten attempts; None if it has ended already."""
+        exchange = self.open.pop(request_id, None)
+        if exchange is None:
+            return None
+        self.held_bytes -= exchange.command.request.size
+        if not exchange.attempts:
+            self.held_waits.note(now_us() - exchange.came_us)
+        if exchange.timer:
+            exchange.timer.cancel()
+        if exchange.out:
+            self.ended[request_id] = exchange
+        for attempt in [attempt for attempt in exchange.out.values() if not attempt.written]:
+            attempt.withdraw()  # nothing is begun for a client that has left or has its answer
+        return exchange
--- /dev/null
+++ b/orchidhatch/proxy/work_queues.py
@@ -0,0 +1,103 @@
+"""Where work can wait in the gateway, from the clients' sockets to the log, as it is now."""
+
+from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.proxy.backends import Backends, now_us
+from orchidhatch.proxy.clients import PATIENCE_S, SHED_POOLS, Clients
+from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.management import Management
+from orchidhatch.proxy.peers import Peers
+from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+from orchidhatch.proxy.wait_queues import Line, oldest
+
+
+class WorkQueues:
+    """Reads the depth, the bound and the oldest entry of every place where work waits."""
+
+    def __init__(
+        self,
+        clients: Clients,
+        backends: Backends,
+        peers: Peers,
+        requests: RequestLifecycle,
+        management: Management,
+        writer: LogWriter | None,
+        max_open: int,
+    ) -> None:
+        self.clients = clients
+        self.backends = backends
+        self.peers = peers
+        self.requests = requests
+        self.management = management
+        self.writer = writer
+        self.max_open = max_open
+
+    def lines(self, census: i.Census) -> list[Line]:
+        """All places, in the order in which a request passes them."""
+        return [
+            self._unread_clients(),
+            self._partial_commands(),
+            self._queued_requests(census),
+            self._connecting_attempts(),
+            self._unanswered_attempts(),
+            self._unsent_bytes(),
+            self._peer_messages(census),
+            self.management.line(),
+            *([self.writer.line()] if self.writer else []),
+        ]
+
+    def _unread_clients(self) -> Line:
+        clients = self.clients
+        unread = [connection for connection in clients.connections if not connection.reading]
+        oldest_us = max((clients.since_us(connection.paused_s) for connection in unread), default=0)
+        return Line("unread", clients.most, len(unread), oldest_us, clients.crowded_out, clients.unread_waits)
+
+    def _partial_commands(self) -> Line:
+        clients = self.clients
+        partial = [connection for connection in clients.connections if connection.reader.buffer]
+        due = [connection.due_s for connection in partial if connection.due_s]
+        oldest_us = max((clients.since_us(due_s - PATIENCE_S) for due_s in due), default=0)
+        return Line("partial", clients.most, len(partial), oldest_us, clients.slow, clients.partial_waits)
+
+    def _queued_requests(self, census: i.Census) -> Line:
+        rejected = dict(census.ended).get("crowded", 0)
+        return Line("held", self.max_open, census.held, census.held_us, rejected, self.requests.held_waits)
+
+    def _connecting_attempts(self) -> Line:
+        backends = self.backends
+        connecting = backends.waiting()
+        oldest_us = oldest(now_us(), (attempt.sent_us for attempt in connecting))
+        return Line(
+            "connecting",
+            backends.most,
+            len(connecting),
+            oldest_us,
+            backends.no_room,
+            backends.connect_waits,
+        )
+
+    def _unanswered_attempts(self) -> Line:
+        backends = self.backends
+        unanswered = backends.unanswered()
+        oldest_us = oldest(now_us(), (attempt.written_us for attempt in unanswered))
+        return Line(
+            "backend",
+            backends.most,
+            len(unanswered),
+            oldest_us,
+            backends.timed_out,
+            backends.answer_waits,
+        )
+
+    def _unsent_bytes(self) -> Line:
+        clients = self.clients
+        unsent = [connection for connection in clients.connections if connection.unsent]
+        oldest_us = max((clients.since_us(connection.moved_s) for connection in unsent), default=0)
+        bound = SHED_POOLS * clients.pool
+        return Line("unsent_bytes", bound, clients.unsent, oldest_us, clients.cut, clients.unsent_waits)
+
+    def _peer_messages(self, census: i.Census) -> Line:
+        peers = self.peers
+        dropped = census.words_dropped + peers.dropped
+        bound = MOST_WORDS * len(peers.addresses)
+        return Line("peers", bound, census.words, census.words_us, dropped, peers.waits)
--- a/tests/control/agent/lease_fixture.py
+++ b/tests/control/agent/lease_fixture.py
@@ -13,7 +13,7 @@
 from orchidhatch.control.registry.service import Registry
 from orchidhatch.control.registry.store import Store
 from orchidhatch.proxy.config import load
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.control.policy.helpers import FakeClock, registry_on_clock, settle
 from tests.control.registry.helpers import address_of, call
 from tests.gateway_config import write_gateway_config
@@ -26,7 +26,7 @@
     """The three, real but for SIGHUP, which is a call that the gateway may ignore."""
 
     def __init__(
-        self, registry: Registry, gateway: FrontDoor, agent: Agent, setup: GatewaySetup, time: FakeClock
+        self, registry: Registry, gateway: GatewayServer, agent: Agent, setup: GatewaySetup, time: FakeClock
     ) -> None:
         self.registry = registry
         self.gateway = gateway
@@ -36,8 +36,8 @@
         self.ignores_signals = False
         self.holder = self.new_holder()
         self.holder.steering.process.reload = self.reload_gateway
-        gateway.watchful.clock = time
-        gateway.watchful.heard_s = time
+        gateway.policy_guard.clock = time
+        gateway.policy_guard.heard_s = time
 
     def new_holder(self) -> PolicyLeaseHolder:
         """A holder as a new process would make it, from what is on the agent's disk."""
@@ -54,13 +54,13 @@
     async def advance(self, seconds: float = 0.0, renews: bool = True) -> int:
         """So much later, one renewal and three looks at the gateway; its health as a status."""
         self.time.now += seconds
-        self.gateway.watchful.ticked_s = self.time.now  # its event loop did not stall
+        self.gateway.policy_guard.ticked_s = self.time.now  # its event loop did not stall
         if renews:
             await self.holder.renew()
             await self.holder.prepare_documents()
         for _ in range(3):
             await self.holder.steering.steer()
-        return self.gateway.health()[0]
+        return self.gateway.management_handlers.health()[0]
 
     async def put_record(self, name: str, text: str) -> None:
         value = json.dumps({"text": text}).encode()
--- a/tests/control/agent/test_policy_lease.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -29,18 +29,18 @@
     async with leased_gateway(tmp_path) as fixture:
         gateway, holder = fixture.gateway, fixture.holder
         first_number = decision_number(fixture.registry)
-        assert await fixture.advance() == 200 and gateway.config.policy.number == first_number
+        assert await fixture.advance() == 200 and gateway.active.config.policy.number == first_number
         await fixture.put_record(DOCUMENT_RECORD_PREFIX + DIGEST_A, DOCUMENT_A)
         await decide(fixture.registry, DIGEST_A, "", first_number + 1)
         assert await fixture.advance(1.0) == 200  # told at once until when its policy holds
-        pending = gateway.config.policy
+        pending = gateway.active.config.policy
         assert pending.digest == "" and pending.number == first_number + 1
         assert pending.until_us == pytest.approx((fixture.time.now + 12.0 + SWITCH_MARGIN_S) * 1e6, abs=2e5)
         for _ in range(11):
-            assert await fixture.advance(1.0) == 200 and gateway.config.policy.digest == ""
+            assert await fixture.advance(1.0) == 200 and gateway.active.config.policy.digest == ""
         assert await fixture.advance(1.1) == 200
-        assert gateway.config.policy == Policy(first_number + 1, DIGEST_A, AGENT_SILENCE_LIMIT_S)
-        assert [plan.burst for plan in gateway.gateway.set.plans] == [20.0]
+        assert gateway.active.config.policy == Policy(first_number + 1, DIGEST_A, AGENT_SILENCE_LIMIT_S)
+        assert [plan.burst for plan in gateway.core.set.plans] == [20.0]
         base = json.loads(fixture.setup.config_file.read_text())["policy"]["base"]
         assert base["plans"][0]["burst"] == 10  # kept beside, for the next policy
         # The registry is out of reach: the lease holds, and no longer.
--- a/tests/control/agent/test_replication.py
+++ b/tests/control/agent/test_replication.py
@@ -9,7 +9,7 @@
 from orchidhatch.control.agent.service import Agent, open_cache
 from orchidhatch.control.errors import InvalidRequestError
 from orchidhatch.control.registry.store import Store
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.control.agent.helpers import register_endpoint, running_agent, until
 from tests.control.registry.helpers import Watcher, address_of, call, named, serving
 from tests.control.test_schemas import body
@@ -110,12 +110,12 @@
             await register_endpoint(registry, f"s-{registry is second}", hostPort=f"{at[0]}:{at[1]}")
         async with running_agent(tmp_path / "a.db", address_of(second)) as agent:
             await until(lambda: agent.replicator.connected)
-            door = FrontDoor(replace(CONFIG, discovery=address_of(first)))
+            door = GatewayServer(replace(CONFIG, discovery=address_of(first)))
             await door.start()
             await until(lambda: "s-False" in door.catalog.entries)
             client = await Client.open(door.server.sockets[0].getsockname())
             assert await client.ask(query("a0")) == b"ok" and len(backends[0].commands) == 1
-            door.reload(replace(door.config, discovery=address_of(agent)))
+            door.reload(replace(door.active.config, discovery=address_of(agent)))
             await until(lambda: list(door.catalog.entries) == ["s-True"])
             assert await client.ask(query("a1")) == b"ok" and len(backends[1].commands) == 1
             door.close()
--- a/tests/control/agent/test_service.py
+++ b/tests/control/agent/test_service.py
@@ -8,7 +8,7 @@
 
 from orchidhatch.control.agent.service import open_cache
 from orchidhatch.control.registry.store import Batch
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.control.agent.helpers import register_endpoint, running_agent, start_agent_process, until
 from tests.control.registry.helpers import Watcher, address_of, call, named, serving, start
 from tests.control.test_schemas import body
@@ -62,7 +62,7 @@
         return await start_agent_process(tmp_path / "a.db", at, listen)
 
     one = await agent()
-    door = FrontDoor(replace(CONFIG, discovery=at))
+    door = GatewayServer(replace(CONFIG, discovery=at))
     await door.start()
     client = await Client.open(door.server.sockets[0].getsockname())
     await until(lambda: door.catalog.entries)
@@ -73,7 +73,7 @@
     assert await client.ask(query("a1")) == b"ok"
     version = door.catalog.version
     one = await agent()  # with no registry: the list that it had
-    fresh = FrontDoor(replace(CONFIG, discovery=at))
+    fresh = GatewayServer(replace(CONFIG, discovery=at))
     await fresh.start()
     await until(lambda: fresh.catalog.entries)
     other = await Client.open(fresh.server.sockets[0].getsockname())
--- a/tests/control/registry/test_command.py
+++ b/tests/control/registry/test_command.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.control.registry.helpers import ROOT, call, named, start
 from tests.control.test_schemas import body
 from tests.sockets import CONFIG, HOST, Backend, Client, query, refusing_address
@@ -78,7 +78,7 @@
         at = await backend.start()
         given = body(instanceId=f"s-{number}", hostPort=f"{at[0]}:{at[1]}")
         assert (await call(listen, "POST /entries", given))[0] == 200
-    door = FrontDoor(replace(CONFIG, discovery=listen))
+    door = GatewayServer(replace(CONFIG, discovery=listen))
     await door.start()
     client = await Client.open(door.server.sockets[0].getsockname())
     assert await client.ask(query("a0")) == b"ok"
--- a/tests/control/registry/test_replication.py
+++ b/tests/control/registry/test_replication.py
@@ -16,7 +16,7 @@
 from orchidhatch.control.registry.endpoints import RegisterEndpoint
 from orchidhatch.control.registry.service import Registry
 from orchidhatch.control.registry.store import Store
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.control.agent.helpers import register_endpoint, running_agent, start_agent_process, until
 from tests.control.registry.helpers import Watcher, address_of, call, named, serving, start
 from tests.control.registry.test_store import entry, one
@@ -165,7 +165,7 @@
         given = body(instanceId=f"s-{number}", hostPort=f"{address[0]}:{address[1]}", leaseMs=60_000)
         assert (await call(at1, "POST /entries", given))[0] == 200
     agent = await start_agent_process(tmp_path / "a.db", at, at1, at2)
-    door = FrontDoor(replace(CONFIG, discovery=at))
+    door = GatewayServer(replace(CONFIG, discovery=at))
     await door.start()
     asking, answers = await Client.open(door.server.sockets[0].getsockname()), []
 
--- a/tests/proxy/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -250,7 +250,7 @@
 
 
 def test_size_that_an_answer_claims_makes_no_room() -> None:
-    """Arrays made as long as they claim are traversed and freed on the front door's CPU time."""
+    """Arrays made as long as they claim are traversed and freed on the gateway's CPU time."""
 
     async def job() -> None:
         for claim in (b"*100000000\r\n", b"*3\r\n*100000000\r\n", b"*3\r\n$5000000\r\n"):
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -110,8 +110,8 @@
 
 def test_clients_are_bounded_by_closing_the_one_idle_longest() -> None:
     async def job() -> None:
-        async with front_door(Backend(lambda words: None)) as (door, address):
-            door.clients.most = 2
+        async with front_door(Backend(lambda words: None)) as (gateway, address):
+            gateway.clients.most = 2
             first, second = await Client.open(address), await Client.open(address)
             assert await first.ask(resp("PING")) == b"PONG"
             assert await second.ask(resp("PING")) == b"PONG"
@@ -120,7 +120,7 @@
             assert await first.ended()
             second.send(query("a1"))
             third.send(query("a2"))
-            while len(door.open) < 2:
+            while len(gateway.requests.open) < 2:
                 await asyncio.sleep(0)
             fourth = await Client.open(address)  # nobody is idle: it cannot be taken
             assert await fourth.answer() == "-ERR max number of clients reached"
@@ -132,7 +132,7 @@
 def test_fault_on_a_connection_answers_what_it_owes(caplog: pytest.LogCaptureFixture) -> None:
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1"))
             await backend.came.wait()
@@ -140,12 +140,12 @@
             def broken(words: list[bytes], reply: object) -> None:
                 raise RuntimeError("a fault of ours")
 
-            door.clients.take = broken
+            gateway.clients.take = broken
             client.send(query("a2"))
             answers = [await client.answer() for _ in range(3)]
             assert answers == ["-ERR failed", "-ERR failed", "-ERR internal error"]
             assert await client.ended()
-            assert not door.open
+            assert not gateway.requests.open
 
     run(job())
     assert "a fault of ours" in caplog.text
@@ -198,8 +198,8 @@
 
 def test_room_is_made_at_the_cost_of_who_was_served_not_of_who_is_yet_to_ask() -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            door.clients.most = 2
+        async with front_door(Backend()) as (gateway, address):
+            gateway.clients.most = 2
             late = await Client.open(address)
             assert await late.ask(resp("PING")) == b"PONG"
             served = await Client.open(address)
@@ -214,21 +214,21 @@
 
 def test_nothing_is_swept_where_nothing_waits() -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            assert not door.clients.sweeping and not door.backends.sweeping
+        async with front_door(Backend()) as (gateway, address):
+            assert not gateway.clients.sweeping and not gateway.backends.sweeping
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            assert door.clients.sweeping and door.backends.sweeping
-            door.clients.sweep()  # the one that is due finds no one who owes a command
-            assert not door.clients.sweeping
+            assert gateway.clients.sweeping and gateway.backends.sweeping
+            gateway.clients.sweep()  # the one that is due finds no one who owes a command
+            assert not gateway.clients.sweeping
             client.send(query("a2")[:9])
-            while not door.clients.sweeping:
+            while not gateway.clients.sweeping:
                 await asyncio.sleep(0)
-            for pool in door.backends.pools.values():
+            for pool in gateway.backends.pools.values():
                 pool.close_idle()
-            while door.backends.held:
+            while gateway.backends.held:
                 await asyncio.sleep(0)
-            door.backends.sweep()
-            assert not door.backends.sweeping
+            gateway.backends.sweep()
+            assert not gateway.backends.sweeping
 
     run(job())
--- a/tests/proxy/test_closing_races.py
+++ b/tests/proxy/test_closing_races.py
@@ -32,18 +32,22 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1"))
             await backend.came.wait()
-            door.clients.read_no_more()
+            gateway.clients.read_no_more()
             client.writer.transport.pause_reading()
             client.send(query("a2"))
-            (connection,) = door.clients.connections
+            (connection,) = gateway.clients.connections
             while not socket_inspection.unread(connection.transport):
                 await asyncio.sleep(0)
             backend.writers[0].write(value(LONG_VALUE))
-            while door.open or not connection.closing or connection.transport.get_write_buffer_size():
+            while (
+                gateway.requests.open
+                or not connection.closing
+                or connection.transport.get_write_buffer_size()
+            ):
                 await asyncio.sleep(0)
             await asyncio.sleep(0.05)
             client.writer.transport.resume_reading()
@@ -69,11 +73,11 @@
     """The connection is reset after a while, and its descriptor is free again."""
 
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
+        async with front_door(Backend()) as (gateway, address):
             client = await Client.open(address)
             client.send(b"GET / HTTP/1.1\r\n" + bytes(1 << 20))
             assert str(await client.answer()).startswith("-ERR Protocol error")
-            while door.clients.connections:
+            while gateway.clients.connections:
                 client.send(bytes(1024))
                 await asyncio.sleep(0.01)
 
@@ -83,14 +87,14 @@
 def test_request_that_arrives_behind_the_close_of_a_resting_connection_is_not_sent_on() -> None:
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            door.clients.drain()
+            gateway.clients.drain()
             client.send(query("a2"))
             assert await client.ended()
             assert [words[2] for words in backend.commands] == [b"a1"]
-            assert not door.open
+            assert not gateway.requests.open
 
     run(job())
 
@@ -98,11 +102,11 @@
 def test_small_writes_are_never_held_back_by_the_system() -> None:
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            (pool,) = door.backends.pools.values()
-            ends = [one.transport for one in (*door.clients.connections, *pool.connections)]
+            (pool,) = gateway.backends.pools.values()
+            ends = [one.transport for one in (*gateway.clients.connections, *pool.connections)]
             sockets = [end.get_extra_info("socket") for end in ends]
             assert len(sockets) == 2
             for end in sockets:
@@ -118,7 +122,7 @@
 
     async def job() -> None:
         backends = [Backend(lambda words: None), Backend(lambda words: None)]
-        async with front_door(*backends) as (door, address):
+        async with front_door(*backends) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1", wait_ms=3000))
             while not (first := next((one for one in backends if one.commands), None)):
@@ -127,7 +131,7 @@
             first.writers[0].transport.abort()
             while not all(one.commands for one in backends):
                 await asyncio.sleep(0)
-            left_ms = (door.open["a1"].end_us - door.open["a1"].came_us) / 1000 - 100
+            left_ms = (gateway.requests.open["a1"].end_us - gateway.requests.open["a1"].came_us) / 1000 - 100
             second = next(one for one in backends if one is not first)
             assert told_ms(second.commands[0]) <= left_ms
             second.writers[0].write(value(b"ok"))
@@ -148,9 +152,9 @@
 
     async def job() -> None:
         discovery = await Watch(script).start()
-        async with front_door(Backend()) as (door, _):
-            door.discovery.move(discovery)
-            while door.catalog.version != 9:
+        async with front_door(Backend()) as (gateway, _):
+            gateway.discovery.move(discovery)
+            while gateway.catalog.version != 9:
                 await asyncio.sleep(0.01)
 
     run(job())
@@ -172,11 +176,11 @@
     async def job() -> None:
         watch = Watch(reset)
         discovery = await watch.start()
-        async with front_door(Backend()) as (door, _):
-            door.discovery.move(discovery)
+        async with front_door(Backend()) as (gateway, _):
+            gateway.discovery.move(discovery)
             while len(watch.targets) < 3:
                 await asyncio.sleep(0.01)
-            assert door.catalog.version == 7
+            assert gateway.catalog.version == 7
 
     run(job())
 
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -11,13 +11,12 @@
 import pytest
 
 from orchidhatch.gateway import interface as i
-from orchidhatch.proxy import backends
-from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy import backends, event_dispatcher, process_lifecycle, request_lifecycle
 from orchidhatch.proxy import socket_inspection as looks
 from orchidhatch.proxy.backends import Attempt, Connection, Pool
 from orchidhatch.proxy.clients import PATIENCE_S, Reply
 from orchidhatch.proxy.config import Policy
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests import helpers
 from tests.helpers import S, World, of
 from tests.sockets import (
@@ -35,24 +34,26 @@
 )
 
 
-def tell(door: FrontDoor, *entries: dict[str, object]) -> None:
+def tell(gateway: GatewayServer, *entries: dict[str, object]) -> None:
     """Discovery's news, as its watch hands them on."""
-    door.list_heard(door.catalog.news(json.loads(catalog(door.catalog.version + 1, entries, reset=False))))
+    gateway.apply_endpoints(
+        gateway.catalog.news(json.loads(catalog(gateway.catalog.version + 1, entries, reset=False)))
+    )
 
 
-def meanwhile(door: FrontDoor, what: Callable[[], None]) -> None:
+def meanwhile(gateway: GatewayServer, what: Callable[[], None]) -> None:
     """Have it come in right behind the next request, before the module is asked about that."""
-    take = door.clients.take
+    take = gateway.clients.take
 
     def taken(words: list[bytes], reply: Reply) -> None:
-        door.clients.take = take
+        gateway.clients.take = take
         take(words, reply)
         what()
 
-    door.clients.take = taken
+    gateway.clients.take = taken
 
 
-async def warm(door: FrontDoor, client: Client, *backends: Backend) -> None:
+async def warm(gateway: GatewayServer, client: Client, *backends: Backend) -> None:
     """Ask until each of the backends has an idle connection."""
     number = 0
     while not all(backend.commands for backend in backends):
@@ -65,13 +66,15 @@
 
 # --- servers that leave ---
 
-NEWS: dict[str, Callable[[FrontDoor, Backend], None]] = {
-    "drains": lambda door, backend: tell(door, entry("s0", backend.address, "DRAINING")),
-    "gone": lambda door, backend: tell(door, {"instanceId": "s0", "lifecycle": "DELETED"}),
-    "not in the whole list": lambda door, backend: door.list_heard(
-        door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))
+NEWS: dict[str, Callable[[GatewayServer, Backend], None]] = {
+    "drains": lambda gateway, backend: tell(gateway, entry("s0", backend.address, "DRAINING")),
+    "gone": lambda gateway, backend: tell(gateway, {"instanceId": "s0", "lifecycle": "DELETED"}),
+    "not in the whole list": lambda gateway, backend: gateway.apply_endpoints(
+        gateway.catalog.news(json.loads(catalog(gateway.catalog.version + 1, [])))
+    ),
+    "left out at the other process": lambda gateway, backend: gateway.handover.twin_heard(
+        i.TwinMaint("s0", True)
     ),
-    "left out at the other process": lambda door, backend: door.twin_heard(i.TwinMaint("s0", True)),
 }
 
 
@@ -84,12 +87,12 @@
 
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             if connected:
-                await warm(door, client, backend)
+                await warm(gateway, client, backend)
             opened = backend.opened
-            meanwhile(door, lambda: NEWS[news](door, backend))
+            meanwhile(gateway, lambda: NEWS[news](gateway, backend))
             assert str(await client.ask(query("a1", wait_ms=300))).startswith("-BUSY")
             assert not backend.commands and backend.opened == opened
 
@@ -100,13 +103,13 @@
     async def job() -> None:
         leaving, other = Backend(), Backend()
         elsewhere = await other.start()
-        async with front_door(leaving) as (door, address):
+        async with front_door(leaving) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1"))
-            pool = door.backends.pools["s0"]
+            pool = gateway.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            tell(door, entry("s0", leaving.address, "DRAINING"), entry("s1", elsewhere))
+            tell(gateway, entry("s0", leaving.address, "DRAINING"), entry("s1", elsewhere))
             assert await client.answer() == b"ok"
             while pool.connections:
                 await asyncio.sleep(0)
@@ -126,9 +129,9 @@
 
     async def job() -> None:
         both = [Backend(), Backend()]
-        async with front_door(*both) as (door, address):
+        async with front_door(*both) as (gateway, address):
             client = await Client.open(address)
-            await warm(door, client, *both)
+            await warm(gateway, client, *both)
             for backend in both:
                 backend.answer = lambda words: None
             client.send(query("a1"))
@@ -136,7 +139,7 @@
                 await asyncio.sleep(0)
             first = next(backend for backend in both if backend.commands)
             other = next(backend for backend in both if backend is not first)
-            attempt, closed = door.open["a1"].out[0], []
+            attempt, closed = gateway.requests.open["a1"].out[0], []
             send = Connection.send
 
             def sent(connection: Connection, following: Attempt) -> None:
@@ -144,7 +147,7 @@
                 send(connection, following)
 
             monkeypatch.setattr(Connection, "send", sent)
-            door.post(i.ClientGone("somebody else"))
+            gateway.dispatcher.post(i.ClientGone("somebody else"))
             attempt.time_out()
             other.answer = lambda words: value(b"at last")
             assert await client.answer() == b"at last"
@@ -160,16 +163,16 @@
 
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            (resting,) = door.backends.pools["s0"].idle
+            (resting,) = gateway.backends.pools["s0"].idle
             backend.answer = lambda words: None
 
             def spoil() -> None:
                 backend.writers[0].write(value(b"another's"))
 
-            meanwhile(door, spoil)  # the front door has not read it when the module has the request sent
+            meanwhile(gateway, spoil)  # the gateway has not read it when the module has the request sent
             client.send(query("a2"))
             while len(backend.commands) < 2:
                 await asyncio.sleep(0)
@@ -190,11 +193,11 @@
 
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
             peer = socket.socket(fileno=os.dup(backend.writers[0].get_extra_info("socket").fileno()))
-            meanwhile(door, lambda: peer.shutdown(socket.SHUT_RDWR))
+            meanwhile(gateway, lambda: peer.shutdown(socket.SHUT_RDWR))
             assert await client.ask(submit("a2")) == b"ok"
 
     run(job())
@@ -205,7 +208,7 @@
 ) -> None:
     """The module decided on it in time; what it repeats may have run, and is forgotten there by now."""
     real, late_us = backends.now_us, 0
-    for module in (backends, frontdoor):
+    for module in (backends, event_dispatcher, request_lifecycle, process_lifecycle):
         monkeypatch.setattr(module, "now_us", lambda: real() + late_us)
     monkeypatch.setattr(backends, "REST_US", 3_600_000_000)
 
@@ -213,7 +216,7 @@
         nonlocal late_us
         both = [Backend(lambda words: b"-ERR failed\r\n"), Backend(lambda words: b"-ERR failed\r\n")]
         classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], window_us=S), SETTINGS.classes[2])
-        async with front_door(*both, settings=replace(SETTINGS, classes=classes)) as (door, address):
+        async with front_door(*both, settings=replace(SETTINGS, classes=classes)) as (gateway, address):
             client, up, connect = await Client.open(address), asyncio.Event(), Pool.connect
 
             async def connect_late(pool: Pool, connection: Connection) -> None:
@@ -223,14 +226,14 @@
 
             monkeypatch.setattr(Pool, "connect", connect_late)
             client.send(submit("a1", kind="book"))
-            while not any(pool.waiting for pool in door.backends.pools.values()) or not sum(
+            while not any(pool.waiting for pool in gateway.backends.pools.values()) or not sum(
                 len(backend.commands) for backend in both
             ):
                 await asyncio.sleep(0)
             late_us += S + 1
             up.set()
             assert await client.answer() == "-ERR failed"
-            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.jobs
+            assert sum(len(backend.commands) for backend in both) == 1 and not gateway.core.jobs
 
     run(job())
 
@@ -246,21 +249,21 @@
         backend = Backend()
         plans = (i.Plan(rate=1.0, burst=4.0),)
         settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
-        async with front_door(backend, settings=settings) as (door, address):
+        async with front_door(backend, settings=settings) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1", units="2"))
-            pool = door.backends.pools["s0"]
+            pool = gateway.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            (customer,) = door.gateway.homes.customers.values()
+            (customer,) = gateway.core.homes.customers.values()
             assert customer.level < 3
             connect = pool.connecting
-            for connection in list(door.clients.connections):
+            for connection in list(gateway.clients.connections):
                 connection.connection_lost(None)  # before the one to the backend is told to be up
-            assert connect == 1 and not door.ended
+            assert connect == 1 and not gateway.requests.ended
             while not pool.idle:
                 await asyncio.sleep(0)
-            assert not backend.commands and not door.gateway.jobs
+            assert not backend.commands and not gateway.core.jobs
             assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
 
     run(job())
@@ -287,13 +290,13 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(b"".join(query(f"a{n}") for n in range(40)))
-            while all(connection.reading for connection in door.clients.connections):
+            while all(connection.reading for connection in gateway.clients.connections):
                 await asyncio.sleep(0)
             client.writer.close()
-            while door.open or door.clients.connections or door.gateway.jobs:
+            while gateway.requests.open or gateway.clients.connections or gateway.core.jobs:
                 await asyncio.sleep(0.001)
 
     run(job())
@@ -304,18 +307,18 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None if words[2] == b"a2" else value(b"x" * 60_000))
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1") + query("a2"))
-            while len(backend.commands) < 2 or "a1" in door.open:
+            while len(backend.commands) < 2 or "a1" in gateway.requests.open:
                 await asyncio.sleep(0)
-            (connection,) = door.clients.connections
+            (connection,) = gateway.clients.connections
             connection.transport.set_write_buffer_limits(1 << 24)
             connection.transport.write(b"x" * (1 << 23))  # more than the kernel takes for who reads nothing
             client.writer.write_eof()
-            while "a2" in door.open:
+            while "a2" in gateway.requests.open:
                 await asyncio.sleep(0)
-            assert connection in door.clients.connections
+            assert connection in gateway.clients.connections
 
     run(job())
 
@@ -323,9 +326,9 @@
 # --- the end of a process ---
 
 
-async def drain(door: FrontDoor) -> asyncio.Task[None]:
-    draining = asyncio.create_task(door.drain())
-    while not door.clients.draining:
+async def drain(gateway: GatewayServer) -> asyncio.Task[None]:
+    draining = asyncio.create_task(gateway.drain())
+    while not gateway.clients.draining:
         await asyncio.sleep(0)
     return draining
 
@@ -333,8 +336,8 @@
 @pytest.fixture
 def at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """A drain that waits for nothing but events."""
-    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
-    monkeypatch.setattr(frontdoor, "DRAIN_LOOK_S", 0.001)
+    monkeypatch.setattr(process_lifecycle, "SETTLE_S", 0.0)
+    monkeypatch.setattr(process_lifecycle, "DRAIN_LOOK_S", 0.001)
 
 
 @pytest.mark.usefixtures("at_once")
@@ -342,20 +345,20 @@
     async def job() -> None:
         long = b"x" * 60_000
         backend = Backend(lambda words: value(long))
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             half, slow = await Client.open(address), await Client.open(address)
             half.send(query("a1")[:-1])
             slow.writer.transport.pause_reading()
             slow.send(b"".join(query(f"b{n}") for n in range(16)))
             while (
-                not any(one.reader.buffer for one in door.clients.connections)
-                or sum(sum(ended.values()) for ended in door.figures.ended.values()) < 16
+                not any(one.reader.buffer for one in gateway.clients.connections)
+                or sum(sum(ended.values()) for ended in gateway.figures.ended.values()) < 16
             ):
                 await asyncio.sleep(0)
-            draining = await drain(door)
+            draining = await drain(gateway)
             for _ in range(50):
                 await asyncio.sleep(0.001)  # the drain looks again and again, and nothing is open
-            assert not door.open and not draining.done()
+            assert not gateway.requests.open and not draining.done()
             half.send(query("a1")[-1:])
             assert await half.answer() == long and await half.ended()
             slow.writer.transport.resume_reading()
@@ -371,20 +374,22 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             kept, half = await Client.open(address), await Client.open(address)
             kept.send(query("a1"))
             half.send(query("c1", wait_ms=3_600_000)[:-1])
-            while not door.open or not any(one.reader.buffer for one in door.clients.connections):
+            while not gateway.requests.open or not any(
+                one.reader.buffer for one in gateway.clients.connections
+            ):
                 await asyncio.sleep(0)
-            draining = await drain(door)
+            draining = await drain(gateway)
             kept.send(query("a2"))  # crosses the end: it was not read, and is sent elsewhere
             half.send(query("c1")[-1:])
             while len(backend.commands) < 2:
                 await asyncio.sleep(0)
-            left_us = door.open["c1"].end_us - door.open["c1"].came_us
-            assert left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
-            assert "a2" not in door.open
+            left_us = gateway.requests.open["c1"].end_us - gateway.requests.open["c1"].came_us
+            assert left_us <= process_lifecycle.MOST_DEADLINE_US + process_lifecycle.KILL_AFTER_US
+            assert "a2" not in gateway.requests.open
             for writer in backend.writers:
                 writer.write(value(b"at last"))
             assert await kept.answer() == b"at last" and await half.answer() == b"at last"
@@ -402,19 +407,19 @@
     async def job() -> None:
         long = bytes(1 << 20)
         backend = Backend(lambda words: value(long))
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             slow = await Client.open(address)
             slow.writer.transport.pause_reading()
-            while not door.clients.connections:
+            while not gateway.clients.connections:
                 await asyncio.sleep(0)
-            (taken,) = door.clients.connections
+            (taken,) = gateway.clients.connections
             end = taken.transport.get_extra_info("socket")  # else the kernel would take it all
             end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             slow.send(query("a1"))
-            while not door.clients.unsent:
+            while not gateway.clients.unsent:
                 await asyncio.sleep(0)
-            draining = await drain(door)
-            while not door.clients.reads_no_more:
+            draining = await drain(gateway)
+            while not gateway.clients.reads_no_more:
                 await asyncio.sleep(0)
             assert not draining.done()
             slow.writer.transport.resume_reading()
@@ -432,14 +437,14 @@
         backend = Backend(lambda words: None)
         plans = (i.Plan(rate=1000.0, burst=1000.0, max_out=1),)
         settings = replace(SETTINGS, plans=plans, gateways=1)
-        async with front_door(backend, settings=settings) as (door, address):
+        async with front_door(backend, settings=settings) as (gateway, address):
             clients = [await Client.open(address) for _ in range(3)]
             for number, one in enumerate(clients):
                 one.send(query(f"a{number}"))
-            while len(door.gateway.held) < 2:
+            while len(gateway.core.held) < 2:
                 await asyncio.sleep(0)
-            draining = await drain(door)
-            while not door.clients.reads_no_more:
+            draining = await drain(gateway)
+            while not gateway.clients.reads_no_more:
                 await asyncio.sleep(0)
             for number in range(3):
                 while len(backend.commands) <= number:
@@ -457,16 +462,16 @@
     """Only the kernel has accepted it by then, and its request lies there."""
 
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            late, read_no_more = socket.socket(), door.clients.read_no_more
+        async with front_door(Backend()) as (gateway, address):
+            late, read_no_more = socket.socket(), gateway.clients.read_no_more
 
             def meanwhile() -> None:
                 read_no_more()
                 late.connect(address)
                 late.sendall(query("a1"))
 
-            monkeypatch.setattr(door.clients, "read_no_more", meanwhile)
-            await door.drain()
+            monkeypatch.setattr(gateway.clients, "read_no_more", meanwhile)
+            await gateway.drain()
             late.settimeout(5)
             assert late.recv(100) == b"$2\r\nok\r\n" and late.recv(100) == b""
             late.close()
@@ -481,13 +486,13 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(first[:-1])
-            while not any(one.reader.buffer for one in door.clients.connections):
+            while not any(one.reader.buffer for one in gateway.clients.connections):
                 await asyncio.sleep(0)
-            draining = await drain(door)
-            while not door.clients.reads_no_more:
+            draining = await drain(gateway)
+            while not gateway.clients.reads_no_more:
                 await asyncio.sleep(0)
             client.send(first[-1:] + query("a1") + query("a2"))
             assert str(await client.answer()).startswith("-ERR")
@@ -506,21 +511,21 @@
     """Timers, and connections that come up, may go ahead of what lies unread."""
 
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
+        async with front_door(Backend()) as (gateway, address):
             now_s = 100.0
-            door.clients.clock = lambda: now_s
+            gateway.clients.clock = lambda: now_s
             first, second = await Client.open(address), await Client.open(address)
             for client in (first, second):
                 assert await client.ask(resp("PING")) == b"PONG"
             late = await Client.open(address)
-            while len(door.clients.connections) < 3:
+            while len(gateway.clients.connections) < 3:
                 await asyncio.sleep(0)
-            door.clients.most = 3
+            gateway.clients.most = 3
             for client, name in ((first, "a1"), (late, "a2")):
                 os.write(client.writer.get_extra_info("socket").fileno(), query(name))  # in this very turn
             now_s += PATIENCE_S
-            door.clients.sweep()
-            door.clients.make_room(None)
+            gateway.clients.sweep()
+            gateway.clients.make_room(None)
             assert await second.ended()
             assert await first.answer() == b"ok" and await late.answer() == b"ok"
 
@@ -538,40 +543,45 @@
         plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
         settings = replace(SETTINGS, plans=plans, gateways=1)
         async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
-            door,
+            gateway,
             address,
         ):
             client, other = await Client.open(address), await Client.open(address)
             client.send(query("a1").replace(b"t=team", b"t=crew"))
             await backend.came.wait()
             other.send(query("a2").replace(b"t=team", b"t=crew"))
-            while len(door.open) < 2:
+            while len(gateway.requests.open) < 2:
                 await asyncio.sleep(0)
             new = replace(settings, plans=plans[:1])
-            door.go_by(
-                replace(door.config, settings=new, plan_numbers={"team": 0}, policy=Policy(1, "0" * 16, 5.0))
+            gateway.reloader.switch_policy(
+                replace(
+                    gateway.active.config,
+                    settings=new,
+                    plan_numbers={"team": 0},
+                    policy=Policy(1, "0" * 16, 5.0),
+                )
             )
             backend.answer = lambda words: value(b"second")
             backend.writers[0].write(value(b"first"))
             assert await client.answer() == b"first" and await other.answer() == b"second"
             assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not gateway.core.jobs and gateway.core.cap.out == 0
 
     run(job())
 
 
 def test_attempt_that_cannot_be_begun_is_not_counted_as_out() -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
+        async with front_door(Backend()) as (gateway, address):
 
             def broken(attempt: Attempt, timeout_us: int) -> None:
                 raise RuntimeError("a fault of ours")
 
-            door.backends.send = broken
+            gateway.backends.send = broken
             client = await Client.open(address)
             assert await client.ask(query("a1")) == "-ERR failed"
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not gateway.core.jobs and gateway.core.cap.out == 0
 
     run(job())
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -14,7 +14,7 @@
 from orchidhatch.proxy import endpoint_watch as discovery
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News, Values
 from orchidhatch.proxy.peers import Peers
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, refusing_address, run
 
 AT = (HOST, 6379)
@@ -288,13 +288,13 @@
 def test_known_list_serves_while_discovery_is_silent() -> None:
     async def job() -> None:
         known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
-        door = FrontDoor(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
+        gateway = GatewayServer(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
         heard: list[i.Event] = []
-        door.gateway.handle = lambda now, event: heard.append(event) or []
-        await door.start()
+        gateway.core.handle = lambda now, event: heard.append(event) or []
+        await gateway.start()
         assert [event.kind for event in heard if isinstance(event, i.ServerList)] == [i.ListKind.SAVED]
-        assert door.discovery.version == 3 and list(door.backends.pools) == ["s1"]
-        door.close()
+        assert gateway.discovery.version == 3 and list(gateway.backends.pools) == ["s1"]
+        gateway.close()
 
     run(job())
 
@@ -324,7 +324,7 @@
 
 
 def first_tries(doors: int, monkeypatch: pytest.MonkeyPatch) -> list[list[float]]:
-    """When each front door of a tier comes back to a discovery that refuses, on a clock of the test's own."""
+    """When each gateway of a tier comes back to a discovery that refuses, on a clock of the test's own."""
 
     async def tries(seed: int) -> list[float]:
         found = Discovery(AT, Catalog(CONFIG), 1, lambda news: None, seed, doors)
@@ -349,9 +349,9 @@
 
 def test_a_tier_comes_back_to_discovery_no_faster_than_it_serves(monkeypatch: pytest.MonkeyPatch) -> None:
     """It serves some 7 calls a second then; what came back at once kept it from serving anybody."""
-    times = sorted(time_s for door in first_tries(40, monkeypatch) for time_s in door)
+    times = sorted(time_s for gateway in first_tries(40, monkeypatch) for time_s in gateway)
     at_most = max(sum(start <= time_s < start + 4 for time_s in times) for start in range(30))
     assert at_most <= 4 / 0.13
     few = first_tries(3, monkeypatch)
-    assert max(door[0] for door in few) <= 0.6
-    assert max(door[5] - door[4] for door in few) <= 2 * 4 * 0.3
+    assert max(gateway[0] for gateway in few) <= 0.6
+    assert max(gateway[5] - gateway[4] for gateway in few) <= 2 * 4 * 0.3
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -15,10 +15,9 @@
 
 from orchidhatch.gateway import interface as i
 from orchidhatch.gateway.codec import plain, read_plain
-from orchidhatch.proxy import handover
-from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy import handover, process_handover, process_lifecycle
 from orchidhatch.proxy.config import Config
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.helpers import MS, SETTINGS, S, World, of
 from tests.sockets import CONFIG, HEAD, HOST, Backend, Client, Watch, catalog, chunk, entry, query, resp, run
 
@@ -114,8 +113,8 @@
 
 
 @contextlib.asynccontextmanager
-async def doors(backend: Backend, tmp_path: Path) -> AsyncIterator[tuple[Config, list[FrontDoor]]]:
-    """A configuration on an inherited socket, and the front doors to close at the end."""
+async def doors(backend: Backend, tmp_path: Path) -> AsyncIterator[tuple[Config, list[GatewayServer]]]:
+    """A configuration on an inherited socket, and the gateways to close at the end."""
     listed = catalog(7, [entry("s0", await backend.start())])
 
     async def script(writer: asyncio.StreamWriter) -> None:
@@ -123,7 +122,7 @@
         await asyncio.Event().wait()
 
     with socket.create_server((HOST, 0)) as held:
-        started: list[FrontDoor] = []
+        started: list[GatewayServer] = []
         yield (
             replace(
                 CONFIG,
@@ -134,16 +133,16 @@
             ),
             started,
         )
-        for door in started:
-            door.close()
+        for gateway in started:
+            gateway.close()
 
 
-async def start(config: Config, started: list[FrontDoor]) -> FrontDoor:
-    """A front door with a descriptor of its own, as another process has."""
-    door = FrontDoor(replace(config, socket_fd=os.dup(config.socket_fd)))
-    started.append(door)
-    await door.start()
-    return door
+async def start(config: Config, started: list[GatewayServer]) -> GatewayServer:
+    """A gateway with a descriptor of its own, as another process has."""
+    gateway = GatewayServer(replace(config, socket_fd=os.dup(config.socket_fd)))
+    started.append(gateway)
+    await gateway.start()
+    return gateway
 
 
 def test_next_process_takes_over_and_no_request_is_lost(tmp_path: Path) -> None:
@@ -157,18 +156,18 @@
             while len(backend.commands) < 2:
                 backend.came.clear()
                 await backend.came.wait()
-            assert old.maint("s0", True)[0] == 200
+            assert old.management_handlers.begin_maintenance("s0")[0] == 200
             new = await start(config, started)
-            assert new.serving() and not old.serving()
-            assert len(new.gateway.twin.out) == 1 and "s0" in new.backends.banned
-            assert new.maint("s0", False)[0] == 200
+            assert new.operator_drain.is_serving() and not old.operator_drain.is_serving()
+            assert len(new.core.twin.out) == 1 and "s0" in new.backends.banned
+            assert new.management_handlers.end_maintenance("s0")[0] == 200
             assert await idle.ended()
             client = await Client.open(config.listen)
             assert await client.ask(resp("PING")) == b"PONG"
             assert await client.ask(query("a3")) == b"ok"
             backend.writers[1].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
             assert await busy.answer() == b"late" and await busy.ended()
-            while new.gateway.twin.out:
+            while new.core.twin.out:
                 await asyncio.sleep(0.01)
             assert len(old.clients.connections) == 0 and new.figures.ended["read"]["answered"] == 1
 
@@ -176,13 +175,13 @@
 
 
 def test_replaced_process_ends_by_itself(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontdoor, "STAY_S", 0.01)
+    monkeypatch.setattr(process_lifecycle, "REPLACED_STAY_S", 0.01)
 
     async def job() -> None:
         async with doors(Backend(), tmp_path) as (config, started):
             old = await start(config, started)
             await start(config, started)
-            await old.finished.wait()
+            await old.process.finished.wait()
 
     run(job())
 
@@ -211,12 +210,12 @@
         writer.close()
 
     async def job() -> None:
-        path = tmp_path / f"{frontdoor.TWIN_NAME}.socket"
+        path = tmp_path / f"{process_handover.HANDOVER_SOCKET}"
         server = await asyncio.start_unix_server(serve, str(path))
         async with doors(Backend(), tmp_path) as (config, started):
             new = await start(config, started)
             client = await Client.open(config.listen)
-            assert await client.ask(query("a1")) == b"ok" and new.serving()
+            assert await client.ask(query("a1")) == b"ok" and new.operator_drain.is_serving()
         server.close()
 
     run(job())
@@ -227,12 +226,12 @@
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
             taken.bind((HOST, 0))
             async with doors(Backend(), tmp_path) as (config, started):
-                door = await start(replace(config, peer_listen=taken.getsockname()), started)
+                gateway = await start(replace(config, peer_listen=taken.getsockname()), started)
                 client = await Client.open(config.listen)
                 assert await client.ask(query("a1")) == b"ok"  # of a plan without a ceiling
-                assert door.gateway.desk.blind
+                assert gateway.core.desk.blind
                 taken.close()
-                while door.gateway.desk.blind:
+                while gateway.core.desk.blind:
                     await asyncio.sleep(0.01)
 
     run(job())
@@ -241,13 +240,13 @@
 def test_stranger_on_the_path_ends_nothing(tmp_path: Path) -> None:
     async def job() -> None:
         async with doors(Backend(), tmp_path) as (config, started):
-            door = await start(config, started)
+            gateway = await start(config, started)
             for line in (b"what\n", b'{"version":1,"say":"serving"}\n', b'{"version":1,"say":"TwinEnd"}\n'):
-                reader, writer = await asyncio.open_unix_connection(str(door.twin.path))
+                reader, writer = await asyncio.open_unix_connection(str(gateway.handover.twin.path))
                 writer.write(line)
                 assert await reader.read() == b""
                 writer.close()
             client = await Client.open(config.listen)
-            assert await client.ask(query("a1")) == b"ok" and door.serving()
+            assert await client.ask(query("a1")) == b"ok" and gateway.operator_drain.is_serving()
 
     run(job())
--- a/tests/proxy/test_management.py
+++ b/tests/proxy/test_management.py
@@ -7,17 +7,17 @@
 
 from orchidhatch.proxy import management
 from orchidhatch.proxy.metrics import Figures
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.sockets import HOST, SETTINGS, Backend, Client, front_door, query, resp, run, value
 
 
-def at(door: FrontDoor) -> tuple[str, int]:
-    return door.management.server.sockets[0].getsockname()
+def at(gateway: GatewayServer) -> tuple[str, int]:
+    return gateway.management.server.sockets[0].getsockname()
 
 
-async def call(door: FrontDoor, line: str, more: str = "Host: x\r\n\r\n") -> tuple[int, str]:
+async def call(gateway: GatewayServer, line: str, more: str = "Host: x\r\n\r\n") -> tuple[int, str]:
     """One call to its end: the status and the body."""
-    reader, writer = await asyncio.open_connection(*at(door))
+    reader, writer = await asyncio.open_connection(*at(gateway))
     writer.write(f"{line} HTTP/1.1\r\n{more}".encode())
     head, _, body = (await reader.read()).decode().partition("\r\n\r\n")
     writer.close()
@@ -28,8 +28,8 @@
     return front_door(*backends, **{"management": (HOST, 0), **changes})
 
 
-async def figures(door: FrontDoor) -> dict[str, int]:
-    status, body = await call(door, "GET /stats")
+async def figures(gateway: GatewayServer) -> dict[str, int]:
+    status, body = await call(gateway, "GET /stats")
     assert status == 200
     return {name: int(number) for name, number in (line.rsplit(" ", 1) for line in body.splitlines())}
 
@@ -56,20 +56,20 @@
 )
 def test_call_has_its_status(line: str, status: int) -> None:
     async def job() -> None:
-        async with operated(Backend()) as (door, _):
-            assert (await call(door, line))[0] == status
-            assert (await call(door, "GET /healthcheck"))[0] == 200
+        async with operated(Backend()) as (gateway, _):
+            assert (await call(gateway, line))[0] == status
+            assert (await call(gateway, "GET /healthcheck"))[0] == 200
 
     run(job())
 
 
 def test_head_and_body_are_bounded() -> None:
     async def job() -> None:
-        async with operated(Backend()) as (door, _):
-            assert (await call(door, "GET /stats", f"X: {'x' * 9000}"))[0] == 431
+        async with operated(Backend()) as (gateway, _):
+            assert (await call(gateway, "GET /stats", f"X: {'x' * 9000}"))[0] == 431
             for size, status in ((3, 200), (management.MOST_BODY + 1, 413)):
                 more = f"Host: x\r\nContent-Length: {size}\r\n\r\n{'x' * size}"
-                assert (await call(door, "POST /backends/s0/maint", more))[0] == status
+                assert (await call(gateway, "POST /backends/s0/maint", more))[0] == status
 
     run(job())
 
@@ -78,12 +78,12 @@
     monkeypatch.setattr(management, "MOST_CONNECTIONS", 4)
 
     async def job() -> None:
-        async with operated(Backend()) as (door, _):
-            slow = [await asyncio.open_connection(*at(door)) for _ in range(8)]
+        async with operated(Backend()) as (gateway, _):
+            slow = [await asyncio.open_connection(*at(gateway)) for _ in range(8)]
             for _, writer in slow:
                 writer.write(b"GET /health")
-            assert (await call(door, "GET /healthcheck"))[0] == 200
-            assert len(door.management.connections) <= 4
+            assert (await call(gateway, "GET /healthcheck"))[0] == 200
+            assert len(gateway.management.connections) <= 4
             with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
                 await slow[0][0].readexactly(1)
             for _, writer in slow:
@@ -96,8 +96,8 @@
     monkeypatch.setattr(management, "PATIENCE_S", 0.05)
 
     async def job() -> None:
-        async with operated(Backend()) as (door, _):
-            reader, writer = await asyncio.open_connection(*at(door))
+        async with operated(Backend()) as (gateway, _):
+            reader, writer = await asyncio.open_connection(*at(gateway))
             writer.write(b"GET /stats HTTP/1.1\r\n")
             assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
             writer.close()
@@ -115,18 +115,18 @@
     async def job() -> None:
         backend = Backend(lambda words: answers.get(words[2]))
         changes = {"max_attempts": 1, "parallel_tries": False}
-        async with operated(backend, settings=replace(SETTINGS, **changes)) as (door, address):
+        async with operated(backend, settings=replace(SETTINGS, **changes)) as (gateway, address):
             client = await Client.open(address)
-            assert (await figures(door))['proxy_answered_total{group="read"}'] == 0
+            assert (await figures(gateway))['proxy_answered_total{group="read"}'] == 0
             for name in answers:
                 await client.ask(query(name.decode()))
-            door.tally.clear()  # as the log does
+            gateway.requests.tally.clear()  # as the log does
             assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
             client.send(query("a4"))
             while len(backend.commands) < 4:
                 backend.came.clear()
                 await backend.came.wait()
-            found = await figures(door)
+            found = await figures(gateway)
             ended = {
                 how: found[f'proxy_{how}_total{{group="read"}}']
                 for how in ("answered", "deferred", "errored")
@@ -142,15 +142,15 @@
 def test_backend_left_out_gets_nothing_until_taken_back() -> None:
     async def job() -> None:
         backends = [Backend(), Backend()]
-        async with operated(*backends) as (door, address):
+        async with operated(*backends) as (gateway, address):
             client = await Client.open(address)
             for _ in range(2):  # a repeat is a yes
-                assert (await call(door, "POST /backends/s0/maint"))[0] == 200
-            assert (await figures(door))["proxy_cluster_unhealthy"] == 1
+                assert (await call(gateway, "POST /backends/s0/maint"))[0] == 200
+            assert (await figures(gateway))["proxy_cluster_unhealthy"] == 1
             for number in range(20):
                 assert await client.ask(query(f"a{number}")) == b"ok"
             assert not backends[0].commands and len(backends[1].commands) == 20
-            assert (await call(door, "POST /backends/s0/ready"))[0] == 200
+            assert (await call(gateway, "POST /backends/s0/ready"))[0] == 200
             number = 20
             while not backends[0].commands:
                 assert await client.ask(query(f"a{number}")) == b"ok"
@@ -162,13 +162,13 @@
 def test_backend_left_out_loses_what_waits_for_a_connection() -> None:
     async def job() -> None:
         backend = Backend()
-        async with operated(backend) as (door, address):
+        async with operated(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1"))
-            pool = door.backends.pools["s0"]
+            pool = gateway.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            door.maint("s0", True)
+            gateway.management_handlers.begin_maintenance("s0")
             assert not pool.waiting
             client.writer.close()
             while pool.connecting or pool.connections:
@@ -180,22 +180,22 @@
 
 def test_drain_by_call_and_back() -> None:
     async def job() -> None:
-        async with operated(Backend()) as (door, address):
+        async with operated(Backend()) as (gateway, address):
             idle, kept = [await Client.open(address) for _ in range(2)]
             assert await idle.ask(query("a1")) == b"ok"
-            assert (await call(door, "POST /healthcheck/fail"))[0] == 200
+            assert (await call(gateway, "POST /healthcheck/fail"))[0] == 200
             assert str(await kept.ask(resp("PING"))).startswith("-ERR")
-            assert (await call(door, "GET /healthcheck"))[0] == 503
+            assert (await call(gateway, "GET /healthcheck"))[0] == 503
             late = await Client.open(address)
             assert await late.ask(query("a2")) == b"ok"
             for client in (idle, kept, late):
                 assert await client.ended()
             last = await Client.open(address)
             assert str(await last.ask(resp("PING"))).startswith("-ERR") and await last.ended()
-            assert (await call(door, "POST /healthcheck/ok"))[0] == 200
+            assert (await call(gateway, "POST /healthcheck/ok"))[0] == 200
             again = await Client.open(address)
             assert await again.ask(resp("PING")) == b"PONG"
-            assert (await call(door, "GET /healthcheck"))[0] == 200
+            assert (await call(gateway, "GET /healthcheck"))[0] == 200
             assert await again.ask(query("a3")) == b"ok"
             assert await again.ask(query("a4")) == b"ok"
 
@@ -204,13 +204,13 @@
 
 def test_nothing_calls_back_a_program_that_ends() -> None:
     async def job() -> None:
-        async with operated(Backend()) as (door, address):
+        async with operated(Backend()) as (gateway, address):
             client = await Client.open(address)
-            drain = asyncio.create_task(door.drain())
+            drain = asyncio.create_task(gateway.drain())
             await asyncio.sleep(0)
             assert str(await client.ask(resp("PING"))).startswith("-ERR")
-            assert (await call(door, "POST /healthcheck/ok"))[0] == 409
-            assert (await call(door, "GET /healthcheck"))[0] == 503
+            assert (await call(gateway, "POST /healthcheck/ok"))[0] == 409
+            assert (await call(gateway, "GET /healthcheck"))[0] == 503
             assert await client.ended()
             await drain
 
--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -30,27 +30,34 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     caplog.set_level(logging.INFO)
-    async with front_door(Backend(), policy=under_policy(), traces_policy=True) as (door, at):
+    async with front_door(Backend(), policy=under_policy(), traces_policy=True) as (gateway, at):
         client = await Client.open(at)
-        assert door.health() == (503, "takes no new clients; policy 1 -")
-        assert "BUSY" in await ask(client, "a") and not door.open
-        assert door.enter_service()[0] == 200 and door.health() == (200, "serves; policy 1 -")
+        assert gateway.management_handlers.health() == (503, "takes no new clients; policy 1 -")
+        assert "BUSY" in await ask(client, "a") and not gateway.requests.open
+        assert gateway.management_handlers.enter_service()[
+            0
+        ] == 200 and gateway.management_handlers.health() == (200, "serves; policy 1 -")
         assert "ok" in await ask(client, "b")
         new = replace(
-            door.config,
+            gateway.active.config,
             policy=under_policy(number=2, digest=DIGEST_A),
             plan_numbers={"new": 0, "team": 1},
-            settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})),
+            settings=replace(
+                gateway.active.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})
+            ),
+        )
+        gateway.reload(replace(new, class_numbers={"other": 0}))
+        assert gateway.active.config.policy.number == 1  # it cannot go by that
+        gateway.reload(new)
+        assert (
+            gateway.management_handlers.health() == (200, f"serves; policy 2 {DIGEST_A}")
+            and gateway.peers.mark == 3
         )
-        door.reload(replace(new, class_numbers={"other": 0}))
-        assert door.config.policy.number == 1  # it cannot go by that
-        door.reload(new)
-        assert door.health() == (200, f"serves; policy 2 {DIGEST_A}") and door.peers.mark == 3
         assert "BUSY" in await ask(client, "c")
-        text = door.metrics()[1]
+        text = gateway.management_handlers.metrics()[1]
         assert 'proxy_unserved_total{reason="banned"} 1' in text and 'reason="policy"} 1' in text
-        door.reload(replace(new, policy=None))  # a file that only moves discovery changes no policy
-        assert door.config.policy.number == 2
+        gateway.reload(replace(new, policy=None))  # a file that only moves discovery changes no policy
+        assert gateway.active.config.policy.number == 2
     lines = [record.getMessage() for record in caplog.records if record.getMessage().startswith("request")]
     assert [line.rpartition(",")[0] for line in lines] == [
         "request b answered by policy -",
@@ -59,29 +66,33 @@
 
 
 async def test_gateway_when_it_cannot_know_what_holds_then_suspends_admission() -> None:
-    async with front_door(Backend(), policy=under_policy()) as (door, at):
+    async with front_door(Backend(), policy=under_policy()) as (gateway, at):
         time, heard = FakeClock(), FakeClock()
-        door.watchful.clock, door.watchful.heard_s = time, heard
-        door.watchful.ticked_s = time.now
+        gateway.policy_guard.clock, gateway.policy_guard.heard_s = time, heard
+        gateway.policy_guard.ticked_s = time.now
         client = await Client.open(at)
 
         async def served(name: str) -> bool:
             return "ok" in await ask(client, name)
 
-        assert door.enter_service()[0] == 200 and await served("a")
+        assert gateway.management_handlers.enter_service()[0] == 200 and await served("a")
         time.now += 1.5  # it stood still, and this request had waited meanwhile
-        assert not await served("b") and door.enter_service()[0] == 200 and await served("c")
+        assert (
+            not await served("b")
+            and gateway.management_handlers.enter_service()[0] == 200
+            and await served("c")
+        )
         heard.now -= 6  # its agent is silent
-        assert not await served("d") and door.enter_service()[0] == 409
+        assert not await served("d") and gateway.management_handlers.enter_service()[0] == 409
         heard.now = time.now
-        assert door.enter_service()[0] == 200 and await served("e")
+        assert gateway.management_handlers.enter_service()[0] == 200 and await served("e")
         ends = round((time.now + 0.5) * 1e6)
-        door.reload(replace(door.config, policy=under_policy(number=2, until_us=ends)))
+        gateway.reload(replace(gateway.active.config, policy=under_policy(number=2, until_us=ends)))
         assert await served("f")
         time.now += 0.6  # nobody came to put it under the next one
-        assert not await served("g") and door.enter_service()[0] == 409
-        door.reload(replace(door.config, policy=under_policy(number=2, digest=DIGEST_A)))
-        assert door.enter_service()[0] == 200 and await served("h")
+        assert not await served("g") and gateway.management_handlers.enter_service()[0] == 409
+        gateway.reload(replace(gateway.active.config, policy=under_policy(number=2, digest=DIGEST_A)))
+        assert gateway.management_handlers.enter_service()[0] == 200 and await served("h")
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -1,4 +1,4 @@
-"""The front door over loopback sockets: a request from client to backend and back."""
+"""The gateway over loopback sockets: a request from client to backend and back."""
 
 import asyncio
 import logging
@@ -8,9 +8,9 @@
 import pytest
 
 from orchidhatch.gateway import interface as i
-from orchidhatch.proxy import server as frontdoor
+from orchidhatch.proxy import process_lifecycle
 from orchidhatch.proxy.clients import PATIENCE_S
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 from tests.sockets import (
     CONFIG,
     CUSTOMER,
@@ -95,17 +95,19 @@
 def test_answer_comes_before_the_clients_time_and_only_once() -> None:
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(submit("a1", wait_ms=300))
-            while "a1" not in door.open:
+            while "a1" not in gateway.requests.open:
                 await asyncio.sleep(0)
-            exchange = door.open["a1"]  # its timer ends it at the latest, should the core not do so before
+            # Its timer ends it at the latest, should the core not do so before.
+            exchange = gateway.requests.open["a1"]
             assert exchange.timer.when() < exchange.came_us / 1e6 + 0.3
             assert await client.answer() == "-ERR failed"
             await backend.left.wait()  # the attempt was given up by closing its connection
             assert await client.ask(resp("PING")) == b"PONG"  # nothing else came in between
-            assert not door.open and not door.ended and door.held_bytes == 0
+            requests = gateway.requests
+            assert not requests.open and not requests.ended and requests.held_bytes == 0
 
     run(job())
 
@@ -113,13 +115,13 @@
 def test_client_that_leaves_ends_its_attempt() -> None:
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             client.send(query("a1"))
             await backend.came.wait()
             client.writer.close()
             await backend.left.wait()
-            assert not door.open and not door.gateway.jobs
+            assert not gateway.requests.open and not gateway.core.jobs
 
     run(job())
 
@@ -140,15 +142,15 @@
 
 def test_exception_of_the_module_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            handle = door.gateway.handle
+        async with front_door(Backend()) as (gateway, address):
+            handle = gateway.core.handle
 
             def broken(now: int, event: i.Event) -> list[i.Action]:
                 if isinstance(event, i.Request) and event.id == "bad":
                     raise RuntimeError("a fault of the module")
                 return handle(now, event)
 
-            door.gateway.handle = broken
+            gateway.core.handle = broken
             client = await Client.open(address)
             assert await client.ask(query("bad")) == "-ERR failed"
             assert await client.ask(query("good")) == b"ok"
@@ -160,8 +162,8 @@
 
 def test_request_that_the_module_forgets_fails_in_time(caplog: pytest.LogCaptureFixture) -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            door.gateway.handle = lambda now, event: []
+        async with front_door(Backend()) as (gateway, address):
+            gateway.core.handle = lambda now, event: []
             client = await Client.open(address)
             assert await client.ask(query("a1", wait_ms=200)) == "-ERR failed"
 
@@ -172,12 +174,12 @@
 def test_attempt_for_a_request_that_is_over_is_moot() -> None:
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
             seen: list[i.Event] = []
-            door.gateway.handle = lambda now, event: seen.append(event) or []
-            door.send(i.Send("a1", "s0"))
+            gateway.core.handle = lambda now, event: seen.append(event) or []
+            gateway.requests.send(i.Send("a1", "s0"))
             await asyncio.sleep(0)
             await asyncio.sleep(0)
             assert [event.result for event in seen if isinstance(event, i.Outcome)] == [i.Result.MOOT]
@@ -190,7 +192,7 @@
     """uvloop rounds to milliseconds; an early tick is passed over by the module, which then sets no other."""
 
     async def job() -> None:
-        door = FrontDoor(CONFIG)
+        gateway = GatewayServer(CONFIG)
         rung: dict[int, int] = {}
         done = asyncio.Event()
 
@@ -204,14 +206,14 @@
             return []
 
         moments: list[int] = []
-        door.gateway.handle = handle
+        gateway.core.handle = handle
         due = {}
         for token in range(40):
             delay = 5_000 + 37 * token
             due[token] = time.monotonic_ns() // 1000 + delay
-            door.set_timer(i.SetTimer(delay, token))
+            gateway.dispatcher.set_timer(i.SetTimer(delay, token))
         for number in range(5):
-            door.post(i.ClientGone(str(number)))
+            gateway.dispatcher.post(i.ClientGone(str(number)))
         await done.wait()
         assert all(rung[token] >= due[token] for token in due)
         assert len(moments) == 5 and len(set(moments)) == 1
@@ -222,12 +224,12 @@
 def test_drain_serves_what_still_comes_and_answers_all() -> None:
     async def job() -> None:
         backend = Backend(lambda words: None if words[2] == b"slow" else value(b"ok"))
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             idle, busy = await Client.open(address), await Client.open(address)
             assert await idle.ask(resp("PING")) == b"PONG"
             busy.send(query("slow"))
             await backend.came.wait()
-            draining = asyncio.create_task(door.drain())
+            draining = asyncio.create_task(gateway.drain())
             await asyncio.sleep(0)
             late = await Client.open(address)
             assert await late.ask(query("new")) == b"ok"
@@ -243,17 +245,17 @@
 
 
 def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
-    monkeypatch.setattr(frontdoor, "DRAIN_LOOK_S", 0.1)
+    monkeypatch.setattr(process_lifecycle, "SETTLE_S", 0.0)
+    monkeypatch.setattr(process_lifecycle, "DRAIN_LOOK_S", 0.1)
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             busy = await Client.open(address)
             busy.send(submit("a1"))
             await backend.came.wait()
-            draining = asyncio.create_task(door.drain())
-            while not door.clients.draining:
+            draining = asyncio.create_task(gateway.drain())
+            while not gateway.clients.draining:
                 await asyncio.sleep(0)
             client = await Client.open(address)
             backend.came.clear()
@@ -272,8 +274,8 @@
 
 def test_action_that_cannot_be_carried_out_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
     async def job() -> None:
-        async with front_door(Backend()) as (door, address):
-            handle = door.gateway.handle
+        async with front_door(Backend()) as (gateway, address):
+            handle = gateway.core.handle
 
             def odd(now: int, event: i.Event) -> list[i.Action]:
                 actions = handle(now, event)
@@ -281,7 +283,7 @@
                     return [i.Send("bad", "s0", timeout_us="soon"), *actions]
                 return actions
 
-            door.gateway.handle = odd
+            gateway.core.handle = odd
             client = await Client.open(address)
             assert await client.ask(query("bad")) == "-ERR failed"
             assert await client.ask(query("good")) == b"ok"
@@ -293,12 +295,12 @@
 def test_figures_for_those_on_call(caplog: pytest.LogCaptureFixture) -> None:
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            with caplog.at_level(logging.INFO, logger="orchidhatch.proxy.server"):
-                door.log_figures()
-                door.log_figures()
+            with caplog.at_level(logging.INFO, logger="orchidhatch.proxy.periodic_log"):
+                gateway.periodic_log.write()
+                gateway.periodic_log.write()
         first, second = (record.getMessage() for record in caplog.records if "longest batch" in record.msg)
         assert first.startswith("asked=1 ok=1;") and first.endswith("to backends 1: opened=1")
         assert second.startswith("idle;")
@@ -309,16 +311,16 @@
 def test_who_asks_nothing_or_stops_amid_a_command_is_let_go() -> None:
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend) as (door, address):
+        async with front_door(backend) as (gateway, address):
             now_s = 100.0
-            door.clients.clock = lambda: now_s
+            gateway.clients.clock = lambda: now_s
             silent, amid, later, good = [await Client.open(address) for _ in range(4)]
             amid.send(query("a1")[:20])
             silent.send(b"*0\r\n")  # asks nothing either
             for number, client in enumerate((later, good)):
                 assert await client.ask(query(f"b{number}")) == b"ok"
             later.send(query("b2")[:-1])
-            while [len(one.reader.buffer) > 0 for one in door.clients.connections].count(True) < 2:
+            while [len(one.reader.buffer) > 0 for one in gateway.clients.connections].count(True) < 2:
                 await asyncio.sleep(0.001)
             now_s += PATIENCE_S
             assert await silent.ended()
@@ -335,11 +337,11 @@
 
     async def job() -> None:
         backend = Backend()
-        async with front_door(backend, addresses=[("evil", 1), ("", 1), ("127.1", 1)]) as (door, address):
+        async with front_door(backend, addresses=[("evil", 1), ("", 1), ("127.1", 1)]) as (gateway, address):
             client = await Client.open(address)
             for number in range(8):
                 assert await client.ask(query(f"a{number}")) == b"ok"
-            assert len(backend.commands) == 8 and list(door.backends.pools) == ["s3"]
+            assert len(backend.commands) == 8 and list(gateway.backends.pools) == ["s3"]
             assert caplog.text.count("is no IPv4 address") + caplog.text.count("is not an address") == 3
 
     run(job())
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -1,4 +1,4 @@
-"""Real sockets on loopback for the front door's tests: clients, backends and discovery, by script."""
+"""Real sockets on loopback for the gateway's tests: clients, backends and discovery, by script."""
 
 import asyncio
 import contextlib
@@ -14,7 +14,7 @@
 
 from orchidhatch.gateway import interface as i
 from orchidhatch.proxy.config import Address, Config
-from orchidhatch.proxy.server import FrontDoor
+from orchidhatch.proxy.server import GatewayServer
 
 # An address for each of the processes that tests are spread over: a port that one found free stays so.
 HOST = f"127.0.0.{1 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
@@ -199,8 +199,8 @@
 @contextlib.asynccontextmanager
 async def front_door(
     *backends: Backend, addresses: Iterable[Address] = (), **changes: object
-) -> AsyncIterator[tuple[FrontDoor, Address]]:
-    """A front door that serves, before the given backends, and its address."""
+) -> AsyncIterator[tuple[GatewayServer, Address]]:
+    """A gateway that serves, before the given backends, and its address."""
     everyone = [*addresses, *[await backend.start() for backend in backends]]
     listed = catalog(7, [entry(f"s{number}", address) for number, address in enumerate(everyone)])
 
@@ -208,12 +208,12 @@
         writer.write(HEAD + chunk(listed))
         await asyncio.Event().wait()
 
-    door = FrontDoor(replace(CONFIG, discovery=await Watch(script).start(), **changes))
-    await door.start()
+    gateway = GatewayServer(replace(CONFIG, discovery=await Watch(script).start(), **changes))
+    await gateway.start()
     try:
-        yield door, door.server.sockets[0].getsockname()
+        yield gateway, gateway.server.sockets[0].getsockname()
     finally:
-        door.close()
+        gateway.close()
 
 
 def refusing_address() -> Address:
