--- a/tests/proxy/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -12,7 +12,7 @@
 from orchidhatch.proxy.backends import REST_US, Attempt, Backends, IdleLimit, read_reply
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.resp import ReplyReader
-from tests.sockets import HOST, Backend, refusing_address, resp, run, value
+from tests.sockets import HOST, Backend, refusing_address, resp, value
 
 S = 1_000_000
 
@@ -55,189 +55,156 @@
         yield listener.getsockname(), listener
 
 
-def test_connection_is_reused_and_carries_one_command_at_a_time(rest: Callable[[], None]) -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        sender = Sender(await backend.start())
-        sender.send()
-        sender.send()
-        while len(backend.commands) < 2:
-            backend.came.clear()
-            await backend.came.wait()
-        assert backend.opened == 2
-        for writer in backend.writers:
-            writer.write(value(b"x"))
-        assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
-        backend.answer = lambda words: value(b"y")
-        for _ in range(5):
-            rest()
-            sender.send()
-            assert await sender.result() is i.Result.OK
-        assert backend.opened == 2
-        rest()
-        for _ in range(3):  # two have rested, and the first of them has to rest again
-            sender.send()
-            assert await sender.result() is i.Result.OK
-        assert backend.opened == 3
-        sender.backends.close()
-
-    run(job())
-
-
-def test_given_up_attempt_closes_its_connection() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        sender = Sender(await backend.start())
-        attempt = sender.send()
+async def test_connection_is_reused_and_carries_one_command_at_a_time(rest: Callable[[], None]) -> None:
+    backend = Backend(lambda words: None)
+    sender = Sender(await backend.start())
+    sender.send()
+    sender.send()
+    while len(backend.commands) < 2:
+        backend.came.clear()
         await backend.came.wait()
-        attempt.cancel()
-        assert await sender.result() is i.Result.CANCELLED
-        await backend.left.wait()  # an answer that is still due must not meet the next command
-        backend.answer = lambda words: value(b"fresh")
-        sender.send()
-        assert (await sender.ended.get())[1] == b"fresh"
-        assert sender.ended.empty()
-        sender.backends.close()
-
-    run(job())
-
-
-def test_broken_after_the_last_byte_may_have_run() -> None:
-    async def job() -> None:
-        sender = Sender(await Backend(lambda words: b"").start())
-        sender.send()
-        assert await sender.result() is i.Result.RESET
-
-    run(job())
-
-
-def test_silent_after_the_last_byte_timed_out() -> None:
-    async def job() -> None:
-        async with deaf() as (address, _):
-            sender = Sender(address)
-            sender.send(timeout_us=50_000)
-            assert await sender.result() is i.Result.TIMEOUT
-
-    run(job())
-
-
-def test_refused_or_out_of_time_before_the_last_byte_never_ran() -> None:
-    async def job() -> None:
-        sender = Sender(refusing_address())
+    assert backend.opened == 2
+    for writer in backend.writers:
+        writer.write(value(b"x"))
+    assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
+    backend.answer = lambda words: value(b"y")
+    for _ in range(5):
+        rest()
         sender.send()
-        assert await sender.result() is i.Result.CONNECT_FAILED
-        async with deaf() as (address, _):
-            sender = Sender(address)
-            sender.send(b"x" * (64 << 20), timeout_us=300_000)  # more than the kernel takes in
-            assert await sender.result() is i.Result.CONNECT_FAILED
-        async with deaf() as (address, listener):
-            sender = Sender(address)
-            sender.send(b"x" * (64 << 20))
-            listener.setblocking(False)
-            accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
-            accepted.close()  # with bytes unread: a reset
-            assert await sender.result() is i.Result.CONNECT_FAILED
-
-    run(job())
-
-
-def test_connection_that_ends_as_soon_as_it_is_up_never_ran() -> None:
-    async def job() -> None:
-        async with deaf() as (address, listener):
-            sender = Sender(address)
-            sender.send(timeout_us=20 * S)
-            listener.setblocking(False)
-            accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
-            accepted.close()  # before the loop comes to know that the connection is up
-            assert await asyncio.wait_for(sender.result(), 5) in (i.Result.CONNECT_FAILED, i.Result.RESET)
-
-    run(job())
-
-
-def test_machine_that_never_answers_a_connect_is_given_up_soon() -> None:
-    async def job() -> None:
-        with contextlib.ExitStack() as stack:
-            listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            listener.listen(0)
-            for _ in range(3):  # its backlog is full: the kernel drops further attempts to connect
-                filler = stack.enter_context(socket.socket())
-                filler.setblocking(False)
-                filler.connect_ex(listener.getsockname())
-            sender = Sender(listener.getsockname())
-            sender.send(timeout_us=20 * S)
-            assert await asyncio.wait_for(sender.result(), 5) is i.Result.CONNECT_FAILED
-
-    run(job())
-
-
-def test_idle_connection_is_closed_by_us_first() -> None:
-    async def job() -> None:
-        backend = Backend()
-        sender = Sender(await backend.start(), idle_us=200_000)
+        assert await sender.result() is i.Result.OK
+    assert backend.opened == 2
+    rest()
+    for _ in range(3):  # two have rested, and the first of them has to rest again
         sender.send()
         assert await sender.result() is i.Result.OK
-        await backend.left.wait()
-        assert sender.backends.held == 0
-
-    run(job())
-
+    assert backend.opened == 3
+    sender.backends.close()
+
+
+async def test_given_up_attempt_closes_its_connection() -> None:
+    backend = Backend(lambda words: None)
+    sender = Sender(await backend.start())
+    attempt = sender.send()
+    await backend.came.wait()
+    attempt.cancel()
+    assert await sender.result() is i.Result.CANCELLED
+    await backend.left.wait()  # an answer that is still due must not meet the next command
+    backend.answer = lambda words: value(b"fresh")
+    sender.send()
+    assert (await sender.ended.get())[1] == b"fresh"
+    assert sender.ended.empty()
+    sender.backends.close()
+
+
+async def test_broken_after_the_last_byte_may_have_run() -> None:
+    sender = Sender(await Backend(lambda words: b"").start())
+    sender.send()
+    assert await sender.result() is i.Result.RESET
+
+
+async def test_silent_after_the_last_byte_timed_out() -> None:
+    async with deaf() as (address, _):
+        sender = Sender(address)
+        sender.send(timeout_us=50_000)
+        assert await sender.result() is i.Result.TIMEOUT
+
+
+async def test_refused_or_out_of_time_before_the_last_byte_never_ran() -> None:
+    sender = Sender(refusing_address())
+    sender.send()
+    assert await sender.result() is i.Result.CONNECT_FAILED
+    async with deaf() as (address, _):
+        sender = Sender(address)
+        sender.send(b"x" * (64 << 20), timeout_us=300_000)  # more than the kernel takes in
+        assert await sender.result() is i.Result.CONNECT_FAILED
+    async with deaf() as (address, listener):
+        sender = Sender(address)
+        sender.send(b"x" * (64 << 20))
+        listener.setblocking(False)
+        accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
+        accepted.close()  # with bytes unread: a reset
+        assert await sender.result() is i.Result.CONNECT_FAILED
 
-def test_silence_or_a_reset_puts_idle_connections_in_doubt() -> None:
-    """A machine that vanished resets them when it is back: an unsafe request would be lost on one."""
 
-    async def job() -> None:
-        for broken in (None, b""):
-            backend = Backend(lambda words: None)
-            sender = Sender(await backend.start())
-            sender.send()
-            sender.send()
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
-            for writer in backend.writers:
-                writer.write(value(b"x"))
-            assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
-            assert len(sender.backends.pools["s"].idle) == 2
-            backend.answer = lambda words, broken=broken: broken
-            sender.send(timeout_us=100_000)
-            assert await sender.result() in (i.Result.TIMEOUT, i.Result.RESET)
-            assert sender.backends.pools["s"].idle == []
-
-    run(job())
-
-
-def test_connections_are_bounded_over_all_backends() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        sender = Sender(await backend.start(), most=2)
-        first = sender.send()
-        sender.send()
-        sender.send()
-        assert await sender.result() is i.Result.CONNECT_FAILED
-        assert sender.backends.held == 2
-        first.cancel()
-        assert await sender.result() is i.Result.CANCELLED
-        await backend.came.wait()
-        sender.backends.close()
+async def test_connection_that_ends_as_soon_as_it_is_up_never_ran() -> None:
+    async with deaf() as (address, listener):
+        sender = Sender(address)
+        sender.send(timeout_us=20 * S)
+        listener.setblocking(False)
+        accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
+        accepted.close()  # before the loop comes to know that the connection is up
+        assert await asyncio.wait_for(sender.result(), 5) in (i.Result.CONNECT_FAILED, i.Result.RESET)
 
-    run(job())
 
+async def test_machine_that_never_answers_a_connect_is_given_up_soon() -> None:
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        for _ in range(3):  # its backlog is full: the kernel drops further attempts to connect
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        sender = Sender(listener.getsockname())
+        sender.send(timeout_us=20 * S)
+        assert await asyncio.wait_for(sender.result(), 5) is i.Result.CONNECT_FAILED
+
+
+async def test_idle_connection_is_closed_by_us_first() -> None:
+    backend = Backend()
+    sender = Sender(await backend.start(), idle_us=200_000)
+    sender.send()
+    assert await sender.result() is i.Result.OK
+    await backend.left.wait()
+    assert sender.backends.held == 0
+
+
+async def test_silence_or_a_reset_puts_idle_connections_in_doubt() -> None:
+    """A machine that vanished resets them when it is back: an unsafe request would be lost on one."""
 
-def test_gone_backend_keeps_its_attempt_and_loses_idle_connections() -> None:
-    async def job() -> None:
+    for broken in (None, b""):
         backend = Backend(lambda words: None)
         sender = Sender(await backend.start())
         sender.send()
-        await backend.came.wait()
-        sender.backends.update({}, {}, whole=True)
-        backend.writers[0].write(value(b"x"))
-        assert await sender.result() is i.Result.OK
-        await backend.left.wait()
         sender.send()
-        assert await sender.result() is i.Result.CONNECT_FAILED
-
-    run(job())
+        while len(backend.commands) < 2:
+            backend.came.clear()
+            await backend.came.wait()
+        for writer in backend.writers:
+            writer.write(value(b"x"))
+        assert [await sender.result(), await sender.result()] == [i.Result.OK] * 2
+        assert len(sender.backends.pools["s"].idle) == 2
+        backend.answer = lambda words, broken=broken: broken
+        sender.send(timeout_us=100_000)
+        assert await sender.result() in (i.Result.TIMEOUT, i.Result.RESET)
+        assert sender.backends.pools["s"].idle == []
+
+
+async def test_connections_are_bounded_over_all_backends() -> None:
+    backend = Backend(lambda words: None)
+    sender = Sender(await backend.start(), most=2)
+    first = sender.send()
+    sender.send()
+    sender.send()
+    assert await sender.result() is i.Result.CONNECT_FAILED
+    assert sender.backends.held == 2
+    first.cancel()
+    assert await sender.result() is i.Result.CANCELLED
+    await backend.came.wait()
+    sender.backends.close()
+
+
+async def test_gone_backend_keeps_its_attempt_and_loses_idle_connections() -> None:
+    backend = Backend(lambda words: None)
+    sender = Sender(await backend.start())
+    sender.send()
+    await backend.came.wait()
+    sender.backends.update({}, {}, whole=True)
+    backend.writers[0].write(value(b"x"))
+    assert await sender.result() is i.Result.OK
+    await backend.left.wait()
+    sender.send()
+    assert await sender.result() is i.Result.CONNECT_FAILED
 
 
 def test_load_report_is_read_by_name() -> None:
@@ -249,18 +216,15 @@
     assert read_reply([None, None, None])[0] is i.Result.ERROR
 
 
-def test_size_that_an_answer_claims_makes_no_room() -> None:
+async def test_size_that_an_answer_claims_makes_no_room() -> None:
     """Arrays made as long as they claim are traversed and freed on the gateway's CPU time."""
 
-    async def job() -> None:
-        for claim in (b"*100000000\r\n", b"*3\r\n*100000000\r\n", b"*3\r\n$5000000\r\n"):
-            sender = Sender(await Backend(lambda words, claim=claim: claim).start())
-            sender.send(timeout_us=20 * S)
-            assert await asyncio.wait_for(sender.result(), 10) is i.Result.RESET
-            assert sender.backends.held == 0
-            sender.backends.close()
-
-    run(job())
+    for claim in (b"*100000000\r\n", b"*3\r\n*100000000\r\n", b"*3\r\n$5000000\r\n"):
+        sender = Sender(await Backend(lambda words, claim=claim: claim).start())
+        sender.send(timeout_us=20 * S)
+        assert await asyncio.wait_for(sender.result(), 10) is i.Result.RESET
+        assert sender.backends.held == 0
+        sender.backends.close()
 
 
 def test_answer_is_read_in_whatever_pieces_it_comes() -> None:
@@ -288,16 +252,13 @@
     assert limit.us == 15 * S  # tried again after a while
 
 
-def test_connection_idle_beyond_the_limit_is_not_used(rest: Callable[[], None]) -> None:
-    async def job() -> None:
-        backend = Backend()
-        sender = Sender(await backend.start())
-        for limit_us, opened in ((15 * S, 1), (15 * S, 1), (-1, 2)):
-            sender.backends.idle_limit.us = limit_us
-            rest()
-            sender.send()
-            assert await sender.result() is i.Result.OK
-            assert backend.opened == opened
-        sender.backends.close()
-
-    run(job())
+async def test_connection_idle_beyond_the_limit_is_not_used(rest: Callable[[], None]) -> None:
+    backend = Backend()
+    sender = Sender(await backend.start())
+    for limit_us, opened in ((15 * S, 1), (15 * S, 1), (-1, 2)):
+        sender.backends.idle_limit.us = limit_us
+        rest()
+        sender.send()
+        assert await sender.result() is i.Result.OK
+        assert backend.opened == opened
+    sender.backends.close()
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -13,21 +13,18 @@
 PARSER = CommandParser(CONFIG)
 
 
-def test_answers_come_in_the_order_of_the_commands() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None if words[2] == b"a1" else value(words[2]))
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            client.send(query("a1") + resp("PING") + query("a2") + resp("WHAT"))
-            while len(backend.commands) < 2:
-                backend.came.clear()
-                await backend.came.wait()
-            slow = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
-            backend.writers[slow].write(value(b"a1"))
-            answers = [await client.answer() for _ in range(4)]
-            assert answers == [b"a1", b"PONG", b"a2", "-ERR unknown command"]
-
-    run(job())
+async def test_answers_come_in_the_order_of_the_commands() -> None:
+    backend = Backend(lambda words: None if words[2] == b"a1" else value(words[2]))
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        client.send(query("a1") + resp("PING") + query("a2") + resp("WHAT"))
+        while len(backend.commands) < 2:
+            backend.came.clear()
+            await backend.came.wait()
+        slow = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
+        backend.writers[slow].write(value(b"a1"))
+        answers = [await client.answer() for _ in range(4)]
+        assert answers == [b"a1", b"PONG", b"a2", "-ERR unknown command"]
 
 
 @pytest.mark.parametrize(
@@ -46,18 +43,15 @@
         b"\x16\x03\x01\x02\x00",
     ],
 )
-def test_malformed_resp_is_an_error_and_a_close(data: bytes) -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            assert str(await client.ask(data)).startswith("-ERR Protocol error")
-            assert await client.ended()
-            other = await Client.open(address)
-            assert await other.ask(query("a1")) == b"ok"
-            assert len(backend.commands) == 1
-
-    run(job())
+async def test_malformed_resp_is_an_error_and_a_close(data: bytes) -> None:
+    backend = Backend()
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        assert str(await client.ask(data)).startswith("-ERR Protocol error")
+        assert await client.ended()
+        other = await Client.open(address)
+        assert await other.ask(query("a1")) == b"ok"
+        assert len(backend.commands) == 1
 
 
 FIELDS = "c=read,t=team,d=500"
@@ -96,37 +90,31 @@
         ("PING", "a", "b"),
     ],
 )
-def test_wrong_command_is_an_error_and_the_connection_lives(words: tuple[str, ...]) -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            assert str(await client.ask(resp(*words))).startswith("-ERR ")
-            assert await client.ask(resp("PING")) == b"PONG"
-            assert backend.commands == []
-
-    run(job())
-
-
-def test_clients_are_bounded_by_closing_the_one_idle_longest() -> None:
-    async def job() -> None:
-        async with front_door(Backend(lambda words: None)) as (gateway, address):
-            gateway.clients.most = 2
-            first, second = await Client.open(address), await Client.open(address)
-            assert await first.ask(resp("PING")) == b"PONG"
-            assert await second.ask(resp("PING")) == b"PONG"
-            third = await Client.open(address)
-            assert await third.ask(resp("PING")) == b"PONG"
-            assert await first.ended()
-            second.send(query("a1"))
-            third.send(query("a2"))
-            while len(gateway.requests.open) < 2:
-                await asyncio.sleep(0)
-            fourth = await Client.open(address)  # nobody is idle: it cannot be taken
-            assert await fourth.answer() == "-ERR max number of clients reached"
-            assert await fourth.ended()
-
-    run(job())
+async def test_wrong_command_is_an_error_and_the_connection_lives(words: tuple[str, ...]) -> None:
+    backend = Backend()
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        assert str(await client.ask(resp(*words))).startswith("-ERR ")
+        assert await client.ask(resp("PING")) == b"PONG"
+        assert backend.commands == []
+
+
+async def test_clients_are_bounded_by_closing_the_one_idle_longest() -> None:
+    async with front_door(Backend(lambda words: None)) as (gateway, address):
+        gateway.clients.most = 2
+        first, second = await Client.open(address), await Client.open(address)
+        assert await first.ask(resp("PING")) == b"PONG"
+        assert await second.ask(resp("PING")) == b"PONG"
+        third = await Client.open(address)
+        assert await third.ask(resp("PING")) == b"PONG"
+        assert await first.ended()
+        second.send(query("a1"))
+        third.send(query("a2"))
+        while len(gateway.requests.open) < 2:
+            await asyncio.sleep(0)
+        fourth = await Client.open(address)  # nobody is idle: it cannot be taken
+        assert await fourth.answer() == "-ERR max number of clients reached"
+        assert await fourth.ended()
 
 
 def test_fault_on_a_connection_answers_what_it_owes(caplog: pytest.LogCaptureFixture) -> None:
@@ -196,39 +184,33 @@
     assert text.replace("d=500", "d=7") in command.payload(7_000).decode()
 
 
-def test_room_is_made_at_the_cost_of_who_was_served_not_of_who_is_yet_to_ask() -> None:
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            gateway.clients.most = 2
-            late = await Client.open(address)
-            assert await late.ask(resp("PING")) == b"PONG"
-            served = await Client.open(address)
-            assert await served.ask(query("a1")) == b"ok"
-            new = await Client.open(address)
-            assert await new.ask(query("a2")) == b"ok"
-            assert await served.ended()
-            assert await late.ask(query("a3")) == b"ok"
-
-    run(job())
-
-
-def test_nothing_is_swept_where_nothing_waits() -> None:
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            assert not gateway.clients.sweeping and not gateway.backends.sweeping
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            assert gateway.clients.sweeping and gateway.backends.sweeping
-            gateway.clients.sweep()  # the one that is due finds no one who owes a command
-            assert not gateway.clients.sweeping
-            client.send(query("a2")[:9])
-            while not gateway.clients.sweeping:
-                await asyncio.sleep(0)
-            for pool in gateway.backends.pools.values():
-                pool.close_idle()
-            while gateway.backends.held:
-                await asyncio.sleep(0)
-            gateway.backends.sweep()
-            assert not gateway.backends.sweeping
-
-    run(job())
+async def test_room_is_made_at_the_cost_of_who_was_served_not_of_who_is_yet_to_ask() -> None:
+    async with front_door(Backend()) as (gateway, address):
+        gateway.clients.most = 2
+        late = await Client.open(address)
+        assert await late.ask(resp("PING")) == b"PONG"
+        served = await Client.open(address)
+        assert await served.ask(query("a1")) == b"ok"
+        new = await Client.open(address)
+        assert await new.ask(query("a2")) == b"ok"
+        assert await served.ended()
+        assert await late.ask(query("a3")) == b"ok"
+
+
+async def test_nothing_is_swept_where_nothing_waits() -> None:
+    async with front_door(Backend()) as (gateway, address):
+        assert not gateway.clients.sweeping and not gateway.backends.sweeping
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        assert gateway.clients.sweeping and gateway.backends.sweeping
+        gateway.clients.sweep()  # the one that is due finds no one who owes a command
+        assert not gateway.clients.sweeping
+        client.send(query("a2")[:9])
+        while not gateway.clients.sweeping:
+            await asyncio.sleep(0)
+        for pool in gateway.backends.pools.values():
+            pool.close_idle()
+        while gateway.backends.held:
+            await asyncio.sleep(0)
+        gateway.backends.sweep()
+        assert not gateway.backends.sweeping
--- a/tests/proxy/test_cpu_accounting.py
+++ b/tests/proxy/test_cpu_accounting.py
@@ -119,60 +119,51 @@
 
 
 @pytest.mark.usefixtures("every_entry")
-def test_operators_read_where_time_goes() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            client = await Client.open(address)
-            for number in range(20):
-                assert await client.ask(query(f"a{number}")) == b"ok"
-            stats, (status, text) = (
-                (await call(gateway, "GET /stats"))[1],
-                await call(gateway, "GET /metrics"),
-            )
-            found = samples(text)
-            assert status == 200 and samples(stats).items() <= found.items()
-            spent = {
-                place: found[f'proxy_place_cpu_seconds_total{{place="{place}"}}']
-                for place in ("clients", "module", "backends", "discovery", "management")
-            }
-            assert all(spent.values()) and sum(spent.values()) <= found["proxy_cpu_seconds_total"]
-            assert found['proxy_descriptors{holder="clients"}'] == 1
-            assert found['proxy_descriptors{holder="backends"}'] == gateway.backends.held > 0
-            assert found["proxy_descriptors_limit"] == gateway.max_descriptors
-            assert found["proxy_resident_bytes"] > 0 and found["proxy_peak_resident_bytes"] > 0
-            assert gateway.account.place is Place.LOOP
-
-    run(job())
-
-
-def test_stats_tell_nothing_new() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            found = samples((await call(gateway, "GET /stats"))[1])
-            assert {name.partition("{")[0] for name in found} == {
-                "proxy_answered_total",
-                "proxy_deferred_total",
-                "proxy_errored_total",
-                "proxy_sends_total",
-                "proxy_current",
-                "proxy_cluster_size",
-                "proxy_cluster_unhealthy",
-            }
-
-    run(job())
-
-
-def test_the_log_tells_what_the_interval_cost(caplog: pytest.LogCaptureFixture) -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            with caplog.at_level("INFO"):
-                gateway.periodic_log.write()
-                gateway.periodic_log.write()
-            busy, idle = [line for line in caplog.messages if line.startswith("cost: ")]
-            assert "us a request" in busy and "us a request" not in idle
-            assert gateway.account.idle_s > 0 and "module" in busy and "descriptors" in busy
-            assert isinstance(gateway.dispatcher.ask(i.Survey()), i.Census)
-
-    run(job())
+async def test_operators_read_where_time_goes() -> None:
+    async with operated(Backend()) as (gateway, address):
+        client = await Client.open(address)
+        for number in range(20):
+            assert await client.ask(query(f"a{number}")) == b"ok"
+        stats, (status, text) = (
+            (await call(gateway, "GET /stats"))[1],
+            await call(gateway, "GET /metrics"),
+        )
+        found = samples(text)
+        assert status == 200 and samples(stats).items() <= found.items()
+        spent = {
+            place: found[f'proxy_place_cpu_seconds_total{{place="{place}"}}']
+            for place in ("clients", "module", "backends", "discovery", "management")
+        }
+        assert all(spent.values()) and sum(spent.values()) <= found["proxy_cpu_seconds_total"]
+        assert found['proxy_descriptors{holder="clients"}'] == 1
+        assert found['proxy_descriptors{holder="backends"}'] == gateway.backends.held > 0
+        assert found["proxy_descriptors_limit"] == gateway.max_descriptors
+        assert found["proxy_resident_bytes"] > 0 and found["proxy_peak_resident_bytes"] > 0
+        assert gateway.account.place is Place.LOOP
+
+
+async def test_stats_tell_nothing_new() -> None:
+    async with operated(Backend()) as (gateway, _):
+        found = samples((await call(gateway, "GET /stats"))[1])
+        assert {name.partition("{")[0] for name in found} == {
+            "proxy_answered_total",
+            "proxy_deferred_total",
+            "proxy_errored_total",
+            "proxy_sends_total",
+            "proxy_current",
+            "proxy_cluster_size",
+            "proxy_cluster_unhealthy",
+        }
+
+
+async def test_the_log_tells_what_the_interval_cost(caplog: pytest.LogCaptureFixture) -> None:
+    async with operated(Backend()) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        with caplog.at_level("INFO"):
+            gateway.periodic_log.write()
+            gateway.periodic_log.write()
+        busy, idle = [line for line in caplog.messages if line.startswith("cost: ")]
+        assert "us a request" in busy and "us a request" not in idle
+        assert gateway.account.idle_s > 0 and "module" in busy and "descriptors" in busy
+        assert isinstance(gateway.dispatcher.ask(i.Survey()), i.Census)
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -80,127 +80,114 @@
 
 @pytest.mark.parametrize("news", NEWS)
 @pytest.mark.parametrize("connected", [False, True])
-def test_nothing_is_begun_at_a_backend_whose_leaving_came_in_behind_the_request(
+async def test_nothing_is_begun_at_a_backend_whose_leaving_came_in_behind_the_request(
     news: str, connected: bool
 ) -> None:
     """The request is decided by what the module knew: the sockets know better by then."""
 
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            if connected:
-                await warm(gateway, client, backend)
-            opened = backend.opened
-            meanwhile(gateway, lambda: NEWS[news](gateway, backend))
-            assert str(await client.ask(query("a1", wait_ms=300))).startswith("-BUSY")
-            assert not backend.commands and backend.opened == opened
-
-    run(job())
-
-
-def test_what_waits_for_a_connection_to_a_backend_that_drains_goes_elsewhere_unwritten() -> None:
-    async def job() -> None:
-        leaving, other = Backend(), Backend()
-        elsewhere = await other.start()
-        async with front_door(leaving) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            pool = gateway.backends.pools["s0"]
-            while not pool.waiting:
-                await asyncio.sleep(0)
-            tell(gateway, entry("s0", leaving.address, "DRAINING"), entry("s1", elsewhere))
-            assert await client.answer() == b"ok"
-            while pool.connections:
-                await asyncio.sleep(0)
-            assert not leaving.commands and len(other.commands) == 1
-
-    run(job())
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        if connected:
+            await warm(gateway, client, backend)
+        opened = backend.opened
+        meanwhile(gateway, lambda: NEWS[news](gateway, backend))
+        assert str(await client.ask(query("a1", wait_ms=300))).startswith("-BUSY")
+        assert not backend.commands and backend.opened == opened
+
+
+async def test_what_waits_for_a_connection_to_a_backend_that_drains_goes_elsewhere_unwritten() -> None:
+    leaving, other = Backend(), Backend()
+    elsewhere = await other.start()
+    async with front_door(leaving) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        pool = gateway.backends.pools["s0"]
+        while not pool.waiting:
+            await asyncio.sleep(0)
+        tell(gateway, entry("s0", leaving.address, "DRAINING"), entry("s1", elsewhere))
+        assert await client.answer() == b"ok"
+        while pool.connections:
+            await asyncio.sleep(0)
+        assert not leaving.commands and len(other.commands) == 1
 
 
 # --- attempts ---
 
 
-def test_the_next_attempt_is_begun_when_the_one_before_is_closed_and_no_sooner(
+async def test_the_next_attempt_is_begun_when_the_one_before_is_closed_and_no_sooner(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The module's turn may be due already when an attempt is given up, ahead of the close in the queue."""
     monkeypatch.setattr(backends, "REST_US", 0)
 
-    async def job() -> None:
-        both = [Backend(), Backend()]
-        async with front_door(*both) as (gateway, address):
-            client = await Client.open(address)
-            await warm(gateway, client, *both)
-            for backend in both:
-                backend.answer = lambda words: None
-            client.send(query("a1"))
-            while not any(backend.commands for backend in both):
-                await asyncio.sleep(0)
-            first = next(backend for backend in both if backend.commands)
-            other = next(backend for backend in both if backend is not first)
-            attempt, closed = gateway.requests.open["a1"].out[0], []
-            send = Connection.send
-
-            def sent(connection: Connection, following: Attempt) -> None:
-                closed.append(looks.left(first.writers[-1].transport))
-                send(connection, following)
-
-            monkeypatch.setattr(Connection, "send", sent)
-            gateway.dispatcher.post(i.ClientGone("somebody else"))
-            attempt.time_out()
-            other.answer = lambda words: value(b"at last")
-            assert await client.answer() == b"at last"
-            assert closed == [True]
+    both = [Backend(), Backend()]
+    async with front_door(*both) as (gateway, address):
+        client = await Client.open(address)
+        await warm(gateway, client, *both)
+        for backend in both:
+            backend.answer = lambda words: None
+        client.send(query("a1"))
+        while not any(backend.commands for backend in both):
+            await asyncio.sleep(0)
+        first = next(backend for backend in both if backend.commands)
+        other = next(backend for backend in both if backend is not first)
+        attempt, closed = gateway.requests.open["a1"].out[0], []
+        send = Connection.send
 
-    run(job())
+        def sent(connection: Connection, following: Attempt) -> None:
+            closed.append(looks.left(first.writers[-1].transport))
+            send(connection, following)
+
+        monkeypatch.setattr(Connection, "send", sent)
+        gateway.dispatcher.post(i.ClientGone("somebody else"))
+        attempt.time_out()
+        other.answer = lambda words: value(b"at last")
+        assert await client.answer() == b"at last"
+        assert closed == [True]
 
 
 @pytest.mark.parametrize("late", ["read", "unread"])
-def test_second_answer_that_comes_late_is_nobody_elses(late: str, monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_second_answer_that_comes_late_goes_to_nobody(
+    late: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """It comes on a connection that rests, or just before the next request is written there."""
     monkeypatch.setattr(backends, "REST_US", 0 if late == "unread" else 3_600_000_000)
 
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            (resting,) = gateway.backends.pools["s0"].idle
-            backend.answer = lambda words: None
-
-            def spoil() -> None:
-                backend.writers[0].write(value(b"another's"))
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        (resting,) = gateway.backends.pools["s0"].idle
+        backend.answer = lambda words: None
 
-            meanwhile(gateway, spoil)  # the gateway has not read it when the module has the request sent
-            client.send(query("a2"))
-            while len(backend.commands) < 2:
-                await asyncio.sleep(0)
-            while resting.usable():
-                await asyncio.sleep(0)
-            backend.writers[1].write(value(b"its own"))
-            assert await client.answer() == b"its own"
-            assert backend.opened == 2
+        def spoil() -> None:
+            backend.writers[0].write(value(b"another's"))
 
-    run(job())
+        meanwhile(gateway, spoil)  # the gateway has not read it when the module has the request sent
+        client.send(query("a2"))
+        while len(backend.commands) < 2:
+            await asyncio.sleep(0)
+        while resting.usable():
+            await asyncio.sleep(0)
+        backend.writers[1].write(value(b"its own"))
+        assert await client.answer() == b"its own"
+        assert backend.opened == 2
 
 
-def test_connection_that_the_backend_has_closed_is_not_taken_for_an_unsafe_request(
+async def test_connection_that_the_backend_has_closed_is_not_taken_for_an_unsafe_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Written there it would end as a reset, after which it may have run and must not be sent again."""
     monkeypatch.setattr(backends, "REST_US", 0)
 
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            peer = socket.socket(fileno=os.dup(backend.writers[0].get_extra_info("socket").fileno()))
-            meanwhile(gateway, lambda: peer.shutdown(socket.SHUT_RDWR))
-            assert await client.ask(submit("a2")) == b"ok"
-
-    run(job())
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        peer = socket.socket(fileno=os.dup(backend.writers[0].get_extra_info("socket").fileno()))
+        meanwhile(gateway, lambda: peer.shutdown(socket.SHUT_RDWR))
+        assert await client.ask(submit("a2")) == b"ok"
 
 
 def test_repeat_that_waits_past_its_window_for_a_connection_is_not_begun(
@@ -242,31 +229,30 @@
 
 
 @pytest.mark.parametrize("may_cancel", [True, False])
-def test_request_of_a_client_that_left_while_it_waited_for_a_connection_is_not_sent(may_cancel: bool) -> None:
+async def test_request_of_a_client_that_left_while_connecting_is_not_sent(
+    may_cancel: bool,
+) -> None:
     """Where no attempt may be called off, too: one that was not written is nobody's yet."""
 
-    async def job() -> None:
-        backend = Backend()
-        plans = (i.Plan(rate=1.0, burst=4.0),)
-        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
-        async with front_door(backend, settings=settings) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1", units="2"))
-            pool = gateway.backends.pools["s0"]
-            while not pool.waiting:
-                await asyncio.sleep(0)
-            (customer,) = gateway.core.homes.customers.values()
-            assert customer.level < 3
-            connect = pool.connecting
-            for connection in list(gateway.clients.connections):
-                connection.connection_lost(None)  # before the one to the backend is told to be up
-            assert connect == 1 and not gateway.requests.ended
-            while not pool.idle:
-                await asyncio.sleep(0)
-            assert not backend.commands and not gateway.core.jobs
-            assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
-
-    run(job())
+    backend = Backend()
+    plans = (i.Plan(rate=1.0, burst=4.0),)
+    settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
+    async with front_door(backend, settings=settings) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1", units="2"))
+        pool = gateway.backends.pools["s0"]
+        while not pool.waiting:
+            await asyncio.sleep(0)
+        (customer,) = gateway.core.homes.customers.values()
+        assert customer.level < 3
+        connect = pool.connecting
+        for connection in list(gateway.clients.connections):
+            connection.connection_lost(None)  # before the one to the backend is told to be up
+        assert connect == 1 and not gateway.requests.ended
+        while not pool.idle:
+            await asyncio.sleep(0)
+        assert not backend.commands and not gateway.core.jobs
+        assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
 
 
 @pytest.mark.parametrize("level", [15.0, 5.0])
@@ -285,42 +271,36 @@
     assert not world.gateway.waits and not world.gateway.jobs and not of(i.Send, world.run(S))
 
 
-def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
+async def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
     """Its end lies behind what it had pipelined, or its answers could not leave."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(b"".join(query(f"a{n}") for n in range(40)))
-            while all(connection.reading for connection in gateway.clients.connections):
-                await asyncio.sleep(0)
-            client.writer.close()
-            while gateway.requests.open or gateway.clients.connections or gateway.core.jobs:
-                await asyncio.sleep(0.001)
-
-    run(job())
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(b"".join(query(f"a{n}") for n in range(40)))
+        while all(connection.reading for connection in gateway.clients.connections):
+            await asyncio.sleep(0)
+        client.writer.close()
+        while gateway.requests.open or gateway.clients.connections or gateway.core.jobs:
+            await asyncio.sleep(0.001)
 
 
-def test_client_whose_end_comes_behind_answers_that_wait_is_gone_at_once() -> None:
+async def test_client_whose_end_comes_behind_answers_that_wait_is_gone_at_once() -> None:
     """The loop tells of a connection's loss only when all is written."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None if words[2] == b"a2" else value(b"x" * 60_000))
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1") + query("a2"))
-            while len(backend.commands) < 2 or "a1" in gateway.requests.open:
-                await asyncio.sleep(0)
-            (connection,) = gateway.clients.connections
-            connection.transport.set_write_buffer_limits(1 << 24)
-            connection.transport.write(b"x" * (1 << 23))  # more than the kernel takes for who reads nothing
-            client.writer.write_eof()
-            while "a2" in gateway.requests.open:
-                await asyncio.sleep(0)
-            assert connection in gateway.clients.connections
-
-    run(job())
+    backend = Backend(lambda words: None if words[2] == b"a2" else value(b"x" * 60_000))
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1") + query("a2"))
+        while len(backend.commands) < 2 or "a1" in gateway.requests.open:
+            await asyncio.sleep(0)
+        (connection,) = gateway.clients.connections
+        connection.transport.set_write_buffer_limits(1 << 24)
+        connection.transport.write(b"x" * (1 << 23))  # more than the kernel takes for who reads nothing
+        client.writer.write_eof()
+        while "a2" in gateway.requests.open:
+            await asyncio.sleep(0)
+        assert connection in gateway.clients.connections
 
 
 # --- the end of a process ---
@@ -341,247 +321,218 @@
 
 
 @pytest.mark.usefixtures("at_once")
-def test_drain_waits_for_what_is_half_read_and_for_what_is_half_written() -> None:
-    async def job() -> None:
-        long = b"x" * 60_000
-        backend = Backend(lambda words: value(long))
-        async with front_door(backend) as (gateway, address):
-            half, slow = await Client.open(address), await Client.open(address)
-            half.send(query("a1")[:-1])
-            slow.writer.transport.pause_reading()
-            slow.send(b"".join(query(f"b{n}") for n in range(16)))
-            while (
-                not any(one.reader.buffer for one in gateway.clients.connections)
-                or sum(sum(ended.values()) for ended in gateway.figures.ended.values()) < 16
-            ):
-                await asyncio.sleep(0)
-            draining = await drain(gateway)
-            for _ in range(50):
-                await asyncio.sleep(0.001)  # the drain looks again and again, and nothing is open
-            assert not gateway.requests.open and not draining.done()
-            half.send(query("a1")[-1:])
-            assert await half.answer() == long and await half.ended()
-            slow.writer.transport.resume_reading()
-            assert [await slow.answer() for _ in range(16)] == [long] * 16
-            await draining
-
-    run(job())
+async def test_drain_waits_for_what_is_half_read_and_for_what_is_half_written() -> None:
+    long = b"x" * 60_000
+    backend = Backend(lambda words: value(long))
+    async with front_door(backend) as (gateway, address):
+        half, slow = await Client.open(address), await Client.open(address)
+        half.send(query("a1")[:-1])
+        slow.writer.transport.pause_reading()
+        slow.send(b"".join(query(f"b{n}") for n in range(16)))
+        while (
+            not any(one.reader.buffer for one in gateway.clients.connections)
+            or sum(sum(ended.values()) for ended in gateway.figures.ended.values()) < 16
+        ):
+            await asyncio.sleep(0)
+        draining = await drain(gateway)
+        for _ in range(50):
+            await asyncio.sleep(0.001)  # the drain looks again and again, and nothing is open
+        assert not gateway.requests.open and not draining.done()
+        half.send(query("a1")[-1:])
+        assert await half.answer() == long and await half.ended()
+        slow.writer.transport.resume_reading()
+        assert [await slow.answer() for _ in range(16)] == [long] * 16
+        await draining
 
 
 @pytest.mark.usefixtures("at_once")
-def test_drain_reads_no_further_than_what_is_open_and_all_is_answered_in_time() -> None:
+async def test_drain_reads_no_further_than_what_is_open_and_all_is_answered_in_time() -> None:
     """What is read later than a while after SIGTERM has to be answered before SIGKILL."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            kept, half = await Client.open(address), await Client.open(address)
-            kept.send(query("a1"))
-            half.send(query("c1", wait_ms=3_600_000)[:-1])
-            while not gateway.requests.open or not any(
-                one.reader.buffer for one in gateway.clients.connections
-            ):
-                await asyncio.sleep(0)
-            draining = await drain(gateway)
-            kept.send(query("a2"))  # crosses the end: it was not read, and is sent elsewhere
-            half.send(query("c1")[-1:])
-            while len(backend.commands) < 2:
-                await asyncio.sleep(0)
-            left_us = gateway.requests.open["c1"].end_us - gateway.requests.open["c1"].came_us
-            assert left_us <= process_lifecycle.MOST_DEADLINE_US + process_lifecycle.KILL_AFTER_US
-            assert "a2" not in gateway.requests.open
-            for writer in backend.writers:
-                writer.write(value(b"at last"))
-            assert await kept.answer() == b"at last" and await half.answer() == b"at last"
-            assert await kept.ended() and await half.ended()
-            assert all(words[2] != b"a2" for words in backend.commands)
-            await draining
-
-    run(job())
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        kept, half = await Client.open(address), await Client.open(address)
+        kept.send(query("a1"))
+        half.send(query("c1", wait_ms=3_600_000)[:-1])
+        while not gateway.requests.open or not any(one.reader.buffer for one in gateway.clients.connections):
+            await asyncio.sleep(0)
+        draining = await drain(gateway)
+        kept.send(query("a2"))  # crosses the end: it was not read, and is sent elsewhere
+        half.send(query("c1")[-1:])
+        while len(backend.commands) < 2:
+            await asyncio.sleep(0)
+        left_us = gateway.requests.open["c1"].end_us - gateway.requests.open["c1"].came_us
+        assert left_us <= process_lifecycle.MOST_DEADLINE_US + process_lifecycle.KILL_AFTER_US
+        assert "a2" not in gateway.requests.open
+        for writer in backend.writers:
+            writer.write(value(b"at last"))
+        assert await kept.answer() == b"at last" and await half.answer() == b"at last"
+        assert await kept.ended() and await half.ended()
+        assert all(words[2] != b"a2" for words in backend.commands)
+        await draining
 
 
 @pytest.mark.usefixtures("at_once")
-def test_drain_waits_for_a_long_value_that_a_slow_client_takes() -> None:
+async def test_drain_waits_for_a_long_value_that_a_slow_client_takes() -> None:
     """Part of it waits here when the drain begins, and for as long as the client takes none."""
 
-    async def job() -> None:
-        long = bytes(1 << 20)
-        backend = Backend(lambda words: value(long))
-        async with front_door(backend) as (gateway, address):
-            slow = await Client.open(address)
-            slow.writer.transport.pause_reading()
-            while not gateway.clients.connections:
-                await asyncio.sleep(0)
-            (taken,) = gateway.clients.connections
-            end = taken.transport.get_extra_info("socket")  # else the kernel would take it all
-            end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            slow.send(query("a1"))
-            while not gateway.clients.unsent:
-                await asyncio.sleep(0)
-            draining = await drain(gateway)
-            while not gateway.clients.reads_no_more:
-                await asyncio.sleep(0)
-            assert not draining.done()
-            slow.writer.transport.resume_reading()
-            assert await slow.answer() == long and await slow.ended()
-            await draining
-
-    run(job())
+    long = bytes(1 << 20)
+    backend = Backend(lambda words: value(long))
+    async with front_door(backend) as (gateway, address):
+        slow = await Client.open(address)
+        slow.writer.transport.pause_reading()
+        while not gateway.clients.connections:
+            await asyncio.sleep(0)
+        (taken,) = gateway.clients.connections
+        end = taken.transport.get_extra_info("socket")  # else the kernel would take it all
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        slow.send(query("a1"))
+        while not gateway.clients.unsent:
+            await asyncio.sleep(0)
+        draining = await drain(gateway)
+        while not gateway.clients.reads_no_more:
+            await asyncio.sleep(0)
+        assert not draining.done()
+        slow.writer.transport.resume_reading()
+        assert await slow.answer() == long and await slow.ended()
+        await draining
 
 
 @pytest.mark.usefixtures("at_once")
-def test_drain_waits_for_requests_that_are_held() -> None:
+async def test_drain_waits_for_requests_that_are_held() -> None:
     """Nothing of them has been sent when it begins: their customer has as many out as it may."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        plans = (i.Plan(rate=1000.0, burst=1000.0, max_out=1),)
-        settings = replace(SETTINGS, plans=plans, gateways=1)
-        async with front_door(backend, settings=settings) as (gateway, address):
-            clients = [await Client.open(address) for _ in range(3)]
-            for number, one in enumerate(clients):
-                one.send(query(f"a{number}"))
-            while len(gateway.core.held) < 2:
-                await asyncio.sleep(0)
-            draining = await drain(gateway)
-            while not gateway.clients.reads_no_more:
+    backend = Backend(lambda words: None)
+    plans = (i.Plan(rate=1000.0, burst=1000.0, max_out=1),)
+    settings = replace(SETTINGS, plans=plans, gateways=1)
+    async with front_door(backend, settings=settings) as (gateway, address):
+        clients = [await Client.open(address) for _ in range(3)]
+        for number, one in enumerate(clients):
+            one.send(query(f"a{number}"))
+        while len(gateway.core.held) < 2:
+            await asyncio.sleep(0)
+        draining = await drain(gateway)
+        while not gateway.clients.reads_no_more:
+            await asyncio.sleep(0)
+        for number in range(3):
+            while len(backend.commands) <= number:
                 await asyncio.sleep(0)
-            for number in range(3):
-                while len(backend.commands) <= number:
-                    await asyncio.sleep(0)
-                backend.writers[number].write(value(b"at last"))
-            assert [await client.answer() for client in clients] == [b"at last"] * 3
-            assert all([await client.ended() for client in clients])
-            await draining
-
-    run(job())
+            backend.writers[number].write(value(b"at last"))
+        assert [await client.answer() for client in clients] == [b"at last"] * 3
+        assert all([await client.ended() for client in clients])
+        await draining
 
 
 @pytest.mark.usefixtures("at_once")
-def test_drain_answers_who_connects_in_its_last_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_drain_answers_who_connects_in_its_last_turn(monkeypatch: pytest.MonkeyPatch) -> None:
     """Only the kernel has accepted it by then, and its request lies there."""
 
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            late, read_no_more = socket.socket(), gateway.clients.read_no_more
-
-            def meanwhile() -> None:
-                read_no_more()
-                late.connect(address)
-                late.sendall(query("a1"))
+    async with front_door(Backend()) as (gateway, address):
+        late, read_no_more = socket.socket(), gateway.clients.read_no_more
 
-            monkeypatch.setattr(gateway.clients, "read_no_more", meanwhile)
-            await gateway.drain()
-            late.settimeout(5)
-            assert late.recv(100) == b"$2\r\nok\r\n" and late.recv(100) == b""
-            late.close()
+        def meanwhile() -> None:
+            read_no_more()
+            late.connect(address)
+            late.sendall(query("a1"))
 
-    run(job())
+        monkeypatch.setattr(gateway.clients, "read_no_more", meanwhile)
+        await gateway.drain()
+        late.settimeout(5)
+        assert late.recv(100) == b"$2\r\nok\r\n" and late.recv(100) == b""
+        late.close()
 
 
 @pytest.mark.usefixtures("at_once")
 @pytest.mark.parametrize("first", [resp("PING"), query("b1").replace(b"t=team", b"t=none")])
-def test_what_is_read_in_a_drain_behind_an_answer_given_at_once_is_answered_too(first: bytes) -> None:
+async def test_what_is_read_in_a_drain_behind_an_answer_given_at_once_is_answered_too(first: bytes) -> None:
     """It came in one piece with what was answered in the same turn, after which the connection would rest."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(first[:-1])
-            while not any(one.reader.buffer for one in gateway.clients.connections):
-                await asyncio.sleep(0)
-            draining = await drain(gateway)
-            while not gateway.clients.reads_no_more:
-                await asyncio.sleep(0)
-            client.send(first[-1:] + query("a1") + query("a2"))
-            assert str(await client.answer()).startswith("-ERR")
-            while len(backend.commands) < 2:
-                await asyncio.sleep(0)
-            for writer in backend.writers:
-                writer.write(value(b"at last"))
-            assert [await client.answer(), await client.answer()] == [b"at last"] * 2
-            assert await client.ended()
-            await draining
-
-    run(job())
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(first[:-1])
+        while not any(one.reader.buffer for one in gateway.clients.connections):
+            await asyncio.sleep(0)
+        draining = await drain(gateway)
+        while not gateway.clients.reads_no_more:
+            await asyncio.sleep(0)
+        client.send(first[-1:] + query("a1") + query("a2"))
+        assert str(await client.answer()).startswith("-ERR")
+        while len(backend.commands) < 2:
+            await asyncio.sleep(0)
+        for writer in backend.writers:
+            writer.write(value(b"at last"))
+        assert [await client.answer(), await client.answer()] == [b"at last"] * 2
+        assert await client.ended()
+        await draining
 
 
-def test_room_is_made_and_silence_punished_only_where_nothing_has_come() -> None:
+async def test_room_is_made_and_silence_punished_only_where_nothing_has_come() -> None:
     """Timers, and connections that come up, may go ahead of what lies unread."""
 
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            now_s = 100.0
-            gateway.clients.clock = lambda: now_s
-            first, second = await Client.open(address), await Client.open(address)
-            for client in (first, second):
-                assert await client.ask(resp("PING")) == b"PONG"
-            late = await Client.open(address)
-            while len(gateway.clients.connections) < 3:
-                await asyncio.sleep(0)
-            gateway.clients.most = 3
-            for client, name in ((first, "a1"), (late, "a2")):
-                os.write(client.writer.get_extra_info("socket").fileno(), query(name))  # in this very turn
-            now_s += PATIENCE_S
-            gateway.clients.sweep()
-            gateway.clients.make_room(None)
-            assert await second.ended()
-            assert await first.answer() == b"ok" and await late.answer() == b"ok"
-
-    run(job())
+    async with front_door(Backend()) as (gateway, address):
+        now_s = 100.0
+        gateway.clients.clock = lambda: now_s
+        first, second = await Client.open(address), await Client.open(address)
+        for client in (first, second):
+            assert await client.ask(resp("PING")) == b"PONG"
+        late = await Client.open(address)
+        while len(gateway.clients.connections) < 3:
+            await asyncio.sleep(0)
+        gateway.clients.most = 3
+        for client, name in ((first, "a1"), (late, "a2")):
+            os.write(client.writer.get_extra_info("socket").fileno(), query(name))  # in this very turn
+        now_s += PATIENCE_S
+        gateway.clients.sweep()
+        gateway.clients.make_room(None)
+        assert await second.ended()
+        assert await first.answer() == b"ok" and await late.answer() == b"ok"
 
 
 # --- what belongs to somebody else by then ---
 
 
-def test_request_that_is_held_over_a_change_of_plans_is_sent_as_it_came() -> None:
+async def test_request_that_is_held_over_a_change_of_plans_is_sent_as_it_came() -> None:
     """Its plan's number is another's, or nobody's, by then."""
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
-        settings = replace(SETTINGS, plans=plans, gateways=1)
-        async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
-            gateway,
-            address,
-        ):
-            client, other = await Client.open(address), await Client.open(address)
-            client.send(query("a1").replace(b"t=team", b"t=crew"))
-            await backend.came.wait()
-            other.send(query("a2").replace(b"t=team", b"t=crew"))
-            while len(gateway.requests.open) < 2:
-                await asyncio.sleep(0)
-            new = replace(settings, plans=plans[:1])
-            gateway.reloader.switch_policy(
-                replace(
-                    gateway.active.config,
-                    settings=new,
-                    plan_numbers={"team": 0},
-                    policy=Policy(1, "0" * 16, 5.0),
-                )
+    backend = Backend(lambda words: None)
+    plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
+    settings = replace(SETTINGS, plans=plans, gateways=1)
+    async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
+        gateway,
+        address,
+    ):
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(query("a1").replace(b"t=team", b"t=crew"))
+        await backend.came.wait()
+        other.send(query("a2").replace(b"t=team", b"t=crew"))
+        while len(gateway.requests.open) < 2:
+            await asyncio.sleep(0)
+        new = replace(settings, plans=plans[:1])
+        gateway.reloader.switch_policy(
+            replace(
+                gateway.active.config,
+                settings=new,
+                plan_numbers={"team": 0},
+                policy=Policy(1, "0" * 16, 5.0),
             )
-            backend.answer = lambda words: value(b"second")
-            backend.writers[0].write(value(b"first"))
-            assert await client.answer() == b"first" and await other.answer() == b"second"
-            assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
-            assert not gateway.core.jobs and gateway.core.cap.out == 0
-
-    run(job())
+        )
+        backend.answer = lambda words: value(b"second")
+        backend.writers[0].write(value(b"first"))
+        assert await client.answer() == b"first" and await other.answer() == b"second"
+        assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
+        assert not gateway.core.jobs and gateway.core.cap.out == 0
 
 
-def test_attempt_that_cannot_be_begun_is_not_counted_as_out() -> None:
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
+async def test_attempt_that_cannot_be_begun_is_not_counted_as_out() -> None:
+    async with front_door(Backend()) as (gateway, address):
 
-            def broken(attempt: Attempt, timeout_us: int) -> None:
-                raise RuntimeError("a fault of ours")
+        def broken(attempt: Attempt, timeout_us: int) -> None:
+            raise RuntimeError("a fault of ours")
 
-            gateway.backends.send = broken
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == "-ERR failed"
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            assert not gateway.core.jobs and gateway.core.cap.out == 0
-
-    run(job())
+        gateway.backends.send = broken
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == "-ERR failed"
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert not gateway.core.jobs and gateway.core.cap.out == 0
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -42,45 +42,39 @@
     return play
 
 
-def test_lines_in_pieces_empty_lines_and_unknown_states() -> None:
-    async def job() -> None:
-        odd = [entry("s2", AT, "RESTING"), {"instanceId": "odd"}, entry("s3", AT, "DRAINING")]
-        line = catalog(5, [entry("s1", AT), *odd])
-        gone = catalog(6, [{"instanceId": "s1", "lifecycle": "DELETED"}], reset=False)
-        stream = HEAD + chunk(b"\n") + chunk(line[:30])
-        stream += chunk(line[30:] + b"\n" + gone[:9]) + chunk(gone[9:])
-        pieces = [stream[n : n + 50] for n in range(0, len(stream), 50)]
-        first, second = await news_of(Watch(script(*pieces)), 2)
-        states = {server.name: server.state for server in first.event.servers}
-        assert (first.event.kind, first.event.version) == (i.ListKind.FULL, 5)
-        draining = i.ServerState.DRAINING
-        assert states == {"s1": i.ServerState.UP, "s2": draining, "s3": draining}
-        assert (second.event.kind, second.event.version) == (i.ListKind.CHANGES, 6)
-        assert second.event.servers[0].state is i.ServerState.GONE
-
-    run(job())
-
-
-def test_watch_that_ends_is_reopened_after_what_was_heard() -> None:
-    async def job() -> None:
-        watch = Watch(
-            script(HEAD + chunk(catalog(5, [])), stay=False),
-            script(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", stay=False),
-            script(HEAD + chunk(catalog(6, [])[:20]), stay=False),  # breaks within a line: not heard
-            script(HEAD + chunk(b"{not json\n")),
-            script(HEAD + chunk(catalog(9, [], reset=False))),
-        )
-        found = await news_of(watch, 2, version=3)
-        assert [news.event.version for news in found] == [5, 9]
-        afters = [target.partition("after=")[2] for target in watch.targets]
-        assert afters == ["3", "5", "5", "5", "5"]
-
-    run(job())
+async def test_lines_in_pieces_empty_lines_and_unknown_states() -> None:
+    odd = [entry("s2", AT, "RESTING"), {"instanceId": "odd"}, entry("s3", AT, "DRAINING")]
+    line = catalog(5, [entry("s1", AT), *odd])
+    gone = catalog(6, [{"instanceId": "s1", "lifecycle": "DELETED"}], reset=False)
+    stream = HEAD + chunk(b"\n") + chunk(line[:30])
+    stream += chunk(line[30:] + b"\n" + gone[:9]) + chunk(gone[9:])
+    pieces = [stream[n : n + 50] for n in range(0, len(stream), 50)]
+    first, second = await news_of(Watch(script(*pieces)), 2)
+    states = {server.name: server.state for server in first.event.servers}
+    assert (first.event.kind, first.event.version) == (i.ListKind.FULL, 5)
+    draining = i.ServerState.DRAINING
+    assert states == {"s1": i.ServerState.UP, "s2": draining, "s3": draining}
+    assert (second.event.kind, second.event.version) == (i.ListKind.CHANGES, 6)
+    assert second.event.servers[0].state is i.ServerState.GONE
+
+
+async def test_watch_that_ends_is_reopened_after_what_was_heard() -> None:
+    watch = Watch(
+        script(HEAD + chunk(catalog(5, [])), stay=False),
+        script(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", stay=False),
+        script(HEAD + chunk(catalog(6, [])[:20]), stay=False),  # breaks within a line: not heard
+        script(HEAD + chunk(b"{not json\n")),
+        script(HEAD + chunk(catalog(9, [], reset=False))),
+    )
+    found = await news_of(watch, 2, version=3)
+    assert [news.event.version for news in found] == [5, 9]
+    afters = [target.partition("after=")[2] for target in watch.targets]
+    assert afters == ["3", "5", "5", "5", "5"]
 
 
 @pytest.mark.parametrize("size", [1, 7, 1 << 20])
 @pytest.mark.parametrize("indent", [0, 1, 4, "\t"])
-def test_lists_may_come_indented(indent: int | str, size: int) -> None:
+async def test_lists_may_come_indented(indent: int | str, size: int) -> None:
     """On several lines, with an empty one of the watch's own amid them, and with brackets in their texts."""
     odd = entry("s}1", AT) | {"note": 'a "{[ \\" of text'}
     whole = json.loads(catalog(5, [odd, entry("s2", AT)]))
@@ -88,15 +82,12 @@
     text += b"\n" + catalog(6, [entry("s3", AT)], reset=False)
     text += json.dumps(json.loads(catalog(7, [], reset=False)), indent=indent).encode() + b"\n"
 
-    async def job() -> None:
-        pieces = [chunk(text[at : at + size]) for at in range(0, len(text), size)]
-        watch = Watch(script(HEAD + b"".join(pieces)))
-        found = await news_of(watch, 3)
-        assert [news.event.version for news in found] == [5, 6, 7]
-        assert [server.name for server in found[0].event.servers] == ["s}1", "s2"]
-        assert len(watch.targets) == 1
-
-    run(job())
+    pieces = [chunk(text[at : at + size]) for at in range(0, len(text), size)]
+    watch = Watch(script(HEAD + b"".join(pieces)))
+    found = await news_of(watch, 3)
+    assert [news.event.version for news in found] == [5, 6, 7]
+    assert [server.name for server in found[0].event.servers] == ["s}1", "s2"]
+    assert len(watch.targets) == 1
 
 
 @pytest.mark.parametrize(
@@ -119,15 +110,12 @@
     assert not values
 
 
-def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "SILENT_S", 0.2)
 
-    async def job() -> None:
-        watch = Watch(script(HEAD), script(HEAD + chunk(catalog(4, []))))
-        assert (await news_of(watch, 1))[0].event.version == 4
-        assert len(watch.targets) == 2
-
-    run(job())
+    watch = Watch(script(HEAD), script(HEAD + chunk(catalog(4, []))))
+    assert (await news_of(watch, 1))[0].event.version == 4
+    assert len(watch.targets) == 2
 
 
 NONE = b""  # a watch that is not answered at all
@@ -202,28 +190,25 @@
 
 
 @pytest.mark.parametrize("answered", [0, 1])
-def test_of_two_watches_that_nobody_answered_either_may_be_when_the_outage_ends(
+async def test_of_two_watches_that_nobody_answered_either_may_be_when_the_outage_ends(
     answered: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """What the agent gets at discovery's return counts as told at once: a watch has to be there by then."""
     monkeypatch.setattr(discovery, "SILENT_S", 0.2)
 
-    async def job() -> None:
-        opened: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
-        heard: asyncio.Queue[News] = asyncio.Queue()
-
-        async def play(writer: asyncio.StreamWriter) -> None:
-            opened.put_nowait(writer)
-            await asyncio.Event().wait()
+    opened: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+    heard: asyncio.Queue[News] = asyncio.Queue()
 
-        found = Discovery(await Watch(play).start(), Catalog(CONFIG), 0, heard.put_nowait, 3, 200)
-        task = asyncio.create_task(found.run())
-        writers = [await opened.get(), await opened.get()]
-        writers[answered].write(LIST)
-        assert (await heard.get()).event.version == 4
-        task.cancel()
+    async def play(writer: asyncio.StreamWriter) -> None:
+        opened.put_nowait(writer)
+        await asyncio.Event().wait()
 
-    run(job())
+    found = Discovery(await Watch(play).start(), Catalog(CONFIG), 0, heard.put_nowait, 3, 200)
+    task = asyncio.create_task(found.run())
+    writers = [await opened.get(), await opened.get()]
+    writers[answered].write(LIST)
+    assert (await heard.get()).event.version == 4
+    task.cancel()
 
 
 @pytest.mark.parametrize("phase", ["watching", "waiting", "connecting"])
@@ -285,42 +270,36 @@
     assert [server.name for server in news.event.servers] == ["s2"]
 
 
-def test_known_list_serves_while_discovery_is_silent() -> None:
-    async def job() -> None:
-        known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
-        gateway = GatewayServer(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
-        heard: list[i.Event] = []
-        gateway.core.handle = lambda now, event: heard.append(event) or []
-        await gateway.start()
-        assert [event.kind for event in heard if isinstance(event, i.ServerList)] == [i.ListKind.SAVED]
-        assert gateway.discovery.version == 3 and list(gateway.backends.pools) == ["s1"]
-        gateway.close()
-
-    run(job())
-
-
-def test_peers_words_arrive_and_strangers_are_dropped() -> None:
-    async def job() -> None:
-        loop, heard = asyncio.get_running_loop(), asyncio.Queue()
-        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        ports = [refusing_address(), refusing_address()]
-        me, friend = (Peers(tuple(ports), number, heard.put_nowait) for number in (0, 1))
-        for peers, at in zip((me, friend), ports, strict=True):
-            await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=at)
-        words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(30))
-        with stranger:
-            stranger.sendto(pack_message(words[:1])[0], ports[0])
-        friend.transport.sendto(b"x" * 7, ports[0])
-        friend.transport.sendto(pack_message(words)[0] * 2, ports[0])  # longer than the wire allows
-        friend.tell(i.Tell(0, words))
-        got: tuple[i.Word, ...] = ()
-        while len(got) < len(words):
-            message = await heard.get()
-            assert message.sender == 1
-            got += message.words
-        assert got == words and heard.empty()
-
-    run(job())
+async def test_known_list_serves_while_discovery_is_silent() -> None:
+    known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
+    gateway = GatewayServer(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
+    heard: list[i.Event] = []
+    gateway.core.handle = lambda now, event: heard.append(event) or []
+    await gateway.start()
+    assert [event.kind for event in heard if isinstance(event, i.ServerList)] == [i.ListKind.SAVED]
+    assert gateway.discovery.version == 3 and list(gateway.backends.pools) == ["s1"]
+    gateway.close()
+
+
+async def test_peers_words_arrive_and_strangers_are_dropped() -> None:
+    loop, heard = asyncio.get_running_loop(), asyncio.Queue()
+    stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    ports = [refusing_address(), refusing_address()]
+    me, friend = (Peers(tuple(ports), number, heard.put_nowait) for number in (0, 1))
+    for peers, at in zip((me, friend), ports, strict=True):
+        await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=at)
+    words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(30))
+    with stranger:
+        stranger.sendto(pack_message(words[:1])[0], ports[0])
+    friend.transport.sendto(b"x" * 7, ports[0])
+    friend.transport.sendto(pack_message(words)[0] * 2, ports[0])  # longer than the wire allows
+    friend.tell(i.Tell(0, words))
+    got: tuple[i.Word, ...] = ()
+    while len(got) < len(words):
+        message = await heard.get()
+        assert message.sender == 1
+        got += message.words
+    assert got == words and heard.empty()
 
 
 def first_tries(doors: int, monkeypatch: pytest.MonkeyPatch) -> list[list[float]]:
--- a/tests/proxy/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -10,7 +10,7 @@
 from orchidhatch.proxy import backends, clients, request_lifecycle
 from orchidhatch.proxy.metrics import Ended
 from tests.helpers import World, of
-from tests.sockets import Backend, Client, front_door, query, resp, run, value
+from tests.sockets import Backend, Client, front_door, query, resp, value
 
 LONG = bytes(range(256)) * 1024  # 256 KiB
 HEAD = b"*3\r\n$%d\r\n" % len(LONG)
@@ -22,81 +22,69 @@
         await asyncio.sleep(0.01)
 
 
-def test_value_is_passed_on_before_it_is_whole_and_stays_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_value_is_passed_on_before_it_is_whole_and_stays_whole(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(backends, "REST_US", 0)  # what is asked is whether its connection is good afterwards
 
-    async def job() -> None:
-        backend = Backend(lambda words: HEAD + LONG[:1000])
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1", wait_ms=600))
-            head = b"$%d\r\n" % len(LONG)
-            assert await client.reader.readexactly(len(head) + 1000) == head + LONG[:1000]
-            await asyncio.sleep(0.7)  # the time that the client waits for the first bytes is over
-            assert len(gateway.requests.open) == 1 and not gateway.core.cap.out
-            backend.writers[0].write(LONG[1000:] + TAIL)
-            rest = await client.reader.readexactly(len(LONG) - 1000 + 2)
-            assert rest == LONG[1000:] + b"\r\n"
-            await until(lambda: not gateway.requests.open and not gateway.core.jobs)
-            assert gateway.figures.ended["read"][Ended.ANSWERED] == 1
-            backend.answer = lambda words: value(b"ok")
-            assert await client.ask(query("a2")) == b"ok" and backend.opened == 1
-
-    run(job())
+    backend = Backend(lambda words: HEAD + LONG[:1000])
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1", wait_ms=600))
+        head = b"$%d\r\n" % len(LONG)
+        assert await client.reader.readexactly(len(head) + 1000) == head + LONG[:1000]
+        await asyncio.sleep(0.7)  # the time that the client waits for the first bytes is over
+        assert len(gateway.requests.open) == 1 and not gateway.core.cap.out
+        backend.writers[0].write(LONG[1000:] + TAIL)
+        rest = await client.reader.readexactly(len(LONG) - 1000 + 2)
+        assert rest == LONG[1000:] + b"\r\n"
+        await until(lambda: not gateway.requests.open and not gateway.core.jobs)
+        assert gateway.figures.ended["read"][Ended.ANSWERED] == 1
+        backend.answer = lambda words: value(b"ok")
+        assert await client.ask(query("a2")) == b"ok" and backend.opened == 1
 
 
 @pytest.mark.parametrize("size", [1, 7, 40_000])
-def test_value_may_come_in_pieces_of_any_size(size: int) -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            await backend.came.wait()
-            answer = HEAD + LONG + TAIL
-            edges = 40 if size < 40_000 else len(answer)  # byte by byte only where something begins or ends
-            cuts = [*range(0, edges, size), *range(max(edges, len(answer) - 60), len(answer), size)]
-            for start, end in zip([0, *cuts], [*cuts, len(answer)], strict=True):
-                backend.writers[0].write(answer[start:end])
-                await asyncio.sleep(0.001)
-            assert await client.answer() == LONG
-
-    run(job())
+async def test_value_may_come_in_pieces_of_any_size(size: int) -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await backend.came.wait()
+        answer = HEAD + LONG + TAIL
+        edges = 40 if size < 40_000 else len(answer)  # byte by byte only where something begins or ends
+        cuts = [*range(0, edges, size), *range(max(edges, len(answer) - 60), len(answer), size)]
+        for start, end in zip([0, *cuts], [*cuts, len(answer)], strict=True):
+            backend.writers[0].write(answer[start:end])
+            await asyncio.sleep(0.001)
+        assert await client.answer() == LONG
 
 
 @pytest.mark.parametrize("end", [b"", b"\r\n$-1\r\n?", b"xx$-1\r\n$-1\r\n"])
-def test_break_cuts_the_clients_connection(end: bytes) -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: HEAD + (LONG + end if end else LONG[:1000]))
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            await until(lambda: backend.writers)
-            await until(lambda: not gateway.requests.open or gateway.requests.open["a1"].stream)
-            if not end:
-                backend.writers[0].transport.abort()
-            with pytest.raises((EOFError, ConnectionError)):
-                await client.answer()
-            assert gateway.figures.ended["read"][Ended.ERRORED] == 1
-            assert len(backend.commands) == 1
-
-    run(job())
-
-
-def test_answers_keep_their_order_round_a_long_one() -> None:
+async def test_break_cuts_the_clients_connection(end: bytes) -> None:
+    backend = Backend(lambda words: HEAD + (LONG + end if end else LONG[:1000]))
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await until(lambda: backend.writers)
+        await until(lambda: not gateway.requests.open or gateway.requests.open["a1"].stream)
+        if not end:
+            backend.writers[0].transport.abort()
+        with pytest.raises((EOFError, ConnectionError)):
+            await client.answer()
+        assert gateway.figures.ended["read"][Ended.ERRORED] == 1
+        assert len(backend.commands) == 1
+
+
+async def test_answers_keep_their_order_round_a_long_one() -> None:
     answers = {b"a1": None, b"a2": HEAD + LONG + TAIL, b"a3": value(b"third")}
 
-    async def job() -> None:
-        backend = Backend(lambda words: answers[words[2]])
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1") + query("a2") + query("a3") + resp("PING"))
-            await until(lambda: len(backend.commands) == 3 and "a3" not in gateway.requests.open)
-            first = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
-            backend.writers[first].write(value(b"first"))
-            assert [await client.answer() for _ in range(4)] == [b"first", LONG, b"third", b"PONG"]
-
-    run(job())
+    backend = Backend(lambda words: answers[words[2]])
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1") + query("a2") + query("a3") + resp("PING"))
+        await until(lambda: len(backend.commands) == 3 and "a3" not in gateway.requests.open)
+        first = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
+        backend.writers[first].write(value(b"first"))
+        assert [await client.answer() for _ in range(4)] == [b"first", LONG, b"third", b"PONG"]
 
 
 def slow_client(address: tuple[str, int]) -> socket.socket:
@@ -108,75 +96,63 @@
     return client
 
 
-def test_slow_clients_pause_their_backends_and_lose_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_slow_clients_pause_their_backends_and_lose_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     size, count = backends.MOST_LONG_VALUE, 4
     monkeypatch.setattr(clients, "LEAST_POOL", 100_000)
     body = b"*1\r\n$%d\r\n%b\r\n" % (size, b"x" * size)
 
-    async def job() -> None:
-        backend = Backend(lambda words: body)
-        async with front_door(backend, memory_mb=0) as (gateway, address):
-            with contextlib.ExitStack() as stack:
-                slow = [stack.enter_context(slow_client(address)) for _ in range(count)]
-                for number, client in enumerate(slow):
-                    client.sendall(query(f"a{number}"))
-                await until(lambda: sum(e.reply.paused for e in gateway.requests.open.values()) == count)
-                waiting = sum(c.transport.get_write_buffer_size() for c in gateway.clients.connections)
-                assert waiting <= 100_000 + count * (backends.MOST_READ + clients.MOST_UNSENT)
-                other = await Client.open(address)
-                assert await other.ask(resp("PING")) == b"PONG"
-                loop = asyncio.get_running_loop()
-                for client in slow:
-                    left = len(b"$%d\r\n" % size) + size + 2
-                    while left:
-                        left -= len(await loop.sock_recv(client, 1 << 16))
-            await until(lambda: not gateway.requests.open)
-            assert gateway.figures.ended["read"][Ended.ANSWERED] == count
-
-    run(job())
-
-
-def test_fast_backend_is_done_while_its_client_still_reads() -> None:
+    backend = Backend(lambda words: body)
+    async with front_door(backend, memory_mb=0) as (gateway, address):
+        with contextlib.ExitStack() as stack:
+            slow = [stack.enter_context(slow_client(address)) for _ in range(count)]
+            for number, client in enumerate(slow):
+                client.sendall(query(f"a{number}"))
+            await until(lambda: sum(e.reply.paused for e in gateway.requests.open.values()) == count)
+            waiting = sum(c.transport.get_write_buffer_size() for c in gateway.clients.connections)
+            assert waiting <= 100_000 + count * (backends.MOST_READ + clients.MOST_UNSENT)
+            other = await Client.open(address)
+            assert await other.ask(resp("PING")) == b"PONG"
+            loop = asyncio.get_running_loop()
+            for client in slow:
+                left = len(b"$%d\r\n" % size) + size + 2
+                while left:
+                    left -= len(await loop.sock_recv(client, 1 << 16))
+        await until(lambda: not gateway.requests.open)
+        assert gateway.figures.ended["read"][Ended.ANSWERED] == count
+
+
+async def test_fast_backend_is_done_while_its_client_still_reads() -> None:
     """What memory allows is taken off the backend's hands: its attempt counts as out until then."""
 
-    async def job() -> None:
-        size = 2 << 20
-        backend = Backend(lambda words: b"*1\r\n$%d\r\n%b\r\n" % (size, b"x" * size))
-        async with front_door(backend, memory_mb=80) as (gateway, address):
-            with slow_client(address) as client:
-                client.sendall(query("a1"))
-                await until(lambda: backend.commands and not gateway.requests.open and not gateway.core.jobs)
-
-    run(job())
+    size = 2 << 20
+    backend = Backend(lambda words: b"*1\r\n$%d\r\n%b\r\n" % (size, b"x" * size))
+    async with front_door(backend, memory_mb=80) as (gateway, address):
+        with slow_client(address) as client:
+            client.sendall(query("a1"))
+            await until(lambda: backend.commands and not gateway.requests.open and not gateway.core.jobs)
 
 
-def test_client_that_leaves_amid_a_value_ends_the_attempt() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: HEAD + LONG[:1000])
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            await client.reader.readexactly(1000)
-            client.writer.transport.abort()
-            await backend.left.wait()
-            await until(
-                lambda: not gateway.requests.open and not gateway.requests.ended and not gateway.core.jobs
-            )
+async def test_client_that_leaves_amid_a_value_ends_the_attempt() -> None:
+    backend = Backend(lambda words: HEAD + LONG[:1000])
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await client.reader.readexactly(1000)
+        client.writer.transport.abort()
+        await backend.left.wait()
+        await until(
+            lambda: not gateway.requests.open and not gateway.requests.ended and not gateway.core.jobs
+        )
 
-    run(job())
 
-
-def test_value_that_does_not_move_is_cut_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_value_that_does_not_move_is_cut_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(request_lifecycle, "STALL_S", 0.1)
 
-    async def job() -> None:
-        backend = Backend(lambda words: HEAD + LONG[:1000])
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            with pytest.raises((EOFError, ConnectionError)):
-                await client.ask(query("a1"))
-
-    run(job())
+    backend = Backend(lambda words: HEAD + LONG[:1000])
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        with pytest.raises((EOFError, ConnectionError)):
+            await client.ask(query("a1"))
 
 
 def test_stream_counts_for_the_customers_cap_but_not_as_load() -> None:
--- a/tests/proxy/test_main.py
+++ b/tests/proxy/test_main.py
@@ -24,7 +24,6 @@
     entry,
     refusing_address,
     resp,
-    run,
     value,
 )
 
@@ -169,102 +168,90 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
-def test_signal_drains_and_ends_with_0(tmp_path: Path, number: int) -> None:
-    async def job() -> None:
-        backend = Backend()
-        process, address = await start(tmp_path, backend)
-        client = await Client.open(address)
-        request = resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")
-        assert await client.ask(request) == b"ok"
-        process.send_signal(number)
-        await said(process, b"drains")
-        late = await Client.open(address)
-        assert await late.ask(request.replace(b"a1", b"a2")) == b"ok"
-        assert await client.ended()
-        assert await process.wait() == 0
-
-    run(job())
-
-
-def test_further_signals_in_a_drain_change_nothing(tmp_path: Path) -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        process, address = await start(tmp_path, backend)
-        client = await Client.open(address)
-        client.send(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=5000"))
-        await backend.came.wait()
-        process.send_signal(signal.SIGTERM)
-        await said(process, b"drains")
-        process.send_signal(signal.SIGTERM)
+async def test_signal_drains_and_ends_with_0(tmp_path: Path, number: int) -> None:
+    backend = Backend()
+    process, address = await start(tmp_path, backend)
+    client = await Client.open(address)
+    request = resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")
+    assert await client.ask(request) == b"ok"
+    process.send_signal(number)
+    await said(process, b"drains")
+    late = await Client.open(address)
+    assert await late.ask(request.replace(b"a1", b"a2")) == b"ok"
+    assert await client.ended()
+    assert await process.wait() == 0
+
+
+async def test_further_signals_in_a_drain_change_nothing(tmp_path: Path) -> None:
+    backend = Backend(lambda words: None)
+    process, address = await start(tmp_path, backend)
+    client = await Client.open(address)
+    client.send(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=5000"))
+    await backend.came.wait()
+    process.send_signal(signal.SIGTERM)
+    await said(process, b"drains")
+    process.send_signal(signal.SIGTERM)
+    process.send_signal(signal.SIGHUP)
+    await said(process, b"read the configuration again")
+    backend.writers[0].write(value(b"ok"))
+    assert await client.answer() == b"ok" and await client.ended()
+    assert await process.wait() == 0
+
+
+async def test_hang_up_moves_the_watch_and_never_ends_the_program(tmp_path: Path) -> None:
+    moved: asyncio.Queue[str] = asyncio.Queue()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        moved.put_nowait("watched")
+        await asyncio.Event().wait()
+
+    backend = Backend()
+    process, address = await start(tmp_path, backend)
+    config_path = tmp_path / "config.json"
+    told = json.loads(config_path.read_text())
+    at = await Watch(script).start()
+    for text in ("{", json.dumps(told | {"discovery": f"{at[0]}:{at[1]}"})):
+        config_path.write_text(text)
         process.send_signal(signal.SIGHUP)
-        await said(process, b"read the configuration again")
-        backend.writers[0].write(value(b"ok"))
-        assert await client.answer() == b"ok" and await client.ended()
-        assert await process.wait() == 0
-
-    run(job())
-
-
-def test_hang_up_moves_the_watch_and_never_ends_the_program(tmp_path: Path) -> None:
-    async def job() -> None:
-        moved: asyncio.Queue[str] = asyncio.Queue()
-
-        async def script(writer: asyncio.StreamWriter) -> None:
-            moved.put_nowait("watched")
-            await asyncio.Event().wait()
-
-        backend = Backend()
-        process, address = await start(tmp_path, backend)
-        config_path = tmp_path / "config.json"
-        told = json.loads(config_path.read_text())
-        at = await Watch(script).start()
-        for text in ("{", json.dumps(told | {"discovery": f"{at[0]}:{at[1]}"})):
-            config_path.write_text(text)
-            process.send_signal(signal.SIGHUP)
-            await said(process, b"configuration")
-        assert await moved.get() == "watched"
-        client = await Client.open(address)
-        assert await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
-        process.send_signal(signal.SIGTERM)
-        client.writer.close()
-        assert await process.wait() == 0
-
-    run(job())
+        await said(process, b"configuration")
+    assert await moved.get() == "watched"
+    client = await Client.open(address)
+    assert await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
+    process.send_signal(signal.SIGTERM)
+    client.writer.close()
+    assert await process.wait() == 0
 
 
-def test_hang_up_amid_the_start_is_answered_once_it_can_be(tmp_path: Path) -> None:
+async def test_hang_up_amid_the_start_is_answered_once_it_can_be(tmp_path: Path) -> None:
     """It comes while the configuration is read, which is replaced meanwhile; what counts is the new one."""
 
-    async def job() -> None:
-        moved = asyncio.Event()
-
-        async def script(writer: asyncio.StreamWriter) -> None:
-            moved.set()
-            await asyncio.Event().wait()
-
-        at, listen = await Watch(script).start(), refusing_address()
-        old, path = config(listen=f"{HOST}:{listen[1]}"), tmp_path / "config.json"
-        os.mkfifo(path)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "orchidhatch.proxy",
-            cwd=ROOT,
-            env={**os.environ, "PROXY_CONFIG": str(path)},
-            stderr=asyncio.subprocess.PIPE,
-        )
-        with await asyncio.to_thread(path.open, "w") as first:  # opens once the program reads it
-            process.send_signal(signal.SIGHUP)
-            new = tmp_path / "new.json"
-            new.write_text(json.dumps(old | {"discovery": f"{at[0]}:{at[1]}"}))
-            new.replace(path)
-            first.write(json.dumps(old))
-        await said(process, b"read the configuration again")
-        await moved.wait()
-        process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
-
-    run(job())
+    moved = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        moved.set()
+        await asyncio.Event().wait()
+
+    at, listen = await Watch(script).start(), refusing_address()
+    old, path = config(listen=f"{HOST}:{listen[1]}"), tmp_path / "config.json"
+    os.mkfifo(path)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "orchidhatch.proxy",
+        cwd=ROOT,
+        env={**os.environ, "PROXY_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    with await asyncio.to_thread(path.open, "w") as first:  # opens once the program reads it
+        process.send_signal(signal.SIGHUP)
+        new = tmp_path / "new.json"
+        new.write_text(json.dumps(old | {"discovery": f"{at[0]}:{at[1]}"}))
+        new.replace(path)
+        first.write(json.dumps(old))
+    await said(process, b"read the configuration again")
+    await moved.wait()
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
 
 
 def test_run_lets_no_hang_up_end_what_it_starts() -> None:
@@ -276,63 +263,54 @@
     assert int(shown.stdout.split()[1], 16) >> (signal.SIGHUP - 1) & 1
 
 
-def test_address_in_use_is_one_plain_line(tmp_path: Path) -> None:
-    async def job() -> None:
-        taken = await Backend().start()
-        values = config(listen=f"{HOST}:{taken[1]}")
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "orchidhatch.proxy",
-            cwd=ROOT,
-            env={**os.environ, **write(tmp_path, values)},
-            stderr=asyncio.subprocess.PIPE,
-        )
-        _, errors = await process.communicate()
-        assert process.returncode == 1
-        assert b"orchidhatch: cannot start: " in errors and b"Traceback" not in errors
-
-    run(job())
+async def test_address_in_use_is_one_plain_line(tmp_path: Path) -> None:
+    taken = await Backend().start()
+    values = config(listen=f"{HOST}:{taken[1]}")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "orchidhatch.proxy",
+        cwd=ROOT,
+        env={**os.environ, **write(tmp_path, values)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 1
+    assert b"orchidhatch: cannot start: " in errors and b"Traceback" not in errors
 
 
-def test_clients_leave_descriptors_to_backends_and_management(tmp_path: Path) -> None:
+async def test_clients_leave_descriptors_to_backends_and_management(tmp_path: Path) -> None:
     """Also where the system allows fewer than the configuration says."""
 
-    async def job() -> None:
-        backend, calls = Backend(), refusing_address()
-        process, address = await start(tmp_path, backend, limit=128, management=f"{HOST}:{calls[1]}")
-        crowd = [await Client.open(address) for _ in range(150)]
-        last = crowd[-1]
-        assert await last.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
-        reader, writer = await asyncio.open_connection(*calls)
-        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
-        text = (await reader.read()).decode()
-        assert "\nproxy_descriptors_limit 128\n" in text and "\nproxy_out_of_descriptors_total 0\n" in text
-        for client in crowd:
-            client.writer.close()
-        process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
-
-    run(job())
-
-
-def test_lack_of_descriptors_is_told_and_survived(tmp_path: Path) -> None:
-    async def job() -> None:
-        process, address = await start(tmp_path, Backend(), limit=1024)
-        client = await Client.open(address)
-        request = "c=read,t=team,d=1500"
-        assert await client.ask(resp("PING")) == b"PONG"  # it has been accepted
-        used = set(map(int, os.listdir(f"/proc/{process.pid}/fd")))
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (min(set(range(1024)) - used), 1024))
-        assert str(await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", request))).startswith("-BUSY")
-        await said(process, b"out of descriptors")
-        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (1024, 1024))
-        answer, number = None, 2
-        while answer != b"ok":  # once the backend is tried again
-            answer = await client.ask(resp("SVC.QUERY", CUSTOMER, f"a{number}", request))
-            number += 1
-        process.send_signal(signal.SIGTERM)
+    backend, calls = Backend(), refusing_address()
+    process, address = await start(tmp_path, backend, limit=128, management=f"{HOST}:{calls[1]}")
+    crowd = [await Client.open(address) for _ in range(150)]
+    last = crowd[-1]
+    assert await last.ask(resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")) == b"ok"
+    reader, writer = await asyncio.open_connection(*calls)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    text = (await reader.read()).decode()
+    assert "\nproxy_descriptors_limit 128\n" in text and "\nproxy_out_of_descriptors_total 0\n" in text
+    for client in crowd:
         client.writer.close()
-        assert await process.wait() == 0
-
-    run(job())
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
+
+
+async def test_lack_of_descriptors_is_told_and_survived(tmp_path: Path) -> None:
+    process, address = await start(tmp_path, Backend(), limit=1024)
+    client = await Client.open(address)
+    request = "c=read,t=team,d=1500"
+    assert await client.ask(resp("PING")) == b"PONG"  # it has been accepted
+    used = set(map(int, os.listdir(f"/proc/{process.pid}/fd")))
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (min(set(range(1024)) - used), 1024))
+    assert str(await client.ask(resp("SVC.QUERY", CUSTOMER, "a1", request))).startswith("-BUSY")
+    await said(process, b"out of descriptors")
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (1024, 1024))
+    answer, number = None, 2
+    while answer != b"ok":  # once the backend is tried again
+        answer = await client.ask(resp("SVC.QUERY", CUSTOMER, f"a{number}", request))
+        number += 1
+    process.send_signal(signal.SIGTERM)
+    client.writer.close()
+    assert await process.wait() == 0
--- a/tests/proxy/test_management.py
+++ b/tests/proxy/test_management.py
@@ -8,7 +8,7 @@
 from orchidhatch.proxy import management
 from orchidhatch.proxy.metrics import Figures
 from orchidhatch.proxy.server import GatewayServer
-from tests.sockets import HOST, SETTINGS, Backend, Client, front_door, query, resp, run, value
+from tests.sockets import HOST, SETTINGS, Backend, Client, front_door, query, resp, value
 
 
 def at(gateway: GatewayServer) -> tuple[str, int]:
@@ -54,164 +54,136 @@
         ("GARBAGE", 400),
     ],
 )
-def test_call_has_its_status(line: str, status: int) -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            assert (await call(gateway, line))[0] == status
-            assert (await call(gateway, "GET /healthcheck"))[0] == 200
+async def test_call_has_its_status(line: str, status: int) -> None:
+    async with operated(Backend()) as (gateway, _):
+        assert (await call(gateway, line))[0] == status
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
 
-    run(job())
 
+async def test_head_and_body_are_bounded() -> None:
+    async with operated(Backend()) as (gateway, _):
+        assert (await call(gateway, "GET /stats", f"X: {'x' * 9000}"))[0] == 431
+        for size, status in ((3, 200), (management.MOST_BODY + 1, 413)):
+            more = f"Host: x\r\nContent-Length: {size}\r\n\r\n{'x' * size}"
+            assert (await call(gateway, "POST /backends/s0/maint", more))[0] == status
 
-def test_head_and_body_are_bounded() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            assert (await call(gateway, "GET /stats", f"X: {'x' * 9000}"))[0] == 431
-            for size, status in ((3, 200), (management.MOST_BODY + 1, 413)):
-                more = f"Host: x\r\nContent-Length: {size}\r\n\r\n{'x' * size}"
-                assert (await call(gateway, "POST /backends/s0/maint", more))[0] == status
 
-    run(job())
-
-
-def test_slow_callers_crowd_out_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_slow_callers_crowd_out_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(management, "MOST_CONNECTIONS", 4)
 
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            slow = [await asyncio.open_connection(*at(gateway)) for _ in range(8)]
-            for _, writer in slow:
-                writer.write(b"GET /health")
-            assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            assert len(gateway.management.connections) <= 4
-            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
-                await slow[0][0].readexactly(1)
-            for _, writer in slow:
-                writer.close()
-
-    run(job())
+    async with operated(Backend()) as (gateway, _):
+        slow = [await asyncio.open_connection(*at(gateway)) for _ in range(8)]
+        for _, writer in slow:
+            writer.write(b"GET /health")
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
+        assert len(gateway.management.connections) <= 4
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await slow[0][0].readexactly(1)
+        for _, writer in slow:
+            writer.close()
 
 
-def test_whole_call_must_come_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_whole_call_must_come_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(management, "PATIENCE_S", 0.05)
 
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            reader, writer = await asyncio.open_connection(*at(gateway))
-            writer.write(b"GET /stats HTTP/1.1\r\n")
-            assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
-            writer.close()
-
-    run(job())
+    async with operated(Backend()) as (gateway, _):
+        reader, writer = await asyncio.open_connection(*at(gateway))
+        writer.write(b"GET /stats HTTP/1.1\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 408 ")
+        writer.close()
 
 
 def test_label_is_escaped_and_zeros_show() -> None:
     assert 'proxy_errored_total{group="a\\"\\\\\\n"} 0\n' in Figures(['a"\\\n']).text()
 
 
-def test_figures_count_since_the_start() -> None:
+async def test_figures_count_since_the_start() -> None:
     answers = {b"a1": value(b"ok"), b"a2": b"-BUSY\r\n", b"a3": b"-ERR failed\r\n"}
 
-    async def job() -> None:
-        backend = Backend(lambda words: answers.get(words[2]))
-        changes = {"max_attempts": 1, "parallel_tries": False}
-        async with operated(backend, settings=replace(SETTINGS, **changes)) as (gateway, address):
-            client = await Client.open(address)
-            assert (await figures(gateway))['proxy_answered_total{group="read"}'] == 0
-            for name in answers:
-                await client.ask(query(name.decode()))
-            gateway.requests.tally.clear()  # as the log does
-            assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
-            client.send(query("a4"))
-            while len(backend.commands) < 4:
-                backend.came.clear()
-                await backend.came.wait()
-            found = await figures(gateway)
-            ended = {
-                how: found[f'proxy_{how}_total{{group="read"}}']
-                for how in ("answered", "deferred", "errored")
-            }
-            # read-like: what failed may be asked again, and is refused rather than failed
-            assert ended["answered"] == 1 and ended["deferred"] + ended["errored"] == 2
-            assert found["proxy_sends_total"] == 4 and found["proxy_current"] == 1
-            assert found["proxy_cluster_size"] == 1 and found['proxy_answered_total{group="book"}'] == 0
-
-    run(job())
-
-
-def test_backend_left_out_gets_nothing_until_taken_back() -> None:
-    async def job() -> None:
-        backends = [Backend(), Backend()]
-        async with operated(*backends) as (gateway, address):
-            client = await Client.open(address)
-            for _ in range(2):  # a repeat is a yes
-                assert (await call(gateway, "POST /backends/s0/maint"))[0] == 200
-            assert (await figures(gateway))["proxy_cluster_unhealthy"] == 1
-            for number in range(20):
-                assert await client.ask(query(f"a{number}")) == b"ok"
-            assert not backends[0].commands and len(backends[1].commands) == 20
-            assert (await call(gateway, "POST /backends/s0/ready"))[0] == 200
-            number = 20
-            while not backends[0].commands:
-                assert await client.ask(query(f"a{number}")) == b"ok"
-                number += 1
-
-    run(job())
-
-
-def test_backend_left_out_loses_what_waits_for_a_connection() -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with operated(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            pool = gateway.backends.pools["s0"]
-            while not pool.waiting:
-                await asyncio.sleep(0)
-            gateway.management_handlers.begin_maintenance("s0")
-            assert not pool.waiting
-            client.writer.close()
-            while pool.connecting or pool.connections:
-                await asyncio.sleep(0.01)
-            assert not backend.commands
-
-    run(job())
-
-
-def test_drain_by_call_and_back() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            idle, kept = [await Client.open(address) for _ in range(2)]
-            assert await idle.ask(query("a1")) == b"ok"
-            assert (await call(gateway, "POST /healthcheck/fail"))[0] == 200
-            assert str(await kept.ask(resp("PING"))).startswith("-ERR")
-            assert (await call(gateway, "GET /healthcheck"))[0] == 503
-            late = await Client.open(address)
-            assert await late.ask(query("a2")) == b"ok"
-            for client in (idle, kept, late):
-                assert await client.ended()
-            last = await Client.open(address)
-            assert str(await last.ask(resp("PING"))).startswith("-ERR") and await last.ended()
-            assert (await call(gateway, "POST /healthcheck/ok"))[0] == 200
-            again = await Client.open(address)
-            assert await again.ask(resp("PING")) == b"PONG"
-            assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            assert await again.ask(query("a3")) == b"ok"
-            assert await again.ask(query("a4")) == b"ok"
-
-    run(job())
-
-
-def test_nothing_calls_back_a_program_that_ends() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            client = await Client.open(address)
-            drain = asyncio.create_task(gateway.drain())
+    backend = Backend(lambda words: answers.get(words[2]))
+    changes = {"max_attempts": 1, "parallel_tries": False}
+    async with operated(backend, settings=replace(SETTINGS, **changes)) as (gateway, address):
+        client = await Client.open(address)
+        assert (await figures(gateway))['proxy_answered_total{group="read"}'] == 0
+        for name in answers:
+            await client.ask(query(name.decode()))
+        gateway.requests.tally.clear()  # as the log does
+        assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
+        client.send(query("a4"))
+        while len(backend.commands) < 4:
+            backend.came.clear()
+            await backend.came.wait()
+        found = await figures(gateway)
+        ended = {
+            how: found[f'proxy_{how}_total{{group="read"}}'] for how in ("answered", "deferred", "errored")
+        }
+        # read-like: what failed may be asked again, and is refused rather than failed
+        assert ended["answered"] == 1 and ended["deferred"] + ended["errored"] == 2
+        assert found["proxy_sends_total"] == 4 and found["proxy_current"] == 1
+        assert found["proxy_cluster_size"] == 1 and found['proxy_answered_total{group="book"}'] == 0
+
+
+async def test_backend_left_out_gets_nothing_until_taken_back() -> None:
+    backends = [Backend(), Backend()]
+    async with operated(*backends) as (gateway, address):
+        client = await Client.open(address)
+        for _ in range(2):  # a repeat is a yes
+            assert (await call(gateway, "POST /backends/s0/maint"))[0] == 200
+        assert (await figures(gateway))["proxy_cluster_unhealthy"] == 1
+        for number in range(20):
+            assert await client.ask(query(f"a{number}")) == b"ok"
+        assert not backends[0].commands and len(backends[1].commands) == 20
+        assert (await call(gateway, "POST /backends/s0/ready"))[0] == 200
+        number = 20
+        while not backends[0].commands:
+            assert await client.ask(query(f"a{number}")) == b"ok"
+            number += 1
+
+
+async def test_backend_left_out_loses_what_waits_for_a_connection() -> None:
+    backend = Backend()
+    async with operated(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        pool = gateway.backends.pools["s0"]
+        while not pool.waiting:
             await asyncio.sleep(0)
-            assert str(await client.ask(resp("PING"))).startswith("-ERR")
-            assert (await call(gateway, "POST /healthcheck/ok"))[0] == 409
-            assert (await call(gateway, "GET /healthcheck"))[0] == 503
+        gateway.management_handlers.begin_maintenance("s0")
+        assert not pool.waiting
+        client.writer.close()
+        while pool.connecting or pool.connections:
+            await asyncio.sleep(0.01)
+        assert not backend.commands
+
+
+async def test_drain_by_call_and_back() -> None:
+    async with operated(Backend()) as (gateway, address):
+        idle, kept = [await Client.open(address) for _ in range(2)]
+        assert await idle.ask(query("a1")) == b"ok"
+        assert (await call(gateway, "POST /healthcheck/fail"))[0] == 200
+        assert str(await kept.ask(resp("PING"))).startswith("-ERR")
+        assert (await call(gateway, "GET /healthcheck"))[0] == 503
+        late = await Client.open(address)
+        assert await late.ask(query("a2")) == b"ok"
+        for client in (idle, kept, late):
             assert await client.ended()
-            await drain
-
-    run(job())
+        last = await Client.open(address)
+        assert str(await last.ask(resp("PING"))).startswith("-ERR") and await last.ended()
+        assert (await call(gateway, "POST /healthcheck/ok"))[0] == 200
+        again = await Client.open(address)
+        assert await again.ask(resp("PING")) == b"PONG"
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
+        assert await again.ask(query("a3")) == b"ok"
+        assert await again.ask(query("a4")) == b"ok"
+
+
+async def test_nothing_calls_back_a_program_that_ends() -> None:
+    async with operated(Backend()) as (gateway, address):
+        client = await Client.open(address)
+        drain = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(0)
+        assert str(await client.ask(resp("PING"))).startswith("-ERR")
+        assert (await call(gateway, "POST /healthcheck/ok"))[0] == 409
+        assert (await call(gateway, "GET /healthcheck"))[0] == 503
+        assert await client.ended()
+        await drain
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -27,117 +27,93 @@
 )
 
 
-def test_value_goes_through_byte_for_byte() -> None:
-    async def job() -> None:
-        body = bytes(range(256)) * 256  # 64 KiB, with line ends and nulls in it
-        backend = Backend(lambda words: value(body))
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            assert await client.ask(submit("a1", body=body)) == body
-            assert backend.commands[0][4] == body
-
-    run(job())
-
-
-def test_only_the_time_is_rewritten() -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            fields = "c=settle,r=1,kd=7,d=3000,t=team,k=5c0f,new=1,units=2,spread=2,first=1"
-            assert await client.ask(resp("SVC.SUBMIT", CUSTOMER, "a1", fields, "B")) == b"ok"
-            name, customer, request_id, sent, body = backend.commands[0]
-            assert (name, customer, request_id, body) == (b"SVC.SUBMIT", CUSTOMER.encode(), b"a1", b"B")
-            head, _, tail = fields.partition("d=3000")
-            assert sent.startswith(head.encode()) and sent.endswith(tail.encode())
-            assert 2000 < int(sent.decode().removeprefix(head).removesuffix(tail)[2:]) < 3000
-
-    run(job())
-
-
-def test_backends_refusal_never_passes_through() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: b"-BUSY 123456\r\n")
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            assert await client.ask(submit("a1")) == "-BUSY 750"
-            assert len(backend.commands) == SETTINGS.max_attempts  # it is known that none of them ran
-
-    run(job())
+async def test_value_goes_through_byte_for_byte() -> None:
+    body = bytes(range(256)) * 256  # 64 KiB, with line ends and nulls in it
+    backend = Backend(lambda words: value(body))
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        assert await client.ask(submit("a1", body=body)) == body
+        assert backend.commands[0][4] == body
+
+
+async def test_only_the_time_is_rewritten() -> None:
+    backend = Backend()
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        fields = "c=settle,r=1,kd=7,d=3000,t=team,k=5c0f,new=1,units=2,spread=2,first=1"
+        assert await client.ask(resp("SVC.SUBMIT", CUSTOMER, "a1", fields, "B")) == b"ok"
+        name, customer, request_id, sent, body = backend.commands[0]
+        assert (name, customer, request_id, body) == (b"SVC.SUBMIT", CUSTOMER.encode(), b"a1", b"B")
+        head, _, tail = fields.partition("d=3000")
+        assert sent.startswith(head.encode()) and sent.endswith(tail.encode())
+        assert 2000 < int(sent.decode().removeprefix(head).removesuffix(tail)[2:]) < 3000
+
+
+async def test_backends_refusal_never_passes_through() -> None:
+    backend = Backend(lambda words: b"-BUSY 123456\r\n")
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        assert await client.ask(submit("a1")) == "-BUSY 750"
+        assert len(backend.commands) == SETTINGS.max_attempts  # it is known that none of them ran
 
 
 ODD_ANSWERS = [b"-ERR failed util=0.5\r\n", b"-ODD\r\n", b"", b"$-1\r\n", b"+OK\r\n", b"?"]
 
 
 @pytest.mark.parametrize("answer", ODD_ANSWERS)
-def test_unsafe_request_that_may_have_run_is_sent_once(answer: bytes) -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: answer)
-        async with front_door(backend) as (_, address):
-            client = await Client.open(address)
-            assert await client.ask(submit("a1")) == "-ERR failed"
-            assert len(backend.commands) == 1
-
-    run(job())
-
-
-def test_unsafe_request_goes_on_where_nobody_listens() -> None:
-    async def job() -> None:
-        backend = Backend()
-        dead = [refusing_address() for _ in range(6)]
-        async with front_door(backend, addresses=dead, settings=replace(SETTINGS, max_attempts=9)) as (_, at):
-            client = await Client.open(at)
-            assert await client.ask(submit("a1")) == b"ok"
-
-    run(job())
-
-
-def test_answer_comes_before_the_clients_time_and_only_once() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(submit("a1", wait_ms=300))
-            while "a1" not in gateway.requests.open:
-                await asyncio.sleep(0)
-            # Its timer ends it at the latest, should the core not do so before.
-            exchange = gateway.requests.open["a1"]
-            assert exchange.timer.when() < exchange.came_us / 1e6 + 0.3
-            assert await client.answer() == "-ERR failed"
-            await backend.left.wait()  # the attempt was given up by closing its connection
-            assert await client.ask(resp("PING")) == b"PONG"  # nothing else came in between
-            requests = gateway.requests
-            assert not requests.open and not requests.ended and requests.held_bytes == 0
-
-    run(job())
-
-
-def test_client_that_leaves_ends_its_attempt() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1"))
-            await backend.came.wait()
-            client.writer.close()
-            await backend.left.wait()
-            assert not gateway.requests.open and not gateway.core.jobs
-
-    run(job())
-
-
-def test_same_id_twice_is_an_error_and_the_first_goes_on() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (_, address):
-            client, other = await Client.open(address), await Client.open(address)
-            client.send(query("a1"))
-            await backend.came.wait()
-            assert await other.ask(query("a1")) == "-ERR this id is in use"
-            backend.writers[0].write(value(b"late"))
-            assert await client.answer() == b"late"
-
-    run(job())
+async def test_unsafe_request_that_may_have_run_is_sent_once(answer: bytes) -> None:
+    backend = Backend(lambda words: answer)
+    async with front_door(backend) as (_, address):
+        client = await Client.open(address)
+        assert await client.ask(submit("a1")) == "-ERR failed"
+        assert len(backend.commands) == 1
+
+
+async def test_unsafe_request_goes_on_where_nobody_listens() -> None:
+    backend = Backend()
+    dead = [refusing_address() for _ in range(6)]
+    async with front_door(backend, addresses=dead, settings=replace(SETTINGS, max_attempts=9)) as (_, at):
+        client = await Client.open(at)
+        assert await client.ask(submit("a1")) == b"ok"
+
+
+async def test_answer_comes_before_the_clients_time_and_only_once() -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(submit("a1", wait_ms=300))
+        while "a1" not in gateway.requests.open:
+            await asyncio.sleep(0)
+        # Its timer ends it at the latest, should the core not do so before.
+        exchange = gateway.requests.open["a1"]
+        assert exchange.timer.when() < exchange.came_us / 1e6 + 0.3
+        assert await client.answer() == "-ERR failed"
+        await backend.left.wait()  # the attempt was given up by closing its connection
+        assert await client.ask(resp("PING")) == b"PONG"  # nothing else came in between
+        requests = gateway.requests
+        assert not requests.open and not requests.ended and requests.held_bytes == 0
+
+
+async def test_client_that_leaves_ends_its_attempt() -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await backend.came.wait()
+        client.writer.close()
+        await backend.left.wait()
+        assert not gateway.requests.open and not gateway.core.jobs
+
+
+async def test_same_id_twice_is_an_error_and_the_first_goes_on() -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (_, address):
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(query("a1"))
+        await backend.came.wait()
+        assert await other.ask(query("a1")) == "-ERR this id is in use"
+        backend.writers[0].write(value(b"late"))
+        assert await client.answer() == b"late"
 
 
 def test_exception_of_the_module_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
@@ -171,21 +147,18 @@
     assert "left without an answer" in caplog.text
 
 
-def test_attempt_for_a_request_that_is_over_is_moot() -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            seen: list[i.Event] = []
-            gateway.core.handle = lambda now, event: seen.append(event) or []
-            gateway.requests.send(i.Send("a1", "s0"))
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            assert [event.result for event in seen if isinstance(event, i.Outcome)] == [i.Result.MOOT]
-            assert len(backend.commands) == 1
-
-    run(job())
+async def test_attempt_for_a_request_that_is_over_is_moot() -> None:
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        seen: list[i.Event] = []
+        gateway.core.handle = lambda now, event: seen.append(event) or []
+        gateway.requests.send(i.Send("a1", "s0"))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert [event.result for event in seen if isinstance(event, i.Outcome)] == [i.Result.MOOT]
+        assert len(backend.commands) == 1
 
 
 def test_timers_are_never_early_and_events_of_a_moment_share_one_time() -> None:
@@ -221,55 +194,49 @@
     run(job())
 
 
-def test_drain_serves_what_still_comes_and_answers_all() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None if words[2] == b"slow" else value(b"ok"))
-        async with front_door(backend) as (gateway, address):
-            idle, busy = await Client.open(address), await Client.open(address)
-            assert await idle.ask(resp("PING")) == b"PONG"
-            busy.send(query("slow"))
-            await backend.came.wait()
-            draining = asyncio.create_task(gateway.drain())
-            await asyncio.sleep(0)
-            late = await Client.open(address)
-            assert await late.ask(query("new")) == b"ok"
-            assert await idle.ask(query("kept")) == b"ok"
-            assert await idle.ended() and await late.ended()  # between requests
-            assert not draining.done()
-            backend.writers[0].write(value(b"at last"))
-            assert await busy.answer() == b"at last"
-            assert await busy.ended()
-            await draining
-
-    run(job())
-
-
-def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_drain_serves_what_still_comes_and_answers_all() -> None:
+    backend = Backend(lambda words: None if words[2] == b"slow" else value(b"ok"))
+    async with front_door(backend) as (gateway, address):
+        idle, busy = await Client.open(address), await Client.open(address)
+        assert await idle.ask(resp("PING")) == b"PONG"
+        busy.send(query("slow"))
+        await backend.came.wait()
+        draining = asyncio.create_task(gateway.drain())
+        await asyncio.sleep(0)
+        late = await Client.open(address)
+        assert await late.ask(query("new")) == b"ok"
+        assert await idle.ask(query("kept")) == b"ok"
+        assert await idle.ended() and await late.ended()  # between requests
+        assert not draining.done()
+        backend.writers[0].write(value(b"at last"))
+        assert await busy.answer() == b"at last"
+        assert await busy.ended()
+        await draining
+
+
+async def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(process_lifecycle, "SETTLE_S", 0.0)
     monkeypatch.setattr(process_lifecycle, "DRAIN_LOOK_S", 0.1)
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            busy = await Client.open(address)
-            busy.send(submit("a1"))
-            await backend.came.wait()
-            draining = asyncio.create_task(gateway.drain())
-            while not gateway.clients.draining:
-                await asyncio.sleep(0)
-            client = await Client.open(address)
-            backend.came.clear()
-            client.send(submit("a2"))
-            await backend.came.wait()
-            backend.writers[0].write(value(b"first"))
-            assert await busy.answer() == b"first"
-            await asyncio.sleep(0.3)  # what is open is waited for, however long the rest may take
-            assert not draining.done()
-            backend.writers[1].write(value(b"at last"))
-            assert await client.answer() == b"at last"
-            await draining
-
-    run(job())
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        busy = await Client.open(address)
+        busy.send(submit("a1"))
+        await backend.came.wait()
+        draining = asyncio.create_task(gateway.drain())
+        while not gateway.clients.draining:
+            await asyncio.sleep(0)
+        client = await Client.open(address)
+        backend.came.clear()
+        client.send(submit("a2"))
+        await backend.came.wait()
+        backend.writers[0].write(value(b"first"))
+        assert await busy.answer() == b"first"
+        await asyncio.sleep(0.3)  # what is open is waited for, however long the rest may take
+        assert not draining.done()
+        backend.writers[1].write(value(b"at last"))
+        assert await client.answer() == b"at last"
+        await draining
 
 
 def test_action_that_cannot_be_carried_out_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
@@ -292,56 +259,47 @@
     assert "cannot carry out" in caplog.text
 
 
-def test_figures_for_those_on_call(caplog: pytest.LogCaptureFixture) -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            with caplog.at_level(logging.INFO, logger="orchidhatch.proxy.periodic_log"):
-                gateway.periodic_log.write()
-                gateway.periodic_log.write()
-        first, second = (record.getMessage() for record in caplog.records if "longest batch" in record.msg)
-        assert first.startswith("asked=1 ok=1;") and first.endswith("to backends 1: opened=1")
-        assert second.startswith("idle;")
-
-    run(job())
-
-
-def test_who_asks_nothing_or_stops_amid_a_command_is_let_go() -> None:
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend) as (gateway, address):
-            now_s = 100.0
-            gateway.clients.clock = lambda: now_s
-            silent, amid, later, good = [await Client.open(address) for _ in range(4)]
-            amid.send(query("a1")[:20])
-            silent.send(b"*0\r\n")  # asks nothing either
-            for number, client in enumerate((later, good)):
-                assert await client.ask(query(f"b{number}")) == b"ok"
-            later.send(query("b2")[:-1])
-            while [len(one.reader.buffer) > 0 for one in gateway.clients.connections].count(True) < 2:
-                await asyncio.sleep(0.001)
-            now_s += PATIENCE_S
-            assert await silent.ended()
-            for client in (amid, later):
-                assert await client.answer() == "-ERR no whole command came in time"
-                assert await client.ended()
-            assert await good.ask(query("b3")) == b"ok"
-
-    run(job())
-
-
-def test_backend_listed_by_a_name_is_passed_over_and_said(caplog: pytest.LogCaptureFixture) -> None:
+async def test_figures_for_those_on_call(caplog: pytest.LogCaptureFixture) -> None:
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        with caplog.at_level(logging.INFO, logger="orchidhatch.proxy.periodic_log"):
+            gateway.periodic_log.write()
+            gateway.periodic_log.write()
+    first, second = (record.getMessage() for record in caplog.records if "longest batch" in record.msg)
+    assert first.startswith("asked=1 ok=1;") and first.endswith("to backends 1: opened=1")
+    assert second.startswith("idle;")
+
+
+async def test_who_asks_nothing_or_stops_amid_a_command_is_let_go() -> None:
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        now_s = 100.0
+        gateway.clients.clock = lambda: now_s
+        silent, amid, later, good = [await Client.open(address) for _ in range(4)]
+        amid.send(query("a1")[:20])
+        silent.send(b"*0\r\n")  # asks nothing either
+        for number, client in enumerate((later, good)):
+            assert await client.ask(query(f"b{number}")) == b"ok"
+        later.send(query("b2")[:-1])
+        while [len(one.reader.buffer) > 0 for one in gateway.clients.connections].count(True) < 2:
+            await asyncio.sleep(0.001)
+        now_s += PATIENCE_S
+        assert await silent.ended()
+        for client in (amid, later):
+            assert await client.answer() == "-ERR no whole command came in time"
+            assert await client.ended()
+        assert await good.ask(query("b3")) == b"ok"
+
+
+async def test_backend_listed_by_a_name_is_passed_over_and_said(caplog: pytest.LogCaptureFixture) -> None:
     """There is no DNS: a look-up would keep a thread, and an attempt, for as long as it takes to fail."""
 
-    async def job() -> None:
-        backend = Backend()
-        async with front_door(backend, addresses=[("evil", 1), ("", 1), ("127.1", 1)]) as (gateway, address):
-            client = await Client.open(address)
-            for number in range(8):
-                assert await client.ask(query(f"a{number}")) == b"ok"
-            assert len(backend.commands) == 8 and list(gateway.backends.pools) == ["s3"]
-            assert caplog.text.count("is no IPv4 address") + caplog.text.count("is not an address") == 3
-
-    run(job())
+    backend = Backend()
+    async with front_door(backend, addresses=[("evil", 1), ("", 1), ("127.1", 1)]) as (gateway, address):
+        client = await Client.open(address)
+        for number in range(8):
+            assert await client.ask(query(f"a{number}")) == b"ok"
+        assert len(backend.commands) == 8 and list(gateway.backends.pools) == ["s3"]
+        assert caplog.text.count("is no IPv4 address") + caplog.text.count("is not an address") == 3
--- a/tests/proxy/test_wait_queues.py
+++ b/tests/proxy/test_wait_queues.py
@@ -29,7 +29,6 @@
     front_door,
     query,
     resp,
-    run,
     submit,
     value,
 )
@@ -66,30 +65,27 @@
     assert found['proxy_wait_seconds_count{place="x"}'] == 6
 
 
-def test_every_place_is_shown() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            client = await Client.open(address)
-            assert await client.ask(query("a1")) == b"ok"
-            found = samples((await call(gateway, "GET /metrics"))[1])
-            for place in (
-                "unread",
-                "partial",
-                "held",
-                "connecting",
-                "backend",
-                "unsent_bytes",
-                "peers",
-                "management",
-            ):
-                assert found[f'proxy_waiting{{place="{place}"}}'] <= 1
-                assert f'proxy_waiting_bound{{place="{place}"}}' in found
-                assert f'proxy_waiting_oldest_seconds{{place="{place}"}}' in found
-                assert found[f'proxy_turned_away_total{{place="{place}"}}'] == 0
-            for place in ("held", "connecting", "backend"):
-                assert found[f'proxy_wait_seconds_count{{place="{place}"}}'] == 1
-
-    run(job())
+async def test_every_place_is_shown() -> None:
+    async with operated(Backend()) as (gateway, address):
+        client = await Client.open(address)
+        assert await client.ask(query("a1")) == b"ok"
+        found = samples((await call(gateway, "GET /metrics"))[1])
+        for place in (
+            "unread",
+            "partial",
+            "held",
+            "connecting",
+            "backend",
+            "unsent_bytes",
+            "peers",
+            "management",
+        ):
+            assert found[f'proxy_waiting{{place="{place}"}}'] <= 1
+            assert f'proxy_waiting_bound{{place="{place}"}}' in found
+            assert f'proxy_waiting_oldest_seconds{{place="{place}"}}' in found
+            assert found[f'proxy_turned_away_total{{place="{place}"}}'] == 0
+        for place in ("held", "connecting", "backend"):
+            assert found[f'proxy_wait_seconds_count{{place="{place}"}}'] == 1
 
 
 def test_figures_of_no_line_are_still_a_page() -> None:
@@ -99,59 +95,50 @@
 # --- clients: what they write and do not read ---
 
 
-def test_client_that_writes_many_commands_is_read_no_further() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(b"".join(query(f"a{n}") for n in range(3 * MOST_PIPELINED)))
-            await until(lambda: line(gateway, "unread").depth)
-            assert line(gateway, "held").depth + len(backend.commands) <= 3 * MOST_PIPELINED
-            backend.answer = lambda words: value(b"ok")
-            for _ in range(len(backend.commands)):
-                backend.writers.pop().write(value(b"ok"))
-            while total(line(gateway, "unread").waits) == 0:
-                for writer in backend.writers:
-                    writer.write(value(b"ok"))
-                backend.writers.clear()
-                await asyncio.sleep(0.001)
-            client.writer.close()
-
-    run(job())
-
-
-def test_one_client_more_than_there_is_room_for_costs_the_one_idle_longest() -> None:
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            gateway.clients.most = 2
-            first, second, third = [await Client.open(address) for _ in range(3)]
-            assert await first.ended()
-            assert await third.ask(query("a1")) == b"ok" and await second.ask(query("a2")) == b"ok"
-            found = line(gateway, "unread")
-            assert (found.turned, found.bound) == (1, 2)
-
-    run(job())
-
-
-def test_half_a_command_is_waited_for_only_so_long() -> None:
-    async def job() -> None:
-        async with front_door(Backend()) as (gateway, address):
-            now = [100.0]
-            gateway.clients.clock = lambda: now[0]
-            slow, quick = await Client.open(address), await Client.open(address)
-            slow.send(query("a1")[:20])
-            quick.send(query("a2")[:20])
-            await until(lambda: line(gateway, "partial").depth == 2)
-            now[0] += PATIENCE_S / 2
-            assert line(gateway, "partial").oldest_us == pytest.approx(PATIENCE_S / 2 * 1e6)
-            assert await quick.ask(query("a2")[20:]) == b"ok"
-            assert total(line(gateway, "partial").waits) == 1
-            now[0] += PATIENCE_S
-            gateway.clients.sweep()
-            assert await slow.answer() == "-ERR no whole command came in time" and await slow.ended()
-            assert line(gateway, "partial").turned == 1
-
-    run(job())
+async def test_client_that_writes_many_commands_is_read_no_further() -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(b"".join(query(f"a{n}") for n in range(3 * MOST_PIPELINED)))
+        await until(lambda: line(gateway, "unread").depth)
+        assert line(gateway, "held").depth + len(backend.commands) <= 3 * MOST_PIPELINED
+        backend.answer = lambda words: value(b"ok")
+        for _ in range(len(backend.commands)):
+            backend.writers.pop().write(value(b"ok"))
+        while total(line(gateway, "unread").waits) == 0:
+            for writer in backend.writers:
+                writer.write(value(b"ok"))
+            backend.writers.clear()
+            await asyncio.sleep(0.001)
+        client.writer.close()
+
+
+async def test_one_client_more_than_there_is_room_for_costs_the_one_idle_longest() -> None:
+    async with front_door(Backend()) as (gateway, address):
+        gateway.clients.most = 2
+        first, second, third = [await Client.open(address) for _ in range(3)]
+        assert await first.ended()
+        assert await third.ask(query("a1")) == b"ok" and await second.ask(query("a2")) == b"ok"
+        found = line(gateway, "unread")
+        assert (found.turned, found.bound) == (1, 2)
+
+
+async def test_half_a_command_is_waited_for_only_so_long() -> None:
+    async with front_door(Backend()) as (gateway, address):
+        now = [100.0]
+        gateway.clients.clock = lambda: now[0]
+        slow, quick = await Client.open(address), await Client.open(address)
+        slow.send(query("a1")[:20])
+        quick.send(query("a2")[:20])
+        await until(lambda: line(gateway, "partial").depth == 2)
+        now[0] += PATIENCE_S / 2
+        assert line(gateway, "partial").oldest_us == pytest.approx(PATIENCE_S / 2 * 1e6)
+        assert await quick.ask(query("a2")[20:]) == b"ok"
+        assert total(line(gateway, "partial").waits) == 1
+        now[0] += PATIENCE_S
+        gateway.clients.sweep()
+        assert await slow.answer() == "-ERR no whole command came in time" and await slow.ended()
+        assert line(gateway, "partial").turned == 1
 
 
 def flood(count: int) -> bytes:
@@ -175,85 +162,73 @@
     return reader
 
 
-def test_client_that_never_reads_is_cut_at_last() -> None:
-    async def job() -> None:
-        async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (gateway, address):
-            now = [100.0]
-            gateway.clients.clock = lambda: now[0]
-            client = await clogged(gateway, address)
-            now[0] += STALL_S - 1
-            gateway.clients.sweep()
-            found = line(gateway, "unsent_bytes")
-            assert found.turned == 0 and found.oldest_us >= (STALL_S - 1) * 1e6
-            now[0] += 2
-            gateway.clients.sweep()
-            await until(lambda: not gateway.clients.connections)
-            found = line(gateway, "unsent_bytes")
-            assert (found.turned, found.depth) == (1, 0)
-            client.raw.close()
-
-    run(job())
-
-
-def test_the_client_that_took_nothing_longest_goes_first_when_too_much_waits() -> None:
-    async def job() -> None:
-        async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (gateway, address):
-            client = await clogged(gateway, address)
-            gateway.clients.pool = gateway.clients.unsent  # as much as may wait, and no more
-            gateway.clients.sweep()
-            assert line(gateway, "unsent_bytes").turned == 0
-            gateway.clients.pool = gateway.clients.unsent // SHED_POOLS - 1
-            gateway.clients.sweep()
-            await until(lambda: not gateway.clients.connections)
-            found = line(gateway, "unsent_bytes")
-            assert found.turned == 1 and found.depth == 0
-            other = await Client.open(address)
-            assert await other.ask(query("a1")) == b"v" * 60_000
-            client.raw.close()
-
-    run(job())
+async def test_client_that_never_reads_is_cut_at_last() -> None:
+    async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (gateway, address):
+        now = [100.0]
+        gateway.clients.clock = lambda: now[0]
+        client = await clogged(gateway, address)
+        now[0] += STALL_S - 1
+        gateway.clients.sweep()
+        found = line(gateway, "unsent_bytes")
+        assert found.turned == 0 and found.oldest_us >= (STALL_S - 1) * 1e6
+        now[0] += 2
+        gateway.clients.sweep()
+        await until(lambda: not gateway.clients.connections)
+        found = line(gateway, "unsent_bytes")
+        assert (found.turned, found.depth) == (1, 0)
+        client.raw.close()
+
+
+async def test_the_client_that_took_nothing_longest_goes_first_when_too_much_waits() -> None:
+    async with front_door(Backend(lambda words: value(b"v" * 60_000))) as (gateway, address):
+        client = await clogged(gateway, address)
+        gateway.clients.pool = gateway.clients.unsent  # as much as may wait, and no more
+        gateway.clients.sweep()
+        assert line(gateway, "unsent_bytes").turned == 0
+        gateway.clients.pool = gateway.clients.unsent // SHED_POOLS - 1
+        gateway.clients.sweep()
+        await until(lambda: not gateway.clients.connections)
+        found = line(gateway, "unsent_bytes")
+        assert found.turned == 1 and found.depth == 0
+        other = await Client.open(address)
+        assert await other.ask(query("a1")) == b"v" * 60_000
+        client.raw.close()
 
 
 # --- requests: held, on their way, at a backend ---
 
 
-def test_request_beyond_those_that_may_be_open_is_told_to_come_again_at_once() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with operated(backend, max_open=3) as (gateway, address):
-            client, other = await Client.open(address), await Client.open(address)
-            client.send(flood(3))
-            await until(lambda: len(gateway.requests.open) == 3)
-            assert str(await other.ask(query("a1"))).startswith("-BUSY ")
-            found = line(gateway, "held")
-            assert (found.turned, found.bound) == (1, 3)
-            metrics = samples((await call(gateway, "GET /metrics"))[1])
-            assert metrics['proxy_unserved_total{reason="crowded"}'] == 1
-            assert metrics['proxy_deferred_total{group="read"}'] == 1
-            client.writer.close()
-            await until(lambda: not gateway.requests.open and not gateway.core.open)
-            backend.answer = lambda words: value(b"ok")
-            assert await other.ask(query("a2")) == b"ok"
-
-    run(job())
-
-
-def test_what_open_requests_hold_is_bounded_by_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+async def test_request_beyond_those_that_may_be_open_is_told_to_come_again_at_once() -> None:
+    backend = Backend(lambda words: None)
+    async with operated(backend, max_open=3) as (gateway, address):
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(flood(3))
+        await until(lambda: len(gateway.requests.open) == 3)
+        assert str(await other.ask(query("a1"))).startswith("-BUSY ")
+        found = line(gateway, "held")
+        assert (found.turned, found.bound) == (1, 3)
+        metrics = samples((await call(gateway, "GET /metrics"))[1])
+        assert metrics['proxy_unserved_total{reason="crowded"}'] == 1
+        assert metrics['proxy_deferred_total{group="read"}'] == 1
+        client.writer.close()
+        await until(lambda: not gateway.requests.open and not gateway.core.open)
+        backend.answer = lambda words: value(b"ok")
+        assert await other.ask(query("a2")) == b"ok"
+
+
+async def test_what_open_requests_hold_is_bounded_by_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(process_limits, "MIN_COMMAND_BYTES", 100_000)
 
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend, memory_mb=32) as (gateway, address):
-            client, other = await Client.open(address), await Client.open(address)
-            client.send(submit("f1", body=b"B" * 60_000))
-            await until(lambda: gateway.requests.open)
-            assert str(await other.ask(submit("a1", body=b"B" * 60_000))).startswith("-BUSY ")
-            assert gateway.requests.held_bytes == gateway.core.open_bytes < 100_000
-            client.writer.close()
-            await until(lambda: not gateway.core.open_bytes)
-            assert gateway.requests.held_bytes == 0
-
-    run(job())
+    backend = Backend(lambda words: None)
+    async with front_door(backend, memory_mb=32) as (gateway, address):
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(submit("f1", body=b"B" * 60_000))
+        await until(lambda: gateway.requests.open)
+        assert str(await other.ask(submit("a1", body=b"B" * 60_000))).startswith("-BUSY ")
+        assert gateway.requests.held_bytes == gateway.core.open_bytes < 100_000
+        client.writer.close()
+        await until(lambda: not gateway.core.open_bytes)
+        assert gateway.requests.held_bytes == 0
 
 
 def test_module_counts_what_is_open_through_every_end() -> None:
@@ -276,57 +251,48 @@
     assert of(i.Refuse, world.ask("c", size=1001))
 
 
-def test_attempt_without_a_connection_to_be_had_is_told_so() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (gateway, address):
-            gateway.backends.most = 1
-            client, other = await Client.open(address), await Client.open(address)
-            client.send(query("a1"))
-            await backend.came.wait()
-            assert str(await other.ask(query("a2"))).startswith("-BUSY ")
-            assert line(gateway, "connecting").turned >= 1 and line(gateway, "connecting").bound == 1
-
-    run(job())
-
-
-def test_attempts_wait_for_a_connection_that_does_not_come_up() -> None:
-    async def job() -> None:
-        with contextlib.ExitStack() as stack:
-            listener = stack.enter_context(socket.socket())
-            listener.bind((HOST, 0))
-            listener.listen(0)
-            for _ in range(3):  # its backlog is full
-                filler = stack.enter_context(socket.socket())
-                filler.setblocking(False)
-                filler.connect_ex(listener.getsockname())
-            dead = [listener.getsockname()]
-            async with front_door(addresses=dead, connect_timeout_us=50_000) as (gateway, at):
-                client = await Client.open(at)
-                client.send(query("a1", wait_ms=400))
-                await until(lambda: line(gateway, "connecting").depth)
-                assert line(gateway, "connecting").oldest_us > 0
-                assert str(await client.answer()).startswith("-BUSY")
-                assert line(gateway, "connecting").depth == 0
-
-    run(job())
-
-
-def test_backend_that_accepts_and_stays_silent_is_waited_for_only_so_long() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with operated(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(query("a1", wait_ms=300))
-            await until(lambda: line(gateway, "backend").depth == 1)
-            assert line(gateway, "backend").oldest_us >= 0
-            assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
-            found = line(gateway, "backend")
-            assert found.turned >= 1 and total(found.waits) >= 1
-            await until(lambda: line(gateway, "backend").depth == 0)
-
-    run(job())
+async def test_attempt_without_a_connection_to_be_had_is_told_so() -> None:
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        gateway.backends.most = 1
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(query("a1"))
+        await backend.came.wait()
+        assert str(await other.ask(query("a2"))).startswith("-BUSY ")
+        assert line(gateway, "connecting").turned >= 1 and line(gateway, "connecting").bound == 1
+
+
+async def test_attempts_wait_for_a_connection_that_does_not_come_up() -> None:
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind((HOST, 0))
+        listener.listen(0)
+        for _ in range(3):  # its backlog is full
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        dead = [listener.getsockname()]
+        async with front_door(addresses=dead, connect_timeout_us=50_000) as (gateway, at):
+            client = await Client.open(at)
+            client.send(query("a1", wait_ms=400))
+            await until(lambda: line(gateway, "connecting").depth)
+            assert line(gateway, "connecting").oldest_us > 0
+            assert str(await client.answer()).startswith("-BUSY")
+            assert line(gateway, "connecting").depth == 0
+
+
+async def test_backend_that_accepts_and_stays_silent_is_waited_for_only_so_long() -> None:
+    backend = Backend(lambda words: None)
+    async with operated(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1", wait_ms=300))
+        await until(lambda: line(gateway, "backend").depth == 1)
+        assert line(gateway, "backend").oldest_us >= 0
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
+        assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
+        found = line(gateway, "backend")
+        assert found.turned >= 1 and total(found.waits) >= 1
+        await until(lambda: line(gateway, "backend").depth == 0)
 
 
 # --- peers, management, log ---
@@ -342,46 +308,40 @@
     assert of(i.Census, world.tell(i.Survey()))[0].words_us >= 50 * MS
 
 
-def test_datagrams_that_the_socket_does_not_take_are_dropped_with_a_count() -> None:
-    async def job() -> None:
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
-            peer.bind((HOST, 0))
-            here = (HOST, 0)
-            async with operated(Backend(), peer_listen=here, peers=(here, peer.getsockname())) as (
-                gateway,
-                _,
-            ):
-                told = i.Tell(1, (i.Word(1, 0, 0, 2),), waited_us=7)
-                gateway.peers.pause_writing()
-                gateway.peers.tell(told)
-                gateway.peers.resume_writing()
-                gateway.peers.tell(told)
-                assert line(gateway, "peers").turned == 1 and total(line(gateway, "peers").waits) == 2
-                at = gateway.peers.transport.get_extra_info("sockname")
-                for data in (b"", b"x", b"\xa1" + b"y" * 300):
-                    peer.sendto(data, at)
-                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
-                    stranger.sendto(b"hello", at)
-                await until(lambda: gateway.peers.malformed >= 2 and gateway.peers.strange == 1)
-                found = samples((await call(gateway, "GET /metrics"))[1])
-                assert found['proxy_datagrams_dropped_total{why="stranger"}'] == 1
-
-    run(job())
-
-
-def test_management_connections_beyond_the_bound_are_counted() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, _):
-            bound = line(gateway, "management").bound
-            at = gateway.management.server.sockets[0].getsockname()
-            slow = [await asyncio.open_connection(*at) for _ in range(round(bound) + 3)]
-            assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            found = line(gateway, "management")
-            assert found.turned >= 3 and found.depth <= bound and total(found.waits) == 1
-            for _, writer in slow:
-                writer.close()
-
-    run(job())
+async def test_datagrams_that_the_socket_does_not_take_are_dropped_with_a_count() -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind((HOST, 0))
+        here = (HOST, 0)
+        async with operated(Backend(), peer_listen=here, peers=(here, peer.getsockname())) as (
+            gateway,
+            _,
+        ):
+            told = i.Tell(1, (i.Word(1, 0, 0, 2),), waited_us=7)
+            gateway.peers.pause_writing()
+            gateway.peers.tell(told)
+            gateway.peers.resume_writing()
+            gateway.peers.tell(told)
+            assert line(gateway, "peers").turned == 1 and total(line(gateway, "peers").waits) == 2
+            at = gateway.peers.transport.get_extra_info("sockname")
+            for data in (b"", b"x", b"\xa1" + b"y" * 300):
+                peer.sendto(data, at)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                stranger.sendto(b"hello", at)
+            await until(lambda: gateway.peers.malformed >= 2 and gateway.peers.strange == 1)
+            found = samples((await call(gateway, "GET /metrics"))[1])
+            assert found['proxy_datagrams_dropped_total{why="stranger"}'] == 1
+
+
+async def test_management_connections_beyond_the_bound_are_counted() -> None:
+    async with operated(Backend()) as (gateway, _):
+        bound = line(gateway, "management").bound
+        at = gateway.management.server.sockets[0].getsockname()
+        slow = [await asyncio.open_connection(*at) for _ in range(round(bound) + 3)]
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
+        found = line(gateway, "management")
+        assert found.turned >= 3 and found.depth <= bound and total(found.waits) == 1
+        for _, writer in slow:
+            writer.close()
 
 
 def test_log_that_nobody_reads_stops_nothing_and_counts_what_it_drops() -> None:
@@ -431,55 +391,46 @@
 FULL_AGAIN = 7  # periods of steps by a fifth, from half to nine of ten
 
 
-def test_one_customers_flood_costs_the_others_nothing() -> None:
-    async def job() -> None:
-        settings = replace(SETTINGS, gateways=1, plans=(i.Plan(rate=5.0, burst=5.0),))
-        async with operated(Backend(), settings=settings) as (gateway, address):
-            rude, polite = await Client.open(address), await Client.open(address)
-            rude.send(flood(100))
-            for n in range(5):
-                words = resp("SVC.QUERY", f"{n + 1:016x}", f"a{n}", "c=read,t=team,d=3000")
-                assert await polite.ask(words) == b"ok"
-                assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            answers = [await rude.answer() for _ in range(100)]
-            assert sum(str(answer).startswith("-BUSY ") for answer in answers) >= 80
-
-    run(job())
-
-
-def test_when_an_overload_ends_nothing_of_it_is_left() -> None:
-    async def job() -> None:
-        backend = Backend(lambda words: None)  # all backends slow at once
-        async with operated(backend) as (gateway, address):
-            client = await Client.open(address)
-            client.send(b"".join(query(f"f{n}", wait_ms=400) for n in range(60)))
-            for _ in range(60):
-                assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
+async def test_one_customers_flood_costs_the_others_nothing() -> None:
+    settings = replace(SETTINGS, gateways=1, plans=(i.Plan(rate=5.0, burst=5.0),))
+    async with operated(Backend(), settings=settings) as (gateway, address):
+        rude, polite = await Client.open(address), await Client.open(address)
+        rude.send(flood(100))
+        for n in range(5):
+            words = resp("SVC.QUERY", f"{n + 1:016x}", f"a{n}", "c=read,t=team,d=3000")
+            assert await polite.ask(words) == b"ok"
             assert (await call(gateway, "GET /healthcheck"))[0] == 200
-            await until(lambda: not gateway.requests.ended)
-            for name in ("unread", "held", "connecting", "backend", "unsent_bytes"):
-                assert line(gateway, name).depth == 0, name
-            assert not gateway.requests.open and gateway.requests.held_bytes == 0 and not gateway.core.jobs
-            backend.answer = lambda words: value(b"ok")
-            number, answer = 0, None
-            while answer != b"ok":
-                answer, number = await client.ask(query(f"a{number}")), number + 1
-
-    run(job())
-
-
-def test_what_is_no_request_is_counted() -> None:
-    async def job() -> None:
-        async with operated(Backend()) as (gateway, address):
-            client, other = await Client.open(address), await Client.open(address)
-            assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
-            assert str(await other.ask(b"GET / HTTP/1.1\r\n")).startswith("-ERR Protocol error")
-            assert await other.ended() and await client.ask(query("a2")) == b"ok"
-            found = samples((await call(gateway, "GET /metrics"))[1])
-            assert found['proxy_malformed_total{what="command"}'] == 1
-            assert found['proxy_malformed_total{what="stream"}'] == 1
+        answers = [await rude.answer() for _ in range(100)]
+        assert sum(str(answer).startswith("-BUSY ") for answer in answers) >= 80
+
 
-    run(job())
+async def test_when_an_overload_ends_nothing_of_it_is_left() -> None:
+    backend = Backend(lambda words: None)  # all backends slow at once
+    async with operated(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(b"".join(query(f"f{n}", wait_ms=400) for n in range(60)))
+        for _ in range(60):
+            assert str(await client.answer()).startswith(("-BUSY", "-ERR"))
+        assert (await call(gateway, "GET /healthcheck"))[0] == 200
+        await until(lambda: not gateway.requests.ended)
+        for name in ("unread", "held", "connecting", "backend", "unsent_bytes"):
+            assert line(gateway, name).depth == 0, name
+        assert not gateway.requests.open and gateway.requests.held_bytes == 0 and not gateway.core.jobs
+        backend.answer = lambda words: value(b"ok")
+        number, answer = 0, None
+        while answer != b"ok":
+            answer, number = await client.ask(query(f"a{number}")), number + 1
+
+
+async def test_what_is_no_request_is_counted() -> None:
+    async with operated(Backend()) as (gateway, address):
+        client, other = await Client.open(address), await Client.open(address)
+        assert await client.ask(query("a1", c="what")) == "-ERR a field is given twice"
+        assert str(await other.ask(b"GET / HTTP/1.1\r\n")).startswith("-ERR Protocol error")
+        assert await other.ended() and await client.ask(query("a2")) == b"ok"
+        found = samples((await call(gateway, "GET /metrics"))[1])
+        assert found['proxy_malformed_total{what="command"}'] == 1
+        assert found['proxy_malformed_total{what="stream"}'] == 1
 
 
 def test_service_comes_back_by_the_mechanisms_steps_after_an_overload() -> None:
