Give the policy leases' requests a route table, and the registry's interface its final names

Need: policy requests were the last that a match statement took apart beside the router, and the interface to the registry was named after former methods. Change: PolicyHandlers adds five routes; handlers decode, call GatewayPolicyLeases, and the response encodes; a refusal is a ConflictError, NotFoundError or UnavailableError with the status of the one mapping. The leases observe the write pipeline themselves, which the class in between is removed for.

--- a/orchidhatch/control/policy/gateway_directory.py
+++ b/orchidhatch/control/policy/gateway_directory.py
@@ -41,7 +41,10 @@
 
     def listed(self) -> list[ListedGateway]:
         """The directory, as replicas copy it."""
-        return [ListedGateway(door.name, door.incarnation, door.zone) for door in self._listed.values()]
+        return [
+            ListedGateway(gateway.name, gateway.incarnation, gateway.zone)
+            for gateway in self._listed.values()
+        ]
 
     def receive(self, name: str, report: PolicyReport) -> None:
         """Keep a report, which also renews the gateway's lease."""
@@ -80,16 +83,16 @@
         """How each listed gateway is."""
         return tuple(map(self._status, self._listed.values()))
 
-    def _status(self, door: Gateway) -> GatewayStatus:
-        age_s = self.age_s(door.name)
+    def _status(self, gateway: Gateway) -> GatewayStatus:
+        age_s = self.age_s(gateway.name)
         age_ms = round(age_s * 1000)
-        report = self.report_of(door.name)
+        report = self.report_of(gateway.name)
         if report is None:
             state = GatewayState.SILENT if age_s <= ABSENT_AFTER_S else GatewayState.ABSENT
-            return GatewayStatus(name=door.name, zone=door.zone, age_ms=age_ms, state=state)
+            return GatewayStatus(name=gateway.name, zone=gateway.zone, age_ms=age_ms, state=state)
         return GatewayStatus(
-            name=door.name,
-            zone=door.zone,
+            name=gateway.name,
+            zone=gateway.zone,
             age_ms=age_ms,
             state=state_by_age(age_s),
             active_digest=report.active_digest,
--- a/orchidhatch/control/policy/lease_host.py
+++ b/orchidhatch/control/policy/lease_host.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from orchidhatch.control.http_connection import Connection
-from orchidhatch.control.http_response import Response
 from orchidhatch.control.ownership.writes import ClaimsWrite
 from orchidhatch.control.registry.store import Store
 
@@ -17,14 +16,20 @@
     def clock(self) -> float:
         """Monotonic seconds."""
 
-    def no_writes(self) -> Response | None:
-        """Why the registry accepts no writes; None where it does."""
+    def may_decide(self) -> bool:
+        """Whether the registry accepts writes, and knows that it was not replaced."""
 
-    def sure(self) -> bool:
-        """Whether its peers were asked recently enough to know that it was not replaced."""
+    def accepts_writes(self) -> bool:
+        """Whether the registry accepts writes."""
 
-    def queue(self, write: ClaimsWrite, connection: Connection | None) -> bool:
-        """Queue a write; its result is the response to the connection, where one is given."""
+    def check_may_renew(self) -> None:
+        """Raise ConflictError or UnavailableError where leases may not be renewed."""
+
+    def enqueue(self, write: ClaimsWrite, connection: Connection) -> None:
+        """Queue a client's write, which is answered with its outcome; may raise ControlError."""
+
+    def enqueue_internal(self, write: ClaimsWrite) -> bool:
+        """Queue a write of the registry itself; whether it is queued."""
 
     async def write_aside(self, writes: Sequence[ClaimsWrite]) -> None:
         """Write what a replica keeps beside the endpoint list; raises StoreError."""
--- a/orchidhatch/control/policy/lease_messages.py
+++ b/orchidhatch/control/policy/lease_messages.py
@@ -1,8 +1,5 @@
 """What gateways' agents and replicas exchange with a registry about policies."""
 
-from typing import Any
-
-import msgspec
 from msgspec import UNSET, Struct, UnsetType, field
 
 from orchidhatch.control.policy.change_record import EndCounts
@@ -57,8 +54,3 @@
 
     records: dict[str, str]
     gateways: list[ListedGateway] = field(name="doors")
-
-
-def encode_message(message: Struct) -> Any:  # noqa: ANN401 - a JSON value
-    """A message as a JSON value."""
-    return msgspec.to_builtins(message)
--- a/orchidhatch/control/policy/leases.py
+++ b/orchidhatch/control/policy/leases.py
@@ -6,34 +6,32 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
-from http import HTTPStatus
+from collections.abc import Callable, Sequence
 
 import msgspec
 
 from orchidhatch.control.controller.stored_json import decode_stored
 from orchidhatch.control.error_signs import OTHER_INCARNATION_SIGN
-from orchidhatch.control.errors import ConflictError, UnavailableError
+from orchidhatch.control.errors import ConflictError, NotFoundError
 from orchidhatch.control.http_client import Address
-from orchidhatch.control.http_connection import Connection
-from orchidhatch.control.http_response import ErrorBody, Response, error_response
 from orchidhatch.control.ownership.claims import EPOCH_COUNT_BITS
 from orchidhatch.control.ownership.objects import Gateway, Record
-from orchidhatch.control.ownership.writes import PutRecord, RemoveGateway
+from orchidhatch.control.ownership.writes import PutRecord
 from orchidhatch.control.policy.change_record import ProposedChange
 from orchidhatch.control.policy.current_decision import CurrentDecision
-from orchidhatch.control.policy.fleet_status import FleetStatus, GatewayState, encode_fleet_status
+from orchidhatch.control.policy.fleet_status import FleetStatus, GatewayState
 from orchidhatch.control.policy.gateway_directory import GatewayDirectory
 from orchidhatch.control.policy.lease_host import LeaseHost
-from orchidhatch.control.policy.lease_messages import PolicyLease, PolicyReport, encode_message
+from orchidhatch.control.policy.lease_messages import PolicyLease, PolicyReport
 from orchidhatch.control.policy.policy_replication import PolicyReplication
 from orchidhatch.control.policy.records import ACTIVATED_RECORD, CHANGE_TASK_RECORD, DECISION_RECORD
 from orchidhatch.control.policy.term_decision import TermDecision
 from orchidhatch.control.policy.timing import ABSENT_AFTER_S, ACTIVATION_DELAY_S, LEASE_S
-from orchidhatch.control.schemas import name, read_gateway_report, read_register_gateway
 
 log = logging.getLogger("orchidhatch.policy")
 
+MAX_QUOTED_NAME_CHARACTERS = 80
+
 
 class GatewayPolicyLeases:
     """The policy leases of one registry's gateways."""
@@ -47,7 +45,7 @@
         self._renewal_count = 0
         self._decision_count = 0
 
-    def begin(self) -> None:
+    def restart(self) -> None:
         """Begin anew with a new term: no gateway has reported anything here yet."""
         self.current_decision.restart()
         self.directory.restart()
@@ -55,61 +53,35 @@
 
     # --- requests ---
 
-    def call(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> bool:
-        """Whether a request is about policies; then it is answered, or waits for the disk."""
-        match method, path:
-            case "POST", ("doors",):
-                self._register(connection, body)
-            case "POST", ("doors", gateway, "renew"):
-                report = msgspec.convert(read_gateway_report(body), PolicyReport)
-                connection.answer(self._renew(gateway, report))
-            case "DELETE", ("doors", gateway):
-                self._remove(connection, name("door", gateway))
-            case "GET", ("doors",):
-                connection.answer(Response(HTTPStatus.OK, encode_fleet_status(self.fleet_status())))
-            case "GET", ("policy",):
-                connection.answer(Response(HTTPStatus.OK, encode_message(self.replication.copy())))
-            case _:
-                return False
-        return True
-
-    def _register(self, connection: Connection, body: bytes) -> None:
-        """List a gateway, for one agent at a time: two would steer one gateway."""
-        write = read_register_gateway(body)
-        listed = self.directory.find(write.gateway.name)
-        is_other = listed is not None and listed.incarnation != write.gateway.incarnation
-        if is_other and self.directory.age_s(listed.name) <= LEASE_S:
-            text = f"{listed.name} is kept by {OTHER_INCARNATION_SIGN} until its lease ends"
-            connection.answer(Response(HTTPStatus.CONFLICT, ErrorBody(text)))
-        else:
-            self._host.queue(write, connection)
-
-    def _remove(self, connection: Connection, gateway: str) -> None:
-        """Only one that cannot serve any more: what it knows is not waited for afterwards."""
+    def check_may_register(self, gateway: Gateway) -> None:
+        """Raise ConflictError while another agent renews the gateway's lease: two would steer one gateway."""
+        listed = self.directory.find(gateway.name)
+        is_other = listed is not None and listed.incarnation != gateway.incarnation
+        if is_other and self.directory.age_s(gateway.name) <= LEASE_S:
+            raise ConflictError(f"{gateway.name} is kept by {OTHER_INCARNATION_SIGN} until its lease ends")
+
+    def check_may_remove(self, gateway: str) -> None:
+        """Raise ConflictError while a gateway may serve: what it knows is not waited for afterwards."""
         if self.directory.may_serve(gateway):
-            text = f"{gateway} may still serve; it is absent {ABSENT_AFTER_S:.0f} s after its last renewal"
-            connection.answer(Response(HTTPStatus.CONFLICT, ErrorBody(text)))
-        else:
-            self._host.queue(RemoveGateway(gateway), connection)
-
-    def _renew(self, gateway: str, report: PolicyReport) -> Response:
-        refusal = self._host.no_writes()
-        if refusal is not None:
-            return refusal
-        if not self._host.sure():
-            return error_response(UnavailableError("it did not run for a while, and asks its peers first"))
+            limit = f"{ABSENT_AFTER_S:.0f} s after its last renewal"
+            raise ConflictError(f"{gateway} may still serve; it is absent {limit}")
+
+    def renew(self, gateway: str, report: PolicyReport) -> PolicyLease:
+        """Renew a gateway's lease and learn from its report.
+
+        Raises NotFoundError for a gateway that is not listed, ConflictError for another agent than its own.
+        """
         listed = self.directory.find(gateway)
+        name = gateway[:MAX_QUOTED_NAME_CHARACTERS]
         if listed is None:
-            return Response(HTTPStatus.NOT_FOUND, ErrorBody(f"{gateway:.80} is not listed as a gateway"))
+            raise NotFoundError(f"{name} is not listed as a gateway")
         if listed.incarnation != report.incarnation:
-            return Response(
-                HTTPStatus.CONFLICT, ErrorBody(f"{gateway:.80} is kept by {OTHER_INCARNATION_SIGN}")
-            )
+            raise ConflictError(f"{name} is kept by {OTHER_INCARNATION_SIGN}")
         self._renewal_count += 1
         self.directory.receive(gateway, report)
         self._learn_activation(report)
         self._settle()
-        return Response(HTTPStatus.OK, encode_message(self._lease(gateway)))
+        return self._lease(gateway)
 
     def _lease(self, gateway: str) -> PolicyLease:
         prepare = self._document_to_prepare()
@@ -164,24 +136,25 @@
 
     # --- replication ---
 
-    async def keep_copy(self, upstream: Callable[[], Address]) -> None:
+    async def replicate(self, upstream: Callable[[], Address]) -> None:
         """While this registry is a replica: copy the upstream's policies, until this is cancelled."""
         await self.replication.keep_copying(upstream)
 
     # --- what follows from time and from writes ---
 
-    def look(self) -> None:
+    def check(self) -> None:
         """What the passing of time alone brings about; called each second."""
         self._settle()
-        if not self.current_decision.is_certain() or self._host.no_writes() is not None:
+        if not self.current_decision.is_certain() or not self._host.accepts_writes():
             return
         remaining_s = self.current_decision.remaining_s()
         is_over = remaining_s is not None and remaining_s <= 0
         if is_over and not self.current_decision.is_recorded_as_activated():
-            self._host.queue(PutRecord(ACTIVATED_RECORD, str(self.current_decision.get().number)), None)
+            number = self.current_decision.get().number
+            self._host.enqueue_internal(PutRecord(ACTIVATED_RECORD, str(number)))
 
-    def wrote(self, outcomes: Iterable[object]) -> None:
-        """After a batch of writes: a decision that is durable now has its activation time from here on."""
+    def batch_written(self, writes: Sequence[object], outcomes: Sequence[object]) -> None:
+        """A decision that is durable now has its activation time from here on."""
         for outcome in outcomes:
             if isinstance(outcome, ConflictError):
                 self.term_decision.write_ended()
@@ -190,8 +163,8 @@
             elif isinstance(outcome, Gateway) and self.directory.find(outcome.name) is None:
                 self.directory.forget(outcome.name)
 
-    def not_written(self) -> None:
-        """A batch of writes failed; what was in it is tried again."""
+    def batch_failed(self, writes: Sequence[object]) -> None:
+        """None of these writes is durable; a decision among them is tried again."""
         self.term_decision.write_ended()
 
     def _decided(self, text: str) -> None:
@@ -210,7 +183,7 @@
 
     def _settle(self) -> None:
         """Decide again in this term, and set an activation time that nobody knows, as soon as is possible."""
-        if self._host.no_writes() is not None or not self._host.sure():
+        if not self._host.may_decide():
             return
         if not self.current_decision.is_certain():
             self.term_decision.advance()
@@ -219,7 +192,7 @@
 
     # --- metrics ---
 
-    def figures(self) -> dict[str, float]:
+    def metrics(self) -> dict[str, float]:
         """Metrics by name, without the registry's prefix."""
         states = [gateway.state for gateway in self.directory.statuses()]
         decision = self.current_decision.get()
--- a/orchidhatch/control/policy/policy_replication.py
+++ b/orchidhatch/control/policy/policy_replication.py
@@ -76,9 +76,9 @@
             if name not in upstream_names:
                 yield RemoveGateway(name)
         for gateway in upstream_gateways:
-            door = Gateway(gateway.name, gateway.incarnation, gateway.zone)
-            if self._directory.find(gateway.name) != door:
-                yield RegisterGateway(door)
+            upstream_entry = Gateway(gateway.name, gateway.incarnation, gateway.zone)
+            if self._directory.find(gateway.name) != upstream_entry:
+                yield RegisterGateway(upstream_entry)
 
     def _replicated_records(self) -> Mapping[str, str]:
         records = self._host.store.claims_table.records.values()
--- a/orchidhatch/control/policy/term_decision.py
+++ b/orchidhatch/control/policy/term_decision.py
@@ -70,7 +70,7 @@
         if self.is_writing or lacks_document or not self._directory.all_reported():
             return
         self.is_writing = True
-        self._host.queue(PutRecord(DECISION_RECORD, encode_decision(self._next_decision())), None)
+        self._host.enqueue_internal(PutRecord(DECISION_RECORD, encode_decision(self._next_decision())))
 
     def _store_reported_document(self) -> bool:
         """Whether a gateway has sent the wanted document, which is being stored now."""
@@ -78,7 +78,8 @@
         for report in self._directory.reports():
             text = report.document_text
             if text and document_digest(text) == wanted and not self._has_document(wanted):
-                self._host.queue(PutRecord(document_record(wanted), text, if_version=ABSENT_VERSION), None)
+                write = PutRecord(document_record(wanted), text, if_version=ABSENT_VERSION)
+                self._host.enqueue_internal(write)
                 return True
         return False
 
--- a/orchidhatch/control/registry/policy_lease_host.py
+++ b/orchidhatch/control/registry/policy_lease_host.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Callable, Sequence
 
-from orchidhatch.control.errors import ControlError
+from orchidhatch.control.errors import ConflictError
 from orchidhatch.control.http_connection import Connection
-from orchidhatch.control.http_response import Response, error_response
 from orchidhatch.control.ownership.writes import ClaimsWrite
-from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.registry.peer_terms import PeerTermGuard
-from orchidhatch.control.registry.store import Outcome, Store
+from orchidhatch.control.registry.store import Store
 from orchidhatch.control.registry.write_access import WriteAccess
-from orchidhatch.control.registry.write_pipeline import QueuedWrite, WritePipeline
+from orchidhatch.control.registry.write_pipeline import WritePipeline
 
 
 class PolicyLeaseHost:
@@ -34,43 +32,30 @@
         """Monotonic seconds."""
         return self._now_s()
 
-    def no_writes(self) -> Response | None:
-        """Why the registry accepts no writes; None where it does."""
+    def accepts_writes(self) -> bool:
+        """Whether the registry accepts writes."""
         try:
             self._access.check_writable()
-        except ControlError as error:
-            return error_response(error)
-        return None
-
-    def sure(self) -> bool:
-        """Whether its peers were asked recently enough to know that it was not replaced."""
-        return self._peer_terms.is_current()
-
-    def queue(self, write: ClaimsWrite, connection: Connection | None) -> bool:
-        """Queue a write; whether it is queued. The connection, if one is given, is answered in any case."""
-        try:
-            self._writes.enqueue(write, connection)
-        except ControlError as error:
-            if connection:
-                connection.fail(error)
+        except ConflictError:
             return False
         return True
 
-    async def write_aside(self, writes: Sequence[ClaimsWrite]) -> None:
-        """Write what a replica keeps beside the endpoint list. Raises StoreError."""
-        await self._writes.write_aside(writes)
-
+    def may_decide(self) -> bool:
+        """Whether the registry accepts writes, and knows that it was not replaced."""
+        return self.accepts_writes() and self._peer_terms.is_current()
 
-class PolicyLeaseObserver:
-    """Tells the policy leases what was written."""
+    def check_may_renew(self) -> None:
+        """Raise ConflictError or UnavailableError where leases may not be renewed."""
+        self._access.check_may_renew()
 
-    def __init__(self, policy_leases: GatewayPolicyLeases) -> None:
-        self._policy_leases = policy_leases
+    def enqueue(self, write: ClaimsWrite, connection: Connection) -> None:
+        """Queue a client's write, which is answered with its outcome. May raise ControlError."""
+        self._writes.enqueue(write, connection)
 
-    def batch_written(self, writes: Sequence[QueuedWrite], outcomes: Sequence[Outcome]) -> None:
-        """Pass on the outcomes."""
-        self._policy_leases.wrote(outcomes)
+    def enqueue_internal(self, write: ClaimsWrite) -> bool:
+        """Queue a write of the registry itself; whether it is queued."""
+        return self._writes.enqueue_internal(write)
 
-    def batch_failed(self, writes: Sequence[QueuedWrite]) -> None:
-        """Pass on that nothing was written."""
-        self._policy_leases.not_written()
+    async def write_aside(self, writes: Sequence[ClaimsWrite]) -> None:
+        """Write what a replica keeps beside the endpoint list. Raises StoreError."""
+        await self._writes.write_aside(writes)
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -10,20 +10,20 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
-from orchidhatch.control.errors import NotFoundError, UnavailableError
+from orchidhatch.control.errors import UnavailableError
 from orchidhatch.control.http_client import Address
-from orchidhatch.control.http_connection import Connection
 from orchidhatch.control.http_response import Response
 from orchidhatch.control.http_server import EndpointListServer
 from orchidhatch.control.leases import CHECK_INTERVAL_S
 from orchidhatch.control.ownership.handlers import OwnershipHandlers
 from orchidhatch.control.ownership.service import OwnershipService
+from orchidhatch.control.policy.handlers import PolicyHandlers
 from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.registry.backups import Backups
 from orchidhatch.control.registry.handlers import BackupHandlers, EndpointHandlers, TermHandlers
 from orchidhatch.control.registry.lease_expiry import EndpointLeaseExpiry
 from orchidhatch.control.registry.peer_terms import PeerTermGuard
-from orchidhatch.control.registry.policy_lease_host import PolicyLeaseHost, PolicyLeaseObserver
+from orchidhatch.control.registry.policy_lease_host import PolicyLeaseHost
 from orchidhatch.control.registry.promotion import Promotion
 from orchidhatch.control.registry.replica_role import ReplicaRole
 from orchidhatch.control.registry.replication import Replicator
@@ -58,17 +58,17 @@
         self.writes = WritePipeline(store, access, self.peer_terms, self.run_in_turn, self.broadcast)
         self.lease_expiry = EndpointLeaseExpiry(store, self.writes, self.now_s)
         self.ownership = OwnershipService(store, self.writes, self.now_s)
-        self._policy_host = PolicyLeaseHost(store, self.writes, access, self.peer_terms, self.now_s)
-        self.policy_leases = GatewayPolicyLeases(self._policy_host)
+        policy_host = PolicyLeaseHost(store, self.writes, access, self.peer_terms, self.now_s)
+        self.policy_leases = GatewayPolicyLeases(policy_host)
         self.writes.observers += [
             self.lease_expiry,
             self.ownership,
-            PolicyLeaseObserver(self.policy_leases),
+            self.policy_leases,
         ]
         self.promotion = Promotion(store, self.role, self.peer_terms, self._begin_term)
         self._backup_handlers = BackupHandlers(store, self.run_in_turn, self.start_task)
         self.backups = Backups(backups) if backups else None
-        self._add_routes(access)
+        self._add_routes(access, policy_host)
 
     def _new_replicator(self, upstreams: Sequence[Address]) -> Replicator | None:
         """What replicates the upstreams; None also where this store was promoted before, as whoever starts it
@@ -82,12 +82,13 @@
             return None
         return replicator
 
-    def _add_routes(self, access: WriteAccess) -> None:
+    def _add_routes(self, access: WriteAccess, policy_host: PolicyLeaseHost) -> None:
         EndpointHandlers(self.store, self.writes, self.lease_expiry, access).add_routes(self.router)
         TermHandlers(self.peer_terms, self.promotion, self.turn, self.start_task).add_routes(self.router)
         self._backup_handlers.add_routes(self.router)
         table = self.store.claims_table
         OwnershipHandlers(table, self.ownership, self.writes, access).add_routes(self.router)
+        PolicyHandlers(self.policy_leases, policy_host).add_routes(self.router)
 
     # --- start and end ---
 
@@ -101,14 +102,14 @@
         self.tasks += [asyncio.create_task(coroutine) for coroutine in coroutines]
         replicator = self.replicator
         if replicator:
-            copy_policies = self.policy_leases.keep_copy(lambda: replicator.upstream_address)
+            copy_policies = self.policy_leases.replicate(lambda: replicator.upstream_address)
             self.tasks += self.role.start([replicator.run(), copy_policies])
 
     def _begin_term(self) -> None:
         """Begin anew after a promotion; all watches end, as they are of another term."""
         self.lease_expiry.restart()
         self.ownership.restart()
-        self.policy_leases.begin()
+        self.policy_leases.restart()
         self.broadcaster.close_all()
 
     async def _check_leases(self) -> None:
@@ -118,7 +119,7 @@
             if self.replicator:
                 continue
             self.ownership.check()
-            self.policy_leases.look()
+            self.policy_leases.check()
             self.lease_expiry.check()
 
     # --- state ---
@@ -148,11 +149,6 @@
 
     # --- requests ---
 
-    def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
-        """Requests about policies; anything else is not found."""
-        if not self.policy_leases.call(connection, method, path, body):
-            raise NotFoundError("no such call")
-
     def health(self) -> Response:
         """A replica tells its lag. Raises UnavailableError where no writes are taken."""
         replicator = self.replicator
@@ -177,7 +173,7 @@
             {
                 "shed_total": self.rejected_requests + self.writes.rejected_writes,
                 **self.ownership.metrics(),
-                **self.policy_leases.figures(),
+                **self.policy_leases.metrics(),
                 **self._backup_handlers.metrics(),
                 **self.writes.metrics(),
                 **self.lease_expiry.metrics(),
--- a/orchidhatch/faults/stepped.py
+++ b/orchidhatch/faults/stepped.py
@@ -41,7 +41,7 @@
     from orchidhatch.control.registry.store import Batch, Store
 
     recorder, plan, publish = Recorder(name, folder), Store.plan, Store.publish
-    wrote = GatewayPolicyLeases.wrote
+    batch_written = GatewayPolicyLeases.batch_written
 
     def planned(self: Store, writes: Sequence[Any]) -> Batch:
         batch = plan(self, writes)
@@ -66,13 +66,13 @@
                     text=getattr(write, "text", "")[:300],
                 )
 
-    def decided(self: GatewayPolicyLeases, outcomes: Sequence[Any]) -> None:
-        wrote(self, outcomes)
+    def decided(self: GatewayPolicyLeases, writes: Sequence[Any], outcomes: Sequence[Any]) -> None:
+        batch_written(self, writes, outcomes)
         if any(getattr(outcome, "name", "") == DECISION_RECORD for outcome in outcomes):
             status = encode_fleet_status(self.fleet_status())
             recorder.note("decided", status["now"]["digest"] or "-", now=status["now"], doors=status["doors"])
 
-    Store.plan, Store.publish, GatewayPolicyLeases.wrote = planned, taken, decided
+    Store.plan, Store.publish, GatewayPolicyLeases.batch_written = planned, taken, decided
 
 
 def main() -> None:
--- a/tests/control/policy/helpers.py
+++ b/tests/control/policy/helpers.py
@@ -47,7 +47,7 @@
     """A registry on that clock, whose policy leases are looked at by the test only."""
     async with serving(path, **options) as registry:
         registry.clock = clock
-        registry.policy_leases.begin()
+        registry.policy_leases.restart()
         yield registry
 
 
@@ -103,9 +103,9 @@
 async def settle(registry: Registry, clock: FakeClock) -> None:
     """Past the time in which an unknown gateway may serve, and what is to be written written."""
     clock.now += ABSENT_AFTER_S
-    registry.policy_leases.look()
+    registry.policy_leases.check()
     await until(registry.policy_leases.current_decision.is_certain)
-    registry.policy_leases.look()
+    registry.policy_leases.check()
     await until(lambda: ACTIVATED_RECORD in registry.store.claims_table.records)
 
 
--- a/tests/control/policy/test_lease_host.py
+++ b/tests/control/policy/test_lease_host.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from orchidhatch.control.errors import StoreError
+from orchidhatch.control.errors import ConflictError, StoreError, UnavailableError
 from orchidhatch.control.http_client import Address, CallResult, HttpResponse, NoResponse
 from orchidhatch.control.http_connection import Connection
 from orchidhatch.control.http_response import Response
@@ -16,9 +16,11 @@
 from orchidhatch.control.ownership.writes import ClaimsWrite, PutRecord, RegisterGateway, RemoveGateway
 from orchidhatch.control.policy import policy_replication
 from orchidhatch.control.policy.gateway_directory import GatewayDirectory
+from orchidhatch.control.policy.handlers import PolicyHandlers
 from orchidhatch.control.policy.leases import GatewayPolicyLeases
 from orchidhatch.control.policy.policy_replication import PolicyReplication
 from orchidhatch.control.policy.timing import ABSENT_AFTER_S
+from orchidhatch.control.router import Request, Router
 from tests.control.policy.helpers import report_of
 
 UPSTREAM = ("127.0.0.1", 8500)
@@ -33,7 +35,7 @@
 
     def __init__(self) -> None:
         self.store = SimpleNamespace(claims_table=ClaimsTable(), term=2)
-        self.refusal: Response | None = None
+        self.refusal: ConflictError | None = None
         self.is_current = True
         self.disk_error: StoreError | None = None
         self.now_s = 100.0
@@ -48,13 +50,22 @@
     def clock(self) -> float:
         return self.now_s
 
-    def no_writes(self) -> Response | None:
-        return self.refusal
+    def accepts_writes(self) -> bool:
+        return self.refusal is None
 
-    def sure(self) -> bool:
-        return self.is_current
+    def may_decide(self) -> bool:
+        return self.accepts_writes() and self.is_current
 
-    def queue(self, write: ClaimsWrite, connection: Connection | None) -> bool:
+    def check_may_renew(self) -> None:
+        if self.refusal:
+            raise self.refusal
+        if not self.is_current:
+            raise UnavailableError("it asks its peers first")
+
+    def enqueue(self, write: ClaimsWrite, connection: Connection) -> None:
+        self.writes.append(write)
+
+    def enqueue_internal(self, write: ClaimsWrite) -> bool:
         self.writes.append(write)
         return True
 
@@ -64,6 +75,11 @@
         self.writes += writes
 
 
+@pytest.fixture
+def host() -> FakeHost:
+    return FakeHost()
+
+
 class FakeConnection:
     """Keeps the response that it was answered with."""
 
@@ -74,15 +90,13 @@
         self.response = response
 
 
-@pytest.fixture
-def host() -> FakeHost:
-    return FakeHost()
-
-
-def renew(leases: GatewayPolicyLeases, gateway: str) -> Response:
+def renew(host: FakeHost, leases: GatewayPolicyLeases, gateway: str) -> Response:
+    """The response to a renewal; raises what the handler raises."""
+    router = Router()
+    PolicyHandlers(leases, host).add_routes(router)
     connection = FakeConnection()
     body = json.dumps(report_of(gateway)).encode()
-    assert leases.call(connection, "POST", ("doors", gateway, "renew"), body)
+    assert router.dispatch(Request("POST", ("doors", gateway, "renew"), "", body, connection))
     return connection.response
 
 
@@ -90,32 +104,34 @@
     host.commit(RegisterGateway(Gateway("a", "a-1", "a")))
     leases = GatewayPolicyLeases(host)
     host.is_current = False
-    assert renew(leases, "a").status == 503
+    with pytest.raises(UnavailableError):
+        renew(host, leases, "a")
     host.now_s += ABSENT_AFTER_S
-    leases.look()
+    leases.check()
     assert not host.writes  # nothing is decided meanwhile either
     host.is_current = True
-    assert renew(leases, "a").status == 200 and len(host.writes) == 1
+    assert renew(host, leases, "a").status == 200 and len(host.writes) == 1
 
 
 def test_renewal_when_the_registry_accepts_no_writes_is_answered_with_its_refusal(host: FakeHost) -> None:
     host.commit(RegisterGateway(Gateway("a", "a-1", "a")))
     leases = GatewayPolicyLeases(host)
-    host.refusal = Response(409, {"error": "fenced"})
-    assert renew(leases, "a") is host.refusal
+    host.refusal = ConflictError("fenced")
+    with pytest.raises(ConflictError, match="fenced"):
+        renew(host, leases, "a")
     host.now_s += ABSENT_AFTER_S
-    leases.look()
+    leases.check()
     assert not host.writes
 
 
 def test_decision_when_its_write_failed_is_tried_again(host: FakeHost) -> None:
     host.commit(RegisterGateway(Gateway("a", "a-1", "a")))
     leases = GatewayPolicyLeases(host)
-    renew(leases, "a")
-    leases.look()
+    renew(host, leases, "a")
+    leases.check()
     assert len(host.writes) == 1  # one is on its way
-    leases.not_written()
-    leases.look()
+    leases.batch_failed([])
+    leases.check()
     assert len(host.writes) == 2 and isinstance(host.writes[1], PutRecord)
 
 
--- a/tests/control/policy/test_leases.py
+++ b/tests/control/policy/test_leases.py
@@ -32,12 +32,12 @@
         status, answer = await renew(registry, "a", **known)
         assert (status, answer) == (200, {"sure": False, "prepare": "", "want": DIGEST_A})
         clock.now += ABSENT_AFTER_S / 2
-        leases.look()
+        leases.check()
         assert not leases.current_decision.is_certain() and not leases.term_decision.is_writing
         clock.now += ABSENT_AFTER_S
         await renew(registry, "a", **known, text=DOCUMENT_A)
         await until(lambda: document_record(DIGEST_A) in registry.store.claims_table.records)
-        leases.look()
+        leases.check()
         await until(leases.current_decision.is_certain)
         # The highest that any gateway knew is decided, and no gateway has to change over it.
         decision = leases.current_decision.get()
@@ -88,7 +88,7 @@
         assert registry.policy_leases.current_decision.remaining_s() is None
         assert (await renew(registry, "b"))[1]["leftMs"] == round(ABSENT_AFTER_S * 1000)
         clock.now += ABSENT_AFTER_S
-        registry.policy_leases.look()
+        registry.policy_leases.check()
         await until(lambda: registry.store.claims_table.records[ACTIVATED_RECORD].text == str(first + 1))
     async with registry_on_clock(path, clock, create=False) as registry:  # it has passed, which is stored
         assert (await renew(registry, "a"))[1]["leftMs"] < 0
@@ -221,6 +221,6 @@
         assert (second["state"], second["ageMs"]) == ("silent", 4000)
         clock.now += ABSENT_AFTER_S
         assert (await call(address, "GET /doors"))[1]["doors"][1]["state"] == "absent"
-        registry.policy_leases.begin()  # as after a promotion: nobody has reported anything here yet
+        registry.policy_leases.restart()  # as after a promotion: nobody has reported anything here yet
         unreported = (await call(address, "GET /doors"))[1]["doors"][0]
         assert unreported == {"name": "a", "zone": "a", "ageMs": 0, "state": "silent"}
