Encode each chunk of a watch event once for all watches

Cause: the broadcast looked the line up, and built its keys and its chunk, for each watch anew. Change: one chunk for each generation and kind of watch within a broadcast; the heartbeat's chunk is a constant.

--- a/orchidhatch/control/watch_broadcaster.py
+++ b/orchidhatch/control/watch_broadcaster.py
@@ -12,6 +12,7 @@
 from orchidhatch.control.responses import encode_watch_event
 
 HEARTBEAT_INTERVAL_S = 2.0  # between empty lines to each watch, by the protocol
+HEARTBEAT_CHUNK = encode_chunk(b"\n")
 MAX_CACHED_LINES = 64  # each of them the whole list at most
 WHOLE_LIST = -1  # in place of a generation, where none is known
 
@@ -83,11 +84,20 @@
         return self._cached_lines[key]
 
     def broadcast(self, whole_list: bool = False) -> None:
-        """Send all watches what they have not been sent yet, or the whole list."""
+        """Send all watches what they have not been sent yet, or the whole list.
+
+        Most of thousands of watches know the same generation, so each chunk is made once.
+        """
+        generation = self._store.generation
+        chunks: dict[LineKey, bytes] = {}
         for connection, watch in list(self.watches.items()):
-            line = self.line(WHOLE_LIST if whole_list else watch.generation, watch.include_leases)
-            watch.generation = self._store.generation
-            self.send(connection, encode_chunk(line))
+            key = LineKey(WHOLE_LIST if whole_list else watch.generation, watch.include_leases)
+            chunk = chunks.get(key)
+            if chunk is None:
+                chunk = encode_chunk(self.line(key.after, key.include_leases))
+                chunks[key] = chunk
+            watch.generation = generation
+            self.send(connection, chunk)
 
     def send(self, connection: Connection, chunk: bytes) -> None:
         """Send one watch a chunk."""
@@ -104,4 +114,4 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
             for connection in list(self.watches):
-                self.send(connection, encode_chunk(b"\n"))
+                self.send(connection, HEARTBEAT_CHUNK)
