Say above the line what a state or step of a task means

Need: comments at a line's end explained names, and one variable was called 'one'. Change: comments and names only.

--- a/orchidhatch/control/controller/summary.py
+++ b/orchidhatch/control/controller/summary.py
@@ -133,8 +133,10 @@
         silent=silent[:MAX_NAMED_GATEWAYS],
         silent_count=len(silent),
         outliers=Outliers(
-            answered=outlier_shares({name: one.answered / one.ended() for name, one in busy.items()}),
-            errored=outlier_shares({name: one.errored / one.ended() for name, one in busy.items()}),
-            sends=outlier_shares({name: one.sends / one.ended() for name, one in busy.items()}),
+            answered=outlier_shares(
+                {name: sample.answered / sample.ended() for name, sample in busy.items()}
+            ),
+            errored=outlier_shares({name: sample.errored / sample.ended() for name, sample in busy.items()}),
+            sends=outlier_shares({name: sample.sends / sample.ended() for name, sample in busy.items()}),
         ),
     )
--- a/orchidhatch/control/controller/task_records.py
+++ b/orchidhatch/control/controller/task_records.py
@@ -35,15 +35,19 @@
 
 
 class DrainState(StrEnum):
-    """How far a drain is."""
+    """How far a drain is.
+
+    A marked endpoint is DRAINING in the endpoint list; gateways send a withdrawn one no new requests; an
+    unlisted one was removed from the endpoint list by somebody else.
+    """
 
     REQUESTED = "asked"
-    MARKED = "marked"  # DRAINING in the endpoint list
-    WITHDRAWN = "out"  # no gateway sends it new requests
+    MARKED = "marked"
+    WITHDRAWN = "out"
     ENDING = "ending"
     REMOVED = "removed"
     RESTORED = "back"
-    UNLISTED = "gone"  # somebody else removed it from the endpoint list
+    UNLISTED = "gone"
 
 
 class DrainEnd(StrEnum):
--- a/orchidhatch/control/controller/task_runner.py
+++ b/orchidhatch/control/controller/task_runner.py
@@ -79,7 +79,8 @@
             self._owned.drop(shard)
         except RetryLaterError as error:
             log.warning("step postponed: task=%s reason=%s", record.name, error)
-        except Exception as error:  # whatever is wrong with one task must not end the others
+        except Exception as error:
+            # Whatever is wrong with one task must not end the others.
             log.exception("step failed: task=%s shard=%s", record.name, shard)
             if self._owned.count_failure(shard):
                 reason = f"{record.name}: {error!r:.{MAX_QUOTED_ERROR_CHARACTERS}}"
--- a/orchidhatch/control/policy/change.py
+++ b/orchidhatch/control/policy/change.py
@@ -116,7 +116,8 @@
             if self.is_decided(current):
                 await self.move_to(context, ChangeState.DECIDED)
                 return
-            self.record.base_number = current.number  # the same policy, decided again in a new term
+            # The same policy, decided again in a new term; any other one is an obstacle below.
+            self.record.base_number = current.number
         obstacle = self._obstacle(fleet, current)
         unready = self.unready_gateways(fleet)
         if obstacle is not None:
