--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -82,7 +82,7 @@
 
     def resume_watches(self) -> None:
         """Accept watches again."""
-        self.closed = False
+        self.watches_suspended = False
 
     def other(self, connection: Connection, method: str, path: tuple[str, ...], body: bytes) -> None:
         """Requests beside those of every endpoint list's server: management calls to the gateway."""
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -126,16 +126,16 @@
         return self.broadcaster.watches
 
     @property
-    def closed(self) -> bool:
+    def watches_suspended(self) -> bool:
         """Whether watches are rejected."""
         return self.broadcaster.is_suspended
 
-    @closed.setter
-    def closed(self, value: bool) -> None:
+    @watches_suspended.setter
+    def watches_suspended(self, value: bool) -> None:
         self.broadcaster.is_suspended = value
 
     def close_watches(self) -> None:
-        """End all watches and reject new ones until `closed` is unset."""
+        """End all watches and reject new ones until `watches_suspended` is unset."""
         self.broadcaster.is_suspended = True
         self.broadcaster.close_all()
 
--- a/tests/control/agent/test_gateway_steering.py
+++ b/tests/control/agent/test_gateway_steering.py
@@ -29,6 +29,6 @@
         agent, address = fixture.agent, fixture.holder.gateway.address
         fixture.holder.gateway.address = (HOST, 1)
         await fixture.advance(LEASE_S + 0.1, renews=False)
-        assert agent.closed  # and so the gateway's watch ends, and it suspends admission by itself
+        assert agent.watches_suspended  # and so the gateway's watch ends, and it suspends admission by itself
         fixture.holder.gateway.address = address
-        assert await fixture.advance() == 200 and not agent.closed
+        assert await fixture.advance() == 200 and not agent.watches_suspended
--- a/tests/control/registry/test_lease_expiry.py
+++ b/tests/control/registry/test_lease_expiry.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from orchidhatch.control.ownership.objects import Fence
 from orchidhatch.control.registry import service
+from orchidhatch.control.registry.lease_expiry import OWNER_ACTIVE_S
 from tests.control.registry.helpers import Watcher, address_of, call, named, serving
 from tests.control.test_schemas import body
 
@@ -29,3 +31,19 @@
         now[0] += 1.0
         assert named(await watcher.news()) == {"s-2": "DELETED"}
         assert (await call(at, "GET /entries/s-1"))[1]["life"] == 1 and registry.lease_expiry.expired == 1
+
+
+async def test_own_check_when_an_owner_calls_then_rests_for_a_while(path: Path) -> None:
+    async with serving(path) as registry:
+        now_s = registry.clock()
+        registry.clock = lambda: now_s
+        assert (await call(address_of(registry), "POST /entries", body(instanceId="s-1", leaseMs=1000)))[
+            0
+        ] == 200
+        assert registry.lease_expiry.check_for_owner(Fence("leases", 1)) == 0
+        now_s += 1.5
+        registry.lease_expiry.check()
+        assert "s-1" in registry.lease_expiry.leases.leases  # overdue, but the owner sees to it
+        now_s += OWNER_ACTIVE_S
+        registry.lease_expiry.check()
+        assert "s-1" not in registry.lease_expiry.leases.leases
--- a/tests/control/registry/test_peer_terms.py
+++ b/tests/control/registry/test_peer_terms.py
@@ -57,3 +57,20 @@
     guard = PeerTermGuard(store, [], lambda: 1000.0, lambda: False)
     assert guard.is_current() and await guard.ensure_current() and not guard.has_peers
     store.close()
+
+
+@pytest.mark.parametrize(
+    ("request_line", "content"),
+    [
+        ("POST /entries/s-1/renew", b'{"life":1}'),
+        ("POST /sessions/a/renew", b'{"life":"1"}'),
+        ("POST /leases/end", b'{"claim":"x","epoch":1}'),
+    ],
+)
+async def test_renewal_when_the_last_check_is_too_old_then_is_unavailable(
+    path: Path, request_line: str, content: bytes
+) -> None:
+    async with serving(path) as registry:
+        registry.peer_terms.is_current = lambda: False
+        status, response = await call(address_of(registry), request_line, content)
+        assert status == 503 and "asks its peers first" in response["error"]
