--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -15,10 +15,10 @@
 
 
 def ignore_drains() -> None:
-    from orchidhatch.gateway import interface as i
+    from orchidhatch.gateway.endpoints import EndpointState
     from orchidhatch.proxy import endpoint_watch as discovery
 
-    discovery.STATES["DRAINING"] = i.ServerState.UP
+    discovery.STATES["DRAINING"] = EndpointState.UP
 
 
 def answer_twice() -> None:
--- /dev/null
+++ b/orchidhatch/gateway/attempts.py
@@ -0,0 +1,35 @@
+"""How attempts end, and the load that servers report with their answers."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class AttemptResult(Enum):
+    """How an attempt, a health check or a counter call ended.
+
+    NOT_SENT is an attempt that never left the gateway; REJECTED one that the server had no capacity for.
+    """
+
+    OK = "ok"
+    ERROR = "error"
+    REJECTED = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "moot"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A server's load as it reports it; None where it reports nothing of the kind.
+
+    `util` is the busy part of its cores, `service_ms` its mean service time in milliseconds.
+    """
+
+    inflight: float | None = None
+    queue: float | None = None
+    util: float | None = None
+    service_ms: float | None = None
+    served_per_s: float | None = None
+    errors_per_s: float | None = None
--- a/orchidhatch/gateway/codec.py
+++ b/orchidhatch/gateway/codec.py
@@ -7,12 +7,21 @@
 from functools import cache
 from typing import Any, get_args, get_origin, get_type_hints
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.attempts import LoadReport
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
+from orchidhatch.gateway.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
+from orchidhatch.gateway.snapshots import (
+    HandoverAttempt,
+    HandoverAttemptEnd,
+    HandoverEjection,
+    HandoverMessage,
+    HandoverSpend,
+)
 
 EFFECTS = {
-    "read_like": i.Effect.SAFE,
-    "idempotency_key": i.Effect.KEYED,
-    "non_idempotent": i.Effect.UNSAFE,
+    "read_like": Idempotency.SAFE,
+    "idempotency_key": Idempotency.KEYED,
+    "non_idempotent": Idempotency.UNSAFE,
 }
 # The fields of a load report: as the wire names them, and as the servers themselves do.
 REPORT_FIELDS = {
@@ -38,8 +47,16 @@
 MOST_CLASSES = 128  # that a sighting can name
 UNIT, PARTS = 50, 255
 MESSAGE_BYTES = 256
-PLACES = frozenset(i.Place)  # an earlier version sends none, and takes an answer with one for an answer
+PLACES = frozenset(SlotGrant)  # an earlier version sends none, and takes an answer with one for an answer
 MOST_TEXT, MOST_ROWS = 256, 100_000  # of what another process hands over
+# The messages between two processes of a handover, by their names on the wire.
+HANDOVER_MESSAGES: dict[str, type[HandoverMessage]] = {
+    "TwinSpend": HandoverSpend,
+    "TwinSend": HandoverAttempt,
+    "TwinEnd": HandoverAttemptEnd,
+    "TwinMaint": HandoverEjection,
+}
+HANDOVER_NAMES = {kind: name for name, kind in HANDOVER_MESSAGES.items()}
 
 
 class Pairs:
@@ -69,21 +86,21 @@
         return self.text(path, "false") in ("true", "1")
 
 
-def read_class(pairs: Pairs, at: str) -> i.RequestClass:
-    return i.RequestClass(
+def read_class(pairs: Pairs, at: str) -> RequestClass:
+    return RequestClass(
         aim_us=pairs.whole(f"{at}.on-time-us"),
         deadline_us=pairs.whole(f"{at}.deadline-us"),
         worth=pairs.number(f"{at}.points", 1.0),
         late_worth=pairs.number(f"{at}.late-worth"),
         effect=EFFECTS[pairs.text(f"{at}.idempotency", "read_like")],
-        group=i.Group(pairs.text(f"{at}.group", "all")),
+        group=DeduplicationScope(pairs.text(f"{at}.group", "all")),
         window_us=pairs.whole(f"{at}.window-us"),
         streamed=pairs.flag(f"{at}.streamed"),
     )
 
 
-def read_plan(pairs: Pairs, at: str) -> i.Plan:
-    return i.Plan(
+def read_plan(pairs: Pairs, at: str) -> Plan:
+    return Plan(
         rate=pairs.number(f"{at}.units-per-s"),
         burst=pairs.number(f"{at}.burst"),
         max_out=pairs.whole(f"{at}.max-out"),
@@ -96,10 +113,10 @@
     )
 
 
-def read_settings(seed: int, pairs: Pairs) -> i.Settings:
+def read_settings(seed: int, pairs: Pairs) -> Settings:
     classes = range(pairs.whole("categories.count"))
     plans = range(pairs.whole("plans.count"))
-    return i.Settings(
+    return Settings(
         seed=seed,
         me=pairs.whole("me"),
         gateways=pairs.whole("balancers", 1),
@@ -134,9 +151,9 @@
     )
 
 
-def read_report(values: Iterable[tuple[str, str]]) -> i.LoadReport:
+def read_report(values: Iterable[tuple[str, str]]) -> LoadReport:
     """A load report from names and values; unknown names and absent values are skipped."""
-    return i.LoadReport(
+    return LoadReport(
         **{
             REPORT_FIELDS[name]: float(value)
             for name, value in values
@@ -145,7 +162,9 @@
     )
 
 
-def pack_message(words: Iterable[i.Word], sightings: Iterable[i.Sighting] = (), mark: int = 0) -> list[bytes]:
+def pack_message(
+    words: Iterable[GossipMessage], sightings: Iterable[AttemptObservation] = (), mark: int = 0
+) -> list[bytes]:
     """Messages between gateways, each as long as the wire allows; sightings fill up the last one. The mark of
     a policy is from 1 to 255; a gateway of an earlier version passes over a message with one."""
     packed = [
@@ -182,7 +201,7 @@
     return data[1] if len(data) > 1 and data[0] & 0xF0 == MARKED else 0
 
 
-def unpack_message(data: bytes) -> tuple[tuple[i.Word, ...], tuple[i.Sighting, ...]]:
+def unpack_message(data: bytes) -> tuple[tuple[GossipMessage, ...], tuple[AttemptObservation, ...]]:
     """The words and sightings of a message; none where it is not of this version's form."""
     if mark_of(data):
         data = bytes([data[0] ^ MARKED ^ MARK]) + data[2:]
@@ -190,18 +209,18 @@
     if not 1 < end <= len(data) <= MESSAGE_BYTES or (len(data) - end) % SIGHTING.size:
         return (), ()
     words = tuple(
-        i.Word(
+        GossipMessage(
             *key,
             bool(answer & 1),
             *(amount / UNIT for amount in amounts),
             out,
-            i.Place(answer >> 1) if answer >> 1 in PLACES else i.Place.NONE,
+            SlotGrant(answer >> 1) if answer >> 1 in PLACES else SlotGrant.NONE,
         )
         for *key, answer, demand, spent, asked, level, out in WORD.iter_unpack(data[1:end])
         for amounts in [(demand, spent, asked, level)]
     )
     return words, tuple(
-        i.Sighting(server, kind >> 1, bool(kind & 1), latency / PARTS)
+        AttemptObservation(server, kind >> 1, bool(kind & 1), latency / PARTS)
         for server, kind, latency in SIGHTING.iter_unpack(data[end:])
     )
 
--- a/orchidhatch/gateway/constants.py
+++ b/orchidhatch/gateway/constants.py
@@ -1,6 +1,6 @@
-"""The units and figures that more than one room of the decisions goes by."""
+"""The units and figures that more than one component of the decision core goes by."""
 
-from orchidhatch.gateway.state import NEVER, Desk, S  # noqa: F401 - the rooms have them from here
+from orchidhatch.gateway.times import S
 
 TICK_US = 20_000  # how often held requests and words are looked at: well under any aim
 CC_PERIOD_US, MOST_PERIODS = S, 2  # the Call Control Period, and how many of them an OPPUI may be
--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -1,20 +1,22 @@
-"""The decisions of one gateway: events go to the rooms that they concern, and requests go their way.
+"""The decisions of one gateway: events go to the components that they concern, and requests go their way.
 
-Events, actions and settings are in `interface`. The components: overload (the paper's N and period), quota,
-quota_leaders, load_balancing and membership (the servers), retries and handover.
+The components: overload (the paper's N and period), quota, quota_leaders, load_balancing and membership (the
+servers), retries and handover.
 """
 
 import itertools
 import math
 import zlib
 from bisect import insort
-from collections import Counter
 from dataclasses import replace
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway import metrics as report
-from orchidhatch.gateway.constants import NEVER, TICK_US, Desk, S
+from orchidhatch.gateway import actions, events, metrics, snapshots
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
+from orchidhatch.gateway.constants import TICK_US
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.gossip import AttemptObservation
 from orchidhatch.gateway.handover import Twin
+from orchidhatch.gateway.in_flight import Job
 from orchidhatch.gateway.load_balancing import SIGHTED, Routing, Server
 from orchidhatch.gateway.membership import Membership
 from orchidhatch.gateway.overload import Cap
@@ -22,18 +24,18 @@
 from orchidhatch.gateway.quota import ASK_US, ASKS, Customer
 from orchidhatch.gateway.quota_leaders import Homes
 from orchidhatch.gateway.retries import Retries
-from orchidhatch.gateway.state import Job
+from orchidhatch.gateway.settings import Settings
+from orchidhatch.gateway.times import NEVER
 
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
-LOG_US = 5 * S  # how often those on call get the module's figures
 
 
 class Gateway:
     """One gateway: `handle` takes an event and a time in microseconds, and gives actions."""
 
-    def __init__(self, settings: i.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         self.set = settings
-        self.desk = desk = Desk(settings)
+        self.desk = desk = DecisionContext(settings)
         self.cap, self.routing, self.words = Cap(desk), Routing(desk), Words(desk)
         self.membership = Membership(desk, self.routing)
         self.homes = Homes(desk, self.words, self.holds)
@@ -44,36 +46,32 @@
         self.waits: list[Job] = []  # for word of their quota
         self.ticked_us = 0
         self.alarm_us, self.serial = NEVER, itertools.count()
-        self.tally: Counter[str] = Counter()  # why requests ended unserved, since the last line
-        self.ended: Counter[str] = Counter()  # the same since the start
-        self.decided: Counter[str] = Counter()  # by what was known of the quota, since the last line
-        self.old_us = 0  # the ages of the words that the "old" ones went by, together
-        self.logged_us = -1
+        self.counters = metrics.RequestCounters()
         self.barred = False  # whether nobody may be let in
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
         self.on = {
-            i.Request: self.on_request,
-            i.Outcome: self.on_outcome,
-            i.Timer: self.on_tick,
-            i.ClientGone: self.on_end,
-            i.StreamStarted: self.on_stream,
-            i.PeerMessage: self.on_peer,
-            i.Survey: self.on_survey,
-            i.NewPolicy: self.on_policy,
-            i.Bar: self.on_bar,
-            i.ServerList: self.membership.on_list,
-            i.Maint: self.membership.on_maint,
-            i.TwinMaint: self.membership.leave_out,
-            i.HandOver: lambda _: self.twin.hand_over(self.jobs.values()),
-            i.State: self.twin.on_state,
-            i.TwinGone: self.twin.on_gone,
-            i.TwinUnknown: self.twin.on_unknown,
-            i.TwinSpend: self.twin.on_spend,
-            i.TwinSend: self.twin.on_send,
-            i.TwinEnd: self.twin.on_end,
+            events.Request: self.on_request,
+            events.AttemptEnded: self.on_outcome,
+            events.TimerExpired: self.on_tick,
+            events.ClientGone: self.on_end,
+            events.StreamStarted: self.on_stream,
+            events.PeerMessage: self.on_peer,
+            events.MetricsRequest: self.on_survey,
+            events.PolicyChange: self.on_policy,
+            events.SuspendAdmission: self.on_bar,
+            events.EndpointList: self.membership.on_list,
+            events.SetEjection: self.membership.on_maint,
+            snapshots.HandoverEjection: self.membership.leave_out,
+            events.StartHandover: lambda _: self.twin.hand_over(self.jobs.values()),
+            snapshots.GatewaySnapshot: self.twin.on_state,
+            events.HandoverPeerGone: self.twin.on_gone,
+            events.HandoverPeerUnknown: self.twin.on_unknown,
+            snapshots.HandoverSpend: self.twin.on_spend,
+            snapshots.HandoverAttempt: self.twin.on_send,
+            snapshots.HandoverAttemptEnd: self.twin.on_end,
         }
 
-    def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
+    def handle(self, now_us: int, event: events.Event) -> list[actions.Action]:
         desk = self.desk
         desk.now, desk.actions = now_us, []
         if self.cap.period_us < 0:
@@ -83,7 +81,7 @@
         self.words.send()
         if (due := self.next_look()) < self.alarm_us:
             self.alarm_us = due
-            desk.actions.append(i.SetTimer(due - now_us, 0))
+            desk.actions.append(actions.SetTimer(due - now_us, 0))
         return desk.actions
 
     def next_look(self) -> int:
@@ -100,7 +98,7 @@
         ]
         return max(soonest, math.ceil(min(dues)))
 
-    def on_tick(self, _: i.Timer) -> None:
+    def on_tick(self, _: events.TimerExpired) -> None:
         if self.desk.now < self.alarm_us:
             return
         self.alarm_us = NEVER
@@ -118,8 +116,7 @@
         self.routing.end_period(self.cap.rate, self.cap.cc_us)
         self.homes.forget()
         self.cap.begin_period(len(self.routing.up), self.overdue)
-        if self.desk.now - self.logged_us >= LOG_US:
-            self.log_figures()
+        self.desk.actions += metrics.log_lines(self)
 
     def overdue(self) -> list[float]:
         """The ages of attempts that are out for longer than the mean, in aims."""
@@ -134,8 +131,10 @@
 
     # --- requests that come ---
 
-    def on_request(self, req: i.Request) -> None:
-        key = i.Key(zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
+    def on_request(self, req: events.Request) -> None:
+        key = snapshots.CustomerKey(
+            zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size
+        )
         customer = self.homes.customer(key)
         job = self.jobs[req.id] = Job(req, self.set.classes[req.class_index], customer, self.desk.now)
         why = self.shut_out(req)
@@ -145,7 +144,7 @@
         elif not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
-    def shut_out(self, req: i.Request) -> str:
+    def shut_out(self, req: events.Request) -> str:
         """Why it is not looked at further, if so. Where as much is open as may be it can be told to come
         again, while time would only run out for it here."""
         set_, bytes_left = self.set, self.set.max_open_bytes - self.open_bytes
@@ -174,7 +173,7 @@
         self.waits.append(job)
         self.homes.tell(job.customer.home, job.customer, job.req.units)
 
-    def on_peer(self, message: i.PeerMessage) -> None:
+    def on_peer(self, message: events.PeerMessage) -> None:
         self.words.tally["heard"] += 1
         for seen in message.sightings:
             server = self.routing.by_sum.get(seen.server)
@@ -185,13 +184,13 @@
         if message.mark == self.set.mark:  # by another policy their amounts mean something else
             self.homes.hear(message.sender, message.words, self.answered)
 
-    def on_policy(self, told: i.NewPolicy) -> None:
+    def on_policy(self, told: events.PolicyChange) -> None:
         self.set = self.desk.set = replace(
             self.set, classes=told.classes, plans=told.plans, banned=told.banned, mark=told.mark
         )
         self.homes.move(told.moved)
 
-    def on_bar(self, told: i.Bar) -> None:
+    def on_bar(self, told: events.SuspendAdmission) -> None:
         self.barred = told.on
 
     def answered(self, customer: Customer | None) -> None:
@@ -218,8 +217,7 @@
                 self.decide(job, chance, how)
 
     def decide(self, job: Job, chance: float, how: str) -> None:
-        self.decided[how] += 1
-        self.old_us += self.desk.now - job.customer.heard_us if how == "old" else 0
+        self.counters.count_decision(how, self.desk.now - job.customer.heard_us)
         job.in_quota, plan = self.desk.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.homes.spend(job.customer, job.req.units)
@@ -233,11 +231,8 @@
 
     def tell_waits(self) -> None:
         """What the requests that wait here have waited for since the last tick, all of them together."""
-        waited, last, self.ticked_us = Counter[str](), self.ticked_us, self.desk.now
-        for job in [*self.waits, *[job for _, _, job in self.held if not job.over]]:
-            waited[report.waits_for(self, job)] += self.ticked_us - max(last, job.held_us)
-        if waited:
-            self.desk.actions.append(i.Waited(tuple(sorted(waited.items()))))
+        last, self.ticked_us = self.ticked_us, self.desk.now
+        self.desk.actions += metrics.wait_times(self, last)
 
     def hold(self, job: Job) -> None:
         job.held_us, job.decide_us = self.desk.now, NEVER
@@ -271,21 +266,9 @@
         needed = min(means * self.routing.mean_us[job.req.class_index], job.rule.aim_us / 2)
         late = job.may_refuse() and now + needed >= job.aim_us
         if not job.over and (late or now + 2 * TICK_US >= job.end_us):
-            self.end(job, self.lacked(job))
+            self.end(job, metrics.rejection_reason(self, job))
         return job.over
 
-    def lacked(self, job: Job) -> str:
-        """What a request waited for until its aim was out of reach."""
-        if job.servers:
-            return "again"  # an attempt had failed
-        if self.desk.now == job.came_us:
-            return "late"  # it came so
-        if job.customer.at_open_cap(self.desk.now):
-            return "open_cap"
-        if self.homes.at_ceiling(job.customer, job.req.units):
-            return "ceiling"
-        return "server" if self.allowance() else "cap"
-
     def send(self, job: Job, server: Server) -> None:
         customer, now = job.customer, self.desk.now
         if not (number := len(job.servers)):
@@ -299,17 +282,19 @@
             self.homes.use_place(customer)
         server.earned -= 1
         self.desk.actions.append(
-            i.Send(job.req.id, server.entry.name, self.retries.time_out(job), self.retries.begin_within(job))
+            actions.SendAttempt(
+                job.req.id, server.entry.name, self.retries.time_out(job), self.retries.begin_within(job)
+            )
         )
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
         self.desk.tell_twin(
-            i.TwinSend(
+            snapshots.HandoverAttempt(
                 customer.key, job.req.id, number, server.entry.name, now, 0.0 if number else job.req.units
             )
         )
 
-    def again(self, job: Job, why: i.Result) -> bool:
+    def again(self, job: Job, why: AttemptResult) -> bool:
         """Whether the request goes on after an attempt that ended so: on another server, or held for one."""
         if not self.retries.may(job, why):
             return False
@@ -320,22 +305,28 @@
             self.hold(job)
         return server is not None or job.ran_on is None
 
-    def on_outcome(self, event: i.Outcome) -> None:
+    def on_outcome(self, event: events.AttemptEnded) -> None:
         job = self.jobs.get(event.id)
         if job is None or event.attempt not in job.out:
             return
         server, job.customer.out = job.servers[event.attempt], job.customer.out - 1
         del job.out[event.attempt]
-        self.desk.tell_twin(i.TwinEnd(event.id, event.attempt))
+        self.desk.tell_twin(snapshots.HandoverAttemptEnd(event.id, event.attempt))
         if not job.streams:
             self.cap.out -= 1
             del server.out[(event.id, event.attempt)]
-        if not job.streams or event.result is not i.Result.OK:
+        if not job.streams or event.result is not AttemptResult.OK:
             self.learn(job, server, event)
-        if event.result is i.Result.MOOT and not event.attempt:  # its first never left: it draws nothing
+        if (
+            event.result is AttemptResult.NOT_SENT and not event.attempt
+        ):  # its first never left: it draws nothing
             self.give_back(job)
             job.customer.ceiling += job.req.units
-        job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+        job.unrun += event.result in (
+            AttemptResult.REJECTED,
+            AttemptResult.CONNECT_FAILED,
+            AttemptResult.NOT_SENT,
+        )
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
         if event.over or job.over:
             self.drop(job)
@@ -344,21 +335,21 @@
         if not job.out:  # else a further attempt has its place
             self.homes.tell_out(job.customer)
 
-    def learn(self, job: Job, server: Server, event: i.Outcome) -> None:
+    def learn(self, job: Job, server: Server, event: events.AttemptEnded) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
-        report = event.report or i.LoadReport()  # busy cores are the signal; a count only ranks servers
+        report = event.report or LoadReport()  # busy cores are the signal; a count only ranks servers
         loads = [load for load in (report.util, report.inflight, report.queue) if load is not None]
         self.cap.signals["util"] += [report.util] if report.util is not None else []
-        lasted = took / job.rule.aim_us if result in (i.Result.OK, i.Result.TIMEOUT) else 0.0
+        lasted = took / job.rule.aim_us if result in (AttemptResult.OK, AttemptResult.TIMEOUT) else 0.0
         if result in SIGHTED:
-            self.words.see(i.Sighting(server.sum, index, result is i.Result.OK, lasted))
+            self.words.see(AttemptObservation(server.sum, index, result is AttemptResult.OK, lasted))
         self.routing.learn(server, index, event, loads[0] if loads else None)
-        if result is i.Result.OK and self.set.trued_up and event.true_units and job.in_quota:
+        if result is AttemptResult.OK and self.set.trued_up and event.true_units and job.in_quota:
             job.customer.spend(event.true_units - job.req.units)
-        if result in (i.Result.OK, i.Result.TIMEOUT):
+        if result in (AttemptResult.OK, AttemptResult.TIMEOUT):
             self.cap.signals["latency"].append(min(1.0, lasted))
 
-    def on_stream(self, event: i.StreamStarted) -> None:
+    def on_stream(self, event: events.StreamStarted) -> None:
         """The value is the client's, as fast as that reads: the server's own part was until now."""
         job = self.jobs.get(event.id)
         if job and event.attempt in job.out and not job.over:
@@ -369,22 +360,23 @@
             self.learn(
                 job,
                 server,
-                i.Outcome(event.id, True, event.attempt, event.server, i.Result.OK, event.latency_us),
+                events.AttemptEnded(
+                    event.id, True, event.attempt, event.server, AttemptResult.OK, event.latency_us
+                ),
             )
 
     # --- ends ---
 
     def end(self, job: Job, why: str) -> None:
-        self.tally[why] += 1
-        self.ended[why] += 1
+        self.counters.count_end(why)
         self.desk.actions.append(
-            i.Refuse(job.req.id, self.retries.come_again(job, why))
+            actions.Reject(job.req.id, self.retries.come_again(job, why))
             if job.may_refuse()
-            else i.Fail(job.req.id)
+            else actions.Fail(job.req.id)
         )
         self.drop(job)
 
-    def on_end(self, event: i.ClientGone) -> None:
+    def on_end(self, event: events.ClientGone) -> None:
         if event.id in self.jobs:
             self.drop(self.jobs[event.id])
 
@@ -403,18 +395,11 @@
             self.give_back(job)
         calls_off = self.set.may_cancel and not job.over
         self.close(job)
-        self.desk.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
+        self.desk.actions += [actions.CancelAttempt(job.req.id, number) for number in job.out if calls_off]
         if not job.out:
             self.jobs.pop(job.req.id, None)
 
     # --- figures ---
 
-    def on_survey(self, _: i.Survey) -> None:
-        self.desk.actions.append(report.census(self))
-
-    def log_figures(self) -> None:
-        self.desk.actions.append(i.Log(report.line(self)))
-        for tally in (self.tally, self.words.tally, self.decided):
-            tally.clear()
-        self.old_us = 0
-        self.logged_us = self.desk.now
+    def on_survey(self, _: events.MetricsRequest) -> None:
+        self.desk.actions.append(metrics.metrics_snapshot(self))
--- /dev/null
+++ b/orchidhatch/gateway/decision_context.py
@@ -0,0 +1,29 @@
+"""What all components of the decision core share while an event is handled."""
+
+import random
+
+from orchidhatch.gateway.actions import Action
+from orchidhatch.gateway.settings import Settings
+from orchidhatch.gateway.snapshots import HandoverMessage
+
+
+class DecisionContext:
+    """The settings, the random source, the event's time in microseconds and the actions decided on so far.
+
+    `has_twin` says that there is a handover peer: another process that is this gateway too, while one takes
+    over from the other. `blind` means that there may be one, of which nothing is heard.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.set = settings
+        self.random = random.Random(settings.seed)
+        self.now = 0
+        self.started_us = 0
+        self.actions: list[Action] = []
+        self.has_twin = False
+        self.blind = False
+
+    def tell_twin(self, message: HandoverMessage) -> None:
+        """Send the handover peer a message, if there is one."""
+        if self.has_twin:
+            self.actions.append(message)
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -2,20 +2,24 @@
 
 from collections.abc import Iterable
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import Desk
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.events import HandoverPeerGone, HandoverPeerUnknown
+from orchidhatch.gateway.handover_state import restore_overload, restore_servers, take_snapshot
+from orchidhatch.gateway.in_flight import Job
 from orchidhatch.gateway.load_balancing import Routing, Server
 from orchidhatch.gateway.membership import Membership
 from orchidhatch.gateway.overload import Cap
 from orchidhatch.gateway.quota import LEFT_US, Customer
 from orchidhatch.gateway.quota_leaders import Homes
-from orchidhatch.gateway.state import Job, remember_cap, state
+from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
 
 
 class Twin:
     """What the other process has out, and all that the rules, quotas and health rest on, handed over."""
 
-    def __init__(self, desk: Desk, routing: Routing, membership: Membership, homes: Homes, cap: Cap) -> None:
+    def __init__(
+        self, desk: DecisionContext, routing: Routing, membership: Membership, homes: Homes, cap: Cap
+    ) -> None:
         self.desk, self.routing, self.membership, self.homes, self.cap = desk, routing, membership, homes, cap
         self.out: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
 
@@ -25,33 +29,30 @@
         desk.has_twin = True
         for known in customers:
             known.refill(desk.now).lent.clear()  # the other would not know of it
-        desk.actions.append(state(desk, self.cap, self.routing, customers, self.membership.names, jobs))
+        desk.actions.append(
+            take_snapshot(desk, self.cap, self.routing, customers, self.membership.names, jobs)
+        )
 
-    def on_state(self, told: i.State) -> None:
+    def on_state(self, told: GatewaySnapshot) -> None:
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.desk.has_twin = True
-        remember_cap(self.cap, told.cap)
-        self.routing.usual = told.cap.usual
-        if len(told.means_us) == len(self.routing.mean_us):
-            self.routing.mean_us = list(told.means_us)
+        restore_overload(self.cap, told.cap)
+        restore_servers(self.routing, told)
         for one in told.customers:
             if self.homes.is_ours(one.key):
                 plan = self.desk.set.plans[one.key.plan_index]
                 known = self.homes.customers[one.key] = Customer(plan, one.key, self.desk.set, one.at_us)
                 known.remember(one)
                 known.left_us = self.desk.now + LEFT_US if known.left_us else 0
-        for one in told.servers:
-            if server := self.routing.servers.get(one.name):
-                server.remember(one)
         self.membership.remember(told.names)
         for one in told.out:
             self.on_send(one)
 
-    def on_spend(self, event: i.TwinSpend) -> None:
+    def on_spend(self, event: HandoverSpend) -> None:
         if self.homes.is_ours(event.key):
             self.homes.customer(event.key).take(event.units)
 
-    def on_send(self, event: i.TwinSend) -> None:
+    def on_send(self, event: HandoverAttempt) -> None:
         name = event.id, event.attempt
         if not self.homes.is_ours(event.key) or name in self.out:
             return
@@ -64,22 +65,22 @@
             server.out[name] = event.sent_us
             server.earned -= 1
 
-    def on_end(self, event: i.TwinEnd) -> None:
+    def on_end(self, event: HandoverAttemptEnd) -> None:
         customer, server = self.out.pop((event.id, event.attempt), (None, None))
         if customer:
             customer.out, self.cap.out = customer.out - 1, self.cap.out - 1
         if server:
             server.out.pop((event.id, event.attempt), None)
 
-    def on_unknown(self, _: i.TwinUnknown) -> None:
+    def on_unknown(self, _: HandoverPeerUnknown) -> None:
         """The other may use up every ceiling's part: nothing is sent here that would count against one."""
         self.desk.blind = True
 
-    def on_gone(self, _: i.TwinGone) -> None:
+    def on_gone(self, _: HandoverPeerGone) -> None:
         self.desk.has_twin = False
         if self.desk.blind:
             self.desk.blind = False
             for customer in self.homes.customers.values():
                 customer.refill(self.desk.now).ceiling = 0.0
         for name, number in list(self.out):
-            self.on_end(i.TwinEnd(name, number))
+            self.on_end(HandoverAttemptEnd(name, number))
--- /dev/null
+++ b/orchidhatch/gateway/handover_state.py
@@ -0,0 +1,58 @@
+"""The snapshot that a process hands over to its successor: taken from the components, and restored."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.in_flight import Job
+from orchidhatch.gateway.load_balancing import Routing
+from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.records import CustomerRecord
+from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverEjection, OverloadSnapshot
+
+
+def take_snapshot(
+    desk: DecisionContext,
+    cap: Cap,
+    routing: Routing,
+    customers: Iterable[CustomerRecord],
+    names: Mapping[str, bool],
+    jobs: Iterable[Job],
+) -> GatewaySnapshot:
+    """All that a gateway hands over."""
+    return GatewaySnapshot(
+        desk.now,
+        OverloadSnapshot(
+            cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate, routing.usual
+        ),
+        tuple(routing.mean_us),
+        tuple(known.memory() for known in customers),
+        tuple(server.memory() for server in routing.servers.values()),
+        tuple(HandoverEjection(name, left_out) for name, left_out in names.items()),
+        tuple(
+            HandoverAttempt(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
+            for job in jobs
+            for number, sent in job.out.items()
+        ),
+    )
+
+
+def restore_overload(cap: Cap, snapshot: OverloadSnapshot) -> None:
+    """Put the overload controller into the state of the snapshot."""
+    cap.n_past = snapshot.n_past or None
+    cap.most = math.floor(snapshot.n_past)
+    cap.accepted = snapshot.accepted
+    cap.period_us = snapshot.period_us
+    cap.cc_us = snapshot.length_us
+    cap.overhead = snapshot.overhead
+    cap.rate = snapshot.rate
+
+
+def restore_servers(routing: Routing, snapshot: GatewaySnapshot) -> None:
+    """Restore what the predecessor had learnt of the servers that are listed here too."""
+    routing.usual = snapshot.cap.usual
+    if len(snapshot.means_us) == len(routing.mean_us):
+        routing.mean_us = list(snapshot.means_us)
+    for learnt in snapshot.servers:
+        if server := routing.servers.get(learnt.name):
+            server.remember(learnt)
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -2,9 +2,14 @@
 
 import math
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import LEAST_OUT, SMOOTH, START_PER_SERVER, Desk, S
-from orchidhatch.gateway.state import Job, ServerRecord
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.gateway.constants import LEAST_OUT, SMOOTH, START_PER_SERVER
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.events import AttemptEnded
+from orchidhatch.gateway.in_flight import Job
+from orchidhatch.gateway.records import ServerRecord
+from orchidhatch.gateway.settings import DeduplicationScope, Idempotency
+from orchidhatch.gateway.times import S
 
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 # A server in trouble is passed over by how much worse than usual it is. Less says nothing: it is within
@@ -23,7 +28,13 @@
 # How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
 # sent on because servers are cold. What these may take must not shrink with that.
 USUAL_US = 30 * S
-SIGHTED = (i.Result.OK, i.Result.TIMEOUT, i.Result.ERROR, i.Result.RESET, i.Result.FULL)
+SIGHTED = (
+    AttemptResult.OK,
+    AttemptResult.TIMEOUT,
+    AttemptResult.ERROR,
+    AttemptResult.RESET,
+    AttemptResult.REJECTED,
+)
 
 
 class Server(ServerRecord):
@@ -38,7 +49,7 @@
 class Routing:
     """The servers that may be sent new work, how warm and well they are, and the choice among them."""
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: DecisionContext) -> None:
         self.desk = desk
         self.servers: dict[str, Server] = {}  # of the list, by name
         self.up: list[Server] = []  # those that may be sent new work
@@ -61,19 +72,16 @@
         self.usual = max(rate / max(1, len(self.up)), self.usual * fade)
         self.count_warm()
 
-    def suspect(self) -> int:
-        return sum(self.desk.now < server.avoid_until or server.on_trial for server in self.up)
-
     def choose(self, job: Job) -> Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
-        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not i.Effect.SAFE
+        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not Idempotency.SAFE
         allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
         usable = [
             server
             for server in allowed
             if now >= server.avoid_until
             and server not in job.servers
-            and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))
+            and not (server.on_trial and (server.out or job.rule.effect is Idempotency.UNSAFE))
         ] or allowed
         most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateways)  # more would only wait there
         free = [server for server in usable if len(server.out) < most]
@@ -95,11 +103,13 @@
     def in_group(self, job: Job, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = job.rule, job.ran_on
-        if first is None or rule.effect is i.Effect.SAFE:
+        if first is None or rule.effect is Idempotency.SAFE:
             return True
-        place = "zone" if rule.group is i.Group.ZONE else "cell"
-        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
-        return same and rule.effect is i.Effect.KEYED and self.desk.now < job.ran_us + rule.window_us
+        place = "zone" if rule.group is DeduplicationScope.ZONE else "cell"
+        same = rule.group is DeduplicationScope.ALL or getattr(server.entry, place) == getattr(
+            first.entry, place
+        )
+        return same and rule.effect is Idempotency.KEYED and self.desk.now < job.ran_us + rule.window_us
 
     def cost(self, server: Server) -> float:
         """Expected wait: work out there, how slow it is, how loaded it says it is."""
@@ -136,24 +146,24 @@
 
     # --- what attempts tell ---
 
-    def learn(self, server: Server, index: int, event: i.Outcome, load: float | None) -> None:
+    def learn(self, server: Server, index: int, event: AttemptEnded, load: float | None) -> None:
         """How an attempt of a request's class ended, by the server's latency and what it says of itself."""
         now, result, took = self.desk.now, event.result, event.latency_us
         if load is not None:
             server.load, server.load_at = load, now
             self.mean_load += SMOOTH * (load - self.mean_load)
         if result in SIGHTED:
-            self.judge(server, index, result is i.Result.OK, took)
-        if result is i.Result.OK:
+            self.judge(server, index, result is AttemptResult.OK, took)
+        if result is AttemptResult.OK:
             server.heard_us = now
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
             server.slowness += SMOOTH * (ratio - server.slowness)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
-        long = result is i.Result.TIMEOUT and server.heard_us >= now - took  # but it answered others
-        if result is i.Result.FULL:
+        long = result is AttemptResult.TIMEOUT and server.heard_us >= now - took  # but it answered others
+        if result is AttemptResult.REJECTED:
             server.avoid_until = max(server.avoid_until, now + AVOID_US)
-        elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
-            self.note_result(server, result is i.Result.OK)
+        elif not long and result not in (AttemptResult.CANCELLED, AttemptResult.NOT_SENT):
+            self.note_result(server, result is AttemptResult.OK)
 
     def judge(self, server: Server, index: int, served: bool, took_us: float) -> None:
         """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
--- a/orchidhatch/gateway/membership.py
+++ b/orchidhatch/gateway/membership.py
@@ -1,8 +1,12 @@
 """Who is in the list, and who is left out of it by hand."""
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import NEVER, Desk
+from orchidhatch.gateway.actions import EjectionResult, Subscribe
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
+from orchidhatch.gateway.events import EndpointList, SetEjection
 from orchidhatch.gateway.load_balancing import Routing, Server
+from orchidhatch.gateway.snapshots import HandoverEjection
+from orchidhatch.gateway.times import NEVER
 
 MOST_NAMES = 4096  # servers remembered as once listed, and so at most those left out by hand
 
@@ -10,16 +14,19 @@
 class Membership:
     """Keeps what routing may choose from as the list and the operators say."""
 
-    def __init__(self, desk: Desk, routing: Routing) -> None:
+    def __init__(self, desk: DecisionContext, routing: Routing) -> None:
         self.desk, self.routing = desk, routing
         self.names: dict[str, bool] = {}  # all that were ever listed, and whether left out by hand
 
-    def on_list(self, news: i.ServerList) -> None:
+    def on_list(self, news: EndpointList) -> None:
         desk, routing = self.desk, self.routing
-        if desk.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
-            desk.actions.append(i.Subscribe(True))
+        if desk.set.must_subscribe and news.kind in (EndpointListKind.SAVED, EndpointListKind.FAILED):
+            desk.actions.append(Subscribe(True))
         named = {entry.name for entry in news.servers}
-        part = news.kind in (i.ListKind.CHANGES, i.ListKind.FAILED)  # after a failure the old list holds
+        part = news.kind in (
+            EndpointListKind.CHANGES,
+            EndpointListKind.FAILED,
+        )  # after a failure the old list holds
         routing.servers = {name: known for name, known in routing.servers.items() if part or name in named}
         for entry in news.servers:
             known = routing.servers.get(entry.name)
@@ -52,19 +59,19 @@
         routing.up = [
             server
             for server in routing.servers.values()
-            if server.entry.state is i.ServerState.UP and not self.names.get(server.entry.name)
+            if server.entry.state is EndpointState.UP and not self.names.get(server.entry.name)
         ]
         routing.count_warm()
 
-    def on_maint(self, event: i.Maint) -> None:
+    def on_maint(self, event: SetEjection) -> None:
         """Leave a server out whatever the list says, or take it back: by a trial, and as a cold one."""
         known = event.server in self.names
         if known:
             self.leave_out(event)
-            self.desk.tell_twin(i.TwinMaint(event.server, event.out))
-        self.desk.actions.append(i.Ruling(event.server, event.out, known))
+            self.desk.tell_twin(HandoverEjection(event.server, event.out))
+        self.desk.actions.append(EjectionResult(event.server, event.out, known))
 
-    def leave_out(self, event: i.Maint | i.TwinMaint) -> None:
+    def leave_out(self, event: SetEjection | HandoverEjection) -> None:
         if self.names.get(event.server, False) != event.out:
             self.names[event.server] = event.out
             if (server := self.routing.servers.get(event.server)) and not event.out:
@@ -73,7 +80,7 @@
                 server.earned = 1.0
             self.find_up()
 
-    def remember(self, names: tuple[i.TwinMaint, ...]) -> None:
+    def remember(self, names: tuple[HandoverEjection, ...]) -> None:
         self.names.update((told.server, told.out) for told in names)
         self.forget_names()
         self.find_up()
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -1,67 +1,168 @@
-"""The module's figures for those on call: forms, which decide nothing."""
+"""The metrics of the decision core: counters, the periodic log line and the snapshot. It decides nothing."""
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from typing import Protocol
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.state import NEVER, Job, S
+from orchidhatch.gateway.actions import LogLine, MetricsSnapshot, WaitTimes
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.endpoints import EndpointState
+from orchidhatch.gateway.in_flight import Job
+from orchidhatch.gateway.load_balancing import Routing
+from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.quota_leaders import Homes
+from orchidhatch.gateway.times import NEVER, S
 
-if TYPE_CHECKING:
-    from orchidhatch.gateway.core import Gateway
+LOG_US = 5 * S
+"""How often a line is logged."""
 
-FATES = ("told", "heard", "asked", "answered")  # messages to and from peers; asks, those answered
+GOSSIP_COUNTS = ("told", "heard", "asked", "answered")
+"""Messages to and from peers, grants requested, and those answered; the names are those of the log line."""
 
+STALE_ANSWER = "old"
+"""The kind of admission decision that goes by an earlier answer of the quota leader."""
 
-def line(gateway: "Gateway") -> str:
-    """What they need first: the cap, what is out and held, and why requests were ended."""
-    cap, routing, peers = gateway.cap, gateway.routing, gateway.words.tally
-    ended = " ".join(f"{why}={count}" for why, count in sorted(gateway.tally.items()))
-    known = " ".join(f"{how}={count}" for how, count in sorted(gateway.decided.items()))
-    most = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
+
+class RequestCounters:
+    """Counts of how requests ended unserved and of admission decisions by what was known of the quota."""
+
+    def __init__(self) -> None:
+        self.ended: Counter[str] = Counter()  # by reason, since the start
+        self.ended_since_log: Counter[str] = Counter()
+        self.decided_since_log: Counter[str] = Counter()
+        self.stale_us_since_log = 0  # the ages of the answers that STALE_ANSWER decisions went by, summed
+        self.logged_us = -1
+
+    def count_end(self, reason: str) -> None:
+        """Count a request that ended unserved."""
+        self.ended_since_log[reason] += 1
+        self.ended[reason] += 1
+
+    def count_decision(self, kind: str, answer_age_us: int) -> None:
+        """Count an admission decision; `answer_age_us` is since when the quota leader has not answered."""
+        self.decided_since_log[kind] += 1
+        if kind == STALE_ANSWER:
+            self.stale_us_since_log += answer_age_us
+
+    def start_log_period(self, now_us: int) -> None:
+        """Clear what counts since the last log line."""
+        self.ended_since_log.clear()
+        self.decided_since_log.clear()
+        self.stale_us_since_log = 0
+        self.logged_us = now_us
+
+
+class Measured(Protocol):
+    """What of the decision core is measured."""
+
+    desk: DecisionContext
+    cap: Cap
+    routing: Routing
+    words: Words
+    homes: Homes
+    counters: RequestCounters
+    held: list[tuple[float, int, Job]]
+    waits: list[Job]
+
+    def allowance(self) -> bool:
+        """Whether the overload controller admits one more first attempt."""
+
+
+def log_lines(core: Measured) -> list[LogLine]:
+    """The periodic log line where it is due, which begins the next period; else nothing."""
+    now_us = core.desk.now
+    if now_us - core.counters.logged_us < LOG_US:
+        return []
+    line = LogLine(summary_text(core))
+    core.counters.start_log_period(now_us)
+    core.words.tally.clear()
+    return [line]
+
+
+def summary_text(core: Measured) -> str:
+    """The admission limit, what is in flight and queued, and why requests were ended."""
+    cap, routing, peers, counters = core.cap, core.routing, core.words.tally, core.counters
+    now_us = core.desk.now
+    ended = counts_text(counters.ended_since_log)
+    decided = counts_text(counters.decided_since_log)
+    limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
+    ejected = sum(now_us < server.avoid_until or server.on_trial for server in routing.up)
     return (
-        f"cap {most} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
-        f" out {cap.out} held {len(gateway.held)} ({held_for(gateway)}) waiting {len(gateway.waits)}"
-        f" up {len(routing.up)} suspect {routing.suspect()} ended: {ended or '-'}"
-        f" decided: {known or '-'} old words {gateway.old_us // 1000} ms"
-        f" peers: {' '.join(f'{what} {peers[what]}' for what in FATES)}"
+        f"cap {limit} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
+        f" out {cap.out} held {len(core.held)} ({queued_text(core)}) waiting {len(core.waits)}"
+        f" up {len(routing.up)} suspect {ejected} ended: {ended}"
+        f" decided: {decided} old words {counters.stale_us_since_log // 1000} ms"
+        f" peers: {' '.join(f'{what} {peers[what]}' for what in GOSSIP_COUNTS)}"
     )
 
 
-def census(gateway: "Gateway") -> i.Census:
-    """How it is now; servers count as avoided by hand or by choice."""
-    now, words, routing = gateway.desk.now, gateway.words, gateway.routing
+def counts_text(counts: Counter[str]) -> str:
+    """Counts by name as `name=count`, sorted; "-" for none."""
+    return " ".join(f"{name}={count}" for name, count in sorted(counts.items())) or "-"
+
+
+def queued_text(core: Measured) -> str:
+    """What the queued requests that were never sent wait for, beside a server and the admission limit."""
+    never_sent = [job for _, _, job in core.held if not job.servers]
+    at_slots = sum(job.customer.at_open_cap(core.desk.now) for job in never_sent)
+    at_ceiling = sum(is_under_ceiling(job) for job in never_sent)
+    return f"open cap {at_slots} ceiling {at_ceiling}"
+
+
+def is_under_ceiling(job: Job) -> bool:
+    """Whether the rate ceiling has too little for the request, as it was last refilled."""
+    return job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units
+
+
+def metrics_snapshot(core: Measured) -> MetricsSnapshot:
+    """The metrics now; servers count as ejected by an operator or by outlier detection."""
+    now, words, routing = core.desk.now, core.words, core.routing
     good = sum(now >= server.avoid_until and not server.on_trial for server in routing.up)
-    listed = sum(server.entry.state is not i.ServerState.GONE for server in routing.servers.values())
-    waits = [job.came_us for _, _, job in gateway.held] + [job.came_us for job in gateway.waits]
-    return i.Census(
-        listed,
-        listed - good,
-        len(waits),
-        now - min(waits, default=now),
-        sum(map(len, words.waiting.values())),
-        now - min(words.since.values(), default=now),
-        words.dropped,
-        tuple(sorted(gateway.ended.items())),
+    listed = sum(server.entry.state is not EndpointState.GONE for server in routing.servers.values())
+    waits = [job.came_us for _, _, job in core.held] + [job.came_us for job in core.waits]
+    return MetricsSnapshot(
+        listed=listed,
+        avoided=listed - good,
+        held=len(waits),
+        held_us=now - min(waits, default=now),
+        words=sum(map(len, words.waiting.values())),
+        words_us=now - min(words.since.values(), default=now),
+        words_dropped=words.dropped,
+        ended=tuple(sorted(core.counters.ended.items())),
     )
 
 
-def waits_for(gateway: "Gateway", job: Job) -> str:
+def wait_times(core: Measured, since_us: int) -> list[WaitTimes]:
+    """What the requests that wait here have waited for since that time, all of them together."""
+    waited: Counter[str] = Counter()
+    for job in [*core.waits, *[job for _, _, job in core.held if not job.over]]:
+        waited[wait_reason(core, job)] += core.desk.now - max(since_us, job.held_us)
+    return [WaitTimes(tuple(sorted(waited.items())))] if waited else []
+
+
+def wait_reason(core: Measured, job: Job) -> str:
     """What a request that waits here waits for, by the names of the reasons for which requests are ended."""
-    customer, now = job.customer, gateway.desk.now
+    customer = job.customer
     if job.decide_us < NEVER:
         return "word"
     if job.servers:
         return "again"
-    if customer.plan.max_out and customer.at_open_cap(now):
+    if customer.plan.max_out and customer.at_open_cap(core.desk.now):
         return "open_cap"
-    if customer.plan.ceiling_rate and customer.ceiling < job.req.units:  # as it was last refilled
+    if is_under_ceiling(job):
         return "ceiling"
-    return "server" if gateway.allowance() else "cap"
+    return "server" if core.allowance() else "cap"
 
 
-def held_for(gateway: "Gateway") -> str:
-    """What the held requests that were never sent wait for, beside a server and the cap."""
-    firsts = [job for _, _, job in gateway.held if not job.servers]
-    at_cap = sum(job.customer.at_open_cap(gateway.desk.now) for job in firsts)
-    under = sum(job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units for job in firsts)
-    return f"open cap {at_cap} ceiling {under}"
+def rejection_reason(core: Measured, job: Job) -> str:
+    """What a request waited for until its latency objective was out of reach; of a new one "late"."""
+    if job.servers:
+        return "again"
+    if core.desk.now == job.came_us:
+        return "late"
+    if job.customer.at_open_cap(core.desk.now):
+        return "open_cap"
+    if core.homes.at_ceiling(job.customer, job.req.units):
+        return "ceiling"
+    return "server" if core.allowance() else "cap"
--- a/orchidhatch/gateway/overload.py
+++ b/orchidhatch/gateway/overload.py
@@ -3,15 +3,9 @@
 import math
 from collections.abc import Callable, Iterable
 
-from orchidhatch.gateway.constants import (
-    CC_PERIOD_US,
-    LEAST_OUT,
-    MOST_PERIODS,
-    START_PER_SERVER,
-    TICK_US,
-    Desk,
-    S,
-)
+from orchidhatch.gateway.constants import CC_PERIOD_US, LEAST_OUT, MOST_PERIODS, START_PER_SERVER, TICK_US
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.times import S
 
 RATE_SMOOTH = 0.3  # weight of a period's sends in a running mean
 FAIR_N = 10  # the OPPUI is one or two Call Control Periods, for an N that is fair-sized
@@ -24,7 +18,7 @@
 class Cap:
     """N for this period, re-derived at the end of each OPPUI, and what is out at once."""
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: DecisionContext) -> None:
         self.desk = desk
         self.n_past: float | None = None  # no N: the cap is lifted
         self.most, self.left_of_n = 0, desk.random.random()  # N as it holds this period; what rounding left
--- a/orchidhatch/gateway/peer_outbox.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -3,9 +3,12 @@
 import itertools
 from collections import Counter, deque
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS, Desk, S
+from orchidhatch.gateway.actions import SendGossip
+from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
 from orchidhatch.gateway.quota import ASK_US
+from orchidhatch.gateway.times import S
 
 MOST_SIGHTINGS = 16  # attempts that a message may tell of: fewer than leave between two messages to a peer
 MOST_WORDS = 60  # that wait for one peer: five messages full of them, more than any space lets come together
@@ -18,19 +21,19 @@
     Each gateway of many sees each server too rarely to learn of a bad one alone.
     """
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: DecisionContext) -> None:
         self.desk, set_ = desk, desk.set
-        self.waiting: dict[int, list[i.Word]] = {}  # by peer
+        self.waiting: dict[int, list[GossipMessage]] = {}  # by peer
         self.since: dict[int, int] = {}  # by peer, when the first word that waits for it came
         self.dropped = 0
         self.next_tell_us: dict[int, int] = {}  # by peer, when the next message to it would keep its space
         self.space_us = min(ASK_US, 2 * S * (set_.gateways - 1) / max(1, set_.peer_messages_per_s))
         self.ahead_us = round((TELLS_AT_ONCE - 1) * self.space_us)  # by so much it may leave ahead of it
-        self.seen: deque[tuple[int, i.Sighting]] = deque(maxlen=MOST_SIGHTINGS)
+        self.seen: deque[tuple[int, AttemptObservation]] = deque(maxlen=MOST_SIGHTINGS)
         self.seen_ever, self.told_seen = 0, dict[int, int]()
         self.tally: Counter[str] = Counter()  # how it went with the peers, as report.FATES
 
-    def add(self, peer: int, word: i.Word) -> None:
+    def add(self, peer: int, word: GossipMessage) -> None:
         words = self.waiting.setdefault(peer, [])
         self.since.setdefault(peer, self.desk.now)
         if len(words) == MOST_WORDS:  # the oldest is no news
@@ -51,14 +54,14 @@
             self.tally["told"] += 1
             waited_us = now - self.since.pop(peer)
             self.desk.actions.append(
-                i.Tell(peer, tuple(self.waiting.pop(peer)), self.untold_sightings(peer), waited_us)
+                SendGossip(peer, tuple(self.waiting.pop(peer)), self.untold_sightings(peer), waited_us)
             )
 
-    def see(self, sighting: i.Sighting) -> None:
+    def see(self, sighting: AttemptObservation) -> None:
         self.seen.append((self.desk.now, sighting))
         self.seen_ever += 1
 
-    def untold_sightings(self, peer: int) -> tuple[i.Sighting, ...]:
+    def untold_sightings(self, peer: int) -> tuple[AttemptObservation, ...]:
         """What the peer has not been told; past the longest period it is no news."""
         new = self.seen_ever - self.told_seen.get(peer, 0)
         self.told_seen[peer] = self.seen_ever
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -3,9 +3,11 @@
 import math
 from dataclasses import replace
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import NEVER, S
-from orchidhatch.gateway.state import CustomerRecord
+from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
+from orchidhatch.gateway.records import CustomerRecord
+from orchidhatch.gateway.settings import Plan, Settings
+from orchidhatch.gateway.snapshots import CustomerKey
+from orchidhatch.gateway.times import NEVER, S
 
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
@@ -22,7 +24,7 @@
 KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 
 
-def own_part(plan: i.Plan, size: int) -> i.Plan:
+def own_part(plan: Plan, size: int) -> Plan:
     """The plan of one gateway that hears nothing of the others; its store holds one request at least."""
     return (
         plan
@@ -41,7 +43,7 @@
 class Customer(CustomerRecord):
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    def __init__(self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int) -> None:
+    def __init__(self, plan: Plan, key: CustomerKey, set_: Settings, now: int) -> None:
         super().__init__(plan if set_.may_tell else own_part(plan, key[3]), key, set_, now)
         self.alone = self.size < key[3]
         self.left_us = 0 if self.at_home or not self.shares_cap() else now + LEFT_US
@@ -54,7 +56,7 @@
         gained = plan.ceiling_rate * max(0, time_us - left_us) / S
         self.ceiling = min(plan.ceiling_burst, gained) / self.size
 
-    def go_under(self, plan: i.Plan, index: int, now: int) -> None:
+    def go_under(self, plan: Plan, index: int, now: int) -> None:
         """Another plan holds for it: what is here stays the same part of the whole, of debts too, and what
         was granted stays granted."""
         old, self.key = self.refill(now).plan, self.key._replace(plan_index=index)
@@ -194,10 +196,10 @@
         self.ceiling -= units if units > PLACE_ALONE else 0.0
         return units
 
-    def hear_place(self, word: i.Word, now: int) -> None:
+    def hear_place(self, word: GossipMessage, now: int) -> None:
         """Elsewhere: the home's answer to a wish for a place."""
-        self.wants, self.queued, self.wanted_us = 0, word.place is i.Place.QUEUED, now
-        if word.place is i.Place.GRANTED:
+        self.wants, self.queued, self.wanted_us = 0, word.place is SlotGrant.QUEUED, now
+        if word.place is SlotGrant.GRANTED:
             self.place_us = now
             self.ceiling += -word.asked if -word.asked > PLACE_ALONE else 0.0
 
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -2,19 +2,12 @@
 
 from collections.abc import Callable
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import NEVER, Desk, S
+from orchidhatch.gateway import quota
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
 from orchidhatch.gateway.peer_outbox import Words
-from orchidhatch.gateway.quota import (
-    ASK_US,
-    ASKS,
-    DEMAND_US,
-    LENT_US,
-    PLACE_ALONE,
-    QUEUED_US,
-    RENEW_US,
-    Customer,
-)
+from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
+from orchidhatch.gateway.times import NEVER, S
 
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 
@@ -25,22 +18,26 @@
     `holds` says whether a request of a customer is held here, never sent, and so waits for a place too.
     """
 
-    def __init__(self, desk: Desk, words: Words, holds: Callable[[Customer], bool]) -> None:
+    def __init__(self, desk: DecisionContext, words: Words, holds: Callable[[quota.Customer], bool]) -> None:
         self.desk, self.words, self.holds = desk, words, holds
-        self.customers: dict[i.Key, Customer] = {}  # the one seen last at the end
-        self.queues: dict[i.Key, Customer] = {}  # those at home here for which others wait for a place
-        self.renewals: dict[i.Key, Customer] = {}  # those at home elsewhere that a place is held for
-
-    def customer(self, key: i.Key) -> Customer:
+        self.customers: dict[CustomerKey, quota.Customer] = {}  # the one seen last at the end
+        self.queues: dict[
+            CustomerKey, quota.Customer
+        ] = {}  # those at home here for which others wait for a place
+        self.renewals: dict[
+            CustomerKey, quota.Customer
+        ] = {}  # those at home elsewhere that a place is held for
+
+    def customer(self, key: CustomerKey) -> quota.Customer:
         """The customer, as of now; one that is not known begins with what the time since the start allows."""
         known = self.customers.pop(key, None)
         if known is None:
-            known = Customer(self.desk.set.plans[key[1]], key, self.desk.set, self.desk.now)
+            known = quota.Customer(self.desk.set.plans[key[1]], key, self.desk.set, self.desk.now)
             known.has_idled(min(FORGET_US, self.desk.now - self.desk.started_us))
         self.customers[key] = known
         return known.refill(self.desk.now)
 
-    def is_ours(self, key: i.Key) -> bool:
+    def is_ours(self, key: CustomerKey) -> bool:
         set_ = self.desk.set
         in_set = (set_.me - key.set_first) % set_.gateways < key.set_size
         return 0 <= key.plan_index < len(set_.plans) and in_set
@@ -61,18 +58,20 @@
         while self.customers and self.desk.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
 
-    def spend(self, customer: Customer, units: float) -> None:
+    def spend(self, customer: quota.Customer, units: float) -> None:
         customer.take(units)
-        self.desk.tell_twin(i.TwinSpend(customer.key, units))
+        self.desk.tell_twin(HandoverSpend(customer.key, units))
 
-    def chance(self, customer: Customer, units: float) -> float | None:
+    def chance(self, customer: quota.Customer, units: float) -> float | None:
         """The chance to be let in, by what is known here; None where the home is to be asked."""
         now, at_home = self.desk.now, customer.at_home
         fresh = customer.is_fresh(now)
         customer.untold += units
         if at_home or not fresh:  # else it is the whole set's, which this request is part of
             customer.demand += units
-        heard = fresh and self.desk.random.random() * customer.demand > customer.asked_per_s * DEMAND_US / S
+        heard = (
+            fresh and self.desk.random.random() * customer.demand > customer.asked_per_s * quota.DEMAND_US / S
+        )
         if customer.part >= units:
             return 1.0
         if not at_home and customer.is_pooled(units) and customer.is_dry(units, now):
@@ -83,12 +82,14 @@
 
     # --- words ---
 
-    def tell(self, peer: int, customer: Customer, asked: float, place: i.Place = i.Place.NONE) -> None:
+    def tell(
+        self, peer: int, customer: quota.Customer, asked: float, place: SlotGrant = SlotGrant.NONE
+    ) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         now, answer = self.desk.now, customer.at_home
         demand = customer.demand if answer else customer.untold
         out = customer.out + customer.others_out(now, but=peer) if answer else customer.out
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
+        word = GossipMessage(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
         if customer.shares_cap() and not answer:
             customer.leave_ceiling(now)
         if peer != self.desk.set.me:
@@ -96,14 +97,14 @@
         customer.untold = customer.spent = 0.0
 
     def hear(
-        self, sender: int, words: tuple[i.Word, ...], answered: Callable[[Customer | None], None]
+        self, sender: int, words: tuple[GossipMessage, ...], answered: Callable[[quota.Customer | None], None]
     ) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers. `answered`
         is called for each answer, with the customer whose ask it answers."""
-        homed: dict[i.Key, Customer] = {}
+        homed: dict[CustomerKey, quota.Customer] = {}
         # A place comes before the answer that lets in who may use it.
         for word in sorted(words, key=lambda word: not word.place):
-            key = i.Key(word.customer, word.plan_index, word.set_first, word.set_size)
+            key = CustomerKey(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
@@ -117,25 +118,25 @@
         for customer in homed.values():  # once all is heard: what is out may come after a wish for more
             self.give_places(customer)
             if sender in customer.wanting:
-                self.tell(sender, customer, 0.0, i.Place.QUEUED)
+                self.tell(sender, customer, 0.0, SlotGrant.QUEUED)
 
-    def hear_home(self, customer: Customer, word: i.Word) -> None:
+    def hear_home(self, customer: quota.Customer, word: GossipMessage) -> None:
         now = self.desk.now
         customer.heard_us, customer.demand, customer.level = now, word.demand, word.level
         customer.ask_after_us = customer.backoff_us = 0
         if word.place:
             customer.hear_place(word, now)
-        if word.place is i.Place.GRANTED:
+        if word.place is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
         customer.part = min(customer.part, max(0.0, word.level / customer.size))
 
-    def hear_member(self, customer: Customer, word: i.Word, sender: int) -> None:
+    def hear_member(self, customer: quota.Customer, word: GossipMessage, sender: int) -> None:
         now, shares = self.desk.now, customer.shares_cap()
         customer.demand += word.demand
         customer.spend(word.spent)
         customer.hear_out(sender, word.out, not word.asked, now)  # a word without a wish tells of an end
         if shares and not self.desk.has_twin:
-            customer.lent[sender] = now + LENT_US
+            customer.lent[sender] = now + quota.LENT_US
         granted = customer.chance(word.asked) if word.asked > 0 else 0.0
         if shares and (word.asked < 0 or granted):  # who is let in needs a place at once
             customer.wanting[sender] = abs(word.asked), now
@@ -145,7 +146,7 @@
 
     # --- places under an open cap, and what goes with them under a ceiling ---
 
-    def needs_place(self, customer: Customer, units: float) -> bool:
+    def needs_place(self, customer: quota.Customer, units: float) -> bool:
         """Whether a request must wait for open cap or ceiling; a place is asked for at the home."""
         now = self.desk.now
         if not customer.at_home and customer.shares_cap():
@@ -154,22 +155,22 @@
                 return True
         return self.at_ceiling(customer, units) or customer.at_open_cap(now)
 
-    def at_ceiling(self, customer: Customer, units: float) -> bool:
+    def at_ceiling(self, customer: quota.Customer, units: float) -> bool:
         limited = customer.plan.ceiling_rate > 0
         return limited and (self.desk.blind or customer.refill(self.desk.now).ceiling < units)
 
-    def want_place(self, customer: Customer, units: float) -> None:
-        now, silent = self.desk.now, customer.wants > ASKS
+    def want_place(self, customer: quota.Customer, units: float) -> None:
+        now, silent = self.desk.now, customer.wants > quota.ASKS
         if customer.has_place(now) and not silent:
             return
-        patience = QUEUED_US if customer.queued or silent else ASK_US
+        patience = quota.QUEUED_US if customer.queued or silent else quota.ASK_US
         if now - customer.wanted_us >= patience:
             customer.wanted_us, customer.queued = now, False
             customer.wants += 1
             short = units if self.at_ceiling(customer, units) else 0.0
-            self.tell(customer.home, customer, -max(PLACE_ALONE, short))
+            self.tell(customer.home, customer, -max(quota.PLACE_ALONE, short))
 
-    def use_place(self, customer: Customer) -> None:
+    def use_place(self, customer: quota.Customer) -> None:
         customer.use_place(self.desk.now)
         if customer.shares_cap() and not customer.at_home:
             self.renewals[customer.key] = customer
@@ -179,7 +180,7 @@
         now = self.desk.now
         for key, customer in list(self.renewals.items()):
             unused = customer.place_us > -NEVER and not customer.has_place(now)
-            if unused or (customer.out and now - customer.told_us >= RENEW_US):
+            if unused or (customer.out and now - customer.told_us >= quota.RENEW_US):
                 customer.place_us = -NEVER if unused else customer.place_us
                 self.tell_out(customer)
             if not customer.out and customer.place_us == -NEVER:
@@ -188,11 +189,11 @@
     def dues(self) -> list[float]:
         """When a word of what is out is to be renewed, or a place given back."""
         return [
-            known.told_us + RENEW_US if known.place_us == -NEVER else known.place_us + ASK_US
+            known.told_us + quota.RENEW_US if known.place_us == -NEVER else known.place_us + quota.ASK_US
             for known in self.renewals.values()
         ]
 
-    def tell_out(self, customer: Customer) -> None:
+    def tell_out(self, customer: quota.Customer) -> None:
         if customer.shares_cap() and not customer.at_home:
             self.tell(customer.home, customer, 0.0)
         elif customer.shares_cap():
@@ -203,13 +204,13 @@
         for customer in list(self.queues.values()):
             self.give_places(customer)
 
-    def give_places(self, customer: Customer) -> None:
+    def give_places(self, customer: quota.Customer) -> None:
         """At its home: what is free goes to those that wait longest; those held here are one of them."""
         while (peer := customer.next_wanting(self.desk.now)) is not None:
             here = self.holds(customer)
             if here and self.desk.random.random() * (1 + len(customer.wanting)) < 1:
                 break
-            self.tell(peer, customer, -customer.grant(peer, self.desk.now), i.Place.GRANTED)
+            self.tell(peer, customer, -customer.grant(peer, self.desk.now), SlotGrant.GRANTED)
         if customer.wanting:
             self.queues[customer.key] = customer
         else:
--- a/orchidhatch/gateway/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -1,11 +1,13 @@
 """When an attempt is given up, whether a further one is worth it, and when a client may come again."""
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import NEVER, Desk, S
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.in_flight import Job
 from orchidhatch.gateway.load_balancing import Routing
 from orchidhatch.gateway.overload import Cap
 from orchidhatch.gateway.quota import DEMAND_US
-from orchidhatch.gateway.state import Job
+from orchidhatch.gateway.settings import Idempotency
+from orchidhatch.gateway.times import NEVER, S
 
 RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see time_out
 
@@ -13,7 +15,7 @@
 class Retries:
     """Further attempts live on a small share of first ones, so that they feed no overload."""
 
-    def __init__(self, desk: Desk, routing: Routing, cap: Cap) -> None:
+    def __init__(self, desk: DecisionContext, routing: Routing, cap: Cap) -> None:
         self.desk, self.routing, self.cap = desk, routing, cap
         self.left = RETRY_STORE / 2
 
@@ -27,22 +29,22 @@
         """Microseconds until it is given up: while another can meet the aim, once rather lost than large."""
         left, mean = job.end_us - self.desk.now, self.mean_us(job)
         early = round(job.aim_us - self.desk.now - 2 * mean)
-        last = job.rule.effect is i.Effect.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
+        last = job.rule.effect is Idempotency.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
         return max(1, left if last or early < LONG_MEANS * mean else min(left, early))
 
     def begin_within(self, job: Job) -> int:
         """Microseconds in which a repeat of what may have run must be begun; it may wait for a connection."""
-        bound = job.rule.effect is i.Effect.KEYED and job.ran_on is not None
+        bound = job.rule.effect is Idempotency.KEYED and job.ran_on is not None
         return max(1, job.ran_us + job.rule.window_us - self.desk.now) if bound else 0
 
-    def may(self, job: Job, why: i.Result) -> bool:
+    def may(self, job: Job, why: AttemptResult) -> bool:
         """Whether a further attempt may follow one that ended so."""
-        late = why is i.Result.MOOT or self.desk.now + self.mean_us(job) / 2 >= job.end_us
-        paid = why is i.Result.CONNECT_FAILED or self.left >= 1
+        late = why is AttemptResult.NOT_SENT or self.desk.now + self.mean_us(job) / 2 >= job.end_us
+        paid = why is AttemptResult.CONNECT_FAILED or self.left >= 1
         return not late and paid and len(job.servers) < self.desk.set.max_attempts
 
-    def pay(self, why: i.Result) -> None:
-        self.left -= why is not i.Result.CONNECT_FAILED
+    def pay(self, why: AttemptResult) -> None:
+        self.left -= why is not AttemptResult.CONNECT_FAILED
 
     # --- advice ---
 
--- a/orchidhatch/gateway/simulator.py
+++ b/orchidhatch/gateway/simulator.py
@@ -8,26 +8,55 @@
 from collections.abc import Iterable, Iterator
 from typing import TextIO
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import (
+    Action,
+    AddToCounter,
+    CancelAttempt,
+    CloseIdleConnections,
+    Fail,
+    FetchEndpointList,
+    HealthCheck,
+    LogLine,
+    Reject,
+    SendAttempt,
+    SendGossip,
+    SetTimer,
+    Subscribe,
+    WaitTimes,
+)
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.codec import Pairs, pack_message, read_report, read_settings, unpack_message
 from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
+from orchidhatch.gateway.events import (
+    AttemptEnded,
+    ClientGone,
+    CounterReply,
+    EndpointList,
+    Event,
+    HealthCheckResult,
+    PeerMessage,
+    Request,
+    StreamStarted,
+    TimerExpired,
+)
 
 RESULTS = {
-    "served": i.Result.OK,
-    "server_error": i.Result.ERROR,
-    "turned_away": i.Result.FULL,
-    "no_answer": i.Result.TIMEOUT,
-    "no_connection": i.Result.CONNECT_FAILED,
-    "connection_lost": i.Result.RESET,
-    "called_off": i.Result.CANCELLED,
-    "not_sent": i.Result.MOOT,
+    "served": AttemptResult.OK,
+    "server_error": AttemptResult.ERROR,
+    "turned_away": AttemptResult.REJECTED,
+    "no_answer": AttemptResult.TIMEOUT,
+    "no_connection": AttemptResult.CONNECT_FAILED,
+    "connection_lost": AttemptResult.RESET,
+    "called_off": AttemptResult.CANCELLED,
+    "not_sent": AttemptResult.NOT_SENT,
 }
-STATES = {"U": i.ServerState.UP, "L": i.ServerState.DRAINING, "D": i.ServerState.GONE}
+STATES = {"U": EndpointState.UP, "L": EndpointState.DRAINING, "D": EndpointState.GONE}
 LISTS = {
-    "snapshot": i.ListKind.FULL,
-    "disk": i.ListKind.SAVED,
-    "diff": i.ListKind.CHANGES,
-    "error": i.ListKind.FAILED,
+    "snapshot": EndpointListKind.FULL,
+    "disk": EndpointListKind.SAVED,
+    "diff": EndpointListKind.CHANGES,
+    "error": EndpointListKind.FAILED,
 }
 
 
@@ -84,7 +113,7 @@
     return Pairs(values)
 
 
-def read_load(fields: Fields, names: list[str]) -> i.LoadReport | None:
+def read_load(fields: Fields, names: list[str]) -> LoadReport | None:
     """A load report, whose values stand in the order of their names."""
     if not fields.given():
         return None
@@ -94,12 +123,12 @@
     return read_report(zip(names, values, strict=False))
 
 
-def read_server(line: str) -> i.Server:
+def read_server(line: str) -> Endpoint:
     name, *parts = line.split(" ")
     if name != "M":
         raise WireError("a list entry is missing")
     fields = Fields(parts)
-    return i.Server(
+    return Endpoint(
         name=fields.text(),
         zone=fields.whole(),
         kind=fields.whole(),
@@ -110,14 +139,14 @@
     )
 
 
-def read_request(fields: Fields) -> i.Request:
+def read_request(fields: Fields) -> Request:
     request_id, class_index = fields.text(), fields.whole()
     plan_index = fields.whole(0)
     customer = fields.text() if fields.given() else ""
     left_us, units = fields.whole(), fields.number(1.0)
     set_size, set_first = int(fields.number(1.0)), int(fields.number(0.0))
     marks = fields.whole(0)
-    return i.Request(
+    return Request(
         request_id,
         class_index,
         plan_index,
@@ -131,8 +160,8 @@
     )
 
 
-def read_outcome(fields: Fields, names: list[str]) -> i.Outcome:
-    return i.Outcome(
+def read_outcome(fields: Fields, names: list[str]) -> AttemptEnded:
+    return AttemptEnded(
         id=fields.text(),
         over=fields.flag(),
         attempt=fields.whole(),
@@ -149,53 +178,53 @@
     return bytes.fromhex(fields.text()) if fields.given() else b""
 
 
-def read_event(name: str, fields: Fields, names: list[str]) -> i.Event:
+def read_event(name: str, fields: Fields, names: list[str]) -> Event:
     """One event other than the start, the end and the server list of an instance."""
     if name == "NEW_REQUEST":
         return read_request(fields)
     if name == "ATTEMPT_END":
         return read_outcome(fields, names)
     if name == "ACK_FIRST":
-        return i.StreamStarted(fields.text(), fields.whole(), fields.text(), fields.whole(0))
+        return StreamStarted(fields.text(), fields.whole(), fields.text(), fields.whole(0))
     if name == "HANGUP":
-        return i.ClientGone(fields.text())
+        return ClientGone(fields.text())
     if name == "BELL":
-        return i.Timer(fields.whole())
+        return TimerExpired(fields.whole())
     if name == "CHECK_RESULT":
         server, result = fields.text(), RESULTS[fields.text()]
-        return i.ProbeResult(server, result, fields.whole(0), read_load(fields, names))
+        return HealthCheckResult(server, result, fields.whole(0), read_load(fields, names))
     if name == "FROM_PEER":
-        return i.PeerMessage(fields.whole(), *unpack_message(read_bytes(fields)))
+        return PeerMessage(fields.whole(), *unpack_message(read_bytes(fields)))
     if name == "TOTAL":
-        return i.Counted(fields.whole(), RESULTS[fields.text()], fields.number(0.0), fields.whole(0))
+        return CounterReply(fields.whole(), RESULTS[fields.text()], fields.number(0.0), fields.whole(0))
     raise WireError(f"unknown message '{name}'")
 
 
-def write_action(action: i.Action) -> str:
+def write_action(action: Action) -> str:
     match action:
-        case i.Send(request_id, server, timeout_us):
+        case SendAttempt(request_id, server, timeout_us):
             return f"TRY {request_id} {server} {timeout_us}"
-        case i.Cancel(request_id, attempt):
+        case CancelAttempt(request_id, attempt):
             return f"CANCEL {request_id} {attempt}"
-        case i.Refuse(request_id, retry_after_us):
+        case Reject(request_id, retry_after_us):
             return f"TURN_AWAY {request_id} {retry_after_us}"
-        case i.Fail(request_id):
+        case Fail(request_id):
             return f"END_FAILED {request_id}"
-        case i.SetTimer(delay_us, token):
+        case SetTimer(delay_us, token):
             return f"ARM {delay_us} {token}"
-        case i.Probe(server):
+        case HealthCheck(server):
             return f"CHECK {server}"
-        case i.CloseIdle(server):
+        case CloseIdleConnections(server):
             return f"HANG_UP {server}"
-        case i.Tell(peer, words, seen):
+        case SendGossip(peer, words, seen):
             return "\n".join(f"TELL {peer} {data.hex()}" for data in pack_message(words, seen))
-        case i.Count(name, amount, lifetime_us):
+        case AddToCounter(name, amount, lifetime_us):
             return f"ADD_TO {name} {amount:g} {lifetime_us}"
-        case i.Subscribe(on):
+        case Subscribe(on):
             return f"STREAM_CHANGES {int(on)}"
-        case i.FetchList():
+        case FetchEndpointList():
             return "SNAPSHOT"
-        case i.Log(text):
+        case LogLine(text):
             return f"EMIT {one_line(text)}"
     raise TypeError(f"not an action: {action!r}")
 
@@ -214,7 +243,7 @@
     def __init__(self) -> None:
         self.gateways: dict[int, Gateway] = {}
         self.report_names: dict[int, list[str]] = {}
-        self.sheets: dict[int, tuple[i.Server, ...]] = {}
+        self.sheets: dict[int, tuple[Endpoint, ...]] = {}
         self.target: int | None = None
         self.context: int | None = None
         self.now_us = 0
@@ -246,26 +275,26 @@
             del self.gateways[self.target]
             return []
         if name == "UPDATE":
-            event: i.Event = self.read_list(fields)
+            event: Event = self.read_list(fields)
         else:
             event = read_event(name, fields, self.report_names[self.target])
         return self.decide(event)
 
-    def read_list(self, fields: Fields) -> i.ServerList:
+    def read_list(self, fields: Fields) -> EndpointList:
         kind, version, sheet = LISTS[fields.text()], fields.whole(0), fields.whole(0)
-        if kind is i.ListKind.FAILED:
-            return i.ServerList(kind, version)
+        if kind is EndpointListKind.FAILED:
+            return EndpointList(kind, version)
         if sheet not in self.sheets:
             raise WireError(f"there is no list {sheet}")
-        return i.ServerList(kind, version, self.sheets[sheet])
+        return EndpointList(kind, version, self.sheets[sheet])
 
-    def decide(self, event: i.Event) -> list[str]:
+    def decide(self, event: Event) -> list[str]:
         assert self.target is not None
         try:
             actions = self.gateways[self.target].handle(self.now_us, event)
         except Exception as error:
             raise ModuleError(f"{type(error).__name__}: {error}") from error
-        lines = [write_action(action) for action in actions if not isinstance(action, i.Waited)]
+        lines = [write_action(action) for action in actions if not isinstance(action, WaitTimes)]
         if lines and self.context != self.target:
             self.context = self.target
             lines.insert(0, f"CONTEXT {self.target}")
--- /dev/null
+++ b/orchidhatch/gateway/times.py
@@ -0,0 +1,7 @@
+"""Units of time; the gateway counts in whole microseconds."""
+
+S = 1_000_000
+"""A second."""
+
+NEVER = 1 << 62
+"""A time that does not come; negated, one that is long past."""
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -13,8 +13,9 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import fields
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.codec import read_report
+from orchidhatch.gateway.endpoints import EndpointState
 from orchidhatch.proxy import socket_inspection as looks
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.cpu_accounting import Account, Place
@@ -37,7 +38,7 @@
 # word: the next request on it is then reset. What this many resets show holds until they are forgotten.
 LEAST_RESETS, RESET_SHARE, FORGET_S = 3.0, 0.25, 10.0
 
-Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
+Done = Callable[["Attempt", AttemptResult, bytes | None, LoadReport | None], None]
 Began = Callable[["Attempt", int], Callable[[bytes], None] | None]
 
 
@@ -86,7 +87,7 @@
         self.pool: Pool | None = None
 
     def finish(
-        self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
+        self, result: AttemptResult, value: bytes | None = None, report: LoadReport | None = None
     ) -> None:
         if self.over:
             return
@@ -114,7 +115,7 @@
 
     def cancel(self) -> None:
         """Stop waiting for it."""
-        self.give_up(i.Result.CANCELLED)
+        self.give_up(AttemptResult.CANCELLED)
 
     def lapsed(self) -> bool:
         """Whether the time in which it might be begun has passed: what it repeats is forgotten there."""
@@ -122,19 +123,19 @@
 
     def lapse(self) -> None:
         if self.lapsed():
-            self.give_up(i.Result.CONNECT_FAILED)
+            self.give_up(AttemptResult.CONNECT_FAILED)
 
     def withdraw(self) -> None:
         """Nobody waits for it any more and it was not written whole, so it is nobody's yet."""
-        self.give_up(i.Result.MOOT)
+        self.give_up(AttemptResult.NOT_SENT)
 
     def time_out(self) -> None:
         if self.written:
             self.pool.doubt(self.sent_us)
             self.pool.owner.timed_out += 1
-        self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
+        self.give_up(AttemptResult.TIMEOUT if self.written else AttemptResult.CONNECT_FAILED)
 
-    def give_up(self, result: i.Result) -> None:
+    def give_up(self, result: AttemptResult) -> None:
         """End it. That is told when its connection is closed and no sooner: an attempt is out until then, and
         what comes next may be the request's next one."""
         if self.given_up:
@@ -150,7 +151,7 @@
             self.finish(result)
 
 
-def read_reply(reply: object) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
+def read_reply(reply: object) -> tuple[AttemptResult, bytes | None, LoadReport | None]:
     """What a backend's answer means."""
     if isinstance(reply, ReplyError):
         text = reply
@@ -158,14 +159,14 @@
         busy = text == "BUSY" or text.startswith("BUSY ")
         if not busy and not text.startswith("ERR"):
             log.error("a backend answers %s", text)
-        return (i.Result.FULL if busy else i.Result.ERROR), None, read_load(report)
+        return (AttemptResult.REJECTED if busy else AttemptResult.ERROR), None, read_load(report)
     if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        return i.Result.OK, reply[0], read_load(reply[2] if len(reply) > 2 else None)
+        return AttemptResult.OK, reply[0], read_load(reply[2] if len(reply) > 2 else None)
     log.error("a backend's answer is of no known form: %.60r", reply)
-    return i.Result.ERROR, None, None  # in doubt: it may have run
+    return AttemptResult.ERROR, None, None  # in doubt: it may have run
 
 
-def read_load(text: object) -> i.LoadReport | None:
+def read_load(text: object) -> LoadReport | None:
     """A load report `name=value,...`; one that is malformed says nothing."""
     if not isinstance(text, bytes) or b"=" not in text:
         return None
@@ -217,7 +218,7 @@
     def __init__(self, pool: "Pool") -> None:
         self.pool, self.idle_since = pool, 0
         self.attempt: Attempt | None = None
-        self.given_up: tuple[Attempt, i.Result] | None = None  # what was on it when it was aborted
+        self.given_up: tuple[Attempt, AttemptResult] | None = None  # what was on it when it was aborted
         self.transport: asyncio.Transport | None = None
         self.reader = ReplyReader(MOST_VALUE, MOST_LONG_VALUE)
         self.paused, self.received = False, 0
@@ -320,7 +321,7 @@
             self.pool.owner.tally["reset on reuse" if self.uses > 1 else "reset on first use"] += 1
             self.note_use(reset=not self.received)
             self.pool.doubt(now_us())
-            attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
+            attempt.finish(AttemptResult.RESET if attempt.written else AttemptResult.CONNECT_FAILED)
         if self.given_up:
             attempt, result = self.given_up
             attempt.finish(result)
@@ -364,7 +365,7 @@
             return
         if not self.owner.may_open():
             self.owner.no_room += 1
-            attempt.finish(i.Result.CONNECT_FAILED)
+            attempt.finish(AttemptResult.CONNECT_FAILED)
             return
         self.waiting.append(attempt)
         self.connecting += 1
@@ -405,7 +406,7 @@
         self.close_idle()
         waiting, self.waiting = self.waiting, deque()
         for attempt in waiting:
-            attempt.finish(i.Result.CONNECT_FAILED)
+            attempt.finish(AttemptResult.CONNECT_FAILED)
 
     def connect_failed(self) -> None:
         self.drop_over()
@@ -414,11 +415,11 @@
             if connection := self.rested():
                 connection.send(attempt)
             else:
-                attempt.finish(i.Result.CONNECT_FAILED)
+                attempt.finish(AttemptResult.CONNECT_FAILED)
 
     def drop_over(self) -> None:
         while self.waiting and (self.waiting[0].over or self.waiting[0].lapsed()):
-            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+            self.waiting.popleft().finish(AttemptResult.CONNECT_FAILED)
 
     def release(self, connection: Connection) -> None:
         """A connection has nothing to do: a new one is for who waits longest, others are kept for a while."""
@@ -482,18 +483,18 @@
         self.sends = 0  # attempts written whole, since the start
         self.banned: set[str] = set()  # left out by hand; the module bounds them
 
-    def update(self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool) -> None:
+    def update(self, states: dict[str, EndpointState], addresses: dict[str, Address], whole: bool) -> None:
         """Take over news of the list: the whole of it, or those whose state or address changed."""
         for name in [name for name in self.pools if whole and name not in states]:
             self.retire(name)
         for name, state in states.items():
             pool, address = self.pools.get(name), addresses.get(name)
-            if state is i.ServerState.GONE or (pool and address and pool.address != address):
+            if state is EndpointState.GONE or (pool and address and pool.address != address):
                 self.retire(name)
-            if state is not i.ServerState.GONE and address and name not in self.pools:
+            if state is not EndpointState.GONE and address and name not in self.pools:
                 self.pools[name] = Pool(self, name, address)
             if pool := self.pools.get(name):
-                pool.up = state is i.ServerState.UP
+                pool.up = state is EndpointState.UP
                 if not pool.wanted():
                     pool.empty()
 
@@ -516,7 +517,7 @@
     def send(self, attempt: Attempt, timeout_us: int, begin_us: int = 0) -> None:
         pool = self.pools.get(attempt.server)
         if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
-            attempt.finish(i.Result.CONNECT_FAILED)
+            attempt.finish(AttemptResult.CONNECT_FAILED)
             return
         loop = asyncio.get_running_loop()
         attempt.timer = loop.call_later(timeout_us / 1e6, attempt.time_out)
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.events import Request
+from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.proxy import socket_inspection as looks
 from orchidhatch.proxy.config import MOST_US, Config
 from orchidhatch.proxy.cpu_accounting import Account, Place
@@ -109,7 +110,7 @@
 class Command:
     """A request as the module sees it, and the words to pass on."""
 
-    request: i.Request
+    request: Request
     words: list[bytes]
     fields_head: bytes  # the list of names and values before and after the time that the client waits
     fields_tail: bytes
@@ -154,7 +155,7 @@
         if plan is None:
             raise CommandError("unknown plan")
         wait_ms = whole(values.get("d", ""), "time", 0, MOST_WAIT_MS)
-        request = i.Request(
+        request = Request(
             id=request_id,
             class_index=number,
             plan_index=plan,
@@ -185,9 +186,9 @@
         if number is None:
             raise CommandError("unknown class")
         effect = self.settings.classes[number].effect
-        if is_write == (effect is i.Effect.SAFE):
+        if is_write == (effect is Idempotency.SAFE):
             raise CommandError("the command does not serve this class")
-        if effect is i.Effect.KEYED and not values.get("k"):
+        if effect is Idempotency.KEYED and not values.get("k"):
             raise CommandError("a key is missing")
         return number
 
--- a/orchidhatch/proxy/config.py
+++ b/orchidhatch/proxy/config.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.gateway import interface as i
 from orchidhatch.gateway.codec import Pairs, read_settings
+from orchidhatch.gateway.settings import Settings
 
 Address = tuple[str, int]
 
@@ -55,7 +55,7 @@
     name: str
     listen: Address
     discovery: Address
-    settings: i.Settings
+    settings: Settings
     class_numbers: Mapping[str, int]
     plan_numbers: Mapping[str, int]
     zone_numbers: Mapping[str, int]
@@ -161,7 +161,7 @@
     return value
 
 
-def check(settings: i.Settings) -> None:
+def check(settings: Settings) -> None:
     """What the module takes as given: times that pass, and amounts that are none below nothing."""
     for number, rule in enumerate(settings.classes):
         within(f"categories.{number}.on-time-us", rule.aim_us, 1, MOST_US)
--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -13,16 +13,17 @@
 
 import h11
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
+from orchidhatch.gateway.events import EndpointList
 from orchidhatch.proxy.config import Address, Config, ConfigError, read_backend
 from orchidhatch.proxy.cpu_accounting import Account, Place
 
 log = logging.getLogger(__name__)
 
 STATES = {
-    "SERVING": i.ServerState.UP,
-    "DRAINING": i.ServerState.DRAINING,
-    "DELETED": i.ServerState.GONE,
+    "SERVING": EndpointState.UP,
+    "DRAINING": EndpointState.DRAINING,
+    "DELETED": EndpointState.GONE,
 }
 SILENT_S = 5.0  # an empty line comes every 2 s; a watch that is silent for longer is dead
 CONNECT_S = 1.0
@@ -46,7 +47,7 @@
 class News:
     """News of the list for the module, and the addresses that go with it."""
 
-    event: i.ServerList
+    event: EndpointList
     addresses: dict[str, Address]
 
 
@@ -64,28 +65,28 @@
         """0 stays 0, for long ago; nothing else becomes 0."""
         return (round(unix_ms * 1000) + self.offset_us) or 1 if unix_ms else 0
 
-    def server(self, entry: Mapping[str, Any]) -> i.Server:
-        return i.Server(
+    def server(self, entry: Mapping[str, Any]) -> Endpoint:
+        return Endpoint(
             name=str(entry["instanceId"]),
             zone=self.zones.get(entry.get("zone"), -1),
             kind=self.kinds.get(entry.get("machineType"), -1),
             cell=int(entry.get("cell") or 0),
             # In a state that we do not know it is not said to serve: nothing new goes there.
-            state=STATES.get(entry.get("lifecycle"), i.ServerState.DRAINING),
+            state=STATES.get(entry.get("lifecycle"), EndpointState.DRAINING),
             size=float(entry.get("weight") or 1.0),
             started_us=self.started_us(float(entry.get("startedAtMs") or 0)),
         )
 
-    def news(self, value: Mapping[str, Any], kind: i.ListKind | None = None) -> News:
+    def news(self, value: Mapping[str, Any], kind: EndpointListKind | None = None) -> News:
         """A list or changes to it; an entry that makes no sense is passed over."""
-        kind = kind or (i.ListKind.FULL if value.get("reset") else i.ListKind.CHANGES)
+        kind = kind or (EndpointListKind.FULL if value.get("reset") else EndpointListKind.CHANGES)
         servers, addresses = [], {}
-        kept = dict(self.entries) if kind is i.ListKind.CHANGES else {}
+        kept = dict(self.entries) if kind is EndpointListKind.CHANGES else {}
         for entry in value["instances"]:
             try:
                 server = self.server(entry)
                 # One that is gone needs no address, and must be heard of in any case.
-                if server.state is not i.ServerState.GONE:
+                if server.state is not EndpointState.GONE:
                     addresses[server.name] = read_backend(entry["hostPort"])
             except (KeyError, TypeError, ValueError, ArithmeticError, AttributeError, ConfigError) as error:
                 log.error("passed over an entry of the list: %.200r: %s", entry, error)
@@ -95,7 +96,7 @@
         version = int(value["generation"])
         self.entries = {name: entry for name, entry in kept.items() if entry.get("lifecycle") != "DELETED"}
         self.version = version
-        return News(i.ServerList(kind, version, tuple(servers)), addresses)
+        return News(EndpointList(kind, version, tuple(servers)), addresses)
 
     def known(self) -> dict[str, Any]:
         """The whole list in discovery's form."""
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -15,8 +15,9 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.codec import plain, read_plain
+from orchidhatch.gateway.codec import HANDOVER_MESSAGES, HANDOVER_NAMES, plain, read_plain
+from orchidhatch.gateway.events import Event, HandoverPeerGone
+from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverMessage
 
 log = logging.getLogger(__name__)
 
@@ -26,7 +27,6 @@
 ANSWER_S = 2.0  # for the state to come, and for the addresses to be let go
 AGAIN_S, TRIES = 0.25, 20  # while the other is itself still taking over
 COUNT_S = 0.2  # how often the old process tells how many sockets it still has
-WORDS = {kind.__name__: kind for kind in (i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint)}
 
 Heard = Callable[["Link", str, Mapping[str, Any]], None]
 
@@ -35,9 +35,9 @@
     """What of the front door is asked here."""
 
     def memory(self) -> dict[str, Any]: ...
-    def resume(self, state: i.State, known: Mapping[str, Any]) -> None: ...
+    def resume(self, state: GatewaySnapshot, known: Mapping[str, Any]) -> None: ...
     def release(self) -> None: ...
-    def twin_heard(self, event: i.Event) -> None: ...
+    def twin_heard(self, event: Event) -> None: ...
     def sockets(self) -> tuple[int, int]: ...
     def others(self, clients: int, backends: int) -> None: ...
 
@@ -168,7 +168,7 @@
             self.refused = True
             self.ended.set()
         elif word == "state":
-            state, known = read_plain(i.State, said["state"]), said["known"]
+            state, known = read_plain(GatewaySnapshot, said["state"]), said["known"]
             self.sockets_heard(said)
             self.door.resume(state, known)
             self.resumed.set()
@@ -181,22 +181,22 @@
         elif word == "sockets":
             self.sockets_heard(said)
         else:
-            self.door.twin_heard(read_plain(WORDS[word], said["record"]))
+            self.door.twin_heard(read_plain(HANDOVER_MESSAGES[word], said["record"]))
 
     def sockets_heard(self, said: Mapping[str, Any]) -> None:
         clients, backends = read_plain(tuple[int, ...], said["count"])
         self.door.others(max(0, clients), max(0, backends))
 
-    def tell(self, action: i.TwinSpend | i.TwinSend | i.TwinEnd | i.TwinMaint) -> None:
+    def tell(self, action: HandoverMessage) -> None:
         if self.link:
-            self.link.say(type(action).__name__, record=plain(action))
+            self.link.say(HANDOVER_NAMES[type(action)], record=plain(action))
 
     def lost(self, link: Link) -> None:
         if link is self.link:
             self.link = None
             self.ended.set()
             self.door.others(0, 0)
-            self.door.twin_heard(i.TwinGone())
+            self.door.twin_heard(HandoverPeerGone())
 
     def close(self) -> None:
         if self.server:
--- a/orchidhatch/proxy/peers.py
+++ b/orchidhatch/proxy/peers.py
@@ -3,8 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import SendGossip
 from orchidhatch.gateway.codec import mark_of, pack_message, unpack_message
+from orchidhatch.gateway.events import PeerMessage
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.cpu_accounting import Account, Place
 from orchidhatch.proxy.wait_queues import Waits
@@ -19,7 +20,7 @@
         self,
         addresses: tuple[Address, ...],
         me: int,
-        heard: Callable[[i.PeerMessage], None],
+        heard: Callable[[PeerMessage], None],
         account: Account | None = None,
     ) -> None:
         self.account = account or Account()
@@ -47,7 +48,7 @@
             return
         words, sightings = unpack_message(data)
         if words:
-            self.heard(i.PeerMessage(sender, words, sightings, mark_of(data)))
+            self.heard(PeerMessage(sender, words, sightings, mark_of(data)))
         else:
             self.malformed += 1
 
@@ -60,7 +61,7 @@
     def resume_writing(self) -> None:
         self.clogged = False
 
-    def tell(self, action: i.Tell) -> None:
+    def tell(self, action: SendGossip) -> None:
         self.waits.note(action.waited_us)
         if self.clogged:
             self.dropped += 1
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -14,10 +14,49 @@
 from dataclasses import replace
 from typing import Any
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import (
+    Action,
+    CancelAttempt,
+    CloseIdleConnections,
+    EjectionResult,
+    Fail,
+    FetchEndpointList,
+    LogLine,
+    MetricsSnapshot,
+    Reject,
+    SendAttempt,
+    SendGossip,
+    SetTimer,
+    Subscribe,
+    WaitTimes,
+)
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.codec import plain
 from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.endpoints import EndpointListKind
+from orchidhatch.gateway.events import (
+    AttemptEnded,
+    ClientGone,
+    Event,
+    HandoverPeerGone,
+    HandoverPeerUnknown,
+    MetricsRequest,
+    PolicyChange,
+    SetEjection,
+    StartHandover,
+    StreamStarted,
+    SuspendAdmission,
+    TimerExpired,
+)
 from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.gateway.snapshots import (
+    GatewaySnapshot,
+    HandoverAttempt,
+    HandoverAttemptEnd,
+    HandoverEjection,
+    HandoverMessage,
+    HandoverSpend,
+)
 from orchidhatch.proxy.backends import Attempt, Backends, now_us
 from orchidhatch.proxy.clients import (
     FAILED,
@@ -113,7 +152,7 @@
         self.gateway = Gateway(self.bounds)
         self.held_waits = Waits()
         self.waited: Counter[str] = Counter()  # microseconds, by what requests waited for
-        self.inbox: list[i.Event] = []
+        self.inbox: list[Event] = []
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
@@ -179,18 +218,21 @@
         self.peers.mark = config.settings.mark
         self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
-            i.Send: (Place.BACKENDS, self.send),
-            i.Cancel: (Place.BACKENDS, self.cancel),
-            i.Refuse: (Place.CLIENTS, self.refuse),
-            i.Fail: (Place.CLIENTS, self.fail),
-            i.SetTimer: (Place.MODULE, self.set_timer),
-            i.Tell: (Place.PEERS, self.peers.tell),
-            i.Log: (Place.LOG, self.log_line),
-            i.Waited: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
-            i.CloseIdle: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
-            **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), (Place.PEERS, self.tell_twin)),
+            SendAttempt: (Place.BACKENDS, self.send),
+            CancelAttempt: (Place.BACKENDS, self.cancel),
+            Reject: (Place.CLIENTS, self.refuse),
+            Fail: (Place.CLIENTS, self.fail),
+            SetTimer: (Place.MODULE, self.set_timer),
+            SendGossip: (Place.PEERS, self.peers.tell),
+            LogLine: (Place.LOG, self.log_line),
+            WaitTimes: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
+            CloseIdleConnections: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
+            **dict.fromkeys(
+                (HandoverSpend, HandoverAttempt, HandoverAttemptEnd, HandoverEjection),
+                (Place.PEERS, self.tell_twin),
+            ),
             # The watch is always on.
-            **dict.fromkeys((i.Subscribe, i.FetchList), (Place.DISCOVERY, lambda action: None)),
+            **dict.fromkeys((Subscribe, FetchEndpointList), (Place.DISCOVERY, lambda action: None)),
         }
 
     # --- start and end ---
@@ -199,7 +241,7 @@
         if not self.config.known:
             return None
         try:
-            news = self.catalog.news(self.config.known, i.ListKind.SAVED)
+            news = self.catalog.news(self.config.known, EndpointListKind.SAVED)
         except (KeyError, TypeError, ValueError) as error:
             log.error("the known list makes no sense: %s", error)
             return None
@@ -245,7 +287,7 @@
         if sound:
             log.info("goes on from the process that served so far")
         else:
-            self.post(i.TwinUnknown())  # until the peers' address is free: no other process has it then
+            self.post(HandoverPeerUnknown())  # until the peers' address is free: no other process has it then
         listening = socket.socket(fileno=self.config.socket_fd)
         listening.setblocking(False)
         self.server = await self.loop.create_server(self.clients.connection, sock=listening, backlog=1024)
@@ -265,17 +307,17 @@
             await asyncio.sleep(wait_s)
             wait_s = min(MOST_PEERS_AGAIN_S, 2 * wait_s)
         if not sound:
-            self.post(i.TwinGone())
+            self.post(HandoverPeerGone())
 
     def memory(self) -> dict[str, Any]:
         """What the next process goes on from."""
-        state = plain(self.ask(i.HandOver()))
+        state = plain(self.ask(StartHandover()))
         return {"state": state, "known": self.catalog.known(), "count": self.sockets()}
 
-    def resume(self, state: i.State, known: Mapping[str, Any]) -> None:
+    def resume(self, state: GatewaySnapshot, known: Mapping[str, Any]) -> None:
         """Go on from there; its list holds unless ours is as new."""
         if known["generation"] > self.catalog.version:
-            self.list_heard(self.catalog.news(known, i.ListKind.FULL))
+            self.list_heard(self.catalog.news(known, EndpointListKind.FULL))
         self.run_batch()
         self.post(state)
         self.run_batch()
@@ -304,7 +346,7 @@
     def others(self, clients: int, backends: int) -> None:
         self.clients.others, self.backends.others = clients, backends
 
-    def tell_twin(self, action: i.TwinSpend | i.TwinSend | i.TwinEnd | i.TwinMaint) -> None:
+    def tell_twin(self, action: HandoverMessage) -> None:
         if self.twin:
             self.twin.tell(action)
 
@@ -327,7 +369,7 @@
             self.settings, classes=new.classes, plans=new.plans, banned=new.banned, mark=new.mark
         )
         self.run_batch()  # what has come so far was let in by the old
-        self.post(i.NewPolicy(new.classes, new.plans, new.banned, new.mark, moved))
+        self.post(PolicyChange(new.classes, new.plans, new.banned, new.mark, moved))
         self.run_batch()
         self.config = replace(
             self.config,
@@ -344,7 +386,7 @@
 
     def bar(self, on: bool) -> None:
         """Whether nobody may be let in by now: the module refuses whoever comes."""
-        self.post(i.Bar(on))
+        self.post(SuspendAdmission(on))
         self.clients.welcome = not on and self.leaving is None and not self.ending
 
     async def drain(self) -> None:
@@ -457,7 +499,7 @@
         return status, text + self.watchful.shown()
 
     def stats(self) -> Answer:
-        census = self.ask(i.Survey())
+        census = self.ask(MetricsRequest())
         return 200, self.figures.text(
             sends_total=self.backends.sends,
             current=len(self.open),
@@ -536,7 +578,7 @@
         )
 
     def wait_figures(self) -> str:
-        census = self.ask(i.Survey())
+        census = self.ask(MetricsRequest())
         reasons = {f'reason="{why}"': count for why, count in census.ended}
         return waiting_figures(self.lines(census)) + "".join(
             [
@@ -562,7 +604,7 @@
             ]
         )
 
-    def lines(self, census: i.Census) -> list[Line]:
+    def lines(self, census: MetricsSnapshot) -> list[Line]:
         """Where work can wait, from the clients' sockets to the log."""
         now, clients, backends, peers = now_us(), self.clients, self.backends, self.peers
         ended = dict(census.ended)
@@ -633,7 +675,7 @@
 
     def maint(self, name: str, out: bool) -> Answer:
         """What the module rules holds for the sockets too, before the answer leaves."""
-        ruling = self.ask(i.Maint(name, out))
+        ruling = self.ask(SetEjection(name, out))
         if not ruling.yes:
             return 404, "no such backend was ever listed"
         log.info("%s is %s by hand", name, "left out" if out else "taken back")
@@ -671,12 +713,12 @@
             self.clients.take_again()
         return 200, "takes clients"
 
-    def ask(self, event: i.Event) -> Any:  # noqa: ANN401 - each such event has its own kind of answer
+    def ask(self, event: Event) -> Any:  # noqa: ANN401 - each such event has its own kind of answer
         """The module's one answer to a question, after all that came in before it."""
         self.run_batch()
         answers = []
         for action in self.gateway.handle(now_us(), event):
-            if isinstance(action, i.Ruling | i.Census | i.State):
+            if isinstance(action, EjectionResult | MetricsSnapshot | GatewaySnapshot):
                 answers.append(action)
             else:
                 self.act(action)
@@ -684,7 +726,7 @@
 
     # --- events ---
 
-    def post(self, event: i.Event) -> None:
+    def post(self, event: Event) -> None:
         if not self.inbox:
             self.loop.call_soon(self.run_batch)
         self.inbox.append(event)
@@ -704,14 +746,14 @@
             except Exception:
                 log.exception("the module failed on %r", event)
                 self.give_up(getattr(event, "id", ""))
-                if isinstance(event, i.Timer):  # the module lives by it: it comes again
-                    self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
+                if isinstance(event, TimerExpired):  # the module lives by it: it comes again
+                    self.set_timer(SetTimer(RING_AGAIN_US, event.token))
                 continue
             for action in actions:
                 self.act(action)
         self.longest_batch_us = max(self.longest_batch_us, now_us() - now)
 
-    def act(self, action: i.Action) -> None:
+    def act(self, action: Action) -> None:
         place, carry_out = self.carry_out[type(action)]
         was = self.account.enter(place)
         try:
@@ -726,16 +768,16 @@
         """Fail a request over a fault, and have the module forget it."""
         if request_id in self.open:
             self.answer(request_id, FAILED, Ended.ERRORED)
-            self.post(i.ClientGone(request_id))
+            self.post(ClientGone(request_id))
 
-    def twin_heard(self, event: i.Event) -> None:
+    def twin_heard(self, event: Event) -> None:
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
         self.post(event)
-        if isinstance(event, i.TwinMaint):
+        if isinstance(event, HandoverEjection):
             self.backends.ban(event.server, event.out)
 
     def list_heard(self, news: News) -> None:
-        whole = news.event.kind is not i.ListKind.CHANGES
+        whole = news.event.kind is not EndpointListKind.CHANGES
         states = {server.name: server.state for server in news.event.servers}
         self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.backends.update(states, news.addresses, whole)
@@ -773,30 +815,32 @@
 
     def client_gone(self, reply: Reply) -> None:
         if reply.id is not None and (exchange := self.settle(reply.id)):
-            self.post(i.ClientGone(reply.id))
+            self.post(ClientGone(reply.id))
             if exchange.stream:
                 exchange.stream.cancel()
 
     # --- actions ---
 
-    def send(self, action: i.Send) -> None:
+    def send(self, action: SendAttempt) -> None:
         exchange = self.open.get(action.id)
         if exchange is None or exchange.attempts >= self.settings.max_attempts:
             ended = exchange or self.ended.get(action.id)
             number = ended.attempts if ended else 0
             if ended:
                 ended.attempts += 1
-            self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
+            self.post(
+                AttemptEnded(action.id, exchange is None, number, action.server, AttemptResult.NOT_SENT, 0)
+            )
             return
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         try:
             self.begin(action, exchange, number)
         except Exception:
             exchange.out.pop(number, None)  # the module counts it as out until it hears of its end
-            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
+            self.post(AttemptEnded(action.id, False, number, action.server, AttemptResult.NOT_SENT, 0))
             raise
 
-    def begin(self, action: i.Send, exchange: Exchange, number: int) -> None:
+    def begin(self, action: SendAttempt, exchange: Exchange, number: int) -> None:
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         self.sent[action.server] += 1
@@ -810,13 +854,13 @@
         self.backends.send(attempt, timeout, action.begin_us)
 
     def attempt_done(
-        self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
+        self, attempt: Attempt, result: AttemptResult, value: bytes | None, report: LoadReport | None
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
         if name in self.open and self.open[name].stream is attempt:
-            self.end_stream(name, result is i.Result.OK)
-        elif result is i.Result.OK and value is not None and name in self.open:
+            self.end_stream(name, result is AttemptResult.OK)
+        elif result is AttemptResult.OK and value is not None and name in self.open:
             self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
         over = name not in self.open
         exchange = self.ended.get(name) if over else self.open[name]
@@ -826,7 +870,7 @@
                 del self.ended[name]
         self.tally[result.value] += 1
         took = now_us() - attempt.sent_us
-        self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
+        self.post(AttemptEnded(name, over, attempt.number, attempt.server, result, took, report=report))
 
     def value_begins(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
         """A long value begins: it is the client's now, and nothing but a break or a stall ends it."""
@@ -837,7 +881,7 @@
         exchange.timer.cancel()
         exchange.timer = self.loop.call_later(STALL_S, self.look_for_stall, attempt.request_id)
         took = now_us() - attempt.sent_us
-        self.post(i.StreamStarted(attempt.request_id, attempt.number, attempt.server, took))
+        self.post(StreamStarted(attempt.request_id, attempt.number, attempt.server, took))
         exchange.reply.begin(b"$%d\r\n" % size, attempt)
         return exchange.reply.more
 
@@ -858,17 +902,17 @@
         else:
             exchange.reply.cut()
 
-    def cancel(self, action: i.Cancel) -> None:
+    def cancel(self, action: CancelAttempt) -> None:
         exchange = self.open.get(action.id) or self.ended.get(action.id)
         attempt = exchange.out.get(action.attempt) if exchange else None
         if attempt:
             attempt.cancel()
 
-    def refuse(self, action: i.Refuse) -> None:
+    def refuse(self, action: Reject) -> None:
         wait_ms = action.retry_after_us // 1000
         self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n", Ended.DEFERRED)
 
-    def fail(self, action: i.Fail) -> None:
+    def fail(self, action: Fail) -> None:
         self.answer(action.id, FAILED, Ended.ERRORED)
 
     def answer(self, name: str, data: bytes, how: Ended) -> None:
@@ -904,7 +948,7 @@
             attempt.withdraw()  # whatever waits for it: nothing is begun for who is gone or has his answer
         return exchange
 
-    def set_timer(self, action: i.SetTimer) -> None:
+    def set_timer(self, action: SetTimer) -> None:
         self.ring(now_us() + action.delay_us, action.token)
 
     def ring(self, due_us: int, token: int) -> None:
@@ -915,7 +959,7 @@
             wait_s = max(1000, left) / 1e6
             self.loop.call_later(wait_s, self.account.run, Place.MODULE, self.ring, due_us, token)
         else:
-            self.post(i.Timer(token))
+            self.post(TimerExpired(token))
 
-    def log_line(self, action: i.Log) -> None:
+    def log_line(self, action: LogLine) -> None:
         log.info("%s", action.text)
--- a/tests/baseline/test_gateway.py
+++ b/tests/baseline/test_gateway.py
@@ -7,10 +7,16 @@
 
 import pytest
 
-from orchidhatch.gateway import interface
-from orchidhatch.gateway.codec import mark_of, pack_message, plain, read_plain, unpack_message
+from orchidhatch.gateway.codec import (
+    HANDOVER_MESSAGES,
+    mark_of,
+    pack_message,
+    plain,
+    read_plain,
+    unpack_message,
+)
 from orchidhatch.gateway.core import Gateway
-from orchidhatch.proxy.handover import WORDS
+from orchidhatch.gateway.events import Event
 from tests.baseline.decoding import FOLDER, class_of, decode, read
 
 STREAMS = sorted(FOLDER.glob("events-*.jsonl.gz"))
@@ -35,7 +41,7 @@
                 counts.update(event["type"] for _, event, _ in json.loads(line)["steps"])
     assert len(STREAMS) == 4
     assert counts.total() > 10_000
-    assert {class_of(name) for name in counts} == set(interface.Event.__args__)
+    assert {class_of(name) for name in counts} == set(Event.__args__)
 
 
 @pytest.mark.parametrize(
@@ -65,4 +71,4 @@
 
 
 def test_names_that_go_over_the_wire_of_a_hand_over_stay() -> None:
-    assert set(WORDS) == {"TwinSpend", "TwinSend", "TwinEnd", "TwinMaint"}
+    assert set(HANDOVER_MESSAGES) == {"TwinSpend", "TwinSend", "TwinEnd", "TwinMaint"}
--- a/tests/control/test_schemas.py
+++ b/tests/control/test_schemas.py
@@ -17,7 +17,7 @@
     read_remove,
     written,
 )
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
 from orchidhatch.proxy.endpoint_watch import Catalog
 from tests.sockets import CONFIG
 
@@ -163,7 +163,7 @@
     catalog = Catalog(CONFIG)
     news = catalog.news(json.loads(listing(3, True, [entry])))
     [server] = news.event.servers
-    assert news.event.kind is i.ListKind.FULL and server.name == given["instanceId"]
+    assert news.event.kind is EndpointListKind.FULL and server.name == given["instanceId"]
     assert news.addresses == {entry.id: ("127.0.0.1", int(entry.address.rpartition(":")[2]))}
-    assert (server.state is i.ServerState.UP) == (given["lifecycle"] == "SERVING")
+    assert (server.state is EndpointState.UP) == (given["lifecycle"] == "SERVING")
     assert server.size == given["weight"] and server.cell == given["cell"]
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -9,18 +9,43 @@
 
 import pytest
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import (
+    Action,
+    Fail,
+    LogLine,
+    Reject,
+    SendAttempt,
+    SendGossip,
+    SetTimer,
+    Subscribe,
+)
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
+from orchidhatch.gateway.events import (
+    AttemptEnded,
+    ClientGone,
+    EndpointList,
+    PeerMessage,
+    PolicyChange,
+    Request,
+    SetEjection,
+    StreamStarted,
+    TimerExpired,
+)
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
 from orchidhatch.gateway.load_balancing import CHOICES, Routing
 from orchidhatch.gateway.overload import TARGETS, next_n
+from orchidhatch.gateway.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
+from orchidhatch.gateway.snapshots import CustomerKey
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
-KEYED = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=3 * S)
-UNSAFE = i.RequestClass(2 * S, 6 * S, effect=i.Effect.UNSAFE)
+KEYED = RequestClass(2 * S, 6 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ZONE, window_us=3 * S)
+UNSAFE = RequestClass(2 * S, 6 * S, effect=Idempotency.UNSAFE)
 
 
-def with_class(rule: i.RequestClass, **changes: object) -> i.Settings:
+def with_class(rule: RequestClass, **changes: object) -> Settings:
     return replace(SETTINGS, classes=(rule,), **changes)
 
 
@@ -46,13 +71,13 @@
     assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
 
 
-def loaded_world(util: float, plans: tuple[i.Plan, ...] = (i.Plan(),)) -> World:
-    patient = (i.RequestClass(aim_us=6 * S, deadline_us=6 * S),)
+def loaded_world(util: float, plans: tuple[Plan, ...] = (Plan(),)) -> World:
+    patient = (RequestClass(aim_us=6 * S, deadline_us=6 * S),)
     world = World(replace(SETTINGS, plans=plans, gateways=2, classes=patient))
     for n in range(20):
         world.ask(f"w{n}")
         world.run(50 * MS)
-        world.answer(f"w{n}", report=i.LoadReport(util=util))
+        world.answer(f"w{n}", report=LoadReport(util=util))
     world.run(20 * MS)
     return world
 
@@ -68,7 +93,7 @@
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
         world.run(10 * MS)
-    sends = [at for at, action in world.log if isinstance(action, i.Send) and at >= start]
+    sends = [at for at, action in world.log if isinstance(action, SendAttempt) and at >= start]
     assert len(sends) == allowed
     assert sends[-1] - sends[0] > 0.8 * S
     idle = loaded_world(0.3)
@@ -78,12 +103,12 @@
 
 def test_period_follows_the_rate() -> None:
     """With two requests a second, N of one or two a second would halve or double by rounding alone."""
-    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=20), servers(10))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateways=20), servers(10))
     for n in range(40):
         world.ask(f"r{n}")
         world.run(500 * MS)
         for name, attempt in list(world.out):
-            world.answer(name, attempt=attempt, report=i.LoadReport(util=0.9))
+            world.answer(name, attempt=attempt, report=LoadReport(util=0.9))
     assert world.gateway.cap.cc_us == 2 * S
     assert 4 <= world.gateway.cap.n_past <= 12
     assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
@@ -97,19 +122,19 @@
     for _ in range(110):
         world.run(10 * MS)
         for name, attempt in list(world.out):
-            world.answer(name, attempt=attempt, report=i.LoadReport(util=0.3))
+            world.answer(name, attempt=attempt, report=LoadReport(util=0.3))
     assert world.gateway.cap.n_past == 24.5  # the largest step from 20.5, to a half: of two gateways
 
 
 def test_held_leave_by_worth_then_arrival() -> None:
-    plans = (i.Plan(worth_factor=1.0), i.Plan(worth_factor=3.0))
+    plans = (Plan(worth_factor=1.0), Plan(worth_factor=3.0))
     world = loaded_world(0.9, plans)
     for n in range(30):
         world.ask(f"fill{n}")
     world.ask("low1")
     world.ask("high1", plan_index=1, customer="d")
     world.ask("high2", plan_index=1, customer="d")
-    order = [action.id for action in of(i.Send, world.run(S))]
+    order = [action.id for action in of(SendAttempt, world.run(S))]
     assert order[:2] == ["high1", "high2"]
 
 
@@ -118,14 +143,14 @@
     world.ask("a")
     started = world.now
     world.run(3 * S)
-    answered = [at for at, action in world.log if action == i.Refuse("a", 500 * MS)]
+    answered = [at for at, action in world.log if action == Reject("a", 500 * MS)]
     assert len(answered) == 1
     assert answered[0] - started < 2 * S
 
 
 def test_attempts_out_at_once_are_bounded() -> None:
     """Servers that answer nobody must not be given more and more, whatever the cap says."""
-    worlds = [World(replace(SETTINGS, plans=(i.Plan(),), gateways=5, me=me), servers(10)) for me in range(5)]
+    worlds = [World(replace(SETTINGS, plans=(Plan(),), gateways=5, me=me), servers(10)) for me in range(5)]
     for world in worlds:
         for n in range(200):
             world.ask(f"r{n}")
@@ -138,7 +163,7 @@
 
 def test_overdue_attempts_raise_the_latency_signal() -> None:
     """A jam answers nobody; waiting for answers would leave the cap lifted."""
-    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    world = World(replace(SETTINGS, plans=(Plan(),)))
     for n in range(20):
         world.ask(f"r{n}")
     world.run(1100 * MS)
@@ -184,7 +209,7 @@
 def test_what_is_granted_but_not_sent_comes_back_to_the_quota() -> None:
     gates = Set(20)
     for world in gates.worlds:
-        world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
+        world.tell(EndpointList(EndpointListKind.FULL, 2, ()))
     for _ in range(3):
         for n in range(20):
             gates.ask(n, f"r{gates.worlds[n].now}")
@@ -221,7 +246,7 @@
         world.run(every_us)
     seconds = 40 * every_us / S
     sent, quota = world.sent(), PLAN.rate * seconds + PLAN.burst
-    assert not any(of(i.Tell, [action for _, action in one.log]) for one in world.worlds)
+    assert not any(of(SendGossip, [action for _, action in one.log]) for one in world.worlds)
     assert sent <= quota + count  # a part holds a whole request
     assert sent >= 0.8 * quota
 
@@ -235,20 +260,20 @@
         world.run(S)
         for request, attempt in list(world.out):
             world.answer(request, attempt=attempt)
-    sent = [action.id for _, action in world.log if isinstance(action, i.Send)]
+    sent = [action.id for _, action in world.log if isinstance(action, SendAttempt)]
     assert sent[0] == "r0" and 4 <= len(sent) <= 5
 
 
 def test_request_larger_than_its_gateways_part_is_let_in_and_leaves_a_debt() -> None:
     world = World(replace(SETTINGS, may_tell=False, gateways=40))
     whole = {"set_size": 40, "units": 6.0}  # of a rate of a quarter here
-    assert of(i.Send, world.ask("first", **whole))
+    assert of(SendAttempt, world.ask("first", **whole))
     world.answer("first")
     for number in range(22):
-        assert not of(i.Send, world.ask(f"next{number}", **whole))
+        assert not of(SendAttempt, world.ask(f"next{number}", **whole))
         world.run(S)
     world.run(3 * S)
-    assert of(i.Send, world.ask("last", **whole))
+    assert of(SendAttempt, world.ask("last", **whole))
 
 
 def test_part_of_who_hears_nothing_is_one_of_the_plan_that_holds() -> None:
@@ -260,14 +285,14 @@
         world.run(20 * MS)
         assert len(world.out) == 1  # two places for four gateways
         world.answer(f"r{number}")
-    world.tell(i.NewPolicy((SAFE,), (replace(plan, burst=80.0, max_out=8),), frozenset(), 1, (0,)))
-    sent = sum(bool(of(i.Send, world.ask(f"s{number}", set_size=4))) for number in range(20))
+    world.tell(PolicyChange((SAFE,), (replace(plan, burst=80.0, max_out=8),), frozenset(), 1, (0,)))
+    sent = sum(bool(of(SendAttempt, world.ask(f"s{number}", set_size=4))) for number in range(20))
     assert sent == 2  # places of eight
     for _ in range(12):
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
         world.run(20 * MS)
-    taken = sum(isinstance(action, i.Send) for _, action in world.log) - 5
+    taken = sum(isinstance(action, SendAttempt) for _, action in world.log) - 5
     assert 9 <= taken <= 11  # the half of a burst of 20 here
 
 
@@ -291,34 +316,36 @@
     sent = []
     for name in names:
         actions = world.ask(f"r{name}", customer=name, set_size=4, units=20.0)
-        sent.append(len(of(i.Tell, actions)))
+        sent.append(len(of(SendGossip, actions)))
         if sum(sent) == 9:
             break
     assert max(sent) == 1 and sum(sent) == 9  # three running to each of three peers
-    assert not any(of(i.Tell, world.ask(f"s{name}", customer=name, set_size=4, units=20.0)) for name in names)
+    assert not any(
+        of(SendGossip, world.ask(f"s{name}", customer=name, set_size=4, units=20.0)) for name in names
+    )
 
 
 def test_word_that_only_tells_what_is_out_asks_for_nothing() -> None:
     world = World(replace(SETTINGS, gateways=2, plans=(replace(PLAN, max_out=1),)))
     key = (0, 0, 0, 2)  # at home here
-    world.tell(i.PeerMessage(1, (i.Word(*key, level=0.0, out=1),)))
+    world.tell(PeerMessage(1, (GossipMessage(*key, level=0.0, out=1),)))
     (customer,) = world.gateway.homes.customers.values()
     assert customer.others_out(world.now) == 1 and customer.level == 0
-    assert not of(i.Tell, [action for _, action in world.log])
+    assert not of(SendGossip, [action for _, action in world.log])
 
 
 def test_words_from_outside_are_checked() -> None:
     world = World(replace(SETTINGS, gateways=2))
-    huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
-    for word in (i.Word(1, 9, 0, 2), i.Word(1, 0, 5, 1), i.Word(1, 0, 0, 0), huge):
-        world.tell(i.PeerMessage(1, (word,)))
+    huge = GossipMessage(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
+    for word in (GossipMessage(1, 9, 0, 2), GossipMessage(1, 0, 5, 1), GossipMessage(1, 0, 0, 0), huge):
+        world.tell(PeerMessage(1, (word,)))
     assert len(world.gateway.homes.customers) == 1
 
 
 def test_idle_gateway_wakes_up_once_a_period() -> None:
     world = World()
     world.run(10 * S)
-    assert len(of(i.SetTimer, [action for _, action in world.log])) <= 12
+    assert len(of(SetTimer, [action for _, action in world.log])) <= 12
 
 
 def test_customers_seen_long_ago_are_forgotten() -> None:
@@ -338,19 +365,19 @@
 
 
 def test_what_meets_the_open_cap_waits_for_an_attempt_to_end() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(max_out=2),)))
-    assert of(i.Send, world.ask("a")) and of(i.Send, world.ask("b"))
-    assert not of(i.Send, world.ask("c")) and not of(i.Refuse, world.run(100 * MS))
+    world = World(replace(SETTINGS, plans=(Plan(max_out=2),)))
+    assert of(SendAttempt, world.ask("a")) and of(SendAttempt, world.ask("b"))
+    assert not of(SendAttempt, world.ask("c")) and not of(Reject, world.run(100 * MS))
     world.answer("a")
-    assert [action.id for action in of(i.Send, world.run(50 * MS))] == ["c"]
-    assert not of(i.Send, world.ask("d"))
+    assert [action.id for action in of(SendAttempt, world.run(50 * MS))] == ["c"]
+    assert not of(SendAttempt, world.ask("d"))
 
 
 def test_true_units_are_settled() -> None:
     world = World(replace(SETTINGS, trued_up=True))
     world.ask("a")
     server, sent, _ = world.out.pop(("a", 0))
-    world.tell(i.Outcome("a", True, 0, server, i.Result.OK, world.now - sent, true_units=4.0))
+    world.tell(AttemptEnded("a", True, 0, server, AttemptResult.OK, world.now - sent, true_units=4.0))
     assert next(iter(world.gateway.homes.customers.values())).level == pytest.approx(16)
 
 
@@ -358,17 +385,20 @@
 
 
 def test_ceiling_starts_empty_and_is_split() -> None:
-    plan = i.Plan(ceiling_rate=10.0, ceiling_burst=20.0)
+    plan = Plan(ceiling_rate=10.0, ceiling_burst=20.0)
     world = World(replace(SETTINGS, plans=(plan,), gateways=2))
     for n in range(40):
         world.ask(f"r{n}", set_size=2)
     world.run(S)
-    assert len(of(i.Send, [action for _, action in world.log])) in (4, 5)  # half of 10 a second, from none
+    assert len(of(SendAttempt, [action for _, action in world.log])) in (
+        4,
+        5,
+    )  # half of 10 a second, from none
 
 
 def test_no_time_left_is_answered_at_once() -> None:
     world = World(fleet=())
-    assert of(i.Refuse, world.ask("a", left_us=0))
+    assert of(Reject, world.ask("a", left_us=0))
 
 
 @pytest.mark.parametrize("left", [5, 30, 60, 90, 130, 200, 260])
@@ -377,12 +407,12 @@
     gates = Set(20, with_class(replace(UNSAFE, aim_us=2 * S), plans=(replace(PLAN, burst=2.0),)))
     for me, world in enumerate(gates.worlds):
         gates.down = me
-        world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
+        world.tell(EndpointList(EndpointListKind.FULL, 2, ()))
         world.gateway.routing.mean_us = [20 * MS]
         world.ask("a", left_us=left * MS, set_size=20)
         start = world.now
         world.run(S)
-        ends = [at - start for at, action in world.log if isinstance(action, i.Refuse | i.Fail)]
+        ends = [at - start for at, action in world.log if isinstance(action, Reject | Fail)]
         assert len(ends) == 1 and ends[0] <= left * MS
 
 
@@ -390,45 +420,45 @@
     world = World(with_class(UNSAFE))
     world.ask("a")
     world.run(6 * S)
-    actions = world.answer("a", i.Result.TIMEOUT)
-    assert actions == [i.Fail("a")]
-    assert world.tell(i.ClientGone("a")) == []
+    actions = world.answer("a", AttemptResult.TIMEOUT)
+    assert actions == [Fail("a")]
+    assert world.tell(ClientGone("a")) == []
 
 
 def test_unsafe_goes_again_only_if_it_never_ran() -> None:
     world = World(with_class(UNSAFE))
     world.ask("a")
-    assert of(i.Send, world.answer("a", i.Result.FULL))
-    assert of(i.Send, world.answer("a", i.Result.CONNECT_FAILED, attempt=1))
-    assert world.answer("a", i.Result.RESET, attempt=2) == [i.Fail("a")]
+    assert of(SendAttempt, world.answer("a", AttemptResult.REJECTED))
+    assert of(SendAttempt, world.answer("a", AttemptResult.CONNECT_FAILED, attempt=1))
+    assert world.answer("a", AttemptResult.RESET, attempt=2) == [Fail("a")]
 
 
 def test_unsafe_proven_unrun_to_the_end_is_refused() -> None:
     world = World(with_class(UNSAFE))
     world.ask("a")
     for attempt in range(3):
-        actions = world.answer("a", i.Result.FULL, attempt)
-    assert of(i.Refuse, actions)
+        actions = world.answer("a", AttemptResult.REJECTED, attempt)
+    assert of(Reject, actions)
 
 
 def test_keyed_stays_in_its_zone_and_window() -> None:
     world = World(with_class(KEYED))
     world.ask("a")
     first = world.out[("a", 0)][0]
-    again = of(i.Send, world.answer("a", i.Result.RESET))
+    again = of(SendAttempt, world.answer("a", AttemptResult.RESET))
     assert int(again[0].server[1:]) % 2 == int(first[1:]) % 2
     world.run(3 * S)
-    assert world.answer("a", i.Result.RESET, attempt=1) == [i.Fail("a")]
+    assert world.answer("a", AttemptResult.RESET, attempt=1) == [Fail("a")]
 
 
 def test_repeat_of_what_may_have_run_is_to_be_begun_within_its_window() -> None:
     """Counted from the first that may have run; neither the first itself nor a safe one has a bound."""
-    keyed = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, window_us=S)
+    keyed = RequestClass(2 * S, 6 * S, effect=Idempotency.KEYED, window_us=S)
     for rule, bound in ((keyed, 600 * MS), (SAFE, 0)):
         world = World(replace(SETTINGS, classes=(rule,)))
-        [first] = of(i.Send, world.ask("a"))
+        [first] = of(SendAttempt, world.ask("a"))
         world.run(400 * MS)
-        [again] = of(i.Send, world.answer("a", i.Result.RESET))
+        [again] = of(SendAttempt, world.answer("a", AttemptResult.RESET))
         assert (first.begin_us, again.begin_us) == (0, bound)
 
 
@@ -444,49 +474,49 @@
     world.ask("b")
     assert 8 * 100 * MS < world.out[("b", 0)][2] < 2 * S - 200 * MS
     world.run(S)
-    assert len(of(i.Send, world.answer("b", i.Result.TIMEOUT))) == 1
+    assert len(of(SendAttempt, world.answer("b", AttemptResult.TIMEOUT))) == 1
     world = World(with_class(UNSAFE))
     world.ask("a")
     assert world.out[("a", 0)][2] == 6 * S
 
 
-@pytest.mark.parametrize("state", [i.ServerState.DRAINING, i.ServerState.GONE])
-def test_nothing_new_to_a_draining_server(state: i.ServerState) -> None:
+@pytest.mark.parametrize("state", [EndpointState.DRAINING, EndpointState.GONE])
+def test_nothing_new_to_a_draining_server(state: EndpointState) -> None:
     world = World(fleet=servers(2))
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, servers(1, state=state)))
+    world.tell(EndpointList(EndpointListKind.CHANGES, 2, servers(1, state=state)))
     for n in range(8):
         world.ask(f"r{n}")
-    assert {action.server for _, action in world.log if isinstance(action, i.Send)} == {"s1"}
+    assert {action.server for _, action in world.log if isinstance(action, SendAttempt)} == {"s1"}
 
 
 def test_server_missing_from_a_full_list_is_gone() -> None:
     world = World(fleet=servers(2))
-    world.tell(i.ServerList(i.ListKind.FULL, 2, servers(1)))
+    world.tell(EndpointList(EndpointListKind.FULL, 2, servers(1)))
     for n in range(8):
         world.ask(f"r{n}")
-    assert {action.server for _, action in world.log if isinstance(action, i.Send)} == {"s0"}
+    assert {action.server for _, action in world.log if isinstance(action, SendAttempt)} == {"s0"}
 
 
 def test_cold_server_is_sent_little() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    world = World(replace(SETTINGS, plans=(Plan(),)))
     for n in range(120):
         if n == 60:
             cold = replace(servers(4)[3], started_us=world.now)
-            world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
+            world.tell(EndpointList(EndpointListKind.CHANGES, 2, (cold,)))
             world.log.clear()
         world.ask(f"r{n}")
         world.run((10 + n * 37 % 50) * MS)
         world.answer(f"r{n}")
-    counts = [sum(a.server == f"s{n}" for _, a in world.log if isinstance(a, i.Send)) for n in range(4)]
+    counts = [sum(a.server == f"s{n}" for _, a in world.log if isinstance(a, SendAttempt)) for n in range(4)]
     assert counts[3] <= sum(counts) / 4 / 2  # warm ones share the rest by how quickly they chanced to answer
 
 
 def test_half_warm_servers_are_used_while_warm_ones_are_busy() -> None:
     """Half the fleet is at 0.6 of its warmth; what it may take must not pile up on the other half."""
     fleet = servers(4)
-    world = World(replace(SETTINGS, plans=(i.Plan(),), fall_multiple=3.0))
+    world = World(replace(SETTINGS, plans=(Plan(),), fall_multiple=3.0))
     started = tuple(replace(fleet[n], started_us=world.now - 5 * S) for n in (2, 3))
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, started))
+    world.tell(EndpointList(EndpointListKind.CHANGES, 2, started))
     world.gateway.routing.usual = 10.0  # as it was before the restart
     for n in range(80):
         world.ask(f"r{n}")
@@ -494,14 +524,14 @@
         for (name, attempt), (_, sent, _) in list(world.out.items()):
             if world.now - sent >= 200 * MS:
                 world.answer(name, attempt=attempt)
-    sent = [action.server for _, action in world.log if isinstance(action, i.Send)]
+    sent = [action.server for _, action in world.log if isinstance(action, SendAttempt)]
     assert len(sent) == 80
     assert 0.3 <= sum(name in ("s2", "s3") for name in sent) / 80 <= 0.5
 
 
 def test_what_a_cold_server_may_take_does_not_shrink_with_what_is_sent() -> None:
     """In a release most servers are cold; refusals lower the rate, and that must not lower it further."""
-    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    world = World(replace(SETTINGS, plans=(Plan(),)))
     cold = world.gateway.routing.servers["s0"]
     for n in range(200):
         world.ask(f"r{n}")
@@ -514,11 +544,11 @@
 
 
 def test_cold_server_that_answers_quickly_is_sent_more_up_to_a_bound() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)))
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, (replace(servers(1)[0], started_us=world.now),)))
+    world = World(replace(SETTINGS, plans=(Plan(),)))
+    world.tell(EndpointList(EndpointListKind.CHANGES, 2, (replace(servers(1)[0], started_us=world.now),)))
     cold = world.gateway.routing.servers["s0"]
 
-    def answered(after_us: int, result: i.Result = i.Result.OK) -> float:
+    def answered(after_us: int, result: AttemptResult = AttemptResult.OK) -> float:
         name = f"r{len(world.tries)}"
         world.ask(name)
         world.now += after_us
@@ -531,20 +561,22 @@
     paces = [answered(MS) for _ in range(20)]
     assert paces == sorted(paces) and paces[-1] == 2.0  # under its bound even where servers are well used
     assert answered(900 * MS) < 2.0
-    assert answered(MS, i.Result.RESET) == 1.0
+    assert answered(MS, AttemptResult.RESET) == 1.0
 
 
 def test_requests_are_held_rather_than_piled_on_the_one_warm_server() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=2), servers(8))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateways=2), servers(8))
     world.tell(
-        i.ServerList(
-            i.ListKind.CHANGES, 2, tuple(replace(server, started_us=world.now) for server in servers(8)[1:])
+        EndpointList(
+            EndpointListKind.CHANGES,
+            2,
+            tuple(replace(server, started_us=world.now) for server in servers(8)[1:]),
         )
     )
     for n in range(60):
         world.ask(f"r{n}")
     world.run(40 * MS)
-    sent = [action.server for _, action in world.log if isinstance(action, i.Send)]
+    sent = [action.server for _, action in world.log if isinstance(action, SendAttempt)]
     assert sent.count("s0") == 8  # as many as all gateways may have out for each server, twice over
     assert world.gateway.held
 
@@ -552,16 +584,18 @@
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
     """Each of them sees a server that has just started as the emptiest."""
     fleet = servers(20)
-    gates = Set(100, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2), fleet)
+    gates = Set(100, replace(SETTINGS, plans=(Plan(),), cold_from=0.2), fleet)
     cold = replace(fleet[0], started_us=gates.worlds[0].now)
     for world in gates.worlds:
         world.gateway.routing.mean_us = [10 * MS]
-        world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
+        world.tell(EndpointList(EndpointListKind.CHANGES, 2, (cold,)))
     for n in range(1000):
         gates.ask(n * 7 % 100, f"r{n}", customer=f"c{n}")
         if n % 5 == 0:
             gates.run(10 * MS)
-    names = [action.server for world in gates.worlds for _, action in world.log if isinstance(action, i.Send)]
+    names = [
+        action.server for world in gates.worlds for _, action in world.log if isinstance(action, SendAttempt)
+    ]
     assert len(names) == 1000
     assert names.count("s0") <= 0.6 * 1000 / 20  # warmth is 0.2 to 0.36 in these 2 s
 
@@ -569,18 +603,20 @@
 def test_cold_servers_take_their_part_though_every_gateway_has_empty_warm_ones() -> None:
     """Forty gateways with a request every 0.4 s each: to each of them nearly all servers look empty."""
     fleet = servers(20)
-    gates = Set(40, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2, fall_multiple=3.0), fleet)
+    gates = Set(40, replace(SETTINGS, plans=(Plan(),), cold_from=0.2, fall_multiple=3.0), fleet)
     for n in range(600):  # so that it is known what a warm one is sent
         gates.ask(n * 7 % 40, f"w{n}", customer=f"c{n}")
         gates.run(10 * MS)
     cold = tuple(replace(server, started_us=gates.worlds[0].now) for server in fleet[:8])
     for world in gates.worlds:
-        world.tell(i.ServerList(i.ListKind.CHANGES, 2, cold))
+        world.tell(EndpointList(EndpointListKind.CHANGES, 2, cold))
         world.log.clear()
     for n in range(400):
         gates.ask(n * 7 % 40, f"r{n}", customer=f"c{n}")
         gates.run(10 * MS)
-    names = [action.server for world in gates.worlds for _, action in world.log if isinstance(action, i.Send)]
+    names = [
+        action.server for world in gates.worlds for _, action in world.log if isinstance(action, SendAttempt)
+    ]
     sent = Counter(names)
     mean_warmth, even = 0.2 + 0.8 * 2 / 10, 400 / 20
     assert 0.5 * mean_warmth * even <= sum(sent[server.name] for server in cold) / 8 <= 3 * mean_warmth * even
@@ -593,20 +629,20 @@
     other = gates.worlds[1]
     index = other.gateway.routing.servers["s0"].sum
     for n in range(12):
-        seen = tuple(i.Sighting(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
-        other.tell(i.PeerMessage(2, (i.Word(n, 0, 1, 5, level=20.0),), seen))
+        seen = tuple(AttemptObservation(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
+        other.tell(PeerMessage(2, (GossipMessage(n, 0, 1, 5, level=20.0),), seen))
     for n in range(40):
         other.ask(f"r{n}", customer=f"c{n}", set_first=1, set_size=5)
         other.run(5 * MS)
         other.answer(f"r{n}")
-    assert "s0" not in {action.server for _, action in other.log if isinstance(action, i.Send)}
+    assert "s0" not in {action.server for _, action in other.log if isinstance(action, SendAttempt)}
 
 
 def test_a_peer_is_told_once_of_what_was_seen_and_not_of_what_is_old() -> None:
     world = World(replace(SETTINGS, gateways=2))
     for n in range(3):
         world.ask(f"r{n}")
-        world.answer(f"r{n}", i.Result.ERROR if n else i.Result.OK)
+        world.answer(f"r{n}", AttemptResult.ERROR if n else AttemptResult.OK)
     told = [world.gateway.words.untold_sightings(1), world.gateway.words.untold_sightings(1)]
     assert [seen.served for seen in told[0]] == [True, False, False] and told[1] == ()
     assert [seen.latency for seen in told[0]][1:] == [0.0, 0.0]  # it says nothing of how busy servers are
@@ -623,7 +659,7 @@
 
 def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
     """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
-    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=40))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateways=40))
     gateway = world.gateway
     gateway.cap.n_past, gateway.cap.most = 2.0, 2
     gateway.cap.signals["latency"], gateway.cap.accepted = [0.2] * 9, 2  # light, but all of N is used
@@ -642,9 +678,9 @@
     """A few slow answers here are chance where the others' are quick."""
     world = World(replace(SETTINGS, gateways=40))
     server = world.gateway.routing.servers["s0"].sum
-    seen = tuple(i.Sighting(server, 0, True, 0.1) for _ in range(12))
+    seen = tuple(AttemptObservation(server, 0, True, 0.1) for _ in range(12))
     for n in range(5):
-        world.tell(i.PeerMessage(n + 1, (i.Word(n, 0, 0, 5),), seen))
+        world.tell(PeerMessage(n + 1, (GossipMessage(n, 0, 0, 5),), seen))
     world.gateway.cap.signals["latency"] += [0.9, 0.9]
     world.gateway.end_period()
     assert world.gateway.cap.n_past is None
@@ -653,10 +689,12 @@
 
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
     """In a release most are cold: all that they cannot take would jam the few warm ones."""
-    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=4), servers(20))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateways=4), servers(20))
     world.tell(
-        i.ServerList(
-            i.ListKind.CHANGES, 2, tuple(replace(server, started_us=world.now) for server in servers(20)[4:])
+        EndpointList(
+            EndpointListKind.CHANGES,
+            2,
+            tuple(replace(server, started_us=world.now) for server in servers(20)[4:]),
         )
     )
     for n in range(80):
@@ -666,13 +704,15 @@
 
 def test_nothing_goes_beyond_a_level_that_the_home_knows() -> None:
     """Forty gateways with a twentieth of a request each: the home is asked for every one."""
-    plan = i.Plan(rate=0.5, burst=2.0)
+    plan = Plan(rate=0.5, burst=2.0)
     gates = Set(40, replace(SETTINGS, plans=(plan,)))
     store, last, beyond = plan.burst, gates.worlds[0].now, 0
     for n in range(300):
         gates.ask(n * 7 % 40, f"r{n}")
         gates.run(100 * MS)
-    sends = sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send))
+    sends = sorted(
+        at for world in gates.worlds for at, action in world.log if isinstance(action, SendAttempt)
+    )
     for at in sends:
         store, last = min(plan.burst, store + plan.rate * (at - last) / S), at
         beyond += store < 1
@@ -684,28 +724,28 @@
 def test_thin_traffic_stays_where_connections_are_kept_and_leaves_at_once_when_these_are_gone() -> None:
     """Two hundred doors that go everywhere cost each backend a handshake for every second attempt."""
     fleet = servers(100)
-    world = World(replace(SETTINGS, gateways=200, plans=(i.Plan(),)), fleet)
+    world = World(replace(SETTINGS, gateways=200, plans=(Plan(),)), fleet)
 
     def used(name: str, count: int) -> list[str]:
         sent = []
         for n in range(count):
-            sent += [action.server for action in of(i.Send, world.ask(f"{name}{n}", customer=f"c{n}"))]
+            sent += [action.server for action in of(SendAttempt, world.ask(f"{name}{n}", customer=f"c{n}"))]
             world.run(250 * MS)
             world.answer(f"{name}{n}")
         return sent
 
     assert len(used("a", 100)) == 100 and len(set(used("b", 100))) <= 2 * CHOICES
     known = set(used("c", 100))
-    gone = tuple(replace(server, state=i.ServerState.DRAINING) for server in fleet if server.name in known)
-    world.tell(i.ServerList(i.ListKind.CHANGES, 2, gone))
+    gone = tuple(replace(server, state=EndpointState.DRAINING) for server in fleet if server.name in known)
+    world.tell(EndpointList(EndpointListKind.CHANGES, 2, gone))
     after = used("d", 20)
     assert len(after) == 20 and not known & set(after)
 
 
 def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
     """Thirty gateways that all let in on the same level would spend it thirty times over."""
-    world = World(replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=20.0),), gateways=40))
-    customer = world.gateway.homes.customer(i.Key(1, 0, 0, 30))
+    world = World(replace(SETTINGS, plans=(Plan(rate=10.0, burst=20.0),), gateways=40))
+    customer = world.gateway.homes.customer(CustomerKey(1, 0, 0, 30))
     customer.level, customer.demand = 3.0, 20.0
     assert customer.chance(1.0) == 1.0  # the home's word holds for the one that it was given to
     assert customer.chance(1.0, known=False) == 1.0  # it has heard none: one request is its own in any case
@@ -723,42 +763,44 @@
     assert customer.chance(1.0, known=False) == 0.0
     customer.level = 0.9
     assert customer.chance(1.0) == 0.0
-    few = world.gateway.homes.customer(i.Key(1, 0, 0, 3))  # its parts hold requests: the rule is as it was
+    few = world.gateway.homes.customer(
+        CustomerKey(1, 0, 0, 3)
+    )  # its parts hold requests: the rule is as it was
     few.level, few.demand = 0.9, 20.0
     assert few.chance(1.0, known=False) == few.chance(1.0) == pytest.approx((0.9 + 10.0 * 0.5) / 20.0)
 
 
 def test_home_that_does_not_answer_is_left_alone_for_longer_and_longer() -> None:
     """It may hear more than it can take in: a hundred doors that each ask twice would keep it so."""
-    plan = i.Plan(rate=10.0, burst=20.0)
+    plan = Plan(rate=10.0, burst=20.0)
     world = World(replace(SETTINGS, plans=(plan,), gateways=40, me=5))
-    key, asked = i.Key(zlib.crc32(b"c"), 0, 0, 40), []
+    key, asked = CustomerKey(zlib.crc32(b"c"), 0, 0, 40), []
     for n in range(400):
-        told = of(i.Tell, world.ask(f"r{n}", set_size=40) + world.run(100 * MS))
+        told = of(SendGossip, world.ask(f"r{n}", set_size=40) + world.run(100 * MS))
         asked += [world.now for tell in told for word in tell.words if word.asked > 0]
     assert 6 <= len(asked) <= 30  # of 40 s; with two asks a request there were 800
-    sent = of(i.Send, [action for _, action in world.log])
+    sent = of(SendAttempt, [action for _, action in world.log])
     assert len(sent) <= 1 + 40 * 10 / 40 + 1  # its own part
     customer = world.gateway.homes.customer(key)
-    world.tell(i.PeerMessage(customer.home, (i.Word(*key, is_answer=True, level=20.0, demand=1.0),)))
-    assert of(i.Tell, world.ask("heard", set_size=40) + world.run(100 * MS))
+    world.tell(PeerMessage(customer.home, (GossipMessage(*key, is_answer=True, level=20.0, demand=1.0),)))
+    assert of(SendGossip, world.ask("heard", set_size=40) + world.run(100 * MS))
 
 
 def test_store_that_cannot_have_refilled_is_not_asked_for() -> None:
     """Each ask costs its home a message of an intake that all customers share."""
-    world = World(replace(SETTINGS, plans=(i.Plan(rate=0.5, burst=2.0),), gateways=40, me=5))
-    customer = world.gateway.homes.customer(i.Key(zlib.crc32(b"c"), 0, 0, 40))
+    world = World(replace(SETTINGS, plans=(Plan(rate=0.5, burst=2.0),), gateways=40, me=5))
+    customer = world.gateway.homes.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
     assert customer.home != 5
     customer.heard_us, customer.level = world.now, 0.2
     world.now += S  # 0.7 of a request
-    assert of(i.Refuse, world.ask("early", set_size=40)) and not of(i.Tell, world.run(MS))
+    assert of(Reject, world.ask("early", set_size=40)) and not of(SendGossip, world.run(MS))
     world.now += S  # 1.2
-    assert of(i.Tell, world.ask("later", set_size=40))
+    assert of(SendGossip, world.ask("later", set_size=40))
 
 
 def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
-    plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
+    plan = Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
     gates = Set(20, replace(SETTINGS, plans=(plan,)))
     start = gates.worlds[0].now
     for n in range(1200):
@@ -768,7 +810,9 @@
         if n in (400, 800):
             for me in range(0, 20, 2):
                 gates.restart(me, seed=n)
-    times = sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send))
+    times = sorted(
+        at for world in gates.worlds for at, action in world.log if isinstance(action, SendAttempt)
+    )
     store, last = 40.0, start
     for at in times:
         store, last = min(40.0, store + 18.0 * (at - last) / S) - 1, at
@@ -776,7 +820,7 @@
     assert times
 
 
-CAPPED = i.Plan(rate=8.0, burst=8.0, max_out=2, ceiling_rate=10.0, ceiling_burst=12.0, ceiling_slack=1.2)
+CAPPED = Plan(rate=8.0, burst=8.0, max_out=2, ceiling_rate=10.0, ceiling_burst=12.0, ceiling_slack=1.2)
 
 
 def drive_capped(gates: Set, trouble: Callable[[int], None] = lambda step: None) -> None:
@@ -797,9 +841,9 @@
     drive_capped(gates)
     ends = Counter(type(action) for world in gates.worlds for _, action in world.log)
     assert gates.sent() >= 0.9 * (8 + 8 * 40)
-    assert ends[i.Send] + ends[i.Refuse] == 1000
+    assert ends[SendAttempt] + ends[Reject] == 1000
     out = most = 0
-    sent = [at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send)]
+    sent = [at for world in gates.worlds for at, action in world.log if isinstance(action, SendAttempt)]
     for _, step in sorted([(at, 1) for at in sent] + [(at + gates.lasts_us, -1) for at in sent]):
         out += step
         most = max(most, out)
@@ -820,7 +864,9 @@
     start = gates.worlds[0].now
     drive_capped(gates, fail)
     store, last, least = 12.0, start, 12.0
-    for at in sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send)):
+    for at in sorted(
+        at for world in gates.worlds for at, action in world.log if isinstance(action, SendAttempt)
+    ):
         store, last = min(12.0, store + 10.0 * (at - last) / S) - 1, at
         least = min(least, store)
     assert least >= -1.2 - 10 * 0.15  # the slack, and what the rate gives in 150 ms
@@ -831,34 +877,36 @@
     home = World(replace(SETTINGS, gateways=3, me=0, plans=(CAPPED,)))
     key = (0, 0, 0, 3)
 
-    def want(sender: int, out: int = 0, units: float = 1.0) -> list[i.Word]:
-        told = of(i.Tell, home.tell(i.PeerMessage(sender, (i.Word(*key, asked=-units, out=out),))))
+    def want(sender: int, out: int = 0, units: float = 1.0) -> list[GossipMessage]:
+        told = of(SendGossip, home.tell(PeerMessage(sender, (GossipMessage(*key, asked=-units, out=out),))))
         return [(tell.peer, word.place) for tell in told for word in tell.words]
 
     home.run(4 * S)
-    assert want(1) == [(1, i.Place.GRANTED)]
-    assert want(2) == [(2, i.Place.GRANTED)]
+    assert want(1) == [(1, SlotGrant.GRANTED)]
+    assert want(2) == [(2, SlotGrant.GRANTED)]
     for _ in range(3):
-        assert want(1, out=1) == [(1, i.Place.QUEUED)]
-        later = [(tell.peer, word.place) for tell in of(i.Tell, home.run(500 * MS)) for word in tell.words]
-    assert later == [(1, i.Place.GRANTED)]  # gateway 2 never told of an attempt
+        assert want(1, out=1) == [(1, SlotGrant.QUEUED)]
+        later = [
+            (tell.peer, word.place) for tell in of(SendGossip, home.run(500 * MS)) for word in tell.words
+        ]
+    assert later == [(1, SlotGrant.GRANTED)]  # gateway 2 never told of an attempt
 
 
 def test_clock_that_jumps_and_a_list_that_names_twice() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(2) + servers(2))
+    world = World(replace(SETTINGS, plans=(Plan(),)), servers(2) + servers(2))
     world.ask("a")
     world.now += 60 * S
-    world.tell(i.Timer(0))
-    assert len(of(i.Send, world.ask("b"))) == 1
-    world.tell(i.ServerList(i.ListKind.FULL, 3, ()))
-    assert not of(i.Send, world.ask("c"))
+    world.tell(TimerExpired(0))
+    assert len(of(SendAttempt, world.ask("b"))) == 1
+    world.tell(EndpointList(EndpointListKind.FULL, 3, ()))
+    assert not of(SendAttempt, world.ask("c"))
 
 
 # --- health and attempts ---
 
 
 def test_silent_server_is_left_and_tried_again() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(3))
+    world = World(replace(SETTINGS, plans=(Plan(),)), servers(3))
     bad, sends, trials = "s0", 0, 0
     for n in range(400):
         world.ask(f"r{n}")
@@ -866,13 +914,13 @@
         for name, attempt in list(world.out):
             hit = world.out[(name, attempt)][0] == bad
             sends, trials = sends + hit, trials + (hit and n > 200)
-            world.answer(name, i.Result.RESET if hit else i.Result.OK, attempt)
+            world.answer(name, AttemptResult.RESET if hit else AttemptResult.OK, attempt)
     assert sends < 20
     assert trials >= 1
 
 
 def test_time_out_on_a_server_that_answers_others_is_no_sign() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(1))
+    world = World(replace(SETTINGS, plans=(Plan(),)), servers(1))
     for n in range(4):
         world.ask(f"r{n}")
     for n in range(2):
@@ -881,20 +929,20 @@
     world.answer("ok0")
     world.run(10 * MS)
     for n in range(4):
-        world.answer(f"r{n}", i.Result.TIMEOUT)
+        world.answer(f"r{n}", AttemptResult.TIMEOUT)
     assert world.gateway.routing.servers["s0"].on_trial is False
 
 
 def test_further_attempts_are_few() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    world = World(replace(SETTINGS, plans=(Plan(),)))
     for n in range(100):
-        for action in of(i.Send, world.ask(f"r{n}")):
-            more = of(i.Send, world.answer(action.id, i.Result.ERROR))
+        for action in of(SendAttempt, world.ask(f"r{n}")):
+            more = of(SendAttempt, world.answer(action.id, AttemptResult.ERROR))
             while more:
                 attempt = world.tries[action.id] - 1
-                more = of(i.Send, world.answer(action.id, i.Result.ERROR, attempt))
+                more = of(SendAttempt, world.answer(action.id, AttemptResult.ERROR, attempt))
         world.run(10 * MS)
-    assert len(of(i.Send, [action for _, action in world.log])) <= 100 * 1.1 + 8
+    assert len(of(SendAttempt, [action for _, action in world.log])) <= 100 * 1.1 + 8
 
 
 def test_same_events_same_actions() -> None:
@@ -910,16 +958,16 @@
 
 def test_list_must_be_asked_for() -> None:
     gateway = Gateway(replace(SETTINGS, must_subscribe=True))
-    assert i.Subscribe(True) in gateway.handle(5, i.ServerList(i.ListKind.SAVED, 1, servers(2)))
-    assert gateway.handle(9, i.ServerList(i.ListKind.FAILED, 0)) == [i.Subscribe(True)]
-    assert of(i.Send, gateway.handle(10, i.Request("a", 0, 0, "c", S)))
+    assert Subscribe(True) in gateway.handle(5, EndpointList(EndpointListKind.SAVED, 1, servers(2)))
+    assert gateway.handle(9, EndpointList(EndpointListKind.FAILED, 0)) == [Subscribe(True)]
+    assert of(SendAttempt, gateway.handle(10, Request("a", 0, 0, "c", S)))
 
 
 def test_stream_is_the_clients_once_begun() -> None:
     world = World(with_class(replace(SAFE, streamed=True)))
     world.ask("a")
-    assert world.tell(i.StreamStarted("a", 0, world.out[("a", 0)][0], 5)) == []
-    assert of(i.Refuse, world.answer("a", i.Result.RESET)) == []
+    assert world.tell(StreamStarted("a", 0, world.out[("a", 0)][0], 5)) == []
+    assert of(Reject, world.answer("a", AttemptResult.RESET)) == []
 
 
 # --- limits of the module ---
@@ -933,10 +981,20 @@
         "__init__",
         "simulator",
         "codec",
-        "interface",
-        "state",
+        "actions",
+        "attempts",
+        "decision_context",
+        "endpoints",
+        "events",
+        "gossip",
+        "handover_state",
+        "in_flight",
         "metrics",
         "peer_outbox",
+        "records",
+        "settings",
+        "snapshots",
+        "times",
     }  # decide nothing
     found = {file.stem for file in (root / "orchidhatch" / "gateway").glob("*.py")}
     assert {Path(file).stem for file in files} == found - others
@@ -945,19 +1003,19 @@
 
 
 def test_log_tells_why_requests_were_ended() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(rate=1.0, burst=1.0),)))
+    world = World(replace(SETTINGS, plans=(Plan(rate=1.0, burst=1.0),)))
     for n in range(40):
         world.ask(f"r{n}")
     world.run(6 * S)
-    lines = [action.text for _, action in world.log if isinstance(action, i.Log)]
-    refused = len(of(i.Refuse, [action for _, action in world.log]))
+    lines = [action.text for _, action in world.log if isinstance(action, LogLine)]
+    refused = len(of(Reject, [action for _, action in world.log]))
     assert refused > 0
     assert sum(int(line.rpartition("quota=")[2].split()[0]) for line in lines if "quota=" in line) == refused
 
 
 def test_servers_that_all_came_back_take_what_is_asked() -> None:
     """A fault on the way makes each of them suspect for a while; none of them is cold for it."""
-    settings = replace(SETTINGS, plans=(i.Plan(),))
+    settings = replace(SETTINGS, plans=(Plan(),))
     world = World(settings, servers(4))
     for server in world.gateway.routing.up:
         server.on_trial, server.avoid_until = True, world.now
@@ -966,12 +1024,12 @@
         world.run(25 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
-    sent = len(of(i.Send, [action for _, action in world.log]))
+    sent = len(of(SendAttempt, [action for _, action in world.log]))
     assert sent == 100
 
 
 def test_open_cap_smaller_than_its_set_holds_over_all_and_moves_to_who_asks() -> None:
-    plan = i.Plan(rate=100.0, burst=100.0, max_out=2)
+    plan = Plan(rate=100.0, burst=100.0, max_out=2)
     gates = Set(4, replace(SETTINGS, plans=(plan,)))
     gates.ask(0, "warm", customer="c")
     (customer,) = gates.worlds[0].gateway.homes.customers.values()
@@ -1000,7 +1058,7 @@
 
     world = World(replace(SETTINGS, gateways=200), servers(200))
     monkeypatch.setattr(Routing, "warmth", counted)
-    assert of(i.Send, world.ask("a"))
+    assert of(SendAttempt, world.ask("a"))
     assert len(looked) <= CHOICES
 
 
@@ -1012,16 +1070,16 @@
     world.run(1)
     gateway.desk.now = world.now
     assert all(gateway.routing.warmth(server) == 1 for server in gateway.routing.up)
-    world.tell(i.Maint("s0", True))
-    world.tell(i.Maint("s0", False))  # it may have started anew meanwhile
+    world.tell(SetEjection("s0", True))
+    world.tell(SetEjection("s0", False))  # it may have started anew meanwhile
     assert gateway.routing.warmth(gateway.routing.servers["s0"]) == SETTINGS.cold_from
     assert gateway.routing.warmth(gateway.routing.up[1]) == 1
 
 
 def test_attempts_that_are_out_wake_nobody() -> None:
     world = World()
-    assert of(i.Send, world.ask("a"))
-    woken = of(i.SetTimer, world.run(5 * S))
+    assert of(SendAttempt, world.ask("a"))
+    woken = of(SetTimer, world.run(5 * S))
     assert len(woken) <= 6  # the ends of the periods, of 1 or 2 s; the answer will be told
 
 
@@ -1029,12 +1087,12 @@
     settings = replace(SETTINGS, gateways=3, me=0, peer_messages_per_s=4.0)
     world = World(settings)
     rest = {"set_size": 3, "plan_index": 0}
-    told = [action for n in range(8) for action in of(i.Tell, world.ask(f"a{n}", customer="c2", **rest))]
+    told = [action for n in range(8) for action in of(SendGossip, world.ask(f"a{n}", customer="c2", **rest))]
     home = world.gateway.homes.customers[next(iter(world.gateway.homes.customers))].home
-    assert home != 0 and told and not of(i.Tell, world.run(10 * MS)) and world.gateway.words.waiting
+    assert home != 0 and told and not of(SendGossip, world.run(10 * MS)) and world.gateway.words.waiting
     space_us = world.gateway.words.space_us
     before = world.now
-    while not (left := of(i.Tell, world.run(10 * MS))):
+    while not (left := of(SendGossip, world.run(10 * MS))):
         assert world.now - before <= space_us + 3 * 20 * MS
     assert left[0].peer == home and not world.gateway.words.waiting
 
@@ -1042,12 +1100,12 @@
 # --- when a refused client is to come again ---
 
 
-def advice(actions: list[i.Action]) -> list[int]:
-    return [action.retry_after_us for action in of(i.Refuse, actions)]
+def advice(actions: list[Action]) -> list[int]:
+    return [action.retry_after_us for action in of(Reject, actions)]
 
 
 def test_beyond_the_quota_clients_come_again_when_it_has_room() -> None:
-    settings = replace(SETTINGS, plans=(i.Plan(rate=2.0, burst=2.0),), max_retry_after_us=2 * S)
+    settings = replace(SETTINGS, plans=(Plan(rate=2.0, burst=2.0),), max_retry_after_us=2 * S)
     world = World(settings)
     told = [time for n in range(12) for time in advice(world.ask(f"a{n}"))]
     assert all(time == 2 * S for time in told[1:])  # others ask more than the rate: no room is foreseen
@@ -1061,7 +1119,7 @@
 
 
 def test_clients_refused_together_come_again_apart_and_none_before_there_is_room() -> None:
-    plan = i.Plan(rate=50.0, burst=50.0, ceiling_rate=20.0, ceiling_burst=20.0)
+    plan = Plan(rate=50.0, burst=50.0, ceiling_rate=20.0, ceiling_burst=20.0)
     settings = replace(SETTINGS, plans=(plan,), max_retry_after_us=2 * S)
     world = World(settings)
     gateway = world.gateway
@@ -1082,22 +1140,22 @@
 
 
 def test_without_advice_in_the_settings_none_is_given() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(rate=2.0, burst=2.0),), max_retry_after_us=0))
+    world = World(replace(SETTINGS, plans=(Plan(rate=2.0, burst=2.0),), max_retry_after_us=0))
     assert set(time for n in range(12) for time in advice(world.ask(f"a{n}"))) == {0}
 
 
 def test_server_that_has_a_connection_is_preferred_to_one_as_good_but_not_to_an_emptier_one() -> None:
     world = World(replace(SETTINGS, conn_idle_us=8 * S), servers(8))
     world.run(2 * S)  # so few attempts that none would find the connection of the one before
-    first = of(i.Send, world.ask("a"))[0].server
+    first = of(SendAttempt, world.ask("a"))[0].server
     world.run(500 * MS)
     world.answer("a")
     for n in range(5):  # the others are as quick, as far as anybody knows
-        assert of(i.Send, world.ask(f"b{n}"))[0].server == first
+        assert of(SendAttempt, world.ask(f"b{n}"))[0].server == first
         world.run(500 * MS)
         world.answer(f"b{n}")
-    assert of(i.Send, world.ask("c"))[0].server == first
-    assert of(i.Send, world.ask("d"))[0].server != first
+    assert of(SendAttempt, world.ask("c"))[0].server == first
+    assert of(SendAttempt, world.ask("d"))[0].server != first
     world.run(500 * MS)
     world.answer("c")
     world.answer("d")
@@ -1110,7 +1168,7 @@
 
 
 def test_connections_are_no_reason_where_an_even_spread_keeps_them() -> None:
-    world = World(replace(SETTINGS, plans=(i.Plan(),), conn_idle_us=8 * S), servers(8))
+    world = World(replace(SETTINGS, plans=(Plan(),), conn_idle_us=8 * S), servers(8))
     gateway = world.gateway
     for gap, thin in ((20 * MS, False), (500 * MS, True)):  # 25 attempts a server in 4 s, and one
         for n in range(20 * S // gap):
--- a/tests/gateway/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -4,29 +4,31 @@
 
 import pytest
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS, S
+from orchidhatch.gateway.actions import SendGossip
+from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
 from orchidhatch.gateway.peer_outbox import MOST_WORDS, TELLS_AT_ONCE, Words
-from orchidhatch.gateway.state import Desk
+from orchidhatch.gateway.times import S
 from tests.helpers import SETTINGS
 
 PEER = 2
-WORD = i.Word(customer=1, plan_index=0, set_first=0, set_size=4)
+WORD = GossipMessage(customer=1, plan_index=0, set_first=0, set_size=4)
 
 
-def observation(latency: float) -> i.Sighting:
-    return i.Sighting(7, 0, True, latency)
+def observation(latency: float) -> AttemptObservation:
+    return AttemptObservation(7, 0, True, latency)
 
 
 @pytest.fixture
 def outbox() -> Words:
-    return Words(Desk(replace(SETTINGS, gateways=4, peer_messages_per_s=100.0)))
+    return Words(DecisionContext(replace(SETTINGS, gateways=4, peer_messages_per_s=100.0)))
 
 
-def sent(outbox: Words) -> list[i.Tell]:
+def sent(outbox: Words) -> list[SendGossip]:
     """What leaves now; the actions are taken off."""
     outbox.send()
-    messages = [action for action in outbox.desk.actions if isinstance(action, i.Tell)]
+    messages = [action for action in outbox.desk.actions if isinstance(action, SendGossip)]
     outbox.desk.actions.clear()
     return messages
 
--- a/tests/gateway/test_policy_change.py
+++ b/tests/gateway/test_policy_change.py
@@ -6,24 +6,25 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import Reject, SendAttempt, WaitTimes
 from orchidhatch.gateway.codec import MARK, WORD, mark_of, pack_message, unpack_message
+from orchidhatch.gateway.events import PeerMessage, PolicyChange, SuspendAdmission
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
+from orchidhatch.gateway.settings import Plan
 from tests.helpers import MS, PLAN, SETTINGS, World, of
 
-WIDER = i.Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
-TIGHT = i.Plan(rate=5.0, burst=5.0, max_out=1)
-plans = st.sampled_from((PLAN, WIDER, TIGHT, i.Plan()))
+WIDER = Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
+TIGHT = Plan(rate=5.0, burst=5.0, max_out=1)
+plans = st.sampled_from((PLAN, WIDER, TIGHT, Plan()))
 
 
-def new_policy(
-    *plans_: i.Plan, mark: int = 2, moved: tuple[int, ...] = (0,), banned: str = ""
-) -> i.NewPolicy:
-    return i.NewPolicy(SETTINGS.classes, plans_, frozenset(filter(None, [banned])), mark, moved)
+def new_policy(*plans_: Plan, mark: int = 2, moved: tuple[int, ...] = (0,), banned: str = "") -> PolicyChange:
+    return PolicyChange(SETTINGS.classes, plans_, frozenset(filter(None, [banned])), mark, moved)
 
 
 @given(st.lists(st.tuples(plans, st.integers(1, 30)), min_size=1, max_size=6))
 def test_quota_level_when_the_plan_changes_then_carries_over_in_proportion_up_to_the_burst(
-    steps: list[tuple[i.Plan, int]],
+    steps: list[tuple[Plan, int]],
 ) -> None:
     world, number = World(), 0
     for plan, asked in steps:
@@ -46,19 +47,19 @@
 
 def test_admission_when_suspended_or_banned_then_rejects_and_ignores_other_policies_gossip() -> None:
     world = World(replace(SETTINGS, gateways=2))
-    world.tell(i.Bar(True))
-    assert of(i.Refuse, world.ask("a")) and not world.out
-    world.tell(i.Bar(False))
-    assert of(i.Send, world.ask("b"))
-    world.tell(new_policy(i.Plan(rate=7.0, burst=7.0), PLAN, mark=9, moved=(1,), banned="c2"))
-    assert of(i.Refuse, world.ask("c", customer="c2")) and of(i.Send, world.ask("d"))
-    ended = dict(world.gateway.ended)
+    world.tell(SuspendAdmission(True))
+    assert of(Reject, world.ask("a")) and not world.out
+    world.tell(SuspendAdmission(False))
+    assert of(SendAttempt, world.ask("b"))
+    world.tell(new_policy(Plan(rate=7.0, burst=7.0), PLAN, mark=9, moved=(1,), banned="c2"))
+    assert of(Reject, world.ask("c", customer="c2")) and of(SendAttempt, world.ask("d"))
+    ended = dict(world.gateway.counters.ended)
     assert ended == {"policy": 1, "banned": 1}
     [customer] = [one for one in world.gateway.homes.customers.values() if one.at_home][:1]
     demand = customer.demand
-    word = i.Word(*customer.key, demand=50.0, spent=50.0)
+    word = GossipMessage(*customer.key, demand=50.0, spent=50.0)
     for mark, level in ((2, customer.level), (0, customer.level), (9, customer.level - 50)):
-        world.tell(i.PeerMessage(1, (word,), mark=mark))
+        world.tell(PeerMessage(1, (word,), mark=mark))
         assert customer.level == pytest.approx(max(level, -customer.plan.rate / 2), abs=0.5)
     assert customer.demand > demand + 40
     world.tell(new_policy(PLAN, moved=(-1, -1)))
@@ -71,7 +72,7 @@
         world.ask(name)
     world.run(100 * MS)
     waited = sum(
-        (dict(action.times).get("open_cap", 0) for _, action in world.log if isinstance(action, i.Waited))
+        (dict(action.times).get("open_cap", 0) for _, action in world.log if isinstance(action, WaitTimes))
     )
     assert waited == pytest.approx(2 * 100 * MS, rel=0.25)
 
@@ -79,8 +80,8 @@
 def test_peer_message_when_it_has_a_policy_mark_then_is_decoded_here_and_refused_by_earlier_versions() -> (
     None
 ):
-    words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(13))
-    seen = (i.Sighting(7, 0, True, 0.5),)
+    words = tuple(GossipMessage(n, 0, 0, 2, demand=1.0) for n in range(13))
+    seen = (AttemptObservation(7, 0, True, 0.5),)
     [plain], [marked] = pack_message(words, seen), pack_message(words, seen, 200)
     assert (mark_of(plain), mark_of(marked)) == (0, 200) and max(map(len, (plain, marked))) <= 256
     assert unpack_message(plain)[0] == unpack_message(marked)[0] == words
--- a/tests/gateway/test_properties.py
+++ b/tests/gateway/test_properties.py
@@ -5,60 +5,64 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import Action, Fail, Reject, SendAttempt
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
+from orchidhatch.gateway.events import AttemptEnded, EndpointList, Event, Request
+from orchidhatch.gateway.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
 from tests.helpers import MS, SETTINGS, S, World, servers
 
 CLASSES = (
-    i.RequestClass(S, 2 * S),
-    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=S),
-    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.CELL, window_us=2 * S),
-    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.ALL, window_us=2 * S),
-    i.RequestClass(S, 3 * S, effect=i.Effect.UNSAFE),
+    RequestClass(S, 2 * S),
+    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ZONE, window_us=S),
+    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.CELL, window_us=2 * S),
+    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ALL, window_us=2 * S),
+    RequestClass(S, 3 * S, effect=Idempotency.UNSAFE),
 )
 PLANS = (
-    i.Plan(rate=5.0, burst=5.0),
-    i.Plan(max_out=2),
-    i.Plan(rate=9.0, burst=9.0, ceiling_rate=12.0, ceiling_burst=10.0, ceiling_slack=1.0),
+    Plan(rate=5.0, burst=5.0),
+    Plan(max_out=2),
+    Plan(rate=9.0, burst=9.0, ceiling_rate=12.0, ceiling_burst=10.0, ceiling_slack=1.0),
 )
-UNRUN = (i.Result.FULL, i.Result.CONNECT_FAILED)
-FAILURES = (*UNRUN, i.Result.ERROR, i.Result.RESET)
+UNRUN = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED)
+FAILURES = (*UNRUN, AttemptResult.ERROR, AttemptResult.RESET)
 STEP = st.tuples(st.integers(0, 9), st.integers(0, 10_000), st.integers(0, 400))
 
 
 class Referee(World):
     """A world that checks each action against the rules."""
 
-    def __init__(self, conf: i.Settings) -> None:
-        self.requests: dict[str, tuple[i.Request, int]] = {}
+    def __init__(self, conf: Settings) -> None:
+        self.requests: dict[str, tuple[Request, int]] = {}
         self.over: set[str] = set()
         self.might: dict[str, list[tuple[str, int]]] = {}
         self.states = {server.name: server for server in servers(4)}
         self.store, self.store_at = 10.0, 100 * S
         super().__init__(conf)
 
-    def tell(self, event: i.Event) -> list[i.Action]:
-        if isinstance(event, i.Request):
+    def tell(self, event: Event) -> list[Action]:
+        if isinstance(event, Request):
             self.requests[event.id] = (event, self.now)
         actions = super().tell(event)
         for action in actions:
-            if isinstance(action, i.Send):
+            if isinstance(action, SendAttempt):
                 self.check_send(action)
-            elif isinstance(action, i.Refuse | i.Fail):
+            elif isinstance(action, Reject | Fail):
                 self.check_end(action)
         return actions
 
-    def check_send(self, action: i.Send) -> None:
+    def check_send(self, action: SendAttempt) -> None:
         request, _ = self.requests[action.id]
         rule, before = CLASSES[request.class_index], self.might.setdefault(action.id, [])
         assert action.id not in self.over
-        assert self.states[action.server].state is i.ServerState.UP
+        assert self.states[action.server].state is EndpointState.UP
         outs = [key for key in self.out if key[0] == action.id]
         assert len(outs) == 1 or (self.gateway.set.parallel_tries and len(outs) == 2)
-        if before and rule.effect is not i.Effect.SAFE:
-            assert rule.effect is i.Effect.KEYED
+        if before and rule.effect is not Idempotency.SAFE:
+            assert rule.effect is Idempotency.KEYED
             first, place = self.states[before[0][0]], self.states[action.server]
-            assert rule.group is not i.Group.ZONE or first.zone == place.zone
-            assert rule.group is not i.Group.CELL or first.cell == place.cell
+            assert rule.group is not DeduplicationScope.ZONE or first.zone == place.zone
+            assert rule.group is not DeduplicationScope.CELL or first.cell == place.cell
             assert self.now < before[0][1] + rule.window_us
         if not before and self.tries[action.id] == 1 and request.plan_index == 2:
             self.store = min(10.0, self.store + 12.0 * (self.now - self.store_at) / S) - request.units
@@ -66,25 +70,25 @@
             assert self.store >= -1.0
         before.append((action.server, self.now))
 
-    def check_end(self, action: i.Refuse | i.Fail) -> None:
+    def check_end(self, action: Reject | Fail) -> None:
         request, came = self.requests[action.id]
         rule = CLASSES[request.class_index]
         assert action.id not in self.over
         self.over.add(action.id)
         assert self.now <= came + request.left_us + 8 * MS
-        if isinstance(action, i.Refuse) and self.might.get(action.id):
-            keyed = rule.effect is i.Effect.KEYED and rule.group is i.Group.ALL
-            assert rule.effect is i.Effect.SAFE or keyed
+        if isinstance(action, Reject) and self.might.get(action.id):
+            keyed = rule.effect is Idempotency.KEYED and rule.group is DeduplicationScope.ALL
+            assert rule.effect is Idempotency.SAFE or keyed
 
-    def settle(self, key: tuple[str, int], result: i.Result) -> None:
+    def settle(self, key: tuple[str, int], result: AttemptResult) -> None:
         """An attempt ends; one that a proof says never ran no longer binds its request."""
         server, sent, _ = self.out.pop(key)
         if result in UNRUN:
             self.might[key[0]].remove((server, sent))
-        over = key[0] in self.over or result is i.Result.OK
-        if result is i.Result.OK:
+        over = key[0] in self.over or result is AttemptResult.OK
+        if result is AttemptResult.OK:
             self.over.add(key[0])
-        self.tell(i.Outcome(key[0], over, key[1], server, result, self.now - sent))
+        self.tell(AttemptEnded(key[0], over, key[1], server, result, self.now - sent))
 
     def pass_time(self, time_us: int) -> None:
         """Time goes by in steps of a millisecond, with time-outs where they fall due."""
@@ -94,7 +98,7 @@
             for key, (_, sent, timeout) in list(self.out.items()):
                 request, came = self.requests[key[0]]
                 if self.now >= min(sent + timeout, came + request.left_us) and key in self.out:
-                    self.settle(key, i.Result.TIMEOUT)
+                    self.settle(key, AttemptResult.TIMEOUT)
 
     def restart(self) -> None:
         """The gateway is killed: its requests are void, and it starts again knowing only its list."""
@@ -102,14 +106,14 @@
         self.out.clear()
         self.timers.clear()
         self.gateway = type(self.gateway)(self.gateway.set)
-        self.tell(i.ServerList(i.ListKind.SAVED, 1, tuple(self.states.values())))
+        self.tell(EndpointList(EndpointListKind.SAVED, 1, tuple(self.states.values())))
 
     def change_server(self, number: int) -> None:
         name = f"s{number % 4}"
-        state = list(i.ServerState)[number % 3]
+        state = list(EndpointState)[number % 3]
         started = self.now if number % 5 == 0 else self.states[name].started_us
         self.states[name] = replace(self.states[name], state=state, started_us=started)
-        self.tell(i.ServerList(i.ListKind.CHANGES, 2, (self.states[name],)))
+        self.tell(EndpointList(EndpointListKind.CHANGES, 2, (self.states[name],)))
 
 
 def play(parallel: bool, steps: list[tuple[int, int, int]]) -> Referee:
@@ -125,7 +129,7 @@
             )
         elif kind <= 7 and world.out:
             key = list(world.out)[number % len(world.out)]
-            world.settle(key, i.Result.OK if kind == 5 else FAILURES[number % len(FAILURES)])
+            world.settle(key, AttemptResult.OK if kind == 5 else FAILURES[number % len(FAILURES)])
         elif kind == 8:
             world.change_server(number)
         elif number % 20 == 0:
--- a/tests/gateway/test_simulator.py
+++ b/tests/gateway/test_simulator.py
@@ -7,8 +7,21 @@
 
 import pytest
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import (
+    AddToCounter,
+    CancelAttempt,
+    CloseIdleConnections,
+    Fail,
+    FetchEndpointList,
+    HealthCheck,
+    LogLine,
+    Reject,
+    SendGossip,
+    SetTimer,
+    Subscribe,
+)
 from orchidhatch.gateway.codec import pack_message, unpack_message
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
 from orchidhatch.gateway.simulator import Host, write_action
 
 ROOT = Path(__file__).parents[2]
@@ -139,35 +152,38 @@
 
 def test_every_action_has_its_line() -> None:
     actions = [
-        (i.Cancel("a", 1), "CANCEL a 1"),
-        (i.Refuse("a", 5), "TURN_AWAY a 5"),
-        (i.Fail("a"), "END_FAILED a"),
-        (i.SetTimer(5, 7), "ARM 5 7"),
-        (i.Probe("s"), "CHECK s"),
-        (i.CloseIdle("s"), "HANG_UP s"),
-        (i.Tell(2, (i.Word(5, 1, 3, 4, True, level=-1.5),)), f"TELL 2 a100000005010003000401{0:012x}ffb500"),
-        (i.Count(4, 1, 9), "ADD_TO 4 1 9"),
-        (i.Subscribe(False), "STREAM_CHANGES 0"),
-        (i.FetchList(), "SNAPSHOT"),
-        (i.Log("a\nb"), "EMIT a b"),
+        (CancelAttempt("a", 1), "CANCEL a 1"),
+        (Reject("a", 5), "TURN_AWAY a 5"),
+        (Fail("a"), "END_FAILED a"),
+        (SetTimer(5, 7), "ARM 5 7"),
+        (HealthCheck("s"), "CHECK s"),
+        (CloseIdleConnections("s"), "HANG_UP s"),
+        (
+            SendGossip(2, (GossipMessage(5, 1, 3, 4, True, level=-1.5),)),
+            f"TELL 2 a100000005010003000401{0:012x}ffb500",
+        ),
+        (AddToCounter(4, 1, 9), "ADD_TO 4 1 9"),
+        (Subscribe(False), "STREAM_CHANGES 0"),
+        (FetchEndpointList(), "SNAPSHOT"),
+        (LogLine("a\nb"), "EMIT a b"),
     ]
     assert [write_action(action) for action, _ in actions] == [line for _, line in actions]
 
 
 def test_words_come_back_as_they_went() -> None:
     words = tuple(
-        i.Word(n, 1, 300, 200, n % 2 == 1, 2.5, 0.5, 1.0, -0.5, n, i.Place(n % 3)) for n in range(30)
+        GossipMessage(n, 1, 300, 200, n % 2 == 1, 2.5, 0.5, 1.0, -0.5, n, SlotGrant(n % 3)) for n in range(30)
     )
     messages = pack_message(words)
     assert len(messages) > 1 and max(map(len, messages)) <= 256
     assert sum((unpack_message(message)[0] for message in messages), ()) == words
     assert unpack_message(messages[0][:-1]) == ((), ())
-    assert unpack_message(pack_message([i.Word(1, 0, 0, 2, level=1e9)])[0])[0][0].level == 32767 / 50
+    assert unpack_message(pack_message([GossipMessage(1, 0, 0, 2, level=1e9)])[0])[0][0].level == 32767 / 50
 
 
 def test_sightings_come_back_and_fill_up_the_last_message() -> None:
-    seen = tuple(i.Sighting(n, n % 3, n % 2 == 0, n / 255) for n in range(100))
-    word = i.Word(1, 0, 0, 2)
+    seen = tuple(AttemptObservation(n, n % 3, n % 2 == 0, n / 255) for n in range(100))
+    word = GossipMessage(1, 0, 0, 2)
     (message,) = pack_message([word], seen)
     words, back = unpack_message(message)
     assert len(message) <= 256 and words == (word,) and back == seen[: len(back)] and len(back) > 50
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,13 +4,17 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import Action, SendAttempt, SendGossip, SetTimer
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
+from orchidhatch.gateway.events import AttemptEnded, EndpointList, Event, PeerMessage, Request, TimerExpired
+from orchidhatch.gateway.settings import Plan, RequestClass, Settings
 
 MS, S = 1_000, 1_000_000
-SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
-PLAN = i.Plan(rate=10.0, burst=20.0)
-SETTINGS = i.Settings(
+SAFE = RequestClass(aim_us=2 * S, deadline_us=6 * S)
+PLAN = Plan(rate=10.0, burst=20.0)
+SETTINGS = Settings(
     seed=7,
     me=0,
     gateways=1,
@@ -29,61 +33,65 @@
 )
 
 
-def servers(count: int, **changes: object) -> tuple[i.Server, ...]:
+def servers(count: int, **changes: object) -> tuple[Endpoint, ...]:
     return tuple(
-        replace(i.Server(f"s{n}", n % 2, 0, n // 2, i.ServerState.UP), **changes) for n in range(count)
+        replace(Endpoint(f"s{n}", n % 2, 0, n // 2, EndpointState.UP), **changes) for n in range(count)
     )
 
 
 class World:
     """One gateway with the clock, the timers and the attempts that are out."""
 
-    def __init__(self, settings: i.Settings = SETTINGS, fleet: Iterable[i.Server] = servers(4)) -> None:
+    def __init__(self, settings: Settings = SETTINGS, fleet: Iterable[Endpoint] = servers(4)) -> None:
         self.now = 100 * S
         self.gateway = Gateway(settings)
         self.timers: list[tuple[int, int]] = []
-        self.log: list[tuple[int, i.Action]] = []
+        self.log: list[tuple[int, Action]] = []
         self.out: dict[tuple[str, int], tuple[str, int, int]] = {}
         self.tries: dict[str, int] = {}
-        self.tell(i.ServerList(i.ListKind.SAVED, 1, tuple(fleet)))
+        self.tell(EndpointList(EndpointListKind.SAVED, 1, tuple(fleet)))
 
-    def tell(self, event: i.Event) -> list[i.Action]:
+    def tell(self, event: Event) -> list[Action]:
         actions = self.gateway.handle(self.now, event)
         for action in actions:
             self.log.append((self.now, action))
-            if isinstance(action, i.SetTimer):
+            if isinstance(action, SetTimer):
                 self.timers.append((self.now + action.delay_us, action.token))
-            if isinstance(action, i.Send):
+            if isinstance(action, SendAttempt):
                 number = self.tries.get(action.id, 0)
                 self.tries[action.id] = number + 1
                 self.out[(action.id, number)] = (action.server, self.now, action.timeout_us)
         return actions
 
-    def run(self, time_us: int) -> list[i.Action]:
+    def run(self, time_us: int) -> list[Action]:
         """Let time pass; the actions that timers brought."""
         end, start = self.now + time_us, len(self.log)
         while self.timers and min(self.timers)[0] <= end:
             due = min(self.timers)
             self.timers.remove(due)
             self.now = due[0]
-            self.tell(i.Timer(due[1]))
+            self.tell(TimerExpired(due[1]))
         self.now = end
         return [action for _, action in self.log[start:]]
 
-    def ask(self, name: str, left_us: int = 6 * S, **values: object) -> list[i.Action]:
-        request = i.Request(name, 0, 0, "c", left_us)
+    def ask(self, name: str, left_us: int = 6 * S, **values: object) -> list[Action]:
+        request = Request(name, 0, 0, "c", left_us)
         return self.tell(replace(request, **values))
 
     def answer(
-        self, name: str, result: i.Result = i.Result.OK, attempt: int = 0, report: i.LoadReport | None = None
-    ) -> list[i.Action]:
+        self,
+        name: str,
+        result: AttemptResult = AttemptResult.OK,
+        attempt: int = 0,
+        report: LoadReport | None = None,
+    ) -> list[Action]:
         server, sent, _ = self.out.pop((name, attempt))
-        over = result is i.Result.OK
-        event = i.Outcome(name, over, attempt, server, result, self.now - sent, report=report)
+        over = result is AttemptResult.OK
+        event = AttemptEnded(name, over, attempt, server, result, self.now - sent, report=report)
         return self.tell(event)
 
 
-def of(kind: type, actions: Iterable[i.Action]) -> list[i.Action]:
+def of(kind: type, actions: Iterable[Action]) -> list[Action]:
     return [action for action in actions if isinstance(action, kind)]
 
 
@@ -93,17 +101,17 @@
     def __init__(
         self,
         count: int,
-        settings: i.Settings = SETTINGS,
-        fleet: Iterable[i.Server] = servers(4),
+        settings: Settings = SETTINGS,
+        fleet: Iterable[Endpoint] = servers(4),
         loss: float = 0.0,
     ) -> None:
         self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
-        self.posted: list[tuple[int, i.Tell]] = []
+        self.posted: list[tuple[int, SendGossip]] = []
         self.random, self.loss, self.down = random.Random(3), loss, -1
         self.lasts_us = 0  # how long an attempt is out, at least
 
-    def carry(self, sender: int, actions: Iterable[i.Action]) -> None:
-        self.posted += [(sender, action) for action in of(i.Tell, actions)]
+    def carry(self, sender: int, actions: Iterable[Action]) -> None:
+        self.posted += [(sender, action) for action in of(SendGossip, actions)]
 
     def ask(self, me: int, name: str, **values: object) -> None:
         self.carry(me, self.worlds[me].ask(name, set_size=len(self.worlds), **values))
@@ -114,7 +122,7 @@
             posted, self.posted = self.posted, []
             for sender, told in posted:
                 if self.random.random() >= self.loss and self.down not in (sender, told.peer):
-                    event = i.PeerMessage(sender, told.words, told.sightings)
+                    event = PeerMessage(sender, told.words, told.sightings)
                     self.carry(told.peer, self.worlds[told.peer].tell(event))
             for me, world in enumerate(self.worlds):
                 self.carry(me, world.run(10 * MS))
@@ -128,7 +136,7 @@
         world.out.clear()
         world.timers.clear()
         world.gateway = Gateway(replace(world.gateway.set, seed=seed))
-        self.carry(me, world.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4))))
+        self.carry(me, world.tell(EndpointList(EndpointListKind.SAVED, 1, servers(4))))
 
     def sent(self) -> int:
-        return sum(isinstance(action, i.Send) for world in self.worlds for _, action in world.log)
+        return sum(isinstance(action, SendAttempt) for world in self.worlds for _, action in world.log)
