--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -39,8 +39,8 @@
 
     send = Backends.send
 
-    def both(self: Backends, attempt: Attempt, timeout_us: int, begin_us: int = 0) -> None:
-        send(self, attempt, timeout_us, begin_us)
+    def both(self: Backends, attempt: Attempt, timeout_us: int, start_within_us: int = 0) -> None:
+        send(self, attempt, timeout_us, start_within_us)
         copy = Attempt(attempt.request_id, attempt.number, attempt.server, attempt.payload, lambda *_: None)
         send(self, copy, timeout_us)
 
@@ -53,7 +53,7 @@
     init = Customer.__init__
 
     def alone(self: Customer, plan: Any, key: Any, set_: Any, now: int) -> None:  # noqa: ANN401
-        init(self, plan, key._replace(set_first=set_.me, set_size=1), set_, now)
+        init(self, plan, key._replace(set_first=set_.gateway_index, set_size=1), set_, now)
         self.key = key
 
     Customer.__init__ = alone
--- a/orchidhatch/gateway/actions.py
+++ b/orchidhatch/gateway/actions.py
@@ -17,13 +17,13 @@
     """Start an attempt.
 
     A timeout of 0 lasts until the client gives up. An attempt that is not written completely within
-    `begin_us`, where that is not 0, must not be started any more.
+    `start_within_us`, where that is not 0, must not be started any more.
     """
 
     id: str
     server: str
     timeout_us: int = 0
-    begin_us: int = 0
+    start_within_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,8 +79,8 @@
     """
 
     peer: int
-    words: tuple[GossipMessage, ...]
-    sightings: tuple[AttemptObservation, ...] = ()
+    messages: tuple[GossipMessage, ...]
+    observations: tuple[AttemptObservation, ...] = ()
     waited_us: int = 0
 
 
@@ -97,7 +97,7 @@
 class Subscribe:
     """Watch the changes of the endpoint list, or stop."""
 
-    on: bool
+    is_watching: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,26 +110,26 @@
     """Whether a SetEjection holds from now on; it does not where the server was never listed."""
 
     server: str
-    out: bool
-    yes: bool
+    is_ejected: bool
+    is_accepted: bool
 
 
 @dataclass(frozen=True, slots=True)
 class MetricsSnapshot:
     """How many servers are listed and how many of them ejected; what waits in the gateway, and since when.
 
-    `held` requests are queued, or wait for a grant of their quota, the oldest for `held_us`; `words` are the
-    gossip messages that wait for their peers, the oldest for `words_us`. `words_dropped` and `ended`, the
-    requests ended unserved by reason, count since the start.
+    `queued` requests are in the queue, or wait for a grant of their quota, the oldest for `queued_us`;
+    `messages` are the gossip messages that wait for their peers, the oldest for `messages_us`.
+    `messages_dropped` and `ended`, the requests ended unserved by reason, count since the start.
     """
 
     listed: int
-    avoided: int
-    held: int = 0
-    held_us: int = 0
-    words: int = 0
-    words_us: int = 0
-    words_dropped: int = 0
+    ejected: int
+    queued: int = 0
+    queued_us: int = 0
+    messages: int = 0
+    messages_us: int = 0
+    messages_dropped: int = 0
     ended: tuple[tuple[str, int], ...] = ()
 
 
--- a/orchidhatch/gateway/codec.py
+++ b/orchidhatch/gateway/codec.py
@@ -88,13 +88,13 @@
 
 def read_class(pairs: Pairs, at: str) -> RequestClass:
     return RequestClass(
-        aim_us=pairs.whole(f"{at}.on-time-us"),
+        latency_objective_us=pairs.whole(f"{at}.on-time-us"),
         deadline_us=pairs.whole(f"{at}.deadline-us"),
-        worth=pairs.number(f"{at}.points", 1.0),
-        late_worth=pairs.number(f"{at}.late-worth"),
-        effect=EFFECTS[pairs.text(f"{at}.idempotency", "read_like")],
-        group=DeduplicationScope(pairs.text(f"{at}.group", "all")),
-        window_us=pairs.whole(f"{at}.window-us"),
+        priority_weight=pairs.number(f"{at}.points", 1.0),
+        late_priority_weight=pairs.number(f"{at}.late-worth"),
+        idempotency=EFFECTS[pairs.text(f"{at}.idempotency", "read_like")],
+        dedup_scope=DeduplicationScope(pairs.text(f"{at}.group", "all")),
+        dedup_window_us=pairs.whole(f"{at}.window-us"),
         streamed=pairs.flag(f"{at}.streamed"),
     )
 
@@ -103,10 +103,10 @@
     return Plan(
         rate=pairs.number(f"{at}.units-per-s"),
         burst=pairs.number(f"{at}.burst"),
-        max_out=pairs.whole(f"{at}.max-out"),
-        worth_factor=pairs.number(f"{at}.value-factor", 1.0),
-        over_worth=pairs.number(f"{at}.extra-worth"),
-        over_cost=pairs.number(f"{at}.overrun-cost"),
+        max_in_flight=pairs.whole(f"{at}.max-out"),
+        priority_factor=pairs.number(f"{at}.value-factor", 1.0),
+        over_quota_weight=pairs.number(f"{at}.extra-worth"),
+        over_quota_cost=pairs.number(f"{at}.overrun-cost"),
         ceiling_rate=pairs.number(f"{at}.never-over-rate"),
         ceiling_burst=pairs.number(f"{at}.hard-burst"),
         ceiling_slack=pairs.number(f"{at}.hard-slack"),
@@ -118,8 +118,8 @@
     plans = range(pairs.whole("plans.count"))
     return Settings(
         seed=seed,
-        me=pairs.whole("me"),
-        gateways=pairs.whole("balancers", 1),
+        gateway_index=pairs.whole("me"),
+        gateway_count=pairs.whole("balancers", 1),
         classes=tuple(read_class(pairs, f"categories.{n}") for n in classes),
         plans=tuple(read_plan(pairs, f"plans.{n}") for n in plans),
         zone=pairs.whole("zone"),
@@ -127,13 +127,13 @@
         max_retry_after_us=(
             pairs.whole("ceilings.max-retry-after-us") if pairs.flag("ceilings.retry-after") else 0
         ),
-        parallel_tries=pairs.flag("ceilings.parallel-tries"),
+        may_hedge=pairs.flag("ceilings.parallel-tries"),
         may_probe=pairs.flag("ceilings.may-probe"),
         may_cancel=pairs.flag("ceilings.may-cancel"),
-        may_tell=pairs.flag("ceilings.peers"),
-        may_count=pairs.flag("extra.counter"),
+        may_gossip=pairs.flag("ceilings.peers"),
+        may_use_counter=pairs.flag("extra.counter"),
         must_subscribe=pairs.text("registry-mode") == "subscribe",
-        trued_up=pairs.flag("extra.trued-up"),
+        settles_units=pairs.flag("extra.trued-up"),
         peer_messages_per_s=pairs.number("extra.mail-per-s"),
         cross_zone_price=pairs.number("prices.cross-zone"),
         waste_price=pairs.number("prices.waste"),
@@ -141,13 +141,13 @@
         message_price=pairs.number("prices.peer"),
         probe_price=pairs.number("prices.probe"),
         answer_grace_us=pairs.whole("obligations.grace-to-answer-us"),
-        ask_within_us=pairs.whole("obligations.ask-within-us"),
-        cold_from=pairs.number("obligations.cold-from", 1.0),
-        warm_within_us=pairs.whole("obligations.warm-within-us"),
-        fall_multiple=pairs.number("obligations.fall-multiple", 1.0),
-        fall_us=pairs.whole("obligations.fall-us", 1),
+        poll_within_us=pairs.whole("obligations.ask-within-us"),
+        cold_capacity=pairs.number("obligations.cold-from", 1.0),
+        warm_up_us=pairs.whole("obligations.warm-within-us"),
+        overload_multiple=pairs.number("obligations.fall-multiple", 1.0),
+        overload_time_us=pairs.whole("obligations.fall-us", 1),
         conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
-        banned=frozenset(filter(None, pairs.text("banned").split(","))),
+        banned_customers=frozenset(filter(None, pairs.text("banned").split(","))),
     )
 
 
@@ -173,12 +173,12 @@
             word.plan_index,
             word.set_first,
             word.set_size,
-            word.is_answer | word.place << 1,
+            word.is_answer | word.slot_grant << 1,
             *(
                 max(-32768, min(32767, round(amount * UNIT)))
-                for amount in (word.demand, word.spent, word.asked, word.level)
+                for amount in (word.demand, word.spent, word.requested, word.level)
             ),
-            max(0, min(255, word.out)),
+            max(0, min(255, word.in_flight)),
         )
         for word in words
     ]
@@ -187,7 +187,11 @@
     heads = [bytes([MARKED | len(part), mark] if mark else [MARK | len(part)]) for part in parts]
     messages = [head + b"".join(part) for head, part in zip(heads, parts, strict=True)]
     seen = [
-        SIGHTING.pack(seen.server, seen.class_index << 1 | seen.served, round(min(1.0, seen.latency) * PARTS))
+        SIGHTING.pack(
+            seen.server_checksum,
+            seen.class_index << 1 | seen.succeeded,
+            round(min(1.0, seen.relative_latency) * PARTS),
+        )
         for seen in sightings
         if seen.class_index < MOST_CLASSES
     ]
--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -8,7 +8,6 @@
 import math
 import zlib
 from bisect import insort
-from dataclasses import replace
 
 from orchidhatch.gateway import actions, events, metrics, snapshots
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
@@ -27,6 +26,7 @@
 from orchidhatch.gateway.settings import Settings
 from orchidhatch.gateway.times import NEVER
 
+HAS_LATENCY = (AttemptResult.OK, AttemptResult.TIMEOUT)  # results that show how busy servers are
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 
 
@@ -44,7 +44,6 @@
         self.jobs: dict[str, Job] = {}
         self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
         self.waits: list[Job] = []  # for word of their quota
-        self.ticked_us = 0
         self.alarm_us, self.serial = NEVER, itertools.count()
         self.counters = metrics.RequestCounters()
         self.barred = False  # whether nobody may be let in
@@ -104,7 +103,7 @@
         self.alarm_us = NEVER
         while self.desk.now - self.cap.period_us >= self.cap.cc_us:
             self.end_period()
-        self.tell_waits()
+        self.desk.actions += metrics.wait_times(self)
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
@@ -122,7 +121,7 @@
         """The ages of attempts that are out for longer than the mean, in aims."""
         now, means = self.desk.now, self.routing.mean_us
         return [
-            min(1.0, (now - sent) / job.rule.aim_us)
+            min(1.0, (now - sent) / job.rule.latency_objective_us)
             for job in self.jobs.values()
             if not job.streams
             for sent in job.out.values()
@@ -138,7 +137,7 @@
         customer = self.homes.customer(key)
         job = self.jobs[req.id] = Job(req, self.set.classes[req.class_index], customer, self.desk.now)
         why = self.shut_out(req)
-        self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size
+        self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size_bytes
         if why:
             self.end(job, why)
         elif not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
@@ -148,10 +147,10 @@
         """Why it is not looked at further, if so. Where as much is open as may be it can be told to come
         again, while time would only run out for it here."""
         set_, bytes_left = self.set, self.set.max_open_bytes - self.open_bytes
-        if self.barred or req.customer in set_.banned:
+        if self.barred or req.customer in set_.banned_customers:
             return "policy" if self.barred else "banned"
-        full = (0 < set_.max_open <= self.open) or (set_.max_open_bytes > 0 and bytes_left < req.size)
-        return "crowded" if full else ""
+        lacks_bytes = set_.max_open_bytes > 0 and bytes_left < req.size_bytes
+        return "crowded" if 0 < set_.max_open_requests <= self.open or lacks_bytes else ""
 
     def admit(self, job: Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
@@ -167,7 +166,7 @@
             self.homes.tell(customer.home, customer, 0.0)
 
     def ask(self, job: Job) -> None:
-        wait, job.asks = min(ASK_US, job.rule.aim_us // 8), job.asks + 1
+        wait, job.asks = min(ASK_US, job.rule.latency_objective_us // 8), job.asks + 1
         self.words.tally["asked"] += 1
         job.decide_us = min(self.desk.now + wait, job.end_us - 4 * TICK_US)
         self.waits.append(job)
@@ -175,23 +174,22 @@
 
     def on_peer(self, message: events.PeerMessage) -> None:
         self.words.tally["heard"] += 1
-        for seen in message.sightings:
-            server = self.routing.by_sum.get(seen.server)
+        for seen in message.observations:
+            server = self.routing.by_sum.get(seen.server_checksum)
             if server and seen.class_index < len(self.set.classes):
-                self.cap.signals["latency"] += [seen.latency] if seen.served or seen.latency else []
-                aim_us = self.set.classes[seen.class_index].aim_us
-                self.routing.judge(server, seen.class_index, seen.served, seen.latency * aim_us)
-        if message.mark == self.set.mark:  # by another policy their amounts mean something else
-            self.homes.hear(message.sender, message.words, self.answered)
+                latency = seen.relative_latency
+                self.cap.signals["latency"] += [latency] if seen.succeeded or latency else []
+                objective_us = self.set.classes[seen.class_index].latency_objective_us
+                self.routing.judge(server, seen.class_index, seen.succeeded, latency * objective_us)
+        if message.policy_mark == self.set.policy_mark:  # by another policy their amounts mean something else
+            self.homes.hear(message.sender, message.messages, self.answered)
 
     def on_policy(self, told: events.PolicyChange) -> None:
-        self.set = self.desk.set = replace(
-            self.set, classes=told.classes, plans=told.plans, banned=told.banned, mark=told.mark
-        )
-        self.homes.move(told.moved)
+        self.set = self.desk.set = told.applied_to(self.set)
+        self.homes.move(told.plan_moves)
 
     def on_bar(self, told: events.SuspendAdmission) -> None:
-        self.barred = told.on
+        self.barred = told.is_suspended
 
     def answered(self, customer: Customer | None) -> None:
         self.end_waits(customer)
@@ -221,7 +219,7 @@
         job.in_quota, plan = self.desk.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.homes.spend(job.customer, job.req.units)
-        elif plan.over_worth <= plan.over_cost or self.cap.n_past is not None:
+        elif plan.over_quota_weight <= plan.over_quota_cost or self.cap.n_past is not None:
             self.end(job, "quota")
             return
         self.hold(job)
@@ -229,11 +227,6 @@
 
     # --- requests that are held, and attempts ---
 
-    def tell_waits(self) -> None:
-        """What the requests that wait here have waited for since the last tick, all of them together."""
-        last, self.ticked_us = self.ticked_us, self.desk.now
-        self.desk.actions += metrics.wait_times(self, last)
-
     def hold(self, job: Job) -> None:
         job.held_us, job.decide_us = self.desk.now, NEVER
         insort(self.held, (-job.worth, next(self.serial), job))
@@ -263,7 +256,7 @@
     def expire(self, job: Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
         now = self.desk.now
-        needed = min(means * self.routing.mean_us[job.req.class_index], job.rule.aim_us / 2)
+        needed = min(means * self.routing.mean_us[job.req.class_index], job.rule.latency_objective_us / 2)
         late = job.may_refuse() and now + needed >= job.aim_us
         if not job.over and (late or now + 2 * TICK_US >= job.end_us):
             self.end(job, metrics.rejection_reason(self, job))
@@ -328,7 +321,7 @@
             AttemptResult.NOT_SENT,
         )
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
-        if event.over or job.over:
+        if event.is_final or job.over:
             self.drop(job)
         elif not job.out and not self.again(job, event.result):
             self.end(job, event.result.value)
@@ -340,13 +333,13 @@
         report = event.report or LoadReport()  # busy cores are the signal; a count only ranks servers
         loads = [load for load in (report.util, report.inflight, report.queue) if load is not None]
         self.cap.signals["util"] += [report.util] if report.util is not None else []
-        lasted = took / job.rule.aim_us if result in (AttemptResult.OK, AttemptResult.TIMEOUT) else 0.0
+        lasted = took / job.rule.latency_objective_us if result in HAS_LATENCY else 0.0
         if result in SIGHTED:
             self.words.see(AttemptObservation(server.sum, index, result is AttemptResult.OK, lasted))
         self.routing.learn(server, index, event, loads[0] if loads else None)
-        if result is AttemptResult.OK and self.set.trued_up and event.true_units and job.in_quota:
-            job.customer.spend(event.true_units - job.req.units)
-        if result in (AttemptResult.OK, AttemptResult.TIMEOUT):
+        if result is AttemptResult.OK and self.set.settles_units and event.actual_units and job.in_quota:
+            job.customer.spend(event.actual_units - job.req.units)
+        if result in HAS_LATENCY:
             self.cap.signals["latency"].append(min(1.0, lasted))
 
     def on_stream(self, event: events.StreamStarted) -> None:
@@ -384,7 +377,7 @@
         """It is owed nothing more."""
         if not job.over:
             job.over = True
-            self.open, self.open_bytes = self.open - 1, self.open_bytes - job.req.size
+            self.open, self.open_bytes = self.open - 1, self.open_bytes - job.req.size_bytes
 
     def give_back(self, job: Job) -> None:
         if job.in_quota:
--- a/orchidhatch/gateway/endpoints.py
+++ b/orchidhatch/gateway/endpoints.py
@@ -30,5 +30,5 @@
     kind: int
     cell: int
     state: EndpointState
-    size: float = 1.0
+    relative_capacity: float = 1.0
     started_us: int = 0
--- a/orchidhatch/gateway/events.py
+++ b/orchidhatch/gateway/events.py
@@ -4,12 +4,12 @@
 order. All times are whole microseconds.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
-from orchidhatch.gateway.settings import Plan, RequestClass
+from orchidhatch.gateway.settings import Plan, RequestClass, Settings
 from orchidhatch.gateway.snapshots import (
     GatewaySnapshot,
     HandoverAttempt,
@@ -25,28 +25,28 @@
 
     kind: EndpointListKind
     version: int
-    servers: tuple[Endpoint, ...] = ()
+    endpoints: tuple[Endpoint, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Request:
     """A client's request; the gateway now owes one final answer.
 
-    `left_us` is the time left to its deadline. The customer's quota is shared by `set_size` gateways from
-    `set_first` on. `size` is how many bytes the gateway keeps of it until it has ended.
+    `time_left_us` is the time left to its deadline. The customer's quota is shared by `set_size` gateways
+    from `set_first` on. `size_bytes` is how many bytes the gateway keeps of it until it has ended.
     """
 
     id: str
     class_index: int
     plan_index: int
     customer: str
-    left_us: int
+    time_left_us: int
     units: float = 1.0
     set_size: int = 1
     set_first: int = 0
     is_repeat: bool = False
     is_write: bool = False
-    size: int = 0
+    size_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,16 +61,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
-    """How an attempt ended; each SendAttempt gets one. `over` says that the request has its final answer."""
+    """How an attempt ended; each SendAttempt gets one. `is_final` says that the request has been answered."""
 
     id: str
-    over: bool
+    is_final: bool
     attempt: int
     server: str
     result: AttemptResult
     latency_us: int
     used_percent: int = 0
-    true_units: float = 0.0
+    actual_units: float = 0.0
     report: LoadReport | None = None
 
 
@@ -103,9 +103,9 @@
     """What another gateway sent, and the mark of the policy that its amounts go by; 0 for none."""
 
     sender: int
-    words: tuple[GossipMessage, ...]
-    sightings: tuple[AttemptObservation, ...] = ()
-    mark: int = 0
+    messages: tuple[GossipMessage, ...]
+    observations: tuple[AttemptObservation, ...] = ()
+    policy_mark: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,29 +123,39 @@
     """An operator ejects a server, or readmits it as one that starts cold; answered by an EjectionResult."""
 
     server: str
-    out: bool
+    is_ejected: bool
 
 
 @dataclass(frozen=True, slots=True)
 class PolicyChange:
     """Other plans, latency objectives and bans hold from now on.
 
-    `moved` has for each earlier plan its index now, -1 for one that is gone. Requests that were admitted end
-    by what held then.
+    `plan_moves` has for each earlier plan its index now, -1 for one that is gone. Requests that were admitted
+    end by what held then.
     """
 
     classes: tuple[RequestClass, ...]
     plans: tuple[Plan, ...]
-    banned: frozenset[str]
-    mark: int
-    moved: tuple[int, ...]
+    banned_customers: frozenset[str]
+    policy_mark: int
+    plan_moves: tuple[int, ...]
+
+    def applied_to(self, settings: Settings) -> Settings:
+        """The settings under the new policy."""
+        return replace(
+            settings,
+            classes=self.classes,
+            plans=self.plans,
+            banned_customers=self.banned_customers,
+            policy_mark=self.policy_mark,
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class SuspendAdmission:
-    """Nothing is to be admitted while `on`, as the gateway's policy lease has lapsed."""
+    """Nothing is to be admitted while suspended, as the gateway's policy lease has lapsed."""
 
-    on: bool
+    is_suspended: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -36,16 +36,17 @@
     def on_state(self, told: GatewaySnapshot) -> None:
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.desk.has_twin = True
-        restore_overload(self.cap, told.cap)
+        restore_overload(self.cap, told.overload)
         restore_servers(self.routing, told)
         for one in told.customers:
             if self.homes.is_ours(one.key):
                 plan = self.desk.set.plans[one.key.plan_index]
-                known = self.homes.customers[one.key] = Customer(plan, one.key, self.desk.set, one.at_us)
+                known = Customer(plan, one.key, self.desk.set, one.refilled_us)
+                self.homes.customers[one.key] = known
                 known.remember(one)
                 known.left_us = self.desk.now + LEFT_US if known.left_us else 0
-        self.membership.remember(told.names)
-        for one in told.out:
+        self.membership.remember(told.ejections)
+        for one in told.attempts:
             self.on_send(one)
 
     def on_spend(self, event: HandoverSpend) -> None:
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -39,20 +39,20 @@
 
 def restore_overload(cap: Cap, snapshot: OverloadSnapshot) -> None:
     """Put the overload controller into the state of the snapshot."""
-    cap.n_past = snapshot.n_past or None
-    cap.most = math.floor(snapshot.n_past)
-    cap.accepted = snapshot.accepted
-    cap.period_us = snapshot.period_us
-    cap.cc_us = snapshot.length_us
+    cap.n_past = snapshot.admission_limit or None
+    cap.most = math.floor(snapshot.admission_limit)
+    cap.accepted = snapshot.admitted
+    cap.period_us = snapshot.period_start_us
+    cap.cc_us = snapshot.period_length_us
     cap.overhead = snapshot.overhead
-    cap.rate = snapshot.rate
+    cap.rate = snapshot.attempts_per_s
 
 
 def restore_servers(routing: Routing, snapshot: GatewaySnapshot) -> None:
     """Restore what the predecessor had learnt of the servers that are listed here too."""
-    routing.usual = snapshot.cap.usual
-    if len(snapshot.means_us) == len(routing.mean_us):
-        routing.mean_us = list(snapshot.means_us)
+    routing.usual = snapshot.overload.usual_attempts_per_s
+    if len(snapshot.mean_latencies_us) == len(routing.mean_us):
+        routing.mean_us = list(snapshot.mean_latencies_us)
     for learnt in snapshot.servers:
         if server := routing.servers.get(learnt.name):
             server.remember(learnt)
--- a/orchidhatch/gateway/in_flight.py
+++ b/orchidhatch/gateway/in_flight.py
@@ -11,9 +11,9 @@
 
     def __init__(self, req: Request, rule: RequestClass, customer: CustomerRecord, now: int) -> None:
         self.req, self.rule, self.customer = req, rule, customer
-        self.worth = rule.worth * customer.plan.worth_factor * req.units
-        self.came_us, self.end_us = now, now + req.left_us
-        self.aim_us = min(now + rule.aim_us, self.end_us)
+        self.worth = rule.priority_weight * customer.plan.priority_factor * req.units
+        self.came_us, self.end_us = now, now + req.time_left_us
+        self.aim_us = min(now + rule.latency_objective_us, self.end_us)
         self.servers: list[ServerRecord] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
         self.ran_on: ServerRecord | None = None  # where it may first have run, and since when
@@ -23,5 +23,7 @@
         self.streams = False  # its value has begun to go to the client
 
     def may_refuse(self) -> bool:
-        keyed_ok = self.rule.effect is Idempotency.KEYED and self.rule.group is DeduplicationScope.ALL
-        return self.ran_on is None or self.rule.effect is Idempotency.SAFE or keyed_ok
+        keyed_ok = (
+            self.rule.idempotency is Idempotency.KEYED and self.rule.dedup_scope is DeduplicationScope.ALL
+        )
+        return self.ran_on is None or self.rule.idempotency is Idempotency.SAFE or keyed_ok
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -54,7 +54,7 @@
         self.servers: dict[str, Server] = {}  # of the list, by name
         self.up: list[Server] = []  # those that may be sent new work
         self.by_sum: dict[int, Server | None] = {}  # by checksum; None where two share one
-        self.mean_us = [rule.aim_us / 4 for rule in desk.set.classes]
+        self.mean_us = [rule.latency_objective_us / 4 for rule in desk.set.classes]
         self.mean_load = 0.0  # of the servers, as they say
         self.kept_us = desk.set.conn_idle_us / 2  # how long connections are kept here, idle
         self.spread_thin = False
@@ -74,16 +74,16 @@
 
     def choose(self, job: Job) -> Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
-        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.effect is not Idempotency.SAFE
+        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.idempotency is not Idempotency.SAFE
         allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
         usable = [
             server
             for server in allowed
             if now >= server.avoid_until
             and server not in job.servers
-            and not (server.on_trial and (server.out or job.rule.effect is Idempotency.UNSAFE))
+            and not (server.on_trial and (server.out or job.rule.idempotency is Idempotency.UNSAFE))
         ] or allowed
-        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateways)  # more would only wait there
+        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateway_count)  # more would wait there
         free = [server for server in usable if len(server.out) < most]
         room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
         # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
@@ -103,13 +103,14 @@
     def in_group(self, job: Job, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = job.rule, job.ran_on
-        if first is None or rule.effect is Idempotency.SAFE:
+        if first is None or rule.idempotency is Idempotency.SAFE:
             return True
-        place = "zone" if rule.group is DeduplicationScope.ZONE else "cell"
-        same = rule.group is DeduplicationScope.ALL or getattr(server.entry, place) == getattr(
-            first.entry, place
-        )
-        return same and rule.effect is Idempotency.KEYED and self.desk.now < job.ran_us + rule.window_us
+        in_window = self.desk.now < job.ran_us + rule.dedup_window_us
+        if rule.idempotency is not Idempotency.KEYED or not in_window:
+            return False
+        place = "zone" if rule.dedup_scope is DeduplicationScope.ZONE else "cell"
+        anywhere = rule.dedup_scope is DeduplicationScope.ALL
+        return anywhere or getattr(server.entry, place) == getattr(first.entry, place)
 
     def cost(self, server: Server) -> float:
         """Expected wait: work out there, how slow it is, how loaded it says it is."""
@@ -130,13 +131,13 @@
         now, set_ = self.desk.now, self.desk.set
         if now >= server.warm_us:
             return 1.0
-        left, cold = (server.warm_us - now) / max(1, set_.warm_within_us), set_.cold_from
+        left, cold = (server.warm_us - now) / max(1, set_.warm_up_us), set_.cold_capacity
         return cold + (1 - cold) * (1 - left)
 
     def cold_rate(self, server: Server) -> float:
         """Attempts a second for a cold server: half of what would push it over, were others full."""
-        usual = max(1 / self.desk.set.gateways, self.usual)
-        return usual * self.warmth(server) * max(1.0, self.desk.set.fall_multiple / 2) * server.pace
+        usual = max(1 / self.desk.set.gateway_count, self.usual)
+        return usual * self.warmth(server) * max(1.0, self.desk.set.overload_multiple / 2) * server.pace
 
     def has_earned(self, server: Server) -> bool:
         """Whether a cold server may be sent an attempt by now; what it earns follows its warmth."""
--- a/orchidhatch/gateway/membership.py
+++ b/orchidhatch/gateway/membership.py
@@ -22,13 +22,13 @@
         desk, routing = self.desk, self.routing
         if desk.set.must_subscribe and news.kind in (EndpointListKind.SAVED, EndpointListKind.FAILED):
             desk.actions.append(Subscribe(True))
-        named = {entry.name for entry in news.servers}
+        named = {entry.name for entry in news.endpoints}
         part = news.kind in (
             EndpointListKind.CHANGES,
             EndpointListKind.FAILED,
         )  # after a failure the old list holds
         routing.servers = {name: known for name, known in routing.servers.items() if part or name in named}
-        for entry in news.servers:
+        for entry in news.endpoints:
             known = routing.servers.get(entry.name)
             if known is None or known.entry.started_us != entry.started_us:
                 known = routing.servers[entry.name] = Server(entry)
@@ -54,8 +54,8 @@
         for server in routing.servers.values():
             routing.by_sum[server.sum] = None if server.sum in routing.by_sum else server
             started = max(server.entry.started_us, server.cold_us)
-            cold = started and set_.cold_from < 1
-            server.warm_us = started + max(1, set_.warm_within_us) if cold else -NEVER
+            cold = started and set_.cold_capacity < 1
+            server.warm_us = started + max(1, set_.warm_up_us) if cold else -NEVER
         routing.up = [
             server
             for server in routing.servers.values()
@@ -68,19 +68,19 @@
         known = event.server in self.names
         if known:
             self.leave_out(event)
-            self.desk.tell_twin(HandoverEjection(event.server, event.out))
-        self.desk.actions.append(EjectionResult(event.server, event.out, known))
+            self.desk.tell_twin(HandoverEjection(event.server, event.is_ejected))
+        self.desk.actions.append(EjectionResult(event.server, event.is_ejected, known))
 
     def leave_out(self, event: SetEjection | HandoverEjection) -> None:
-        if self.names.get(event.server, False) != event.out:
-            self.names[event.server] = event.out
-            if (server := self.routing.servers.get(event.server)) and not event.out:
+        if self.names.get(event.server, False) != event.is_ejected:
+            self.names[event.server] = event.is_ejected
+            if (server := self.routing.servers.get(event.server)) and not event.is_ejected:
                 server.avoid_until = server.backoff_us = 0
                 server.fails, server.on_trial, server.cold_us = 0.0, True, self.desk.now
                 server.earned = 1.0
             self.find_up()
 
     def remember(self, names: tuple[HandoverEjection, ...]) -> None:
-        self.names.update((told.server, told.out) for told in names)
+        self.names.update((told.server, told.is_ejected) for told in names)
         self.forget_names()
         self.find_up()
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -32,6 +32,7 @@
         self.decided_since_log: Counter[str] = Counter()
         self.stale_us_since_log = 0  # the ages of the answers that STALE_ANSWER decisions went by, summed
         self.logged_us = -1
+        self.waits_counted_us = 0
 
     def count_end(self, reason: str) -> None:
         """Count a request that ended unserved."""
@@ -123,18 +124,20 @@
     waits = [job.came_us for _, _, job in core.held] + [job.came_us for job in core.waits]
     return MetricsSnapshot(
         listed=listed,
-        avoided=listed - good,
-        held=len(waits),
-        held_us=now - min(waits, default=now),
-        words=sum(map(len, words.waiting.values())),
-        words_us=now - min(words.since.values(), default=now),
-        words_dropped=words.dropped,
+        ejected=listed - good,
+        queued=len(waits),
+        queued_us=now - min(waits, default=now),
+        messages=sum(map(len, words.waiting.values())),
+        messages_us=now - min(words.since.values(), default=now),
+        messages_dropped=words.dropped,
         ended=tuple(sorted(core.counters.ended.items())),
     )
 
 
-def wait_times(core: Measured, since_us: int) -> list[WaitTimes]:
-    """What the requests that wait here have waited for since that time, all of them together."""
+def wait_times(core: Measured) -> list[WaitTimes]:
+    """What the requests that wait here have waited for since the last call, all of them together."""
+    since_us = core.counters.waits_counted_us
+    core.counters.waits_counted_us = core.desk.now
     waited: Counter[str] = Counter()
     for job in [*core.waits, *[job for _, _, job in core.held if not job.over]]:
         waited[wait_reason(core, job)] += core.desk.now - max(since_us, job.held_us)
@@ -148,7 +151,7 @@
         return "word"
     if job.servers:
         return "again"
-    if customer.plan.max_out and customer.at_open_cap(core.desk.now):
+    if customer.plan.max_in_flight and customer.at_open_cap(core.desk.now):
         return "open_cap"
     if is_under_ceiling(job):
         return "ceiling"
--- a/orchidhatch/gateway/overload.py
+++ b/orchidhatch/gateway/overload.py
@@ -34,7 +34,7 @@
         part = min(1.0, (desk.now - self.period_us + TICK_US) / self.cc_us)
         # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap, and a
         # cold server holds only its part.
-        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * warm / desk.set.gateways))
+        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * warm / desk.set.gateway_count))
         return free and (self.n_past is None or self.accepted < math.ceil(self.most * part))
 
     def end_period(self) -> None:
@@ -69,7 +69,7 @@
             return
         # N is rounded down as that of all gateways: one of many has so small a part that rounding it, and
         # not the servers, would decide. Its part's fraction is left for the next period.
-        alike, seconds = self.desk.set.gateways, self.cc_us / S
+        alike, seconds = self.desk.set.gateway_count, self.cc_us / S
         if was is None:  # it engages by a step from what was sent: less at once would be no clamped step
             was = max(1, START_PER_SERVER * ready * self.cc_us // S // alike, round(na_past))
         overhead = min(self.overhead, targets[2] / 2)
--- a/orchidhatch/gateway/peer_outbox.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -27,7 +27,7 @@
         self.since: dict[int, int] = {}  # by peer, when the first word that waits for it came
         self.dropped = 0
         self.next_tell_us: dict[int, int] = {}  # by peer, when the next message to it would keep its space
-        self.space_us = min(ASK_US, 2 * S * (set_.gateways - 1) / max(1, set_.peer_messages_per_s))
+        self.space_us = min(ASK_US, 2 * S * (set_.gateway_count - 1) / max(1, set_.peer_messages_per_s))
         self.ahead_us = round((TELLS_AT_ONCE - 1) * self.space_us)  # by so much it may leave ahead of it
         self.seen: deque[tuple[int, AttemptObservation]] = deque(maxlen=MOST_SIGHTINGS)
         self.seen_ever, self.told_seen = 0, dict[int, int]()
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -33,7 +33,7 @@
             plan,
             rate=plan.rate / size,
             burst=max(min(1.0, plan.burst), plan.burst / size),
-            max_out=plan.max_out and max(1, plan.max_out // size),
+            max_in_flight=plan.max_in_flight and max(1, plan.max_in_flight // size),
             ceiling_rate=plan.ceiling_rate / size,
             ceiling_burst=plan.ceiling_burst / size,
         )
@@ -44,7 +44,7 @@
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     def __init__(self, plan: Plan, key: CustomerKey, set_: Settings, now: int) -> None:
-        super().__init__(plan if set_.may_tell else own_part(plan, key[3]), key, set_, now)
+        super().__init__(plan if set_.may_gossip else own_part(plan, key[3]), key, set_, now)
         self.alone = self.size < key[3]
         self.left_us = 0 if self.at_home or not self.shares_cap() else now + LEFT_US
         self.asked_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
@@ -141,7 +141,7 @@
 
     def shares_cap(self) -> bool:
         """Whether its open cap is too small to be split over its set."""
-        return 0 < self.plan.max_out < self.size
+        return 0 < self.plan.max_in_flight < self.size
 
     def asks_home(self) -> bool:
         """Elsewhere than at home: whether each attempt needs a place from there, as long as it answers."""
@@ -151,13 +151,13 @@
         return now - self.place_us < ASK_US
 
     def at_open_cap(self, now: int) -> bool:
-        if not self.plan.max_out:
+        if not self.plan.max_in_flight:
             return False
         if self.shares_cap() and self.at_home:
-            return self.out + self.others_out(now) >= self.plan.max_out
+            return self.out + self.others_out(now) >= self.plan.max_in_flight
         if self.asks_home():
             return not self.has_place(now)
-        return self.out >= max(1, self.plan.max_out // self.size)
+        return self.out >= max(1, self.plan.max_in_flight // self.size)
 
     def others_out(self, now: int, but: int = -1) -> int:
         """At its home: the attempts that the others have out, as they told of late, or were granted since."""
@@ -177,7 +177,7 @@
     def next_wanting(self, now: int) -> int | None:
         """At its home: who has waited longest for a place, if there is one and room under the ceiling."""
         self.wanting = {peer: entry for peer, entry in self.wanting.items() if now - entry[1] < 2 * QUEUED_US}
-        if not self.wanting or self.out + self.others_out(now) >= self.plan.max_out:
+        if not self.wanting or self.out + self.others_out(now) >= self.plan.max_in_flight:
             return None
         self.refill(now)
         return next(
@@ -198,10 +198,10 @@
 
     def hear_place(self, word: GossipMessage, now: int) -> None:
         """Elsewhere: the home's answer to a wish for a place."""
-        self.wants, self.queued, self.wanted_us = 0, word.place is SlotGrant.QUEUED, now
-        if word.place is SlotGrant.GRANTED:
+        self.wants, self.queued, self.wanted_us = 0, word.slot_grant is SlotGrant.QUEUED, now
+        if word.slot_grant is SlotGrant.GRANTED:
             self.place_us = now
-            self.ceiling += -word.asked if -word.asked > PLACE_ALONE else 0.0
+            self.ceiling += -word.requested if -word.requested > PLACE_ALONE else 0.0
 
     def leave_ceiling(self, now: int) -> None:
         """Elsewhere: it tells its home now, which may use its part of the ceiling's rate from then on."""
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -39,7 +39,7 @@
 
     def is_ours(self, key: CustomerKey) -> bool:
         set_ = self.desk.set
-        in_set = (set_.me - key.set_first) % set_.gateways < key.set_size
+        in_set = (set_.gateway_index - key.set_first) % set_.gateway_count < key.set_size
         return 0 <= key.plan_index < len(set_.plans) and in_set
 
     def move(self, moved: tuple[int, ...]) -> None:
@@ -92,7 +92,7 @@
         word = GossipMessage(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
         if customer.shares_cap() and not answer:
             customer.leave_ceiling(now)
-        if peer != self.desk.set.me:
+        if peer != self.desk.set.gateway_index:
             self.words.add(peer, word)
         customer.untold = customer.spent = 0.0
 
@@ -103,14 +103,14 @@
         is called for each answer, with the customer whose ask it answers."""
         homed: dict[CustomerKey, quota.Customer] = {}
         # A place comes before the answer that lets in who may use it.
-        for word in sorted(words, key=lambda word: not word.place):
+        for word in sorted(words, key=lambda word: not word.slot_grant):
             key = CustomerKey(word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.is_ours(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
                 self.hear_home(customer, word)
-                answered(customer if word.asked > 0 else None)
+                answered(customer if word.requested > 0 else None)
             elif customer.at_home:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 self.hear_member(customer, word, sender)
@@ -124,9 +124,9 @@
         now = self.desk.now
         customer.heard_us, customer.demand, customer.level = now, word.demand, word.level
         customer.ask_after_us = customer.backoff_us = 0
-        if word.place:
+        if word.slot_grant:
             customer.hear_place(word, now)
-        if word.place is SlotGrant.GRANTED:
+        if word.slot_grant is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
         customer.part = min(customer.part, max(0.0, word.level / customer.size))
 
@@ -134,15 +134,16 @@
         now, shares = self.desk.now, customer.shares_cap()
         customer.demand += word.demand
         customer.spend(word.spent)
-        customer.hear_out(sender, word.out, not word.asked, now)  # a word without a wish tells of an end
+        # A message without a request tells of an end.
+        customer.hear_out(sender, word.in_flight, not word.requested, now)
         if shares and not self.desk.has_twin:
             customer.lent[sender] = now + quota.LENT_US
-        granted = customer.chance(word.asked) if word.asked > 0 else 0.0
-        if shares and (word.asked < 0 or granted):  # who is let in needs a place at once
-            customer.wanting[sender] = abs(word.asked), now
-        if word.asked > 0 or (word.spent > 0 and customer.level < customer.plan.burst / 2):
-            self.tell(sender, customer, max(0.0, word.asked))
-        customer.spend(word.asked * granted)
+        granted = customer.chance(word.requested) if word.requested > 0 else 0.0
+        if shares and (word.requested < 0 or granted):  # who is let in needs a place at once
+            customer.wanting[sender] = abs(word.requested), now
+        if word.requested > 0 or (word.spent > 0 and customer.level < customer.plan.burst / 2):
+            self.tell(sender, customer, max(0.0, word.requested))
+        customer.spend(word.requested * granted)
 
     # --- places under an open cap, and what goes with them under a ceiling ---
 
--- a/orchidhatch/gateway/records.py
+++ b/orchidhatch/gateway/records.py
@@ -43,10 +43,14 @@
 
     def remember(self, told: ServerSnapshot) -> None:
         if abs(self.entry.started_us - told.started_us) < SAME_START_US:
-            self.slowness, self.fails, self.on_trial = told.slowness, told.fails, told.on_trial
-            self.avoid_until, self.backoff_us = told.avoid_until_us, told.backoff_us
-            self.back_us, self.cold_us = told.back_us, told.cold_us
-            self.earned, self.earned_us = told.earned, told.earned_us
+            self.slowness, self.fails, self.on_trial = (
+                told.relative_latency,
+                told.failure_score,
+                told.needs_probe,
+            )
+            self.avoid_until, self.backoff_us = told.ejected_until_us, told.ejection_us
+            self.back_us, self.cold_us = told.recovered_us, told.cold_since_us
+            self.earned, self.earned_us = told.slow_start_credit, told.credit_updated_us
 
 
 class CustomerRecord:
@@ -54,9 +58,11 @@
 
     def __init__(self, plan: Plan, key: CustomerKey, set_: Settings, now: int) -> None:
         # Where gateways may not tell each other anything, each goes by its part as if it were the whole set.
-        self.plan, self.key, self.size, self.at = plan, key, key[3] if set_.may_tell else 1, now
-        self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
-        self.at_home = self.home == set_.me
+        self.plan, self.key, self.size, self.at = plan, key, key[3] if set_.may_gossip else 1, now
+        self.home = (
+            (key[2] + key[0] % self.size) % set_.gateway_count if set_.may_gossip else set_.gateway_index
+        )
+        self.at_home = self.home == set_.gateway_index
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
         self.own = max(1.0, self.part)  # what it may spend unheard: its part, of one request at least
         self.ask_after_us = self.backoff_us = 0  # while the home does not answer, it is left alone
@@ -86,6 +92,6 @@
         )
 
     def remember(self, told: CustomerSnapshot) -> None:
-        self.part, self.level, self.demand = told.part, told.level, told.demand
-        self.ceiling, self.heard_us = told.ceiling, told.heard_us
-        self.untold, self.spent = told.untold, told.spent
+        self.part, self.level, self.demand = told.local_share, told.set_level, told.demand
+        self.ceiling, self.heard_us = told.ceiling, told.last_answer_us
+        self.untold, self.spent = told.unreported_demand, told.unreported_spend
--- a/orchidhatch/gateway/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -29,13 +29,13 @@
         """Microseconds until it is given up: while another can meet the aim, once rather lost than large."""
         left, mean = job.end_us - self.desk.now, self.mean_us(job)
         early = round(job.aim_us - self.desk.now - 2 * mean)
-        last = job.rule.effect is Idempotency.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
+        last = job.rule.idempotency is Idempotency.UNSAFE or len(job.servers) >= self.desk.set.max_attempts
         return max(1, left if last or early < LONG_MEANS * mean else min(left, early))
 
     def begin_within(self, job: Job) -> int:
         """Microseconds in which a repeat of what may have run must be begun; it may wait for a connection."""
-        bound = job.rule.effect is Idempotency.KEYED and job.ran_on is not None
-        return max(1, job.ran_us + job.rule.window_us - self.desk.now) if bound else 0
+        bound = job.rule.idempotency is Idempotency.KEYED and job.ran_on is not None
+        return max(1, job.ran_us + job.rule.dedup_window_us - self.desk.now) if bound else 0
 
     def may(self, job: Job, why: AttemptResult) -> bool:
         """Whether a further attempt may follow one that ended so."""
--- a/orchidhatch/gateway/simulator.py
+++ b/orchidhatch/gateway/simulator.py
@@ -134,7 +134,7 @@
         kind=fields.whole(),
         cell=fields.whole(),
         state=STATES[fields.text()],
-        size=fields.number(1.0),
+        relative_capacity=fields.number(1.0),
         started_us=fields.whole(0),
     )
 
@@ -143,7 +143,7 @@
     request_id, class_index = fields.text(), fields.whole()
     plan_index = fields.whole(0)
     customer = fields.text() if fields.given() else ""
-    left_us, units = fields.whole(), fields.number(1.0)
+    time_left_us, units = fields.whole(), fields.number(1.0)
     set_size, set_first = int(fields.number(1.0)), int(fields.number(0.0))
     marks = fields.whole(0)
     return Request(
@@ -151,7 +151,7 @@
         class_index,
         plan_index,
         customer,
-        left_us,
+        time_left_us,
         units,
         max(1, set_size),
         set_first,
@@ -163,13 +163,13 @@
 def read_outcome(fields: Fields, names: list[str]) -> AttemptEnded:
     return AttemptEnded(
         id=fields.text(),
-        over=fields.flag(),
+        is_final=fields.flag(),
         attempt=fields.whole(),
         server=fields.text(),
         result=RESULTS[fields.text()],
         latency_us=fields.whole(0),
         used_percent=fields.whole(0),
-        true_units=fields.number(0.0),
+        actual_units=fields.number(0.0),
         report=read_load(fields, names),
     )
 
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -49,85 +49,87 @@
     """An operator ejected a server, or readmitted it, at one of the processes."""
 
     server: str
-    out: bool
+    is_ejected: bool
 
 
 @dataclass(frozen=True, slots=True)
 class CustomerSnapshot:
     """The state of a customer.
 
-    `part` is the local share of the quota, `level` that of the whole set as last heard, `ceiling` the local
-    bucket of the rate ceiling, `heard_us` when the quota leader answered last. `untold` and `spent` are the
-    units requested and spent that the leader has not been sent.
+    `local_share` is the local part of the quota, `set_level` that of the whole set as last heard, `ceiling`
+    the local bucket of the rate ceiling, `last_answer_us` when the quota leader answered last.
+    `unreported_demand` and `unreported_spend` are the units requested and spent that the leader has not been
+    sent.
     """
 
     key: CustomerKey
-    at_us: int
-    part: float
-    level: float
+    refilled_us: int
+    local_share: float
+    set_level: float
     demand: float
     ceiling: float
-    heard_us: int
-    untold: float
-    spent: float
+    last_answer_us: int
+    unreported_demand: float
+    unreported_spend: float
 
 
 @dataclass(frozen=True, slots=True)
 class ServerSnapshot:
     """The health and slow start of a server.
 
-    `slowness` is its latency over its class's mean, `fails` the decaying count of failures. A server that was
-    ejected until `avoid_until_us` is `on_trial` until a recovery probe succeeds; `backoff_us` is how long
-    the next ejection lasts, `back_us` when it recovered. `cold_us` is since when it may be cold, `earned` the
-    part of an attempt that slow start permits, as of `earned_us`.
+    `relative_latency` is its latency over its class's mean, `failure_score` the decaying count of failures. A
+    server that was ejected until `ejected_until_us` is `needs_probe` until a recovery probe succeeds;
+    `ejection_us` is how long the next ejection lasts, `recovered_us` when it recovered. `cold_since_us` is
+    since when it may be cold, `slow_start_credit` the part of an attempt that slow start permits, as of
+    `credit_updated_us`.
     """
 
     name: str
     started_us: int
-    slowness: float
-    fails: float
-    on_trial: bool
-    avoid_until_us: int
-    backoff_us: int
-    back_us: int
-    cold_us: int
-    earned: float
-    earned_us: int
+    relative_latency: float
+    failure_score: float
+    needs_probe: bool
+    ejected_until_us: int
+    ejection_us: int
+    recovered_us: int
+    cold_since_us: int
+    slow_start_credit: float
+    credit_updated_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class OverloadSnapshot:
     """The state of the overload controller.
 
-    `n_past` is the admission limit N, 0 where none is in force; `accepted` the first attempts of the period,
-    which began at `period_us` and lasts `length_us`. `rate` is the mean of first attempts a second, `usual`
-    that of a warm server.
+    `admission_limit` is the admission limit N, 0 where none is in force; `admitted` the first attempts of the
+    period, which began at `period_start_us` and lasts `period_length_us`. `attempts_per_s` is the mean of
+    first attempts a second, `usual_attempts_per_s` that of a warm server.
     """
 
-    n_past: float
-    accepted: int
-    period_us: int
-    length_us: int
+    admission_limit: float
+    admitted: int
+    period_start_us: int
+    period_length_us: int
     overhead: float
-    rate: float
-    usual: float
+    attempts_per_s: float
+    usual_attempts_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class GatewaySnapshot:
     """All state that a process hands over: the answer to a StartHandover, and the successor's first event.
 
-    `means_us` are the mean latencies by request class, `names` the servers that were ever listed and whether
-    an operator has ejected them, `out` the attempts in flight.
+    `mean_latencies_us` are the mean latencies by request class, `ejections` the servers that were ever listed
+    and whether an operator has ejected them, `attempts` the attempts in flight.
     """
 
     now_us: int
-    cap: OverloadSnapshot
-    means_us: tuple[float, ...]
+    overload: OverloadSnapshot
+    mean_latencies_us: tuple[float, ...]
     customers: tuple[CustomerSnapshot, ...]
     servers: tuple[ServerSnapshot, ...]
-    names: tuple[HandoverEjection, ...]
-    out: tuple[HandoverAttempt, ...]
+    ejections: tuple[HandoverEjection, ...]
+    attempts: tuple[HandoverAttempt, ...]
 
 
 HandoverMessage = HandoverSpend | HandoverAttempt | HandoverAttemptEnd | HandoverEjection
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -514,16 +514,16 @@
             self.old.append(pool)
             self.sweep_later()
 
-    def send(self, attempt: Attempt, timeout_us: int, begin_us: int = 0) -> None:
+    def send(self, attempt: Attempt, timeout_us: int, start_within_us: int = 0) -> None:
         pool = self.pools.get(attempt.server)
         if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
             attempt.finish(AttemptResult.CONNECT_FAILED)
             return
         loop = asyncio.get_running_loop()
         attempt.timer = loop.call_later(timeout_us / 1e6, attempt.time_out)
-        if 0 < begin_us < timeout_us:
-            attempt.begin_by_us = now_us() + begin_us
-            loop.call_later(begin_us / 1e6 + 0.001, attempt.lapse)  # timers may be early by as much
+        if 0 < start_within_us < timeout_us:
+            attempt.begin_by_us = now_us() + start_within_us
+            loop.call_later(start_within_us / 1e6 + 0.001, attempt.lapse)  # timers may be early by as much
         pool.start(attempt)
 
     def close_idle(self, name: str) -> None:
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -160,13 +160,13 @@
             class_index=number,
             plan_index=plan,
             customer=customer,
-            left_us=min(most_us, max(0, wait_ms * 1000 - answer_margin_us)),
+            time_left_us=min(most_us, max(0, wait_ms * 1000 - answer_margin_us)),
             units=self.units(values),
-            set_size=whole(values.get("spread", "1"), "spread", 1, self.settings.gateways),
-            set_first=whole(values.get("first", "0"), "first", 0, self.settings.gateways - 1),
+            set_size=whole(values.get("spread", "1"), "spread", 1, self.settings.gateway_count),
+            set_first=whole(values.get("first", "0"), "first", 0, self.settings.gateway_count - 1),
             is_repeat=values.get("r") == "1",
             is_write=is_write,
-            size=sum(map(len, words)),
+            size_bytes=sum(map(len, words)),
         )
         at = words[3].find(b"d=") if words[3].startswith(b"d=") else words[3].find(b",d=") + 1
         return Command(request, words, words[3][: at + 2], words[3][at + 2 + len(values["d"]) :])
@@ -185,7 +185,7 @@
         number = self.classes.get(values.get("c", ""))
         if number is None:
             raise CommandError("unknown class")
-        effect = self.settings.classes[number].effect
+        effect = self.settings.classes[number].idempotency
         if is_write == (effect is Idempotency.SAFE):
             raise CommandError("the command does not serve this class")
         if effect is Idempotency.KEYED and not values.get("k"):
--- a/orchidhatch/proxy/config.py
+++ b/orchidhatch/proxy/config.py
@@ -80,16 +80,18 @@
     told, ms = config.settings, 1000
     classes = [(name, told.classes[number]) for name, number in config.class_numbers.items()]
     plans = [(name, told.plans[number]) for name, number in config.plan_numbers.items()]
-    parts = [f"front door {told.me} of {told.gateways}"]
-    parts += [f"{name} aim {one.aim_us // ms} ms of {one.deadline_us // ms}" for name, one in classes]
+    parts = [f"front door {told.gateway_index} of {told.gateway_count}"]
     parts += [
-        f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_out}"
+        f"{name} aim {one.latency_objective_us // ms} ms of {one.deadline_us // ms}" for name, one in classes
+    ]
+    parts += [
+        f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_in_flight}"
         f" ceiling {plan.ceiling_rate:.4g}/s burst {plan.ceiling_burst:.4g}"
         for name, plan in plans
     ]
     parts += [
         f"messages {told.peer_messages_per_s:g}/s",
-        f"cold from {told.cold_from:.2f} for {told.warm_within_us // ms} ms",
+        f"cold from {told.cold_capacity:.2f} for {told.warm_up_us // ms} ms",
         f"descriptors {config.sockets}",
         f"memory {config.memory_mb} MB",
     ]
@@ -164,13 +166,13 @@
 def check(settings: Settings) -> None:
     """What the module takes as given: times that pass, and amounts that are none below nothing."""
     for number, rule in enumerate(settings.classes):
-        within(f"categories.{number}.on-time-us", rule.aim_us, 1, MOST_US)
+        within(f"categories.{number}.on-time-us", rule.latency_objective_us, 1, MOST_US)
         within(f"categories.{number}.deadline-us", rule.deadline_us, 1, MOST_US)
     for number, plan in enumerate(settings.plans):
         for name, value in (
             ("units-per-s", plan.rate),
             ("burst", plan.burst),
-            ("max-out", plan.max_out),
+            ("max-out", plan.max_in_flight),
             ("never-over-rate", plan.ceiling_rate),
             ("hard-burst", plan.ceiling_burst),
         ):
@@ -222,12 +224,14 @@
         traces_policy=values.get("trace_policy") is True,
     )
     if config.policy:
-        config = replace(config, settings=replace(config.settings, mark=config.policy.mark()))
+        config = replace(config, settings=replace(config.settings, policy_mark=config.policy.mark()))
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
     check(config.settings)
-    if not 0 <= config.settings.me < config.settings.gateways:
-        raise ConfigError(f"there is no front door {config.settings.me} of {config.settings.gateways}")
+    if not 0 <= config.settings.gateway_index < config.settings.gateway_count:
+        raise ConfigError(
+            f"there is no front door {config.settings.gateway_index} of {config.settings.gateway_count}"
+        )
     return config
 
 
--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -73,7 +73,7 @@
             cell=int(entry.get("cell") or 0),
             # In a state that we do not know it is not said to serve: nothing new goes there.
             state=STATES.get(entry.get("lifecycle"), EndpointState.DRAINING),
-            size=float(entry.get("weight") or 1.0),
+            relative_capacity=float(entry.get("weight") or 1.0),
             started_us=self.started_us(float(entry.get("startedAtMs") or 0)),
         )
 
--- a/orchidhatch/proxy/peers.py
+++ b/orchidhatch/proxy/peers.py
@@ -66,7 +66,7 @@
         if self.clogged:
             self.dropped += 1
         elif self.transport and action.peer != self.me and action.peer < len(self.addresses):
-            for data in pack_message(action.words, action.sightings, self.mark):
+            for data in pack_message(action.messages, action.observations, self.mark):
                 self.transport.sendto(data, self.addresses[action.peer])
 
     def close(self) -> None:
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -136,7 +136,7 @@
         self.command, self.reply, self.end_us = command, reply, end_us
         self.plan = plan  # by its name: its number may be another's before this ends
         self.policy = policy  # that it is let in by, where that is to be logged
-        self.came_us = end_us - command.request.left_us
+        self.came_us = end_us - command.request.time_left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -148,7 +148,7 @@
         self.config, self.settings, self.writer = config, config.settings, writer
         self.loop = asyncio.get_running_loop()
         most_bytes = max(LEAST_HELD, (config.memory_mb - PROGRAM_MB) * (1 << 20) // HELD_SHARE)
-        self.bounds = replace(config.settings, max_open=config.max_open, max_open_bytes=most_bytes)
+        self.bounds = replace(config.settings, max_open_requests=config.max_open, max_open_bytes=most_bytes)
         self.gateway = Gateway(self.bounds)
         self.held_waits = Waits()
         self.waited: Counter[str] = Counter()  # microseconds, by what requests waited for
@@ -201,7 +201,7 @@
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone, self.account)
         self.clients.set_pool(config.memory_mb)
-        self.peers = Peers(config.peers, config.settings.me, self.post, self.account)
+        self.peers = Peers(config.peers, config.settings.gateway_index, self.post, self.account)
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
@@ -211,11 +211,11 @@
             version,
             self.list_heard,
             config.settings.seed,
-            config.settings.gateways,
+            config.settings.gateway_count,
             self.account,
             pushed=not config.settings.must_subscribe,
         )
-        self.peers.mark = config.settings.mark
+        self.peers.mark = config.settings.policy_mark
         self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
             SendAttempt: (Place.BACKENDS, self.send),
@@ -276,7 +276,7 @@
         self.ready = True
 
     async def open_peers(self) -> None:
-        if self.settings.may_tell and self.config.peer_listen:
+        if self.settings.may_gossip and self.config.peer_listen:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
 
     # --- one process after another ---
@@ -321,8 +321,8 @@
         self.run_batch()
         self.post(state)
         self.run_batch()
-        for word in state.names:
-            self.backends.ban(word.server, word.out)
+        for word in state.ejections:
+            self.backends.ban(word.server, word.is_ejected)
 
     def release(self) -> None:
         """The next process serves: take nothing new, let go of the addresses and of who is idle."""
@@ -366,10 +366,14 @@
         moved = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
         new = config.settings
         self.settings = replace(
-            self.settings, classes=new.classes, plans=new.plans, banned=new.banned, mark=new.mark
+            self.settings,
+            classes=new.classes,
+            plans=new.plans,
+            banned_customers=new.banned_customers,
+            policy_mark=new.policy_mark,
         )
         self.run_batch()  # what has come so far was let in by the old
-        self.post(PolicyChange(new.classes, new.plans, new.banned, new.mark, moved))
+        self.post(PolicyChange(new.classes, new.plans, new.banned_customers, new.policy_mark, moved))
         self.run_batch()
         self.config = replace(
             self.config,
@@ -380,7 +384,7 @@
         )
         self.parser = CommandParser(self.config)
         self.plan_names = {number: name for name, number in config.plan_numbers.items()}
-        self.peers.mark, self.watchful.told = new.mark, config.policy
+        self.peers.mark, self.watchful.told = new.policy_mark, config.policy
         self.watchful.begin(barred=False)
         log.info("goes by %s", config.policy.shown())
 
@@ -504,7 +508,7 @@
             sends_total=self.backends.sends,
             current=len(self.open),
             cluster_size=census.listed,
-            cluster_unhealthy=census.avoided,
+            cluster_unhealthy=census.ejected,
         )
 
     def metrics(self) -> Answer:
@@ -631,9 +635,9 @@
             ),
             Line(
                 "held",
-                self.bounds.max_open,
-                census.held,
-                census.held_us,
+                self.bounds.max_open_requests,
+                census.queued,
+                census.queued_us,
                 ended.get("crowded", 0),
                 self.held_waits,
             ),
@@ -664,9 +668,9 @@
             Line(
                 "peers",
                 MOST_WORDS * len(peers.addresses),
-                census.words,
-                census.words_us,
-                census.words_dropped + peers.dropped,
+                census.messages,
+                census.messages_us,
+                census.messages_dropped + peers.dropped,
                 peers.waits,
             ),
             self.management.line(),
@@ -676,7 +680,7 @@
     def maint(self, name: str, out: bool) -> Answer:
         """What the module rules holds for the sockets too, before the answer leaves."""
         ruling = self.ask(SetEjection(name, out))
-        if not ruling.yes:
+        if not ruling.is_accepted:
             return 404, "no such backend was ever listed"
         log.info("%s is %s by hand", name, "left out" if out else "taken back")
         self.backends.ban(name, out)
@@ -774,11 +778,11 @@
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
         self.post(event)
         if isinstance(event, HandoverEjection):
-            self.backends.ban(event.server, event.out)
+            self.backends.ban(event.server, event.is_ejected)
 
     def list_heard(self, news: News) -> None:
         whole = news.event.kind is not EndpointListKind.CHANGES
-        states = {server.name: server.state for server in news.event.servers}
+        states = {server.name: server.state for server in news.event.endpoints}
         self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.backends.update(states, news.addresses, whole)
 
@@ -795,15 +799,15 @@
         exchange = Exchange(
             command,
             reply,
-            now_us() + request.left_us,
+            now_us() + request.time_left_us,
             self.plan_names[request.plan_index],
             told.digest or "-" if told else "",
         )
-        delay = (request.left_us + BACKSTOP_US) / 1e6
+        delay = (request.time_left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
         self.open[request.id] = exchange
-        self.held_bytes += request.size
+        self.held_bytes += request.size_bytes
         self.tally["asked"] += 1
         self.post(request)
 
@@ -851,7 +855,7 @@
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
-        self.backends.send(attempt, timeout, action.begin_us)
+        self.backends.send(attempt, timeout, action.start_within_us)
 
     def attempt_done(
         self, attempt: Attempt, result: AttemptResult, value: bytes | None, report: LoadReport | None
@@ -937,7 +941,7 @@
         exchange = self.open.pop(name, None)
         if exchange is None:
             return None
-        self.held_bytes -= exchange.command.request.size
+        self.held_bytes -= exchange.command.request.size_bytes
         if not exchange.attempts:
             self.held_waits.note(now_us() - exchange.came_us)
         if exchange.timer:
--- a/tests/control/test_schemas.py
+++ b/tests/control/test_schemas.py
@@ -162,8 +162,8 @@
     entry: Entry = read_register(json.dumps(given).encode()).entry
     catalog = Catalog(CONFIG)
     news = catalog.news(json.loads(listing(3, True, [entry])))
-    [server] = news.event.servers
+    [server] = news.event.endpoints
     assert news.event.kind is EndpointListKind.FULL and server.name == given["instanceId"]
     assert news.addresses == {entry.id: ("127.0.0.1", int(entry.address.rpartition(":")[2]))}
     assert (server.state is EndpointState.UP) == (given["lifecycle"] == "SERVING")
-    assert server.size == given["weight"] and server.cell == given["cell"]
+    assert server.relative_capacity == given["weight"] and server.cell == given["cell"]
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -41,8 +41,10 @@
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
 UTIL = TARGETS["util"]
-KEYED = RequestClass(2 * S, 6 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ZONE, window_us=3 * S)
-UNSAFE = RequestClass(2 * S, 6 * S, effect=Idempotency.UNSAFE)
+KEYED = RequestClass(
+    2 * S, 6 * S, idempotency=Idempotency.KEYED, dedup_scope=DeduplicationScope.ZONE, dedup_window_us=3 * S
+)
+UNSAFE = RequestClass(2 * S, 6 * S, idempotency=Idempotency.UNSAFE)
 
 
 def with_class(rule: RequestClass, **changes: object) -> Settings:
@@ -72,8 +74,8 @@
 
 
 def loaded_world(util: float, plans: tuple[Plan, ...] = (Plan(),)) -> World:
-    patient = (RequestClass(aim_us=6 * S, deadline_us=6 * S),)
-    world = World(replace(SETTINGS, plans=plans, gateways=2, classes=patient))
+    patient = (RequestClass(latency_objective_us=6 * S, deadline_us=6 * S),)
+    world = World(replace(SETTINGS, plans=plans, gateway_count=2, classes=patient))
     for n in range(20):
         world.ask(f"w{n}")
         world.run(50 * MS)
@@ -103,7 +105,7 @@
 
 def test_period_follows_the_rate() -> None:
     """With two requests a second, N of one or two a second would halve or double by rounding alone."""
-    world = World(replace(SETTINGS, plans=(Plan(),), gateways=20), servers(10))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=20), servers(10))
     for n in range(40):
         world.ask(f"r{n}")
         world.run(500 * MS)
@@ -127,7 +129,7 @@
 
 
 def test_held_leave_by_worth_then_arrival() -> None:
-    plans = (Plan(worth_factor=1.0), Plan(worth_factor=3.0))
+    plans = (Plan(priority_factor=1.0), Plan(priority_factor=3.0))
     world = loaded_world(0.9, plans)
     for n in range(30):
         world.ask(f"fill{n}")
@@ -150,7 +152,10 @@
 
 def test_attempts_out_at_once_are_bounded() -> None:
     """Servers that answer nobody must not be given more and more, whatever the cap says."""
-    worlds = [World(replace(SETTINGS, plans=(Plan(),), gateways=5, me=me), servers(10)) for me in range(5)]
+    worlds = [
+        World(replace(SETTINGS, plans=(Plan(),), gateway_count=5, gateway_index=me), servers(10))
+        for me in range(5)
+    ]
     for world in worlds:
         for n in range(200):
             world.ask(f"r{n}")
@@ -218,7 +223,7 @@
         customer.level
         for world in gates.worlds
         for customer in world.gateway.homes.customers.values()
-        if customer.home == world.gateway.set.me
+        if customer.home == world.gateway.set.gateway_index
     ]
     assert levels == [pytest.approx(20, abs=0.5)]
 
@@ -239,7 +244,7 @@
 def test_gateways_that_may_tell_each_other_nothing_keep_to_their_parts(count: int) -> None:
     """Each would else take itself for the home, and let in the whole quota."""
     every_us = S // 4  # 160 units a second or more, where the plan has 10
-    world = Set(count, replace(SETTINGS, may_tell=False))
+    world = Set(count, replace(SETTINGS, may_gossip=False))
     for turn in range(40):
         for number in range(max(40, count)):
             world.ask(number % count, f"r{turn}-{number}")
@@ -253,7 +258,7 @@
 
 def test_request_of_several_units_is_let_in_while_its_home_is_away_and_leaves_a_debt() -> None:
     """What a gateway may spend unheard is its part, of one request at least: however large that is."""
-    world = World(replace(SETTINGS, gateways=40, plans=(replace(PLAN, rate=20.0),)))
+    world = World(replace(SETTINGS, gateway_count=40, plans=(replace(PLAN, rate=20.0),)))
     name = next(str(n) for n in range(99) if zlib.crc32(str(n).encode()) % 40)  # at home elsewhere
     for number in range(40):  # its part is half a unit a second
         world.ask(f"r{number}", customer=name, set_size=40, units=5.0)
@@ -265,7 +270,7 @@
 
 
 def test_request_larger_than_its_gateways_part_is_let_in_and_leaves_a_debt() -> None:
-    world = World(replace(SETTINGS, may_tell=False, gateways=40))
+    world = World(replace(SETTINGS, may_gossip=False, gateway_count=40))
     whole = {"set_size": 40, "units": 6.0}  # of a rate of a quarter here
     assert of(SendAttempt, world.ask("first", **whole))
     world.answer("first")
@@ -278,14 +283,14 @@
 
 def test_part_of_who_hears_nothing_is_one_of_the_plan_that_holds() -> None:
     """Also after a change of plans, with the part of the store that was left, and no more than one place."""
-    plan = replace(PLAN, rate=4.0, burst=40.0, max_out=2)
-    world = World(replace(SETTINGS, may_tell=False, gateways=4, plans=(plan,)))
+    plan = replace(PLAN, rate=4.0, burst=40.0, max_in_flight=2)
+    world = World(replace(SETTINGS, may_gossip=False, gateway_count=4, plans=(plan,)))
     for number in range(5):
         world.ask(f"r{number}", set_size=4)
         world.run(20 * MS)
         assert len(world.out) == 1  # two places for four gateways
         world.answer(f"r{number}")
-    world.tell(PolicyChange((SAFE,), (replace(plan, burst=80.0, max_out=8),), frozenset(), 1, (0,)))
+    world.tell(PolicyChange((SAFE,), (replace(plan, burst=80.0, max_in_flight=8),), frozenset(), 1, (0,)))
     sent = sum(bool(of(SendAttempt, world.ask(f"s{number}", set_size=4))) for number in range(20))
     assert sent == 2  # places of eight
     for _ in range(12):
@@ -311,7 +316,7 @@
 
 def test_ask_need_not_wait_for_the_space_between_messages() -> None:
     """Else it comes too late, is asked again, and its home counts it twice."""
-    world = World(replace(SETTINGS, gateways=4, me=0))
+    world = World(replace(SETTINGS, gateway_count=4, gateway_index=0))
     names = [f"c{n}" for n in range(200)]
     sent = []
     for name in names:
@@ -326,17 +331,17 @@
 
 
 def test_word_that_only_tells_what_is_out_asks_for_nothing() -> None:
-    world = World(replace(SETTINGS, gateways=2, plans=(replace(PLAN, max_out=1),)))
+    world = World(replace(SETTINGS, gateway_count=2, plans=(replace(PLAN, max_in_flight=1),)))
     key = (0, 0, 0, 2)  # at home here
-    world.tell(PeerMessage(1, (GossipMessage(*key, level=0.0, out=1),)))
+    world.tell(PeerMessage(1, (GossipMessage(*key, level=0.0, in_flight=1),)))
     (customer,) = world.gateway.homes.customers.values()
     assert customer.others_out(world.now) == 1 and customer.level == 0
     assert not of(SendGossip, [action for _, action in world.log])
 
 
 def test_words_from_outside_are_checked() -> None:
-    world = World(replace(SETTINGS, gateways=2))
-    huge = GossipMessage(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
+    world = World(replace(SETTINGS, gateway_count=2))
+    huge = GossipMessage(1, 0, 0, 2, demand=1e9, requested=1e9, level=-1e9)
     for word in (GossipMessage(1, 9, 0, 2), GossipMessage(1, 0, 5, 1), GossipMessage(1, 0, 0, 0), huge):
         world.tell(PeerMessage(1, (word,)))
     assert len(world.gateway.homes.customers) == 1
@@ -360,12 +365,12 @@
 def test_no_time_left_costs_no_quota() -> None:
     world = World()
     for n in range(30):
-        world.ask(f"r{n}", left_us=100 * MS)
+        world.ask(f"r{n}", time_left_us=100 * MS)
     assert next(iter(world.gateway.homes.customers.values())).level == 20
 
 
 def test_what_meets_the_open_cap_waits_for_an_attempt_to_end() -> None:
-    world = World(replace(SETTINGS, plans=(Plan(max_out=2),)))
+    world = World(replace(SETTINGS, plans=(Plan(max_in_flight=2),)))
     assert of(SendAttempt, world.ask("a")) and of(SendAttempt, world.ask("b"))
     assert not of(SendAttempt, world.ask("c")) and not of(Reject, world.run(100 * MS))
     world.answer("a")
@@ -374,10 +379,10 @@
 
 
 def test_true_units_are_settled() -> None:
-    world = World(replace(SETTINGS, trued_up=True))
+    world = World(replace(SETTINGS, settles_units=True))
     world.ask("a")
     server, sent, _ = world.out.pop(("a", 0))
-    world.tell(AttemptEnded("a", True, 0, server, AttemptResult.OK, world.now - sent, true_units=4.0))
+    world.tell(AttemptEnded("a", True, 0, server, AttemptResult.OK, world.now - sent, actual_units=4.0))
     assert next(iter(world.gateway.homes.customers.values())).level == pytest.approx(16)
 
 
@@ -386,7 +391,7 @@
 
 def test_ceiling_starts_empty_and_is_split() -> None:
     plan = Plan(ceiling_rate=10.0, ceiling_burst=20.0)
-    world = World(replace(SETTINGS, plans=(plan,), gateways=2))
+    world = World(replace(SETTINGS, plans=(plan,), gateway_count=2))
     for n in range(40):
         world.ask(f"r{n}", set_size=2)
     world.run(S)
@@ -398,18 +403,20 @@
 
 def test_no_time_left_is_answered_at_once() -> None:
     world = World(fleet=())
-    assert of(Reject, world.ask("a", left_us=0))
+    assert of(Reject, world.ask("a", time_left_us=0))
 
 
 @pytest.mark.parametrize("left", [5, 30, 60, 90, 130, 200, 260])
 def test_who_waits_for_word_is_answered_in_time(left: int) -> None:
     """Clients that come with little time left, and a home that never answers."""
-    gates = Set(20, with_class(replace(UNSAFE, aim_us=2 * S), plans=(replace(PLAN, burst=2.0),)))
+    gates = Set(
+        20, with_class(replace(UNSAFE, latency_objective_us=2 * S), plans=(replace(PLAN, burst=2.0),))
+    )
     for me, world in enumerate(gates.worlds):
         gates.down = me
         world.tell(EndpointList(EndpointListKind.FULL, 2, ()))
         world.gateway.routing.mean_us = [20 * MS]
-        world.ask("a", left_us=left * MS, set_size=20)
+        world.ask("a", time_left_us=left * MS, set_size=20)
         start = world.now
         world.run(S)
         ends = [at - start for at, action in world.log if isinstance(action, Reject | Fail)]
@@ -453,13 +460,13 @@
 
 def test_repeat_of_what_may_have_run_is_to_be_begun_within_its_window() -> None:
     """Counted from the first that may have run; neither the first itself nor a safe one has a bound."""
-    keyed = RequestClass(2 * S, 6 * S, effect=Idempotency.KEYED, window_us=S)
+    keyed = RequestClass(2 * S, 6 * S, idempotency=Idempotency.KEYED, dedup_window_us=S)
     for rule, bound in ((keyed, 600 * MS), (SAFE, 0)):
         world = World(replace(SETTINGS, classes=(rule,)))
         [first] = of(SendAttempt, world.ask("a"))
         world.run(400 * MS)
         [again] = of(SendAttempt, world.answer("a", AttemptResult.RESET))
-        assert (first.begin_us, again.begin_us) == (0, bound)
+        assert (first.start_within_us, again.start_within_us) == (0, bound)
 
 
 def test_attempt_that_lasts_far_longer_than_most_is_given_up_while_another_can_meet_the_aim() -> None:
@@ -514,7 +521,7 @@
 def test_half_warm_servers_are_used_while_warm_ones_are_busy() -> None:
     """Half the fleet is at 0.6 of its warmth; what it may take must not pile up on the other half."""
     fleet = servers(4)
-    world = World(replace(SETTINGS, plans=(Plan(),), fall_multiple=3.0))
+    world = World(replace(SETTINGS, plans=(Plan(),), overload_multiple=3.0))
     started = tuple(replace(fleet[n], started_us=world.now - 5 * S) for n in (2, 3))
     world.tell(EndpointList(EndpointListKind.CHANGES, 2, started))
     world.gateway.routing.usual = 10.0  # as it was before the restart
@@ -565,7 +572,7 @@
 
 
 def test_requests_are_held_rather_than_piled_on_the_one_warm_server() -> None:
-    world = World(replace(SETTINGS, plans=(Plan(),), gateways=2), servers(8))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=2), servers(8))
     world.tell(
         EndpointList(
             EndpointListKind.CHANGES,
@@ -584,7 +591,7 @@
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
     """Each of them sees a server that has just started as the emptiest."""
     fleet = servers(20)
-    gates = Set(100, replace(SETTINGS, plans=(Plan(),), cold_from=0.2), fleet)
+    gates = Set(100, replace(SETTINGS, plans=(Plan(),), cold_capacity=0.2), fleet)
     cold = replace(fleet[0], started_us=gates.worlds[0].now)
     for world in gates.worlds:
         world.gateway.routing.mean_us = [10 * MS]
@@ -603,7 +610,7 @@
 def test_cold_servers_take_their_part_though_every_gateway_has_empty_warm_ones() -> None:
     """Forty gateways with a request every 0.4 s each: to each of them nearly all servers look empty."""
     fleet = servers(20)
-    gates = Set(40, replace(SETTINGS, plans=(Plan(),), cold_from=0.2, fall_multiple=3.0), fleet)
+    gates = Set(40, replace(SETTINGS, plans=(Plan(),), cold_capacity=0.2, overload_multiple=3.0), fleet)
     for n in range(600):  # so that it is known what a warm one is sent
         gates.ask(n * 7 % 40, f"w{n}", customer=f"c{n}")
         gates.run(10 * MS)
@@ -639,13 +646,16 @@
 
 
 def test_a_peer_is_told_once_of_what_was_seen_and_not_of_what_is_old() -> None:
-    world = World(replace(SETTINGS, gateways=2))
+    world = World(replace(SETTINGS, gateway_count=2))
     for n in range(3):
         world.ask(f"r{n}")
         world.answer(f"r{n}", AttemptResult.ERROR if n else AttemptResult.OK)
     told = [world.gateway.words.untold_sightings(1), world.gateway.words.untold_sightings(1)]
-    assert [seen.served for seen in told[0]] == [True, False, False] and told[1] == ()
-    assert [seen.latency for seen in told[0]][1:] == [0.0, 0.0]  # it says nothing of how busy servers are
+    assert [seen.succeeded for seen in told[0]] == [True, False, False] and told[1] == ()
+    assert [seen.relative_latency for seen in told[0]][1:] == [
+        0.0,
+        0.0,
+    ]  # it says nothing of how busy servers are
     assert len(world.gateway.words.untold_sightings(0)) == 3
     world.ask("late")
     world.answer("late")
@@ -659,7 +669,7 @@
 
 def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
     """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
-    world = World(replace(SETTINGS, plans=(Plan(),), gateways=40))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=40))
     gateway = world.gateway
     gateway.cap.n_past, gateway.cap.most = 2.0, 2
     gateway.cap.signals["latency"], gateway.cap.accepted = [0.2] * 9, 2  # light, but all of N is used
@@ -676,7 +686,7 @@
 
 def test_occupancy_is_that_of_all_gateways() -> None:
     """A few slow answers here are chance where the others' are quick."""
-    world = World(replace(SETTINGS, gateways=40))
+    world = World(replace(SETTINGS, gateway_count=40))
     server = world.gateway.routing.servers["s0"].sum
     seen = tuple(AttemptObservation(server, 0, True, 0.1) for _ in range(12))
     for n in range(5):
@@ -689,7 +699,7 @@
 
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
     """In a release most are cold: all that they cannot take would jam the few warm ones."""
-    world = World(replace(SETTINGS, plans=(Plan(),), gateways=4), servers(20))
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=4), servers(20))
     world.tell(
         EndpointList(
             EndpointListKind.CHANGES,
@@ -724,7 +734,7 @@
 def test_thin_traffic_stays_where_connections_are_kept_and_leaves_at_once_when_these_are_gone() -> None:
     """Two hundred doors that go everywhere cost each backend a handshake for every second attempt."""
     fleet = servers(100)
-    world = World(replace(SETTINGS, gateways=200, plans=(Plan(),)), fleet)
+    world = World(replace(SETTINGS, gateway_count=200, plans=(Plan(),)), fleet)
 
     def used(name: str, count: int) -> list[str]:
         sent = []
@@ -744,7 +754,7 @@
 
 def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
     """Thirty gateways that all let in on the same level would spend it thirty times over."""
-    world = World(replace(SETTINGS, plans=(Plan(rate=10.0, burst=20.0),), gateways=40))
+    world = World(replace(SETTINGS, plans=(Plan(rate=10.0, burst=20.0),), gateway_count=40))
     customer = world.gateway.homes.customer(CustomerKey(1, 0, 0, 30))
     customer.level, customer.demand = 3.0, 20.0
     assert customer.chance(1.0) == 1.0  # the home's word holds for the one that it was given to
@@ -773,11 +783,11 @@
 def test_home_that_does_not_answer_is_left_alone_for_longer_and_longer() -> None:
     """It may hear more than it can take in: a hundred doors that each ask twice would keep it so."""
     plan = Plan(rate=10.0, burst=20.0)
-    world = World(replace(SETTINGS, plans=(plan,), gateways=40, me=5))
+    world = World(replace(SETTINGS, plans=(plan,), gateway_count=40, gateway_index=5))
     key, asked = CustomerKey(zlib.crc32(b"c"), 0, 0, 40), []
     for n in range(400):
         told = of(SendGossip, world.ask(f"r{n}", set_size=40) + world.run(100 * MS))
-        asked += [world.now for tell in told for word in tell.words if word.asked > 0]
+        asked += [world.now for tell in told for word in tell.messages if word.requested > 0]
     assert 6 <= len(asked) <= 30  # of 40 s; with two asks a request there were 800
     sent = of(SendAttempt, [action for _, action in world.log])
     assert len(sent) <= 1 + 40 * 10 / 40 + 1  # its own part
@@ -788,7 +798,7 @@
 
 def test_store_that_cannot_have_refilled_is_not_asked_for() -> None:
     """Each ask costs its home a message of an intake that all customers share."""
-    world = World(replace(SETTINGS, plans=(Plan(rate=0.5, burst=2.0),), gateways=40, me=5))
+    world = World(replace(SETTINGS, plans=(Plan(rate=0.5, burst=2.0),), gateway_count=40, gateway_index=5))
     customer = world.gateway.homes.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
     assert customer.home != 5
     customer.heard_us, customer.level = world.now, 0.2
@@ -820,7 +830,7 @@
     assert times
 
 
-CAPPED = Plan(rate=8.0, burst=8.0, max_out=2, ceiling_rate=10.0, ceiling_burst=12.0, ceiling_slack=1.2)
+CAPPED = Plan(rate=8.0, burst=8.0, max_in_flight=2, ceiling_rate=10.0, ceiling_burst=12.0, ceiling_slack=1.2)
 
 
 def drive_capped(gates: Set, trouble: Callable[[int], None] = lambda step: None) -> None:
@@ -874,12 +884,15 @@
 
 
 def test_place_that_was_granted_is_taken_back_where_it_is_not_used() -> None:
-    home = World(replace(SETTINGS, gateways=3, me=0, plans=(CAPPED,)))
+    home = World(replace(SETTINGS, gateway_count=3, gateway_index=0, plans=(CAPPED,)))
     key = (0, 0, 0, 3)
 
     def want(sender: int, out: int = 0, units: float = 1.0) -> list[GossipMessage]:
-        told = of(SendGossip, home.tell(PeerMessage(sender, (GossipMessage(*key, asked=-units, out=out),))))
-        return [(tell.peer, word.place) for tell in told for word in tell.words]
+        told = of(
+            SendGossip,
+            home.tell(PeerMessage(sender, (GossipMessage(*key, requested=-units, in_flight=out),))),
+        )
+        return [(tell.peer, word.slot_grant) for tell in told for word in tell.messages]
 
     home.run(4 * S)
     assert want(1) == [(1, SlotGrant.GRANTED)]
@@ -887,7 +900,9 @@
     for _ in range(3):
         assert want(1, out=1) == [(1, SlotGrant.QUEUED)]
         later = [
-            (tell.peer, word.place) for tell in of(SendGossip, home.run(500 * MS)) for word in tell.words
+            (tell.peer, word.slot_grant)
+            for tell in of(SendGossip, home.run(500 * MS))
+            for word in tell.messages
         ]
     assert later == [(1, SlotGrant.GRANTED)]  # gateway 2 never told of an attempt
 
@@ -1029,7 +1044,7 @@
 
 
 def test_open_cap_smaller_than_its_set_holds_over_all_and_moves_to_who_asks() -> None:
-    plan = Plan(rate=100.0, burst=100.0, max_out=2)
+    plan = Plan(rate=100.0, burst=100.0, max_in_flight=2)
     gates = Set(4, replace(SETTINGS, plans=(plan,)))
     gates.ask(0, "warm", customer="c")
     (customer,) = gates.worlds[0].gateway.homes.customers.values()
@@ -1056,14 +1071,14 @@
         looked.append(server)
         return warmth(routing, server)
 
-    world = World(replace(SETTINGS, gateways=200), servers(200))
+    world = World(replace(SETTINGS, gateway_count=200), servers(200))
     monkeypatch.setattr(Routing, "warmth", counted)
     assert of(SendAttempt, world.ask("a"))
     assert len(looked) <= CHOICES
 
 
 def test_server_is_warm_from_the_last_moment_of_its_start_on() -> None:
-    started = 100 * S - SETTINGS.warm_within_us + 1  # the world begins at 100 s
+    started = 100 * S - SETTINGS.warm_up_us + 1  # the world begins at 100 s
     world = World(fleet=servers(2, started_us=started))
     gateway = world.gateway
     assert all(gateway.routing.warmth(server) < 1 for server in gateway.routing.up)
@@ -1072,7 +1087,7 @@
     assert all(gateway.routing.warmth(server) == 1 for server in gateway.routing.up)
     world.tell(SetEjection("s0", True))
     world.tell(SetEjection("s0", False))  # it may have started anew meanwhile
-    assert gateway.routing.warmth(gateway.routing.servers["s0"]) == SETTINGS.cold_from
+    assert gateway.routing.warmth(gateway.routing.servers["s0"]) == SETTINGS.cold_capacity
     assert gateway.routing.warmth(gateway.routing.up[1]) == 1
 
 
@@ -1084,7 +1099,7 @@
 
 
 def test_words_that_wait_for_their_space_are_looked_at_when_it_is_there() -> None:
-    settings = replace(SETTINGS, gateways=3, me=0, peer_messages_per_s=4.0)
+    settings = replace(SETTINGS, gateway_count=3, gateway_index=0, peer_messages_per_s=4.0)
     world = World(settings)
     rest = {"set_size": 3, "plan_index": 0}
     told = [action for n in range(8) for action in of(SendGossip, world.ask(f"a{n}", customer="c2", **rest))]
--- a/tests/gateway/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def outbox() -> Words:
-    return Words(DecisionContext(replace(SETTINGS, gateways=4, peer_messages_per_s=100.0)))
+    return Words(DecisionContext(replace(SETTINGS, gateway_count=4, peer_messages_per_s=100.0)))
 
 
 def sent(outbox: Words) -> list[SendGossip]:
@@ -58,7 +58,7 @@
     assert sent(outbox) == []
     outbox.desk.now = int(due_us) + 1
     (message,) = sent(outbox)
-    assert message.words == (WORD, WORD)
+    assert message.messages == (WORD, WORD)
     assert message.waited_us == int(due_us) + 1
 
 
@@ -76,17 +76,17 @@
         outbox.add(PEER, word)
     assert outbox.dropped == 3
     (message,) = sent(outbox)
-    assert message.words == tuple(words[3:])
+    assert message.messages == tuple(words[3:])
 
 
 def test_each_peer_is_sent_an_observation_once(outbox: Words) -> None:
     outbox.see(observation(1))
     outbox.add(PEER, WORD)
-    assert [message.sightings for message in sent(outbox)] == [(observation(1),)]
+    assert [message.observations for message in sent(outbox)] == [(observation(1),)]
     outbox.see(observation(2))
     outbox.add(PEER, WORD)
     outbox.add(PEER + 1, WORD)
-    assert {message.peer: message.sightings for message in sent(outbox)} == {
+    assert {message.peer: message.observations for message in sent(outbox)} == {
         PEER: (observation(2),),
         PEER + 1: (observation(1), observation(2)),
     }
@@ -97,4 +97,4 @@
     outbox.desk.now = MOST_PERIODS * CC_PERIOD_US
     outbox.see(observation(2))
     outbox.add(PEER, WORD)
-    assert [message.sightings for message in sent(outbox)] == [(observation(2),)]
+    assert [message.observations for message in sent(outbox)] == [(observation(2),)]
--- a/tests/gateway/test_policy_change.py
+++ b/tests/gateway/test_policy_change.py
@@ -14,7 +14,7 @@
 from tests.helpers import MS, PLAN, SETTINGS, World, of
 
 WIDER = Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
-TIGHT = Plan(rate=5.0, burst=5.0, max_out=1)
+TIGHT = Plan(rate=5.0, burst=5.0, max_in_flight=1)
 plans = st.sampled_from((PLAN, WIDER, TIGHT, Plan()))
 
 
@@ -46,7 +46,7 @@
 
 
 def test_admission_when_suspended_or_banned_then_rejects_and_ignores_other_policies_gossip() -> None:
-    world = World(replace(SETTINGS, gateways=2))
+    world = World(replace(SETTINGS, gateway_count=2))
     world.tell(SuspendAdmission(True))
     assert of(Reject, world.ask("a")) and not world.out
     world.tell(SuspendAdmission(False))
@@ -59,7 +59,7 @@
     demand = customer.demand
     word = GossipMessage(*customer.key, demand=50.0, spent=50.0)
     for mark, level in ((2, customer.level), (0, customer.level), (9, customer.level - 50)):
-        world.tell(PeerMessage(1, (word,), mark=mark))
+        world.tell(PeerMessage(1, (word,), policy_mark=mark))
         assert customer.level == pytest.approx(max(level, -customer.plan.rate / 2), abs=0.5)
     assert customer.demand > demand + 40
     world.tell(new_policy(PLAN, moved=(-1, -1)))
--- a/tests/gateway/test_properties.py
+++ b/tests/gateway/test_properties.py
@@ -14,14 +14,20 @@
 
 CLASSES = (
     RequestClass(S, 2 * S),
-    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ZONE, window_us=S),
-    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.CELL, window_us=2 * S),
-    RequestClass(S, 3 * S, effect=Idempotency.KEYED, group=DeduplicationScope.ALL, window_us=2 * S),
-    RequestClass(S, 3 * S, effect=Idempotency.UNSAFE),
+    RequestClass(
+        S, 3 * S, idempotency=Idempotency.KEYED, dedup_scope=DeduplicationScope.ZONE, dedup_window_us=S
+    ),
+    RequestClass(
+        S, 3 * S, idempotency=Idempotency.KEYED, dedup_scope=DeduplicationScope.CELL, dedup_window_us=2 * S
+    ),
+    RequestClass(
+        S, 3 * S, idempotency=Idempotency.KEYED, dedup_scope=DeduplicationScope.ALL, dedup_window_us=2 * S
+    ),
+    RequestClass(S, 3 * S, idempotency=Idempotency.UNSAFE),
 )
 PLANS = (
     Plan(rate=5.0, burst=5.0),
-    Plan(max_out=2),
+    Plan(max_in_flight=2),
     Plan(rate=9.0, burst=9.0, ceiling_rate=12.0, ceiling_burst=10.0, ceiling_slack=1.0),
 )
 UNRUN = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED)
@@ -57,13 +63,13 @@
         assert action.id not in self.over
         assert self.states[action.server].state is EndpointState.UP
         outs = [key for key in self.out if key[0] == action.id]
-        assert len(outs) == 1 or (self.gateway.set.parallel_tries and len(outs) == 2)
-        if before and rule.effect is not Idempotency.SAFE:
-            assert rule.effect is Idempotency.KEYED
+        assert len(outs) == 1 or (self.gateway.set.may_hedge and len(outs) == 2)
+        if before and rule.idempotency is not Idempotency.SAFE:
+            assert rule.idempotency is Idempotency.KEYED
             first, place = self.states[before[0][0]], self.states[action.server]
-            assert rule.group is not DeduplicationScope.ZONE or first.zone == place.zone
-            assert rule.group is not DeduplicationScope.CELL or first.cell == place.cell
-            assert self.now < before[0][1] + rule.window_us
+            assert rule.dedup_scope is not DeduplicationScope.ZONE or first.zone == place.zone
+            assert rule.dedup_scope is not DeduplicationScope.CELL or first.cell == place.cell
+            assert self.now < before[0][1] + rule.dedup_window_us
         if not before and self.tries[action.id] == 1 and request.plan_index == 2:
             self.store = min(10.0, self.store + 12.0 * (self.now - self.store_at) / S) - request.units
             self.store_at = self.now
@@ -75,10 +81,10 @@
         rule = CLASSES[request.class_index]
         assert action.id not in self.over
         self.over.add(action.id)
-        assert self.now <= came + request.left_us + 8 * MS
+        assert self.now <= came + request.time_left_us + 8 * MS
         if isinstance(action, Reject) and self.might.get(action.id):
-            keyed = rule.effect is Idempotency.KEYED and rule.group is DeduplicationScope.ALL
-            assert rule.effect is Idempotency.SAFE or keyed
+            keyed = rule.idempotency is Idempotency.KEYED and rule.dedup_scope is DeduplicationScope.ALL
+            assert rule.idempotency is Idempotency.SAFE or keyed
 
     def settle(self, key: tuple[str, int], result: AttemptResult) -> None:
         """An attempt ends; one that a proof says never ran no longer binds its request."""
@@ -97,7 +103,7 @@
             self.run(min(MS, end - self.now))
             for key, (_, sent, timeout) in list(self.out.items()):
                 request, came = self.requests[key[0]]
-                if self.now >= min(sent + timeout, came + request.left_us) and key in self.out:
+                if self.now >= min(sent + timeout, came + request.time_left_us) and key in self.out:
                     self.settle(key, AttemptResult.TIMEOUT)
 
     def restart(self) -> None:
@@ -117,12 +123,12 @@
 
 
 def play(parallel: bool, steps: list[tuple[int, int, int]]) -> Referee:
-    world = Referee(replace(SETTINGS, classes=CLASSES, plans=PLANS, parallel_tries=parallel))
+    world = Referee(replace(SETTINGS, classes=CLASSES, plans=PLANS, may_hedge=parallel))
     for count, (kind, number, wait) in enumerate(steps):
         if kind <= 4:
             world.ask(
                 f"q{count}",
-                left_us=number * 100,
+                time_left_us=number * 100,
                 class_index=kind,
                 plan_index=number % 3,
                 customer=f"c{number % 3}",
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,23 +12,23 @@
 from orchidhatch.gateway.settings import Plan, RequestClass, Settings
 
 MS, S = 1_000, 1_000_000
-SAFE = RequestClass(aim_us=2 * S, deadline_us=6 * S)
+SAFE = RequestClass(latency_objective_us=2 * S, deadline_us=6 * S)
 PLAN = Plan(rate=10.0, burst=20.0)
 SETTINGS = Settings(
     seed=7,
-    me=0,
-    gateways=1,
+    gateway_index=0,
+    gateway_count=1,
     classes=(SAFE,),
     plans=(PLAN,),
     max_attempts=3,
     may_cancel=True,
-    may_tell=True,
+    may_gossip=True,
     peer_messages_per_s=100.0,
     max_retry_after_us=500 * MS,
-    cold_from=0.2,
-    warm_within_us=10 * S,
-    fall_multiple=2.0,
-    fall_us=S,
+    cold_capacity=0.2,
+    warm_up_us=10 * S,
+    overload_multiple=2.0,
+    overload_time_us=S,
     answer_grace_us=8 * MS,
 )
 
@@ -74,8 +74,8 @@
         self.now = end
         return [action for _, action in self.log[start:]]
 
-    def ask(self, name: str, left_us: int = 6 * S, **values: object) -> list[Action]:
-        request = Request(name, 0, 0, "c", left_us)
+    def ask(self, name: str, time_left_us: int = 6 * S, **values: object) -> list[Action]:
+        request = Request(name, 0, 0, "c", time_left_us)
         return self.tell(replace(request, **values))
 
     def answer(
@@ -105,7 +105,10 @@
         fleet: Iterable[Endpoint] = servers(4),
         loss: float = 0.0,
     ) -> None:
-        self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
+        self.worlds = [
+            World(replace(settings, gateway_index=n, gateway_count=count, seed=n), fleet)
+            for n in range(count)
+        ]
         self.posted: list[tuple[int, SendGossip]] = []
         self.random, self.loss, self.down = random.Random(3), loss, -1
         self.lasts_us = 0  # how long an attempt is out, at least
@@ -122,7 +125,7 @@
             posted, self.posted = self.posted, []
             for sender, told in posted:
                 if self.random.random() >= self.loss and self.down not in (sender, told.peer):
-                    event = PeerMessage(sender, told.words, told.sightings)
+                    event = PeerMessage(sender, told.messages, told.observations)
                     self.carry(told.peer, self.worlds[told.peer].tell(event))
             for me, world in enumerate(self.worlds):
                 self.carry(me, world.run(10 * MS))
--- a/tests/proxy/test_clients.py
+++ b/tests/proxy/test_clients.py
@@ -192,7 +192,7 @@
         command = PARSER.parse(words, 0)
     except CommandError:
         return
-    assert command.request.left_us == 500_000
+    assert command.request.time_left_us == 500_000
     assert text.replace("d=500", "d=7") in command.payload(7_000).decode()
 
 
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -216,7 +216,7 @@
     async def job() -> None:
         nonlocal late_us
         both = [Backend(lambda words: b"-ERR failed\r\n"), Backend(lambda words: b"-ERR failed\r\n")]
-        classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], window_us=S), SETTINGS.classes[2])
+        classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], dedup_window_us=S), SETTINGS.classes[2])
         async with front_door(*both, settings=replace(SETTINGS, classes=classes)) as (door, address):
             client, up, connect = await Client.open(address), asyncio.Event(), Pool.connect
 
@@ -249,7 +249,7 @@
     async def job() -> None:
         backend = Backend()
         plans = (Plan(rate=1.0, burst=4.0),)
-        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
+        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings) as (door, address):
             client = await Client.open(address)
             client.send(query("a1", units="2"))
@@ -273,7 +273,7 @@
 @pytest.mark.parametrize("level", [15.0, 5.0])
 def test_what_the_home_has_counted_for_a_client_that_left_meanwhile_is_given_back_once(level: float) -> None:
     """The home counts what it lets in with its answer, which finds nobody any more."""
-    world = World(replace(helpers.SETTINGS, gateways=3))
+    world = World(replace(helpers.SETTINGS, gateway_count=3))
     name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
     world.ask("r1", customer=name, units=10.0, set_size=3)
     (customer,) = world.gateway.homes.customers.values()
@@ -386,8 +386,8 @@
             half.send(query("c1")[-1:])
             while len(backend.commands) < 2:
                 await asyncio.sleep(0)
-            left_us = door.open["c1"].end_us - door.open["c1"].came_us
-            assert left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
+            time_left_us = door.open["c1"].end_us - door.open["c1"].came_us
+            assert time_left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
             assert "a2" not in door.open
             for writer in backend.writers:
                 writer.write(value(b"at last"))
@@ -434,8 +434,8 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        plans = (Plan(rate=1000.0, burst=1000.0, max_out=1),)
-        settings = replace(SETTINGS, plans=plans, gateways=1)
+        plans = (Plan(rate=1000.0, burst=1000.0, max_in_flight=1),)
+        settings = replace(SETTINGS, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings) as (door, address):
             clients = [await Client.open(address) for _ in range(3)]
             for number, one in enumerate(clients):
@@ -539,8 +539,8 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        plans = (Plan(rate=1000.0, burst=1000.0), Plan(rate=1000.0, burst=1000.0, max_out=1))
-        settings = replace(SETTINGS, plans=plans, gateways=1)
+        plans = (Plan(rate=1000.0, burst=1000.0), Plan(rate=1000.0, burst=1000.0, max_in_flight=1))
+        settings = replace(SETTINGS, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
             door,
             address,
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -54,12 +54,12 @@
         stream += chunk(line[30:] + b"\n" + gone[:9]) + chunk(gone[9:])
         pieces = [stream[n : n + 50] for n in range(0, len(stream), 50)]
         first, second = await news_of(Watch(script(*pieces)), 2)
-        states = {server.name: server.state for server in first.event.servers}
+        states = {server.name: server.state for server in first.event.endpoints}
         assert (first.event.kind, first.event.version) == (EndpointListKind.FULL, 5)
         draining = EndpointState.DRAINING
         assert states == {"s1": EndpointState.UP, "s2": draining, "s3": draining}
         assert (second.event.kind, second.event.version) == (EndpointListKind.CHANGES, 6)
-        assert second.event.servers[0].state is EndpointState.GONE
+        assert second.event.endpoints[0].state is EndpointState.GONE
 
     run(job())
 
@@ -96,7 +96,7 @@
         watch = Watch(script(HEAD + b"".join(pieces)))
         found = await news_of(watch, 3)
         assert [news.event.version for news in found] == [5, 6, 7]
-        assert [server.name for server in found[0].event.servers] == ["s}1", "s2"]
+        assert [server.name for server in found[0].event.endpoints] == ["s}1", "s2"]
         assert len(watch.targets) == 1
 
     run(job())
@@ -285,7 +285,7 @@
 def test_entry_with_a_start_beyond_all_numbers_is_passed_over() -> None:
     odd = entry("s1", AT) | {"startedAtMs": float("inf")}
     news = Catalog(CONFIG).news({"generation": 3, "reset": True, "instances": [odd, entry("s2", AT)]})
-    assert [server.name for server in news.event.servers] == ["s2"]
+    assert [server.name for server in news.event.endpoints] == ["s2"]
 
 
 def test_known_list_serves_while_discovery_is_silent() -> None:
@@ -320,7 +320,7 @@
         while len(got) < len(words):
             message = await heard.get()
             assert message.sender == 1
-            got += message.words
+            got += message.messages
         assert got == words and heard.empty()
 
     run(job())
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -55,12 +55,14 @@
     later = successor(world)
     assert of(SendAttempt, later.ask("b")) == []
     [census] = of(MetricsSnapshot, later.tell(MetricsRequest()))
-    assert (census.listed, census.avoided) == (4, 1)
+    assert (census.listed, census.ejected) == (4, 1)
     assert of(SendAttempt, World().ask("b")) != []  # which a fresh start would send
 
 
 def test_ceiling_and_open_cap_are_kept_by_both_together() -> None:
-    plan = Plan(rate=100.0, burst=100.0, max_out=2, ceiling_rate=10.0, ceiling_burst=4.0, ceiling_slack=1.0)
+    plan = Plan(
+        rate=100.0, burst=100.0, max_in_flight=2, ceiling_rate=10.0, ceiling_burst=4.0, ceiling_slack=1.0
+    )
     world = World(replace(SETTINGS, plans=(plan,)))
     world.ask("a0")  # the customer is known, its ceiling fills
     world.run(2 * S)
--- a/tests/proxy/test_main.py
+++ b/tests/proxy/test_main.py
@@ -72,9 +72,9 @@
 def test_configuration_is_read(tmp_path: Path) -> None:
     found = load({**write(tmp_path, config()), "PROXY_LISTEN": f"{HOST}:6379", "PROXY_NAME": "n9"})
     assert (found.name, found.listen, found.discovery) == ("n9", (HOST, 6379), (HOST, 8))
-    assert found.settings.seed == 0x8C1F30D27A5BE964 and found.settings.gateways == 2
+    assert found.settings.seed == 0x8C1F30D27A5BE964 and found.settings.gateway_count == 2
     assert found.class_numbers == {"read": 0, "settle": 1} and found.zone_numbers == {"a": 0, "b": 1}
-    assert found.settings.classes[1].effect.value == "unsafe" and found.settings.plans[0].rate == 9.0
+    assert found.settings.classes[1].idempotency.value == "unsafe" and found.settings.plans[0].rate == 9.0
     assert found.settings.max_retry_after_us == 500_000 and found.sockets == 512
     assert found.conn_idle_us == 7_000_000 and found.connect_timeout_us == 250_000
 
--- a/tests/proxy/test_management.py
+++ b/tests/proxy/test_management.py
@@ -114,7 +114,7 @@
 
     async def job() -> None:
         backend = Backend(lambda words: answers.get(words[2]))
-        changes = {"max_attempts": 1, "parallel_tries": False}
+        changes = {"max_attempts": 1, "may_hedge": False}
         async with operated(backend, settings=replace(SETTINGS, **changes)) as (door, address):
             client = await Client.open(address)
             assert (await figures(door))['proxy_answered_total{group="read"}'] == 0
--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -40,7 +40,12 @@
             door.config,
             policy=under_policy(number=2, digest=DA),
             plan_numbers={"new": 0, "team": 1},
-            settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})),
+            settings=replace(
+                door.config.settings,
+                plans=(PLAN, WIDER),
+                policy_mark=3,
+                banned_customers=frozenset({CUSTOMER}),
+            ),
         )
         door.reload(replace(new, class_numbers={"other": 0}))
         assert door.config.policy.number == 1  # it cannot go by that
--- a/tests/proxy/test_wait_queues.py
+++ b/tests/proxy/test_wait_queues.py
@@ -259,7 +259,7 @@
 
 
 def test_module_counts_what_is_open_through_every_end() -> None:
-    world = World(replace(WORLD, max_open=4, max_open_bytes=1000), servers(4))
+    world = World(replace(WORLD, max_open_requests=4, max_open_bytes=1000), servers(4))
     ends = [
         lambda name: world.answer(name),
         lambda name: world.answer(name, AttemptResult.TIMEOUT),
@@ -267,15 +267,15 @@
         lambda name: world.tell(StreamStarted(name, 0, world.out[(name, 0)][0], 5)),
     ]
     for n in range(4):
-        assert of(SendAttempt, world.ask(f"a{n}", size=100))
+        assert of(SendAttempt, world.ask(f"a{n}", size_bytes=100))
     assert world.gateway.open == 4 and world.gateway.open_bytes == 400
-    [refused] = of(Reject, world.ask("b", size=100))
+    [refused] = of(Reject, world.ask("b", size_bytes=100))
     assert 0 < refused.retry_after_us <= WORLD.max_retry_after_us
     for n, end in enumerate(ends):
         end(f"a{n}")
         world.run(7 * S)  # past the time of what is tried again
     assert world.gateway.open == 0 and world.gateway.open_bytes == 0
-    assert of(Reject, world.ask("c", size=1001))
+    assert of(Reject, world.ask("c", size_bytes=1001))
 
 
 def test_attempt_without_a_connection_to_be_had_is_told_so() -> None:
@@ -335,13 +335,13 @@
 
 
 def test_words_for_a_peer_are_bounded_and_dropped_with_a_count() -> None:
-    world = World(replace(WORLD, gateways=3, peer_messages_per_s=0.01))
+    world = World(replace(WORLD, gateway_count=3, peer_messages_per_s=0.01))
     for n in range(MOST_WORDS + 30):
         world.ask(f"a{n}", customer="c2", set_size=3)
     [census] = of(MetricsSnapshot, world.tell(MetricsRequest()))
-    assert census.words == MOST_WORDS and census.words_dropped > 0
+    assert census.messages == MOST_WORDS and census.messages_dropped > 0
     world.run(50 * MS)
-    assert of(MetricsSnapshot, world.tell(MetricsRequest()))[0].words_us >= 50 * MS
+    assert of(MetricsSnapshot, world.tell(MetricsRequest()))[0].messages_us >= 50 * MS
 
 
 def test_datagrams_that_the_socket_does_not_take_are_dropped_with_a_count() -> None:
@@ -432,7 +432,7 @@
 
 def test_one_customers_flood_costs_the_others_nothing() -> None:
     async def job() -> None:
-        settings = replace(SETTINGS, gateways=1, plans=(Plan(rate=5.0, burst=5.0),))
+        settings = replace(SETTINGS, gateway_count=1, plans=(Plan(rate=5.0, burst=5.0),))
         async with operated(Backend(), settings=settings) as (door, address):
             rude, polite = await Client.open(address), await Client.open(address)
             rude.send(flood(100))
@@ -485,13 +485,13 @@
     """All servers hang for 8 s under 20 requests a second, then each answers after 50 ms again."""
     settings = replace(
         WORLD,
-        classes=(RequestClass(aim_us=750 * MS, deadline_us=2 * S),),
+        classes=(RequestClass(latency_objective_us=750 * MS, deadline_us=2 * S),),
         plans=(Plan(rate=100.0, burst=100.0),),
     )
     world, served = World(settings, servers(10)), [0] * 20
     ends_us = world.now + 8 * S
     for step in range(20 * 20):
-        world.ask(f"a{step}", left_us=2 * S)
+        world.ask(f"a{step}", time_left_us=2 * S)
         world.run(50 * MS)
         for (name, attempt), (_, sent_us, _) in list(world.out.items()):
             if sent_us >= ends_us:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -20,22 +20,26 @@
 HOST = f"127.0.0.{1 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
 CUSTOMER = "00000000b4d65521"
 CLASSES = (
-    RequestClass(aim_us=2_000_000, deadline_us=6_000_000),
+    RequestClass(latency_objective_us=2_000_000, deadline_us=6_000_000),
     RequestClass(
-        2_000_000, 6_000_000, effect=Idempotency.KEYED, group=DeduplicationScope.ZONE, window_us=5_000_000
+        2_000_000,
+        6_000_000,
+        idempotency=Idempotency.KEYED,
+        dedup_scope=DeduplicationScope.ZONE,
+        dedup_window_us=5_000_000,
     ),
-    RequestClass(2_000_000, 6_000_000, effect=Idempotency.UNSAFE),
+    RequestClass(2_000_000, 6_000_000, idempotency=Idempotency.UNSAFE),
 )
 SETTINGS = Settings(
     seed=3,
-    me=0,
-    gateways=2,
+    gateway_index=0,
+    gateway_count=2,
     classes=CLASSES,
     plans=(Plan(rate=1000.0, burst=1000.0),),
     max_attempts=3,
     max_retry_after_us=750_000,
     may_cancel=True,
-    may_tell=True,
+    may_gossip=True,
     peer_messages_per_s=100.0,
 )
 CONFIG = Config(
