Give each wire of the gateway a codec of its own, and type the handover's protocol

Need: one module encoded settings, load reports, datagrams and the handover; the handover compared words in a chain of branches, and nobody owned its repeated timer.

Bytes on the wires and the socket's name stay. Socket counts, state and messages of the other process have plain names in the process that serves.

--- /dev/null
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -0,0 +1,121 @@
+"""The datagrams between gateways: gossip messages and attempt observations, at most 256 bytes each.
+
+A datagram is a head, the messages and the observations. The head is one byte, HEAD with the count of
+messages, or two where a policy's mark follows: HEAD_WITH_MARK with the count, and the mark. Amounts go in steps of
+1 / AMOUNT_STEPS, relative latencies in steps of 1 / LATENCY_STEPS.
+"""
+
+import struct
+from collections.abc import Iterable
+
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
+
+HEAD = 0xA0
+HEAD_WITH_MARK = 0xB0
+KIND_BITS = 0xF0  # of the head; the others count the messages
+HEAD_BYTES = 2
+DATAGRAM_BYTES = 256
+MESSAGE = struct.Struct("!IBHHBhhhhB")
+OBSERVATION = struct.Struct("!HBB")
+CLASSES_LIMIT = 128  # that an observation can name
+AMOUNT_STEPS = 50
+AMOUNT_RANGE = (-32768, 32767)
+IN_FLIGHT_LIMIT = 255
+LATENCY_STEPS = 255
+SLOT_GRANTS = frozenset(
+    SlotGrant
+)  # an earlier version sends none, and takes an answer with one for an answer
+
+
+def pack_message(
+    messages: Iterable[GossipMessage], observations: Iterable[AttemptObservation] = (), policy_mark: int = 0
+) -> list[bytes]:
+    """The datagrams that hold the messages, of which there is one at least; observations fill up the last.
+
+    The mark of a policy is from 1 to 255; a gateway of an earlier version ignores a datagram with one.
+    """
+    packed = [pack_gossip(message) for message in messages]
+    per_datagram = (DATAGRAM_BYTES - HEAD_BYTES) // MESSAGE.size
+    parts = [packed[start : start + per_datagram] for start in range(0, len(packed), per_datagram)]
+    datagrams = [head_of(len(part), policy_mark) + b"".join(part) for part in parts]
+    left = (DATAGRAM_BYTES - len(datagrams[-1])) // OBSERVATION.size
+    seen = [pack_observation(one) for one in observations if one.class_index < CLASSES_LIMIT]
+    datagrams[-1] += b"".join(seen[:left])
+    return datagrams
+
+
+def head_of(count: int, policy_mark: int) -> bytes:
+    """The head of a datagram with so many messages."""
+    return bytes([HEAD_WITH_MARK | count, policy_mark] if policy_mark else [HEAD | count])
+
+
+def pack_gossip(message: GossipMessage) -> bytes:
+    """One message; amounts beyond the range of the wire are cut to it."""
+    least, most = AMOUNT_RANGE
+    amounts = (message.demand, message.spent, message.requested, message.level)
+    return MESSAGE.pack(
+        message.customer,
+        message.plan_index,
+        message.set_first,
+        message.set_size,
+        message.is_answer | message.slot_grant << 1,
+        *(max(least, min(most, round(amount * AMOUNT_STEPS))) for amount in amounts),
+        max(0, min(IN_FLIGHT_LIMIT, message.in_flight)),
+    )
+
+
+def pack_observation(observation: AttemptObservation) -> bytes:
+    """One observation: class and success share a byte."""
+    return OBSERVATION.pack(
+        observation.server_checksum,
+        observation.class_index << 1 | observation.succeeded,
+        round(min(1.0, observation.relative_latency) * LATENCY_STEPS),
+    )
+
+
+def mark_of(data: bytes) -> int:
+    """The mark of the policy that a datagram goes by; 0 for none."""
+    return data[1] if len(data) > 1 and data[0] & KIND_BITS == HEAD_WITH_MARK else 0
+
+
+def unpack_message(data: bytes) -> tuple[tuple[GossipMessage, ...], tuple[AttemptObservation, ...]]:
+    """The messages and observations of a datagram; none where it is malformed."""
+    if mark_of(data):
+        data = bytes([data[0] ^ HEAD_WITH_MARK ^ HEAD]) + data[2:]
+    end = 1 + (data[0] ^ HEAD) * MESSAGE.size if data else 0
+    if not 1 < end <= len(data) <= DATAGRAM_BYTES or (len(data) - end) % OBSERVATION.size:
+        return (), ()
+    messages = tuple(unpack_gossip(*values) for values in MESSAGE.iter_unpack(data[1:end]))
+    observations = tuple(
+        AttemptObservation(server, kind >> 1, bool(kind & 1), latency / LATENCY_STEPS)
+        for server, kind, latency in OBSERVATION.iter_unpack(data[end:])
+    )
+    return messages, observations
+
+
+def unpack_gossip(
+    customer: int,
+    plan_index: int,
+    set_first: int,
+    set_size: int,
+    answer: int,
+    demand: int,
+    spent: int,
+    requested: int,
+    level: int,
+    in_flight: int,
+) -> GossipMessage:
+    """A message from the values of its struct, in their order; a grant that is not known is none."""
+    return GossipMessage(
+        customer,
+        plan_index,
+        set_first,
+        set_size,
+        bool(answer & 1),
+        demand / AMOUNT_STEPS,
+        spent / AMOUNT_STEPS,
+        requested / AMOUNT_STEPS,
+        level / AMOUNT_STEPS,
+        in_flight,
+        SlotGrant(answer >> 1) if answer >> 1 in SLOT_GRANTS else SlotGrant.NONE,
+    )
--- a/orchidhatch/gateway/simulator.py
+++ b/orchidhatch/gateway/simulator.py
@@ -25,7 +25,6 @@
     WaitTimes,
 )
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.codec import Pairs, pack_message, read_report, read_settings, unpack_message
 from orchidhatch.gateway.core import Gateway
 from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
 from orchidhatch.gateway.events import (
@@ -40,6 +39,8 @@
     StreamStarted,
     TimerExpired,
 )
+from orchidhatch.gateway.gossip_codec import pack_message, unpack_message
+from orchidhatch.gateway.settings_codec import SettingTexts, read_report, read_settings
 
 RESULTS = {
     "served": AttemptResult.OK,
@@ -103,14 +104,14 @@
         return word == "1"
 
 
-def read_pairs(parts: Iterable[str]) -> Pairs:
+def read_pairs(parts: Iterable[str]) -> SettingTexts:
     values: dict[str, str] = {}
     for part in parts:
         path, sign, value = part.partition("=")
         if not sign:
             raise WireError(f"'{part}' is not path=value")
         values[path] = value
-    return Pairs(values)
+    return SettingTexts(values)
 
 
 def read_load(fields: Fields, names: list[str]) -> LoadReport | None:
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -14,8 +14,8 @@
 from dataclasses import fields
 
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.codec import read_report
 from orchidhatch.gateway.endpoints import EndpointState
+from orchidhatch.gateway.settings_codec import read_report
 from orchidhatch.proxy import socket_inspection as looks
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.cpu_accounting import Account, Place
--- a/orchidhatch/proxy/config.py
+++ b/orchidhatch/proxy/config.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.gateway.codec import Pairs, read_settings
 from orchidhatch.gateway.settings import Settings
+from orchidhatch.gateway.settings_codec import SettingTexts, read_settings
 
 Address = tuple[str, int]
 
@@ -157,7 +157,7 @@
         raise ConfigError(f"{name} is {value:g}, not from {least:g} to {most:g}")
 
 
-def bounded(pairs: Pairs, path: str, default: int, least: int, most: int) -> int:
+def bounded(pairs: SettingTexts, path: str, default: int, least: int, most: int) -> int:
     value = pairs.whole(path, default)
     within(path, value, least, most)
     return value
@@ -182,7 +182,7 @@
 def read_policy(value: object) -> Policy | None:
     if value is None:
         return None
-    pairs = Pairs(dict(flatten(value)))
+    pairs = SettingTexts(dict(flatten(value)))
     digest = pairs.text("digest")
     if digest and not DIGEST.fullmatch(digest):
         raise ConfigError(f"policy.digest is '{digest:.40}', not 16 hex digits")
@@ -196,8 +196,8 @@
 
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings = values["settings"]
-    pairs = Pairs(dict(flatten(settings)))
-    limits = Pairs(dict(flatten(values.get("limits") or {}, "limits")))
+    pairs = SettingTexts(dict(flatten(settings)))
+    limits = SettingTexts(dict(flatten(values.get("limits") or {}, "limits")))
     peer_listen = values.get("peer_listen")
     management = env.get("PROXY_MANAGEMENT") or values.get("management")
     config = Config(
--- a/orchidhatch/proxy/peers.py
+++ b/orchidhatch/proxy/peers.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 
 from orchidhatch.gateway.actions import SendGossip
-from orchidhatch.gateway.codec import mark_of, pack_message, unpack_message
 from orchidhatch.gateway.events import PeerMessage
+from orchidhatch.gateway.gossip_codec import mark_of, pack_message, unpack_message
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.cpu_accounting import Account, Place
 from orchidhatch.proxy.wait_queues import Waits
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -31,7 +31,6 @@
     WaitTimes,
 )
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.codec import plain
 from orchidhatch.gateway.core import Gateway
 from orchidhatch.gateway.endpoints import EndpointListKind
 from orchidhatch.gateway.events import (
@@ -48,6 +47,7 @@
     SuspendAdmission,
     TimerExpired,
 )
+from orchidhatch.gateway.handover_codec import to_plain
 from orchidhatch.gateway.peer_outbox import MOST_WORDS
 from orchidhatch.gateway.snapshots import (
     GatewaySnapshot,
@@ -81,7 +81,7 @@
     resident_bytes,
 )
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News
-from orchidhatch.proxy.handover import Twin
+from orchidhatch.proxy.handover import HandoverPeer
 from orchidhatch.proxy.log_writer import LogWriter
 from orchidhatch.proxy.management import Answer, Calls, Management
 from orchidhatch.proxy.metrics import Ended, Figures, page
@@ -111,7 +111,7 @@
 TURNS_TO_ACCEPT = 3  # of the loop, one of which at least asks the kernel who has connected
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
-TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
+HANDOVER_NAME = "molereach-hand-over"  # in the directory that two processes share
 CLIENT_SHARE = 0.6  # of the other sockets
 HELD_SHARE, LEAST_HELD = 6, 1 << 20  # of the memory above the program's, for commands not answered yet
 
@@ -197,7 +197,9 @@
         self.last_answer_us: int | None = None  # until when it is sure to live, once it is ending
         self.finished = asyncio.Event()  # replaced, and with nothing left to do
         takes_over = config.socket_fd is not None and config.shared
-        self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
+        self.handover_peer = (
+            HandoverPeer(self, config.shared / f"{HANDOVER_NAME}.socket") if takes_over else None
+        )
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone, self.account)
         self.clients.set_pool(config.memory_mb)
@@ -229,7 +231,7 @@
             CloseIdleConnections: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
             **dict.fromkeys(
                 (HandoverSpend, HandoverAttempt, HandoverAttemptEnd, HandoverEjection),
-                (Place.PEERS, self.tell_twin),
+                (Place.PEERS, self.send_to_handover_peer),
             ),
             # The watch is always on.
             **dict.fromkeys((Subscribe, FetchEndpointList), (Place.DISCOVERY, lambda action: None)),
@@ -254,7 +256,7 @@
         if self.config.management:
             await self.management.start(*self.config.management)
         self.log_later()
-        if not self.twin:
+        if not self.handover_peer:
             await self.open_peers()
         self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
         known = bool(self.catalog.entries)
@@ -265,7 +267,7 @@
             )
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
-        if self.twin:
+        if self.handover_peer:
             await self.take_over()
         else:
             host, port = self.config.listen
@@ -283,7 +285,7 @@
 
     async def take_over(self) -> None:
         """Serve on the inherited socket, from the state of the process that serves there, if there is one."""
-        sound = await self.twin.take_over()
+        sound = await self.handover_peer.take_over()
         if sound:
             log.info("goes on from the process that served so far")
         else:
@@ -291,9 +293,9 @@
         listening = socket.socket(fileno=self.config.socket_fd)
         listening.setblocking(False)
         self.server = await self.loop.create_server(self.clients.connection, sock=listening, backlog=1024)
-        await self.twin.serve()
+        await self.handover_peer.serve()
         self.backends.spawn(self.open_peers_at_last(sound))
-        await self.twin.offer()
+        await self.handover_peer.offer()
 
     async def open_peers_at_last(self, sound: bool) -> None:
         """The peers' address is free once the old process lets go of it, or has ended."""
@@ -309,10 +311,10 @@
         if not sound:
             self.post(HandoverPeerGone())
 
-    def memory(self) -> dict[str, Any]:
+    def handover_state(self) -> dict[str, Any]:
         """What the next process goes on from."""
-        state = plain(self.ask(StartHandover()))
-        return {"state": state, "known": self.catalog.known(), "count": self.sockets()}
+        state = to_plain(self.ask(StartHandover()))
+        return {"state": state, "known": self.catalog.known(), "count": self.socket_counts()}
 
     def resume(self, state: GatewaySnapshot, known: Mapping[str, Any]) -> None:
         """Go on from there; its list holds unless ours is as new."""
@@ -340,15 +342,15 @@
         await asyncio.sleep(STAY_S)
         self.finished.set()
 
-    def sockets(self) -> tuple[int, int]:
+    def socket_counts(self) -> tuple[int, int]:
         return len(self.clients.connections), self.backends.held
 
-    def others(self, clients: int, backends: int) -> None:
+    def set_peer_socket_counts(self, clients: int, backends: int) -> None:
         self.clients.others, self.backends.others = clients, backends
 
-    def tell_twin(self, action: HandoverMessage) -> None:
-        if self.twin:
-            self.twin.tell(action)
+    def send_to_handover_peer(self, action: HandoverMessage) -> None:
+        if self.handover_peer:
+            self.handover_peer.send(action)
 
     def reload(self, config: Config) -> None:
         """Take over what may change while it runs: the address of discovery, and the policy it is under."""
@@ -485,8 +487,8 @@
         """Let go of all sockets."""
         if self.server:
             self.server.close()
-        if self.twin:
-            self.twin.close()
+        if self.handover_peer:
+            self.handover_peer.close()
         self.management.close()
         self.peers.close()
         self.clients.close()
@@ -516,7 +518,7 @@
         return 200, self.stats()[1] + self.cost_figures() + self.wait_figures()
 
     def cost_figures(self) -> str:
-        clients, backends = self.sockets()
+        clients, backends = self.socket_counts()
         management, held = len(self.management.connections), descriptors()
         other = {} if held is None else {"other": max(0, held - clients - backends - management)}
         resident = resident_bytes()
@@ -774,7 +776,7 @@
             self.answer(request_id, FAILED, Ended.ERRORED)
             self.post(ClientGone(request_id))
 
-    def twin_heard(self, event: Event) -> None:
+    def handover_peer_sent(self, event: Event) -> None:
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
         self.post(event)
         if isinstance(event, HandoverEjection):
--- a/tests/baseline/test_gateway.py
+++ b/tests/baseline/test_gateway.py
@@ -7,16 +7,10 @@
 
 import pytest
 
-from orchidhatch.gateway.codec import (
-    HANDOVER_MESSAGES,
-    mark_of,
-    pack_message,
-    plain,
-    read_plain,
-    unpack_message,
-)
 from orchidhatch.gateway.core import Gateway
 from orchidhatch.gateway.events import Event
+from orchidhatch.gateway.gossip_codec import mark_of, pack_message, unpack_message
+from orchidhatch.gateway.handover_codec import MESSAGE_KINDS, from_plain, to_plain
 from tests.baseline.decoding import FOLDER, class_of, decode, read
 
 STREAMS = sorted(FOLDER.glob("events-*.jsonl.gz"))
@@ -57,18 +51,18 @@
 
 def test_recorded_state_of_a_predecessor_is_read_and_written_as_recorded() -> None:
     recorded = read("handover.json")
-    state = read_plain(class_of("State"), recorded["state"])
+    state = from_plain(class_of("State"), recorded["state"])
     assert state == decode(recorded["decoded"])
-    assert json.loads(json.dumps(plain(state))) == recorded["state"]
+    assert json.loads(json.dumps(to_plain(state))) == recorded["state"]
 
 
 def test_recorded_lines_of_a_hand_over_are_read_and_written_as_recorded() -> None:
     recorded = read("handover.json")
     for line, value in zip(recorded["lines"], recorded["records"], strict=True):
-        record = read_plain(class_of(line["say"]), line["record"])
+        record = from_plain(class_of(line["say"]), line["record"])
         assert record == decode(value)
-        assert json.loads(json.dumps(plain(record))) == line["record"]
+        assert json.loads(json.dumps(to_plain(record))) == line["record"]
 
 
 def test_names_that_go_over_the_wire_of_a_hand_over_stay() -> None:
-    assert set(HANDOVER_MESSAGES) == {"TwinSpend", "TwinSend", "TwinEnd", "TwinMaint"}
+    assert set(MESSAGE_KINDS) == {"TwinSpend", "TwinSend", "TwinEnd", "TwinMaint"}
--- a/tests/gateway/test_policy_change.py
+++ b/tests/gateway/test_policy_change.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 
 from orchidhatch.gateway.actions import Reject, SendAttempt, WaitTimes
-from orchidhatch.gateway.codec import MARK, WORD, mark_of, pack_message, unpack_message
 from orchidhatch.gateway.events import PeerMessage, PolicyChange, SuspendAdmission
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
+from orchidhatch.gateway.gossip_codec import HEAD, MESSAGE, mark_of, pack_message, unpack_message
 from orchidhatch.gateway.settings import Plan
 from tests.helpers import MS, PLAN, SETTINGS, World, of
 
@@ -85,6 +85,8 @@
     [plain], [marked] = pack_message(words, seen), pack_message(words, seen, 200)
     assert (mark_of(plain), mark_of(marked)) == (0, 200) and max(map(len, (plain, marked))) <= 256
     assert unpack_message(plain)[0] == unpack_message(marked)[0] == words
-    assert 1 + (marked[0] ^ MARK) * WORD.size > 256  # by which the version before knows what is not its form
+    assert (
+        1 + (marked[0] ^ HEAD) * MESSAGE.size > 256
+    )  # by which the version before knows what is not its form
     for cut in range(len(marked)):
         unpack_message(marked[:cut])
--- a/tests/gateway/test_simulator.py
+++ b/tests/gateway/test_simulator.py
@@ -20,8 +20,8 @@
     SetTimer,
     Subscribe,
 )
-from orchidhatch.gateway.codec import pack_message, unpack_message
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
+from orchidhatch.gateway.gossip_codec import pack_message, unpack_message
 from orchidhatch.gateway.simulator import Host, write_action
 
 ROOT = Path(__file__).parents[2]
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -75,7 +75,9 @@
     "not in the whole list": lambda door, backend: door.list_heard(
         door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))
     ),
-    "left out at the other process": lambda door, backend: door.twin_heard(HandoverEjection("s0", True)),
+    "left out at the other process": lambda door, backend: door.handover_peer_sent(
+        HandoverEjection("s0", True)
+    ),
 }
 
 
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -10,10 +10,10 @@
 import pytest
 
 from orchidhatch.gateway.actions import SendGossip
-from orchidhatch.gateway.codec import pack_message
 from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
 from orchidhatch.gateway.events import EndpointList, Event
 from orchidhatch.gateway.gossip import GossipMessage
+from orchidhatch.gateway.gossip_codec import pack_message
 from orchidhatch.proxy import endpoint_watch as discovery
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News, Values
 from orchidhatch.proxy.peers import Peers
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -14,7 +14,6 @@
 from hypothesis import strategies as st
 
 from orchidhatch.gateway.actions import MetricsSnapshot, SendAttempt
-from orchidhatch.gateway.codec import plain, read_plain
 from orchidhatch.gateway.events import (
     HandoverPeerGone,
     HandoverPeerUnknown,
@@ -22,6 +21,7 @@
     SetEjection,
     StartHandover,
 )
+from orchidhatch.gateway.handover_codec import from_plain, to_plain
 from orchidhatch.gateway.settings import Plan
 from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
 from orchidhatch.proxy import handover
@@ -36,7 +36,7 @@
 
 def handed(world: World) -> GatewaySnapshot:
     state = of(GatewaySnapshot, world.tell(StartHandover()))[0]
-    return read_plain(GatewaySnapshot, json.loads(json.dumps(plain(state))))
+    return from_plain(GatewaySnapshot, json.loads(json.dumps(to_plain(state))))
 
 
 def successor(world: World) -> World:
@@ -118,7 +118,7 @@
 @given(JSON)
 def test_what_is_no_state_is_a_value_error(value: object) -> None:
     with pytest.raises(ValueError):
-        read_plain(GatewaySnapshot, value)
+        from_plain(GatewaySnapshot, value)
 
 
 # --- the processes ---
@@ -213,7 +213,7 @@
 def test_unsound_hand_over_is_a_fresh_start(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes
 ) -> None:
-    monkeypatch.setattr(handover, "ANSWER_S", 0.2)
+    monkeypatch.setattr(handover, "ANSWER_TIMEOUT_S", 0.2)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readline()
@@ -222,7 +222,7 @@
         writer.close()
 
     async def job() -> None:
-        path = tmp_path / f"{frontdoor.TWIN_NAME}.socket"
+        path = tmp_path / f"{frontdoor.HANDOVER_NAME}.socket"
         server = await asyncio.start_unix_server(serve, str(path))
         async with doors(Backend(), tmp_path) as (config, started):
             new = await start(config, started)
@@ -254,7 +254,7 @@
         async with doors(Backend(), tmp_path) as (config, started):
             door = await start(config, started)
             for line in (b"what\n", b'{"version":1,"say":"serving"}\n', b'{"version":1,"say":"TwinEnd"}\n'):
-                reader, writer = await asyncio.open_unix_connection(str(door.twin.path))
+                reader, writer = await asyncio.open_unix_connection(str(door.handover_peer.path))
                 writer.write(line)
                 assert await reader.read() == b""
                 writer.close()
