--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -108,7 +108,7 @@
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
         self.homes.renew()
-        self.homes.give_all_places()
+        self.homes.grant_all_slots()
 
     def end_period(self) -> None:
         self.cap.end_period()
@@ -155,32 +155,32 @@
     def admit(self, job: Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
         customer, units = job.customer, job.req.units
-        had_part = customer.part >= units
+        had_part = customer.share >= units
         chance = self.homes.chance(customer, units)
         if chance is None:
             self.ask(job)
             return
-        known = "home" if customer.at_home else "old" if customer.is_fresh(self.desk.now) else "unheard"
+        known = "home" if customer.is_leader else "old" if customer.is_fresh(self.desk.now) else "unheard"
         self.decide(job, chance, "part" if had_part else known)
-        if had_part and not customer.shares_cap():  # else the wish for a place tells it
-            self.homes.tell(customer.home, customer, 0.0)
+        if had_part and not customer.shares_slots():  # else the wish for a place tells it
+            self.homes.tell(customer.leader, customer, 0.0)
 
     def ask(self, job: Job) -> None:
         wait, job.asks = min(ASK_US, job.rule.latency_objective_us // 8), job.asks + 1
         self.words.tally["asked"] += 1
         job.decide_us = min(self.desk.now + wait, job.end_us - 4 * TICK_US)
         self.waits.append(job)
-        self.homes.tell(job.customer.home, job.customer, job.req.units)
+        self.homes.tell(job.customer.leader, job.customer, job.req.units)
 
     def on_peer(self, message: events.PeerMessage) -> None:
         self.words.tally["heard"] += 1
         for seen in message.observations:
-            server = self.routing.by_sum.get(seen.server_checksum)
+            server = self.routing.by_checksum.get(seen.server_checksum)
             if server and seen.class_index < len(self.set.classes):
                 latency = seen.relative_latency
                 self.cap.signals["latency"] += [latency] if seen.succeeded or latency else []
                 objective_us = self.set.classes[seen.class_index].latency_objective_us
-                self.routing.judge(server, seen.class_index, seen.succeeded, latency * objective_us)
+                self.routing.observe(server, seen.class_index, seen.succeeded, latency * objective_us)
         if message.policy_mark == self.set.policy_mark:  # by another policy their amounts mean something else
             self.homes.hear(message.sender, message.messages, self.answered)
 
@@ -210,12 +210,12 @@
             how = "answered" if told else "silent"
             if told is None:
                 job.customer.back_off(now, self.desk.random.random())
-            job.customer.spent -= job.req.units * chance  # as much the home has counted already
+            job.customer.unreported_spend -= job.req.units * chance  # as much the home has counted already
             if not job.over:  # else its client has left, and the home hears with the next word
                 self.decide(job, chance, how)
 
     def decide(self, job: Job, chance: float, how: str) -> None:
-        self.counters.count_decision(how, self.desk.now - job.customer.heard_us)
+        self.counters.count_decision(how, self.desk.now - job.customer.last_answer_us)
         job.in_quota, plan = self.desk.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.homes.spend(job.customer, job.req.units)
@@ -245,7 +245,7 @@
         for entry in held:
             job = entry[2]
             waits = job.over or (
-                not job.servers and (blocked or self.homes.needs_place(job.customer, job.req.units))
+                not job.servers and (blocked or self.homes.needs_slot(job.customer, job.req.units))
             )
             if server := None if waits else self.routing.choose(job):
                 self.send(job, server)
@@ -269,21 +269,21 @@
             self.retries.earn()
             customer.ceiling -= job.req.units
         job.servers.append(server)
-        job.out[number] = server.out[(job.req.id, number)] = now
-        customer.out, self.cap.out = customer.out + 1, self.cap.out + 1
+        job.out[number] = server.in_flight[(job.req.id, number)] = now
+        customer.in_flight, self.cap.out = customer.in_flight + 1, self.cap.out + 1
         if not number:
-            self.homes.use_place(customer)
-        server.earned -= 1
+            self.homes.use_slot(customer)
+        server.credit -= 1
         self.desk.actions.append(
             actions.SendAttempt(
-                job.req.id, server.entry.name, self.retries.time_out(job), self.retries.begin_within(job)
+                job.req.id, server.endpoint.name, self.retries.time_out(job), self.retries.begin_within(job)
             )
         )
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
         self.desk.tell_twin(
             snapshots.HandoverAttempt(
-                customer.key, job.req.id, number, server.entry.name, now, 0.0 if number else job.req.units
+                customer.key, job.req.id, number, server.endpoint.name, now, 0.0 if number else job.req.units
             )
         )
 
@@ -302,12 +302,12 @@
         job = self.jobs.get(event.id)
         if job is None or event.attempt not in job.out:
             return
-        server, job.customer.out = job.servers[event.attempt], job.customer.out - 1
+        server, job.customer.in_flight = job.servers[event.attempt], job.customer.in_flight - 1
         del job.out[event.attempt]
         self.desk.tell_twin(snapshots.HandoverAttemptEnd(event.id, event.attempt))
         if not job.streams:
             self.cap.out -= 1
-            del server.out[(event.id, event.attempt)]
+            del server.in_flight[(event.id, event.attempt)]
         if not job.streams or event.result is not AttemptResult.OK:
             self.learn(job, server, event)
         if (
@@ -326,7 +326,7 @@
         elif not job.out and not self.again(job, event.result):
             self.end(job, event.result.value)
         if not job.out:  # else a further attempt has its place
-            self.homes.tell_out(job.customer)
+            self.homes.report_in_flight(job.customer)
 
     def learn(self, job: Job, server: Server, event: events.AttemptEnded) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
@@ -335,7 +335,7 @@
         self.cap.signals["util"] += [report.util] if report.util is not None else []
         lasted = took / job.rule.latency_objective_us if result in HAS_LATENCY else 0.0
         if result in SIGHTED:
-            self.words.see(AttemptObservation(server.sum, index, result is AttemptResult.OK, lasted))
+            self.words.see(AttemptObservation(server.checksum, index, result is AttemptResult.OK, lasted))
         self.routing.learn(server, index, event, loads[0] if loads else None)
         if result is AttemptResult.OK and self.set.settles_units and event.actual_units and job.in_quota:
             job.customer.spend(event.actual_units - job.req.units)
@@ -349,7 +349,7 @@
             server, job.streams = job.servers[event.attempt], True
             self.close(job)
             self.cap.out -= 1
-            del server.out[(event.id, event.attempt)]
+            del server.in_flight[(event.id, event.attempt)]
             self.learn(
                 job,
                 server,
--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -1,7 +1,7 @@
 """The datagrams between gateways: gossip messages and attempt observations, at most 256 bytes each.
 
-A datagram is a head, the messages and the observations. The head is one byte, HEAD with the count of
-messages, or two where a policy's mark follows: HEAD_WITH_MARK with the count, and the mark. Amounts go in steps of
+A datagram is a head, messages and observations. The head is one byte, HEAD with the count of messages,
+or two where a policy's mark follows: HEAD_WITH_MARK with the count, and the mark. Amounts go in steps of
 1 / AMOUNT_STEPS, relative latencies in steps of 1 / LATENCY_STEPS.
 """
 
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -9,7 +9,7 @@
 from orchidhatch.gateway.load_balancing import Routing, Server
 from orchidhatch.gateway.membership import Membership
 from orchidhatch.gateway.overload import Cap
-from orchidhatch.gateway.quota import LEFT_US, Customer
+from orchidhatch.gateway.quota import CEDED_US, Customer
 from orchidhatch.gateway.quota_leaders import Homes
 from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
 
@@ -28,7 +28,7 @@
         desk, customers = self.desk, self.homes.customers.values()
         desk.has_twin = True
         for known in customers:
-            known.refill(desk.now).lent.clear()  # the other would not know of it
+            known.refill(desk.now).ceded_by_peer.clear()  # the other would not know of it
         desk.actions.append(
             take_snapshot(desk, self.cap, self.routing, customers, self.membership.names, jobs)
         )
@@ -43,8 +43,8 @@
                 plan = self.desk.set.plans[one.key.plan_index]
                 known = Customer(plan, one.key, self.desk.set, one.refilled_us)
                 self.homes.customers[one.key] = known
-                known.remember(one)
-                known.left_us = self.desk.now + LEFT_US if known.left_us else 0
+                known.restore(one)
+                known.ceded_until_us = self.desk.now + CEDED_US if known.ceded_until_us else 0
         self.membership.remember(told.ejections)
         for one in told.attempts:
             self.on_send(one)
@@ -60,18 +60,18 @@
         customer, server = self.homes.customer(event.key), self.routing.servers.get(event.server)
         self.out[name] = customer, server
         customer.ceiling -= event.units
-        customer.out, self.cap.out = customer.out + 1, self.cap.out + 1
+        customer.in_flight, self.cap.out = customer.in_flight + 1, self.cap.out + 1
         self.cap.accepted += event.units > 0
         if server:
-            server.out[name] = event.sent_us
-            server.earned -= 1
+            server.in_flight[name] = event.sent_us
+            server.credit -= 1
 
     def on_end(self, event: HandoverAttemptEnd) -> None:
         customer, server = self.out.pop((event.id, event.attempt), (None, None))
         if customer:
-            customer.out, self.cap.out = customer.out - 1, self.cap.out - 1
+            customer.in_flight, self.cap.out = customer.in_flight - 1, self.cap.out - 1
         if server:
-            server.out.pop((event.id, event.attempt), None)
+            server.in_flight.pop((event.id, event.attempt), None)
 
     def on_unknown(self, _: HandoverPeerUnknown) -> None:
         """The other may use up every ceiling's part: nothing is sent here that would count against one."""
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -26,11 +26,13 @@
             cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate, routing.usual
         ),
         tuple(routing.mean_us),
-        tuple(known.memory() for known in customers),
-        tuple(server.memory() for server in routing.servers.values()),
+        tuple(known.snapshot() for known in customers),
+        tuple(server.snapshot() for server in routing.servers.values()),
         tuple(HandoverEjection(name, left_out) for name, left_out in names.items()),
         tuple(
-            HandoverAttempt(job.customer.key, job.req.id, number, job.servers[number].entry.name, sent, 0.0)
+            HandoverAttempt(
+                job.customer.key, job.req.id, number, job.servers[number].endpoint.name, sent, 0.0
+            )
             for job in jobs
             for number, sent in job.out.items()
         ),
@@ -55,4 +57,4 @@
         routing.mean_us = list(snapshot.mean_latencies_us)
     for learnt in snapshot.servers:
         if server := routing.servers.get(learnt.name):
-            server.remember(learnt)
+            server.restore(learnt)
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -40,10 +40,10 @@
 class Server(ServerRecord):
     """A server of the list, and how it has served."""
 
-    def relax(self) -> None:
+    def decay(self) -> None:
         """A slow one that is sent nothing must get its chance again."""
-        self.slowness += SMOOTH * (1 - self.slowness)
-        self.trouble += SMOOTH * (1 - self.trouble)
+        self.relative_latency += SMOOTH * (1 - self.relative_latency)
+        self.fault_score += SMOOTH * (1 - self.fault_score)
 
 
 class Routing:
@@ -53,7 +53,7 @@
         self.desk = desk
         self.servers: dict[str, Server] = {}  # of the list, by name
         self.up: list[Server] = []  # those that may be sent new work
-        self.by_sum: dict[int, Server | None] = {}  # by checksum; None where two share one
+        self.by_checksum: dict[int, Server | None] = {}  # by checksum; None where two share one
         self.mean_us = [rule.latency_objective_us / 4 for rule in desk.set.classes]
         self.mean_load = 0.0  # of the servers, as they say
         self.kept_us = desk.set.conn_idle_us / 2  # how long connections are kept here, idle
@@ -66,7 +66,7 @@
 
     def end_period(self, rate: float, lasted_us: int) -> None:
         for server in self.servers.values():
-            server.relax()
+            server.decay()
         self.spread_thin = rate * self.kept_us / S < KEPT_USES * len(self.up)
         fade = math.exp(-lasted_us / USUAL_US)
         self.usual = max(rate / max(1, len(self.up)), self.usual * fade)
@@ -79,26 +79,26 @@
         usable = [
             server
             for server in allowed
-            if now >= server.avoid_until
+            if now >= server.ejected_until_us
             and server not in job.servers
-            and not (server.on_trial and (server.out or job.rule.idempotency is Idempotency.UNSAFE))
+            and not (server.needs_probe and (server.in_flight or job.rule.idempotency is Idempotency.UNSAFE))
         ] or allowed
         most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateway_count)  # more would wait there
-        free = [server for server in usable if len(server.out) < most]
-        room = [server for server in free if now >= server.warm_us or self.has_earned(server)]
+        free = [server for server in usable if len(server.in_flight) < most]
+        room = [server for server in free if now >= server.warm_at_us or self.has_credit(server)]
         # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
         # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
-        cold = [server for server in room if now < server.warm_us and not server.out]
+        cold = [server for server in room if now < server.warm_at_us and not server.in_flight]
         room = cold or self.known_of(room)
         return min(self.desk.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
     def known_of(self, room: list[Server]) -> list[Server]:
         """Where attempts are thin, those that connections are kept to, once there are enough of them."""
-        known = [server for server in room if self.is_known(server)] if self.spread_thin else []
+        known = [server for server in room if self.has_connection(server)] if self.spread_thin else []
         return known if len(known) >= SUBSET else room
 
-    def is_known(self, server: Server) -> bool:
-        return bool(server.out) or self.desk.now - server.heard_us < self.kept_us
+    def has_connection(self, server: Server) -> bool:
+        return bool(server.in_flight) or self.desk.now - server.last_answer_us < self.kept_us
 
     def in_group(self, job: Job, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
@@ -110,28 +110,29 @@
             return False
         place = "zone" if rule.dedup_scope is DeduplicationScope.ZONE else "cell"
         anywhere = rule.dedup_scope is DeduplicationScope.ALL
-        return anywhere or getattr(server.entry, place) == getattr(first.entry, place)
+        return anywhere or getattr(server.endpoint, place) == getattr(first.endpoint, place)
 
     def cost(self, server: Server) -> float:
         """Expected wait: work out there, how slow it is, how loaded it says it is."""
         desk = self.desk
-        fresh = server.load is not None and desk.now - server.load_at < REPORT_FRESH_US
-        pressure = 0.5 + server.load / max(0.01, self.mean_load) / 2 if fresh else 1.0
-        far = 1 + 10 * desk.set.cross_zone_price * (server.entry.zone != desk.set.zone)
-        waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
+        fresh = server.reported_load is not None and desk.now - server.load_reported_us < REPORT_FRESH_US
+        pressure = 0.5 + server.reported_load / max(0.01, self.mean_load) / 2 if fresh else 1.0
+        far = 1 + 10 * desk.set.cross_zone_price * (server.endpoint.zone != desk.set.zone)
+        waits = 0 if server.needs_probe else len(server.in_flight) + 1  # a trial that is due goes first
         # One that came back is passed over for a while where others are free, never held back from use:
         # where many come back at once, all that is asked must still find a server.
-        back = min(1.0, (desk.now - server.back_us) / SLOW_START_US)
-        trouble = max(1.0, server.trouble / USUAL_TROUBLE) ** 2
-        new = NEW_CONNECTION if self.spread_thin and not self.is_known(server) else 1.0
-        return new * waits * server.slowness * trouble * pressure * far * (2 - back) / self.warmth(server)
+        back = min(1.0, (desk.now - server.recovered_us) / SLOW_START_US)
+        trouble = max(1.0, server.fault_score / USUAL_TROUBLE) ** 2
+        new = NEW_CONNECTION if self.spread_thin and not self.has_connection(server) else 1.0
+        wait = new * waits * server.relative_latency * trouble * pressure
+        return wait * far * (2 - back) / self.warmth(server)
 
     def warmth(self, server: Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
         now, set_ = self.desk.now, self.desk.set
-        if now >= server.warm_us:
+        if now >= server.warm_at_us:
             return 1.0
-        left, cold = (server.warm_us - now) / max(1, set_.warm_up_us), set_.cold_capacity
+        left, cold = (server.warm_at_us - now) / max(1, set_.warm_up_us), set_.cold_capacity
         return cold + (1 - cold) * (1 - left)
 
     def cold_rate(self, server: Server) -> float:
@@ -139,11 +140,12 @@
         usual = max(1 / self.desk.set.gateway_count, self.usual)
         return usual * self.warmth(server) * max(1.0, self.desk.set.overload_multiple / 2) * server.pace
 
-    def has_earned(self, server: Server) -> bool:
+    def has_credit(self, server: Server) -> bool:
         """Whether a cold server may be sent an attempt by now; what it earns follows its warmth."""
-        more = (self.desk.now - server.earned_us) / S * self.cold_rate(server)
-        server.earned, server.earned_us = min(1.0, server.earned + more), self.desk.now
-        return server.earned >= 1
+        more = (self.desk.now - server.credit_us) / S * self.cold_rate(server)
+        server.credit = min(1.0, server.credit + more)
+        server.credit_us = self.desk.now
+        return server.credit >= 1
 
     # --- what attempts tell ---
 
@@ -151,38 +153,40 @@
         """How an attempt of a request's class ended, by the server's latency and what it says of itself."""
         now, result, took = self.desk.now, event.result, event.latency_us
         if load is not None:
-            server.load, server.load_at = load, now
+            server.reported_load, server.load_reported_us = load, now
             self.mean_load += SMOOTH * (load - self.mean_load)
         if result in SIGHTED:
-            self.judge(server, index, result is AttemptResult.OK, took)
+            self.observe(server, index, result is AttemptResult.OK, took)
         if result is AttemptResult.OK:
-            server.heard_us = now
+            server.last_answer_us = now
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
-            server.slowness += SMOOTH * (ratio - server.slowness)
+            server.relative_latency += SMOOTH * (ratio - server.relative_latency)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
-        long = result is AttemptResult.TIMEOUT and server.heard_us >= now - took  # but it answered others
+        # A time-out where it answered others meanwhile says nothing of the server.
+        long = result is AttemptResult.TIMEOUT and server.last_answer_us >= now - took
         if result is AttemptResult.REJECTED:
-            server.avoid_until = max(server.avoid_until, now + AVOID_US)
+            server.ejected_until_us = max(server.ejected_until_us, now + AVOID_US)
         elif not long and result not in (AttemptResult.CANCELLED, AttemptResult.NOT_SENT):
-            self.note_result(server, result is AttemptResult.OK)
+            self.record_result(server, result is AttemptResult.OK)
 
-    def judge(self, server: Server, index: int, served: bool, took_us: float) -> None:
+    def observe(self, server: Server, index: int, served: bool, took_us: float) -> None:
         """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
         mean_us = max(1.0, self.mean_us[index])
         ratio = took_us / mean_us if served else WORST
-        server.trouble += SMOOTH * (min(WORST, max(1 / WORST, ratio)) - server.trouble)
+        server.fault_score += SMOOTH * (min(WORST, max(1 / WORST, ratio)) - server.fault_score)
         if served:
             step = PACE_STEP if took_us < mean_us else -2 * PACE_STEP
             server.pace = min(MOST_PACE, max(LEAST_PACE, server.pace + step))
 
-    def note_result(self, server: Server, ok: bool) -> None:
+    def record_result(self, server: Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
         now = self.desk.now
-        server.fails = server.fails / 2 if ok else server.fails + 1
+        server.failure_score = server.failure_score / 2 if ok else server.failure_score + 1
         server.pace = server.pace if ok else 1.0
-        if ok and server.on_trial:
-            server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
-            server.back_us = now
-        elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and now >= server.avoid_until:
-            server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
-            server.avoid_until, server.on_trial = now + server.backoff_us, True
+        is_outlier = server.failure_score >= SUSPECT_AT or server.needs_probe
+        if ok and server.needs_probe:
+            server.needs_probe, server.ejection_us, server.failure_score = False, 0, 0.0
+            server.recovered_us = now
+        elif not ok and is_outlier and now >= server.ejected_until_us:
+            server.ejection_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.ejection_us * 2))
+            server.ejected_until_us, server.needs_probe = now + server.ejection_us, True
--- a/orchidhatch/gateway/membership.py
+++ b/orchidhatch/gateway/membership.py
@@ -30,11 +30,11 @@
         routing.servers = {name: known for name, known in routing.servers.items() if part or name in named}
         for entry in news.endpoints:
             known = routing.servers.get(entry.name)
-            if known is None or known.entry.started_us != entry.started_us:
+            if known is None or known.endpoint.started_us != entry.started_us:
                 known = routing.servers[entry.name] = Server(entry)
                 # All gateways hear of it at once, and each owes it little: by chance they begin apart.
-                known.earned, known.earned_us = desk.random.random(), desk.now
-            known.entry = entry
+                known.credit, known.credit_us = desk.random.random(), desk.now
+            known.endpoint = entry
             self.names.setdefault(entry.name, False)
         self.forget_names()
         self.find_up()
@@ -50,16 +50,16 @@
 
     def find_up(self) -> None:
         routing, set_ = self.routing, self.desk.set
-        routing.by_sum = {}
+        routing.by_checksum = {}
         for server in routing.servers.values():
-            routing.by_sum[server.sum] = None if server.sum in routing.by_sum else server
-            started = max(server.entry.started_us, server.cold_us)
+            routing.by_checksum[server.checksum] = None if server.checksum in routing.by_checksum else server
+            started = max(server.endpoint.started_us, server.cold_since_us)
             cold = started and set_.cold_capacity < 1
-            server.warm_us = started + max(1, set_.warm_up_us) if cold else -NEVER
+            server.warm_at_us = started + max(1, set_.warm_up_us) if cold else -NEVER
         routing.up = [
             server
             for server in routing.servers.values()
-            if server.entry.state is EndpointState.UP and not self.names.get(server.entry.name)
+            if server.endpoint.state is EndpointState.UP and not self.names.get(server.endpoint.name)
         ]
         routing.count_warm()
 
@@ -75,9 +75,9 @@
         if self.names.get(event.server, False) != event.is_ejected:
             self.names[event.server] = event.is_ejected
             if (server := self.routing.servers.get(event.server)) and not event.is_ejected:
-                server.avoid_until = server.backoff_us = 0
-                server.fails, server.on_trial, server.cold_us = 0.0, True, self.desk.now
-                server.earned = 1.0
+                server.ejected_until_us = server.ejection_us = 0
+                server.failure_score, server.needs_probe, server.cold_since_us = 0.0, True, self.desk.now
+                server.credit = 1.0
             self.find_up()
 
     def remember(self, names: tuple[HandoverEjection, ...]) -> None:
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -88,7 +88,7 @@
     decided = counts_text(counters.decided_since_log)
     limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
-    ejected = sum(now_us < server.avoid_until or server.on_trial for server in routing.up)
+    ejected = sum(now_us < server.ejected_until_us or server.needs_probe for server in routing.up)
     return (
         f"cap {limit} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
         f" out {cap.out} held {len(core.held)} ({queued_text(core)}) waiting {len(core.waits)}"
@@ -106,7 +106,7 @@
 def queued_text(core: Measured) -> str:
     """What the queued requests that were never sent wait for, beside a server and the admission limit."""
     never_sent = [job for _, _, job in core.held if not job.servers]
-    at_slots = sum(job.customer.at_open_cap(core.desk.now) for job in never_sent)
+    at_slots = sum(job.customer.lacks_slot(core.desk.now) for job in never_sent)
     at_ceiling = sum(is_under_ceiling(job) for job in never_sent)
     return f"open cap {at_slots} ceiling {at_ceiling}"
 
@@ -119,8 +119,8 @@
 def metrics_snapshot(core: Measured) -> MetricsSnapshot:
     """The metrics now; servers count as ejected by an operator or by outlier detection."""
     now, words, routing = core.desk.now, core.words, core.routing
-    good = sum(now >= server.avoid_until and not server.on_trial for server in routing.up)
-    listed = sum(server.entry.state is not EndpointState.GONE for server in routing.servers.values())
+    good = sum(now >= server.ejected_until_us and not server.needs_probe for server in routing.up)
+    listed = sum(server.endpoint.state is not EndpointState.GONE for server in routing.servers.values())
     waits = [job.came_us for _, _, job in core.held] + [job.came_us for job in core.waits]
     return MetricsSnapshot(
         listed=listed,
@@ -151,7 +151,7 @@
         return "word"
     if job.servers:
         return "again"
-    if customer.plan.max_in_flight and customer.at_open_cap(core.desk.now):
+    if customer.plan.max_in_flight and customer.lacks_slot(core.desk.now):
         return "open_cap"
     if is_under_ceiling(job):
         return "ceiling"
@@ -164,7 +164,7 @@
         return "again"
     if core.desk.now == job.came_us:
         return "late"
-    if job.customer.at_open_cap(core.desk.now):
+    if job.customer.lacks_slot(core.desk.now):
         return "open_cap"
     if core.homes.at_ceiling(job.customer, job.req.units):
         return "ceiling"
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -10,21 +10,21 @@
 from orchidhatch.gateway.times import NEVER, S
 
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
-ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
+ASK_US, ASKS, ANSWER_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
 # How long a home counts on word of attempts out, or on a place that it granted; how often it is renewed. Most
 # attempts end before that, and a place whose end was told in a lost message is free again soon.
 OUT_FRESH_US, RENEW_US = 1.5 * S, 0.6 * S
 QUEUED_US = S // 2  # how often a gateway that the home has queued for a place asks again, as words are lost
-PLACE_ALONE = 0.02  # asked for with a place that needs nothing under the ceiling: the least a word can hold
+SLOT_ONLY = 0.02  # asked for with a place that needs nothing under the ceiling: the least a word can hold
 # Who tells the home of a customer with a shared cap leaves its part of the ceiling's rate to the home for a
 # while; the home counts on it for less, as words are late. Thus all parts together never exceed the ceiling.
-LEFT_US, LENT_US = 3 * S, 2 * S
+CEDED_US, COUNTED_US = 3 * S, 2 * S
 LEAST_BACKOFF_US = S // 2  # the first time that a home which did not answer is not asked
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
-KEPT_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
+RESERVED_PART = 0.25  # of a burst: kept at hand by those that go by older words, for those that ask
 
 
-def own_part(plan: Plan, size: int) -> Plan:
+def plan_share(plan: Plan, size: int) -> Plan:
     """The plan of one gateway that hears nothing of the others; its store holds one request at least."""
     return (
         plan
@@ -44,45 +44,45 @@
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     def __init__(self, plan: Plan, key: CustomerKey, set_: Settings, now: int) -> None:
-        super().__init__(plan if set_.may_gossip else own_part(plan, key[3]), key, set_, now)
-        self.alone = self.size < key[3]
-        self.left_us = 0 if self.at_home or not self.shares_cap() else now + LEFT_US
-        self.asked_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
-        self.word_us = self.size * S / max(1.0, self.asked_per_s)  # and is used for so long
+        super().__init__(plan if set_.may_gossip else plan_share(plan, key[3]), key, set_, now)
+        self.is_isolated = self.size < key[3]
+        self.ceded_until_us = 0 if self.is_leader or not self.shares_slots() else now + CEDED_US
+        self.requests_per_s = ASK_SHARE * set_.peer_messages_per_s  # past this demand a word must do
+        self.answer_use_us = self.size * S / max(1.0, self.requests_per_s)  # and is used for so long
 
     def has_idled(self, time_us: int) -> None:
         """Its part of the ceiling was empty at this process's start at worst, as that may be a restart."""
-        plan, left_us = self.plan, LEFT_US if self.left_us else 0
-        gained = plan.ceiling_rate * max(0, time_us - left_us) / S
+        plan, ceded_until_us = self.plan, CEDED_US if self.ceded_until_us else 0
+        gained = plan.ceiling_rate * max(0, time_us - ceded_until_us) / S
         self.ceiling = min(plan.ceiling_burst, gained) / self.size
 
-    def go_under(self, plan: Plan, index: int, now: int) -> None:
+    def change_plan(self, plan: Plan, index: int, now: int) -> None:
         """Another plan holds for it: what is here stays the same part of the whole, of debts too, and what
         was granted stays granted."""
         old, self.key = self.refill(now).plan, self.key._replace(plan_index=index)
-        self.plan = plan = own_part(plan, self.key[3]) if self.alone else plan
-        share, ceiling = (
+        self.plan = plan = plan_share(plan, self.key[3]) if self.is_isolated else plan
+        kept, ceiling = (
             new / was if was else 0.0
             for new, was in ((plan.burst, old.burst), (plan.ceiling_burst, old.ceiling_burst))
         )
-        self.part, self.level, self.own = self.part * share, self.level * share, self.own * share
+        self.share, self.level, self.allowance = self.share * kept, self.level * kept, self.allowance * kept
         self.ceiling *= ceiling
-        if not self.at_home and self.shares_cap() and not self.left_us:
-            self.left_us = now + LEFT_US  # the home may count on it by the words of others
+        if not self.is_leader and self.shares_slots() and not self.ceded_until_us:
+            self.ceded_until_us = now + CEDED_US  # the home may count on it by the words of others
 
     def refill(self, now: int) -> "Customer":
         """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
-        before, plan, part = self.at, self.plan, 1 / self.size
-        took, self.at = (now - before) / S, now
-        gained = max(0, now - max(before, self.left_us))  # nothing while it is left to the home
-        gained += sum(max(0, min(now, until) - before) for until in self.lent.values())
-        self.lent = {peer: until for peer, until in self.lent.items() if until > now}
+        before, plan, part = self.refilled_us, self.plan, 1 / self.size
+        took, self.refilled_us = (now - before) / S, now
+        gained = max(0, now - max(before, self.ceded_until_us))  # nothing while it is left to the home
+        gained += sum(max(0, min(now, until) - before) for until in self.ceded_by_peer.values())
+        self.ceded_by_peer = {peer: until for peer, until in self.ceded_by_peer.items() if until > now}
         self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * part * gained / S)
-        if now - self.heard_us > WORD_FRESH_US:
+        if now - self.last_answer_us > ANSWER_FRESH_US:
             self.level = min(plan.burst, self.level + plan.rate * took)
             self.demand *= math.exp(-took * S / DEMAND_US)
-        self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
-        self.own = min(self.most_own(), self.own + plan.rate * took * part)
+        self.share = min(plan.burst * part, self.share + plan.rate * took * part, max(0.0, self.level))
+        self.allowance = min(self.most_allowance(), self.allowance + plan.rate * took * part)
         return self
 
     def chance(self, units: float, known: bool = True) -> float:
@@ -94,19 +94,19 @@
         of the burst, over the time that such a word is used. Who has none spends its own part.
         """
         level, plan = self.level, self.plan
-        if self.alone and plan.rate:  # it has no other's demand to go by; a large request leaves a debt
+        if self.is_isolated and plan.rate:  # it has no other's demand to go by; a large request leaves a debt
             return float(level >= min(units, plan.burst))
-        if self.is_pooled(units) or self.shares_cap():
+        if self.is_pooled(units) or self.shares_slots():
             if known:
                 return float(level >= units)
-            if not self.is_fresh(self.at):
-                return float(self.own >= min(units, self.most_own()))
-            asked = min(plan.rate, self.asked_per_s) * DEMAND_US / S
-            level = (level - KEPT_PART * plan.burst) * DEMAND_US / self.word_us - asked
+            if not self.is_fresh(self.refilled_us):
+                return float(self.allowance >= min(units, self.most_allowance()))
+            asked = min(plan.rate, self.requests_per_s) * DEMAND_US / S
+            level = (level - RESERVED_PART * plan.burst) * DEMAND_US / self.answer_use_us - asked
         quota = level + plan.rate * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if plan.rate else 1.0
 
-    def most_own(self) -> float:
+    def most_allowance(self) -> float:
         """What it may spend unheard at once: its part of the burst, of one request at least."""
         return max(1.0, self.plan.burst / self.size)
 
@@ -115,100 +115,99 @@
         return units <= self.plan.burst < units * self.size
 
     def is_fresh(self, now: int) -> bool:
-        return now - self.heard_us < WORD_FRESH_US
+        return now - self.last_answer_us < ANSWER_FRESH_US
 
     def is_dry(self, units: float, now: int) -> bool:
         """Whether by a fresh word no refill can have made room yet."""
-        return self.is_fresh(now) and self.level + self.plan.rate * (now - self.heard_us) / S < units
+        return self.is_fresh(now) and self.level + self.plan.rate * (now - self.last_answer_us) / S < units
 
     def spend(self, units: float) -> None:
         """It owes nothing for long, as others spend of it too; alone it is sure of what it owes."""
-        least = -math.inf if self.alone else -self.plan.rate * DEMAND_US / S
+        least = -math.inf if self.is_isolated else -self.plan.rate * DEMAND_US / S
         self.level = max(self.level - units, least)
 
     def take(self, units: float) -> None:
         """Spend of what is here."""
         self.spend(units)
-        self.part, self.spent = max(0.0, self.part - units), self.spent + units
-        self.own = max(self.own - units, min(0.0, self.most_own() - units))  # a larger one leaves a debt
+        self.unreported_spend += units
+        self.share = max(0.0, self.share - units)
+        least = min(0.0, self.most_allowance() - units)  # a larger one leaves a debt
+        self.allowance = max(self.allowance - units, least)
 
     def back_off(self, now: int, chance: float) -> None:
         """The home did not answer: it may hear more than it can take in, and each ask makes that worse."""
-        self.backoff_us = min(WORD_FRESH_US, max(LEAST_BACKOFF_US, 2 * self.backoff_us))
-        self.ask_after_us = now + self.backoff_us * (0.5 + chance)
+        self.backoff_us = min(ANSWER_FRESH_US, max(LEAST_BACKOFF_US, 2 * self.backoff_us))
+        self.next_request_us = now + self.backoff_us * (0.5 + chance)
 
     # --- the open cap ---
 
-    def shares_cap(self) -> bool:
+    def shares_slots(self) -> bool:
         """Whether its open cap is too small to be split over its set."""
         return 0 < self.plan.max_in_flight < self.size
 
-    def asks_home(self) -> bool:
+    def asks_leader(self) -> bool:
         """Elsewhere than at home: whether each attempt needs a place from there, as long as it answers."""
-        return self.shares_cap() and self.wants <= ASKS
+        return self.shares_slots() and self.slot_requests <= ASKS
 
-    def has_place(self, now: int) -> bool:
-        return now - self.place_us < ASK_US
+    def has_slot(self, now: int) -> bool:
+        return now - self.slot_granted_us < ASK_US
 
-    def at_open_cap(self, now: int) -> bool:
+    def lacks_slot(self, now: int) -> bool:
         if not self.plan.max_in_flight:
             return False
-        if self.shares_cap() and self.at_home:
-            return self.out + self.others_out(now) >= self.plan.max_in_flight
-        if self.asks_home():
-            return not self.has_place(now)
-        return self.out >= max(1, self.plan.max_in_flight // self.size)
+        if self.shares_slots() and self.is_leader:
+            return self.in_flight + self.peers_attempts(now) >= self.plan.max_in_flight
+        if self.asks_leader():
+            return not self.has_slot(now)
+        return self.in_flight >= max(1, self.plan.max_in_flight // self.size)
 
-    def others_out(self, now: int, but: int = -1) -> int:
+    def peers_attempts(self, now: int, but: int = -1) -> int:
         """At its home: the attempts that the others have out, as they told of late, or were granted since."""
-        told = sum(out for peer, (out, at) in self.outs.items() if peer != but and now - at < OUT_FRESH_US)
-        return told + sum(
-            now - at < OUT_FRESH_US for peer, given in self.granted.items() if peer != but for at in given
-        )
+        reports = self.peers_in_flight.items()
+        reported = sum(out for peer, (out, at) in reports if peer != but and now - at < OUT_FRESH_US)
+        grants = (at for peer, given in self.granted_slots.items() if peer != but for at in given)
+        return reported + sum(now - at < OUT_FRESH_US for at in grants)
 
-    def hear_out(self, peer: int, out: int, ended: bool, now: int) -> None:
+    def on_peer_in_flight(self, peer: int, out: int, ended: bool, now: int) -> None:
         """At its home: what a peer has out. Of the places granted to it, those that it has or had are not to
         be counted twice, and only those granted a moment ago may be on their way."""
-        used = max(0, out - self.outs.get(peer, (0, 0))[0] + ended)
-        if given := [at for at in self.granted.pop(peer, ()) if now - at < 2 * ASK_US][used:]:
-            self.granted[peer] = given
-        self.outs[peer] = out, now
+        used = max(0, out - self.peers_in_flight.get(peer, (0, 0))[0] + ended)
+        if given := [at for at in self.granted_slots.pop(peer, ()) if now - at < 2 * ASK_US][used:]:
+            self.granted_slots[peer] = given
+        self.peers_in_flight[peer] = out, now
 
-    def next_wanting(self, now: int) -> int | None:
+    def next_in_slot_queue(self, now: int) -> int | None:
         """At its home: who has waited longest for a place, if there is one and room under the ceiling."""
-        self.wanting = {peer: entry for peer, entry in self.wanting.items() if now - entry[1] < 2 * QUEUED_US}
-        if not self.wanting or self.out + self.others_out(now) >= self.plan.max_in_flight:
+        waits = self.slot_queue.items()
+        self.slot_queue = {peer: wait for peer, wait in waits if now - wait[1] < 2 * QUEUED_US}
+        if not self.slot_queue or self.in_flight + self.peers_attempts(now) >= self.plan.max_in_flight:
             return None
         self.refill(now)
-        return next(
-            (
-                peer
-                for peer, (units, _) in self.wanting.items()
-                if units <= PLACE_ALONE or units <= self.ceiling
-            ),
-            None,
-        )
+        waits = self.slot_queue.items()
+        fitting = (peer for peer, (units, _) in waits if units <= SLOT_ONLY or units <= self.ceiling)
+        return next(fitting, None)
 
     def grant(self, peer: int, now: int) -> float:
         """At its home: a place, and the units under the ceiling that were asked for with it."""
-        units, _ = self.wanting.pop(peer)
-        self.granted.setdefault(peer, []).append(now)
-        self.ceiling -= units if units > PLACE_ALONE else 0.0
+        units, _ = self.slot_queue.pop(peer)
+        self.granted_slots.setdefault(peer, []).append(now)
+        self.ceiling -= units if units > SLOT_ONLY else 0.0
         return units
 
-    def hear_place(self, word: GossipMessage, now: int) -> None:
+    def on_slot_answer(self, word: GossipMessage, now: int) -> None:
         """Elsewhere: the home's answer to a wish for a place."""
-        self.wants, self.queued, self.wanted_us = 0, word.slot_grant is SlotGrant.QUEUED, now
+        self.slot_requests, self.slot_requested_us = 0, now
+        self.is_queued = word.slot_grant is SlotGrant.QUEUED
         if word.slot_grant is SlotGrant.GRANTED:
-            self.place_us = now
-            self.ceiling += -word.requested if -word.requested > PLACE_ALONE else 0.0
+            self.slot_granted_us = now
+            self.ceiling += -word.requested if -word.requested > SLOT_ONLY else 0.0
 
-    def leave_ceiling(self, now: int) -> None:
+    def cede_ceiling(self, now: int) -> None:
         """Elsewhere: it tells its home now, which may use its part of the ceiling's rate from then on."""
-        self.left_us, self.told_us = self.refill(now).at + LEFT_US, now
+        self.ceded_until_us, self.reported_us = self.refill(now).refilled_us + CEDED_US, now
 
-    def use_place(self, now: int) -> None:
+    def use_slot(self, now: int) -> None:
         """A first attempt leaves; the home counts on it since its grant, and may be asked for the next."""
-        self.place_us, self.wanted_us = -NEVER, -NEVER
-        if self.shares_cap() and not self.at_home:
-            self.told_us = now
+        self.slot_granted_us, self.slot_requested_us = -NEVER, -NEVER
+        if self.shares_slots() and not self.is_leader:
+            self.reported_us = now
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -6,6 +6,7 @@
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
 from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import NEVER, S
 
@@ -18,21 +19,17 @@
     `holds` says whether a request of a customer is held here, never sent, and so waits for a place too.
     """
 
-    def __init__(self, desk: DecisionContext, words: Words, holds: Callable[[quota.Customer], bool]) -> None:
+    def __init__(self, desk: DecisionContext, words: Words, holds: Callable[[Customer], bool]) -> None:
         self.desk, self.words, self.holds = desk, words, holds
-        self.customers: dict[CustomerKey, quota.Customer] = {}  # the one seen last at the end
-        self.queues: dict[
-            CustomerKey, quota.Customer
-        ] = {}  # those at home here for which others wait for a place
-        self.renewals: dict[
-            CustomerKey, quota.Customer
-        ] = {}  # those at home elsewhere that a place is held for
-
-    def customer(self, key: CustomerKey) -> quota.Customer:
+        self.customers: dict[CustomerKey, Customer] = {}  # the one seen last at the end
+        self.queues: dict[CustomerKey, Customer] = {}  # those at home here for which others wait for a place
+        self.renewals: dict[CustomerKey, Customer] = {}  # those at home elsewhere that a place is held for
+
+    def customer(self, key: CustomerKey) -> Customer:
         """The customer, as of now; one that is not known begins with what the time since the start allows."""
         known = self.customers.pop(key, None)
         if known is None:
-            known = quota.Customer(self.desk.set.plans[key[1]], key, self.desk.set, self.desk.now)
+            known = Customer(self.desk.set.plans[key[1]], key, self.desk.set, self.desk.now)
             known.has_idled(min(FORGET_US, self.desk.now - self.desk.started_us))
         self.customers[key] = known
         return known.refill(self.desk.now)
@@ -47,7 +44,7 @@
         known, self.customers = self.customers.values(), {}
         for customer in [one for one in known if moved[one.key.plan_index] >= 0]:
             index = moved[customer.key.plan_index]
-            customer.go_under(self.desk.set.plans[index], index, self.desk.now)
+            customer.change_plan(self.desk.set.plans[index], index, self.desk.now)
             self.customers[customer.key] = customer
         for kept in (self.queues, self.renewals):
             waiting = {one.key: one for one in kept.values() if one.key in self.customers}
@@ -55,53 +52,51 @@
             kept.update(waiting)
 
     def forget(self) -> None:
-        while self.customers and self.desk.now - next(iter(self.customers.values())).at > FORGET_US:
+        while self.customers and self.desk.now - next(iter(self.customers.values())).refilled_us > FORGET_US:
             del self.customers[next(iter(self.customers))]
 
-    def spend(self, customer: quota.Customer, units: float) -> None:
+    def spend(self, customer: Customer, units: float) -> None:
         customer.take(units)
         self.desk.tell_twin(HandoverSpend(customer.key, units))
 
-    def chance(self, customer: quota.Customer, units: float) -> float | None:
+    def chance(self, customer: Customer, units: float) -> float | None:
         """The chance to be let in, by what is known here; None where the home is to be asked."""
-        now, at_home = self.desk.now, customer.at_home
+        now, is_leader = self.desk.now, customer.is_leader
         fresh = customer.is_fresh(now)
-        customer.untold += units
-        if at_home or not fresh:  # else it is the whole set's, which this request is part of
+        customer.unreported_demand += units
+        if is_leader or not fresh:  # else it is the whole set's, which this request is part of
             customer.demand += units
-        heard = (
-            fresh and self.desk.random.random() * customer.demand > customer.asked_per_s * quota.DEMAND_US / S
-        )
-        if customer.part >= units:
+        asked = customer.requests_per_s * quota.DEMAND_US / S
+        heard = fresh and self.desk.random.random() * customer.demand > asked
+        if customer.share >= units:
             return 1.0
-        if not at_home and customer.is_pooled(units) and customer.is_dry(units, now):
+        if not is_leader and customer.is_pooled(units) and customer.is_dry(units, now):
             return 0.0
-        if at_home or heard or not customer.plan.rate or now < customer.ask_after_us:
-            return customer.chance(units, known=at_home)
+        if is_leader or heard or not customer.plan.rate or now < customer.next_request_us:
+            return customer.chance(units, known=is_leader)
         return None
 
     # --- words ---
 
-    def tell(
-        self, peer: int, customer: quota.Customer, asked: float, place: SlotGrant = SlotGrant.NONE
-    ) -> None:
+    def tell(self, peer: int, customer: Customer, asked: float, place: SlotGrant = SlotGrant.NONE) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
-        now, answer = self.desk.now, customer.at_home
-        demand = customer.demand if answer else customer.untold
-        out = customer.out + customer.others_out(now, but=peer) if answer else customer.out
-        word = GossipMessage(*customer.key, answer, demand, customer.spent, asked, customer.level, out, place)
-        if customer.shares_cap() and not answer:
-            customer.leave_ceiling(now)
+        now, answer = self.desk.now, customer.is_leader
+        demand = customer.demand if answer else customer.unreported_demand
+        out = customer.in_flight + customer.peers_attempts(now, but=peer) if answer else customer.in_flight
+        spent = customer.unreported_spend
+        word = GossipMessage(*customer.key, answer, demand, spent, asked, customer.level, out, place)
+        if customer.shares_slots() and not answer:
+            customer.cede_ceiling(now)
         if peer != self.desk.set.gateway_index:
             self.words.add(peer, word)
-        customer.untold = customer.spent = 0.0
+        customer.unreported_demand = customer.unreported_spend = 0.0
 
     def hear(
-        self, sender: int, words: tuple[GossipMessage, ...], answered: Callable[[quota.Customer | None], None]
+        self, sender: int, words: tuple[GossipMessage, ...], answered: Callable[[Customer | None], None]
     ) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers. `answered`
         is called for each answer, with the customer whose ask it answers."""
-        homed: dict[CustomerKey, quota.Customer] = {}
+        homed: dict[CustomerKey, Customer] = {}
         # A place comes before the answer that lets in who may use it.
         for word in sorted(words, key=lambda word: not word.slot_grant):
             key = CustomerKey(word.customer, word.plan_index, word.set_first, word.set_size)
@@ -109,110 +104,112 @@
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
-                self.hear_home(customer, word)
+                self.on_leader_answer(customer, word)
                 answered(customer if word.requested > 0 else None)
-            elif customer.at_home:
+            elif customer.is_leader:
                 customer.level = min(customer.level, word.level) if new else customer.level
-                self.hear_member(customer, word, sender)
+                self.on_member_report(customer, word, sender)
                 homed[key] = customer
         for customer in homed.values():  # once all is heard: what is out may come after a wish for more
-            self.give_places(customer)
-            if sender in customer.wanting:
+            self.grant_slots(customer)
+            if sender in customer.slot_queue:
                 self.tell(sender, customer, 0.0, SlotGrant.QUEUED)
 
-    def hear_home(self, customer: quota.Customer, word: GossipMessage) -> None:
+    def on_leader_answer(self, customer: Customer, word: GossipMessage) -> None:
         now = self.desk.now
-        customer.heard_us, customer.demand, customer.level = now, word.demand, word.level
-        customer.ask_after_us = customer.backoff_us = 0
+        customer.last_answer_us, customer.demand, customer.level = now, word.demand, word.level
+        customer.next_request_us = customer.backoff_us = 0
         if word.slot_grant:
-            customer.hear_place(word, now)
+            customer.on_slot_answer(word, now)
         if word.slot_grant is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
-        customer.part = min(customer.part, max(0.0, word.level / customer.size))
+        customer.share = min(customer.share, max(0.0, word.level / customer.size))
 
-    def hear_member(self, customer: quota.Customer, word: GossipMessage, sender: int) -> None:
-        now, shares = self.desk.now, customer.shares_cap()
+    def on_member_report(self, customer: Customer, word: GossipMessage, sender: int) -> None:
+        now, shares = self.desk.now, customer.shares_slots()
         customer.demand += word.demand
         customer.spend(word.spent)
         # A message without a request tells of an end.
-        customer.hear_out(sender, word.in_flight, not word.requested, now)
+        customer.on_peer_in_flight(sender, word.in_flight, not word.requested, now)
         if shares and not self.desk.has_twin:
-            customer.lent[sender] = now + quota.LENT_US
+            customer.ceded_by_peer[sender] = now + quota.COUNTED_US
         granted = customer.chance(word.requested) if word.requested > 0 else 0.0
         if shares and (word.requested < 0 or granted):  # who is let in needs a place at once
-            customer.wanting[sender] = abs(word.requested), now
+            customer.slot_queue[sender] = abs(word.requested), now
         if word.requested > 0 or (word.spent > 0 and customer.level < customer.plan.burst / 2):
             self.tell(sender, customer, max(0.0, word.requested))
         customer.spend(word.requested * granted)
 
     # --- places under an open cap, and what goes with them under a ceiling ---
 
-    def needs_place(self, customer: quota.Customer, units: float) -> bool:
+    def needs_slot(self, customer: Customer, units: float) -> bool:
         """Whether a request must wait for open cap or ceiling; a place is asked for at the home."""
         now = self.desk.now
-        if not customer.at_home and customer.shares_cap():
-            self.want_place(customer, units)
-            if customer.asks_home() and not customer.has_place(now):
+        if not customer.is_leader and customer.shares_slots():
+            self.request_slot(customer, units)
+            if customer.asks_leader() and not customer.has_slot(now):
                 return True
-        return self.at_ceiling(customer, units) or customer.at_open_cap(now)
+        return self.at_ceiling(customer, units) or customer.lacks_slot(now)
 
-    def at_ceiling(self, customer: quota.Customer, units: float) -> bool:
+    def at_ceiling(self, customer: Customer, units: float) -> bool:
         limited = customer.plan.ceiling_rate > 0
         return limited and (self.desk.blind or customer.refill(self.desk.now).ceiling < units)
 
-    def want_place(self, customer: quota.Customer, units: float) -> None:
-        now, silent = self.desk.now, customer.wants > quota.ASKS
-        if customer.has_place(now) and not silent:
+    def request_slot(self, customer: Customer, units: float) -> None:
+        now, silent = self.desk.now, customer.slot_requests > quota.ASKS
+        if customer.has_slot(now) and not silent:
             return
-        patience = quota.QUEUED_US if customer.queued or silent else quota.ASK_US
-        if now - customer.wanted_us >= patience:
-            customer.wanted_us, customer.queued = now, False
-            customer.wants += 1
+        patience = quota.QUEUED_US if customer.is_queued or silent else quota.ASK_US
+        if now - customer.slot_requested_us >= patience:
+            customer.slot_requested_us, customer.is_queued = now, False
+            customer.slot_requests += 1
             short = units if self.at_ceiling(customer, units) else 0.0
-            self.tell(customer.home, customer, -max(quota.PLACE_ALONE, short))
+            self.tell(customer.leader, customer, -max(quota.SLOT_ONLY, short))
 
-    def use_place(self, customer: quota.Customer) -> None:
-        customer.use_place(self.desk.now)
-        if customer.shares_cap() and not customer.at_home:
+    def use_slot(self, customer: Customer) -> None:
+        customer.use_slot(self.desk.now)
+        if customer.shares_slots() and not customer.is_leader:
             self.renewals[customer.key] = customer
 
     def renew(self) -> None:
         """An attempt may last longer than word of it holds, and a granted place may be of no use any more."""
         now = self.desk.now
         for key, customer in list(self.renewals.items()):
-            unused = customer.place_us > -NEVER and not customer.has_place(now)
-            if unused or (customer.out and now - customer.told_us >= quota.RENEW_US):
-                customer.place_us = -NEVER if unused else customer.place_us
-                self.tell_out(customer)
-            if not customer.out and customer.place_us == -NEVER:
+            unused = customer.slot_granted_us > -NEVER and not customer.has_slot(now)
+            if unused or (customer.in_flight and now - customer.reported_us >= quota.RENEW_US):
+                customer.slot_granted_us = -NEVER if unused else customer.slot_granted_us
+                self.report_in_flight(customer)
+            if not customer.in_flight and customer.slot_granted_us == -NEVER:
                 del self.renewals[key]
 
     def dues(self) -> list[float]:
         """When a word of what is out is to be renewed, or a place given back."""
         return [
-            known.told_us + quota.RENEW_US if known.place_us == -NEVER else known.place_us + quota.ASK_US
+            known.reported_us + quota.RENEW_US
+            if known.slot_granted_us == -NEVER
+            else known.slot_granted_us + quota.ASK_US
             for known in self.renewals.values()
         ]
 
-    def tell_out(self, customer: quota.Customer) -> None:
-        if customer.shares_cap() and not customer.at_home:
-            self.tell(customer.home, customer, 0.0)
-        elif customer.shares_cap():
-            self.give_places(customer)
+    def report_in_flight(self, customer: Customer) -> None:
+        if customer.shares_slots() and not customer.is_leader:
+            self.tell(customer.leader, customer, 0.0)
+        elif customer.shares_slots():
+            self.grant_slots(customer)
 
-    def give_all_places(self) -> None:
+    def grant_all_slots(self) -> None:
         """Time alone may free a place, or make room under a ceiling."""
         for customer in list(self.queues.values()):
-            self.give_places(customer)
+            self.grant_slots(customer)
 
-    def give_places(self, customer: quota.Customer) -> None:
+    def grant_slots(self, customer: Customer) -> None:
         """At its home: what is free goes to those that wait longest; those held here are one of them."""
-        while (peer := customer.next_wanting(self.desk.now)) is not None:
+        while (peer := customer.next_in_slot_queue(self.desk.now)) is not None:
             here = self.holds(customer)
-            if here and self.desk.random.random() * (1 + len(customer.wanting)) < 1:
+            if here and self.desk.random.random() * (1 + len(customer.slot_queue)) < 1:
                 break
             self.tell(peer, customer, -customer.grant(peer, self.desk.now), SlotGrant.GRANTED)
-        if customer.wanting:
+        if customer.slot_queue:
             self.queues[customer.key] = customer
         else:
             self.queues.pop(customer.key, None)
--- a/orchidhatch/gateway/records.py
+++ b/orchidhatch/gateway/records.py
@@ -11,87 +11,134 @@
 
 
 class ServerRecord:
-    """A server of the list, and how it has served."""
-
-    def __init__(self, entry: Endpoint) -> None:
-        self.entry, self.sum = entry, zlib.crc32(entry.name.encode()) & 0xFFFF
-        self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
-        self.heard_us = self.avoid_until = self.backoff_us = 0
-        self.trouble = 1.0  # latency over the mean, or WORST for a failure, as all gateways have met it
-        self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
-        self.on_trial, self.load, self.load_at = False, None, 0
-        self.back_us = -NEVER  # its return from suspicion
-        self.pace = 1.0  # how much more it is sent while cold, as its answers show that it is warmer
-        self.cold_us = 0  # when it may have started anew while left out by hand
-        self.warm_us = NEVER  # from when on it is warm, by its start
-        self.earned, self.earned_us = 0.0, 0  # part of an attempt that is due to it while cold; when
-
-    def memory(self) -> ServerSnapshot:
+    """The state of a server of the endpoint list: its attempts, health and slow start."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.checksum = zlib.crc32(endpoint.name.encode()) & 0xFFFF
+        # Attempts by request and number, and when each was sent.
+        self.in_flight: dict[tuple[str, int], int] = {}
+        self.last_answer_us = 0
+        self.ejected_until_us = 0
+        self.ejection_us = 0
+        # Latency over the mean, or WORST for a failure, as all gateways have met it.
+        self.fault_score = 1.0
+        self.relative_latency = 1.0
+        # A decaying count of failures.
+        self.failure_score = 0.0
+        self.needs_probe = False
+        self.reported_load: float | None = None
+        self.load_reported_us = 0
+        # When it was last readmitted after an ejection.
+        self.recovered_us = -NEVER
+        # How much more it is sent while cold, as its answers show that it is warmer.
+        self.pace = 1.0
+        # When it may have started anew, ejected by an operator.
+        self.cold_since_us = 0
+        # From when on it is warm, by its start.
+        self.warm_at_us = NEVER
+        # The part of an attempt that is due to it while cold, and as of when.
+        self.credit = 0.0
+        self.credit_us = 0
+
+    def snapshot(self) -> ServerSnapshot:
+        """What is handed over of it."""
         return ServerSnapshot(
-            self.entry.name,
-            self.entry.started_us,
-            self.slowness,
-            self.fails,
-            self.on_trial,
-            self.avoid_until,
-            self.backoff_us,
-            self.back_us,
-            self.cold_us,
-            self.earned,
-            self.earned_us,
+            name=self.endpoint.name,
+            started_us=self.endpoint.started_us,
+            relative_latency=self.relative_latency,
+            failure_score=self.failure_score,
+            needs_probe=self.needs_probe,
+            ejected_until_us=self.ejected_until_us,
+            ejection_us=self.ejection_us,
+            recovered_us=self.recovered_us,
+            cold_since_us=self.cold_since_us,
+            credit=self.credit,
+            credit_us=self.credit_us,
         )
 
-    def remember(self, told: ServerSnapshot) -> None:
-        if abs(self.entry.started_us - told.started_us) < SAME_START_US:
-            self.slowness, self.fails, self.on_trial = (
-                told.relative_latency,
-                told.failure_score,
-                told.needs_probe,
-            )
-            self.avoid_until, self.backoff_us = told.ejected_until_us, told.ejection_us
-            self.back_us, self.cold_us = told.recovered_us, told.cold_since_us
-            self.earned, self.earned_us = told.slow_start_credit, told.credit_updated_us
+    def restore(self, snapshot: ServerSnapshot) -> None:
+        """Go on from the snapshot, unless the server has been started anew since."""
+        if abs(self.endpoint.started_us - snapshot.started_us) >= SAME_START_US:
+            return
+        self.relative_latency = snapshot.relative_latency
+        self.failure_score = snapshot.failure_score
+        self.needs_probe = snapshot.needs_probe
+        self.ejected_until_us = snapshot.ejected_until_us
+        self.ejection_us = snapshot.ejection_us
+        self.recovered_us = snapshot.recovered_us
+        self.cold_since_us = snapshot.cold_since_us
+        self.credit = snapshot.credit
+        self.credit_us = snapshot.credit_us
 
 
 class CustomerRecord:
-    """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
+    """The state of a customer: its local share of quota and ceiling, and what is known of its gateway set.
 
-    def __init__(self, plan: Plan, key: CustomerKey, set_: Settings, now: int) -> None:
-        # Where gateways may not tell each other anything, each goes by its part as if it were the whole set.
-        self.plan, self.key, self.size, self.at = plan, key, key[3] if set_.may_gossip else 1, now
-        self.home = (
-            (key[2] + key[0] % self.size) % set_.gateway_count if set_.may_gossip else set_.gateway_index
-        )
-        self.at_home = self.home == set_.gateway_index
-        self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
-        self.own = max(1.0, self.part)  # what it may spend unheard: its part, of one request at least
-        self.ask_after_us = self.backoff_us = 0  # while the home does not answer, it is left alone
-        self.heard_us, self.out = -NEVER, 0
-        self.ceiling, self.left_us = 0.0, 0  # until when its part of the ceiling's rate is the home's
-        self.outs: dict[int, tuple[int, int]] = {}  # at its home: attempts out by gateway, and when it told
-        self.granted: dict[int, list[int]] = {}  # there too: places granted and not yet seen in use; when
-        # There too: who waits for a place, longest first; for how many units, and when it asked last.
-        self.wanting: dict[int, tuple[float, int]] = {}
-        self.lent: dict[int, int] = {}  # there too: until when a gateway leaves its part of the ceiling to it
-        # Elsewhere: when a place was granted, when one was asked for last, asks unanswered; its last word.
-        self.place_us, self.wanted_us, self.wants, self.queued = -NEVER, -NEVER, 0, False
-        self.told_us = -NEVER
-        self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
-
-    def memory(self) -> CustomerSnapshot:
+    One gateway of the set is the customer's quota leader, whose state of the set is the whole. Where gateways
+    may not gossip, each goes by its share as if it were the whole set.
+    """
+
+    def __init__(self, plan: Plan, key: CustomerKey, settings: Settings, now_us: int) -> None:
+        self.plan = plan
+        self.key = key
+        self.size = key.set_size if settings.may_gossip else 1
+        self.leader = settings.gateway_index
+        if settings.may_gossip:
+            self.leader = (key.set_first + key.customer % self.size) % settings.gateway_count
+        self.is_leader = self.leader == settings.gateway_index
+        self.refilled_us = now_us
+        self.share = plan.burst / self.size
+        self.level = plan.burst
+        self.demand = 0.0
+        # What may be spent before the leader is heard: the local share, of one request at least.
+        self.allowance = max(1.0, self.share)
+        self.in_flight = 0
+        # While the leader does not answer, it is not asked.
+        self.next_request_us = 0
+        self.backoff_us = 0
+        self.last_answer_us = -NEVER
+        self.ceiling = 0.0
+        # Until when the local share of the ceiling's rate is the leader's.
+        self.ceded_until_us = 0
+
+        # At the leader: attempts in flight by gateway and when it reported them; when slots were granted that
+        # are not yet seen in use; who waits for a slot, longest first, for how many units and since when;
+        # until when a gateway cedes its share of the ceiling.
+        self.peers_in_flight: dict[int, tuple[int, int]] = {}
+        self.granted_slots: dict[int, list[int]] = {}
+        self.slot_queue: dict[int, tuple[float, int]] = {}
+        self.ceded_by_peer: dict[int, int] = {}
+
+        # Elsewhere: when a slot was granted and requested last, requests unanswered, the last report.
+        self.slot_granted_us = -NEVER
+        self.slot_requested_us = -NEVER
+        self.slot_requests = 0
+        self.is_queued = False
+        self.reported_us = -NEVER
+        self.unreported_demand = 0.0
+        self.unreported_spend = 0.0
+
+    def snapshot(self) -> CustomerSnapshot:
+        """What is handed over of it."""
         return CustomerSnapshot(
-            self.key,
-            self.at,
-            self.part,
-            self.level,
-            self.demand,
-            self.ceiling,
-            self.heard_us,
-            self.untold,
-            self.spent,
+            key=self.key,
+            refilled_us=self.refilled_us,
+            share=self.share,
+            level=self.level,
+            demand=self.demand,
+            ceiling=self.ceiling,
+            last_answer_us=self.last_answer_us,
+            unreported_demand=self.unreported_demand,
+            unreported_spend=self.unreported_spend,
         )
 
-    def remember(self, told: CustomerSnapshot) -> None:
-        self.part, self.level, self.demand = told.local_share, told.set_level, told.demand
-        self.ceiling, self.heard_us = told.ceiling, told.last_answer_us
-        self.untold, self.spent = told.unreported_demand, told.unreported_spend
+    def restore(self, snapshot: CustomerSnapshot) -> None:
+        """Go on from the snapshot; the record has its key and time already."""
+        self.share = snapshot.share
+        self.level = snapshot.level
+        self.demand = snapshot.demand
+        self.ceiling = snapshot.ceiling
+        self.last_answer_us = snapshot.last_answer_us
+        self.unreported_demand = snapshot.unreported_demand
+        self.unreported_spend = snapshot.unreported_spend
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -56,7 +56,7 @@
 class CustomerSnapshot:
     """The state of a customer.
 
-    `local_share` is the local part of the quota, `set_level` that of the whole set as last heard, `ceiling`
+    `share` is the local part of the quota, `level` that of the whole set as last heard, `ceiling`
     the local bucket of the rate ceiling, `last_answer_us` when the quota leader answered last.
     `unreported_demand` and `unreported_spend` are the units requested and spent that the leader has not been
     sent.
@@ -64,8 +64,8 @@
 
     key: CustomerKey
     refilled_us: int
-    local_share: float
-    set_level: float
+    share: float
+    level: float
     demand: float
     ceiling: float
     last_answer_us: int
@@ -80,8 +80,8 @@
     `relative_latency` is its latency over its class's mean, `failure_score` the decaying count of failures. A
     server that was ejected until `ejected_until_us` is `needs_probe` until a recovery probe succeeds;
     `ejection_us` is how long the next ejection lasts, `recovered_us` when it recovered. `cold_since_us` is
-    since when it may be cold, `slow_start_credit` the part of an attempt that slow start permits, as of
-    `credit_updated_us`.
+    since when it may be cold, `credit` the part of an attempt that slow start permits, as of
+    `credit_us`.
     """
 
     name: str
@@ -93,8 +93,8 @@
     ejection_us: int
     recovered_us: int
     cold_since_us: int
-    slow_start_credit: float
-    credit_updated_us: int
+    credit: float
+    credit_us: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -184,7 +184,7 @@
         return HandoverConnection(self.on_line, self.on_lost)
 
     async def serve(self) -> None:
-        """Say that clients are served here now, and wait until the other process has released the addresses."""
+        """Say that clients are served here now; wait until the other process has released the addresses."""
         if self.connection:
             self.connection.send(Verb.SERVING.value)
             if not await self.comes_in_time(self.released):
--- a/tests/faults/test_trial.py
+++ b/tests/faults/test_trial.py
@@ -434,7 +434,7 @@
     (tmp_path / "x.events").write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
     narrow = forms.Customers(plan="narrow", max_in_flight=2)
     plan = forms.Plan(name="x", seconds=1.0, load=forms.Load(customers=[narrow]))
-    verdict = Judge(gather(tmp_path, tmp_path / "x.db"), plan).judge()
+    verdict = Judge(gather(tmp_path, tmp_path / "x.db"), plan).observe()
     assert {one.check for one in verdict.breaks} == ({broken} if broken else set())
     assert not verdict.slow
 
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -205,7 +205,7 @@
             customer
             for world in gates.worlds
             for customer in world.gateway.homes.customers.values()
-            if customer.at_home
+            if customer.is_leader
         ]
     level = homes[0].level
     assert level > 6  # of 10, at nine tenths of the rate
@@ -223,7 +223,7 @@
         customer.level
         for world in gates.worlds
         for customer in world.gateway.homes.customers.values()
-        if customer.home == world.gateway.set.gateway_index
+        if customer.leader == world.gateway.set.gateway_index
     ]
     assert levels == [pytest.approx(20, abs=0.5)]
 
@@ -335,7 +335,7 @@
     key = (0, 0, 0, 2)  # at home here
     world.tell(PeerMessage(1, (GossipMessage(*key, level=0.0, in_flight=1),)))
     (customer,) = world.gateway.homes.customers.values()
-    assert customer.others_out(world.now) == 1 and customer.level == 0
+    assert customer.peers_attempts(world.now) == 1 and customer.level == 0
     assert not of(SendGossip, [action for _, action in world.log])
 
 
@@ -634,7 +634,7 @@
     """Each alone would have to wait out a time-out of its own on it."""
     gates = Set(40, replace(SETTINGS, plans=(PLAN,)), servers(10))
     other = gates.worlds[1]
-    index = other.gateway.routing.servers["s0"].sum
+    index = other.gateway.routing.servers["s0"].checksum
     for n in range(12):
         seen = tuple(AttemptObservation(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
         other.tell(PeerMessage(2, (GossipMessage(n, 0, 1, 5, level=20.0),), seen))
@@ -687,7 +687,7 @@
 def test_occupancy_is_that_of_all_gateways() -> None:
     """A few slow answers here are chance where the others' are quick."""
     world = World(replace(SETTINGS, gateway_count=40))
-    server = world.gateway.routing.servers["s0"].sum
+    server = world.gateway.routing.servers["s0"].checksum
     seen = tuple(AttemptObservation(server, 0, True, 0.1) for _ in range(12))
     for n in range(5):
         world.tell(PeerMessage(n + 1, (GossipMessage(n, 0, 0, 5),), seen))
@@ -766,7 +766,7 @@
     world.run(S)
     assert customer.refill(world.now).chance(1.0, known=False) == 1.0
     # Asks leave nothing of a rate of ten at 25 a second, so that an older word is of use above the kept part.
-    customer.heard_us, customer.demand, customer.level = world.now, 20.0, 20.0
+    customer.last_answer_us, customer.demand, customer.level = world.now, 20.0, 20.0
     spare = (20.0 - 20.0 / 4) / (30 / 25)
     assert customer.chance(1.0, known=False) == pytest.approx(spare * 0.5 / 20.0)
     customer.level = 5.0
@@ -792,7 +792,7 @@
     sent = of(SendAttempt, [action for _, action in world.log])
     assert len(sent) <= 1 + 40 * 10 / 40 + 1  # its own part
     customer = world.gateway.homes.customer(key)
-    world.tell(PeerMessage(customer.home, (GossipMessage(*key, is_answer=True, level=20.0, demand=1.0),)))
+    world.tell(PeerMessage(customer.leader, (GossipMessage(*key, is_answer=True, level=20.0, demand=1.0),)))
     assert of(SendGossip, world.ask("heard", set_size=40) + world.run(100 * MS))
 
 
@@ -800,8 +800,8 @@
     """Each ask costs its home a message of an intake that all customers share."""
     world = World(replace(SETTINGS, plans=(Plan(rate=0.5, burst=2.0),), gateway_count=40, gateway_index=5))
     customer = world.gateway.homes.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
-    assert customer.home != 5
-    customer.heard_us, customer.level = world.now, 0.2
+    assert customer.leader != 5
+    customer.last_answer_us, customer.level = world.now, 0.2
     world.now += S  # 0.7 of a request
     assert of(Reject, world.ask("early", set_size=40)) and not of(SendGossip, world.run(MS))
     world.now += S  # 1.2
@@ -945,7 +945,7 @@
     world.run(10 * MS)
     for n in range(4):
         world.answer(f"r{n}", AttemptResult.TIMEOUT)
-    assert world.gateway.routing.servers["s0"].on_trial is False
+    assert world.gateway.routing.servers["s0"].needs_probe is False
 
 
 def test_further_attempts_are_few() -> None:
@@ -1035,7 +1035,7 @@
     settings = replace(SETTINGS, plans=(Plan(),))
     world = World(settings, servers(4))
     for server in world.gateway.routing.up:
-        server.on_trial, server.avoid_until = True, world.now
+        server.needs_probe, server.ejected_until_us = True, world.now
     for n in range(100):
         world.ask(f"r{n}")
         world.run(25 * MS)
@@ -1050,7 +1050,7 @@
     gates = Set(4, replace(SETTINGS, plans=(plan,)))
     gates.ask(0, "warm", customer="c")
     (customer,) = gates.worlds[0].gateway.homes.customers.values()
-    home = customer.home
+    home = customer.leader
     gates.run(300 * MS)
     for world in gates.worlds:
         world.answer = lambda *_, **__: []  # from now on nothing is answered
@@ -1105,7 +1105,7 @@
     world = World(settings)
     rest = {"set_size": 3, "plan_index": 0}
     told = [action for n in range(8) for action in of(SendGossip, world.ask(f"a{n}", customer="c2", **rest))]
-    home = world.gateway.homes.customers[next(iter(world.gateway.homes.customers))].home
+    home = world.gateway.homes.customers[next(iter(world.gateway.homes.customers))].leader
     assert home != 0 and told and not of(SendGossip, world.run(10 * MS)) and world.gateway.words.waiting
     space_us = world.gateway.words.space_us
     before = world.now
@@ -1178,10 +1178,10 @@
     world.answer("d")
     gateway = world.gateway
     routing = gateway.routing
-    costs = {server.entry.name: routing.cost(server) / server.slowness for server in routing.up}
+    costs = {server.endpoint.name: routing.cost(server) / server.relative_latency for server in routing.up}
     assert sorted(costs.values())[1] < sorted(costs.values())[2] == sorted(costs.values())[-1]
     world.run(6 * S)  # by now those connections are closed
-    assert len({round(routing.cost(server) / server.slowness, 9) for server in routing.up}) == 1
+    assert len({round(routing.cost(server) / server.relative_latency, 9) for server in routing.up}) == 1
 
 
 def test_connections_are_no_reason_where_an_even_spread_keeps_them() -> None:
@@ -1193,5 +1193,7 @@
             world.run(gap)
             world.answer(f"a{gap}-{n}")
         assert gateway.routing.spread_thin is thin
-        costs = {round(gateway.routing.cost(server) / server.slowness, 9) for server in gateway.routing.up}
+        costs = {
+            round(gateway.routing.cost(server) / server.relative_latency, 9) for server in gateway.routing.up
+        }
         assert len(costs) == 1 + thin
--- a/tests/gateway/test_policy_change.py
+++ b/tests/gateway/test_policy_change.py
@@ -33,16 +33,16 @@
             world.ask(f"r{number}")
         [customer] = world.gateway.homes.customers.values()
         before = customer.refill(world.now)
-        was = before.plan, before.level, before.part, before.out
+        was = before.plan, before.level, before.share, before.in_flight
         world.tell(new_policy(plan))
         after = next(iter(world.gateway.homes.customers.values()))
-        assert after.plan == plan and after.out == was[3]
+        assert after.plan == plan and after.in_flight == was[3]
         share = plan.burst / was[0].burst if was[0].burst else 0.0
-        assert after.level == pytest.approx(was[1] * share) and after.part <= plan.burst + 1e-9
+        assert after.level == pytest.approx(was[1] * share) and after.share <= plan.burst + 1e-9
         assert after.ceiling <= plan.ceiling_burst + 1e-9
         for name, attempt in list(world.out):  # whatever was let in ends by what held then
             world.answer(name, attempt=attempt)
-    assert after.out == 0
+    assert after.in_flight == 0
 
 
 def test_admission_when_suspended_or_banned_then_rejects_and_ignores_other_policies_gossip() -> None:
@@ -55,7 +55,7 @@
     assert of(Reject, world.ask("c", customer="c2")) and of(SendAttempt, world.ask("d"))
     ended = dict(world.gateway.counters.ended)
     assert ended == {"policy": 1, "banned": 1}
-    [customer] = [one for one in world.gateway.homes.customers.values() if one.at_home][:1]
+    [customer] = [one for one in world.gateway.homes.customers.values() if one.is_leader][:1]
     demand = customer.demand
     word = GossipMessage(*customer.key, demand=50.0, spent=50.0)
     for mark, level in ((2, customer.level), (0, customer.level), (9, customer.level - 50)):
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -267,7 +267,7 @@
             while not pool.idle:
                 await asyncio.sleep(0)
             assert not backend.commands and not door.gateway.jobs
-            assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
+            assert customer.level == pytest.approx(4, abs=0.2) and customer.in_flight == 0  # given back, once
 
     run(job())
 
@@ -279,12 +279,12 @@
     name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
     world.ask("r1", customer=name, units=10.0, set_size=3)
     (customer,) = world.gateway.homes.customers.values()
-    assert world.gateway.waits and not customer.at_home
+    assert world.gateway.waits and not customer.is_leader
     world.tell(ClientGone("r1"))
     word = GossipMessage(*customer.key, True, 10.0, 0.0, 10.0, level, 0, SlotGrant.NONE)
     for _ in range(2):
-        world.tell(PeerMessage(customer.home, (word,), ()))
-    assert customer.spent == (-10.0 if level >= 10 else 0.0)
+        world.tell(PeerMessage(customer.leader, (word,), ()))
+    assert customer.unreported_spend == (-10.0 if level >= 10 else 0.0)
     assert not world.gateway.waits and not world.gateway.jobs and not of(SendAttempt, world.run(S))
 
 
--- a/tests/proxy/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -185,8 +185,8 @@
     server = world.out[("a", 0)][0]
     assert of(CancelAttempt, world.tell(StreamStarted("a", 0, server, 5))) == []
     (customer,) = world.gateway.homes.customers.values()
-    assert world.gateway.cap.out == 0 and customer.out == 1
+    assert world.gateway.cap.out == 0 and customer.in_flight == 1
     world.now += 60_000_000
     world.answer("a")
-    assert customer.out == 0 and not world.gateway.jobs
-    assert world.gateway.routing.servers[server].slowness < 1
+    assert customer.in_flight == 0 and not world.gateway.jobs
+    assert world.gateway.routing.servers[server].relative_latency < 1
