--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -14,36 +14,39 @@
 from orchidhatch.gateway.constants import TICK_US
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import AttemptObservation
-from orchidhatch.gateway.handover import Twin
-from orchidhatch.gateway.in_flight import Job
-from orchidhatch.gateway.load_balancing import SIGHTED, Routing, Server
+from orchidhatch.gateway.handover import HandoverPeer
+from orchidhatch.gateway.in_flight import InFlightRequest
+from orchidhatch.gateway.load_balancing import SIGHTED, LoadBalancer, Server
 from orchidhatch.gateway.membership import Membership
-from orchidhatch.gateway.overload import Cap
-from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.overload import OverloadController
+from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import ASK_US, ASKS, Customer
-from orchidhatch.gateway.quota_leaders import Homes
-from orchidhatch.gateway.retries import Retries
+from orchidhatch.gateway.quota_leaders import QuotaLeaders
+from orchidhatch.gateway.retries import RetryPolicy
 from orchidhatch.gateway.settings import Settings
 from orchidhatch.gateway.times import NEVER
 
 HAS_LATENCY = (AttemptResult.OK, AttemptResult.TIMEOUT)  # results that show how busy servers are
+NEVER_RUN = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 
 
-class Gateway:
+class GatewayCore:
     """One gateway: `handle` takes an event and a time in microseconds, and gives actions."""
 
     def __init__(self, settings: Settings) -> None:
-        self.set = settings
-        self.desk = desk = DecisionContext(settings)
-        self.cap, self.routing, self.words = Cap(desk), Routing(desk), Words(desk)
-        self.membership = Membership(desk, self.routing)
-        self.homes = Homes(desk, self.words, self.holds)
-        self.retries = Retries(desk, self.routing, self.cap)
-        self.twin = Twin(desk, self.routing, self.membership, self.homes, self.cap)
-        self.jobs: dict[str, Job] = {}
-        self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
-        self.waits: list[Job] = []  # for word of their quota
+        self.settings = settings
+        self.context = context = DecisionContext(settings)
+        self.overload = OverloadController(context)
+        self.balancer = LoadBalancer(context)
+        self.outbox = PeerOutbox(context)
+        self.membership = Membership(context, self.balancer)
+        self.quotas = QuotaLeaders(context, self.outbox, self.holds)
+        self.retries = RetryPolicy(context, self.balancer, self.overload)
+        self.handover_peer = HandoverPeer(context, self.balancer, self.membership, self.quotas, self.overload)
+        self.jobs: dict[str, InFlightRequest] = {}
+        self.held: list[tuple[float, int, InFlightRequest]] = []  # highest worth first, then by arrival
+        self.waits: list[InFlightRequest] = []  # for word of their quota
         self.alarm_us, self.serial = NEVER, itertools.count()
         self.counters = metrics.RequestCounters()
         self.barred = False  # whether nobody may be let in
@@ -61,71 +64,71 @@
             events.EndpointList: self.membership.on_list,
             events.SetEjection: self.membership.on_maint,
             snapshots.HandoverEjection: self.membership.leave_out,
-            events.StartHandover: lambda _: self.twin.hand_over(self.jobs.values()),
-            snapshots.GatewaySnapshot: self.twin.on_state,
-            events.HandoverPeerGone: self.twin.on_gone,
-            events.HandoverPeerUnknown: self.twin.on_unknown,
-            snapshots.HandoverSpend: self.twin.on_spend,
-            snapshots.HandoverAttempt: self.twin.on_send,
-            snapshots.HandoverAttemptEnd: self.twin.on_end,
+            events.StartHandover: lambda _: self.handover_peer.hand_over(self.jobs.values()),
+            snapshots.GatewaySnapshot: self.handover_peer.on_state,
+            events.HandoverPeerGone: self.handover_peer.on_gone,
+            events.HandoverPeerUnknown: self.handover_peer.on_unknown,
+            snapshots.HandoverSpend: self.handover_peer.on_spend,
+            snapshots.HandoverAttempt: self.handover_peer.on_send,
+            snapshots.HandoverAttemptEnd: self.handover_peer.on_end,
         }
 
     def handle(self, now_us: int, event: events.Event) -> list[actions.Action]:
-        desk = self.desk
-        desk.now, desk.actions = now_us, []
-        if self.cap.period_us < 0:
-            self.cap.period_us = desk.started_us = now_us
+        context = self.context
+        context.now_us, context.actions = now_us, []
+        if self.overload.period_us < 0:
+            self.overload.period_us = context.started_us = now_us
         if act := self.on.get(type(event)):
             act(event)
-        self.words.send()
+        self.outbox.send()
         if (due := self.next_look()) < self.alarm_us:
             self.alarm_us = due
-            desk.actions.append(actions.SetTimer(due - now_us, 0))
-        return desk.actions
+            context.actions.append(actions.SetTimer(due - now_us, 0))
+        return context.actions
 
     def next_look(self) -> int:
         """When time alone may bring something about: held requests are looked at each tick, attempts that are
         out not at all, as their ends are told."""
-        soonest = self.desk.now + TICK_US
-        if self.held or self.homes.queues:
+        soonest = self.context.now_us + TICK_US
+        if self.held or self.quotas.queues:
             return soonest
         dues = [
-            self.cap.period_us + self.cap.cc_us,
-            *self.homes.dues(),
-            *self.words.dues(),
-            *[job.decide_us for job in self.waits],
+            self.overload.period_us + self.overload.cc_us,
+            *self.quotas.dues(),
+            *self.outbox.dues(),
+            *[job.decide_at_us for job in self.waits],
         ]
         return max(soonest, math.ceil(min(dues)))
 
     def on_tick(self, _: events.TimerExpired) -> None:
-        if self.desk.now < self.alarm_us:
+        if self.context.now_us < self.alarm_us:
             return
         self.alarm_us = NEVER
-        while self.desk.now - self.cap.period_us >= self.cap.cc_us:
+        while self.context.now_us - self.overload.period_us >= self.overload.cc_us:
             self.end_period()
-        self.desk.actions += metrics.wait_times(self)
+        self.context.actions += metrics.wait_times(self)
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
-        self.homes.renew()
-        self.homes.grant_all_slots()
+        self.quotas.renew()
+        self.quotas.grant_all_slots()
 
     def end_period(self) -> None:
-        self.cap.end_period()
-        self.routing.end_period(self.cap.rate, self.cap.cc_us)
-        self.homes.forget()
-        self.cap.begin_period(len(self.routing.up), self.overdue)
-        self.desk.actions += metrics.log_lines(self)
+        self.overload.end_period()
+        self.balancer.end_period(self.overload.rate, self.overload.cc_us)
+        self.quotas.forget()
+        self.overload.begin_period(len(self.balancer.up), self.overdue)
+        self.context.actions += metrics.log_lines(self)
 
     def overdue(self) -> list[float]:
         """The ages of attempts that are out for longer than the mean, in aims."""
-        now, means = self.desk.now, self.routing.mean_us
+        now, means = self.context.now_us, self.balancer.mean_us
         return [
             min(1.0, (now - sent) / job.rule.latency_objective_us)
             for job in self.jobs.values()
-            if not job.streams
-            for sent in job.out.values()
-            if now - sent > means[job.req.class_index]
+            if not job.is_streaming
+            for sent in job.attempts.values()
+            if now - sent > means[job.request.class_index]
         ]
 
     # --- requests that come ---
@@ -134,8 +137,9 @@
         key = snapshots.CustomerKey(
             zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size
         )
-        customer = self.homes.customer(key)
-        job = self.jobs[req.id] = Job(req, self.set.classes[req.class_index], customer, self.desk.now)
+        customer = self.quotas.customer(key)
+        rule = self.settings.classes[req.class_index]
+        job = self.jobs[req.id] = InFlightRequest(req, rule, customer, self.context.now_us)
         why = self.shut_out(req)
         self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size_bytes
         if why:
@@ -146,47 +150,48 @@
     def shut_out(self, req: events.Request) -> str:
         """Why it is not looked at further, if so. Where as much is open as may be it can be told to come
         again, while time would only run out for it here."""
-        set_, bytes_left = self.set, self.set.max_open_bytes - self.open_bytes
+        set_, bytes_left = self.settings, self.settings.max_open_bytes - self.open_bytes
         if self.barred or req.customer in set_.banned_customers:
             return "policy" if self.barred else "banned"
         lacks_bytes = set_.max_open_bytes > 0 and bytes_left < req.size_bytes
         return "crowded" if 0 < set_.max_open_requests <= self.open or lacks_bytes else ""
 
-    def admit(self, job: Job) -> None:
+    def admit(self, job: InFlightRequest) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
-        customer, units = job.customer, job.req.units
+        customer, units = job.customer, job.request.units
         had_part = customer.share >= units
-        chance = self.homes.chance(customer, units)
+        chance = self.quotas.chance(customer, units)
         if chance is None:
             self.ask(job)
             return
-        known = "home" if customer.is_leader else "old" if customer.is_fresh(self.desk.now) else "unheard"
+        fresh = customer.is_fresh(self.context.now_us)
+        known = "home" if customer.is_leader else "old" if fresh else "unheard"
         self.decide(job, chance, "part" if had_part else known)
         if had_part and not customer.shares_slots():  # else the wish for a place tells it
-            self.homes.tell(customer.leader, customer, 0.0)
+            self.quotas.tell(customer.leader, customer, 0.0)
 
-    def ask(self, job: Job) -> None:
-        wait, job.asks = min(ASK_US, job.rule.latency_objective_us // 8), job.asks + 1
-        self.words.tally["asked"] += 1
-        job.decide_us = min(self.desk.now + wait, job.end_us - 4 * TICK_US)
+    def ask(self, job: InFlightRequest) -> None:
+        wait, job.grant_requests = min(ASK_US, job.rule.latency_objective_us // 8), job.grant_requests + 1
+        self.outbox.tally["asked"] += 1
+        job.decide_at_us = min(self.context.now_us + wait, job.deadline_us - 4 * TICK_US)
         self.waits.append(job)
-        self.homes.tell(job.customer.leader, job.customer, job.req.units)
+        self.quotas.tell(job.customer.leader, job.customer, job.request.units)
 
     def on_peer(self, message: events.PeerMessage) -> None:
-        self.words.tally["heard"] += 1
+        self.outbox.tally["heard"] += 1
         for seen in message.observations:
-            server = self.routing.by_checksum.get(seen.server_checksum)
-            if server and seen.class_index < len(self.set.classes):
+            server = self.balancer.by_checksum.get(seen.server_checksum)
+            if server and seen.class_index < len(self.settings.classes):
                 latency = seen.relative_latency
-                self.cap.signals["latency"] += [latency] if seen.succeeded or latency else []
-                objective_us = self.set.classes[seen.class_index].latency_objective_us
-                self.routing.observe(server, seen.class_index, seen.succeeded, latency * objective_us)
-        if message.policy_mark == self.set.policy_mark:  # by another policy their amounts mean something else
-            self.homes.hear(message.sender, message.messages, self.answered)
+                self.overload.signals["latency"] += [latency] if seen.succeeded or latency else []
+                objective_us = self.settings.classes[seen.class_index].latency_objective_us
+                self.balancer.observe(server, seen.class_index, seen.succeeded, latency * objective_us)
+        if message.policy_mark == self.settings.policy_mark:  # else their amounts mean something else
+            self.quotas.hear(message.sender, message.messages, self.answered)
 
     def on_policy(self, told: events.PolicyChange) -> None:
-        self.set = self.desk.set = told.applied_to(self.set)
-        self.homes.move(told.plan_moves)
+        self.settings = self.context.settings = told.applied_to(self.settings)
+        self.quotas.move(told.plan_moves)
 
     def on_bar(self, told: events.SuspendAdmission) -> None:
         self.barred = told.is_suspended
@@ -197,29 +202,29 @@
 
     def end_waits(self, told: Customer | None = None) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
-        now = self.desk.now
+        now = self.context.now_us
         ready = [job for job in self.waits if job.customer is told][:1]
-        self.words.tally["answered"] += len(ready)
-        ready += [job for job in self.waits if job.decide_us <= now and job not in ready]
+        self.outbox.tally["answered"] += len(ready)
+        ready += [job for job in self.waits if job.decide_at_us <= now and job not in ready]
         self.waits = [job for job in self.waits if job not in ready]
-        for job in [job for job in ready if told or not job.over]:
-            if told is None and job.asks < ASKS and now + ASK_US + 4 * TICK_US < job.end_us:
+        for job in [job for job in ready if told or not job.is_answered]:
+            if told is None and job.grant_requests < ASKS and now + ASK_US + 4 * TICK_US < job.deadline_us:
                 self.ask(job)  # words may be lost
                 continue
-            chance = job.customer.chance(job.req.units, known=told is not None)
+            chance = job.customer.chance(job.request.units, known=told is not None)
             how = "answered" if told else "silent"
             if told is None:
-                job.customer.back_off(now, self.desk.random.random())
-            job.customer.unreported_spend -= job.req.units * chance  # as much the home has counted already
-            if not job.over:  # else its client has left, and the home hears with the next word
+                job.customer.back_off(now, self.context.random.random())
+            job.customer.unreported_spend -= job.request.units * chance  # the leader has counted it already
+            if not job.is_answered:  # else its client has left, and the home hears with the next word
                 self.decide(job, chance, how)
 
-    def decide(self, job: Job, chance: float, how: str) -> None:
-        self.counters.count_decision(how, self.desk.now - job.customer.last_answer_us)
-        job.in_quota, plan = self.desk.random.random() < chance, job.customer.plan
-        if job.in_quota:
-            self.homes.spend(job.customer, job.req.units)
-        elif plan.over_quota_weight <= plan.over_quota_cost or self.cap.n_past is not None:
+    def decide(self, job: InFlightRequest, chance: float, how: str) -> None:
+        self.counters.count_decision(how, self.context.now_us - job.customer.last_answer_us)
+        job.is_in_quota, plan = self.context.random.random() < chance, job.customer.plan
+        if job.is_in_quota:
+            self.quotas.spend(job.customer, job.request.units)
+        elif plan.over_quota_weight <= plan.over_quota_cost or self.overload.n_past is not None:
             self.end(job, "quota")
             return
         self.hold(job)
@@ -227,15 +232,15 @@
 
     # --- requests that are held, and attempts ---
 
-    def hold(self, job: Job) -> None:
-        job.held_us, job.decide_us = self.desk.now, NEVER
-        insort(self.held, (-job.worth, next(self.serial), job))
+    def hold(self, job: InFlightRequest) -> None:
+        job.queued_us, job.decide_at_us = self.context.now_us, NEVER
+        insort(self.held, (-job.priority, next(self.serial), job))
 
     def holds(self, customer: Customer) -> bool:
         return any(job.customer is customer and not job.servers for _, _, job in self.held)
 
     def allowance(self) -> bool:
-        return self.cap.allowance(self.routing.warm)
+        return self.overload.allowance(self.balancer.warm)
 
     def release(self) -> None:
         blocked, held = not self.allowance(), self.held
@@ -244,111 +249,105 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (
-                not job.servers and (blocked or self.homes.needs_slot(job.customer, job.req.units))
+            waits = job.is_answered or (
+                not job.servers and (blocked or self.quotas.needs_slot(job.customer, job.request.units))
             )
-            if server := None if waits else self.routing.choose(job):
+            if server := None if waits else self.balancer.choose(job):
                 self.send(job, server)
-            elif not job.over:
+            elif not job.is_answered:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
-    def expire(self, job: Job, means: float) -> bool:
+    def expire(self, job: InFlightRequest, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
-        now = self.desk.now
-        needed = min(means * self.routing.mean_us[job.req.class_index], job.rule.latency_objective_us / 2)
-        late = job.may_refuse() and now + needed >= job.aim_us
-        if not job.over and (late or now + 2 * TICK_US >= job.end_us):
+        now = self.context.now_us
+        mean_us = self.balancer.mean_us[job.request.class_index]
+        needed = min(means * mean_us, job.rule.latency_objective_us / 2)
+        late = job.may_reject() and now + needed >= job.objective_us
+        if not job.is_answered and (late or now + 2 * TICK_US >= job.deadline_us):
             self.end(job, metrics.rejection_reason(self, job))
-        return job.over
+        return job.is_answered
 
-    def send(self, job: Job, server: Server) -> None:
-        customer, now = job.customer, self.desk.now
+    def send(self, job: InFlightRequest, server: Server) -> None:
+        customer, now = job.customer, self.context.now_us
         if not (number := len(job.servers)):
-            self.cap.accepted += 1
+            self.overload.accepted += 1
             self.retries.earn()
-            customer.ceiling -= job.req.units
+            customer.ceiling -= job.request.units
         job.servers.append(server)
-        job.out[number] = server.in_flight[(job.req.id, number)] = now
-        customer.in_flight, self.cap.out = customer.in_flight + 1, self.cap.out + 1
+        job.attempts[number] = server.in_flight[(job.request.id, number)] = now
+        customer.in_flight, self.overload.out = customer.in_flight + 1, self.overload.out + 1
         if not number:
-            self.homes.use_slot(customer)
+            self.quotas.use_slot(customer)
         server.credit -= 1
-        self.desk.actions.append(
-            actions.SendAttempt(
-                job.req.id, server.endpoint.name, self.retries.time_out(job), self.retries.begin_within(job)
-            )
-        )
-        if job.ran_on is None:
-            job.ran_on, job.ran_us = server, now
-        self.desk.tell_twin(
-            snapshots.HandoverAttempt(
-                customer.key, job.req.id, number, server.endpoint.name, now, 0.0 if number else job.req.units
-            )
+        name, units = server.endpoint.name, 0.0 if number else job.request.units
+        timeout_us, start_us = self.retries.time_out(job), self.retries.begin_within(job)
+        self.context.actions.append(actions.SendAttempt(job.request.id, name, timeout_us, start_us))
+        if job.first_server is None:
+            job.first_server, job.first_sent_us = server, now
+        self.context.send_to_handover_peer(
+            snapshots.HandoverAttempt(customer.key, job.request.id, number, name, now, units)
         )
 
-    def again(self, job: Job, why: AttemptResult) -> bool:
+    def again(self, job: InFlightRequest, why: AttemptResult) -> bool:
         """Whether the request goes on after an attempt that ended so: on another server, or held for one."""
         if not self.retries.may(job, why):
             return False
-        if server := self.routing.choose(job):
+        if server := self.balancer.choose(job):
             self.retries.pay(why)
             self.send(job, server)
-        elif job.ran_on is None:
+        elif job.first_server is None:
             self.hold(job)
-        return server is not None or job.ran_on is None
+        return server is not None or job.first_server is None
 
     def on_outcome(self, event: events.AttemptEnded) -> None:
         job = self.jobs.get(event.id)
-        if job is None or event.attempt not in job.out:
+        if job is None or event.attempt not in job.attempts:
             return
         server, job.customer.in_flight = job.servers[event.attempt], job.customer.in_flight - 1
-        del job.out[event.attempt]
-        self.desk.tell_twin(snapshots.HandoverAttemptEnd(event.id, event.attempt))
-        if not job.streams:
-            self.cap.out -= 1
+        del job.attempts[event.attempt]
+        self.context.send_to_handover_peer(snapshots.HandoverAttemptEnd(event.id, event.attempt))
+        if not job.is_streaming:
+            self.overload.out -= 1
             del server.in_flight[(event.id, event.attempt)]
-        if not job.streams or event.result is not AttemptResult.OK:
+        if not job.is_streaming or event.result is not AttemptResult.OK:
             self.learn(job, server, event)
         if (
             event.result is AttemptResult.NOT_SENT and not event.attempt
         ):  # its first never left: it draws nothing
             self.give_back(job)
-            job.customer.ceiling += job.req.units
-        job.unrun += event.result in (
-            AttemptResult.REJECTED,
-            AttemptResult.CONNECT_FAILED,
-            AttemptResult.NOT_SENT,
-        )
-        job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
-        if event.is_final or job.over:
+            job.customer.ceiling += job.request.units
+        job.unrun_attempts += event.result in NEVER_RUN
+        job.first_server = None if job.unrun_attempts == len(job.servers) else job.first_server
+        if event.is_final or job.is_answered:
             self.drop(job)
-        elif not job.out and not self.again(job, event.result):
+        elif not job.attempts and not self.again(job, event.result):
             self.end(job, event.result.value)
-        if not job.out:  # else a further attempt has its place
-            self.homes.report_in_flight(job.customer)
+        if not job.attempts:  # else a further attempt has its place
+            self.quotas.report_in_flight(job.customer)
 
-    def learn(self, job: Job, server: Server, event: events.AttemptEnded) -> None:
-        index, result, took = job.req.class_index, event.result, event.latency_us
+    def learn(self, job: InFlightRequest, server: Server, event: events.AttemptEnded) -> None:
+        index, result, took = job.request.class_index, event.result, event.latency_us
         report = event.report or LoadReport()  # busy cores are the signal; a count only ranks servers
         loads = [load for load in (report.util, report.inflight, report.queue) if load is not None]
-        self.cap.signals["util"] += [report.util] if report.util is not None else []
+        self.overload.signals["util"] += [report.util] if report.util is not None else []
         lasted = took / job.rule.latency_objective_us if result in HAS_LATENCY else 0.0
         if result in SIGHTED:
-            self.words.see(AttemptObservation(server.checksum, index, result is AttemptResult.OK, lasted))
-        self.routing.learn(server, index, event, loads[0] if loads else None)
-        if result is AttemptResult.OK and self.set.settles_units and event.actual_units and job.in_quota:
-            job.customer.spend(event.actual_units - job.req.units)
+            self.outbox.see(AttemptObservation(server.checksum, index, result is AttemptResult.OK, lasted))
+        self.balancer.learn(server, index, event, loads[0] if loads else None)
+        settles = self.settings.settles_units and event.actual_units and job.is_in_quota
+        if result is AttemptResult.OK and settles:
+            job.customer.spend(event.actual_units - job.request.units)
         if result in HAS_LATENCY:
-            self.cap.signals["latency"].append(min(1.0, lasted))
+            self.overload.signals["latency"].append(min(1.0, lasted))
 
     def on_stream(self, event: events.StreamStarted) -> None:
         """The value is the client's, as fast as that reads: the server's own part was until now."""
         job = self.jobs.get(event.id)
-        if job and event.attempt in job.out and not job.over:
-            server, job.streams = job.servers[event.attempt], True
+        if job and event.attempt in job.attempts and not job.is_answered:
+            server, job.is_streaming = job.servers[event.attempt], True
             self.close(job)
-            self.cap.out -= 1
+            self.overload.out -= 1
             del server.in_flight[(event.id, event.attempt)]
             self.learn(
                 job,
@@ -360,12 +359,12 @@
 
     # --- ends ---
 
-    def end(self, job: Job, why: str) -> None:
+    def end(self, job: InFlightRequest, why: str) -> None:
         self.counters.count_end(why)
-        self.desk.actions.append(
-            actions.Reject(job.req.id, self.retries.come_again(job, why))
-            if job.may_refuse()
-            else actions.Fail(job.req.id)
+        self.context.actions.append(
+            actions.Reject(job.request.id, self.retries.come_again(job, why))
+            if job.may_reject()
+            else actions.Fail(job.request.id)
         )
         self.drop(job)
 
@@ -373,26 +372,26 @@
         if event.id in self.jobs:
             self.drop(self.jobs[event.id])
 
-    def close(self, job: Job) -> None:
+    def close(self, job: InFlightRequest) -> None:
         """It is owed nothing more."""
-        if not job.over:
-            job.over = True
-            self.open, self.open_bytes = self.open - 1, self.open_bytes - job.req.size_bytes
+        if not job.is_answered:
+            job.is_answered = True
+            self.open, self.open_bytes = self.open - 1, self.open_bytes - job.request.size_bytes
 
-    def give_back(self, job: Job) -> None:
-        if job.in_quota:
-            self.homes.spend(job.customer, -job.req.units)
+    def give_back(self, job: InFlightRequest) -> None:
+        if job.is_in_quota:
+            self.quotas.spend(job.customer, -job.request.units)
 
-    def drop(self, job: Job) -> None:
-        if not job.servers and not job.over:
+    def drop(self, job: InFlightRequest) -> None:
+        if not job.servers and not job.is_answered:
             self.give_back(job)
-        calls_off = self.set.may_cancel and not job.over
+        cancelled = job.attempts if self.settings.may_cancel and not job.is_answered else ()
         self.close(job)
-        self.desk.actions += [actions.CancelAttempt(job.req.id, number) for number in job.out if calls_off]
-        if not job.out:
-            self.jobs.pop(job.req.id, None)
+        self.context.actions += [actions.CancelAttempt(job.request.id, number) for number in cancelled]
+        if not job.attempts:
+            self.jobs.pop(job.request.id, None)
 
     # --- figures ---
 
     def on_survey(self, _: events.MetricsRequest) -> None:
-        self.desk.actions.append(metrics.metrics_snapshot(self))
+        self.context.actions.append(metrics.metrics_snapshot(self))
--- a/orchidhatch/gateway/decision_context.py
+++ b/orchidhatch/gateway/decision_context.py
@@ -10,20 +10,20 @@
 class DecisionContext:
     """The settings, the random source, the event's time in microseconds and the actions decided on so far.
 
-    `has_twin` says that there is a handover peer: another process that is this gateway too, while one takes
-    over from the other. `blind` means that there may be one, of which nothing is heard.
+    `has_handover_peer` says that another process is this gateway too, while one takes over from the other;
+    `peer_is_unknown` that there may be one, of which nothing is heard.
     """
 
     def __init__(self, settings: Settings) -> None:
-        self.set = settings
+        self.settings = settings
         self.random = random.Random(settings.seed)
-        self.now = 0
+        self.now_us = 0
         self.started_us = 0
         self.actions: list[Action] = []
-        self.has_twin = False
-        self.blind = False
+        self.has_handover_peer = False
+        self.peer_is_unknown = False
 
-    def tell_twin(self, message: HandoverMessage) -> None:
+    def send_to_handover_peer(self, message: HandoverMessage) -> None:
         """Send the handover peer a message, if there is one."""
-        if self.has_twin:
+        if self.has_handover_peer:
             self.actions.append(message)
--- a/orchidhatch/gateway/events.py
+++ b/orchidhatch/gateway/events.py
@@ -1,7 +1,7 @@
 """What happens to a gateway, as the decision core is told of it.
 
-Each event is handed to `core.Gateway.handle(now_us, event)`, which answers with the actions to carry out, in
-order. All times are whole microseconds.
+Each event is handed to `core.GatewayCore.handle(now_us, event)`, which answers with the actions to carry out,
+in order. All times are whole microseconds.
 """
 
 from dataclasses import dataclass, replace
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -4,24 +4,24 @@
 from collections.abc import Iterable, Mapping
 
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.in_flight import Job
-from orchidhatch.gateway.load_balancing import Routing
-from orchidhatch.gateway.overload import Cap
+from orchidhatch.gateway.in_flight import InFlightRequest
+from orchidhatch.gateway.load_balancing import LoadBalancer
+from orchidhatch.gateway.overload import OverloadController
 from orchidhatch.gateway.records import CustomerRecord
 from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverEjection, OverloadSnapshot
 
 
 def take_snapshot(
-    desk: DecisionContext,
-    cap: Cap,
-    routing: Routing,
+    context: DecisionContext,
+    cap: OverloadController,
+    routing: LoadBalancer,
     customers: Iterable[CustomerRecord],
     names: Mapping[str, bool],
-    jobs: Iterable[Job],
+    jobs: Iterable[InFlightRequest],
 ) -> GatewaySnapshot:
     """All that a gateway hands over."""
     return GatewaySnapshot(
-        desk.now,
+        context.now_us,
         OverloadSnapshot(
             cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate, routing.usual
         ),
@@ -31,15 +31,15 @@
         tuple(HandoverEjection(name, left_out) for name, left_out in names.items()),
         tuple(
             HandoverAttempt(
-                job.customer.key, job.req.id, number, job.servers[number].endpoint.name, sent, 0.0
+                job.customer.key, job.request.id, number, job.servers[number].endpoint.name, sent, 0.0
             )
             for job in jobs
-            for number, sent in job.out.items()
+            for number, sent in job.attempts.items()
         ),
     )
 
 
-def restore_overload(cap: Cap, snapshot: OverloadSnapshot) -> None:
+def restore_overload(cap: OverloadController, snapshot: OverloadSnapshot) -> None:
     """Put the overload controller into the state of the snapshot."""
     cap.n_past = snapshot.admission_limit or None
     cap.most = math.floor(snapshot.admission_limit)
@@ -50,7 +50,7 @@
     cap.rate = snapshot.attempts_per_s
 
 
-def restore_servers(routing: Routing, snapshot: GatewaySnapshot) -> None:
+def restore_servers(routing: LoadBalancer, snapshot: GatewaySnapshot) -> None:
     """Restore what the predecessor had learnt of the servers that are listed here too."""
     routing.usual = snapshot.overload.usual_attempts_per_s
     if len(snapshot.mean_latencies_us) == len(routing.mean_us):
--- a/orchidhatch/gateway/in_flight.py
+++ b/orchidhatch/gateway/in_flight.py
@@ -6,24 +6,36 @@
 from orchidhatch.gateway.times import NEVER
 
 
-class Job:
-    """A request, what it has been sent to, and its times in microseconds."""
+class InFlightRequest:
+    """A request that was taken, its attempts, and its times in microseconds."""
 
-    def __init__(self, req: Request, rule: RequestClass, customer: CustomerRecord, now: int) -> None:
-        self.req, self.rule, self.customer = req, rule, customer
-        self.worth = rule.priority_weight * customer.plan.priority_factor * req.units
-        self.came_us, self.end_us = now, now + req.time_left_us
-        self.aim_us = min(now + rule.latency_objective_us, self.end_us)
-        self.servers: list[ServerRecord] = []  # of its attempts, in order
-        self.out: dict[int, int] = {}  # attempts out and when each was sent
-        self.ran_on: ServerRecord | None = None  # where it may first have run, and since when
-        self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
-        self.held_us = now  # since when it waits, for word of its quota or to be sent
-        self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
-        self.streams = False  # its value has begun to go to the client
+    def __init__(self, request: Request, rule: RequestClass, customer: CustomerRecord, now_us: int) -> None:
+        self.request = request
+        self.rule = rule
+        self.customer = customer
+        self.priority = rule.priority_weight * customer.plan.priority_factor * request.units
+        self.arrived_us = now_us
+        self.deadline_us = now_us + request.time_left_us
+        self.objective_us = min(now_us + rule.latency_objective_us, self.deadline_us)
+        # The servers of its attempts, in order.
+        self.servers: list[ServerRecord] = []
+        # Attempts in flight by number, and when each was sent.
+        self.attempts: dict[int, int] = {}
+        # Where it may first have run, and since when; attempts that are known not to have run.
+        self.first_server: ServerRecord | None = None
+        self.first_sent_us = 0
+        self.unrun_attempts = 0
+        self.is_answered = False
+        self.is_in_quota = False
+        self.is_streaming = False
+        # Since when it waits, for a grant of its quota or to be sent.
+        self.queued_us = now_us
+        # Until when it waits for a grant, and how often that was requested.
+        self.decide_at_us = NEVER
+        self.grant_requests = 0
 
-    def may_refuse(self) -> bool:
-        keyed_ok = (
-            self.rule.idempotency is Idempotency.KEYED and self.rule.dedup_scope is DeduplicationScope.ALL
-        )
-        return self.ran_on is None or self.rule.idempotency is Idempotency.SAFE or keyed_ok
+    def may_reject(self) -> bool:
+        """Whether a client that is told to retry cannot have its request run twice."""
+        idempotency = self.rule.idempotency
+        has_key = idempotency is Idempotency.KEYED and self.rule.dedup_scope is DeduplicationScope.ALL
+        return self.first_server is None or idempotency is Idempotency.SAFE or has_key
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -6,7 +6,7 @@
 from orchidhatch.gateway.constants import LEAST_OUT, SMOOTH, START_PER_SERVER
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.events import AttemptEnded
-from orchidhatch.gateway.in_flight import Job
+from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.records import ServerRecord
 from orchidhatch.gateway.settings import DeduplicationScope, Idempotency
 from orchidhatch.gateway.times import S
@@ -46,17 +46,17 @@
         self.fault_score += SMOOTH * (1 - self.fault_score)
 
 
-class Routing:
+class LoadBalancer:
     """The servers that may be sent new work, how warm and well they are, and the choice among them."""
 
-    def __init__(self, desk: DecisionContext) -> None:
-        self.desk = desk
+    def __init__(self, context: DecisionContext) -> None:
+        self.context = context
         self.servers: dict[str, Server] = {}  # of the list, by name
         self.up: list[Server] = []  # those that may be sent new work
         self.by_checksum: dict[int, Server | None] = {}  # by checksum; None where two share one
-        self.mean_us = [rule.latency_objective_us / 4 for rule in desk.set.classes]
+        self.mean_us = [rule.latency_objective_us / 4 for rule in context.settings.classes]
         self.mean_load = 0.0  # of the servers, as they say
-        self.kept_us = desk.set.conn_idle_us / 2  # how long connections are kept here, idle
+        self.kept_us = context.settings.conn_idle_us / 2  # how long connections are kept here, idle
         self.spread_thin = False
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
@@ -72,9 +72,10 @@
         self.usual = max(rate / max(1, len(self.up)), self.usual * fade)
         self.count_warm()
 
-    def choose(self, job: Job) -> Server | None:
+    def choose(self, job: InFlightRequest) -> Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
-        now, ran_unsafe = self.desk.now, job.ran_on and job.rule.idempotency is not Idempotency.SAFE
+        now, settings = self.context.now_us, self.context.settings
+        ran_unsafe = job.first_server and job.rule.idempotency is not Idempotency.SAFE
         allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
         usable = [
             server
@@ -83,14 +84,14 @@
             and server not in job.servers
             and not (server.needs_probe and (server.in_flight or job.rule.idempotency is Idempotency.UNSAFE))
         ] or allowed
-        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.desk.set.gateway_count)  # more would wait there
+        most = max(LEAST_OUT, 2 * START_PER_SERVER // settings.gateway_count)  # more would only wait there
         free = [server for server in usable if len(server.in_flight) < most]
         room = [server for server in free if now >= server.warm_at_us or self.has_credit(server)]
         # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
         # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
         cold = [server for server in room if now < server.warm_at_us and not server.in_flight]
         room = cold or self.known_of(room)
-        return min(self.desk.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
+        return min(self.context.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
     def known_of(self, room: list[Server]) -> list[Server]:
         """Where attempts are thin, those that connections are kept to, once there are enough of them."""
@@ -98,14 +99,14 @@
         return known if len(known) >= SUBSET else room
 
     def has_connection(self, server: Server) -> bool:
-        return bool(server.in_flight) or self.desk.now - server.last_answer_us < self.kept_us
+        return bool(server.in_flight) or self.context.now_us - server.last_answer_us < self.kept_us
 
-    def in_group(self, job: Job, server: Server) -> bool:
+    def in_group(self, job: InFlightRequest, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
-        rule, first = job.rule, job.ran_on
+        rule, first = job.rule, job.first_server
         if first is None or rule.idempotency is Idempotency.SAFE:
             return True
-        in_window = self.desk.now < job.ran_us + rule.dedup_window_us
+        in_window = self.context.now_us < job.first_sent_us + rule.dedup_window_us
         if rule.idempotency is not Idempotency.KEYED or not in_window:
             return False
         place = "zone" if rule.dedup_scope is DeduplicationScope.ZONE else "cell"
@@ -114,14 +115,14 @@
 
     def cost(self, server: Server) -> float:
         """Expected wait: work out there, how slow it is, how loaded it says it is."""
-        desk = self.desk
-        fresh = server.reported_load is not None and desk.now - server.load_reported_us < REPORT_FRESH_US
+        now, settings = self.context.now_us, self.context.settings
+        fresh = server.reported_load is not None and now - server.load_reported_us < REPORT_FRESH_US
         pressure = 0.5 + server.reported_load / max(0.01, self.mean_load) / 2 if fresh else 1.0
-        far = 1 + 10 * desk.set.cross_zone_price * (server.endpoint.zone != desk.set.zone)
+        far = 1 + 10 * settings.cross_zone_price * (server.endpoint.zone != settings.zone)
         waits = 0 if server.needs_probe else len(server.in_flight) + 1  # a trial that is due goes first
         # One that came back is passed over for a while where others are free, never held back from use:
         # where many come back at once, all that is asked must still find a server.
-        back = min(1.0, (desk.now - server.recovered_us) / SLOW_START_US)
+        back = min(1.0, (now - server.recovered_us) / SLOW_START_US)
         trouble = max(1.0, server.fault_score / USUAL_TROUBLE) ** 2
         new = NEW_CONNECTION if self.spread_thin and not self.has_connection(server) else 1.0
         wait = new * waits * server.relative_latency * trouble * pressure
@@ -129,7 +130,7 @@
 
     def warmth(self, server: Server) -> float:
         """The least part of its capacity that a server has by now since its start."""
-        now, set_ = self.desk.now, self.desk.set
+        now, set_ = self.context.now_us, self.context.settings
         if now >= server.warm_at_us:
             return 1.0
         left, cold = (server.warm_at_us - now) / max(1, set_.warm_up_us), set_.cold_capacity
@@ -137,21 +138,22 @@
 
     def cold_rate(self, server: Server) -> float:
         """Attempts a second for a cold server: half of what would push it over, were others full."""
-        usual = max(1 / self.desk.set.gateway_count, self.usual)
-        return usual * self.warmth(server) * max(1.0, self.desk.set.overload_multiple / 2) * server.pace
+        settings = self.context.settings
+        usual = max(1 / settings.gateway_count, self.usual)
+        return usual * self.warmth(server) * max(1.0, settings.overload_multiple / 2) * server.pace
 
     def has_credit(self, server: Server) -> bool:
         """Whether a cold server may be sent an attempt by now; what it earns follows its warmth."""
-        more = (self.desk.now - server.credit_us) / S * self.cold_rate(server)
+        more = (self.context.now_us - server.credit_us) / S * self.cold_rate(server)
         server.credit = min(1.0, server.credit + more)
-        server.credit_us = self.desk.now
+        server.credit_us = self.context.now_us
         return server.credit >= 1
 
     # --- what attempts tell ---
 
     def learn(self, server: Server, index: int, event: AttemptEnded, load: float | None) -> None:
         """How an attempt of a request's class ended, by the server's latency and what it says of itself."""
-        now, result, took = self.desk.now, event.result, event.latency_us
+        now, result, took = self.context.now_us, event.result, event.latency_us
         if load is not None:
             server.reported_load, server.load_reported_us = load, now
             self.mean_load += SMOOTH * (load - self.mean_load)
@@ -180,7 +182,7 @@
 
     def record_result(self, server: Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
-        now = self.desk.now
+        now = self.context.now_us
         server.failure_score = server.failure_score / 2 if ok else server.failure_score + 1
         server.pace = server.pace if ok else 1.0
         is_outlier = server.failure_score >= SUSPECT_AT or server.needs_probe
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -6,11 +6,11 @@
 from orchidhatch.gateway.actions import LogLine, MetricsSnapshot, WaitTimes
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.endpoints import EndpointState
-from orchidhatch.gateway.in_flight import Job
-from orchidhatch.gateway.load_balancing import Routing
-from orchidhatch.gateway.overload import Cap
-from orchidhatch.gateway.peer_outbox import Words
-from orchidhatch.gateway.quota_leaders import Homes
+from orchidhatch.gateway.in_flight import InFlightRequest
+from orchidhatch.gateway.load_balancing import LoadBalancer
+from orchidhatch.gateway.overload import OverloadController
+from orchidhatch.gateway.peer_outbox import PeerOutbox
+from orchidhatch.gateway.quota_leaders import QuotaLeaders
 from orchidhatch.gateway.times import NEVER, S
 
 LOG_US = 5 * S
@@ -56,14 +56,14 @@
 class Measured(Protocol):
     """What of the decision core is measured."""
 
-    desk: DecisionContext
-    cap: Cap
-    routing: Routing
-    words: Words
-    homes: Homes
+    context: DecisionContext
+    overload: OverloadController
+    balancer: LoadBalancer
+    outbox: PeerOutbox
+    quotas: QuotaLeaders
     counters: RequestCounters
-    held: list[tuple[float, int, Job]]
-    waits: list[Job]
+    held: list[tuple[float, int, InFlightRequest]]
+    waits: list[InFlightRequest]
 
     def allowance(self) -> bool:
         """Whether the overload controller admits one more first attempt."""
@@ -71,19 +71,19 @@
 
 def log_lines(core: Measured) -> list[LogLine]:
     """The periodic log line where it is due, which begins the next period; else nothing."""
-    now_us = core.desk.now
+    now_us = core.context.now_us
     if now_us - core.counters.logged_us < LOG_US:
         return []
     line = LogLine(summary_text(core))
     core.counters.start_log_period(now_us)
-    core.words.tally.clear()
+    core.outbox.tally.clear()
     return [line]
 
 
 def summary_text(core: Measured) -> str:
     """The admission limit, what is in flight and queued, and why requests were ended."""
-    cap, routing, peers, counters = core.cap, core.routing, core.words.tally, core.counters
-    now_us = core.desk.now
+    cap, routing, peers, counters = core.overload, core.balancer, core.outbox.tally, core.counters
+    now_us = core.context.now_us
     ended = counts_text(counters.ended_since_log)
     decided = counts_text(counters.decided_since_log)
     limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
@@ -106,22 +106,22 @@
 def queued_text(core: Measured) -> str:
     """What the queued requests that were never sent wait for, beside a server and the admission limit."""
     never_sent = [job for _, _, job in core.held if not job.servers]
-    at_slots = sum(job.customer.lacks_slot(core.desk.now) for job in never_sent)
+    at_slots = sum(job.customer.lacks_slot(core.context.now_us) for job in never_sent)
     at_ceiling = sum(is_under_ceiling(job) for job in never_sent)
     return f"open cap {at_slots} ceiling {at_ceiling}"
 
 
-def is_under_ceiling(job: Job) -> bool:
+def is_under_ceiling(job: InFlightRequest) -> bool:
     """Whether the rate ceiling has too little for the request, as it was last refilled."""
-    return job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.req.units
+    return job.customer.plan.ceiling_rate > 0 and job.customer.ceiling < job.request.units
 
 
 def metrics_snapshot(core: Measured) -> MetricsSnapshot:
     """The metrics now; servers count as ejected by an operator or by outlier detection."""
-    now, words, routing = core.desk.now, core.words, core.routing
+    now, words, routing = core.context.now_us, core.outbox, core.balancer
     good = sum(now >= server.ejected_until_us and not server.needs_probe for server in routing.up)
     listed = sum(server.endpoint.state is not EndpointState.GONE for server in routing.servers.values())
-    waits = [job.came_us for _, _, job in core.held] + [job.came_us for job in core.waits]
+    waits = [job.arrived_us for _, _, job in core.held] + [job.arrived_us for job in core.waits]
     return MetricsSnapshot(
         listed=listed,
         ejected=listed - good,
@@ -137,35 +137,35 @@
 def wait_times(core: Measured) -> list[WaitTimes]:
     """What the requests that wait here have waited for since the last call, all of them together."""
     since_us = core.counters.waits_counted_us
-    core.counters.waits_counted_us = core.desk.now
+    core.counters.waits_counted_us = core.context.now_us
     waited: Counter[str] = Counter()
-    for job in [*core.waits, *[job for _, _, job in core.held if not job.over]]:
-        waited[wait_reason(core, job)] += core.desk.now - max(since_us, job.held_us)
+    for job in [*core.waits, *[job for _, _, job in core.held if not job.is_answered]]:
+        waited[wait_reason(core, job)] += core.context.now_us - max(since_us, job.queued_us)
     return [WaitTimes(tuple(sorted(waited.items())))] if waited else []
 
 
-def wait_reason(core: Measured, job: Job) -> str:
+def wait_reason(core: Measured, job: InFlightRequest) -> str:
     """What a request that waits here waits for, by the names of the reasons for which requests are ended."""
     customer = job.customer
-    if job.decide_us < NEVER:
+    if job.decide_at_us < NEVER:
         return "word"
     if job.servers:
         return "again"
-    if customer.plan.max_in_flight and customer.lacks_slot(core.desk.now):
+    if customer.plan.max_in_flight and customer.lacks_slot(core.context.now_us):
         return "open_cap"
     if is_under_ceiling(job):
         return "ceiling"
     return "server" if core.allowance() else "cap"
 
 
-def rejection_reason(core: Measured, job: Job) -> str:
+def rejection_reason(core: Measured, job: InFlightRequest) -> str:
     """What a request waited for until its latency objective was out of reach; of a new one "late"."""
     if job.servers:
         return "again"
-    if core.desk.now == job.came_us:
+    if core.context.now_us == job.arrived_us:
         return "late"
-    if job.customer.lacks_slot(core.desk.now):
+    if job.customer.lacks_slot(core.context.now_us):
         return "open_cap"
-    if core.homes.at_ceiling(job.customer, job.req.units):
+    if core.quotas.at_ceiling(job.customer, job.request.units):
         return "ceiling"
     return "server" if core.allowance() else "cap"
--- a/orchidhatch/gateway/overload.py
+++ b/orchidhatch/gateway/overload.py
@@ -15,13 +15,14 @@
 TARGETS = {"util": (0.92, 0.97, 0.75), "latency": (0.5, 0.7, 0.35)}
 
 
-class Cap:
+class OverloadController:
     """N for this period, re-derived at the end of each OPPUI, and what is out at once."""
 
-    def __init__(self, desk: DecisionContext) -> None:
-        self.desk = desk
+    def __init__(self, context: DecisionContext) -> None:
+        self.context = context
         self.n_past: float | None = None  # no N: the cap is lifted
-        self.most, self.left_of_n = 0, desk.random.random()  # N as it holds this period; what rounding left
+        self.most = 0  # N as it holds this period
+        self.left_of_n = context.random.random()  # what rounding left
         self.occup = 0.0  # as last inferred, for the log
         self.overhead, self.accepted, self.out = 1.0, 0, 0  # accepted: first attempts of this period
         self.period_us, self.cc_us = -1, CC_PERIOD_US  # when this period began, how long it is
@@ -30,11 +31,11 @@
 
     def allowance(self, warm: float) -> bool:
         """Whether one more first attempt may leave now; `warm` is what the servers can do, in servers."""
-        desk = self.desk
-        part = min(1.0, (desk.now - self.period_us + TICK_US) / self.cc_us)
+        context = self.context
+        part = min(1.0, (context.now_us - self.period_us + TICK_US) / self.cc_us)
         # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap, and a
         # cold server holds only its part.
-        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * warm / desk.set.gateway_count))
+        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * warm / context.settings.gateway_count))
         return free and (self.n_past is None or self.accepted < math.ceil(self.most * part))
 
     def end_period(self) -> None:
@@ -69,7 +70,7 @@
             return
         # N is rounded down as that of all gateways: one of many has so small a part that rounding it, and
         # not the servers, would decide. Its part's fraction is left for the next period.
-        alike, seconds = self.desk.set.gateway_count, self.cc_us / S
+        alike, seconds = self.context.settings.gateway_count, self.cc_us / S
         if was is None:  # it engages by a step from what was sent: less at once would be no clamped step
             was = max(1, START_PER_SERVER * ready * self.cc_us // S // alike, round(na_past))
         overhead = min(self.overhead, targets[2] / 2)
--- a/orchidhatch/gateway/peer_outbox.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -15,14 +15,14 @@
 TELLS_AT_ONCE = 3  # messages that may leave ahead of their space: an ask is to be answered within ASK_US
 
 
-class Words:
+class PeerOutbox:
     """What is to be told, and of the last attempts that ended here, how; by peer, how many of them were told.
 
     Each gateway of many sees each server too rarely to learn of a bad one alone.
     """
 
-    def __init__(self, desk: DecisionContext) -> None:
-        self.desk, set_ = desk, desk.set
+    def __init__(self, context: DecisionContext) -> None:
+        self.context, set_ = context, context.settings
         self.waiting: dict[int, list[GossipMessage]] = {}  # by peer
         self.since: dict[int, int] = {}  # by peer, when the first word that waits for it came
         self.dropped = 0
@@ -35,7 +35,7 @@
 
     def add(self, peer: int, word: GossipMessage) -> None:
         words = self.waiting.setdefault(peer, [])
-        self.since.setdefault(peer, self.desk.now)
+        self.since.setdefault(peer, self.context.now_us)
         if len(words) == MOST_WORDS:  # the oldest is no news
             del words[0]
             self.dropped += 1
@@ -46,19 +46,19 @@
         return [self.next_tell_us.get(peer, 0) - self.ahead_us for peer in self.waiting]
 
     def send(self) -> None:
-        """Words leave at once, but spaced so on average that all peers together do not exceed an intake."""
-        now = self.desk.now
+        """Send what may leave now; on average all peers together send no more than one can take in."""
+        now = self.context.now_us
         latest = now + self.ahead_us
         for peer in [peer for peer in self.waiting if self.next_tell_us.get(peer, 0) <= latest]:
             self.next_tell_us[peer] = max(now, self.next_tell_us.get(peer, 0)) + self.space_us
             self.tally["told"] += 1
             waited_us = now - self.since.pop(peer)
-            self.desk.actions.append(
+            self.context.actions.append(
                 SendGossip(peer, tuple(self.waiting.pop(peer)), self.untold_sightings(peer), waited_us)
             )
 
     def see(self, sighting: AttemptObservation) -> None:
-        self.seen.append((self.desk.now, sighting))
+        self.seen.append((self.context.now_us, sighting))
         self.seen_ever += 1
 
     def untold_sightings(self, peer: int) -> tuple[AttemptObservation, ...]:
@@ -69,5 +69,5 @@
         return tuple(
             seen
             for at, seen in itertools.islice(self.seen, first, None)
-            if self.desk.now - at < MOST_PERIODS * CC_PERIOD_US
+            if self.context.now_us - at < MOST_PERIODS * CC_PERIOD_US
         )
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -5,22 +5,23 @@
 from orchidhatch.gateway import quota
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
-from orchidhatch.gateway.peer_outbox import Words
+from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import NEVER, S
 
+Holds = Callable[[Customer], bool]
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 
 
-class Homes:
+class QuotaLeaders:
     """Every customer has one gateway of its set as its home, which adds up what the set asks and spends.
 
     `holds` says whether a request of a customer is held here, never sent, and so waits for a place too.
     """
 
-    def __init__(self, desk: DecisionContext, words: Words, holds: Callable[[Customer], bool]) -> None:
-        self.desk, self.words, self.holds = desk, words, holds
+    def __init__(self, context: DecisionContext, outbox: PeerOutbox, holds: Holds) -> None:
+        self.context, self.outbox, self.holds = context, outbox, holds
         self.customers: dict[CustomerKey, Customer] = {}  # the one seen last at the end
         self.queues: dict[CustomerKey, Customer] = {}  # those at home here for which others wait for a place
         self.renewals: dict[CustomerKey, Customer] = {}  # those at home elsewhere that a place is held for
@@ -29,13 +30,14 @@
         """The customer, as of now; one that is not known begins with what the time since the start allows."""
         known = self.customers.pop(key, None)
         if known is None:
-            known = Customer(self.desk.set.plans[key[1]], key, self.desk.set, self.desk.now)
-            known.has_idled(min(FORGET_US, self.desk.now - self.desk.started_us))
+            settings, now = self.context.settings, self.context.now_us
+            known = Customer(settings.plans[key.plan_index], key, settings, now)
+            known.has_idled(min(FORGET_US, now - self.context.started_us))
         self.customers[key] = known
-        return known.refill(self.desk.now)
+        return known.refill(self.context.now_us)
 
     def is_ours(self, key: CustomerKey) -> bool:
-        set_ = self.desk.set
+        set_ = self.context.settings
         in_set = (set_.gateway_index - key.set_first) % set_.gateway_count < key.set_size
         return 0 <= key.plan_index < len(set_.plans) and in_set
 
@@ -44,7 +46,7 @@
         known, self.customers = self.customers.values(), {}
         for customer in [one for one in known if moved[one.key.plan_index] >= 0]:
             index = moved[customer.key.plan_index]
-            customer.change_plan(self.desk.set.plans[index], index, self.desk.now)
+            customer.change_plan(self.context.settings.plans[index], index, self.context.now_us)
             self.customers[customer.key] = customer
         for kept in (self.queues, self.renewals):
             waiting = {one.key: one for one in kept.values() if one.key in self.customers}
@@ -52,22 +54,23 @@
             kept.update(waiting)
 
     def forget(self) -> None:
-        while self.customers and self.desk.now - next(iter(self.customers.values())).refilled_us > FORGET_US:
+        last_us = self.context.now_us - FORGET_US
+        while self.customers and next(iter(self.customers.values())).refilled_us < last_us:
             del self.customers[next(iter(self.customers))]
 
     def spend(self, customer: Customer, units: float) -> None:
         customer.take(units)
-        self.desk.tell_twin(HandoverSpend(customer.key, units))
+        self.context.send_to_handover_peer(HandoverSpend(customer.key, units))
 
     def chance(self, customer: Customer, units: float) -> float | None:
         """The chance to be let in, by what is known here; None where the home is to be asked."""
-        now, is_leader = self.desk.now, customer.is_leader
+        now, is_leader = self.context.now_us, customer.is_leader
         fresh = customer.is_fresh(now)
         customer.unreported_demand += units
         if is_leader or not fresh:  # else it is the whole set's, which this request is part of
             customer.demand += units
         asked = customer.requests_per_s * quota.DEMAND_US / S
-        heard = fresh and self.desk.random.random() * customer.demand > asked
+        heard = fresh and self.context.random.random() * customer.demand > asked
         if customer.share >= units:
             return 1.0
         if not is_leader and customer.is_pooled(units) and customer.is_dry(units, now):
@@ -80,15 +83,15 @@
 
     def tell(self, peer: int, customer: Customer, asked: float, place: SlotGrant = SlotGrant.NONE) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
-        now, answer = self.desk.now, customer.is_leader
+        now, answer = self.context.now_us, customer.is_leader
         demand = customer.demand if answer else customer.unreported_demand
         out = customer.in_flight + customer.peers_attempts(now, but=peer) if answer else customer.in_flight
         spent = customer.unreported_spend
         word = GossipMessage(*customer.key, answer, demand, spent, asked, customer.level, out, place)
         if customer.shares_slots() and not answer:
             customer.cede_ceiling(now)
-        if peer != self.desk.set.gateway_index:
-            self.words.add(peer, word)
+        if peer != self.context.settings.gateway_index:
+            self.outbox.add(peer, word)
         customer.unreported_demand = customer.unreported_spend = 0.0
 
     def hear(
@@ -116,7 +119,7 @@
                 self.tell(sender, customer, 0.0, SlotGrant.QUEUED)
 
     def on_leader_answer(self, customer: Customer, word: GossipMessage) -> None:
-        now = self.desk.now
+        now = self.context.now_us
         customer.last_answer_us, customer.demand, customer.level = now, word.demand, word.level
         customer.next_request_us = customer.backoff_us = 0
         if word.slot_grant:
@@ -126,12 +129,12 @@
         customer.share = min(customer.share, max(0.0, word.level / customer.size))
 
     def on_member_report(self, customer: Customer, word: GossipMessage, sender: int) -> None:
-        now, shares = self.desk.now, customer.shares_slots()
+        now, shares = self.context.now_us, customer.shares_slots()
         customer.demand += word.demand
         customer.spend(word.spent)
         # A message without a request tells of an end.
         customer.on_peer_in_flight(sender, word.in_flight, not word.requested, now)
-        if shares and not self.desk.has_twin:
+        if shares and not self.context.has_handover_peer:
             customer.ceded_by_peer[sender] = now + quota.COUNTED_US
         granted = customer.chance(word.requested) if word.requested > 0 else 0.0
         if shares and (word.requested < 0 or granted):  # who is let in needs a place at once
@@ -144,7 +147,7 @@
 
     def needs_slot(self, customer: Customer, units: float) -> bool:
         """Whether a request must wait for open cap or ceiling; a place is asked for at the home."""
-        now = self.desk.now
+        now = self.context.now_us
         if not customer.is_leader and customer.shares_slots():
             self.request_slot(customer, units)
             if customer.asks_leader() and not customer.has_slot(now):
@@ -153,10 +156,11 @@
 
     def at_ceiling(self, customer: Customer, units: float) -> bool:
         limited = customer.plan.ceiling_rate > 0
-        return limited and (self.desk.blind or customer.refill(self.desk.now).ceiling < units)
+        now, unknown = self.context.now_us, self.context.peer_is_unknown
+        return limited and (unknown or customer.refill(now).ceiling < units)
 
     def request_slot(self, customer: Customer, units: float) -> None:
-        now, silent = self.desk.now, customer.slot_requests > quota.ASKS
+        now, silent = self.context.now_us, customer.slot_requests > quota.ASKS
         if customer.has_slot(now) and not silent:
             return
         patience = quota.QUEUED_US if customer.is_queued or silent else quota.ASK_US
@@ -167,13 +171,13 @@
             self.tell(customer.leader, customer, -max(quota.SLOT_ONLY, short))
 
     def use_slot(self, customer: Customer) -> None:
-        customer.use_slot(self.desk.now)
+        customer.use_slot(self.context.now_us)
         if customer.shares_slots() and not customer.is_leader:
             self.renewals[customer.key] = customer
 
     def renew(self) -> None:
         """An attempt may last longer than word of it holds, and a granted place may be of no use any more."""
-        now = self.desk.now
+        now = self.context.now_us
         for key, customer in list(self.renewals.items()):
             unused = customer.slot_granted_us > -NEVER and not customer.has_slot(now)
             if unused or (customer.in_flight and now - customer.reported_us >= quota.RENEW_US):
@@ -204,11 +208,11 @@
 
     def grant_slots(self, customer: Customer) -> None:
         """At its home: what is free goes to those that wait longest; those held here are one of them."""
-        while (peer := customer.next_in_slot_queue(self.desk.now)) is not None:
+        while (peer := customer.next_in_slot_queue(self.context.now_us)) is not None:
             here = self.holds(customer)
-            if here and self.desk.random.random() * (1 + len(customer.slot_queue)) < 1:
+            if here and self.context.random.random() * (1 + len(customer.slot_queue)) < 1:
                 break
-            self.tell(peer, customer, -customer.grant(peer, self.desk.now), SlotGrant.GRANTED)
+            self.tell(peer, customer, -customer.grant(peer, self.context.now_us), SlotGrant.GRANTED)
         if customer.slot_queue:
             self.queues[customer.key] = customer
         else:
--- a/orchidhatch/gateway/simulator.py
+++ b/orchidhatch/gateway/simulator.py
@@ -1,6 +1,6 @@
 """The simulator's wire on standard input and output, translated to the module's events and actions.
 
-Only translation: one `Gateway` for each instance, no decision. Malformed input ends the process with
+Only translation: one `GatewayCore` for each instance, no decision. Malformed input ends the process with
 one line on standard error; an exception in the module is reported on the wire.
 """
 
@@ -25,7 +25,7 @@
     WaitTimes,
 )
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
 from orchidhatch.gateway.events import (
     AttemptEnded,
@@ -242,7 +242,7 @@
     """The instances of this process and the numbered server lists they refer to."""
 
     def __init__(self) -> None:
-        self.gateways: dict[int, Gateway] = {}
+        self.gateways: dict[int, GatewayCore] = {}
         self.report_names: dict[int, list[str]] = {}
         self.sheets: dict[int, tuple[Endpoint, ...]] = {}
         self.target: int | None = None
@@ -268,7 +268,7 @@
             pairs = read_pairs(part for part in parts[1:] if part)
             how = pairs.text("stats.names")
             self.report_names[self.target] = how.split(",") if how else []
-            self.gateways[self.target] = Gateway(read_settings(fields.whole(), pairs))
+            self.gateways[self.target] = GatewayCore(read_settings(fields.whole(), pairs))
             return []
         if self.target not in self.gateways:
             raise WireError(f"there is no instance {self.target}")
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -31,7 +31,7 @@
     WaitTimes,
 )
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import EndpointListKind
 from orchidhatch.gateway.events import (
     AttemptEnded,
@@ -149,7 +149,7 @@
         self.loop = asyncio.get_running_loop()
         most_bytes = max(LEAST_HELD, (config.memory_mb - PROGRAM_MB) * (1 << 20) // HELD_SHARE)
         self.bounds = replace(config.settings, max_open_requests=config.max_open, max_open_bytes=most_bytes)
-        self.gateway = Gateway(self.bounds)
+        self.gateway = GatewayCore(self.bounds)
         self.held_waits = Waits()
         self.waited: Counter[str] = Counter()  # microseconds, by what requests waited for
         self.inbox: list[Event] = []
--- a/tests/baseline/test_gateway.py
+++ b/tests/baseline/test_gateway.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.events import Event
 from orchidhatch.gateway.gossip_codec import mark_of, pack_message, unpack_message
 from orchidhatch.gateway.handover_codec import MESSAGE_KINDS, from_plain, to_plain
@@ -21,7 +21,7 @@
     with gzip.open(path, "rt") as lines:
         for line in lines:
             stream = json.loads(line)
-            core = Gateway(decode(stream["settings"]))
+            core = GatewayCore(decode(stream["settings"]))
             for number, (now_us, event, actions) in enumerate(stream["steps"]):
                 expected = [decode(action) for action in actions]
                 assert core.handle(now_us, decode(event)) == expected, (stream["process"], number, event)
--- a/tests/control/agent/test_policy_lease.py
+++ b/tests/control/agent/test_policy_lease.py
@@ -40,7 +40,7 @@
             assert await fixture.advance(1.0) == 200 and gateway.config.policy.digest == ""
         assert await fixture.advance(1.1) == 200
         assert gateway.config.policy == Policy(first_number + 1, DA, AGENT_SILENCE_LIMIT_S)
-        assert [plan.burst for plan in gateway.gateway.set.plans] == [20.0]
+        assert [plan.burst for plan in gateway.gateway.settings.plans] == [20.0]
         base = json.loads(fixture.setup.config_file.read_text())["policy"]["base"]
         assert base["plans"][0]["burst"] == 10  # kept beside, for the next policy
         # The registry is out of reach: the lease holds, and no longer.
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -20,7 +20,7 @@
     Subscribe,
 )
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import EndpointListKind, EndpointState
 from orchidhatch.gateway.events import (
     AttemptEnded,
@@ -34,7 +34,7 @@
     TimerExpired,
 )
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
-from orchidhatch.gateway.load_balancing import CHOICES, Routing
+from orchidhatch.gateway.load_balancing import CHOICES, LoadBalancer
 from orchidhatch.gateway.overload import TARGETS, next_n
 from orchidhatch.gateway.settings import DeduplicationScope, Idempotency, Plan, RequestClass, Settings
 from orchidhatch.gateway.snapshots import CustomerKey
@@ -86,11 +86,11 @@
 
 def test_cap_engages_spreads_and_is_lifted() -> None:
     world = loaded_world(0.9)
-    assert world.gateway.cap.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
+    assert world.gateway.overload.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
     for n in range(150):
         world.ask(f"r{n}", customer=f"c{n}")
-    world.run(world.gateway.cap.period_us + S - world.now)
-    start, allowed = world.now, world.gateway.cap.most
+    world.run(world.gateway.overload.period_us + S - world.now)
+    start, allowed = world.now, world.gateway.overload.most
     for _ in range(99):
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
@@ -99,8 +99,8 @@
     assert len(sends) == allowed
     assert sends[-1] - sends[0] > 0.8 * S
     idle = loaded_world(0.3)
-    assert idle.gateway.cap.n_past is None
-    assert idle.gateway.cap.overhead == pytest.approx(0.3)
+    assert idle.gateway.overload.n_past is None
+    assert idle.gateway.overload.overhead == pytest.approx(0.3)
 
 
 def test_period_follows_the_rate() -> None:
@@ -111,8 +111,8 @@
         world.run(500 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=LoadReport(util=0.9))
-    assert world.gateway.cap.cc_us == 2 * S
-    assert 4 <= world.gateway.cap.n_past <= 12
+    assert world.gateway.overload.cc_us == 2 * S
+    assert 4 <= world.gateway.overload.n_past <= 12
     assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
     assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
 
@@ -125,7 +125,7 @@
         world.run(10 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=LoadReport(util=0.3))
-    assert world.gateway.cap.n_past == 24.5  # the largest step from 20.5, to a half: of two gateways
+    assert world.gateway.overload.n_past == 24.5  # the largest step from 20.5, to a half: of two gateways
 
 
 def test_held_leave_by_worth_then_arrival() -> None:
@@ -159,7 +159,7 @@
     for world in worlds:
         for n in range(200):
             world.ask(f"r{n}")
-        assert world.gateway.cap.n_past is None
+        assert world.gateway.overload.n_past is None
     assert sum(len(world.out) for world in worlds) == 80  # 8 for each of 10
     worlds[0].answer("r0")
     worlds[0].run(20 * MS)
@@ -172,7 +172,7 @@
     for n in range(20):
         world.ask(f"r{n}")
     world.run(1100 * MS)
-    assert world.gateway.cap.n_past is not None
+    assert world.gateway.overload.n_past is not None
 
 
 # --- quota ---
@@ -204,7 +204,7 @@
         homes = [
             customer
             for world in gates.worlds
-            for customer in world.gateway.homes.customers.values()
+            for customer in world.gateway.quotas.customers.values()
             if customer.is_leader
         ]
     level = homes[0].level
@@ -222,8 +222,8 @@
     levels = [
         customer.level
         for world in gates.worlds
-        for customer in world.gateway.homes.customers.values()
-        if customer.leader == world.gateway.set.gateway_index
+        for customer in world.gateway.quotas.customers.values()
+        if customer.leader == world.gateway.settings.gateway_index
     ]
     assert levels == [pytest.approx(20, abs=0.5)]
 
@@ -334,7 +334,7 @@
     world = World(replace(SETTINGS, gateway_count=2, plans=(replace(PLAN, max_in_flight=1),)))
     key = (0, 0, 0, 2)  # at home here
     world.tell(PeerMessage(1, (GossipMessage(*key, level=0.0, in_flight=1),)))
-    (customer,) = world.gateway.homes.customers.values()
+    (customer,) = world.gateway.quotas.customers.values()
     assert customer.peers_attempts(world.now) == 1 and customer.level == 0
     assert not of(SendGossip, [action for _, action in world.log])
 
@@ -344,7 +344,7 @@
     huge = GossipMessage(1, 0, 0, 2, demand=1e9, requested=1e9, level=-1e9)
     for word in (GossipMessage(1, 9, 0, 2), GossipMessage(1, 0, 5, 1), GossipMessage(1, 0, 0, 0), huge):
         world.tell(PeerMessage(1, (word,)))
-    assert len(world.gateway.homes.customers) == 1
+    assert len(world.gateway.quotas.customers) == 1
 
 
 def test_idle_gateway_wakes_up_once_a_period() -> None:
@@ -359,14 +359,14 @@
         world.ask(f"r{n}", customer=f"c{n}")
         world.answer(f"r{n}")
     world.run(90 * S)
-    assert not world.gateway.homes.customers
+    assert not world.gateway.quotas.customers
 
 
 def test_no_time_left_costs_no_quota() -> None:
     world = World()
     for n in range(30):
         world.ask(f"r{n}", time_left_us=100 * MS)
-    assert next(iter(world.gateway.homes.customers.values())).level == 20
+    assert next(iter(world.gateway.quotas.customers.values())).level == 20
 
 
 def test_what_meets_the_open_cap_waits_for_an_attempt_to_end() -> None:
@@ -383,7 +383,7 @@
     world.ask("a")
     server, sent, _ = world.out.pop(("a", 0))
     world.tell(AttemptEnded("a", True, 0, server, AttemptResult.OK, world.now - sent, actual_units=4.0))
-    assert next(iter(world.gateway.homes.customers.values())).level == pytest.approx(16)
+    assert next(iter(world.gateway.quotas.customers.values())).level == pytest.approx(16)
 
 
 # --- the five rules ---
@@ -415,7 +415,7 @@
     for me, world in enumerate(gates.worlds):
         gates.down = me
         world.tell(EndpointList(EndpointListKind.FULL, 2, ()))
-        world.gateway.routing.mean_us = [20 * MS]
+        world.gateway.balancer.mean_us = [20 * MS]
         world.ask("a", time_left_us=left * MS, set_size=20)
         start = world.now
         world.run(S)
@@ -524,7 +524,7 @@
     world = World(replace(SETTINGS, plans=(Plan(),), overload_multiple=3.0))
     started = tuple(replace(fleet[n], started_us=world.now - 5 * S) for n in (2, 3))
     world.tell(EndpointList(EndpointListKind.CHANGES, 2, started))
-    world.gateway.routing.usual = 10.0  # as it was before the restart
+    world.gateway.balancer.usual = 10.0  # as it was before the restart
     for n in range(80):
         world.ask(f"r{n}")
         world.run(25 * MS)
@@ -539,27 +539,27 @@
 def test_what_a_cold_server_may_take_does_not_shrink_with_what_is_sent() -> None:
     """In a release most servers are cold; refusals lower the rate, and that must not lower it further."""
     world = World(replace(SETTINGS, plans=(Plan(),)))
-    cold = world.gateway.routing.servers["s0"]
+    cold = world.gateway.balancer.servers["s0"]
     for n in range(200):
         world.ask(f"r{n}")
         world.run(20 * MS)
         world.answer(f"r{n}")
-    before = world.gateway.routing.cold_rate(cold)
+    before = world.gateway.balancer.cold_rate(cold)
     world.run(10 * S)
-    assert world.gateway.cap.rate < 5
-    assert world.gateway.routing.cold_rate(cold) > before / 1.5
+    assert world.gateway.overload.rate < 5
+    assert world.gateway.balancer.cold_rate(cold) > before / 1.5
 
 
 def test_cold_server_that_answers_quickly_is_sent_more_up_to_a_bound() -> None:
     world = World(replace(SETTINGS, plans=(Plan(),)))
     world.tell(EndpointList(EndpointListKind.CHANGES, 2, (replace(servers(1)[0], started_us=world.now),)))
-    cold = world.gateway.routing.servers["s0"]
+    cold = world.gateway.balancer.servers["s0"]
 
     def answered(after_us: int, result: AttemptResult = AttemptResult.OK) -> float:
         name = f"r{len(world.tries)}"
         world.ask(name)
         world.now += after_us
-        server = world.gateway.routing.servers[world.out[(name, 0)][0]]
+        server = world.gateway.balancer.servers[world.out[(name, 0)][0]]
         server.pace = cold.pace
         world.answer(name, result)
         cold.pace = server.pace
@@ -594,7 +594,7 @@
     gates = Set(100, replace(SETTINGS, plans=(Plan(),), cold_capacity=0.2), fleet)
     cold = replace(fleet[0], started_us=gates.worlds[0].now)
     for world in gates.worlds:
-        world.gateway.routing.mean_us = [10 * MS]
+        world.gateway.balancer.mean_us = [10 * MS]
         world.tell(EndpointList(EndpointListKind.CHANGES, 2, (cold,)))
     for n in range(1000):
         gates.ask(n * 7 % 100, f"r{n}", customer=f"c{n}")
@@ -634,7 +634,7 @@
     """Each alone would have to wait out a time-out of its own on it."""
     gates = Set(40, replace(SETTINGS, plans=(PLAN,)), servers(10))
     other = gates.worlds[1]
-    index = other.gateway.routing.servers["s0"].checksum
+    index = other.gateway.balancer.servers["s0"].checksum
     for n in range(12):
         seen = tuple(AttemptObservation(*of_what, False, 0.9) for of_what in ((index, 0), (index, 7), (1, 0)))
         other.tell(PeerMessage(2, (GossipMessage(n, 0, 1, 5, level=20.0),), seen))
@@ -650,51 +650,54 @@
     for n in range(3):
         world.ask(f"r{n}")
         world.answer(f"r{n}", AttemptResult.ERROR if n else AttemptResult.OK)
-    told = [world.gateway.words.untold_sightings(1), world.gateway.words.untold_sightings(1)]
+    told = [world.gateway.outbox.untold_sightings(1), world.gateway.outbox.untold_sightings(1)]
     assert [seen.succeeded for seen in told[0]] == [True, False, False] and told[1] == ()
     assert [seen.relative_latency for seen in told[0]][1:] == [
         0.0,
         0.0,
     ]  # it says nothing of how busy servers are
-    assert len(world.gateway.words.untold_sightings(0)) == 3
+    assert len(world.gateway.outbox.untold_sightings(0)) == 3
     world.ask("late")
     world.answer("late")
-    world.gateway.desk.now += 3 * S
-    assert world.gateway.words.untold_sightings(1) == ()
+    world.gateway.context.now_us += 3 * S
+    assert world.gateway.outbox.untold_sightings(1) == ()
     for n in range(100):
         world.ask(f"s{n}", customer=f"c{n}")
         world.answer(f"s{n}")
-    assert len(world.gateway.words.untold_sightings(1)) == 16
+    assert len(world.gateway.outbox.untold_sightings(1)) == 16
 
 
 def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
     """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
     world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=40))
     gateway = world.gateway
-    gateway.cap.n_past, gateway.cap.most = 2.0, 2
-    gateway.cap.signals["latency"], gateway.cap.accepted = [0.2] * 9, 2  # light, but all of N is used
+    gateway.overload.n_past, gateway.overload.most = 2.0, 2
+    gateway.overload.signals["latency"], gateway.overload.accepted = (
+        [0.2] * 9,
+        2,
+    )  # light, but all of N is used
     gateway.end_period()
-    assert gateway.cap.n_past * S / gateway.cap.cc_us == pytest.approx(2.4, abs=0.03)
+    assert gateway.overload.n_past * S / gateway.overload.cc_us == pytest.approx(2.4, abs=0.03)
     allowed = 0
-    gateway.cap.n_past, gateway.cap.signals = 0.25, {"util": [], "latency": []}
+    gateway.overload.n_past, gateway.overload.signals = 0.25, {"util": [], "latency": []}
     for _ in range(40):
         gateway.end_period()
-        gateway.cap.n_past = 0.25
-        allowed += gateway.cap.most
+        gateway.overload.n_past = 0.25
+        allowed += gateway.overload.most
     assert 9 <= allowed <= 11
 
 
 def test_occupancy_is_that_of_all_gateways() -> None:
     """A few slow answers here are chance where the others' are quick."""
     world = World(replace(SETTINGS, gateway_count=40))
-    server = world.gateway.routing.servers["s0"].checksum
+    server = world.gateway.balancer.servers["s0"].checksum
     seen = tuple(AttemptObservation(server, 0, True, 0.1) for _ in range(12))
     for n in range(5):
         world.tell(PeerMessage(n + 1, (GossipMessage(n, 0, 0, 5),), seen))
-    world.gateway.cap.signals["latency"] += [0.9, 0.9]
+    world.gateway.overload.signals["latency"] += [0.9, 0.9]
     world.gateway.end_period()
-    assert world.gateway.cap.n_past is None
-    assert world.gateway.cap.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
+    assert world.gateway.overload.n_past is None
+    assert world.gateway.overload.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
 
 
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
@@ -755,7 +758,7 @@
 def test_who_goes_by_an_older_word_leaves_the_level_to_those_that_ask() -> None:
     """Thirty gateways that all let in on the same level would spend it thirty times over."""
     world = World(replace(SETTINGS, plans=(Plan(rate=10.0, burst=20.0),), gateway_count=40))
-    customer = world.gateway.homes.customer(CustomerKey(1, 0, 0, 30))
+    customer = world.gateway.quotas.customer(CustomerKey(1, 0, 0, 30))
     customer.level, customer.demand = 3.0, 20.0
     assert customer.chance(1.0) == 1.0  # the home's word holds for the one that it was given to
     assert customer.chance(1.0, known=False) == 1.0  # it has heard none: one request is its own in any case
@@ -773,7 +776,7 @@
     assert customer.chance(1.0, known=False) == 0.0
     customer.level = 0.9
     assert customer.chance(1.0) == 0.0
-    few = world.gateway.homes.customer(
+    few = world.gateway.quotas.customer(
         CustomerKey(1, 0, 0, 3)
     )  # its parts hold requests: the rule is as it was
     few.level, few.demand = 0.9, 20.0
@@ -791,7 +794,7 @@
     assert 6 <= len(asked) <= 30  # of 40 s; with two asks a request there were 800
     sent = of(SendAttempt, [action for _, action in world.log])
     assert len(sent) <= 1 + 40 * 10 / 40 + 1  # its own part
-    customer = world.gateway.homes.customer(key)
+    customer = world.gateway.quotas.customer(key)
     world.tell(PeerMessage(customer.leader, (GossipMessage(*key, is_answer=True, level=20.0, demand=1.0),)))
     assert of(SendGossip, world.ask("heard", set_size=40) + world.run(100 * MS))
 
@@ -799,7 +802,7 @@
 def test_store_that_cannot_have_refilled_is_not_asked_for() -> None:
     """Each ask costs its home a message of an intake that all customers share."""
     world = World(replace(SETTINGS, plans=(Plan(rate=0.5, burst=2.0),), gateway_count=40, gateway_index=5))
-    customer = world.gateway.homes.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
+    customer = world.gateway.quotas.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
     assert customer.leader != 5
     customer.last_answer_us, customer.level = world.now, 0.2
     world.now += S  # 0.7 of a request
@@ -945,7 +948,7 @@
     world.run(10 * MS)
     for n in range(4):
         world.answer(f"r{n}", AttemptResult.TIMEOUT)
-    assert world.gateway.routing.servers["s0"].needs_probe is False
+    assert world.gateway.balancer.servers["s0"].needs_probe is False
 
 
 def test_further_attempts_are_few() -> None:
@@ -972,7 +975,7 @@
 
 
 def test_list_must_be_asked_for() -> None:
-    gateway = Gateway(replace(SETTINGS, must_subscribe=True))
+    gateway = GatewayCore(replace(SETTINGS, must_subscribe=True))
     assert Subscribe(True) in gateway.handle(5, EndpointList(EndpointListKind.SAVED, 1, servers(2)))
     assert gateway.handle(9, EndpointList(EndpointListKind.FAILED, 0)) == [Subscribe(True)]
     assert of(SendAttempt, gateway.handle(10, Request("a", 0, 0, "c", S)))
@@ -997,6 +1000,7 @@
         "simulator",
         "actions",
         "attempts",
+        "bounded_map",
         "decision_context",
         "endpoints",
         "gossip_codec",
@@ -1034,7 +1038,7 @@
     """A fault on the way makes each of them suspect for a while; none of them is cold for it."""
     settings = replace(SETTINGS, plans=(Plan(),))
     world = World(settings, servers(4))
-    for server in world.gateway.routing.up:
+    for server in world.gateway.balancer.up:
         server.needs_probe, server.ejected_until_us = True, world.now
     for n in range(100):
         world.ask(f"r{n}")
@@ -1049,7 +1053,7 @@
     plan = Plan(rate=100.0, burst=100.0, max_in_flight=2)
     gates = Set(4, replace(SETTINGS, plans=(plan,)))
     gates.ask(0, "warm", customer="c")
-    (customer,) = gates.worlds[0].gateway.homes.customers.values()
+    (customer,) = gates.worlds[0].gateway.quotas.customers.values()
     home = customer.leader
     gates.run(300 * MS)
     for world in gates.worlds:
@@ -1067,14 +1071,14 @@
 
 def test_warm_servers_cost_a_choice_no_look_at_their_warmth(monkeypatch: pytest.MonkeyPatch) -> None:
     looked = []
-    warmth = Routing.warmth
+    warmth = LoadBalancer.warmth
 
-    def counted(routing: Routing, server: object) -> float:
+    def counted(routing: LoadBalancer, server: object) -> float:
         looked.append(server)
         return warmth(routing, server)
 
     world = World(replace(SETTINGS, gateway_count=200), servers(200))
-    monkeypatch.setattr(Routing, "warmth", counted)
+    monkeypatch.setattr(LoadBalancer, "warmth", counted)
     assert of(SendAttempt, world.ask("a"))
     assert len(looked) <= CHOICES
 
@@ -1083,14 +1087,14 @@
     started = 100 * S - SETTINGS.warm_up_us + 1  # the world begins at 100 s
     world = World(fleet=servers(2, started_us=started))
     gateway = world.gateway
-    assert all(gateway.routing.warmth(server) < 1 for server in gateway.routing.up)
+    assert all(gateway.balancer.warmth(server) < 1 for server in gateway.balancer.up)
     world.run(1)
-    gateway.desk.now = world.now
-    assert all(gateway.routing.warmth(server) == 1 for server in gateway.routing.up)
+    gateway.context.now_us = world.now
+    assert all(gateway.balancer.warmth(server) == 1 for server in gateway.balancer.up)
     world.tell(SetEjection("s0", True))
     world.tell(SetEjection("s0", False))  # it may have started anew meanwhile
-    assert gateway.routing.warmth(gateway.routing.servers["s0"]) == SETTINGS.cold_capacity
-    assert gateway.routing.warmth(gateway.routing.up[1]) == 1
+    assert gateway.balancer.warmth(gateway.balancer.servers["s0"]) == SETTINGS.cold_capacity
+    assert gateway.balancer.warmth(gateway.balancer.up[1]) == 1
 
 
 def test_attempts_that_are_out_wake_nobody() -> None:
@@ -1105,13 +1109,13 @@
     world = World(settings)
     rest = {"set_size": 3, "plan_index": 0}
     told = [action for n in range(8) for action in of(SendGossip, world.ask(f"a{n}", customer="c2", **rest))]
-    home = world.gateway.homes.customers[next(iter(world.gateway.homes.customers))].leader
-    assert home != 0 and told and not of(SendGossip, world.run(10 * MS)) and world.gateway.words.waiting
-    space_us = world.gateway.words.space_us
+    home = world.gateway.quotas.customers[next(iter(world.gateway.quotas.customers))].leader
+    assert home != 0 and told and not of(SendGossip, world.run(10 * MS)) and world.gateway.outbox.waiting
+    space_us = world.gateway.outbox.space_us
     before = world.now
     while not (left := of(SendGossip, world.run(10 * MS))):
         assert world.now - before <= space_us + 3 * 20 * MS
-    assert left[0].peer == home and not world.gateway.words.waiting
+    assert left[0].peer == home and not world.gateway.outbox.waiting
 
 
 # --- when a refused client is to come again ---
@@ -1129,7 +1133,7 @@
     world.run(3 * S)  # they are gone
     assert not advice(world.ask("b"))
     job = world.gateway.jobs["b"]
-    world.gateway.cap.n_past = None  # nobody answers here, and the cap had engaged
+    world.gateway.overload.n_past = None  # nobody answers here, and the cap had engaged
     job.customer.demand, job.customer.level = 1.0, 0.4
     waits = [world.gateway.retries.come_again(job, "quota") for _ in range(20)]
     assert min(waits) >= 300 * MS and max(waits) <= 600 * MS  # 0.6 of a unit at 2 a second
@@ -1151,8 +1155,8 @@
     world = World(replace(SETTINGS, max_retry_after_us=2 * S))
     world.ask("a")
     job = world.gateway.jobs["a"]
-    assert world.gateway.retries.come_again(job, "timeout") <= 2 * world.gateway.cap.cc_us
-    world.gateway.cap.n_past = 10.0
+    assert world.gateway.retries.come_again(job, "timeout") <= 2 * world.gateway.overload.cc_us
+    world.gateway.overload.n_past = 10.0
     assert world.gateway.retries.come_again(job, "timeout") == 2 * S
 
 
@@ -1177,7 +1181,7 @@
     world.answer("c")
     world.answer("d")
     gateway = world.gateway
-    routing = gateway.routing
+    routing = gateway.balancer
     costs = {server.endpoint.name: routing.cost(server) / server.relative_latency for server in routing.up}
     assert sorted(costs.values())[1] < sorted(costs.values())[2] == sorted(costs.values())[-1]
     world.run(6 * S)  # by now those connections are closed
@@ -1192,8 +1196,9 @@
             world.ask(f"a{gap}-{n}")
             world.run(gap)
             world.answer(f"a{gap}-{n}")
-        assert gateway.routing.spread_thin is thin
+        assert gateway.balancer.spread_thin is thin
         costs = {
-            round(gateway.routing.cost(server) / server.relative_latency, 9) for server in gateway.routing.up
+            round(gateway.balancer.cost(server) / server.relative_latency, 9)
+            for server in gateway.balancer.up
         }
         assert len(costs) == 1 + thin
--- a/tests/gateway/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -8,7 +8,7 @@
 from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
-from orchidhatch.gateway.peer_outbox import MOST_WORDS, TELLS_AT_ONCE, Words
+from orchidhatch.gateway.peer_outbox import MOST_WORDS, TELLS_AT_ONCE, PeerOutbox
 from orchidhatch.gateway.times import S
 from tests.helpers import SETTINGS
 
@@ -21,48 +21,48 @@
 
 
 @pytest.fixture
-def outbox() -> Words:
-    return Words(DecisionContext(replace(SETTINGS, gateway_count=4, peer_messages_per_s=100.0)))
+def outbox() -> PeerOutbox:
+    return PeerOutbox(DecisionContext(replace(SETTINGS, gateway_count=4, peer_messages_per_s=100.0)))
 
 
-def sent(outbox: Words) -> list[SendGossip]:
+def sent(outbox: PeerOutbox) -> list[SendGossip]:
     """What leaves now; the actions are taken off."""
     outbox.send()
-    messages = [action for action in outbox.desk.actions if isinstance(action, SendGossip)]
-    outbox.desk.actions.clear()
+    messages = [action for action in outbox.context.actions if isinstance(action, SendGossip)]
+    outbox.context.actions.clear()
     return messages
 
 
-def test_nothing_leaves_when_nothing_waits(outbox: Words) -> None:
+def test_nothing_leaves_when_nothing_waits(outbox: PeerOutbox) -> None:
     assert sent(outbox) == []
 
 
-def test_messages_to_one_peer_keep_their_space_on_average(outbox: Words) -> None:
+def test_messages_to_one_peer_keep_their_space_on_average(outbox: PeerOutbox) -> None:
     count, end_us = 0, 2 * S
     for now in range(0, end_us, 1_000):
-        outbox.desk.now = now
+        outbox.context.now_us = now
         outbox.add(PEER, WORD)
         count += len(sent(outbox))
     whole_spaces = end_us / outbox.space_us
     assert whole_spaces - 1 <= count <= whole_spaces + TELLS_AT_ONCE
 
 
-def test_a_burst_leaves_at_once_up_to_its_bound_then_waits_until_it_is_due(outbox: Words) -> None:
+def test_a_burst_leaves_at_once_up_to_its_bound_then_waits_until_it_is_due(outbox: PeerOutbox) -> None:
     counts = []
     for _ in range(TELLS_AT_ONCE + 2):
         outbox.add(PEER, WORD)
         counts.append(len(sent(outbox)))
     assert counts == [1] * TELLS_AT_ONCE + [0, 0]
     (due_us,) = outbox.dues()
-    outbox.desk.now = int(due_us) - 1
+    outbox.context.now_us = int(due_us) - 1
     assert sent(outbox) == []
-    outbox.desk.now = int(due_us) + 1
+    outbox.context.now_us = int(due_us) + 1
     (message,) = sent(outbox)
     assert message.messages == (WORD, WORD)
     assert message.waited_us == int(due_us) + 1
 
 
-def test_one_peer_that_waits_does_not_delay_another(outbox: Words) -> None:
+def test_one_peer_that_waits_does_not_delay_another(outbox: PeerOutbox) -> None:
     for _ in range(TELLS_AT_ONCE + 1):
         outbox.add(PEER, WORD)
         sent(outbox)
@@ -70,7 +70,7 @@
     assert [message.peer for message in sent(outbox)] == [PEER + 1]
 
 
-def test_the_oldest_is_dropped_and_counted_when_the_outbox_is_full(outbox: Words) -> None:
+def test_the_oldest_is_dropped_and_counted_when_the_outbox_is_full(outbox: PeerOutbox) -> None:
     words = [replace(WORD, demand=float(number)) for number in range(MOST_WORDS + 3)]
     for word in words:
         outbox.add(PEER, word)
@@ -79,7 +79,7 @@
     assert message.messages == tuple(words[3:])
 
 
-def test_each_peer_is_sent_an_observation_once(outbox: Words) -> None:
+def test_each_peer_is_sent_an_observation_once(outbox: PeerOutbox) -> None:
     outbox.see(observation(1))
     outbox.add(PEER, WORD)
     assert [message.observations for message in sent(outbox)] == [(observation(1),)]
@@ -92,9 +92,9 @@
     }
 
 
-def test_an_observation_older_than_the_longest_period_is_not_sent(outbox: Words) -> None:
+def test_an_observation_older_than_the_longest_period_is_not_sent(outbox: PeerOutbox) -> None:
     outbox.see(observation(1))
-    outbox.desk.now = MOST_PERIODS * CC_PERIOD_US
+    outbox.context.now_us = MOST_PERIODS * CC_PERIOD_US
     outbox.see(observation(2))
     outbox.add(PEER, WORD)
     assert [message.observations for message in sent(outbox)] == [(observation(2),)]
--- a/tests/gateway/test_policy_change.py
+++ b/tests/gateway/test_policy_change.py
@@ -31,11 +31,11 @@
         for _ in range(asked):
             number += 1
             world.ask(f"r{number}")
-        [customer] = world.gateway.homes.customers.values()
+        [customer] = world.gateway.quotas.customers.values()
         before = customer.refill(world.now)
         was = before.plan, before.level, before.share, before.in_flight
         world.tell(new_policy(plan))
-        after = next(iter(world.gateway.homes.customers.values()))
+        after = next(iter(world.gateway.quotas.customers.values()))
         assert after.plan == plan and after.in_flight == was[3]
         share = plan.burst / was[0].burst if was[0].burst else 0.0
         assert after.level == pytest.approx(was[1] * share) and after.share <= plan.burst + 1e-9
@@ -55,7 +55,7 @@
     assert of(Reject, world.ask("c", customer="c2")) and of(SendAttempt, world.ask("d"))
     ended = dict(world.gateway.counters.ended)
     assert ended == {"policy": 1, "banned": 1}
-    [customer] = [one for one in world.gateway.homes.customers.values() if one.is_leader][:1]
+    [customer] = [one for one in world.gateway.quotas.customers.values() if one.is_leader][:1]
     demand = customer.demand
     word = GossipMessage(*customer.key, demand=50.0, spent=50.0)
     for mark, level in ((2, customer.level), (0, customer.level), (9, customer.level - 50)):
@@ -63,7 +63,7 @@
         assert customer.level == pytest.approx(max(level, -customer.plan.rate / 2), abs=0.5)
     assert customer.demand > demand + 40
     world.tell(new_policy(PLAN, moved=(-1, -1)))
-    assert not world.gateway.homes.customers
+    assert not world.gateway.quotas.customers
 
 
 def test_wait_times_when_requests_queue_for_a_permit_then_are_reported_by_reason() -> None:
--- a/tests/gateway/test_properties.py
+++ b/tests/gateway/test_properties.py
@@ -63,7 +63,7 @@
         assert action.id not in self.over
         assert self.states[action.server].state is EndpointState.UP
         outs = [key for key in self.out if key[0] == action.id]
-        assert len(outs) == 1 or (self.gateway.set.may_hedge and len(outs) == 2)
+        assert len(outs) == 1 or (self.gateway.settings.may_hedge and len(outs) == 2)
         if before and rule.idempotency is not Idempotency.SAFE:
             assert rule.idempotency is Idempotency.KEYED
             first, place = self.states[before[0][0]], self.states[action.server]
@@ -111,7 +111,7 @@
         self.over.update(self.requests)
         self.out.clear()
         self.timers.clear()
-        self.gateway = type(self.gateway)(self.gateway.set)
+        self.gateway = type(self.gateway)(self.gateway.settings)
         self.tell(EndpointList(EndpointListKind.SAVED, 1, tuple(self.states.values())))
 
     def change_server(self, number: int) -> None:
--- a/tests/gateway/test_simulator.py
+++ b/tests/gateway/test_simulator.py
@@ -118,7 +118,7 @@
             host.event(name, parts, iter(SHEET.splitlines()[1:]))
     server = host.gateways[0].jobs["rq_a"].servers[0].endpoint.name
     host.event("ATTEMPT_END", ["rq_a", "1", "0", server, "served", "9", "-", "-", "9,0.4"], iter(()))
-    assert host.gateways[0].cap.signals["util"] == [0.4]
+    assert host.gateways[0].overload.signals["util"] == [0.4]
 
 
 @pytest.mark.parametrize(
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,7 +6,7 @@
 
 from orchidhatch.gateway.actions import Action, SendAttempt, SendGossip, SetTimer
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
-from orchidhatch.gateway.core import Gateway
+from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
 from orchidhatch.gateway.events import AttemptEnded, EndpointList, Event, PeerMessage, Request, TimerExpired
 from orchidhatch.gateway.settings import Plan, RequestClass, Settings
@@ -44,7 +44,7 @@
 
     def __init__(self, settings: Settings = SETTINGS, fleet: Iterable[Endpoint] = servers(4)) -> None:
         self.now = 100 * S
-        self.gateway = Gateway(settings)
+        self.gateway = GatewayCore(settings)
         self.timers: list[tuple[int, int]] = []
         self.log: list[tuple[int, Action]] = []
         self.out: dict[tuple[str, int], tuple[str, int, int]] = {}
@@ -138,7 +138,7 @@
         world = self.worlds[me]
         world.out.clear()
         world.timers.clear()
-        world.gateway = Gateway(replace(world.gateway.set, seed=seed))
+        world.gateway = GatewayCore(replace(world.gateway.settings, seed=seed))
         self.carry(me, world.tell(EndpointList(EndpointListKind.SAVED, 1, servers(4))))
 
     def sent(self) -> int:
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -258,7 +258,7 @@
             pool = door.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            (customer,) = door.gateway.homes.customers.values()
+            (customer,) = door.gateway.quotas.customers.values()
             assert customer.level < 3
             connect = pool.connecting
             for connection in list(door.clients.connections):
@@ -278,7 +278,7 @@
     world = World(replace(helpers.SETTINGS, gateway_count=3))
     name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
     world.ask("r1", customer=name, units=10.0, set_size=3)
-    (customer,) = world.gateway.homes.customers.values()
+    (customer,) = world.gateway.quotas.customers.values()
     assert world.gateway.waits and not customer.is_leader
     world.tell(ClientGone("r1"))
     word = GossipMessage(*customer.key, True, 10.0, 0.0, 10.0, level, 0, SlotGrant.NONE)
@@ -561,7 +561,7 @@
             backend.writers[0].write(value(b"first"))
             assert await client.answer() == b"first" and await other.answer() == b"second"
             assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not door.gateway.jobs and door.gateway.overload.out == 0
 
     run(job())
 
@@ -578,6 +578,6 @@
             assert await client.ask(query("a1")) == "-ERR failed"
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not door.gateway.jobs and door.gateway.overload.out == 0
 
     run(job())
--- a/tests/proxy/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -35,7 +35,7 @@
             head = b"$%d\r\n" % len(LONG)
             assert await client.reader.readexactly(len(head) + 1000) == head + LONG[:1000]
             await asyncio.sleep(0.7)  # the time that the client waits for the first bytes is over
-            assert len(door.open) == 1 and not door.gateway.cap.out
+            assert len(door.open) == 1 and not door.gateway.overload.out
             backend.writers[0].write(LONG[1000:] + TAIL)
             rest = await client.reader.readexactly(len(LONG) - 1000 + 2)
             assert rest == LONG[1000:] + b"\r\n"
@@ -184,9 +184,9 @@
     world.ask("a")
     server = world.out[("a", 0)][0]
     assert of(CancelAttempt, world.tell(StreamStarted("a", 0, server, 5))) == []
-    (customer,) = world.gateway.homes.customers.values()
-    assert world.gateway.cap.out == 0 and customer.in_flight == 1
+    (customer,) = world.gateway.quotas.customers.values()
+    assert world.gateway.overload.out == 0 and customer.in_flight == 1
     world.now += 60_000_000
     world.answer("a")
     assert customer.in_flight == 0 and not world.gateway.jobs
-    assert world.gateway.routing.servers[server].relative_latency < 1
+    assert world.gateway.balancer.servers[server].relative_latency < 1
