--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -41,82 +41,82 @@
         self.balancer = LoadBalancer(context)
         self.outbox = PeerOutbox(context)
         self.membership = Membership(context, self.balancer)
-        self.quotas = QuotaLeaders(context, self.outbox, self.holds)
+        self.quotas = QuotaLeaders(context, self.outbox, self.queues_unsent)
         self.retries = RetryPolicy(context, self.balancer, self.overload)
         self.handover_peer = HandoverPeer(context, self.balancer, self.membership, self.quotas, self.overload)
-        self.jobs: dict[str, InFlightRequest] = {}
-        self.held: list[tuple[float, int, InFlightRequest]] = []  # highest worth first, then by arrival
-        self.waits: list[InFlightRequest] = []  # for word of their quota
-        self.alarm_us, self.serial = NEVER, itertools.count()
+        self.requests: dict[str, InFlightRequest] = {}
+        self.queue: list[tuple[float, int, InFlightRequest]] = []  # highest worth first, then by arrival
+        self.awaiting_grant: list[InFlightRequest] = []  # for word of their quota
+        self.timer_due_us, self.serial = NEVER, itertools.count()
         self.counters = metrics.RequestCounters()
-        self.barred = False  # whether nobody may be let in
+        self.is_suspended = False  # whether nobody may be let in
         self.open = self.open_bytes = 0  # requests that are owed an answer, and what is kept of them
         self.on = {
             events.Request: self.on_request,
             events.AttemptEnded: self.on_outcome,
-            events.TimerExpired: self.on_tick,
-            events.ClientGone: self.on_end,
-            events.StreamStarted: self.on_stream,
-            events.PeerMessage: self.on_peer,
-            events.MetricsRequest: self.on_survey,
+            events.TimerExpired: self.on_timer,
+            events.ClientGone: self.on_client_gone,
+            events.StreamStarted: self.on_stream_started,
+            events.PeerMessage: self.on_peer_message,
+            events.MetricsRequest: self.on_metrics,
             events.PolicyChange: self.on_policy,
-            events.SuspendAdmission: self.on_bar,
+            events.SuspendAdmission: self.on_suspend,
             events.EndpointList: self.membership.on_list,
             events.SetEjection: self.membership.on_maint,
             snapshots.HandoverEjection: self.membership.leave_out,
-            events.StartHandover: lambda _: self.handover_peer.hand_over(self.jobs.values()),
-            snapshots.GatewaySnapshot: self.handover_peer.on_state,
+            events.StartHandover: lambda _: self.handover_peer.hand_over(self.requests.values()),
+            snapshots.GatewaySnapshot: self.handover_peer.on_snapshot,
             events.HandoverPeerGone: self.handover_peer.on_gone,
             events.HandoverPeerUnknown: self.handover_peer.on_unknown,
             snapshots.HandoverSpend: self.handover_peer.on_spend,
-            snapshots.HandoverAttempt: self.handover_peer.on_send,
-            snapshots.HandoverAttemptEnd: self.handover_peer.on_end,
+            snapshots.HandoverAttempt: self.handover_peer.on_attempt,
+            snapshots.HandoverAttemptEnd: self.handover_peer.on_attempt_end,
         }
 
     def handle(self, now_us: int, event: events.Event) -> list[actions.Action]:
         context = self.context
         context.now_us, context.actions = now_us, []
-        if self.overload.period_us < 0:
-            self.overload.period_us = context.started_us = now_us
+        if self.overload.period_start_us < 0:
+            self.overload.period_start_us = context.started_us = now_us
         if act := self.on.get(type(event)):
             act(event)
         self.outbox.send()
-        if (due := self.next_look()) < self.alarm_us:
-            self.alarm_us = due
+        if (due := self.next_due_us()) < self.timer_due_us:
+            self.timer_due_us = due
             context.actions.append(actions.SetTimer(due - now_us, 0))
         return context.actions
 
-    def next_look(self) -> int:
+    def next_due_us(self) -> int:
         """When time alone may bring something about: held requests are looked at each tick, attempts that are
         out not at all, as their ends are told."""
         soonest = self.context.now_us + TICK_US
-        if self.held or self.quotas.queues:
+        if self.queue or self.quotas.slot_queues:
             return soonest
         dues = [
-            self.overload.period_us + self.overload.cc_us,
+            self.overload.period_start_us + self.overload.period_length_us,
             *self.quotas.dues(),
             *self.outbox.dues(),
-            *[job.decide_at_us for job in self.waits],
+            *[job.decide_at_us for job in self.awaiting_grant],
         ]
         return max(soonest, math.ceil(min(dues)))
 
-    def on_tick(self, _: events.TimerExpired) -> None:
-        if self.context.now_us < self.alarm_us:
+    def on_timer(self, _: events.TimerExpired) -> None:
+        if self.context.now_us < self.timer_due_us:
             return
-        self.alarm_us = NEVER
-        while self.context.now_us - self.overload.period_us >= self.overload.cc_us:
+        self.timer_due_us = NEVER
+        while self.context.now_us - self.overload.period_start_us >= self.overload.period_length_us:
             self.end_period()
         self.context.actions += metrics.wait_times(self)
-        self.end_waits()
-        self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
-        self.release()
+        self.decide_waiting()
+        self.queue = [entry for entry in self.queue if not self.expire(entry[2], NEEDED_HELD)]
+        self.dequeue()
         self.quotas.renew()
         self.quotas.grant_all_slots()
 
     def end_period(self) -> None:
         self.overload.end_period()
-        self.balancer.end_period(self.overload.rate, self.overload.cc_us)
-        self.quotas.forget()
+        self.balancer.end_period(self.overload.rate, self.overload.period_length_us)
+        self.quotas.forget_idle()
         self.overload.begin_period(len(self.balancer.up), self.overdue)
         self.context.actions += metrics.log_lines(self)
 
@@ -125,7 +125,7 @@
         now, means = self.context.now_us, self.balancer.mean_us
         return [
             min(1.0, (now - sent) / job.rule.latency_objective_us)
-            for job in self.jobs.values()
+            for job in self.requests.values()
             if not job.is_streaming
             for sent in job.attempts.values()
             if now - sent > means[job.request.class_index]
@@ -139,20 +139,20 @@
         )
         customer = self.quotas.customer(key)
         rule = self.settings.classes[req.class_index]
-        job = self.jobs[req.id] = InFlightRequest(req, rule, customer, self.context.now_us)
-        why = self.shut_out(req)
+        job = self.requests[req.id] = InFlightRequest(req, rule, customer, self.context.now_us)
+        why = self.entry_rejection(req)
         self.open, self.open_bytes = self.open + 1, self.open_bytes + req.size_bytes
         if why:
             self.end(job, why)
         elif not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
-    def shut_out(self, req: events.Request) -> str:
+    def entry_rejection(self, req: events.Request) -> str:
         """Why it is not looked at further, if so. Where as much is open as may be it can be told to come
         again, while time would only run out for it here."""
         set_, bytes_left = self.settings, self.settings.max_open_bytes - self.open_bytes
-        if self.barred or req.customer in set_.banned_customers:
-            return "policy" if self.barred else "banned"
+        if self.is_suspended or req.customer in set_.banned_customers:
+            return "policy" if self.is_suspended else "banned"
         lacks_bytes = set_.max_open_bytes > 0 and bytes_left < req.size_bytes
         return "crowded" if 0 < set_.max_open_requests <= self.open or lacks_bytes else ""
 
@@ -162,22 +162,22 @@
         had_part = customer.share >= units
         chance = self.quotas.chance(customer, units)
         if chance is None:
-            self.ask(job)
+            self.request_grant(job)
             return
         fresh = customer.is_fresh(self.context.now_us)
         known = "home" if customer.is_leader else "old" if fresh else "unheard"
         self.decide(job, chance, "part" if had_part else known)
         if had_part and not customer.shares_slots():  # else the wish for a place tells it
-            self.quotas.tell(customer.leader, customer, 0.0)
+            self.quotas.send(customer.leader, customer, 0.0)
 
-    def ask(self, job: InFlightRequest) -> None:
+    def request_grant(self, job: InFlightRequest) -> None:
         wait, job.grant_requests = min(ASK_US, job.rule.latency_objective_us // 8), job.grant_requests + 1
         self.outbox.tally["asked"] += 1
         job.decide_at_us = min(self.context.now_us + wait, job.deadline_us - 4 * TICK_US)
-        self.waits.append(job)
-        self.quotas.tell(job.customer.leader, job.customer, job.request.units)
+        self.awaiting_grant.append(job)
+        self.quotas.send(job.customer.leader, job.customer, job.request.units)
 
-    def on_peer(self, message: events.PeerMessage) -> None:
+    def on_peer_message(self, message: events.PeerMessage) -> None:
         self.outbox.tally["heard"] += 1
         for seen in message.observations:
             server = self.balancer.by_checksum.get(seen.server_checksum)
@@ -187,29 +187,29 @@
                 objective_us = self.settings.classes[seen.class_index].latency_objective_us
                 self.balancer.observe(server, seen.class_index, seen.succeeded, latency * objective_us)
         if message.policy_mark == self.settings.policy_mark:  # else their amounts mean something else
-            self.quotas.hear(message.sender, message.messages, self.answered)
+            self.quotas.on_messages(message.sender, message.messages, self.on_grant_answer)
 
     def on_policy(self, told: events.PolicyChange) -> None:
         self.settings = self.context.settings = told.applied_to(self.settings)
-        self.quotas.move(told.plan_moves)
+        self.quotas.change_plans(told.plan_moves)
 
-    def on_bar(self, told: events.SuspendAdmission) -> None:
-        self.barred = told.is_suspended
+    def on_suspend(self, told: events.SuspendAdmission) -> None:
+        self.is_suspended = told.is_suspended
 
-    def answered(self, customer: Customer | None) -> None:
-        self.end_waits(customer)
-        self.release()
+    def on_grant_answer(self, customer: Customer | None) -> None:
+        self.decide_waiting(customer)
+        self.dequeue()
 
-    def end_waits(self, told: Customer | None = None) -> None:
+    def decide_waiting(self, told: Customer | None = None) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
         now = self.context.now_us
-        ready = [job for job in self.waits if job.customer is told][:1]
+        ready = [job for job in self.awaiting_grant if job.customer is told][:1]
         self.outbox.tally["answered"] += len(ready)
-        ready += [job for job in self.waits if job.decide_at_us <= now and job not in ready]
-        self.waits = [job for job in self.waits if job not in ready]
+        ready += [job for job in self.awaiting_grant if job.decide_at_us <= now and job not in ready]
+        self.awaiting_grant = [job for job in self.awaiting_grant if job not in ready]
         for job in [job for job in ready if told or not job.is_answered]:
             if told is None and job.grant_requests < ASKS and now + ASK_US + 4 * TICK_US < job.deadline_us:
-                self.ask(job)  # words may be lost
+                self.request_grant(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.request.units, known=told is not None)
             how = "answered" if told else "silent"
@@ -227,26 +227,26 @@
         elif plan.over_quota_weight <= plan.over_quota_cost or self.overload.n_past is not None:
             self.end(job, "quota")
             return
-        self.hold(job)
-        self.release()
+        self.enqueue(job)
+        self.dequeue()
 
     # --- requests that are held, and attempts ---
 
-    def hold(self, job: InFlightRequest) -> None:
+    def enqueue(self, job: InFlightRequest) -> None:
         job.queued_us, job.decide_at_us = self.context.now_us, NEVER
-        insort(self.held, (-job.priority, next(self.serial), job))
+        insort(self.queue, (-job.priority, next(self.serial), job))
 
-    def holds(self, customer: Customer) -> bool:
-        return any(job.customer is customer and not job.servers for _, _, job in self.held)
+    def queues_unsent(self, customer: Customer) -> bool:
+        return any(job.customer is customer and not job.servers for _, _, job in self.queue)
 
     def allowance(self) -> bool:
         return self.overload.allowance(self.balancer.warm)
 
-    def release(self) -> None:
-        blocked, held = not self.allowance(), self.held
+    def dequeue(self) -> None:
+        blocked, held = not self.allowance(), self.queue
         if blocked or not held:
             return
-        self.held = []
+        self.queue = []
         for entry in held:
             job = entry[2]
             waits = job.is_answered or (
@@ -255,7 +255,7 @@
             if server := None if waits else self.balancer.choose(job):
                 self.send(job, server)
             elif not job.is_answered:
-                self.held.append(entry)  # where no server takes anything there is no need to look on
+                self.queue.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
     def expire(self, job: InFlightRequest, means: float) -> bool:
@@ -271,17 +271,17 @@
     def send(self, job: InFlightRequest, server: Server) -> None:
         customer, now = job.customer, self.context.now_us
         if not (number := len(job.servers)):
-            self.overload.accepted += 1
+            self.overload.admitted += 1
             self.retries.earn()
             customer.ceiling -= job.request.units
         job.servers.append(server)
         job.attempts[number] = server.in_flight[(job.request.id, number)] = now
-        customer.in_flight, self.overload.out = customer.in_flight + 1, self.overload.out + 1
+        customer.in_flight, self.overload.in_flight = customer.in_flight + 1, self.overload.in_flight + 1
         if not number:
             self.quotas.use_slot(customer)
         server.credit -= 1
         name, units = server.endpoint.name, 0.0 if number else job.request.units
-        timeout_us, start_us = self.retries.time_out(job), self.retries.begin_within(job)
+        timeout_us, start_us = self.retries.timeout_us(job), self.retries.start_within_us(job)
         self.context.actions.append(actions.SendAttempt(job.request.id, name, timeout_us, start_us))
         if job.first_server is None:
             job.first_server, job.first_sent_us = server, now
@@ -289,39 +289,39 @@
             snapshots.HandoverAttempt(customer.key, job.request.id, number, name, now, units)
         )
 
-    def again(self, job: InFlightRequest, why: AttemptResult) -> bool:
+    def retry(self, job: InFlightRequest, why: AttemptResult) -> bool:
         """Whether the request goes on after an attempt that ended so: on another server, or held for one."""
-        if not self.retries.may(job, why):
+        if not self.retries.may_retry(job, why):
             return False
         if server := self.balancer.choose(job):
-            self.retries.pay(why)
+            self.retries.spend(why)
             self.send(job, server)
         elif job.first_server is None:
-            self.hold(job)
+            self.enqueue(job)
         return server is not None or job.first_server is None
 
     def on_outcome(self, event: events.AttemptEnded) -> None:
-        job = self.jobs.get(event.id)
+        job = self.requests.get(event.id)
         if job is None or event.attempt not in job.attempts:
             return
         server, job.customer.in_flight = job.servers[event.attempt], job.customer.in_flight - 1
         del job.attempts[event.attempt]
         self.context.send_to_handover_peer(snapshots.HandoverAttemptEnd(event.id, event.attempt))
         if not job.is_streaming:
-            self.overload.out -= 1
+            self.overload.in_flight -= 1
             del server.in_flight[(event.id, event.attempt)]
         if not job.is_streaming or event.result is not AttemptResult.OK:
             self.learn(job, server, event)
         if (
             event.result is AttemptResult.NOT_SENT and not event.attempt
         ):  # its first never left: it draws nothing
-            self.give_back(job)
+            self.refund(job)
             job.customer.ceiling += job.request.units
         job.unrun_attempts += event.result in NEVER_RUN
         job.first_server = None if job.unrun_attempts == len(job.servers) else job.first_server
         if event.is_final or job.is_answered:
-            self.drop(job)
-        elif not job.attempts and not self.again(job, event.result):
+            self.forget(job)
+        elif not job.attempts and not self.retry(job, event.result):
             self.end(job, event.result.value)
         if not job.attempts:  # else a further attempt has its place
             self.quotas.report_in_flight(job.customer)
@@ -333,7 +333,8 @@
         self.overload.signals["util"] += [report.util] if report.util is not None else []
         lasted = took / job.rule.latency_objective_us if result in HAS_LATENCY else 0.0
         if result in SIGHTED:
-            self.outbox.see(AttemptObservation(server.checksum, index, result is AttemptResult.OK, lasted))
+            succeeded = result is AttemptResult.OK
+            self.outbox.add_observation(AttemptObservation(server.checksum, index, succeeded, lasted))
         self.balancer.learn(server, index, event, loads[0] if loads else None)
         settles = self.settings.settles_units and event.actual_units and job.is_in_quota
         if result is AttemptResult.OK and settles:
@@ -341,13 +342,13 @@
         if result in HAS_LATENCY:
             self.overload.signals["latency"].append(min(1.0, lasted))
 
-    def on_stream(self, event: events.StreamStarted) -> None:
+    def on_stream_started(self, event: events.StreamStarted) -> None:
         """The value is the client's, as fast as that reads: the server's own part was until now."""
-        job = self.jobs.get(event.id)
+        job = self.requests.get(event.id)
         if job and event.attempt in job.attempts and not job.is_answered:
             server, job.is_streaming = job.servers[event.attempt], True
             self.close(job)
-            self.overload.out -= 1
+            self.overload.in_flight -= 1
             del server.in_flight[(event.id, event.attempt)]
             self.learn(
                 job,
@@ -362,15 +363,15 @@
     def end(self, job: InFlightRequest, why: str) -> None:
         self.counters.count_end(why)
         self.context.actions.append(
-            actions.Reject(job.request.id, self.retries.come_again(job, why))
+            actions.Reject(job.request.id, self.retries.retry_after_us(job, why))
             if job.may_reject()
             else actions.Fail(job.request.id)
         )
-        self.drop(job)
+        self.forget(job)
 
-    def on_end(self, event: events.ClientGone) -> None:
-        if event.id in self.jobs:
-            self.drop(self.jobs[event.id])
+    def on_client_gone(self, event: events.ClientGone) -> None:
+        if event.id in self.requests:
+            self.forget(self.requests[event.id])
 
     def close(self, job: InFlightRequest) -> None:
         """It is owed nothing more."""
@@ -378,20 +379,20 @@
             job.is_answered = True
             self.open, self.open_bytes = self.open - 1, self.open_bytes - job.request.size_bytes
 
-    def give_back(self, job: InFlightRequest) -> None:
+    def refund(self, job: InFlightRequest) -> None:
         if job.is_in_quota:
             self.quotas.spend(job.customer, -job.request.units)
 
-    def drop(self, job: InFlightRequest) -> None:
+    def forget(self, job: InFlightRequest) -> None:
         if not job.servers and not job.is_answered:
-            self.give_back(job)
+            self.refund(job)
         cancelled = job.attempts if self.settings.may_cancel and not job.is_answered else ()
         self.close(job)
         self.context.actions += [actions.CancelAttempt(job.request.id, number) for number in cancelled]
         if not job.attempts:
-            self.jobs.pop(job.request.id, None)
+            self.requests.pop(job.request.id, None)
 
     # --- figures ---
 
-    def on_survey(self, _: events.MetricsRequest) -> None:
+    def on_metrics(self, _: events.MetricsRequest) -> None:
         self.context.actions.append(metrics.metrics_snapshot(self))
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -27,7 +27,7 @@
     ) -> None:
         self.context, self.balancer, self.membership = context, balancer, membership
         self.quotas, self.overload = quotas, overload
-        self.out: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
+        self.in_flight: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
 
     def hand_over(self, jobs: Iterable[InFlightRequest]) -> None:
         """Requests stay, and end, where they were taken."""
@@ -39,13 +39,13 @@
             take_snapshot(context, self.overload, self.balancer, customers, self.membership.names, jobs)
         )
 
-    def on_state(self, told: GatewaySnapshot) -> None:
+    def on_snapshot(self, told: GatewaySnapshot) -> None:
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
         self.context.has_handover_peer = True
         restore_overload(self.overload, told.overload)
         restore_servers(self.balancer, told)
         for one in told.customers:
-            if self.quotas.is_ours(one.key):
+            if self.quotas.is_in_set(one.key):
                 plan = self.context.settings.plans[one.key.plan_index]
                 known = Customer(plan, one.key, self.context.settings, one.refilled_us)
                 self.quotas.customers[one.key] = known
@@ -53,29 +53,29 @@
                 known.ceded_until_us = self.context.now_us + CEDED_US if known.ceded_until_us else 0
         self.membership.remember(told.ejections)
         for one in told.attempts:
-            self.on_send(one)
+            self.on_attempt(one)
 
     def on_spend(self, event: HandoverSpend) -> None:
-        if self.quotas.is_ours(event.key):
+        if self.quotas.is_in_set(event.key):
             self.quotas.customer(event.key).take(event.units)
 
-    def on_send(self, event: HandoverAttempt) -> None:
+    def on_attempt(self, event: HandoverAttempt) -> None:
         name = event.id, event.attempt
-        if not self.quotas.is_ours(event.key) or name in self.out:
+        if not self.quotas.is_in_set(event.key) or name in self.in_flight:
             return
         customer, server = self.quotas.customer(event.key), self.balancer.servers.get(event.server)
-        self.out[name] = customer, server
+        self.in_flight[name] = customer, server
         customer.ceiling -= event.units
-        customer.in_flight, self.overload.out = customer.in_flight + 1, self.overload.out + 1
-        self.overload.accepted += event.units > 0
+        customer.in_flight, self.overload.in_flight = customer.in_flight + 1, self.overload.in_flight + 1
+        self.overload.admitted += event.units > 0
         if server:
             server.in_flight[name] = event.sent_us
             server.credit -= 1
 
-    def on_end(self, event: HandoverAttemptEnd) -> None:
-        customer, server = self.out.pop((event.id, event.attempt), (None, None))
+    def on_attempt_end(self, event: HandoverAttemptEnd) -> None:
+        customer, server = self.in_flight.pop((event.id, event.attempt), (None, None))
         if customer:
-            customer.in_flight, self.overload.out = customer.in_flight - 1, self.overload.out - 1
+            customer.in_flight, self.overload.in_flight = customer.in_flight - 1, self.overload.in_flight - 1
         if server:
             server.in_flight.pop((event.id, event.attempt), None)
 
@@ -89,5 +89,5 @@
             self.context.peer_is_unknown = False
             for customer in self.quotas.customers.values():
                 customer.refill(self.context.now_us).ceiling = 0.0
-        for name, number in list(self.out):
-            self.on_end(HandoverAttemptEnd(name, number))
+        for name, number in list(self.in_flight):
+            self.on_attempt_end(HandoverAttemptEnd(name, number))
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -23,7 +23,13 @@
     return GatewaySnapshot(
         context.now_us,
         OverloadSnapshot(
-            cap.n_past or 0, cap.accepted, cap.period_us, cap.cc_us, cap.overhead, cap.rate, routing.usual
+            cap.n_past or 0,
+            cap.admitted,
+            cap.period_start_us,
+            cap.period_length_us,
+            cap.overhead,
+            cap.rate,
+            routing.usual,
         ),
         tuple(routing.mean_us),
         tuple(known.snapshot() for known in customers),
@@ -42,10 +48,10 @@
 def restore_overload(cap: OverloadController, snapshot: OverloadSnapshot) -> None:
     """Put the overload controller into the state of the snapshot."""
     cap.n_past = snapshot.admission_limit or None
-    cap.most = math.floor(snapshot.admission_limit)
-    cap.accepted = snapshot.admitted
-    cap.period_us = snapshot.period_start_us
-    cap.cc_us = snapshot.period_length_us
+    cap.limit = math.floor(snapshot.admission_limit)
+    cap.admitted = snapshot.admitted
+    cap.period_start_us = snapshot.period_start_us
+    cap.period_length_us = snapshot.period_length_us
     cap.overhead = snapshot.overhead
     cap.rate = snapshot.attempts_per_s
 
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -62,8 +62,8 @@
     outbox: PeerOutbox
     quotas: QuotaLeaders
     counters: RequestCounters
-    held: list[tuple[float, int, InFlightRequest]]
-    waits: list[InFlightRequest]
+    queue: list[tuple[float, int, InFlightRequest]]
+    awaiting_grant: list[InFlightRequest]
 
     def allowance(self) -> bool:
         """Whether the overload controller admits one more first attempt."""
@@ -86,12 +86,13 @@
     now_us = core.context.now_us
     ended = counts_text(counters.ended_since_log)
     decided = counts_text(counters.decided_since_log)
-    limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.cc_us // S}s"
+    limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.period_length_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
     ejected = sum(now_us < server.ejected_until_us or server.needs_probe for server in routing.up)
     return (
-        f"cap {limit} occupancy {cap.occup:.2f} rate {cap.rate:.0f}/s mean {means} ms"
-        f" out {cap.out} held {len(core.held)} ({queued_text(core)}) waiting {len(core.waits)}"
+        f"cap {limit} occupancy {cap.occupancy:.2f} rate {cap.rate:.0f}/s mean {means} ms"
+        f" out {cap.in_flight} held {len(core.queue)} ({queued_text(core)})"
+        f" waiting {len(core.awaiting_grant)}"
         f" up {len(routing.up)} suspect {ejected} ended: {ended}"
         f" decided: {decided} old words {counters.stale_us_since_log // 1000} ms"
         f" peers: {' '.join(f'{what} {peers[what]}' for what in GOSSIP_COUNTS)}"
@@ -105,7 +106,7 @@
 
 def queued_text(core: Measured) -> str:
     """What the queued requests that were never sent wait for, beside a server and the admission limit."""
-    never_sent = [job for _, _, job in core.held if not job.servers]
+    never_sent = [job for _, _, job in core.queue if not job.servers]
     at_slots = sum(job.customer.lacks_slot(core.context.now_us) for job in never_sent)
     at_ceiling = sum(is_under_ceiling(job) for job in never_sent)
     return f"open cap {at_slots} ceiling {at_ceiling}"
@@ -121,7 +122,7 @@
     now, words, routing = core.context.now_us, core.outbox, core.balancer
     good = sum(now >= server.ejected_until_us and not server.needs_probe for server in routing.up)
     listed = sum(server.endpoint.state is not EndpointState.GONE for server in routing.servers.values())
-    waits = [job.arrived_us for _, _, job in core.held] + [job.arrived_us for job in core.waits]
+    waits = [job.arrived_us for _, _, job in core.queue] + [job.arrived_us for job in core.awaiting_grant]
     return MetricsSnapshot(
         listed=listed,
         ejected=listed - good,
@@ -139,7 +140,7 @@
     since_us = core.counters.waits_counted_us
     core.counters.waits_counted_us = core.context.now_us
     waited: Counter[str] = Counter()
-    for job in [*core.waits, *[job for _, _, job in core.held if not job.is_answered]]:
+    for job in [*core.awaiting_grant, *[job for _, _, job in core.queue if not job.is_answered]]:
         waited[wait_reason(core, job)] += core.context.now_us - max(since_us, job.queued_us)
     return [WaitTimes(tuple(sorted(waited.items())))] if waited else []
 
--- a/orchidhatch/gateway/overload.py
+++ b/orchidhatch/gateway/overload.py
@@ -21,38 +21,40 @@
     def __init__(self, context: DecisionContext) -> None:
         self.context = context
         self.n_past: float | None = None  # no N: the cap is lifted
-        self.most = 0  # N as it holds this period
+        self.limit = 0  # N as it holds this period
         self.left_of_n = context.random.random()  # what rounding left
-        self.occup = 0.0  # as last inferred, for the log
-        self.overhead, self.accepted, self.out = 1.0, 0, 0  # accepted: first attempts of this period
-        self.period_us, self.cc_us = -1, CC_PERIOD_US  # when this period began, how long it is
+        self.occupancy = 0.0  # as last inferred, for the log
+        self.overhead, self.in_flight = 1.0, 0
+        self.admitted = 0  # first attempts of this period
+        self.period_start_us, self.period_length_us = -1, CC_PERIOD_US
         self.rate = 0.0  # first attempts a second
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
 
     def allowance(self, warm: float) -> bool:
         """Whether one more first attempt may leave now; `warm` is what the servers can do, in servers."""
         context = self.context
-        part = min(1.0, (context.now_us - self.period_us + TICK_US) / self.cc_us)
+        part = min(1.0, (context.now_us - self.period_start_us + TICK_US) / self.period_length_us)
         # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap, and a
         # cold server holds only its part.
-        free = self.out < max(LEAST_OUT, round(START_PER_SERVER * warm / context.settings.gateway_count))
-        return free and (self.n_past is None or self.accepted < math.ceil(self.most * part))
+        most = max(LEAST_OUT, round(START_PER_SERVER * warm / context.settings.gateway_count))
+        return self.in_flight < most and (self.n_past is None or self.admitted < math.ceil(self.limit * part))
 
     def end_period(self) -> None:
-        self.period_us += self.cc_us
-        self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
+        self.period_start_us += self.period_length_us
+        rate = self.admitted * S / self.period_length_us
+        self.rate += (RATE_SMOOTH if self.rate else 1) * (rate - self.rate)
 
     def begin_period(self, ready: int, overdue: Callable[[], Iterable[float]]) -> None:
         """N for the period that begins, by what the last one showed."""
-        self.update(self.accepted, ready, overdue)
-        was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
-        self.cc_us = CC_PERIOD_US * max(1, most)
+        self.update(self.admitted, ready, overdue)
+        was, most = self.period_length_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
+        self.period_length_us = CC_PERIOD_US * max(1, most)
         if self.n_past is not None:
-            self.n_past *= self.cc_us / was
+            self.n_past *= self.period_length_us / was
             due = self.n_past + self.left_of_n
-            self.most = math.floor(due)
-            self.left_of_n = due - self.most
-        self.accepted = 0
+            self.limit = math.floor(due)
+            self.left_of_n = due - self.limit
+        self.admitted = 0
 
     def update(self, na_past: float, ready: int, overdue: Callable[[], Iterable[float]]) -> None:
         """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
@@ -64,15 +66,15 @@
         if not samples:
             return
         occup, was = min(1.0, sum(samples) / len(samples)), self.n_past
-        self.occup = occup
+        self.occupancy = occup
         if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
             self.overhead, self.n_past = min(self.overhead, occup), None
             return
         # N is rounded down as that of all gateways: one of many has so small a part that rounding it, and
         # not the servers, would decide. Its part's fraction is left for the next period.
-        alike, seconds = self.context.settings.gateway_count, self.cc_us / S
+        alike, seconds = self.context.settings.gateway_count, self.period_length_us / S
         if was is None:  # it engages by a step from what was sent: less at once would be no clamped step
-            was = max(1, START_PER_SERVER * ready * self.cc_us // S // alike, round(na_past))
+            was = max(1, START_PER_SERVER * ready * self.period_length_us // S // alike, round(na_past))
         overhead = min(self.overhead, targets[2] / 2)
         self.n_past = next_n(round(was * alike), na_past * alike, occup, overhead, targets, seconds) / alike
 
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -169,8 +169,7 @@
         return reported + sum(now - at < OUT_FRESH_US for at in grants)
 
     def on_peer_in_flight(self, peer: int, out: int, ended: bool, now: int) -> None:
-        """At its home: what a peer has out. Of the places granted to it, those that it has or had are not to
-        be counted twice, and only those granted a moment ago may be on their way."""
+        """At the leader: what a peer has in flight, of which no granted slot is to be counted twice."""
         used = max(0, out - self.peers_in_flight.get(peer, (0, 0))[0] + ended)
         if given := [at for at in self.granted_slots.pop(peer, ()) if now - at < 2 * ASK_US][used:]:
             self.granted_slots[peer] = given
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -1,4 +1,4 @@
-"""The customers here, and what goes between them and their homes: quotas, places, ceilings."""
+"""The customers here, and what goes between them and their leaders: quotas, slots, ceilings."""
 
 from collections.abc import Callable
 
@@ -10,20 +10,20 @@
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import NEVER, S
 
-Holds = Callable[[Customer], bool]
+QueuesUnsent = Callable[[Customer], bool]
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 
 
 class QuotaLeaders:
-    """Every customer has one gateway of its set as its home, which adds up what the set asks and spends.
+    """Every customer has one gateway of its set as its leader, which adds up what all request and spend.
 
-    `holds` says whether a request of a customer is held here, never sent, and so waits for a place too.
+    `queues_unsent` says whether a request of a customer is queued here, never sent, and so needs a slot too.
     """
 
-    def __init__(self, context: DecisionContext, outbox: PeerOutbox, holds: Holds) -> None:
-        self.context, self.outbox, self.holds = context, outbox, holds
+    def __init__(self, context: DecisionContext, outbox: PeerOutbox, queues_unsent: QueuesUnsent) -> None:
+        self.context, self.outbox, self.queues_unsent = context, outbox, queues_unsent
         self.customers: dict[CustomerKey, Customer] = {}  # the one seen last at the end
-        self.queues: dict[CustomerKey, Customer] = {}  # those at home here for which others wait for a place
+        self.slot_queues: dict[CustomerKey, Customer] = {}  # those led here that peers wait for a slot of
         self.renewals: dict[CustomerKey, Customer] = {}  # those at home elsewhere that a place is held for
 
     def customer(self, key: CustomerKey) -> Customer:
@@ -36,24 +36,24 @@
         self.customers[key] = known
         return known.refill(self.context.now_us)
 
-    def is_ours(self, key: CustomerKey) -> bool:
+    def is_in_set(self, key: CustomerKey) -> bool:
         set_ = self.context.settings
         in_set = (set_.gateway_index - key.set_first) % set_.gateway_count < key.set_size
         return 0 <= key.plan_index < len(set_.plans) and in_set
 
-    def move(self, moved: tuple[int, ...]) -> None:
+    def change_plans(self, moved: tuple[int, ...]) -> None:
         """Other plans hold: each customer goes on under its own, by its number now; no plan, no customer."""
         known, self.customers = self.customers.values(), {}
         for customer in [one for one in known if moved[one.key.plan_index] >= 0]:
             index = moved[customer.key.plan_index]
             customer.change_plan(self.context.settings.plans[index], index, self.context.now_us)
             self.customers[customer.key] = customer
-        for kept in (self.queues, self.renewals):
+        for kept in (self.slot_queues, self.renewals):
             waiting = {one.key: one for one in kept.values() if one.key in self.customers}
             kept.clear()
             kept.update(waiting)
 
-    def forget(self) -> None:
+    def forget_idle(self) -> None:
         last_us = self.context.now_us - FORGET_US
         while self.customers and next(iter(self.customers.values())).refilled_us < last_us:
             del self.customers[next(iter(self.customers))]
@@ -81,7 +81,7 @@
 
     # --- words ---
 
-    def tell(self, peer: int, customer: Customer, asked: float, place: SlotGrant = SlotGrant.NONE) -> None:
+    def send(self, peer: int, customer: Customer, asked: float, place: SlotGrant = SlotGrant.NONE) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         now, answer = self.context.now_us, customer.is_leader
         demand = customer.demand if answer else customer.unreported_demand
@@ -94,16 +94,15 @@
             self.outbox.add(peer, word)
         customer.unreported_demand = customer.unreported_spend = 0.0
 
-    def hear(
+    def on_messages(
         self, sender: int, words: tuple[GossipMessage, ...], answered: Callable[[Customer | None], None]
     ) -> None:
-        """The home adds up what its set asks and spends, or takes over at its start, and answers. `answered`
-        is called for each answer, with the customer whose ask it answers."""
+        """Add up what the set requests and spends, and answer; `answered` gets whose request it is."""
         homed: dict[CustomerKey, Customer] = {}
         # A place comes before the answer that lets in who may use it.
         for word in sorted(words, key=lambda word: not word.slot_grant):
             key = CustomerKey(word.customer, word.plan_index, word.set_first, word.set_size)
-            if not self.is_ours(key):
+            if not self.is_in_set(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
@@ -116,7 +115,7 @@
         for customer in homed.values():  # once all is heard: what is out may come after a wish for more
             self.grant_slots(customer)
             if sender in customer.slot_queue:
-                self.tell(sender, customer, 0.0, SlotGrant.QUEUED)
+                self.send(sender, customer, 0.0, SlotGrant.QUEUED)
 
     def on_leader_answer(self, customer: Customer, word: GossipMessage) -> None:
         now = self.context.now_us
@@ -140,7 +139,7 @@
         if shares and (word.requested < 0 or granted):  # who is let in needs a place at once
             customer.slot_queue[sender] = abs(word.requested), now
         if word.requested > 0 or (word.spent > 0 and customer.level < customer.plan.burst / 2):
-            self.tell(sender, customer, max(0.0, word.requested))
+            self.send(sender, customer, max(0.0, word.requested))
         customer.spend(word.requested * granted)
 
     # --- places under an open cap, and what goes with them under a ceiling ---
@@ -168,7 +167,7 @@
             customer.slot_requested_us, customer.is_queued = now, False
             customer.slot_requests += 1
             short = units if self.at_ceiling(customer, units) else 0.0
-            self.tell(customer.leader, customer, -max(quota.SLOT_ONLY, short))
+            self.send(customer.leader, customer, -max(quota.SLOT_ONLY, short))
 
     def use_slot(self, customer: Customer) -> None:
         customer.use_slot(self.context.now_us)
@@ -176,7 +175,7 @@
             self.renewals[customer.key] = customer
 
     def renew(self) -> None:
-        """An attempt may last longer than word of it holds, and a granted place may be of no use any more."""
+        """An attempt may outlast the report of it, and a granted slot may be of no use any more."""
         now = self.context.now_us
         for key, customer in list(self.renewals.items()):
             unused = customer.slot_granted_us > -NEVER and not customer.has_slot(now)
@@ -197,23 +196,23 @@
 
     def report_in_flight(self, customer: Customer) -> None:
         if customer.shares_slots() and not customer.is_leader:
-            self.tell(customer.leader, customer, 0.0)
+            self.send(customer.leader, customer, 0.0)
         elif customer.shares_slots():
             self.grant_slots(customer)
 
     def grant_all_slots(self) -> None:
         """Time alone may free a place, or make room under a ceiling."""
-        for customer in list(self.queues.values()):
+        for customer in list(self.slot_queues.values()):
             self.grant_slots(customer)
 
     def grant_slots(self, customer: Customer) -> None:
         """At its home: what is free goes to those that wait longest; those held here are one of them."""
         while (peer := customer.next_in_slot_queue(self.context.now_us)) is not None:
-            here = self.holds(customer)
+            here = self.queues_unsent(customer)
             if here and self.context.random.random() * (1 + len(customer.slot_queue)) < 1:
                 break
-            self.tell(peer, customer, -customer.grant(peer, self.context.now_us), SlotGrant.GRANTED)
+            self.send(peer, customer, -customer.grant(peer, self.context.now_us), SlotGrant.GRANTED)
         if customer.slot_queue:
-            self.queues[customer.key] = customer
+            self.slot_queues[customer.key] = customer
         else:
-            self.queues.pop(customer.key, None)
+            self.slot_queues.pop(customer.key, None)
--- a/orchidhatch/gateway/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -9,7 +9,7 @@
 from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.gateway.times import NEVER, S
 
-RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see time_out
+RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see timeout_us
 
 
 class RetryPolicy:
@@ -17,15 +17,15 @@
 
     def __init__(self, context: DecisionContext, routing: LoadBalancer, cap: OverloadController) -> None:
         self.context, self.balancer, self.overload = context, routing, cap
-        self.left = RETRY_STORE / 2
+        self.budget = RETRY_STORE / 2
 
     def earn(self) -> None:
-        self.left = min(RETRY_STORE, self.left + RETRY_SHARE)
+        self.budget = min(RETRY_STORE, self.budget + RETRY_SHARE)
 
     def mean_us(self, job: InFlightRequest) -> float:
         return self.balancer.mean_us[job.request.class_index]
 
-    def time_out(self, job: InFlightRequest) -> int:
+    def timeout_us(self, job: InFlightRequest) -> int:
         """Microseconds until it is given up: while another can meet the aim, once rather lost than large."""
         left, mean = job.deadline_us - self.context.now_us, self.mean_us(job)
         early = round(job.objective_us - self.context.now_us - 2 * mean)
@@ -33,30 +33,30 @@
         last = job.rule.idempotency is Idempotency.UNSAFE or len(job.servers) >= most
         return max(1, left if last or early < LONG_MEANS * mean else min(left, early))
 
-    def begin_within(self, job: InFlightRequest) -> int:
+    def start_within_us(self, job: InFlightRequest) -> int:
         """Microseconds in which a repeat of what may have run must be begun; it may wait for a connection."""
         bound = job.rule.idempotency is Idempotency.KEYED and job.first_server is not None
         return max(1, job.first_sent_us + job.rule.dedup_window_us - self.context.now_us) if bound else 0
 
-    def may(self, job: InFlightRequest, why: AttemptResult) -> bool:
+    def may_retry(self, job: InFlightRequest, why: AttemptResult) -> bool:
         """Whether a further attempt may follow one that ended so."""
         late = why is AttemptResult.NOT_SENT or self.context.now_us + self.mean_us(job) / 2 >= job.deadline_us
-        paid = why is AttemptResult.CONNECT_FAILED or self.left >= 1
+        paid = why is AttemptResult.CONNECT_FAILED or self.budget >= 1
         return not late and paid and len(job.servers) < self.context.settings.max_attempts
 
-    def pay(self, why: AttemptResult) -> None:
-        self.left -= why is not AttemptResult.CONNECT_FAILED
+    def spend(self, why: AttemptResult) -> None:
+        self.budget -= why is not AttemptResult.CONNECT_FAILED
 
     # --- advice ---
 
-    def come_again(self, job: InFlightRequest, why: str) -> int:
+    def retry_after_us(self, job: InFlightRequest, why: str) -> int:
         """When there will be room for what the request lacked, as far as is known here; by chance up to twice
         that, as clients that were refused together would else come back together. Never less: who comes
         before there is room costs a place and time, and gains nothing."""
         most = self.context.settings.max_retry_after_us
-        return round(min(most, self.room_in(job, why) * (1 + self.context.random.random())))
+        return round(min(most, self.capacity_in_us(job, why) * (1 + self.context.random.random())))
 
-    def room_in(self, job: InFlightRequest, why: str) -> float:
+    def capacity_in_us(self, job: InFlightRequest, why: str) -> float:
         customer, units = job.customer, job.request.units
         if self.overload.n_past is not None:  # more comes than N: who comes again finds no room
             return NEVER
@@ -68,4 +68,4 @@
             return (units - customer.level) / spare * S if spare > 0 else NEVER
         if not job.servers and customer.plan.ceiling_rate and customer.ceiling < units:
             return (units - customer.ceiling) * customer.size / customer.plan.ceiling_rate * S
-        return self.overload.cc_us  # as much is out as may be, or no server takes more: a period changes that
+        return self.overload.period_length_us  # no slot, or no server takes more: a period changes that
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -48,7 +48,7 @@
     TimerExpired,
 )
 from orchidhatch.gateway.handover_codec import to_plain
-from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.gateway.peer_outbox import MESSAGES_LIMIT
 from orchidhatch.gateway.snapshots import (
     GatewaySnapshot,
     HandoverAttempt,
@@ -669,7 +669,7 @@
             ),
             Line(
                 "peers",
-                MOST_WORDS * len(peers.addresses),
+                MESSAGES_LIMIT * len(peers.addresses),
                 census.messages,
                 census.messages_us,
                 census.messages_dropped + peers.dropped,
--- a/tests/gateway/test_core.py
+++ b/tests/gateway/test_core.py
@@ -89,8 +89,8 @@
     assert world.gateway.overload.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
     for n in range(150):
         world.ask(f"r{n}", customer=f"c{n}")
-    world.run(world.gateway.overload.period_us + S - world.now)
-    start, allowed = world.now, world.gateway.overload.most
+    world.run(world.gateway.overload.period_start_us + S - world.now)
+    start, allowed = world.now, world.gateway.overload.limit
     for _ in range(99):
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
@@ -111,7 +111,7 @@
         world.run(500 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=LoadReport(util=0.9))
-    assert world.gateway.overload.cc_us == 2 * S
+    assert world.gateway.overload.period_length_us == 2 * S
     assert 4 <= world.gateway.overload.n_past <= 12
     assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
     assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
@@ -585,7 +585,7 @@
     world.run(40 * MS)
     sent = [action.server for _, action in world.log if isinstance(action, SendAttempt)]
     assert sent.count("s0") == 8  # as many as all gateways may have out for each server, twice over
-    assert world.gateway.held
+    assert world.gateway.queue
 
 
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
@@ -650,40 +650,40 @@
     for n in range(3):
         world.ask(f"r{n}")
         world.answer(f"r{n}", AttemptResult.ERROR if n else AttemptResult.OK)
-    told = [world.gateway.outbox.untold_sightings(1), world.gateway.outbox.untold_sightings(1)]
+    told = [world.gateway.outbox.unsent_observations(1), world.gateway.outbox.unsent_observations(1)]
     assert [seen.succeeded for seen in told[0]] == [True, False, False] and told[1] == ()
     assert [seen.relative_latency for seen in told[0]][1:] == [
         0.0,
         0.0,
     ]  # it says nothing of how busy servers are
-    assert len(world.gateway.outbox.untold_sightings(0)) == 3
+    assert len(world.gateway.outbox.unsent_observations(0)) == 3
     world.ask("late")
     world.answer("late")
     world.gateway.context.now_us += 3 * S
-    assert world.gateway.outbox.untold_sightings(1) == ()
+    assert world.gateway.outbox.unsent_observations(1) == ()
     for n in range(100):
         world.ask(f"s{n}", customer=f"c{n}")
         world.answer(f"s{n}")
-    assert len(world.gateway.outbox.untold_sightings(1)) == 16
+    assert len(world.gateway.outbox.unsent_observations(1)) == 16
 
 
 def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
     """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
     world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=40))
     gateway = world.gateway
-    gateway.overload.n_past, gateway.overload.most = 2.0, 2
-    gateway.overload.signals["latency"], gateway.overload.accepted = (
+    gateway.overload.n_past, gateway.overload.limit = 2.0, 2
+    gateway.overload.signals["latency"], gateway.overload.admitted = (
         [0.2] * 9,
         2,
     )  # light, but all of N is used
     gateway.end_period()
-    assert gateway.overload.n_past * S / gateway.overload.cc_us == pytest.approx(2.4, abs=0.03)
+    assert gateway.overload.n_past * S / gateway.overload.period_length_us == pytest.approx(2.4, abs=0.03)
     allowed = 0
     gateway.overload.n_past, gateway.overload.signals = 0.25, {"util": [], "latency": []}
     for _ in range(40):
         gateway.end_period()
         gateway.overload.n_past = 0.25
-        allowed += gateway.overload.most
+        allowed += gateway.overload.limit
     assert 9 <= allowed <= 11
 
 
@@ -697,7 +697,7 @@
     world.gateway.overload.signals["latency"] += [0.9, 0.9]
     world.gateway.end_period()
     assert world.gateway.overload.n_past is None
-    assert world.gateway.overload.occup == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
+    assert world.gateway.overload.occupancy == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
 
 
 def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
@@ -1111,7 +1111,7 @@
     told = [action for n in range(8) for action in of(SendGossip, world.ask(f"a{n}", customer="c2", **rest))]
     home = world.gateway.quotas.customers[next(iter(world.gateway.quotas.customers))].leader
     assert home != 0 and told and not of(SendGossip, world.run(10 * MS)) and world.gateway.outbox.waiting
-    space_us = world.gateway.outbox.space_us
+    space_us = world.gateway.outbox.spacing_us
     before = world.now
     while not (left := of(SendGossip, world.run(10 * MS))):
         assert world.now - before <= space_us + 3 * 20 * MS
@@ -1132,10 +1132,10 @@
     assert all(time == 2 * S for time in told[1:])  # others ask more than the rate: no room is foreseen
     world.run(3 * S)  # they are gone
     assert not advice(world.ask("b"))
-    job = world.gateway.jobs["b"]
+    job = world.gateway.requests["b"]
     world.gateway.overload.n_past = None  # nobody answers here, and the cap had engaged
     job.customer.demand, job.customer.level = 1.0, 0.4
-    waits = [world.gateway.retries.come_again(job, "quota") for _ in range(20)]
+    waits = [world.gateway.retries.retry_after_us(job, "quota") for _ in range(20)]
     assert min(waits) >= 300 * MS and max(waits) <= 600 * MS  # 0.6 of a unit at 2 a second
 
 
@@ -1145,19 +1145,19 @@
     world = World(settings)
     gateway = world.gateway
     world.ask("a")
-    job = gateway.jobs["a"]
+    job = gateway.requests["a"]
     job.customer.ceiling, job.servers = 0.5, []
-    waits = {gateway.retries.come_again(job, "aim") for _ in range(20)}
+    waits = {gateway.retries.retry_after_us(job, "aim") for _ in range(20)}
     assert len(waits) > 10 and min(waits) >= 25 * MS and max(waits) <= 50 * MS  # 0.5 of a unit at 20 a second
 
 
 def test_under_the_cap_no_room_is_foreseen() -> None:
     world = World(replace(SETTINGS, max_retry_after_us=2 * S))
     world.ask("a")
-    job = world.gateway.jobs["a"]
-    assert world.gateway.retries.come_again(job, "timeout") <= 2 * world.gateway.overload.cc_us
+    job = world.gateway.requests["a"]
+    assert world.gateway.retries.retry_after_us(job, "timeout") <= 2 * world.gateway.overload.period_length_us
     world.gateway.overload.n_past = 10.0
-    assert world.gateway.retries.come_again(job, "timeout") == 2 * S
+    assert world.gateway.retries.retry_after_us(job, "timeout") == 2 * S
 
 
 def test_without_advice_in_the_settings_none_is_given() -> None:
--- a/tests/gateway/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -8,7 +8,7 @@
 from orchidhatch.gateway.constants import CC_PERIOD_US, MOST_PERIODS
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
-from orchidhatch.gateway.peer_outbox import MOST_WORDS, TELLS_AT_ONCE, PeerOutbox
+from orchidhatch.gateway.peer_outbox import BURST_MESSAGES, MESSAGES_LIMIT, PeerOutbox
 from orchidhatch.gateway.times import S
 from tests.helpers import SETTINGS
 
@@ -43,16 +43,16 @@
         outbox.context.now_us = now
         outbox.add(PEER, WORD)
         count += len(sent(outbox))
-    whole_spaces = end_us / outbox.space_us
-    assert whole_spaces - 1 <= count <= whole_spaces + TELLS_AT_ONCE
+    whole_spaces = end_us / outbox.spacing_us
+    assert whole_spaces - 1 <= count <= whole_spaces + BURST_MESSAGES
 
 
 def test_a_burst_leaves_at_once_up_to_its_bound_then_waits_until_it_is_due(outbox: PeerOutbox) -> None:
     counts = []
-    for _ in range(TELLS_AT_ONCE + 2):
+    for _ in range(BURST_MESSAGES + 2):
         outbox.add(PEER, WORD)
         counts.append(len(sent(outbox)))
-    assert counts == [1] * TELLS_AT_ONCE + [0, 0]
+    assert counts == [1] * BURST_MESSAGES + [0, 0]
     (due_us,) = outbox.dues()
     outbox.context.now_us = int(due_us) - 1
     assert sent(outbox) == []
@@ -63,7 +63,7 @@
 
 
 def test_one_peer_that_waits_does_not_delay_another(outbox: PeerOutbox) -> None:
-    for _ in range(TELLS_AT_ONCE + 1):
+    for _ in range(BURST_MESSAGES + 1):
         outbox.add(PEER, WORD)
         sent(outbox)
     outbox.add(PEER + 1, WORD)
@@ -71,7 +71,7 @@
 
 
 def test_the_oldest_is_dropped_and_counted_when_the_outbox_is_full(outbox: PeerOutbox) -> None:
-    words = [replace(WORD, demand=float(number)) for number in range(MOST_WORDS + 3)]
+    words = [replace(WORD, demand=float(number)) for number in range(MESSAGES_LIMIT + 3)]
     for word in words:
         outbox.add(PEER, word)
     assert outbox.dropped == 3
@@ -80,10 +80,10 @@
 
 
 def test_each_peer_is_sent_an_observation_once(outbox: PeerOutbox) -> None:
-    outbox.see(observation(1))
+    outbox.add_observation(observation(1))
     outbox.add(PEER, WORD)
     assert [message.observations for message in sent(outbox)] == [(observation(1),)]
-    outbox.see(observation(2))
+    outbox.add_observation(observation(2))
     outbox.add(PEER, WORD)
     outbox.add(PEER + 1, WORD)
     assert {message.peer: message.observations for message in sent(outbox)} == {
@@ -93,8 +93,8 @@
 
 
 def test_an_observation_older_than_the_longest_period_is_not_sent(outbox: PeerOutbox) -> None:
-    outbox.see(observation(1))
+    outbox.add_observation(observation(1))
     outbox.context.now_us = MOST_PERIODS * CC_PERIOD_US
-    outbox.see(observation(2))
+    outbox.add_observation(observation(2))
     outbox.add(PEER, WORD)
     assert [message.observations for message in sent(outbox)] == [(observation(2),)]
--- a/tests/gateway/test_properties.py
+++ b/tests/gateway/test_properties.py
@@ -150,4 +150,4 @@
 def test_rules_hold_whatever_comes(parallel: bool, steps: list[tuple[int, int, int]]) -> None:
     world = play(parallel, steps)
     assert set(world.requests) == world.over
-    assert not world.gateway.jobs and not world.gateway.held
+    assert not world.gateway.requests and not world.gateway.queue
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -236,7 +236,7 @@
             late_us += S + 1
             up.set()
             assert await client.answer() == "-ERR failed"
-            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.jobs
+            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.requests
 
     run(job())
 
@@ -266,7 +266,7 @@
             assert connect == 1 and not door.ended
             while not pool.idle:
                 await asyncio.sleep(0)
-            assert not backend.commands and not door.gateway.jobs
+            assert not backend.commands and not door.gateway.requests
             assert customer.level == pytest.approx(4, abs=0.2) and customer.in_flight == 0  # given back, once
 
     run(job())
@@ -279,13 +279,15 @@
     name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
     world.ask("r1", customer=name, units=10.0, set_size=3)
     (customer,) = world.gateway.quotas.customers.values()
-    assert world.gateway.waits and not customer.is_leader
+    assert world.gateway.awaiting_grant and not customer.is_leader
     world.tell(ClientGone("r1"))
     word = GossipMessage(*customer.key, True, 10.0, 0.0, 10.0, level, 0, SlotGrant.NONE)
     for _ in range(2):
         world.tell(PeerMessage(customer.leader, (word,), ()))
     assert customer.unreported_spend == (-10.0 if level >= 10 else 0.0)
-    assert not world.gateway.waits and not world.gateway.jobs and not of(SendAttempt, world.run(S))
+    assert (
+        not world.gateway.awaiting_grant and not world.gateway.requests and not of(SendAttempt, world.run(S))
+    )
 
 
 def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
@@ -299,7 +301,7 @@
             while all(connection.reading for connection in door.clients.connections):
                 await asyncio.sleep(0)
             client.writer.close()
-            while door.open or door.clients.connections or door.gateway.jobs:
+            while door.open or door.clients.connections or door.gateway.requests:
                 await asyncio.sleep(0.001)
 
     run(job())
@@ -442,7 +444,7 @@
             clients = [await Client.open(address) for _ in range(3)]
             for number, one in enumerate(clients):
                 one.send(query(f"a{number}"))
-            while len(door.gateway.held) < 2:
+            while len(door.gateway.queue) < 2:
                 await asyncio.sleep(0)
             draining = await drain(door)
             while not door.clients.reads_no_more:
@@ -561,7 +563,7 @@
             backend.writers[0].write(value(b"first"))
             assert await client.answer() == b"first" and await other.answer() == b"second"
             assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
-            assert not door.gateway.jobs and door.gateway.overload.out == 0
+            assert not door.gateway.requests and door.gateway.overload.in_flight == 0
 
     run(job())
 
@@ -578,6 +580,6 @@
             assert await client.ask(query("a1")) == "-ERR failed"
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert not door.gateway.jobs and door.gateway.overload.out == 0
+            assert not door.gateway.requests and door.gateway.overload.in_flight == 0
 
     run(job())
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -75,7 +75,7 @@
     later.tell(HandoverAttemptEnd("a1", 0))
     assert len(of(SendAttempt, later.run(40 * MS))) == 1
     later.tell(HandoverPeerGone())
-    assert later.gateway.overload.out == 1 and not later.gateway.handover_peer.out
+    assert later.gateway.overload.in_flight == 1 and not later.gateway.handover_peer.in_flight
 
 
 def test_spending_of_the_other_process_is_taken_from_the_quota() -> None:
@@ -171,7 +171,7 @@
             assert old.maint("s0", True)[0] == 200
             new = await start(config, started)
             assert new.serving() and not old.serving()
-            assert len(new.gateway.handover_peer.out) == 1 and "s0" in new.backends.banned
+            assert len(new.gateway.handover_peer.in_flight) == 1 and "s0" in new.backends.banned
             assert new.maint("s0", False)[0] == 200
             assert await idle.ended()
             client = await Client.open(config.listen)
@@ -179,7 +179,7 @@
             assert await client.ask(query("a3")) == b"ok"
             backend.writers[1].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
             assert await busy.answer() == b"late" and await busy.ended()
-            while new.gateway.handover_peer.out:
+            while new.gateway.handover_peer.in_flight:
                 await asyncio.sleep(0.01)
             assert len(old.clients.connections) == 0 and new.figures.ended["read"]["answered"] == 1
 
--- a/tests/proxy/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -35,11 +35,11 @@
             head = b"$%d\r\n" % len(LONG)
             assert await client.reader.readexactly(len(head) + 1000) == head + LONG[:1000]
             await asyncio.sleep(0.7)  # the time that the client waits for the first bytes is over
-            assert len(door.open) == 1 and not door.gateway.overload.out
+            assert len(door.open) == 1 and not door.gateway.overload.in_flight
             backend.writers[0].write(LONG[1000:] + TAIL)
             rest = await client.reader.readexactly(len(LONG) - 1000 + 2)
             assert rest == LONG[1000:] + b"\r\n"
-            await until(lambda: not door.open and not door.gateway.jobs)
+            await until(lambda: not door.open and not door.gateway.requests)
             assert door.figures.ended["read"][Ended.ANSWERED] == 1
             backend.answer = lambda words: value(b"ok")
             assert await client.ask(query("a2")) == b"ok" and backend.opened == 1
@@ -147,7 +147,7 @@
         async with front_door(backend, memory_mb=80) as (door, address):
             with slow_client(address) as client:
                 client.sendall(query("a1"))
-                await until(lambda: backend.commands and not door.open and not door.gateway.jobs)
+                await until(lambda: backend.commands and not door.open and not door.gateway.requests)
 
     run(job())
 
@@ -161,7 +161,7 @@
             await client.reader.readexactly(1000)
             client.writer.transport.abort()
             await backend.left.wait()
-            await until(lambda: not door.open and not door.ended and not door.gateway.jobs)
+            await until(lambda: not door.open and not door.ended and not door.gateway.requests)
 
     run(job())
 
@@ -185,8 +185,8 @@
     server = world.out[("a", 0)][0]
     assert of(CancelAttempt, world.tell(StreamStarted("a", 0, server, 5))) == []
     (customer,) = world.gateway.quotas.customers.values()
-    assert world.gateway.overload.out == 0 and customer.in_flight == 1
+    assert world.gateway.overload.in_flight == 0 and customer.in_flight == 1
     world.now += 60_000_000
     world.answer("a")
-    assert customer.in_flight == 0 and not world.gateway.jobs
+    assert customer.in_flight == 0 and not world.gateway.requests
     assert world.gateway.balancer.servers[server].relative_latency < 1
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -119,7 +119,7 @@
             await backend.came.wait()
             client.writer.close()
             await backend.left.wait()
-            assert not door.open and not door.gateway.jobs
+            assert not door.open and not door.gateway.requests
 
     run(job())
 
--- a/tests/proxy/test_wait_queues.py
+++ b/tests/proxy/test_wait_queues.py
@@ -14,7 +14,7 @@
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.gateway.events import ClientGone, MetricsRequest, StreamStarted
 from orchidhatch.gateway.gossip import GossipMessage
-from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.gateway.peer_outbox import MESSAGES_LIMIT
 from orchidhatch.gateway.settings import Plan, RequestClass
 from orchidhatch.proxy import server as frontdoor
 from orchidhatch.proxy.clients import MOST_PIPELINED, PATIENCE_S, SHED_POOLS, STALL_S
@@ -336,10 +336,10 @@
 
 def test_words_for_a_peer_are_bounded_and_dropped_with_a_count() -> None:
     world = World(replace(WORLD, gateway_count=3, peer_messages_per_s=0.01))
-    for n in range(MOST_WORDS + 30):
+    for n in range(MESSAGES_LIMIT + 30):
         world.ask(f"a{n}", customer="c2", set_size=3)
     [census] = of(MetricsSnapshot, world.tell(MetricsRequest()))
-    assert census.messages == MOST_WORDS and census.messages_dropped > 0
+    assert census.messages == MESSAGES_LIMIT and census.messages_dropped > 0
     world.run(50 * MS)
     assert of(MetricsSnapshot, world.tell(MetricsRequest()))[0].messages_us >= 50 * MS
 
@@ -458,7 +458,7 @@
             await until(lambda: not door.ended)
             for name in ("unread", "held", "connecting", "backend", "unsent_bytes"):
                 assert line(door, name).depth == 0, name
-            assert not door.open and door.held_bytes == 0 and not door.gateway.jobs
+            assert not door.open and door.held_bytes == 0 and not door.gateway.requests
             backend.answer = lambda words: value(b"ok")
             number, answer = 0, None
             while answer != b"ok":
@@ -503,4 +503,4 @@
     after = served[8:]
     assert min(after) >= 9  # nearly half at once, of what N was left at
     assert min(after[FULL_AGAIN:]) >= 18, after
-    assert len(world.gateway.jobs) <= 2 and not world.gateway.held
+    assert len(world.gateway.requests) <= 2 and not world.gateway.queue
