--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -2,84 +2,92 @@
 
 from collections.abc import Iterable
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.constants import Desk
-from orchidhatch.gateway.load_balancing import Routing, Server
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.events import HandoverPeerGone, HandoverPeerUnknown
+from orchidhatch.gateway.handover_state import restore_overload, restore_servers, take_snapshot
+from orchidhatch.gateway.in_flight import InFlightRequest
+from orchidhatch.gateway.load_balancing import LoadBalancer, Server
 from orchidhatch.gateway.membership import Membership
-from orchidhatch.gateway.overload import Cap
-from orchidhatch.gateway.quota import LEFT_US, Customer
-from orchidhatch.gateway.quota_leaders import Homes
-from orchidhatch.gateway.state import Job, remember_cap, state
+from orchidhatch.gateway.overload import OverloadController
+from orchidhatch.gateway.quota import CEDED_US, Customer
+from orchidhatch.gateway.quota_leaders import QuotaLeaders
+from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
 
 
-class Twin:
+class HandoverPeer:
     """What the other process has out, and all that the rules, quotas and health rest on, handed over."""
 
-    def __init__(self, desk: Desk, routing: Routing, membership: Membership, homes: Homes, cap: Cap) -> None:
-        self.desk, self.routing, self.membership, self.homes, self.cap = desk, routing, membership, homes, cap
-        self.out: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
+    def __init__(
+        self,
+        context: DecisionContext,
+        balancer: LoadBalancer,
+        membership: Membership,
+        quotas: QuotaLeaders,
+        overload: OverloadController,
+    ) -> None:
+        self.context, self.balancer, self.membership = context, balancer, membership
+        self.quotas, self.overload = quotas, overload
+        self.in_flight: dict[tuple[str, int], tuple[Customer, Server | None]] = {}
 
-    def hand_over(self, jobs: Iterable[Job]) -> None:
+    def hand_over(self, jobs: Iterable[InFlightRequest]) -> None:
         """Requests stay, and end, where they were taken."""
-        desk, customers = self.desk, self.homes.customers.values()
-        desk.has_twin = True
+        context, customers = self.context, self.quotas.customers.values()
+        context.has_handover_peer = True
         for known in customers:
-            known.refill(desk.now).lent.clear()  # the other would not know of it
-        desk.actions.append(state(desk, self.cap, self.routing, customers, self.membership.names, jobs))
+            known.refill(context.now_us).ceded_by_peer.clear()  # the other would not know of it
+        context.actions.append(
+            take_snapshot(context, self.overload, self.balancer, customers, self.membership.names, jobs)
+        )
 
-    def on_state(self, told: i.State) -> None:
+    def on_snapshot(self, told: GatewaySnapshot) -> None:
         """Go on from where the other process is; both have one clock and, but for lateness, one list."""
-        self.desk.has_twin = True
-        remember_cap(self.cap, told.cap)
-        self.routing.usual = told.cap.usual
-        if len(told.means_us) == len(self.routing.mean_us):
-            self.routing.mean_us = list(told.means_us)
+        self.context.has_handover_peer = True
+        restore_overload(self.overload, told.overload)
+        restore_servers(self.balancer, told)
         for one in told.customers:
-            if self.homes.is_ours(one.key):
-                plan = self.desk.set.plans[one.key.plan_index]
-                known = self.homes.customers[one.key] = Customer(plan, one.key, self.desk.set, one.at_us)
-                known.remember(one)
-                known.left_us = self.desk.now + LEFT_US if known.left_us else 0
-        for one in told.servers:
-            if server := self.routing.servers.get(one.name):
-                server.remember(one)
-        self.membership.remember(told.names)
-        for one in told.out:
-            self.on_send(one)
+            if self.quotas.is_in_set(one.key):
+                plan = self.context.settings.plans[one.key.plan_index]
+                known = Customer(plan, one.key, self.context.settings, one.refilled_us)
+                self.quotas.customers[one.key] = known
+                known.restore(one)
+                known.ceded_until_us = self.context.now_us + CEDED_US if known.ceded_until_us else 0
+        self.membership.remember(told.ejections)
+        for one in told.attempts:
+            self.on_attempt(one)
 
-    def on_spend(self, event: i.TwinSpend) -> None:
-        if self.homes.is_ours(event.key):
-            self.homes.customer(event.key).take(event.units)
+    def on_spend(self, event: HandoverSpend) -> None:
+        if self.quotas.is_in_set(event.key):
+            self.quotas.customer(event.key).take(event.units)
 
-    def on_send(self, event: i.TwinSend) -> None:
+    def on_attempt(self, event: HandoverAttempt) -> None:
         name = event.id, event.attempt
-        if not self.homes.is_ours(event.key) or name in self.out:
+        if not self.quotas.is_in_set(event.key) or name in self.in_flight:
             return
-        customer, server = self.homes.customer(event.key), self.routing.servers.get(event.server)
-        self.out[name] = customer, server
+        customer, server = self.quotas.customer(event.key), self.balancer.servers.get(event.server)
+        self.in_flight[name] = customer, server
         customer.ceiling -= event.units
-        customer.out, self.cap.out = customer.out + 1, self.cap.out + 1
-        self.cap.accepted += event.units > 0
+        customer.in_flight, self.overload.in_flight = customer.in_flight + 1, self.overload.in_flight + 1
+        self.overload.admitted += event.units > 0
         if server:
-            server.out[name] = event.sent_us
-            server.earned -= 1
+            server.in_flight[name] = event.sent_us
+            server.credit -= 1
 
-    def on_end(self, event: i.TwinEnd) -> None:
-        customer, server = self.out.pop((event.id, event.attempt), (None, None))
+    def on_attempt_end(self, event: HandoverAttemptEnd) -> None:
+        customer, server = self.in_flight.pop((event.id, event.attempt), (None, None))
         if customer:
-            customer.out, self.cap.out = customer.out - 1, self.cap.out - 1
+            customer.in_flight, self.overload.in_flight = customer.in_flight - 1, self.overload.in_flight - 1
         if server:
-            server.out.pop((event.id, event.attempt), None)
+            server.in_flight.pop((event.id, event.attempt), None)
 
-    def on_unknown(self, _: i.TwinUnknown) -> None:
+    def on_unknown(self, _: HandoverPeerUnknown) -> None:
         """The other may use up every ceiling's part: nothing is sent here that would count against one."""
-        self.desk.blind = True
+        self.context.peer_is_unknown = True
 
-    def on_gone(self, _: i.TwinGone) -> None:
-        self.desk.has_twin = False
-        if self.desk.blind:
-            self.desk.blind = False
-            for customer in self.homes.customers.values():
-                customer.refill(self.desk.now).ceiling = 0.0
-        for name, number in list(self.out):
-            self.on_end(i.TwinEnd(name, number))
+    def on_gone(self, _: HandoverPeerGone) -> None:
+        self.context.has_handover_peer = False
+        if self.context.peer_is_unknown:
+            self.context.peer_is_unknown = False
+            for customer in self.quotas.customers.values():
+                customer.refill(self.context.now_us).ceiling = 0.0
+        for name, number in list(self.in_flight):
+            self.on_attempt_end(HandoverAttemptEnd(name, number))
--- /dev/null
+++ b/orchidhatch/gateway/snapshots.py
@@ -0,0 +1,135 @@
+"""What a process hands over to its successor: a snapshot of all state, and the changes that follow it.
+
+While both processes serve they are one gateway together: each sends the other what it spends and sends.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class CustomerKey(NamedTuple):
+    """A customer as its requests name it: the checksum of its name, its plan and its set of gateways."""
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverSpend:
+    """Units that one process took from a customer's quota; negative where it gave some back."""
+
+    key: CustomerKey
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverAttempt:
+    """One process has sent an attempt; `units` count against the rate ceiling and are 0 for a retry."""
+
+    key: CustomerKey
+    id: str
+    attempt: int
+    server: str
+    sent_us: int
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverAttemptEnd:
+    """An attempt of one process is in flight no more."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverEjection:
+    """An operator ejected a server, or readmitted it, at one of the processes."""
+
+    server: str
+    is_ejected: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerSnapshot:
+    """The state of a customer.
+
+    `share` is the local part of the quota, `level` that of the whole set as last heard, `ceiling`
+    the local bucket of the rate ceiling, `last_answer_us` when the quota leader answered last.
+    `unreported_demand` and `unreported_spend` are the units requested and spent that the leader has not been
+    sent.
+    """
+
+    key: CustomerKey
+    refilled_us: int
+    share: float
+    level: float
+    demand: float
+    ceiling: float
+    last_answer_us: int
+    unreported_demand: float
+    unreported_spend: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSnapshot:
+    """The health and slow start of a server.
+
+    `relative_latency` is its latency over its class's mean, `failure_score` the decaying count of failures. A
+    server that was ejected until `ejected_until_us` is `needs_probe` until a recovery probe succeeds;
+    `ejection_us` is how long the next ejection lasts, `recovered_us` when it recovered. `cold_since_us` is
+    since when it may be cold, `credit` the part of an attempt that slow start permits, as of
+    `credit_us`.
+    """
+
+    name: str
+    started_us: int
+    relative_latency: float
+    failure_score: float
+    needs_probe: bool
+    ejected_until_us: int
+    ejection_us: int
+    recovered_us: int
+    cold_since_us: int
+    credit: float
+    credit_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class OverloadSnapshot:
+    """The state of the overload controller.
+
+    `admission_limit` is the admission limit N, 0 where none is in force; `admitted` the first attempts of the
+    period, which began at `period_start_us` and lasts `period_length_us`. `attempts_per_s` is the mean of
+    first attempts a second, `usual_attempts_per_s` that of a warm server.
+    """
+
+    admission_limit: float
+    admitted: int
+    period_start_us: int
+    period_length_us: int
+    overhead: float
+    attempts_per_s: float
+    usual_attempts_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySnapshot:
+    """All state that a process hands over: the answer to a StartHandover, and the successor's first event.
+
+    `mean_latencies_us` are the mean latencies by request class, `ejections` the servers that were ever listed
+    and whether an operator has ejected them, `attempts` the attempts in flight.
+    """
+
+    now_us: int
+    overload: OverloadSnapshot
+    mean_latencies_us: tuple[float, ...]
+    customers: tuple[CustomerSnapshot, ...]
+    servers: tuple[ServerSnapshot, ...]
+    ejections: tuple[HandoverEjection, ...]
+    attempts: tuple[HandoverAttempt, ...]
+
+
+HandoverMessage = HandoverSpend | HandoverAttempt | HandoverAttemptEnd | HandoverEjection
--- a/orchidhatch/proxy/config.py
+++ b/orchidhatch/proxy/config.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.codec import Pairs, read_settings
+from orchidhatch.gateway.settings import Settings
+from orchidhatch.gateway.settings_codec import SettingTexts, read_settings
 
 Address = tuple[str, int]
 
@@ -55,7 +55,7 @@
     name: str
     listen: Address
     discovery: Address
-    settings: i.Settings
+    settings: Settings
     class_numbers: Mapping[str, int]
     plan_numbers: Mapping[str, int]
     zone_numbers: Mapping[str, int]
@@ -80,16 +80,18 @@
     told, ms = config.settings, 1000
     classes = [(name, told.classes[number]) for name, number in config.class_numbers.items()]
     plans = [(name, told.plans[number]) for name, number in config.plan_numbers.items()]
-    parts = [f"front door {told.me} of {told.gateways}"]
-    parts += [f"{name} aim {one.aim_us // ms} ms of {one.deadline_us // ms}" for name, one in classes]
+    parts = [f"front door {told.gateway_index} of {told.gateway_count}"]
     parts += [
-        f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_out}"
+        f"{name} aim {one.latency_objective_us // ms} ms of {one.deadline_us // ms}" for name, one in classes
+    ]
+    parts += [
+        f"{name} {plan.rate:.4g}/s burst {plan.burst:.4g} out {plan.max_in_flight}"
         f" ceiling {plan.ceiling_rate:.4g}/s burst {plan.ceiling_burst:.4g}"
         for name, plan in plans
     ]
     parts += [
         f"messages {told.peer_messages_per_s:g}/s",
-        f"cold from {told.cold_from:.2f} for {told.warm_within_us // ms} ms",
+        f"cold from {told.cold_capacity:.2f} for {told.warm_up_us // ms} ms",
         f"descriptors {config.sockets}",
         f"memory {config.memory_mb} MB",
     ]
@@ -155,22 +157,22 @@
         raise ConfigError(f"{name} is {value:g}, not from {least:g} to {most:g}")
 
 
-def bounded(pairs: Pairs, path: str, default: int, least: int, most: int) -> int:
+def bounded(pairs: SettingTexts, path: str, default: int, least: int, most: int) -> int:
     value = pairs.whole(path, default)
     within(path, value, least, most)
     return value
 
 
-def check(settings: i.Settings) -> None:
+def check(settings: Settings) -> None:
     """What the module takes as given: times that pass, and amounts that are none below nothing."""
     for number, rule in enumerate(settings.classes):
-        within(f"categories.{number}.on-time-us", rule.aim_us, 1, MOST_US)
+        within(f"categories.{number}.on-time-us", rule.latency_objective_us, 1, MOST_US)
         within(f"categories.{number}.deadline-us", rule.deadline_us, 1, MOST_US)
     for number, plan in enumerate(settings.plans):
         for name, value in (
             ("units-per-s", plan.rate),
             ("burst", plan.burst),
-            ("max-out", plan.max_out),
+            ("max-out", plan.max_in_flight),
             ("never-over-rate", plan.ceiling_rate),
             ("hard-burst", plan.ceiling_burst),
         ):
@@ -180,7 +182,7 @@
 def read_policy(value: object) -> Policy | None:
     if value is None:
         return None
-    pairs = Pairs(dict(flatten(value)))
+    pairs = SettingTexts(dict(flatten(value)))
     digest = pairs.text("digest")
     if digest and not DIGEST.fullmatch(digest):
         raise ConfigError(f"policy.digest is '{digest:.40}', not 16 hex digits")
@@ -194,8 +196,8 @@
 
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
     settings = values["settings"]
-    pairs = Pairs(dict(flatten(settings)))
-    limits = Pairs(dict(flatten(values.get("limits") or {}, "limits")))
+    pairs = SettingTexts(dict(flatten(settings)))
+    limits = SettingTexts(dict(flatten(values.get("limits") or {}, "limits")))
     peer_listen = values.get("peer_listen")
     management = env.get("PROXY_MANAGEMENT") or values.get("management")
     config = Config(
@@ -222,12 +224,14 @@
         traces_policy=values.get("trace_policy") is True,
     )
     if config.policy:
-        config = replace(config, settings=replace(config.settings, mark=config.policy.mark()))
+        config = replace(config, settings=replace(config.settings, policy_mark=config.policy.mark()))
     if not config.class_numbers or not config.plan_numbers:
         raise ConfigError("the settings name no class or no plan")
     check(config.settings)
-    if not 0 <= config.settings.me < config.settings.gateways:
-        raise ConfigError(f"there is no front door {config.settings.me} of {config.settings.gateways}")
+    if not 0 <= config.settings.gateway_index < config.settings.gateway_count:
+        raise ConfigError(
+            f"there is no front door {config.settings.gateway_index} of {config.settings.gateway_count}"
+        )
     return config
 
 
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -14,10 +14,49 @@
 from dataclasses import replace
 from typing import Any
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.codec import plain
-from orchidhatch.gateway.core import Gateway
-from orchidhatch.gateway.peer_outbox import MOST_WORDS
+from orchidhatch.gateway.actions import (
+    Action,
+    CancelAttempt,
+    CloseIdleConnections,
+    EjectionResult,
+    Fail,
+    FetchEndpointList,
+    LogLine,
+    MetricsSnapshot,
+    Reject,
+    SendAttempt,
+    SendGossip,
+    SetTimer,
+    Subscribe,
+    WaitTimes,
+)
+from orchidhatch.gateway.attempts import AttemptResult, LoadReport
+from orchidhatch.gateway.core import GatewayCore
+from orchidhatch.gateway.endpoints import EndpointListKind
+from orchidhatch.gateway.events import (
+    AttemptEnded,
+    ClientGone,
+    Event,
+    HandoverPeerGone,
+    HandoverPeerUnknown,
+    MetricsRequest,
+    PolicyChange,
+    SetEjection,
+    StartHandover,
+    StreamStarted,
+    SuspendAdmission,
+    TimerExpired,
+)
+from orchidhatch.gateway.handover_codec import to_plain
+from orchidhatch.gateway.peer_outbox import MESSAGES_LIMIT
+from orchidhatch.gateway.snapshots import (
+    GatewaySnapshot,
+    HandoverAttempt,
+    HandoverAttemptEnd,
+    HandoverEjection,
+    HandoverMessage,
+    HandoverSpend,
+)
 from orchidhatch.proxy.backends import Attempt, Backends, now_us
 from orchidhatch.proxy.clients import (
     FAILED,
@@ -42,7 +81,7 @@
     resident_bytes,
 )
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News
-from orchidhatch.proxy.handover import Twin
+from orchidhatch.proxy.handover import HandoverPeer
 from orchidhatch.proxy.log_writer import LogWriter
 from orchidhatch.proxy.management import Answer, Calls, Management
 from orchidhatch.proxy.metrics import Ended, Figures, page
@@ -72,7 +111,7 @@
 TURNS_TO_ACCEPT = 3  # of the loop, one of which at least asks the kernel who has connected
 PEERS_AGAIN_S, MOST_PEERS_AGAIN_S = 0.02, 1.0  # between tries for the peers' address
 STAY_S = 10.0  # how long a process that was replaced waits for SIGTERM
-TWIN_NAME = "molereach-hand-over"  # in the directory that two processes share
+HANDOVER_NAME = "molereach-hand-over"  # in the directory that two processes share
 CLIENT_SHARE = 0.6  # of the other sockets
 HELD_SHARE, LEAST_HELD = 6, 1 << 20  # of the memory above the program's, for commands not answered yet
 
@@ -97,7 +136,7 @@
         self.command, self.reply, self.end_us = command, reply, end_us
         self.plan = plan  # by its name: its number may be another's before this ends
         self.policy = policy  # that it is let in by, where that is to be logged
-        self.came_us = end_us - command.request.left_us
+        self.came_us = end_us - command.request.time_left_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -109,11 +148,11 @@
         self.config, self.settings, self.writer = config, config.settings, writer
         self.loop = asyncio.get_running_loop()
         most_bytes = max(LEAST_HELD, (config.memory_mb - PROGRAM_MB) * (1 << 20) // HELD_SHARE)
-        self.bounds = replace(config.settings, max_open=config.max_open, max_open_bytes=most_bytes)
-        self.gateway = Gateway(self.bounds)
+        self.bounds = replace(config.settings, max_open_requests=config.max_open, max_open_bytes=most_bytes)
+        self.gateway = GatewayCore(self.bounds)
         self.held_waits = Waits()
         self.waited: Counter[str] = Counter()  # microseconds, by what requests waited for
-        self.inbox: list[i.Event] = []
+        self.inbox: list[Event] = []
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
@@ -158,11 +197,13 @@
         self.last_answer_us: int | None = None  # until when it is sure to live, once it is ending
         self.finished = asyncio.Event()  # replaced, and with nothing left to do
         takes_over = config.socket_fd is not None and config.shared
-        self.twin = Twin(self, config.shared / f"{TWIN_NAME}.socket") if takes_over else None
+        self.handover_peer = (
+            HandoverPeer(self, config.shared / f"{HANDOVER_NAME}.socket") if takes_over else None
+        )
         self.leaving: asyncio.Task[None] | None = None  # a drain by call, until it is undone
         self.clients = Clients(most_clients, self.take, self.client_gone, self.account)
         self.clients.set_pool(config.memory_mb)
-        self.peers = Peers(config.peers, config.settings.me, self.post, self.account)
+        self.peers = Peers(config.peers, config.settings.gateway_index, self.post, self.account)
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
@@ -172,25 +213,28 @@
             version,
             self.list_heard,
             config.settings.seed,
-            config.settings.gateways,
+            config.settings.gateway_count,
             self.account,
             pushed=not config.settings.must_subscribe,
         )
-        self.peers.mark = config.settings.mark
+        self.peers.mark = config.settings.policy_mark
         self.watchful = Watchfulness(config.policy, self.discovery.heard_s, self.bar)
         self.carry_out: dict[type, tuple[Place, Callable[..., None]]] = {
-            i.Send: (Place.BACKENDS, self.send),
-            i.Cancel: (Place.BACKENDS, self.cancel),
-            i.Refuse: (Place.CLIENTS, self.refuse),
-            i.Fail: (Place.CLIENTS, self.fail),
-            i.SetTimer: (Place.MODULE, self.set_timer),
-            i.Tell: (Place.PEERS, self.peers.tell),
-            i.Log: (Place.LOG, self.log_line),
-            i.Waited: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
-            i.CloseIdle: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
-            **dict.fromkeys((i.TwinSpend, i.TwinSend, i.TwinEnd, i.TwinMaint), (Place.PEERS, self.tell_twin)),
+            SendAttempt: (Place.BACKENDS, self.send),
+            CancelAttempt: (Place.BACKENDS, self.cancel),
+            Reject: (Place.CLIENTS, self.refuse),
+            Fail: (Place.CLIENTS, self.fail),
+            SetTimer: (Place.MODULE, self.set_timer),
+            SendGossip: (Place.PEERS, self.peers.tell),
+            LogLine: (Place.LOG, self.log_line),
+            WaitTimes: (Place.MODULE, lambda action: self.waited.update(dict(action.times))),
+            CloseIdleConnections: (Place.BACKENDS, lambda action: self.backends.close_idle(action.server)),
+            **dict.fromkeys(
+                (HandoverSpend, HandoverAttempt, HandoverAttemptEnd, HandoverEjection),
+                (Place.PEERS, self.send_to_handover_peer),
+            ),
             # The watch is always on.
-            **dict.fromkeys((i.Subscribe, i.FetchList), (Place.DISCOVERY, lambda action: None)),
+            **dict.fromkeys((Subscribe, FetchEndpointList), (Place.DISCOVERY, lambda action: None)),
         }
 
     # --- start and end ---
@@ -199,7 +243,7 @@
         if not self.config.known:
             return None
         try:
-            news = self.catalog.news(self.config.known, i.ListKind.SAVED)
+            news = self.catalog.news(self.config.known, EndpointListKind.SAVED)
         except (KeyError, TypeError, ValueError) as error:
             log.error("the known list makes no sense: %s", error)
             return None
@@ -212,7 +256,7 @@
         if self.config.management:
             await self.management.start(*self.config.management)
         self.log_later()
-        if not self.twin:
+        if not self.handover_peer:
             await self.open_peers()
         self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
         known = bool(self.catalog.entries)
@@ -223,7 +267,7 @@
             )
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
-        if self.twin:
+        if self.handover_peer:
             await self.take_over()
         else:
             host, port = self.config.listen
@@ -234,24 +278,24 @@
         self.ready = True
 
     async def open_peers(self) -> None:
-        if self.settings.may_tell and self.config.peer_listen:
+        if self.settings.may_gossip and self.config.peer_listen:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
 
     # --- one process after another ---
 
     async def take_over(self) -> None:
         """Serve on the inherited socket, from the state of the process that serves there, if there is one."""
-        sound = await self.twin.take_over()
+        sound = await self.handover_peer.take_over()
         if sound:
             log.info("goes on from the process that served so far")
         else:
-            self.post(i.TwinUnknown())  # until the peers' address is free: no other process has it then
+            self.post(HandoverPeerUnknown())  # until the peers' address is free: no other process has it then
         listening = socket.socket(fileno=self.config.socket_fd)
         listening.setblocking(False)
         self.server = await self.loop.create_server(self.clients.connection, sock=listening, backlog=1024)
-        await self.twin.serve()
+        await self.handover_peer.serve()
         self.backends.spawn(self.open_peers_at_last(sound))
-        await self.twin.offer()
+        await self.handover_peer.offer()
 
     async def open_peers_at_last(self, sound: bool) -> None:
         """The peers' address is free once the old process lets go of it, or has ended."""
@@ -265,22 +309,22 @@
             await asyncio.sleep(wait_s)
             wait_s = min(MOST_PEERS_AGAIN_S, 2 * wait_s)
         if not sound:
-            self.post(i.TwinGone())
+            self.post(HandoverPeerGone())
 
-    def memory(self) -> dict[str, Any]:
+    def handover_state(self) -> dict[str, Any]:
         """What the next process goes on from."""
-        state = plain(self.ask(i.HandOver()))
-        return {"state": state, "known": self.catalog.known(), "count": self.sockets()}
+        state = to_plain(self.ask(StartHandover()))
+        return {"state": state, "known": self.catalog.known(), "count": self.socket_counts()}
 
-    def resume(self, state: i.State, known: Mapping[str, Any]) -> None:
+    def resume(self, state: GatewaySnapshot, known: Mapping[str, Any]) -> None:
         """Go on from there; its list holds unless ours is as new."""
         if known["generation"] > self.catalog.version:
-            self.list_heard(self.catalog.news(known, i.ListKind.FULL))
+            self.list_heard(self.catalog.news(known, EndpointListKind.FULL))
         self.run_batch()
         self.post(state)
         self.run_batch()
-        for word in state.names:
-            self.backends.ban(word.server, word.out)
+        for word in state.ejections:
+            self.backends.ban(word.server, word.is_ejected)
 
     def release(self) -> None:
         """The next process serves: take nothing new, let go of the addresses and of who is idle."""
@@ -298,15 +342,15 @@
         await asyncio.sleep(STAY_S)
         self.finished.set()
 
-    def sockets(self) -> tuple[int, int]:
+    def socket_counts(self) -> tuple[int, int]:
         return len(self.clients.connections), self.backends.held
 
-    def others(self, clients: int, backends: int) -> None:
+    def set_peer_socket_counts(self, clients: int, backends: int) -> None:
         self.clients.others, self.backends.others = clients, backends
 
-    def tell_twin(self, action: i.TwinSpend | i.TwinSend | i.TwinEnd | i.TwinMaint) -> None:
-        if self.twin:
-            self.twin.tell(action)
+    def send_to_handover_peer(self, action: HandoverMessage) -> None:
+        if self.handover_peer:
+            self.handover_peer.send(action)
 
     def reload(self, config: Config) -> None:
         """Take over what may change while it runs: the address of discovery, and the policy it is under."""
@@ -324,10 +368,14 @@
         moved = tuple(config.plan_numbers.get(names[number], -1) for number in range(len(names)))
         new = config.settings
         self.settings = replace(
-            self.settings, classes=new.classes, plans=new.plans, banned=new.banned, mark=new.mark
+            self.settings,
+            classes=new.classes,
+            plans=new.plans,
+            banned_customers=new.banned_customers,
+            policy_mark=new.policy_mark,
         )
         self.run_batch()  # what has come so far was let in by the old
-        self.post(i.NewPolicy(new.classes, new.plans, new.banned, new.mark, moved))
+        self.post(PolicyChange(new.classes, new.plans, new.banned_customers, new.policy_mark, moved))
         self.run_batch()
         self.config = replace(
             self.config,
@@ -338,13 +386,13 @@
         )
         self.parser = CommandParser(self.config)
         self.plan_names = {number: name for name, number in config.plan_numbers.items()}
-        self.peers.mark, self.watchful.told = new.mark, config.policy
+        self.peers.mark, self.watchful.told = new.policy_mark, config.policy
         self.watchful.begin(barred=False)
         log.info("goes by %s", config.policy.shown())
 
     def bar(self, on: bool) -> None:
         """Whether nobody may be let in by now: the module refuses whoever comes."""
-        self.post(i.Bar(on))
+        self.post(SuspendAdmission(on))
         self.clients.welcome = not on and self.leaving is None and not self.ending
 
     async def drain(self) -> None:
@@ -439,8 +487,8 @@
         """Let go of all sockets."""
         if self.server:
             self.server.close()
-        if self.twin:
-            self.twin.close()
+        if self.handover_peer:
+            self.handover_peer.close()
         self.management.close()
         self.peers.close()
         self.clients.close()
@@ -457,12 +505,12 @@
         return status, text + self.watchful.shown()
 
     def stats(self) -> Answer:
-        census = self.ask(i.Survey())
+        census = self.ask(MetricsRequest())
         return 200, self.figures.text(
             sends_total=self.backends.sends,
             current=len(self.open),
             cluster_size=census.listed,
-            cluster_unhealthy=census.avoided,
+            cluster_unhealthy=census.ejected,
         )
 
     def metrics(self) -> Answer:
@@ -470,7 +518,7 @@
         return 200, self.stats()[1] + self.cost_figures() + self.wait_figures()
 
     def cost_figures(self) -> str:
-        clients, backends = self.sockets()
+        clients, backends = self.socket_counts()
         management, held = len(self.management.connections), descriptors()
         other = {} if held is None else {"other": max(0, held - clients - backends - management)}
         resident = resident_bytes()
@@ -536,7 +584,7 @@
         )
 
     def wait_figures(self) -> str:
-        census = self.ask(i.Survey())
+        census = self.ask(MetricsRequest())
         reasons = {f'reason="{why}"': count for why, count in census.ended}
         return waiting_figures(self.lines(census)) + "".join(
             [
@@ -562,7 +610,7 @@
             ]
         )
 
-    def lines(self, census: i.Census) -> list[Line]:
+    def lines(self, census: MetricsSnapshot) -> list[Line]:
         """Where work can wait, from the clients' sockets to the log."""
         now, clients, backends, peers = now_us(), self.clients, self.backends, self.peers
         ended = dict(census.ended)
@@ -589,9 +637,9 @@
             ),
             Line(
                 "held",
-                self.bounds.max_open,
-                census.held,
-                census.held_us,
+                self.bounds.max_open_requests,
+                census.queued,
+                census.queued_us,
                 ended.get("crowded", 0),
                 self.held_waits,
             ),
@@ -621,10 +669,10 @@
             ),
             Line(
                 "peers",
-                MOST_WORDS * len(peers.addresses),
-                census.words,
-                census.words_us,
-                census.words_dropped + peers.dropped,
+                MESSAGES_LIMIT * len(peers.addresses),
+                census.messages,
+                census.messages_us,
+                census.messages_dropped + peers.dropped,
                 peers.waits,
             ),
             self.management.line(),
@@ -633,8 +681,8 @@
 
     def maint(self, name: str, out: bool) -> Answer:
         """What the module rules holds for the sockets too, before the answer leaves."""
-        ruling = self.ask(i.Maint(name, out))
-        if not ruling.yes:
+        ruling = self.ask(SetEjection(name, out))
+        if not ruling.is_accepted:
             return 404, "no such backend was ever listed"
         log.info("%s is %s by hand", name, "left out" if out else "taken back")
         self.backends.ban(name, out)
@@ -671,12 +719,12 @@
             self.clients.take_again()
         return 200, "takes clients"
 
-    def ask(self, event: i.Event) -> Any:  # noqa: ANN401 - each such event has its own kind of answer
+    def ask(self, event: Event) -> Any:  # noqa: ANN401 - each such event has its own kind of answer
         """The module's one answer to a question, after all that came in before it."""
         self.run_batch()
         answers = []
         for action in self.gateway.handle(now_us(), event):
-            if isinstance(action, i.Ruling | i.Census | i.State):
+            if isinstance(action, EjectionResult | MetricsSnapshot | GatewaySnapshot):
                 answers.append(action)
             else:
                 self.act(action)
@@ -684,7 +732,7 @@
 
     # --- events ---
 
-    def post(self, event: i.Event) -> None:
+    def post(self, event: Event) -> None:
         if not self.inbox:
             self.loop.call_soon(self.run_batch)
         self.inbox.append(event)
@@ -704,14 +752,14 @@
             except Exception:
                 log.exception("the module failed on %r", event)
                 self.give_up(getattr(event, "id", ""))
-                if isinstance(event, i.Timer):  # the module lives by it: it comes again
-                    self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
+                if isinstance(event, TimerExpired):  # the module lives by it: it comes again
+                    self.set_timer(SetTimer(RING_AGAIN_US, event.token))
                 continue
             for action in actions:
                 self.act(action)
         self.longest_batch_us = max(self.longest_batch_us, now_us() - now)
 
-    def act(self, action: i.Action) -> None:
+    def act(self, action: Action) -> None:
         place, carry_out = self.carry_out[type(action)]
         was = self.account.enter(place)
         try:
@@ -726,17 +774,17 @@
         """Fail a request over a fault, and have the module forget it."""
         if request_id in self.open:
             self.answer(request_id, FAILED, Ended.ERRORED)
-            self.post(i.ClientGone(request_id))
+            self.post(ClientGone(request_id))
 
-    def twin_heard(self, event: i.Event) -> None:
+    def handover_peer_sent(self, event: Event) -> None:
         """What the other process did; what an operator wants of a backend holds for the sockets here too."""
         self.post(event)
-        if isinstance(event, i.TwinMaint):
-            self.backends.ban(event.server, event.out)
+        if isinstance(event, HandoverEjection):
+            self.backends.ban(event.server, event.is_ejected)
 
     def list_heard(self, news: News) -> None:
-        whole = news.event.kind is not i.ListKind.CHANGES
-        states = {server.name: server.state for server in news.event.servers}
+        whole = news.event.kind is not EndpointListKind.CHANGES
+        states = {server.name: server.state for server in news.event.endpoints}
         self.post(news.event)  # before the ends of what waited there, which may be sent on elsewhere
         self.backends.update(states, news.addresses, whole)
 
@@ -753,15 +801,15 @@
         exchange = Exchange(
             command,
             reply,
-            now_us() + request.left_us,
+            now_us() + request.time_left_us,
             self.plan_names[request.plan_index],
             told.digest or "-" if told else "",
         )
-        delay = (request.left_us + BACKSTOP_US) / 1e6
+        delay = (request.time_left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
         self.open[request.id] = exchange
-        self.held_bytes += request.size
+        self.held_bytes += request.size_bytes
         self.tally["asked"] += 1
         self.post(request)
 
@@ -773,30 +821,32 @@
 
     def client_gone(self, reply: Reply) -> None:
         if reply.id is not None and (exchange := self.settle(reply.id)):
-            self.post(i.ClientGone(reply.id))
+            self.post(ClientGone(reply.id))
             if exchange.stream:
                 exchange.stream.cancel()
 
     # --- actions ---
 
-    def send(self, action: i.Send) -> None:
+    def send(self, action: SendAttempt) -> None:
         exchange = self.open.get(action.id)
         if exchange is None or exchange.attempts >= self.settings.max_attempts:
             ended = exchange or self.ended.get(action.id)
             number = ended.attempts if ended else 0
             if ended:
                 ended.attempts += 1
-            self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
+            self.post(
+                AttemptEnded(action.id, exchange is None, number, action.server, AttemptResult.NOT_SENT, 0)
+            )
             return
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         try:
             self.begin(action, exchange, number)
         except Exception:
             exchange.out.pop(number, None)  # the module counts it as out until it hears of its end
-            self.post(i.Outcome(action.id, False, number, action.server, i.Result.MOOT, 0))
+            self.post(AttemptEnded(action.id, False, number, action.server, AttemptResult.NOT_SENT, 0))
             raise
 
-    def begin(self, action: i.Send, exchange: Exchange, number: int) -> None:
+    def begin(self, action: SendAttempt, exchange: Exchange, number: int) -> None:
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         self.sent[action.server] += 1
@@ -807,16 +857,16 @@
         payload = exchange.command.payload(timeout)
         attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
         exchange.out[number] = attempt
-        self.backends.send(attempt, timeout, action.begin_us)
+        self.backends.send(attempt, timeout, action.start_within_us)
 
     def attempt_done(
-        self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
+        self, attempt: Attempt, result: AttemptResult, value: bytes | None, report: LoadReport | None
     ) -> None:
         """An attempt's one outcome; the first value goes to the client at once and closes the request."""
         name = attempt.request_id
         if name in self.open and self.open[name].stream is attempt:
-            self.end_stream(name, result is i.Result.OK)
-        elif result is i.Result.OK and value is not None and name in self.open:
+            self.end_stream(name, result is AttemptResult.OK)
+        elif result is AttemptResult.OK and value is not None and name in self.open:
             self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
         over = name not in self.open
         exchange = self.ended.get(name) if over else self.open[name]
@@ -826,7 +876,7 @@
                 del self.ended[name]
         self.tally[result.value] += 1
         took = now_us() - attempt.sent_us
-        self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
+        self.post(AttemptEnded(name, over, attempt.number, attempt.server, result, took, report=report))
 
     def value_begins(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
         """A long value begins: it is the client's now, and nothing but a break or a stall ends it."""
@@ -837,7 +887,7 @@
         exchange.timer.cancel()
         exchange.timer = self.loop.call_later(STALL_S, self.look_for_stall, attempt.request_id)
         took = now_us() - attempt.sent_us
-        self.post(i.StreamStarted(attempt.request_id, attempt.number, attempt.server, took))
+        self.post(StreamStarted(attempt.request_id, attempt.number, attempt.server, took))
         exchange.reply.begin(b"$%d\r\n" % size, attempt)
         return exchange.reply.more
 
@@ -858,17 +908,17 @@
         else:
             exchange.reply.cut()
 
-    def cancel(self, action: i.Cancel) -> None:
+    def cancel(self, action: CancelAttempt) -> None:
         exchange = self.open.get(action.id) or self.ended.get(action.id)
         attempt = exchange.out.get(action.attempt) if exchange else None
         if attempt:
             attempt.cancel()
 
-    def refuse(self, action: i.Refuse) -> None:
+    def refuse(self, action: Reject) -> None:
         wait_ms = action.retry_after_us // 1000
         self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n", Ended.DEFERRED)
 
-    def fail(self, action: i.Fail) -> None:
+    def fail(self, action: Fail) -> None:
         self.answer(action.id, FAILED, Ended.ERRORED)
 
     def answer(self, name: str, data: bytes, how: Ended) -> None:
@@ -893,7 +943,7 @@
         exchange = self.open.pop(name, None)
         if exchange is None:
             return None
-        self.held_bytes -= exchange.command.request.size
+        self.held_bytes -= exchange.command.request.size_bytes
         if not exchange.attempts:
             self.held_waits.note(now_us() - exchange.came_us)
         if exchange.timer:
@@ -904,7 +954,7 @@
             attempt.withdraw()  # whatever waits for it: nothing is begun for who is gone or has his answer
         return exchange
 
-    def set_timer(self, action: i.SetTimer) -> None:
+    def set_timer(self, action: SetTimer) -> None:
         self.ring(now_us() + action.delay_us, action.token)
 
     def ring(self, due_us: int, token: int) -> None:
@@ -915,7 +965,7 @@
             wait_s = max(1000, left) / 1e6
             self.loop.call_later(wait_s, self.account.run, Place.MODULE, self.ring, due_us, token)
         else:
-            self.post(i.Timer(token))
+            self.post(TimerExpired(token))
 
-    def log_line(self, action: i.Log) -> None:
+    def log_line(self, action: LogLine) -> None:
         log.info("%s", action.text)
--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -10,7 +10,11 @@
 
 import pytest
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.actions import SendAttempt
+from orchidhatch.gateway.events import ClientGone, PeerMessage
+from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
+from orchidhatch.gateway.settings import Plan
+from orchidhatch.gateway.snapshots import HandoverEjection
 from orchidhatch.proxy import backends
 from orchidhatch.proxy import server as frontdoor
 from orchidhatch.proxy import socket_inspection as looks
@@ -71,7 +75,9 @@
     "not in the whole list": lambda door, backend: door.list_heard(
         door.catalog.news(json.loads(catalog(door.catalog.version + 1, [])))
     ),
-    "left out at the other process": lambda door, backend: door.twin_heard(i.TwinMaint("s0", True)),
+    "left out at the other process": lambda door, backend: door.handover_peer_sent(
+        HandoverEjection("s0", True)
+    ),
 }
 
 
@@ -144,7 +150,7 @@
                 send(connection, following)
 
             monkeypatch.setattr(Connection, "send", sent)
-            door.post(i.ClientGone("somebody else"))
+            door.post(ClientGone("somebody else"))
             attempt.time_out()
             other.answer = lambda words: value(b"at last")
             assert await client.answer() == b"at last"
@@ -212,7 +218,7 @@
     async def job() -> None:
         nonlocal late_us
         both = [Backend(lambda words: b"-ERR failed\r\n"), Backend(lambda words: b"-ERR failed\r\n")]
-        classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], window_us=S), SETTINGS.classes[2])
+        classes = (SETTINGS.classes[0], replace(SETTINGS.classes[1], dedup_window_us=S), SETTINGS.classes[2])
         async with front_door(*both, settings=replace(SETTINGS, classes=classes)) as (door, address):
             client, up, connect = await Client.open(address), asyncio.Event(), Pool.connect
 
@@ -230,7 +236,7 @@
             late_us += S + 1
             up.set()
             assert await client.answer() == "-ERR failed"
-            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.jobs
+            assert sum(len(backend.commands) for backend in both) == 1 and not door.gateway.requests
 
     run(job())
 
@@ -244,15 +250,15 @@
 
     async def job() -> None:
         backend = Backend()
-        plans = (i.Plan(rate=1.0, burst=4.0),)
-        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateways=1)
+        plans = (Plan(rate=1.0, burst=4.0),)
+        settings = replace(SETTINGS, may_cancel=may_cancel, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings) as (door, address):
             client = await Client.open(address)
             client.send(query("a1", units="2"))
             pool = door.backends.pools["s0"]
             while not pool.waiting:
                 await asyncio.sleep(0)
-            (customer,) = door.gateway.homes.customers.values()
+            (customer,) = door.gateway.quotas.customers.values()
             assert customer.level < 3
             connect = pool.connecting
             for connection in list(door.clients.connections):
@@ -260,8 +266,8 @@
             assert connect == 1 and not door.ended
             while not pool.idle:
                 await asyncio.sleep(0)
-            assert not backend.commands and not door.gateway.jobs
-            assert customer.level == pytest.approx(4, abs=0.2) and customer.out == 0  # given back, once
+            assert not backend.commands and not door.gateway.requests
+            assert customer.level == pytest.approx(4, abs=0.2) and customer.in_flight == 0  # given back, once
 
     run(job())
 
@@ -269,17 +275,19 @@
 @pytest.mark.parametrize("level", [15.0, 5.0])
 def test_what_the_home_has_counted_for_a_client_that_left_meanwhile_is_given_back_once(level: float) -> None:
     """The home counts what it lets in with its answer, which finds nobody any more."""
-    world = World(replace(helpers.SETTINGS, gateways=3))
+    world = World(replace(helpers.SETTINGS, gateway_count=3))
     name = next(str(n) for n in range(9) if zlib.crc32(str(n).encode()) % 3)  # at home elsewhere
     world.ask("r1", customer=name, units=10.0, set_size=3)
-    (customer,) = world.gateway.homes.customers.values()
-    assert world.gateway.waits and not customer.at_home
-    world.tell(i.ClientGone("r1"))
-    word = i.Word(*customer.key, True, 10.0, 0.0, 10.0, level, 0, i.Place.NONE)
+    (customer,) = world.gateway.quotas.customers.values()
+    assert world.gateway.awaiting_grant and not customer.is_leader
+    world.tell(ClientGone("r1"))
+    word = GossipMessage(*customer.key, True, 10.0, 0.0, 10.0, level, 0, SlotGrant.NONE)
     for _ in range(2):
-        world.tell(i.PeerMessage(customer.home, (word,), ()))
-    assert customer.spent == (-10.0 if level >= 10 else 0.0)
-    assert not world.gateway.waits and not world.gateway.jobs and not of(i.Send, world.run(S))
+        world.tell(PeerMessage(customer.leader, (word,), ()))
+    assert customer.unreported_spend == (-10.0 if level >= 10 else 0.0)
+    assert (
+        not world.gateway.awaiting_grant and not world.gateway.requests and not of(SendAttempt, world.run(S))
+    )
 
 
 def test_client_that_leaves_is_noticed_while_nothing_is_read_from_it() -> None:
@@ -293,7 +301,7 @@
             while all(connection.reading for connection in door.clients.connections):
                 await asyncio.sleep(0)
             client.writer.close()
-            while door.open or door.clients.connections or door.gateway.jobs:
+            while door.open or door.clients.connections or door.gateway.requests:
                 await asyncio.sleep(0.001)
 
     run(job())
@@ -382,8 +390,8 @@
             half.send(query("c1")[-1:])
             while len(backend.commands) < 2:
                 await asyncio.sleep(0)
-            left_us = door.open["c1"].end_us - door.open["c1"].came_us
-            assert left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
+            time_left_us = door.open["c1"].end_us - door.open["c1"].came_us
+            assert time_left_us <= frontdoor.MOST_DEADLINE_US + frontdoor.KILL_AFTER_US
             assert "a2" not in door.open
             for writer in backend.writers:
                 writer.write(value(b"at last"))
@@ -430,13 +438,13 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        plans = (i.Plan(rate=1000.0, burst=1000.0, max_out=1),)
-        settings = replace(SETTINGS, plans=plans, gateways=1)
+        plans = (Plan(rate=1000.0, burst=1000.0, max_in_flight=1),)
+        settings = replace(SETTINGS, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings) as (door, address):
             clients = [await Client.open(address) for _ in range(3)]
             for number, one in enumerate(clients):
                 one.send(query(f"a{number}"))
-            while len(door.gateway.held) < 2:
+            while len(door.gateway.queue) < 2:
                 await asyncio.sleep(0)
             draining = await drain(door)
             while not door.clients.reads_no_more:
@@ -535,8 +543,8 @@
 
     async def job() -> None:
         backend = Backend(lambda words: None)
-        plans = (i.Plan(rate=1000.0, burst=1000.0), i.Plan(rate=1000.0, burst=1000.0, max_out=1))
-        settings = replace(SETTINGS, plans=plans, gateways=1)
+        plans = (Plan(rate=1000.0, burst=1000.0), Plan(rate=1000.0, burst=1000.0, max_in_flight=1))
+        settings = replace(SETTINGS, plans=plans, gateway_count=1)
         async with front_door(backend, settings=settings, plan_numbers={"team": 0, "crew": 1}) as (
             door,
             address,
@@ -555,7 +563,7 @@
             backend.writers[0].write(value(b"first"))
             assert await client.answer() == b"first" and await other.answer() == b"second"
             assert [words[3].split(b",")[1] for words in backend.commands] == [b"t=crew"] * 2
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not door.gateway.requests and door.gateway.overload.in_flight == 0
 
     run(job())
 
@@ -572,6 +580,6 @@
             assert await client.ask(query("a1")) == "-ERR failed"
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            assert not door.gateway.jobs and door.gateway.cap.out == 0
+            assert not door.gateway.requests and door.gateway.overload.in_flight == 0
 
     run(job())
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -13,8 +13,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from orchidhatch.gateway import interface as i
-from orchidhatch.gateway.codec import plain, read_plain
+from orchidhatch.gateway.actions import MetricsSnapshot, SendAttempt
+from orchidhatch.gateway.events import (
+    HandoverPeerGone,
+    HandoverPeerUnknown,
+    MetricsRequest,
+    SetEjection,
+    StartHandover,
+)
+from orchidhatch.gateway.handover_codec import from_plain, to_plain
+from orchidhatch.gateway.settings import Plan
+from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
 from orchidhatch.proxy import handover
 from orchidhatch.proxy import server as frontdoor
 from orchidhatch.proxy.config import Config
@@ -25,13 +34,13 @@
 # --- the module ---
 
 
-def handed(world: World) -> i.State:
-    state = of(i.State, world.tell(i.HandOver()))[0]
-    return read_plain(i.State, json.loads(json.dumps(plain(state))))
+def handed(world: World) -> GatewaySnapshot:
+    state = of(GatewaySnapshot, world.tell(StartHandover()))[0]
+    return from_plain(GatewaySnapshot, json.loads(json.dumps(to_plain(state))))
 
 
 def successor(world: World) -> World:
-    later = World(world.gateway.set)
+    later = World(world.gateway.settings)
     later.now = world.now
     later.tell(handed(world))
     return later
@@ -39,61 +48,63 @@
 
 def test_quota_and_bans_go_on_in_the_next_process() -> None:
     world = World()
-    world.tell(i.Maint("s1", True))
+    world.tell(SetEjection("s1", True))
     for number in range(20):  # the whole burst
         world.ask(f"a{number}")
         world.answer(f"a{number}")
     later = successor(world)
-    assert of(i.Send, later.ask("b")) == []
-    [census] = of(i.Census, later.tell(i.Survey()))
-    assert (census.listed, census.avoided) == (4, 1)
-    assert of(i.Send, World().ask("b")) != []  # which a fresh start would send
+    assert of(SendAttempt, later.ask("b")) == []
+    [census] = of(MetricsSnapshot, later.tell(MetricsRequest()))
+    assert (census.listed, census.ejected) == (4, 1)
+    assert of(SendAttempt, World().ask("b")) != []  # which a fresh start would send
 
 
 def test_ceiling_and_open_cap_are_kept_by_both_together() -> None:
-    plan = i.Plan(rate=100.0, burst=100.0, max_out=2, ceiling_rate=10.0, ceiling_burst=4.0, ceiling_slack=1.0)
+    plan = Plan(
+        rate=100.0, burst=100.0, max_in_flight=2, ceiling_rate=10.0, ceiling_burst=4.0, ceiling_slack=1.0
+    )
     world = World(replace(SETTINGS, plans=(plan,)))
     world.ask("a0")  # the customer is known, its ceiling fills
     world.run(2 * S)
     later = successor(world)
-    sent = of(i.TwinSend, world.ask("a1")) + of(i.TwinSend, world.run(40 * MS))
+    sent = of(HandoverAttempt, world.ask("a1")) + of(HandoverAttempt, world.run(40 * MS))
     assert [word.units for word in sent] == [1.0]
     for word in sent:
         later.tell(word)
-    assert of(i.Send, later.ask("b1")) == []  # one out from before and one since: the cap is reached
-    later.tell(i.TwinEnd("a1", 0))
-    assert len(of(i.Send, later.run(40 * MS))) == 1
-    later.tell(i.TwinGone())
-    assert later.gateway.cap.out == 1 and not later.gateway.twin.out
+    assert of(SendAttempt, later.ask("b1")) == []  # one out from before and one since: the cap is reached
+    later.tell(HandoverAttemptEnd("a1", 0))
+    assert len(of(SendAttempt, later.run(40 * MS))) == 1
+    later.tell(HandoverPeerGone())
+    assert later.gateway.overload.in_flight == 1 and not later.gateway.handover_peer.in_flight
 
 
 def test_spending_of_the_other_process_is_taken_from_the_quota() -> None:
     world = World()
     later = successor(world)
-    for word in of(i.TwinSpend, world.ask("a", units=20.0)):
+    for word in of(HandoverSpend, world.ask("a", units=20.0)):
         later.tell(word)
-    (customer,) = later.gateway.homes.customers.values()
-    assert (customer.part, customer.level) == (0.0, 0.0)
+    (customer,) = later.gateway.quotas.customers.values()
+    assert (customer.share, customer.level) == (0.0, 0.0)
 
 
 def test_nothing_counts_against_a_ceiling_that_an_unheard_process_may_use_up() -> None:
-    plan = i.Plan(rate=100.0, burst=100.0, ceiling_rate=10.0, ceiling_burst=4.0)
+    plan = Plan(rate=100.0, burst=100.0, ceiling_rate=10.0, ceiling_burst=4.0)
     world = World(replace(SETTINGS, plans=(plan,)))
-    world.tell(i.TwinUnknown())
+    world.tell(HandoverPeerUnknown())
     world.ask("a")
-    assert of(i.Send, world.run(500 * MS)) == []
-    world.tell(i.TwinGone())
-    assert of(i.Send, world.run(60 * MS)) == []  # the ceiling fills from now on, as after a start
-    assert len(of(i.Send, world.run(100 * MS))) == 1
+    assert of(SendAttempt, world.run(500 * MS)) == []
+    world.tell(HandoverPeerGone())
+    assert of(SendAttempt, world.run(60 * MS)) == []  # the ceiling fills from now on, as after a start
+    assert len(of(SendAttempt, world.run(100 * MS))) == 1
 
 
 def test_words_for_the_other_process_only_while_there_is_one() -> None:
     world = World()
-    assert of(i.TwinSend, world.ask("a")) == []
-    world.tell(i.HandOver())
-    assert of(i.TwinSend, world.ask("b")) != []
-    world.tell(i.TwinGone())
-    assert of(i.TwinSend, world.ask("c")) == []
+    assert of(HandoverAttempt, world.ask("a")) == []
+    world.tell(StartHandover())
+    assert of(HandoverAttempt, world.ask("b")) != []
+    world.tell(HandoverPeerGone())
+    assert of(HandoverAttempt, world.ask("c")) == []
 
 
 JSON = st.recursive(
@@ -107,7 +118,7 @@
 @given(JSON)
 def test_what_is_no_state_is_a_value_error(value: object) -> None:
     with pytest.raises(ValueError):
-        read_plain(i.State, value)
+        from_plain(GatewaySnapshot, value)
 
 
 # --- the processes ---
@@ -160,7 +171,7 @@
             assert old.maint("s0", True)[0] == 200
             new = await start(config, started)
             assert new.serving() and not old.serving()
-            assert len(new.gateway.twin.out) == 1 and "s0" in new.backends.banned
+            assert len(new.gateway.handover_peer.in_flight) == 1 and "s0" in new.backends.banned
             assert new.maint("s0", False)[0] == 200
             assert await idle.ended()
             client = await Client.open(config.listen)
@@ -168,7 +179,7 @@
             assert await client.ask(query("a3")) == b"ok"
             backend.writers[1].write(b"*3\r\n$4\r\nlate\r\n$-1\r\n$-1\r\n")
             assert await busy.answer() == b"late" and await busy.ended()
-            while new.gateway.twin.out:
+            while new.gateway.handover_peer.in_flight:
                 await asyncio.sleep(0.01)
             assert len(old.clients.connections) == 0 and new.figures.ended["read"]["answered"] == 1
 
@@ -202,7 +213,7 @@
 def test_unsound_hand_over_is_a_fresh_start(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, answer: bytes
 ) -> None:
-    monkeypatch.setattr(handover, "ANSWER_S", 0.2)
+    monkeypatch.setattr(handover, "ANSWER_TIMEOUT_S", 0.2)
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readline()
@@ -211,7 +222,7 @@
         writer.close()
 
     async def job() -> None:
-        path = tmp_path / f"{frontdoor.TWIN_NAME}.socket"
+        path = tmp_path / f"{frontdoor.HANDOVER_NAME}.socket"
         server = await asyncio.start_unix_server(serve, str(path))
         async with doors(Backend(), tmp_path) as (config, started):
             new = await start(config, started)
@@ -230,9 +241,9 @@
                 door = await start(replace(config, peer_listen=taken.getsockname()), started)
                 client = await Client.open(config.listen)
                 assert await client.ask(query("a1")) == b"ok"  # of a plan without a ceiling
-                assert door.gateway.desk.blind
+                assert door.gateway.context.peer_is_unknown
                 taken.close()
-                while door.gateway.desk.blind:
+                while door.gateway.context.peer_is_unknown:
                     await asyncio.sleep(0.01)
 
     run(job())
@@ -243,7 +254,7 @@
         async with doors(Backend(), tmp_path) as (config, started):
             door = await start(config, started)
             for line in (b"what\n", b'{"version":1,"say":"serving"}\n', b'{"version":1,"say":"TwinEnd"}\n'):
-                reader, writer = await asyncio.open_unix_connection(str(door.twin.path))
+                reader, writer = await asyncio.open_unix_connection(str(door.handover_peer.path))
                 writer.write(line)
                 assert await reader.read() == b""
                 writer.close()
--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from orchidhatch.gateway import interface as i
+from orchidhatch.gateway.settings import Plan
 from orchidhatch.proxy.config import ConfigError, Policy, load
 from tests.control.policy.helpers import DIGEST_A, FakeClock
 from tests.gateway_config import write_gateway_config
 from tests.helpers import PLAN
 from tests.sockets import CUSTOMER, Backend, Client, front_door, query
 
-WIDER = i.Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
+WIDER = Plan(rate=20.0, burst=40.0, ceiling_rate=50.0, ceiling_burst=60.0)
 
 
 def under_policy(**changes: Any) -> Policy:  # noqa: ANN401
@@ -40,7 +40,12 @@
             door.config,
             policy=under_policy(number=2, digest=DIGEST_A),
             plan_numbers={"new": 0, "team": 1},
-            settings=replace(door.config.settings, plans=(PLAN, WIDER), mark=3, banned=frozenset({CUSTOMER})),
+            settings=replace(
+                door.config.settings,
+                plans=(PLAN, WIDER),
+                policy_mark=3,
+                banned_customers=frozenset({CUSTOMER}),
+            ),
         )
         door.reload(replace(new, class_numbers={"other": 0}))
         assert door.config.policy.number == 1  # it cannot go by that
