--- /dev/null
+++ b/tests/gateway/test_overload.py
@@ -0,0 +1,180 @@
+"""The overload controller: N by the paper's formulas, its period, and what may be in flight."""
+
+from dataclasses import replace
+
+import pytest
+
+from orchidhatch.gateway.actions import (
+    SendAttempt,
+)
+from orchidhatch.gateway.attempts import LoadReport
+from orchidhatch.gateway.endpoints import EndpointListKind
+from orchidhatch.gateway.events import (
+    EndpointList,
+    PeerMessage,
+)
+from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
+from orchidhatch.gateway.overload import TARGETS, next_n
+from orchidhatch.gateway.settings import Plan, RequestClass
+from tests.helpers import MS, SETTINGS, S, World, of, servers
+
+UTIL = TARGETS["util"]
+
+
+def loaded_world(util: float, plans: tuple[Plan, ...] = (Plan(),)) -> World:
+    patient = (RequestClass(latency_objective_us=6 * S, deadline_us=6 * S),)
+    world = World(replace(SETTINGS, plans=plans, gateway_count=2, classes=patient))
+    for n in range(20):
+        world.ask(f"w{n}")
+        world.run(50 * MS)
+        world.answer(f"w{n}", report=LoadReport(util=util))
+    world.run(20 * MS)
+    return world
+
+
+@pytest.mark.parametrize(
+    ("n_past", "na_past", "occup", "overhead", "expected"),
+    [
+        (100, 100, 0.90, 0.10, 102),  # (0.92 - 0.1) / (0.9 - 0.1) * 100 = 102.5, rounded down
+        (100, 80, 0.80, 0.10, 93),  # (0.82 / 0.7) * 80 = 93.7: accepted calls count, not N
+        (100, 200, 0.80, 0.10, 120),  # the largest step up
+        (100, 20, 0.90, 0.10, 90),  # the largest step down
+        (100, 100, 0.98, 0.10, 83),  # 0.82 / 0.88 * 100 = 93.18, times 0.9 at occ_too_high = 83.86
+        (100, 20, 0.98, 0.10, 81),  # both steps down
+        (3, 4, 0.80, 0.10, 4),  # 4.69 is 1 more than 3 and the step under 1: up by one
+        (100, 70, 0.50, 0.10, 100),  # low occupancy and few calls: held
+        (100, 90, 0.50, 0.60, 120),  # at or below overhead: the largest step
+        (1, 0, 0.99, 0.10, 1),  # never under one
+    ],
+)
+def test_next_n_by_hand(n_past: int, na_past: float, occup: float, overhead: float, expected: int) -> None:
+    assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
+
+
+def test_cap_engages_spreads_and_is_lifted() -> None:
+    world = loaded_world(0.9)
+    assert world.gateway.overload.n_past == 20.5  # (0.92 - 0.1) / (0.9 - 0.1) times the 20 that were sent
+    for n in range(150):
+        world.ask(f"r{n}", customer=f"c{n}")
+    world.run(world.gateway.overload.period_start_us + S - world.now)
+    start, allowed = world.now, world.gateway.overload.limit
+    for _ in range(99):
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt)
+        world.run(10 * MS)
+    sends = [at for at, action in world.log if isinstance(action, SendAttempt) and at >= start]
+    assert len(sends) == allowed
+    assert sends[-1] - sends[0] > 0.8 * S
+    idle = loaded_world(0.3)
+    assert idle.gateway.overload.n_past is None
+    assert idle.gateway.overload.overhead == pytest.approx(0.3)
+
+
+def test_period_follows_the_rate() -> None:
+    """With two requests a second, N of one or two a second would halve or double by rounding alone."""
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=20), servers(10))
+    for n in range(40):
+        world.ask(f"r{n}")
+        world.run(500 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt, report=LoadReport(util=0.9))
+    assert world.gateway.overload.period_length_us == 2 * S
+    assert 4 <= world.gateway.overload.n_past <= 12
+    assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
+    assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
+
+
+def test_cap_in_full_use_is_not_lifted() -> None:
+    world = loaded_world(0.9)
+    for n in range(60):
+        world.ask(f"r{n}")
+    for _ in range(110):
+        world.run(10 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt, report=LoadReport(util=0.3))
+    assert world.gateway.overload.n_past == 24.5  # the largest step from 20.5, to a half: of two gateways
+
+
+def test_held_leave_by_worth_then_arrival() -> None:
+    plans = (Plan(priority_factor=1.0), Plan(priority_factor=3.0))
+    world = loaded_world(0.9, plans)
+    for n in range(30):
+        world.ask(f"fill{n}")
+    world.ask("low1")
+    world.ask("high1", plan_index=1, customer="d")
+    world.ask("high2", plan_index=1, customer="d")
+    order = [action.id for action in of(SendAttempt, world.run(S))]
+    assert order[:2] == ["high1", "high2"]
+
+
+def test_attempts_out_at_once_are_bounded() -> None:
+    """Servers that answer nobody must not be given more and more, whatever the cap says."""
+    worlds = [
+        World(replace(SETTINGS, plans=(Plan(),), gateway_count=5, gateway_index=me), servers(10))
+        for me in range(5)
+    ]
+    for world in worlds:
+        for n in range(200):
+            world.ask(f"r{n}")
+        assert world.gateway.overload.n_past is None
+    assert sum(len(world.out) for world in worlds) == 80  # 8 for each of 10
+    worlds[0].answer("r0")
+    worlds[0].run(20 * MS)
+    assert len(worlds[0].out) == 16
+
+
+def test_overdue_attempts_raise_the_latency_signal() -> None:
+    """A jam answers nobody; waiting for answers would leave the cap lifted."""
+    world = World(replace(SETTINGS, plans=(Plan(),)))
+    for n in range(20):
+        world.ask(f"r{n}")
+    world.run(1100 * MS)
+    assert world.gateway.overload.n_past is not None
+
+
+def test_a_small_part_of_n_follows_the_servers_and_not_its_rounding() -> None:
+    """Forty gateways with N near two each: a fifth more a period is lost if each rounds its part down."""
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=40))
+    gateway = world.gateway
+    gateway.overload.n_past, gateway.overload.limit = 2.0, 2
+    gateway.overload.signals["latency"], gateway.overload.admitted = (
+        [0.2] * 9,
+        2,
+    )  # light, but all of N is used
+    gateway.end_period()
+    assert gateway.overload.n_past * S / gateway.overload.period_length_us == pytest.approx(2.4, abs=0.03)
+    allowed = 0
+    gateway.overload.n_past, gateway.overload.signals = 0.25, {"util": [], "latency": []}
+    for _ in range(40):
+        gateway.end_period()
+        gateway.overload.n_past = 0.25
+        allowed += gateway.overload.limit
+    assert 9 <= allowed <= 11
+
+
+def test_occupancy_is_that_of_all_gateways() -> None:
+    """A few slow answers here are chance where the others' are quick."""
+    world = World(replace(SETTINGS, gateway_count=40))
+    server = world.gateway.balancer.servers["s0"].checksum
+    seen = tuple(AttemptObservation(server, 0, True, 0.1) for _ in range(12))
+    for n in range(5):
+        world.tell(PeerMessage(n + 1, (GossipMessage(n, 0, 0, 5),), seen))
+    world.gateway.overload.signals["latency"] += [0.9, 0.9]
+    world.gateway.end_period()
+    assert world.gateway.overload.n_past is None
+    assert world.gateway.overload.occupancy == pytest.approx((60 * 0.1 + 2 * 0.9) / 62)
+
+
+def test_a_cold_server_counts_by_its_warmth_in_what_may_be_out() -> None:
+    """In a release most are cold: all that they cannot take would jam the few warm ones."""
+    world = World(replace(SETTINGS, plans=(Plan(),), gateway_count=4), servers(20))
+    world.tell(
+        EndpointList(
+            EndpointListKind.CHANGES,
+            2,
+            tuple(replace(server, started_us=world.now) for server in servers(20)[4:]),
+        )
+    )
+    for n in range(80):
+        world.ask(f"r{n}")
+    assert len(world.out) <= 8 * (4 + 16 * 0.2) / 4 + 1  # eight for each warm server by all four gateways
