--- a/tests/faults/test_trial.py
+++ b/tests/faults/test_trial.py
@@ -432,9 +432,9 @@
     """Times are given in ms; the plan has a customer with an open cap of 2."""
     lines = [[at * MS, *rest] for at, *rest in [*LIVE, (9999, "trial", "ends", "trial", {}), *events]]
     (tmp_path / "x.events").write_bytes(b"".join(msgspec.json.encode(line) + b"\n" for line in lines))
-    narrow = forms.Customers(plan="narrow", max_in_flight=2)
+    narrow = forms.Customers(plan="narrow", max_out=2)
     plan = forms.Plan(name="x", seconds=1.0, load=forms.Load(customers=[narrow]))
-    verdict = Judge(gather(tmp_path, tmp_path / "x.db"), plan).observe()
+    verdict = Judge(gather(tmp_path, tmp_path / "x.db"), plan).judge()
     assert {one.check for one in verdict.breaks} == ({broken} if broken else set())
     assert not verdict.slow
 
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -262,3 +262,14 @@
             assert await client.ask(query("a1")) == b"ok" and door.serving()
 
     run(job())
+
+
+def test_line_when_it_is_of_another_version_then_is_an_error() -> None:
+    lines: list[str] = []
+    connection = handover.HandoverConnection(
+        lambda _, name, values: lines.append(name), lambda connection: None
+    )
+    with pytest.raises(handover.HandoverError, match="version 2"):
+        connection.receive({"version": 2, "say": "released"})
+    connection.receive({"version": 1, "say": "released"})
+    assert lines == ["released"]
