--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -29,7 +29,7 @@
 async def test_gateway_when_started_under_a_policy_then_admits_nobody_before_its_agent_says_so(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    caplog.level(logging.INFO)
+    caplog.set_level(logging.INFO)
     async with front_door(Backend(), policy=under_policy(), traces_policy=True) as (door, at):
         client = await Client.open(at)
         assert door.health() == (503, "takes no new clients; policy 1 -")
