--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -28,7 +28,15 @@
             *("decision_context", "in_flight", "bounded_map"),
         )
     ),
-    ROOT / "orchidhatch/proxy/handover.py",
+    *(
+        ROOT / f"orchidhatch/proxy/{name}.py"
+        for name in (
+            *("request_lifecycle", "request_exchange", "event_dispatcher", "process_lifecycle"),
+            *("process_handover", "process_limits", "operator_drain"),
+            *("active_configuration", "management_handlers", "periodic_log"),
+            "handover",
+        )
+    ),
 )
 # Parts of names that were withdrawn. Names that a wire or a file fixes stand in strings, not read here.
 # Withdrawn words that are ordinary English too (part, word, store, home, known, left) are left to the reader.
