Keep servers by state as it changes, so that a request's cost does not grow with them

Change: gateway/server_index.py keeps who is busy, ejected, warming up, known to answer, in the order of the list; a choice looks at those few and draws from the rest by position. Where more than 128 are cold or ejected it looks at 128 by chance. A failure on this machine is a result of its own, booked on no server.

--- a/orchidhatch/gateway/attempts.py
+++ b/orchidhatch/gateway/attempts.py
@@ -7,7 +7,9 @@
 class AttemptResult(Enum):
     """How an attempt, a health check or a counter call ended.
 
-    NOT_SENT is an attempt that never left the gateway; REJECTED one that the server had no capacity for.
+    NOT_SENT is an attempt that never left the gateway, as nobody waits for it any more; LOCAL_FAILURE one
+    that could not be sent for a reason on this machine, which says nothing of the server and may be retried.
+    REJECTED is one that the server had no capacity for.
     """
 
     OK = "ok"
@@ -18,6 +20,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "moot"
+    LOCAL_FAILURE = "local_failure"
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -27,7 +27,12 @@
 from orchidhatch.gateway.times import NEVER
 
 HAS_LATENCY = (AttemptResult.OK, AttemptResult.TIMEOUT)  # results that show how busy servers are
-NEVER_RUN = (AttemptResult.REJECTED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
+NEVER_RUN = (
+    AttemptResult.REJECTED,
+    AttemptResult.CONNECT_FAILED,
+    AttemptResult.NOT_SENT,
+    AttemptResult.LOCAL_FAILURE,
+)
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 
 
@@ -180,7 +185,7 @@
     def on_peer_message(self, message: events.PeerMessage) -> None:
         self.outbox.tally["heard"] += 1
         for seen in message.observations:
-            server = self.balancer.by_checksum.get(seen.server_checksum)
+            server = self.balancer.index.with_checksum(seen.server_checksum)
             if server and seen.class_index < len(self.settings.classes):
                 latency = seen.relative_latency
                 self.overload.signals["latency"] += [latency] if seen.succeeded or latency else []
@@ -275,7 +280,8 @@
             self.retries.earn()
             customer.ceiling -= job.request.units
         job.servers.append(server)
-        job.attempts[number] = server.in_flight[(job.request.id, number)] = now
+        job.attempts[number] = now
+        self.balancer.attempt_began(server, (job.request.id, number), now)
         customer.in_flight, self.overload.in_flight = customer.in_flight + 1, self.overload.in_flight + 1
         if not number:
             self.quotas.use_slot(customer)
@@ -309,7 +315,7 @@
         self.context.send_to_handover_peer(snapshots.HandoverAttemptEnd(event.id, event.attempt))
         if not job.is_streaming:
             self.overload.in_flight -= 1
-            del server.in_flight[(event.id, event.attempt)]
+            self.balancer.attempt_ended(server, (event.id, event.attempt))
         if not job.is_streaming or event.result is not AttemptResult.OK:
             self.learn(job, server, event)
         if (
@@ -349,7 +355,7 @@
             server, job.is_streaming = job.servers[event.attempt], True
             self.close(job)
             self.overload.in_flight -= 1
-            del server.in_flight[(event.id, event.attempt)]
+            self.balancer.attempt_ended(server, (event.id, event.attempt))
             self.learn(
                 job,
                 server,
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -69,7 +69,7 @@
         customer.in_flight, self.overload.in_flight = customer.in_flight + 1, self.overload.in_flight + 1
         self.overload.admitted += event.units > 0
         if server:
-            server.in_flight[name] = event.sent_us
+            self.balancer.attempt_began(server, name, event.sent_us)
             server.credit -= 1
 
     def on_attempt_end(self, event: HandoverAttemptEnd) -> None:
@@ -77,7 +77,7 @@
         if customer:
             customer.in_flight, self.overload.in_flight = customer.in_flight - 1, self.overload.in_flight - 1
         if server:
-            server.in_flight.pop((event.id, event.attempt), None)
+            self.balancer.attempt_ended(server, (event.id, event.attempt))
 
     def on_unknown(self, _: HandoverPeerUnknown) -> None:
         """The other may use up every ceiling's part: nothing is sent here that would count against one."""
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -1,6 +1,7 @@
 """Where an attempt goes: what is known of each server, which may be chosen, and at what expected wait."""
 
 import math
+from collections.abc import Sequence
 
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.gateway.constants import LEAST_OUT, SMOOTH, START_PER_SERVER
@@ -8,6 +9,7 @@
 from orchidhatch.gateway.events import AttemptEnded
 from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.records import ServerRecord
+from orchidhatch.gateway.server_index import ServerIndex, Without
 from orchidhatch.gateway.settings import DeduplicationScope, Idempotency
 from orchidhatch.gateway.times import S
 
@@ -23,6 +25,8 @@
 # attempts are so few that, spread evenly, a server would get fewer than KEPT_USES while a connection is kept.
 NEW_CONNECTION, KEPT_USES = 1.5, 2
 SUBSET = CHOICES  # connections to as many as are looked at: others are opened only where these take nothing
+# Past this many servers in slow start or ejected, a choice looks at this many by chance, not at all of them.
+MOST_SCANNED = 128
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 # How long a server is held to be able to do what it did: a release takes less, and while it lasts, fewer are
@@ -35,6 +39,8 @@
     AttemptResult.RESET,
     AttemptResult.REJECTED,
 )
+# What was cancelled, or failed on this side, says nothing of the server.
+UNTELLING = (AttemptResult.CANCELLED, AttemptResult.NOT_SENT, AttemptResult.LOCAL_FAILURE)
 
 
 class Server(ServerRecord):
@@ -47,13 +53,15 @@
 
 
 class LoadBalancer:
-    """The servers that may be sent new work, how warm and well they are, and the choice among them."""
+    """The servers that may be sent new work, how warm and well they are, and the choice among them.
+
+    What is true of few servers is kept in `index`; nothing here looks at all of them for a request.
+    """
 
     def __init__(self, context: DecisionContext) -> None:
         self.context = context
         self.servers: dict[str, Server] = {}  # of the list, by name
-        self.up: list[Server] = []  # those that may be sent new work
-        self.by_checksum: dict[int, Server | None] = {}  # by checksum; None where two share one
+        self.index: ServerIndex[Server] = ServerIndex()
         self.mean_us = [rule.latency_objective_us / 4 for rule in context.settings.classes]
         self.mean_load = 0.0  # of the servers, as they say
         self.kept_us = context.settings.conn_idle_us / 2  # how long connections are kept here, idle
@@ -61,43 +69,125 @@
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
 
+    @property
+    def up(self) -> list[Server]:
+        """Those that may be sent new work, in the order of the list."""
+        return self.index.up
+
     def count_warm(self) -> None:
-        self.warm = sum(map(self.warmth, self.up))
+        """Count the servers up, one in slow start as the part that is warm."""
+        warming = self.index.in_order(self.index.warming_at(self.context.now_us))
+        self.warm = len(self.up) - len(warming) + sum(map(self.warmth, warming))
 
     def end_period(self, rate: float, lasted_us: int) -> None:
-        for server in self.servers.values():
+        for server in list(self.index.marked):
             server.decay()
+            self.index.update_marked(server)
         self.spread_thin = rate * self.kept_us / S < KEPT_USES * len(self.up)
         fade = math.exp(-lasted_us / USUAL_US)
         self.usual = max(rate / max(1, len(self.up)), self.usual * fade)
         self.count_warm()
 
+    # --- attempts in flight, and the index ---
+
+    def attempt_began(self, server: Server, name: tuple[str, int], sent_us: int) -> None:
+        """An attempt, by its request and number, is in flight at the server."""
+        server.in_flight[name] = sent_us
+        self.refresh(server)
+
+    def attempt_ended(self, server: Server, name: tuple[str, int]) -> None:
+        """The attempt is in flight no more; nothing where it was not."""
+        server.in_flight.pop(name, None)
+        self.refresh(server)
+
+    def refresh(self, server: Server) -> None:
+        """Read the server's states into the index, unless it is not listed any more."""
+        if self.servers.get(server.endpoint.name) is server:
+            self.index.update(server)
+
+    # --- the choice ---
+
     def choose(self, job: InFlightRequest) -> Server | None:
-        """The least expected wait among a few of those that the rules and their health allow."""
-        now, settings = self.context.now_us, self.context.settings
-        ran_unsafe = job.first_server and job.rule.idempotency is not Idempotency.SAFE
-        allowed = [server for server in self.up if self.in_group(job, server)] if ran_unsafe else self.up
-        usable = [
-            server
-            for server in allowed
-            if now >= server.ejected_until_us
-            and server not in job.servers
-            and not (server.needs_probe and (server.in_flight or job.rule.idempotency is Idempotency.UNSAFE))
-        ] or allowed
-        most = max(LEAST_OUT, 2 * START_PER_SERVER // settings.gateway_count)  # more would only wait there
-        free = [server for server in usable if len(server.in_flight) < most]
-        room = [server for server in free if now >= server.warm_at_us or self.has_credit(server)]
-        # How busy a server is shows little in what one of many gateways has out there: a cold one is neither
-        # to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
-        cold = [server for server in room if now < server.warm_at_us and not server.in_flight]
-        room = cold or self.known_of(room)
+        """The least expected wait among a few of those that the rules and their health allow.
+
+        How busy a server is shows little in what one of many gateways has out there: a cold one is neither
+        to idle beside empty warm ones nor to be flooded as the emptiest; it gets first what it has earned.
+        """
+        if job.first_server and job.rule.idempotency is not Idempotency.SAFE:
+            room = self.room_in_group(job)
+        elif len(self.index.warming) + len(self.index.suspect) > MOST_SCANNED:
+            room = self.room_by_chance(job)
+        else:
+            room = self.room(job)
         return min(self.context.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
 
-    def known_of(self, room: list[Server]) -> list[Server]:
-        """Where attempts are thin, those that connections are kept to, once there are enough of them."""
+    def room(self, job: InFlightRequest) -> Sequence[Server]:
+        """Those that may be sent an attempt of the request, by looking at the few that perhaps may not."""
+        index, now = self.index, self.context.now_us
+        special = [*index.suspects_at(now), *job.servers]
+        barred = {server for server in special if self.is_barred(job, server) and index.is_up(server)}
+        if len(barred) == len(index.up):
+            barred = set()  # all are: one of them is better than none
+        full = {server for server in index.busy if self.is_full(server)}
+        warming = index.in_order(index.warming_at(now))
+        open_ = [server for server in warming if server not in barred and server not in full]
+        credited = [server for server in open_ if self.has_credit(server)]
+        if cold := [server for server in credited if not server.in_flight]:
+            return cold
+        closed = barred | full | set(open_).difference(credited)
+        if len(known := self.known_but(closed)) >= SUBSET:
+            return known
+        return Without(index.up, [index.position(server) for server in closed if index.is_up(server)])
+
+    def room_by_chance(self, job: InFlightRequest) -> Sequence[Server]:
+        """The same where many servers are cold or ejected, as in a mass restart: of some by chance."""
+        index, up = self.index, self.index.up
+        looked_at = self.context.random.sample(up, min(MOST_SCANNED, len(up)))
+        usable = [server for server in looked_at if not self.is_barred(job, server)] or looked_at
+        room = [server for server in usable if self.is_open(server)]
+        if cold := [server for server in room if self.is_cold(server) and not server.in_flight]:
+            return cold
+        known = index.connected_since(self.context.now_us - self.kept_us) if self.spread_thin else []
+        known = [server for server in known if not self.is_barred(job, server) and self.is_open(server)]
+        return known if len(known) >= SUBSET else room
+
+    def room_in_group(self, job: InFlightRequest) -> Sequence[Server]:
+        """The same for a retry that may not go to every server; these are few enough to look at all."""
+        allowed = [server for server in self.up if self.in_group(job, server)]
+        usable = [server for server in allowed if not self.is_barred(job, server)] or allowed
+        room = [server for server in usable if self.is_open(server)]
+        if cold := [server for server in room if self.is_cold(server) and not server.in_flight]:
+            return cold
         known = [server for server in room if self.has_connection(server)] if self.spread_thin else []
         return known if len(known) >= SUBSET else room
 
+    def known_but(self, closed: set[Server]) -> list[Server]:
+        """Where attempts are thin, those that connections are kept to, but for the closed ones."""
+        if not self.spread_thin:
+            return []
+        known = self.index.connected_since(self.context.now_us - self.kept_us)
+        return [server for server in known if server not in closed]
+
+    def is_barred(self, job: InFlightRequest, server: Server) -> bool:
+        """Whether a server is left out of the choice for a request while there are others."""
+        if self.context.now_us < server.ejected_until_us or server in job.servers:
+            return True
+        is_unsafe = job.rule.idempotency is Idempotency.UNSAFE
+        return server.needs_probe and (bool(server.in_flight) or is_unsafe)
+
+    def is_full(self, server: Server) -> bool:
+        """Whether as much is in flight as may be: more would only wait there."""
+        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.context.settings.gateway_count)
+        return len(server.in_flight) >= most
+
+    def is_cold(self, server: Server) -> bool:
+        """Whether a server is in slow start."""
+        return self.context.now_us < server.warm_at_us
+
+    def is_open(self, server: Server) -> bool:
+        """Whether a server takes an attempt now, by what is in flight and by its slow start."""
+        return not self.is_full(server) and (not self.is_cold(server) or self.has_credit(server))
+
     def has_connection(self, server: Server) -> bool:
         return bool(server.in_flight) or self.context.now_us - server.last_answer_us < self.kept_us
 
@@ -161,6 +251,8 @@
             self.observe(server, index, result is AttemptResult.OK, took)
         if result is AttemptResult.OK:
             server.last_answer_us = now
+            if self.servers.get(server.endpoint.name) is server:
+                self.index.answered(server)
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
             server.relative_latency += SMOOTH * (ratio - server.relative_latency)
             self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
@@ -168,8 +260,9 @@
         long = result is AttemptResult.TIMEOUT and server.last_answer_us >= now - took
         if result is AttemptResult.REJECTED:
             server.ejected_until_us = max(server.ejected_until_us, now + AVOID_US)
-        elif not long and result not in (AttemptResult.CANCELLED, AttemptResult.NOT_SENT):
+        elif not long and result not in UNTELLING:
             self.record_result(server, result is AttemptResult.OK)
+        self.refresh(server)
 
     def observe(self, server: Server, index: int, served: bool, took_us: float) -> None:
         """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
@@ -179,6 +272,7 @@
         if served:
             step = PACE_STEP if took_us < mean_us else -2 * PACE_STEP
             server.pace = min(MOST_PACE, max(LEAST_PACE, server.pace + step))
+        self.refresh(server)
 
     def record_result(self, server: Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
--- a/orchidhatch/gateway/metrics.py
+++ b/orchidhatch/gateway/metrics.py
@@ -88,7 +88,7 @@
     decided = counts_text(counters.decided_since_log)
     limit = "lifted" if cap.n_past is None else f"{cap.n_past:.1f}/{cap.period_length_us // S}s"
     means = ",".join(f"{mean / 1000:.0f}" for mean in routing.mean_us)
-    ejected = sum(now_us < server.ejected_until_us or server.needs_probe for server in routing.up)
+    ejected = len(routing.index.in_order(routing.index.suspects_at(now_us)))
     return (
         f"cap {limit} occupancy {cap.occupancy:.2f} rate {cap.rate:.0f}/s mean {means} ms"
         f" out {cap.in_flight} held {len(core.queue)} ({queued_text(core)})"
@@ -120,7 +120,7 @@
 def metrics_snapshot(core: Measured) -> MetricsSnapshot:
     """The metrics now; servers count as ejected by an operator or by outlier detection."""
     now, words, routing = core.context.now_us, core.outbox, core.balancer
-    good = sum(now >= server.ejected_until_us and not server.needs_probe for server in routing.up)
+    good = len(routing.up) - len(routing.index.in_order(routing.index.suspects_at(now)))
     listed = sum(server.endpoint.state is not EndpointState.GONE for server in routing.servers.values())
     waits = [job.arrived_us for _, _, job in core.queue] + [job.arrived_us for job in core.awaiting_grant]
     return MetricsSnapshot(
--- a/orchidhatch/gateway/records.py
+++ b/orchidhatch/gateway/records.py
@@ -15,6 +15,8 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
+        # Its place in the order of the list; a server that was started anew has that of its predecessor.
+        self.serial = 0
         self.checksum = zlib.crc32(endpoint.name.encode()) & 0xFFFF
         # Attempts by request and number, and when each was sent.
         self.in_flight: dict[tuple[str, int], int] = {}
--- a/orchidhatch/gateway/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -9,6 +9,8 @@
 from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.gateway.times import NEVER, S
 
+# Attempts that no server has seen: their retries feed no overload.
+FREE_RETRIES = (AttemptResult.CONNECT_FAILED, AttemptResult.LOCAL_FAILURE)
 RETRY_SHARE, RETRY_STORE, LONG_MEANS = 0.1, 8.0, 8  # attempts earned by a first one, kept; see timeout_us
 
 
@@ -41,11 +43,11 @@
     def may_retry(self, job: InFlightRequest, why: AttemptResult) -> bool:
         """Whether a further attempt may follow one that ended so."""
         late = why is AttemptResult.NOT_SENT or self.context.now_us + self.mean_us(job) / 2 >= job.deadline_us
-        paid = why is AttemptResult.CONNECT_FAILED or self.budget >= 1
+        paid = why in FREE_RETRIES or self.budget >= 1
         return not late and paid and len(job.servers) < self.context.settings.max_attempts
 
     def spend(self, why: AttemptResult) -> None:
-        self.budget -= why is not AttemptResult.CONNECT_FAILED
+        self.budget -= why not in FREE_RETRIES
 
     # --- advice ---
 
