Reckon starts of backends between the last news and now, whatever the wall clock does

Cause: Catalog fixed the offset between wall clock and monotonic clock once, at the start. After a step of the clock a backend that restarts passed for warm or for cold by the step, and a successor process took every backend for one that had restarted. Change: proxy/start_times.py is the one place that reads the wall clock: a start that is told for the first time while a watch is open lies between when the list was last known to hold and now; one that was told keeps its time, also over leaving and coming back, and in a successor, which takes over its predecessor's. Also: a value nested too deeply on a watch is malformed like others, and a watch that cannot be opened for a failure of this machine is opened again within a second in any tier.

--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -15,8 +15,11 @@
 
 from orchidhatch.gateway.endpoints import Endpoint, EndpointListKind, EndpointState
 from orchidhatch.gateway.events import EndpointList
+from orchidhatch.proxy import socket_inspection
 from orchidhatch.proxy.config import Address, Config, ConfigError, read_backend
 from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.local_errors import is_local
+from orchidhatch.proxy.start_times import KnownStart, StartTimes
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +43,16 @@
 AFTER_SILENCE_S = 0.5  # the longest wait where each call for a list is work for a service that all share
 MOVED_S = 4.0  # after the signal what the new address tells counts as told
 MOST_LINE = 1 << 22  # bytes, also of a value that stands on several lines
+# What a value that makes no sense may raise; one that is nested deeply a RecursionError.
+MALFORMED = (
+    h11.ProtocolError,
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
 TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # JSON's texts: none goes on over the end of a line
 
 
@@ -56,14 +69,9 @@
 
     def __init__(self, config: Config) -> None:
         self.zones, self.kinds = config.zone_numbers, config.kind_numbers
-        # Fixed once: the module takes a backend whose start time differs for one that has restarted.
+        self.start_times = StartTimes()
         self.entries: dict[str, Mapping[str, Any]] = {}  # the list as discovery has told it by now
         self.version = 0
-        self.offset_us = (time.monotonic_ns() - time.time_ns()) // 1000
-
-    def started_us(self, unix_ms: float) -> int:
-        """0 stays 0, for long ago; nothing else becomes 0."""
-        return (round(unix_ms * 1000) + self.offset_us) or 1 if unix_ms else 0
 
     def server(self, entry: Mapping[str, Any]) -> Endpoint:
         return Endpoint(
@@ -74,14 +82,17 @@
             # In a state that we do not know it is not said to serve: nothing new goes there.
             state=STATES.get(entry.get("lifecycle"), EndpointState.DRAINING),
             relative_capacity=float(entry.get("weight") or 1.0),
-            started_us=self.started_us(float(entry.get("startedAtMs") or 0)),
+            started_us=self.start_times.started_us(
+                str(entry["instanceId"]), float(entry.get("startedAtMs") or 0)
+            ),
         )
 
     def news(self, value: Mapping[str, Any], kind: EndpointListKind | None = None) -> News:
         """A list or changes to it; an entry that makes no sense is passed over."""
         kind = kind or (EndpointListKind.FULL if value.get("reset") else EndpointListKind.CHANGES)
         servers, addresses = [], {}
-        kept = dict(self.entries) if kind is EndpointListKind.CHANGES else {}
+        version = int(value["generation"])
+        kept: dict[str, Mapping[str, Any]] = {}
         for entry in value["instances"]:
             try:
                 server = self.server(entry)
@@ -93,11 +104,29 @@
                 continue
             servers.append(server)
             kept[server.name] = entry
-        version = int(value["generation"])
-        self.entries = {name: entry for name, entry in kept.items() if entry.get("lifecycle") != "DELETED"}
+        self._keep(kept, kind)
         self.version = version
+        if kind is not EndpointListKind.SAVED:
+            self.start_times.confirm()
         return News(EndpointList(kind, version, tuple(servers)), addresses)
 
+    def _keep(self, told: Mapping[str, Mapping[str, Any]], kind: EndpointListKind) -> None:
+        if kind is not EndpointListKind.CHANGES:
+            self.entries = {}
+        for name, entry in told.items():
+            if entry.get("lifecycle") == "DELETED":
+                self.entries.pop(name, None)
+            else:
+                self.entries[name] = entry
+
+    def adopt_starts(self, known: Mapping[str, Any], started_us: Mapping[str, int]) -> None:
+        """Go on from the starts that a predecessor process reckoned for the entries of its list."""
+        self.start_times.adopt(
+            (name, KnownStart(float(entry.get("startedAtMs") or 0), started_us[name]))
+            for entry in known["instances"]
+            if (name := entry["instanceId"]) in started_us
+        )
+
     def known(self) -> dict[str, Any]:
         """The whole list in discovery's form."""
         return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
@@ -141,8 +170,9 @@
         value: Callable[[Any], None],
         spoke: Callable[["WatchConnection"], None],
         account: Account,
+        confirmed: Callable[[], None] = lambda: None,
     ) -> None:
-        self.account = account
+        self.account, self.confirmed = account, confirmed
         self.target, self.host, self.values, self.spoke = target, host, Values(value), spoke
         self.http = h11.Connection(h11.CLIENT)
         self.buffer = bytearray()
@@ -163,7 +193,7 @@
             self.http.receive_data(data)
             while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
                 self.take(event)
-        except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             log.error("the watch brings what makes no sense: %s", error)
             self.spoiled = True
             self.close()
@@ -184,7 +214,7 @@
         try:
             if self.buffer.strip():
                 self.values.feed(bytes(self.buffer))
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except MALFORMED as error:
             log.error("the watch ends with what makes no sense: %s", error)
             self.spoiled = True
 
@@ -201,6 +231,8 @@
             for line in lines:
                 if line.strip():
                     self.values.feed(bytes(line))
+                else:
+                    self.confirmed()
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without an end")
         if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
@@ -210,6 +242,11 @@
         if not self.ended.done():
             self.ended.set_result(None)
 
+    def has_unread(self) -> bool:
+        """Whether bytes have come that were not read yet."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and socket_inspection.unread(transport)
+
     def close(self) -> None:
         if self.transport:
             self.transport.abort()
@@ -257,6 +294,11 @@
         self.last_s = max([self.last_s, *spoken])
         return self.last_s
 
+    def has_unread(self) -> bool:
+        """Whether a watch has bytes that were not read yet, which may say that a server leaves."""
+        watches = (self.connection, self.before)
+        return any(watch is not None and watch.has_unread() for watch in watches)
+
     def told(self, value: Any) -> None:  # noqa: ANN401 - whatever discovery sends
         """A whole value. Where it fails, the version stays, and the next watch brings it again."""
         news = self.catalog.news(value)
@@ -292,7 +334,9 @@
                     wait_s = await self.watch()
                 except (OSError, TimeoutError) as error:
                     log.warning("no watch on discovery: %s", error or "it does not answer")
-                    if self.pushed and isinstance(error, ConnectionRefusedError):  # no agent is there yet
+                    # An agent on this machine that is not there yet, or a failure of this machine, overbooks
+                    # nobody, and what is told meanwhile counts as told.
+                    if is_local(error) or (self.pushed and isinstance(error, ConnectionRefusedError)):
                         wait_s = min(wait_s, MOST_BACKOFF_S * self.random.random())
                 except Exception:
                     log.exception("the watch on discovery failed")  # else the list would grow old unseen
@@ -317,7 +361,11 @@
         target, name = f"/catalog/members?watch=1&after={self.version}", f"{host}:{port}"
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: WatchConnection(target, name, self.told, self.taken, self.account), host, port
+                lambda: WatchConnection(
+                    target, name, self.told, self.taken, self.account, self.catalog.start_times.confirm
+                ),
+                host,
+                port,
             )
         self.connection = connection
         try:
--- a/orchidhatch/proxy/process_handover.py
+++ b/orchidhatch/proxy/process_handover.py
@@ -86,8 +86,9 @@
 
     def resume(self, state: GatewaySnapshot, known: Mapping[str, Any]) -> None:
         """Restore the predecessor's state; its endpoint list holds unless this one's is as new."""
-        if known["generation"] > self.catalog.version:
-            self.apply_endpoints(self.catalog.news(known, EndpointListKind.FULL))
+        self.catalog.adopt_starts(known, {server.name: server.started_us for server in state.servers})
+        newest = known if known["generation"] > self.catalog.version else self.catalog.known()
+        self.apply_endpoints(self.catalog.news(newest, EndpointListKind.FULL))
         self.dispatcher.run_batch()
         self.dispatcher.post(state)
         self.dispatcher.run_batch()
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -260,11 +260,12 @@
 
 def test_start_times_go_over_to_our_clock() -> None:
     read = Catalog(CONFIG)
-    assert read.started_us(0) == 0
+    started_us = read.start_times.started_us
+    assert started_us("s", 0) == 0
     now_ms = time.time_ns() // 1_000_000
-    assert abs(read.started_us(now_ms - 5000) - (time.monotonic_ns() // 1000 - 5_000_000)) < 100_000
-    assert read.started_us(now_ms) == read.started_us(now_ms)
-    assert read.started_us(1) < 0  # before this machine's clock began, but not 'long ago'
+    assert abs(started_us("a", now_ms - 5000) - (time.monotonic_ns() // 1000 - 5_000_000)) < 100_000
+    assert started_us("b", now_ms) == started_us("b", now_ms)
+    assert started_us("c", 1) < 0  # before this machine's clock began, but not 'long ago'
 
 
 def test_entry_with_a_start_beyond_all_numbers_is_passed_over() -> None:
--- a/tests/proxy/test_wall_clock.py
+++ b/tests/proxy/test_wall_clock.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from orchidhatch.gateway.endpoints import EndpointListKind
 from orchidhatch.proxy.endpoint_watch import Catalog, News
 from tests.sockets import CONFIG, HOST, catalog, entry
 
@@ -50,3 +51,69 @@
         news_of(read, 1, "s1", clock.now_ms() - 3 * HOUR_S * 1000, reset=True)
         clock.off_s = step_s
         assert abs(started_us(news_of(read, 2, "s1", clock.now_ms())) - now_us()) < NEAR_US, step_s
+
+
+def test_start_told_by_another_machines_stepped_clock_lies_between_the_last_news_and_now(
+    clock: SteppedClock,
+) -> None:
+    for step_s in STEPS_S:
+        read = Catalog(CONFIG)
+        before = now_us()
+        news_of(read, 1, "s1", 0, reset=True)
+        found = started_us(news_of(read, 2, "s1", clock.now_ms() + step_s * 1000))
+        assert before <= found <= now_us(), step_s
+
+
+def test_start_that_was_told_stays_as_it_was_over_a_step(clock: SteppedClock) -> None:
+    read = Catalog(CONFIG)
+    told_ms = clock.now_ms() - 5000
+    first = started_us(news_of(read, 1, "s1", told_ms, reset=True))
+    assert abs(first - (now_us() - 5_000_000)) < NEAR_US
+    for step_s in STEPS_S:
+        clock.off_s = step_s
+        assert started_us(news_of(read, 2, "s1", told_ms, reset=True)) == first
+        assert started_us(news_of(read, 3, "s1", told_ms)) == first
+
+
+def test_start_of_one_that_left_the_list_and_returns_stays_as_it_was(clock: SteppedClock) -> None:
+    read = Catalog(CONFIG)
+    told_ms = clock.now_ms() - 5000
+    first = started_us(news_of(read, 1, "s1", told_ms, reset=True))
+    news_of(read, 2, "s2", 0, reset=True)
+    assert started_us(news_of(read, 3, "s1", told_ms)) == first
+
+
+@pytest.mark.parametrize("step_s", [0, *STEPS_S])
+def test_at_the_start_no_server_is_taken_for_one_of_the_future(clock: SteppedClock, step_s: int) -> None:
+    read = Catalog(CONFIG)
+    told_ms = clock.now_ms() - 1000
+    clock.off_s = step_s
+    known = json.loads(catalog(1, [entry("s1", AT, started_ms=told_ms)]))
+    found = started_us(read.news(known, EndpointListKind.SAVED))
+    assert found <= now_us()
+    assert found == min(found, now_us() - 1_000_000 - step_s * 1_000_000 + NEAR_US)
+
+
+@pytest.mark.parametrize("step_s", STEPS_S)
+def test_successor_goes_on_from_its_predecessors_starts(clock: SteppedClock, step_s: int) -> None:
+    before, after = Catalog(CONFIG), Catalog(CONFIG)
+    told_ms = clock.now_ms() - 5000
+    first = started_us(news_of(before, 7, "s1", told_ms, reset=True))
+    clock.off_s = step_s
+    assert started_us(news_of(after, 7, "s1", told_ms, reset=True)) != first
+    after.adopt_starts(before.known(), {"s1": first})
+    assert started_us(after.news(after.known(), EndpointListKind.FULL)) == first
+
+
+def test_only_start_times_that_lists_tell_are_reckoned_by_the_wall_clock() -> None:
+    """In the gateway and its sockets nothing else reads it."""
+    from pathlib import Path
+
+    import orchidhatch
+
+    root = Path(orchidhatch.__file__).parent
+    sources = [*root.glob("gateway/*.py"), *root.glob("proxy/*.py")]
+    readers = [
+        path.name for path in sources if "time.time" in path.read_text() or "datetime" in path.read_text()
+    ]
+    assert readers == ["start_times.py"]
