--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -35,13 +35,14 @@
 
 
 def overlap_attempts() -> None:
-    from orchidhatch.proxy.backends import Attempt, Backends
+    from orchidhatch.proxy.attempt import Attempt
+    from orchidhatch.proxy.backends import Backends
 
     send = Backends.send
 
     def both(self: Backends, attempt: Attempt, timeout_us: int, start_within_us: int = 0) -> None:
         send(self, attempt, timeout_us, start_within_us)
-        copy = Attempt(attempt.request_id, attempt.number, attempt.server, attempt.payload, lambda *_: None)
+        copy = Attempt(attempt.request_id, attempt.number, attempt.server, attempt.encode, lambda *_: None)
         send(self, copy, timeout_us)
 
     Backends.send = both
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -7,19 +7,21 @@
 import asyncio
 import errno
 import logging
-import math
-import time
 from collections import Counter, deque
 from collections.abc import Callable, Coroutine
-from dataclasses import fields
 
-from orchidhatch.gateway.attempts import AttemptResult, LoadReport
+from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.gateway.endpoints import EndpointState
-from orchidhatch.gateway.settings_codec import read_report
 from orchidhatch.proxy import socket_inspection as looks
+from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.backend_replies import read_reply
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.config import Address
 from orchidhatch.proxy.cpu_accounting import Account, Place
-from orchidhatch.proxy.resp import ProtocolError, ReplyError, ReplyReader
+from orchidhatch.proxy.guards import Guard, Refusal
+from orchidhatch.proxy.idle_limit import FORGET_S, IdleLimit
+from orchidhatch.proxy.local_errors import error_name, retry_local
+from orchidhatch.proxy.resp import ProtocolError, ReplyReader
 from orchidhatch.proxy.wait_queues import Waits
 
 log = logging.getLogger(__name__)
@@ -33,183 +35,13 @@
 MOST_REPLY = 2 * MOST_VALUE  # with the figures and the load report, and room to spare
 MOST_LONG_VALUE = 4 << 20  # bytes: what is above MOST_VALUE is passed on as it comes
 MOST_READ = 32 * 1024  # bytes read at once: as much of each long value may wait for its client
-
-# A connection may be dropped on the way well before the idle time that the backends state, and without a
-# word: the next request on it is then reset. What this many resets show holds until they are forgotten.
-LEAST_RESETS, RESET_SHARE, FORGET_S = 3.0, 0.25, 10.0
-
-Done = Callable[["Attempt", AttemptResult, bytes | None, LoadReport | None], None]
-Began = Callable[["Attempt", int], Callable[[bytes], None] | None]
-
-
-def now_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
-class Attempt:
-    """One command for one backend; `done` is called once, with how it ended."""
-
-    __slots__ = (
-        "began",
-        "begin_by_us",
-        "connection",
-        "done",
-        "given_up",
-        "number",
-        "over",
-        "payload",
-        "pool",
-        "request_id",
-        "sent_us",
-        "server",
-        "timer",
-        "written",
-        "written_us",
-    )
-
-    def __init__(
-        self,
-        request_id: str,
-        number: int,
-        server: str,
-        payload: bytes,
-        done: Done,
-        began: Began = lambda attempt, size: None,
-    ) -> None:
-        self.request_id, self.number, self.server = request_id, number, server
-        self.payload, self.done = payload, done
-        self.began = began  # told the size of a long value; gives who takes its pieces, if it is wanted
-        self.sent_us, self.over, self.written, self.written_us = now_us(), False, False, 0
-        self.given_up = False  # ends as soon as its connection is closed
-        self.begin_by_us = 0  # when it may not be begun any more; 0 for never
-        self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.pool: Pool | None = None
-
-    def finish(
-        self, result: AttemptResult, value: bytes | None = None, report: LoadReport | None = None
-    ) -> None:
-        if self.over:
-            return
-        self.over = True
-        if self.timer:
-            self.timer.cancel()
-        if self.written:
-            self.pool.owner.answer_waits.note(now_us() - self.written_us)
-        self.done(self, result, value, report)
-
-    def begin(self, size: int) -> Callable[[bytes], None] | None:
-        """A long value begins to come: from now on it is not given up over time."""
-        if self.timer:
-            self.timer.cancel()
-        return self.began(self, size)
-
-    def pause(self) -> None:
-        """Read no more of its value for now, so that the backend waits too."""
-        if self.connection and self.connection.usable():
-            self.connection.transport.pause_reading()
-
-    def resume(self) -> None:
-        if self.connection and self.connection.usable():
-            self.connection.transport.resume_reading()
-
-    def cancel(self) -> None:
-        """Stop waiting for it."""
-        self.give_up(AttemptResult.CANCELLED)
-
-    def lapsed(self) -> bool:
-        """Whether the time in which it might be begun has passed: what it repeats is forgotten there."""
-        return bool(self.begin_by_us) and not self.written and now_us() >= self.begin_by_us
-
-    def lapse(self) -> None:
-        if self.lapsed():
-            self.give_up(AttemptResult.CONNECT_FAILED)
-
-    def withdraw(self) -> None:
-        """Nobody waits for it any more and it was not written whole, so it is nobody's yet."""
-        self.give_up(AttemptResult.NOT_SENT)
-
-    def time_out(self) -> None:
-        if self.written:
-            self.pool.doubt(self.sent_us)
-            self.pool.owner.timed_out += 1
-        self.give_up(AttemptResult.TIMEOUT if self.written else AttemptResult.CONNECT_FAILED)
-
-    def give_up(self, result: AttemptResult) -> None:
-        """End it. That is told when its connection is closed and no sooner: an attempt is out until then, and
-        what comes next may be the request's next one."""
-        if self.given_up:
-            return
-        self.given_up = True
-        connection, self.connection = self.connection, None
-        if connection and connection.attempt is self:
-            connection.attempt, connection.given_up = None, (self, result)
-            if self.timer:
-                self.timer.cancel()
-            connection.abort()  # an answer is still due on it: it must never be used again
-        else:
-            self.finish(result)
-
-
-def read_reply(reply: object) -> tuple[AttemptResult, bytes | None, LoadReport | None]:
-    """What a backend's answer means."""
-    if isinstance(reply, ReplyError):
-        text = reply
-        report = text.rpartition(" ")[2].encode()
-        busy = text == "BUSY" or text.startswith("BUSY ")
-        if not busy and not text.startswith("ERR"):
-            log.error("a backend answers %s", text)
-        return (AttemptResult.REJECTED if busy else AttemptResult.ERROR), None, read_load(report)
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        return AttemptResult.OK, reply[0], read_load(reply[2] if len(reply) > 2 else None)
-    log.error("a backend's answer is of no known form: %.60r", reply)
-    return AttemptResult.ERROR, None, None  # in doubt: it may have run
-
-
-def read_load(text: object) -> LoadReport | None:
-    """A load report `name=value,...`; one that is malformed says nothing."""
-    if not isinstance(text, bytes) or b"=" not in text:
-        return None
-    try:
-        report = read_report(part.split("=", 1) for part in text.decode().split(","))
-    except ValueError:
-        return None
-    figures = [getattr(report, field.name) for field in fields(report)]
-    return report if all(figure is None or 0 <= figure < math.inf for figure in figures) else None
-
-
-class IdleLimit:
-    """How long a connection may have stood idle to be used again, as answers and resets show.
-
-    Uses are counted by how long the connection was idle before, in classes that double; a class in which
-    many were reset ends what is trusted. Counts halve every so often, so the limit is tried again.
-    """
-
-    def __init__(self, told_us: int) -> None:
-        self.told_us = self.us = told_us
-        self.uses: dict[int, list[float]] = {}  # by class: all uses, and those that were reset
-
-    def note(self, idle_us: int, reset: bool) -> None:
-        uses = self.uses.setdefault(idle_us.bit_length(), [0.0, 0.0])
-        uses[0] += 1
-        uses[1] += reset
-        if reset:
-            self.judge()
-
-    def judge(self) -> None:
-        bad = [
-            number
-            for number, (used, lost) in self.uses.items()
-            if lost >= LEAST_RESETS and lost >= RESET_SHARE * used
-        ]
-        limit = min(self.told_us, 1 << max(0, min(bad) - 1)) if bad else self.told_us
-        if limit != self.us:
-            log.warning("connections idle for %d ms or more are not used again", limit // 1000)
-        self.us = limit
-
-    def age(self) -> None:
-        self.uses = {number: [used / 2, lost / 2] for number, (used, lost) in self.uses.items() if used > 0.1}
-        self.judge()
+# A command tells how long its client will wait, counted from its last byte: it must not be written later than
+# this after the time was reckoned.
+MOST_WRITE_S = 0.1
+# A process may be held up for this long between reading the clock and writing.
+HOLD_UP_US = 150_000
+# How many turns of the event loop an attempt waits for unread endpoint list events.
+MOST_DEFERRALS = 4
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -222,6 +54,7 @@
         self.transport: asyncio.Transport | None = None
         self.reader = ReplyReader(MOST_VALUE, MOST_LONG_VALUE)
         self.paused, self.received = False, 0
+        self.failed_locally = False  # whether the last dial failed for a reason on this machine
         self.pieces: Callable[[bytes], None] | None = None  # who takes the pieces of a long value
         self.value_left = 0
         self.uses, self.idle_us = 0, 0  # and how long it was idle before the last of them
@@ -232,12 +65,15 @@
         transport.set_write_buffer_limits(0)
 
     def send(self, attempt: Attempt) -> None:
+        """Write the attempt's command; only `Pool.dispatch` calls this."""
         assert self.transport is not None
         self.attempt, attempt.connection, self.received = attempt, self, 0
         self.uses += 1
         self.idle_us = now_us() - self.idle_since
-        self.transport.write(attempt.payload)
-        if not self.paused:
+        self.transport.write(attempt.payload())
+        if self.paused:
+            asyncio.get_running_loop().call_later(MOST_WRITE_S, attempt.write_stalled)
+        else:
             self.written(attempt)
 
     def written(self, attempt: Attempt) -> None:
@@ -359,13 +195,14 @@
         return self.up and self.name not in self.owner.banned
 
     def start(self, attempt: Attempt) -> None:
+        """Send the attempt on a connection that has rested, or dial one for it."""
         attempt.pool = self
         if connection := self.rested():
-            connection.send(attempt)
+            self.dispatch(connection, attempt)
             return
         if not self.owner.may_open():
             self.owner.no_room += 1
-            attempt.finish(AttemptResult.CONNECT_FAILED)
+            attempt.finish(AttemptResult.LOCAL_FAILURE)
             return
         self.waiting.append(attempt)
         self.connecting += 1
@@ -375,6 +212,19 @@
         self.owner.held += 1
         self.owner.spawn(self.connect(connection))
 
+    def dispatch(self, connection: Connection, attempt: Attempt) -> None:
+        """Send an attempt now, if that breaks no rule; the only place from which one is sent."""
+        if attempt.over:
+            self.keep(connection)
+        elif not self.wanted():
+            self.owner.guard.refuse(Refusal.SERVER_LEAVING, attempt.request_id, f"server={self.name}")
+            attempt.finish(AttemptResult.LOCAL_FAILURE)
+            connection.close()
+        elif attempt.is_sendable():
+            connection.send(attempt)
+        else:
+            self.keep(connection)
+
     def rested(self) -> Connection | None:
         """The connection used last of those that may be used: nothing can come on it that is another's."""
         now = now_us()
@@ -389,33 +239,58 @@
 
     async def connect(self, connection: Connection) -> None:
         """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
+        result = AttemptResult.CONNECT_FAILED
+
+        def failed_locally(error: OSError) -> None:
+            connection.failed_locally = True
+            self.owner.note_local_failure(error, self.name)
+
         try:
             async with asyncio.timeout(self.owner.connect_s):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
-        except (OSError, TimeoutError) as error:
-            self.owner.note_lack(error)
-            self.forget(connection)
-            self.connecting -= 1
-            self.connect_failed()
+                await retry_local(lambda: self.dial(connection), asyncio.sleep, failed_locally)
+        except (OSError, TimeoutError):
+            if connection.failed_locally:
+                result = AttemptResult.LOCAL_FAILURE
+        except Exception:
+            log.exception("cannot connect to %s", self.name)
+            result = AttemptResult.LOCAL_FAILURE
         else:
             self.connecting -= 1
             self.release(connection)
+            return
+        self.forget(connection)
+        self.connecting -= 1
+        self.connect_failed(result)
+
+    async def dial(self, connection: Connection) -> None:
+        """Connect once. Raises OSError."""
+        connection.failed_locally = False
+        await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
+
+    def fails_locally(self) -> bool:
+        """Whether dials fail now for a reason on this machine, which says nothing of the server."""
+        return any(connection.failed_locally for connection in self.connections)
 
     def empty(self) -> None:
         """Nothing new goes there: neither on what is idle nor when what still connects comes up."""
         self.close_idle()
         waiting, self.waiting = self.waiting, deque()
         for attempt in waiting:
-            attempt.finish(AttemptResult.CONNECT_FAILED)
+            attempt.finish(AttemptResult.LOCAL_FAILURE)
 
-    def connect_failed(self) -> None:
+    def connect_failed(self, result: AttemptResult = AttemptResult.CONNECT_FAILED) -> None:
+        """One connection fewer comes up than attempts wait for: one goes on a rested one, or ends so."""
         self.drop_over()
-        if len(self.waiting) > self.connecting:
-            attempt = self.waiting.popleft()
-            if connection := self.rested():
-                connection.send(attempt)
-            else:
-                attempt.finish(AttemptResult.CONNECT_FAILED)
+        if len(self.waiting) <= self.connecting:
+            return
+        if self.owner.must_read_news_first(self.waiting[0]):
+            asyncio.get_running_loop().call_soon(self.connect_failed, result)
+            return
+        attempt = self.waiting.popleft()
+        if connection := self.rested():
+            self.dispatch(connection, attempt)
+        else:
+            attempt.finish(result)
 
     def drop_over(self) -> None:
         while self.waiting and (self.waiting[0].over or self.waiting[0].lapsed()):
@@ -427,13 +302,21 @@
             self.connect_failed()  # a backend that is full takes a connection and ends it at once
             return
         self.drop_over()
-        if self.waiting and not connection.uses:
+        if not self.waiting or connection.uses:
+            self.keep(connection)
+        elif self.owner.must_read_news_first(self.waiting[0]):
+            asyncio.get_running_loop().call_soon(self.release, connection)
+        else:
             attempt = self.waiting.popleft()
             self.owner.connect_waits.note(now_us() - attempt.sent_us)
-            connection.send(attempt)
-        elif self.wanted():
+            self.dispatch(connection, attempt)
+
+    def keep(self, connection: Connection) -> None:
+        """Keep a connection with nothing on it for a while, if anything new may go there."""
+        if self.wanted():
             connection.idle_since = now_us()
             self.idle.append(connection)
+            self.owner.idle_pools[self] = None
             self.owner.sweep_later()
         else:
             connection.close()
@@ -444,6 +327,8 @@
             self.owner.held -= 1
         if connection in self.idle:
             self.idle.remove(connection)
+        if not self.idle:
+            self.owner.idle_pools.pop(self, None)
 
     def doubt(self, since_us: int) -> None:
         """Close what is idle where nothing was heard since: the machine may have vanished.
@@ -458,24 +343,35 @@
     def close_idle(self, before_us: int | None = None) -> None:
         while self.idle and (before_us is None or self.idle[0].idle_since < before_us):
             self.idle.pop(0).close()
+        if not self.idle:
+            self.owner.idle_pools.pop(self, None)
 
 
 class Backends:
     """The pools by the backends' names, and the bound on all their connections."""
 
     def __init__(
-        self, idle_us: int, connect_timeout_us: int, most: int, account: Account | None = None
+        self,
+        idle_us: int,
+        connect_timeout_us: int,
+        most: int,
+        account: Account | None = None,
+        guard: Guard | None = None,
     ) -> None:
         self.account = account or Account()
+        self.guard = guard or Guard()
         self.idle_limit = IdleLimit(round(idle_us * IDLE_SHARE))
         self.connect_s, self.most, self.aged_us = connect_timeout_us / 1e6, most, now_us()
         self.pools: dict[str, Pool] = {}
+        self.idle_pools: dict[Pool, None] = {}  # those with idle connections
+        self.news_is_unread: Callable[[], bool] = lambda: False  # whether endpoint list events are
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
         self.tally: Counter[str] = Counter()  # how connections fared, for the log
         self.read_buffer = memoryview(bytearray(MOST_READ))
         self.held = 0  # connections of all pools
         self.out_of_descriptors = 0  # connections that could not be opened for it, since the start
+        self.local_failures: Counter[str] = Counter()  # dials that failed here, by error, since the start
         self.sweeping = False  # a sweep is due
         self.connect_waits, self.answer_waits = Waits(), Waits()
         self.no_room = self.timed_out = 0  # attempts, since the start
@@ -515,16 +411,41 @@
             self.sweep_later()
 
     def send(self, attempt: Attempt, timeout_us: int, start_within_us: int = 0) -> None:
-        pool = self.pools.get(attempt.server)
-        if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
-            attempt.finish(AttemptResult.CONNECT_FAILED)
-            return
+        """Start an attempt that ends after `timeout_us` at the latest and, where that is not 0, is not begun
+        after `start_within_us`, less the time for which the process may be held up before it writes."""
         loop = asyncio.get_running_loop()
+        attempt.deadline_us = attempt.deadline_us or now_us() + timeout_us
         attempt.timer = loop.call_later(timeout_us / 1e6, attempt.time_out)
-        if 0 < start_within_us < timeout_us:
-            attempt.begin_by_us = now_us() + start_within_us
-            loop.call_later(start_within_us / 1e6 + 0.001, attempt.lapse)  # timers may be early by as much
-        pool.start(attempt)
+        if start_within_us > 0:
+            begin_within_us = max(1, start_within_us - HOLD_UP_US)
+            attempt.begin_by_us = now_us() + begin_within_us
+            loop.call_later(begin_within_us / 1e6 + 0.001, attempt.lapse)  # timers may be early by as much
+        self.begin(attempt)
+
+    def begin(self, attempt: Attempt) -> None:
+        """Hand an attempt to its backend's pool, unless news say by now that nothing new goes there."""
+        if attempt.over:
+            return
+        if self.must_read_news_first(attempt):
+            asyncio.get_running_loop().call_soon(self.begin, attempt)
+            return
+        pool = self.pools.get(attempt.server)
+        if pool is None or not pool.wanted():  # decided before the news that it leaves, which came meanwhile
+            attempt.finish(AttemptResult.LOCAL_FAILURE)
+        else:
+            pool.start(attempt)
+
+    def must_read_news_first(self, attempt: Attempt) -> bool:
+        """Whether an attempt has to wait a turn of the event loop.
+
+        A process that stood still may have an endpoint list event unread that says that the backend leaves,
+        and timers and other sockets go ahead of it. The number of such turns is bounded.
+        """
+        if attempt.deferrals >= MOST_DEFERRALS or not self.news_is_unread():
+            return False
+        attempt.deferrals += 1
+        self.tally["deferred for news"] += 1
+        return True
 
     def close_idle(self, name: str) -> None:
         if pool := self.pools.get(name):
@@ -547,15 +468,19 @@
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
         if self.held + self.others < self.most:
             return True
-        idle = [pool for pool in self.pools.values() if pool.idle]
-        if not idle:
+        if not self.idle_pools:
             return False
-        pool = min(idle, key=lambda pool: pool.idle[0].idle_since)
+        pool = min(self.idle_pools, key=lambda pool: pool.idle[0].idle_since)
         pool.idle[0].abort()
         return True
 
-    def note_lack(self, error: OSError) -> None:
-        """Tell plainly, once in each interval of the log, where no descriptor was left to connect with."""
+    def note_local_failure(self, error: OSError, server: str) -> None:
+        """Count a dial that failed here, and log each kind of error once in each interval of the log."""
+        name = error_name(error)
+        self.local_failures[name] += 1
+        if not self.tally[name]:
+            log.error("cannot connect here error=%s server=%s: %s", name, server, error)
+        self.tally[name] += 1
         if error.errno in (errno.EMFILE, errno.ENFILE):
             self.out_of_descriptors += 1
             if not self.tally["no descriptor"]:
@@ -569,7 +494,7 @@
             self.aged_us += round(FORGET_S * 1e6)
             self.idle_limit.age()
         before = now - self.idle_limit.us
-        for pool in self.pools.values():
+        for pool in list(self.idle_pools):
             pool.close_idle(before)
         self.old = [pool for pool in self.old if pool.connections]
         if self.held:
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -5,9 +5,10 @@
 import logging
 import math
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Protocol
 
 from orchidhatch.gateway.events import Request
@@ -15,6 +16,7 @@
 from orchidhatch.proxy import socket_inspection as looks
 from orchidhatch.proxy.config import MOST_US, Config
 from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.guards import Guard, Refusal
 from orchidhatch.proxy.resp import ProtocolError
 from orchidhatch.proxy.wait_queues import Waits
 
@@ -202,6 +204,18 @@
         return units
 
 
+class CloseReason(StrEnum):
+    """Why the gateway closes a client's connection."""
+
+    BETWEEN_REQUESTS = "between_requests"
+    """Idle, in a drain, over a malformed command, for a new client, or as no command came in time."""
+    CLIENT_LEFT = "client_left"
+    VALUE_BROKE = "value_broke"
+    """A long value that had begun to be sent cannot be finished."""
+    READS_NOTHING = "reads_nothing"
+    PROCESS_ENDS = "process_ends"
+
+
 class Source(Protocol):
     """Where the pieces of an answer come from."""
 
@@ -229,6 +243,19 @@
     def begin(self, data: bytes, source: Source) -> None:
         self.data, self.source = data, source
         self.moved_s = self.connection.clients.clock()
+        self.connection.update_reading()
+
+    def is_last(self) -> bool:
+        """Whether no answer to a further command is owed behind it."""
+        return bool(self.connection.replies) and self.connection.replies[-1] is self
+
+    def is_streaming(self) -> bool:
+        """Whether its pieces come, and the last of them has not."""
+        return self.source is not None and not self.whole
+
+    def end_if_client_left(self) -> bool:
+        """End the client's connection if it has left, read or not; whether it has."""
+        return self.connection.end_if_left()
 
     def more(self, data: bytes) -> None:
         """A further piece; while it cannot leave, the source is paused."""
@@ -357,8 +384,26 @@
     def cut(self, reply: Reply) -> None:
         """End the connection over an answer that cannot be finished."""
         self.closing = True
+        self.refuse_if_owed(CloseReason.VALUE_BROKE)
+        self.clients.closes[CloseReason.VALUE_BROKE] += 1
         self.abort()
 
+    def refuse_if_owed(self, reason: "CloseReason") -> bool:
+        """Count the close as a broken rule if answers are owed here; whether they are."""
+        owed = [reply for reply in self.replies if not reply.whole]
+        for reply in owed:
+            self.clients.guard.refuse(Refusal.ANSWER_OWED, reply.id or "", f"close={reason.value}")
+        return bool(owed)
+
+    def end_if_left(self) -> bool:
+        """End the connection if its client has left, also where its end was not read yet; whether it has."""
+        if self.transport is None or not (self.transport.is_closing() or looks.left(self.transport)):
+            return False
+        self.clients.closes[CloseReason.CLIENT_LEFT] += 1
+        self.leave()
+        self.abort()
+        return True
+
     def fail_all(self) -> None:
         for reply in [reply for reply in self.replies if not reply.whole]:
             self.clients.gone(reply)
@@ -369,6 +414,7 @@
         if self.transport is None or self.transport.is_closing() or self.linger_until_s is not None:
             return
         wanted = len(self.replies) < MOST_PIPELINED and not self.clogged and not self.last
+        wanted = wanted and not (self.replies and self.replies[-1].is_streaming())
         if wanted and not self.reading:
             self.clients.unread_waits.note(self.clients.since_us(self.paused_s))
             self.transport.resume_reading()
@@ -453,6 +499,9 @@
         """
         if self.transport.is_closing() or self.linger_until_s is not None:
             return
+        if self.refuse_if_owed(CloseReason.BETWEEN_REQUESTS):
+            return
+        self.clients.closes[CloseReason.BETWEEN_REQUESTS] += 1
         if not self.transport.get_write_buffer_size() and not looks.unread(self.transport):
             self.transport.close()
             return
@@ -498,8 +547,11 @@
         take: Callable[[list[bytes], Reply], None],
         gone: Callable[[Reply], None],
         account: Account | None = None,
+        guard: Guard | None = None,
     ) -> None:
         self.account = account or Account()
+        self.guard = guard or Guard()
+        self.closes: Counter[CloseReason] = Counter()  # by the gateway, since the start
         self.most, self.take, self.gone = most, take, gone
         self.others = 0  # held by another process that is this front door too
         self.clock: Callable[[], float] = time.monotonic
@@ -556,9 +608,8 @@
         """Let go of those that connect and ask nothing, or stop amid a command; again while any may."""
         self.sweeping = False
         now_s = self.clock()
-        for connection in [one for one in self.connections if not one.reading and looks.left(one.transport)]:
-            connection.leave()
-            connection.abort()
+        for connection in [one for one in self.connections if not one.reading]:
+            connection.end_if_left()
         for connection in [connection for connection in self.connections if connection.overdue(now_s)]:
             self.slow += 1
             if connection.reader.buffer:
@@ -599,6 +650,7 @@
                 now_s - connection.moved_s,
             )
             self.cut += 1
+            self.closes[CloseReason.READS_NOTHING] += 1
             connection.abort()
             self.unsent -= connection.unsent
             connection.unsent = 0
@@ -670,4 +722,5 @@
     def close(self) -> None:
         """End all connections, whatever is open on them."""
         for connection in list(self.connections):
+            self.closes[CloseReason.PROCESS_ENDS] += 1
             connection.abort()
--- a/orchidhatch/proxy/event_dispatcher.py
+++ b/orchidhatch/proxy/event_dispatcher.py
@@ -14,7 +14,7 @@
 from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.events import Event, TimerExpired
 from orchidhatch.gateway.snapshots import GatewaySnapshot
-from orchidhatch.proxy.backends import now_us
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.cpu_accounting import Account, Place
 
 log = logging.getLogger(__name__)
--- a/orchidhatch/proxy/main.py
+++ b/orchidhatch/proxy/main.py
@@ -6,22 +6,32 @@
 import os
 import signal
 import sys
+import time
 
 import uvloop
 
 from orchidhatch.proxy.config import Config, ConfigError, describe, load, reload
 from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.reload_signal import ReloadSignal
 from orchidhatch.proxy.server import GatewayServer
 
 log = logging.getLogger("orchidhatch.proxy")
 
 
-def hang_up(gateway: GatewayServer) -> None:
-    """Read the configuration again; one that is not usable changes nothing."""
-    try:
-        gateway.reload(reload(os.environ))
-    except ConfigError as error:
-        log.error("kept the old configuration: %s", error)
+START_ATTEMPTS = 5
+START_RETRY_S = 0.2
+
+
+def load_at_start() -> Config:
+    """The configuration; read again where the system fails for a moment. Raises ConfigError."""
+    for _ in range(START_ATTEMPTS - 1):
+        try:
+            return load(os.environ)
+        except ConfigError as error:
+            if not isinstance(error.__cause__, OSError) or isinstance(error.__cause__, FileNotFoundError):
+                raise
+        time.sleep(START_RETRY_S)
+    return load(os.environ)
 
 
 async def serve(config: Config, writer: LogWriter) -> None:
@@ -31,7 +41,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     gateway = GatewayServer(config, writer)
-    loop.add_signal_handler(signal.SIGHUP, hang_up, gateway)
+    reload_signal = ReloadSignal(lambda: reload(os.environ), gateway.reload)
+    loop.add_signal_handler(signal.SIGHUP, reload_signal.received)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile is answered now
     await gateway.start()
     # What lives as long as the process need not be looked through by every collection.
@@ -43,6 +54,7 @@
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     log.info("%s drains", config.name)
     await gateway.drain()
+    reload_signal.close()
     log.info("%s ends", config.name)
 
 
@@ -60,7 +72,7 @@
 
 def main() -> int:
     try:
-        config = load(os.environ)
+        config = load_at_start()
         if sys.argv[1:] == ["--check"]:
             print(f"orchidhatch: {describe(config)}")
             return 0
--- a/orchidhatch/proxy/metrics_page.py
+++ b/orchidhatch/proxy/metrics_page.py
@@ -14,6 +14,7 @@
     resident_bytes,
 )
 from orchidhatch.proxy.event_dispatcher import EventDispatcher
+from orchidhatch.proxy.guards import Guard
 from orchidhatch.proxy.management import Management
 from orchidhatch.proxy.metrics import Figures, page
 from orchidhatch.proxy.peers import Peers
@@ -37,7 +38,9 @@
         account: Account,
         queues: WorkQueues,
         max_descriptors: int,
+        guard: Guard,
     ) -> None:
+        self.guard = guard
         self.figures = figures
         self.dispatcher = dispatcher
         self.requests = requests
@@ -67,7 +70,22 @@
 
     def metrics(self) -> str:
         """The counts of /stats, what the process costs, and what waits in it."""
-        return self.stats() + self._cpu() + self._memory() + self._descriptors() + self._waits()
+        parts = (self._cpu(), self._memory(), self._descriptors(), self._waits(), self._ends())
+        return self.stats() + "".join(parts) + self.guard.metrics_text()
+
+    def _ends(self) -> str:
+        closes = {f'reason="{reason.value}"': count for reason, count in sorted(self.clients.closes.items())}
+        results = {f'result="{name}"': count for name, count in sorted(self.requests.results.items())}
+        retries = {f'after="{name}"': count for name, count in sorted(self.requests.retries.items())}
+        local = {f'error="{name}"': count for name, count in sorted(self.backends.local_failures.items())}
+        return "".join(
+            [
+                page("client_closes_total", "counter", "Client connections closed here, by reason.", closes),
+                page("attempts_total", "counter", "Attempts that ended, by result.", results),
+                page("retries_total", "counter", "Further attempts, by the result before them.", retries),
+                page("local_failures_total", "counter", "Dials that failed on this machine.", local),
+            ]
+        )
 
     def _cpu(self) -> str:
         account = self.account
--- a/orchidhatch/proxy/operator_drain.py
+++ b/orchidhatch/proxy/operator_drain.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from orchidhatch.gateway.events import Event, SuspendAdmission
-from orchidhatch.proxy.backends import now_us
 from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.policy_guard import Watchfulness
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
 
--- a/orchidhatch/proxy/process_lifecycle.py
+++ b/orchidhatch/proxy/process_lifecycle.py
@@ -6,8 +6,8 @@
 from enum import StrEnum
 
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
-from orchidhatch.proxy.backends import now_us
 from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.request_lifecycle import ANSWER_MARGIN_US, RequestLifecycle
 
 log = logging.getLogger(__name__)
--- a/orchidhatch/proxy/request_exchange.py
+++ b/orchidhatch/proxy/request_exchange.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from orchidhatch.proxy.backends import Attempt
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.proxy.attempt import Attempt
 from orchidhatch.proxy.clients import Command, Reply
 
 
@@ -11,14 +12,20 @@
 
     `plan` is the plan's name, as its number may be another plan's after a reload. `policy` is the digest of
     the policy that admitted the request, "" where that is not logged. `stream` is the attempt whose long
-    value is being sent to the client. Times are in microseconds of the process's clock.
+    value is being sent to the client; `buffer` keeps one that is not streamed, of up to `buffer_size` bytes.
+    `may_have_run_us` is when the first attempt was sent that may have run, 0 if none may have. Times are in
+    microseconds of the process's clock.
     """
 
     __slots__ = (
         "attempts",
+        "buffer",
+        "buffer_size",
         "came_us",
         "command",
         "end_us",
+        "last_result",
+        "may_have_run_us",
         "out",
         "plan",
         "policy",
@@ -35,6 +42,14 @@
         self.policy = policy
         self.came_us = end_us - command.request.time_left_us
         self.attempts = 0
+        self.may_have_run_us = 0
+        self.buffer: bytearray | None = None
+        self.buffer_size = 0
+        self.last_result: AttemptResult | None = None
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.stream: Attempt | None = None
+
+    def has_another_out(self, attempt: Attempt) -> bool:
+        """Whether an attempt beside this one may still reach its backend or be answered."""
+        return any(other is not attempt and not other.over for other in self.out.values())
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -15,10 +15,14 @@
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject, SendAttempt
 from orchidhatch.gateway.attempts import AttemptResult, LoadReport
 from orchidhatch.gateway.events import AttemptEnded, ClientGone, Event, StreamStarted
+from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
-from orchidhatch.proxy.backends import Attempt, Backends, now_us
+from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.clients import FAILED, STALL_S, Clients, CommandError, Reply
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.config import MOST_US
+from orchidhatch.proxy.guards import Guard, Refusal
 from orchidhatch.proxy.metrics import Ended, Figures
 from orchidhatch.proxy.policy_guard import Watchfulness
 from orchidhatch.proxy.request_exchange import RequestExchange
@@ -30,13 +34,31 @@
 ANSWER_MARGIN_US = 25_000
 # How much later than the decision core a request is ended here, should the core not end it.
 BACKSTOP_US = 15_000
+GUARD_SLACK_US = 5_000
+"""Between the check that ends an attempt in time and the guard's, the clock moves on."""
+NEVER_RUN = frozenset(
+    {
+        AttemptResult.REJECTED,
+        AttemptResult.CONNECT_FAILED,
+        AttemptResult.NOT_SENT,
+        AttemptResult.LOCAL_FAILURE,
+    }
+)
+"""Results after which the backend has surely not run the request."""
 
 
 class RequestLifecycle:
     """Owner of all in-flight requests, from the command to the end of the last attempt."""
 
-    def __init__(self, active: ActiveConfiguration, figures: Figures, post: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        active: ActiveConfiguration,
+        figures: Figures,
+        post: Callable[[Event], None],
+        guard: Guard | None = None,
+    ) -> None:
         self.active = active
+        self.guard = guard or Guard()
         self.figures = figures
         self.post = post
         self.loop = asyncio.get_running_loop()
@@ -45,9 +67,15 @@
         self.ended: dict[str, RequestExchange] = {}
         """Requests that were answered and have attempts still out."""
         self.held_bytes = 0
+        self.buffered_bytes = 0
+        """Of long values that are kept until they are whole."""
         self.held_waits = Waits()
         self.tally: Counter[str] = Counter()
         """Requests, and how attempts ended, since the last log line."""
+        self.results: Counter[str] = Counter()
+        """How attempts ended, since the start."""
+        self.retries: Counter[str] = Counter()
+        """Further attempts by the result of the one before, since the start."""
         self.sent: Counter[str] = Counter()
         """Attempts by backend, since the last log line."""
         self.spent: Counter[tuple[str, str, int]] = Counter()
@@ -141,18 +169,69 @@
         self.post(AttemptEnded(action.id, exchange is None, number, action.server, AttemptResult.NOT_SENT, 0))
 
     def _begin_attempt(self, action: SendAttempt, exchange: RequestExchange, number: int) -> None:
-        left_us = max(1, exchange.end_us - now_us())
+        now = now_us()
+        left_us = max(1, exchange.end_us - now)
         timeout_us = min(left_us, action.timeout_us) if action.timeout_us > 0 else left_us
         self.sent[action.server] += 1
         if not number:
             self.held_waits.note(now_us() - exchange.came_us)
             request = exchange.command.request
             self.spent[request.customer, exchange.plan, request.set_size] += request.units
-        payload = exchange.command.payload(timeout_us)
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, self.value_begins)
+        if exchange.last_result:
+            self.retries[exchange.last_result.value] += 1
+        attempt = Attempt(
+            action.id,
+            number,
+            action.server,
+            exchange.command.payload,
+            self.attempt_done,
+            self.value_begins,
+            self.may_send,
+        )
+        self._free_buffer(exchange)
+        attempt.deadline_us = now + timeout_us
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout_us, action.start_within_us)
 
+    def may_send(self, attempt: Attempt) -> bool:
+        """Whether an attempt may be written at this instant.
+
+        That its client has left is looked up at the socket: after a long turn of the event loop the end may
+        have come without being read. The rest the core and this class see to before, and the guard counts it.
+        """
+        exchange = self.open.get(attempt.request_id)
+        if exchange and exchange.reply.end_if_client_left():
+            self.tally["left before sending"] += 1
+            return False
+        refusal = self._refusal(attempt, exchange)
+        if refusal:
+            self.guard.refuse(
+                refusal, attempt.request_id, f"attempt={attempt.number} server={attempt.server}"
+            )
+        return refusal is None
+
+    def _refusal(self, attempt: Attempt, exchange: RequestExchange | None) -> Refusal | None:
+        """The invariant that the attempt would break, if any."""
+        if exchange is None or exchange.out.get(attempt.number) is not attempt:
+            return Refusal.REQUEST_ENDED
+        if exchange.has_another_out(attempt):
+            return Refusal.OVERLAPPING_ATTEMPT
+        if attempt.number >= self.active.settings.max_attempts:
+            return Refusal.TOO_MANY_ATTEMPTS
+        if now_us() >= exchange.end_us + GUARD_SLACK_US:
+            return Refusal.PAST_DEADLINE
+        return self._repeat_refusal(exchange)
+
+    def _repeat_refusal(self, exchange: RequestExchange) -> Refusal | None:
+        """Why what may have run must not be sent again, if so."""
+        rule = self.active.settings.classes[exchange.command.request.class_index]
+        if not exchange.may_have_run_us or rule.idempotency is Idempotency.SAFE:
+            return None
+        if rule.idempotency is Idempotency.UNSAFE:
+            return Refusal.REPEAT_FORBIDDEN
+        is_in_window = now_us() < exchange.may_have_run_us + rule.dedup_window_us
+        return None if is_in_window else Refusal.PAST_REPEAT_WINDOW
+
     def attempt_done(
         self, attempt: Attempt, result: AttemptResult, value: bytes | None, report: LoadReport | None
     ) -> None:
@@ -161,14 +240,19 @@
         if name in self.open and self.open[name].stream is attempt:
             self._end_stream(name, result is AttemptResult.OK)
         elif result is AttemptResult.OK and value is not None and name in self.open:
+            value = bytes(self.open[name].buffer or value)
             self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value), Ended.ANSWERED)
         is_over = name not in self.open
         exchange = self.ended.get(name) if is_over else self.open[name]
         if exchange:
             exchange.out.pop(attempt.number, None)
+            if result not in NEVER_RUN and not exchange.may_have_run_us:
+                exchange.may_have_run_us = attempt.sent_us
             if is_over and not exchange.out:
                 del self.ended[name]
+            exchange.last_result = result
         self.tally[result.value] += 1
+        self.results[result.value] += 1
         took_us = now_us() - attempt.sent_us
         self.post(AttemptEnded(name, is_over, attempt.number, attempt.server, result, took_us, report=report))
 
@@ -185,10 +269,15 @@
         """Start to stream a long value to the client; from now on only a break or a stall ends it.
 
         Returns what takes its pieces, or None if the request has ended or streams another attempt's value.
+        Where answers to further commands are owed behind it, it is kept until it is whole: a break would end
+        the connection, and they would be lost.
         """
         exchange = self.open.get(attempt.request_id)
         if exchange is None or exchange.stream:
             return None
+        if not exchange.reply.is_last():
+            return self._buffer_value(exchange, attempt, size)
+        attempt.keep_waiting()
         exchange.stream = attempt
         exchange.timer.cancel()
         exchange.timer = self.loop.call_later(STALL_S, self._check_stall, attempt.request_id)
@@ -197,6 +286,30 @@
         exchange.reply.begin(b"$%d\r\n" % size, attempt)
         return exchange.reply.more
 
+    def _buffer_value(
+        self, exchange: RequestExchange, attempt: Attempt, size: int
+    ) -> Callable[[bytes], None] | None:
+        """Keep a long value until it is whole, where there is room for it; what takes its pieces."""
+        if self.buffered_bytes + size > self.clients.pool:
+            log.warning("no room for the long value of request %s", attempt.request_id)
+            return None
+        exchange.buffer = buffer = bytearray()
+        exchange.buffer_size = size
+        self.buffered_bytes += size
+
+        def take(piece: bytes) -> None:
+            if attempt.request_id in self.open:
+                buffer.extend(piece)
+            else:
+                attempt.cancel()
+
+        return take
+
+    def _free_buffer(self, exchange: RequestExchange) -> None:
+        self.buffered_bytes -= exchange.buffer_size
+        exchange.buffer = None
+        exchange.buffer_size = 0
+
     def _check_stall(self, request_id: str) -> None:
         exchange = self.open.get(request_id)
         if exchange is None:
@@ -251,6 +364,7 @@
         if exchange is None:
             return None
         self.held_bytes -= exchange.command.request.size_bytes
+        self._free_buffer(exchange)
         if not exchange.attempts:
             self.held_waits.note(now_us() - exchange.came_us)
         if exchange.timer:
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -8,6 +8,8 @@
 import asyncio
 import logging
 import socket
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from orchidhatch.gateway.actions import (
     Action,
@@ -34,6 +36,8 @@
 from orchidhatch.proxy.cpu_accounting import Account, Place
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News
 from orchidhatch.proxy.event_dispatcher import ActionHandlers, EventDispatcher
+from orchidhatch.proxy.guards import Guard
+from orchidhatch.proxy.local_errors import error_name, retry_local
 from orchidhatch.proxy.log_writer import LogWriter
 from orchidhatch.proxy.management import Calls, Management
 from orchidhatch.proxy.management_handlers import ManagementHandlers
@@ -51,11 +55,15 @@
 
 log = logging.getLogger(__name__)
 
+Opened = TypeVar("Opened")
+
 # How long the start waits for an endpoint list; less where one is known, as in a release many gateways start
 # and discovery may be silent long.
 FIRST_LIST_S = 0.3
 NEWER_LIST_S = 0.05
 LISTEN_BACKLOG = 1024
+# How long the start tries to open its sockets.
+OPEN_WITHIN_S = 2.0
 # Of the sockets beyond the spare ones.
 CLIENT_SOCKET_SHARE = 0.6
 
@@ -72,7 +80,8 @@
         self.core = GatewayCore(limited_settings(config))
         self.dispatcher = EventDispatcher(self.core, self.account)
         self.figures = Figures(config.class_numbers)
-        self.requests = RequestLifecycle(self.active, self.figures, self.dispatcher.post)
+        self.guard = Guard()
+        self.requests = RequestLifecycle(self.active, self.figures, self.dispatcher.post, self.guard)
         self._create_connections(config)
         self._create_endpoint_watch(config)
         self._create_process(config)
@@ -85,9 +94,11 @@
         sockets = max(LEAST_SOCKETS, self.max_descriptors) - SPARE_SOCKETS
         max_clients = round(sockets * CLIENT_SOCKET_SHARE)
         self.backends = Backends(
-            config.conn_idle_us, config.connect_timeout_us, sockets - max_clients, self.account
+            config.conn_idle_us, config.connect_timeout_us, sockets - max_clients, self.account, self.guard
+        )
+        self.clients = Clients(
+            max_clients, self.requests.take, self.requests.client_gone, self.account, self.guard
         )
-        self.clients = Clients(max_clients, self.requests.take, self.requests.client_gone, self.account)
         self.clients.set_pool(config.memory_mb)
         self.peers = Peers(config.peers, config.settings.gateway_index, self.dispatcher.post, self.account)
         self.peers.mark = config.settings.policy_mark
@@ -105,6 +116,7 @@
             self.account,
             pushed=not config.settings.must_subscribe,
         )
+        self.backends.news_is_unread = self.discovery.has_unread
 
     def _create_process(self, config: Config) -> None:
         self.process = ProcessLifecycle(self.active, self.clients, self.requests)
@@ -164,6 +176,7 @@
             self.account,
             self.queues,
             self.max_descriptors,
+            self.guard,
         )
 
     def action_handlers(self) -> ActionHandlers:
@@ -216,10 +229,11 @@
         config = self.active.config
         self.policy_guard.begin(barred=True)
         if config.management:
-            await self.management.start(*config.management)
+            host, port = config.management
+            await open_at_start(lambda: self.management.start(host, port))
         self.periodic_log.schedule()
         if not self.handover.peer:
-            await self._open_peers()
+            await open_at_start(self._open_peers)
         self.backends.spawn(self.discovery.run(), Place.DISCOVERY)
         await self._wait_for_endpoints()
         if self.handover.peer:
@@ -227,8 +241,10 @@
         else:
             host, port = config.listen
             # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
-            self.server = await self.loop.create_server(
-                self.clients.connection, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+            self.server = await open_at_start(
+                lambda: self.loop.create_server(
+                    self.clients.connection, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
+                )
             )
         self.process.enter(ProcessState.SERVING)
 
@@ -281,6 +297,21 @@
         self.backends.close()
 
 
+async def open_at_start(open_socket: Callable[[], Awaitable[Opened]]) -> Opened:
+    """Open a socket that the start needs, again where the system fails for a moment. Raises OSError."""
+    last_errors: list[OSError] = []
+
+    def failed(error: OSError) -> None:
+        last_errors[:] = [error]
+        log.warning("cannot open a socket yet error=%s: %s", error_name(error), error)
+
+    try:
+        async with asyncio.timeout(OPEN_WITHIN_S):
+            return await retry_local(open_socket, asyncio.sleep, failed)
+    except TimeoutError:
+        raise (last_errors or [OSError("no socket in time")])[0] from None
+
+
 def log_core_line(action: LogLine) -> None:
     """Write a line of the decision core to the log."""
     log.info("%s", action.text)
--- a/orchidhatch/proxy/work_queues.py
+++ b/orchidhatch/proxy/work_queues.py
@@ -2,8 +2,9 @@
 
 from orchidhatch.gateway.actions import MetricsSnapshot
 from orchidhatch.gateway.peer_outbox import MESSAGES_LIMIT
-from orchidhatch.proxy.backends import Backends, now_us
+from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.clients import PATIENCE_S, SHED_POOLS, Clients
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.log_writer import LogWriter
 from orchidhatch.proxy.management import Management
 from orchidhatch.proxy.peers import Peers
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """What all tests share: reproducible property tests, coroutines as tests, and the list of known failures."""
 
 import inspect
+import logging
+from collections.abc import Iterator
 
 import pytest
 from hypothesis import settings
@@ -27,6 +29,20 @@
         terminalreporter.write_line(f"KNOWN RED {entry.test}: {entry.cause} (issue {entry.issue})")
 
 
+@pytest.fixture(autouse=True)
+def no_guard_refuses(request: pytest.FixtureRequest) -> Iterator[None]:
+    """No guard has to refuse anything, whatever a test does; tests of the guards are marked `refusals`."""
+    refusals: list[str] = []
+    handler = logging.Handler()
+    handler.emit = lambda record: refusals.append(record.getMessage())
+    logger = logging.getLogger("orchidhatch.proxy.guards")
+    logger.addHandler(handler)
+    yield
+    logger.removeHandler(handler)
+    if not request.node.get_closest_marker("refusals"):
+        assert refusals == []
+
+
 @pytest.hookimpl(tryfirst=True)
 def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
     """Run a test that is a coroutine on the event loop that the program uses, within a bounded time."""
--- a/tests/proxy/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -27,7 +27,7 @@
         self.ended: asyncio.Queue[tuple[AttemptResult, bytes | None, LoadReport | None]] = asyncio.Queue()
 
     def send(self, payload: bytes = resp("PING"), timeout_us: int = 5 * S) -> Attempt:
-        attempt = Attempt("a", 0, "s", payload, lambda _, *how: self.ended.put_nowait(how))
+        attempt = Attempt("a", 0, "s", lambda _: payload, lambda _, *how: self.ended.put_nowait(how))
         self.backends.send(attempt, timeout_us)
         return attempt
 
@@ -190,7 +190,7 @@
     first = sender.send()
     sender.send()
     sender.send()
-    assert await sender.result() is AttemptResult.CONNECT_FAILED
+    assert await sender.result() is AttemptResult.LOCAL_FAILURE
     assert sender.backends.held == 2
     first.cancel()
     assert await sender.result() is AttemptResult.CANCELLED
@@ -208,7 +208,7 @@
     assert await sender.result() is AttemptResult.OK
     await backend.left.wait()
     sender.send()
-    assert await sender.result() is AttemptResult.CONNECT_FAILED
+    assert await sender.result() is AttemptResult.LOCAL_FAILURE
 
 
 def test_load_report_is_read_by_name() -> None:
--- a/tests/proxy/test_deadlines.py
+++ b/tests/proxy/test_deadlines.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.proxy import backends
+from orchidhatch.proxy.attempt import Attempt
+from tests.proxy.test_backends import Sender, deaf
 from tests.proxy.test_local_failures import FailingAsyncio, FailingLoop
-from tests.sockets import Backend, Client, front_door, query
+from tests.sockets import Backend, Client, front_door, kernel_socket, query
 
 SLACK_MS = 150
 WAIT_MS = 1500
@@ -48,3 +51,36 @@
     for words, at_s in zip(backend.commands, came_s, strict=True):
         left_ms = WAIT_MS - (at_s - sent_s) * 1000
         assert told_ms(words) <= left_ms + SLACK_MS
+
+
+async def test_command_that_cannot_be_written_in_time_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What it tells of the time left would be read too late."""
+    monkeypatch.setattr(backends, "MOST_WRITE_S", 0.01)
+    async with deaf() as (address, _):
+        sender = Sender(address)
+        sender.send(b"x" * (64 << 20))  # more than the kernel takes in
+        assert await sender.result() is AttemptResult.CONNECT_FAILED
+        assert sender.backends.sends == 0
+
+
+async def test_attempt_whose_time_is_over_is_not_written() -> None:
+    backend = Backend()
+    sender = Sender(await backend.start())
+    attempt = Attempt("a", 0, "s", lambda left_us: b"?", lambda _, *how: sender.ended.put_nowait(how))
+    attempt.deadline_us = 1
+    sender.backends.send(attempt, 5_000_000)
+    assert await sender.result() is AttemptResult.CONNECT_FAILED
+    assert backend.commands == []
+    sender.backends.close()
+
+
+async def test_answer_that_has_come_by_the_time_out_is_read() -> None:
+    """After a long turn of the event loop timers go ahead of what has come meanwhile."""
+    backend = Backend(lambda words: None)
+    sender = Sender(await backend.start())
+    attempt = sender.send()
+    await backend.came.wait()
+    kernel_socket(backend.writers[0]).sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+    attempt.time_out()
+    assert await sender.result() is AttemptResult.OK
+    sender.backends.close()
--- /dev/null
+++ b/tests/proxy/test_guards.py
@@ -0,0 +1,265 @@
+"""The invariants at the instant of the effect: what crosses it, and that a breach is refused and counted."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
+
+import pytest
+
+from orchidhatch.gateway.actions import SendAttempt
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.gateway.endpoints import EndpointState
+from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.guards import Refusal
+from orchidhatch.proxy.request_exchange import RequestExchange
+from orchidhatch.proxy.server import GatewayServer
+from tests.proxy.test_long_values import HEAD as LONG_HEAD
+from tests.proxy.test_long_values import LONG
+from tests.sockets import (
+    CONFIG,
+    HEAD,
+    HOST,
+    Backend,
+    Client,
+    catalog,
+    chunk,
+    entry,
+    front_door,
+    kernel_socket,
+    query,
+    submit,
+    value,
+)
+
+SETTLE_TURNS = 20
+
+
+async def until(what: Callable[[], object]) -> None:
+    while not what():
+        await asyncio.sleep(0.001)
+
+
+async def turns() -> None:
+    for _ in range(SETTLE_TURNS):
+        await asyncio.sleep(0.001)
+
+
+@contextlib.asynccontextmanager
+async def told_by_hand(*backends: Backend) -> AsyncIterator[tuple[GatewayServer, socket.socket]]:
+    """A gateway whose endpoint list events are written by the test, in the turn that it chooses."""
+    with socket.socket() as listener:
+        listener.bind((HOST, 0))
+        listener.listen()
+        listener.setblocking(False)
+        gateway = GatewayServer(replace(CONFIG, discovery=listener.getsockname()))
+        await gateway.start()
+        watch, _ = await asyncio.get_running_loop().sock_accept(listener)
+        listed = [entry(f"s{n}", await backend.start()) for n, backend in enumerate(backends)]
+        watch.sendall(HEAD + chunk(catalog(1, listed)))
+        await until(lambda: len(gateway.backends.pools) == len(backends))
+        try:
+            yield gateway, watch
+        finally:
+            gateway.close()
+            watch.close()
+
+
+def attempt_of(gateway: GatewayServer, results: list[AttemptResult], server: str = "s0") -> Attempt:
+    return Attempt("x", 0, server, lambda _: query("x"), lambda _, result, *rest: results.append(result))
+
+
+@pytest.mark.parametrize("lifecycle", ["DRAINING", "DELETED"])
+@pytest.mark.parametrize("dialled", [False, True])
+async def test_news_that_lie_unread_go_before_an_attempt(lifecycle: str, dialled: bool) -> None:
+    """A process that stood still wakes up with a timer due and the news unread: the news come first."""
+    backend = Backend()
+    async with told_by_hand(backend) as (gateway, watch):
+        results: list[AttemptResult] = []
+        pool = gateway.backends.pools["s0"]
+        if dialled:  # it waits for its connection, which comes up in the turn in which the news do
+            release = pool.release
+
+            def news_first(connection: object) -> None:
+                pool.release = release
+                watch.sendall(chunk(catalog(2, [entry("s0", backend.address, lifecycle)], reset=False)))
+                release(connection)
+
+            pool.release = news_first
+        else:
+            watch.sendall(chunk(catalog(2, [entry("s0", backend.address, lifecycle)], reset=False)))
+        gateway.backends.send(attempt_of(gateway, results), 5_000_000)
+        await until(lambda: results)
+        assert results == [AttemptResult.LOCAL_FAILURE] and backend.commands == []
+        assert gateway.backends.tally["deferred for news"] >= 1
+
+
+async def test_watch_that_is_never_read_out_holds_an_attempt_back_for_a_few_turns_only() -> None:
+    backend = Backend()
+    async with told_by_hand(backend) as (gateway, _):
+        results: list[AttemptResult] = []
+        gateway.backends.news_is_unread = lambda: True
+        gateway.backends.send(attempt_of(gateway, results), 5_000_000)
+        await until(lambda: results)
+        assert results == [AttemptResult.OK]
+
+
+async def test_nothing_is_sent_for_a_client_whose_end_lies_unread() -> None:
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        gateway.core.dequeue = lambda: None  # the core holds what comes
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await until(lambda: "a1" in gateway.requests.open)
+        kernel_socket(client.writer).shutdown(socket.SHUT_RDWR)
+        gateway.requests.send(SendAttempt("a1", "s0"))  # in the same turn: its end was not read yet
+        await until(lambda: not gateway.requests.open and not gateway.requests.ended)
+        await turns()
+        assert backend.commands == []
+        assert not gateway.guard.refusals
+
+
+async def test_nothing_is_sent_when_its_connection_comes_up_after_its_client_left_unread() -> None:
+    """The client's end and the connection to the backend come in one turn."""
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        pool = gateway.backends.pools["s0"]
+        release = pool.release
+
+        def left_first(connection: object) -> None:
+            kernel_socket(client.writer).shutdown(socket.SHUT_RDWR)
+            release(connection)
+
+        pool.release = left_first
+        client.send(query("a1"))
+        await until(lambda: gateway.requests.tally["asked"])
+        await until(lambda: not gateway.requests.open and not gateway.requests.ended)
+        await turns()
+        assert backend.commands == [] and not gateway.guard.refusals
+
+
+@contextlib.asynccontextmanager
+async def held_request(command: bytes) -> AsyncIterator[tuple[GatewayServer, RequestExchange, Backend]]:
+    """A request that the core has been made to hold, so that the test acts for the core."""
+    backend = Backend(lambda words: None)
+    async with front_door(backend) as (gateway, address):
+        gateway.core.dequeue = lambda: None
+        client = await Client.open(address)
+        client.send(command)
+        await until(lambda: "a1" in gateway.requests.open)
+        yield gateway, gateway.requests.open["a1"], backend
+
+
+def metric(gateway: GatewayServer, refusal: Refusal) -> str:
+    lines = gateway.metrics_page.metrics().splitlines()
+    return next(line for line in lines if line.startswith(f'proxy_guard_refusals_total{{reason="{refusal}"'))
+
+
+@pytest.mark.refusals
+async def test_second_attempt_while_one_is_out_is_refused() -> None:
+    async with held_request(query("a1")) as (gateway, _, backend):
+        gateway.requests.send(SendAttempt("a1", "s0"))
+        await until(lambda: backend.commands)
+        gateway.requests.send(SendAttempt("a1", "s0"))
+        await until(lambda: gateway.guard.refusals)
+        assert gateway.guard.refusals == {Refusal.OVERLAPPING_ATTEMPT: 1}
+        assert metric(gateway, Refusal.OVERLAPPING_ATTEMPT).endswith(" 1")
+        await turns()
+        assert len(backend.commands) == 1
+
+
+@pytest.mark.refusals
+@pytest.mark.parametrize(
+    ("command", "may_have_run_us", "refusal"),
+    [
+        (submit("a1"), 1, Refusal.REPEAT_FORBIDDEN),
+        (submit("a1", kind="book"), 1, Refusal.PAST_REPEAT_WINDOW),
+    ],
+)
+async def test_repeat_that_is_not_allowed_is_refused(
+    command: bytes, may_have_run_us: int, refusal: Refusal
+) -> None:
+    async with held_request(command) as (gateway, exchange, backend):
+        exchange.may_have_run_us = may_have_run_us
+        gateway.requests.send(SendAttempt("a1", "s0"))
+        await until(lambda: gateway.guard.refusals)
+        assert gateway.guard.refusals == {refusal: 1}
+        await turns()
+        assert backend.commands == []
+
+
+@pytest.mark.refusals
+async def test_attempt_past_the_deadline_or_the_most_attempts_is_refused() -> None:
+    async with held_request(query("a1")) as (gateway, exchange, _):
+        deadline_us, exchange.end_us = exchange.end_us, 1
+        attempt = Attempt("a1", 0, "s0", lambda _: b"", lambda *_: None, may_send=gateway.requests.may_send)
+        exchange.out[0] = attempt
+        assert not gateway.requests.may_send(attempt)
+        exchange.end_us, exchange.out = deadline_us, {9: attempt}
+        attempt.number = 9
+        assert not gateway.requests.may_send(attempt)
+        exchange.out = {}
+        assert not gateway.requests.may_send(attempt)
+        assert gateway.guard.refusals == {
+            Refusal.PAST_DEADLINE: 1,
+            Refusal.TOO_MANY_ATTEMPTS: 1,
+            Refusal.REQUEST_ENDED: 1,
+        }
+
+
+@pytest.mark.refusals
+async def test_attempt_to_a_backend_that_leaves_is_refused() -> None:
+    backend = Backend()
+    async with front_door(backend) as (gateway, _):
+        results: list[AttemptResult] = []
+        pool = gateway.backends.pools["s0"]
+        gateway.backends.update({"s0": EndpointState.DRAINING}, {}, whole=False)
+        pool.start(attempt_of(gateway, results))
+        await until(lambda: results)
+        assert results == [AttemptResult.LOCAL_FAILURE] and backend.commands == []
+        assert gateway.guard.refusals == {Refusal.SERVER_LEAVING: 1}
+
+
+@pytest.mark.refusals
+async def test_close_on_which_an_answer_is_owed_is_refused() -> None:
+    async with held_request(query("a1")) as (gateway, exchange, _):
+        connection = exchange.reply.connection
+        connection.shut()
+        assert gateway.guard.refusals == {Refusal.ANSWER_OWED: 1}
+        assert not connection.transport.is_closing()
+
+
+async def test_requests_behind_a_long_value_that_breaks_get_their_answers() -> None:
+    answers = {b"a1": None, b"a2": value(b"second")}
+    backend = Backend(lambda words: answers[words[2]])
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1") + query("a2"))
+        await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
+        first = next(n for n, words in enumerate(backend.commands) if words[2] == b"a1")
+        answers[b"a1"] = b"-ERR failed\r\n"
+        backend.writers[first].write(LONG_HEAD + LONG[:1000])
+        await until(lambda: gateway.requests.buffered_bytes)
+        backend.writers[first].transport.abort()
+        first_answer, second_answer = await client.answer(), await client.answer()
+        assert str(first_answer).startswith("-") and second_answer == b"second"
+        assert gateway.requests.buffered_bytes == 0
+        assert not gateway.guard.refusals
+
+
+async def test_no_further_command_is_read_while_a_long_value_is_passed_on() -> None:
+    """Its break ends the connection; what was not read the client sends on a new one."""
+    backend = Backend(lambda words: LONG_HEAD + LONG[:1000])
+    async with front_door(backend) as (gateway, address):
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await until(lambda: any(one.stream for one in gateway.requests.open.values()))
+        client.send(query("a2"))
+        await turns()
+        assert list(gateway.requests.open) == ["a1"]
+        backend.writers[0].transport.abort()
+        assert await client.ended() or True
+        await until(lambda: not gateway.requests.open)
+        assert not gateway.guard.refusals
--- a/tests/proxy/test_local_failures.py
+++ b/tests/proxy/test_local_failures.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import errno
+import logging
 from typing import Any
 
 import pytest
 
-from orchidhatch.proxy import backends
-from tests.sockets import Backend, Client, front_door, query
+from orchidhatch.gateway.attempts import AttemptResult
+from orchidhatch.proxy import backends, endpoint_watch, server
+from orchidhatch.proxy.backends import Backends
+from orchidhatch.proxy.config import ConfigError
+from tests.proxy.test_backends import Sender
+from tests.sockets import CONFIG, Backend, Client, front_door, query, refusing_address
 
 LOCAL = [
     errno.EADDRNOTAVAIL,
@@ -66,3 +71,144 @@
         for known in gateway.core.balancer.servers.values():
             assert known.failure_score == 0 and not known.needs_probe
     assert any("EADDRNOTAVAIL" in record.getMessage() for record in caplog.records)
+
+
+@pytest.mark.parametrize("error", LOCAL, ids=errno.errorcode.get)
+async def test_dial_that_fails_here_is_tried_again(monkeypatch: pytest.MonkeyPatch, error: int) -> None:
+    sender = Sender(await Backend().start())
+    loop = fail_connects(monkeypatch, backends, 3, error)
+    sender.send()
+    assert await sender.result() is AttemptResult.OK
+    assert loop.left == 0 and sender.backends.local_failures[errno.errorcode[error]] == 3
+    sender.backends.close()
+
+
+async def test_dial_that_goes_on_failing_here_says_nothing_of_the_backend(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sender = Sender(await Backend().start())
+    fail_connects(monkeypatch, backends, 10_000, errno.ENOBUFS)
+    sender.send()
+    assert await sender.result() is AttemptResult.LOCAL_FAILURE
+    assert sender.backends.held == 0
+    sender.backends.close()
+
+
+async def test_refused_connection_is_the_backends_fault() -> None:
+    sender = Sender(refusing_address())
+    sender.send()
+    assert await sender.result() is AttemptResult.CONNECT_FAILED
+
+
+async def test_unexpected_error_of_a_dial_ends_the_attempt_and_leaks_no_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    sender = Sender(await Backend().start())
+
+    async def dial(*_: object) -> None:
+        raise RuntimeError("no such thing")
+
+    monkeypatch.setattr(backends.Pool, "dial", dial)
+    sender.send()
+    assert await sender.result() is AttemptResult.LOCAL_FAILURE
+    assert sender.backends.held == 0 and sender.backends.pools["s"].connecting == 0
+
+
+async def test_watch_that_cannot_be_opened_here_is_opened_soon_in_a_large_tier(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The waits that spare an overbooked discovery are for what discovery did."""
+    found = endpoint_watch.Discovery(
+        refusing_address(), endpoint_watch.Catalog(CONFIG), 0, lambda news: None, 3, 200, pushed=False
+    )
+    fail_connects(monkeypatch, endpoint_watch, 10_000, errno.ENOBUFS)
+    waits: list[float] = []
+    enough = asyncio.Event()
+
+    async def pause(wait_s: float) -> None:
+        waits.append(wait_s)
+        if len(waits) == 20:
+            enough.set()
+            await asyncio.Event().wait()
+
+    monkeypatch.setattr(found, "pause", pause)
+    task = asyncio.create_task(found.run())
+    await enough.wait()
+    task.cancel()
+    assert max(waits) <= endpoint_watch.MOST_BACKOFF_S
+
+
+async def test_start_opens_its_sockets_again_where_that_fails_for_a_moment(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    tries = 0
+
+    async def open_socket() -> str:
+        nonlocal tries
+        tries += 1
+        if tries < 4:
+            raise OSError(errno.ENOBUFS, "injected")
+        return "open"
+
+    with caplog.at_level(logging.WARNING):
+        assert await server.open_at_start(open_socket) == "open"
+    assert sum("ENOBUFS" in record.getMessage() for record in caplog.records) == 3
+
+
+async def test_start_that_cannot_open_its_sockets_says_why(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(server, "OPEN_WITHIN_S", 0.02)
+
+    async def open_socket() -> None:
+        raise OSError(errno.ENOBUFS, "injected")
+
+    with pytest.raises(OSError, match="injected"):
+        await server.open_at_start(open_socket)
+
+
+async def test_configuration_that_cannot_be_read_at_the_signal_is_read_soon_after(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    from orchidhatch.proxy import reload_signal
+
+    monkeypatch.setattr(reload_signal, "RETRY_S", 0.001)
+    left, applied = 3, asyncio.Event()
+
+    def read() -> object:
+        nonlocal left
+        if left:
+            left -= 1
+            raise ConfigError("cannot read the configuration: too many open files")
+        return CONFIG
+
+    signal = reload_signal.ReloadSignal(read, lambda config: applied.set())
+    signal.received()
+    assert not applied.is_set()
+    await applied.wait()
+
+
+async def test_configuration_that_stays_unusable_is_left_in_the_end(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    from orchidhatch.proxy import reload_signal
+
+    monkeypatch.setattr(reload_signal, "RETRY_S", 0.001)
+    reads = 0
+
+    def read() -> object:
+        nonlocal reads
+        reads += 1
+        raise ConfigError("makes no sense")
+
+    reload_signal.ReloadSignal(read, lambda config: None).received()
+    while f"after {reload_signal.MAX_ATTEMPTS} attempts" not in caplog.text:
+        await asyncio.sleep(0.001)
+    assert reads == reload_signal.MAX_ATTEMPTS
+
+
+def test_lack_of_sockets_here_says_nothing_of_a_backend() -> None:
+    """What waits for nothing but this gateway's own bound is not booked on the server."""
+    from orchidhatch.gateway.load_balancing import UNTELLING
+    from orchidhatch.gateway.retries import FREE_RETRIES
+
+    assert AttemptResult.LOCAL_FAILURE in UNTELLING and AttemptResult.LOCAL_FAILURE in FREE_RETRIES
+    assert isinstance(Backends(1, 1, 1).local_failures, dict)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -222,6 +222,11 @@
         gateway.close()
 
 
+def kernel_socket(writer: asyncio.StreamWriter) -> socket.socket:
+    """The connection past the event loop: what is done with it happens in the same turn."""
+    return socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
+
+
 def refusing_address() -> Address:
     """An address at which nobody listens."""
     with socket.socket() as free:
