Pass news on while an agent's disk fails; no loop of the control plane ends unseen

Change: list_persistence: an agent shows what it received and writes its cache anew once the disk takes it, with generations that no later process gives again; an agent starts without a file where its disk fails. supervision: loops go on over errors and tasks that end are logged. The write pipeline fails a batch over an unexpected error and goes on. The rest at its place.

--- a/orchidhatch/control/agent/policy_lease_holder.py
+++ b/orchidhatch/control/agent/policy_lease_holder.py
@@ -113,6 +113,8 @@
                 await self.renew()
             except sqlite3.Error as error:  # a disk that is full: the decision holds in memory
                 log.error("decision not saved: number=%d error=%s", self.lease.decision.number, error)
+            except Exception:  # as over an answer of another version: the next may be sound
+                log.exception("policy lease not renewed")
             await asyncio.sleep(LEASE_S / RENEWALS_PER_LEASE)
 
     async def _prepare_forever(self) -> None:
@@ -125,15 +127,20 @@
                 if str(error) != last_error:
                     log.error("documents not prepared: error=%s", error)
                 last_error = str(error)
+            except Exception:
+                log.exception("documents not prepared")
             await asyncio.sleep(STEER_INTERVAL_S)
 
     async def _steer_forever(self) -> None:
         steers = 0
         while True:
-            await self.steering.steer()
             steers += 1
-            if steers % STEERS_PER_COUNTS_POLL == 0:
-                await self.gateway.poll_request_counts()
+            try:
+                await self.steering.steer()
+                if steers % STEERS_PER_COUNTS_POLL == 0:
+                    await self.gateway.poll_request_counts()
+            except Exception:
+                log.exception("gateway not steered")
             await asyncio.sleep(self._next_steer_in_s())
 
     def _next_steer_in_s(self) -> float:
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -4,7 +4,6 @@
 that is. It also forwards controllers' management calls to the gateway, and holds the gateway's policy lease.
 """
 
-import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
@@ -16,11 +15,12 @@
 from orchidhatch.control.agent.gateway_calls import FencedCall, GatewayCalls
 from orchidhatch.control.agent.gateway_setup import GatewaySetup
 from orchidhatch.control.agent.policy_lease_holder import PolicyLeaseHolder
-from orchidhatch.control.errors import CorruptStoreError
+from orchidhatch.control.errors import CorruptStoreError, StoreError
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.http_connection import Connection
 from orchidhatch.control.http_response import Response
 from orchidhatch.control.http_server import EndpointListServer
+from orchidhatch.control.registry.list_persistence import CachedList
 from orchidhatch.control.registry.replication import Replicator, current_time_ms
 from orchidhatch.control.registry.store import Store
 from orchidhatch.control.registry.store_file import put_aside
@@ -28,6 +28,9 @@
 
 log = logging.getLogger("orchidhatch.agent")
 
+IN_MEMORY = Path(":memory:")  # SQLite's name for a database without a file
+LOCKED_SIGN = "locked"  # in SQLite's message where another process has the file
+
 
 class AgentHealth(msgspec.Struct, rename="camel"):
     """The body of /healthcheck; field names are on the wire."""
@@ -55,7 +58,10 @@
         setup: GatewaySetup | None = None,
     ) -> None:
         super().__init__(store, seed)
-        self.replicator = Replicator(self, registries, wall_clock_ms=wall_clock_ms)
+        self.cached_list = CachedList(self, wall_clock_ms)
+        self.replicator = Replicator(
+            self, registries, wall_clock_ms=wall_clock_ms, persistence=self.cached_list
+        )
         self.database = CacheDatabase(store.db, self.run_in_turn)
         self.gateway_calls: GatewayCalls | None = None
         self.lease_holder: PolicyLeaseHolder | None = None
@@ -74,7 +80,7 @@
         loops = [self.replicator.run()]
         if self.lease_holder:
             loops += self.lease_holder.loops()
-        self.tasks += [asyncio.create_task(loop) for loop in loops]
+        self.start_loops(loops)
 
     def suspend_watches(self) -> None:
         """End all watches and accept none, so that the gateway hears nothing from its agent."""
@@ -116,6 +122,8 @@
             "switches_total": replicator.upstream_switches,
             "behind_total": replicator.stale_lists,
             "malformed_total": replicator.malformed_endpoints,
+            "cache_behind": int(self.cached_list.is_behind),
+            "cache_failures_total": self.cached_list.failures,
         }
         if self.gateway_calls:
             values |= self.gateway_calls.metrics()
@@ -132,8 +140,20 @@
 def open_cache(path: Path) -> Store:
     """Open the store of the list that was received last; a damaged one is set aside and begun anew.
 
-    The registries have all that is in it. Raises StoreError where the file cannot be used.
+    The registries have all that is in it. So where the disk fails, the list is kept in memory until the next
+    start. Raises StoreError where another process has the file or the folder is not there.
     """
+    try:
+        return open_sound_cache(path)
+    except (StoreError, OSError) as error:
+        if LOCKED_SIGN in str(error) or not path.parent.is_dir():
+            raise
+        log.error("cache not usable, the list is kept in memory: error=%s", error)
+        return Store(IN_MEMORY, create=True, first=current_time_ms())
+
+
+def open_sound_cache(path: Path) -> Store:
+    """Open the file, or a new one in place of a damaged one. Raises StoreError or OSError."""
     try:
         return Store(path, create=True, first=current_time_ms())
     except CorruptStoreError as error:
--- a/orchidhatch/control/controller/service.py
+++ b/orchidhatch/control/controller/service.py
@@ -17,6 +17,7 @@
 from orchidhatch.control.controller.task_runner import TaskRunner
 from orchidhatch.control.http_client import Address
 from orchidhatch.control.registry_client import RegistryClient
+from orchidhatch.control.supervision import repeat
 
 STEP_INTERVAL_S = 0.25
 
@@ -40,7 +41,7 @@
         self.runner = TaskRunner(self.session, self.owned, self.balancer, registry, GatewayClient(agents))
 
     async def run(self) -> None:
-        """Hold a session and work until this is cancelled; an unexpected error of either ends both."""
+        """Hold a session and work until this is cancelled; an unexpected error of the session ends both."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.session.keep())
             group.create_task(self._work())
@@ -59,8 +60,9 @@
         self.runner.forget_samples()
 
     async def _work(self) -> None:
-        while True:
-            await asyncio.sleep(STEP_INTERVAL_S)
-            if self.session.may_act:
-                await self.balancer.rebalance()
-                await self.runner.run_once()
+        await repeat("controller", STEP_INTERVAL_S, self._step)
+
+    async def _step(self) -> None:
+        if self.session.may_act:
+            await self.balancer.rebalance()
+            await self.runner.run_once()
--- a/orchidhatch/control/controller/session.py
+++ b/orchidhatch/control/controller/session.py
@@ -92,8 +92,17 @@
         if reply.status in (HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT):
             raise SessionLostError(f"not renewed: {reply.error_text}")
         if reply.ok:
+            claims = self._read_claims(reply.body)
             self._extend(sent_s)
-            self._listener.session_renewed(msgspec.convert(reply.body, SessionRenewal).claims)
+            self._listener.session_renewed(claims)
+
+    @staticmethod
+    def _read_claims(body: object) -> Mapping[str, int]:
+        """The claims of an answer; SessionLostError where it makes no sense, as nothing is known of them."""
+        try:
+            return msgspec.convert(body, SessionRenewal).claims
+        except msgspec.ValidationError as error:
+            raise SessionLostError(f"malformed renewal: {error}") from error
 
     def forget(self) -> None:
         """Hold nothing, as a process that has just started."""
--- a/orchidhatch/control/controller/stored_json.py
+++ b/orchidhatch/control/controller/stored_json.py
@@ -9,12 +9,15 @@
 
 
 def decode_stored(text: str, value_type: type[ValueT]) -> ValueT:
-    """The value in a record's text; raises ValueError where it is of another type.
+    """The value in a record's text; raises ValueError where it is of another type or nested too deeply.
 
     Not by msgspec's own parser: records may hold lone surrogates, which come from command lines that are not
     UTF-8, and which it rejects.
     """
-    return msgspec.convert(json.loads(text), value_type)
+    try:
+        return msgspec.convert(json.loads(text), value_type)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
 
 
 def encode_stored(value: msgspec.Struct) -> str:
--- a/orchidhatch/control/http_client.py
+++ b/orchidhatch/control/http_client.py
@@ -75,12 +75,12 @@
 
 
 def decode_body(content: bytes) -> Any:  # noqa: ANN401 - JSON
-    """The JSON value of a body, its text where it is not JSON, None where it is empty."""
+    """The JSON value of a body, its text where it is no JSON or too deeply nested, None where it is empty."""
     if not content:
         return None
     try:
         return json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         return content.decode(errors="replace")
 
 
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
 from urllib.parse import parse_qs
 
 from orchidhatch.control.errors import NotFoundError, UnavailableError
@@ -19,6 +19,7 @@
 from orchidhatch.control.responses import HealthResponse
 from orchidhatch.control.router import Request, Router, parse_request
 from orchidhatch.control.schemas import read_after
+from orchidhatch.control.supervision import log_end
 from orchidhatch.control.watch_broadcaster import WHOLE_LIST, WatchBroadcaster
 
 MAX_WATCHES = 10_000
@@ -54,7 +55,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen; port 0 takes any that is free."""
         loop = asyncio.get_running_loop()
-        self.tasks = [loop.create_task(self.broadcaster.send_heartbeats())]
+        self.start_loops([self.broadcaster.send_heartbeats()])
         self.listener = await loop.create_server(lambda: Connection(self), host, port, backlog=LISTEN_BACKLOG)
 
     async def close(self) -> None:
@@ -68,6 +69,13 @@
             connection.transport.abort()
         self.store.close()
 
+    def start_loops(self, loops: Iterable[Coroutine[None, None, None]]) -> None:
+        """Run coroutines until the server closes; one that fails is logged, and not unseen."""
+        for loop in loops:
+            task = asyncio.get_running_loop().create_task(loop, name=loop.__qualname__)
+            task.add_done_callback(log_end)
+            self.tasks.append(task)
+
     def start_task(self, job: Coroutine[None, None, None]) -> None:
         """Run a coroutine for a request that takes a while; it is cancelled when the server closes."""
         task = asyncio.ensure_future(job)
--- a/orchidhatch/control/policy/policy_replication.py
+++ b/orchidhatch/control/policy/policy_replication.py
@@ -41,7 +41,10 @@
     async def keep_copying(self, upstream: Callable[[], Address]) -> None:
         """Copy from the upstream until this is cancelled, which a promotion does."""
         while True:
-            await self._copy_once(upstream())
+            try:
+                await self._copy_once(upstream())
+            except Exception:  # as over an answer of another version: the next may be sound
+                log.exception("policy copy failed unexpectedly")
             await asyncio.sleep(COPY_INTERVAL_S)
 
     async def _copy_once(self, upstream: Address) -> None:
--- a/orchidhatch/control/policy/term_decision.py
+++ b/orchidhatch/control/policy/term_decision.py
@@ -69,8 +69,8 @@
         lacks_document = bool(digest) and not self._has_document(digest)
         if self.is_writing or lacks_document or not self._directory.all_reported():
             return
-        self.is_writing = True
-        self._host.enqueue_internal(PutRecord(DECISION_RECORD, encode_decision(self._next_decision())))
+        write = PutRecord(DECISION_RECORD, encode_decision(self._next_decision()))
+        self.is_writing = self._host.enqueue_internal(write)
 
     def _store_reported_document(self) -> bool:
         """Whether a gateway has sent the wanted document, which is being stored now."""
--- /dev/null
+++ b/orchidhatch/control/registry/list_persistence.py
@@ -0,0 +1,109 @@
+"""What of a replicated endpoint list has to be on disk before it is shown to others."""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from orchidhatch.control.errors import StoreError
+from orchidhatch.control.http_server import EndpointListServer
+from orchidhatch.control.registry.batch import Batch
+
+log = logging.getLogger("orchidhatch.replication")
+
+CATCH_UP_INTERVAL_S = 1.0
+"""How often at most the whole list is written again to a disk that failed."""
+SKIPPED_GENERATIONS = 1 << 20
+"""More than a list changes while its cache is behind."""
+
+
+class ListPersistence(Protocol):
+    """How a replica keeps its list on disk."""
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the file lacks some of the list that is shown."""
+
+    async def commit(self, batch: Batch) -> bool:
+        """Called before a batch is published: whether it may be. Raises StoreError where its writes may not.
+
+        Where it may not be, its writes are to be planned anew, as generations have moved on.
+        """
+
+    async def catch_up(self) -> None:
+        """Called from time to time, after what was committed has been published."""
+
+
+class DurableList:
+    """Everything is durable before it is shown, as by a registry that may be promoted."""
+
+    is_behind = False
+
+    def __init__(self, server: EndpointListServer) -> None:
+        self._server = server
+
+    async def commit(self, batch: Batch) -> bool:
+        """Make the batch durable, in a thread: heartbeats go on while the disk is slow."""
+        await self._server.run_in_turn(lambda: self._server.store.commit(batch))
+        return True
+
+    async def catch_up(self) -> None:
+        """There is nothing to catch up on."""
+
+
+class CachedList:
+    """What is received is shown though the disk fails: the file is a cache of what the registries have.
+
+    After a failed commit the file lacks a change, and later ones do not fit it. So nothing is committed until
+    the whole list could be written anew.
+    """
+
+    def __init__(
+        self,
+        server: EndpointListServer,
+        wall_clock_ms: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._server = server
+        self._wall_clock_ms = wall_clock_ms
+        self._clock = clock
+        self._tried_s = 0.0
+        self.is_behind = False
+        self.failures = 0
+
+    async def commit(self, batch: Batch) -> bool:
+        """Try to make the batch durable."""
+        if self.is_behind:
+            return True
+        try:
+            await self._server.run_in_turn(lambda: self._server.store.commit(batch))
+        except StoreError as error:
+            self._fall_behind(error)
+            return False
+        return True
+
+    def _fall_behind(self, error: StoreError) -> None:
+        """From now on generations are told that the file does not have, and no later process may give again.
+
+        They are above those of any process that goes on from the file, as generations are begun by the wall
+        clock and lists change less often than it ticks; where it was stepped back, by a fixed number.
+        """
+        self.is_behind = True
+        self.failures += 1
+        self._tried_s = self._clock()
+        store = self._server.store
+        store.skip_generations(max(self._wall_clock_ms(), store.generation + SKIPPED_GENERATIONS))
+        log.error("cache not written, the list goes on in memory: error=%s", error)
+
+    async def catch_up(self) -> None:
+        """Write the whole list where the file lacks some of it, not more often than CATCH_UP_INTERVAL_S."""
+        if not self.is_behind or self._clock() - self._tried_s < CATCH_UP_INTERVAL_S:
+            return
+        self._tried_s = self._clock()
+        try:
+            await self._server.run_in_turn(self._server.store.rewrite)
+        except StoreError:
+            self.failures += 1
+            return
+        self.is_behind = False
+        log.info("cache written again: generation=%d", self._server.store.generation)
--- a/orchidhatch/control/registry/replication.py
+++ b/orchidhatch/control/registry/replication.py
@@ -9,6 +9,7 @@
 import logging
 import random
 import socket
+import sqlite3
 import time
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import aclosing
@@ -23,6 +24,7 @@
 from orchidhatch.control.http_server import EndpointListServer
 from orchidhatch.control.registry.batch import Write
 from orchidhatch.control.registry.endpoints import Endpoint, RemoveEndpoint, ReplicateEndpoint
+from orchidhatch.control.registry.list_persistence import DurableList, ListPersistence
 from orchidhatch.control.registry.upstream_position import UpstreamPosition, UpstreamPositionTable
 from orchidhatch.control.registry.watch_client import (
     CONNECT_TIMEOUT_S,
@@ -36,7 +38,7 @@
 
 INITIAL_BACKOFF_S = 0.2  # of the mean wait between attempts; it doubles
 MAX_BACKOFF_S = 8.0
-POSITION_SAVE_INTERVAL_MS = 10_000  # how often it is saved that the list still holds
+POSITION_SAVE_INTERVAL_S = 10.0  # how often it is saved that the list still holds
 
 WATCH_ERRORS = (OSError, TimeoutError, InvalidRequestError, StoreError, h11.ProtocolError)
 
@@ -53,6 +55,7 @@
 class Replicator:
     """Keeps a server's store as one of several upstream services tells it, and switches where one fails.
 
+    `persistence` says what has to be on disk before the list is shown; all of it, if not given.
     `include_leases` asks for incarnations and leases too, which the protocol's form has not. The server's
     metrics and health read the public attributes; only the replicator writes them.
     """
@@ -63,6 +66,7 @@
         upstreams: Sequence[Address],
         include_leases: bool = False,
         wall_clock_ms: Callable[[], int] = current_time_ms,
+        persistence: ListPersistence | None = None,
     ) -> None:
         self._server = server
         self._include_leases = include_leases
@@ -72,7 +76,8 @@
         self.upstreams = list(upstreams)
         self._upstream_index = 0
         self.position = self._position_table.load()
-        self._saved_at_ms = self.position.confirmed_at_ms
+        self._saved_at_s = time.monotonic()
+        self._persistence = persistence or DurableList(server)
         self._last_line_received_s = time.monotonic()
         self._backoff_s = INITIAL_BACKOFF_S
         self.connected = False
@@ -175,11 +180,12 @@
         if not self.connected:
             return
         self.position = replace(self.position, confirmed_at_ms=self.wall_clock_ms())
-        if self.position.confirmed_at_ms - self._saved_at_ms >= POSITION_SAVE_INTERVAL_MS:
+        await self._persistence.catch_up()
+        if time.monotonic() - self._saved_at_s >= POSITION_SAVE_INTERVAL_S:
             await self._server.run_in_turn(self._save_position)
 
     async def apply_event(self, store_name: str, line: bytes) -> None:
-        """Make the list here what a watch event tells; durable before any watch of this server is told.
+        """Make the list here what a watch event tells, as durable as the persistence promises.
 
         Raises InvalidRequestError, StaleUpstreamError or StoreError; the list is then as it was.
         """
@@ -189,19 +195,18 @@
         store = self._server.store
         generation_before = store.generation
         endpoints = list(self._decode_endpoints(event.instances))
-        batch = store.plan(self._writes_to_match(endpoints, event.reset))
-
-        def write() -> None:
-            store.commit(batch)
-            self.position = UpstreamPosition(store_name, event.generation, self.wall_clock_ms())
-            self._save_position()
-
-        await self._server.run_in_turn(write)  # in a thread: heartbeats go on while the disk is slow
+        writes = self._writes_to_match(endpoints, event.reset)
+        batch = store.plan(writes)
+        is_skipped = not await self._persistence.commit(batch)
+        if is_skipped:
+            batch = store.plan(writes)
+        self.position = UpstreamPosition(store_name, event.generation, self.wall_clock_ms())
         store.publish(batch)
         self.connected = True
         self._backoff_s = INITIAL_BACKOFF_S
         if is_new_store or store.generation != generation_before:
-            self._server.broadcast(whole=is_new_store)
+            self._server.broadcast(whole=is_new_store or is_skipped)
+        await self._server.run_in_turn(self._save_position)
 
     def _check_event(self, event: WatchEvent, is_new_store: bool) -> None:
         """Raise an error where the event would take the list back, or is no base to go on from."""
@@ -239,8 +244,14 @@
         return writes
 
     def _save_position(self) -> None:
-        self._saved_at_ms = self.position.confirmed_at_ms
-        self._position_table.save(self.position)
+        """Save how far the list goes; an older position only has more of the list sent again."""
+        self._saved_at_s = time.monotonic()
+        if self._persistence.is_behind:
+            return
+        try:
+            self._position_table.save(self.position)
+        except sqlite3.Error as error:
+            log.error("position not saved: generation=%d error=%s", self.position.generation, error)
 
 
 def is_same_endpoint(known: Endpoint, received: Endpoint) -> bool:
--- a/orchidhatch/control/registry/service.py
+++ b/orchidhatch/control/registry/service.py
@@ -31,6 +31,7 @@
 from orchidhatch.control.registry.write_access import WriteAccess
 from orchidhatch.control.registry.write_pipeline import WritePipeline
 from orchidhatch.control.responses import ReplicaHealthResponse
+from orchidhatch.control.supervision import repeat
 
 log = logging.getLogger("orchidhatch.registry")
 
@@ -99,7 +100,7 @@
         coroutines = [self.writes.run(), self._check_leases()]
         if self.peer_terms.has_peers:
             coroutines.append(self.peer_terms.keep_checking())
-        self.tasks += [asyncio.create_task(coroutine) for coroutine in coroutines]
+        self.start_loops(coroutines)
         replicator = self.replicator
         if replicator:
             copy_policies = self.policy_leases.replicate(lambda: replicator.upstream_address)
@@ -114,13 +115,15 @@
 
     async def _check_leases(self) -> None:
         """Check all leases at intervals until cancelled; those of a replica are its upstream's to end."""
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if self.replicator:
-                continue
-            self.ownership.check()
-            self.policy_leases.check()
-            self.lease_expiry.check()
+        checks = (self.ownership.check, self.policy_leases.check, self.lease_expiry.check)
+        await asyncio.gather(*[self._check_forever(check) for check in checks])
+
+    async def _check_forever(self, check: Callable[[], object]) -> None:
+        def check_own() -> None:
+            if not self.replicator:
+                check()
+
+        await repeat(check.__qualname__, CHECK_INTERVAL_S, check_own)
 
     # --- state ---
 
--- a/orchidhatch/control/registry/store.py
+++ b/orchidhatch/control/registry/store.py
@@ -183,6 +183,28 @@
         for generation in list(_oldest_generations(self.history, self.generation - self._max_history)):
             del self.history[generation]
 
+    def rewrite(self) -> None:
+        """Write the whole list anew, durable on return; watches resume in memory as before.
+
+        For a file that lacks changes that were published. Blocks. Raises StoreError.
+        """
+        header = self._header._replace(first=self.generation)
+        with self._file.transaction():
+            self._file.clear_history()
+            self._file.replace_endpoints(list(self.entries.values()))
+            self._file.write_header(header, self.endpoints_sum)
+        self._header = header
+
+    def skip_generations(self, first: int) -> None:
+        """Go on from `first` at least, in memory: no watch resumes over what came before.
+
+        For changes that are shown and not durable: another process that goes on from the file must not give
+        their generations to other changes.
+        """
+        generation = max(self.generation + 1, first)
+        self._header = self._header._replace(first=generation, generation=generation)
+        self.history.clear()
+
     def begin_term(self, term: int, first: int) -> None:
         """Begin a later term, durable on return: generations go on from `first` at least.
 
--- a/orchidhatch/control/registry/store_file.py
+++ b/orchidhatch/control/registry/store_file.py
@@ -165,6 +165,12 @@
             self.db.execute("INSERT INTO history VALUES (?, ?, ?)", row)
         self.db.execute("DELETE FROM history WHERE generation <= ?", (forget_up_to,))
 
+    def replace_endpoints(self, endpoints: Sequence[Endpoint]) -> None:
+        """Write these endpoints in place of all that are there."""
+        self.db.execute("DELETE FROM entries")
+        rows = [(endpoint.id, encode_endpoint(endpoint)) for endpoint in endpoints]
+        self.db.executemany("INSERT INTO entries VALUES (?, ?)", rows)
+
     def write_header(self, header: ListHeader, endpoints_sum: int) -> None:
         """Write the list's header with its checksum."""
         self.db.execute(
--- a/orchidhatch/control/registry/write_pipeline.py
+++ b/orchidhatch/control/registry/write_pipeline.py
@@ -132,10 +132,20 @@
         return wanted
 
     async def _process(self, wanted: Sequence[QueuedWrite]) -> None:
+        """Write a batch; an unexpected error fails its writes, whose outcome is unknown, and no others."""
+        try:
+            await self._write_if_current(wanted)
+        except Exception as error:
+            log.exception("batch failed: writes=%d", len(wanted))
+            self._fail(StoreError(f"unexpected error: {error}"), wanted)
+
+    async def _write_if_current(self, wanted: Sequence[QueuedWrite]) -> None:
         if await self._peer_terms.ensure_current():
             await self.write_batch(wanted)
         else:
             self._reject_as_fenced(wanted)
+            for observer in self.observers:
+                observer.batch_failed(wanted)
 
     async def write_batch(self, wanted: Sequence[QueuedWrite]) -> None:
         """Make a batch durable, tell the observers, then the clients, then the watches."""
--- a/orchidhatch/control/watch_broadcaster.py
+++ b/orchidhatch/control/watch_broadcaster.py
@@ -4,12 +4,12 @@
 after a restart.
 """
 
-import asyncio
 from typing import NamedTuple
 
 from orchidhatch.control.http_connection import Connection, encode_chunk
 from orchidhatch.control.registry.store import Store
 from orchidhatch.control.responses import encode_watch_event
+from orchidhatch.control.supervision import repeat
 
 HEARTBEAT_INTERVAL_S = 2.0  # between empty lines to each watch, by the protocol
 HEARTBEAT_CHUNK = encode_chunk(b"\n")
@@ -111,7 +111,8 @@
 
     async def send_heartbeats(self) -> None:
         """Send empty lines until cancelled."""
-        while True:
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-            for connection in list(self.watches):
-                self.send(connection, HEARTBEAT_CHUNK)
+        await repeat("heartbeats", HEARTBEAT_INTERVAL_S, self._send_heartbeat)
+
+    def _send_heartbeat(self) -> None:
+        for connection in list(self.watches):
+            self.send(connection, HEARTBEAT_CHUNK)
