Move the attempts' clock too in the test of a repeat's window

Cause: attempts read their clock in a module of their own now; the guard refused a repeat that the test's clock had put past its window, where the attempt's own check is to end it. Change: the test moves that module's clock as well. Measured: tests/proxy/test_endings.py passes.

--- a/tests/proxy/test_endings.py
+++ b/tests/proxy/test_endings.py
@@ -15,9 +15,10 @@
 from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
 from orchidhatch.gateway.settings import Plan
 from orchidhatch.gateway.snapshots import HandoverEjection
-from orchidhatch.proxy import backends, event_dispatcher, process_lifecycle, request_lifecycle
+from orchidhatch.proxy import attempt, backends, event_dispatcher, process_lifecycle, request_lifecycle
 from orchidhatch.proxy import socket_inspection as looks
-from orchidhatch.proxy.backends import Attempt, Connection, Pool
+from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.backends import Connection, Pool
 from orchidhatch.proxy.clients import PATIENCE_S, Reply
 from orchidhatch.proxy.config import Policy
 from orchidhatch.proxy.server import GatewayServer
@@ -199,7 +200,7 @@
 ) -> None:
     """The module decided on it in time; what it repeats may have run, and is forgotten there by now."""
     real, late_us = backends.now_us, 0
-    for module in (backends, event_dispatcher, request_lifecycle, process_lifecycle):
+    for module in (attempt, backends, event_dispatcher, request_lifecycle, process_lifecycle):
         monkeypatch.setattr(module, "now_us", lambda: real() + late_us)
     monkeypatch.setattr(backends, "REST_US", 3_600_000_000)
 
