Ask the own agent again within a second, whatever it did to the watch before

Cause: the waits that spare an overbooked discovery grow with the tier: at 200 gateways one rejected or malformed watch of the own agent, as while its policy lease has expired, left a gateway without news for up to 160 s, while what the agent hears counts as told. Change: where lists are pushed no wait is longer than a second; a service that all share is spared as before.

--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -334,12 +334,14 @@
                     wait_s = await self.watch()
                 except (OSError, TimeoutError) as error:
                     log.warning("no watch on discovery: %s", error or "it does not answer")
-                    # An agent on this machine that is not there yet, or a failure of this machine, overbooks
-                    # nobody, and what is told meanwhile counts as told.
-                    if is_local(error) or (self.pushed and isinstance(error, ConnectionRefusedError)):
+                    if is_local(error):
                         wait_s = min(wait_s, MOST_BACKOFF_S * self.random.random())
                 except Exception:
                     log.exception("the watch on discovery failed")  # else the list would grow old unseen
+                # An agent on this machine that fails, refuses or rejects a watch is overbooked by nobody, and
+                # what it hears meanwhile counts as told.
+                if self.pushed:
+                    wait_s = min(wait_s, MOST_BACKOFF_S * self.random.random())
                 if wait_s > AT_ONCE_S and time.monotonic() - self.moved_s < MOVED_S:
                     least_s = 2 * BACKOFF_S if self.pushed else MOST_BACKOFF_S
                     wait_s = min(wait_s, least_s * self.random.random())
--- a/tests/proxy/test_local_failures.py
+++ b/tests/proxy/test_local_failures.py
@@ -12,7 +12,7 @@
 from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.config import ConfigError
 from tests.proxy.test_backends import Sender
-from tests.sockets import CONFIG, Backend, Client, front_door, query, refusing_address
+from tests.sockets import CONFIG, Backend, Client, Watch, front_door, query, refusing_address
 
 LOCAL = [
     errno.EADDRNOTAVAIL,
@@ -138,6 +138,33 @@
     assert max(waits) <= endpoint_watch.MOST_BACKOFF_S
 
 
+async def test_agent_that_rejects_a_watch_is_asked_again_within_a_second_in_a_large_tier(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """As one does while its policy lease has expired: what it hears once it has it again counts as told."""
+
+    async def reject(writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+    found = endpoint_watch.Discovery(
+        await Watch(reject).start(), endpoint_watch.Catalog(CONFIG), 0, lambda news: None, 3, 200
+    )
+    waits: list[float] = []
+    enough = asyncio.Event()
+
+    async def pause(wait_s: float) -> None:
+        waits.append(wait_s)
+        if len(waits) == 8:
+            enough.set()
+            await asyncio.Event().wait()
+
+    monkeypatch.setattr(found, "pause", pause)
+    task = asyncio.create_task(found.run())
+    await enough.wait()
+    task.cancel()
+    assert max(waits) <= endpoint_watch.MOST_BACKOFF_S
+
+
 async def test_start_opens_its_sockets_again_where_that_fails_for_a_moment(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
