--- a/orchidhatch/faults/backend.py
+++ b/orchidhatch/faults/backend.py
@@ -23,9 +23,16 @@
 
 MOST_PIPELINED = 100
 AGAIN_S = 0.3  # until it tries to enter the list again
+SPOILT = ("twice", "nonsense", "endless", "long", "cut", "late", "reset")
 RENEWALS = 3  # in the time of a lease
 
 
+def told_wait_ms(fields: bytes) -> int:
+    """How long the gateway says that it will wait, of a command's list of names and values."""
+    parts = dict(part.partition(b"=")[::2] for part in fields.split(b","))
+    return int(parts.get(b"d", b"0"))
+
+
 class Settings(msgspec.Struct, frozen=True):
     name: str
     id: str  # in the list
@@ -55,6 +62,7 @@
         self.began_s = time.monotonic()
         self.free_s = [self.began_s] * self.model.cores
         self.inside: set[Attempt] = set()
+        self.spoil_file = Path(settings.folder) / f"{settings.name}.spoil"
         self.connections: set[Connection] = set()
 
     def speed(self) -> float:
@@ -81,7 +89,7 @@
             conn.answer(b"+PONG\r\n")
         elif kind == b"INFO":
             conn.answer(b"-NOPERM\r\n")
-        elif kind == b"SVC.QUERY" and len(words) == 4:
+        elif (kind == b"SVC.QUERY" and len(words) == 4) or (kind == b"SVC.SUBMIT" and len(words) == 5):
             self.serve(conn, words)
         else:
             self.recorder.note("syntax", self.settings.id, words=repr(words)[:200])
@@ -97,6 +105,7 @@
             backend=self.settings.id,
             port=conn.port,
             customer=words[1].decode(errors="replace"),
+            told_ms=told_wait_ms(words[3]),
         )
         if len(self.inside) >= self.model.cores + self.model.queue:
             self.finish(attempt, b"-BUSY %b\r\n" % (self.load() if self.model.reports else b""), "busy")
@@ -116,7 +125,40 @@
         if self.model.reports:
             load = self.load()
             report = b"$%d\r\n%b\r\n" % (len(load), load)
-        self.finish(attempt, b"*3\r\n$%d\r\n%b\r\n$-1\r\n%b" % (len(value), value, report), "served")
+        answer = b"*3\r\n$%d\r\n%b\r\n$-1\r\n%b" % (len(value), value, report)
+        if self.chance.random() < self.spoilt_share():
+            self.spoil(attempt, answer)
+        else:
+            self.finish(attempt, answer, "served")
+
+    def spoilt_share(self) -> float:
+        """The share of answers that are spoilt now, as the trial has written it."""
+        try:
+            return float(self.spoil_file.read_text())
+        except (OSError, ValueError):
+            return 0.0
+
+    def spoil(self, attempt: Attempt, answer: bytes) -> None:
+        """Answer in one of the ways in which a faulty backend may."""
+        how = self.chance.choice(SPOILT)
+        self.recorder.note("spoilt", attempt.id, how=how)
+        loop = asyncio.get_running_loop()
+        if how == "twice":
+            self.finish(attempt, answer, "served")
+            loop.call_later(self.chance.uniform(0.0, 0.04), attempt.conn.answer, answer)
+        elif how == "nonsense":
+            self.finish(attempt, b"!what\r\n", "spoilt")
+        elif how == "endless":
+            attempt.conn.answer(b"*3\r\n$60000\r\n" + b"x" * 100)
+        elif how == "long":
+            self.finish(attempt, b"*3\r\n$200000\r\n" + b"x" * 200_000 + b"\r\n$-1\r\n$-1\r\n", "spoilt")
+        elif how == "cut":
+            attempt.conn.answer(b"*3\r\n$200000\r\n" + b"x" * 5000)
+            loop.call_later(0.03, attempt.conn.transport.abort)
+        elif how == "late":
+            loop.call_later(self.chance.uniform(0.5, 2.0), self.finish, attempt, answer, "served")
+        else:
+            attempt.conn.transport.abort()
 
     def finish(self, attempt: Attempt, data: bytes, how: str) -> None:
         if not attempt.over:
@@ -132,7 +174,7 @@
         self.machine, self.parser = machine, hiredis.Reader()
         self.attempts: list[Attempt] = []
         self.answers: dict[Attempt, bytes] = {}
-        self.is_new, self.port = True, 0
+        self.is_new, self.port, self.uses = True, 0, 0
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -141,8 +183,22 @@
             transport.abort()
         else:
             self.machine.connections.add(self)
+            self.rest()
+
+    def rest(self) -> None:
+        """Close the connection if it stays idle, without a word."""
+        if rests_s := self.machine.model.rests_s:
+            used = self.uses
+            wait_s = self.machine.chance.uniform(0.0, rests_s)
+            asyncio.get_running_loop().call_later(wait_s, self.close_if_idle, used)
+
+    def close_if_idle(self, used: int) -> None:
+        """Close it unless it was used since."""
+        if self.uses == used and not self.attempts and self.transport:
+            self.transport.close()
 
     def data_received(self, data: bytes) -> None:
+        self.uses += 1
         self.parser.feed(data)
         try:
             while (words := self.parser.gets()) is not False:
--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -17,6 +17,7 @@
 
 from orchidhatch.faults.events import Event, of, story
 from orchidhatch.faults.plan import Plan
+from orchidhatch.faults.request_checkers import findings
 
 MS, S = 1_000_000, 1_000_000_000
 GRACE_NS = 500 * MS  # after its time a request's answer only earns nothing; later it is lost
@@ -43,6 +44,7 @@
 class Verdict:
     breaks: list[Break] = field(default_factory=list)
     slow: list[str] = field(default_factory=list)  # why nothing can be said
+    skipped: list[str] = field(default_factory=list)  # what of the script could not be carried out
     figures: dict[str, float] = field(default_factory=dict)
 
 
@@ -56,6 +58,8 @@
     begin: int
     end: int
     customer: str
+    told_ms: int = 0
+    port: int = 0
 
 
 class Spans:
@@ -107,6 +111,9 @@
         for event in of(self.db, "emptied", "filled"):
             if (event.what == "filled") == (len(self.emptied[event.who]) % 2):
                 self.emptied[event.who].append(event.at_ns)
+        self.slots = {
+            event.about: event.who for event in of(db, "serves") if event.who.startswith("backend-")
+        }
         self.attempts = list(self.read_attempts())
         self.by_request: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in self.attempts:
@@ -132,12 +139,21 @@
             self.promises,
         ):
             check()
+        for found in findings(self):
+            self.broke(found.check, found.about, found.text)
         self.figures()
         return self.verdict
 
     def broke(self, check: str, about: str, text: str) -> None:
         self.verdict.breaks.append(Break(check, about, text))
 
+    def note_slow_start(self, calls: int, budget: float) -> None:
+        """Keep the fullest window of a backend in slow start, as calls over its budget."""
+        share = round(calls / budget, 3)
+        self.verdict.figures["slow_start_share"] = max(
+            share, self.verdict.figures.get("slow_start_share", 0.0)
+        )
+
     def story(self, about: str) -> list[str]:
         return story(self.db, about, self.start_ns)
 
@@ -166,7 +182,16 @@
                 self.killed(event.who, event.at_ns),
             ]
             door = int(way.partition(">")[0].partition("-")[2]) if way else -1
-            yield Attempt(event.about, backend, door, event.at_ns, min(ends), event.told["customer"])
+            yield Attempt(
+                event.about,
+                backend,
+                door,
+                event.at_ns,
+                min(ends),
+                event.told["customer"],
+                event.told.get("told_ms", 0),
+                port,
+            )
 
     def killed(self, process: str, after: int) -> int:
         """When it ended next: all connections to it break then."""
@@ -526,6 +551,9 @@
     # --- figures ---
 
     def speed(self) -> None:
+        for event in of(self.db, "shim"):
+            if not event.told["built"]:
+                self.verdict.skipped.append("no C compiler here: no system call was made to fail")
         for event in of(self.db, "relay"):
             self.verdict.figures |= {
                 f"relay_late_{key}": round(value, 3) for key, value in event.told.items() if key != "ticks"
@@ -561,6 +589,10 @@
             "closed": ends["closed"],
             "unsent": ends["unsent"],
             "faults": len(of(self.db, "fault")),
+            "injected_calls": sum(event.told["count"] for event in of(self.db, "injected")),
+            "left": ends["left"],
+            "odd_clients": len(of(self.db, "odd")),
+            "spoilt_answers": len(of(self.db, "spoilt")),
             "p50_ms": latencies.get_value_at_percentile(50) / 1000,
             "p99_ms": latencies.get_value_at_percentile(99) / 1000,
         }
--- a/orchidhatch/faults/cli.py
+++ b/orchidhatch/faults/cli.py
@@ -68,6 +68,7 @@
     for one in verdict.breaks[:MOST_TOLD]:
         lines += ["", f"{one.check}: {one.about}: {one.text}", *judge.story(one.about)]
     lines += [f"cannot say: {why}" for why in verdict.slow]
+    lines += [f"SKIPPED: {what}" for what in verdict.skipped]
     lines += [" ".join(f"{key}={value:g}" for key, value in verdict.figures.items())]
     return "\n".join(lines)
 
@@ -85,6 +86,7 @@
             "seed": script.seed,
             "status": status,
             "slow": verdict.slow,
+            "skipped": verdict.skipped,
             "figures": verdict.figures,
             "breaks": [vars(one) for one in verdict.breaks],
         }
--- a/orchidhatch/faults/events.py
+++ b/orchidhatch/faults/events.py
@@ -17,6 +17,7 @@
 """
 Told = dict[str, Any]
 LET_IN = re.compile(r"request (\S+) (\w+) by policy (\S+), taken at (\d+) us")
+GUARD = re.compile(r"guard refused reason=(\S+) request=(\S+) at (\d+) us")
 EMPTIED = re.compile(r"takes (no new clients|clients again), by call, at (\d+) us")
 
 
@@ -64,6 +65,8 @@
                 yield Event(
                     int(found[4]) * 1000, door, "let-in", found[1], {"how": found[2], "policy": found[3]}
                 )
+            elif found := GUARD.search(line):
+                yield Event(int(found[3]) * 1000, door, "guard", found[2], {"reason": found[1]})
             elif found := EMPTIED.search(line):
                 what = "emptied" if found[1].startswith("no") else "filled"
                 yield Event(int(found[2]) * 1000, door, what, door, {})
--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -19,14 +19,16 @@
 from orchidhatch.faults import backend, load
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.links import Datagrams, TcpRelay, Way
-from orchidhatch.faults.plan import Plan, Script
+from orchidhatch.faults.plan import KEYED_WINDOW_S, SHIM_KINDS, Plan, Script
 from orchidhatch.faults.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
 from orchidhatch.faults.seeded_defects import PLANTS
+from orchidhatch.faults.system_calls import ShimControl, build_shim
 from orchidhatch.faults.tap import seeing, tapping
 
 ZONES = "abc"
 AIM_US, DEADLINE_US = 750_000, 2_000_000  # of the class, as on the site's page
 INTAKE_PER_S = 40.0  # of words, as there
+SECOND = "second "  # before the name of a way, for its second relay
 HEAD_START_S = 1.5  # for the clients to be ready
 
 
@@ -57,6 +59,7 @@
         self.plant, self.net = plant, f"127.{100 + os.getpid() % 100}"
         self.processes, self.ways = Processes(), dict[str, Way]()
         self.relays: dict[str, TcpRelay] = {}
+        self.moved_over: dict[str, Address] = {}  # the second address of discovery, by gateway
         self.datagrams: dict[str, Datagrams] = {}
         self.at: dict[str, Address] = {}  # where each process listens
         self.over: dict[str, Address] = {}  # where each way begins
@@ -70,6 +73,30 @@
             if fnmatchcase(name, fault.who)
         }
         self.start_ns = 0
+        self.shim: Path | None = None
+        self.controls: dict[str, ShimControl] = {}
+        self.watched_at: dict[str, int] = {}  # by gateway, which of its discovery addresses is configured
+
+    # --- system calls ---
+
+    def build_shim(self) -> None:
+        """Compile the library of failing system calls if a fault needs it; say so where that cannot be."""
+        if not any(fault.kind in SHIM_KINDS for fault in self.script.faults):
+            return
+        self.shim = build_shim(self.folder)
+        self.recorder.note("shim", "trial", built=self.shim is not None)
+
+    def shim_environment(self, name: str) -> dict[str, str]:
+        """The environment of a process whose system calls are made to fail."""
+        is_named = any(
+            fault.kind in SHIM_KINDS and fnmatchcase(name, fault.who) for fault in self.script.faults
+        )
+        if self.shim is None or not is_named:
+            return {}
+        if name not in self.controls:
+            seed = random.Random(f"{self.script.seed} {name} system calls").getrandbits(31)
+            self.controls[name] = ShimControl(self.folder / f"{name}.shim", seed)
+        return self.controls[name].environment(self.shim)
 
     # --- addresses ---
 
@@ -111,19 +138,43 @@
             elif beginner.startswith("agent-") and to.startswith("door-"):
                 await self.lay_way(name, self.at[f"{to} management"], alter_there=seeing(self.recorder, to))
             elif beginner.startswith("door-"):
-                await self.lay_way(
-                    name,
-                    self.at[to],
-                    alter=tapping(
-                        self.recorder, beginner, f"{self.net}.100.", f"{self.net}.{self.view(beginner)}."
-                    ),
-                )
+                await self.lay_discovery(beginner, name, to)
             else:
                 await self.lay_way(name, self.at[to])
         for name, here in self.datagrams.items():
             beginner, _, to = name.partition(">")
             here.opposite, here.to = self.datagrams[f"{to}>{beginner}"], self.at[f"{to} peers"]
 
+    async def lay_discovery(self, gateway: str, name: str, agent: str) -> None:
+        """Two addresses of the agent for its gateway, so that a new configuration can move from one to the
+        other."""
+        alter = tapping(self.recorder, gateway, f"{self.net}.100.", f"{self.net}.{self.view(gateway)}.")
+        await self.lay_way(name, self.at[agent], alter=alter)
+        second = TcpRelay(self.way(name), self.at[agent], alter)
+        self.moved_over[gateway] = await second.start(f"{self.net}.50.1")
+        self.relays[f"{SECOND}{name}"] = second
+
+    def discovery_of(self, gateway: str) -> Address:
+        """The address that the gateway's configuration names now."""
+        if self.watched_at.get(gateway):
+            return self.moved_over[gateway]
+        return self.over[f"{gateway}>agent-{gateway.partition('-')[2]}"]
+
+    def discovery_relays(self, gateway: str) -> tuple[TcpRelay, TcpRelay]:
+        """The relay at the address that the configuration names, and the one at the other address."""
+        way = f"{gateway}>agent-{gateway.partition('-')[2]}"
+        both = self.relays[way], self.relays[f"{SECOND}{way}"]
+        return (both[1], both[0]) if self.watched_at.get(gateway) else both
+
+    def move_discovery(self, gateway: str) -> None:
+        """Name the other address in the configuration, as an operator replaces the file."""
+        self.watched_at[gateway] = 1 - self.watched_at.get(gateway, 0)
+        path = self.folder / gateway / "config.json"
+        values = json.loads(path.read_text()) | {"discovery": shown(self.discovery_of(gateway))}
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(values))
+        fresh.replace(path)
+
     async def lay_words(self, name: str) -> None:
         transport, here = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: Datagrams(self.way(name)), local_addr=(f"{self.net}.50.1", 0)
@@ -154,8 +205,10 @@
         name: str,
         command: list[str],
         ready: Callable[[], Awaitable[bool]],
+        env: dict[str, str] | None = None,
         **more: Any,  # noqa: ANN401
     ) -> None:
+        env = {**(env or {}), **self.shim_environment(name)}
         self.processes.add(
             Process(
                 name,
@@ -164,6 +217,7 @@
                 self.recorder,
                 ready,
                 reached=lambda listens: self.reach(name, listens),
+                env=env,
                 **more,
             )
         )
@@ -302,7 +356,6 @@
             "PROXY_NAME": name,
             "PROXY_LISTEN": shown(self.at[name]),
             "PROXY_CONFIG": str(self.folder / name / "config.json"),
-            "PROXY_DISCOVERY": shown(self.over[f"{name}>agent-{number}"]),
             "PROXY_MANAGEMENT": shown(self.at[f"{name} management"]),
             "TMPDIR": str(self.folder / name / "tmp"),
         }
@@ -332,7 +385,7 @@
         values = {
             "name": name,
             "listen": shown(self.at[name]),
-            "discovery": shown(self.over[f"{name}>agent-{number}"]),
+            "discovery": shown(self.discovery_of(name)),
             "seed": f"{seed:016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": shown(self.at[f"{name} peers"]),
@@ -355,12 +408,15 @@
             return True
 
         self.add("clients", "orchidhatch.faults.load", file, ready=ready, ends=True)
+        if self.plan.load.odd_per_s:
+            self.add("odd-clients", "orchidhatch.faults.odd_clients", file, ready=ready, ends=True)
 
     # --- start and end ---
 
     async def start(self) -> None:
         """List services, backends that enter them, agents, doors, and last the clients."""
         plan = self.plan
+        self.build_shim()
         self.lay_out()
         await self.lay_ways()
         registries = [f"registry-{n}" for n in range(plan.registries)]
@@ -388,7 +444,8 @@
         self.start_ns = time.monotonic_ns() + round(HEAD_START_S * 1e9)
         if plan.doors and plan.load.customers:
             self.add_clients()
-            await self.processes.start("clients")
+            names = [name for name in ("clients", "odd-clients") if name in self.processes.all]
+            await self.processes.start(*names)
         self.recorder.note("begins", "trial", start_ns=self.start_ns)
 
     async def wait_kept(self) -> None:
@@ -433,6 +490,17 @@
             one.transport.close()
 
 
+def category(name: str, idempotency: str) -> dict[str, Any]:
+    """A request class of the settings, by its name and its effect."""
+    return {
+        "name": name,
+        "on-time-us": AIM_US,
+        "deadline-us": DEADLINE_US,
+        "points": 1.0,
+        "idempotency": idempotency,
+    }
+
+
 def settings_of(plan: Plan, number: int) -> dict[str, Any]:
     """A door's settings, in the names of the simulator's first message."""
     plans = [
@@ -456,13 +524,9 @@
         "zone": number % 3,
         "plans": plans or [{"name": "none", "units-per-s": 1.0, "burst": 1.0}],
         "categories": [
-            {
-                "name": "read",
-                "on-time-us": AIM_US,
-                "deadline-us": DEADLINE_US,
-                "points": 1.0,
-                "idempotency": "read_like",
-            }
+            category("read", "read_like"),
+            category("settle", "non_idempotent"),
+            category("book", "idempotency_key") | {"group": "all", "window-us": round(KEYED_WINDOW_S * 1e6)},
         ],
         "ceilings": {
             "max-attempts": 4,
--- a/orchidhatch/faults/links.py
+++ b/orchidhatch/faults/links.py
@@ -244,10 +244,12 @@
         self.server: asyncio.Server | None = None
         self.at: Address = ("", 0)
         self.task: asyncio.Task[Address] | None = None
+        self.links: set[Link] = set()  # begun here, ended ones too until the next begins
 
     async def start(self, host: str, port: int = 0) -> Address:
         def begin() -> End:
             link = Link(self.way, self.to, self.alter, self.alter_there)
+            self.links = {known for known in self.links if known in self.way.links} | {link}
             return End(link, link.there, True)
 
         self.server = await asyncio.get_running_loop().create_server(begin, host, port, backlog=1024)
@@ -260,6 +262,11 @@
             self.server.close()
             self.server = None
 
+    def break_links(self) -> None:
+        """Break the connections that were begun here."""
+        for link in self.links & self.way.links:
+            link.break_off()
+
     def listen_again(self) -> None:
         if not self.server:
             self.task = asyncio.ensure_future(self.start(*self.at))
--- a/orchidhatch/faults/load.py
+++ b/orchidhatch/faults/load.py
@@ -24,6 +24,7 @@
 KEPT_S = 2.0  # a connection that was idle for longer is not used again, as the door may be closing it
 MOST_CONNECTIONS = 2000
 MOST_ADVICE_MS = 2000
+LEAVES_AFTER_S = (0.001, 0.4)
 LAST_S = 8.0  # after the last arrival: what has no answer by then has none
 
 
@@ -37,7 +38,10 @@
 
 
 class Ask(msgspec.Struct, frozen=True):
-    """A request: when it is due, of whom, and which doors its customer's set has."""
+    """A request: when it is due, of whom, which doors its customer's set has, and its class.
+
+    Its client closes the connection `leaves_after_s` after sending it; 0: never.
+    """
 
     due_s: float
     id: str
@@ -47,6 +51,8 @@
     first: int
     door: int
     tries: int = 0
+    kind: str = "read"
+    leaves_after_s: float = 0.0
 
 
 def customer_name(plan: int, number: int) -> str:
@@ -55,12 +61,21 @@
 
 
 def arrivals(load: Load, seconds: float, doors: int, seed: int) -> list[Ask]:
-    """All first tries, in the order of time; each customer's of a stream of its own."""
+    """All first tries, in the order of time; each customer's of a stream of its own, and each one's class."""
     asks = []
     for index, plan in enumerate(load.customers):
         for number in range(plan.count):
             asks += one_customer(load, plan, index, number, seconds, doors, seed)
-    return sorted(asks, key=lambda ask: (ask.due_s, ask.id))
+    return sorted([as_drawn(load, ask) for ask in asks], key=lambda ask: (ask.due_s, ask.id))
+
+
+def as_drawn(load: Load, ask: Ask) -> Ask:
+    """The request with its class, and with the time after which its client leaves, if it does."""
+    chance = random.Random(f"{ask.id} class")
+    drawn = chance.random()
+    kind = "settle" if drawn < load.unsafe else "book" if drawn < load.unsafe + load.keyed else "read"
+    leaves_after_s = chance.uniform(*LEAVES_AFTER_S) if chance.random() < load.leaving else 0.0
+    return msgspec.structs.replace(ask, kind=kind, leaves_after_s=leaves_after_s)
 
 
 def one_customer(
@@ -79,6 +94,11 @@
         yield Ask(at, f"{chance.getrandbits(48):012x}", name, plan.plan, spread, first, door)
 
 
+def command(words: list[bytes]) -> bytes:
+    """A command as it is on the wire."""
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
+
+
 class Client(asyncio.Protocol):
     """A connection to a door, one request at a time."""
 
@@ -94,21 +114,37 @@
     def send(self, ask: Ask) -> None:
         self.ask = ask
         text = (
-            f"c=read,t={ask.plan},d={self.clients.settings.load.patience_ms},units=1,"
+            f"c={ask.kind},t={ask.plan},d={self.clients.settings.load.patience_ms},units=1,"
             f"spread={ask.spread},first={ask.first}" + (",r=1" if ask.tries else "")
         )
+        if ask.kind == "book":
+            text += f",k={ask.id[:12]}"
         words = [b"SVC.QUERY", ask.customer.encode(), ask.id.encode(), text.encode()]
-        self.transport.write(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words))
+        if ask.kind != "read":
+            words = [b"SVC.SUBMIT", *words[1:], b"body"]
+        self.transport.write(command(words))
+        if ask.leaves_after_s:
+            asyncio.get_running_loop().call_later(ask.leaves_after_s, self.leave, ask)
         self.clients.recorder.note(
             "ask",
             ask.id,
             door=ask.door,
             customer=ask.customer,
             plan=ask.plan,
+            kind=ask.kind,
             late_us=round((self.clients.now_s() - ask.due_s) * 1e6),
             tries=ask.tries,
         )
 
+    def leave(self, ask: Ask) -> None:
+        """Close the connection on which the request is unanswered."""
+        if self.ask is not ask:
+            return
+        self.ask = None
+        self.clients.recorder.note("gone", ask.id, door=ask.door)
+        self.transport.abort()
+        self.clients.over(ask, "left", "")
+
     def data_received(self, data: bytes) -> None:
         self.parser.feed(data)
         while (reply := self.parser.gets()) is not False:
--- a/orchidhatch/faults/plan.py
+++ b/orchidhatch/faults/plan.py
@@ -13,11 +13,15 @@
 
 MOST_PROCESSES = 40
 MOST_FAULTS = 200
+KEYED_WINDOW_S = 1.0
+"""For how long a backend knows the key of a request that it has run."""
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9-]{1,40}$")]
 Seconds = Annotated[float, Meta(ge=0, le=600)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Few = Annotated[int, Meta(ge=0, le=MOST_PROCESSES)]
+SHIM_KINDS = ("accept", "socket", "connect", "short", "disk", "wall")
+"""Faults of system calls in one process: `size` is the share of the calls, of "wall" the step's seconds."""
 WAY_KINDS = ("delay", "loss", "double", "turn", "slow", "cut", "hold", "reset", "mute")
 Kind = Literal[
     "kill",
@@ -40,6 +44,14 @@
     "replace",
     "policy",
     "undo",
+    "reload",
+    "spoil",
+    "accept",
+    "socket",
+    "connect",
+    "short",
+    "disk",
+    "wall",
 ]
 
 
@@ -55,9 +67,10 @@
     """One fault or act: from `at` for `lasts` seconds (0: until the end; a process stays down).
 
     `who` is a process (door-0) or a way from one to another (door-0>backend-3). `size` is in the kind's unit:
-    seconds of delay or of a clock's step, a share of datagrams, bytes a second, bytes that a file may have;
-    of a drain, seconds after which the stewards are to end it; of a change of policy, by how much the quotas
-    of customers without an open cap or a ceiling grow.
+    seconds of delay or of a clock's step, a share of datagrams, of answers or of system calls, bytes a
+    second, bytes that a file may have; of a reload, how many follow one another; of a drain, seconds after
+    which the stewards are to end it; of a change of policy, by how much the quotas of customers without an
+    open cap or a ceiling grow.
     """
 
     at: Seconds
@@ -104,6 +117,10 @@
     customers: list[Customers] = []
     patience_ms: Annotated[int, Meta(ge=100, le=10_000)] = 2000
     retries: Annotated[int, Meta(ge=0, le=4)] = 1
+    unsafe: Share = 0.0  # of the requests are of a class that must not run twice
+    keyed: Share = 0.0  # of the requests are of a class that may be repeated for KEYED_WINDOW_S
+    leaving: Share = 0.0  # of the requests' clients close their connection while they wait
+    odd_per_s: Annotated[float, Meta(ge=0, le=1000)] = 0.0  # connections of clients that misbehave
     burst_every_s: Seconds = 0.0  # a burst of `burst_x` times the rate for a fifth of that
     burst_x: Annotated[float, Meta(ge=1, le=50)] = 1.0
 
@@ -123,6 +140,7 @@
     connections: Annotated[int, Meta(ge=1, le=100_000)] = 500
     reports: bool = True
     lease_ms: Annotated[int, Meta(ge=1000, le=600_000)] = 10_000
+    rests_s: Seconds = 0.0  # idle connections are closed after up to that long; 0: never
 
 
 class Writes(Form, kw_only=True):
@@ -165,6 +183,7 @@
             *(f"door-{n}" for n in range(self.doors)),
             *(f"steward-{n}" for n in range(self.stewards)),
             *(["clients"] if self.doors and self.load.customers else []),
+            *(["odd-clients"] if self.doors and self.load.odd_per_s else []),
         ]
 
     def ways(self) -> list[str]:
--- a/orchidhatch/faults/runner.py
+++ b/orchidhatch/faults/runner.py
@@ -16,13 +16,24 @@
 from orchidhatch.control.policy import document as form
 from orchidhatch.control.policy import records as policy_records
 from orchidhatch.faults.fleet import Fleet
-from orchidhatch.faults.links import Way
-from orchidhatch.faults.plan import WAY_KINDS, Customers, Fault, matching
+from orchidhatch.faults.links import TcpRelay, Way
+from orchidhatch.faults.plan import SHIM_KINDS, WAY_KINDS, Customers, Fault, matching
 from orchidhatch.faults.processes import Process, TrialError
+from orchidhatch.faults.system_calls import SHARE_SLOTS, Slot
 
 ASK_S = 0.25  # between two tries of an operator's act
 LEAST_FILE = 4096  # bytes that files may have on a full disk where a plan names none
 POLL_S = 0.1
+OLD_CLOSES_S = 1.5  # after a new configuration, as on the operators' page
+RELOAD_EVERY_S = 0.3  # between configurations in a row
+SLOT_OF_KIND = {
+    "accept": Slot.ACCEPT,
+    "socket": Slot.SOCKET,
+    "connect": Slot.CONNECT,
+    "short": Slot.SHORT_IO,
+    "disk": Slot.DISK,
+    "wall": Slot.WALL_STEP_MS,
+}
 TASKS_S = 30.0  # for the stewards to end what they were asked for, once all is whole again
 LEAVE_EVERY = 3  # writes of entries to each that leaves
 SETTLE_S = 2.0  # after the last fault is undone, before the lists are read
@@ -55,8 +66,9 @@
         await asyncio.sleep(max(0.0, plan.seconds - self.now_s()))
         for process in self.fleet.processes.all.values():
             process.bound_files(None)
-        if "clients" in self.fleet.processes.all:
-            await self.fleet.processes["clients"].ended.wait()
+        for name in ("clients", "odd-clients"):
+            if name in self.fleet.processes.all:
+                await self.fleet.processes[name].ended.wait()
         await asyncio.sleep(SETTLE_S)
         await self.wait_tasks()
         if plan.policy:
@@ -82,6 +94,9 @@
                 "replace": self.replace,
                 "policy": self.propose,
                 "undo": self.undo,
+                "reload": self.reload,
+                "spoil": self.spoil,
+                **dict.fromkeys(SHIM_KINDS, self.inject),
             }
             names = matching(fault.who, list(self.fleet.processes.all))
             await asyncio.gather(*[self.on_process(fault, name, acts[fault.kind]) for name in names])
@@ -137,6 +152,45 @@
             await asyncio.sleep(fault.lasts)
             file.write_text("0")
 
+    async def inject(self, fault: Fault, process: Process) -> None:
+        """System calls of the process fail for a while; its wall clock stays stepped for as long."""
+        control = self.fleet.controls.get(process.name)
+        if control is None:  # there is no C compiler here, which the trial's events say
+            return
+        slot = SLOT_OF_KIND[fault.kind]
+        control.set(slot, round(fault.size * 1000))
+        await asyncio.sleep(fault.lasts)
+        control.set(slot, 0)
+        if slot in SHARE_SLOTS:
+            self.recorder.note("injected", process.name, kind=fault.kind, count=control.injected(slot))
+
+    async def reload(self, fault: Fault, process: Process) -> None:
+        """New configurations in a row, each with another address of discovery; the old one closes."""
+        for _ in range(max(1, round(fault.size))):
+            if not process.runs():
+                return
+            old, new = self.fleet.discovery_relays(process.name)
+            new.listen_again()
+            await asyncio.sleep(ASK_S / 10)  # until it listens
+            self.fleet.move_discovery(process.name)
+            process.send(signal.SIGHUP)
+            old.refuse()
+            self.tasks.append(asyncio.ensure_future(self.close_old(process.name, old)))
+            await asyncio.sleep(RELOAD_EVERY_S)
+
+    async def close_old(self, gateway: str, old: TcpRelay) -> None:
+        """An address that was moved away from closes its connections, unless it is the one again by then."""
+        await asyncio.sleep(OLD_CLOSES_S)
+        if self.fleet.discovery_relays(gateway)[0] is not old:
+            old.break_links()
+
+    async def spoil(self, fault: Fault, process: Process) -> None:
+        """Some of a backend's answers make no sense, come twice, never end, or break off."""
+        file = self.fleet.folder / f"{process.name}.spoil"
+        file.write_text(str(fault.size))
+        await asyncio.sleep(fault.lasts)
+        file.write_text("0")
+
     async def go_back(self, fault: Fault, process: Process) -> None:
         """Started, after a while, from a copy of its store that is that much older."""
         kind = process.name.partition("-")[0]
--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -168,7 +168,59 @@
     )
 
 
+def tell_stale_deadlines() -> None:
+    """The time left is reckoned when an attempt is begun, not when it is written."""
+    from orchidhatch.proxy.attempt import Attempt
+
+    Attempt.payload = lambda self: self.encode(max(1, self.deadline_us - self.sent_us) + 400_000)
+
+
+def serve_departed() -> None:
+    """A client's end is not noticed."""
+    from orchidhatch.proxy.clients import ClientConnection
+
+    ClientConnection.eof_received = lambda self: True
+    ClientConnection.end_if_left = lambda self: False
+    ClientConnection.leave = lambda self: None
+
+
+def repeat_everything() -> None:
+    """The decision core takes every class for safe to repeat; the guard does not."""
+    from orchidhatch.gateway.load_balancing import LoadBalancer
+
+    LoadBalancer.in_group = lambda self, job, server: True
+
+
+def repeat_unguarded() -> None:
+    """The same without the guard."""
+    from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+
+    repeat_everything()
+    RequestLifecycle._repeat_refusal = lambda self, exchange: None
+
+
+def wait_for_odd_clients() -> None:
+    """Who sends no whole command is never ended."""
+    from orchidhatch.proxy.clients import ClientConnection
+
+    ClientConnection.overdue = lambda self, now_s: False
+
+
+def start_at_full_speed() -> None:
+    """New backends are sent as much as the emptiest of all would be."""
+    from orchidhatch.gateway.load_balancing import LoadBalancer
+
+    LoadBalancer.has_credit = lambda self, server: True
+    LoadBalancer.cost = lambda self, server: 0.0 if self.is_cold(server) else 1.0
+
+
 PLANTS = {
+    "stale-deadline": Plant("door-*", "deadlines", tell_stale_deadlines),
+    "serves-departed": Plant("door-*", "departed", serve_departed),
+    "repeats": Plant("door-*", "guards", repeat_everything),
+    "repeats-unguarded": Plant("door-*", "repeats", repeat_unguarded),
+    "waits-for-odd": Plant("door-*", "odd", wait_for_odd_clients),
+    "full-speed": Plant("door-*", "slow-start", start_at_full_speed),
     "unready": Plant("steward-*", "promises", decide_unready),
     "returns-old": Plant("agent-*", "policies", return_as_it_was),
     "endless-lease": Plant("agent-*", "policies", lease_for_ever),
--- a/orchidhatch/proxy/guards.py
+++ b/orchidhatch/proxy/guards.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from enum import StrEnum
 
+from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.metrics import page
 
 log = logging.getLogger(__name__)
@@ -43,7 +44,8 @@
     def refuse(self, refusal: Refusal, request_id: str, detail: str = "") -> Refusal:
         """Count and log a refusal; returns it."""
         self.refusals[refusal] += 1
-        log.error("guard refused reason=%s request=%s %s", refusal.value, request_id or "-", detail)
+        about = request_id or "-"
+        log.error("guard refused reason=%s request=%s at %d us %s", refusal.value, about, now_us(), detail)
         return refusal
 
     def metrics_text(self) -> str:
