--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -246,12 +246,21 @@
             bisect.bisect(self.emptied[door], ask.at_ns) % 2
             or bisect.bisect(self.emptied[door], end.at_ns) % 2
         )
-        if how == "closed" and not (excused or emptied):
+        if how == "closed" and not (excused or emptied or self.was_shed_unread(ask)):
             self.broke("answers", request, f"{door} closed its connection without an answer {text}")
         late = end.at_ns - ask.at_ns - self.plan.load.patience_ms * MS - GRACE_NS - WIDER_NS
         if late > 0 and not (excused or stood):
             self.broke("answers", request, f"{door} answered {late / MS:.0f} ms after the last moment")
 
+    def was_shed_unread(self, ask: Event) -> bool:
+        """Whether its connection was new while the gateway's accept failed for want of descriptors.
+
+        The event loop then takes and closes what waits in the backlog, unread: by the operators' pages such a
+        request has failed and is not lost.
+        """
+        gateway = f"door-{ask.told['door']}"
+        return ask.told.get("new", False) and self.spans.hit(gateway, ask.at_ns, ask.at_ns, "accept")
+
     # --- drains ---
 
     def drains(self) -> None:
--- a/orchidhatch/faults/load.py
+++ b/orchidhatch/faults/load.py
@@ -105,6 +105,7 @@
     def __init__(self, clients: "Clients", door: int) -> None:
         self.clients, self.door, self.ask = clients, door, None
         self.ask: Ask | None
+        self.uses = 0
         self.parser, self.idle_s = hiredis.Reader(), 0.0
         self.transport: asyncio.Transport | None = None
 
@@ -132,9 +133,11 @@
             customer=ask.customer,
             plan=ask.plan,
             kind=ask.kind,
+            new=self.uses == 0,
             late_us=round((self.clients.now_s() - ask.due_s) * 1e6),
             tries=ask.tries,
         )
+        self.uses += 1
 
     def leave(self, ask: Ask) -> None:
         """Close the connection on which the request is unanswered."""
--- a/orchidhatch/faults/plan.py
+++ b/orchidhatch/faults/plan.py
@@ -75,7 +75,7 @@
 
     at: Seconds
     kind: Kind
-    who: Annotated[str, Meta(pattern=r"^[a-z0-9>*?-]{1,80}$")]
+    who: Annotated[str, Meta(pattern=r"^[][a-z0-9>*?-]{1,80}$")]
     lasts: Seconds = 0.0
     size: Annotated[float, Meta(ge=-86_400, le=1e9)] = 0.0
     spread: Annotated[float, Meta(ge=0, le=60)] = 0.0
@@ -86,7 +86,7 @@
     """A kind that may be drawn, by its share of the weights, on one of those that `who` names."""
 
     kind: Kind
-    who: Annotated[str, Meta(pattern=r"^[a-z0-9>*?-]{1,80}$")]
+    who: Annotated[str, Meta(pattern=r"^[][a-z0-9>*?-]{1,80}$")]
     share: Annotated[float, Meta(gt=0, le=1000)] = 1.0
     lasts: tuple[Seconds, Seconds] = (1.0, 3.0)
     size: tuple[float, float] = (0.0, 0.0)
