--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -1,6 +1,9 @@
 """The preloaded library of failing system calls, in a process of its own; skipped where no compiler is."""
 
+import asyncio
+import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -8,9 +11,11 @@
 import pytest
 
 from orchidhatch.faults.system_calls import ShimControl, Slot, build_shim
+from tests.gateway_config import write_gateway_config
+from tests.sockets import HOST
 
 ALL = 1000  # thousandths
-HOST = "127.0.0.1"
+ROOT = Path(__file__).parents[2]
 
 
 @pytest.fixture(scope="module")
@@ -85,3 +90,59 @@
     control = ShimControl(tmp_path / "control", 7)
     assert run_python(library, control, "import socket; socket.socket().close(); print('whole')") == "whole"
     assert not any(control.injected(slot) for slot in Slot)
+
+
+def free_port(kind: socket.SocketKind) -> int:
+    with socket.socket(socket.AF_INET, kind) as found:
+        found.bind((HOST, 0))
+        return found.getsockname()[1]
+
+
+async def answer_to_ping(port: int) -> bytes:
+    """The gateway's answer, once it listens; the test's own bound ends the wait."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(HOST, port)
+        except OSError:
+            await asyncio.sleep(0.02)
+            continue
+        writer.write(b"*1\r\n$4\r\nPING\r\n")
+        try:
+            return await reader.readline()
+        finally:
+            writer.close()
+
+
+async def test_gateway_starts_and_serves_although_socket_calls_fail_for_a_moment(
+    library: Path, tmp_path: Path
+) -> None:
+    """Listening for clients, for peers and for calls: none ends the start, and none is passed over."""
+    control = ShimControl(tmp_path / "control", 5)
+    control.set(Slot.SOCKET, 700)
+    listen, peers, management = (free_port(socket.SOCK_STREAM) for _ in range(3))
+    path = write_gateway_config(
+        tmp_path,
+        listen=f"{HOST}:{listen}",
+        peer_listen=f"{HOST}:{peers}",
+        peers=[f"{HOST}:{peers}"],
+        management=f"{HOST}:{management}",
+    )
+    values = json.loads(path.read_text())
+    values["settings"]["ceilings"] = {"peers": True}
+    path.write_text(json.dumps(values))
+    env = {**os.environ, **control.environment(library), "PROXY_CONFIG": str(path)}
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "orchidhatch.proxy", cwd=ROOT, env=env, stderr=asyncio.subprocess.DEVNULL
+    )
+    try:
+        waits = [asyncio.ensure_future(answer_to_ping(listen)), asyncio.ensure_future(process.wait())]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        assert process.returncode is None and waits[0].result() == b"+PONG\r\n"
+        assert control.injected(Slot.SOCKET) > 0
+        _, writer = await asyncio.open_connection(HOST, management)
+        writer.close()
+        datagrams = Path("/proc/net/udp").read_text()
+        assert f":{peers:04X} " in datagrams
+    finally:
+        process.kill()
+        await process.wait()
