Open listening sockets so that a failing socket() is seen, at the start of every process

Cause: asyncio's and uvloop's create_server pass over a socket() that fails and serve on nothing; uvloop's create_datagram_endpoint loses the errno of a failed bind. So a start amid ENFILE either ended the gateway, left its calls or peers deaf, or ran without listening. A registry or an agent that opened no socket ends with an error in place of running unheard.

--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -53,10 +53,12 @@
     # --- start and end ---
 
     async def start(self, host: str, port: int) -> None:
-        """Listen; port 0 takes any that is free."""
+        """Listen; port 0 takes any that is free. Raises OSError."""
         loop = asyncio.get_running_loop()
         self.start_loops([self.broadcaster.send_heartbeats()])
         self.listener = await loop.create_server(lambda: Connection(self), host, port, backlog=LISTEN_BACKLOG)
+        if not self.listener.sockets:  # the event loop passes over a socket() that fails
+            raise OSError(f"cannot listen at {host}:{port}: no socket could be opened")
 
     async def close(self) -> None:
         """Cancel all tasks, wait for the store's file to be left alone, and close everything."""
--- a/orchidhatch/proxy/listening.py
+++ b/orchidhatch/proxy/listening.py
@@ -21,9 +21,14 @@
         raise
 
 
+def family_of(address: Address) -> socket.AddressFamily:
+    """The family of an address whose host is an IP address."""
+    return socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+
+
 def stream_socket(address: Address) -> socket.socket:
     """A TCP socket bound to the address; the caller listens. Raises OSError."""
-    with closed_on_error(socket.socket(socket.AF_INET, socket.SOCK_STREAM)) as opened:
+    with closed_on_error(socket.socket(family_of(address), socket.SOCK_STREAM)) as opened:
         # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         opened.setblocking(False)
@@ -33,7 +38,7 @@
 
 def datagram_socket(address: Address) -> socket.socket:
     """A UDP socket bound to the address. Raises OSError."""
-    with closed_on_error(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as opened:
+    with closed_on_error(socket.socket(family_of(address), socket.SOCK_DGRAM)) as opened:
         opened.setblocking(False)
         opened.bind(address)
         return opened
--- a/orchidhatch/proxy/management.py
+++ b/orchidhatch/proxy/management.py
@@ -13,6 +13,7 @@
 import h11
 
 from orchidhatch.proxy.cpu_accounting import Account, Place
+from orchidhatch.proxy.listening import closed_on_error, stream_socket
 from orchidhatch.proxy.wait_queues import Line, Waits
 
 log = logging.getLogger(__name__)
@@ -145,8 +146,10 @@
         self.waits, self.crowded_out = Waits(), 0
 
     async def start(self, host: str, port: int) -> None:
+        """Serve at the address. Raises OSError."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: CallConnection(self), host, port, reuse_address=True)
+        with closed_on_error(stream_socket((host, port))) as listening:
+            self.server = await loop.create_server(lambda: CallConnection(self), sock=listening)
 
     def opened(self, connection: CallConnection) -> None:
         self.connections[connection] = None
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -31,12 +31,13 @@
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.clients import Clients
-from orchidhatch.proxy.config import LEAST_SOCKETS, SPARE_SOCKETS, Config
+from orchidhatch.proxy.config import LEAST_SOCKETS, SPARE_SOCKETS, Address, Config
 from orchidhatch.proxy.configuration_reload import ConfigurationReloader
 from orchidhatch.proxy.cpu_accounting import Account, Place
 from orchidhatch.proxy.endpoint_watch import Catalog, Discovery, News
 from orchidhatch.proxy.event_dispatcher import ActionHandlers, EventDispatcher
 from orchidhatch.proxy.guards import Guard
+from orchidhatch.proxy.listening import closed_on_error, datagram_socket, stream_socket
 from orchidhatch.proxy.local_errors import error_name, retry_local
 from orchidhatch.proxy.log_writer import LogWriter
 from orchidhatch.proxy.management import Calls, Management
@@ -239,13 +240,7 @@
         if self.handover.peer:
             await self._serve_inherited(config.socket_fd)
         else:
-            host, port = config.listen
-            # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
-            self.server = await open_at_start(
-                lambda: self.loop.create_server(
-                    self.clients.connection, host, port, backlog=LISTEN_BACKLOG, reuse_address=True
-                )
-            )
+            self.server = await open_at_start(lambda: self._listen(config.listen))
         self.process.enter(ProcessState.SERVING)
 
     async def _wait_for_endpoints(self) -> None:
@@ -257,6 +252,13 @@
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
 
+    async def _listen(self, address: Address) -> asyncio.Server:
+        """Accept clients at the address. Raises OSError."""
+        with closed_on_error(stream_socket(address)) as listening:
+            return await self.loop.create_server(
+                self.clients.connection, sock=listening, backlog=LISTEN_BACKLOG
+            )
+
     async def _serve_inherited(self, descriptor: int) -> None:
         """Serve on the inherited socket, from the state of the process that serves there, if there is one."""
         has_state = await self.handover.take_over()
@@ -270,7 +272,8 @@
     async def _open_peers(self) -> None:
         config = self.active.config
         if config.settings.may_gossip and config.peer_listen:
-            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=config.peer_listen)
+            with closed_on_error(datagram_socket(config.peer_listen)) as opened:
+                await self.loop.create_datagram_endpoint(lambda: self.peers, sock=opened)
 
     def _stop_listening(self) -> None:
         self.server.close()
