Trials: what stood still reads late; long values name their request; broken answers apart

A backend that was stopped begins what was given up before it woke (an overlap, late sends to a drained backend); values of spoilt length passed for another request's; a long value that its backend breaks off ends the connection, as it has to. Change: an attempt that was left before its backend read it is out for no time; the drains' check excuses a backend that stood still; long values end with their request's id; an answer that broke off after it had begun is excused only where its backend was told to spoil it.

--- a/orchidhatch/faults/backend.py
+++ b/orchidhatch/faults/backend.py
@@ -23,6 +23,7 @@
 
 MOST_PIPELINED = 100
 AGAIN_S = 0.3  # until it tries to enter the list again
+LONG_BYTES = 200_000  # over what the protocol allows; a gateway passes it on as it comes
 SPOILT = ("twice", "nonsense", "endless", "long", "cut", "late", "reset")
 RENEWALS = 3  # in the time of a lease
 
@@ -151,9 +152,10 @@
         elif how == "endless":
             attempt.conn.answer(b"*3\r\n$60000\r\n" + b"x" * 100)
         elif how == "long":
-            self.finish(attempt, b"*3\r\n$200000\r\n" + b"x" * 200_000 + b"\r\n$-1\r\n$-1\r\n", "spoilt")
+            value = b"x" * LONG_BYTES + f":{attempt.id}".encode()
+            self.finish(attempt, b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value), "served")
         elif how == "cut":
-            attempt.conn.answer(b"*3\r\n$200000\r\n" + b"x" * 5000)
+            attempt.conn.answer(b"*3\r\n$%d\r\n" % LONG_BYTES + b"x" * 5000)
             loop.call_later(0.03, attempt.conn.transport.abort)
         elif how == "late":
             loop.call_later(self.chance.uniform(0.5, 2.0), self.finish, attempt, answer, "served")
--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -114,6 +114,7 @@
         self.slots = {
             event.about: event.who for event in of(db, "serves") if event.who.startswith("backend-")
         }
+        self.spoilt = {event.about for event in of(db, "spoilt")}
         self.attempts = list(self.read_attempts())
         self.by_request: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in self.attempts:
@@ -174,9 +175,12 @@
             overs[event.about, event.told["backend"], event.told["port"]].append(event.at_ns)
         for event in of(self.db, "attempt"):
             port, backend = event.told["port"], event.told["backend"]
-            ways = [way for at, way in opened[event.who, port] if at <= event.at_ns + WIDER_NS]
-            way = ways[-1] if ways else ""
+            ways = [(at, way) for at, way in opened[event.who, port] if at <= event.at_ns + WIDER_NS]
+            opened_ns, way = ways[-1] if ways else (0, "")
+            # A backend that stood still reads late what was given up before.
+            was_left = any(opened_ns <= at <= event.at_ns for at in left[way, port])
             ends = [
+                event.at_ns if was_left else self.last_ns,
                 later(overs[event.about, backend, port], event.at_ns),
                 later(left[way, port], event.at_ns),
                 self.killed(event.who, event.at_ns),
@@ -248,6 +252,8 @@
         )
         if how == "closed" and not (excused or emptied or self.was_shed_unread(ask)):
             self.broke("answers", request, f"{door} closed its connection without an answer {text}")
+        if how == "cut" and not (excused or request in self.spoilt):
+            self.broke("answers", request, f"{door} broke its answer off {text}")
         late = end.at_ns - ask.at_ns - self.plan.load.patience_ms * MS - GRACE_NS - WIDER_NS
         if late > 0 and not (excused or stood):
             self.broke("answers", request, f"{door} answered {late / MS:.0f} ms after the last moment")
@@ -265,7 +271,7 @@
 
     def drains(self) -> None:
         """Nothing new at a drained or removed backend 250 ms after word reached the door. Excused: the door
-        stood still since, or its way to the backend kept back what it had sent in time."""
+        or the backend stood still since, or the way between them kept back what was sent in time."""
         told: dict[tuple[int, str], list[tuple[int, bool]]] = defaultdict(list)
         for news in of(self.db, "news"):
             door, states = int(news.about.partition("-")[2]), news.told["states"]
@@ -282,10 +288,14 @@
             while first > 0 and not words[first - 1][1]:
                 first -= 1
                 since = words[first][0]
-            door, way = f"door-{attempt.door}", f"door-{attempt.door}>{slots.get(attempt.backend)}"
+            slot, door = slots.get(attempt.backend, ""), f"door-{attempt.door}"
+            way = f"{door}>{slot}"
             late = attempt.begin - since - DRAIN_NS - WIDER_NS
             if late > 0 and not (
                 self.spans.hit(door, since, attempt.begin, "stop", margin=WAKE_NS)
+                or self.spans.hit(
+                    slots.get(attempt.backend, ""), since - S, attempt.begin, "stop", margin=WAKE_NS
+                )
                 or self.spans.hit(way, since - S, attempt.begin)
             ):
                 self.broke(
--- a/orchidhatch/faults/load.py
+++ b/orchidhatch/faults/load.py
@@ -105,7 +105,7 @@
     def __init__(self, clients: "Clients", door: int) -> None:
         self.clients, self.door, self.ask = clients, door, None
         self.ask: Ask | None
-        self.uses = 0
+        self.uses = self.received = 0
         self.parser, self.idle_s = hiredis.Reader(), 0.0
         self.transport: asyncio.Transport | None = None
 
@@ -113,7 +113,7 @@
         self.transport = transport
 
     def send(self, ask: Ask) -> None:
-        self.ask = ask
+        self.ask, self.received = ask, 0
         text = (
             f"c={ask.kind},t={ask.plan},d={self.clients.settings.load.patience_ms},units=1,"
             f"spread={ask.spread},first={ask.first}" + (",r=1" if ask.tries else "")
@@ -149,6 +149,7 @@
         self.clients.over(ask, "left", "")
 
     def data_received(self, data: bytes) -> None:
+        self.received += len(data)
         self.parser.feed(data)
         while (reply := self.parser.gets()) is not False:
             if self.ask is None:
@@ -160,7 +161,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         if self.ask is not None:
             ask, self.ask = self.ask, None
-            self.clients.over(ask, "closed", repr(error) if error else "")
+            how = "cut" if self.received else "closed"  # its answer had begun, or not
+            self.clients.over(ask, how, repr(error) if error else "")
         self.clients.forget(self)
 
 
@@ -227,7 +229,7 @@
 
     def over(self, ask: Ask, how: str, text: str) -> None:
         self.open.pop(ask.id, None)
-        self.recorder.note("end", ask.id, how=how, text=text[:80])
+        self.recorder.note("end", ask.id, how=how, text=text[-80:])
 
     def come_again(self, ask: Ask, text: str) -> None:
         """By the advice where there is one; a new try has a new id."""
