--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -205,12 +205,13 @@
         )
 
     def overlaps(self) -> None:
-        """Attempts of a request never overlap, and are four at most, whatever fails."""
+        """Attempts of a request never overlap, and are four at most, whatever fails. Excused: a backend that
+        stood still begins late what was given up meanwhile, and in another order."""
         for request, attempts in self.by_request.items():
             if len(attempts) > MOST_ATTEMPTS:
                 self.broke("attempts", request, f"{len(attempts)} attempts")
             for one, two in itertools.pairwise(attempts):
-                if two.begin < one.end - WIDER_NS:
+                if two.begin < one.end - WIDER_NS and not self.was_begun_late(one, two):
                     self.broke(
                         "attempts",
                         request,
@@ -219,6 +220,19 @@
                     )
                     break
 
+    def was_begun_late(self, *attempts: Attempt) -> bool:
+        """Whether the backend of one of them stood still before it began it."""
+        return any(
+            self.spans.hit(
+                self.slots.get(attempt.backend, ""),
+                attempt.begin - WAKE_NS,
+                attempt.begin,
+                "stop",
+                margin=NOTICE_NS,
+            )
+            for attempt in attempts
+        )
+
     # --- answers ---
 
     def answers(self) -> None:
