--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -212,6 +212,7 @@
 
     LoadBalancer.has_credit = lambda self, server: True
     LoadBalancer.cost = lambda self, server: 0.0 if self.is_cold(server) else 1.0
+    LoadBalancer.is_full = lambda self, server: False
 
 
 PLANTS = {
