--- a/orchidhatch/faults/checkers.py
+++ b/orchidhatch/faults/checkers.py
@@ -17,6 +17,7 @@
 
 from orchidhatch.faults.events import Event, of, story
 from orchidhatch.faults.plan import Plan
+from orchidhatch.faults.request_checkers import findings
 
 MS, S = 1_000_000, 1_000_000_000
 GRACE_NS = 500 * MS  # after its time a request's answer only earns nothing; later it is lost
@@ -43,6 +44,7 @@
 class Verdict:
     breaks: list[Break] = field(default_factory=list)
     slow: list[str] = field(default_factory=list)  # why nothing can be said
+    skipped: list[str] = field(default_factory=list)  # what of the script could not be carried out
     figures: dict[str, float] = field(default_factory=dict)
 
 
@@ -56,6 +58,8 @@
     begin: int
     end: int
     customer: str
+    told_ms: int = 0
+    port: int = 0
 
 
 class Spans:
@@ -107,6 +111,10 @@
         for event in of(self.db, "emptied", "filled"):
             if (event.what == "filled") == (len(self.emptied[event.who]) % 2):
                 self.emptied[event.who].append(event.at_ns)
+        self.slots = {
+            event.about: event.who for event in of(db, "serves") if event.who.startswith("backend-")
+        }
+        self.spoilt = {event.about for event in of(db, "spoilt")}
         self.attempts = list(self.read_attempts())
         self.by_request: dict[str, list[Attempt]] = defaultdict(list)
         for attempt in self.attempts:
@@ -132,12 +140,21 @@
             self.promises,
         ):
             check()
+        for found in findings(self):
+            self.broke(found.check, found.about, found.text)
         self.figures()
         return self.verdict
 
     def broke(self, check: str, about: str, text: str) -> None:
         self.verdict.breaks.append(Break(check, about, text))
 
+    def note_slow_start(self, calls: int, budget: float) -> None:
+        """Keep the fullest window of a backend in slow start, as calls over its budget."""
+        share = round(calls / budget, 3)
+        self.verdict.figures["slow_start_share"] = max(
+            share, self.verdict.figures.get("slow_start_share", 0.0)
+        )
+
     def story(self, about: str) -> list[str]:
         return story(self.db, about, self.start_ns)
 
@@ -158,15 +175,27 @@
             overs[event.about, event.told["backend"], event.told["port"]].append(event.at_ns)
         for event in of(self.db, "attempt"):
             port, backend = event.told["port"], event.told["backend"]
-            ways = [way for at, way in opened[event.who, port] if at <= event.at_ns + WIDER_NS]
-            way = ways[-1] if ways else ""
+            ways = [(at, way) for at, way in opened[event.who, port] if at <= event.at_ns + WIDER_NS]
+            opened_ns, way = ways[-1] if ways else (0, "")
+            # A backend that stood still reads late what was given up before.
+            was_left = any(opened_ns <= at <= event.at_ns for at in left[way, port])
             ends = [
+                event.at_ns if was_left else self.last_ns,
                 later(overs[event.about, backend, port], event.at_ns),
                 later(left[way, port], event.at_ns),
                 self.killed(event.who, event.at_ns),
             ]
             door = int(way.partition(">")[0].partition("-")[2]) if way else -1
-            yield Attempt(event.about, backend, door, event.at_ns, min(ends), event.told["customer"])
+            yield Attempt(
+                event.about,
+                backend,
+                door,
+                event.at_ns,
+                min(ends),
+                event.told["customer"],
+                event.told.get("told_ms", 0),
+                port,
+            )
 
     def killed(self, process: str, after: int) -> int:
         """When it ended next: all connections to it break then."""
@@ -176,12 +205,13 @@
         )
 
     def overlaps(self) -> None:
-        """Attempts of a request never overlap, and are four at most, whatever fails."""
+        """Attempts of a request never overlap, and are four at most, whatever fails. Excused: a backend that
+        stood still begins late what was given up meanwhile, and in another order."""
         for request, attempts in self.by_request.items():
             if len(attempts) > MOST_ATTEMPTS:
                 self.broke("attempts", request, f"{len(attempts)} attempts")
             for one, two in itertools.pairwise(attempts):
-                if two.begin < one.end - WIDER_NS:
+                if two.begin < one.end - WIDER_NS and not self.was_begun_late(one, two):
                     self.broke(
                         "attempts",
                         request,
@@ -190,6 +220,19 @@
                     )
                     break
 
+    def was_begun_late(self, *attempts: Attempt) -> bool:
+        """Whether the backend of one of them stood still before it began it."""
+        return any(
+            self.spans.hit(
+                self.slots.get(attempt.backend, ""),
+                attempt.begin - WAKE_NS,
+                attempt.begin,
+                "stop",
+                margin=NOTICE_NS,
+            )
+            for attempt in attempts
+        )
+
     # --- answers ---
 
     def answers(self) -> None:
@@ -221,17 +264,28 @@
             bisect.bisect(self.emptied[door], ask.at_ns) % 2
             or bisect.bisect(self.emptied[door], end.at_ns) % 2
         )
-        if how == "closed" and not (excused or emptied):
+        if how == "closed" and not (excused or emptied or self.was_shed_unread(ask)):
             self.broke("answers", request, f"{door} closed its connection without an answer {text}")
+        if how == "cut" and not (excused or request in self.spoilt):
+            self.broke("answers", request, f"{door} broke its answer off {text}")
         late = end.at_ns - ask.at_ns - self.plan.load.patience_ms * MS - GRACE_NS - WIDER_NS
         if late > 0 and not (excused or stood):
             self.broke("answers", request, f"{door} answered {late / MS:.0f} ms after the last moment")
 
+    def was_shed_unread(self, ask: Event) -> bool:
+        """Whether its connection was new while the gateway's accept failed for want of descriptors.
+
+        The event loop then takes and closes what waits in the backlog, unread: by the operators' pages such a
+        request has failed and is not lost.
+        """
+        gateway = f"door-{ask.told['door']}"
+        return ask.told.get("new", False) and self.spans.hit(gateway, ask.at_ns, ask.at_ns, "accept")
+
     # --- drains ---
 
     def drains(self) -> None:
         """Nothing new at a drained or removed backend 250 ms after word reached the door. Excused: the door
-        stood still since, or its way to the backend kept back what it had sent in time."""
+        or the backend stood still since, or the way between them kept back what was sent in time."""
         told: dict[tuple[int, str], list[tuple[int, bool]]] = defaultdict(list)
         for news in of(self.db, "news"):
             door, states = int(news.about.partition("-")[2]), news.told["states"]
@@ -248,10 +302,14 @@
             while first > 0 and not words[first - 1][1]:
                 first -= 1
                 since = words[first][0]
-            door, way = f"door-{attempt.door}", f"door-{attempt.door}>{slots.get(attempt.backend)}"
+            slot, door = slots.get(attempt.backend, ""), f"door-{attempt.door}"
+            way = f"{door}>{slot}"
             late = attempt.begin - since - DRAIN_NS - WIDER_NS
             if late > 0 and not (
                 self.spans.hit(door, since, attempt.begin, "stop", margin=WAKE_NS)
+                or self.spans.hit(
+                    slots.get(attempt.backend, ""), since - S, attempt.begin, "stop", margin=WAKE_NS
+                )
                 or self.spans.hit(way, since - S, attempt.begin)
             ):
                 self.broke(
@@ -526,6 +584,9 @@
     # --- figures ---
 
     def speed(self) -> None:
+        for event in of(self.db, "shim"):
+            if not event.told["built"]:
+                self.verdict.skipped.append("no C compiler here: no system call was made to fail")
         for event in of(self.db, "relay"):
             self.verdict.figures |= {
                 f"relay_late_{key}": round(value, 3) for key, value in event.told.items() if key != "ticks"
@@ -561,6 +622,10 @@
             "closed": ends["closed"],
             "unsent": ends["unsent"],
             "faults": len(of(self.db, "fault")),
+            "injected_calls": sum(event.told["count"] for event in of(self.db, "injected")),
+            "left": ends["left"],
+            "odd_clients": len(of(self.db, "odd")),
+            "spoilt_answers": len(of(self.db, "spoilt")),
             "p50_ms": latencies.get_value_at_percentile(50) / 1000,
             "p99_ms": latencies.get_value_at_percentile(99) / 1000,
         }
