Look at sockets past the event loop only after a gap, and read the clock once a send

Change: proxy/loop_watch.py: what has come can be unread only where the loop may have stood still, so the looks follow a gap of 50 ms, and always for a client whose reading is paused. The index of servers is updated by what changed; one reading of the clock serves the checks of a send.

--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -172,7 +172,7 @@
     """The time left is reckoned when an attempt is begun, not when it is written."""
     from orchidhatch.proxy.attempt import Attempt
 
-    Attempt.payload = lambda self: self.encode(max(1, self.deadline_us - self.sent_us) + 400_000)
+    Attempt.payload = lambda self, now: self.encode(max(1, self.deadline_us - self.sent_us) + 400_000)
 
 
 def serve_departed() -> None:
--- a/orchidhatch/gateway/load_balancing.py
+++ b/orchidhatch/gateway/load_balancing.py
@@ -66,6 +66,8 @@
         self.mean_load = 0.0  # of the servers, as they say
         self.kept_us = context.settings.conn_idle_us / 2  # how long connections are kept here, idle
         self.spread_thin = False
+        # At one server from here at once.
+        self.most_in_flight = max(LEAST_OUT, 2 * START_PER_SERVER // context.settings.gateway_count)
         self.usual = 0.0  # first attempts a second that a warm server was sent from here when all went well
         self.warm = 0.0  # the servers that may be sent new work, a cold one as the part that is warm
 
@@ -93,17 +95,18 @@
     def attempt_began(self, server: Server, name: tuple[str, int], sent_us: int) -> None:
         """An attempt, by its request and number, is in flight at the server."""
         server.in_flight[name] = sent_us
-        self.refresh(server)
+        if self.is_listed(server):
+            self.index.busy[server] = None
 
     def attempt_ended(self, server: Server, name: tuple[str, int]) -> None:
         """The attempt is in flight no more; nothing where it was not."""
         server.in_flight.pop(name, None)
-        self.refresh(server)
+        if not server.in_flight:
+            self.index.busy.pop(server, None)
 
-    def refresh(self, server: Server) -> None:
-        """Read the server's states into the index, unless it is not listed any more."""
-        if self.servers.get(server.endpoint.name) is server:
-            self.index.update(server)
+    def is_listed(self, server: Server) -> bool:
+        """Whether the index may hold the server: attempts may end at one that has left the list."""
+        return self.servers.get(server.endpoint.name) is server
 
     # --- the choice ---
 
@@ -124,19 +127,21 @@
     def room(self, job: InFlightRequest) -> Sequence[Server]:
         """Those that may be sent an attempt of the request, by looking at the few that perhaps may not."""
         index, now = self.index, self.context.now_us
-        special = [*index.suspects_at(now), *job.servers]
+        special = [*(index.suspects_at(now) if index.suspect else ()), *job.servers]
         barred = {server for server in special if self.is_barred(job, server) and index.is_up(server)}
         if len(barred) == len(index.up):
             barred = set()  # all are: one of them is better than none
         full = {server for server in index.busy if self.is_full(server)}
-        warming = index.in_order(index.warming_at(now))
+        warming = index.in_order(index.warming_at(now)) if index.warming else []
         open_ = [server for server in warming if server not in barred and server not in full]
         credited = [server for server in open_ if self.has_credit(server)]
         if cold := [server for server in credited if not server.in_flight]:
             return cold
         closed = barred | full | set(open_).difference(credited)
-        if len(known := self.known_but(closed)) >= SUBSET:
+        if self.spread_thin and len(known := self.known_but(closed)) >= SUBSET:
             return known
+        if not closed:
+            return index.up
         return Without(index.up, [index.position(server) for server in closed if index.is_up(server)])
 
     def room_by_chance(self, job: InFlightRequest) -> Sequence[Server]:
@@ -162,9 +167,7 @@
         return known if len(known) >= SUBSET else room
 
     def known_but(self, closed: set[Server]) -> list[Server]:
-        """Where attempts are thin, those that connections are kept to, but for the closed ones."""
-        if not self.spread_thin:
-            return []
+        """Those that connections are kept to, but for the closed ones."""
         known = self.index.connected_since(self.context.now_us - self.kept_us)
         return [server for server in known if server not in closed]
 
@@ -177,8 +180,7 @@
 
     def is_full(self, server: Server) -> bool:
         """Whether as much is in flight as may be: more would only wait there."""
-        most = max(LEAST_OUT, 2 * START_PER_SERVER // self.context.settings.gateway_count)
-        return len(server.in_flight) >= most
+        return len(server.in_flight) >= self.most_in_flight
 
     def is_cold(self, server: Server) -> bool:
         """Whether a server is in slow start."""
@@ -251,7 +253,7 @@
             self.observe(server, index, result is AttemptResult.OK, took)
         if result is AttemptResult.OK:
             server.last_answer_us = now
-            if self.servers.get(server.endpoint.name) is server:
+            if self.is_listed(server):
                 self.index.answered(server)
             ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
             server.relative_latency += SMOOTH * (ratio - server.relative_latency)
@@ -262,7 +264,8 @@
             server.ejected_until_us = max(server.ejected_until_us, now + AVOID_US)
         elif not long and result not in UNTELLING:
             self.record_result(server, result is AttemptResult.OK)
-        self.refresh(server)
+        if server.ejected_until_us > now and self.is_listed(server):
+            self.index.suspect[server] = None
 
     def observe(self, server: Server, index: int, served: bool, took_us: float) -> None:
         """What an attempt, from here or told by a peer, says of how its server serves all gateways."""
@@ -272,7 +275,8 @@
         if served:
             step = PACE_STEP if took_us < mean_us else -2 * PACE_STEP
             server.pace = min(MOST_PACE, max(LEAST_PACE, server.pace + step))
-        self.refresh(server)
+        if self.is_listed(server):
+            self.index.marked[server] = None
 
     def record_result(self, server: Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by a slow start."""
--- a/orchidhatch/proxy/attempt.py
+++ b/orchidhatch/proxy/attempt.py
@@ -126,9 +126,10 @@
         """Whether it may be written at this instant; otherwise it has ended."""
         if self.over:
             return False
-        if self.deadline_us and now_us() >= self.deadline_us:
+        now = now_us()
+        if self.deadline_us and now >= self.deadline_us:
             self.time_out()
-        elif self.lapsed():
+        elif self.begin_by_us and now >= self.begin_by_us:
             self.lapse()
         elif self.may_send(self):
             return not self.over
@@ -136,9 +137,9 @@
             self.finish(AttemptResult.NOT_SENT)
         return False
 
-    def payload(self) -> bytes:
-        """The command as it is to be written now."""
-        return self.encode(max(1, self.deadline_us - now_us()))
+    def payload(self, now: int) -> bytes:
+        """The command as it is to be written now, in microseconds of the process's clock."""
+        return self.encode(max(1, self.deadline_us - now))
 
     def begin(self, size: int) -> Callable[[bytes], None] | None:
         """A long value begins to come; what takes its pieces, if it is wanted."""
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -21,6 +21,7 @@
 from orchidhatch.proxy.guards import Guard, Refusal
 from orchidhatch.proxy.idle_limit import FORGET_S, IdleLimit
 from orchidhatch.proxy.local_errors import error_name, retry_local
+from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.resp import ProtocolError, ReplyReader
 from orchidhatch.proxy.wait_queues import Waits
 
@@ -69,8 +70,9 @@
         assert self.transport is not None
         self.attempt, attempt.connection, self.received = attempt, self, 0
         self.uses += 1
-        self.idle_us = now_us() - self.idle_since
-        self.transport.write(attempt.payload())
+        now = now_us()
+        self.idle_us = now - self.idle_since
+        self.transport.write(attempt.payload(now))
         if self.paused:
             asyncio.get_running_loop().call_later(MOST_WRITE_S, attempt.write_stalled)
         else:
@@ -357,9 +359,11 @@
         most: int,
         account: Account | None = None,
         guard: Guard | None = None,
+        loop_watch: LoopWatch | None = None,
     ) -> None:
         self.account = account or Account()
         self.guard = guard or Guard()
+        self.loop_watch = loop_watch or LoopWatch()
         self.idle_limit = IdleLimit(round(idle_us * IDLE_SHARE))
         self.connect_s, self.most, self.aged_us = connect_timeout_us / 1e6, most, now_us()
         self.pools: dict[str, Pool] = {}
@@ -441,6 +445,8 @@
         A process that stood still may have an endpoint list event unread that says that the backend leaves,
         and timers and other sockets go ahead of it. The number of such turns is bounded.
         """
+        if not self.loop_watch.touch():
+            return False
         if attempt.deferrals >= MOST_DEFERRALS or not self.news_is_unread():
             return False
         attempt.deferrals += 1
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -253,8 +253,13 @@
         """Whether its pieces come, and the last of them has not."""
         return self.source is not None and not self.whole
 
-    def end_if_client_left(self) -> bool:
-        """End the client's connection if it has left, read or not; whether it has."""
+    def end_if_client_left(self, may_be_unread: bool) -> bool:
+        """End the client's connection if it has left; whether it has.
+
+        Its end is looked for at the socket where it may not have been read yet.
+        """
+        if self.connection.reading and not may_be_unread:
+            return False
         return self.connection.end_if_left()
 
     def more(self, data: bytes) -> None:
@@ -414,7 +419,8 @@
         if self.transport is None or self.transport.is_closing() or self.linger_until_s is not None:
             return
         wanted = len(self.replies) < MOST_PIPELINED and not self.clogged and not self.last
-        wanted = wanted and not (self.replies and self.replies[-1].is_streaming())
+        if wanted and self.replies and self.replies[-1].source is not None:
+            wanted = not self.replies[-1].is_streaming()
         if wanted and not self.reading:
             self.clients.unread_waits.note(self.clients.since_us(self.paused_s))
             self.transport.resume_reading()
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -23,6 +23,7 @@
 from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.config import MOST_US
 from orchidhatch.proxy.guards import Guard, Refusal
+from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.metrics import Ended, Figures
 from orchidhatch.proxy.policy_guard import Watchfulness
 from orchidhatch.proxy.request_exchange import RequestExchange
@@ -56,7 +57,9 @@
         figures: Figures,
         post: Callable[[Event], None],
         guard: Guard | None = None,
+        loop_watch: LoopWatch | None = None,
     ) -> None:
+        self.loop_watch = loop_watch or LoopWatch()
         self.active = active
         self.guard = guard or Guard()
         self.figures = figures
@@ -96,6 +99,7 @@
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """Start a request from a client's command; raises CommandError if the command is wrong."""
+        self.loop_watch.touch()
         self.policy_guard.look()
         most_us = MOST_US if self.last_answer_us is None else max(0, self.last_answer_us - now_us())
         command = self.active.parser.parse(words, ANSWER_MARGIN_US, most_us)
@@ -188,7 +192,8 @@
             self.value_begins,
             self.may_send,
         )
-        self._free_buffer(exchange)
+        if exchange.buffer_size:
+            self._free_buffer(exchange)
         attempt.deadline_us = now + timeout_us
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout_us, action.start_within_us)
@@ -200,7 +205,7 @@
         have come without being read. The rest the core and this class see to before, and the guard counts it.
         """
         exchange = self.open.get(attempt.request_id)
-        if exchange and exchange.reply.end_if_client_left():
+        if exchange and exchange.reply.end_if_client_left(self.loop_watch.is_suspicious):
             self.tally["left before sending"] += 1
             return False
         refusal = self._refusal(attempt, exchange)
@@ -364,7 +369,8 @@
         if exchange is None:
             return None
         self.held_bytes -= exchange.command.request.size_bytes
-        self._free_buffer(exchange)
+        if exchange.buffer_size:
+            self._free_buffer(exchange)
         if not exchange.attempts:
             self.held_waits.note(now_us() - exchange.came_us)
         if exchange.timer:
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -40,6 +40,7 @@
 from orchidhatch.proxy.listening import closed_on_error, datagram_socket, stream_socket
 from orchidhatch.proxy.local_errors import error_name, retry_local
 from orchidhatch.proxy.log_writer import LogWriter
+from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.management import Calls, Management
 from orchidhatch.proxy.management_handlers import ManagementHandlers
 from orchidhatch.proxy.metrics import Figures
@@ -82,7 +83,10 @@
         self.dispatcher = EventDispatcher(self.core, self.account)
         self.figures = Figures(config.class_numbers)
         self.guard = Guard()
-        self.requests = RequestLifecycle(self.active, self.figures, self.dispatcher.post, self.guard)
+        self.loop_watch = LoopWatch()
+        self.requests = RequestLifecycle(
+            self.active, self.figures, self.dispatcher.post, self.guard, self.loop_watch
+        )
         self._create_connections(config)
         self._create_endpoint_watch(config)
         self._create_process(config)
@@ -95,7 +99,12 @@
         sockets = max(LEAST_SOCKETS, self.max_descriptors) - SPARE_SOCKETS
         max_clients = round(sockets * CLIENT_SOCKET_SHARE)
         self.backends = Backends(
-            config.conn_idle_us, config.connect_timeout_us, sockets - max_clients, self.account, self.guard
+            config.conn_idle_us,
+            config.connect_timeout_us,
+            sockets - max_clients,
+            self.account,
+            self.guard,
+            self.loop_watch,
         )
         self.clients = Clients(
             max_clients, self.requests.take, self.requests.client_gone, self.account, self.guard
--- a/orchidhatch/proxy/socket_inspection.py
+++ b/orchidhatch/proxy/socket_inspection.py
@@ -5,7 +5,8 @@
 import fcntl
 import select
 import termios
-from array import array
+
+NO_BYTES = bytes(4)  # the integer that FIONREAD gives where nothing is unread
 
 
 def fileno(transport: asyncio.BaseTransport) -> int:
@@ -14,10 +15,11 @@
 
 def unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes have come that were not read yet."""
-    count = array("i", [0])
-    with contextlib.suppress(OSError):
-        fcntl.ioctl(fileno(transport), termios.FIONREAD, count)
-    return count[0] > 0
+    try:
+        found = fcntl.ioctl(fileno(transport), termios.FIONREAD, NO_BYTES)
+    except OSError:
+        return False
+    return found != NO_BYTES
 
 
 def poll(transport: asyncio.BaseTransport, events: int) -> int:
--- a/tests/proxy/test_guards.py
+++ b/tests/proxy/test_guards.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 
@@ -13,6 +14,7 @@
 from orchidhatch.gateway.endpoints import EndpointState
 from orchidhatch.proxy.attempt import Attempt
 from orchidhatch.proxy.guards import Refusal
+from orchidhatch.proxy.loop_watch import GAP_US, TURNS, LoopWatch
 from orchidhatch.proxy.request_exchange import RequestExchange
 from orchidhatch.proxy.server import GatewayServer
 from tests.proxy.test_long_values import HEAD as LONG_HEAD
@@ -34,6 +36,7 @@
 )
 
 SETTLE_TURNS = 20
+STANDS_STILL_S = 1.2 * GAP_US / 1e6
 
 
 async def until(what: Callable[[], object]) -> None:
@@ -41,6 +44,11 @@
         await asyncio.sleep(0.001)
 
 
+def stand_still() -> None:
+    """As a process that is stopped and goes on: the event loop runs nothing meanwhile."""
+    time.sleep(STANDS_STILL_S)
+
+
 async def turns() -> None:
     for _ in range(SETTLE_TURNS):
         await asyncio.sleep(0.001)
@@ -83,12 +91,14 @@
 
             def news_first(connection: object) -> None:
                 pool.release = release
+                stand_still()
                 watch.sendall(chunk(catalog(2, [entry("s0", backend.address, lifecycle)], reset=False)))
                 release(connection)
 
             pool.release = news_first
         else:
             watch.sendall(chunk(catalog(2, [entry("s0", backend.address, lifecycle)], reset=False)))
+            stand_still()
         gateway.backends.send(attempt_of(gateway, results), 5_000_000)
         await until(lambda: results)
         assert results == [AttemptResult.LOCAL_FAILURE] and backend.commands == []
@@ -100,6 +110,7 @@
     async with told_by_hand(backend) as (gateway, _):
         results: list[AttemptResult] = []
         gateway.backends.news_is_unread = lambda: True
+        stand_still()
         gateway.backends.send(attempt_of(gateway, results), 5_000_000)
         await until(lambda: results)
         assert results == [AttemptResult.OK]
@@ -113,6 +124,7 @@
         client.send(query("a1"))
         await until(lambda: "a1" in gateway.requests.open)
         kernel_socket(client.writer).shutdown(socket.SHUT_RDWR)
+        stand_still()
         gateway.requests.send(SendAttempt("a1", "s0"))  # in the same turn: its end was not read yet
         await until(lambda: not gateway.requests.open and not gateway.requests.ended)
         await turns()
@@ -130,6 +142,7 @@
 
         def left_first(connection: object) -> None:
             kernel_socket(client.writer).shutdown(socket.SHUT_RDWR)
+            stand_still()
             release(connection)
 
         pool.release = left_first
@@ -263,3 +276,35 @@
         assert await client.ended() or True
         await until(lambda: not gateway.requests.open)
         assert not gateway.guard.refusals
+
+
+async def test_gap_of_the_event_loop_is_suspicious_for_a_few_turns() -> None:
+    now = [1_000_000]
+    watch = LoopWatch(lambda: now[0])
+    watch.touch()  # the first of all
+    assert watch.is_suspicious
+    for _ in range(TURNS + 1):
+        await asyncio.sleep(0)
+    assert not watch.is_suspicious
+    now[0] += GAP_US - 1
+    watch.touch()
+    assert not watch.is_suspicious
+    now[0] += GAP_US
+    watch.touch()
+    watch.touch()
+    assert watch.is_suspicious
+
+
+async def test_end_of_a_client_that_is_not_read_from_is_looked_for_at_once() -> None:
+    """Where its reading is paused no gap is needed for the end to be unread."""
+    backend = Backend()
+    async with front_door(backend) as (gateway, address):
+        gateway.core.dequeue = lambda: None
+        client = await Client.open(address)
+        client.send(query("a1"))
+        await until(lambda: "a1" in gateway.requests.open)
+        reply = gateway.requests.open["a1"].reply
+        reply.connection.reading = False
+        kernel_socket(client.writer).shutdown(socket.SHUT_RDWR)
+        assert reply.end_if_client_left(may_be_unread=False)
+        assert not gateway.requests.open
