Come back to a shared discovery within 4 s in tiers of up to 15 gateways

Cause: news counts as told 6 s after discovery had it and could be reached, whatever failed before; after failed calls a gateway of 14 waited up to 11 s. Larger tiers would overbook the service (0.13 s a call was seen), and wait as before: an open question.

--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -35,6 +35,9 @@
 # come back within less time than it needs for them, none is ever served.
 CALL_S = 0.2  # in which one front door of the tier may come back, on average
 BACKOFF_S, MOST_BACKOFF_S, MOST_DOUBLED = 0.1, 1.0, 4  # of the mean wait between tries
+# A tier this small cannot overbook it, and news counts as told 6 s after discovery had it and could be reached.
+SMALL_TIER = 15
+MOST_TOLD_WAIT_S = 4.0
 # Where lists are pushed, whoever answers is on this machine and answers at once, and what it has counts as
 # told whether a watch is open or not. So a watch that ends is no sign of too many calls if it had spoken, or
 # had waited for longer than an overbooked discovery lets anybody wait; nor is one that is silent.
@@ -275,6 +278,7 @@
         self.random, self.pushed = random.Random(seed), pushed
         self.first, self.spoke = asyncio.Event(), asyncio.Event()  # a list came; a watch was taken
         self.least_s = max(BACKOFF_S, CALL_S * doors / 2)
+        self.is_small_tier = doors <= SMALL_TIER
         self.backoff_s = self.least_s
         self.connection: WatchConnection | None = None
         self.before: WatchConnection | None = None
@@ -342,6 +346,8 @@
                 # what it hears meanwhile counts as told.
                 if self.pushed:
                     wait_s = min(wait_s, MOST_BACKOFF_S * self.random.random())
+                elif self.is_small_tier:
+                    wait_s = min(wait_s, MOST_TOLD_WAIT_S * self.random.random())
                 if wait_s > AT_ONCE_S and time.monotonic() - self.moved_s < MOVED_S:
                     least_s = 2 * BACKOFF_S if self.pushed else MOST_BACKOFF_S
                     wait_s = min(wait_s, least_s * self.random.random())
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -1,6 +1,7 @@
 """The watch on discovery and the datagrams between front doors."""
 
 import asyncio
+import itertools
 import json
 import socket
 import time
@@ -335,6 +336,9 @@
     times = sorted(time_s for gateway in first_tries(40, monkeypatch) for time_s in gateway)
     at_most = max(sum(start <= time_s < start + 4 for time_s in times) for start in range(30))
     assert at_most <= 4 / 0.13
+    small = first_tries(discovery.SMALL_TIER, monkeypatch)
+    waits = [after - before for gateway in small for before, after in itertools.pairwise([0.0, *gateway])]
+    assert max(waits) <= discovery.MOST_TOLD_WAIT_S  # its news is owed within 6 s, and it overbooks nobody
     few = first_tries(3, monkeypatch)
     assert max(gateway[0] for gateway in few) <= 0.6
     assert max(gateway[5] - gateway[4] for gateway in few) <= 2 * 4 * 0.3
