--- a/orchidhatch/proxy/endpoint_watch.py
+++ b/orchidhatch/proxy/endpoint_watch.py
@@ -35,7 +35,7 @@
 # come back within less time than it needs for them, none is ever served.
 CALL_S = 0.2  # in which one front door of the tier may come back, on average
 BACKOFF_S, MOST_BACKOFF_S, MOST_DOUBLED = 0.1, 1.0, 4  # of the mean wait between tries
-# A tier this small cannot overbook it, and news counts as told 6 s after discovery had it and could be reached.
+# A tier this small cannot overbook it, and news counts as told 6 s after discovery could be reached.
 SMALL_TIER = 15
 MOST_TOLD_WAIT_S = 4.0
 # Where lists are pushed, whoever answers is on this machine and answers at once, and what it has counts as
--- a/tests/proxy/test_guards.py
+++ b/tests/proxy/test_guards.py
@@ -12,6 +12,7 @@
 from orchidhatch.gateway.actions import SendAttempt
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.gateway.endpoints import EndpointState
+from orchidhatch.proxy import backends
 from orchidhatch.proxy.attempt import Attempt
 from orchidhatch.proxy.guards import Refusal
 from orchidhatch.proxy.loop_watch import GAP_US, TURNS, LoopWatch
@@ -55,7 +56,7 @@
 
 
 @contextlib.asynccontextmanager
-async def told_by_hand(*backends: Backend) -> AsyncIterator[tuple[GatewayServer, socket.socket]]:
+async def told_by_hand(*listed: Backend) -> AsyncIterator[tuple[GatewayServer, socket.socket]]:
     """A gateway whose endpoint list events are written by the test, in the turn that it chooses."""
     with socket.socket() as listener:
         listener.bind((HOST, 0))
@@ -64,9 +65,9 @@
         gateway = GatewayServer(replace(CONFIG, discovery=listener.getsockname()))
         await gateway.start()
         watch, _ = await asyncio.get_running_loop().sock_accept(listener)
-        listed = [entry(f"s{n}", await backend.start()) for n, backend in enumerate(backends)]
-        watch.sendall(HEAD + chunk(catalog(1, listed)))
-        await until(lambda: len(gateway.backends.pools) == len(backends))
+        entries = [entry(f"s{n}", await backend.start()) for n, backend in enumerate(listed)]
+        watch.sendall(HEAD + chunk(catalog(1, entries)))
+        await until(lambda: len(gateway.backends.pools) == len(listed))
         try:
             yield gateway, watch
         finally:
@@ -78,9 +79,22 @@
     return Attempt("x", 0, server, lambda _: query("x"), lambda _, result, *rest: results.append(result))
 
 
+async def leave_idle_connection(
+    gateway: GatewayServer, backend: Backend, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection to the backend that has rested and may be used."""
+    monkeypatch.setattr(backends, "REST_US", 0)
+    results: list[AttemptResult] = []
+    gateway.backends.send(attempt_of(gateway, results), 5_000_000)
+    await until(lambda: results)
+    backend.commands.clear()
+
+
 @pytest.mark.parametrize("lifecycle", ["DRAINING", "DELETED"])
 @pytest.mark.parametrize("dialled", [False, True])
-async def test_news_that_lie_unread_go_before_an_attempt(lifecycle: str, dialled: bool) -> None:
+async def test_news_that_lie_unread_go_before_an_attempt(
+    lifecycle: str, dialled: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """A process that stood still wakes up with a timer due and the news unread: the news come first."""
     backend = Backend()
     async with told_by_hand(backend) as (gateway, watch):
@@ -96,7 +110,8 @@
                 release(connection)
 
             pool.release = news_first
-        else:
+        else:  # a connection is idle, so that it could be written at once
+            await leave_idle_connection(gateway, backend, monkeypatch)
             watch.sendall(chunk(catalog(2, [entry("s0", backend.address, lifecycle)], reset=False)))
             stand_still()
         gateway.backends.send(attempt_of(gateway, results), 5_000_000)
@@ -116,9 +131,10 @@
         assert results == [AttemptResult.OK]
 
 
-async def test_nothing_is_sent_for_a_client_whose_end_lies_unread() -> None:
+async def test_nothing_is_sent_for_a_client_whose_end_lies_unread(monkeypatch: pytest.MonkeyPatch) -> None:
     backend = Backend()
     async with front_door(backend) as (gateway, address):
+        await leave_idle_connection(gateway, backend, monkeypatch)
         gateway.core.dequeue = lambda: None  # the core holds what comes
         client = await Client.open(address)
         client.send(query("a1"))
