An agent that restarts goes forward from what was told before, and waits for a registry first

Cause: a cache that could not be written lacks what was told last. Change: a watch of a restarted agent begins once a registry was heard, all were tried, or after 1 s; the first change after a restart begins generations anew above the wall clock's milliseconds, with the whole list, and the file is written anew.

--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -4,7 +4,9 @@
 that is. It also forwards controllers' management calls to the gateway, and holds the gateway's policy lease.
 """
 
+import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
@@ -28,6 +30,8 @@
 
 log = logging.getLogger("orchidhatch.agent")
 
+READY_WITHIN_S = 1.0  # how long a watch waits for a registry to be heard, after the start
+READY_CHECK_S = 0.01
 IN_MEMORY = Path(":memory:")  # SQLite's name for a database without a file
 LOCKED_SIGN = "locked"  # in SQLite's message where another process has the file
 
@@ -62,6 +66,8 @@
         self.replicator = Replicator(
             self, registries, wall_clock_ms=wall_clock_ms, persistence=self.cached_list
         )
+        self.waiting_watches: list[Callable[[], None]] = []
+        self.is_ready = not store.entries
         self.database = CacheDatabase(store.db, self.run_in_turn)
         self.gateway_calls: GatewayCalls | None = None
         self.lease_holder: PolicyLeaseHolder | None = None
@@ -77,11 +83,32 @@
     async def start(self, host: str, port: int) -> None:
         """Serve, replicate and hold the lease until closed."""
         await super().start(host, port)
-        loops = [self.replicator.run()]
+        loops = [self.replicator.run(), self._wait_ready()]
         if self.lease_holder:
             loops += self.lease_holder.loops()
         self.start_loops(loops)
 
+    def when_ready(self, begin: Callable[[], None]) -> None:
+        """Begin a watch once a registry was heard, or none answers: the cache may lack what was told last."""
+        if self.is_ready:
+            begin()
+        else:
+            self.waiting_watches.append(begin)
+
+    async def _wait_ready(self) -> None:
+        """Until a list was received, every registry was tried, or READY_WITHIN_S has passed."""
+        until_s = time.monotonic() + READY_WITHIN_S
+        while time.monotonic() < until_s and not self._has_tried_all():
+            await asyncio.sleep(READY_CHECK_S)
+        self.is_ready = True
+        waiting, self.waiting_watches = self.waiting_watches, []
+        for begin in waiting:
+            begin()
+
+    def _has_tried_all(self) -> bool:
+        replicator = self.replicator
+        return replicator.connected or replicator.upstream_switches >= len(replicator.upstreams)
+
     def suspend_watches(self) -> None:
         """End all watches and accept none, so that the gateway hears nothing from its agent."""
         self.close_watches()
--- a/orchidhatch/control/http_server.py
+++ b/orchidhatch/control/http_server.py
@@ -128,6 +128,10 @@
         """The metrics in Prometheus's text form, made by `format_metrics`."""
         raise NotImplementedError
 
+    def when_ready(self, begin: Callable[[], None]) -> None:
+        """Begin a watch; later, where the list may be older than what another process has told."""
+        begin()
+
     # --- watches ---
 
     @property
@@ -166,9 +170,14 @@
         if self._is_other_store(request.connection):
             after = 0
         self.request_connections.discard(request.connection)
-        self.broadcaster.add(request.connection, after, include_leases=query.get("leases") == [FLAG_SET])
+        include_leases = query.get("leases") == [FLAG_SET]
+        self.when_ready(lambda: self._begin_watch(request.connection, after, include_leases))
         return None
 
+    def _begin_watch(self, connection: Connection, after: int, include_leases: bool) -> None:
+        if not connection.is_closing:
+            self.broadcaster.add(connection, after, include_leases)
+
     def _is_other_store(self, connection: Connection) -> bool:
         """Whether a watch resumes by the generation of another store, which says nothing here."""
         store_name = dict(connection.request.headers).get(STORE_HEADER.lower().encode())
--- a/orchidhatch/control/registry/list_persistence.py
+++ b/orchidhatch/control/registry/list_persistence.py
@@ -13,8 +13,8 @@
 
 CATCH_UP_INTERVAL_S = 1.0
 """How often at most the whole list is written again to a disk that failed."""
-SKIPPED_GENERATIONS = 1 << 20
-"""More than a list changes while its cache is behind."""
+MOST_SKIPPED = 1000
+"""Generations passed over by chance where the wall clock does not carry them on."""
 
 
 class ListPersistence(Protocol):
@@ -67,12 +67,18 @@
         self._server = server
         self._wall_clock_ms = wall_clock_ms
         self._clock = clock
-        self._tried_s = 0.0
+        self._tried_s = -CATCH_UP_INTERVAL_S
+        # Whether the process before this one may have told more than the file has.
+        self._may_lag = bool(server.store.entries)
         self.is_behind = False
         self.failures = 0
 
     async def commit(self, batch: Batch) -> bool:
         """Try to make the batch durable."""
+        if self._may_lag and batch.changed:
+            self._may_lag = False
+            self._skip_generations()
+            return False
         if self.is_behind:
             return True
         try:
@@ -83,17 +89,24 @@
         return True
 
     def _fall_behind(self, error: StoreError) -> None:
-        """From now on generations are told that the file does not have, and no later process may give again.
+        """From now on changes are told that the file does not have."""
+        self.failures += 1
+        self._tried_s = self._clock()
+        self._skip_generations()
+        log.error("cache not written, the list goes on in memory: error=%s", error)
 
-        They are above those of any process that goes on from the file, as generations are begun by the wall
-        clock and lists change less often than it ticks; where it was stepped back, by a fixed number.
+    def _skip_generations(self) -> None:
+        """Go on above all generations that another process may tell or have told.
+
+        One that goes on from the same file does this at its first change, and lists change less often than
+        the wall clock's milliseconds pass. Where that was stepped back, chance keeps the two apart, and a
+        watch that names a generation from the future is sent the whole list.
         """
         self.is_behind = True
-        self.failures += 1
-        self._tried_s = self._clock()
         store = self._server.store
-        store.skip_generations(max(self._wall_clock_ms(), store.generation + SKIPPED_GENERATIONS))
-        log.error("cache not written, the list goes on in memory: error=%s", error)
+        now_ms = self._wall_clock_ms()
+        by_chance = store.generation + 1 + self._server.random.randrange(MOST_SKIPPED)
+        store.skip_generations(now_ms if now_ms > store.generation else by_chance)
 
     async def catch_up(self) -> None:
         """Write the whole list where the file lacks some of it, not more often than CATCH_UP_INTERVAL_S."""
--- a/tests/control/agent/test_failing_disk.py
+++ b/tests/control/agent/test_failing_disk.py
@@ -60,7 +60,7 @@
 
 
 async def test_agent_that_restarts_behind_what_it_told_goes_forward(tmp_path: Path) -> None:
-    """Its cache lacks what it told last: a gateway is told neither that old list nor an earlier generation."""
+    """Its cache lacks what it told last: a gateway is told neither the old list nor an earlier generation."""
     async with serving(tmp_path / "r.db") as registry:
         await register_endpoint(registry, "s-1")
         async with running_agent(tmp_path / "a.db", address_of(registry)) as agent:
