Forget a pool's idle connections when the last of them is used again

Seen in the last read of the change: at the bound of connections, a dial looked for the connection idle longest in a pool whose only one was in use again (IndexError, the request failed as internal). Change: one place notes that a pool has none idle.

--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -234,6 +234,7 @@
         for connection in reversed(self.idle):
             if not connection.uses or connection.idle_since <= now - REST_US:
                 self.idle.remove(connection)
+                self.note_idle()
                 if connection.usable() and not looks.spoken(connection.transport):
                     return connection
                 connection.abort()  # closed by the other side, or with words on it that nobody asked for
@@ -329,6 +330,10 @@
             self.owner.held -= 1
         if connection in self.idle:
             self.idle.remove(connection)
+        self.note_idle()
+
+    def note_idle(self) -> None:
+        """Forget among the pools with idle connections that this one has none left."""
         if not self.idle:
             self.owner.idle_pools.pop(self, None)
 
@@ -345,8 +350,7 @@
     def close_idle(self, before_us: int | None = None) -> None:
         while self.idle and (before_us is None or self.idle[0].idle_since < before_us):
             self.idle.pop(0).close()
-        if not self.idle:
-            self.owner.idle_pools.pop(self, None)
+        self.note_idle()
 
 
 class Backends:
--- a/tests/proxy/test_backends.py
+++ b/tests/proxy/test_backends.py
@@ -198,6 +198,22 @@
     sender.backends.close()
 
 
+async def test_bound_is_met_while_the_only_connection_is_in_use_again(rest: Callable[[], None]) -> None:
+    """It was idle at another backend, and is no more."""
+    backend = Backend(lambda words: value(b"x"))
+    sender = Sender(await backend.start(), most=1)
+    sender.backends.update({"t": EndpointState.UP}, {"t": backend.address}, whole=False)
+    sender.send()
+    assert await sender.result() is AttemptResult.OK
+    rest()
+    backend.answer = lambda words: None
+    sender.send()  # on the connection that was idle
+    other = Attempt("b", 0, "t", lambda _: b"", lambda _, *how: sender.ended.put_nowait(how))
+    sender.backends.send(other, 5 * S)
+    assert await sender.result() is AttemptResult.LOCAL_FAILURE
+    sender.backends.close()
+
+
 async def test_gone_backend_keeps_its_attempt_and_loses_idle_connections() -> None:
     backend = Backend(lambda words: None)
     sender = Sender(await backend.start())
