--- a/orchidhatch/faults/odd_clients.py
+++ b/orchidhatch/faults/odd_clients.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-import socket
 import sys
 import time
 from pathlib import Path
@@ -106,7 +105,6 @@
     def _leave(self, ids: list[str], gateway: int, writer: asyncio.StreamWriter) -> None:
         for id_ in ids:
             self._recorder.note("gone", id_, door=gateway)
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         writer.transport.abort()
 
     async def _end_of(self, reader: asyncio.StreamReader) -> str:
--- a/tests/faults/test_request_checkers.py
+++ b/tests/faults/test_request_checkers.py
@@ -1,6 +1,5 @@
 """The invariants of single requests, on events made by hand: each finds its break, and excuses faults."""
 
-import json
 from pathlib import Path
 from typing import Any
 
@@ -8,7 +7,7 @@
 import pytest
 
 from orchidhatch.faults.checkers import Judge
-from orchidhatch.faults.events import Recorder, gather, read_log
+from orchidhatch.faults.events import gather, read_log
 from orchidhatch.faults.plan import Backends, Customers, Load, Plan
 from orchidhatch.faults.request_checkers import budget_with_margin
 
@@ -124,10 +123,9 @@
     )
     [event] = read_log("door-1", path)
     assert (event.at_ns, event.who, event.what, event.about) == (12_000, "door-1", "guard", "abc")
-    assert event.told == {"reason": "past_deadline"} and json.dumps(event.told)
+    assert event.told == {"reason": "past_deadline"}
 
 
 def test_lack_of_a_compiler_is_told(tmp_path: Path) -> None:
     made = judge(tmp_path, [(1, "trial", "shim", "trial", {"built": False})])
     assert made.verdict.skipped == ["no C compiler here: no system call was made to fail"]
-    assert Recorder is not None
--- a/tests/proxy/test_guards.py
+++ b/tests/proxy/test_guards.py
@@ -288,9 +288,11 @@
         client.send(query("a2"))
         await turns()
         assert list(gateway.requests.open) == ["a1"]
+        assert await client.reader.readline() == b"$%d\r\n" % len(LONG)
         backend.writers[0].transport.abort()
-        assert await client.ended() or True
+        assert await client.ended()  # by a reset, as the second command lies unread
         await until(lambda: not gateway.requests.open)
+        assert len(backend.commands) == 1
         assert not gateway.guard.refusals
 
 
--- a/tests/proxy/test_local_failures.py
+++ b/tests/proxy/test_local_failures.py
@@ -9,7 +9,6 @@
 
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.proxy import backends, endpoint_watch, server
-from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.config import ConfigError
 from tests.proxy.test_backends import Sender
 from tests.sockets import CONFIG, Backend, Client, Watch, front_door, query, refusing_address
@@ -228,4 +227,3 @@
     from orchidhatch.gateway.retries import FREE_RETRIES
 
     assert AttemptResult.LOCAL_FAILURE in UNTELLING and AttemptResult.LOCAL_FAILURE in FREE_RETRIES
-    assert isinstance(Backends(1, 1, 1).local_failures, dict)
