Grant requests are numbered, and the leader says what it has counted for each

Callers saw: inside its quota a customer lost a quarter of what it is entitled to where quota leaders answered after 80 ms, and overdue requests of other customers were decided as if their leaders had answered.

Cause: an answer named its customer, not the request. Both messages of one request were counted, answers that came after the decision were given back by nobody, and a request decided without an answer was booked as counted.

Why this works: all messages of a request carry one number, in bits that the version before ignores; the leader counts a number once and says what it counted, and the member books each request by its own answer, late ones too.

--- a/orchidhatch/gateway/admission.py
+++ b/orchidhatch/gateway/admission.py
@@ -5,13 +5,19 @@
 from orchidhatch.gateway.constants import TICK_US
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.events import Request, SuspendAdmission
+from orchidhatch.gateway.grant_requests import GrantRequest
 from orchidhatch.gateway.in_flight import InFlightRequest
-from orchidhatch.gateway.leader_requests import LEADER_REPLY_TIMEOUT_US, MAX_LEADER_REQUESTS
+from orchidhatch.gateway.leader_requests import (
+    LEADER_REPLY_TIMEOUT_US,
+    MAX_GRANT_REQUESTS,
+    MAX_LEADER_REQUESTS,
+)
 from orchidhatch.gateway.metric_names import GRANTS_ANSWERED, GRANTS_REQUESTED
 from orchidhatch.gateway.overload import OverloadController
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.quota_leaders import QuotaLeaders
+from orchidhatch.gateway.quota_member import GrantAnswer
 from orchidhatch.gateway.reasons import QuotaDecisionSource, RejectionReason
 from orchidhatch.gateway.request_completion import RequestCompletion
 from orchidhatch.gateway.request_counters import RequestCounters
@@ -129,62 +135,66 @@
         """Ask the customer's quota leader, and wait for its answer."""
         wait_us = min(LEADER_REPLY_TIMEOUT_US, request.rule.latency_objective_us // GRANT_WAIT_DIVISOR)
         latest_us = request.deadline_us - MIN_TICKS_AFTER_GRANT_WAIT * TICK_US
-        request.grant_requests += 1
         request.decide_at_us = min(self.context.now_us + wait_us, latest_us)
         self.outbox.tally[GRANTS_REQUESTED] += 1
         self.awaiting_grant.append(request)
-        self.quotas.request_grant(request.customer, request.units)
-
-    def on_grant_answer(self, customer: Customer | None) -> None:
-        """A quota leader has answered: a request of the customer, or none where no request was answered."""
-        if customer is None:
-            self.decide_unanswered()
+        if request.grant is None:
+            request.grant = self.quotas.request_grant(request.customer, request.units)
         else:
-            self.decide_answered(customer)
+            self.quotas.repeat_grant_request(request.customer, request.grant)
+
+    def on_grant_answer(self, answer: GrantAnswer | None) -> None:
+        """A quota leader has answered: a request that waits for that, or none."""
+        if answer is not None:
+            self.decide_answered(answer)
+        self.decide_unanswered()
         self.queue.dequeue()
 
-    def decide_answered(self, customer: Customer) -> None:
-        """Decide on the customer's request that has waited longest, and on those whose wait is over."""
-        answered = self.take_first_awaiting(customer)
-        self.outbox.tally[GRANTS_ANSWERED] += len(answered)
-        for request in answered + self.take_overdue():
-            chance = request.customer.chance(request.units, known=True)
-            self.decide_after_wait(request, chance, QuotaDecisionSource.GRANT_ANSWER)
+    def decide_answered(self, answer: GrantAnswer) -> None:
+        """Decide on the request that the answer is for, unless its client has gone meanwhile.
+
+        The leader has counted the units; where the client has gone, the next report gives them back.
+        """
+        request = self.take_awaiting(answer.grant)
+        if request is None:
+            return
+        self.outbox.tally[GRANTS_ANSWERED] += 1
+        if not request.is_answered:
+            self.decide(request, answer.chance, QuotaDecisionSource.GRANT_ANSWER)
 
     def decide_unanswered(self) -> None:
         """Ask again for the requests whose wait is over, or decide on them without an answer."""
-        now_us = self.context.now_us
         for request in self.take_overdue():
-            if request.is_answered:
-                continue
-            if self.may_request_again(request):
+            if not request.is_answered and self.may_request_again(request):
                 self.request_grant(request)
                 continue
-            chance = request.customer.chance(request.units, known=False)
-            request.customer.back_off(now_us, self.context.random.random())
-            self.decide_after_wait(request, chance, QuotaDecisionSource.ANSWER_TIMEOUT)
+            if not request.is_answered:
+                self.decide_without_answer(request)
+            if request.grant is not None:
+                spent = request.units if request.is_in_quota else 0.0
+                self.quotas.presume_counted(request.grant, spent)
+
+    def decide_without_answer(self, request: InFlightRequest) -> None:
+        """Decide by what is known here, and leave the leader alone for a while."""
+        chance = request.customer.chance(request.units, known=False)
+        request.customer.back_off(self.context.now_us, self.context.random.random())
+        self.decide(request, chance, QuotaDecisionSource.ANSWER_TIMEOUT)
 
     def may_request_again(self, request: InFlightRequest) -> bool:
         """Whether the quota leader may be asked once more, as messages may be lost."""
+        is_silent = request.customer.backoff.is_leader_silent
+        max_requests = MAX_LEADER_REQUESTS if is_silent else MAX_GRANT_REQUESTS
+        if request.grant is None or request.grant.messages >= max_requests:
+            return False
         wait_end_us = self.context.now_us + LEADER_REPLY_TIMEOUT_US + MIN_TICKS_AFTER_GRANT_WAIT * TICK_US
-        return request.grant_requests < MAX_LEADER_REQUESTS and wait_end_us < request.deadline_us
-
-    def decide_after_wait(self, request: InFlightRequest, chance: float, source: QuotaDecisionSource) -> None:
-        """Decide on a request that the quota leader was asked for, unless its client has gone meanwhile.
-
-        The leader counts the units as spent with its answer; where the client has gone, the next report to
-        it gives them back.
-        """
-        request.customer.deduct_unreported_spend(request.units * chance)
-        if not request.is_answered:
-            self.decide(request, chance, source)
+        return wait_end_us < request.deadline_us
 
-    def take_first_awaiting(self, customer: Customer) -> list[InFlightRequest]:
-        """Remove the customer's request that has waited longest, if any waits."""
+    def take_awaiting(self, grant: GrantRequest) -> InFlightRequest | None:
+        """Remove the request that waits for the grant; None where it is no longer waiting."""
         for index, request in enumerate(self.awaiting_grant):
-            if request.customer is customer:
-                return [self.awaiting_grant.pop(index)]
-        return []
+            if request.grant is grant:
+                return self.awaiting_grant.pop(index)
+        return None
 
     def take_overdue(self) -> list[InFlightRequest]:
         """Remove the requests whose wait is over."""
--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
+NO_GRANT_NUMBER = 0
+"""The number in messages that are about no grant, or of a gateway that numbers none."""
+
+MAX_GRANT_NUMBER = 31
+"""The greatest number of a grant request: what the free bits of a message hold."""
+
 
 class MessageKind(Enum):
     """What a gossip message is for.
@@ -35,6 +41,10 @@
     when negative. Below zero, `requested` requests a concurrency slot, and so many units under the rate
     ceiling; where `slot_grant` is GRANTED, the answer hands them over. `in_flight` is how many attempts the
     sender has in flight; in an answer, how many all gateways but the recipient have.
+
+    A grant request has a `grant_number`, the same when it is repeated, and so has its answer, whose `spent`
+    are the units that the leader has counted for it. Gateways of the version before number none, and an
+    answer without a number leaves the recipient to follow from demand and level what was counted.
     """
 
     customer: int
@@ -48,6 +58,7 @@
     level: float = 0.0
     in_flight: int = 0
     slot_grant: SlotGrant = SlotGrant.NONE
+    grant_number: int = NO_GRANT_NUMBER
 
     @property
     def kind(self) -> MessageKind:
--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -33,6 +33,11 @@
 SLOT_GRANTS = frozenset(SlotGrant)
 """The slot grants that this version knows; the first version sends none, and ignores one."""
 
+SLOT_GRANT_SHIFT = 1
+SLOT_GRANT_MASK = 0b11
+GRANT_NUMBER_SHIFT = 3
+"""Where the byte of a message's kind has them; earlier versions ignore a grant number."""
+
 
 def pack_message(
     messages: Iterable[GossipMessage], observations: Iterable[AttemptObservation] = (), policy_mark: int = 0
@@ -66,13 +71,14 @@
 
 
 def pack_gossip(message: GossipMessage) -> bytes:
-    """One message: the kind of message and the slot grant share a byte."""
+    """One message: the kind of message, the slot grant and the grant number share a byte."""
+    kind = message.is_answer | message.slot_grant << SLOT_GRANT_SHIFT
     return MESSAGE.pack(
         message.customer,
         message.plan_index,
         message.set_first,
         message.set_size,
-        message.is_answer | message.slot_grant << 1,
+        kind | message.grant_number << GRANT_NUMBER_SHIFT,
         amount_steps(message.demand),
         amount_steps(message.spent),
         amount_steps(message.requested),
@@ -124,7 +130,7 @@
     in_flight: int,
 ) -> GossipMessage:
     """A message from the values of its struct, in their order; a grant that is not known is none."""
-    slot_grant = kind >> 1
+    slot_grant = kind >> SLOT_GRANT_SHIFT & SLOT_GRANT_MASK
     return GossipMessage(
         customer,
         plan_index,
@@ -137,4 +143,5 @@
         level / AMOUNT_STEPS,
         in_flight,
         SlotGrant(slot_grant) if slot_grant in SLOT_GRANTS else SlotGrant.NONE,
+        kind >> GRANT_NUMBER_SHIFT,
     )
--- a/orchidhatch/gateway/in_flight.py
+++ b/orchidhatch/gateway/in_flight.py
@@ -1,6 +1,7 @@
 """The state of a request from its arrival until its last attempt has ended."""
 
 from orchidhatch.gateway.events import Request
+from orchidhatch.gateway.grant_requests import GrantRequest
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.server_record import ServerRecord
 from orchidhatch.gateway.settings import DeduplicationScope, Idempotency, RequestClass
@@ -39,7 +40,7 @@
         self.queued_us = now_us
         # When its quota is decided on without a grant; NEVER while it awaits none.
         self.decide_at_us = NEVER
-        self.grant_requests = 0
+        self.grant: GrantRequest | None = None
 
     def may_reject(self) -> bool:
         """Whether a client that retries after a rejection cannot have its request run twice."""
--- a/orchidhatch/gateway/leader_requests.py
+++ b/orchidhatch/gateway/leader_requests.py
@@ -6,7 +6,10 @@
 """How long a reply of the quota leader is awaited, and how long a granted slot may stay unused."""
 
 MAX_LEADER_REQUESTS = 2
-"""How often a grant or a slot is requested before the leader counts as silent."""
+"""How often a slot is requested before the leader counts as silent, and a grant of a leader that is."""
+
+MAX_GRANT_REQUESTS = 3
+"""How often a grant is requested before the request is decided without an answer."""
 
 LEADER_ANSWER_TTL_US = 10 * S
 """For how long an answer of the quota leader is used."""
@@ -35,6 +38,11 @@
         self.next_request_us = 0
         self.delay_us = 0
 
+    @property
+    def is_leader_silent(self) -> bool:
+        """Whether the leader has not answered since a request was decided without its answer."""
+        return self.delay_us > 0
+
     def is_paused(self, now_us: int) -> bool:
         """Whether no request may be sent yet."""
         return now_us < self.next_request_us
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -6,8 +6,10 @@
 
 from dataclasses import replace
 
+from orchidhatch.gateway.counted_grants import CountedGrants
 from orchidhatch.gateway.demand_estimate import DEMAND_DECAY_US, DemandEstimate
 from orchidhatch.gateway.gossip import SlotGrant
+from orchidhatch.gateway.grant_requests import GrantRequests
 from orchidhatch.gateway.leader_requests import LEADER_ANSWER_TTL_US, LeaderBackoff
 from orchidhatch.gateway.leader_slots import LeaderSlots
 from orchidhatch.gateway.member_slot import MemberSlot, ceiling_units_of
@@ -60,6 +62,8 @@
 
         self.quota = QuotaBuckets(self.plan, self.size, self.is_isolated)
         self.demand = DemandEstimate()
+        self.grant_requests = GrantRequests(self.quota)
+        self.counted_grants = CountedGrants()
         self.ceiling = RateCeiling(self.plan, self.size)
         self.leader_slots = LeaderSlots()
         self.member_slot = MemberSlot()
@@ -152,10 +156,6 @@
         """Take the units of a request at this gateway; negative units return some."""
         self.quota.spend_locally(units)
 
-    def deduct_unreported_spend(self, units: float) -> None:
-        """Take units from what will be reported as spent: the leader has counted them already."""
-        self.quota.unreported_spend -= units
-
     def quota_wait_us(self, units: float) -> float:
         """In how long the quota has so many units, at the rate that others' demand leaves; NEVER if none."""
         others_per_s = max(0.0, self.demand.units - units) / DEMAND_DECAY_US * S
--- a/orchidhatch/gateway/quota_leader.py
+++ b/orchidhatch/gateway/quota_leader.py
@@ -1,9 +1,11 @@
 """The leader's side of quotas: what members report is added up and answered, and slots are granted."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
+from orchidhatch.gateway.counted_grants import CountedGrant
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.gossip import GossipMessage, MessageKind, SlotGrant
+from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, MessageKind, SlotGrant
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import CustomerKey
@@ -32,7 +34,17 @@
         slot_grant: SlotGrant = SlotGrant.NONE,
     ) -> None:
         """Send a gateway the demand and the level of the whole set; `requested` says what is answered."""
-        message = GossipMessage(
+        self.send(peer, customer, self.answer_message(peer, customer, requested, slot_grant))
+
+    def answer_message(
+        self,
+        peer: int,
+        customer: Customer,
+        requested: float,
+        slot_grant: SlotGrant = SlotGrant.NONE,
+    ) -> GossipMessage:
+        """An answer with what is known here of the whole set."""
+        return GossipMessage(
             *customer.key,
             is_answer=True,
             demand=customer.demand.units,
@@ -42,8 +54,11 @@
             in_flight=customer.slots_in_use(self.context.now_us, excluded_peer=peer),
             slot_grant=slot_grant,
         )
+
+    def send(self, peer: int, customer: Customer, answer: GossipMessage) -> None:
+        """Send a gateway an answer."""
         if peer != self.context.settings.gateway_index:
-            self.outbox.add(peer, message)
+            self.outbox.add(peer, answer)
         customer.clear_unreported()
 
     def on_report(self, customer: Customer, message: GossipMessage, sender: int) -> None:
@@ -58,20 +73,70 @@
         self.answer_report(customer, message, sender)
 
     def answer_report(self, customer: Customer, message: GossipMessage, sender: int) -> None:
-        """Answer a grant request, queue a slot request, and answer a report while the level is low.
+        """Answer a grant request, queue a slot request, and answer a report while the level is low."""
+        if message.kind is MessageKind.GRANT_REQUEST:
+            self.answer_grant_request(customer, message, sender)
+            return
+        if customer.shares_slots() and message.kind is MessageKind.SLOT_REQUEST:
+            self.queue_slot_request(customer, message, sender)
+        if message.spent > 0 and customer.quota.set_level < customer.plan.burst / 2:
+            self.answer(sender, customer)
+
+    def answer_grant_request(self, customer: Customer, message: GossipMessage, sender: int) -> None:
+        """Decide on a grant request, answer it, and count its units as spent if they are granted."""
+        if message.grant_number == NO_GRANT_NUMBER:
+            counted = self.answer_unnumbered(customer, message, sender)
+        else:
+            counted = self.answer_numbered(customer, message, sender)
+        # A request that is granted units needs a slot at once.
+        if customer.shares_slots() and counted > 0:
+            self.queue_slot_request(customer, message, sender)
+        customer.spend(counted)
+
+    def answer_unnumbered(self, customer: Customer, message: GossipMessage, sender: int) -> float:
+        """Answer a gateway that decides by the chance itself; returns the units to count, by that chance."""
+        counted = message.requested * customer.chance(message.requested)
+        self.answer(sender, customer, message.requested)
+        return counted
 
-        The units of a grant request count as spent by the chance of its admission.
+    def answer_numbered(self, customer: Customer, message: GossipMessage, sender: int) -> float:
+        """Answer with the units that are counted for the number; returns those not counted before.
+
+        The answer has the level before they are counted, as the member takes what it spends from it.
         """
-        requests_grant = message.kind is MessageKind.GRANT_REQUEST
-        grant_chance = customer.chance(message.requested) if requests_grant else 0.0
-        # A request that is granted units needs a slot at once.
-        requests_slot = message.kind is MessageKind.SLOT_REQUEST or grant_chance > 0
-        if customer.shares_slots() and requests_slot:
-            customer.leader_slots.enqueue(sender, message.requested_units, self.context.now_us)
-        is_level_low = message.spent > 0 and customer.quota.set_level < customer.plan.burst / 2
-        if requests_grant or is_level_low:
-            self.answer(sender, customer, message.requested if requests_grant else 0.0)
-        customer.spend(message.requested * grant_chance)
+        now_us = self.context.now_us
+        number = message.grant_number
+        requested = message.requested
+        earlier = customer.counted_grants.find(sender, number, requested, now_us)
+        if earlier is not None:
+            self.answer_with(customer, message, sender, earlier.counted, already_counted=earlier.counted)
+            return 0.0
+        is_granted = self.context.random.random() < customer.chance(requested)
+        counted = requested if is_granted else 0.0
+        customer.counted_grants.add(sender, number, CountedGrant(requested, counted, now_us))
+        self.answer_with(customer, message, sender, counted)
+        return counted
+
+    def answer_with(
+        self,
+        customer: Customer,
+        message: GossipMessage,
+        sender: int,
+        counted: float,
+        already_counted: float = 0.0,
+    ) -> None:
+        """Answer a numbered grant request; `already_counted` is what the level here lacks for it."""
+        answer = replace(
+            self.answer_message(sender, customer, message.requested),
+            spent=counted,
+            level=customer.quota.set_level + already_counted,
+            grant_number=message.grant_number,
+        )
+        self.send(sender, customer, answer)
+
+    def queue_slot_request(self, customer: Customer, message: GossipMessage, sender: int) -> None:
+        """Queue a gateway's request for a slot, with the units that it names."""
+        customer.leader_slots.enqueue(sender, message.requested_units, self.context.now_us)
 
     def grant_slots(self, customer: Customer) -> None:
         """Grant free slots to the members that wait longest.
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -5,10 +5,11 @@
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.demand_estimate import DEMAND_DECAY_US
 from orchidhatch.gateway.gossip import GossipMessage, MessageKind
+from orchidhatch.gateway.grant_requests import GrantRequest
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.quota_leader import QueuesUnsent, QuotaLeader
-from orchidhatch.gateway.quota_member import QuotaMember
+from orchidhatch.gateway.quota_member import GrantAnswer, QuotaMember
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import S
 
@@ -124,9 +125,17 @@
         """Send the customer's leader what was requested and spent here since the last message."""
         self.member.report(customer)
 
-    def request_grant(self, customer: Customer, units: float) -> None:
+    def request_grant(self, customer: Customer, units: float) -> GrantRequest:
         """Ask the customer's leader whether a request of so many units may be admitted."""
-        self.member.request_grant(customer, units)
+        return self.member.request_grant(customer, units)
+
+    def repeat_grant_request(self, customer: Customer, grant: GrantRequest) -> None:
+        """Ask once more, as messages may be lost."""
+        self.member.send_grant_request(customer, grant)
+
+    def presume_counted(self, grant: GrantRequest, spent: float) -> None:
+        """A request was decided without the leader's answer, and spends so many units."""
+        self.member.presume_counted(grant, spent)
 
     # --- messages ---
 
@@ -134,9 +143,9 @@
         self,
         sender: int,
         messages: tuple[GossipMessage, ...],
-        answered: Callable[[Customer | None], None],
+        answered: Callable[[GrantAnswer | None], None],
     ) -> None:
-        """Take the messages of a gateway; `answered` gets the customer whose request for a grant is answered.
+        """Take the messages of a gateway; `answered` gets the answer that a request for a grant waits for.
 
         Slots are granted once all messages are read, as a report of attempts may follow a request for a slot.
         """
@@ -149,8 +158,8 @@
             is_new = key not in self.customers
             customer = self.customer(key)
             if message.kind is MessageKind.LEADER_ANSWER:
-                self.member.on_answer(customer, message)
-                answered(customer if message.answers_grant_request else None)
+                if sender == customer.leader:
+                    answered(self.member.on_answer(customer, message))
             elif customer.is_leader:
                 if is_new:
                     customer.quota.set_level = min(customer.quota.set_level, message.level)
@@ -189,8 +198,9 @@
         self.member.use_slot(customer)
 
     def renew(self) -> None:
-        """Report attempts again that outlast the last report, and give back unused slots."""
+        """Report attempts again that outlast the last report, give back unused slots, expire grants."""
         self.member.renew(self.report_in_flight)
+        self.member.expire_presumed()
 
     def dues(self) -> list[float]:
         """When `renew` is to be called."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -1,9 +1,11 @@
 """The member's side of quotas: reports and requests to a customer's quota leader, and its answers."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.gossip import GossipMessage, SlotGrant
+from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, SlotGrant
+from orchidhatch.gateway.grant_requests import GrantRequest, GrantState
 from orchidhatch.gateway.member_slot import SLOT_ONLY_UNITS
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
@@ -11,6 +13,13 @@
 from orchidhatch.gateway.times import NEVER
 
 
+class GrantAnswer(NamedTuple):
+    """An answer that a request has waited for, and the probability of admission that it gives."""
+
+    grant: GrantRequest
+    chance: float
+
+
 class QuotaMember:
     """What this gateway sends the quota leaders of the customers that other gateways lead."""
 
@@ -19,21 +28,44 @@
         self.outbox = outbox
         # Customers that a slot is granted to, or whose attempts in flight are to be reported again.
         self.renewals: dict[CustomerKey, Customer] = {}
+        # Grant requests that were decided on without an answer.
+        self.presumed: list[GrantRequest] = []
 
     def report(self, customer: Customer) -> None:
         """Send the leader what was requested and spent here since the last message."""
         self.send(customer, 0.0)
 
-    def request_grant(self, customer: Customer, units: float) -> None:
+    def request_grant(self, customer: Customer, units: float) -> GrantRequest:
         """Ask the leader whether a request of so many units may be admitted; reports too."""
-        self.send(customer, units)
+        grant = customer.grant_requests.open(units, self.context.now_us)
+        self.send_grant_request(customer, grant)
+        return grant
+
+    def send_grant_request(self, customer: Customer, grant: GrantRequest) -> None:
+        """Send a grant request, for the first time or again."""
+        grant.messages += 1
+        self.send(customer, grant.units, grant.number)
+
+    def presume_counted(self, grant: GrantRequest, spent: float) -> None:
+        """A request was decided without an answer, and spends so many units."""
+        grant.on_decided_unanswered(spent)
+        self.presumed.append(grant)
+
+    def expire_presumed(self) -> None:
+        """Settle the presumed grants that were answered, or not in time."""
+        now_us = self.context.now_us
+        unsettled = [grant for grant in self.presumed if grant.state is GrantState.PRESUMED]
+        self.presumed = [grant for grant in unsettled if grant.expires_us > now_us]
+        for grant in unsettled:
+            if grant.expires_us <= now_us:
+                grant.on_expired()
 
     def request_slot(self, customer: Customer, ceiling_units: float) -> None:
         """Request a slot, and units of the rate ceiling where the local share lacks them; reports too."""
         customer.member_slot.on_request_sent(self.context.now_us)
         self.send(customer, -max(SLOT_ONLY_UNITS, ceiling_units))
 
-    def send(self, customer: Customer, requested: float) -> None:
+    def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
         """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
         if not customer.is_leader:
             message = GossipMessage(
@@ -44,20 +76,42 @@
                 requested=requested,
                 level=customer.quota.set_level,
                 in_flight=customer.in_flight,
+                grant_number=grant_number,
             )
             if customer.shares_slots():
                 customer.cede_ceiling(self.context.now_us)
             self.outbox.add(customer.leader, message)
         customer.clear_unreported()
 
-    def on_answer(self, customer: Customer, message: GossipMessage) -> None:
-        """Take over what the leader has answered."""
+    def on_answer(self, customer: Customer, message: GossipMessage) -> GrantAnswer | None:
+        """Take over what the leader has answered; returns the answer where a request waits for it."""
         now_us = self.context.now_us
         customer.on_leader_answer(message.demand, message.level, now_us)
         if message.slot_grant is not SlotGrant.NONE:
             customer.on_slot_answer(message.slot_grant, -message.requested, now_us)
         if message.slot_grant is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
+        return self.on_grant_answer(customer, message) if message.answers_grant_request else None
+
+    def on_grant_answer(self, customer: Customer, message: GossipMessage) -> GrantAnswer | None:
+        """Settle the grant request that is answered; one that nothing waits for any more gives units back."""
+        requested = message.requested
+        if message.grant_number == NO_GRANT_NUMBER:
+            grant = customer.grant_requests.answered_unnumbered(requested)
+            chance = customer.chance(requested)
+        else:
+            grant = customer.grant_requests.answered(message.grant_number, requested, self.context.now_us)
+            chance = max(0.0, min(1.0, message.spent / requested))
+        if grant is None:
+            return None
+        is_awaited = grant.state is GrantState.AWAITED
+        on_answer = grant.on_answer if message.grant_number else grant.on_unnumbered_answer
+        has_changed = on_answer(requested * chance)
+        if is_awaited:
+            return GrantAnswer(grant, chance)
+        if has_changed and not customer.shares_slots():  # A report would end the use of a slot.
+            self.report(customer)
+        return None
 
     def use_slot(self, customer: Customer) -> None:
         """A first attempt of the customer is sent."""
@@ -82,5 +136,7 @@
                 del self.renewals[key]
 
     def dues(self) -> list[float]:
-        """When attempts in flight are to be reported again, or slots given back."""
-        return [customer.member_slot.due_us() for customer in self.renewals.values()]
+        """When attempts in flight are reported again, slots given back, or presumed grants expire."""
+        slots_us = [customer.member_slot.due_us() for customer in self.renewals.values()]
+        grants_us: list[float] = [grant.expires_us for grant in self.presumed]
+        return slots_us + grants_us
--- /dev/null
+++ b/tests/gateway/test_quota_rig.py
@@ -0,0 +1,76 @@
+"""The quota rule with messages between gateways that are late and lost, by the bounds of issue 53.
+
+The bounds come from the issue. The rig's long form prints a table of more seeds and links.
+"""
+
+import functools
+
+import pytest
+
+from tests.gateway.quota_rig import RigResult, RigSettings, measure
+from tests.helpers import MS
+
+SEEDS = (1, 2, 3)
+
+MIN_SHARE_LATE = 0.98
+"""The share served that issue 53 asks for where messages are up to 120 ms late and none is lost."""
+
+MIN_SHARE_BY_LOSS = {0.1: 0.95, 0.3: 0.88}
+"""The share served that issue 53 asks for where messages are up to 60 ms late, by the loss of messages."""
+
+UNITS_TOLERANCE = 0.01
+"""How far sums of units may differ by the rounding of floats."""
+
+both_loads = pytest.mark.parametrize("load", [0.9, 3.0])
+
+
+@functools.cache
+def measured(load: float, max_delay_ms: int, loss: float) -> tuple[RigResult, ...]:
+    """One measurement for each seed."""
+    return tuple(measure(RigSettings(seed, load, max_delay_ms * MS, loss)) for seed in SEEDS)
+
+
+def lowest_share(results: tuple[RigResult, ...]) -> float:
+    """The lowest share served of all seeds; overload control must not have limited any."""
+    assert not any(result.overload_engaged for result in results)
+    return min(result.share_served for result in results)
+
+
+@both_loads
+def test_answers_that_come_after_the_second_ask_cost_no_quota(load: float) -> None:
+    """Guards against a request counted twice at its leader because its answer came late."""
+    share = lowest_share(measured(load, 120, 0.0))
+    assert share >= MIN_SHARE_LATE
+
+
+@both_loads
+def test_late_answers_admit_nothing_beyond_the_quota(load: float) -> None:
+    """Guards against requests admitted on answers that were not theirs, beyond rate times time plus burst."""
+    assert [result.beyond_quota for result in measured(load, 120, 0.0)] == [0.0] * len(SEEDS)
+
+
+@both_loads
+@pytest.mark.parametrize("loss", MIN_SHARE_BY_LOSS)
+def test_lost_messages_cost_little_quota(load: float, loss: float) -> None:
+    """Guards against units that a lost answer leaves counted, and spends that no leader learns of."""
+    share = lowest_share(measured(load, 60, loss))
+    assert share >= MIN_SHARE_BY_LOSS[loss]
+
+
+@both_loads
+def test_units_are_conserved_while_messages_are_late(load: float) -> None:
+    """Guards against leaders that count other units as spent than those that were sent to the servers."""
+    overcounted = [
+        round(ledger.overcounted, 3)
+        for result in measured(load, 120, 0.0)
+        for ledger in result.ledgers.values()
+        if abs(ledger.overcounted) > UNITS_TOLERANCE
+    ]
+    assert overcounted == []
+
+
+def test_units_are_conserved_where_nothing_is_late() -> None:
+    """Guards the rig itself: its ledger closes where every answer comes at once."""
+    (result, *_) = measured(0.9, 5, 0.0)
+    assert [ledger for ledger in result.ledgers.values() if abs(ledger.overcounted) > UNITS_TOLERANCE] == []
+    assert sum(ledger.sent for ledger in result.ledgers.values()) > 0
