A grant request is known until it is settled, and repeated only while its leader knows it

Callers would have seen: after a gateway stood still for a second, units counted twice for one request (12 for 6) and its answer ignored; where a message came late by 0.3 s, a later request of equal units taken for the earlier one and not counted; a late second answer gave back units that were spent (0 counted for 6).

Cause: forgot requests by age, also those that still waited, while the leader's memory runs from when it counts; a repeated answer to a rejected request was taken from the level twice; the expiry of a dropped plan's grant was reported under its old index.

Change: a number is free after 1.5 s and once its request is settled, the leader's memory (0.6 s) and the window of repetitions (0.4 s) fit into that with 0.5 s for late messages; an answer under a number of other units is left alone; the level lacks what the request spent.

--- a/orchidhatch/gateway/admission.py
+++ b/orchidhatch/gateway/admission.py
@@ -159,7 +159,9 @@
         if request is None:
             return
         self.outbox.tally[GRANTS_ANSWERED] += 1
-        if not request.is_answered:
+        if request.is_answered:
+            answer.grant.spent = 0.0
+        else:
             self.decide(request, answer.chance, QuotaDecisionSource.GRANT_ANSWER)
 
     def decide_unanswered(self) -> None:
@@ -186,6 +188,8 @@
         max_requests = MAX_LEADER_REQUESTS if is_silent else MAX_GRANT_REQUESTS
         if request.grant is None or request.grant.messages >= max_requests:
             return False
+        if not request.grant.may_repeat(self.context.now_us):
+            return False
         wait_end_us = self.context.now_us + LEADER_REPLY_TIMEOUT_US + MIN_TICKS_AFTER_GRANT_WAIT * TICK_US
         return wait_end_us < request.deadline_us
 
--- a/orchidhatch/gateway/counted_grants.py
+++ b/orchidhatch/gateway/counted_grants.py
@@ -1,7 +1,7 @@
 """What a quota leader has counted for the numbered grant requests of its members, for a short time.
 
 Messages may be lost, so a member repeats a grant request under its number. The leader counts it once and
-answers each repetition alike.
+answers each repetition alike, while it remembers the request.
 """
 
 from typing import NamedTuple
--- a/orchidhatch/gateway/grant_requests.py
+++ b/orchidhatch/gateway/grant_requests.py
@@ -18,11 +18,14 @@
 from orchidhatch.gateway.quota_buckets import QuotaBuckets
 from orchidhatch.gateway.times import S
 
-GRANT_NUMBER_REUSE_US = S
-"""After how long a number names another request; longer than the leader remembers the earlier one."""
+GRANT_NUMBER_REUSE_US = 1.5 * S
+"""After how long a number may name another request, while late messages still name the earlier one."""
 
-GRANT_NUMBER_STEP_US = 33_000
-"""After how long the next request begins at the next number; all numbers take GRANT_NUMBER_REUSE_US."""
+GRANT_NUMBER_STEP_US = 49_000
+"""After how long the next request begins at the next number; all of them take GRANT_NUMBER_REUSE_US."""
+
+GRANT_REPEAT_WINDOW_US = 0.4 * S
+"""For how long a request is repeated, so that the leader still knows that it has counted it."""
 
 GRANT_REQUEST_TTL_US = S // 2
 """After how long without an answer the leader is taken to have counted nothing."""
@@ -63,7 +66,8 @@
     """One request for a grant of units; times in microseconds.
 
     `quota` keeps what is to be reported, `counted` what the leader has counted for it, as far as that is
-    known here; `messages` is how often it was sent, `answers` how often it was answered.
+    known here, and `spent` what was spent of the quota; `messages` is how often it was sent, `answers` how
+    often it was answered.
     """
 
     def __init__(self, quota: QuotaBuckets, number: int, units: float, now_us: int) -> None:
@@ -73,13 +77,14 @@
         self.opened_us = now_us
         self.state = GrantState.AWAITED
         self.counted = 0.0
+        self.spent = 0.0
         self.messages = 0
         self.answers = 0
 
     def on_answer(self, counted: float) -> float:
         """The leader has counted so many units; returns those that the next report gives back.
 
-        Repeated answers come in any order, and all that grant say the same.
+        Repeated answers come in any order, and those that grant say the same.
         """
         counted_before = self._counted_by_answers()
         self._advance(GrantEvent.ANSWERED)
@@ -96,6 +101,7 @@
     def on_decided_unanswered(self, spent: float) -> None:
         """The request is decided without an answer: presume that the leader counts what it spends here."""
         self._advance(GrantEvent.DECIDED_UNANSWERED)
+        self.spent = spent
         self._set_counted(spent)
 
     def on_expired(self) -> float:
@@ -108,6 +114,10 @@
         """From when on no answer is waited for any more."""
         return self.opened_us + GRANT_REQUEST_TTL_US
 
+    def may_repeat(self, now_us: int) -> bool:
+        """Whether the leader still knows what it has counted, if it has."""
+        return now_us - self.opened_us < GRANT_REPEAT_WINDOW_US
+
     def awaits_answer(self) -> bool:
         """Whether a message of the request was not answered yet."""
         return self.answers < self.messages
@@ -133,58 +143,61 @@
 class GrantRequests:
     """A customer's grant requests at a member.
 
-    Invariant: a number names one request at a time, and another one GRANT_NUMBER_REUSE_US later at the
-    soonest. Numbers follow the clock, so that the processes of a handover seldom use the same ones.
+    Invariant: a number names one request until that is settled, and GRANT_NUMBER_REUSE_US long at least.
+    Numbers follow the clock, so that the processes of a handover seldom use the same ones.
     """
 
     def __init__(self, quota: QuotaBuckets) -> None:
         self.quota = quota
-        # By number, in the order in which they were opened.
+        # The last request of each number.
         self.numbered: dict[int, GrantRequest] = {}
 
     def has_free_number(self, now_us: int) -> bool:
         """Whether one more request may be opened."""
-        self._forget_old(now_us)
-        return len(self.numbered) < MAX_GRANT_NUMBER
+        return self._free_number(now_us) is not None
 
     def open(self, units: float, now_us: int) -> GrantRequest:
-        """A new grant request; there has to be a free number."""
-        first = now_us // GRANT_NUMBER_STEP_US
-        candidates = ((first + offset) % MAX_GRANT_NUMBER + 1 for offset in range(MAX_GRANT_NUMBER))
-        number = next(candidate for candidate in candidates if candidate not in self.numbered)
+        """A new grant request; ValueError where no number is free."""
+        number = self._free_number(now_us)
+        if number is None:
+            raise ValueError("all numbers of grant requests are in use")
         grant = GrantRequest(self.quota, number, units, now_us)
         self.numbered[number] = grant
         return grant
 
-    def answered(self, number: int, units: float, now_us: int) -> GrantRequest:
-        """The grant request that an answer is for; where it is not known, one that is settled with nothing.
+    def answered(self, number: int, units: float, now_us: int) -> GrantRequest | None:
+        """The grant request that an answer is for; None where the number names one of other units.
 
-        It may be that of an earlier process of this gateway, which spends nothing of it any more.
+        Where the number names none, an earlier process of this gateway has asked. It spends nothing any
+        more, so that its request is settled with nothing spent.
         """
-        self._forget_old(now_us)
         grant = self.numbered.get(number)
-        if grant is not None and grant.matches(units):
-            return grant
-        unknown = GrantRequest(self.quota, number, units, now_us)
-        unknown.state = GrantState.SETTLED
-        self.numbered.setdefault(number, unknown)
-        return unknown
+        if grant is None:
+            grant = GrantRequest(self.quota, number, units, now_us)
+            grant.state = GrantState.SETTLED
+            self.numbered[number] = grant
+        return grant if grant.matches(units) else None
 
     def answered_unnumbered(self, units: float) -> GrantRequest | None:
         """The request that an answer of a leader of the version before is for, None for a duplicate.
 
         It is the first of so many units that awaits an answer; those that are not decided yet go before.
         """
+        in_order = sorted(self.numbered.values(), key=lambda grant: grant.opened_us)
         for state in GrantState:
-            for grant in self.numbered.values():
+            for grant in in_order:
                 if grant.state is state and grant.awaits_answer() and grant.matches(units):
                     return grant
         return None
 
-    def _forget_old(self, now_us: int) -> None:
-        oldest_us = now_us - GRANT_NUMBER_REUSE_US
-        while self.numbered:
-            number, grant = next(iter(self.numbered.items()))
-            if grant.opened_us > oldest_us:
-                return
-            del self.numbered[number]
+    def _free_number(self, now_us: int) -> int | None:
+        first = now_us // GRANT_NUMBER_STEP_US
+        candidates = ((first + offset) % MAX_GRANT_NUMBER + 1 for offset in range(MAX_GRANT_NUMBER))
+        return next((number for number in candidates if self._is_free(number, now_us)), None)
+
+    def _is_free(self, number: int, now_us: int) -> bool:
+        grant = self.numbered.get(number)
+        if grant is None:
+            return True
+        is_old = now_us - grant.opened_us >= GRANT_NUMBER_REUSE_US
+        return is_old and grant.state is GrantState.SETTLED
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -74,6 +74,11 @@
                 self.customers[customer.key] = customer
         self.update_keys(self.leader.slot_queues)
         self.update_keys(self.member.renewals)
+        self.member.forget_presumed(self.is_known)
+
+    def is_known(self, customer: Customer) -> bool:
+        """Whether the customer was not forgotten since."""
+        return self.customers.get(customer.key) is customer
 
     def update_keys(self, customers: dict[CustomerKey, Customer]) -> None:
         """Put a table under the new keys of its customers, without those that were forgotten."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -68,12 +68,16 @@
                 self.report_correction(customer)
 
     def expire_all_presumed(self) -> None:
-        """A successor takes over what is to be reported, and gives back what late answers say was counted."""
+        """Leave a successor all that was spent as to be reported; a late answer has it give units back."""
         for _, grant in self.presumed:
             if grant.state is GrantState.PRESUMED:
                 grant.on_expired()
         self.presumed = []
 
+    def forget_presumed(self, is_known: Callable[[Customer], bool]) -> None:
+        """Forget the grants of customers that are not known any more."""
+        self.presumed = [presumed for presumed in self.presumed if is_known(presumed.customer)]
+
     def report_correction(self, customer: Customer) -> None:
         """Report at once that the leader has counted too much, or too little.
 
@@ -125,14 +129,15 @@
         is_awaited = grant.state is GrantState.AWAITED
         returned = grant.on_answer(counted) if is_numbered else grant.on_unnumbered_answer(counted)
         if is_awaited:
+            grant.spent = counted
             return GrantAnswer(grant, counted / message.requested)
-        customer.spend(counted - returned)  # The answer has the level before they were counted.
+        customer.spend(grant.spent)  # The answer has the level before the request was counted.
         if returned:
             self.report_correction(customer)
         return None
 
     def answered_grant(self, customer: Customer, message: GossipMessage) -> GrantRequest | None:
-        """The grant request that an answer is for; None for a duplicate without a number."""
+        """The grant request that an answer is for, if it is known."""
         requests = customer.grant_requests
         if message.grant_number == NO_GRANT_NUMBER:
             return requests.answered_unnumbered(message.requested)
--- a/tests/gateway/test_grant_accounting_open.py
+++ b/tests/gateway/test_grant_accounting_open.py
@@ -25,7 +25,7 @@
     HeldPair,
     Successor,
 )
-from tests.helpers import SETTINGS, World, of
+from tests.helpers import MS, SETTINGS, World, of
 
 
 def test_first_report_is_counted_once() -> None:
@@ -190,3 +190,60 @@
     pair.deliver_all()
     assert pair.admitted("a")
     pair.check(answered=1)
+
+
+def test_repeated_request_for_a_slot_is_granted_once() -> None:
+    """Guards against two slots in use for one request, as the leader grants a repetition anew."""
+    pair = HeldPair(SLOTS_PLAN)
+    pair.ask("a", units=5.0)
+    pair.run(PAST_ONE_WAIT)
+    while pair.to_leader:
+        pair.deliver_to_leader()
+    assert pair.customer_at(pair.leader).slots_in_use(pair.leader.now) == 1
+
+
+def test_spending_in_a_lost_report_is_counted() -> None:
+    """Guards against units that no leader learns of, as a lost report is not repeated."""
+    pair = HeldPair()
+    pair.ask("a", units=1.0)
+    pair.lose_all()
+    pair.ask("b", units=1.0)
+    pair.settle()
+    assert pair.counted() == pytest.approx(2.0, abs=0.03)
+
+
+def test_repeated_answers_to_a_predecessor_are_given_back_once() -> None:
+    """Guards against units that stay counted where a successor uses a number of its predecessor's."""
+    pair = HeldPair(replace(PLAN, burst=1000.0))
+    pair.ask("local", units=250.0)
+    pair.deliver_all()
+    before = pair.counted()
+    pair.ask("large", units=260.0)  # Its number is that of the clock.
+    for number in range(4):
+        pair.ask(f"p{number}", units=6.0 + number)
+    pair.run(PAST_ONE_WAIT + 10 * MS)
+    while pair.to_leader:
+        pair.deliver_to_leader()
+    counted = pair.counted() - before
+    answers = list(pair.to_member)
+    successor = Successor(pair)
+    customer = pair.customer_at(successor.world)
+    customer.quota.local_share = 0.0
+    successor.world.ask("s", customer=CUSTOMER, units=27.0, set_size=GATEWAYS)
+    for answer in answers:
+        successor.world.tell(answer)
+    successor.world.run(5 * MS)
+    sent = [m for g in of(SendGossip, [a for _, a in successor.world.log]) for m in g.messages]
+    given_back = -sum(m.spent for m in sent) - customer.quota.unreported_spend
+    assert given_back == pytest.approx(counted, abs=0.05)
+
+
+def test_units_of_a_gone_client_are_given_back_without_more_traffic() -> None:
+    """Guards against units of a departed client that wait for the customer's next request."""
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    pair.tell(pair.member, ClientGone("a"))
+    pair.deliver_all()
+    pair.run(5000 * MS)
+    pair.deliver_all()
+    assert pair.counted() == pytest.approx(0.0, abs=0.03)
