The log writer's thread takes no signals: SIGTERM after a stop was seen late

Callers saw: requests forwarded with more time than is left to SIGKILL, where SIGTERM came while the gateway stood still.

Cause: after SIGCONT the system gives SIGTERM to whichever thread runs first. Where that was the log writer's, and it lost its processor before Python's handler had woken the event loop, the loop ran on, its watch forgot the gap after three turns, and SIGTERM counted as new.

--- a/orchidhatch/proxy/log_writer.py
+++ b/orchidhatch/proxy/log_writer.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import os
+import signal
 import threading
 import time
 from collections import deque
@@ -49,7 +50,11 @@
             self.changed.notify()
 
     def _write_lines(self) -> None:
-        """Run the thread: write one line after another, however long the reader takes."""
+        """Run the thread: write one line after another, however long the reader takes.
+
+        It takes no signal: one that the main thread takes wakes the event loop before the loop runs on.
+        """
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
         while True:
             entry = self._wait_for_line()
             if entry is None:
--- a/tests/proxy/test_main.py
+++ b/tests/proxy/test_main.py
@@ -4,6 +4,7 @@
 import json
 import math
 import os
+import re
 import resource
 import signal
 import subprocess
@@ -225,6 +226,18 @@
     await process.wait()
 
 
+async def test_only_the_main_thread_takes_sigterm(tmp_path: Path) -> None:
+    """Guards against answers due after SIGKILL: another thread took SIGTERM while the loop ran on."""
+    process, _ = await start(tmp_path, Backend())
+    for task in Path(f"/proc/{process.pid}/task").iterdir():
+        blocked = re.search(r"^SigBlk:\s*([0-9a-f]+)", (task / "status").read_text(), re.MULTILINE)
+        assert blocked
+        is_blocked = bool(int(blocked[1], 16) >> (signal.SIGTERM - 1) & 1)
+        assert is_blocked == (task.name != str(process.pid)), task.name
+    process.kill()
+    await process.wait()
+
+
 async def test_sighup_moves_the_watch_and_never_ends_the_process(tmp_path: Path) -> None:
     moved: asyncio.Queue[str] = asyncio.Queue()
 
