A leader's first report counts once: the member's level lacks what the report spends

Callers saw: requests inside the quota rejected after a restart of their leader.

Cause: a leader that knows no customer takes the level of the first message, then counts the message's spending, which that level lacks already.

Why this works: the count begins at the member's level plus the spending in the same message.

--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -170,13 +170,21 @@
                     answered(self.member.on_answer(customer, message))
             elif customer.is_leader:
                 if is_new:
-                    customer.quota.set_level = min(customer.quota.set_level, message.level)
+                    self.take_over_level(customer, message)
                 self.leader.on_report(customer, message, sender)
                 reported[key] = customer
         for customer in reported.values():
             self.leader.grant_slots(customer)
             self.leader.answer_if_queued(sender, customer)
 
+    def take_over_level(self, customer: Customer, message: GossipMessage) -> None:
+        """Begin the count of a customer that is new here at the level that a member knows.
+
+        The member's level lacks what the message says was spent, which is counted with the message.
+        """
+        level_before = message.level + message.spent
+        customer.quota.set_level = min(customer.quota.set_level, level_before)
+
     # --- concurrency slots and the rate ceiling ---
 
     def needs_slot(self, customer: Customer, units: float) -> bool:
