Units to report scale with the plan, as the buckets that lack them do

Callers saw: units of a customer given back twice over after its plan was made smaller, and so more admitted than its quota; the other way round under a larger plan.

Cause: QuotaBuckets.change_plan scaled levels and debts, and left unreported_spend as it was.

Evidence: test_units_to_give_back_scale_with_the_plan, unchanged: level 9 for 6 before, 6 now, 10 passes of 10.

Why this works: the leader's level, which the report changes, scales by the same factor.

--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -31,11 +31,12 @@
         self.unreported_spend = 0.0
 
     def change_plan(self, plan: Plan) -> None:
-        """Scale what the buckets hold or owe to the burst of another plan."""
+        """Scale what the buckets hold or owe, and what is to be reported, to the burst of another plan."""
         scale = plan.burst / self.plan.burst if self.plan.burst else 0.0
         self.local_share *= scale
         self.set_level *= scale
         self.allowance *= scale
+        self.unreported_spend *= scale
         self.plan = plan
 
     def refill_set(self, elapsed_s: float) -> None:
