Nothing is sent about a customer whose plan was dropped: its key may name another plan

Callers saw: after a change of policy that drops a plan, customers of the plan that gets its index were charged for requests and attempts of the dropped one.

Cause: messages name a plan by its index, and open requests of a forgotten customer kept on sending under its old key: repeated grant requests, reports at an attempt's end, the units told to the handover peer.

Evidence: test_request_of_a_dropped_plan_charges_no_other_plan, unchanged, failed before and passes now, 10 of 10. test_attempt_of_a_dropped_plan_charges_no_other_plan, new: the leader knew a customer of the other plan before, none now.

Why this works: one place, QuotaMember.send, sends nothing about a customer that is not known any more, and a request whose leader can't be asked is decided without it.

--- a/orchidhatch/gateway/admission.py
+++ b/orchidhatch/gateway/admission.py
@@ -188,6 +188,8 @@
         max_requests = MAX_LEADER_REQUESTS if is_silent else MAX_GRANT_REQUESTS
         if request.grant is None or request.grant.messages >= max_requests:
             return False
+        if not self.quotas.is_known(request.customer):
+            return False
         if not request.grant.may_repeat(self.context.now_us):
             return False
         wait_end_us = self.context.now_us + LEADER_REPLY_TIMEOUT_US + MIN_TICKS_AFTER_GRANT_WAIT * TICK_US
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -26,7 +26,7 @@
     def __init__(self, context: DecisionContext, outbox: PeerOutbox, queues_unsent: QueuesUnsent) -> None:
         self.context = context
         self.leader = QuotaLeader(context, outbox, queues_unsent)
-        self.member = QuotaMember(context, outbox)
+        self.member = QuotaMember(context, outbox, self.is_known)
         # In the order in which they were last seen.
         self.customers: dict[CustomerKey, Customer] = {}
 
@@ -74,7 +74,7 @@
                 self.customers[customer.key] = customer
         self.update_keys(self.leader.slot_queues)
         self.update_keys(self.member.renewals)
-        self.member.forget_presumed(self.is_known)
+        self.member.forget_presumed()
 
     def is_known(self, customer: Customer) -> bool:
         """Whether the customer was not forgotten since."""
@@ -99,9 +99,10 @@
     # --- admission under the quota ---
 
     def spend(self, customer: Customer, units: float) -> None:
-        """Take the units of a request here, and notify the handover peer of it."""
+        """Take the units of a request here; the handover peer is told of it while the plan exists."""
         customer.take(units)
-        self.context.send_to_handover_peer(HandoverSpend(customer.key, units))
+        if self.is_known(customer):
+            self.context.send_to_handover_peer(HandoverSpend(customer.key, units))
 
     def chance(self, customer: Customer, units: float) -> float | None:
         """The probability of admission by what is known here; None where a grant is to be requested."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -28,11 +28,18 @@
 
 
 class QuotaMember:
-    """What this gateway sends the quota leaders of the customers that other gateways lead."""
+    """What this gateway sends the quota leaders of the customers that other gateways lead.
 
-    def __init__(self, context: DecisionContext, outbox: PeerOutbox) -> None:
+    `is_known` says whether a customer was not forgotten since: the key of one whose plan is no more may name
+    another plan, so nothing is sent about it.
+    """
+
+    def __init__(
+        self, context: DecisionContext, outbox: PeerOutbox, is_known: Callable[[Customer], bool]
+    ) -> None:
         self.context = context
         self.outbox = outbox
+        self.is_known = is_known
         # Customers that a slot is granted to, or whose attempts in flight are to be reported again.
         self.renewals: dict[CustomerKey, Customer] = {}
         # Grant requests that were decided on without an answer.
@@ -74,9 +81,9 @@
                 grant.on_expired()
         self.presumed = []
 
-    def forget_presumed(self, is_known: Callable[[Customer], bool]) -> None:
+    def forget_presumed(self) -> None:
         """Forget the grants of customers that are not known any more."""
-        self.presumed = [presumed for presumed in self.presumed if is_known(presumed.customer)]
+        self.presumed = [presumed for presumed in self.presumed if self.is_known(presumed.customer)]
 
     def report_correction(self, customer: Customer) -> None:
         """Report at once that the leader has counted too much, or too little.
@@ -93,7 +100,7 @@
 
     def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
         """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
-        if not customer.is_leader:
+        if not customer.is_leader and self.is_known(customer):
             message = GossipMessage(
                 *customer.key,
                 is_answer=False,
--- a/tests/gateway/test_grant_stalls.py
+++ b/tests/gateway/test_grant_stalls.py
@@ -16,6 +16,7 @@
     PAST_EXPIRY,
     PAST_ONE_WAIT,
     PLAN,
+    SLOTS_PLAN,
     HeldPair,
 )
 from tests.helpers import MS, SETTINGS
@@ -95,6 +96,22 @@
     assert levels == []
 
 
+def test_attempt_of_a_dropped_plan_charges_no_other_plan() -> None:
+    """Guards against attempts of a dropped plan reported under its old index, which is another plan's."""
+    pair = HeldPair(SLOTS_PLAN)
+    pair.ask("a", units=6.0)
+    pair.deliver_all()
+    pair.run(PAST_ONE_WAIT)
+    pair.deliver_all()
+    assert pair.member.out
+    dropped = PolicyChange(SETTINGS.classes, (replace(SLOTS_PLAN, rate=1.0),), frozenset(), 2, (-1,))
+    for world in (pair.member, pair.leader):
+        pair.tell(world, dropped)
+    pair.serve()
+    pair.deliver_all()
+    assert list(pair.leader.gateway.quotas.customers) == []
+
+
 @pytest.mark.parametrize("answers", [1, 2, 3])
 def test_level_after_late_answers_to_a_rejected_request(answers: int) -> None:
     """Guards against a member's level that lacks units which were given back."""
