--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -66,6 +66,8 @@
             context, self.overload, self.balancer, customers, self.membership.names, requests
         )
         context.actions.append(snapshot)
+        for customer in customers:
+            customer.hand_over_unreported()
 
     def on_snapshot(self, snapshot: GatewaySnapshot) -> None:
         """Take over the predecessor's snapshot; both processes read the same clock."""
@@ -129,9 +131,12 @@
     def on_gone(self, _: HandoverPeerGone) -> None:
         """The other process has ended, and its attempts with it.
 
+        Where it was to take over, what was left to it to report is reported here, if that is possible yet.
         If it was unknown it may have used up every rate ceiling, so all of them start from empty.
         """
         self.context.has_handover_peer = False
+        for customer in self.quotas.customers.values():
+            customer.take_back_unreported()
         if self.context.peer_is_unknown:
             self.context.peer_is_unknown = False
             for customer in self.quotas.customers.values():
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -312,3 +312,12 @@
         """Go on from a predecessor's snapshot, as of now."""
         self.restore(snapshot)
         self.ceiling.extend_cession(now_us)
+
+    def hand_over_unreported(self) -> float:
+        """Leave the reports to a successor process; returns the units of spending that it is to report."""
+        self.demand.unreported_units = 0.0
+        return self.quota.hand_over_unreported()
+
+    def take_back_unreported(self) -> None:
+        """The successor has ended: report the spending that was left to it."""
+        self.quota.take_back_unreported()
--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -14,7 +14,8 @@
     leader answered last. It is negative while the set owes units. `local_share` is this gateway's share,
     spent without a request to the leader. `allowance` is what may be spent while no answer of the leader is
     known; it holds one unit at least, and a larger request leaves a debt. `unreported_spend` are the units
-    spent here since the last message to the leader.
+    spent here since the last message to the leader; `handed_over_spend` those of them that were left to a
+    successor process.
 
     Invariant: `local_share` is never negative, and a refill leaves it at most at max(0, `set_level`) and at
     the local share of the burst.
@@ -29,6 +30,7 @@
         self.local_share = plan.burst / size
         self.allowance = max(1.0, self.local_share)
         self.unreported_spend = 0.0
+        self.handed_over_spend = 0.0
 
     def change_plan(self, plan: Plan) -> None:
         """Scale what the buckets hold or owe, and what is to be reported, to the burst of another plan."""
@@ -95,3 +97,15 @@
         """Take over the level that the quota leader answered."""
         self.set_level = level
         self.local_share = min(self.local_share, max(0.0, level / self.size))
+
+    def hand_over_unreported(self) -> float:
+        """Leave the unreported units to a successor process, and return them."""
+        units = self.unreported_spend
+        self.unreported_spend = 0.0
+        self.handed_over_spend += units
+        return units
+
+    def take_back_unreported(self) -> None:
+        """The successor has ended: report here what was left to it."""
+        self.unreported_spend += self.handed_over_spend
+        self.handed_over_spend = 0.0
