Handover: the successor makes all reports, and is told what the leader has counted

Callers saw: after a handover a customer was charged twice for a request whose answer reached the predecessor, and was charged for one that the predecessor had rejected.

Cause: the predecessor told its successor what it spent, not what the leader had counted of that with its answer. What it was to give back it reported itself, from an address that was released; until then both processes reported what either spent.

Why it works: HandoverSpend has an optional field `counted`. The predecessor leaves every change of its unreported spending to the successor, counts none of what the successor spends, and presumes no grants: it cannot know which process gets the answer. Without the last point test_unanswered_spending_is_reported_by_a_successor_that_gets_the_answer fails with 1 unit for 7.

Versions: a record is a list that has to be complete in every version. An optional field goes beside the list, in the line's `optional`, which the version before does not read; a line without one is as before. A predecessor of the version before is counted as before.

--- a/orchidhatch/gateway/decision_context.py
+++ b/orchidhatch/gateway/decision_context.py
@@ -11,7 +11,8 @@
     """The settings, the random source, the event's time in microseconds and the actions decided on so far.
 
     `has_handover_peer` says that a second process serves as this gateway too, while one takes over from the
-    other; `peer_is_unknown` that there may be one whose attempts are not known.
+    other, `has_successor` that it takes over from this one; `peer_is_unknown` that there may be one whose
+    attempts are not known.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -21,6 +22,7 @@
         self.started_us = 0
         self.actions: list[Action] = []
         self.has_handover_peer = False
+        self.has_successor = False
         self.peer_is_unknown = False
 
     def send_to_handover_peer(self, message: HandoverMessage) -> None:
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -66,6 +66,7 @@
             context, self.overload, self.balancer, customers, self.membership.names, requests
         )
         context.actions.append(snapshot)
+        context.has_successor = True
         for customer in customers:
             customer.hand_over_unreported()
 
@@ -90,9 +91,15 @@
     # --- what the other process does ---
 
     def on_spend(self, event: HandoverSpend) -> None:
-        """Take units that the other process has spent from the customer's quota."""
+        """Take units that the other process has spent from the customer's quota.
+
+        The successor reports them: here, or where they were spent.
+        """
         if self.quotas.is_in_set(event.key):
-            self.quotas.customer(event.key).take(event.units)
+            customer = self.quotas.customer(event.key)
+            reported_elsewhere = event.units if self.context.has_successor else event.counted
+            customer.take(event.units)
+            customer.quota.unreported_spend -= reported_elsewhere
 
     def on_attempt(self, event: HandoverAttempt) -> None:
         """Count an attempt of the other process against ceilings, limits and slow start, once."""
@@ -135,6 +142,7 @@
         If it was unknown it may have used up every rate ceiling, so all of them start from empty.
         """
         self.context.has_handover_peer = False
+        self.context.has_successor = False
         for customer in self.quotas.customers.values():
             customer.take_back_unreported()
         if self.context.peer_is_unknown:
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -10,7 +10,7 @@
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.quota_leader import QueuesUnsent, QuotaLeader
 from orchidhatch.gateway.quota_member import GrantAnswer, QuotaMember
-from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
+from orchidhatch.gateway.snapshots import CustomerKey
 from orchidhatch.gateway.times import S
 
 IDLE_CUSTOMER_TTL_US = 60 * S
@@ -101,8 +101,7 @@
     def spend(self, customer: Customer, units: float) -> None:
         """Take the units of a request here; the handover peer is told of it while the plan exists."""
         customer.take(units)
-        if self.is_known(customer):
-            self.context.send_to_handover_peer(HandoverSpend(customer.key, units))
+        self.member.share_spend(customer, units)
 
     def chance(self, customer: Customer, units: float) -> float | None:
         """The probability of admission by what is known here; None where a grant is to be requested."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -9,7 +9,7 @@
 from orchidhatch.gateway.member_slot import SLOT_ONLY_UNITS
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
-from orchidhatch.gateway.snapshots import CustomerKey
+from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import NEVER
 
 
@@ -61,8 +61,14 @@
         self.send(customer, grant.units, grant.number)
 
     def presume_counted(self, customer: Customer, grant: GrantRequest, spent: float) -> None:
-        """A request was decided without an answer, and spends so many units."""
+        """A request was decided without an answer, and spends so many units.
+
+        A successor reports them at once, as it may be the one that gets the answer, and gives them back.
+        """
         grant.on_decided_unanswered(spent)
+        if self.context.has_successor:
+            grant.on_expired()
+            return
         self.presumed.append(PresumedGrant(customer, grant))
 
     def expire_presumed(self) -> None:
@@ -85,6 +91,20 @@
         """Forget the grants of customers that are not known any more."""
         self.presumed = [presumed for presumed in self.presumed if self.is_known(presumed.customer)]
 
+    def share_spend(self, customer: Customer, units: float) -> None:
+        """Tell the other process of a handover what was spent here; a successor reports it."""
+        if not self.is_known(customer):
+            return
+        counted = 0.0
+        if self.context.has_successor:
+            counted = units - customer.quota.hand_over_unreported()
+        self.context.send_to_handover_peer(HandoverSpend(customer.key, units, counted))
+
+    def share_correction(self, customer: Customer) -> None:
+        """Leave a successor to report what the leader has counted too much, or too little."""
+        if self.context.has_successor and customer.quota.unreported_spend:
+            self.share_spend(customer, 0.0)
+
     def report_correction(self, customer: Customer) -> None:
         """Report at once that the leader has counted too much, or too little.
 
@@ -100,6 +120,7 @@
 
     def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
         """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
+        self.share_correction(customer)
         if not customer.is_leader and self.is_known(customer):
             message = GossipMessage(
                 *customer.key,
@@ -135,6 +156,7 @@
             return None
         is_awaited = grant.state is GrantState.AWAITED
         returned = grant.on_answer(counted) if is_numbered else grant.on_unnumbered_answer(counted)
+        self.share_correction(customer)
         if is_awaited:
             grant.spent = counted
             return GrantAnswer(grant, counted / message.requested)
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -1,6 +1,7 @@
 """What a process hands over to its successor: a snapshot of all state, and the changes that follow it.
 
 While both processes serve they are one gateway together: each sends the other what it spends and sends.
+Fields with a default are later than the records; a process of the version before sends and reads none.
 """
 
 from dataclasses import dataclass
@@ -18,10 +19,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HandoverSpend:
-    """Units that one process took from a customer's quota; negative where it gave some back."""
+    """Units that one process took from a customer's quota; negative where it gave some back.
+
+    The successor reports those of its predecessor, but for what the leader has `counted` with its answers.
+    """
 
     key: CustomerKey
     units: float
+    counted: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -18,7 +18,14 @@
 from typing import Any, Protocol
 
 from orchidhatch.gateway.events import Event, HandoverPeerGone
-from orchidhatch.gateway.handover_codec import MESSAGE_KINDS, MESSAGE_NAMES, from_plain, to_plain
+from orchidhatch.gateway.handover_codec import (
+    MESSAGE_KINDS,
+    MESSAGE_NAMES,
+    from_plain,
+    from_plain_with_optional,
+    optional_to_plain,
+    to_plain,
+)
 from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverMessage
 
 log = logging.getLogger(__name__)
@@ -30,6 +37,8 @@
 RETRY_S = 0.25  # while the other process is itself still taking over
 RETRY_LIMIT = 20
 SOCKET_COUNT_PERIOD_S = 0.2
+OPTIONAL_FIELDS = "optional"
+"""Where a line has the fields that a peer of the version before does not know."""
 
 
 class Verb(Enum):
@@ -46,6 +55,12 @@
 VERBS = {verb.value: verb for verb in Verb}
 
 
+def optional_fields(record: object) -> dict[str, object]:
+    """What a line has in addition to a record's list; nothing where the list says all."""
+    optional = optional_to_plain(record)
+    return {OPTIONAL_FIELDS: optional} if optional else {}
+
+
 class HandoverError(ValueError):
     """A line of the other process that does not fit the protocol; it ends the connection."""
 
@@ -230,7 +245,9 @@
         elif verb:
             self.handlers[verb](values)
         else:
-            self.host.handover_peer_sent(from_plain(MESSAGE_KINDS[name], values["record"]))
+            optional = values.get(OPTIONAL_FIELDS, {})
+            message = from_plain_with_optional(MESSAGE_KINDS[name], values["record"], optional)
+            self.host.handover_peer_sent(message)
 
     def on_take_over(self, connection: HandoverConnection) -> None:
         """A successor asks for the state; only one may at a time."""
@@ -271,7 +288,9 @@
     def send(self, message: HandoverMessage) -> None:
         """Send what the decision core did here, if there is another process."""
         if self.connection:
-            self.connection.send(MESSAGE_NAMES[type(message)], record=to_plain(message))
+            self.connection.send(
+                MESSAGE_NAMES[type(message)], record=to_plain(message), **optional_fields(message)
+            )
 
     def on_lost(self, connection: HandoverConnection) -> None:
         """The other process has ended, or its connection was aborted."""
--- /dev/null
+++ b/tests/gateway/test_handover_codec.py
@@ -0,0 +1,38 @@
+"""The fields of handover records that are later than the version before."""
+
+import json
+
+import pytest
+
+from orchidhatch.gateway.handover_codec import (
+    from_plain,
+    from_plain_with_optional,
+    optional_to_plain,
+    to_plain,
+)
+from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
+
+KEY = CustomerKey(1, 0, 0, 4)
+
+
+def test_version_before_reads_a_record_with_optional_fields() -> None:
+    record = HandoverSpend(KEY, 6.0, counted=6.0)
+    assert json.loads(json.dumps(to_plain(record))) == [[1, 0, 0, 4], 6.0]
+
+
+def test_record_of_the_version_before_has_the_defaults() -> None:
+    assert from_plain(HandoverSpend, [[1, 0, 0, 4], 6.0]) == HandoverSpend(KEY, 6.0)
+
+
+@pytest.mark.parametrize("counted", [0.0, 6.0])
+def test_optional_fields_round_trip(counted: float) -> None:
+    record = HandoverSpend(KEY, 6.0, counted)
+    plain, optional = json.loads(json.dumps([to_plain(record), optional_to_plain(record)]))
+    assert optional == ({"counted": counted} if counted else {})
+    assert from_plain_with_optional(HandoverSpend, plain, {**optional, "later": []}) == record
+
+
+@pytest.mark.parametrize("optional", [{"counted": "6"}, {"counted": [6.0]}, {"counted": float("inf")}])
+def test_malformed_optional_field_is_a_value_error(optional: dict[str, object]) -> None:
+    with pytest.raises(ValueError):
+        from_plain_with_optional(HandoverSpend, [[1, 0, 0, 4], 6.0], optional)
--- a/tests/gateway/test_handover_spending.py
+++ b/tests/gateway/test_handover_spending.py
@@ -3,7 +3,9 @@
 import pytest
 
 from orchidhatch.gateway.events import ClientGone, HandoverPeerGone
-from tests.gateway.held_pair import HeldPair, Successor
+from orchidhatch.gateway.snapshots import HandoverSpend
+from tests.gateway.held_pair import CUSTOMER, GATEWAYS, PAST_ALL_WAITS, HeldPair, Successor
+from tests.helpers import of
 
 
 def pair_with_units_to_give_back() -> HeldPair:
@@ -37,3 +39,35 @@
     pair.tell(pair.member, HandoverPeerGone())  # Its address is released: it reports nothing.
     successor.report()
     assert pair.counted() == pytest.approx(6.0, abs=0.03)
+
+
+def test_spending_after_the_snapshot_is_reported_by_the_successor() -> None:
+    """Guards against spending that both processes report until the predecessor's address is released."""
+    pair = HeldPair()
+    successor = Successor(pair)
+    pair.ask("after", units=2.0)
+    spent = of(HandoverSpend, successor.world.ask("there", customer=CUSTOMER, units=1.0, set_size=GATEWAYS))
+    for message in spent:
+        pair.tell(pair.member, message)
+    pair.report(pair.customer_at(pair.member))
+    pair.deliver_all()
+    assert pair.counted() == pytest.approx(0.0, abs=0.03)
+    successor.tell_spending()
+    successor.report()
+    assert pair.counted() == pytest.approx(3.0, abs=0.03)
+
+
+def test_unanswered_spending_is_reported_by_a_successor_that_gets_the_answer() -> None:
+    """Guards against a successor that gives back what its predecessor has spent and waits to report."""
+    pair = HeldPair()
+    successor = Successor(pair)
+    pair.ask("a", units=6.0)
+    pair.deliver_to_leader()
+    answer = pair.to_member.pop()
+    pair.run(PAST_ALL_WAITS)
+    assert pair.admitted("a")
+    pair.ask("b", units=1.0)
+    successor.world.tell(answer)
+    successor.tell_spending()
+    successor.report()
+    assert pair.counted() == pytest.approx(7.0, abs=0.03)
