Handover: the successor goes on from the grant requests of its predecessor

Callers saw: right after a handover a request was admitted and not counted, as it was taken for one of the predecessor's; units that were granted to the predecessor's requests were never given back, or were given back though they had been spent.

Evidence: test_process_that_follows_at_once_asks_by_other_numbers failed with two requests of one number, test_repeated_answers_to_a_predecessor_are_given_back_once with 283 of 290 units given back. New, failing before: test_answer_repeated_to_a_successor_gives_nothing_back with 0 units counted for 6, test_processes_that_serve_together_ask_by_other_numbers with 3 numbers for 6 requests.

The successor takes other numbers, finds each late answer's request, and gives back only what the predecessor's answers have not said.

--- a/orchidhatch/gateway/grant_requests.py
+++ b/orchidhatch/gateway/grant_requests.py
@@ -16,6 +16,7 @@
 from orchidhatch.gateway.gossip import MAX_GRANT_NUMBER
 from orchidhatch.gateway.gossip_codec import amount_steps
 from orchidhatch.gateway.quota_buckets import QuotaBuckets
+from orchidhatch.gateway.snapshots import GrantRequestSnapshot
 from orchidhatch.gateway.times import S
 
 GRANT_NUMBER_REUSE_US = 1.5 * S
@@ -24,6 +25,9 @@
 GRANT_NUMBER_STEP_US = 49_000
 """After how long the next request begins at the next number; all of them take GRANT_NUMBER_REUSE_US."""
 
+PREDECESSOR_NUMBER_OFFSET = MAX_GRANT_NUMBER // 2
+"""How far from its successor's numbers a process begins, while both open requests."""
+
 GRANT_REPEAT_WINDOW_US = 0.4 * S
 """For how long a request is repeated, so that the leader still knows that it has counted it."""
 
@@ -144,7 +148,8 @@
     """A customer's grant requests at a member.
 
     Invariant: a number names one request until that is settled, and GRANT_NUMBER_REUSE_US long at least.
-    Numbers follow the clock, so that the processes of a handover seldom use the same ones.
+    Numbers follow the clock, so that a process uses others than the one before. A successor knows those that
+    its predecessor has used before the snapshot; from then on the two begin at numbers that are far apart.
     """
 
     def __init__(self, quota: QuotaBuckets) -> None:
@@ -156,9 +161,9 @@
         """Whether one more request may be opened."""
         return self._free_number(now_us) is not None
 
-    def open(self, units: float, now_us: int) -> GrantRequest:
+    def open(self, units: float, now_us: int, number_offset: int = 0) -> GrantRequest:
         """A new grant request; ValueError where no number is free."""
-        number = self._free_number(now_us)
+        number = self._free_number(now_us, number_offset)
         if number is None:
             raise ValueError("all numbers of grant requests are in use")
         grant = GrantRequest(self.quota, number, units, now_us)
@@ -190,9 +195,22 @@
                     return grant
         return None
 
-    def _free_number(self, now_us: int) -> int | None:
-        first = now_us // GRANT_NUMBER_STEP_US
-        candidates = ((first + offset) % MAX_GRANT_NUMBER + 1 for offset in range(MAX_GRANT_NUMBER))
+    def in_use(self, now_us: int) -> list[GrantRequest]:
+        """The grant requests whose numbers may not name another one yet."""
+        return [grant for number, grant in self.numbered.items() if not self._is_free(number, now_us)]
+
+    def restore(self, snapshot: GrantRequestSnapshot) -> None:
+        """Go on from a predecessor's request: only answers that it did not get change what was counted."""
+        grant = GrantRequest(self.quota, snapshot.number, snapshot.units, snapshot.opened_us)
+        grant.state = GrantState.SETTLED
+        grant.counted = snapshot.counted
+        grant.spent = snapshot.spent
+        grant.answers = 1 if snapshot.counted else 0
+        self.numbered[snapshot.number] = grant
+
+    def _free_number(self, now_us: int, offset: int = 0) -> int | None:
+        first = now_us // GRANT_NUMBER_STEP_US + offset
+        candidates = ((first + step) % MAX_GRANT_NUMBER + 1 for step in range(MAX_GRANT_NUMBER))
         return next((number for number in candidates if self._is_free(number, now_us)), None)
 
     def _is_free(self, number: int, now_us: int) -> bool:
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -9,7 +9,12 @@
 
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.events import HandoverPeerGone, HandoverPeerUnknown
-from orchidhatch.gateway.handover_state import restore_overload, restore_servers, take_snapshot
+from orchidhatch.gateway.handover_state import (
+    restore_grant_requests,
+    restore_overload,
+    restore_servers,
+    take_snapshot,
+)
 from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.load_balancing import LoadBalancer
 from orchidhatch.gateway.membership import Membership
@@ -78,6 +83,7 @@
         for customer_snapshot in snapshot.customers:
             if self.quotas.is_in_set(customer_snapshot.key):
                 self._restore_customer(customer_snapshot)
+        restore_grant_requests(self.quotas.customers, snapshot)
         self.membership.restore_ejections(snapshot.ejections)
         for attempt in snapshot.attempts:
             self.on_attempt(attempt)
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -1,21 +1,31 @@
 """The snapshot that a process hands over to its successor: taken from the components, and restored."""
 
 import math
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.load_balancing import LoadBalancer
 from orchidhatch.gateway.overload import OverloadController
 from orchidhatch.gateway.quota import Customer
-from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverEjection, OverloadSnapshot
+from orchidhatch.gateway.snapshots import (
+    CustomerKey,
+    GatewaySnapshot,
+    GrantRequestSnapshot,
+    HandoverAttempt,
+    HandoverEjection,
+    OverloadSnapshot,
+)
+
+GRANT_REQUESTS_LIMIT = 10_000
+"""How many grant requests are handed over, the latest ones; some 80 bytes each."""
 
 
 def take_snapshot(
     context: DecisionContext,
     overload: OverloadController,
     balancer: LoadBalancer,
-    customers: Iterable[Customer],
+    customers: Collection[Customer],
     ejected_by_name: Mapping[str, bool],
     requests: Iterable[InFlightRequest],
 ) -> GatewaySnapshot:
@@ -29,6 +39,7 @@
         servers=tuple(server.snapshot() for server in balancer.servers.values()),
         ejections=tuple(ejections),
         attempts=tuple(attempts_in_flight(requests)),
+        grant_requests=latest_grant_requests(customers, context.now_us),
     )
 
 
@@ -59,6 +70,32 @@
             )
 
 
+def latest_grant_requests(customers: Iterable[Customer], now_us: int) -> tuple[GrantRequestSnapshot, ...]:
+    """The customers' grant requests whose numbers are in use, the oldest first."""
+    requests = [
+        GrantRequestSnapshot(
+            key=customer.key,
+            number=grant.number,
+            opened_us=grant.opened_us,
+            units=grant.units,
+            counted=grant.counted,
+            spent=grant.spent,
+        )
+        for customer in customers
+        for grant in customer.grant_requests.in_use(now_us)
+    ]
+    requests.sort(key=lambda request: request.opened_us)
+    return tuple(requests[-GRANT_REQUESTS_LIMIT:])
+
+
+def restore_grant_requests(customers: Mapping[CustomerKey, Customer], snapshot: GatewaySnapshot) -> None:
+    """Restore the predecessor's grant requests: answers to them may come here."""
+    for request in snapshot.grant_requests:
+        customer = customers.get(request.key)
+        if customer:
+            customer.grant_requests.restore(request)
+
+
 def restore_overload(overload: OverloadController, snapshot: OverloadSnapshot) -> None:
     """Put the overload controller into the state of the snapshot."""
     overload.admission_limit = snapshot.admission_limit or None
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -5,7 +5,7 @@
 
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, SlotGrant
-from orchidhatch.gateway.grant_requests import GrantRequest, GrantState
+from orchidhatch.gateway.grant_requests import PREDECESSOR_NUMBER_OFFSET, GrantRequest, GrantState
 from orchidhatch.gateway.member_slot import SLOT_ONLY_UNITS
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
@@ -51,7 +51,8 @@
 
     def request_grant(self, customer: Customer, units: float) -> GrantRequest:
         """Ask the leader whether a request of so many units may be admitted; reports too."""
-        grant = customer.grant_requests.open(units, self.context.now_us)
+        number_offset = PREDECESSOR_NUMBER_OFFSET if self.context.has_successor else 0
+        grant = customer.grant_requests.open(units, self.context.now_us, number_offset)
         self.send_grant_request(customer, grant)
         return grant
 
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -78,6 +78,21 @@
     unreported_spend: float
 
 
+@dataclass(frozen=True, slots=True)
+class GrantRequestSnapshot:
+    """A grant request whose number may not name another one yet.
+
+    It was opened for so many `units`; `counted` is what the leader's answers said, `spent` what was spent.
+    """
+
+    key: CustomerKey
+    number: int
+    opened_us: int
+    units: float
+    counted: float
+    spent: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSnapshot:
     """The health and slow start of a server.
@@ -125,7 +140,8 @@
     """All state that a process hands over: the answer to a StartHandover, and the successor's first event.
 
     `mean_latencies_us` are the mean latencies by request class, `ejections` the servers that were ever listed
-    and whether an operator has ejected them, `attempts` the attempts in flight.
+    and whether an operator has ejected them, `attempts` the attempts in flight, `grant_requests` the latest
+    grant requests.
     """
 
     now_us: int
@@ -135,6 +151,7 @@
     servers: tuple[ServerSnapshot, ...]
     ejections: tuple[HandoverEjection, ...]
     attempts: tuple[HandoverAttempt, ...]
+    grant_requests: tuple[GrantRequestSnapshot, ...] = ()
 
 
 HandoverMessage = HandoverSpend | HandoverAttempt | HandoverAttemptEnd | HandoverEjection
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -264,7 +264,8 @@
 
     def on_state(self, values: Mapping[str, Any]) -> None:
         """The predecessor's state."""
-        state = from_plain(GatewaySnapshot, values["state"])
+        optional = values.get(OPTIONAL_FIELDS, {})
+        state = from_plain_with_optional(GatewaySnapshot, values["state"], optional)
         known = values["known"]
         self.on_sockets(values)
         self.host.resume(state, known)
--- a/orchidhatch/proxy/process_handover.py
+++ b/orchidhatch/proxy/process_handover.py
@@ -17,7 +17,7 @@
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.endpoint_list_reader import EndpointListReader, EndpointUpdate
 from orchidhatch.proxy.event_dispatcher import EventDispatcher
-from orchidhatch.proxy.handover import HandoverPeer
+from orchidhatch.proxy.handover import HandoverPeer, optional_fields
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
 
 log = logging.getLogger(__name__)
@@ -99,8 +99,13 @@
 
     def handover_state(self) -> dict[str, Any]:
         """The snapshot that a successor goes on from."""
-        state = to_plain(self.dispatcher.ask(StartHandover()))
-        return {"state": state, "known": self.catalog.snapshot(), "count": self.socket_counts()}
+        state = self.dispatcher.ask(StartHandover())
+        return {
+            "state": to_plain(state),
+            "known": self.catalog.snapshot(),
+            "count": self.socket_counts(),
+            **optional_fields(state),
+        }
 
     def release(self) -> None:
         """Stop accepting, release the addresses and close idle connections: a successor serves."""
--- a/tests/gateway/test_grant_successors.py
+++ b/tests/gateway/test_grant_successors.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from orchidhatch.gateway import handover_state
 from orchidhatch.gateway.actions import SendGossip
-from orchidhatch.gateway.events import ClientGone, PeerMessage
+from orchidhatch.gateway.events import ClientGone, PeerMessage, StartHandover
 from orchidhatch.gateway.gossip import GossipMessage, MessageKind
-from orchidhatch.gateway.grant_requests import GRANT_NUMBER_STEP_US
+from orchidhatch.gateway.grant_requests import GRANT_NUMBER_REUSE_US, GRANT_NUMBER_STEP_US
+from orchidhatch.gateway.snapshots import GatewaySnapshot
 from tests.gateway.held_pair import (
     ANSWERED,
     CUSTOMER,
@@ -126,3 +128,48 @@
     assert (answer.messages[0].requested, answer.messages[0].spent) == (7.0, 7.0)
     world.tell(answer)
     assert sources == [ANSWERED]
+
+
+def test_answer_repeated_to_a_successor_gives_nothing_back() -> None:
+    """Guards against units given back that the predecessor has spent by the same answer."""
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    pair.deliver_to_leader()
+    [answer] = pair.to_member
+    pair.deliver_all()
+    assert pair.sources == [ANSWERED]
+    successor = Successor(pair)
+    successor.world.tell(answer)
+    successor.report()
+    assert pair.counted() == pytest.approx(6.0, abs=0.03)
+
+
+def test_processes_that_serve_together_ask_by_other_numbers() -> None:
+    """Guards against two asks of one number, as each process follows the clock after the snapshot."""
+    pair = HeldPair()
+    world = Successor(pair).world
+    for name in ("a", "b", "c"):
+        pair.ask(name, units=6.0)
+    of_predecessor = {ask.grant_number for ask in pair.asks()}
+    of_successor = {ask_of(world, name).grant_number for name in ("d", "e", "f")}
+    assert len(of_predecessor | of_successor) == 6
+
+
+def test_latest_grant_requests_are_handed_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a snapshot that grows without bound, or leaves out the numbers just used."""
+    monkeypatch.setattr(handover_state, "GRANT_REQUESTS_LIMIT", 2)
+    pair = HeldPair()
+    for number in range(3):
+        pair.ask(f"a{number}", units=6.0 + number)
+    [snapshot] = of(GatewaySnapshot, pair.tell(pair.member, StartHandover()))
+    assert [request.units for request in snapshot.grant_requests] == [7.0, 8.0]
+
+
+def test_numbers_free_again_are_not_handed_over() -> None:
+    """Guards against a snapshot with every request that was ever made."""
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    pair.deliver_all()
+    pair.run(round(GRANT_NUMBER_REUSE_US))
+    [snapshot] = of(GatewaySnapshot, pair.tell(pair.member, StartHandover()))
+    assert snapshot.grant_requests == ()
--- a/tests/gateway/test_handover_codec.py
+++ b/tests/gateway/test_handover_codec.py
@@ -4,13 +4,16 @@
 
 import pytest
 
+from orchidhatch.gateway.events import StartHandover
 from orchidhatch.gateway.handover_codec import (
     from_plain,
     from_plain_with_optional,
     optional_to_plain,
     to_plain,
 )
-from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
+from orchidhatch.gateway.snapshots import CustomerKey, GatewaySnapshot, HandoverSpend
+from tests.gateway.held_pair import HeldPair
+from tests.helpers import of
 
 KEY = CustomerKey(1, 0, 0, 4)
 
@@ -36,3 +39,14 @@
 def test_malformed_optional_field_is_a_value_error(optional: dict[str, object]) -> None:
     with pytest.raises(ValueError):
         from_plain_with_optional(HandoverSpend, [[1, 0, 0, 4], 6.0], optional)
+
+
+def test_version_before_reads_a_snapshot_with_grant_requests() -> None:
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    [snapshot] = of(GatewaySnapshot, pair.tell(pair.member, StartHandover()))
+    plain, optional = json.loads(json.dumps([to_plain(snapshot), optional_to_plain(snapshot)]))
+    assert len(plain) == 7
+    assert [request[3] for request in optional["grant_requests"]] == [6.0]
+    assert from_plain_with_optional(GatewaySnapshot, plain, optional) == snapshot
+    assert from_plain(GatewaySnapshot, plain).grant_requests == ()
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -23,10 +23,17 @@
 )
 from orchidhatch.gateway.handover_codec import from_plain, to_plain
 from orchidhatch.gateway.settings import Plan
-from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverAttempt, HandoverAttemptEnd, HandoverSpend
+from orchidhatch.gateway.snapshots import (
+    CustomerKey,
+    GatewaySnapshot,
+    HandoverAttempt,
+    HandoverAttemptEnd,
+    HandoverSpend,
+)
 from orchidhatch.proxy import handover, process_handover, process_lifecycle
 from orchidhatch.proxy.config import Config
 from orchidhatch.proxy.server import GatewayServer
+from tests.gateway.held_pair import HeldPair
 from tests.helpers import MS, SETTINGS, S, World, of
 from tests.sockets import CONFIG, HEAD, HOST, Backend, Client, Watch, catalog, chunk, entry, query, resp, run
 
@@ -276,3 +283,47 @@
         connection.receive({"version": 2, "say": "released"})
     connection.receive({"version": 1, "say": "released"})
     assert lines == ["released"]
+
+
+class RecordingHost:
+    """A gateway's process whose core is a world; it keeps what the other process has sent."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.received: list[object] = []
+
+    def handover_state(self) -> dict[str, object]:
+        [state] = of(GatewaySnapshot, self.world.tell(StartHandover()))
+        return {"state": to_plain(state), "known": {}, "count": [0, 0], **handover.optional_fields(state)}
+
+    def resume(self, state: GatewaySnapshot, _: object) -> None:
+        self.received.append(state)
+
+    def handover_peer_sent(self, event: object) -> None:
+        self.received.append(event)
+
+    def set_peer_socket_counts(self, *_: int) -> None:
+        """Not recorded."""
+
+
+def test_optional_fields_go_over_the_connection(tmp_path: Path) -> None:
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    spend = HandoverSpend(CustomerKey(1, 0, 0, 4), 6.0, counted=6.0)
+
+    async def job() -> None:
+        path = tmp_path / process_handover.HANDOVER_SOCKET
+        old = handover.HandoverPeer(RecordingHost(pair.member), path)
+        new = handover.HandoverPeer(RecordingHost(World()), path)
+        await old.offer()
+        assert await new.take_over()
+        old.send(spend)
+        while len(new.host.received) < 2:
+            await asyncio.sleep(0.001)
+        state, received = new.host.received
+        assert [request.units for request in state.grant_requests] == [6.0]
+        assert received == spend
+        new.close()
+        old.close()
+
+    run(job())
