Handover: the successor of a leader knows what its predecessor has counted

Callers saw: a customer was charged twice for a grant request that was repeated at the successor of its quota leader, as its first answer was late or lost.

Cause: a leader remembers for 0.6 s what it has counted for the number of each request, and did not hand that over; the level it handed over lacked the units already.

--- a/orchidhatch/gateway/counted_grants.py
+++ b/orchidhatch/gateway/counted_grants.py
@@ -4,6 +4,7 @@
 answers each repetition alike, while it remembers the request.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from orchidhatch.gateway.times import S
@@ -40,6 +41,11 @@
         self.grants.pop((peer, number), None)
         self.grants[peer, number] = grant
 
+    def known(self, now_us: int) -> Iterable[tuple[tuple[int, int], CountedGrant]]:
+        """The grants that a repeated request may be for, each by gateway and number."""
+        self._forget_old(now_us)
+        return self.grants.items()
+
     def _forget_old(self, now_us: int) -> None:
         oldest_us = now_us - COUNTED_GRANT_TTL_US
         while self.grants:
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -10,7 +10,7 @@
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.events import HandoverPeerGone, HandoverPeerUnknown
 from orchidhatch.gateway.handover_state import (
-    restore_grant_requests,
+    restore_grants,
     restore_overload,
     restore_servers,
     take_snapshot,
@@ -83,7 +83,7 @@
         for customer_snapshot in snapshot.customers:
             if self.quotas.is_in_set(customer_snapshot.key):
                 self._restore_customer(customer_snapshot)
-        restore_grant_requests(self.quotas.customers, snapshot)
+        restore_grants(self.quotas.customers, snapshot)
         self.membership.restore_ejections(snapshot.ejections)
         for attempt in snapshot.attempts:
             self.on_attempt(attempt)
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -3,12 +3,14 @@
 import math
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
+from orchidhatch.gateway.counted_grants import CountedGrant
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.load_balancing import LoadBalancer
 from orchidhatch.gateway.overload import OverloadController
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import (
+    CountedGrantSnapshot,
     CustomerKey,
     GatewaySnapshot,
     GrantRequestSnapshot,
@@ -20,6 +22,9 @@
 GRANT_REQUESTS_LIMIT = 10_000
 """How many grant requests are handed over, the latest ones; some 80 bytes each."""
 
+COUNTED_GRANTS_LIMIT = 10_000
+"""How many grants that were counted for other gateways are handed over, the latest ones."""
+
 
 def take_snapshot(
     context: DecisionContext,
@@ -40,6 +45,7 @@
         ejections=tuple(ejections),
         attempts=tuple(attempts_in_flight(requests)),
         grant_requests=latest_grant_requests(customers, context.now_us),
+        counted_grants=latest_counted_grants(customers, context.now_us),
     )
 
 
@@ -88,12 +94,35 @@
     return tuple(requests[-GRANT_REQUESTS_LIMIT:])
 
 
-def restore_grant_requests(customers: Mapping[CustomerKey, Customer], snapshot: GatewaySnapshot) -> None:
-    """Restore the predecessor's grant requests: answers to them may come here."""
+def latest_counted_grants(customers: Iterable[Customer], now_us: int) -> tuple[CountedGrantSnapshot, ...]:
+    """The grants that were counted for other gateways and may be requested again, the oldest first."""
+    grants = [
+        CountedGrantSnapshot(
+            key=customer.key,
+            peer=peer,
+            number=number,
+            requested=grant.requested,
+            counted=grant.counted,
+            counted_us=grant.counted_us,
+        )
+        for customer in customers
+        for (peer, number), grant in customer.counted_grants.known(now_us)
+    ]
+    grants.sort(key=lambda grant: grant.counted_us)
+    return tuple(grants[-COUNTED_GRANTS_LIMIT:])
+
+
+def restore_grants(customers: Mapping[CustomerKey, Customer], snapshot: GatewaySnapshot) -> None:
+    """Restore the predecessor's grant requests, and what it counted: messages about them may come here."""
     for request in snapshot.grant_requests:
         customer = customers.get(request.key)
         if customer:
             customer.grant_requests.restore(request)
+    for counted in snapshot.counted_grants:
+        customer = customers.get(counted.key)
+        if customer:
+            grant = CountedGrant(counted.requested, counted.counted, counted.counted_us)
+            customer.counted_grants.add(counted.peer, counted.number, grant)
 
 
 def restore_overload(overload: OverloadController, snapshot: OverloadSnapshot) -> None:
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -93,6 +93,18 @@
     spent: float
 
 
+@dataclass(frozen=True, slots=True)
+class CountedGrantSnapshot:
+    """What a quota leader has counted for a grant request of the gateway `peer`, which may come again."""
+
+    key: CustomerKey
+    peer: int
+    number: int
+    requested: float
+    counted: float
+    counted_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSnapshot:
     """The health and slow start of a server.
@@ -141,7 +153,7 @@
 
     `mean_latencies_us` are the mean latencies by request class, `ejections` the servers that were ever listed
     and whether an operator has ejected them, `attempts` the attempts in flight, `grant_requests` the latest
-    grant requests.
+    grant requests, `counted_grants` the latest that were counted for other gateways.
     """
 
     now_us: int
@@ -152,6 +164,7 @@
     ejections: tuple[HandoverEjection, ...]
     attempts: tuple[HandoverAttempt, ...]
     grant_requests: tuple[GrantRequestSnapshot, ...] = ()
+    counted_grants: tuple[CountedGrantSnapshot, ...] = ()
 
 
 HandoverMessage = HandoverSpend | HandoverAttempt | HandoverAttemptEnd | HandoverEjection
--- a/tests/gateway/test_grant_successors.py
+++ b/tests/gateway/test_grant_successors.py
@@ -17,6 +17,7 @@
     MEMBER,
     PAST_ALL_WAITS,
     PAST_EXPIRY,
+    PLAN,
     SEND_SPACING,
     TIMED_OUT,
     HeldPair,
@@ -171,5 +172,20 @@
     pair.ask("a", units=6.0)
     pair.deliver_all()
     pair.run(round(GRANT_NUMBER_REUSE_US))
-    [snapshot] = of(GatewaySnapshot, pair.tell(pair.member, StartHandover()))
-    assert snapshot.grant_requests == ()
+    for world in (pair.member, pair.leader):
+        [snapshot] = of(GatewaySnapshot, pair.tell(world, StartHandover()))
+        assert snapshot.grant_requests == snapshot.counted_grants == ()
+
+
+def test_latest_counted_grants_are_handed_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a snapshot that grows without bound, or leaves out what was just counted."""
+    monkeypatch.setattr(handover_state, "COUNTED_GRANTS_LIMIT", 2)
+    pair = HeldPair(replace(PLAN, burst=100.0))
+    for number in range(3):
+        pair.ask(f"a{number}", units=26.0 + number)
+    pair.deliver_all()
+    [snapshot] = of(GatewaySnapshot, pair.tell(pair.leader, StartHandover()))
+    assert [(grant.peer, grant.requested, grant.counted) for grant in snapshot.counted_grants] == [
+        (MEMBER, 27.0, 27.0),
+        (MEMBER, 28.0, 28.0),
+    ]
--- a/tests/gateway/test_handover_codec.py
+++ b/tests/gateway/test_handover_codec.py
@@ -41,12 +41,15 @@
         from_plain_with_optional(HandoverSpend, [[1, 0, 0, 4], 6.0], optional)
 
 
-def test_version_before_reads_a_snapshot_with_grant_requests() -> None:
+def test_version_before_reads_a_snapshot_with_grants() -> None:
     pair = HeldPair()
     pair.ask("a", units=6.0)
-    [snapshot] = of(GatewaySnapshot, pair.tell(pair.member, StartHandover()))
-    plain, optional = json.loads(json.dumps([to_plain(snapshot), optional_to_plain(snapshot)]))
-    assert len(plain) == 7
-    assert [request[3] for request in optional["grant_requests"]] == [6.0]
-    assert from_plain_with_optional(GatewaySnapshot, plain, optional) == snapshot
-    assert from_plain(GatewaySnapshot, plain).grant_requests == ()
+    pair.deliver_to_leader()
+    for world, name in ((pair.member, "grant_requests"), (pair.leader, "counted_grants")):
+        [snapshot] = of(GatewaySnapshot, pair.tell(world, StartHandover()))
+        plain, optional = json.loads(json.dumps([to_plain(snapshot), optional_to_plain(snapshot)]))
+        assert len(plain) == 7
+        assert [grant[3] for grant in optional.pop(name)] == [6.0]
+        assert optional == {}
+        assert getattr(from_plain(GatewaySnapshot, plain), name) == ()
+        assert from_plain_with_optional(GatewaySnapshot, plain, optional_to_plain(snapshot)) == snapshot
