Handover: the successor is told which grant requests its predecessor was answered

Callers saw: a customer went beyond its quota after a handover, by units that the successor gave back though its predecessor had spent them.

Cause: a request that is sent twice is answered twice.

Why it works: HandoverSpend has an optional field that names the request which was answered, with what was counted for it. It reads the line before it gets the address that answers come to, as the predecessor releases that later.

Versions: as with the field `counted`.

--- a/orchidhatch/gateway/grant_requests.py
+++ b/orchidhatch/gateway/grant_requests.py
@@ -16,7 +16,7 @@
 from orchidhatch.gateway.gossip import MAX_GRANT_NUMBER
 from orchidhatch.gateway.gossip_codec import amount_steps
 from orchidhatch.gateway.quota_buckets import QuotaBuckets
-from orchidhatch.gateway.snapshots import GrantRequestSnapshot
+from orchidhatch.gateway.snapshots import CustomerKey, GrantRequestSnapshot
 from orchidhatch.gateway.times import S
 
 GRANT_NUMBER_REUSE_US = 1.5 * S
@@ -113,6 +113,17 @@
         self._advance(GrantEvent.EXPIRED)
         return self._set_counted(0.0)
 
+    def snapshot(self, key: CustomerKey) -> GrantRequestSnapshot:
+        """What a successor is told of the customer's request."""
+        return GrantRequestSnapshot(
+            key=key,
+            number=self.number,
+            opened_us=self.opened_us,
+            units=self.units,
+            counted=self.counted,
+            spent=self.spent,
+        )
+
     @property
     def expires_us(self) -> int:
         """From when on no answer is waited for any more."""
@@ -200,7 +211,13 @@
         return [grant for number, grant in self.numbered.items() if not self._is_free(number, now_us)]
 
     def restore(self, snapshot: GrantRequestSnapshot) -> None:
-        """Go on from a predecessor's request: only answers that it did not get change what was counted."""
+        """Go on from a predecessor's request: only answers that it did not get change what was counted.
+
+        Not where a request that was opened here has the number.
+        """
+        same_number = self.numbered.get(snapshot.number)
+        if same_number is not None and same_number.opened_us != snapshot.opened_us:
+            return
         grant = GrantRequest(self.quota, snapshot.number, snapshot.units, snapshot.opened_us)
         grant.state = GrantState.SETTLED
         grant.counted = snapshot.counted
--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -106,6 +106,8 @@
             reported_elsewhere = event.units if self.context.has_successor else event.counted
             customer.take(event.units)
             customer.quota.unreported_spend -= reported_elsewhere
+            for grant in event.answered:
+                customer.grant_requests.restore(grant)
 
     def on_attempt(self, event: HandoverAttempt) -> None:
         """Count an attempt of the other process against ceilings, limits and slow start, once."""
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -79,14 +79,7 @@
 def latest_grant_requests(customers: Iterable[Customer], now_us: int) -> tuple[GrantRequestSnapshot, ...]:
     """The customers' grant requests whose numbers are in use, the oldest first."""
     requests = [
-        GrantRequestSnapshot(
-            key=customer.key,
-            number=grant.number,
-            opened_us=grant.opened_us,
-            units=grant.units,
-            counted=grant.counted,
-            spent=grant.spent,
-        )
+        grant.snapshot(customer.key)
         for customer in customers
         for grant in customer.grant_requests.in_use(now_us)
     ]
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -106,6 +106,13 @@
         if self.context.has_successor and customer.quota.unreported_spend:
             self.share_spend(customer, 0.0)
 
+    def share_answer(self, customer: Customer, grant: GrantRequest) -> None:
+        """Tell a successor what an answer has said, as it may get a further answer to the same request."""
+        if self.context.has_successor:
+            counted = -customer.quota.hand_over_unreported()
+            answered = (grant.snapshot(customer.key),)
+            self.context.send_to_handover_peer(HandoverSpend(customer.key, 0.0, counted, answered))
+
     def report_correction(self, customer: Customer) -> None:
         """Report at once that the leader has counted too much, or too little.
 
@@ -157,9 +164,10 @@
             return None
         is_awaited = grant.state is GrantState.AWAITED
         returned = grant.on_answer(counted) if is_numbered else grant.on_unnumbered_answer(counted)
-        self.share_correction(customer)
         if is_awaited:
             grant.spent = counted
+        self.share_answer(customer, grant)
+        if is_awaited:
             return GrantAnswer(grant, counted / message.requested)
         customer.spend(grant.spent)  # The answer has the level before the request was counted.
         if returned:
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -17,16 +17,33 @@
     set_size: int
 
 
+@dataclass(frozen=True, slots=True)
+class GrantRequestSnapshot:
+    """A grant request whose number may not name another one yet.
+
+    It was opened for so many `units`; `counted` is what the leader's answers said, `spent` what was spent.
+    """
+
+    key: CustomerKey
+    number: int
+    opened_us: int
+    units: float
+    counted: float
+    spent: float
+
+
 @dataclass(frozen=True, slots=True)
 class HandoverSpend:
     """Units that one process took from a customer's quota; negative where it gave some back.
 
     The successor reports those of its predecessor, but for what the leader has `counted` with its answers.
+    `answered` is the grant request whose answer that was, none or one.
     """
 
     key: CustomerKey
     units: float
     counted: float = 0.0
+    answered: tuple[GrantRequestSnapshot, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,21 +95,6 @@
     unreported_spend: float
 
 
-@dataclass(frozen=True, slots=True)
-class GrantRequestSnapshot:
-    """A grant request whose number may not name another one yet.
-
-    It was opened for so many `units`; `counted` is what the leader's answers said, `spent` what was spent.
-    """
-
-    key: CustomerKey
-    number: int
-    opened_us: int
-    units: float
-    counted: float
-    spent: float
-
-
 @dataclass(frozen=True, slots=True)
 class CountedGrantSnapshot:
     """What a quota leader has counted for a grant request of the gateway `peer`, which may come again."""
--- a/tests/gateway/test_grant_successors.py
+++ b/tests/gateway/test_grant_successors.py
@@ -9,7 +9,7 @@
 from orchidhatch.gateway.events import ClientGone, PeerMessage, StartHandover
 from orchidhatch.gateway.gossip import GossipMessage, MessageKind
 from orchidhatch.gateway.grant_requests import GRANT_NUMBER_REUSE_US, GRANT_NUMBER_STEP_US
-from orchidhatch.gateway.snapshots import GatewaySnapshot
+from orchidhatch.gateway.snapshots import CustomerKey, GatewaySnapshot, GrantRequestSnapshot, HandoverSpend
 from tests.gateway.held_pair import (
     ANSWERED,
     CUSTOMER,
@@ -24,7 +24,7 @@
     Successor,
     record_decisions,
 )
-from tests.helpers import World, of
+from tests.helpers import MS, World, of
 
 
 def next_process(pair: HeldPair, kind: str) -> World:
@@ -189,3 +189,18 @@
         (MEMBER, 27.0, 27.0),
         (MEMBER, 28.0, 28.0),
     ]
+
+
+def test_request_that_waits_keeps_its_number_against_the_predecessors() -> None:
+    """Guards against a request of the successor's that its predecessor's of the same number displaces."""
+    pair = HeldPair()
+    successor = Successor(pair)
+    sources = successor.sources
+    ask = ask_of(successor.world, "b")
+    key = CustomerKey(ask.customer, ask.plan_index, ask.set_first, ask.set_size)
+    answered = GrantRequestSnapshot(key, ask.grant_number, pair.member.now - 10 * MS, 6.0, 6.0, 6.0)
+    successor.world.tell(HandoverSpend(key, 0.0, 6.0, (answered,)))
+    pair.tell(pair.leader, PeerMessage(MEMBER, (ask,)))
+    pair.run(SEND_SPACING)
+    successor.world.tell(pair.to_member.pop())
+    assert sources == [ANSWERED]
--- a/tests/gateway/test_handover_codec.py
+++ b/tests/gateway/test_handover_codec.py
@@ -11,11 +11,12 @@
     optional_to_plain,
     to_plain,
 )
-from orchidhatch.gateway.snapshots import CustomerKey, GatewaySnapshot, HandoverSpend
+from orchidhatch.gateway.snapshots import CustomerKey, GatewaySnapshot, GrantRequestSnapshot, HandoverSpend
 from tests.gateway.held_pair import HeldPair
 from tests.helpers import of
 
 KEY = CustomerKey(1, 0, 0, 4)
+ANSWERED = GrantRequestSnapshot(KEY, number=3, opened_us=5, units=6.0, counted=6.0, spent=6.0)
 
 
 def test_version_before_reads_a_record_with_optional_fields() -> None:
@@ -27,11 +28,19 @@
     assert from_plain(HandoverSpend, [[1, 0, 0, 4], 6.0]) == HandoverSpend(KEY, 6.0)
 
 
-@pytest.mark.parametrize("counted", [0.0, 6.0])
-def test_optional_fields_round_trip(counted: float) -> None:
-    record = HandoverSpend(KEY, 6.0, counted)
+@pytest.mark.parametrize(
+    ("record", "names"),
+    [
+        (HandoverSpend(KEY, 6.0), set()),
+        (HandoverSpend(KEY, 6.0, 6.0), {"counted"}),
+        (HandoverSpend(KEY, 0.0, 6.0, (ANSWERED,)), {"counted", "answered"}),
+    ],
+    ids=["none", "counted", "answered"],
+)
+def test_optional_fields_round_trip(record: HandoverSpend, names: set[str]) -> None:
     plain, optional = json.loads(json.dumps([to_plain(record), optional_to_plain(record)]))
-    assert optional == ({"counted": counted} if counted else {})
+    assert len(plain) == 2
+    assert set(optional) == names
     assert from_plain_with_optional(HandoverSpend, plain, {**optional, "later": []}) == record
 
 
--- a/tests/gateway/test_handover_spending.py
+++ b/tests/gateway/test_handover_spending.py
@@ -4,7 +4,15 @@
 
 from orchidhatch.gateway.events import ClientGone, HandoverPeerGone
 from orchidhatch.gateway.snapshots import HandoverSpend
-from tests.gateway.held_pair import CUSTOMER, GATEWAYS, PAST_ALL_WAITS, HeldPair, Successor
+from tests.gateway.held_pair import (
+    ANSWERED,
+    CUSTOMER,
+    GATEWAYS,
+    PAST_ALL_WAITS,
+    PAST_ONE_WAIT,
+    HeldPair,
+    Successor,
+)
 from tests.helpers import of
 
 
@@ -71,3 +79,24 @@
     successor.tell_spending()
     successor.report()
     assert pair.counted() == pytest.approx(7.0, abs=0.03)
+
+
+@pytest.mark.parametrize("asked", ["before", "after"])
+def test_request_answered_to_both_processes_is_counted(asked: str) -> None:
+    """Guards against a successor that gives back what its predecessor has spent by an earlier answer."""
+    pair = HeldPair()
+    if asked == "before":
+        pair.ask("a", units=6.0)
+    successor = Successor(pair)
+    if asked == "after":
+        pair.ask("a", units=6.0)
+    pair.run(PAST_ONE_WAIT)
+    pair.deliver_to_leader()
+    pair.deliver_to_leader()
+    to_predecessor, to_successor = pair.to_member
+    pair.tell(pair.member, to_predecessor)
+    successor.tell_spending()
+    successor.world.tell(to_successor)
+    successor.report()
+    assert pair.sources == [ANSWERED]
+    assert pair.counted() == pytest.approx(6.0, abs=0.03)
