Units left to a successor scale with the plan, as those that are still to be reported here

Callers saw, where a successor ended before it served and the plan had changed meanwhile: units given back in full under a smaller plan, beyond its quota.

Cause: QuotaBuckets.change_plan scaled what is to be reported, and not what was left to a successor and is taken back where that ends.

Why this works: both are units that the leader's level has counted, which scales alike.

--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -39,6 +39,7 @@
         self.set_level *= scale
         self.allowance *= scale
         self.unreported_spend *= scale
+        self.handed_over_spend *= scale
         self.plan = plan
 
     def refill_set(self, elapsed_s: float) -> None:
--- a/tests/gateway/test_handover_spending.py
+++ b/tests/gateway/test_handover_spending.py
@@ -1,19 +1,23 @@
 """Which process of a handover reports what was spent, and that the leader counts it once."""
 
+from dataclasses import replace
+
 import pytest
 
-from orchidhatch.gateway.events import ClientGone, HandoverPeerGone
+from orchidhatch.gateway.events import ClientGone, HandoverPeerGone, PolicyChange
 from orchidhatch.gateway.snapshots import HandoverSpend
 from tests.gateway.held_pair import (
     ANSWERED,
+    BURST,
     CUSTOMER,
     GATEWAYS,
     PAST_ALL_WAITS,
     PAST_ONE_WAIT,
+    PLAN,
     HeldPair,
     Successor,
 )
-from tests.helpers import of
+from tests.helpers import SETTINGS, of
 
 
 def pair_with_units_to_give_back() -> HeldPair:
@@ -37,6 +41,19 @@
     assert pair.counted() == pytest.approx(6.0, abs=0.03)
 
 
+def test_spending_left_to_a_successor_scales_with_the_plan() -> None:
+    """Guards against units taken back in full by a process whose plan was made smaller meanwhile."""
+    pair = pair_with_units_to_give_back()
+    Successor(pair)
+    halved = PolicyChange(SETTINGS.classes, (replace(PLAN, burst=BURST / 2),), frozenset(), 2, (0,))
+    for world in (pair.member, pair.leader):
+        pair.tell(world, halved)
+    pair.tell(pair.member, HandoverPeerGone())
+    pair.report(pair.customer_at(pair.member))
+    pair.deliver_all()
+    assert pair.customer_at(pair.leader).quota.set_level == pytest.approx((BURST - 6.0) / 2, abs=0.03)
+
+
 def test_spending_left_to_a_second_successor_is_reported_once() -> None:
     """Guards against units that a process reports twice, as its first successor has ended."""
     pair = pair_with_units_to_give_back()
