A request over quota is told when its leader is asked again, never a time below 0

Callers saw -BUSY without a time where they should be told when to come again: the core's delay was below 0, and the proxy sends no time then.

Cause: the wait was (units - level of the set) / spare rate. A member without an answer of its quota leader does not decide by that level, but by its allowance, or by what the requests to the leader leave of the level. The level may hold the units then, and the difference is below 0.

Change: where the level holds the units, the wait is that for what the request lacked: until the backoff ends and the leader is asked again, or, without a fresh answer, until the allowance holds the units, if that is sooner. It is 0 at the least.

--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -160,13 +160,29 @@
         """Take the units of a request at this gateway; negative units return some."""
         self.quota.spend_locally(units)
 
-    def quota_wait_us(self, units: float) -> float:
-        """In how long the quota has so many units, at the rate that others' demand leaves; NEVER if none."""
+    def quota_wait_us(self, units: float, now_us: int) -> float:
+        """In how long the quota has so many units, at the rate that others' demand leaves; NEVER if none.
+
+        It is never below 0. Where the level of the set holds them, the request lacked a leader's answer.
+        """
         others_per_s = max(0.0, self.demand.units - units) / DEMAND_DECAY_US * S
         spare_per_s = self.plan.rate - others_per_s
         if spare_per_s <= 0:
             return NEVER
-        return (units - self.quota.set_level) / spare_per_s * S
+        missing = units - self.quota.set_level
+        if missing <= 0:
+            return self.answer_wait_us(units, now_us)
+        return missing / spare_per_s * S
+
+    def answer_wait_us(self, units: float, now_us: int) -> float:
+        """In how long so many units may be spent that the level of the set holds, but no answer granted.
+
+        The leader is asked again after the backoff; without a fresh answer the allowance may refill before.
+        """
+        backoff_us = max(0.0, self.backoff.next_request_us - now_us)
+        if self.has_fresh_answer(now_us):
+            return backoff_us
+        return min(backoff_us, self.quota.allowance_wait_us(units))
 
     def clear_unreported(self) -> None:
         """Begin a new report: what was requested and spent here has been sent."""
--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -70,6 +70,11 @@
         """Whether the allowance holds so many units, or is full."""
         return self.allowance >= min(units, self.max_allowance())
 
+    def allowance_wait_us(self, units: float) -> float:
+        """In how long the allowance holds so many units, or is full; the plan's rate must not be 0."""
+        missing = min(units, self.max_allowance()) - self.allowance
+        return max(0.0, missing) * self.size / self.plan.rate * S
+
     def spend_of_set(self, units: float) -> None:
         """Take units from the bucket of the set.
 
--- a/orchidhatch/gateway/retry_after.py
+++ b/orchidhatch/gateway/retry_after.py
@@ -35,7 +35,7 @@
         if reason is RejectionReason.TOO_MANY_OPEN_REQUESTS:
             return self.balancer.mean_us[request.class_index]
         if reason is RejectionReason.OVER_QUOTA:
-            return customer.quota_wait_us(request.units)
+            return customer.quota_wait_us(request.units, self.context.now_us)
         if not request.servers and customer.lacks_ceiling_units(request.units):
             return customer.ceiling_wait_us(request.units)
         return self.overload.period_length_us  # Slots and servers' capacity change within a period.
--- a/tests/gateway/test_retry_after.py
+++ b/tests/gateway/test_retry_after.py
@@ -68,3 +68,26 @@
     request.customer.demand.units = 1.0
     request.customer.quota.set_level = 3.0  # rejected by chance, or as its allowance was spent
     assert world.gateway.retry_after.delay_us(request, RejectionReason.OVER_QUOTA) >= 0
+
+
+def test_over_quota_delay_lasts_until_silent_leader_is_asked_again() -> None:
+    """Guards against no time where the level of the set holds the units, and the allowance is spent."""
+    world = World(replace(SETTINGS, gateway_count=40, max_retry_after_us=2 * S))
+    for n in range(8):
+        world.ask(f"a{n}", set_size=40)
+        world.run(200 * MS)
+    delays = delays_us([action for _, action in world.log])
+    assert len(delays) >= 4
+    assert min(delays) >= MS
+
+
+def test_over_quota_delay_lasts_until_allowance_refills() -> None:
+    world = World(replace(SETTINGS, gateway_count=40, max_retry_after_us=20 * S))
+    world.ask("a", set_size=40)
+    request = world.gateway.requests.by_id["a"]
+    customer = request.customer
+    world.gateway.overload.admission_limit = None
+    customer.back_off(world.now, 1.0)
+    customer.quota.allowance = 0.9
+    delays = [world.gateway.retry_after.delay_us(request, RejectionReason.OVER_QUOTA) for _ in range(20)]
+    assert min(delays) >= 400 * MS and max(delays) <= 800 * MS  # 0.1 of a unit at 1/40 of 10 a second
