A server that begins with none of its capacity has a weight above 0

Callers saw a failed request: where obligations.cold-from is 0, a request at the instant at which a server starts cold (an operator's "ready", a start that the list brings) raised ZeroDivisionError in the decision core.

Cause: the expected cost is divided by the slow-start weight, which is the share at the start plus nothing. A share below 0 made weights, costs and the count of warm servers negative.

Change: the weight is 0.001 at the least. Credit grows by it too, so a server with a share of 0 is not without credit for ever.

Evidence: the new test failed with ZeroDivisionError for a share of 0, and with weights below 0 for -0.5; it passes now.

--- a/orchidhatch/gateway/slow_start.py
+++ b/orchidhatch/gateway/slow_start.py
@@ -17,6 +17,8 @@
 MAX_RATE_MULTIPLIER = 2.0
 RATE_MULTIPLIER_STEP = 0.1
 INITIAL_RATE_MULTIPLIER = 1.0
+# A cold server's weight, where the settings name no share or less: it is divided by, and credit grows by it.
+MIN_WEIGHT = 0.001
 MAX_CREDIT = 1.0
 ATTEMPT_CREDIT = 1
 # Longer than a release, which sends fewer attempts and must not lower the rate that cold servers get.
@@ -59,14 +61,14 @@
         return self.context.now_us < server.warm_at_us
 
     def weight(self, server: ServerRecord) -> float:
-        """The slow-start weight: the least share of its capacity that a server has now, up to 1."""
+        """The slow-start weight: the least share of its capacity that a server has now, above 0, up to 1."""
         now_us = self.context.now_us
         if now_us >= server.warm_at_us:
             return 1.0
         settings = self.context.settings
         remaining = (server.warm_at_us - now_us) / max(1, settings.warm_up_us)
         cold_capacity = settings.cold_capacity
-        return cold_capacity + (1 - cold_capacity) * (1 - remaining)
+        return max(MIN_WEIGHT, cold_capacity + (1 - cold_capacity) * (1 - remaining))
 
     def permitted_rate(self, server: ServerRecord) -> float:
         """Attempts a second to a server warming up: half of what would make it fail if others were full."""
--- a/tests/gateway/test_slow_start.py
+++ b/tests/gateway/test_slow_start.py
@@ -156,6 +156,20 @@
     assert slow_start.weight(gateway.balancer.up[1]) == 1
 
 
+@pytest.mark.parametrize("cold_capacity", [0.0, -0.5])
+def test_request_at_the_instant_of_a_cold_start_finds_a_server(cold_capacity: float) -> None:
+    """Guards against a division by a weight of 0: a server may begin with none of its capacity."""
+    world = World(replace(SETTINGS, cold_capacity=cold_capacity))
+    for is_ejected in (True, False):
+        for server in servers(4):
+            world.tell(SetEjection(server.name, is_ejected))
+    world.ask("a")
+    assert len(sent_servers(world)) == 1
+    balancer = world.gateway.balancer
+    assert all(balancer.slow_start.weight(server) > 0 for server in balancer.up)
+    assert 0 < balancer.warm < 1
+
+
 # --- fleets ---
 
 
