The longest time to retry and the cold share are checked when the configuration is read

Callers saw, where ceilings.max-retry-after-us was below 0, -BUSY without a time for every rejection, and where it was 1e18, the advice to come again after 1e15 ms: a delay is at most that setting, and is the setting itself where no capacity is in sight. obligations.cold-from outside 0 to 1 made slow-start weights that are no shares; obligations.warm-within-us below 0 was taken for 1 us without a word.

Cause: the check of the settings covered times and amounts that are divided by, not those that only bound others.

Change: 0 to 24 h, 0 to 1 and 0 to 24 h; other values end the start, or are refused by a reload, in one line that names the key.

Evidence: five cases added to test_unusable_bound_is_reported_by_its_key; all five were loaded without an error before and are reported now.

--- a/orchidhatch/proxy/config_reader.py
+++ b/orchidhatch/proxy/config_reader.py
@@ -115,7 +115,10 @@
 
 
 def check_settings(settings: Settings) -> None:
-    """Check that times are positive and amounts are not negative. Raises ConfigError."""
+    """Check that times are positive, amounts not negative and shares within 0 to 1. Raises ConfigError."""
+    check_range("ceilings.max-retry-after-us", settings.max_retry_after_us, 0, MAX_TIME_US)
+    check_range("obligations.cold-from", settings.cold_capacity, 0, 1)
+    check_range("obligations.warm-within-us", settings.warm_up_us, 0, MAX_TIME_US)
     for number, rule in enumerate(settings.classes):
         check_range(f"categories.{number}.on-time-us", rule.latency_objective_us, 1, MAX_TIME_US)
         check_range(f"categories.{number}.deadline-us", rule.deadline_us, 1, MAX_TIME_US)
--- a/tests/proxy/test_main.py
+++ b/tests/proxy/test_main.py
@@ -127,6 +127,17 @@
         ("ceilings.max-open", {"settings": {**SETTINGS, "ceilings": {"max-open": 0}}}),
         ("ceilings.conn-idle-us", {"settings": {**SETTINGS, "ceilings": {"conn-idle-us": math.nan}}}),
         ("ceilings.connect-timeout-us", {"settings": {**SETTINGS, "ceilings": {"connect-timeout-us": -5}}}),
+        (
+            "ceilings.max-retry-after-us",
+            {"settings": {**SETTINGS, "ceilings": {"retry-after": True, "max-retry-after-us": -2_000_000}}},
+        ),
+        (
+            "ceilings.max-retry-after-us",
+            {"settings": {**SETTINGS, "ceilings": {"retry-after": True, "max-retry-after-us": 1e18}}},
+        ),
+        ("obligations.cold-from", {"settings": {**SETTINGS, "obligations": {"cold-from": -0.5}}}),
+        ("obligations.cold-from", {"settings": {**SETTINGS, "obligations": {"cold-from": 1.5}}}),
+        ("obligations.warm-within-us", {"settings": {**SETTINGS, "obligations": {"warm-within-us": -1}}}),
         ("plans.0.units-per-s", {"settings": {**SETTINGS, "plans": [{"name": "team", "units-per-s": -1}]}}),
         ("plans.0.burst", {"settings": {**SETTINGS, "plans": [{"name": "team", "burst": 1e300}]}}),
         (
