The time of SIGTERM is one reading of the clock, not a difference of three

Callers saw answers that end too soon while a gateway drains: where the process stood still just as it handled SIGTERM, the time of the signal was set that long too early, and the time that is left for answers counts from it.

Cause: terminated_us = now - unread age, and the age = now - arrival, each by a reading of its own.

Change: the loop watch's arrival_us, which note_termination wanted all along; LoopWatch.unread_us had no other caller and goes.

Evidence: the new test, with the module's clock and the watch's clock the same, gave 1600000 for a signal at 2000000 us with a stall of 0.4 s before the second reading (1 of 5 cases red); all five pass now. The tests of stalls, guards and signals pass.

test_retry_past_its_deduplication_window_is_not_sent moves the clock of each module that reads one, by name; process_lifecycle reads none any more and leaves that list, as the name to patch is gone (AttributeError). What the test does and asserts is the same.

--- a/orchidhatch/proxy/loop_watch.py
+++ b/orchidhatch/proxy/loop_watch.py
@@ -109,10 +109,6 @@
         """
         return self._unread_since_us if self.touch() else self._touched_us
 
-    def unread_us(self) -> int:
-        """The same as the time since then."""
-        return self._clock_us() - self.arrival_us()
-
     def _wait_turns(self, turns: int) -> None:
         if turns:
             asyncio.get_running_loop().call_soon(self._wait_turns, turns - 1)
--- a/orchidhatch/proxy/process_lifecycle.py
+++ b/orchidhatch/proxy/process_lifecycle.py
@@ -7,7 +7,6 @@
 
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.clients import Clients
-from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.request_lifecycle import ANSWER_MARGIN_US, RequestLifecycle
 
 log = logging.getLogger(__name__)
@@ -59,7 +58,7 @@
     def note_termination(self) -> None:
         """SIGTERM is handled now; it may have come while the process stood still."""
         if not self.terminated_us:
-            self.terminated_us = now_us() - self.requests.loop_watch.unread_us()
+            self.terminated_us = self.requests.loop_watch.arrival_us()
 
     def enter(self, state: ProcessState) -> None:
         """Go to `state`; a state that does not follow the present one is not entered."""
--- a/tests/proxy/test_attempt_endings.py
+++ b/tests/proxy/test_attempt_endings.py
@@ -18,7 +18,6 @@
     backend_pool,
     backends,
     event_dispatcher,
-    process_lifecycle,
     request_lifecycle,
     socket_inspection,
 )
@@ -125,7 +124,7 @@
     """The module decided on it in time; what it repeats may have run, and is forgotten there by now."""
     real, late_us = backends.now_us, 0
     modules = (attempt, backend_connection, backend_pool, backends)
-    for module in (*modules, event_dispatcher, request_lifecycle, process_lifecycle):
+    for module in (*modules, event_dispatcher, request_lifecycle):
         monkeypatch.setattr(module, "now_us", lambda: real() + late_us)
     monkeypatch.setattr(backend_pool, "REUSE_DELAY_US", 3_600_000_000)
 
--- a/tests/proxy/test_graceful_drain.py
+++ b/tests/proxy/test_graceful_drain.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 from dataclasses import replace
+from itertools import count
+from unittest.mock import Mock
 
 import pytest
 
@@ -10,6 +12,8 @@
 from orchidhatch.proxy import (
     process_lifecycle,
 )
+from orchidhatch.proxy.loop_watch import TURNS, LoopWatch
+from orchidhatch.proxy.process_lifecycle import ProcessLifecycle
 from tests.proxy.gateway_scripts import (
     start_drain,
 )
@@ -177,3 +181,28 @@
         assert [await client.answer(), await client.answer()] == [b"at last"] * 2
         assert await client.ended()
         await draining
+
+
+@pytest.mark.parametrize("stalled_reading", range(1, 6))
+async def test_stall_while_sigterm_is_noted_counts_once(stalled_reading: int) -> None:
+    """Guards against a time of SIGTERM that is a stall too early, computed from several readings."""
+    stall_us = 400_000
+    signalled_us = 2_000_000
+    clock = [signalled_us]
+    readings = count(1)
+    is_noting = [False]
+
+    def clock_us() -> int:
+        if is_noting[0] and next(readings) == stalled_reading:
+            clock[0] += stall_us
+        return clock[0]
+
+    watch = LoopWatch(clock_us)
+    for _ in range(2 * TURNS):
+        watch.touch()
+        await asyncio.sleep(0)
+    assert not watch.is_suspicious
+    process = ProcessLifecycle(Mock(), Mock(), Mock(loop_watch=watch))
+    is_noting[0] = True
+    process.note_termination()
+    assert process.terminated_us == signalled_us
