A delay is rounded up to whole milliseconds, so that one of less is not told as none

Callers saw -BUSY without a time for a delay above 0 and under 1 ms, and otherwise a time up to 1 ms too short.

Cause: the proxy cut the core's microseconds to milliseconds. The core's delay is never less than the expected wait, as a retry before that gains nothing.

Change: rounded up. 0 is still told as no time.

Evidence: test_time_to_retry_is_rounded_up answered -BUSY for 1 us and -BUSY 1 for 1001 us; now -BUSY 1 and -BUSY 2. The tests of the server, overload, deadlines and wait queues pass.

--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -38,6 +39,7 @@
 ANSWER_MARGIN_US = 25_000
 # How much later than the decision core a request is ended here, should the core not end it.
 BACKSTOP_US = 15_000
+US_PER_MS = 1000
 GUARD_SLACK_US = 5_000
 """Between the check that ends an attempt in time and the guard's, the clock moves on."""
 
@@ -345,8 +347,11 @@
     # --- answers ---
 
     def reject(self, action: Reject) -> None:
-        """Answer that the gateway is busy, with the time after which to retry if there is one."""
-        wait_ms = action.retry_after_us // 1000
+        """Answer that the gateway is busy, with the time after which to retry if there is one.
+
+        It is rounded up: a retry before that gains nothing.
+        """
+        wait_ms = math.ceil(action.retry_after_us / US_PER_MS)
         line = b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n"
         self.answer(action.id, line, RequestOutcome.DEFERRED)
 
--- a/tests/proxy/test_server.py
+++ b/tests/proxy/test_server.py
@@ -58,6 +58,18 @@
         assert len(backend.commands) == SETTINGS.max_attempts  # it is known that none of them ran
 
 
+@pytest.mark.parametrize(
+    ("delay_us", "answer"), [(0, "-BUSY"), (1, "-BUSY 1"), (1000, "-BUSY 1"), (1001, "-BUSY 2")]
+)
+async def test_time_to_retry_is_rounded_up(delay_us: int, answer: str) -> None:
+    """Guards against no time, or one that is over too soon, for a delay that is no whole number of ms."""
+    backend = Backend(lambda arguments: b"-BUSY\r\n")
+    settings = replace(SETTINGS, max_retry_after_us=delay_us)
+    async with front_door(backend, settings=settings) as (_, address):
+        client = await Client.open(address)
+        assert await client.ask(submit("a1")) == answer
+
+
 ODD_ANSWERS = [b"-ERR failed util=0.5\r\n", b"-ODD\r\n", b"", b"$-1\r\n", b"+OK\r\n", b"?"]
 
 
