The sum of waits on /metrics is shown with all its digits

Cause: six significant digits, the form of the bucket bounds.

Change: the number as it is.

Evidence: the new test read 1234570.0 for 1234567 s, and the same a second later; it reads each wait now, to the microsecond. The tests of the pages, accounting and wait queues pass.

--- a/orchidhatch/proxy/wait_queues.py
+++ b/orchidhatch/proxy/wait_queues.py
@@ -30,7 +30,7 @@
         for bound, count in zip(bounds, self.counts, strict=True):
             cumulative += count
             lines.append(f'proxy_wait_seconds_bucket{{place="{queue}",le="{bound}"}} {cumulative}')
-        lines.append(f'proxy_wait_seconds_sum{{place="{queue}"}} {self.sum_us / 1e6:g}')
+        lines.append(f'proxy_wait_seconds_sum{{place="{queue}"}} {self.sum_us / 1e6}')
         lines.append(f'proxy_wait_seconds_count{{place="{queue}"}} {cumulative}')
         return "\n".join(lines) + "\n"
 
--- a/tests/proxy/test_wait_queues.py
+++ b/tests/proxy/test_wait_queues.py
@@ -42,6 +42,16 @@
     assert found['proxy_wait_seconds_count{place="x"}'] == 6
 
 
+def test_sum_of_waits_grows_by_each_wait() -> None:
+    """Guards against a sum that stands still, and so a mean wait of 0, once it is large."""
+    waits = WaitHistogram()
+    sums = []
+    for us in (1_234_567_000_000, 1_000_000, 1):
+        waits.note(us)
+        sums.append(samples(waits.samples_text("x"))['proxy_wait_seconds_sum{place="x"}'])
+    assert sums == [1_234_567.0, 1_234_568.0, 1_234_568.000001]
+
+
 async def test_every_queue_is_on_the_metrics_page() -> None:
     async with operated(Backend()) as (gateway, address):
         client = await Client.open(address)
