Trials: whether processes serve is asked in a module of its own

The probes of a process and the waits for the whole fleet are `faults/readiness.py` now. Behaviour is unchanged: the methods moved as they were.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -1,38 +1,34 @@
 """The processes of a trial: their commands and settings, and the order of their starts."""
 
-import asyncio
 import json
 import random
 import sys
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
 from fnmatch import fnmatchcase
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from orchidhatch.control.http_client import Address, HttpResponse, call
+from orchidhatch.control.http_client import Address
 from orchidhatch.faults import backend, load
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.gateway_settings import ZONES, gateway_settings
 from orchidhatch.faults.network import Network, address_text, free_port
 from orchidhatch.faults.plan import SHIM_KINDS, Fault, Script
-from orchidhatch.faults.processes import LOOK_S, READY_S, ROOT, Process, Processes, TrialError
+from orchidhatch.faults.processes import ROOT, Process, Processes
+from orchidhatch.faults.readiness import ReadinessProbes, Ready, always_ready
 from orchidhatch.faults.seeded_defects import SEEDED_DEFECTS
 from orchidhatch.faults.system_calls import ShimControl, build_shim
 from orchidhatch.faults.tcp_relay import TcpRelay
 
 START_DELAY_S = 1.5
 """Until the load begins, for the clients to be ready."""
-HEALTH_TIMEOUT_S = 0.5
 GATEWAY_LIMITS = {"cores": 1.0, "memory_mb": 192}
 FIRST_MACHINE = 100
 """The last number of the first backend's address."""
 
-Ready = Callable[[], Awaitable[bool]]
-
 
 def gateway_command() -> list[str]:
     """The deploy file's `run`; where its build has not been made, the same program by this interpreter."""
@@ -55,6 +51,7 @@
         self.network = Network(script.plan, script.seed, recorder)
         self.at = self.network.at
         self.over = self.network.over
+        self.probes = ReadinessProbes(script.plan, self.network)
         self.ids: dict[str, str] = {}
         """By backend process, its id in the endpoint list."""
         self.machine_count = 0
@@ -142,20 +139,6 @@
             Process(name, command, folder, self.recorder, ready, reached=reached, env=environment, **options)
         )
 
-    async def answers(self, name: str, status: int = 0) -> bool:
-        """Whether a process answers its health call; with this status, if one is given."""
-        result = await call(self.at[name], "GET", "/healthcheck", timeout_s=HEALTH_TIMEOUT_S)
-        return result.status == status if status else isinstance(result, HttpResponse)
-
-    async def listens(self, name: str) -> bool:
-        """Whether a process accepts connections."""
-        try:
-            _, writer = await asyncio.open_connection(*self.at[name])
-        except OSError:
-            return False
-        writer.close()
-        return True
-
     def add_registry(self, number: int) -> None:
         """Add a registry, the first or a replica of it."""
         name = f"registry-{number}"
@@ -166,7 +149,7 @@
         for other in range(self.plan.registries):
             if other != number:
                 words += ["--peer", address_text(self.over[f"{name}>registry-{other}"])]
-        self.add(name, "orchidhatch.registry", *words, ready=lambda: self.answers(name))
+        self.add(name, "orchidhatch.registry", *words, ready=lambda: self.probes.answers(name))
 
     def add_agent(self, number: int) -> None:
         """Add the agent of a gateway's machine."""
@@ -177,7 +160,7 @@
             words += ["--door", address_text(self.over[f"{name}>door-{number}"])]
         if self.plan.policy:
             words += self.policy_options(number)
-        self.add(name, "orchidhatch.agent", *words, ready=lambda: self.answers(name))
+        self.add(name, "orchidhatch.agent", *words, ready=lambda: self.probes.answers(name))
 
     def policy_options(self, number: int) -> list[object]:
         """An agent's options for the gateway whose policy lease it holds."""
@@ -235,7 +218,7 @@
         )
         file = self.folder / f"{name}.json"
         file.write_bytes(msgspec.json.encode(settings))
-        self.add(name, "orchidhatch.faults.backend", file, ready=lambda: self.listens(name))
+        self.add(name, "orchidhatch.faults.backend", file, ready=lambda: self.probes.listens(name))
         return self.ids[name]
 
     async def _open_backend_relay(self, gateway: str, backend_name: str, machine: int, port: int) -> None:
@@ -265,8 +248,8 @@
         async def ready() -> bool:
             # One that is under a policy is healthy only once its agent lets it, which faults may prevent.
             if self.plan.policy:
-                return await self.listens(name)
-            return await self.answers(f"{name} management", 200)
+                return await self.probes.listens(name)
+            return await self.probes.answers(f"{name} management", 200)
 
         self.add_command(name, command, ready=ready, env=env, prepare=lambda: self.write_config(number))
 
@@ -326,12 +309,9 @@
         file = self.folder / "clients.json"
         file.write_bytes(msgspec.json.encode(settings))
 
-        async def ready() -> bool:
-            return True
-
-        self.add("clients", "orchidhatch.faults.load", file, ready=ready, ends=True)
+        self.add("clients", "orchidhatch.faults.load", file, ready=always_ready, ends=True)
         if self.plan.load.odd_per_s or self.plan.load.crowd:
-            self.add("odd-clients", "orchidhatch.faults.odd_clients", file, ready=ready, ends=True)
+            self.add("odd-clients", "orchidhatch.faults.odd_clients", file, ready=always_ready, ends=True)
 
     # --- start and end ---
 
@@ -348,7 +328,7 @@
             self.add_agent(number)
         await self.processes.start(*agents)
         for name in [*registries, *agents]:
-            await self.wait_until_listed(name)
+            await self.probes.wait_until_listed(name)
         for number in range(plan.doors):
             self.add_gateway(number)
         await self.processes.start(*(f"door-{number}" for number in range(plan.doors)))
@@ -356,7 +336,7 @@
             self.add_controller(number)
         await self.processes.start(*(f"steward-{number}" for number in range(plan.stewards)))
         if plan.policy:
-            await self.wait_until_under_policy()
+            await self.probes.wait_until_under_policy()
         self.start_ns = time.monotonic_ns() + round(START_DELAY_S * 1e9)
         if plan.doors and plan.load.customers:
             await self._start_clients()
@@ -382,40 +362,6 @@
         names = [name for name in ("clients", "odd-clients") if name in self.processes.all]
         await self.processes.start(*names)
 
-    async def wait_until_under_policy(self) -> None:
-        """Wait until all gateways serve under their agents' policy leases. Raises TrialError."""
-        try:
-            async with asyncio.timeout(READY_S):
-                while not await self._all_under_policy():
-                    await asyncio.sleep(LOOK_S)
-        except TimeoutError:
-            raise TrialError(f"the doors are not kept to a policy within {READY_S:g} s") from None
-
-    async def _all_under_policy(self) -> bool:
-        result = await call(self.at["registry-0"], "GET", "/doors")
-        if not result.ok or not result.value["sure"]:
-            return self.plan.doors == 0
-        number = result.value["now"]["number"]
-        serving = [
-            gateway
-            for gateway in result.value["doors"]
-            if gateway.get("serves") and gateway["number"] == number
-        ]
-        return len(serving) == self.plan.doors
-
-    async def wait_until_listed(self, name: str) -> None:
-        """Wait until a registry or agent lists all backends. Raises TrialError."""
-        try:
-            async with asyncio.timeout(READY_S):
-                while not await self._lists_all_backends(name):
-                    await asyncio.sleep(LOOK_S)
-        except TimeoutError:
-            raise TrialError(f"the backends are not in the list of {name} within {READY_S:g} s") from None
-
-    async def _lists_all_backends(self, name: str) -> bool:
-        result = await call(self.at[name], "GET", "/catalog/members")
-        return result.ok and len(result.value["instances"]) >= self.plan.backends.count
-
     async def close(self) -> None:
         """End all processes, and close the relays."""
         await self.processes.close()
