Trials: failing system calls have their controls in a module of their own

`Fleet` compiled the library of failing system calls and kept the control file of each process that it is put under.

Checked: pytest -q -n 2 tests/faults.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -16,11 +16,11 @@
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.gateway_settings import ZONES, gateway_settings
 from orchidhatch.faults.network import Network, address_text, free_port
-from orchidhatch.faults.plan import SHIM_KINDS, Fault, Script
+from orchidhatch.faults.plan import Fault, Script
 from orchidhatch.faults.processes import ROOT, Process, Processes
 from orchidhatch.faults.readiness import ReadinessProbes, Ready, always_ready
 from orchidhatch.faults.seeded_defects import SEEDED_DEFECTS
-from orchidhatch.faults.system_calls import ShimControl, build_shim
+from orchidhatch.faults.shim_controls import ShimControls
 from orchidhatch.faults.tcp_relay import TcpRelay
 
 START_DELAY_S = 1.5
@@ -51,6 +51,7 @@
         self.network = Network(script.plan, script.seed, recorder)
         self.at = self.network.at
         self.over = self.network.over
+        self.shim_controls = ShimControls(script, folder, recorder)
         self.probes = ReadinessProbes(script.plan, self.network)
         self.ids: dict[str, str] = {}
         """By backend process, its id in the endpoint list."""
@@ -58,8 +59,6 @@
         """Backends so far, replaced ones too."""
         self.stepped_processes = self._processes_named_by("clock")
         self.start_ns = 0
-        self.shim: Path | None = None
-        self.controls: dict[str, ShimControl] = {}
 
     def elapsed_s(self) -> float:
         """Seconds since the start of the load."""
@@ -78,27 +77,6 @@
         names = self.plan.processes()
         return {name for name in names if any(fnmatchcase(name, pattern) for pattern in patterns)}
 
-    # --- system calls ---
-
-    def build_shim(self) -> None:
-        """Compile the library of failing system calls if a fault needs it; record where that cannot be."""
-        if not any(fault.kind in SHIM_KINDS for fault in self.script.faults):
-            return
-        self.shim = build_shim(self.folder)
-        self.recorder.note("shim", "trial", built=self.shim is not None)
-
-    def shim_environment(self, name: str) -> dict[str, str]:
-        """The environment of a process whose system calls are made to fail."""
-        is_named = any(
-            fault.kind in SHIM_KINDS and fnmatchcase(name, fault.who) for fault in self.script.faults
-        )
-        if self.shim is None or not is_named:
-            return {}
-        if name not in self.controls:
-            seed = random.Random(f"{self.script.seed} {name} system calls").getrandbits(31)
-            self.controls[name] = ShimControl(self.folder / f"{name}.shim", seed)
-        return self.controls[name].environment(self.shim)
-
     # --- commands ---
 
     def add(self, name: str, module: str, *arguments: object, ready: Ready, ends: bool = False) -> None:
@@ -133,7 +111,7 @@
         def reached(is_reachable: bool) -> None:
             self.network.set_reachable(name, is_reachable)
 
-        environment = {**(env or {}), **self.shim_environment(name)}
+        environment = {**(env or {}), **self.shim_controls.environment(name)}
         folder = self.folder / name
         self.processes.add(
             Process(name, command, folder, self.recorder, ready, reached=reached, env=environment, **options)
@@ -318,7 +296,7 @@
     async def start(self) -> None:
         """Start registries, backends that register, agents, gateways, controllers, and last the clients."""
         plan = self.plan
-        self.build_shim()
+        self.shim_controls.build()
         self.network.assign_addresses()
         await self.network.open_relays()
         registries = await self._start_registries()
--- a/orchidhatch/faults/process_faults.py
+++ b/orchidhatch/faults/process_faults.py
@@ -123,7 +123,7 @@
 
     async def fail_system_calls(self, fault: Fault, process: Process) -> None:
         """Have system calls of the process fail for a while; its wall clock stays stepped for as long."""
-        control = self.fleet.controls.get(process.name)
+        control = self.fleet.shim_controls.by_process.get(process.name)
         if control is None:  # there is no C compiler here, which the trial's events say
             return
         slot = SLOT_OF_KIND[fault.kind]
