Trials: processes are added by a launcher

Which processes run under the launcher, with which options and environment, was spread over four methods of `Fleet`. `faults/process_launcher.py` has them; commands and environments are the same.

Checked: pytest -q -n 2 tests/faults.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -5,9 +5,7 @@
 import sys
 import time
 import tomllib
-from fnmatch import fnmatchcase
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
@@ -17,9 +15,9 @@
 from orchidhatch.faults.gateway_settings import ZONES, gateway_settings
 from orchidhatch.faults.network import Network, address_text, free_port
 from orchidhatch.faults.plan import Fault, Script
-from orchidhatch.faults.processes import ROOT, Process, Processes
-from orchidhatch.faults.readiness import ReadinessProbes, Ready, always_ready
-from orchidhatch.faults.seeded_defects import SEEDED_DEFECTS
+from orchidhatch.faults.process_launcher import ProcessLauncher
+from orchidhatch.faults.processes import ROOT, Processes
+from orchidhatch.faults.readiness import ReadinessProbes, always_ready
 from orchidhatch.faults.shim_controls import ShimControls
 from orchidhatch.faults.tcp_relay import TcpRelay
 
@@ -46,18 +44,19 @@
         self.plan = script.plan
         self.folder = folder
         self.recorder = recorder
-        self.defect = defect
         self.processes = Processes()
         self.network = Network(script.plan, script.seed, recorder)
         self.at = self.network.at
         self.over = self.network.over
         self.shim_controls = ShimControls(script, folder, recorder)
+        self.launcher = ProcessLauncher(
+            script, folder, recorder, self.network, self.processes, self.shim_controls, defect
+        )
         self.probes = ReadinessProbes(script.plan, self.network)
         self.ids: dict[str, str] = {}
         """By backend process, its id in the endpoint list."""
         self.machine_count = 0
         """Backends so far, replaced ones too."""
-        self.stepped_processes = self._processes_named_by("clock")
         self.start_ns = 0
 
     def elapsed_s(self) -> float:
@@ -72,50 +71,7 @@
         """Record that a fault of a process or link is undone."""
         self.recorder.note("undone", subject, kind=fault.kind, way=fault.way)
 
-    def _processes_named_by(self, kind: str) -> set[str]:
-        patterns = [fault.who for fault in self.script.faults if fault.kind == kind]
-        names = self.plan.processes()
-        return {name for name in names if any(fnmatchcase(name, pattern) for pattern in patterns)}
-
-    # --- commands ---
-
-    def add(self, name: str, module: str, *arguments: object, ready: Ready, ends: bool = False) -> None:
-        """Add a process that runs a module of the program, or of the trial."""
-        command = [sys.executable, "-m", *self.launcher_words(name), module, *map(str, arguments)]
-        self.add_command(name, command, ready, ends=ends)
-
-    def launcher_words(self, name: str) -> list[str]:
-        """The launcher and its options, for a process that needs it.
-
-        It is needed where the clock steps, a defect is seeded, or what a registry decides is to be recorded.
-        """
-        options: list[str] = []
-        if name in self.stepped_processes:
-            options += ["--clock", str(self.folder / f"{name}.clock")]
-        if self.defect and fnmatchcase(name, SEEDED_DEFECTS[self.defect].processes):
-            options += ["--plant", self.defect]
-        if (self.plan.stewards or self.plan.policy) and name.startswith("registry-"):
-            options += ["--record", str(self.folder), "--name", name]
-        return ["orchidhatch.faults.stepped", *options] if options else []
-
-    def add_command(
-        self,
-        name: str,
-        command: list[str],
-        ready: Ready,
-        env: dict[str, str] | None = None,
-        **options: Any,  # noqa: ANN401 - of Process
-    ) -> None:
-        """Add a process by its command; it is not started."""
-
-        def reached(is_reachable: bool) -> None:
-            self.network.set_reachable(name, is_reachable)
-
-        environment = {**(env or {}), **self.shim_controls.environment(name)}
-        folder = self.folder / name
-        self.processes.add(
-            Process(name, command, folder, self.recorder, ready, reached=reached, env=environment, **options)
-        )
+    # --- control plane ---
 
     def add_registry(self, number: int) -> None:
         """Add a registry, the first or a replica of it."""
@@ -127,7 +83,9 @@
         for other in range(self.plan.registries):
             if other != number:
                 words += ["--peer", address_text(self.over[f"{name}>registry-{other}"])]
-        self.add(name, "orchidhatch.registry", *words, ready=lambda: self.probes.answers(name))
+        self.launcher.add_module(
+            name, "orchidhatch.registry", *words, ready=lambda: self.probes.answers(name)
+        )
 
     def add_agent(self, number: int) -> None:
         """Add the agent of a gateway's machine."""
@@ -138,7 +96,7 @@
             words += ["--door", address_text(self.over[f"{name}>door-{number}"])]
         if self.plan.policy:
             words += self.policy_options(number)
-        self.add(name, "orchidhatch.agent", *words, ready=lambda: self.probes.answers(name))
+        self.launcher.add_module(name, "orchidhatch.agent", *words, ready=lambda: self.probes.answers(name))
 
     def policy_options(self, number: int) -> list[object]:
         """An agent's options for the gateway whose policy lease it holds."""
@@ -162,7 +120,7 @@
         async def ready() -> bool:
             return b"serves" in (self.folder / name / "log").read_bytes()
 
-        self.add(name, "orchidhatch.controller", *words, ready=ready)
+        self.launcher.add_module(name, "orchidhatch.controller", *words, ready=ready)
 
     def registry_options(self, name: str) -> list[str]:
         """A process's options for all registries, by the links from it."""
@@ -196,7 +154,9 @@
         )
         file = self.folder / f"{name}.json"
         file.write_bytes(msgspec.json.encode(settings))
-        self.add(name, "orchidhatch.faults.backend", file, ready=lambda: self.probes.listens(name))
+        self.launcher.add_module(
+            name, "orchidhatch.faults.backend", file, ready=lambda: self.probes.listens(name)
+        )
         return self.ids[name]
 
     async def _open_backend_relay(self, gateway: str, backend_name: str, machine: int, port: int) -> None:
@@ -218,7 +178,7 @@
             "PROXY_MANAGEMENT": address_text(self.at[f"{name} management"]),
             "TMPDIR": str(self.folder / name / "tmp"),
         }
-        launcher = self.launcher_words(name)
+        launcher = self.launcher.launcher_words(name)
         command = gateway_command()
         if launcher:
             command = [sys.executable, "-m", *launcher, "orchidhatch.proxy.main"]
@@ -229,7 +189,9 @@
                 return await self.probes.listens(name)
             return await self.probes.answers(f"{name} management", 200)
 
-        self.add_command(name, command, ready=ready, env=env, prepare=lambda: self.write_config(number))
+        self.launcher.add_command(
+            name, command, ready=ready, env=env, prepare=lambda: self.write_config(number)
+        )
 
     def write_config(self, number: int) -> None:
         """Write a gateway's configuration, anew at each start with another seed, unless an agent keeps it."""
@@ -287,9 +249,11 @@
         file = self.folder / "clients.json"
         file.write_bytes(msgspec.json.encode(settings))
 
-        self.add("clients", "orchidhatch.faults.load", file, ready=always_ready, ends=True)
+        self.launcher.add_module("clients", "orchidhatch.faults.load", file, ready=always_ready, ends=True)
         if self.plan.load.odd_per_s or self.plan.load.crowd:
-            self.add("odd-clients", "orchidhatch.faults.odd_clients", file, ready=always_ready, ends=True)
+            self.launcher.add_module(
+                "odd-clients", "orchidhatch.faults.odd_clients", file, ready=always_ready, ends=True
+            )
 
     # --- start and end ---
 
