Trials: registries, agents and controllers are added by a module of their own

`faults/control_plane_processes.py` has the options of the three; the addresses by which a process reaches the registries are the network's. The commands are the same.

Checked: pytest -q -n 2 tests/faults.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from orchidhatch.control.http_client import Address
 from orchidhatch.faults import backend, load
+from orchidhatch.faults.control_plane_processes import ControlPlaneProcesses
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.gateway_settings import ZONES, gateway_settings
 from orchidhatch.faults.network import Network, address_text, free_port
@@ -53,6 +53,9 @@
             script, folder, recorder, self.network, self.processes, self.shim_controls, defect
         )
         self.probes = ReadinessProbes(script.plan, self.network)
+        self.control_plane = ControlPlaneProcesses(
+            script.plan, folder, self.network, self.launcher, self.probes
+        )
         self.ids: dict[str, str] = {}
         """By backend process, its id in the endpoint list."""
         self.machine_count = 0
@@ -71,65 +74,7 @@
         """Record that a fault of a process or link is undone."""
         self.recorder.note("undone", subject, kind=fault.kind, way=fault.way)
 
-    # --- control plane ---
-
-    def add_registry(self, number: int) -> None:
-        """Add a registry, the first or a replica of it."""
-        name = f"registry-{number}"
-        words: list[object] = ["--listen", address_text(self.at[name]), "--create"]
-        words += ["--store", self.folder / name / "list.db"]
-        if number:
-            words += ["--follow", address_text(self.over[f"{name}>registry-0"])]
-        for other in range(self.plan.registries):
-            if other != number:
-                words += ["--peer", address_text(self.over[f"{name}>registry-{other}"])]
-        self.launcher.add_module(
-            name, "orchidhatch.registry", *words, ready=lambda: self.probes.answers(name)
-        )
-
-    def add_agent(self, number: int) -> None:
-        """Add the agent of a gateway's machine."""
-        name = f"agent-{number}"
-        words: list[object] = ["--listen", address_text(self.at[name]), *self.registry_options(name)]
-        words += ["--cache", self.folder / name / "cache.db"]
-        if self.plan.doors:
-            words += ["--door", address_text(self.over[f"{name}>door-{number}"])]
-        if self.plan.policy:
-            words += self.policy_options(number)
-        self.launcher.add_module(name, "orchidhatch.agent", *words, ready=lambda: self.probes.answers(name))
-
-    def policy_options(self, number: int) -> list[object]:
-        """An agent's options for the gateway whose policy lease it holds."""
-        gateway = f"door-{number}"
-        folder = self.folder / gateway
-        return [
-            *("--name", gateway),
-            *("--zone", ZONES[number % len(ZONES)]),
-            *("--config", folder / "config.json"),
-            *("--pid", folder / "pid"),
-            *("--check", f"{sys.executable} -m orchidhatch.proxy --check"),
-        ]
-
-    def add_controller(self, number: int) -> None:
-        """Add a controller."""
-        name = f"steward-{number}"
-        words: list[object] = ["--id", name, *self.registry_options(name)]
-        for agent in range(self.plan.doors):
-            words += ["--agent", address_text(self.over[f"{name}>agent-{agent}"])]
-
-        async def ready() -> bool:
-            return b"serves" in (self.folder / name / "log").read_bytes()
-
-        self.launcher.add_module(name, "orchidhatch.controller", *words, ready=ready)
-
-    def registry_options(self, name: str) -> list[str]:
-        """A process's options for all registries, by the links from it."""
-        addresses = self.registries_of(name)
-        return [word for address in addresses for word in ("--registry", address_text(address))]
-
-    def registries_of(self, name: str) -> list[Address]:
-        """The addresses by which a process reaches the registries."""
-        return [self.over[f"{name}>registry-{number}"] for number in range(self.plan.registries)]
+    # --- backends ---
 
     async def add_backend(self, number: int) -> str:
         """Add a machine in this slot, the first or one in place of another; its id in the endpoint list."""
@@ -146,7 +91,7 @@
             name,
             self.ids[name],
             self.at[name],
-            self.registries_of(name),
+            self.network.registries_of(name),
             ZONES[number % len(ZONES)],
             self.plan.backends,
             self.script.seed,
@@ -267,7 +212,7 @@
         await self._start_backends()
         agents = [f"agent-{number}" for number in range(max(1, plan.doors))]
         for number in range(len(agents)):
-            self.add_agent(number)
+            self.control_plane.add_agent(number)
         await self.processes.start(*agents)
         for name in [*registries, *agents]:
             await self.probes.wait_until_listed(name)
@@ -275,7 +220,7 @@
             self.add_gateway(number)
         await self.processes.start(*(f"door-{number}" for number in range(plan.doors)))
         for number in range(plan.stewards):
-            self.add_controller(number)
+            self.control_plane.add_controller(number)
         await self.processes.start(*(f"steward-{number}" for number in range(plan.stewards)))
         if plan.policy:
             await self.probes.wait_until_under_policy()
@@ -288,7 +233,7 @@
         """Start the first registry, then its replicas; their names."""
         names = [f"registry-{number}" for number in range(self.plan.registries)]
         for number in range(self.plan.registries):
-            self.add_registry(number)
+            self.control_plane.add_registry(number)
         await self.processes.start(names[0])
         await self.processes.start(*names[1:])
         return names
--- a/orchidhatch/faults/network.py
+++ b/orchidhatch/faults/network.py
@@ -77,6 +77,10 @@
         """The third number of the addresses by which this gateway sees the backends."""
         return BACKEND_HOST_NUMBER + 1 + int(gateway.partition("-")[2])
 
+    def registries_of(self, process: str) -> list[Address]:
+        """The addresses by which a process reaches the registries."""
+        return [self.over[f"{process}>registry-{number}"] for number in range(self.plan.registries)]
+
     def link(self, name: str) -> Link:
         """The link of that name, made where it is new."""
         chance = random.Random(f"{self.seed} {name}")
