Trials: backends are added by a module of their own

`faults/backend_machines.py` gives each machine its address, its id in the endpoint list, the relays to it and its settings. The order of these, and what the settings say, are the same.

Checked: pytest -q -n 2 tests/faults.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -9,11 +9,12 @@
 
 import msgspec
 
-from orchidhatch.faults import backend, load
+from orchidhatch.faults import load
+from orchidhatch.faults.backend_machines import BackendMachines
 from orchidhatch.faults.control_plane_processes import ControlPlaneProcesses
 from orchidhatch.faults.events import Recorder
-from orchidhatch.faults.gateway_settings import ZONES, gateway_settings
-from orchidhatch.faults.network import Network, address_text, free_port
+from orchidhatch.faults.gateway_settings import gateway_settings
+from orchidhatch.faults.network import Network, address_text
 from orchidhatch.faults.plan import Fault, Script
 from orchidhatch.faults.process_launcher import ProcessLauncher
 from orchidhatch.faults.processes import ROOT, Processes
@@ -24,8 +25,6 @@
 START_DELAY_S = 1.5
 """Until the load begins, for the clients to be ready."""
 GATEWAY_LIMITS = {"cores": 1.0, "memory_mb": 192}
-FIRST_MACHINE = 100
-"""The last number of the first backend's address."""
 
 
 def gateway_command() -> list[str]:
@@ -56,10 +55,7 @@
         self.control_plane = ControlPlaneProcesses(
             script.plan, folder, self.network, self.launcher, self.probes
         )
-        self.ids: dict[str, str] = {}
-        """By backend process, its id in the endpoint list."""
-        self.machine_count = 0
-        """Backends so far, replaced ones too."""
+        self.backends = BackendMachines(script, folder, self.network, self.launcher, self.probes)
         self.start_ns = 0
 
     def elapsed_s(self) -> float:
@@ -74,43 +70,6 @@
         """Record that a fault of a process or link is undone."""
         self.recorder.note("undone", subject, kind=fault.kind, way=fault.way)
 
-    # --- backends ---
-
-    async def add_backend(self, number: int) -> str:
-        """Add a machine in this slot, the first or one in place of another; its id in the endpoint list."""
-        name = f"backend-{number}"
-        machine = FIRST_MACHINE + self.machine_count
-        self.machine_count += 1
-        host = self.network.backend_host(machine)
-        port = free_port(host)
-        self.at[name] = host, port
-        self.ids[name] = f"b-{number}-{machine}"
-        for gateway in range(self.plan.doors):
-            await self._open_backend_relay(f"door-{gateway}", name, machine, port)
-        settings = backend.Settings(
-            name,
-            self.ids[name],
-            self.at[name],
-            self.network.registries_of(name),
-            ZONES[number % len(ZONES)],
-            self.plan.backends,
-            self.script.seed,
-            str(self.folder),
-        )
-        file = self.folder / f"{name}.json"
-        file.write_bytes(msgspec.json.encode(settings))
-        self.launcher.add_module(
-            name, "orchidhatch.faults.backend", file, ready=lambda: self.probes.listens(name)
-        )
-        return self.ids[name]
-
-    async def _open_backend_relay(self, gateway: str, backend_name: str, machine: int, port: int) -> None:
-        link = f"{gateway}>{backend_name}"
-        if link in self.network.relays:
-            self.network.relays[link].refuse()  # the machine before it is gone
-        host = f"{self.network.prefix}.{self.network.view_host_number(gateway)}.{machine}"
-        await self.network.open_relay(link, self.at[backend_name], host, port)
-
     # --- gateways ---
 
     def add_gateway(self, number: int) -> None:
@@ -241,7 +200,7 @@
     async def _start_backends(self) -> None:
         count = self.plan.backends.count
         for number in range(count):
-            await self.add_backend(number)
+            await self.backends.add(number)
         await self.processes.start(*(f"backend-{number}" for number in range(count)))
 
     async def _start_clients(self) -> None:
--- a/orchidhatch/faults/operator_actions.py
+++ b/orchidhatch/faults/operator_actions.py
@@ -43,7 +43,7 @@
 
     async def drain(self, fault: Fault, process: Process) -> None:
         """Drain a backend for a while, by hand or by a controller's task; it may have left meanwhile."""
-        backend = self.fleet.ids[process.name]
+        backend = self.fleet.backends.ids[process.name]
         if fault.size:
             await self._request_drain(backend, fault.size)
             return
--- a/orchidhatch/faults/process_faults.py
+++ b/orchidhatch/faults/process_faults.py
@@ -175,10 +175,10 @@
 
     async def replace_backend(self, fault: Fault, process: Process) -> None:
         """Put a new machine in its place, under another id and address; the old one leaves at once."""
-        backend = self.fleet.ids[process.name]
+        backend = self.fleet.backends.ids[process.name]
         await self.writer.write(backend, "DELETE", f"/entries/{backend}", None)
         await process.end()
-        await self.fleet.add_backend(int(process.name.partition("-")[2]))
+        await self.fleet.backends.add(int(process.name.partition("-")[2]))
         await self.start(self.fleet.processes[process.name])
 
 
