Trials: gateways and their configuration files have modules of their own

`faults/gateway_processes.py` has the command, environment and readiness of a gateway, `faults/gateway_config_files.py` writes and changes its configuration. Commands, environments and files are the same.

Checked: pytest -q -n 2 tests/faults.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -1,10 +1,6 @@
 """The processes of a trial: their commands and settings, and the order of their starts."""
 
-import json
-import random
-import sys
 import time
-import tomllib
 from pathlib import Path
 
 import msgspec
@@ -13,26 +9,17 @@
 from orchidhatch.faults.backend_machines import BackendMachines
 from orchidhatch.faults.control_plane_processes import ControlPlaneProcesses
 from orchidhatch.faults.events import Recorder
-from orchidhatch.faults.gateway_settings import gateway_settings
-from orchidhatch.faults.network import Network, address_text
+from orchidhatch.faults.gateway_config_files import GatewayConfigFiles
+from orchidhatch.faults.gateway_processes import GatewayProcesses
+from orchidhatch.faults.network import Network
 from orchidhatch.faults.plan import Fault, Script
 from orchidhatch.faults.process_launcher import ProcessLauncher
-from orchidhatch.faults.processes import ROOT, Processes
+from orchidhatch.faults.processes import Processes
 from orchidhatch.faults.readiness import ReadinessProbes, always_ready
 from orchidhatch.faults.shim_controls import ShimControls
-from orchidhatch.faults.tcp_relay import TcpRelay
 
 START_DELAY_S = 1.5
 """Until the load begins, for the clients to be ready."""
-GATEWAY_LIMITS = {"cores": 1.0, "memory_mb": 192}
-
-
-def gateway_command() -> list[str]:
-    """The deploy file's `run`; where its build has not been made, the same program by this interpreter."""
-    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-    if (ROOT / ".venv/bin/python").exists():
-        return ["/bin/sh", "-c", run]
-    return ["/bin/sh", "-c", run.replace(".venv/bin/python", sys.executable)]
 
 
 class Fleet:
@@ -56,6 +43,10 @@
             script.plan, folder, self.network, self.launcher, self.probes
         )
         self.backends = BackendMachines(script, folder, self.network, self.launcher, self.probes)
+        self.gateway_config_files = GatewayConfigFiles(script, folder, self.network)
+        self.gateways = GatewayProcesses(
+            script.plan, self.network, self.launcher, self.probes, self.gateway_config_files
+        )
         self.start_ns = 0
 
     def elapsed_s(self) -> float:
@@ -70,78 +61,6 @@
         """Record that a fault of a process or link is undone."""
         self.recorder.note("undone", subject, kind=fault.kind, way=fault.way)
 
-    # --- gateways ---
-
-    def add_gateway(self, number: int) -> None:
-        """Add a gateway, started as the deploy file says."""
-        name = f"door-{number}"
-        env = {
-            "PROXY_NAME": name,
-            "PROXY_LISTEN": address_text(self.at[name]),
-            "PROXY_CONFIG": str(self.folder / name / "config.json"),
-            "PROXY_MANAGEMENT": address_text(self.at[f"{name} management"]),
-            "TMPDIR": str(self.folder / name / "tmp"),
-        }
-        launcher = self.launcher.launcher_words(name)
-        command = gateway_command()
-        if launcher:
-            command = [sys.executable, "-m", *launcher, "orchidhatch.proxy.main"]
-
-        async def ready() -> bool:
-            # One that is under a policy is healthy only once its agent lets it, which faults may prevent.
-            if self.plan.policy:
-                return await self.probes.listens(name)
-            return await self.probes.answers(f"{name} management", 200)
-
-        self.launcher.add_command(
-            name, command, ready=ready, env=env, prepare=lambda: self.write_config(number)
-        )
-
-    def write_config(self, number: int) -> None:
-        """Write a gateway's configuration, anew at each start with another seed, unless an agent keeps it."""
-        name = f"door-{number}"
-        folder = self.folder / name
-        if self.plan.policy and (folder / "config.json").exists():
-            return
-        (folder / "tmp").mkdir(exist_ok=True)
-        for leftover in (folder / "tmp").iterdir():
-            leftover.unlink()
-        seed = random.Random(f"{self.script.seed} {name} {time.monotonic_ns()}").getrandbits(64)
-        values = {
-            "name": name,
-            "listen": address_text(self.at[name]),
-            "discovery": address_text(self.network.discovery_of(name)),
-            "seed": f"{seed:016x}",
-            "limits": GATEWAY_LIMITS | {"sockets": self.plan.sockets},
-            "peer_listen": address_text(self.at[f"{name} peers"]),
-            "peers": self._peer_addresses(name),
-            "known": None,
-            "settings": gateway_settings(self.plan, number),
-            "trace_policy": self.plan.policy,
-        }
-        (folder / "config.json").write_text(json.dumps(values))
-
-    def _peer_addresses(self, gateway: str) -> list[str]:
-        """The addresses by which a gateway reaches the others; its own is the one that it listens at."""
-        return [
-            address_text(self.over.get(f"{gateway}>door-{number}", self.at[f"door-{number} peers"]))
-            for number in range(self.plan.doors)
-        ]
-
-    def discovery_relays(self, gateway: str) -> tuple[TcpRelay, TcpRelay]:
-        """The relay at the address that the configuration names, and the one at the other address."""
-        return self.network.discovery_relays(gateway)
-
-    def move_discovery(self, gateway: str) -> None:
-        """Name the other address of discovery in the configuration, as an operator replaces the file."""
-        self.network.switch_discovery(gateway)
-        path = self.folder / gateway / "config.json"
-        discovery = address_text(self.network.discovery_of(gateway))
-        values = json.loads(path.read_text()) | {"discovery": discovery}
-        new_file = path.with_suffix(".new")
-        new_file.write_text(json.dumps(values))
-        new_file.replace(path)
-
     # --- clients ---
 
     def add_clients(self) -> None:
@@ -176,7 +95,7 @@
         for name in [*registries, *agents]:
             await self.probes.wait_until_listed(name)
         for number in range(plan.doors):
-            self.add_gateway(number)
+            self.gateways.add(number)
         await self.processes.start(*(f"door-{number}" for number in range(plan.doors)))
         for number in range(plan.stewards):
             self.control_plane.add_controller(number)
--- a/orchidhatch/faults/process_faults.py
+++ b/orchidhatch/faults/process_faults.py
@@ -138,10 +138,10 @@
         for _ in range(max(1, round(fault.size))):
             if not process.runs():
                 return
-            old, new = self.fleet.discovery_relays(process.name)
+            old, new = self.fleet.network.discovery_relays(process.name)
             new.listen_again()
             await asyncio.sleep(LISTEN_DELAY_S)
-            self.fleet.move_discovery(process.name)
+            self.fleet.gateway_config_files.move_discovery(process.name)
             process.send(signal.SIGHUP)
             old.refuse()
             self.tasks.append(asyncio.ensure_future(self._close_old_address(process.name, old)))
@@ -150,7 +150,7 @@
     async def _close_old_address(self, gateway: str, old: TcpRelay) -> None:
         """Close the connections of an address that was moved away from, unless it is named again by then."""
         await asyncio.sleep(OLD_ADDRESS_CLOSES_S)
-        if self.fleet.discovery_relays(gateway)[0] is not old:
+        if self.fleet.network.discovery_relays(gateway)[0] is not old:
             old.break_connections()
 
     async def malform_replies(self, fault: Fault, process: Process) -> None:
