Trials: clients are added by a module of their own, and a fleet only starts its parts

`faults/client_processes.py` writes the settings of the load and of the odd clients. What is left of `Fleet` wires the parts of a trial together and starts them in order, one kind of process a method.

--- a/orchidhatch/faults/fleet.py
+++ b/orchidhatch/faults/fleet.py
@@ -1,12 +1,10 @@
-"""The processes of a trial: their commands and settings, and the order of their starts."""
+"""The parts of a trial, and the order in which its processes are started."""
 
 import time
 from pathlib import Path
 
-import msgspec
-
-from orchidhatch.faults import load
 from orchidhatch.faults.backend_machines import BackendMachines
+from orchidhatch.faults.client_processes import ClientProcesses
 from orchidhatch.faults.control_plane_processes import ControlPlaneProcesses
 from orchidhatch.faults.events import Recorder
 from orchidhatch.faults.gateway_config_files import GatewayConfigFiles
@@ -15,7 +13,7 @@
 from orchidhatch.faults.plan import Fault, Script
 from orchidhatch.faults.process_launcher import ProcessLauncher
 from orchidhatch.faults.processes import Processes
-from orchidhatch.faults.readiness import ReadinessProbes, always_ready
+from orchidhatch.faults.readiness import ReadinessProbes
 from orchidhatch.faults.shim_controls import ShimControls
 
 START_DELAY_S = 1.5
@@ -47,6 +45,7 @@
         self.gateways = GatewayProcesses(
             script.plan, self.network, self.launcher, self.probes, self.gateway_config_files
         )
+        self.clients = ClientProcesses(script, folder, self.network, self.launcher)
         self.start_ns = 0
 
     def elapsed_s(self) -> float:
@@ -61,23 +60,6 @@
         """Record that a fault of a process or link is undone."""
         self.recorder.note("undone", subject, kind=fault.kind, way=fault.way)
 
-    # --- clients ---
-
-    def add_clients(self) -> None:
-        """Add the load, and the clients that send no whole requests where the plan has them."""
-        gateways = [self.over[f"clients>door-{number}"] for number in range(self.plan.doors)]
-        settings = load.Settings(
-            gateways, self.plan.load, self.plan.seconds, self.script.seed, self.start_ns, str(self.folder)
-        )
-        file = self.folder / "clients.json"
-        file.write_bytes(msgspec.json.encode(settings))
-
-        self.launcher.add_module("clients", "orchidhatch.faults.load", file, ready=always_ready, ends=True)
-        if self.plan.load.odd_per_s or self.plan.load.crowd:
-            self.launcher.add_module(
-                "odd-clients", "orchidhatch.faults.odd_clients", file, ready=always_ready, ends=True
-            )
-
     # --- start and end ---
 
     async def start(self) -> None:
@@ -88,23 +70,16 @@
         await self.network.open_relays()
         registries = await self._start_registries()
         await self._start_backends()
-        agents = [f"agent-{number}" for number in range(max(1, plan.doors))]
-        for number in range(len(agents)):
-            self.control_plane.add_agent(number)
-        await self.processes.start(*agents)
+        agents = await self._start_agents()
         for name in [*registries, *agents]:
             await self.probes.wait_until_listed(name)
-        for number in range(plan.doors):
-            self.gateways.add(number)
-        await self.processes.start(*(f"door-{number}" for number in range(plan.doors)))
-        for number in range(plan.stewards):
-            self.control_plane.add_controller(number)
-        await self.processes.start(*(f"steward-{number}" for number in range(plan.stewards)))
+        await self._start_gateways()
+        await self._start_controllers()
         if plan.policy:
             await self.probes.wait_until_under_policy()
         self.start_ns = time.monotonic_ns() + round(START_DELAY_S * 1e9)
         if plan.doors and plan.load.customers:
-            await self._start_clients()
+            await self.processes.start(*self.clients.add(self.start_ns))
         self.recorder.note("begins", "trial", start_ns=self.start_ns)
 
     async def _start_registries(self) -> list[str]:
@@ -122,10 +97,26 @@
             await self.backends.add(number)
         await self.processes.start(*(f"backend-{number}" for number in range(count)))
 
-    async def _start_clients(self) -> None:
-        self.add_clients()
-        names = [name for name in ("clients", "odd-clients") if name in self.processes.all]
+    async def _start_agents(self) -> list[str]:
+        """Start an agent for each gateway, and one where there is none; their names."""
+        count = max(1, self.plan.doors)
+        for number in range(count):
+            self.control_plane.add_agent(number)
+        names = [f"agent-{number}" for number in range(count)]
         await self.processes.start(*names)
+        return names
+
+    async def _start_gateways(self) -> None:
+        count = self.plan.doors
+        for number in range(count):
+            self.gateways.add(number)
+        await self.processes.start(*(f"door-{number}" for number in range(count)))
+
+    async def _start_controllers(self) -> None:
+        count = self.plan.stewards
+        for number in range(count):
+            self.control_plane.add_controller(number)
+        await self.processes.start(*(f"steward-{number}" for number in range(count)))
 
     async def close(self) -> None:
         """End all processes, and close the relays."""
