Test of the recorded stores: the process chooses its port, and its log is kept

Seen: test_registry_over_a_recorded_store_answers_as_recorded failed once in six runs of the suite with RemoteDisconnected; the registry's log went to /dev/null, so nothing more is known. The cause is not shown, and the test stays listed.

Forced: a port that another server takes first gives RemoteDisconnected, BadStatusLine or ConnectionResetError, by the kind of server. Early probes (40 starts), 26,728 calls with connections closed between them, and stops of 6.5 s give an answer each time; so does load. Within one run of the suite nobody else binds on a worker's host meanwhile.

Change: the process listens at port 0 and its log names the port, so no other process can have it. The checks are stricter: it has to run to the end of the block and to end with status 0.

Checked: 12 runs of the file beside three busy processes, all passed.

--- a/tests/baseline/test_control.py
+++ b/tests/baseline/test_control.py
@@ -4,11 +4,12 @@
 import http.client
 import json
 import os
+import re
 import shutil
-import socket
 import sqlite3
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -23,33 +24,33 @@
 STORE_HEADER = {"Orchidhatch-Store": "00112233aabbccdd 3"}
 VOLATILE = {"ageMs", "listAgeSeconds", "registry"}  # differ from one run to the next
 UNTIL_READY_S = 20.0
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+LISTENING_LINE = re.compile(rf"(?:serves generation|agent started).*\b{re.escape(HOST)}:(\d+)\b.*\n")
 
 
 @contextlib.contextmanager
 def serving(*command: str) -> Iterator[int]:
-    """A process that listens at a free port, until the end of the block."""
-    port = free_port()
-    words = [word.format(listen=f"{HOST}:{port}") for word in command]
-    process = subprocess.Popen(
-        [sys.executable, "-m", *words], cwd=ROOT, stderr=subprocess.DEVNULL, stdout=subprocess.DEVNULL
-    )
-    try:
-        until = time.monotonic() + UNTIL_READY_S
-        while time.monotonic() < until and process.poll() is None:
-            with contextlib.suppress(OSError):
-                socket.create_connection((HOST, port), 1.0).close()
-                break
-            time.sleep(0.05)
-        yield port
-    finally:
-        process.terminate()
-        process.wait(10.0)
+    """A process that serves to the end of the block, at a port of its own choice; its log is printed."""
+    words = [word.format(listen=f"{HOST}:0") for word in command]
+    with tempfile.NamedTemporaryFile() as log:
+        process = subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, stderr=log, stdout=log)
+        try:
+            yield listening_port(process, Path(log.name))
+            assert process.poll() is None
+        finally:
+            process.terminate()
+            status = process.wait(10.0)
+            print(f"exit status {status}, log:", Path(log.name).read_text(), sep="\n")
+    assert status == 0
+
+
+def listening_port(process: subprocess.Popen[bytes], log: Path) -> int:
+    """The port that a process says it listens at, once it does."""
+    until = time.monotonic() + UNTIL_READY_S
+    while time.monotonic() < until and process.poll() is None:
+        if found := LISTENING_LINE.search(log.read_text()):
+            return int(found[1])
+        time.sleep(0.05)
+    raise AssertionError(f"no port in the log, exit status {process.poll()}")
 
 
 def ask(port: int, method: str, path: str, value: object) -> tuple[int, Any]:
