A granted request gets its slot with the answer where the plan has no ceiling

Callers of a customer whose slots the leader grants (open cap below the size of the set) waited for up to half a second more after their grant was answered.

The leader queues a granted request for a slot with the units that it names, and the queue takes these for units of the rate ceiling. Without a ceiling that holds none, so the request never fitted; the answer said QUEUED, and the member repeats a queued request after 0.5 s only.

Under a plan without a ceiling a slot is now queued with SLOT_ONLY_UNITS, whatever the message names: neither leader nor member books units of a ceiling by it.

--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -202,6 +202,10 @@
 
     # --- rate ceiling ---
 
+    def has_ceiling(self) -> bool:
+        """Whether the plan sets a rate ceiling."""
+        return self.plan.ceiling_rate > 0
+
     def lacks_ceiling_units(self, units: float) -> bool:
         """Whether the rate ceiling has too little for a request, as it was last refilled."""
         return self.ceiling.lacks(units)
--- a/orchidhatch/gateway/quota_leader.py
+++ b/orchidhatch/gateway/quota_leader.py
@@ -6,6 +6,7 @@
 from orchidhatch.gateway.counted_grants import CountedGrant
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, MessageKind, SlotGrant
+from orchidhatch.gateway.member_slot import SLOT_ONLY_UNITS
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import CustomerKey
@@ -136,8 +137,9 @@
         self.send(sender, customer, answer)
 
     def queue_slot_request(self, customer: Customer, message: GossipMessage, sender: int) -> None:
-        """Queue a gateway's request for a slot, with the units that it names."""
-        customer.leader_slots.enqueue(sender, message.requested_units, self.context.now_us)
+        """Queue a gateway's request for a slot, with the units that it names where the plan has a ceiling."""
+        units = message.requested_units if customer.has_ceiling() else SLOT_ONLY_UNITS
+        customer.leader_slots.enqueue(sender, units, self.context.now_us)
 
     def grant_slots(self, customer: Customer) -> None:
         """Grant free slots to the members that wait longest.
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -203,7 +203,7 @@
 
         It waits too while an unknown process may use up this gateway's share.
         """
-        if customer.plan.ceiling_rate <= 0:
+        if not customer.has_ceiling():
             return False
         if self.context.peer_is_unknown:
             return True
