A level at the end of a message's range is the least that the set holds

Customers with a burst above 655.34 units lost what lies above it when their quota leader was new, and their requests were denied inside the quota.

A message says amounts up to 655.34 and cuts greater ones to that. The leader took the cut level of a first report for the set's level; a member took each cut answer for it, and denied larger requests without asking.

Now a level at that end is the least that the set holds. A leader that learns of a customer by it keeps the full burst. A member stays at the most that the set can hold by what it knew: its own level, refilled since the last answer, less its own spending; its local share goes by the least, as before. The datagrams are unchanged.

Open, as docs/incidents/units-of-a-message.md says: demand and spent are cut too.

--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -9,6 +9,12 @@
 MAX_GRANT_NUMBER = 31
 """The greatest number of a grant request: what the free bits of a message hold."""
 
+AMOUNT_STEPS = 50
+"""The steps of a unit in which a message says amounts."""
+
+MAX_AMOUNT_STEPS = 32767
+"""The greatest amount that a message says, in steps; it stands for any greater one too."""
+
 
 class MessageKind(Enum):
     """What a gossip message is for.
@@ -38,9 +44,10 @@
     A customer goes by a checksum of its name. `demand` and `spent` are the units requested and spent since
     the sender's last message; in an answer, `demand` is that of the whole gateway set. `requested` above zero
     requests a grant of so many units and waits for an answer; `level` is what the set's bucket holds, or owes
-    when negative. Below zero, `requested` requests a concurrency slot, and so many units under the rate
-    ceiling; where `slot_grant` is GRANTED, the answer hands them over. `in_flight` is how many attempts the
-    sender has in flight; in an answer, how many all gateways but the recipient have.
+    when negative; one that is cut is the least that it holds. Below zero, `requested` requests a concurrency
+    slot, and so many units under the rate ceiling; where `slot_grant` is GRANTED, the answer hands them over.
+    `in_flight` is how many attempts the sender has in flight; in an answer, how many all gateways but the
+    recipient have.
 
     A grant request has a `grant_number`, the same when it is repeated, and so has its answer, whose `spent`
     are the units that the leader has counted for it. Gateways of the version before number none, and an
@@ -71,6 +78,11 @@
             return MessageKind.SLOT_REQUEST
         return MessageKind.REPORT
 
+    @property
+    def is_level_cut(self) -> bool:
+        """Whether the sender's level may be greater than the message can say."""
+        return self.level >= MAX_AMOUNT_STEPS / AMOUNT_STEPS
+
     @property
     def answers_grant_request(self) -> bool:
         """Whether this is the leader's answer to a grant request."""
--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -8,7 +8,13 @@
 import struct
 from collections.abc import Iterable
 
-from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage, SlotGrant
+from orchidhatch.gateway.gossip import (
+    AMOUNT_STEPS,
+    MAX_AMOUNT_STEPS,
+    AttemptObservation,
+    GossipMessage,
+    SlotGrant,
+)
 
 HEAD = 0xA0
 HEAD_WITH_MARK = 0xB0
@@ -24,9 +30,7 @@
 CLASSES_LIMIT = 128
 """The request classes that an observation can name."""
 
-AMOUNT_STEPS = 50
 MIN_AMOUNT_STEPS = -32768
-MAX_AMOUNT_STEPS = 32767
 IN_FLIGHT_LIMIT = 255
 LATENCY_STEPS = 255
 
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -145,8 +145,16 @@
 
     def cannot_have_refilled(self, units: float, now_us: int) -> bool:
         """Whether by a fresh answer the set's bucket cannot hold so many units yet."""
-        refilled = self.quota.set_level + self.plan.rate * (now_us - self.last_answer_us) / S
-        return self.has_fresh_answer(now_us) and refilled < units
+        return self.has_fresh_answer(now_us) and self.max_level(now_us) < units
+
+    def max_level(self, now_us: int) -> float:
+        """What the set's bucket holds at most, by the last answer: others may have spent since.
+
+        Before any answer, and from LEADER_ANSWER_TTL_US after it, a refill counts here already.
+        """
+        has_answer = self.last_answer_us > -NEVER
+        unrefilled_us = min(now_us - self.last_answer_us, LEADER_ANSWER_TTL_US) if has_answer else 0
+        return min(self.plan.burst, self.quota.set_level + self.plan.rate * unrefilled_us / S)
 
     def spend(self, units: float) -> None:
         """Take units from the bucket of the set; negative units return some."""
--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -104,6 +104,10 @@
         self.set_level = level
         self.local_share = min(self.local_share, max(0.0, level / self.size))
 
+    def raise_set_level(self, level: float) -> None:
+        """The leader's answer gives the least of the level only: go by this one if it is greater."""
+        self.set_level = max(self.set_level, level)
+
     def hand_over_unreported(self) -> float:
         """Leave the unreported units to a successor process, and return them."""
         units = self.unreported_spend
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -169,7 +169,7 @@
                 if sender == customer.leader:
                     answered(self.member.on_answer(customer, message))
             elif customer.is_leader:
-                if is_new:
+                if is_new and not message.is_level_cut:
                     self.take_over_level(customer, message)
                 self.leader.on_report(customer, message, sender)
                 reported[key] = customer
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -148,12 +148,16 @@
     def on_answer(self, customer: Customer, message: GossipMessage) -> GrantAnswer | None:
         """Take over what the leader has answered; returns the answer where a request waits for it."""
         now_us = self.context.now_us
+        max_level = customer.max_level(now_us)
         customer.on_leader_answer(message.demand, message.level, now_us)
         if message.slot_grant is not SlotGrant.NONE:
             customer.on_slot_answer(message.slot_grant, -message.requested, now_us)
         if message.slot_grant is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
-        return self.on_grant_answer(customer, message) if message.answers_grant_request else None
+        answer = self.on_grant_answer(customer, message) if message.answers_grant_request else None
+        if message.is_level_cut:
+            customer.quota.raise_set_level(max_level)
+        return answer
 
     def on_grant_answer(self, customer: Customer, message: GossipMessage) -> GrantAnswer | None:
         """Settle the grant request that is answered; one that nothing waits for any more gives units back."""
--- a/tests/gateway/test_grant_wire.py
+++ b/tests/gateway/test_grant_wire.py
@@ -6,7 +6,8 @@
 
 from orchidhatch.gateway.events import PeerMessage
 from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, MessageKind
-from tests.gateway.held_pair import ANSWERED, LEADER, HeldPair, unnumbered
+from orchidhatch.gateway.settings import Plan
+from tests.gateway.held_pair import ANSWERED, LEADER, HeldPair, unnumbered, wait_past_all
 
 
 def test_answer_echoes_the_units_as_they_arrived() -> None:
@@ -90,3 +91,39 @@
     assert answer.spent == 7.0
     assert pair.customer_at(pair.leader).quota.unreported_spend == 0.0
     pair.check(answered=1)
+
+
+LARGE_PLAN = Plan(rate=1e-6, burst=1000.0)
+
+
+def test_member_knows_more_of_a_level_than_a_cut_answer() -> None:
+    """Guards against the end of a message's range taken for the level, so that a request is denied."""
+    pair = HeldPair(LARGE_PLAN, through_codec=True)
+    pair.ask("a", units=260.0)
+    pair.deliver_all()
+    assert pair.customer_at(pair.member).quota.set_level == pytest.approx(740.0)
+    pair.ask("b", units=700.0)
+    pair.deliver_all()
+    assert pair.admitted("b")
+    pair.check(answered=2)
+
+
+def test_late_answer_with_a_cut_level_takes_no_units_again() -> None:
+    """Guards against units that a member takes from its own level, and once more with a late answer."""
+    pair = HeldPair(LARGE_PLAN, through_codec=True)
+    pair.ask("a", units=250.5)
+    wait_past_all(pair)
+    assert pair.admitted("a")
+    pair.deliver_all()
+    assert pair.customer_at(pair.member).quota.set_level == pytest.approx(749.5)
+    pair.settle()
+    assert pair.counted() == pytest.approx(250.5, abs=0.03)
+
+
+def test_level_below_the_range_is_taken_over() -> None:
+    """Guards against an exact level that is taken for one that is cut."""
+    pair = HeldPair(LARGE_PLAN, through_codec=True)
+    pair.set_leader_level(655.0)
+    pair.ask("a", units=260.0)
+    pair.deliver_all()
+    assert pair.customer_at(pair.member).quota.set_level == pytest.approx(395.0, abs=0.03)
--- a/tests/gateway/test_quota_member.py
+++ b/tests/gateway/test_quota_member.py
@@ -80,6 +80,22 @@
     assert of(SendGossip, world.ask("later", set_size=40))
 
 
+def test_level_is_refilled_since_the_last_answer_at_most() -> None:
+    """Guards against a level that counts a refill twice where an answer does not say all of it."""
+    world = World(
+        replace(SETTINGS, plans=(Plan(rate=10.0, burst=2000.0),), gateway_count=40, gateway_index=5)
+    )
+    customer = world.gateway.quotas.customer(CustomerKey(zlib.crc32(b"c"), 0, 0, 40))
+    customer.quota.set_level = 700.0
+    assert customer.max_level(world.now) == 700.0  # Nothing was answered yet.
+    cut = GossipMessage(*customer.key, is_answer=True, level=655.34)
+    world.tell(PeerMessage(customer.leader, (cut,)))
+    assert customer.quota.set_level == 700.0
+    world.run(2 * S)
+    world.tell(PeerMessage(customer.leader, (cut,)))
+    assert customer.quota.set_level == pytest.approx(720.0)
+
+
 @pytest.fixture
 def member() -> World:
     """A gateway that does not lead the customer "c" of a set of three, whose slots its leader grants."""
