An ask of less than a step of a message arrives as an ask

A request of less than 0.01 units that needed a grant waited its whole time without an answer and was decided without its quota leader.

Messages say amounts in steps of 0.02 units, to the nearest, and the sign of what is requested says what a message is for: 0.009 units went as 0, and 0 says a report.

What is requested now goes as one step at least, of its sign, and the member matches answers by the same steps. The leader counts the step; the member's next report gives the difference back as far as a message can say it. Size and form of the messages stay.

--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -74,6 +74,14 @@
     return max(MIN_AMOUNT_STEPS, min(MAX_AMOUNT_STEPS, round(units * AMOUNT_STEPS)))
 
 
+def requested_steps(units: float) -> int:
+    """What a message requests, over the wire: one step at least, as none would make it a report."""
+    steps = amount_steps(units)
+    if steps or not units:
+        return steps
+    return 1 if units > 0 else -1
+
+
 def pack_gossip(message: GossipMessage) -> bytes:
     """One message: the kind of message, the slot grant and the grant number share a byte."""
     kind = message.is_answer | message.slot_grant << SLOT_GRANT_SHIFT
@@ -85,7 +93,7 @@
         kind | message.grant_number << GRANT_NUMBER_SHIFT,
         amount_steps(message.demand),
         amount_steps(message.spent),
-        amount_steps(message.requested),
+        requested_steps(message.requested),
         amount_steps(message.level),
         max(0, min(IN_FLIGHT_LIMIT, message.in_flight)),
     )
--- a/orchidhatch/gateway/grant_requests.py
+++ b/orchidhatch/gateway/grant_requests.py
@@ -14,7 +14,7 @@
 from enum import Enum, auto
 
 from orchidhatch.gateway.gossip import MAX_GRANT_NUMBER
-from orchidhatch.gateway.gossip_codec import amount_steps
+from orchidhatch.gateway.gossip_codec import requested_steps
 from orchidhatch.gateway.quota_buckets import QuotaBuckets
 from orchidhatch.gateway.snapshots import CustomerKey, GrantRequestSnapshot
 from orchidhatch.gateway.times import S
@@ -139,7 +139,7 @@
 
     def matches(self, units: float) -> bool:
         """Whether so many units, as an answer names them, are those that were requested."""
-        return amount_steps(self.units) == amount_steps(units)
+        return requested_steps(self.units) == requested_steps(units)
 
     def _counted_by_answers(self) -> float:
         return self.counted if self.answers else 0.0
--- a/tests/gateway/test_grant_wire.py
+++ b/tests/gateway/test_grant_wire.py
@@ -127,3 +127,15 @@
     pair.ask("a", units=260.0)
     pair.deliver_all()
     assert pair.customer_at(pair.member).quota.set_level == pytest.approx(395.0, abs=0.03)
+
+
+def test_request_of_less_than_a_step_is_decided_by_its_answer() -> None:
+    """Guards against an answer of one step that is not matched to the smaller request."""
+    pair = HeldPair(through_codec=True)
+    pair.ask("local", units=5.0)
+    pair.deliver_all()
+    pair.ask("a", units=0.009)
+    pair.deliver_all()
+    assert pair.sources[-1] is ANSWERED
+    assert pair.admitted("a")
+    pair.check(answered=1)
