A repeated request for a slot is granted once

Where a quota leader grants the concurrency slots and answered late, or its answer was lost, one request took two slots of the open cap, and other callers of that customer waited for them.

A request for a slot is repeated after 80 ms, and the leader could not tell the repetition from a new request.

A slot request now has a number, in the bits that a grant request uses, until it is granted; the answer that grants it has the same. The leader answers a repetition once more, with the same units of the ceiling, while the slot is unused; the member takes the first of these answers only. Without a number, as of the version before, each request is new. Size and form of the messages stay; that version ignores the number.

--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -7,7 +7,7 @@
 """The number in messages that are about no grant, or of a gateway that numbers none."""
 
 MAX_GRANT_NUMBER = 31
-"""The greatest number of a grant request: what the free bits of a message hold."""
+"""The greatest number of a grant or slot request: what the free bits of a message hold."""
 
 AMOUNT_STEPS = 50
 """The steps of a unit in which a message says amounts."""
@@ -51,7 +51,8 @@
 
     A grant request has a `grant_number`, the same when it is repeated, and so has its answer, whose `spent`
     are the units that the leader has counted for it. Gateways of the version before number none, and an
-    answer without a number leaves the recipient to follow from demand and level what was counted.
+    answer without a number leaves the recipient to follow from demand and level what was counted. A slot
+    request has a number of its own, until it is granted, and so has the answer that grants it.
     """
 
     customer: int
--- a/orchidhatch/gateway/leader_slots.py
+++ b/orchidhatch/gateway/leader_slots.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from orchidhatch.gateway.gossip import NO_GRANT_NUMBER
 from orchidhatch.gateway.leader_requests import LEADER_REPLY_TIMEOUT_US
 from orchidhatch.gateway.member_slot import QUEUED_RETRY_US, ceiling_units_of
 from orchidhatch.gateway.times import S
@@ -22,10 +23,18 @@
 
 
 class SlotRequest(NamedTuple):
-    """A gateway's request for a slot and units of the ceiling, and when it last came in."""
+    """A gateway's request for a slot and units of the ceiling, when it last came in, and its number."""
 
     units: float
     requested_us: int
+    number: int = NO_GRANT_NUMBER
+
+
+class GrantedSlot(NamedTuple):
+    """A slot that was granted, when it was last, and the request that it was granted to."""
+
+    granted_us: int
+    request: SlotRequest
 
 
 class LeaderSlots:
@@ -37,7 +46,7 @@
 
     def __init__(self) -> None:
         self.reports: dict[int, InFlightReport] = {}
-        self.granted_us: dict[int, list[int]] = {}
+        self.granted: dict[int, list[GrantedSlot]] = {}
         self.queue: dict[int, SlotRequest] = {}
 
     def in_use(self, now_us: int, excluded_peer: int = -1) -> int:
@@ -48,10 +57,10 @@
             if peer != excluded_peer and now_us - report.reported_us < IN_FLIGHT_REPORT_TTL_US
         )
         granted = sum(
-            now_us - granted_us < IN_FLIGHT_REPORT_TTL_US
-            for peer, grants in self.granted_us.items()
+            now_us - slot.granted_us < IN_FLIGHT_REPORT_TTL_US
+            for peer, slots in self.granted.items()
             if peer != excluded_peer
-            for granted_us in grants
+            for slot in slots
         )
         return reported + granted
 
@@ -63,18 +72,18 @@
         previous = self.reports[peer].attempts if peer in self.reports else 0
         used_grants = max(0, attempts - previous + has_ended)
         recent = [
-            granted_us
-            for granted_us in self.granted_us.pop(peer, ())
-            if now_us - granted_us < 2 * LEADER_REPLY_TIMEOUT_US
+            slot
+            for slot in self.granted.pop(peer, ())
+            if now_us - slot.granted_us < 2 * LEADER_REPLY_TIMEOUT_US
         ]
         unused = recent[used_grants:]
         if unused:
-            self.granted_us[peer] = unused
+            self.granted[peer] = unused
         self.reports[peer] = InFlightReport(attempts, now_us)
 
-    def enqueue(self, peer: int, units: float, now_us: int) -> None:
+    def enqueue(self, peer: int, units: float, now_us: int, number: int = NO_GRANT_NUMBER) -> None:
         """Queue a gateway's request, or take over its repetition; it keeps its position."""
-        self.queue[peer] = SlotRequest(units, now_us)
+        self.queue[peer] = SlotRequest(units, now_us, number)
 
     def drop_abandoned(self, now_us: int) -> None:
         """Drop requests that were not repeated in time."""
@@ -95,5 +104,17 @@
     def grant(self, peer: int, now_us: int) -> float:
         """Grant the queued request of a gateway; returns the units that it requested."""
         request = self.queue.pop(peer)
-        self.granted_us.setdefault(peer, []).append(now_us)
+        self.granted.setdefault(peer, []).append(GrantedSlot(now_us, request))
         return request.units
+
+    def grant_again(self, peer: int, number: int, now_us: int) -> SlotRequest | None:
+        """The request of that number, granted already and not used since, whose slot is granted from now on.
+
+        None where there is no such request; one without a number is a new request each time.
+        """
+        slots = self.granted.get(peer, [])
+        for index, slot in enumerate(slots):
+            if number != NO_GRANT_NUMBER and slot.request.number == number:
+                slots[index] = GrantedSlot(now_us, slot.request)
+                return slot.request
+        return None
--- a/orchidhatch/gateway/member_slot.py
+++ b/orchidhatch/gateway/member_slot.py
@@ -6,6 +6,8 @@
 
 from enum import Enum, auto
 
+from orchidhatch.gateway.gossip import MAX_GRANT_NUMBER, NO_GRANT_NUMBER
+from orchidhatch.gateway.grant_requests import GRANT_NUMBER_STEP_US
 from orchidhatch.gateway.leader_requests import LEADER_REPLY_TIMEOUT_US, MAX_LEADER_REQUESTS
 from orchidhatch.gateway.times import NEVER, S
 
@@ -81,7 +83,8 @@
     """The slot of one customer, at a gateway that is not its quota leader.
 
     Invariant: `granted_us` is the time of a grant that was neither used nor given back, else -NEVER;
-    `unanswered_requests` counts the requests since the leader's last answer about a slot.
+    `unanswered_requests` counts the requests since the leader's last answer about a slot. `open_number` is
+    that of the request that was not granted yet: it is repeated under it, so that it is granted once.
     """
 
     def __init__(self) -> None:
@@ -90,6 +93,8 @@
         self.state_since_us = -NEVER
         self.granted_us = -NEVER
         self.unanswered_requests = 0
+        self.open_number = NO_GRANT_NUMBER
+        self.last_number = NO_GRANT_NUMBER
         # When attempts in flight were last reported, or a granted slot was used.
         self.reported_us = -NEVER
 
@@ -121,19 +126,34 @@
         return now_us - self.state_since_us >= retry_us
 
     def on_request_sent(self, now_us: int) -> None:
-        """A request for a slot is sent."""
+        """A request for a slot is sent, for the first time or again."""
+        if self.open_number == NO_GRANT_NUMBER:
+            self.last_number = self.next_number(now_us)
+            self.open_number = self.last_number
         self.advance(SlotEvent.REQUEST_SENT)
         self.state_since_us = now_us
         self.unanswered_requests += 1
 
+    def next_number(self, now_us: int) -> int:
+        """The number after the last; the first follows the clock, as a process before this one had others."""
+        if self.last_number == NO_GRANT_NUMBER:
+            return now_us // GRANT_NUMBER_STEP_US % MAX_GRANT_NUMBER + 1
+        return self.last_number % MAX_GRANT_NUMBER + 1
+
+    def awaits_grant(self, number: int) -> bool:
+        """Whether a grant of that number is the first one for its request; one without a number always is."""
+        return number in (NO_GRANT_NUMBER, self.open_number)
+
     def on_queued(self, now_us: int) -> None:
         """The leader has queued the request."""
         self.advance(SlotEvent.QUEUE_ANSWER)
         self.state_since_us = now_us
         self.unanswered_requests = 0
 
-    def on_granted(self, now_us: int) -> None:
-        """The leader has granted a slot."""
+    def on_granted(self, now_us: int, number: int = NO_GRANT_NUMBER) -> None:
+        """The leader has granted a slot, to the request of that number if it has one."""
+        if number == self.open_number:
+            self.open_number = NO_GRANT_NUMBER
         self.advance(SlotEvent.GRANT_ANSWER)
         self.state_since_us = now_us
         self.unanswered_requests = 0
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -296,13 +296,16 @@
         self.ceiling.take(ceiling_units_of(units))
         return units
 
-    def on_slot_answer(self, answer: SlotGrant, units: float, now_us: int) -> None:
-        """The leader has queued a request for a slot, or granted the slot and so many units as requested."""
-        if answer is SlotGrant.GRANTED:
-            self.member_slot.on_granted(now_us)
-            self.ceiling.add(ceiling_units_of(units))
-        else:
+    def on_slot_answer(self, answer: SlotGrant, units: float, number: int, now_us: int) -> None:
+        """The leader has queued a request for a slot, or granted the slot and so many units as requested.
+
+        A repeated answer grants nothing.
+        """
+        if answer is not SlotGrant.GRANTED:
             self.member_slot.on_queued(now_us)
+        elif self.member_slot.awaits_grant(number):
+            self.member_slot.on_granted(now_us, number)
+            self.ceiling.add(ceiling_units_of(units))
 
     def use_slot(self, now_us: int) -> None:
         """A first attempt is sent; the leader counts it since its grant, and the next may be requested."""
--- a/orchidhatch/gateway/quota_leader.py
+++ b/orchidhatch/gateway/quota_leader.py
@@ -37,6 +37,11 @@
         """Send a gateway the demand and the level of the whole set; `requested` says what is answered."""
         self.send(peer, customer, self.answer_message(peer, customer, requested, slot_grant))
 
+    def answer_slot(self, peer: int, customer: Customer, units: float, number: int) -> None:
+        """Grant a gateway a slot and so many units of the ceiling, by its request of that number."""
+        answer = self.answer_message(peer, customer, -units, SlotGrant.GRANTED)
+        self.send(peer, customer, replace(answer, grant_number=number))
+
     def answer_message(
         self,
         peer: int,
@@ -79,7 +84,7 @@
             self.answer_grant_request(customer, message, sender)
             return
         if customer.shares_slots() and message.kind is MessageKind.SLOT_REQUEST:
-            self.queue_slot_request(customer, message, sender)
+            self.answer_slot_request(customer, message, sender)
         if message.spent > 0 and customer.quota.set_level < customer.plan.burst / 2:
             self.answer(sender, customer)
 
@@ -93,7 +98,7 @@
             customer.count_grant(counted)
         # A request that is granted units needs a slot at once.
         if customer.shares_slots() and counted > 0:
-            self.queue_slot_request(customer, message, sender)
+            self.queue_slot_request(customer, message, sender, NO_GRANT_NUMBER)
 
     def answer_unnumbered(self, customer: Customer, message: GossipMessage, sender: int) -> float:
         """Answer a gateway that decides by the chance itself; returns the units to count, by that chance."""
@@ -136,10 +141,20 @@
         )
         self.send(sender, customer, answer)
 
-    def queue_slot_request(self, customer: Customer, message: GossipMessage, sender: int) -> None:
+    def answer_slot_request(self, customer: Customer, message: GossipMessage, sender: int) -> None:
+        """Queue a request for a slot, or answer it once more if it was granted already."""
+        granted = customer.leader_slots.grant_again(sender, message.grant_number, self.context.now_us)
+        if granted is None:
+            self.queue_slot_request(customer, message, sender, message.grant_number)
+        else:
+            self.answer_slot(sender, customer, granted.units, granted.number)
+
+    def queue_slot_request(
+        self, customer: Customer, message: GossipMessage, sender: int, number: int
+    ) -> None:
         """Queue a gateway's request for a slot, with the units that it names where the plan has a ceiling."""
         units = message.requested_units if customer.has_ceiling() else SLOT_ONLY_UNITS
-        customer.leader_slots.enqueue(sender, units, self.context.now_us)
+        customer.leader_slots.enqueue(sender, units, self.context.now_us, number)
 
     def grant_slots(self, customer: Customer) -> None:
         """Grant free slots to the members that wait longest.
@@ -152,8 +167,9 @@
         while peer is not None:
             if self.queues_unsent(customer) and self.is_turn_of_own_requests(len(slots.queue)):
                 break
-            requested = customer.grant_slot(peer, now_us)
-            self.answer(peer, customer, -requested, SlotGrant.GRANTED)
+            number = slots.queue[peer].number
+            units = customer.grant_slot(peer, now_us)
+            self.answer_slot(peer, customer, units, number)
             peer = customer.next_slot_peer(now_us)
         if slots.queue:
             self.slot_queues[customer.key] = customer
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -124,7 +124,7 @@
     def request_slot(self, customer: Customer, ceiling_units: float) -> None:
         """Request a slot, and units of the rate ceiling where the local share lacks them; reports too."""
         customer.member_slot.on_request_sent(self.context.now_us)
-        self.send(customer, -max(SLOT_ONLY_UNITS, ceiling_units))
+        self.send(customer, -max(SLOT_ONLY_UNITS, ceiling_units), customer.member_slot.open_number)
 
     def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
         """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
@@ -151,7 +151,7 @@
         max_level = customer.max_level(now_us)
         customer.on_leader_answer(message.demand, message.level, now_us)
         if message.slot_grant is not SlotGrant.NONE:
-            customer.on_slot_answer(message.slot_grant, -message.requested, now_us)
+            customer.on_slot_answer(message.slot_grant, -message.requested, message.grant_number, now_us)
         if message.slot_grant is SlotGrant.GRANTED:
             self.renewals[customer.key] = customer
         answer = self.on_grant_answer(customer, message) if message.answers_grant_request else None
