Units of a client that has gone are given back without another request

A client that left while its request waited for a grant, or stood in the queue with one, cost its customer the granted units until the customer's next request.

The leader counts a grant with its answer. What is to be given back goes with the next message about the customer; nothing sent one.

Such units now wait 80 ms for a message that reports them anyway, then a report says them, once. Nothing is sent where the leader grants slots, as a report there ends the use of one: the unused slot is given back by a report that says the units too.

--- a/orchidhatch/gateway/admission.py
+++ b/orchidhatch/gateway/admission.py
@@ -153,7 +153,7 @@
     def decide_answered(self, answer: GrantAnswer) -> None:
         """Decide on the request that the answer is for, unless its client has gone meanwhile.
 
-        The leader has counted the units; where the client has gone, the next report gives them back.
+        The leader has counted the units; where the client has gone, they are given back.
         """
         request = self.take_awaiting(answer.grant)
         if request is None:
@@ -161,6 +161,7 @@
         self.outbox.tally[GRANTS_ANSWERED] += 1
         if request.is_answered:
             answer.grant.spent = 0.0
+            self.quotas.return_soon(request.customer)
         else:
             self.decide(request, answer.chance, QuotaDecisionSource.GRANT_ANSWER)
 
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -74,7 +74,7 @@
                 self.customers[customer.key] = customer
         self.update_keys(self.leader.slot_queues)
         self.update_keys(self.member.renewals)
-        self.member.forget_presumed()
+        self.member.forget_customers()
 
     def is_known(self, customer: Customer) -> bool:
         """Whether the customer was not forgotten since."""
@@ -145,6 +145,10 @@
         """A request was decided without the leader's answer, and spends so many units."""
         self.member.presume_counted(customer, grant, spent)
 
+    def return_soon(self, customer: Customer) -> None:
+        """Give the leader back what the customer did not spend, with the next message or soon."""
+        self.member.return_soon(customer)
+
     # --- messages ---
 
     def on_messages(
@@ -214,8 +218,9 @@
         self.member.use_slot(customer)
 
     def renew(self) -> None:
-        """Report attempts again that outlast the last report, give back unused slots, expire grants."""
+        """Report attempts again that outlast the last report, give back slots and units, expire grants."""
         self.member.renew(self.report_in_flight)
+        self.member.send_due_returns()
         self.member.expire_presumed()
 
     def dues(self) -> list[float]:
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -12,6 +12,9 @@
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
 from orchidhatch.gateway.times import NEVER
 
+RETURN_DELAY_US = 80_000
+"""For how long units to give back wait for a message that would report them anyway."""
+
 
 class GrantAnswer(NamedTuple):
     """An answer that a request has waited for, and the probability of admission that it gives."""
@@ -44,6 +47,8 @@
         self.renewals: dict[CustomerKey, Customer] = {}
         # Grant requests that were decided on without an answer.
         self.presumed: list[PresumedGrant] = []
+        # Customers with units to give back, and by when to report them.
+        self.returns_us: dict[Customer, int] = {}
 
     def report(self, customer: Customer) -> None:
         """Send the leader what was requested and spent here since the last message."""
@@ -87,10 +92,32 @@
             if grant.state is GrantState.PRESUMED:
                 grant.on_expired()
         self.presumed = []
+        self.returns_us = {}
 
-    def forget_presumed(self) -> None:
-        """Forget the grants of customers that are not known any more."""
+    def forget_customers(self) -> None:
+        """Forget the grants and units of customers that are not known any more."""
         self.presumed = [presumed for presumed in self.presumed if self.is_known(presumed.customer)]
+        self.returns_us = {
+            customer: due_us for customer, due_us in self.returns_us.items() if self.is_known(customer)
+        }
+
+    def return_soon(self, customer: Customer) -> None:
+        """Report the customer's units to give back soon, if there are any and no other message does.
+
+        Not where the leader grants slots, see report_correction.
+        """
+        has_units = customer.quota.unreported_spend < 0
+        if has_units and not customer.is_leader and not customer.shares_slots():
+            self.returns_us.setdefault(customer, self.context.now_us + RETURN_DELAY_US)
+
+    def send_due_returns(self) -> None:
+        """Report the units to give back that no message has reported in time."""
+        now_us = self.context.now_us
+        due = [customer for customer, due_us in self.returns_us.items() if due_us <= now_us]
+        for customer in due:
+            del self.returns_us[customer]
+            if customer.quota.unreported_spend < 0:
+                self.report(customer)
 
     def share_spend(self, customer: Customer, units: float) -> None:
         """Tell the other process of a handover what was spent here; a successor reports it."""
@@ -208,10 +235,10 @@
                 del self.renewals[key]
 
     def dues(self) -> list[float]:
-        """When attempts in flight are reported again, slots given back, or presumed grants expire."""
+        """When attempts in flight are reported again, slots or units given back, or grants expire."""
         slots_us = [customer.member_slot.due_us() for customer in self.renewals.values()]
         grants_us: list[float] = [grant.expires_us for _, grant in self.presumed]
-        return slots_us + grants_us
+        return [*slots_us, *grants_us, *self.returns_us.values()]
 
 
 def counted_units(customer: Customer, message: GossipMessage) -> float:
--- a/orchidhatch/gateway/request_completion.py
+++ b/orchidhatch/gateway/request_completion.py
@@ -44,6 +44,7 @@
         request = self.requests.get(event.id)
         if request is not None:
             self.release(request)
+            self.quotas.return_soon(request.customer)
 
     def release(self, request: InFlightRequest) -> None:
         """Close the request, and forget it unless attempts are still in flight."""
--- /dev/null
+++ b/tests/gateway/test_units_given_back.py
@@ -0,0 +1,65 @@
+"""Units of clients that have gone: the leader is told of them without another request, and once."""
+
+from dataclasses import replace
+
+import pytest
+
+from orchidhatch.gateway.constants import TICK_US
+from orchidhatch.gateway.endpoints import EndpointListKind
+from orchidhatch.gateway.events import ClientGone, EndpointList, PolicyChange
+from orchidhatch.gateway.quota_member import RETURN_DELAY_US
+from tests.gateway.held_pair import PLAN, SLOTS_PLAN, HeldPair
+from tests.helpers import SETTINGS
+
+PAST_DELAY = RETURN_DELAY_US + 2 * TICK_US
+
+
+@pytest.fixture
+def pair() -> HeldPair:
+    """A pair whose member was granted 6 units for a request whose client has gone."""
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    pair.tell(pair.member, ClientGone("a"))
+    pair.deliver_all()
+    assert pair.counted() == 6.0
+    return pair
+
+
+def test_units_of_a_client_that_left_the_queue_are_given_back() -> None:
+    """Guards against units of a request that was granted, queued and not sent."""
+    pair = HeldPair()
+    pair.tell(pair.member, EndpointList(EndpointListKind.FULL, 2, ()))
+    pair.ask("a", units=6.0)
+    pair.deliver_all()
+    pair.tell(pair.member, ClientGone("a"))
+    pair.run(PAST_DELAY)
+    pair.deliver_all()
+    assert not pair.admitted("a")
+    assert pair.counted() == pytest.approx(0.0, abs=0.03)
+
+
+def test_units_that_a_message_gave_back_are_not_reported_again(pair: HeldPair) -> None:
+    """Guards against a report for each client that leaves while the customer has other requests."""
+    pair.ask("b", units=1.0)
+    pair.deliver_all()
+    assert pair.counted() == pytest.approx(1.0, abs=0.03)
+    pair.run(PAST_DELAY)
+    assert not pair.to_leader
+    assert not pair.member.gateway.quotas.member.returns_us
+
+
+def test_units_of_a_dropped_plan_are_not_given_back(pair: HeldPair) -> None:
+    """Guards against a report under an index that names another plan by now."""
+    plans = (replace(PLAN, priority_factor=2.0),)
+    pair.tell(pair.member, PolicyChange(SETTINGS.classes, plans, frozenset(), 2, (-1,)))
+    pair.run(PAST_DELAY)
+    assert not pair.to_leader
+
+
+def test_units_are_not_reported_where_the_leader_grants_slots() -> None:
+    """Guards against a report that the leader takes for the end of an attempt."""
+    pair = HeldPair(SLOTS_PLAN)
+    customer = pair.customer_at(pair.member)
+    customer.take(-1.0)
+    pair.member.gateway.quotas.return_soon(customer)
+    assert not pair.member.gateway.quotas.member.returns_us
