A slot comes with enough units of the ceiling

Where a quota leader grants the slots and a member's share of the rate ceiling was empty, requests of less than 0.03 units were never sent, and others waited a round more.

Messages say amounts in steps of 0.02 units, to the nearest. One step with a request for a slot stands for no units of the ceiling; of 0.05 units, 0.04 were granted, which did not do: the slot stayed unused, was given back and requested again.

A request for a slot that needs units now names two steps at least, rounded up. Leader and member book the same units, so the ceiling holds as before.

--- a/orchidhatch/gateway/member_slot.py
+++ b/orchidhatch/gateway/member_slot.py
@@ -4,9 +4,10 @@
 granted one at a time by the leader.
 """
 
+import math
 from enum import Enum, auto
 
-from orchidhatch.gateway.gossip import MAX_GRANT_NUMBER, NO_GRANT_NUMBER
+from orchidhatch.gateway.gossip import AMOUNT_STEPS, MAX_GRANT_NUMBER, NO_GRANT_NUMBER
 from orchidhatch.gateway.grant_requests import GRANT_NUMBER_STEP_US
 from orchidhatch.gateway.leader_requests import LEADER_REPLY_TIMEOUT_US, MAX_LEADER_REQUESTS
 from orchidhatch.gateway.times import NEVER, S
@@ -20,6 +21,23 @@
 SLOT_ONLY_UNITS = 0.02
 """Requested with a slot that needs no units of the ceiling: the least amount that a message can hold."""
 
+MIN_CEILING_UNITS = 0.04
+"""The least that is requested of the ceiling with a slot: less arrives as SLOT_ONLY_UNITS."""
+
+STEP_DIGITS = 6
+"""The digits after the point to which an amount's steps are exact: those of a float's rounding are cut."""
+
+
+def slot_request_units(ceiling_units: float) -> float:
+    """What a request for a slot names, for so many units of the ceiling or for none.
+
+    It is rounded up to whole steps of a message, as a grant of less would not do.
+    """
+    if not ceiling_units:
+        return SLOT_ONLY_UNITS
+    steps = math.ceil(round(ceiling_units * AMOUNT_STEPS, STEP_DIGITS))
+    return max(MIN_CEILING_UNITS, steps / AMOUNT_STEPS)
+
 
 def ceiling_units_of(requested: float) -> float:
     """The units of the rate ceiling that a request for a slot asks for."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -6,7 +6,7 @@
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, SlotGrant
 from orchidhatch.gateway.grant_requests import PREDECESSOR_NUMBER_OFFSET, GrantRequest, GrantState
-from orchidhatch.gateway.member_slot import SLOT_ONLY_UNITS
+from orchidhatch.gateway.member_slot import slot_request_units
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
 from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
@@ -151,7 +151,7 @@
     def request_slot(self, customer: Customer, ceiling_units: float) -> None:
         """Request a slot, and units of the rate ceiling where the local share lacks them; reports too."""
         customer.member_slot.on_request_sent(self.context.now_us)
-        self.send(customer, -max(SLOT_ONLY_UNITS, ceiling_units), customer.member_slot.open_number)
+        self.send(customer, -slot_request_units(ceiling_units), customer.member_slot.open_number)
 
     def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
         """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
--- a/tests/gateway/test_slot_repeats.py
+++ b/tests/gateway/test_slot_repeats.py
@@ -1,5 +1,8 @@
 """Requests for a concurrency slot whose messages are late or repeated: each is granted once."""
 
+import pytest
+
+from orchidhatch.gateway.settings import Plan
 from tests.gateway.held_pair import PAST_ONE_WAIT, SLOTS_PLAN, HeldPair
 
 
@@ -19,3 +22,17 @@
     pair.deliver_all()
     assert pair.admitted("b")
     assert pair.customer_at(pair.leader).slots_in_use(pair.leader.now) == 2
+
+
+@pytest.mark.parametrize("units", [0.01, 0.02, 0.025, 0.05, 1.01])
+def test_slot_comes_with_enough_units_of_the_ceiling(units: float) -> None:
+    """Guards against a message that says fewer units of the ceiling than a request needs, or none."""
+    plan = Plan(rate=10.0, burst=20.0, max_in_flight=2, ceiling_rate=4.0, ceiling_burst=8.0)
+    pair = HeldPair(plan, through_codec=True)
+    pair.customer_at(pair.member).empty_ceiling(pair.member.now)
+    leader_units = pair.customer_at(pair.leader).ceiling.units
+    pair.ask("a", units=units)
+    pair.deliver_all()
+    assert pair.admitted("a")
+    taken = leader_units - pair.customer_at(pair.leader).ceiling.units
+    assert units - 0.01 <= taken <= units + 0.04
