Spending and demand beyond a message's range are reported, not cut

What callers saw: customers whose requests are of hundreds of units, or that make many between two messages, were served far beyond their quota, at the cost of the others.

Cause: a message says amounts up to 655.34 units. A member took all that it had spent as reported, and the codec cut it: 655.34 units counted for 700, and no later message said the rest.

Now a member takes from its counts what a message can say. The rest goes in reports before the message, eight at most, as more would push others out of the outbox, so that the leader counts it before it decides; what these cannot say is reported 80 ms later. Unsaid demand is dropped then, as it has decayed. A message's level still has what later ones will say: a new leader begins with the level and the spending of the first. Where the leader grants slots, a report would end the use of one: the rest waits there.

HeldPairOfLargePlan moved to held_pair.

--- a/orchidhatch/gateway/demand_estimate.py
+++ b/orchidhatch/gateway/demand_estimate.py
@@ -19,6 +19,12 @@
         self.units = 0.0
         self.unreported_units = 0.0
 
+    def take_unreported(self, max_units: float) -> float:
+        """Take what a message reports, so many units at most; the rest stays."""
+        units = min(max_units, self.unreported_units)
+        self.unreported_units -= units
+        return units
+
     def decay(self, elapsed_s: float) -> None:
         """Let the demand age by so many seconds."""
         self.units *= math.exp(-elapsed_s * S / DEMAND_DECAY_US)
--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -15,6 +15,9 @@
 MAX_AMOUNT_STEPS = 32767
 """The greatest amount that a message says, in steps; it stands for any greater one too."""
 
+MAX_AMOUNT_UNITS = MAX_AMOUNT_STEPS / AMOUNT_STEPS
+"""The same in units."""
+
 
 class MessageKind(Enum):
     """What a gossip message is for.
@@ -42,12 +45,13 @@
     """What a gateway sends a customer's quota leader, or the leader's answer.
 
     A customer goes by a checksum of its name. `demand` and `spent` are the units requested and spent since
-    the sender's last message; in an answer, `demand` is that of the whole gateway set. `requested` above zero
-    requests a grant of so many units and waits for an answer; `level` is what the set's bucket holds, or owes
-    when negative; one that is cut is the least that it holds. Below zero, `requested` requests a concurrency
-    slot, and so many units under the rate ceiling; where `slot_grant` is GRANTED, the answer hands them over.
-    `in_flight` is how many attempts the sender has in flight; in an answer, how many all gateways but the
-    recipient have.
+    the sender's last message, as far as one can say them; in an answer, `demand` is that of the whole gateway
+    set. `requested` above zero requests a grant of so many units and waits for an answer; `level` is what the
+    set's bucket holds, or owes when negative; one that is cut is the least that it holds. A member's level
+    still has the units that it has spent and leaves to a later message. Below zero, `requested` requests a
+    concurrency slot, and so many units under the rate ceiling; where `slot_grant` is GRANTED, the answer
+    hands them over. `in_flight` is how many attempts the sender has in flight; in an answer, how many all
+    gateways but the recipient have.
 
     A grant request has a `grant_number`, the same when it is repeated, and so has its answer, whose `spent`
     are the units that the leader has counted for it. Gateways of the version before number none, and an
@@ -82,7 +86,7 @@
     @property
     def is_level_cut(self) -> bool:
         """Whether the sender's level may be greater than the message can say."""
-        return self.level >= MAX_AMOUNT_STEPS / AMOUNT_STEPS
+        return self.level >= MAX_AMOUNT_UNITS
 
     @property
     def answers_grant_request(self) -> bool:
--- a/orchidhatch/gateway/quota.py
+++ b/orchidhatch/gateway/quota.py
@@ -192,6 +192,10 @@
             return backoff_us
         return min(backoff_us, self.quota.allowance_wait_us(units))
 
+    def has_unreported_beyond(self, max_units: float) -> bool:
+        """Whether more than so many units are to be reported as requested, as spent or as given back."""
+        return max(self.demand.unreported_units, abs(self.quota.unreported_spend)) > max_units
+
     def clear_unreported(self) -> None:
         """Begin a new report: what was requested and spent here has been sent."""
         self.demand.unreported_units = 0.0
--- a/orchidhatch/gateway/quota_buckets.py
+++ b/orchidhatch/gateway/quota_buckets.py
@@ -14,7 +14,7 @@
     leader answered last. It is negative while the set owes units. `local_share` is this gateway's share,
     spent without a request to the leader. `allowance` is what may be spent while no answer of the leader is
     known; it holds one unit at least, and a larger request leaves a debt. `unreported_spend` are the units
-    spent here since the last message to the leader; `handed_over_spend` those of them that were left to a
+    spent here that no message to the leader has said; `handed_over_spend` those of them that were left to a
     successor process.
 
     Invariant: `local_share` is never negative, and a refill leaves it at most at max(0, `set_level`) and at
@@ -108,6 +108,12 @@
         """The leader's answer gives the least of the level only: go by this one if it is greater."""
         self.set_level = max(self.set_level, level)
 
+    def take_unreported(self, max_units: float) -> float:
+        """Take what a message reports: so many units at most, spent or given back; the rest stays."""
+        units = max(-max_units, min(max_units, self.unreported_spend))
+        self.unreported_spend -= units
+        return units
+
     def hand_over_unreported(self) -> float:
         """Leave the unreported units to a successor process, and return them."""
         units = self.unreported_spend
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.gossip import NO_GRANT_NUMBER, GossipMessage, SlotGrant
+from orchidhatch.gateway.gossip import MAX_AMOUNT_UNITS, NO_GRANT_NUMBER, GossipMessage, SlotGrant
 from orchidhatch.gateway.grant_requests import PREDECESSOR_NUMBER_OFFSET, GrantRequest, GrantState
 from orchidhatch.gateway.member_slot import slot_request_units
 from orchidhatch.gateway.peer_outbox import PeerOutbox
@@ -15,6 +15,9 @@
 RETURN_DELAY_US = 80_000
 """For how long units to give back wait for a message that would report them anyway."""
 
+MAX_EXCESS_REPORTS = 8
+"""The reports that go before one message: more would push other messages out of the outbox."""
+
 
 class GrantAnswer(NamedTuple):
     """An answer that a request has waited for, and the probability of admission that it gives."""
@@ -47,7 +50,7 @@
         self.renewals: dict[CustomerKey, Customer] = {}
         # Grant requests that were decided on without an answer.
         self.presumed: list[PresumedGrant] = []
-        # Customers with units to give back, and by when to report them.
+        # Customers with units to give back, or that no message could say yet, and by when to report them.
         self.returns_us: dict[Customer, int] = {}
 
     def report(self, customer: Customer) -> None:
@@ -102,21 +105,22 @@
         }
 
     def return_soon(self, customer: Customer) -> None:
-        """Report the customer's units to give back soon, if there are any and no other message does.
+        """Report the customer's units to give back soon, if there are any and no other message does."""
+        if customer.quota.unreported_spend < 0:
+            self.report_soon(customer)
 
-        Not where the leader grants slots, see report_correction.
-        """
-        has_units = customer.quota.unreported_spend < 0
-        if has_units and not customer.is_leader and not customer.shares_slots():
+    def report_soon(self, customer: Customer) -> None:
+        """Report what is left to be said if no other message does, but see report_correction."""
+        if not customer.is_leader and not customer.shares_slots():
             self.returns_us.setdefault(customer, self.context.now_us + RETURN_DELAY_US)
 
     def send_due_returns(self) -> None:
-        """Report the units to give back that no message has reported in time."""
+        """Report what no other message has said in time."""
         now_us = self.context.now_us
         due = [customer for customer, due_us in self.returns_us.items() if due_us <= now_us]
         for customer in due:
             del self.returns_us[customer]
-            if customer.quota.unreported_spend < 0:
+            if customer.quota.unreported_spend:
                 self.report(customer)
 
     def share_spend(self, customer: Customer, units: float) -> None:
@@ -154,23 +158,49 @@
         self.send(customer, -slot_request_units(ceiling_units), customer.member_slot.open_number)
 
     def send(self, customer: Customer, requested: float, grant_number: int = NO_GRANT_NUMBER) -> None:
-        """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage."""
+        """Send the leader a message; `requested` has the sign of the message's kind, see GossipMessage.
+
+        What was spent beyond the message's range goes in reports before it, and what those cannot say later.
+        Such demand is not said later, as it has decayed by then.
+        """
         self.share_correction(customer)
-        if not customer.is_leader and self.is_known(customer):
-            message = GossipMessage(
-                *customer.key,
-                is_answer=False,
-                demand=customer.demand.unreported_units,
-                spent=customer.quota.unreported_spend,
-                requested=requested,
-                level=customer.quota.set_level,
-                in_flight=customer.in_flight,
-                grant_number=grant_number,
-            )
-            if customer.shares_slots():
-                customer.cede_ceiling(self.context.now_us)
-            self.outbox.add(customer.leader, message)
-        customer.clear_unreported()
+        if customer.is_leader or not self.is_known(customer):
+            customer.clear_unreported()
+            return
+        self.report_excess(customer)
+        self.add_message(customer, requested, grant_number)
+        customer.demand.unreported_units = 0.0
+        if customer.quota.unreported_spend:
+            self.report_soon(customer)
+
+    def report_excess(self, customer: Customer) -> None:
+        """Report what goes beyond the range of one message, not where the leader grants slots."""
+        if customer.shares_slots():
+            return
+        for _ in range(MAX_EXCESS_REPORTS):
+            if not customer.has_unreported_beyond(MAX_AMOUNT_UNITS):
+                return
+            self.add_message(customer)
+
+    def add_message(
+        self, customer: Customer, requested: float = 0.0, grant_number: int = NO_GRANT_NUMBER
+    ) -> None:
+        """Queue a message that says as much of what is to be reported as it can."""
+        demand = customer.demand.take_unreported(MAX_AMOUNT_UNITS)
+        spent = customer.quota.take_unreported(MAX_AMOUNT_UNITS)
+        message = GossipMessage(
+            *customer.key,
+            is_answer=False,
+            demand=demand,
+            spent=spent,
+            requested=requested,
+            level=customer.quota.set_level + customer.quota.unreported_spend,
+            in_flight=customer.in_flight,
+            grant_number=grant_number,
+        )
+        if customer.shares_slots():
+            customer.cede_ceiling(self.context.now_us)
+        self.outbox.add(customer.leader, message)
 
     def on_answer(self, customer: Customer, message: GossipMessage) -> GrantAnswer | None:
         """Take over what the leader has answered; returns the answer where a request waits for it."""
--- a/tests/gateway/held_pair.py
+++ b/tests/gateway/held_pair.py
@@ -298,6 +298,16 @@
     )
 
 
+class HeldPairOfLargePlan(HeldPair):
+    """A pair with more units than a message can name; its messages go through the codec."""
+
+    def __init__(self, plan: Plan) -> None:
+        super().__init__(plan, through_codec=True)
+
+    def introduce(self, name: str) -> None:
+        """Leave the leader without word of the customer: a message would cut the level."""
+
+
 class Successor:
     """A process that takes over from the pair's member; from then on the predecessor sends no gossip."""
 
--- a/tests/gateway/test_grant_accounting_open.py
+++ b/tests/gateway/test_grant_accounting_open.py
@@ -24,6 +24,7 @@
     SEND_SPACING,
     SLOTS_PLAN,
     HeldPair,
+    HeldPairOfLargePlan,
     Successor,
 )
 from tests.helpers import MS, SETTINGS, World, of
@@ -118,16 +119,6 @@
     assert pair.admitted("a")
 
 
-class HeldPairOfLargePlan(HeldPair):
-    """A pair with more units than a message can name; its messages go through the codec."""
-
-    def __init__(self, plan: Plan) -> None:
-        super().__init__(plan, through_codec=True)
-
-    def introduce(self, name: str) -> None:
-        """Leave the leader without word of the customer: a message would cut the level."""
-
-
 def test_request_beyond_the_range_is_counted_as_decided() -> None:
     """Guards against a leader that grants and counts the units as cut, which the member takes as a denial."""
     plan = Plan(rate=1e-6, burst=1000.0)
