A message about a plan that no byte names takes no other message with it

What callers saw: with more than 256 plans, customers of the others were served beyond their quota, as gateways did not hear of each other's spending, and lost answers had requests wait. The simulator's adapter ended with a struct.error.

Cause: a message names its plan in one byte, and nothing bounds the count of plans. Packing one with a greater index raised, and all that waited for that peer was lost.

Now such a message is left out and the others go. Where none is left there is no datagram, as one without a message is malformed, and the adapter writes no line.

Two new tests failed before, that of the adapter also with the codec's change alone, for an empty line.

--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -9,6 +9,9 @@
 MAX_GRANT_NUMBER = 31
 """The greatest number of a grant or slot request: what the free bits of a message hold."""
 
+MAX_PLAN_INDEX = 255
+"""The greatest index of a plan that a message can name."""
+
 AMOUNT_STEPS = 50
 """The steps of a unit in which a message says amounts."""
 
--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -11,6 +11,7 @@
 from orchidhatch.gateway.gossip import (
     AMOUNT_STEPS,
     MAX_AMOUNT_STEPS,
+    MAX_PLAN_INDEX,
     AttemptObservation,
     GossipMessage,
     SlotGrant,
@@ -46,11 +47,14 @@
 def pack_message(
     messages: Iterable[GossipMessage], observations: Iterable[AttemptObservation] = (), policy_mark: int = 0
 ) -> list[bytes]:
-    """The datagrams that hold the messages, of which there is one at least; observations fill up the last.
+    """The datagrams that hold the messages; observations fill up the last.
 
+    Messages about a plan that no message can name are left out, and there is no datagram without a message.
     The mark of a policy is from 1 to 255; a gateway of an earlier version ignores a datagram with one.
     """
-    packed = [pack_gossip(message) for message in messages]
+    packed = [pack_gossip(message) for message in messages if message.plan_index <= MAX_PLAN_INDEX]
+    if not packed:
+        return []
     per_datagram = (DATAGRAM_BYTES - HEAD_BYTES) // MESSAGE.size
     chunks = [packed[start : start + per_datagram] for start in range(0, len(packed), per_datagram)]
     datagrams = [head_of(len(chunk), policy_mark) + b"".join(chunk) for chunk in chunks]
--- a/orchidhatch/gateway/simulator.py
+++ b/orchidhatch/gateway/simulator.py
@@ -107,7 +107,8 @@
             actions = self.gateways[instance].handle(self.now_us, event)
         except Exception as error:
             raise CoreError(f"{type(error).__name__}: {error}") from error
-        lines = [write_action(action) for action in actions if not isinstance(action, WaitTimes)]
+        texts = [write_action(action) for action in actions if not isinstance(action, WaitTimes)]
+        lines = [text for text in texts if text]
         if lines and self.replying != instance:
             self.replying = instance
             lines.insert(0, f"CONTEXT {instance}")
--- a/orchidhatch/gateway/simulator_codec.py
+++ b/orchidhatch/gateway/simulator_codec.py
@@ -279,7 +279,10 @@
 
 
 def write_action(action: Action) -> str:
-    """Encode an action as its line, or lines; a TypeError for an action that the wire does not have."""
+    """Encode an action as its line, or lines, or as "" if it has none.
+
+    Raises TypeError for an action that the wire does not have.
+    """
     match action:
         case SendAttempt(request_id, server, timeout_us):
             return f"TRY {request_id} {server} {timeout_us}"
--- a/tests/gateway/test_gossip_codec.py
+++ b/tests/gateway/test_gossip_codec.py
@@ -33,3 +33,12 @@
     unnamed = GossipMessage(2, 256, 0, 3, demand=1.0)
     [datagram] = pack_message([named, unnamed])
     assert unpack_message(datagram)[0] == (named,)
+
+
+def test_no_datagram_goes_out_for_unnamed_plans_alone() -> None:
+    """Guards against a datagram without a message, which its reader takes for malformed."""
+    unnamed = GossipMessage(2, 256, 0, 3, demand=1.0)
+    observations = (AttemptObservation(1, 0, True, 1.0),)
+    assert pack_message([unnamed, unnamed], observations) == []
+    [datagram] = pack_message([GossipMessage(1, 255, 0, 3), unnamed], observations)
+    assert unpack_message(datagram) == ((GossipMessage(1, 255, 0, 3),), observations)
--- a/tests/gateway/test_simulator.py
+++ b/tests/gateway/test_simulator.py
@@ -84,6 +84,22 @@
     assert lines[3] == "CONTEXT 0" and lines[4].startswith("TRY rq_a 10.0.0.") and lines[-1] == "FINISHED"
 
 
+def test_plan_that_no_byte_names_ends_no_process() -> None:
+    """Guards against an adapter that ends with a struct.error as a message names a plan above 255."""
+    settings = start(0).replace(
+        "plans.count=1", "plans.count=257 plans.256.burst=3.0 plans.256.units-per-s=0.65"
+    )
+    body = "TARGET_INSTANCE 0\n" + "".join(
+        f"NEW_REQUEST rq_{plan}_{number} 0 {plan} cust/{number} 900000 1 3 0 1\n"
+        for number in range(3)
+        for plan in (0, 256)
+    )
+    done = run(batch(5, settings) + batch(9, body))
+    assert (done.returncode, done.stderr) == (0, "")
+    assert any(line.startswith("TELL ") for line in done.stdout.splitlines())
+    assert "" not in done.stdout.splitlines()
+
+
 def test_output_is_independent_of_hash_seed_and_processes() -> None:
     together = run(day([0, 1, 2]), "1")
     other = run(day([0, 1, 2]), "2")
--- a/tests/gateway/test_simulator_codec.py
+++ b/tests/gateway/test_simulator_codec.py
@@ -32,6 +32,7 @@
             SendGossip(2, (GossipMessage(5, 1, 3, 4, True, level=-1.5),)),
             f"TELL 2 a100000005010003000401{0:012x}ffb500",
         ),
+        (SendGossip(2, (GossipMessage(5, 256, 3, 4),)), ""),
         (AddToCounter(4, 1, 9), "ADD_TO 4 1 9"),
         (Subscribe(False), "STREAM_CHANGES 0"),
         (FetchEndpointList(), "SNAPSHOT"),
