Four more open faults of large amounts and many plans, listed as known red

- An answer cuts the demand and the debt of the set, so that a member admits by chance 1.0 what its leader admits by .28 and .83.

--- a/tests/gateway/quota_rig.py
+++ b/tests/gateway/quota_rig.py
@@ -74,7 +74,8 @@
     are lost with the probability `loss`. A request has one of `unit_choices` at random. All requests of the
     first `single_gateway_customers` customers come through one gateway each. `uses_wire_format` sends the
     messages as datagrams, with their amounts rounded, in place of handing the objects over. A gateway may
-    receive `peer_messages_per_s`, which bounds the requests to leaders too.
+    receive `peer_messages_per_s`, which bounds the requests to leaders too. All customers have the plan of
+    `plan_index`; those before it are the same.
     """
 
     seed: int
@@ -89,6 +90,7 @@
     single_gateway_customers: int = 0
     uses_wire_format: bool = False
     peer_messages_per_s: float = PEER_MESSAGES_PER_S
+    plan_index: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,6 +263,7 @@
             gateway_count=settings.gateway_count,
             seed=settings.seed * settings.gateway_count + index,
             peer_messages_per_s=settings.peer_messages_per_s,
+            plans=(PLAN,) * (settings.plan_index + 1),
         )
         world = World(gateway_settings, servers(SERVER_COUNT))
         self.take_timers(world, index)
@@ -339,7 +342,7 @@
         request = Request(
             arrival.id,
             0,
-            0,
+            self.settings.plan_index,
             arrival.customer,
             REQUEST_TIME_LEFT_US,
             units=arrival.units,
--- a/tests/gateway/test_quota.py
+++ b/tests/gateway/test_quota.py
@@ -41,6 +41,18 @@
     assert sum(later) / len(later) == pytest.approx(60, abs=16)
 
 
+@pytest.mark.parametrize("scale", [1.0, 10.0])
+def test_requests_inside_the_quota_are_sent_whatever_their_units(scale: float) -> None:
+    """Guards against demand in units compared with a count of requests, so that the leader is not asked."""
+    plan = Plan(rate=10.0 * scale, burst=20.0 * scale)
+    gateways = Set(4, replace(SETTINGS, plans=(plan,)))
+    gateways.run(1100 * MS)
+    for number in range(40):
+        gateways.ask(number % 4, f"r{number}", units=6.0 * scale)
+        gateways.run(S)
+    assert gateways.sent() == 40
+
+
 @pytest.mark.parametrize("count", [2, 3, 100])
 def test_isolated_gateways_keep_to_their_shares(count: int) -> None:
     """Each gateway without gossip would else lead the customer and admit the whole quota."""
--- a/tests/gateway/test_quota_rig.py
+++ b/tests/gateway/test_quota_rig.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from orchidhatch.gateway.gossip import MAX_PLAN_INDEX
 from tests.gateway.quota_rig import RigResult, RigSettings, measure
 from tests.helpers import MS
 
@@ -61,6 +62,15 @@
     assert [result.beyond_quota for result in results] == [0.0] * len(SEEDS)
 
 
+def test_customers_of_a_plan_that_no_message_names_get_nothing_beyond_the_quota() -> None:
+    """Guards against gateways that each admit the whole quota, as no message about it gets through."""
+    results = [
+        measure(RigSettings(seed, 3.0, 5 * MS, plan_index=MAX_PLAN_INDEX + 1, uses_wire_format=True))
+        for seed in SEEDS
+    ]
+    assert [result.beyond_quota for result in results] == [0.0] * len(SEEDS)
+
+
 @both_loads
 @pytest.mark.parametrize("loss", MIN_SHARE_BY_LOSS)
 def test_lost_messages_cost_little_quota(load: float, loss: float) -> None:
--- a/tests/gateway/test_report_range.py
+++ b/tests/gateway/test_report_range.py
@@ -1,16 +1,25 @@
-"""Reports of more units than one message can say."""
+"""Reports and answers of more units than one message can say."""
 
 import zlib
 
 import pytest
 
 from orchidhatch.gateway.constants import TICK_US
+from orchidhatch.gateway.events import TimerExpired
 from orchidhatch.gateway.gossip import MAX_AMOUNT_UNITS, MessageKind
 from orchidhatch.gateway.grant_requests import GRANT_REQUEST_TTL_US
 from orchidhatch.gateway.quota_member import MAX_EXCESS_REPORTS, RETURN_DELAY_US
 from orchidhatch.gateway.settings import Plan
 from orchidhatch.gateway.snapshots import CustomerKey
-from tests.gateway.held_pair import CUSTOMER, GATEWAYS, PAST_ALL_WAITS, HeldPair, HeldPairOfLargePlan
+from tests.gateway.held_pair import (
+    CUSTOMER,
+    GATEWAYS,
+    MEMBER,
+    PAST_ALL_WAITS,
+    SEND_SPACING,
+    HeldPair,
+    HeldPairOfLargePlan,
+)
 from tests.helpers import MS
 
 ROUNDING = 0.03
@@ -133,3 +142,24 @@
     pair.report(customer)
     pair.deliver_all()
     assert counted(pair) == pytest.approx(700.0, abs=ROUNDING)
+
+
+@pytest.mark.parametrize(
+    ("demand", "level"),
+    [(600.0, -600.0), (5000.0, -600.0), (600.0, -1500.0)],
+    ids=["exact", "demand", "debt"],
+)
+def test_answer_beyond_the_range_gives_the_chance_that_the_leader_knows(demand: float, level: float) -> None:
+    """Guards against members that admit beyond the quota, as an answer cuts the demand or the debt."""
+    pair = HeldPairOfLargePlan(Plan(rate=4000.0, burst=8000.0))
+    pair.ask("a", units=100.0)
+    pair.deliver_to_leader()
+    at_leader = pair.customer_at(pair.leader)
+    at_leader.demand.units = demand
+    at_leader.quota.set_level = level
+    pair.leader.gateway.quotas.leader.answer(MEMBER, at_leader)
+    pair.tell(pair.leader, TimerExpired(0))
+    pair.run(SEND_SPACING)
+    pair.deliver_to_member()
+    known_to_leader = at_leader.chance(100.0)
+    assert pair.customer_at(pair.member).chance(100.0) == pytest.approx(known_to_leader, abs=0.03)
