--- /dev/null
+++ b/orchidhatch/gateway/handover_spending.py
@@ -0,0 +1,40 @@
+"""What a gateway's process tells the other one of a handover about its customers' spending."""
+
+from collections.abc import Callable
+
+from orchidhatch.gateway.decision_context import DecisionContext
+from orchidhatch.gateway.grant_requests import GrantRequest
+from orchidhatch.gateway.quota import Customer
+from orchidhatch.gateway.snapshots import HandoverSpend
+
+
+class HandoverSpending:
+    """Keeps the other process's buckets up to date; a successor reports the spending of both.
+
+    `is_known` says whether a customer was not forgotten since.
+    """
+
+    def __init__(self, context: DecisionContext, is_known: Callable[[Customer], bool]) -> None:
+        self.context = context
+        self.is_known = is_known
+
+    def share_spend(self, customer: Customer, units: float) -> None:
+        """Tell the other process what was spent here; a successor reports it."""
+        if not self.is_known(customer):
+            return
+        counted = 0.0
+        if self.context.has_successor:
+            counted = units - customer.quota.hand_over_unreported()
+        self.context.send_to_handover_peer(HandoverSpend(customer.key, units, counted))
+
+    def share_correction(self, customer: Customer) -> None:
+        """Leave a successor to report what the leader has counted too much, or too little."""
+        if self.context.has_successor and customer.quota.unreported_spend:
+            self.share_spend(customer, 0.0)
+
+    def share_answer(self, customer: Customer, grant: GrantRequest) -> None:
+        """Tell a successor what an answer has said, as it may get a further answer to the same request."""
+        if self.context.has_successor:
+            counted = -customer.quota.hand_over_unreported()
+            answered = (grant.snapshot(customer.key),)
+            self.context.send_to_handover_peer(HandoverSpend(customer.key, 0.0, counted, answered))
--- a/orchidhatch/gateway/quota_leaders.py
+++ b/orchidhatch/gateway/quota_leaders.py
@@ -101,7 +101,7 @@
     def spend(self, customer: Customer, units: float) -> None:
         """Take the units of a request here; the handover peer is told of it while the plan exists."""
         customer.take(units)
-        self.member.share_spend(customer, units)
+        self.member.handover.share_spend(customer, units)
 
     def chance(self, customer: Customer, units: float) -> float | None:
         """The probability of admission by what is known here; None where a grant is to be requested."""
--- a/orchidhatch/gateway/quota_member.py
+++ b/orchidhatch/gateway/quota_member.py
@@ -6,10 +6,11 @@
 from orchidhatch.gateway.decision_context import DecisionContext
 from orchidhatch.gateway.gossip import MAX_AMOUNT_UNITS, NO_GRANT_NUMBER, GossipMessage, SlotGrant
 from orchidhatch.gateway.grant_requests import PREDECESSOR_NUMBER_OFFSET, GrantRequest, GrantState
+from orchidhatch.gateway.handover_spending import HandoverSpending
 from orchidhatch.gateway.member_slot import slot_request_units
 from orchidhatch.gateway.peer_outbox import PeerOutbox
 from orchidhatch.gateway.quota import Customer
-from orchidhatch.gateway.snapshots import CustomerKey, HandoverSpend
+from orchidhatch.gateway.snapshots import CustomerKey
 from orchidhatch.gateway.times import NEVER
 
 RETURN_DELAY_US = 80_000
@@ -46,6 +47,7 @@
         self.context = context
         self.outbox = outbox
         self.is_known = is_known
+        self.handover = HandoverSpending(context, is_known)
         # Customers that a slot is granted to, or whose attempts in flight are to be reported again.
         self.renewals: dict[CustomerKey, Customer] = {}
         # Grant requests that were decided on without an answer.
@@ -123,27 +125,6 @@
             if customer.quota.unreported_spend:
                 self.report(customer)
 
-    def share_spend(self, customer: Customer, units: float) -> None:
-        """Tell the other process of a handover what was spent here; a successor reports it."""
-        if not self.is_known(customer):
-            return
-        counted = 0.0
-        if self.context.has_successor:
-            counted = units - customer.quota.hand_over_unreported()
-        self.context.send_to_handover_peer(HandoverSpend(customer.key, units, counted))
-
-    def share_correction(self, customer: Customer) -> None:
-        """Leave a successor to report what the leader has counted too much, or too little."""
-        if self.context.has_successor and customer.quota.unreported_spend:
-            self.share_spend(customer, 0.0)
-
-    def share_answer(self, customer: Customer, grant: GrantRequest) -> None:
-        """Tell a successor what an answer has said, as it may get a further answer to the same request."""
-        if self.context.has_successor:
-            counted = -customer.quota.hand_over_unreported()
-            answered = (grant.snapshot(customer.key),)
-            self.context.send_to_handover_peer(HandoverSpend(customer.key, 0.0, counted, answered))
-
     def report_correction(self, customer: Customer) -> None:
         """Report at once that the leader has counted too much, or too little.
 
@@ -163,7 +144,7 @@
         What was spent beyond the message's range goes in reports before it, and what those cannot say later.
         Such demand is not said later, as it has decayed by then.
         """
-        self.share_correction(customer)
+        self.handover.share_correction(customer)
         if customer.is_leader or not self.is_known(customer):
             customer.clear_unreported()
             return
@@ -227,7 +208,7 @@
         returned = grant.on_answer(counted) if is_numbered else grant.on_unnumbered_answer(counted)
         if is_awaited:
             grant.spent = counted
-        self.share_answer(customer, grant)
+        self.handover.share_answer(customer, grant)
         if is_awaited:
             return GrantAnswer(grant, counted / message.requested)
         customer.spend(grant.spent)  # The answer has the level before the request was counted.
