--- a/tests/gateway/test_quota_rig.py
+++ b/tests/gateway/test_quota_rig.py
@@ -62,7 +62,7 @@
     assert [result.beyond_quota for result in results] == [0.0] * len(SEEDS)
 
 
-def test_customers_of_a_plan_that_no_message_names_get_nothing_beyond_the_quota() -> None:
+def test_customers_of_an_unnameable_plan_keep_to_the_quota() -> None:
     """Guards against gateways that each admit the whole quota, as no message about it gets through."""
     results = [
         measure(RigSettings(seed, 3.0, 5 * MS, plan_index=MAX_PLAN_INDEX + 1, uses_wire_format=True))
--- a/tests/gateway/test_report_range.py
+++ b/tests/gateway/test_report_range.py
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize("units", [655.34, 655.36, 700.0, 2000.0, 5898.0, 5898.1, 24_000.0])
-def test_spending_beyond_the_range_is_counted_without_more_traffic(units: float) -> None:
+def test_spending_beyond_the_range_needs_no_more_traffic(units: float) -> None:
     """Guards against spending that waits for the customer's next request to be reported."""
     pair = HeldPairOfLargePlan(HUGE_PLAN)
     pair.ask("a", units=units)
@@ -130,7 +130,7 @@
     assert [message.demand for message in pair.asks()] == [0.0]
 
 
-def test_excess_waits_for_the_next_message_where_the_leader_grants_slots() -> None:
+def test_excess_waits_where_the_leader_grants_slots() -> None:
     """Guards against a report that the leader takes for the end of an attempt."""
     pair = HeldPairOfLargePlan(Plan(rate=1e-6, burst=4000.0, max_in_flight=2))
     customer = pair.member.gateway.quotas.customer(CustomerKey(zlib.crc32(CUSTOMER.encode()), 0, 0, GATEWAYS))
@@ -149,7 +149,7 @@
     [(600.0, -600.0), (5000.0, -600.0), (600.0, -1500.0)],
     ids=["exact", "demand", "debt"],
 )
-def test_answer_beyond_the_range_gives_the_chance_that_the_leader_knows(demand: float, level: float) -> None:
+def test_answer_beyond_the_range_gives_the_leaders_chance(demand: float, level: float) -> None:
     """Guards against members that admit beyond the quota, as an answer cuts the demand or the debt."""
     pair = HeldPairOfLargePlan(Plan(rate=4000.0, burst=8000.0))
     pair.ask("a", units=100.0)
