A message about a plan that no datagram can name does not enter the outbox

The outbox does not take them now; the codec's check stays for what comes all the same.

Evidence: the new test in test_peer_outbox.py failed before (a send with the message alone) and passes.

--- a/orchidhatch/gateway/peer_outbox.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -6,7 +6,7 @@
 from orchidhatch.gateway.actions import SendGossip
 from orchidhatch.gateway.constants import MAX_CONTROL_PERIOD_US
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
+from orchidhatch.gateway.gossip import MAX_PLAN_INDEX, AttemptObservation, GossipMessage
 from orchidhatch.gateway.leader_requests import LEADER_REPLY_TIMEOUT_US
 from orchidhatch.gateway.metric_names import MESSAGES_SENT
 from orchidhatch.gateway.times import S
@@ -48,7 +48,12 @@
         self.sent_count: dict[int, int] = {}
 
     def add(self, peer: int, message: GossipMessage) -> None:
-        """Queue a message for a peer; where too many wait, the oldest is dropped."""
+        """Queue a message for a peer; where too many wait, the oldest is dropped.
+
+        One about a plan that no datagram can name takes no place of another, and brings about no send.
+        """
+        if message.plan_index > MAX_PLAN_INDEX:
+            return
         messages = self.waiting.setdefault(peer, [])
         self.since.setdefault(peer, self.context.now_us)
         if len(messages) == MESSAGES_LIMIT:
--- a/tests/gateway/test_peer_outbox.py
+++ b/tests/gateway/test_peer_outbox.py
@@ -8,7 +8,7 @@
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.gateway.constants import MAX_CONTROL_PERIOD_US
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.gossip import AttemptObservation, GossipMessage
+from orchidhatch.gateway.gossip import MAX_PLAN_INDEX, AttemptObservation, GossipMessage
 from orchidhatch.gateway.peer_outbox import BURST_MESSAGES, MESSAGES_LIMIT, PeerOutbox
 from orchidhatch.gateway.times import S
 from tests.helpers import MS, SETTINGS, Set, World, of
@@ -81,6 +81,21 @@
     assert send.messages == tuple(messages[3:])
 
 
+def test_message_that_no_datagram_holds_takes_nothing_of_the_outbox(outbox: PeerOutbox) -> None:
+    """Guards against messages about a plan above 255 that push others out or lose observations."""
+    unnameable = replace(MESSAGE, plan_index=MAX_PLAN_INDEX + 1)
+    outbox.add_observation(observation(0.5))
+    outbox.add(PEER, unnameable)
+    assert sent(outbox) == []
+    outbox.add(PEER, MESSAGE)
+    for _ in range(MESSAGES_LIMIT):
+        outbox.add(PEER, unnameable)
+    [send] = sent(outbox)
+    assert send.messages == (MESSAGE,)
+    assert send.observations == (observation(0.5),)
+    assert outbox.dropped == 0
+
+
 def test_each_peer_is_sent_an_observation_once(outbox: PeerOutbox) -> None:
     outbox.add_observation(observation(1))
     outbox.add(PEER, MESSAGE)
