Tests of reports use what the pair of gateways already counts

test_report_range.py had HeldPair.counted once more, and the customer's key spelled out three times as in HeldPair.introduce; HeldPair.new_customer is shared now.

--- a/tests/gateway/held_pair.py
+++ b/tests/gateway/held_pair.py
@@ -116,11 +116,14 @@
 
     def introduce(self, name: str) -> None:
         """Make the customer known to the leader while its quota is full."""
-        key = CustomerKey(zlib.crc32(name.encode()), 0, 0, GATEWAYS)
-        self.report(self.member.gateway.quotas.customer(key))
+        self.report(self.new_customer(name))
         self.deliver_all()
         assert self.counted(name) == pytest.approx(0.0, abs=0.01)
 
+    def new_customer(self, name: str) -> Customer:
+        """The customer at the member, which need not know it yet."""
+        return self.member.gateway.quotas.customer(CustomerKey(zlib.crc32(name.encode()), 0, 0, GATEWAYS))
+
     # --- messages ---
 
     def collect(self) -> None:
--- a/tests/gateway/test_report_range.py
+++ b/tests/gateway/test_report_range.py
@@ -1,7 +1,5 @@
 """Reports and answers of more units than one message can say."""
 
-import zlib
-
 import pytest
 
 from orchidhatch.gateway.constants import TICK_US
@@ -10,14 +8,11 @@
 from orchidhatch.gateway.grant_requests import GRANT_REQUEST_TTL_US
 from orchidhatch.gateway.quota_member import MAX_EXCESS_REPORTS, RETURN_DELAY_US
 from orchidhatch.gateway.settings import Plan
-from orchidhatch.gateway.snapshots import CustomerKey
 from tests.gateway.held_pair import (
     CUSTOMER,
-    GATEWAYS,
     MEMBER,
     PAST_ALL_WAITS,
     SEND_SPACING,
-    HeldPair,
     HeldPairOfLargePlan,
 )
 from tests.helpers import MS
@@ -30,11 +25,6 @@
 PAST_DELAY = RETURN_DELAY_US + 2 * TICK_US
 
 
-def counted(pair: HeldPair) -> float:
-    """The units that the leader has counted of the full burst."""
-    return pair.burst - pair.customer_at(pair.leader).quota.set_level
-
-
 def test_demand_beyond_the_range_is_counted() -> None:
     """Guards against demand that the datagram cuts, so that the leader grants others too much."""
     pair = HeldPairOfLargePlan(LARGE_PLAN)
@@ -53,7 +43,7 @@
     for _ in range(5):
         pair.run(PAST_DELAY)
         pair.deliver_all()
-    assert counted(pair) == pytest.approx(units, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(units, abs=ROUNDING)
     assert pair.customer_at(pair.member).quota.unreported_spend == 0.0
     pair.run(PAST_DELAY)
     assert not pair.to_leader
@@ -64,7 +54,7 @@
     pair = HeldPairOfLargePlan(HUGE_PLAN)
     pair.ask("a", units=5000.0)
     pair.deliver_all()
-    assert counted(pair) == pytest.approx(5000.0, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(5000.0, abs=ROUNDING)
 
 
 def test_reports_of_one_request_are_bounded() -> None:
@@ -86,13 +76,13 @@
     customer.take(-900.0)
     pair.report(customer)
     pair.deliver_all()
-    assert counted(pair) == pytest.approx(100.0, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(100.0, abs=ROUNDING)
 
 
 def test_request_is_asked_for_after_the_spending_before_it() -> None:
     """Guards against a leader that decides on a request before it counts all that was spent."""
     pair = HeldPairOfLargePlan(LARGE_PLAN)
-    customer = pair.member.gateway.quotas.customer(CustomerKey(zlib.crc32(CUSTOMER.encode()), 0, 0, GATEWAYS))
+    customer = pair.new_customer(CUSTOMER)
     pair.report(customer)
     pair.deliver_all()
     customer.take(3800.0)
@@ -101,7 +91,7 @@
     assert kinds == [MessageKind.REPORT] * 5 + [MessageKind.GRANT_REQUEST]
     pair.deliver_all()
     assert not pair.admitted("a")
-    assert counted(pair) == pytest.approx(3800.0, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(3800.0, abs=ROUNDING)
 
 
 def test_level_of_the_first_report_has_what_the_next_one_says() -> None:
@@ -115,13 +105,13 @@
     pair.run(GRANT_REQUEST_TTL_US)
     assert [message.spent for message in pair.asks()] == [MAX_AMOUNT_UNITS, pytest.approx(700.0 - 655.34)]
     pair.deliver_all()
-    assert counted(pair) == pytest.approx(700.0, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(700.0, abs=ROUNDING)
 
 
 def test_unsaid_demand_is_not_said_later() -> None:
     """Guards against demand that has decayed, and is reported as if it were requested now."""
     pair = HeldPairOfLargePlan(LARGE_PLAN)
-    customer = pair.member.gateway.quotas.customer(CustomerKey(zlib.crc32(CUSTOMER.encode()), 0, 0, GATEWAYS))
+    customer = pair.new_customer(CUSTOMER)
     customer.demand.add_local(1e6, is_included=False)
     pair.report(customer)
     assert len(pair.to_leader) == MAX_EXCESS_REPORTS + 1
@@ -133,7 +123,7 @@
 def test_excess_waits_where_the_leader_grants_slots() -> None:
     """Guards against a report that the leader takes for the end of an attempt."""
     pair = HeldPairOfLargePlan(Plan(rate=1e-6, burst=4000.0, max_in_flight=2))
-    customer = pair.member.gateway.quotas.customer(CustomerKey(zlib.crc32(CUSTOMER.encode()), 0, 0, GATEWAYS))
+    customer = pair.new_customer(CUSTOMER)
     customer.take(700.0)
     pair.report(customer)
     assert [message.spent for message in pair.asks()] == [MAX_AMOUNT_UNITS]
@@ -141,7 +131,7 @@
     assert len(pair.to_leader) == 1
     pair.report(customer)
     pair.deliver_all()
-    assert counted(pair) == pytest.approx(700.0, abs=ROUNDING)
+    assert pair.counted() == pytest.approx(700.0, abs=ROUNDING)
 
 
 @pytest.mark.parametrize(
