A total of spent units takes 8 bytes of a datagram, in place of 12

The stream's number has 14 bits, the sequence 6 and the age 4, in steps of 4 s up to a minute; the total stays at 24. A message that was overtaken is taken for new after half a second in place of two, so that 64 numbers are enough; a wrong guess lasts until the next message, as totals are absolute. A stream that says a minute counts as older than its leader.

--- a/orchidhatch/gateway/gossip.py
+++ b/orchidhatch/gateway/gossip.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import Enum, IntEnum, auto
 
+from orchidhatch.gateway.times import S
+
 NO_GRANT_NUMBER = 0
 """The number in messages that are about no grant, or of a gateway that numbers none."""
 
@@ -28,15 +30,21 @@
 TOTAL_UNITS = TOTAL_STEPS / AMOUNT_STEPS
 """The same in units."""
 
-SEQUENCE_NUMBERS = 1 << 8
+SEQUENCE_NUMBERS = 1 << 6
 """How many messages of a stream are numbered before the numbers begin again."""
 
 NO_STREAM = 0
 """In a datagram, the stream of a message without a total of spent units."""
 
-MAX_STREAM = (1 << 16) - 1
+MAX_STREAM = (1 << 14) - 1
 """The greatest number of a stream of reports."""
 
+STREAM_AGE_STEP_US = 4 * S
+"""The steps in which a message says the age of its stream."""
+
+MAX_STREAM_AGE_US = 15 * STREAM_AGE_STEP_US
+"""The greatest age of a stream that a message says; it stands for any greater one too."""
+
 
 class MessageKind(Enum):
     """What a gossip message is for.
@@ -63,8 +71,8 @@
 class SpentTotal:
     """All units that a gateway has reported as spent by a customer, in the stream of reports to its leader.
 
-    The stream began `age_us` before the message was sent, with a total of 0. `sequence` numbers its messages,
-    and `units` are the total with this message, modulo TOTAL_UNITS.
+    The stream began `age_us` before the message was sent, with a total of 0; MAX_STREAM_AGE_US stands for any
+    greater age. `sequence` numbers its messages, and `units` are the total with this one, modulo TOTAL_UNITS.
     """
 
     stream: int
--- a/orchidhatch/gateway/gossip_codec.py
+++ b/orchidhatch/gateway/gossip_codec.py
@@ -17,7 +17,7 @@
     SlotGrant,
 )
 from orchidhatch.gateway.spent_total_codec import (
-    TOTAL,
+    TOTAL_BYTES,
     TOTAL_CLASS,
     has_totals,
     pack_totals,
@@ -78,7 +78,7 @@
 
 def split_messages(messages: Sequence[GossipMessage]) -> Iterator[list[GossipMessage]]:
     """The messages of each datagram, as many as it holds with their totals."""
-    total_bytes = TOTAL.size if has_totals(messages) else 0
+    total_bytes = TOTAL_BYTES if has_totals(messages) else 0
     chunk: list[GossipMessage] = []
     free_bytes = DATAGRAM_BYTES - HEAD_BYTES
     for message in messages:
--- a/orchidhatch/gateway/peer_outbox.py
+++ b/orchidhatch/gateway/peer_outbox.py
@@ -15,7 +15,7 @@
 """The attempt observations that are kept for the peers: the newest."""
 
 MESSAGES_LIMIT = 60
-"""The gossip messages that may wait for one peer; they fill eight datagrams at most."""
+"""The gossip messages that may wait for one peer; they fill seven datagrams at most."""
 
 BURST_MESSAGES = 3
 """The sends to one peer that may follow each other without spacing, as a request is answered in time."""
--- a/orchidhatch/gateway/spent_total_codec.py
+++ b/orchidhatch/gateway/spent_total_codec.py
@@ -1,29 +1,37 @@
 """The totals of spent units in a datagram, behind its messages: one for each message that is no answer.
 
-A total takes the place of three attempt observations, of a request class that no settings have. So a gateway
+A total takes the place of two attempt observations, of a request class that no settings have. So a gateway
 of the version before, which knows no totals, reads them as observations and ignores them.
 """
 
-import struct
 from collections.abc import Sequence
 from dataclasses import replace
 
-from orchidhatch.gateway.gossip import AMOUNT_STEPS, NO_STREAM, TOTAL_STEPS, GossipMessage, SpentTotal
-from orchidhatch.gateway.times import MS
+from orchidhatch.gateway.gossip import (
+    AMOUNT_STEPS,
+    MAX_STREAM_AGE_US,
+    NO_STREAM,
+    STREAM_AGE_STEP_US,
+    TOTAL_STEPS,
+    GossipMessage,
+    SpentTotal,
+)
 
-TOTAL = struct.Struct("!HBBHBBHBB")
+TOTAL_BYTES = 8
+"""A total with its two marks."""
 
 TOTAL_CLASS = 127
 """The request class of the observations that a total looks like."""
 
-TOTAL_MARK = TOTAL_CLASS << 1 | 1
+TOTAL_MARK = bytes([TOTAL_CLASS << 1 | 1])
 """The third byte of each observation that a total looks like: its class, and a success."""
 
-LOW_BITS = 8
-LOW_MASK = (1 << LOW_BITS) - 1
-"""Where a number of 24 bits is split, around the mark."""
+NUMBER_BYTES = 6
+"""A total without its marks, as one number: the stream, the sequence, the steps and the age."""
 
-MAX_AGE_MS = (1 << 24) - 1
+SEQUENCE_BITS = 6
+STEPS_BITS = 24
+AGE_BITS = 4
 
 
 def has_totals(messages: Sequence[GossipMessage]) -> bool:
@@ -43,18 +51,11 @@
     if total is None:
         total = SpentTotal(NO_STREAM, sequence=0, units=0.0, age_us=0)
     steps = round(total.units * AMOUNT_STEPS) % TOTAL_STEPS
-    age_ms = min(MAX_AGE_MS, total.age_us // MS)
-    return TOTAL.pack(
-        total.stream,
-        TOTAL_MARK,
-        total.sequence,
-        steps >> LOW_BITS,
-        TOTAL_MARK,
-        steps & LOW_MASK,
-        age_ms >> LOW_BITS,
-        TOTAL_MARK,
-        age_ms & LOW_MASK,
-    )
+    number = total.stream << SEQUENCE_BITS | total.sequence
+    number = number << STEPS_BITS | steps
+    number = number << AGE_BITS | min(MAX_STREAM_AGE_US, total.age_us) // STREAM_AGE_STEP_US
+    data = number.to_bytes(NUMBER_BYTES, "big")
+    return data[:2] + TOTAL_MARK + data[2:5] + TOTAL_MARK + data[5:]
 
 
 def unpack_totals(
@@ -62,27 +63,28 @@
 ) -> tuple[tuple[GossipMessage, ...], bytes]:
     """The messages with their totals, and the rest of the data; all as it is where the data has no totals."""
     reports = [message for message in messages if not message.is_answer]
-    end = TOTAL.size * len(reports)
-    if len(data) < end or not holds_totals(data[:end]):
+    end = TOTAL_BYTES * len(reports)
+    parts = [data[start : start + TOTAL_BYTES] for start in range(0, end, TOTAL_BYTES)]
+    if not all(map(is_total, parts)):
         return messages, data
-    totals = iter([unpack_total(*values) for values in TOTAL.iter_unpack(data[:end])])
+    totals = map(unpack_total, parts)
     with_totals = [
         message if message.is_answer else replace(message, spent_total=next(totals)) for message in messages
     ]
     return tuple(with_totals), data[end:]
 
 
-def holds_totals(data: bytes) -> bool:
-    """Whether all of the data are totals, by their marks."""
-    return all(values[1] == values[4] == values[7] == TOTAL_MARK for values in TOTAL.iter_unpack(data))
+def is_total(data: bytes) -> bool:
+    """Whether so much of a datagram is a total, by its marks."""
+    return len(data) == TOTAL_BYTES and data[2:3] == data[6:7] == TOTAL_MARK
 
 
-def unpack_total(
-    stream: int, _: int, sequence: int, steps: int, __: int, low_steps: int, age: int, ___: int, low_age: int
-) -> SpentTotal | None:
-    """A total from the values of its struct, in their order."""
+def unpack_total(data: bytes) -> SpentTotal | None:
+    """A total from its bytes."""
+    number = int.from_bytes(data[:2] + data[3:6] + data[7:], "big")
+    number, age = divmod(number, 1 << AGE_BITS)
+    number, steps = divmod(number, 1 << STEPS_BITS)
+    stream, sequence = divmod(number, 1 << SEQUENCE_BITS)
     if stream == NO_STREAM:
         return None
-    units = (steps << LOW_BITS | low_steps) / AMOUNT_STEPS
-    age_ms = age << LOW_BITS | low_age
-    return SpentTotal(stream, sequence, units, age_ms * MS)
+    return SpentTotal(stream, sequence, steps / AMOUNT_STEPS, age * STREAM_AGE_STEP_US)
--- a/orchidhatch/gateway/spent_totals.py
+++ b/orchidhatch/gateway/spent_totals.py
@@ -9,17 +9,18 @@
 
 from orchidhatch.gateway.gossip import (
     MAX_STREAM,
+    MAX_STREAM_AGE_US,
     SEQUENCE_NUMBERS,
     TOTAL_UNITS,
     GossipMessage,
     SpentTotal,
 )
-from orchidhatch.gateway.times import S
+from orchidhatch.gateway.times import MS, S
 
-STREAM_STEP_US = 1_000
-"""After how long another stream has another number: far sooner than a process restarts."""
+STREAM_STEP_US = 4 * MS
+"""After how long another stream has another number: sooner than a process restarts."""
 
-REORDERING_US = 2 * S
+REORDERING_US = S // 2
 """For how long a message that has been overtaken may arrive; one that comes later counts as new."""
 
 STREAM_START_TOLERANCE_US = S // 2
@@ -56,7 +57,7 @@
             stream=last.number,
             sequence=sequence,
             units=self.position.units,
-            age_us=now_us - last.began_us,
+            age_us=min(MAX_STREAM_AGE_US, now_us - last.began_us),
         )
 
     def _begin(self, now_us: int) -> StreamPosition:
@@ -100,9 +101,10 @@
     def _count_unknown_stream(self, spent: float, total: SpentTotal, now_us: int) -> float:
         """All of a stream that began here; of one that an earlier leader may have counted, this message."""
         began_us = now_us - total.age_us
-        if began_us >= self.known_since_us - STREAM_START_TOLERANCE_US:
-            return total_difference(total.units, 0.0)
-        return spent
+        is_old = total.age_us >= MAX_STREAM_AGE_US
+        if is_old or began_us < self.known_since_us - STREAM_START_TOLERANCE_US:
+            return spent
+        return total_difference(total.units, 0.0)
 
 
 def is_overtaken(last: ReceivedTotal, total: SpentTotal, now_us: int) -> bool:
