A handover takes the totals of spent units along, so that lost reports stay said

What a report that was lost before a handover has said was counted by no later one: a successor began a stream of reports of its own, whose total lacks it (1 unit counted of 3), and a leader's successor did not know what its predecessor had counted of each stream, so that it took each message for what it reports itself.

--- a/orchidhatch/gateway/handover.py
+++ b/orchidhatch/gateway/handover.py
@@ -13,6 +13,7 @@
     restore_grants,
     restore_overload,
     restore_servers,
+    restore_totals,
     take_snapshot,
 )
 from orchidhatch.gateway.in_flight import InFlightRequest
@@ -84,6 +85,7 @@
             if self.quotas.is_in_set(customer_snapshot.key):
                 self._restore_customer(customer_snapshot)
         restore_grants(self.quotas.customers, snapshot)
+        restore_totals(self.quotas.customers, snapshot)
         self.membership.restore_ejections(snapshot.ejections)
         for attempt in snapshot.attempts:
             self.on_attempt(attempt)
@@ -150,12 +152,18 @@
         If it was unknown it may have used up every rate ceiling, so all of them start from empty.
         """
         self.context.has_handover_peer = False
-        self.context.has_successor = False
-        for customer in self.quotas.customers.values():
-            customer.take_back_unreported()
+        if self.context.has_successor:
+            self.take_back_reports()
         if self.context.peer_is_unknown:
             self.context.peer_is_unknown = False
             for customer in self.quotas.customers.values():
                 customer.empty_ceiling(self.context.now_us)
         for request_id, attempt in list(self.in_flight):
             self.on_attempt_end(HandoverAttemptEnd(request_id, attempt))
+
+    def take_back_reports(self) -> None:
+        """Report here again, in streams of its own: the successor may have gone on with the former ones."""
+        self.context.has_successor = False
+        for customer in self.quotas.customers.values():
+            customer.take_back_unreported()
+            customer.report_stream.end()
--- a/orchidhatch/gateway/handover_state.py
+++ b/orchidhatch/gateway/handover_state.py
@@ -17,7 +17,10 @@
     HandoverAttempt,
     HandoverEjection,
     OverloadSnapshot,
+    ReceivedTotalSnapshot,
+    ReportStreamSnapshot,
 )
+from orchidhatch.gateway.spent_totals import ReceivedTotal, StreamPosition
 
 GRANT_REQUESTS_LIMIT = 10_000
 """How many grant requests are handed over, the latest ones; some 80 bytes each."""
@@ -25,6 +28,12 @@
 COUNTED_GRANTS_LIMIT = 10_000
 """How many grants that were counted for other gateways are handed over, the latest ones."""
 
+REPORT_STREAMS_LIMIT = 10_000
+"""How many streams of reports are handed over, those of the customers that were seen last."""
+
+RECEIVED_TOTALS_LIMIT = 10_000
+"""How many totals of other gateways' reports are handed over, the latest ones."""
+
 
 def take_snapshot(
     context: DecisionContext,
@@ -46,6 +55,8 @@
         attempts=tuple(attempts_in_flight(requests)),
         grant_requests=latest_grant_requests(customers, context.now_us),
         counted_grants=latest_counted_grants(customers, context.now_us),
+        report_streams=latest_report_streams(customers),
+        received_totals=latest_received_totals(customers),
     )
 
 
@@ -105,6 +116,43 @@
     return tuple(grants[-COUNTED_GRANTS_LIMIT:])
 
 
+def latest_report_streams(customers: Iterable[Customer]) -> tuple[ReportStreamSnapshot, ...]:
+    """The customers' streams of reports, in the order of the customers."""
+    streams = [
+        ReportStreamSnapshot(customer.key, *customer.report_stream.position)
+        for customer in customers
+        if customer.report_stream.position is not None
+    ]
+    return tuple(streams[-REPORT_STREAMS_LIMIT:])
+
+
+def latest_received_totals(customers: Iterable[Customer]) -> tuple[ReceivedTotalSnapshot, ...]:
+    """The newest totals of other gateways' reports, the oldest first."""
+    totals = [
+        ReceivedTotalSnapshot(customer.key, peer, *total)
+        for customer in customers
+        for peer, total in customer.received_totals.by_peer.items()
+    ]
+    totals.sort(key=lambda total: total.received_us)
+    return tuple(totals[-RECEIVED_TOTALS_LIMIT:])
+
+
+def restore_totals(customers: Mapping[CustomerKey, Customer], snapshot: GatewaySnapshot) -> None:
+    """Go on with the predecessor's streams of reports, and from the totals that it has counted."""
+    for stream in snapshot.report_streams:
+        customer = customers.get(stream.key)
+        if customer:
+            customer.report_stream.position = StreamPosition(
+                stream.number, stream.began_us, stream.sequence, stream.units
+            )
+    for received in snapshot.received_totals:
+        customer = customers.get(received.key)
+        if customer:
+            customer.received_totals.by_peer[received.peer] = ReceivedTotal(
+                received.stream, received.sequence, received.units, received.received_us
+            )
+
+
 def restore_grants(customers: Mapping[CustomerKey, Customer], snapshot: GatewaySnapshot) -> None:
     """Restore the predecessor's grant requests, and what it counted: messages about them may come here."""
     for request in snapshot.grant_requests:
--- a/orchidhatch/gateway/snapshots.py
+++ b/orchidhatch/gateway/snapshots.py
@@ -107,6 +107,29 @@
     counted_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class ReportStreamSnapshot:
+    """A stream of reports to a customer's quota leader, after the predecessor's last message of it."""
+
+    key: CustomerKey
+    number: int
+    began_us: int
+    sequence: int
+    units: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedTotalSnapshot:
+    """The total of spent units in the newest message that a quota leader has of the gateway `peer`."""
+
+    key: CustomerKey
+    peer: int
+    stream: int
+    sequence: int
+    units: float
+    received_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerSnapshot:
     """The health and slow start of a server.
@@ -155,7 +178,8 @@
 
     `mean_latencies_us` are the mean latencies by request class, `ejections` the servers that were ever listed
     and whether an operator has ejected them, `attempts` the attempts in flight, `grant_requests` the latest
-    grant requests, `counted_grants` the latest that were counted for other gateways.
+    grant requests, `counted_grants` the latest that were counted for other gateways, `report_streams` and
+    `received_totals` the latest totals of spent units that were sent to quota leaders, and received.
     """
 
     now_us: int
@@ -167,6 +191,8 @@
     attempts: tuple[HandoverAttempt, ...]
     grant_requests: tuple[GrantRequestSnapshot, ...] = ()
     counted_grants: tuple[CountedGrantSnapshot, ...] = ()
+    report_streams: tuple[ReportStreamSnapshot, ...] = ()
+    received_totals: tuple[ReceivedTotalSnapshot, ...] = ()
 
 
 HandoverMessage = HandoverSpend | HandoverAttempt | HandoverAttemptEnd | HandoverEjection
--- a/orchidhatch/gateway/spent_totals.py
+++ b/orchidhatch/gateway/spent_totals.py
@@ -60,6 +60,10 @@
             age_us=min(MAX_STREAM_AGE_US, now_us - last.began_us),
         )
 
+    def end(self) -> None:
+        """Begin another stream with the next report: another process may have gone on with this one."""
+        self.position = None
+
     def _begin(self, now_us: int) -> StreamPosition:
         number = now_us // STREAM_STEP_US % MAX_STREAM + 1
         return StreamPosition(number, began_us=now_us, sequence=SEQUENCE_NUMBERS - 1, units=0.0)
--- a/tests/baseline/test_gateway.py
+++ b/tests/baseline/test_gateway.py
@@ -15,6 +15,7 @@
 from orchidhatch.gateway.gossip import SEQUENCE_NUMBERS, TOTAL_UNITS, GossipMessage, SpentTotal
 from orchidhatch.gateway.gossip_codec import mark_of, pack_message, unpack_message
 from orchidhatch.gateway.handover_codec import MESSAGE_KINDS, from_plain, to_plain
+from orchidhatch.gateway.snapshots import GatewaySnapshot
 from tests.baseline.decoding import FOLDER, class_of, decode, read
 
 STREAMS = sorted(FOLDER.glob("events-*.jsonl.gz"))
@@ -48,6 +49,8 @@
                 reported.check(message)
             messages = tuple(replace(message, spent_total=None) for message in action.messages)
             read.append(replace(action, messages=messages))
+        elif isinstance(action, GatewaySnapshot):
+            read.append(replace(action, report_streams=(), received_totals=()))
         else:
             read.append(action)
     return read
--- a/tests/gateway/test_handover_codec.py
+++ b/tests/gateway/test_handover_codec.py
@@ -54,11 +54,16 @@
     pair = HeldPair()
     pair.ask("a", units=6.0)
     pair.deliver_to_leader()
-    for world, name in ((pair.member, "grant_requests"), (pair.leader, "counted_grants")):
+    for world, grants, totals in (
+        (pair.member, "grant_requests", "report_streams"),
+        (pair.leader, "counted_grants", "received_totals"),
+    ):
         [snapshot] = of(GatewaySnapshot, pair.tell(world, StartHandover()))
         plain, optional = json.loads(json.dumps([to_plain(snapshot), optional_to_plain(snapshot)]))
         assert len(plain) == 7
-        assert [grant[3] for grant in optional.pop(name)] == [6.0]
-        assert optional == {}
-        assert getattr(from_plain(GatewaySnapshot, plain), name) == ()
+        assert set(optional) == {grants, totals}
+        assert [grant[3] for grant in optional[grants]] == [6.0]
+        assert len(optional[totals]) == 1
+        before = from_plain(GatewaySnapshot, plain)
+        assert getattr(before, grants) == () and getattr(before, totals) == ()
         assert from_plain_with_optional(GatewaySnapshot, plain, optional_to_plain(snapshot)) == snapshot
