Tests of totals: an old unknown stream, the range of a total, a new leader

Three of 20 defects put in by hand passed the tests: an old stream charged in full by a leader that has known the customer longer, a member's total that leaves its range, and a new leader that takes over a level that lacks units which it counts then. Each fails one test now.

--- a/tests/gateway/test_spent_totals.py
+++ b/tests/gateway/test_spent_totals.py
@@ -9,7 +9,14 @@
 from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import EndpointListKind
 from orchidhatch.gateway.events import EndpointList, PeerMessage
-from orchidhatch.gateway.gossip import MAX_STREAM, SEQUENCE_NUMBERS, TOTAL_UNITS, GossipMessage, SpentTotal
+from orchidhatch.gateway.gossip import (
+    MAX_STREAM,
+    MAX_STREAM_AGE_US,
+    SEQUENCE_NUMBERS,
+    TOTAL_UNITS,
+    GossipMessage,
+    SpentTotal,
+)
 from orchidhatch.gateway.settings import Plan
 from orchidhatch.gateway.spent_totals import (
     REORDERING_US,
@@ -126,6 +133,20 @@
     assert count_all(ReceivedTotals(NOW_US - 10 * S), messages) == [1.0, 2.0]
 
 
+def test_old_total_is_not_charged_by_a_leader_that_does_not_know_it() -> None:
+    """Guards against a total that a leader of the version before has counted, charged long after it."""
+    stream = ReportStream()
+    report(stream, 500.0, NOW_US - 2 * MAX_STREAM_AGE_US)
+    totals = ReceivedTotals(NOW_US - 3 * MAX_STREAM_AGE_US)
+    assert count_all(totals, [report(stream, 1.0), report(stream, 2.0)]) == [1.0, 2.0]
+
+
+def test_total_stays_in_its_range() -> None:
+    stream = ReportStream()
+    units = [stream.add(spent, NOW_US).units for spent in (-2.0, 1.0, TOTAL_UNITS, 1.0)]
+    assert units == pytest.approx([TOTAL_UNITS - 2.0, TOTAL_UNITS - 1.0, TOTAL_UNITS - 1.0, 0.0])
+
+
 def test_stream_that_began_just_before_its_leader_counts_in_full() -> None:
     """Guards against first messages that overtake each other while the leader learns of the customer."""
     stream = ReportStream()
@@ -169,6 +190,16 @@
     assert pair.counted(OTHER_CUSTOMER) == pytest.approx(4.0, abs=ROUNDING)
 
 
+def test_first_report_is_lost_where_the_leader_is_new() -> None:
+    """Guards against spending counted twice, as the level that a new leader takes over lacks it already."""
+    pair = HeldPair()
+    pair.ask("lost", units=2.0, customer=OTHER_CUSTOMER)
+    pair.lose_all()
+    pair.ask("b", units=1.0, customer=OTHER_CUSTOMER)
+    pair.deliver_all()
+    assert pair.counted(OTHER_CUSTOMER) == pytest.approx(3.0, abs=ROUNDING)
+
+
 @pytest.mark.parametrize("through_codec", [False, True], ids=["objects", "datagrams"])
 @pytest.mark.parametrize("seed", range(10))
 def test_late_and_lost_reports_are_counted_once(seed: int, through_codec: bool) -> None:
