--- a/tests/gateway/test_grant_accounting_open.py
+++ b/tests/gateway/test_grant_accounting_open.py
@@ -23,6 +23,7 @@
     PLAN,
     SEND_SPACING,
     SLOTS_PLAN,
+    TIMED_OUT,
     HeldPair,
     HeldPairOfLargePlan,
     Successor,
@@ -214,6 +215,19 @@
     assert pair.counted() == pytest.approx(1.0, abs=0.03)
 
 
+def test_grant_whose_answers_are_lost_is_counted_once() -> None:
+    """Guards against units that the leader counts with a grant, and once more as its member reports them."""
+    pair = HeldPair()
+    pair.ask("a", units=6.0)
+    for _ in range(MAX_GRANT_REQUESTS):
+        pair.deliver_to_leader()
+        pair.lose_all()
+        pair.run(PAST_ONE_WAIT)
+    pair.settle()
+    assert pair.sources[-1] is TIMED_OUT
+    assert pair.counted() == pytest.approx(pair.admitted_units(), abs=0.03)
+
+
 def test_repeated_answers_to_a_predecessor_are_given_back_once() -> None:
     """Guards against units that stay counted where a successor uses a number of its predecessor's."""
     pair = HeldPair(replace(PLAN, burst=1000.0))
--- a/tests/gateway/test_spent_totals.py
+++ b/tests/gateway/test_spent_totals.py
@@ -8,7 +8,7 @@
 from orchidhatch.gateway.actions import SendGossip
 from orchidhatch.gateway.core import GatewayCore
 from orchidhatch.gateway.endpoints import EndpointListKind
-from orchidhatch.gateway.events import EndpointList, PeerMessage
+from orchidhatch.gateway.events import EndpointList, PeerMessage, PolicyChange
 from orchidhatch.gateway.gossip import (
     MAX_STREAM,
     MAX_STREAM_AGE_US,
@@ -26,7 +26,7 @@
     ReportStream,
 )
 from tests.gateway.held_pair import BURST, OTHER_CUSTOMER, PLAN, HeldPair
-from tests.helpers import MS, S, of, servers
+from tests.helpers import MS, SETTINGS, S, of, servers
 
 PEER = 1
 NOW_US = 100 * S
@@ -273,6 +273,22 @@
     assert pair.counted() == pytest.approx(8.0, abs=ROUNDING)
 
 
+def test_reports_that_are_ignored_during_a_policy_change_are_counted() -> None:
+    """Guards against units reported to a leader that goes by another policy yet, and so ignores them."""
+    pair = HeldPair(LARGE_PLAN)
+    change = PolicyChange(SETTINGS.classes, (LARGE_PLAN,), frozenset(), 2, (0,))
+    pair.ask("before", units=1.0)
+    pair.deliver_all()
+    pair.tell(pair.member, change)
+    pair.ask("ignored", units=2.0)
+    pair.deliver_all()
+    assert pair.counted() == pytest.approx(1.0, abs=ROUNDING)
+    pair.tell(pair.leader, change)
+    pair.ask("after", units=4.0)
+    pair.deliver_all()
+    assert pair.counted() == pytest.approx(7.0, abs=ROUNDING)
+
+
 # --- gateways of the version before ---
 
 
