Totals: widths of a total's fields follow their ranges; shorter names of tests

The codec repeated the widths that gossip.py gives as ranges. The datagrams are the same; the tests of totals, of the codec and of the documents pass.

--- a/orchidhatch/gateway/spent_total_codec.py
+++ b/orchidhatch/gateway/spent_total_codec.py
@@ -11,6 +11,7 @@
     AMOUNT_STEPS,
     MAX_STREAM_AGE_US,
     NO_STREAM,
+    SEQUENCE_NUMBERS,
     STREAM_AGE_STEP_US,
     TOTAL_STEPS,
     GossipMessage,
@@ -29,9 +30,9 @@
 NUMBER_BYTES = 6
 """A total without its marks, as one number: the stream, the sequence, the steps and the age."""
 
-SEQUENCE_BITS = 6
-STEPS_BITS = 24
-AGE_BITS = 4
+SEQUENCE_BITS = (SEQUENCE_NUMBERS - 1).bit_length()
+STEPS_BITS = (TOTAL_STEPS - 1).bit_length()
+AGE_BITS = (MAX_STREAM_AGE_US // STREAM_AGE_STEP_US).bit_length()
 
 
 def has_totals(messages: Sequence[GossipMessage]) -> bool:
@@ -47,13 +48,14 @@
 
 
 def pack_total(total: SpentTotal | None) -> bytes:
-    """One total, its units rounded to the nearest step; None goes as one of no stream."""
+    """One total, its units rounded to the nearest step and its age down; None goes as one of no stream."""
     if total is None:
         total = SpentTotal(NO_STREAM, sequence=0, units=0.0, age_us=0)
     steps = round(total.units * AMOUNT_STEPS) % TOTAL_STEPS
+    age = min(MAX_STREAM_AGE_US, total.age_us) // STREAM_AGE_STEP_US
     number = total.stream << SEQUENCE_BITS | total.sequence
     number = number << STEPS_BITS | steps
-    number = number << AGE_BITS | min(MAX_STREAM_AGE_US, total.age_us) // STREAM_AGE_STEP_US
+    number = number << AGE_BITS | age
     data = number.to_bytes(NUMBER_BYTES, "big")
     return data[:2] + TOTAL_MARK + data[2:5] + TOTAL_MARK + data[5:]
 
@@ -64,10 +66,10 @@
     """The messages with their totals, and the rest of the data; all as it is where the data has no totals."""
     reports = [message for message in messages if not message.is_answer]
     end = TOTAL_BYTES * len(reports)
-    parts = [data[start : start + TOTAL_BYTES] for start in range(0, end, TOTAL_BYTES)]
-    if not all(map(is_total, parts)):
+    records = [data[start : start + TOTAL_BYTES] for start in range(0, end, TOTAL_BYTES)]
+    if not all(map(is_total, records)):
         return messages, data
-    totals = map(unpack_total, parts)
+    totals = map(unpack_total, records)
     with_totals = [
         message if message.is_answer else replace(message, spent_total=next(totals)) for message in messages
     ]
--- a/tests/gateway/test_gossip_codec.py
+++ b/tests/gateway/test_gossip_codec.py
@@ -114,7 +114,7 @@
     assert unpack_message(datagram)[0] == (replace(REPORT, spent_total=arrives),)
 
 
-def test_totals_are_observations_of_no_class_to_the_version_before() -> None:
+def test_version_before_learns_nothing_from_totals() -> None:
     """Guards against totals that a gateway of the version before learns from as observations."""
     messages = [ANSWER, report_with_total(1), report_with_total(2)]
     [datagram] = pack_message(messages, OBSERVATIONS)
--- a/tests/gateway/test_spent_totals.py
+++ b/tests/gateway/test_spent_totals.py
@@ -57,7 +57,7 @@
     assert count_all(ReceivedTotals(LONG_AGO_US), [messages[0], messages[3]]) == [1.0, 14.0]
 
 
-def test_units_given_back_in_lost_messages_are_counted_with_the_next() -> None:
+def test_lost_returns_are_counted_with_the_next() -> None:
     stream = ReportStream()
     messages = [report(stream, spent) for spent in (1.0, -5.0, 0.0, 2.0)]
     assert count_all(ReceivedTotals(LONG_AGO_US), [messages[0], messages[2], messages[3]]) == [1.0, -5.0, 2.0]
@@ -73,7 +73,8 @@
 
 def test_message_that_arrives_twice_is_counted_once() -> None:
     stream = ReportStream()
-    first, second = report(stream, 1.0), report(stream, 2.0)
+    first = report(stream, 1.0)
+    second = report(stream, 2.0)
     assert count_all(ReceivedTotals(LONG_AGO_US), [first, second, second, first]) == [1.0, 2.0, 0.0, 0.0]
 
 
@@ -107,7 +108,8 @@
 
 def test_totals_of_members_are_apart() -> None:
     totals = ReceivedTotals(LONG_AGO_US)
-    first, second = ReportStream(), ReportStream()
+    first = ReportStream()
+    second = ReportStream()
     counted = [
         totals.count(peer, report(stream, spent), NOW_US)
         for peer, stream, spent in ((1, first, 1.0), (2, second, 5.0), (1, first, 2.0), (2, second, 6.0))
@@ -133,7 +135,7 @@
     assert count_all(ReceivedTotals(NOW_US - 10 * S), messages) == [1.0, 2.0]
 
 
-def test_old_total_is_not_charged_by_a_leader_that_does_not_know_it() -> None:
+def test_unknown_old_total_is_not_charged() -> None:
     """Guards against a total that a leader of the version before has counted, charged long after it."""
     stream = ReportStream()
     report(stream, 500.0, NOW_US - 2 * MAX_STREAM_AGE_US)
@@ -159,7 +161,8 @@
 
 def test_stream_of_a_restarted_member_counts_from_its_start() -> None:
     """Guards against the difference of two processes' totals taken for spending or for a return."""
-    before, after = ReportStream(), ReportStream()
+    before = ReportStream()
+    after = ReportStream()
     totals = ReceivedTotals(LONG_AGO_US)
     count_all(totals, [report(before, 500.0), report(before, 50.0)])
     restarted_us = NOW_US + 200 * MS
@@ -179,7 +182,7 @@
 # --- a member and its leader ---
 
 
-def test_first_report_is_lost_where_the_leader_knows_the_customer() -> None:
+def test_lost_first_report_is_counted_by_a_leader() -> None:
     """Guards against units in a lost first report, where the leader serves the customer too."""
     pair = HeldPair()
     pair.ask("own", units=1.0, customer=OTHER_CUSTOMER, at_leader=True)
@@ -190,7 +193,7 @@
     assert pair.counted(OTHER_CUSTOMER) == pytest.approx(4.0, abs=ROUNDING)
 
 
-def test_first_report_is_lost_where_the_leader_is_new() -> None:
+def test_lost_first_report_is_counted_by_a_new_leader() -> None:
     """Guards against spending counted twice, as the level that a new leader takes over lacks it already."""
     pair = HeldPair()
     pair.ask("lost", units=2.0, customer=OTHER_CUSTOMER)
@@ -273,7 +276,7 @@
     assert pair.counted() == pytest.approx(8.0, abs=ROUNDING)
 
 
-def test_reports_that_are_ignored_during_a_policy_change_are_counted() -> None:
+def test_reports_ignored_during_a_policy_change_are_counted() -> None:
     """Guards against units reported to a leader that goes by another policy yet, and so ignores them."""
     pair = HeldPair(LARGE_PLAN)
     change = PolicyChange(SETTINGS.classes, (LARGE_PLAN,), frozenset(), 2, (0,))
--- a/tests/gateway/test_spent_totals_handover.py
+++ b/tests/gateway/test_spent_totals_handover.py
@@ -32,7 +32,7 @@
 # --- the member's process is replaced ---
 
 
-def test_report_that_is_lost_before_a_handover_is_counted() -> None:
+def test_report_lost_before_a_handover_is_counted() -> None:
     """Guards against a successor whose totals lack what its predecessor's lost reports have said."""
     pair = HeldPair(LARGE_PLAN)
     pair.ask("a", units=1.0)
@@ -103,7 +103,7 @@
 # --- the leader's process is replaced ---
 
 
-def test_report_that_is_lost_before_its_leaders_handover_is_counted() -> None:
+def test_report_lost_before_a_leader_handover_is_counted() -> None:
     """Guards against a leader's successor that does not know what its predecessor has counted."""
     pair = HeldPair(LARGE_PLAN)
     pair.ask("a", units=1.0)
@@ -133,7 +133,7 @@
     assert pair.counted() == pytest.approx(7.0, abs=ROUNDING)
 
 
-def test_leader_after_one_of_the_version_before_charges_no_former_total() -> None:
+def test_leader_after_the_version_before_charges_no_total() -> None:
     """Guards against totals charged again, as the version before does not hand them over."""
     pair = HeldPair(LARGE_PLAN)
     pair.ask("a", units=500.0)
