--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 
 MEMORY_MB = 80
 SOCKETS = 384
-CLIENTS = 60
+CLIENTS = 30
 CLIENT_EVERY_S = 0.03
 # The protocol's longest value, and the longest of the hard days.
 USUAL_BYTES = 64 * 1024
@@ -71,7 +71,7 @@
 
 
 async def slow_reader(connection: socket.socket) -> asyncio.StreamReader:
-    """Return what a client has read, that takes up to two seconds for 4 MiB."""
+    """Return what a client has read, that takes some seconds for 4 MiB."""
     reader = asyncio.StreamReader(limit=LONG_BYTES * 2)
 
     async def copy() -> None:
