--- a/review/3/case.py
+++ b/review/3/case.py
@@ -60,6 +60,10 @@
     settings["plans"] = [{**settings["plans"][2], **plan}]
     settings["ceilings"] |= {"max-attempts": 3, "max-retry-after-us": 500_000, "peers": False}
     settings["ceilings"] |= {"conn-idle-us": 15_000_000}
+    settings |= {"tiers": ["parcel-map"], "kinds": ["std-4c"], "zones": ["room-a", "room-b", "room-c"]}
+    settings["stats"] = {"how": "on_probe", "names": ["cpu_share", "served_ps"]}
+    settings["clients"] = {"marks-retry": False}
+    settings["extra"] |= {"largest": 6}
     settings["obligations"] |= {"drain-grace-us": 500_000, "fall-us": 2_000_000}
     return settings
 
@@ -110,6 +114,7 @@
     for node in nodes:
         await node.start()
     discovery = await Discovery(record).start()
+    discovery.zone, discovery.kind = "room-a", "std-4c"
     discovery.set(*map(discovery.entry, nodes))
     gateway = Gateway(record, folder)
     try:
