Answers in memory: one account, bounded on every path, freed as they are sent

Clients that are slow to take many short answers are closed with answers owed (at 32 MB after 53 of 300). A long value that comes slowly, with a command behind it, is answered -BUSY at the request's deadline.

Cause: a value with commands behind it was put together whole, copied twice and handed to the transport as one object, which is freed with its last byte. One account ended when the value was complete, the other had only what the transport had left to write, and nothing behind an answer that is missing. Three answers of 64 KiB behind a missing one counted as 0 bytes. The bound on short answers was met by closing clients; a buffered value kept its attempt's time-out.

Change: an answer is a queue of pieces, handed to the transport one by one. SendBacklog counts unsent answers, incomplete replies and what is reserved. Long values stop at its limit, short replies at half as much again, but for one at a time. A value that has to be complete first reserves its memory in turn, or waits at its backend; at the request's deadline it is streamed if its backend steadily gives it. LongValues leaves RequestLifecycle.

test_client_sweeper's clogged waited for unsent bytes, which now include answers behind a missing one; it waits for the full write buffer instead, which is what it is about. test_long_values sets the stall's time where it is now. test_long_values' bounds are unchanged.

--- a/orchidhatch/proxy/backend_connection.py
+++ b/orchidhatch/proxy/backend_connection.py
@@ -17,6 +17,7 @@
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
 from orchidhatch.proxy.idle_limit import IdleLimit
 from orchidhatch.proxy.resp import ProtocolError, ReplyReader
+from orchidhatch.proxy.send_backlog import SendBacklog
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +29,8 @@
 """A value above MAX_VALUE_BYTES is streamed to the client."""
 READ_BUFFER_BYTES = 32 * 1024
 """Bytes per read; up to as many of each long value may be buffered for its client."""
+SHORT_READ_BYTES = 4 * 1024
+"""Bytes per read while memory for answers is short."""
 WRITE_TIMEOUT_S = 0.1
 """A command states the time left when it was encoded, so it must not be written much later."""
 
@@ -66,6 +69,7 @@
     """The state that the connections to all backends share."""
 
     account: CpuAccounting
+    backlog: SendBacklog
     idle_limit: IdleLimit
     read_buffer: memoryview
     tally: Counter[str]
@@ -104,6 +108,8 @@
         self.reader = ReplyReader(MAX_VALUE_BYTES, MAX_LONG_VALUE_BYTES)
         self.received_bytes = 0
         """Bytes of the current reply, without a long value."""
+        self.partial_bytes = 0
+        """Bytes of an incomplete reply that are counted in the backlog."""
         self.on_piece: Callable[[bytes], None] | None = None
         """The consumer of a long value's pieces; None unless streaming."""
         self.remaining_value_bytes = 0
@@ -148,7 +154,10 @@
 
     def get_buffer(self, size_hint: int) -> memoryview:
         """Return the read buffer that all connections share; each read is copied out before the next one."""
-        return self.pool.owner.read_buffer
+        owner = self.pool.owner
+        if owner.backlog.must_read_little():
+            return owner.read_buffer[:SHORT_READ_BYTES]
+        return owner.read_buffer
 
     def buffer_updated(self, size: int) -> None:
         """Handle the `size` bytes that were read into the buffer."""
@@ -175,6 +184,25 @@
         if self.remaining_value_bytes or attempt.has_ended:
             return
         self._read_reply(attempt)
+        is_partial = self.attempt is attempt and self.on_piece is None
+        if is_partial or self.partial_bytes:
+            self._count_partial_reply()
+
+    def _count_partial_reply(self) -> None:
+        """Count the bytes of an incomplete reply, and pause while there is no memory for the rest of it."""
+        backlog = self.pool.owner.backlog
+        partial_bytes = len(self.reader.buffer) if self.attempt else 0
+        backlog.partial_bytes += partial_bytes - self.partial_bytes
+        self.partial_bytes = partial_bytes
+        if not partial_bytes:
+            backlog.end_reply(self)
+        elif not backlog.may_read_on(self):
+            self.transport.pause_reading()
+
+    def resume_reply(self) -> None:
+        """Continue to read an incomplete reply."""
+        if self.is_usable():
+            self.transport.resume_reading()
 
     def eof_received(self) -> None:
         """Abort, as no reply can come any more; a plain close would first wait for pending writes."""
@@ -186,6 +214,8 @@
         self.pool.discard(self)
         attempt = self.attempt
         self.attempt = None
+        if self.partial_bytes:
+            self._count_partial_reply()
         if attempt:
             self._end_reset_attempt(attempt)
         if self.abandoned:
--- a/orchidhatch/proxy/backend_pool.py
+++ b/orchidhatch/proxy/backend_pool.py
@@ -16,6 +16,7 @@
 from orchidhatch.proxy.guards import Guard, Refusal
 from orchidhatch.proxy.idle_limit import IdleLimit
 from orchidhatch.proxy.local_errors import retry_local
+from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.wait_queues import WaitHistogram
 
 log = logging.getLogger(__name__)
@@ -28,6 +29,7 @@
     """The state that the pools of all backends share."""
 
     account: CpuAccounting
+    backlog: SendBacklog
     guard: Guard
     idle_limit: IdleLimit
     tally: Counter[str]
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -18,6 +18,7 @@
 from orchidhatch.proxy.idle_limit import HALVING_INTERVAL_S, IdleLimit
 from orchidhatch.proxy.local_errors import error_name
 from orchidhatch.proxy.loop_watch import LoopWatch
+from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.wait_queues import WaitHistogram
 
 log = logging.getLogger(__name__)
@@ -47,8 +48,10 @@
         account: CpuAccounting | None = None,
         guard: Guard | None = None,
         loop_watch: LoopWatch | None = None,
+        backlog: SendBacklog | None = None,
     ) -> None:
         self.account = account or CpuAccounting()
+        self.backlog = backlog or SendBacklog()
         self.guard = guard or Guard()
         self.loop_watch = loop_watch or LoopWatch()
         self.idle_limit = IdleLimit(round(idle_us * IDLE_TIME_SHARE))
--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -29,6 +29,8 @@
 WRITE_BUFFER_BYTES = 16 * 1024
 # How long the client may take to close its side after this side was closed.
 LINGER_TIMEOUT_S = 1.0
+# How long a client may read nothing while bytes wait for it.
+SEND_STALL_TIMEOUT_S = 30.0
 INTERNAL_ERROR = b"-ERR internal error\r\n"
 
 
@@ -86,8 +88,14 @@
         self.is_write_paused = False
         self.is_reading_stopped = False
         self.has_sent_request = False
+        self.queued_bytes = 0
+        """Bytes of answers that are ready and not yet handed to the transport."""
+        self.written_piece_bytes = 0
+        """Size of the last piece handed to the transport, which is freed when all of it is sent."""
+        self.write_buffer_bytes = 0
+        """Bytes in the transport's write buffer, as last measured."""
         self.unsent_bytes = 0
-        """Bytes not yet sent to the client, as last measured."""
+        """Memory of the answers not yet sent to the client, as last measured."""
         self.command_deadline_s: float | None = None
         """When the awaited command must be complete; None if none is awaited."""
         self.read_paused_s = 0.0
@@ -251,26 +259,29 @@
             self.clients.account.leave(previous)
 
     def _write_ready(self) -> None:
-        ready = self._pop_ready()
-        if ready and not self.transport.is_closing():
-            self.transport.write(b"".join(ready))
-            if self.is_write_paused:
-                self.update_unsent_bytes()
+        """Hand answers to the transport in order, piece by piece, until its write buffer is full."""
+        while self.replies and self._write_pieces(self.replies[0]):
+            self.replies.popleft()
+        if self.is_write_paused or self.queued_bytes or self.unsent_bytes:
+            self.update_unsent_bytes()
         if not self.replies:
             self._handle_all_answered()
+        elif not self.is_write_paused and not self.replies[0].pieces:
+            self.replies[0].set_paused(False)  # its client has read all there was, so it goes on at any limit
         self.update_reading()
 
-    def _pop_ready(self) -> list[bytes]:
-        """Remove and return the data that may be written now, in the order of the commands."""
-        ready = []
-        while self.replies and self.replies[0].data is not None:
-            first = self.replies[0]
-            ready.append(first.data)
-            if not first.is_complete:
-                first.data = b""
-                break
-            self.replies.popleft()
-        return ready
+    def _write_pieces(self, reply: Reply) -> bool:
+        """Write the answer's pieces while the client reads; return whether the answer is fully written."""
+        is_closing = self.transport.is_closing()
+        while reply.pieces:
+            if self.is_write_paused and not is_closing:
+                return False
+            piece = reply.pieces.pop()
+            self.queued_bytes -= len(piece)
+            if not is_closing:
+                self.written_piece_bytes = len(piece)
+                self.transport.write(piece)
+        return reply.is_complete
 
     def _handle_all_answered(self) -> None:
         if self.is_ending:
@@ -323,13 +334,12 @@
         self.update_reading()
 
     def resume_writing(self) -> None:
-        """Resume reading and streaming, as the write buffer has drained."""
+        """Continue to write, stream and read, as the write buffer has drained."""
         self.is_write_paused = False
+        self.last_progress_s = self.now_s()
         self.clients.metrics.unsent_waits.note(self.clients.elapsed_us(self.write_paused_s))
         self.update_unsent_bytes()
-        if self.replies:
-            self.replies[0].set_paused(False)
-        self.update_reading()
+        self.flush()
 
     def must_pause_source(self) -> bool:
         """Return whether too many bytes wait for slow clients to read more of a streamed answer."""
@@ -339,14 +349,27 @@
         """Measure the bytes not yet sent to the client and update the backlog of all clients."""
         unsent_bytes = 0
         if self.transport and self.state is not ConnectionState.LOST:
-            blocked_bytes = sum(len(reply.data) for reply in self.replies if reply.data)
-            unsent_bytes = self.transport.get_write_buffer_size() + blocked_bytes
-        if unsent_bytes < self.unsent_bytes or not self.unsent_bytes:
-            self.last_progress_s = self.now_s()
+            unsent_bytes = self.queued_bytes + self._measure_write_buffer()
+        has_shrunk = unsent_bytes < self.unsent_bytes
         self.clients.backlog.unsent_bytes += unsent_bytes - self.unsent_bytes
         self.unsent_bytes = unsent_bytes
         if unsent_bytes:
             self.clients.schedule_sweep()
+        if has_shrunk:
+            self.clients.backlog.resume_waiting()
+
+    def _measure_write_buffer(self) -> int:
+        """Return the memory of the transport's write buffer, and note whether the client has read from it."""
+        buffer_bytes = self.transport.get_write_buffer_size()
+        if buffer_bytes < self.write_buffer_bytes or not self.write_buffer_bytes:
+            self.last_progress_s = self.now_s()
+        self.write_buffer_bytes = buffer_bytes
+        return max(buffer_bytes, self.written_piece_bytes) if buffer_bytes else 0
+
+    def is_awaiting_client(self) -> bool:
+        """Return whether bytes wait for the client to read, and no streamed answer is incomplete."""
+        has_written_bytes = bool(self.unsent_bytes and self.write_buffer_bytes)
+        return has_written_bytes and not any(reply.is_streaming() for reply in self.replies)
 
     def may_need_sweep(self) -> bool:
         """Return whether a time limit may close the connection or resume it."""
@@ -450,6 +473,7 @@
         self._enter(ConnectionState.CLIENT_LEFT)
         replies = list(self.replies)
         self.replies.clear()
+        self.queued_bytes = 0
         for reply in replies:
             if not reply.is_complete:
                 self.clients.abandon_request(reply)
--- a/orchidhatch/proxy/client_sweeper.py
+++ b/orchidhatch/proxy/client_sweeper.py
@@ -4,15 +4,13 @@
 import logging
 from collections.abc import Iterable
 
-from orchidhatch.proxy.client_connection import ClientConnection, ConnectionOwner
+from orchidhatch.proxy.client_connection import SEND_STALL_TIMEOUT_S, ClientConnection, ConnectionOwner
 from orchidhatch.proxy.connection_state import CloseReason, ConnectionState
 from orchidhatch.proxy.cpu_accounting import CostCategory
 
 log = logging.getLogger(__name__)
 
 IDLE_SWEEP_INTERVAL_S = 0.1
-# How long a client may read nothing while bytes wait for it.
-SEND_STALL_TIMEOUT_S = 30.0
 COMMAND_TIMEOUT_ERROR = b"-ERR no whole command came in time\r\n"
 
 
@@ -68,6 +66,7 @@
         for connection in self.connections:
             if connection.unsent_bytes:
                 connection.update_unsent_bytes()
+        self.clients.backlog.resume_waiting()
         for connection in self.connections:
             for reply in connection.replies:
                 if reply.is_paused and not self.clients.backlog.is_over_limit():
@@ -88,11 +87,7 @@
 
     def _slow_readers(self) -> list[ClientConnection]:
         """Return the connections with unsent bytes and no streamed answer, the one stalled longest first."""
-        waiting = [
-            connection
-            for connection in self.connections
-            if connection.unsent_bytes and not any(reply.source for reply in connection.replies)
-        ]
+        waiting = [connection for connection in self.connections if connection.is_awaiting_client()]
         return sorted(waiting, key=lambda connection: connection.last_progress_s)
 
     def _close_slow_reader(self, connection: ClientConnection, stalled_s: float) -> None:
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -34,6 +34,7 @@
         account: CpuAccounting | None = None,
         guard: Guard | None = None,
         loop_watch: LoopWatch | None = None,
+        backlog: SendBacklog | None = None,
     ) -> None:
         self.max_connections = max_connections
         self.start_request = start_request
@@ -43,7 +44,7 @@
         self.loop_watch = loop_watch or LoopWatch()
         self.clock: Callable[[], float] = time.monotonic
         self.metrics = ClientMetrics()
-        self.backlog = SendBacklog()
+        self.backlog = backlog or SendBacklog()
         self.handover_peer_connections = 0
         """Client connections of the other process of this gateway during a handover."""
         self.connections: set[ClientConnection] = set()
--- a/orchidhatch/proxy/metrics_page.py
+++ b/orchidhatch/proxy/metrics_page.py
@@ -146,6 +146,18 @@
                     "Bytes buffered for slow clients.",
                     {"": self.clients.backlog.unsent_bytes},
                 ),
+                metric_text(
+                    "reserved_bytes",
+                    "gauge",
+                    "Memory reserved for long values that are sent once they are complete.",
+                    {"": self.clients.backlog.reserved_bytes},
+                ),
+                metric_text(
+                    "partial_reply_bytes",
+                    "gauge",
+                    "Bytes of incomplete replies of backends.",
+                    {"": self.clients.backlog.partial_bytes},
+                ),
             ]
         )
 
--- a/orchidhatch/proxy/reply.py
+++ b/orchidhatch/proxy/reply.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from orchidhatch.proxy.piece_buffer import PieceBuffer
+
 FAILED_ANSWER = b"-ERR failed\r\n"
 
 
@@ -23,6 +25,7 @@
     is_reading: bool
     is_write_paused: bool
     arrived_us: int
+    queued_bytes: int
 
     def now_s(self) -> float:
         """Return the time of the connection's clock, in seconds."""
@@ -52,36 +55,63 @@
 class Reply:
     """One answer in the queue of its connection.
 
-    `data` is the part that is ready and not yet written, None before any part is ready. A long answer is
-    streamed: its chunks come from `source`, which is paused while they cannot be sent. `request_id` is the id
-    of the answered request, None for other commands. `last_progress_s` is the time of the last chunk.
+    `pieces` are ready and not yet written. A long answer is streamed: its chunks come from `source`, which is
+    paused while they cannot be sent. `request_id` is the id of the answered request, None for other
+    commands. `last_progress_s` is the time of the last chunk.
     """
 
-    __slots__ = ("connection", "data", "is_complete", "is_paused", "last_progress_s", "request_id", "source")
+    __slots__ = (
+        "connection",
+        "is_complete",
+        "is_paused",
+        "last_progress_s",
+        "pieces",
+        "request_id",
+        "source",
+    )
 
     def __init__(self, connection: ReplyConnection, data: bytes | None = None) -> None:
         """Create an answer; `data` is the complete answer if it is already known."""
         self.connection = connection
-        self.data = data
+        self.pieces = PieceBuffer()
         self.is_complete = data is not None
         self.request_id: str | None = None
         self.source: ReplySource | None = None
         self.is_paused = False
         self.last_progress_s = 0.0
+        if data is not None:
+            self._queue(data)
+
+    def _queue(self, data: bytes) -> None:
+        self.pieces.append(data)
+        self.connection.queued_bytes += len(data)
 
     def send(self, data: bytes) -> None:
         """Send the complete answer, or its last chunk; ignored if the answer is already complete."""
         if self.is_complete:
             return
-        if self.is_streaming():
-            self.connection.end_stream()
-        self.data = (self.data or b"") + data
-        self.is_complete = True
+        self._queue(data)
+        self._complete()
         self.connection.flush()
 
+    def _complete(self) -> None:
+        was_streaming = self.is_streaming()
+        self.is_complete = True
+        if was_streaming:
+            self.connection.end_stream()
+
+    def send_pieces(self, head: bytes, pieces: PieceBuffer, tail: bytes) -> None:
+        """Send the complete answer, whose pieces are moved out of `pieces`; ignored if it is complete."""
+        if self.is_complete:
+            return
+        self._queue(head)
+        while pieces:
+            self._queue(pieces.pop())
+        self.send(tail)
+
     def start_stream(self, data: bytes, source: ReplySource) -> None:
         """Start to stream the answer; `data` is its first part."""
-        self.data = data
+        self._queue(data)
         self.source = source
         self.last_progress_s = self.connection.now_s()
         self.connection.begin_stream()
@@ -107,11 +137,11 @@
 
     def append(self, data: bytes) -> None:
         """Send a further chunk; pause the source while the client is slow and the backlog is too large."""
-        self.data += data
+        self._queue(data)
         self.last_progress_s = self.connection.now_s()
         self.connection.flush()
         self.connection.update_unsent_bytes()
-        if self.connection.is_write_paused or self.data:
+        if self.connection.is_write_paused or self.pieces:
             self.set_paused(self.connection.must_pause_source())
 
     def set_paused(self, is_paused: bool) -> None:
@@ -125,9 +155,12 @@
             self.source.resume()
 
     def abort(self) -> None:
-        """End an incomplete answer by closing the connection, which is how the client detects it."""
+        """End an incomplete answer: a streamed one by closing the connection, any other with an error."""
         if self.is_complete:
             return
+        if not self.is_streaming():
+            self.send(FAILED_ANSWER)
+            return
         self.is_complete = True
         self.source = None
         self.connection.abort_stream()
--- a/orchidhatch/proxy/request_exchange.py
+++ b/orchidhatch/proxy/request_exchange.py
@@ -5,6 +5,7 @@
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.proxy.attempt import Attempt
 from orchidhatch.proxy.command_parser import Command
+from orchidhatch.proxy.held_value import HeldValue
 from orchidhatch.proxy.reply import Reply
 
 
@@ -13,19 +14,19 @@
 
     The plan is kept by name, as a reload may give its number to another plan. `policy_digest` is the digest
     of the policy that admitted the request, "" if that is not logged. `streaming_attempt` is the attempt
-    whose long value is being streamed to the client; `buffer` holds a long value that is not streamed, of up
-    to `buffer_size` bytes. `first_possible_run_us` is the send time of the first attempt that a backend may
-    have run, 0 if there is none. Times are in microseconds of the process's clock.
+    whose long value is being streamed to the client; `held` is a long value that is kept until it is
+    complete, or until `held_timer` expires. `first_possible_run_us` is the send time of the first attempt
+    that a backend may have run, 0 if there is none. Times are in microseconds of the process's clock.
     """
 
     __slots__ = (
         "arrived_us",
         "attempt_count",
-        "buffer",
-        "buffer_size",
         "command",
         "deadline_us",
         "first_possible_run_us",
+        "held",
+        "held_timer",
         "in_flight",
         "last_result",
         "plan_name",
@@ -46,13 +47,28 @@
         self.arrived_us = deadline_us - command.request.time_left_us
         self.attempt_count = 0
         self.first_possible_run_us = 0
-        self.buffer: bytearray | None = None
-        self.buffer_size = 0
+        self.held: HeldValue | None = None
+        self.held_timer: asyncio.TimerHandle | None = None
         self.last_result: AttemptResult | None = None
         self.in_flight: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.streaming_attempt: Attempt | None = None
 
+    def take_held(self, attempt: Attempt) -> HeldValue | None:
+        """Remove and return the attempt's long value; the caller releases its memory."""
+        held = self.held
+        if held is None or held.attempt is not attempt:
+            return None
+        self.held = None
+        self.held_timer.cancel()
+        return held
+
+    def drop_held(self, attempt: Attempt) -> None:
+        """Drop the attempt's long value, if there is one."""
+        held = self.take_held(attempt)
+        if held:
+            held.release()
+
     def has_another_in_flight(self, attempt: Attempt) -> bool:
         """Return whether another attempt of the request has not ended."""
         return any(other is not attempt and not other.has_ended for other in self.in_flight.values())
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -16,17 +16,17 @@
 
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject, SendAttempt
 from orchidhatch.gateway.attempts import NOT_RUN_RESULTS, AttemptResult, LoadReport
-from orchidhatch.gateway.events import AttemptEnded, ClientGone, Event, StreamStarted
+from orchidhatch.gateway.events import AttemptEnded, ClientGone, Event
 from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.attempt import Attempt
 from orchidhatch.proxy.backends import Backends
-from orchidhatch.proxy.client_sweeper import SEND_STALL_TIMEOUT_S
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.command_parser import CommandError
 from orchidhatch.proxy.config_reader import MAX_TIME_US
 from orchidhatch.proxy.guards import Guard, Refusal
+from orchidhatch.proxy.long_values import LongValues
 from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.metrics import RequestMetrics, RequestOutcome
 from orchidhatch.proxy.policy_guard import PolicyGuard
@@ -67,8 +67,7 @@
         self.ended: dict[str, RequestExchange] = {}
         """Answered or abandoned requests with attempts still in flight, by id."""
         self.open_command_bytes = 0
-        self.buffered_bytes = 0
-        """Total size of the long values that are buffered until they are complete."""
+        self.long_values = LongValues(self.open, post)
         self.queue_waits = WaitHistogram()
         self.tally: Counter[str] = Counter()
         """Requests and results of attempts since the last periodic log line."""
@@ -91,6 +90,12 @@
         self.clients = clients
         self.backends = backends
         self.policy_guard = policy_guard
+        self.long_values.clients = clients
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory that is reserved for long values until they are complete, in bytes."""
+        return self.clients.backlog.reserved_bytes
 
     # --- requests from clients ---
 
@@ -200,11 +205,9 @@
             action.server,
             exchange.command.payload,
             self.handle_attempt_end,
-            self.start_value,
+            self.long_values.begin,
             self.may_send,
         )
-        if exchange.buffer_size:
-            self._free_buffer(exchange)
         attempt.deadline_us = now + timeout_us
         exchange.in_flight[number] = attempt
         self.backends.send(attempt, timeout_us, action.start_within_us)
@@ -257,14 +260,14 @@
         """
         request_id = attempt.request_id
         if request_id in self.open and self.open[request_id].streaming_attempt is attempt:
-            self._end_stream(request_id, result is AttemptResult.OK)
+            self._end_stream(attempt, result is AttemptResult.OK)
         elif result is AttemptResult.OK and value is not None and request_id in self.open:
-            value = bytes(self.open[request_id].buffer or value)
-            self.answer(request_id, b"$%d\r\n%b\r\n" % (len(value), value), RequestOutcome.ANSWERED)
+            self._answer_value(self.open[request_id], attempt, value)
         has_ended = request_id not in self.open
         exchange = self.ended.get(request_id) if has_ended else self.open[request_id]
         if exchange:
             exchange.in_flight.pop(attempt.number, None)
+            exchange.drop_held(attempt)
             if result not in NOT_RUN_RESULTS and not exchange.first_possible_run_us:
                 exchange.first_possible_run_us = attempt.sent_us
             if has_ended and not exchange.in_flight:
@@ -279,6 +282,14 @@
             )
         )
 
+    def _answer_value(self, exchange: RequestExchange, attempt: Attempt, value: bytes) -> None:
+        """Answer with the attempt's value, or with its long value that was kept until now."""
+        if exchange.held and exchange.held.attempt is attempt:
+            self._end_stream(attempt, is_complete=True)
+        else:
+            data = b"$%d\r\n%b\r\n" % (len(value), value)
+            self.answer(attempt.request_id, data, RequestOutcome.ANSWERED)
+
     def cancel(self, action: CancelAttempt) -> None:
         """Cancel an attempt if it is in flight."""
         exchange = self.open.get(action.id) or self.ended.get(action.id)
@@ -286,81 +297,19 @@
         if attempt:
             attempt.cancel()
 
-    # --- long values ---
-
-    def start_value(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
-        """Start to stream a long value to the client and return the consumer of its chunks.
-
-        Returns None if the request has ended, streams another attempt's value, or would buffer the value
-        without room for it. A streamed value has no deadline: it ends early only if the backend's connection
-        or the client's breaks, or if it stalls. The value is buffered until it is complete if later commands
-        on the client's connection are unanswered, as aborting a stream closes the connection and would lose
-        their answers.
-        """
-        exchange = self.open.get(attempt.request_id)
-        if exchange is None or exchange.streaming_attempt:
-            return None
-        if not exchange.reply.is_last():
-            return self._buffer_value(exchange, attempt, size)
-        attempt.cancel_timeout()
-        exchange.streaming_attempt = attempt
-        exchange.timer.cancel()
-        exchange.timer = self.loop.call_later(SEND_STALL_TIMEOUT_S, self._check_stall, attempt.request_id)
-        elapsed_us = now_us() - attempt.sent_us
-        self.post(StreamStarted(attempt.request_id, attempt.number, attempt.server, elapsed_us))
-        exchange.reply.start_stream(b"$%d\r\n" % size, attempt)
-        return exchange.reply.append
-
-    def _buffer_value(
-        self, exchange: RequestExchange, attempt: Attempt, size: int
-    ) -> Callable[[bytes], None] | None:
-        """Buffer a long value until it is complete and return the consumer of its chunks.
-
-        Returns None if there is no room for the value.
-        """
-        if self.buffered_bytes + size > self.clients.backlog.limit_bytes:
-            log.warning("long value refused reason=buffer-full request=%s", attempt.request_id)
-            return None
-        buffer = bytearray()
-        exchange.buffer = buffer
-        exchange.buffer_size = size
-        self.buffered_bytes += size
-
-        def append_chunk(chunk: bytes) -> None:
-            if attempt.request_id in self.open:
-                buffer.extend(chunk)
-            else:
-                attempt.cancel()
-
-        return append_chunk
-
-    def _free_buffer(self, exchange: RequestExchange) -> None:
-        self.buffered_bytes -= exchange.buffer_size
-        exchange.buffer = None
-        exchange.buffer_size = 0
-
-    def _check_stall(self, request_id: str) -> None:
-        exchange = self.open.get(request_id)
-        if exchange is None:
-            return
-        remaining_s = exchange.reply.last_progress_s + SEND_STALL_TIMEOUT_S - self.clients.clock()
-        if remaining_s > 0:
-            exchange.timer = self.loop.call_later(remaining_s, self._check_stall, request_id)
-        else:
-            log.warning(
-                "long value aborted reason=stalled request=%s stalled_s=%.0f",
-                request_id,
-                SEND_STALL_TIMEOUT_S,
-            )
-            exchange.streaming_attempt.cancel()
-
-    def _end_stream(self, request_id: str, is_complete: bool) -> None:
-        exchange = self.close_request(request_id)
+    def _end_stream(self, attempt: Attempt, is_complete: bool) -> None:
+        """End a long value, which was streamed or kept until now, and close its request."""
+        held = self.open[attempt.request_id].take_held(attempt)
+        exchange = self.close_request(attempt.request_id)
         self._record_outcome(exchange, RequestOutcome.ANSWERED if is_complete else RequestOutcome.ERRORED)
-        if is_complete:
-            exchange.reply.send(b"\r\n")
-        else:
+        if not is_complete:
             exchange.reply.abort()
+        elif held:
+            exchange.reply.send_pieces(b"$%d\r\n" % held.size, held.pieces, b"\r\n")
+        else:
+            exchange.reply.send(b"\r\n")
+        if held:
+            held.release()
 
     # --- answers ---
 
@@ -402,8 +351,10 @@
         if exchange is None:
             return None
         self.open_command_bytes -= exchange.command.request.size_bytes
-        if exchange.buffer_size:
-            self._free_buffer(exchange)
+        if exchange.held:
+            attempt = exchange.held.attempt
+            exchange.drop_held(attempt)
+            attempt.cancel()  # its connection may be paused
         if not exchange.attempt_count:
             self.queue_waits.note(now_us() - exchange.arrived_us)
         if exchange.timer:
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -52,8 +52,12 @@
 from orchidhatch.proxy.policy_guard import PolicyGuard
 from orchidhatch.proxy.process_handover import ProcessHandover
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
-from orchidhatch.proxy.process_limits import apply_descriptor_limit, create_core_settings
+from orchidhatch.proxy.process_limits import (
+    apply_descriptor_limit,
+    create_core_settings,
+)
 from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.work_queues import WorkQueues
 
 log = logging.getLogger(__name__)
@@ -99,6 +103,8 @@
     def _create_connections(self, config: Config) -> None:
         sockets = max(MIN_SOCKETS, self.max_descriptors) - SPARE_SOCKETS
         max_clients = round(sockets * CLIENT_SOCKET_SHARE)
+        backlog = SendBacklog()
+        backlog.set_memory(config.memory_mb)
         self.backends = Backends(
             config.conn_idle_us,
             config.connect_timeout_us,
@@ -106,6 +112,7 @@
             self.account,
             self.guard,
             self.loop_watch,
+            backlog,
         )
         self.clients = Clients(
             max_clients,
@@ -114,8 +121,8 @@
             self.account,
             self.guard,
             self.loop_watch,
+            backlog,
         )
-        self.clients.backlog.set_memory(config.memory_mb)
         self.peers = Peers(config.peers, config.settings.gateway_index, self.dispatcher.post, self.account)
         self.peers.policy_mark = config.settings.policy_mark
 
--- a/orchidhatch/proxy/socket_inspection.py
+++ b/orchidhatch/proxy/socket_inspection.py
@@ -7,10 +7,11 @@
 import contextlib
 import fcntl
 import select
+import sys
 import termios
 
-# The integer that FIONREAD returns if nothing is unread.
-NO_BYTES = bytes(4)
+# The size of the integer that FIONREAD returns.
+INT_BYTES = 4
 
 
 def descriptor_of(transport: asyncio.BaseTransport) -> int:
@@ -18,13 +19,23 @@
     return transport.get_extra_info("socket").fileno()
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many received bytes are unread; 0 for a closed socket."""
+    return _queue_size(transport, termios.FIONREAD)
+
+
 def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
     """Return whether received bytes are unread; False for a closed socket."""
+    return unread_bytes(transport) > 0
+
+
+def _queue_size(transport: asyncio.BaseTransport, request: int) -> int:
+    """Return the size in bytes of the socket's queue that the request asks for."""
     try:
-        unread_count = fcntl.ioctl(descriptor_of(transport), termios.FIONREAD, NO_BYTES)
+        size = fcntl.ioctl(descriptor_of(transport), request, bytes(INT_BYTES))
     except OSError:
-        return False
-    return unread_count != NO_BYTES
+        return 0
+    return int.from_bytes(size, sys.byteorder, signed=True)
 
 
 def has_input_or_close(transport: asyncio.BaseTransport) -> bool:
--- a/tests/proxy/gateway_scripts.py
+++ b/tests/proxy/gateway_scripts.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Callable
 
 from orchidhatch.gateway.events import MetricsRequest
 from orchidhatch.proxy.reply import Reply
 from orchidhatch.proxy.server import GatewayServer
 from orchidhatch.proxy.wait_queues import QueueStatus, WaitHistogram
-from tests.sockets import Backend, Client, catalog, query
+from tests.sockets import Address, Backend, Client, catalog, query
 
 
 async def until(what: Callable[[], object]) -> None:
@@ -62,3 +63,15 @@
     while not gateway.clients.is_draining:
         await asyncio.sleep(0)
     return draining
+
+
+async def slow_client(address: Address) -> Client:
+    """A client that takes in little at once, and reads what it is asked to."""
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    raw.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(raw, address)
+    client = Client()
+    client.reader, client.writer = await asyncio.open_connection(sock=raw, limit=8192)
+    client.parser = Client.new_parser()
+    return client
--- a/tests/proxy/test_client_sweeper.py
+++ b/tests/proxy/test_client_sweeper.py
@@ -91,7 +91,7 @@
     await asyncio.get_running_loop().sock_connect(raw, address)
     reader.raw = raw
     for n in range(400):
-        if queue_status(gateway, "unsent_bytes").depth:
+        if any(connection.is_write_paused for connection in gateway.clients.connections):
             break
         await asyncio.get_running_loop().sock_sendall(raw, query(f"c{n}"))
         await asyncio.sleep(0.002)
--- a/tests/proxy/test_long_values.py
+++ b/tests/proxy/test_long_values.py
@@ -12,7 +12,7 @@
     backend_connection,
     backend_pool,
     client_connection,
-    request_lifecycle,
+    long_values,
     send_backlog,
 )
 from orchidhatch.proxy.metrics import RequestOutcome
@@ -159,7 +159,7 @@
 
 
 async def test_stalled_long_value_is_cut(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(request_lifecycle, "SEND_STALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(long_values, "SEND_STALL_TIMEOUT_S", 0.1)
 
     backend = Backend(lambda arguments: HEAD + LONG[:1000])
     async with front_door(backend) as (_, address):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -176,9 +176,14 @@
     async def open(cls, address: Address) -> "Client":
         client = cls()
         client.reader, client.writer = await asyncio.open_connection(*address)
-        client.parser = hiredis.Reader(notEnoughData=Client)
+        client.parser = cls.new_parser()
         return client
 
+    @classmethod
+    def new_parser(cls) -> hiredis.Reader:
+        """A parser that answers with this class as long as no answer is complete."""
+        return hiredis.Reader(notEnoughData=Client)
+
     def send(self, data: bytes) -> None:
         self.writer.write(data)
 
