Incomplete commands of all clients together have a bound in memory

Callers saw: nothing yet; 560 clients that each stop 60,000 bytes into a command took a gateway of 32 MB and 1,024 descriptors to 49.7 MB, where it would be killed.

Cause: a connection may hold 68 KiB of an incomplete command for 2.4 s, and only the number of connections was bounded.

Change: Clients counts the bytes of all incomplete commands. The bound is that of the open requests' commands, a sixth of the memory above 32 MB, and 4 MiB at least. A command that goes beyond it is answered -BUSY behind the earlier answers, and its connection closed: it was never sent on, so a retry is harmless. proxy_turned_away_total{place="partial"} counts it.

--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -31,6 +31,7 @@
 LINGER_TIMEOUT_S = 1.0
 # How long a client may read nothing while bytes wait for it.
 SEND_STALL_TIMEOUT_S = 30.0
+COMMAND_REFUSED = b"-BUSY\r\n"
 INTERNAL_ERROR = b"-ERR internal error\r\n"
 
 
@@ -46,6 +47,8 @@
     start_request: Callable[[list[bytes], Reply], None]
     abandon_request: Callable[[Reply], None]
     is_reading_stopped: bool
+    max_partial_command_bytes: int
+    partial_command_bytes: int
 
     def elapsed_us(self, since_s: float) -> int:
         """Return the microseconds since a time of `clock`."""
@@ -82,6 +85,8 @@
         self.clients = clients
         self.state = ConnectionState.IDLE
         self.reader = CommandReader()
+        self.partial_command_bytes = 0
+        """Bytes of an incomplete command, as counted by the owner."""
         self.replies: deque[Reply] = deque()
         self.transport: asyncio.Transport | None = None
         self.is_reading = True
@@ -144,6 +149,7 @@
                 self._process_commands(data)
             if not self.reader.buffer:
                 self.unread_since_us = 0
+            self._count_partial_command()
         finally:
             self.clients.account.leave(previous)
 
@@ -169,6 +175,7 @@
                 self._process_command(arguments)
             if self.reader.buffer and self.command_deadline_s is None:
                 self._await_command()
+            self._refuse_excess_command()
         except ProtocolError as error:
             self.clients.metrics.malformed_streams += 1
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
@@ -180,6 +187,18 @@
         self._finish_processing()
         self.update_reading()
 
+    def _refuse_excess_command(self) -> None:
+        """Refuse an incomplete command that exceeds the memory for all of them; it has not run anywhere."""
+        others_bytes = self.clients.partial_command_bytes - self.partial_command_bytes
+        if others_bytes + len(self.reader.buffer) > self.clients.max_partial_command_bytes:
+            self.clients.metrics.refused_commands += 1
+            self.finish(COMMAND_REFUSED)
+
+    def _count_partial_command(self) -> None:
+        partial_bytes = 0 if self.is_ending else len(self.reader.buffer)
+        self.clients.partial_command_bytes += partial_bytes - self.partial_command_bytes
+        self.partial_command_bytes = partial_bytes
+
     def _finish_processing(self) -> None:
         if self.state is not ConnectionState.PROCESSING:
             return
@@ -381,6 +400,8 @@
     def finish(self, error_line: bytes) -> None:
         """Send a final error line behind all earlier answers, then close."""
         self._enter(ConnectionState.FINISHING)
+        self.reader.buffer.clear()  # no further command is processed
+        self._count_partial_command()
         self.replies.append(Reply(self, error_line))
         self.flush()
 
@@ -483,4 +504,5 @@
         self._enter(ConnectionState.LOST)
         self.abandon_replies()
         self.update_unsent_bytes()
+        self._count_partial_command()
         self.clients.connection_closed(self)
--- a/orchidhatch/proxy/client_metrics.py
+++ b/orchidhatch/proxy/client_metrics.py
@@ -22,6 +22,8 @@
         """Commands that were answered with an error."""
         self.malformed_streams = 0
         """Connections closed because of a protocol error."""
+        self.refused_commands = 0
+        """Incomplete commands that were refused for lack of memory."""
         self.evictions = 0
         """New connections over the connection limit, each of which cost an idle connection or was closed."""
         self.command_timeouts = 0
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -15,6 +15,7 @@
 from orchidhatch.proxy.reply import Reply
 from orchidhatch.proxy.send_backlog import SendBacklog
 
+MIN_PARTIAL_COMMAND_BYTES = 4 << 20
 DRAINING_ERROR = b"-ERR takes no new clients\r\n"
 TOO_MANY_CLIENTS_ERROR = b"-ERR max number of clients reached\r\n"
 
@@ -47,6 +48,9 @@
         self.backlog = backlog or SendBacklog()
         self.handover_peer_connections = 0
         """Client connections of the other process of this gateway during a handover."""
+        self.max_partial_command_bytes = MIN_PARTIAL_COMMAND_BYTES
+        self.partial_command_bytes = 0
+        """Bytes of the incomplete commands of all connections."""
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}
         """Idle connections that have sent a request; the one idle longest first."""
--- a/orchidhatch/proxy/process_limits.py
+++ b/orchidhatch/proxy/process_limits.py
@@ -30,8 +30,13 @@
     return allowed
 
 
+def command_memory_bytes(config: Config) -> int:
+    """Return the bytes that the commands of open requests may use, and as many the incomplete commands."""
+    spare_bytes = (config.memory_mb - PROGRAM_MEMORY_MB) * (1 << 20)
+    return spare_bytes // COMMAND_MEMORY_DIVISOR
+
+
 def create_core_settings(config: Config) -> Settings:
     """Return the decision core's settings with the limits on open requests and on their bytes."""
-    spare_bytes = (config.memory_mb - PROGRAM_MEMORY_MB) * (1 << 20)
-    max_open_bytes = max(MIN_COMMAND_BYTES, spare_bytes // COMMAND_MEMORY_DIVISOR)
+    max_open_bytes = max(MIN_COMMAND_BYTES, command_memory_bytes(config))
     return replace(config.settings, max_open_requests=config.max_open, max_open_bytes=max_open_bytes)
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -30,7 +30,7 @@
 from orchidhatch.gateway.snapshots import HandoverAttempt, HandoverAttemptEnd, HandoverEjection, HandoverSpend
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.backends import Backends
-from orchidhatch.proxy.clients import Clients
+from orchidhatch.proxy.clients import MIN_PARTIAL_COMMAND_BYTES, Clients
 from orchidhatch.proxy.config import MIN_SOCKETS, SPARE_SOCKETS, Address, Config
 from orchidhatch.proxy.configuration_reload import ConfigurationReloader
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
@@ -54,6 +54,7 @@
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
 from orchidhatch.proxy.process_limits import (
     apply_descriptor_limit,
+    command_memory_bytes,
     create_core_settings,
 )
 from orchidhatch.proxy.request_lifecycle import RequestLifecycle
@@ -123,6 +124,7 @@
             self.loop_watch,
             backlog,
         )
+        self.clients.max_partial_command_bytes = max(MIN_PARTIAL_COMMAND_BYTES, command_memory_bytes(config))
         self.peers = Peers(config.peers, config.settings.gateway_index, self.dispatcher.post, self.account)
         self.peers.policy_mark = config.settings.policy_mark
 
--- a/orchidhatch/proxy/work_queues.py
+++ b/orchidhatch/proxy/work_queues.py
@@ -72,7 +72,7 @@
             clients.max_connections,
             len(partial),
             max(waits_us, default=0),
-            metrics.command_timeouts,
+            metrics.command_timeouts + metrics.refused_commands,
             metrics.partial_waits,
         )
 
--- a/tests/proxy/test_answer_memory.py
+++ b/tests/proxy/test_answer_memory.py
@@ -9,12 +9,13 @@
 import pytest
 
 from orchidhatch.proxy.piece_buffer import MIN_PIECE_BYTES, PieceBuffer
+from orchidhatch.proxy.process_resources import raise_descriptor_limit
 from orchidhatch.proxy.request_exchange import RequestExchange
 from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.server import GatewayServer
-from tests.proxy.gateway_scripts import slow_client, until
+from tests.proxy.gateway_scripts import queue_status, slow_client, until
 from tests.proxy.test_main import SETTINGS, start
-from tests.sockets import CUSTOMER, Address, Backend, Client, front_door, query, resp, value
+from tests.sockets import CUSTOMER, Address, Backend, Client, front_door, query, resp, submit, value
 
 MB = 1 << 20
 LONGEST = 4 * MB
@@ -66,12 +67,12 @@
 
 @contextlib.asynccontextmanager
 async def process_of(
-    tmp_path: Path, backend: Backend, limit_mb: int
+    tmp_path: Path, backend: Backend, limit_mb: int, sockets: int = 512
 ) -> AsyncIterator[tuple[MemoryWatch, Address]]:
     process, address = await start(
         tmp_path,
         backend,
-        limits={"sockets": 512, "memory_mb": limit_mb},
+        limits={"sockets": sockets, "memory_mb": limit_mb},
         settings={**SETTINGS, "plans": [UNLIMITED_PLAN]},
     )
     watch = MemoryWatch(process.pid)
@@ -308,3 +309,44 @@
     while buffer:
         pieces.append(buffer.pop())
     assert b"".join(pieces) == data and buffer.size == 0
+
+
+# --- commands ---
+
+
+async def test_incomplete_commands_stay_within_the_memory(tmp_path: Path) -> None:
+    """Guards against a kill for memory by many clients that stop amid a long command."""
+    limit_mb, clients_count = 32, 560
+    begun = resp("SVC.SUBMIT", CUSTOMER, "a1", f"c=settle,t=team,d={WAIT_MS}", b"x" * 60_000)[:-1]
+    raise_descriptor_limit(4 * clients_count)
+    async with process_of(tmp_path, Backend(), limit_mb, sockets=1024) as (watch, address):
+        clients = []
+        for _ in range(clients_count):
+            client = await Client.open(address)
+            client.send(begun)
+            await client.writer.drain()
+            clients.append(client)
+        lines = await asyncio.gather(*[client.answer() for client in clients])
+        assert {str(line).split()[0] for line in lines} == {"-BUSY", "-ERR"}
+        assert watch.peak_mb <= limit_mb
+        for client in clients:
+            client.writer.close()
+
+
+async def test_excess_incomplete_command_is_refused_behind_earlier_answers() -> None:
+    backend = Backend(lambda arguments: None if arguments[2] == b"a1" else value(b"ok"))
+    async with front_door(backend) as (gateway, address):
+        gateway.clients.max_partial_command_bytes = 300
+        client, other = await Client.open(address), await Client.open(address)
+        client.send(query("a1") + submit("a2", body=b"x" * 500)[:-1])
+        await backend.came.wait()
+        backend.writers[0].write(value(b"first"))
+        assert await client.answer() == b"first"
+        assert await client.answer() == "-BUSY"
+        assert await client.ended()
+        assert gateway.clients.partial_command_bytes == 0
+        assert queue_status(gateway, "partial").rejected == 1
+        other.send(submit("a3", body=b"x" * 20)[:-1])
+        await until(lambda: gateway.clients.partial_command_bytes)
+        assert await other.ask(b"\n") == b"ok"
+        assert gateway.clients.partial_command_bytes == 0
