A close waits for what the kernel has not sent, as a later command would reset it

Callers saw: an answer that was sent, but that a slow client had not read, ends in a reset when the client's next command crosses a close between requests, as in a drain.

Cause: close_gracefully closed the socket once the transport's buffer was empty. What arrives at a closed socket is answered with a reset, and the kernel drops the bytes that it had no room to send.

--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -108,6 +108,8 @@
         self.last_progress_s = 0.0
         """When the client last read some of the unsent bytes."""
         self.linger_until_s = 0.0
+        self.lingering_bytes = 0
+        """Bytes that waited for the client when a lingering connection was last checked."""
         self.arrived_us = 0
         """The earliest time at which the last read bytes may have arrived, in microseconds of `now_us`."""
         self.unread_since_us = 0
@@ -413,9 +415,10 @@
     def close_gracefully(self) -> None:
         """Close once all written data has reached the client; refused if a command is unanswered.
 
-        If bytes from the client are unread, the kernel turns a close into a reset and discards the data that
-        it has not yet delivered. So with unread or unsent bytes only the sending side is closed, and further
-        input is read and discarded until the client closes its side or LINGER_TIMEOUT_S has passed.
+        If bytes from the client are unread at a close, or arrive after it, the kernel resets the connection
+        and discards the data that it has not yet sent. So with unread or unsent bytes only the sending side
+        is closed, and further input is read and discarded until the client closes its side or
+        LINGER_TIMEOUT_S has passed.
         """
         if self.state is ConnectionState.LINGERING:
             return
@@ -425,9 +428,7 @@
         if self._refuse_if_unanswered(CloseReason.BETWEEN_REQUESTS):
             return
         self.clients.metrics.closes[CloseReason.BETWEEN_REQUESTS] += 1
-        if not self.transport.get_write_buffer_size() and not socket_inspection.has_unread_bytes(
-            self.transport
-        ):
+        if not self._bytes_to_deliver() and not socket_inspection.has_unread_bytes(self.transport):
             self._enter(ConnectionState.CLOSING)
             self.transport.close()
         else:
@@ -436,6 +437,7 @@
     def _linger(self) -> None:
         self._enter(ConnectionState.LINGERING)
         self.linger_until_s = self.now_s() + LINGER_TIMEOUT_S
+        self.last_progress_s = self.now_s()
         self.transport.write_eof()
         if not self.is_reading:
             self.is_reading = True
@@ -445,14 +447,22 @@
     def end_linger(self, now_s: float) -> None:
         """Close a lingering connection if its client has not closed it within LINGER_TIMEOUT_S.
 
-        The timeout starts once all data is written.
+        The timeout starts once all data is sent, or the client has read none of it for SEND_STALL_TIMEOUT_S.
         """
-        if self.transport.get_write_buffer_size():
+        bytes_to_deliver = self._bytes_to_deliver()
+        if bytes_to_deliver != self.lingering_bytes:
+            self.lingering_bytes = bytes_to_deliver
+            self.last_progress_s = now_s
+        if bytes_to_deliver and now_s - self.last_progress_s < SEND_STALL_TIMEOUT_S:
             self.linger_until_s = now_s + LINGER_TIMEOUT_S
         elif now_s >= self.linger_until_s:
             self._enter(ConnectionState.CLOSING)
             self.transport.close()
 
+    def _bytes_to_deliver(self) -> int:
+        """Return how many written bytes the client's machine has no room for yet."""
+        return self.transport.get_write_buffer_size() + socket_inspection.unsent_bytes(self.transport)
+
     def abort_stream(self) -> None:
         """Close at once, as a streamed answer cannot be completed."""
         self._enter(ConnectionState.CLOSING)
--- a/orchidhatch/proxy/socket_inspection.py
+++ b/orchidhatch/proxy/socket_inspection.py
@@ -10,7 +10,9 @@
 import sys
 import termios
 
-# The size of the integer that FIONREAD returns.
+# Asks for the bytes of a send queue that were not sent even once; from linux/sockios.h.
+SIOCOUTQNSD = 0x894B
+# The size of the integer that FIONREAD and SIOCOUTQNSD return.
 INT_BYTES = 4
 
 
@@ -29,6 +31,11 @@
     return unread_bytes(transport) > 0
 
 
+def unsent_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many written bytes the kernel has not sent, as the peer's buffer is full; 0 if closed."""
+    return _queue_size(transport, SIOCOUTQNSD)
+
+
 def _queue_size(transport: asyncio.BaseTransport, request: int) -> int:
     """Return the size in bytes of the socket's queue that the request asks for."""
     try:
--- a/tests/proxy/test_closing_races.py
+++ b/tests/proxy/test_closing_races.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from orchidhatch.proxy.metrics import RequestOutcome
+from tests.proxy.gateway_scripts import slow_client, until
 from tests.sockets import (
     HEAD,
     Backend,
@@ -116,3 +118,22 @@
             await asyncio.sleep(0)
         backend.writers[1].write(value(b"ok"))
         assert await client.answer() == b"ok"
+
+
+async def test_sent_answer_is_delivered_though_a_command_crosses_the_close() -> None:
+    """Guards against a reset that discards an answer in the kernel: the client was slow to read it."""
+    answer = b"x" * 24_000
+    async with front_door(Backend(lambda arguments: value(answer))) as (gateway, address):
+        client = await slow_client(address)
+        client.writer.transport.pause_reading()
+        client.send(query("a1"))
+        await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+        (connection,) = gateway.clients.connections
+        assert not connection.transport.get_write_buffer_size()
+        gateway.clients.stop_reading()
+        await asyncio.sleep(0.02)
+        client.send(query("a2"))
+        await asyncio.sleep(0.02)
+        client.writer.transport.resume_reading()
+        assert await client.answer() == answer
+        assert await client.ended()
