A long value that breaks before any of it was written costs no other answer

Cause: a streamed value that could not be completed always ended its client's connection, also while it stood behind a missing answer and none of it had been written. The guard counted the answers that were owed, and the close went on (`guard refused reason=answer_owed ... close=value_broke`).

Change: Reply knows whether a part of it was written. If not, an error line takes its place and the connection lives on. If so, the connection still ends, but behind all earlier answers: a reset would drop what the client was slow to take of them. Two streamed answers on one connection no longer end each other's pause of reading.

Failed before: four of the 18 orders of broken_value_costs_no_other_answer (the last of three values is cut before another has ended), answer_before_a_broken_value_is_delivered_whole (ConnectionResetError).

Open, as no answer can follow half a value: one that is incomplete at its request's deadline is passed on (LATER), and if its backend breaks it later, the commands behind it are lost.

--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -300,6 +300,7 @@
             piece = reply.pieces.pop()
             self.queued_bytes -= len(piece)
             if not is_closing:
+                reply.has_begun = True
                 self.written_piece_bytes = len(piece)
                 self.transport.write(piece)
         return reply.is_complete
@@ -316,8 +317,9 @@
         self.update_reading()
 
     def end_stream(self) -> None:
-        """Resume reading commands, as the streamed answer is complete."""
-        self._enter(ConnectionState.ANSWERING)
+        """Resume reading commands, unless another answer is streamed."""
+        if not any(reply.is_streaming() for reply in self.replies):
+            self._enter(ConnectionState.ANSWERING)
 
     # --- flow control ---
 
@@ -464,11 +466,18 @@
         return self.transport.get_write_buffer_size() + socket_inspection.unsent_bytes(self.transport)
 
     def abort_stream(self) -> None:
-        """Close at once, as a streamed answer cannot be completed."""
-        self._enter(ConnectionState.CLOSING)
+        """Close, as a streamed answer of which a part was written cannot be completed.
+
+        Earlier answers are delivered first: a reset would discard what the client has not received of them.
+        """
         self._refuse_if_unanswered(CloseReason.VALUE_BROKE)
         self.clients.metrics.closes[CloseReason.VALUE_BROKE] += 1
-        self.abort()
+        if self._bytes_to_deliver():
+            self._drop_replies()
+            self._linger()
+        else:
+            self._enter(ConnectionState.CLOSING)
+            self.abort()
 
     def _refuse_if_unanswered(self, reason: CloseReason) -> bool:
         """Have the guard count the close for each unanswered command; return whether there are any."""
@@ -502,6 +511,9 @@
     def abandon_replies(self) -> None:
         """Discard all answers and end the requests behind them, as the client has disconnected."""
         self._enter(ConnectionState.CLIENT_LEFT)
+        self._drop_replies()
+
+    def _drop_replies(self) -> None:
         replies = list(self.replies)
         self.replies.clear()
         self.queued_bytes = 0
--- a/orchidhatch/proxy/connection_state.py
+++ b/orchidhatch/proxy/connection_state.py
@@ -56,10 +56,12 @@
             ConnectionState.LOST,
         }
     ),
-    # The gateway closes here only if the value cannot be completed. The client may close during the value.
+    # The gateway closes here only if a value of which a part was written cannot be completed. The client may
+    # close during the value.
     ConnectionState.STREAMING: frozenset(
         {
             ConnectionState.ANSWERING,
+            ConnectionState.LINGERING,
             ConnectionState.CLOSING,
             ConnectionState.CLIENT_LEFT,
             ConnectionState.LOST,
--- a/orchidhatch/proxy/reply.py
+++ b/orchidhatch/proxy/reply.py
@@ -43,7 +43,7 @@
         """Pause reading commands until the streamed answer has ended."""
 
     def end_stream(self) -> None:
-        """Resume reading commands, as the streamed answer is complete."""
+        """Resume reading commands, unless another answer is streamed."""
 
     def abort_stream(self) -> None:
         """Close at once, as a streamed answer cannot be completed."""
@@ -57,11 +57,13 @@
 
     `pieces` are ready and not yet written. A long answer is streamed: its chunks come from `source`, which is
     paused while they cannot be sent. `request_id` is the id of the answered request, None for other
-    commands. `last_progress_s` is the time of the last chunk.
+    commands. `last_progress_s` is the time of the last chunk. `has_begun` says that a part of the answer was
+    written: it can no longer be replaced by an error line.
     """
 
     __slots__ = (
         "connection",
+        "has_begun",
         "is_complete",
         "is_paused",
         "last_progress_s",
@@ -75,6 +77,7 @@
         self.connection = connection
         self.pieces = PieceBuffer()
         self.is_complete = data is not None
+        self.has_begun = False
         self.request_id: str | None = None
         self.source: ReplySource | None = None
         self.is_paused = False
@@ -155,12 +158,18 @@
             self.source.resume()
 
     def abort(self) -> None:
-        """End an incomplete answer: a streamed one by closing the connection, any other with an error."""
+        """End a streamed answer that cannot be completed.
+
+        If a part of it was written, the connection is closed, which is how the client detects it. Otherwise
+        an error line takes its place, and all other answers on the connection are sent.
+        """
         if self.is_complete:
             return
-        if not self.is_streaming():
-            self.send(FAILED_ANSWER)
+        if self.has_begun:
+            self.is_complete = True
+            self.source = None
+            self.connection.abort_stream()
             return
-        self.is_complete = True
-        self.source = None
-        self.connection.abort_stream()
+        self.connection.queued_bytes -= self.pieces.size
+        self.pieces.clear()
+        self.send(FAILED_ANSWER)
