Every open request is ended, and its connection closed, before SIGKILL is due

Cause: the time of SIGKILL bounded only requests read after SIGTERM. An earlier one kept its own deadline, here 3.975 s, and its connection was neither read nor closed until then; so did values and clients that have no deadline.

Until SIGKILL the process resets a connection on which an answer has begun and a command lies unread, if no other answer is owed there; half a command gets an error line. A value does not begin at its deadline in a shutdown.

The list of the reasons' names has one more.

--- a/orchidhatch/gateway/core.py
+++ b/orchidhatch/gateway/core.py
@@ -98,6 +98,7 @@
             events.AttemptEnded: self.attempts.on_attempt_ended,
             events.TimerExpired: self.on_timer,
             events.ClientGone: self.completion.on_client_gone,
+            events.EndOpenRequests: self.completion.on_end_open_requests,
             events.StreamStarted: self.attempts.on_stream_started,
             events.PeerMessage: self.on_peer_message,
             events.MetricsRequest: self.on_metrics_request,
--- a/orchidhatch/gateway/events.py
+++ b/orchidhatch/gateway/events.py
@@ -165,6 +165,11 @@
     is_suspended: bool
 
 
+@dataclass(frozen=True, slots=True)
+class EndOpenRequests:
+    """The process is about to be killed: every request that is open is to be answered now."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartHandover:
     """A successor process takes over; answered by a GatewaySnapshot, then by each change to the state."""
@@ -198,6 +203,7 @@
     | SetEjection
     | PolicyChange
     | SuspendAdmission
+    | EndOpenRequests
     | MetricsRequest
     | StartHandover
     | GatewaySnapshot
--- a/orchidhatch/gateway/metric_names.py
+++ b/orchidhatch/gateway/metric_names.py
@@ -14,6 +14,7 @@
     RejectionReason.ADMISSION_LIMIT: "cap",
     RejectionReason.SERVER: "server",
     RejectionReason.SERVER_FOR_RETRY: "again",
+    RejectionReason.PROCESS_ENDS: "process_ends",
 }
 
 AWAITING_GRANT_NAME = "word"
--- a/orchidhatch/gateway/reasons.py
+++ b/orchidhatch/gateway/reasons.py
@@ -6,7 +6,10 @@
 
 
 class RejectionReason(Enum):
-    """Why the gateway itself ended a request; the second group is what an expired request was waiting for."""
+    """Why the gateway itself ended a request; the second group is what an expired request was waiting for.
+
+    PROCESS_ENDS: the process would be killed before the request's deadline.
+    """
 
     ADMISSION_SUSPENDED = auto()
     CUSTOMER_BANNED = auto()
@@ -20,6 +23,8 @@
     SERVER = auto()
     SERVER_FOR_RETRY = auto()
 
+    PROCESS_ENDS = auto()
+
 
 EndReason = RejectionReason | AttemptResult
 """Why a request ended unserved: the gateway's reason, or how its last attempt ended."""
--- a/orchidhatch/gateway/request_completion.py
+++ b/orchidhatch/gateway/request_completion.py
@@ -2,10 +2,10 @@
 
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject
 from orchidhatch.gateway.decision_context import DecisionContext
-from orchidhatch.gateway.events import ClientGone
+from orchidhatch.gateway.events import ClientGone, EndOpenRequests
 from orchidhatch.gateway.in_flight import InFlightRequest
 from orchidhatch.gateway.quota_leaders import QuotaLeaders
-from orchidhatch.gateway.reasons import EndReason
+from orchidhatch.gateway.reasons import EndReason, RejectionReason
 from orchidhatch.gateway.request_counters import RequestCounters
 from orchidhatch.gateway.request_registry import RequestRegistry
 from orchidhatch.gateway.retry_after import RetryAfter
@@ -39,6 +39,11 @@
         self.context.actions.append(answer)
         self.release(request)
 
+    def on_end_open_requests(self, _: EndOpenRequests) -> None:
+        """End every open request now: rejected where a retry elsewhere is harmless, else failed."""
+        for request in [request for request in self.requests if not request.is_closed]:
+            self.end_unserved(request, RejectionReason.PROCESS_ENDS)
+
     def on_client_gone(self, event: ClientGone) -> None:
         """Release the request of a client that has disconnected."""
         request = self.requests.get(event.id)
--- a/orchidhatch/gateway/retry_after.py
+++ b/orchidhatch/gateway/retry_after.py
@@ -30,6 +30,8 @@
     def capacity_wait_us(self, request: InFlightRequest, reason: EndReason) -> float:
         """Return the expected wait for the capacity the request lacked, in microseconds; NEVER if unknown."""
         customer = request.customer
+        if reason is RejectionReason.PROCESS_ENDS:
+            return 0  # another gateway can serve it at once
         if self.overload.admission_limit is not None:  # Requests already queue for the admission limit.
             return NEVER
         if reason is RejectionReason.TOO_MANY_OPEN_REQUESTS:
--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -33,6 +33,7 @@
 SEND_STALL_TIMEOUT_S = 30.0
 COMMAND_REFUSED = b"-BUSY\r\n"
 INTERNAL_ERROR = b"-ERR internal error\r\n"
+INCOMPLETE_COMMAND_ERROR = b"-ERR the command is incomplete and the process ends\r\n"
 
 
 class ConnectionOwner(Protocol):
@@ -110,6 +111,8 @@
         self.linger_until_s = 0.0
         self.lingering_bytes = 0
         """Bytes that waited for the client when a lingering connection was last checked."""
+        self.has_dropped_input = False
+        """Whether bytes were read that will not be processed, as the connection is ending."""
         self.arrived_us = 0
         """The earliest time at which the last read bytes may have arrived, in microseconds of `now_us`."""
         self.unread_since_us = 0
@@ -146,7 +149,9 @@
         """Process the commands that are complete now."""
         previous = self.clients.account.enter(CostCategory.CLIENTS)
         try:
-            if not self.is_ending:
+            if self.is_ending:
+                self.has_dropped_input = True
+            else:
                 self._note_arrival()
                 self._process_commands(data)
             if not self.reader.buffer:
@@ -479,6 +484,31 @@
             self._enter(ConnectionState.CLOSING)
             self.abort()
 
+    def close_before_kill(self) -> None:
+        """Close if a command is incomplete, or not processed behind answers that the client is slow to read.
+
+        The client sends such a command on a new connection once this one is closed; SIGKILL would lose it.
+        The answer that is cut here would be cut by SIGKILL.
+        """
+        if self.state is ConnectionState.IDLE and self.reader.buffer:
+            self.finish(INCOMPLETE_COMMAND_ERROR)
+        elif self._waits_for_slow_client() and self._may_close_unprocessed_input():
+            self.clients.metrics.closes[CloseReason.PROCESS_ENDS] += 1
+            self.abort()
+
+    def _waits_for_slow_client(self) -> bool:
+        """Return whether the next answer has begun or is complete: no error line can take its place."""
+        if self.transport.is_closing():
+            return False
+        if self.replies:
+            return self.replies[0].has_begun or self.replies[0].is_complete
+        return bool(self.transport.get_write_buffer_size())
+
+    def _may_close_unprocessed_input(self) -> bool:
+        """Return whether there is input that is not processed, and a close would lose no later answer."""
+        has_input = self.has_dropped_input or socket_inspection.has_unread_bytes(self.transport)
+        return has_input and len(self.replies) <= 1
+
     def _refuse_if_unanswered(self, reason: CloseReason) -> bool:
         """Have the guard count the close for each unanswered command; return whether there are any."""
         unanswered = self._unanswered_replies()
--- a/orchidhatch/proxy/clients.py
+++ b/orchidhatch/proxy/clients.py
@@ -150,6 +150,11 @@
         for connection in self.connections:
             connection.stop_reading()
 
+    def close_before_kill(self) -> None:
+        """Close the connections on which SIGKILL would find an unread command, as the process ends."""
+        for connection in list(self.connections):
+            connection.close_before_kill()
+
     def undo_drain(self) -> None:
         """Accept clients again; connections on which reading has stopped still close."""
         self.accepts_clients = True
--- a/orchidhatch/proxy/long_values.py
+++ b/orchidhatch/proxy/long_values.py
@@ -8,6 +8,7 @@
 The client waits for the first byte until its deadline only. A value that is still incomplete then is streamed
 from there on if its backend steadily gives it; else its attempt times out. If a value breaks after that, the
 answers behind it are lost: neither may it be cut while its backend gives it, nor can they be sent without it.
+So it is not begun at its deadline while the process shuts down, as SIGKILL would break it.
 """
 
 import asyncio
@@ -36,6 +37,8 @@
         self.open_requests = open_requests
         self.post = post
         self.loop = asyncio.get_running_loop()
+        self.is_shutting_down = False
+        """Whether the process may be killed before a value that is begun late is complete."""
         self.clients: Clients
 
     def begin(self, attempt: Attempt, size: int) -> Callable[[bytes], None] | None:
@@ -76,7 +79,8 @@
         """Stream a value that is incomplete at its request's deadline, or end its attempt."""
         if exchange.held is not held:
             return
-        if not held.is_steady(exchange.deadline_us - exchange.arrived_us):
+        request_time_us = exchange.deadline_us - exchange.arrived_us
+        if self.is_shutting_down or not held.is_steady(request_time_us):
             held.attempt.time_out()
             return
         exchange.take_held(held.attempt)
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -16,7 +16,7 @@
 
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject, SendAttempt
 from orchidhatch.gateway.attempts import NOT_RUN_RESULTS, AttemptResult, LoadReport
-from orchidhatch.gateway.events import AttemptEnded, ClientGone, Event
+from orchidhatch.gateway.events import AttemptEnded, ClientGone, EndOpenRequests, Event
 from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.attempt import Attempt
@@ -164,6 +164,21 @@
             self.answer(request_id, FAILED_ANSWER, RequestOutcome.ERRORED)
             self.post(ClientGone(request_id))
 
+    def set_answer_deadline(self, answer_deadline_us: int) -> None:
+        """Limit the time of later requests, as the process is shutting down."""
+        self.answer_deadline_us = answer_deadline_us
+        self.long_values.is_shutting_down = True
+
+    def end_open_requests(self) -> None:
+        """Have every open request answered now, except those whose answers are partly written."""
+        if not self.open:
+            return
+        self.post(EndOpenRequests())
+        for exchange in list(self.open.values()):
+            if exchange.streaming_attempt and not exchange.reply.has_begun:
+                self._end_stream(exchange.streaming_attempt, is_complete=False)
+                exchange.streaming_attempt.cancel()
+
     # --- attempts ---
 
     def send(self, action: SendAttempt) -> None:
--- a/tests/gateway/test_metric_names.py
+++ b/tests/gateway/test_metric_names.py
@@ -32,6 +32,7 @@
         "cap",
         "server",
         "again",
+        "process_ends",
     )
     assert tuple(REJECTION_REASON_NAMES.values()) == reasons
     sources = ("part", "home", "old", "unheard", "answered", "silent")
