The arrival times of a client's bytes have a module of their own

The seeded defect that dates by the reading replaces the new method. The soak's stand-in backend ends a connection that is no client's: soaks side by side met each other's ports.

--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -205,14 +205,14 @@
 
 def count_time_from_reading() -> None:
     """A gateway that stood still counts a request's time from its reading."""
-    from orchidhatch.proxy.client_connection import ClientConnection
+    from orchidhatch.proxy.arrival_times import ArrivalTimes
     from orchidhatch.proxy.clock import now_us
 
-    def arrive_now(self: ClientConnection) -> None:
-        self.clients.loop_watch.touch()
+    def arrive_now(self: ArrivalTimes) -> None:
+        self._loop_watch.touch()
         self.arrived_us = now_us()
 
-    ClientConnection._note_arrival = arrive_now
+    ArrivalTimes.note_read = arrive_now
 
 
 def repeat_past_window() -> None:
--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -7,14 +7,14 @@
 from typing import Protocol
 
 from orchidhatch.proxy import socket_inspection
+from orchidhatch.proxy.arrival_times import ArrivalTimes
 from orchidhatch.proxy.client_metrics import ClientMetrics
-from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.command_parser import CommandError
 from orchidhatch.proxy.command_reader import CommandReader
 from orchidhatch.proxy.connection_state import ENDING_STATES, TRANSITIONS, CloseReason, ConnectionState
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
 from orchidhatch.proxy.guards import Guard, Refusal
-from orchidhatch.proxy.loop_watch import GAP_US, LoopWatch
+from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.reply import FAILED_ANSWER, Reply
 from orchidhatch.proxy.resp import ProtocolError
 from orchidhatch.proxy.send_backlog import SendBacklog
@@ -113,18 +113,18 @@
         """Bytes that waited for the client when a lingering connection was last checked."""
         self.has_dropped_input = False
         """Whether bytes were read that will not be processed, as the connection is ending."""
-        self.arrived_us = 0
-        """The earliest time at which the last read bytes may have arrived, in microseconds of `now_us`."""
-        self.unread_since_us = 0
-        """The same for bytes that waited unread and are read in several chunks; else 0."""
-        self.last_read_us = 0
-        """When the connection was last read, or accepted, in microseconds of `now_us`."""
+        self.arrivals = ArrivalTimes(clients.loop_watch)
 
     @property
     def is_ending(self) -> bool:
         """Whether no further command is processed."""
         return self.state in ENDING_STATES
 
+    @property
+    def arrived_us(self) -> int:
+        """The earliest time at which the last read bytes may have arrived, in microseconds of `now_us`."""
+        return self.arrivals.arrived_us
+
     def now_s(self) -> float:
         """Return the time of the owner's clock."""
         return self.clients.clock()
@@ -139,8 +139,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the new connection and wait for its first command."""
         self.transport = transport
-        self.unread_since_us = self.clients.loop_watch.accepted_since_us()
-        self.last_read_us = now_us()
+        self.arrivals.note_accept()
         transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         self._await_command()
         self.clients.connection_opened(self)
@@ -152,28 +151,14 @@
             if self.is_ending:
                 self.has_dropped_input = True
             else:
-                self._note_arrival()
+                self.arrivals.note_read()
                 self._process_commands(data)
             if not self.reader.buffer:
-                self.unread_since_us = 0
+                self.arrivals.note_commands_complete()
             self._count_partial_command()
         finally:
             self.clients.account.leave(previous)
 
-    def _note_arrival(self) -> None:
-        """Set `arrived_us`, the earliest time at which the bytes just read may have arrived.
-
-        Bytes that waited unread during a stall may be read in several chunks, which all count from that time.
-        A chunk that is read after a gap of GAP_US was sent later.
-        """
-        arrival_us = self.clients.loop_watch.arrival_us()
-        if self.unread_since_us and now_us() - self.last_read_us >= GAP_US:
-            self.unread_since_us = 0
-        self.last_read_us = now_us()
-        self.arrived_us = min(arrival_us, self.unread_since_us or arrival_us)
-        is_old = self.last_read_us - self.arrived_us >= GAP_US
-        self.unread_since_us = self.arrived_us if is_old else 0
-
     def _process_commands(self, data: bytes) -> None:
         self._enter(ConnectionState.PROCESSING)
         try:
--- a/tests/proxy/answer_soak.py
+++ b/tests/proxy/answer_soak.py
@@ -81,7 +81,7 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = hiredis.Reader()
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, hiredis.ProtocolError):
             while data := await reader.read(1 << 16):
                 parser.feed(data)
                 while (arguments := parser.gets()) is not False:
