A length line with a second carriage return is no command, and units are a decimal number

`units=1_0` was read as 10 and passed on, as Python's float reads underscores and white space.

Cause: _read_length took a carriage return off every line, which only an incomplete one may end with; parse_units took whatever float takes.

Failed before: malformed_resp_gets_an_error (two new lines), wrong_command_gets_an_error (units=1_0, and with a blank).

--- a/orchidhatch/proxy/command_parser.py
+++ b/orchidhatch/proxy/command_parser.py
@@ -1,6 +1,6 @@
 """Parses client requests, SVC.QUERY and SVC.SUBMIT, and validates them against the settings."""
 
-import math
+import re
 from dataclasses import dataclass
 
 from orchidhatch.gateway.events import Request
@@ -24,6 +24,8 @@
 MAX_INT_DIGITS = 12
 MAX_CLIENT_WAIT_MS = 24 * 3600 * 1000
 MAX_UNITS = 1e6
+# Python's float also reads underscores, white space and words.
+DECIMAL_NUMBER = re.compile(r"\+?([0-9]+\.?[0-9]*|\.[0-9]+)(e[+-]?[0-9]+)?", re.ASCII | re.IGNORECASE)
 
 
 class CommandError(Exception):
@@ -176,13 +178,10 @@
 
 def parse_units(fields: dict[str, str]) -> float:
     """Return the units that the request spends, 1 by default. Raises CommandError if they are invalid."""
-    try:
-        units = float(fields.get("units", "1"))
-    except ValueError:
-        units = math.nan
-    if not 0 < units <= MAX_UNITS:  # also rejects NaN
+    text = fields.get("units", "1")
+    if not DECIMAL_NUMBER.fullmatch(text) or not 0 < float(text) <= MAX_UNITS:
         raise CommandError("invalid units")
-    return units
+    return float(text)
 
 
 def find_wait_value(field_list: bytes) -> int:
--- a/orchidhatch/proxy/command_reader.py
+++ b/orchidhatch/proxy/command_reader.py
@@ -82,7 +82,7 @@
         if line_end < 0:
             self._check_partial_length(self.buffer[digits_start:max_line_end])
             return None
-        digits = self.buffer[digits_start:line_end].removesuffix(b"\r")
+        digits = self.buffer[digits_start:line_end]
         if not digits.isdigit():
             raise ProtocolError("invalid length")
         length = int(digits)
--- a/tests/proxy/test_command_parser.py
+++ b/tests/proxy/test_command_parser.py
@@ -38,6 +38,8 @@
         ("SVC.SUBMIT", CUSTOMER, "a", "c=book,t=team,d=500", "B"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=1_0"),
+        ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units= 1"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
         ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"),
--- a/tests/proxy/test_command_reader.py
+++ b/tests/proxy/test_command_reader.py
@@ -24,6 +24,8 @@
         b"*1\r\n$70000\r\n",
         b"*1\r\n$1\r\nab\r\n",
         b"*1\r\n$" + b"1" * 40,
+        b"*1\r\r\n$4\r\nPING\r\n",
+        b"*1\r\n$4\r\r\nPING\r\n",
         b"\x16\x03\x01\x02\x00",
     ],
 )
