An answer that begins with no bulk string is a failed attempt

Cause: simple strings and integers were read as the same bytes as a bulk string, so they could be a value. They have a type of their own now, and the attempt ends as an error: it may have run.

Failed before: reply_that_begins_with_no_bulk_string_is_an_error, both replies.

--- a/orchidhatch/proxy/resp.py
+++ b/orchidhatch/proxy/resp.py
@@ -22,6 +22,10 @@
     """An error line of a backend."""
 
 
+class ReplyLine(bytes):
+    """A simple string or an integer of a backend, as its line says it; it is not a bulk string."""
+
+
 def parse_length(digits: bytes | bytearray, maximum: int) -> int:
     """Parse a length. Raises ProtocolError if it is not a number or above `maximum`."""
     if not digits.isdigit():
@@ -107,7 +111,7 @@
         if type_byte == b"-":
             return ReplyError(line.decode(errors="replace")), start
         if type_byte in b"+:":
-            return bytes(line), start
+            return ReplyLine(line), start
         if line == b"-1":
             return None, start
         if type_byte == b"$":
--- a/tests/proxy/test_backend_pool.py
+++ b/tests/proxy/test_backend_pool.py
@@ -245,6 +245,14 @@
     assert read_reply([None, None, None])[0] is AttemptResult.ERROR
 
 
+@pytest.mark.parametrize("reply", [b"*1\r\n:5\r\n", b"*3\r\n+OK\r\n$-1\r\n$-1\r\n"])
+async def test_reply_that_begins_with_no_bulk_string_is_an_error(reply: bytes) -> None:
+    """Guards against an answer whose value no backend made as the protocol requires."""
+    sender = Sender(await Backend(lambda arguments: reply).start())
+    sender.send()
+    assert await sender.result() is AttemptResult.ERROR
+
+
 async def test_claimed_reply_size_allocates_nothing() -> None:
     """Arrays made as long as they claim are traversed and freed on the gateway's CPU time."""
 
