--- a/tests/proxy/answer_soak.py
+++ b/tests/proxy/answer_soak.py
@@ -137,6 +137,7 @@
         """From when on a command may lie unread behind others, and so be sent elsewhere."""
         self.peak_mb = 0.0
         self.problems: list[str] = []
+        self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> "SoakGateway":
         self.address = self.listening.getsockname() if self.listening else refusing_address()
@@ -177,6 +178,11 @@
         self.watching = asyncio.create_task(self.watch_memory())
         return self
 
+    def stop(self) -> None:
+        """End the process if it still runs, as the soak has failed."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+
     async def watch_memory(self) -> None:
         status = Path(f"/proc/{self.process.pid}/status")
         with contextlib.suppress(OSError, TypeError):
@@ -281,11 +287,18 @@
         self.seed, self.folder = seed, folder
         self.violations: list[str] = []
         self.counts: Counter[str] = Counter()
-        self.gateways = 0
+        self.started: list[SoakGateway] = []
         self.listening: socket.socket | None = None
         self.may_connect = asyncio.Event()
 
     async def run(self, seconds: float, period_s: float) -> None:
+        try:
+            await self._run(seconds, period_s)
+        finally:
+            for gateway in self.started:
+                gateway.stop()
+
+    async def _run(self, seconds: float, period_s: float) -> None:
         self.backends = [SoakBackend(self.seed) for _ in range(BACKENDS)]
         entries = [entry(f"s{number}", await one.start()) for number, one in enumerate(self.backends)]
         self.known = json.loads(catalog(4, entries))
@@ -316,10 +329,11 @@
         self.may_connect.set()
 
     async def next_gateway(self) -> SoakGateway:
-        self.gateways += 1
-        number = self.gateways
+        number = len(self.started) + 1
         seed = self.seed if self.listening else self.seed * 1000 + number
-        return await SoakGateway(self.folder / f"{number}", seed, self.known, self.listening).start()
+        gateway = SoakGateway(self.folder / f"{number}", seed, self.known, self.listening)
+        self.started.append(gateway)
+        return await gateway.start()
 
     async def end(self, gateway: SoakGateway) -> None:
         await gateway.restart_away()
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -19,7 +19,7 @@
 from tests.helpers import PLAN, UNSAFE, World, of, with_class
 from tests.proxy import test_main
 from tests.proxy.gateway_scripts import slow_client, start_drain, until
-from tests.sockets import CUSTOMER, SETTINGS, Backend, Client, front_door, query, resp, submit, value
+from tests.sockets import CUSTOMER, SETTINGS, Address, Backend, Client, front_door, query, resp, submit, value
 
 LONG = bytes(range(256)) * 1024
 LONG_START = b"*3\r\n$%d\r\n" % len(LONG) + LONG[:1000]
@@ -238,6 +238,18 @@
     """Guards against requests lost at SIGKILL, by the times of a real restart and any deadline."""
     backend = Backend(lambda arguments: None)
     process, address = await test_main.start(tmp_path, backend, settings=settings_with_deadline(deadline_ms))
+    try:
+        await restart_under_load(process, address, backend, deadline_ms, wait_ms)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def restart_under_load(
+    process: asyncio.subprocess.Process, address: Address, backend: Backend, deadline_ms: int, wait_ms: int
+) -> None:
+    """SIGTERM with requests open, further ones behind them, and SIGKILL as early as it may come."""
     clients = [await Client.open(address) for _ in range(8)]
     for number, client in enumerate(clients):
         client.send(read_command(f"first{number}", wait_ms))
@@ -254,6 +266,7 @@
     sent_on = [number for number, end in enumerate(ends) if not end.done()]
     for number in sent_on:
         clients[number].send(read_command(f"next{number}", wait_ms))
+    assert sent_on
     kill_after_s = min(3000, deadline_ms) / 1000 + KILL_GRACE_S
     await asyncio.sleep(signalled_s + kill_after_s - time.monotonic())
     killed_s = time.monotonic()
