--- a/tests/proxy/answer_soak.py
+++ b/tests/proxy/answer_soak.py
@@ -10,7 +10,6 @@
 import json
 import os
 import random
-import re
 import signal
 import socket
 import struct
@@ -23,6 +22,7 @@
 import hiredis
 
 from tests.proxy import test_main
+from tests.proxy.gateway_scripts import MemoryWatch
 from tests.sockets import CUSTOMER, HOST, Address, catalog, entry, refusing_address, resp
 
 MEMORIES_MB = (32, 48, 80)
@@ -135,7 +135,6 @@
         self.terminated_s = self.killed_s = float("inf")
         self.unread_from_s = float("inf")
         """From when on a command may lie unread behind others, and so be sent elsewhere."""
-        self.peak_mb = 0.0
         self.problems: list[str] = []
         self.process: asyncio.subprocess.Process | None = None
 
@@ -175,7 +174,8 @@
         while b"serves at" not in self.log_path.read_bytes():
             assert self.process.returncode is None, self.log_path.read_text()
             await asyncio.sleep(0.01)
-        self.watching = asyncio.create_task(self.watch_memory())
+        self.memory = MemoryWatch(self.process.pid)
+        self.watching = asyncio.create_task(self.memory.run())
         return self
 
     def stop(self) -> None:
@@ -183,14 +183,6 @@
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
 
-    async def watch_memory(self) -> None:
-        status = Path(f"/proc/{self.process.pid}/status")
-        with contextlib.suppress(OSError, TypeError):
-            while True:
-                found = re.search(r"RssAnon:\s+(\d+) kB", status.read_text())
-                self.peak_mb = max(self.peak_mb, int(found[1]) / 1024)
-                await asyncio.sleep(0.005)
-
     async def restart_away(self) -> None:
         """End the process as a planned restart does, and note what it did wrong."""
         self.process.send_signal(signal.SIGTERM)
@@ -202,8 +194,8 @@
             self.process.kill()
         await self.process.wait()
         self.watching.cancel()
-        if self.peak_mb > self.memory_limit_mb:
-            self.problems.append(f"memory: {self.peak_mb:.1f} of {self.memory_limit_mb} MB")
+        if not 0 < self.memory.peak_mb <= self.memory_limit_mb:
+            self.problems.append(f"memory: {self.memory.peak_mb:.1f} of {self.memory_limit_mb} MB")
         for line in self.log_path.read_text().splitlines():
             if "guard refused" in line or "Traceback" in line:
                 self.problems.append(f"log: {line}")
@@ -339,7 +331,7 @@
         await gateway.restart_away()
         self.violations += gateway.problems
         self.counts["gateways"] += 1
-        self.counts["peak MB"] = max(self.counts["peak MB"], round(gateway.peak_mb))
+        self.counts["peak MB"] = max(self.counts["peak MB"], round(gateway.memory.peak_mb))
 
     async def client(self, number: int, until_s: float) -> None:
         draw = random.Random(f"{self.seed}/client{number}")
--- a/tests/proxy/gateway_scripts.py
+++ b/tests/proxy/gateway_scripts.py
@@ -1,9 +1,12 @@
 """What several tests have a gateway do, or read of it."""
 
 import asyncio
+import contextlib
 import json
+import re
 import socket
 from collections.abc import Callable
+from pathlib import Path
 
 from orchidhatch.gateway.events import MetricsRequest
 from orchidhatch.proxy.reply import Reply
@@ -75,3 +78,17 @@
     client.reader, client.writer = await asyncio.open_connection(sock=raw, limit=8192)
     client.parser = Client.new_parser()
     return client
+
+
+class MemoryWatch:
+    """The greatest memory of a process that was seen: its own, without the pages of files and libraries."""
+
+    def __init__(self, pid: int) -> None:
+        self.status, self.peak_mb = Path(f"/proc/{pid}/status"), 0.0
+
+    async def run(self) -> None:
+        """Look until the process has ended."""
+        with contextlib.suppress(OSError):
+            while found := re.search(r"RssAnon:\s+(\d+) kB", self.status.read_text()):
+                self.peak_mb = max(self.peak_mb, int(found[1]) / 1024)
+                await asyncio.sleep(0.005)
--- a/tests/proxy/test_answer_memory.py
+++ b/tests/proxy/test_answer_memory.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import re
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -13,7 +12,7 @@
 from orchidhatch.proxy.request_exchange import RequestExchange
 from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.server import GatewayServer
-from tests.proxy.gateway_scripts import queue_status, slow_client, until
+from tests.proxy.gateway_scripts import MemoryWatch, queue_status, slow_client, until
 from tests.proxy.test_main import SETTINGS, start
 from tests.sockets import CUSTOMER, Address, Backend, Client, front_door, query, resp, submit, value
 
@@ -32,24 +31,6 @@
     return resp("SVC.QUERY", CUSTOMER, name, f"c=read,t=team,d={WAIT_MS}")
 
 
-def memory_mb(pid: int) -> float:
-    """The process's own memory, without the pages of files and libraries."""
-    found = re.search(r"RssAnon:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    return int(found[1]) / 1024
-
-
-class MemoryWatch:
-    """The greatest memory of a process that was seen."""
-
-    def __init__(self, pid: int) -> None:
-        self.pid, self.peak_mb = pid, 0.0
-
-    async def run(self) -> None:
-        while True:
-            self.peak_mb = max(self.peak_mb, memory_mb(self.pid))
-            await asyncio.sleep(0.005)
-
-
 async def read_slowly(client: Client, count: int) -> list[object]:
     """The next answers, read some KiB at a time."""
     answers = []
@@ -98,7 +79,7 @@
             client.send(ask(f"long{number}") + ask(f"next{number}"))
         answers = await asyncio.gather(*[read_slowly(client, 2) for client in clients])
         assert [[len(one) for one in answer] for answer in answers] == [[LONGEST, len(b"next")]] * count
-        assert watch.peak_mb <= limit_mb
+        assert 0 < watch.peak_mb <= limit_mb
 
 
 async def test_answers_behind_an_unanswered_one_are_counted() -> None:
@@ -110,8 +91,7 @@
         client.send(b"".join(query(f"a{number}") for number in range(1 + behind)))
         await until(lambda: len(backend.commands) == 1 + behind and list(gateway.requests.open) == ["a0"])
         assert gateway.clients.backlog.unsent_bytes >= behind * SHORT_BYTES
-        first = next(n for n, arguments in enumerate(backend.commands) if arguments[2] == b"a0")
-        backend.writers[first].write(value(b"first"))
+        backend.writer_of("a0").write(value(b"first"))
         assert [await client.answer() for _ in range(1 + behind)] == [b"first"] + [short] * behind
         await until(lambda: not gateway.clients.backlog.unsent_bytes)
 
@@ -133,7 +113,7 @@
         answers = await asyncio.gather(*[read_slowly(client, commands) for client in clients])
         for answer in answers:
             assert all(one == short or str(one).startswith("BUSY") for one in answer)
-        assert watch.peak_mb <= limit_mb
+        assert 0 < watch.peak_mb <= limit_mb
 
 
 # --- values that are kept until they are complete ---
@@ -150,11 +130,10 @@
         client = await Client.open(address)
         client.send(query("a1", wait_ms=300) + query("a2"))
         await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
-        first = next(n for n, arguments in enumerate(backend.commands) if arguments[2] == b"a1")
         answer = LONG_HEAD + LONG + LONG_TAIL
         piece_bytes = len(answer) // 20
         for start_byte in range(0, len(answer), piece_bytes):
-            backend.writers[first].write(answer[start_byte : start_byte + piece_bytes])
+            backend.writer_of("a1").write(answer[start_byte : start_byte + piece_bytes])
             await asyncio.sleep(0.03)
         assert await client.answer() == LONG
         assert await client.answer() == b"second"
@@ -167,8 +146,7 @@
         client = await Client.open(address)
         client.send(query("a1", wait_ms=400) + query("a2"))
         await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
-        first = next(n for n, arguments in enumerate(backend.commands) if arguments[2] == b"a1")
-        backend.writers[first].write(LONG_HEAD + LONG[:1000])
+        backend.writer_of("a1").write(LONG_HEAD + LONG[:1000])
         assert str(await client.answer()).startswith("-BUSY")
         assert await client.answer() == b"second"
         assert await client.ask(query("a3")) == b"second"
@@ -221,8 +199,7 @@
         client = await Client.open(address)
         client.send(query("a1", wait_ms=400) + query("a2"))
         await until(lambda: gateway.clients.backlog.waiting_values and "a2" not in gateway.requests.open)
-        first = next(n for n, arguments in enumerate(backend.commands) if arguments[2] == b"a1")
-        backend.writers[first].transport.abort()
+        backend.writer_of("a1").transport.abort()
         assert str(await client.answer()).startswith("-ERR")
         assert await client.answer() == b"next"
 
@@ -328,7 +305,7 @@
             clients.append(client)
         lines = await asyncio.gather(*[client.answer() for client in clients])
         assert {str(line).split()[0] for line in lines} == {"-BUSY", "-ERR"}
-        assert watch.peak_mb <= limit_mb
+        assert 0 < watch.peak_mb <= limit_mb
         for client in clients:
             client.writer.close()
 
--- a/tests/proxy/test_broken_values.py
+++ b/tests/proxy/test_broken_values.py
@@ -28,18 +28,14 @@
             return b"-ERR failed\r\n"  # a further attempt
         return HEAD + LONG[:BEGUN_BYTES]
 
-    def _writer(self, name: str) -> object:
-        number = next(n for n, arguments in enumerate(self.backend.commands) if arguments[2].decode() == name)
-        return self.backend.writers[number]
-
     def end(self, name: str) -> None:
         """Give the rest of a value."""
-        self._writer(name).write(LONG[BEGUN_BYTES:] + TAIL)
+        self.backend.writer_of(name).write(LONG[BEGUN_BYTES:] + TAIL)
 
     def cut(self, name: str) -> None:
         """Reset the connection amid a value."""
         self.is_cut.add(name)
-        self._writer(name).transport.abort()
+        self.backend.writer_of(name).transport.abort()
 
 
 @pytest.mark.parametrize("order", list(itertools.permutations(range(COMMANDS))))
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -121,11 +121,7 @@
         client = await Client.open(address)
         client.send(query("a1", wait_ms=500) + query("a2"))
         await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
-        writer = next(
-            writer
-            for arguments, writer in zip(backend.commands, backend.writers, strict=True)
-            if arguments[2] == b"a1"
-        )
+        writer = backend.writer_of("a1")
         writer.write(LONG_START)
         async with until_killed(gateway):
             while gateway.requests.open:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -125,6 +125,11 @@
         self.left.set()
         writer.close()
 
+    def writer_of(self, name: str) -> asyncio.StreamWriter:
+        """The connection on which a request came first. Raises StopIteration if it has not come."""
+        pairs = zip(self.commands, self.writers, strict=True)
+        return next(writer for arguments, writer in pairs if arguments[2] == name.encode())
+
 
 class Watch:
     """Discovery: a script for each watch in turn, the last one for all that follow."""
