Before SIGKILL a connection with an unread command is closed behind what was sent

Cause: close_before_kill reset a connection on which an answer has begun and a command lies unread. A reset drops what the kernel has not sent, also of earlier answers; unread input at SIGKILL would do the same.

Change: the sending side is closed behind what was written, as where a value breaks, and the input is read and dropped. The kernel delivers the rest after the process has ended, and the client sees an end of the stream in place of a reset, so it sends its command elsewhere.

Test replaced: unread_command_behind_a_slow_reader_is_sent_elsewhere demanded that the connection is gone before the kill, which only a reset could do, and did not look at the answers. In its place command_behind_a_slow_reader_costs_no_sent_answer and command_behind_an_endless_value_costs_no_sent_answer demand every sent answer whole, no reset, the command unread no more and at no backend. The soak's excuse for an end seen after SIGKILL is narrower: it has to be an end of the stream.

--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -111,8 +111,6 @@
         self.linger_until_s = 0.0
         self.lingering_bytes = 0
         """Bytes that waited for the client when a lingering connection was last checked."""
-        self.has_dropped_input = False
-        """Whether bytes were read that will not be processed, as the connection is ending."""
         self.arrivals = ArrivalTimes(clients.loop_watch)
 
     @property
@@ -148,9 +146,7 @@
         """Process the commands that are complete now."""
         previous = self.clients.account.enter(CostCategory.CLIENTS)
         try:
-            if self.is_ending:
-                self.has_dropped_input = True
-            else:
+            if not self.is_ending:
                 self.arrivals.note_read()
                 self._process_commands(data)
             if not self.reader.buffer:
@@ -462,6 +458,10 @@
         """
         self._refuse_if_unanswered(CloseReason.VALUE_BROKE)
         self.clients.metrics.closes[CloseReason.VALUE_BROKE] += 1
+        self._close_behind_sent_bytes()
+
+    def _close_behind_sent_bytes(self) -> None:
+        """Close without the answers that were not written, but deliver the bytes that were."""
         if self._bytes_to_deliver():
             self._drop_replies()
             self._linger()
@@ -470,29 +470,25 @@
             self.abort()
 
     def close_before_kill(self) -> None:
-        """Close if a command is incomplete, or not processed behind answers that the client is slow to read.
+        """Close if a command is incomplete, or unread behind an answer that cannot be completed in time.
 
-        The client sends such a command on a new connection once this one is closed; SIGKILL would lose it.
-        The answer that is cut here would be cut by SIGKILL.
+        The client sends such a command on a new connection once this one is closed; SIGKILL would lose it,
+        and as it is unread, would reset the connection: that discards earlier answers which the kernel has
+        not sent. The answer that is cut here would be cut by SIGKILL.
         """
+        if self.is_ending:
+            return
         if self.state is ConnectionState.IDLE and self.reader.buffer:
             self.finish(INCOMPLETE_COMMAND_ERROR)
-        elif self._waits_for_slow_client() and self._may_close_unprocessed_input():
+        elif self._waits_for_only_answer() and socket_inspection.has_unread_bytes(self.transport):
             self.clients.metrics.closes[CloseReason.PROCESS_ENDS] += 1
-            self.abort()
+            self._close_behind_sent_bytes()
 
-    def _waits_for_slow_client(self) -> bool:
-        """Return whether the next answer has begun or is complete: no error line can take its place."""
-        if self.transport.is_closing():
+    def _waits_for_only_answer(self) -> bool:
+        """Return whether one answer is left, and no error line can take its place."""
+        if len(self.replies) != 1:
             return False
-        if self.replies:
-            return self.replies[0].has_begun or self.replies[0].is_complete
-        return bool(self.transport.get_write_buffer_size())
-
-    def _may_close_unprocessed_input(self) -> bool:
-        """Return whether there is input that is not processed, and a close would lose no later answer."""
-        has_input = self.has_dropped_input or socket_inspection.has_unread_bytes(self.transport)
-        return has_input and len(self.replies) <= 1
+        return self.replies[0].has_begun or self.replies[0].is_complete
 
     def _refuse_if_unanswered(self, reason: CloseReason) -> bool:
         """Have the guard count the close for each unanswered command; return whether there are any."""
--- a/tests/proxy/answer_soak.py
+++ b/tests/proxy/answer_soak.py
@@ -212,6 +212,7 @@
     answered_s: list[float] = field(default_factory=list)
     is_slow: bool = False
     is_partial: bool = False
+    has_ended_by_eof: bool = False
     ended_s: float = float("inf")
 
     def violation(self, seed: int, received: set[str]) -> str:
@@ -242,12 +243,13 @@
         """Whether each unanswered command was lost by SIGKILL, cut just before it, or never read.
 
         Nothing is read while a long answer is streamed, or the client is slow to take one. Such a client may
-        see the end of its connection after SIGKILL, behind what the kernel still delivers.
+        see the end of its connection after SIGKILL, behind what the kernel still delivers. It is no reset
+        then: SIGKILL resets a connection on which a command lies unread.
         """
         gateway = self.gateway
         last_answer_s = self.answered_s[first - 1] if first else 0.0
         is_near_kill = self.ended_s >= self._kill_due_s() - CUT_BEFORE_KILL_S
-        was_closed_before_kill = self.ended_s < gateway.killed_s or last_answer_s >= gateway.killed_s
+        was_closed_before_kill = self.ended_s < gateway.killed_s or self.has_ended_by_eof
         for number in range(first, len(self.names)):
             sent_s = self.sent_s[number]
             came_before_kill = sent_s < gateway.killed_s
@@ -410,6 +412,7 @@
             with contextlib.suppress(TimeoutError):
                 data = await asyncio.wait_for(reader.read(50_000), 0.05)
                 if not data:
+                    burst.has_ended_by_eof = True
                     break
                 parser.feed(data)
             if pause_s:
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -13,7 +13,9 @@
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject
 from orchidhatch.gateway.events import EndOpenRequests
 from orchidhatch.gateway.settings import Plan
-from orchidhatch.proxy import process_lifecycle
+from orchidhatch.proxy import process_lifecycle, socket_inspection
+from orchidhatch.proxy.connection_state import ConnectionState
+from orchidhatch.proxy.metrics import RequestOutcome
 from orchidhatch.proxy.process_lifecycle import ProcessState
 from orchidhatch.proxy.server import GatewayServer
 from tests.helpers import PLAN, UNSAFE, World, of, with_class
@@ -164,8 +166,19 @@
         assert len(backend.commands) == 1
 
 
-async def test_unread_command_behind_a_slow_reader_is_sent_elsewhere() -> None:
-    backend = Backend(lambda arguments: value(b"x" * 60_000))
+async def answers_until_eof(client: Client) -> list[object]:
+    """All answers up to the end of the connection. Raises ConnectionResetError if it is a reset."""
+    answers = []
+    with contextlib.suppress(EOFError):
+        while True:
+            answers.append(await client.answer())
+    return answers
+
+
+async def test_command_behind_a_slow_reader_costs_no_sent_answer() -> None:
+    """Guards against a reset before SIGKILL that drops what the kernel has not sent: all is answered."""
+    answer = b"x" * 60_000
+    backend = Backend(lambda arguments: value(answer))
     async with front_door(backend) as (gateway, address):
         client = await slow_client(address)
         client.writer.transport.pause_reading()
@@ -174,13 +187,42 @@
             number += 1
             client.send(query(f"a{number}"))
             await asyncio.sleep(0.002)
+        (connection,) = gateway.clients.connections
         async with until_killed(gateway):
-            await until(lambda: gateway.clients.is_reading_stopped)
+            await until(lambda: connection.state is ConnectionState.LINGERING)
             client.send(query("b1"))
-            await until(lambda: not gateway.clients.connections)
+            await asyncio.sleep(process_lifecycle.MAX_DEADLINE_US / 1e6 + 0.1)
+            assert not socket_inspection.has_unread_bytes(connection.transport)
+        gateway.close()
+        client.writer.transport.resume_reading()
+        answers = await answers_until_eof(client)
+        assert answers and set(answers) == {answer}
         assert all(arguments[2] != b"b1" for arguments in backend.commands)
 
 
+async def test_command_behind_an_endless_value_costs_no_sent_answer() -> None:
+    """The same where the last answer has begun: it is cut, what was sent before it is not."""
+    first = b"x" * 24_000
+    backend = Backend(lambda arguments: value(first) if arguments[2] == b"a1" else LONG_START)
+    async with front_door(backend) as (gateway, address):
+        client = await slow_client(address)
+        client.writer.transport.pause_reading()
+        client.send(query("a1"))
+        await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+        client.send(query("a2"))
+        await until(lambda: any(one.reply.has_begun for one in gateway.requests.open.values()))
+        (connection,) = gateway.clients.connections
+        async with until_killed(gateway):
+            await until(lambda: gateway.clients.is_reading_stopped)
+            client.send(query("b1"))
+            await until(lambda: connection.state is ConnectionState.LINGERING)
+            await until(lambda: not socket_inspection.has_unread_bytes(connection.transport))
+        gateway.close()
+        client.writer.transport.resume_reading()
+        assert await answers_until_eof(client) == [first]
+        assert len(backend.commands) == 2
+
+
 # --- the decision core ---
 
 
