--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -92,11 +92,6 @@
         self.policy_guard = policy_guard
         self.long_values.clients = clients
 
-    @property
-    def buffered_bytes(self) -> int:
-        """The memory that is reserved for long values until they are complete, in bytes."""
-        return self.clients.backlog.reserved_bytes
-
     # --- requests from clients ---
 
     def start_request(self, arguments: list[bytes], reply: Reply) -> None:
--- a/tests/proxy/test_guards.py
+++ b/tests/proxy/test_guards.py
@@ -270,11 +270,11 @@
         first = next(n for n, arguments in enumerate(backend.commands) if arguments[2] == b"a1")
         answers[b"a1"] = b"-ERR failed\r\n"
         backend.writers[first].write(LONG_HEAD + LONG[:1000])
-        await until(lambda: gateway.requests.buffered_bytes)
+        await until(lambda: gateway.clients.backlog.reserved_bytes)
         backend.writers[first].transport.abort()
         first_answer, second_answer = await client.answer(), await client.answer()
         assert str(first_answer).startswith("-") and second_answer == b"second"
-        assert gateway.requests.buffered_bytes == 0
+        assert gateway.clients.backlog.reserved_bytes == 0
         assert not gateway.guard.refusals
 
 
