A connection that is closed before SIGKILL processes no further command

Cause: closes the sending side also behind an answer that is complete and only partly written. Such a connection is answering, not streaming, and the table of states did not let it linger: the state stayed, the input was read and its command processed behind the end.

Change: lingering and closing may follow answering. Failed before: command_behind_a_complete_answer_is_not_processed_after_the_close.

--- a/orchidhatch/proxy/connection_state.py
+++ b/orchidhatch/proxy/connection_state.py
@@ -46,12 +46,14 @@
             ConnectionState.LOST,
         }
     ),
-    # The gateway does not close here, as a command is unanswered.
+    # The gateway closes here only before SIGKILL, behind an answer that is partly written.
     ConnectionState.ANSWERING: frozenset(
         {
             ConnectionState.IDLE,
             ConnectionState.PROCESSING,
             ConnectionState.STREAMING,
+            ConnectionState.LINGERING,
+            ConnectionState.CLOSING,
             ConnectionState.CLIENT_LEFT,
             ConnectionState.LOST,
         }
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -223,6 +223,31 @@
         assert len(backend.commands) == 2
 
 
+async def test_command_behind_a_complete_answer_is_not_processed_after_the_close() -> None:
+    """Guards against a request that is read after the sending side is closed, and sent on."""
+    first, long = b"x" * 24_000, b"x" * (4 << 20)
+    whole = b"*1\r\n$%d\r\n%b\r\n" % (len(long), long)
+    backend = Backend(lambda arguments: value(first) if arguments[2] == b"a1" else whole)
+    async with front_door(backend, memory_mb=80) as (gateway, address):
+        client = await slow_client(address)
+        client.writer.transport.pause_reading()
+        client.send(query("a1") + query("a2"))
+        await until(lambda: len(backend.commands) == 2 and not gateway.requests.open)
+        (connection,) = gateway.clients.connections
+        await until(lambda: connection.replies and connection.replies[0].has_begun)
+        assert connection.state is ConnectionState.ANSWERING
+        async with until_killed(gateway):
+            await until(lambda: gateway.clients.is_reading_stopped)
+            client.send(query("b1"))
+            await until(lambda: connection.state is ConnectionState.LINGERING)
+            await until(lambda: not socket_inspection.has_unread_bytes(connection.transport))
+            assert not gateway.requests.open
+        gateway.close()
+        client.writer.transport.resume_reading()
+        assert await answers_until_eof(client) == [first]
+        assert len(backend.commands) == 2
+
+
 # --- the decision core ---
 
 
