A long value is buffered or streamed: held was a word of its own

Names only: HeldValue, held_value.py, held, held_timer, held_bytes and the like are BufferedValue, buffered_value.py, buffered, buffer_timer, total_bytes. The field's word was in use before, in RequestLifecycle.

--- a/orchidhatch/proxy/held_value.py
+++ b/orchidhatch/proxy/buffered_value.py
@@ -1,4 +1,4 @@
-"""A long value of a backend that is kept in memory, as other answers on its connection depend on it."""
+"""A long value of a backend that is buffered, as other answers on its client's connection depend on it."""
 
 from orchidhatch.proxy import socket_inspection
 from orchidhatch.proxy.attempt import Attempt
@@ -12,7 +12,7 @@
 """A backend that gave nothing for this long, or for half of the request's time, has stalled."""
 
 
-class HeldValue:
+class BufferedValue:
     """The pieces of a long value, and the memory that is reserved for all of it.
 
     Until memory is reserved, the backend's connection is paused. Times are in microseconds of the process's
--- a/orchidhatch/proxy/long_values.py
+++ b/orchidhatch/proxy/long_values.py
@@ -1,9 +1,9 @@
-"""How long values reach their clients: streamed as they come, or kept until they are complete.
+"""How long values reach their clients: streamed as they come, or buffered until they are complete.
 
 A streamed value that breaks can only be ended by closing the client's connection, with which the answers of
-all later commands on it are lost. So a value with commands behind it is kept until it is complete, and its
-request can be retried until then. Memory for all of it is reserved first. Without any, the backend waits; the
-decision core is told that the value is streamed, as the wait is not the backend's.
+all later commands on it are lost. So a value with commands behind it is buffered until it is complete, and
+its request can be retried until then. Memory for all of it is reserved first. Without any, the backend waits;
+the decision core is notified that the value is streamed, as the wait is not the backend's.
 
 The client waits for the first byte until its deadline only. A value that is still incomplete then is streamed
 from there on if its backend steadily gives it; else its attempt times out. If a value breaks after that, the
@@ -17,10 +17,10 @@
 
 from orchidhatch.gateway.events import Event, StreamStarted
 from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.buffered_value import BufferedValue
 from orchidhatch.proxy.client_connection import SEND_STALL_TIMEOUT_S
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.clock import now_us
-from orchidhatch.proxy.held_value import HeldValue
 from orchidhatch.proxy.request_exchange import RequestExchange
 
 log = logging.getLogger(__name__)
@@ -48,47 +48,49 @@
         time limits replace the attempt's timeout.
         """
         exchange = self.open_requests.get(attempt.request_id)
-        if exchange is None or exchange.streaming_attempt or exchange.held:
+        if exchange is None or exchange.streaming_attempt or exchange.buffered:
             return None
         attempt.cancel_timeout()
         if exchange.reply.is_last():
             self._stream(exchange, attempt, size)
         else:
-            self._hold(exchange, attempt, size)
+            self._buffer(exchange, attempt, size)
         return lambda piece: self._receive(attempt, piece)
 
     def _receive(self, attempt: Attempt, piece: bytes) -> None:
         exchange = self.open_requests.get(attempt.request_id)
         if exchange is None:
             attempt.cancel()
-        elif exchange.held is not None:
-            exchange.held.append(piece)
+        elif exchange.buffered is not None:
+            exchange.buffered.append(piece)
         else:
             exchange.reply.append(piece)
 
-    # --- values that are kept until they are complete ---
+    # --- buffered values ---
 
-    def _hold(self, exchange: RequestExchange, attempt: Attempt, size: int) -> None:
-        exchange.held = HeldValue(attempt, size, self.clients.backlog)
-        if not exchange.held.is_reserved:
+    def _buffer(self, exchange: RequestExchange, attempt: Attempt, size: int) -> None:
+        exchange.buffered = BufferedValue(attempt, size, self.clients.backlog)
+        if not exchange.buffered.is_reserved:
             self._report_stream(exchange, attempt)
         delay_s = max(0, exchange.deadline_us - STREAM_LEAD_US - now_us()) / 1e6
-        exchange.held_timer = self.loop.call_later(delay_s, self._end_hold, exchange, exchange.held)
+        exchange.buffer_timer = self.loop.call_later(
+            delay_s, self._end_buffering, exchange, exchange.buffered
+        )
 
-    def _end_hold(self, exchange: RequestExchange, held: HeldValue) -> None:
+    def _end_buffering(self, exchange: RequestExchange, buffered: BufferedValue) -> None:
         """Stream a value that is incomplete at its request's deadline, or end its attempt."""
-        if exchange.held is not held:
+        if exchange.buffered is not buffered:
             return
         request_time_us = exchange.deadline_us - exchange.arrived_us
-        if self.is_shutting_down or not held.is_steady(request_time_us):
-            held.attempt.time_out()
+        if self.is_shutting_down or not buffered.is_steady(request_time_us):
+            buffered.attempt.time_out()
             return
-        exchange.take_held(held.attempt)
-        held.attempt.resume()
-        self._stream(exchange, held.attempt, held.size)
-        held.release()
-        while held.pieces:
-            exchange.reply.append(held.pieces.pop())
+        exchange.take_buffered(buffered.attempt)
+        buffered.attempt.resume()
+        self._stream(exchange, buffered.attempt, buffered.size)
+        buffered.release()
+        while buffered.pieces:
+            exchange.reply.append(buffered.pieces.pop())
 
     # --- streamed values ---
 
--- a/orchidhatch/proxy/request_exchange.py
+++ b/orchidhatch/proxy/request_exchange.py
@@ -4,8 +4,8 @@
 
 from orchidhatch.gateway.attempts import AttemptResult
 from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.buffered_value import BufferedValue
 from orchidhatch.proxy.command_parser import Command
-from orchidhatch.proxy.held_value import HeldValue
 from orchidhatch.proxy.reply import Reply
 
 
@@ -14,19 +14,19 @@
 
     The plan is kept by name, as a reload may give its number to another plan. `policy_digest` is the digest
     of the policy that admitted the request, "" if that is not logged. `streaming_attempt` is the attempt
-    whose long value is being streamed to the client; `held` is a long value that is kept until it is
-    complete, or until `held_timer` expires. `first_possible_run_us` is the send time of the first attempt
-    that a backend may have run, 0 if there is none. Times are in microseconds of the process's clock.
+    whose long value is being streamed to the client; `buffered` is a long value that is not sent before it
+    is complete or `buffer_timer` expires. `first_possible_run_us` is the send time of the first attempt that
+    a backend may have run, 0 if there is none. Times are in microseconds of the process's clock.
     """
 
     __slots__ = (
         "arrived_us",
         "attempt_count",
+        "buffer_timer",
+        "buffered",
         "command",
         "deadline_us",
         "first_possible_run_us",
-        "held",
-        "held_timer",
         "in_flight",
         "last_result",
         "plan_name",
@@ -47,27 +47,27 @@
         self.arrived_us = deadline_us - command.request.time_left_us
         self.attempt_count = 0
         self.first_possible_run_us = 0
-        self.held: HeldValue | None = None
-        self.held_timer: asyncio.TimerHandle | None = None
+        self.buffered: BufferedValue | None = None
+        self.buffer_timer: asyncio.TimerHandle | None = None
         self.last_result: AttemptResult | None = None
         self.in_flight: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.streaming_attempt: Attempt | None = None
 
-    def take_held(self, attempt: Attempt) -> HeldValue | None:
+    def take_buffered(self, attempt: Attempt) -> BufferedValue | None:
         """Remove and return the attempt's long value; the caller releases its memory."""
-        held = self.held
-        if held is None or held.attempt is not attempt:
+        buffered = self.buffered
+        if buffered is None or buffered.attempt is not attempt:
             return None
-        self.held = None
-        self.held_timer.cancel()
-        return held
+        self.buffered = None
+        self.buffer_timer.cancel()
+        return buffered
 
-    def drop_held(self, attempt: Attempt) -> None:
+    def drop_buffered(self, attempt: Attempt) -> None:
         """Drop the attempt's long value, if there is one."""
-        held = self.take_held(attempt)
-        if held:
-            held.release()
+        buffered = self.take_buffered(attempt)
+        if buffered:
+            buffered.release()
 
     def has_another_in_flight(self, attempt: Attempt) -> bool:
         """Return whether another attempt of the request has not ended."""
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -277,7 +277,7 @@
         exchange = self.ended.get(request_id) if has_ended else self.open[request_id]
         if exchange:
             exchange.in_flight.pop(attempt.number, None)
-            exchange.drop_held(attempt)
+            exchange.drop_buffered(attempt)
             if result not in NOT_RUN_RESULTS and not exchange.first_possible_run_us:
                 exchange.first_possible_run_us = attempt.sent_us
             if has_ended and not exchange.in_flight:
@@ -293,8 +293,8 @@
         )
 
     def _answer_value(self, exchange: RequestExchange, attempt: Attempt, value: bytes) -> None:
-        """Answer with the attempt's value, or with its long value that was kept until now."""
-        if exchange.held and exchange.held.attempt is attempt:
+        """Answer with the attempt's value, or with its long value that was buffered until now."""
+        if exchange.buffered and exchange.buffered.attempt is attempt:
             self._end_stream(attempt, is_complete=True)
         else:
             data = b"$%d\r\n%b\r\n" % (len(value), value)
@@ -308,18 +308,18 @@
             attempt.cancel()
 
     def _end_stream(self, attempt: Attempt, is_complete: bool) -> None:
-        """End a long value, which was streamed or kept until now, and close its request."""
-        held = self.open[attempt.request_id].take_held(attempt)
+        """End a long value, which was streamed or buffered until now, and close its request."""
+        buffered = self.open[attempt.request_id].take_buffered(attempt)
         exchange = self.close_request(attempt.request_id)
         self._record_outcome(exchange, RequestOutcome.ANSWERED if is_complete else RequestOutcome.ERRORED)
         if not is_complete:
             exchange.reply.abort()
-        elif held:
-            exchange.reply.send_pieces(b"$%d\r\n" % held.size, held.pieces, b"\r\n")
+        elif buffered:
+            exchange.reply.send_pieces(b"$%d\r\n" % buffered.size, buffered.pieces, b"\r\n")
         else:
             exchange.reply.send(b"\r\n")
-        if held:
-            held.release()
+        if buffered:
+            buffered.release()
 
     # --- answers ---
 
@@ -361,9 +361,9 @@
         if exchange is None:
             return None
         self.open_command_bytes -= exchange.command.request.size_bytes
-        if exchange.held:
-            attempt = exchange.held.attempt
-            exchange.drop_held(attempt)
+        if exchange.buffered:
+            attempt = exchange.buffered.attempt
+            exchange.drop_buffered(attempt)
             attempt.cancel()  # its connection may be paused
         if not exchange.attempt_count:
             self.queue_waits.note(now_us() - exchange.arrived_us)
--- a/orchidhatch/proxy/send_backlog.py
+++ b/orchidhatch/proxy/send_backlog.py
@@ -7,7 +7,7 @@
 PROGRAM_MEMORY_MB = 32
 # Each of the two processes may use a third of the remaining memory.
 BACKLOG_MEMORY_DIVISOR = 3
-# Room for one value of the protocol's greatest length, or no such value could ever be kept complete.
+# Room for one value of the protocol's greatest length, or no such value could ever be buffered.
 MIN_BACKLOG_BYTES = (4 << 20) + (64 << 10)
 # Short answers are not paused at the limit, as they may be what a paused answer waits for. Above this
 # multiple of the limit they are paused too.
@@ -55,13 +55,13 @@
         spare_bytes = (memory_mb - PROGRAM_MEMORY_MB) * (1 << 20)
         self.limit_bytes = max(MIN_BACKLOG_BYTES, spare_bytes // BACKLOG_MEMORY_DIVISOR)
 
-    def held_bytes(self) -> int:
+    def total_bytes(self) -> int:
         """Return the bytes of all answers in memory, with those that are reserved."""
         return self.unsent_bytes + self.reserved_bytes + self.partial_bytes
 
     def is_over_limit(self) -> bool:
         """Return whether streamed values must be paused."""
-        return self.held_bytes() > self.limit_bytes
+        return self.total_bytes() > self.limit_bytes
 
     def must_read_little(self) -> bool:
         """Return whether memory is short, so that backends must be read in small pieces."""
@@ -69,13 +69,13 @@
 
     def is_full(self) -> bool:
         """Return whether all replies of backends must be paused."""
-        return self.held_bytes() > self.limit_bytes * FULL_LIMIT_FACTOR
+        return self.total_bytes() > self.limit_bytes * FULL_LIMIT_FACTOR
 
     def shed_limit_bytes(self) -> int:
         """Return the number of unsent bytes above which the slowest clients are closed."""
         return SHED_LIMIT_FACTOR * self.limit_bytes
 
-    # --- long values that are kept until they are complete ---
+    # --- buffered values ---
 
     def reserve_or_wait(self, value: WaitingValue) -> bool:
         """Reserve memory for the value and return True, or have it wait for its turn and return False."""
--- a/tests/proxy/test_answer_memory.py
+++ b/tests/proxy/test_answer_memory.py
@@ -116,11 +116,11 @@
         assert 0 < watch.peak_mb <= limit_mb
 
 
-# --- values that are kept until they are complete ---
+# --- buffered values ---
 
 
-def held(gateway: GatewayServer) -> list[RequestExchange]:
-    return [exchange for exchange in gateway.requests.open.values() if exchange.held]
+def buffering_requests(gateway: GatewayServer) -> list[RequestExchange]:
+    return [exchange for exchange in gateway.requests.open.values() if exchange.buffered]
 
 
 async def test_slow_long_value_before_another_answer_is_not_cut() -> None:
@@ -151,7 +151,7 @@
         assert await client.answer() == b"second"
         assert await client.ask(query("a3")) == b"second"
         await until(lambda: not gateway.requests.ended)
-        assert not gateway.clients.backlog.held_bytes()
+        assert not gateway.clients.backlog.total_bytes()
 
 
 async def test_values_wait_for_memory_in_turn() -> None:
@@ -164,17 +164,19 @@
         clients = [await Client.open(address) for _ in range(2)]
         for number, client in enumerate(clients):
             client.send(query(f"long{number}") + query(f"next{number}"))
-        await until(lambda: len(held(gateway)) == 2)
-        first, second = sorted(held(gateway), key=lambda exchange: not exchange.held.is_reserved)
-        assert first.held.is_reserved and not second.held.is_reserved
-        assert list(gateway.clients.backlog.waiting_values) == [second.held]
+        await until(lambda: len(buffering_requests(gateway)) == 2)
+        first, second = sorted(
+            buffering_requests(gateway), key=lambda exchange: not exchange.buffered.is_reserved
+        )
+        assert first.buffered.is_reserved and not second.buffered.is_reserved
+        assert list(gateway.clients.backlog.waiting_values) == [second.buffered]
         rest = LONG[1000:] + LONG_TAIL
         for arguments, writer in zip(backend.commands, backend.writers, strict=True):
             if arguments[2].startswith(b"long"):
                 writer.write(rest)
         for client in clients:
             assert [await client.answer(), await client.answer()] == [LONG, b"next"]
-        await until(lambda: not gateway.requests.open and not gateway.clients.backlog.held_bytes())
+        await until(lambda: not gateway.requests.open and not gateway.clients.backlog.total_bytes())
 
 
 async def test_value_without_memory_at_its_deadline_is_streamed() -> None:
@@ -186,7 +188,7 @@
         client = await Client.open(address)
         client.send(query("a1", wait_ms=400) + query("a2"))
         assert [await client.answer(), await client.answer()] == [LONG, b"next"]
-        await until(lambda: not gateway.requests.open and not gateway.clients.backlog.held_bytes())
+        await until(lambda: not gateway.requests.open and not gateway.clients.backlog.total_bytes())
 
 
 async def test_value_that_broke_while_it_waited_is_not_streamed() -> None:
@@ -216,7 +218,7 @@
         client.writer.transport.abort()
         await until(lambda: not gateway.requests.open and not gateway.requests.ended)
         backlog = gateway.clients.backlog
-        assert not backlog.waiting_values and not backlog.held_bytes()
+        assert not backlog.waiting_values and not backlog.total_bytes()
 
 
 async def test_short_replies_wait_while_there_is_no_memory() -> None:
--- a/tests/proxy/test_broken_values.py
+++ b/tests/proxy/test_broken_values.py
@@ -49,7 +49,7 @@
         client.send(b"".join(map(query, names)))
         await until(lambda: len(values.backend.commands) == COMMANDS)
         requests = gateway.requests
-        await until(lambda: all(one.held or one.streaming_attempt for one in requests.open.values()))
+        await until(lambda: all(one.buffered or one.streaming_attempt for one in requests.open.values()))
         for number in order:
             if number == broken:
                 values.cut(names[number])
@@ -68,7 +68,7 @@
         if not has_begun:
             values.backend.answer = lambda arguments: value(b"further")
             assert await client.ask(query("b1")) == b"further"
-        assert not gateway.clients.backlog.held_bytes()
+        assert not gateway.clients.backlog.total_bytes()
 
 
 async def test_answer_before_a_broken_value_is_delivered_whole() -> None:
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -109,7 +109,7 @@
     async with front_door(backend) as (gateway, address):
         client = await Client.open(address)
         client.send(query("a1") + query("a2"))
-        await until(lambda: any(one.held for one in gateway.requests.open.values()))
+        await until(lambda: any(one.buffered for one in gateway.requests.open.values()))
         async with until_killed(gateway):
             assert str(await client.answer()) == "-BUSY"
             assert await client.answer() == b"second"
