The memory of a connection's unsent answers is measured by an object of its own

UnsentAnswers counts what is queued and what the transport keeps, tells the backlog, and knows when the client last took something; the sweeper and the metrics read it there. No behaviour changes.

--- a/orchidhatch/proxy/client_connection.py
+++ b/orchidhatch/proxy/client_connection.py
@@ -18,6 +18,7 @@
 from orchidhatch.proxy.reply import FAILED_ANSWER, Reply
 from orchidhatch.proxy.resp import ProtocolError
 from orchidhatch.proxy.send_backlog import SendBacklog
+from orchidhatch.proxy.unsent_answers import UnsentAnswers
 
 log = logging.getLogger(__name__)
 
@@ -94,20 +95,11 @@
         self.is_write_paused = False
         self.is_reading_stopped = False
         self.has_sent_request = False
-        self.queued_bytes = 0
-        """Bytes of answers that are ready and not yet handed to the transport."""
-        self.written_piece_bytes = 0
-        """Size of the last piece handed to the transport, which is freed when all of it is sent."""
-        self.write_buffer_bytes = 0
-        """Bytes in the transport's write buffer, as last measured."""
-        self.unsent_bytes = 0
-        """Memory of the answers not yet sent to the client, as last measured."""
+        self.unsent = UnsentAnswers(clients.backlog)
         self.command_deadline_s: float | None = None
         """When the awaited command must be complete; None if none is awaited."""
         self.read_paused_s = 0.0
         self.write_paused_s = 0.0
-        self.last_progress_s = 0.0
-        """When the client last read some of the unsent bytes."""
         self.linger_until_s = 0.0
         self.lingering_bytes = 0
         """Bytes that waited for the client when a lingering connection was last checked."""
@@ -269,7 +261,7 @@
         """Hand answers to the transport in order, piece by piece, until its write buffer is full."""
         while self.replies and self._write_pieces(self.replies[0]):
             self.replies.popleft()
-        if self.is_write_paused or self.queued_bytes or self.unsent_bytes:
+        if self.is_write_paused or self.unsent.queued_bytes or self.unsent.memory_bytes:
             self.update_unsent_bytes()
         if not self.replies:
             self._handle_all_answered()
@@ -284,10 +276,9 @@
             if self.is_write_paused and not is_closing:
                 return False
             piece = reply.pieces.pop()
-            self.queued_bytes -= len(piece)
+            self.unsent.note_written(len(piece))
             if not is_closing:
                 reply.has_begun = True
-                self.written_piece_bytes = len(piece)
                 self.transport.write(piece)
         return reply.is_complete
 
@@ -338,14 +329,14 @@
         """Pause reading commands, as the client reads too slowly and the write buffer is full."""
         self.is_write_paused = True
         self.write_paused_s = self.now_s()
-        self.last_progress_s = self.write_paused_s
+        self.unsent.last_progress_s = self.write_paused_s
         self.update_unsent_bytes()
         self.update_reading()
 
     def resume_writing(self) -> None:
         """Continue to write, stream and read, as the write buffer has drained."""
         self.is_write_paused = False
-        self.last_progress_s = self.now_s()
+        self.unsent.last_progress_s = self.now_s()
         self.clients.metrics.unsent_waits.note(self.clients.elapsed_us(self.write_paused_s))
         self.update_unsent_bytes()
         self.flush()
@@ -356,34 +347,21 @@
 
     def update_unsent_bytes(self) -> None:
         """Measure the bytes not yet sent to the client and update the backlog of all clients."""
-        unsent_bytes = 0
-        if self.transport and self.state is not ConnectionState.LOST:
-            unsent_bytes = self.queued_bytes + self._measure_write_buffer()
-        has_shrunk = unsent_bytes < self.unsent_bytes
-        self.clients.backlog.unsent_bytes += unsent_bytes - self.unsent_bytes
-        self.unsent_bytes = unsent_bytes
-        if unsent_bytes:
+        if self.transport is None or self.state is ConnectionState.LOST:
+            self.unsent.discard()
+            return
+        self.unsent.measure(self.transport.get_write_buffer_size(), self.now_s())
+        if self.unsent.memory_bytes:
             self.clients.schedule_sweep()
-        if has_shrunk:
-            self.clients.backlog.resume_waiting()
-
-    def _measure_write_buffer(self) -> int:
-        """Return the memory of the transport's write buffer, and note whether the client has read from it."""
-        buffer_bytes = self.transport.get_write_buffer_size()
-        if buffer_bytes < self.write_buffer_bytes or not self.write_buffer_bytes:
-            self.last_progress_s = self.now_s()
-        self.write_buffer_bytes = buffer_bytes
-        return max(buffer_bytes, self.written_piece_bytes) if buffer_bytes else 0
 
     def is_awaiting_client(self) -> bool:
         """Return whether bytes wait for the client to read, and no streamed answer is incomplete."""
-        has_written_bytes = bool(self.unsent_bytes and self.write_buffer_bytes)
-        return has_written_bytes and not any(reply.is_streaming() for reply in self.replies)
+        return self.unsent.is_awaiting_client() and not any(reply.is_streaming() for reply in self.replies)
 
     def may_need_sweep(self) -> bool:
         """Return whether a time limit may close the connection or resume it."""
         has_deadline = self.command_deadline_s is not None or self.state is ConnectionState.LINGERING
-        return has_deadline or bool(self.unsent_bytes) or not self.is_reading
+        return has_deadline or bool(self.unsent.memory_bytes) or not self.is_reading
 
     # --- close by the gateway ---
 
@@ -425,7 +403,7 @@
     def _linger(self) -> None:
         self._enter(ConnectionState.LINGERING)
         self.linger_until_s = self.now_s() + LINGER_TIMEOUT_S
-        self.last_progress_s = self.now_s()
+        self.unsent.last_progress_s = self.now_s()
         self.transport.write_eof()
         if not self.is_reading:
             self.is_reading = True
@@ -440,8 +418,8 @@
         bytes_to_deliver = self._bytes_to_deliver()
         if bytes_to_deliver != self.lingering_bytes:
             self.lingering_bytes = bytes_to_deliver
-            self.last_progress_s = now_s
-        if bytes_to_deliver and now_s - self.last_progress_s < SEND_STALL_TIMEOUT_S:
+            self.unsent.last_progress_s = now_s
+        if bytes_to_deliver and now_s - self.unsent.last_progress_s < SEND_STALL_TIMEOUT_S:
             self.linger_until_s = now_s + LINGER_TIMEOUT_S
         elif now_s >= self.linger_until_s:
             self._enter(ConnectionState.CLOSING)
@@ -527,7 +505,7 @@
     def _drop_replies(self) -> None:
         replies = list(self.replies)
         self.replies.clear()
-        self.queued_bytes = 0
+        self.unsent.queued_bytes = 0
         for reply in replies:
             if not reply.is_complete:
                 self.clients.abandon_request(reply)
--- a/orchidhatch/proxy/client_sweeper.py
+++ b/orchidhatch/proxy/client_sweeper.py
@@ -64,7 +64,7 @@
     def _resume_sources(self) -> None:
         """Measure the unsent bytes again and resume paused answers while the backlog allows."""
         for connection in self.connections:
-            if connection.unsent_bytes:
+            if connection.unsent.memory_bytes:
                 connection.update_unsent_bytes()
         self.clients.backlog.resume_waiting()
         for connection in self.connections:
@@ -79,7 +79,7 @@
         """
         backlog = self.clients.backlog
         for connection in self._slow_readers():
-            stalled_s = now_s - connection.last_progress_s
+            stalled_s = now_s - connection.unsent.last_progress_s
             is_over_limit = backlog.unsent_bytes > backlog.shed_limit_bytes()
             if stalled_s < SEND_STALL_TIMEOUT_S and not is_over_limit:
                 break
@@ -88,17 +88,16 @@
     def _slow_readers(self) -> list[ClientConnection]:
         """Return the connections with unsent bytes and no streamed answer, the one stalled longest first."""
         waiting = [connection for connection in self.connections if connection.is_awaiting_client()]
-        return sorted(waiting, key=lambda connection: connection.last_progress_s)
+        return sorted(waiting, key=lambda connection: connection.unsent.last_progress_s)
 
     def _close_slow_reader(self, connection: ClientConnection, stalled_s: float) -> None:
         log.warning(
             "client connection closed: reason=%s unsent_bytes=%d stalled_s=%.1f",
             CloseReason.READS_NOTHING.value,
-            connection.unsent_bytes,
+            connection.unsent.memory_bytes,
             stalled_s,
         )
         self.clients.metrics.slow_readers += 1
         self.clients.metrics.closes[CloseReason.READS_NOTHING] += 1
         connection.abort()
-        self.clients.backlog.unsent_bytes -= connection.unsent_bytes
-        connection.unsent_bytes = 0
+        connection.unsent.discard()
--- a/orchidhatch/proxy/reply.py
+++ b/orchidhatch/proxy/reply.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from orchidhatch.proxy.piece_buffer import PieceBuffer
+from orchidhatch.proxy.unsent_answers import UnsentAnswers
 
 FAILED_ANSWER = b"-ERR failed\r\n"
 
@@ -25,7 +26,7 @@
     is_reading: bool
     is_write_paused: bool
     arrived_us: int
-    queued_bytes: int
+    unsent: UnsentAnswers
 
     def now_s(self) -> float:
         """Return the time of the connection's clock, in seconds."""
@@ -87,7 +88,7 @@
 
     def _queue(self, data: bytes) -> None:
         self.pieces.append(data)
-        self.connection.queued_bytes += len(data)
+        self.connection.unsent.queued_bytes += len(data)
 
     def send(self, data: bytes) -> None:
         """Send the complete answer, or its last chunk; ignored if the answer is already complete."""
@@ -170,6 +171,6 @@
             self.source = None
             self.connection.abort_stream()
             return
-        self.connection.queued_bytes -= self.pieces.size
+        self.connection.unsent.queued_bytes -= self.pieces.size
         self.pieces.clear()
         self.send(FAILED_ANSWER)
--- a/orchidhatch/proxy/work_queues.py
+++ b/orchidhatch/proxy/work_queues.py
@@ -112,8 +112,10 @@
         clients = self.clients
         backlog = clients.backlog
         metrics = clients.metrics
-        unsent = [connection for connection in clients.connections if connection.unsent_bytes]
-        oldest_us = max((clients.elapsed_us(connection.last_progress_s) for connection in unsent), default=0)
+        unsent = [connection for connection in clients.connections if connection.unsent.memory_bytes]
+        oldest_us = max(
+            (clients.elapsed_us(connection.unsent.last_progress_s) for connection in unsent), default=0
+        )
         return QueueStatus(
             "unsent_bytes",
             backlog.shed_limit_bytes(),
