--- a/tests/proxy/gateway_scripts.py
+++ b/tests/proxy/gateway_scripts.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from orchidhatch.gateway.events import MetricsRequest
+from orchidhatch.proxy.metrics import RequestOutcome
 from orchidhatch.proxy.reply import Reply
 from orchidhatch.proxy.server import GatewayServer
 from orchidhatch.proxy.wait_queues import QueueStatus, WaitHistogram
@@ -80,6 +81,24 @@
     return client
 
 
+async def slow_client_of_sent_answer(gateway: GatewayServer, address: Address) -> Client:
+    """A client that has not read the answer to a1, which the gateway has handed to the kernel."""
+    client = await slow_client(address)
+    client.writer.transport.pause_reading()
+    client.send(query("a1"))
+    await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+    return client
+
+
+async def ask_with_one_behind(
+    gateway: GatewayServer, backend: Backend, client: Client, wait_ms: int
+) -> asyncio.StreamWriter:
+    """Send a1 and a2 at once; return the backend's connection of a1, once a2 is answered behind it."""
+    client.send(query("a1", wait_ms=wait_ms) + query("a2"))
+    await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
+    return backend.writer_of("a1")
+
+
 class MemoryWatch:
     """The greatest memory of a process that was seen: its own, without the pages of files and libraries."""
 
--- a/tests/proxy/test_answer_memory.py
+++ b/tests/proxy/test_answer_memory.py
@@ -12,7 +12,13 @@
 from orchidhatch.proxy.request_exchange import RequestExchange
 from orchidhatch.proxy.send_backlog import SendBacklog
 from orchidhatch.proxy.server import GatewayServer
-from tests.proxy.gateway_scripts import MemoryWatch, queue_status, slow_client, until
+from tests.proxy.gateway_scripts import (
+    MemoryWatch,
+    ask_with_one_behind,
+    queue_status,
+    slow_client,
+    until,
+)
 from tests.proxy.test_main import SETTINGS, start
 from tests.sockets import CUSTOMER, Address, Backend, Client, front_door, query, resp, submit, value
 
@@ -128,12 +134,11 @@
     backend = Backend(lambda arguments: None if arguments[2] == b"a1" else value(b"second"))
     async with front_door(backend) as (gateway, address):
         client = await Client.open(address)
-        client.send(query("a1", wait_ms=300) + query("a2"))
-        await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
+        writer = await ask_with_one_behind(gateway, backend, client, wait_ms=300)
         answer = LONG_HEAD + LONG + LONG_TAIL
         piece_bytes = len(answer) // 20
         for start_byte in range(0, len(answer), piece_bytes):
-            backend.writer_of("a1").write(answer[start_byte : start_byte + piece_bytes])
+            writer.write(answer[start_byte : start_byte + piece_bytes])
             await asyncio.sleep(0.03)
         assert await client.answer() == LONG
         assert await client.answer() == b"second"
@@ -144,9 +149,8 @@
     backend = Backend(lambda arguments: None if arguments[2] == b"a1" else value(b"second"))
     async with front_door(backend) as (gateway, address):
         client = await Client.open(address)
-        client.send(query("a1", wait_ms=400) + query("a2"))
-        await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
-        backend.writer_of("a1").write(LONG_HEAD + LONG[:1000])
+        writer = await ask_with_one_behind(gateway, backend, client, wait_ms=400)
+        writer.write(LONG_HEAD + LONG[:1000])
         assert str(await client.answer()).startswith("-BUSY")
         assert await client.answer() == b"second"
         assert await client.ask(query("a3")) == b"second"
--- a/tests/proxy/test_broken_values.py
+++ b/tests/proxy/test_broken_values.py
@@ -5,8 +5,7 @@
 import pytest
 
 from orchidhatch.proxy import socket_inspection
-from orchidhatch.proxy.metrics import RequestOutcome
-from tests.proxy.gateway_scripts import slow_client, until
+from tests.proxy.gateway_scripts import slow_client_of_sent_answer, until
 from tests.sockets import Backend, Client, front_door, query, value
 
 LONG = bytes(range(256)) * 1024
@@ -76,10 +75,7 @@
     first = b"x" * 24_000
     backend = Backend(lambda arguments: value(first) if arguments[2] == b"a1" else HEAD + LONG[:BEGUN_BYTES])
     async with front_door(backend) as (gateway, address):
-        client = await slow_client(address)
-        client.writer.transport.pause_reading()
-        client.send(query("a1"))
-        await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+        client = await slow_client_of_sent_answer(gateway, address)
         client.send(query("a2"))
         await until(lambda: any(one.streaming_attempt for one in gateway.requests.open.values()))
         client.send(query("a3"))  # lies unread, so that a plain close would be a reset
--- a/tests/proxy/test_closing_races.py
+++ b/tests/proxy/test_closing_races.py
@@ -7,8 +7,7 @@
 import pytest
 
 from orchidhatch.proxy import socket_inspection
-from orchidhatch.proxy.metrics import RequestOutcome
-from tests.proxy.gateway_scripts import slow_client, until
+from tests.proxy.gateway_scripts import slow_client_of_sent_answer, until
 from tests.sockets import (
     HEAD,
     Backend,
@@ -138,10 +137,7 @@
     """Guards against a reset that discards an answer in the kernel: the client was slow to read it."""
     answer = b"x" * 24_000
     async with front_door(Backend(lambda arguments: value(answer))) as (gateway, address):
-        client = await slow_client(address)
-        client.writer.transport.pause_reading()
-        client.send(query("a1"))
-        await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+        client = await slow_client_of_sent_answer(gateway, address)
         (connection,) = gateway.clients.connections
         assert not connection.transport.get_write_buffer_size()
         gateway.clients.stop_reading()
--- a/tests/proxy/test_kill_after_drain.py
+++ b/tests/proxy/test_kill_after_drain.py
@@ -20,7 +20,13 @@
 from orchidhatch.proxy.server import GatewayServer
 from tests.helpers import PLAN, UNSAFE, World, of, with_class
 from tests.proxy import test_main
-from tests.proxy.gateway_scripts import slow_client, start_drain, until
+from tests.proxy.gateway_scripts import (
+    ask_with_one_behind,
+    slow_client,
+    slow_client_of_sent_answer,
+    start_drain,
+    until,
+)
 from tests.sockets import CUSTOMER, SETTINGS, Address, Backend, Client, front_door, query, resp, submit, value
 
 LONG = bytes(range(256)) * 1024
@@ -121,9 +127,7 @@
     backend = Backend(lambda arguments: None if arguments[2] == b"a1" else value(b"second"))
     async with front_door(backend) as (gateway, address):
         client = await Client.open(address)
-        client.send(query("a1", wait_ms=500) + query("a2"))
-        await until(lambda: len(backend.commands) == 2 and "a2" not in gateway.requests.open)
-        writer = backend.writer_of("a1")
+        writer = await ask_with_one_behind(gateway, backend, client, wait_ms=500)
         writer.write(LONG_START)
         async with until_killed(gateway):
             while gateway.requests.open:
@@ -206,10 +210,7 @@
     first = b"x" * 24_000
     backend = Backend(lambda arguments: value(first) if arguments[2] == b"a1" else LONG_START)
     async with front_door(backend) as (gateway, address):
-        client = await slow_client(address)
-        client.writer.transport.pause_reading()
-        client.send(query("a1"))
-        await until(lambda: gateway.request_metrics.ended["read"][RequestOutcome.ANSWERED])
+        client = await slow_client_of_sent_answer(gateway, address)
         client.send(query("a2"))
         await until(lambda: any(one.reply.has_begun for one in gateway.requests.open.values()))
         (connection,) = gateway.clients.connections
