--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 async def send_bad_command(rig: rig2.Rig, port: int) -> None:
     """Send one command whose `units` are not a number, and go."""
     units = "1" * DIGITS + "x"
-    fields = f"c=read,t=stor,d=480,units={units},spread=1,first=0"
+    fields = f"c=job-search,t=stor,d=480,units={units},spread=1,first=0"
     _, writer = await asyncio.open_connection(rig2.HOST, port)
     writer.write(rig2.encode_command("SVC.QUERY", "00000000b4d65521", "badx1", fields))
     await writer.drain()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -65,7 +65,7 @@
 async def send_pair(rig: rig2.Rig, port: int, number: int) -> str:
     """Send two commands at once on one connection; return how the second one ended."""
     reader, writer = await asyncio.open_connection(rig2.HOST, port)
-    fields = f"c=read,t=stor,d={WAIT_MS},units=1,spread=1,first=0"
+    fields = f"c=job-search,t=stor,d={WAIT_MS},units=1,spread=1,first=0"
     ids = [f"long{number}", f"short{number}"]
     customer = f"{number + 1:016x}"
     writer.write(b"".join(rig2.encode_command("SVC.QUERY", customer, id_, fields) for id_ in ids))
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -194,7 +194,12 @@
     def keeping(config: Path, management: int) -> list[str]:
         """Return the agent's options with which it keeps a gateway to the policy in force."""
         check = f"{ROOT}/.venv/bin/python -m orchidhatch.proxy --check"
-        options = {"--door": f"{HOST}:{management}", "--name": config.stem, "--zone": "a", "--check": check}
+        options = {
+            "--door": f"{HOST}:{management}",
+            "--name": config.stem,
+            "--zone": "hall-a",
+            "--check": check,
+        }
         options |= {"--config": str(config), "--pid": str(config.with_suffix(".pid"))}
         return [word for pair in options.items() for word in pair]
 
@@ -299,8 +304,8 @@
         return {
             "instanceId": self.name,
             "hostPort": f"{HOST}:{self.port}",
-            "zone": "a",
-            "machineType": "m2",
+            "zone": "hall-a",
+            "machineType": "std-2c",
             "lifecycle": lifecycle,
         }
 
@@ -366,7 +371,7 @@
         self.answers: list[tuple[float, str, str]] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def request(self, class_name: str = "read", plan: str = "stor", wait_ms: int = 2000) -> str:
+    async def request(self, class_name: str = "job-search", plan: str = "stor", wait_ms: int = 2000) -> str:
         """Send a request and return `served`, `refused`, `failed` or `lost`."""
         id_ = f"r{next(self.ids)}x{os.getpid()}"
         sent_s = self.rig.now()
@@ -451,7 +456,7 @@
 
 
 def gateway_config(listen: int, discovery: int, **more: Any) -> dict[str, Any]:  # noqa: ANN401
-    """Return a gateway's configuration, with settings like those of a small deployment."""
+    """Return a gateway's configuration, with one plan, aims and limits of starfatorg-reykjavik."""
     return {
         "listen": f"{HOST}:{listen}",
         "discovery": f"{HOST}:{discovery}",
@@ -460,13 +465,13 @@
         "settings": {
             "me": 0,
             "balancers": 1,
-            "zones": ["a", "b", "c"],
-            "kinds": ["m2"],
+            "zones": ["hall-a", "hall-b", "hall-c"],
+            "kinds": ["std-2c"],
             "zone": 0,
-            "plans": [{"name": "stor", "units-per-s": 200.0, "burst": 200.0}],
+            "plans": [{"name": "stor", "units-per-s": 26.0, "burst": 60.0}],
             "categories": [
                 {
-                    "name": "read",
+                    "name": "job-search",
                     "on-time-us": 750_000,
                     "deadline-us": 2_000_000,
                     "idempotency": "read_like",
