Review scripts: an error of the script itself is no broken rule

The checks have the slack of 50 ms on sockets, case 10 cannot run where the new process doesn't, and case 6 records PING and /healthcheck.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -5,8 +5,8 @@
 
 from review.rig2 import rig as rig2
 
-READY_WITHIN_S = 30.0
-"""How long a front door may take to be ready."""
+READY_WITHIN_S = 30.0 + 0.05
+"""How long a front door may take to be ready, with the slack on sockets."""
 
 
 async def is_kept(management: int) -> bool:
@@ -15,11 +15,11 @@
     return status == 200 and "policy" in str(value)
 
 
-async def says_yes(rig: rig2.Rig, management: int) -> bool:
-    """Ask a process whether it is ready to serve."""
+async def health_status(rig: rig2.Rig, management: int) -> int:
+    """Ask a process whether it is ready to serve; return the status of its answer, 0 if there was none."""
     status, value = await asyncio.to_thread(rig2.http_call, management, "GET", "/healthcheck")
     rig.note(f"healthcheck at {management} -> {status} {str(value).strip()}")
-    return status == 200
+    return status
 
 
 async def case(rig: rig2.Rig) -> int:
@@ -50,14 +50,20 @@
         rig.start_gateway("new", config, listening, PROXY_MANAGEMENT=f"{rig2.HOST}:{new_management}")
         asked = new_management
     ready_s = None
+    answers = 0
     while rig.now() < started_s + READY_WITHIN_S + 1 and ready_s is None:
-        if await says_yes(rig, asked):
+        status = await health_status(rig, asked)
+        answers += status > 0
+        if status == 200:
             ready_s = rig.now() - started_s
         await asyncio.sleep(0.5)
     await load
     client.close()
     listening.close()
 
+    newest = "new" if rig2.has_trouble() else "old"
+    if ready_s is None and (rig.processes[newest].poll() is not None or not answers):
+        raise rig2.CannotRunError("the process asked does not run, or has no management address")
     rig.say(f"requests before: {client.counts(0, started_s)}, after: {client.counts(started_s, 1e9)}")
     rig.say(f"ready after: {'never' if ready_s is None else f'{ready_s:.1f} s'}")
     return rig2.BROKEN if ready_s is None else rig2.HELD
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,6 +20,21 @@
     writer.close()
 
 
+async def ask_others(rig: rig2.Rig, listen: int, management: int) -> None:
+    """Ask PING and /healthcheck once and record what they get within 1 s; the rule does not go by it."""
+    answer = "nothing"
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(rig2.HOST, listen)
+            writer.write(rig2.encode_command("PING"))
+            answer = (await reader.readline()).decode().strip()
+            writer.close()
+    except (OSError, TimeoutError):
+        pass
+    status, _ = await asyncio.to_thread(rig2.http_call, management, "GET", "/healthcheck", None, 1.0)
+    rig.note(f"PING -> {answer}; /healthcheck -> {status or 'nothing'}")
+
+
 async def case(rig: rig2.Rig) -> int:
     """Serve a load, and let one bad client send one command."""
     backends = [rig2.Backend(rig, f"s-{number}") for number in range(3)]
@@ -41,6 +56,8 @@
     bad_s = rig.now()
     if rig2.has_trouble():
         await send_bad_command(rig, listen)
+    await asyncio.sleep(2)
+    await ask_others(rig, listen, management)
     await load
     client.close()
     ran = rig.processes["door"].poll() is None
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,8 +4,8 @@
 
 from review.rig2 import rig as rig2
 
-MUST_SAY_NO_S = 4.0
-"""From the call that empties the front door on, the front may no longer hear a yes."""
+MUST_SAY_NO_S = 4.0 + 0.05
+"""How long after the call the front may hear a yes, with the slack on sockets."""
 
 
 async def ping(port: int) -> str:
