Input from a peer takes time linear in its length, and is bounded before it is parsed

Cause: DECIMAL_NUMBER read a run of digits as [0-9]+ and [0-9]*, so a text that does not match is tried with each split of the run, and no length was checked before (0.55 s for 4,000 digits, 2.29 s for 8,000).

Change: 64 characters of units at most, and a pattern without two ways. A package of both sides, streams, has what they share.

--- a/orchidhatch/control/agent/gateway_client.py
+++ b/orchidhatch/control/agent/gateway_client.py
@@ -8,7 +8,7 @@
 
 GATEWAY_TIMEOUT_S = 1.0  # the gateway answers its management calls within this time
 # In the body of a health response: the number of the decision and the digest of its document, "-" for none.
-POLICY_IN_HEALTH = re.compile(r"policy (\d+) ([0-9a-f]{16}|-)")
+POLICY_IN_HEALTH = re.compile(r"policy ([0-9]{1,19}) ([0-9a-f]{16}|-)")
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/control/controller/summary.py
+++ b/orchidhatch/control/controller/summary.py
@@ -74,6 +74,8 @@
     outliers: Outliers = field(name="unlike")
 
 
+MAX_COUNT_DIGITS = 19
+
 FIELDS_BY_METRIC = {
     "answered_total": "answered",
     "deferred_total": "deferred",
@@ -92,7 +94,8 @@
         name, _, value = line.rpartition(" ")
         metric = name.removeprefix(METRIC_PREFIX).partition("{")[0]
         attribute = FIELDS_BY_METRIC.get(metric)
-        if attribute and value.isascii() and value.isdigit():
+        is_count = value.isascii() and value.isdigit() and len(value) <= MAX_COUNT_DIGITS
+        if attribute and is_count:
             totals[attribute] += int(value)
             found_attributes.add(attribute)
     return MetricsSample(**totals) if len(found_attributes) == len(FIELDS_BY_METRIC) else None
--- a/orchidhatch/control/http_client.py
+++ b/orchidhatch/control/http_client.py
@@ -11,6 +11,7 @@
 Address = tuple[str, int]
 
 DEFAULT_TIMEOUT_S = 2.0
+MAX_RESPONSE_BYTES = 64 << 20  # an endpoint list with the maximum number of endpoints, each of maximum length
 STORE_HEADER = "Orchidhatch-Store"
 NO_HEADERS: Mapping[str, str] = {}
 
@@ -68,12 +69,20 @@
         encoded = None if body is None else json.dumps(body)
         connection.request(method, path, encoded, dict(headers))
         response = connection.getresponse()
-        value = decode_body(response.read())
+        value = decode_body(read_body(response))
         return HttpResponse(response.status, value, response.headers.get(STORE_HEADER, ""))
     finally:
         connection.close()
 
 
+def read_body(response: http.client.HTTPResponse) -> bytes:
+    """Return the body of a response. Raises http.client.HTTPException if it is too long."""
+    content = response.read(MAX_RESPONSE_BYTES + 1)
+    if len(content) > MAX_RESPONSE_BYTES:
+        raise http.client.HTTPException(f"the response is longer than {MAX_RESPONSE_BYTES} bytes")
+    return content
+
+
 def decode_body(content: bytes) -> Any:  # noqa: ANN401 - JSON
     """Return a body's JSON value, its text if it is not JSON or nested too deeply, None if it is empty."""
     if not content:
--- a/orchidhatch/control/http_connection.py
+++ b/orchidhatch/control/http_connection.py
@@ -21,6 +21,7 @@
     has_status,
 )
 from orchidhatch.control.json_body import MAX_BODY_BYTES
+from orchidhatch.streams.http_input import HttpInput
 
 log = logging.getLogger("orchidhatch")
 
@@ -71,6 +72,7 @@
         self.transport: asyncio.Transport | None = None
         self._server = server
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._input = HttpInput(self._http, MAX_HEAD_BYTES)
         self._timer: asyncio.TimerHandle | None = None
         self._is_answered = False
         self._is_watch = False
@@ -97,9 +99,9 @@
         if self._is_answered or self._is_watch:
             return
         try:
-            self._http.receive_data(data)
+            self._input.receive_data(data)
             while not self._is_answered:
-                event = self._http.next_event()
+                event = self._input.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     return
                 self._handle_event(event)
--- a/orchidhatch/control/registry/watch_client.py
+++ b/orchidhatch/control/registry/watch_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -12,10 +12,13 @@
 from orchidhatch.control.errors import InvalidRequestError
 from orchidhatch.control.http_client import Address, format_address
 from orchidhatch.control.http_response import STORE_HEADER
+from orchidhatch.streams.http_input import HttpInput
+from orchidhatch.streams.line_splitter import LineSplitter, LineTooLongError
 
 CONNECT_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0  # without any data; a registry sends an empty line every 2 s
 READ_SIZE_BYTES = 1 << 16
+MAX_HEAD_BYTES = 16 << 10
 MAX_LINE_BYTES = 64 << 20  # an endpoint list with the maximum number of endpoints, each of maximum length
 
 
@@ -34,7 +37,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._reader = reader
         self._writer = writer
-        self._buffer = bytearray()
+        self._input = HttpInput(self._http, MAX_HEAD_BYTES)
+        self._splitter = LineSplitter(MAX_LINE_BYTES)
 
     async def open_watch(self, address: Address, target: str, store_name: str) -> str:
         """Request a watch and return the name of the store whose list is sent.
@@ -68,22 +72,19 @@
                 for line in self._split_lines(event.data):
                     yield line
 
-    def _split_lines(self, data: bytes) -> Iterator[bytes]:
-        self._buffer += data
-        if len(self._buffer) > MAX_LINE_BYTES:
-            raise InvalidRequestError("a line of the watch is too long")
-        *lines, incomplete_line = self._buffer.split(b"\n")
-        self._buffer = bytearray(incomplete_line)
-        for line in lines:
-            yield bytes(line)
+    def _split_lines(self, data: bytes) -> list[bytes]:
+        try:
+            return self._splitter.feed(data)
+        except LineTooLongError as error:
+            raise InvalidRequestError("a line of the watch is too long") from error
 
     async def _next_event(self) -> h11.Event:
-        event = self._http.next_event()
+        event = self._input.next_event()
         while event in (h11.NEED_DATA, h11.PAUSED):
             async with asyncio.timeout(WATCH_TIMEOUT_S):
                 data = await self._reader.read(READ_SIZE_BYTES)
-            self._http.receive_data(data)
-            event = self._http.next_event()
+            self._input.receive_data(data)
+            event = self._input.next_event()
         return event
 
 
--- a/orchidhatch/proxy/command_parser.py
+++ b/orchidhatch/proxy/command_parser.py
@@ -26,8 +26,10 @@
 MAX_INT_DIGITS = 12
 MAX_CLIENT_WAIT_MS = 24 * 3600 * 1000
 MAX_UNITS = 1e6
-# Python's float also reads underscores, white space and words.
-DECIMAL_NUMBER = re.compile(r"\+?([0-9]+\.?[0-9]*|\.[0-9]+)(e[+-]?[0-9]+)?", re.ASCII | re.IGNORECASE)
+MAX_UNITS_CHARACTERS = 64
+# Python's float also reads underscores, white space and words. No two parts of the pattern can match the same
+# digits, as a text that does not match would be tried with each split between them.
+DECIMAL_NUMBER = re.compile(r"\+?([0-9]+(\.[0-9]*)?|\.[0-9]+)(e[+-]?[0-9]+)?", re.ASCII | re.IGNORECASE)
 
 
 class CommandError(Exception):
@@ -183,7 +185,9 @@
 def parse_units(fields: dict[str, str]) -> float:
     """Return the units that the request spends, 1 by default. Raises CommandError if they are invalid."""
     text = fields.get("units", "1")
-    if not DECIMAL_NUMBER.fullmatch(text) or not 0 < float(text) <= MAX_UNITS:
+    if len(text) > MAX_UNITS_CHARACTERS or not DECIMAL_NUMBER.fullmatch(text):
+        raise CommandError("invalid units")
+    if not 0 < float(text) <= MAX_UNITS:
         raise CommandError("invalid units")
     return float(text)
 
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -28,6 +28,7 @@
     to_plain,
 )
 from orchidhatch.gateway.snapshots import GatewaySnapshot, HandoverMessage
+from orchidhatch.streams.line_splitter import LineSplitter
 
 log = logging.getLogger(__name__)
 
@@ -102,7 +103,7 @@
     ) -> None:
         self.on_line = on_line
         self.on_lost = on_lost
-        self.buffer = bytearray()
+        self.splitter = LineSplitter(MAX_LINE_BYTES)
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -121,13 +122,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle the complete lines; abort the connection on a malformed one."""
-        self.buffer += data
-        *lines, remainder = self.buffer.split(b"\n")
-        self.buffer = bytearray(remainder)
         try:
-            if len(remainder) > MAX_LINE_BYTES:
-                raise HandoverError("a line exceeds the maximum length")
-            for line in lines:
+            for line in self.splitter.feed(data):
                 self.receive(json.loads(line))
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             log.error("handover connection aborted reason=malformed-line error=%.200s", error)
--- a/orchidhatch/proxy/json_lines.py
+++ b/orchidhatch/proxy/json_lines.py
@@ -8,8 +8,11 @@
 MAX_VALUE_BYTES = 1 << 22
 """The largest value, whether on one line or on several."""
 
-JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
-"""A JSON string, which cannot span lines."""
+JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"?')
+"""A JSON string, which cannot span lines; an unterminated one extends to the end of the line.
+
+Without backtracking, and with a match for each quote, it takes time linear in the length of the line.
+"""
 
 
 class JsonLineReader:
--- a/orchidhatch/proxy/management.py
+++ b/orchidhatch/proxy/management.py
@@ -17,6 +17,7 @@
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
 from orchidhatch.proxy.listening import closed_on_error, stream_socket
 from orchidhatch.proxy.wait_queues import QueueStatus, WaitHistogram
+from orchidhatch.streams.http_input import HttpInput
 
 log = logging.getLogger(__name__)
 
@@ -82,6 +83,7 @@
     def __init__(self, management: "Management") -> None:
         self.management = management
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.input = HttpInput(self.http, MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
         self.body_bytes = 0
         self.transport: asyncio.Transport | None = None
@@ -105,11 +107,11 @@
 
     def _read(self, data: bytes) -> None:
         try:
-            self.http.receive_data(data)
+            self.input.receive_data(data)
             if self.http.they_are_waiting_for_100_continue:
                 self.transport.write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
             while not self.has_ended():
-                event = self.http.next_event()
+                event = self.input.next_event()
                 if event in (h11.NEED_DATA, h11.PAUSED):
                     break
                 self._on_http_event(event)
--- a/orchidhatch/proxy/watch_connection.py
+++ b/orchidhatch/proxy/watch_connection.py
@@ -13,9 +13,13 @@
 from orchidhatch.proxy import socket_inspection
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
 from orchidhatch.proxy.json_lines import MAX_VALUE_BYTES, JsonLineReader
+from orchidhatch.streams.http_input import HttpInput
+from orchidhatch.streams.line_splitter import LineSplitter
 
 log = logging.getLogger(__name__)
 
+MAX_HEAD_BYTES = 16 * 1024
+
 MALFORMED = (
     h11.ProtocolError,
     ValueError,
@@ -70,7 +74,8 @@
         self.on_heartbeat = on_heartbeat
         self.account = account
         self.http = h11.Connection(h11.CLIENT)
-        self.buffer = bytearray()
+        self.input = HttpInput(self.http, MAX_HEAD_BYTES)
+        self.splitter = LineSplitter(MAX_VALUE_BYTES)
         self.state = WatchState.CONNECTING
         self.was_accepted = False
         self.was_malformed = False
@@ -98,8 +103,8 @@
         self.last_received_s = time.monotonic()
         previous_category = self.account.enter(CostCategory.DISCOVERY)
         try:
-            self.http.receive_data(data)
-            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+            self.input.receive_data(data)
+            while (event := self.input.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
                 self._on_http_event(event)
         except MALFORMED as error:
             self._note_malformed(error)
@@ -113,8 +118,8 @@
         After a reset instead of a close, the rest of an incomplete value is dropped.
         """
         with contextlib.suppress(h11.ProtocolError):  # closed within a chunk: no complete value is left
-            self.http.receive_data(b"")
-            if isinstance(self.http.next_event(), h11.EndOfMessage):
+            self.input.receive_data(b"")
+            if isinstance(self.input.next_event(), h11.EndOfMessage):
                 self._read_last_line()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -154,20 +159,16 @@
             self.close()
 
     def _read_lines(self, data: bytes) -> None:
-        self.buffer += data
-        *lines, self.buffer = self.buffer.split(b"\n")
-        for line in lines:
+        for line in self.splitter.feed(data):
             if line.strip():
-                self.value_reader.feed(bytes(line))
+                self.value_reader.feed(line)
             else:
                 self.on_heartbeat()
-        if len(self.buffer) > MAX_VALUE_BYTES:
-            raise ValueError("line too long or not terminated")
 
     def _read_last_line(self) -> None:
         try:
-            if self.buffer.strip():
-                self.value_reader.feed(bytes(self.buffer))
+            if self.splitter.partial.strip():
+                self.value_reader.feed(bytes(self.splitter.partial))
         except MALFORMED as error:
             self._note_malformed(error)
 
--- /dev/null
+++ b/orchidhatch/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Reading of byte streams from peers, in time linear in their length."""
--- a/tests/control/agent/test_gateway_steering.py
+++ b/tests/control/agent/test_gateway_steering.py
@@ -5,6 +5,7 @@
 import pytest
 
 from orchidhatch.control.agent import gateway_steering
+from orchidhatch.control.agent.gateway_client import AppliedPolicy, parse_policy
 from orchidhatch.control.policy.policy_records import DOCUMENT_RECORD_PREFIX
 from orchidhatch.control.policy.timing import LEASE_S
 from tests.control.agent.lease_fixture import leased_gateway
@@ -36,3 +37,9 @@
         )  # and so the gateway's watch ends, and it suspends admission by itself
         fixture.holder.gateway.address = address
         assert await fixture.advance() == 200 and not agent.broadcaster.is_suspended
+
+
+def test_policy_number_beyond_its_range_is_none() -> None:
+    """Guards against an answer of any length that no later steering survives."""
+    assert parse_policy(f"serves; policy {'1' * 5000} -") is None
+    assert parse_policy("serves; policy 7 -") == AppliedPolicy(7, "")
--- a/tests/control/controller/test_summary.py
+++ b/tests/control/controller/test_summary.py
@@ -63,6 +63,7 @@
     assert parse_gateway_metrics(METRICS) == MetricsSample(6, 3, 3, 3, 3, 3)
     assert parse_gateway_metrics(METRICS.replace(" 3", " NaN")) is None
     assert parse_gateway_metrics("") is None
+    assert parse_gateway_metrics(METRICS.replace(" 3", " " + "3" * 5000)) is None
 
 
 async def answer_metrics(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/control/test_registry_client.py
+++ b/tests/control/test_registry_client.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from orchidhatch.control import http_client
 from orchidhatch.control.http_client import Address, HttpResponse, NoResponse, call
 from orchidhatch.control.registry_client import RegistryClient
 from tests.sockets import HOST, refusing_address
@@ -86,3 +87,11 @@
         replaced = await RegistryClient([busy, fenced]).call("POST", "/entries", {})
     assert unavailable.status == 503
     assert isinstance(silent, NoResponse) and isinstance(replaced, NoResponse)
+
+
+async def test_response_beyond_the_length_is_none(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 10)
+    async with answering(200, b"[1234567]") as address:
+        assert (await call(address, "GET", "/")).status == 200
+    async with answering(200, b"[123456789]") as address:
+        assert isinstance(await call(address, "GET", "/"), NoResponse)
--- a/tests/proxy/test_backend_pool.py
+++ b/tests/proxy/test_backend_pool.py
@@ -299,3 +299,26 @@
         assert await sender.result() is AttemptResult.OK
         assert backend.opened == opened
     sender.backends.close()
+
+
+class CountingBuffer(bytearray):
+    """Counts the searches for the end of a line."""
+
+    searches = 0
+
+    def find(self, sub: bytes, start: int, end: int) -> int:
+        self.searches += 1
+        return super().find(sub, start, end)
+
+
+def test_reply_in_single_bytes_is_parsed_once() -> None:
+    """Guards against time that grows with the square of a reply's length, for a backend that trickles it."""
+    nested = b"*16\r\n" + b"+x\r\n" * 16
+    stream = b"*16\r\n" + nested * 16
+    reader = ReplyReader(1 << 16)
+    reader.buffer = CountingBuffer()
+    for byte in stream[:-1]:
+        reader.buffer.append(byte)
+        assert reader.next_reply(...) is ...
+    elements = 1 + 16 + 16 * 16
+    assert reader.buffer.searches <= len(stream) + elements
--- a/tests/proxy/test_command_parser.py
+++ b/tests/proxy/test_command_parser.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from orchidhatch.proxy import command_parser
 from orchidhatch.proxy.command_parser import CommandError, CommandParser
 from tests.sockets import CONFIG, CUSTOMER, Backend, Client, front_door, resp
 
@@ -75,3 +76,38 @@
         return
     assert command.request.time_left_us == 500_000
     assert text.replace("d=500", "d=7") in command.payload(7_000).decode()
+
+
+@pytest.mark.parametrize(
+    "units",
+    [
+        pytest.param("1" * 60_000 + "x", id="letter"),
+        pytest.param("1." + "1" * 60_000, id="fraction"),
+        pytest.param("1e" + "1" * 60_000, id="exponent"),
+    ],
+)
+def test_long_units_are_refused_unparsed(units: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one command of a bad client that holds the event loop for minutes (review case 6)."""
+    parsed = []
+
+    class RecordingPattern:
+        @staticmethod
+        def fullmatch(text: str) -> None:
+            parsed.append(text)
+
+    monkeypatch.setattr(command_parser, "DECIMAL_NUMBER", RecordingPattern)
+    with pytest.raises(CommandError):
+        PARSER.parse([b"SVC.QUERY", CUSTOMER.encode(), b"a", f"{FIELDS},units={units}".encode()], 0)
+    assert parsed == []
+
+
+@pytest.mark.parametrize("units", ["1", "+1", "1.", "1.5", ".5", "5e-1", "1.E+2", "000.25"])
+def test_units_are_read_in_each_decimal_form(units: str) -> None:
+    arguments = [b"SVC.QUERY", CUSTOMER.encode(), b"a", f"{FIELDS},units={units}".encode()]
+    assert PARSER.parse(arguments, 0).request.units == float(units)
+
+
+@pytest.mark.parametrize("units", ["", ".", "+", "1..", "1.5.5", "e5", "1e", "1e+", "-1", "0x1", "1" * 65])
+def test_units_of_no_decimal_form_are_refused(units: str) -> None:
+    with pytest.raises(CommandError):
+        PARSER.parse([b"SVC.QUERY", CUSTOMER.encode(), b"a", f"{FIELDS},units={units}".encode()], 0)
--- a/tests/proxy/test_endpoint_watch.py
+++ b/tests/proxy/test_endpoint_watch.py
@@ -18,7 +18,7 @@
 from orchidhatch.proxy import endpoint_watch, watch_backoff
 from orchidhatch.proxy.endpoint_list_reader import EndpointListReader, EndpointUpdate
 from orchidhatch.proxy.endpoint_watch import EndpointWatcher
-from orchidhatch.proxy.json_lines import JsonLineReader
+from orchidhatch.proxy.json_lines import JSON_STRING, JsonLineReader
 from orchidhatch.proxy.peers import Peers
 from orchidhatch.proxy.server import GatewayServer
 from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, refusing_address, run
@@ -358,3 +358,17 @@
     few = first_tries(3, monkeypatch)
     assert max(gateway[0] for gateway in few) <= 0.6
     assert max(gateway[5] - gateway[4] for gateway in few) <= 2 * 4 * 0.3
+
+
+def test_unterminated_string_is_matched_once() -> None:
+    """Guards against a search from each quote to the end of the line, which takes time by its square."""
+    line = b'"' + b'\\"' * 1000
+    assert [match.span() for match in JSON_STRING.finditer(line)] == [(0, len(line))]
+
+
+def test_unterminated_string_in_an_indented_list_is_rejected() -> None:
+    reader = JsonLineReader(lambda value: None)
+    reader.feed(b"{")
+    with pytest.raises(ValueError):
+        for line in (b'"instances": "a\\"', b"}"):
+            reader.feed(line)
--- a/tests/proxy/test_management.py
+++ b/tests/proxy/test_management.py
@@ -187,3 +187,9 @@
         assert (await call(gateway, "GET /healthcheck"))[0] == 503
         assert await client.ended()
         await drain
+
+
+async def test_complete_head_beyond_the_limit_is_refused() -> None:
+    """Guards against a head that is not bounded where it arrives complete, in one read."""
+    async with operated(Backend()) as (gateway, _):
+        assert (await call(gateway, "GET /stats", f"Host: x\r\nX: {'x' * 9000}\r\n\r\n"))[0] == 431
--- /dev/null
+++ b/tests/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the reading of byte streams."""
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -9,8 +9,9 @@
 # What the modules of each package may import of the project's others. Modules at the top are commands only.
 ALLOWED = {
     "gateway": {"gateway"},
-    "proxy": {"gateway", "proxy"},
-    "control": {"control"},
+    "streams": {"streams"},
+    "proxy": {"gateway", "proxy", "streams"},
+    "control": {"control", "streams"},
     "faults": {"gateway", "proxy", "control", "faults"},
     "": {"control", "faults"},
 }
