A value that breaks behind its deadline goes on from another attempt, for the answers behind it

Change: the rest comes from a further attempt of a safe request, which the decision core sends; its value must begin with the bytes that were passed on, by a digest. If none can give it, the connection ends as before: the loss is rarer, not gone.

--- a/orchidhatch/gateway/attempt_control.py
+++ b/orchidhatch/gateway/attempt_control.py
@@ -54,7 +54,10 @@
             self.completion.refund_quota(request)
             request.customer.refund_ceiling(request.units)
         self.record_whether_run(request, event.result)
-        if event.is_final or request.is_closed:
+        if event.is_interrupted:
+            if not self.resume_answer(request, event.result):
+                self.completion.end_interrupted(request)
+        elif event.is_final or request.is_closed:
             self.completion.release(request)
         elif not request.attempts and not self.retry(request, event.result):
             self.completion.end_unserved(request, event.result)
@@ -64,9 +67,12 @@
     def on_stream_started(self, event: StreamStarted) -> None:
         """Handle the start of a streamed answer: the server is done, and the rest depends on the client."""
         request = self.requests.get(event.id)
-        if request is None or event.attempt not in request.attempts or request.is_closed:
+        if request is None or event.attempt not in request.attempts:
+            return
+        if request.is_closed and not request.is_resuming:
             return
         request.is_streaming = True
+        request.is_resuming = False
         server = request.servers[event.attempt]
         self.requests.close(request)
         self.free_server(server, request, event.attempt)
@@ -119,6 +125,19 @@
             return True
         return False
 
+    def resume_answer(self, request: InFlightRequest, result: AttemptResult) -> bool:
+        """Send another attempt for the rest of a streamed answer; return whether there is a server for it."""
+        request.is_streaming = False
+        if not self.retries.may_resume(request, result):
+            return False
+        server = self.balancer.choose(request)
+        if server is None:
+            return False
+        request.is_resuming = True
+        self.retries.charge_retry(result)
+        self.sender.send(request, server)
+        return True
+
     def overdue_ages(self) -> list[float]:
         """Return the ages of attempts slower than the mean, as fractions of the latency objective up to 1."""
         now_us = self.context.now_us
--- a/orchidhatch/gateway/events.py
+++ b/orchidhatch/gateway/events.py
@@ -54,7 +54,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamStarted:
-    """A streamed answer has begun: the request can no longer be retried."""
+    """A streamed answer has begun, or goes on from another attempt.
+
+    The request can no longer be retried, except to give the rest of an interrupted answer.
+    """
 
     id: str
     attempt: int
@@ -67,7 +70,9 @@
     """The end of an attempt; one for each SendAttempt.
 
     `is_final` says that its client has received the answer. `actual_units` is the actual cost in units, 0 if
-    unknown; `report` is the server's load report.
+    unknown; `report` is the server's load report. `is_interrupted` says that the client has received a part
+    of a streamed answer, that answers to its later requests wait behind the rest, and that another attempt
+    can give the rest.
     """
 
     id: str
@@ -79,6 +84,7 @@
     used_percent: int = 0
     actual_units: float = 0.0
     report: LoadReport | None = None
+    is_interrupted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/orchidhatch/gateway/in_flight.py
+++ b/orchidhatch/gateway/in_flight.py
@@ -36,6 +36,8 @@
         self.is_closed = False
         self.is_in_quota = False
         self.is_streaming = False
+        # A part of a streamed answer was received, and an attempt is to give the rest.
+        self.is_resuming = False
         # When its current wait, for a quota grant or to be sent, began.
         self.waiting_since_us = now_us
         # When it is decided without a grant; NEVER unless it awaits one.
--- a/orchidhatch/gateway/request_completion.py
+++ b/orchidhatch/gateway/request_completion.py
@@ -39,6 +39,11 @@
         self.context.actions.append(answer)
         self.release(request)
 
+    def end_interrupted(self, request: InFlightRequest) -> None:
+        """End a request whose streamed answer ended early and that no further attempt may complete."""
+        self.context.actions.append(Fail(request.id))
+        self.release(request)
+
     def on_end_open_requests(self, _: EndOpenRequests) -> None:
         """End every open request now: rejected where a retry elsewhere is harmless, else failed."""
         for request in [request for request in self.requests if not request.is_closed]:
--- a/orchidhatch/gateway/retries.py
+++ b/orchidhatch/gateway/retries.py
@@ -18,6 +18,12 @@
 MIN_TIMEOUT_LATENCIES = 8
 """The shortest early timeout in mean latencies: until then the request may just be a large one."""
 
+RESUMPTION_TIMEOUT_US = 100_000
+"""For the head of an attempt that gives the rest of a streamed answer, at least: the deadline may be over.
+
+A server may be told 150 ms more than what is left to the client.
+"""
+
 LATENCIES_FOR_ANOTHER_ATTEMPT = 2
 """Mean latencies that an early timeout leaves for another attempt before the latency objective."""
 
@@ -50,6 +56,15 @@
             return False
         return len(request.servers) < self.context.settings.max_attempts
 
+    def may_resume(self, request: InFlightRequest, result: AttemptResult) -> bool:
+        """Return whether another attempt may give the rest of an answer that ended early with that result.
+
+        Without it the client's later requests are lost, so neither the deadline nor the budget forbids it.
+        """
+        if result is AttemptResult.NOT_SENT or request.rule.idempotency is not Idempotency.SAFE:
+            return False
+        return len(request.servers) < self.context.settings.max_attempts
+
     def timeout_us(self, request: InFlightRequest) -> int:
         """Return the timeout of the attempt that is being sent, in microseconds.
 
@@ -57,8 +72,10 @@
         the latency objective.
         """
         now_us = self.context.now_us
-        mean_latency_us = self.mean_latency_us(request)
         until_deadline_us = request.deadline_us - now_us
+        if request.is_resuming:
+            return max(RESUMPTION_TIMEOUT_US, until_deadline_us)
+        mean_latency_us = self.mean_latency_us(request)
         early_timeout_us = round(
             request.objective_due_us - now_us - LATENCIES_FOR_ANOTHER_ATTEMPT * mean_latency_us
         )
--- a/orchidhatch/proxy/long_values.py
+++ b/orchidhatch/proxy/long_values.py
@@ -13,9 +13,10 @@
 
 The client waits for the first byte until its deadline only. A value that is still incomplete then, or has
 been buffered for MAX_BUFFERING_US, is streamed from there on if its backend steadily gives it; else its
-attempt times out at the deadline. If a value breaks after that, the
-answers behind it are lost: neither may it be cut while its backend gives it, nor can they be sent without it.
-So it is not begun at its deadline while the process shuts down, as SIGKILL would break it.
+attempt times out at the deadline. If a value breaks after that, the answers behind it are lost: neither may
+it be cut while its backend gives it, nor can they be sent without it. So another attempt gives the rest, if
+the decision core allows one and its value begins with the bytes that were passed on. A value is not begun at
+its deadline while the process shuts down, as SIGKILL would break it.
 """
 
 import asyncio
@@ -29,6 +30,7 @@
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.request_exchange import RequestExchange
+from orchidhatch.proxy.value_progress import ValueMismatchError, ValueProgress, ValueResumption
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +68,8 @@
         exchange = self.open_requests.get(attempt.request_id)
         if exchange is None or exchange.streaming_attempt or exchange.buffered:
             return None
+        if exchange.is_interrupted:
+            return self._resume(exchange, attempt, size)
         exchange.buffered = BufferedValue(attempt, size, self.clients.backlog)
         if exchange.reply.is_last():
             attempt.cancel_timeout()
@@ -89,7 +93,7 @@
         if exchange is None:
             attempt.cancel()
         elif exchange.buffered is None:
-            exchange.reply.append(piece)
+            self._pass_on(exchange, piece)
         else:
             self._receive_unsent(exchange, exchange.buffered, piece)
 
@@ -99,7 +103,7 @@
             buffered.append(piece)
         elif exchange.reply.is_last():
             self._begin_streaming(exchange, buffered)
-            exchange.reply.append(piece)
+            self._pass_on(exchange, piece)
         else:
             self._buffer(exchange, buffered)
             buffered.append(piece)
@@ -147,11 +151,13 @@
     def _begin_streaming(self, exchange: RequestExchange, buffered: BufferedValue) -> None:
         """Stream the value from now on, beginning with what is buffered."""
         exchange.take_buffered(buffered.attempt)
+        if not exchange.reply.is_last():
+            exchange.progress = ValueProgress(buffered.size)
         buffered.attempt.resume()
         self._stream(exchange, buffered.attempt, buffered.size)
         buffered.release()
         while buffered.pieces:
-            exchange.reply.append(buffered.pieces.pop())
+            self._pass_on(exchange, buffered.pieces.pop())
         exchange.reply.connection.flush()  # a head without a byte
 
     # --- streamed values ---
@@ -162,20 +168,62 @@
         It has no deadline: it ends early only if the backend's connection or the client's breaks, or if it
         stalls.
         """
-        exchange.timer.cancel()
-        exchange.timer = self.loop.call_later(SEND_STALL_TIMEOUT_S, self._check_stall, attempt.request_id)
+        self._watch_for_stall(exchange, attempt)
         if exchange.streaming_attempt is None:
             self._report_stream(exchange, attempt)
         exchange.reply.start_stream(b"$%d\r\n" % size, attempt)
 
+    def _watch_for_stall(self, exchange: RequestExchange, attempt: Attempt) -> None:
+        """Replace the request's time limit by one for the lack of progress."""
+        exchange.timer.cancel()
+        exchange.timer = self.loop.call_later(SEND_STALL_TIMEOUT_S, self._check_stall, attempt.request_id)
+
+    @staticmethod
+    def _pass_on(exchange: RequestExchange, piece: bytes) -> None:
+        """Pass on a piece of a streamed value."""
+        if exchange.progress:
+            exchange.progress.add(piece)
+        exchange.reply.append(piece)
+
     def _report_stream(self, exchange: RequestExchange, attempt: Attempt) -> None:
         exchange.streaming_attempt = attempt
         elapsed_us = now_us() - attempt.sent_us
         self.post(StreamStarted(attempt.request_id, attempt.number, attempt.server, elapsed_us))
 
+    # --- values that ended early ---
+
+    def _resume(
+        self, exchange: RequestExchange, attempt: Attempt, size: int
+    ) -> Callable[[bytes], None] | None:
+        """Stream the rest of a value that ended early; return None if this is another value."""
+        if size != exchange.progress.size:
+            log.warning("long value not resumed: reason=size request=%s", attempt.request_id)
+            return None
+        attempt.cancel_timeout()
+        self._watch_for_stall(exchange, attempt)
+        self._report_stream(exchange, attempt)
+        exchange.reply.resume_stream(attempt)
+        resumption = ValueResumption(exchange.progress)
+        return lambda piece: self._receive_rest(attempt, resumption, piece)
+
+    def _receive_rest(self, attempt: Attempt, resumption: ValueResumption, piece: bytes) -> None:
+        exchange = self.open_requests.get(attempt.request_id)
+        if exchange is None:
+            attempt.cancel()
+            return
+        try:
+            rest = resumption.take(piece)
+        except ValueMismatchError:
+            log.warning("long value not resumed: reason=content request=%s", attempt.request_id)
+            attempt.cancel()
+            return
+        exchange.reply.last_progress_s = self.clients.clock()
+        if rest:
+            self._pass_on(exchange, rest)
+
     def _check_stall(self, request_id: str) -> None:
         exchange = self.open_requests.get(request_id)
-        if exchange is None:
+        if exchange is None or exchange.streaming_attempt is None:
             return
         remaining_s = exchange.reply.last_progress_s + SEND_STALL_TIMEOUT_S - self.clients.clock()
         if remaining_s > 0:
--- a/orchidhatch/proxy/reply.py
+++ b/orchidhatch/proxy/reply.py
@@ -124,6 +124,12 @@
         self.last_progress_s = self.connection.now_s()
         self.connection.begin_stream()
 
+    def resume_stream(self, source: ReplySource) -> None:
+        """Continue a streamed answer that ended early, from another source."""
+        self.source = source
+        self.is_paused = False
+        self.last_progress_s = self.connection.now_s()
+
     def is_last(self) -> bool:
         """Return whether this is the last answer in the connection's queue, with no command behind it."""
         replies = self.connection.replies
--- a/orchidhatch/proxy/request_exchange.py
+++ b/orchidhatch/proxy/request_exchange.py
@@ -7,6 +7,7 @@
 from orchidhatch.proxy.buffered_value import BufferedValue
 from orchidhatch.proxy.command_parser import Command
 from orchidhatch.proxy.reply import Reply
+from orchidhatch.proxy.value_progress import ValueProgress
 
 
 class RequestExchange:
@@ -15,9 +16,9 @@
     The plan is kept by name, as a reload may give its number to another plan. `policy_digest` is the digest
     of the policy that admitted the request, "" if that is not logged. `streaming_attempt` is the attempt
     whose long value is being streamed to the client; `buffered` is a long value of which nothing is sent
-    yet, and `buffer_timer` expires when that is to be checked. `first_possible_run_us` is the send time of
-    the first attempt that a backend may have run, 0 if there is none. Times are in microseconds of the
-    process's clock.
+    yet, and `buffer_timer` expires when that is to be checked. `progress` is what was passed on of a streamed
+    value with commands behind it. `first_possible_run_us` is the send time of the first attempt that a
+    backend may have run, 0 if there is none. Times are in microseconds of the process's clock.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "objective_us",
         "plan_name",
         "policy_digest",
+        "progress",
         "reply",
         "streaming_attempt",
         "timer",
@@ -58,11 +60,22 @@
         self.first_possible_run_us = 0
         self.buffered: BufferedValue | None = None
         self.buffer_timer: asyncio.TimerHandle | None = None
+        self.progress: ValueProgress | None = None
         self.last_result: AttemptResult | None = None
         self.in_flight: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.streaming_attempt: Attempt | None = None
 
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether a part of a long value was passed on, and no attempt gives the rest now."""
+        return self.progress is not None and self.streaming_attempt is None
+
+    def may_resume(self) -> bool:
+        """Return whether answers behind a value that ended early depend on its rest, which may still come."""
+        is_begun = self.progress is not None and self.reply.has_begun
+        return is_begun and not self.reply.is_complete and not self.reply.is_last()
+
     def take_buffered(self, attempt: Attempt) -> BufferedValue | None:
         """Remove and return the attempt's long value; the caller releases its memory."""
         buffered = self.buffered
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -44,6 +44,8 @@
 # How much longer after a stall of the event loop.
 BACKSTOP_GRACE_S = 0.01
 US_PER_MS = 1000
+# How long a value that ended early waits for an attempt that gives the rest; the core ends it earlier.
+RESUMPTION_BACKSTOP_S = 5.0
 GUARD_SLACK_US = 5_000
 """Tolerance for the clock's advance between the attempt's own deadline check and the guard's."""
 
@@ -206,7 +208,7 @@
             self._start_attempt(action, exchange, number)
         except Exception:
             exchange.in_flight.pop(number, None)  # the core counts it as in flight until its end is reported
-            self.post(AttemptEnded(action.id, False, number, action.server, AttemptResult.NOT_SENT, 0))
+            self._post_not_sent(action, exchange, number)
             raise
 
     def _report_not_sent(self, action: SendAttempt, exchange: RequestExchange | None) -> None:
@@ -214,12 +216,23 @@
         number = tracked_exchange.attempt_count if tracked_exchange else 0
         if tracked_exchange:
             tracked_exchange.attempt_count += 1
-        self.post(AttemptEnded(action.id, exchange is None, number, action.server, AttemptResult.NOT_SENT, 0))
+        self._post_not_sent(action, exchange, number)
+
+    def _post_not_sent(self, action: SendAttempt, exchange: RequestExchange | None, number: int) -> None:
+        is_interrupted = exchange is not None and exchange.is_interrupted
+        result = AttemptResult.NOT_SENT
+        self.post(
+            AttemptEnded(
+                action.id, exchange is None, number, action.server, result, 0, is_interrupted=is_interrupted
+            )
+        )
 
     def _start_attempt(self, action: SendAttempt, exchange: RequestExchange, number: int) -> None:
         now = now_us()
         remaining_us = max(1, exchange.deadline_us - now)
         timeout_us = min(remaining_us, action.timeout_us) if action.timeout_us > 0 else remaining_us
+        if exchange.is_interrupted:
+            timeout_us = action.timeout_us  # its deadline may be over
         self.sent[action.server] += 1
         if not number:
             self.queue_waits.note(now_us() - exchange.arrived_us)
@@ -265,7 +278,7 @@
             return Refusal.OVERLAPPING_ATTEMPT
         if attempt.number >= self.active.settings.max_attempts:
             return Refusal.TOO_MANY_ATTEMPTS
-        if now_us() >= exchange.deadline_us + GUARD_SLACK_US:
+        if now_us() >= exchange.deadline_us + GUARD_SLACK_US and not exchange.is_interrupted:
             return Refusal.PAST_DEADLINE
         return self._repeat_refusal(exchange)
 
@@ -289,10 +302,9 @@
         request_id = attempt.request_id
         if result is not AttemptResult.OK and request_id in self.open:
             self._log_incomplete_value(self.open[request_id], attempt, result)
-        if request_id in self.open and self.open[request_id].streaming_attempt is attempt:
-            self._end_stream(attempt, result is AttemptResult.OK)
-        elif result is AttemptResult.OK and value is not None and request_id in self.open:
-            self._answer_value(self.open[request_id], attempt, value)
+        is_interrupted = self._note_interruption(attempt, result)
+        if not is_interrupted and request_id in self.open:
+            self._end_open_request(self.open[request_id], attempt, result, value)
         has_ended = request_id not in self.open
         exchange = self.ended.get(request_id) if has_ended else self.open[request_id]
         if exchange:
@@ -309,10 +321,60 @@
         elapsed_us = now_us() - attempt.sent_us
         self.post(
             AttemptEnded(
-                request_id, has_ended, attempt.number, attempt.server, result, elapsed_us, report=report
+                request_id,
+                has_ended,
+                attempt.number,
+                attempt.server,
+                result,
+                elapsed_us,
+                report=report,
+                is_interrupted=is_interrupted,
             )
         )
 
+    def _note_interruption(self, attempt: Attempt, result: AttemptResult) -> bool:
+        """Return whether the attempt leaves a long value incomplete of which another may give the rest.
+
+        The core sends that attempt or has the request fail.
+        """
+        exchange = self.open.get(attempt.request_id)
+        if exchange is None:
+            return False
+        if exchange.is_interrupted:
+            return True
+        is_incomplete = exchange.streaming_attempt is attempt and result is not AttemptResult.OK
+        if not is_incomplete or self.long_values.is_shutting_down or not exchange.may_resume():
+            return False
+        exchange.streaming_attempt = None
+        exchange.timer.cancel()
+        exchange.timer = self.loop.call_later(
+            RESUMPTION_BACKSTOP_S, self._fail_interrupted, attempt.request_id
+        )
+        return True
+
+    def _fail_interrupted(self, request_id: str) -> None:
+        """Fail a request whose value ended early and that the decision core has not ended."""
+        exchange = self.open.get(request_id)
+        if exchange and exchange.is_interrupted:
+            log.error("request %s was left with an incomplete value", request_id)
+            self._abort_value(request_id)
+            self.post(ClientGone(request_id))
+
+    def _abort_value(self, request_id: str) -> None:
+        """Close a request whose long value cannot be completed."""
+        exchange = self.close_request(request_id)
+        self._record_outcome(exchange, RequestOutcome.ERRORED)
+        exchange.reply.abort()
+
+    def _end_open_request(
+        self, exchange: RequestExchange, attempt: Attempt, result: AttemptResult, value: bytes | None
+    ) -> None:
+        """End the request if the attempt has answered it, or was streaming the answer."""
+        if exchange.streaming_attempt is attempt:
+            self._end_stream(attempt, result is AttemptResult.OK)
+        elif result is AttemptResult.OK and value is not None:
+            self._answer_value(exchange, attempt, value)
+
     def _answer_value(self, exchange: RequestExchange, attempt: Attempt, value: bytes) -> None:
         """Answer with the attempt's value, or with its long value that was buffered until now."""
         if exchange.buffered and exchange.buffered.attempt is attempt:
@@ -371,8 +433,12 @@
         self.answer(action.id, line, RequestOutcome.DEFERRED)
 
     def fail(self, action: Fail) -> None:
-        """Answer that the request failed."""
-        self.answer(action.id, FAILED_ANSWER, RequestOutcome.ERRORED)
+        """Answer that the request failed, or end its answer if a part of that was passed on."""
+        exchange = self.open.get(action.id)
+        if exchange and exchange.is_interrupted:
+            self._abort_value(action.id)
+        else:
+            self.answer(action.id, FAILED_ANSWER, RequestOutcome.ERRORED)
 
     def answer(self, request_id: str, data: bytes, outcome: RequestOutcome) -> None:
         """Send the complete answer and close the request, unless it is closed already."""
--- a/tests/proxy/test_broken_values.py
+++ b/tests/proxy/test_broken_values.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import itertools
+from dataclasses import replace
 
 import pytest
 
-from orchidhatch.proxy import socket_inspection
+from orchidhatch.proxy import buffered_value, socket_inspection
+from orchidhatch.proxy.server import GatewayServer
 from tests.proxy.gateway_scripts import ask_with_one_behind, slow_client_of_sent_answer, until
-from tests.sockets import Backend, Client, front_door, query, value
+from tests.sockets import SETTINGS, Backend, Client, front_door, query, value
 
 LONG = bytes(range(256)) * 1024
 HEAD = b"*3\r\n$%d\r\n" % len(LONG)
@@ -106,3 +108,109 @@
         with contextlib.suppress(EOFError, ConnectionError):
             answers = [await client.answer() for _ in range(2)]
         assert len(answers) == 2 and answers[1] == b"second"
+
+
+class RepeatedValues:
+    """A backend that resets each attempt at a long value amid it, until one gives it whole.
+
+    `attempts` has the bytes of each attempt: its head and a part of the value, or all of its answer.
+    """
+
+    def __init__(self, *attempts: bytes) -> None:
+        self.attempts = attempts
+        self.count = 0
+        self.backend = Backend(self._answer)
+
+    def _answer(self, arguments: list[bytes]) -> bytes | None:
+        if arguments[2] != b"a1":
+            return value(b"second")
+        attempt = self.attempts[min(self.count, len(self.attempts) - 1)]
+        self.count += 1
+        return attempt
+
+
+async def interrupt_value(
+    values: RepeatedValues, gateway: GatewayServer, client: Client, behind: bytes
+) -> None:
+    """Break the first attempt after its value was passed on at its deadline, as it was steadily given."""
+    client.send(query("a1", wait_ms=400) + behind)
+    await until(lambda: values.count)
+    writer = values.backend.writer_of("a1")
+    exchange = gateway.requests.open["a1"]
+    given_bytes = BEGUN_BYTES
+    while not exchange.reply.has_begun:
+        writer.write(LONG[given_bytes : given_bytes + BEGUN_BYTES])
+        given_bytes += BEGUN_BYTES
+        await asyncio.sleep(0.01)
+    writer.transport.abort()
+
+
+PARTIAL = HEAD + LONG[:BEGUN_BYTES]
+WHOLE = HEAD + LONG + TAIL
+
+
+@pytest.mark.parametrize(
+    "further",
+    [
+        pytest.param((WHOLE,), id="whole"),
+        pytest.param((b"-BUSY\r\n", WHOLE), id="busy"),
+        pytest.param((b"-ERR failed\r\n", b"-BUSY\r\n", WHOLE), id="error"),
+        pytest.param((b"*3\r\n$300000\r\n" + b"x" * 10, value(b"short"), WHOLE), id="another value"),
+        pytest.param((HEAD + b"y" * len(LONG), WHOLE), id="other bytes"),
+    ],
+)
+async def test_broken_value_goes_on_from_another_attempt(
+    further: tuple[bytes, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the loss of an answer behind a value that breaks after its deadline (review case 7)."""
+    monkeypatch.setattr(buffered_value, "MIN_STEADY_US", 0)
+    values = RepeatedValues(PARTIAL, *further)
+    changes = {"settings": replace(SETTINGS, max_attempts=4)}
+    async with front_door(values.backend, **changes) as (gateway, address):
+        client = await Client.open(address)
+        await interrupt_value(values, gateway, client, query("a2"))
+        assert await client.answer() == LONG
+        assert await client.answer() == b"second"
+        assert await client.ask(query("a3")) == b"second"
+        assert values.count == 1 + len(further)
+        assert not gateway.requests.open and not gateway.clients.backlog.total_bytes()
+
+
+async def test_value_that_breaks_in_each_attempt_ends_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(buffered_value, "MIN_STEADY_US", 0)
+    values = RepeatedValues(PARTIAL, HEAD + b"y" * len(LONG))
+    async with front_door(values.backend) as (gateway, address):
+        client = await Client.open(address)
+        await interrupt_value(values, gateway, client, query("a2"))
+        with pytest.raises((EOFError, ConnectionError)):
+            await client.answer()
+        await until(lambda: not gateway.requests.open and not gateway.clients.connections)
+        assert values.count == gateway.active.settings.max_attempts
+        assert not gateway.clients.backlog.total_bytes()
+
+
+async def test_broken_value_without_a_command_behind_is_not_repeated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It has failed and no answer is lost, so the backends are spared."""
+    monkeypatch.setattr(buffered_value, "MIN_STEADY_US", 0)
+    values = RepeatedValues(PARTIAL, WHOLE)
+    async with front_door(values.backend) as (gateway, address):
+        client = await Client.open(address)
+        await interrupt_value(values, gateway, client, b"")
+        with pytest.raises((EOFError, ConnectionError)):
+            await client.answer()
+        await until(lambda: not gateway.requests.open)
+        assert values.count == 1
+
+
+async def test_client_that_leaves_ends_the_attempt_for_the_rest(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(buffered_value, "MIN_STEADY_US", 0)
+    values = RepeatedValues(PARTIAL, PARTIAL)
+    async with front_door(values.backend) as (gateway, address):
+        client = await Client.open(address)
+        await interrupt_value(values, gateway, client, query("a2"))
+        await until(lambda: values.count == 2 and gateway.requests.open["a1"].streaming_attempt)
+        client.writer.transport.abort()
+        await until(lambda: not gateway.requests.open and not gateway.requests.ended)
+        assert values.count == 2 and not gateway.clients.backlog.total_bytes()
