Each reason for suspended admission is ended by its own owner: operator, policy, process

Cause: the agent answers each 503 of a gateway under the right policy with healthcheck/ok, as the gateway may have suspended admission by itself, and that call ended the operators' drain too; neither side told who it was. An operator's ok confirmed a policy, for which the agent alone can vouch.

Change: the agent's calls have ?reason=policy; ServiceState (was OperatorDrain) keeps who has drained the gateway; /healthcheck and /metrics name the reasons, and the agent acts on its own only. A successor process goes on with the operators' drain.

--- a/orchidhatch/control/agent/gateway_client.py
+++ b/orchidhatch/control/agent/gateway_client.py
@@ -8,6 +8,13 @@
 
 GATEWAY_TIMEOUT_S = 1.0  # the gateway answers its management calls within this time
 # In the body of a health response: the number of the decision and the digest of its document, "-" for none.
+# The calls by which the agent suspends admission over the policy, and ends that; a gateway of the previous
+# version ignores the reason.
+SUSPEND_PATH = "/healthcheck/fail?reason=policy"
+CONFIRM_PATH = "/healthcheck/ok?reason=policy"
+# In the body of a health response: who has suspended admission.
+SUSPENSIONS_IN_HEALTH = re.compile(r"; suspended by ([a-z, ]{1,100})")
+POLICY_SUSPENSION = "policy"
 POLICY_IN_HEALTH = re.compile(r"policy ([0-9]{1,19}) ([0-9a-f]{16}|-)")
 
 
@@ -21,10 +28,15 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayState:
-    """A gateway's state by its last health response. `policy` is None if it is under no policy."""
+    """A gateway's state by its last health response. `policy` is None if it is under no policy.
+
+    `is_policy_suspended` says whether admission is suspended over the policy. A gateway of the previous
+    version does not tell by whom it is suspended; it is then taken to be over the policy.
+    """
 
     serves: bool = False
     policy: AppliedPolicy | None = None
+    is_policy_suspended: bool = False
 
     @property
     def digest(self) -> str:
@@ -58,7 +70,9 @@
         if not isinstance(result, HttpResponse):
             self.state = replace(self.state, serves=False)
             return None
-        self.state = GatewayState(result.ok, parse_policy(str(result.value)))
+        health_text = str(result.value)
+        is_policy_suspended = not result.ok and names_policy_suspension(health_text)
+        self.state = GatewayState(result.ok, parse_policy(health_text), is_policy_suspended)
         return result.status
 
     async def poll_request_counts(self) -> None:
@@ -68,18 +82,27 @@
             self.request_counts = RequestCounts(sample.answered, sample.deferred, sample.errored)
 
     async def suspend_admission(self) -> bool:
-        """Have the gateway admit no clients. Return whether it confirmed that."""
-        return await self._post("/healthcheck/fail")
+        """Have the gateway admit no clients over the policy. Return whether it confirmed that."""
+        return await self._post(SUSPEND_PATH)
 
     async def resume_admission(self) -> bool:
-        """Have the gateway admit clients. Return whether it confirmed that."""
-        return await self._post("/healthcheck/ok")
+        """Have the gateway admit clients under its policy, unless someone else has suspended that.
+
+        Return whether the gateway confirmed it.
+        """
+        return await self._post(CONFIRM_PATH)
 
     async def _post(self, path: str) -> bool:
         result = await call(self.address, "POST", path, timeout_s=GATEWAY_TIMEOUT_S)
         return result.ok
 
 
+def names_policy_suspension(health_text: str) -> bool:
+    """Return whether a negative health response names the policy among the reasons, or no reason at all."""
+    found = SUSPENSIONS_IN_HEALTH.search(health_text)
+    return found is None or POLICY_SUSPENSION in found[1].split(", ")
+
+
 def parse_policy(health_text: str) -> AppliedPolicy | None:
     """Return the policy that a health response names, None if it names none."""
     found = POLICY_IN_HEALTH.search(health_text)
--- a/orchidhatch/control/agent/gateway_steering.py
+++ b/orchidhatch/control/agent/gateway_steering.py
@@ -99,18 +99,19 @@
             await self._switch_to(permitted)
             return
         self._watches.resume()
-        if status != HTTPStatus.OK:
+        if status != HTTPStatus.OK and self.gateway.state.is_policy_suspended:
             await self.gateway.resume_admission()
 
     async def _suspend(self, status: int | None) -> None:
-        """Have the gateway admit no clients.
+        """Have the gateway admit no clients, also if an operator has drained it, who may take it back.
 
         A gateway that cannot be reached no longer gets the endpoint list, so it suspends admission itself.
         """
         if status == HTTPStatus.OK:
             self.suspensions += 1
             log.warning("admission suspended: lease_remaining_s=%.1f", self._lease.remaining_s())
-        is_suspended = status is not None and status != HTTPStatus.OK
+        is_negative = status is not None and status != HTTPStatus.OK
+        is_suspended = is_negative and self.gateway.state.is_policy_suspended
         if is_suspended or await self.gateway.suspend_admission():
             self._watches.resume()
         else:
--- a/orchidhatch/proxy/handover.py
+++ b/orchidhatch/proxy/handover.py
@@ -43,6 +43,8 @@
 """The key of the fields that a process of the previous version does not know."""
 RECENT_REQUESTS = "recent_requests"
 """The key of the ids of requests that may have run; absent in the state of a previous version."""
+OPERATOR_DRAIN = "operator_drain"
+"""The key of whether operators have drained the gateway; absent in the state of a previous version."""
 
 
 class ControlMessage(Enum):
@@ -76,9 +78,16 @@
         """Return the fields of the state message for a successor."""
 
     def resume(
-        self, state: GatewaySnapshot, known: Mapping[str, Any], recent_requests: Iterable[str]
+        self,
+        state: GatewaySnapshot,
+        known: Mapping[str, Any],
+        recent_requests: Iterable[str],
+        is_drained_by_operator: bool,
     ) -> None:
-        """Restore the predecessor's state and endpoint list, and the ids of requests that may have run."""
+        """Restore the predecessor's state and endpoint list, and the ids of requests that may have run.
+
+        Go on with a drain of the operators.
+        """
 
     def release(self) -> None:
         """Stop accepting, and release the addresses, as the successor serves."""
@@ -272,7 +281,8 @@
         known = values["known"]
         self.on_sockets(values)
         recent_requests = from_plain(tuple[str, ...], values.get(RECENT_REQUESTS, []))
-        self.host.resume(state, known, recent_requests)
+        is_drained_by_operator = from_plain(bool, values.get(OPERATOR_DRAIN, False))
+        self.host.resume(state, known, recent_requests, is_drained_by_operator)
         self.resumed.set()
 
     def on_serving(self, _: Mapping[str, Any]) -> None:
--- a/orchidhatch/proxy/management.py
+++ b/orchidhatch/proxy/management.py
@@ -43,15 +43,24 @@
 
 
 class CallRouter:
-    """The handlers by method and path; the segment that PARAMETER matches is passed to the handler."""
+    """The handlers by method and path; the segment that PARAMETER matches is passed to the handler.
+
+    A call whose target equals that of a handler goes there; else its query is ignored.
+    """
 
     def __init__(self, calls: dict[tuple[str, str], Callable[..., Answer]]) -> None:
         self.handlers = {
-            (method, tuple(path.split("/"))): handler for (method, path), handler in calls.items()
+            (method, tuple(path.split("/"))): handler
+            for (method, path), handler in calls.items()
+            if "?" not in path
         }
+        self.handlers_by_target = {call: handler for call, handler in calls.items() if "?" in call[1]}
 
     def answer(self, method: str, target: str) -> RoutedAnswer:
         """Answer a call by its handler, or with 404 or 405 if there is none."""
+        exact_handler = self.handlers_by_target.get((method, target))
+        if exact_handler:
+            return RoutedAnswer(exact_handler())
         segments = tuple(map(unquote, target.partition("?")[0].split("/")))
         allowed = []
         for (handled_method, pattern), handler in self.handlers.items():
--- a/orchidhatch/proxy/management_handlers.py
+++ b/orchidhatch/proxy/management_handlers.py
@@ -1,6 +1,5 @@
 """The handlers of the management calls."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 
@@ -8,10 +7,10 @@
 from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.event_dispatcher import EventDispatcher
 from orchidhatch.proxy.management import Answer
-from orchidhatch.proxy.metrics_page import MetricsPage
-from orchidhatch.proxy.operator_drain import OperatorDrain
+from orchidhatch.proxy.metrics_page import MetricsPage, metric_text
 from orchidhatch.proxy.policy_guard import PolicyGuard
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
+from orchidhatch.proxy.service_state import ServiceState, SuspensionReason
 
 log = logging.getLogger(__name__)
 
@@ -22,21 +21,24 @@
     def __init__(
         self,
         process: ProcessLifecycle,
-        operator_drain: OperatorDrain,
+        service_state: ServiceState,
         policy_guard: PolicyGuard,
         dispatcher: EventDispatcher,
         backends: Backends,
         metrics_page: MetricsPage,
     ) -> None:
         self.process = process
-        self.operator_drain = operator_drain
+        self.service_state = service_state
         self.policy_guard = policy_guard
         self.dispatcher = dispatcher
         self.backends = backends
         self.metrics_page = metrics_page
 
     def routes(self) -> dict[tuple[str, str], Callable[..., Answer]]:
-        """Return the handlers by method and path; `{id}` stands for a backend's name."""
+        """Return the handlers by method and path; `{id}` stands for a backend's name.
+
+        A path with a query is that of calls with just this query.
+        """
         return {
             ("GET", "/healthcheck"): self.health,
             ("GET", "/stats"): self.stats,
@@ -45,12 +47,17 @@
             ("POST", "/backends/{id}/ready"): self.end_maintenance,
             ("POST", "/healthcheck/fail"): self.leave_service,
             ("POST", "/healthcheck/ok"): self.enter_service,
+            ("POST", "/healthcheck/fail?reason=policy"): self.suspend_policy,
+            ("POST", "/healthcheck/ok?reason=policy"): self.confirm_policy,
         }
 
     def health(self) -> Answer:
-        """Return whether new clients are admitted, and the policy in force."""
-        status, text = (200, "serves") if self.operator_drain.is_serving() else (503, "takes no new clients")
-        return status, text + self.policy_guard.description()
+        """Return whether new clients are admitted, the policy in force, and the reasons if they are not."""
+        suspensions = self.service_state.suspensions()
+        if not suspensions:
+            return 200, "serves" + self.policy_guard.description()
+        reasons = ", ".join(suspensions)
+        return 503, f"takes no new clients{self.policy_guard.description()}; suspended by {reasons}"
 
     def stats(self) -> Answer:
         """Return the counts of requests by class and outcome."""
@@ -58,7 +65,12 @@
 
     def metrics(self) -> Answer:
         """Return the counts of /stats and all further metrics."""
-        return 200, self.metrics_page.metrics()
+        suspensions = self.service_state.suspensions()
+        is_suspended = {f'reason="{reason}"': int(reason in suspensions) for reason in SuspensionReason}
+        text = metric_text(
+            "admission_suspended", "gauge", "Whether admission is suspended, by reason.", is_suspended
+        )
+        return 200, self.metrics_page.metrics() + text
 
     def begin_maintenance(self, name: str) -> Answer:
         """Eject the backend: it gets no new attempts."""
@@ -80,16 +92,35 @@
         return 200, "left out" if is_ejected else "may serve again"
 
     def leave_service(self) -> Answer:
-        """Start a drain."""
-        self.operator_drain.begin()
+        """Start the operators' drain."""
+        self.service_state.begin_drain(SuspensionReason.OPERATOR)
         return 200, "takes no new clients"
 
     def enter_service(self) -> Answer:
-        """Undo a drain and admit clients, if the policy is still valid."""
+        """End the operators' drain; without one, confirm the policy for an agent of the previous version."""
+        if self.process.state is ProcessState.ENDING:
+            return 409, "the gateway is shutting down"
+        if not self.service_state.is_drained_by_operator():
+            return self.confirm_policy()
+        self.service_state.end_drain(SuspensionReason.OPERATOR)
+        return self._describe_admission()
+
+    def suspend_policy(self) -> Answer:
+        """Start a drain for the agent, whose policy lease has lapsed."""
+        self.service_state.begin_drain(SuspensionReason.POLICY)
+        return 200, "takes no new clients"
+
+    def confirm_policy(self) -> Answer:
+        """End what the policy has suspended, as the agent confirms it; a drain of the operators goes on."""
         if self.process.state is ProcessState.ENDING:
             return 409, "the gateway is shutting down"
         if not self.policy_guard.resume():
-            now_s = asyncio.get_running_loop().time()
-            return 409, self.policy_guard.invalid_reason(now_s) or "the policy may no longer be valid"
-        self.operator_drain.undo()
+            return 409, self.policy_guard.invalid_reason() or "the policy may no longer be valid"
+        self.service_state.end_drain(SuspensionReason.POLICY)
+        return self._describe_admission()
+
+    def _describe_admission(self) -> Answer:
+        suspensions = self.service_state.suspensions()
+        if suspensions:
+            return 200, f"still suspended by {', '.join(suspensions)}"
         return 200, "takes clients"
--- a/orchidhatch/proxy/policy_guard.py
+++ b/orchidhatch/proxy/policy_guard.py
@@ -3,7 +3,7 @@
 A gateway under a policy starts with admission suspended. It also suspends admission after its event loop
 stalled or its agent was silent, as its policy lease may have expired meanwhile and another policy may be
 valid; and when its policy ends before its agent has given it the next one. The management call
-`healthcheck/ok`, by which the agent confirms the policy, resumes admission.
+`healthcheck/ok?reason=policy`, by which the agent confirms the policy, resumes admission.
 """
 
 import asyncio
@@ -69,12 +69,13 @@
         if stall_s > MAX_STALL_S:
             self.suspend(f"event loop stalled for {stall_s:.1f} s")
             return
-        reason = self.invalid_reason(now_s)
+        reason = self.invalid_reason()
         if reason:
             self.suspend(reason)
 
-    def invalid_reason(self, now_s: float) -> str:
-        """Return why the policy may not be valid at `now_s`, "" if it is valid."""
+    def invalid_reason(self) -> str:
+        """Return why the policy may not be valid now, "" if it is valid."""
+        now_s = self.clock()
         policy = self.policy
         if policy is None:
             return ""
@@ -95,7 +96,7 @@
     def resume(self) -> bool:
         """Resume admission, as the agent confirms the policy; return False if the policy cannot be valid."""
         self.check()
-        if self.invalid_reason(self.clock()):
+        if self.invalid_reason():
             return False
         if self.is_suspended:
             self.is_suspended = False
--- a/orchidhatch/proxy/process_handover.py
+++ b/orchidhatch/proxy/process_handover.py
@@ -22,9 +22,10 @@
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.endpoint_list_reader import EndpointListReader, EndpointUpdate
 from orchidhatch.proxy.event_dispatcher import EventDispatcher
-from orchidhatch.proxy.handover import RECENT_REQUESTS, HandoverPeer, optional_fields
+from orchidhatch.proxy.handover import OPERATOR_DRAIN, RECENT_REQUESTS, HandoverPeer, optional_fields
 from orchidhatch.proxy.process_lifecycle import ProcessLifecycle, ProcessState
 from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+from orchidhatch.proxy.service_state import ServiceState, SuspensionReason
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +43,7 @@
         self,
         shared_directory: Path | None,
         process: ProcessLifecycle,
+        service_state: ServiceState,
         requests: RequestLifecycle,
         dispatcher: EventDispatcher,
         clients: Clients,
@@ -55,6 +57,7 @@
         `shared_directory` is the directory of the handover socket, None to disable handover.
         """
         self.process = process
+        self.service_state = service_state
         self.requests = requests
         self.dispatcher = dispatcher
         self.clients = clients
@@ -96,9 +99,18 @@
             self.dispatcher.post(HandoverPeerGone())
 
     def resume(
-        self, state: GatewaySnapshot, known: Mapping[str, Any], recent_requests: Iterable[str]
+        self,
+        state: GatewaySnapshot,
+        known: Mapping[str, Any],
+        recent_requests: Iterable[str],
+        is_drained_by_operator: bool,
     ) -> None:
-        """Restore the predecessor's state, and its endpoint list if it is newer than this process's own."""
+        """Restore the predecessor's state, and its endpoint list if it is newer than this process's own.
+
+        Go on with a drain of the operators, which only they end.
+        """
+        if is_drained_by_operator:
+            self.service_state.begin_drain(SuspensionReason.OPERATOR)
         self.requests.recent.note_all(recent_requests)
         self.endpoint_list_reader.adopt_starts(
             known, {server.name: server.started_us for server in state.servers}
@@ -124,6 +136,7 @@
             "state": to_plain(state),
             "known": self.endpoint_list_reader.snapshot(),
             "count": self.socket_counts(),
+            OPERATOR_DRAIN: self.service_state.is_drained_by_operator(),
             RECENT_REQUESTS: [*self.requests.recent.ids(), *self.requests.ended, *self.requests.open],
             **optional_fields(state),
         }
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -47,7 +47,6 @@
 from orchidhatch.proxy.memory_budget import memory_budget
 from orchidhatch.proxy.metrics import RequestMetrics
 from orchidhatch.proxy.metrics_page import MetricsPage
-from orchidhatch.proxy.operator_drain import OperatorDrain
 from orchidhatch.proxy.peers import Peers
 from orchidhatch.proxy.periodic_log import PeriodicLog
 from orchidhatch.proxy.policy_guard import PolicyGuard
@@ -56,6 +55,7 @@
 from orchidhatch.proxy.process_limits import apply_descriptor_limit, create_core_settings
 from orchidhatch.proxy.request_lifecycle import RequestLifecycle
 from orchidhatch.proxy.send_backlog import SendBacklog
+from orchidhatch.proxy.service_state import ServiceState
 from orchidhatch.proxy.work_queues import WorkQueues
 
 log = logging.getLogger(__name__)
@@ -95,7 +95,7 @@
         self._create_process(config)
         self._create_operations(config, writer)
         self.requests.set_collaborators(self.clients, self.backends, self.policy_guard)
-        self.operator_drain.set_policy_guard(self.policy_guard)
+        self.service_state.set_policy_guard(self.policy_guard)
         self.dispatcher.set_handlers(self.action_handlers(), self.requests.fail_on_internal_error)
 
     def _create_connections(self, config: Config) -> None:
@@ -142,13 +142,14 @@
 
     def _create_process(self, config: Config) -> None:
         self.process = ProcessLifecycle(self.active, self.clients, self.requests)
-        self.operator_drain = OperatorDrain(self.process, self.clients, self.dispatcher.post)
+        self.service_state = ServiceState(self.process, self.clients, self.dispatcher.post)
         self.policy_guard = PolicyGuard(
-            config.policy, self.discovery.last_sign_of_life_s, self.operator_drain.suspend_admission
+            config.policy, self.discovery.last_sign_of_life_s, self.service_state.suspend_admission
         )
         self.handover = ProcessHandover(
             config.shared_directory if config.socket_fd is not None else None,
             self.process,
+            self.service_state,
             self.requests,
             self.dispatcher,
             self.clients,
@@ -176,7 +177,7 @@
         self.metrics_page = self._create_metrics_page()
         self.management_handlers = ManagementHandlers(
             self.process,
-            self.operator_drain,
+            self.service_state,
             self.policy_guard,
             self.dispatcher,
             self.backends,
@@ -321,7 +322,7 @@
             self.server.close()
         self.loop_watch.close()
         self.handover.close()
-        self.operator_drain.close()
+        self.service_state.close()
         self.periodic_log.close()
         self.management.close()
         self.peers.close()
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -180,7 +180,7 @@
                 await backend.came.wait()
             assert old.management_handlers.begin_maintenance("s0")[0] == 200
             new = await start(config, started)
-            assert new.operator_drain.is_serving() and not old.operator_drain.is_serving()
+            assert new.service_state.is_serving() and not old.service_state.is_serving()
             assert len(new.core.handover_peer.in_flight) == 1 and "s0" in new.backends.ejected
             assert new.management_handlers.end_maintenance("s0")[0] == 200
             assert await idle.ended()
@@ -196,6 +196,24 @@
     run(job())
 
 
+def test_successor_goes_on_with_the_drain_of_operators(tmp_path: Path) -> None:
+    """Guards against an upgrade that takes a drained gateway back; one that is not drained serves at once."""
+
+    async def job() -> None:
+        async with gateway_count(Backend(), tmp_path) as (config, started):
+            old = await start(config, started)
+            assert old.management_handlers.leave_service()[0] == 200
+            new = await start(config, started)
+            assert new.management_handlers.health() == (503, "takes no new clients; suspended by operator")
+            assert new.management_handlers.enter_service()[0] == 200
+            client = await Client.open(config.listen)
+            assert await client.ask(resp("PING")) == b"PONG"
+            newest = await start(config, started)
+            assert newest.service_state.is_serving()
+
+    run(job())
+
+
 def test_replaced_process_ends_by_itself(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(process_lifecycle, "REPLACED_EXIT_DELAY_S", 0.01)
 
@@ -237,7 +255,7 @@
         async with gateway_count(Backend(), tmp_path) as (config, started):
             new = await start(config, started)
             client = await Client.open(config.listen)
-            assert await client.ask(query("a1")) == b"ok" and new.operator_drain.is_serving()
+            assert await client.ask(query("a1")) == b"ok" and new.service_state.is_serving()
         server.close()
 
     run(job())
@@ -269,7 +287,7 @@
                 assert await reader.read() == b""
                 writer.close()
             client = await Client.open(config.listen)
-            assert await client.ask(query("a1")) == b"ok" and door.operator_drain.is_serving()
+            assert await client.ask(query("a1")) == b"ok" and door.service_state.is_serving()
 
     run(job())
 
@@ -296,7 +314,9 @@
         [state] = of(GatewaySnapshot, self.world.tell(StartHandover()))
         return {"state": to_plain(state), "known": {}, "count": [0, 0], **handover.optional_fields(state)}
 
-    def resume(self, state: GatewaySnapshot, _: object, recent_requests: Iterable[str]) -> None:
+    def resume(
+        self, state: GatewaySnapshot, _: object, recent_requests: Iterable[str], is_drained_by_operator: bool
+    ) -> None:
         assert not list(recent_requests)  # as from a process of an earlier version
         self.received.append(state)
 
--- a/tests/proxy/test_policy_admission.py
+++ b/tests/proxy/test_policy_admission.py
@@ -35,7 +35,10 @@
     caplog.set_level(logging.INFO)
     async with front_door(Backend(), policy=under_policy(), traces_policy=True) as (gateway, at):
         client = await Client.open(at)
-        assert gateway.management_handlers.health() == (503, "takes no new clients; policy 1 -")
+        assert gateway.management_handlers.health() == (
+            503,
+            "takes no new clients; policy 1 -; suspended by policy",
+        )
         assert "BUSY" in await ask(client, "a") and not gateway.requests.open
         assert gateway.management_handlers.enter_service()[
             0
@@ -113,5 +116,7 @@
 
 @pytest.mark.parametrize(("now_s", "is_valid"), [(9.999, True), (10.0, False)])
 def test_policy_is_invalid_from_the_instant_of_its_end(now_s: float, is_valid: bool) -> None:
-    guard = PolicyGuard(under_policy(until_us=10_000_000), lambda: now_s, lambda is_suspended: None)
-    assert (guard.invalid_reason(now_s) == "") is is_valid
+    guard = PolicyGuard(
+        under_policy(until_us=10_000_000), lambda: now_s, lambda is_suspended: None, lambda: now_s
+    )
+    assert (guard.invalid_reason() == "") is is_valid
