The agent follows its gateway's process over a replacement, and the successor waits for it

Cause: nobody ended the successor's suspension over the policy. The agent went on calling the management address of the old process; the new one's stands in its environment alone, and the hand-over did not wait.

--- a/orchidhatch/control/agent/gateway_calls.py
+++ b/orchidhatch/control/agent/gateway_calls.py
@@ -74,7 +74,8 @@
     def __init__(self, fences: FenceTable, replicator: Replicator, gateway: Address) -> None:
         self.fences = fences
         self._replicator = replicator
-        self._gateway = gateway
+        self.gateway = gateway
+        """Where the calls go; the lease holder changes it when the gateway's process is replaced."""
         self._lock = asyncio.Lock()
         self._queued = 0
         self._executed = 0
@@ -86,7 +87,7 @@
         try:
             if name not in QUERIES:
                 raise NotFoundError("no such question")
-            result = await call(self._gateway, "GET", f"/{name}", timeout_s=GATEWAY_TIMEOUT_S)
+            result = await call(self.gateway, "GET", f"/{name}", timeout_s=GATEWAY_TIMEOUT_S)
             answer = require_answer(result)
         except ControlError as error:
             return error_response(error)
@@ -142,7 +143,7 @@
         target = "/" + "/".join(quote(segment, safe="") for segment in fenced_call.path)
         fence = fenced_call.fence
         headers = {CLAIM_HEADER: f"{fence.claim} {fence.epoch} {fenced_call.call_number}"}
-        return await call(self._gateway, "POST", target, timeout_s=GATEWAY_TIMEOUT_S, headers=headers)
+        return await call(self.gateway, "POST", target, timeout_s=GATEWAY_TIMEOUT_S, headers=headers)
 
     async def _initialize_fences(self) -> None:
         """Fetch the epochs from a registry unless that was done. Raises UnavailableError if that fails."""
--- a/orchidhatch/control/agent/gateway_client.py
+++ b/orchidhatch/control/agent/gateway_client.py
@@ -1,11 +1,17 @@
 """Management calls to the gateway on the same machine, and its last known state."""
 
+import logging
 import re
+import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from orchidhatch.control.controller.summary import parse_gateway_metrics
-from orchidhatch.control.http_client import Address, HttpResponse, call
+from orchidhatch.control.http_client import Address, HttpResponse, call, format_address
 
+log = logging.getLogger("orchidhatch.gateway_client")
+
+MAX_HANDOVER_S = 60.0  # how long a process that is being replaced may serve
 GATEWAY_TIMEOUT_S = 1.0  # the gateway answers its management calls within this time
 # In the body of a health response: the number of the decision and the digest of its document, "-" for none.
 # The calls by which the agent suspends admission over the policy, and ends that; a gateway of the previous
@@ -54,13 +60,47 @@
 
 
 class GatewayClient:
-    """One gateway's management interface."""
+    """One gateway's management interface, which moves as one process of the gateway takes over from another.
+
+    `configured_address` is used until the gateway's process names another one. `clock` is in seconds.
+    """
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, configured_address: Address, clock: Callable[[], float] = time.monotonic) -> None:
+        self.configured_address = configured_address
+        self.on_moved: Callable[[Address], None] = lambda address: None
+        self._clock = clock
+        self._moved_address: Address | None = None
+        self._predecessor: Address | None = None
+        """The address before the last move, whose process may serve until the hand-over."""
+        self._moved_s = 0.0
         self.state = GatewayState()
         self.request_counts = RequestCounts()
 
+    @property
+    def address(self) -> Address:
+        """The address of the management calls."""
+        return self._moved_address or self.configured_address
+
+    def move(self, process_address: Address | None) -> None:
+        """Make calls at the address that the gateway's process names, from now on.
+
+        None means that there is no such process; if it was to replace another one, calls go there again.
+        """
+        address = process_address or self._recent_predecessor() or self.address
+        if address == self.address:
+            return
+        log.info("management calls moved: from=%s to=%s", *map(format_address, (self.address, address)))
+        self._predecessor = self.address if process_address else None
+        self._moved_s = self._clock()
+        self._moved_address = address
+        self.on_moved(address)
+
+    def _recent_predecessor(self) -> Address | None:
+        """Return the predecessor's address, None if its process has ended by now."""
+        if self._clock() - self._moved_s > MAX_HANDOVER_S:
+            self._predecessor = None
+        return self._predecessor
+
     async def poll_health(self) -> int | None:
         """Update the gateway's state. Return the status of its health response, None without a response.
 
@@ -85,6 +125,12 @@
         """Have the gateway admit no clients over the policy. Return whether it confirmed that."""
         return await self._post(SUSPEND_PATH)
 
+    async def suspend_predecessor(self) -> None:
+        """Have a process that is being replaced admit no clients, as it is not told of changes."""
+        predecessor = self._recent_predecessor()
+        if predecessor:
+            await call(predecessor, "POST", SUSPEND_PATH, timeout_s=GATEWAY_TIMEOUT_S)
+
     async def resume_admission(self) -> bool:
         """Have the gateway admit clients under its policy, unless someone else has suspended that.
 
--- a/orchidhatch/control/agent/gateway_process.py
+++ b/orchidhatch/control/agent/gateway_process.py
@@ -1,13 +1,18 @@
-"""Signals the gateway's process to reload its configuration."""
+"""The gateway's process: where it takes management calls, and the signal to reload its configuration."""
 
 import logging
 import os
 import signal
+from argparse import ArgumentTypeError
 from pathlib import Path
 
+from orchidhatch.control.addresses import parse_address
+from orchidhatch.control.http_client import Address
+
 log = logging.getLogger("orchidhatch.gateway_process")
 
 CONFIG_VARIABLE = "PROXY_CONFIG"
+MANAGEMENT_VARIABLE = "PROXY_MANAGEMENT"
 
 
 class GatewayProcess:
@@ -17,6 +22,19 @@
         self._pid_file = pid_file
         self._config_file = config_file
 
+    def management_address(self) -> Address | None:
+        """Return the address of the process's management calls, None if its environment names none.
+
+        A process that takes over from another one has an address of its own.
+        """
+        try:
+            environment = self._environment(int(self._pid_file.read_text()))
+            if environment.get(CONFIG_VARIABLE) == str(self._config_file):
+                return parse_address(environment[MANAGEMENT_VARIABLE])
+        except (OSError, ValueError, KeyError, ArgumentTypeError):
+            return None
+        return None
+
     def reload(self) -> None:
         """Send SIGHUP to the gateway, but not to another process that reuses its process ID.
 
@@ -41,5 +59,11 @@
             os.close(descriptor)
 
     def _uses_config_file(self, process_number: int) -> bool:
-        environment = Path(f"/proc/{process_number}/environ").read_bytes().split(b"\0")
-        return f"{CONFIG_VARIABLE}={self._config_file}".encode() in environment
+        return self._environment(process_number).get(CONFIG_VARIABLE) == str(self._config_file)
+
+    @staticmethod
+    def _environment(process_number: int) -> dict[str, str]:
+        """Return the environment variables of a process. Raises OSError if they cannot be read."""
+        content = Path(f"/proc/{process_number}/environ").read_bytes()
+        variables = [entry.partition("=") for entry in os.fsdecode(content).split("\0")]
+        return {name: value for name, _, value in variables}
--- a/orchidhatch/control/agent/gateway_steering.py
+++ b/orchidhatch/control/agent/gateway_steering.py
@@ -82,6 +82,7 @@
 
     async def steer(self) -> None:
         """Poll the gateway once, and switch its policy or its admission if necessary."""
+        self.gateway.move(self.process.management_address())
         status = await self.gateway.poll_health()
         permitted = self.permitted_digest()
         if not self._config_file.is_managed():
@@ -110,6 +111,7 @@
         if status == HTTPStatus.OK:
             self.suspensions += 1
             log.warning("admission suspended: lease_remaining_s=%.1f", self._lease.remaining_s())
+        await self.gateway.suspend_predecessor()
         is_negative = status is not None and status != HTTPStatus.OK
         is_suspended = is_negative and self.gateway.state.is_policy_suspended
         if is_suspended or await self.gateway.suspend_admission():
@@ -129,6 +131,7 @@
             log.error("configuration not written: digest=%s error=%s", digest or "-", error)
             await self._suspend(HTTPStatus.OK)
             return
+        await self.gateway.suspend_predecessor()
         self.process.reload()
         self.switches += 1
         if await self._wait_until_applied(expected):
--- a/orchidhatch/control/agent/policy_lease_holder.py
+++ b/orchidhatch/control/agent/policy_lease_holder.py
@@ -49,7 +49,7 @@
         config_file = GatewayConfigFile(setup.config_file)
         self._clock = clock
         self._checker = ConfigChecker(setup.check_command, setup.config_file)
-        self.gateway = GatewayClient(gateway_address)
+        self.gateway = GatewayClient(gateway_address, clock)
         self.lease = PolicyLeaseClient(database, registry, setup.name, setup.zone, clock)
         self.documents = PolicyDocuments(database, registry, self._check_document)
         self.steering = GatewaySteering(
--- a/orchidhatch/control/agent/service.py
+++ b/orchidhatch/control/agent/service.py
@@ -71,6 +71,10 @@
             GatewayCallHandlers(self.gateway_calls, self.tasks).add_routes(self.router)
         if gateway and setup:
             self.lease_holder = PolicyLeaseHolder(self.database, self.broadcaster, registries, gateway, setup)
+            self.lease_holder.gateway.on_moved = self._move_gateway_calls
+
+    def _move_gateway_calls(self, address: Address) -> None:
+        self.gateway_calls.gateway = address
 
     def store_name(self) -> str:
         """Return the store name for responses: the identity of the agent's store and the list's term."""
--- a/orchidhatch/proxy/backends.py
+++ b/orchidhatch/proxy/backends.py
@@ -247,6 +247,7 @@
         task = asyncio.get_running_loop().create_task(self.account.wrap_coroutine(category, job))
         self.tasks.add(task)  # the event loop keeps only weak references to tasks
         task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(lambda _: job.close())  # if it was cancelled before its first step
 
     def close(self) -> None:
         """Abort all connections and cancel all tasks."""
--- a/orchidhatch/proxy/guards.py
+++ b/orchidhatch/proxy/guards.py
@@ -23,7 +23,7 @@
     REQUEST_ENDED = "request_ended"
     """An attempt for a request that was answered, or whose client has disconnected."""
     PAST_DEADLINE = "past_deadline"
-    """An attempt after the request's deadline."""
+    """An attempt after the request's deadline, unless it gives the rest of a value."""
     PAST_REPEAT_WINDOW = "past_repeat_window"
     """A retry of a keyed request that may have run, after the end of the deduplication window."""
     REPEAT_FORBIDDEN = "repeat_forbidden"
--- a/tests/control/agent/test_gateway_steering.py
+++ b/tests/control/agent/test_gateway_steering.py
@@ -29,13 +29,13 @@
         fixture.ignores_signals = False
         assert await fixture.advance(0.1) == 200
         agent = fixture.agent
-        address = fixture.holder.gateway.address
-        fixture.holder.gateway.address = (HOST, 1)
+        address = fixture.holder.gateway.configured_address
+        fixture.holder.gateway.configured_address = (HOST, 1)
         await fixture.advance(LEASE_S + 0.1, renews=False)
         assert (
             agent.broadcaster.is_suspended
         )  # and so the gateway's watch ends, and it suspends admission by itself
-        fixture.holder.gateway.address = address
+        fixture.holder.gateway.configured_address = address
         assert await fixture.advance() == 200 and not agent.broadcaster.is_suspended
 
 
@@ -67,6 +67,23 @@
         assert await fixture.advance(0.1) == 200
 
 
+async def test_lapsed_lease_suspends_a_process_that_is_being_replaced(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also where its successor, which has just started, is suspended already."""
+    async with leased_gateway(tmp_path) as fixture:
+        assert await fixture.advance() == 200
+        suspended: list[bool] = []
+
+        async def suspend_predecessor() -> None:
+            suspended.append(True)
+
+        monkeypatch.setattr(fixture.holder.gateway, "suspend_predecessor", suspend_predecessor)
+        assert await fixture.advance(LEASE_S + 0.1, renews=False) == 503 and suspended
+        suspended.clear()
+        assert await fixture.advance(0.1, renews=False) == 503 and suspended
+
+
 async def test_lapsed_lease_is_not_ended_by_operators(tmp_path: Path) -> None:
     async with leased_gateway(tmp_path) as fixture:
         assert await fixture.advance() == 200
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -30,8 +30,8 @@
     HandoverAttemptEnd,
     HandoverSpend,
 )
-from orchidhatch.proxy import handover, process_handover, process_lifecycle
-from orchidhatch.proxy.config import Config
+from orchidhatch.proxy import handover, process_handover, process_lifecycle, server
+from orchidhatch.proxy.config import Config, Policy
 from orchidhatch.proxy.server import GatewayServer
 from tests.gateway.held_pair import HeldPair
 from tests.helpers import MS, SETTINGS, S, World, of
@@ -214,6 +214,33 @@
     run(job())
 
 
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_predecessor_serves_until_the_policy_is_confirmed(
+    tmp_path: Path, is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a successor that refuses all requests (review case 10), if there is an agent."""
+    monkeypatch.setattr(server, "POLICY_CONFIRMATION_TIMEOUT_S", 30.0 if is_confirmed else 0.05)
+
+    async def job() -> None:
+        async with gateway_count(Backend(), tmp_path) as (config, started):
+            kept = replace(config, policy=Policy(1, "", 60.0))
+            old = await start(kept, started)
+            assert old.management_handlers.confirm_policy()[0] == 200
+            starting = asyncio.create_task(start(kept, started))
+            while len(started) < 2 or not started[1].handover.peer.resumed.is_set():
+                await asyncio.sleep(0.001)
+            new = started[1]
+            if is_confirmed:
+                client = await Client.open(config.listen)
+                assert await client.ask(query("a1")) == b"ok" and old.service_state.is_serving()
+                assert new.management_handlers.confirm_policy()[0] == 200
+            await starting
+            assert new.service_state.is_serving() is is_confirmed
+            assert not old.service_state.is_serving()
+
+    run(job())
+
+
 def test_replaced_process_ends_by_itself(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(process_lifecycle, "REPLACED_EXIT_DELAY_S", 0.01)
 
