--- a/orchidhatch/faults/seeded_defects.py
+++ b/orchidhatch/faults/seeded_defects.py
@@ -222,7 +222,7 @@
     from orchidhatch.gateway.retries import RetryPolicy
     from orchidhatch.gateway.server_record import ServerRecord
     from orchidhatch.gateway.settings import Idempotency
-    from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+    from orchidhatch.proxy.attempt_checks import AttemptChecks
 
     is_in_scope = CandidateFilter.is_in_scope
 
@@ -231,7 +231,7 @@
 
     CandidateFilter.is_in_scope = is_keyed_or_in_scope
     RetryPolicy.start_within_us = lambda self, request: 0
-    RequestLifecycle._repeat_refusal = lambda self, exchange: None
+    AttemptChecks._repeat_refusal = lambda self, exchange: None
 
 
 def leave_reset_unanswered() -> None:
@@ -279,10 +279,10 @@
 
 def retry_all_classes_unguarded() -> None:
     """The decision core takes every class of request for idempotent, and the proxy's guard is off."""
-    from orchidhatch.proxy.request_lifecycle import RequestLifecycle
+    from orchidhatch.proxy.attempt_checks import AttemptChecks
 
     retry_all_classes()
-    RequestLifecycle._repeat_refusal = lambda self, exchange: None
+    AttemptChecks._repeat_refusal = lambda self, exchange: None
 
 
 def never_time_out_commands() -> None:
--- a/orchidhatch/proxy/request_lifecycle.py
+++ b/orchidhatch/proxy/request_lifecycle.py
@@ -17,15 +17,15 @@
 from orchidhatch.gateway.actions import CancelAttempt, Fail, Reject, SendAttempt
 from orchidhatch.gateway.attempts import NOT_RUN_RESULTS, AttemptResult, LoadReport
 from orchidhatch.gateway.events import AttemptEnded, ClientGone, EndOpenRequests, Event
-from orchidhatch.gateway.settings import Idempotency
 from orchidhatch.proxy.active_configuration import ActiveConfiguration
 from orchidhatch.proxy.attempt import Attempt
+from orchidhatch.proxy.attempt_checks import AttemptChecks
 from orchidhatch.proxy.backends import Backends
 from orchidhatch.proxy.clients import Clients
 from orchidhatch.proxy.clock import now_us
 from orchidhatch.proxy.command_parser import CommandError
 from orchidhatch.proxy.config_reader import MAX_TIME_US
-from orchidhatch.proxy.guards import Guard, Refusal
+from orchidhatch.proxy.guards import Guard
 from orchidhatch.proxy.long_values import LongValues
 from orchidhatch.proxy.loop_watch import LoopWatch
 from orchidhatch.proxy.metrics import RequestMetrics, RequestOutcome
@@ -46,8 +46,6 @@
 US_PER_MS = 1000
 # How long a value that ended early waits for an attempt that gives the rest; the core ends it earlier.
 RESUMPTION_BACKSTOP_S = 5.0
-GUARD_SLACK_US = 5_000
-"""Tolerance for the clock's advance between the attempt's own deadline check and the guard's."""
 
 
 class RequestLifecycle:
@@ -63,7 +61,6 @@
     ) -> None:
         self.loop_watch = loop_watch or LoopWatch()
         self.active = active
-        self.guard = guard or Guard()
         self.request_metrics = request_metrics
         self.post = post
         self.loop = asyncio.get_running_loop()
@@ -78,6 +75,7 @@
         self.queue_waits = WaitHistogram()
         self.tally: Counter[str] = Counter()
         """Requests and results of attempts since the last periodic log line."""
+        self.checks = AttemptChecks(self.open, active, guard or Guard(), self.loop_watch, self.tally)
         self.results: Counter[str] = Counter()
         """Results of attempts since the process start."""
         self.retries: Counter[str] = Counter()
@@ -247,51 +245,12 @@
             exchange.command.payload,
             self.handle_attempt_end,
             self.long_values.begin,
-            self.may_send,
+            self.checks.may_send,
         )
         attempt.deadline_us = now + timeout_us
         exchange.in_flight[number] = attempt
         self.backends.send(attempt, timeout_us, action.start_within_us)
 
-    def may_send(self, attempt: Attempt) -> bool:
-        """Return whether an attempt may be written to its backend now.
-
-        A disconnect of the client is checked at its socket, as it may be unread after a stall of the event
-        loop. The core and this class ensure the other invariants earlier; the guard counts a breach.
-        """
-        exchange = self.open.get(attempt.request_id)
-        if exchange and exchange.reply.has_client_left(self.loop_watch.is_after_gap):
-            self.tally["left before sending"] += 1
-            return False
-        refusal = self._refusal(attempt, exchange)
-        if refusal:
-            self.guard.refuse(
-                refusal, attempt.request_id, f"attempt={attempt.number} server={attempt.server}"
-            )
-        return refusal is None
-
-    def _refusal(self, attempt: Attempt, exchange: RequestExchange | None) -> Refusal | None:
-        """Return the invariant that sending the attempt would break, if any."""
-        if exchange is None or exchange.in_flight.get(attempt.number) is not attempt:
-            return Refusal.REQUEST_ENDED
-        if exchange.has_another_in_flight(attempt):
-            return Refusal.OVERLAPPING_ATTEMPT
-        if attempt.number >= self.active.settings.max_attempts:
-            return Refusal.TOO_MANY_ATTEMPTS
-        if now_us() >= exchange.deadline_us + GUARD_SLACK_US and not exchange.is_interrupted:
-            return Refusal.PAST_DEADLINE
-        return self._repeat_refusal(exchange)
-
-    def _repeat_refusal(self, exchange: RequestExchange) -> Refusal | None:
-        """Return why a request that a backend may have run must not be sent again, or None if it may."""
-        request_class = self.active.settings.classes[exchange.command.request.class_index]
-        if not exchange.first_possible_run_us or request_class.idempotency is Idempotency.SAFE:
-            return None
-        if request_class.idempotency is Idempotency.UNSAFE:
-            return Refusal.REPEAT_FORBIDDEN
-        is_in_window = now_us() < exchange.first_possible_run_us + request_class.dedup_window_us
-        return None if is_in_window else Refusal.PAST_REPEAT_WINDOW
-
     def handle_attempt_end(
         self, attempt: Attempt, result: AttemptResult, value: bytes | None, report: LoadReport | None
     ) -> None:
--- a/tests/proxy/test_broken_values.py
+++ b/tests/proxy/test_broken_values.py
@@ -157,6 +157,7 @@
         pytest.param((b"-ERR failed\r\n", b"-BUSY\r\n", WHOLE), id="error"),
         pytest.param((b"*3\r\n$300000\r\n" + b"x" * 10, value(b"short"), WHOLE), id="another value"),
         pytest.param((HEAD + b"y" * len(LONG), WHOLE), id="other bytes"),
+        pytest.param((HEAD + b"y" * len(LONG) + TAIL, WHOLE), id="other bytes, complete"),
     ],
 )
 async def test_broken_value_goes_on_from_another_attempt(
--- a/tests/proxy/test_guards.py
+++ b/tests/proxy/test_guards.py
@@ -223,14 +223,16 @@
 async def test_attempt_past_deadline_or_maximum_is_refused() -> None:
     async with held_request(query("a1")) as (gateway, exchange, _):
         deadline_us, exchange.deadline_us = exchange.deadline_us, 1
-        attempt = Attempt("a1", 0, "s0", lambda _: b"", lambda *_: None, may_send=gateway.requests.may_send)
+        attempt = Attempt(
+            "a1", 0, "s0", lambda _: b"", lambda *_: None, may_send=gateway.requests.checks.may_send
+        )
         exchange.in_flight[0] = attempt
-        assert not gateway.requests.may_send(attempt)
+        assert not gateway.requests.checks.may_send(attempt)
         exchange.deadline_us, exchange.in_flight = deadline_us, {9: attempt}
         attempt.number = 9
-        assert not gateway.requests.may_send(attempt)
+        assert not gateway.requests.checks.may_send(attempt)
         exchange.in_flight = {}
-        assert not gateway.requests.may_send(attempt)
+        assert not gateway.requests.checks.may_send(attempt)
         assert gateway.guard.refusals == {
             Refusal.PAST_DEADLINE: 1,
             Refusal.TOO_MANY_ATTEMPTS: 1,
