--- a/tests/streams/test_http_input.py
+++ b/tests/streams/test_http_input.py
@@ -62,6 +62,29 @@
     assert events_of(HttpInput(http, MAX_HEAD_BYTES), pieces) == events_of(h11.Connection(h11.SERVER), pieces)
 
 
+RESPONSE = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+RESPONSES = [
+    RESPONSE + b"4\r\n\n0\r\n\r\n1\r\na\r\n0\r\n\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n" * 3 + RESPONSE + b"1\r\n\n\r\n",
+    b"HTTP/1.1 200 OK\r\n\r\nno length\n\n0\r\n",
+    b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nno",
+]
+
+
+def client_connection() -> h11.Connection:
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    http.send(h11.EndOfMessage())
+    return http
+
+
+@given(st.sampled_from(RESPONSES), st.integers(1, 60), st.booleans())
+def test_events_of_a_response_are_those_of_h11_alone(stream: bytes, size: int, is_closed: bool) -> None:
+    pieces = [stream[start : start + size] for start in range(0, len(stream), size)] + [b""] * is_closed
+    expected = events_of(client_connection(), pieces)
+    assert events_of(HttpInput(client_connection(), MAX_HEAD_BYTES), pieces) == expected
+
+
 @pytest.mark.parametrize("character", [b"\x00", b"\x0b", b"\x0c", b"\r"])
 @pytest.mark.parametrize("piece_bytes", [1, 1000])
 def test_head_that_cannot_match_is_not_parsed(character: bytes, piece_bytes: int) -> None:
