A successor takes over once its policy is confirmed, and not before

Waiting for a time decides nothing.

Change: the predecessor serves until the policy is confirmed or it ends itself; a successor that is told to end before leaves without taking over.

--- a/orchidhatch/proxy/policy_guard.py
+++ b/orchidhatch/proxy/policy_guard.py
@@ -39,9 +39,6 @@
         self.set_suspended = set_suspended
         self.clock = clock
         self.is_suspended = False
-        self.resumed = asyncio.Event()
-        """Set while admission is not suspended."""
-        self.resumed.set()
         self.is_running = False
         self.last_check_s = clock()
 
@@ -94,7 +91,6 @@
             return
         log.warning("admission suspended: reason=%s", reason)
         self.is_suspended = True
-        self.resumed.clear()
         self.set_suspended(True)
 
     def resume(self) -> bool:
@@ -104,7 +100,6 @@
             return False
         if self.is_suspended:
             self.is_suspended = False
-            self.resumed.set()
             self.set_suspended(False)
         return True
 
--- a/orchidhatch/proxy/server.py
+++ b/orchidhatch/proxy/server.py
@@ -66,8 +66,8 @@
 # start during a release, and discovery may not answer for long.
 FIRST_LIST_TIMEOUT_S = 0.3
 NEWER_LIST_TIMEOUT_S = 0.05
-# How long a successor waits for its agent to confirm the policy; the agent looks at it every 0.2 s.
-POLICY_CONFIRMATION_TIMEOUT_S = 2.0
+# How often a successor looks whether its agent has confirmed the policy; the agent comes every 0.2 s.
+POLICY_POLL_INTERVAL_S = 0.02
 LISTEN_BACKLOG = 1024
 # How long the start retries to open a socket.
 OPEN_TIMEOUT_S = 2.0
@@ -293,8 +293,10 @@
     async def _serve_inherited(self, descriptor: int) -> None:
         """Serve on the inherited socket, with the predecessor's state if a predecessor is serving."""
         has_state = await self.handover.take_over()
-        if has_state:
-            await self._wait_for_policy()
+        if has_state and not await self._wait_for_policy():
+            log.warning("told to end before the policy was confirmed; the predecessor goes on")
+            self.handover.close()
+            return
         listening = socket.socket(fileno=descriptor)
         listening.setblocking(False)
         self.server = await self.loop.create_server(
@@ -302,12 +304,16 @@
         )
         await self.handover.begin_serving(has_state, self._open_peers)
 
-    async def _wait_for_policy(self) -> None:
-        """Wait briefly for the agent to confirm the policy, while the predecessor serves."""
-        try:
-            await asyncio.wait_for(self.policy_guard.resumed.wait(), POLICY_CONFIRMATION_TIMEOUT_S)
-        except TimeoutError:
-            log.warning("policy not confirmed in time; taking over with admission suspended")
+    async def _wait_for_policy(self) -> bool:
+        """Wait until the agent has confirmed the policy, or the predecessor that serves meanwhile has ended.
+
+        Return False if this process is told to end first.
+        """
+        while self.policy_guard.is_suspended and self.handover.peer.connection:
+            if self.process.terminated_us:
+                return False
+            await asyncio.sleep(POLICY_POLL_INTERVAL_S)
+        return True
 
     async def _open_peers(self) -> None:
         config = self.active.config
--- a/tests/proxy/test_handover.py
+++ b/tests/proxy/test_handover.py
@@ -30,7 +30,7 @@
     HandoverAttemptEnd,
     HandoverSpend,
 )
-from orchidhatch.proxy import handover, process_handover, process_lifecycle, server
+from orchidhatch.proxy import handover, process_handover, process_lifecycle
 from orchidhatch.proxy.config import Config, Policy
 from orchidhatch.proxy.server import GatewayServer
 from tests.gateway.held_pair import HeldPair
@@ -214,12 +214,9 @@
     run(job())
 
 
-@pytest.mark.parametrize("is_confirmed", [True, False])
-def test_predecessor_serves_until_the_policy_is_confirmed(
-    tmp_path: Path, is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Guards against a successor that refuses all requests (review case 10), if there is an agent."""
-    monkeypatch.setattr(server, "POLICY_CONFIRMATION_TIMEOUT_S", 30.0 if is_confirmed else 0.05)
+@pytest.mark.parametrize("end", ["confirmed", "terminated", "predecessor gone"])
+def test_predecessor_serves_until_the_policy_is_confirmed(tmp_path: Path, end: str) -> None:
+    """Guards against a successor that takes over and refuses all requests (review case 10)."""
 
     async def job() -> None:
         async with gateway_count(Backend(), tmp_path) as (config, started):
@@ -230,13 +227,21 @@
             while len(started) < 2 or not started[1].handover.peer.resumed.is_set():
                 await asyncio.sleep(0.001)
             new = started[1]
-            if is_confirmed:
-                client = await Client.open(config.listen)
-                assert await client.ask(query("a1")) == b"ok" and old.service_state.is_serving()
+            await asyncio.sleep(0.1)
+            client = await Client.open(config.listen)
+            assert await client.ask(query("a1")) == b"ok" and old.service_state.is_serving()
+            if end == "confirmed":
                 assert new.management_handlers.confirm_policy()[0] == 200
+            elif end == "terminated":
+                new.process.note_termination()
+            else:
+                old.handover.close()
             await starting
-            assert new.service_state.is_serving() is is_confirmed
-            assert not old.service_state.is_serving()
+            assert new.service_state.is_serving() is (end == "confirmed")
+            assert old.service_state.is_serving() is (end != "confirmed")
+            if end == "terminated":
+                assert new.server is None
+                assert await client.ask(query("a2")) == b"ok"
 
     run(job())
 
