--- a/orchidhatch/control/agent/gateway_client.py
+++ b/orchidhatch/control/agent/gateway_client.py
@@ -13,7 +13,6 @@
 
 MAX_HANDOVER_S = 60.0  # how long a process that is being replaced may serve
 GATEWAY_TIMEOUT_S = 1.0  # the gateway answers its management calls within this time
-# In the body of a health response: the number of the decision and the digest of its document, "-" for none.
 # The calls by which the agent suspends admission over the policy, and ends that; a gateway of the previous
 # version ignores the reason.
 SUSPEND_PATH = "/healthcheck/fail?reason=policy"
@@ -21,6 +20,7 @@
 # In the body of a health response: who has suspended admission.
 SUSPENSIONS_IN_HEALTH = re.compile(r"; suspended by ([a-z, ]{1,100})")
 POLICY_SUSPENSION = "policy"
+# In the same body: the number of the decision and the digest of its document, "-" for none.
 POLICY_IN_HEALTH = re.compile(r"policy ([0-9]{1,19}) ([0-9a-f]{16}|-)")
 
 
--- a/orchidhatch/control/http_client.py
+++ b/orchidhatch/control/http_client.py
@@ -11,7 +11,7 @@
 Address = tuple[str, int]
 
 DEFAULT_TIMEOUT_S = 2.0
-MAX_RESPONSE_BYTES = 64 << 20  # an endpoint list with the maximum number of endpoints, each of maximum length
+MAX_LIST_BYTES = 64 << 20  # an endpoint list with the maximum number of endpoints, each of maximum length
 STORE_HEADER = "Orchidhatch-Store"
 NO_HEADERS: Mapping[str, str] = {}
 
@@ -77,9 +77,9 @@
 
 def read_body(response: http.client.HTTPResponse) -> bytes:
     """Return the body of a response. Raises http.client.HTTPException if it is too long."""
-    content = response.read(MAX_RESPONSE_BYTES + 1)
-    if len(content) > MAX_RESPONSE_BYTES:
-        raise http.client.HTTPException(f"the response is longer than {MAX_RESPONSE_BYTES} bytes")
+    content = response.read(MAX_LIST_BYTES + 1)
+    if len(content) > MAX_LIST_BYTES:
+        raise http.client.HTTPException(f"the response is longer than {MAX_LIST_BYTES} bytes")
     return content
 
 
--- a/orchidhatch/control/registry/watch_client.py
+++ b/orchidhatch/control/registry/watch_client.py
@@ -10,16 +10,14 @@
 import msgspec
 
 from orchidhatch.control.errors import InvalidRequestError
-from orchidhatch.control.http_client import Address, format_address
+from orchidhatch.control.http_client import MAX_LIST_BYTES, Address, format_address
 from orchidhatch.control.http_response import STORE_HEADER
-from orchidhatch.streams.http_input import HttpInput
+from orchidhatch.streams.http_input import MAX_RESPONSE_HEAD_BYTES, HttpInput
 from orchidhatch.streams.line_splitter import LineSplitter, LineTooLongError
 
 CONNECT_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 5.0  # without any data; a registry sends an empty line every 2 s
 READ_SIZE_BYTES = 1 << 16
-MAX_HEAD_BYTES = 16 << 10
-MAX_LINE_BYTES = 64 << 20  # an endpoint list with the maximum number of endpoints, each of maximum length
 
 
 class WatchEvent(msgspec.Struct):
@@ -37,8 +35,8 @@
         self._http = h11.Connection(h11.CLIENT)
         self._reader = reader
         self._writer = writer
-        self._input = HttpInput(self._http, MAX_HEAD_BYTES)
-        self._splitter = LineSplitter(MAX_LINE_BYTES)
+        self._input = HttpInput(self._http, MAX_RESPONSE_HEAD_BYTES)
+        self._splitter = LineSplitter(MAX_LIST_BYTES)
 
     async def open_watch(self, address: Address, target: str, store_name: str) -> str:
         """Request a watch and return the name of the store whose list is sent.
--- a/orchidhatch/proxy/watch_connection.py
+++ b/orchidhatch/proxy/watch_connection.py
@@ -13,13 +13,11 @@
 from orchidhatch.proxy import socket_inspection
 from orchidhatch.proxy.cpu_accounting import CostCategory, CpuAccounting
 from orchidhatch.proxy.json_lines import MAX_VALUE_BYTES, JsonLineReader
-from orchidhatch.streams.http_input import HttpInput
+from orchidhatch.streams.http_input import MAX_RESPONSE_HEAD_BYTES, HttpInput
 from orchidhatch.streams.line_splitter import LineSplitter
 
 log = logging.getLogger(__name__)
 
-MAX_HEAD_BYTES = 16 * 1024
-
 MALFORMED = (
     h11.ProtocolError,
     ValueError,
@@ -74,7 +72,7 @@
         self.on_heartbeat = on_heartbeat
         self.account = account
         self.http = h11.Connection(h11.CLIENT)
-        self.input = HttpInput(self.http, MAX_HEAD_BYTES)
+        self.input = HttpInput(self.http, MAX_RESPONSE_HEAD_BYTES)
         self.splitter = LineSplitter(MAX_VALUE_BYTES)
         self.state = WatchState.CONNECTING
         self.was_accepted = False
--- a/orchidhatch/streams/http_input.py
+++ b/orchidhatch/streams/http_input.py
@@ -11,6 +11,8 @@
 
 import h11
 
+MAX_RESPONSE_HEAD_BYTES = 16 * 1024
+"""The longest head of a response that the clients of a watch accept."""
 BODY_SLICE_BYTES = 64 * 1024
 """The most bytes of a body that are parsed at once."""
 TRAILER_SLICE_BYTES = 1024
--- a/tests/control/test_registry_client.py
+++ b/tests/control/test_registry_client.py
@@ -90,7 +90,7 @@
 
 
 async def test_response_beyond_the_length_is_none(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 10)
+    monkeypatch.setattr(http_client, "MAX_LIST_BYTES", 10)
     async with answering(200, b"[1234567]") as address:
         assert (await call(address, "GET", "/")).status == 200
     async with answering(200, b"[123456789]") as address:
